--- /dev/null
+++ b/src/core/error.c
@@ -0,0 +1,13 @@
+#include "core/error.h"
+
+void
+EyError_Turn(GError **error, GQuark domain, gint code, const char *prefix)
+{
+    if (error == NULL || *error == NULL) {
+        return;
+    }
+    GError *turned =
+        g_error_new(domain, code, "%s: %s", prefix, (*error)->message);
+    g_error_free(*error);
+    *error = turned;
+}
--- /dev/null
+++ b/src/core/error.h
@@ -0,0 +1,34 @@
+/**
+ * Error domains. Each layer declares one domain with EY_ERROR_DOMAIN in its
+ * header, defines it with EY_DEFINE_ERROR_DOMAIN, and turns errors of the
+ * layers below into its own with EyError_Turn.
+ */
+#ifndef EY_CORE_ERROR_H
+#define EY_CORE_ERROR_H
+
+#include <glib.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define EY_ERROR_DOMAIN(layer) GQuark Ey##layer##_ErrorDomain(void)
+
+#define EY_DEFINE_ERROR_DOMAIN(layer, text)                                   \
+    GQuark Ey##layer##_ErrorDomain(void)                                      \
+    {                                                                         \
+        return g_quark_from_static_string(text);                              \
+    }
+
+/**
+ * Replaces *error, of a layer below, by one of this layer that keeps the
+ * message behind its own prefix. error may be NULL.
+ */
+void
+EyError_Turn(GError **error, GQuark domain, gint code, const char *prefix);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
