Core parts: mailboxes, timers, streams, settings, logs, metrics, request and answer types

Timers don't use tevent's own, which count in wall clock time: a step back of the clock would hold each up by that step. The service keeps a queue before one timer descriptor that counts from the machine's start.

--- /dev/null
+++ b/src/backends/backend.c
@@ -0,0 +1,190 @@
+#include "backends/backend.h"
+
+#include "core/memory.h"
+#include "core/settings.h"
+
+#include <string.h>
+
+#define SPEED_MAX 1000.0
+#define SLOTS_MAX 100000
+
+const char *const EyBackend_kind_names[EY_BACKEND_KIND_COUNT] = {
+    [EY_BACKEND_MODEL] = "model",
+    [EY_BACKEND_SERVICE] = "service",
+};
+
+const char *const EyBackend_state_names[EY_BACKEND_STATE_COUNT] = {
+    [EY_BACKEND_SERVING] = "serving",
+    [EY_BACKEND_LEAVING] = "leaving",
+};
+
+static const EyField_t LoadFields[] = {
+    EY_FIELD(EyBackendLoad_t, running, EY_FIELD_U32),
+    EY_FIELD(EyBackendLoad_t, queued, EY_FIELD_U32),
+    EY_FIELD(EyBackendLoad_t, at, EY_FIELD_I64),
+    EY_FIELD_END,
+};
+const EySchema_t EyBackendLoad_schema = EY_SCHEMA(EyBackendLoad_t, LoadFields);
+
+#define REQUIRED_TEXT(member)                                                 \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_FIXED,                              \
+        .offset_bytes = offsetof(EyBackend_t, member),                        \
+        .limit = sizeof(((EyBackend_t *)0)->member), .required = true         \
+    }
+
+static const EyField_t BackendFields[] = {
+    REQUIRED_TEXT(id),
+    REQUIRED_TEXT(address),
+    REQUIRED_TEXT(region),
+    REQUIRED_TEXT(zone),
+    {.name = "kind",
+     .kind = EY_FIELD_ENUM,
+     .offset_bytes = offsetof(EyBackend_t, kind),
+     .limit = EY_BACKEND_KIND_COUNT,
+     .names = EyBackend_kind_names,
+     .required = true},
+    EY_FIELD_ARRAY_OF(EyBackend_t, models, model_count, EyName_schema,
+                      EY_BACKEND_TARGETS_MAX),
+    EY_FIELD_ARRAY_OF(EyBackend_t, services, service_count, EyName_schema,
+                      EY_BACKEND_TARGETS_MAX),
+    EY_FIELD(EyBackend_t, slots, EY_FIELD_U32),
+    EY_FIELD(EyBackend_t, speed, EY_FIELD_F64),
+    EY_FIELD(EyBackend_t, checks_fencing, EY_FIELD_BOOL),
+    EY_FIELD(EyBackend_t, echoes_request_id, EY_FIELD_BOOL),
+    EY_FIELD_ARRAY_OF(EyBackend_t, idempotent_methods, idempotent_method_count,
+                      EyName_schema, EY_BACKEND_METHODS_MAX),
+    EY_FIELD_NAMED(EyBackend_t, state, EyBackend_state_names,
+                   EY_BACKEND_STATE_COUNT),
+    EY_FIELD_OF(EyBackend_t, load, EyBackendLoad_schema),
+    EY_FIELD(EyBackend_t, ttl_ms, EY_FIELD_U32),
+    EY_FIELD(EyBackend_t, incarnation, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyBackend_schema = EY_SCHEMA(EyBackend_t, BackendFields);
+
+static bool
+refuse(GError **error, const char *message)
+{
+    g_set_error(error, EY_SCHEMA_ERROR, EY_SCHEMA_ERROR_TYPE, "%s", message);
+    return false;
+}
+
+static void
+fill_unset(EyBackend_t *self)
+{
+    if (self->slots == 0) {
+        self->slots = 1;
+    }
+    if (self->speed == 0.0) {
+        self->speed = 1.0;
+    }
+    if (self->ttl_ms == 0) {
+        self->ttl_ms = EY_BACKEND_TTL_UNSET_MS;
+    }
+}
+
+static bool
+check(const EyBackend_t *self, GError **error)
+{
+    if (self->id[0] == '\0' || self->region[0] == '\0' ||
+        self->zone[0] == '\0') {
+        return refuse(error, "field id, region, zone: expected a name");
+    }
+    if (!EyAddress_IsValid(self->address)) {
+        return refuse(error, "field address: expected IP:port");
+    }
+    if (self->kind == EY_BACKEND_MODEL && self->model_count == 0) {
+        return refuse(error, "field models: expected at least one model");
+    }
+    if (self->kind == EY_BACKEND_SERVICE && self->service_count == 0) {
+        return refuse(error, "field services: expected at least one service");
+    }
+    if (self->slots > SLOTS_MAX) {
+        return refuse(error, "field slots: expected 1 to 100000");
+    }
+    if (self->speed < 0.0 || self->speed > SPEED_MAX) {
+        return refuse(error, "field speed: expected above 0 to 1000");
+    }
+    if (self->ttl_ms > EY_BACKEND_TTL_MAX_MS) {
+        return refuse(error, "field ttl_ms: expected 1 to 60000");
+    }
+    return true;
+}
+
+EyBackend_t *
+EyBackend_FromJsonText(const void *ctx, const char *text, uint32_t size_bytes,
+                       GError **error)
+{
+    json_error_t where;
+    json_t *json =
+        json_loadb(text, size_bytes, JSON_REJECT_DUPLICATES, &where);
+    if (json == NULL) {
+        g_set_error(error, EY_SCHEMA_ERROR, EY_SCHEMA_ERROR_MALFORMED,
+                    "not JSON at byte %d: %s", where.position, where.text);
+        return NULL;
+    }
+    EyBackend_t *self = EY_NEW(ctx, EyBackend_t);
+    bool good = EySchema_FromJson(&EyBackend_schema, self, json, self, error);
+    json_decref(json);
+    if (good) {
+        fill_unset(self);
+        good = check(self, error);
+    }
+    if (!good) {
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+static EyName_t *
+copy_names(const void *ctx, const EyName_t *names, uint32_t count)
+{
+    EyName_t *copy = EY_NEW_ARRAY(ctx, EyName_t, count);
+    if (count > 0) {
+        memcpy(copy, names, sizeof(EyName_t) * count);
+    }
+    return copy;
+}
+
+EyBackend_t *
+EyBackend_Copy(const void *ctx, const EyBackend_t *from)
+{
+    EyBackend_t *self = EY_NEW(ctx, EyBackend_t);
+    *self = *from;
+    self->models = copy_names(self, from->models, from->model_count);
+    self->services = copy_names(self, from->services, from->service_count);
+    self->idempotent_methods = copy_names(self, from->idempotent_methods,
+                                          from->idempotent_method_count);
+    return self;
+}
+
+static bool
+contains(const EyName_t *names, uint32_t count, const char *name)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(names[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EyBackend_Serves(const EyBackend_t *self, const char *target)
+{
+    if (self->kind == EY_BACKEND_MODEL) {
+        return contains(self->models, self->model_count, target);
+    }
+    return contains(self->services, self->service_count, target);
+}
+
+bool
+EyBackend_IsIdempotent(const EyBackend_t *self, const char *method)
+{
+    static const EyName_t Always[] = {"GET", "HEAD", "OPTIONS"};
+    return contains(Always, sizeof(Always) / sizeof(Always[0]), method) ||
+           contains(self->idempotent_methods, self->idempotent_method_count,
+                    method);
+}
--- /dev/null
+++ b/src/backends/backend.h
@@ -0,0 +1,89 @@
+/** A backend server as it announces itself. */
+#ifndef EY_BACKENDS_BACKEND_H
+#define EY_BACKENDS_BACKEND_H
+
+#include "core/schema.h"
+#include "core/types.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define EY_BACKEND_TARGETS_MAX 64
+#define EY_BACKEND_METHODS_MAX 8
+/** Time to live of an announcement that names none, and the longest one. */
+#define EY_BACKEND_TTL_UNSET_MS 3000
+#define EY_BACKEND_TTL_MAX_MS 60000
+
+typedef enum EyBackendKind {
+    EY_BACKEND_MODEL,
+    EY_BACKEND_SERVICE,
+    EY_BACKEND_KIND_COUNT
+} EyBackendKind_t;
+
+typedef enum EyBackendState {
+    EY_BACKEND_SERVING,
+    EY_BACKEND_LEAVING,
+    EY_BACKEND_STATE_COUNT
+} EyBackendState_t;
+
+extern const char *const EyBackend_kind_names[EY_BACKEND_KIND_COUNT];
+extern const char *const EyBackend_state_names[EY_BACKEND_STATE_COUNT];
+
+/** The load that the server reports; it lags. */
+typedef struct EyBackendLoad {
+    uint32_t running;
+    uint32_t queued;
+    int64_t at; /* a serial or time of the server's own; only compared */
+} EyBackendLoad_t;
+
+typedef struct EyBackend {
+    EyName_t id;
+    EyAddress_t address; /* IP:port of its HTTP interface */
+    EyName_t region;
+    EyName_t zone;
+    EyBackendKind_t kind;
+    EyName_t *models;
+    uint32_t model_count;
+    EyName_t *services;
+    uint32_t service_count;
+    uint32_t slots; /* requests that it runs at once */
+    double speed;   /* relative; 1.0 if not said */
+    bool checks_fencing;
+    bool echoes_request_id;
+    EyName_t *idempotent_methods; /* besides GET, HEAD and OPTIONS */
+    uint32_t idempotent_method_count;
+    EyBackendState_t state;
+    EyBackendLoad_t load;
+    uint32_t ttl_ms;
+    uint64_t incarnation; /* rises with each start; 0: not said */
+} EyBackend_t;
+
+extern const EySchema_t EyBackendLoad_schema;
+extern const EySchema_t EyBackend_schema;
+
+/**
+ * Reads and checks the JSON text of an announcement into a new talloc object
+ * below ctx; NULL with EY_SCHEMA_ERROR names what is wrong.
+ */
+EyBackend_t *
+EyBackend_FromJsonText(const void *ctx, const char *text, uint32_t size_bytes,
+                       GError **error);
+
+/** A copy below ctx that shares nothing. */
+EyBackend_t *
+EyBackend_Copy(const void *ctx, const EyBackend_t *from);
+
+/** True if it serves the model or service. */
+bool
+EyBackend_Serves(const EyBackend_t *self, const char *target);
+
+/** True if the method may be repeated at this server. */
+bool
+EyBackend_IsIdempotent(const EyBackend_t *self, const char *method);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/backends/client.h
@@ -0,0 +1,108 @@
+/**
+ * Calls to backend servers, on the thread of one loop. Results come as events
+ * to one handler on the same thread.
+ */
+#ifndef EY_BACKENDS_CLIENT_H
+#define EY_BACKENDS_CLIENT_H
+
+#include "core/stream.h"
+#include "core/timers.h"
+#include "exchange/answer.h"
+#include "exchange/request.h"
+
+#include <tevent.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Where the answer's body goes. */
+typedef enum EyAttemptBody {
+    EY_ATTEMPT_COLLECT, /* kept whole, up to EY_ANSWER_BODY_MAX_BYTES */
+    EY_ATTEMPT_STREAM,  /* through stream as it comes */
+    EY_ATTEMPT_EVENTS   /* through stream, whole server-sent events only */
+} EyAttemptBody_t;
+
+/** One call to one backend server; a talloc root that is handed over. */
+typedef struct EyAttempt {
+    uint64_t number; /* unique in this process; names it in events */
+    EyAddress_t address;
+    char method[16];
+    char *path; /* on the backend server, with query */
+    EyKey_t request_id;
+    bool check_echo; /* the answer must bear the same X-Request-Id */
+    EyHeader_t *headers;
+    uint32_t header_count;
+    EyBytes_t body;
+    uint32_t connect_timeout_ms;
+    uint32_t idle_timeout_ms; /* longest silence once the call was sent */
+    int64_t deadline_ms;
+    EyAttemptBody_t body_mode;
+    EyStream_t *stream;    /* a reference of its own, or NULL */
+    uint32_t resume_after; /* events that the caller has already: sent as
+                              Ebonyyard-Resume-After; 0: from the start */
+} EyAttempt_t;
+
+typedef enum EyAttemptEventKind {
+    EY_ATTEMPT_SENDING, /* from now on bytes may have left */
+    EY_ATTEMPT_HEAD,    /* status and headers are there (streamed modes) */
+    EY_ATTEMPT_DONE,    /* the whole answer came */
+    EY_ATTEMPT_FAILED,
+    EY_ATTEMPT_EVENT_COUNT
+} EyAttemptEventKind_t;
+
+typedef enum EyAttemptFailure {
+    EY_FAILURE_NONE,
+    EY_FAILURE_CONNECT, /* no connection: nothing was sent */
+    EY_FAILURE_BROKEN,  /* the connection broke after it was used */
+    EY_FAILURE_IDLE,    /* silent for too long */
+    EY_FAILURE_DEADLINE,
+    EY_FAILURE_CANCELLED,
+    EY_FAILURE_WRONG_ID,  /* the answer is some other request's */
+    EY_FAILURE_TOO_LARGE, /* to be collected */
+    EY_FAILURE_MALFORMED, /* not HTTP, or cut off */
+    EY_FAILURE_COUNT
+} EyAttemptFailure_t;
+
+extern const char *const EyAttemptFailure_names[EY_FAILURE_COUNT];
+
+/** What became of an attempt; a talloc root, the handler's to free. */
+typedef struct EyAttemptEvent {
+    uint64_t number;
+    EyAttemptEventKind_t kind;
+    EyAttemptFailure_t failure;
+    bool nothing_sent;      /* FAILED: no byte of the request left */
+    uint32_t events_passed; /* server-sent events given to the stream by this
+                               attempt */
+    EyAnswer_t *answer;     /* HEAD: no body yet; DONE when collected: whole;
+                               a talloc child of the event */
+    int64_t first_byte_us;  /* DONE: from start to the answer's first byte */
+    int64_t total_us;       /* DONE */
+} EyAttemptEvent_t;
+
+typedef void (*EyAttemptHandler_t)(void *data, EyAttemptEvent_t *event);
+
+typedef struct EyClient EyClient_t;
+
+EyClient_t *
+EyClient_New(const void *ctx, struct tevent_context *loop, EyTimers_t *timers,
+             EyAttemptHandler_t handler, void *data);
+
+/** Starts an attempt; takes it over. Always ends in DONE or FAILED, exactly
+ * once, and never from within this call. */
+void
+EyClient_Start(EyClient_t *self, EyAttempt_t *attempt);
+
+/** Cancels an attempt; it ends as FAILED with CANCELLED unless it ended. */
+void
+EyClient_Cancel(EyClient_t *self, uint64_t number);
+
+/** Attempts in flight. */
+uint32_t
+EyClient_InFlight(const EyClient_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/core/log.c
@@ -0,0 +1,145 @@
+#include "core/log.h"
+
+#include "core/clock.h"
+#include "core/types.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LOG_DOMAIN "ebonyyard"
+
+const char *const EyLog_level_names[EY_LOG_LEVEL_COUNT] = {
+    [EY_LOG_ERROR] = "error",
+    [EY_LOG_WARNING] = "warning",
+    [EY_LOG_INFO] = "info",
+    [EY_LOG_DEBUG] = "debug",
+};
+
+/* No level here ends the process, as GLib's own error level would. */
+static const GLogLevelFlags GlibLevels[EY_LOG_LEVEL_COUNT] = {
+    [EY_LOG_ERROR] = G_LOG_LEVEL_CRITICAL,
+    [EY_LOG_WARNING] = G_LOG_LEVEL_WARNING,
+    [EY_LOG_INFO] = G_LOG_LEVEL_INFO,
+    [EY_LOG_DEBUG] = G_LOG_LEVEL_DEBUG,
+};
+
+static EyName_t Source = "-";
+static EyLogLevel_t Level = EY_LOG_WARNING;
+static bool Json;
+
+static bool
+needs_quotes(const char *text)
+{
+    return *text == '\0' || strpbrk(text, " \"=\\\n\r\t") != NULL;
+}
+
+static void
+append_text(GString *line, const char *key, const char *text)
+{
+    if (line->len > 0) {
+        g_string_append_c(line, ' ');
+    }
+    g_string_append_printf(line, "%s=", key);
+    if (!needs_quotes(text)) {
+        g_string_append(line, text);
+        return;
+    }
+    char *escaped = g_strescape(text, NULL);
+    g_string_append_printf(line, "\"%s\"", escaped);
+    g_free(escaped);
+}
+
+static void
+write_line(const GLogField *fields, gsize count)
+{
+    GString *line = g_string_new(NULL);
+    json_t *object = Json ? json_object() : NULL;
+    for (gsize i = 0; i < count; i++) {
+        if (strcmp(fields[i].key, "PRIORITY") == 0 ||
+            strcmp(fields[i].key, "GLIB_DOMAIN") == 0)
+        {
+            continue;
+        }
+        const char *text = fields[i].value;
+        if (Json) {
+            json_t *value = json_string(text);
+            (void)json_object_set_new(object, fields[i].key,
+                                      value != NULL ? value : json_null());
+        }
+        else {
+            append_text(line, fields[i].key, text);
+        }
+    }
+    if (Json) {
+        char *text = json_dumps(object, JSON_COMPACT);
+        g_string_assign(line, text);
+        free(text);
+        json_decref(object);
+    }
+    g_string_append_c(line, '\n');
+    /* One write, so that lines of several threads don't mix. */
+    ssize_t written = write(STDERR_FILENO, line->str, line->len);
+    (void)written;
+    g_string_free(line, TRUE);
+}
+
+static GLogWriterOutput
+writer(GLogLevelFlags level, const GLogField *fields, gsize count,
+       gpointer data)
+{
+    (void)level;
+    (void)data;
+    write_line(fields, count);
+    return G_LOG_WRITER_HANDLED;
+}
+
+void
+EyLog_Start(const char *source, EyLogLevel_t level, bool json)
+{
+    static bool started;
+    (void)EY_COPY(Source, source);
+    Level = level;
+    Json = json;
+    if (!started) {
+        started = true;
+        g_log_set_writer_func(writer, NULL, NULL);
+    }
+}
+
+void
+EyLog_Write(EyLogLevel_t level, const char *part, const char *event,
+            const EyLogField_t *fields, uint32_t count)
+{
+    enum { FIELDS_MAX = 24, FIXED_FIELDS = 5, NUMBER_SIZE_BYTES = 24 };
+    if (level > Level) {
+        return;
+    }
+    if (count > FIELDS_MAX - FIXED_FIELDS) {
+        count = FIELDS_MAX - FIXED_FIELDS;
+    }
+    char numbers[FIELDS_MAX][NUMBER_SIZE_BYTES];
+    GLogField all[FIELDS_MAX] = {
+        {.key = "time_ms", .value = numbers[0], .length = -1},
+        {.key = "level", .value = EyLog_level_names[level], .length = -1},
+        {.key = "source", .value = Source, .length = -1},
+        {.key = "part", .value = part, .length = -1},
+        {.key = "event", .value = event, .length = -1},
+    };
+    (void)snprintf(numbers[0], NUMBER_SIZE_BYTES, "%lld",
+                   (long long)EyClock_WallMs());
+    for (uint32_t i = 0; i < count; i++) {
+        GLogField *field = &all[FIXED_FIELDS + i];
+        *field = (GLogField){
+            .key = fields[i].key, .value = fields[i].text, .length = -1};
+        if (fields[i].text == NULL) {
+            char *number = numbers[FIXED_FIELDS + i];
+            (void)snprintf(number, NUMBER_SIZE_BYTES, "%lld",
+                           (long long)fields[i].number);
+            field->value = number;
+        }
+    }
+    g_log_structured_array(GlibLevels[level], all, FIXED_FIELDS + count);
+}
--- /dev/null
+++ b/src/core/mailbox.c
@@ -0,0 +1,136 @@
+#include "core/mailbox.h"
+
+#include "core/memory.h"
+
+#include <ck_ring.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+/* Messages handled in one turn of the loop, so that timers get theirs. */
+#define TURN_MESSAGES_MAX 256
+
+struct EyMailbox {
+    ck_ring_t ring;
+    ck_ring_buffer_t *buffer;
+    uint32_t capacity;
+    int descriptor;
+    EyMailboxHandler_t handler;
+    void *data;
+};
+
+static int
+mailbox_destroy(EyMailbox_t *self)
+{
+    void *message = NULL;
+    while ((message = EyMailbox_Take(self)) != NULL) {
+        talloc_free(message);
+    }
+    (void)close(self->descriptor);
+    return 0;
+}
+
+EyMailbox_t *
+EyMailbox_New(const void *ctx, uint32_t capacity)
+{
+    EyMailbox_t *self = EY_NEW(ctx, EyMailbox_t);
+    /* The ring keeps one slot free. */
+    uint32_t slots = capacity * 2;
+    self->buffer = EY_NEW_ARRAY(self, ck_ring_buffer_t, slots);
+    self->capacity = capacity;
+    ck_ring_init(&self->ring, slots);
+    self->descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (self->descriptor < 0) {
+        abort();
+    }
+    talloc_set_destructor(self, mailbox_destroy);
+    return self;
+}
+
+static void
+wake(const EyMailbox_t *self)
+{
+    const uint64_t one = 1;
+    ssize_t written = 0;
+    do {
+        written = write(self->descriptor, &one, sizeof(one));
+    } while (written < 0 && errno == EINTR);
+}
+
+bool
+EyMailbox_Post(EyMailbox_t *self, void *message)
+{
+    if (ck_ring_size(&self->ring) >= self->capacity) {
+        return false;
+    }
+    if (!ck_ring_enqueue_mpsc(&self->ring, self->buffer, message)) {
+        return false;
+    }
+    wake(self);
+    return true;
+}
+
+void *
+EyMailbox_Take(EyMailbox_t *self)
+{
+    void *message = NULL;
+    if (!ck_ring_dequeue_mpsc(&self->ring, self->buffer, (void *)&message)) {
+        return NULL;
+    }
+    return message;
+}
+
+int
+EyMailbox_Descriptor(const EyMailbox_t *self)
+{
+    return self->descriptor;
+}
+
+void
+EyMailbox_Acknowledge(EyMailbox_t *self)
+{
+    uint64_t count = 0;
+    ssize_t got = 0;
+    do {
+        got = read(self->descriptor, &count, sizeof(count));
+    } while (got < 0 && errno == EINTR);
+}
+
+static void
+on_readable(struct tevent_context *loop, struct tevent_fd *event,
+            uint16_t flags, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)flags;
+    EyMailbox_t *self = data;
+    EyMailbox_Acknowledge(self);
+    for (uint32_t i = 0; i < TURN_MESSAGES_MAX; i++) {
+        void *message = EyMailbox_Take(self);
+        if (message == NULL) {
+            return;
+        }
+        self->handler(self->data, message);
+    }
+    wake(self);
+}
+
+void
+EyMailbox_Attach(EyMailbox_t *self, struct tevent_context *loop,
+                 EyMailboxHandler_t handler, void *data)
+{
+    self->handler = handler;
+    self->data = data;
+    struct tevent_fd *event = tevent_add_fd(loop, self, self->descriptor,
+                                            TEVENT_FD_READ, on_readable, self);
+    if (event == NULL) {
+        abort();
+    }
+}
+
+uint32_t
+EyMailbox_Waiting(const EyMailbox_t *self)
+{
+    return ck_ring_size(&self->ring);
+}
--- /dev/null
+++ b/src/core/settings.c
@@ -0,0 +1,428 @@
+#include "core/settings.h"
+
+#include "core/memory.h"
+
+#include <arpa/inet.h>
+#include <popt.h>
+#include <stdlib.h>
+#include <string.h>
+
+EY_DEFINE_ERROR_DOMAIN(Settings, "ey-settings")
+
+#define ENVIRONMENT_PREFIX "EBONYYARD_"
+#define CAPACITY_MAX 1000000
+
+typedef enum SettingId {
+    SETTING_ID,
+    SETTING_REGION,
+    SETTING_ZONE,
+    SETTING_LISTEN,
+    SETTING_PEER_LISTEN,
+    SETTING_PEERS,
+    SETTING_CONTROL,
+    SETTING_DATA_DIR,
+    SETTING_OPERATOR_TOKEN_FILE,
+    SETTING_PEER_SECRET_FILE,
+    SETTING_CAPACITY,
+    SETTING_LOG_LEVEL,
+    SETTING_LOG_FORMAT,
+    SETTING_STANDALONE,
+    SETTING_INSECURE_PEERS,
+    SETTING_CHECK,
+    SETTING_COUNT
+} SettingId_t;
+
+typedef bool (*Reader_t)(EySettings_t *settings, const char *text);
+
+typedef struct Setting {
+    const char *flag;
+    const char *help;
+    const char *unset; /* value if not given; NULL: may lack */
+    const char *expected;
+    bool required;
+    bool is_switch;
+    Reader_t read;
+} Setting_t;
+
+static bool
+is_name(const char *text)
+{
+    size_t length = strlen(text);
+    if (length == 0 || length >= EY_NAME_SIZE_BYTES) {
+        return false;
+    }
+    return strspn(text, "abcdefghijklmnopqrstuvwxyz"
+                        "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_") == length;
+}
+
+static bool
+read_id(EySettings_t *settings, const char *text)
+{
+    return is_name(text) && EY_COPY(settings->id, text);
+}
+
+static bool
+read_region(EySettings_t *settings, const char *text)
+{
+    return is_name(text) && EY_COPY(settings->region, text);
+}
+
+static bool
+read_zone(EySettings_t *settings, const char *text)
+{
+    return is_name(text) && EY_COPY(settings->zone, text);
+}
+
+static bool
+read_listen(EySettings_t *settings, const char *text)
+{
+    return EyAddress_IsValid(text) && EY_COPY(settings->listen, text);
+}
+
+static bool
+read_peer_listen(EySettings_t *settings, const char *text)
+{
+    return EyAddress_IsValid(text) && EY_COPY(settings->peer_listen, text);
+}
+
+static bool
+read_addresses(const char *text, EyAddress_t *addresses, uint32_t *count)
+{
+    bool good = true;
+    gchar **parts = g_strsplit(text, ",", -1);
+    for (gchar **part = parts; *part != NULL && good; part++) {
+        const char *address = g_strstrip(*part);
+        if (*address == '\0') {
+            continue;
+        }
+        good =
+            *count < EY_SETTINGS_ADDRESSES_MAX && EyAddress_IsValid(address);
+        if (good) {
+            (void)EY_COPY(addresses[*count], address);
+            (*count)++;
+        }
+    }
+    g_strfreev(parts);
+    return good;
+}
+
+static bool
+read_peers(EySettings_t *settings, const char *text)
+{
+    return read_addresses(text, settings->peers, &settings->peer_count);
+}
+
+static bool
+read_control(EySettings_t *settings, const char *text)
+{
+    return read_addresses(text, settings->control, &settings->control_count);
+}
+
+static bool
+read_data_dir(EySettings_t *settings, const char *text)
+{
+    settings->data_dir = EyMemory_Strdup(settings, text);
+    return g_file_test(text, G_FILE_TEST_IS_DIR);
+}
+
+static bool
+read_operator_token_file(EySettings_t *settings, const char *text)
+{
+    settings->operator_token_file = EyMemory_Strdup(settings, text);
+    return g_file_test(text, G_FILE_TEST_IS_REGULAR);
+}
+
+static bool
+read_peer_secret_file(EySettings_t *settings, const char *text)
+{
+    settings->peer_secret_file = EyMemory_Strdup(settings, text);
+    return g_file_test(text, G_FILE_TEST_IS_REGULAR);
+}
+
+static bool
+read_capacity(EySettings_t *settings, const char *text)
+{
+    char *end = NULL;
+    unsigned long value = strtoul(text, &end, 10);
+    settings->capacity = (uint32_t)value;
+    return g_ascii_isdigit(*text) && *end == '\0' && value > 0 &&
+           value <= CAPACITY_MAX;
+}
+
+static bool
+read_log_level(EySettings_t *settings, const char *text)
+{
+    for (int level = 0; level < EY_LOG_LEVEL_COUNT; level++) {
+        if (strcmp(text, EyLog_level_names[level]) == 0) {
+            settings->log_level = (EyLogLevel_t)level;
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+read_log_format(EySettings_t *settings, const char *text)
+{
+    settings->log_json = strcmp(text, "json") == 0;
+    return settings->log_json || strcmp(text, "text") == 0;
+}
+
+static bool
+read_standalone(EySettings_t *settings, const char *text)
+{
+    settings->standalone = strcmp(text, "1") == 0;
+    return settings->standalone || strcmp(text, "0") == 0;
+}
+
+static bool
+read_insecure_peers(EySettings_t *settings, const char *text)
+{
+    settings->insecure_peers = strcmp(text, "1") == 0;
+    return settings->insecure_peers || strcmp(text, "0") == 0;
+}
+
+static bool
+read_check(EySettings_t *settings, const char *text)
+{
+    settings->check = strcmp(text, "1") == 0;
+    return settings->check || strcmp(text, "0") == 0;
+}
+
+#define NAME_EXPECTED "1 to 63 letters, digits, dots, dashes or underscores"
+#define ADDRESS_EXPECTED "IP:port, such as 127.0.0.1:8080"
+#define ADDRESSES_EXPECTED                                                    \
+    "a comma list of at most 64 IP:port, such as 10.0.0.1:7000,10.0.0.2:7000"
+
+static const Setting_t Settings[SETTING_COUNT] = {
+    [SETTING_ID] = {.flag = "id",
+                    .help = "name of this instance, unique in the fleet",
+                    .expected = NAME_EXPECTED,
+                    .required = true,
+                    .read = read_id},
+    [SETTING_REGION] = {.flag = "region",
+                        .help = "region of this instance",
+                        .expected = NAME_EXPECTED,
+                        .required = true,
+                        .read = read_region},
+    [SETTING_ZONE] = {.flag = "zone",
+                      .help = "availability zone of this instance",
+                      .expected = NAME_EXPECTED,
+                      .required = true,
+                      .read = read_zone},
+    [SETTING_LISTEN] = {.flag = "listen",
+                        .help = "address for HTTP, IP:port",
+                        .expected = ADDRESS_EXPECTED,
+                        .required = true,
+                        .read = read_listen},
+    [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
+                             .help = "address for other instances, IP:port",
+                             .expected = ADDRESS_EXPECTED,
+                             .required = true,
+                             .read = read_peer_listen},
+    [SETTING_PEERS] = {.flag = "peers",
+                       .help = "gateways to learn the others from",
+                       .unset = "",
+                       .expected = ADDRESSES_EXPECTED,
+                       .read = read_peers},
+    [SETTING_CONTROL] = {.flag = "control",
+                         .help = "peer addresses of the control processes",
+                         .unset = "",
+                         .expected = ADDRESSES_EXPECTED,
+                         .read = read_control},
+    [SETTING_DATA_DIR] = {.flag = "data-dir",
+                          .help = "folder for state that survives a restart",
+                          .expected = "a folder that exists",
+                          .read = read_data_dir},
+    [SETTING_OPERATOR_TOKEN_FILE] = {.flag = "operator-token-file",
+                                     .help = "file with the operators' token",
+                                     .expected = "a file that exists",
+                                     .read = read_operator_token_file},
+    [SETTING_PEER_SECRET_FILE] = {.flag = "peer-secret-file",
+                                  .help = "file with the fleet's secret, from "
+                                          "which peer keys come",
+                                  .expected = "a file that exists",
+                                  .read = read_peer_secret_file},
+    [SETTING_CAPACITY] = {.flag = "capacity",
+                          .help = "weight of this instance among the others",
+                          .unset = "100",
+                          .expected = "a whole number from 1 to 1000000",
+                          .read = read_capacity},
+    [SETTING_LOG_LEVEL] = {.flag = "log-level",
+                           .help = "error, warning, info or debug",
+                           .unset = "info",
+                           .expected = "error, warning, info or debug",
+                           .read = read_log_level},
+    [SETTING_LOG_FORMAT] = {.flag = "log-format",
+                            .help = "text or json",
+                            .unset = "text",
+                            .expected = "text or json",
+                            .read = read_log_format},
+    [SETTING_STANDALONE] = {.flag = "standalone",
+                            .help = "run the control part in this process",
+                            .unset = "0",
+                            .expected = "0 or 1",
+                            .is_switch = true,
+                            .read = read_standalone},
+    [SETTING_INSECURE_PEERS] = {.flag = "insecure-peers",
+                                .help = "allow unencrypted peers beyond "
+                                        "loopback",
+                                .unset = "0",
+                                .expected = "0 or 1",
+                                .is_switch = true,
+                                .read = read_insecure_peers},
+    [SETTING_CHECK] = {.flag = "check",
+                       .help = "check the settings and exit",
+                       .unset = "0",
+                       .expected = "0 or 1",
+                       .is_switch = true,
+                       .read = read_check},
+};
+
+bool
+EyAddress_Split(const char *text, char *ip, uint32_t ip_size_bytes,
+                uint16_t *port)
+{
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || !g_ascii_isdigit(colon[1])) {
+        return false;
+    }
+    char *end = NULL;
+    unsigned long number = strtoul(colon + 1, &end, 10);
+    if (*end != '\0' || number > UINT16_MAX) {
+        return false;
+    }
+    size_t length = (size_t)(colon - text);
+    bool brackets = length > 2 && text[0] == '[' && text[length - 1] == ']';
+    if (brackets) {
+        text++;
+        length -= 2;
+    }
+    if (length >= ip_size_bytes) {
+        return false;
+    }
+    memcpy(ip, text, length);
+    ip[length] = '\0';
+    *port = (uint16_t)number;
+    struct in6_addr parsed;
+    return inet_pton(brackets ? AF_INET6 : AF_INET, ip, &parsed) == 1;
+}
+
+bool
+EyAddress_IsValid(const char *text)
+{
+    EyAddress_t ip;
+    uint16_t port = 0;
+    return strlen(text) < sizeof(ip) &&
+           EyAddress_Split(text, ip, sizeof(ip), &port);
+}
+
+/** Fills values[] from flags; the texts are the library's to free. */
+static bool
+read_flags(const char *program, int argc, const char **argv, char **values,
+           GError **error)
+{
+    struct poptOption options[SETTING_COUNT + 2] = {0};
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        const Setting_t *setting = &Settings[i];
+        options[i] = (struct poptOption){
+            .longName = setting->flag,
+            .argInfo = setting->is_switch ? POPT_ARG_NONE : POPT_ARG_STRING,
+            .arg = setting->is_switch ? NULL : &values[i],
+            .val = setting->is_switch ? i + 1 : 0,
+            .descrip = setting->help,
+        };
+    }
+    options[SETTING_COUNT] = (struct poptOption){.longName = "help",
+                                                 .shortName = 'h',
+                                                 .val = SETTING_COUNT + 1,
+                                                 .descrip = "print this help"};
+    poptContext context = poptGetContext(program, argc, argv, options, 0);
+    int result = 0;
+    bool good = true;
+    while (good && (result = poptGetNextOpt(context)) > 0) {
+        if (result == SETTING_COUNT + 1) {
+            poptPrintHelp(context, stdout, 0);
+            g_set_error(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_HELP,
+                        "help was asked for");
+            good = false;
+        }
+        else if (values[result - 1] == NULL) {
+            values[result - 1] = strdup("1");
+        }
+    }
+    if (good && result < -1) {
+        g_set_error(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_USAGE,
+                    "%s: %s", poptBadOption(context, 0), poptStrerror(result));
+        good = false;
+    }
+    const char *rest = good ? poptGetArg(context) : NULL;
+    if (rest != NULL) {
+        g_set_error(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_USAGE,
+                    "%s: expected only flags", rest);
+        good = false;
+    }
+    (void)poptFreeContext(context);
+    return good;
+}
+
+static const char *
+environment_value(const Setting_t *setting)
+{
+    gchar *upper = g_ascii_strup(setting->flag, -1);
+    gchar *name =
+        g_strconcat(ENVIRONMENT_PREFIX, g_strdelimit(upper, "-", '_'), NULL);
+    const char *value = getenv(name);
+    g_free(name);
+    g_free(upper);
+    return value;
+}
+
+static bool
+apply(EySettings_t *settings, const Setting_t *setting, const char *flag_text,
+      GError **error)
+{
+    const char *text = flag_text;
+    if (text == NULL) {
+        text = environment_value(setting);
+    }
+    if (text == NULL) {
+        text = setting->unset;
+    }
+    if (text == NULL && !setting->required) {
+        return true;
+    }
+    if (text == NULL) {
+        g_set_error(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_VALUE,
+                    "--%s is missing: expected %s", setting->flag,
+                    setting->expected);
+        return false;
+    }
+    if (!setting->read(settings, text)) {
+        g_set_error(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_VALUE,
+                    "--%s \"%s\": expected %s", setting->flag, text,
+                    setting->expected);
+        return false;
+    }
+    return true;
+}
+
+EySettings_t *
+EySettings_Read(const void *ctx, const char *program, int argc,
+                const char **argv, GError **error)
+{
+    EySettings_t *settings = EY_NEW(ctx, EySettings_t);
+    char *values[SETTING_COUNT] = {0};
+    bool good = read_flags(program, argc, argv, values, error);
+    for (int i = 0; i < SETTING_COUNT && good; i++) {
+        good = apply(settings, &Settings[i], values[i], error);
+    }
+    for (int i = 0; i < SETTING_COUNT; i++) {
+        free(values[i]);
+    }
+    if (!good) {
+        talloc_free(settings);
+        return NULL;
+    }
+    return settings;
+}
--- /dev/null
+++ b/src/core/timers.c
@@ -0,0 +1,187 @@
+#include "core/timers.h"
+
+#include "core/clock.h"
+#include "core/memory.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+/*
+ * tevent's own timers count in wall clock time: a step back by an hour would
+ * hold them up for an hour. So the service keeps its own queue before one
+ * timer descriptor that counts from the machine's start.
+ */
+struct EyTimers {
+    struct tevent_context *loop;
+    int descriptor;
+    GSequence *queue; /* of EyTimer_t, earliest first */
+};
+
+struct EyTimer {
+    EyTimers_t *service;
+    int64_t due_ms;
+    int64_t interval_ms; /* 0: once */
+    EyTimerHandler_t handler;
+    void *data;
+    GSequenceIter *place; /* NULL: not queued */
+};
+
+static gint
+compare_due(gconstpointer left, gconstpointer right, gpointer data)
+{
+    (void)data;
+    const EyTimer_t *first = left;
+    const EyTimer_t *second = right;
+    return (first->due_ms > second->due_ms) - (first->due_ms < second->due_ms);
+}
+
+static EyTimer_t *
+earliest(const EyTimers_t *self)
+{
+    GSequenceIter *place = g_sequence_get_begin_iter(self->queue);
+    return g_sequence_iter_is_end(place) ? NULL : g_sequence_get(place);
+}
+
+static void
+set_descriptor(const EyTimers_t *self)
+{
+    const EyTimer_t *timer = earliest(self);
+    struct itimerspec when = {0};
+    if (timer != NULL) {
+        /* Zero would disarm it. */
+        int64_t due_ms = timer->due_ms > 0 ? timer->due_ms : 1;
+        when.it_value.tv_sec = due_ms / 1000;
+        when.it_value.tv_nsec = (due_ms % 1000) * 1000000;
+    }
+    if (timerfd_settime(self->descriptor, TFD_TIMER_ABSTIME, &when, NULL) != 0)
+    {
+        abort();
+    }
+}
+
+static void
+enqueue(EyTimer_t *timer, int64_t due_ms)
+{
+    timer->due_ms = due_ms;
+    timer->place = g_sequence_insert_sorted(timer->service->queue, timer,
+                                            compare_due, NULL);
+}
+
+static void
+dequeue(EyTimer_t *timer)
+{
+    g_sequence_remove(timer->place);
+    timer->place = NULL;
+}
+
+static int
+timer_destroy(EyTimer_t *timer)
+{
+    if (timer->place != NULL) {
+        dequeue(timer);
+    }
+    return 0;
+}
+
+static int
+timers_destroy(EyTimers_t *self)
+{
+    EyTimer_t *timer = NULL;
+    while ((timer = earliest(self)) != NULL) {
+        dequeue(timer);
+    }
+    g_sequence_free(self->queue);
+    (void)close(self->descriptor);
+    return 0;
+}
+
+/** Calls one due timer's handler; false if none is due. */
+static bool
+fire_one(EyTimers_t *self, int64_t now_ms)
+{
+    EyTimer_t *timer = earliest(self);
+    if (timer == NULL || timer->due_ms > now_ms) {
+        return false;
+    }
+    EyTimerHandler_t handler = timer->handler;
+    void *data = timer->data;
+    dequeue(timer);
+    /* The handler may free the timer, so it is settled before the call. */
+    if (timer->interval_ms > 0) {
+        enqueue(timer, now_ms + timer->interval_ms);
+    }
+    else {
+        talloc_free(timer);
+    }
+    handler(data, now_ms);
+    return true;
+}
+
+static void
+on_readable(struct tevent_context *loop, struct tevent_fd *event,
+            uint16_t flags, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)flags;
+    EyTimers_t *self = data;
+    uint64_t expirations = 0;
+    ssize_t got = read(self->descriptor, &expirations, sizeof(expirations));
+    (void)got;
+    int64_t now_ms = EyClock_NowMs();
+    while (fire_one(self, now_ms)) {
+    }
+    set_descriptor(self);
+}
+
+EyTimers_t *
+EyTimers_New(const void *ctx, struct tevent_context *loop)
+{
+    EyTimers_t *self = EY_NEW(ctx, EyTimers_t);
+    self->loop = loop;
+    self->queue = g_sequence_new(NULL);
+    self->descriptor =
+        timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
+    if (self->descriptor < 0) {
+        abort();
+    }
+    talloc_set_destructor(self, timers_destroy);
+    struct tevent_fd *event = tevent_add_fd(loop, self, self->descriptor,
+                                            TEVENT_FD_READ, on_readable, self);
+    if (event == NULL) {
+        abort();
+    }
+    return self;
+}
+
+static EyTimer_t *
+subscribe(EyTimers_t *self, int64_t delay_ms, int64_t interval_ms,
+          EyTimerHandler_t handler, void *data)
+{
+    EyTimer_t *timer = EY_NEW(self, EyTimer_t);
+    timer->service = self;
+    timer->interval_ms = interval_ms;
+    timer->handler = handler;
+    timer->data = data;
+    talloc_set_destructor(timer, timer_destroy);
+    enqueue(timer, EyClock_NowMs() + delay_ms);
+    set_descriptor(self);
+    return timer;
+}
+
+EyTimer_t *
+EyTimers_Every(EyTimers_t *self, int64_t interval_ms, EyTimerHandler_t handler,
+               void *data)
+{
+    return subscribe(self, interval_ms, interval_ms, handler, data);
+}
+
+EyTimer_t *
+EyTimers_After(EyTimers_t *self, int64_t delay_ms, EyTimerHandler_t handler,
+               void *data)
+{
+    return subscribe(self, delay_ms, 0, handler, data);
+}
--- a/src/core/types.c
+++ b/src/core/types.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-static const char *const OutcomeNames[EY_OUTCOME_COUNT] = {
+const char *const EyOutcome_names[EY_OUTCOME_COUNT] = {
     [EY_OUTCOME_COMPLETED] = "completed",
     [EY_OUTCOME_NOT_RUN] = "not-run",
     [EY_OUTCOME_UNKNOWN] = "unknown",
@@ -11,7 +11,7 @@
 const char *
 EyOutcome_Name(EyOutcome_t outcome)
 {
-    return OutcomeNames[outcome];
+    return EyOutcome_names[outcome];
 }
 
 bool
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -34,6 +34,9 @@
     EY_OUTCOME_COUNT
 } EyOutcome_t;
 
+/** Names of the outcomes, indexed by EyOutcome_t, as the header has them. */
+extern const char *const EyOutcome_names[EY_OUTCOME_COUNT];
+
 /** The outcome as the header says it: completed, not-run, unknown. */
 const char *
 EyOutcome_Name(EyOutcome_t outcome);
--- /dev/null
+++ b/src/exchange/answer.c
@@ -0,0 +1,151 @@
+#include "exchange/answer.h"
+
+#include "core/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+typedef struct ProblemText {
+    uint32_t status;
+    const char *type;
+    const char *title;
+} ProblemText_t;
+
+static const ProblemText_t ProblemTexts[EY_PROBLEM_COUNT] = {
+    [EY_PROBLEM_BAD_REQUEST] = {400, "bad-request", "Malformed request"},
+    [EY_PROBLEM_KEY_MISSING] = {400, "idempotency-key-missing",
+                                "Idempotency-Key is required"},
+    [EY_PROBLEM_UNAUTHORIZED] = {401, "unauthorized",
+                                 "A bearer token is required"},
+    [EY_PROBLEM_NOT_FOUND] = {404, "not-found", "No such resource"},
+    [EY_PROBLEM_METHOD] = {405, "method-not-allowed", "Method not allowed"},
+    [EY_PROBLEM_CONFLICT] = {409, "conflict", "The version has changed"},
+    [EY_PROBLEM_TOO_LARGE] = {413, "too-large", "The body is too large"},
+    [EY_PROBLEM_WRONG_REGION] = {421, "wrong-region",
+                                 "The data is bound to another region"},
+    [EY_PROBLEM_KEY_REUSED] = {422, "idempotency-key-reused",
+                               "The key was used with another request"},
+    [EY_PROBLEM_HEADERS_TOO_LARGE] = {431, "headers-too-large",
+                                      "A header is too large"},
+    [EY_PROBLEM_OVERLOADED] = {503, "overloaded", "No capacity in time"},
+    [EY_PROBLEM_LEAVING] = {503, "leaving", "This instance is leaving"},
+    [EY_PROBLEM_NO_BACKEND] = {503, "no-backend",
+                               "No backend server for this target"},
+    [EY_PROBLEM_NO_QUORUM] = {503, "no-quorum",
+                              "Idempotency records have no quorum"},
+    [EY_PROBLEM_DEADLINE] = {504, "deadline", "The deadline has passed"},
+    [EY_PROBLEM_BACKEND_FAILED] = {502, "backend-failed",
+                                   "The backend server failed"},
+    [EY_PROBLEM_OUTCOME_UNKNOWN] = {504, "outcome-unknown",
+                                    "It isn't known whether it ran"},
+    [EY_PROBLEM_INTERNAL] = {500, "internal", "Internal error"},
+};
+
+static const EyField_t AnswerFields[] = {
+    EY_FIELD(EyAnswer_t, status, EY_FIELD_U32),
+    EY_FIELD_NAMED(EyAnswer_t, outcome, EyOutcome_names, EY_OUTCOME_COUNT),
+    EY_FIELD(EyAnswer_t, retry_after_s, EY_FIELD_U32),
+    EY_FIELD_ARRAY_OF(EyAnswer_t, headers, header_count, EyHeader_schema,
+                      EY_ANSWER_HEADERS_MAX),
+    EY_FIELD_BYTES_MAX(EyAnswer_t, body, EY_ANSWER_BODY_MAX_BYTES),
+    EY_FIELD(EyAnswer_t, is_events, EY_FIELD_BOOL),
+    EY_FIELD_END,
+};
+const EySchema_t EyAnswer_schema = EY_SCHEMA(EyAnswer_t, AnswerFields);
+
+static int
+answer_destroy(EyAnswer_t *self)
+{
+    EyStream_Unref(self->stream);
+    return 0;
+}
+
+EyAnswer_t *
+EyAnswer_New(uint32_t status, EyOutcome_t outcome)
+{
+    EyAnswer_t *self = EY_NEW(NULL, EyAnswer_t);
+    self->status = status;
+    self->outcome = outcome;
+    self->stream_size_bytes = -1;
+    talloc_set_destructor(self, answer_destroy);
+    return self;
+}
+
+static void
+set_body(EyAnswer_t *self, const char *content_type, const char *text)
+{
+    EyAnswer_SetHeader(self, "Content-Type", content_type);
+    self->body.size_bytes = (uint32_t)strlen(text);
+    self->body.data = EyMemory_Copy(self, text, self->body.size_bytes);
+}
+
+static void
+set_json_body(EyAnswer_t *self, const char *content_type, json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+    set_body(self, content_type, text != NULL ? text : "null");
+    free(text);
+    json_decref(json);
+}
+
+EyAnswer_t *
+EyAnswer_Problem(EyProblem_t problem, EyOutcome_t outcome,
+                 uint32_t retry_after_s, const char *detail)
+{
+    const ProblemText_t *text = &ProblemTexts[problem];
+    EyAnswer_t *self = EyAnswer_New(text->status, outcome);
+    self->retry_after_s = retry_after_s;
+    json_t *json = json_object();
+    (void)json_object_set_new(json, "type", json_string(text->type));
+    (void)json_object_set_new(json, "title", json_string(text->title));
+    (void)json_object_set_new(json, "status", json_integer(text->status));
+    (void)json_object_set_new(json, "outcome",
+                              json_string(EyOutcome_Name(outcome)));
+    json_t *detail_json = detail != NULL ? json_string(detail) : NULL;
+    if (detail_json != NULL) {
+        (void)json_object_set_new(json, "detail", detail_json);
+    }
+    set_json_body(self, "application/problem+json", json);
+    return self;
+}
+
+EyAnswer_t *
+EyAnswer_Json(uint32_t status, json_t *json)
+{
+    EyAnswer_t *self = EyAnswer_New(status, EY_OUTCOME_COMPLETED);
+    set_json_body(self, "application/json", json);
+    return self;
+}
+
+EyAnswer_t *
+EyAnswer_Text(uint32_t status, const char *content_type, const char *text)
+{
+    EyAnswer_t *self = EyAnswer_New(status, EY_OUTCOME_COMPLETED);
+    set_body(self, content_type, text);
+    return self;
+}
+
+void
+EyAnswer_SetHeader(EyAnswer_t *self, const char *name, const char *value)
+{
+    if (self->headers == NULL) {
+        self->headers = EY_NEW_ARRAY(self, EyHeader_t, EY_ANSWER_HEADERS_MAX);
+    }
+    if (self->header_count < EY_ANSWER_HEADERS_MAX) {
+        EyHeader_t *header = &self->headers[self->header_count++];
+        header->name = EyMemory_Strdup(self, name);
+        header->value = EyMemory_Strdup(self, value);
+    }
+}
+
+const char *
+EyAnswer_Header(const EyAnswer_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->header_count; i++) {
+        if (strcasecmp(self->headers[i].name, name) == 0) {
+            return self->headers[i].value;
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/exchange/request.c
@@ -0,0 +1,78 @@
+#include "exchange/request.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+#define HEADER_NAME_MAX_BYTES 256
+#define HEADER_VALUE_MAX_BYTES 8192
+
+const char *const EyCall_names[EY_CALL_COUNT] = {
+    [EY_CALL_MODEL] = "model",         [EY_CALL_SERVICE] = "service",
+    [EY_CALL_INSTANCES] = "instances", [EY_CALL_MAKE_KEY] = "make_key",
+    [EY_CALL_ANNOUNCE] = "announce",   [EY_CALL_WITHDRAW] = "withdraw",
+    [EY_CALL_OPERATOR] = "operator",   [EY_CALL_METRICS] = "metrics",
+    [EY_CALL_HEALTH] = "health",       [EY_CALL_READY] = "ready",
+};
+
+static const EyField_t HeaderFields[] = {
+    EY_FIELD_STRING_MAX(EyHeader_t, name, HEADER_NAME_MAX_BYTES),
+    EY_FIELD_STRING_MAX(EyHeader_t, value, HEADER_VALUE_MAX_BYTES),
+    EY_FIELD_END,
+};
+const EySchema_t EyHeader_schema = EY_SCHEMA(EyHeader_t, HeaderFields);
+
+static const EyField_t RequestFields[] = {
+    EY_FIELD(EyRequest_t, number, EY_FIELD_U64),
+    EY_FIELD_TEXT(EyRequest_t, id),
+    EY_FIELD_NAMED(EyRequest_t, call, EyCall_names, EY_CALL_COUNT),
+    EY_FIELD_TEXT(EyRequest_t, method),
+    EY_FIELD_STRING_MAX(EyRequest_t, path, EY_REQUEST_PATH_MAX_BYTES),
+    EY_FIELD_TEXT(EyRequest_t, target),
+    EY_FIELD_TEXT(EyRequest_t, home),
+    EY_FIELD_TEXT(EyRequest_t, account),
+    EY_FIELD_TEXT(EyRequest_t, idempotency_key),
+    EY_FIELD(EyRequest_t, time_left_ms, EY_FIELD_I64),
+    EY_FIELD(EyRequest_t, tokens_max, EY_FIELD_U32),
+    EY_FIELD(EyRequest_t, streamed, EY_FIELD_BOOL),
+    EY_FIELD_ARRAY_OF(EyRequest_t, headers, header_count, EyHeader_schema,
+                      EY_REQUEST_HEADERS_MAX),
+    EY_FIELD_BYTES_MAX(EyRequest_t, body, EY_REQUEST_BODY_MAX_BYTES),
+    EY_FIELD_ARRAY_OF(EyRequest_t, visited, visited_count, EyName_schema,
+                      EY_REQUEST_REGIONS_MAX),
+    EY_FIELD_END,
+};
+const EySchema_t EyRequest_schema = EY_SCHEMA(EyRequest_t, RequestFields);
+
+EyRequest_t *
+EyRequest_New(void)
+{
+    return EY_NEW(NULL, EyRequest_t);
+}
+
+bool
+EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value)
+{
+    if (self->headers == NULL) {
+        self->headers = EY_NEW_ARRAY(self, EyHeader_t, EY_REQUEST_HEADERS_MAX);
+    }
+    if (self->header_count == EY_REQUEST_HEADERS_MAX) {
+        return false;
+    }
+    EyHeader_t *header = &self->headers[self->header_count++];
+    header->name = EyMemory_Strdup(self, name);
+    header->value = EyMemory_Strdup(self, value);
+    return true;
+}
+
+bool
+EyRequest_HasSafeMethod(const EyRequest_t *self)
+{
+    static const char *const Safe[] = {"GET", "HEAD", "OPTIONS"};
+    for (uint32_t i = 0; i < sizeof(Safe) / sizeof(Safe[0]); i++) {
+        if (strcmp(self->method, Safe[i]) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
