Exchange: the life of one request as a decision module, with properties

Found by the properties: a claimed call whose head had been passed got a second answer at its deadline (shortest case: granted, routed, head, then deadline). Cause: the late-answer branch answered without asking whether an answer had been given. Both branches now share one function that either answers or breaks the stream off.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -72,6 +72,22 @@
     return self;
 }
 
+EyAnswer_t *
+EyAnswer_Copy(const EyAnswer_t *from)
+{
+    EyAnswer_t *self = EyAnswer_New(from->status, from->outcome);
+    self->retry_after_s = from->retry_after_s;
+    self->is_events = from->is_events;
+    for (uint32_t i = 0; i < from->header_count; i++) {
+        EyAnswer_SetHeader(self, from->headers[i].name,
+                           from->headers[i].value);
+    }
+    self->body.size_bytes = from->body.size_bytes;
+    self->body.data =
+        EyMemory_Copy(self, from->body.data, from->body.size_bytes);
+    return self;
+}
+
 static void
 set_body(EyAnswer_t *self, const char *content_type, const char *text)
 {
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -38,6 +38,10 @@
 EyAnswer_t *
 EyAnswer_New(uint32_t status, EyOutcome_t outcome);
 
+/** A copy that shares nothing; a stream isn't copied. */
+EyAnswer_t *
+EyAnswer_Copy(const EyAnswer_t *from);
+
 /** Why a request is refused. */
 typedef enum EyProblem {
     EY_PROBLEM_BAD_REQUEST,       /* 400 */
--- /dev/null
+++ b/src/exchange/exchange.c
@@ -0,0 +1,460 @@
+#include "exchange/exchange.h"
+
+#include "core/memory.h"
+
+const char *const EyExchange_state_names[EY_EXCHANGE_STATE_COUNT] = {
+    [EY_EXCHANGE_NEW] = "new",         [EY_EXCHANGE_CLAIMING] = "claiming",
+    [EY_EXCHANGE_ROUTING] = "routing", [EY_EXCHANGE_TRYING] = "trying",
+    [EY_EXCHANGE_LATE] = "late",       [EY_EXCHANGE_ENDED] = "ended",
+};
+
+const char *const EyExchange_action_names[EY_EXCHANGE_ACTION_COUNT] = {
+    [EY_EXCHANGE_DO_CLAIM] = "claim",
+    [EY_EXCHANGE_DO_ROUTE] = "route",
+    [EY_EXCHANGE_DO_UNROUTE] = "unroute",
+    [EY_EXCHANGE_DO_ATTEMPT] = "attempt",
+    [EY_EXCHANGE_DO_CANCEL] = "cancel",
+    [EY_EXCHANGE_DO_ANSWER] = "answer",
+    [EY_EXCHANGE_DO_FINISH_STREAM] = "finish_stream",
+    [EY_EXCHANGE_DO_CLAIM_COMPLETE] = "claim_complete",
+    [EY_EXCHANGE_DO_CLAIM_NOT_SENT] = "claim_not_sent",
+    [EY_EXCHANGE_DO_CLAIM_UNKNOWN] = "claim_unknown",
+    [EY_EXCHANGE_DO_END] = "end",
+};
+
+/** What a handler works on. */
+typedef struct Step {
+    EyExchange_t *exchange;
+    EyExchangeEvent_t *event;
+    uint64_t next_attempt;
+    EyExchangeActions_t *actions;
+} Step_t;
+
+typedef void (*Handler_t)(const Step_t *step);
+
+EyExchange_t *
+EyExchange_New(const void *ctx, EyRequest_t *request, bool is_idempotent,
+               bool needs_claim)
+{
+    EyExchange_t *self = EY_NEW(ctx, EyExchange_t);
+    self->request = talloc_steal(self, request);
+    self->is_idempotent = is_idempotent;
+    self->needs_claim = needs_claim;
+    return self;
+}
+
+bool
+EyExchange_StreamsEvents(const EyExchange_t *self)
+{
+    return self->request->call == EY_CALL_MODEL && self->request->streamed;
+}
+
+static EyExchangeAction_t *
+act(const Step_t *step, EyExchangeActionKind_t kind)
+{
+    EyExchangeAction_t *action = &step->actions->items[step->actions->count++];
+    *action = (EyExchangeAction_t){.kind = kind};
+    return action;
+}
+
+static void
+answer(const Step_t *step, EyAnswer_t *answer)
+{
+    step->exchange->is_answered = true;
+    act(step, EY_EXCHANGE_DO_ANSWER)->answer = answer;
+}
+
+static bool
+maybe_sent(const EyExchange_t *exchange)
+{
+    return exchange->sent_before || exchange->is_sending;
+}
+
+static EyOutcome_t
+outcome_now(const EyExchange_t *exchange)
+{
+    return maybe_sent(exchange) ? EY_OUTCOME_UNKNOWN : EY_OUTCOME_NOT_RUN;
+}
+
+/** Tells the group what became of a claim that ends without an answer. */
+static void
+settle_claim(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (!exchange->claim_is_held) {
+        return;
+    }
+    exchange->claim_is_held = false;
+    (void)act(step, maybe_sent(exchange) ? EY_EXCHANGE_DO_CLAIM_UNKNOWN
+                                         : EY_EXCHANGE_DO_CLAIM_NOT_SENT);
+}
+
+static void
+end(const Step_t *step)
+{
+    step->exchange->state = EY_EXCHANGE_ENDED;
+    (void)act(step, EY_EXCHANGE_DO_END);
+}
+
+/** The final answer of a failure, or a stream's recognisable end. */
+static void
+answer_problem(const Step_t *step, EyProblem_t problem, EyOutcome_t outcome)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (exchange->head_passed) {
+        act(step, EY_EXCHANGE_DO_FINISH_STREAM)->stream_state =
+            EY_STREAM_BROKEN;
+    }
+    else if (!exchange->is_answered) {
+        answer(step,
+               EyAnswer_Problem(problem, outcome, step->event->retry_after_s,
+                                step->event->detail));
+    }
+}
+
+static void
+give_up(const Step_t *step, EyProblem_t problem)
+{
+    answer_problem(step, problem, outcome_now(step->exchange));
+    settle_claim(step);
+    end(step);
+}
+
+static void
+route(const Step_t *step)
+{
+    step->exchange->state = EY_EXCHANGE_ROUTING;
+    (void)act(step, EY_EXCHANGE_DO_ROUTE);
+}
+
+static void
+on_start(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (exchange->state != EY_EXCHANGE_NEW) {
+        return;
+    }
+    if (exchange->needs_claim) {
+        exchange->state = EY_EXCHANGE_CLAIMING;
+        (void)act(step, EY_EXCHANGE_DO_CLAIM);
+        return;
+    }
+    route(step);
+}
+
+static void
+on_granted(const Step_t *step)
+{
+    if (step->exchange->state != EY_EXCHANGE_CLAIMING) {
+        return;
+    }
+    step->exchange->claim_is_held = true;
+    route(step);
+}
+
+static void
+on_replayed(const Step_t *step)
+{
+    if (step->exchange->state != EY_EXCHANGE_CLAIMING) {
+        return;
+    }
+    answer(step, step->event->answer);
+    step->event->answer = NULL;
+    end(step);
+}
+
+static void
+on_claim_refused(const Step_t *step)
+{
+    if (step->exchange->state != EY_EXCHANGE_CLAIMING) {
+        return;
+    }
+    const EyExchangeEvent_t *event = step->event;
+    answer(step, EyAnswer_Problem(event->problem, event->outcome,
+                                  event->retry_after_s, event->detail));
+    end(step);
+}
+
+static void
+on_routed(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (exchange->state != EY_EXCHANGE_ROUTING) {
+        return;
+    }
+    exchange->state = EY_EXCHANGE_TRYING;
+    exchange->is_sending = false;
+    exchange->attempt = step->next_attempt;
+    (void)EY_COPY(exchange->tried[exchange->tried_count++], step->event->to);
+    EyExchangeAction_t *action = act(step, EY_EXCHANGE_DO_ATTEMPT);
+    action->attempt = exchange->attempt;
+    action->is_away = step->event->is_away;
+    action->resume_after = exchange->events_passed;
+    (void)EY_COPY(action->to, step->event->to);
+}
+
+static void
+on_route_refused(const Step_t *step)
+{
+    if (step->exchange->state != EY_EXCHANGE_ROUTING) {
+        return;
+    }
+    give_up(step, step->event->problem);
+}
+
+static bool
+is_current(const Step_t *step)
+{
+    const EyExchange_t *exchange = step->exchange;
+    bool in_flight = exchange->state == EY_EXCHANGE_TRYING ||
+                     exchange->state == EY_EXCHANGE_LATE;
+    return in_flight && step->event->attempt == exchange->attempt;
+}
+
+static void
+on_attempt_sending(const Step_t *step)
+{
+    if (is_current(step)) {
+        step->exchange->is_sending = true;
+    }
+}
+
+static void
+on_attempt_head(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (!is_current(step) || exchange->is_answered) {
+        return;
+    }
+    exchange->is_sending = true;
+    exchange->head_passed = true;
+    answer(step, step->event->answer);
+    step->event->answer = NULL;
+}
+
+/** A whole answer came: the caller gets it, and the claim keeps it. */
+static void
+complete(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (exchange->claim_is_held) {
+        exchange->claim_is_held = false;
+        exchange->kept = talloc_steal(exchange, step->event->answer);
+        step->event->answer = NULL;
+        act(step, EY_EXCHANGE_DO_CLAIM_COMPLETE)->answer = exchange->kept;
+    }
+    if (exchange->head_passed) {
+        act(step, EY_EXCHANGE_DO_FINISH_STREAM)->stream_state =
+            EY_STREAM_WHOLE;
+    }
+    else if (!exchange->is_answered && exchange->kept != NULL) {
+        answer(step, EyAnswer_Copy(exchange->kept));
+    }
+    else if (!exchange->is_answered) {
+        answer(step, step->event->answer);
+        step->event->answer = NULL;
+    }
+    end(step);
+}
+
+static bool
+may_try_again(const EyExchange_t *exchange)
+{
+    return exchange->state == EY_EXCHANGE_TRYING &&
+           exchange->tried_count < EY_EXCHANGE_ATTEMPTS_MAX;
+}
+
+static void
+on_attempt_done(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (!is_current(step)) {
+        return;
+    }
+    exchange->sent_before = true;
+    bool again = step->event->try_again && exchange->is_idempotent &&
+                 !exchange->head_passed && may_try_again(exchange);
+    if (again) {
+        route(step);
+        return;
+    }
+    complete(step);
+}
+
+/** True if what the caller has of a stream allows it to go on. */
+static bool
+stream_allows(const EyExchange_t *exchange)
+{
+    return !exchange->head_passed || EyExchange_StreamsEvents(exchange);
+}
+
+/** Books what a failed attempt is known to have sent. */
+static void
+book_failure(EyExchange_t *exchange, const EyExchangeEvent_t *event)
+{
+    exchange->is_sending = false;
+    if (!event->nothing_sent) {
+        exchange->sent_before = true;
+    }
+    exchange->events_passed += event->events_passed;
+}
+
+static void
+on_attempt_failed(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    const EyExchangeEvent_t *event = step->event;
+    if (!is_current(step)) {
+        return;
+    }
+    book_failure(exchange, event);
+    bool is_safe = exchange->is_idempotent || !exchange->sent_before;
+    if (is_safe && event->try_again && stream_allows(exchange) &&
+        may_try_again(exchange))
+    {
+        route(step);
+        return;
+    }
+    bool is_unsure = !exchange->is_idempotent && exchange->sent_before;
+    give_up(step, is_unsure ? EY_PROBLEM_OUTCOME_UNKNOWN
+                            : EY_PROBLEM_BACKEND_FAILED);
+}
+
+/** Leaves an attempt whose outcome the claim still needs to its end. */
+static void
+await_late_answer(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    exchange->state = EY_EXCHANGE_LATE;
+    if (!exchange->is_sending) {
+        act(step, EY_EXCHANGE_DO_CANCEL)->attempt = exchange->attempt;
+    }
+}
+
+/** Ends what the exchange waits for. */
+static void
+stop_waiting(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (exchange->state == EY_EXCHANGE_ROUTING) {
+        (void)act(step, EY_EXCHANGE_DO_UNROUTE);
+    }
+    else if (exchange->state == EY_EXCHANGE_TRYING) {
+        act(step, EY_EXCHANGE_DO_CANCEL)->attempt = exchange->attempt;
+        /* Bytes may have left before the cancel reaches the sender. */
+        exchange->sent_before = true;
+    }
+    else if (exchange->state == EY_EXCHANGE_CLAIMING) {
+        /* A grant that comes now must find nobody. */
+        (void)act(step, EY_EXCHANGE_DO_CLAIM_NOT_SENT);
+    }
+}
+
+static bool
+is_over(const EyExchange_t *exchange)
+{
+    return exchange->state == EY_EXCHANGE_ENDED ||
+           exchange->state == EY_EXCHANGE_LATE;
+}
+
+static bool
+wants_late_answer(const EyExchange_t *exchange)
+{
+    return exchange->state == EY_EXCHANGE_TRYING && exchange->claim_is_held;
+}
+
+static void
+on_deadline(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (is_over(exchange)) {
+        return;
+    }
+    if (wants_late_answer(exchange)) {
+        answer_problem(step, EY_PROBLEM_OUTCOME_UNKNOWN, EY_OUTCOME_UNKNOWN);
+        await_late_answer(step);
+        return;
+    }
+    stop_waiting(step);
+    give_up(step, EY_PROBLEM_DEADLINE);
+}
+
+static void
+on_caller_gone(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    if (is_over(exchange)) {
+        return;
+    }
+    exchange->is_answered = true;
+    if (wants_late_answer(exchange)) {
+        await_late_answer(step);
+        return;
+    }
+    stop_waiting(step);
+    settle_claim(step);
+    end(step);
+}
+
+static const Handler_t Handlers[EY_EXCHANGE_EVENT_COUNT] = {
+    [EY_EXCHANGE_START] = on_start,
+    [EY_EXCHANGE_GRANTED] = on_granted,
+    [EY_EXCHANGE_REPLAYED] = on_replayed,
+    [EY_EXCHANGE_CLAIM_REFUSED] = on_claim_refused,
+    [EY_EXCHANGE_ROUTED] = on_routed,
+    [EY_EXCHANGE_ROUTE_REFUSED] = on_route_refused,
+    [EY_EXCHANGE_ATTEMPT_SENDING] = on_attempt_sending,
+    [EY_EXCHANGE_ATTEMPT_HEAD] = on_attempt_head,
+    [EY_EXCHANGE_ATTEMPT_DONE] = on_attempt_done,
+    [EY_EXCHANGE_ATTEMPT_FAILED] = on_attempt_failed,
+    [EY_EXCHANGE_DEADLINE] = on_deadline,
+    [EY_EXCHANGE_CALLER_GONE] = on_caller_gone,
+};
+
+/** True for events that would start something. */
+static bool
+starts_work(const EyExchange_t *exchange, const EyExchangeEvent_t *event)
+{
+    bool waits = exchange->state == EY_EXCHANGE_NEW ||
+                 exchange->state == EY_EXCHANGE_CLAIMING ||
+                 exchange->state == EY_EXCHANGE_ROUTING;
+    return waits && (event->kind == EY_EXCHANGE_START ||
+                     event->kind == EY_EXCHANGE_GRANTED ||
+                     event->kind == EY_EXCHANGE_ROUTED);
+}
+
+void
+EyExchange_Step(EyExchange_t *self, int64_t now_ms, EyExchangeEvent_t *event,
+                uint64_t next_attempt, EyExchangeActions_t *actions)
+{
+    actions->count = 0;
+    bool is_late = now_ms >= self->request->deadline_ms;
+    if (is_late && starts_work(self, event)) {
+        event->kind = EY_EXCHANGE_DEADLINE;
+    }
+    Step_t step = {.exchange = self,
+                   .event = event,
+                   .next_attempt = next_attempt,
+                   .actions = actions};
+    Handlers[event->kind](&step);
+    /* What no handler took is nobody's. */
+    talloc_free(event->answer);
+    event->answer = NULL;
+}
+
+json_t *
+EyExchange_Dump(const EyExchange_t *self, int64_t now_ms)
+{
+    json_t *json = json_object();
+    (void)json_object_set_new(json, "request_id",
+                              json_string(self->request->id));
+    (void)json_object_set_new(
+        json, "state", json_string(EyExchange_state_names[self->state]));
+    (void)json_object_set_new(json, "target",
+                              json_string(self->request->target));
+    (void)json_object_set_new(json, "attempts",
+                              json_integer(self->tried_count));
+    (void)json_object_set_new(
+        json, "left_ms", json_integer(self->request->deadline_ms - now_ms));
+    return json;
+}
