--- /dev/null
+++ b/src/backends/outbound.c
@@ -0,0 +1,82 @@
+#include "backends/outbound.h"
+
+#include "core/memory.h"
+#include "core/worker.h"
+
+#define ORDERS_MAX 4096
+
+struct EyOutbound {
+    EyWorker_t *worker;
+    EyMailbox_t *events;
+};
+
+/** An order to cancel; an order to start is the attempt itself. */
+typedef struct Cancel {
+    uint64_t number;
+} Cancel_t;
+
+static void
+on_event(void *data, EyAttemptEvent_t *event)
+{
+    const EyOutbound_t *self = data;
+    /* The reader never waits for this thread, so waiting is safe. */
+    EyMailbox_PostWait(self->events, event);
+}
+
+static void *
+open_client(void *ctx, struct tevent_context *loop, EyTimers_t *timers,
+            void *data)
+{
+    return EyClient_New(ctx, loop, timers, on_event, data);
+}
+
+static void
+handle_order(void *state, void *message)
+{
+    EyClient_t *client = state;
+    const Cancel_t *cancel = talloc_get_type(message, Cancel_t);
+    if (cancel == NULL) {
+        EyClient_Start(client, message);
+        return;
+    }
+    EyClient_Cancel(client, cancel->number);
+    talloc_free(message);
+}
+
+static const EyWorkerClass_t Class = {
+    .name = "http-out",
+    .open = open_client,
+    .handle = handle_order,
+};
+
+EyOutbound_t *
+EyOutbound_Start(const void *ctx, EyMailbox_t *events)
+{
+    EyOutbound_t *self = EY_NEW(ctx, EyOutbound_t);
+    self->events = events;
+    self->worker = EyWorker_Start(self, &Class, ORDERS_MAX, self);
+    return self;
+}
+
+bool
+EyOutbound_Send(EyOutbound_t *self, EyAttempt_t *attempt)
+{
+    return EyWorker_Post(self->worker, attempt);
+}
+
+void
+EyOutbound_Cancel(EyOutbound_t *self, uint64_t number)
+{
+    Cancel_t *cancel = EY_NEW(NULL, Cancel_t);
+    cancel->number = number;
+    if (!EyWorker_Post(self->worker, cancel)) {
+        talloc_free(cancel);
+    }
+}
+
+void
+EyOutbound_Stop(EyOutbound_t *self)
+{
+    EyWorker_Stop(self->worker);
+    talloc_free(self);
+}
--- a/src/core/mailbox.c
+++ b/src/core/mailbox.c
@@ -10,6 +10,7 @@
 
 /* Messages handled in one turn of the loop, so that timers get theirs. */
 #define TURN_MESSAGES_MAX 256
+#define POST_WAIT_US 200
 
 struct EyMailbox {
     ck_ring_t ring;
@@ -18,6 +19,7 @@
     int descriptor;
     EyMailboxHandler_t handler;
     void *data;
+    struct tevent_fd *event;
 };
 
 static int
@@ -71,6 +73,14 @@
     return true;
 }
 
+void
+EyMailbox_PostWait(EyMailbox_t *self, void *message)
+{
+    while (!EyMailbox_Post(self, message)) {
+        (void)usleep(POST_WAIT_US);
+    }
+}
+
 void *
 EyMailbox_Take(EyMailbox_t *self)
 {
@@ -122,13 +132,19 @@
 {
     self->handler = handler;
     self->data = data;
-    struct tevent_fd *event = tevent_add_fd(loop, self, self->descriptor,
-                                            TEVENT_FD_READ, on_readable, self);
-    if (event == NULL) {
+    self->event = tevent_add_fd(loop, self, self->descriptor, TEVENT_FD_READ,
+                                on_readable, self);
+    if (self->event == NULL) {
         abort();
     }
 }
 
+void
+EyMailbox_Detach(EyMailbox_t *self)
+{
+    TALLOC_FREE(self->event);
+}
+
 uint32_t
 EyMailbox_Waiting(const EyMailbox_t *self)
 {
--- a/src/core/mailbox.h
+++ b/src/core/mailbox.h
@@ -27,6 +27,13 @@
 bool
 EyMailbox_Post(EyMailbox_t *self, void *message);
 
+/**
+ * Posts a message from any thread, waiting while the mailbox is full. Only
+ * for messages that must arrive, to a reader that never waits for the poster.
+ */
+void
+EyMailbox_PostWait(EyMailbox_t *self, void *message);
+
 /** The next message, or NULL; the reader's thread only. */
 void *
 EyMailbox_Take(EyMailbox_t *self);
@@ -44,6 +51,10 @@
 EyMailbox_Attach(EyMailbox_t *self, struct tevent_context *loop,
                  EyMailboxHandler_t handler, void *data);
 
+/** Ends EyMailbox_Attach; on the loop's thread, before its loop is freed. */
+void
+EyMailbox_Detach(EyMailbox_t *self);
+
 /** Messages that wait, for dumps; may be old by the time it is read. */
 uint32_t
 EyMailbox_Waiting(const EyMailbox_t *self);
