Peers: messages between instances over ZeroMQ, with bounds and encryption

Cause: nothing carried messages between processes. One thread holds a ROUTER on the peer address and a DEALER for each address it sends to; envelopes are msgpack with the version first, so that another version is told from junk.

Ruled out: ZMTP heartbeats on every connection, as their cost grows with the number of connections; broken ones are found by unacknowledged data instead. IPv6 sockets for IPv4 addresses, as ZeroMQ then names the listener by a mapped address, which the loopback check doesn't know (6 of 8 tests failed).

After: 8 tests pass: both ways, cuts, restart, raw junk, bad frames, full inbox, CURVE with and without the secret, refused starts.

--- /dev/null
+++ b/src/instances/peers.c
@@ -0,0 +1,694 @@
+#include "instances/peers.h"
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/log.h"
+#include "core/memory.h"
+#include "core/settings.h"
+#include "instances/peer_message.h"
+#include "instances/peer_secret.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+EY_DEFINE_ERROR_DOMAIN(Peers, "ey-peers")
+
+#define OUTBOUND_CAPACITY 4096
+/* Messages that wait for one peer, each way. */
+#define HIGH_WATER_MARK 256
+/* How long a stop waits for messages to leave. */
+#define DRAIN_MS 200
+#define HANDSHAKE_TIMEOUT_MS 5000
+/* Unacknowledged data for so long breaks a connection. */
+#define SEND_TIMEOUT_MS 10000
+#define KEEPALIVE_IDLE_S 60
+#define RECONNECT_MIN_MS 50
+#define RECONNECT_MAX_MS 1000
+/* A connection that isn't used for so long is closed. */
+#define LINK_IDLE_MS 60000
+#define SWEEP_INTERVAL_MS 10000
+#define ROUTES_MAX 8192
+/* Messages of one direction in a turn, so that the other gets its own. */
+#define TURN_MESSAGES_MAX 256
+
+typedef enum CommandKind {
+    COMMAND_SEND,
+    COMMAND_ROUTE,
+    COMMAND_CUT,
+    COMMAND_STOP
+} CommandKind_t;
+
+/** What other threads ask of the thread; a talloc root. */
+typedef struct Command {
+    CommandKind_t kind;
+    EyPeerMessage_t *message; /* a talloc child, for COMMAND_SEND */
+    EyName_t id;
+    EyAddress_t address;
+    bool cut;
+} Command_t;
+
+/** Where an instance listens, as told or as seen in its messages. */
+typedef struct Route {
+    EyAddress_t address;
+    uint64_t incarnation; /* that was seen last */
+    bool cut;
+} Route_t;
+
+/** An outgoing connection to one address. */
+typedef struct Link {
+    void *socket;
+    int64_t used_ms;
+} Link_t;
+
+struct EyPeers {
+    EyPeersOptions_t options;
+    EyAddress_t address; /* with the port that was given */
+    bool encrypted;
+    EyPeerKeys_t keys;
+    EyMailbox_t *inbox;
+    EyMailbox_t *outbound;
+    void *zmq;
+    void *listener;
+    GHashTable *routes; /* id -> Route_t */
+    GHashTable *links;  /* address -> Link_t */
+    int64_t swept_ms;
+    bool stopping;
+    pthread_t thread;
+    bool running;
+};
+
+enum {
+    DROP_MALFORMED,
+    DROP_TOO_LARGE,
+    DROP_VERSION,
+    DROP_KIND,
+    DROP_DESTINATION,
+    DROP_INBOX_FULL,
+    DROP_CUT,
+    DROP_NO_ROUTE,
+    DROP_BACKLOG,
+    DROP_COUNT
+};
+
+#define DROPPED(reason)                                                       \
+    {                                                                         \
+        "peer_dropped_total", "reason=\"" reason "\"",                        \
+            "Messages between instances that were dropped",                   \
+            EY_METRIC_COUNTER,                                                \
+    }
+#define TRAFFIC(name, kind, help)                                             \
+    {                                                                         \
+        name, "kind=\"" kind "\"", help, EY_METRIC_COUNTER,                   \
+    }
+#define TRAFFIC_KINDS(name, help)                                             \
+    {                                                                         \
+        [EY_PEER_MEMBERSHIP] = TRAFFIC(name, "membership", help),             \
+        [EY_PEER_GROUP] = TRAFFIC(name, "group", help),                       \
+        [EY_PEER_LOG] = TRAFFIC(name, "log", help),                           \
+        [EY_PEER_CONFIG] = TRAFFIC(name, "config", help),                     \
+        [EY_PEER_FORWARD] = TRAFFIC(name, "forward", help),                   \
+    }
+
+static EyMetric_t Dropped[DROP_COUNT] = {
+    [DROP_MALFORMED] = DROPPED("malformed"),
+    [DROP_TOO_LARGE] = DROPPED("too_large"),
+    [DROP_VERSION] = DROPPED("version"),
+    [DROP_KIND] = DROPPED("kind"),
+    [DROP_DESTINATION] = DROPPED("destination"),
+    [DROP_INBOX_FULL] = DROPPED("inbox_full"),
+    [DROP_CUT] = DROPPED("cut"),
+    [DROP_NO_ROUTE] = DROPPED("no_route"),
+    [DROP_BACKLOG] = DROPPED("backlog"),
+};
+static EyMetric_t SentBytes[EY_PEER_KIND_COUNT] =
+    TRAFFIC_KINDS("peer_sent_bytes_total", "Bytes sent to instances");
+static EyMetric_t Sent[EY_PEER_KIND_COUNT] =
+    TRAFFIC_KINDS("peer_sent_total", "Messages sent to instances");
+static EyMetric_t Received[EY_PEER_KIND_COUNT] =
+    TRAFFIC_KINDS("peer_received_total", "Messages taken from instances");
+
+static const uint32_t FaultDrops[] = {
+    [EY_PEER_FAULT_MALFORMED] = DROP_MALFORMED,
+    [EY_PEER_FAULT_TOO_LARGE] = DROP_TOO_LARGE,
+    [EY_PEER_FAULT_VERSION] = DROP_VERSION,
+    [EY_PEER_FAULT_KIND] = DROP_KIND,
+};
+
+static void
+drop(uint32_t reason, EyPeerMessage_t *message)
+{
+    EyMetric_Add(&Dropped[reason], 1);
+    (void)talloc_free(message);
+}
+
+static bool
+is_loopback(const char *address)
+{
+    char ip[EY_ADDRESS_SIZE_BYTES];
+    uint16_t port = 0;
+    if (!EyAddress_Split(address, ip, sizeof(ip), &port)) {
+        return false;
+    }
+    return g_str_has_prefix(ip, "127.") || strcmp(ip, "::1") == 0;
+}
+
+static bool
+set_number(void *socket, int option, int32_t value)
+{
+    return zmq_setsockopt(socket, option, &value, sizeof(value)) == 0;
+}
+
+/** Settings of every socket; address is where it listens or connects. */
+static bool
+set_common(void *socket, const char *address)
+{
+    return set_number(socket, ZMQ_LINGER, 0) &&
+           set_number(socket, ZMQ_IPV6, address[0] == '[') &&
+           set_number(socket, ZMQ_SNDHWM, HIGH_WATER_MARK) &&
+           set_number(socket, ZMQ_RCVHWM, HIGH_WATER_MARK) &&
+           set_number(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS) &&
+           set_number(socket, ZMQ_TCP_KEEPALIVE, 1) &&
+           set_number(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
+}
+
+/* Links and routes */
+
+static void
+link_close(gpointer data)
+{
+    Link_t *link = data;
+    (void)zmq_close(link->socket);
+    g_free(link);
+}
+
+static bool
+link_prepare(const EyPeers_t *self, void *socket, const char *address)
+{
+    return set_common(socket, address) &&
+           set_number(socket, ZMQ_TCP_MAXRT, SEND_TIMEOUT_MS) &&
+           set_number(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
+           set_number(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
+           (!self->encrypted || EyPeerKeys_SetClient(&self->keys, socket));
+}
+
+static Link_t *
+link_open(EyPeers_t *self, const char *address)
+{
+    char *endpoint = talloc_asprintf(NULL, "tcp://%s", address);
+    void *socket = zmq_socket(self->zmq, ZMQ_DEALER);
+    bool ok = socket != NULL && link_prepare(self, socket, address) &&
+              zmq_connect(socket, endpoint) == 0;
+    (void)talloc_free(endpoint);
+    if (!ok) {
+        EY_LOG(EY_LOG_WARNING, "peers", "connect_failed",
+               EY_LOG_TEXT("address", address),
+               EY_LOG_TEXT("error", zmq_strerror(zmq_errno())));
+        if (socket != NULL) {
+            (void)zmq_close(socket);
+        }
+        return NULL;
+    }
+    Link_t *link = g_new0(Link_t, 1);
+    link->socket = socket;
+    (void)g_hash_table_insert(self->links, g_strdup(address), link);
+    return link;
+}
+
+static Link_t *
+link_get(EyPeers_t *self, const char *address)
+{
+    Link_t *link = g_hash_table_lookup(self->links, address);
+    if (link == NULL) {
+        link = link_open(self, address);
+    }
+    if (link != NULL) {
+        link->used_ms = EyClock_NowMs();
+    }
+    return link;
+}
+
+static gboolean
+link_is_idle(gpointer address, gpointer data, gpointer now_ms)
+{
+    (void)address;
+    const Link_t *link = data;
+    return *(const int64_t *)now_ms - link->used_ms > LINK_IDLE_MS;
+}
+
+static void
+sweep_links(EyPeers_t *self)
+{
+    int64_t now_ms = EyClock_NowMs();
+    if (now_ms - self->swept_ms < SWEEP_INTERVAL_MS) {
+        return;
+    }
+    self->swept_ms = now_ms;
+    (void)g_hash_table_foreach_remove(self->links, link_is_idle, &now_ms);
+}
+
+/** The instance's route, made if it isn't there; NULL if there are too many.
+ */
+static Route_t *
+route_get(EyPeers_t *self, const char *id)
+{
+    Route_t *route = g_hash_table_lookup(self->routes, id);
+    if (route == NULL && g_hash_table_size(self->routes) < ROUTES_MAX) {
+        route = g_new0(Route_t, 1);
+        (void)g_hash_table_insert(self->routes, g_strdup(id), route);
+    }
+    return route;
+}
+
+/** Learns where a sender listens, if nothing newer is known. */
+static void
+route_learn(EyPeers_t *self, const EyPeerMessage_t *message)
+{
+    if (!EyAddress_IsValid(message->from_address)) {
+        return;
+    }
+    Route_t *route = route_get(self, message->from);
+    if (route == NULL) {
+        return;
+    }
+    bool is_newer = message->from_incarnation > route->incarnation;
+    if (route->address[0] == '\0' || is_newer) {
+        (void)EY_COPY(route->address, message->from_address);
+    }
+    if (is_newer) {
+        route->incarnation = message->from_incarnation;
+    }
+}
+
+static bool
+is_cut(const EyPeers_t *self, const char *id)
+{
+    const Route_t *route = g_hash_table_lookup(self->routes, id);
+    return route != NULL && route->cut;
+}
+
+/** True if an instance that listens at the address is cut. */
+static bool
+is_address_cut(const EyPeers_t *self, const char *address)
+{
+    GHashTableIter routes;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&routes, self->routes);
+    while (g_hash_table_iter_next(&routes, NULL, &data)) {
+        const Route_t *route = data;
+        if (route->cut && strcmp(route->address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Sending */
+
+static void
+deliver(const EyPeers_t *self, EyPeerMessage_t *message)
+{
+    EyPeerKind_t kind = message->kind;
+    if (!EyMailbox_Post(self->inbox, message)) {
+        drop(DROP_INBOX_FULL, message);
+        return;
+    }
+    EyMetric_Add(&Received[kind], 1);
+}
+
+static const char *
+address_of(const EyPeers_t *self, const EyPeerMessage_t *message)
+{
+    const Route_t *route = g_hash_table_lookup(self->routes, message->to);
+    if (route != NULL && route->address[0] != '\0') {
+        return route->address;
+    }
+    return message->to_address;
+}
+
+static void
+transmit(EyPeers_t *self, const char *address, EyPeerMessage_t *message)
+{
+    Link_t *link = link_get(self, address);
+    if (link == NULL) {
+        drop(DROP_NO_ROUTE, message);
+        return;
+    }
+    EyBytes_t frame = EyPeerMessage_Encode(message, message);
+    if (zmq_send(link->socket, frame.data, frame.size_bytes, ZMQ_DONTWAIT) < 0)
+    {
+        drop(DROP_BACKLOG, message);
+        return;
+    }
+    EyMetric_Add(&Sent[message->kind], 1);
+    EyMetric_Add(&SentBytes[message->kind], frame.size_bytes);
+    (void)talloc_free(message);
+}
+
+static void
+send_message(EyPeers_t *self, EyPeerMessage_t *message)
+{
+    if (strcmp(message->to, self->options.id) == 0) {
+        deliver(self, message);
+        return;
+    }
+    const char *address = address_of(self, message);
+    if (is_cut(self, message->to) ||
+        (message->to[0] == '\0' && is_address_cut(self, address)))
+    {
+        drop(DROP_CUT, message);
+        return;
+    }
+    bool is_allowed =
+        self->encrypted || self->options.insecure || is_loopback(address);
+    if (!EyAddress_IsValid(address) || !is_allowed) {
+        drop(DROP_NO_ROUTE, message);
+        return;
+    }
+    if (message->payload.size_bytes > EY_PEER_MESSAGE_MAX_BYTES) {
+        drop(DROP_TOO_LARGE, message);
+        return;
+    }
+    transmit(self, address, message);
+}
+
+static void
+run_command(EyPeers_t *self, Command_t *command)
+{
+    Route_t *route = NULL;
+    switch (command->kind) {
+    case COMMAND_SEND:
+        send_message(self, talloc_steal(NULL, command->message));
+        break;
+    case COMMAND_ROUTE:
+        route = route_get(self, command->id);
+        if (route != NULL) {
+            (void)EY_COPY(route->address, command->address);
+        }
+        break;
+    case COMMAND_CUT:
+        route = route_get(self, command->id);
+        if (route != NULL) {
+            route->cut = command->cut;
+        }
+        break;
+    case COMMAND_STOP:
+        break;
+    }
+    (void)talloc_free(command);
+}
+
+/** True if more may wait. */
+static bool
+run_commands(EyPeers_t *self, uint32_t limit)
+{
+    EyMailbox_Acknowledge(self->outbound);
+    for (uint32_t i = 0; i < limit; i++) {
+        Command_t *command = EyMailbox_Take(self->outbound);
+        if (command == NULL) {
+            return false;
+        }
+        run_command(self, command);
+    }
+    return true;
+}
+
+/* Receiving */
+
+static void
+take_frame(EyPeers_t *self, const uint8_t *data, size_t size_bytes)
+{
+    EyPeerFault_t fault = EY_PEER_FAULT_NONE;
+    EyPeerMessage_t *message = EyPeerMessage_Decode(data, size_bytes, &fault);
+    if (message == NULL) {
+        EyMetric_Add(&Dropped[FaultDrops[fault]], 1);
+        return;
+    }
+    if (message->to[0] != '\0' && strcmp(message->to, self->options.id) != 0) {
+        drop(DROP_DESTINATION, message);
+        return;
+    }
+    if (is_cut(self, message->from)) {
+        drop(DROP_CUT, message);
+        return;
+    }
+    route_learn(self, message);
+    deliver(self, message);
+}
+
+/** Reads and drops the frames that are left of a message. */
+static void
+skip_frames(EyPeers_t *self)
+{
+    zmq_msg_t frame;
+    int more = 1;
+    while (more != 0) {
+        (void)zmq_msg_init(&frame);
+        more = zmq_msg_recv(&frame, self->listener, ZMQ_DONTWAIT) >= 0 &&
+               zmq_msg_more(&frame) != 0;
+        (void)zmq_msg_close(&frame);
+    }
+}
+
+/** Reads one message: the sender's identity and one frame. */
+static bool
+receive(EyPeers_t *self)
+{
+    zmq_msg_t identity;
+    zmq_msg_t frame;
+    (void)zmq_msg_init(&identity);
+    if (zmq_msg_recv(&identity, self->listener, ZMQ_DONTWAIT) < 0) {
+        (void)zmq_msg_close(&identity);
+        return false;
+    }
+    bool has_frame = zmq_msg_more(&identity) != 0;
+    (void)zmq_msg_close(&identity);
+    if (!has_frame) {
+        EyMetric_Add(&Dropped[DROP_MALFORMED], 1);
+        return true;
+    }
+    (void)zmq_msg_init(&frame);
+    if (zmq_msg_recv(&frame, self->listener, ZMQ_DONTWAIT) >= 0) {
+        if (zmq_msg_more(&frame) != 0) {
+            skip_frames(self);
+            EyMetric_Add(&Dropped[DROP_MALFORMED], 1);
+        }
+        else {
+            take_frame(self, zmq_msg_data(&frame), zmq_msg_size(&frame));
+        }
+    }
+    (void)zmq_msg_close(&frame);
+    return true;
+}
+
+static bool
+receive_all(EyPeers_t *self)
+{
+    for (uint32_t i = 0; i < TURN_MESSAGES_MAX; i++) {
+        if (!receive(self)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* The thread */
+
+static void *
+run(void *data)
+{
+    EyPeers_t *self = data;
+    zmq_pollitem_t items[] = {
+        {.socket = self->listener, .events = ZMQ_POLLIN},
+        {.fd = EyMailbox_Descriptor(self->outbound), .events = ZMQ_POLLIN},
+    };
+    bool has_more = false;
+    while (!__atomic_load_n(&self->stopping, __ATOMIC_ACQUIRE)) {
+        (void)zmq_poll(items, (int)G_N_ELEMENTS(items),
+                       has_more ? 0 : SWEEP_INTERVAL_MS);
+        has_more = run_commands(self, TURN_MESSAGES_MAX);
+        has_more = receive_all(self) || has_more;
+        sweep_links(self);
+    }
+    (void)run_commands(self, OUTBOUND_CAPACITY);
+    return NULL;
+}
+
+/* Start and stop */
+
+static bool
+prepare_secret(EyPeers_t *self, GError **error)
+{
+    if (self->options.secret_file != NULL) {
+        self->encrypted = true;
+        return EyPeerKeys_Read(&self->keys, self->options.secret_file, error);
+    }
+    if (!self->options.insecure && !is_loopback(self->options.listen)) {
+        g_set_error(error, EY_PEERS_ERROR, EY_PEERS_ERROR_SECRET,
+                    "%s isn't a loopback address: expected a peer secret "
+                    "file, or leave to talk without encryption",
+                    self->options.listen);
+        return false;
+    }
+    return true;
+}
+
+static bool
+listener_prepare(const EyPeers_t *self)
+{
+    const int64_t frame_max_bytes = EY_PEER_FRAME_MAX_BYTES;
+    return set_common(self->listener, self->options.listen) &&
+           zmq_setsockopt(self->listener, ZMQ_MAXMSGSIZE, &frame_max_bytes,
+                          sizeof(frame_max_bytes)) == 0 &&
+           (!self->encrypted ||
+            EyPeerKeys_SetServer(&self->keys, self->listener));
+}
+
+static bool
+start_listener(EyPeers_t *self, GError **error)
+{
+    char endpoint[EY_ADDRESS_SIZE_BYTES + 8];
+    size_t endpoint_bytes = sizeof(endpoint);
+    self->listener = zmq_socket(self->zmq, ZMQ_ROUTER);
+    (void)g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
+                     self->options.listen);
+    bool ok = self->listener != NULL && listener_prepare(self) &&
+              zmq_bind(self->listener, endpoint) == 0 &&
+              zmq_getsockopt(self->listener, ZMQ_LAST_ENDPOINT, endpoint,
+                             &endpoint_bytes) == 0;
+    if (!ok) {
+        g_set_error(error, EY_PEERS_ERROR, EY_PEERS_ERROR_LISTEN,
+                    "can't listen on %s: %s", self->options.listen,
+                    zmq_strerror(zmq_errno()));
+        return false;
+    }
+    (void)EY_COPY(self->address, endpoint + strlen("tcp://"));
+    return true;
+}
+
+static void
+set_linger(gpointer address, gpointer data, gpointer unused)
+{
+    (void)address;
+    (void)unused;
+    const Link_t *link = data;
+    (void)set_number(link->socket, ZMQ_LINGER, DRAIN_MS);
+}
+
+static int
+peers_destroy(EyPeers_t *self)
+{
+    EyPeers_Stop(self);
+    return 0;
+}
+
+EyPeers_t *
+EyPeers_Start(const void *ctx, const EyPeersOptions_t *options,
+              EyMailbox_t *inbox, GError **error)
+{
+    EyMetrics_Register(Dropped, DROP_COUNT);
+    EyMetrics_Register(SentBytes, EY_PEER_KIND_COUNT);
+    EyMetrics_Register(Sent, EY_PEER_KIND_COUNT);
+    EyMetrics_Register(Received, EY_PEER_KIND_COUNT);
+    EyPeers_t *self = EY_NEW(ctx, EyPeers_t);
+    self->options = *options;
+    self->inbox = inbox;
+    self->outbound = EyMailbox_New(self, OUTBOUND_CAPACITY);
+    self->zmq = zmq_ctx_new();
+    self->routes =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    self->links =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, link_close);
+    talloc_set_destructor(self, peers_destroy);
+    (void)zmq_ctx_set(self->zmq, ZMQ_IO_THREADS, 1);
+    if (!prepare_secret(self, error) || !start_listener(self, error)) {
+        (void)talloc_free(self);
+        return NULL;
+    }
+    if (pthread_create(&self->thread, NULL, run, self) != 0) {
+        abort();
+    }
+    self->running = true;
+    return self;
+}
+
+void
+EyPeers_Stop(EyPeers_t *self)
+{
+    if (self->zmq == NULL) {
+        return;
+    }
+    if (self->running) {
+        __atomic_store_n(&self->stopping, true, __ATOMIC_RELEASE);
+        Command_t *command = EY_NEW(NULL, Command_t);
+        command->kind = COMMAND_STOP;
+        if (!EyMailbox_Post(self->outbound, command)) {
+            (void)talloc_free(command);
+        }
+        (void)pthread_join(self->thread, NULL);
+        self->running = false;
+    }
+    g_hash_table_foreach(self->links, set_linger, NULL);
+    g_hash_table_destroy(self->links);
+    g_hash_table_destroy(self->routes);
+    if (self->listener != NULL) {
+        (void)zmq_close(self->listener);
+    }
+    (void)zmq_ctx_term(self->zmq);
+    self->zmq = NULL;
+    explicit_bzero(&self->keys, sizeof(self->keys));
+}
+
+const char *
+EyPeers_Address(const EyPeers_t *self)
+{
+    return self->address;
+}
+
+/* Other threads' side */
+
+static bool
+post(EyPeers_t *self, Command_t *command)
+{
+    if (EyMailbox_Post(self->outbound, command)) {
+        return true;
+    }
+    if (command->message != NULL) {
+        (void)talloc_steal(NULL, command->message);
+    }
+    (void)talloc_free(command);
+    return false;
+}
+
+bool
+EyPeers_Send(EyPeers_t *self, EyPeerMessage_t *message)
+{
+    (void)EY_COPY(message->from, self->options.id);
+    message->from_incarnation = self->options.incarnation;
+    (void)EY_COPY(message->from_address, self->address);
+    Command_t *command = EY_NEW(NULL, Command_t);
+    command->kind = COMMAND_SEND;
+    command->message = talloc_steal(command, message);
+    return post(self, command);
+}
+
+bool
+EyPeers_SetRoute(EyPeers_t *self, const char *id, const char *address)
+{
+    Command_t *command = EY_NEW(NULL, Command_t);
+    command->kind = COMMAND_ROUTE;
+    (void)EY_COPY(command->id, id);
+    (void)EY_COPY(command->address, address);
+    return post(self, command);
+}
+
+bool
+EyPeers_SetCut(EyPeers_t *self, const char *id, bool cut)
+{
+    Command_t *command = EY_NEW(NULL, Command_t);
+    command->kind = COMMAND_CUT;
+    (void)EY_COPY(command->id, id);
+    command->cut = cut;
+    return post(self, command);
+}
--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -55,7 +55,7 @@
     EyName_t id;
     uint64_t incarnation;
     EyAddress_t listen;
-    const char *secret_file; /* NULL: no encryption */
+    const char *secret_file; /* only read at the start; NULL: no encryption */
     bool insecure;           /* allow no encryption beyond loopback */
 } EyPeersOptions_t;
 
@@ -72,6 +72,11 @@
 EyPeers_Start(const void *ctx, const EyPeersOptions_t *options,
               EyMailbox_t *inbox, GError **error);
 
+/** The address that is listened on, with the port that was given; other
+ * instances learn it from each message. */
+const char *
+EyPeers_Address(const EyPeers_t *self);
+
 /** Sends from any thread; takes the message over if true, else the outbound
  * ring is full and the message is still the caller's. */
 bool
