--- /dev/null
+++ b/src/gateway/gateway.c
@@ -0,0 +1,117 @@
+#include "gateway/gateway.h"
+
+#include "core/memory.h"
+#include "gateway/internal.h"
+
+#define ATTEMPT_EVENTS_WAITING_MAX 16384
+
+EyMetric_t EyGateway_metrics[EY_GATEWAY_METRIC_COUNT] = {
+    [EY_GATEWAY_REQUESTS] = {.name = "requests_total",
+                             .help = "Requests taken on"},
+    [EY_GATEWAY_COMPLETED] = {.name = "answers_total",
+                              .labels = "outcome=\"completed\"",
+                              .help = "Final answers by outcome"},
+    [EY_GATEWAY_NOT_RUN] = {.name = "answers_total",
+                            .labels = "outcome=\"not-run\"",
+                            .help = "Final answers by outcome"},
+    [EY_GATEWAY_UNKNOWN] = {.name = "answers_total",
+                            .labels = "outcome=\"unknown\"",
+                            .help = "Final answers by outcome"},
+    [EY_GATEWAY_ATTEMPTS] = {.name = "attempts_total",
+                             .help = "Calls to backend servers"},
+    [EY_GATEWAY_RETRIES] = {.name = "retries_total",
+                            .help = "Attempts after a request's first"},
+    [EY_GATEWAY_SENT_AWAY] = {.name = "sent_away_total",
+                              .help = "Requests sent to another region"},
+    [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
+                            .help = "From arrival to the answer's head",
+                            .kind = EY_METRIC_HISTOGRAM},
+};
+
+static void
+on_attempt_event(void *data, void *message)
+{
+    EyGateway_OnAttempt(data, message);
+}
+
+static void
+free_talloc(gpointer object)
+{
+    talloc_free(object);
+}
+
+static void *
+gateway_open(const void *ctx, EyNode_t *node, GError **error)
+{
+    (void)error;
+    EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
+    self->node = node;
+    self->next_attempt = 1;
+    self->lives = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                        free_talloc, free_talloc);
+    self->attempts =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, free_talloc, NULL);
+    self->backends =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+    self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
+    EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
+    self->outbound = EyOutbound_Start(self, self->attempt_events);
+    EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
+    return self;
+}
+
+static void
+gateway_close(void *part)
+{
+    EyGateway_t *self = part;
+    EyOutbound_Stop(self->outbound);
+    g_hash_table_destroy(self->attempts);
+    g_hash_table_destroy(self->lives);
+    g_hash_table_destroy(self->backends);
+}
+
+static bool
+gateway_on_request(void *part, EyRequest_t *request)
+{
+    bool is_for_backend =
+        request->call == EY_CALL_MODEL || request->call == EY_CALL_SERVICE;
+    if (is_for_backend) {
+        EyGateway_Accept(part, request);
+        return true;
+    }
+    return EyGateway_AnswerLocally(part, request);
+}
+
+static void
+gateway_on_gone(void *part, uint64_t number)
+{
+    EyGateway_OnGone(part, number);
+}
+
+static bool
+gateway_is_idle(void *part)
+{
+    const EyGateway_t *self = part;
+    return g_hash_table_size(self->lives) == 0;
+}
+
+static json_t *
+gateway_dump(void *part)
+{
+    const EyGateway_t *self = part;
+    json_t *json = json_object();
+    (void)json_object_set_new(json, "exchange_count",
+                              json_integer(g_hash_table_size(self->lives)));
+    (void)json_object_set_new(json, "exchanges", EyGateway_DumpLives(self));
+    return json;
+}
+
+const EyPartClass_t EyGateway_class = {
+    .name = "gateway",
+    .open = gateway_open,
+    .close = gateway_close,
+    .on_request = gateway_on_request,
+    .on_gone = gateway_on_gone,
+    .is_idle = gateway_is_idle,
+    .dump = gateway_dump,
+};
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,17 @@
+/** The gateway part of a daemon: takes callers' requests and has them done. */
+#ifndef EY_GATEWAY_GATEWAY_H
+#define EY_GATEWAY_GATEWAY_H
+
+#include "node/node.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+extern const EyPartClass_t EyGateway_class;
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/gateway/internal.h
@@ -0,0 +1,87 @@
+/** What the files of the gateway share; not for others. */
+#ifndef EY_GATEWAY_INTERNAL_H
+#define EY_GATEWAY_INTERNAL_H
+
+#include "backends/backend.h"
+#include "backends/outbound.h"
+#include "callers/server.h"
+#include "core/counters.h"
+#include "core/mailbox.h"
+#include "core/random.h"
+#include "core/timers.h"
+#include "exchange/exchange.h"
+#include "gateway/gateway.h"
+#include "instances/peers.h"
+
+/** Answer buffers: what one slow caller can make the gateway hold. */
+#define EY_GATEWAY_STREAM_BYTES (256 * 1024)
+
+typedef enum EyGatewayMetric {
+    EY_GATEWAY_REQUESTS,
+    EY_GATEWAY_COMPLETED,
+    EY_GATEWAY_NOT_RUN,
+    EY_GATEWAY_UNKNOWN,
+    EY_GATEWAY_ATTEMPTS,
+    EY_GATEWAY_RETRIES,
+    EY_GATEWAY_SENT_AWAY,
+    EY_GATEWAY_LATENCY,
+    EY_GATEWAY_METRIC_COUNT
+} EyGatewayMetric_t;
+
+extern EyMetric_t EyGateway_metrics[EY_GATEWAY_METRIC_COUNT];
+
+struct EyGateway;
+struct EyLive;
+
+/** Where an exchange's answer goes: to a caller or to another instance. */
+typedef struct EySinkClass {
+    void (*answer)(struct EyGateway *gateway, struct EyLive *live,
+                   EyAnswer_t *answer);
+} EySinkClass_t;
+
+/** An exchange while it lasts. */
+typedef struct EyLive {
+    struct EyGateway *gateway;
+    EyExchange_t *exchange;
+    const EySinkClass_t *sink;
+    EyStream_t *stream; /* of a streamed answer */
+    EyTimer_t *deadline;
+} EyLive_t;
+
+typedef struct EyGateway {
+    EyNode_t *node;
+    EyOutbound_t *outbound;
+    EyMailbox_t *attempt_events;
+    GHashTable *lives;    /* request number -> EyLive_t */
+    GHashTable *attempts; /* attempt number -> EyLive_t */
+    uint64_t next_attempt;
+    GHashTable *backends; /* id -> EyBackend_t */
+} EyGateway_t;
+
+/** Starts the life of a request that came by HTTP. */
+void
+EyGateway_Accept(EyGateway_t *self, EyRequest_t *request);
+
+/** Gives an event to an exchange and carries out what follows. The exchange
+ * may have ended afterwards. */
+void
+EyLive_Step(EyLive_t *self, EyExchangeEvent_t *event);
+
+/** Takes an event of an attempt. */
+void
+EyGateway_OnAttempt(EyGateway_t *self, EyAttemptEvent_t *event);
+
+/** The caller of a request hung up. */
+void
+EyGateway_OnGone(EyGateway_t *self, uint64_t number);
+
+/** Answers a request that this instance answers itself; false if it isn't
+ * the gateway's. */
+bool
+EyGateway_AnswerLocally(EyGateway_t *self, EyRequest_t *request);
+
+/** The state of the exchanges. */
+json_t *
+EyGateway_DumpLives(const EyGateway_t *self);
+
+#endif
--- /dev/null
+++ b/src/gateway/live.c
@@ -0,0 +1,354 @@
+/* Exchanges: their events, and what their actions set in motion. */
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/memory.h"
+#include "gateway/internal.h"
+
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000
+#define IDLE_TIMEOUT_MS 30000
+
+static void
+caller_answer(EyGateway_t *gateway, EyLive_t *live, EyAnswer_t *answer)
+{
+    EyServer_Answer(gateway->node->server, live->exchange->request->number,
+                    answer);
+}
+
+static const EySinkClass_t CallerSink = {
+    .answer = caller_answer,
+};
+
+static void
+live_end(EyLive_t *live)
+{
+    EyGateway_t *gateway = live->gateway;
+    uint64_t attempt = live->exchange->attempt;
+    uint64_t number = live->exchange->request->number;
+    g_hash_table_remove(gateway->attempts, &attempt);
+    g_hash_table_remove(gateway->lives, &number);
+}
+
+static int
+live_destroy(EyLive_t *live)
+{
+    talloc_free(live->deadline);
+    EyStream_Unref(live->stream);
+    return 0;
+}
+
+static void
+on_deadline(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyLive_t *live = data;
+    live->deadline = NULL;
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_DEADLINE,
+                               .retry_after_s = 1,
+                               .detail = "the request's time is up"};
+    EyLive_Step(live, &event);
+}
+
+static const EyBackend_t *
+pick_backend(const EyLive_t *live)
+{
+    const EyExchange_t *exchange = live->exchange;
+    GHashTableIter iter;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iter, live->gateway->backends);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const EyBackend_t *backend = value;
+        if (EyBackend_Serves(backend, exchange->request->target)) {
+            return backend;
+        }
+    }
+    return NULL;
+}
+
+static void
+do_claim(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    (void)action;
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_GRANTED};
+    EyLive_Step(live, &event);
+}
+
+static void
+do_route(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    (void)action;
+    const EyBackend_t *backend = pick_backend(live);
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ROUTE_REFUSED,
+                               .problem = EY_PROBLEM_NO_BACKEND,
+                               .retry_after_s = 1};
+    if (backend != NULL) {
+        event.kind = EY_EXCHANGE_ROUTED;
+        (void)EY_COPY(event.to, backend->id);
+    }
+    EyLive_Step(live, &event);
+}
+
+static void
+do_nothing(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    (void)live;
+    (void)action;
+}
+
+static EyAttemptBody_t
+body_mode(const EyExchange_t *exchange)
+{
+    if (!exchange->is_idempotent) {
+        return EY_ATTEMPT_COLLECT;
+    }
+    if (EyExchange_StreamsEvents(exchange)) {
+        return EY_ATTEMPT_EVENTS;
+    }
+    return EY_ATTEMPT_STREAM;
+}
+
+static void
+copy_headers(EyAttempt_t *attempt, const EyRequest_t *request)
+{
+    attempt->headers =
+        EY_NEW_ARRAY(attempt, EyHeader_t, request->header_count);
+    attempt->header_count = request->header_count;
+    for (uint32_t i = 0; i < request->header_count; i++) {
+        const EyHeader_t *from = &request->headers[i];
+        attempt->headers[i].name = EyMemory_Strdup(attempt, from->name);
+        attempt->headers[i].value = EyMemory_Strdup(attempt, from->value);
+    }
+}
+
+static EyAttempt_t *
+make_attempt(EyLive_t *live, const EyExchangeAction_t *action,
+             const EyBackend_t *backend)
+{
+    const EyExchange_t *exchange = live->exchange;
+    const EyRequest_t *request = exchange->request;
+    EyAttempt_t *attempt = EY_NEW(NULL, EyAttempt_t);
+    attempt->number = action->attempt;
+    (void)EY_COPY(attempt->address, backend->address);
+    (void)EY_COPY(attempt->method, request->method);
+    attempt->path = EyMemory_Strdup(attempt, request->path);
+    (void)EY_COPY(attempt->request_id, request->id);
+    attempt->check_echo = backend->echoes_request_id;
+    copy_headers(attempt, request);
+    attempt->body.data =
+        EyMemory_Copy(attempt, request->body.data, request->body.size_bytes);
+    attempt->body.size_bytes = request->body.size_bytes;
+    attempt->connect_timeout_ms = CONNECT_TIMEOUT_MS;
+    attempt->idle_timeout_ms = IDLE_TIMEOUT_MS;
+    attempt->deadline_ms = request->deadline_ms;
+    attempt->body_mode = body_mode(exchange);
+    attempt->resume_after = action->resume_after;
+    if (attempt->body_mode == EY_ATTEMPT_COLLECT) {
+        attempt->deadline_ms += EY_EXCHANGE_LATE_ANSWER_MS;
+        return attempt;
+    }
+    if (live->stream == NULL) {
+        live->stream = EyStream_New(EY_GATEWAY_STREAM_BYTES);
+    }
+    attempt->stream = EyStream_Ref(live->stream);
+    return attempt;
+}
+
+static void
+fail_unsent(EyLive_t *live, uint64_t number)
+{
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
+                               .attempt = number,
+                               .nothing_sent = true,
+                               .retry_after_s = 1};
+    EyLive_Step(live, &event);
+}
+
+static uint64_t *
+number_key(uint64_t number)
+{
+    uint64_t *key = EY_NEW(NULL, uint64_t);
+    *key = number;
+    return key;
+}
+
+static void
+do_attempt(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    EyGateway_t *gateway = live->gateway;
+    const EyBackend_t *backend =
+        g_hash_table_lookup(gateway->backends, action->to);
+    if (backend == NULL) {
+        fail_unsent(live, action->attempt);
+        return;
+    }
+    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_ATTEMPTS], 1);
+    EyAttempt_t *attempt = make_attempt(live, action, backend);
+    g_hash_table_insert(gateway->attempts, number_key(action->attempt), live);
+    if (!EyOutbound_Send(gateway->outbound, attempt)) {
+        talloc_free(attempt);
+        g_hash_table_remove(gateway->attempts, &action->attempt);
+        fail_unsent(live, action->attempt);
+    }
+}
+
+static void
+do_cancel(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    EyOutbound_Cancel(live->gateway->outbound, action->attempt);
+}
+
+static void
+do_answer(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    static const EyGatewayMetric_t OutcomeMetrics[EY_OUTCOME_COUNT] = {
+        [EY_OUTCOME_COMPLETED] = EY_GATEWAY_COMPLETED,
+        [EY_OUTCOME_NOT_RUN] = EY_GATEWAY_NOT_RUN,
+        [EY_OUTCOME_UNKNOWN] = EY_GATEWAY_UNKNOWN,
+    };
+    const EyRequest_t *request = live->exchange->request;
+    int64_t took_ms = EyClock_NowMs() - request->arrived_ms;
+    EyMetric_Add(&EyGateway_metrics[OutcomeMetrics[action->answer->outcome]],
+                 1);
+    EyMetric_Observe(&EyGateway_metrics[EY_GATEWAY_LATENCY], took_ms * 1000);
+    EY_LOG(EY_LOG_INFO, "gateway", "answer",
+           EY_LOG_TEXT("request_id", request->id),
+           EY_LOG_TEXT("call", EyCall_names[request->call]),
+           EY_LOG_TEXT("target", request->target),
+           EY_LOG_NUMBER("status", action->answer->status),
+           EY_LOG_TEXT("outcome", EyOutcome_Name(action->answer->outcome)),
+           EY_LOG_NUMBER("took_ms", took_ms));
+    live->sink->answer(live->gateway, live, action->answer);
+}
+
+static void
+do_finish_stream(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    if (live->stream != NULL) {
+        EyStream_Finish(live->stream, action->stream_state);
+    }
+}
+
+static void
+do_end(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    (void)action;
+    live_end(live);
+}
+
+typedef void (*ActionHandler_t)(EyLive_t *live,
+                                const EyExchangeAction_t *action);
+
+static const ActionHandler_t ActionHandlers[EY_EXCHANGE_ACTION_COUNT] = {
+    [EY_EXCHANGE_DO_CLAIM] = do_claim,
+    [EY_EXCHANGE_DO_ROUTE] = do_route,
+    [EY_EXCHANGE_DO_UNROUTE] = do_nothing,
+    [EY_EXCHANGE_DO_ATTEMPT] = do_attempt,
+    [EY_EXCHANGE_DO_CANCEL] = do_cancel,
+    [EY_EXCHANGE_DO_ANSWER] = do_answer,
+    [EY_EXCHANGE_DO_FINISH_STREAM] = do_finish_stream,
+    [EY_EXCHANGE_DO_CLAIM_COMPLETE] = do_nothing,
+    [EY_EXCHANGE_DO_CLAIM_NOT_SENT] = do_nothing,
+    [EY_EXCHANGE_DO_CLAIM_UNKNOWN] = do_nothing,
+    [EY_EXCHANGE_DO_END] = do_end,
+};
+
+void
+EyLive_Step(EyLive_t *self, EyExchangeEvent_t *event)
+{
+    EyGateway_t *gateway = self->gateway;
+    EyExchangeActions_t actions;
+    EyExchange_Step(self->exchange, EyClock_NowMs(), event,
+                    gateway->next_attempt, &actions);
+    for (uint32_t i = 0; i < actions.count; i++) {
+        if (actions.items[i].kind == EY_EXCHANGE_DO_ATTEMPT) {
+            gateway->next_attempt++;
+        }
+        /* ROUTE, CLAIM, ATTEMPT and END stand last in their list: each may
+         * lead to a further step, after which the exchange may be gone. */
+        ActionHandlers[actions.items[i].kind](self, &actions.items[i]);
+    }
+}
+
+void
+EyGateway_Accept(EyGateway_t *self, EyRequest_t *request)
+{
+    bool is_idempotent =
+        request->call == EY_CALL_MODEL || EyRequest_HasSafeMethod(request);
+    EyLive_t *live = EY_NEW(self, EyLive_t);
+    talloc_set_destructor(live, live_destroy);
+    live->gateway = self;
+    live->exchange =
+        EyExchange_New(live, request, is_idempotent, !is_idempotent);
+    live->sink = &CallerSink;
+    live->deadline = EyTimers_After(self->node->timers,
+                                    request->deadline_ms - EyClock_NowMs(),
+                                    on_deadline, live);
+    g_hash_table_insert(self->lives, number_key(request->number), live);
+    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_REQUESTS], 1);
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_START};
+    EyLive_Step(live, &event);
+}
+
+/** Statuses by which a backend server says that another may do better. */
+static bool
+is_passing(uint32_t status)
+{
+    return status == 502 || status == 503 || status == 504;
+}
+
+static void
+take_answer(EyLive_t *live, EyAttemptEvent_t *from, EyExchangeEvent_t *event)
+{
+    event->answer = talloc_steal(NULL, from->answer);
+    event->try_again = is_passing(event->answer->status);
+    if (from->kind == EY_ATTEMPT_HEAD) {
+        event->answer->stream = EyStream_Ref(live->stream);
+    }
+}
+
+void
+EyGateway_OnAttempt(EyGateway_t *self, EyAttemptEvent_t *from)
+{
+    static const EyExchangeEventKind_t Kinds[EY_ATTEMPT_EVENT_COUNT] = {
+        [EY_ATTEMPT_SENDING] = EY_EXCHANGE_ATTEMPT_SENDING,
+        [EY_ATTEMPT_HEAD] = EY_EXCHANGE_ATTEMPT_HEAD,
+        [EY_ATTEMPT_DONE] = EY_EXCHANGE_ATTEMPT_DONE,
+        [EY_ATTEMPT_FAILED] = EY_EXCHANGE_ATTEMPT_FAILED,
+    };
+    EyLive_t *live = g_hash_table_lookup(self->attempts, &from->number);
+    if (live == NULL) {
+        talloc_free(from);
+        return;
+    }
+    EyExchangeEvent_t event = {
+        .kind = Kinds[from->kind],
+        .attempt = from->number,
+        .nothing_sent = from->nothing_sent,
+        .events_passed = from->events_passed,
+        .try_again = from->kind == EY_ATTEMPT_FAILED,
+        .retry_after_s = 1,
+    };
+    if (from->kind == EY_ATTEMPT_FAILED) {
+        event.detail = EyAttemptFailure_names[from->failure];
+    }
+    if (from->answer != NULL) {
+        take_answer(live, from, &event);
+    }
+    if (from->kind == EY_ATTEMPT_DONE || from->kind == EY_ATTEMPT_FAILED) {
+        g_hash_table_remove(self->attempts, &from->number);
+    }
+    EyLive_Step(live, &event);
+    talloc_free(from);
+}
+
+void
+EyGateway_OnGone(EyGateway_t *self, uint64_t number)
+{
+    EyLive_t *live = g_hash_table_lookup(self->lives, &number);
+    if (live == NULL) {
+        return;
+    }
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_GONE};
+    EyLive_Step(live, &event);
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,491 @@
+#include "node/node.h"
+
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/log.h"
+#include "core/memory.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+EY_DEFINE_ERROR_DOMAIN(Node, "ey-node")
+
+#define REQUESTS_WAITING_MAX 4096
+#define GONE_WAITING_MAX 4096
+#define PEER_MESSAGES_WAITING_MAX 8192
+#define STOP_CHECK_MS 50
+/** The longest that a graceful stop waits for requests in flight. */
+#define STOP_LIMIT_MS 120000
+
+const char *const EyNode_state_names[EY_NODE_STATE_COUNT] = {
+    [EY_NODE_STARTING] = "starting",
+    [EY_NODE_SERVING] = "serving",
+    [EY_NODE_LEAVING] = "leaving",
+};
+
+/** Tells the decisions that a caller hung up. */
+typedef struct Gone {
+    uint64_t number;
+} Gone_t;
+
+/* Called on the server's threads. */
+
+static EyAnswer_t *
+hook_check(void *data, const EyRequest_t *request)
+{
+    EyNode_t *self = data;
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->check == NULL) {
+            continue;
+        }
+        EyAnswer_t *answer = part->class_table->check(part->state, request);
+        if (answer != NULL) {
+            return answer;
+        }
+    }
+    return NULL;
+}
+
+static bool
+hook_submit(void *data, EyRequest_t *request)
+{
+    EyNode_t *self = data;
+    return EyMailbox_Post(self->requests, request);
+}
+
+static void
+hook_gone(void *data, uint64_t number)
+{
+    EyNode_t *self = data;
+    Gone_t *gone = EY_NEW(NULL, Gone_t);
+    gone->number = number;
+    if (!EyMailbox_Post(self->gone, gone)) {
+        /* The work runs on to its own end. */
+        talloc_free(gone);
+    }
+}
+
+/* Called on the decisions' thread. */
+
+static bool
+is_ready(const EyNode_t *self)
+{
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->is_ready != NULL &&
+            !part->class_table->is_ready(part->state))
+        {
+            return false;
+        }
+    }
+    return self->state == EY_NODE_SERVING;
+}
+
+static EyAnswer_t *
+answer_health(EyNode_t *self)
+{
+    (void)self;
+    return EyAnswer_Text(200, "text/plain", "ok\n");
+}
+
+static EyAnswer_t *
+answer_ready(EyNode_t *self)
+{
+    if (is_ready(self)) {
+        return EyAnswer_Text(200, "text/plain", "ready\n");
+    }
+    return EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1,
+                            EyNode_state_names[self->state]);
+}
+
+static EyAnswer_t *
+answer_metrics(EyNode_t *self)
+{
+    (void)self;
+    GString *text = g_string_new(NULL);
+    EyMetrics_Text(text);
+    EyAnswer_t *answer =
+        EyAnswer_Text(200, "text/plain; version=0.0.4", text->str);
+    g_string_free(text, TRUE);
+    return answer;
+}
+
+typedef EyAnswer_t *(*LocalAnswer_t)(EyNode_t *self);
+
+static const LocalAnswer_t LocalAnswers[EY_CALL_COUNT] = {
+    [EY_CALL_HEALTH] = answer_health,
+    [EY_CALL_READY] = answer_ready,
+    [EY_CALL_METRICS] = answer_metrics,
+};
+
+void
+EyNode_Answer(EyNode_t *self, EyRequest_t *request, EyAnswer_t *answer)
+{
+    EyServer_Answer(self->server, request->number, answer);
+    talloc_free(request);
+}
+
+static void
+on_request(void *data, void *message)
+{
+    EyNode_t *self = data;
+    EyRequest_t *request = message;
+    LocalAnswer_t local = LocalAnswers[request->call];
+    if (local != NULL) {
+        EyNode_Answer(self, request, local(self));
+        return;
+    }
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_request != NULL &&
+            part->class_table->on_request(part->state, request))
+        {
+            return;
+        }
+    }
+    EyNode_Answer(self, request,
+                  EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
+                                   "not served by this process"));
+}
+
+static void
+on_gone(void *data, void *message)
+{
+    EyNode_t *self = data;
+    const Gone_t *gone = message;
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_gone != NULL) {
+            part->class_table->on_gone(part->state, gone->number);
+        }
+    }
+    talloc_free(message);
+}
+
+static void
+on_peer_message(void *data, void *message)
+{
+    EyNode_t *self = data;
+    const EyPeerMessage_t *peer_message = message;
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->wants != NULL &&
+            part->class_table->wants(part->state, peer_message->kind))
+        {
+            part->class_table->on_message(part->state, peer_message);
+        }
+    }
+    talloc_free(message);
+}
+
+void
+EyNode_Send(EyNode_t *self, EyPeerKind_t kind, const char *to,
+            const EySchema_t *schema, const void *object)
+{
+    EyPeerMessage_t *message = EyPeerMessage_New(kind, to, schema, object);
+    bool is_own = strcmp(to, self->settings->id) == 0;
+    if (is_own) {
+        (void)EY_COPY(message->from, self->settings->id);
+        (void)EY_COPY(message->from_address, self->settings->peer_listen);
+        message->from_incarnation = self->incarnation;
+    }
+    bool taken = is_own ? EyMailbox_Post(self->peer_messages, message)
+                        : EyPeers_Send(self->peers, message);
+    if (!taken) {
+        /* As if it were lost on the way: what must arrive is repeated. */
+        talloc_free(message);
+    }
+}
+
+void
+EyNode_SendTo(EyNode_t *self, EyPeerKind_t kind, const char *address,
+              const EySchema_t *schema, const void *object)
+{
+    EyPeerMessage_t *message = EyPeerMessage_New(kind, "", schema, object);
+    (void)EY_COPY(message->to_address, address);
+    if (!EyPeers_Send(self->peers, message)) {
+        talloc_free(message);
+    }
+}
+
+static bool
+is_idle(const EyNode_t *self)
+{
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->is_idle != NULL &&
+            !part->class_table->is_idle(part->state))
+        {
+            return false;
+        }
+    }
+    return EyServer_InFlight(self->server) == 0;
+}
+
+static void
+on_stop_check(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyNode_t *self = data;
+    if (is_idle(self)) {
+        self->is_stopping = true;
+    }
+}
+
+static void
+on_stop_limit(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyNode_t *self = data;
+    EY_LOG(EY_LOG_WARNING, "node", "stop_cut_off",
+           EY_LOG_NUMBER("in_flight", EyServer_InFlight(self->server)));
+    self->is_stopping = true;
+}
+
+static void
+leave_parts(const EyNode_t *self)
+{
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_leaving != NULL) {
+            part->class_table->on_leaving(part->state);
+        }
+    }
+}
+
+static void
+on_stop_signal(struct tevent_context *loop, struct tevent_signal *event,
+               int number, int count, void *info, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)count;
+    (void)info;
+    EyNode_t *self = data;
+    if (self->state == EY_NODE_LEAVING) {
+        return;
+    }
+    EY_LOG(EY_LOG_INFO, "node", "leaving", EY_LOG_NUMBER("signal", number));
+    self->state = EY_NODE_LEAVING;
+    leave_parts(self);
+    EyServer_Quiesce(self->server);
+    (void)EyTimers_Every(self->timers, STOP_CHECK_MS, on_stop_check, self);
+    (void)EyTimers_After(self->timers, STOP_LIMIT_MS, on_stop_limit, self);
+}
+
+static void
+on_dump_signal(struct tevent_context *loop, struct tevent_signal *event,
+               int number, int count, void *info, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)number;
+    (void)count;
+    (void)info;
+    json_t *json = EyNode_Dump(data);
+    char *text = json_dumps(json, JSON_COMPACT);
+    EY_LOG(EY_LOG_WARNING, "node", "dump", EY_LOG_TEXT("state", text));
+    free(text);
+    json_decref(json);
+}
+
+json_t *
+EyNode_Dump(const EyNode_t *self)
+{
+    json_t *json = json_pack(
+        "{s:s, s:s, s:s, s:s, s:I, s:I}", "id", self->settings->id, "region",
+        self->settings->region, "zone", self->settings->zone, "state",
+        EyNode_state_names[self->state], "incarnation",
+        (json_int_t)self->incarnation, "http_in_flight",
+        (json_int_t)EyServer_InFlight(self->server));
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->dump != NULL) {
+            (void)json_object_set_new(json, part->class_table->name,
+                                      part->class_table->dump(part->state));
+        }
+    }
+    return json;
+}
+
+static void
+make_mailboxes(EyNode_t *self)
+{
+    self->requests = EyMailbox_New(self, REQUESTS_WAITING_MAX);
+    self->gone = EyMailbox_New(self, GONE_WAITING_MAX);
+    self->peer_messages = EyMailbox_New(self, PEER_MESSAGES_WAITING_MAX);
+    EyMailbox_Attach(self->requests, self->loop, on_request, self);
+    EyMailbox_Attach(self->gone, self->loop, on_gone, self);
+    EyMailbox_Attach(self->peer_messages, self->loop, on_peer_message, self);
+}
+
+static void
+watch_signals(EyNode_t *self)
+{
+    (void)signal(SIGPIPE, SIG_IGN);
+    bool is_watched = tevent_add_signal(self->loop, self, SIGTERM, 0,
+                                        on_stop_signal, self) != NULL &&
+                      tevent_add_signal(self->loop, self, SIGINT, 0,
+                                        on_stop_signal, self) != NULL &&
+                      tevent_add_signal(self->loop, self, SIGUSR1, 0,
+                                        on_dump_signal, self) != NULL;
+    if (!is_watched) {
+        abort();
+    }
+}
+
+static bool
+start_peers(EyNode_t *self, GError **error)
+{
+    EyPeersOptions_t options = {
+        .incarnation = self->incarnation,
+        .secret_file = self->settings->peer_secret_file,
+        .insecure = self->settings->insecure_peers,
+    };
+    (void)EY_COPY(options.id, self->settings->id);
+    (void)EY_COPY(options.listen, self->settings->peer_listen);
+    self->peers = EyPeers_Start(self, &options, self->peer_messages, error);
+    return self->peers != NULL;
+}
+
+static bool
+open_parts(EyNode_t *self, const EyPartClass_t *const *parts,
+           uint32_t part_count, GError **error)
+{
+    for (uint32_t i = 0; i < part_count; i++) {
+        void *state = parts[i]->open(self, self, error);
+        if (state == NULL) {
+            return false;
+        }
+        self->parts[self->part_count++] =
+            (EyPart_t){.class_table = parts[i], .state = state};
+    }
+    return true;
+}
+
+static bool
+start_server(EyNode_t *self, GError **error)
+{
+    const EyServerHooks_t hooks = {
+        .check = hook_check,
+        .submit = hook_submit,
+        .gone = hook_gone,
+        .data = self,
+    };
+    self->server = EyServer_Start(self, self->settings->listen, &hooks, error);
+    return self->server != NULL;
+}
+
+EyNode_t *
+EyNode_Start(const void *ctx, const EySettings_t *settings,
+             const EyPartClass_t *const *parts, uint32_t part_count,
+             GError **error)
+{
+    EyNode_t *self = EY_NEW(ctx, EyNode_t);
+    self->settings = settings;
+    self->random = EyRandom_Make(EyRandom_SystemSeed());
+    self->incarnation = (uint64_t)EyClock_WallMs();
+    self->loop = tevent_context_init(self);
+    if (self->loop == NULL) {
+        abort();
+    }
+    self->timers = EyTimers_New(self, self->loop);
+    make_mailboxes(self);
+    watch_signals(self);
+    if (!start_peers(self, error) ||
+        !open_parts(self, parts, part_count, error) ||
+        !start_server(self, error))
+    {
+        EyError_Turn(error, EY_NODE_ERROR, EY_NODE_ERROR_START, "can't start");
+        EyNode_Stop(self);
+        return NULL;
+    }
+    self->state = EY_NODE_SERVING;
+    EY_LOG(EY_LOG_INFO, "node", "serving",
+           EY_LOG_TEXT("listen", settings->listen),
+           EY_LOG_NUMBER("port", EyServer_Port(self->server)));
+    return self;
+}
+
+void
+EyNode_Run(EyNode_t *self)
+{
+    while (!self->is_stopping && tevent_loop_once(self->loop) == 0) {
+    }
+}
+
+void
+EyNode_Stop(EyNode_t *self)
+{
+    if (self->server != NULL) {
+        EyServer_Stop(self->server);
+    }
+    for (uint32_t i = self->part_count; i > 0; i--) {
+        const EyPart_t *part = &self->parts[i - 1];
+        if (part->class_table->close != NULL) {
+            part->class_table->close(part->state);
+        }
+        talloc_free(part->state);
+    }
+    if (self->peers != NULL) {
+        EyPeers_Stop(self->peers);
+    }
+    talloc_free(self);
+}
+
+/** The exit code for settings that couldn't be read. */
+static int
+report_settings(const char *program, GError *error)
+{
+    bool asked_help =
+        g_error_matches(error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_HELP);
+    if (!asked_help) {
+        (void)fprintf(stderr, "%s: %s\n", program, error->message);
+    }
+    g_error_free(error);
+    return asked_help ? EXIT_SUCCESS : EY_EXIT_SETTINGS;
+}
+
+static int
+run_daemon(const void *ctx, const char *program, const EySettings_t *settings,
+           const EyPartClass_t *const *parts, uint32_t part_count)
+{
+    GError *error = NULL;
+    EyNode_t *node = EyNode_Start(ctx, settings, parts, part_count, &error);
+    if (node == NULL) {
+        (void)fprintf(stderr, "%s: %s\n", program, error->message);
+        g_error_free(error);
+        return EXIT_FAILURE;
+    }
+    EyNode_Run(node);
+    EyNode_Stop(node);
+    return EXIT_SUCCESS;
+}
+
+int
+EyNode_Main(const char *program, int argc, const char **argv,
+            uint32_t (*choose)(const EySettings_t *settings,
+                               const EyPartClass_t **parts))
+{
+    void *ctx = talloc_new(NULL);
+    GError *error = NULL;
+    EySettings_t *settings = EySettings_Read(ctx, program, argc, argv, &error);
+    int code = EXIT_SUCCESS;
+    if (settings == NULL) {
+        code = report_settings(program, error);
+    }
+    else if (settings->check) {
+        (void)puts("the settings are good");
+    }
+    else {
+        const EyPartClass_t *parts[EY_NODE_PARTS_MAX];
+        uint32_t part_count = choose(settings, parts);
+        EyLog_Start(settings->id, settings->log_level, settings->log_json);
+        code = run_daemon(ctx, program, settings, parts, part_count);
+    }
+    talloc_free(ctx);
+    return code;
+}
--- /dev/null
+++ b/tests/process/harness.c
@@ -0,0 +1,247 @@
+#include "process/harness.h"
+
+#include "core/clock.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define POLL_MS 20
+#define STILL_RUNS (-1000)
+
+extern char **environ;
+
+uint16_t
+Harness_FreePort(void)
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t size_bytes = sizeof(address);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    cr_assert(bind(descriptor, (struct sockaddr *)&address, size_bytes) == 0);
+    cr_assert(getsockname(descriptor, (struct sockaddr *)&address,
+                          &size_bytes) == 0);
+    (void)close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+void
+Harness_MakeFolder(char *path, size_t path_size_bytes, const char *name)
+{
+    (void)snprintf(path, path_size_bytes, "%s/run-%s-XXXXXX", EY_BINARY_DIR,
+                   name);
+    cr_assert_not_null(mkdtemp(path));
+}
+
+Process_t
+Process_Make(const char *program, const char *name)
+{
+    Process_t process = {.pid = 0};
+    (void)snprintf(process.program, sizeof(process.program), "%s", program);
+    (void)snprintf(process.name, sizeof(process.name), "%s", name);
+    return process;
+}
+
+void
+Process_Arg(Process_t *self, const char *format, ...)
+{
+    cr_assert_lt(self->arg_count, HARNESS_ARGS_MAX - 2);
+    va_list args;
+    va_start(args, format);
+    (void)vsnprintf(self->args[self->arg_count], HARNESS_ARG_SIZE_BYTES,
+                    format, args);
+    va_end(args);
+    self->arg_count++;
+}
+
+void
+Process_Start(Process_t *self)
+{
+    char path[512];
+    char log_path[512];
+    char *argv[HARNESS_ARGS_MAX + 2] = {path};
+    (void)snprintf(path, sizeof(path), "%s/%s", EY_BINARY_DIR, self->program);
+    (void)snprintf(log_path, sizeof(log_path), "%s/log-%s-%d.txt",
+                   EY_BINARY_DIR, self->name, (int)getpid());
+    for (uint32_t i = 0; i < self->arg_count; i++) {
+        argv[i + 1] = self->args[i];
+    }
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_path,
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+    int result = posix_spawn(&self->pid, path, &actions, NULL, argv, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    cr_assert_eq(result, 0, "%s: %s", path, strerror(result));
+}
+
+void
+Process_Signal(const Process_t *self, int signal_number)
+{
+    cr_assert_gt(self->pid, 0);
+    cr_assert_eq(kill(self->pid, signal_number), 0);
+}
+
+int
+Process_Wait(Process_t *self, int64_t timeout_ms)
+{
+    int64_t give_up_ms = Harness_NowMs() + timeout_ms;
+    int status = 0;
+    while (waitpid(self->pid, &status, WNOHANG) != self->pid) {
+        if (Harness_NowMs() >= give_up_ms) {
+            return STILL_RUNS;
+        }
+        Harness_SleepMs(POLL_MS);
+    }
+    self->pid = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+void
+Process_Kill(Process_t *self)
+{
+    if (self->pid == 0) {
+        return;
+    }
+    (void)kill(self->pid, SIGKILL);
+    (void)Process_Wait(self, 10000);
+}
+
+bool
+Process_Await(const Process_t *self, const char *path, long status,
+              int64_t timeout_ms)
+{
+    int64_t give_up_ms = Harness_NowMs() + timeout_ms;
+    while (Harness_NowMs() < give_up_ms) {
+        Reply_t reply = Http_Call(self->port, "GET", path, NULL, NULL, 1000);
+        long got = reply.status;
+        Reply_Clear(&reply);
+        if (got == status) {
+            return true;
+        }
+        Harness_SleepMs(POLL_MS);
+    }
+    return false;
+}
+
+static size_t
+on_body(char *data, size_t unit, size_t count, void *into)
+{
+    Reply_t *reply = into;
+    size_t size_bytes = unit * count;
+    reply->body =
+        realloc(reply->body, reply->body_size_bytes + size_bytes + 1);
+    cr_assert_not_null(reply->body);
+    memcpy(reply->body + reply->body_size_bytes, data, size_bytes);
+    reply->body_size_bytes += size_bytes;
+    reply->body[reply->body_size_bytes] = '\0';
+    return size_bytes;
+}
+
+static void
+take_header(const char *line, const char *name, char *value,
+            size_t value_size_bytes)
+{
+    size_t length = strlen(name);
+    if (strncasecmp(line, name, length) != 0 || line[length] != ':') {
+        return;
+    }
+    const char *start = line + length + 1;
+    start += strspn(start, " ");
+    size_t size_bytes = strcspn(start, "\r\n");
+    if (size_bytes >= value_size_bytes) {
+        size_bytes = value_size_bytes - 1;
+    }
+    memcpy(value, start, size_bytes);
+    value[size_bytes] = '\0';
+}
+
+static size_t
+on_header(char *data, size_t unit, size_t count, void *into)
+{
+    Reply_t *reply = into;
+    char line[1024] = {0};
+    size_t size_bytes = unit * count;
+    memcpy(line, data, size_bytes < sizeof(line) ? size_bytes : 1023);
+    take_header(line, "Ebonyyard-Outcome", reply->outcome,
+                sizeof(reply->outcome));
+    take_header(line, "Retry-After", reply->retry_after,
+                sizeof(reply->retry_after));
+    take_header(line, "X-Request-Id", reply->request_id,
+                sizeof(reply->request_id));
+    return size_bytes;
+}
+
+Reply_t
+Http_Call(uint16_t port, const char *method, const char *path,
+          const char *const *headers, const char *body, int64_t timeout_ms)
+{
+    Reply_t reply = {.status = 0};
+    char url[512];
+    (void)snprintf(url, sizeof(url), "http://127.0.0.1:%u%s", port, path);
+    struct curl_slist *list = NULL;
+    for (uint32_t i = 0; headers != NULL && headers[i] != NULL; i++) {
+        list = curl_slist_append(list, headers[i]);
+    }
+    CURL *curl = curl_easy_init();
+    (void)curl_easy_setopt(curl, CURLOPT_URL, url);
+    (void)curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, method);
+    (void)curl_easy_setopt(curl, CURLOPT_HTTPHEADER, list);
+    (void)curl_easy_setopt(curl, CURLOPT_PROXY, "");
+    (void)curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+    (void)curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+    (void)curl_easy_setopt(curl, CURLOPT_WRITEDATA, &reply);
+    (void)curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+    (void)curl_easy_setopt(curl, CURLOPT_HEADERDATA, &reply);
+    if (body != NULL) {
+        (void)curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+    }
+    CURLcode code = curl_easy_perform(curl);
+    double total_s = 0;
+    (void)curl_easy_getinfo(curl, CURLINFO_TOTAL_TIME, &total_s);
+    reply.total_ms = total_s * 1000;
+    (void)curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &reply.status);
+    reply.whole = code == CURLE_OK;
+    curl_slist_free_all(list);
+    curl_easy_cleanup(curl);
+    return reply;
+}
+
+void
+Reply_Clear(Reply_t *self)
+{
+    free(self->body);
+    self->body = NULL;
+}
+
+json_t *
+Reply_Json(const Reply_t *self)
+{
+    return self->body != NULL ? json_loads(self->body, 0, NULL) : NULL;
+}
+
+void
+Harness_SleepMs(int64_t duration_ms)
+{
+    (void)usleep((useconds_t)(duration_ms * 1000));
+}
+
+int64_t
+Harness_NowMs(void)
+{
+    return EyClock_NowMs();
+}
