HTTP in: server with suspend/resume, routes, checked heads, streamed answers

Cause: daemons need the callers' interface. libmicrohttpd doesn't look at the sockets of suspended connections, so a caller that hung up while it waited was never noticed; a watcher thread with epoll does that.

Streams: a wake-up could still run after it was taken back, with its data freed. SetReader and SetWriter now wait for running calls. A reader is woken when the buffer stops being empty and a writer when half of it is free, instead of at each chunk.

--- /dev/null
+++ b/src/callers/hangup.h
@@ -0,0 +1,39 @@
+/**
+ * Watches the sockets of callers that wait, since libmicrohttpd doesn't look
+ * at suspended connections: tells when a caller closes its side. One thread.
+ */
+#ifndef EY_CALLERS_HANGUP_H
+#define EY_CALLERS_HANGUP_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyHangups EyHangups_t;
+
+/** Called on the watcher's thread, at most once for each Watch. */
+typedef void (*EyHangupHandler_t)(void *data, uint64_t number);
+
+EyHangups_t *
+EyHangups_Start(const void *ctx, EyHangupHandler_t handler, void *data);
+
+/** Watches a socket on behalf of a request. */
+void
+EyHangups_Watch(EyHangups_t *self, int socket, uint64_t number);
+
+/** Ends the watch; call before the socket is closed. The handler may still
+ * be called once for what had happened before. */
+void
+EyHangups_Forget(EyHangups_t *self, int socket);
+
+/** Ends the thread. */
+void
+EyHangups_Stop(EyHangups_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/callers/inbound.c
@@ -0,0 +1,148 @@
+#include "callers/inbound.h"
+
+#include "exchange/hop_headers.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+/* Bytes that libmicrohttpd asks a stream for at a time. */
+#define READ_BLOCK_SIZE_BYTES 16384
+
+/* What a caller of server-sent events is told before the stream breaks. */
+static const char ErrorEvent[] =
+    "event: error\n"
+    "data: {\"type\":\"backend-failed\",\"title\":\"The answer is "
+    "incomplete\","
+    "\"status\":502,\"outcome\":\"unknown\"}\n\n";
+
+static void
+on_readable(void *data)
+{
+    EyInbound_t *self = data;
+    EySuspension_Wake(&self->suspension);
+}
+
+/** The last event of a broken stream of events, or the break itself. */
+static ssize_t
+break_off(EyInbound_t *self, char *buffer, size_t room_bytes)
+{
+    size_t size_bytes = sizeof(ErrorEvent) - 1;
+    self->broken = true;
+    if (!self->answer->is_events || self->error_event_given ||
+        room_bytes < size_bytes)
+    {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    self->error_event_given = true;
+    memcpy(buffer, ErrorEvent, size_bytes);
+    return (ssize_t)size_bytes;
+}
+
+static ssize_t
+end_stream(EyInbound_t *self, EyStreamState_t state, char *buffer,
+           size_t room_bytes)
+{
+    int64_t expected_bytes = self->answer->stream_size_bytes;
+    bool whole =
+        state == EY_STREAM_WHOLE &&
+        (expected_bytes < 0 || self->sent_bytes == (uint64_t)expected_bytes);
+    if (whole) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    return break_off(self, buffer, room_bytes);
+}
+
+/** Gives libmicrohttpd the stream's next bytes; 0 suspends the connection. */
+static ssize_t
+read_stream(void *data, uint64_t position, char *buffer, size_t room_bytes)
+{
+    (void)position;
+    EyInbound_t *self = data;
+    uint32_t wanted_bytes =
+        room_bytes > UINT32_MAX ? UINT32_MAX : (uint32_t)room_bytes;
+    for (;;) {
+        if (EySuspension_IsClosed(&self->suspension)) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        EyStreamState_t state = EY_STREAM_OPEN;
+        uint32_t got =
+            EyStream_Read(self->answer->stream, buffer, wanted_bytes, &state);
+        if (got > 0) {
+            self->sent_bytes += got;
+            return (ssize_t)got;
+        }
+        if (state != EY_STREAM_OPEN) {
+            return end_stream(self, state, buffer, room_bytes);
+        }
+        if (EySuspension_Wait(&self->suspension)) {
+            return 0;
+        }
+    }
+}
+
+static bool
+is_own_header(const char *name)
+{
+    static const char *const Own[] = {"X-Request-Id", "Ebonyyard-Outcome",
+                                      "Date"};
+    for (size_t i = 0; i < sizeof(Own) / sizeof(Own[0]); i++) {
+        if (strcasecmp(Own[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+add_headers(EyInbound_t *self, struct MHD_Response *response)
+{
+    const EyAnswer_t *answer = self->answer;
+    for (uint32_t i = 0; i < answer->header_count; i++) {
+        const EyHeader_t *header = &answer->headers[i];
+        bool replaced = answer->retry_after_s > 0 &&
+                        strcasecmp(header->name, "Retry-After") == 0;
+        if (!replaced && !is_own_header(header->name) &&
+            !EyHopHeaders_Has(header->name))
+        {
+            (void)MHD_add_response_header(response, header->name,
+                                          header->value);
+        }
+    }
+    (void)MHD_add_response_header(response, "X-Request-Id", self->id);
+    (void)MHD_add_response_header(response, "Ebonyyard-Outcome",
+                                  EyOutcome_Name(answer->outcome));
+    if (answer->retry_after_s > 0) {
+        char seconds[16];
+        (void)snprintf(seconds, sizeof(seconds), "%u", answer->retry_after_s);
+        (void)MHD_add_response_header(response, "Retry-After", seconds);
+    }
+}
+
+struct MHD_Response *
+EyInbound_MakeResponse(EyInbound_t *self, bool closes)
+{
+    const EyAnswer_t *answer = self->answer;
+    struct MHD_Response *response = NULL;
+    if (answer->stream != NULL) {
+        EyStream_SetReader(answer->stream, on_readable, self);
+        uint64_t size_bytes = answer->stream_size_bytes < 0
+                                  ? MHD_SIZE_UNKNOWN
+                                  : (uint64_t)answer->stream_size_bytes;
+        response = MHD_create_response_from_callback(
+            size_bytes, READ_BLOCK_SIZE_BYTES, read_stream, self, NULL);
+    }
+    else {
+        response = MHD_create_response_from_buffer(answer->body.size_bytes,
+                                                   answer->body.data,
+                                                   MHD_RESPMEM_PERSISTENT);
+    }
+    if (response == NULL) {
+        return NULL;
+    }
+    add_headers(self, response);
+    if (closes) {
+        (void)MHD_add_response_header(response, "Connection", "close");
+    }
+    return response;
+}
--- /dev/null
+++ b/src/callers/inbound.h
@@ -0,0 +1,54 @@
+/**
+ * One caller's request inside the server, from its head to its answer's last
+ * byte. It lives on libmicrohttpd's thread; what others may touch is said.
+ */
+#ifndef EY_CALLERS_INBOUND_H
+#define EY_CALLERS_INBOUND_H
+
+#include "callers/suspension.h"
+#include "exchange/answer.h"
+#include "exchange/request.h"
+
+#include <microhttpd.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum EyInboundStage {
+    EY_INBOUND_HEAD,    /* its head hasn't been looked at */
+    EY_INBOUND_BODY,    /* its body is being read */
+    EY_INBOUND_WAITING, /* submitted; its answer isn't here yet */
+    EY_INBOUND_ANSWERED /* its answer is being sent */
+} EyInboundStage_t;
+
+typedef struct EyInbound {
+    uint64_t number;
+    EyKey_t id;
+    EyInboundStage_t stage;
+    bool submitted;
+    bool watched;   /* by the hang-up watcher */
+    bool broken;    /* we broke the answer off */
+    bool too_large; /* its body; the rest is thrown away */
+    bool error_event_given;
+    int64_t started_us;
+    char *path;                /* raw, from the request line */
+    EyRequest_t *request;      /* until it is submitted */
+    EyAnswer_t *refusal;       /* kept until a response may be queued */
+    EyAnswer_t *answer;        /* set by any thread, under the server's lock */
+    uint64_t sent_bytes;       /* of the body */
+    EySuspension_t suspension; /* woken by any thread */
+} EyInbound_t;
+
+/**
+ * The response that sends inbound->answer; the inbound must outlive it.
+ * closes: the connection ends after it.
+ */
+struct MHD_Response *
+EyInbound_MakeResponse(EyInbound_t *self, bool closes);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/callers/parse.c
@@ -0,0 +1,348 @@
+#include "callers/parse.h"
+
+#include "callers/route.h"
+#include "core/memory.h"
+#include "exchange/hop_headers.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+/* Longest name and value of a header that is passed on. */
+#define HEADER_NAME_MAX_BYTES 128
+#define HEADER_VALUE_MAX_BYTES 8192
+
+static EyAnswer_t *
+refuse(EyProblem_t problem, const char *detail)
+{
+    return EyAnswer_Problem(problem, EY_OUTCOME_NOT_RUN, 0, detail);
+}
+
+/** True if text has only visible ASCII characters. */
+static bool
+is_visible(const char *text)
+{
+    for (; *text != '\0'; text++) {
+        if (!g_ascii_isgraph(*text)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+is_method(const char *method)
+{
+    size_t size_bytes = strspn(method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ");
+    return size_bytes > 0 && size_bytes < 16 && method[size_bytes] == '\0';
+}
+
+EyAnswer_t *
+EyParse_Line(EyRequest_t *request, const char *method, const char *path)
+{
+    if (!is_method(method)) {
+        return refuse(EY_PROBLEM_METHOD, "the method isn't known");
+    }
+    (void)EY_COPY(request->method, method);
+    if (strlen(path) >= EY_REQUEST_PATH_MAX_BYTES) {
+        return refuse(EY_PROBLEM_HEADERS_TOO_LARGE, "the path is too long");
+    }
+    if (path[0] != '/' || !is_visible(path) || strchr(path, '#') != NULL) {
+        return refuse(EY_PROBLEM_BAD_REQUEST,
+                      "the path must start with / and be visible ASCII");
+    }
+    return EyRoute_Apply(request, path);
+}
+
+static bool
+is_header_name(const char *name)
+{
+    size_t size_bytes = 0;
+    for (; name[size_bytes] != '\0'; size_bytes++) {
+        char c = name[size_bytes];
+        if (!g_ascii_isalnum(c) && strchr("!#$%&'*+-.^_`|~", c) == NULL) {
+            return false;
+        }
+    }
+    return size_bytes > 0;
+}
+
+/** True if the value holds no control characters but tabs. */
+static bool
+is_header_value(const char *value)
+{
+    for (; *value != '\0'; value++) {
+        if (g_ascii_iscntrl(*value) && *value != '\t') {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** Reads digits only; false if text is no number or above limit. */
+static bool
+read_number(const char *text, int64_t limit, int64_t *number)
+{
+    *number = 0;
+    if (*text == '\0') {
+        return false;
+    }
+    for (; *text != '\0'; text++) {
+        if (!g_ascii_isdigit(*text) || *number > limit) {
+            return false;
+        }
+        *number = *number * 10 + (*text - '0');
+    }
+    return *number <= limit;
+}
+
+/** Copies a header that may be there once and must be visible ASCII. */
+static bool
+take_text(char *field, uint32_t field_size_bytes, const char *value)
+{
+    return field[0] == '\0' && value[0] != '\0' && is_visible(value) &&
+           EyText_Copy(field, field_size_bytes, value);
+}
+
+static const char *
+take_id(EyParsedHead_t *self, const char *value)
+{
+    return take_text(self->request->id, sizeof(self->request->id), value)
+               ? NULL
+               : "X-Request-Id must be 1 to 255 visible ASCII characters";
+}
+
+static const char *
+take_key(EyParsedHead_t *self, const char *value)
+{
+    char *field = self->request->idempotency_key;
+    return take_text(field, EY_KEY_SIZE_BYTES, value)
+               ? NULL
+               : "Idempotency-Key must be 1 to 255 visible ASCII characters";
+}
+
+static const char *
+take_home(EyParsedHead_t *self, const char *value)
+{
+    return take_text(self->request->home, EY_NAME_SIZE_BYTES, value)
+               ? NULL
+               : "Ebonyyard-Home must be the name of a region";
+}
+
+static const char *
+take_account(EyParsedHead_t *self, const char *value)
+{
+    return take_text(self->request->account, EY_NAME_SIZE_BYTES, value)
+               ? NULL
+               : "Ebonyyard-Account must be 1 to 63 visible ASCII characters";
+}
+
+static const char *
+take_timeout(EyParsedHead_t *self, const char *value)
+{
+    int64_t timeout_ms = 0;
+    if (self->timeout_ms != 0 ||
+        !read_number(value, EY_REQUEST_TIMEOUT_MAX_MS, &timeout_ms) ||
+        timeout_ms == 0)
+    {
+        return "Ebonyyard-Timeout-Ms must be a whole number from 1 to 3600000";
+    }
+    self->timeout_ms = (uint32_t)timeout_ms;
+    return NULL;
+}
+
+static const char *
+take_content_size(EyParsedHead_t *self, const char *value)
+{
+    self->framing_headers++;
+    if (!read_number(value, G_MAXINT64 / 16, &self->content_size_bytes)) {
+        return "Content-Length must be a whole number";
+    }
+    return NULL;
+}
+
+static const char *
+take_transfer_encoding(EyParsedHead_t *self, const char *value)
+{
+    self->framing_headers++;
+    if (strcasecmp(value, "chunked") != 0) {
+        return "Transfer-Encoding must be chunked";
+    }
+    return NULL;
+}
+
+static const char *
+take_connection(EyParsedHead_t *self, const char *value)
+{
+    self->connection = value;
+    return NULL;
+}
+
+typedef struct Reader {
+    const char *name;
+    /** Returns what is wrong, or NULL. */
+    const char *(*take)(EyParsedHead_t *self, const char *value);
+} Reader_t;
+
+static const Reader_t Readers[] = {
+    {"X-Request-Id", take_id},
+    {"Idempotency-Key", take_key},
+    {"Ebonyyard-Home", take_home},
+    {"Ebonyyard-Account", take_account},
+    {"Ebonyyard-Timeout-Ms", take_timeout},
+    {"Content-Length", take_content_size},
+    {"Transfer-Encoding", take_transfer_encoding},
+    {"Connection", take_connection},
+};
+
+static const Reader_t *
+find_reader(const char *name)
+{
+    for (size_t i = 0; i < sizeof(Readers) / sizeof(Readers[0]); i++) {
+        if (strcasecmp(Readers[i].name, name) == 0) {
+            return &Readers[i];
+        }
+    }
+    return NULL;
+}
+
+static EyAnswer_t *
+pass_on(EyParsedHead_t *self, const char *name, const char *value)
+{
+    if (EyHopHeaders_Has(name)) {
+        return NULL;
+    }
+    if (strlen(name) > HEADER_NAME_MAX_BYTES ||
+        strlen(value) > HEADER_VALUE_MAX_BYTES)
+    {
+        return refuse(EY_PROBLEM_HEADERS_TOO_LARGE, name);
+    }
+    if (!EyRequest_AddHeader(self->request, name, value)) {
+        return refuse(EY_PROBLEM_HEADERS_TOO_LARGE, "too many headers");
+    }
+    return NULL;
+}
+
+void
+EyParse_Header(EyParsedHead_t *self, const char *name, const char *value)
+{
+    if (self->refusal != NULL) {
+        return;
+    }
+    if (!is_header_name(name) || !is_header_value(value)) {
+        self->refusal =
+            refuse(EY_PROBLEM_BAD_REQUEST, "a header isn't well formed");
+        return;
+    }
+    const Reader_t *reader = find_reader(name);
+    if (reader == NULL) {
+        self->refusal = pass_on(self, name, value);
+        return;
+    }
+    const char *wrong = reader->take(self, value);
+    if (wrong != NULL) {
+        self->refusal = refuse(EY_PROBLEM_BAD_REQUEST, wrong);
+    }
+}
+
+/** True if a comma list, such as Connection's value, holds the name. */
+static bool
+list_has(const char *list, const char *name)
+{
+    gchar **items = g_strsplit(list, ",", -1);
+    bool found = false;
+    for (gchar **item = items; *item != NULL && !found; item++) {
+        found = strcasecmp(g_strstrip(*item), name) == 0;
+    }
+    g_strfreev(items);
+    return found;
+}
+
+/** Drops the headers that Connection names. */
+static void
+drop_connection_headers(EyRequest_t *request, const char *connection)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < request->header_count; i++) {
+        if (!list_has(connection, request->headers[i].name)) {
+            request->headers[kept++] = request->headers[i];
+        }
+    }
+    request->header_count = kept;
+}
+
+EyAnswer_t *
+EyParse_HeadEnd(EyParsedHead_t *self)
+{
+    if (self->refusal != NULL) {
+        return self->refusal;
+    }
+    if (self->framing_headers > 1) {
+        return refuse(EY_PROBLEM_BAD_REQUEST,
+                      "the body's length must be said once");
+    }
+    if (self->content_size_bytes > (int64_t)EY_REQUEST_BODY_MAX_BYTES) {
+        return refuse(EY_PROBLEM_TOO_LARGE, NULL);
+    }
+    if (self->connection != NULL) {
+        drop_connection_headers(self->request, self->connection);
+    }
+    return NULL;
+}
+
+/** Reads an optional whole number; null counts as not said. */
+static bool
+read_tokens(const json_t *body, const char *name, uint32_t *tokens)
+{
+    const json_t *value = json_object_get(body, name);
+    if (value == NULL || json_is_null(value)) {
+        return true;
+    }
+    json_int_t number = json_integer_value(value);
+    if (!json_is_integer(value) || number < 0 || number > G_MAXUINT32) {
+        return false;
+    }
+    *tokens = (uint32_t)number;
+    return true;
+}
+
+static const char *
+read_model_call(EyRequest_t *request, const json_t *body)
+{
+    if (!json_is_object(body)) {
+        return "the body must be a JSON object";
+    }
+    const char *model = json_string_value(json_object_get(body, "model"));
+    if (model == NULL || *model == '\0' || !EY_COPY(request->target, model)) {
+        return "model must be a text of 1 to 63 bytes";
+    }
+    const json_t *stream = json_object_get(body, "stream");
+    if (stream != NULL && !json_is_boolean(stream) && !json_is_null(stream)) {
+        return "stream must be true or false";
+    }
+    request->streamed = json_is_true(stream);
+    if (!read_tokens(body, "max_tokens", &request->tokens_max) ||
+        !read_tokens(body, "max_completion_tokens", &request->tokens_max))
+    {
+        return "max_tokens must be a whole number";
+    }
+    return NULL;
+}
+
+EyAnswer_t *
+EyParse_Body(EyRequest_t *request)
+{
+    if (request->call != EY_CALL_MODEL) {
+        return NULL;
+    }
+    json_error_t where;
+    json_t *body =
+        json_loadb((const char *)request->body.data, request->body.size_bytes,
+                   JSON_REJECT_DUPLICATES, &where);
+    if (body == NULL) {
+        return refuse(EY_PROBLEM_BAD_REQUEST, where.text);
+    }
+    const char *wrong = read_model_call(request, body);
+    json_decref(body);
+    return wrong != NULL ? refuse(EY_PROBLEM_BAD_REQUEST, wrong) : NULL;
+}
--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -9,6 +9,7 @@
 typedef struct Wakeup {
     EyStreamWake_t call;
     void *data;
+    uint32_t running; /* calls that haven't returned */
 } Wakeup_t;
 
 /*
@@ -17,6 +18,7 @@
  */
 struct EyStream {
     pthread_mutex_t lock;
+    pthread_cond_t returned; /* a wake-up has returned */
     uint32_t references;
     uint32_t capacity_bytes;
     uint32_t size_bytes;
@@ -29,12 +31,41 @@
     Wakeup_t writer;
 };
 
+/**
+ * Calls a wake-up without the lock. Its data stays valid meanwhile, since
+ * whoever takes it back waits for running calls.
+ */
+static void
+wake(EyStream_t *self, Wakeup_t *wakeup)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    EyStreamWake_t call = wakeup->call;
+    void *data = wakeup->data;
+    if (call != NULL) {
+        wakeup->running++;
+    }
+    (void)pthread_mutex_unlock(&self->lock);
+    if (call == NULL) {
+        return;
+    }
+    call(data);
+    (void)pthread_mutex_lock(&self->lock);
+    wakeup->running--;
+    (void)pthread_cond_broadcast(&self->returned);
+    (void)pthread_mutex_unlock(&self->lock);
+}
+
+/** Replaces a wake-up and waits until calls of the former have returned. */
 static void
-wake(Wakeup_t wakeup)
+set_wakeup(EyStream_t *self, Wakeup_t *wakeup, EyStreamWake_t call, void *data)
 {
-    if (wakeup.call != NULL) {
-        wakeup.call(wakeup.data);
+    (void)pthread_mutex_lock(&self->lock);
+    wakeup->call = call;
+    wakeup->data = data;
+    while (wakeup->running > 0) {
+        (void)pthread_cond_wait(&self->returned, &self->lock);
     }
+    (void)pthread_mutex_unlock(&self->lock);
 }
 
 EyStream_t *
@@ -42,6 +73,7 @@
 {
     EyStream_t *self = EY_NEW(NULL, EyStream_t);
     (void)pthread_mutex_init(&self->lock, NULL);
+    (void)pthread_cond_init(&self->returned, NULL);
     self->references = 1;
     self->capacity_bytes = capacity_bytes;
     return self;
@@ -61,6 +93,7 @@
         return;
     }
     if (__atomic_sub_fetch(&self->references, 1, __ATOMIC_ACQ_REL) == 0) {
+        (void)pthread_cond_destroy(&self->returned);
         (void)pthread_mutex_destroy(&self->lock);
         talloc_free(self);
     }
@@ -69,17 +102,13 @@
 void
 EyStream_SetReader(EyStream_t *self, EyStreamWake_t on_readable, void *data)
 {
-    (void)pthread_mutex_lock(&self->lock);
-    self->reader = (Wakeup_t){.call = on_readable, .data = data};
-    (void)pthread_mutex_unlock(&self->lock);
+    set_wakeup(self, &self->reader, on_readable, data);
 }
 
 void
 EyStream_SetWriter(EyStream_t *self, EyStreamWake_t on_writable, void *data)
 {
-    (void)pthread_mutex_lock(&self->lock);
-    self->writer = (Wakeup_t){.call = on_writable, .data = data};
-    (void)pthread_mutex_unlock(&self->lock);
+    set_wakeup(self, &self->writer, on_writable, data);
 }
 
 /** Makes the buffer hold room_bytes, with its bytes from the start on. */
@@ -140,7 +169,8 @@
     }
     (void)pthread_mutex_lock(&self->lock);
     uint32_t wanted_bytes = self->size_bytes + size_bytes;
-    bool fits = wanted_bytes <= self->capacity_bytes || self->size_bytes == 0;
+    bool was_empty = self->size_bytes == 0;
+    bool fits = wanted_bytes <= self->capacity_bytes || was_empty;
     bool taken = fits && self->state == EY_STREAM_OPEN;
     if (taken) {
         grow(self, room_for(self, wanted_bytes));
@@ -149,10 +179,9 @@
     else {
         self->writer_waits = true;
     }
-    Wakeup_t reader = self->reader;
     (void)pthread_mutex_unlock(&self->lock);
-    if (taken) {
-        wake(reader);
+    if (taken && was_empty) {
+        wake(self, &self->reader);
     }
     return taken;
 }
@@ -164,9 +193,8 @@
     if (self->state == EY_STREAM_OPEN) {
         self->state = state;
     }
-    Wakeup_t reader = self->reader;
     (void)pthread_mutex_unlock(&self->lock);
-    wake(reader);
+    wake(self, &self->reader);
 }
 
 uint32_t
@@ -187,13 +215,15 @@
         self->size_bytes -= got;
     }
     *state = self->state;
-    Wakeup_t writer = {.call = NULL};
-    if (self->writer_waits && got > 0) {
+    bool wakes = self->writer_waits && got > 0 &&
+                 self->size_bytes <= self->capacity_bytes / 2;
+    if (wakes) {
         self->writer_waits = false;
-        writer = self->writer;
     }
     (void)pthread_mutex_unlock(&self->lock);
-    wake(writer);
+    if (wakes) {
+        wake(self, &self->writer);
+    }
     return got;
 }
 
@@ -202,9 +232,8 @@
 {
     (void)pthread_mutex_lock(&self->lock);
     self->state = EY_STREAM_LEFT;
-    Wakeup_t writer = self->writer;
     (void)pthread_mutex_unlock(&self->lock);
-    wake(writer);
+    wake(self, &self->writer);
 }
 
 EyStreamState_t
--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -1,7 +1,8 @@
 /**
  * A bounded buffer of bytes from one thread to another, for one answer. Each
- * side holds a reference. When the buffer is full the writer waits for
- * on_writable; when it is empty the reader waits for on_readable. Both are
+ * side holds a reference. When a write was refused the writer waits for
+ * on_writable, which comes once half of the buffer is free or the reader has
+ * left; when the buffer is empty the reader waits for on_readable. Both are
  * called from the other side's thread, without the stream's lock held.
  */
 #ifndef EY_CORE_STREAM_H
@@ -36,7 +37,11 @@
 void
 EyStream_Unref(EyStream_t *self);
 
-/** Sets the reader's wake-up; NULL clears it and waits for no call. */
+/**
+ * Sets the reader's wake-up, or clears it by NULL. Returns when no call of
+ * the former one runs, so that its data may be freed; so never call it from
+ * a wake-up, nor with a lock held that a wake-up takes.
+ */
 void
 EyStream_SetReader(EyStream_t *self, EyStreamWake_t on_readable, void *data);
 
