--- /dev/null
+++ b/src/routing/admission_queue.c
@@ -0,0 +1,113 @@
+#include "routing/admission_queue.h"
+
+#include "core/memory.h"
+
+static int
+destroy_queue(EyAdmissionQueue_t *self)
+{
+    g_sequence_free(self->waiting);
+    return 0;
+}
+
+static void
+free_waiting(gpointer waiting)
+{
+    talloc_free(waiting);
+}
+
+EyAdmissionQueue_t *
+EyAdmissionQueue_New(const void *ctx)
+{
+    EyAdmissionQueue_t *self = EY_NEW(ctx, EyAdmissionQueue_t);
+    self->waiting = g_sequence_new(free_waiting);
+    talloc_set_destructor(self, destroy_queue);
+    return self;
+}
+
+uint32_t
+EyAdmissionQueue_Length(const EyAdmissionQueue_t *self)
+{
+    return (uint32_t)g_sequence_get_length(self->waiting);
+}
+
+static gint
+compare_deadlines(gconstpointer one, gconstpointer other, gpointer data)
+{
+    (void)data;
+    const EyRoutingRequest_t *first = ((const EyWaiting_t *)one)->request;
+    const EyRoutingRequest_t *second = ((const EyWaiting_t *)other)->request;
+    if (first->deadline_ms != second->deadline_ms) {
+        return first->deadline_ms < second->deadline_ms ? -1 : 1;
+    }
+    if (first->number != second->number) {
+        return first->number < second->number ? -1 : 1;
+    }
+    return 0;
+}
+
+GSequenceIter *
+EyAdmissionQueue_Add(EyAdmissionQueue_t *self,
+                     const EyRoutingRequest_t *request, double work)
+{
+    EyWaiting_t *waiting = EY_NEW(NULL, EyWaiting_t);
+    waiting->request = EyRoutingRequest_Copy(waiting, request);
+    waiting->work = work;
+    self->work += work;
+    return g_sequence_insert_sorted(self->waiting, waiting, compare_deadlines,
+                                    NULL);
+}
+
+void
+EyAdmissionQueue_Remove(EyAdmissionQueue_t *self, GSequenceIter *place)
+{
+    const EyWaiting_t *waiting = g_sequence_get(place);
+    self->work -= waiting->work;
+    g_sequence_remove(place);
+    if (g_sequence_is_empty(self->waiting)) {
+        self->work = 0.0; /* no drift by rounding */
+    }
+}
+
+const EyWaiting_t *
+EyAdmissionQueue_First(const EyAdmissionQueue_t *self)
+{
+    GSequenceIter *first = g_sequence_get_begin_iter(self->waiting);
+    return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+double
+EyAdmissionQueue_WorkAhead(const EyAdmissionQueue_t *self, int64_t deadline_ms)
+{
+    double work = 0.0;
+    GSequenceIter *each = g_sequence_get_begin_iter(self->waiting);
+    for (; !g_sequence_iter_is_end(each); each = g_sequence_iter_next(each)) {
+        const EyWaiting_t *waiting = g_sequence_get(each);
+        if (waiting->request->deadline_ms > deadline_ms) {
+            break;
+        }
+        work += waiting->work;
+    }
+    return work;
+}
+
+bool
+EyAdmissionQueue_MayPutIn(const EyAdmissionQueue_t *self, int64_t now_ms,
+                          int64_t deadline_ms, double work, double work_per_ms)
+{
+    double ahead = 0.0;
+    GSequenceIter *each = g_sequence_get_begin_iter(self->waiting);
+    for (; !g_sequence_iter_is_end(each); each = g_sequence_iter_next(each)) {
+        const EyWaiting_t *waiting = g_sequence_get(each);
+        ahead += waiting->work;
+        if (waiting->request->deadline_ms <= deadline_ms) {
+            continue;
+        }
+        double left_ms = (double)(waiting->request->deadline_ms - now_ms);
+        bool meets_without = ahead / work_per_ms <= left_ms;
+        bool meets_with = (ahead + work) / work_per_ms <= left_ms;
+        if (meets_without && !meets_with) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/src/routing/away.c
@@ -0,0 +1,215 @@
+#include "routing/away.h"
+
+#include "core/memory.h"
+#include "routing/outlier.h"
+#include "routing/replica.h"
+
+#include <string.h>
+
+/** A region unheard of for this long counts as cold when it returns. */
+#define COLD_AFTER_MS 10000
+#define WORD_KEY_SIZE_BYTES (2 * EY_NAME_SIZE_BYTES + 16)
+
+typedef struct Region {
+    EyName_t name;
+    EyLinkBudget_t link;
+    bool has_link;
+    int64_t heard_ms;
+    int64_t ramp_from_ms;
+} Region_t;
+
+typedef struct Word {
+    EyRegionSummary_t summary;
+    int64_t heard_ms;
+    uint32_t sent; /* by us since then */
+} Word_t;
+
+struct EyAway {
+    EyRandom_t random;
+    Region_t regions[EY_AWAY_REGIONS_MAX];
+    uint32_t region_count;
+    GHashTable *words; /* by region and target */
+};
+
+static int
+destroy_away(EyAway_t *self)
+{
+    g_hash_table_unref(self->words);
+    return 0;
+}
+
+EyAway_t *
+EyAway_New(const void *ctx, uint64_t seed)
+{
+    EyAway_t *self = EY_NEW(ctx, EyAway_t);
+    self->random = EyRandom_Make(seed);
+    self->words =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    talloc_set_destructor(self, destroy_away);
+    return self;
+}
+
+static Region_t *
+find_region(EyAway_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->region_count; i++) {
+        if (strcmp(self->regions[i].name, name) == 0) {
+            return &self->regions[i];
+        }
+    }
+    if (self->region_count == EY_AWAY_REGIONS_MAX) {
+        return NULL;
+    }
+    Region_t *region = &self->regions[self->region_count++];
+    (void)EY_COPY(region->name, name);
+    region->heard_ms = INT64_MIN / 2;
+    return region;
+}
+
+static void
+write_key(char *key, const char *region, EyBackendKind_t kind,
+          const char *target)
+{
+    (void)g_snprintf(key, WORD_KEY_SIZE_BYTES, "%s\n%s\n%s", region,
+                     EyBackend_kind_names[kind], target);
+}
+
+static Word_t *
+find_word(const EyAway_t *self, const char *region, EyBackendKind_t kind,
+          const char *target)
+{
+    char key[WORD_KEY_SIZE_BYTES];
+    write_key(key, region, kind, target);
+    return g_hash_table_lookup(self->words, key);
+}
+
+static Word_t *
+make_word(EyAway_t *self, const EyRegionSummary_t *summary)
+{
+    char key[WORD_KEY_SIZE_BYTES];
+    if (g_hash_table_size(self->words) >= EY_AWAY_SUMMARIES_MAX) {
+        return NULL;
+    }
+    Word_t *word = g_new0(Word_t, 1);
+    write_key(key, summary->region, summary->kind, summary->target);
+    g_hash_table_insert(self->words, g_strdup(key), word);
+    return word;
+}
+
+void
+EyAway_SetSummary(EyAway_t *self, int64_t now_ms,
+                  const EyRoutingConfig_t *config,
+                  const EyRegionSummary_t *summary)
+{
+    Region_t *region = find_region(self, summary->region);
+    Word_t *word =
+        find_word(self, summary->region, summary->kind, summary->target);
+    if (word == NULL) {
+        word = make_word(self, summary);
+    }
+    if (region == NULL || word == NULL) {
+        return;
+    }
+    if (now_ms - region->heard_ms > COLD_AFTER_MS) {
+        region->ramp_from_ms = now_ms;
+    }
+    if (!region->has_link) {
+        EyAway_SetLink(self, now_ms, summary->region,
+                       config->link_bytes_per_s);
+    }
+    region->heard_ms = now_ms;
+    *word = (Word_t){.summary = *summary, .heard_ms = now_ms};
+}
+
+void
+EyAway_SetLink(EyAway_t *self, int64_t now_ms, const char *region,
+               uint64_t bytes_per_s)
+{
+    Region_t *found = find_region(self, region);
+    if (found != NULL) {
+        EyLinkBudget_SetRate(&found->link, now_ms, bytes_per_s);
+        found->has_link = true;
+    }
+}
+
+uint64_t
+EyAway_Bytes(const EyRoutingRequest_t *request,
+             const EyRoutingConfig_t *config)
+{
+    return request->body_bytes +
+           (uint64_t)request->tokens_max * config->answer_token_size_bytes;
+}
+
+/* True if the region has said that it can, and hasn't been sent so much since
+ * that its word is used up; other gateways are taken to send as we do. */
+static bool
+has_room(const Region_t *region, const Word_t *word, int64_t now_ms,
+         uint32_t gateways)
+{
+    double share = EyRamp_Share(region->ramp_from_ms, now_ms);
+    double room = (double)word->summary.free_slots * share / (double)gateways;
+    return word->summary.accepts && (double)word->sent < room;
+}
+
+static double
+finish_ms(const Word_t *word, const EyRoutingConfig_t *config,
+          const EyRoutingRequest_t *request)
+{
+    return 2.0 * (double)config->link_delay_ms +
+           (double)word->summary.expected_wait_ms +
+           word->summary.unit_ms * EyRoutingRequest_Work(request);
+}
+
+static bool
+can_meet(const EyAway_t *self, const Region_t *region, int64_t now_ms,
+         const EyRoutingConfig_t *config, const EyRoutingRequest_t *request,
+         uint32_t gateways)
+{
+    const Word_t *word =
+        find_word(self, region->name, request->kind, request->target);
+    return word != NULL && now_ms - word->heard_ms < config->summary_ttl_ms &&
+           EyRoutingRequest_MayRunIn(request, region->name) &&
+           has_room(region, word, now_ms, gateways) &&
+           finish_ms(word, config, request) <
+               (double)(request->deadline_ms - now_ms);
+}
+
+const char *
+EyAway_Choose(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
+              const EyRoutingRequest_t *request, uint32_t gateways)
+{
+    uint64_t size_bytes = EyAway_Bytes(request, config);
+    uint32_t first =
+        self->region_count > 0
+            ? (uint32_t)EyRandom_Below(&self->random, self->region_count)
+            : 0;
+    for (uint32_t i = 0; i < self->region_count; i++) {
+        Region_t *region = &self->regions[(first + i) % self->region_count];
+        if (can_meet(self, region, now_ms, config, request, gateways) &&
+            EyLinkBudget_Take(&region->link, now_ms, size_bytes,
+                              request->is_booking))
+        {
+            find_word(self, region->name, request->kind, request->target)
+                ->sent++;
+            return region->name;
+        }
+    }
+    return NULL;
+}
+
+json_t *
+EyAway_Dump(const EyAway_t *self, int64_t now_ms)
+{
+    json_t *regions = json_array();
+    for (uint32_t i = 0; i < self->region_count; i++) {
+        const Region_t *region = &self->regions[i];
+        json_array_append_new(
+            regions,
+            json_pack("{s:s,s:I,s:I,s:f,s:f}", "region", region->name,
+                      "heard_ms_ago", (json_int_t)(now_ms - region->heard_ms),
+                      "bytes_per_s", (json_int_t)region->link.bytes_per_s,
+                      "bytes_left", region->link.bytes, "share",
+                      EyRamp_Share(region->ramp_from_ms, now_ms)));
+    }
+    return regions;
+}
--- /dev/null
+++ b/src/routing/away.h
@@ -0,0 +1,60 @@
+/**
+ * Sending requests to another region: where their data may go, only on a
+ * fresh word of that region that it can meet the deadline, and within the
+ * byte budget of the link.
+ */
+#ifndef EY_ROUTING_AWAY_H
+#define EY_ROUTING_AWAY_H
+
+#include "core/random.h"
+#include "routing/decision.h"
+#include "routing/link_budget.h"
+#include "routing/routing_config.h"
+
+#include <glib.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define EY_AWAY_REGIONS_MAX 64
+#define EY_AWAY_SUMMARIES_MAX 4096
+
+typedef struct EyAway EyAway_t;
+
+EyAway_t *
+EyAway_New(const void *ctx, uint64_t seed);
+
+/** Takes a region's word on one target; ignored beyond the limits. */
+void
+EyAway_SetSummary(EyAway_t *self, int64_t now_ms,
+                  const EyRoutingConfig_t *config,
+                  const EyRegionSummary_t *summary);
+
+/** Sets a link's budget. */
+void
+EyAway_SetLink(EyAway_t *self, int64_t now_ms, const char *region,
+               uint64_t bytes_per_s);
+
+/** Bytes on the link that the request would cost, its answer included. */
+uint64_t
+EyAway_Bytes(const EyRoutingRequest_t *request,
+             const EyRoutingConfig_t *config);
+
+/**
+ * A region, drawn at random, that would finish the request in time, its budget
+ * taken; NULL if there is none. gateways decide as we do.
+ */
+const char *
+EyAway_Choose(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
+              const EyRoutingRequest_t *request, uint32_t gateways);
+
+/** The regions and their links, as JSON. */
+json_t *
+EyAway_Dump(const EyAway_t *self, int64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/routing/policy.c
@@ -0,0 +1,119 @@
+#include "routing/policy.h"
+
+#include <string.h>
+
+/** Candidates whose finish is within this of the best are alike: one of them
+ * is drawn, so that gateways with the same news don't all choose the same. */
+#define ALIKE_FACTOR 1.1
+#define ALIKE_MS 2.0
+
+static uint32_t
+choose_expected_finish(const EyCandidate_t *candidates, uint32_t count,
+                       EyPolicyState_t *state)
+{
+    double best_ms = candidates[0].finish_ms;
+    for (uint32_t i = 1; i < count; i++) {
+        if (candidates[i].finish_ms < best_ms) {
+            best_ms = candidates[i].finish_ms;
+        }
+    }
+    double limit_ms = best_ms * ALIKE_FACTOR + ALIKE_MS;
+    uint32_t chosen = 0;
+    uint32_t alike = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (candidates[i].finish_ms <= limit_ms) {
+            alike++;
+            if (EyRandom_Below(&state->random, alike) == 0) {
+                chosen = i;
+            }
+        }
+    }
+    return chosen;
+}
+
+static uint32_t
+choose_round_robin(const EyCandidate_t *candidates, uint32_t count,
+                   EyPolicyState_t *state)
+{
+    (void)candidates;
+    return (uint32_t)(state->turn++ % count);
+}
+
+static uint32_t
+choose_random(const EyCandidate_t *candidates, uint32_t count,
+              EyPolicyState_t *state)
+{
+    (void)candidates;
+    return (uint32_t)EyRandom_Below(&state->random, count);
+}
+
+static double
+fullness(const EyCandidate_t *candidate)
+{
+    return candidate->holds / candidate->slots;
+}
+
+static uint32_t
+choose_least_outstanding(const EyCandidate_t *candidates, uint32_t count,
+                         EyPolicyState_t *state)
+{
+    uint32_t chosen = 0;
+    uint32_t alike = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        double difference =
+            fullness(&candidates[i]) - fullness(&candidates[chosen]);
+        if (difference < 0.0) {
+            alike = 0;
+        }
+        if (difference <= 0.0 && EyRandom_Below(&state->random, ++alike) == 0)
+        {
+            chosen = i;
+        }
+    }
+    return chosen;
+}
+
+static uint32_t
+choose_two_choices(const EyCandidate_t *candidates, uint32_t count,
+                   EyPolicyState_t *state)
+{
+    uint32_t first = (uint32_t)EyRandom_Below(&state->random, count);
+    uint32_t second = (uint32_t)EyRandom_Below(&state->random, count);
+    return fullness(&candidates[first]) <= fullness(&candidates[second])
+               ? first
+               : second;
+}
+
+static const EyPolicy_t policies[] = {
+    {.name = "expected_finish",
+     .choose = choose_expected_finish,
+     .waits_for_room = true},
+    {.name = "round_robin", .choose = choose_round_robin},
+    {.name = "random", .choose = choose_random},
+    {.name = "least_outstanding", .choose = choose_least_outstanding},
+    {.name = "two_choices", .choose = choose_two_choices},
+};
+
+static const EyPolicy_t *
+find_policy(const char *name)
+{
+    for (uint32_t i = 0; i < sizeof(policies) / sizeof(policies[0]); i++) {
+        if (strcmp(policies[i].name, name) == 0) {
+            return &policies[i];
+        }
+    }
+    return NULL;
+}
+
+const EyPolicy_t *
+EyPolicy_Find(const char *name)
+{
+    const EyPolicy_t *policy = find_policy(name);
+    return policy != NULL ? policy : &policies[0];
+}
+
+bool
+EyPolicy_Exists(const char *name)
+{
+    return find_policy(name) != NULL;
+}
--- /dev/null
+++ b/src/routing/prefix_hint.h
@@ -0,0 +1,51 @@
+/**
+ * What a replica's prefix cache may hold. Hints only: learned from what was
+ * sent there and from cache events, which come late and with gaps, so that
+ * they may speed up a choice but nothing relies on them.
+ */
+#ifndef EY_ROUTING_PREFIX_HINT_H
+#define EY_ROUTING_PREFIX_HINT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define EY_PREFIX_HINTS_MAX 32
+#define EY_PREFIX_HINT_TTL_MS 60000
+
+typedef struct EyPrefixHint {
+    uint64_t hash; /* 0: empty */
+    int64_t seen_ms;
+} EyPrefixHint_t;
+
+typedef struct EyPrefixHints {
+    EyPrefixHint_t hints[EY_PREFIX_HINTS_MAX];
+    uint64_t event_serial; /* of the last event; 0: none came yet */
+} EyPrefixHints_t;
+
+/** Notes that the replica has just read the prefix. */
+void
+EyPrefixHints_Add(EyPrefixHints_t *self, int64_t now_ms, uint64_t hash);
+
+bool
+EyPrefixHints_Has(const EyPrefixHints_t *self, int64_t now_ms, uint64_t hash);
+
+/**
+ * Takes a cache event. One that is old is ignored; behind a gap nothing that
+ * was known before is believed.
+ */
+void
+EyPrefixHints_TakeEvent(EyPrefixHints_t *self, int64_t now_ms, uint64_t serial,
+                        uint64_t hash, bool is_stored);
+
+void
+EyPrefixHints_Clear(EyPrefixHints_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/routing/replica.c
@@ -0,0 +1,200 @@
+#include "routing/replica.h"
+
+#include "core/memory.h"
+
+#include <math.h>
+
+#define TOKENS_UNSET 64.0
+/** Weight of a new sample of the time for a unit. */
+#define LEARNING_RATE 0.2
+/** A slow time is forgotten by halves, or nothing would be sent there and
+ * the replica's recovery never seen. */
+#define FORGET_AFTER_MS 2000
+#define FORGET_HALF_LIFE_MS 15000.0
+/** How much longer a request takes on a replica whose slots are full. */
+#define FULL_SLOWDOWN 0.3
+/** A flight that is out this many times as long as expected is evidence. */
+#define OVERDUE_FACTOR 2.0
+#define REPORT_TTL_MS 5000
+
+double
+EyRoutingRequest_Work(const EyRoutingRequest_t *self)
+{
+    if (self->kind == EY_BACKEND_SERVICE) {
+        return 1.0;
+    }
+    double tokens =
+        self->tokens_max > 0 ? (double)self->tokens_max : TOKENS_UNSET;
+    return tokens + (double)self->body_bytes / EY_PROMPT_BYTES_PER_UNIT;
+}
+
+EyReplica_t *
+EyReplica_New(const void *ctx, int64_t now_ms, const EyBackend_t *backend)
+{
+    EyReplica_t *self = EY_NEW(ctx, EyReplica_t);
+    self->backend = EyBackend_Copy(self, backend);
+    self->report_ms = now_ms;
+    return self;
+}
+
+void
+EyReplica_Update(EyReplica_t *self, int64_t now_ms, const EyBackend_t *backend)
+{
+    if (backend->load.at != self->backend->load.at) {
+        self->report_ms = now_ms;
+    }
+    if (backend->incarnation != self->backend->incarnation) {
+        EyPrefixHints_Clear(&self->prefixes);
+        EyOutlier_StartRamp(&self->outlier, now_ms);
+    }
+    talloc_free(self->backend);
+    self->backend = EyBackend_Copy(self, backend);
+}
+
+void
+EyReplica_Begin(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight)
+{
+    flight->replica = self;
+    flight->started_ms = now_ms;
+    flight->older = self->newest;
+    flight->newer = NULL;
+    if (self->newest != NULL) {
+        self->newest->newer = flight;
+    }
+    else {
+        self->oldest = flight;
+    }
+    self->newest = flight;
+    self->outstanding++;
+    EyRecent_Add(&self->net_sent, now_ms, 1.0);
+}
+
+static void
+unlink_flight(EyReplica_t *self, EyFlight_t *flight)
+{
+    if (flight->older != NULL) {
+        flight->older->newer = flight->newer;
+    }
+    else {
+        self->oldest = flight->newer;
+    }
+    if (flight->newer != NULL) {
+        flight->newer->older = flight->older;
+    }
+    else {
+        self->newest = flight->older;
+    }
+    flight->replica = NULL;
+    self->outstanding--;
+}
+
+static void
+learn(EyReplica_t *self, int64_t now_ms, const EyFlight_t *flight,
+      int64_t duration_ms)
+{
+    double sample_ms = (double)duration_ms / (flight->work * flight->slowdown);
+    self->unit_ms =
+        self->unit_ms > 0.0
+            ? self->unit_ms + LEARNING_RATE * (sample_ms - self->unit_ms)
+            : sample_ms;
+    self->learned_ms = now_ms;
+}
+
+void
+EyReplica_End(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight,
+              const EyRoutingResult_t *result)
+{
+    unlink_flight(self, flight);
+    EyRecent_Add(&self->net_sent, now_ms, -1.0);
+    if (result->kind == EY_RESULT_OK) {
+        learn(self, now_ms, flight, result->duration_ms);
+        EyOutlier_Success(&self->outlier);
+        EyPrefixHints_Add(&self->prefixes, now_ms, flight->prefix_hash);
+    }
+}
+
+void
+EyReplica_Abandon(EyReplica_t *self)
+{
+    while (self->oldest != NULL) {
+        unlink_flight(self, self->oldest);
+    }
+}
+
+bool
+EyReplica_IsServing(const EyReplica_t *self)
+{
+    return self->backend->state == EY_BACKEND_SERVING;
+}
+
+double
+EyReplica_Slots(const EyReplica_t *self, int64_t now_ms)
+{
+    double slots =
+        self->backend->slots > 0 ? (double)self->backend->slots : 1.0;
+    slots *= EyOutlier_Share(&self->outlier, now_ms);
+    return slots > 1.0 ? slots : 1.0;
+}
+
+double
+EyReplica_Holds(const EyReplica_t *self, int64_t now_ms,
+                const EyRoutingConfig_t *config, uint32_t gateways)
+{
+    double own = (double)self->outstanding;
+    double others = (double)(gateways - 1);
+    if (now_ms - self->report_ms > REPORT_TTL_MS) {
+        return own * (1.0 + others);
+    }
+    const EyBackendLoad_t *load = &self->backend->load;
+    double net_sent = EyRecent_Sum(
+        &self->net_sent, self->report_ms - config->report_lag_ms, now_ms);
+    double holds = (double)load->running + (double)load->queued + net_sent;
+    if (net_sent > 0.0) {
+        holds += net_sent * others * config->herd_factor;
+    }
+    return holds > own ? holds : own;
+}
+
+static double
+prior_unit_ms(const EyReplica_t *self, const EyRoutingConfig_t *config)
+{
+    double speed = self->backend->speed > 0.0 ? self->backend->speed : 1.0;
+    double unit_ms = self->backend->kind == EY_BACKEND_MODEL
+                         ? config->model_unit_ms
+                         : config->service_unit_ms;
+    return unit_ms / speed;
+}
+
+/* A flight that is overdue tells of a slow replica before it ends. */
+static double
+overdue_unit_ms(const EyReplica_t *self, int64_t now_ms, double unit_ms)
+{
+    const EyFlight_t *oldest = self->oldest;
+    if (oldest == NULL) {
+        return unit_ms;
+    }
+    double age_ms = (double)(now_ms - oldest->started_ms);
+    double age_unit_ms = age_ms / (oldest->work * oldest->slowdown);
+    return age_unit_ms > unit_ms * OVERDUE_FACTOR ? age_unit_ms : unit_ms;
+}
+
+double
+EyReplica_UnitMs(const EyReplica_t *self, int64_t now_ms,
+                 const EyRoutingConfig_t *config)
+{
+    double prior_ms = prior_unit_ms(self, config);
+    double unit_ms = self->unit_ms > 0.0 ? self->unit_ms : prior_ms;
+    double age_ms = (double)(now_ms - self->learned_ms - FORGET_AFTER_MS);
+    if (unit_ms > prior_ms && age_ms > 0.0) {
+        unit_ms = prior_ms +
+                  (unit_ms - prior_ms) * exp2(-age_ms / FORGET_HALF_LIFE_MS);
+    }
+    return overdue_unit_ms(self, now_ms, unit_ms);
+}
+
+double
+EyReplica_Slowdown(double holds, double slots)
+{
+    double fullness = slots > 0.0 ? holds / slots : 1.0;
+    return 1.0 + FULL_SLOWDOWN * (fullness < 1.0 ? fullness : 1.0);
+}
--- /dev/null
+++ b/src/routing/replica.h
@@ -0,0 +1,109 @@
+/**
+ * What the router knows of one backend server and how long it would take for
+ * a request.
+ *
+ * Work is counted in units: a token generated is one unit, and so is reading
+ * EY_PROMPT_BYTES_PER_UNIT bytes of prompt; a service call is one unit. A
+ * replica's time for a unit starts at its announced speed and is learned.
+ */
+#ifndef EY_ROUTING_REPLICA_H
+#define EY_ROUTING_REPLICA_H
+
+#include "backends/backend.h"
+#include "routing/decision.h"
+#include "routing/outlier.h"
+#include "routing/prefix_hint.h"
+#include "routing/recent.h"
+#include "routing/routing_config.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define EY_PROMPT_BYTES_PER_UNIT 1000.0
+
+struct EyPool;
+struct EyReplica;
+
+/** A request that was dispatched or sent away and hasn't ended. */
+typedef struct EyFlight {
+    uint64_t number;
+    struct EyReplica *replica; /* NULL: sent away, or the replica is gone */
+    struct EyPool *pool;
+    double work;
+    double slowdown; /* by the load that the replica had */
+    uint64_t prefix_hash;
+    int64_t started_ms;
+    struct EyFlight *older; /* of the same replica */
+    struct EyFlight *newer;
+} EyFlight_t;
+
+typedef struct EyReplica {
+    EyBackend_t *backend;
+    uint32_t outstanding; /* our own flights */
+    EyFlight_t *oldest;
+    EyFlight_t *newest;
+    EyRecent_t net_sent; /* sent less finished */
+    int64_t report_ms;   /* when the last load report came; < 0: never */
+    double unit_ms;      /* learned; 0: nothing yet */
+    int64_t learned_ms;
+    EyOutlier_t outlier;
+    EyPrefixHints_t prefixes;
+} EyReplica_t;
+
+/** The units of a request, without any help of a prefix cache. */
+double
+EyRoutingRequest_Work(const EyRoutingRequest_t *self);
+
+/** A replica below ctx from its first announcement. */
+EyReplica_t *
+EyReplica_New(const void *ctx, int64_t now_ms, const EyBackend_t *backend);
+
+/** Takes a new announcement of the same server. */
+void
+EyReplica_Update(EyReplica_t *self, int64_t now_ms,
+                 const EyBackend_t *backend);
+
+/** Links a flight to the replica. */
+void
+EyReplica_Begin(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight);
+
+/** Unlinks a flight and learns from how it ended. */
+void
+EyReplica_End(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight,
+              const EyRoutingResult_t *result);
+
+/** Unlinks all flights: the replica is going. */
+void
+EyReplica_Abandon(EyReplica_t *self);
+
+/** True if it may get new work, room or not. */
+bool
+EyReplica_IsServing(const EyReplica_t *self);
+
+/** Slots, fewer while its share grows; at least 1. */
+double
+EyReplica_Slots(const EyReplica_t *self, int64_t now_ms);
+
+/**
+ * Requests that it probably holds: its lagged report corrected by what was
+ * sent and ended since, of other gateways by what we did ourselves.
+ */
+double
+EyReplica_Holds(const EyReplica_t *self, int64_t now_ms,
+                const EyRoutingConfig_t *config, uint32_t gateways);
+
+/** Time for one unit on the idle replica. */
+double
+EyReplica_UnitMs(const EyReplica_t *self, int64_t now_ms,
+                 const EyRoutingConfig_t *config);
+
+/** How much slower it runs a request beside others, 1.0 or more. */
+double
+EyReplica_Slowdown(double holds, double slots);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/routing/router.c
@@ -0,0 +1,727 @@
+#include "routing/router.h"
+
+#include "core/memory.h"
+#include "core/random.h"
+#include "routing/away.h"
+#include "routing/pool.h"
+#include "routing/retry_budget.h"
+
+#include <string.h>
+
+/** A refused caller comes back after at least and at most so long. */
+#define RETRY_AFTER_LEAST_MS 250
+#define RETRY_AFTER_MOST_MS 30000
+/** Share by which refused callers are spread. */
+#define RETRY_AFTER_SPREAD 0.25
+#define NO_BACKEND_RETRY_AFTER_MS 1000
+/** Servers that come within this time of the start aren't new to the region
+ * but to us: they get their whole share at once. */
+#define START_MS 5000
+/** A waiting request is given up when even this share of the best time is
+ * more than what is left. */
+#define GIVE_UP_SHARE 0.9
+
+/** A request that waits: where. */
+typedef struct Place {
+    EyPool_t *pool;
+    GSequenceIter *place;
+} Place_t;
+
+/** A flight with what only the router needs of it. */
+typedef struct OpenFlight {
+    EyFlight_t flight;
+    EyName_t region; /* sent away to, or "" */
+} OpenFlight_t;
+
+struct EyRouter {
+    EyName_t region;
+    EyRoutingConfig_t config;
+    const EyPolicy_t *policy;
+    EyPolicyState_t state;
+    uint32_t gateways;
+    int64_t started_ms;   /* < 0: no event yet */
+    GHashTable *replicas; /* id to EyReplica_t */
+    GHashTable *pools;    /* target to EyPool_t */
+    GHashTable *waiting;  /* number to Place_t */
+    GHashTable *flights;  /* number to OpenFlight_t */
+    EyAway_t *away;
+    EyRetryBudget_t retries;
+    EyRoutingStats_t stats;
+};
+
+static int
+destroy_router(EyRouter_t *self)
+{
+    g_hash_table_unref(self->waiting);
+    g_hash_table_unref(self->flights);
+    g_hash_table_unref(self->pools);
+    g_hash_table_unref(self->replicas);
+    return 0;
+}
+
+static void
+free_talloc(gpointer object)
+{
+    talloc_free(object);
+}
+
+EyRouter_t *
+EyRouter_New(const void *ctx, const EyRouterOptions_t *options)
+{
+    EyRouter_t *self = EY_NEW(ctx, EyRouter_t);
+    (void)EY_COPY(self->region, options->region);
+    self->state.random = EyRandom_Make(options->seed);
+    self->gateways = 1;
+    self->started_ms = -1;
+    self->replicas =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+    self->pools =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+    self->waiting =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    self->flights =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_talloc);
+    self->away = EyAway_New(self, EyRandom_Next(&self->state.random));
+    self->retries = EyRetryBudget_Make();
+    EyRouter_SetConfig(self, &options->config);
+    talloc_set_destructor(self, destroy_router);
+    return self;
+}
+
+void
+EyRouter_SetConfig(EyRouter_t *self, const EyRoutingConfig_t *config)
+{
+    self->config = *config;
+    self->policy = EyPolicy_Find(config->policy);
+}
+
+void
+EyRouter_SetGateways(EyRouter_t *self, uint32_t gateways)
+{
+    self->gateways = gateways > 0 ? gateways : 1;
+}
+
+static EyPlanning_t
+planning_at(EyRouter_t *self, int64_t now_ms)
+{
+    return (EyPlanning_t){
+        .now_ms = now_ms,
+        .config = &self->config,
+        .policy = self->policy,
+        .state = &self->state,
+        .gateways = self->gateways,
+    };
+}
+
+/* Backend servers and other regions */
+
+static EyPool_t *
+find_pool(const EyRouter_t *self, EyBackendKind_t kind, const char *target)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, kind, target);
+    return g_hash_table_lookup(self->pools, key);
+}
+
+static EyPool_t *
+pool_of(EyRouter_t *self, EyBackendKind_t kind, const char *target)
+{
+    EyPool_t *pool = find_pool(self, kind, target);
+    if (pool == NULL) {
+        pool = EyPool_New(NULL, kind, target);
+        g_hash_table_insert(self->pools, pool->key, pool);
+    }
+    return pool;
+}
+
+static void
+each_target(const EyBackend_t *backend, EyRouter_t *self, EyReplica_t *replica,
+            void (*change)(EyPool_t *, EyReplica_t *))
+{
+    for (uint32_t i = 0; i < backend->model_count; i++) {
+        change(pool_of(self, EY_BACKEND_MODEL, backend->models[i]), replica);
+    }
+    for (uint32_t i = 0; i < backend->service_count; i++) {
+        change(pool_of(self, EY_BACKEND_SERVICE, backend->services[i]),
+               replica);
+    }
+}
+
+static bool
+same_names(const EyName_t *one, uint32_t one_count, const EyName_t *other,
+           uint32_t other_count)
+{
+    bool same = one_count == other_count;
+    for (uint32_t i = 0; same && i < one_count; i++) {
+        same = strcmp(one[i], other[i]) == 0;
+    }
+    return same;
+}
+
+static bool
+same_targets(const EyBackend_t *one, const EyBackend_t *other)
+{
+    return same_names(one->models, one->model_count, other->models,
+                      other->model_count) &&
+           same_names(one->services, one->service_count, other->services,
+                      other->service_count);
+}
+
+static void
+add_replica(EyRouter_t *self, int64_t now_ms, const EyBackend_t *backend)
+{
+    EyReplica_t *replica = EyReplica_New(NULL, now_ms, backend);
+    if (now_ms - self->started_ms > START_MS) {
+        EyOutlier_StartRamp(&replica->outlier, now_ms);
+    }
+    g_hash_table_insert(self->replicas, replica->backend->id, replica);
+    each_target(backend, self, replica, EyPool_AddReplica);
+}
+
+void
+EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
+                       const EyBackend_t *backend)
+{
+    if (self->started_ms < 0) {
+        self->started_ms = now_ms;
+    }
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, backend->id);
+    if (replica == NULL) {
+        add_replica(self, now_ms, backend);
+        return;
+    }
+    bool same = same_targets(replica->backend, backend);
+    if (!same) {
+        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+    }
+    g_hash_table_steal(self->replicas, backend->id);
+    EyReplica_Update(replica, now_ms, backend);
+    g_hash_table_insert(self->replicas, replica->backend->id, replica);
+    if (!same) {
+        each_target(backend, self, replica, EyPool_AddReplica);
+    }
+}
+
+void
+EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id)
+{
+    (void)now_ms;
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica != NULL) {
+        EyReplica_Abandon(replica);
+        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+        g_hash_table_remove(self->replicas, id);
+    }
+}
+
+void
+EyRouter_TakePrefixEvent(EyRouter_t *self, int64_t now_ms, const char *id,
+                         uint64_t serial, uint64_t hash, bool is_stored)
+{
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica != NULL) {
+        EyPrefixHints_TakeEvent(&replica->prefixes, now_ms, serial, hash,
+                                is_stored);
+    }
+}
+
+void
+EyRouter_SetSummary(EyRouter_t *self, int64_t now_ms,
+                    const EyRegionSummary_t *summary)
+{
+    if (strcmp(summary->region, self->region) != 0) {
+        EyAway_SetSummary(self->away, now_ms, &self->config, summary);
+    }
+}
+
+void
+EyRouter_SetLink(EyRouter_t *self, int64_t now_ms, const char *region,
+                 uint64_t bytes_per_s)
+{
+    EyAway_SetLink(self->away, now_ms, region, bytes_per_s);
+}
+
+/* Decisions */
+
+static EyRoutingDecision_t
+note(EyRouter_t *self, EyRoutingDecision_t decision)
+{
+    self->stats.decisions[decision.kind]++;
+    if (decision.kind == EY_DECISION_REFUSE) {
+        self->stats.refusals[decision.reason]++;
+    }
+    return decision;
+}
+
+static EyRoutingDecision_t
+refuse(EyRouter_t *self, uint64_t number, EyRefusal_t reason, double after_ms)
+{
+    if (!(after_ms > RETRY_AFTER_LEAST_MS)) {
+        after_ms = RETRY_AFTER_LEAST_MS;
+    }
+    if (after_ms > RETRY_AFTER_MOST_MS) {
+        after_ms = RETRY_AFTER_MOST_MS;
+    }
+    after_ms *= 1.0 + RETRY_AFTER_SPREAD * EyRandom_Unit(&self->state.random);
+    return note(self, (EyRoutingDecision_t){
+                          .number = number,
+                          .kind = EY_DECISION_REFUSE,
+                          .reason = reason,
+                          .retry_after_ms = (uint32_t)after_ms,
+                      });
+}
+
+static OpenFlight_t *
+open_flight(EyRouter_t *self, int64_t now_ms,
+            const EyRoutingRequest_t *request)
+{
+    OpenFlight_t *open = EY_NEW(NULL, OpenFlight_t);
+    open->flight = (EyFlight_t){
+        .number = request->number,
+        .work = EyRoutingRequest_Work(request),
+        .slowdown = 1.0,
+        .prefix_hash = request->prefix_hash,
+        .started_ms = now_ms,
+    };
+    g_hash_table_insert(self->flights, &open->flight.number, open);
+    return open;
+}
+
+static EyRoutingDecision_t
+dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+         const EyRoutingRequest_t *request, const EyPlan_t *plan)
+{
+    OpenFlight_t *open = open_flight(self, now_ms, request);
+    open->flight.pool = pool;
+    open->flight.slowdown = plan->slowdown;
+    pool->flight_count++;
+    EyReplica_Begin(plan->chosen, now_ms, &open->flight);
+    EyRoutingDecision_t decision = {
+        .number = request->number,
+        .kind = EY_DECISION_DISPATCH,
+    };
+    (void)EY_COPY(decision.backend, plan->chosen->backend->id);
+    (void)EY_COPY(decision.address, plan->chosen->backend->address);
+    return note(self, decision);
+}
+
+/* Sends the request to another region if that is allowed and possible. */
+static bool
+try_away(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request,
+         EyRoutingDecision_t *decision)
+{
+    if (!self->config.sends_away || request->is_forwarded ||
+        request->stays_home) {
+        return false;
+    }
+    const char *region = EyAway_Choose(self->away, now_ms, &self->config,
+                                       request, self->gateways);
+    if (region == NULL) {
+        return false;
+    }
+    OpenFlight_t *open = open_flight(self, now_ms, request);
+    (void)EY_COPY(open->region, region);
+    self->stats.sent_away_bytes += EyAway_Bytes(request, &self->config);
+    *decision = (EyRoutingDecision_t){
+        .number = request->number,
+        .kind = EY_DECISION_SEND_AWAY,
+    };
+    (void)EY_COPY(decision->region, region);
+    (void)note(self, *decision);
+    return true;
+}
+
+static EyRoutingDecision_t
+away_or_refuse(EyRouter_t *self, int64_t now_ms,
+               const EyRoutingRequest_t *request, EyRefusal_t reason,
+               double after_ms)
+{
+    EyRoutingDecision_t decision;
+    if (try_away(self, now_ms, request, &decision)) {
+        return decision;
+    }
+    return refuse(self, request->number, reason, after_ms);
+}
+
+static EyRoutingDecision_t
+enqueue(EyRouter_t *self, EyPool_t *pool, const EyRoutingRequest_t *request,
+        double work)
+{
+    Place_t *place = g_new0(Place_t, 1);
+    place->pool = pool;
+    place->place = EyAdmissionQueue_Add(pool->queue, request, work);
+    g_hash_table_insert(self->waiting,
+                        g_memdup2(&request->number, sizeof(request->number)),
+                        place);
+    return note(self, (EyRoutingDecision_t){
+                          .number = request->number,
+                          .kind = EY_DECISION_QUEUED,
+                      });
+}
+
+static EyRoutingDecision_t
+wait_or_refuse(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+               const EyRoutingRequest_t *request, const EyPlan_t *plan)
+{
+    double work = EyRoutingRequest_Work(request);
+    double drain_ms = pool->queue->work / plan->work_per_ms;
+    if (EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max) {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
+                              drain_ms / 2.0);
+    }
+    if (self->config.admission &&
+        !EyAdmissionQueue_MayPutIn(pool->queue, now_ms, request->deadline_ms,
+                                   work, plan->work_per_ms))
+    {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
+                              drain_ms / 2.0);
+    }
+    return enqueue(self, pool, request, work);
+}
+
+/* True if nothing that waits has an earlier deadline. */
+static bool
+goes_first(const EyPool_t *pool, const EyRoutingRequest_t *request)
+{
+    const EyWaiting_t *first = EyAdmissionQueue_First(pool->queue);
+    return first == NULL || request->deadline_ms < first->request->deadline_ms;
+}
+
+static EyRoutingDecision_t
+decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
+{
+    EyPool_t *pool = find_pool(self, request->kind, request->target);
+    EyPlan_t plan = {.has_replica = false};
+    if (pool != NULL) {
+        EyPlanning_t planning = planning_at(self, now_ms);
+        plan = EyPool_Plan(
+            pool, &planning, request, EyRoutingRequest_Work(request),
+            EyAdmissionQueue_WorkAhead(pool->queue, request->deadline_ms));
+    }
+    if (!plan.has_replica) {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
+                              NO_BACKEND_RETRY_AFTER_MS);
+    }
+    bool goes_now = plan.chosen != NULL && goes_first(pool, request);
+    double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
+    double left_ms = (double)(request->deadline_ms - now_ms);
+    EyRoutingDecision_t away;
+    if (finish_ms > left_ms * EyRoutingConfig_HomeShare(&self->config) &&
+        try_away(self, now_ms, request, &away))
+    {
+        return away;
+    }
+    if (self->config.admission && finish_ms > left_ms) {
+        return refuse(self, request->number, EY_REFUSAL_OVERLOADED,
+                      finish_ms - left_ms);
+    }
+    if (goes_now) {
+        return dispatch(self, now_ms, pool, request, &plan);
+    }
+    return wait_or_refuse(self, now_ms, pool, request, &plan);
+}
+
+static bool
+holds(const EyRouter_t *self, uint64_t number)
+{
+    return g_hash_table_contains(self->waiting, &number) ||
+           g_hash_table_contains(self->flights, &number);
+}
+
+/* Why a request isn't even considered. */
+static EyRefusal_t
+check_request(const EyRouter_t *self, int64_t now_ms,
+              const EyRoutingRequest_t *request)
+{
+    if (holds(self, request->number)) {
+        return EY_REFUSAL_INVALID;
+    }
+    if (!EyRoutingRequest_MayRunIn(request, self->region)) {
+        return EY_REFUSAL_WRONG_REGION;
+    }
+    if (request->deadline_ms <= now_ms) {
+        return EY_REFUSAL_DEADLINE;
+    }
+    if (request->is_retry && request->was_sent && !request->is_idempotent) {
+        return EY_REFUSAL_NOT_REPEATABLE;
+    }
+    return EY_REFUSAL_NONE;
+}
+
+EyRoutingDecision_t
+EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
+                const EyRoutingRequest_t *request)
+{
+    EyRefusal_t reason = check_request(self, now_ms, request);
+    if (reason != EY_REFUSAL_NONE) {
+        return refuse(self, request->number, reason, 0.0);
+    }
+    bool takes_retry = request->is_retry && self->config.limits_retries;
+    if (takes_retry && !EyRetryBudget_Take(&self->retries)) {
+        return refuse(self, request->number, EY_REFUSAL_RETRY_BUDGET,
+                      NO_BACKEND_RETRY_AFTER_MS);
+    }
+    EyRoutingDecision_t decision = decide(self, now_ms, request);
+    if (decision.kind == EY_DECISION_REFUSE && takes_retry) {
+        EyRetryBudget_GiveBack(&self->retries);
+    }
+    else if (request->is_retry) {
+        self->stats.retries++;
+    }
+    return decision;
+}
+
+/* What waits */
+
+static void
+stop_waiting(EyRouter_t *self, EyPool_t *pool, GSequenceIter *place)
+{
+    const EyWaiting_t *waiting = g_sequence_get(place);
+    g_hash_table_remove(self->waiting, &waiting->request->number);
+    EyAdmissionQueue_Remove(pool->queue, place);
+}
+
+/* True if the request can't be met at home any more. */
+static bool
+is_lost(const EyRouter_t *self, int64_t now_ms,
+        const EyRoutingRequest_t *request, const EyPlan_t *plan)
+{
+    double left_ms = (double)(request->deadline_ms - now_ms);
+    return left_ms <= 0.0 || !plan->has_replica ||
+           (self->config.admission &&
+            plan->best_run_ms * GIVE_UP_SHARE > left_ms);
+}
+
+static EyRoutingDecision_t
+give_up(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request,
+        const EyPool_t *pool, const EyPlan_t *plan)
+{
+    if (request->deadline_ms <= now_ms) {
+        return refuse(self, request->number, EY_REFUSAL_DEADLINE, 0.0);
+    }
+    if (!plan->has_replica) {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
+                              NO_BACKEND_RETRY_AFTER_MS);
+    }
+    return away_or_refuse(self, now_ms, request, EY_REFUSAL_DEADLINE,
+                          pool->queue->work / plan->work_per_ms);
+}
+
+/* Decides one that waits; false: it goes on waiting. */
+static bool
+decide_waiting(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+               const EyWaiting_t *waiting, double work_ahead,
+               EyRoutingDecision_t *decision)
+{
+    EyPlanning_t planning = planning_at(self, now_ms);
+    EyPlan_t plan = EyPool_Plan(pool, &planning, waiting->request,
+                                waiting->work, work_ahead);
+    if (is_lost(self, now_ms, waiting->request, &plan)) {
+        *decision = give_up(self, now_ms, waiting->request, pool, &plan);
+        return true;
+    }
+    if (plan.chosen != NULL) {
+        *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
+        return true;
+    }
+    return false;
+}
+
+static void
+release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, GArray *decisions)
+{
+    double work_ahead = 0.0;
+    GSequenceIter *each = g_sequence_get_begin_iter(pool->queue->waiting);
+    while (!g_sequence_iter_is_end(each)) {
+        GSequenceIter *next = g_sequence_iter_next(each);
+        const EyWaiting_t *waiting = g_sequence_get(each);
+        EyRoutingDecision_t decision;
+        if (decide_waiting(self, now_ms, pool, waiting, work_ahead, &decision))
+        {
+            stop_waiting(self, pool, each);
+            g_array_append_val(decisions, decision);
+        }
+        else {
+            work_ahead += waiting->work;
+        }
+        each = next;
+    }
+}
+
+/* Ends */
+
+static bool
+may_eject(const EyRouter_t *self, int64_t now_ms, const EyReplica_t *replica)
+{
+    GHashTableIter each;
+    gpointer pool;
+    g_hash_table_iter_init(&each, self->pools);
+    while (g_hash_table_iter_next(&each, NULL, &pool)) {
+        if (EyPool_Has(pool, replica) && !EyPool_MayEject(pool, now_ms)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+note_failure(EyRouter_t *self, int64_t now_ms, EyReplica_t *replica,
+             EyResultKind_t kind)
+{
+    bool ejects =
+        EyOutlier_Failure(&replica->outlier, kind == EY_RESULT_DISTRUSTED);
+    if (ejects && self->config.ejects &&
+        !EyOutlier_IsEjected(&replica->outlier, now_ms) &&
+        may_eject(self, now_ms, replica))
+    {
+        EyOutlier_Eject(&replica->outlier, now_ms);
+        self->stats.ejections++;
+    }
+}
+
+static void
+end_flight(EyRouter_t *self, int64_t now_ms, OpenFlight_t *open,
+           const EyRoutingResult_t *result)
+{
+    EyFlight_t *flight = &open->flight;
+    EyReplica_t *replica = flight->replica;
+    if (flight->pool != NULL) {
+        flight->pool->flight_count--;
+        if (result->kind == EY_RESULT_OK) {
+            EyRecent_Add(&flight->pool->finished_work, now_ms, flight->work);
+        }
+    }
+    if (result->kind == EY_RESULT_OK) {
+        EyRetryBudget_Earn(&self->retries, self->config.retry_share);
+    }
+    if (replica == NULL) {
+        return;
+    }
+    EyReplica_End(replica, now_ms, flight, result);
+    if (result->kind == EY_RESULT_FAILED ||
+        result->kind == EY_RESULT_DISTRUSTED) {
+        note_failure(self, now_ms, replica, result->kind);
+    }
+}
+
+bool
+EyRouter_Finished(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                  const EyRoutingResult_t *result, GArray *decisions)
+{
+    OpenFlight_t *open = g_hash_table_lookup(self->flights, &number);
+    if (open == NULL) {
+        return false;
+    }
+    EyPool_t *pool = open->flight.pool;
+    end_flight(self, now_ms, open, result);
+    g_hash_table_remove(self->flights, &number);
+    if (pool != NULL) {
+        release(self, now_ms, pool, decisions);
+    }
+    return true;
+}
+
+bool
+EyRouter_Cancel(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                GArray *decisions)
+{
+    const Place_t *place = g_hash_table_lookup(self->waiting, &number);
+    if (place != NULL) {
+        stop_waiting(self, place->pool, place->place);
+        return true;
+    }
+    const EyRoutingResult_t result = {.kind = EY_RESULT_CANCELLED};
+    return EyRouter_Finished(self, now_ms, number, &result, decisions);
+}
+
+static gboolean
+is_unused(gpointer key, gpointer pool, gpointer data)
+{
+    (void)key;
+    (void)data;
+    const EyPool_t *self = pool;
+    return self->replicas->len == 0 && self->flight_count == 0 &&
+           EyAdmissionQueue_Length(self->queue) == 0;
+}
+
+void
+EyRouter_Tick(EyRouter_t *self, int64_t now_ms, GArray *decisions)
+{
+    GHashTableIter each;
+    gpointer pool;
+    g_hash_table_iter_init(&each, self->pools);
+    while (g_hash_table_iter_next(&each, NULL, &pool)) {
+        release(self, now_ms, pool, decisions);
+    }
+    g_hash_table_foreach_remove(self->pools, is_unused, NULL);
+}
+
+/* Reports */
+
+void
+EyRouter_Summarize(EyRouter_t *self, int64_t now_ms, GArray *summaries)
+{
+    EyPlanning_t planning = planning_at(self, now_ms);
+    GHashTableIter each;
+    gpointer pool;
+    g_hash_table_iter_init(&each, self->pools);
+    while (g_hash_table_iter_next(&each, NULL, &pool)) {
+        EyRegionSummary_t summary = {.accepts = false};
+        (void)EY_COPY(summary.region, self->region);
+        if (EyPool_Summarize(pool, &planning, &summary)) {
+            g_array_append_val(summaries, summary);
+        }
+    }
+}
+
+uint32_t
+EyRouter_Waiting(const EyRouter_t *self)
+{
+    return g_hash_table_size(self->waiting);
+}
+
+uint32_t
+EyRouter_InFlight(const EyRouter_t *self)
+{
+    return g_hash_table_size(self->flights);
+}
+
+const EyRoutingStats_t *
+EyRouter_Stats(const EyRouter_t *self)
+{
+    return &self->stats;
+}
+
+static json_t *
+dump_refusals(const EyRoutingStats_t *stats)
+{
+    json_t *json = json_object();
+    for (uint32_t i = EY_REFUSAL_NO_BACKEND; i < EY_REFUSAL_COUNT; i++) {
+        json_object_set_new(json, EyRefusal_names[i],
+                            json_integer((json_int_t)stats->refusals[i]));
+    }
+    return json;
+}
+
+json_t *
+EyRouter_Dump(EyRouter_t *self, int64_t now_ms)
+{
+    EyPlanning_t planning = planning_at(self, now_ms);
+    json_t *pools = json_array();
+    GHashTableIter each;
+    gpointer pool;
+    g_hash_table_iter_init(&each, self->pools);
+    while (g_hash_table_iter_next(&each, NULL, &pool)) {
+        json_array_append_new(pools, EyPool_Dump(pool, &planning));
+    }
+    return json_pack("{s:s,s:i,s:i,s:i,s:f,s:I,s:I,s:I,s:o,s:o,s:o}", "policy",
+                     self->policy->name, "gateways", (int)self->gateways,
+                     "waiting", (int)EyRouter_Waiting(self), "in_flight",
+                     (int)EyRouter_InFlight(self), "retries_left",
+                     self->retries.retries, "retries",
+                     (json_int_t)self->stats.retries, "ejections",
+                     (json_int_t)self->stats.ejections, "sent_away_bytes",
+                     (json_int_t)self->stats.sent_away_bytes, "refusals",
+                     dump_refusals(&self->stats), "pools", pools, "regions",
+                     EyAway_Dump(self->away, now_ms));
+}
--- /dev/null
+++ b/src/routing/router.h
@@ -0,0 +1,127 @@
+/**
+ * Decides for each request which backend server or region gets it, whether it
+ * waits, or that it is refused. Without sockets, threads or clocks: events
+ * come with the time, decisions are given back.
+ *
+ * Each request submitted gets one final decision (DISPATCH, SEND_AWAY or
+ * REFUSE): from EyRouter_Submit, or, after QUEUED, in the array that later
+ * events fill; at the latest with the first EyRouter_Tick past its deadline.
+ * A dispatched or sent away request is held until EyRouter_Finished.
+ */
+#ifndef EY_ROUTING_ROUTER_H
+#define EY_ROUTING_ROUTER_H
+
+#include "routing/decision.h"
+#include "routing/routing_config.h"
+
+#include <glib.h>
+#include <jansson.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyRouter EyRouter_t;
+
+typedef struct EyRouterOptions {
+    const char *region; /* this instance's own */
+    uint64_t seed;
+    EyRoutingConfig_t config;
+} EyRouterOptions_t;
+
+/** Counts since the start. */
+typedef struct EyRoutingStats {
+    uint64_t decisions[EY_DECISION_KIND_COUNT];
+    uint64_t refusals[EY_REFUSAL_COUNT];
+    uint64_t ejections;
+    uint64_t retries;
+    uint64_t sent_away_bytes;
+} EyRoutingStats_t;
+
+EyRouter_t *
+EyRouter_New(const void *ctx, const EyRouterOptions_t *options);
+
+/** Changes the configuration; what waits is decided by it from now on. */
+void
+EyRouter_SetConfig(EyRouter_t *self, const EyRoutingConfig_t *config);
+
+/** Gateways of the region that send to the same backend servers, at least 1
+ * (this one). */
+void
+EyRouter_SetGateways(EyRouter_t *self, uint32_t gateways);
+
+/** Takes an announcement of a backend server of this region. */
+void
+EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
+                       const EyBackend_t *backend);
+
+/** The server is gone; its flights stay open until they are finished. */
+void
+EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id);
+
+/** A cache event of a model engine; a hint that may be late or missing. */
+void
+EyRouter_TakePrefixEvent(EyRouter_t *self, int64_t now_ms, const char *id,
+                         uint64_t serial, uint64_t hash, bool is_stored);
+
+/** Another region's word on one target. */
+void
+EyRouter_SetSummary(EyRouter_t *self, int64_t now_ms,
+                    const EyRegionSummary_t *summary);
+
+/** The byte budget of the link to a region. */
+void
+EyRouter_SetLink(EyRouter_t *self, int64_t now_ms, const char *region,
+                 uint64_t bytes_per_s);
+
+/**
+ * Decides on a request. A retry, after EyRouter_Finished, is submitted again
+ * with is_retry set and the servers tried before excluded.
+ */
+EyRoutingDecision_t
+EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
+                const EyRoutingRequest_t *request);
+
+/**
+ * A dispatched or sent away request ended. Requests that waited may go now:
+ * their decisions are appended to decisions, of EyRoutingDecision_t. False if
+ * the router doesn't hold the number.
+ */
+bool
+EyRouter_Finished(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                  const EyRoutingResult_t *result, GArray *decisions);
+
+/** The caller went: forgets the request wherever it is; no decision. */
+bool
+EyRouter_Cancel(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                GArray *decisions);
+
+/** Decides what waits: call it every 10 to 50 ms and after other events. */
+void
+EyRouter_Tick(EyRouter_t *self, int64_t now_ms, GArray *decisions);
+
+/** What to tell other regions, appended to summaries, of
+ * EyRegionSummary_t. */
+void
+EyRouter_Summarize(EyRouter_t *self, int64_t now_ms, GArray *summaries);
+
+/** Requests that wait. */
+uint32_t
+EyRouter_Waiting(const EyRouter_t *self);
+
+/** Requests dispatched or sent away and not finished. */
+uint32_t
+EyRouter_InFlight(const EyRouter_t *self);
+
+const EyRoutingStats_t *
+EyRouter_Stats(const EyRouter_t *self);
+
+/** The state as JSON, a new reference. */
+json_t *
+EyRouter_Dump(EyRouter_t *self, int64_t now_ms);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/routing/routing_config.c
@@ -0,0 +1,38 @@
+#include "routing/routing_config.h"
+
+/** The least share of its time that a request may spend at home. */
+#define HOME_SHARE_LEAST 0.5
+#define LINK_BYTES_PER_S 4000000U
+
+EyRoutingConfig_t
+EyRoutingConfig_Make(void)
+{
+    return (EyRoutingConfig_t){
+        .policy = "expected_finish",
+        .tail_weight = 1.0,
+        .away_weight = 1.0,
+        .queue_max = 512,
+        .link_bytes_per_s = LINK_BYTES_PER_S,
+        .link_delay_ms = 40,
+        .report_lag_ms = 1000,
+        .summary_ttl_ms = 3000,
+        .overcommit = 1.0,
+        .herd_factor = 0.5,
+        .retry_share = 0.1,
+        .model_unit_ms = 10.0,
+        .service_unit_ms = 20.0,
+        .answer_token_size_bytes = 64,
+        .admission = true,
+        .limits_retries = true,
+        .ejects = true,
+        .sends_away = true,
+    };
+}
+
+double
+EyRoutingConfig_HomeShare(const EyRoutingConfig_t *self)
+{
+    double sum = self->tail_weight + self->away_weight;
+    double tail_share = sum > 0.0 ? self->tail_weight / sum : 0.0;
+    return 1.0 - (1.0 - HOME_SHARE_LEAST) * tail_share;
+}
--- /dev/null
+++ b/src/routing/routing_config.h
@@ -0,0 +1,50 @@
+/** What operators may set about routing, with its defaults. */
+#ifndef EY_ROUTING_ROUTING_CONFIG_H
+#define EY_ROUTING_ROUTING_CONFIG_H
+
+#include "core/types.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyRoutingConfig {
+    EyName_t policy; /* see policy.h; an unknown one means the default */
+    /** Weights, 0.0 or more, of the measures against each other. Tail latency
+     * sends away earlier; the share sent away waits at home longer. */
+    double tail_weight;
+    double away_weight;
+    uint32_t queue_max;        /* requests that wait, for each target */
+    uint64_t link_bytes_per_s; /* to regions without a budget of their own */
+    int64_t link_delay_ms;     /* one way between regions */
+    int64_t report_lag_ms;     /* age of a load report on arrival */
+    int64_t summary_ttl_ms;    /* of other regions' summaries */
+    double overcommit;         /* requests at a replica, in its slots */
+    double herd_factor;        /* share of our own recent sends that each
+                                  other gateway is taken to have sent too */
+    double retry_share;        /* retries for each success */
+    double model_unit_ms;      /* unit of work at speed 1.0, until learned */
+    double service_unit_ms;    /* the same of services */
+    uint32_t answer_token_size_bytes; /* on links between regions */
+    bool admission;                   /* refuse on arrival what can't be met */
+    bool limits_retries;
+    bool ejects;
+    bool sends_away;
+} EyRoutingConfig_t;
+
+/** The defaults. */
+EyRoutingConfig_t
+EyRoutingConfig_Make(void);
+
+/**
+ * Share of a request's time left that may pass at home before it is sent
+ * away, by the weights: 1.0 when only the share sent away counts.
+ */
+double
+EyRoutingConfig_HomeShare(const EyRoutingConfig_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
