--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway/gateway.h"
 
+#include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
 
@@ -56,6 +57,7 @@
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
     EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
     self->outbound = EyOutbound_Start(self, self->attempt_events);
+    EyGateway_OpenRouter(self);
     EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
     return self;
 }
@@ -68,6 +70,7 @@
     g_hash_table_destroy(self->attempts);
     g_hash_table_destroy(self->lives);
     g_hash_table_destroy(self->backends);
+    EyGateway_CloseRouter(self);
 }
 
 static bool
@@ -103,6 +106,8 @@
     (void)json_object_set_new(json, "exchange_count",
                               json_integer(g_hash_table_size(self->lives)));
     (void)json_object_set_new(json, "exchanges", EyGateway_DumpLives(self));
+    (void)json_object_set_new(json, "router",
+                              EyRouter_Dump(self->router, EyClock_NowMs()));
     return json;
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -12,6 +12,7 @@
 #include "exchange/exchange.h"
 #include "gateway/gateway.h"
 #include "instances/peers.h"
+#include "routing/router.h"
 
 /** Answer buffers: what one slow caller can make the gateway hold. */
 #define EY_GATEWAY_STREAM_BYTES (256 * 1024)
@@ -46,6 +47,10 @@
     const EySinkClass_t *sink;
     EyStream_t *stream; /* of a streamed answer */
     EyTimer_t *deadline;
+    EyName_t *allowed_regions; /* where its data may be processed */
+    uint32_t allowed_region_count;
+    bool is_routed; /* the router counts it as in flight */
+    bool was_away;
 } EyLive_t;
 
 typedef struct EyGateway {
@@ -56,6 +61,9 @@
     GHashTable *attempts; /* attempt number -> EyLive_t */
     uint64_t next_attempt;
     GHashTable *backends; /* id -> EyBackend_t */
+    EyRouter_t *router;
+    GArray *pending_decisions; /* of EyRoutingDecision_t */
+    EyTimer_t *router_wakeup;
 } EyGateway_t;
 
 /** Starts the life of a request that came by HTTP. */
@@ -75,6 +83,29 @@
 void
 EyGateway_OnGone(EyGateway_t *self, uint64_t number);
 
+/** Makes the router and its timer. */
+void
+EyGateway_OpenRouter(EyGateway_t *self);
+
+void
+EyGateway_CloseRouter(EyGateway_t *self);
+
+/** Asks the router where the request goes. */
+void
+EyGateway_Route(EyLive_t *live);
+
+/** Withdraws the request from the router. */
+void
+EyGateway_Unroute(EyLive_t *live);
+
+/** Tells the router how an attempt ended. */
+void
+EyGateway_RouteFinished(EyLive_t *live, const EyRoutingResult_t *result);
+
+/** Has the router decide what waits, soon. */
+void
+EyGateway_WakeRouter(EyGateway_t *self);
+
 /** Answers a request that this instance answers itself; false if it isn't
  * the gateway's. */
 bool
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -26,6 +26,8 @@
     EyGateway_t *gateway = live->gateway;
     uint64_t attempt = live->exchange->attempt;
     uint64_t number = live->exchange->request->number;
+    const EyRoutingResult_t cancelled = {.kind = EY_RESULT_CANCELLED};
+    EyGateway_RouteFinished(live, &cancelled);
     g_hash_table_remove(gateway->attempts, &attempt);
     g_hash_table_remove(gateway->lives, &number);
 }
@@ -50,22 +52,6 @@
     EyLive_Step(live, &event);
 }
 
-static const EyBackend_t *
-pick_backend(const EyLive_t *live)
-{
-    const EyExchange_t *exchange = live->exchange;
-    GHashTableIter iter;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&iter, live->gateway->backends);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const EyBackend_t *backend = value;
-        if (EyBackend_Serves(backend, exchange->request->target)) {
-            return backend;
-        }
-    }
-    return NULL;
-}
-
 static void
 do_claim(EyLive_t *live, const EyExchangeAction_t *action)
 {
@@ -78,15 +64,14 @@
 do_route(EyLive_t *live, const EyExchangeAction_t *action)
 {
     (void)action;
-    const EyBackend_t *backend = pick_backend(live);
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ROUTE_REFUSED,
-                               .problem = EY_PROBLEM_NO_BACKEND,
-                               .retry_after_s = 1};
-    if (backend != NULL) {
-        event.kind = EY_EXCHANGE_ROUTED;
-        (void)EY_COPY(event.to, backend->id);
-    }
-    EyLive_Step(live, &event);
+    EyGateway_Route(live);
+}
+
+static void
+do_unroute(EyLive_t *live, const EyExchangeAction_t *action)
+{
+    (void)action;
+    EyGateway_Unroute(live);
 }
 
 static void
@@ -157,6 +142,8 @@
 static void
 fail_unsent(EyLive_t *live, uint64_t number)
 {
+    const EyRoutingResult_t failed = {.kind = EY_RESULT_FAILED};
+    EyGateway_RouteFinished(live, &failed);
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
                                .attempt = number,
                                .nothing_sent = true,
@@ -242,7 +229,7 @@
 static const ActionHandler_t ActionHandlers[EY_EXCHANGE_ACTION_COUNT] = {
     [EY_EXCHANGE_DO_CLAIM] = do_claim,
     [EY_EXCHANGE_DO_ROUTE] = do_route,
-    [EY_EXCHANGE_DO_UNROUTE] = do_nothing,
+    [EY_EXCHANGE_DO_UNROUTE] = do_unroute,
     [EY_EXCHANGE_DO_ATTEMPT] = do_attempt,
     [EY_EXCHANGE_DO_CANCEL] = do_cancel,
     [EY_EXCHANGE_DO_ANSWER] = do_answer,
@@ -307,6 +294,39 @@
     }
 }
 
+/** How the router is to count an attempt's end. */
+static EyResultKind_t
+result_kind(const EyAttemptEvent_t *event)
+{
+    switch (event->failure) {
+    case EY_FAILURE_NONE:
+        return EY_RESULT_OK;
+    case EY_FAILURE_CANCELLED:
+    case EY_FAILURE_DEADLINE:
+        return EY_RESULT_CANCELLED;
+    case EY_FAILURE_WRONG_ID:
+        return EY_RESULT_DISTRUSTED;
+    default:
+        return EY_RESULT_FAILED;
+    }
+}
+
+static void
+finish_route(EyLive_t *live, const EyAttemptEvent_t *event)
+{
+    EyRoutingResult_t result = {
+        .kind = result_kind(event),
+        .duration_ms = event->total_us / 1000,
+        .tokens = event->events_passed,
+    };
+    bool is_passed =
+        event->answer != NULL && is_passing(event->answer->status);
+    if (result.kind == EY_RESULT_OK && is_passed) {
+        result.kind = EY_RESULT_FAILED;
+    }
+    EyGateway_RouteFinished(live, &result);
+}
+
 void
 EyGateway_OnAttempt(EyGateway_t *self, EyAttemptEvent_t *from)
 {
@@ -321,6 +341,10 @@
         talloc_free(from);
         return;
     }
+    if (from->kind == EY_ATTEMPT_DONE || from->kind == EY_ATTEMPT_FAILED) {
+        finish_route(live, from);
+        g_hash_table_remove(self->attempts, &from->number);
+    }
     EyExchangeEvent_t event = {
         .kind = Kinds[from->kind],
         .attempt = from->number,
@@ -335,9 +359,6 @@
     if (from->answer != NULL) {
         take_answer(live, from, &event);
     }
-    if (from->kind == EY_ATTEMPT_DONE || from->kind == EY_ATTEMPT_FAILED) {
-        g_hash_table_remove(self->attempts, &from->number);
-    }
     EyLive_Step(live, &event);
     talloc_free(from);
 }
--- a/src/gateway/local.c
+++ b/src/gateway/local.c
@@ -23,12 +23,15 @@
         return answer;
     }
     g_hash_table_replace(gateway->backends, backend->id, backend);
+    EyRouter_UpsertBackend(gateway->router, EyClock_NowMs(), backend);
+    EyGateway_WakeRouter(gateway);
     return EyAnswer_Json(200, json_pack("{s:s}", "id", backend->id));
 }
 
 static EyAnswer_t *
 answer_withdraw(EyGateway_t *gateway, EyRequest_t *request)
 {
+    EyRouter_RemoveBackend(gateway->router, EyClock_NowMs(), request->target);
     (void)g_hash_table_remove(gateway->backends, request->target);
     return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
 }
--- /dev/null
+++ b/src/gateway/route.c
@@ -0,0 +1,209 @@
+/* The gateway's side of the router: what it is asked, and what follows. */
+#include "core/clock.h"
+#include "core/memory.h"
+#include "gateway/internal.h"
+#include <string.h>
+#include <xxhash.h>
+
+/* A prompt's beginning, by which a warm prefix cache is guessed. */
+#define PREFIX_BYTES 512
+
+typedef struct RefusalAnswer {
+    EyProblem_t problem;
+    const char *detail;
+} RefusalAnswer_t;
+
+static const RefusalAnswer_t RefusalAnswers[EY_REFUSAL_COUNT] = {
+    [EY_REFUSAL_NONE] = {EY_PROBLEM_INTERNAL, NULL},
+    [EY_REFUSAL_NO_BACKEND] = {EY_PROBLEM_NO_BACKEND,
+                               "no backend server serves the target now"},
+    [EY_REFUSAL_OVERLOADED] = {EY_PROBLEM_OVERLOADED,
+                               "the deadline can't be met"},
+    [EY_REFUSAL_QUEUE_FULL] = {EY_PROBLEM_OVERLOADED, "the queue is full"},
+    [EY_REFUSAL_DEADLINE] = {EY_PROBLEM_DEADLINE,
+                             "the deadline can't be met any more"},
+    [EY_REFUSAL_RETRY_BUDGET] = {EY_PROBLEM_BACKEND_FAILED,
+                                 "an attempt failed and retries are limited"},
+    [EY_REFUSAL_NOT_REPEATABLE] = {EY_PROBLEM_OUTCOME_UNKNOWN,
+                                   "it may have run and must not run twice"},
+    [EY_REFUSAL_WRONG_REGION] = {EY_PROBLEM_WRONG_REGION,
+                                 "the data is bound to another region"},
+    [EY_REFUSAL_INVALID] = {EY_PROBLEM_INTERNAL, "routed twice"},
+};
+
+static uint32_t
+seconds_up(uint32_t duration_ms)
+{
+    return (duration_ms + 999) / 1000;
+}
+
+static void
+apply_decision(EyLive_t *live, const EyRoutingDecision_t *decision)
+{
+    const RefusalAnswer_t *refusal = &RefusalAnswers[decision->reason];
+    EyExchangeEvent_t event = {
+        .kind = EY_EXCHANGE_ROUTE_REFUSED,
+        .problem = refusal->problem,
+        .detail = refusal->detail,
+        .retry_after_s = seconds_up(decision->retry_after_ms),
+    };
+    switch (decision->kind) {
+    case EY_DECISION_QUEUED:
+        return;
+    case EY_DECISION_DISPATCH:
+        event.kind = EY_EXCHANGE_ROUTED;
+        (void)EY_COPY(event.to, decision->backend);
+        live->is_routed = true;
+        break;
+    case EY_DECISION_SEND_AWAY:
+        event.kind = EY_EXCHANGE_ROUTED;
+        event.is_away = true;
+        (void)EY_COPY(event.to, decision->region);
+        live->is_routed = true;
+        break;
+    default:
+        break;
+    }
+    EyLive_Step(live, &event);
+}
+
+static void
+apply_decisions(EyGateway_t *gateway, GArray *decisions)
+{
+    for (guint i = 0; i < decisions->len; i++) {
+        const EyRoutingDecision_t *decision =
+            &g_array_index(decisions, EyRoutingDecision_t, i);
+        EyLive_t *live =
+            g_hash_table_lookup(gateway->lives, &decision->number);
+        if (live != NULL) {
+            apply_decision(live, decision);
+        }
+    }
+    g_array_free(decisions, TRUE);
+}
+
+static GArray *
+new_decisions(void)
+{
+    return g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+}
+
+static EyRoutingRequest_t
+make_request(const EyLive_t *live)
+{
+    const EyExchange_t *exchange = live->exchange;
+    const EyRequest_t *request = exchange->request;
+    bool is_model = request->call == EY_CALL_MODEL;
+    EyRoutingRequest_t routing = {
+        .number = request->number,
+        .kind = is_model ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE,
+        .body_bytes = request->body.size_bytes,
+        .tokens_max = request->tokens_max,
+        .deadline_ms = request->deadline_ms,
+        .allowed_regions = live->allowed_regions,
+        .allowed_region_count = live->allowed_region_count,
+        .excluded_count = exchange->tried_count,
+        .is_idempotent = exchange->is_idempotent,
+        .is_booking = !exchange->is_idempotent,
+        .is_forwarded = request->visited_count > 0,
+        .stays_home = live->was_away,
+        .is_retry = exchange->tried_count > 0,
+        .was_sent = exchange->sent_before,
+    };
+    if (is_model) {
+        size_t size_bytes = request->body.size_bytes < PREFIX_BYTES
+                                ? request->body.size_bytes
+                                : PREFIX_BYTES;
+        routing.prefix_hash = XXH64(request->body.data, size_bytes, 0);
+    }
+    (void)EY_COPY(routing.target, request->target);
+    (void)EY_COPY(routing.home, request->home);
+    for (uint32_t i = 0; i < exchange->tried_count; i++) {
+        (void)EY_COPY(routing.excluded[i], exchange->tried[i]);
+    }
+    return routing;
+}
+
+void
+EyGateway_Route(EyLive_t *live)
+{
+    const EyRoutingRequest_t request = make_request(live);
+    EyRoutingDecision_t decision =
+        EyRouter_Submit(live->gateway->router, EyClock_NowMs(), &request);
+    apply_decision(live, &decision);
+}
+
+void
+EyGateway_Unroute(EyLive_t *live)
+{
+    EyGateway_t *gateway = live->gateway;
+    GArray *decisions = new_decisions();
+    (void)EyRouter_Cancel(gateway->router, EyClock_NowMs(),
+                          live->exchange->request->number, decisions);
+    live->is_routed = false;
+    apply_decisions(gateway, decisions);
+}
+
+void
+EyGateway_RouteFinished(EyLive_t *live, const EyRoutingResult_t *result)
+{
+    if (!live->is_routed) {
+        return;
+    }
+    live->is_routed = false;
+    EyGateway_t *gateway = live->gateway;
+    /* Others that waited may go now, but only after this step: the next tick
+     * is never far, and a step must not start inside another. */
+    (void)EyRouter_Finished(gateway->router, EyClock_NowMs(),
+                            live->exchange->request->number, result,
+                            gateway->pending_decisions);
+    EyGateway_WakeRouter(gateway);
+}
+
+static void
+on_router_due(void *data, int64_t now_ms)
+{
+    EyGateway_t *gateway = data;
+    gateway->router_wakeup = NULL;
+    GArray *decisions = gateway->pending_decisions;
+    gateway->pending_decisions = new_decisions();
+    EyRouter_Tick(gateway->router, now_ms, decisions);
+    apply_decisions(gateway, decisions);
+}
+
+void
+EyGateway_WakeRouter(EyGateway_t *self)
+{
+    if (self->router_wakeup == NULL) {
+        self->router_wakeup =
+            EyTimers_After(self->node->timers, 0, on_router_due, self);
+    }
+}
+
+static void
+on_router_tick(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyGateway_WakeRouter(data);
+}
+
+void
+EyGateway_OpenRouter(EyGateway_t *self)
+{
+    enum { ROUTER_TICK_MS = 20 };
+    const EyRouterOptions_t options = {
+        .region = self->node->settings->region,
+        .seed = EyRandom_Next(&self->node->random),
+        .config = EyRoutingConfig_Make(),
+    };
+    self->router = EyRouter_New(self, &options);
+    self->pending_decisions = new_decisions();
+    (void)EyTimers_Every(self->node->timers, ROUTER_TICK_MS, on_router_tick,
+                         self);
+}
+
+void
+EyGateway_CloseRouter(EyGateway_t *self)
+{
+    g_array_free(self->pending_decisions, TRUE);
+}
