HTTP out: client by libcurl multi on tevent, framer for server-sent events

Cause: calls to backend servers need streams with backpressure, timeouts and a truthful mark of when bytes may have left. SENDING comes from libcurl's pre-request callback, which runs when the connection is there and before the request is sent, also before a repeat on a fresh connection.

tevent reports errors of a descriptor only to those who read, so a refused connection is waited for with read and write.

--- /dev/null
+++ b/src/backends/client.c
@@ -0,0 +1,585 @@
+#include "backends/client.h"
+
+#include "backends/transfer.h"
+#include "core/clock.h"
+#include "core/counters.h"
+#include "core/log.h"
+#include "core/memory.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+/* Connections kept for reuse, over all backend servers. */
+#define KEPT_CONNECTIONS_MAX 512L
+
+const char *const EyAttemptFailure_names[EY_FAILURE_COUNT] = {
+    [EY_FAILURE_NONE] = "none",           [EY_FAILURE_CONNECT] = "connect",
+    [EY_FAILURE_BROKEN] = "broken",       [EY_FAILURE_IDLE] = "idle",
+    [EY_FAILURE_DEADLINE] = "deadline",   [EY_FAILURE_CANCELLED] = "cancelled",
+    [EY_FAILURE_WRONG_ID] = "wrong_id",   [EY_FAILURE_TOO_LARGE] = "too_large",
+    [EY_FAILURE_MALFORMED] = "malformed",
+};
+
+struct EyClient {
+    struct tevent_context *loop;
+    EyTimers_t *timers;
+    EyAttemptHandler_t handler;
+    void *data;
+    CURLM *multi;
+    EyTimer_t *timer; /* libcurl's */
+    struct tevent_immediate *soon;
+    GHashTable *transfers; /* by number */
+    GQueue starting;       /* of EyTransfer_t, not yet given to libcurl */
+    GQueue ending;         /* of EyTransfer_t whose failure is set */
+    int wake_descriptor;
+    pthread_mutex_t lock;
+    GQueue woken; /* of EyTransfer_t whose stream may be written; locked */
+};
+
+/** A socket of libcurl's. */
+typedef struct Socket {
+    EyClient_t *client;
+    curl_socket_t descriptor;
+    struct tevent_fd *event;
+} Socket_t;
+
+enum {
+    METRIC_ATTEMPTS,
+    METRIC_DONE,
+    METRIC_FAILURES, /* from EY_FAILURE_CONNECT on */
+    METRIC_FAILURES_END = METRIC_FAILURES + EY_FAILURE_COUNT - 1,
+    METRIC_IN_FLIGHT = METRIC_FAILURES_END,
+    METRIC_PAUSES,
+    METRIC_FIRST_BYTE,
+    METRIC_COUNT
+};
+
+#define FAILURE_METRIC(failure_name)                                          \
+    {                                                                         \
+        .name = "attempt_failures_total",                                     \
+        .labels = "failure=\"" failure_name "\"",                             \
+        .help = "Failed attempts at backend servers, by failure"              \
+    }
+
+static EyMetric_t Metrics[METRIC_COUNT] = {
+    [METRIC_ATTEMPTS] = {.name = "attempts_total",
+                         .help = "Calls started to backend servers"},
+    [METRIC_DONE] = {.name = "attempts_done_total",
+                     .help = "Calls whose whole answer came"},
+    [METRIC_FAILURES + EY_FAILURE_CONNECT - 1] = FAILURE_METRIC("connect"),
+    [METRIC_FAILURES + EY_FAILURE_BROKEN - 1] = FAILURE_METRIC("broken"),
+    [METRIC_FAILURES + EY_FAILURE_IDLE - 1] = FAILURE_METRIC("idle"),
+    [METRIC_FAILURES + EY_FAILURE_DEADLINE - 1] = FAILURE_METRIC("deadline"),
+    [METRIC_FAILURES + EY_FAILURE_CANCELLED - 1] = FAILURE_METRIC("cancelled"),
+    [METRIC_FAILURES + EY_FAILURE_WRONG_ID - 1] = FAILURE_METRIC("wrong_id"),
+    [METRIC_FAILURES + EY_FAILURE_TOO_LARGE - 1] = FAILURE_METRIC("too_large"),
+    [METRIC_FAILURES + EY_FAILURE_MALFORMED - 1] = FAILURE_METRIC("malformed"),
+    [METRIC_IN_FLIGHT] = {.name = "attempts_in_flight",
+                          .help = "Calls to backend servers in flight",
+                          .kind = EY_METRIC_GAUGE},
+    [METRIC_PAUSES] = {.name = "attempt_pauses_total",
+                       .help = "Pauses for slower readers"},
+    [METRIC_FIRST_BYTE] = {.name = "attempt_first_byte_seconds",
+                           .help = "From a call's start to its first byte",
+                           .kind = EY_METRIC_HISTOGRAM},
+};
+
+static void
+on_soon(struct tevent_context *loop, struct tevent_immediate *soon,
+        void *data);
+
+/** Has on_soon called by the loop, outside of libcurl's callbacks. */
+static void
+run_soon(EyClient_t *self)
+{
+    tevent_schedule_immediate(self->soon, self->loop, on_soon, self);
+}
+
+static EyAttemptEvent_t *
+make_event(const EyTransfer_t *transfer, EyAttemptEventKind_t kind)
+{
+    EyAttemptEvent_t *event = EY_NEW(NULL, EyAttemptEvent_t);
+    event->number = transfer->attempt->number;
+    event->kind = kind;
+    event->events_passed = transfer->events_passed;
+    event->bytes_passed = transfer->bytes_passed;
+    return event;
+}
+
+void
+EyClient_OnSending(EyClient_t *self, EyTransfer_t *transfer)
+{
+    self->handler(self->data, make_event(transfer, EY_ATTEMPT_SENDING));
+}
+
+/** Gives the head out; the transfer keeps what it needs to go on. */
+void
+EyClient_OnHead(EyClient_t *self, EyTransfer_t *transfer)
+{
+    EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_HEAD);
+    const EyAnswer_t *from = transfer->head.answer;
+    EyAnswer_t *answer = EyAnswer_New(from->status, from->outcome);
+    answer->stream_size_bytes = from->stream_size_bytes;
+    answer->is_events = from->is_events;
+    for (uint32_t i = 0; i < from->header_count; i++) {
+        EyAnswer_SetHeader(answer, from->headers[i].name,
+                           from->headers[i].value);
+    }
+    event->answer = talloc_steal(event, answer);
+    self->handler(self->data, event);
+}
+
+/** Has the transfer ended soon, for the first reason only. */
+static void
+end_soon(EyTransfer_t *transfer, EyAttemptFailure_t failure)
+{
+    if (transfer->queued_to_end) {
+        return;
+    }
+    if (transfer->failure == EY_FAILURE_NONE) {
+        transfer->failure = failure;
+    }
+    transfer->queued_to_end = true;
+    g_queue_push_tail(&transfer->client->ending, transfer);
+    run_soon(transfer->client);
+}
+
+static void
+on_deadline(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyTransfer_t *transfer = data;
+    transfer->deadline = NULL;
+    end_soon(transfer, EY_FAILURE_DEADLINE);
+}
+
+static void
+on_idle(void *data, int64_t now_ms)
+{
+    EyTransfer_t *transfer = data;
+    int64_t limit_ms = transfer->attempt->idle_timeout_ms;
+    /* Before the call is sent, and while the reader is slow, the backend
+     * server isn't to blame for the silence. */
+    int64_t silent_ms =
+        transfer->sent && !transfer->paused ? now_ms - transfer->active_ms : 0;
+    transfer->idle = NULL;
+    if (silent_ms >= limit_ms) {
+        end_soon(transfer, EY_FAILURE_IDLE);
+        return;
+    }
+    transfer->idle = EyTimers_After(transfer->client->timers,
+                                    limit_ms - silent_ms, on_idle, transfer);
+}
+
+/** The stream has room again or its reader is gone; from any thread. */
+static void
+on_writable(void *data)
+{
+    EyTransfer_t *transfer = data;
+    EyClient_t *self = transfer->client;
+    (void)pthread_mutex_lock(&self->lock);
+    bool first = !transfer->woken;
+    if (first) {
+        transfer->woken = true;
+        g_queue_push_tail(&self->woken, transfer);
+    }
+    (void)pthread_mutex_unlock(&self->lock);
+    if (first) {
+        const uint64_t one = 1;
+        ssize_t written = write(self->wake_descriptor, &one, sizeof(one));
+        (void)written;
+    }
+}
+
+static void
+detach_stream(EyClient_t *self, EyTransfer_t *transfer)
+{
+    if (transfer->attempt->stream == NULL) {
+        return;
+    }
+    EyStream_SetWriter(transfer->attempt->stream, NULL, NULL);
+    (void)pthread_mutex_lock(&self->lock);
+    if (transfer->woken) {
+        (void)g_queue_remove(&self->woken, transfer);
+    }
+    (void)pthread_mutex_unlock(&self->lock);
+}
+
+/** Takes the transfer out of everything; only its memory is left. */
+static void
+detach(EyClient_t *self, EyTransfer_t *transfer)
+{
+    (void)g_hash_table_remove(self->transfers, &transfer->attempt->number);
+    (void)g_queue_remove(&self->starting, transfer);
+    (void)g_queue_remove(&self->ending, transfer);
+    EyMetric_Set(&Metrics[METRIC_IN_FLIGHT],
+                 g_hash_table_size(self->transfers));
+    detach_stream(self, transfer);
+    if (transfer->easy != NULL) {
+        (void)curl_multi_remove_handle(self->multi, transfer->easy);
+    }
+}
+
+static EyAttemptEvent_t *
+make_done(EyTransfer_t *transfer)
+{
+    EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_DONE);
+    event->first_byte_us = transfer->first_byte_us;
+    event->total_us = EyClock_NowUs() - transfer->started_us;
+    if (transfer->collects) {
+        event->answer = talloc_steal(event, EyTransfer_TakeAnswer(transfer));
+    }
+    EyMetric_Add(&Metrics[METRIC_DONE], 1);
+    EyMetric_Observe(&Metrics[METRIC_FIRST_BYTE], transfer->first_byte_us);
+    return event;
+}
+
+static EyAttemptEvent_t *
+make_failed(const EyTransfer_t *transfer, EyAttemptFailure_t failure)
+{
+    EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_FAILED);
+    event->failure = failure;
+    event->nothing_sent = !transfer->sent;
+    EyMetric_Add(&Metrics[METRIC_FAILURES + failure - 1], 1);
+    return event;
+}
+
+/** Ends the transfer by its one last event. */
+static void
+finish(EyClient_t *self, EyTransfer_t *transfer, CURLcode result)
+{
+    detach(self, transfer);
+    EyAttemptFailure_t failure = EyTransfer_Settle(transfer, result);
+    EyAttemptEvent_t *event = failure == EY_FAILURE_NONE
+                                  ? make_done(transfer)
+                                  : make_failed(transfer, failure);
+    if (failure == EY_FAILURE_NONE && !transfer->collects) {
+        EyStream_Finish(transfer->attempt->stream, EY_STREAM_WHOLE);
+    }
+    EY_LOG(EY_LOG_DEBUG, "backends", "attempt_ended",
+           EY_LOG_TEXT("request_id", transfer->attempt->request_id),
+           EY_LOG_TEXT("address", transfer->attempt->address),
+           EY_LOG_TEXT("failure", EyAttemptFailure_names[failure]),
+           EY_LOG_NUMBER("result", result),
+           EY_LOG_NUMBER("bytes_passed", transfer->bytes_passed));
+    EyTransfer_Free(transfer);
+    self->handler(self->data, event);
+}
+
+/** Finishes what libcurl has ended. */
+static void
+take_ended(EyClient_t *self)
+{
+    int left = 0;
+    const CURLMsg *message = NULL;
+    while ((message = curl_multi_info_read(self->multi, &left)) != NULL) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        CURLcode result = message->data.result;
+        char *transfer = NULL;
+        (void)curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+                                &transfer);
+        finish(self, (EyTransfer_t *)(void *)transfer, result);
+    }
+}
+
+static void
+run_curl(EyClient_t *self, curl_socket_t descriptor, int events)
+{
+    int running = 0;
+    (void)curl_multi_socket_action(self->multi, descriptor, events, &running);
+    take_ended(self);
+}
+
+static void
+on_socket_event(struct tevent_context *loop, struct tevent_fd *event,
+                uint16_t flags, void *data)
+{
+    (void)loop;
+    (void)event;
+    const Socket_t *socket = data;
+    int events = 0;
+    if ((flags & TEVENT_FD_READ) != 0) {
+        events |= CURL_CSELECT_IN;
+    }
+    if ((flags & TEVENT_FD_WRITE) != 0) {
+        events |= CURL_CSELECT_OUT;
+    }
+    run_curl(socket->client, socket->descriptor, events);
+}
+
+static uint16_t
+event_flags(int what)
+{
+    switch (what) {
+    case CURL_POLL_IN:
+        return TEVENT_FD_READ;
+    case CURL_POLL_OUT:
+        /* tevent tells of errors, such as a refused connection, only to
+         * those who read. */
+    case CURL_POLL_INOUT:
+        return TEVENT_FD_READ | TEVENT_FD_WRITE;
+    default:
+        return 0;
+    }
+}
+
+/** libcurl says what to wait for at a socket. */
+static int
+on_socket(CURL *easy, curl_socket_t descriptor, int what, void *data,
+          void *place)
+{
+    (void)easy;
+    EyClient_t *self = data;
+    Socket_t *socket = place;
+    if (what == CURL_POLL_REMOVE) {
+        talloc_free(socket);
+        (void)curl_multi_assign(self->multi, descriptor, NULL);
+        return 0;
+    }
+    if (socket == NULL) {
+        socket = EY_NEW(self, Socket_t);
+        socket->client = self;
+        socket->descriptor = descriptor;
+        socket->event =
+            tevent_add_fd(self->loop, socket, descriptor, event_flags(what),
+                          on_socket_event, socket);
+        if (socket->event == NULL) {
+            abort();
+        }
+        (void)curl_multi_assign(self->multi, descriptor, socket);
+    }
+    tevent_fd_set_flags(socket->event, event_flags(what));
+    return 0;
+}
+
+static void
+on_curl_timer(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyClient_t *self = data;
+    self->timer = NULL;
+    run_curl(self, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+set_curl_timer(CURLM *multi, long timeout_ms, void *data)
+{
+    (void)multi;
+    EyClient_t *self = data;
+    talloc_free(self->timer);
+    self->timer = NULL;
+    if (timeout_ms == 0) {
+        run_soon(self);
+    }
+    else if (timeout_ms > 0) {
+        self->timer =
+            EyTimers_After(self->timers, timeout_ms, on_curl_timer, self);
+    }
+    return 0;
+}
+
+/** Gives a transfer to libcurl. */
+static void
+begin(EyClient_t *self, EyTransfer_t *transfer)
+{
+    const EyAttempt_t *attempt = transfer->attempt;
+    if (transfer->failure != EY_FAILURE_NONE) {
+        return; /* it is in the queue of those that end */
+    }
+    if (transfer->easy == NULL) {
+        end_soon(transfer, EY_FAILURE_CONNECT);
+        return;
+    }
+    transfer->active_ms = EyClock_NowMs();
+    if (attempt->deadline_ms > 0) {
+        transfer->deadline = EyTimers_After(
+            self->timers, attempt->deadline_ms - transfer->active_ms,
+            on_deadline, transfer);
+    }
+    if (attempt->idle_timeout_ms > 0) {
+        transfer->idle = EyTimers_After(self->timers, attempt->idle_timeout_ms,
+                                        on_idle, transfer);
+    }
+    if (attempt->stream != NULL) {
+        EyStream_SetWriter(attempt->stream, on_writable, transfer);
+    }
+    (void)curl_multi_add_handle(self->multi, transfer->easy);
+}
+
+static void
+on_soon(struct tevent_context *loop, struct tevent_immediate *soon, void *data)
+{
+    (void)loop;
+    (void)soon;
+    EyClient_t *self = data;
+    EyTransfer_t *transfer = NULL;
+    while ((transfer = g_queue_pop_head(&self->ending)) != NULL) {
+        finish(self, transfer, CURLE_OK);
+    }
+    while ((transfer = g_queue_pop_head(&self->starting)) != NULL) {
+        begin(self, transfer);
+    }
+    run_curl(self, CURL_SOCKET_TIMEOUT, 0);
+}
+
+/** Goes on with a transfer whose stream was full, or ends it. */
+static void
+wake_transfer(EyTransfer_t *transfer)
+{
+    if (EyStream_State(transfer->attempt->stream) == EY_STREAM_LEFT) {
+        end_soon(transfer, EY_FAILURE_CANCELLED);
+        return;
+    }
+    if (transfer->paused && transfer->failure == EY_FAILURE_NONE) {
+        transfer->paused = false;
+        transfer->active_ms = EyClock_NowMs();
+        EyMetric_Add(&Metrics[METRIC_PAUSES], 1);
+        if (curl_easy_pause(transfer->easy, CURLPAUSE_CONT) != CURLE_OK) {
+            /* libcurl doesn't end the transfer then. */
+            end_soon(transfer, EY_FAILURE_BROKEN);
+        }
+        run_soon(transfer->client);
+    }
+}
+
+static EyTransfer_t *
+take_woken(EyClient_t *self)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    EyTransfer_t *transfer = g_queue_pop_head(&self->woken);
+    if (transfer != NULL) {
+        transfer->woken = false;
+    }
+    (void)pthread_mutex_unlock(&self->lock);
+    return transfer;
+}
+
+static void
+on_wake_readable(struct tevent_context *loop, struct tevent_fd *event,
+                 uint16_t flags, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)flags;
+    EyClient_t *self = data;
+    uint64_t count = 0;
+    ssize_t got = read(self->wake_descriptor, &count, sizeof(count));
+    (void)got;
+    EyTransfer_t *transfer = NULL;
+    while ((transfer = take_woken(self)) != NULL) {
+        wake_transfer(transfer);
+    }
+}
+
+static int
+client_destroy(EyClient_t *self)
+{
+    GHashTableIter iterator;
+    gpointer transfer = NULL;
+    g_hash_table_iter_init(&iterator, self->transfers);
+    while (g_hash_table_iter_next(&iterator, NULL, &transfer)) {
+        g_hash_table_iter_steal(&iterator);
+        detach(self, transfer);
+        EyTransfer_Free(transfer);
+    }
+    (void)curl_multi_cleanup(self->multi);
+    talloc_free(self->timer);
+    g_hash_table_destroy(self->transfers);
+    g_queue_clear(&self->starting);
+    g_queue_clear(&self->ending);
+    g_queue_clear(&self->woken);
+    (void)close(self->wake_descriptor);
+    (void)pthread_mutex_destroy(&self->lock);
+    return 0;
+}
+
+static void
+start_library(void)
+{
+    if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+        abort();
+    }
+}
+
+static void
+make_multi(EyClient_t *self)
+{
+    self->multi = curl_multi_init();
+    if (self->multi == NULL) {
+        abort();
+    }
+    (void)curl_multi_setopt(self->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+    (void)curl_multi_setopt(self->multi, CURLMOPT_SOCKETDATA, self);
+    (void)curl_multi_setopt(self->multi, CURLMOPT_TIMERFUNCTION,
+                            set_curl_timer);
+    (void)curl_multi_setopt(self->multi, CURLMOPT_TIMERDATA, self);
+    (void)curl_multi_setopt(self->multi, CURLMOPT_MAXCONNECTS,
+                            KEPT_CONNECTIONS_MAX);
+}
+
+EyClient_t *
+EyClient_New(const void *ctx, struct tevent_context *loop, EyTimers_t *timers,
+             EyAttemptHandler_t handler, void *data)
+{
+    static pthread_once_t started = PTHREAD_ONCE_INIT;
+    (void)pthread_once(&started, start_library);
+    EyMetrics_Register(Metrics, METRIC_COUNT);
+    EyClient_t *self = EY_NEW(ctx, EyClient_t);
+    self->loop = loop;
+    self->timers = timers;
+    self->handler = handler;
+    self->data = data;
+    self->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_queue_init(&self->starting);
+    g_queue_init(&self->ending);
+    g_queue_init(&self->woken);
+    (void)pthread_mutex_init(&self->lock, NULL);
+    self->soon = tevent_create_immediate(self);
+    self->wake_descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (self->soon == NULL || self->wake_descriptor < 0 ||
+        tevent_add_fd(loop, self, self->wake_descriptor, TEVENT_FD_READ,
+                      on_wake_readable, self) == NULL)
+    {
+        abort();
+    }
+    make_multi(self);
+    talloc_set_destructor(self, client_destroy);
+    return self;
+}
+
+void
+EyClient_Start(EyClient_t *self, EyAttempt_t *attempt)
+{
+    EyTransfer_t *transfer = EyTransfer_New(self, attempt);
+    (void)g_hash_table_insert(self->transfers, &attempt->number, transfer);
+    EyMetric_Add(&Metrics[METRIC_ATTEMPTS], 1);
+    EyMetric_Set(&Metrics[METRIC_IN_FLIGHT],
+                 g_hash_table_size(self->transfers));
+    EY_LOG(EY_LOG_DEBUG, "backends", "attempt_started",
+           EY_LOG_TEXT("request_id", attempt->request_id),
+           EY_LOG_TEXT("address", attempt->address),
+           EY_LOG_TEXT("method", attempt->method),
+           EY_LOG_TEXT("path", attempt->path));
+    g_queue_push_tail(&self->starting, transfer);
+    run_soon(self);
+}
+
+void
+EyClient_Cancel(EyClient_t *self, uint64_t number)
+{
+    EyTransfer_t *transfer = g_hash_table_lookup(self->transfers, &number);
+    if (transfer != NULL) {
+        end_soon(transfer, EY_FAILURE_CANCELLED);
+    }
+}
+
+uint32_t
+EyClient_InFlight(const EyClient_t *self)
+{
+    return g_hash_table_size(self->transfers);
+}
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -16,11 +16,16 @@
 extern "C" {
 #endif
 
-/** Where the answer's body goes. */
+/**
+ * Where the answer's body goes. The streamed modes are for answers with a
+ * status of 2xx; any other answer is collected, so that what a backend server
+ * says about its failure never gets into the stream.
+ */
 typedef enum EyAttemptBody {
     EY_ATTEMPT_COLLECT, /* kept whole, up to EY_ANSWER_BODY_MAX_BYTES */
     EY_ATTEMPT_STREAM,  /* through stream as it comes */
-    EY_ATTEMPT_EVENTS   /* through stream, whole server-sent events only */
+    EY_ATTEMPT_EVENTS   /* through stream, whole server-sent events only, if
+                           the answer has any; else as STREAM */
 } EyAttemptBody_t;
 
 /** One call to one backend server; a talloc root that is handed over. */
@@ -30,7 +35,10 @@
     char method[16];
     char *path; /* on the backend server, with query */
     EyKey_t request_id;
-    bool check_echo; /* the answer must bear the same X-Request-Id */
+    bool check_echo;   /* the answer must bear the same X-Request-Id */
+    bool never_repeat; /* sent at most once, on a connection of its own; else
+                          it may be sent again if a kept connection proves
+                          dead before the answer's first byte */
     EyHeader_t *headers;
     uint32_t header_count;
     EyBytes_t body;
@@ -38,14 +46,17 @@
     uint32_t idle_timeout_ms; /* longest silence once the call was sent */
     int64_t deadline_ms;
     EyAttemptBody_t body_mode;
-    EyStream_t *stream;    /* a reference of its own, or NULL */
+    EyStream_t *stream;    /* a reference of its own, or NULL; it is finished
+                              as WHOLE at DONE and left open at FAILED, for
+                              another attempt or its owner to end */
     uint32_t resume_after; /* events that the caller has already: sent as
                               Ebonyyard-Resume-After; 0: from the start */
 } EyAttempt_t;
 
 typedef enum EyAttemptEventKind {
     EY_ATTEMPT_SENDING, /* from now on bytes may have left */
-    EY_ATTEMPT_HEAD,    /* status and headers are there (streamed modes) */
+    EY_ATTEMPT_HEAD,    /* status and headers of a streamed answer are there;
+                           a cancel from here on lets no byte of it through */
     EY_ATTEMPT_DONE,    /* the whole answer came */
     EY_ATTEMPT_FAILED,
     EY_ATTEMPT_EVENT_COUNT
@@ -74,8 +85,10 @@
     bool nothing_sent;      /* FAILED: no byte of the request left */
     uint32_t events_passed; /* server-sent events given to the stream by this
                                attempt */
-    EyAnswer_t *answer;     /* HEAD: no body yet; DONE when collected: whole;
-                               a talloc child of the event */
+    uint64_t bytes_passed;  /* given to the stream by this attempt */
+    EyAnswer_t *answer;     /* HEAD: no body yet; DONE when collected: whole,
+                               when streamed: NULL; a talloc child of the
+                               event */
     int64_t first_byte_us;  /* DONE: from start to the answer's first byte */
     int64_t total_us;       /* DONE */
 } EyAttemptEvent_t;
@@ -89,11 +102,13 @@
              EyAttemptHandler_t handler, void *data);
 
 /** Starts an attempt; takes it over. Always ends in DONE or FAILED, exactly
- * once, and never from within this call. */
+ * once, and never from within this call. May be called by the handler. */
 void
 EyClient_Start(EyClient_t *self, EyAttempt_t *attempt);
 
-/** Cancels an attempt; it ends as FAILED with CANCELLED unless it ended. */
+/** Cancels an attempt; it ends as FAILED with CANCELLED unless it ended. No
+ * more bytes leave nor come through. May be called by the handler; the event
+ * comes later. */
 void
 EyClient_Cancel(EyClient_t *self, uint64_t number);
 
--- /dev/null
+++ b/src/backends/response_head.c
@@ -0,0 +1,122 @@
+#include "backends/response_head.h"
+
+#include "core/memory.h"
+#include "exchange/hop_headers.h"
+
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+/* All lines of one head. */
+#define HEAD_MAX_BYTES 65536
+/* Statuses below it belong to interim answers. */
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX 599
+
+/** Starts a head by its status line, such as HTTP/1.1 200 OK. */
+static bool
+add_status(EyResponseHead_t *self, const char *line)
+{
+    const char *space = strchr(line, ' ');
+    if (space == NULL) {
+        return false;
+    }
+    gchar *end = NULL;
+    guint64 status = g_ascii_strtoull(space + 1, &end, 10);
+    if (end != space + 4 || (*end != ' ' && *end != '\0') ||
+        status > STATUS_MAX) {
+        return false;
+    }
+    talloc_free(self->answer);
+    self->answer = EyAnswer_New((uint32_t)status, EY_OUTCOME_COMPLETED);
+    self->content_size_bytes = -1;
+    self->chunked = false;
+    self->echoed_id = NULL;
+    return true;
+}
+
+/** A second length that differs is refused: where the body ends is unsure. */
+static bool
+add_content_size(EyResponseHead_t *self, const char *value)
+{
+    gchar *end = NULL;
+    guint64 size_bytes = g_ascii_strtoull(value, &end, 10);
+    if (!g_ascii_isdigit(*value) || *end != '\0' || size_bytes > G_MAXINT64) {
+        return false;
+    }
+    bool differs = self->content_size_bytes >= 0 &&
+                   self->content_size_bytes != (int64_t)size_bytes;
+    self->content_size_bytes = (int64_t)size_bytes;
+    return !differs;
+}
+
+static bool
+add_header(EyResponseHead_t *self, const char *name, const char *value)
+{
+    if (strcasecmp(name, "Content-Length") == 0) {
+        return add_content_size(self, value);
+    }
+    if (strcasecmp(name, "Transfer-Encoding") == 0) {
+        self->chunked = strcasecmp(value, "chunked") == 0;
+        return self->chunked;
+    }
+    if (strcasecmp(name, "X-Request-Id") == 0) {
+        bool second = self->echoed_id != NULL;
+        self->echoed_id = EyMemory_Strdup(self->answer, value);
+        return !second;
+    }
+    if (strcasecmp(name, "Content-Type") == 0) {
+        static const char Events[] = "text/event-stream";
+        self->answer->is_events =
+            strncasecmp(value, Events, sizeof(Events) - 1) == 0;
+    }
+    if (EyHopHeaders_Has(name)) {
+        return true;
+    }
+    uint32_t count = self->answer->header_count;
+    EyAnswer_SetHeader(self->answer, name, value);
+    return self->answer->header_count > count;
+}
+
+static EyHeadProgress_t
+add_text(EyResponseHead_t *self, char *line)
+{
+    if (strncmp(line, "HTTP/", strlen("HTTP/")) == 0) {
+        return add_status(self, line) ? EY_HEAD_MORE : EY_HEAD_MALFORMED;
+    }
+    if (self->answer == NULL) {
+        return EY_HEAD_MALFORMED;
+    }
+    if (*line == '\0') {
+        return self->answer->status < STATUS_FINAL_MIN ? EY_HEAD_MORE
+                                                       : EY_HEAD_COMPLETE;
+    }
+    char *colon = strchr(line, ':');
+    if (colon == NULL || colon == line || g_ascii_isspace(*line)) {
+        return EY_HEAD_MALFORMED;
+    }
+    *colon = '\0';
+    return add_header(self, line, g_strstrip(colon + 1)) ? EY_HEAD_MORE
+                                                         : EY_HEAD_MALFORMED;
+}
+
+EyHeadProgress_t
+EyResponseHead_AddLine(EyResponseHead_t *self, const char *line,
+                       size_t size_bytes)
+{
+    if (size_bytes > HEAD_MAX_BYTES - self->size_bytes ||
+        memchr(line, '\0', size_bytes) != NULL)
+    {
+        return EY_HEAD_MALFORMED;
+    }
+    self->size_bytes += (uint32_t)size_bytes;
+    while (size_bytes > 0 &&
+           (line[size_bytes - 1] == '\n' || line[size_bytes - 1] == '\r'))
+    {
+        size_bytes--;
+    }
+    char *text = EyMemory_Copy(NULL, line, size_bytes);
+    EyHeadProgress_t progress = add_text(self, text);
+    talloc_free(text);
+    return progress;
+}
--- /dev/null
+++ b/src/backends/response_head.h
@@ -0,0 +1,36 @@
+/** Reads and checks the head of a backend server's answer, line by line. */
+#ifndef EY_BACKENDS_RESPONSE_HEAD_H
+#define EY_BACKENDS_RESPONSE_HEAD_H
+
+#include "exchange/answer.h"
+
+#include <stddef.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum EyHeadProgress {
+    EY_HEAD_MORE,
+    EY_HEAD_COMPLETE,
+    EY_HEAD_MALFORMED
+} EyHeadProgress_t;
+
+typedef struct EyResponseHead {
+    EyAnswer_t *answer;         /* NULL before the status line; owned */
+    int64_t content_size_bytes; /* -1: not said */
+    bool chunked;
+    uint32_t size_bytes; /* of all lines */
+    char *echoed_id;     /* below answer; NULL: not said */
+} EyResponseHead_t;
+
+/** Takes one line with its line end. A 1xx head starts over. */
+EyHeadProgress_t
+EyResponseHead_AddLine(EyResponseHead_t *self, const char *line,
+                       size_t size_bytes);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/backends/transfer.c
@@ -0,0 +1,420 @@
+#include "backends/transfer.h"
+
+#include "core/clock.h"
+#include "core/memory.h"
+#include "core/settings.h"
+#include "exchange/body.h"
+#include "exchange/hop_headers.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* A kept connection older than this isn't used again; backend servers close
+ * theirs later. */
+#define KEEP_IDLE_MAX_S 20L
+
+/** Called when the connection is there, just before the request is sent. */
+static int /* NOLINTNEXTLINE(readability-non-const-parameter) */
+on_connected(void *data, char *remote_ip, char *local_ip, int remote_port,
+             int local_port)
+{
+    (void)remote_ip;
+    (void)local_ip;
+    (void)remote_port;
+    (void)local_port;
+    EyTransfer_t *self = data;
+    if (self->failure != EY_FAILURE_NONE) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (self->sent && self->attempt->never_repeat) {
+        self->failure = EY_FAILURE_BROKEN;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    self->active_ms = EyClock_NowMs();
+    if (!self->sent) {
+        EyClient_OnSending(self->client, self);
+    }
+    if (self->failure != EY_FAILURE_NONE) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    self->sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+static bool
+fail(EyTransfer_t *self, EyAttemptFailure_t failure)
+{
+    if (self->failure == EY_FAILURE_NONE) {
+        self->failure = failure;
+    }
+    return false;
+}
+
+static bool
+is_success(const EyTransfer_t *self)
+{
+    return self->head.answer->status / 100 == 2;
+}
+
+/** Sets size and kind of a streamed answer. */
+static void
+start_stream(EyTransfer_t *self)
+{
+    EyAnswer_t *answer = self->head.answer;
+    bool frames =
+        self->attempt->body_mode == EY_ATTEMPT_EVENTS && answer->is_events;
+    if (frames) {
+        self->framer = EyEventFramer_New(self);
+    }
+    /* A broken stream of events may go on elsewhere, with another size. */
+    answer->stream_size_bytes =
+        frames || self->head.chunked ? -1 : self->head.content_size_bytes;
+    EyClient_OnHead(self->client, self);
+}
+
+static bool
+end_head(EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    const char *echoed_id = self->head.echoed_id;
+    self->head_done = true;
+    if (attempt->check_echo &&
+        (echoed_id == NULL || strcmp(echoed_id, attempt->request_id) != 0))
+    {
+        return fail(self, EY_FAILURE_WRONG_ID);
+    }
+    self->collects = attempt->body_mode == EY_ATTEMPT_COLLECT ||
+                     attempt->stream == NULL || !is_success(self);
+    if (!self->collects) {
+        start_stream(self);
+    }
+    else if (self->head.content_size_bytes >
+                 (int64_t)EY_ANSWER_BODY_MAX_BYTES &&
+             strcmp(attempt->method, "HEAD") != 0)
+    {
+        return fail(self, EY_FAILURE_TOO_LARGE);
+    }
+    return self->failure == EY_FAILURE_NONE;
+}
+
+static size_t
+on_header(char *line, size_t unit, size_t count, void *data)
+{
+    EyTransfer_t *self = data;
+    size_t size_bytes = unit * count;
+    self->active_ms = EyClock_NowMs();
+    if (self->failure != EY_FAILURE_NONE) {
+        return 0;
+    }
+    if (self->head_done) {
+        return size_bytes; /* a trailer */
+    }
+    if (self->first_byte_us == 0) {
+        self->first_byte_us = EyClock_NowUs() - self->started_us;
+    }
+    EyHeadProgress_t progress =
+        EyResponseHead_AddLine(&self->head, line, size_bytes);
+    bool goes_on = true;
+    if (progress == EY_HEAD_MALFORMED) {
+        goes_on = fail(self, EY_FAILURE_MALFORMED);
+    }
+    else if (progress == EY_HEAD_COMPLETE) {
+        goes_on = end_head(self);
+    }
+    return goes_on ? size_bytes : 0;
+}
+
+static bool
+collect(EyTransfer_t *self, const char *data, size_t size_bytes)
+{
+    return EyBody_Append(self, &self->collected, data, size_bytes,
+                         EY_ANSWER_BODY_MAX_BYTES) ||
+           fail(self, EY_FAILURE_TOO_LARGE);
+}
+
+/** Writes to the stream; false if it is full or its reader is gone. */
+static bool
+write_stream(EyTransfer_t *self, const void *data, uint32_t size_bytes)
+{
+    EyStream_t *stream = self->attempt->stream;
+    if (EyStream_Write(stream, data, size_bytes)) {
+        self->bytes_passed += size_bytes;
+        return true;
+    }
+    if (EyStream_State(stream) != EY_STREAM_OPEN) {
+        (void)fail(self, EY_FAILURE_CANCELLED);
+    }
+    return false;
+}
+
+/** Passes the whole events on; false as write_stream, and nothing is kept. */
+static bool
+pass_events(EyTransfer_t *self, const char *data, uint32_t size_bytes)
+{
+    EyEventFramer_t *framer = self->framer;
+    if (!EyEventFramer_Add(framer, data, size_bytes)) {
+        return fail(self, EY_FAILURE_TOO_LARGE);
+    }
+    uint32_t whole_bytes = EyEventFramer_WholeBytes(framer);
+    if (whole_bytes == 0) {
+        EyEventFramer_Commit(framer);
+        return true;
+    }
+    if (!write_stream(self, EyEventFramer_Data(framer), whole_bytes)) {
+        EyEventFramer_Undo(framer);
+        return false;
+    }
+    self->events_passed += EyEventFramer_WholeEvents(framer);
+    EyEventFramer_Drop(framer);
+    return true;
+}
+
+static size_t
+on_body(char *data, size_t unit, size_t count, void *context)
+{
+    EyTransfer_t *self = context;
+    size_t size_bytes = unit * count;
+    self->active_ms = EyClock_NowMs();
+    if (self->failure != EY_FAILURE_NONE || !self->head_done) {
+        return 0;
+    }
+    if (self->collects) {
+        return collect(self, data, size_bytes) ? size_bytes : 0;
+    }
+    bool passed = self->framer != NULL
+                      ? pass_events(self, data, (uint32_t)size_bytes)
+                      : write_stream(self, data, (uint32_t)size_bytes);
+    if (passed) {
+        return size_bytes;
+    }
+    if (self->failure != EY_FAILURE_NONE) {
+        return 0;
+    }
+    self->paused = true;
+    return CURL_WRITEFUNC_PAUSE;
+}
+
+static void
+add_line(EyTransfer_t *self, const char *name, const char *value)
+{
+    /* libcurl takes "Name;" for a header without a value. */
+    char *line = *value != '\0' ? talloc_asprintf(NULL, "%s: %s", name, value)
+                                : talloc_asprintf(NULL, "%s;", name);
+    self->headers = curl_slist_append(self->headers, line);
+    talloc_free(line);
+}
+
+static bool
+is_set_here(const char *name)
+{
+    return strcasecmp(name, "X-Request-Id") == 0 ||
+           strcasecmp(name, "Ebonyyard-Resume-After") == 0;
+}
+
+static void
+add_headers(EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    bool has_type = false;
+    bool has_accept = false;
+    for (uint32_t i = 0; i < attempt->header_count; i++) {
+        const EyHeader_t *header = &attempt->headers[i];
+        if (EyHopHeaders_Has(header->name) || is_set_here(header->name)) {
+            continue;
+        }
+        has_type = has_type || strcasecmp(header->name, "Content-Type") == 0;
+        has_accept = has_accept || strcasecmp(header->name, "Accept") == 0;
+        add_line(self, header->name, header->value);
+    }
+    /* Headers that libcurl would add by itself. */
+    if (!has_type) {
+        self->headers = curl_slist_append(self->headers, "Content-Type:");
+    }
+    if (!has_accept) {
+        self->headers = curl_slist_append(self->headers, "Accept:");
+    }
+    self->headers = curl_slist_append(self->headers, "Expect:");
+    if (attempt->request_id[0] != '\0') {
+        add_line(self, "X-Request-Id", attempt->request_id);
+    }
+    if (attempt->resume_after > 0) {
+        char *events = talloc_asprintf(NULL, "%u", attempt->resume_after);
+        add_line(self, "Ebonyyard-Resume-After", events);
+        talloc_free(events);
+    }
+}
+
+/** True if the method has a body by its nature, be it empty. */
+static bool
+has_body_always(const char *method)
+{
+    return strcmp(method, "POST") == 0 || strcmp(method, "PUT") == 0 ||
+           strcmp(method, "PATCH") == 0;
+}
+
+static void
+set_method(EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    CURL *easy = self->easy;
+    if (attempt->body.size_bytes > 0 || has_body_always(attempt->method)) {
+        const void *body = attempt->body.data;
+        (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                               (curl_off_t)attempt->body.size_bytes);
+        (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDS,
+                               body != NULL ? body : "");
+    }
+    if (strcmp(attempt->method, "HEAD") == 0) {
+        (void)curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    (void)curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, attempt->method);
+}
+
+static void
+set_options(EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    CURL *easy = self->easy;
+    char *url =
+        talloc_asprintf(self, "http://%s%s", attempt->address, attempt->path);
+    (void)curl_easy_setopt(easy, CURLOPT_URL, url);
+    (void)curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    (void)curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    (void)curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    (void)curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    (void)curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    (void)curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+                           (long)CURL_HTTP_VERSION_1_1);
+    (void)curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+    (void)curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KEEP_IDLE_MAX_S);
+    (void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                           (long)attempt->connect_timeout_ms);
+    (void)curl_easy_setopt(easy, CURLOPT_HTTPHEADER, self->headers);
+    (void)curl_easy_setopt(easy, CURLOPT_PRIVATE, self);
+    (void)curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_connected);
+    (void)curl_easy_setopt(easy, CURLOPT_PREREQDATA, self);
+    (void)curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+    (void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, self);
+    (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+    (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, self);
+    if (attempt->never_repeat) {
+        /* libcurl repeats a request only on a connection used before. */
+        (void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    }
+}
+
+EyTransfer_t *
+EyTransfer_New(EyClient_t *client, EyAttempt_t *attempt)
+{
+    EyTransfer_t *self = EY_NEW(NULL, EyTransfer_t);
+    self->client = client;
+    self->attempt = talloc_steal(self, attempt);
+    self->head.content_size_bytes = -1;
+    self->started_us = EyClock_NowUs();
+    if (!EyAddress_IsValid(attempt->address) || attempt->path == NULL ||
+        attempt->path[0] != '/')
+    {
+        return self;
+    }
+    self->easy = curl_easy_init();
+    if (self->easy != NULL) {
+        add_headers(self);
+        set_method(self);
+        set_options(self);
+    }
+    return self;
+}
+
+void
+EyTransfer_Free(EyTransfer_t *self)
+{
+    if (self->easy != NULL) {
+        curl_easy_cleanup(self->easy);
+    }
+    curl_slist_free_all(self->headers);
+    talloc_free(self->deadline);
+    talloc_free(self->idle);
+    talloc_free(self->head.answer);
+    EyStream_Unref(self->attempt->stream);
+    talloc_free(self);
+}
+
+/** Failures that libcurl names, once bytes may have left. */
+static EyAttemptFailure_t
+failure_of(CURLcode result)
+{
+    switch (result) {
+    case CURLE_OK:
+        return EY_FAILURE_NONE;
+    case CURLE_PARTIAL_FILE:
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+    case CURLE_BAD_CONTENT_ENCODING:
+        return EY_FAILURE_MALFORMED;
+    default:
+        return EY_FAILURE_BROKEN;
+    }
+}
+
+/** True if the answer's end could be told from a break. */
+static bool
+is_framed(const EyTransfer_t *self)
+{
+    uint32_t status = self->head.answer->status;
+    if (self->head.chunked || self->head.content_size_bytes >= 0 ||
+        status == 204 || status == 304 ||
+        strcmp(self->attempt->method, "HEAD") == 0)
+    {
+        return true;
+    }
+    return self->framer != NULL && EyEventFramer_IsDone(self->framer) &&
+           EyEventFramer_HeldBytes(self->framer) == 0;
+}
+
+/** Passes on what follows the last whole event of a whole answer. */
+static EyAttemptFailure_t
+pass_rest(EyTransfer_t *self)
+{
+    uint32_t held_bytes = EyEventFramer_HeldBytes(self->framer);
+    if (held_bytes == 0) {
+        return EY_FAILURE_NONE;
+    }
+    const uint8_t *data = EyEventFramer_Data(self->framer);
+    return write_stream(self, data, held_bytes) ? EY_FAILURE_NONE
+                                                : EY_FAILURE_MALFORMED;
+}
+
+EyAttemptFailure_t
+EyTransfer_Settle(EyTransfer_t *self, CURLcode result)
+{
+    if (self->failure != EY_FAILURE_NONE) {
+        return self->failure;
+    }
+    if (result != CURLE_OK && !self->sent) {
+        return EY_FAILURE_CONNECT;
+    }
+    EyAttemptFailure_t failure = failure_of(result);
+    if (failure != EY_FAILURE_NONE) {
+        return failure;
+    }
+    if (!self->head_done || !is_framed(self)) {
+        return EY_FAILURE_MALFORMED;
+    }
+    return self->framer != NULL ? pass_rest(self) : EY_FAILURE_NONE;
+}
+
+EyAnswer_t *
+EyTransfer_TakeAnswer(EyTransfer_t *self)
+{
+    EyAnswer_t *answer = self->head.answer;
+    self->head.answer = NULL;
+    if (answer != NULL) {
+        answer->body = (EyBytes_t){
+            .data = talloc_steal(answer, self->collected.data),
+            .size_bytes = self->collected.size_bytes,
+        };
+        self->collected = (EyBytes_t){.data = NULL};
+    }
+    return answer;
+}
--- /dev/null
+++ b/src/backends/transfer.h
@@ -0,0 +1,69 @@
+/**
+ * One attempt inside the client: the libcurl handle, what of the answer has
+ * come and why it failed. All of it lives on the loop's thread; only the
+ * stream's wake-up comes from another one.
+ */
+#ifndef EY_BACKENDS_TRANSFER_H
+#define EY_BACKENDS_TRANSFER_H
+
+#include "backends/client.h"
+#include "backends/event_framer.h"
+#include "backends/response_head.h"
+
+#include <curl/curl.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyTransfer {
+    EyAttempt_t *attempt;
+    EyClient_t *client;
+    CURL *easy;
+    struct curl_slist *headers;
+    EyAttemptFailure_t failure; /* why it is being ended; NONE: it isn't */
+    bool sent;                  /* bytes of the request may have left */
+    bool head_done;
+    bool collects;
+    bool paused; /* the stream was full */
+    bool queued_to_end;
+    bool woken; /* under the client's lock */
+    EyResponseHead_t head;
+    EyBytes_t collected;
+    EyEventFramer_t *framer; /* NULL: bytes pass as they come */
+    uint32_t events_passed;
+    uint64_t bytes_passed;
+    int64_t started_us;
+    int64_t first_byte_us;
+    int64_t active_ms; /* of the last sign of life */
+    EyTimer_t *deadline;
+    EyTimer_t *idle;
+} EyTransfer_t;
+
+/** What the transfer tells its client, within libcurl's callbacks. */
+void
+EyClient_OnSending(EyClient_t *self, EyTransfer_t *transfer);
+void
+EyClient_OnHead(EyClient_t *self, EyTransfer_t *transfer);
+
+/** A transfer for an attempt, which it takes over; NULL easy: no handle. */
+EyTransfer_t *
+EyTransfer_New(EyClient_t *client, EyAttempt_t *attempt);
+
+/** Frees it; its handle must be out of the multi handle. */
+void
+EyTransfer_Free(EyTransfer_t *self);
+
+/** Settles how it ended from libcurl's result; NONE: the answer is whole. */
+EyAttemptFailure_t
+EyTransfer_Settle(EyTransfer_t *self, CURLcode result);
+
+/** Hands the collected answer out; a talloc root, NULL if none came. */
+EyAnswer_t *
+EyTransfer_TakeAnswer(EyTransfer_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -9,6 +9,7 @@
 #include "core/memory.h"
 #include "core/random.h"
 #include "core/settings.h"
+#include "exchange/body.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -23,8 +24,6 @@
 #define CONNECTION_MEMORY_BYTES 32768
 /* Deeply nested JSON is read on this stack. */
 #define THREAD_STACK_SIZE_BYTES (4 * 1024 * 1024)
-/* First room for a body; it doubles as bytes come. */
-#define BODY_ROOM_FIRST_BYTES 4096
 /* When a caller should come back after a full ring. */
 #define RETRY_AFTER_FULL_S 1
 /* Time for cut-off requests to end while the server stops. */
@@ -240,43 +239,17 @@
     return MHD_YES;
 }
 
-/** Makes room for wanted_bytes in the body. */
-static void
-grow_body(EyRequest_t *request, size_t wanted_bytes)
-{
-    EyBytes_t *body = &request->body;
-    size_t room_bytes = body->data != NULL ? talloc_get_size(body->data) : 0;
-    if (wanted_bytes <= room_bytes) {
-        return;
-    }
-    if (room_bytes == 0) {
-        room_bytes = BODY_ROOM_FIRST_BYTES;
-    }
-    while (room_bytes < wanted_bytes) {
-        room_bytes *= 2;
-    }
-    uint8_t *grown = EY_NEW_ARRAY(request, uint8_t, room_bytes);
-    if (body->data != NULL) {
-        memcpy(grown, body->data, body->size_bytes);
-    }
-    talloc_free(body->data);
-    body->data = grown;
-}
-
-/** Adds a part of the body. */
+/** Adds a part of the body; what follows one that is too large is lost. */
 static void
 on_body(EyInbound_t *inbound, const char *data, size_t size_bytes)
 {
-    EyBytes_t *body = &inbound->request->body;
-    if (inbound->too_large ||
-        size_bytes > EY_REQUEST_BODY_MAX_BYTES - body->size_bytes)
+    EyRequest_t *request = inbound->request;
+    if (!inbound->too_large &&
+        !EyBody_Append(request, &request->body, data, size_bytes,
+                       EY_REQUEST_BODY_MAX_BYTES))
     {
         inbound->too_large = true;
-        return;
     }
-    grow_body(inbound->request, body->size_bytes + size_bytes);
-    memcpy(body->data + body->size_bytes, data, size_bytes);
-    body->size_bytes += (uint32_t)size_bytes;
 }
 
 /** Sends the answer if it is here; else waits for it or ends. */
@@ -355,7 +328,7 @@
 }
 
 /** libmicrohttpd's handler: head, parts of the body, then each wake-up. */
-static enum MHD_Result
+static enum MHD_Result /* NOLINTNEXTLINE(readability-function-size) */
 on_access(void *data, struct MHD_Connection *connection, const char *url,
           const char *method, const char *version, const char *upload,
           size_t *upload_size_bytes, void **place)
