Peers: bound what a message announces before it is decoded

Cause: the sanitizer build ended in a 256 GiB allocation on random frames: the msgpack decoder makes room for the item count that an array announces before it looks for the items, so 5 bytes could ask for all memory.

Now one pass over the frame, and over the message inside it, checks that each announced count is there in bytes and that the objects stay under a limit.

The decoder of core/schema.c itself still trusts counts of other sources.

--- a/src/instances/peer_message.c
+++ b/src/instances/peer_message.c
@@ -2,6 +2,10 @@
 
 #include "core/memory.h"
 
+/* Objects of an envelope, and of the message inside it. */
+#define ENVELOPE_OBJECTS_MAX 64
+#define PAYLOAD_OBJECTS_MAX 1000000
+
 const char *const EyPeer_kind_names[EY_PEER_KIND_COUNT] = {
     [EY_PEER_MEMBERSHIP] = "membership",
     [EY_PEER_GROUP] = "group",
@@ -68,6 +72,118 @@
     return EySchema_Pack(&EnvelopeSchema, ctx, &envelope);
 }
 
+/* Bounded counts, before the decoder makes room for what is announced */
+
+/** Bytes that follow a msgpack type byte: a count or size, then a body. */
+typedef struct Head {
+    uint64_t skip_bytes; /* body that isn't made of objects */
+    uint64_t objects;    /* that follow */
+    uint32_t head_bytes;
+} Head_t;
+
+/** Sizes of the types from 0xc0 to 0xdf: bytes that hold a size or count, or
+ * else bytes of a plain body. */
+typedef struct TypeSizes {
+    uint8_t count_bytes;
+    uint8_t body_bytes;
+    uint8_t objects_each;
+} TypeSizes_t;
+
+static const TypeSizes_t TypeTable[32] = {
+    [0x04] = {.count_bytes = 1}, /* bin */
+    [0x05] = {.count_bytes = 2},
+    [0x06] = {.count_bytes = 4},
+    [0x07] = {.count_bytes = 1, .body_bytes = 1}, /* ext */
+    [0x08] = {.count_bytes = 2, .body_bytes = 1},
+    [0x09] = {.count_bytes = 4, .body_bytes = 1},
+    [0x0a] = {.body_bytes = 4}, /* float */
+    [0x0b] = {.body_bytes = 8},
+    [0x0c] = {.body_bytes = 1}, /* uint */
+    [0x0d] = {.body_bytes = 2},
+    [0x0e] = {.body_bytes = 4},
+    [0x0f] = {.body_bytes = 8},
+    [0x10] = {.body_bytes = 1}, /* int */
+    [0x11] = {.body_bytes = 2},
+    [0x12] = {.body_bytes = 4},
+    [0x13] = {.body_bytes = 8},
+    [0x14] = {.body_bytes = 2}, /* fixext */
+    [0x15] = {.body_bytes = 3},
+    [0x16] = {.body_bytes = 5},
+    [0x17] = {.body_bytes = 9},
+    [0x18] = {.body_bytes = 17},
+    [0x19] = {.count_bytes = 1}, /* str */
+    [0x1a] = {.count_bytes = 2},
+    [0x1b] = {.count_bytes = 4},
+    [0x1c] = {.count_bytes = 2, .objects_each = 1}, /* array */
+    [0x1d] = {.count_bytes = 4, .objects_each = 1},
+    [0x1e] = {.count_bytes = 2, .objects_each = 2}, /* map */
+    [0x1f] = {.count_bytes = 4, .objects_each = 2},
+};
+
+static Head_t
+head_of_fixed(uint8_t type)
+{
+    Head_t head = {.head_bytes = 1};
+    if (type >= 0xa0 && type < 0xc0) {
+        head.skip_bytes = type & 0x1fU;
+    }
+    else if (type >= 0x90 && type < 0xa0) {
+        head.objects = type & 0x0fU;
+    }
+    else if (type >= 0x80 && type < 0x90) {
+        head.objects = 2 * (uint64_t)(type & 0x0fU);
+    }
+    return head;
+}
+
+static bool
+head_read(const uint8_t *data, uint64_t left_bytes, Head_t *head)
+{
+    if (data[0] < 0xc0 || data[0] > 0xdf) {
+        *head = head_of_fixed(data[0]);
+        return true;
+    }
+    const TypeSizes_t *sizes = &TypeTable[data[0] - 0xc0];
+    if (left_bytes <= sizes->count_bytes) {
+        return false;
+    }
+    uint64_t count = 0;
+    for (uint32_t i = 1; i <= sizes->count_bytes; i++) {
+        count = count << 8 | data[i];
+    }
+    *head = (Head_t){.head_bytes = 1 + (uint32_t)sizes->count_bytes,
+                     .skip_bytes = sizes->body_bytes};
+    if (sizes->objects_each > 0) {
+        head->objects = count * sizes->objects_each;
+    }
+    else {
+        head->skip_bytes += count;
+    }
+    return true;
+}
+
+/** True if the first object in data is whole and of at most objects_max
+ * objects, so that decoding it takes bounded memory. */
+static bool
+is_bounded(const uint8_t *data, uint64_t size_bytes, uint64_t objects_max)
+{
+    uint64_t at = 0;
+    uint64_t objects = 1;
+    for (uint64_t done = 0; done < objects; done++) {
+        Head_t head = {0};
+        if (at >= size_bytes || !head_read(data + at, size_bytes - at, &head))
+        {
+            return false;
+        }
+        objects += head.objects;
+        at += head.head_bytes + head.skip_bytes;
+        if (objects > objects_max || at > size_bytes) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /** Tells a message of another version from one that is no message. */
 static EyPeerFault_t
 fault_of(const void *ctx, const uint8_t *data, uint32_t size_bytes)
@@ -90,7 +206,11 @@
     if (envelope->kind >= EY_PEER_KIND_COUNT) {
         return EY_PEER_FAULT_KIND;
     }
-    if (envelope->from[0] == '\0') {
+    const EyBytes_t *payload = &envelope->payload;
+    bool is_usable =
+        payload->size_bytes == 0 ||
+        is_bounded(payload->data, payload->size_bytes, PAYLOAD_OBJECTS_MAX);
+    if (envelope->from[0] == '\0' || !is_usable) {
         return EY_PEER_FAULT_MALFORMED;
     }
     return EY_PEER_FAULT_NONE;
@@ -104,6 +224,10 @@
         *fault = EY_PEER_FAULT_TOO_LARGE;
         return NULL;
     }
+    if (!is_bounded(data, size_bytes, ENVELOPE_OBJECTS_MAX)) {
+        *fault = EY_PEER_FAULT_MALFORMED;
+        return NULL;
+    }
     EyPeerMessage_t *self = EY_NEW(NULL, EyPeerMessage_t);
     Envelope_t envelope;
     if (EySchema_Unpack(&EnvelopeSchema, self, data, (uint32_t)size_bytes,
--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -48,7 +48,7 @@
     EyAddress_t from_address; /* the sender's peer-listen address */
     EyName_t to;              /* empty: whoever listens at to_address */
     EyAddress_t to_address;   /* used when to is empty or not yet known */
-    EyBytes_t payload;
+    EyBytes_t payload;        /* one msgpack object */
 } EyPeerMessage_t;
 
 typedef struct EyPeersOptions {
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -260,6 +260,16 @@
     wait_dropped("kind", 1);
     send_raw(address, frame.data, frame.size_bytes - 1, 1);
     wait_dropped("malformed", 3);
+    /* Announces more items than memory can hold. */
+    const uint8_t endless[] = {0xdd, 0xff, 0xff, 0xff, 0xff, 0x01};
+    send_raw(address, endless, sizeof(endless), 1);
+    wait_dropped("malformed", 4);
+    message.kind = EY_PEER_GROUP;
+    message.payload.data = EyMemory_Copy(ctx, endless, sizeof(endless));
+    message.payload.size_bytes = sizeof(endless);
+    frame = EyPeerMessage_Encode(&message, ctx);
+    send_raw(address, frame.data, frame.size_bytes, 1);
+    wait_dropped("malformed", 5);
     /* Refused by ZeroMQ itself before it is read. */
     uint8_t *large = EY_NEW_ARRAY(ctx, uint8_t, EY_PEER_FRAME_MAX_BYTES + 1);
     send_raw(address, large, EY_PEER_FRAME_MAX_BYTES + 1, 1);
