--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -70,6 +70,11 @@
 void
 EyGateway_Accept(EyGateway_t *self, EyRequest_t *request);
 
+/** Makes an exchange's life; takes the request over. It doesn't start yet. */
+EyLive_t *
+EyLive_New(EyGateway_t *gateway, EyRequest_t *request, bool may_repeat,
+           bool needs_claim, const EySinkClass_t *sink);
+
 /** Gives an event to an exchange and carries out what follows. The exchange
  * may have ended afterwards. */
 void
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -8,17 +8,7 @@
 
 #define CONNECT_TIMEOUT_MS 1000
 #define IDLE_TIMEOUT_MS 30000
-
-static void
-caller_answer(EyGateway_t *gateway, EyLive_t *live, EyAnswer_t *answer)
-{
-    EyServer_Answer(gateway->node->server, live->exchange->request->number,
-                    answer);
-}
-
-static const EySinkClass_t CallerSink = {
-    .answer = caller_answer,
-};
+#define REQUEST_TIMEOUT_MS 60000
 
 static void
 live_end(EyLive_t *live)
@@ -257,24 +247,21 @@
     }
 }
 
-void
-EyGateway_Accept(EyGateway_t *self, EyRequest_t *request)
+EyLive_t *
+EyLive_New(EyGateway_t *gateway, EyRequest_t *request, bool may_repeat,
+           bool needs_claim, const EySinkClass_t *sink)
 {
-    bool is_idempotent =
-        request->call == EY_CALL_MODEL || EyRequest_HasSafeMethod(request);
-    EyLive_t *live = EY_NEW(self, EyLive_t);
+    EyLive_t *live = EY_NEW(gateway, EyLive_t);
     talloc_set_destructor(live, live_destroy);
-    live->gateway = self;
-    live->exchange =
-        EyExchange_New(live, request, is_idempotent, !is_idempotent);
-    live->sink = &CallerSink;
-    live->deadline = EyTimers_After(self->node->timers,
+    live->gateway = gateway;
+    live->exchange = EyExchange_New(live, request, may_repeat, needs_claim);
+    live->sink = sink;
+    live->deadline = EyTimers_After(gateway->node->timers,
                                     request->deadline_ms - EyClock_NowMs(),
                                     on_deadline, live);
-    g_hash_table_insert(self->lives, number_key(request->number), live);
+    g_hash_table_insert(gateway->lives, number_key(request->number), live);
     EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_REQUESTS], 1);
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_START};
-    EyLive_Step(live, &event);
+    return live;
 }
 
 /** Statuses by which a backend server says that another may do better. */
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -2,6 +2,7 @@
 #include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+
 #include <string.h>
 #include <xxhash.h>
 
--- /dev/null
+++ b/tests/process/test_path.c
@@ -0,0 +1,122 @@
+/* The whole path with real processes: caller, gateway, backend server. */
+#include "process/harness.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <string.h>
+
+static Process_t
+start_gateway(void)
+{
+    Process_t gateway = Process_Make("ebonyyard-gateway", "path-gw");
+    gateway.port = Harness_FreePort();
+    gateway.peer_port = Harness_FreePort();
+    Process_Arg(&gateway, "--id=gw-1");
+    Process_Arg(&gateway, "--region=istra");
+    Process_Arg(&gateway, "--zone=istra-a");
+    Process_Arg(&gateway, "--listen=127.0.0.1:%u", gateway.port);
+    Process_Arg(&gateway, "--peer-listen=127.0.0.1:%u", gateway.peer_port);
+    Process_Arg(&gateway, "--standalone");
+    Process_Start(&gateway);
+    cr_assert(Process_Await(&gateway, "/readyz", 200, 10000));
+    return gateway;
+}
+
+static Process_t
+start_fake(const char *program, const char *targets, uint16_t gateway_port)
+{
+    Process_t fake = Process_Make(program, program);
+    fake.port = Harness_FreePort();
+    Process_Arg(&fake, "--listen=127.0.0.1:%u", fake.port);
+    Process_Arg(&fake, "--announce=127.0.0.1:%u", gateway_port);
+    Process_Arg(&fake, "--id=%s-1", program);
+    Process_Arg(&fake, "--region=istra");
+    Process_Arg(&fake, "--zone=istra-a");
+    Process_Arg(&fake, "%s", targets);
+    Process_Start(&fake);
+    cr_assert(Process_Await(&fake, "/v1/fake", 200, 10000));
+    return fake;
+}
+
+/** Repeats a call until its target is known. */
+static Reply_t
+call_when_known(uint16_t port, const char *method, const char *path,
+                const char *const *headers, const char *body)
+{
+    Reply_t reply = {.status = 0};
+    for (int i = 0; i < 200; i++) {
+        Reply_Clear(&reply);
+        reply = Http_Call(port, method, path, headers, body, 10000);
+        if (reply.status == 200) {
+            return reply;
+        }
+        Harness_SleepMs(50);
+    }
+    return reply;
+}
+
+Test(path, a_model_answers_through_the_gateway)
+{
+    Process_t gateway = start_gateway();
+    Process_t fake =
+        start_fake("fake-model", "--models=visit-plan", gateway.port);
+    const char *const headers[] = {"Content-Type: application/json",
+                                   "X-Request-Id: plan-1", NULL};
+    Reply_t plain = call_when_known(
+        gateway.port, "POST", "/v1/chat/completions", headers,
+        "{\"model\":\"visit-plan\",\"max_tokens\":5,\"messages\":[{\"role\":"
+        "\"user\",\"content\":\"plan our day\"}]}");
+    cr_assert_eq(plain.status, 200, "%s", plain.body);
+    cr_assert_str_eq(plain.outcome, "completed");
+    cr_assert_str_eq(plain.request_id, "plan-1");
+    json_t *json = Reply_Json(&plain);
+    cr_assert_not_null(json);
+    json_decref(json);
+    Reply_Clear(&plain);
+    Reply_t stream = call_when_known(
+        gateway.port, "POST", "/v1/chat/completions", headers,
+        "{\"model\":\"visit-plan\",\"max_tokens\":5,\"stream\":true,"
+        "\"messages\":[{\"role\":\"user\",\"content\":\"plan our day\"}]}");
+    cr_assert_eq(stream.status, 200);
+    cr_assert(stream.whole);
+    cr_assert_not_null(strstr(stream.body, "[DONE]"));
+    Reply_Clear(&stream);
+    Process_Signal(&gateway, SIGTERM);
+    cr_assert_eq(Process_Wait(&gateway, 10000), 0);
+    Process_Kill(&fake);
+}
+
+Test(path, a_purchase_runs_once_and_its_retry_gets_the_same_answer)
+{
+    Process_t gateway = start_gateway();
+    Process_t fake =
+        start_fake("fake-service", "--services=booking", gateway.port);
+    const char *const no_key[] = {NULL};
+    Reply_t refused = Http_Call(gateway.port, "POST",
+                                "/v1/services/booking/purchases", no_key,
+                                "{\"seats\":30}", 5000);
+    cr_assert_eq(refused.status, 400);
+    cr_assert_str_eq(refused.outcome, "not-run");
+    Reply_Clear(&refused);
+    const char *const headers[] = {"Idempotency-Key: class-4b", NULL};
+    Reply_t first =
+        call_when_known(gateway.port, "POST", "/v1/services/booking/purchases",
+                        headers, "{\"seats\":30}");
+    cr_assert_eq(first.status, 200, "%s", first.body);
+    cr_assert_str_eq(first.outcome, "completed");
+    Reply_t again =
+        Http_Call(gateway.port, "POST", "/v1/services/booking/purchases",
+                  headers, "{\"seats\":30}", 5000);
+    cr_assert_eq(again.status, 200);
+    cr_assert_str_eq(again.body, first.body);
+    Reply_t other =
+        Http_Call(gateway.port, "POST", "/v1/services/booking/purchases",
+                  headers, "{\"seats\":31}", 5000);
+    cr_assert_eq(other.status, 422);
+    cr_assert_str_eq(other.outcome, "not-run");
+    Reply_Clear(&first);
+    Reply_Clear(&again);
+    Reply_Clear(&other);
+    Process_Kill(&gateway);
+    Process_Kill(&fake);
+}
