Idempotency records: group member, claimant, keys

Cause: a purchase must run at most once whatever fails, with no outside store. A leader orders claims; a grant goes out once every replica of the view has the claim; views follow one another by ballots among the members of the view before (majority, or half with the first in rank, one replica at least).

--- /dev/null
+++ b/src/idempotency/claims.c
@@ -0,0 +1,474 @@
+#include "idempotency/claims.h"
+
+#include "core/memory.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define CLAIM_MAX_PRESET 4096
+/** Time without an answer after which a message is repeated. */
+#define RETRY_MS 100
+/** Time without an answer after which another member is asked. */
+#define ROTATE_MS 250
+/** Time without an answer after which a claim is given up. */
+#define PATIENCE_MS 3000
+/** When a caller may come back with the same key. */
+#define RETRY_AFTER_MS 1000
+
+typedef enum ClaimState {
+    CLAIM_WAITING,
+    CLAIM_GRANTED,
+    CLAIM_COMPLETED,
+    CLAIM_NOT_SENT,
+    CLAIM_LOST,
+    CLAIM_STATE_COUNT
+} ClaimState_t;
+
+static const char *const StateNames[CLAIM_STATE_COUNT] = {
+    [CLAIM_WAITING] = "waiting",     [CLAIM_GRANTED] = "granted",
+    [CLAIM_COMPLETED] = "completed", [CLAIM_NOT_SENT] = "not-sent",
+    [CLAIM_LOST] = "lost",
+};
+
+/** What a claim in a state tells the leader, again and again. */
+static const EyGroupMessageKind_t Reports[CLAIM_STATE_COUNT] = {
+    [CLAIM_WAITING] = EY_GROUP_CLAIM,
+    [CLAIM_GRANTED] = EY_GROUP_STILL,
+    [CLAIM_COMPLETED] = EY_GROUP_COMPLETE,
+    [CLAIM_NOT_SENT] = EY_GROUP_NOT_SENT,
+    [CLAIM_LOST] = EY_GROUP_LOST,
+};
+
+/** What a caller is told by a decision that is final. */
+static const EyOutcome_t Outcomes[EY_DECISION_COUNT] = {
+    [EY_DECISION_GRANTED] = EY_OUTCOME_UNKNOWN,
+    [EY_DECISION_REPLAY] = EY_OUTCOME_COMPLETED,
+    [EY_DECISION_MISMATCH] = EY_OUTCOME_NOT_RUN,
+    [EY_DECISION_UNKNOWN] = EY_OUTCOME_UNKNOWN,
+    [EY_DECISION_REFUSED] = EY_OUTCOME_NOT_RUN,
+    [EY_DECISION_WAITING] = EY_OUTCOME_UNKNOWN,
+};
+
+typedef struct Claim {
+    int64_t number;
+    char *key;
+    uint64_t fingerprint;
+    int64_t deadline_ms;
+    ClaimState_t state;
+    int64_t heard_ms; /* of the last answer */
+    int64_t sent_ms;
+    EyBytes_t answer;
+} Claim_t;
+
+struct EyClaims {
+    EyClaimsOptions_t options;
+    GHashTable *by_number; /* int64_t -> Claim_t */
+    EyView_t *view;        /* the newest that a member told of */
+    uint32_t target;       /* rank of the member that is asked */
+    int64_t heard_ms;      /* from the target */
+};
+
+static int
+claims_destroy(EyClaims_t *self)
+{
+    g_hash_table_destroy(self->by_number);
+    return 0;
+}
+
+EyClaims_t *
+EyClaims_New(const void *ctx, const EyClaimsOptions_t *options)
+{
+    static const EyView_t None = {.number = 0};
+    EyClaims_t *self = EY_NEW(ctx, EyClaims_t);
+    self->options = *options;
+    if (self->options.claim_max == 0) {
+        self->options.claim_max = CLAIM_MAX_PRESET;
+    }
+    self->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
+    self->view = EyView_Copy(self, &None);
+    talloc_set_destructor(self, claims_destroy);
+    return self;
+}
+
+static bool
+has_replica(const EyView_t *view)
+{
+    return view->member_count > 0 && !view->members[0].is_witness;
+}
+
+/** Takes a view if it is newer, and asks its leader from now on. */
+static void
+learn_view(EyClaims_t *self, int64_t now_ms, const EyView_t *view)
+{
+    if (!EyView_IsNewer(view, self->view) || !has_replica(view)) {
+        return;
+    }
+    talloc_free(self->view);
+    self->view = EyView_Copy(self, view);
+    int32_t rank = EyView_Find(view, view->leader, 0);
+    self->target = rank > 0 ? (uint32_t)rank : 0;
+    self->heard_ms = now_ms;
+}
+
+void
+EyClaims_SetMembers(EyClaims_t *self, const EyGroupMember_t *members,
+                    uint32_t member_count)
+{
+    if (self->view->number > 0) {
+        return;
+    }
+    self->view->member_count = 0;
+    for (uint32_t i = 0; i < member_count; i++) {
+        EyView_Add(self->view, &members[i]);
+    }
+}
+
+/** Asks the next replica when the target has been silent. */
+static void
+rotate_target(EyClaims_t *self, int64_t now_ms)
+{
+    if (now_ms - self->heard_ms < ROTATE_MS || !has_replica(self->view)) {
+        return;
+    }
+    self->heard_ms = now_ms;
+    self->target++;
+    if (self->target >= self->view->member_count ||
+        self->view->members[self->target].is_witness)
+    {
+        self->target = 0;
+    }
+}
+
+static EyGroupMessage_t *
+make_report(const EyClaims_t *self, const Claim_t *claim,
+            const EyGroupActions_t *actions)
+{
+    EyGroupMessage_t *message =
+        EyGroupMessage_New(actions, Reports[claim->state]);
+    message->from_incarnation = self->options.incarnation;
+    message->key = EyMemory_Strdup(message, claim->key);
+    message->fingerprint = claim->fingerprint;
+    message->claim.incarnation = self->options.incarnation;
+    message->claim.number = (uint64_t)claim->number;
+    (void)EY_COPY(message->claim.instance, self->options.name);
+    message->accepted = true;
+    if (claim->state == CLAIM_COMPLETED) {
+        message->answer.data = EyMemory_Copy(message, claim->answer.data,
+                                             claim->answer.size_bytes);
+        message->answer.size_bytes = claim->answer.size_bytes;
+    }
+    return message;
+}
+
+static void
+report(EyClaims_t *self, int64_t now_ms, Claim_t *claim,
+       EyGroupActions_t *actions)
+{
+    claim->sent_ms = now_ms;
+    if (has_replica(self->view)) {
+        EyGroupActions_Send(actions, self->view->members[self->target].name,
+                            make_report(self, claim, actions));
+    }
+}
+
+static Claim_t *
+find(const EyClaims_t *self, uint64_t number)
+{
+    int64_t key = (int64_t)number;
+    return g_hash_table_lookup(self->by_number, &key);
+}
+
+static void
+forget(EyClaims_t *self, Claim_t *claim)
+{
+    (void)g_hash_table_remove(self->by_number, &claim->number);
+    talloc_free(claim);
+}
+
+static EyGroupAction_t *
+decide(uint64_t number, EyGroupDecision_t decision, EyGroupReason_t reason,
+       EyGroupActions_t *actions)
+{
+    EyGroupAction_t *action =
+        EyGroupActions_Add(actions, EY_GROUP_ACTION_DECIDED);
+    action->number = number;
+    action->decision = decision;
+    action->reason = reason;
+    action->outcome = Outcomes[decision];
+    if (decision == EY_DECISION_UNKNOWN || decision == EY_DECISION_REFUSED) {
+        action->retry_after_ms = RETRY_AFTER_MS;
+    }
+    return action;
+}
+
+/** Moves on to an end and reports it until all replicas have it. */
+static void
+finish(EyClaims_t *self, int64_t now_ms, Claim_t *claim, ClaimState_t state,
+       EyGroupActions_t *actions)
+{
+    claim->state = state;
+    report(self, now_ms, claim, actions);
+}
+
+/**
+ * Gives an undecided claim up. The key may have run by an earlier attempt,
+ * so that only "unknown" is true of it.
+ */
+static void
+give_up(EyClaims_t *self, int64_t now_ms, Claim_t *claim,
+        EyGroupReason_t reason, EyGroupActions_t *actions)
+{
+    (void)decide((uint64_t)claim->number, EY_DECISION_UNKNOWN, reason,
+                 actions);
+    finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+}
+
+void
+EyClaims_Claim(EyClaims_t *self, int64_t now_ms, uint64_t number,
+               const char *key, uint64_t fingerprint, int64_t deadline_ms,
+               EyGroupActions_t *actions)
+{
+    if (g_hash_table_size(self->by_number) >= self->options.claim_max) {
+        (void)decide(number, EY_DECISION_UNKNOWN, EY_REASON_BUSY, actions);
+        return;
+    }
+    if (deadline_ms <= now_ms) {
+        (void)decide(number, EY_DECISION_UNKNOWN, EY_REASON_DEADLINE, actions);
+        return;
+    }
+    int64_t latest_ms = now_ms + EY_CLAIM_DEADLINE_MAX_MS;
+    Claim_t *claim = EY_NEW(self, Claim_t);
+    claim->number = (int64_t)number;
+    claim->key = EyMemory_Strdup(claim, key);
+    claim->fingerprint = fingerprint;
+    claim->deadline_ms = deadline_ms < latest_ms ? deadline_ms : latest_ms;
+    claim->heard_ms = now_ms;
+    if (g_hash_table_size(self->by_number) == 0) {
+        self->heard_ms = now_ms;
+    }
+    (void)g_hash_table_insert(self->by_number, &claim->number, claim);
+    report(self, now_ms, claim, actions);
+}
+
+void
+EyClaims_Complete(EyClaims_t *self, int64_t now_ms, uint64_t number,
+                  const EyBytes_t *answer, EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, number);
+    if (claim == NULL || claim->state != CLAIM_GRANTED) {
+        return;
+    }
+    if (answer->size_bytes > EY_RECORD_ANSWER_MAX_BYTES) {
+        finish(self, now_ms, claim, CLAIM_LOST, actions);
+        return;
+    }
+    claim->answer.data =
+        EyMemory_Copy(claim, answer->data, answer->size_bytes);
+    claim->answer.size_bytes = answer->size_bytes;
+    finish(self, now_ms, claim, CLAIM_COMPLETED, actions);
+}
+
+void
+EyClaims_NotSent(EyClaims_t *self, int64_t now_ms, uint64_t number,
+                 EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, number);
+    if (claim != NULL && claim->state == CLAIM_GRANTED) {
+        finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+    }
+}
+
+void
+EyClaims_Unknown(EyClaims_t *self, int64_t now_ms, uint64_t number,
+                 EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, number);
+    if (claim != NULL && claim->state == CLAIM_GRANTED) {
+        finish(self, now_ms, claim, CLAIM_LOST, actions);
+    }
+}
+
+void
+EyClaims_Abandon(EyClaims_t *self, int64_t now_ms, uint64_t number,
+                 EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, number);
+    if (claim != NULL && claim->state == CLAIM_WAITING) {
+        finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+    }
+}
+
+/** A grant that comes too late is dropped: the request wasn't sent. */
+static void
+take_grant(EyClaims_t *self, int64_t now_ms, Claim_t *claim,
+           EyGroupActions_t *actions)
+{
+    uint64_t number = (uint64_t)claim->number;
+    if (now_ms >= claim->deadline_ms) {
+        (void)decide(number, EY_DECISION_REFUSED, EY_REASON_DEADLINE, actions);
+        finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+        return;
+    }
+    claim->state = CLAIM_GRANTED;
+    (void)decide(number, EY_DECISION_GRANTED, EY_REASON_NONE, actions);
+}
+
+static void
+take_decision(EyClaims_t *self, int64_t now_ms,
+              const EyGroupMessage_t *message, EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, message->claim.number);
+    if (claim == NULL || claim->state != CLAIM_WAITING) {
+        return;
+    }
+    claim->heard_ms = now_ms;
+    if (message->decision == EY_DECISION_WAITING) {
+        return;
+    }
+    if (message->decision == EY_DECISION_GRANTED) {
+        take_grant(self, now_ms, claim, actions);
+        return;
+    }
+    EyGroupAction_t *action = decide(message->claim.number, message->decision,
+                                     message->reason, actions);
+    if (message->retry_after_ms > 0) {
+        action->retry_after_ms = message->retry_after_ms;
+    }
+    if (message->answer.size_bytes > 0) {
+        action->answer.data = EyMemory_Copy(action, message->answer.data,
+                                            message->answer.size_bytes);
+        action->answer.size_bytes = message->answer.size_bytes;
+    }
+    finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+}
+
+/** The claim isn't known here: it ended, or a process before had it. */
+static void
+disown(const EyClaims_t *self, const char *to, const EyGroupMessage_t *ask,
+       EyGroupActions_t *actions)
+{
+    EyGroupMessage_t *message = EyGroupMessage_New(actions, EY_GROUP_LOST);
+    message->from_incarnation = self->options.incarnation;
+    message->key = EyMemory_Strdup(message, ask->key);
+    message->fingerprint = ask->fingerprint;
+    message->claim = ask->claim;
+    EyGroupActions_Send(actions, to, message);
+}
+
+static void
+take_ask(EyClaims_t *self, const char *from, const EyGroupMessage_t *message,
+         EyGroupActions_t *actions)
+{
+    Claim_t *claim = find(self, message->claim.number);
+    bool is_own = message->claim.incarnation == self->options.incarnation;
+    if (message->key == NULL ||
+        strcmp(message->claim.instance, self->options.name) != 0)
+    {
+        return;
+    }
+    if (claim == NULL || !is_own) {
+        disown(self, from, message, actions);
+        return;
+    }
+    EyGroupActions_Send(actions, from, make_report(self, claim, actions));
+}
+
+bool
+EyClaims_IsFor(const EyGroupMessage_t *message)
+{
+    return message->kind >= EY_GROUP_DECISION &&
+           message->kind < EY_GROUP_MESSAGE_KIND_COUNT;
+}
+
+static bool
+is_own_claim(const EyClaims_t *self, const EyGroupMessage_t *message)
+{
+    return message->claim.incarnation == self->options.incarnation &&
+           strcmp(message->claim.instance, self->options.name) == 0;
+}
+
+void
+EyClaims_Message(EyClaims_t *self, int64_t now_ms, const char *from,
+                 const EyGroupMessage_t *message, EyGroupActions_t *actions)
+{
+    if (message->kind == EY_GROUP_REDIRECT) {
+        learn_view(self, now_ms, &message->view);
+        return;
+    }
+    if (message->kind == EY_GROUP_ASK) {
+        take_ask(self, from, message, actions);
+        return;
+    }
+    if (!is_own_claim(self, message)) {
+        return;
+    }
+    self->heard_ms = now_ms;
+    if (message->kind == EY_GROUP_DECISION) {
+        take_decision(self, now_ms, message, actions);
+        return;
+    }
+    Claim_t *claim = find(self, message->claim.number);
+    if (message->kind == EY_GROUP_SETTLED && claim != NULL &&
+        claim->state >= CLAIM_COMPLETED)
+    {
+        forget(self, claim);
+    }
+}
+
+static void
+tick_claim(EyClaims_t *self, int64_t now_ms, Claim_t *claim,
+           EyGroupActions_t *actions)
+{
+    if (claim->state == CLAIM_WAITING && now_ms >= claim->deadline_ms) {
+        give_up(self, now_ms, claim, EY_REASON_DEADLINE, actions);
+        return;
+    }
+    if (claim->state == CLAIM_WAITING &&
+        now_ms - claim->heard_ms >= PATIENCE_MS) {
+        give_up(self, now_ms, claim, EY_REASON_NO_LEADER, actions);
+        return;
+    }
+    if (claim->state != CLAIM_GRANTED && now_ms - claim->sent_ms >= RETRY_MS) {
+        report(self, now_ms, claim, actions);
+    }
+}
+
+void
+EyClaims_Tick(EyClaims_t *self, int64_t now_ms, EyGroupActions_t *actions)
+{
+    if (g_hash_table_size(self->by_number) > 0) {
+        rotate_target(self, now_ms);
+    }
+    GHashTableIter iter;
+    gpointer claim = NULL;
+    g_hash_table_iter_init(&iter, self->by_number);
+    while (g_hash_table_iter_next(&iter, NULL, &claim)) {
+        tick_claim(self, now_ms, claim, actions);
+    }
+}
+
+uint32_t
+EyClaims_OpenCount(const EyClaims_t *self)
+{
+    return g_hash_table_size(self->by_number);
+}
+
+json_t *
+EyClaims_Dump(const EyClaims_t *self)
+{
+    uint32_t counts[CLAIM_STATE_COUNT] = {0};
+    GHashTableIter iter;
+    gpointer claim = NULL;
+    g_hash_table_iter_init(&iter, self->by_number);
+    while (g_hash_table_iter_next(&iter, NULL, &claim)) {
+        counts[((const Claim_t *)claim)->state]++;
+    }
+    json_t *json = json_object();
+    for (uint32_t i = 0; i < CLAIM_STATE_COUNT; i++) {
+        (void)json_object_set_new(json, StateNames[i],
+                                  json_integer(counts[i]));
+    }
+    (void)json_object_set_new(json, "view",
+                              EySchema_ToJson(&EyView_schema, self->view));
+    return json;
+}
--- /dev/null
+++ b/src/idempotency/group.c
@@ -0,0 +1,646 @@
+#include "core/memory.h"
+#include "idempotency/claims.h"
+#include "idempotency/group_internal.h"
+
+#include <string.h>
+
+#define RECORD_COUNT_PRESET 65536
+#define RECORD_BYTES_PRESET (24ULL * 1024 * 1024)
+#define RETENTION_PRESET_MS (24LL * 60 * 60 * 1000)
+#define REPLICA_PRESET 3
+/** The age clock advances by no more than this between two events, so that
+ * neither a freeze nor a jump of the clock ages a record. */
+#define AGE_STEP_MAX_MS 1000
+#define EXPIRE_MS 1000
+/** How often one that is in no view asks to be let in. */
+#define JOIN_MS 300
+
+EyMetric_t EyGroup_metrics[EY_GROUP_METRIC_COUNT] = {
+    [EY_GROUP_METRIC_GRANTED] = {.name = "idempotency_decisions_total",
+                                 .labels = "decision=\"granted\"",
+                                 .help = "Decisions on claims, by this leader",
+                                 .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_REPLAY] = {.name = "idempotency_decisions_total",
+                                .labels = "decision=\"replay\"",
+                                .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_MISMATCH] = {.name = "idempotency_decisions_total",
+                                  .labels = "decision=\"mismatch\"",
+                                  .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_UNKNOWN] = {.name = "idempotency_decisions_total",
+                                 .labels = "decision=\"unknown\"",
+                                 .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_REFUSED] = {.name = "idempotency_decisions_total",
+                                 .labels = "decision=\"refused\"",
+                                 .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_WAITING] = {.name = "idempotency_decisions_total",
+                                 .labels = "decision=\"waiting\"",
+                                 .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_VIEWS] = {.name = "idempotency_views_total",
+                               .help = "Views that this member went over to",
+                               .kind = EY_METRIC_COUNTER},
+    [EY_GROUP_METRIC_RECORDS] = {.name = "idempotency_records",
+                                 .help = "Records that this member holds",
+                                 .kind = EY_METRIC_GAUGE},
+    [EY_GROUP_METRIC_RECORD_BYTES] = {.name = "idempotency_record_bytes",
+                                      .help = "Room that the records take",
+                                      .kind = EY_METRIC_GAUGE},
+};
+
+void
+EyGroup_RegisterMetrics(void)
+{
+    EyMetrics_Register(EyGroup_metrics, EY_GROUP_METRIC_COUNT);
+}
+
+/* Messages out */
+
+EyGroupMessage_t *
+EyGroup_Make(EyGroup_t *self, EyGroupMessageKind_t kind)
+{
+    EyGroupMessage_t *message = EyGroupMessage_New(self, kind);
+    message->from_incarnation = self->me.incarnation;
+    message->epoch = self->view->epoch;
+    message->view_number = self->view->number;
+    return message;
+}
+
+static void
+push_deferred(EyGroup_t *self, GQueue *queue, const char *to,
+              EyGroupMessage_t *message)
+{
+    Deferred_t *deferred = EY_NEW(self, Deferred_t);
+    deferred->serial = self->serial + (self->is_dirty ? 1 : 0);
+    deferred->message = talloc_steal(deferred, message);
+    (void)EY_COPY(deferred->to, to);
+    g_queue_push_tail(queue, deferred);
+}
+
+void
+EyGroup_Send(EyGroup_t *self, const char *to, EyGroupMessage_t *message)
+{
+    bool is_local = strcmp(to, self->me.name) == 0;
+    if (is_local && message->kind < EY_GROUP_CLAIM) {
+        push_deferred(self, &self->loopback, to, message);
+        return;
+    }
+    EyGroupActions_Send(self->actions, to, message);
+}
+
+void
+EyGroup_SendDurable(EyGroup_t *self, const char *to, EyGroupMessage_t *message)
+{
+    uint64_t needed = self->serial + (self->is_dirty ? 1 : 0);
+    if (!self->options.has_disk || needed <= self->persisted_serial) {
+        EyGroup_Send(self, to, message);
+        return;
+    }
+    push_deferred(self, &self->deferred, to, message);
+}
+
+void
+EyGroup_TellView(EyGroup_t *self, const char *to)
+{
+    EyGroupMessage_t *message = EyGroup_Make(self, EY_GROUP_INSTALL);
+    message->view = *EyView_Copy(message, self->view);
+    message->epoch_age_ms = EyGroup_EpochAgeMs(self);
+    EyGroup_Send(self, to, message);
+}
+
+/* State */
+
+void
+EyGroup_Touch(EyGroup_t *self)
+{
+    self->is_dirty = true;
+}
+
+void
+EyGroup_Store(EyGroup_t *self, const EyRecord_t *record)
+{
+    EyRecords_Put(self->records, record, self->age_ms);
+    if (self->options.has_disk) {
+        EyRecord_t *copy = EY_NEW(self, EyRecord_t);
+        EyRecord_CopyInto(copy, copy, record);
+        g_ptr_array_add(self->changed, copy);
+    }
+    EyGroup_Touch(self);
+}
+
+int32_t
+EyGroup_Rank(const EyGroup_t *self)
+{
+    return EyView_Find(self->view, self->me.name, self->me.incarnation);
+}
+
+bool
+EyGroup_IsLeader(const EyGroup_t *self)
+{
+    return self->may_lead && strcmp(self->view->leader, self->me.name) == 0 &&
+           EyGroup_Rank(self) >= 0;
+}
+
+int64_t
+EyGroup_EpochAgeMs(const EyGroup_t *self)
+{
+    return self->age_ms - self->epoch_since_ms;
+}
+
+static void
+clear_records(EyGroup_t *self)
+{
+    EyRecords_Clear(self->records);
+    for (guint i = 0; i < self->changed->len; i++) {
+        talloc_free(self->changed->pdata[i]);
+    }
+    g_ptr_array_set_size(self->changed, 0);
+    self->version = 0;
+    self->is_cleared = true;
+}
+
+void
+EyGroup_Install(EyGroup_t *self, const EyView_t *view)
+{
+    if (view->epoch != self->view->epoch) {
+        clear_records(self);
+        self->epoch_since_ms = self->age_ms;
+    }
+    EyView_t *copy = EyView_Copy(self, view);
+    talloc_free(self->view);
+    self->view = copy;
+    self->promised = 0;
+    self->accepted_ballot = 0;
+    talloc_free(self->accepted);
+    self->accepted = NULL;
+    self->is_fenced = false;
+    self->heard_leader_ms = self->now_ms;
+    self->may_lead = strcmp(view->leader, self->me.name) == 0;
+    /* One that is left out has records that may be ahead of the group's or
+     * behind them: it starts again from nothing. */
+    if (EyGroup_Rank(self) < 0) {
+        clear_records(self);
+    }
+    EyGroupVote_Reset(self);
+    EyGroupAppend_Reset(self);
+    EyGroupClaim_Reset(self);
+    EyGroup_Touch(self);
+    EyMetric_Add(&EyGroup_metrics[EY_GROUP_METRIC_VIEWS], 1);
+}
+
+/* Events */
+
+static void
+note_seen(EyGroup_t *self, const EyGroupMember_t *member)
+{
+    uint32_t at = 0;
+    while (at < self->seen_count &&
+           strcmp(self->seen[at].name, member->name) != 0) {
+        at++;
+    }
+    if (at < EY_GROUP_PEERS_MAX) {
+        self->seen[at] = *member;
+        self->seen_count = MAX(self->seen_count, at + 1);
+    }
+}
+
+/** Lets the leader know of one that wants to be a member. */
+static void
+add_joiner(EyGroup_t *self, const EyGroupMember_t *member)
+{
+    Peer_t *peer = EyGroup_FindPeer(self, member->name, member->incarnation);
+    if (peer == NULL && self->peer_count < EY_GROUP_PEERS_MAX) {
+        peer = &self->peers[self->peer_count++];
+        *peer = (Peer_t){.member = *member, .is_joiner = true};
+    }
+    if (peer != NULL && peer->is_joiner) {
+        peer->heard_ms = self->now_ms;
+    }
+}
+
+static void
+take_join(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
+{
+    EyGroupMember_t member = {
+        .incarnation = message->from_incarnation,
+        .is_witness = message->is_witness,
+    };
+    (void)EY_COPY(member.name, from);
+    note_seen(self, &member);
+    EyView_t theirs = {.epoch = message->epoch,
+                       .number = message->view_number};
+    if (EyView_IsNewer(self->view, &theirs)) {
+        EyGroup_TellView(self, from);
+        return;
+    }
+    if (EyGroup_IsLeader(self)) {
+        add_joiner(self, &member);
+    }
+}
+
+/** The view in the message is newer: go over; older: tell ours. */
+static void
+take_install(EyGroup_t *self, const char *from,
+             const EyGroupMessage_t *message)
+{
+    if (message->view.member_count > EY_VIEW_MEMBERS_MAX) {
+        return;
+    }
+    if (EyView_IsNewer(&message->view, self->view)) {
+        EyGroup_Install(self, &message->view);
+        return;
+    }
+    if (EyView_IsNewer(self->view, &message->view)) {
+        EyGroup_TellView(self, from);
+    }
+}
+
+/** True if the message is of this member's very view; else views are told. */
+static bool
+is_of_view(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
+{
+    if (message->epoch == self->view->epoch &&
+        message->view_number == self->view->number)
+    {
+        return self->view->number > 0;
+    }
+    EyGroup_TellView(self, from);
+    return false;
+}
+
+static void
+take_message(EyGroup_t *self, const char *from,
+             const EyGroupMessage_t *message)
+{
+    if (message->kind == EY_GROUP_INSTALL) {
+        take_install(self, from, message);
+        return;
+    }
+    if (message->kind == EY_GROUP_JOIN) {
+        take_join(self, from, message);
+        return;
+    }
+    if (message->kind >= EY_GROUP_CLAIM) {
+        if (!self->me.is_witness && !EyClaims_IsFor(message)) {
+            EyGroupClaim_Message(self, from, message);
+        }
+        return;
+    }
+    if (!is_of_view(self, from, message)) {
+        return;
+    }
+    if (message->kind <= EY_GROUP_APPEND_ACK) {
+        EyGroupAppend_Message(self, from, message);
+        return;
+    }
+    int32_t rank = EyView_Find(self->view, from, message->from_incarnation);
+    if (rank >= 0 && EyGroup_Rank(self) >= 0) {
+        EyGroupVote_Message(self, (uint32_t)rank, message);
+    }
+}
+
+static void
+take_epoch(EyGroup_t *self, const EyGroupEvent_t *event)
+{
+    if (event->epoch < self->view->epoch) {
+        return;
+    }
+    self->configured_count = 0;
+    EyView_t *first = EY_NEW(self, EyView_t);
+    first->epoch = event->epoch;
+    first->number = 1;
+    first->members = EY_NEW_ARRAY(first, EyGroupMember_t, EY_VIEW_MEMBERS_MAX);
+    for (uint32_t i = 0; i < event->member_count; i++) {
+        EyView_Add(first, &event->members[i]);
+    }
+    for (uint32_t i = 0; i < first->member_count; i++) {
+        self->configured[self->configured_count++] = first->members[i];
+    }
+    if (event->epoch > self->view->epoch && first->member_count > 0) {
+        (void)EY_COPY(first->leader, first->members[0].name);
+        EyGroup_Install(self, first);
+    }
+    talloc_free(first);
+}
+
+/** Lets go what waited for the disk. */
+static void
+take_persisted(EyGroup_t *self, uint64_t serial)
+{
+    self->persisted_serial = MAX(self->persisted_serial, serial);
+    Deferred_t *deferred = g_queue_peek_head(&self->deferred);
+    while (deferred != NULL && deferred->serial <= self->persisted_serial) {
+        (void)g_queue_pop_head(&self->deferred);
+        EyGroup_Send(self, deferred->to,
+                     talloc_steal(self, deferred->message));
+        talloc_free(deferred);
+        deferred = g_queue_peek_head(&self->deferred);
+    }
+}
+
+static void
+send_join(EyGroup_t *self, const EyGroupMember_t *members, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(members[i].name, self->me.name) != 0) {
+            EyGroupMessage_t *message = EyGroup_Make(self, EY_GROUP_JOIN);
+            message->is_witness = self->me.is_witness;
+            EyGroup_Send(self, members[i].name, message);
+        }
+    }
+}
+
+static void
+take_tick(EyGroup_t *self)
+{
+    if (EyGroup_Rank(self) < 0) {
+        if (self->now_ms - self->joined_ms >= JOIN_MS) {
+            self->joined_ms = self->now_ms;
+            send_join(self, self->configured, self->configured_count);
+            send_join(self, self->view->members, self->view->member_count);
+        }
+        return;
+    }
+    EyGroupVote_Tick(self);
+    EyGroupClaim_Tick(self);
+    if (self->now_ms - self->expired_ms >= EXPIRE_MS) {
+        self->expired_ms = self->now_ms;
+        EyRecords_Expire(self->records, self->age_ms);
+        EyMetric_Set(&EyGroup_metrics[EY_GROUP_METRIC_RECORDS],
+                     EyRecords_Count(self->records));
+        EyMetric_Set(&EyGroup_metrics[EY_GROUP_METRIC_RECORD_BYTES],
+                     EyRecords_SizeBytes(self->records));
+    }
+}
+
+/* Steps */
+
+static void
+advance_clock(EyGroup_t *self, int64_t now_ms)
+{
+    int64_t step_ms = now_ms - self->now_ms;
+    if (step_ms > 0) {
+        self->age_ms += MIN(step_ms, AGE_STEP_MAX_MS);
+        self->now_ms = now_ms;
+    }
+}
+
+static void
+take_event(EyGroup_t *self, const EyGroupEvent_t *event)
+{
+    switch (event->kind) {
+    case EY_GROUP_EVENT_TICK:
+        take_tick(self);
+        break;
+    case EY_GROUP_EVENT_MESSAGE:
+        take_message(self, event->from, event->message);
+        break;
+    case EY_GROUP_EVENT_EPOCH:
+        take_epoch(self, event);
+        break;
+    case EY_GROUP_EVENT_PERSISTED:
+        take_persisted(self, event->serial);
+        break;
+    case EY_GROUP_EVENT_PERSIST_FAILED:
+        self->is_halted = true;
+        break;
+    default:
+        break;
+    }
+}
+
+/** The state without records. */
+static EyGroupState_t *
+make_state(const EyGroup_t *self, const void *ctx)
+{
+    EyGroupState_t *state = EY_NEW(ctx, EyGroupState_t);
+    state->serial = self->serial;
+    state->incarnation = self->me.incarnation;
+    state->view = *EyView_Copy(state, self->view);
+    state->promised = self->promised;
+    state->accepted_ballot = self->accepted_ballot;
+    if (self->accepted != NULL) {
+        state->accepted = *EyView_Copy(state, self->accepted);
+    }
+    state->is_fenced = self->is_fenced;
+    state->version = self->version;
+    state->epoch_age_ms = EyGroup_EpochAgeMs(self);
+    return state;
+}
+
+/** Asks the daemon to write what changed in this step. */
+static void
+emit_persist(EyGroup_t *self)
+{
+    if (!self->is_dirty) {
+        return;
+    }
+    self->is_dirty = false;
+    if (self->options.has_disk) {
+        self->serial++;
+        EyGroupAction_t *action =
+            EyGroupActions_Add(self->actions, EY_GROUP_ACTION_PERSIST);
+        EyGroupState_t *state = make_state(self, action);
+        state->clear = self->is_cleared;
+        state->records = EY_NEW_ARRAY(state, EyRecord_t, self->changed->len);
+        state->record_count = self->changed->len;
+        for (guint i = 0; i < self->changed->len; i++) {
+            EyRecord_t *record = self->changed->pdata[i];
+            state->records[i] = *record;
+            (void)talloc_steal(state, record);
+        }
+        g_ptr_array_set_size(self->changed, 0);
+        action->state = state;
+    }
+    self->is_cleared = false;
+}
+
+void
+EyGroup_Step(EyGroup_t *self, int64_t now_ms, const EyGroupEvent_t *event,
+             EyGroupActions_t *actions)
+{
+    self->actions = actions;
+    advance_clock(self, now_ms);
+    if (!self->is_halted) {
+        take_event(self, event);
+    }
+    Deferred_t *local = g_queue_pop_head(&self->loopback);
+    while (local != NULL) {
+        take_message(self, self->me.name, local->message);
+        talloc_free(local);
+        local = g_queue_pop_head(&self->loopback);
+    }
+    if (!self->is_halted) {
+        EyGroupClaim_Release(self);
+        EyGroupAppend_Flush(self);
+        emit_persist(self);
+    }
+    self->actions = NULL;
+}
+
+/* Life */
+
+static int
+group_destroy(EyGroup_t *self)
+{
+    g_ptr_array_free(self->changed, TRUE);
+    g_queue_clear(&self->deferred);
+    g_queue_clear(&self->loopback);
+    g_queue_clear(&self->pending);
+    g_hash_table_destroy(self->inquiries);
+    return 0;
+}
+
+static void
+set_presets(EyGroupOptions_t *options)
+{
+    EyRecordsLimits_t *limits = &options->limits;
+    if (limits->count_max == 0) {
+        limits->count_max = RECORD_COUNT_PRESET;
+    }
+    if (limits->size_bytes_max == 0) {
+        limits->size_bytes_max = RECORD_BYTES_PRESET;
+    }
+    if (limits->retention_ms == 0) {
+        limits->retention_ms = RETENTION_PRESET_MS;
+    }
+    /* No grant may outlive its record. */
+    limits->retention_ms =
+        MAX(limits->retention_ms, 2 * EY_CLAIM_DEADLINE_MAX_MS);
+    if (options->replica_max == 0) {
+        options->replica_max = REPLICA_PRESET;
+    }
+}
+
+static void
+restore(EyGroup_t *self, const EyGroupState_t *state)
+{
+    self->me.incarnation = state->incarnation;
+    talloc_free(self->view);
+    self->view = EyView_Copy(self, &state->view);
+    self->promised = state->promised;
+    self->accepted_ballot = state->accepted_ballot;
+    if (state->accepted_ballot > 0) {
+        self->accepted = EyView_Copy(self, &state->accepted);
+    }
+    self->is_fenced = state->is_fenced;
+    self->version = state->version;
+    self->serial = state->serial;
+    self->persisted_serial = state->serial;
+    self->epoch_since_ms = -state->epoch_age_ms;
+    for (uint32_t i = 0; i < state->record_count; i++) {
+        EyRecords_Put(self->records, &state->records[i], 0);
+    }
+}
+
+EyGroup_t *
+EyGroup_New(const void *ctx, const EyGroupOptions_t *options,
+            const EyGroupState_t *restored, int64_t now_ms)
+{
+    static const EyView_t None = {.number = 0};
+    EyGroup_t *self = EY_NEW(ctx, EyGroup_t);
+    self->options = *options;
+    set_presets(&self->options);
+    self->me.incarnation = options->incarnation;
+    self->me.is_witness = options->is_witness;
+    (void)EY_COPY(self->me.name, options->name);
+    self->random = EyRandom_Make(options->seed);
+    self->now_ms = now_ms;
+    self->heard_leader_ms = now_ms;
+    self->fenced_ms = now_ms;
+    self->view = EyView_Copy(self, &None);
+    self->records = EyRecords_New(self, &self->options.limits);
+    self->changed = g_ptr_array_new();
+    self->inquiries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    talloc_set_destructor(self, group_destroy);
+    if (restored != NULL) {
+        restore(self, restored);
+    }
+    return self;
+}
+
+/* Views from outside */
+
+const EyView_t *
+EyGroup_View(const EyGroup_t *self)
+{
+    return self->view;
+}
+
+const EyRecords_t *
+EyGroup_Records(const EyGroup_t *self)
+{
+    return self->me.is_witness ? NULL : self->records;
+}
+
+EyGroupMember_t
+EyGroup_Self(const EyGroup_t *self)
+{
+    return self->me;
+}
+
+/** The newest incarnation seen of a member, or itself. */
+static const EyGroupMember_t *
+newest(const EyGroup_t *self, const EyGroupMember_t *member)
+{
+    for (uint32_t i = 0; i < self->seen_count; i++) {
+        if (strcmp(self->seen[i].name, member->name) == 0) {
+            return &self->seen[i];
+        }
+    }
+    return member;
+}
+
+bool
+EyGroup_IsLost(const EyGroup_t *self, EyGroupMember_t *members,
+               uint32_t *member_count)
+{
+    uint32_t present = 0;
+    for (uint32_t i = 0; i < self->view->member_count; i++) {
+        const EyGroupMember_t *member = &self->view->members[i];
+        members[i] = *newest(self, member);
+        if (members[i].incarnation == member->incarnation) {
+            present |= 1U << i;
+        }
+    }
+    *member_count = self->view->member_count;
+    bool is_silent =
+        self->now_ms - self->heard_leader_ms >= EY_GROUP_WITNESS_SUSPECT_MS;
+    return self->view->member_count > 0 && is_silent &&
+           !EyView_IsQuorum(self->view, present);
+}
+
+EyGroupState_t *
+EyGroup_Snapshot(const EyGroup_t *self, const void *ctx)
+{
+    EyGroupState_t *state = make_state(self, ctx);
+    state->clear = true;
+    state->records = EyRecords_After(self->records, state, 0, UINT64_MAX,
+                                     self->age_ms, &state->record_count);
+    return state;
+}
+
+json_t *
+EyGroup_Dump(const EyGroup_t *self)
+{
+    json_t *json = json_object();
+    (void)json_object_set_new(
+        json, "self", EySchema_ToJson(&EyGroupMember_schema, &self->me));
+    (void)json_object_set_new(json, "view",
+                              EySchema_ToJson(&EyView_schema, self->view));
+    (void)json_object_set_new(json, "leads",
+                              json_boolean(EyGroup_IsLeader(self)));
+    (void)json_object_set_new(json, "serving",
+                              json_boolean(EyGroup_IsServing(self)));
+    (void)json_object_set_new(json, "fenced", json_boolean(self->is_fenced));
+    (void)json_object_set_new(json, "halted", json_boolean(self->is_halted));
+    (void)json_object_set_new(json, "version",
+                              json_integer((json_int_t)self->version));
+    (void)json_object_set_new(json, "records",
+                              json_integer(EyRecords_Count(self->records)));
+    (void)json_object_set_new(
+        json, "record_bytes",
+        json_integer((json_int_t)EyRecords_SizeBytes(self->records)));
+    (void)json_object_set_new(json, "epoch_age_ms",
+                              json_integer(EyGroup_EpochAgeMs(self)));
+    return json;
+}
