--- /dev/null
+++ b/src/config/config_message.c
@@ -0,0 +1,35 @@
+#include "config/config_message.h"
+
+static const char *const KindNames[EY_CONFIG_MESSAGE_KIND_COUNT] = {
+    [EY_CONFIG_PULL] = "pull",
+    [EY_CONFIG_PUSH] = "push",
+    [EY_CONFIG_PROPOSE] = "propose",
+    [EY_CONFIG_ANSWER] = "answer",
+};
+
+const char *const EyConfigMessage_outcome_names[EY_PROPOSAL_OUTCOME_COUNT] = {
+    [EY_PROPOSAL_APPLIED] = "applied",
+    [EY_PROPOSAL_REJECTED] = "rejected",
+    [EY_PROPOSAL_UNKNOWN] = "unknown",
+};
+
+static const EyField_t MessageFields[] = {
+    EY_FIELD_NAMED(EyConfigMessage_t, kind, KindNames,
+                   EY_CONFIG_MESSAGE_KIND_COUNT),
+    EY_FIELD(EyConfigMessage_t, revision, EY_FIELD_U64),
+    EY_FIELD(EyConfigMessage_t, first_revision, EY_FIELD_U64),
+    EY_FIELD_ARRAY_OF(EyConfigMessage_t, commands, command_count,
+                      EyCommand_schema, EY_PUSH_COMMANDS_MAX),
+    EY_FIELD_BYTES_MAX(EyConfigMessage_t, snapshot,
+                       EY_PUSH_SNAPSHOT_MAX_BYTES),
+    EY_FIELD(EyConfigMessage_t, wants_snapshot, EY_FIELD_BOOL),
+    EY_FIELD(EyConfigMessage_t, number, EY_FIELD_U64),
+    EY_FIELD(EyConfigMessage_t, is_forwarded, EY_FIELD_BOOL),
+    EY_FIELD_OF(EyConfigMessage_t, command, EyCommand_schema),
+    EY_FIELD_NAMED(EyConfigMessage_t, outcome, EyConfigMessage_outcome_names,
+                   EY_PROPOSAL_OUTCOME_COUNT),
+    EY_FIELD_OF(EyConfigMessage_t, result, EyResult_schema),
+    EY_FIELD_END,
+};
+const EySchema_t EyConfigMessage_schema =
+    EY_SCHEMA(EyConfigMessage_t, MessageFields);
--- /dev/null
+++ b/src/config/control.c
@@ -0,0 +1,431 @@
+#include "config/control.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+/** A proposal that waits for its answer. */
+typedef struct Waiting {
+    uint64_t number;      /* here */
+    EyName_t from;        /* instance that proposed it; empty: here */
+    uint64_t from_number; /* there */
+    EyAddress_t asked;    /* leader that it was passed on to; empty: self */
+    int64_t ends_ms;
+} Waiting_t;
+
+struct EyControl {
+    EyControlHooks_t hooks;
+    EyLog_t *log;
+    EyStore_t *store;
+    EyFeed_t *feed;
+    GArray *waiting; /* Waiting_t, oldest first */
+    uint64_t last_number;
+    uint64_t base_index; /* of the last compaction */
+    int64_t tick_ms;     /* when the last tick passed, or this one began */
+    bool was_leader;
+    bool has_changed; /* in the step in hand */
+};
+
+static void
+feed_send(void *data, const char *to, const EyConfigMessage_t *message)
+{
+    EyControl_t *self = data;
+    self->hooks.send_config(self->hooks.data, to, "", message);
+}
+
+static int
+control_destroy(EyControl_t *self)
+{
+    g_array_free(self->waiting, TRUE);
+    return 0;
+}
+
+EyControl_t *
+EyControl_New(const void *ctx, const EyLogOptions_t *options,
+              const EyLogDisk_t *disk, const EyControlHooks_t *hooks,
+              int64_t now_ms)
+{
+    EyControl_t *self = EY_NEW(ctx, EyControl_t);
+    self->hooks = *hooks;
+    self->log = EyLog_New(self, options, disk, now_ms);
+    self->store = EyStore_New(self);
+    self->feed = EyFeed_New(self, feed_send, self);
+    self->waiting = g_array_new(FALSE, TRUE, sizeof(Waiting_t));
+    talloc_set_destructor(self, control_destroy);
+    self->base_index = disk->snapshot.index;
+    /* Numbers of a former process must not meet those of this one. */
+    self->last_number = options->seed << 32;
+    self->tick_ms = now_ms;
+    return self;
+}
+
+/* Answers */
+
+static void
+answer(EyControl_t *self, const Waiting_t *waiting,
+       EyProposalOutcome_t outcome, const EyResult_t *result)
+{
+    if (waiting->from[0] == '\0') {
+        self->hooks.answer(self->hooks.data, waiting->from_number, outcome,
+                           result);
+        return;
+    }
+    EyConfigMessage_t message = {
+        .kind = EY_CONFIG_ANSWER,
+        .number = waiting->from_number,
+        .outcome = outcome,
+        .result = *result,
+    };
+    self->hooks.send_config(self->hooks.data, waiting->from, "", &message);
+}
+
+/** Answers the proposal with this number, if it still waits. */
+static void
+settle(EyControl_t *self, uint64_t number, EyProposalOutcome_t outcome,
+       const EyResult_t *result)
+{
+    for (guint i = 0; i < self->waiting->len; i++) {
+        Waiting_t waiting = g_array_index(self->waiting, Waiting_t, i);
+        if (waiting.number == number) {
+            g_array_remove_index(self->waiting, i);
+            answer(self, &waiting, outcome, result);
+            return;
+        }
+    }
+}
+
+static void
+settle_without_result(EyControl_t *self, uint64_t number,
+                      EyProposalOutcome_t outcome)
+{
+    EyResult_t result = {.version = self->store->config.version};
+    settle(self, number, outcome, &result);
+}
+
+static void
+give_up_late(EyControl_t *self, int64_t now_ms)
+{
+    guint i = 0;
+    while (i < self->waiting->len) {
+        Waiting_t waiting = g_array_index(self->waiting, Waiting_t, i);
+        if (waiting.ends_ms > now_ms) {
+            i++;
+            continue;
+        }
+        settle_without_result(self, waiting.number, EY_PROPOSAL_UNKNOWN);
+    }
+}
+
+/* The log's actions */
+
+static void
+apply_entry(EyControl_t *self, const EyLogAction_t *action)
+{
+    if (action->entry.kind != EY_LOG_COMMAND) {
+        return;
+    }
+    const EyBytes_t *data = &action->entry.data;
+    void *ctx = talloc_new(NULL);
+    EyCommand_t command;
+    EyResult_t result = {.status = EY_RESULT_INVALID};
+    if (EySchema_Unpack(&EyCommand_schema, ctx, data->data, data->size_bytes,
+                        &command, NULL))
+    {
+        uint64_t before = self->store->config.revision;
+        uint64_t tick = self->store->tick;
+        result = EyStore_Apply(self->store, &command);
+        if (self->store->config.revision > before) {
+            EyFeed_Add(self->feed, &command, self->store->config.revision);
+            self->has_changed = true;
+        }
+        if (self->store->tick != tick) {
+            self->tick_ms = -1;
+        }
+    }
+    talloc_free(ctx);
+    if (action->number != 0) {
+        settle(self, action->number, EY_PROPOSAL_APPLIED, &result);
+    }
+}
+
+static void
+restore(EyControl_t *self, const EyLogAction_t *action)
+{
+    EyStore_t *store =
+        action->snapshot.data.size_bytes == 0
+            ? EyStore_New(self)
+            : EyStore_Restore(self, &action->snapshot.data, NULL);
+    if (store == NULL) {
+        /* It was checked by checksum; going on would lose what is in it. */
+        g_error("a snapshot of the configuration doesn't read");
+    }
+    talloc_free(self->store);
+    self->store = store;
+    self->base_index = action->snapshot.index;
+    EyFeed_Clear(self->feed);
+    self->has_changed = true;
+}
+
+static void
+act(EyControl_t *self, EyLogAction_t *action)
+{
+    switch (action->kind) {
+    case EY_LOG_ACTION_SEND:
+        self->hooks.send_log(self->hooks.data, action->message);
+        break;
+    case EY_LOG_ACTION_PERSIST:
+        self->hooks.persist(self->hooks.data,
+                            talloc_steal(NULL, action->persist));
+        break;
+    case EY_LOG_ACTION_APPLY:
+        apply_entry(self, action);
+        break;
+    case EY_LOG_ACTION_RESTORE:
+        restore(self, action);
+        break;
+    case EY_LOG_ACTION_REJECTED:
+        settle_without_result(self, action->number, EY_PROPOSAL_REJECTED);
+        break;
+    case EY_LOG_ACTION_UNKNOWN:
+        settle_without_result(self, action->number, EY_PROPOSAL_UNKNOWN);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+step(EyControl_t *self, int64_t now_ms, const EyLogEvent_t *event)
+{
+    EyLogActions_t *actions = EyLog_Step(self->log, NULL, now_ms, event);
+    for (uint32_t i = 0; i < actions->count; i++) {
+        act(self, actions->items[i]);
+    }
+    talloc_free(actions);
+}
+
+static void
+compact(EyControl_t *self, int64_t now_ms)
+{
+    EyLogStatus_t status = EyLog_Status(self->log);
+    if (status.applied < self->base_index + EY_CONTROL_COMPACT_ENTRIES) {
+        return;
+    }
+    self->base_index = status.applied;
+    EyLogEvent_t event = {
+        .kind = EY_LOG_EVENT_COMPACT,
+        .number = status.applied,
+        .data = EyStore_Snapshot(self->store, NULL),
+    };
+    step(self, now_ms, &event);
+    talloc_free(event.data.data);
+}
+
+/** One step with all that may follow from it. */
+static void
+run(EyControl_t *self, int64_t now_ms, const EyLogEvent_t *event)
+{
+    step(self, now_ms, event);
+    compact(self, now_ms);
+    bool is_leader = EyLog_Status(self->log).role == EY_LOG_LEADER;
+    if (self->tick_ms < 0 || is_leader != self->was_leader) {
+        self->tick_ms = now_ms;
+        self->was_leader = is_leader;
+    }
+    if (self->has_changed) {
+        self->has_changed = false;
+        EyFeed_Push(self->feed, self->store, now_ms, NULL);
+        if (self->hooks.changed != NULL) {
+            self->hooks.changed(self->hooks.data, self->store);
+        }
+    }
+}
+
+/* Proposals */
+
+static void
+propose_here(EyControl_t *self, int64_t now_ms, uint64_t number,
+             const EyCommand_t *command)
+{
+    EyLogEvent_t event = {
+        .kind = EY_LOG_EVENT_PROPOSE,
+        .number = number,
+        .data = EySchema_Pack(&EyCommand_schema, NULL, command),
+    };
+    run(self, now_ms, &event);
+    talloc_free(event.data.data);
+}
+
+static void
+pass_on(EyControl_t *self, const Waiting_t *waiting,
+        const EyCommand_t *command)
+{
+    EyConfigMessage_t message = {
+        .kind = EY_CONFIG_PROPOSE,
+        .number = waiting->number,
+        .is_forwarded = true,
+        .command = *command,
+    };
+    self->hooks.send_config(self->hooks.data, "", waiting->asked, &message);
+}
+
+static void
+propose(EyControl_t *self, int64_t now_ms, Waiting_t waiting,
+        bool is_forwarded, const EyCommand_t *command)
+{
+    EyResult_t result;
+    if (!EyStore_Check(command, &result)) {
+        result.version = self->store->config.version;
+        answer(self, &waiting, EY_PROPOSAL_APPLIED, &result);
+        return;
+    }
+    EyLogStatus_t status = EyLog_Status(self->log);
+    bool is_leader = status.role == EY_LOG_LEADER;
+    bool has_way = is_leader || (status.leader[0] != '\0' && !is_forwarded);
+    if (!has_way || self->waiting->len >= EY_CONTROL_PROPOSALS_MAX) {
+        result.version = self->store->config.version;
+        answer(self, &waiting, EY_PROPOSAL_REJECTED, &result);
+        return;
+    }
+    waiting.number = ++self->last_number;
+    waiting.ends_ms = now_ms + EY_CONTROL_ANSWER_MS;
+    if (!is_leader) {
+        (void)EY_COPY(waiting.asked, status.leader);
+    }
+    g_array_append_val(self->waiting, waiting);
+    if (is_leader) {
+        propose_here(self, now_ms, waiting.number, command);
+    }
+    else {
+        pass_on(self, &waiting, command);
+    }
+}
+
+void
+EyControl_Propose(EyControl_t *self, int64_t now_ms, uint64_t number,
+                  const EyCommand_t *command)
+{
+    Waiting_t waiting = {.from_number = number};
+    propose(self, now_ms, waiting, false, command);
+}
+
+/* Events */
+
+void
+EyControl_ReceiveLog(EyControl_t *self, int64_t now_ms,
+                     const EyLogMessage_t *message)
+{
+    EyLogEvent_t event = {.kind = EY_LOG_EVENT_MESSAGE, .message = message};
+    run(self, now_ms, &event);
+}
+
+void
+EyControl_ReceiveConfig(EyControl_t *self, int64_t now_ms, const char *from,
+                        const EyConfigMessage_t *message)
+{
+    Waiting_t waiting = {.from_number = message->number};
+    switch (message->kind) {
+    case EY_CONFIG_PULL:
+        EyFeed_Pull(self->feed, self->store, now_ms, from, message);
+        break;
+    case EY_CONFIG_PROPOSE:
+        (void)EY_COPY(waiting.from, from);
+        propose(self, now_ms, waiting, message->is_forwarded,
+                &message->command);
+        break;
+    case EY_CONFIG_ANSWER:
+        settle(self, message->number, message->outcome, &message->result);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+EyControl_Persisted(EyControl_t *self, int64_t now_ms, uint64_t serial,
+                    bool done)
+{
+    EyLogEvent_t event = {
+        .kind = done ? EY_LOG_EVENT_PERSISTED : EY_LOG_EVENT_PERSIST_FAILED,
+        .number = serial,
+    };
+    run(self, now_ms, &event);
+}
+
+void
+EyControl_RemoveMember(EyControl_t *self, int64_t now_ms, const char *address)
+{
+    EyLogEvent_t event = {
+        .kind = EY_LOG_EVENT_REMOVE_MEMBER,
+        .address = address,
+    };
+    run(self, now_ms, &event);
+}
+
+/** Proposes the next tick when it is due. */
+static void
+pass_ticks(EyControl_t *self, int64_t now_ms)
+{
+    bool is_due = self->was_leader &&
+                  now_ms - self->tick_ms >= EY_TICK_S * INT64_C(1000);
+    if (!is_due || !EyStore_NeedsTicks(self->store)) {
+        return;
+    }
+    /* Again after another tick's time if this one gets lost. */
+    self->tick_ms = now_ms;
+    EyCommand_t command = {
+        .kind = EY_COMMAND_TICK,
+        .tick = self->store->tick + 1,
+    };
+    propose_here(self, now_ms, 0, &command);
+}
+
+void
+EyControl_Tick(EyControl_t *self, int64_t now_ms)
+{
+    EyLogEvent_t event = {.kind = EY_LOG_EVENT_TICK};
+    run(self, now_ms, &event);
+    pass_ticks(self, now_ms);
+    give_up_late(self, now_ms);
+}
+
+int64_t
+EyControl_DueMs(const EyControl_t *self)
+{
+    int64_t due_ms = EyLog_DueMs(self->log);
+    if (self->waiting->len > 0) {
+        due_ms =
+            MIN(due_ms, g_array_index(self->waiting, Waiting_t, 0).ends_ms);
+    }
+    return due_ms;
+}
+
+const EyStore_t *
+EyControl_Store(const EyControl_t *self)
+{
+    return self->store;
+}
+
+EyLogStatus_t
+EyControl_Status(const EyControl_t *self)
+{
+    return EyLog_Status(self->log);
+}
+
+json_t *
+EyControl_Dump(const EyControl_t *self)
+{
+    EyLogStatus_t status = EyLog_Status(self->log);
+    json_t *json = json_object();
+    (void)json_object_set_new(json, "log",
+                              EySchema_ToJson(&EyLogStatus_schema, &status));
+    (void)json_object_set_new(
+        json, "version",
+        json_integer((json_int_t)self->store->config.version));
+    (void)json_object_set_new(
+        json, "revision",
+        json_integer((json_int_t)self->store->config.revision));
+    (void)json_object_set_new(json, "proposals_waiting",
+                              json_integer((json_int_t)self->waiting->len));
+    return json;
+}
--- /dev/null
+++ b/src/config/feed.c
@@ -0,0 +1,158 @@
+#include "config/feed.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+EyFeed_t *
+EyFeed_New(const void *ctx, EyFeedSend_t send, void *data)
+{
+    EyFeed_t *self = EY_NEW(ctx, EyFeed_t);
+    self->recent = EY_NEW_ARRAY(self, EyCommand_t, EY_PUSH_COMMANDS_MAX);
+    self->send = send;
+    self->data = data;
+    return self;
+}
+
+static EyCommand_t *
+slot(const EyFeed_t *self, uint64_t revision)
+{
+    return &self->recent[revision % EY_PUSH_COMMANDS_MAX];
+}
+
+static EyName_t *
+copy_names(const void *ctx, const EyName_t *names, uint32_t count)
+{
+    EyName_t *copy = EY_NEW_ARRAY(ctx, EyName_t, count);
+    for (uint32_t i = 0; i < count; i++) {
+        (void)EY_COPY(copy[i], names[i]);
+    }
+    return copy;
+}
+
+void
+EyFeed_Add(EyFeed_t *self, const EyCommand_t *command, uint64_t revision)
+{
+    if (revision != self->last + 1) {
+        EyFeed_Clear(self);
+    }
+    EyCommand_t *kept = slot(self, revision);
+    talloc_free(kept->group.replicas);
+    talloc_free(kept->group.witnesses);
+    *kept = *command;
+    EyGroup_t *group = &kept->group;
+    group->replicas = copy_names(self, group->replicas, group->replica_count);
+    group->witnesses =
+        copy_names(self, group->witnesses, group->witness_count);
+    self->last = revision;
+    if (self->first == 0) {
+        self->first = revision;
+    }
+    if (revision - self->first >= EY_PUSH_COMMANDS_MAX) {
+        self->first = revision - EY_PUSH_COMMANDS_MAX + 1;
+    }
+}
+
+void
+EyFeed_Clear(EyFeed_t *self)
+{
+    self->first = 0;
+    self->last = 0;
+}
+
+/** A push of what follows a revision; what it points to is below ctx. */
+static EyConfigMessage_t
+make_push(const EyFeed_t *self, const void *ctx, const EyStore_t *store,
+          uint64_t revision)
+{
+    EyConfigMessage_t push = {
+        .kind = EY_CONFIG_PUSH,
+        .revision = store->config.revision,
+    };
+    if (revision >= push.revision) {
+        return push;
+    }
+    bool has_commands = self->first != 0 && revision + 1 >= self->first &&
+                        self->last == push.revision;
+    if (!has_commands) {
+        push.snapshot = EyStore_SharedSnapshot(store, ctx);
+        return push;
+    }
+    push.first_revision = revision + 1;
+    push.command_count = (uint32_t)(push.revision - revision);
+    push.commands = EY_NEW_ARRAY(ctx, EyCommand_t, push.command_count);
+    for (uint32_t i = 0; i < push.command_count; i++) {
+        push.commands[i] = *slot(self, push.first_revision + i);
+    }
+    return push;
+}
+
+static void
+send_push(const EyFeed_t *self, const EyStore_t *store, const char *to,
+          uint64_t revision)
+{
+    void *ctx = talloc_new(NULL);
+    EyConfigMessage_t push = make_push(self, ctx, store, revision);
+    self->send(self->data, to, &push);
+    talloc_free(ctx);
+}
+
+void
+EyFeed_Push(EyFeed_t *self, const EyStore_t *store, int64_t now_ms,
+            const char *except)
+{
+    for (uint32_t i = 0; i < EY_FEED_SUBSCRIBERS_MAX; i++) {
+        EyFeedSubscriber_t *subscriber = &self->subscribers[i];
+        if (subscriber->id[0] == '\0' || subscriber->ends_ms <= now_ms ||
+            (except != NULL && strcmp(subscriber->id, except) == 0))
+        {
+            continue;
+        }
+        /* Who missed an earlier push finds a gap and pulls. */
+        send_push(self, store, subscriber->id, subscriber->revision);
+        subscriber->revision = store->config.revision;
+    }
+}
+
+static void
+subscribe(EyFeed_t *self, int64_t now_ms, const char *id, uint64_t revision)
+{
+    EyFeedSubscriber_t *place = NULL;
+    for (uint32_t i = 0; i < EY_FEED_SUBSCRIBERS_MAX; i++) {
+        EyFeedSubscriber_t *subscriber = &self->subscribers[i];
+        if (strcmp(subscriber->id, id) == 0) {
+            place = subscriber;
+            break;
+        }
+        if (place == NULL &&
+            (subscriber->id[0] == '\0' || subscriber->ends_ms <= now_ms))
+        {
+            place = subscriber;
+        }
+    }
+    if (place != NULL) {
+        (void)EY_COPY(place->id, id);
+        place->ends_ms = now_ms + EY_FEED_SUBSCRIBED_MS;
+        place->revision = revision;
+    }
+}
+
+void
+EyFeed_Pull(EyFeed_t *self, const EyStore_t *store, int64_t now_ms,
+            const char *from, const EyConfigMessage_t *pull)
+{
+    uint64_t present = store->config.revision;
+    subscribe(self, now_ms, from, MAX(present, pull->revision));
+    if (!pull->wants_snapshot || pull->revision >= present) {
+        send_push(self, store, from, pull->revision);
+        return;
+    }
+    void *ctx = talloc_new(NULL);
+    EyConfigMessage_t push = {
+        .kind = EY_CONFIG_PUSH,
+        .revision = present,
+        .snapshot = EyStore_SharedSnapshot(store, ctx),
+    };
+    self->send(self->data, from, &push);
+    talloc_free(ctx);
+}
--- /dev/null
+++ b/src/config/log.c
@@ -0,0 +1,696 @@
+#include "config/log_internal.h"
+#include "core/memory.h"
+
+#include <string.h>
+
+const char *const EyLog_role_names[EY_LOG_ROLE_COUNT] = {
+    [EY_LOG_FOLLOWER] = "follower",
+    [EY_LOG_PRE_CANDIDATE] = "pre-candidate",
+    [EY_LOG_CANDIDATE] = "candidate",
+    [EY_LOG_LEADER] = "leader",
+};
+
+static const EyField_t StatusFields[] = {
+    EY_FIELD_NAMED(EyLogStatus_t, role, EyLog_role_names, EY_LOG_ROLE_COUNT),
+    EY_FIELD(EyLogStatus_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, cluster, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, term, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, commit, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, applied, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, last_index, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, last_term, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, base_index, EY_FIELD_U64),
+    EY_FIELD(EyLogStatus_t, is_voter, EY_FIELD_BOOL),
+    EY_FIELD(EyLogStatus_t, disk_failed, EY_FIELD_BOOL),
+    EY_FIELD_TEXT(EyLogStatus_t, leader),
+    EY_FIELD_OF(EyLogStatus_t, members, EyLogMembers_schema),
+    EY_FIELD_END,
+};
+const EySchema_t EyLogStatus_schema = EY_SCHEMA(EyLogStatus_t, StatusFields);
+
+/* Actions */
+
+EyLogAction_t *
+ey_log_act(EyLog_t *self, EyLogActionKind_t kind)
+{
+    EyLogActions_t *actions = self->actions;
+    uint32_t room =
+        (uint32_t)(talloc_get_size(actions->items) / sizeof(EyLogAction_t *));
+    if (actions->count == room) {
+        EyLogAction_t **grown =
+            EY_NEW_ARRAY(actions, EyLogAction_t *, room == 0 ? 8 : room * 2);
+        for (uint32_t i = 0; i < actions->count; i++) {
+            grown[i] = actions->items[i];
+        }
+        talloc_free(actions->items);
+        actions->items = grown;
+    }
+    EyLogAction_t *action = EY_NEW(actions, EyLogAction_t);
+    action->kind = kind;
+    actions->items[actions->count++] = action;
+    return action;
+}
+
+EyLogPersist_t *
+ey_log_persist(EyLog_t *self)
+{
+    if (self->persist == NULL) {
+        self->persist = EY_NEW(self->actions, EyLogPersist_t);
+        self->persist->serial = ++self->serial;
+    }
+    return self->persist;
+}
+
+EyLogMessage_t *
+ey_log_message(EyLog_t *self, EyLogMessageKind_t kind, const char *to,
+               uint64_t to_incarnation)
+{
+    EyLogMessage_t *message = EY_NEW(self->actions, EyLogMessage_t);
+    message->kind = kind;
+    (void)EY_COPY(message->from, self->options.self);
+    message->from_incarnation = self->incarnation;
+    (void)EY_COPY(message->to, to);
+    message->to_incarnation = to_incarnation;
+    message->cluster = self->cluster;
+    message->term = self->term;
+    return message;
+}
+
+void
+ey_log_send(EyLog_t *self, EyLogMessage_t *message)
+{
+    EyLogAction_t *action = ey_log_act(self, EY_LOG_ACTION_SEND);
+    action->message = talloc_steal(action, message);
+}
+
+void
+ey_log_send_persisted(EyLog_t *self, EyLogMessage_t *message)
+{
+    if (self->persisted_serial >= self->serial) {
+        ey_log_send(self, message);
+        return;
+    }
+    EyLogHeld_t held = {
+        .serial = self->serial,
+        .message = talloc_steal(self, message),
+    };
+    g_array_append_val(self->held, held);
+}
+
+/** With a snapshot, all entries behind it are written anew. */
+static void
+put_whole_log(const EyLog_t *self, EyLogPersist_t *persist)
+{
+    talloc_free(persist->entries);
+    persist->truncate_from = 0;
+    persist->entry_count = self->entries->len;
+    persist->entries =
+        EY_NEW_ARRAY(persist, EyLogEntry_t, persist->entry_count);
+    for (uint32_t i = 0; i < persist->entry_count; i++) {
+        persist->entries[i] = EyLogMessage_CopyEntry(
+            persist, g_ptr_array_index(self->entries, i));
+    }
+}
+
+/* Closes the step's persist: copies what is to be written, and puts it before
+ * the step's other actions. */
+static void
+flush_persist(EyLog_t *self)
+{
+    EyLogPersist_t *persist = self->persist;
+    if (persist == NULL) {
+        return;
+    }
+    self->persist = NULL;
+    if (persist->snapshot.index != 0) {
+        put_whole_log(self, persist);
+    }
+    persist->cluster = self->cluster;
+    persist->term = self->term;
+    (void)EY_COPY(persist->vote, self->vote);
+    persist->vote_incarnation = self->vote_incarnation;
+    EyLogAction_t *action = ey_log_act(self, EY_LOG_ACTION_PERSIST);
+    action->persist = talloc_steal(action, persist);
+    EyLogAction_t **items = self->actions->items;
+    memmove(&items[1], &items[0],
+            sizeof(EyLogAction_t *) * (self->actions->count - 1));
+    items[0] = action;
+    EyLogWrite_t write = {
+        .serial = persist->serial,
+        .last_index = ey_log_last_index(self),
+    };
+    g_array_append_val(self->writes, write);
+}
+
+/* Entries */
+
+uint64_t
+ey_log_last_index(const EyLog_t *self)
+{
+    return self->base.index + self->entries->len;
+}
+
+const EyLogEntry_t *
+EyLog_Entry(const EyLog_t *self, uint64_t index)
+{
+    if (index <= self->base.index || index > ey_log_last_index(self)) {
+        return NULL;
+    }
+    return g_ptr_array_index(self->entries, index - self->base.index - 1);
+}
+
+uint64_t
+ey_log_term_at(const EyLog_t *self, uint64_t index)
+{
+    if (index == self->base.index) {
+        return self->base.term;
+    }
+    const EyLogEntry_t *entry = EyLog_Entry(self, index);
+    return entry != NULL ? entry->term : 0;
+}
+
+static void
+keep_entry(EyLog_t *self, const EyLogEntry_t *entry)
+{
+    EyLogEntry_t *kept = EY_NEW(self, EyLogEntry_t);
+    *kept = EyLogMessage_CopyEntry(kept, entry);
+    g_ptr_array_add(self->entries, kept);
+}
+
+void
+ey_log_append(EyLog_t *self, const EyLogEntry_t *entry)
+{
+    keep_entry(self, entry);
+    EyLogPersist_t *persist = ey_log_persist(self);
+    EyLogEntry_t *grown =
+        EY_NEW_ARRAY(persist, EyLogEntry_t, persist->entry_count + 1);
+    for (uint32_t i = 0; i < persist->entry_count; i++) {
+        grown[i] = persist->entries[i];
+    }
+    grown[persist->entry_count++] = EyLogMessage_CopyEntry(persist, entry);
+    talloc_free(persist->entries);
+    persist->entries = grown;
+    if (entry->kind == EY_LOG_MEMBERS) {
+        ey_log_reload_members(self);
+    }
+}
+
+/** What is on the disk can't be more than what is in the log. */
+static void
+limit_persisted(EyLog_t *self, uint64_t last_index)
+{
+    self->persisted_index = MIN(self->persisted_index, last_index);
+    for (guint i = 0; i < self->writes->len; i++) {
+        EyLogWrite_t *write = &g_array_index(self->writes, EyLogWrite_t, i);
+        write->last_index = MIN(write->last_index, last_index);
+    }
+}
+
+void
+ey_log_truncate(EyLog_t *self, uint64_t from_index)
+{
+    guint kept = (guint)(from_index - self->base.index - 1);
+    g_ptr_array_set_size(self->entries, (gint)kept);
+    ey_log_persist(self)->truncate_from = from_index;
+    limit_persisted(self, from_index - 1);
+    if (self->members_index >= from_index) {
+        ey_log_reload_members(self);
+    }
+}
+
+static void
+set_base(EyLog_t *self, const EyLogSnapshot_t *snapshot)
+{
+    talloc_free(self->base.members.items);
+    talloc_free(self->base.data.data);
+    self->base = EyLogMessage_CopySnapshot(self, snapshot);
+}
+
+static void
+restore(EyLog_t *self)
+{
+    EyLogAction_t *action = ey_log_act(self, EY_LOG_ACTION_RESTORE);
+    action->snapshot = EyLogMessage_CopySnapshot(action, &self->base);
+}
+
+void
+ey_log_install(EyLog_t *self, const EyLogSnapshot_t *snapshot)
+{
+    bool matches = snapshot->index <= ey_log_last_index(self) &&
+                   ey_log_term_at(self, snapshot->index) == snapshot->term;
+    EyLogPersist_t *persist = ey_log_persist(self);
+    if (matches) {
+        guint gone = (guint)(snapshot->index - self->base.index);
+        g_ptr_array_remove_range(self->entries, 0, gone);
+    }
+    else {
+        g_ptr_array_set_size(self->entries, 0);
+        persist->truncate_from = 0;
+        limit_persisted(self, 0);
+    }
+    persist->snapshot = EyLogMessage_CopySnapshot(persist, snapshot);
+    set_base(self, snapshot);
+    ey_log_reload_members(self);
+    if (self->applied < self->base.index) {
+        self->applied = self->base.index;
+        restore(self);
+    }
+    self->commit = MAX(self->commit, self->base.index);
+}
+
+/** The proposal whose entry has this index, taken off the list; 0: none. */
+static uint64_t
+take_proposal(EyLog_t *self, uint64_t index)
+{
+    if (self->proposals->len == 0) {
+        return 0;
+    }
+    EyLogProposal_t first = g_array_index(self->proposals, EyLogProposal_t, 0);
+    if (first.index != index) {
+        return 0;
+    }
+    g_array_remove_index(self->proposals, 0);
+    return first.number;
+}
+
+void
+ey_log_set_commit(EyLog_t *self, uint64_t commit)
+{
+    self->commit = MAX(self->commit, commit);
+    while (self->applied < self->commit) {
+        const EyLogEntry_t *entry = EyLog_Entry(self, self->applied + 1);
+        if (entry == NULL) {
+            return;
+        }
+        self->applied++;
+        EyLogAction_t *action = ey_log_act(self, EY_LOG_ACTION_APPLY);
+        action->entry = EyLogMessage_CopyEntry(action, entry);
+        action->number = take_proposal(self, entry->index);
+    }
+}
+
+/* Members */
+
+EyLogPeer_t *
+ey_log_peer(EyLog_t *self, const char *address, uint64_t incarnation)
+{
+    for (guint i = 0; i < self->peers->len; i++) {
+        EyLogPeer_t *peer = &g_array_index(self->peers, EyLogPeer_t, i);
+        if (peer->incarnation == incarnation &&
+            strcmp(peer->address, address) == 0) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+bool
+ey_log_is_voter(const EyLog_t *self)
+{
+    const EyLogMember_t *member =
+        EyLogMembers_Find(&self->members, self->options.self);
+    return member != NULL && member->is_voter &&
+           member->incarnation == self->incarnation;
+}
+
+uint32_t
+ey_log_quorum(const EyLog_t *self)
+{
+    return EyLogMembers_Voters(&self->members) / 2 + 1;
+}
+
+/* Roles */
+
+static void
+drop_proposals(EyLog_t *self)
+{
+    for (guint i = 0; i < self->proposals->len; i++) {
+        ey_log_act(self, EY_LOG_ACTION_UNKNOWN)->number =
+            g_array_index(self->proposals, EyLogProposal_t, i).number;
+    }
+    g_array_set_size(self->proposals, 0);
+}
+
+void
+ey_log_follow(EyLog_t *self, uint64_t term, const char *leader)
+{
+    if (term > self->term) {
+        self->term = term;
+        self->vote[0] = '\0';
+        self->vote_incarnation = 0;
+        (void)ey_log_persist(self);
+    }
+    if (self->role == EY_LOG_LEADER) {
+        drop_proposals(self);
+        self->joiner = (EyLogJoiner_t){.incarnation = 0};
+    }
+    self->role = EY_LOG_FOLLOWER;
+    (void)EY_COPY(self->leader, leader);
+    ey_log_reset_election(self);
+}
+
+/** Steps down if a quorum hasn't answered for a whole election timeout. */
+static void
+check_quorum(EyLog_t *self)
+{
+    uint32_t heard = ey_log_is_voter(self);
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyLogPeer_t *peer = &g_array_index(self->peers, EyLogPeer_t, i);
+        heard += peer->is_voter &&
+                 self->now_ms - peer->heard_ms < self->options.election_min_ms;
+    }
+    if (heard < ey_log_quorum(self)) {
+        ey_log_follow(self, self->term, "");
+    }
+}
+
+/* Events */
+
+static void
+pass_time(EyLog_t *self)
+{
+    if (self->cluster == 0 || !ey_log_is_voter(self)) {
+        if (self->now_ms >= self->heartbeat_ms) {
+            self->heartbeat_ms = self->now_ms + EY_LOG_HELLO_EVERY_MS;
+            ey_log_say_hello(self);
+        }
+        return;
+    }
+    if (self->role == EY_LOG_LEADER) {
+        if (self->now_ms >= self->heartbeat_ms) {
+            self->heartbeat_ms = self->now_ms + self->options.heartbeat_ms;
+            ey_log_replicate_all(self);
+            ey_log_advance_members(self);
+        }
+        return;
+    }
+    bool alone = EyLogMembers_Voters(&self->members) == 1;
+    bool is_due = self->now_ms >= self->election_ms ||
+                  (alone && self->role == EY_LOG_FOLLOWER);
+    if (!is_due) {
+        return;
+    }
+    if (self->disk_failed) {
+        ey_log_reset_election(self);
+        return;
+    }
+    ey_log_start_pre_vote(self);
+}
+
+static void
+on_propose(EyLog_t *self, const EyLogEvent_t *event)
+{
+    if (self->role != EY_LOG_LEADER || self->disk_failed ||
+        event->data.size_bytes > EY_LOG_ENTRY_MAX_BYTES)
+    {
+        ey_log_act(self, EY_LOG_ACTION_REJECTED)->number = event->number;
+        return;
+    }
+    EyLogEntry_t entry = {
+        .index = ey_log_last_index(self) + 1,
+        .term = self->term,
+        .kind = EY_LOG_COMMAND,
+        .data = event->data,
+    };
+    EyLogProposal_t proposal = {
+        .number = event->number,
+        .index = entry.index,
+    };
+    g_array_append_val(self->proposals, proposal);
+    ey_log_append(self, &entry);
+    ey_log_replicate_all(self);
+}
+
+static void
+release_held(EyLog_t *self)
+{
+    guint released = 0;
+    while (released < self->held->len) {
+        EyLogHeld_t *held = &g_array_index(self->held, EyLogHeld_t, released);
+        if (held->serial > self->persisted_serial) {
+            break;
+        }
+        ey_log_send(self, held->message);
+        released++;
+    }
+    if (released > 0) {
+        g_array_remove_range(self->held, 0, released);
+    }
+}
+
+static void
+on_persisted(EyLog_t *self, const EyLogEvent_t *event)
+{
+    self->disk_failed = false;
+    self->persisted_serial = MAX(self->persisted_serial, event->number);
+    guint done = 0;
+    while (done < self->writes->len) {
+        EyLogWrite_t *write = &g_array_index(self->writes, EyLogWrite_t, done);
+        if (write->serial > event->number) {
+            break;
+        }
+        self->persisted_index = write->last_index;
+        done++;
+    }
+    if (done > 0) {
+        g_array_remove_range(self->writes, 0, done);
+    }
+    release_held(self);
+    ey_log_check_election(self);
+    if (self->role == EY_LOG_LEADER) {
+        ey_log_advance_commit(self);
+    }
+}
+
+static void
+on_persist_failed(EyLog_t *self, const EyLogEvent_t *event)
+{
+    (void)event;
+    self->disk_failed = true;
+    if (self->role != EY_LOG_FOLLOWER) {
+        ey_log_follow(self, self->term, "");
+    }
+}
+
+static void
+on_compact(EyLog_t *self, const EyLogEvent_t *event)
+{
+    if (event->number <= self->base.index || event->number > self->applied ||
+        event->data.size_bytes > EY_LOG_SNAPSHOT_MAX_BYTES)
+    {
+        return;
+    }
+    EyLogSnapshot_t snapshot = {
+        .index = event->number,
+        .term = ey_log_term_at(self, event->number),
+        .members = self->base.members,
+        .data = event->data,
+    };
+    /* The member set as of that index, which may not be the last one. */
+    EyLogMembers_t of_entry = {.count = 0};
+    for (uint64_t i = event->number; i > self->base.index; i--) {
+        const EyLogEntry_t *entry = EyLog_Entry(self, i);
+        if (entry->kind == EY_LOG_MEMBERS) {
+            (void)EySchema_Unpack(&EyLogMembers_schema, self->actions,
+                                  entry->data.data, entry->data.size_bytes,
+                                  &of_entry, NULL);
+            snapshot.members = of_entry;
+            break;
+        }
+    }
+    ey_log_install(self, &snapshot);
+}
+
+typedef void (*Receiver_t)(EyLog_t *self, const EyLogMessage_t *message);
+
+static const Receiver_t Receivers[EY_LOG_MESSAGE_KIND_COUNT] = {
+    [EY_LOG_HELLO] = ey_log_on_hello,
+    [EY_LOG_HELLO_ANSWER] = ey_log_on_hello_answer,
+    [EY_LOG_PRE_VOTE] = ey_log_on_pre_vote,
+    [EY_LOG_PRE_VOTE_ANSWER] = ey_log_on_pre_vote_answer,
+    [EY_LOG_VOTE] = ey_log_on_vote,
+    [EY_LOG_VOTE_ANSWER] = ey_log_on_vote_answer,
+    [EY_LOG_APPEND] = ey_log_on_append,
+    [EY_LOG_APPEND_ANSWER] = ey_log_on_append_answer,
+    [EY_LOG_SNAPSHOT] = ey_log_on_snapshot,
+};
+
+static void
+on_message(EyLog_t *self, const EyLogEvent_t *event)
+{
+    const EyLogMessage_t *message = event->message;
+    if (strcmp(message->to, self->options.self) != 0 ||
+        strcmp(message->from, self->options.self) == 0)
+    {
+        return;
+    }
+    bool is_hello = message->kind == EY_LOG_HELLO;
+    bool is_joining = is_hello || message->kind == EY_LOG_HELLO_ANSWER ||
+                      (message->kind == EY_LOG_SNAPSHOT && self->cluster == 0);
+    if (!is_hello && message->to_incarnation != self->incarnation) {
+        return;
+    }
+    /* Any other message between different clusters is of no use to either. A
+     * leader that doesn't know us yet probes by APPEND. */
+    bool is_probe = message->kind == EY_LOG_APPEND && self->cluster == 0;
+    if (!is_joining && !is_probe && message->cluster != self->cluster) {
+        return;
+    }
+    Receivers[message->kind](self, message);
+}
+
+static void
+on_remove_member(EyLog_t *self, const EyLogEvent_t *event)
+{
+    ey_log_remove_member(self, event->address);
+}
+
+static void
+on_tick(EyLog_t *self, const EyLogEvent_t *event)
+{
+    (void)self;
+    (void)event;
+}
+
+typedef void (*Handler_t)(EyLog_t *self, const EyLogEvent_t *event);
+
+static const Handler_t Handlers[EY_LOG_EVENT_KIND_COUNT] = {
+    [EY_LOG_EVENT_TICK] = on_tick,
+    [EY_LOG_EVENT_MESSAGE] = on_message,
+    [EY_LOG_EVENT_PERSISTED] = on_persisted,
+    [EY_LOG_EVENT_PERSIST_FAILED] = on_persist_failed,
+    [EY_LOG_EVENT_PROPOSE] = on_propose,
+    [EY_LOG_EVENT_COMPACT] = on_compact,
+    [EY_LOG_EVENT_REMOVE_MEMBER] = on_remove_member,
+};
+
+EyLogActions_t *
+EyLog_Step(EyLog_t *self, const void *ctx, int64_t now_ms,
+           const EyLogEvent_t *event)
+{
+    self->actions = EY_NEW(ctx, EyLogActions_t);
+    self->now_ms = MAX(self->now_ms, now_ms);
+    if (self->restore_due) {
+        self->restore_due = false;
+        restore(self);
+    }
+    /* A leader that was frozen must find out before anything else. */
+    if (self->role == EY_LOG_LEADER) {
+        check_quorum(self);
+    }
+    Handlers[event->kind](self, event);
+    pass_time(self);
+    flush_persist(self);
+    EyLogActions_t *actions = self->actions;
+    self->actions = NULL;
+    return actions;
+}
+
+int64_t
+EyLog_DueMs(const EyLog_t *self)
+{
+    bool beats = self->cluster == 0 || !ey_log_is_voter(self) ||
+                 self->role == EY_LOG_LEADER;
+    return beats ? self->heartbeat_ms : self->election_ms;
+}
+
+/* Life */
+
+static void
+free_entry(gpointer entry)
+{
+    talloc_free(entry);
+}
+
+static int
+log_destroy(EyLog_t *self)
+{
+    g_ptr_array_free(self->entries, TRUE);
+    g_array_free(self->peers, TRUE);
+    g_array_free(self->writes, TRUE);
+    g_array_free(self->held, TRUE);
+    g_array_free(self->proposals, TRUE);
+    return 0;
+}
+
+static void
+set_options(EyLog_t *self, const EyLogOptions_t *options)
+{
+    self->options = *options;
+    self->options.list_count = MIN(options->list_count, EY_LOG_MEMBERS_MAX);
+    self->options.list =
+        EY_NEW_ARRAY(self, EyAddress_t, self->options.list_count);
+    for (uint32_t i = 0; i < self->options.list_count; i++) {
+        (void)EY_COPY(self->options.list[i], options->list[i]);
+    }
+    if (self->options.heartbeat_ms == 0) {
+        self->options.heartbeat_ms = EY_LOG_HEARTBEAT_MS;
+    }
+    if (self->options.election_min_ms == 0) {
+        self->options.election_min_ms = EY_LOG_ELECTION_MIN_MS;
+    }
+    self->list_hash = ey_log_list_hash(&self->options);
+    self->random = EyRandom_Make(options->seed);
+}
+
+static void
+load(EyLog_t *self, const EyLogDisk_t *disk)
+{
+    self->incarnation = disk->incarnation;
+    self->cluster = disk->cluster;
+    self->term = disk->term;
+    (void)EY_COPY(self->vote, disk->vote);
+    self->vote_incarnation = disk->vote_incarnation;
+    set_base(self, &disk->snapshot);
+    for (uint32_t i = 0; i < disk->entry_count; i++) {
+        keep_entry(self, &disk->entries[i]);
+    }
+    self->commit = self->base.index;
+    self->applied = self->base.index;
+    self->restore_due = self->base.index != 0;
+    self->persisted_index = ey_log_last_index(self);
+    ey_log_reload_members(self);
+}
+
+EyLog_t *
+EyLog_New(const void *ctx, const EyLogOptions_t *options,
+          const EyLogDisk_t *disk, int64_t now_ms)
+{
+    EyLog_t *self = EY_NEW(ctx, EyLog_t);
+    self->entries = g_ptr_array_new_with_free_func(free_entry);
+    self->peers = g_array_new(FALSE, TRUE, sizeof(EyLogPeer_t));
+    self->writes = g_array_new(FALSE, TRUE, sizeof(EyLogWrite_t));
+    self->held = g_array_new(FALSE, TRUE, sizeof(EyLogHeld_t));
+    self->proposals = g_array_new(FALSE, TRUE, sizeof(EyLogProposal_t));
+    talloc_set_destructor(self, log_destroy);
+    self->now_ms = now_ms;
+    set_options(self, options);
+    load(self, disk);
+    self->nonce = EyRandom_Next(&self->random);
+    self->heartbeat_ms = now_ms;
+    self->leader_ms = now_ms;
+    ey_log_reset_election(self);
+    return self;
+}
+
+EyLogStatus_t
+EyLog_Status(const EyLog_t *self)
+{
+    uint64_t last = ey_log_last_index(self);
+    EyLogStatus_t status = {
+        .role = self->role,
+        .incarnation = self->incarnation,
+        .cluster = self->cluster,
+        .term = self->term,
+        .commit = self->commit,
+        .applied = self->applied,
+        .last_index = last,
+        .last_term = ey_log_term_at(self, last),
+        .base_index = self->base.index,
+        .is_voter = ey_log_is_voter(self),
+        .disk_failed = self->disk_failed,
+        .members = self->members,
+    };
+    (void)EY_COPY(status.leader, self->leader);
+    return status;
+}
--- /dev/null
+++ b/src/config/log.h
@@ -0,0 +1,174 @@
+/**
+ * The replicated log of the configuration, among the control processes. A
+ * pure state machine: events in, actions out; the caller sends, writes and
+ * applies. Times are of the caller's monotonic clock.
+ *
+ * Rules that the caller keeps:
+ * - Write each PERSIST action's content, synced, in order, then give the
+ *   PERSISTED event with its serial; or PERSIST_FAILED and try again.
+ * - Carry out APPLY and RESTORE in order.
+ * - Step at least at EyLog_DueMs; any event does.
+ *
+ * Bootstrap. Each process is told the same list of addresses. One whose disk
+ * is empty is in no cluster: it doesn't vote. It asks the whole list. Only
+ * when each of the others has said, in answer to this very incarnation, that
+ * it is in no cluster either and has the same list, do they start one, with
+ * all their incarnations as voters. So a process that comes back with an
+ * empty disk while others remember the cluster can't vote as its former self;
+ * the leader takes it in as a learner and makes it a voter when it has caught
+ * up. A list of one starts alone.
+ */
+#ifndef EY_CONFIG_LOG_H
+#define EY_CONFIG_LOG_H
+
+#include "config/log_message.h"
+#include "core/random.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef enum EyLogRole {
+    EY_LOG_FOLLOWER,
+    EY_LOG_PRE_CANDIDATE,
+    EY_LOG_CANDIDATE,
+    EY_LOG_LEADER,
+    EY_LOG_ROLE_COUNT
+} EyLogRole_t;
+
+extern const char *const EyLog_role_names[EY_LOG_ROLE_COUNT];
+
+typedef struct EyLogOptions {
+    EyAddress_t self;  /* own peer address */
+    EyAddress_t *list; /* addresses of all control processes, own included */
+    uint32_t list_count;
+    uint64_t seed;
+    uint32_t heartbeat_ms;    /* 0: EY_LOG_HEARTBEAT_MS */
+    uint32_t election_min_ms; /* 0: EY_LOG_ELECTION_MIN_MS */
+} EyLogOptions_t;
+
+#define EY_LOG_HEARTBEAT_MS 200
+/** An election starts after this silence, up to twice as long at random. */
+#define EY_LOG_ELECTION_MIN_MS 1000
+
+/** What the disk holds; from EyLogFile_Load. */
+typedef struct EyLogDisk {
+    uint64_t incarnation;
+    uint64_t cluster; /* 0: in none yet */
+    uint64_t term;
+    EyAddress_t vote; /* whom it voted for in term; empty: nobody */
+    uint64_t vote_incarnation;
+    EyLogSnapshot_t snapshot;
+    EyLogEntry_t *entries; /* after the snapshot */
+    uint32_t entry_count;
+} EyLogDisk_t;
+
+/** What must be on the disk before the serial counts as persisted. */
+typedef struct EyLogPersist {
+    uint64_t serial;
+    uint64_t cluster;
+    uint64_t term;
+    EyAddress_t vote;
+    uint64_t vote_incarnation;
+    uint64_t truncate_from; /* entries from this index on go; 0: none */
+    EyLogEntry_t *entries;  /* to append */
+    uint32_t entry_count;
+    /** If its index isn't 0, the disk's content becomes this snapshot and
+     * just these entries. */
+    EyLogSnapshot_t snapshot;
+} EyLogPersist_t;
+
+typedef enum EyLogEventKind {
+    EY_LOG_EVENT_TICK,           /* time has passed */
+    EY_LOG_EVENT_MESSAGE,        /* message */
+    EY_LOG_EVENT_PERSISTED,      /* number is the serial */
+    EY_LOG_EVENT_PERSIST_FAILED, /* the disk is full or broken */
+    EY_LOG_EVENT_PROPOSE,        /* number is the caller's own; data */
+    EY_LOG_EVENT_COMPACT,        /* number is an applied index; data: state */
+    EY_LOG_EVENT_REMOVE_MEMBER,  /* address */
+    EY_LOG_EVENT_KIND_COUNT
+} EyLogEventKind_t;
+
+typedef struct EyLogEvent {
+    EyLogEventKind_t kind;
+    const EyLogMessage_t *message;
+    uint64_t number;
+    EyBytes_t data;
+    const char *address;
+} EyLogEvent_t;
+
+typedef enum EyLogActionKind {
+    EY_LOG_ACTION_SEND,     /* message */
+    EY_LOG_ACTION_PERSIST,  /* persist */
+    EY_LOG_ACTION_APPLY,    /* entry, committed; number: of the proposal if
+                             * it was made here and waits, else 0 */
+    EY_LOG_ACTION_RESTORE,  /* snapshot replaces the applied state */
+    EY_LOG_ACTION_REJECTED, /* number: not taken in, will never happen */
+    EY_LOG_ACTION_UNKNOWN,  /* number: may happen yet or not */
+    EY_LOG_ACTION_KIND_COUNT
+} EyLogActionKind_t;
+
+/** One action; what it points to lies below it, so it can be handed over. */
+typedef struct EyLogAction {
+    EyLogActionKind_t kind;
+    EyLogMessage_t *message;
+    EyLogPersist_t *persist;
+    EyLogEntry_t entry;
+    EyLogSnapshot_t snapshot;
+    uint64_t number;
+} EyLogAction_t;
+
+/** Actions in the order in which to carry them out; a talloc object. */
+typedef struct EyLogActions {
+    EyLogAction_t **items;
+    uint32_t count;
+} EyLogActions_t;
+
+typedef struct EyLog EyLog_t;
+
+/** A log from what the disk holds; disk may be freed afterwards. */
+EyLog_t *
+EyLog_New(const void *ctx, const EyLogOptions_t *options,
+          const EyLogDisk_t *disk, int64_t now_ms);
+
+/** The actions that follow from an event; a new talloc object below ctx. */
+EyLogActions_t *
+EyLog_Step(EyLog_t *self, const void *ctx, int64_t now_ms,
+           const EyLogEvent_t *event);
+
+/** When to step at the latest. */
+int64_t
+EyLog_DueMs(const EyLog_t *self);
+
+/** What a dump shows. */
+typedef struct EyLogStatus {
+    EyLogRole_t role;
+    uint64_t incarnation;
+    uint64_t cluster;
+    uint64_t term;
+    uint64_t commit;
+    uint64_t applied;
+    uint64_t last_index;
+    uint64_t last_term;
+    uint64_t base_index; /* of the snapshot */
+    bool is_voter;
+    bool disk_failed;
+    EyAddress_t leader; /* empty: none known */
+    EyLogMembers_t members;
+} EyLogStatus_t;
+
+extern const EySchema_t EyLogStatus_schema;
+
+/** The status; its members stay the log's. */
+EyLogStatus_t
+EyLog_Status(const EyLog_t *self);
+
+/** The entry at an index above base_index, or NULL. */
+const EyLogEntry_t *
+EyLog_Entry(const EyLog_t *self, uint64_t index);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/config/log_file.c
@@ -0,0 +1,692 @@
+#include "config/log_file.h"
+
+#include "core/memory.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+EY_DEFINE_ERROR_DOMAIN(LogFile, "ey-log-file")
+
+#define LOCK_NAME "control.lock"
+#define NEW_NAME "control.log.new"
+#define FOLDER_MODE 0700
+#define FILE_MODE 0600
+#define TRAILER 0xe0b05a7dU
+
+typedef enum RecordKind {
+    RECORD_HEAD = 1, /* incarnation; first in each file */
+    RECORD_STATE,    /* cluster, term, vote */
+    RECORD_SNAPSHOT,
+    RECORD_ENTRY, /* entries from its index on are replaced by it */
+    RECORD_CUT,   /* entries from its index on are gone */
+    RECORD_WHOLE  /* ends what came with the file's rename: all before it must
+                   * be there */
+} RecordKind_t;
+
+/** Before each record's payload; the trailer stands behind it. */
+typedef struct RecordHeader {
+    uint32_t kind;
+    uint32_t size_bytes;
+    uint64_t payload_hash;
+    uint64_t header_hash; /* of the fields above */
+} RecordHeader_t;
+
+typedef struct HeadRecord {
+    uint64_t incarnation;
+} HeadRecord_t;
+
+typedef struct StateRecord {
+    uint64_t cluster;
+    uint64_t term;
+    EyAddress_t vote;
+    uint64_t vote_incarnation;
+} StateRecord_t;
+
+typedef struct CutRecord {
+    uint64_t from_index;
+} CutRecord_t;
+
+static const EyField_t HeadFields[] = {
+    EY_FIELD(HeadRecord_t, incarnation, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+static const EySchema_t HeadSchema = EY_SCHEMA(HeadRecord_t, HeadFields);
+
+static const EyField_t StateFields[] = {
+    EY_FIELD(StateRecord_t, cluster, EY_FIELD_U64),
+    EY_FIELD(StateRecord_t, term, EY_FIELD_U64),
+    EY_FIELD_TEXT(StateRecord_t, vote),
+    EY_FIELD(StateRecord_t, vote_incarnation, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+static const EySchema_t StateSchema = EY_SCHEMA(StateRecord_t, StateFields);
+
+static const EyField_t CutFields[] = {
+    EY_FIELD(CutRecord_t, from_index, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+static const EySchema_t CutSchema = EY_SCHEMA(CutRecord_t, CutFields);
+
+struct EyLogFile {
+    char *folder;
+    int lock;
+    int file;
+    uint64_t size_bytes; /* of what was synced */
+    bool is_broken;
+    uint64_t incarnation;
+    StateRecord_t state; /* as the file has it */
+    EyLogFileCalls_t calls;
+};
+
+static ssize_t
+plain_write(int file, const void *data, size_t size_bytes, off_t offset_bytes)
+{
+    return pwrite(file, data, size_bytes, offset_bytes);
+}
+
+static int
+plain_sync(int file)
+{
+    return fdatasync(file);
+}
+
+static const EyLogFileCalls_t PlainCalls = {
+    .write_at = plain_write,
+    .sync = plain_sync,
+};
+
+static bool
+fail(GError **error, EyLogFileError_t code, const char *path, const char *what)
+{
+    g_set_error(error, EY_LOG_FILE_ERROR, (gint)code, "%s: %s", path, what);
+    return false;
+}
+
+static bool
+fail_errno(GError **error, EyLogFileError_t code, const char *path)
+{
+    return fail(error, code, path, g_strerror(errno));
+}
+
+static char *
+path_of(const EyLogFile_t *self, const void *ctx, const char *name)
+{
+    return talloc_asprintf(ctx, "%s/%s", self->folder, name);
+}
+
+/* Writing */
+
+static uint64_t
+header_hash(const RecordHeader_t *header)
+{
+    return XXH64(header, offsetof(RecordHeader_t, header_hash), TRAILER);
+}
+
+static void
+add_record(GByteArray *buffer, RecordKind_t kind, const EySchema_t *schema,
+           const void *object)
+{
+    EyBytes_t payload = EySchema_Pack(schema, NULL, object);
+    RecordHeader_t header = {
+        .kind = (uint32_t)kind,
+        .size_bytes = payload.size_bytes,
+        .payload_hash = XXH64(payload.data, payload.size_bytes, kind),
+    };
+    header.header_hash = header_hash(&header);
+    uint32_t trailer = TRAILER;
+    g_byte_array_append(buffer, (const guint8 *)&header, sizeof(header));
+    g_byte_array_append(buffer, payload.data, payload.size_bytes);
+    g_byte_array_append(buffer, (const guint8 *)&trailer, sizeof(trailer));
+    talloc_free(payload.data);
+}
+
+static StateRecord_t
+state_of(const EyLogPersist_t *persist)
+{
+    StateRecord_t state = {
+        .cluster = persist->cluster,
+        .term = persist->term,
+        .vote_incarnation = persist->vote_incarnation,
+    };
+    (void)EY_COPY(state.vote, persist->vote);
+    return state;
+}
+
+static bool
+is_same_state(const StateRecord_t *left, const StateRecord_t *right)
+{
+    return left->cluster == right->cluster && left->term == right->term &&
+           left->vote_incarnation == right->vote_incarnation &&
+           strcmp(left->vote, right->vote) == 0;
+}
+
+static void
+add_entries(GByteArray *buffer, const EyLogPersist_t *persist)
+{
+    for (uint32_t i = 0; i < persist->entry_count; i++) {
+        add_record(buffer, RECORD_ENTRY, &EyLogEntry_schema,
+                   &persist->entries[i]);
+    }
+}
+
+static bool
+write_all(const EyLogFile_t *self, int file, const GByteArray *buffer,
+          uint64_t offset_bytes)
+{
+    guint done = 0;
+    while (done < buffer->len) {
+        ssize_t written =
+            self->calls.write_at(file, buffer->data + done, buffer->len - done,
+                                 (off_t)(offset_bytes + done));
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            errno = written == 0 ? ENOSPC : errno;
+            return false;
+        }
+        done += (guint)written;
+    }
+    return true;
+}
+
+static bool
+append(EyLogFile_t *self, const GByteArray *buffer, GError **error)
+{
+    if (buffer->len == 0) {
+        return true;
+    }
+    if (!write_all(self, self->file, buffer, self->size_bytes)) {
+        (void)fail_errno(error, EY_LOG_FILE_ERROR_WRITE, EY_LOG_FILE_NAME);
+        /* Leave no half record behind; the next try writes over it. */
+        if (ftruncate(self->file, (off_t)self->size_bytes) != 0) {
+            self->is_broken = true;
+        }
+        return false;
+    }
+    if (self->calls.sync(self->file) != 0) {
+        self->is_broken = true;
+        return fail_errno(error, EY_LOG_FILE_ERROR_SYNC, EY_LOG_FILE_NAME);
+    }
+    self->size_bytes += buffer->len;
+    return true;
+}
+
+static bool
+sync_folder(const EyLogFile_t *self)
+{
+    int folder = open(self->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder < 0) {
+        return false;
+    }
+    bool done = fsync(folder) == 0;
+    (void)close(folder);
+    return done;
+}
+
+/** Makes the new file the file; a crash leaves the one or the other. */
+static bool
+swap_in(EyLogFile_t *self, int file, const char *new_path, const char *path,
+        GError **error)
+{
+    if (rename(new_path, path) != 0) {
+        (void)fail_errno(error, EY_LOG_FILE_ERROR_WRITE, path);
+        (void)close(file);
+        (void)unlink(new_path);
+        return false;
+    }
+    if (self->file >= 0) {
+        (void)close(self->file);
+    }
+    self->file = file;
+    if (!sync_folder(self)) {
+        self->is_broken = true;
+        return fail_errno(error, EY_LOG_FILE_ERROR_SYNC, self->folder);
+    }
+    return true;
+}
+
+static bool
+replace(EyLogFile_t *self, const GByteArray *buffer, GError **error)
+{
+    void *ctx = talloc_new(NULL);
+    char *new_path = path_of(self, ctx, NEW_NAME);
+    char *path = path_of(self, ctx, EY_LOG_FILE_NAME);
+    int file =
+        open(new_path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+    bool done = file >= 0 && write_all(self, file, buffer, 0) &&
+                self->calls.sync(file) == 0;
+    if (!done) {
+        (void)fail_errno(error, EY_LOG_FILE_ERROR_WRITE, new_path);
+        if (file >= 0) {
+            (void)close(file);
+            (void)unlink(new_path);
+        }
+    }
+    else {
+        done = swap_in(self, file, new_path, path, error);
+    }
+    if (done) {
+        self->size_bytes = buffer->len;
+    }
+    talloc_free(ctx);
+    return done;
+}
+
+/** A whole file: head, state, snapshot, entries. */
+static bool
+write_whole(EyLogFile_t *self, const EyLogPersist_t *persist, GError **error)
+{
+    GByteArray *buffer = g_byte_array_new();
+    HeadRecord_t head = {.incarnation = self->incarnation};
+    StateRecord_t state = state_of(persist);
+    add_record(buffer, RECORD_HEAD, &HeadSchema, &head);
+    add_record(buffer, RECORD_STATE, &StateSchema, &state);
+    if (persist->snapshot.index != 0) {
+        add_record(buffer, RECORD_SNAPSHOT, &EyLogSnapshot_schema,
+                   &persist->snapshot);
+    }
+    add_entries(buffer, persist);
+    add_record(buffer, RECORD_WHOLE, &HeadSchema, &head);
+    bool done = replace(self, buffer, error);
+    g_byte_array_free(buffer, TRUE);
+    if (done) {
+        self->state = state;
+    }
+    return done;
+}
+
+static bool
+write_more(EyLogFile_t *self, const EyLogPersist_t *persist, GError **error)
+{
+    GByteArray *buffer = g_byte_array_new();
+    StateRecord_t state = state_of(persist);
+    if (!is_same_state(&state, &self->state)) {
+        add_record(buffer, RECORD_STATE, &StateSchema, &state);
+    }
+    if (persist->truncate_from != 0) {
+        CutRecord_t cut = {.from_index = persist->truncate_from};
+        add_record(buffer, RECORD_CUT, &CutSchema, &cut);
+    }
+    add_entries(buffer, persist);
+    bool done = append(self, buffer, error);
+    g_byte_array_free(buffer, TRUE);
+    if (done) {
+        self->state = state;
+    }
+    return done;
+}
+
+bool
+EyLogFile_Write(EyLogFile_t *self, const EyLogPersist_t *persist,
+                GError **error)
+{
+    if (self->is_broken) {
+        return fail(error, EY_LOG_FILE_ERROR_SYNC, EY_LOG_FILE_NAME,
+                    "an earlier write has an unknown end; restart");
+    }
+    return persist->snapshot.index != 0 ? write_whole(self, persist, error)
+                                        : write_more(self, persist, error);
+}
+
+/* Reading */
+
+typedef struct Reading {
+    const EyLogFile_t *self;
+    const uint8_t *data;
+    uint64_t size_bytes;
+    uint64_t offset_bytes;
+    EyLogDisk_t *disk;
+    GPtrArray *entries; /* EyLogEntry_t */
+    bool is_whole;      /* the record WHOLE was read */
+    GError **error;
+} Reading_t;
+
+static bool
+is_zero(const uint8_t *data, uint64_t size_bytes)
+{
+    for (uint64_t i = 0; i < size_bytes; i++) {
+        if (data[i] != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+corrupt(const Reading_t *reading, const char *what)
+{
+    char text[160];
+    (void)g_snprintf(text, sizeof(text),
+                     "corrupt at byte %" G_GUINT64_FORMAT
+                     ": %s; put a good copy in place, or empty the folder to "
+                     "join again as a new member",
+                     reading->offset_bytes, what);
+    return fail(reading->error, EY_LOG_FILE_ERROR_CORRUPT, EY_LOG_FILE_NAME,
+                text);
+}
+
+static bool
+unpack(const Reading_t *reading, const EySchema_t *schema, const void *ctx,
+       const EyBytes_t *payload, void *object)
+{
+    return EySchema_Unpack(schema, ctx, payload->data, payload->size_bytes,
+                           object, NULL) ||
+           corrupt(reading, "a record doesn't read");
+}
+
+static bool
+read_head(Reading_t *reading, const EyBytes_t *payload)
+{
+    HeadRecord_t head;
+    if (!unpack(reading, &HeadSchema, NULL, payload, &head)) {
+        return false;
+    }
+    reading->disk->incarnation = head.incarnation;
+    return true;
+}
+
+static bool
+read_state(Reading_t *reading, const EyBytes_t *payload)
+{
+    StateRecord_t state;
+    if (!unpack(reading, &StateSchema, NULL, payload, &state)) {
+        return false;
+    }
+    reading->disk->cluster = state.cluster;
+    reading->disk->term = state.term;
+    (void)EY_COPY(reading->disk->vote, state.vote);
+    reading->disk->vote_incarnation = state.vote_incarnation;
+    return true;
+}
+
+static bool
+read_snapshot(Reading_t *reading, const EyBytes_t *payload)
+{
+    return unpack(reading, &EyLogSnapshot_schema, reading->self, payload,
+                  &reading->disk->snapshot);
+}
+
+static uint64_t
+last_index(const Reading_t *reading)
+{
+    return reading->disk->snapshot.index + reading->entries->len;
+}
+
+static bool
+cut_entries(Reading_t *reading, uint64_t from_index)
+{
+    uint64_t base = reading->disk->snapshot.index;
+    if (from_index <= base || from_index > last_index(reading) + 1) {
+        return corrupt(reading, "an entry out of its order");
+    }
+    g_ptr_array_set_size(reading->entries, (gint)(from_index - base - 1));
+    return true;
+}
+
+static bool
+read_entry(Reading_t *reading, const EyBytes_t *payload)
+{
+    EyLogEntry_t *entry = EY_NEW(reading->self, EyLogEntry_t);
+    if (!unpack(reading, &EyLogEntry_schema, entry, payload, entry) ||
+        !cut_entries(reading, entry->index))
+    {
+        talloc_free(entry);
+        return false;
+    }
+    g_ptr_array_add(reading->entries, entry);
+    return true;
+}
+
+static bool
+read_cut(Reading_t *reading, const EyBytes_t *payload)
+{
+    CutRecord_t cut;
+    return unpack(reading, &CutSchema, NULL, payload, &cut) &&
+           cut_entries(reading, cut.from_index);
+}
+
+static bool
+read_whole(Reading_t *reading, const EyBytes_t *payload)
+{
+    (void)payload;
+    reading->is_whole = true;
+    return true;
+}
+
+typedef bool (*Reader_t)(Reading_t *reading, const EyBytes_t *payload);
+
+static const Reader_t Readers[] = {
+    [RECORD_HEAD] = read_head,         [RECORD_STATE] = read_state,
+    [RECORD_SNAPSHOT] = read_snapshot, [RECORD_ENTRY] = read_entry,
+    [RECORD_CUT] = read_cut,           [RECORD_WHOLE] = read_whole,
+};
+
+typedef enum Verdict {
+    VERDICT_RECORD, /* a good record was read */
+    VERDICT_END,    /* no more, or a torn one: the file ends here */
+    VERDICT_BAD     /* refused; the error is set */
+} Verdict_t;
+
+static Verdict_t
+read_payload(Reading_t *reading, const RecordHeader_t *header)
+{
+    const uint8_t *start = reading->data + reading->offset_bytes;
+    const uint8_t *payload_start = start + sizeof(*header);
+    uint64_t whole_bytes =
+        sizeof(*header) + (uint64_t)header->size_bytes + sizeof(uint32_t);
+    if (whole_bytes > reading->size_bytes - reading->offset_bytes) {
+        return VERDICT_END;
+    }
+    EyBytes_t payload = {
+        .data = (uint8_t *)payload_start,
+        .size_bytes = header->size_bytes,
+    };
+    uint32_t trailer = 0;
+    memcpy(&trailer, payload_start + header->size_bytes, sizeof(trailer));
+    uint64_t hash = XXH64(payload.data, payload.size_bytes, header->kind);
+    if (trailer != TRAILER || hash != header->payload_hash) {
+        bool is_last =
+            reading->offset_bytes + whole_bytes == reading->size_bytes;
+        if (is_last && trailer == 0) {
+            return VERDICT_END;
+        }
+        (void)corrupt(reading, "a wrong checksum");
+        return VERDICT_BAD;
+    }
+    if (!Readers[header->kind](reading, &payload)) {
+        return VERDICT_BAD;
+    }
+    reading->offset_bytes += whole_bytes;
+    return VERDICT_RECORD;
+}
+
+static Verdict_t
+read_record(Reading_t *reading)
+{
+    const uint8_t *start = reading->data + reading->offset_bytes;
+    uint64_t left_bytes = reading->size_bytes - reading->offset_bytes;
+    RecordHeader_t header;
+    /* Space that was never written reads as zeros after a power cut. */
+    if (left_bytes < sizeof(header) || is_zero(start, left_bytes)) {
+        return VERDICT_END;
+    }
+    memcpy(&header, start, sizeof(header));
+    bool is_known = header.kind >= RECORD_HEAD && header.kind <= RECORD_WHOLE;
+    bool is_first = reading->offset_bytes == 0;
+    if (header.header_hash != header_hash(&header) || !is_known ||
+        is_first != (header.kind == RECORD_HEAD))
+    {
+        (void)corrupt(reading, "a wrong record header");
+        return VERDICT_BAD;
+    }
+    return read_payload(reading, &header);
+}
+
+static bool
+read_records(Reading_t *reading)
+{
+    Verdict_t verdict = VERDICT_RECORD;
+    while (verdict == VERDICT_RECORD) {
+        verdict = read_record(reading);
+    }
+    if (verdict == VERDICT_END && !reading->is_whole) {
+        return corrupt(reading, "the file was cut short");
+    }
+    return verdict == VERDICT_END;
+}
+
+static void
+take_entries(Reading_t *reading)
+{
+    EyLogDisk_t *disk = reading->disk;
+    disk->entry_count = reading->entries->len;
+    disk->entries =
+        EY_NEW_ARRAY(reading->self, EyLogEntry_t, disk->entry_count);
+    for (uint32_t i = 0; i < disk->entry_count; i++) {
+        disk->entries[i] =
+            *(const EyLogEntry_t *)g_ptr_array_index(reading->entries, i);
+    }
+}
+
+static bool
+read_file(EyLogFile_t *self, const char *path, EyLogDisk_t *disk,
+          GError **error)
+{
+    gchar *data = NULL;
+    gsize size_bytes = 0;
+    GError *below = NULL;
+    if (!g_file_get_contents(path, &data, &size_bytes, &below)) {
+        g_propagate_error(error, below);
+        EyError_Turn(error, EY_LOG_FILE_ERROR, EY_LOG_FILE_ERROR_OPEN,
+                     "can't be read");
+        return false;
+    }
+    Reading_t reading = {
+        .self = self,
+        .data = (const uint8_t *)data,
+        .size_bytes = size_bytes,
+        .disk = disk,
+        .entries = g_ptr_array_new(),
+        .error = error,
+    };
+    bool done = read_records(&reading);
+    if (done) {
+        take_entries(&reading);
+    }
+    g_ptr_array_free(reading.entries, TRUE);
+    g_free(data);
+    if (!done) {
+        return false;
+    }
+    self->size_bytes = reading.offset_bytes;
+    self->file = open(path, O_RDWR | O_CLOEXEC);
+    /* What a torn write left must be gone before anything is appended. */
+    if (self->file < 0 ||
+        ftruncate(self->file, (off_t)self->size_bytes) != 0 ||
+        fsync(self->file) != 0)
+    {
+        return fail_errno(error, EY_LOG_FILE_ERROR_OPEN, path);
+    }
+    self->incarnation = disk->incarnation;
+    self->state = (StateRecord_t){
+        .cluster = disk->cluster,
+        .term = disk->term,
+        .vote_incarnation = disk->vote_incarnation,
+    };
+    return EY_COPY(self->state.vote, disk->vote);
+}
+
+/* Opening */
+
+static int
+file_destroy(EyLogFile_t *self)
+{
+    if (self->file >= 0) {
+        (void)close(self->file);
+    }
+    if (self->lock >= 0) {
+        (void)close(self->lock);
+    }
+    return 0;
+}
+
+static bool
+lock_folder(EyLogFile_t *self, const void *ctx, GError **error)
+{
+    if (g_mkdir_with_parents(self->folder, FOLDER_MODE) != 0) {
+        return fail_errno(error, EY_LOG_FILE_ERROR_OPEN, self->folder);
+    }
+    char *path = path_of(self, ctx, LOCK_NAME);
+    self->lock = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
+    if (self->lock < 0) {
+        return fail_errno(error, EY_LOG_FILE_ERROR_OPEN, path);
+    }
+    if (flock(self->lock, LOCK_EX | LOCK_NB) != 0) {
+        return fail(error, EY_LOG_FILE_ERROR_LOCKED, self->folder,
+                    "another process uses this data folder");
+    }
+    return true;
+}
+
+static bool
+make_file(EyLogFile_t *self, EyLogDisk_t *disk, GError **error)
+{
+    EyLogPersist_t nothing = {.serial = 0};
+    while (self->incarnation == 0) {
+        self->incarnation = EyRandom_SystemSeed();
+    }
+    disk->incarnation = self->incarnation;
+    return write_whole(self, &nothing, error);
+}
+
+static bool
+open_file(EyLogFile_t *self, const void *ctx, EyLogDisk_t *disk,
+          GError **error)
+{
+    if (!lock_folder(self, ctx, error)) {
+        return false;
+    }
+    char *path = path_of(self, ctx, EY_LOG_FILE_NAME);
+    struct stat status;
+    if (lstat(path, &status) == 0) {
+        return read_file(self, path, disk, error);
+    }
+    if (errno != ENOENT) {
+        return fail_errno(error, EY_LOG_FILE_ERROR_OPEN, path);
+    }
+    return make_file(self, disk, error);
+}
+
+EyLogFile_t *
+EyLogFile_Open(const void *ctx, const char *folder,
+               const EyLogFileCalls_t *calls, EyLogDisk_t *disk,
+               GError **error)
+{
+    EyLogFile_t *self = EY_NEW(ctx, EyLogFile_t);
+    self->folder = EyMemory_Strdup(self, folder);
+    self->file = -1;
+    self->lock = -1;
+    self->calls = calls != NULL ? *calls : PlainCalls;
+    talloc_set_destructor(self, file_destroy);
+    *disk = (EyLogDisk_t){.incarnation = 0};
+    void *scratch = talloc_new(NULL);
+    bool done = open_file(self, scratch, disk, error);
+    talloc_free(scratch);
+    if (!done) {
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+uint64_t
+EyLogFile_SizeBytes(const EyLogFile_t *self)
+{
+    return self->size_bytes;
+}
--- /dev/null
+++ b/src/config/log_members.c
@@ -0,0 +1,323 @@
+/* Who belongs to the log: bootstrap, learners, voters, removal. */
+#include "config/log_internal.h"
+#include "core/memory.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/** Entry 1 of every cluster is its first member set, as a snapshot. */
+#define FIRST_INDEX 1
+#define FIRST_TERM 1
+
+static void
+sync_peers(EyLog_t *self)
+{
+    GArray *peers = g_array_new(FALSE, TRUE, sizeof(EyLogPeer_t));
+    for (uint32_t i = 0; i < self->members.count; i++) {
+        const EyLogMember_t *member = &self->members.items[i];
+        if (strcmp(member->address, self->options.self) == 0) {
+            continue;
+        }
+        EyLogPeer_t peer = {
+            .incarnation = member->incarnation,
+            .next = ey_log_last_index(self) + 1,
+            .heard_ms = self->now_ms,
+        };
+        (void)EY_COPY(peer.address, member->address);
+        const EyLogPeer_t *known =
+            ey_log_peer(self, member->address, member->incarnation);
+        if (known != NULL) {
+            peer = *known;
+        }
+        peer.is_voter = member->is_voter;
+        g_array_append_val(peers, peer);
+    }
+    g_array_free(self->peers, TRUE);
+    self->peers = peers;
+}
+
+void
+ey_log_reload_members(EyLog_t *self)
+{
+    EyLogMembers_t members = {.count = 0};
+    talloc_free(self->members.items);
+    self->members = members;
+    self->members_index = self->base.index;
+    for (uint64_t i = ey_log_last_index(self); i > self->base.index; i--) {
+        const EyLogEntry_t *entry = EyLog_Entry(self, i);
+        if (entry->kind != EY_LOG_MEMBERS) {
+            continue;
+        }
+        if (EySchema_Unpack(&EyLogMembers_schema, self, entry->data.data,
+                            entry->data.size_bytes, &members, NULL))
+        {
+            self->members_index = i;
+            break;
+        }
+    }
+    self->members = self->members_index == self->base.index
+                        ? EyLogMessage_CopyMembers(self, &self->base.members)
+                        : members;
+    sync_peers(self);
+}
+
+static int
+compare_addresses(const void *left, const void *right)
+{
+    return strcmp(left, right);
+}
+
+static EyAddress_t *
+sorted_list(const void *ctx, const EyLogOptions_t *options)
+{
+    EyAddress_t *sorted = EY_NEW_ARRAY(ctx, EyAddress_t, options->list_count);
+    for (uint32_t i = 0; i < options->list_count; i++) {
+        (void)EY_COPY(sorted[i], options->list[i]);
+    }
+    qsort(sorted, options->list_count, sizeof(EyAddress_t), compare_addresses);
+    return sorted;
+}
+
+uint64_t
+ey_log_list_hash(const EyLogOptions_t *options)
+{
+    EyAddress_t *sorted = sorted_list(NULL, options);
+    uint64_t hash = 0;
+    for (uint32_t i = 0; i < options->list_count; i++) {
+        hash = XXH64(sorted[i], strlen(sorted[i]) + 1, hash);
+    }
+    talloc_free(sorted);
+    return hash;
+}
+
+static bool
+is_self(const EyLog_t *self, const char *address)
+{
+    return strcmp(address, self->options.self) == 0;
+}
+
+void
+ey_log_say_hello(EyLog_t *self)
+{
+    for (uint32_t i = 0; i < self->options.list_count; i++) {
+        const char *address = self->options.list[i];
+        if (!is_self(self, address)) {
+            ey_log_send(self, ey_log_message(self, EY_LOG_HELLO, address, 0));
+        }
+    }
+    ey_log_bootstrap(self);
+}
+
+static EyLogHeard_t *
+heard_of(EyLog_t *self, const char *address)
+{
+    for (uint32_t i = 0; i < self->options.list_count; i++) {
+        if (strcmp(self->options.list[i], address) == 0) {
+            return &self->heard[i];
+        }
+    }
+    return NULL;
+}
+
+void
+ey_log_on_hello(EyLog_t *self, const EyLogMessage_t *message)
+{
+    EyLogMessage_t *answer = ey_log_message(
+        self, EY_LOG_HELLO_ANSWER, message->from, message->from_incarnation);
+    answer->list_hash = self->list_hash;
+    answer->nonce = self->nonce;
+    const EyLogMember_t *member =
+        EyLogMembers_Find(&self->members, message->from);
+    bool is_member =
+        member != NULL && member->incarnation == message->from_incarnation;
+    if (is_member && message->cluster == 0 && self->cluster != 0) {
+        answer->snapshot = EyLogMessage_CopySnapshot(answer, &self->base);
+    }
+    /* What it says of us must be on our disk. */
+    ey_log_send_persisted(self, answer);
+    if (self->role == EY_LOG_LEADER && !is_member &&
+        message->nonce == self->nonce) {
+        (void)EY_COPY(self->joiner.address, message->from);
+        self->joiner.incarnation = message->from_incarnation;
+        ey_log_advance_members(self);
+    }
+}
+
+void
+ey_log_on_hello_answer(EyLog_t *self, const EyLogMessage_t *message)
+{
+    EyLogHeard_t *heard = heard_of(self, message->from);
+    if (heard != NULL) {
+        heard->nonce = message->nonce;
+    }
+    if (self->cluster != 0) {
+        return;
+    }
+    if (message->cluster != 0 && message->snapshot.index != 0) {
+        self->cluster = message->cluster;
+        ey_log_install(self, &message->snapshot);
+        ey_log_follow(self, message->snapshot.term, "");
+        return;
+    }
+    if (heard != NULL) {
+        heard->incarnation = message->from_incarnation;
+        heard->is_fresh =
+            message->cluster == 0 && message->list_hash == self->list_hash;
+        ey_log_bootstrap(self);
+    }
+}
+
+/** The incarnation that a list's address has in the first member set; 0 if
+ * it isn't ready for a start. */
+static uint64_t
+ready_incarnation(EyLog_t *self, const char *address)
+{
+    if (is_self(self, address)) {
+        return self->incarnation;
+    }
+    const EyLogHeard_t *heard = heard_of(self, address);
+    return heard->is_fresh ? heard->incarnation : 0;
+}
+
+void
+ey_log_bootstrap(EyLog_t *self)
+{
+    if (self->cluster != 0) {
+        return;
+    }
+    uint32_t count = self->options.list_count;
+    EyAddress_t *sorted = sorted_list(self->actions, &self->options);
+    EyLogMembers_t members = {
+        .items = EY_NEW_ARRAY(self->actions, EyLogMember_t, count),
+        .count = count,
+    };
+    for (uint32_t i = 0; i < count; i++) {
+        EyLogMember_t *member = &members.items[i];
+        (void)EY_COPY(member->address, sorted[i]);
+        member->incarnation = ready_incarnation(self, sorted[i]);
+        member->is_voter = true;
+        if (member->incarnation == 0) {
+            return;
+        }
+    }
+    EyBytes_t packed =
+        EySchema_Pack(&EyLogMembers_schema, self->actions, &members);
+    self->cluster = XXH64(packed.data, packed.size_bytes, 0) | 1;
+    EyLogSnapshot_t first = {
+        .index = FIRST_INDEX,
+        .term = FIRST_TERM,
+        .members = members,
+    };
+    ey_log_install(self, &first);
+    ey_log_follow(self, FIRST_TERM, "");
+    if (count == 1) {
+        self->election_ms = self->now_ms;
+    }
+}
+
+/* Membership changes by the leader, one at a time. */
+
+static void
+propose_members(EyLog_t *self, const EyLogMembers_t *members)
+{
+    EyLogEntry_t entry = {
+        .index = ey_log_last_index(self) + 1,
+        .term = self->term,
+        .kind = EY_LOG_MEMBERS,
+        .data = EySchema_Pack(&EyLogMembers_schema, self->actions, members),
+    };
+    ey_log_append(self, &entry);
+    ey_log_replicate_all(self);
+}
+
+/** The present members without an address, with room for one more. */
+static EyLogMembers_t
+members_without(const EyLog_t *self, const char *address)
+{
+    EyLogMembers_t members = {
+        .items = EY_NEW_ARRAY(self->actions, EyLogMember_t,
+                              self->members.count + 1),
+    };
+    for (uint32_t i = 0; i < self->members.count; i++) {
+        const EyLogMember_t *member = &self->members.items[i];
+        if (strcmp(member->address, address) != 0) {
+            members.items[members.count++] = *member;
+        }
+    }
+    return members;
+}
+
+/** One change at a time, and none before the term's first commit. */
+static bool
+may_change_members(const EyLog_t *self)
+{
+    return self->role == EY_LOG_LEADER &&
+           self->members_index <= self->commit &&
+           ey_log_term_at(self, self->commit) == self->term;
+}
+
+/** Takes the joiner in as a learner, in place of its former incarnation. */
+static void
+admit_joiner(EyLog_t *self)
+{
+    EyLogJoiner_t joiner = self->joiner;
+    self->joiner = (EyLogJoiner_t){.incarnation = 0};
+    self->nonce = EyRandom_Next(&self->random);
+    bool is_known = heard_of(self, joiner.address) != NULL ||
+                    EyLogMembers_Find(&self->members, joiner.address) != NULL;
+    if (!is_known || is_self(self, joiner.address)) {
+        return;
+    }
+    EyLogMembers_t members = members_without(self, joiner.address);
+    if (members.count >= EY_LOG_MEMBERS_MAX) {
+        return;
+    }
+    EyLogMember_t *learner = &members.items[members.count++];
+    (void)EY_COPY(learner->address, joiner.address);
+    learner->incarnation = joiner.incarnation;
+    propose_members(self, &members);
+}
+
+/** Makes a learner that has caught up a voter. */
+static void
+promote_learner(EyLog_t *self)
+{
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyLogPeer_t *peer = &g_array_index(self->peers, EyLogPeer_t, i);
+        bool is_alive =
+            self->now_ms - peer->heard_ms < self->options.election_min_ms;
+        if (peer->is_voter || !is_alive || peer->match < self->commit) {
+            continue;
+        }
+        EyLogMembers_t members =
+            EyLogMessage_CopyMembers(self->actions, &self->members);
+        EyLogMembers_Find(&members, peer->address)->is_voter = true;
+        propose_members(self, &members);
+        return;
+    }
+}
+
+void
+ey_log_advance_members(EyLog_t *self)
+{
+    if (!may_change_members(self)) {
+        return;
+    }
+    if (self->joiner.incarnation != 0) {
+        admit_joiner(self);
+        return;
+    }
+    promote_learner(self);
+}
+
+void
+ey_log_remove_member(EyLog_t *self, const char *address)
+{
+    if (!may_change_members(self) || is_self(self, address) ||
+        EyLogMembers_Find(&self->members, address) == NULL)
+    {
+        return;
+    }
+    EyLogMembers_t members = members_without(self, address);
+    propose_members(self, &members);
+}
--- /dev/null
+++ b/src/config/log_replication.c
@@ -0,0 +1,245 @@
+/* Replication: from a leader's entries to their commit. */
+#include "config/log_internal.h"
+#include "core/memory.h"
+
+#include <string.h>
+
+void
+ey_log_become_leader(EyLog_t *self)
+{
+    self->role = EY_LOG_LEADER;
+    (void)EY_COPY(self->leader, self->options.self);
+    self->heartbeat_ms = self->now_ms + self->options.heartbeat_ms;
+    for (guint i = 0; i < self->peers->len; i++) {
+        EyLogPeer_t *peer = &g_array_index(self->peers, EyLogPeer_t, i);
+        peer->next = ey_log_last_index(self) + 1;
+        peer->match = 0;
+        peer->heard_ms = self->now_ms;
+        peer->snapshot_ms = 0;
+    }
+    EyLogEntry_t entry = {
+        .index = ey_log_last_index(self) + 1,
+        .term = self->term,
+        .kind = EY_LOG_NOTHING,
+    };
+    ey_log_append(self, &entry);
+    ey_log_replicate_all(self);
+}
+
+static void
+send_snapshot(EyLog_t *self, EyLogPeer_t *peer)
+{
+    bool is_waiting =
+        peer->snapshot_ms != 0 &&
+        self->now_ms - peer->snapshot_ms < EY_LOG_SNAPSHOT_AGAIN_MS;
+    if (is_waiting) {
+        return;
+    }
+    peer->snapshot_ms = self->now_ms;
+    EyLogMessage_t *message = ey_log_message(self, EY_LOG_SNAPSHOT,
+                                             peer->address, peer->incarnation);
+    message->snapshot = EyLogMessage_CopySnapshot(message, &self->base);
+    ey_log_send(self, message);
+}
+
+void
+ey_log_replicate(EyLog_t *self, EyLogPeer_t *peer)
+{
+    if (peer->next <= self->base.index) {
+        send_snapshot(self, peer);
+        return;
+    }
+    uint64_t last = ey_log_last_index(self);
+    uint32_t count =
+        (uint32_t)MIN(last + 1 - peer->next, (uint64_t)EY_LOG_BATCH_MAX);
+    EyLogMessage_t *message =
+        ey_log_message(self, EY_LOG_APPEND, peer->address, peer->incarnation);
+    message->index = peer->next - 1;
+    message->log_term = ey_log_term_at(self, message->index);
+    message->commit = self->commit;
+    message->entries = EY_NEW_ARRAY(message, EyLogEntry_t, count);
+    message->entry_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        message->entries[i] =
+            EyLogMessage_CopyEntry(message, EyLog_Entry(self, peer->next + i));
+    }
+    /* Goes on as if it arrived; a refusal sets it back. */
+    peer->next += count;
+    ey_log_send(self, message);
+}
+
+void
+ey_log_replicate_all(EyLog_t *self)
+{
+    for (guint i = 0; i < self->peers->len; i++) {
+        ey_log_replicate(self, &g_array_index(self->peers, EyLogPeer_t, i));
+    }
+}
+
+static int
+compare_falling(gconstpointer left, gconstpointer right)
+{
+    uint64_t left_index = *(const uint64_t *)left;
+    uint64_t right_index = *(const uint64_t *)right;
+    return (left_index < right_index) - (left_index > right_index);
+}
+
+void
+ey_log_advance_commit(EyLog_t *self)
+{
+    GArray *matches = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    if (ey_log_is_voter(self)) {
+        g_array_append_val(matches, self->persisted_index);
+    }
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyLogPeer_t *peer = &g_array_index(self->peers, EyLogPeer_t, i);
+        if (peer->is_voter) {
+            g_array_append_val(matches, peer->match);
+        }
+    }
+    g_array_sort(matches, compare_falling);
+    uint32_t quorum = ey_log_quorum(self);
+    uint64_t agreed = matches->len >= quorum
+                          ? g_array_index(matches, uint64_t, quorum - 1)
+                          : 0;
+    g_array_free(matches, TRUE);
+    /* Entries of former terms count only below one of this term. */
+    if (agreed <= self->commit || ey_log_term_at(self, agreed) != self->term) {
+        return;
+    }
+    ey_log_set_commit(self, agreed);
+    ey_log_replicate_all(self);
+    ey_log_advance_members(self);
+}
+
+static void
+answer_append(EyLog_t *self, const EyLogMessage_t *message, bool granted,
+              uint64_t index)
+{
+    EyLogMessage_t *answer = ey_log_message(
+        self, EY_LOG_APPEND_ANSWER, message->from, message->from_incarnation);
+    answer->granted = granted;
+    answer->index = index;
+    /* Told of the leader's cluster, even while in none. */
+    answer->cluster = message->cluster;
+    ey_log_send_persisted(self, answer);
+}
+
+/** Appends the entries that lack; true if all now match. */
+static bool
+take_entries(EyLog_t *self, const EyLogMessage_t *message)
+{
+    for (uint32_t i = 0; i < message->entry_count; i++) {
+        const EyLogEntry_t *entry = &message->entries[i];
+        if (entry->index != message->index + i + 1) {
+            return false;
+        }
+        if (entry->index <= self->base.index ||
+            ey_log_term_at(self, entry->index) == entry->term)
+        {
+            continue;
+        }
+        if (entry->index <= self->commit) {
+            return false;
+        }
+        if (entry->index <= ey_log_last_index(self)) {
+            ey_log_truncate(self, entry->index);
+        }
+        ey_log_append(self, entry);
+    }
+    return true;
+}
+
+/** Follows the sender if its term is current; else tells it ours. */
+static bool
+accept_leader(EyLog_t *self, const EyLogMessage_t *message)
+{
+    if (message->term < self->term) {
+        answer_append(self, message, false, ey_log_last_index(self));
+        return false;
+    }
+    ey_log_follow(self, message->term, message->from);
+    self->leader_ms = self->now_ms;
+    return true;
+}
+
+void
+ey_log_on_append(EyLog_t *self, const EyLogMessage_t *message)
+{
+    if (self->cluster == 0) {
+        answer_append(self, message, false, 0);
+        return;
+    }
+    if (!accept_leader(self, message)) {
+        return;
+    }
+    uint64_t last = ey_log_last_index(self);
+    if (message->index > last) {
+        answer_append(self, message, false, last);
+        return;
+    }
+    if (message->index > self->base.index &&
+        ey_log_term_at(self, message->index) != message->log_term)
+    {
+        answer_append(self, message, false, message->index - 1);
+        return;
+    }
+    if (!take_entries(self, message)) {
+        return;
+    }
+    uint64_t match =
+        MAX(message->index + message->entry_count, self->base.index);
+    answer_append(self, message, true, match);
+    ey_log_set_commit(self, MIN(message->commit, match));
+}
+
+void
+ey_log_on_append_answer(EyLog_t *self, const EyLogMessage_t *message)
+{
+    if (message->term > self->term) {
+        ey_log_follow(self, message->term, "");
+        return;
+    }
+    EyLogPeer_t *peer =
+        ey_log_peer(self, message->from, message->from_incarnation);
+    if (self->role != EY_LOG_LEADER || peer == NULL) {
+        return;
+    }
+    if (message->term != self->term && message->term != 0) {
+        return;
+    }
+    peer->heard_ms = self->now_ms;
+    uint64_t last = ey_log_last_index(self);
+    if (!message->granted) {
+        peer->next = MAX(MIN(message->index, last) + 1, peer->match + 1);
+        ey_log_replicate(self, peer);
+        return;
+    }
+    peer->snapshot_ms = 0;
+    peer->match = MAX(peer->match, MIN(message->index, last));
+    peer->next = MAX(peer->next, peer->match + 1);
+    ey_log_advance_commit(self);
+    if (peer->next <= last) {
+        ey_log_replicate(self, peer);
+    }
+}
+
+void
+ey_log_on_snapshot(EyLog_t *self, const EyLogMessage_t *message)
+{
+    const EyLogSnapshot_t *snapshot = &message->snapshot;
+    if (snapshot->index == 0 || message->cluster == 0) {
+        return;
+    }
+    if (self->cluster == 0) {
+        self->cluster = message->cluster;
+        (void)ey_log_persist(self);
+    }
+    if (!accept_leader(self, message)) {
+        return;
+    }
+    if (snapshot->index > self->commit) {
+        ey_log_install(self, snapshot);
+    }
+    answer_append(self, message, true, MAX(snapshot->index, self->commit));
+}
--- /dev/null
+++ b/src/config/replica.c
@@ -0,0 +1,314 @@
+#include "config/replica.h"
+
+#include "core/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/** Sources asked at once while nobody has answered. */
+#define START_SOURCES 3
+/** Unanswered pulls after which other sources are tried in turn. */
+#define PATIENCE 1
+/** Least time between pulls that follow a push. */
+#define AGAIN_MS 50
+
+struct EyReplica {
+    EyName_t id;
+    EyRandom_t random;
+    EyReplicaHooks_t hooks;
+    EyStore_t *store;
+    EyFeed_t *feed;
+    EyName_t *gateways; /* of the own region, itself included, sorted */
+    uint32_t gateway_count;
+    EyName_t *controls;
+    uint32_t control_count;
+    uint32_t control_turn; /* the control process that the first one asks */
+    uint64_t highest;      /* revision that was heard of */
+    int64_t started_ms;
+    int64_t pull_ms;     /* when to pull next */
+    int64_t again_ms;    /* when a push may next be followed by a pull */
+    bool wants_snapshot; /* the last commands didn't apply */
+    uint32_t unanswered;
+    bool was_answered; /* ever */
+    bool is_ready;
+    uint64_t stale_pushes; /* passed over, as they were older */
+};
+
+EyReplica_t *
+EyReplica_New(const void *ctx, const char *id, uint64_t seed,
+              const EyReplicaHooks_t *hooks, int64_t now_ms)
+{
+    EyReplica_t *self = EY_NEW(ctx, EyReplica_t);
+    (void)EY_COPY(self->id, id);
+    self->random = EyRandom_Make(seed);
+    self->hooks = *hooks;
+    self->store = EyStore_New(self);
+    self->feed = EyFeed_New(self, hooks->send, hooks->data);
+    self->started_ms = now_ms;
+    self->pull_ms = now_ms;
+    return self;
+}
+
+static int
+compare_names(const void *left, const void *right)
+{
+    return strcmp(left, right);
+}
+
+static void
+copy_names(const void *ctx, EyName_t **into, const EyName_t *names,
+           uint32_t count)
+{
+    talloc_free(*into);
+    *into = EY_NEW_ARRAY(ctx, EyName_t, count + 1);
+    for (uint32_t i = 0; i < count; i++) {
+        (void)EY_COPY((*into)[i], names[i]);
+    }
+}
+
+void
+EyReplica_SetSources(EyReplica_t *self, const EyName_t *gateways,
+                     uint32_t gateway_count, const EyName_t *controls,
+                     uint32_t control_count)
+{
+    copy_names(self, &self->gateways, gateways, gateway_count);
+    self->gateway_count = gateway_count;
+    bool has_self = false;
+    for (uint32_t i = 0; i < gateway_count; i++) {
+        has_self = has_self || strcmp(gateways[i], self->id) == 0;
+    }
+    if (!has_self) {
+        (void)EY_COPY(self->gateways[gateway_count], self->id);
+        self->gateway_count++;
+    }
+    qsort(self->gateways, self->gateway_count, sizeof(EyName_t),
+          compare_names);
+    copy_names(self, &self->controls, controls, control_count);
+    self->control_count = control_count;
+}
+
+static const char *
+control_source(const EyReplica_t *self)
+{
+    return self->control_count > 0
+               ? self->controls[self->control_turn % self->control_count]
+               : NULL;
+}
+
+/** The parent in the region's tree, or for its root a control process. */
+static const char *
+tree_source(const EyReplica_t *self)
+{
+    for (uint32_t i = 1; i < self->gateway_count; i++) {
+        if (strcmp(self->gateways[i], self->id) == 0) {
+            return self->gateways[(i - 1) / EY_REPLICA_FANOUT];
+        }
+    }
+    return control_source(self);
+}
+
+/** Any gateway of the region or control process, or NULL. */
+static const char *
+random_source(EyReplica_t *self)
+{
+    uint32_t count = self->gateway_count + self->control_count;
+    if (count == 0) {
+        return NULL;
+    }
+    uint32_t pick = (uint32_t)EyRandom_Below(&self->random, count);
+    return pick < self->gateway_count
+               ? self->gateways[pick]
+               : self->controls[pick - self->gateway_count];
+}
+
+static void
+pull_from(EyReplica_t *self, const char *source)
+{
+    if (source == NULL || strcmp(source, self->id) == 0) {
+        return;
+    }
+    EyConfigMessage_t message = {
+        .kind = EY_CONFIG_PULL,
+        .revision = self->store->config.revision,
+        .wants_snapshot = self->wants_snapshot,
+    };
+    self->hooks.send(self->hooks.data, source, &message);
+}
+
+static void
+pull(EyReplica_t *self, int64_t now_ms)
+{
+    pull_from(self, tree_source(self));
+    if (!self->was_answered) {
+        for (uint32_t i = 1; i < START_SOURCES; i++) {
+            pull_from(self, random_source(self));
+        }
+    }
+    else if (self->unanswered > PATIENCE) {
+        pull_from(self, random_source(self));
+    }
+    if (self->unanswered > PATIENCE) {
+        self->control_turn++;
+    }
+    self->unanswered++;
+    self->pull_ms = now_ms + (self->was_answered ? EY_REPLICA_PULL_MS
+                                                 : EY_REPLICA_START_PULL_MS);
+}
+
+static void
+check_ready(EyReplica_t *self, int64_t now_ms)
+{
+    bool has_all =
+        self->was_answered && self->store->config.revision >= self->highest;
+    if (has_all || now_ms - self->started_ms >= EY_REPLICA_WAIT_MS) {
+        self->is_ready = true;
+    }
+}
+
+void
+EyReplica_Heard(EyReplica_t *self, int64_t now_ms, uint64_t revision)
+{
+    if (revision <= self->highest) {
+        return;
+    }
+    self->highest = revision;
+    if (revision > self->store->config.revision) {
+        self->pull_ms = now_ms;
+    }
+}
+
+/** Applies the commands that follow what is there. One that doesn't apply as
+ * it did at the sender, as a build of another version may find, makes it ask
+ * for a snapshot. */
+static void
+take_commands(EyReplica_t *self, const EyConfigMessage_t *push)
+{
+    for (uint32_t i = 0; i < push->command_count; i++) {
+        uint64_t revision = push->first_revision + i;
+        uint64_t present = self->store->config.revision;
+        if (revision <= present) {
+            continue;
+        }
+        if (revision != present + 1) {
+            return;
+        }
+        EyResult_t result = EyStore_Apply(self->store, &push->commands[i]);
+        if (result.status != EY_RESULT_DONE) {
+            self->wants_snapshot = true;
+            return;
+        }
+        EyFeed_Add(self->feed, &push->commands[i], revision);
+    }
+}
+
+static void
+take_snapshot(EyReplica_t *self, const EyConfigMessage_t *push)
+{
+    EyStore_t *store = EyStore_Restore(self, &push->snapshot, NULL);
+    if (store == NULL) {
+        return;
+    }
+    if (store->config.revision <= self->store->config.revision) {
+        talloc_free(store);
+        return;
+    }
+    talloc_free(self->store);
+    self->store = store;
+    self->wants_snapshot = false;
+    EyFeed_Clear(self->feed);
+}
+
+/** Asks a source for what still lacks, but not at the network's pace. */
+static void
+pull_rest(EyReplica_t *self, int64_t now_ms, const char *from)
+{
+    if (now_ms < self->again_ms) {
+        self->pull_ms = MIN(self->pull_ms, self->again_ms);
+        return;
+    }
+    self->again_ms = now_ms + AGAIN_MS;
+    pull_from(self, from);
+}
+
+static void
+on_push(EyReplica_t *self, int64_t now_ms, const char *from,
+        const EyConfigMessage_t *push)
+{
+    uint64_t before = self->store->config.revision;
+    self->was_answered = true;
+    self->unanswered = 0;
+    if (push->revision < before) {
+        self->stale_pushes++;
+    }
+    EyReplica_Heard(self, now_ms, push->revision);
+    take_commands(self, push);
+    if (push->snapshot.size_bytes > 0) {
+        take_snapshot(self, push);
+    }
+    uint64_t after = self->store->config.revision;
+    if (after > before) {
+        EyFeed_Push(self->feed, self->store, now_ms, from);
+        if (self->hooks.changed != NULL) {
+            self->hooks.changed(self->hooks.data, self->store);
+        }
+    }
+    if (after < push->revision) {
+        pull_rest(self, now_ms, from);
+    }
+    check_ready(self, now_ms);
+}
+
+void
+EyReplica_Receive(EyReplica_t *self, int64_t now_ms, const char *from,
+                  const EyConfigMessage_t *message)
+{
+    if (message->kind == EY_CONFIG_PUSH) {
+        on_push(self, now_ms, from, message);
+    }
+    else if (message->kind == EY_CONFIG_PULL) {
+        EyReplica_Heard(self, now_ms, message->revision);
+        EyFeed_Pull(self->feed, self->store, now_ms, from, message);
+    }
+}
+
+void
+EyReplica_Tick(EyReplica_t *self, int64_t now_ms)
+{
+    if (now_ms >= self->pull_ms) {
+        pull(self, now_ms);
+    }
+    if (!self->is_ready) {
+        check_ready(self, now_ms);
+    }
+}
+
+int64_t
+EyReplica_DueMs(const EyReplica_t *self)
+{
+    return self->pull_ms;
+}
+
+bool
+EyReplica_IsReady(const EyReplica_t *self)
+{
+    return self->is_ready;
+}
+
+const EyStore_t *
+EyReplica_Store(const EyReplica_t *self)
+{
+    return self->store;
+}
+
+json_t *
+EyReplica_Dump(const EyReplica_t *self)
+{
+    const char *source = tree_source(self);
+    return json_pack("{s:I, s:I, s:I, s:b, s:s, s:i, s:I}", "version",
+                     (json_int_t)self->store->config.version, "revision",
+                     (json_int_t)self->store->config.revision, "highest_heard",
+                     (json_int_t)self->highest, "ready", self->is_ready,
+                     "source", source != NULL ? source : "",
+                     "unanswered_pulls", (int)self->unanswered, "stale_pushes",
+                     (json_int_t)self->stale_pushes);
+}
--- /dev/null
+++ b/src/config/store.c
@@ -0,0 +1,522 @@
+#include "config/store.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define SYSTEM_AUTHOR "system"
+
+EyStore_t *
+EyStore_New(const void *ctx)
+{
+    return EY_NEW(ctx, EyStore_t);
+}
+
+/* Appends an item to a list that holds at most max, dropping the oldest. The
+ * lists have their whole room from the first item on. */
+#define APPEND_BOUNDED(self, list, count, max, type, item)                    \
+    do {                                                                      \
+        if ((self)->list == NULL || (self)->count == 0 ||                     \
+            talloc_get_size((self)->list) < sizeof(type) * (max))             \
+        {                                                                     \
+            (self)->list =                                                    \
+                grow((self), (self)->list, sizeof(type) * (self)->count,      \
+                     sizeof(type) * (max));                                   \
+        }                                                                     \
+        if ((self)->count == (max)) {                                         \
+            memmove(&(self)->list[0], &(self)->list[1],                       \
+                    sizeof(type) * ((max)-1));                                \
+            (self)->count--;                                                  \
+        }                                                                     \
+        (self)->list[(self)->count++] = (item);                               \
+    } while (0)
+
+static void *
+grow(void *ctx, void *list, size_t used_bytes, size_t size_bytes)
+{
+    char *grown = EyMemory_Array(ctx, 1, size_bytes, "list");
+    if (used_bytes > 0) {
+        memcpy(grown, list, used_bytes);
+    }
+    talloc_free(list);
+    return grown;
+}
+
+static EyResult_t
+result_of(const EyStore_t *self, EyResultStatus_t status)
+{
+    return (EyResult_t){
+        .status = status,
+        .version = self->config.version,
+        .revision = self->config.revision,
+    };
+}
+
+static EyResult_t
+refusal(const EyStore_t *self, EyResultStatus_t status, const char *text)
+{
+    EyResult_t result = result_of(self, status);
+    (void)EY_COPY(result.text, text);
+    return result;
+}
+
+static EyResult_t
+conflict(const EyStore_t *self, const EyCommand_t *command)
+{
+    EyResult_t result = result_of(self, EY_RESULT_CONFLICT);
+    (void)g_snprintf(result.text, sizeof(result.text),
+                     "the version is %" G_GUINT64_FORMAT
+                     ", the change was made against %" G_GUINT64_FORMAT,
+                     self->config.version, command->version);
+    return result;
+}
+
+static const char NoReason[] = "reason: expected a text that says why";
+
+static bool
+has_reason(const EyCommand_t *command)
+{
+    return command->reason[strspn(command->reason, " \t\r\n")] != '\0';
+}
+
+/** Counts a change and puts it into the history. */
+static void
+record(EyStore_t *self, EyHistory_t *history)
+{
+    self->config.version++;
+    history->version = self->config.version;
+    APPEND_BOUNDED(self, history, history_count, EY_HISTORY_MAX, EyHistory_t,
+                   *history);
+}
+
+static EyResult_t
+set_default(EyStore_t *self, const EyCommand_t *command)
+{
+    if (command->key[0] == '\0') {
+        return refusal(self, EY_RESULT_INVALID, "key: expected a name");
+    }
+    if (command->version != self->config.version) {
+        return conflict(self, command);
+    }
+    EyHistory_t history = {.kind = command->kind};
+    (void)EY_COPY(history.key, command->key);
+    const EySetting_t *present =
+        EyConfig_FindSetting(&self->config, command->key);
+    if (present != NULL) {
+        (void)EY_COPY(history.before, present->value);
+    }
+    (void)EY_COPY(history.after, command->value);
+    (void)EY_COPY(history.reason, command->reason);
+    (void)EY_COPY(history.author, command->author);
+    (void)EY_COPY(history.change_id, command->change_id);
+    EyConfig_SetDefault(&self->config, command->key, command->value);
+    record(self, &history);
+    return result_of(self, EY_RESULT_DONE);
+}
+
+static void
+describe_exception(const EyException_t *exception, EyHistory_t *history)
+{
+    history->exception_id = exception->id;
+    (void)EY_COPY(history->key, exception->key);
+    (void)g_snprintf(history->scope, sizeof(history->scope), "%s:%s",
+                     EyDefaults_scope_names[exception->scope_kind],
+                     exception->scope_name);
+}
+
+static uint64_t
+ticks_of(uint32_t duration_s)
+{
+    return ((uint64_t)duration_s + EY_TICK_S - 1) / EY_TICK_S;
+}
+
+static EyResult_t
+add_exception(EyStore_t *self, const EyCommand_t *command)
+{
+    EyScope_t scope;
+    if (command->key[0] == '\0' ||
+        !EyDefaults_SplitScope(command->scope, &scope)) {
+        return refusal(self, EY_RESULT_INVALID,
+                       "expected a key, and a scope KIND:NAME");
+    }
+    if (!has_reason(command)) {
+        return refusal(self, EY_RESULT_INVALID, NoReason);
+    }
+    if (command->version != self->config.version) {
+        return conflict(self, command);
+    }
+    const EyException_t *present = EyConfig_FindScope(
+        &self->config, command->key, scope.kind, scope.name);
+    if (present != NULL) {
+        return refusal(self, EY_RESULT_INVALID,
+                       "this key has an exception for this scope already; "
+                       "remove that first");
+    }
+    if (self->config.exception_count >= EY_EXCEPTIONS_MAX) {
+        return refusal(self, EY_RESULT_INVALID,
+                       "too many exceptions; remove some first");
+    }
+    EyException_t exception = {
+        .id = ++self->last_exception_id,
+        .scope_kind = scope.kind,
+        .duration_s = command->duration_s,
+    };
+    if (command->duration_s > 0) {
+        exception.ends_at_tick = self->tick + ticks_of(command->duration_s);
+    }
+    (void)EY_COPY(exception.key, command->key);
+    (void)EY_COPY(exception.scope_name, scope.name);
+    (void)EY_COPY(exception.value, command->value);
+    (void)EY_COPY(exception.reason, command->reason);
+    (void)EY_COPY(exception.author, command->author);
+    EyConfig_AddException(&self->config, &exception);
+
+    EyHistory_t history = {.kind = command->kind};
+    describe_exception(&exception, &history);
+    (void)EY_COPY(history.after, command->value);
+    (void)EY_COPY(history.reason, command->reason);
+    (void)EY_COPY(history.author, command->author);
+    (void)EY_COPY(history.change_id, command->change_id);
+    record(self, &history);
+    EyResult_t result = result_of(self, EY_RESULT_DONE);
+    result.exception_id = exception.id;
+    return result;
+}
+
+/** Takes an exception away; history says by whom and why. */
+static void
+end_exception(EyStore_t *self, const EyException_t *exception,
+              EyHistory_t *history)
+{
+    describe_exception(exception, history);
+    (void)EY_COPY(history->before, exception->value);
+    EyConfig_RemoveException(&self->config, history->exception_id);
+    record(self, history);
+}
+
+static EyResult_t
+remove_exception(EyStore_t *self, const EyCommand_t *command)
+{
+    if (command->version != self->config.version) {
+        return conflict(self, command);
+    }
+    const EyException_t *exception =
+        EyConfig_FindException(&self->config, command->exception_id);
+    if (exception == NULL) {
+        return refusal(self, EY_RESULT_NOT_FOUND,
+                       "no exception with this id; it was removed or ended");
+    }
+    EyHistory_t history = {.kind = command->kind};
+    (void)EY_COPY(history.reason, command->reason);
+    (void)EY_COPY(history.author, command->author);
+    (void)EY_COPY(history.change_id, command->change_id);
+    end_exception(self, exception, &history);
+    EyResult_t result = result_of(self, EY_RESULT_DONE);
+    result.exception_id = command->exception_id;
+    return result;
+}
+
+static EyResult_t
+pass_tick(EyStore_t *self, const EyCommand_t *command)
+{
+    if (command->tick != self->tick + 1) {
+        return refusal(self, EY_RESULT_CONFLICT, "another tick came first");
+    }
+    self->tick++;
+    uint32_t i = 0;
+    while (i < self->config.exception_count) {
+        const EyException_t *exception = &self->config.exceptions[i];
+        if (exception->ends_at_tick == 0 ||
+            exception->ends_at_tick > self->tick) {
+            i++;
+            continue;
+        }
+        EyHistory_t history = {.kind = command->kind};
+        (void)EY_COPY(history.reason, "its end has come");
+        (void)EY_COPY(history.author, SYSTEM_AUTHOR);
+        end_exception(self, exception, &history);
+    }
+    return result_of(self, EY_RESULT_DONE);
+}
+
+static EyName_t *
+copy_names(const void *ctx, const EyName_t *names, uint32_t count)
+{
+    EyName_t *copy = EY_NEW_ARRAY(ctx, EyName_t, count);
+    if (count > 0) {
+        memcpy(copy, names, sizeof(EyName_t) * count);
+    }
+    return copy;
+}
+
+const EyGroup_t *
+EyStore_Group(const EyStore_t *self, const char *region)
+{
+    for (uint32_t i = 0; i < self->group_count; i++) {
+        if (strcmp(self->groups[i].region, region) == 0) {
+            return &self->groups[i];
+        }
+    }
+    return NULL;
+}
+
+static EyResult_t
+set_group(EyStore_t *self, const EyCommand_t *command)
+{
+    const EyGroup_t *asked = &command->group;
+    if (asked->region[0] == '\0' || asked->replica_count == 0 ||
+        asked->replica_count > EY_GROUP_MEMBERS_MAX ||
+        asked->witness_count > EY_GROUP_MEMBERS_MAX)
+    {
+        return refusal(self, EY_RESULT_INVALID,
+                       "group: expected a region and 1 to 16 replicas");
+    }
+    EyGroup_t *group = (EyGroup_t *)EyStore_Group(self, asked->region);
+    uint64_t epoch = group != NULL ? group->epoch : 0;
+    if (asked->epoch != epoch + 1) {
+        return refusal(self, EY_RESULT_CONFLICT, "another epoch came first");
+    }
+    if (group == NULL) {
+        if (self->group_count >= EY_GROUPS_MAX) {
+            return refusal(self, EY_RESULT_INVALID, "too many groups");
+        }
+        EyGroup_t empty = {.epoch = 0};
+        APPEND_BOUNDED(self, groups, group_count, EY_GROUPS_MAX, EyGroup_t,
+                       empty);
+        group = &self->groups[self->group_count - 1];
+        (void)EY_COPY(group->region, asked->region);
+    }
+    talloc_free(group->replicas);
+    talloc_free(group->witnesses);
+    group->epoch = asked->epoch;
+    group->replica_count = asked->replica_count;
+    group->replicas = copy_names(self, asked->replicas, asked->replica_count);
+    group->witness_count = asked->witness_count;
+    group->witnesses =
+        copy_names(self, asked->witnesses, asked->witness_count);
+    return result_of(self, EY_RESULT_DONE);
+}
+
+const EyLeaseRecord_t *
+EyStore_Lease(const EyStore_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->lease_count; i++) {
+        if (strcmp(self->leases[i].name, name) == 0) {
+            return &self->leases[i];
+        }
+    }
+    return NULL;
+}
+
+static EyResult_t
+take_lease(EyStore_t *self, const EyCommand_t *command)
+{
+    const EyLeaseRecord_t *asked = &command->lease;
+    EyLeaseRecord_t *lease =
+        (EyLeaseRecord_t *)EyStore_Lease(self, asked->name);
+    if (asked->name[0] == '\0' || asked->holder[0] == '\0') {
+        return refusal(self, EY_RESULT_INVALID,
+                       "lease: expected a name and a holder");
+    }
+    uint64_t fencing = lease != NULL ? lease->fencing : 0;
+    uint64_t renewals = lease != NULL ? lease->renewals : 0;
+    if (asked->fencing != fencing || asked->renewals != renewals) {
+        return refusal(self, EY_RESULT_CONFLICT,
+                       "the lease was taken or renewed meanwhile");
+    }
+    if (lease == NULL) {
+        if (self->lease_count >= EY_LEASES_MAX) {
+            return refusal(self, EY_RESULT_INVALID, "too many leases");
+        }
+        APPEND_BOUNDED(self, leases, lease_count, EY_LEASES_MAX,
+                       EyLeaseRecord_t, *asked);
+        lease = &self->leases[self->lease_count - 1];
+    }
+    *lease = *asked;
+    lease->fencing = ++self->last_fencing;
+    lease->renewals = 0;
+    return result_of(self, EY_RESULT_DONE);
+}
+
+/** The lease if the command's sender holds it, else NULL. */
+static EyLeaseRecord_t *
+held_lease(EyStore_t *self, const EyLeaseRecord_t *asked)
+{
+    EyLeaseRecord_t *lease =
+        (EyLeaseRecord_t *)EyStore_Lease(self, asked->name);
+    if (lease == NULL || lease->fencing != asked->fencing ||
+        lease->incarnation != asked->incarnation ||
+        strcmp(lease->holder, asked->holder) != 0)
+    {
+        return NULL;
+    }
+    return lease;
+}
+
+static EyResult_t
+renew_lease(EyStore_t *self, const EyCommand_t *command)
+{
+    EyLeaseRecord_t *lease = held_lease(self, &command->lease);
+    if (lease == NULL) {
+        return refusal(self, EY_RESULT_CONFLICT, "the lease was lost");
+    }
+    lease->renewals++;
+    return result_of(self, EY_RESULT_DONE);
+}
+
+static EyResult_t
+release_lease(EyStore_t *self, const EyCommand_t *command)
+{
+    EyLeaseRecord_t *lease = held_lease(self, &command->lease);
+    if (lease == NULL) {
+        return refusal(self, EY_RESULT_CONFLICT, "the lease was lost");
+    }
+    lease->holder[0] = '\0';
+    lease->incarnation = 0;
+    lease->renewals++;
+    return result_of(self, EY_RESULT_DONE);
+}
+
+static EyResult_t
+do_nothing(EyStore_t *self, const EyCommand_t *command)
+{
+    (void)command;
+    return refusal(self, EY_RESULT_INVALID, "nothing to do");
+}
+
+bool
+EyStore_Check(const EyCommand_t *command, EyResult_t *result)
+{
+    *result = (EyResult_t){.status = EY_RESULT_DONE};
+    bool has_scope = command->kind == EY_COMMAND_ADD_EXCEPTION;
+    if (!has_scope && command->kind != EY_COMMAND_SET_DEFAULT) {
+        return true;
+    }
+    EyDefaultKey_t key = EY_DEFAULT_COUNT;
+    EyScope_t scope;
+    GError *error = NULL;
+    bool good = EyDefaults_Find(command->key, &key, &error) &&
+                (!has_scope ||
+                 EyDefaults_ParseScope(key, command->scope, &scope, &error)) &&
+                EyDefaults_Check(key, command->value, NULL, &error);
+    if (good && has_scope && !has_reason(command)) {
+        good = false;
+        (void)EY_COPY(result->text, NoReason);
+    }
+    if (error != NULL) {
+        (void)EY_COPY(result->text, error->message);
+        g_error_free(error);
+    }
+    result->status = good ? EY_RESULT_DONE : EY_RESULT_INVALID;
+    return good;
+}
+
+typedef EyResult_t (*Applier_t)(EyStore_t *self, const EyCommand_t *command);
+
+static const Applier_t Appliers[EY_COMMAND_KIND_COUNT] = {
+    [EY_COMMAND_NOTHING] = do_nothing,
+    [EY_COMMAND_SET_DEFAULT] = set_default,
+    [EY_COMMAND_ADD_EXCEPTION] = add_exception,
+    [EY_COMMAND_REMOVE_EXCEPTION] = remove_exception,
+    [EY_COMMAND_TICK] = pass_tick,
+    [EY_COMMAND_SET_GROUP] = set_group,
+    [EY_COMMAND_TAKE_LEASE] = take_lease,
+    [EY_COMMAND_RENEW_LEASE] = renew_lease,
+    [EY_COMMAND_RELEASE_LEASE] = release_lease,
+};
+
+static uint64_t
+hash_of(const EySchema_t *schema, const void *object)
+{
+    EyBytes_t bytes = EySchema_Pack(schema, NULL, object);
+    uint64_t hash = XXH64(bytes.data, bytes.size_bytes, 0);
+    talloc_free(bytes.data);
+    return hash;
+}
+
+static const EyChange_t *
+find_change(const EyStore_t *self, const char *id)
+{
+    for (uint32_t i = self->change_count; i > 0; i--) {
+        if (strcmp(self->changes[i - 1].id, id) == 0) {
+            return &self->changes[i - 1];
+        }
+    }
+    return NULL;
+}
+
+EyResult_t
+EyStore_Apply(EyStore_t *self, const EyCommand_t *command)
+{
+    bool has_id = command->change_id[0] != '\0';
+    uint64_t hash = has_id ? hash_of(&EyCommand_schema, command) : 0;
+    const EyChange_t *known =
+        has_id ? find_change(self, command->change_id) : NULL;
+    if (known != NULL) {
+        return known->hash == hash
+                   ? known->result
+                   : refusal(self, EY_RESULT_ID_REUSED,
+                             "the change id was used for another change");
+    }
+    EyResult_t result = Appliers[command->kind](self, command);
+    if (result.status == EY_RESULT_DONE) {
+        self->config.revision++;
+        result.revision = self->config.revision;
+    }
+    if (has_id) {
+        EyChange_t change = {.hash = hash, .result = result};
+        (void)EY_COPY(change.id, command->change_id);
+        APPEND_BOUNDED(self, changes, change_count, EY_CHANGES_MAX, EyChange_t,
+                       change);
+    }
+    return result;
+}
+
+EyBytes_t
+EyStore_Snapshot(const EyStore_t *self, const void *ctx)
+{
+    return EySchema_Pack(&EyStore_schema, ctx, self);
+}
+
+EyBytes_t
+EyStore_SharedSnapshot(const EyStore_t *self, const void *ctx)
+{
+    EyStore_t shared = *self;
+    shared.changes = NULL;
+    shared.change_count = 0;
+    return EySchema_Pack(&EyStore_schema, ctx, &shared);
+}
+
+EyStore_t *
+EyStore_Restore(const void *ctx, const EyBytes_t *snapshot, GError **error)
+{
+    EyStore_t *self = EyStore_New(ctx);
+    if (!EySchema_Unpack(&EyStore_schema, self, snapshot->data,
+                         snapshot->size_bytes, self, error))
+    {
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+bool
+EyStore_NeedsTicks(const EyStore_t *self)
+{
+    for (uint32_t i = 0; i < self->config.exception_count; i++) {
+        if (self->config.exceptions[i].ends_at_tick != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint64_t
+EyStore_Hash(const EyStore_t *self)
+{
+    EyBytes_t bytes = EyStore_SharedSnapshot(self, NULL);
+    uint64_t hash = XXH64(bytes.data, bytes.size_bytes, 0);
+    talloc_free(bytes.data);
+    return hash;
+}
--- /dev/null
+++ b/src/config/store.h
@@ -0,0 +1,199 @@
+/**
+ * The replicated state machine: the configuration, its history, the epochs of
+ * the idempotency groups, and leases. It changes only by commands, which come
+ * from committed log entries (or, at a gateway, from the feed), so that equal
+ * revisions mean equal state everywhere.
+ *
+ * Each change carries the version that it was made against and a change id.
+ * A change id seen before gets the answer of the first time. Ids are kept for
+ * the last EY_CHANGES_MAX changes; an older one can't be applied a second
+ * time either, as its version has passed.
+ *
+ * The end of an exception is counted in ticks, which are commands that the
+ * log's leader proposes every EY_TICK_S seconds by its own clock; so no two
+ * clocks need agree. While there is no leader, no tick passes and the
+ * exception stays. It never ends early by more than one tick.
+ */
+#ifndef EY_CONFIG_STORE_H
+#define EY_CONFIG_STORE_H
+
+#include "config/config.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Changes whose ids and answers are kept. */
+#define EY_CHANGES_MAX 1024
+/** Records of the history that are kept; the oldest leave first. */
+#define EY_HISTORY_MAX 1000
+/** Length of a tick. */
+#define EY_TICK_S 10
+/** Most members of a group's epoch, of either kind. */
+#define EY_GROUP_MEMBERS_MAX 16
+#define EY_GROUPS_MAX 256
+#define EY_LEASES_MAX 1024
+
+typedef enum EyCommandKind {
+    EY_COMMAND_NOTHING,
+    EY_COMMAND_SET_DEFAULT,      /* key, value, version */
+    EY_COMMAND_ADD_EXCEPTION,    /* key, scope, value, reason, duration_s */
+    EY_COMMAND_REMOVE_EXCEPTION, /* exception_id, version, reason */
+    EY_COMMAND_TICK,             /* tick: the number after the present one */
+    EY_COMMAND_SET_GROUP,        /* group; its epoch: present epoch + 1 */
+    EY_COMMAND_TAKE_LEASE,       /* lease: name, holder, incarnation and the
+                                  * fencing and renewals that were seen */
+    EY_COMMAND_RENEW_LEASE,      /* the same, by the holder */
+    EY_COMMAND_RELEASE_LEASE,    /* the same, by the holder */
+    EY_COMMAND_KIND_COUNT
+} EyCommandKind_t;
+
+extern const char *const EyStore_command_names[EY_COMMAND_KIND_COUNT];
+
+/** The members of a region's idempotency group in an epoch. */
+typedef struct EyGroup {
+    EyName_t region;
+    uint64_t epoch; /* 1 is the first */
+    EyName_t *replicas;
+    uint32_t replica_count;
+    EyName_t *witnesses;
+    uint32_t witness_count;
+} EyGroup_t;
+
+/** A lease; an empty holder means that it is free. */
+typedef struct EyLeaseRecord {
+    EyName_t name;
+    EyName_t holder;
+    uint64_t incarnation;
+    uint64_t fencing;  /* rises with each new holder, over all leases */
+    uint64_t renewals; /* by this holder */
+} EyLeaseRecord_t;
+
+/** One command. Fields that its kind doesn't use stay zero. */
+typedef struct EyCommand {
+    EyCommandKind_t kind;
+    EyName_t change_id;
+    EyName_t author;
+    uint64_t version; /* EyConfig_t.version that it was made against */
+    EyName_t key;
+    char scope[EY_NAME_SIZE_BYTES + 16]; /* KIND:NAME */
+    EyValueText_t value;
+    EyReason_t reason;
+    uint32_t duration_s;
+    uint64_t exception_id;
+    uint64_t tick;
+    EyGroup_t group;
+    EyLeaseRecord_t lease;
+} EyCommand_t;
+
+typedef enum EyResultStatus {
+    EY_RESULT_DONE,
+    EY_RESULT_CONFLICT,  /* another change came first */
+    EY_RESULT_INVALID,   /* text says what was expected */
+    EY_RESULT_NOT_FOUND, /* no such exception */
+    EY_RESULT_ID_REUSED, /* the change id was used for another change */
+    EY_RESULT_STATUS_COUNT
+} EyResultStatus_t;
+
+extern const char *const EyStore_result_names[EY_RESULT_STATUS_COUNT];
+
+/** What became of a command. */
+typedef struct EyResult {
+    EyResultStatus_t status;
+    uint64_t version;      /* after it; for a conflict, the present one */
+    uint64_t revision;     /* after it */
+    uint64_t exception_id; /* that was made */
+    char text[EY_VALUE_SIZE_BYTES];
+} EyResult_t;
+
+/** A change id with its answer. */
+typedef struct EyChange {
+    EyName_t id;
+    uint64_t hash; /* of the command */
+    EyResult_t result;
+} EyChange_t;
+
+/** One record of the history. */
+typedef struct EyHistory {
+    uint64_t version;
+    EyCommandKind_t kind; /* TICK: an exception came to its end */
+    EyName_t key;
+    char scope[EY_NAME_SIZE_BYTES + 16]; /* empty: the fleet's default */
+    EyValueText_t before;
+    EyValueText_t after;
+    EyReason_t reason;
+    EyName_t author;
+    EyName_t change_id;
+    uint64_t exception_id;
+} EyHistory_t;
+
+typedef struct EyStore {
+    EyConfig_t config; /* first, as the talloc parent of its arrays */
+    uint64_t tick;
+    uint64_t last_exception_id;
+    uint64_t last_fencing;
+    EyHistory_t *history; /* oldest first */
+    uint32_t history_count;
+    EyChange_t *changes; /* oldest first */
+    uint32_t change_count;
+    EyGroup_t *groups;
+    uint32_t group_count;
+    EyLeaseRecord_t *leases;
+    uint32_t lease_count;
+} EyStore_t;
+
+extern const EySchema_t EyGroup_schema;
+extern const EySchema_t EyLeaseRecord_schema;
+extern const EySchema_t EyCommand_schema;
+extern const EySchema_t EyResult_schema;
+extern const EySchema_t EyHistory_schema;
+extern const EySchema_t EyStore_schema;
+
+EyStore_t *
+EyStore_New(const void *ctx);
+
+/**
+ * Checks a command's key, value, scope and reason by this build's table,
+ * before it is proposed. Applying doesn't look at the table, so that processes
+ * of different builds come to the same state. result tells what is wrong.
+ */
+bool
+EyStore_Check(const EyCommand_t *command, EyResult_t *result);
+
+/** Applies a command; wholly, or not at all if the status isn't DONE. */
+EyResult_t
+EyStore_Apply(EyStore_t *self, const EyCommand_t *command);
+
+/** The whole state, below ctx. */
+EyBytes_t
+EyStore_Snapshot(const EyStore_t *self, const void *ctx);
+
+/** The state but for the change ids, which only the log's members need. */
+EyBytes_t
+EyStore_SharedSnapshot(const EyStore_t *self, const void *ctx);
+
+/** The state of a snapshot, or NULL with EY_SCHEMA_ERROR. */
+EyStore_t *
+EyStore_Restore(const void *ctx, const EyBytes_t *snapshot, GError **error);
+
+/** The group's epoch of a region, or NULL if none was set yet. */
+const EyGroup_t *
+EyStore_Group(const EyStore_t *self, const char *region);
+
+/** The lease, or NULL if it was never taken. */
+const EyLeaseRecord_t *
+EyStore_Lease(const EyStore_t *self, const char *name);
+
+/** True if ticks are needed, as some exception has an end. */
+bool
+EyStore_NeedsTicks(const EyStore_t *self);
+
+/** A hash of the state but for the change ids, to compare replicas. */
+uint64_t
+EyStore_Hash(const EyStore_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/src/config/store_schema.c
@@ -0,0 +1,112 @@
+#include "config/store.h"
+
+const char *const EyStore_command_names[EY_COMMAND_KIND_COUNT] = {
+    [EY_COMMAND_NOTHING] = "nothing",
+    [EY_COMMAND_SET_DEFAULT] = "set-default",
+    [EY_COMMAND_ADD_EXCEPTION] = "add-exception",
+    [EY_COMMAND_REMOVE_EXCEPTION] = "remove-exception",
+    [EY_COMMAND_TICK] = "end-exception",
+    [EY_COMMAND_SET_GROUP] = "set-group",
+    [EY_COMMAND_TAKE_LEASE] = "take-lease",
+    [EY_COMMAND_RENEW_LEASE] = "renew-lease",
+    [EY_COMMAND_RELEASE_LEASE] = "release-lease",
+};
+
+const char *const EyStore_result_names[EY_RESULT_STATUS_COUNT] = {
+    [EY_RESULT_DONE] = "done",           [EY_RESULT_CONFLICT] = "conflict",
+    [EY_RESULT_INVALID] = "invalid",     [EY_RESULT_NOT_FOUND] = "not-found",
+    [EY_RESULT_ID_REUSED] = "id-reused",
+};
+
+static const EyField_t GroupFields[] = {
+    EY_FIELD_TEXT(EyGroup_t, region),
+    EY_FIELD(EyGroup_t, epoch, EY_FIELD_U64),
+    EY_FIELD_ARRAY_OF(EyGroup_t, replicas, replica_count, EyName_schema,
+                      EY_GROUP_MEMBERS_MAX),
+    EY_FIELD_ARRAY_OF(EyGroup_t, witnesses, witness_count, EyName_schema,
+                      EY_GROUP_MEMBERS_MAX),
+    EY_FIELD_END,
+};
+const EySchema_t EyGroup_schema = EY_SCHEMA(EyGroup_t, GroupFields);
+
+static const EyField_t LeaseFields[] = {
+    EY_FIELD_TEXT(EyLeaseRecord_t, name),
+    EY_FIELD_TEXT(EyLeaseRecord_t, holder),
+    EY_FIELD(EyLeaseRecord_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyLeaseRecord_t, fencing, EY_FIELD_U64),
+    EY_FIELD(EyLeaseRecord_t, renewals, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyLeaseRecord_schema =
+    EY_SCHEMA(EyLeaseRecord_t, LeaseFields);
+
+static const EyField_t CommandFields[] = {
+    EY_FIELD_NAMED(EyCommand_t, kind, EyStore_command_names,
+                   EY_COMMAND_KIND_COUNT),
+    EY_FIELD_TEXT(EyCommand_t, change_id),
+    EY_FIELD_TEXT(EyCommand_t, author),
+    EY_FIELD(EyCommand_t, version, EY_FIELD_U64),
+    EY_FIELD_TEXT(EyCommand_t, key),
+    EY_FIELD_TEXT(EyCommand_t, scope),
+    EY_FIELD_TEXT(EyCommand_t, value),
+    EY_FIELD_TEXT(EyCommand_t, reason),
+    EY_FIELD(EyCommand_t, duration_s, EY_FIELD_U32),
+    EY_FIELD(EyCommand_t, exception_id, EY_FIELD_U64),
+    EY_FIELD(EyCommand_t, tick, EY_FIELD_U64),
+    EY_FIELD_OF(EyCommand_t, group, EyGroup_schema),
+    EY_FIELD_OF(EyCommand_t, lease, EyLeaseRecord_schema),
+    EY_FIELD_END,
+};
+const EySchema_t EyCommand_schema = EY_SCHEMA(EyCommand_t, CommandFields);
+
+static const EyField_t ResultFields[] = {
+    EY_FIELD_NAMED(EyResult_t, status, EyStore_result_names,
+                   EY_RESULT_STATUS_COUNT),
+    EY_FIELD(EyResult_t, version, EY_FIELD_U64),
+    EY_FIELD(EyResult_t, revision, EY_FIELD_U64),
+    EY_FIELD(EyResult_t, exception_id, EY_FIELD_U64),
+    EY_FIELD_TEXT(EyResult_t, text),
+    EY_FIELD_END,
+};
+const EySchema_t EyResult_schema = EY_SCHEMA(EyResult_t, ResultFields);
+
+static const EyField_t ChangeFields[] = {
+    EY_FIELD_TEXT(EyChange_t, id),
+    EY_FIELD(EyChange_t, hash, EY_FIELD_U64),
+    EY_FIELD_OF(EyChange_t, result, EyResult_schema),
+    EY_FIELD_END,
+};
+static const EySchema_t ChangeSchema = EY_SCHEMA(EyChange_t, ChangeFields);
+
+static const EyField_t HistoryFields[] = {
+    EY_FIELD(EyHistory_t, version, EY_FIELD_U64),
+    EY_FIELD_NAMED(EyHistory_t, kind, EyStore_command_names,
+                   EY_COMMAND_KIND_COUNT),
+    EY_FIELD_TEXT(EyHistory_t, key),
+    EY_FIELD_TEXT(EyHistory_t, scope),
+    EY_FIELD_TEXT(EyHistory_t, before),
+    EY_FIELD_TEXT(EyHistory_t, after),
+    EY_FIELD_TEXT(EyHistory_t, reason),
+    EY_FIELD_TEXT(EyHistory_t, author),
+    EY_FIELD_TEXT(EyHistory_t, change_id),
+    EY_FIELD(EyHistory_t, exception_id, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyHistory_schema = EY_SCHEMA(EyHistory_t, HistoryFields);
+
+static const EyField_t StoreFields[] = {
+    EY_FIELD_OF(EyStore_t, config, EyConfig_schema),
+    EY_FIELD(EyStore_t, tick, EY_FIELD_U64),
+    EY_FIELD(EyStore_t, last_exception_id, EY_FIELD_U64),
+    EY_FIELD(EyStore_t, last_fencing, EY_FIELD_U64),
+    EY_FIELD_ARRAY_OF(EyStore_t, history, history_count, EyHistory_schema,
+                      EY_HISTORY_MAX),
+    EY_FIELD_ARRAY_OF(EyStore_t, changes, change_count, ChangeSchema,
+                      EY_CHANGES_MAX),
+    EY_FIELD_ARRAY_OF(EyStore_t, groups, group_count, EyGroup_schema,
+                      EY_GROUPS_MAX),
+    EY_FIELD_ARRAY_OF(EyStore_t, leases, lease_count, EyLeaseRecord_schema,
+                      EY_LEASES_MAX),
+    EY_FIELD_END,
+};
+const EySchema_t EyStore_schema = EY_SCHEMA(EyStore_t, StoreFields);
