Property tests of idempotency records over a network of members

Cause: found by the first runs and mended here: a reordered append was never sent again, since heartbeats put the resend off; a fenced member could not get a new view past a leader that still served. Before: no grant after recovery (three replicas).

--- a/src/idempotency/group.c
+++ b/src/idempotency/group.c
@@ -578,10 +578,13 @@
     return self->me;
 }
 
-/** The newest incarnation seen of a member, or itself. */
+/** The newest incarnation seen of a member, or the member itself. */
 static const EyGroupMember_t *
 newest(const EyGroup_t *self, const EyGroupMember_t *member)
 {
+    if (strcmp(member->name, self->me.name) == 0) {
+        return &self->me;
+    }
     for (uint32_t i = 0; i < self->seen_count; i++) {
         if (strcmp(self->seen[i].name, member->name) == 0) {
             return &self->seen[i];
--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -7,7 +7,7 @@
 /** Records in one message, by size. */
 #define BATCH_BYTES (1024ULL * 1024)
 /** Time without an acknowledgement after which records are sent again. */
-#define RESEND_MS 200
+#define RESEND_MS 100
 /** Silence after which one that wants to join is forgotten. */
 #define JOINER_MS 5000
 
@@ -106,6 +106,9 @@
             count > 0 ? message->records[count - 1].version : self->version;
         bool is_rest = last >= EyRecords_NewestVersion(self->records);
         message->to_version = is_rest ? self->version : last;
+        if (peer->acked_version == peer->sent_version) {
+            peer->progress_ms = self->now_ms;
+        }
         peer->sent_version = message->to_version;
     }
     peer->sent_ms = self->now_ms;
@@ -125,9 +128,10 @@
         return silent_ms >= EY_GROUP_WITNESS_HEARTBEAT_MS;
     }
     if (peer->is_known && peer->acked_version < peer->sent_version &&
-        silent_ms >= RESEND_MS)
+        self->now_ms - peer->progress_ms >= RESEND_MS)
     {
         peer->sent_version = peer->acked_version;
+        peer->progress_ms = self->now_ms;
     }
     return (peer->is_known && peer->sent_version < self->version) ||
            silent_ms >= EY_GROUP_HEARTBEAT_MS;
@@ -220,7 +224,10 @@
         peer->acked_version = message->version;
         peer->sent_version = message->version;
     }
-    peer->acked_version = MAX(peer->acked_version, message->version);
+    if (message->version > peer->acked_version) {
+        peer->acked_version = message->version;
+        peer->progress_ms = self->now_ms;
+    }
     peer->sent_version = MAX(peer->sent_version, peer->acked_version);
 }
 
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -31,6 +31,7 @@
     uint64_t acked_version;
     uint64_t sent_version;
     int64_t sent_ms;
+    int64_t progress_ms; /* acked_version rose, or records were sent anew */
     int64_t heard_ms;
 } Peer_t;
 
--- a/src/idempotency/group_vote.c
+++ b/src/idempotency/group_vote.c
@@ -69,7 +69,8 @@
         }
         EyGroupMessage_t *message = EyGroup_Make(self, Questions[vote->phase]);
         message->ballot = vote->ballot;
-        message->accepted = is_serving(self);
+        message->accepted =
+            vote->phase == VOTE_PROBING ? self->is_fenced : is_serving(self);
         if (vote->phase == VOTE_PROPOSING) {
             message->view = *EyView_Copy(message, vote->proposal);
         }
@@ -247,13 +248,18 @@
 
 /* Answers of members */
 
+/**
+ * A member whose leader is alive isn't helped to a new view, lest one bad
+ * link takes the leader down; but one that is fenced can't go on without.
+ */
 static void
-take_probe(EyGroup_t *self, const char *from)
+take_probe(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
 {
     bool is_leader_silent =
         self->now_ms - self->heard_leader_ms >= EY_GROUP_SUSPECT_MS;
     EyGroupMessage_t *ack = EyGroup_Make(self, EY_GROUP_PROBE_ACK);
-    ack->accepted = self->is_fenced || (is_leader_silent && !is_serving(self));
+    ack->accepted = message->accepted || self->is_fenced ||
+                    (is_leader_silent && !is_serving(self));
     EyGroup_Send(self, from, ack);
 }
 
@@ -369,7 +375,7 @@
     const char *from = self->view->members[rank].name;
     switch (message->kind) {
     case EY_GROUP_PROBE:
-        take_probe(self, from);
+        take_probe(self, from, message);
         break;
     case EY_GROUP_PROBE_ACK:
         if (self->vote.phase == VOTE_PROBING && message->accepted) {
@@ -445,7 +451,7 @@
 static void
 consider_as_replica(EyGroup_t *self)
 {
-    int64_t delay_ms = RANK_DELAY_MS * EyGroup_Rank(self);
+    int64_t delay_ms = RANK_DELAY_MS * (int64_t)EyGroup_Rank(self);
     int64_t silent_ms = self->now_ms - self->heard_leader_ms;
     int64_t fenced_ms = self->now_ms - self->fenced_ms;
     bool is_own = strcmp(self->view->leader, self->me.name) == 0;
--- a/src/idempotency/message.h
+++ b/src/idempotency/message.h
@@ -17,9 +17,9 @@
     EY_GROUP_APPEND,     /* leader: records after version up to to_version */
     EY_GROUP_APPEND_ACK, /* has all of the leader's records to version */
     /* among the members, about views */
-    EY_GROUP_PROBE,     /* would you vote for a new view? */
+    EY_GROUP_PROBE,     /* would you vote for a new view? accepted: fenced */
     EY_GROUP_PROBE_ACK, /* accepted: yes */
-    EY_GROUP_PREPARE,   /* vote for ballot */
+    EY_GROUP_PREPARE,   /* vote for ballot; accepted: leader that serves */
     EY_GROUP_PROMISE,   /* no lower ballot than ballot; view: accepted one */
     EY_GROUP_PROPOSE,   /* accept view under ballot */
     EY_GROUP_ACCEPT,    /* accepted under ballot */
--- /dev/null
+++ b/tests/property/group_world.cc
@@ -0,0 +1,606 @@
+#include "property/group_world.h"
+
+#include "core/memory.h"
+#include "idempotency/key.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace group_world {
+
+namespace {
+
+const char *const REGION = "istra";
+
+EyRecord_t *
+copy_record(void *ctx, const EyRecord_t *from)
+{
+    EyRecord_t *record = EY_NEW(ctx, EyRecord_t);
+    EyRecord_CopyInto(record, record, from);
+    return record;
+}
+
+} // namespace
+
+World::World(const Shape &shape, uint64_t seed)
+    : ctx_(talloc_new(nullptr)), random_(EyRandom_Make(seed))
+{
+    nodes.resize(shape.replicas + shape.witnesses);
+    for (uint32_t i = 0; i < nodes.size(); i++) {
+        Node &node = nodes[i];
+        node.is_witness = i >= shape.replicas;
+        node.has_disk = node.is_witness || (shape.disks & (1U << i)) != 0;
+        node.name =
+            (node.is_witness ? "control-" : "gateway-") + std::to_string(i);
+        node.offset_ms = static_cast<int64_t>(EyRandom_Below(&random_, 99999));
+        start(i);
+    }
+    raise_epoch();
+}
+
+World::~World()
+{
+    talloc_free(ctx_);
+}
+
+void
+World::fail(const std::string &what)
+{
+    if (broken.empty()) {
+        broken = what + " at " + std::to_string(now_ms - 1000000) + " ms";
+    }
+}
+
+bool
+World::is_active(uint32_t node) const
+{
+    return nodes[node].is_up && !nodes[node].is_frozen;
+}
+
+/* Life of the nodes */
+
+void
+World::start(uint32_t index)
+{
+    Node &node = nodes[index];
+    if (node.is_up) {
+        return;
+    }
+    node.is_up = true;
+    node.is_frozen = false;
+    node.process = ++incarnation_;
+    EyGroupState_t *restored = nullptr;
+    void *scratch = talloc_new(ctx_);
+    if (node.disk.state != nullptr) {
+        restored = EY_NEW(scratch, EyGroupState_t);
+        *restored = *node.disk.state;
+        restored->record_count =
+            static_cast<uint32_t>(node.disk.records.size());
+        restored->records =
+            EY_NEW_ARRAY(scratch, EyRecord_t, restored->record_count);
+        uint32_t count = 0;
+        for (const auto &[key, record] : node.disk.records) {
+            restored->records[count++] = *record;
+        }
+    }
+    EyGroupOptions_t options = {};
+    EY_COPY(options.name, node.name.c_str());
+    EY_COPY(options.region, REGION);
+    options.incarnation = ++incarnation_;
+    options.is_witness = node.is_witness;
+    options.has_disk = node.has_disk;
+    options.seed = EyRandom_Next(&random_);
+    int64_t local_ms = now_ms + node.offset_ms;
+    node.group = EyGroup_New(ctx_, &options, restored, local_ms);
+    node.incarnation = EyGroup_Self(node.group).incarnation;
+    if (!node.is_witness) {
+        EyClaimsOptions_t claims_options = {};
+        EY_COPY(claims_options.name, node.name.c_str());
+        EY_COPY(claims_options.region, REGION);
+        claims_options.incarnation = node.process;
+        node.claims = EyClaims_New(ctx_, &claims_options);
+    }
+    talloc_free(scratch);
+    node.tick_ms =
+        now_ms + static_cast<int64_t>(EyRandom_Below(&random_, TICK_MS));
+    if (epoch_ > 0) {
+        configure(index);
+    }
+}
+
+void
+World::crash(uint32_t index)
+{
+    Node &node = nodes[index];
+    if (!node.is_up) {
+        return;
+    }
+    node.is_up = false;
+    talloc_free(node.group);
+    talloc_free(node.claims);
+    node.group = nullptr;
+    node.claims = nullptr;
+    for (Disk::Write &write : node.disk.writes) {
+        talloc_free(write.state);
+    }
+    node.disk.writes.clear();
+}
+
+void
+World::lose_disk(uint32_t index)
+{
+    crash(index);
+    nodes[index].disk = Disk();
+}
+
+void
+World::configure(uint32_t node)
+{
+    EyGroupEvent_t event = {};
+    event.kind = EY_GROUP_EVENT_EPOCH;
+    event.epoch = epoch_;
+    event.members = members_.data();
+    event.member_count = static_cast<uint32_t>(members_.size());
+    if (nodes[node].claims != nullptr) {
+        EyClaims_SetMembers(nodes[node].claims, members_.data(),
+                            event.member_count);
+    }
+    step(node, event);
+}
+
+void
+World::raise_epoch()
+{
+    epoch_++;
+    members_.clear();
+    for (const Node &node : nodes) {
+        EyGroupMember_t member = {};
+        EY_COPY(member.name, node.name.c_str());
+        member.incarnation = node.incarnation;
+        member.is_witness = node.is_witness;
+        members_.push_back(member);
+    }
+    granting_view_ = {epoch_, 0};
+    for (uint32_t i = 0; i < nodes.size(); i++) {
+        if (is_active(i)) {
+            configure(i);
+        }
+    }
+}
+
+void
+World::raise_epoch_if_lost()
+{
+    for (const Node &node : nodes) {
+        EyGroupMember_t members[EY_VIEW_MEMBERS_MAX];
+        uint32_t count = 0;
+        if (node.is_up && EyGroup_View(node.group)->epoch == epoch_ &&
+            EyGroup_IsLost(node.group, members, &count))
+        {
+            raise_epoch();
+            return;
+        }
+    }
+}
+
+void
+World::heal()
+{
+    cuts.clear();
+    drop_percent = 0;
+    duplicate_percent = 0;
+    delay_max_ms = 5;
+    are_fates_kind = true;
+    for (uint32_t i = 0; i < nodes.size(); i++) {
+        nodes[i].is_frozen = false;
+        start(i);
+        configure(i);
+    }
+}
+
+/* Steps */
+
+void
+World::step(uint32_t node, const EyGroupEvent_t &event)
+{
+    EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+    int64_t local_ms = now_ms + nodes[node].offset_ms;
+    EyGroup_Step(nodes[node].group, local_ms, &event, actions);
+    carry_out(node, actions);
+    talloc_free(actions);
+}
+
+void
+World::tick(uint32_t node)
+{
+    EyGroupEvent_t event = {};
+    event.kind = EY_GROUP_EVENT_TICK;
+    step(node, event);
+    if (nodes[node].claims != nullptr) {
+        EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+        EyClaims_Tick(nodes[node].claims, now_ms + nodes[node].offset_ms,
+                      actions);
+        carry_out(node, actions);
+        talloc_free(actions);
+    }
+}
+
+void
+World::carry_out(uint32_t node, EyGroupActions_t *actions)
+{
+    for (uint32_t i = 0; i < actions->count; i++) {
+        const EyGroupAction_t *action = actions->items[i];
+        switch (action->kind) {
+        case EY_GROUP_ACTION_SEND:
+            send(node, action);
+            break;
+        case EY_GROUP_ACTION_PERSIST:
+            persist(node, action);
+            break;
+        default:
+            decided(node, action);
+        }
+    }
+}
+
+void
+World::send(uint32_t from, const EyGroupAction_t *action)
+{
+    uint32_t to = 0;
+    while (to < nodes.size() && nodes[to].name != action->to) {
+        to++;
+    }
+    if (to == nodes.size()) {
+        fail("message to nobody");
+        return;
+    }
+    if (action->message->kind == EY_GROUP_DECISION &&
+        action->message->decision == EY_DECISION_GRANTED)
+    {
+        check_grant(from, action->message);
+    }
+    bool is_far = from != to;
+    if (is_far && (cuts.count({from, to}) > 0 ||
+                   EyRandom_Below(&random_, 100) < drop_percent))
+    {
+        return;
+    }
+    uint32_t copies =
+        is_far && EyRandom_Below(&random_, 100) < duplicate_percent ? 2 : 1;
+    for (uint32_t i = 0; i < copies; i++) {
+        EyBytes_t packed =
+            EySchema_Pack(&EyGroupMessage_schema, ctx_, action->message);
+        EyGroupMessage_t *message = EyGroupMessage_New(ctx_, EY_GROUP_APPEND);
+        if (!EySchema_Unpack(&EyGroupMessage_schema, message, packed.data,
+                             packed.size_bytes, message, nullptr))
+        {
+            fail("message that can't be read");
+        }
+        talloc_free(packed.data);
+        int64_t delay_ms =
+            is_far ? static_cast<int64_t>(EyRandom_Below(
+                         &random_, static_cast<uint64_t>(delay_max_ms) + 1))
+                   : 0;
+        packets_.push_back({from, to, now_ms + delay_ms, ++order_, message});
+    }
+}
+
+void
+World::persist(uint32_t node, const EyGroupAction_t *action)
+{
+    EyGroupState_t *state = talloc_steal(ctx_, action->state);
+    int64_t delay_ms = static_cast<int64_t>(EyRandom_Below(&random_, 20));
+    nodes[node].disk.writes.push_back({now_ms + delay_ms, state});
+}
+
+/** Writes what is due to the disk and tells the member. */
+void
+World::sync_disk(uint32_t index)
+{
+    Disk &disk = nodes[index].disk;
+    while (!disk.writes.empty() && disk.writes.front().due_ms <= now_ms) {
+        EyGroupState_t *state = disk.writes.front().state;
+        disk.writes.pop_front();
+        if (state->clear) {
+            disk.records.clear();
+        }
+        for (uint32_t i = 0; i < state->record_count; i++) {
+            disk.records[state->records[i].key] =
+                copy_record(ctx_, &state->records[i]);
+        }
+        disk.state = state;
+        EyGroupEvent_t event = {};
+        event.kind = EY_GROUP_EVENT_PERSISTED;
+        event.serial = state->serial;
+        step(index, event);
+    }
+}
+
+void
+World::deliver(const Packet &packet)
+{
+    Node &node = nodes[packet.to];
+    if (!node.is_up) {
+        return;
+    }
+    const char *from = nodes[packet.from].name.c_str();
+    if (EyClaims_IsFor(packet.message)) {
+        if (node.claims != nullptr) {
+            EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+            EyClaims_Message(node.claims, now_ms + node.offset_ms, from,
+                             packet.message, actions);
+            carry_out(packet.to, actions);
+            talloc_free(actions);
+        }
+        return;
+    }
+    EyGroupEvent_t event = {};
+    event.kind = EY_GROUP_EVENT_MESSAGE;
+    EY_COPY(event.from, from);
+    event.message = packet.message;
+    step(packet.to, event);
+}
+
+void
+World::deliver_due()
+{
+    for (;;) {
+        size_t best = packets_.size();
+        for (size_t i = 0; i < packets_.size(); i++) {
+            const Packet &packet = packets_[i];
+            if (packet.due_ms > now_ms || nodes[packet.to].is_frozen) {
+                continue;
+            }
+            if (best == packets_.size() ||
+                packet.due_ms < packets_[best].due_ms) {
+                best = i;
+            }
+        }
+        if (best == packets_.size()) {
+            return;
+        }
+        Packet packet = packets_[best];
+        packets_.erase(packets_.begin() + static_cast<long>(best));
+        deliver(packet);
+        talloc_free(packet.message);
+    }
+}
+
+void
+World::run(int64_t duration_ms)
+{
+    int64_t end_ms = now_ms + duration_ms;
+    while (now_ms < end_ms && broken.empty()) {
+        now_ms++;
+        deliver_due();
+        for (uint32_t i = 0; i < nodes.size(); i++) {
+            if (!is_active(i)) {
+                continue;
+            }
+            sync_disk(i);
+            if (nodes[i].tick_ms <= now_ms) {
+                nodes[i].tick_ms = now_ms + TICK_MS;
+                tick(i);
+            }
+        }
+        end_attempts();
+    }
+}
+
+/* Requests */
+
+std::string
+World::issue_key()
+{
+    EyKey_t key;
+    EyKey_Issue(REGION, epoch_, 7, ++issued_, key);
+    return key;
+}
+
+uint64_t
+World::claim(uint32_t node, const std::string &key, uint64_t fingerprint,
+             int64_t timeout_ms)
+{
+    uint64_t number = ++number_;
+    Attempt attempt = {};
+    attempt.node = node;
+    attempt.process = nodes[node].process;
+    attempt.key = key;
+    attempt.fingerprint = fingerprint;
+    attempt.fate = static_cast<uint32_t>(EyRandom_Below(&random_, 10));
+    attempt.deadline_ms = now_ms + timeout_ms;
+    attempts_[number] = attempt;
+    EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+    int64_t local_ms = now_ms + nodes[node].offset_ms;
+    EyClaims_Claim(nodes[node].claims, local_ms, number, key.c_str(),
+                   fingerprint, local_ms + timeout_ms, actions);
+    carry_out(node, actions);
+    talloc_free(actions);
+    return number;
+}
+
+const Attempt &
+World::attempt(uint64_t number) const
+{
+    return attempts_.at(number);
+}
+
+std::string
+World::dump() const
+{
+    std::string text;
+    for (const Node &node : nodes) {
+        text += "\n" + node.name;
+        if (!node.is_up) {
+            text += " down";
+            continue;
+        }
+        json_t *json = EyGroup_Dump(node.group);
+        char *dumped = json_dumps(json, JSON_COMPACT);
+        text += dumped;
+        free(dumped);
+        json_decref(json);
+        if (node.claims != nullptr) {
+            json = EyClaims_Dump(node.claims);
+            dumped = json_dumps(json, JSON_COMPACT);
+            text += dumped;
+            free(dumped);
+            json_decref(json);
+        }
+    }
+    return text;
+}
+
+/** A claim was granted: it is sent now, or said not to be. */
+void
+World::granted(uint32_t index, uint64_t number)
+{
+    Attempt &attempt = attempts_[number];
+    claims_granted++;
+    attempt.was_granted = true;
+    uint32_t fate = are_fates_kind ? 9 : attempt.fate;
+    int64_t local_ms = now_ms + nodes[index].offset_ms;
+    if (fate == 0) {
+        EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+        EyClaims_NotSent(nodes[index].claims, local_ms, number, actions);
+        carry_out(index, actions);
+        talloc_free(actions);
+        return;
+    }
+    attempt.is_sent = true;
+    Run &run = runs_[attempt.key];
+    run.count++;
+    run.fingerprint = attempt.fingerprint;
+    if (run.count > 1) {
+        fail("key " + attempt.key + " ran twice");
+    }
+    /* Fate 1 never gets an answer; others after a while. */
+    if (fate > 1) {
+        attempt.end_ms =
+            now_ms + static_cast<int64_t>(EyRandom_Below(&random_, 300));
+    }
+}
+
+void
+World::end_attempt(uint64_t number, Attempt &attempt)
+{
+    Node &node = nodes[attempt.node];
+    EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+    int64_t local_ms = now_ms + node.offset_ms;
+    if (attempt.fate == 2 && !are_fates_kind) {
+        EyClaims_Unknown(node.claims, local_ms, number, actions);
+    }
+    else {
+        std::string text = "answer-" + std::to_string(number);
+        runs_[attempt.key].answer = text;
+        EyBytes_t answer = {};
+        answer.data = reinterpret_cast<uint8_t *>(text.data());
+        answer.size_bytes = static_cast<uint32_t>(text.size());
+        EyClaims_Complete(node.claims, local_ms, number, &answer, actions);
+    }
+    carry_out(attempt.node, actions);
+    talloc_free(actions);
+}
+
+void
+World::end_attempts()
+{
+    for (auto &[number, attempt] : attempts_) {
+        bool is_due = attempt.end_ms >= 0 && attempt.end_ms <= now_ms;
+        if (is_due && is_active(attempt.node)) {
+            attempt.end_ms = -1;
+            if (nodes[attempt.node].process == attempt.process) {
+                end_attempt(number, attempt);
+            }
+        }
+        bool is_late = !attempt.is_final && !attempt.was_granted &&
+                       now_ms > attempt.deadline_ms + 2 * TICK_MS;
+        if (is_late && is_active(attempt.node) &&
+            nodes[attempt.node].process == attempt.process &&
+            nodes[attempt.node].tick_ms - TICK_MS >= attempt.deadline_ms)
+        {
+            fail("attempt without an answer at its deadline");
+        }
+    }
+}
+
+void
+World::decided(uint32_t node, const EyGroupAction_t *action)
+{
+    Attempt &attempt = attempts_[action->number];
+    if (attempt.is_final || attempt.was_granted) {
+        fail("second answer to one attempt");
+        return;
+    }
+    if (action->decision == EY_DECISION_GRANTED) {
+        granted(node, action->number);
+        return;
+    }
+    attempt.is_final = true;
+    attempt.decision = action->decision;
+    auto found = runs_.find(attempt.key);
+    bool has_run = found != runs_.end() && found->second.count > 0;
+    if (action->outcome == EY_OUTCOME_NOT_RUN && has_run &&
+        found->second.fingerprint == attempt.fingerprint)
+    {
+        fail("not-run said of key " + attempt.key + ", which ran");
+    }
+    if (action->decision == EY_DECISION_REPLAY) {
+        std::string answer(reinterpret_cast<const char *>(action->answer.data),
+                           action->answer.size_bytes);
+        if (!has_run || answer != found->second.answer ||
+            found->second.fingerprint != attempt.fingerprint)
+        {
+            fail("replayed answer of another request");
+        }
+    }
+}
+
+/** A grant leaves a leader: all replicas of its view must know the claim. */
+void
+World::check_grant(uint32_t index, const EyGroupMessage_t *message)
+{
+    const EyView_t *view = EyGroup_View(nodes[index].group);
+    const Attempt &attempt = attempts_[message->claim.number];
+    std::pair<uint64_t, uint64_t> at = {view->epoch, view->number};
+    if (view->epoch == epoch_ && at < granting_view_) {
+        fail("grant in view " + std::to_string(at.second) + " after view " +
+             std::to_string(granting_view_.second));
+    }
+    granting_view_ = std::max(granting_view_, at);
+    for (const Node &node : nodes) {
+        if (node.is_witness ||
+            EyView_Find(view, node.name.c_str(), node.incarnation) < 0)
+        {
+            continue;
+        }
+        bool is_known = false;
+        if (node.is_up) {
+            is_known = EyRecords_Find(EyGroup_Records(node.group),
+                                      attempt.key.c_str()) != nullptr;
+        }
+        else if (node.has_disk) {
+            is_known = node.disk.records.count(attempt.key) > 0;
+        }
+        else {
+            is_known = true; /* a copy that died with the claim */
+        }
+        if (!is_known) {
+            fail("granted claim unknown to replica " + node.name);
+        }
+    }
+}
+
+uint32_t
+World::serving_count() const
+{
+    uint32_t count = 0;
+    for (const Node &node : nodes) {
+        if (node.is_up && !node.is_witness && EyGroup_IsServing(node.group)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+} // namespace group_world
--- /dev/null
+++ b/tests/property/group_world.h
@@ -0,0 +1,183 @@
+/**
+ * A small network of group members and claimants for properties: every event
+ * goes through here, and what must always hold is checked after each one.
+ */
+#ifndef EY_TESTS_PROPERTY_GROUP_WORLD_H
+#define EY_TESTS_PROPERTY_GROUP_WORLD_H
+
+#include "idempotency/claims.h"
+#include "idempotency/group.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace group_world {
+
+constexpr int64_t TICK_MS = 50;
+
+/** What a group is made of. */
+struct Shape {
+    uint32_t replicas;
+    uint32_t witnesses;
+    uint32_t disks; /* bits of the replicas that have one */
+};
+
+/** A message on its way, owned by talloc context owner. */
+struct Packet {
+    uint32_t from;
+    uint32_t to;
+    int64_t due_ms;
+    uint64_t order;
+    EyGroupMessage_t *message;
+};
+
+/** A disk: what was synced, and writes that wait to be. */
+struct Disk {
+    EyGroupState_t *state = nullptr;
+    std::map<std::string, EyRecord_t *> records;
+    struct Write {
+        int64_t due_ms;
+        EyGroupState_t *state;
+    };
+    std::deque<Write> writes;
+};
+
+struct Node {
+    std::string name;
+    bool is_witness = false;
+    bool has_disk = false;
+    bool is_up = false;
+    bool is_frozen = false;
+    int64_t offset_ms = 0; /* of its clock */
+    int64_t tick_ms = 0;   /* next one */
+    uint64_t incarnation = 0;
+    uint64_t process = 0; /* incarnation of the claimant */
+    EyGroup_t *group = nullptr;
+    EyClaims_t *claims = nullptr;
+    Disk disk;
+};
+
+/** One request of a caller. */
+struct Attempt {
+    uint32_t node;
+    uint64_t process;
+    std::string key;
+    uint64_t fingerprint;
+    bool is_sent = false;
+    bool is_final = false;
+    bool was_granted = false;
+    EyGroupDecision_t decision = EY_DECISION_WAITING;
+    int64_t end_ms = -1; /* when the backend server answers */
+    uint32_t fate = 0;
+    int64_t deadline_ms = 0; /* of the world's clock */
+};
+
+/** What backend servers did under a key. */
+struct Run {
+    uint32_t count = 0;
+    uint64_t fingerprint = 0;
+    std::string answer;
+};
+
+class World {
+  public:
+    World(const Shape &shape, uint64_t seed);
+    ~World();
+    World(const World &) = delete;
+    World &
+    operator=(const World &) = delete;
+
+    void
+    run(int64_t duration_ms);
+    uint64_t
+    claim(uint32_t node, const std::string &key, uint64_t fingerprint,
+          int64_t timeout_ms);
+    void
+    crash(uint32_t node);
+    void
+    start(uint32_t node);
+    void
+    lose_disk(uint32_t node);
+    void
+    raise_epoch();
+    void
+    heal();
+    /** Raises the epoch if no view can follow; the part of the operators. */
+    void
+    raise_epoch_if_lost();
+    std::string
+    issue_key();
+    const Attempt &
+    attempt(uint64_t number) const;
+    uint32_t
+    serving_count() const;
+    /** Each node's dump, for reading a failure. */
+    std::string
+    dump() const;
+
+    std::vector<Node> nodes;
+    std::set<std::pair<uint32_t, uint32_t>> cuts; /* one way */
+    uint32_t drop_percent = 0;
+    uint32_t duplicate_percent = 0;
+    int64_t delay_max_ms = 5;
+    bool are_fates_kind = false; /* every granted request completes */
+    int64_t now_ms = 1000000;
+    /** The first broken promise; empty while all hold. */
+    std::string broken;
+    uint64_t claims_granted = 0;
+
+  private:
+    void
+    step(uint32_t node, const EyGroupEvent_t &event);
+    void
+    tick(uint32_t node);
+    void
+    carry_out(uint32_t node, EyGroupActions_t *actions);
+    void
+    send(uint32_t node, const EyGroupAction_t *action);
+    void
+    persist(uint32_t node, const EyGroupAction_t *action);
+    void
+    sync_disk(uint32_t node);
+    void
+    decided(uint32_t node, const EyGroupAction_t *action);
+    void
+    granted(uint32_t node, uint64_t number);
+    void
+    end_attempts();
+    void
+    end_attempt(uint64_t number, Attempt &attempt);
+    void
+    deliver(const Packet &packet);
+    void
+    deliver_due();
+    void
+    configure(uint32_t node);
+    void
+    check_grant(uint32_t node, const EyGroupMessage_t *message);
+    void
+    fail(const std::string &what);
+    bool
+    is_active(uint32_t node) const;
+
+    void *ctx_;
+    EyRandom_t random_;
+    std::vector<Packet> packets_;
+    uint64_t order_ = 0;
+    uint64_t incarnation_ = 0;
+    uint64_t number_ = 0;
+    uint64_t issued_ = 0;
+    uint64_t epoch_ = 0;
+    std::vector<EyGroupMember_t> members_; /* of the epoch */
+    std::map<uint64_t, Attempt> attempts_;
+    std::map<std::string, Run> runs_;
+    std::pair<uint64_t, uint64_t> granting_view_ = {0, 0};
+};
+
+} // namespace group_world
+
+#endif
--- /dev/null
+++ b/tests/property/test_group_properties.cc
@@ -0,0 +1,267 @@
+#include "property/check.h"
+#include "property/group_world.h"
+
+#include <iostream>
+
+using group_world::Shape;
+using group_world::World;
+
+namespace {
+
+/** What may happen to a group. */
+enum Op : uint32_t {
+    OP_RUN,
+    OP_CLAIM,
+    OP_CLAIM_AGAIN,
+    OP_CLAIM_OTHER,
+    OP_CUT,
+    OP_CUT_OFF,
+    OP_HEAL_CUTS,
+    OP_CRASH,
+    OP_START,
+    OP_LOSE_DISK,
+    OP_FREEZE,
+    OP_THAW,
+    OP_JUMP,
+    OP_NOISE,
+    OP_RAISE_EPOCH,
+    OP_COUNT
+};
+
+struct Command {
+    uint32_t op;
+    uint32_t a;
+    uint32_t b;
+};
+
+void
+showValue(const Command &command, std::ostream &os)
+{
+    os << "{" << command.op << "," << command.a << "," << command.b << "}";
+}
+
+const char *const Names[OP_COUNT] = {
+    "run",     "claim",     "claim-again", "claim-other", "cut",
+    "cut-off", "heal-cuts", "crash",       "start",       "lose-disk",
+    "freeze",  "thaw",      "jump",        "noise",       "raise-epoch",
+};
+
+std::ostream &
+operator<<(std::ostream &os, const Command &command)
+{
+    return os << Names[command.op] << "(" << command.a << "," << command.b
+              << ")";
+}
+
+/** Time and claims come often, a rising epoch seldom. */
+rc::Gen<Command>
+any_command()
+{
+    auto op = rc::gen::weightedElement<uint32_t>({
+        {12, OP_RUN},
+        {8, OP_CLAIM},
+        {6, OP_CLAIM_AGAIN},
+        {1, OP_CLAIM_OTHER},
+        {2, OP_CUT},
+        {2, OP_CUT_OFF},
+        {2, OP_HEAL_CUTS},
+        {3, OP_CRASH},
+        {4, OP_START},
+        {1, OP_LOSE_DISK},
+        {2, OP_FREEZE},
+        {2, OP_THAW},
+        {1, OP_JUMP},
+        {1, OP_NOISE},
+        {1, OP_RAISE_EPOCH},
+    });
+    auto number = rc::gen::inRange<uint32_t>(0, 1000);
+    return rc::gen::build<Command>(rc::gen::set(&Command::op, op),
+                                   rc::gen::set(&Command::a, number),
+                                   rc::gen::set(&Command::b, number));
+}
+
+/** Applies commands to a world and remembers the keys used. */
+class Driver {
+  public:
+    Driver(World &world, uint32_t replicas)
+        : world_(world), replicas_(replicas)
+    {
+    }
+
+    void
+    apply(const Command &command)
+    {
+        uint32_t node = command.a % static_cast<uint32_t>(world_.nodes.size());
+        switch (command.op) {
+        case OP_RUN:
+            world_.run(1 + command.a * command.b % 800);
+            break;
+        case OP_CLAIM:
+            claim(command, new_key(command), 1);
+            break;
+        case OP_CLAIM_AGAIN:
+            claim(command, old_key(command), 1);
+            break;
+        case OP_CLAIM_OTHER:
+            claim(command, old_key(command), 2);
+            break;
+        case OP_CUT:
+            world_.cuts.insert({node, other(command)});
+            break;
+        case OP_CUT_OFF:
+            cut_off(node);
+            break;
+        case OP_HEAL_CUTS:
+            world_.cuts.clear();
+            break;
+        case OP_CRASH:
+            world_.crash(node);
+            break;
+        case OP_START:
+            world_.start(node);
+            break;
+        case OP_LOSE_DISK:
+            world_.lose_disk(node);
+            break;
+        case OP_FREEZE:
+            world_.nodes[node].is_frozen = true;
+            break;
+        case OP_THAW:
+            world_.nodes[node].is_frozen = false;
+            break;
+        case OP_JUMP:
+            jump(node, command.b);
+            break;
+        case OP_NOISE:
+            world_.drop_percent = command.a % 30;
+            world_.duplicate_percent = command.b % 30;
+            world_.delay_max_ms = 1 + command.b % 150;
+            break;
+        default:
+            world_.raise_epoch();
+        }
+    }
+
+  private:
+    uint32_t
+    other(const Command &command) const
+    {
+        return command.b % static_cast<uint32_t>(world_.nodes.size());
+    }
+
+    std::string
+    new_key(const Command &command)
+    {
+        keys_.push_back(command.b % 4 != 0
+                            ? world_.issue_key()
+                            : "plain-" + std::to_string(keys_.size()));
+        return keys_.back();
+    }
+
+    std::string
+    old_key(const Command &command)
+    {
+        if (keys_.empty()) {
+            return new_key(command);
+        }
+        /* The newest are where the races are. */
+        size_t back = command.b % std::min<size_t>(keys_.size(), 3);
+        return keys_[keys_.size() - 1 - back];
+    }
+
+    void
+    claim(const Command &command, const std::string &key, uint64_t fingerprint)
+    {
+        uint32_t node = command.a % replicas_;
+        const group_world::Node &at = world_.nodes[node];
+        if (at.is_up && !at.is_frozen) {
+            (void)world_.claim(node, key, fingerprint,
+                               100 + command.a * 7 % 2500);
+        }
+    }
+
+    void
+    cut_off(uint32_t node)
+    {
+        for (uint32_t i = 0; i < world_.nodes.size(); i++) {
+            world_.cuts.insert({node, i});
+            world_.cuts.insert({i, node});
+        }
+    }
+
+    void
+    jump(uint32_t node, uint32_t amount)
+    {
+        /* Up to a day, far beyond every timeout and the retention time. */
+        world_.nodes[node].offset_ms +=
+            static_cast<int64_t>(amount) * amount * 100;
+    }
+
+    World &world_;
+    uint32_t replicas_;
+    std::vector<std::string> keys_;
+};
+
+/** After the faults end, each gateway's new claims are granted in time. */
+constexpr int64_t RECOVERY_MS = 12000;
+constexpr int64_t CLAIM_MS = 1500;
+
+void
+check_recovery(World &world, uint32_t replicas)
+{
+    world.heal();
+    for (int64_t spent = 0; spent < RECOVERY_MS; spent += 500) {
+        world.run(500);
+        world.raise_epoch_if_lost();
+        if (world.serving_count() > 0 && spent > 6000) {
+            break;
+        }
+    }
+    for (uint32_t i = 0; i < replicas && world.broken.empty(); i++) {
+        uint64_t number = world.claim(i, world.issue_key(), 1, CLAIM_MS);
+        world.run(CLAIM_MS + 200);
+        if (world.broken.empty() && !world.attempt(number).was_granted) {
+            world.broken =
+                "no grant after recovery for replica " + std::to_string(i);
+        }
+    }
+}
+
+void
+check_shape(const Shape &shape, bool with_recovery)
+{
+    auto seed = *rc::gen::arbitrary<uint32_t>();
+    auto commands = *rc::gen::container<std::vector<Command>>(any_command());
+    World world(shape, seed);
+    Driver driver(world, shape.replicas);
+    world.run(300);
+    for (const Command &command : commands) {
+        driver.apply(command);
+        if (!world.broken.empty()) {
+            break;
+        }
+    }
+    world.run(2000);
+    if (with_recovery && world.broken.empty()) {
+        check_recovery(world, shape.replicas);
+    }
+    if (!world.broken.empty()) {
+        RC_LOG(world.dump());
+    }
+    RC_ASSERT(world.broken == "");
+}
+
+} // namespace
+
+#define GROUP_PROPERTY(name, ...)                                             \
+    Test(group_properties, name)                                              \
+    {                                                                         \
+        EY_CHECK("a key runs at most once, and answers are true",             \
+                 [] { check_shape(Shape{__VA_ARGS__}, true); });              \
+    }
+
+GROUP_PROPERTY(two_replicas_three_witnesses, 2, 3, 0)
+GROUP_PROPERTY(two_replicas_one_with_disk_two_witnesses, 2, 2, 1)
+GROUP_PROPERTY(three_replicas_two_witnesses, 3, 2, 0)
+GROUP_PROPERTY(three_replicas_with_disks, 3, 0, 7)
+GROUP_PROPERTY(one_replica_with_disk, 1, 0, 1)
