--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -184,7 +184,14 @@
 static void
 take_append(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
 {
-    if (strcmp(from, self->view->leader) != 0 || self->is_fenced) {
+    if (strcmp(from, self->view->leader) != 0) {
+        return;
+    }
+    if (self->is_fenced) {
+        /* Alive, but it takes nothing more in this view. */
+        EyGroupMessage_t *refusal = EyGroup_Make(self, EY_GROUP_APPEND_ACK);
+        refusal->accepted = true;
+        EyGroup_Send(self, from, refusal);
         return;
     }
     self->heard_leader_ms = self->now_ms;
@@ -219,6 +226,10 @@
         return;
     }
     peer->heard_ms = self->now_ms;
+    peer->is_fenced = message->accepted;
+    if (peer->is_fenced) {
+        return;
+    }
     if (!peer->is_known) {
         peer->is_known = true;
         peer->acked_version = message->version;
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -27,7 +27,8 @@
 typedef struct Peer {
     EyGroupMember_t member;
     bool is_joiner;
-    bool is_known; /* acked_version was told in this view */
+    bool is_known;  /* acked_version was told in this view */
+    bool is_fenced; /* follows no more in this view */
     uint64_t acked_version;
     uint64_t sent_version;
     int64_t sent_ms;
--- a/src/idempotency/group_vote.c
+++ b/src/idempotency/group_vote.c
@@ -102,6 +102,19 @@
 
 /* The proposal */
 
+/** True if a replica of this view can't follow until the next one. */
+static bool
+has_fenced_replica(const EyGroup_t *self)
+{
+    for (uint32_t i = 0; i < self->peer_count; i++) {
+        const Peer_t *peer = &self->peers[i];
+        if (peer->is_fenced && !peer->member.is_witness) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 is_ready(const EyGroup_t *self, const Peer_t *peer)
 {
@@ -209,7 +222,9 @@
         /* The others may hold what it ordered since its own promise. */
         (void)EY_COPY(vote->proposal->leader, self->me.name);
     }
-    if (is_serving(self) && is_same_membership(vote->proposal, self->view)) {
+    if (is_serving(self) && !has_fenced_replica(self) &&
+        is_same_membership(vote->proposal, self->view))
+    {
         /* Nothing was proposed under this ballot, and never will be. */
         give_up(self);
         return;
@@ -442,7 +457,8 @@
 {
     uint32_t all = (1U << self->view->member_count) - 1;
     uint32_t live = live_members(self);
-    bool is_due = live != all || has_ready_joiner(self);
+    bool is_due =
+        live != all || has_ready_joiner(self) || has_fenced_replica(self);
     if (is_due && EyView_IsQuorum(self->view, live)) {
         start_prepare(self, live);
     }
--- a/src/idempotency/message.h
+++ b/src/idempotency/message.h
@@ -15,7 +15,7 @@
 typedef enum EyGroupMessageKind {
     /* among the members, about records */
     EY_GROUP_APPEND,     /* leader: records after version up to to_version */
-    EY_GROUP_APPEND_ACK, /* has all of the leader's records to version */
+    EY_GROUP_APPEND_ACK, /* has all records to version; accepted: fenced */
     /* among the members, about views */
     EY_GROUP_PROBE,     /* would you vote for a new view? accepted: fenced */
     EY_GROUP_PROBE_ACK, /* accepted: yes */
