--- a/src/idempotency/claims.c
+++ b/src/idempotency/claims.c
@@ -298,21 +298,6 @@
     }
 }
 
-/** A grant that comes too late is dropped: the request wasn't sent. */
-static void
-take_grant(EyClaims_t *self, int64_t now_ms, Claim_t *claim,
-           EyGroupActions_t *actions)
-{
-    uint64_t number = (uint64_t)claim->number;
-    if (now_ms >= claim->deadline_ms) {
-        (void)decide(number, EY_DECISION_REFUSED, EY_REASON_DEADLINE, actions);
-        finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
-        return;
-    }
-    claim->state = CLAIM_GRANTED;
-    (void)decide(number, EY_DECISION_GRANTED, EY_REASON_NONE, actions);
-}
-
 static void
 take_decision(EyClaims_t *self, int64_t now_ms,
               const EyGroupMessage_t *message, EyGroupActions_t *actions)
@@ -325,10 +310,16 @@
     if (message->decision == EY_DECISION_WAITING) {
         return;
     }
-    if (message->decision == EY_DECISION_GRANTED) {
-        take_grant(self, now_ms, claim, actions);
+    /* One that comes late, after a freeze, may be no longer true; a late
+     * grant is dropped, for the request wasn't sent. */
+    if (now_ms >= claim->deadline_ms &&
+        message->decision != EY_DECISION_REPLAY) {
+        give_up(self, now_ms, claim, EY_REASON_DEADLINE, actions);
         return;
     }
+    if (message->decision == EY_DECISION_GRANTED) {
+        claim->state = CLAIM_GRANTED;
+    }
     EyGroupAction_t *action = decide(message->claim.number, message->decision,
                                      message->reason, actions);
     if (message->retry_after_ms > 0) {
@@ -339,7 +330,9 @@
                                             message->answer.size_bytes);
         action->answer.size_bytes = message->answer.size_bytes;
     }
-    finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+    if (message->decision != EY_DECISION_GRANTED) {
+        finish(self, now_ms, claim, CLAIM_NOT_SENT, actions);
+    }
 }
 
 /** The claim isn't known here: it ended, or a process before had it. */
--- a/tests/property/group_world.cc
+++ b/tests/property/group_world.cc
@@ -23,7 +23,8 @@
 } // namespace
 
 World::World(const Shape &shape, uint64_t seed)
-    : ctx_(talloc_new(nullptr)), random_(EyRandom_Make(seed))
+    : ctx_(talloc_new(nullptr)), random_(EyRandom_Make(seed)),
+      count_max_(shape.count_max)
 {
     nodes.resize(shape.replicas + shape.witnesses);
     for (uint32_t i = 0; i < nodes.size(); i++) {
@@ -90,6 +91,8 @@
     options.is_witness = node.is_witness;
     options.has_disk = node.has_disk;
     options.seed = EyRandom_Next(&random_);
+    options.limits.count_max = count_max_;
+    options.limits.retention_ms = RETENTION_MS;
     int64_t local_ms = now_ms + node.offset_ms;
     node.group = EyGroup_New(ctx_, &options, restored, local_ms);
     node.incarnation = EyGroup_Self(node.group).incarnation;
@@ -366,11 +369,11 @@
 }
 
 void
-World::run(int64_t duration_ms)
+World::run(int64_t duration_ms, int64_t step_ms)
 {
     int64_t end_ms = now_ms + duration_ms;
     while (now_ms < end_ms && broken.empty()) {
-        now_ms++;
+        now_ms += step_ms;
         deliver_due();
         for (uint32_t i = 0; i < nodes.size(); i++) {
             if (!is_active(i)) {
@@ -386,6 +389,12 @@
     }
 }
 
+void
+World::forget_runs()
+{
+    runs_.clear();
+}
+
 /* Requests */
 
 std::string
@@ -455,7 +464,6 @@
 World::granted(uint32_t index, uint64_t number)
 {
     Attempt &attempt = attempts_[number];
-    claims_granted++;
     attempt.was_granted = true;
     uint32_t fate = are_fates_kind ? 9 : attempt.fate;
     int64_t local_ms = now_ms + nodes[index].offset_ms;
--- a/tests/property/group_world.h
+++ b/tests/property/group_world.h
@@ -18,12 +18,15 @@
 namespace group_world {
 
 constexpr int64_t TICK_MS = 50;
+/** The shortest retention time that a group takes. */
+constexpr int64_t RETENTION_MS = 2 * EY_CLAIM_DEADLINE_MAX_MS;
 
 /** What a group is made of. */
 struct Shape {
     uint32_t replicas;
     uint32_t witnesses;
-    uint32_t disks; /* bits of the replicas that have one */
+    uint32_t disks;         /* bits of the replicas that have one */
+    uint32_t count_max = 0; /* records; 0: preset */
 };
 
 /** A message on its way, owned by talloc context owner. */
@@ -91,8 +94,12 @@
     World &
     operator=(const World &) = delete;
 
+    /** Runs in steps; long ones are for hours in which little happens. */
     void
-    run(int64_t duration_ms);
+    run(int64_t duration_ms, int64_t step_ms = 1);
+    /** From now on keys are past their retention and may run anew. */
+    void
+    forget_runs();
     uint64_t
     claim(uint32_t node, const std::string &key, uint64_t fingerprint,
           int64_t timeout_ms);
@@ -128,7 +135,6 @@
     int64_t now_ms = 1000000;
     /** The first broken promise; empty while all hold. */
     std::string broken;
-    uint64_t claims_granted = 0;
 
   private:
     void
@@ -166,6 +172,7 @@
 
     void *ctx_;
     EyRandom_t random_;
+    uint32_t count_max_;
     std::vector<Packet> packets_;
     uint64_t order_ = 0;
     uint64_t incarnation_ = 0;
--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -1,8 +1,10 @@
 #include "property/check.h"
 #include "property/group_world.h"
 
+#include <cstdlib>
 #include <iostream>
 
+using group_world::RETENTION_MS;
 using group_world::Shape;
 using group_world::World;
 
@@ -251,8 +253,24 @@
     RC_ASSERT(world.broken == "");
 }
 
+/** Runs more cases than is usual, unless RC_PARAMS says how many. */
+void
+more_cases()
+{
+    const char *given = std::getenv("RC_PARAMS");
+    std::string params = given != nullptr ? given : "";
+    if (params.find("max_success") == std::string::npos &&
+        params.find("reproduce") == std::string::npos)
+    {
+        params += " max_success=300";
+        (void)setenv("RC_PARAMS", params.c_str(), 1);
+    }
+}
+
 } // namespace
 
+TestSuite(group_properties, .init = more_cases);
+
 #define GROUP_PROPERTY(name, ...)                                             \
     Test(group_properties, name)                                              \
     {                                                                         \
@@ -265,3 +283,35 @@
 GROUP_PROPERTY(three_replicas_two_witnesses, 3, 2, 0)
 GROUP_PROPERTY(three_replicas_with_disks, 3, 0, 7)
 GROUP_PROPERTY(one_replica_with_disk, 1, 0, 1)
+
+Test(group_properties, full_table)
+{
+    EY_CHECK("a full table refuses truthfully", [] {
+        check_shape(Shape{2, 1, 1, 4}, false);
+    });
+}
+
+/** A claimant is frozen at any point of its claim and wakes when the record
+ * is long forgotten and the key has run by another attempt. */
+Test(group_properties, claimant_frozen_past_retention)
+{
+    EY_CHECK("a claimant that wakes is harmless", [] {
+        World world(Shape{3, 0, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.run(300);
+        (void)world.claim(0, "plain", 1, 2000);
+        world.run(*rc::gen::inRange(0, 15));
+        world.nodes[0].is_frozen = true;
+        bool was_granted = world.attempt(1).was_granted;
+        world.run(RETENTION_MS + 60000, 400);
+        world.forget_runs();
+        world.are_fates_kind = true;
+        world.run(3000);
+        uint64_t number = world.claim(1, "plain", 1, 2000);
+        world.run(2000);
+        world.nodes[0].is_frozen = false;
+        world.run(3000);
+        RC_CLASSIFY(was_granted, "granted before");
+        RC_ASSERT(world.broken == "");
+        RC_ASSERT(world.attempt(number).was_granted);
+    });
+}
