--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -253,6 +253,61 @@
     RC_ASSERT(world.broken == "");
 }
 
+/** Faults only, in quick succession, with claims all the time. */
+rc::Gen<Command>
+any_fault()
+{
+    auto op = rc::gen::weightedElement<uint32_t>({
+        {3, OP_CUT},
+        {3, OP_CUT_OFF},
+        {3, OP_HEAL_CUTS},
+        {3, OP_CRASH},
+        {5, OP_START},
+        {1, OP_LOSE_DISK},
+        {3, OP_FREEZE},
+        {3, OP_THAW},
+        {2, OP_NOISE},
+    });
+    auto number = rc::gen::inRange<uint32_t>(0, 1000);
+    return rc::gen::build<Command>(rc::gen::set(&Command::op, op),
+                                   rc::gen::set(&Command::a, number),
+                                   rc::gen::set(&Command::b, number));
+}
+
+void
+check_busy(const Shape &shape)
+{
+    auto seed = *rc::gen::arbitrary<uint32_t>();
+    auto commands = *rc::gen::container<std::vector<Command>>(any_fault());
+    World world(shape, seed);
+    Driver driver(world, shape.replicas);
+    world.run(200);
+    world.traffic_ms = 25;
+    for (const Command &command : commands) {
+        if (command.op == OP_NOISE) {
+            world.write_max_ms = 1 + command.a % 300;
+            world.delay_max_ms = 1 + command.b % 400;
+            world.drop_percent = command.a % 20;
+            world.duplicate_percent = command.b % 20;
+        }
+        else {
+            driver.apply(command);
+        }
+        world.run(1 + command.a * command.b % 700);
+        if (!world.broken.empty()) {
+            break;
+        }
+    }
+    world.run(500);
+    if (world.broken.empty()) {
+        check_recovery(world, shape.replicas);
+    }
+    if (!world.broken.empty()) {
+        RC_LOG(world.dump());
+    }
+    RC_ASSERT(world.broken == "");
+}
+
 /** Runs more cases than is usual, unless RC_PARAMS says how many. */
 void
 more_cases()
@@ -284,6 +339,17 @@
 GROUP_PROPERTY(three_replicas_with_disks, 3, 0, 7)
 GROUP_PROPERTY(one_replica_with_disk, 1, 0, 1)
 
+#define BUSY_PROPERTY(name, ...)                                              \
+    Test(group_properties, name)                                              \
+    {                                                                         \
+        EY_CHECK("promises hold while all members fail in turn",              \
+                 [] { check_busy(Shape{__VA_ARGS__}); });                     \
+    }
+
+BUSY_PROPERTY(busy_two_replicas_two_witnesses, 2, 2, 3)
+BUSY_PROPERTY(busy_three_replicas_two_witnesses, 3, 2, 1)
+BUSY_PROPERTY(busy_three_replicas_with_disks, 3, 1, 7)
+
 Test(group_properties, full_table)
 {
     EY_CHECK("a full table refuses truthfully", [] {
