--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -7,7 +7,7 @@
 /** Records in one message, by size. */
 #define BATCH_BYTES (1024ULL * 1024)
 /** Time without an acknowledgement after which records are sent again. */
-#define RESEND_MS 200
+#define RESEND_MS 100
 /** Silence after which one that wants to join is forgotten. */
 #define JOINER_MS 5000
 
@@ -106,6 +106,9 @@
             count > 0 ? message->records[count - 1].version : self->version;
         bool is_rest = last >= EyRecords_NewestVersion(self->records);
         message->to_version = is_rest ? self->version : last;
+        if (peer->acked_version == peer->sent_version) {
+            peer->progress_ms = self->now_ms;
+        }
         peer->sent_version = message->to_version;
     }
     peer->sent_ms = self->now_ms;
@@ -125,9 +128,10 @@
         return silent_ms >= EY_GROUP_WITNESS_HEARTBEAT_MS;
     }
     if (peer->is_known && peer->acked_version < peer->sent_version &&
-        silent_ms >= RESEND_MS)
+        self->now_ms - peer->progress_ms >= RESEND_MS)
     {
         peer->sent_version = peer->acked_version;
+        peer->progress_ms = self->now_ms;
     }
     return (peer->is_known && peer->sent_version < self->version) ||
            silent_ms >= EY_GROUP_HEARTBEAT_MS;
@@ -180,7 +184,14 @@
 static void
 take_append(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
 {
-    if (strcmp(from, self->view->leader) != 0 || self->is_fenced) {
+    if (strcmp(from, self->view->leader) != 0) {
+        return;
+    }
+    if (self->is_fenced) {
+        /* Alive, but it takes nothing more in this view. */
+        EyGroupMessage_t *refusal = EyGroup_Make(self, EY_GROUP_APPEND_ACK);
+        refusal->accepted = true;
+        EyGroup_Send(self, from, refusal);
         return;
     }
     self->heard_leader_ms = self->now_ms;
@@ -215,12 +226,19 @@
         return;
     }
     peer->heard_ms = self->now_ms;
+    peer->is_fenced = message->accepted;
+    if (peer->is_fenced) {
+        return;
+    }
     if (!peer->is_known) {
         peer->is_known = true;
         peer->acked_version = message->version;
         peer->sent_version = message->version;
     }
-    peer->acked_version = MAX(peer->acked_version, message->version);
+    if (message->version > peer->acked_version) {
+        peer->acked_version = message->version;
+        peer->progress_ms = self->now_ms;
+    }
     peer->sent_version = MAX(peer->sent_version, peer->acked_version);
 }
 
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -27,10 +27,12 @@
 typedef struct Peer {
     EyGroupMember_t member;
     bool is_joiner;
-    bool is_known; /* acked_version was told in this view */
+    bool is_known;  /* acked_version was told in this view */
+    bool is_fenced; /* follows no more in this view */
     uint64_t acked_version;
     uint64_t sent_version;
     int64_t sent_ms;
+    int64_t progress_ms; /* acked_version rose, or records were sent anew */
     int64_t heard_ms;
 } Peer_t;
 
