Membership of instances: acknowledged heartbeats on a ring, changes by gossip

Cause: nothing knew who is alive. Each instance monitors two successors on a ring by pings that must be acknowledged, so a cut in either direction is seen; a suspect is declared gone only after silence beyond what the link's measured pauses explain and when others couldn't reach it either. An instance that was frozen, or is told that it is gone, takes a higher incarnation.

Ruled out: heartbeats of all to all (cost grows with the region); dropping messages of fenced senders whole (after a partition each side holds the other as gone and it never healed); keeping old settings addresses as known for good.

--- /dev/null
+++ b/src/membership/members.c
@@ -0,0 +1,310 @@
+#include "membership/members.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+/* How often each instance passes a change on. */
+#define RUMOR_ROUNDS 2
+/* How long a gone instance's record is passed on. */
+#define GONE_KEPT_MS 600000
+/* Incarnations that are remembered as gone for longer. */
+#define FENCES_MAX 8192
+#define CONTACTS_PER_REGION 4
+#define CONTACTS_MAX 256
+/* Age of a contact's last word after which it is asked again, and dropped. */
+#define CONTACT_STALE_MS 10000
+#define CONTACT_LOST_MS 30000
+
+EyEntry_t *
+EyMembers_Find(const EyMembers_t *self, const char *id)
+{
+    return g_hash_table_lookup(self->entries, id);
+}
+
+static uint64_t
+record_hash(const EyMember_t *member)
+{
+    uint64_t hash = EyDigest_HashId(member->id);
+    hash = EyDigest_Mix(hash, member->incarnation);
+    hash = EyDigest_Mix(hash, member->serial);
+    return EyDigest_Mix(hash, (uint64_t)member->state);
+}
+
+/** Adds an entry to the digest or takes it out; gone ones aren't in it, so
+ * that tables don't differ by when they forget. */
+static void
+toggle(EyMembers_t *self, const EyEntry_t *entry)
+{
+    if (!EyMember_IsGone(&entry->member)) {
+        EyDigest_Toggle(&self->digest, entry->member.id,
+                        record_hash(&entry->member));
+    }
+}
+
+static gint
+compare_places(gconstpointer left, gconstpointer right)
+{
+    const EyEntry_t *one = *(EyEntry_t *const *)left;
+    const EyEntry_t *other = *(EyEntry_t *const *)right;
+    if (one->ring_place != other->ring_place) {
+        return one->ring_place < other->ring_place ? -1 : 1;
+    }
+    return strcmp(one->member.id, other->member.id);
+}
+
+static void
+rebuild_ring(EyMembers_t *self)
+{
+    GHashTableIter entries;
+    gpointer data = NULL;
+    g_ptr_array_set_size(self->ring, 0);
+    g_hash_table_iter_init(&entries, self->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        const EyEntry_t *entry = data;
+        if (!EyMember_IsGone(&entry->member)) {
+            g_ptr_array_add(self->ring, data);
+        }
+    }
+    g_ptr_array_sort(self->ring, compare_places);
+}
+
+uint32_t
+EyMembers_OwnPlace(const EyMembers_t *self)
+{
+    for (uint32_t i = 0; i < self->ring->len; i++) {
+        if (self->ring->pdata[i] == self->own) {
+            return i;
+        }
+    }
+    return 0;
+}
+
+uint64_t
+EyMembers_FenceOf(const EyMembers_t *self, const char *id)
+{
+    const uint64_t *fence = g_hash_table_lookup(self->fences, id);
+    return fence == NULL ? 0 : *fence;
+}
+
+static void
+raise_fence(EyMembers_t *self, const char *id, uint64_t incarnation)
+{
+    uint64_t *fence = g_hash_table_lookup(self->fences, id);
+    if (fence == NULL) {
+        if (g_hash_table_size(self->fences) >= FENCES_MAX) {
+            return;
+        }
+        fence = g_new0(uint64_t, 1);
+        (void)g_hash_table_insert(self->fences, g_strdup(id), fence);
+    }
+    *fence = MAX(*fence, incarnation);
+}
+
+EyEntry_t *
+EyMembers_Put(EyMembers_t *self, int64_t now_ms, const EyMember_t *member)
+{
+    EyEntry_t *entry = EyMembers_Find(self, member->id);
+    if (entry == NULL) {
+        entry = g_new0(EyEntry_t, 1);
+        (void)EY_COPY(entry->member.id, member->id);
+        entry->ring_place = EyDigest_HashId(member->id);
+        entry->member.state = EY_MEMBER_GONE;
+        (void)g_hash_table_insert(self->entries, entry->member.id, entry);
+    }
+    bool is_new_life = entry->member.incarnation != member->incarnation;
+    EyVitals_t vitals = entry->member.vitals;
+    toggle(self, entry);
+    entry->member = *member;
+    toggle(self, entry);
+    if (!is_new_life && vitals.serial > member->vitals.serial) {
+        entry->member.vitals = vitals;
+    }
+    entry->rumor_rounds = RUMOR_ROUNDS;
+    if (is_new_life || EyMember_IsGone(member)) {
+        entry->monitored = false;
+        entry->suspect = false;
+    }
+    if (EyMember_IsGone(member)) {
+        entry->gone_ms = now_ms;
+        raise_fence(self, member->id, member->incarnation);
+    }
+    rebuild_ring(self);
+    return entry;
+}
+
+static void
+forget_oldest_contact(EyMembers_t *self, const char *region)
+{
+    GHashTableIter contacts;
+    gpointer data = NULL;
+    const EyContact_t *oldest = NULL;
+    uint32_t in_region = 0;
+    g_hash_table_iter_init(&contacts, self->contacts);
+    while (g_hash_table_iter_next(&contacts, NULL, &data)) {
+        const EyContact_t *contact = data;
+        if (strcmp(contact->member.region, region) != 0) {
+            continue;
+        }
+        in_region++;
+        /* Control processes are few and are all kept. */
+        bool is_spare =
+            contact->member.role == EY_MEMBER_GATEWAY &&
+            (oldest == NULL || contact->heard_ms < oldest->heard_ms);
+        if (is_spare) {
+            oldest = contact;
+        }
+    }
+    if (oldest != NULL && in_region > CONTACTS_PER_REGION) {
+        (void)g_hash_table_remove(self->contacts, oldest->member.id);
+    }
+}
+
+void
+EyMembers_PutContact(EyMembers_t *self, int64_t now_ms,
+                     const EyMember_t *member)
+{
+    EyContact_t *contact = g_hash_table_lookup(self->contacts, member->id);
+    if (member->incarnation <= EyMembers_FenceOf(self, member->id)) {
+        return;
+    }
+    if (EyMember_IsGone(member)) {
+        (void)g_hash_table_remove(self->contacts, member->id);
+        raise_fence(self, member->id, member->incarnation);
+        return;
+    }
+    if (contact == NULL) {
+        if (g_hash_table_size(self->contacts) >= CONTACTS_MAX) {
+            return;
+        }
+        contact = g_new0(EyContact_t, 1);
+        (void)g_hash_table_insert(self->contacts, g_strdup(member->id),
+                                  contact);
+    }
+    else if (member->incarnation < contact->member.incarnation) {
+        return;
+    }
+    contact->member = *member;
+    contact->heard_ms = now_ms;
+    forget_oldest_contact(self, member->region);
+}
+
+static bool
+is_newer(const EyMember_t *member, const EyMember_t *than)
+{
+    if (member->incarnation != than->incarnation) {
+        return member->incarnation > than->incarnation;
+    }
+    if (EyMember_IsGone(member) != EyMember_IsGone(than)) {
+        return EyMember_IsGone(member);
+    }
+    return member->serial > than->serial;
+}
+
+bool
+EyMembers_IsNews(EyMembers_t *self, const EyMember_t *member)
+{
+    if (!EyMember_IsGone(member) &&
+        member->incarnation <= EyMembers_FenceOf(self, member->id))
+    {
+        return false;
+    }
+    const EyEntry_t *entry = EyMembers_Find(self, member->id);
+    if (entry == NULL && EyMember_IsGone(member)) {
+        raise_fence(self, member->id, member->incarnation);
+        return false;
+    }
+    return entry == NULL || is_newer(member, &entry->member);
+}
+
+bool
+EyMembers_IsAddressKnown(const EyMembers_t *self, int64_t now_ms,
+                         const char *address)
+{
+    GHashTableIter contacts;
+    gpointer data = NULL;
+    for (uint32_t i = 0; i < self->ring->len; i++) {
+        const EyEntry_t *entry = self->ring->pdata[i];
+        if (strcmp(entry->member.peer_address, address) == 0) {
+            return true;
+        }
+    }
+    g_hash_table_iter_init(&contacts, self->contacts);
+    while (g_hash_table_iter_next(&contacts, NULL, &data)) {
+        const EyContact_t *contact = data;
+        bool is_fresh = now_ms - contact->heard_ms < CONTACT_STALE_MS;
+        if (is_fresh && strcmp(contact->member.peer_address, address) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const char *
+EyMembers_GoneAddress(const EyMembers_t *self, EyRandom_t *random)
+{
+    GHashTableIter entries;
+    gpointer data = NULL;
+    const char *address = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&entries, self->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        const EyEntry_t *entry = data;
+        if (EyMember_IsGone(&entry->member) &&
+            EyRandom_Below(random, ++seen) == 0) {
+            address = entry->member.peer_address;
+        }
+    }
+    return address;
+}
+
+static gboolean
+is_old(gpointer id, gpointer data, gpointer now_ms)
+{
+    (void)id;
+    const EyEntry_t *entry = data;
+    return EyMember_IsGone(&entry->member) &&
+           *(const int64_t *)now_ms - entry->gone_ms > GONE_KEPT_MS;
+}
+
+static gboolean
+is_lost_contact(gpointer id, gpointer data, gpointer now_ms)
+{
+    (void)id;
+    const EyContact_t *contact = data;
+    return *(const int64_t *)now_ms - contact->heard_ms > CONTACT_LOST_MS;
+}
+
+void
+EyMembers_Forget(EyMembers_t *self, int64_t now_ms)
+{
+    (void)g_hash_table_foreach_remove(self->contacts, is_lost_contact,
+                                      &now_ms);
+    (void)g_hash_table_foreach_remove(self->entries, is_old, &now_ms);
+}
+
+static int
+members_destroy(EyMembers_t *self)
+{
+    g_ptr_array_free(self->ring, TRUE);
+    g_hash_table_destroy(self->entries);
+    g_hash_table_destroy(self->fences);
+    g_hash_table_destroy(self->contacts);
+    return 0;
+}
+
+EyMembers_t *
+EyMembers_New(const void *ctx, const EyMember_t *own)
+{
+    EyMembers_t *self = EY_NEW(ctx, EyMembers_t);
+    self->ring = g_ptr_array_new();
+    self->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    self->fences =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    self->contacts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    talloc_set_destructor(self, members_destroy);
+    self->own = EyMembers_Put(self, 0, own);
+    return self;
+}
--- /dev/null
+++ b/src/membership/membership.c
@@ -0,0 +1,699 @@
+#include "membership/membership.h"
+
+#include "core/counters.h"
+#include "core/memory.h"
+#include "core/random.h"
+#include "membership/membership_state.h"
+
+#include <string.h>
+
+/* Targets of a change, and how often each instance passes vitals on. */
+#define GOSSIP_TARGETS 4
+#define VITALS_ROUNDS 2
+#define VITALS_INTERVAL_MS 1000
+#define VITALS_REPEAT_MS 10000
+#define VITALS_LOAD_STEP_PER_MILLE 50
+#define DIGEST_INTERVAL_MS 1000
+#define HELLO_INTERVAL_MS 1000
+#define HELLOS_MAX 4
+
+enum { COUNT_RENUMBERED, COUNT_FENCED, COUNT_MEMBERS, COUNT_ALL };
+
+static EyMetric_t Counts[COUNT_ALL] = {
+    [COUNT_RENUMBERED] = {"membership_renumbered_total", NULL,
+                          "Times that this instance took a new incarnation",
+                          EY_METRIC_COUNTER},
+    [COUNT_FENCED] = {"membership_fenced_total", NULL,
+                      "Messages of earlier lives that were dropped",
+                      EY_METRIC_COUNTER},
+    [COUNT_MEMBERS] = {"membership_members", NULL,
+                       "Instances of the region that aren't gone",
+                       EY_METRIC_GAUGE},
+};
+
+EyClusterMessage_t
+EyMembership_Message(const EyMembership_t *self, EyClusterType_t type)
+{
+    EyClusterMessage_t message = {
+        .type = type,
+        .incarnation = self->members->own->member.incarnation,
+        .hash = EyDigest_Hash(&self->members->digest),
+    };
+    (void)EY_COPY(message.region, self->members->own->member.region);
+    return message;
+}
+
+void
+EyMembership_SendTo(EyMembership_t *self, const EyMember_t *to,
+                    const EyClusterMessage_t *message)
+{
+    self->hooks.send(self->hooks.data, to->id, to->peer_address, message);
+}
+
+static EyMember_t
+on_wire(const EyMember_t *member)
+{
+    EyMember_t copy = *member;
+    copy.vitals.id[0] = '\0';
+    return copy;
+}
+
+static void
+add_member(EyClusterMessage_t *message, EyMember_t *room,
+           const EyMember_t *member)
+{
+    if (message->member_count < EY_CLUSTER_MEMBERS_MAX) {
+        room[message->member_count++] = on_wire(member);
+        message->members = room;
+    }
+}
+
+/** Adds vitals that are still to be passed on. */
+static void
+add_vitals(EyMembership_t *self, EyClusterMessage_t *message, EyVitals_t *room)
+{
+    uint32_t count = self->members->ring->len;
+    if (count == 0) {
+        return;
+    }
+    uint32_t start = (uint32_t)EyRandom_Below(&self->random, count);
+    for (uint32_t i = 0; i < count; i++) {
+        EyEntry_t *entry = self->members->ring->pdata[(start + i) % count];
+        if (message->vitals_count == EY_CLUSTER_VITALS_MAX) {
+            break;
+        }
+        if (entry->vitals_rounds == 0) {
+            continue;
+        }
+        entry->vitals_rounds--;
+        EyVitals_t *vitals = &room[message->vitals_count++];
+        *vitals = entry->member.vitals;
+        (void)EY_COPY(vitals->id, entry->member.id);
+        vitals->incarnation = entry->member.incarnation;
+    }
+    message->vitals = room;
+}
+
+void
+EyMembership_SendPing(EyMembership_t *self, const EyMember_t *to,
+                      uint64_t number)
+{
+    EyVitals_t vitals[EY_CLUSTER_VITALS_MAX];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_PING);
+    message.number = number;
+    add_vitals(self, &message, vitals);
+    EyMembership_SendTo(self, to, &message);
+}
+
+static void
+send_digest(EyMembership_t *self, int64_t now_ms, const EyMember_t *to,
+            bool answers)
+{
+    if (!answers && now_ms - self->digest_ms < DIGEST_INTERVAL_MS) {
+        return;
+    }
+    void *ctx = talloc_new(NULL);
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_DIGEST);
+    message.answered = answers;
+    message.buckets = EyDigest_Buckets(&self->members->digest, ctx);
+    message.bucket_count = EY_DIGEST_BUCKETS;
+    EyMembership_SendTo(self, to, &message);
+    (void)talloc_free(ctx);
+    self->digest_ms = now_ms;
+}
+
+static void
+send_record(EyMembership_t *self, const char *to, const char *address,
+            const EyMember_t *member)
+{
+    EyMember_t room[1];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_GOSSIP);
+    message.members = room;
+    message.member_count = 1;
+    room[0] = on_wire(member);
+    self->hooks.send(self->hooks.data, to, address, &message);
+}
+
+void
+EyMembership_Store(EyMembership_t *self, int64_t now_ms,
+                   const EyMember_t *member)
+{
+    const EyEntry_t *entry = EyMembers_Put(self->members, now_ms, member);
+    EyMetric_Set(&Counts[COUNT_MEMBERS], self->members->ring->len);
+    self->hooks.changed(self->hooks.data, &entry->member);
+}
+
+/* The own record */
+
+/** Takes an incarnation above any that others may hold against this one. */
+static void
+renumber(EyMembership_t *self, int64_t now_ms, uint64_t above)
+{
+    EyMember_t member = self->members->own->member;
+    member.incarnation = MAX(member.incarnation, above) + 1;
+    member.serial = 1;
+    EyMetric_Add(&Counts[COUNT_RENUMBERED], 1);
+    EyMembership_Store(self, now_ms, &member);
+    if (self->hooks.renumbered != NULL) {
+        self->hooks.renumbered(self->hooks.data, member.incarnation);
+    }
+}
+
+/* Taking records */
+
+static void
+take_own_record(EyMembership_t *self, int64_t now_ms, const EyMember_t *member)
+{
+    const EyMember_t *own = &self->members->own->member;
+    if (member->incarnation > own->incarnation ||
+        (member->incarnation == own->incarnation && EyMember_IsGone(member)))
+    {
+        renumber(self, now_ms, member->incarnation);
+    }
+}
+
+static void
+take_record(EyMembership_t *self, int64_t now_ms, const EyMember_t *member)
+{
+    if (member->id[0] == '\0' || member->region[0] == '\0') {
+        return;
+    }
+    if (strcmp(member->id, self->members->own->member.id) == 0) {
+        take_own_record(self, now_ms, member);
+        return;
+    }
+    if (strcmp(member->region, self->members->own->member.region) != 0) {
+        EyMembers_PutContact(self->members, now_ms, member);
+        return;
+    }
+    if (EyMembers_IsNews(self->members, member)) {
+        EyMembership_Store(self, now_ms, member);
+    }
+}
+
+static void
+take_vitals(EyMembership_t *self, const EyVitals_t *vitals)
+{
+    EyEntry_t *entry = EyMembers_Find(self->members, vitals->id);
+    if (entry == NULL || entry == self->members->own ||
+        entry->member.incarnation != vitals->incarnation ||
+        vitals->serial <= entry->member.vitals.serial)
+    {
+        return;
+    }
+    entry->member.vitals = *vitals;
+    entry->vitals_rounds = VITALS_ROUNDS;
+}
+
+/* Messages */
+
+static void
+answer_hello(EyMembership_t *self, const char *from, const char *address)
+{
+    EyMember_t members[EY_CLUSTER_MEMBERS_MAX];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_GOSSIP);
+    add_member(&message, members, &self->members->own->member);
+    const EyEntry_t *known = EyMembers_Find(self->members, from);
+    if (known != NULL) {
+        add_member(&message, members, &known->member);
+    }
+    for (uint32_t i = 0; i < MIN(self->members->ring->len, 3); i++) {
+        uint64_t at = EyRandom_Below(&self->random, self->members->ring->len);
+        const EyEntry_t *entry = self->members->ring->pdata[at];
+        add_member(&message, members, &entry->member);
+    }
+    self->hooks.send(self->hooks.data, from, address, &message);
+}
+
+static void
+answer_ping(EyMembership_t *self, const EyMember_t *to, uint64_t number)
+{
+    EyVitals_t vitals[EY_CLUSTER_VITALS_MAX];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_ACK);
+    message.number = number;
+    add_vitals(self, &message, vitals);
+    EyMembership_SendTo(self, to, &message);
+}
+
+/** Sends the records of the buckets that differ, gone ones too. */
+static void
+answer_digest(EyMembership_t *self, int64_t now_ms, const EyMember_t *to,
+              const EyClusterMessage_t *digest)
+{
+    EyMember_t members[EY_CLUSTER_MEMBERS_MAX];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_GOSSIP);
+    uint32_t different = EyDigest_Compare(
+        &self->members->digest, digest->buckets, digest->bucket_count);
+    GHashTableIter entries;
+    gpointer data = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&entries, self->members->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        const EyEntry_t *entry = data;
+        if ((different >> EyDigest_BucketOf(entry->member.id) & 1U) == 0) {
+            continue;
+        }
+        seen++;
+        add_member(&message, members, &entry->member);
+        /* Of too many a random choice; later exchanges bring the others. */
+        uint64_t at = EyRandom_Below(&self->random, seen);
+        if (seen > EY_CLUSTER_MEMBERS_MAX && at < EY_CLUSTER_MEMBERS_MAX) {
+            members[at] = on_wire(&entry->member);
+        }
+    }
+    if (message.member_count > 0) {
+        EyMembership_SendTo(self, to, &message);
+    }
+    if (!digest->answered) {
+        send_digest(self, now_ms, to, true);
+    }
+}
+
+static void
+take_contents(EyMembership_t *self, int64_t now_ms,
+              const EyClusterMessage_t *message)
+{
+    for (uint32_t i = 0; i < message->member_count; i++) {
+        take_record(self, now_ms, &message->members[i]);
+    }
+    for (uint32_t i = 0; i < message->vitals_count; i++) {
+        take_vitals(self, &message->vitals[i]);
+    }
+}
+
+/** Takes what a message says of this instance itself; true if that made it
+ * take a new incarnation. */
+static bool
+take_own_records(EyMembership_t *self, int64_t now_ms,
+                 const EyClusterMessage_t *message)
+{
+    uint64_t before = self->members->own->member.incarnation;
+    for (uint32_t i = 0; i < message->member_count; i++) {
+        if (strcmp(message->members[i].id, self->members->own->member.id) == 0)
+        {
+            take_own_record(self, now_ms, &message->members[i]);
+        }
+    }
+    return self->members->own->member.incarnation != before;
+}
+
+bool
+EyMembership_IsFenced(EyMembership_t *self, int64_t now_ms, const char *from,
+                      const char *from_address,
+                      const EyClusterMessage_t *message)
+{
+    const EyEntry_t *entry = EyMembers_Find(self->members, from);
+    uint64_t fence = EyMembers_FenceOf(self->members, from);
+    bool is_old_life =
+        entry != NULL && message->incarnation < entry->member.incarnation;
+    if (message->incarnation > fence && !is_old_life) {
+        return false;
+    }
+    EyMetric_Add(&Counts[COUNT_FENCED], 1);
+    /* After a partition each side holds the other as gone, so that the word
+     * of it comes from a fenced sender; answering that would never end. */
+    if (take_own_records(self, now_ms, message)) {
+        return true;
+    }
+    EyMember_t known = {.state = EY_MEMBER_GONE, .incarnation = fence};
+    if (entry != NULL) {
+        known = entry->member;
+    }
+    (void)EY_COPY(known.id, from);
+    (void)EY_COPY(known.region, message->region);
+    send_record(self, from, from_address, &known);
+    return true;
+}
+
+/** Asks a sender of the region that isn't known yet for its record. */
+static void
+ask_stranger(EyMembership_t *self, int64_t now_ms, const char *from,
+             const char *from_address, const EyClusterMessage_t *message)
+{
+    EyMember_t stranger = {0};
+    (void)EY_COPY(stranger.id, from);
+    (void)EY_COPY(stranger.peer_address, from_address);
+    if (strcmp(message->region, self->members->own->member.region) == 0) {
+        send_digest(self, now_ms, &stranger, false);
+    }
+}
+
+void
+EyMembership_Receive(EyMembership_t *self, int64_t now_ms, const char *from,
+                     const char *from_address,
+                     const EyClusterMessage_t *message)
+{
+    if (strcmp(from, self->members->own->member.id) == 0) {
+        return;
+    }
+    if (EyMembership_IsFenced(self, now_ms, from, from_address, message)) {
+        return;
+    }
+    take_contents(self, now_ms, message);
+    if (message->type == EY_CLUSTER_HELLO) {
+        answer_hello(self, from, from_address);
+        return;
+    }
+    const EyEntry_t *entry = EyMembers_Find(self->members, from);
+    if (entry == NULL || EyMember_IsGone(&entry->member)) {
+        ask_stranger(self, now_ms, from, from_address, message);
+        return;
+    }
+    switch (message->type) {
+    case EY_CLUSTER_PING:
+        answer_ping(self, &entry->member, message->number);
+        break;
+    case EY_CLUSTER_ACK:
+        EyMonitor_TakeAck(self, now_ms, from);
+        EyMonitor_TakeProbeAck(self, from, message->number);
+        break;
+    case EY_CLUSTER_PROBE:
+        EyMonitor_StartProbe(self, now_ms, from, message->target);
+        break;
+    case EY_CLUSTER_PROBED:
+        EyMonitor_TakeProbed(self, now_ms, message);
+        break;
+    case EY_CLUSTER_DIGEST:
+        answer_digest(self, now_ms, &entry->member, message);
+        break;
+    default:
+        break;
+    }
+    bool compares =
+        message->type == EY_CLUSTER_PING || message->type == EY_CLUSTER_ACK;
+    if (compares && message->hash != EyDigest_Hash(&self->members->digest)) {
+        send_digest(self, now_ms, &entry->member, false);
+    }
+}
+
+/* Periodic work */
+
+/** After a freeze nothing could be heard, and others may have declared this
+ * instance gone. */
+static void
+recover_from_freeze(EyMembership_t *self, int64_t now_ms)
+{
+    int64_t gap_ms = now_ms - self->ticked_ms;
+    if (gap_ms < EY_MEMBERSHIP_SUSPECT_MS) {
+        return;
+    }
+    EyMonitor_Restart(self, now_ms);
+    if (gap_ms >= EY_MEMBERSHIP_FREEZE_MS) {
+        renumber(self, now_ms, 0);
+    }
+}
+
+static void
+say_hello(EyMembership_t *self, int64_t now_ms)
+{
+    if (now_ms - self->hello_ms < HELLO_INTERVAL_MS) {
+        return;
+    }
+    self->hello_ms = now_ms;
+    EyMember_t own[1] = {on_wire(&self->members->own->member)};
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_HELLO);
+    message.members = own;
+    message.member_count = 1;
+    uint32_t sent = 0;
+    for (uint32_t i = 0; i < self->seed_count && sent < HELLOS_MAX; i++) {
+        self->seed_next = (self->seed_next + 1) % self->seed_count;
+        const char *address = self->seeds[self->seed_next];
+        if (!EyMembers_IsAddressKnown(self->members, now_ms, address)) {
+            self->hooks.send(self->hooks.data, "", address, &message);
+            sent++;
+        }
+    }
+    const char *address = EyMembers_GoneAddress(self->members, &self->random);
+    if (address != NULL && sent == 0) {
+        self->hooks.send(self->hooks.data, "", address, &message);
+    }
+}
+
+static void
+update_vitals(EyMembership_t *self, int64_t now_ms)
+{
+    EyVitals_t *vitals = &self->members->own->member.vitals;
+    int64_t since_ms = now_ms - self->vitals_ms;
+    if (since_ms < VITALS_INTERVAL_MS) {
+        return;
+    }
+    int64_t change =
+        (int64_t)self->wanted_load_per_mille - (int64_t)vitals->load_per_mille;
+    bool is_changed = ABS(change) >= VITALS_LOAD_STEP_PER_MILLE ||
+                      vitals->config_version != self->wanted_config_version;
+    if (!is_changed && since_ms < VITALS_REPEAT_MS) {
+        return;
+    }
+    vitals->load_per_mille = self->wanted_load_per_mille;
+    vitals->config_version = self->wanted_config_version;
+    vitals->serial++;
+    self->members->own->vitals_rounds = VITALS_ROUNDS * 2;
+    self->vitals_ms = now_ms;
+}
+
+/** Takes the records that are to be passed on. */
+static void
+collect_rumors(EyMembership_t *self, EyClusterMessage_t *message,
+               EyMember_t *room)
+{
+    GHashTableIter entries;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&entries, self->members->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        EyEntry_t *entry = data;
+        if (message->member_count == EY_CLUSTER_MEMBERS_MAX) {
+            break;
+        }
+        if (entry->rumor_rounds > 0) {
+            entry->rumor_rounds--;
+            add_member(message, room, &entry->member);
+        }
+    }
+}
+
+static void
+spread_rumors(EyMembership_t *self, int64_t now_ms)
+{
+    EyMember_t members[EY_CLUSTER_MEMBERS_MAX];
+    EyVitals_t vitals[EY_CLUSTER_VITALS_MAX];
+    EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_GOSSIP);
+    collect_rumors(self, &message, members);
+    bool has_rumors = message.member_count > 0;
+    if (!has_rumors && now_ms - self->gossip_ms < VITALS_INTERVAL_MS) {
+        return;
+    }
+    self->gossip_ms = now_ms;
+    add_vitals(self, &message, vitals);
+    if (!has_rumors && message.vitals_count == 0) {
+        return;
+    }
+    const EyMember_t *targets[GOSSIP_TARGETS];
+    uint32_t count = EyMembership_GossipTargets(self, targets, GOSSIP_TARGETS);
+    /* Vitals alone go to one random instance. */
+    for (uint32_t i = has_rumors || count == 0 ? 0 : count - 1; i < count; i++)
+    {
+        EyMembership_SendTo(self, targets[i], &message);
+    }
+}
+
+void
+EyMembership_Tick(EyMembership_t *self, int64_t now_ms)
+{
+    recover_from_freeze(self, now_ms);
+    self->ticked_ms = now_ms;
+    say_hello(self, now_ms);
+    update_vitals(self, now_ms);
+    EyMonitor_Tick(self, now_ms);
+    spread_rumors(self, now_ms);
+    EyMembers_Forget(self->members, now_ms);
+}
+
+/* Interface */
+
+EyMembership_t *
+EyMembership_New(const void *ctx, const EyMember_t *self_member,
+                 const EyMembershipHooks_t *hooks, uint64_t seed,
+                 int64_t now_ms)
+{
+    EyMetrics_Register(Counts, COUNT_ALL);
+    EyMembership_t *self = EY_NEW(ctx, EyMembership_t);
+    self->hooks = *hooks;
+    self->random = EyRandom_Make(seed);
+    self->ticked_ms = now_ms;
+    self->heard_ms = now_ms;
+    self->hello_ms = now_ms - HELLO_INTERVAL_MS;
+    EyMember_t member = *self_member;
+    member.incarnation = MAX(member.incarnation, 1);
+    member.serial = 1;
+    member.state = EY_MEMBER_ALIVE;
+    self->members = EyMembers_New(self, &member);
+    return self;
+}
+
+void
+EyMembership_AddSeed(EyMembership_t *self, const char *address)
+{
+    bool is_own =
+        strcmp(address, self->members->own->member.peer_address) == 0;
+    if (!is_own && self->seed_count < EY_SEEDS_MAX) {
+        (void)EY_COPY(self->seeds[self->seed_count], address);
+        self->seed_count++;
+    }
+}
+
+void
+EyMembership_SetVitals(EyMembership_t *self, uint32_t load_per_mille,
+                       uint64_t config_version)
+{
+    self->wanted_load_per_mille = load_per_mille;
+    self->wanted_config_version = config_version;
+}
+
+void
+EyMembership_Leave(EyMembership_t *self)
+{
+    if (self->members->own->member.state == EY_MEMBER_ALIVE) {
+        EyMember_t member = self->members->own->member;
+        member.state = EY_MEMBER_LEAVING;
+        member.serial++;
+        EyMembership_Store(self, self->ticked_ms, &member);
+    }
+}
+
+void
+EyMembership_Depart(EyMembership_t *self)
+{
+    EyMember_t gone = self->members->own->member;
+    gone.state = EY_MEMBER_GONE;
+    const EyMember_t *targets[GOSSIP_TARGETS];
+    uint32_t count = EyMembership_GossipTargets(self, targets, GOSSIP_TARGETS);
+    for (uint32_t i = 0; i < count; i++) {
+        send_record(self, targets[i]->id, targets[i]->peer_address, &gone);
+    }
+}
+
+const EyMember_t *
+EyMembership_Self(const EyMembership_t *self)
+{
+    return &self->members->own->member;
+}
+
+const EyMember_t *
+EyMembership_Find(const EyMembership_t *self, const char *id)
+{
+    const EyEntry_t *entry = EyMembers_Find(self->members, id);
+    return entry == NULL ? NULL : &entry->member;
+}
+
+bool
+EyMembership_IsLive(const EyMembership_t *self, const char *id,
+                    uint64_t incarnation)
+{
+    const EyEntry_t *entry = EyMembers_Find(self->members, id);
+    return entry != NULL && !EyMember_IsGone(&entry->member) &&
+           !entry->suspect && entry->member.incarnation == incarnation;
+}
+
+bool
+EyMembership_IsSuspect(const EyMembership_t *self, const char *id)
+{
+    const EyEntry_t *entry = EyMembers_Find(self->members, id);
+    return entry != NULL && entry->suspect;
+}
+
+bool
+EyMembership_IsIsolated(const EyMembership_t *self)
+{
+    return self->members->ring->len > 1 &&
+           self->ticked_ms - self->heard_ms > EY_MEMBERSHIP_GONE_MS;
+}
+
+void
+EyMembership_Each(const EyMembership_t *self,
+                  void (*visit)(void *data, const EyMember_t *member),
+                  void *data)
+{
+    for (uint32_t i = 0; i < self->members->ring->len; i++) {
+        const EyEntry_t *entry = self->members->ring->pdata[i];
+        visit(data, &entry->member);
+    }
+}
+
+void
+EyMembership_EachContact(const EyMembership_t *self,
+                         void (*visit)(void *data, const EyMember_t *member),
+                         void *data)
+{
+    GHashTableIter contacts;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&contacts, self->members->contacts);
+    while (g_hash_table_iter_next(&contacts, NULL, &value)) {
+        const EyContact_t *contact = value;
+        visit(data, &contact->member);
+    }
+}
+
+uint32_t
+EyMembership_GossipTargets(EyMembership_t *self, const EyMember_t **targets,
+                           uint32_t count)
+{
+    uint32_t others = self->members->ring->len - 1;
+    uint32_t place = EyMembers_OwnPlace(self->members);
+    uint32_t filled = 0;
+    for (uint32_t i = 1; i <= others && filled < count; i++) {
+        uint32_t step = i;
+        if (others > count && filled >= 2) {
+            /* Beyond the two neighbours, any of the others. */
+            step = 2 + (uint32_t)EyRandom_Below(&self->random, others - 2);
+        }
+        else if (others > count && filled == 1) {
+            step = others;
+        }
+        const EyEntry_t *entry =
+            self->members->ring
+                ->pdata[(place + step) % self->members->ring->len];
+        targets[filled++] = &entry->member;
+    }
+    return filled;
+}
+
+uint64_t
+EyMembership_HighestConfigVersion(const EyMembership_t *self)
+{
+    uint64_t highest = 0;
+    for (uint32_t i = 0; i < self->members->ring->len; i++) {
+        const EyEntry_t *entry = self->members->ring->pdata[i];
+        highest = MAX(highest, entry->member.vitals.config_version);
+    }
+    return highest;
+}
+
+json_t *
+EyMembership_Dump(const EyMembership_t *self)
+{
+    json_t *members = json_array();
+    GHashTableIter entries;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&entries, self->members->entries);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        const EyEntry_t *entry = data;
+        json_t *item = EySchema_ToJson(&EyMember_schema, &entry->member);
+        (void)json_object_set_new(item, "suspect",
+                                  json_boolean(entry->suspect));
+        (void)json_object_set_new(item, "monitored",
+                                  json_boolean(entry->monitored));
+        (void)json_array_append_new(members, item);
+    }
+    json_t *contacts = json_array();
+    g_hash_table_iter_init(&entries, self->members->contacts);
+    while (g_hash_table_iter_next(&entries, NULL, &data)) {
+        const EyContact_t *contact = data;
+        (void)json_array_append_new(
+            contacts, EySchema_ToJson(&EyMember_schema, &contact->member));
+    }
+    return json_pack("{s:s, s:I, s:b, s:o, s:o}", "id",
+                     self->members->own->member.id, "incarnation",
+                     (json_int_t)self->members->own->member.incarnation,
+                     "isolated", EyMembership_IsIsolated(self), "members",
+                     members, "contacts", contacts);
+}
--- /dev/null
+++ b/src/membership/membership_state.h
@@ -0,0 +1,83 @@
+/** What the files of membership share; no one else includes it. */
+#ifndef EY_MEMBERSHIP_MEMBERSHIP_STATE_H
+#define EY_MEMBERSHIP_MEMBERSHIP_STATE_H
+
+#include "membership/members.h"
+#include "membership/membership.h"
+
+#define EY_PROBES_MAX 16
+#define EY_SEEDS_MAX 128
+
+/** A ping on another monitor's behalf. */
+typedef struct EyProbe {
+    EyName_t origin;
+    EyName_t target;
+    uint64_t number;
+    int64_t until_ms;
+} EyProbe_t;
+
+struct EyMembership {
+    EyMembershipHooks_t hooks;
+    EyRandom_t random;
+    EyMembers_t *members;
+    EyAddress_t seeds[EY_SEEDS_MAX]; /* addresses from the settings */
+    uint32_t seed_count;
+    uint32_t seed_next;
+    EyProbe_t probes[EY_PROBES_MAX];
+    uint64_t number;
+    int64_t ticked_ms;
+    int64_t hello_ms;
+    int64_t digest_ms;
+    int64_t vitals_ms;
+    int64_t gossip_ms;
+    int64_t heard_ms; /* the last acknowledgement of anyone */
+    uint32_t wanted_load_per_mille;
+    uint64_t wanted_config_version;
+};
+
+/** A message with the fields that all have. */
+EyClusterMessage_t
+EyMembership_Message(const EyMembership_t *self, EyClusterType_t type);
+
+/** Sends to a known instance. */
+void
+EyMembership_SendTo(EyMembership_t *self, const EyMember_t *to,
+                    const EyClusterMessage_t *message);
+
+void
+EyMembership_SendPing(EyMembership_t *self, const EyMember_t *to,
+                      uint64_t number);
+
+/** Puts a record in and tells the daemon. */
+void
+EyMembership_Store(EyMembership_t *self, int64_t now_ms,
+                   const EyMember_t *member);
+
+/** Notes an acknowledgement of an instance, direct or through others. */
+void
+EyMonitor_TakeAck(EyMembership_t *self, int64_t now_ms, const char *id);
+
+/** Notes the acknowledgement of a ping on another monitor's behalf. */
+void
+EyMonitor_TakeProbeAck(EyMembership_t *self, const char *from,
+                       uint64_t number);
+
+/** Pings target on another monitor's behalf. */
+void
+EyMonitor_StartProbe(EyMembership_t *self, int64_t now_ms, const char *origin,
+                     const char *target);
+
+/** Takes another's answer to whether it reached a suspect. */
+void
+EyMonitor_TakeProbed(EyMembership_t *self, int64_t now_ms,
+                     const EyClusterMessage_t *message);
+
+/** Pings, suspects and declares gone. */
+void
+EyMonitor_Tick(EyMembership_t *self, int64_t now_ms);
+
+/** Begins anew, since nothing could be heard for a while. */
+void
+EyMonitor_Restart(EyMembership_t *self, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/tests/property/test_membership_properties.cc
@@ -0,0 +1,294 @@
+#include "property/check.h"
+#include "property/cluster_net.h"
+
+#include <cstdio>
+
+using cluster::Net;
+using cluster::Node;
+
+namespace {
+
+constexpr int64_t join_limit_ms = 15000;
+constexpr int64_t gone_limit_ms = 40000;
+
+std::unique_ptr<Net>
+make_region(size_t count, uint64_t seed)
+{
+    auto net = std::make_unique<Net>(seed);
+    for (size_t i = 0; i < count; i++) {
+        Node &node = net->add("istra");
+        node.clock_ms = static_cast<int64_t>(net->below(1000000000));
+    }
+    for (auto &node : net->nodes) {
+        net->start(*node, 3);
+    }
+    return net;
+}
+
+/** Watches every change that any node takes in, over the whole history. */
+struct History {
+    std::map<std::string, std::map<std::string, uint64_t>> gone;
+    std::string fault;
+
+    /** A restarted node has no memory of its own. */
+    void
+    restart(Net &net, Node &node)
+    {
+        gone[node.id].clear();
+        net.start(node, 3);
+    }
+
+    void
+    watch(Net &net)
+    {
+        for (auto &node : net.nodes) {
+            node->changed = [this](Node &at, const EyMember_t &member) {
+                uint64_t &gone_incarnation = gone[at.id][member.id];
+                if (member.state == EY_MEMBER_GONE) {
+                    gone_incarnation =
+                        std::max(gone_incarnation, member.incarnation);
+                }
+                else if (member.incarnation <= gone_incarnation) {
+                    fault = std::string(member.id) +
+                            " came back as a gone incarnation";
+                }
+            };
+        }
+    }
+};
+
+uint64_t
+times_renumbered(const Net &net)
+{
+    uint64_t sum = 0;
+    for (const auto &node : net.nodes) {
+        sum += EyMembership_Self(node->membership)->incarnation - 1;
+    }
+    return sum;
+}
+
+} // namespace
+
+Test(membership_properties, a_region_joins_and_finds_the_dead)
+{
+    EY_CHECK("join and crash", [] {
+        const auto count = *rc::gen::inRange<size_t>(2, 12);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        const auto dead = *rc::gen::inRange<size_t>(0, count);
+        net->crash(*net->nodes[dead]);
+        if (count > 2) {
+            RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        }
+        net->nodes[dead]->hint = *rc::gen::inRange<uint64_t>(0, 4);
+        net->start(*net->nodes[dead], 3);
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+    });
+}
+
+Test(membership_properties, slow_links_declare_nobody_gone)
+{
+    EY_CHECK("slow links", [] {
+        const auto count = *rc::gen::inRange<size_t>(3, 10);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        net->delay_min_ms = *rc::gen::inRange<int64_t>(1, 500);
+        net->delay_max_ms =
+            net->delay_min_ms + *rc::gen::inRange<int64_t>(0, 1500);
+        net->drop_percent = *rc::gen::inRange<uint32_t>(0, 10);
+        net->duplicate_percent = 10;
+        net->run(60000);
+        RC_ASSERT(times_renumbered(*net) == 0);
+    });
+}
+
+Test(membership_properties, one_way_cuts_declare_nobody_gone_but_the_mute)
+{
+    EY_CHECK("one-way cuts", [] {
+        const auto count = *rc::gen::inRange<size_t>(4, 10);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        const auto victim = *rc::gen::inRange<size_t>(0, count);
+        const auto mode = *rc::gen::inRange(0, 3);
+        for (size_t i = 0; i < count; i++) {
+            if (i == victim) {
+                continue;
+            }
+            if (mode == 0) { /* hears nobody */
+                net->cuts.insert({i, victim});
+            }
+            if (mode == 1) { /* is heard by nobody */
+                net->cuts.insert({victim, i});
+            }
+        }
+        if (mode == 2) { /* one pair only, one way */
+            net->cuts.insert({victim, (victim + 1) % count});
+        }
+        net->run(40000);
+        for (size_t i = 0; i < count; i++) {
+            for (size_t j = 0; j < count; j++) {
+                bool is_lost = mode < 2 && (i == victim || j == victim);
+                RC_ASSERT(is_lost ||
+                          net->sees(*net->nodes[i], *net->nodes[j]));
+            }
+            if (mode < 2 && i != victim) {
+                /* Acknowledgements tell it, whichever way is cut. */
+                RC_ASSERT(!net->sees(*net->nodes[i], *net->nodes[victim]));
+            }
+        }
+        if (mode < 2) {
+            RC_ASSERT(EyMembership_IsIsolated(net->nodes[victim]->membership));
+        }
+        net->cuts.clear();
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+    });
+}
+
+Test(membership_properties, a_frozen_instance_wakes_as_a_new_incarnation)
+{
+    EY_CHECK("freeze", [] {
+        const auto count = *rc::gen::inRange<size_t>(4, 9);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        History history;
+        history.watch(*net);
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        Node &frozen = *net->nodes[*rc::gen::inRange<size_t>(0, count)];
+        frozen.frozen = true;
+        net->run(
+            *rc::gen::element<int64_t>(1000, 3000, 5000, 30000, 3600000 / 4));
+        net->thaw(frozen);
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        RC_ASSERT(history.fault == "");
+        for (auto &node : net->nodes) {
+            bool is_same = node.get() == &frozen;
+            uint64_t incarnation =
+                EyMembership_Self(node->membership)->incarnation;
+            RC_ASSERT(is_same || incarnation == 1);
+        }
+    });
+}
+
+Test(membership_properties, a_partition_heals)
+{
+    EY_CHECK("partition", [] {
+        const auto count = *rc::gen::inRange<size_t>(4, 10);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        History history;
+        history.watch(*net);
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        const auto split = *rc::gen::inRange<size_t>(1, count);
+        for (size_t i = 0; i < split; i++) {
+            for (size_t j = split; j < count; j++) {
+                net->cuts.insert({i, j});
+                net->cuts.insert({j, i});
+            }
+        }
+        net->run(*rc::gen::inRange<int64_t>(1000, 200000));
+        net->cuts.clear();
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        RC_ASSERT(history.fault == "");
+    });
+}
+
+Test(membership_properties, any_faults_then_agreement)
+{
+    EY_CHECK("random faults", [] {
+        const auto count = *rc::gen::inRange<size_t>(3, 9);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        History history;
+        history.watch(*net);
+        const auto faults =
+            *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 1000));
+        for (int fault : faults) {
+            Node &node = *net->nodes[static_cast<size_t>(fault) % count];
+            size_t other = net->below(count);
+            switch (fault % 8) {
+            case 0:
+                net->crash(node);
+                break;
+            case 1:
+                if (!node.up) {
+                    node.hint = net->below(8);
+                    history.restart(*net, node);
+                }
+                break;
+            case 2:
+                node.frozen = node.up;
+                break;
+            case 3:
+                if (node.frozen) {
+                    net->thaw(node);
+                }
+                break;
+            case 4:
+                net->cuts.insert({node.index, other});
+                break;
+            case 5:
+                net->cuts.clear();
+                break;
+            case 6:
+                net->drop_percent = static_cast<uint32_t>(net->below(50));
+                net->duplicate_percent = static_cast<uint32_t>(net->below(30));
+                break;
+            default:
+                net->delay_max_ms = 1 + static_cast<int64_t>(net->below(3000));
+            }
+            net->run(static_cast<int64_t>(net->below(15000)));
+            RC_ASSERT(history.fault == "");
+        }
+        net->cuts.clear();
+        net->drop_percent = 0;
+        net->duplicate_percent = 0;
+        net->delay_max_ms = 5;
+        for (auto &node : net->nodes) {
+            if (node->frozen) {
+                net->thaw(*node);
+            }
+            if (!node->up) {
+                history.restart(*net, *node);
+            }
+        }
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        RC_ASSERT(history.fault == "");
+    });
+}
+
+Test(membership_properties, cost_does_not_grow_with_the_region)
+{
+    const size_t sizes[] = {5, 20, 80, 370};
+    double bytes_at_5 = 0;
+    for (size_t count : sizes) {
+        auto net = make_region(count, 1);
+        int64_t joined_ms = net->settle(60000);
+        cr_assert_geq(joined_ms, 0, "%zu instances didn't join", count);
+        for (auto &node : net->nodes) {
+            node->sent_bytes = 0;
+            node->sent_messages = 0;
+        }
+        const int64_t duration_ms = 20000;
+        net->run(duration_ms, [&net](Node &node) {
+            EyMembership_SetVitals(node.membership,
+                                   static_cast<uint32_t>(net->below(1000)), 1);
+        });
+        double bytes = 0;
+        double messages = 0;
+        double most = 0;
+        for (auto &node : net->nodes) {
+            bytes += static_cast<double>(node->sent_bytes);
+            messages += static_cast<double>(node->sent_messages);
+            most = std::max(most, static_cast<double>(node->sent_bytes));
+        }
+        double share = 1000.0 / static_cast<double>(duration_ms);
+        bytes = bytes * share / static_cast<double>(count);
+        messages = messages * share / static_cast<double>(count);
+        printf("membership of %zu: joined in %ld ms, %.1f messages/s, "
+               "%.0f bytes/s per instance, most %.0f\n",
+               count, static_cast<long>(joined_ms), messages, bytes,
+               most * share);
+        if (count == sizes[0]) {
+            bytes_at_5 = bytes;
+        }
+        cr_assert_lt(bytes, 2 * bytes_at_5);
+        cr_assert_lt(most * share, 3000.0);
+    }
+}
