--- /dev/null
+++ b/src/membership/listing.c
@@ -0,0 +1,76 @@
+#include "membership/listing.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+bool
+EyBackendRecord_IsNewer(const EyBackendRecord_t *left,
+                        const EyBackendRecord_t *right)
+{
+    if (left->backend.incarnation != right->backend.incarnation) {
+        return left->backend.incarnation > right->backend.incarnation;
+    }
+    if (left->epoch != right->epoch) {
+        return left->epoch > right->epoch;
+    }
+    /* Within an epoch a leaving wins over any serial. */
+    if (left->listing != right->listing) {
+        return left->listing > right->listing;
+    }
+    if (left->serial != right->serial) {
+        return left->serial > right->serial;
+    }
+    if (left->expired != right->expired) {
+        return right->expired;
+    }
+    int order = strcmp(left->sponsor, right->sponsor);
+    if (order != 0) {
+        return order > 0;
+    }
+    return left->sponsor_incarnation > right->sponsor_incarnation;
+}
+
+bool
+EyBackend_IsSame(const EyBackend_t *left, const EyBackend_t *right)
+{
+    void *ctx = talloc_new(NULL);
+    EyBackend_t one = *left;
+    EyBackend_t other = *right;
+    one.load = (EyBackendLoad_t){0};
+    other.load = (EyBackendLoad_t){0};
+    EyBytes_t packed = EySchema_Pack(&EyBackend_schema, ctx, &one);
+    EyBytes_t again = EySchema_Pack(&EyBackend_schema, ctx, &other);
+    bool is_same = packed.size_bytes == again.size_bytes &&
+                   memcmp(packed.data, again.data, packed.size_bytes) == 0;
+    (void)talloc_free(ctx);
+    return is_same;
+}
+
+uint64_t
+EyBackendRecord_Hash(const EyBackendRecord_t *self)
+{
+    uint64_t hash = EyDigest_HashId(self->backend.id);
+    hash = EyDigest_Mix(hash, self->backend.incarnation);
+    hash = EyDigest_Mix(hash, self->epoch);
+    hash = EyDigest_Mix(hash, (uint64_t)self->listing);
+    hash = EyDigest_Mix(hash, self->serial);
+    hash = EyDigest_Mix(hash, EyDigest_HashId(self->sponsor));
+    return EyDigest_Mix(hash, self->sponsor_incarnation);
+}
+
+void
+EyRecord_Set(EyRecord_t *self, const EyBackendRecord_t *said)
+{
+    EyBackend_t *content = EyBackend_Copy(self, &said->backend);
+    EyBackendRecord_t copy = *said;
+    copy.backend = *content;
+    if (EyBackendRecord_IsOver(said)) {
+        copy.backend.model_count = 0;
+        copy.backend.service_count = 0;
+        copy.backend.idempotent_method_count = 0;
+    }
+    (void)talloc_free(self->content);
+    self->content = content;
+    self->said = copy;
+}
--- /dev/null
+++ b/src/membership/registry.c
@@ -0,0 +1,845 @@
+#include "membership/registry.h"
+
+#include "core/counters.h"
+#include "core/memory.h"
+#include "core/random.h"
+#include "membership/listing.h"
+
+#include <string.h>
+
+/* Targets of a change, and how often each gateway passes it on. */
+#define GOSSIP_TARGETS 4
+#define RUMOR_ROUNDS 2
+#define LOAD_INTERVAL_MS 500
+#define LOAD_TARGETS 2
+#define LOAD_ROUNDS 2
+#define LOADS_PER_MESSAGE 6
+#define CHECK_INTERVAL_MS 1000
+#define DIGEST_INTERVAL_MS 500
+/* A serving announcement so soon after a leaving was sent before it. */
+#define REOPEN_HOLD_MS 1000
+/* Announcements in a row after which a server has moved to this gateway. */
+#define MOVED_COUNT 3
+/* How long and how many servers that left are remembered. */
+#define OVER_KEPT_MS 86400000
+#define OVER_MAX 4096
+/* How long a record from before a freeze waits to be confirmed. */
+#define UNCONFIRMED_MAX_MS 10000
+#define TIDY_INTERVAL_MS 10000
+
+struct EyRegistry {
+    EyMembership_t *membership;
+    EyRegistryHooks_t hooks;
+    EyRandom_t random;
+    GHashTable *records; /* id -> EyRecord_t, a talloc child */
+    EyDigest_t digest;   /* of records that aren't over */
+    uint32_t listed_count;
+    uint32_t over_count;
+    int64_t ticked_ms;
+    int64_t woke_ms;
+    int64_t load_ms;
+    int64_t check_ms;
+    int64_t digest_ms;
+    int64_t tidy_ms;
+};
+
+enum {
+    COUNT_ANNOUNCED,
+    COUNT_LEFT,
+    COUNT_EXPIRED,
+    COUNT_STALE,
+    COUNT_LISTED,
+    COUNT_ALL
+};
+
+static EyMetric_t Counts[COUNT_ALL] = {
+    [COUNT_ANNOUNCED] = {"registry_announced_total", NULL,
+                         "Announcements of backend servers heard here",
+                         EY_METRIC_COUNTER},
+    [COUNT_LEFT] = {"registry_left_total", NULL,
+                    "Backend servers that left through this gateway",
+                    EY_METRIC_COUNTER},
+    [COUNT_EXPIRED] = {"registry_expired_total", NULL,
+                       "Backend servers that fell silent", EY_METRIC_COUNTER},
+    [COUNT_STALE] = {"registry_stale_total", NULL,
+                     "Announcements that were older than a leaving",
+                     EY_METRIC_COUNTER},
+    [COUNT_LISTED] = {"registry_backends", NULL, "Backend servers listed",
+                      EY_METRIC_GAUGE},
+};
+
+static EyRecord_t *
+find(const EyRegistry_t *self, const char *id)
+{
+    return g_hash_table_lookup(self->records, id);
+}
+
+static const EyMember_t *
+own(const EyRegistry_t *self)
+{
+    return EyMembership_Self(self->membership);
+}
+
+static bool
+is_own(const EyRegistry_t *self, const EyBackendRecord_t *said)
+{
+    return strcmp(said->sponsor, own(self)->id) == 0 &&
+           said->sponsor_incarnation == own(self)->incarnation;
+}
+
+static bool
+has_live_sponsor(const EyRegistry_t *self, const EyBackendRecord_t *said)
+{
+    return EyMembership_IsLive(self->membership, said->sponsor,
+                               said->sponsor_incarnation);
+}
+
+/* What the router knows */
+
+static void
+report(EyRegistry_t *self, EyRecord_t *record, EyRegistryChange_t change)
+{
+    self->hooks.changed(self->hooks.data, change, &record->said.backend);
+}
+
+/** Lists or unlists a record by its standing and its sponsor's. */
+static void
+update_listed(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record,
+              bool is_changed)
+{
+    const EyBackendRecord_t *said = &record->said;
+    if (has_live_sponsor(self, said)) {
+        record->orphan_ms = 0;
+    }
+    else if (record->orphan_ms == 0) {
+        record->orphan_ms = now_ms;
+    }
+    bool is_held =
+        record->orphan_ms == 0 ||
+        (record->listed && now_ms - record->orphan_ms <= said->backend.ttl_ms);
+    bool listed =
+        !EyBackendRecord_IsOver(said) && is_held && !record->unconfirmed;
+    if (listed && !record->listed) {
+        self->listed_count++;
+        record->listed = true;
+        report(self, record, EY_REGISTRY_ADDED);
+    }
+    else if (!listed && record->listed) {
+        self->listed_count--;
+        record->listed = false;
+        report(self, record, EY_REGISTRY_REMOVED);
+    }
+    else if (listed && is_changed) {
+        report(self, record, EY_REGISTRY_CHANGED);
+    }
+    EyMetric_Set(&Counts[COUNT_LISTED], self->listed_count);
+}
+
+/* Records */
+
+static void
+toggle(EyRegistry_t *self, const EyRecord_t *record)
+{
+    if (record->content != NULL && !EyBackendRecord_IsOver(&record->said)) {
+        EyDigest_Toggle(&self->digest, record->said.backend.id,
+                        EyBackendRecord_Hash(&record->said));
+    }
+}
+
+static bool
+is_over(const EyRecord_t *record)
+{
+    return record->content != NULL && EyBackendRecord_IsOver(&record->said);
+}
+
+static EyRecord_t *
+put(EyRegistry_t *self, int64_t now_ms, const EyBackendRecord_t *said)
+{
+    EyRecord_t *record = find(self, said->backend.id);
+    if (record == NULL) {
+        record = EY_NEW(self, EyRecord_t);
+        (void)g_hash_table_insert(self->records, g_strdup(said->backend.id),
+                                  record);
+    }
+    bool was_listing =
+        record->content != NULL && record->said.listing == said->listing;
+    toggle(self, record);
+    self->over_count -= is_over(record) ? 1 : 0;
+    EyRecord_Set(record, said);
+    self->over_count += is_over(record) ? 1 : 0;
+    toggle(self, record);
+    if (!was_listing || record->learnt_ms == 0) {
+        record->learnt_ms = now_ms;
+    }
+    record->heard_ms = now_ms;
+    record->heard_count = 0;
+    record->unconfirmed = false;
+    record->rumor_rounds = RUMOR_ROUNDS;
+    update_listed(self, now_ms, record, true);
+    return record;
+}
+
+static gboolean
+free_record(gpointer id, gpointer data, gpointer unused)
+{
+    (void)id;
+    (void)unused;
+    (void)talloc_free(data);
+    return TRUE;
+}
+
+/* Messages out */
+
+static EyClusterMessage_t
+make_message(const EyRegistry_t *self, EyClusterType_t type)
+{
+    EyClusterMessage_t message = {
+        .type = type,
+        .incarnation = own(self)->incarnation,
+        .hash = EyDigest_Hash(&self->digest),
+    };
+    (void)EY_COPY(message.region, own(self)->region);
+    return message;
+}
+
+static void
+send_to(EyRegistry_t *self, const EyMember_t *to,
+        const EyClusterMessage_t *message)
+{
+    self->hooks.send(self->hooks.data, to->id, to->peer_address, message);
+}
+
+static void
+spread(EyRegistry_t *self, const EyClusterMessage_t *message,
+       uint32_t target_count)
+{
+    const EyMember_t *targets[GOSSIP_TARGETS];
+    uint32_t count =
+        EyMembership_GossipTargets(self->membership, targets, target_count);
+    for (uint32_t i = 0; i < count; i++) {
+        send_to(self, targets[i], message);
+    }
+}
+
+/** Adds changes that are still to be passed on. */
+static void
+collect_rumors(EyRegistry_t *self, EyClusterMessage_t *message,
+               EyBackendRecord_t *room, bool leaving)
+{
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        bool is_leaving = record->said.listing != EY_LISTING_SERVING;
+        if (record->rumor_rounds == 0 || is_leaving != leaving) {
+            continue;
+        }
+        if (message->backend_count == EY_CLUSTER_BACKENDS_MAX) {
+            break;
+        }
+        record->rumor_rounds--;
+        room[message->backend_count++] = record->said;
+    }
+    message->backends = room;
+}
+
+/** Passes changes on, leavings first. */
+static void
+spread_rumors(EyRegistry_t *self)
+{
+    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    collect_rumors(self, &message, backends, true);
+    collect_rumors(self, &message, backends, false);
+    if (message.backend_count > 0) {
+        spread(self, &message, GOSSIP_TARGETS);
+    }
+}
+
+static void
+spread_loads(EyRegistry_t *self, int64_t now_ms)
+{
+    if (now_ms - self->load_ms < LOAD_INTERVAL_MS) {
+        return;
+    }
+    self->load_ms = now_ms;
+    EyBackendVitals_t loads[LOADS_PER_MESSAGE];
+    EyRecord_t *chosen[LOADS_PER_MESSAGE];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    GHashTableIter records;
+    gpointer data = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        if (record->load_rounds == 0 || !record->listed) {
+            continue;
+        }
+        /* Of too many a random choice. */
+        uint64_t at = seen < LOADS_PER_MESSAGE
+                          ? seen
+                          : EyRandom_Below(&self->random, seen + 1);
+        if (at < LOADS_PER_MESSAGE) {
+            chosen[at] = record;
+        }
+        seen++;
+    }
+    message.load_count = (uint32_t)MIN(seen, LOADS_PER_MESSAGE);
+    message.loads = loads;
+    for (uint32_t i = 0; i < message.load_count; i++) {
+        chosen[i]->load_rounds--;
+        (void)EY_COPY(loads[i].id, chosen[i]->said.backend.id);
+        loads[i].load = chosen[i]->said.backend.load;
+    }
+    if (message.load_count > 0) {
+        spread(self, &message, LOAD_TARGETS);
+    }
+}
+
+static void
+send_check(EyRegistry_t *self, int64_t now_ms)
+{
+    if (now_ms - self->check_ms < CHECK_INTERVAL_MS) {
+        return;
+    }
+    self->check_ms = now_ms;
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_CHECK);
+    const EyMember_t *targets[GOSSIP_TARGETS];
+    uint32_t count =
+        EyMembership_GossipTargets(self->membership, targets, GOSSIP_TARGETS);
+    if (count > 0) {
+        send_to(self, targets[EyRandom_Below(&self->random, count)], &message);
+    }
+}
+
+static void
+send_digest(EyRegistry_t *self, const char *to, const char *address,
+            bool answers)
+{
+    void *ctx = talloc_new(NULL);
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_DIGEST);
+    message.answered = answers;
+    message.buckets = EyDigest_Buckets(&self->digest, ctx);
+    message.bucket_count = EY_DIGEST_BUCKETS;
+    self->hooks.send(self->hooks.data, to, address, &message);
+    (void)talloc_free(ctx);
+}
+
+static void
+send_refresh(EyRegistry_t *self, const EyRecord_t *record)
+{
+    const EyMember_t *sponsor =
+        EyMembership_Find(self->membership, record->said.sponsor);
+    if (sponsor == NULL) {
+        return;
+    }
+    EyBackendVitals_t load = {.load = record->said.backend.load};
+    (void)EY_COPY(load.id, record->said.backend.id);
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_REFRESH);
+    (void)EY_COPY(message.target, record->said.backend.id);
+    message.loads = &load;
+    message.load_count = 1;
+    send_to(self, sponsor, &message);
+}
+
+/* Announcements */
+
+static void
+take_load(EyRegistry_t *self, EyRecord_t *record, const EyBackendLoad_t *load)
+{
+    EyBackendLoad_t *known = &record->said.backend.load;
+    if (load->at <= known->at) {
+        return;
+    }
+    bool is_changed =
+        load->running != known->running || load->queued != known->queued;
+    *known = *load;
+    if (is_changed && record->listed) {
+        record->load_rounds = LOAD_ROUNDS;
+        report(self, record, EY_REGISTRY_LOADED);
+    }
+}
+
+/** Says something new of a server under this gateway's sponsorship. */
+static void
+say(EyRegistry_t *self, int64_t now_ms, const EyBackend_t *backend,
+    EyListing_t listing, uint64_t epoch, uint64_t serial)
+{
+    EyBackendRecord_t said = {
+        .backend = *backend,
+        .sponsor_incarnation = own(self)->incarnation,
+        .epoch = epoch,
+        .serial = serial,
+        .listing = listing,
+    };
+    (void)EY_COPY(said.sponsor, own(self)->id);
+    (void)put(self, now_ms, &said);
+    if (listing != EY_LISTING_SERVING) {
+        EyMetric_Add(&Counts[COUNT_LEFT], 1);
+        spread_rumors(self);
+    }
+}
+
+/** True if a serving announcement was sent before the leaving that is known.
+ */
+static bool
+is_before_leaving(int64_t now_ms, const EyRecord_t *record,
+                  const EyBackend_t *backend)
+{
+    int64_t known_at = record->said.backend.load.at;
+    if (backend->load.at != 0 && known_at != 0) {
+        return backend->load.at <= known_at;
+    }
+    return now_ms - record->learnt_ms < REOPEN_HOLD_MS;
+}
+
+/** An announcement that says what is known already. */
+static void
+hear_again(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record,
+           const EyBackend_t *backend)
+{
+    const EyBackendRecord_t *said = &record->said;
+    bool is_late = now_ms - record->heard_ms > backend->ttl_ms;
+    if (!is_own(self, said) && has_live_sponsor(self, said)) {
+        record->heard_count = is_late ? 1 : record->heard_count + 1;
+        record->heard_ms = now_ms;
+        if (record->heard_count < MOVED_COUNT) {
+            take_load(self, record, &backend->load);
+            send_refresh(self, record);
+            return;
+        }
+    }
+    if (!is_own(self, said)) {
+        say(self, now_ms, backend, said->listing, said->epoch,
+            said->serial + 1);
+        return;
+    }
+    record->heard_ms = now_ms;
+    take_load(self, record, &backend->load);
+}
+
+static void
+hear_known(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record,
+           const EyBackend_t *backend, EyListing_t listing)
+{
+    const EyBackendRecord_t *said = &record->said;
+    if (listing < said->listing) {
+        if (is_before_leaving(now_ms, record, backend)) {
+            EyMetric_Add(&Counts[COUNT_STALE], 1);
+            return;
+        }
+        say(self, now_ms, backend, listing, said->epoch + 1, 1);
+        return;
+    }
+    bool is_news = listing > said->listing || said->expired ||
+                   record->unconfirmed ||
+                   !EyBackend_IsSame(backend, &said->backend);
+    if (is_news) {
+        say(self, now_ms, backend, listing, said->epoch, said->serial + 1);
+        return;
+    }
+    hear_again(self, now_ms, record, backend);
+}
+
+/** Numbers a load of a server that doesn't do it itself. */
+static void
+number_load(EyBackendLoad_t *load, const EyBackendLoad_t *known)
+{
+    bool is_changed =
+        load->running != known->running || load->queued != known->queued;
+    load->at = known->at + (is_changed ? 1 : 0);
+}
+
+void
+EyRegistry_Announce(EyRegistry_t *self, int64_t now_ms,
+                    const EyBackend_t *backend)
+{
+    EyMetric_Add(&Counts[COUNT_ANNOUNCED], 1);
+    EyListing_t listing = backend->state == EY_BACKEND_LEAVING
+                              ? EY_LISTING_LEAVING
+                              : EY_LISTING_SERVING;
+    EyRecord_t *record = find(self, backend->id);
+    if (record == NULL ||
+        backend->incarnation > record->said.backend.incarnation) {
+        say(self, now_ms, backend, listing, 1, 1);
+        return;
+    }
+    if (backend->incarnation < record->said.backend.incarnation) {
+        EyMetric_Add(&Counts[COUNT_STALE], 1);
+        return;
+    }
+    EyBackend_t heard = *backend;
+    if (heard.load.at == 0) {
+        number_load(&heard.load, &record->said.backend.load);
+    }
+    hear_known(self, now_ms, record, &heard, listing);
+}
+
+bool
+EyRegistry_Withdraw(EyRegistry_t *self, int64_t now_ms, const char *id)
+{
+    const EyRecord_t *record = find(self, id);
+    if (record == NULL || record->said.listing == EY_LISTING_WITHDRAWN) {
+        return false;
+    }
+    EyBackend_t backend = record->said.backend;
+    say(self, now_ms, &backend, EY_LISTING_WITHDRAWN, record->said.epoch,
+        record->said.serial + 1);
+    return true;
+}
+
+/* Messages in */
+
+static void
+take_record(EyRegistry_t *self, int64_t now_ms, const EyBackendRecord_t *said)
+{
+    EyRecord_t *record = find(self, said->backend.id);
+    if (said->backend.id[0] == '\0' ||
+        strcmp(said->backend.region, own(self)->region) != 0)
+    {
+        return;
+    }
+    if (record == NULL && EyBackendRecord_IsOver(said) &&
+        self->over_count >= OVER_MAX)
+    {
+        return;
+    }
+    if (record != NULL && !EyBackendRecord_IsNewer(said, &record->said)) {
+        bool is_equal = !EyBackendRecord_IsNewer(&record->said, said);
+        if (is_equal && record->unconfirmed) {
+            record->unconfirmed = false;
+            update_listed(self, now_ms, record, false);
+        }
+        return;
+    }
+    (void)put(self, now_ms, said);
+}
+
+/** Sends the records of the buckets that differ, those over too. */
+static void
+answer_digest(EyRegistry_t *self, const char *from, const char *from_address,
+              const EyClusterMessage_t *digest)
+{
+    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    uint32_t different =
+        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
+    GHashTableIter records;
+    gpointer data = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        const EyRecord_t *record = data;
+        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
+        if ((different >> bucket & 1U) == 0 || record->unconfirmed) {
+            continue;
+        }
+        uint64_t at = seen < EY_CLUSTER_BACKENDS_MAX
+                          ? seen
+                          : EyRandom_Below(&self->random, seen + 1);
+        if (at < EY_CLUSTER_BACKENDS_MAX) {
+            backends[at] = record->said;
+        }
+        seen++;
+    }
+    message.backend_count = (uint32_t)MIN(seen, EY_CLUSTER_BACKENDS_MAX);
+    message.backends = backends;
+    if (message.backend_count > 0) {
+        self->hooks.send(self->hooks.data, from, from_address, &message);
+    }
+    if (!digest->answered) {
+        send_digest(self, from, from_address, true);
+    }
+}
+
+/** Records from before a freeze that another gateway knows just so. */
+static void
+confirm(EyRegistry_t *self, int64_t now_ms, const EyClusterMessage_t *digest)
+{
+    uint32_t different =
+        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
+        if (record->unconfirmed && (different >> bucket & 1U) == 0) {
+            record->unconfirmed = false;
+            update_listed(self, now_ms, record, false);
+        }
+    }
+}
+
+static void
+take_backends(EyRegistry_t *self, int64_t now_ms,
+              const EyClusterMessage_t *message)
+{
+    bool has_leaving = false;
+    for (uint32_t i = 0; i < message->backend_count; i++) {
+        const EyBackendRecord_t *said = &message->backends[i];
+        take_record(self, now_ms, said);
+        has_leaving = has_leaving || said->listing != EY_LISTING_SERVING;
+    }
+    for (uint32_t i = 0; i < message->load_count; i++) {
+        EyRecord_t *record = find(self, message->loads[i].id);
+        if (record != NULL) {
+            take_load(self, record, &message->loads[i].load);
+        }
+    }
+    if (has_leaving) {
+        spread_rumors(self);
+    }
+}
+
+static void
+take_refresh(EyRegistry_t *self, int64_t now_ms,
+             const EyClusterMessage_t *message)
+{
+    EyRecord_t *record = find(self, message->target);
+    if (record == NULL || !is_own(self, &record->said)) {
+        return;
+    }
+    record->heard_ms = now_ms;
+    if (message->load_count == 1) {
+        take_load(self, record, &message->loads[0].load);
+    }
+}
+
+/* Time */
+
+/** What is known from before a freeze is used only when confirmed. */
+static void
+recover_from_freeze(EyRegistry_t *self, int64_t now_ms)
+{
+    if (!EyRegistry_IsStale(self, now_ms)) {
+        return;
+    }
+    self->ticked_ms = now_ms;
+    self->woke_ms = now_ms;
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        if (!EyBackendRecord_IsOver(&record->said)) {
+            record->unconfirmed = true;
+            record->heard_ms = now_ms;
+            update_listed(self, now_ms, record, false);
+        }
+    }
+    const EyMember_t *targets[GOSSIP_TARGETS];
+    uint32_t count =
+        EyMembership_GossipTargets(self->membership, targets, GOSSIP_TARGETS);
+    for (uint32_t i = 0; i < count; i++) {
+        send_digest(self, targets[i]->id, targets[i]->peer_address, false);
+    }
+}
+
+void
+EyRegistry_Receive(EyRegistry_t *self, int64_t now_ms, const char *from,
+                   const char *from_address, const EyClusterMessage_t *message)
+{
+    recover_from_freeze(self, now_ms);
+    if (strcmp(message->region, own(self)->region) != 0) {
+        return;
+    }
+    switch (message->type) {
+    case EY_CLUSTER_BACKENDS:
+        take_backends(self, now_ms, message);
+        break;
+    case EY_CLUSTER_BACKEND_CHECK:
+        if (message->hash != EyDigest_Hash(&self->digest) &&
+            now_ms - self->digest_ms >= DIGEST_INTERVAL_MS)
+        {
+            self->digest_ms = now_ms;
+            send_digest(self, from, from_address, false);
+        }
+        break;
+    case EY_CLUSTER_BACKEND_DIGEST:
+        confirm(self, now_ms, message);
+        answer_digest(self, from, from_address, message);
+        break;
+    case EY_CLUSTER_REFRESH:
+        take_refresh(self, now_ms, message);
+        break;
+    default:
+        break;
+    }
+}
+
+/** Expiry of what this gateway sponsors, and of what nobody does. */
+static void
+review(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record)
+{
+    const EyBackendRecord_t *said = &record->said;
+    if (EyBackendRecord_IsOver(said)) {
+        return;
+    }
+    bool is_silent = now_ms - record->heard_ms > said->backend.ttl_ms;
+    if (is_own(self, said) && !record->unconfirmed && is_silent) {
+        EyBackendRecord_t expired = *said;
+        expired.expired = true;
+        expired.serial++;
+        EyMetric_Add(&Counts[COUNT_EXPIRED], 1);
+        (void)put(self, now_ms, &expired);
+        return;
+    }
+    update_listed(self, now_ms, record, false);
+}
+
+static gboolean
+is_forgotten(gpointer id, gpointer data, gpointer user)
+{
+    (void)id;
+    EyRegistry_t *self = user;
+    EyRecord_t *record = data;
+    int64_t now_ms = self->ticked_ms;
+    bool is_dropped = false;
+    if (EyBackendRecord_IsOver(&record->said)) {
+        is_dropped = now_ms - record->heard_ms > OVER_KEPT_MS;
+    }
+    else if (record->unconfirmed) {
+        is_dropped = now_ms - self->woke_ms > UNCONFIRMED_MAX_MS;
+    }
+    else if (record->orphan_ms != 0 && !record->listed) {
+        is_dropped = now_ms - record->orphan_ms > OVER_KEPT_MS;
+    }
+    if (is_dropped) {
+        toggle(self, record);
+        self->over_count -= is_over(record) ? 1 : 0;
+        (void)talloc_free(record);
+    }
+    return is_dropped;
+}
+
+void
+EyRegistry_Tick(EyRegistry_t *self, int64_t now_ms)
+{
+    recover_from_freeze(self, now_ms);
+    self->ticked_ms = now_ms;
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        review(self, now_ms, data);
+    }
+    spread_rumors(self);
+    spread_loads(self, now_ms);
+    send_check(self, now_ms);
+    if (now_ms - self->tidy_ms >= TIDY_INTERVAL_MS) {
+        self->tidy_ms = now_ms;
+        (void)g_hash_table_foreach_remove(self->records, is_forgotten, self);
+    }
+}
+
+void
+EyRegistry_Renumber(EyRegistry_t *self, int64_t now_ms)
+{
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        EyBackendRecord_t said = record->said;
+        bool is_fresh = now_ms - record->heard_ms <= said.backend.ttl_ms &&
+                        !record->unconfirmed;
+        if (strcmp(said.sponsor, own(self)->id) != 0 || !is_fresh ||
+            EyBackendRecord_IsOver(&said))
+        {
+            continue;
+        }
+        said.sponsor_incarnation = own(self)->incarnation;
+        said.serial++;
+        (void)put(self, now_ms, &said);
+    }
+}
+
+/* Interface */
+
+static int
+registry_destroy(EyRegistry_t *self)
+{
+    (void)g_hash_table_foreach_remove(self->records, free_record, NULL);
+    g_hash_table_destroy(self->records);
+    return 0;
+}
+
+EyRegistry_t *
+EyRegistry_New(const void *ctx, EyMembership_t *membership,
+               const EyRegistryHooks_t *hooks, uint64_t seed, int64_t now_ms)
+{
+    EyMetrics_Register(Counts, COUNT_ALL);
+    EyRegistry_t *self = EY_NEW(ctx, EyRegistry_t);
+    self->membership = membership;
+    self->hooks = *hooks;
+    self->random = EyRandom_Make(seed);
+    self->records =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    self->ticked_ms = now_ms;
+    self->tidy_ms = now_ms;
+    talloc_set_destructor(self, registry_destroy);
+    return self;
+}
+
+bool
+EyRegistry_IsStale(const EyRegistry_t *self, int64_t now_ms)
+{
+    return now_ms - self->ticked_ms > EY_REGISTRY_STALE_MS;
+}
+
+const EyBackend_t *
+EyRegistry_Find(const EyRegistry_t *self, const char *id)
+{
+    const EyRecord_t *record = find(self, id);
+    return record != NULL && record->listed ? &record->said.backend : NULL;
+}
+
+uint32_t
+EyRegistry_Count(const EyRegistry_t *self)
+{
+    return self->listed_count;
+}
+
+void
+EyRegistry_Each(const EyRegistry_t *self,
+                void (*visit)(void *data, const EyBackend_t *backend),
+                void *data)
+{
+    GHashTableIter records;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &value)) {
+        const EyRecord_t *record = value;
+        if (record->listed) {
+            visit(data, &record->said.backend);
+        }
+    }
+}
+
+uint64_t
+EyRegistry_Hash(const EyRegistry_t *self)
+{
+    return EyDigest_Hash(&self->digest);
+}
+
+json_t *
+EyRegistry_Dump(const EyRegistry_t *self)
+{
+    json_t *backends = json_array();
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        const EyRecord_t *record = data;
+        json_t *item = EySchema_ToJson(&EyBackendRecord_schema, &record->said);
+        (void)json_object_set_new(item, "listed",
+                                  json_boolean(record->listed));
+        (void)json_object_set_new(item, "unconfirmed",
+                                  json_boolean(record->unconfirmed));
+        (void)json_array_append_new(backends, item);
+    }
+    return json_pack("{s:I, s:o}", "listed", (json_int_t)self->listed_count,
+                     "backends", backends);
+}
--- a/tests/property/cluster_net.h
+++ b/tests/property/cluster_net.h
@@ -45,6 +45,7 @@
     std::function<void(Node &, const EyMember_t &)> changed;
     std::function<void(Node &, const Message &, const EyClusterMessage_t &)>
         other;
+    std::function<void(Node &)> renumbered;
 };
 
 /** What an envelope and the transport add to a message, in bytes. */
@@ -109,6 +110,16 @@
         }
     }
 
+    static void
+    on_renumbered(void *data, uint64_t incarnation)
+    {
+        Node &node = *static_cast<Node *>(data);
+        (void)incarnation;
+        if (node.renumbered) {
+            node.renumbered(node);
+        }
+    }
+
     void
     start(Node &node, size_t seed_count)
     {
@@ -125,6 +136,7 @@
         EyMembershipHooks_t hooks = {};
         hooks.send = on_send;
         hooks.changed = on_changed;
+        hooks.renumbered = on_renumbered;
         hooks.data = &node;
         talloc_free(node.membership);
         node.waiting.clear();
