--- a/src/membership/listing.h
+++ b/src/membership/listing.h
@@ -16,6 +16,7 @@
     int64_t orphan_ms;    /* since when its sponsor isn't live; 0: it is */
     uint32_t heard_count; /* announcements here in a row, of a server that
                              another gateway sponsors */
+    uint32_t refresh_rounds;
     uint32_t rumor_rounds;
     uint32_t load_rounds;
     bool listed;      /* the router knows it */
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -10,6 +10,7 @@
 /* Targets of a change, and how often each gateway passes it on. */
 #define GOSSIP_TARGETS 4
 #define RUMOR_ROUNDS 2
+#define LEAVING_ROUNDS 5
 #define LOAD_INTERVAL_MS 500
 #define LOAD_TARGETS 2
 #define LOAD_ROUNDS 2
@@ -20,6 +21,8 @@
 #define REOPEN_HOLD_MS 1000
 /* Announcements in a row after which a server has moved to this gateway. */
 #define MOVED_COUNT 3
+/* How often a sponsor is told of one announcement that it didn't hear. */
+#define REFRESH_ROUNDS 2
 /* How long and how many servers that left are remembered. */
 #define OVER_KEPT_MS 86400000
 #define OVER_MAX 4096
@@ -174,7 +177,8 @@
     record->heard_ms = now_ms;
     record->heard_count = 0;
     record->unconfirmed = false;
-    record->rumor_rounds = RUMOR_ROUNDS;
+    record->rumor_rounds =
+        said->listing == EY_LISTING_SERVING ? RUMOR_ROUNDS : LEAVING_ROUNDS;
     update_listed(self, now_ms, record, true);
     return record;
 }
@@ -406,7 +410,7 @@
         record->heard_ms = now_ms;
         if (record->heard_count < MOVED_COUNT) {
             take_load(self, record, &backend->load);
-            send_refresh(self, record);
+            record->refresh_rounds = REFRESH_ROUNDS;
             return;
         }
     }
@@ -686,6 +690,10 @@
         (void)put(self, now_ms, &expired);
         return;
     }
+    if (record->refresh_rounds > 0) {
+        record->refresh_rounds--;
+        send_refresh(self, record);
+    }
     update_listed(self, now_ms, record, false);
 }
 
