Directory of entry instances: callers spread by capacity, zone and load

Cause: without a balancer callers ask which instances to use. Answers come in weighted random order; weights fall at once for a leaving instance, within seconds for a loaded one, and rise slowly; times to live differ.

Ruled out: weights that drop at an overload threshold.

--- /dev/null
+++ b/src/membership/directory.c
@@ -0,0 +1,285 @@
+#include "membership/directory.h"
+
+#include "core/memory.h"
+#include "core/random.h"
+
+#include <float.h>
+#include <glib.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Times in which a weight goes most of the way to where it belongs. */
+#define RISE_TIME_MS 8000.0
+#define FALL_TIME_MS 2000.0
+/* The share of its weight with which a new instance begins. */
+#define FIRST_SHARE 0.2
+/* The share of an instance's capacity that counts, by its load: steps make
+ * callers swing, so it is a line through these points. */
+#define BUSY_PER_MILLE 800
+#define BUSY_SHARE 0.6
+#define OVERLOAD_PER_MILLE 1200
+#define OVERLOAD_SHARE 0.1
+/* How much more an instance of the caller's zone counts, up to this load. */
+#define ZONE_FACTOR 3.0
+#define ZONE_LOAD_MAX_PER_MILLE 800
+/* Weights are told as numbers of this scale. */
+#define WEIGHT_SCALE 1000.0
+#define TTL_MIN_MS 4000
+
+/** An instance and its weight on the way to where it belongs. */
+typedef struct Slot {
+    EyDirectoryInstance_t instance;
+    double weight;
+    bool fresh; /* seen in the last update */
+} Slot_t;
+
+struct EyDirectory {
+    EyRandom_t random;
+    GPtrArray *slots;
+    int64_t updated_ms;
+};
+
+/** A slot with its place in one answer's order. */
+typedef struct Draw {
+    const Slot_t *slot;
+    double weight;
+    double key;
+} Draw_t;
+
+static bool
+is_usable(const EyDirectoryInstance_t *instance)
+{
+    return instance->state == EY_MEMBER_ALIVE && !instance->suspect;
+}
+
+/** The value at x of the line from (x0, y0) to (x1, y1). */
+static double
+line(double x, double x0, double y0, double x1, double y1)
+{
+    return y0 + (y1 - y0) * (x - x0) / (x1 - x0);
+}
+
+static double
+share_at(uint32_t load_per_mille)
+{
+    if (load_per_mille <= BUSY_PER_MILLE) {
+        return line(load_per_mille, 0, 1.0, BUSY_PER_MILLE, BUSY_SHARE);
+    }
+    if (load_per_mille <= OVERLOAD_PER_MILLE) {
+        return line(load_per_mille, BUSY_PER_MILLE, BUSY_SHARE,
+                    OVERLOAD_PER_MILLE, OVERLOAD_SHARE);
+    }
+    return OVERLOAD_SHARE;
+}
+
+/** The weight that an instance's capacity and load call for. */
+static double
+wanted_weight(const EyDirectoryInstance_t *instance)
+{
+    if (!is_usable(instance)) {
+        return 0.0;
+    }
+    double capacity = MAX(instance->capacity, 1);
+    return capacity * share_at(instance->load_per_mille);
+}
+
+static Slot_t *
+slot_of(const EyDirectory_t *self, const char *id)
+{
+    for (uint32_t i = 0; i < self->slots->len; i++) {
+        Slot_t *slot = self->slots->pdata[i];
+        if (strcmp(slot->instance.id, id) == 0) {
+            return slot;
+        }
+    }
+    return NULL;
+}
+
+/** Moves a weight toward the wanted one, as far as the time allows. */
+static void
+approach(Slot_t *slot, double elapsed_ms)
+{
+    double wanted = wanted_weight(&slot->instance);
+    if (!is_usable(&slot->instance)) {
+        slot->weight = 0.0;
+        return;
+    }
+    double time_ms = wanted > slot->weight ? RISE_TIME_MS : FALL_TIME_MS;
+    double share = 1.0 - exp(-elapsed_ms / time_ms);
+    slot->weight += (wanted - slot->weight) * share;
+}
+
+static void
+drop_missing(EyDirectory_t *self)
+{
+    uint32_t i = 0;
+    while (i < self->slots->len) {
+        const Slot_t *slot = self->slots->pdata[i];
+        if (slot->fresh) {
+            i++;
+            continue;
+        }
+        (void)g_ptr_array_remove_index_fast(self->slots, i);
+    }
+}
+
+void
+EyDirectory_Update(EyDirectory_t *self, int64_t now_ms,
+                   const EyDirectoryInstance_t *instances, uint32_t count)
+{
+    bool is_first = self->slots->len == 0;
+    double elapsed_ms = (double)MAX(now_ms - self->updated_ms, 0);
+    self->updated_ms = now_ms;
+    for (uint32_t i = 0; i < self->slots->len; i++) {
+        ((Slot_t *)self->slots->pdata[i])->fresh = false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        Slot_t *slot = slot_of(self, instances[i].id);
+        bool is_new = slot == NULL;
+        if (is_new) {
+            slot = g_new0(Slot_t, 1);
+            g_ptr_array_add(self->slots, slot);
+        }
+        slot->instance = instances[i];
+        slot->fresh = true;
+        if (is_new) {
+            /* At the very start there is nobody to move from. */
+            slot->weight = wanted_weight(&slot->instance) *
+                           (is_first ? 1.0 : FIRST_SHARE);
+        }
+        else {
+            approach(slot, elapsed_ms);
+        }
+    }
+    drop_missing(self);
+}
+
+static gint
+compare_draws(gconstpointer left, gconstpointer right)
+{
+    const Draw_t *one = left;
+    const Draw_t *other = right;
+    if (one->key != other->key) {
+        return one->key > other->key ? -1 : 1;
+    }
+    return strcmp(one->slot->instance.id, other->slot->instance.id);
+}
+
+static double
+weight_for(const Slot_t *slot, const char *zone)
+{
+    bool is_near = zone[0] != '\0' && strcmp(slot->instance.zone, zone) == 0 &&
+                   slot->instance.load_per_mille <= ZONE_LOAD_MAX_PER_MILLE;
+    return is_near ? slot->weight * ZONE_FACTOR : slot->weight;
+}
+
+uint32_t
+EyDirectory_Choose(EyDirectory_t *self, const char *zone,
+                   EyDirectoryEntry_t *entries, uint32_t count)
+{
+    Draw_t *draws = EY_NEW_ARRAY(NULL, Draw_t, self->slots->len);
+    for (uint32_t i = 0; i < self->slots->len; i++) {
+        const Slot_t *slot = self->slots->pdata[i];
+        double weight = weight_for(slot, zone);
+        /* The highest of u^(1/weight) is first with a chance in proportion
+         * to its weight; those of no weight come last. */
+        double unit = MAX(EyRandom_Unit(&self->random), DBL_MIN);
+        draws[i] = (Draw_t){
+            .slot = slot,
+            .weight = weight,
+            .key = weight > 0.0 ? log(unit) / weight : -INFINITY,
+        };
+    }
+    qsort(draws, self->slots->len, sizeof(Draw_t), compare_draws);
+    uint32_t filled = MIN(self->slots->len, count);
+    for (uint32_t i = 0; i < filled; i++) {
+        const EyDirectoryInstance_t *instance = &draws[i].slot->instance;
+        EyDirectoryEntry_t *entry = &entries[i];
+        *entry = (EyDirectoryEntry_t){
+            .state = instance->state,
+            .weight = (uint32_t)(draws[i].weight * WEIGHT_SCALE),
+        };
+        (void)EY_COPY(entry->id, instance->id);
+        (void)EY_COPY(entry->address, instance->address);
+        (void)EY_COPY(entry->region, instance->region);
+        (void)EY_COPY(entry->zone, instance->zone);
+    }
+    (void)talloc_free(draws);
+    return filled;
+}
+
+uint32_t
+EyDirectory_TtlMs(EyDirectory_t *self)
+{
+    const uint32_t spread_ms = EY_DIRECTORY_TTL_MAX_MS - TTL_MIN_MS;
+    return TTL_MIN_MS + (uint32_t)EyRandom_Below(&self->random, spread_ms + 1);
+}
+
+json_t *
+EyDirectory_Answer(EyDirectory_t *self, const char *zone)
+{
+    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
+    uint32_t count =
+        EyDirectory_Choose(self, zone, entries, EY_DIRECTORY_ANSWER_MAX);
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        const EyDirectoryEntry_t *entry = &entries[i];
+        (void)json_array_append_new(
+            list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:I}", "id", entry->id,
+                            "address", entry->address, "region", entry->region,
+                            "zone", entry->zone, "state",
+                            EyMember_state_names[entry->state], "weight",
+                            (json_int_t)entry->weight));
+    }
+    return json_pack("{s:I, s:o}", "ttl_ms",
+                     (json_int_t)EyDirectory_TtlMs(self), "instances", list);
+}
+
+bool
+EyDirectory_Better(EyDirectory_t *self, const char *refusing_id,
+                   EyAddress_t address)
+{
+    EyDirectoryEntry_t entries[2];
+    uint32_t count = EyDirectory_Choose(self, "", entries, 2);
+    for (uint32_t i = 0; i < count; i++) {
+        if (entries[i].weight > 0 && strcmp(entries[i].id, refusing_id) != 0) {
+            (void)EyText_Copy(address, EY_ADDRESS_SIZE_BYTES,
+                              entries[i].address);
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+directory_destroy(EyDirectory_t *self)
+{
+    g_ptr_array_free(self->slots, TRUE);
+    return 0;
+}
+
+EyDirectory_t *
+EyDirectory_New(const void *ctx, uint64_t seed)
+{
+    EyDirectory_t *self = EY_NEW(ctx, EyDirectory_t);
+    self->random = EyRandom_Make(seed);
+    self->slots = g_ptr_array_new_with_free_func(g_free);
+    talloc_set_destructor(self, directory_destroy);
+    return self;
+}
+
+json_t *
+EyDirectory_Dump(const EyDirectory_t *self)
+{
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < self->slots->len; i++) {
+        const Slot_t *slot = self->slots->pdata[i];
+        (void)json_array_append_new(
+            list, json_pack("{s:s, s:f, s:f, s:I}", "id", slot->instance.id,
+                            "weight", slot->weight, "wanted_weight",
+                            wanted_weight(&slot->instance), "load_per_mille",
+                            (json_int_t)slot->instance.load_per_mille));
+    }
+    return list;
+}
--- /dev/null
+++ b/tests/property/test_directory_properties.cc
@@ -0,0 +1,240 @@
+#include "core/memory.h"
+#include "core/random.h"
+#include "membership/directory.h"
+#include "property/check.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr size_t caller_count = 3000;
+constexpr int64_t step_ms = 200;
+/* Load reports reach the directory so late. */
+constexpr int64_t report_ms = 1000;
+
+struct Caller {
+    std::string used;
+    int64_t until_ms = 0;
+    std::string zone;
+};
+
+/** Callers that ask again when their answer's time is over, each of another
+ * gateway; the sum of capacities is 1.4 times what they need. */
+struct World {
+    void *ctx = talloc_new(NULL);
+    EyRandom_t random;
+    std::vector<EyDirectoryInstance_t> instances;
+    std::vector<EyDirectory_t *> directories;
+    std::vector<double> slowness;
+    std::vector<Caller> callers;
+    int64_t now_ms = 1000;
+
+    World(uint64_t seed, const std::vector<uint32_t> &capacities)
+        : random(EyRandom_Make(seed))
+    {
+        for (size_t i = 0; i < capacities.size(); i++) {
+            EyDirectoryInstance_t instance = {};
+            std::string id = "gateway-" + std::to_string(i);
+            EyText_Copy(instance.id, sizeof(instance.id), id.c_str());
+            EyText_Copy(instance.address, sizeof(instance.address),
+                        id.c_str());
+            EyText_Copy(instance.zone, sizeof(instance.zone),
+                        i % 2 == 0 ? "a" : "b");
+            instance.capacity = capacities[i];
+            instances.push_back(instance);
+            slowness.push_back(1.0);
+            directories.push_back(
+                EyDirectory_New(ctx, EyRandom_Next(&random)));
+        }
+        callers.resize(caller_count);
+        for (size_t i = 0; i < caller_count; i++) {
+            callers[i].until_ms =
+                now_ms + static_cast<int64_t>(EyRandom_Below(&random, 6000));
+            callers[i].zone = i % 2 == 0 ? "a" : "b";
+        }
+    }
+
+    ~World()
+    {
+        talloc_free(ctx);
+    }
+
+    World(const World &) = delete;
+    World &
+    operator=(const World &) = delete;
+
+    double
+    per_capacity(size_t index) const
+    {
+        double total = 0;
+        for (const EyDirectoryInstance_t &instance : instances) {
+            total += instance.capacity;
+        }
+        double served = static_cast<double>(uses(index));
+        double room = instances[index].capacity * 1.4 *
+                      static_cast<double>(caller_count) / total;
+        return served / room;
+    }
+
+    size_t
+    uses(size_t index) const
+    {
+        size_t count = 0;
+        for (const Caller &caller : callers) {
+            count += caller.used == instances[index].id ? 1 : 0;
+        }
+        return count;
+    }
+
+    void
+    report()
+    {
+        for (size_t i = 0; i < instances.size(); i++) {
+            instances[i].load_per_mille = static_cast<uint32_t>(
+                std::min(per_capacity(i) * slowness[i] * 1000.0, 2000.0));
+        }
+    }
+
+    void
+    step()
+    {
+        now_ms += step_ms;
+        if (now_ms % report_ms == 0) {
+            report();
+            for (EyDirectory_t *directory : directories) {
+                EyDirectory_Update(directory, now_ms, instances.data(),
+                                   static_cast<uint32_t>(instances.size()));
+            }
+        }
+        for (Caller &caller : callers) {
+            if (now_ms < caller.until_ms) {
+                continue;
+            }
+            EyDirectory_t *directory =
+                directories[EyRandom_Below(&random, directories.size())];
+            EyDirectoryEntry_t entry;
+            if (EyDirectory_Choose(directory, caller.zone.c_str(), &entry,
+                                   1) == 1) {
+                caller.used = entry.id;
+            }
+            caller.until_ms = now_ms + EyDirectory_TtlMs(directory);
+        }
+    }
+
+    void
+    run(int64_t duration_ms)
+    {
+        for (int64_t at_ms = 0; at_ms < duration_ms; at_ms += step_ms) {
+            step();
+        }
+    }
+};
+
+std::vector<uint32_t>
+any_capacities()
+{
+    std::vector<uint32_t> capacities;
+    const auto count = *rc::gen::inRange<size_t>(4, 9);
+    for (size_t i = 0; i < count; i++) {
+        capacities.push_back(*rc::gen::inRange<uint32_t>(50, 500));
+    }
+    return capacities;
+}
+
+} // namespace
+
+Test(directory_properties, callers_spread_by_capacity)
+{
+    EY_CHECK("spread", [] {
+        World world(*rc::gen::arbitrary<uint64_t>(), any_capacities());
+        world.run(30000);
+        for (size_t i = 0; i < world.instances.size(); i++) {
+            RC_ASSERT(world.per_capacity(i) < 1.0);
+            RC_ASSERT(world.per_capacity(i) > 0.4);
+        }
+    });
+}
+
+Test(directory_properties, a_leaving_instance_is_left_without_a_stampede)
+{
+    EY_CHECK("leaving", [] {
+        World world(*rc::gen::arbitrary<uint64_t>(), any_capacities());
+        world.run(30000);
+        const auto leaving =
+            *rc::gen::inRange<size_t>(0, world.instances.size());
+        world.instances[leaving].state = EY_MEMBER_LEAVING;
+        size_t before = world.uses(leaving);
+        int64_t left_ms = -1;
+        for (int64_t at_ms = 0; at_ms < 20000; at_ms += step_ms) {
+            size_t last = world.uses(leaving);
+            world.step();
+            size_t now = world.uses(leaving);
+            /* Not all at once: at most a quarter in each step. */
+            RC_ASSERT(last - std::min(last, now) <= before / 4 + 20);
+            if (now == 0 && left_ms < 0) {
+                left_ms = at_ms;
+            }
+        }
+        RC_ASSERT(left_ms >= 0);
+        RC_ASSERT(left_ms <= EY_DIRECTORY_TTL_MAX_MS + 2 * report_ms);
+    });
+}
+
+Test(directory_properties, an_overloaded_instance_is_relieved_and_no_other)
+{
+    EY_CHECK("overload", [] {
+        World world(*rc::gen::arbitrary<uint64_t>(), any_capacities());
+        world.run(30000);
+        const size_t slow = 0;
+        world.slowness[slow] = 2.0;
+        /* It becomes half as large; what it says it can take stays. */
+        uint32_t said = world.instances[slow].capacity;
+        for (int64_t at_ms = 0; at_ms < 40000; at_ms += step_ms) {
+            world.step();
+            for (size_t i = 1; i < world.instances.size(); i++) {
+                RC_ASSERT(world.per_capacity(i) < 1.3);
+            }
+        }
+        RC_ASSERT(world.instances[slow].capacity == said);
+        RC_ASSERT(world.per_capacity(slow) < 0.6);
+    });
+}
+
+Test(directory_properties, a_new_instance_is_not_flooded)
+{
+    EY_CHECK("new instance", [] {
+        std::vector<uint32_t> capacities = any_capacities();
+        World world(*rc::gen::arbitrary<uint64_t>(), capacities);
+        EyDirectoryInstance_t &last = world.instances.back();
+        last.state = EY_MEMBER_GONE;
+        world.run(30000);
+        last.state = EY_MEMBER_ALIVE;
+        for (int64_t at_ms = 0; at_ms < 30000; at_ms += step_ms) {
+            world.step();
+            RC_ASSERT(world.per_capacity(world.instances.size() - 1) < 1.0);
+        }
+        RC_ASSERT(world.per_capacity(world.instances.size() - 1) > 0.3);
+    });
+}
+
+Test(directory_properties, a_better_instance_is_never_the_refusing_one)
+{
+    EY_CHECK("better", [] {
+        World world(*rc::gen::arbitrary<uint64_t>(), any_capacities());
+        world.instances[1].state = EY_MEMBER_LEAVING;
+        world.instances[2].suspect = true;
+        world.run(2000);
+        EyAddress_t address = "";
+        for (int i = 0; i < 20; i++) {
+            bool found = EyDirectory_Better(world.directories[0],
+                                            world.instances[0].id, address);
+            RC_ASSERT(found);
+            RC_ASSERT(std::string(address) != world.instances[0].address);
+            RC_ASSERT(std::string(address) != world.instances[1].address);
+            RC_ASSERT(std::string(address) != world.instances[2].address);
+        }
+    });
+}
