--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -163,34 +163,36 @@
 static bool
 can_meet(const EyAway_t *self, const Region_t *region, int64_t now_ms,
          const EyRoutingConfig_t *config, const EyRoutingRequest_t *request,
-         uint32_t gateways)
+         double limit_ms)
 {
     const Word_t *word =
         find_word(self, region->name, request->kind, request->target);
     return word != NULL && now_ms - word->heard_ms < config->summary_ttl_ms &&
            EyRoutingRequest_MayRunIn(request, region->name) &&
-           has_room(region, word, now_ms, gateways) &&
-           finish_ms(word, config, request) <
-               (double)(request->deadline_ms - now_ms);
+           finish_ms(word, config, request) < limit_ms;
 }
 
 const char *
 EyAway_Choose(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
-              const EyRoutingRequest_t *request, uint32_t gateways)
+              const EyRoutingRequest_t *request, double limit_ms,
+              uint32_t gateways)
 {
+    double left_ms = (double)(request->deadline_ms - now_ms);
+    limit_ms = limit_ms < left_ms ? limit_ms : left_ms;
     uint64_t size_bytes = EyAway_Bytes(request, config);
-    uint32_t first =
-        self->region_count > 0
-            ? (uint32_t)EyRandom_Below(&self->random, self->region_count)
-            : 0;
+    uint64_t draw = EyRandom_Next(&self->random);
     for (uint32_t i = 0; i < self->region_count; i++) {
-        Region_t *region = &self->regions[(first + i) % self->region_count];
-        if (can_meet(self, region, now_ms, config, request, gateways) &&
+        Region_t *region = &self->regions[(draw + i) % self->region_count];
+        if (!can_meet(self, region, now_ms, config, request, limit_ms)) {
+            continue;
+        }
+        Word_t *word =
+            find_word(self, region->name, request->kind, request->target);
+        if (has_room(region, word, now_ms, gateways) &&
             EyLinkBudget_Take(&region->link, now_ms, size_bytes,
                               request->is_booking))
         {
-            find_word(self, region->name, request->kind, request->target)
-                ->sent++;
+            word->sent++;
             return region->name;
         }
     }
--- a/src/routing/away.h
+++ b/src/routing/away.h
@@ -42,12 +42,14 @@
              const EyRoutingConfig_t *config);
 
 /**
- * A region, drawn at random, that would finish the request in time, its budget
- * taken; NULL if there is none. gateways decide as we do.
+ * A region, drawn at random, that would finish the request in time and within
+ * limit_ms from now, its budget taken; NULL if there is none. gateways decide
+ * as we do.
  */
 const char *
 EyAway_Choose(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
-              const EyRoutingRequest_t *request, uint32_t gateways);
+              const EyRoutingRequest_t *request, double limit_ms,
+              uint32_t gateways);
 
 /** The regions and their links, as JSON. */
 json_t *
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -7,9 +7,6 @@
 
 /** Share of the prompt's reading that a cached prefix saves. */
 #define PREFIX_SAVING 0.5
-/** A free replica is passed over if waiting for a faster one is expected to
- * end within this share of its time. */
-#define HOLD_FACTOR 0.8
 #define DRAIN_WINDOW_MS 2000
 /** Most replicas of a pool that may be ejected at once. */
 #define EJECTED_SHARE_MAX 0.5
@@ -210,8 +207,9 @@
     double faster_rate = drain_rate(self, planning, chosen->finish_ms);
     double held_finish_ms =
         (work_ahead + work) / faster_rate + plan->best_run_ms;
-    bool holds = planning->policy->waits_for_room && faster_rate > 0.0 &&
-                 held_finish_ms < chosen->finish_ms * HOLD_FACTOR;
+    bool holds =
+        planning->policy->waits_for_room && faster_rate > 0.0 &&
+        held_finish_ms < chosen->finish_ms * planning->config->hold_factor;
     plan->chosen = holds ? NULL : chosen->replica;
 }
 
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -6,6 +6,7 @@
 #include "routing/pool.h"
 #include "routing/retry_budget.h"
 
+#include <math.h>
 #include <string.h>
 
 /** A refused caller comes back after at least and at most so long. */
@@ -20,6 +21,8 @@
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
 #define GIVE_UP_SHARE 0.9
+/** A region is better than home if it ends within this share of the time. */
+#define AWAY_GAIN 0.8
 
 /** A request that waits: where. */
 typedef struct Place {
@@ -305,17 +308,18 @@
     return note(self, decision);
 }
 
-/* Sends the request to another region if that is allowed and possible. */
+/* Sends the request to another region if that is allowed and one would finish
+ * it within limit_ms. */
 static bool
 try_away(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request,
-         EyRoutingDecision_t *decision)
+         double limit_ms, EyRoutingDecision_t *decision)
 {
     if (!self->config.sends_away || request->is_forwarded ||
         request->stays_home) {
         return false;
     }
     const char *region = EyAway_Choose(self->away, now_ms, &self->config,
-                                       request, self->gateways);
+                                       request, limit_ms, self->gateways);
     if (region == NULL) {
         return false;
     }
@@ -337,7 +341,7 @@
                double after_ms)
 {
     EyRoutingDecision_t decision;
-    if (try_away(self, now_ms, request, &decision)) {
+    if (try_away(self, now_ms, request, INFINITY, &decision)) {
         return decision;
     }
     return refuse(self, request->number, reason, after_ms);
@@ -387,6 +391,29 @@
     return first == NULL || request->deadline_ms < first->request->deadline_ms;
 }
 
+static bool
+is_suspect(const EyPlan_t *plan)
+{
+    return plan->chosen != NULL && plan->chosen->outlier.failures_in_row > 0;
+}
+
+/* True if home isn't good enough by the weights, or all that is left there
+ * are servers that fail. */
+static bool
+wants_away(const EyRouter_t *self, const EyPlan_t *plan, bool goes_now,
+           double finish_ms, double left_ms)
+{
+    double home_ms = left_ms * EyRoutingConfig_HomeShare(&self->config);
+    return finish_ms > home_ms || (goes_now && is_suspect(plan));
+}
+
+/* Another region must be clearly better than home. */
+static double
+away_limit_ms(const EyPlan_t *plan, double finish_ms)
+{
+    return is_suspect(plan) ? INFINITY : finish_ms * AWAY_GAIN;
+}
+
 static EyRoutingDecision_t
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
@@ -406,8 +433,9 @@
     double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t away;
-    if (finish_ms > left_ms * EyRoutingConfig_HomeShare(&self->config) &&
-        try_away(self, now_ms, request, &away))
+    if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
+        try_away(self, now_ms, request, away_limit_ms(&plan, finish_ms),
+                 &away))
     {
         return away;
     }
--- a/src/routing/routing_config.c
+++ b/src/routing/routing_config.c
@@ -1,7 +1,7 @@
 #include "routing/routing_config.h"
 
 /** The least share of its time that a request may spend at home. */
-#define HOME_SHARE_LEAST 0.5
+#define HOME_SHARE_LEAST 0.1
 #define LINK_BYTES_PER_S 4000000U
 
 EyRoutingConfig_t
@@ -18,6 +18,7 @@
         .summary_ttl_ms = 3000,
         .overcommit = 1.0,
         .herd_factor = 0.5,
+        .hold_factor = 0.8,
         .retry_share = 0.1,
         .model_unit_ms = 10.0,
         .service_unit_ms = 20.0,
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -22,6 +22,9 @@
     double overcommit;         /* requests at a replica, in its slots */
     double herd_factor;        /* share of our own recent sends that each
                                   other gateway is taken to have sent too */
+    double hold_factor;        /* a free replica is passed over if
+                             waiting for a faster one is expected
+                             to end within this share of its time */
     double retry_share;        /* retries for each success */
     double model_unit_ms;      /* unit of work at speed 1.0, until learned */
     double service_unit_ms;    /* the same of services */
--- /dev/null
+++ b/tests/bench/experiment.c
@@ -0,0 +1,872 @@
+#include "bench/experiment.h"
+
+#include "bench/engine_model.h"
+#include "core/memory.h"
+#include "core/random.h"
+
+#include <math.h>
+#include <string.h>
+
+#define GATEWAYS_MAX 6
+#define ENGINES_MAX 64
+#define MODEL_UNIT_MS 10.0
+#define SERVICE_UNIT_MS 20.0
+#define TICK_MS 20.0
+#define ANNOUNCE_MS 1000.0
+#define TTL_MS 3000.0
+#define LINK_DELAY_MS 40.0
+#define TOKEN_BYTES 64
+#define ATTEMPTS_MAX 3
+/** A stop or slowdown comes and goes at these shares of the run. */
+#define FAULT_FROM 0.3
+#define FAULT_TO 0.6
+/** Arrivals of the first part warm up and aren't measured. */
+#define WARM_UP 0.1
+#define LATE_REFUSAL_MS 50.0
+
+static const char *const region_names[EXPERIMENT_REGIONS] = {"one", "two",
+                                                             "three"};
+
+typedef enum EventKind {
+    EVENT_ARRIVE,
+    EVENT_TICK,
+    EVENT_ANNOUNCE,
+    EVENT_END,
+    EVENT_DEADLINE,
+    EVENT_AWAY_THERE,
+    EVENT_AWAY_REFUSED,
+    EVENT_FAULT,
+    EVENT_REPAIR
+} EventKind_t;
+
+typedef struct Job {
+    const JobClass_t *class;
+    uint32_t region;
+    uint32_t gateway; /* that the caller asked */
+    uint32_t away_region;
+    uint32_t away_gateway; /* that it was sent to */
+    bool is_away;
+    bool is_bound;
+    bool is_done;
+    bool is_late; /* of the measured part */
+    bool is_measured;
+    bool was_sent_away;
+    uint64_t prefix;
+    double arrived_ms;
+    double tokens;
+    double sent_ms; /* to its replica */
+    int32_t engine; /* -1: none */
+    bool runs;
+    uint32_t attempts;
+    EyName_t excluded[ATTEMPTS_MAX];
+} Job_t;
+
+typedef struct Server {
+    Engine_t engine;
+    EyBackend_t announced;
+    EyName_t targets[1];
+    uint32_t region;
+    uint32_t lagged_running;
+    uint32_t lagged_queued;
+    double last_announced_ms;
+    bool is_known;
+} Server_t;
+
+typedef struct Run {
+    const User_t *user;
+    const Scenario_t *scenario;
+    EyRandom_t arrivals;
+    EyRandom_t random;
+    EventQueue_t events;
+    EyRouter_t *routers[EXPERIMENT_REGIONS][GATEWAYS_MAX];
+    Server_t servers[ENGINES_MAX];
+    uint32_t server_count;
+    double rate_per_ms[EXPERIMENT_REGIONS];
+    double link_free_ms[EXPERIMENT_REGIONS][EXPERIMENT_REGIONS];
+    double away_bytes;
+    GPtrArray *jobs;
+    GArray *decisions;
+    double now_ms;
+    double length_ms;
+    uint64_t calls;
+    double work_done; /* slot milliseconds at full speed, in time */
+    GArray *latencies;
+    GArray *booking_latencies;
+    GArray *refusals;
+    uint64_t arrived;
+    uint64_t in_time;
+    uint64_t failed;
+    uint64_t sent_away;
+} Run_t;
+
+static void
+decide(Run_t *run, const EyRoutingDecision_t *decision, uint32_t region,
+       uint32_t gateway);
+
+static void
+push(Run_t *run, double delay_ms, EventKind_t kind, uint32_t index,
+     uint64_t number)
+{
+    Event_t event = {.at_ms = run->now_ms + delay_ms,
+                     .kind = (int32_t)kind,
+                     .index = index,
+                     .number = number};
+    EventQueue_Push(&run->events, event);
+}
+
+static Job_t *
+job_of(const Run_t *run, uint64_t number)
+{
+    return g_ptr_array_index(run->jobs, number);
+}
+
+static int64_t
+now_of(const Run_t *run)
+{
+    return (int64_t)run->now_ms;
+}
+
+/* Ends of requests, as the callers see them */
+
+static void
+count_end(Run_t *run, Job_t *job, bool answered)
+{
+    job->is_done = true;
+    if (!job->is_measured) {
+        return;
+    }
+    double latency_ms = run->now_ms - job->arrived_ms;
+    if (!answered) {
+        run->failed++;
+        return;
+    }
+    run->in_time++;
+    g_array_append_val(job->class->is_service ? run->booking_latencies
+                                              : run->latencies,
+                       latency_ms);
+}
+
+static void
+count_refusal(Run_t *run, Job_t *job)
+{
+    job->is_done = true;
+    if (job->is_measured) {
+        double after_ms = run->now_ms - job->arrived_ms;
+        g_array_append_val(run->refusals, after_ms);
+    }
+}
+
+/* Gateways */
+
+static EyRouter_t *
+router_of(const Run_t *run, const Job_t *job)
+{
+    return job->is_away ? run->routers[job->away_region][job->away_gateway]
+                        : run->routers[job->region][job->gateway];
+}
+
+static void
+decide_all(Run_t *run, uint32_t region, uint32_t gateway)
+{
+    GArray *decisions = run->decisions;
+    run->decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    for (uint32_t i = 0; i < decisions->len; i++) {
+        decide(run, &g_array_index(decisions, EyRoutingDecision_t, i), region,
+               gateway);
+    }
+    g_array_unref(decisions);
+}
+
+static void
+finish(Run_t *run, uint32_t region, uint32_t gateway, uint64_t number,
+       EyResultKind_t kind, double duration_ms)
+{
+    const EyRoutingResult_t result = {.kind = kind,
+                                      .duration_ms = (int64_t)duration_ms};
+    (void)EyRouter_Finished(run->routers[region][gateway], now_of(run), number,
+                            &result, run->decisions);
+    decide_all(run, region, gateway);
+}
+
+static void
+submit(Run_t *run, uint64_t number, bool stays_home)
+{
+    Job_t *job = job_of(run, number);
+    EyRoutingRequest_t request = {
+        .number = number,
+        .kind = job->class->is_service ? EY_BACKEND_SERVICE : EY_BACKEND_MODEL,
+        .target = "plan",
+        .prefix_hash = job->prefix,
+        .body_bytes = job->class->body_bytes,
+        .tokens_max = job->class->tokens,
+        .deadline_ms = (int64_t)job->arrived_ms + job->class->timeout_ms,
+        .is_idempotent = !job->class->is_booking,
+        .is_booking = job->class->is_booking,
+        .is_forwarded = job->is_away,
+        .stays_home = stays_home,
+        .is_retry = job->attempts > 0,
+        .was_sent = job->attempts > 0,
+        .excluded_count = job->attempts,
+    };
+    memcpy(request.excluded, job->excluded, sizeof(job->excluded));
+    if (job->is_bound || job->class->is_service) {
+        (void)EY_COPY(request.home, region_names[job->region]);
+    }
+    uint32_t region = job->is_away ? job->away_region : job->region;
+    uint32_t gateway = job->is_away ? job->away_gateway : job->gateway;
+    EyRoutingDecision_t decision =
+        EyRouter_Submit(router_of(run, job), now_of(run), &request);
+    decide(run, &decision, region, gateway);
+}
+
+/* Servers */
+
+static void
+start_job(Run_t *run, Server_t *server, uint64_t number)
+{
+    Job_t *job = job_of(run, number);
+    Engine_t *engine = &server->engine;
+    engine->running++;
+    job->runs = true;
+    double prompt =
+        job->class->is_service ? 0.0 : (double)job->class->body_bytes / 1000.0;
+    double run_ms = Engine_RunMs(engine, job->tokens, prompt, job->prefix);
+    engine->busy_ms += run_ms;
+    push(run, run_ms, EVENT_END, job->attempts, number);
+}
+
+static void
+start_next(Run_t *run, Server_t *server)
+{
+    while (server->engine.running < server->engine.slots &&
+           !g_queue_is_empty(server->engine.queue))
+    {
+        uint64_t number =
+            GPOINTER_TO_SIZE(g_queue_pop_head(server->engine.queue));
+        start_job(run, server, number);
+    }
+}
+
+/* Takes the job off its server. */
+static void
+detach(Run_t *run, Job_t *job, uint64_t number)
+{
+    if (job->engine < 0) {
+        return;
+    }
+    Server_t *server = &run->servers[job->engine];
+    if (job->runs) {
+        server->engine.running--;
+    }
+    else {
+        g_queue_remove(server->engine.queue, GSIZE_TO_POINTER(number));
+    }
+    job->engine = -1;
+    job->runs = false;
+    start_next(run, server);
+}
+
+static void
+fail_attempt(Run_t *run, uint64_t number, const char *backend)
+{
+    Job_t *job = job_of(run, number);
+    bool may_retry = !job->class->is_booking && job->attempts < ATTEMPTS_MAX;
+    uint32_t region = job->is_away ? job->away_region : job->region;
+    uint32_t gateway = job->is_away ? job->away_gateway : job->gateway;
+    if (job->attempts < ATTEMPTS_MAX) {
+        (void)EY_COPY(job->excluded[job->attempts], backend);
+    }
+    job->attempts++;
+    finish(run, region, gateway, number, EY_RESULT_FAILED,
+           run->now_ms - job->sent_ms);
+    if (may_retry) {
+        submit(run, number, job->was_sent_away);
+    }
+    else {
+        count_end(run, job, false);
+    }
+}
+
+static void
+send_to_server(Run_t *run, const EyRoutingDecision_t *decision)
+{
+    uint32_t index = (uint32_t)strtoul(decision->backend, NULL, 10);
+    Server_t *server = &run->servers[index];
+    Job_t *job = job_of(run, decision->number);
+    run->calls++;
+    job->sent_ms = run->now_ms;
+    if (!server->engine.is_up) {
+        fail_attempt(run, decision->number, decision->backend);
+        return;
+    }
+    job->engine = (int32_t)index;
+    if (server->engine.running < server->engine.slots) {
+        start_job(run, server, decision->number);
+    }
+    else {
+        g_queue_push_tail(server->engine.queue,
+                          GSIZE_TO_POINTER(decision->number));
+    }
+}
+
+static uint32_t
+region_index(const char *name)
+{
+    uint32_t i = 0;
+    while (strcmp(region_names[i], name) != 0) {
+        i++;
+    }
+    return i;
+}
+
+/* Puts bytes on a link, first come first served; the time until they are
+ * through. */
+static double
+cross_link(Run_t *run, uint32_t from, uint32_t to, double size_bytes)
+{
+    double factor =
+        run->scenario->link_factor > 0.0 ? run->scenario->link_factor : 1.0;
+    double *free_ms = &run->link_free_ms[from][to];
+    double start_ms = *free_ms > run->now_ms ? *free_ms : run->now_ms;
+    *free_ms = start_ms +
+               size_bytes * 1000.0 / (run->user->link_bytes_per_s * factor);
+    run->away_bytes += size_bytes;
+    return *free_ms - run->now_ms + LINK_DELAY_MS;
+}
+
+static void
+send_away(Run_t *run, const EyRoutingDecision_t *decision)
+{
+    Job_t *job = job_of(run, decision->number);
+    job->away_region = region_index(decision->region);
+    job->away_gateway =
+        (uint32_t)EyRandom_Below(&run->random, run->user->gateways);
+    job->was_sent_away = true;
+    run->sent_away += job->is_measured;
+    push(
+        run,
+        cross_link(run, job->region, job->away_region, job->class->body_bytes),
+        EVENT_AWAY_THERE, 0, decision->number);
+}
+
+static void
+decide(Run_t *run, const EyRoutingDecision_t *decision, uint32_t region,
+       uint32_t gateway)
+{
+    (void)region;
+    (void)gateway;
+    Job_t *job = job_of(run, decision->number);
+    switch (decision->kind) {
+    case EY_DECISION_DISPATCH:
+        send_to_server(run, decision);
+        break;
+    case EY_DECISION_SEND_AWAY:
+        send_away(run, decision);
+        break;
+    case EY_DECISION_REFUSE:
+        if (job->is_away) {
+            push(run, LINK_DELAY_MS, EVENT_AWAY_REFUSED, 0, decision->number);
+        }
+        else if (job->attempts > 0) {
+            count_end(run, job, false);
+        }
+        else {
+            count_refusal(run, job);
+        }
+        break;
+    default:
+        break;
+    }
+}
+
+/* Events */
+
+static double
+mean_work(const User_t *user)
+{
+    double work = 0.0;
+    double share = 0.0;
+    for (uint32_t i = 0; i < user->class_count; i++) {
+        const JobClass_t *class = &user->classes[i];
+        if (!class->is_service) {
+            work += class->share * (0.65 * (double)class->tokens +
+                                    (double)class->body_bytes / 1000.0);
+            share += class->share;
+        }
+    }
+    return work / share;
+}
+
+static const JobClass_t *
+draw_class(Run_t *run)
+{
+    double draw = EyRandom_Unit(&run->arrivals);
+    uint32_t i = 0;
+    while (i + 1 < run->user->class_count &&
+           draw >= run->user->classes[i].share) {
+        draw -= run->user->classes[i].share;
+        i++;
+    }
+    return &run->user->classes[i];
+}
+
+static void
+arrive(Run_t *run, uint32_t region)
+{
+    Job_t *job = EY_NEW(NULL, Job_t);
+    job->class = draw_class(run);
+    job->region = region;
+    job->gateway =
+        (uint32_t)EyRandom_Below(&run->arrivals, run->user->gateways);
+    job->is_bound = EyRandom_Unit(&run->arrivals) < run->user->bound_share;
+    job->arrived_ms = run->now_ms;
+    job->engine = -1;
+    job->is_measured = run->now_ms > run->length_ms * WARM_UP;
+    run->arrived += job->is_measured;
+    double length = 0.3 + 0.7 * EyRandom_Unit(&run->arrivals);
+    job->tokens =
+        job->class->is_service ? 1.0 : length * (double)job->class->tokens;
+    if (job->class->prefixes > 0) {
+        job->prefix = 1 + EyRandom_Below(&run->arrivals, job->class->prefixes);
+    }
+    double pause_ms =
+        -log(1.0 - EyRandom_Unit(&run->arrivals)) / run->rate_per_ms[region];
+    if (run->now_ms + pause_ms < run->length_ms) {
+        push(run, pause_ms, EVENT_ARRIVE, region, 0);
+    }
+    uint64_t number = run->jobs->len;
+    g_ptr_array_add(run->jobs, job);
+    push(run, (double)job->class->timeout_ms, EVENT_DEADLINE, 0, number);
+    submit(run, number, false);
+}
+
+static void
+end_job(Run_t *run, uint64_t number, uint32_t attempt)
+{
+    Job_t *job = job_of(run, number);
+    if (job->is_done || !job->runs || job->attempts != attempt) {
+        return;
+    }
+    double duration_ms = run->now_ms - job->sent_ms;
+    bool is_model = !job->class->is_service;
+    detach(run, job, number);
+    if (job->is_away) {
+        finish(run, job->away_region, job->away_gateway, number, EY_RESULT_OK,
+               duration_ms);
+        job->is_away = false;
+        double back_ms = cross_link(run, job->away_region, job->region,
+                                    job->tokens * TOKEN_BYTES);
+        run->now_ms += back_ms;
+        bool in_time =
+            run->now_ms - job->arrived_ms <= (double)job->class->timeout_ms;
+        count_end(run, job, in_time);
+        run->now_ms -= back_ms;
+        finish(run, job->region, job->gateway, number, EY_RESULT_OK,
+               duration_ms + 2.0 * LINK_DELAY_MS);
+    }
+    else {
+        count_end(run, job, true);
+        finish(run, job->region, job->gateway, number, EY_RESULT_OK,
+               duration_ms);
+    }
+    if (is_model && run->now_ms > run->length_ms * WARM_UP &&
+        run->now_ms < run->length_ms)
+    {
+        run->work_done +=
+            job->tokens + (double)job->class->body_bytes / 1000.0;
+    }
+}
+
+/* The caller stops waiting: whoever holds the job drops it. */
+static void
+pass_deadline(Run_t *run, uint64_t number)
+{
+    Job_t *job = job_of(run, number);
+    if (job->is_done) {
+        return;
+    }
+    detach(run, job, number);
+    count_end(run, job, false);
+    if (job->is_away) {
+        (void)EyRouter_Cancel(router_of(run, job), now_of(run), number,
+                              run->decisions);
+        decide_all(run, job->away_region, job->away_gateway);
+        job->is_away = false;
+    }
+    (void)EyRouter_Cancel(router_of(run, job), now_of(run), number,
+                          run->decisions);
+    decide_all(run, job->region, job->gateway);
+}
+
+static void
+announce(Run_t *run, uint32_t index)
+{
+    Server_t *server = &run->servers[index];
+    push(run, ANNOUNCE_MS, EVENT_ANNOUNCE, index, 0);
+    bool known = server->engine.is_up ||
+                 run->now_ms - server->last_announced_ms < TTL_MS;
+    for (uint32_t i = 0; i < run->user->gateways; i++) {
+        EyRouter_t *router = run->routers[server->region][i];
+        if (server->engine.is_up) {
+            server->announced.load.running = server->lagged_running;
+            server->announced.load.queued = server->lagged_queued;
+            server->announced.load.at = now_of(run);
+            EyRouter_UpsertBackend(router, now_of(run), &server->announced);
+        }
+        else if (!known && server->is_known) {
+            EyRouter_RemoveBackend(router, now_of(run), server->announced.id);
+        }
+    }
+    server->is_known = known;
+    if (server->engine.is_up) {
+        server->last_announced_ms = run->now_ms;
+    }
+    server->lagged_running = server->engine.running;
+    server->lagged_queued = server->engine.queue->length;
+}
+
+static void
+tell_regions(Run_t *run, uint32_t region)
+{
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(EyRegionSummary_t));
+    EyRouter_Summarize(run->routers[region][0], now_of(run), summaries);
+    for (uint32_t i = 0; i < summaries->len; i++) {
+        for (uint32_t to = 0; to < EXPERIMENT_REGIONS; to++) {
+            for (uint32_t j = 0; j < run->user->gateways; j++) {
+                EyRouter_SetSummary(
+                    run->routers[to][j], now_of(run),
+                    &g_array_index(summaries, EyRegionSummary_t, i));
+            }
+        }
+    }
+    g_array_unref(summaries);
+}
+
+static void
+tick(Run_t *run)
+{
+    for (uint32_t region = 0; region < EXPERIMENT_REGIONS; region++) {
+        if (fmod(run->now_ms, 500.0) < TICK_MS) {
+            tell_regions(run, region);
+        }
+        for (uint32_t i = 0; i < run->user->gateways; i++) {
+            EyRouter_Tick(run->routers[region][i], now_of(run),
+                          run->decisions);
+            decide_all(run, region, i);
+        }
+    }
+    push(run, TICK_MS, EVENT_TICK, 0, 0);
+}
+
+static void
+kill_server(Run_t *run, uint32_t index)
+{
+    Server_t *server = &run->servers[index];
+    server->engine.is_up = false;
+    for (uint64_t i = 0; i < run->jobs->len; i++) {
+        Job_t *job = job_of(run, i);
+        if (!job->is_done && job->engine == (int32_t)index) {
+            job->engine = -1;
+            job->runs = false;
+            fail_attempt(run, i, server->announced.id);
+        }
+    }
+    server->engine.running = 0;
+    g_queue_clear(server->engine.queue);
+}
+
+static void
+change_servers(Run_t *run, bool repair)
+{
+    for (uint32_t i = 0; i < run->server_count; i++) {
+        Server_t *server = &run->servers[i];
+        if (server->announced.kind == EY_BACKEND_SERVICE) {
+            continue;
+        }
+        bool is_hit = (run->scenario->kills_half && i % 2 == 0) ||
+                      (run->scenario->loses_region && server->region == 0);
+        if (is_hit && repair) {
+            server->engine.is_up = true;
+            server->announced.incarnation++;
+            Engine_ClearCache(&server->engine);
+        }
+        else if (is_hit) {
+            kill_server(run, i);
+        }
+        if (run->scenario->slows_one && server->region == 0) {
+            server->engine.slow_factor = repair ? 1.0 : 10.0;
+            return;
+        }
+    }
+}
+
+static void
+return_refused(Run_t *run, uint64_t number)
+{
+    Job_t *job = job_of(run, number);
+    job->is_away = false;
+    if (!job->is_done) {
+        finish(run, job->region, job->gateway, number, EY_RESULT_REFUSED, 0.0);
+        submit(run, number, true);
+    }
+}
+
+static void
+step(Run_t *run, const Event_t *event)
+{
+    run->now_ms = event->at_ms;
+    switch ((EventKind_t)event->kind) {
+    case EVENT_ARRIVE:
+        arrive(run, event->index);
+        break;
+    case EVENT_TICK:
+        tick(run);
+        break;
+    case EVENT_ANNOUNCE:
+        announce(run, event->index);
+        break;
+    case EVENT_END:
+        end_job(run, event->number, event->index);
+        break;
+    case EVENT_DEADLINE:
+        pass_deadline(run, event->number);
+        break;
+    case EVENT_AWAY_THERE:
+        if (!job_of(run, event->number)->is_done) {
+            job_of(run, event->number)->is_away = true;
+            submit(run, event->number, false);
+        }
+        break;
+    case EVENT_AWAY_REFUSED:
+        return_refused(run, event->number);
+        break;
+    case EVENT_FAULT:
+        change_servers(run, false);
+        break;
+    case EVENT_REPAIR:
+        change_servers(run, true);
+        break;
+    }
+}
+
+/* Setting up */
+
+static void
+add_server(Run_t *run, uint32_t region, bool is_service, double speed)
+{
+    uint32_t index = run->server_count++;
+    Server_t *server = &run->servers[index];
+    server->region = region;
+    server->engine = (Engine_t){
+        .slots =
+            is_service ? run->user->service_slots : run->user->model_slots,
+        .speed = speed,
+        .unit_ms = is_service ? SERVICE_UNIT_MS : MODEL_UNIT_MS,
+        .slow_factor = 1.0,
+        .is_up = true,
+        .queue = g_queue_new(),
+    };
+    (void)EY_COPY(server->targets[0], "plan");
+    server->announced = (EyBackend_t){
+        .kind = is_service ? EY_BACKEND_SERVICE : EY_BACKEND_MODEL,
+        .models = server->targets,
+        .model_count = is_service ? 0 : 1,
+        .services = server->targets,
+        .service_count = is_service ? 1 : 0,
+        .slots = server->engine.slots,
+        .speed = 1.0,
+        .incarnation = 1,
+    };
+    (void)g_snprintf(server->announced.id, EY_NAME_SIZE_BYTES, "%u", index);
+    push(run, EyRandom_Unit(&run->random), EVENT_ANNOUNCE, index, 0);
+}
+
+/* Speeds of a region's replicas, spread evenly by factor around 1. */
+static double
+speed_of(const Scenario_t *scenario, uint32_t i, uint32_t count)
+{
+    if (scenario->speed_spread <= 1.0 || count < 2) {
+        return 1.0;
+    }
+    double place = (double)i / (double)(count - 1) - 0.5;
+    return pow(scenario->speed_spread, place);
+}
+
+static double
+full_units_per_ms(const Run_t *run, uint32_t region)
+{
+    double units = 0.0;
+    for (uint32_t i = 0; i < run->server_count; i++) {
+        const Server_t *server = &run->servers[i];
+        if (server->region == region &&
+            server->announced.kind == EY_BACKEND_MODEL) {
+            units += (double)server->engine.slots * server->engine.speed /
+                     (MODEL_UNIT_MS * 1.3);
+        }
+    }
+    return units;
+}
+
+static double
+model_share(const User_t *user)
+{
+    double share = 0.0;
+    for (uint32_t i = 0; i < user->class_count; i++) {
+        share += user->classes[i].is_service ? 0.0 : user->classes[i].share;
+    }
+    return share;
+}
+
+static EyRoutingConfig_t
+make_config(const Run_t *run, const Variant_t *variant)
+{
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    double factor =
+        run->scenario->link_factor > 0.0 ? run->scenario->link_factor : 1.0;
+    (void)EY_COPY(config.policy, variant->policy);
+    config.tail_weight = run->user->tail_weight;
+    config.away_weight = run->user->away_weight;
+    config.link_bytes_per_s = (uint64_t)(run->user->link_bytes_per_s * factor *
+                                         0.5 / (double)run->user->gateways);
+    config.admission = !variant->no_admission;
+    config.limits_retries = !variant->no_retry_budget;
+    config.ejects = !variant->no_ejection;
+    config.sends_away = !variant->no_away;
+    if (variant->herd_factor >= 0.0) {
+        config.herd_factor = variant->herd_factor;
+    }
+    if (variant->overcommit > 0.0) {
+        config.overcommit = variant->overcommit;
+    }
+    if (variant->hold_factor != 0.0) {
+        config.hold_factor = variant->hold_factor;
+    }
+    return config;
+}
+
+static void
+set_up(Run_t *run, void *ctx, const Variant_t *variant, uint64_t seed)
+{
+    const User_t *user = run->user;
+    for (uint32_t region = 0; region < EXPERIMENT_REGIONS; region++) {
+        for (uint32_t i = 0; i < user->models[region]; i++) {
+            add_server(run, region, false,
+                       speed_of(run->scenario, i, user->models[region]));
+        }
+        add_server(run, region, true, 1.0);
+        run->rate_per_ms[region] = run->scenario->load[region] *
+                                   full_units_per_ms(run, region) /
+                                   mean_work(user) / model_share(user);
+        for (uint32_t i = 0; i < user->gateways; i++) {
+            EyRouterOptions_t options = {
+                .region = region_names[region],
+                .seed = seed * 1000 + region * 10 + i,
+                .config = make_config(run, variant),
+            };
+            run->routers[region][i] = EyRouter_New(ctx, &options);
+            EyRouter_SetGateways(run->routers[region][i], user->gateways);
+        }
+        push(run, 2.0 + (double)region, EVENT_ARRIVE, region, 0);
+    }
+    push(run, 2.0, EVENT_TICK, 0, 0);
+    push(run, run->length_ms * FAULT_FROM, EVENT_FAULT, 0, 0);
+    push(run, run->length_ms * FAULT_TO, EVENT_REPAIR, 0, 0);
+}
+
+static gint
+compare_doubles(gconstpointer one, gconstpointer other)
+{
+    double difference = *(const double *)one - *(const double *)other;
+    return difference < 0.0 ? -1 : difference > 0.0;
+}
+
+static double
+quantile(GArray *values, double share)
+{
+    if (values->len == 0) {
+        return 0.0;
+    }
+    g_array_sort(values, compare_doubles);
+    uint32_t place = (uint32_t)ceil(share * (double)values->len);
+    return g_array_index(values, double, place > 0 ? place - 1 : 0);
+}
+
+static Outcome_t
+measure(Run_t *run)
+{
+    double arrived = (double)run->arrived;
+    double busy_ms = 0.0;
+    double capacity = 0.0;
+    for (uint32_t i = 0; i < run->server_count; i++) {
+        busy_ms += run->servers[i].engine.busy_ms;
+    }
+    for (uint32_t i = 0; i < EXPERIMENT_REGIONS; i++) {
+        capacity += full_units_per_ms(run, i);
+    }
+    uint32_t late = 0;
+    for (uint32_t i = 0; i < run->refusals->len; i++) {
+        late += g_array_index(run->refusals, double, i) > LATE_REFUSAL_MS;
+    }
+    return (Outcome_t){
+        .p50_ms = quantile(run->latencies, 0.5),
+        .p95_ms = quantile(run->latencies, 0.95),
+        .p99_ms = quantile(run->latencies, 0.99),
+        .p999_ms = quantile(run->latencies, 0.999),
+        .goodput = (double)run->in_time / arrived,
+        .work_share =
+            run->work_done / capacity / (run->length_ms * (1.0 - WARM_UP)),
+        .refused = (double)run->refusals->len / arrived,
+        .refused_late = (double)late / arrived,
+        .refusal_p99_ms = quantile(run->refusals, 0.99),
+        .failed = (double)run->failed / arrived,
+        .sent_away = (double)run->sent_away / arrived,
+        .away_mb = run->away_bytes / 1e6,
+        .calls = (double)run->calls / (double)run->jobs->len,
+        .cost_s = busy_ms / 1000.0 / (double)run->in_time,
+        .booking_p99_ms = quantile(run->booking_latencies, 0.99),
+    };
+}
+
+static void
+free_job(gpointer job)
+{
+    talloc_free(job);
+}
+
+Outcome_t
+Experiment_Run(const User_t *user, const Scenario_t *scenario,
+               const Variant_t *variant, uint64_t seed, double length_s)
+{
+    void *ctx = talloc_new(NULL);
+    Run_t *run = EY_NEW(ctx, Run_t);
+    run->user = user;
+    run->scenario = scenario;
+    run->arrivals = EyRandom_Make(seed);
+    run->random = EyRandom_Make(seed + 1000);
+    run->length_ms = length_s * 1000.0;
+    run->events.heap = g_array_new(FALSE, FALSE, sizeof(Event_t));
+    run->jobs = g_ptr_array_new_with_free_func(free_job);
+    run->decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    run->latencies = g_array_new(FALSE, FALSE, sizeof(double));
+    run->booking_latencies = g_array_new(FALSE, FALSE, sizeof(double));
+    run->refusals = g_array_new(FALSE, FALSE, sizeof(double));
+    set_up(run, ctx, variant, seed);
+    Event_t event;
+    while (EventQueue_Pop(&run->events, &event) &&
+           event.at_ms < run->length_ms * 2.0)
+    {
+        step(run, &event);
+    }
+    Outcome_t outcome = measure(run);
+    for (uint32_t i = 0; i < run->server_count; i++) {
+        g_queue_free(run->servers[i].engine.queue);
+    }
+    g_array_unref(run->events.heap);
+    g_ptr_array_unref(run->jobs);
+    g_array_unref(run->decisions);
+    g_array_unref(run->latencies);
+    g_array_unref(run->booking_latencies);
+    g_array_unref(run->refusals);
+    talloc_free(ctx);
+    return outcome;
+}
