Routing: patient work leaves room, weights rule waiting and sending away

Change: the rate of more urgent work is taken off what waiting work may count on; a jump ahead is refused if it makes one that waits miss its deadline; weights set how long work may wait and how much better another region must be; what waits may still be sent away.

--- a/src/routing/admission_queue.c
+++ b/src/routing/admission_queue.c
@@ -47,11 +47,13 @@
 
 GSequenceIter *
 EyAdmissionQueue_Add(EyAdmissionQueue_t *self,
-                     const EyRoutingRequest_t *request, double work)
+                     const EyRoutingRequest_t *request, double work,
+                     double run_ms)
 {
     EyWaiting_t *waiting = EY_NEW(NULL, EyWaiting_t);
     waiting->request = EyRoutingRequest_Copy(waiting, request);
     waiting->work = work;
+    waiting->run_ms = run_ms;
     self->work += work;
     return g_sequence_insert_sorted(self->waiting, waiting, compare_deadlines,
                                     NULL);
@@ -102,7 +104,8 @@
         if (waiting->request->deadline_ms <= deadline_ms) {
             continue;
         }
-        double left_ms = (double)(waiting->request->deadline_ms - now_ms);
+        double left_ms =
+            (double)(waiting->request->deadline_ms - now_ms) - waiting->run_ms;
         bool meets_without = ahead / work_per_ms <= left_ms;
         bool meets_with = (ahead + work) / work_per_ms <= left_ms;
         if (meets_without && !meets_with) {
--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -17,6 +17,7 @@
 typedef struct EyWaiting {
     EyRoutingRequest_t *request;
     double work;
+    double run_ms; /* expected time once it runs */
 } EyWaiting_t;
 
 typedef struct EyAdmissionQueue {
@@ -34,7 +35,8 @@
 /** Adds a copy of the request; the result stays valid until it is removed. */
 GSequenceIter *
 EyAdmissionQueue_Add(EyAdmissionQueue_t *self,
-                     const EyRoutingRequest_t *request, double work);
+                     const EyRoutingRequest_t *request, double work,
+                     double run_ms);
 
 void
 EyAdmissionQueue_Remove(EyAdmissionQueue_t *self, GSequenceIter *place);
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -8,6 +8,8 @@
 /** Share of the prompt's reading that a cached prefix saves. */
 #define PREFIX_SAVING 0.5
 #define DRAIN_WINDOW_MS 2000
+/** Share of the rate that is left to patient work at least. */
+#define RATE_LEAST_SHARE 0.1
 /** Most replicas of a pool that may be ejected at once. */
 #define EJECTED_SHARE_MAX 0.5
 
@@ -213,6 +215,19 @@
     plan->chosen = holds ? NULL : chosen->replica;
 }
 
+/* What is left of the rate for a request that waits: more urgent work will
+ * overtake it. */
+static double
+rate_left(const EyPool_t *self, const EyPlanning_t *planning,
+          const EyRoutingRequest_t *request, const EyPlan_t *plan)
+{
+    double urgent = EyUrgency_Rate(&self->urgency, planning->now_ms,
+                                   request->deadline_ms - planning->now_ms);
+    double rate = plan->work_per_ms - urgent;
+    double least = plan->work_per_ms * RATE_LEAST_SHARE;
+    return rate > least ? rate : least;
+}
+
 EyPlan_t
 EyPool_Plan(EyPool_t *self, const EyPlanning_t *planning,
             const EyRoutingRequest_t *request, double work, double work_ahead)
@@ -235,7 +250,8 @@
     double own = drain_rate(self, planning, INFINITY);
     plan.work_per_ms = own > measured ? own : measured;
     plan.queued_finish_ms =
-        (work_ahead + work) / plan.work_per_ms + plan.best_run_ms;
+        (work_ahead + work) / rate_left(self, planning, request, &plan) +
+        plan.best_run_ms;
     collect_choices(self, planning,
                     (double)(request->deadline_ms - planning->now_ms));
     choose(self, planning, work, work_ahead, &plan);
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -8,6 +8,7 @@
 #include "routing/admission_queue.h"
 #include "routing/policy.h"
 #include "routing/replica.h"
+#include "routing/urgency.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -23,6 +24,7 @@
     GPtrArray *replicas; /* borrowed EyReplica_t */
     EyAdmissionQueue_t *queue;
     EyRecent_t finished_work;
+    EyUrgency_t urgency; /* of the work admitted */
     uint32_t flight_count;
     GArray *candidates; /* room for EyPool_Plan */
     GArray *choices;
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -21,8 +21,6 @@
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
 #define GIVE_UP_SHARE 0.9
-/** A region is better than home if it ends within this share of the time. */
-#define AWAY_GAIN 0.8
 
 /** A request that waits: where. */
 typedef struct Place {
@@ -349,11 +347,13 @@
 
 static EyRoutingDecision_t
 enqueue(EyRouter_t *self, EyPool_t *pool, const EyRoutingRequest_t *request,
-        double work)
+        const EyPlan_t *plan)
 {
+    double work = EyRoutingRequest_Work(request);
     Place_t *place = g_new0(Place_t, 1);
     place->pool = pool;
-    place->place = EyAdmissionQueue_Add(pool->queue, request, work);
+    place->place =
+        EyAdmissionQueue_Add(pool->queue, request, work, plan->best_run_ms);
     g_hash_table_insert(self->waiting,
                         g_memdup2(&request->number, sizeof(request->number)),
                         place);
@@ -363,24 +363,15 @@
                       });
 }
 
-static EyRoutingDecision_t
-wait_or_refuse(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
-               const EyRoutingRequest_t *request, const EyPlan_t *plan)
+/* True if those that wait with later deadlines can still be met. */
+static bool
+spares_others(const EyRouter_t *self, int64_t now_ms, const EyPool_t *pool,
+              const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
-    double work = EyRoutingRequest_Work(request);
-    double drain_ms = pool->queue->work / plan->work_per_ms;
-    if (EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max) {
-        return away_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
-                              drain_ms / 2.0);
-    }
-    if (self->config.admission &&
-        !EyAdmissionQueue_MayPutIn(pool->queue, now_ms, request->deadline_ms,
-                                   work, plan->work_per_ms))
-    {
-        return away_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
-                              drain_ms / 2.0);
-    }
-    return enqueue(self, pool, request, work);
+    return !self->config.admission ||
+           EyAdmissionQueue_MayPutIn(pool->queue, now_ms, request->deadline_ms,
+                                     EyRoutingRequest_Work(request),
+                                     plan->work_per_ms);
 }
 
 /* True if nothing that waits has an earlier deadline. */
@@ -409,9 +400,11 @@
 
 /* Another region must be clearly better than home. */
 static double
-away_limit_ms(const EyPlan_t *plan, double finish_ms)
+away_limit_ms(const EyRouter_t *self, const EyPlan_t *plan, double finish_ms)
 {
-    return is_suspect(plan) ? INFINITY : finish_ms * AWAY_GAIN;
+    return is_suspect(plan)
+               ? INFINITY
+               : finish_ms * EyRoutingConfig_AwayGain(&self->config);
 }
 
 static EyRoutingDecision_t
@@ -434,19 +427,33 @@
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t away;
     if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
-        try_away(self, now_ms, request, away_limit_ms(&plan, finish_ms),
+        try_away(self, now_ms, request, away_limit_ms(self, &plan, finish_ms),
                  &away))
     {
         return away;
     }
-    if (self->config.admission && finish_ms > left_ms) {
+    double limit_ms = goes_now
+                          ? left_ms
+                          : left_ms * EyRoutingConfig_WaitShare(&self->config);
+    if (self->config.admission && finish_ms > limit_ms) {
         return refuse(self, request->number, EY_REFUSAL_OVERLOADED,
-                      finish_ms - left_ms);
+                      finish_ms - limit_ms);
+    }
+    double drain_ms = pool->queue->work / plan.work_per_ms;
+    if (!spares_others(self, now_ms, pool, request, &plan)) {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
+                              drain_ms / 2.0);
     }
-    if (goes_now) {
-        return dispatch(self, now_ms, pool, request, &plan);
+    if (!goes_now &&
+        EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max)
+    {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
+                              drain_ms / 2.0);
     }
-    return wait_or_refuse(self, now_ms, pool, request, &plan);
+    EyUrgency_Add(&pool->urgency, now_ms, request->deadline_ms - now_ms,
+                  EyRoutingRequest_Work(request));
+    return goes_now ? dispatch(self, now_ms, pool, request, &plan)
+                    : enqueue(self, pool, request, &plan);
 }
 
 static bool
@@ -552,7 +559,11 @@
         *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
         return true;
     }
-    return false;
+    double left_ms = (double)(waiting->request->deadline_ms - now_ms);
+    double finish_ms = plan.queued_finish_ms;
+    return wants_away(self, &plan, false, finish_ms, left_ms) &&
+           try_away(self, now_ms, waiting->request,
+                    away_limit_ms(self, &plan, finish_ms), decision);
 }
 
 static void
--- a/src/routing/routing_config.c
+++ b/src/routing/routing_config.c
@@ -2,6 +2,9 @@
 
 /** The least share of its time that a request may spend at home. */
 #define HOME_SHARE_LEAST 0.1
+/** The least share of its time that a request may be expected to take. */
+#define WAIT_SHARE_LEAST 0.5
+#define AWAY_GAIN_LEAST 0.8
 #define LINK_BYTES_PER_S 4000000U
 
 EyRoutingConfig_t
@@ -18,7 +21,7 @@
         .summary_ttl_ms = 3000,
         .overcommit = 1.0,
         .herd_factor = 0.5,
-        .hold_factor = 0.8,
+        .hold_factor = 0.4,
         .retry_share = 0.1,
         .model_unit_ms = 10.0,
         .service_unit_ms = 20.0,
@@ -30,10 +33,28 @@
     };
 }
 
+/* The weight of tail latency, from 0.0 to 1.0. */
+static double
+tail_share(const EyRoutingConfig_t *self)
+{
+    double sum = self->tail_weight + self->away_weight;
+    return sum > 0.0 ? self->tail_weight / sum : 0.0;
+}
+
 double
 EyRoutingConfig_HomeShare(const EyRoutingConfig_t *self)
 {
-    double sum = self->tail_weight + self->away_weight;
-    double tail_share = sum > 0.0 ? self->tail_weight / sum : 0.0;
-    return 1.0 - (1.0 - HOME_SHARE_LEAST) * tail_share;
+    return 1.0 - (1.0 - HOME_SHARE_LEAST) * tail_share(self);
+}
+
+double
+EyRoutingConfig_WaitShare(const EyRoutingConfig_t *self)
+{
+    return 1.0 - (1.0 - WAIT_SHARE_LEAST) * tail_share(self);
+}
+
+double
+EyRoutingConfig_AwayGain(const EyRoutingConfig_t *self)
+{
+    return AWAY_GAIN_LEAST + (1.0 - AWAY_GAIN_LEAST) * tail_share(self);
 }
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -46,6 +46,21 @@
 double
 EyRoutingConfig_HomeShare(const EyRoutingConfig_t *self);
 
+/**
+ * Share of a request's time left within which one that has to wait must be
+ * expected to end, by the weights. A standing overload fills any queue; a
+ * shorter one serves as many with less delay.
+ */
+double
+EyRoutingConfig_WaitShare(const EyRoutingConfig_t *self);
+
+/**
+ * Another region must be expected to end within this share of the time that
+ * home takes, by the weights.
+ */
+double
+EyRoutingConfig_AwayGain(const EyRoutingConfig_t *self);
+
 #ifdef __cplusplus
 }
 #endif
--- a/tests/bench/experiment.c
+++ b/tests/bench/experiment.c
@@ -23,6 +23,8 @@
 /** Arrivals of the first part warm up and aren't measured. */
 #define WARM_UP 0.1
 #define LATE_REFUSAL_MS 50.0
+/** Share of a link that requests sent away may use. */
+#define LINK_SHARE 0.5
 
 static const char *const region_names[EXPERIMENT_REGIONS] = {"one", "two",
                                                              "three"};
@@ -89,6 +91,7 @@
     double now_ms;
     double length_ms;
     uint64_t calls;
+    bool has_fault;
     double work_done; /* slot milliseconds at full speed, in time */
     GArray *latencies;
     GArray *booking_latencies;
@@ -319,17 +322,22 @@
     return i;
 }
 
+static double
+link_rate(const Run_t *run)
+{
+    return run->scenario->link_bytes_per_s > 0.0
+               ? run->scenario->link_bytes_per_s
+               : run->user->link_bytes_per_s;
+}
+
 /* Puts bytes on a link, first come first served; the time until they are
  * through. */
 static double
 cross_link(Run_t *run, uint32_t from, uint32_t to, double size_bytes)
 {
-    double factor =
-        run->scenario->link_factor > 0.0 ? run->scenario->link_factor : 1.0;
     double *free_ms = &run->link_free_ms[from][to];
     double start_ms = *free_ms > run->now_ms ? *free_ms : run->now_ms;
-    *free_ms = start_ms +
-               size_bytes * 1000.0 / (run->user->link_bytes_per_s * factor);
+    *free_ms = start_ms + size_bytes * 1000.0 / link_rate(run);
     run->away_bytes += size_bytes;
     return *free_ms - run->now_ms + LINK_DELAY_MS;
 }
@@ -448,6 +456,14 @@
         return;
     }
     double duration_ms = run->now_ms - job->sent_ms;
+    const Server_t *server = &run->servers[job->engine];
+    if (server->region == 0 && run->has_fault &&
+        EyRandom_Unit(&run->random) < run->scenario->failing_share)
+    {
+        detach(run, job, number);
+        fail_attempt(run, number, server->announced.id);
+        return;
+    }
     bool is_model = !job->class->is_service;
     detach(run, job, number);
     if (job->is_away) {
@@ -641,9 +657,11 @@
         return_refused(run, event->number);
         break;
     case EVENT_FAULT:
+        run->has_fault = true;
         change_servers(run, false);
         break;
     case EVENT_REPAIR:
+        run->has_fault = false;
         change_servers(run, true);
         break;
     }
@@ -721,13 +739,13 @@
 make_config(const Run_t *run, const Variant_t *variant)
 {
     EyRoutingConfig_t config = EyRoutingConfig_Make();
-    double factor =
-        run->scenario->link_factor > 0.0 ? run->scenario->link_factor : 1.0;
     (void)EY_COPY(config.policy, variant->policy);
     config.tail_weight = run->user->tail_weight;
     config.away_weight = run->user->away_weight;
-    config.link_bytes_per_s = (uint64_t)(run->user->link_bytes_per_s * factor *
-                                         0.5 / (double)run->user->gateways);
+    config.link_bytes_per_s = variant->no_link_budget
+                                  ? UINT32_MAX
+                                  : (uint64_t)(link_rate(run) * LINK_SHARE /
+                                               (double)run->user->gateways);
     config.admission = !variant->no_admission;
     config.limits_retries = !variant->no_retry_budget;
     config.ejects = !variant->no_ejection;
--- a/tests/bench/experiment.h
+++ b/tests/bench/experiment.h
@@ -42,7 +42,8 @@
     const char *name;
     double load[EXPERIMENT_REGIONS]; /* of the region's capacity */
     double speed_spread;             /* fastest by slowest replica; 0: 1 */
-    double link_factor;              /* of the user's link; 0: 1 */
+    double link_bytes_per_s;         /* 0: the user's */
+    double failing_share;            /* of the first region's calls */
     bool kills_half;
     bool loses_region; /* the first one; it returns with cold caches */
     bool slows_one;
@@ -58,6 +59,7 @@
     bool no_away;
     double herd_factor; /* < 0: the default */
     double overcommit;  /* 0: the default */
+    bool no_link_budget;
     double hold_factor; /* 0: the default; < 0: never holds */
 } Variant_t;
 
