--- a/tests/bench/experiment.c
+++ b/tests/bench/experiment.c
@@ -316,7 +316,7 @@
 region_index(const char *name)
 {
     uint32_t i = 0;
-    while (strcmp(region_names[i], name) != 0) {
+    while (i < EXPERIMENT_REGIONS - 1 && strcmp(region_names[i], name) != 0) {
         i++;
     }
     return i;
@@ -778,7 +778,7 @@
         for (uint32_t i = 0; i < user->gateways; i++) {
             EyRouterOptions_t options = {
                 .region = region_names[region],
-                .seed = seed * 1000 + region * 10 + i,
+                .seed = seed * 1000 + (uint64_t)region * 10 + i,
                 .config = make_config(run, variant),
             };
             run->routers[region][i] = EyRouter_New(ctx, &options);
