--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -6,6 +6,7 @@
 #include "routing/pool.h"
 #include "routing/retry_budget.h"
 
+#include <math.h>
 #include <string.h>
 
 /** A refused caller comes back after at least and at most so long. */
@@ -305,17 +306,18 @@
     return note(self, decision);
 }
 
-/* Sends the request to another region if that is allowed and possible. */
+/* Sends the request to another region if that is allowed and one would finish
+ * it within limit_ms. */
 static bool
 try_away(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request,
-         EyRoutingDecision_t *decision)
+         double limit_ms, EyRoutingDecision_t *decision)
 {
     if (!self->config.sends_away || request->is_forwarded ||
         request->stays_home) {
         return false;
     }
     const char *region = EyAway_Choose(self->away, now_ms, &self->config,
-                                       request, self->gateways);
+                                       request, limit_ms, self->gateways);
     if (region == NULL) {
         return false;
     }
@@ -337,7 +339,7 @@
                double after_ms)
 {
     EyRoutingDecision_t decision;
-    if (try_away(self, now_ms, request, &decision)) {
+    if (try_away(self, now_ms, request, INFINITY, &decision)) {
         return decision;
     }
     return refuse(self, request->number, reason, after_ms);
@@ -345,11 +347,13 @@
 
 static EyRoutingDecision_t
 enqueue(EyRouter_t *self, EyPool_t *pool, const EyRoutingRequest_t *request,
-        double work)
+        const EyPlan_t *plan)
 {
+    double work = EyRoutingRequest_Work(request);
     Place_t *place = g_new0(Place_t, 1);
     place->pool = pool;
-    place->place = EyAdmissionQueue_Add(pool->queue, request, work);
+    place->place =
+        EyAdmissionQueue_Add(pool->queue, request, work, plan->best_run_ms);
     g_hash_table_insert(self->waiting,
                         g_memdup2(&request->number, sizeof(request->number)),
                         place);
@@ -359,24 +363,15 @@
                       });
 }
 
-static EyRoutingDecision_t
-wait_or_refuse(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
-               const EyRoutingRequest_t *request, const EyPlan_t *plan)
+/* True if those that wait with later deadlines can still be met. */
+static bool
+spares_others(const EyRouter_t *self, int64_t now_ms, const EyPool_t *pool,
+              const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
-    double work = EyRoutingRequest_Work(request);
-    double drain_ms = pool->queue->work / plan->work_per_ms;
-    if (EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max) {
-        return away_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
-                              drain_ms / 2.0);
-    }
-    if (self->config.admission &&
-        !EyAdmissionQueue_MayPutIn(pool->queue, now_ms, request->deadline_ms,
-                                   work, plan->work_per_ms))
-    {
-        return away_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
-                              drain_ms / 2.0);
-    }
-    return enqueue(self, pool, request, work);
+    return !self->config.admission ||
+           EyAdmissionQueue_MayPutIn(pool->queue, now_ms, request->deadline_ms,
+                                     EyRoutingRequest_Work(request),
+                                     plan->work_per_ms);
 }
 
 /* True if nothing that waits has an earlier deadline. */
@@ -387,6 +382,31 @@
     return first == NULL || request->deadline_ms < first->request->deadline_ms;
 }
 
+static bool
+is_suspect(const EyPlan_t *plan)
+{
+    return plan->chosen != NULL && plan->chosen->outlier.failures_in_row > 0;
+}
+
+/* True if home isn't good enough by the weights, or all that is left there
+ * are servers that fail. */
+static bool
+wants_away(const EyRouter_t *self, const EyPlan_t *plan, bool goes_now,
+           double finish_ms, double left_ms)
+{
+    double home_ms = left_ms * EyRoutingConfig_HomeShare(&self->config);
+    return finish_ms > home_ms || (goes_now && is_suspect(plan));
+}
+
+/* Another region must be clearly better than home. */
+static double
+away_limit_ms(const EyRouter_t *self, const EyPlan_t *plan, double finish_ms)
+{
+    return is_suspect(plan)
+               ? INFINITY
+               : finish_ms * EyRoutingConfig_AwayGain(&self->config);
+}
+
 static EyRoutingDecision_t
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
@@ -406,19 +426,34 @@
     double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t away;
-    if (finish_ms > left_ms * EyRoutingConfig_HomeShare(&self->config) &&
-        try_away(self, now_ms, request, &away))
+    if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
+        try_away(self, now_ms, request, away_limit_ms(self, &plan, finish_ms),
+                 &away))
     {
         return away;
     }
-    if (self->config.admission && finish_ms > left_ms) {
+    double limit_ms = goes_now
+                          ? left_ms
+                          : left_ms * EyRoutingConfig_WaitShare(&self->config);
+    if (self->config.admission && finish_ms > limit_ms) {
         return refuse(self, request->number, EY_REFUSAL_OVERLOADED,
-                      finish_ms - left_ms);
+                      finish_ms - limit_ms);
+    }
+    double drain_ms = pool->queue->work / plan.work_per_ms;
+    if (!spares_others(self, now_ms, pool, request, &plan)) {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
+                              drain_ms / 2.0);
     }
-    if (goes_now) {
-        return dispatch(self, now_ms, pool, request, &plan);
+    if (!goes_now &&
+        EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max)
+    {
+        return away_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
+                              drain_ms / 2.0);
     }
-    return wait_or_refuse(self, now_ms, pool, request, &plan);
+    EyUrgency_Add(&pool->urgency, now_ms, request->deadline_ms - now_ms,
+                  EyRoutingRequest_Work(request));
+    return goes_now ? dispatch(self, now_ms, pool, request, &plan)
+                    : enqueue(self, pool, request, &plan);
 }
 
 static bool
@@ -524,7 +559,11 @@
         *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
         return true;
     }
-    return false;
+    double left_ms = (double)(waiting->request->deadline_ms - now_ms);
+    double finish_ms = plan.queued_finish_ms;
+    return wants_away(self, &plan, false, finish_ms, left_ms) &&
+           try_away(self, now_ms, waiting->request,
+                    away_limit_ms(self, &plan, finish_ms), decision);
 }
 
 static void
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -22,6 +22,9 @@
     double overcommit;         /* requests at a replica, in its slots */
     double herd_factor;        /* share of our own recent sends that each
                                   other gateway is taken to have sent too */
+    double hold_factor;        /* a free replica is passed over if
+                             waiting for a faster one is expected
+                             to end within this share of its time */
     double retry_share;        /* retries for each success */
     double model_unit_ms;      /* unit of work at speed 1.0, until learned */
     double service_unit_ms;    /* the same of services */
@@ -43,6 +46,21 @@
 double
 EyRoutingConfig_HomeShare(const EyRoutingConfig_t *self);
 
+/**
+ * Share of a request's time left within which one that has to wait must be
+ * expected to end, by the weights. A standing overload fills any queue; a
+ * shorter one serves as many with less delay.
+ */
+double
+EyRoutingConfig_WaitShare(const EyRoutingConfig_t *self);
+
+/**
+ * Another region must be expected to end within this share of the time that
+ * home takes, by the weights.
+ */
+double
+EyRoutingConfig_AwayGain(const EyRoutingConfig_t *self);
+
 #ifdef __cplusplus
 }
 #endif
