Client: kept connections with unasked bytes aren't used again; tests

Ruled out: CURLINFO_ACTIVESOCKET before the request is sent, which libcurl doesn't know then; so the client tracks its sockets by their ends and looks for bytes just before sending. Nothing was sent by then, and the call starts over on a fresh connection.

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -29,6 +29,7 @@
     EyAttemptHandler_t handler;
     void *data;
     CURLM *multi;
+    EyConnections_t *connections;
     EyTimer_t *timer; /* libcurl's */
     struct tevent_immediate *soon;
     GHashTable *transfers; /* by number */
@@ -53,6 +54,7 @@
     METRIC_FAILURES_END = METRIC_FAILURES + EY_FAILURE_COUNT - 1,
     METRIC_IN_FLIGHT = METRIC_FAILURES_END,
     METRIC_PAUSES,
+    METRIC_STALE,
     METRIC_FIRST_BYTE,
     METRIC_COUNT
 };
@@ -82,6 +84,8 @@
                           .kind = EY_METRIC_GAUGE},
     [METRIC_PAUSES] = {.name = "attempt_pauses_total",
                        .help = "Pauses for slower readers"},
+    [METRIC_STALE] = {.name = "attempt_stale_connections_total",
+                      .help = "Kept connections found unusable"},
     [METRIC_FIRST_BYTE] = {.name = "attempt_first_byte_seconds",
                            .help = "From a call's start to its first byte",
                            .kind = EY_METRIC_HISTOGRAM},
@@ -269,6 +273,16 @@
     self->handler(self->data, event);
 }
 
+/** Starts over what wasn't sent because its kept connection is unusable. */
+static void
+start_over(EyClient_t *self, EyTransfer_t *transfer)
+{
+    EyMetric_Add(&Metrics[METRIC_STALE], 1);
+    (void)curl_multi_remove_handle(self->multi, transfer->easy);
+    EyTransfer_UseFresh(transfer);
+    (void)curl_multi_add_handle(self->multi, transfer->easy);
+}
+
 /** Finishes what libcurl has ended. */
 static void
 take_ended(EyClient_t *self)
@@ -280,10 +294,17 @@
             continue;
         }
         CURLcode result = message->data.result;
-        char *transfer = NULL;
+        char *private = NULL;
         (void)curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
-                                &transfer);
-        finish(self, (EyTransfer_t *)(void *)transfer, result);
+                                &private);
+        EyTransfer_t *transfer = (EyTransfer_t *)(void *)private;
+        if (transfer->stale && !transfer->sent &&
+            transfer->failure == EY_FAILURE_NONE) {
+            start_over(self, transfer);
+        }
+        else {
+            finish(self, transfer, result);
+        }
     }
 }
 
@@ -547,6 +568,7 @@
     {
         abort();
     }
+    self->connections = EyConnections_New(self);
     make_multi(self);
     talloc_set_destructor(self, client_destroy);
     return self;
@@ -555,7 +577,7 @@
 void
 EyClient_Start(EyClient_t *self, EyAttempt_t *attempt)
 {
-    EyTransfer_t *transfer = EyTransfer_New(self, attempt);
+    EyTransfer_t *transfer = EyTransfer_New(self, self->connections, attempt);
     (void)g_hash_table_insert(self->transfers, &attempt->number, transfer);
     EyMetric_Add(&Metrics[METRIC_ATTEMPTS], 1);
     EyMetric_Set(&Metrics[METRIC_IN_FLIGHT],
--- /dev/null
+++ b/src/backends/connections.c
@@ -0,0 +1,147 @@
+#include "backends/connections.h"
+
+#include "core/memory.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Longest local-port/remote-ip/remote-port text, with NUL. */
+#define KEY_SIZE_BYTES (INET6_ADDRSTRLEN + 16)
+
+/** One socket, named once it is connected. */
+typedef struct Entry {
+    int descriptor;
+    char key[KEY_SIZE_BYTES];
+} Entry_t;
+
+struct EyConnections {
+    GHashTable *by_descriptor; /* owns the entries */
+    GHashTable *by_key;        /* of the named ones */
+    GQueue unnamed;            /* of Entry_t */
+};
+
+static int
+connections_destroy(EyConnections_t *self)
+{
+    g_queue_clear(&self->unnamed);
+    g_hash_table_destroy(self->by_key);
+    g_hash_table_destroy(self->by_descriptor);
+    return 0;
+}
+
+EyConnections_t *
+EyConnections_New(const void *ctx)
+{
+    EyConnections_t *self = EY_NEW(ctx, EyConnections_t);
+    self->by_descriptor =
+        g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
+    self->by_key = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&self->unnamed);
+    talloc_set_destructor(self, connections_destroy);
+    return self;
+}
+
+static curl_socket_t
+on_open(void *data, curlsocktype purpose, struct curl_sockaddr *address)
+{
+    (void)purpose;
+    EyConnections_t *self = data;
+    int descriptor = socket(address->family, address->socktype | SOCK_CLOEXEC,
+                            address->protocol);
+    if (descriptor < 0) {
+        return CURL_SOCKET_BAD;
+    }
+    Entry_t *entry = g_new0(Entry_t, 1);
+    entry->descriptor = descriptor;
+    (void)g_hash_table_insert(self->by_descriptor, GINT_TO_POINTER(descriptor),
+                              entry);
+    g_queue_push_tail(&self->unnamed, entry);
+    return descriptor;
+}
+
+static int
+on_close(void *data, curl_socket_t descriptor)
+{
+    EyConnections_t *self = data;
+    Entry_t *entry =
+        g_hash_table_lookup(self->by_descriptor, GINT_TO_POINTER(descriptor));
+    if (entry != NULL) {
+        if (entry->key[0] == '\0') {
+            (void)g_queue_remove(&self->unnamed, entry);
+        }
+        else if (g_hash_table_lookup(self->by_key, entry->key) == entry) {
+            (void)g_hash_table_remove(self->by_key, entry->key);
+        }
+        (void)g_hash_table_remove(self->by_descriptor,
+                                  GINT_TO_POINTER(descriptor));
+    }
+    return close(descriptor);
+}
+
+void
+EyConnections_Track(EyConnections_t *self, CURL *easy)
+{
+    (void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, on_open);
+    (void)curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, self);
+    (void)curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    (void)curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, self);
+}
+
+/** Port of the socket's own side; 0 if it isn't connected. */
+static int
+local_port_of(int descriptor)
+{
+    union {
+        struct sockaddr plain;
+        struct sockaddr_in ipv4;
+        struct sockaddr_in6 ipv6;
+    } address = {.ipv6 = {.sin6_family = AF_UNSPEC}};
+    socklen_t size_bytes = sizeof(address);
+    if (getpeername(descriptor, &address.plain, &size_bytes) != 0) {
+        return 0;
+    }
+    size_bytes = sizeof(address);
+    if (getsockname(descriptor, &address.plain, &size_bytes) != 0) {
+        return 0;
+    }
+    return address.plain.sa_family == AF_INET6 ? ntohs(address.ipv6.sin6_port)
+                                               : ntohs(address.ipv4.sin_port);
+}
+
+/** Names the new socket that has the key's local port, if there is one. */
+static bool
+name_new(EyConnections_t *self, int local_port, const char *key)
+{
+    for (GList *at = self->unnamed.head; at != NULL; at = at->next) {
+        Entry_t *entry = at->data;
+        if (local_port_of(entry->descriptor) == local_port) {
+            (void)g_strlcpy(entry->key, key, sizeof(entry->key));
+            (void)g_hash_table_replace(self->by_key, entry->key, entry);
+            g_queue_delete_link(&self->unnamed, at);
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EyConnections_IsStale(EyConnections_t *self, int local_port,
+                      const char *remote_ip, int remote_port)
+{
+    char key[KEY_SIZE_BYTES];
+    (void)snprintf(key, sizeof(key), "%d/%s/%d", local_port, remote_ip,
+                   remote_port);
+    const Entry_t *entry = g_hash_table_lookup(self->by_key, key);
+    if (entry == NULL) {
+        return !name_new(self, local_port, key);
+    }
+    char byte = 0;
+    ssize_t got =
+        recv(entry->descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -18,10 +18,7 @@
 on_connected(void *data, char *remote_ip, char *local_ip, int remote_port,
              int local_port)
 {
-    (void)remote_ip;
     (void)local_ip;
-    (void)remote_port;
-    (void)local_port;
     EyTransfer_t *self = data;
     if (self->failure != EY_FAILURE_NONE) {
         return CURL_PREREQFUNC_ABORT;
@@ -30,6 +27,13 @@
         self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
     }
+    /* Also asked for a new connection, so that it is known from now on. */
+    bool stale = EyConnections_IsStale(self->connections, local_port,
+                                       remote_ip, remote_port);
+    if (stale && !self->fresh) {
+        self->stale = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     self->active_ms = EyClock_NowMs();
     if (!self->sent) {
         EyClient_OnSending(self->client, self);
@@ -298,17 +302,28 @@
     (void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, self);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, self);
+    EyConnections_Track(self->connections, easy);
     if (attempt->never_repeat) {
-        /* libcurl repeats a request only on a connection used before. */
-        (void)curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        EyTransfer_UseFresh(self);
     }
 }
 
+void
+EyTransfer_UseFresh(EyTransfer_t *self)
+{
+    /* libcurl repeats a request only on a connection used before. */
+    self->fresh = true;
+    self->stale = false;
+    (void)curl_easy_setopt(self->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
 EyTransfer_t *
-EyTransfer_New(EyClient_t *client, EyAttempt_t *attempt)
+EyTransfer_New(EyClient_t *client, EyConnections_t *connections,
+               EyAttempt_t *attempt)
 {
     EyTransfer_t *self = EY_NEW(NULL, EyTransfer_t);
     self->client = client;
+    self->connections = connections;
     self->attempt = talloc_steal(self, attempt);
     self->head.content_size_bytes = -1;
     self->started_us = EyClock_NowUs();
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -7,6 +7,7 @@
 #define EY_BACKENDS_TRANSFER_H
 
 #include "backends/client.h"
+#include "backends/connections.h"
 #include "backends/event_framer.h"
 #include "backends/response_head.h"
 
@@ -19,9 +20,12 @@
 typedef struct EyTransfer {
     EyAttempt_t *attempt;
     EyClient_t *client;
+    EyConnections_t *connections;
     CURL *easy;
     struct curl_slist *headers;
     EyAttemptFailure_t failure; /* why it is being ended; NONE: it isn't */
+    bool fresh;                 /* on a connection of its own */
+    bool stale;                 /* ended, as its kept connection is unusable */
     bool sent;                  /* bytes of the request may have left */
     bool head_done;
     bool collects;
@@ -46,9 +50,15 @@
 void
 EyClient_OnHead(EyClient_t *self, EyTransfer_t *transfer);
 
-/** A transfer for an attempt, which it takes over; NULL easy: no handle. */
+/** A transfer for an attempt, which it takes over; easy is NULL if the
+ * attempt's address or path is unusable. */
 EyTransfer_t *
-EyTransfer_New(EyClient_t *client, EyAttempt_t *attempt);
+EyTransfer_New(EyClient_t *client, EyConnections_t *connections,
+               EyAttempt_t *attempt);
+
+/** Has a connection of its own made for it, never a kept one. */
+void
+EyTransfer_UseFresh(EyTransfer_t *self);
 
 /** Frees it; its handle must be out of the multi handle. */
 void
--- /dev/null
+++ b/tests/property/test_event_framer_properties.cc
@@ -0,0 +1,134 @@
+#include "backends/event_framer.h"
+#include "core/memory.h"
+#include "property/check.h"
+
+#include <string>
+#include <vector>
+
+namespace {
+
+/** Pieces that streams of events are made of, line ends of both kinds. */
+const char *const Pieces[] = {
+    "data: a\n", "data:b\r\n",   "\n",          "\r\n",    ": ping\n",
+    "event: x",  "data: [DONE]", "data",        "id: 7\n", "\r",
+    "x",         "data: x\n\n",  "datax: no\n", "\n\n",    "data: y\r\n\r\n",
+};
+constexpr size_t PieceCount = sizeof(Pieces) / sizeof(Pieces[0]);
+
+std::string
+make_text(const std::vector<uint8_t> &choices)
+{
+    std::string text;
+    for (uint8_t choice : choices) {
+        text += Pieces[choice % PieceCount];
+    }
+    return text;
+}
+
+struct Outcome {
+    std::string passed;
+    std::string held;
+    uint32_t events = 0;
+    bool done = false;
+};
+
+/** Feeds text in parts; each part may first be offered and taken back. */
+Outcome
+feed(const std::string &text, const std::vector<uint8_t> &sizes, bool undo)
+{
+    EyEventFramer_t *framer = EyEventFramer_New(nullptr);
+    Outcome outcome;
+    size_t at = 0;
+    for (size_t i = 0; at < text.size(); i++) {
+        size_t part = sizes.empty() ? text.size() : sizes[i % sizes.size()];
+        part = std::min(part % 40 + 1, text.size() - at);
+        if (sizes.empty()) {
+            part = text.size();
+        }
+        if (undo) {
+            RC_ASSERT(EyEventFramer_Add(framer, text.data() + at,
+                                        static_cast<uint32_t>(part)));
+            EyEventFramer_Undo(framer);
+        }
+        RC_ASSERT(EyEventFramer_Add(framer, text.data() + at,
+                                    static_cast<uint32_t>(part)));
+        at += part;
+        const char *data =
+            reinterpret_cast<const char *>(EyEventFramer_Data(framer));
+        outcome.passed.append(data, EyEventFramer_WholeBytes(framer));
+        outcome.events += EyEventFramer_WholeEvents(framer);
+        EyEventFramer_Drop(framer);
+    }
+    const char *data =
+        reinterpret_cast<const char *>(EyEventFramer_Data(framer));
+    if (data != nullptr) {
+        outcome.held.assign(data, EyEventFramer_HeldBytes(framer));
+    }
+    outcome.done = EyEventFramer_IsDone(framer);
+    talloc_free(framer);
+    return outcome;
+}
+
+/** The same by looking at whole lines, without any state. */
+Outcome
+expected(const std::string &text)
+{
+    Outcome outcome;
+    size_t event_start = 0;
+    size_t line_start = 0;
+    bool has_data = false;
+    bool has_done = false;
+    size_t newline;
+    while ((newline = text.find('\n', line_start)) != std::string::npos) {
+        std::string line = text.substr(line_start, newline - line_start);
+        line_start = newline + 1;
+        if (!line.empty() && line.back() == '\r') {
+            line.pop_back();
+        }
+        if (line == "data" || line.rfind("data:", 0) == 0) {
+            has_data = true;
+            has_done = line == "data: [DONE]";
+        }
+        if (line.empty()) {
+            outcome.passed +=
+                text.substr(event_start, line_start - event_start);
+            event_start = line_start;
+            outcome.events += has_data ? 1 : 0;
+            outcome.done = has_data ? has_done : outcome.done;
+            has_data = false;
+            has_done = false;
+        }
+    }
+    outcome.held = text.substr(event_start);
+    return outcome;
+}
+
+void
+check_same(const Outcome &got, const Outcome &want)
+{
+    RC_ASSERT(got.passed == want.passed);
+    RC_ASSERT(got.held == want.held);
+    RC_ASSERT(got.events == want.events);
+    RC_ASSERT(got.done == want.done);
+}
+
+} // namespace
+
+Test(event_framer_properties, any_split_gives_the_same_events)
+{
+    EY_CHECK("splits and refused parts don't matter",
+             [](const std::vector<uint8_t> &choices,
+                const std::vector<uint8_t> &sizes, bool undo) {
+                 std::string text = make_text(choices);
+                 check_same(feed(text, sizes, undo), expected(text));
+             });
+}
+
+Test(event_framer_properties, any_bytes_come_out_as_they_went_in)
+{
+    EY_CHECK("nothing is lost, added or changed",
+             [](const std::string &text, const std::vector<uint8_t> &sizes) {
+                 Outcome outcome = feed(text, sizes, false);
+                 RC_ASSERT(outcome.passed + outcome.held == text);
+             });
+}
--- /dev/null
+++ b/tests/unit/raw_peer.c
@@ -0,0 +1,122 @@
+#include "raw_peer.h"
+
+#include "core/memory.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Longest wait for a request on an open connection. */
+#define REQUEST_WAIT_MS 20000
+
+typedef struct Connection {
+    RawPeer_t *peer;
+    int socket;
+} Connection_t;
+
+static void *
+serve(void *data)
+{
+    Connection_t *connection = data;
+    connection->peer->serve(connection->peer, connection->socket);
+    (void)shutdown(connection->socket, SHUT_RDWR);
+    free(connection);
+    return NULL;
+}
+
+static void *
+accept_all(void *data)
+{
+    RawPeer_t *peer = data;
+    int socket = -1;
+    while ((socket = accept(peer->listener, NULL, NULL)) >= 0) {
+        uint32_t index =
+            __atomic_fetch_add(&peer->connections, 1, __ATOMIC_SEQ_CST);
+        if (index >= RAW_PEER_CONNECTIONS_MAX) {
+            abort();
+        }
+        Connection_t *connection = malloc(sizeof(*connection));
+        if (connection == NULL) {
+            abort();
+        }
+        *connection = (Connection_t){.peer = peer, .socket = socket};
+        peer->sockets[index] = socket;
+        if (pthread_create(&peer->threads[index], NULL, serve, connection) !=
+            0) {
+            abort();
+        }
+    }
+    return NULL;
+}
+
+RawPeer_t *
+raw_peer_start(RawServe_t serve_connection, const void *data)
+{
+    RawPeer_t *peer = EY_NEW(NULL, RawPeer_t);
+    peer->serve = serve_connection;
+    peer->data = data;
+    peer->listener = raw_listen(&peer->port);
+    if (pthread_create(&peer->acceptor, NULL, accept_all, peer) != 0) {
+        abort();
+    }
+    return peer;
+}
+
+/** Bytes of body that the head in text announces. */
+static size_t
+body_size(const char *text)
+{
+    const char *header = strcasestr(text, "\r\nContent-Length:");
+    return header != NULL ? strtoul(strchr(header, ':') + 1, NULL, 10) : 0;
+}
+
+bool
+raw_peer_read_request(RawPeer_t *peer, int socket,
+                      char text[RAW_TEXT_MAX_BYTES])
+{
+    size_t got = raw_read_until(socket, "\r\n\r\n", REQUEST_WAIT_MS, text);
+    const char *end = strstr(text, "\r\n\r\n");
+    if (end == NULL) {
+        return false;
+    }
+    size_t wanted = (size_t)(end + 4 - text) + body_size(text);
+    char part[RAW_TEXT_MAX_BYTES];
+    while (got < wanted && got < RAW_TEXT_MAX_BYTES) {
+        ssize_t more = recv(socket, part, wanted - got, 0);
+        if (more <= 0) {
+            return false;
+        }
+        memcpy(text + got, part, (size_t)more);
+        got += (size_t)more;
+        text[got] = '\0';
+    }
+    (void)__atomic_add_fetch(&peer->requests, 1, __ATOMIC_SEQ_CST);
+    return true;
+}
+
+uint32_t
+raw_peer_requests(RawPeer_t *peer)
+{
+    return __atomic_load_n(&peer->requests, __ATOMIC_SEQ_CST);
+}
+
+uint32_t
+raw_peer_connections(RawPeer_t *peer)
+{
+    return __atomic_load_n(&peer->connections, __ATOMIC_SEQ_CST);
+}
+
+void
+raw_peer_stop(RawPeer_t *peer)
+{
+    (void)shutdown(peer->listener, SHUT_RDWR);
+    (void)pthread_join(peer->acceptor, NULL);
+    (void)close(peer->listener);
+    for (uint32_t i = 0; i < peer->connections; i++) {
+        (void)shutdown(peer->sockets[i], SHUT_RDWR);
+        (void)pthread_join(peer->threads[i], NULL);
+        (void)close(peer->sockets[i]);
+    }
+    talloc_free(peer);
+}
--- /dev/null
+++ b/tests/unit/test_client_streams.c
@@ -0,0 +1,197 @@
+#include "client_bench.h"
+#include "core/clock.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define IDLE_TIMEOUT_MS 150
+
+/** Reads what is in the stream. */
+static uint32_t
+drain(EyStream_t *stream, char *text, uint32_t room_bytes,
+      EyStreamState_t *state)
+{
+    uint32_t got = EyStream_Read(stream, text, room_bytes - 1, state);
+    text[got] = '\0';
+    return got;
+}
+
+/** Two replicas of one answer of five events; the first dies midway. */
+static void
+serve_events(RawPeer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    while (raw_peer_read_request(peer, socket, text)) {
+        const char *header = strstr(text, "Ebonyyard-Resume-After: ");
+        int first = header != NULL ? atoi(strchr(header, ':') + 1) : 0;
+        (void)raw_send_text(socket, OK "Content-Type: text/event-stream\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n");
+        for (int i = first; i < 5; i++) {
+            if (i == 2 && first == 0) {
+                (void)raw_send_text(socket, "7\r\ndata: 2\r\n");
+                (void)usleep(20000);
+                return;
+            }
+            char chunk[64];
+            (void)snprintf(chunk, sizeof(chunk),
+                           "3\r\ndat\r\n6\r\na: %d\n\n\r\n", i);
+            (void)raw_send_text(socket, chunk);
+        }
+        (void)raw_send_text(socket, "0\r\n\r\n");
+    }
+}
+
+Test(client_streams, a_broken_stream_of_events_goes_on_at_another_replica)
+{
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(serve_events, NULL);
+    EyStream_t *stream = EyStream_New(4096);
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "POST", "/chat");
+    attempt->body_mode = EY_ATTEMPT_EVENTS;
+    attempt->stream = EyStream_Ref(stream);
+    EyClient_Start(bench->client, attempt);
+    const EyAttemptEvent_t *event = run_until_ended(bench, 1);
+    cr_assert_eq(event->failure, EY_FAILURE_MALFORMED);
+    cr_assert_eq(event->events_passed, 2);
+    cr_assert_eq(EyStream_State(stream), EY_STREAM_OPEN);
+    attempt = make_attempt(2, peer->port, "POST", "/chat");
+    attempt->body_mode = EY_ATTEMPT_EVENTS;
+    attempt->stream = EyStream_Ref(stream);
+    attempt->resume_after = event->events_passed;
+    EyClient_Start(bench->client, attempt);
+    event = run_until_ended(bench, 2);
+    cr_assert_eq(event->kind, EY_ATTEMPT_DONE);
+    cr_assert_eq(event->events_passed, 3);
+    cr_assert_eq(count_events(bench, 2, EY_ATTEMPT_HEAD), 1);
+    char text[256];
+    EyStreamState_t state = EY_STREAM_OPEN;
+    (void)drain(stream, text, sizeof(text), &state);
+    cr_assert_str_eq(text, "data: 0\n\ndata: 1\n\ndata: 2\n\ndata: 3\n\n"
+                           "data: 4\n\n");
+    cr_assert_eq(state, EY_STREAM_WHOLE);
+    EyStream_Unref(stream);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
+
+#define LONG_BYTES (8UL * 1024 * 1024)
+
+/** One long answer: bytes that count up, or as many equal events. */
+static void
+serve_long(RawPeer_t *peer, int socket)
+{
+    const bool *events = peer->data;
+    char text[RAW_TEXT_MAX_BYTES];
+    while (raw_peer_read_request(peer, socket, text)) {
+        char head[128];
+        (void)snprintf(head, sizeof(head),
+                       OK "Content-Type: %s\r\nContent-Length: %lu\r\n\r\n",
+                       *events ? "text/event-stream" : "text/plain",
+                       LONG_BYTES);
+        (void)raw_send_text(socket, head);
+        for (size_t i = 0; i < RAW_TEXT_MAX_BYTES; i++) {
+            text[i] = "data: 012345678\n"[i % 16];
+            if (i % 32 == 31) {
+                text[i - 1] = '\n';
+            }
+        }
+        for (uint32_t i = 0; i < LONG_BYTES / RAW_TEXT_MAX_BYTES; i++) {
+            if (!raw_send(socket, text, RAW_TEXT_MAX_BYTES)) {
+                return;
+            }
+        }
+    }
+}
+
+static void
+check_slow_reader(bool events)
+{
+    enum { CAPACITY_BYTES = 16384 };
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(serve_long, &events);
+    EyStream_t *stream = EyStream_New(CAPACITY_BYTES);
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "GET", "/long");
+    attempt->body_mode = EY_ATTEMPT_EVENTS;
+    attempt->stream = EyStream_Ref(stream);
+    attempt->idle_timeout_ms = IDLE_TIMEOUT_MS;
+    EyClient_Start(bench->client, attempt);
+    /* Longer than the idle timeout: a slow reader isn't a silent server. */
+    run_for(bench, IDLE_TIMEOUT_MS * 3L);
+    cr_assert_null(last_event(bench, 1));
+    uint64_t total_bytes = 0;
+    EyStreamState_t state = EY_STREAM_OPEN;
+    char text[4096];
+    int64_t until_ms = EyClock_NowMs() + WAIT_MS;
+    EyTimer_t *tick = EyTimers_Every(bench->timers, 1, on_tick, NULL);
+    while (state == EY_STREAM_OPEN && EyClock_NowMs() < until_ms) {
+        uint32_t got = drain(stream, text, sizeof(text), &state);
+        total_bytes += got;
+        if (got == 0) {
+            cr_assert_eq(tevent_loop_once(bench->loop), 0);
+        }
+    }
+    while ((total_bytes < LONG_BYTES) &&
+           drain(stream, text, sizeof(text), &state) > 0)
+    {
+        total_bytes += strlen(text);
+    }
+    talloc_free(tick);
+    cr_assert_eq(total_bytes, LONG_BYTES, "%lu bytes came", total_bytes);
+    cr_assert_eq(state, EY_STREAM_WHOLE);
+    cr_assert_eq(run_until_ended(bench, 1)->kind, EY_ATTEMPT_DONE);
+    cr_assert_eq(last_event(bench, 1)->events_passed,
+                 events ? LONG_BYTES / 32 : 0);
+    EyStream_Unref(stream);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
+
+Test(client_streams, a_slow_reader_pauses_the_server)
+{
+    check_slow_reader(false);
+    check_slow_reader(true);
+}
+
+Test(client_streams, a_reader_that_leaves_cancels_the_call)
+{
+    static const bool Events = false;
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(serve_long, &Events);
+    EyStream_t *stream = EyStream_New(16384);
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "GET", "/long");
+    attempt->body_mode = EY_ATTEMPT_STREAM;
+    attempt->stream = EyStream_Ref(stream);
+    EyClient_Start(bench->client, attempt);
+    run_for(bench, 50);
+    cr_assert_eq(count_events(bench, 1, EY_ATTEMPT_HEAD), 1);
+    EyStream_Leave(stream);
+    cr_assert_eq(run_until_ended(bench, 1)->failure, EY_FAILURE_CANCELLED);
+    EyStream_Unref(stream);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
+
+Test(client_streams, a_cancel_at_the_head_lets_no_byte_through)
+{
+    static const bool Events = false;
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(serve_long, &Events);
+    EyStream_t *stream = EyStream_New(16384);
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "GET", "/long");
+    attempt->body_mode = EY_ATTEMPT_STREAM;
+    attempt->stream = EyStream_Ref(stream);
+    bench->cancel_at_head = 1;
+    EyClient_Start(bench->client, attempt);
+    const EyAttemptEvent_t *event = run_until_ended(bench, 1);
+    cr_assert_eq(event->failure, EY_FAILURE_CANCELLED);
+    cr_assert_eq(event->bytes_passed, 0);
+    EyStreamState_t state = EY_STREAM_OPEN;
+    char text[16];
+    cr_assert_eq(drain(stream, text, sizeof(text), &state), 0);
+    EyStream_Unref(stream);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
