--- /dev/null
+++ b/tests/unit/test_server.c
@@ -0,0 +1,434 @@
+#include "core/clock.h"
+#include "core/memory.h"
+#include "server_bench.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define GET "GET /v1/services/seats/free HTTP/1.1\r\nHost: a\r\n"
+#define POST "POST /v1/services/seats/buy HTTP/1.1\r\nHost: a\r\n"
+
+/** Reads until marker and returns the text, valid until the next call. */
+static const char *
+read_until(int socket, const char *marker)
+{
+    static char text[RAW_TEXT_MAX_BYTES];
+    (void)raw_read_until(socket, marker, SERVER_WAIT_MS, text);
+    return text;
+}
+
+static void
+assert_has(const char *text, const char *part)
+{
+    cr_assert_not_null(strstr(text, part), "no '%s' in: %s", part, text);
+}
+
+Test(server, a_request_arrives_as_it_was_sent)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(
+        bench, "PUT /v1/services/seats/a%2Fb/../c?x=%20 HTTP/1.1\r\n"
+               "Host: a\r\nX-Request-Id: order-7\r\nIdempotency-Key: k1\r\n"
+               "Ebonyyard-Home: istra\r\nEbonyyard-Account: school\r\n"
+               "Ebonyyard-Timeout-Ms: 1500\r\nContent-Type: text/plain\r\n"
+               "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+               "Authorization: Bearer t\r\nContent-Length: 3\r\n\r\na");
+    (void)raw_send(socket, "\0b", 2);
+    EyRequest_t *request = server_bench_take(bench);
+    cr_assert_str_eq(request->method, "PUT");
+    cr_assert_str_eq(request->path, "/a%2Fb/../c?x=%20");
+    cr_assert_str_eq(request->target, "seats");
+    cr_assert_str_eq(request->id, "order-7");
+    cr_assert_str_eq(request->idempotency_key, "k1");
+    cr_assert_str_eq(request->home, "istra");
+    cr_assert_str_eq(request->account, "school");
+    cr_assert_eq(request->deadline_ms, request->arrived_ms + 1500);
+    cr_assert_eq(request->body.size_bytes, 3);
+    cr_assert_arr_eq(request->body.data, "a\0b", 3);
+    cr_assert_eq(request->header_count, 2);
+    cr_assert_str_eq(request->headers[0].name, "Content-Type");
+    cr_assert_str_eq(request->headers[1].value, "Bearer t");
+    talloc_free(request);
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
+Test(server, a_model_call_names_its_model)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(
+        bench, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n"
+               "b\r\n{\"model\": \"\r\n"
+               "28\r\nplan\",\"stream\":true, \"max_tokens\":  500}\r\n"
+               "0\r\n\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    cr_assert_eq(request->call, EY_CALL_MODEL);
+    cr_assert_str_eq(request->target, "plan");
+    cr_assert(request->streamed);
+    cr_assert_eq(request->tokens_max, 500);
+    cr_assert_eq(strlen(request->id), 32);
+    cr_assert_eq(request->deadline_ms, 0);
+    talloc_free(request);
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
+Test(server, an_answer_bears_outcome_id_and_retry_time)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(bench, GET "X-Request-Id: order-7\r\n\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    EyAnswer_t *answer = EyAnswer_Problem(EY_PROBLEM_OUTCOME_UNKNOWN,
+                                          EY_OUTCOME_UNKNOWN, 7, "lost");
+    EyAnswer_SetHeader(answer, "X-Request-Id", "spoofed");
+    EyAnswer_SetHeader(answer, "Ebonyyard-Outcome", "completed");
+    EyAnswer_SetHeader(answer, "Retry-After", "900");
+    EyAnswer_SetHeader(answer, "Transfer-Encoding", "chunked");
+    EyAnswer_SetHeader(answer, "X-Some", "kept");
+    EyServer_Answer(bench->server, request->number, answer);
+    const char *text = read_until(socket, "}");
+    cr_assert_eq(status_of(text), 504);
+    assert_has(text, "\r\nX-Request-Id: order-7\r\n");
+    assert_has(text, "\r\nEbonyyard-Outcome: unknown\r\n");
+    assert_has(text, "\r\nRetry-After: 7\r\n");
+    assert_has(text, "\r\nX-Some: kept\r\n");
+    cr_assert_null(strstr(text, "spoofed"));
+    cr_assert_null(strstr(text, "completed"));
+    cr_assert_null(strstr(text, "900"));
+    cr_assert_null(strstr(text, "chunked"));
+    /* Too late, twice and for nobody: nothing happens. */
+    EyServer_Answer(bench->server, request->number,
+                    EyAnswer_Text(200, "text/plain", "again"));
+    EyServer_Answer(bench->server, 999999,
+                    EyAnswer_Text(200, "text/plain", "nobody"));
+    talloc_free(request);
+    (void)close(socket);
+    cr_assert(server_bench_wait_idle(bench));
+    cr_assert_eq(bench->gone, 0);
+    server_bench_free(bench);
+}
+
+Test(server, answers_that_cross_reach_their_own_callers)
+{
+    enum { CALLERS = 50 };
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int sockets[CALLERS];
+    EyRequest_t *requests[CALLERS];
+    for (int i = 0; i < CALLERS; i++) {
+        char text[128];
+        (void)snprintf(text, sizeof(text),
+                       GET "X-Request-Id: order-%d\r\n\r\n", i);
+        sockets[i] = server_bench_send(bench, text);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+        requests[i] = server_bench_take(bench);
+    }
+    for (int i = CALLERS - 1; i >= 0; i--) {
+        EyServer_Answer(bench->server, requests[i]->number,
+                        EyAnswer_Text(200, "text/plain", requests[i]->id));
+        talloc_free(requests[i]);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+        char body[64];
+        (void)snprintf(body, sizeof(body), "\r\n\r\norder-%d", i);
+        assert_has(read_until(sockets[i], body), body);
+        (void)close(sockets[i]);
+    }
+    server_bench_free(bench);
+}
+
+Test(server, a_full_ring_refuses_without_running)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_IS_FULL);
+    int socket = server_bench_send(bench, GET "\r\n");
+    const char *text = read_until(socket, "}");
+    cr_assert_eq(status_of(text), 503);
+    assert_has(text, "Ebonyyard-Outcome: not-run");
+    assert_has(text, "Retry-After: 1");
+    (void)close(socket);
+    cr_assert(server_bench_wait_idle(bench));
+    cr_assert_eq(bench->gone, 0);
+    server_bench_free(bench);
+}
+
+Test(server, data_bound_elsewhere_is_refused_before_its_body)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(
+        bench, POST "Ebonyyard-Home: zagreb\r\nContent-Length: 9\r\n\r\n");
+    const char *text = read_until(socket, "}");
+    cr_assert_eq(status_of(text), 421);
+    assert_has(text, "Ebonyyard-Outcome: not-run");
+    (void)close(socket);
+    socket = server_bench_send(bench, POST "Ebonyyard-Home: zagreb\r\n"
+                                           "Expect: 100-continue\r\n"
+                                           "Content-Length: 9\r\n\r\n");
+    cr_assert_eq(status_of(read_until(socket, "}")), 421);
+    (void)close(socket);
+    cr_assert_eq(bench->checked, 2);
+    cr_assert_eq(g_async_queue_length(bench->requests), 0);
+    server_bench_free(bench);
+}
+
+Test(server, a_caller_that_asks_is_told_to_go_on)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_ANSWERS);
+    int socket = server_bench_send(
+        bench, POST "Expect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    assert_has(read_until(socket, "\r\n\r\n"), "100 Continue");
+    (void)raw_send_text(socket, "abc");
+    assert_has(read_until(socket, "fine"), "200 OK");
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
+Test(server, connections_serve_one_request_after_another)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_ANSWERS);
+    int socket = server_bench_send(bench, GET "\r\n");
+    for (int i = 0; i < 20; i++) {
+        cr_assert_eq(status_of(read_until(socket, "fine")), 200);
+        (void)raw_send_text(socket, GET "\r\n");
+    }
+    (void)close(socket);
+    socket =
+        server_bench_send(bench, GET "\r\n" GET "Connection: close\r\n\r\n");
+    const char *text = read_until(socket, NULL);
+    cr_assert_eq(status_of(text), 200);
+    assert_has(strstr(text, "fine") + 4, "fine");
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
+Test(server, a_head_request_gets_no_body)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_ANSWERS);
+    int socket = server_bench_send(
+        bench, "HEAD /v1/instances HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const char *text = read_until(socket, NULL);
+    assert_has(text, "Content-Length: 4");
+    cr_assert_null(strstr(text, "fine"));
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
+/** How a streamed answer ends for its caller. */
+typedef struct StreamCase {
+    const char *name;
+    int64_t size_bytes; /* -1: not known */
+    bool is_events;
+    EyStreamState_t end;
+    const char *has;
+    const char *lacks; /* or NULL */
+} StreamCase_t;
+
+static const StreamCase_t StreamCases[] = {
+    {"chunked", -1, false, EY_STREAM_WHOLE, "one\r\n3\r\ntwo\r\n0\r\n\r\n",
+     "Content-Length"},
+    {"known length", 6, false, EY_STREAM_WHOLE,
+     "Content-Length: 6\r\n\r\nonetwo", "chunked"},
+    {"broken", -1, false, EY_STREAM_BROKEN, "two", "\r\n0\r\n"},
+    {"broken with length", 9, false, EY_STREAM_BROKEN, "onetwo", "error"},
+    {"short of its length", 9, false, EY_STREAM_WHOLE, "onetwo", "error"},
+    {"broken events", -1, true, EY_STREAM_BROKEN,
+     "event: error\ndata: {\"type\":\"backend-failed\"", "\r\n0\r\n"},
+    {"whole events", -1, true, EY_STREAM_WHOLE, "two\r\n0\r\n\r\n",
+     "event: error"},
+};
+
+static void
+check_stream(ServerBench_t *bench, const StreamCase_t *test)
+{
+    int socket = server_bench_send(bench, GET "Connection: close\r\n\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    EyAnswer_t *answer = EyAnswer_New(200, EY_OUTCOME_COMPLETED);
+    EyStream_t *stream = EyStream_New(1024);
+    answer->stream = EyStream_Ref(stream);
+    answer->stream_size_bytes = test->size_bytes;
+    answer->is_events = test->is_events;
+    EyServer_Answer(bench->server, request->number, answer);
+    char text[RAW_TEXT_MAX_BYTES];
+    (void)EyStream_Write(stream, "one", 3);
+    size_t got = raw_read_until(socket, "one", SERVER_WAIT_MS, text);
+    (void)usleep(5000);
+    (void)EyStream_Write(stream, "two", 3);
+    (void)usleep(test->is_events ? 5000 : 0);
+    EyStream_Finish(stream, test->end);
+    char rest[RAW_TEXT_MAX_BYTES];
+    (void)raw_read_until(socket, NULL, SERVER_WAIT_MS, rest);
+    char *all = talloc_asprintf(NULL, "%.*s%s", (int)got, text, rest);
+    cr_assert_eq(status_of(all), 200);
+    assert_has(all, test->has);
+    cr_assert(test->lacks == NULL || strstr(all, test->lacks) == NULL,
+              "%s: %s", test->name, all);
+    talloc_free(all);
+    talloc_free(request);
+    EyStream_Unref(stream);
+    (void)close(socket);
+}
+
+Test(server, streams_end_whole_or_recognisably_incomplete)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    for (size_t i = 0; i < sizeof(StreamCases) / sizeof(StreamCases[0]); i++) {
+        check_stream(bench, &StreamCases[i]);
+    }
+    cr_assert(server_bench_wait_idle(bench));
+    cr_assert_eq(bench->gone, 0);
+    server_bench_free(bench);
+}
+
+Test(server, a_caller_that_hangs_up_while_it_waits_is_told_of_once)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    (void)usleep(20000);
+    cr_assert_eq(bench->gone, 0);
+    (void)close(socket);
+    cr_assert(server_bench_wait_gone(bench, 1));
+    cr_assert_eq(bench->gone_last, request->number);
+    EyServer_Answer(bench->server, request->number,
+                    EyAnswer_Text(200, "text/plain", "late"));
+    cr_assert(server_bench_wait_idle(bench));
+    (void)usleep(20000);
+    cr_assert_eq(bench->gone, 1);
+    talloc_free(request);
+    server_bench_free(bench);
+}
+
+/** A caller that hangs up midway: before a byte, or while it is slow. */
+static void
+check_hangup_midway(uint32_t written_bytes)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    EyAnswer_t *answer = EyAnswer_New(200, EY_OUTCOME_COMPLETED);
+    EyStream_t *stream = EyStream_New(65536);
+    answer->stream = EyStream_Ref(stream);
+    EyServer_Answer(bench->server, request->number, answer);
+    char *zeros = EY_NEW_ARRAY(NULL, char, 4096);
+    int64_t until_ms = EyClock_NowMs() + SERVER_WAIT_MS;
+    uint32_t written = 0;
+    while (written < written_bytes && EyClock_NowMs() < until_ms) {
+        if (EyStream_Write(stream, zeros, 4096)) {
+            written += 4096;
+            continue;
+        }
+        (void)usleep(100);
+        if (written > 4096U * 1024) {
+            break; /* the sockets are full: the caller reads nothing */
+        }
+    }
+    (void)usleep(10000);
+    cr_assert_eq(bench->gone, 0);
+    (void)close(socket);
+    cr_assert(server_bench_wait_gone(bench, 1));
+    cr_assert(server_bench_wait_idle(bench));
+    cr_assert_eq(EyStream_State(stream), EY_STREAM_LEFT);
+    cr_assert_eq(bench->gone, 1);
+    talloc_free(zeros);
+    talloc_free(request);
+    EyStream_Unref(stream);
+    server_bench_free(bench);
+}
+
+Test(server, a_caller_that_hangs_up_midway_is_told_of_once)
+{
+    check_hangup_midway(0);
+    check_hangup_midway(4096);
+    check_hangup_midway(UINT32_MAX);
+}
+
+Test(server, an_answer_for_a_caller_that_is_gone_frees_its_writer)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    EyAnswer_t *answer = EyAnswer_New(200, EY_OUTCOME_COMPLETED);
+    EyStream_t *stream = EyStream_New(64);
+    answer->stream = EyStream_Ref(stream);
+    EyServer_Answer(bench->server, 12345, answer);
+    cr_assert_eq(EyStream_State(stream), EY_STREAM_LEFT);
+    EyStream_Unref(stream);
+    server_bench_free(bench);
+}
+
+Test(server, quiescing_cuts_nothing_off)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int idle = raw_connect(EyServer_Port(bench->server));
+    int waiting = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    int accepted = raw_connect(EyServer_Port(bench->server));
+    EyServer_Quiesce(bench->server);
+    cr_assert_eq(raw_connect(EyServer_Port(bench->server)), -1);
+    cr_assert_eq(EyServer_InFlight(bench->server), 1);
+    EyServer_Answer(bench->server, request->number,
+                    EyAnswer_Text(200, "text/plain", "fine"));
+    talloc_free(request);
+    const char *text = read_until(waiting, NULL);
+    assert_has(text, "Connection: close");
+    assert_has(text, "fine");
+    /* Connections made before are served, and end after their answers. */
+    int others[] = {idle, accepted};
+    for (size_t i = 0; i < 2; i++) {
+        (void)raw_send_text(others[i], GET "\r\n");
+        request = server_bench_take(bench);
+        EyServer_Answer(bench->server, request->number,
+                        EyAnswer_Text(200, "text/plain", "fine"));
+        talloc_free(request);
+        assert_has(read_until(others[i], NULL), "fine");
+        (void)close(others[i]);
+    }
+    (void)close(waiting);
+    cr_assert(server_bench_wait_idle(bench));
+    cr_assert_eq(bench->gone, 0);
+    server_bench_free(bench);
+}
+
+Test(server, stopping_ends_what_is_in_flight)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int waiting = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    int streaming = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *streamed = server_bench_take(bench);
+    EyAnswer_t *answer = EyAnswer_New(200, EY_OUTCOME_COMPLETED);
+    EyStream_t *stream = EyStream_New(64);
+    answer->stream = EyStream_Ref(stream);
+    EyServer_Answer(bench->server, streamed->number, answer);
+    (void)read_until(streaming, "\r\n\r\n");
+    int half = server_bench_send(bench, POST "Content-Length: 9\r\n\r\nx");
+    int idle = raw_connect(EyServer_Port(bench->server));
+    (void)usleep(20000);
+    server_bench_free(bench);
+    cr_assert(raw_is_closed(waiting, SERVER_WAIT_MS));
+    cr_assert(raw_is_closed(streaming, SERVER_WAIT_MS));
+    cr_assert(raw_is_closed(half, SERVER_WAIT_MS));
+    cr_assert(raw_is_closed(idle, SERVER_WAIT_MS));
+    cr_assert_eq(EyStream_State(stream), EY_STREAM_LEFT);
+    EyStream_Unref(stream);
+    talloc_free(request);
+    talloc_free(streamed);
+}
+
+Test(server, a_port_in_use_is_an_error)
+{
+    uint16_t port = 0;
+    int listener = raw_listen(&port);
+    char address[32];
+    (void)snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+    EyServerHooks_t hooks = {.data = NULL};
+    const char *const addresses[] = {address, "nowhere", "127.0.0.1", "::1:x"};
+    for (size_t i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+        GError *error = NULL;
+        cr_assert_null(EyServer_Start(NULL, addresses[i], &hooks, &error));
+        cr_assert(
+            g_error_matches(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN));
+        g_clear_error(&error);
+    }
+    (void)close(listener);
+}
