Server: refusals are read by callers that still send; bodies are bounded

Cause: libmicrohttpd closes a connection with unread bytes, which resets it, so a caller in the midst of a large body got a reset instead of its 413 or 421. A body in chunks that grows too large is refused at once, beside the library, which takes no response while a body is being read. All bodies in flight share 256 MB. Client: an unframed answer counts as whole if it is a whole JSON object or array, or events that end with [DONE].

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -6,6 +6,7 @@
 #include "exchange/body.h"
 #include "exchange/hop_headers.h"
 
+#include <jansson.h>
 #include <string.h>
 #include <strings.h>
 
@@ -372,6 +373,22 @@
     }
 }
 
+/** True if a collected body is a whole JSON object or array: what is cut off
+ * is neither. */
+static bool
+is_whole_json(const EyTransfer_t *self)
+{
+    const char *type = EyAnswer_Header(self->head.answer, "Content-Type");
+    if (type == NULL || strcasestr(type, "json") == NULL) {
+        return false;
+    }
+    json_t *json =
+        json_loadb((const char *)self->collected.data,
+                   self->collected.size_bytes, JSON_REJECT_DUPLICATES, NULL);
+    json_decref(json);
+    return json != NULL;
+}
+
 /** True if the answer's end could be told from a break. */
 static bool
 is_framed(const EyTransfer_t *self)
@@ -383,8 +400,11 @@
     {
         return true;
     }
-    return self->framer != NULL && EyEventFramer_IsDone(self->framer) &&
-           EyEventFramer_HeldBytes(self->framer) == 0;
+    if (self->framer != NULL) {
+        return EyEventFramer_IsDone(self->framer) &&
+               EyEventFramer_HeldBytes(self->framer) == 0;
+    }
+    return self->collects && is_whole_json(self);
 }
 
 /** Passes on what follows the last whole event of a whole answer. */
--- a/src/callers/hangup.h
+++ b/src/callers/hangup.h
@@ -1,6 +1,8 @@
 /**
- * Watches the sockets of callers that wait, since libmicrohttpd doesn't look
- * at suspended connections: tells when a caller closes its side. One thread.
+ * Watches sockets beside libmicrohttpd, in one thread. It doesn't look at
+ * suspended connections: this tells when a caller that waits closes its side.
+ * And it closes a connection with unread bytes at once, which resets it:
+ * this reads on for a while, so that a refused caller gets its refusal.
  */
 #ifndef EY_CALLERS_HANGUP_H
 #define EY_CALLERS_HANGUP_H
@@ -28,6 +30,13 @@
 void
 EyHangups_Forget(EyHangups_t *self, int socket);
 
+/**
+ * Reads and throws away what still comes, on a descriptor of its own, until
+ * the caller closes or a time limit; call before the socket is closed.
+ */
+void
+EyHangups_Drain(EyHangups_t *self, int socket);
+
 /** Ends the thread. */
 void
 EyHangups_Stop(EyHangups_t *self);
--- a/src/callers/inbound.c
+++ b/src/callers/inbound.c
@@ -2,9 +2,11 @@
 
 #include "exchange/hop_headers.h"
 
+#include <glib.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 /* Bytes that libmicrohttpd asks a stream for at a time. */
 #define READ_BLOCK_SIZE_BYTES 16384
@@ -146,3 +148,37 @@
     }
     return response;
 }
+
+int
+EyInbound_Socket(const EyInbound_t *self)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        self->suspension.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    return info != NULL ? info->connect_fd : -1;
+}
+
+void
+EyInbound_AnswerRaw(EyInbound_t *self)
+{
+    const EyAnswer_t *answer = self->answer;
+    GString *text = g_string_new(NULL);
+    g_string_append_printf(
+        text,
+        "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nX-Request-Id: %s\r\n"
+        "Ebonyyard-Outcome: %s\r\nConnection: close\r\n",
+        answer->status, MHD_get_reason_phrase_for(answer->status),
+        EyAnswer_Header(answer, "Content-Type"), self->id,
+        EyOutcome_Name(answer->outcome));
+    if (answer->retry_after_s > 0) {
+        g_string_append_printf(text, "Retry-After: %u\r\n",
+                               answer->retry_after_s);
+    }
+    g_string_append_printf(text, "Content-Length: %u\r\n\r\n",
+                           answer->body.size_bytes);
+    g_string_append_len(text, (const char *)answer->body.data,
+                        answer->body.size_bytes);
+    ssize_t sent = send(EyInbound_Socket(self), text->str, text->len,
+                        MSG_DONTWAIT | MSG_NOSIGNAL);
+    self->answered_raw = sent == (ssize_t)text->len;
+    g_string_free(text, TRUE);
+}
--- a/src/callers/inbound.h
+++ b/src/callers/inbound.h
@@ -27,15 +27,17 @@
     EyKey_t id;
     EyInboundStage_t stage;
     bool submitted;
-    bool watched;   /* by the hang-up watcher */
-    bool broken;    /* we broke the answer off */
-    bool too_large; /* its body; the rest is thrown away */
+    bool watched;      /* by the hang-up watcher */
+    bool broken;       /* we broke the answer off */
+    bool drains;       /* bytes may still come after the answer */
+    bool answered_raw; /* beside libmicrohttpd */
     bool error_event_given;
     int64_t started_us;
     char *path;                /* raw, from the request line */
     EyRequest_t *request;      /* until it is submitted */
     EyAnswer_t *refusal;       /* kept until a response may be queued */
     EyAnswer_t *answer;        /* set by any thread, under the server's lock */
+    uint64_t body_bytes;       /* kept for it */
     uint64_t sent_bytes;       /* of the body */
     EySuspension_t suspension; /* woken by any thread */
 } EyInbound_t;
@@ -47,6 +49,17 @@
 struct MHD_Response *
 EyInbound_MakeResponse(EyInbound_t *self, bool closes);
 
+/** The caller's socket. */
+int
+EyInbound_Socket(const EyInbound_t *self);
+
+/**
+ * Sends inbound->answer, a small one, beside libmicrohttpd, which takes no
+ * response while a body is being read. The connection must end then.
+ */
+void
+EyInbound_AnswerRaw(EyInbound_t *self);
+
 #ifdef __cplusplus
 }
 #endif
--- /dev/null
+++ b/src/callers/listener.c
@@ -0,0 +1,88 @@
+#include "callers/listener.h"
+
+#include "core/log.h"
+#include "core/settings.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* Connections at once; more wait in the kernel's queue. */
+#define CONNECTIONS_MAX 8192
+/* Silence after which a connection is closed, unless its answer is awaited. */
+#define CONNECTION_IDLE_TIMEOUT_S 30
+/* Room for one connection's head and buffers. */
+#define CONNECTION_MEMORY_BYTES 32768
+/* Deeply nested JSON is read on this stack. */
+#define THREAD_STACK_SIZE_BYTES (4 * 1024 * 1024)
+
+static void
+log_library(void *data, const char *format, va_list arguments)
+{
+    (void)data;
+    char text[512];
+    (void)vsnprintf(text, sizeof(text), format, arguments);
+    EY_LOG(EY_LOG_DEBUG, "callers", "microhttpd", EY_LOG_TEXT("text", text));
+}
+
+/** Fills the socket address; false if address isn't IP:port. */
+static bool
+make_socket_address(const char *address, struct sockaddr_storage *storage)
+{
+    char ip[EY_ADDRESS_SIZE_BYTES];
+    uint16_t port = 0;
+    if (!EyAddress_Split(address, ip, sizeof(ip), &port)) {
+        return false;
+    }
+    memset(storage, 0, sizeof(*storage));
+    struct sockaddr_in *ipv4 = (struct sockaddr_in *)storage;
+    struct sockaddr_in6 *ipv6 = (struct sockaddr_in6 *)storage;
+    if (inet_pton(AF_INET, ip, &ipv4->sin_addr) == 1) {
+        ipv4->sin_family = AF_INET;
+        ipv4->sin_port = htons(port);
+        return true;
+    }
+    ipv6->sin6_family = AF_INET6;
+    ipv6->sin6_port = htons(port);
+    return inet_pton(AF_INET6, ip, &ipv6->sin6_addr) == 1;
+}
+
+static struct MHD_Daemon *
+start(const struct sockaddr_storage *address, const EyListenerCalls_t *calls)
+{
+    unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ERROR_LOG |
+                         MHD_ALLOW_SUSPEND_RESUME;
+    if (address->ss_family == AF_INET6) {
+        flags |= MHD_USE_IPv6;
+    }
+    return MHD_start_daemon(
+        flags, 0, NULL, NULL, calls->on_access, calls->data,
+        MHD_OPTION_EXTERNAL_LOGGER, log_library, NULL, MHD_OPTION_SOCK_ADDR,
+        (const struct sockaddr *)address, MHD_OPTION_URI_LOG_CALLBACK,
+        calls->on_request_line, calls->data, MHD_OPTION_NOTIFY_COMPLETED,
+        calls->on_completed, calls->data, MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned int)CONNECTION_IDLE_TIMEOUT_S,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_SIZE_BYTES,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned int)1, MHD_OPTION_END);
+}
+
+struct MHD_Daemon *
+EyListener_Start(const char *address, const EyListenerCalls_t *calls)
+{
+    struct sockaddr_storage socket_address;
+    if (!make_socket_address(address, &socket_address)) {
+        return NULL;
+    }
+    return start(&socket_address, calls);
+}
+
+uint16_t
+EyListener_Port(struct MHD_Daemon *daemon)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
+    return info != NULL ? info->port : 0;
+}
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -2,28 +2,21 @@
 
 #include "callers/hangup.h"
 #include "callers/inbound.h"
+#include "callers/listener.h"
 #include "callers/parse.h"
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/log.h"
 #include "core/memory.h"
 #include "core/random.h"
-#include "core/settings.h"
 #include "exchange/body.h"
 
-#include <arpa/inet.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* Connections at once; more wait in the kernel's queue. */
-#define CONNECTIONS_MAX 8192
-/* Silence after which a connection is closed, unless its answer is awaited. */
-#define CONNECTION_IDLE_TIMEOUT_S 30
-/* Room for one connection's head and buffers. */
-#define CONNECTION_MEMORY_BYTES 32768
-/* Deeply nested JSON is read on this stack. */
-#define THREAD_STACK_SIZE_BYTES (4 * 1024 * 1024)
+/* All bodies of requests in flight. */
+#define BODIES_MAX_BYTES (256ULL * 1024 * 1024)
 /* When a caller should come back after a full ring. */
 #define RETRY_AFTER_FULL_S 1
 /* Time for cut-off requests to end while the server stops. */
@@ -37,8 +30,9 @@
     struct MHD_Daemon *daemon;
     EyHangups_t *hangups;
     uint16_t port;
-    int listener;      /* once it is quiescing */
-    EyRandom_t random; /* of libmicrohttpd's thread */
+    int listener;          /* once it is quiescing */
+    EyRandom_t random;     /* of libmicrohttpd's thread */
+    uint64_t bodies_bytes; /* of libmicrohttpd's thread */
     pthread_mutex_t lock;
     GHashTable *inbounds; /* by number; under the lock */
     bool quiescing;       /* under the lock */
@@ -234,23 +228,45 @@
     }
     if (has_body) {
         /* Its body is never read; the connection ends after the answer. */
+        inbound->drains = true;
         return refuse(self, inbound, refusal);
     }
     inbound->refusal = refusal;
     return MHD_YES;
 }
 
-/** Adds a part of the body; what follows one that is too large is lost. */
-static void
-on_body(EyInbound_t *inbound, const char *data, size_t size_bytes)
+/** Refuses a request in the midst of its body. */
+static enum MHD_Result
+refuse_body(EyInbound_t *inbound, EyAnswer_t *refusal)
+{
+    inbound->answer = refusal;
+    inbound->drains = true;
+    EyInbound_AnswerRaw(inbound);
+    return MHD_NO;
+}
+
+/** Adds a part of the body. */
+static enum MHD_Result
+on_body(EyServer_t *self, EyInbound_t *inbound, const char *data,
+        size_t size_bytes)
 {
     EyRequest_t *request = inbound->request;
-    if (!inbound->too_large &&
-        !EyBody_Append(request, &request->body, data, size_bytes,
+    if (self->bodies_bytes + size_bytes > BODIES_MAX_BYTES) {
+        return refuse_body(inbound, EyAnswer_Problem(EY_PROBLEM_OVERLOADED,
+                                                     EY_OUTCOME_NOT_RUN,
+                                                     RETRY_AFTER_FULL_S,
+                                                     "too many bodies"));
+    }
+    if (!EyBody_Append(request, &request->body, data, size_bytes,
                        EY_REQUEST_BODY_MAX_BYTES))
     {
-        inbound->too_large = true;
+        return refuse_body(inbound,
+                           EyAnswer_Problem(EY_PROBLEM_TOO_LARGE,
+                                            EY_OUTCOME_NOT_RUN, 0, NULL));
     }
+    inbound->body_bytes += size_bytes;
+    self->bodies_bytes += size_bytes;
+    return MHD_YES;
 }
 
 /** Sends the answer if it is here; else waits for it or ends. */
@@ -276,12 +292,8 @@
 static void
 watch(EyServer_t *self, EyInbound_t *inbound)
 {
-    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-        inbound->suspension.connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    if (info != NULL) {
-        inbound->watched = true;
-        EyHangups_Watch(self->hangups, info->connect_fd, inbound->number);
-    }
+    inbound->watched = true;
+    EyHangups_Watch(self->hangups, EyInbound_Socket(inbound), inbound->number);
 }
 
 static void
@@ -298,10 +310,6 @@
 {
     EyAnswer_t *refusal = inbound->refusal;
     inbound->refusal = NULL;
-    if (refusal == NULL && inbound->too_large) {
-        refusal = EyAnswer_Problem(EY_PROBLEM_TOO_LARGE, EY_OUTCOME_NOT_RUN, 0,
-                                   NULL);
-    }
     if (refusal == NULL) {
         refusal = EyParse_Body(inbound->request);
     }
@@ -343,9 +351,9 @@
         return on_head(self, inbound, method);
     }
     if (inbound->stage == EY_INBOUND_BODY && *upload_size_bytes > 0) {
-        on_body(inbound, upload, *upload_size_bytes);
+        size_t size_bytes = *upload_size_bytes;
         *upload_size_bytes = 0;
-        return MHD_YES;
+        return on_body(self, inbound, upload, size_bytes);
     }
     if (inbound->stage == EY_INBOUND_BODY) {
         return on_whole(self, inbound);
@@ -377,19 +385,23 @@
 on_completed(void *data, struct MHD_Connection *connection, void **place,
              enum MHD_RequestTerminationCode code)
 {
+    (void)connection;
     EyServer_t *self = data;
     EyInbound_t *inbound = *place;
     *place = NULL;
     if (inbound == NULL) {
         return;
     }
-    bool completed = code == MHD_REQUEST_TERMINATED_COMPLETED_OK;
+    bool completed =
+        code == MHD_REQUEST_TERMINATED_COMPLETED_OK || inbound->answered_raw;
     bool stopping = forget(self, inbound);
     if (inbound->watched) {
-        const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-            connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        EyHangups_Forget(self->hangups, info->connect_fd);
+        EyHangups_Forget(self->hangups, EyInbound_Socket(inbound));
+    }
+    if (inbound->drains && !stopping) {
+        EyHangups_Drain(self->hangups, EyInbound_Socket(inbound));
     }
+    self->bodies_bytes -= inbound->body_bytes;
     if (inbound->answer != NULL && inbound->answer->stream != NULL) {
         EyStream_SetReader(inbound->answer->stream, NULL, NULL);
         EyStream_Leave(inbound->answer->stream);
@@ -408,65 +420,6 @@
     talloc_free(inbound);
 }
 
-static void
-log_library(void *data, const char *format, va_list arguments)
-{
-    (void)data;
-    char text[512];
-    (void)vsnprintf(text, sizeof(text), format, arguments);
-    EY_LOG(EY_LOG_DEBUG, "callers", "microhttpd", EY_LOG_TEXT("text", text));
-}
-
-/** Fills the socket address; false if address isn't IP:port. */
-static bool
-make_socket_address(const char *address, struct sockaddr_storage *storage)
-{
-    char ip[EY_ADDRESS_SIZE_BYTES];
-    uint16_t port = 0;
-    if (!EyAddress_Split(address, ip, sizeof(ip), &port)) {
-        return false;
-    }
-    memset(storage, 0, sizeof(*storage));
-    struct sockaddr_in *ipv4 = (struct sockaddr_in *)storage;
-    struct sockaddr_in6 *ipv6 = (struct sockaddr_in6 *)storage;
-    if (inet_pton(AF_INET, ip, &ipv4->sin_addr) == 1) {
-        ipv4->sin_family = AF_INET;
-        ipv4->sin_port = htons(port);
-        return true;
-    }
-    ipv6->sin6_family = AF_INET6;
-    ipv6->sin6_port = htons(port);
-    return inet_pton(AF_INET6, ip, &ipv6->sin6_addr) == 1;
-}
-
-static struct MHD_Daemon *
-start_daemon(EyServer_t *self, const struct sockaddr_storage *address)
-{
-    unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ERROR_LOG |
-                         MHD_ALLOW_SUSPEND_RESUME;
-    if (address->ss_family == AF_INET6) {
-        flags |= MHD_USE_IPv6;
-    }
-    return MHD_start_daemon(
-        flags, 0, NULL, NULL, on_access, self, MHD_OPTION_EXTERNAL_LOGGER,
-        log_library, NULL, MHD_OPTION_SOCK_ADDR,
-        (const struct sockaddr *)address, MHD_OPTION_URI_LOG_CALLBACK,
-        on_request_line, self, MHD_OPTION_NOTIFY_COMPLETED, on_completed, self,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
-        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_IDLE_TIMEOUT_S,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_SIZE_BYTES,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, (unsigned int)1, MHD_OPTION_END);
-}
-
-static uint16_t
-bound_port(struct MHD_Daemon *daemon)
-{
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
-    return info != NULL ? info->port : 0;
-}
-
 static void
 free_parts(EyServer_t *self)
 {
@@ -479,12 +432,6 @@
 EyServer_Start(const void *ctx, const char *address,
                const EyServerHooks_t *hooks, GError **error)
 {
-    struct sockaddr_storage socket_address;
-    if (!make_socket_address(address, &socket_address)) {
-        g_set_error(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN,
-                    "'%s' isn't IP:port", address);
-        return NULL;
-    }
     EyMetrics_Register(Metrics, METRIC_COUNT);
     EyServer_t *self = EY_NEW(ctx, EyServer_t);
     self->hooks = *hooks;
@@ -493,15 +440,21 @@
     (void)pthread_mutex_init(&self->lock, NULL);
     self->inbounds = g_hash_table_new(g_int64_hash, g_int64_equal);
     self->hangups = EyHangups_Start(self, on_hangup, self);
-    self->daemon = start_daemon(self, &socket_address);
+    EyListenerCalls_t calls = {
+        .on_access = on_access,
+        .on_request_line = on_request_line,
+        .on_completed = on_completed,
+        .data = self,
+    };
+    self->daemon = EyListener_Start(address, &calls);
     if (self->daemon == NULL) {
         g_set_error(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN,
-                    "can't listen on %s", address);
+                    "can't listen on '%s': not IP:port, or in use", address);
         free_parts(self);
         talloc_free(self);
         return NULL;
     }
-    self->port = bound_port(self->daemon);
+    self->port = EyListener_Port(self->daemon);
     return self;
 }
 
--- /dev/null
+++ b/tests/unit/test_stream.c
@@ -0,0 +1,109 @@
+#include "core/clock.h"
+#include "core/stream.h"
+
+#include <criterion/criterion.h>
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#define CALL_MS 60
+
+/** A wake-up that takes its time. */
+typedef struct SlowCall {
+    EyStream_t *stream;
+    bool begun;    /* atomic */
+    bool returned; /* atomic */
+} SlowCall_t;
+
+static void
+on_wake(void *data)
+{
+    SlowCall_t *call = data;
+    __atomic_store_n(&call->begun, true, __ATOMIC_SEQ_CST);
+    (void)usleep(CALL_MS * 1000);
+    __atomic_store_n(&call->returned, true, __ATOMIC_SEQ_CST);
+}
+
+static void *
+write_one(void *data)
+{
+    SlowCall_t *call = data;
+    (void)EyStream_Write(call->stream, "a", 1);
+    return NULL;
+}
+
+static void *
+leave(void *data)
+{
+    SlowCall_t *call = data;
+    EyStream_Leave(call->stream);
+    return NULL;
+}
+
+/** Takes a wake-up back while it runs in another thread. */
+static void
+check_taken_back(void *(*run)(void *data),
+                 void (*set)(EyStream_t *self, EyStreamWake_t call,
+                             void *data))
+{
+    SlowCall_t call = {.stream = EyStream_New(16)};
+    set(call.stream, on_wake, &call);
+    pthread_t thread;
+    cr_assert_eq(pthread_create(&thread, NULL, run, &call), 0);
+    while (!__atomic_load_n(&call.begun, __ATOMIC_SEQ_CST)) {
+        (void)usleep(100);
+    }
+    set(call.stream, NULL, NULL);
+    cr_assert(__atomic_load_n(&call.returned, __ATOMIC_SEQ_CST));
+    (void)pthread_join(thread, NULL);
+    EyStream_Unref(call.stream);
+}
+
+Test(stream, a_wakeup_taken_back_runs_no_more)
+{
+    check_taken_back(write_one, EyStream_SetReader);
+    check_taken_back(leave, EyStream_SetWriter);
+}
+
+static void
+count_call(void *data)
+{
+    (*(uint32_t *)data)++;
+}
+
+Test(stream, the_writer_is_woken_when_half_is_free)
+{
+    uint32_t wakeups = 0;
+    char text[16];
+    EyStreamState_t state = EY_STREAM_OPEN;
+    EyStream_t *stream = EyStream_New(16);
+    EyStream_SetWriter(stream, count_call, &wakeups);
+    cr_assert(EyStream_Write(stream, "0123456789abcdef", 16));
+    cr_assert_eq(EyStream_Read(stream, text, 16, &state), 16);
+    cr_assert_eq(wakeups, 0, "nobody waited");
+    cr_assert(EyStream_Write(stream, "0123456789abcdef", 16));
+    cr_assert_not(EyStream_Write(stream, "x", 1));
+    cr_assert_eq(EyStream_Read(stream, text, 7, &state), 7);
+    cr_assert_eq(wakeups, 0);
+    cr_assert_eq(EyStream_Read(stream, text, 1, &state), 1);
+    cr_assert_eq(wakeups, 1);
+    cr_assert_eq(EyStream_Read(stream, text, 8, &state), 8);
+    cr_assert_eq(wakeups, 1);
+    EyStream_Unref(stream);
+}
+
+Test(stream, a_chunk_above_the_capacity_passes_when_it_is_empty)
+{
+    char text[64];
+    EyStreamState_t state = EY_STREAM_OPEN;
+    EyStream_t *stream = EyStream_New(4);
+    cr_assert(EyStream_Write(stream, "0123456789", 10));
+    cr_assert_not(EyStream_Write(stream, "x", 1));
+    EyStream_Finish(stream, EY_STREAM_WHOLE);
+    EyStream_Finish(stream, EY_STREAM_BROKEN);
+    cr_assert_eq(EyStream_Read(stream, text, 64, &state), 10);
+    cr_assert_arr_eq(text, "0123456789", 10);
+    cr_assert_eq(EyStream_Read(stream, text, 64, &state), 0);
+    cr_assert_eq(state, EY_STREAM_WHOLE);
+    EyStream_Unref(stream);
+}
