--- a/src/config/log.c
+++ b/src/config/log.c
@@ -221,9 +221,10 @@
 static void
 set_base(EyLog_t *self, const EyLogSnapshot_t *snapshot)
 {
-    talloc_free(self->base.members.items);
-    talloc_free(self->base.data.data);
+    EyLogSnapshot_t before = self->base;
     self->base = EyLogMessage_CopySnapshot(self, snapshot);
+    talloc_free(before.members.items);
+    talloc_free(before.data.data);
 }
 
 static void
@@ -273,6 +274,26 @@
     return first.number;
 }
 
+bool
+ey_log_is_unused(const EyLog_t *self)
+{
+    return self->base.index == EY_LOG_FIRST_INDEX &&
+           self->term == EY_LOG_FIRST_TERM && self->vote[0] == '\0' &&
+           self->entries->len == 0 && self->commit == self->base.index;
+}
+
+void
+ey_log_leave_unused(EyLog_t *self)
+{
+    EyLogSnapshot_t nothing = {.index = 0};
+    set_base(self, &nothing);
+    self->cluster = 0;
+    self->term = 0;
+    self->commit = 0;
+    self->applied = 0;
+    ey_log_reload_members(self);
+}
+
 void
 ey_log_set_commit(EyLog_t *self, uint64_t commit)
 {
@@ -384,14 +405,11 @@
         }
         return;
     }
-    bool alone = EyLogMembers_Voters(&self->members) == 1;
-    bool is_due = self->now_ms >= self->election_ms ||
-                  (alone && self->role == EY_LOG_FOLLOWER);
-    if (!is_due) {
+    if (self->disk_failed) {
+        self->election_ms = self->now_ms + self->options.election_min_ms;
         return;
     }
-    if (self->disk_failed) {
-        ey_log_reset_election(self);
+    if (self->now_ms < self->election_ms) {
         return;
     }
     ey_log_start_pre_vote(self);
@@ -525,14 +543,15 @@
         return;
     }
     bool is_hello = message->kind == EY_LOG_HELLO;
+    bool is_unbound = self->cluster == 0 || ey_log_is_unused(self);
     bool is_joining = is_hello || message->kind == EY_LOG_HELLO_ANSWER ||
-                      (message->kind == EY_LOG_SNAPSHOT && self->cluster == 0);
+                      (message->kind == EY_LOG_SNAPSHOT && is_unbound);
     if (!is_hello && message->to_incarnation != self->incarnation) {
         return;
     }
     /* Any other message between different clusters is of no use to either. A
      * leader that doesn't know us yet probes by APPEND. */
-    bool is_probe = message->kind == EY_LOG_APPEND && self->cluster == 0;
+    bool is_probe = message->kind == EY_LOG_APPEND && is_unbound;
     if (!is_joining && !is_probe && message->cluster != self->cluster) {
         return;
     }
--- a/src/config/log.h
+++ b/src/config/log.h
@@ -85,7 +85,8 @@
     EY_LOG_EVENT_PERSIST_FAILED, /* the disk is full or broken */
     EY_LOG_EVENT_PROPOSE,        /* number is the caller's own; data */
     EY_LOG_EVENT_COMPACT,        /* number is an applied index; data: state */
-    EY_LOG_EVENT_REMOVE_MEMBER,  /* address */
+    EY_LOG_EVENT_REMOVE_MEMBER,  /* address, of a process that is gone: one
+                                  * that lives and is in the list joins */
     EY_LOG_EVENT_KIND_COUNT
 } EyLogEventKind_t;
 
--- a/src/config/log_election.c
+++ b/src/config/log_election.c
@@ -9,6 +9,10 @@
     uint32_t min_ms = self->options.election_min_ms;
     self->election_ms =
         self->now_ms + min_ms + (int64_t)EyRandom_Below(&self->random, min_ms);
+    bool is_alone = ey_log_is_voter(self) && ey_log_quorum(self) == 1;
+    if (is_alone && self->role == EY_LOG_FOLLOWER) {
+        self->election_ms = self->now_ms;
+    }
 }
 
 /** True if a log that ends so holds all that ours may hold committed. */
@@ -70,6 +74,8 @@
     self->leader[0] = '\0';
     ey_log_reset_election(self);
     ask_votes(self, EY_LOG_PRE_VOTE, self->term + 1);
+    /* It may have been taken out without hearing of it. */
+    ey_log_say_hello(self);
     ey_log_check_election(self);
 }
 
--- a/src/config/log_internal.h
+++ b/src/config/log_internal.h
@@ -7,6 +7,9 @@
 #include <glib.h>
 
 #define EY_LOG_HELLO_EVERY_MS 300
+/** Entry 1 of every cluster is its first member set, as a snapshot. */
+#define EY_LOG_FIRST_INDEX 1
+#define EY_LOG_FIRST_TERM 1
 /** A snapshot is sent again if nothing came back for so long. */
 #define EY_LOG_SNAPSHOT_AGAIN_MS 2000
 
@@ -134,6 +137,16 @@
 void
 ey_log_install(EyLog_t *self, const EyLogSnapshot_t *snapshot);
 
+/** True if it gave its cluster neither a vote nor an entry. A disk lost within
+ * the very first start can leave such a cluster without a quorum; its members
+ * may then follow another one's leader. */
+bool
+ey_log_is_unused(const EyLog_t *self);
+
+/** Leaves a cluster in which it is unused. */
+void
+ey_log_leave_unused(EyLog_t *self);
+
 void
 ey_log_set_commit(EyLog_t *self, uint64_t commit);
 
--- a/src/config/log_members.c
+++ b/src/config/log_members.c
@@ -5,10 +5,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-/** Entry 1 of every cluster is its first member set, as a snapshot. */
-#define FIRST_INDEX 1
-#define FIRST_TERM 1
-
 static void
 sync_peers(EyLog_t *self)
 {
@@ -101,9 +97,13 @@
 {
     for (uint32_t i = 0; i < self->options.list_count; i++) {
         const char *address = self->options.list[i];
-        if (!is_self(self, address)) {
-            ey_log_send(self, ey_log_message(self, EY_LOG_HELLO, address, 0));
+        if (is_self(self, address)) {
+            continue;
         }
+        EyLogMessage_t *message =
+            ey_log_message(self, EY_LOG_HELLO, address, 0);
+        message->nonce = self->heard[i].nonce;
+        ey_log_send(self, message);
     }
     ey_log_bootstrap(self);
 }
@@ -204,15 +204,12 @@
         EySchema_Pack(&EyLogMembers_schema, self->actions, &members);
     self->cluster = XXH64(packed.data, packed.size_bytes, 0) | 1;
     EyLogSnapshot_t first = {
-        .index = FIRST_INDEX,
-        .term = FIRST_TERM,
+        .index = EY_LOG_FIRST_INDEX,
+        .term = EY_LOG_FIRST_TERM,
         .members = members,
     };
     ey_log_install(self, &first);
-    ey_log_follow(self, FIRST_TERM, "");
-    if (count == 1) {
-        self->election_ms = self->now_ms;
-    }
+    ey_log_follow(self, EY_LOG_FIRST_TERM, "");
 }
 
 /* Membership changes by the leader, one at a time. */
--- a/src/config/log_replication.c
+++ b/src/config/log_replication.c
@@ -120,8 +120,11 @@
         self, EY_LOG_APPEND_ANSWER, message->from, message->from_incarnation);
     answer->granted = granted;
     answer->index = index;
-    /* Told of the leader's cluster, even while in none. */
-    answer->cluster = message->cluster;
+    /* While in no cluster or unused in another, it has no term in this one. */
+    if (self->cluster != message->cluster) {
+        answer->cluster = message->cluster;
+        answer->term = 0;
+    }
     ey_log_send_persisted(self, answer);
 }
 
@@ -166,7 +169,7 @@
 void
 ey_log_on_append(EyLog_t *self, const EyLogMessage_t *message)
 {
-    if (self->cluster == 0) {
+    if (self->cluster != message->cluster) {
         answer_append(self, message, false, 0);
         return;
     }
@@ -219,7 +222,9 @@
     peer->match = MAX(peer->match, MIN(message->index, last));
     peer->next = MAX(peer->next, peer->match + 1);
     ey_log_advance_commit(self);
-    if (peer->next <= last) {
+    /* A commit may have changed the members, and so the peers. */
+    peer = ey_log_peer(self, message->from, message->from_incarnation);
+    if (peer != NULL && peer->next <= last) {
         ey_log_replicate(self, peer);
     }
 }
@@ -231,7 +236,10 @@
     if (snapshot->index == 0 || message->cluster == 0) {
         return;
     }
-    if (self->cluster == 0) {
+    if (self->cluster != message->cluster) {
+        if (self->cluster != 0) {
+            ey_log_leave_unused(self);
+        }
         self->cluster = message->cluster;
         (void)ey_log_persist(self);
     }
--- /dev/null
+++ b/tests/property/log_world.h
@@ -0,0 +1,719 @@
+/**
+ * Several logs with disks and a network in memory, for property tests. Time,
+ * order and faults come from one seed and a list of orders; what must hold is
+ * checked after each step of each log.
+ */
+#ifndef EY_TESTS_PROPERTY_LOG_WORLD_H
+#define EY_TESTS_PROPERTY_LOG_WORLD_H
+
+#include "config/log.h"
+#include "core/memory.h"
+#include "core/random.h"
+
+#include <cstring>
+#include <deque>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace log_world {
+
+constexpr int64_t StepMs = 10;
+constexpr int64_t LatencyMs = 60;
+constexpr int64_t WriteMs = 30;
+constexpr uint64_t CompactEntries = 8;
+
+/** A promise that didn't hold. */
+struct Broken : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+inline void
+hold(bool holds, const std::string &promise)
+{
+    if (!holds) {
+        throw Broken(promise);
+    }
+}
+
+struct Entry {
+    uint64_t index;
+    uint64_t term;
+    EyLogEntryKind_t kind;
+    std::string data;
+
+    bool
+    operator==(const Entry &other) const
+    {
+        return index == other.index && term == other.term &&
+               kind == other.kind && data == other.data;
+    }
+};
+
+inline std::string
+text_of(const EyBytes_t &bytes)
+{
+    return bytes.size_bytes == 0
+               ? std::string()
+               : std::string(reinterpret_cast<const char *>(bytes.data),
+                             bytes.size_bytes);
+}
+
+inline EyBytes_t
+bytes_of(const void *ctx, const std::string &text)
+{
+    EyBytes_t bytes = {};
+    bytes.size_bytes = static_cast<uint32_t>(text.size());
+    bytes.data =
+        static_cast<uint8_t *>(EyMemory_Copy(ctx, text.data(), text.size()));
+    return bytes;
+}
+
+inline Entry
+entry_of(const EyLogEntry_t &entry)
+{
+    return {entry.index, entry.term, entry.kind, text_of(entry.data)};
+}
+
+/** What a node's disk holds. */
+struct Disk {
+    uint64_t incarnation = 0;
+    uint64_t cluster = 0;
+    uint64_t term = 0;
+    std::string vote;
+    uint64_t vote_incarnation = 0;
+    uint64_t base_index = 0;
+    uint64_t base_term = 0;
+    std::string base_data;
+    std::vector<EyLogMember_t> base_members;
+    std::vector<Entry> entries;
+
+    uint64_t
+    last_index() const
+    {
+        return base_index + entries.size();
+    }
+
+    void
+    write(const EyLogPersist_t &persist)
+    {
+        cluster = persist.cluster;
+        term = persist.term;
+        vote = persist.vote;
+        vote_incarnation = persist.vote_incarnation;
+        const EyLogSnapshot_t &snapshot = persist.snapshot;
+        if (snapshot.index != 0) {
+            base_index = snapshot.index;
+            base_term = snapshot.term;
+            base_data = text_of(snapshot.data);
+            base_members.assign(snapshot.members.items,
+                                snapshot.members.items +
+                                    snapshot.members.count);
+            entries.clear();
+        }
+        if (persist.truncate_from != 0) {
+            hold(persist.truncate_from > base_index, "cut into a snapshot");
+            entries.resize(persist.truncate_from - base_index - 1);
+        }
+        for (uint32_t i = 0; i < persist.entry_count; i++) {
+            hold(persist.entries[i].index == last_index() + 1,
+                 "a gap between the entries on the disk");
+            entries.push_back(entry_of(persist.entries[i]));
+        }
+    }
+
+    EyLogDisk_t
+    load(const void *ctx) const
+    {
+        EyLogDisk_t disk = {};
+        disk.incarnation = incarnation;
+        disk.cluster = cluster;
+        disk.term = term;
+        (void)EY_COPY(disk.vote, vote.c_str());
+        disk.vote_incarnation = vote_incarnation;
+        disk.snapshot.index = base_index;
+        disk.snapshot.term = base_term;
+        disk.snapshot.data = bytes_of(ctx, base_data);
+        disk.snapshot.members.count =
+            static_cast<uint32_t>(base_members.size());
+        disk.snapshot.members.items =
+            EY_NEW_ARRAY(ctx, EyLogMember_t, base_members.size());
+        for (size_t i = 0; i < base_members.size(); i++) {
+            disk.snapshot.members.items[i] = base_members[i];
+        }
+        disk.entry_count = static_cast<uint32_t>(entries.size());
+        disk.entries = EY_NEW_ARRAY(ctx, EyLogEntry_t, entries.size());
+        for (size_t i = 0; i < entries.size(); i++) {
+            disk.entries[i].index = entries[i].index;
+            disk.entries[i].term = entries[i].term;
+            disk.entries[i].kind = entries[i].kind;
+            disk.entries[i].data = bytes_of(ctx, entries[i].data);
+        }
+        return disk;
+    }
+};
+
+/** A write on its way to the disk. */
+struct Write {
+    int64_t due_ms;
+    EyLogPersist_t *persist;
+};
+
+struct Node {
+    std::string address;
+    Disk disk;
+    EyLog_t *log = nullptr; /* nullptr: down */
+    std::deque<Write> writes;
+    int64_t clock_ms = 0; /* ahead of the world's */
+    bool is_frozen = false;
+    bool is_disk_full = false;
+    uint64_t applied = 0;
+    std::string state;              /* a digest of all that was applied */
+    std::set<std::string> learners; /* as the log last showed them */
+    uint64_t shown_commit = 0;
+};
+
+/** A message on its way. */
+struct Packet {
+    int64_t due_ms;
+    size_t from;
+    size_t to;
+    EyLogMessage_t *message;
+};
+
+class World {
+  public:
+    World(size_t count, uint64_t seed) : random(EyRandom_Make(seed))
+    {
+        ctx = talloc_new(nullptr);
+        list = EY_NEW_ARRAY(ctx, EyAddress_t, count);
+        nodes.resize(count);
+        cuts.assign(count, std::vector<bool>(count, false));
+        for (size_t i = 0; i < count; i++) {
+            nodes[i].address = "10.0.0." + std::to_string(i + 1) + ":7000";
+            (void)EY_COPY(list[i], nodes[i].address.c_str());
+            nodes[i].disk.incarnation = next_incarnation++;
+        }
+        for (size_t i = 0; i < count; i++) {
+            start(i);
+        }
+    }
+
+    ~World()
+    {
+        for (Node &node : nodes) {
+            drop_writes(node);
+        }
+        talloc_free(ctx);
+    }
+
+    World(const World &) = delete;
+    World &
+    operator=(const World &) = delete;
+
+    /* Orders */
+
+    void
+    run(int64_t for_ms)
+    {
+        int64_t end_ms = now_ms + for_ms;
+        while (now_ms < end_ms) {
+            now_ms += StepMs;
+            deliver();
+            finish_writes();
+            for (size_t i = 0; i < nodes.size(); i++) {
+                Node &node = nodes[i];
+                if (is_running(node) && clock(node) >= EyLog_DueMs(node.log)) {
+                    EyLogEvent_t event = {};
+                    event.kind = EY_LOG_EVENT_TICK;
+                    step(i, event);
+                }
+            }
+        }
+    }
+
+    void
+    crash(size_t i)
+    {
+        Node &node = nodes[i];
+        if (node.log == nullptr) {
+            return;
+        }
+        /* Some of what wasn't confirmed may have reached the disk. */
+        while (!node.writes.empty() && EyRandom_Below(&random, 2) == 0) {
+            node.disk.write(*node.writes.front().persist);
+            talloc_free(node.writes.front().persist);
+            node.writes.pop_front();
+        }
+        drop_writes(node);
+        talloc_free(node.log);
+        node.log = nullptr;
+    }
+
+    void
+    start(size_t i)
+    {
+        Node &node = nodes[i];
+        if (node.log != nullptr) {
+            return;
+        }
+        EyLogOptions_t options = {};
+        (void)EY_COPY(options.self, node.address.c_str());
+        options.list = list;
+        options.list_count = static_cast<uint32_t>(nodes.size());
+        options.seed = EyRandom_Next(&random);
+        void *scratch = talloc_new(nullptr);
+        EyLogDisk_t disk = node.disk.load(scratch);
+        node.log = EyLog_New(ctx, &options, &disk, clock(node));
+        talloc_free(scratch);
+        node.is_frozen = false;
+        node.applied = node.disk.base_index;
+        node.state = node.disk.base_data;
+        node.learners.clear();
+        node.shown_commit = 0;
+    }
+
+    /** Takes a node's disk away, if what remains is still a quorum. */
+    bool
+    wipe(size_t i)
+    {
+        if (!may_lose(i)) {
+            return false;
+        }
+        crash(i);
+        nodes[i].disk = Disk();
+        nodes[i].disk.incarnation = next_incarnation++;
+        wipes++;
+        return true;
+    }
+
+    void
+    cut(size_t from, size_t to, bool is_cut)
+    {
+        cuts[from][to] = is_cut;
+    }
+
+    void
+    freeze(size_t i, bool is_frozen)
+    {
+        nodes[i].is_frozen = is_frozen;
+    }
+
+    void
+    jump_clock(size_t i, int64_t by_ms)
+    {
+        nodes[i].clock_ms += by_ms;
+    }
+
+    void
+    fill_disk(size_t i, bool is_full)
+    {
+        nodes[i].is_disk_full = is_full;
+    }
+
+    /** A proposal at one node; its number. */
+    uint64_t
+    propose(size_t i)
+    {
+        if (!is_running(nodes[i])) {
+            return 0;
+        }
+        uint64_t number = next_number++;
+        std::string data = "proposal " + std::to_string(number);
+        EyLogEvent_t event = {};
+        event.kind = EY_LOG_EVENT_PROPOSE;
+        event.number = number;
+        event.data = bytes_of(ctx, data);
+        step(i, event);
+        talloc_free(event.data.data);
+        return number;
+    }
+
+    void
+    remove(size_t from, size_t i)
+    {
+        if (!is_running(nodes[from])) {
+            return;
+        }
+        EyLogEvent_t event = {};
+        event.kind = EY_LOG_EVENT_REMOVE_MEMBER;
+        event.address = nodes[i].address.c_str();
+        step(from, event);
+    }
+
+    void
+    end_faults()
+    {
+        noise = 0;
+        for (size_t i = 0; i < nodes.size(); i++) {
+            cuts[i].assign(nodes.size(), false);
+            nodes[i].is_frozen = false;
+            nodes[i].is_disk_full = false;
+            start(i);
+        }
+    }
+
+    /** The index of a leader, or the count of nodes. */
+    size_t
+    leader() const
+    {
+        for (size_t i = 0; i < nodes.size(); i++) {
+            if (is_running(nodes[i]) &&
+                EyLog_Status(nodes[i].log).role == EY_LOG_LEADER) {
+                return i;
+            }
+        }
+        return nodes.size();
+    }
+
+    /** True if all nodes are voters and have applied the same. */
+    bool
+    is_settled() const
+    {
+        for (const Node &node : nodes) {
+            if (!is_running(node) || !EyLog_Status(node.log).is_voter ||
+                node.applied != nodes[0].applied ||
+                node.state != nodes[0].state)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    std::vector<Node> nodes;
+    std::map<uint64_t, Entry> committed;
+    std::set<uint64_t> accepted; /* proposals */
+    std::set<uint64_t> rejected;
+    uint64_t noise = 0; /* per mille of messages lost, and of doubled ones */
+    int64_t now_ms = 1000;
+    uint64_t wipes = 0;
+
+  private:
+    int64_t
+    clock(const Node &node) const
+    {
+        return now_ms + node.clock_ms;
+    }
+
+    static bool
+    is_running(const Node &node)
+    {
+        return node.log != nullptr && !node.is_frozen;
+    }
+
+    static void
+    drop_writes(Node &node)
+    {
+        for (Write &write : node.writes) {
+            talloc_free(write.persist);
+        }
+        node.writes.clear();
+    }
+
+    void
+    deliver()
+    {
+        std::vector<Packet> due;
+        std::vector<Packet> rest;
+        for (Packet &packet : packets) {
+            (packet.due_ms <= now_ms ? due : rest).push_back(packet);
+        }
+        packets = rest;
+        for (Packet &packet : due) {
+            Node &node = nodes[packet.to];
+            if (node.log != nullptr && node.is_frozen) {
+                /* Waits in the socket of a frozen process. */
+                packet.due_ms = now_ms + StepMs;
+                packets.push_back(packet);
+                continue;
+            }
+            if (is_running(node) && !cuts[packet.from][packet.to]) {
+                EyLogEvent_t event = {};
+                event.kind = EY_LOG_EVENT_MESSAGE;
+                event.message = packet.message;
+                step(packet.to, event);
+            }
+            talloc_free(packet.message);
+        }
+    }
+
+    void
+    send(size_t from, EyLogMessage_t *message)
+    {
+        size_t to = 0;
+        while (to < nodes.size() && nodes[to].address != message->to) {
+            to++;
+        }
+        bool is_lost = EyRandom_Below(&random, 1000) < noise;
+        if (to == nodes.size() || cuts[from][to] || is_lost) {
+            return;
+        }
+        size_t copies = 1 + (EyRandom_Below(&random, 1000) < noise);
+        for (size_t i = 0; i < copies; i++) {
+            EyBytes_t packed =
+                EySchema_Pack(&EyLogMessage_schema, nullptr, message);
+            EyLogMessage_t *copy = EY_NEW(ctx, EyLogMessage_t);
+            hold(EySchema_Unpack(&EyLogMessage_schema, copy, packed.data,
+                                 packed.size_bytes, copy, nullptr),
+                 "a message that doesn't read");
+            talloc_free(packed.data);
+            int64_t latency_ms =
+                1 + static_cast<int64_t>(EyRandom_Below(&random, LatencyMs));
+            packets.push_back({now_ms + latency_ms, from, to, copy});
+        }
+    }
+
+    void
+    finish_writes()
+    {
+        for (size_t i = 0; i < nodes.size(); i++) {
+            Node &node = nodes[i];
+            while (is_running(node) && !node.writes.empty() &&
+                   node.writes.front().due_ms <= now_ms)
+            {
+                EyLogEvent_t event = {};
+                event.number = node.writes.front().persist->serial;
+                if (node.is_disk_full) {
+                    event.kind = EY_LOG_EVENT_PERSIST_FAILED;
+                    node.writes.front().due_ms = now_ms + 1000;
+                }
+                else {
+                    event.kind = EY_LOG_EVENT_PERSISTED;
+                    EyLogPersist_t *persist = node.writes.front().persist;
+                    node.writes.pop_front();
+                    node.disk.write(*persist);
+                    talloc_free(persist);
+                }
+                step(i, event);
+            }
+        }
+    }
+
+    void
+    step(size_t i, const EyLogEvent_t &event)
+    {
+        Node &node = nodes[i];
+        EyLogActions_t *actions =
+            EyLog_Step(node.log, nullptr, clock(node), &event);
+        for (uint32_t a = 0; a < actions->count; a++) {
+            act(i, actions->items[a]);
+        }
+        talloc_free(actions);
+        check(node);
+        compact(i);
+    }
+
+    void
+    act(size_t i, EyLogAction_t *action)
+    {
+        Node &node = nodes[i];
+        switch (action->kind) {
+        case EY_LOG_ACTION_SEND:
+            send(i, action->message);
+            break;
+        case EY_LOG_ACTION_PERSIST: {
+            int64_t took_ms =
+                static_cast<int64_t>(EyRandom_Below(&random, WriteMs));
+            node.writes.push_back(
+                {now_ms + took_ms, talloc_steal(ctx, action->persist)});
+            break;
+        }
+        case EY_LOG_ACTION_APPLY:
+            apply(node, entry_of(action->entry), action->number);
+            break;
+        case EY_LOG_ACTION_RESTORE:
+            hold(action->snapshot.index >= node.applied,
+                 "a snapshot goes back");
+            node.applied = action->snapshot.index;
+            node.state = text_of(action->snapshot.data);
+            check_state(node);
+            break;
+        case EY_LOG_ACTION_REJECTED:
+            rejected.insert(action->number);
+            break;
+        default:
+            break;
+        }
+    }
+
+    void
+    apply(Node &node, const Entry &entry, uint64_t number)
+    {
+        hold(entry.index == node.applied + 1, "entries applied in order");
+        auto known = committed.emplace(entry.index, entry);
+        hold(known.first->second == entry,
+             "a committed entry stays as it is, index " +
+                 std::to_string(entry.index));
+        if (number != 0) {
+            hold(entry.data == "proposal " + std::to_string(number),
+                 "a proposal is answered by its own entry");
+            accepted.insert(number);
+        }
+        for (uint64_t refused : rejected) {
+            hold(entry.data != "proposal " + std::to_string(refused),
+                 "a rejected proposal never happens");
+        }
+        node.applied = entry.index;
+        node.state = std::to_string(std::hash<std::string>()(
+            node.state + "/" + std::to_string(entry.term) + entry.data));
+        check_state(node);
+    }
+
+    void
+    check_state(const Node &node)
+    {
+        auto known = states.emplace(node.applied, node.state);
+        hold(known.first->second == node.state,
+             "equal state at an equal index");
+    }
+
+    void
+    check(Node &node)
+    {
+        EyLogStatus_t status = EyLog_Status(node.log);
+        if (status.role == EY_LOG_LEADER) {
+            std::string who =
+                node.address + "/" + std::to_string(status.incarnation);
+            auto known = leaders.emplace(status.term, who);
+            hold(known.first->second == who, "one leader a term");
+            check_leader(node, status);
+            check_promotions(node, status);
+        }
+        node.learners.clear();
+        for (uint32_t i = 0; i < status.members.count; i++) {
+            const EyLogMember_t &member = status.members.items[i];
+            if (!member.is_voter) {
+                node.learners.insert(name_of(member));
+            }
+        }
+        node.shown_commit = status.commit;
+    }
+
+    void
+    check_leader(const Node &node, const EyLogStatus_t &status)
+    {
+        uint64_t &checked_term = checked_terms[node.address];
+        if (checked_term == status.term) {
+            return;
+        }
+        checked_term = status.term;
+        for (const auto &known : committed) {
+            if (known.first <= status.base_index) {
+                continue;
+            }
+            const EyLogEntry_t *entry = EyLog_Entry(node.log, known.first);
+            hold(entry != nullptr && entry_of(*entry) == known.second,
+                 "a new leader has all that was committed");
+        }
+    }
+
+    static std::string
+    name_of(const EyLogMember_t &member)
+    {
+        return std::string(member.address) + "/" +
+               std::to_string(member.incarnation);
+    }
+
+    void
+    check_promotions(const Node &leader, const EyLogStatus_t &status)
+    {
+        for (uint32_t i = 0; i < status.members.count; i++) {
+            const EyLogMember_t &member = status.members.items[i];
+            if (!member.is_voter ||
+                leader.learners.count(name_of(member)) == 0) {
+                continue;
+            }
+            for (const Node &node : nodes) {
+                if (node.address == member.address &&
+                    node.disk.incarnation == member.incarnation)
+                {
+                    hold(node.disk.last_index() >= leader.shown_commit,
+                         "a new voter holds all that was committed");
+                }
+            }
+        }
+    }
+
+    void
+    compact(size_t i)
+    {
+        Node &node = nodes[i];
+        EyLogStatus_t status = EyLog_Status(node.log);
+        if (status.applied < status.base_index + CompactEntries) {
+            return;
+        }
+        EyLogEvent_t event = {};
+        event.kind = EY_LOG_EVENT_COMPACT;
+        event.number = status.applied;
+        event.data = bytes_of(ctx, node.state);
+        step(i, event);
+        talloc_free(event.data.data);
+    }
+
+    bool
+    is_alive(const EyLogMember_t &member, size_t without) const
+    {
+        for (size_t i = 0; i < nodes.size(); i++) {
+            if (i != without && nodes[i].address == member.address &&
+                nodes[i].disk.incarnation == member.incarnation)
+            {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** True if each member set that may count keeps a quorum of its disks. */
+    bool
+    may_lose(size_t lost) const
+    {
+        bool has_cluster = false;
+        uint64_t highest_commit = 0;
+        for (const Node &node : nodes) {
+            if (node.log != nullptr) {
+                highest_commit =
+                    std::max(highest_commit, EyLog_Status(node.log).commit);
+            }
+        }
+        for (const Node &node : nodes) {
+            if (node.log == nullptr) {
+                return false; /* its member set can't be seen */
+            }
+            EyLogStatus_t status = EyLog_Status(node.log);
+            if (status.cluster == 0) {
+                continue;
+            }
+            has_cluster = true;
+            if (status.last_index < highest_commit) {
+                continue;
+            }
+            uint32_t alive = 0;
+            for (uint32_t i = 0; i < status.members.count; i++) {
+                const EyLogMember_t &member = status.members.items[i];
+                alive += member.is_voter && is_alive(member, lost);
+            }
+            if (alive < EyLogMembers_Voters(&status.members) / 2 + 1) {
+                return false;
+            }
+        }
+        return has_cluster;
+    }
+
+    void *ctx;
+    EyAddress_t *list;
+    EyRandom_t random;
+    std::vector<std::vector<bool>> cuts;
+    std::vector<Packet> packets;
+    std::map<uint64_t, std::string> leaders; /* by term */
+    std::map<uint64_t, std::string> states;  /* by index */
+    std::map<std::string, uint64_t> checked_terms;
+    uint64_t next_incarnation = 1;
+    uint64_t next_number = 1;
+};
+
+} // namespace log_world
+
+#endif
