--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+#include "operators/operators.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -32,6 +33,41 @@
 {
     const EyGateway_t *self = data;
     EyConfigReplica_Tick(self->configuration, now_ms);
+    EyProposer_Tick(self->proposer, now_ms);
+}
+
+static void
+hook_answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
+            const EyResult_t *result)
+{
+    EyGateway_t *self = data;
+    EyRequest_t *request = g_hash_table_lookup(self->proposals, &number);
+    if (request == NULL) {
+        return;
+    }
+    EyAnswer_t *answer = EyOperators_Answer(outcome, result);
+    EyServer_Answer(self->node->server, request->number, answer);
+    (void)g_hash_table_remove(self->proposals, &number);
+}
+
+static void
+free_talloc(gpointer object)
+{
+    talloc_free(object);
+}
+
+static void
+open_proposer(EyGateway_t *self)
+{
+    const EyProposerHooks_t hooks = {
+        .send = hook_send,
+        .answer = hook_answer,
+        .data = self,
+    };
+    self->proposer =
+        EyProposer_New(self, EyRandom_Next(&self->node->random), &hooks);
+    self->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                            free_talloc, free_talloc);
 }
 
 void
@@ -45,17 +81,18 @@
     self->configuration = EyConfigReplica_New(
         self, self->node->settings->id, EyRandom_Next(&self->node->random),
         &hooks, EyClock_NowMs());
-    EyGateway_SetSources(self);
+    open_proposer(self);
     (void)EyTimers_Every(self->node->timers, TICK_MS, on_tick, self);
 }
 
 void
-EyGateway_SetSources(EyGateway_t *self)
+EyGateway_SetSources(EyGateway_t *self, const EyName_t *gateways,
+                     uint32_t gateway_count, const EyName_t *controls,
+                     uint32_t control_count)
 {
-    EyName_t own;
-    (void)EY_COPY(own, self->node->settings->id);
-    EyConfigReplica_SetSources(self->configuration, &own, 1, &own,
-                               self->node->settings->standalone ? 1 : 0);
+    EyConfigReplica_SetSources(self->configuration, gateways, gateway_count,
+                               controls, control_count);
+    EyProposer_SetControls(self->proposer, controls, control_count);
 }
 
 bool
@@ -73,27 +110,28 @@
 void
 EyGateway_Propose(EyGateway_t *self, EyCommand_t *command)
 {
-    const char *control = EyGateway_ControlId(self);
-    if (control == NULL) {
-        return;
-    }
-    EyConfigMessage_t message = {
-        .kind = EY_CONFIG_PROPOSE,
-        .number = ++self->last_proposal,
-        .command = *command,
-    };
-    (void)snprintf(message.command.change_id,
-                   sizeof(message.command.change_id), "%s-%llx-%llu", "system",
+    uint64_t number = ++self->last_proposal;
+    (void)snprintf(command->change_id, sizeof(command->change_id),
+                   "system-%llx-%llu",
                    (unsigned long long)self->node->incarnation,
-                   (unsigned long long)message.number);
-    EyNode_Send(self->node, EY_PEER_CONFIG, control, &EyConfigMessage_schema,
-                &message);
+                   (unsigned long long)number);
+    EyProposer_Propose(self->proposer, EyClock_NowMs(), number, command);
 }
 
-const char *
-EyGateway_ControlId(const EyGateway_t *self)
+void
+EyGateway_Operate(EyGateway_t *self, EyRequest_t *request)
 {
-    return self->node->settings->standalone ? self->node->settings->id : NULL;
+    EyOperatorsReply_t reply =
+        EyOperators_Handle(request, EyConfigReplica_Store(self->configuration),
+                           self->node->operator_token);
+    if (reply.answer != NULL) {
+        EyNode_Answer(self->node, request, reply.answer);
+        return;
+    }
+    uint64_t *key = EY_NEW(NULL, uint64_t);
+    *key = ++self->last_proposal;
+    g_hash_table_insert(self->proposals, key, request);
+    EyProposer_Propose(self->proposer, EyClock_NowMs(), *key, &reply.command);
 }
 
 void
@@ -106,6 +144,7 @@
     {
         EyConfigReplica_Receive(self->configuration, EyClock_NowMs(),
                                 message->from, &config_message);
+        EyProposer_Receive(self->proposer, EyClock_NowMs(), &config_message);
     }
     talloc_free(ctx);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,14 +52,13 @@
                                         free_talloc, free_talloc);
     self->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, free_talloc, NULL);
-    self->backends =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
     EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
     self->outbound = EyOutbound_Start(self, self->attempt_events);
     EyGateway_OpenRouter(self);
     self->records = EyGatewayRecords_New(self);
     EyGateway_OpenConfiguration(self);
+    EyGateway_OpenNeighbours(self);
     EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
     return self;
 }
@@ -71,8 +70,8 @@
     EyOutbound_Stop(self->outbound);
     g_hash_table_destroy(self->attempts);
     g_hash_table_destroy(self->lives);
-    g_hash_table_destroy(self->backends);
     EyGateway_CloseRouter(self);
+    g_hash_table_destroy(self->proposals);
 }
 
 static bool
@@ -111,6 +110,13 @@
     EyGateway_ReceiveConfig(self, message);
 }
 
+static void
+gateway_on_backend(void *part, EyRegistryChange_t change,
+                   const EyBackend_t *backend)
+{
+    EyGateway_OnBackend(part, change, backend);
+}
+
 static bool
 gateway_is_ready(void *part)
 {
@@ -144,12 +150,14 @@
 
 const EyPartClass_t EyGateway_class = {
     .name = "gateway",
+    .is_entry = true,
     .open = gateway_open,
     .close = gateway_close,
     .on_request = gateway_on_request,
     .on_gone = gateway_on_gone,
     .wants = gateway_wants,
     .on_message = gateway_on_message,
+    .on_backend = gateway_on_backend,
     .is_ready = gateway_is_ready,
     .is_idle = gateway_is_idle,
     .dump = gateway_dump,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -6,6 +6,7 @@
 #include "backends/outbound.h"
 #include "callers/server.h"
 #include "config/config_replica.h"
+#include "config/proposer.h"
 #include "core/counters.h"
 #include "core/mailbox.h"
 #include "core/random.h"
@@ -14,10 +15,13 @@
 #include "gateway/gateway.h"
 #include "gateway/records.h"
 #include "instances/peers.h"
+#include "membership/directory.h"
 #include "routing/router.h"
 
 /** Answer buffers: what one slow caller can make the gateway hold. */
 #define EY_GATEWAY_STREAM_BYTES (256 * 1024)
+/** Most requests in flight; more are refused. */
+#define EY_GATEWAY_LIVES_MAX 8192
 
 typedef enum EyGatewayMetric {
     EY_GATEWAY_REQUESTS,
@@ -62,10 +66,12 @@
     GHashTable *lives;    /* request number -> EyLive_t */
     GHashTable *attempts; /* attempt number -> EyLive_t */
     uint64_t next_attempt;
-    GHashTable *backends; /* id -> EyBackend_t */
     EyConfigReplica_t *configuration;
+    EyProposer_t *proposer;
     uint64_t last_proposal;
+    GHashTable *proposals; /* number -> EyRequest_t of an operator */
     EyGatewayRecords_t *records;
+    EyDirectory_t *directory;
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
     EyTimer_t *router_wakeup;
@@ -97,9 +103,12 @@
 void
 EyGateway_OpenConfiguration(EyGateway_t *self);
 
-/** Tells the copy of the configuration whom it may pull from. */
+/** Tells the copy of the configuration whom it may pull from, and the
+ * proposals to whom they go. */
 void
-EyGateway_SetSources(EyGateway_t *self);
+EyGateway_SetSources(EyGateway_t *self, const EyName_t *gateways,
+                     uint32_t gateway_count, const EyName_t *controls,
+                     uint32_t control_count);
 
 /** False while the region's configuration isn't known since the start. */
 bool
@@ -109,18 +118,31 @@
 const EyConfig_t *
 EyGateway_Config(const EyGateway_t *self);
 
-/** Proposes a command of the system's own; lost if no control process can be
- * reached, so it is repeated by whoever needs it. */
+/** Proposes a command of the system's own, which is given a change id; who
+ * needs it repeats it until it is in force. */
 void
 EyGateway_Propose(EyGateway_t *self, EyCommand_t *command);
 
-/** A control process to propose to; NULL: none is known. */
-const char *
-EyGateway_ControlId(const EyGateway_t *self);
+/** Handles an operator's request. */
+void
+EyGateway_Operate(EyGateway_t *self, EyRequest_t *request);
 
 void
 EyGateway_ReceiveConfig(EyGateway_t *self, const EyPeerMessage_t *message);
 
+/** What the gateway takes from and gives to the cluster, each second. */
+void
+EyGateway_OpenNeighbours(EyGateway_t *self);
+
+/** A backend server is new, changed or gone. */
+void
+EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
+                    const EyBackend_t *backend);
+
+/** A gateway of a region to send a request to; NULL: none is known. */
+const char *
+EyGateway_Neighbour(EyGateway_t *self, const char *region);
+
 /** Makes the router and its timer. */
 void
 EyGateway_OpenRouter(EyGateway_t *self);
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -172,8 +172,8 @@
 do_attempt(EyLive_t *live, const EyExchangeAction_t *action)
 {
     EyGateway_t *gateway = live->gateway;
-    const EyBackend_t *backend =
-        g_hash_table_lookup(gateway->backends, action->to);
+    const EyBackend_t *backend = EyRegistry_Find(
+        EyCluster_Registry(gateway->node->cluster), action->to);
     if (backend == NULL) {
         fail_unsent(live, action->attempt);
         return;
--- a/src/gateway/local.c
+++ b/src/gateway/local.c
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+#include "idempotency/key.h"
 
 #include <string.h>
 
@@ -22,36 +23,68 @@
         g_error_free(error);
         return answer;
     }
-    g_hash_table_replace(gateway->backends, backend->id, backend);
-    EyRouter_UpsertBackend(gateway->router, EyClock_NowMs(), backend);
-    EyGateway_WakeRouter(gateway);
-    return EyAnswer_Json(200, json_pack("{s:s}", "id", backend->id));
+    if (strcmp(backend->region, gateway->node->settings->region) != 0) {
+        talloc_free(backend);
+        return EyAnswer_Problem(EY_PROBLEM_WRONG_REGION, EY_OUTCOME_NOT_RUN, 0,
+                                "announce to a gateway of the own region");
+    }
+    EyRegistry_Announce(EyCluster_Registry(gateway->node->cluster),
+                        EyClock_NowMs(), backend);
+    EyAnswer_t *answer =
+        EyAnswer_Json(200, json_pack("{s:s, s:i}", "id", backend->id, "ttl_ms",
+                                     (int)backend->ttl_ms));
+    talloc_free(backend);
+    return answer;
 }
 
 static EyAnswer_t *
 answer_withdraw(EyGateway_t *gateway, EyRequest_t *request)
 {
-    EyRouter_RemoveBackend(gateway->router, EyClock_NowMs(), request->target);
-    (void)g_hash_table_remove(gateway->backends, request->target);
+    if (!EyRegistry_Withdraw(EyCluster_Registry(gateway->node->cluster),
+                             EyClock_NowMs(), request->target))
+    {
+        return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
+                                "no such backend server");
+    }
     return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
 }
 
 static EyAnswer_t *
-answer_operator(EyGateway_t *gateway, EyRequest_t *request)
+answer_instances(EyGateway_t *gateway, EyRequest_t *request)
+{
+    (void)request;
+    return EyAnswer_Json(200, EyDirectory_Answer(gateway->directory, ""));
+}
+
+static EyAnswer_t *
+answer_make_key(EyGateway_t *gateway, EyRequest_t *request)
 {
     (void)request;
-    return EyAnswer_Json(200, EyNode_Dump(gateway->node));
+    uint64_t epoch = EyGatewayRecords_Epoch(gateway->records);
+    if (epoch == 0) {
+        return EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN, 1,
+                                "the region has no record group yet");
+    }
+    EyKey_t key;
+    EyKey_Issue(gateway->node->settings->region, epoch, EyRandom_SystemSeed(),
+                EyRandom_SystemSeed(), key);
+    return EyAnswer_Json(201, json_pack("{s:s}", "key", key));
 }
 
 static const LocalHandler_t LocalHandlers[EY_CALL_COUNT] = {
+    [EY_CALL_INSTANCES] = answer_instances,
+    [EY_CALL_MAKE_KEY] = answer_make_key,
     [EY_CALL_ANNOUNCE] = answer_announce,
     [EY_CALL_WITHDRAW] = answer_withdraw,
-    [EY_CALL_OPERATOR] = answer_operator,
 };
 
 bool
 EyGateway_AnswerLocally(EyGateway_t *self, EyRequest_t *request)
 {
+    if (request->call == EY_CALL_OPERATOR) {
+        EyGateway_Operate(self, request);
+        return true;
+    }
     LocalHandler_t handler = LocalHandlers[request->call];
     if (handler == NULL) {
         return false;
--- /dev/null
+++ b/src/gateway/neighbours.c
@@ -0,0 +1,201 @@
+/* What the gateway knows of other instances, and what they are told. */
+#include "core/clock.h"
+#include "core/memory.h"
+#include "gateway/internal.h"
+#include <string.h>
+
+#define PERIOD_MS 500
+#define GATEWAYS_MAX 512
+
+void
+EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
+                    const EyBackend_t *backend)
+{
+    int64_t now_ms = EyClock_NowMs();
+    if (change == EY_REGISTRY_REMOVED) {
+        EyRouter_RemoveBackend(self->router, now_ms, backend->id);
+    }
+    else {
+        EyRouter_UpsertBackend(self->router, now_ms, backend);
+    }
+    EyGateway_WakeRouter(self);
+}
+
+/** Gathers members while they are visited. */
+typedef struct Gathering {
+    EyDirectoryInstance_t *instances;
+    uint32_t instance_count;
+    EyName_t gateways[GATEWAYS_MAX];
+    uint32_t gateway_count;
+    EyName_t controls[EY_SETTINGS_ADDRESSES_MAX];
+    uint32_t control_count;
+    const EyMembership_t *membership;
+} Gathering_t;
+
+static void
+gather_entry(Gathering_t *gathering, const EyMember_t *member)
+{
+    if (gathering->gateway_count == GATEWAYS_MAX) {
+        return;
+    }
+    EyDirectoryInstance_t *instance =
+        &gathering->instances[gathering->instance_count++];
+    *instance = (EyDirectoryInstance_t){
+        .state = member->state,
+        .suspect = EyMembership_IsSuspect(gathering->membership, member->id),
+        .capacity = member->capacity,
+        .load_per_mille = member->vitals.load_per_mille,
+    };
+    (void)EY_COPY(instance->id, member->id);
+    (void)EY_COPY(instance->address, member->http_address);
+    (void)EY_COPY(instance->region, member->region);
+    (void)EY_COPY(instance->zone, member->zone);
+    if (member->state == EY_MEMBER_ALIVE) {
+        (void)EY_COPY(gathering->gateways[gathering->gateway_count],
+                      member->id);
+        gathering->gateway_count++;
+    }
+}
+
+static void
+gather_control(Gathering_t *gathering, const EyMember_t *member)
+{
+    if (gathering->control_count < EY_SETTINGS_ADDRESSES_MAX) {
+        (void)EY_COPY(gathering->controls[gathering->control_count],
+                      member->id);
+        gathering->control_count++;
+    }
+}
+
+static void
+gather_own(void *data, const EyMember_t *member)
+{
+    if (member->role == EY_MEMBER_GATEWAY) {
+        gather_entry(data, member);
+        return;
+    }
+    gather_control(data, member);
+}
+
+static void
+gather_contact(void *data, const EyMember_t *member)
+{
+    if (member->role == EY_MEMBER_CONTROL) {
+        gather_control(data, member);
+    }
+}
+
+static void
+spread_members(EyGateway_t *self, int64_t now_ms)
+{
+    const EyMembership_t *membership =
+        EyCluster_Membership(self->node->cluster);
+    void *ctx = talloc_new(NULL);
+    Gathering_t *gathering = EY_NEW(ctx, Gathering_t);
+    gathering->membership = membership;
+    gathering->instances =
+        EY_NEW_ARRAY(ctx, EyDirectoryInstance_t, GATEWAYS_MAX);
+    if (self->node->settings->standalone) {
+        gather_control(gathering, EyMembership_Self(membership));
+    }
+    EyMembership_Each(membership, gather_own, gathering);
+    EyMembership_EachContact(membership, gather_contact, gathering);
+    EyDirectory_Update(self->directory, now_ms, gathering->instances,
+                       gathering->instance_count);
+    uint32_t gateway_count = gathering->gateway_count;
+    EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
+    EyGateway_SetSources(self, gathering->gateways, gateway_count,
+                         gathering->controls, gathering->control_count);
+    talloc_free(ctx);
+}
+
+static void
+tell_summaries(EyGateway_t *self, int64_t now_ms)
+{
+    EySummary_t *summary = EyCluster_Summary(self->node->cluster);
+    GArray *own = g_array_new(FALSE, FALSE, sizeof(EyRegionSummary_t));
+    EyRouter_Summarize(self->router, now_ms, own);
+    for (guint i = 0; i < own->len; i++) {
+        const EyRegionSummary_t *target =
+            &g_array_index(own, EyRegionSummary_t, i);
+        EySummary_SetOwn(summary, target->target, target->accepts ? 1 : 0,
+                         target->free_slots,
+                         (uint32_t)target->expected_wait_ms);
+    }
+    g_array_free(own, TRUE);
+}
+
+static void
+take_summary(void *data, const EyTargetSummary_t *from)
+{
+    EyGateway_t *self = data;
+    EyRegionSummary_t summary = {
+        .expected_wait_ms = from->wait_ms,
+        .free_slots = from->free_slots,
+        .accepts = from->backend_count > 0,
+    };
+    (void)EY_COPY(summary.region, from->region);
+    (void)EY_COPY(summary.target, from->target);
+    /* The kind isn't told; a name is of one kind, so both may be said. */
+    for (int kind = 0; kind < EY_BACKEND_KIND_COUNT; kind++) {
+        summary.kind = (EyBackendKind_t)kind;
+        EyRouter_SetSummary(self->router, EyClock_NowMs() - from->age_ms,
+                            &summary);
+    }
+}
+
+static void
+on_period(void *data, int64_t now_ms)
+{
+    EyGateway_t *self = data;
+    spread_members(self, now_ms);
+    tell_summaries(self, now_ms);
+    EySummary_Each(EyCluster_Summary(self->node->cluster), now_ms,
+                   take_summary, self);
+    uint32_t load_per_mille =
+        (uint32_t)(1000 * g_hash_table_size(self->lives) /
+                   EY_GATEWAY_LIVES_MAX);
+    EyMembership_SetVitals(EyCluster_Membership(self->node->cluster),
+                           load_per_mille,
+                           EyGateway_Config(self)->revision);
+}
+
+void
+EyGateway_OpenNeighbours(EyGateway_t *self)
+{
+    self->directory =
+        EyDirectory_New(self, EyRandom_Next(&self->node->random));
+    spread_members(self, EyClock_NowMs());
+    (void)EyTimers_Every(self->node->timers, PERIOD_MS, on_period, self);
+}
+
+/** Looks for a gateway of a region among the contacts. */
+typedef struct Search {
+    const char *region;
+    const EyMember_t *found;
+} Search_t;
+
+static void
+search_contact(void *data, const EyMember_t *member)
+{
+    Search_t *search = data;
+    if (member->role == EY_MEMBER_GATEWAY &&
+        member->state == EY_MEMBER_ALIVE &&
+        strcmp(member->region, search->region) == 0) {
+        search->found = member;
+    }
+}
+
+const char *
+EyGateway_Neighbour(EyGateway_t *self, const char *region)
+{
+    Search_t search = {.region = region};
+    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
+                             search_contact, &search);
+    if (search.found == NULL) {
+        return NULL;
+    }
+    (void)EyPeers_SetRoute(self->node->peers, search.found->id,
+                           search.found->peer_address);
+    return search.found->id;
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "core/counters.h"
 #include "core/log.h"
 #include "core/memory.h"
+#include "operators/operators.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -128,6 +129,23 @@
     talloc_free(request);
 }
 
+static EyAnswer_t *
+answer_dump(const EyNode_t *self, const EyRequest_t *request)
+{
+    if (!EyOperators_IsAllowed(request, self->operator_token)) {
+        return EyOperators_Refusal();
+    }
+    return EyAnswer_Json(200, EyNode_Dump(self));
+}
+
+static bool
+is_dump(const EyRequest_t *request)
+{
+    static const char Path[] = "/v1/dump";
+    return request->call == EY_CALL_OPERATOR &&
+           strncmp(request->path, Path, sizeof(Path) - 1) == 0;
+}
+
 static void
 on_request(void *data, void *message)
 {
@@ -138,6 +156,10 @@
         EyNode_Answer(self, request, local(self));
         return;
     }
+    if (is_dump(request)) {
+        EyNode_Answer(self, request, answer_dump(self, request));
+        return;
+    }
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->on_request != NULL &&
@@ -170,6 +192,11 @@
 {
     EyNode_t *self = data;
     const EyPeerMessage_t *peer_message = message;
+    if (peer_message->kind == EY_PEER_MEMBERSHIP) {
+        (void)EyCluster_Receive(self->cluster, EyClock_NowMs(), peer_message);
+        talloc_free(message);
+        return;
+    }
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->wants != NULL &&
@@ -270,6 +297,7 @@
     }
     EY_LOG(EY_LOG_INFO, "node", "leaving", EY_LOG_NUMBER("signal", number));
     self->state = EY_NODE_LEAVING;
+    EyMembership_Leave(EyCluster_Membership(self->cluster));
     leave_parts(self);
     EyServer_Quiesce(self->server);
     (void)EyTimers_Every(self->timers, STOP_CHECK_MS, on_stop_check, self);
@@ -301,6 +329,8 @@
         EyNode_state_names[self->state], "incarnation",
         (json_int_t)self->incarnation, "http_in_flight",
         (json_int_t)EyServer_InFlight(self->server));
+    (void)json_object_set_new(json, "cluster",
+                              EyCluster_Dump(self->cluster, EyClock_NowMs()));
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->dump != NULL) {
@@ -311,6 +341,100 @@
     return json;
 }
 
+static void
+cluster_send(void *data, EyPeerMessage_t *message)
+{
+    const EyNode_t *self = data;
+    if (!EyPeers_Send(self->peers, message)) {
+        talloc_free(message);
+    }
+}
+
+static void
+cluster_member(void *data, const EyMember_t *member)
+{
+    const EyNode_t *self = data;
+    if (strcmp(member->id, self->settings->id) != 0) {
+        (void)EyPeers_SetRoute(self->peers, member->id, member->peer_address);
+    }
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_member != NULL) {
+            part->class_table->on_member(part->state, member);
+        }
+    }
+}
+
+static void
+cluster_backend(void *data, EyRegistryChange_t change,
+                const EyBackend_t *backend)
+{
+    const EyNode_t *self = data;
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_backend != NULL) {
+            part->class_table->on_backend(part->state, change, backend);
+        }
+    }
+}
+
+static void
+on_cluster_tick(void *data, int64_t now_ms)
+{
+    const EyNode_t *self = data;
+    EyCluster_Tick(self->cluster, now_ms);
+}
+
+static void
+add_seeds(const EyNode_t *self, const EyAddress_t *addresses, uint32_t count)
+{
+    EyMembership_t *membership = EyCluster_Membership(self->cluster);
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(addresses[i], self->settings->peer_listen) != 0) {
+            EyMembership_AddSeed(membership, addresses[i]);
+        }
+    }
+}
+
+static void
+start_cluster(EyNode_t *self, bool is_entry)
+{
+    const EySettings_t *settings = self->settings;
+    EyMember_t member = {
+        /* Membership raises it above any that others remember. */
+        .incarnation = (uint64_t)EyClock_WallMs(),
+        .role = is_entry ? EY_MEMBER_GATEWAY : EY_MEMBER_CONTROL,
+        .capacity = settings->capacity,
+    };
+    (void)EY_COPY(member.id, settings->id);
+    (void)EY_COPY(member.region, settings->region);
+    (void)EY_COPY(member.zone, settings->zone);
+    (void)EY_COPY(member.http_address, settings->listen);
+    (void)EY_COPY(member.peer_address, settings->peer_listen);
+    const EyClusterHooks_t hooks = {
+        .send = cluster_send,
+        .member = cluster_member,
+        .backend = cluster_backend,
+        .data = self,
+    };
+    self->cluster = EyCluster_New(
+        self, &member, &hooks, EyRandom_Next(&self->random), EyClock_NowMs());
+    add_seeds(self, settings->peers, settings->peer_count);
+    add_seeds(self, settings->control, settings->control_count);
+    (void)EyTimers_Every(self->timers, EY_MEMBERSHIP_TICK_MS, on_cluster_tick,
+                         self);
+}
+
+static bool
+has_entry(const EyPartClass_t *const *parts, uint32_t part_count)
+{
+    bool found = false;
+    for (uint32_t i = 0; i < part_count; i++) {
+        found = found || parts[i]->is_entry;
+    }
+    return found;
+}
+
 static void
 make_mailboxes(EyNode_t *self)
 {
@@ -351,6 +475,17 @@
     return self->peers != NULL;
 }
 
+static bool
+read_token(EyNode_t *self, GError **error)
+{
+    const char *path = self->settings->operator_token_file;
+    if (path == NULL) {
+        return true;
+    }
+    self->operator_token = EyOperators_ReadToken(self, path, error);
+    return self->operator_token != NULL;
+}
+
 static bool
 open_parts(EyNode_t *self, const EyPartClass_t *const *parts,
            uint32_t part_count, GError **error)
@@ -395,7 +530,8 @@
     self->timers = EyTimers_New(self, self->loop);
     make_mailboxes(self);
     watch_signals(self);
-    if (!start_peers(self, error) ||
+    start_cluster(self, has_entry(parts, part_count));
+    if (!read_token(self, error) || !start_peers(self, error) ||
         !open_parts(self, parts, part_count, error) ||
         !start_server(self, error))
     {
@@ -431,6 +567,7 @@
         talloc_free(part->state);
     }
     if (self->peers != NULL) {
+        EyMembership_Depart(EyCluster_Membership(self->cluster));
         EyPeers_Stop(self->peers);
     }
     talloc_free(self);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -12,6 +12,7 @@
 #include "core/settings.h"
 #include "core/timers.h"
 #include "instances/peers.h"
+#include "membership/cluster.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -41,6 +42,7 @@
 /** A part of a daemon. All but name and open may be NULL. */
 typedef struct EyPartClass {
     const char *name;
+    bool is_entry; /* callers may use an instance that has it */
     /** Makes the part below ctx; NULL with an error of any domain. */
     void *(*open)(const void *ctx, struct EyNode *node, GError **error);
     /** Ends the part's threads; it is freed afterwards. */
@@ -54,6 +56,11 @@
     void (*on_message)(void *part, const EyPeerMessage_t *message);
     /** Whether the kind of message is the part's. */
     bool (*wants)(void *part, EyPeerKind_t kind);
+    /** An instance of the region is new or changed. */
+    void (*on_member)(void *part, const EyMember_t *member);
+    /** A backend server of the region is new, changed or gone. */
+    void (*on_backend)(void *part, EyRegistryChange_t change,
+                       const EyBackend_t *backend);
     /** The instance leaves: take nothing new. */
     void (*on_leaving)(void *part);
     /** True when nothing is in flight any more. */
@@ -75,10 +82,12 @@
     EyNodeState_t state;
     uint64_t incarnation;
     EyRandom_t random;
+    char *operator_token; /* NULL: none is asked for */
     struct tevent_context *loop;
     EyTimers_t *timers;
     EyServer_t *server;
     EyPeers_t *peers;
+    EyCluster_t *cluster;
     EyMailbox_t *requests;
     EyMailbox_t *gone;
     EyMailbox_t *peer_messages;
