--- /dev/null
+++ b/src/config/lease.c
@@ -0,0 +1,168 @@
+#include "config/lease.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+
+/** A proposal that got no answer is given up after this. */
+#define ANSWER_MS 5000
+
+struct EyLease {
+    EyLeaseOptions_t options;
+    EyLeaseHooks_t hooks;
+    bool is_wanted;
+    EyLeaseRecord_t seen; /* in the store */
+    int64_t seen_ms;      /* when seen last changed */
+    uint64_t fencing;     /* of the own lease; 0: not held */
+    int64_t held_from_ms; /* before the request that gained or renewed it */
+    uint64_t asked;       /* number of the proposal that waits; 0: none */
+    EyCommandKind_t asked_kind;
+    int64_t asked_ms;
+    uint64_t last_number;
+    int64_t next_ms; /* when to do something next */
+};
+
+EyLease_t *
+EyLease_New(const void *ctx, const EyLeaseOptions_t *options,
+            const EyLeaseHooks_t *hooks, int64_t now_ms)
+{
+    EyLease_t *self = EY_NEW(ctx, EyLease_t);
+    self->options = *options;
+    self->hooks = *hooks;
+    (void)EY_COPY(self->seen.name, options->name);
+    self->seen_ms = now_ms;
+    self->next_ms = now_ms;
+    return self;
+}
+
+static bool
+is_over(const EyLease_t *self, int64_t now_ms)
+{
+    return now_ms - self->held_from_ms >= EY_LEASE_DURATION_MS;
+}
+
+uint64_t
+EyLease_Fencing(const EyLease_t *self, int64_t now_ms)
+{
+    return self->is_wanted && !is_over(self, now_ms) ? self->fencing : 0;
+}
+
+static void
+propose(EyLease_t *self, int64_t now_ms, EyCommandKind_t kind)
+{
+    EyCommand_t command = {.kind = kind, .lease = self->seen};
+    (void)EY_COPY(command.lease.holder, self->options.self);
+    command.lease.incarnation = self->options.incarnation;
+    if (kind != EY_COMMAND_TAKE_LEASE) {
+        command.lease.fencing = self->fencing;
+    }
+    self->asked = ++self->last_number;
+    self->asked_kind = kind;
+    self->asked_ms = now_ms;
+    self->hooks.propose(self->hooks.data, self->asked, &command);
+}
+
+/** True if a former holder has stopped by its own clock. */
+static bool
+is_free(const EyLease_t *self, int64_t now_ms)
+{
+    return self->seen.holder[0] == '\0' ||
+           now_ms - self->seen_ms >= EY_LEASE_DURATION_MS + EY_LEASE_MARGIN_MS;
+}
+
+static void
+act(EyLease_t *self, int64_t now_ms)
+{
+    if (self->fencing != 0 && is_over(self, now_ms)) {
+        self->fencing = 0;
+    }
+    if (self->asked != 0 && now_ms - self->asked_ms < ANSWER_MS) {
+        return;
+    }
+    self->asked = 0;
+    if (self->fencing != 0) {
+        if (!self->is_wanted) {
+            propose(self, now_ms, EY_COMMAND_RELEASE_LEASE);
+        }
+        else if (now_ms - self->held_from_ms >= EY_LEASE_RENEW_MS) {
+            propose(self, now_ms, EY_COMMAND_RENEW_LEASE);
+        }
+        return;
+    }
+    if (self->is_wanted && is_free(self, now_ms)) {
+        propose(self, now_ms, EY_COMMAND_TAKE_LEASE);
+    }
+}
+
+void
+EyLease_Tick(EyLease_t *self, int64_t now_ms)
+{
+    if (now_ms < self->next_ms) {
+        return;
+    }
+    self->next_ms = now_ms + EY_LEASE_MARGIN_MS;
+    act(self, now_ms);
+}
+
+int64_t
+EyLease_DueMs(const EyLease_t *self)
+{
+    return self->next_ms;
+}
+
+void
+EyLease_Want(EyLease_t *self, int64_t now_ms, bool is_wanted)
+{
+    self->is_wanted = is_wanted;
+    self->next_ms = now_ms;
+}
+
+void
+EyLease_Observe(EyLease_t *self, int64_t now_ms, const EyStore_t *store)
+{
+    const EyLeaseRecord_t *record = EyStore_Lease(store, self->options.name);
+    if (record == NULL || (record->fencing == self->seen.fencing &&
+                           record->renewals == self->seen.renewals))
+    {
+        return;
+    }
+    self->seen = *record;
+    self->seen_ms = now_ms;
+    if (self->fencing != 0 && record->fencing > self->fencing) {
+        self->fencing = 0;
+    }
+}
+
+static void
+take_result(EyLease_t *self, const EyResult_t *result)
+{
+    if (result->status != EY_RESULT_DONE) {
+        self->fencing = 0;
+        return;
+    }
+    switch (self->asked_kind) {
+    case EY_COMMAND_TAKE_LEASE:
+        self->fencing = result->fencing;
+        self->held_from_ms = self->asked_ms;
+        break;
+    case EY_COMMAND_RENEW_LEASE:
+        self->held_from_ms = self->asked_ms;
+        break;
+    default:
+        self->fencing = 0;
+    }
+}
+
+void
+EyLease_Answered(EyLease_t *self, int64_t now_ms, uint64_t number,
+                 EyProposalOutcome_t outcome, const EyResult_t *result)
+{
+    if (number != self->asked) {
+        return;
+    }
+    self->asked = 0;
+    if (outcome == EY_PROPOSAL_APPLIED) {
+        take_result(self, result);
+    }
+    self->next_ms = MIN(self->next_ms, now_ms + EY_LEASE_MARGIN_MS);
+}
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -336,7 +336,9 @@
     *lease = *asked;
     lease->fencing = ++self->last_fencing;
     lease->renewals = 0;
-    return result_of(self, EY_RESULT_DONE);
+    EyResult_t result = result_of(self, EY_RESULT_DONE);
+    result.fencing = lease->fencing;
+    return result;
 }
 
 /** The lease if the command's sender holds it, else NULL. */
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -103,6 +103,7 @@
     uint64_t version;      /* after it; for a conflict, the present one */
     uint64_t revision;     /* after it */
     uint64_t exception_id; /* that was made */
+    uint64_t fencing;      /* of the lease that was taken */
     char text[EY_VALUE_SIZE_BYTES];
 } EyResult_t;
 
--- a/src/config/store_schema.c
+++ b/src/config/store_schema.c
@@ -65,6 +65,7 @@
     EY_FIELD(EyResult_t, version, EY_FIELD_U64),
     EY_FIELD(EyResult_t, revision, EY_FIELD_U64),
     EY_FIELD(EyResult_t, exception_id, EY_FIELD_U64),
+    EY_FIELD(EyResult_t, fencing, EY_FIELD_U64),
     EY_FIELD_TEXT(EyResult_t, text),
     EY_FIELD_END,
 };
--- /dev/null
+++ b/src/operators/ctl.c
@@ -0,0 +1,584 @@
+#include "operators/ctl.h"
+
+#include "config/defaults.h"
+#include "core/memory.h"
+#include "core/random.h"
+#include "operators/ctl_client.h"
+#include "operators/ctl_print.h"
+#include "operators/operators.h"
+
+#include <curl/curl.h>
+#include <popt.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define DEFAULT_SERVER "127.0.0.1:8080"
+#define TRY_TIMEOUT_MS 6000
+#define TRIES 5
+#define NO_VERSION (-1)
+
+static const char Usage[] =
+    "COMMAND\n\n"
+    "Commands:\n"
+    "  get [KEY]                         defaults in force\n"
+    "  set KEY VALUE                     change a default for the whole "
+    "fleet\n"
+    "  exception list                    exceptions with their reasons\n"
+    "  exception add KEY SCOPE VALUE     add one; needs --reason\n"
+    "                                    SCOPE: region:NAME, account:NAME,\n"
+    "                                    model:NAME or service:NAME\n"
+    "  exception remove ID               take one back\n"
+    "  history                           who changed what, and why\n"
+    "  keys [--markdown]                 all keys with limits and meaning\n"
+    "  dump                              state of each part of the server\n"
+    "  instances                         entry instances, best first\n"
+    "  backends                          backend servers\n\n"
+    "A change is made against the version that is in force, or the one given\n"
+    "by --version; if another change comes first it is refused (exit 1).\n"
+    "Each change has an id and is sent again with it when an answer is lost,\n"
+    "so it happens once. To ask what became of an unknown one, repeat the\n"
+    "command with the --change-id and --version that were printed.\n\n"
+    "Exit codes: 0 done; 1 another change came first, nothing changed;\n"
+    "2 wrong usage; 3 no server or no quorum, nothing changed; 4 the change\n"
+    "may have been made or not; 5 refused: bad value, not found, not "
+    "allowed.\n"
+    "\nOptions:";
+
+/** What the flags say. */
+typedef struct Flags {
+    char *server;
+    char *token_file;
+    char *reason;
+    char *author;
+    char *change_id;
+    long long version;
+    int duration_s;
+    int json;
+    int markdown;
+} Flags_t;
+
+typedef struct Ctl {
+    Flags_t flags;
+    EyCtlClient_t client;
+    const char **arguments; /* behind the command's words */
+    int argument_count;
+    FILE *out;
+    FILE *err;
+} Ctl_t;
+
+/* Answers */
+
+static EyCtlExit_t
+exit_of(uint32_t status)
+{
+    switch (status) {
+    case 0:
+    case 503:
+        return EY_CTL_UNAVAILABLE;
+    case 409:
+        return EY_CTL_CONFLICT;
+    case 504:
+        return EY_CTL_UNKNOWN;
+    default:
+        return status >= 200 && status < 300 ? EY_CTL_DONE : EY_CTL_REFUSED;
+    }
+}
+
+static EyCtlExit_t
+report_failure(const Ctl_t *self, const EyCtlAnswer_t *answer)
+{
+    EyCtlExit_t code = exit_of(answer->status);
+    if (code != EY_CTL_DONE) {
+        (void)fprintf(self->err, "ebonyyardctl: %s\n",
+                      answer->text[0] != '\0' ? answer->text
+                                              : "the server refused");
+    }
+    return code;
+}
+
+/** Gets a path's JSON; NULL with *code set if there is none. */
+static json_t *
+get(const Ctl_t *self, const char *path, EyCtlExit_t *code)
+{
+    EyCtlAnswer_t answer = EyCtlClient_Send(&self->client, "GET", path, NULL);
+    *code = report_failure(self, &answer);
+    if (*code == EY_CTL_DONE && answer.json == NULL) {
+        (void)fprintf(self->err, "ebonyyardctl: the answer isn't JSON\n");
+        *code = EY_CTL_REFUSED;
+    }
+    if (*code == EY_CTL_DONE) {
+        return answer.json;
+    }
+    json_decref(answer.json);
+    return NULL;
+}
+
+static EyCtlExit_t
+show_rows(const Ctl_t *self, const char *path, const char *member,
+          const EyCtlColumn_t *columns)
+{
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, path, &code);
+    if (json == NULL) {
+        return code;
+    }
+    const json_t *rows = json_object_get(json, member);
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, rows != NULL ? rows : json);
+    }
+    else {
+        EyCtlPrint_Table(self->out, rows, columns);
+    }
+    json_decref(json);
+    return EY_CTL_DONE;
+}
+
+/* Reading commands */
+
+static EyCtlExit_t
+run_get(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"key", "KEY"}, {"value", "VALUE"}, {"unit", "UNIT"}, {NULL, NULL}};
+    const char *key = self->argument_count > 0 ? self->arguments[0] : NULL;
+    if (key == NULL) {
+        return show_rows(self, "/v1/config", "defaults", Columns);
+    }
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/config", &code);
+    if (json == NULL) {
+        return code;
+    }
+    const json_t *rows = json_object_get(json, "defaults");
+    code = EY_CTL_REFUSED;
+    for (size_t i = 0; i < json_array_size(rows); i++) {
+        const json_t *row = json_array_get(rows, i);
+        const char *name = json_string_value(json_object_get(row, "key"));
+        if (name == NULL || strcmp(name, key) != 0) {
+            continue;
+        }
+        code = EY_CTL_DONE;
+        if (self->flags.json) {
+            EyCtlPrint_Json(self->out, row);
+        }
+        else {
+            (void)fprintf(self->out, "%s\n",
+                          json_string_value(json_object_get(row, "value")));
+        }
+    }
+    if (code != EY_CTL_DONE) {
+        (void)fprintf(self->err, "ebonyyardctl: no key %s\n", key);
+    }
+    json_decref(json);
+    return code;
+}
+
+static EyCtlExit_t
+run_exception_list(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"id", "ID"},         {"key", "KEY"},       {"scope", "SCOPE"},
+        {"value", "VALUE"},   {"author", "AUTHOR"}, {"ends_in_s", "ENDS IN S"},
+        {"reason", "REASON"}, {NULL, NULL}};
+    return show_rows(self, "/v1/config", "exceptions", Columns);
+}
+
+static EyCtlExit_t
+run_history(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"version", "VERSION"}, {"kind", "CHANGE"},   {"key", "KEY"},
+        {"scope", "SCOPE"},     {"before", "BEFORE"}, {"after", "AFTER"},
+        {"author", "AUTHOR"},   {"reason", "REASON"}, {NULL, NULL}};
+    return show_rows(self, "/v1/config/history", "history", Columns);
+}
+
+static EyCtlExit_t
+run_instances(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"id", "ID"},     {"address", "ADDRESS"}, {"region", "REGION"},
+        {"zone", "ZONE"}, {"weight", "WEIGHT"},   {"state", "STATE"},
+        {NULL, NULL}};
+    return show_rows(self, "/v1/instances", "instances", Columns);
+}
+
+static EyCtlExit_t
+run_backends(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"id", "ID"},     {"address", "ADDRESS"}, {"region", "REGION"},
+        {"zone", "ZONE"}, {"kind", "KIND"},       {"state", "STATE"},
+        {NULL, NULL}};
+    return show_rows(self, "/v1/dump", "backends", Columns);
+}
+
+static EyCtlExit_t
+run_dump(const Ctl_t *self)
+{
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/dump", &code);
+    if (json != NULL) {
+        EyCtlPrint_Json(self->out, json);
+        json_decref(json);
+    }
+    return code;
+}
+
+static EyCtlExit_t
+run_keys(const Ctl_t *self)
+{
+    if (self->flags.markdown) {
+        char *page = EyDefaults_Markdown(NULL);
+        (void)fputs(page, self->out);
+        talloc_free(page);
+        return EY_CTL_DONE;
+    }
+    static const EyCtlColumn_t Columns[] = {
+        {"key", "KEY"},         {"type", "TYPE"},    {"unit", "UNIT"},
+        {"initial", "INITIAL"}, {"help", "MEANING"}, {NULL, NULL}};
+    json_t *rows = json_array();
+    for (int i = 0; i < EY_DEFAULT_COUNT; i++) {
+        const EyDefault_t *row = &EyDefaults_table[i];
+        json_t *json =
+            json_pack("{s:s, s:s, s:s, s:s, s:s, s:I, s:I}", "key", row->name,
+                      "type", EyDefaults_type_names[row->type], "unit",
+                      row->unit != NULL ? row->unit : "", "initial",
+                      row->initial, "help", row->help, "min",
+                      (json_int_t)row->min, "max", (json_int_t)row->max);
+        (void)json_array_append_new(rows, json);
+    }
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, rows);
+    }
+    else {
+        EyCtlPrint_Table(self->out, rows, Columns);
+    }
+    json_decref(rows);
+    return EY_CTL_DONE;
+}
+
+/* Changing commands */
+
+/** The version to change against; negative with *code set if unknown. */
+static long long
+base_version(const Ctl_t *self, EyCtlExit_t *code)
+{
+    if (self->flags.version != NO_VERSION) {
+        return self->flags.version;
+    }
+    json_t *json = get(self, "/v1/config", code);
+    if (json == NULL) {
+        return NO_VERSION;
+    }
+    long long version = json_integer_value(json_object_get(json, "version"));
+    json_decref(json);
+    return version;
+}
+
+static const char *
+author_of(const Ctl_t *self)
+{
+    if (self->flags.author != NULL) {
+        return self->flags.author;
+    }
+    const char *login = getenv("USER");
+    return login != NULL && login[0] != '\0' ? login : "operator";
+}
+
+static json_t *
+make_body(const Ctl_t *self, long long version)
+{
+    char id[40];
+    (void)g_snprintf(id, sizeof(id), "%016" G_GINT64_MODIFIER "x",
+                     EyRandom_SystemSeed());
+    json_t *body = json_pack(
+        "{s:I, s:s, s:s}", "version", (json_int_t)version, "change_id",
+        self->flags.change_id != NULL ? self->flags.change_id : id, "author",
+        author_of(self));
+    if (body != NULL && self->flags.reason != NULL) {
+        (void)json_object_set_new(body, "reason",
+                                  json_string(self->flags.reason));
+    }
+    return body;
+}
+
+static void
+report_change(const Ctl_t *self, const EyCtlAnswer_t *answer)
+{
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, answer->json);
+        return;
+    }
+    (void)fprintf(
+        self->out, "version %" JSON_INTEGER_FORMAT "\n",
+        json_integer_value(json_object_get(answer->json, "version")));
+    json_t *id = json_object_get(answer->json, "exception_id");
+    if (id != NULL) {
+        (void)fprintf(self->out, "exception %" JSON_INTEGER_FORMAT "\n",
+                      json_integer_value(id));
+    }
+}
+
+/** Sends a change; takes body over. */
+static EyCtlExit_t
+send_change(const Ctl_t *self, const char *method, const char *path,
+            json_t *body)
+{
+    EyCtlAnswer_t answer = EyCtlClient_Send(&self->client, method, path, body);
+    EyCtlExit_t code = report_failure(self, &answer);
+    if (code == EY_CTL_DONE) {
+        report_change(self, &answer);
+    }
+    else if (code == EY_CTL_UNKNOWN) {
+        (void)fprintf(self->err,
+                      "to learn what became of it, repeat with --change-id %s "
+                      "--version %" JSON_INTEGER_FORMAT "\n",
+                      json_string_value(json_object_get(body, "change_id")),
+                      json_integer_value(json_object_get(body, "version")));
+    }
+    json_decref(answer.json);
+    json_decref(body);
+    return code;
+}
+
+/** Refuses before anything is sent what the table of keys forbids. */
+static bool
+is_good_value(const Ctl_t *self, const char *key_name, const char *value)
+{
+    EyDefaultKey_t key = EY_DEFAULT_COUNT;
+    GError *error = NULL;
+    if (EyDefaults_Find(key_name, &key, &error) &&
+        EyDefaults_Check(key, value, NULL, &error))
+    {
+        return true;
+    }
+    (void)fprintf(self->err, "ebonyyardctl: %s\n", error->message);
+    g_error_free(error);
+    return false;
+}
+
+static EyCtlExit_t
+run_set(const Ctl_t *self)
+{
+    const char *key = self->arguments[0];
+    const char *value = self->arguments[1];
+    EyCtlExit_t code = EY_CTL_DONE;
+    if (!is_good_value(self, key, value)) {
+        return EY_CTL_REFUSED;
+    }
+    long long version = base_version(self, &code);
+    if (code != EY_CTL_DONE) {
+        return code;
+    }
+    json_t *body = make_body(self, version);
+    (void)json_object_set_new(body, "value", json_string(value));
+    char *path = talloc_asprintf(NULL, "/v1/config/defaults/%s", key);
+    code = send_change(self, "PUT", path, body);
+    talloc_free(path);
+    return code;
+}
+
+static EyCtlExit_t
+run_exception_add(const Ctl_t *self)
+{
+    const char *key = self->arguments[0];
+    const char *value = self->arguments[2];
+    EyCtlExit_t code = EY_CTL_DONE;
+    if (self->flags.reason == NULL) {
+        (void)fprintf(self->err, "ebonyyardctl: --reason: expected why the "
+                                 "exception is needed\n");
+        return EY_CTL_USAGE;
+    }
+    if (!is_good_value(self, key, value)) {
+        return EY_CTL_REFUSED;
+    }
+    long long version = base_version(self, &code);
+    if (code != EY_CTL_DONE) {
+        return code;
+    }
+    json_t *body = make_body(self, version);
+    (void)json_object_set_new(body, "key", json_string(key));
+    (void)json_object_set_new(body, "scope", json_string(self->arguments[1]));
+    (void)json_object_set_new(body, "value", json_string(value));
+    (void)json_object_set_new(body, "duration_s",
+                              json_integer(self->flags.duration_s));
+    return send_change(self, "POST", "/v1/config/exceptions", body);
+}
+
+static EyCtlExit_t
+run_exception_remove(const Ctl_t *self)
+{
+    EyCtlExit_t code = EY_CTL_DONE;
+    long long version = base_version(self, &code);
+    if (code != EY_CTL_DONE) {
+        return code;
+    }
+    char *path =
+        talloc_asprintf(NULL, "/v1/config/exceptions/%s", self->arguments[0]);
+    code = send_change(self, "DELETE", path, make_body(self, version));
+    talloc_free(path);
+    return code;
+}
+
+/* The command line */
+
+typedef struct Command {
+    const char *word;
+    const char *second; /* NULL: none */
+    int least;          /* arguments behind the words */
+    int most;
+    EyCtlExit_t (*run)(const Ctl_t *self);
+} Command_t;
+
+static const Command_t Commands[] = {
+    {"get", NULL, 0, 1, run_get},
+    {"set", NULL, 2, 2, run_set},
+    {"exception", "list", 0, 0, run_exception_list},
+    {"exception", "add", 3, 3, run_exception_add},
+    {"exception", "remove", 1, 1, run_exception_remove},
+    {"history", NULL, 0, 0, run_history},
+    {"keys", NULL, 0, 0, run_keys},
+    {"dump", NULL, 0, 0, run_dump},
+    {"instances", NULL, 0, 0, run_instances},
+    {"backends", NULL, 0, 0, run_backends},
+};
+
+static int
+count_words(const char **words)
+{
+    int count = 0;
+    while (words != NULL && words[count] != NULL) {
+        count++;
+    }
+    return count;
+}
+
+/** Finds the command and sets its arguments; NULL if there is none. */
+static const Command_t *
+find_command(Ctl_t *self, const char **words)
+{
+    int count = count_words(words);
+    for (size_t i = 0; i < G_N_ELEMENTS(Commands); i++) {
+        const Command_t *command = &Commands[i];
+        int used = command->second != NULL ? 2 : 1;
+        if (count < used || strcmp(words[0], command->word) != 0 ||
+            (used == 2 && strcmp(words[1], command->second) != 0))
+        {
+            continue;
+        }
+        self->arguments = words + used;
+        self->argument_count = count - used;
+        bool fits = self->argument_count >= command->least &&
+                    self->argument_count <= command->most;
+        return fits ? command : NULL;
+    }
+    return NULL;
+}
+
+static EyCtlExit_t
+run_words(Ctl_t *self, const char **words)
+{
+    const Command_t *command = find_command(self, words);
+    if (command == NULL) {
+        (void)fprintf(self->err, "ebonyyardctl: %s; see ebonyyardctl --help\n",
+                      count_words(words) == 0
+                          ? "expected a command"
+                          : "no such command, or not with these arguments");
+        return EY_CTL_USAGE;
+    }
+    GError *error = NULL;
+    char *token = NULL;
+    if (self->flags.token_file != NULL) {
+        token = EyOperators_ReadToken(NULL, self->flags.token_file, &error);
+        if (token == NULL) {
+            (void)fprintf(self->err, "ebonyyardctl: %s\n", error->message);
+            g_error_free(error);
+            return EY_CTL_USAGE;
+        }
+    }
+    self->client = (EyCtlClient_t){
+        .servers = self->flags.server,
+        .token = token,
+        .timeout_ms = TRY_TIMEOUT_MS,
+        .tries = TRIES,
+    };
+    EyCtlExit_t code = command->run(self);
+    talloc_free(token);
+    return code;
+}
+
+/** Sets a flag that wasn't given from its environment variable. */
+static void
+fill_flag(char **flag, const char *variable, const char *otherwise)
+{
+    const char *value = getenv(variable);
+    if (*flag != NULL) {
+        return;
+    }
+    if (value == NULL || value[0] == '\0') {
+        value = otherwise;
+    }
+    *flag = value != NULL ? strdup(value) : NULL;
+}
+
+static void
+free_flags(Flags_t *flags)
+{
+    free(flags->server);
+    free(flags->token_file);
+    free(flags->reason);
+    free(flags->author);
+    free(flags->change_id);
+}
+
+EyCtlExit_t
+EyCtl_Run(int argc, const char **argv, FILE *out, FILE *err)
+{
+    Ctl_t self = {.out = out, .err = err};
+    Flags_t *flags = &self.flags;
+    flags->version = NO_VERSION;
+    const struct poptOption options[] = {
+        {"server", 's', POPT_ARG_STRING, &flags->server, 0,
+         "servers to ask, in turn (EBONYYARD_SERVER; 127.0.0.1:8080)",
+         "IP:port,..."},
+        {"token-file", 't', POPT_ARG_STRING, &flags->token_file, 0,
+         "file with the operators' token (EBONYYARD_TOKEN_FILE)", "FILE"},
+        {"json", 'j', POPT_ARG_NONE, &flags->json, 0, "print JSON", NULL},
+        {"reason", 'r', POPT_ARG_STRING, &flags->reason, 0,
+         "why; an exception must have one", "TEXT"},
+        {"author", 'a', POPT_ARG_STRING, &flags->author, 0,
+         "who changes it (the login name)", "NAME"},
+        {"duration", 'd', POPT_ARG_INT, &flags->duration_s, 0,
+         "seconds until an exception ends (0: no end)", "S"},
+        {"version", 0, POPT_ARG_LONGLONG, &flags->version, 0,
+         "version that the change is made against", "N"},
+        {"change-id", 0, POPT_ARG_STRING, &flags->change_id, 0,
+         "id of the change, to repeat one", "ID"},
+        {"markdown", 0, POPT_ARG_NONE, &flags->markdown, 0,
+         "with keys: the page of the docs", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    poptContext context =
+        poptGetContext("ebonyyardctl", argc, argv, options, 0);
+    poptSetOtherOptionHelp(context, Usage);
+    int read = poptGetNextOpt(context);
+    fill_flag(&flags->server, "EBONYYARD_SERVER", DEFAULT_SERVER);
+    fill_flag(&flags->token_file, "EBONYYARD_TOKEN_FILE", NULL);
+    EyCtlExit_t code = EY_CTL_USAGE;
+    if (read < -1) {
+        (void)fprintf(err, "ebonyyardctl: %s: %s\n", poptBadOption(context, 0),
+                      poptStrerror(read));
+    }
+    else if (flags->duration_s < 0) {
+        (void)fprintf(err, "ebonyyardctl: --duration: expected 0 or more\n");
+    }
+    else {
+        code = run_words(&self, poptGetArgs(context));
+    }
+    (void)poptFreeContext(context);
+    curl_global_cleanup();
+    free_flags(flags);
+    return code;
+}
--- /dev/null
+++ b/tests/property/test_replica_properties.cc
@@ -0,0 +1,402 @@
+#include "config/replica.h"
+#include "core/memory.h"
+#include "property/check.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr int64_t StepMs = 10;
+constexpr int64_t InForceMs = 3000;
+constexpr size_t Controls = 2;
+constexpr size_t Gateways = 7;
+
+struct Packet {
+    int64_t due_ms;
+    std::string from;
+    std::string to;
+    EyConfigMessage_t *message;
+};
+
+/** Control stores and a region's gateways with a network in memory. */
+class Region {
+  public:
+    explicit Region(uint64_t seed) : random(EyRandom_Make(seed))
+    {
+        ctx = talloc_new(nullptr);
+        senders.reserve(Controls + Gateways);
+        for (size_t i = 0; i < Controls; i++) {
+            control_names.push_back("control-" + std::to_string(i));
+            senders.push_back({this, control_names.back()});
+            stores.push_back(EyStore_New(ctx));
+            feeds.push_back(EyFeed_New(ctx, send, &senders.back()));
+        }
+        replicas.assign(Gateways, nullptr);
+        revisions.assign(Gateways, 0);
+        is_up.assign(Gateways, false);
+        for (size_t i = 0; i < Gateways; i++) {
+            gateway_names.push_back("gateway-" + std::to_string(i));
+            senders.push_back({this, gateway_names.back()});
+        }
+        for (size_t i = 0; i < Gateways; i++) {
+            start(i);
+        }
+    }
+
+    ~Region()
+    {
+        talloc_free(ctx);
+    }
+
+    Region(const Region &) = delete;
+    Region &
+    operator=(const Region &) = delete;
+
+    void
+    start(size_t i)
+    {
+        if (is_up[i]) {
+            return;
+        }
+        EyReplicaHooks_t hooks = {};
+        hooks.send = send;
+        hooks.data = &senders[Controls + i];
+        replicas[i] = EyReplica_New(ctx, gateway_names[i].c_str(),
+                                    EyRandom_Next(&random), &hooks, now_ms);
+        is_up[i] = true;
+        revisions[i] = 0;
+        refresh_sources();
+    }
+
+    void
+    stop(size_t i)
+    {
+        if (is_up[i]) {
+            talloc_free(replicas[i]);
+            is_up[i] = false;
+            refresh_sources();
+        }
+    }
+
+    /** A change is committed; one control process may hear of it later. */
+    void
+    change(bool is_known_everywhere)
+    {
+        EyCommand_t command = {};
+        command.kind = EY_COMMAND_SET_DEFAULT;
+        command.version = stores[0]->config.version;
+        (void)EY_COPY(command.key, "routing.queue_max");
+        (void)EY_COPY(command.value,
+                      std::to_string(command.version + 1).c_str());
+        commands.push_back(command);
+        catch_up(0);
+        if (is_known_everywhere) {
+            catch_up(1);
+        }
+    }
+
+    void
+    catch_up(size_t i)
+    {
+        EyStore_t *store = stores[i];
+        while (store->config.revision < commands.size()) {
+            const EyCommand_t &command = commands[store->config.revision];
+            EyResult_t result = EyStore_Apply(store, &command);
+            RC_ASSERT(result.status == EY_RESULT_DONE);
+            EyFeed_Add(feeds[i], &command, store->config.revision);
+        }
+        EyFeed_Push(feeds[i], store, now_ms, nullptr);
+    }
+
+    void
+    run(int64_t for_ms)
+    {
+        int64_t end_ms = now_ms + for_ms;
+        while (now_ms < end_ms) {
+            now_ms += StepMs;
+            deliver();
+            for (size_t i = 0; i < Gateways; i++) {
+                if (is_up[i] && now_ms >= EyReplica_DueMs(replicas[i])) {
+                    EyReplica_Tick(replicas[i], now_ms);
+                }
+                check(i);
+            }
+        }
+    }
+
+    bool
+    is_in_force() const
+    {
+        for (size_t i = 0; i < Gateways; i++) {
+            if (is_up[i] && revisions[i] != commands.size()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    size_t
+    first_up() const
+    {
+        size_t i = 0;
+        while (i < Gateways && !is_up[i]) {
+            i++;
+        }
+        return i;
+    }
+
+    bool is_cut = false; /* the control processes from the region */
+    uint64_t noise = 0;  /* per mille lost, and as many doubled */
+    std::vector<bool> is_up;
+    std::vector<EyReplica_t *> replicas;
+    std::vector<uint64_t> revisions; /* as last seen at each gateway */
+    std::vector<EyStore_t *> stores;
+    uint64_t sent_bytes = 0;
+    std::map<std::string, uint64_t> sent_by;
+
+  private:
+    struct Sender {
+        Region *region;
+        std::string name;
+    };
+
+    static void
+    send(void *data, const char *to, const EyConfigMessage_t *message)
+    {
+        const Sender *sender = static_cast<const Sender *>(data);
+        sender->region->post(sender->name, to, message);
+    }
+
+    static bool
+    is_control(const std::string &name)
+    {
+        return name.rfind("control", 0) == 0;
+    }
+
+    void
+    post(const std::string &from, const std::string &to,
+         const EyConfigMessage_t *message)
+    {
+        bool crosses = is_control(from) != is_control(to);
+        sent_by[from]++;
+        if ((crosses && is_cut) || EyRandom_Below(&random, 1000) < noise) {
+            return;
+        }
+        size_t copies = 1 + (EyRandom_Below(&random, 1000) < noise);
+        for (size_t i = 0; i < copies; i++) {
+            EyBytes_t bytes =
+                EySchema_Pack(&EyConfigMessage_schema, nullptr, message);
+            sent_bytes += bytes.size_bytes;
+            EyConfigMessage_t *copy = EY_NEW(ctx, EyConfigMessage_t);
+            RC_ASSERT(EySchema_Unpack(&EyConfigMessage_schema, copy,
+                                      bytes.data, bytes.size_bytes, copy,
+                                      nullptr));
+            talloc_free(bytes.data);
+            int64_t latency_ms =
+                1 + static_cast<int64_t>(EyRandom_Below(&random, 60));
+            packets.push_back({now_ms + latency_ms, from, to, copy});
+        }
+    }
+
+    void
+    deliver()
+    {
+        std::vector<Packet> due;
+        std::vector<Packet> rest;
+        for (Packet &packet : packets) {
+            (packet.due_ms <= now_ms ? due : rest).push_back(packet);
+        }
+        packets = rest;
+        for (Packet &packet : due) {
+            receive(packet);
+            talloc_free(packet.message);
+        }
+    }
+
+    void
+    receive(const Packet &packet)
+    {
+        for (size_t i = 0; i < Controls; i++) {
+            if (control_names[i] == packet.to &&
+                packet.message->kind == EY_CONFIG_PULL) {
+                EyFeed_Pull(feeds[i], stores[i], now_ms, packet.from.c_str(),
+                            packet.message);
+            }
+        }
+        for (size_t i = 0; i < Gateways; i++) {
+            if (gateway_names[i] == packet.to && is_up[i]) {
+                EyReplica_Receive(replicas[i], now_ms, packet.from.c_str(),
+                                  packet.message);
+                check(i);
+            }
+        }
+    }
+
+    void
+    check(size_t i)
+    {
+        if (!is_up[i]) {
+            return;
+        }
+        const EyConfig_t &config = EyReplica_Store(replicas[i])->config;
+        RC_ASSERT(config.revision >= revisions[i]);
+        RC_ASSERT(config.revision <= commands.size());
+        RC_ASSERT(config.version == config.revision);
+        if (config.version > 0) {
+            RC_ASSERT(EyConfig_Number(&config, EY_DEFAULT_ROUTING_QUEUE_MAX,
+                                      nullptr, nullptr, nullptr) ==
+                      static_cast<int64_t>(config.version));
+        }
+        revisions[i] = config.revision;
+    }
+
+    void
+    refresh_sources()
+    {
+        std::vector<std::string> live;
+        for (size_t i = 0; i < Gateways; i++) {
+            if (is_up[i]) {
+                live.push_back(gateway_names[i]);
+            }
+        }
+        EyName_t gateways[Gateways];
+        EyName_t controls[Controls];
+        for (size_t i = 0; i < live.size(); i++) {
+            (void)EY_COPY(gateways[i], live[i].c_str());
+        }
+        for (size_t i = 0; i < Controls; i++) {
+            (void)EY_COPY(controls[i], control_names[i].c_str());
+        }
+        for (size_t i = 0; i < Gateways; i++) {
+            if (is_up[i]) {
+                EyReplica_SetSources(replicas[i], gateways,
+                                     static_cast<uint32_t>(live.size()),
+                                     controls, Controls);
+            }
+        }
+    }
+
+    void *ctx;
+    EyRandom_t random;
+    int64_t now_ms = 1000;
+    std::vector<std::string> control_names;
+    std::vector<std::string> gateway_names;
+    std::vector<Sender> senders;
+    std::vector<EyFeed_t *> feeds;
+    std::vector<EyCommand_t> commands;
+    std::vector<Packet> packets;
+};
+
+void
+carry_out(Region &region, uint32_t number)
+{
+    size_t gateway = number / 16 % Gateways;
+    int64_t amount = number / 256 % 100;
+    switch (number % 16) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+        region.change(number % 2 == 0);
+        break;
+    case 4:
+        region.is_cut = true;
+        break;
+    case 5:
+        region.is_cut = false;
+        break;
+    case 6:
+        region.stop(gateway);
+        break;
+    case 7:
+    case 8:
+        region.start(gateway);
+        break;
+    case 9:
+        region.noise = static_cast<uint64_t>(amount) * 3;
+        break;
+    case 10:
+        region.catch_up(1);
+        break;
+    default:
+        region.run(10 + amount * 10);
+        break;
+    }
+}
+
+} // namespace
+
+Test(replica_properties, versions_rise_and_all_converge)
+{
+    EY_CHECK("any changes, cuts, losses and restarts", [] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto size = *rc::gen::inRange<size_t>(0, 60);
+        const auto orders = *rc::gen::container<std::vector<uint32_t>>(
+            size, rc::gen::inRange<uint32_t>(0, 1U << 20));
+        Region region(seed);
+        for (uint32_t order : orders) {
+            carry_out(region, order);
+        }
+        region.noise = 0;
+        region.is_cut = false;
+        region.catch_up(1);
+        for (size_t i = 0; i < Gateways; i++) {
+            region.start(i);
+        }
+        region.run(InForceMs);
+        RC_ASSERT(region.is_in_force());
+        for (size_t i = 0; i < Gateways; i++) {
+            RC_ASSERT(EyReplica_IsReady(region.replicas[i]));
+        }
+    });
+}
+
+Test(replica_properties, pushed_within_a_second_on_healthy_links)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        Region region(seed);
+        region.run(2500);
+        region.change(true);
+        region.run(1000);
+        RC_ASSERT(region.is_in_force());
+    });
+}
+
+Test(replica_properties, cut_off_region_keeps_and_shares_its_version)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        Region region(seed);
+        for (int i = 0; i < 5; i++) {
+            region.change(true);
+        }
+        region.run(InForceMs);
+        RC_ASSERT(region.is_in_force());
+        region.is_cut = true;
+        size_t first = region.first_up();
+        region.stop(first);
+        region.run(1000);
+        region.start(first);
+        region.run(InForceMs);
+        RC_ASSERT(EyReplica_IsReady(region.replicas[first]));
+        RC_ASSERT(region.revisions[first] == 5);
+    });
+}
+
+Test(replica_properties, restarted_gateway_is_not_ready_before_it_caught_up)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        Region region(seed);
+        region.change(true);
+        region.run(InForceMs);
+        region.stop(3);
+        region.start(3);
+        for (int i = 0; i < 100; i++) {
+            region.run(StepMs);
+            RC_ASSERT(!EyReplica_IsReady(region.replicas[3]) ||
+                      region.revisions[3] == 1);
+        }
+        RC_ASSERT(EyReplica_IsReady(region.replicas[3]));
+    });
+}
--- /dev/null
+++ b/tests/unit/test_log_file.c
@@ -0,0 +1,367 @@
+#include "config/log_file.h"
+#include "core/memory.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define ENTRIES 3
+
+typedef struct Fixture {
+    char folder[64];
+    char path[96];
+} Fixture_t;
+
+static Fixture_t
+make_folder(void)
+{
+    Fixture_t fixture = {.folder = "/tmp/ey-log-file-XXXXXX"};
+    cr_assert_not_null(mkdtemp(fixture.folder));
+    (void)snprintf(fixture.path, sizeof(fixture.path), "%s/%s", fixture.folder,
+                   EY_LOG_FILE_NAME);
+    return fixture;
+}
+
+static void
+remove_folder(const Fixture_t *fixture)
+{
+    char path[96];
+    (void)chmod(fixture->folder, 0700);
+    (void)unlink(fixture->path);
+    (void)snprintf(path, sizeof(path), "%s/control.lock", fixture->folder);
+    (void)unlink(path);
+    (void)snprintf(path, sizeof(path), "%s/control.log.new", fixture->folder);
+    (void)unlink(path);
+    (void)rmdir(fixture->folder);
+}
+
+static EyLogFile_t *
+open_good(const Fixture_t *fixture, EyLogDisk_t *disk)
+{
+    GError *error = NULL;
+    EyLogFile_t *file =
+        EyLogFile_Open(NULL, fixture->folder, NULL, disk, &error);
+    cr_assert_not_null(file, "%s", error != NULL ? error->message : "");
+    return file;
+}
+
+static bool
+write_entry(EyLogFile_t *file, uint64_t index, uint64_t term, GError **error)
+{
+    EyLogEntry_t entry = {
+        .index = index,
+        .term = term,
+        .kind = EY_LOG_COMMAND,
+        .data = {.data = (uint8_t *)"abc", .size_bytes = 3},
+    };
+    EyLogPersist_t persist = {
+        .cluster = 7,
+        .term = term,
+        .vote = "10.0.0.1:7000",
+        .vote_incarnation = 9,
+        .entries = &entry,
+        .entry_count = 1,
+    };
+    return EyLogFile_Write(file, &persist, error);
+}
+
+static void
+write_entries(EyLogFile_t *file)
+{
+    for (uint64_t i = 1; i <= ENTRIES; i++) {
+        cr_assert(write_entry(file, i, 2, NULL));
+    }
+}
+
+static uint8_t *
+read_bytes(const Fixture_t *fixture, size_t *size_bytes)
+{
+    gchar *data = NULL;
+    cr_assert(g_file_get_contents(fixture->path, &data, size_bytes, NULL));
+    return (uint8_t *)data;
+}
+
+static void
+write_bytes(const Fixture_t *fixture, const uint8_t *data, size_t size_bytes)
+{
+    int file = open(fixture->path, O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    cr_assert(file >= 0);
+    cr_assert_eq(write(file, data, size_bytes), (ssize_t)size_bytes);
+    (void)close(file);
+}
+
+Test(log_file, content_comes_back)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t first;
+    EyLogFile_t *file = open_good(&fixture, &first);
+    cr_assert_neq(first.incarnation, 0);
+    write_entries(file);
+    cr_assert(write_entry(file, 2, 3, NULL)); /* in place of 2 and 3 */
+    talloc_free(file);
+
+    EyLogDisk_t disk;
+    file = open_good(&fixture, &disk);
+    cr_assert_eq(disk.incarnation, first.incarnation);
+    cr_assert_eq(disk.cluster, 7);
+    cr_assert_eq(disk.term, 3);
+    cr_assert_str_eq(disk.vote, "10.0.0.1:7000");
+    cr_assert_eq(disk.vote_incarnation, 9);
+    cr_assert_eq(disk.entry_count, 2);
+    cr_assert_eq(disk.entries[0].term, 2);
+    cr_assert_eq(disk.entries[1].term, 3);
+    cr_assert_arr_eq(disk.entries[1].data.data, "abc", 3);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
+
+static EyLogPersist_t
+snapshot_persist(const void *ctx)
+{
+    EyLogPersist_t persist = {
+        .cluster = 7,
+        .term = 4,
+        .snapshot = {.index = 10,
+                     .term = 3,
+                     .data = {.data = (uint8_t *)"state", .size_bytes = 5}},
+    };
+    persist.snapshot.members.items = EY_NEW_ARRAY(ctx, EyLogMember_t, 1);
+    persist.snapshot.members.count = 1;
+    return persist;
+}
+
+Test(log_file, snapshot_replaces_entries)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    void *ctx = talloc_new(NULL);
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    write_entries(file);
+    uint64_t before_bytes = EyLogFile_SizeBytes(file);
+    EyLogPersist_t persist = snapshot_persist(ctx);
+    cr_assert(EyLogFile_Write(file, &persist, NULL));
+    cr_assert(write_entry(file, 11, 4, NULL));
+    cr_assert_neq(EyLogFile_SizeBytes(file), before_bytes);
+    talloc_free(file);
+
+    file = open_good(&fixture, &disk);
+    cr_assert_eq(disk.snapshot.index, 10);
+    cr_assert_eq(disk.snapshot.members.count, 1);
+    cr_assert_arr_eq(disk.snapshot.data.data, "state", 5);
+    cr_assert_eq(disk.entry_count, 1);
+    cr_assert_eq(disk.entries[0].index, 11);
+    talloc_free(file);
+    talloc_free(ctx);
+    remove_folder(&fixture);
+}
+
+/* What was written after the last rename may be cut at any byte; what came by
+ * the rename may not. */
+Test(log_file, tail_is_cut_at_any_byte)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    size_t head_bytes = EyLogFile_SizeBytes(file);
+    uint64_t ends[ENTRIES];
+    for (uint64_t i = 0; i < ENTRIES; i++) {
+        cr_assert(write_entry(file, i + 1, 2, NULL));
+        ends[i] = EyLogFile_SizeBytes(file);
+    }
+    talloc_free(file);
+    size_t size_bytes = 0;
+    uint8_t *data = read_bytes(&fixture, &size_bytes);
+    for (size_t cut = 0; cut <= size_bytes; cut++) {
+        write_bytes(&fixture, data, cut);
+        GError *error = NULL;
+        file = EyLogFile_Open(NULL, fixture.folder, NULL, &disk, &error);
+        if (cut < head_bytes) {
+            cr_assert_null(file, "cut at %zu", cut);
+            cr_assert(g_error_matches(error, EY_LOG_FILE_ERROR,
+                                      EY_LOG_FILE_ERROR_CORRUPT));
+            g_error_free(error);
+            continue;
+        }
+        cr_assert_not_null(file, "cut at %zu", cut);
+        uint32_t whole = 0;
+        while (whole < ENTRIES && ends[whole] <= cut) {
+            whole++;
+        }
+        cr_assert_eq(disk.entry_count, whole, "cut at %zu", cut);
+        cr_assert(write_entry(file, whole + 1, 3, NULL));
+        talloc_free(file);
+        file = open_good(&fixture, &disk);
+        cr_assert_eq(disk.entry_count, whole + 1);
+        talloc_free(file);
+    }
+    g_free(data);
+    remove_folder(&fixture);
+}
+
+Test(log_file, zeros_behind_the_end_are_cut)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    write_entries(file);
+    uint64_t size_bytes = EyLogFile_SizeBytes(file);
+    talloc_free(file);
+    cr_assert_eq(truncate(fixture.path, (off_t)size_bytes + 100), 0);
+    file = open_good(&fixture, &disk);
+    cr_assert_eq(disk.entry_count, ENTRIES);
+    cr_assert_eq(EyLogFile_SizeBytes(file), size_bytes);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
+
+Test(log_file, any_changed_byte_is_refused)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    write_entries(file);
+    talloc_free(file);
+    size_t size_bytes = 0;
+    uint8_t *data = read_bytes(&fixture, &size_bytes);
+    for (size_t i = 0; i < size_bytes; i++) {
+        data[i] ^= 0x41;
+        write_bytes(&fixture, data, size_bytes);
+        GError *error = NULL;
+        file = EyLogFile_Open(NULL, fixture.folder, NULL, &disk, &error);
+        cr_assert_null(file, "byte %zu changed unseen", i);
+        cr_assert(g_error_matches(error, EY_LOG_FILE_ERROR,
+                                  EY_LOG_FILE_ERROR_CORRUPT),
+                  "byte %zu", i);
+        g_error_free(error);
+        data[i] ^= 0x41;
+    }
+    g_free(data);
+    remove_folder(&fixture);
+}
+
+Test(log_file, unreadable_file_is_refused)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    GError *error = NULL;
+    cr_assert_eq(mkdir(fixture.path, 0700), 0);
+    cr_assert_null(EyLogFile_Open(NULL, fixture.folder, NULL, &disk, &error));
+    cr_assert(
+        g_error_matches(error, EY_LOG_FILE_ERROR, EY_LOG_FILE_ERROR_OPEN));
+    g_error_free(error);
+    (void)rmdir(fixture.path);
+    remove_folder(&fixture);
+}
+
+Test(log_file, folder_in_use_is_refused)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    EyLogDisk_t other;
+    GError *error = NULL;
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    cr_assert_null(EyLogFile_Open(NULL, fixture.folder, NULL, &other, &error));
+    cr_assert(
+        g_error_matches(error, EY_LOG_FILE_ERROR, EY_LOG_FILE_ERROR_LOCKED));
+    g_error_free(error);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
+
+/* Faults in the system calls. */
+
+static int room_bytes;
+static int sync_error;
+
+static ssize_t
+write_with_room(int file, const void *data, size_t size_bytes,
+                off_t offset_bytes)
+{
+    if (room_bytes <= 0) {
+        errno = ENOSPC;
+        return -1;
+    }
+    size_t part_bytes =
+        size_bytes < (size_t)room_bytes ? size_bytes : (size_t)room_bytes;
+    ssize_t written = pwrite(file, data, part_bytes, offset_bytes);
+    room_bytes -= (int)written;
+    return written;
+}
+
+static int
+sync_with_error(int file)
+{
+    if (sync_error != 0) {
+        errno = sync_error;
+        return -1;
+    }
+    return fdatasync(file);
+}
+
+static const EyLogFileCalls_t FaultyCalls = {
+    .write_at = write_with_room,
+    .sync = sync_with_error,
+};
+
+Test(log_file, full_disk_takes_nothing_in)
+{
+    for (int room = 0; room < 120; room += 7) {
+        Fixture_t fixture = make_folder();
+        EyLogDisk_t disk;
+        GError *error = NULL;
+        room_bytes = 100000;
+        sync_error = 0;
+        EyLogFile_t *file =
+            EyLogFile_Open(NULL, fixture.folder, &FaultyCalls, &disk, NULL);
+        cr_assert_not_null(file);
+        cr_assert(write_entry(file, 1, 2, NULL));
+        uint64_t size_bytes = EyLogFile_SizeBytes(file);
+        room_bytes = room;
+        if (write_entry(file, 2, 3, &error)) {
+            cr_assert_gt(room, 60);
+        }
+        else {
+            cr_assert(g_error_matches(error, EY_LOG_FILE_ERROR,
+                                      EY_LOG_FILE_ERROR_WRITE));
+            g_error_free(error);
+            struct stat status;
+            cr_assert_eq(stat(fixture.path, &status), 0);
+            cr_assert_eq((uint64_t)status.st_size, size_bytes);
+            room_bytes = 100000;
+            cr_assert(write_entry(file, 2, 3, NULL));
+        }
+        talloc_free(file);
+        file = open_good(&fixture, &disk);
+        cr_assert_eq(disk.entry_count, 2);
+        talloc_free(file);
+        remove_folder(&fixture);
+    }
+}
+
+Test(log_file, failed_sync_ends_all_writing)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    GError *error = NULL;
+    room_bytes = 100000;
+    sync_error = 0;
+    EyLogFile_t *file =
+        EyLogFile_Open(NULL, fixture.folder, &FaultyCalls, &disk, NULL);
+    cr_assert_not_null(file);
+    sync_error = EIO;
+    cr_assert_not(write_entry(file, 1, 2, &error));
+    cr_assert(
+        g_error_matches(error, EY_LOG_FILE_ERROR, EY_LOG_FILE_ERROR_SYNC));
+    g_clear_error(&error);
+    sync_error = 0;
+    cr_assert_not(write_entry(file, 1, 2, &error));
+    cr_assert(
+        g_error_matches(error, EY_LOG_FILE_ERROR, EY_LOG_FILE_ERROR_SYNC));
+    g_clear_error(&error);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
