Configuration: properties of the control process, of freezes, of repairs

Five hundred changes and a restart of all come back with the same state, and the last change resent gets its first answer.

--- a/tests/property/log_world.h
+++ b/tests/property/log_world.h
@@ -170,8 +170,8 @@
     bool is_frozen = false;
     bool is_disk_full = false;
     uint64_t applied = 0;
-    std::string state;              /* a digest of all that was applied */
-    std::set<std::string> learners; /* as the log last showed them */
+    std::string state;            /* a digest of all that was applied */
+    std::set<std::string> voters; /* as the log last showed them */
     uint64_t shown_commit = 0;
 };
 
@@ -271,7 +271,7 @@
         node.is_frozen = false;
         node.applied = node.disk.base_index;
         node.state = node.disk.base_data;
-        node.learners.clear();
+        node.voters.clear();
         node.shown_commit = 0;
     }
 
@@ -582,11 +582,11 @@
             check_leader(node, status);
             check_promotions(node, status);
         }
-        node.learners.clear();
+        node.voters.clear();
         for (uint32_t i = 0; i < status.members.count; i++) {
             const EyLogMember_t &member = status.members.items[i];
-            if (!member.is_voter) {
-                node.learners.insert(name_of(member));
+            if (member.is_voter) {
+                node.voters.insert(name_of(member));
             }
         }
         node.shown_commit = status.commit;
@@ -622,8 +622,9 @@
     {
         for (uint32_t i = 0; i < status.members.count; i++) {
             const EyLogMember_t &member = status.members.items[i];
-            if (!member.is_voter ||
-                leader.learners.count(name_of(member)) == 0) {
+            if (!member.is_voter || leader.voters.empty() ||
+                leader.voters.count(name_of(member)) == 1)
+            {
                 continue;
             }
             for (const Node &node : nodes) {
--- /dev/null
+++ b/tests/property/test_control_properties.cc
@@ -0,0 +1,409 @@
+#include "config/control.h"
+#include "property/check.h"
+#include "property/log_world.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+using log_world::Disk;
+
+namespace {
+
+constexpr size_t Count = 3;
+constexpr int64_t StepMs = 10;
+constexpr int64_t SettleMs = 15000;
+
+struct Packet {
+    int64_t due_ms;
+    size_t from;
+    size_t to;
+    EyLogMessage_t *log; /* one of the two */
+    EyConfigMessage_t *config;
+};
+
+/** What an operator was told of a change. */
+struct Told {
+    size_t at;
+    EyCommand_t command;
+    bool is_answered = false;
+    EyProposalOutcome_t outcome = EY_PROPOSAL_UNKNOWN;
+    EyResult_t result = {};
+};
+
+/** Three control processes with disks and a network in memory. */
+class Site {
+  public:
+    explicit Site(uint64_t seed) : random(EyRandom_Make(seed))
+    {
+        ctx = talloc_new(nullptr);
+        for (size_t i = 0; i < Count; i++) {
+            nodes[i].site = this;
+            nodes[i].index = i;
+            nodes[i].name = "control-" + std::to_string(i);
+            nodes[i].address = "10.0.0." + std::to_string(i + 1) + ":7000";
+            nodes[i].disk.incarnation = i + 1;
+            (void)EY_COPY(list[i], nodes[i].address.c_str());
+        }
+        for (size_t i = 0; i < Count; i++) {
+            start(i);
+        }
+    }
+
+    ~Site()
+    {
+        for (Node &node : nodes) {
+            stop(node.index);
+        }
+        talloc_free(ctx);
+    }
+
+    Site(const Site &) = delete;
+    Site &
+    operator=(const Site &) = delete;
+
+    void
+    start(size_t i)
+    {
+        Node &node = nodes[i];
+        if (node.control != nullptr) {
+            return;
+        }
+        EyLogOptions_t options = {};
+        (void)EY_COPY(options.self, node.address.c_str());
+        options.list = list;
+        options.list_count = Count;
+        options.seed = EyRandom_Next(&random);
+        EyControlHooks_t hooks = {};
+        hooks.send_log = send_log;
+        hooks.send_config = send_config;
+        hooks.persist = persist;
+        hooks.answer = answer;
+        hooks.data = &node;
+        void *scratch = talloc_new(nullptr);
+        EyLogDisk_t disk = node.disk.load(scratch);
+        node.control = EyControl_New(ctx, &options, &disk, &hooks, now_ms);
+        talloc_free(scratch);
+    }
+
+    void
+    stop(size_t i)
+    {
+        Node &node = nodes[i];
+        talloc_free(node.control);
+        node.control = nullptr;
+        for (EyLogPersist_t *persist : node.writes) {
+            talloc_free(persist);
+        }
+        node.writes.clear();
+    }
+
+    void
+    run(int64_t for_ms)
+    {
+        int64_t end_ms = now_ms + for_ms;
+        while (now_ms < end_ms) {
+            now_ms += StepMs;
+            deliver();
+            for (Node &node : nodes) {
+                finish_writes(node);
+                if (node.control != nullptr &&
+                    now_ms >= EyControl_DueMs(node.control)) {
+                    EyControl_Tick(node.control, now_ms);
+                }
+            }
+        }
+    }
+
+    /** An operator's change at a node, against what that node shows. */
+    void
+    change(size_t i, const std::string &id)
+    {
+        if (nodes[i].control == nullptr) {
+            return;
+        }
+        const EyStore_t *store = EyControl_Store(nodes[i].control);
+        EyCommand_t command = {};
+        command.kind = EY_COMMAND_SET_DEFAULT;
+        command.version = store->config.version;
+        (void)EY_COPY(command.change_id, id.c_str());
+        (void)EY_COPY(command.key, "routing.queue_max");
+        (void)EY_COPY(command.value, std::to_string(told.size()).c_str());
+        send(i, command);
+    }
+
+    void
+    send(size_t i, EyCommand_t command)
+    {
+        if (nodes[i].control == nullptr) {
+            return;
+        }
+        Told one = {};
+        one.at = i;
+        one.command = command;
+        told.push_back(one);
+        EyControl_Propose(nodes[i].control, now_ms, told.size() - 1, &command);
+    }
+
+    const EyStore_t *
+    store(size_t i) const
+    {
+        return EyControl_Store(nodes[i].control);
+    }
+
+    void
+    check() const
+    {
+        std::map<std::string, EyResult_t> results;
+        std::map<uint64_t, std::string> winners;
+        std::map<std::string, uint64_t> in_history;
+        for (uint32_t i = 0; i < store(0)->history_count; i++) {
+            const EyHistory_t &record = store(0)->history[i];
+            RC_ASSERT(
+                in_history.emplace(record.change_id, record.version).second);
+        }
+        std::map<std::string, bool> only_rejected;
+        for (const Told &one : told) {
+            std::string id = one.command.change_id;
+            bool is_rejected =
+                one.is_answered && one.outcome == EY_PROPOSAL_REJECTED;
+            auto entry = only_rejected.emplace(id, true);
+            entry.first->second = entry.first->second && is_rejected;
+            if (!one.is_answered || one.outcome != EY_PROPOSAL_APPLIED) {
+                continue;
+            }
+            auto first = results.emplace(id, one.result);
+            RC_ASSERT(first.first->second.status == one.result.status);
+            RC_ASSERT(first.first->second.version == one.result.version);
+            if (one.result.status == EY_RESULT_DONE) {
+                auto winner = winners.emplace(one.command.version, id);
+                RC_ASSERT(winner.first->second == id);
+                RC_ASSERT(in_history[id] == one.result.version);
+            }
+        }
+        for (const auto &one : only_rejected) {
+            RC_ASSERT(!one.second || in_history.count(one.first) == 0);
+        }
+    }
+
+    struct Node {
+        Site *site;
+        size_t index;
+        std::string name;
+        std::string address;
+        Disk disk;
+        EyControl_t *control = nullptr;
+        std::vector<EyLogPersist_t *> writes;
+        bool is_cut = false;
+    };
+
+    Node nodes[Count];
+    std::vector<Told> told;
+    uint64_t noise = 0;
+
+  private:
+    static void
+    send_log(void *data, const EyLogMessage_t *message)
+    {
+        Node *node = static_cast<Node *>(data);
+        EyBytes_t bytes =
+            EySchema_Pack(&EyLogMessage_schema, nullptr, message);
+        EyLogMessage_t *copy = EY_NEW(node->site->ctx, EyLogMessage_t);
+        RC_ASSERT(EySchema_Unpack(&EyLogMessage_schema, copy, bytes.data,
+                                  bytes.size_bytes, copy, nullptr));
+        talloc_free(bytes.data);
+        node->site->post(node, message->to, copy, nullptr);
+    }
+
+    static void
+    send_config(void *data, const char *id, const char *address,
+                const EyConfigMessage_t *message)
+    {
+        Node *node = static_cast<Node *>(data);
+        EyBytes_t bytes =
+            EySchema_Pack(&EyConfigMessage_schema, nullptr, message);
+        EyConfigMessage_t *copy = EY_NEW(node->site->ctx, EyConfigMessage_t);
+        RC_ASSERT(EySchema_Unpack(&EyConfigMessage_schema, copy, bytes.data,
+                                  bytes.size_bytes, copy, nullptr));
+        talloc_free(bytes.data);
+        node->site->post(node, id[0] != '\0' ? id : address, nullptr, copy);
+    }
+
+    static void
+    persist(void *data, EyLogPersist_t *persist)
+    {
+        static_cast<Node *>(data)->writes.push_back(persist);
+    }
+
+    static void
+    answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
+           const EyResult_t *result)
+    {
+        Site *site = static_cast<Node *>(data)->site;
+        Told &one = site->told[number];
+        RC_ASSERT(!one.is_answered);
+        one.is_answered = true;
+        one.outcome = outcome;
+        one.result = *result;
+    }
+
+    void
+    post(const Node *from, const std::string &to, EyLogMessage_t *log,
+         EyConfigMessage_t *config)
+    {
+        for (const Node &node : nodes) {
+            bool is_lost = from->is_cut || node.is_cut ||
+                           EyRandom_Below(&random, 1000) < noise;
+            if ((node.name == to || node.address == to) && !is_lost) {
+                int64_t latency_ms =
+                    1 + static_cast<int64_t>(EyRandom_Below(&random, 40));
+                packets.push_back({now_ms + latency_ms, from->index,
+                                   node.index, log, config});
+                return;
+            }
+        }
+        talloc_free(log);
+        talloc_free(config);
+    }
+
+    void
+    deliver()
+    {
+        std::vector<Packet> due;
+        std::vector<Packet> rest;
+        for (Packet &packet : packets) {
+            (packet.due_ms <= now_ms ? due : rest).push_back(packet);
+        }
+        packets = rest;
+        for (Packet &packet : due) {
+            Node &node = nodes[packet.to];
+            if (node.control != nullptr && packet.log != nullptr) {
+                EyControl_ReceiveLog(node.control, now_ms, packet.log);
+            }
+            else if (node.control != nullptr) {
+                EyControl_ReceiveConfig(node.control, now_ms,
+                                        nodes[packet.from].name.c_str(),
+                                        packet.config);
+            }
+            talloc_free(packet.log);
+            talloc_free(packet.config);
+        }
+    }
+
+    void
+    finish_writes(Node &node)
+    {
+        while (node.control != nullptr && !node.writes.empty()) {
+            EyLogPersist_t *persist = node.writes.front();
+            node.writes.erase(node.writes.begin());
+            node.disk.write(*persist);
+            uint64_t serial = persist->serial;
+            talloc_free(persist);
+            EyControl_Persisted(node.control, now_ms, serial, true);
+        }
+    }
+
+    void *ctx;
+    EyAddress_t list[Count];
+    EyRandom_t random;
+    int64_t now_ms = 1000;
+    std::vector<Packet> packets;
+};
+
+void
+carry_out(Site &site, uint32_t number)
+{
+    size_t node = number / 16 % Count;
+    int64_t amount = number / 64 % 100;
+    switch (number % 16) {
+    case 0:
+    case 1:
+    case 2:
+        /* Two operators race under one version. */
+        site.change(node, "change-" + std::to_string(site.told.size()));
+        site.change((node + 1) % Count,
+                    "change-" + std::to_string(site.told.size()));
+        break;
+    case 3:
+    case 4:
+        if (!site.told.empty()) {
+            site.send(node, site.told[number / 64 % site.told.size()].command);
+        }
+        break;
+    case 5:
+        site.stop(node);
+        break;
+    case 6:
+    case 7:
+        site.start(node);
+        break;
+    case 8:
+        site.nodes[node].is_cut = true;
+        break;
+    case 9:
+        site.nodes[node].is_cut = false;
+        break;
+    case 10:
+        site.noise = static_cast<uint64_t>(amount) * 3;
+        break;
+    default:
+        site.run(10 + amount * 20);
+        break;
+    }
+}
+
+void
+settle(Site &site)
+{
+    site.noise = 0;
+    for (size_t i = 0; i < Count; i++) {
+        site.nodes[i].is_cut = false;
+        site.start(i);
+    }
+    site.run(SettleMs);
+    for (size_t i = 1; i < Count; i++) {
+        RC_ASSERT(EyStore_Hash(site.store(i)) == EyStore_Hash(site.store(0)));
+    }
+}
+
+} // namespace
+
+Test(control_properties, changes_win_once_and_answers_stay)
+{
+    EY_CHECK("any races, resends, stops, cuts", [] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto size = *rc::gen::inRange<size_t>(0, 60);
+        const auto orders = *rc::gen::container<std::vector<uint32_t>>(
+            size, rc::gen::inRange<uint32_t>(0, 1U << 16));
+        Site site(seed);
+        for (uint32_t order : orders) {
+            carry_out(site, order);
+        }
+        settle(site);
+        site.check();
+    });
+}
+
+Test(control_properties, five_hundred_changes_then_all_restart)
+{
+    Site site(1);
+    site.run(4000);
+    for (int i = 0; i < 500; i++) {
+        site.change(static_cast<size_t>(i) % Count,
+                    "change-" + std::to_string(i));
+        site.run(250);
+    }
+    cr_assert_eq(site.store(0)->config.version, 500U);
+    uint64_t hash = EyStore_Hash(site.store(0));
+    EyCommand_t last = site.told.back().command;
+    for (size_t i = 0; i < Count; i++) {
+        site.stop(i);
+    }
+    settle(site);
+    cr_assert_eq(EyStore_Hash(site.store(0)), hash);
+    site.send(1, last);
+    site.run(1000);
+    cr_assert_eq(site.told.back().outcome, EY_PROPOSAL_APPLIED);
+    cr_assert_eq(site.told.back().result.status, EY_RESULT_DONE);
+    cr_assert_eq(site.store(0)->config.version, 500U);
+}
--- a/tests/property/test_log_properties.cc
+++ b/tests/property/test_log_properties.cc
@@ -171,6 +171,114 @@
     EY_CHECK("five members, any order of faults", [] { check_any_orders(5); });
 }
 
+namespace {
+
+/** A world with a leader that has committed something. */
+size_t
+elect(World &world)
+{
+    world.run(5000);
+    size_t leader = world.leader();
+    RC_ASSERT(leader < world.nodes.size());
+    (void)world.propose(leader);
+    world.run(500);
+    return leader;
+}
+
+} // namespace
+
+Test(log_properties, member_that_was_cut_off_does_not_unseat_the_leader)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        size_t other = (leader + 1) % 3;
+        uint64_t term = EyLog_Status(world.nodes[leader].log).term;
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(i, other, true);
+        }
+        world.run(8000);
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(i, other, false);
+        }
+        world.run(3000);
+        RC_ASSERT(world.leader() == leader);
+        RC_ASSERT(EyLog_Status(world.nodes[leader].log).term == term);
+    });
+}
+
+Test(log_properties, leader_without_quorum_rejects)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(leader, i, true);
+        }
+        world.run(2 * EY_LOG_ELECTION_MIN_MS);
+        uint64_t number = world.propose(leader);
+        RC_ASSERT(world.rejected.count(number) == 1);
+    });
+}
+
+Test(log_properties, frozen_leader_rejects_as_it_wakes)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        world.freeze(leader, true);
+        world.run(10000);
+        world.freeze(leader, false);
+        uint64_t number = world.propose(leader);
+        RC_ASSERT(world.rejected.count(number) == 1);
+        world.run(5000);
+        RC_ASSERT(world.is_settled());
+    });
+}
+
+Test(log_properties, full_disk_takes_nothing_in)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(1, seed);
+        (void)elect(world);
+        world.fill_disk(0, true);
+        uint64_t first = world.propose(0);
+        world.run(500);
+        uint64_t second = world.propose(0);
+        world.run(500);
+        RC_ASSERT(world.accepted.count(first) == 0);
+        RC_ASSERT(world.rejected.count(second) == 1);
+        world.fill_disk(0, false);
+        world.run(3000);
+        uint64_t third = world.propose(0);
+        world.run(500);
+        RC_ASSERT(world.accepted.count(third) == 1);
+    });
+}
+
+Test(log_properties, second_loss_after_a_repair_loses_nothing)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        for (size_t round = 0; round < 4; round++) {
+            size_t lost = (leader + round) % 3;
+            RC_ASSERT(world.wipe(lost));
+            world.start(lost);
+            /* As soon as the repair counts, the next disk is lost. */
+            int64_t waited_ms = 0;
+            while (!world.wipe((lost + 1) % 3)) {
+                world.run(10);
+                waited_ms += 10;
+                RC_ASSERT(waited_ms < 20000);
+            }
+            world.start((lost + 1) % 3);
+            world.run(20000);
+            RC_ASSERT(world.is_settled());
+        }
+    });
+}
+
 Test(log_properties, one_member_commits_alone)
 {
     World world(1, 1);
