--- a/src/membership/cluster.c
+++ b/src/membership/cluster.c
@@ -102,7 +102,8 @@
     if (message->type <= EY_CLUSTER_DIGEST) {
         EyMembership_Receive(self->membership, now_ms, from->from,
                              from->from_address, message);
-        EySummary_Receive(self->summary, now_ms, message);
+        EySummary_Receive(self->summary, now_ms, from->from,
+                          from->from_address, message);
         return;
     }
     if (!EyMembership_IsFenced(self->membership, now_ms, from->from,
--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -13,8 +13,8 @@
 #define CONTACTS_PER_REGION 4
 #define CONTACTS_MAX 256
 /* Age of a contact's last word after which it is asked again, and dropped. */
-#define CONTACT_STALE_MS 10000
-#define CONTACT_LOST_MS 30000
+#define CONTACT_STALE_MS 240000
+#define CONTACT_LOST_MS 600000
 
 EyEntry_t *
 EyMembers_Find(const EyMembers_t *self, const char *id)
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -208,8 +208,10 @@
 /* Messages */
 
 static void
-answer_hello(EyMembership_t *self, const char *from, const char *address)
+answer_hello(EyMembership_t *self, const char *from, const char *address,
+             const char *region)
 {
+    bool is_near = strcmp(region, self->members->own->member.region) == 0;
     EyMember_t members[EY_CLUSTER_MEMBERS_MAX];
     EyClusterMessage_t message = EyMembership_Message(self, EY_CLUSTER_GOSSIP);
     add_member(&message, members, &self->members->own->member);
@@ -217,7 +219,8 @@
     if (known != NULL) {
         add_member(&message, members, &known->member);
     }
-    for (uint32_t i = 0; i < MIN(self->members->ring->len, 3); i++) {
+    for (uint32_t i = 0; i < MIN(self->members->ring->len, is_near ? 3U : 1U);
+         i++) {
         uint64_t at = EyRandom_Below(&self->random, self->members->ring->len);
         const EyEntry_t *entry = self->members->ring->pdata[at];
         add_member(&message, members, &entry->member);
@@ -351,7 +354,7 @@
     }
     take_contents(self, now_ms, message);
     if (message->type == EY_CLUSTER_HELLO) {
-        answer_hello(self, from, from_address);
+        answer_hello(self, from, from_address, message->region);
         return;
     }
     const EyEntry_t *entry = EyMembers_Find(self->members, from);
@@ -633,6 +636,14 @@
     }
 }
 
+int64_t
+EyMembership_ContactAgeMs(const EyMembership_t *self, const char *id)
+{
+    const EyContact_t *contact =
+        g_hash_table_lookup(self->members->contacts, id);
+    return contact == NULL ? INT64_MAX : self->ticked_ms - contact->heard_ms;
+}
+
 uint32_t
 EyMembership_GossipTargets(EyMembership_t *self, const EyMember_t **targets,
                            uint32_t count)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -123,6 +123,10 @@
                          void (*visit)(void *data, const EyMember_t *member),
                          void *data);
 
+/** Time since a contact was last heard of; INT64_MAX if it isn't known. */
+int64_t
+EyMembership_ContactAgeMs(const EyMembership_t *self, const char *id);
+
 /** Fills targets with up to count live others for gossip: the neighbours on
  * the ring, then random ones. Returns how many. */
 uint32_t
--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -14,6 +14,10 @@
 #define SPREAD_TARGETS 2
 #define SPREAD_ROUNDS 2
 #define ENTRIES_MAX 8192
+/* Age up to which a contact counts as living. */
+#define CONTACT_FRESH_MS 5000
+/* One message in so many names another contact. */
+#define MORE_CONTACTS_TURNS 8
 
 /** A summary and when it was made, on the own clock. */
 typedef struct Entry {
@@ -42,11 +46,13 @@
     uint32_t count;
 } Regions_t;
 
-/** One contact of a region, chosen at random. */
+/** One contact of a region, at random among those heard lately, or else among
+ * all. */
 typedef struct Choice {
     EySummary_t *summary;
     const char *region;
     const EyMember_t *member;
+    bool is_fresh;
     uint64_t seen;
 } Choice_t;
 
@@ -122,6 +128,15 @@
     {
         return;
     }
+    bool is_fresh = EyMembership_ContactAgeMs(choice->summary->membership,
+                                              member->id) < CONTACT_FRESH_MS;
+    if (choice->is_fresh && !is_fresh) {
+        return;
+    }
+    if (is_fresh && !choice->is_fresh) {
+        choice->is_fresh = true;
+        choice->seen = 0;
+    }
     choice->seen++;
     if (EyRandom_Below(&choice->summary->random, choice->seen) == 0) {
         choice->member = member;
@@ -152,7 +167,8 @@
     message->summaries = room;
 }
 
-/** The own record and a random gateway's, so that a region keeps contacts. */
+/** The own record and now and then another gateway's, so that a region keeps
+ * more than one contact. */
 static void
 add_members(EySummary_t *self, EyClusterMessage_t *message, EyMember_t *room)
 {
@@ -161,7 +177,9 @@
     const EyMember_t *targets[SPREAD_TARGETS + 1];
     uint32_t count = EyMembership_GossipTargets(self->membership, targets,
                                                 SPREAD_TARGETS + 1);
-    if (count > 0 && targets[count - 1]->role == EY_MEMBER_GATEWAY) {
+    bool is_turn = EyRandom_Below(&self->random, MORE_CONTACTS_TURNS) == 0;
+    if (is_turn && count > 0 && targets[count - 1]->role == EY_MEMBER_GATEWAY)
+    {
         room[1] = *targets[count - 1];
         message->member_count = 2;
     }
@@ -191,6 +209,7 @@
     EyTargetSummary_t summaries[EY_CLUSTER_SUMMARIES_MAX];
     EyMember_t members[2];
     EyClusterMessage_t message = make_message(self);
+    message.number = self->serial;
     if (g_hash_table_size(self->own) > 0) {
         add_own(self, &message, summaries);
     }
@@ -310,10 +329,28 @@
     }
 }
 
+/** Lets the speaker of another region know that this contact lives. */
+static void
+answer_speaker(EySummary_t *self, const char *from, const char *from_address)
+{
+    EyMember_t own = *EyMembership_Self(self->membership);
+    EyClusterMessage_t message = make_message(self);
+    message.answered = true;
+    message.members = &own;
+    message.member_count = 1;
+    self->hooks.send(self->hooks.data, from, from_address, &message);
+}
+
 void
-EySummary_Receive(EySummary_t *self, int64_t now_ms,
-                  const EyClusterMessage_t *message)
+EySummary_Receive(EySummary_t *self, int64_t now_ms, const char *from,
+                  const char *from_address, const EyClusterMessage_t *message)
 {
+    const char *own = EyMembership_Self(self->membership)->region;
+    bool is_spoken = message->type == EY_CLUSTER_GOSSIP &&
+                     message->number != 0 && !message->answered;
+    if (is_spoken && strcmp(message->region, own) != 0) {
+        answer_speaker(self, from, from_address);
+    }
     for (uint32_t i = 0; i < message->summary_count; i++) {
         take(self, now_ms, &message->summaries[i]);
     }
--- a/src/membership/summary.h
+++ b/src/membership/summary.h
@@ -38,10 +38,11 @@
 void
 EySummary_Tick(EySummary_t *self, int64_t now_ms);
 
-/** Takes the summaries of any message. */
+/** Takes the summaries of any message; one of another region is answered, so
+ * that its speaker knows which contacts live. */
 void
-EySummary_Receive(EySummary_t *self, int64_t now_ms,
-                  const EyClusterMessage_t *message);
+EySummary_Receive(EySummary_t *self, int64_t now_ms, const char *from,
+                  const char *from_address, const EyClusterMessage_t *message);
 
 /** The last word of a region on a target; false if there is none that is
  * younger than EY_SUMMARY_LOST_MS. Its age_ms is up to date. */
--- /dev/null
+++ b/src/platform/load_budget.c
@@ -0,0 +1,83 @@
+#include "platform/load_budget.h"
+
+#include <glib.h>
+#include <math.h>
+
+#define MS_PER_S 1000.0
+
+static double
+filled(const EyLoadBudget_t *self, int64_t now_ms)
+{
+    double elapsed_ms = (double)MAX(now_ms - self->filled_ms, 0);
+    return MIN(self->tokens_bytes + elapsed_ms * self->bytes_per_ms,
+               self->burst_bytes);
+}
+
+static void
+fill(EyLoadBudget_t *self, int64_t now_ms)
+{
+    self->tokens_bytes = filled(self, now_ms);
+    self->filled_ms = MAX(self->filled_ms, now_ms);
+}
+
+/** What must be in the bucket for a load. */
+static double
+needed(const EyLoadBudget_t *self, uint64_t size_bytes)
+{
+    return MIN((double)size_bytes, self->burst_bytes);
+}
+
+EyLoadBudget_t
+EyLoadBudget_Make(uint64_t bytes_per_s, uint64_t burst_bytes, int64_t now_ms)
+{
+    return (EyLoadBudget_t){
+        .bytes_per_ms = (double)bytes_per_s / MS_PER_S,
+        .burst_bytes = (double)burst_bytes,
+        .tokens_bytes = (double)burst_bytes,
+        .filled_ms = now_ms,
+    };
+}
+
+void
+EyLoadBudget_SetRate(EyLoadBudget_t *self, uint64_t bytes_per_s,
+                     uint64_t burst_bytes, int64_t now_ms)
+{
+    fill(self, now_ms);
+    self->bytes_per_ms = (double)bytes_per_s / MS_PER_S;
+    self->burst_bytes = (double)burst_bytes;
+    self->tokens_bytes = MIN(self->tokens_bytes, self->burst_bytes);
+}
+
+bool
+EyLoadBudget_Take(EyLoadBudget_t *self, uint64_t size_bytes, int64_t now_ms)
+{
+    fill(self, now_ms);
+    if (self->tokens_bytes < needed(self, size_bytes)) {
+        return false;
+    }
+    self->tokens_bytes -= (double)size_bytes;
+    return true;
+}
+
+void
+EyLoadBudget_GiveBack(EyLoadBudget_t *self, uint64_t size_bytes,
+                      int64_t now_ms)
+{
+    fill(self, now_ms);
+    self->tokens_bytes =
+        MIN(self->tokens_bytes + (double)size_bytes, self->burst_bytes);
+}
+
+int64_t
+EyLoadBudget_WaitMs(const EyLoadBudget_t *self, uint64_t size_bytes,
+                    int64_t now_ms)
+{
+    double lacking_bytes = needed(self, size_bytes) - filled(self, now_ms);
+    if (lacking_bytes <= 0.0) {
+        return 0;
+    }
+    if (self->bytes_per_ms <= 0.0) {
+        return INT64_MAX;
+    }
+    return (int64_t)ceil(lacking_bytes / self->bytes_per_ms);
+}
--- /dev/null
+++ b/tests/bench/fleet.h
@@ -0,0 +1,212 @@
+/**
+ * Many EyCluster_t in one process and simulated time over links that only
+ * delay, to measure what membership costs an instance.
+ */
+#ifndef EY_TESTS_BENCH_FLEET_H
+#define EY_TESTS_BENCH_FLEET_H
+
+#include "core/memory.h"
+#include "instances/peer_message.h"
+#include "membership/cluster.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define FLEET_FIRST_PORT 1000
+#define FLEET_SLOTS 256
+#define FLEET_NEAR_MS 1
+#define FLEET_FAR_MS 40
+
+struct Fleet;
+
+typedef struct FleetNode {
+    struct Fleet *fleet;
+    uint32_t index;
+    uint32_t region;
+    EyCluster_t *cluster;
+    bool up;
+    uint64_t sent_bytes;
+    uint64_t sent_messages;
+    uint64_t far_bytes; /* to other regions */
+} FleetNode_t;
+
+typedef struct Fleet {
+    FleetNode_t *nodes;
+    uint32_t count;
+    uint32_t region_size;
+    int64_t now_ms;
+    GPtrArray *slots[FLEET_SLOTS]; /* messages by their time of arrival */
+    uint64_t cpu_ns;               /* spent inside the clusters */
+} Fleet_t;
+
+/** A message on its way; a talloc parent of it. */
+typedef struct FleetFlight {
+    uint32_t to;
+    EyPeerMessage_t *message;
+} FleetFlight_t;
+
+static inline uint64_t
+fleet_cpu_ns(void)
+{
+    struct timespec now;
+    (void)clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return (uint64_t)now.tv_sec * 1000000000U + (uint64_t)now.tv_nsec;
+}
+
+static inline void
+fleet_send(void *data, EyPeerMessage_t *message)
+{
+    FleetNode_t *node = (FleetNode_t *)data;
+    Fleet_t *fleet = node->fleet;
+    const EyMember_t *own =
+        EyMembership_Self(EyCluster_Membership(node->cluster));
+    (void)EY_COPY(message->from, own->id);
+    message->from_incarnation = own->incarnation;
+    (void)EY_COPY(message->from_address, own->peer_address);
+    EyBytes_t frame = EyPeerMessage_Encode(message, message);
+    int port = atoi(strrchr(message->to_address, ':') + 1);
+    uint32_t to = (uint32_t)(port - FLEET_FIRST_PORT);
+    bool is_far = fleet->nodes[to].region != node->region;
+    node->sent_messages++;
+    node->sent_bytes += frame.size_bytes;
+    node->far_bytes += is_far ? frame.size_bytes : 0;
+    (void)talloc_free(frame.data);
+    FleetFlight_t *flight = EY_NEW(NULL, FleetFlight_t);
+    flight->to = to;
+    flight->message = (EyPeerMessage_t *)talloc_steal(flight, message);
+    int64_t due_ms = fleet->now_ms + (is_far ? FLEET_FAR_MS : FLEET_NEAR_MS);
+    g_ptr_array_add(fleet->slots[due_ms % FLEET_SLOTS], flight);
+}
+
+static inline void
+fleet_start(Fleet_t *fleet, uint32_t index, uint64_t incarnation)
+{
+    FleetNode_t *node = &fleet->nodes[index];
+    node->fleet = fleet;
+    node->index = index;
+    node->region = index / fleet->region_size;
+    node->up = true;
+    EyMember_t member = {.incarnation = incarnation, .capacity = 100};
+    (void)g_snprintf(member.id, sizeof(member.id), "gateway-%u", index);
+    (void)g_snprintf(member.region, sizeof(member.region), "region-%u",
+                     node->region);
+    (void)g_snprintf(member.zone, sizeof(member.zone), "zone-%u", index % 3);
+    (void)g_snprintf(member.peer_address, sizeof(member.peer_address),
+                     "127.0.0.1:%u", FLEET_FIRST_PORT + index);
+    (void)EY_COPY(member.http_address, member.peer_address);
+    EyClusterHooks_t hooks = {.send = fleet_send, .data = node};
+    (void)talloc_free(node->cluster);
+    node->cluster =
+        EyCluster_New(NULL, &member, &hooks, index + 1, fleet->now_ms);
+    EyMembership_t *membership = EyCluster_Membership(node->cluster);
+    uint32_t regions = fleet->count / fleet->region_size;
+    for (uint32_t i = 0; i < regions; i++) {
+        EyAddress_t address;
+        (void)g_snprintf(address, sizeof(address), "127.0.0.1:%u",
+                         FLEET_FIRST_PORT + i * fleet->region_size);
+        EyMembership_AddSeed(membership, address);
+    }
+}
+
+static inline Fleet_t *
+fleet_make(uint32_t regions, uint32_t region_size)
+{
+    Fleet_t *fleet = g_new0(Fleet_t, 1);
+    fleet->count = regions * region_size;
+    fleet->region_size = region_size;
+    fleet->nodes = g_new0(FleetNode_t, fleet->count);
+    fleet->now_ms = 1000000;
+    for (uint32_t i = 0; i < FLEET_SLOTS; i++) {
+        fleet->slots[i] = g_ptr_array_new();
+    }
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        fleet_start(fleet, i, 1);
+    }
+    return fleet;
+}
+
+static inline void
+fleet_free(Fleet_t *fleet)
+{
+    for (uint32_t i = 0; i < FLEET_SLOTS; i++) {
+        for (uint32_t j = 0; j < fleet->slots[i]->len; j++) {
+            (void)talloc_free(fleet->slots[i]->pdata[j]);
+        }
+        g_ptr_array_free(fleet->slots[i], TRUE);
+    }
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        (void)talloc_free(fleet->nodes[i].cluster);
+    }
+    g_free(fleet->nodes);
+    g_free(fleet);
+}
+
+static inline void
+fleet_deliver(Fleet_t *fleet)
+{
+    GPtrArray *due = fleet->slots[fleet->now_ms % FLEET_SLOTS];
+    fleet->slots[fleet->now_ms % FLEET_SLOTS] = g_ptr_array_new();
+    for (uint32_t i = 0; i < due->len; i++) {
+        FleetFlight_t *flight = (FleetFlight_t *)due->pdata[i];
+        FleetNode_t *node = &fleet->nodes[flight->to];
+        if (node->up) {
+            uint64_t start_ns = fleet_cpu_ns();
+            (void)EyCluster_Receive(node->cluster, fleet->now_ms,
+                                    flight->message);
+            fleet->cpu_ns += fleet_cpu_ns() - start_ns;
+        }
+        (void)talloc_free(flight);
+    }
+    g_ptr_array_free(due, TRUE);
+}
+
+/** Runs for a while; nodes tick at moments of their own. */
+static inline void
+fleet_run(Fleet_t *fleet, int64_t duration_ms)
+{
+    int64_t end_ms = fleet->now_ms + duration_ms;
+    while (fleet->now_ms < end_ms) {
+        fleet->now_ms++;
+        fleet_deliver(fleet);
+        for (uint32_t i = 0; i < fleet->count; i++) {
+            FleetNode_t *node = &fleet->nodes[i];
+            if (node->up &&
+                (fleet->now_ms + (int64_t)i * 7) % EY_MEMBERSHIP_TICK_MS == 0)
+            {
+                uint64_t start_ns = fleet_cpu_ns();
+                EyCluster_Tick(node->cluster, fleet->now_ms);
+                fleet->cpu_ns += fleet_cpu_ns() - start_ns;
+            }
+        }
+    }
+}
+
+/** Announces a server of a region at one of its gateways. */
+static inline void
+fleet_announce(Fleet_t *fleet, uint32_t region, uint32_t server, uint32_t load)
+{
+    static EyName_t models[2] = {"visit-plan", "chat"};
+    uint32_t at = region * fleet->region_size + server % fleet->region_size;
+    FleetNode_t *node = &fleet->nodes[at];
+    EyBackend_t backend = {
+        .models = models,
+        .model_count = 2,
+        .slots = 8,
+        .speed = 1.0,
+        .load = {.running = load, .at = fleet->now_ms},
+        .ttl_ms = EY_BACKEND_TTL_UNSET_MS,
+        .incarnation = 1,
+    };
+    (void)g_snprintf(backend.id, sizeof(backend.id), "server-%u", server);
+    (void)g_snprintf(backend.region, sizeof(backend.region), "region-%u",
+                     region);
+    (void)EY_COPY(backend.zone, "zone-1");
+    (void)EY_COPY(backend.address, "127.0.0.1:9000");
+    uint64_t start_ns = fleet_cpu_ns();
+    EyRegistry_Announce(EyCluster_Registry(node->cluster), fleet->now_ms,
+                        &backend);
+    fleet->cpu_ns += fleet_cpu_ns() - start_ns;
+}
+
+#endif
