--- a/tests/property/test_router_properties.cc
+++ b/tests/property/test_router_properties.cc
@@ -275,8 +275,13 @@
         result.duration_ms = duration_ms;
         request.flying = false;
         successes += kind == EY_RESULT_OK ? 1 : 0;
+        std::string backend = request.backend;
+        uint64_t ejections_before = ejections();
         RC_ASSERT(
             EyRouter_Finished(router, now_ms, number, &result, decisions));
+        if (ejections() != ejections_before) {
+            check_ejection(backend);
+        }
         take_decisions();
         RC_ASSERT(
             !EyRouter_Finished(router, now_ms, number, &result, decisions));
@@ -440,6 +445,36 @@
         return ejected;
     }
 
+    /* At most half of the serving replicas of each of its pools are out. */
+    void
+    check_ejection(const std::string &ejected)
+    {
+        std::set<std::string> out = read_ejected();
+        const EyBackend_t &of = backends.at(ejected).announced;
+        auto check_pool = [&](EyBackendKind_t kind, const char *target) {
+            EyRoutingRequest_t asked = {};
+            asked.kind = kind;
+            EY_COPY(asked.target, target);
+            size_t serving = 0;
+            size_t ejected_too = 0;
+            for (auto &[id, backend] : backends) {
+                if (backend.announced.state == EY_BACKEND_SERVING &&
+                    serves(backend.announced, asked))
+                {
+                    serving++;
+                    ejected_too += out.count(id);
+                }
+            }
+            RC_ASSERT(2 * ejected_too <= serving);
+        };
+        for (uint32_t i = 0; i < of.model_count; i++) {
+            check_pool(EY_BACKEND_MODEL, of.models[i]);
+        }
+        for (uint32_t i = 0; i < of.service_count; i++) {
+            check_pool(EY_BACKEND_SERVICE, of.services[i]);
+        }
+    }
+
     void
     check_replicas()
     {
--- /dev/null
+++ b/tests/unit/test_router.c
@@ -0,0 +1,190 @@
+#include "core/memory.h"
+#include "routing/router.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define GATEWAYS 6
+#define REPLICAS 8
+#define SLOTS 8
+
+static EyRouter_t *
+make_router(void *ctx, uint64_t seed, EyRoutingConfig_t config)
+{
+    EyRouterOptions_t options = {
+        .region = "istra", .seed = seed, .config = config};
+    return EyRouter_New(ctx, &options);
+}
+
+static EyBackend_t
+make_backend(const char *id, EyName_t *model, uint32_t running)
+{
+    EyBackend_t backend = {
+        .kind = EY_BACKEND_MODEL,
+        .models = model,
+        .model_count = 1,
+        .slots = SLOTS,
+        .speed = 1.0,
+        .load = {.running = running, .at = 1},
+    };
+    (void)EY_COPY(backend.id, id);
+    return backend;
+}
+
+static EyRoutingRequest_t
+make_request(uint64_t number, int64_t deadline_ms)
+{
+    return (EyRoutingRequest_t){
+        .number = number,
+        .target = "plan",
+        .body_bytes = 1000,
+        .tokens_max = 50,
+        .deadline_ms = deadline_ms,
+        .is_idempotent = true,
+    };
+}
+
+/* Several gateways decide at once on the same stale news, that one replica is
+ * idle and the others half full. What they send to the idle one in all: */
+static uint32_t
+count_at_idle(const char *policy, double herd_factor, uint32_t each)
+{
+    void *ctx = talloc_new(NULL);
+    EyName_t model = "plan";
+    uint32_t at_idle = 0;
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    (void)EY_COPY(config.policy, policy);
+    config.herd_factor = herd_factor;
+    for (uint64_t i = 0; i < GATEWAYS; i++) {
+        EyRouter_t *router = make_router(ctx, i + 1, config);
+        EyRouter_SetGateways(router, GATEWAYS);
+        for (uint32_t j = 0; j < REPLICAS; j++) {
+            char id[8];
+            (void)g_snprintf(id, sizeof(id), "b%u", j);
+            EyBackend_t backend =
+                make_backend(id, &model, j == 0 ? 0 : SLOTS / 2);
+            EyRouter_UpsertBackend(router, 1000, &backend);
+        }
+        for (uint64_t j = 0; j < each; j++) {
+            EyRoutingRequest_t request = make_request(j, 21000);
+            EyRoutingDecision_t decision =
+                EyRouter_Submit(router, 1000, &request);
+            at_idle += decision.kind == EY_DECISION_DISPATCH &&
+                       strcmp(decision.backend, "b0") == 0;
+        }
+    }
+    talloc_free(ctx);
+    return at_idle;
+}
+
+/* 24 requests in all; the idle replica has 8 slots, all others 28 free. */
+Test(router, gateways_with_the_same_stale_news_do_not_herd)
+{
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    uint32_t ours = count_at_idle("expected_finish", config.herd_factor, 4);
+    uint32_t herd = count_at_idle("least_outstanding", 0.0, 4);
+    cr_assert(ours <= SLOTS + SLOTS / 2, "%u at the idle replica", ours);
+    cr_assert(herd >= 2 * SLOTS, "the plain policy sent only %u", herd);
+}
+
+/** One refusal: what was asked when, and what must be said. */
+typedef struct RefusalCase {
+    const char *what;
+    int64_t now_ms;
+    int64_t deadline_ms;
+    const char *home;
+    const char *target;
+    EyBackendKind_t kind;
+    bool is_retry;
+    bool was_sent;
+    bool is_idempotent;
+    EyRefusal_t reason;
+} RefusalCase_t;
+
+static const RefusalCase_t refusal_cases[] = {
+    {.what = "deadline passed",
+     .now_ms = 2000,
+     .deadline_ms = 2000,
+     .target = "plan",
+     .reason = EY_REFUSAL_DEADLINE},
+    {.what = "deadline too near for the work",
+     .now_ms = 2000,
+     .deadline_ms = 2100,
+     .target = "plan",
+     .reason = EY_REFUSAL_OVERLOADED},
+    {.what = "data of another region",
+     .now_ms = 2000,
+     .deadline_ms = 9000,
+     .home = "zagreb",
+     .target = "plan",
+     .reason = EY_REFUSAL_WRONG_REGION},
+    {.what = "unknown model",
+     .now_ms = 2000,
+     .deadline_ms = 9000,
+     .target = "other",
+     .reason = EY_REFUSAL_NO_BACKEND},
+    {.what = "a service of a model's name",
+     .now_ms = 2000,
+     .deadline_ms = 9000,
+     .target = "plan",
+     .kind = EY_BACKEND_SERVICE,
+     .reason = EY_REFUSAL_NO_BACKEND},
+    {.what = "may have run and must not run twice",
+     .now_ms = 2000,
+     .deadline_ms = 9000,
+     .target = "plan",
+     .is_retry = true,
+     .was_sent = true,
+     .reason = EY_REFUSAL_NOT_REPEATABLE},
+};
+
+Test(router, refusals_name_their_reason)
+{
+    EyName_t model = "plan";
+    for (size_t i = 0; i < G_N_ELEMENTS(refusal_cases); i++) {
+        const RefusalCase_t *c = &refusal_cases[i];
+        void *ctx = talloc_new(NULL);
+        EyRouter_t *router = make_router(ctx, 1, EyRoutingConfig_Make());
+        EyBackend_t backend = make_backend("b0", &model, 0);
+        EyRouter_UpsertBackend(router, 1000, &backend);
+        EyRoutingRequest_t request = make_request(1, c->deadline_ms);
+        request.kind = c->kind;
+        request.is_retry = c->is_retry;
+        request.was_sent = c->was_sent;
+        request.is_idempotent = c->is_idempotent;
+        (void)EY_COPY(request.target, c->target);
+        (void)EY_COPY(request.home, c->home != NULL ? c->home : "");
+        EyRoutingDecision_t decision =
+            EyRouter_Submit(router, c->now_ms, &request);
+        cr_expect(decision.kind == EY_DECISION_REFUSE, "%s", c->what);
+        cr_expect(decision.reason == c->reason, "%s: %s", c->what,
+                  EyRefusal_names[decision.reason]);
+        cr_expect(decision.retry_after_ms > 0, "%s", c->what);
+        talloc_free(ctx);
+    }
+}
+
+/* A replica that was slow is tried again once that is long ago. */
+Test(router, a_slow_time_is_forgotten)
+{
+    void *ctx = talloc_new(NULL);
+    EyName_t model = "plan";
+    EyRouter_t *router = make_router(ctx, 1, EyRoutingConfig_Make());
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    EyBackend_t backend = make_backend("b0", &model, 0);
+    EyRouter_UpsertBackend(router, 1000, &backend);
+    EyRoutingRequest_t request = make_request(1, 61000);
+    EyRoutingDecision_t decision = EyRouter_Submit(router, 1000, &request);
+    cr_assert(decision.kind == EY_DECISION_DISPATCH);
+    const EyRoutingResult_t slow = {.kind = EY_RESULT_OK,
+                                    .duration_ms = 50000};
+    (void)EyRouter_Finished(router, 51000, 1, &slow, decisions);
+    request = make_request(2, 51000 + 3000);
+    decision = EyRouter_Submit(router, 51000, &request);
+    cr_assert(decision.kind == EY_DECISION_REFUSE);
+    request = make_request(3, 200000 + 3000);
+    decision = EyRouter_Submit(router, 200000, &request);
+    cr_assert(decision.kind == EY_DECISION_DISPATCH);
+    g_array_unref(decisions);
+    talloc_free(ctx);
+}
