--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -237,8 +237,8 @@
 {
     for (uint32_t i = 0; i < holder->backend->model_count; i++) {
         Model_t *model = model_of(self, holder->backend->models[i]);
-        bool is_last = model->holders <= 1 && model->wanted > 0;
-        if (model->holders > model->wanted && !is_last) {
+        /* One in use is wanted once at least, so its last stays. */
+        if (model->holders > model->wanted) {
             return model;
         }
     }
--- a/tests/property/test_router_properties.cc
+++ b/tests/property/test_router_properties.cc
@@ -18,7 +18,7 @@
 
 using Step = std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>;
 
-constexpr uint32_t QUEUE_MAX = 8;
+constexpr uint32_t QUEUE_MAX = 3;
 constexpr uint32_t LINK_BYTES_PER_S = 20000;
 constexpr int64_t SUMMARY_TTL_MS = 3000;
 constexpr int64_t HOUR_MS = 3600 * 1000;
@@ -247,7 +247,6 @@
                 retries++;
                 RC_ASSERT(to.is_idempotent || !to.was_sent);
             }
-            return;
         }
     }
 
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -188,3 +188,72 @@
     g_array_unref(decisions);
     talloc_free(ctx);
 }
+
+/* All calls fail at once and are tried again: how many retries are let go. */
+static uint32_t
+count_retries(bool limits_retries, uint32_t requests, uint32_t successes)
+{
+    void *ctx = talloc_new(NULL);
+    EyName_t model = "plan";
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.limits_retries = limits_retries;
+    EyRouter_t *router = make_router(ctx, 1, config);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    for (uint32_t i = 0; i < REPLICAS; i++) {
+        char id[8];
+        (void)g_snprintf(id, sizeof(id), "b%u", i);
+        EyBackend_t backend = make_backend(id, &model, 0);
+        EyRouter_UpsertBackend(router, 1000, &backend);
+    }
+    uint32_t retries = 0;
+    for (uint64_t i = 0; i < requests + successes; i++) {
+        EyRoutingRequest_t request = make_request(i, 21000);
+        EyRoutingDecision_t decision = EyRouter_Submit(router, 1000, &request);
+        EyRoutingResult_t result = {
+            .kind = i < successes ? EY_RESULT_OK : EY_RESULT_FAILED,
+            .duration_ms = 500,
+        };
+        (void)EyRouter_Finished(router, 1000, i, &result, decisions);
+        if (i < successes) {
+            continue;
+        }
+        request.is_retry = true;
+        (void)EY_COPY(request.excluded[0], decision.backend);
+        request.excluded_count = 1;
+        decision = EyRouter_Submit(router, 1000, &request);
+        retries += decision.kind == EY_DECISION_DISPATCH;
+        (void)EyRouter_Finished(router, 1000, i, &result, decisions);
+    }
+    g_array_unref(decisions);
+    talloc_free(ctx);
+    return retries;
+}
+
+typedef struct RetryCase {
+    bool limits_retries;
+    uint32_t requests;
+    uint32_t successes;
+    uint32_t least;
+    uint32_t most;
+} RetryCase_t;
+
+static const RetryCase_t retry_cases[] = {
+    {.limits_retries = true, .requests = 100, .least = 10, .most = 10},
+    {.limits_retries = true,
+     .requests = 100,
+     .successes = 50,
+     .least = 14, /* tenths add up to a little less than 15 */
+     .most = 15},
+    {.limits_retries = false, .requests = 100, .least = 100, .most = 100},
+};
+
+Test(router, retries_are_a_share_of_successes)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(retry_cases); i++) {
+        const RetryCase_t *c = &retry_cases[i];
+        uint32_t retries =
+            count_retries(c->limits_retries, c->requests, c->successes);
+        cr_expect(retries >= c->least && retries <= c->most,
+                  "case %zu: %u retries", i, retries);
+    }
+}
