--- a/tests/property/test_router_properties.cc
+++ b/tests/property/test_router_properties.cc
@@ -18,7 +18,7 @@
 
 using Step = std::tuple<uint8_t, uint8_t, uint8_t, uint16_t>;
 
-constexpr uint32_t QUEUE_MAX = 8;
+constexpr uint32_t QUEUE_MAX = 3;
 constexpr uint32_t LINK_BYTES_PER_S = 20000;
 constexpr int64_t SUMMARY_TTL_MS = 3000;
 constexpr int64_t HOUR_MS = 3600 * 1000;
@@ -247,7 +247,6 @@
                 retries++;
                 RC_ASSERT(to.is_idempotent || !to.was_sent);
             }
-            return;
         }
     }
 
@@ -275,8 +274,13 @@
         result.duration_ms = duration_ms;
         request.flying = false;
         successes += kind == EY_RESULT_OK ? 1 : 0;
+        std::string backend = request.backend;
+        uint64_t ejections_before = ejections();
         RC_ASSERT(
             EyRouter_Finished(router, now_ms, number, &result, decisions));
+        if (ejections() != ejections_before) {
+            check_ejection(backend);
+        }
         take_decisions();
         RC_ASSERT(
             !EyRouter_Finished(router, now_ms, number, &result, decisions));
@@ -440,6 +444,36 @@
         return ejected;
     }
 
+    /* At most half of the serving replicas of each of its pools are out. */
+    void
+    check_ejection(const std::string &ejected)
+    {
+        std::set<std::string> out = read_ejected();
+        const EyBackend_t &of = backends.at(ejected).announced;
+        auto check_pool = [&](EyBackendKind_t kind, const char *target) {
+            EyRoutingRequest_t asked = {};
+            asked.kind = kind;
+            EY_COPY(asked.target, target);
+            size_t serving = 0;
+            size_t ejected_too = 0;
+            for (auto &[id, backend] : backends) {
+                if (backend.announced.state == EY_BACKEND_SERVING &&
+                    serves(backend.announced, asked))
+                {
+                    serving++;
+                    ejected_too += out.count(id);
+                }
+            }
+            RC_ASSERT(2 * ejected_too <= serving);
+        };
+        for (uint32_t i = 0; i < of.model_count; i++) {
+            check_pool(EY_BACKEND_MODEL, of.models[i]);
+        }
+        for (uint32_t i = 0; i < of.service_count; i++) {
+            check_pool(EY_BACKEND_SERVICE, of.services[i]);
+        }
+    }
+
     void
     check_replicas()
     {
