Merge configuration, peers, routing: names of one meaning each

The store's group of an epoch and the copy of the configuration had the names of the records' group and of the router's replica; they are EyGroupEpoch_t and EyConfigReplica_t now.

--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -2,6 +2,7 @@
 #include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+
 #include <string.h>
 
 #define PERIOD_MS 500
@@ -156,8 +157,7 @@
         (uint32_t)(1000 * g_hash_table_size(self->lives) /
                    EY_GATEWAY_LIVES_MAX);
     EyMembership_SetVitals(EyCluster_Membership(self->node->cluster),
-                           load_per_mille,
-                           EyGateway_Config(self)->revision);
+                           load_per_mille, EyGateway_Config(self)->revision);
 }
 
 void
@@ -181,7 +181,8 @@
     Search_t *search = data;
     if (member->role == EY_MEMBER_GATEWAY &&
         member->state == EY_MEMBER_ALIVE &&
-        strcmp(member->region, search->region) == 0) {
+        strcmp(member->region, search->region) == 0)
+    {
         search->found = member;
     }
 }
--- a/tests/property/test_replica_properties.cc
+++ b/tests/property/test_replica_properties.cc
@@ -1,4 +1,4 @@
-#include "config/replica.h"
+#include "config/config_replica.h"
 #include "core/memory.h"
 #include "property/check.h"
 
@@ -60,11 +60,12 @@
         if (is_up[i]) {
             return;
         }
-        EyReplicaHooks_t hooks = {};
+        EyConfigReplicaHooks_t hooks = {};
         hooks.send = send;
         hooks.data = &senders[Controls + i];
-        replicas[i] = EyReplica_New(ctx, gateway_names[i].c_str(),
-                                    EyRandom_Next(&random), &hooks, now_ms);
+        replicas[i] =
+            EyConfigReplica_New(ctx, gateway_names[i].c_str(),
+                                EyRandom_Next(&random), &hooks, now_ms);
         is_up[i] = true;
         revisions[i] = 0;
         refresh_sources();
@@ -118,8 +119,8 @@
             now_ms += StepMs;
             deliver();
             for (size_t i = 0; i < Gateways; i++) {
-                if (is_up[i] && now_ms >= EyReplica_DueMs(replicas[i])) {
-                    EyReplica_Tick(replicas[i], now_ms);
+                if (is_up[i] && now_ms >= EyConfigReplica_DueMs(replicas[i])) {
+                    EyConfigReplica_Tick(replicas[i], now_ms);
                 }
                 check(i);
             }
@@ -150,7 +151,7 @@
     bool is_cut = false; /* the control processes from the region */
     uint64_t noise = 0;  /* per mille lost, and as many doubled */
     std::vector<bool> is_up;
-    std::vector<EyReplica_t *> replicas;
+    std::vector<EyConfigReplica_t *> replicas;
     std::vector<uint64_t> revisions; /* as last seen at each gateway */
     std::vector<EyStore_t *> stores;
     uint64_t sent_bytes = 0;
@@ -227,8 +228,8 @@
         }
         for (size_t i = 0; i < Gateways; i++) {
             if (gateway_names[i] == packet.to && is_up[i]) {
-                EyReplica_Receive(replicas[i], now_ms, packet.from.c_str(),
-                                  packet.message);
+                EyConfigReplica_Receive(replicas[i], now_ms,
+                                        packet.from.c_str(), packet.message);
                 check(i);
             }
         }
@@ -240,7 +241,7 @@
         if (!is_up[i]) {
             return;
         }
-        const EyConfig_t &config = EyReplica_Store(replicas[i])->config;
+        const EyConfig_t &config = EyConfigReplica_Store(replicas[i])->config;
         RC_ASSERT(config.revision >= revisions[i]);
         RC_ASSERT(config.revision <= commands.size());
         RC_ASSERT(config.version == config.revision);
@@ -271,9 +272,9 @@
         }
         for (size_t i = 0; i < Gateways; i++) {
             if (is_up[i]) {
-                EyReplica_SetSources(replicas[i], gateways,
-                                     static_cast<uint32_t>(live.size()),
-                                     controls, Controls);
+                EyConfigReplica_SetSources(replicas[i], gateways,
+                                           static_cast<uint32_t>(live.size()),
+                                           controls, Controls);
             }
         }
     }
@@ -348,7 +349,7 @@
         region.run(InForceMs);
         RC_ASSERT(region.is_in_force());
         for (size_t i = 0; i < Gateways; i++) {
-            RC_ASSERT(EyReplica_IsReady(region.replicas[i]));
+            RC_ASSERT(EyConfigReplica_IsReady(region.replicas[i]));
         }
     });
 }
@@ -379,7 +380,7 @@
         region.run(1000);
         region.start(first);
         region.run(InForceMs);
-        RC_ASSERT(EyReplica_IsReady(region.replicas[first]));
+        RC_ASSERT(EyConfigReplica_IsReady(region.replicas[first]));
         RC_ASSERT(region.revisions[first] == 5);
     });
 }
@@ -394,9 +395,9 @@
         region.start(3);
         for (int i = 0; i < 100; i++) {
             region.run(StepMs);
-            RC_ASSERT(!EyReplica_IsReady(region.replicas[3]) ||
+            RC_ASSERT(!EyConfigReplica_IsReady(region.replicas[3]) ||
                       region.revisions[3] == 1);
         }
-        RC_ASSERT(EyReplica_IsReady(region.replicas[3]));
+        RC_ASSERT(EyConfigReplica_IsReady(region.replicas[3]));
     });
 }
--- a/tests/property/test_store_properties.cc
+++ b/tests/property/test_store_properties.cc
@@ -176,7 +176,8 @@
     EY_CHECK("any raced epochs and leases",
              [](const std::vector<uint32_t> &numbers) {
                  EyStore_t *store = EyStore_New(nullptr);
-                 EyName_t replica = "istra-1";
+                 EyGroupMember_t replica = {};
+                 (void)EY_COPY(replica.name, "istra-1");
                  uint64_t epoch = 0;
                  uint64_t fencing = 0;
                  for (uint32_t number : numbers) {
@@ -185,13 +186,14 @@
                                                     : EY_COMMAND_TAKE_LEASE;
                      (void)EY_COPY(command.group.region, "istra");
                      command.group.epoch = number / 2 % 4;
-                     command.group.replicas = &replica;
-                     command.group.replica_count = 1;
+                     command.group.members = &replica;
+                     command.group.member_count = 1;
                      (void)EY_COPY(command.lease.name, "placement:istra");
                      (void)EY_COPY(command.lease.holder, "istra-1");
                      command.lease.fencing = number / 2 % 3;
                      EyResult_t result = EyStore_Apply(store, &command);
-                     const EyGroup_t *group = EyStore_Group(store, "istra");
+                     const EyGroupEpoch_t *group =
+                         EyStore_Group(store, "istra");
                      uint64_t new_epoch = group != nullptr ? group->epoch : 0;
                      bool is_group_set = result.status == EY_RESULT_DONE &&
                                          command.kind == EY_COMMAND_SET_GROUP;
