--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -2,6 +2,7 @@
 
 #include "config/control.h"
 #include "config/log_file.h"
+#include "control/witnesses.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
@@ -18,6 +19,7 @@
 typedef struct ControlPart {
     EyNode_t *node;
     EyControl_t *control;
+    EyWitnesses_t *witnesses;
     EyLogFile_t *file; /* the storage thread's while it runs */
     EyWorker_t *storage;
     EyMailbox_t *written;
@@ -115,6 +117,13 @@
     }
 }
 
+static void
+hook_changed(void *data, const EyStore_t *store)
+{
+    const ControlPart_t *self = data;
+    EyWitnesses_Configure(self->witnesses, store);
+}
+
 static void
 hook_answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
             const EyResult_t *result)
@@ -180,11 +189,13 @@
     EyMailbox_Attach(self->written, node->loop, on_written, self);
     self->storage =
         EyWorker_Start(self, &StorageClass, WRITES_WAITING_MAX, self);
+    self->witnesses = EyWitnesses_New(self, node);
     const EyControlHooks_t hooks = {
         .send_log = hook_send_log,
         .send_config = hook_send_config,
         .persist = hook_persist,
         .answer = hook_answer,
+        .changed = hook_changed,
         .data = self,
     };
     const EyLogOptions_t options = log_options(self);
@@ -206,7 +217,8 @@
 control_wants(void *part, EyPeerKind_t kind)
 {
     (void)part;
-    return kind == EY_PEER_LOG || kind == EY_PEER_CONFIG;
+    return kind == EY_PEER_LOG || kind == EY_PEER_CONFIG ||
+           kind == EY_PEER_GROUP;
 }
 
 static void
@@ -243,6 +255,11 @@
         receive_log(part, message);
         return;
     }
+    if (message->kind == EY_PEER_GROUP) {
+        const ControlPart_t *self = part;
+        EyWitnesses_Receive(self->witnesses, message);
+        return;
+    }
     receive_config(part, message);
 }
 
@@ -250,7 +267,10 @@
 control_dump(void *part)
 {
     const ControlPart_t *self = part;
-    return EyControl_Dump(self->control);
+    json_t *json = EyControl_Dump(self->control);
+    (void)json_object_set_new(json, "witnesses",
+                              EyWitnesses_Dump(self->witnesses));
+    return json;
 }
 
 const EyPartClass_t EyControlPart_class = {
--- /dev/null
+++ b/src/control/witnesses.h
@@ -0,0 +1,39 @@
+/**
+ * A control process as witness of other regions' record groups: it votes on
+ * their views and holds no records.
+ */
+#ifndef EY_CONTROL_WITNESSES_H
+#define EY_CONTROL_WITNESSES_H
+
+#include "config/store.h"
+#include "node/node.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** Witnesses that a region's group has at most, as far as control processes
+ * choose themselves. */
+#define EY_WITNESSES_PER_REGION 3
+
+typedef struct EyWitnesses EyWitnesses_t;
+
+EyWitnesses_t *
+EyWitnesses_New(const void *ctx, EyNode_t *node);
+
+/** The configuration changed: groups may be new or of another epoch. */
+void
+EyWitnesses_Configure(EyWitnesses_t *self, const EyStore_t *store);
+
+/** A message of kind EY_PEER_GROUP. */
+void
+EyWitnesses_Receive(EyWitnesses_t *self, const EyPeerMessage_t *message);
+
+json_t *
+EyWitnesses_Dump(const EyWitnesses_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -16,10 +16,39 @@
     .answer = caller_answer,
 };
 
+/** Asks the servers of a service whether a method may be repeated. */
+typedef struct MethodQuery {
+    const EyRequest_t *request;
+    uint32_t server_count;
+    bool all_agree;
+} MethodQuery_t;
+
+static void
+ask_server(void *data, const EyBackend_t *backend)
+{
+    MethodQuery_t *query = data;
+    if (backend->kind != EY_BACKEND_SERVICE ||
+        !EyBackend_Serves(backend, query->request->target))
+    {
+        return;
+    }
+    query->server_count++;
+    query->all_agree = query->all_agree &&
+                       EyBackend_IsIdempotent(backend, query->request->method);
+}
+
+/** A call may be repeated by its kind, by its method, or if every server of
+ * the service says so; when none is known it may not. */
 static bool
-is_idempotent(const EyRequest_t *request)
+is_idempotent(const EyGateway_t *gateway, const EyRequest_t *request)
 {
-    return request->call == EY_CALL_MODEL || EyRequest_HasSafeMethod(request);
+    if (request->call == EY_CALL_MODEL || EyRequest_HasSafeMethod(request)) {
+        return true;
+    }
+    MethodQuery_t query = {.request = request, .all_agree = true};
+    EyRegistry_Each(EyCluster_Registry(gateway->node->cluster), ask_server,
+                    &query);
+    return query.server_count > 0 && query.all_agree;
 }
 
 void
@@ -28,7 +57,7 @@
     if (request->deadline_ms == 0) {
         request->deadline_ms = request->arrived_ms + REQUEST_TIMEOUT_MS;
     }
-    bool may_repeat = is_idempotent(request);
+    bool may_repeat = is_idempotent(self, request);
     if (!may_repeat && request->idempotency_key[0] == '\0') {
         EyNode_Answer(self->node, request,
                       EyAnswer_Problem(EY_PROBLEM_KEY_MISSING,
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -102,16 +102,25 @@
     return EY_ATTEMPT_STREAM;
 }
 
+static void
+add_header(EyAttempt_t *attempt, const char *name, const char *value)
+{
+    EyHeader_t *header = &attempt->headers[attempt->header_count++];
+    header->name = EyMemory_Strdup(attempt, name);
+    header->value = EyMemory_Strdup(attempt, value);
+}
+
 static void
 copy_headers(EyAttempt_t *attempt, const EyRequest_t *request)
 {
     attempt->headers =
-        EY_NEW_ARRAY(attempt, EyHeader_t, request->header_count);
-    attempt->header_count = request->header_count;
+        EY_NEW_ARRAY(attempt, EyHeader_t, request->header_count + 1);
     for (uint32_t i = 0; i < request->header_count; i++) {
-        const EyHeader_t *from = &request->headers[i];
-        attempt->headers[i].name = EyMemory_Strdup(attempt, from->name);
-        attempt->headers[i].value = EyMemory_Strdup(attempt, from->value);
+        add_header(attempt, request->headers[i].name,
+                   request->headers[i].value);
+    }
+    if (request->idempotency_key[0] != '\0') {
+        add_header(attempt, "Idempotency-Key", request->idempotency_key);
     }
 }
 
--- /dev/null
+++ b/tests/process/fleet.h
@@ -0,0 +1,48 @@
+/** Three regions on one machine: gateways, control and backend servers. */
+#ifndef EY_TESTS_PROCESS_FLEET_H
+#define EY_TESTS_PROCESS_FLEET_H
+
+#include "process/harness.h"
+
+#define FLEET_REGIONS 3
+#define FLEET_GATEWAYS_MAX 3
+
+extern const char *const Fleet_regions[FLEET_REGIONS];
+
+typedef struct FleetRegion {
+    Process_t gateways[FLEET_GATEWAYS_MAX];
+    Process_t control;
+    Process_t booking;
+    Process_t model;
+    char control_folder[HARNESS_ARG_SIZE_BYTES];
+} FleetRegion_t;
+
+typedef struct Fleet {
+    FleetRegion_t regions[FLEET_REGIONS];
+    uint32_t region_count;
+    uint32_t gateway_count; /* in each region */
+} Fleet_t;
+
+/** Starts everything and waits until a purchase works in each region. */
+void
+Fleet_Start(Fleet_t *self, uint32_t region_count, uint32_t gateway_count);
+
+/** Kills everything. */
+void
+Fleet_Kill(Fleet_t *self);
+
+/** A purchase at a gateway under a key, bound to the gateway's region. */
+Reply_t
+Fleet_Buy(const Fleet_t *self, uint32_t region, uint32_t gateway,
+          const char *key, const char *extra_header, int64_t timeout_ms);
+
+/** How often the region's booking server ran a key. */
+int
+Fleet_Runs(const Fleet_t *self, uint32_t region, const char *key);
+
+/** Buys under fresh keys until one is completed; false after timeout_ms. */
+bool
+Fleet_AwaitSelling(const Fleet_t *self, uint32_t region, uint32_t gateway,
+                   int64_t timeout_ms);
+
+#endif
