--- /dev/null
+++ b/src/idempotency/journal.c
@@ -0,0 +1,393 @@
+#include "idempotency/journal.h"
+
+#include "core/memory.h"
+#include "idempotency/record.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+EY_DEFINE_ERROR_DOMAIN(Journal, "ey-journal")
+
+#define FILE_NAME "idempotency.journal"
+/** Each entry: magic, size of the payload, its checksum, the payload. */
+#define ENTRY_MAGIC 0x314a5945U /* "EYJ1" */
+#define ENTRY_MAX_BYTES (64U * 1024 * 1024)
+/** A file below this isn't worth compacting; above, when it has doubled. */
+#define COMPACT_MIN_BYTES (8ULL * 1024 * 1024)
+/** Records in one entry of a snapshot, by count and by answers' size. */
+#define SNAPSHOT_RECORDS_MAX 1024
+#define SNAPSHOT_BYTES_MAX (8ULL * 1024 * 1024)
+
+typedef struct EntryHead {
+    uint32_t magic;
+    uint32_t size_bytes;
+    uint64_t checksum;
+} EntryHead_t;
+
+struct EyJournal {
+    char *folder;
+    char *path;
+    int file;
+    uint64_t size_bytes;
+    uint64_t compacted_bytes; /* size after the last compaction */
+    bool is_broken;
+};
+
+/** What loading has put together so far. */
+typedef struct Loading {
+    EyGroupState_t *state; /* NULL before the first entry */
+    GHashTable *records;   /* key -> EyRecord_t, below state's context */
+    void *ctx;
+} Loading_t;
+
+static bool
+fail(GError **error, EyJournalError_t code, const char *path, const char *what)
+{
+    g_set_error(error, EY_JOURNAL_ERROR, (gint)code, "%s: %s: %s", path, what,
+                g_strerror(errno));
+    return false;
+}
+
+static int
+journal_destroy(EyJournal_t *self)
+{
+    if (self->file >= 0) {
+        (void)close(self->file);
+    }
+    return 0;
+}
+
+/* Loading */
+
+/** Adds an entry's changes to what was loaded before. */
+static void
+fold(Loading_t *loading, EyGroupState_t *entry)
+{
+    if (entry->clear) {
+        g_hash_table_remove_all(loading->records);
+    }
+    for (uint32_t i = 0; i < entry->record_count; i++) {
+        EyRecord_t *record = &entry->records[i];
+        if (record->key != NULL) {
+            (void)g_hash_table_replace(loading->records, record->key, record);
+        }
+    }
+    loading->state = entry;
+}
+
+/** The entry at an offset; false if it isn't whole and sound. */
+static bool
+read_entry(Loading_t *loading, const uint8_t *data, uint64_t left_bytes,
+           uint64_t *used_bytes)
+{
+    EntryHead_t head;
+    if (left_bytes < sizeof(head)) {
+        return false;
+    }
+    memcpy(&head, data, sizeof(head));
+    const uint8_t *payload = data + sizeof(head);
+    if (head.magic != ENTRY_MAGIC || head.size_bytes > ENTRY_MAX_BYTES ||
+        head.size_bytes > left_bytes - sizeof(head) ||
+        head.checksum != XXH3_64bits(payload, head.size_bytes))
+    {
+        return false;
+    }
+    EyGroupState_t *entry = EY_NEW(loading->ctx, EyGroupState_t);
+    if (!EySchema_Unpack(&EyGroupState_schema, entry, payload, head.size_bytes,
+                         entry, NULL))
+    {
+        return false;
+    }
+    fold(loading, entry);
+    *used_bytes = sizeof(head) + head.size_bytes;
+    return true;
+}
+
+/** True if a sound entry starts anywhere in the data: then what comes before
+ * it was acknowledged, and isn't just a write that was cut off. */
+static bool
+has_later_entry(const uint8_t *data, uint64_t size_bytes)
+{
+    for (uint64_t at = 1; at + sizeof(EntryHead_t) <= size_bytes; at++) {
+        EntryHead_t head;
+        memcpy(&head, data + at, sizeof(head));
+        uint64_t left_bytes = size_bytes - at - sizeof(head);
+        if (head.magic == ENTRY_MAGIC && head.size_bytes <= left_bytes &&
+            head.checksum ==
+                XXH3_64bits(data + at + sizeof(head), head.size_bytes))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+read_all(const EyJournal_t *self, uint8_t *data, uint64_t size_bytes)
+{
+    uint64_t done = 0;
+    while (done < size_bytes) {
+        ssize_t got =
+            pread(self->file, data + done, size_bytes - done, (off_t)done);
+        if (got == 0) {
+            errno = EIO;
+            return false;
+        }
+        if (got < 0 && errno != EINTR) {
+            return false;
+        }
+        done += got > 0 ? (uint64_t)got : 0;
+    }
+    return true;
+}
+
+/** Reads the entries; cuts off the rest of one that was never finished. */
+static bool
+load_entries(EyJournal_t *self, Loading_t *loading, const uint8_t *data,
+             uint64_t size_bytes, GError **error)
+{
+    uint64_t at = 0;
+    uint64_t used_bytes = 0;
+    while (at < size_bytes &&
+           read_entry(loading, data + at, size_bytes - at, &used_bytes))
+    {
+        at += used_bytes;
+    }
+    if (at < size_bytes) {
+        if (has_later_entry(data + at, size_bytes - at)) {
+            g_set_error(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_DAMAGED,
+                        "%s: damaged at byte %" G_GUINT64_FORMAT
+                        "; records that were acknowledged can't be read",
+                        self->path, at);
+            return false;
+        }
+        if (ftruncate(self->file, (off_t)at) != 0 ||
+            fdatasync(self->file) != 0) {
+            return fail(error, EY_JOURNAL_ERROR_WRITE, self->path,
+                        "can't cut off an unfinished entry");
+        }
+    }
+    self->size_bytes = at;
+    self->compacted_bytes = at;
+    return true;
+}
+
+static void
+collect(Loading_t *loading, EyGroupState_t **state)
+{
+    *state = loading->state;
+    if (loading->state == NULL) {
+        return;
+    }
+    uint32_t count = g_hash_table_size(loading->records);
+    EyRecord_t *records = EY_NEW_ARRAY(loading->ctx, EyRecord_t, count);
+    GHashTableIter iter;
+    gpointer record = NULL;
+    g_hash_table_iter_init(&iter, loading->records);
+    for (uint32_t i = 0;
+         i < count && g_hash_table_iter_next(&iter, NULL, &record); i++)
+    {
+        records[i] = *(const EyRecord_t *)record;
+    }
+    loading->state->records = records;
+    loading->state->record_count = count;
+}
+
+static bool
+load(EyJournal_t *self, EyGroupState_t **state, GError **error)
+{
+    struct stat status;
+    if (fstat(self->file, &status) != 0) {
+        return fail(error, EY_JOURNAL_ERROR_READ, self->path, "can't stat");
+    }
+    uint64_t size_bytes = (uint64_t)status.st_size;
+    void *scratch = talloc_new(self);
+    uint8_t *data = EyMemory_Array(scratch, 1, size_bytes + 1, "journal");
+    Loading_t loading = {
+        .records = g_hash_table_new(g_str_hash, g_str_equal),
+        .ctx = talloc_new(self),
+    };
+    bool is_done = read_all(self, data, size_bytes);
+    if (!is_done) {
+        (void)fail(error, EY_JOURNAL_ERROR_READ, self->path, "can't read");
+    }
+    is_done = is_done && load_entries(self, &loading, data, size_bytes, error);
+    if (is_done) {
+        collect(&loading, state);
+    }
+    g_hash_table_destroy(loading.records);
+    talloc_free(scratch);
+    return is_done;
+}
+
+/* Writing */
+
+static bool
+sync_folder(const char *folder)
+{
+    int file = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (file < 0) {
+        return false;
+    }
+    bool is_done = fsync(file) == 0;
+    (void)close(file);
+    return is_done;
+}
+
+static bool
+write_all(int file, const uint8_t *data, uint64_t size_bytes)
+{
+    uint64_t done = 0;
+    while (done < size_bytes) {
+        ssize_t put = write(file, data + done, size_bytes - done);
+        if (put < 0 && errno != EINTR) {
+            return false;
+        }
+        done += put > 0 ? (uint64_t)put : 0;
+    }
+    return true;
+}
+
+/** Writes one entry; its size is added to *size_bytes. */
+static bool
+write_entry(int file, const EyGroupState_t *state, uint64_t *size_bytes)
+{
+    void *scratch = talloc_new(NULL);
+    EyBytes_t packed = EySchema_Pack(&EyGroupState_schema, scratch, state);
+    EntryHead_t head = {
+        .magic = ENTRY_MAGIC,
+        .size_bytes = packed.size_bytes,
+        .checksum = XXH3_64bits(packed.data, packed.size_bytes),
+    };
+    uint64_t entry_bytes = sizeof(head) + packed.size_bytes;
+    uint8_t *entry = EyMemory_Array(scratch, 1, entry_bytes, "entry");
+    memcpy(entry, &head, sizeof(head));
+    memcpy(entry + sizeof(head), packed.data, packed.size_bytes);
+    bool is_done = write_all(file, entry, entry_bytes);
+    *size_bytes += entry_bytes;
+    talloc_free(scratch);
+    return is_done;
+}
+
+EyJournal_t *
+EyJournal_Open(const void *ctx, const char *folder, EyGroupState_t **state,
+               GError **error)
+{
+    *state = NULL;
+    EyJournal_t *self = EY_NEW(ctx, EyJournal_t);
+    self->folder = EyMemory_Strdup(self, folder);
+    self->path = talloc_asprintf(self, "%s/%s", folder, FILE_NAME);
+    self->file = open(self->path, O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC,
+                      S_IRUSR | S_IWUSR);
+    talloc_set_destructor(self, journal_destroy);
+    bool is_done =
+        self->file >= 0 && flock(self->file, LOCK_EX | LOCK_NB) == 0;
+    if (!is_done) {
+        (void)fail(error, EY_JOURNAL_ERROR_OPEN, self->path, "can't open");
+    }
+    else if (!sync_folder(folder)) {
+        is_done = fail(error, EY_JOURNAL_ERROR_OPEN, folder, "can't sync");
+    }
+    if (!is_done || !load(self, state, error)) {
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+bool
+EyJournal_Append(EyJournal_t *self, const EyGroupState_t *state,
+                 GError **error)
+{
+    if (self->is_broken) {
+        errno = EIO;
+        return fail(error, EY_JOURNAL_ERROR_WRITE, self->path,
+                    "an earlier write failed");
+    }
+    if (!write_entry(self->file, state, &self->size_bytes) ||
+        fdatasync(self->file) != 0)
+    {
+        self->is_broken = true;
+        return fail(error, EY_JOURNAL_ERROR_WRITE, self->path, "can't write");
+    }
+    return true;
+}
+
+bool
+EyJournal_WantsCompaction(const EyJournal_t *self)
+{
+    return self->size_bytes >= COMPACT_MIN_BYTES &&
+           self->size_bytes >= 2 * self->compacted_bytes;
+}
+
+/** Writes a snapshot in entries of bounded size; the first one clears. */
+static bool
+write_snapshot(int file, const EyGroupState_t *snapshot, uint64_t *size_bytes)
+{
+    EyGroupState_t part = *snapshot;
+    uint32_t at = 0;
+    part.clear = true;
+    do {
+        uint64_t bytes = 0;
+        uint32_t count = 0;
+        while (at + count < snapshot->record_count &&
+               count < SNAPSHOT_RECORDS_MAX && bytes < SNAPSHOT_BYTES_MAX)
+        {
+            bytes += snapshot->records[at + count].answer.size_bytes;
+            count++;
+        }
+        part.records = count > 0 ? &snapshot->records[at] : NULL;
+        part.record_count = count;
+        if (!write_entry(file, &part, size_bytes)) {
+            return false;
+        }
+        part.clear = false;
+        at += count;
+    } while (at < snapshot->record_count);
+    return true;
+}
+
+bool
+EyJournal_Compact(EyJournal_t *self, const EyGroupState_t *snapshot,
+                  GError **error)
+{
+    char *path = talloc_asprintf(self, "%s.new", self->path);
+    uint64_t size_bytes = 0;
+    int file = open(path, O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC,
+                    S_IRUSR | S_IWUSR);
+    bool is_done = file >= 0 && flock(file, LOCK_EX | LOCK_NB) == 0 &&
+                   write_snapshot(file, snapshot, &size_bytes) &&
+                   fdatasync(file) == 0 && rename(path, self->path) == 0;
+    if (!is_done) {
+        /* The old file stays whole and goes on. */
+        (void)fail(error, EY_JOURNAL_ERROR_WRITE, path, "can't compact");
+        if (file >= 0) {
+            (void)close(file);
+            (void)unlink(path);
+        }
+        talloc_free(path);
+        return false;
+    }
+    (void)close(self->file);
+    self->file = file;
+    self->size_bytes = size_bytes;
+    self->compacted_bytes = size_bytes;
+    talloc_free(path);
+    if (!sync_folder(self->folder)) {
+        self->is_broken = true;
+        return fail(error, EY_JOURNAL_ERROR_WRITE, self->folder, "can't sync");
+    }
+    return true;
+}
+
+uint64_t
+EyJournal_SizeBytes(const EyJournal_t *self)
+{
+    return self->size_bytes;
+}
--- /dev/null
+++ b/tests/unit/test_journal.c
@@ -0,0 +1,219 @@
+#include "core/memory.h"
+#include "idempotency/journal.h"
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+static char *Folder;
+static char *Path;
+static void *Ctx;
+
+static void
+make_folder(void)
+{
+    Folder = g_dir_make_tmp("journal-XXXXXX", NULL);
+    Path = g_build_filename(Folder, "idempotency.journal", NULL);
+    Ctx = talloc_new(NULL);
+}
+
+static void
+remove_folder(void)
+{
+    talloc_free(Ctx);
+    (void)g_unlink(Path);
+    (void)g_rmdir(Folder);
+    g_free(Path);
+    g_free(Folder);
+}
+
+TestSuite(journal, .init = make_folder, .fini = remove_folder);
+
+static EyGroupState_t
+make_state(uint64_t serial, EyRecord_t *record)
+{
+    return (EyGroupState_t){
+        .serial = serial,
+        .incarnation = 7,
+        .promised = serial * 16,
+        .version = serial,
+        .records = record,
+        .record_count = record != NULL ? 1 : 0,
+    };
+}
+
+static EyRecord_t
+make_record(const char *key, EyRecordState_t state)
+{
+    return (EyRecord_t){
+        .key = EyMemory_Strdup(Ctx, key),
+        .state = state,
+        .answer = {.data = EyMemory_Copy(Ctx, "paid", 4), .size_bytes = 4},
+    };
+}
+
+static void
+append(EyJournal_t *journal, uint64_t serial, const char *key,
+       EyRecordState_t record_state)
+{
+    EyRecord_t record = make_record(key, record_state);
+    EyGroupState_t state = make_state(serial, &record);
+    cr_assert(EyJournal_Append(journal, &state, NULL));
+}
+
+/** Three entries about two keys; the size after each. */
+static void
+write_three(uint64_t *sizes)
+{
+    EyGroupState_t *state = NULL;
+    EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, NULL);
+    cr_assert_not_null(journal);
+    cr_assert_null(state);
+    append(journal, 1, "a", EY_RECORD_CLAIMED);
+    sizes[0] = EyJournal_SizeBytes(journal);
+    append(journal, 2, "b", EY_RECORD_CLAIMED);
+    sizes[1] = EyJournal_SizeBytes(journal);
+    append(journal, 3, "a", EY_RECORD_COMPLETED);
+    sizes[2] = EyJournal_SizeBytes(journal);
+    talloc_free(journal);
+}
+
+static EyGroupState_t *
+reload(GError **error)
+{
+    EyGroupState_t *state = NULL;
+    EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, error);
+    return journal != NULL ? state : NULL;
+}
+
+static const EyRecord_t *
+find(const EyGroupState_t *state, const char *key)
+{
+    for (uint32_t i = 0; i < state->record_count; i++) {
+        if (strcmp(state->records[i].key, key) == 0) {
+            return &state->records[i];
+        }
+    }
+    return NULL;
+}
+
+Test(journal, newest_state_comes_back)
+{
+    uint64_t sizes[3];
+    write_three(sizes);
+    EyGroupState_t *state = reload(NULL);
+    cr_assert_eq(state->serial, 3);
+    cr_assert_eq(state->incarnation, 7);
+    cr_assert_eq(state->promised, 48);
+    cr_assert_eq(state->record_count, 2);
+    cr_assert_eq(find(state, "a")->state, EY_RECORD_COMPLETED);
+    cr_assert_eq(find(state, "b")->state, EY_RECORD_CLAIMED);
+    cr_assert_arr_eq(find(state, "a")->answer.data, "paid", 4);
+}
+
+Test(journal, every_torn_tail_is_dropped)
+{
+    uint64_t sizes[3];
+    write_three(sizes);
+    for (uint64_t size = sizes[2] - 1; size > sizes[1]; size--) {
+        cr_assert_eq(truncate(Path, (off_t)size), 0);
+        void *scratch = talloc_new(Ctx);
+        EyGroupState_t *state = NULL;
+        EyJournal_t *journal = EyJournal_Open(scratch, Folder, &state, NULL);
+        cr_assert_not_null(journal);
+        cr_assert_eq(state->serial, 2, "cut to %d bytes", (int)size);
+        cr_assert_eq(EyJournal_SizeBytes(journal), sizes[1]);
+        talloc_free(scratch);
+        /* The file is cut; make it long again with zero bytes. */
+        cr_assert_eq(truncate(Path, (off_t)size), 0);
+    }
+}
+
+Test(journal, damage_before_the_tail_refuses_to_open)
+{
+    uint64_t sizes[3];
+    write_three(sizes);
+    int file = open(Path, O_RDWR | O_CLOEXEC);
+    for (uint64_t at = 0; at < sizes[1]; at += 5) {
+        char byte = 0;
+        cr_assert_eq(pread(file, &byte, 1, (off_t)at), 1);
+        char other = (char)(byte ^ 0x40);
+        cr_assert_eq(pwrite(file, &other, 1, (off_t)at), 1);
+        GError *error = NULL;
+        cr_assert_null(reload(&error));
+        cr_assert(
+            g_error_matches(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_DAMAGED),
+            "byte %d", (int)at);
+        g_error_free(error);
+        cr_assert_eq(pwrite(file, &byte, 1, (off_t)at), 1);
+    }
+    (void)close(file);
+}
+
+Test(journal, compaction_keeps_all)
+{
+    EyGroupState_t *state = NULL;
+    EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, NULL);
+    for (uint64_t i = 1; i <= 40; i++) {
+        append(journal, i, i % 2 == 0 ? "a" : "b", EY_RECORD_COMPLETED);
+    }
+    uint64_t size_before = EyJournal_SizeBytes(journal);
+    EyRecord_t records[2500];
+    for (uint32_t i = 0; i < G_N_ELEMENTS(records); i++) {
+        char key[16];
+        (void)g_snprintf(key, sizeof(key), "key-%u", i);
+        records[i] = make_record(key, EY_RECORD_UNKNOWN);
+    }
+    EyGroupState_t snapshot = make_state(41, records);
+    snapshot.record_count = 2;
+    cr_assert(EyJournal_Compact(journal, &snapshot, NULL));
+    cr_assert_lt(EyJournal_SizeBytes(journal), size_before);
+    snapshot.record_count = G_N_ELEMENTS(records);
+    cr_assert(EyJournal_Compact(journal, &snapshot, NULL));
+    append(journal, 42, "after", EY_RECORD_CLAIMED);
+    talloc_free(journal);
+    state = reload(NULL);
+    cr_assert_eq(state->serial, 42);
+    cr_assert_eq(state->record_count, G_N_ELEMENTS(records) + 1);
+}
+
+Test(journal, second_process_is_refused)
+{
+    EyGroupState_t *state = NULL;
+    cr_assert_not_null(EyJournal_Open(Ctx, Folder, &state, NULL));
+    GError *error = NULL;
+    cr_assert_null(EyJournal_Open(Ctx, Folder, &state, &error));
+    cr_assert(g_error_matches(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_OPEN));
+    g_error_free(error);
+}
+
+Test(journal, full_disk_stops_the_journal)
+{
+    EyGroupState_t *state = NULL;
+    EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, NULL);
+    append(journal, 1, "a", EY_RECORD_CLAIMED);
+    rlim_t size_bytes = (rlim_t)EyJournal_SizeBytes(journal);
+    /* The process's own limit on file sizes stands in for a full disk. */
+    (void)signal(SIGXFSZ, SIG_IGN);
+    struct rlimit limit = {.rlim_cur = size_bytes + 10,
+                           .rlim_max = RLIM_INFINITY};
+    (void)getrlimit(RLIMIT_FSIZE, &limit);
+    limit.rlim_cur = size_bytes + 10;
+    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+    EyGroupState_t next = make_state(2, NULL);
+    GError *error = NULL;
+    cr_assert_not(EyJournal_Append(journal, &next, &error));
+    cr_assert(
+        g_error_matches(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_WRITE));
+    g_clear_error(&error);
+    limit.rlim_cur = limit.rlim_max;
+    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+    cr_assert_not(EyJournal_Append(journal, &next, &error));
+    g_clear_error(&error);
+    talloc_free(journal);
+    cr_assert_eq(reload(NULL)->serial, 1);
+}
