--- a/tests/property/group_world.cc
+++ b/tests/property/group_world.cc
@@ -195,7 +195,7 @@
     delay_max_ms = 5;
     write_max_ms = 20;
     traffic_ms = 0;
-    are_fates_kind = true;
+    forced_fate = FATE_COMPLETES;
     for (uint32_t i = 0; i < nodes.size(); i++) {
         nodes[i].is_frozen = false;
         start(i);
@@ -312,7 +312,7 @@
             persist(node, action);
             break;
         default:
-            decided(node, action);
+            decided(action);
         }
     }
 }
@@ -535,19 +535,30 @@
     return text;
 }
 
+void
+World::not_sent(uint64_t number)
+{
+    const Node &node = nodes[attempts_[number].node];
+    EyGroupActions_t *actions = EyGroupActions_New(ctx_);
+    EyClaims_NotSent(node.claims, now_ms + node.offset_ms, number, actions);
+    carry_out(attempts_[number].node, actions);
+    talloc_free(actions);
+}
+
 /** A claim was granted: it is sent now, or said not to be. */
 void
-World::granted(uint32_t index, uint64_t number)
+World::granted(uint64_t number)
 {
     Attempt &attempt = attempts_[number];
     attempt.was_granted = true;
-    uint32_t fate = are_fates_kind ? 9 : attempt.fate;
-    int64_t local_ms = now_ms + nodes[index].offset_ms;
-    if (fate == 0) {
-        EyGroupActions_t *actions = EyGroupActions_New(ctx_);
-        EyClaims_NotSent(nodes[index].claims, local_ms, number, actions);
-        carry_out(index, actions);
-        talloc_free(actions);
+    if (forced_fate != FATE_ANY) {
+        attempt.fate = static_cast<uint32_t>(forced_fate);
+    }
+    if (attempt.fate == FATE_HELD) {
+        return;
+    }
+    if (attempt.fate == FATE_NOT_SENT) {
+        not_sent(number);
         return;
     }
     attempt.is_sent = true;
@@ -558,8 +569,7 @@
     if (run.count > 1) {
         fail("key " + attempt.key + " ran twice");
     }
-    /* Fate 1 never gets an answer; others after a while. */
-    if (fate > 1) {
+    if (attempt.fate != FATE_ENDLESS) {
         attempt.end_ms =
             now_ms + static_cast<int64_t>(EyRandom_Below(&random_, 300));
     }
@@ -571,7 +581,7 @@
     Node &node = nodes[attempt.node];
     EyGroupActions_t *actions = EyGroupActions_New(ctx_);
     int64_t local_ms = now_ms + node.offset_ms;
-    if (attempt.fate == 2 && !are_fates_kind) {
+    if (attempt.fate == FATE_UNKNOWN) {
         EyClaims_Unknown(node.claims, local_ms, number, actions);
     }
     else {
@@ -617,7 +627,7 @@
 }
 
 void
-World::decided(uint32_t node, const EyGroupAction_t *action)
+World::decided(const EyGroupAction_t *action)
 {
     Attempt &attempt = attempts_[action->number];
     if (attempt.is_final || attempt.was_granted) {
@@ -625,7 +635,7 @@
         return;
     }
     if (action->decision == EY_DECISION_GRANTED) {
-        granted(node, action->number);
+        granted(action->number);
         return;
     }
     attempt.is_final = true;
--- a/tests/property/group_world.h
+++ b/tests/property/group_world.h
@@ -29,6 +29,16 @@
     uint32_t count_max = 0; /* records; 0: preset */
 };
 
+/** What a gateway does with a granted request; other numbers complete it. */
+enum Fate : int32_t {
+    FATE_ANY = -1,
+    FATE_NOT_SENT = 0,
+    FATE_ENDLESS = 1, /* sent, and no answer ever comes */
+    FATE_UNKNOWN = 2, /* sent, and given up */
+    FATE_COMPLETES = 9,
+    FATE_HELD = 10 /* neither sent nor not, until not_sent is called */
+};
+
 /** A message on its way, owned by talloc context owner. */
 struct Packet {
     uint32_t from;
@@ -119,6 +129,9 @@
     /** Raises the epoch if no view can follow; the part of the operators. */
     void
     raise_epoch_if_lost();
+    /** Ends a held request as not sent. */
+    void
+    not_sent(uint64_t number);
     std::string
     issue_key();
     const Attempt &
@@ -134,7 +147,8 @@
     uint32_t drop_percent = 0;
     uint32_t duplicate_percent = 0;
     int64_t delay_max_ms = 5;
-    bool are_fates_kind = false; /* every granted request completes */
+    /** What becomes of granted requests: see Fate. */
+    int32_t forced_fate = -1;
     int64_t now_ms = 1000000;
     /** A claim each so often at some gateway, half of them second attempts;
      * 0: none. */
@@ -157,9 +171,9 @@
     void
     sync_disk(uint32_t node);
     void
-    decided(uint32_t node, const EyGroupAction_t *action);
+    decided(const EyGroupAction_t *action);
     void
-    granted(uint32_t node, uint64_t number);
+    granted(uint64_t number);
     void
     end_attempts();
     void
--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -370,7 +370,7 @@
         bool was_granted = world.attempt(1).was_granted;
         world.run(RETENTION_MS + 60000, 400);
         world.forget_runs();
-        world.are_fates_kind = true;
+        world.forced_fate = group_world::FATE_COMPLETES;
         world.run(3000);
         uint64_t number = world.claim(1, "plain", 1, 2000);
         world.run(2000);
@@ -381,3 +381,93 @@
         RC_ASSERT(world.attempt(number).was_granted);
     });
 }
+
+/** A second instance is lost right after the first came back empty. */
+Test(group_properties, second_loss_right_after_repair)
+{
+    EY_CHECK("one that copies records doesn't count before it has them", [] {
+        World world(Shape{2, 2, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.forced_fate = group_world::FATE_COMPLETES;
+        world.run(300);
+        uint64_t first = world.claim(0, "plain", 1, 2000);
+        world.run(1000);
+        RC_ASSERT(world.attempt(first).was_granted);
+        world.crash(1);
+        world.run(4000);
+        world.delay_max_ms = *rc::gen::inRange(1, 400);
+        world.start(1);
+        world.run(*rc::gen::inRange(0, 3000));
+        world.crash(0);
+        world.run(4000);
+        (void)world.claim(1, "plain", 1, 2000);
+        world.run(3000);
+        world.start(0);
+        world.run(5000);
+        (void)world.claim(0, "plain", 1, 2000);
+        world.run(3000);
+        RC_ASSERT(world.broken == "");
+    });
+}
+
+/** A leader that is cut off refuses by records that have changed since. */
+Test(group_properties, cut_off_leader_says_nothing_false)
+{
+    EY_CHECK("a refusal needs the whole view", [] {
+        World world(Shape{3, 0, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.forced_fate = group_world::FATE_HELD;
+        world.run(300);
+        uint64_t held = world.claim(1, "plain", 1, 2000);
+        world.run(100);
+        RC_ASSERT(world.attempt(held).was_granted);
+        for (uint32_t i = 1; i < 3; i++) {
+            world.cuts.insert({0, i});
+            world.cuts.insert({i, 0});
+        }
+        world.run(*rc::gen::inRange(0, 4000));
+        world.not_sent(held);
+        world.run(*rc::gen::inRange(0, 4000));
+        world.forced_fate = group_world::FATE_COMPLETES;
+        (void)world.claim(2, "plain", 2, 3000);
+        world.run(1000);
+        (void)world.claim(0, "plain", 2, 500);
+        world.run(1000);
+        RC_ASSERT(world.broken == "");
+    });
+}
+
+/** A call runs for longer than records are kept. */
+Test(group_properties, call_that_outlasts_retention)
+{
+    EY_CHECK("an open claim is kept while its claimant lives", [] {
+        World world(Shape{2, 0, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.forced_fate = group_world::FATE_ENDLESS;
+        world.run(300);
+        uint64_t first = world.claim(1, "plain", 1, 2000);
+        world.run(500);
+        RC_ASSERT(world.attempt(first).was_granted);
+        world.run(RETENTION_MS + 60000, 500);
+        (void)world.claim(*rc::gen::inRange(0, 2), "plain", 1, 2000);
+        world.run(3000);
+        RC_ASSERT(world.broken == "");
+    });
+}
+
+/** Copies of a claim arrive when it has already ended as not sent. */
+Test(group_properties, copies_of_an_ended_claim)
+{
+    EY_CHECK("a key that didn't run is free again", [] {
+        World world(Shape{2, 0, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.run(300);
+        world.duplicate_percent = 100;
+        world.delay_max_ms = 300;
+        world.forced_fate = group_world::FATE_NOT_SENT;
+        uint64_t first = world.claim(1, "plain", 1, 2500);
+        world.run(4000);
+        RC_PRE(world.attempt(first).was_granted);
+        world.forced_fate = group_world::FATE_COMPLETES;
+        uint64_t second = world.claim(0, "plain", 1, 2500);
+        world.run(3000);
+        RC_ASSERT(world.broken == "");
+        RC_ASSERT(world.attempt(second).was_granted);
+    });
+}
