--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -48,14 +48,14 @@
     EyAddress_t from_address; /* the sender's peer-listen address */
     EyName_t to;              /* empty: whoever listens at to_address */
     EyAddress_t to_address;   /* used when to is empty or not yet known */
-    EyBytes_t payload;
+    EyBytes_t payload;        /* one msgpack object */
 } EyPeerMessage_t;
 
 typedef struct EyPeersOptions {
     EyName_t id;
     uint64_t incarnation;
     EyAddress_t listen;
-    const char *secret_file; /* NULL: no encryption */
+    const char *secret_file; /* only read at the start; NULL: no encryption */
     bool insecure;           /* allow no encryption beyond loopback */
 } EyPeersOptions_t;
 
@@ -72,6 +72,11 @@
 EyPeers_Start(const void *ctx, const EyPeersOptions_t *options,
               EyMailbox_t *inbox, GError **error);
 
+/** The address that is listened on, with the port that was given; other
+ * instances learn it from each message. */
+const char *
+EyPeers_Address(const EyPeers_t *self);
+
 /** Sends from any thread; takes the message over if true, else the outbound
  * ring is full and the message is still the caller's. */
 bool
