--- a/tests/property/group_world.h
+++ b/tests/property/group_world.h
@@ -29,12 +29,20 @@
     uint32_t count_max = 0; /* records; 0: preset */
 };
 
+/** What a gateway does with a granted request; other numbers complete it. */
+enum Fate : int32_t {
+    FATE_ANY = -1,
+    FATE_NOT_SENT = 0,
+    FATE_ENDLESS = 1, /* sent, and no answer ever comes */
+    FATE_UNKNOWN = 2, /* sent, and given up */
+    FATE_COMPLETES = 9,
+    FATE_HELD = 10 /* neither sent nor not, until not_sent is called */
+};
+
 /** A message on its way, owned by talloc context owner. */
 struct Packet {
     uint32_t from;
     uint32_t to;
-    int64_t due_ms;
-    uint64_t order;
     EyGroupMessage_t *message;
 };
 
@@ -61,6 +69,9 @@
     uint64_t process = 0; /* incarnation of the claimant */
     EyGroup_t *group = nullptr;
     EyClaims_t *claims = nullptr;
+    uint64_t seen_number = 0; /* of the view that was checked last */
+    uint64_t seen_epoch = 0;
+    std::vector<Packet> held; /* while it is frozen */
     Disk disk;
 };
 
@@ -118,6 +129,9 @@
     /** Raises the epoch if no view can follow; the part of the operators. */
     void
     raise_epoch_if_lost();
+    /** Ends a held request as not sent. */
+    void
+    not_sent(uint64_t number);
     std::string
     issue_key();
     const Attempt &
@@ -133,7 +147,8 @@
     uint32_t drop_percent = 0;
     uint32_t duplicate_percent = 0;
     int64_t delay_max_ms = 5;
-    bool are_fates_kind = false; /* every granted request completes */
+    /** What becomes of granted requests: see Fate. */
+    int32_t forced_fate = -1;
     int64_t now_ms = 1000000;
     /** A claim each so often at some gateway, half of them second attempts;
      * 0: none. */
@@ -156,9 +171,9 @@
     void
     sync_disk(uint32_t node);
     void
-    decided(uint32_t node, const EyGroupAction_t *action);
+    decided(const EyGroupAction_t *action);
     void
-    granted(uint32_t node, uint64_t number);
+    granted(uint64_t number);
     void
     end_attempts();
     void
@@ -174,6 +189,8 @@
     void
     check_views(uint32_t node);
     void
+    check_view_is_one(const EyView_t *view);
+    void
     make_traffic();
     void
     fail(const std::string &what);
@@ -183,14 +200,14 @@
     void *ctx_;
     EyRandom_t random_;
     uint32_t count_max_;
-    std::vector<Packet> packets_;
-    uint64_t order_ = 0;
+    std::multimap<int64_t, Packet> packets_; /* by due_ms */
     uint64_t incarnation_ = 0;
     uint64_t number_ = 0;
     uint64_t issued_ = 0;
     uint64_t epoch_ = 0;
     std::vector<EyGroupMember_t> members_; /* of the epoch */
     std::map<uint64_t, Attempt> attempts_;
+    std::set<uint64_t> open_; /* attempts that something is due of */
     std::map<std::string, Run> runs_;
     std::map<std::pair<uint64_t, uint64_t>, std::string> views_;
     std::vector<std::string> keys_; /* of the traffic */
