Summaries survive the loss of speaker and hearer; tests of the joined cluster

Cause: a random case of two regions of three: the speaker and the only contact of the other region died, and the next speaker knew no other contact. Answers to other regions now name distinct others, and instances name contacts that live to their own region; what is hearsay counts as older, so that a dead contact isn't kept alive by rumour.

A speaker speaks to two regions a second now.

--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -161,7 +161,7 @@
 }
 
 void
-EyMembers_PutContact(EyMembers_t *self, int64_t now_ms,
+EyMembers_PutContact(EyMembers_t *self, int64_t heard_ms,
                      const EyMember_t *member)
 {
     EyContact_t *contact = g_hash_table_lookup(self->contacts, member->id);
@@ -185,7 +185,7 @@
         return;
     }
     contact->member = *member;
-    contact->heard_ms = now_ms;
+    contact->heard_ms = MAX(contact->heard_ms, heard_ms);
     forget_oldest_contact(self, member->region);
 }
 
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -77,9 +77,9 @@
 uint32_t
 EyMembers_OwnPlace(const EyMembers_t *self);
 
-/** Takes the record of an instance of another region. */
+/** Takes the record of an instance of another region, as of heard_ms. */
 void
-EyMembers_PutContact(EyMembers_t *self, int64_t now_ms,
+EyMembers_PutContact(EyMembers_t *self, int64_t heard_ms,
                      const EyMember_t *member);
 
 /** True if a live instance is known at an address, and was lately heard if
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -16,6 +16,11 @@
 #define DIGEST_INTERVAL_MS 1000
 #define HELLO_INTERVAL_MS 1000
 #define HELLOS_MAX 4
+/* Age that a contact has at least when another instance names it. */
+#define HEARSAY_AGE_MS 10000
+/* Others that are named in an answer to a hello. */
+#define HELLO_NEAR_MAX 3
+#define HELLO_FAR_MAX 2
 
 enum { COUNT_RENUMBERED, COUNT_FENCED, COUNT_MEMBERS, COUNT_ALL };
 
@@ -172,8 +177,11 @@
     }
 }
 
+/** Takes a record; is_hearsay if it comes from the own region, which counts
+ * less of another region's instances. */
 static void
-take_record(EyMembership_t *self, int64_t now_ms, const EyMember_t *member)
+take_record(EyMembership_t *self, int64_t now_ms, const EyMember_t *member,
+            bool is_hearsay)
 {
     if (member->id[0] == '\0' || member->region[0] == '\0') {
         return;
@@ -183,7 +191,8 @@
         return;
     }
     if (strcmp(member->region, self->members->own->member.region) != 0) {
-        EyMembers_PutContact(self->members, now_ms, member);
+        int64_t heard_ms = is_hearsay ? now_ms - HEARSAY_AGE_MS : now_ms;
+        EyMembers_PutContact(self->members, heard_ms, member);
         return;
     }
     if (EyMembers_IsNews(self->members, member)) {
@@ -219,10 +228,12 @@
     if (known != NULL) {
         add_member(&message, members, &known->member);
     }
-    for (uint32_t i = 0; i < MIN(self->members->ring->len, is_near ? 3U : 1U);
-         i++) {
-        uint64_t at = EyRandom_Below(&self->random, self->members->ring->len);
-        const EyEntry_t *entry = self->members->ring->pdata[at];
+    uint32_t count = self->members->ring->len;
+    uint32_t named = MIN(count, is_near ? HELLO_NEAR_MAX : HELLO_FAR_MAX);
+    uint32_t start = (uint32_t)EyRandom_Below(&self->random, count);
+    for (uint32_t i = 0; i < named; i++) {
+        const EyEntry_t *entry =
+            self->members->ring->pdata[(start + i) % count];
         add_member(&message, members, &entry->member);
     }
     self->hooks.send(self->hooks.data, from, address, &message);
@@ -276,8 +287,10 @@
 take_contents(EyMembership_t *self, int64_t now_ms,
               const EyClusterMessage_t *message)
 {
+    bool is_near =
+        strcmp(message->region, self->members->own->member.region) == 0;
     for (uint32_t i = 0; i < message->member_count; i++) {
-        take_record(self, now_ms, &message->members[i]);
+        take_record(self, now_ms, &message->members[i], is_near);
     }
     for (uint32_t i = 0; i < message->vitals_count; i++) {
         take_vitals(self, &message->vitals[i]);
--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -8,7 +8,7 @@
 
 #define SPEAK_INTERVAL_MS 1000
 /* Other regions that are spoken to in one interval; the rest take turns. */
-#define REGIONS_PER_INTERVAL 4
+#define REGIONS_PER_INTERVAL 2
 #define REGIONS_MAX 64
 #define SPREAD_INTERVAL_MS 1000
 #define SPREAD_TARGETS 2
@@ -18,6 +18,8 @@
 #define CONTACT_FRESH_MS 5000
 /* One message in so many names another contact. */
 #define MORE_CONTACTS_TURNS 8
+/* One message inside the region in so many names a contact. */
+#define CONTACT_TURNS 4
 
 /** A summary and when it was made, on the own clock. */
 typedef struct Entry {
@@ -248,6 +250,27 @@
     return (uint32_t)CLAMP(now_ms - entry->made_ms, 0, UINT32_MAX);
 }
 
+/** Names a contact that lives to the own region now and then, so that the
+ * next speaker has some too. */
+static void
+add_contact(EySummary_t *self, EyClusterMessage_t *message, EyMember_t *room)
+{
+    Regions_t regions = {0};
+    EyMembership_EachContact(self->membership, add_region, &regions);
+    if (regions.count == 0 ||
+        EyRandom_Below(&self->random, CONTACT_TURNS) != 0) {
+        return;
+    }
+    uint64_t at = EyRandom_Below(&self->random, regions.count);
+    Choice_t choice = {.summary = self, .region = regions.names[at]};
+    EyMembership_EachContact(self->membership, consider_contact, &choice);
+    if (choice.is_fresh) {
+        *room = *choice.member;
+        message->members = room;
+        message->member_count = 1;
+    }
+}
+
 /** Passes summaries of other regions on inside the own one. */
 static void
 spread(EySummary_t *self, int64_t now_ms)
@@ -274,7 +297,9 @@
             message.summary_count++;
         }
     }
-    if (message.summary_count == 0) {
+    EyMember_t contact;
+    add_contact(self, &message, &contact);
+    if (message.summary_count == 0 && message.member_count == 0) {
         return;
     }
     const EyMember_t *targets[SPREAD_TARGETS];
--- /dev/null
+++ b/tests/property/test_cluster_properties.cc
@@ -0,0 +1,136 @@
+#include "bench/fleet.h"
+#include "property/check.h"
+
+#include <memory>
+#include <string>
+
+namespace {
+
+constexpr int64_t summary_limit_ms = 15000;
+constexpr int64_t fallback_limit_ms = 40000;
+
+using FleetPointer = std::unique_ptr<Fleet_t, void (*)(Fleet_t *)>;
+
+void
+set_own(Fleet_t *fleet, uint32_t region, uint32_t free_slots)
+{
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        if (fleet->nodes[i].region == region) {
+            EySummary_SetOwn(EyCluster_Summary(fleet->nodes[i].cluster),
+                             "visit-plan", 3, free_slots, 50);
+        }
+    }
+}
+
+/** True if each running gateway elsewhere has heard this of a region. */
+bool
+is_known(Fleet_t *fleet, uint32_t region, uint32_t free_slots)
+{
+    std::string name = "region-" + std::to_string(region);
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        EyTargetSummary_t summary;
+        FleetNode_t *node = &fleet->nodes[i];
+        if (!node->up || node->region == region) {
+            continue;
+        }
+        bool found =
+            EySummary_Find(EyCluster_Summary(node->cluster), fleet->now_ms,
+                           name.c_str(), "visit-plan", &summary);
+        if (!found || summary.free_slots != free_slots ||
+            summary.age_ms > summary_limit_ms)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+int64_t
+wait_known(Fleet_t *fleet, uint32_t region, uint32_t free_slots,
+           int64_t limit_ms)
+{
+    for (int64_t at_ms = 0; at_ms < limit_ms; at_ms += 100) {
+        if (is_known(fleet, region, free_slots)) {
+            return at_ms;
+        }
+        fleet_run(fleet, 100);
+    }
+    return -1;
+}
+
+uint32_t
+speaker_of(Fleet_t *fleet, uint32_t region, uint32_t to)
+{
+    std::string name = "region-" + std::to_string(to);
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        FleetNode_t *node = &fleet->nodes[i];
+        if (node->up && node->region == region &&
+            EySummary_IsSpeaker(EyCluster_Summary(node->cluster),
+                                name.c_str()))
+        {
+            return i;
+        }
+    }
+    return fleet->count;
+}
+
+} // namespace
+
+Test(cluster_properties, summaries_arrive_also_when_speaker_and_hearer_die)
+{
+    EY_CHECK("summaries", [] {
+        const auto regions = *rc::gen::inRange<uint32_t>(2, 5);
+        const auto size = *rc::gen::inRange<uint32_t>(3, 6);
+        FleetPointer fleet(fleet_make(regions, size), fleet_free);
+        fleet->now_ms += *rc::gen::inRange<int64_t>(0, 5000);
+        fleet_run(fleet.get(), 5000);
+        set_own(fleet.get(), 0, 7);
+        RC_ASSERT(wait_known(fleet.get(), 0, 7, summary_limit_ms) >= 0);
+        const uint32_t speaker = speaker_of(fleet.get(), 0, 1);
+        RC_ASSERT(speaker < fleet->count);
+        fleet->nodes[speaker].up = false;
+        const uint32_t hearer = size + *rc::gen::inRange<uint32_t>(0, size);
+        fleet->nodes[hearer].up = false;
+        set_own(fleet.get(), 0, 9);
+        RC_ASSERT(wait_known(fleet.get(), 0, 9, fallback_limit_ms) >= 0);
+        RC_ASSERT(speaker_of(fleet.get(), 0, 1) != speaker);
+    });
+}
+
+Test(cluster_properties, a_lost_region_is_forgotten)
+{
+    FleetPointer fleet(fleet_make(2, 3), fleet_free);
+    fleet_run(fleet.get(), 3000);
+    set_own(fleet.get(), 0, 7);
+    cr_assert_geq(wait_known(fleet.get(), 0, 7, summary_limit_ms), 0);
+    for (uint32_t i = 0; i < 3; i++) {
+        fleet->nodes[i].up = false;
+    }
+    fleet_run(fleet.get(), EY_SUMMARY_LOST_MS + 2000);
+    EyTargetSummary_t summary;
+    cr_assert_not(EySummary_Find(EyCluster_Summary(fleet->nodes[4].cluster),
+                                 fleet->now_ms, "region-0", "visit-plan",
+                                 &summary));
+}
+
+Test(cluster_properties, junk_in_a_payload_is_counted_and_dropped)
+{
+    EY_CHECK("junk", [] {
+        FleetPointer fleet(fleet_make(1, 2), fleet_free);
+        fleet_run(fleet.get(), 1000);
+        auto bytes = *rc::gen::arbitrary<std::vector<uint8_t>>();
+        EyPeerMessage_t message = {};
+        (void)EY_COPY(message.from, "gateway-1");
+        message.payload.data = bytes.data();
+        message.payload.size_bytes = static_cast<uint32_t>(bytes.size());
+        bool good = EyCluster_Receive(fleet->nodes[0].cluster, fleet->now_ms,
+                                      &message);
+        bool is_array = !bytes.empty() && (bytes[0] & 0xf0) == 0x90;
+        RC_ASSERT(!good || is_array);
+        fleet_run(fleet.get(), 3000);
+        const EyMember_t *other = EyMembership_Find(
+            EyCluster_Membership(fleet->nodes[0].cluster), "gateway-1");
+        bool is_known = other != nullptr;
+        RC_ASSERT(is_known);
+    });
+}
--- a/tests/property/test_membership_properties.cc
+++ b/tests/property/test_membership_properties.cc
@@ -168,6 +168,28 @@
     });
 }
 
+Test(membership_properties, a_frozen_instance_comes_back_to_strangers)
+{
+    EY_CHECK("freeze and restarts", [] {
+        const auto count = *rc::gen::inRange<size_t>(3, 7);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        Node &frozen = *net->nodes[*rc::gen::inRange<size_t>(0, count)];
+        frozen.frozen = true;
+        net->run(30000);
+        /* Nobody is left who knows that it was gone. */
+        for (auto &node : net->nodes) {
+            if (node.get() != &frozen) {
+                net->start(*node, 3);
+            }
+        }
+        net->run(5000);
+        net->thaw(frozen);
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        RC_ASSERT(EyMembership_Self(frozen.membership)->incarnation > 1U);
+    });
+}
+
 Test(membership_properties, a_partition_heals)
 {
     EY_CHECK("partition", [] {
