--- /dev/null
+++ b/src/gateway/configuration.c
@@ -0,0 +1,150 @@
+/* The gateway's copy of the configuration, and its proposals. */
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/memory.h"
+#include "gateway/internal.h"
+#include "operators/operators.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define TICK_MS 100
+
+static void
+hook_send(void *data, const char *to, const EyConfigMessage_t *message)
+{
+    const EyGateway_t *self = data;
+    EyNode_Send(self->node, EY_PEER_CONFIG, to, &EyConfigMessage_schema,
+                message);
+}
+
+static void
+hook_changed(void *data, const EyStore_t *store)
+{
+    EyGateway_t *self = data;
+    EY_LOG(EY_LOG_INFO, "gateway", "configuration",
+           EY_LOG_NUMBER("version", store->config.version),
+           EY_LOG_NUMBER("revision", store->config.revision));
+    EyGatewayRecords_Configure(self->records, store);
+}
+
+static void
+on_tick(void *data, int64_t now_ms)
+{
+    const EyGateway_t *self = data;
+    EyConfigReplica_Tick(self->configuration, now_ms);
+    EyProposer_Tick(self->proposer, now_ms);
+}
+
+static void
+hook_answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
+            const EyResult_t *result)
+{
+    EyGateway_t *self = data;
+    EyRequest_t *request = g_hash_table_lookup(self->proposals, &number);
+    if (request == NULL) {
+        return;
+    }
+    EyAnswer_t *answer = EyOperators_Answer(outcome, result);
+    EyServer_Answer(self->node->server, request->number, answer);
+    (void)g_hash_table_remove(self->proposals, &number);
+}
+
+static void
+free_talloc(gpointer object)
+{
+    talloc_free(object);
+}
+
+static void
+open_proposer(EyGateway_t *self)
+{
+    const EyProposerHooks_t hooks = {
+        .send = hook_send,
+        .answer = hook_answer,
+        .data = self,
+    };
+    self->proposer =
+        EyProposer_New(self, EyRandom_Next(&self->node->random), &hooks);
+    self->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                            free_talloc, free_talloc);
+}
+
+void
+EyGateway_OpenConfiguration(EyGateway_t *self)
+{
+    const EyConfigReplicaHooks_t hooks = {
+        .send = hook_send,
+        .changed = hook_changed,
+        .data = self,
+    };
+    self->configuration = EyConfigReplica_New(
+        self, self->node->settings->id, EyRandom_Next(&self->node->random),
+        &hooks, EyClock_NowMs());
+    open_proposer(self);
+    (void)EyTimers_Every(self->node->timers, TICK_MS, on_tick, self);
+}
+
+void
+EyGateway_SetSources(EyGateway_t *self, const EyName_t *gateways,
+                     uint32_t gateway_count, const EyName_t *controls,
+                     uint32_t control_count)
+{
+    EyConfigReplica_SetSources(self->configuration, gateways, gateway_count,
+                               controls, control_count);
+    EyProposer_SetControls(self->proposer, controls, control_count);
+}
+
+bool
+EyGateway_IsConfigured(const EyGateway_t *self)
+{
+    return EyConfigReplica_IsReady(self->configuration);
+}
+
+const EyConfig_t *
+EyGateway_Config(const EyGateway_t *self)
+{
+    return &EyConfigReplica_Store(self->configuration)->config;
+}
+
+void
+EyGateway_Propose(EyGateway_t *self, EyCommand_t *command)
+{
+    uint64_t number = ++self->last_proposal;
+    (void)snprintf(command->change_id, sizeof(command->change_id),
+                   "system-%llx-%llu",
+                   (unsigned long long)self->node->incarnation,
+                   (unsigned long long)number);
+    EyProposer_Propose(self->proposer, EyClock_NowMs(), number, command);
+}
+
+void
+EyGateway_Operate(EyGateway_t *self, EyRequest_t *request)
+{
+    EyOperatorsReply_t reply =
+        EyOperators_Handle(request, EyConfigReplica_Store(self->configuration),
+                           self->node->operator_token);
+    if (reply.answer != NULL) {
+        EyNode_Answer(self->node, request, reply.answer);
+        return;
+    }
+    uint64_t *key = EY_NEW(NULL, uint64_t);
+    *key = ++self->last_proposal;
+    g_hash_table_insert(self->proposals, key, request);
+    EyProposer_Propose(self->proposer, EyClock_NowMs(), *key, &reply.command);
+}
+
+void
+EyGateway_ReceiveConfig(EyGateway_t *self, const EyPeerMessage_t *message)
+{
+    void *ctx = talloc_new(NULL);
+    EyConfigMessage_t config_message;
+    if (EySchema_Unpack(&EyConfigMessage_schema, ctx, message->payload.data,
+                        message->payload.size_bytes, &config_message, NULL))
+    {
+        EyConfigReplica_Receive(self->configuration, EyClock_NowMs(),
+                                message->from, &config_message);
+        EyProposer_Receive(self->proposer, EyClock_NowMs(), &config_message);
+    }
+    talloc_free(ctx);
+}
--- /dev/null
+++ b/tests/property/test_log_properties.cc
@@ -0,0 +1,294 @@
+#include "property/check.h"
+#include "property/log_world.h"
+
+using log_world::World;
+
+namespace {
+
+constexpr int64_t SettleMs = 20000;
+constexpr size_t OrdersMax = 60;
+
+/** One order to the world; its parts are read from one number. */
+enum Order : uint32_t {
+    ORDER_RUN,
+    ORDER_PROPOSE,
+    ORDER_CRASH,
+    ORDER_START,
+    ORDER_WIPE,
+    ORDER_CUT,
+    ORDER_HEAL,
+    ORDER_FREEZE,
+    ORDER_THAW,
+    ORDER_JUMP,
+    ORDER_FULL,
+    ORDER_ROOM,
+    ORDER_NOISE,
+    ORDER_REMOVE,
+    ORDER_COUNT
+};
+
+/* How often each order comes, in one table. */
+const Order Mix[] = {
+    ORDER_RUN,     ORDER_RUN,     ORDER_RUN,     ORDER_RUN,   ORDER_RUN,
+    ORDER_RUN,     ORDER_RUN,     ORDER_RUN,     ORDER_RUN,   ORDER_PROPOSE,
+    ORDER_PROPOSE, ORDER_PROPOSE, ORDER_PROPOSE, ORDER_CRASH, ORDER_CRASH,
+    ORDER_START,   ORDER_START,   ORDER_START,   ORDER_WIPE,  ORDER_WIPE,
+    ORDER_CUT,     ORDER_CUT,     ORDER_HEAL,    ORDER_HEAL,  ORDER_FREEZE,
+    ORDER_THAW,    ORDER_THAW,    ORDER_JUMP,    ORDER_FULL,  ORDER_ROOM,
+    ORDER_NOISE,   ORDER_REMOVE,
+};
+
+void
+propose_everywhere(World &world)
+{
+    for (size_t i = 0; i < world.nodes.size(); i++) {
+        (void)world.propose(i);
+    }
+}
+
+void
+heal(World &world, size_t node)
+{
+    for (size_t i = 0; i < world.nodes.size(); i++) {
+        world.cut(node, i, false);
+        world.cut(i, node, false);
+    }
+}
+
+void
+carry_out(World &world, uint32_t number)
+{
+    const size_t count = world.nodes.size();
+    Order order = Mix[number % (sizeof(Mix) / sizeof(Mix[0]))];
+    number /= sizeof(Mix) / sizeof(Mix[0]);
+    size_t node = number % count;
+    size_t other = number / count % count;
+    int64_t amount = number / (count * count) % 100;
+    switch (order) {
+    case ORDER_RUN:
+        world.run(10 + amount * 20);
+        break;
+    case ORDER_PROPOSE:
+        propose_everywhere(world);
+        world.run(amount);
+        break;
+    case ORDER_CRASH:
+        world.crash(node);
+        break;
+    case ORDER_START:
+        world.start(node);
+        break;
+    case ORDER_WIPE:
+        if (world.wipe(node)) {
+            world.start(node);
+        }
+        break;
+    case ORDER_CUT:
+        world.cut(node, other, true);
+        break;
+    case ORDER_HEAL:
+        heal(world, node);
+        break;
+    case ORDER_FREEZE:
+        world.freeze(node, true);
+        break;
+    case ORDER_THAW:
+        world.freeze(node, false);
+        break;
+    case ORDER_JUMP:
+        world.jump_clock(node, amount * 50);
+        break;
+    case ORDER_FULL:
+        world.fill_disk(node, true);
+        break;
+    case ORDER_ROOM:
+        world.fill_disk(node, false);
+        break;
+    case ORDER_NOISE:
+        world.noise = static_cast<uint64_t>(amount) * 3;
+        break;
+    case ORDER_REMOVE:
+        world.remove(node, other);
+        break;
+    default:
+        break;
+    }
+}
+
+/** After the faults end: a leader, all members voters, a commit. */
+void
+check_liveness(World &world)
+{
+    world.end_faults();
+    world.run(SettleMs);
+    size_t leader = world.leader();
+    log_world::hold(leader < world.nodes.size(),
+                    "a leader within the bound after the faults end");
+    uint64_t number = world.propose(leader);
+    world.run(SettleMs / 4);
+    log_world::hold(world.accepted.count(number) == 1,
+                    "a commit within the bound after the faults end");
+    log_world::hold(world.is_settled(),
+                    "all members are voters with equal state");
+}
+
+void
+check_orders(size_t count, uint64_t seed, const std::vector<uint32_t> &orders)
+{
+    try {
+        World world(count, seed);
+        for (uint32_t order : orders) {
+            carry_out(world, order);
+        }
+        check_liveness(world);
+    }
+    catch (const log_world::Broken &broken) {
+        RC_LOG() << "broken: " << broken.what() << "\n";
+        RC_FAIL(broken.what());
+    }
+}
+
+void
+check_any_orders(size_t count)
+{
+    const auto seed = *rc::gen::arbitrary<uint64_t>();
+    const auto size = *rc::gen::inRange<size_t>(0, OrdersMax);
+    const auto orders = *rc::gen::container<std::vector<uint32_t>>(
+        size, rc::gen::inRange<uint32_t>(0, 1U << 24));
+    check_orders(count, seed, orders);
+}
+
+} // namespace
+
+Test(log_properties, three_members_keep_what_was_committed)
+{
+    EY_CHECK("three members, any order of faults",
+             [] { check_any_orders(3); });
+}
+
+Test(log_properties, five_members_keep_what_was_committed)
+{
+    EY_CHECK("five members, any order of faults", [] { check_any_orders(5); });
+}
+
+namespace {
+
+/** A world with a leader that has committed something. */
+size_t
+elect(World &world)
+{
+    world.run(5000);
+    size_t leader = world.leader();
+    RC_ASSERT(leader < world.nodes.size());
+    (void)world.propose(leader);
+    world.run(500);
+    return leader;
+}
+
+} // namespace
+
+Test(log_properties, member_that_was_cut_off_does_not_unseat_the_leader)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        size_t other = (leader + 1) % 3;
+        uint64_t term = EyLog_Status(world.nodes[leader].log).term;
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(i, other, true);
+        }
+        world.run(8000);
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(i, other, false);
+        }
+        world.run(3000);
+        RC_ASSERT(world.leader() == leader);
+        RC_ASSERT(EyLog_Status(world.nodes[leader].log).term == term);
+    });
+}
+
+Test(log_properties, leader_without_quorum_rejects)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        for (size_t i = 0; i < 3; i++) {
+            world.cut(leader, i, true);
+        }
+        world.run(2 * EY_LOG_ELECTION_MIN_MS);
+        uint64_t number = world.propose(leader);
+        RC_ASSERT(world.rejected.count(number) == 1);
+    });
+}
+
+Test(log_properties, frozen_leader_rejects_as_it_wakes)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        world.freeze(leader, true);
+        world.run(10000);
+        world.freeze(leader, false);
+        uint64_t number = world.propose(leader);
+        RC_ASSERT(world.rejected.count(number) == 1);
+        world.run(5000);
+        RC_ASSERT(world.is_settled());
+    });
+}
+
+Test(log_properties, full_disk_takes_nothing_in)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(1, seed);
+        (void)elect(world);
+        world.fill_disk(0, true);
+        uint64_t first = world.propose(0);
+        world.run(500);
+        uint64_t second = world.propose(0);
+        world.run(500);
+        RC_ASSERT(world.accepted.count(first) == 0);
+        RC_ASSERT(world.rejected.count(second) == 1);
+        world.fill_disk(0, false);
+        world.run(3000);
+        uint64_t third = world.propose(0);
+        world.run(500);
+        RC_ASSERT(world.accepted.count(third) == 1);
+    });
+}
+
+Test(log_properties, second_loss_after_a_repair_loses_nothing)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(3, seed);
+        size_t leader = elect(world);
+        for (size_t round = 0; round < 4; round++) {
+            size_t lost = (leader + round) % 3;
+            RC_ASSERT(world.wipe(lost));
+            world.start(lost);
+            /* As soon as the repair counts, the next disk is lost. */
+            int64_t waited_ms = 0;
+            while (!world.wipe((lost + 1) % 3)) {
+                world.run(10);
+                waited_ms += 10;
+                RC_ASSERT(waited_ms < 20000);
+            }
+            world.start((lost + 1) % 3);
+            world.run(20000);
+            RC_ASSERT(world.is_settled());
+        }
+    });
+}
+
+Test(log_properties, one_member_commits_alone)
+{
+    World world(1, 1);
+    world.run(200);
+    uint64_t number = world.propose(0);
+    world.run(100);
+    cr_assert_eq(world.accepted.count(number), 1);
+    world.crash(0);
+    world.start(0);
+    world.run(200);
+    cr_assert_eq(world.committed.count(world.nodes[0].applied), 1);
+    cr_assert(world.is_settled());
+}
