ebonyyard-load: open-loop load from workload files

Cause: nothing measured the running gateways. Arrivals follow a workload file and a seed, whatever the answers do; latency counts from the scheduled arrival. The report gives quantiles, goodput within the time, refusals and how fast they came, unknown, broken (a stream without its end counts as broken), sent away, bytes between regions and the cost where the fleet counts them.

--- /dev/null
+++ b/src/daemons/ebonyyard_load.c
@@ -0,0 +1,172 @@
+#include "core/memory.h"
+#include "core/settings.h"
+#include "load/load_run.h"
+
+#include <curl/curl.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LENGTH_MAX_S 3600.0
+
+/** The flags as they are given. */
+typedef struct Flags {
+    char *workload;
+    char **gateways; /* each REGION=IP:port,... */
+    char *replicas;
+    char *json;
+    double length_s;
+    double factor;
+    int64_t seed;
+} Flags_t;
+
+static bool
+add_gateways(EyLoadOptions_t *options, const char *text)
+{
+    const char *equals = strchr(text, '=');
+    if (equals == NULL) {
+        return false;
+    }
+    char *region = g_strndup(text, (gsize)(equals - text));
+    char **addresses = g_strsplit(equals + 1, ",", -1);
+    bool good = true;
+    for (char **each = addresses; *each != NULL && good; each++) {
+        good = options->gateway_count < EY_LOAD_GATEWAYS_MAX &&
+               EyAddress_IsValid(*each);
+        if (good) {
+            EyLoadGateway_t *to = &options->gateways[options->gateway_count++];
+            (void)EY_COPY(to->region, region);
+            (void)EY_COPY(to->address, *each);
+        }
+    }
+    g_strfreev(addresses);
+    g_free(region);
+    return good;
+}
+
+static bool
+add_replicas(EyLoadOptions_t *options, const char *text)
+{
+    char **addresses = g_strsplit(text, ",", -1);
+    bool good = true;
+    for (char **each = addresses; *each != NULL && good; each++) {
+        good = options->replica_count < EY_LOAD_REPLICAS_MAX &&
+               EyAddress_IsValid(*each);
+        if (good) {
+            (void)EY_COPY(options->replicas[options->replica_count], *each);
+            options->replica_count++;
+        }
+    }
+    g_strfreev(addresses);
+    return good;
+}
+
+static bool
+read_flags(Flags_t *flags, int argc, const char **argv)
+{
+    struct poptOption table[] = {
+        {"workload", 0, POPT_ARG_STRING, &flags->workload, 0,
+         "workload file, as in tools/workloads", "FILE"},
+        {"gateways", 0, POPT_ARG_ARGV, &flags->gateways, 0,
+         "gateways of a region's callers; once for each region",
+         "REGION=IP:port,..."},
+        {"replicas", 0, POPT_ARG_STRING, &flags->replicas, 0,
+         "fakes to ask for their cost", "IP:port,..."},
+        {"seconds", 0, POPT_ARG_DOUBLE, &flags->length_s, 0,
+         "time in which requests arrive", "S"},
+        {"factor", 0, POPT_ARG_DOUBLE, &flags->factor, 0,
+         "of all rates of the workload", "F"},
+        {"seed", 0, POPT_ARG_LONGLONG, &flags->seed, 0,
+         "the same seed makes the same arrivals", "N"},
+        {"json", 0, POPT_ARG_STRING, &flags->json, 0,
+         "where to write the report as JSON", "FILE"},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext context =
+        poptGetContext("ebonyyard-load", argc, argv, table, 0);
+    int code = poptGetNextOpt(context);
+    if (code < -1) {
+        (void)fprintf(stderr, "ebonyyard-load: %s: %s\n",
+                      poptBadOption(context, 0), poptStrerror(code));
+    }
+    poptFreeContext(context);
+    return code >= -1;
+}
+
+/* Turns flags into options; false, with a message, names a bad one. */
+static bool
+make_options(const Flags_t *flags, EyLoadOptions_t *options)
+{
+    const char *bad = NULL;
+    for (char **each = flags->gateways; each != NULL && *each != NULL; each++)
+    {
+        bad = add_gateways(options, *each) ? bad : "--gateways";
+    }
+    if (flags->replicas != NULL && !add_replicas(options, flags->replicas)) {
+        bad = "--replicas";
+    }
+    if (options->gateway_count == 0) {
+        bad = "--gateways";
+    }
+    if (!(flags->length_s > 0.0 && flags->length_s <= LENGTH_MAX_S)) {
+        bad = "--seconds";
+    }
+    if (!(flags->factor > 0.0)) {
+        bad = "--factor";
+    }
+    if (bad != NULL) {
+        (void)fprintf(stderr, "ebonyyard-load: %s: bad or missing value\n",
+                      bad);
+    }
+    options->length_s = flags->length_s;
+    options->factor = flags->factor;
+    options->seed = (uint64_t)flags->seed;
+    return bad == NULL;
+}
+
+static void
+write_report(const Flags_t *flags, EyLoadReport_t *report)
+{
+    GString *text = g_string_new(NULL);
+    uint64_t seed = (uint64_t)flags->seed;
+    EyLoadReport_Text(report, flags->length_s, seed, text);
+    (void)fputs(text->str, stdout);
+    g_string_free(text, TRUE);
+    if (flags->json != NULL) {
+        json_t *json = EyLoadReport_Json(report, flags->length_s, seed);
+        if (json_dump_file(json, flags->json, JSON_INDENT(2)) != 0) {
+            (void)fprintf(stderr, "ebonyyard-load: can't write %s\n",
+                          flags->json);
+        }
+        json_decref(json);
+    }
+}
+
+int
+main(int argc, const char **argv)
+{
+    Flags_t flags = {.length_s = 10.0, .factor = 1.0, .seed = 1};
+    EyLoadOptions_t options = {.gateway_count = 0};
+    if (!read_flags(&flags, argc, argv) || !make_options(&flags, &options)) {
+        return EY_EXIT_SETTINGS;
+    }
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    void *ctx = talloc_new(NULL);
+    GError *error = NULL;
+    EyLoadReport_t *report = NULL;
+    options.workload = EyWorkload_Read(
+        ctx, flags.workload != NULL ? flags.workload : "", &error);
+    if (options.workload != NULL) {
+        report = EyLoadRun_Run(ctx, &options, &error);
+    }
+    if (report == NULL) {
+        (void)fprintf(stderr, "ebonyyard-load: %s\n", error->message);
+        g_clear_error(&error);
+        talloc_free(ctx);
+        return EY_EXIT_SETTINGS;
+    }
+    write_report(&flags, report);
+    talloc_free(ctx);
+    curl_global_cleanup();
+    return 0;
+}
--- /dev/null
+++ b/src/load/arrivals.c
@@ -0,0 +1,40 @@
+#include "load/arrivals.h"
+
+#include <math.h>
+
+EyArrivals_t
+EyArrivals_Make(const EyWorkload_t *workload, uint32_t class_index,
+                uint32_t region_index, double factor, uint64_t seed)
+{
+    uint64_t stream =
+        (uint64_t)class_index * EY_LOAD_REGIONS_MAX + region_index;
+    EyRandom_t mixer = EyRandom_Make(seed + stream);
+    return (EyArrivals_t){
+        .workload = workload,
+        .load_class = &workload->classes[class_index],
+        .region = &workload->regions[region_index],
+        .random = EyRandom_Make(EyRandom_Next(&mixer)),
+        .factor = factor,
+    };
+}
+
+/* Draws from the peak's rate and thins by the rate of the moment. */
+double
+EyArrivals_Next(EyArrivals_t *self)
+{
+    double peak_ms = self->region->peak_at * self->workload->day_s * 1000.0;
+    double most = EyWorkload_Rate(self->workload, self->load_class,
+                                  self->region, peak_ms) *
+                  self->factor;
+    if (!(most > 0.0)) {
+        return INFINITY;
+    }
+    double rate = 0.0;
+    do {
+        self->at_ms -= log(1.0 - EyRandom_Unit(&self->random)) / most;
+        rate = EyWorkload_Rate(self->workload, self->load_class, self->region,
+                               self->at_ms) *
+               self->factor;
+    } while (EyRandom_Unit(&self->random) * most >= rate);
+    return self->at_ms;
+}
--- /dev/null
+++ b/src/load/arrivals.h
@@ -0,0 +1,36 @@
+/**
+ * Open-loop arrivals of one class in one region: a Poisson stream whose rate
+ * follows the day. They depend on workload and seed only, never on answers.
+ */
+#ifndef EY_LOAD_ARRIVALS_H
+#define EY_LOAD_ARRIVALS_H
+
+#include "core/random.h"
+#include "load/workload.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyArrivals {
+    const EyWorkload_t *workload;
+    const EyLoadClass_t *load_class;
+    const EyLoadRegion_t *region;
+    EyRandom_t random;
+    double factor; /* of all rates */
+    double at_ms;  /* of the last arrival */
+} EyArrivals_t;
+
+EyArrivals_t
+EyArrivals_Make(const EyWorkload_t *workload, uint32_t class_index,
+                uint32_t region_index, double factor, uint64_t seed);
+
+/** Milliseconds from the start to the next arrival; INFINITY: none. */
+double
+EyArrivals_Next(EyArrivals_t *self);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/tests/fakes/peer.c
+++ b/tests/fakes/peer.c
@@ -1,5 +1,7 @@
 #include "fakes/peer.h"
 
+#include "core/clock.h"
+
 #include <arpa/inet.h>
 #include <curl/curl.h>
 #include <netinet/in.h>
@@ -92,10 +94,11 @@
 {
     pthread_mutex_lock(&self->lock);
     json_t *json = json_pack(
-        "{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o}", "requests",
-        (json_int_t)self->requests, "runs", (json_int_t)self->runs, "tokens",
-        (json_int_t)self->tokens, "cancelled", (json_int_t)self->cancelled,
-        "orders", (json_int_t)self->orders, "orders_refused",
+        "{s:f,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i,s:i,s:o,s:o,s:o}", "busy_ms",
+        self->busy_ms, "requests", (json_int_t)self->requests, "runs",
+        (json_int_t)self->runs, "tokens", (json_int_t)self->tokens,
+        "cancelled", (json_int_t)self->cancelled, "orders",
+        (json_int_t)self->orders, "orders_refused",
         (json_int_t)self->orders_refused, "fencing", (json_int_t)self->fencing,
         "running", (int)self->running, "queued", (int)self->queued,
         "by_request_id", counts_json(self->runs_by_id), "by_key",
@@ -105,6 +108,16 @@
     return json;
 }
 
+/* Adds up the time of the slots in use; before each change of their number. */
+static void
+count_busy(FakePeer_t *self)
+{
+    int64_t now_ms = EyClock_NowMs();
+    self->busy_ms +=
+        (double)self->running * (double)(now_ms - self->busy_until_ms);
+    self->busy_until_ms = now_ms;
+}
+
 /* Requests */
 
 const char *
@@ -190,6 +203,7 @@
         self->cancelled++;
     }
     else {
+        count_busy(self);
         self->running++;
     }
     pthread_mutex_unlock(&self->lock);
@@ -200,6 +214,7 @@
 FakePeer_GiveSlot(FakePeer_t *self)
 {
     pthread_mutex_lock(&self->lock);
+    count_busy(self);
     self->running--;
     pthread_cond_signal(&self->slot_freed);
     pthread_mutex_unlock(&self->lock);
--- a/tests/fakes/peer.h
+++ b/tests/fakes/peer.h
@@ -56,6 +56,8 @@
     uint32_t queued;
     uint32_t lagged_running; /* as of the announcement before */
     uint32_t lagged_queued;
+    double busy_ms; /* of all slots, until busy_until_ms */
+    int64_t busy_until_ms;
     uint64_t requests;
     uint64_t runs;
     uint64_t tokens;
