Split the router's and the experiment's largest files

What the router hears of backend servers and regions, and an experiment's setting up and measuring, are files of their own.

--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -1,10 +1,6 @@
-#include "routing/router.h"
-
 #include "core/memory.h"
 #include "core/random.h"
-#include "routing/away.h"
-#include "routing/pool.h"
-#include "routing/retry_budget.h"
+#include "routing/router_internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -15,41 +11,10 @@
 /** Share by which refused callers are spread. */
 #define RETRY_AFTER_SPREAD 0.25
 #define NO_BACKEND_RETRY_AFTER_MS 1000
-/** Servers that come within this time of the start aren't new to the region
- * but to us: they get their whole share at once. */
-#define START_MS 5000
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
 #define GIVE_UP_SHARE 0.9
 
-/** A request that waits: where. */
-typedef struct Place {
-    EyPool_t *pool;
-    GSequenceIter *place;
-} Place_t;
-
-/** A flight with what only the router needs of it. */
-typedef struct OpenFlight {
-    EyFlight_t flight;
-    EyName_t region; /* sent away to, or "" */
-} OpenFlight_t;
-
-struct EyRouter {
-    EyName_t region;
-    EyRoutingConfig_t config;
-    const EyPolicy_t *policy;
-    EyPolicyState_t state;
-    uint32_t gateways;
-    int64_t started_ms;   /* < 0: no event yet */
-    GHashTable *replicas; /* id to EyReplica_t */
-    GHashTable *pools;    /* target to EyPool_t */
-    GHashTable *waiting;  /* number to Place_t */
-    GHashTable *flights;  /* number to OpenFlight_t */
-    EyAway_t *away;
-    EyRetryBudget_t retries;
-    EyRoutingStats_t stats;
-};
-
 static int
 destroy_router(EyRouter_t *self)
 {
@@ -114,134 +79,6 @@
     };
 }
 
-/* Backend servers and other regions */
-
-static EyPool_t *
-find_pool(const EyRouter_t *self, EyBackendKind_t kind, const char *target)
-{
-    char key[EY_POOL_KEY_SIZE_BYTES];
-    EyPool_Key(key, kind, target);
-    return g_hash_table_lookup(self->pools, key);
-}
-
-static EyPool_t *
-pool_of(EyRouter_t *self, EyBackendKind_t kind, const char *target)
-{
-    EyPool_t *pool = find_pool(self, kind, target);
-    if (pool == NULL) {
-        pool = EyPool_New(NULL, kind, target);
-        g_hash_table_insert(self->pools, pool->key, pool);
-    }
-    return pool;
-}
-
-static void
-each_target(const EyBackend_t *backend, EyRouter_t *self, EyReplica_t *replica,
-            void (*change)(EyPool_t *, EyReplica_t *))
-{
-    for (uint32_t i = 0; i < backend->model_count; i++) {
-        change(pool_of(self, EY_BACKEND_MODEL, backend->models[i]), replica);
-    }
-    for (uint32_t i = 0; i < backend->service_count; i++) {
-        change(pool_of(self, EY_BACKEND_SERVICE, backend->services[i]),
-               replica);
-    }
-}
-
-static bool
-same_names(const EyName_t *one, uint32_t one_count, const EyName_t *other,
-           uint32_t other_count)
-{
-    bool same = one_count == other_count;
-    for (uint32_t i = 0; same && i < one_count; i++) {
-        same = strcmp(one[i], other[i]) == 0;
-    }
-    return same;
-}
-
-static bool
-same_targets(const EyBackend_t *one, const EyBackend_t *other)
-{
-    return same_names(one->models, one->model_count, other->models,
-                      other->model_count) &&
-           same_names(one->services, one->service_count, other->services,
-                      other->service_count);
-}
-
-static void
-add_replica(EyRouter_t *self, int64_t now_ms, const EyBackend_t *backend)
-{
-    EyReplica_t *replica = EyReplica_New(NULL, now_ms, backend);
-    if (now_ms - self->started_ms > START_MS) {
-        EyOutlier_StartRamp(&replica->outlier, now_ms);
-    }
-    g_hash_table_insert(self->replicas, replica->backend->id, replica);
-    each_target(backend, self, replica, EyPool_AddReplica);
-}
-
-void
-EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
-                       const EyBackend_t *backend)
-{
-    if (self->started_ms < 0) {
-        self->started_ms = now_ms;
-    }
-    EyReplica_t *replica = g_hash_table_lookup(self->replicas, backend->id);
-    if (replica == NULL) {
-        add_replica(self, now_ms, backend);
-        return;
-    }
-    bool same = same_targets(replica->backend, backend);
-    if (!same) {
-        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
-    }
-    g_hash_table_steal(self->replicas, backend->id);
-    EyReplica_Update(replica, now_ms, backend);
-    g_hash_table_insert(self->replicas, replica->backend->id, replica);
-    if (!same) {
-        each_target(backend, self, replica, EyPool_AddReplica);
-    }
-}
-
-void
-EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id)
-{
-    (void)now_ms;
-    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
-    if (replica != NULL) {
-        EyReplica_Abandon(replica);
-        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
-        g_hash_table_remove(self->replicas, id);
-    }
-}
-
-void
-EyRouter_TakePrefixEvent(EyRouter_t *self, int64_t now_ms, const char *id,
-                         uint64_t serial, uint64_t hash, bool is_stored)
-{
-    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
-    if (replica != NULL) {
-        EyPrefixHints_TakeEvent(&replica->prefixes, now_ms, serial, hash,
-                                is_stored);
-    }
-}
-
-void
-EyRouter_SetSummary(EyRouter_t *self, int64_t now_ms,
-                    const EyRegionSummary_t *summary)
-{
-    if (strcmp(summary->region, self->region) != 0) {
-        EyAway_SetSummary(self->away, now_ms, &self->config, summary);
-    }
-}
-
-void
-EyRouter_SetLink(EyRouter_t *self, int64_t now_ms, const char *region,
-                 uint64_t bytes_per_s)
-{
-    EyAway_SetLink(self->away, now_ms, region, bytes_per_s);
-}
-
 /* Decisions */
 
 static EyRoutingDecision_t
@@ -272,11 +109,11 @@
                       });
 }
 
-static OpenFlight_t *
+static EyOpenFlight_t *
 open_flight(EyRouter_t *self, int64_t now_ms,
             const EyRoutingRequest_t *request)
 {
-    OpenFlight_t *open = EY_NEW(NULL, OpenFlight_t);
+    EyOpenFlight_t *open = EY_NEW(NULL, EyOpenFlight_t);
     open->flight = (EyFlight_t){
         .number = request->number,
         .work = EyRoutingRequest_Work(request),
@@ -292,7 +129,7 @@
 dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
          const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
-    OpenFlight_t *open = open_flight(self, now_ms, request);
+    EyOpenFlight_t *open = open_flight(self, now_ms, request);
     open->flight.pool = pool;
     open->flight.slowdown = plan->slowdown;
     pool->flight_count++;
@@ -321,7 +158,7 @@
     if (region == NULL) {
         return false;
     }
-    OpenFlight_t *open = open_flight(self, now_ms, request);
+    EyOpenFlight_t *open = open_flight(self, now_ms, request);
     (void)EY_COPY(open->region, region);
     self->stats.sent_away_bytes += EyAway_Bytes(request, &self->config);
     *decision = (EyRoutingDecision_t){
@@ -350,7 +187,7 @@
         const EyPlan_t *plan)
 {
     double work = EyRoutingRequest_Work(request);
-    Place_t *place = g_new0(Place_t, 1);
+    EyPlace_t *place = g_new0(EyPlace_t, 1);
     place->pool = pool;
     place->place =
         EyAdmissionQueue_Add(pool->queue, request, work, plan->best_run_ms);
@@ -412,7 +249,7 @@
 static EyRoutingDecision_t
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
-    EyPool_t *pool = find_pool(self, request->kind, request->target);
+    EyPool_t *pool = EyRouter_FindPool(self, request->kind, request->target);
     EyPlan_t plan = {.has_replica = false};
     if (pool != NULL) {
         EyPlanning_t planning = planning_at(self, now_ms);
@@ -621,7 +458,7 @@
 }
 
 static void
-end_flight(EyRouter_t *self, int64_t now_ms, OpenFlight_t *open,
+end_flight(EyRouter_t *self, int64_t now_ms, EyOpenFlight_t *open,
            const EyRoutingResult_t *result)
 {
     EyFlight_t *flight = &open->flight;
@@ -649,7 +486,7 @@
 EyRouter_Finished(EyRouter_t *self, int64_t now_ms, uint64_t number,
                   const EyRoutingResult_t *result, GArray *decisions)
 {
-    OpenFlight_t *open = g_hash_table_lookup(self->flights, &number);
+    EyOpenFlight_t *open = g_hash_table_lookup(self->flights, &number);
     if (open == NULL) {
         return false;
     }
@@ -666,7 +503,7 @@
 EyRouter_Cancel(EyRouter_t *self, int64_t now_ms, uint64_t number,
                 GArray *decisions)
 {
-    const Place_t *place = g_hash_table_lookup(self->waiting, &number);
+    const EyPlace_t *place = g_hash_table_lookup(self->waiting, &number);
     if (place != NULL) {
         stop_waiting(self, place->pool, place->place);
         return true;
--- /dev/null
+++ b/src/routing/router_backends.c
@@ -0,0 +1,135 @@
+/* What the router hears of backend servers and other regions. */
+#include "routing/router_internal.h"
+
+#include <string.h>
+
+/** Servers that come within this time of the start aren't new to the region
+ * but to us: they get their whole share at once. */
+#define START_MS 5000
+
+EyPool_t *
+EyRouter_FindPool(const EyRouter_t *self, EyBackendKind_t kind,
+                  const char *target)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, kind, target);
+    return g_hash_table_lookup(self->pools, key);
+}
+
+static EyPool_t *
+pool_of(EyRouter_t *self, EyBackendKind_t kind, const char *target)
+{
+    EyPool_t *pool = EyRouter_FindPool(self, kind, target);
+    if (pool == NULL) {
+        pool = EyPool_New(NULL, kind, target);
+        g_hash_table_insert(self->pools, pool->key, pool);
+    }
+    return pool;
+}
+
+static void
+each_target(const EyBackend_t *backend, EyRouter_t *self, EyReplica_t *replica,
+            void (*change)(EyPool_t *, EyReplica_t *))
+{
+    for (uint32_t i = 0; i < backend->model_count; i++) {
+        change(pool_of(self, EY_BACKEND_MODEL, backend->models[i]), replica);
+    }
+    for (uint32_t i = 0; i < backend->service_count; i++) {
+        change(pool_of(self, EY_BACKEND_SERVICE, backend->services[i]),
+               replica);
+    }
+}
+
+static bool
+same_names(const EyName_t *one, uint32_t one_count, const EyName_t *other,
+           uint32_t other_count)
+{
+    bool same = one_count == other_count;
+    for (uint32_t i = 0; same && i < one_count; i++) {
+        same = strcmp(one[i], other[i]) == 0;
+    }
+    return same;
+}
+
+static bool
+same_targets(const EyBackend_t *one, const EyBackend_t *other)
+{
+    return same_names(one->models, one->model_count, other->models,
+                      other->model_count) &&
+           same_names(one->services, one->service_count, other->services,
+                      other->service_count);
+}
+
+static void
+add_replica(EyRouter_t *self, int64_t now_ms, const EyBackend_t *backend)
+{
+    EyReplica_t *replica = EyReplica_New(NULL, now_ms, backend);
+    if (now_ms - self->started_ms > START_MS) {
+        EyOutlier_StartRamp(&replica->outlier, now_ms);
+    }
+    g_hash_table_insert(self->replicas, replica->backend->id, replica);
+    each_target(backend, self, replica, EyPool_AddReplica);
+}
+
+void
+EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
+                       const EyBackend_t *backend)
+{
+    if (self->started_ms < 0) {
+        self->started_ms = now_ms;
+    }
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, backend->id);
+    if (replica == NULL) {
+        add_replica(self, now_ms, backend);
+        return;
+    }
+    bool same = same_targets(replica->backend, backend);
+    if (!same) {
+        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+    }
+    g_hash_table_steal(self->replicas, backend->id);
+    EyReplica_Update(replica, now_ms, backend);
+    g_hash_table_insert(self->replicas, replica->backend->id, replica);
+    if (!same) {
+        each_target(backend, self, replica, EyPool_AddReplica);
+    }
+}
+
+void
+EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id)
+{
+    (void)now_ms;
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica != NULL) {
+        EyReplica_Abandon(replica);
+        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+        g_hash_table_remove(self->replicas, id);
+    }
+}
+
+void
+EyRouter_TakePrefixEvent(EyRouter_t *self, int64_t now_ms, const char *id,
+                         uint64_t serial, uint64_t hash, bool is_stored)
+{
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica != NULL) {
+        EyPrefixHints_TakeEvent(&replica->prefixes, now_ms, serial, hash,
+                                is_stored);
+    }
+}
+
+void
+EyRouter_SetSummary(EyRouter_t *self, int64_t now_ms,
+                    const EyRegionSummary_t *summary)
+{
+    if (strcmp(summary->region, self->region) != 0) {
+        EyAway_SetSummary(self->away, now_ms, &self->config, summary);
+    }
+}
+
+void
+EyRouter_SetLink(EyRouter_t *self, int64_t now_ms, const char *region,
+                 uint64_t bytes_per_s)
+{
+    EyAway_SetLink(self->away, now_ms, region, bytes_per_s);
+}
--- a/tests/bench/experiment.c
+++ b/tests/bench/experiment.c
@@ -1,122 +1,13 @@
-#include "bench/experiment.h"
-
-#include "bench/engine_model.h"
+#include "bench/experiment_run.h"
 #include "core/memory.h"
-#include "core/random.h"
 
 #include <math.h>
 #include <string.h>
 
-#define GATEWAYS_MAX 6
-#define ENGINES_MAX 64
-#define MODEL_UNIT_MS 10.0
-#define SERVICE_UNIT_MS 20.0
-#define TICK_MS 20.0
-#define ANNOUNCE_MS 1000.0
-#define TTL_MS 3000.0
-#define LINK_DELAY_MS 40.0
-#define TOKEN_BYTES 64
-#define ATTEMPTS_MAX 3
-/** A stop or slowdown comes and goes at these shares of the run. */
-#define FAULT_FROM 0.3
-#define FAULT_TO 0.6
-/** Arrivals of the first part warm up and aren't measured. */
-#define WARM_UP 0.1
-#define LATE_REFUSAL_MS 50.0
-/** Share of a link that requests sent away may use. */
-#define LINK_SHARE 0.5
-
-static const char *const region_names[EXPERIMENT_REGIONS] = {"one", "two",
-                                                             "three"};
-
-typedef enum EventKind {
-    EVENT_ARRIVE,
-    EVENT_TICK,
-    EVENT_ANNOUNCE,
-    EVENT_END,
-    EVENT_DEADLINE,
-    EVENT_AWAY_THERE,
-    EVENT_AWAY_REFUSED,
-    EVENT_FAULT,
-    EVENT_REPAIR
-} EventKind_t;
-
-typedef struct Job {
-    const JobClass_t *class;
-    uint32_t region;
-    uint32_t gateway; /* that the caller asked */
-    uint32_t away_region;
-    uint32_t away_gateway; /* that it was sent to */
-    bool is_away;
-    bool is_bound;
-    bool is_done;
-    bool is_late; /* of the measured part */
-    bool is_measured;
-    bool was_sent_away;
-    uint64_t prefix;
-    double arrived_ms;
-    double tokens;
-    double sent_ms; /* to its replica */
-    int32_t engine; /* -1: none */
-    bool runs;
-    uint32_t attempts;
-    EyName_t excluded[ATTEMPTS_MAX];
-} Job_t;
-
-typedef struct Server {
-    Engine_t engine;
-    EyBackend_t announced;
-    EyName_t targets[1];
-    uint32_t region;
-    uint32_t lagged_running;
-    uint32_t lagged_queued;
-    double last_announced_ms;
-    bool is_known;
-} Server_t;
-
-typedef struct Run {
-    const User_t *user;
-    const Scenario_t *scenario;
-    EyRandom_t arrivals;
-    EyRandom_t random;
-    EventQueue_t events;
-    EyRouter_t *routers[EXPERIMENT_REGIONS][GATEWAYS_MAX];
-    Server_t servers[ENGINES_MAX];
-    uint32_t server_count;
-    double rate_per_ms[EXPERIMENT_REGIONS];
-    double link_free_ms[EXPERIMENT_REGIONS][EXPERIMENT_REGIONS];
-    double away_bytes;
-    GPtrArray *jobs;
-    GArray *decisions;
-    double now_ms;
-    double length_ms;
-    uint64_t calls;
-    bool has_fault;
-    double work_done; /* slot milliseconds at full speed, in time */
-    GArray *latencies;
-    GArray *booking_latencies;
-    GArray *refusals;
-    uint64_t arrived;
-    uint64_t in_time;
-    uint64_t failed;
-    uint64_t sent_away;
-} Run_t;
-
 static void
 decide(Run_t *run, const EyRoutingDecision_t *decision, uint32_t region,
        uint32_t gateway);
 
-static void
-push(Run_t *run, double delay_ms, EventKind_t kind, uint32_t index,
-     uint64_t number)
-{
-    Event_t event = {.at_ms = run->now_ms + delay_ms,
-                     .kind = (int32_t)kind,
-                     .index = index,
-                     .number = number};
-    EventQueue_Push(&run->events, event);
-}
-
 static Job_t *
 job_of(const Run_t *run, uint64_t number)
 {
@@ -213,7 +104,7 @@
     };
     memcpy(request.excluded, job->excluded, sizeof(job->excluded));
     if (job->is_bound || job->class->is_service) {
-        (void)EY_COPY(request.home, region_names[job->region]);
+        (void)EY_COPY(request.home, Run_region_names[job->region]);
     }
     uint32_t region = job->is_away ? job->away_region : job->region;
     uint32_t gateway = job->is_away ? job->away_gateway : job->gateway;
@@ -235,7 +126,7 @@
         job->class->is_service ? 0.0 : (double)job->class->body_bytes / 1000.0;
     double run_ms = Engine_RunMs(engine, job->tokens, prompt, job->prefix);
     engine->busy_ms += run_ms;
-    push(run, run_ms, EVENT_END, job->attempts, number);
+    Run_Push(run, run_ms, EVENT_END, job->attempts, number);
 }
 
 static void
@@ -316,20 +207,13 @@
 region_index(const char *name)
 {
     uint32_t i = 0;
-    while (i < EXPERIMENT_REGIONS - 1 && strcmp(region_names[i], name) != 0) {
+    while (i < EXPERIMENT_REGIONS - 1 &&
+           strcmp(Run_region_names[i], name) != 0) {
         i++;
     }
     return i;
 }
 
-static double
-link_rate(const Run_t *run)
-{
-    return run->scenario->link_bytes_per_s > 0.0
-               ? run->scenario->link_bytes_per_s
-               : run->user->link_bytes_per_s;
-}
-
 /* Puts bytes on a link, first come first served; the time until they are
  * through. */
 static double
@@ -337,7 +221,7 @@
 {
     double *free_ms = &run->link_free_ms[from][to];
     double start_ms = *free_ms > run->now_ms ? *free_ms : run->now_ms;
-    *free_ms = start_ms + size_bytes * 1000.0 / link_rate(run);
+    *free_ms = start_ms + size_bytes * 1000.0 / Run_LinkRate(run);
     run->away_bytes += size_bytes;
     return *free_ms - run->now_ms + LINK_DELAY_MS;
 }
@@ -351,7 +235,7 @@
         (uint32_t)EyRandom_Below(&run->random, run->user->gateways);
     job->was_sent_away = true;
     run->sent_away += job->is_measured;
-    push(
+    Run_Push(
         run,
         cross_link(run, job->region, job->away_region, job->class->body_bytes),
         EVENT_AWAY_THERE, 0, decision->number);
@@ -373,7 +257,8 @@
         break;
     case EY_DECISION_REFUSE:
         if (job->is_away) {
-            push(run, LINK_DELAY_MS, EVENT_AWAY_REFUSED, 0, decision->number);
+            Run_Push(run, LINK_DELAY_MS, EVENT_AWAY_REFUSED, 0,
+                     decision->number);
         }
         else if (job->attempts > 0) {
             count_end(run, job, false);
@@ -389,22 +274,6 @@
 
 /* Events */
 
-static double
-mean_work(const User_t *user)
-{
-    double work = 0.0;
-    double share = 0.0;
-    for (uint32_t i = 0; i < user->class_count; i++) {
-        const JobClass_t *class = &user->classes[i];
-        if (!class->is_service) {
-            work += class->share * (0.65 * (double)class->tokens +
-                                    (double)class->body_bytes / 1000.0);
-            share += class->share;
-        }
-    }
-    return work / share;
-}
-
 static const JobClass_t *
 draw_class(Run_t *run)
 {
@@ -440,11 +309,11 @@
     double pause_ms =
         -log(1.0 - EyRandom_Unit(&run->arrivals)) / run->rate_per_ms[region];
     if (run->now_ms + pause_ms < run->length_ms) {
-        push(run, pause_ms, EVENT_ARRIVE, region, 0);
+        Run_Push(run, pause_ms, EVENT_ARRIVE, region, 0);
     }
     uint64_t number = run->jobs->len;
     g_ptr_array_add(run->jobs, job);
-    push(run, (double)job->class->timeout_ms, EVENT_DEADLINE, 0, number);
+    Run_Push(run, (double)job->class->timeout_ms, EVENT_DEADLINE, 0, number);
     submit(run, number, false);
 }
 
@@ -518,7 +387,7 @@
 announce(Run_t *run, uint32_t index)
 {
     Server_t *server = &run->servers[index];
-    push(run, ANNOUNCE_MS, EVENT_ANNOUNCE, index, 0);
+    Run_Push(run, ANNOUNCE_MS, EVENT_ANNOUNCE, index, 0);
     bool known = server->engine.is_up ||
                  run->now_ms - server->last_announced_ms < TTL_MS;
     for (uint32_t i = 0; i < run->user->gateways; i++) {
@@ -571,7 +440,7 @@
             decide_all(run, region, i);
         }
     }
-    push(run, TICK_MS, EVENT_TICK, 0, 0);
+    Run_Push(run, TICK_MS, EVENT_TICK, 0, 0);
 }
 
 static void
@@ -667,184 +536,6 @@
     }
 }
 
-/* Setting up */
-
-static void
-add_server(Run_t *run, uint32_t region, bool is_service, double speed)
-{
-    uint32_t index = run->server_count++;
-    Server_t *server = &run->servers[index];
-    server->region = region;
-    server->engine = (Engine_t){
-        .slots =
-            is_service ? run->user->service_slots : run->user->model_slots,
-        .speed = speed,
-        .unit_ms = is_service ? SERVICE_UNIT_MS : MODEL_UNIT_MS,
-        .slow_factor = 1.0,
-        .is_up = true,
-        .queue = g_queue_new(),
-    };
-    (void)EY_COPY(server->targets[0], "plan");
-    server->announced = (EyBackend_t){
-        .kind = is_service ? EY_BACKEND_SERVICE : EY_BACKEND_MODEL,
-        .models = server->targets,
-        .model_count = is_service ? 0 : 1,
-        .services = server->targets,
-        .service_count = is_service ? 1 : 0,
-        .slots = server->engine.slots,
-        .speed = 1.0,
-        .incarnation = 1,
-    };
-    (void)g_snprintf(server->announced.id, EY_NAME_SIZE_BYTES, "%u", index);
-    push(run, EyRandom_Unit(&run->random), EVENT_ANNOUNCE, index, 0);
-}
-
-/* Speeds of a region's replicas, spread evenly by factor around 1. */
-static double
-speed_of(const Scenario_t *scenario, uint32_t i, uint32_t count)
-{
-    if (scenario->speed_spread <= 1.0 || count < 2) {
-        return 1.0;
-    }
-    double place = (double)i / (double)(count - 1) - 0.5;
-    return pow(scenario->speed_spread, place);
-}
-
-static double
-full_units_per_ms(const Run_t *run, uint32_t region)
-{
-    double units = 0.0;
-    for (uint32_t i = 0; i < run->server_count; i++) {
-        const Server_t *server = &run->servers[i];
-        if (server->region == region &&
-            server->announced.kind == EY_BACKEND_MODEL) {
-            units += (double)server->engine.slots * server->engine.speed /
-                     (MODEL_UNIT_MS * 1.3);
-        }
-    }
-    return units;
-}
-
-static double
-model_share(const User_t *user)
-{
-    double share = 0.0;
-    for (uint32_t i = 0; i < user->class_count; i++) {
-        share += user->classes[i].is_service ? 0.0 : user->classes[i].share;
-    }
-    return share;
-}
-
-static EyRoutingConfig_t
-make_config(const Run_t *run, const Variant_t *variant)
-{
-    EyRoutingConfig_t config = EyRoutingConfig_Make();
-    (void)EY_COPY(config.policy, variant->policy);
-    config.tail_weight = run->user->tail_weight;
-    config.away_weight = run->user->away_weight;
-    config.link_bytes_per_s = variant->no_link_budget
-                                  ? UINT32_MAX
-                                  : (uint64_t)(link_rate(run) * LINK_SHARE /
-                                               (double)run->user->gateways);
-    config.admission = !variant->no_admission;
-    config.limits_retries = !variant->no_retry_budget;
-    config.ejects = !variant->no_ejection;
-    config.sends_away = !variant->no_away;
-    if (variant->herd_factor >= 0.0) {
-        config.herd_factor = variant->herd_factor;
-    }
-    if (variant->overcommit > 0.0) {
-        config.overcommit = variant->overcommit;
-    }
-    if (variant->hold_factor != 0.0) {
-        config.hold_factor = variant->hold_factor;
-    }
-    return config;
-}
-
-static void
-set_up(Run_t *run, void *ctx, const Variant_t *variant, uint64_t seed)
-{
-    const User_t *user = run->user;
-    for (uint32_t region = 0; region < EXPERIMENT_REGIONS; region++) {
-        for (uint32_t i = 0; i < user->models[region]; i++) {
-            add_server(run, region, false,
-                       speed_of(run->scenario, i, user->models[region]));
-        }
-        add_server(run, region, true, 1.0);
-        run->rate_per_ms[region] = run->scenario->load[region] *
-                                   full_units_per_ms(run, region) /
-                                   mean_work(user) / model_share(user);
-        for (uint32_t i = 0; i < user->gateways; i++) {
-            EyRouterOptions_t options = {
-                .region = region_names[region],
-                .seed = seed * 1000 + (uint64_t)region * 10 + i,
-                .config = make_config(run, variant),
-            };
-            run->routers[region][i] = EyRouter_New(ctx, &options);
-            EyRouter_SetGateways(run->routers[region][i], user->gateways);
-        }
-        push(run, 2.0 + (double)region, EVENT_ARRIVE, region, 0);
-    }
-    push(run, 2.0, EVENT_TICK, 0, 0);
-    push(run, run->length_ms * FAULT_FROM, EVENT_FAULT, 0, 0);
-    push(run, run->length_ms * FAULT_TO, EVENT_REPAIR, 0, 0);
-}
-
-static gint
-compare_doubles(gconstpointer one, gconstpointer other)
-{
-    double difference = *(const double *)one - *(const double *)other;
-    return difference < 0.0 ? -1 : difference > 0.0;
-}
-
-static double
-quantile(GArray *values, double share)
-{
-    if (values->len == 0) {
-        return 0.0;
-    }
-    g_array_sort(values, compare_doubles);
-    uint32_t place = (uint32_t)ceil(share * (double)values->len);
-    return g_array_index(values, double, place > 0 ? place - 1 : 0);
-}
-
-static Outcome_t
-measure(Run_t *run)
-{
-    double arrived = (double)run->arrived;
-    double busy_ms = 0.0;
-    double capacity = 0.0;
-    for (uint32_t i = 0; i < run->server_count; i++) {
-        busy_ms += run->servers[i].engine.busy_ms;
-    }
-    for (uint32_t i = 0; i < EXPERIMENT_REGIONS; i++) {
-        capacity += full_units_per_ms(run, i);
-    }
-    uint32_t late = 0;
-    for (uint32_t i = 0; i < run->refusals->len; i++) {
-        late += g_array_index(run->refusals, double, i) > LATE_REFUSAL_MS;
-    }
-    return (Outcome_t){
-        .p50_ms = quantile(run->latencies, 0.5),
-        .p95_ms = quantile(run->latencies, 0.95),
-        .p99_ms = quantile(run->latencies, 0.99),
-        .p999_ms = quantile(run->latencies, 0.999),
-        .goodput = (double)run->in_time / arrived,
-        .work_share =
-            run->work_done / capacity / (run->length_ms * (1.0 - WARM_UP)),
-        .refused = (double)run->refusals->len / arrived,
-        .refused_late = (double)late / arrived,
-        .refusal_p99_ms = quantile(run->refusals, 0.99),
-        .failed = (double)run->failed / arrived,
-        .sent_away = (double)run->sent_away / arrived,
-        .away_mb = run->away_bytes / 1e6,
-        .calls = (double)run->calls / (double)run->jobs->len,
-        .cost_s = busy_ms / 1000.0 / (double)run->in_time,
-        .booking_p99_ms = quantile(run->booking_latencies, 0.99),
-    };
-}
-
 static void
 free_job(gpointer job)
 {
@@ -868,14 +559,14 @@
     run->latencies = g_array_new(FALSE, FALSE, sizeof(double));
     run->booking_latencies = g_array_new(FALSE, FALSE, sizeof(double));
     run->refusals = g_array_new(FALSE, FALSE, sizeof(double));
-    set_up(run, ctx, variant, seed);
+    Run_SetUp(run, ctx, variant, seed);
     Event_t event;
     while (EventQueue_Pop(&run->events, &event) &&
            event.at_ms < run->length_ms * 2.0)
     {
         step(run, &event);
     }
-    Outcome_t outcome = measure(run);
+    Outcome_t outcome = Run_Measure(run);
     for (uint32_t i = 0; i < run->server_count; i++) {
         g_queue_free(run->servers[i].engine.queue);
     }
