--- a/tests/unit/test_client.c
+++ b/tests/unit/test_client.c
@@ -10,6 +10,8 @@
 
 #define IDLE_TIMEOUT_MS 150
 #define DEADLINE_MS 600
+/* Below the connect timeout: a refusal isn't waited out. */
+#define REFUSED_WITHIN_MS 700
 
 /** Answers and what must come of them. */
 typedef struct Case {
@@ -243,7 +245,9 @@
     Bench_t *bench = bench_new();
     uint16_t port = 0;
     (void)close(raw_listen(&port));
+    int64_t started_ms = EyClock_NowMs();
     const EyAttemptEvent_t *event = call(bench, 1, port, "/x");
+    cr_assert_lt(EyClock_NowMs() - started_ms, REFUSED_WITHIN_MS);
     cr_assert_eq(event->failure, EY_FAILURE_CONNECT);
     cr_assert(event->nothing_sent);
     cr_assert_eq(count_events(bench, 1, EY_ATTEMPT_SENDING), 0);
--- a/tests/unit/test_server.c
+++ b/tests/unit/test_server.c
@@ -140,6 +140,24 @@
     server_bench_free(bench);
 }
 
+Test(server, the_first_answer_wins)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(bench, GET "\r\n");
+    for (int i = 0; i < 100; i++) {
+        EyRequest_t *request = server_bench_take(bench);
+        EyServer_Answer(bench->server, request->number,
+                        EyAnswer_Text(200, "text/plain", "first"));
+        EyServer_Answer(bench->server, request->number,
+                        EyAnswer_Text(200, "text/plain", "other"));
+        talloc_free(request);
+        assert_has(read_until(socket, "\r\n\r\n"), "\r\n\r\nfirst");
+        (void)raw_send_text(socket, GET "\r\n");
+    }
+    (void)close(socket);
+    server_bench_free(bench);
+}
+
 Test(server, a_full_ring_refuses_without_running)
 {
     ServerBench_t *bench = server_bench_new(SERVER_IS_FULL);
