Client: sent once is the default; EyAttempt_t.may_repeat asks for repeats

Found while reading the gateway's use: src/gateway/live.c didn't set never_repeat, so a purchase on a kept connection that proved dead could be repeated by libcurl. The field is turned round so that forgetting it is safe. To do in live.c's make_attempt, for speed only: attempt->may_repeat = exchange->is_idempotent;

--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -35,10 +35,10 @@
     char method[16];
     char *path; /* on the backend server, with query */
     EyKey_t request_id;
-    bool check_echo;   /* the answer must bear the same X-Request-Id */
-    bool never_repeat; /* sent at most once, on a connection of its own; else
-                          it may be sent again if a kept connection proves
-                          dead before the answer's first byte */
+    bool check_echo; /* the answer must bear the same X-Request-Id */
+    bool may_repeat; /* may be sent again if a kept connection proves dead
+                        before the answer's first byte; else it is sent at
+                        most once, on a connection of its own */
     EyHeader_t *headers;
     uint32_t header_count;
     EyBytes_t body;
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -24,7 +24,7 @@
     if (self->failure != EY_FAILURE_NONE) {
         return CURL_PREREQFUNC_ABORT;
     }
-    if (self->sent && self->attempt->never_repeat) {
+    if (self->sent && !self->attempt->may_repeat) {
         self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
     }
@@ -304,7 +304,7 @@
     (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, self);
     EyConnections_Track(self->connections, easy);
-    if (attempt->never_repeat) {
+    if (!attempt->may_repeat) {
         EyTransfer_UseFresh(self);
     }
 }
--- a/tests/unit/client_bench.c
+++ b/tests/unit/client_bench.c
@@ -117,6 +117,7 @@
     (void)EY_COPY(attempt->method, method);
     attempt->path = EyMemory_Strdup(attempt, path);
     (void)EY_COPY(attempt->request_id, "order-7");
+    attempt->may_repeat = true;
     attempt->connect_timeout_ms = 1000;
     attempt->idle_timeout_ms = 5000;
     attempt->deadline_ms = EyClock_NowMs() + WAIT_MS;
--- a/tests/unit/test_client.c
+++ b/tests/unit/test_client.c
@@ -433,13 +433,13 @@
 
 /** Sends a call on a kept connection that dies; returns its requests. */
 static uint32_t
-call_dying(const char *method, bool never_repeat, EyAttemptFailure_t *failure)
+call_dying(const char *method, bool may_repeat, EyAttemptFailure_t *failure)
 {
     Bench_t *bench = bench_new();
     RawPeer_t *peer = raw_peer_start(serve_dying, NULL);
     assert_body(call(bench, 1, peer->port, "/warm"), "warm");
     EyAttempt_t *attempt = make_attempt(2, peer->port, method, "/buy");
-    attempt->never_repeat = never_repeat;
+    attempt->may_repeat = may_repeat;
     attempt->body.data = EyMemory_Copy(attempt, "seat 1", 6);
     attempt->body.size_bytes = 6;
     EyClient_Start(bench->client, attempt);
@@ -459,7 +459,7 @@
     static const char *const Methods[] = {"POST", "PUT", "DELETE", "PATCH"};
     for (size_t i = 0; i < sizeof(Methods) / sizeof(Methods[0]); i++) {
         EyAttemptFailure_t failure = EY_FAILURE_NONE;
-        cr_assert_eq(call_dying(Methods[i], true, &failure), 1, "%s",
+        cr_assert_eq(call_dying(Methods[i], false, &failure), 1, "%s",
                      Methods[i]);
         cr_assert_eq(failure, EY_FAILURE_BROKEN);
     }
@@ -468,7 +468,7 @@
 Test(client, a_call_that_may_repeat_outlives_a_dead_connection)
 {
     EyAttemptFailure_t failure = EY_FAILURE_NONE;
-    cr_assert_eq(call_dying("GET", false, &failure), 2);
+    cr_assert_eq(call_dying("GET", true, &failure), 2);
     cr_assert_eq(failure, EY_FAILURE_BROKEN);
 }
 
