--- a/src/control/witnesses.c
+++ b/src/control/witnesses.c
@@ -4,6 +4,7 @@
 #include "core/memory.h"
 #include "idempotency/envelope.h"
 #include "idempotency/group.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -75,8 +76,7 @@
 static uint64_t
 rank_hash(const char *address, const char *region)
 {
-    return XXH64(address, strlen(address),
-                 XXH64(region, strlen(region), 0));
+    return XXH64(address, strlen(address), XXH64(region, strlen(region), 0));
 }
 
 /** True if this is one of the control processes that a region's witnesses
@@ -147,7 +147,8 @@
     void *ctx = talloc_new(NULL);
     EyGroupEnvelope_t envelope;
     if (EySchema_Unpack(&EyGroupEnvelope_schema, ctx, message->payload.data,
-                        message->payload.size_bytes, &envelope, NULL)) {
+                        message->payload.size_bytes, &envelope, NULL))
+    {
         const Witness_t *witness =
             g_hash_table_lookup(self->by_region, envelope.region);
         EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_MESSAGE,
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -104,6 +104,8 @@
     EyDirectory_Update(self->directory, now_ms, gathering->instances,
                        gathering->instance_count);
     uint32_t gateway_count = gathering->gateway_count;
+    EyGatewayRecords_SetCandidates(self->records, gathering->gateways,
+                                   gateway_count);
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
     EyGateway_SetSources(self, gathering->gateways, gateway_count,
                          gathering->controls, gathering->control_count);
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -149,7 +149,6 @@
         return;
     }
     self->epoch = group->epoch;
-    EyClaims_SetMembers(self->claims, group->members, group->member_count);
     const EyGroupEvent_t event = {
         .kind = EY_GROUP_EVENT_EPOCH,
         .epoch = group->epoch,
@@ -179,6 +178,8 @@
     EyGatewayRecords_t *self = data;
     const EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_TICK};
     step_group(self, &event);
+    /* The own replica may be the only one left that knows the view. */
+    EyClaims_Learn(self->claims, now_ms, EyGroup_View(self->group));
     EyGroupActions_t *actions = EyGroupActions_New(NULL);
     EyClaims_Tick(self->claims, now_ms, actions);
     carry_out(self, actions);
@@ -207,6 +208,18 @@
     return self;
 }
 
+void
+EyGatewayRecords_SetCandidates(EyGatewayRecords_t *self,
+                               const EyName_t *gateways, uint32_t count)
+{
+    EyGroupMember_t members[EY_VIEW_MEMBERS_MAX] = {0};
+    uint32_t member_count = MIN(count, EY_VIEW_MEMBERS_MAX);
+    for (uint32_t i = 0; i < member_count; i++) {
+        (void)EY_COPY(members[i].name, gateways[i]);
+    }
+    EyClaims_SetMembers(self->claims, members, member_count);
+}
+
 void
 EyGatewayRecords_Receive(EyGatewayRecords_t *self,
                          const EyPeerMessage_t *message)
--- a/src/gateway/records.h
+++ b/src/gateway/records.h
@@ -25,6 +25,11 @@
 void
 EyGatewayRecords_Configure(EyGatewayRecords_t *self, const EyStore_t *store);
 
+/** The live gateways of the region: one of them may know the group. */
+void
+EyGatewayRecords_SetCandidates(EyGatewayRecords_t *self,
+                               const EyName_t *gateways, uint32_t count);
+
 void
 EyGatewayRecords_Receive(EyGatewayRecords_t *self,
                          const EyPeerMessage_t *message);
--- a/src/idempotency/claims.c
+++ b/src/idempotency/claims.c
@@ -64,8 +64,10 @@
     EyClaimsOptions_t options;
     GHashTable *by_number; /* int64_t -> Claim_t */
     EyView_t *view;        /* the newest that a member told of */
-    uint32_t target;       /* rank of the member that is asked */
-    int64_t heard_ms;      /* from the target */
+    EyName_t candidates[EY_VIEW_MEMBERS_MAX]; /* asked if the view is silent */
+    uint32_t candidate_count;
+    uint32_t target;  /* who is asked: a replica by rank, then a candidate */
+    int64_t heard_ms; /* from the target */
 };
 
 static int
@@ -110,31 +112,62 @@
     self->heard_ms = now_ms;
 }
 
+void
+EyClaims_Learn(EyClaims_t *self, int64_t now_ms, const EyView_t *view)
+{
+    learn_view(self, now_ms, view);
+}
+
 void
 EyClaims_SetMembers(EyClaims_t *self, const EyGroupMember_t *members,
                     uint32_t member_count)
 {
-    if (self->view->number > 0) {
-        return;
-    }
-    self->view->member_count = 0;
+    self->candidate_count = 0;
     for (uint32_t i = 0; i < member_count; i++) {
-        EyView_Add(self->view, &members[i]);
+        if (members[i].is_witness ||
+            self->candidate_count == EY_VIEW_MEMBERS_MAX) {
+            continue;
+        }
+        (void)EY_COPY(self->candidates[self->candidate_count],
+                      members[i].name);
+        self->candidate_count++;
     }
 }
 
-/** Asks the next replica when the target has been silent. */
+static uint32_t
+replica_count(const EyView_t *view)
+{
+    uint32_t count = 0;
+    while (count < view->member_count && !view->members[count].is_witness) {
+        count++;
+    }
+    return count;
+}
+
+/** Whom to ask now, or NULL. */
+static const char *
+target_name(const EyClaims_t *self)
+{
+    uint32_t count = replica_count(self->view);
+    if (self->target < count) {
+        return self->view->members[self->target].name;
+    }
+    uint32_t candidate = self->target - count;
+    return candidate < self->candidate_count ? self->candidates[candidate]
+                                             : NULL;
+}
+
+/** Asks the next one when the target has been silent. All replicas of the
+ * view that was heard of may be gone, so the candidates have their turn. */
 static void
 rotate_target(EyClaims_t *self, int64_t now_ms)
 {
-    if (now_ms - self->heard_ms < ROTATE_MS || !has_replica(self->view)) {
+    if (now_ms - self->heard_ms < ROTATE_MS) {
         return;
     }
     self->heard_ms = now_ms;
     self->target++;
-    if (self->target >= self->view->member_count ||
-        self->view->members[self->target].is_witness)
-    {
+    if (target_name(self) == NULL) {
         self->target = 0;
     }
 }
@@ -165,8 +198,9 @@
        EyGroupActions_t *actions)
 {
     claim->sent_ms = now_ms;
-    if (has_replica(self->view)) {
-        EyGroupActions_Send(actions, self->view->members[self->target].name,
+    const char *target = target_name(self);
+    if (target != NULL) {
+        EyGroupActions_Send(actions, target,
                             make_report(self, claim, actions));
     }
 }
--- a/src/idempotency/claims.h
+++ b/src/idempotency/claims.h
@@ -31,7 +31,12 @@
 EyClaims_t *
 EyClaims_New(const void *ctx, const EyClaimsOptions_t *options);
 
-/** Whom to ask: the group's replicas, from configuration. Also learned. */
+/** Takes a view of the group that is newer than what is known. */
+void
+EyClaims_Learn(EyClaims_t *self, int64_t now_ms, const EyView_t *view);
+
+/** Whom to ask when no replica of the known view answers, or none is known;
+ * replaces those that were set before. */
 void
 EyClaims_SetMembers(EyClaims_t *self, const EyGroupMember_t *members,
                     uint32_t member_count);
