--- a/tests/process/fleet.c
+++ b/tests/process/fleet.c
@@ -114,6 +114,37 @@
     Process_Start(fake);
 }
 
+/** Members of the view that a gateway knows, as its dump says. */
+static size_t
+view_size(const Process_t *gateway)
+{
+    Reply_t reply =
+        Http_Call(gateway->port, "GET", "/v1/dump", NULL, NULL, 5000);
+    json_t *json = Reply_Json(&reply);
+    json_t *members = NULL;
+    (void)json_unpack(json, "{s:{s:{s:{s:{s:o}}}}}", "gateway", "records",
+                      "group", "view", "members", &members);
+    size_t size = json_array_size(members);
+    json_decref(json);
+    Reply_Clear(&reply);
+    return size;
+}
+
+bool
+Fleet_AwaitView(const Fleet_t *self, uint32_t region, uint32_t gateway,
+                size_t members, int64_t timeout_ms)
+{
+    int64_t give_up_ms = Harness_NowMs() + timeout_ms;
+    const Process_t *process = &self->regions[region].gateways[gateway];
+    while (view_size(process) != members) {
+        if (Harness_NowMs() >= give_up_ms) {
+            return false;
+        }
+        Harness_SleepMs(50);
+    }
+    return true;
+}
+
 void
 Fleet_Start(Fleet_t *self, uint32_t region_count, uint32_t gateway_count)
 {
@@ -132,6 +163,11 @@
         for (uint32_t g = 0; g < gateway_count; g++) {
             cr_assert(Fleet_AwaitSelling(self, r, g, START_LIMIT_MS),
                       "%s-%u doesn't sell", Fleet_regions[r], g + 1);
+            /* All replicas of the region and a witness in each other one. */
+            cr_assert(Fleet_AwaitView(self, r, g,
+                                      gateway_count + region_count - 1,
+                                      START_LIMIT_MS),
+                      "%s-%u has no whole view", Fleet_regions[r], g + 1);
         }
     }
 }
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -23,7 +23,8 @@
     uint32_t gateway_count; /* in each region */
 } Fleet_t;
 
-/** Starts everything and waits until a purchase works in each region. */
+/** Starts everything and waits until a purchase works at each gateway and
+ * each region's record group has all of its members. */
 void
 Fleet_Start(Fleet_t *self, uint32_t region_count, uint32_t gateway_count);
 
@@ -40,6 +41,11 @@
 int
 Fleet_Runs(const Fleet_t *self, uint32_t region, const char *key);
 
+/** Waits until a gateway knows a view of so many members. */
+bool
+Fleet_AwaitView(const Fleet_t *self, uint32_t region, uint32_t gateway,
+                size_t members, int64_t timeout_ms);
+
 /** Buys under fresh keys until one is completed; false after timeout_ms. */
 bool
 Fleet_AwaitSelling(const Fleet_t *self, uint32_t region, uint32_t gateway,
