--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -306,6 +306,7 @@
     EyConnections_Track(self->connections, easy);
     if (!attempt->may_repeat) {
         EyTransfer_UseFresh(self);
+        (void)curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
 }
 
