Routing: a call of 0 ms isn't instant; fakes don't share ports

Cause: a service's learned time fell to 3e-16 ms, as its calls took less than a millisecond and durations are whole ones; and two fakes on one port shared its connections, so that a trial hit the servers of the one before. Change: a duration counts as half a millisecond at least; no port reuse.

--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -16,6 +16,8 @@
 /** A flight that is out this many times as long as expected is evidence. */
 #define OVERDUE_FACTOR 2.0
 #define REPORT_TTL_MS 5000
+/** Durations are whole milliseconds; 0 isn't instant. */
+#define DURATION_LEAST_MS 0.5
 
 double
 EyRoutingRequest_Work(const EyRoutingRequest_t *self)
@@ -92,7 +94,8 @@
 learn(EyReplica_t *self, int64_t now_ms, const EyFlight_t *flight,
       int64_t duration_ms)
 {
-    double sample_ms = (double)duration_ms / (flight->work * flight->slowdown);
+    double measured_ms = fmax((double)duration_ms, DURATION_LEAST_MS);
+    double sample_ms = measured_ms / (flight->work * flight->slowdown);
     self->unit_ms =
         self->unit_ms > 0.0
             ? self->unit_ms + LEARNING_RATE * (sample_ms - self->unit_ms)
--- a/tests/fakes/peer.c
+++ b/tests/fakes/peer.c
@@ -287,8 +287,7 @@
     self->daemon = MHD_start_daemon(
         MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
         NULL, NULL, on_request, self, MHD_OPTION_SOCK_ADDR, &address,
-        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL, MHD_OPTION_END);
     if (self->daemon == NULL) {
         return false;
     }
