--- /dev/null
+++ b/tests/process/test_load_run.c
@@ -0,0 +1,125 @@
+/* ebonyyard-load on a real gateway while model servers die and leave. */
+#include "process/harness.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <string.h>
+
+#define MODELS 3
+
+static Process_t
+start_load_gateway(char *folder, size_t folder_size_bytes)
+{
+    Process_t gateway = Process_Make("ebonyyard-gateway", "load-gw");
+    gateway.port = Harness_FreePort();
+    gateway.peer_port = Harness_FreePort();
+    Process_Arg(&gateway, "--id=gw-1");
+    Process_Arg(&gateway, "--region=istra");
+    Process_Arg(&gateway, "--zone=istra-a");
+    Process_Arg(&gateway, "--listen=127.0.0.1:%u", gateway.port);
+    Process_Arg(&gateway, "--peer-listen=127.0.0.1:%u", gateway.peer_port);
+    Harness_MakeFolder(folder, folder_size_bytes, "load");
+    Process_Arg(&gateway, "--data-dir=%s", folder);
+    Process_Arg(&gateway, "--standalone");
+    Process_Start(&gateway);
+    cr_assert(Process_Await(&gateway, "/readyz", 200, 10000));
+    return gateway;
+}
+
+static Process_t
+start_server(const char *program, const char *name, const char *targets,
+             uint16_t gateway_port)
+{
+    Process_t fake = Process_Make(program, name);
+    fake.port = Harness_FreePort();
+    Process_Arg(&fake, "--listen=127.0.0.1:%u", fake.port);
+    Process_Arg(&fake, "--announce=127.0.0.1:%u", gateway_port);
+    Process_Arg(&fake, "--id=%s", name);
+    Process_Arg(&fake, "--region=istra");
+    Process_Arg(&fake, "--zone=istra-a");
+    Process_Arg(&fake, "--speed=2");
+    Process_Arg(&fake, "%s", targets);
+    Process_Start(&fake);
+    cr_assert(Process_Await(&fake, "/v1/fake", 200, 10000));
+    return fake;
+}
+
+static Process_t
+start_load(uint16_t gateway_port, const char *report)
+{
+    Process_t load = Process_Make("ebonyyard-load", "load");
+    Process_Arg(&load, "--workload=%s/tools/workloads/jadranski.json",
+                EY_SOURCE_DIR);
+    Process_Arg(&load, "--gateways=istra=127.0.0.1:%u", gateway_port);
+    Process_Arg(&load, "--seconds=6");
+    Process_Arg(&load, "--factor=2");
+    Process_Arg(&load, "--seed=5");
+    Process_Arg(&load, "--json=%s", report);
+    Process_Start(&load);
+    return load;
+}
+
+static int64_t
+count_of(json_t *report, const char *name)
+{
+    return json_integer_value(
+        json_object_get(json_object_get(report, "all"), name));
+}
+
+/* Calls that the service ran more than once. */
+static uint32_t
+count_doubles(uint16_t port, uint32_t *calls)
+{
+    Reply_t reply = Http_Call(port, "GET", "/v1/fake", NULL, NULL, 5000);
+    json_t *json = Reply_Json(&reply);
+    uint32_t doubles = 0;
+    const char *id = NULL;
+    json_t *runs = NULL;
+    json_object_foreach(json_object_get(json, "by_request_id"), id, runs)
+    {
+        (*calls)++;
+        doubles += json_integer_value(runs) != 1;
+    }
+    json_decref(json);
+    Reply_Clear(&reply);
+    return doubles;
+}
+
+Test(load_run, dying_and_leaving_servers_break_no_answer)
+{
+    char folder[HARNESS_ARG_SIZE_BYTES];
+    Process_t gateway = start_load_gateway(folder, sizeof(folder));
+    Process_t models[MODELS];
+    for (uint32_t i = 0; i < MODELS; i++) {
+        char name[16];
+        (void)g_snprintf(name, sizeof(name), "model-%u", i);
+        models[i] =
+            start_server("fake-model", name, "--models=plan", gateway.port);
+    }
+    Process_t service = start_server("fake-service", "service",
+                                     "--services=booking", gateway.port);
+    Harness_SleepMs(1500);
+    char *file = g_strdup_printf("%s/load.json", folder);
+    Process_t load = start_load(gateway.port, file);
+    Harness_SleepMs(2000);
+    Process_Kill(&models[0]);
+    Harness_SleepMs(1500);
+    Process_Signal(&models[1], SIGTERM);
+    cr_assert_eq(Process_Wait(&load, 60000), 0);
+    json_t *report = json_load_file(file, 0, NULL);
+    cr_assert_not_null(report);
+    cr_expect_gt(count_of(report, "answered"), 0);
+    cr_expect_eq(count_of(report, "broken"), 0);
+    cr_expect_eq(count_of(report, "unknown"), 0);
+    cr_expect_eq(count_of(report, "refusals_without_time"), 0);
+    uint32_t calls = 0;
+    cr_expect_eq(count_doubles(service.port, &calls), 0);
+    cr_expect_gt(calls, 0);
+    json_decref(report);
+    g_free(file);
+    cr_expect_eq(Process_Wait(&models[1], 30000), 0);
+    Process_Signal(&gateway, SIGTERM);
+    cr_expect_eq(Process_Wait(&gateway, 20000), 0);
+    Process_Kill(&models[2]);
+    Process_Kill(&service);
+}
