Routing: bounded work for each release, and what routing costs

Change: at most 16 that go on waiting are looked at; as the earliest deadlines come first, all that are past theirs still get their answer at once.

--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -14,6 +14,8 @@
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
 #define GIVE_UP_SHARE 0.9
+/** Requests looked at, without a decision, whenever some may go. */
+#define RELEASE_KEPT_MAX 16
 
 static int
 destroy_router(EyRouter_t *self)
@@ -409,12 +411,16 @@
     return goes_now;
 }
 
+/* Decides those with the earliest deadlines. All that are past theirs come
+ * first, so none of them is missed; once some go on waiting, the later ones
+ * do so too. */
 static void
 release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, GArray *decisions)
 {
     double work_ahead = 0.0;
+    uint32_t kept = 0;
     GSequenceIter *each = g_sequence_get_begin_iter(pool->queue->waiting);
-    while (!g_sequence_iter_is_end(each)) {
+    while (!g_sequence_iter_is_end(each) && kept < RELEASE_KEPT_MAX) {
         GSequenceIter *next = g_sequence_iter_next(each);
         const EyWaiting_t *waiting = g_sequence_get(each);
         EyRoutingDecision_t decision;
@@ -425,6 +431,7 @@
         }
         else {
             work_ahead += waiting->work;
+            kept++;
         }
         each = next;
     }
--- /dev/null
+++ b/tests/bench/routing_cost.c
@@ -0,0 +1,118 @@
+/**
+ * What routing costs one gateway: time for a decision and for a tick, and
+ * memory, by the number of replicas and of requests that wait. CSV.
+ * usage: routing-cost
+ */
+#include "core/clock.h"
+#include "core/memory.h"
+#include "routing/router.h"
+
+#include <malloc.h>
+#include <stdio.h>
+
+#define ROUNDS 20000
+#define TICKS 500
+#define SLOTS 8
+
+static EyRouter_t *
+make_router(void *ctx, uint32_t replicas, bool full)
+{
+    EyRouterOptions_t options = {
+        .region = "one", .seed = 1, .config = EyRoutingConfig_Make()};
+    options.config.admission = !full;
+    EyRouter_t *router = EyRouter_New(ctx, &options);
+    EyName_t model = "plan";
+    for (uint32_t i = 0; i < replicas; i++) {
+        EyBackend_t backend = {
+            .models = &model,
+            .model_count = 1,
+            .slots = SLOTS,
+            .speed = 1.0,
+            .load = {.running = full ? SLOTS : 0, .at = 1},
+        };
+        (void)g_snprintf(backend.id, sizeof(backend.id), "b%u", i);
+        EyRouter_UpsertBackend(router, 1000, &backend);
+    }
+    return router;
+}
+
+static EyRoutingRequest_t
+make_request(uint64_t number)
+{
+    return (EyRoutingRequest_t){
+        .number = number,
+        .target = "plan",
+        .body_bytes = 2000,
+        .tokens_max = 100,
+        .deadline_ms = 61000,
+        .prefix_hash = 1 + number % 100,
+    };
+}
+
+/* Submits and finishes one request after another; microseconds for both. */
+static double
+measure_decision(uint32_t replicas)
+{
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, replicas, false);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    const EyRoutingResult_t result = {.kind = EY_RESULT_OK,
+                                      .duration_ms = 1000};
+    int64_t start_us = EyClock_NowUs();
+    for (uint64_t i = 0; i < ROUNDS; i++) {
+        EyRoutingRequest_t request = make_request(i);
+        (void)EyRouter_Submit(router, 1000, &request);
+        (void)EyRouter_Finished(router, 1000, i, &result, decisions);
+    }
+    double spent_us = (double)(EyClock_NowUs() - start_us) / ROUNDS;
+    g_array_unref(decisions);
+    talloc_free(ctx);
+    return spent_us;
+}
+
+/* Ticks while requests wait and no replica has room; microseconds each. */
+static double
+measure_tick(uint32_t replicas, uint32_t waiting)
+{
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, replicas, true);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    uint64_t number = 0;
+    while (EyRouter_Waiting(router) < waiting && number < 100000) {
+        EyRoutingRequest_t request = make_request(number++);
+        (void)EyRouter_Submit(router, 1000, &request);
+    }
+    int64_t start_us = EyClock_NowUs();
+    for (uint32_t i = 0; i < TICKS; i++) {
+        EyRouter_Tick(router, 1000, decisions);
+    }
+    double spent_us = (double)(EyClock_NowUs() - start_us) / TICKS;
+    g_array_unref(decisions);
+    talloc_free(ctx);
+    return spent_us;
+}
+
+static double
+measure_memory_kb(uint32_t replicas)
+{
+    size_t before = mallinfo2().uordblks;
+    void *ctx = talloc_new(NULL);
+    (void)make_router(ctx, replicas, false);
+    size_t after = mallinfo2().uordblks;
+    talloc_free(ctx);
+    return (double)(after - before) / 1024.0;
+}
+
+int
+main(void)
+{
+    static const uint32_t counts[] = {4, 16, 64, 128, 256, 370, 512};
+    printf("replicas,submit_and_finish_us,tick_16_waiting_us,"
+           "tick_500_waiting_us,memory_kb\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        printf("%u,%.2f,%.1f,%.1f,%.1f\n", counts[i],
+               measure_decision(counts[i]), measure_tick(counts[i], 16),
+               measure_tick(counts[i], 500), measure_memory_kb(counts[i]));
+    }
+    return 0;
+}
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -257,3 +257,27 @@
                   "case %zu: %u retries", i, retries);
     }
 }
+
+/* However many wait, the first tick after a freeze decides all of them. */
+Test(router, a_freeze_leaves_nobody_waiting)
+{
+    void *ctx = talloc_new(NULL);
+    EyName_t model = "plan";
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.admission = false;
+    EyRouter_t *router = make_router(ctx, 1, config);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    EyBackend_t backend = make_backend("b0", &model, SLOTS);
+    EyRouter_UpsertBackend(router, 1000, &backend);
+    for (uint64_t i = 0; i < 200; i++) {
+        EyRoutingRequest_t request = make_request(i, 61000 + (int64_t)i);
+        (void)EyRouter_Submit(router, 1000, &request);
+    }
+    uint32_t waiting = EyRouter_Waiting(router);
+    cr_assert(waiting > 100, "only %u wait", waiting);
+    EyRouter_Tick(router, 1000 + 3600 * 1000, decisions);
+    cr_assert(decisions->len == waiting);
+    cr_assert(EyRouter_Waiting(router) == 0);
+    g_array_unref(decisions);
+    talloc_free(ctx);
+}
