Unit tests of the record group; a member whose disk failed doesn't claim to serve

Cause: found by member_with_broken_disk_stops: EyGroup_IsServing stayed true after PERSIST_FAILED. It granted nothing, but readiness would have said so.

--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -51,7 +51,7 @@
 bool
 EyGroup_MayOrder(const EyGroup_t *self)
 {
-    return EyGroup_IsLeader(self) && !self->is_fenced &&
+    return EyGroup_IsLeader(self) && !self->is_fenced && !self->is_halted &&
            self->vote.phase != VOTE_DRAINING &&
            self->vote.phase != VOTE_PROPOSING;
 }
--- /dev/null
+++ b/tests/unit/test_group.c
@@ -0,0 +1,314 @@
+#include "core/memory.h"
+#include "idempotency/claims.h"
+#include "idempotency/group.h"
+#include "idempotency/key.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+/* Quorums */
+
+typedef struct QuorumCase {
+    uint32_t replicas;
+    uint32_t witnesses;
+    uint32_t ranks;
+    bool is_quorum;
+} QuorumCase_t;
+
+static const QuorumCase_t QuorumCases[] = {
+    {1, 0, 0x0, false},  {1, 0, 0x1, true},
+    {2, 0, 0x1, true},  /* a half with the first */
+    {2, 0, 0x2, false}, /* a half without it */
+    {2, 2, 0x3, true},   {2, 2, 0x6, false},
+    {2, 2, 0xd, true},   {2, 2, 0xe, true},
+    {2, 2, 0xc, false}, /* no replica */
+    {2, 3, 0x3, false},  {2, 3, 0xe, true},
+    {2, 3, 0x1c, false}, /* a majority, but of witnesses */
+    {3, 0, 0x6, true},   {3, 0, 0x4, false},
+    {3, 2, 0x7, true},   {3, 2, 0x3, false},
+};
+
+static EyView_t *
+make_view(void *ctx, uint32_t replicas, uint32_t witnesses)
+{
+    EyView_t none = {.epoch = 1, .number = 1};
+    EyView_t *view = EyView_Copy(ctx, &none);
+    for (uint32_t i = 0; i < replicas + witnesses; i++) {
+        EyGroupMember_t member = {.incarnation = i + 1,
+                                  .is_witness = i >= replicas};
+        member.name[0] = (char)('a' + (char)i);
+        EyView_Add(view, &member);
+    }
+    return view;
+}
+
+Test(group, quorums)
+{
+    void *ctx = talloc_new(NULL);
+    for (size_t i = 0; i < sizeof(QuorumCases) / sizeof(QuorumCases[0]); i++) {
+        const QuorumCase_t *item = &QuorumCases[i];
+        EyView_t *view = make_view(ctx, item->replicas, item->witnesses);
+        cr_expect_eq(EyView_IsQuorum(view, item->ranks), item->is_quorum,
+                     "case %d", (int)i);
+    }
+    talloc_free(ctx);
+}
+
+/** All pairs of quorums of all views share a member. */
+Test(group, quorums_meet)
+{
+    void *ctx = talloc_new(NULL);
+    for (uint32_t replicas = 1; replicas <= 4; replicas++) {
+        for (uint32_t witnesses = 0; witnesses <= 3; witnesses++) {
+            EyView_t *view = make_view(ctx, replicas, witnesses);
+            uint32_t sets = 1U << view->member_count;
+            for (uint32_t a = 0; a < sets; a++) {
+                uint32_t rest = ~a & (sets - 1);
+                cr_assert_not(EyView_IsQuorum(view, a) &&
+                              EyView_IsQuorum(view, rest));
+            }
+        }
+    }
+    talloc_free(ctx);
+}
+
+Test(group, replicas_rank_before_witnesses)
+{
+    void *ctx = talloc_new(NULL);
+    EyView_t *view = make_view(ctx, 2, 2);
+    EyGroupMember_t late = {.name = "late", .incarnation = 9};
+    EyView_Add(view, &late);
+    cr_assert_eq(EyView_Find(view, "late", 9), 2);
+    cr_assert_eq(EyView_Find(view, "late", 8), -1);
+    cr_assert(view->members[3].is_witness);
+    talloc_free(ctx);
+}
+
+/* Keys */
+
+typedef struct KeyCase {
+    const char *key;
+    bool is_issued;
+    uint64_t epoch;
+    const char *region;
+} KeyCase_t;
+
+static const KeyCase_t KeyCases[] = {
+    {"ey1:3:0123456789abcdef0123456789abcdef:istra", true, 3, "istra"},
+    {"ey1:3:0123456789abcdef0123456789abcdef:", false, 0, ""},
+    {"ey1:3:0123456789abcdef0123456789abcde:istra", false, 0, ""},
+    {"ey1:-3:0123456789abcdef0123456789abcdef:istra", false, 0, ""},
+    {"ey1::0123456789abcdef0123456789abcdef:istra", false, 0, ""},
+    {"order-17", false, 0, ""},
+};
+
+Test(group, keys)
+{
+    EyKeyOrigin_t origin;
+    for (size_t i = 0; i < sizeof(KeyCases) / sizeof(KeyCases[0]); i++) {
+        const KeyCase_t *item = &KeyCases[i];
+        cr_expect_eq(EyKey_Parse(item->key, &origin), item->is_issued);
+        cr_expect_eq(origin.epoch, item->epoch);
+        cr_expect_str_eq(origin.region, item->region);
+    }
+    EyKey_t key;
+    EyKey_Issue("istra", 7, 1, 2, key);
+    cr_assert(EyKey_Parse(key, &origin));
+    cr_assert_eq(origin.epoch, 7);
+    cr_assert(EyKey_IsValid(key));
+    cr_assert_not(EyKey_IsValid(""));
+    cr_assert_not(EyKey_IsValid("two words"));
+}
+
+/* One member and its claimant */
+
+typedef struct Solo {
+    void *ctx;
+    EyGroup_t *group;
+    EyClaims_t *claims;
+    int64_t now_ms;
+    EyGroupActions_t *decided; /* DECIDED actions, in order */
+    EyGroupActions_t *writes;  /* PERSIST actions, in order */
+} Solo_t;
+
+static void
+carry_out(Solo_t *solo, const EyGroupActions_t *actions)
+{
+    for (uint32_t i = 0; i < actions->count; i++) {
+        EyGroupAction_t *action = actions->items[i];
+        if (action->kind != EY_GROUP_ACTION_SEND) {
+            EyGroupActions_t *list = action->kind == EY_GROUP_ACTION_DECIDED
+                                         ? solo->decided
+                                         : solo->writes;
+            EyGroupAction_t *copy = EyGroupActions_Add(list, action->kind);
+            *copy = *action;
+            (void)talloc_steal(copy, action);
+            continue;
+        }
+        EyGroupActions_t *next = EyGroupActions_New(solo->ctx);
+        EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_MESSAGE,
+                                .from = "solo",
+                                .message = action->message};
+        if (EyClaims_IsFor(action->message)) {
+            EyClaims_Message(solo->claims, solo->now_ms, "solo",
+                             action->message, next);
+        }
+        else {
+            EyGroup_Step(solo->group, solo->now_ms, &event, next);
+        }
+        carry_out(solo, next);
+    }
+}
+
+static void
+step(Solo_t *solo, const EyGroupEvent_t *event)
+{
+    EyGroupActions_t *actions = EyGroupActions_New(solo->ctx);
+    EyGroup_Step(solo->group, solo->now_ms, event, actions);
+    carry_out(solo, actions);
+}
+
+static Solo_t
+make_solo(bool has_disk, uint32_t count_max, uint64_t epoch)
+{
+    static const EyGroupMember_t Member = {.name = "solo", .incarnation = 5};
+    Solo_t solo = {.ctx = talloc_new(NULL), .now_ms = 1000};
+    EyGroupOptions_t options = {
+        .name = "solo",
+        .region = "istra",
+        .incarnation = 5,
+        .has_disk = has_disk,
+        .limits = {.count_max = count_max},
+    };
+    EyClaimsOptions_t claims_options = {
+        .name = "solo", .region = "istra", .incarnation = 6};
+    solo.group = EyGroup_New(solo.ctx, &options, NULL, solo.now_ms);
+    solo.claims = EyClaims_New(solo.ctx, &claims_options);
+    solo.decided = EyGroupActions_New(solo.ctx);
+    solo.writes = EyGroupActions_New(solo.ctx);
+    EyClaims_SetMembers(solo.claims, &Member, 1);
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_EPOCH,
+                            .epoch = epoch,
+                            .members = &Member,
+                            .member_count = 1};
+    step(&solo, &event);
+    return solo;
+}
+
+/** Claims a key; the decision, or NULL while there is none. */
+static const EyGroupAction_t *
+claim(Solo_t *solo, uint64_t number, const char *key, uint64_t fingerprint)
+{
+    uint32_t before = solo->decided->count;
+    EyGroupActions_t *actions = EyGroupActions_New(solo->ctx);
+    EyClaims_Claim(solo->claims, solo->now_ms, number, key, fingerprint,
+                   solo->now_ms + 1000, actions);
+    carry_out(solo, actions);
+    return solo->decided->count > before ? solo->decided->items[before] : NULL;
+}
+
+Test(group, decisions)
+{
+    Solo_t solo = make_solo(false, 2, 1);
+    cr_assert_eq(claim(&solo, 1, "a", 1)->decision, EY_DECISION_GRANTED);
+    cr_assert_null(claim(&solo, 2, "a", 1));
+    const EyGroupAction_t *mismatch = claim(&solo, 3, "a", 2);
+    cr_assert_eq(mismatch->decision, EY_DECISION_MISMATCH);
+    cr_assert_eq(mismatch->outcome, EY_OUTCOME_NOT_RUN);
+    EyBytes_t answer = {.data = (uint8_t *)"paid", .size_bytes = 4};
+    EyGroupActions_t *actions = EyGroupActions_New(solo.ctx);
+    EyClaims_Complete(solo.claims, solo.now_ms, 1, &answer, actions);
+    carry_out(&solo, actions);
+    const EyGroupAction_t *replay = claim(&solo, 4, "a", 1);
+    cr_assert_eq(replay->decision, EY_DECISION_REPLAY);
+    cr_assert_eq(replay->outcome, EY_OUTCOME_COMPLETED);
+    cr_assert_eq(replay->answer.size_bytes, 4);
+    cr_assert_eq(claim(&solo, 5, "b", 1)->decision, EY_DECISION_GRANTED);
+    const EyGroupAction_t *refusal = claim(&solo, 6, "c", 1);
+    cr_assert_eq(refusal->decision, EY_DECISION_REFUSED);
+    cr_assert_eq(refusal->reason, EY_REASON_FULL);
+    cr_assert_eq(refusal->outcome, EY_OUTCOME_NOT_RUN);
+    cr_assert_gt(refusal->retry_after_ms, 0);
+    talloc_free(solo.ctx);
+}
+
+typedef struct EpochCase {
+    const char *key;
+    EyGroupDecision_t decision;
+    EyGroupReason_t reason;
+} EpochCase_t;
+
+/** In epoch 2: what may be older than the loss isn't run. */
+static const EpochCase_t EpochCases[] = {
+    {"plain", EY_DECISION_UNKNOWN, EY_REASON_OTHER_EPOCH},
+    {"ey1:1:0123456789abcdef0123456789abcdef:istra", EY_DECISION_UNKNOWN,
+     EY_REASON_OTHER_EPOCH},
+    {"ey1:3:0123456789abcdef0123456789abcdef:istra", EY_DECISION_UNKNOWN,
+     EY_REASON_OTHER_EPOCH},
+    {"ey1:2:0123456789abcdef0123456789abcdef:zagreb", EY_DECISION_UNKNOWN,
+     EY_REASON_OTHER_REGION},
+    {"ey1:2:0123456789abcdef0123456789abcdef:istra", EY_DECISION_GRANTED,
+     EY_REASON_NONE},
+};
+
+Test(group, keys_after_a_loss)
+{
+    Solo_t solo = make_solo(false, 0, 2);
+    for (size_t i = 0; i < sizeof(EpochCases) / sizeof(EpochCases[0]); i++) {
+        const EyGroupAction_t *action =
+            claim(&solo, i + 1, EpochCases[i].key, 1);
+        cr_expect_eq(action->decision, EpochCases[i].decision, "%d", (int)i);
+        cr_expect_eq(action->reason, EpochCases[i].reason, "%d", (int)i);
+    }
+    /* Plain keys wait the retention time out, counted in small steps. */
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_TICK};
+    for (uint32_t i = 0; i < 24 * 60 * 60; i++) {
+        solo.now_ms += 1000;
+        EyGroupActions_t *actions = EyGroupActions_New(solo.ctx);
+        EyGroup_Step(solo.group, solo.now_ms, &event, actions);
+        talloc_free(actions);
+    }
+    cr_assert_eq(claim(&solo, 99, "plain", 1)->decision, EY_DECISION_GRANTED);
+    talloc_free(solo.ctx);
+}
+
+Test(group, member_with_disk_waits_for_it)
+{
+    Solo_t solo = make_solo(true, 0, 1);
+    cr_assert_null(claim(&solo, 1, "a", 1));
+    EyGroupAction_t *last = solo.writes->items[solo.writes->count - 1];
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_PERSISTED,
+                            .serial = last->state->serial};
+    step(&solo, &event);
+    cr_assert_eq(solo.decided->count, 1);
+    cr_assert_eq(solo.decided->items[0]->decision, EY_DECISION_GRANTED);
+    talloc_free(solo.ctx);
+}
+
+Test(group, member_with_broken_disk_stops)
+{
+    Solo_t solo = make_solo(true, 0, 1);
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_PERSIST_FAILED};
+    step(&solo, &event);
+    cr_assert_null(claim(&solo, 1, "a", 1));
+    cr_assert_not(EyGroup_IsServing(solo.group));
+    talloc_free(solo.ctx);
+}
+
+Test(group, no_leader_ends_at_once_with_unknown)
+{
+    void *ctx = talloc_new(NULL);
+    EyClaimsOptions_t options = {
+        .name = "solo", .region = "istra", .incarnation = 6};
+    EyClaims_t *claims = EyClaims_New(ctx, &options);
+    EyGroupActions_t *actions = EyGroupActions_New(ctx);
+    EyClaims_Claim(claims, 0, 1, "a", 1, 60000, actions);
+    for (int64_t now_ms = 50; now_ms <= 3000; now_ms += 50) {
+        cr_assert_eq(actions->count, 0);
+        EyClaims_Tick(claims, now_ms, actions);
+    }
+    cr_assert_eq(actions->count, 1);
+    cr_assert_eq(actions->items[0]->reason, EY_REASON_NO_LEADER);
+    cr_assert_eq(actions->items[0]->outcome, EY_OUTCOME_UNKNOWN);
+    talloc_free(ctx);
+}
