--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -192,6 +192,12 @@
 int64_t
 EyGroup_EpochAgeMs(const EyGroup_t *self);
 
+/* group_state.c */
+
+/** What a disk keeps, without the records; below ctx. */
+EyGroupState_t *
+EyGroup_MakeState(const EyGroup_t *self, const void *ctx);
+
 /* group_vote.c */
 
 void
