--- a/src/idempotency/claims.c
+++ b/src/idempotency/claims.c
@@ -63,6 +63,7 @@
 struct EyClaims {
     EyClaimsOptions_t options;
     GHashTable *by_number; /* int64_t -> Claim_t */
+    EyView_t *configured;  /* whom to ask while no view is known */
     EyView_t *view;        /* the newest that a member told of */
     uint32_t target;       /* rank of the member that is asked */
     int64_t heard_ms;      /* from the target */
@@ -85,6 +86,7 @@
         self->options.claim_max = CLAIM_MAX_PRESET;
     }
     self->by_number = g_hash_table_new(g_int64_hash, g_int64_equal);
+    self->configured = EyView_Copy(self, &None);
     self->view = EyView_Copy(self, &None);
     talloc_set_destructor(self, claims_destroy);
     return self;
@@ -110,16 +112,25 @@
     self->heard_ms = now_ms;
 }
 
+/** Goes back to the configured members: all of the view were silent. */
+static void
+forget_view(EyClaims_t *self)
+{
+    talloc_free(self->view);
+    self->view = EyView_Copy(self, self->configured);
+    self->target = 0;
+}
+
 void
 EyClaims_SetMembers(EyClaims_t *self, const EyGroupMember_t *members,
                     uint32_t member_count)
 {
-    if (self->view->number > 0) {
-        return;
-    }
-    self->view->member_count = 0;
+    self->configured->member_count = 0;
     for (uint32_t i = 0; i < member_count; i++) {
-        EyView_Add(self->view, &members[i]);
+        EyView_Add(self->configured, &members[i]);
+    }
+    if (self->view->number == 0) {
+        forget_view(self);
     }
 }
 
@@ -135,7 +146,7 @@
     if (self->target >= self->view->member_count ||
         self->view->members[self->target].is_witness)
     {
-        self->target = 0;
+        forget_view(self);
     }
 }
 
