Requests to other regions, residency before the body, routing by configuration

A call that may not be repeated is claimed only in the region of its records: its home, or the region of an issued key. A plain key without a home is refused in a fleet of several regions (idempotency.unbound_keys changes that), since its retry could come to another region's records and run there.

--- a/src/config/defaults.c
+++ b/src/config/defaults.c
@@ -111,6 +111,14 @@
          .initial = "86400",
          .scopes = EY_SCOPE_BIT(EY_SCOPE_REGION),
          .help = "How long the record of a non-idempotent call is kept."},
+    [EY_DEFAULT_IDEMPOTENCY_UNBOUND] =
+        {.name = "idempotency.unbound_keys",
+         .type = EY_VALUE_BOOL,
+         .initial = "false",
+         .scopes = EY_SCOPE_ANY,
+         .help = "Take a caller's own key without Ebonyyard-Home, in the "
+                 "region that it comes to: its retries must come to the same "
+                 "region."},
     [EY_DEFAULT_PLACEMENT_LOADS] =
         {.name = "placement.loads_per_minute",
          .type = EY_VALUE_NUMBER,
--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -236,6 +236,15 @@
     wake(self, &self->writer);
 }
 
+uint32_t
+EyStream_SizeBytes(EyStream_t *self)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    uint32_t size_bytes = self->size_bytes;
+    (void)pthread_mutex_unlock(&self->lock);
+    return size_bytes;
+}
+
 EyStreamState_t
 EyStream_State(EyStream_t *self)
 {
--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -66,6 +66,10 @@
 EyStream_Read(EyStream_t *self, void *data, uint32_t size_bytes,
               EyStreamState_t *state);
 
+/** Bytes written and not yet read. */
+uint32_t
+EyStream_SizeBytes(EyStream_t *self);
+
 /** The reader goes away; later writes are refused. */
 void
 EyStream_Leave(EyStream_t *self);
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -2,8 +2,9 @@
 #include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+#include "idempotency/key.h"
 
-#define REQUEST_TIMEOUT_MS 60000
+#include <string.h>
 
 static void
 caller_answer(EyGateway_t *gateway, EyLive_t *live, EyAnswer_t *answer)
@@ -51,23 +52,149 @@
     return query.server_count > 0 && query.all_agree;
 }
 
-void
-EyGateway_Accept(EyGateway_t *self, EyRequest_t *request)
+static EyAnswer_t *
+refuse_region(EyGateway_t *gateway, const char *region, const char *detail)
+{
+    char addresses[512];
+    EyPolicyBoard_Entries(gateway->policy, region, addresses,
+                          sizeof(addresses));
+    EyAnswer_t *answer = EyAnswer_Problem(EY_PROBLEM_WRONG_REGION,
+                                          EY_OUTCOME_NOT_RUN, 0, detail);
+    if (addresses[0] != '\0') {
+        EyAnswer_SetHeader(answer, "Ebonyyard-Instances", addresses);
+    }
+    return answer;
+}
+
+EyAnswer_t *
+EyGateway_CheckHead(void *part, const EyRequest_t *request)
+{
+    EyGateway_t *self = part;
+    bool is_for_backend =
+        request->call == EY_CALL_MODEL || request->call == EY_CALL_SERVICE;
+    if (!is_for_backend || EyPolicyBoard_Check(self->policy, request,
+                                               self->node->settings->region) ==
+                               EY_RESIDENCY_ALLOW)
+    {
+        return NULL;
+    }
+    return refuse_region(self, request->home,
+                         "the data may not be processed in this region");
+}
+
+/** The region whose records decide on a call that may not be repeated. */
+static void
+record_region(const EyRequest_t *request, EyName_t region)
 {
+    EyKeyOrigin_t origin;
+    (void)EyText_Copy(region, EY_NAME_SIZE_BYTES, request->home);
+    if (region[0] == '\0' && EyKey_Parse(request->idempotency_key, &origin)) {
+        (void)EyText_Copy(region, EY_NAME_SIZE_BYTES, origin.region);
+    }
+}
+
+/**
+ * Refuses a call that may not be repeated and whose records aren't this
+ * region's; NULL lets it go on. A plain key without a home could come to two
+ * regions, each with records of its own, and run in both.
+ */
+static EyAnswer_t *
+check_key(EyGateway_t *self, const EyRequest_t *request)
+{
+    if (request->idempotency_key[0] == '\0') {
+        return EyAnswer_Problem(EY_PROBLEM_KEY_MISSING, EY_OUTCOME_NOT_RUN, 0,
+                                "this method may not be repeated: send an "
+                                "Idempotency-Key");
+    }
+    const EySettings_t *settings = self->node->settings;
+    EyName_t region;
+    record_region(request, region);
+    if (region[0] != '\0') {
+        return strcmp(region, settings->region) == 0
+                   ? NULL
+                   : refuse_region(self, region,
+                                   "the key's records are in another region");
+    }
+    bool takes_unbound =
+        settings->standalone ||
+        EyConfig_Number(EyGateway_Config(self), EY_DEFAULT_IDEMPOTENCY_UNBOUND,
+                        settings->region, request->account,
+                        request->target) != 0;
+    return takes_unbound
+               ? NULL
+               : EyAnswer_Problem(
+                     EY_PROBLEM_BAD_REQUEST, EY_OUTCOME_NOT_RUN, 0,
+                     "a key that the system did not issue needs "
+                     "Ebonyyard-Home, so that its retries come to the same "
+                     "records; or take one from /v1/idempotency-keys");
+}
+
+/** NULL, or the answer to a request that isn't taken on. */
+static EyAnswer_t *
+check_request(EyGateway_t *self, const EyRequest_t *request, bool may_repeat)
+{
+    if (self->node->state == EY_NODE_LEAVING) {
+        EyAnswer_t *answer =
+            EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1, NULL);
+        EyAddress_t better;
+        if (EyDirectory_Better(self->directory, self->node->settings->id,
+                               better)) {
+            EyAnswer_SetHeader(answer, "Ebonyyard-Instances", better);
+        }
+        return answer;
+    }
+    if (g_hash_table_size(self->lives) >= EY_GATEWAY_LIVES_MAX) {
+        return EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 1,
+                                "too many requests are in flight here");
+    }
+    return may_repeat ? NULL : check_key(self, request);
+}
+
+static void
+set_deadline(const EyGateway_t *self, EyRequest_t *request)
+{
+    int64_t timeout_ms = EyConfig_Number(
+        EyGateway_Config(self), EY_DEFAULT_REQUEST_TIMEOUT,
+        self->node->settings->region, request->account, request->target);
     if (request->deadline_ms == 0) {
-        request->deadline_ms = request->arrived_ms + REQUEST_TIMEOUT_MS;
+        request->deadline_ms = request->arrived_ms + timeout_ms;
     }
+}
+
+static void
+start(EyGateway_t *self, EyLive_t *live)
+{
+    live->allowed_regions =
+        EY_NEW_ARRAY(live, EyName_t, EY_POLICY_REGIONS_MAX);
+    live->allowed_region_count = EyPolicyBoard_Allowed(
+        self->policy, live->exchange->request, live->allowed_regions);
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_START};
+    EyLive_Step(live, &event);
+}
+
+void
+EyGateway_Accept(EyGateway_t *self, EyRequest_t *request)
+{
     bool may_repeat = is_idempotent(self, request);
-    if (!may_repeat && request->idempotency_key[0] == '\0') {
-        EyNode_Answer(self->node, request,
-                      EyAnswer_Problem(EY_PROBLEM_KEY_MISSING,
-                                       EY_OUTCOME_NOT_RUN, 0,
-                                       "this method may not be repeated: send "
-                                       "an Idempotency-Key"));
+    EyAnswer_t *refusal = check_request(self, request, may_repeat);
+    if (refusal != NULL) {
+        EyNode_Answer(self->node, request, refusal);
         return;
     }
-    EyLive_t *live =
-        EyLive_New(self, request, may_repeat, !may_repeat, &CallerSink);
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_START};
-    EyLive_Step(live, &event);
+    set_deadline(self, request);
+    start(self,
+          EyLive_New(self, request, may_repeat, !may_repeat, &CallerSink));
+}
+
+void
+EyGateway_AcceptForwarded(EyGateway_t *self, EyRequest_t *request,
+                          const EySinkClass_t *sink, const char *from,
+                          uint64_t attempt)
+{
+    /* The sender holds the claim of a call that may not be repeated. */
+    bool may_repeat = is_idempotent(self, request);
+    EyLive_t *live = EyLive_New(self, request, may_repeat, false, sink);
+    (void)EY_COPY(live->sink_id, from);
+    live->sink_attempt = attempt;
+    start(self, live);
 }
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -25,6 +25,8 @@
     EY_LOG(EY_LOG_INFO, "gateway", "configuration",
            EY_LOG_NUMBER("version", store->config.version),
            EY_LOG_NUMBER("revision", store->config.revision));
+    EyPolicyBoard_Set(self->policy, &store->config);
+    EyGateway_ConfigureRouter(self);
     EyGatewayRecords_Configure(self->records, store);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -55,6 +55,9 @@
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
     EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
     self->outbound = EyOutbound_Start(self, self->attempt_events);
+    self->policy = EyPolicyBoard_New(self, node->settings->region);
+    EyGateway_OpenForwarded(self);
+    EyGateway_OpenAway(self);
     EyGateway_OpenRouter(self);
     self->records = EyGatewayRecords_New(self);
     EyGateway_OpenConfiguration(self);
@@ -68,6 +71,7 @@
 {
     EyGateway_t *self = part;
     EyOutbound_Stop(self->outbound);
+    EyGateway_CloseForwarded(self);
     g_hash_table_destroy(self->attempts);
     g_hash_table_destroy(self->lives);
     EyGateway_CloseRouter(self);
@@ -96,7 +100,8 @@
 gateway_wants(void *part, EyPeerKind_t kind)
 {
     (void)part;
-    return kind == EY_PEER_GROUP || kind == EY_PEER_CONFIG;
+    return kind == EY_PEER_GROUP || kind == EY_PEER_CONFIG ||
+           kind == EY_PEER_FORWARD;
 }
 
 static void
@@ -107,6 +112,10 @@
         EyGatewayRecords_Receive(self->records, message);
         return;
     }
+    if (message->kind == EY_PEER_FORWARD) {
+        EyGateway_ReceiveForward(self, message);
+        return;
+    }
     EyGateway_ReceiveConfig(self, message);
 }
 
@@ -128,6 +137,7 @@
 {
     const EyGateway_t *self = part;
     return g_hash_table_size(self->lives) == 0 &&
+           g_hash_table_size(self->pumps) == 0 &&
            EyGatewayRecords_OpenCount(self->records) == 0;
 }
 
@@ -153,6 +163,7 @@
     .is_entry = true,
     .open = gateway_open,
     .close = gateway_close,
+    .check = EyGateway_CheckHead,
     .on_request = gateway_on_request,
     .on_gone = gateway_on_gone,
     .wants = gateway_wants,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -12,7 +12,9 @@
 #include "core/random.h"
 #include "core/timers.h"
 #include "exchange/exchange.h"
+#include "gateway/forward.h"
 #include "gateway/gateway.h"
+#include "gateway/policy_board.h"
 #include "gateway/records.h"
 #include "instances/peers.h"
 #include "membership/directory.h"
@@ -53,6 +55,12 @@
     const EySinkClass_t *sink;
     EyStream_t *stream; /* of a streamed answer */
     EyTimer_t *deadline;
+    EyName_t sink_id;      /* for another instance: its id */
+    uint64_t sink_attempt; /* and the number that it gave */
+    EyName_t away_id;      /* the instance that it was sent to, or empty */
+    uint32_t away_sequence;
+    uint32_t away_received_bytes;
+    uint32_t away_credited_bytes;
     EyName_t *allowed_regions; /* where its data may be processed */
     uint32_t allowed_region_count;
     bool is_routed; /* the router counts it as in flight */
@@ -75,6 +83,10 @@
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
     EyTimer_t *router_wakeup;
+    EyPolicyBoard_t *policy;
+    GHashTable *pumps;       /* request number -> pump, see forwarded.c */
+    EyMailbox_t *pump_wakes; /* streams that have something to read */
+    uint64_t last_forwarded;
 } EyGateway_t;
 
 /** Starts the life of a request that came by HTTP. */
@@ -147,9 +159,60 @@
 void
 EyGateway_OpenRouter(EyGateway_t *self);
 
+/** The configuration changed. */
+void
+EyGateway_ConfigureRouter(EyGateway_t *self);
+
 void
 EyGateway_CloseRouter(EyGateway_t *self);
 
+/** Sends a request to another region as an attempt. */
+void
+EyGateway_SendAway(EyLive_t *live, const EyExchangeAction_t *action);
+
+/** Ends an attempt in another region. */
+void
+EyGateway_CancelAway(EyLive_t *live, uint64_t attempt);
+
+/** Starts the timer of what was sent away. */
+void
+EyGateway_OpenAway(EyGateway_t *self);
+
+/** Looks at a request's head before its body is read; any thread. */
+EyAnswer_t *
+EyGateway_CheckHead(void *part, const EyRequest_t *request);
+
+/** Makes what answers to other regions need. */
+void
+EyGateway_OpenForwarded(EyGateway_t *self);
+
+void
+EyGateway_CloseForwarded(EyGateway_t *self);
+
+/** Takes a message of kind EY_PEER_FORWARD. */
+void
+EyGateway_ReceiveForward(EyGateway_t *self, const EyPeerMessage_t *message);
+
+/** A message about a request from another region, to the instance that sent
+ * it. */
+void
+EyGateway_TakeForwarded(EyGateway_t *self, const char *from,
+                        EyForward_t *forward);
+
+/** Starts the life of a request from another region. */
+void
+EyGateway_AcceptForwarded(EyGateway_t *self, EyRequest_t *request,
+                          const EySinkClass_t *sink, const char *from,
+                          uint64_t attempt);
+
+/** Fails a live exchange's attempt of which nothing was sent. */
+void
+EyLive_FailUnsent(EyLive_t *self, uint64_t attempt);
+
+/** Remembers which exchange an attempt belongs to. */
+void
+EyLive_AddAttempt(EyLive_t *self, uint64_t attempt);
+
 /** Asks the router where the request goes. */
 void
 EyGateway_Route(EyLive_t *live);
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -6,10 +6,6 @@
 
 #include <string.h>
 
-#define CONNECT_TIMEOUT_MS 1000
-#define IDLE_TIMEOUT_MS 30000
-#define REQUEST_TIMEOUT_MS 60000
-
 static void
 live_end(EyLive_t *live)
 {
@@ -124,6 +120,15 @@
     }
 }
 
+static uint32_t
+timeout_ms(const EyLive_t *live, EyDefaultKey_t key)
+{
+    const EyRequest_t *request = live->exchange->request;
+    return (uint32_t)EyConfig_Number(EyGateway_Config(live->gateway), key,
+                                     live->gateway->node->settings->region,
+                                     request->account, request->target);
+}
+
 static EyAttempt_t *
 make_attempt(EyLive_t *live, const EyExchangeAction_t *action,
              const EyBackend_t *backend)
@@ -141,8 +146,11 @@
     attempt->body.data =
         EyMemory_Copy(attempt, request->body.data, request->body.size_bytes);
     attempt->body.size_bytes = request->body.size_bytes;
-    attempt->connect_timeout_ms = CONNECT_TIMEOUT_MS;
-    attempt->idle_timeout_ms = IDLE_TIMEOUT_MS;
+    attempt->connect_timeout_ms =
+        timeout_ms(live, EY_DEFAULT_BACKEND_CONNECT_TIMEOUT);
+    attempt->idle_timeout_ms =
+        timeout_ms(live, EY_DEFAULT_BACKEND_IDLE_TIMEOUT);
+    attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
     attempt->resume_after = action->resume_after;
@@ -157,16 +165,18 @@
     return attempt;
 }
 
-static void
-fail_unsent(EyLive_t *live, uint64_t number)
+void
+EyLive_FailUnsent(EyLive_t *self, uint64_t attempt)
 {
     const EyRoutingResult_t failed = {.kind = EY_RESULT_FAILED};
-    EyGateway_RouteFinished(live, &failed);
+    EyGateway_RouteFinished(self, &failed);
+    g_hash_table_remove(self->gateway->attempts, &attempt);
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
-                               .attempt = number,
+                               .attempt = attempt,
                                .nothing_sent = true,
+                               .try_again = true,
                                .retry_after_s = 1};
-    EyLive_Step(live, &event);
+    EyLive_Step(self, &event);
 }
 
 static uint64_t *
@@ -177,29 +187,45 @@
     return key;
 }
 
+void
+EyLive_AddAttempt(EyLive_t *self, uint64_t attempt)
+{
+    g_hash_table_insert(self->gateway->attempts, number_key(attempt), self);
+}
+
 static void
 do_attempt(EyLive_t *live, const EyExchangeAction_t *action)
 {
     EyGateway_t *gateway = live->gateway;
+    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_ATTEMPTS], 1);
+    if (live->exchange->tried_count > 1) {
+        EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_RETRIES], 1);
+    }
+    EyLive_AddAttempt(live, action->attempt);
+    if (action->is_away) {
+        EyGateway_SendAway(live, action);
+        return;
+    }
     const EyBackend_t *backend = EyRegistry_Find(
         EyCluster_Registry(gateway->node->cluster), action->to);
     if (backend == NULL) {
-        fail_unsent(live, action->attempt);
+        EyLive_FailUnsent(live, action->attempt);
         return;
     }
-    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_ATTEMPTS], 1);
     EyAttempt_t *attempt = make_attempt(live, action, backend);
-    g_hash_table_insert(gateway->attempts, number_key(action->attempt), live);
     if (!EyOutbound_Send(gateway->outbound, attempt)) {
         talloc_free(attempt);
-        g_hash_table_remove(gateway->attempts, &action->attempt);
-        fail_unsent(live, action->attempt);
+        EyLive_FailUnsent(live, action->attempt);
     }
 }
 
 static void
 do_cancel(EyLive_t *live, const EyExchangeAction_t *action)
 {
+    if (live->away_id[0] != '\0') {
+        EyGateway_CancelAway(live, action->attempt);
+        return;
+    }
     EyOutbound_Cancel(live->gateway->outbound, action->attempt);
 }
 
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -31,6 +31,7 @@
     EyName_t controls[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t control_count;
     const EyMembership_t *membership;
+    EyPolicyBoard_t *policy;
 } Gathering_t;
 
 static void
@@ -78,9 +79,22 @@
     gather_control(data, member);
 }
 
+/** Callers who come to the wrong region are told of its gateways. */
+static void
+gather_foreign_entry(const Gathering_t *gathering, const EyMember_t *member)
+{
+    if (member->state == EY_MEMBER_ALIVE) {
+        EyPolicyBoard_SetEntries(gathering->policy, member->region,
+                                 member->http_address);
+    }
+}
+
 static void
 gather_contact(void *data, const EyMember_t *member)
 {
+    if (member->role == EY_MEMBER_GATEWAY) {
+        gather_foreign_entry(data, member);
+    }
     if (member->role == EY_MEMBER_CONTROL) {
         gather_control(data, member);
     }
@@ -94,6 +108,7 @@
     void *ctx = talloc_new(NULL);
     Gathering_t *gathering = EY_NEW(ctx, Gathering_t);
     gathering->membership = membership;
+    gathering->policy = self->policy;
     gathering->instances =
         EY_NEW_ARRAY(ctx, EyDirectoryInstance_t, GATEWAYS_MAX);
     if (self->node->settings->standalone) {
@@ -140,8 +155,13 @@
     (void)EY_COPY(summary.region, from->region);
     (void)EY_COPY(summary.target, from->target);
     /* The kind isn't told; a name is of one kind, so both may be said. */
+    static const double UnitMs[EY_BACKEND_KIND_COUNT] = {
+        [EY_BACKEND_MODEL] = 10.0,
+        [EY_BACKEND_SERVICE] = 20.0,
+    };
     for (int kind = 0; kind < EY_BACKEND_KIND_COUNT; kind++) {
         summary.kind = (EyBackendKind_t)kind;
+        summary.unit_ms = UnitMs[kind];
         EyRouter_SetSummary(self->router, EyClock_NowMs() - from->age_ms,
                             &summary);
     }
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -188,6 +188,32 @@
     EyGateway_WakeRouter(data);
 }
 
+static int64_t
+config_number(const EyGateway_t *self, EyDefaultKey_t key)
+{
+    return EyConfig_Number(EyGateway_Config(self), key,
+                           self->node->settings->region, NULL, NULL);
+}
+
+void
+EyGateway_ConfigureRouter(EyGateway_t *self)
+{
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.tail_weight =
+        (double)config_number(self, EY_DEFAULT_ROUTING_WEIGHT_TAIL) / 1000;
+    config.away_weight =
+        (double)config_number(self, EY_DEFAULT_ROUTING_WEIGHT_AWAY) / 1000;
+    config.queue_max =
+        (uint32_t)config_number(self, EY_DEFAULT_ROUTING_QUEUE_MAX);
+    config.link_bytes_per_s =
+        (uint64_t)config_number(self, EY_DEFAULT_ROUTING_AWAY_BUDGET);
+    config.retry_share =
+        (double)config_number(self, EY_DEFAULT_ROUTING_RETRY_BUDGET) / 1000;
+    config.sends_away =
+        config_number(self, EY_DEFAULT_ROUTING_AWAY_ALLOWED) != 0;
+    EyRouter_SetConfig(self->router, &config);
+}
+
 void
 EyGateway_OpenRouter(EyGateway_t *self)
 {
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 #include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static Fleet_t Fleet;
@@ -73,3 +75,125 @@
     cr_assert_eq(Fleet_Runs(&Fleet, 1, "class-6c"), 1);
     Reply_Clear(&other);
 }
+
+static const char Plan[] =
+    "{\"model\":\"visit-plan\",\"max_tokens\":8,\"stream\":true,"
+    "\"messages\":[{\"role\":\"user\",\"content\":\"plan our day\"}]}";
+
+static Reply_t
+ask_plan(uint32_t region, const char *home)
+{
+    char home_header[100] = "X-Unbound: 1";
+    if (home != NULL) {
+        (void)snprintf(home_header, sizeof(home_header), "Ebonyyard-Home: %s",
+                       home);
+    }
+    const char *const headers[] = {home_header, NULL};
+    return Http_Call(Fleet.regions[region].gateways[0].port, "POST",
+                     "/v1/chat/completions", headers, Plan, 10000);
+}
+
+Test(fleet, bound_data_stays_home_and_the_rest_may_be_sent_away)
+{
+    Fleet_Start(&Fleet, 3, 1);
+    Reply_t wrong = ask_plan(1, "zagreb");
+    cr_assert_eq(wrong.status, 421);
+    cr_assert_str_eq(wrong.outcome, "not-run");
+    Reply_Clear(&wrong);
+    /* The region loses its only model server. */
+    Process_Kill(&Fleet.regions[1].model);
+    Harness_SleepMs(6000);
+    Reply_t bound = ask_plan(1, "istra");
+    cr_assert_neq(bound.status, 200);
+    cr_assert_str_neq(bound.outcome, "completed");
+    Reply_Clear(&bound);
+    Reply_t sent = ask_plan(1, NULL);
+    cr_assert_eq(sent.status, 200, "%s", sent.body);
+    cr_assert(sent.whole);
+    cr_assert_not_null(strstr(sent.body, "[DONE]"));
+    Reply_Clear(&sent);
+}
+
+/** The value of a default as a gateway has it. */
+static long
+default_at(const Process_t *gateway, const char *key)
+{
+    Reply_t reply =
+        Http_Call(gateway->port, "GET", "/v1/config", NULL, NULL, 5000);
+    json_t *json = Reply_Json(&reply);
+    json_t *value = NULL;
+    size_t index = 0;
+    json_t *item = NULL;
+    json_array_foreach(json_object_get(json, "defaults"), index, item)
+    {
+        const char *name = json_string_value(json_object_get(item, "key"));
+        if (name != NULL && strcmp(name, key) == 0) {
+            value = json_object_get(item, "value");
+        }
+    }
+    long number = json_is_string(value) ? atol(json_string_value(value))
+                                        : (long)json_integer_value(value);
+    json_decref(json);
+    Reply_Clear(&reply);
+    return number;
+}
+
+static long
+put_default(const Process_t *gateway, int value, int version, const char *id)
+{
+    char body[300];
+    (void)snprintf(body, sizeof(body),
+                   "{\"value\":%d,\"version\":%d,\"change_id\":\"%s\","
+                   "\"author\":\"test\"}",
+                   value, version, id);
+    Reply_t reply =
+        Http_Call(gateway->port, "PUT",
+                  "/v1/config/defaults/routing.queue_max", NULL, body, 10000);
+    long status = reply.status;
+    Reply_Clear(&reply);
+    return status;
+}
+
+static bool
+await_default(const Process_t *gateway, long value, int64_t timeout_ms)
+{
+    int64_t give_up_ms = Harness_NowMs() + timeout_ms;
+    while (default_at(gateway, "routing.queue_max") != value) {
+        if (Harness_NowMs() >= give_up_ms) {
+            return false;
+        }
+        Harness_SleepMs(20);
+    }
+    return true;
+}
+
+Test(fleet, a_change_is_in_force_everywhere_and_survives_restarts_of_all)
+{
+    Fleet_Start(&Fleet, 3, 2);
+    cr_assert_eq(put_default(&Fleet.regions[0].gateways[0], 301, 0, "c-1"),
+                 200);
+    for (uint32_t r = 0; r < 3; r++) {
+        cr_assert(await_default(&Fleet.regions[r].gateways[1], 301, 3000));
+    }
+    /* Of two under one version the second loses; the same id is the same
+     * change. */
+    cr_assert_eq(put_default(&Fleet.regions[1].gateways[0], 302, 0, "c-2"),
+                 409);
+    cr_assert_eq(put_default(&Fleet.regions[2].gateways[0], 301, 0, "c-1"),
+                 200);
+    for (uint32_t r = 0; r < 3; r++) {
+        FleetRegion_t *region = &Fleet.regions[r];
+        Process_Kill(&region->control);
+        Process_Kill(&region->gateways[0]);
+        Process_Kill(&region->gateways[1]);
+    }
+    for (uint32_t r = 0; r < 3; r++) {
+        FleetRegion_t *region = &Fleet.regions[r];
+        Process_Start(&region->control);
+        Process_Start(&region->gateways[0]);
+        Process_Start(&region->gateways[1]);
+    }
+    for (uint32_t r = 0; r < 3; r++) {
+        cr_assert(await_default(&Fleet.regions[r].gateways[0], 301, 20000));
+    }
+}
