--- a/src/config/log.h
+++ b/src/config/log.h
@@ -16,7 +16,9 @@
  * all their incarnations as voters. So a process that comes back with an
  * empty disk while others remember the cluster can't vote as its former self;
  * the leader takes it in as a learner and makes it a voter when it has caught
- * up. A list of one starts alone.
+ * up. A list of one starts alone. Disks lost before the first entry is
+ * committed may leave no leader; nothing is lost then, and the start can be
+ * repeated with empty folders.
  */
 #ifndef EY_CONFIG_LOG_H
 #define EY_CONFIG_LOG_H
--- a/src/config/log_members.c
+++ b/src/config/log_members.c
@@ -307,6 +307,23 @@
     promote_learner(self);
 }
 
+/** True if a quorum of a member set was heard lately. */
+static bool
+has_live_quorum(EyLog_t *self, const EyLogMembers_t *members)
+{
+    uint32_t alive = 0;
+    for (uint32_t i = 0; i < members->count; i++) {
+        const EyLogMember_t *member = &members->items[i];
+        const EyLogPeer_t *peer =
+            ey_log_peer(self, member->address, member->incarnation);
+        bool is_heard = is_self(self, member->address) ||
+                        (peer != NULL && self->now_ms - peer->heard_ms <
+                                             self->options.election_min_ms);
+        alive += member->is_voter && is_heard;
+    }
+    return alive >= EyLogMembers_Voters(members) / 2 + 1;
+}
+
 void
 ey_log_remove_member(EyLog_t *self, const char *address)
 {
@@ -315,6 +332,9 @@
     {
         return;
     }
+    /* What remains must be able to commit the change. */
     EyLogMembers_t members = members_without(self, address);
-    propose_members(self, &members);
+    if (has_live_quorum(self, &members)) {
+        propose_members(self, &members);
+    }
 }
--- a/tests/unit/test_log_file.c
+++ b/tests/unit/test_log_file.c
@@ -202,6 +202,40 @@
     remove_folder(&fixture);
 }
 
+/* What remains of a long torn record must not stand behind a short one. */
+Test(log_file, torn_record_is_gone)
+{
+    Fixture_t fixture = make_folder();
+    EyLogDisk_t disk;
+    uint8_t data[500];
+    memset(data, 'x', sizeof(data));
+    EyLogEntry_t entry = {
+        .index = 1,
+        .term = 2,
+        .kind = EY_LOG_COMMAND,
+        .data = {.data = data, .size_bytes = sizeof(data)},
+    };
+    EyLogPersist_t persist = {
+        .term = 2,
+        .entries = &entry,
+        .entry_count = 1,
+    };
+    EyLogFile_t *file = open_good(&fixture, &disk);
+    cr_assert(EyLogFile_Write(file, &persist, NULL));
+    uint64_t size_bytes = EyLogFile_SizeBytes(file);
+    talloc_free(file);
+    cr_assert_eq(truncate(fixture.path, (off_t)size_bytes - 10), 0);
+
+    file = open_good(&fixture, &disk);
+    cr_assert_eq(disk.entry_count, 0);
+    cr_assert(write_entry(file, 1, 3, NULL));
+    talloc_free(file);
+    file = open_good(&fixture, &disk);
+    cr_assert_eq(disk.entry_count, 1);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
+
 Test(log_file, zeros_behind_the_end_are_cut)
 {
     Fixture_t fixture = make_folder();
