Registry: a late announcement can't undo a leaving; stronger tests

The new ones found two faults. And an instance greeted the addresses of gone ones only while all addresses of the settings answered, so a partition with a dead settings address didn't heal by itself.

--- a/src/membership/listing.h
+++ b/src/membership/listing.h
@@ -19,8 +19,9 @@
     uint32_t refresh_rounds;
     uint32_t rumor_rounds;
     uint32_t load_rounds;
-    bool listed;      /* the router knows it */
-    bool unconfirmed; /* known from before a freeze */
+    bool numbers_loads; /* the server does, as last heard here */
+    bool listed;        /* the router knows it */
+    bool unconfirmed;   /* known from before a freeze */
 } EyRecord_t;
 
 /** True for what is no longer there, but kept to outlive old news. */
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -440,7 +440,7 @@
         }
     }
     const char *address = EyMembers_GoneAddress(self->members, &self->random);
-    if (address != NULL && sent == 0) {
+    if (address != NULL) {
         self->hooks.send(self->hooks.data, "", address, &message);
     }
 }
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -392,7 +392,7 @@
                   const EyBackend_t *backend)
 {
     int64_t known_at = record->said.backend.load.at;
-    if (backend->load.at != 0 && known_at != 0) {
+    if (record->numbers_loads && backend->load.at != 0) {
         return backend->load.at <= known_at;
     }
     return now_ms - record->learnt_ms < REOPEN_HOLD_MS;
@@ -474,7 +474,8 @@
         return;
     }
     EyBackend_t heard = *backend;
-    if (heard.load.at == 0) {
+    record->numbers_loads = heard.load.at != 0;
+    if (!record->numbers_loads) {
         number_load(&heard.load, &record->said.backend.load);
     }
     hear_known(self, now_ms, record, &heard, listing);
--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -8,7 +8,7 @@
 
 #define SPEAK_INTERVAL_MS 1000
 /* Other regions that are spoken to in one interval; the rest take turns. */
-#define REGIONS_PER_INTERVAL 2
+#define REGIONS_PER_INTERVAL 1
 #define REGIONS_MAX 64
 #define SPREAD_INTERVAL_MS 1000
 #define SPREAD_TARGETS 2
--- a/tests/property/test_directory_properties.cc
+++ b/tests/property/test_directory_properties.cc
@@ -190,6 +190,11 @@
         world.run(30000);
         const size_t slow = 0;
         world.slowness[slow] = 2.0;
+        if (*rc::gen::arbitrary<bool>()) {
+            for (Caller &caller : world.callers) {
+                caller.zone = ""; /* not known */
+            }
+        }
         /* It becomes half as large; what it says it can take stays. */
         uint32_t said = world.instances[slow].capacity;
         for (int64_t at_ms = 0; at_ms < 40000; at_ms += step_ms) {
@@ -203,6 +208,25 @@
     });
 }
 
+Test(directory_properties, callers_that_came_together_spread_in_time)
+{
+    EY_CHECK("spread in time", [] {
+        World world(*rc::gen::arbitrary<uint64_t>(), any_capacities());
+        for (Caller &caller : world.callers) {
+            caller.until_ms = world.now_ms;
+        }
+        world.run(60000);
+        for (int64_t at_ms = 0; at_ms < 10000; at_ms += step_ms) {
+            size_t due = 0;
+            for (const Caller &caller : world.callers) {
+                due += caller.until_ms <= world.now_ms + step_ms ? 1 : 0;
+            }
+            RC_ASSERT(due < caller_count / 8);
+            world.step();
+        }
+    });
+}
+
 Test(directory_properties, a_new_instance_is_not_flooded)
 {
     EY_CHECK("new instance", [] {
--- a/tests/property/test_membership_properties.cc
+++ b/tests/property/test_membership_properties.cc
@@ -157,6 +157,12 @@
         net->run(
             *rc::gen::element<int64_t>(1000, 3000, 5000, 30000, 3600000 / 4));
         net->thaw(frozen);
+        net->step();
+        for (auto &node : net->nodes) {
+            /* It heard nobody, but that was its own doing. */
+            RC_ASSERT(
+                !EyMembership_IsSuspect(frozen.membership, node->id.c_str()));
+        }
         RC_ASSERT(net->settle(gone_limit_ms) >= 0);
         RC_ASSERT(history.fault == "");
         for (auto &node : net->nodes) {
@@ -190,6 +196,93 @@
     });
 }
 
+Test(membership_properties, a_slow_link_that_is_known_raises_no_suspicion)
+{
+    EY_CHECK("slow links", [] {
+        const auto count = *rc::gen::inRange<size_t>(3, 7);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        net->delay_max_ms = *rc::gen::inRange<int64_t>(1500, 2500);
+        net->run(60000); /* the pauses are learnt */
+        uint32_t suspicions = 0;
+        net->run(60000, [&](Node &node) {
+            for (auto &other : net->nodes) {
+                suspicions +=
+                    EyMembership_IsSuspect(node.membership, other->id.c_str())
+                        ? 1
+                        : 0;
+            }
+        });
+        RC_ASSERT(suspicions == 0U);
+    });
+}
+
+Test(membership_properties, a_leaving_instance_is_known_in_two_seconds)
+{
+    EY_CHECK("leaving", [] {
+        const auto count = *rc::gen::inRange<size_t>(2, 30);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        net->drop_percent = 10;
+        Node &leaving = *net->nodes[*rc::gen::inRange<size_t>(0, count)];
+        EyMembership_Leave(leaving.membership);
+        net->run(2000);
+        for (auto &node : net->nodes) {
+            EyMemberState_t state =
+                EyMembership_Find(node->membership, leaving.id.c_str())->state;
+            RC_ASSERT(state == EY_MEMBER_LEAVING);
+        }
+    });
+}
+
+Test(membership_properties, old_news_of_a_forgotten_instance_is_refused)
+{
+    EY_CHECK("forgotten", [] {
+        const auto count = *rc::gen::inRange<size_t>(3, 6);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        Node &dead = *net->nodes[0];
+        EyMember_t old = *EyMembership_Self(dead.membership);
+        net->crash(dead);
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        net->run(700000);
+        EyClusterMessage_t message = {};
+        message.type = EY_CLUSTER_GOSSIP;
+        message.incarnation = 1;
+        message.members = &old;
+        message.member_count = 1;
+        EyText_Copy(message.region, sizeof(message.region), "istra");
+        net->send(*net->nodes[1], net->nodes[2]->address.c_str(), message);
+        net->run(1000);
+        for (size_t i = 1; i < count; i++) {
+            RC_ASSERT(!net->sees(*net->nodes[i], dead));
+        }
+    });
+}
+
+Test(membership_properties, a_partition_heals_without_the_settings)
+{
+    EY_CHECK("partition, seeds lost", [] {
+        const auto count = *rc::gen::inRange<size_t>(7, 11);
+        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+        RC_ASSERT(net->settle(join_limit_ms) >= 0);
+        for (size_t i = 0; i < 3; i++) {
+            net->crash(*net->nodes[i]);
+        }
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+        for (size_t i = 3; i < count; i++) {
+            for (size_t j = 3; j < count; j++) {
+                if (i % 2 != j % 2) {
+                    net->cuts.insert({i, j});
+                }
+            }
+        }
+        net->run(60000);
+        net->cuts.clear();
+        RC_ASSERT(net->settle(gone_limit_ms) >= 0);
+    });
+}
+
 Test(membership_properties, a_partition_heals)
 {
     EY_CHECK("partition", [] {
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -283,6 +283,56 @@
     });
 }
 
+Test(registry_properties, a_leaving_wins_over_changes_said_elsewhere)
+{
+    EY_CHECK("leaving and changes", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(3, 7);
+        auto site = make_site(gateways, 3);
+        site->run(*rc::gen::inRange<int64_t>(0, 10000));
+        Server &server = site->servers[0];
+        for (size_t i = 1; i < gateways; i++) {
+            site->net.cuts.insert({0, i});
+            site->net.cuts.insert({i, 0});
+        }
+        /* One gateway hears of changes, then another of the leaving. */
+        const auto changes = *rc::gen::inRange<uint32_t>(0, 5);
+        for (uint32_t i = 0; i < changes; i++) {
+            EyBackend_t backend = site->content(server);
+            backend.slots = 5 + i;
+            EyRegistry_Announce(site->registries[0],
+                                site->net.local_ms(*site->net.nodes[0]),
+                                &backend);
+        }
+        server.gateway = 1;
+        site->leave(server);
+        server.up = false;
+        /* Too short for gateways to be gone, or for the cut one to know. */
+        site->run(*rc::gen::inRange<int64_t>(500, 5000), settle_limit_ms);
+        site->net.cuts.clear();
+        site->run(3000, settle_limit_ms);
+        site->run(15000);
+        RC_ASSERT(site->fault == "");
+    });
+}
+
+Test(registry_properties, a_late_announcement_does_not_undo_a_leaving)
+{
+    EY_CHECK("late announcement", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(2, 7);
+        auto site = make_site(gateways, 2);
+        Server &server = site->servers[*rc::gen::inRange<size_t>(0, 2)];
+        EyBackend_t late = site->content(server);
+        site->leave(server);
+        server.up = false;
+        site->run(*rc::gen::inRange<int64_t>(100, 600));
+        size_t at = *rc::gen::inRange<size_t>(0, gateways);
+        EyRegistry_Announce(site->registries[at],
+                            site->net.local_ms(*site->net.nodes[at]), &late);
+        site->run(15000);
+        RC_ASSERT(site->fault == "");
+    });
+}
+
 Test(registry_properties, a_server_that_comes_back_is_listed_again)
 {
     EY_CHECK("return", [] {
@@ -315,6 +365,9 @@
         site->servers[0].up = *rc::gen::arbitrary<bool>();
         site->run(
             *rc::gen::element<int64_t>(1000, 3000, 8000, 60000, 1200000));
+        if (*rc::gen::arbitrary<bool>()) {
+            frozen.waiting.clear(); /* connections broke meanwhile */
+        }
         site->net.thaw(frozen);
         site->run(10000);
         RC_ASSERT(site->fault == "");
@@ -322,6 +375,17 @@
     });
 }
 
+Test(registry_properties, a_server_lost_with_its_sponsor_is_unlisted)
+{
+    EY_CHECK("both lost", [] {
+        auto site = make_site(*rc::gen::inRange<size_t>(3, 7), 4);
+        Server &server = site->servers[1];
+        server.up = false;
+        site->net.crash(*site->net.nodes[server.gateway]);
+        RC_ASSERT(site->settle(settle_limit_ms) >= 0);
+    });
+}
+
 Test(registry_properties, a_live_server_stays_listed_at_live_gateways)
 {
     EY_CHECK("stays", [] {
