--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -26,6 +26,7 @@
     EyRecent_t finished_work;
     EyUrgency_t urgency; /* of the work admitted */
     uint32_t flight_count;
+    int64_t looked_ms;  /* when the last long look was taken at the queue */
     GArray *candidates; /* room for EyPool_Plan */
     GArray *choices;
 } EyPool_t;
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -16,6 +16,8 @@
 #define GIVE_UP_SHARE 0.9
 /** Requests looked at, without a decision, whenever some may go. */
 #define RELEASE_KEPT_MAX 16
+#define LONG_LOOK_KEPT_MAX 128
+#define LONG_LOOK_EVERY_MS 100
 
 static int
 destroy_router(EyRouter_t *self)
@@ -415,12 +417,13 @@
  * first, so none of them is missed; once some go on waiting, the later ones
  * do so too. */
 static void
-release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, GArray *decisions)
+release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, uint32_t kept_max,
+        GArray *decisions)
 {
     double work_ahead = 0.0;
     uint32_t kept = 0;
     GSequenceIter *each = g_sequence_get_begin_iter(pool->queue->waiting);
-    while (!g_sequence_iter_is_end(each) && kept < RELEASE_KEPT_MAX) {
+    while (!g_sequence_iter_is_end(each) && kept < kept_max) {
         GSequenceIter *next = g_sequence_iter_next(each);
         const EyWaiting_t *waiting = g_sequence_get(each);
         EyRoutingDecision_t decision;
@@ -505,7 +508,7 @@
     end_flight(self, now_ms, open, result);
     g_hash_table_remove(self->flights, &number);
     if (pool != NULL) {
-        release(self, now_ms, pool, decisions);
+        release(self, now_ms, pool, RELEASE_KEPT_MAX, decisions);
     }
     return true;
 }
@@ -533,6 +536,17 @@
            EyAdmissionQueue_Length(self->queue) == 0;
 }
 
+/* From time to time a longer look, as other regions may take what waits. */
+static uint32_t
+kept_max_at(EyPool_t *pool, int64_t now_ms)
+{
+    if (now_ms - pool->looked_ms < LONG_LOOK_EVERY_MS) {
+        return RELEASE_KEPT_MAX;
+    }
+    pool->looked_ms = now_ms;
+    return LONG_LOOK_KEPT_MAX;
+}
+
 void
 EyRouter_Tick(EyRouter_t *self, int64_t now_ms, GArray *decisions)
 {
@@ -540,7 +554,7 @@
     gpointer pool;
     g_hash_table_iter_init(&each, self->pools);
     while (g_hash_table_iter_next(&each, NULL, &pool)) {
-        release(self, now_ms, pool, decisions);
+        release(self, now_ms, pool, kept_max_at(pool, now_ms), decisions);
     }
     g_hash_table_foreach_remove(self->pools, is_unused, NULL);
 }
