--- a/src/gateway/away.c
+++ b/src/gateway/away.c
@@ -2,6 +2,7 @@
 #include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+
 #include <string.h>
 
 #define CREDIT_PERIOD_MS 20
@@ -71,8 +72,7 @@
 {
     const EyRoutingResult_t result = {
         .kind = kind,
-        .duration_ms =
-            EyClock_NowMs() - live->exchange->request->arrived_ms,
+        .duration_ms = EyClock_NowMs() - live->exchange->request->arrived_ms,
     };
     EyGateway_RouteFinished(live, &result);
     live->away_id[0] = '\0';
@@ -143,8 +143,8 @@
 static bool
 is_next(EyLive_t *live, const EyForward_t *forward)
 {
-    bool is_next = live->stream != NULL &&
-                   forward->sequence == live->away_sequence;
+    bool is_next =
+        live->stream != NULL && forward->sequence == live->away_sequence;
     live->away_sequence++;
     return is_next;
 }
@@ -154,7 +154,8 @@
 {
     if (!is_next(live, forward) ||
         !EyStream_Write(live->stream, forward->chunk.data,
-                        forward->chunk.size_bytes)) {
+                        forward->chunk.size_bytes))
+    {
         break_off(live, forward->attempt, "a piece of the answer was lost");
         return;
     }
@@ -188,7 +189,8 @@
     void *ctx = talloc_new(NULL);
     EyForward_t forward;
     if (!EySchema_Unpack(&EyForward_schema, ctx, message->payload.data,
-                         message->payload.size_bytes, &forward, NULL)) {
+                         message->payload.size_bytes, &forward, NULL))
+    {
         talloc_free(ctx);
         return;
     }
--- a/src/gateway/forwarded.c
+++ b/src/gateway/forwarded.c
@@ -2,6 +2,7 @@
 #include "core/clock.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+
 #include <string.h>
 
 #define WAKES_WAITING_MAX 16384
@@ -102,8 +103,7 @@
     while (pump->credit_bytes > 0) {
         uint32_t room_bytes = MIN(pump->credit_bytes, sizeof(buffer));
         EyStreamState_t state = EY_STREAM_OPEN;
-        uint32_t got =
-            EyStream_Read(pump->stream, buffer, room_bytes, &state);
+        uint32_t got = EyStream_Read(pump->stream, buffer, room_bytes, &state);
         if (got == 0 && state != EY_STREAM_OPEN) {
             end_pump(pump, state);
             return;
@@ -187,7 +187,8 @@
     EyBytes_t packed =
         EySchema_Pack(&EyRequest_schema, request, &forward->request[0]);
     if (!EySchema_Unpack(&EyRequest_schema, request, packed.data,
-                         packed.size_bytes, request, NULL)) {
+                         packed.size_bytes, request, NULL))
+    {
         talloc_free(request);
         return NULL;
     }
@@ -205,17 +206,17 @@
         return;
     }
     const EyRequest_t *asked = &forward->request[0];
-    bool is_allowed =
-        asked->visited_count == 1 &&
-        EyPolicyBoard_Check(self->policy, asked,
-                            self->node->settings->region) ==
-            EY_RESIDENCY_ALLOW;
+    bool is_allowed = asked->visited_count == 1 &&
+                      EyPolicyBoard_Check(self->policy, asked,
+                                          self->node->settings->region) ==
+                          EY_RESIDENCY_ALLOW;
     if (!is_allowed) {
         refuse(self, from, forward->attempt, EY_PROBLEM_WRONG_REGION, NULL);
         return;
     }
     if (self->node->state != EY_NODE_SERVING ||
-        g_hash_table_size(self->lives) >= EY_GATEWAY_LIVES_MAX) {
+        g_hash_table_size(self->lives) >= EY_GATEWAY_LIVES_MAX)
+    {
         refuse(self, from, forward->attempt, EY_PROBLEM_OVERLOADED, NULL);
         return;
     }
@@ -228,9 +229,9 @@
 
 /** The live exchange or the pump of an instance's attempt. */
 static gpointer
-find_by_attempt(GHashTable *table, bool (*matches)(gconstpointer value,
-                                                   const char *from,
-                                                   uint64_t attempt),
+find_by_attempt(GHashTable *table,
+                bool (*matches)(gconstpointer value, const char *from,
+                                uint64_t attempt),
                 const char *from, uint64_t attempt)
 {
     GHashTableIter iter;
@@ -267,8 +268,7 @@
         uint64_t number = pump->number;
         (void)g_hash_table_remove(self->pumps, &number);
     }
-    EyLive_t *live =
-        find_by_attempt(self->lives, live_matches, from, attempt);
+    EyLive_t *live = find_by_attempt(self->lives, live_matches, from, attempt);
     if (live != NULL) {
         EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_GONE};
         EyLive_Step(live, &event);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -41,25 +41,35 @@
     talloc_free(object);
 }
 
-static void *
-gateway_open(const void *ctx, EyNode_t *node, GError **error)
+static void
+make_tables(EyGateway_t *self)
 {
-    (void)error;
-    EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
-    self->node = node;
-    self->next_attempt = 1;
     self->lives = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                         free_talloc, free_talloc);
     self->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, free_talloc, NULL);
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
-    EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
+    EyMailbox_Attach(self->attempt_events, self->node->loop, on_attempt_event,
+                     self);
+}
+
+static void *
+gateway_open(const void *ctx, EyNode_t *node, GError **error)
+{
+    EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
+    self->node = node;
+    self->next_attempt = 1;
+    self->records = EyGatewayRecords_Start(self, error);
+    if (self->records == NULL) {
+        talloc_free(self);
+        return NULL;
+    }
+    make_tables(self);
     self->outbound = EyOutbound_Start(self, self->attempt_events);
     self->policy = EyPolicyBoard_New(self, node->settings->region);
     EyGateway_OpenForwarded(self);
     EyGateway_OpenAway(self);
     EyGateway_OpenRouter(self);
-    self->records = EyGatewayRecords_New(self);
     EyGateway_OpenConfiguration(self);
     EyGateway_OpenNeighbours(self);
     EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
@@ -71,6 +81,7 @@
 {
     EyGateway_t *self = part;
     EyOutbound_Stop(self->outbound);
+    EyGatewayRecords_Stop(self->records);
     EyGateway_CloseForwarded(self);
     g_hash_table_destroy(self->attempts);
     g_hash_table_destroy(self->lives);
--- a/src/gateway/policy_board.c
+++ b/src/gateway/policy_board.c
@@ -1,6 +1,7 @@
 #include "gateway/policy_board.h"
 
 #include "core/memory.h"
+
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
@@ -50,8 +51,7 @@
                          const char *addresses)
 {
     (void)pthread_mutex_lock(&self->lock);
-    g_hash_table_replace(self->entries, g_strdup(region),
-                         g_strdup(addresses));
+    g_hash_table_replace(self->entries, g_strdup(region), g_strdup(addresses));
     (void)pthread_mutex_unlock(&self->lock);
 }
 
@@ -88,10 +88,9 @@
 {
     char text[EY_VALUE_SIZE_BYTES];
     (void)pthread_mutex_lock(&self->lock);
-    (void)EY_COPY(text, EyConfig_Get(self->config,
-                                     EY_DEFAULT_RESIDENCY_REGIONS,
-                                     request->home, request->account,
-                                     request->target));
+    (void)EY_COPY(
+        text, EyConfig_Get(self->config, EY_DEFAULT_RESIDENCY_REGIONS,
+                           request->home, request->account, request->target));
     (void)pthread_mutex_unlock(&self->lock);
     return split_names(text, regions, EY_POLICY_REGIONS_MAX);
 }
--- /dev/null
+++ b/src/gateway/record_storage.c
@@ -0,0 +1,163 @@
+#include "gateway/record_storage.h"
+
+#include "core/log.h"
+#include "core/mailbox.h"
+#include "core/memory.h"
+#include "core/worker.h"
+
+#define WRITES_WAITING_MAX 4096
+
+struct EyRecordStorage {
+    EyRecordStorageHooks_t hooks;
+    EyJournal_t *journal; /* the thread's while it runs */
+    EyWorker_t *worker;
+    EyMailbox_t *written;
+    bool is_compacting;
+};
+
+/** An order to the thread: append, or replace all. */
+typedef struct Order {
+    bool is_snapshot;
+    EyGroupState_t *state;
+} Order_t;
+
+/** What the thread says of an order. */
+typedef struct Written {
+    uint64_t serial;
+    bool is_snapshot;
+    bool done;
+    bool wants_compaction;
+    char reason[200];
+} Written_t;
+
+/* On the storage thread. */
+
+static void *
+worker_open(void *ctx, struct tevent_context *loop, EyTimers_t *timers,
+            void *data)
+{
+    (void)loop;
+    (void)timers;
+    EyRecordStorage_t **state = EY_NEW(ctx, EyRecordStorage_t *);
+    *state = data;
+    return state;
+}
+
+static void
+worker_handle(void *state, void *message)
+{
+    EyRecordStorage_t *self = *(EyRecordStorage_t **)state;
+    const Order_t *order = message;
+    GError *error = NULL;
+    Written_t *written = EY_NEW(NULL, Written_t);
+    written->serial = order->state->serial;
+    written->is_snapshot = order->is_snapshot;
+    written->done =
+        order->is_snapshot
+            ? EyJournal_Compact(self->journal, order->state, &error)
+            : EyJournal_Append(self->journal, order->state, &error);
+    written->wants_compaction = EyJournal_WantsCompaction(self->journal);
+    if (!written->done) {
+        (void)EY_COPY(written->reason, error->message);
+        g_error_free(error);
+    }
+    talloc_free(message);
+    EyMailbox_PostWait(self->written, written);
+}
+
+static const EyWorkerClass_t Class = {
+    .name = "records",
+    .open = worker_open,
+    .handle = worker_handle,
+};
+
+/* On the loop's thread. */
+
+/** A deep copy below ctx. */
+static EyGroupState_t *
+copy_state(const void *ctx, const EyGroupState_t *from)
+{
+    EyGroupState_t *state = EY_NEW(ctx, EyGroupState_t);
+    *state = *from;
+    state->view = *EyView_Copy(state, &from->view);
+    state->accepted = *EyView_Copy(state, &from->accepted);
+    state->records = EY_NEW_ARRAY(state, EyRecord_t, from->record_count);
+    for (uint32_t i = 0; i < from->record_count; i++) {
+        EyRecord_CopyInto(state, &state->records[i], &from->records[i]);
+    }
+    return state;
+}
+
+static bool
+post(EyRecordStorage_t *self, Order_t *order)
+{
+    bool taken = EyWorker_Post(self->worker, order);
+    if (!taken) {
+        talloc_free(order);
+    }
+    return taken;
+}
+
+static void
+compact(EyRecordStorage_t *self)
+{
+    Order_t *order = EY_NEW(NULL, Order_t);
+    order->is_snapshot = true;
+    order->state = self->hooks.snapshot(self->hooks.data, order);
+    self->is_compacting = post(self, order);
+}
+
+static void
+on_written(void *data, void *message)
+{
+    EyRecordStorage_t *self = data;
+    const Written_t *written = message;
+    if (!written->done) {
+        EY_LOG(EY_LOG_ERROR, "records", "write_failed",
+               EY_LOG_TEXT("reason", written->reason));
+    }
+    if (written->is_snapshot) {
+        self->is_compacting = false;
+    }
+    self->hooks.written(self->hooks.data, written->serial, written->done);
+    if (written->wants_compaction && written->done && !self->is_compacting) {
+        compact(self);
+    }
+    talloc_free(message);
+}
+
+EyRecordStorage_t *
+EyRecordStorage_Start(const void *ctx, const char *folder,
+                      struct tevent_context *loop,
+                      const EyRecordStorageHooks_t *hooks,
+                      EyGroupState_t **restored, GError **error)
+{
+    EyRecordStorage_t *self = EY_NEW(ctx, EyRecordStorage_t);
+    self->hooks = *hooks;
+    self->journal = EyJournal_Open(self, folder, restored, error);
+    if (self->journal == NULL) {
+        talloc_free(self);
+        return NULL;
+    }
+    self->written = EyMailbox_New(self, WRITES_WAITING_MAX * 2);
+    EyMailbox_Attach(self->written, loop, on_written, self);
+    self->worker = EyWorker_Start(self, &Class, WRITES_WAITING_MAX, self);
+    return self;
+}
+
+void
+EyRecordStorage_Write(EyRecordStorage_t *self, const EyGroupState_t *state)
+{
+    Order_t *order = EY_NEW(NULL, Order_t);
+    order->state = copy_state(order, state);
+    if (!post(self, order)) {
+        self->hooks.written(self->hooks.data, state->serial, false);
+    }
+}
+
+void
+EyRecordStorage_Stop(EyRecordStorage_t *self)
+{
+    EyWorker_Stop(self->worker);
+    talloc_free(self);
+}
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
+#include "gateway/record_storage.h"
 #include "idempotency/claims.h"
 #include "idempotency/envelope.h"
 #include "idempotency/group.h"
@@ -18,7 +19,8 @@
     EyGateway_t *gateway;
     EyClaims_t *claims;
     EyGroup_t *group;
-    uint64_t epoch; /* configured */
+    EyRecordStorage_t *storage; /* NULL: no disk */
+    uint64_t epoch;             /* configured */
     int64_t proposed_ms;
 };
 
@@ -96,6 +98,10 @@
             send_message(self, action);
             continue;
         }
+        if (action->kind == EY_GROUP_ACTION_PERSIST && self->storage != NULL) {
+            EyRecordStorage_Write(self->storage, action->state);
+            continue;
+        }
         if (action->kind != EY_GROUP_ACTION_DECIDED) {
             continue;
         }
@@ -186,28 +192,94 @@
     check_epoch(self, now_ms);
 }
 
-EyGatewayRecords_t *
-EyGatewayRecords_New(EyGateway_t *gateway)
+/* The journal's hooks */
+
+static void
+hook_written(void *data, uint64_t serial, bool done)
 {
-    EyNode_t *node = gateway->node;
-    EyGatewayRecords_t *self = EY_NEW(gateway, EyGatewayRecords_t);
-    self->gateway = gateway;
-    EyClaimsOptions_t claims_options = {.incarnation = node->incarnation};
-    (void)EY_COPY(claims_options.name, node->settings->id);
-    (void)EY_COPY(claims_options.region, node->settings->region);
-    self->claims = EyClaims_New(self, &claims_options);
-    EyGroupOptions_t group_options = {
+    EyGatewayRecords_t *self = data;
+    const EyGroupEvent_t event = {
+        .kind =
+            done ? EY_GROUP_EVENT_PERSISTED : EY_GROUP_EVENT_PERSIST_FAILED,
+        .serial = serial,
+    };
+    step_group(self, &event);
+}
+
+static EyGroupState_t *
+hook_snapshot(void *data, const void *ctx)
+{
+    const EyGatewayRecords_t *self = data;
+    return EyGroup_Snapshot(self->group, ctx);
+}
+
+static bool
+open_storage(EyGatewayRecords_t *self, EyGroupState_t **restored,
+             GError **error)
+{
+    const EyNode_t *node = self->gateway->node;
+    if (node->settings->data_dir == NULL) {
+        return true;
+    }
+    const EyRecordStorageHooks_t hooks = {
+        .written = hook_written,
+        .snapshot = hook_snapshot,
+        .data = self,
+    };
+    self->storage = EyRecordStorage_Start(self, node->settings->data_dir,
+                                          node->loop, &hooks, restored, error);
+    return self->storage != NULL;
+}
+
+static EyClaims_t *
+make_claims(EyGatewayRecords_t *self)
+{
+    const EyNode_t *node = self->gateway->node;
+    EyClaimsOptions_t options = {.incarnation = node->incarnation};
+    (void)EY_COPY(options.name, node->settings->id);
+    (void)EY_COPY(options.region, node->settings->region);
+    return EyClaims_New(self, &options);
+}
+
+static EyGroup_t *
+make_group(EyGatewayRecords_t *self, const EyGroupState_t *restored)
+{
+    EyNode_t *node = self->gateway->node;
+    EyGroupOptions_t options = {
         .incarnation = node->incarnation,
+        .has_disk = self->storage != NULL,
         .seed = EyRandom_Next(&node->random),
     };
-    (void)EY_COPY(group_options.name, node->settings->id);
-    (void)EY_COPY(group_options.region, node->settings->region);
-    self->group = EyGroup_New(self, &group_options, NULL, EyClock_NowMs());
+    (void)EY_COPY(options.name, node->settings->id);
+    (void)EY_COPY(options.region, node->settings->region);
+    return EyGroup_New(self, &options, restored, EyClock_NowMs());
+}
+
+EyGatewayRecords_t *
+EyGatewayRecords_Start(EyGateway_t *gateway, GError **error)
+{
+    EyGatewayRecords_t *self = EY_NEW(gateway, EyGatewayRecords_t);
+    self->gateway = gateway;
+    EyGroupState_t *restored = NULL;
+    if (!open_storage(self, &restored, error)) {
+        talloc_free(self);
+        return NULL;
+    }
+    self->claims = make_claims(self);
+    self->group = make_group(self, restored);
     EyGroup_RegisterMetrics();
-    (void)EyTimers_Every(node->timers, TICK_MS, on_tick, self);
+    (void)EyTimers_Every(gateway->node->timers, TICK_MS, on_tick, self);
     return self;
 }
 
+void
+EyGatewayRecords_Stop(EyGatewayRecords_t *self)
+{
+    if (self->storage != NULL) {
+        EyRecordStorage_Stop(self->storage);
+    }
+}
+
 void
 EyGatewayRecords_SetCandidates(EyGatewayRecords_t *self,
                                const EyName_t *gateways, uint32_t count)
--- a/src/gateway/records.h
+++ b/src/gateway/records.h
@@ -17,9 +17,14 @@
 struct EyLive;
 typedef struct EyGatewayRecords EyGatewayRecords_t;
 
-/** Makes claims and replica, and their timer. */
+/** Makes claims and replica, and their timer; restores the replica if the
+ * instance has a disk. NULL with an error if its journal can't be used. */
 EyGatewayRecords_t *
-EyGatewayRecords_New(struct EyGateway *gateway);
+EyGatewayRecords_Start(struct EyGateway *gateway, GError **error);
+
+/** Ends the journal's thread. */
+void
+EyGatewayRecords_Stop(EyGatewayRecords_t *self);
 
 /** The configuration changed: the group's epoch may have. */
 void
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -58,6 +58,8 @@
     return reply;
 }
 
+TestSuite(path, .timeout = 60);
+
 Test(path, a_model_answers_through_the_gateway)
 {
     Process_t gateway = start_gateway();
@@ -117,9 +119,19 @@
                   headers, "{\"seats\":31}", 5000);
     cr_assert_eq(other.status, 422);
     cr_assert_str_eq(other.outcome, "not-run");
+    /* What was acknowledged is on the disk. */
+    Process_Kill(&gateway);
+    Process_Start(&gateway);
+    cr_assert(Process_Await(&gateway, "/readyz", 200, 10000));
+    Reply_t later =
+        call_when_known(gateway.port, "POST", "/v1/services/booking/purchases",
+                        headers, "{\"seats\":30}");
+    cr_assert_eq(later.status, 200, "%s", later.body);
+    cr_assert_str_eq(later.body, first.body);
     Reply_Clear(&first);
     Reply_Clear(&again);
     Reply_Clear(&other);
+    Reply_Clear(&later);
     Process_Kill(&gateway);
     Process_Kill(&fake);
 }
