--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -26,6 +26,7 @@
 typedef struct Reply {
     long status; /* 0: no whole answer came */
     bool whole;
+    bool refused; /* no connection: the request never left */
     char outcome[16];
     char retry_after[16];
     char request_id[256];
