--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -58,7 +58,9 @@
         .problem = DecisionProblems[action->decision],
         .outcome = action->outcome,
         .retry_after_s = (uint32_t)((action->retry_after_ms + 999) / 1000),
-        .detail = EyGroupReason_names[action->reason],
+        .detail = action->reason == EY_REASON_NONE
+                      ? NULL
+                      : EyGroupReason_names[action->reason],
     };
     if (action->decision == EY_DECISION_WAITING) {
         return;
--- a/src/idempotency/group_vote.c
+++ b/src/idempotency/group_vote.c
@@ -10,6 +10,7 @@
 
 /** Ballots are rounds times this, plus the rank of the member. */
 #define BALLOT_STEP EY_VIEW_MEMBERS_MAX
+#define WITNESS_ASK_MS 500
 #define RESEND_MS 100
 /** How long answers of all are waited for once a quorum has answered. */
 #define PROBE_WAIT_MS 250
@@ -529,10 +530,33 @@
     }
 }
 
+/**
+ * A witness stands for no view, but one that was cut off while a new view was
+ * made without it must hear of that, or it would wait in the old one for
+ * good: whoever is in another view answers with it.
+ */
+static void
+ask_as_witness(EyGroup_t *self)
+{
+    bool is_due =
+        self->now_ms - self->heard_leader_ms >= EY_GROUP_WITNESS_SUSPECT_MS &&
+        self->now_ms - self->vote.sent_ms >= WITNESS_ASK_MS;
+    if (!is_due) {
+        return;
+    }
+    self->vote.sent_ms = self->now_ms;
+    const EyView_t *view = self->view;
+    for (uint32_t i = 0; i < replica_count(view); i++) {
+        EyGroup_Send(self, view->members[i].name,
+                     EyGroup_Make(self, EY_GROUP_PROBE));
+    }
+}
+
 void
 EyGroupVote_Tick(EyGroup_t *self)
 {
     if (self->me.is_witness) {
+        ask_as_witness(self);
         return;
     }
     if (self->vote.phase != VOTE_NONE) {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "core/counters.h"
 #include "core/log.h"
 #include "core/memory.h"
+#include "node/cut_file.h"
 #include "operators/operators.h"
 
 #include <signal.h>
@@ -539,6 +540,7 @@
         EyNode_Stop(self);
         return NULL;
     }
+    EyCutFile_Watch(self, self->timers, self->peers);
     self->state = EY_NODE_SERVING;
     EY_LOG(EY_LOG_INFO, "node", "serving",
            EY_LOG_TEXT("listen", settings->listen),
--- a/tests/process/fleet.c
+++ b/tests/process/fleet.c
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define START_LIMIT_MS 30000
@@ -79,6 +80,9 @@
         FleetRegion_t *region = &fleet->regions[r];
         Harness_MakeFolder(region->control_folder,
                            sizeof(region->control_folder), Fleet_regions[r]);
+        (void)snprintf(region->cut_file, sizeof(region->cut_file), "%s/cut",
+                       region->control_folder);
+        (void)setenv("EBONYYARD_TEST_CUT_FILE", region->cut_file, 1);
         add_args(fleet, &region->control, Fleet_regions[r]);
         Process_Arg(&region->control, "--data-dir=%s", region->control_folder);
         Process_Start(&region->control);
@@ -138,6 +142,10 @@
     const Process_t *process = &self->regions[region].gateways[gateway];
     while (view_size(process) != members) {
         if (Harness_NowMs() >= give_up_ms) {
+            Reply_t reply =
+                Http_Call(process->port, "GET", "/v1/dump", NULL, NULL, 5000);
+            (void)fprintf(stderr, "%s\n", reply.body);
+            Reply_Clear(&reply);
             return false;
         }
         Harness_SleepMs(50);
@@ -172,6 +180,34 @@
     }
 }
 
+static void
+append_ids(const Fleet_t *fleet, uint32_t region, GString *text)
+{
+    const FleetRegion_t *from = &fleet->regions[region];
+    g_string_append_printf(text, "%s\n", from->control.name);
+    for (uint32_t g = 0; g < fleet->gateway_count; g++) {
+        g_string_append_printf(text, "%s\n", from->gateways[g].name);
+    }
+}
+
+void
+Fleet_Cut(const Fleet_t *self, uint32_t region, bool cut)
+{
+    for (uint32_t r = 0; r < self->region_count; r++) {
+        GString *ids = g_string_new(NULL);
+        for (uint32_t other = 0; cut && other < self->region_count; other++) {
+            if (other != r && (other == region || r == region)) {
+                append_ids(self, other, ids);
+            }
+        }
+        cr_assert(g_file_set_contents(self->regions[r].cut_file, ids->str,
+                                      (gssize)ids->len, NULL));
+        g_string_free(ids, TRUE);
+    }
+    /* The files are looked at ten times a second. */
+    Harness_SleepMs(300);
+}
+
 void
 Fleet_Kill(Fleet_t *self)
 {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -15,6 +15,7 @@
     Process_t booking;
     Process_t model;
     char control_folder[HARNESS_ARG_SIZE_BYTES];
+    char cut_file[HARNESS_ARG_SIZE_BYTES + 16]; /* ids that are cut off */
 } FleetRegion_t;
 
 typedef struct Fleet {
@@ -46,6 +47,10 @@
 Fleet_AwaitView(const Fleet_t *self, uint32_t region, uint32_t gateway,
                 size_t members, int64_t timeout_ms);
 
+/** Cuts a region off from the others, or joins it again, at both sides. */
+void
+Fleet_Cut(const Fleet_t *self, uint32_t region, bool cut);
+
 /** Buys under fresh keys until one is completed; false after timeout_ms. */
 bool
 Fleet_AwaitSelling(const Fleet_t *self, uint32_t region, uint32_t gateway,
