--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -312,3 +312,151 @@
     cr_assert_eq(actions->items[0]->outcome, EY_OUTCOME_UNKNOWN);
     talloc_free(ctx);
 }
+
+/* One member among three: a leads, b and c follow */
+
+static const EyGroupMember_t Three[] = {
+    {.name = "a", .incarnation = 1},
+    {.name = "b", .incarnation = 2},
+    {.name = "c", .incarnation = 3},
+};
+
+static EyGroup_t *
+make_member(void *ctx, uint32_t index, const EyGroupState_t *restored)
+{
+    EyGroupOptions_t options = {
+        .region = "istra",
+        .incarnation = Three[index].incarnation,
+        .limits = {.count_max = 1},
+    };
+    (void)EY_COPY(options.name, Three[index].name);
+    EyGroup_t *group = EyGroup_New(ctx, &options, restored, 0);
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_EPOCH,
+                            .epoch = 1,
+                            .members = Three,
+                            .member_count = 3};
+    EyGroup_Step(group, 0, &event, EyGroupActions_New(ctx));
+    return group;
+}
+
+/** Gives a message of one of the three; the answers, below ctx. */
+static EyGroupActions_t *
+give(void *ctx, EyGroup_t *group, uint32_t from, EyGroupMessage_t *message)
+{
+    message->from_incarnation = Three[from].incarnation;
+    message->epoch = 1;
+    message->view_number = 1;
+    EyGroupActions_t *actions = EyGroupActions_New(ctx);
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_MESSAGE,
+                            .message = message};
+    (void)EY_COPY(event.from, Three[from].name);
+    EyGroup_Step(group, 1, &event, actions);
+    return actions;
+}
+
+static const EyGroupMessage_t *
+answer_of(const EyGroupActions_t *actions, EyGroupMessageKind_t kind)
+{
+    for (uint32_t i = 0; i < actions->count; i++) {
+        const EyGroupMessage_t *message = actions->items[i]->message;
+        if (message != NULL && message->kind == kind) {
+            return message;
+        }
+    }
+    return NULL;
+}
+
+static EyGroupMessage_t
+make_append(EyRecord_t *record)
+{
+    record->key = (char *)"key";
+    record->version = 1;
+    return (EyGroupMessage_t){.kind = EY_GROUP_APPEND,
+                              .to_version = 1,
+                              .records = record,
+                              .record_count = 1};
+}
+
+Test(group, promise_survives_a_restart)
+{
+    void *ctx = talloc_new(NULL);
+    EyGroup_t *group = make_member(ctx, 1, NULL);
+    EyGroupMessage_t high = {.kind = EY_GROUP_PREPARE, .ballot = 50};
+    (void)give(ctx, group, 2, &high);
+    EyGroupState_t *state = EyGroup_Snapshot(group, ctx);
+    EyGroup_t *again = make_member(ctx, 1, state);
+    EyGroupMessage_t low = {.kind = EY_GROUP_PREPARE, .ballot = 33};
+    const EyGroupMessage_t *promise =
+        answer_of(give(ctx, again, 2, &low), EY_GROUP_PROMISE);
+    cr_assert_eq(promise->ballot, 50);
+    EyRecord_t record = {0};
+    EyGroupMessage_t append = make_append(&record);
+    (void)give(ctx, again, 0, &append);
+    cr_assert_eq(EyRecords_Count(EyGroup_Records(again)), 0);
+    talloc_free(ctx);
+}
+
+Test(group, who_accepted_a_view_follows_no_more)
+{
+    void *ctx = talloc_new(NULL);
+    EyGroup_t *group = make_member(ctx, 1, NULL);
+    EyGroupMessage_t propose = {.kind = EY_GROUP_PROPOSE, .ballot = 16};
+    propose.view = *EyView_Copy(ctx, EyGroup_View(group));
+    propose.view.number = 2;
+    cr_assert_not_null(
+        answer_of(give(ctx, group, 0, &propose), EY_GROUP_ACCEPT));
+    EyRecord_t record = {0};
+    EyGroupMessage_t append = make_append(&record);
+    const EyGroupMessage_t *ack =
+        answer_of(give(ctx, group, 0, &append), EY_GROUP_APPEND_ACK);
+    cr_assert(ack->accepted);
+    cr_assert_eq(EyRecords_Count(EyGroup_Records(group)), 0);
+    talloc_free(ctx);
+}
+
+Test(group, who_is_left_out_starts_from_nothing)
+{
+    void *ctx = talloc_new(NULL);
+    EyGroup_t *group = make_member(ctx, 1, NULL);
+    EyRecord_t record = {0};
+    EyGroupMessage_t append = make_append(&record);
+    (void)give(ctx, group, 0, &append);
+    cr_assert_eq(EyRecords_Count(EyGroup_Records(group)), 1);
+    EyGroupMessage_t install = {.kind = EY_GROUP_INSTALL};
+    install.view = *EyView_Copy(ctx, EyGroup_View(group));
+    install.view.number = 2;
+    install.view.member_count = 1;
+    (void)give(ctx, group, 0, &install);
+    cr_assert_eq(EyGroup_View(group)->number, 2);
+    cr_assert_eq(EyRecords_Count(EyGroup_Records(group)), 0);
+    talloc_free(ctx);
+}
+
+/** A refusal for want of room waits for all replicas. */
+Test(group, refusal_needs_all_replicas)
+{
+    void *ctx = talloc_new(NULL);
+    EyGroup_t *group = make_member(ctx, 0, NULL);
+    for (uint32_t from = 1; from < 3; from++) {
+        EyGroupMessage_t ack = {.kind = EY_GROUP_APPEND_ACK};
+        (void)give(ctx, group, from, &ack);
+    }
+    EyGroupMessage_t first = {.kind = EY_GROUP_CLAIM,
+                              .key = (char *)"first",
+                              .claim = {.instance = "b", .number = 1}};
+    (void)give(ctx, group, 1, &first);
+    EyGroupMessage_t second = {.kind = EY_GROUP_CLAIM,
+                               .key = (char *)"second",
+                               .claim = {.instance = "b", .number = 2}};
+    cr_assert_null(answer_of(give(ctx, group, 1, &second), EY_GROUP_DECISION));
+    const EyGroupMessage_t *decision = NULL;
+    for (uint32_t from = 1; from < 3; from++) {
+        cr_assert_null(decision);
+        EyGroupMessage_t ack = {.kind = EY_GROUP_APPEND_ACK,
+                                .version = UINT64_C(2) << 32};
+        EyGroupActions_t *actions = give(ctx, group, from, &ack);
+        decision = answer_of(actions, EY_GROUP_DECISION);
+    }
+    cr_assert_not_null(decision);
+    talloc_free(ctx);
+}
