--- a/tests/property/test_replica_properties.cc
+++ b/tests/property/test_replica_properties.cc
@@ -255,7 +255,7 @@
         RC_ASSERT(config.revision >= revisions[i]);
         RC_ASSERT(config.revision <= commands.size());
         if (config.revision > revisions[i]) {
-            RC_ASSERT(EyStore_Hash(EyReplica_Store(replicas[i])) ==
+            RC_ASSERT(EyStore_Hash(EyConfigReplica_Store(replicas[i])) ==
                       hashes[config.revision]);
         }
         revisions[i] = config.revision;
