--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -2,50 +2,26 @@
 
 #include "core/counters.h"
 #include "core/memory.h"
-#include "core/random.h"
-#include "membership/listing.h"
+#include "membership/registry_state.h"
 
 #include <string.h>
 
-/* Targets of a change, and how often each gateway passes it on. */
-#define GOSSIP_TARGETS 4
+/* How often each gateway passes a change on. */
 #define RUMOR_ROUNDS 2
 #define LEAVING_ROUNDS 5
-#define LOAD_INTERVAL_MS 500
-#define LOAD_TARGETS 2
 #define LOAD_ROUNDS 2
-#define LOADS_PER_MESSAGE 6
-#define CHECK_INTERVAL_MS 1000
-#define DIGEST_INTERVAL_MS 500
 /* A serving announcement so soon after a leaving was sent before it. */
 #define REOPEN_HOLD_MS 1000
 /* Announcements in a row after which a server has moved to this gateway. */
 #define MOVED_COUNT 3
 /* How often a sponsor is told of one announcement that it didn't hear. */
 #define REFRESH_ROUNDS 2
-/* How long and how many servers that left are remembered. */
+/* How long servers that left are remembered. */
 #define OVER_KEPT_MS 86400000
-#define OVER_MAX 4096
 /* How long a record from before a freeze waits to be confirmed. */
 #define UNCONFIRMED_MAX_MS 10000
 #define TIDY_INTERVAL_MS 10000
 
-struct EyRegistry {
-    EyMembership_t *membership;
-    EyRegistryHooks_t hooks;
-    EyRandom_t random;
-    GHashTable *records; /* id -> EyRecord_t, a talloc child */
-    EyDigest_t digest;   /* of records that aren't over */
-    uint32_t listed_count;
-    uint32_t over_count;
-    int64_t ticked_ms;
-    int64_t woke_ms;
-    int64_t load_ms;
-    int64_t check_ms;
-    int64_t digest_ms;
-    int64_t tidy_ms;
-};
-
 enum {
     COUNT_ANNOUNCED,
     COUNT_LEFT,
@@ -71,23 +47,23 @@
                       EY_METRIC_GAUGE},
 };
 
-static EyRecord_t *
-find(const EyRegistry_t *self, const char *id)
+EyRecord_t *
+EyRegistry_Record(const EyRegistry_t *self, const char *id)
 {
     return g_hash_table_lookup(self->records, id);
 }
 
-static const EyMember_t *
-own(const EyRegistry_t *self)
+const EyMember_t *
+EyRegistry_Own(const EyRegistry_t *self)
 {
     return EyMembership_Self(self->membership);
 }
 
-static bool
-is_own(const EyRegistry_t *self, const EyBackendRecord_t *said)
+bool
+EyRegistry_IsOwn(const EyRegistry_t *self, const EyBackendRecord_t *said)
 {
-    return strcmp(said->sponsor, own(self)->id) == 0 &&
-           said->sponsor_incarnation == own(self)->incarnation;
+    return strcmp(said->sponsor, EyRegistry_Own(self)->id) == 0 &&
+           said->sponsor_incarnation == EyRegistry_Own(self)->incarnation;
 }
 
 static bool
@@ -105,10 +81,9 @@
     self->hooks.changed(self->hooks.data, change, &record->said.backend);
 }
 
-/** Lists or unlists a record by its standing and its sponsor's. */
-static void
-update_listed(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record,
-              bool is_changed)
+void
+EyRegistry_UpdateListed(EyRegistry_t *self, int64_t now_ms, EyRecord_t *record,
+                        bool is_changed)
 {
     const EyBackendRecord_t *said = &record->said;
     if (has_live_sponsor(self, said)) {
@@ -155,10 +130,11 @@
     return record->content != NULL && EyBackendRecord_IsOver(&record->said);
 }
 
-static EyRecord_t *
-put(EyRegistry_t *self, int64_t now_ms, const EyBackendRecord_t *said)
+EyRecord_t *
+EyRegistry_Put(EyRegistry_t *self, int64_t now_ms,
+               const EyBackendRecord_t *said)
 {
-    EyRecord_t *record = find(self, said->backend.id);
+    EyRecord_t *record = EyRegistry_Record(self, said->backend.id);
     if (record == NULL) {
         record = EY_NEW(self, EyRecord_t);
         (void)g_hash_table_insert(self->records, g_strdup(said->backend.id),
@@ -179,7 +155,7 @@
     record->unconfirmed = false;
     record->rumor_rounds =
         said->listing == EY_LISTING_SERVING ? RUMOR_ROUNDS : LEAVING_ROUNDS;
-    update_listed(self, now_ms, record, true);
+    EyRegistry_UpdateListed(self, now_ms, record, true);
     return record;
 }
 
@@ -192,165 +168,11 @@
     return TRUE;
 }
 
-/* Messages out */
-
-static EyClusterMessage_t
-make_message(const EyRegistry_t *self, EyClusterType_t type)
-{
-    EyClusterMessage_t message = {
-        .type = type,
-        .incarnation = own(self)->incarnation,
-        .hash = EyDigest_Hash(&self->digest),
-    };
-    (void)EY_COPY(message.region, own(self)->region);
-    return message;
-}
-
-static void
-send_to(EyRegistry_t *self, const EyMember_t *to,
-        const EyClusterMessage_t *message)
-{
-    self->hooks.send(self->hooks.data, to->id, to->peer_address, message);
-}
-
-static void
-spread(EyRegistry_t *self, const EyClusterMessage_t *message,
-       uint32_t target_count)
-{
-    const EyMember_t *targets[GOSSIP_TARGETS];
-    uint32_t count =
-        EyMembership_GossipTargets(self->membership, targets, target_count);
-    for (uint32_t i = 0; i < count; i++) {
-        send_to(self, targets[i], message);
-    }
-}
-
-/** Adds changes that are still to be passed on. */
-static void
-collect_rumors(EyRegistry_t *self, EyClusterMessage_t *message,
-               EyBackendRecord_t *room, bool leaving)
-{
-    GHashTableIter records;
-    gpointer data = NULL;
-    g_hash_table_iter_init(&records, self->records);
-    while (g_hash_table_iter_next(&records, NULL, &data)) {
-        EyRecord_t *record = data;
-        bool is_leaving = record->said.listing != EY_LISTING_SERVING;
-        if (record->rumor_rounds == 0 || is_leaving != leaving) {
-            continue;
-        }
-        if (message->backend_count == EY_CLUSTER_BACKENDS_MAX) {
-            break;
-        }
-        record->rumor_rounds--;
-        room[message->backend_count++] = record->said;
-    }
-    message->backends = room;
-}
-
-/** Passes changes on, leavings first. */
-static void
-spread_rumors(EyRegistry_t *self)
-{
-    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
-    collect_rumors(self, &message, backends, true);
-    collect_rumors(self, &message, backends, false);
-    if (message.backend_count > 0) {
-        spread(self, &message, GOSSIP_TARGETS);
-    }
-}
-
-static void
-spread_loads(EyRegistry_t *self, int64_t now_ms)
-{
-    if (now_ms - self->load_ms < LOAD_INTERVAL_MS) {
-        return;
-    }
-    self->load_ms = now_ms;
-    EyBackendVitals_t loads[LOADS_PER_MESSAGE];
-    EyRecord_t *chosen[LOADS_PER_MESSAGE];
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
-    GHashTableIter records;
-    gpointer data = NULL;
-    uint64_t seen = 0;
-    g_hash_table_iter_init(&records, self->records);
-    while (g_hash_table_iter_next(&records, NULL, &data)) {
-        EyRecord_t *record = data;
-        if (record->load_rounds == 0 || !record->listed) {
-            continue;
-        }
-        /* Of too many a random choice. */
-        uint64_t at = seen < LOADS_PER_MESSAGE
-                          ? seen
-                          : EyRandom_Below(&self->random, seen + 1);
-        if (at < LOADS_PER_MESSAGE) {
-            chosen[at] = record;
-        }
-        seen++;
-    }
-    message.load_count = (uint32_t)MIN(seen, LOADS_PER_MESSAGE);
-    message.loads = loads;
-    for (uint32_t i = 0; i < message.load_count; i++) {
-        chosen[i]->load_rounds--;
-        (void)EY_COPY(loads[i].id, chosen[i]->said.backend.id);
-        loads[i].load = chosen[i]->said.backend.load;
-    }
-    if (message.load_count > 0) {
-        spread(self, &message, LOAD_TARGETS);
-    }
-}
-
-static void
-send_check(EyRegistry_t *self, int64_t now_ms)
-{
-    if (now_ms - self->check_ms < CHECK_INTERVAL_MS) {
-        return;
-    }
-    self->check_ms = now_ms;
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_CHECK);
-    const EyMember_t *targets[GOSSIP_TARGETS];
-    uint32_t count =
-        EyMembership_GossipTargets(self->membership, targets, GOSSIP_TARGETS);
-    if (count > 0) {
-        send_to(self, targets[EyRandom_Below(&self->random, count)], &message);
-    }
-}
-
-static void
-send_digest(EyRegistry_t *self, const char *to, const char *address,
-            bool answers)
-{
-    void *ctx = talloc_new(NULL);
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_DIGEST);
-    message.answered = answers;
-    message.buckets = EyDigest_Buckets(&self->digest, ctx);
-    message.bucket_count = EY_DIGEST_BUCKETS;
-    self->hooks.send(self->hooks.data, to, address, &message);
-    (void)talloc_free(ctx);
-}
-
-static void
-send_refresh(EyRegistry_t *self, const EyRecord_t *record)
-{
-    const EyMember_t *sponsor =
-        EyMembership_Find(self->membership, record->said.sponsor);
-    if (sponsor == NULL) {
-        return;
-    }
-    EyBackendVitals_t load = {.load = record->said.backend.load};
-    (void)EY_COPY(load.id, record->said.backend.id);
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_REFRESH);
-    (void)EY_COPY(message.target, record->said.backend.id);
-    message.loads = &load;
-    message.load_count = 1;
-    send_to(self, sponsor, &message);
-}
-
 /* Announcements */
 
-static void
-take_load(EyRegistry_t *self, EyRecord_t *record, const EyBackendLoad_t *load)
+void
+EyRegistry_TakeLoad(EyRegistry_t *self, EyRecord_t *record,
+                    const EyBackendLoad_t *load)
 {
     EyBackendLoad_t *known = &record->said.backend.load;
     if (load->at <= known->at) {
@@ -372,16 +194,16 @@
 {
     EyBackendRecord_t said = {
         .backend = *backend,
-        .sponsor_incarnation = own(self)->incarnation,
+        .sponsor_incarnation = EyRegistry_Own(self)->incarnation,
         .epoch = epoch,
         .serial = serial,
         .listing = listing,
     };
-    (void)EY_COPY(said.sponsor, own(self)->id);
-    (void)put(self, now_ms, &said);
+    (void)EY_COPY(said.sponsor, EyRegistry_Own(self)->id);
+    (void)EyRegistry_Put(self, now_ms, &said);
     if (listing != EY_LISTING_SERVING) {
         EyMetric_Add(&Counts[COUNT_LEFT], 1);
-        spread_rumors(self);
+        EyRegistry_SpreadRumors(self);
     }
 }
 
@@ -405,22 +227,22 @@
 {
     const EyBackendRecord_t *said = &record->said;
     bool is_late = now_ms - record->heard_ms > backend->ttl_ms;
-    if (!is_own(self, said) && has_live_sponsor(self, said)) {
+    if (!EyRegistry_IsOwn(self, said) && has_live_sponsor(self, said)) {
         record->heard_count = is_late ? 1 : record->heard_count + 1;
         record->heard_ms = now_ms;
         if (record->heard_count < MOVED_COUNT) {
-            take_load(self, record, &backend->load);
+            EyRegistry_TakeLoad(self, record, &backend->load);
             record->refresh_rounds = REFRESH_ROUNDS;
             return;
         }
     }
-    if (!is_own(self, said)) {
+    if (!EyRegistry_IsOwn(self, said)) {
         say(self, now_ms, backend, said->listing, said->epoch,
             said->serial + 1);
         return;
     }
     record->heard_ms = now_ms;
-    take_load(self, record, &backend->load);
+    EyRegistry_TakeLoad(self, record, &backend->load);
 }
 
 static void
@@ -463,7 +285,7 @@
     EyListing_t listing = backend->state == EY_BACKEND_LEAVING
                               ? EY_LISTING_LEAVING
                               : EY_LISTING_SERVING;
-    EyRecord_t *record = find(self, backend->id);
+    EyRecord_t *record = EyRegistry_Record(self, backend->id);
     if (record == NULL ||
         backend->incarnation > record->said.backend.incarnation) {
         say(self, now_ms, backend, listing, 1, 1);
@@ -484,7 +306,7 @@
 bool
 EyRegistry_Withdraw(EyRegistry_t *self, int64_t now_ms, const char *id)
 {
-    const EyRecord_t *record = find(self, id);
+    const EyRecord_t *record = EyRegistry_Record(self, id);
     if (record == NULL || record->said.listing == EY_LISTING_WITHDRAWN) {
         return false;
     }
@@ -494,129 +316,10 @@
     return true;
 }
 
-/* Messages in */
-
-static void
-take_record(EyRegistry_t *self, int64_t now_ms, const EyBackendRecord_t *said)
-{
-    EyRecord_t *record = find(self, said->backend.id);
-    if (said->backend.id[0] == '\0' ||
-        strcmp(said->backend.region, own(self)->region) != 0)
-    {
-        return;
-    }
-    if (record == NULL && EyBackendRecord_IsOver(said) &&
-        self->over_count >= OVER_MAX)
-    {
-        return;
-    }
-    if (record != NULL && !EyBackendRecord_IsNewer(said, &record->said)) {
-        bool is_equal = !EyBackendRecord_IsNewer(&record->said, said);
-        if (is_equal && record->unconfirmed) {
-            record->unconfirmed = false;
-            update_listed(self, now_ms, record, false);
-        }
-        return;
-    }
-    (void)put(self, now_ms, said);
-}
-
-/** Sends the records of the buckets that differ, those over too. */
-static void
-answer_digest(EyRegistry_t *self, const char *from, const char *from_address,
-              const EyClusterMessage_t *digest)
-{
-    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
-    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
-    uint32_t different =
-        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
-    GHashTableIter records;
-    gpointer data = NULL;
-    uint64_t seen = 0;
-    g_hash_table_iter_init(&records, self->records);
-    while (g_hash_table_iter_next(&records, NULL, &data)) {
-        const EyRecord_t *record = data;
-        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
-        if ((different >> bucket & 1U) == 0 || record->unconfirmed) {
-            continue;
-        }
-        uint64_t at = seen < EY_CLUSTER_BACKENDS_MAX
-                          ? seen
-                          : EyRandom_Below(&self->random, seen + 1);
-        if (at < EY_CLUSTER_BACKENDS_MAX) {
-            backends[at] = record->said;
-        }
-        seen++;
-    }
-    message.backend_count = (uint32_t)MIN(seen, EY_CLUSTER_BACKENDS_MAX);
-    message.backends = backends;
-    if (message.backend_count > 0) {
-        self->hooks.send(self->hooks.data, from, from_address, &message);
-    }
-    if (!digest->answered) {
-        send_digest(self, from, from_address, true);
-    }
-}
-
-/** Records from before a freeze that another gateway knows just so. */
-static void
-confirm(EyRegistry_t *self, int64_t now_ms, const EyClusterMessage_t *digest)
-{
-    uint32_t different =
-        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
-    GHashTableIter records;
-    gpointer data = NULL;
-    g_hash_table_iter_init(&records, self->records);
-    while (g_hash_table_iter_next(&records, NULL, &data)) {
-        EyRecord_t *record = data;
-        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
-        if (record->unconfirmed && (different >> bucket & 1U) == 0) {
-            record->unconfirmed = false;
-            update_listed(self, now_ms, record, false);
-        }
-    }
-}
-
-static void
-take_backends(EyRegistry_t *self, int64_t now_ms,
-              const EyClusterMessage_t *message)
-{
-    bool has_leaving = false;
-    for (uint32_t i = 0; i < message->backend_count; i++) {
-        const EyBackendRecord_t *said = &message->backends[i];
-        take_record(self, now_ms, said);
-        has_leaving = has_leaving || said->listing != EY_LISTING_SERVING;
-    }
-    for (uint32_t i = 0; i < message->load_count; i++) {
-        EyRecord_t *record = find(self, message->loads[i].id);
-        if (record != NULL) {
-            take_load(self, record, &message->loads[i].load);
-        }
-    }
-    if (has_leaving) {
-        spread_rumors(self);
-    }
-}
-
-static void
-take_refresh(EyRegistry_t *self, int64_t now_ms,
-             const EyClusterMessage_t *message)
-{
-    EyRecord_t *record = find(self, message->target);
-    if (record == NULL || !is_own(self, &record->said)) {
-        return;
-    }
-    record->heard_ms = now_ms;
-    if (message->load_count == 1) {
-        take_load(self, record, &message->loads[0].load);
-    }
-}
-
 /* Time */
 
-/** What is known from before a freeze is used only when confirmed. */
-static void
-recover_from_freeze(EyRegistry_t *self, int64_t now_ms)
+void
+EyRegistry_Recover(EyRegistry_t *self, int64_t now_ms)
 {
     if (!EyRegistry_IsStale(self, now_ms)) {
         return;
@@ -631,46 +334,15 @@
         if (!EyBackendRecord_IsOver(&record->said)) {
             record->unconfirmed = true;
             record->heard_ms = now_ms;
-            update_listed(self, now_ms, record, false);
+            EyRegistry_UpdateListed(self, now_ms, record, false);
         }
     }
-    const EyMember_t *targets[GOSSIP_TARGETS];
-    uint32_t count =
-        EyMembership_GossipTargets(self->membership, targets, GOSSIP_TARGETS);
+    const EyMember_t *targets[EY_REGISTRY_TARGETS];
+    uint32_t count = EyMembership_GossipTargets(self->membership, targets,
+                                                EY_REGISTRY_TARGETS);
     for (uint32_t i = 0; i < count; i++) {
-        send_digest(self, targets[i]->id, targets[i]->peer_address, false);
-    }
-}
-
-void
-EyRegistry_Receive(EyRegistry_t *self, int64_t now_ms, const char *from,
-                   const char *from_address, const EyClusterMessage_t *message)
-{
-    recover_from_freeze(self, now_ms);
-    if (strcmp(message->region, own(self)->region) != 0) {
-        return;
-    }
-    switch (message->type) {
-    case EY_CLUSTER_BACKENDS:
-        take_backends(self, now_ms, message);
-        break;
-    case EY_CLUSTER_BACKEND_CHECK:
-        if (message->hash != EyDigest_Hash(&self->digest) &&
-            now_ms - self->digest_ms >= DIGEST_INTERVAL_MS)
-        {
-            self->digest_ms = now_ms;
-            send_digest(self, from, from_address, false);
-        }
-        break;
-    case EY_CLUSTER_BACKEND_DIGEST:
-        confirm(self, now_ms, message);
-        answer_digest(self, from, from_address, message);
-        break;
-    case EY_CLUSTER_REFRESH:
-        take_refresh(self, now_ms, message);
-        break;
-    default:
-        break;
+        EyRegistry_SendDigest(self, targets[i]->id, targets[i]->peer_address,
+                              false);
     }
 }
 
@@ -683,19 +355,19 @@
         return;
     }
     bool is_silent = now_ms - record->heard_ms > said->backend.ttl_ms;
-    if (is_own(self, said) && !record->unconfirmed && is_silent) {
+    if (EyRegistry_IsOwn(self, said) && !record->unconfirmed && is_silent) {
         EyBackendRecord_t expired = *said;
         expired.expired = true;
         expired.serial++;
         EyMetric_Add(&Counts[COUNT_EXPIRED], 1);
-        (void)put(self, now_ms, &expired);
+        (void)EyRegistry_Put(self, now_ms, &expired);
         return;
     }
     if (record->refresh_rounds > 0) {
         record->refresh_rounds--;
-        send_refresh(self, record);
+        EyRegistry_SendRefresh(self, record);
     }
-    update_listed(self, now_ms, record, false);
+    EyRegistry_UpdateListed(self, now_ms, record, false);
 }
 
 static gboolean
@@ -726,7 +398,7 @@
 void
 EyRegistry_Tick(EyRegistry_t *self, int64_t now_ms)
 {
-    recover_from_freeze(self, now_ms);
+    EyRegistry_Recover(self, now_ms);
     self->ticked_ms = now_ms;
     GHashTableIter records;
     gpointer data = NULL;
@@ -734,9 +406,9 @@
     while (g_hash_table_iter_next(&records, NULL, &data)) {
         review(self, now_ms, data);
     }
-    spread_rumors(self);
-    spread_loads(self, now_ms);
-    send_check(self, now_ms);
+    EyRegistry_SpreadRumors(self);
+    EyRegistry_SpreadLoads(self, now_ms);
+    EyRegistry_SendCheck(self, now_ms);
     if (now_ms - self->tidy_ms >= TIDY_INTERVAL_MS) {
         self->tidy_ms = now_ms;
         (void)g_hash_table_foreach_remove(self->records, is_forgotten, self);
@@ -754,14 +426,14 @@
         EyBackendRecord_t said = record->said;
         bool is_fresh = now_ms - record->heard_ms <= said.backend.ttl_ms &&
                         !record->unconfirmed;
-        if (strcmp(said.sponsor, own(self)->id) != 0 || !is_fresh ||
+        if (strcmp(said.sponsor, EyRegistry_Own(self)->id) != 0 || !is_fresh ||
             EyBackendRecord_IsOver(&said))
         {
             continue;
         }
-        said.sponsor_incarnation = own(self)->incarnation;
+        said.sponsor_incarnation = EyRegistry_Own(self)->incarnation;
         said.serial++;
-        (void)put(self, now_ms, &said);
+        (void)EyRegistry_Put(self, now_ms, &said);
     }
 }
 
@@ -801,7 +473,7 @@
 const EyBackend_t *
 EyRegistry_Find(const EyRegistry_t *self, const char *id)
 {
-    const EyRecord_t *record = find(self, id);
+    const EyRecord_t *record = EyRegistry_Record(self, id);
     return record != NULL && record->listed ? &record->said.backend : NULL;
 }
 
--- /dev/null
+++ b/src/membership/registry_gossip.c
@@ -0,0 +1,314 @@
+#include "core/memory.h"
+#include "membership/registry_state.h"
+
+#include <string.h>
+
+#define LOAD_INTERVAL_MS 500
+#define LOAD_TARGETS 2
+#define LOADS_PER_MESSAGE 6
+#define CHECK_INTERVAL_MS 1000
+#define DIGEST_INTERVAL_MS 500
+
+/* Messages out */
+
+static EyClusterMessage_t
+make_message(const EyRegistry_t *self, EyClusterType_t type)
+{
+    EyClusterMessage_t message = {
+        .type = type,
+        .incarnation = EyRegistry_Own(self)->incarnation,
+        .hash = EyDigest_Hash(&self->digest),
+    };
+    (void)EY_COPY(message.region, EyRegistry_Own(self)->region);
+    return message;
+}
+
+static void
+send_to(EyRegistry_t *self, const EyMember_t *to,
+        const EyClusterMessage_t *message)
+{
+    self->hooks.send(self->hooks.data, to->id, to->peer_address, message);
+}
+
+static void
+spread(EyRegistry_t *self, const EyClusterMessage_t *message,
+       uint32_t target_count)
+{
+    const EyMember_t *targets[EY_REGISTRY_TARGETS];
+    uint32_t count =
+        EyMembership_GossipTargets(self->membership, targets, target_count);
+    for (uint32_t i = 0; i < count; i++) {
+        send_to(self, targets[i], message);
+    }
+}
+
+/** Adds changes that are still to be passed on. */
+static void
+collect_rumors(EyRegistry_t *self, EyClusterMessage_t *message,
+               EyBackendRecord_t *room, bool leaving)
+{
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        bool is_leaving = record->said.listing != EY_LISTING_SERVING;
+        if (record->rumor_rounds == 0 || is_leaving != leaving) {
+            continue;
+        }
+        if (message->backend_count == EY_CLUSTER_BACKENDS_MAX) {
+            break;
+        }
+        record->rumor_rounds--;
+        room[message->backend_count++] = record->said;
+    }
+    message->backends = room;
+}
+
+void
+EyRegistry_SpreadRumors(EyRegistry_t *self)
+{
+    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    collect_rumors(self, &message, backends, true);
+    collect_rumors(self, &message, backends, false);
+    if (message.backend_count > 0) {
+        spread(self, &message, EY_REGISTRY_TARGETS);
+    }
+}
+
+void
+EyRegistry_SpreadLoads(EyRegistry_t *self, int64_t now_ms)
+{
+    if (now_ms - self->load_ms < LOAD_INTERVAL_MS) {
+        return;
+    }
+    self->load_ms = now_ms;
+    EyBackendVitals_t loads[LOADS_PER_MESSAGE];
+    EyRecord_t *chosen[LOADS_PER_MESSAGE];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    GHashTableIter records;
+    gpointer data = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        if (record->load_rounds == 0 || !record->listed) {
+            continue;
+        }
+        /* Of too many a random choice. */
+        uint64_t at = seen < LOADS_PER_MESSAGE
+                          ? seen
+                          : EyRandom_Below(&self->random, seen + 1);
+        if (at < LOADS_PER_MESSAGE) {
+            chosen[at] = record;
+        }
+        seen++;
+    }
+    message.load_count = (uint32_t)MIN(seen, LOADS_PER_MESSAGE);
+    message.loads = loads;
+    for (uint32_t i = 0; i < message.load_count; i++) {
+        chosen[i]->load_rounds--;
+        (void)EY_COPY(loads[i].id, chosen[i]->said.backend.id);
+        loads[i].load = chosen[i]->said.backend.load;
+    }
+    if (message.load_count > 0) {
+        spread(self, &message, LOAD_TARGETS);
+    }
+}
+
+void
+EyRegistry_SendCheck(EyRegistry_t *self, int64_t now_ms)
+{
+    if (now_ms - self->check_ms < CHECK_INTERVAL_MS) {
+        return;
+    }
+    self->check_ms = now_ms;
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_CHECK);
+    const EyMember_t *targets[EY_REGISTRY_TARGETS];
+    uint32_t count = EyMembership_GossipTargets(self->membership, targets,
+                                                EY_REGISTRY_TARGETS);
+    if (count > 0) {
+        send_to(self, targets[EyRandom_Below(&self->random, count)], &message);
+    }
+}
+
+void
+EyRegistry_SendDigest(EyRegistry_t *self, const char *to, const char *address,
+                      bool answers)
+{
+    void *ctx = talloc_new(NULL);
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKEND_DIGEST);
+    message.answered = answers;
+    message.buckets = EyDigest_Buckets(&self->digest, ctx);
+    message.bucket_count = EY_DIGEST_BUCKETS;
+    self->hooks.send(self->hooks.data, to, address, &message);
+    (void)talloc_free(ctx);
+}
+
+void
+EyRegistry_SendRefresh(EyRegistry_t *self, const EyRecord_t *record)
+{
+    const EyMember_t *sponsor =
+        EyMembership_Find(self->membership, record->said.sponsor);
+    if (sponsor == NULL) {
+        return;
+    }
+    EyBackendVitals_t load = {.load = record->said.backend.load};
+    (void)EY_COPY(load.id, record->said.backend.id);
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_REFRESH);
+    (void)EY_COPY(message.target, record->said.backend.id);
+    message.loads = &load;
+    message.load_count = 1;
+    send_to(self, sponsor, &message);
+}
+
+/* Messages in */
+
+static void
+take_record(EyRegistry_t *self, int64_t now_ms, const EyBackendRecord_t *said)
+{
+    EyRecord_t *record = EyRegistry_Record(self, said->backend.id);
+    if (said->backend.id[0] == '\0' ||
+        strcmp(said->backend.region, EyRegistry_Own(self)->region) != 0)
+    {
+        return;
+    }
+    if (record == NULL && EyBackendRecord_IsOver(said) &&
+        self->over_count >= EY_REGISTRY_OVER_MAX)
+    {
+        return;
+    }
+    if (record != NULL && !EyBackendRecord_IsNewer(said, &record->said)) {
+        bool is_equal = !EyBackendRecord_IsNewer(&record->said, said);
+        if (is_equal && record->unconfirmed) {
+            record->unconfirmed = false;
+            EyRegistry_UpdateListed(self, now_ms, record, false);
+        }
+        return;
+    }
+    (void)EyRegistry_Put(self, now_ms, said);
+}
+
+/** Sends the records of the buckets that differ, those over too. */
+static void
+answer_digest(EyRegistry_t *self, const char *from, const char *from_address,
+              const EyClusterMessage_t *digest)
+{
+    EyBackendRecord_t backends[EY_CLUSTER_BACKENDS_MAX];
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    uint32_t different =
+        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
+    GHashTableIter records;
+    gpointer data = NULL;
+    uint64_t seen = 0;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        const EyRecord_t *record = data;
+        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
+        if ((different >> bucket & 1U) == 0 || record->unconfirmed) {
+            continue;
+        }
+        uint64_t at = seen < EY_CLUSTER_BACKENDS_MAX
+                          ? seen
+                          : EyRandom_Below(&self->random, seen + 1);
+        if (at < EY_CLUSTER_BACKENDS_MAX) {
+            backends[at] = record->said;
+        }
+        seen++;
+    }
+    message.backend_count = (uint32_t)MIN(seen, EY_CLUSTER_BACKENDS_MAX);
+    message.backends = backends;
+    if (message.backend_count > 0) {
+        self->hooks.send(self->hooks.data, from, from_address, &message);
+    }
+    if (!digest->answered) {
+        EyRegistry_SendDigest(self, from, from_address, true);
+    }
+}
+
+/** Records from before a freeze that another gateway knows just so. */
+static void
+confirm(EyRegistry_t *self, int64_t now_ms, const EyClusterMessage_t *digest)
+{
+    uint32_t different =
+        EyDigest_Compare(&self->digest, digest->buckets, digest->bucket_count);
+    GHashTableIter records;
+    gpointer data = NULL;
+    g_hash_table_iter_init(&records, self->records);
+    while (g_hash_table_iter_next(&records, NULL, &data)) {
+        EyRecord_t *record = data;
+        uint32_t bucket = EyDigest_BucketOf(record->said.backend.id);
+        if (record->unconfirmed && (different >> bucket & 1U) == 0) {
+            record->unconfirmed = false;
+            EyRegistry_UpdateListed(self, now_ms, record, false);
+        }
+    }
+}
+
+static void
+take_backends(EyRegistry_t *self, int64_t now_ms,
+              const EyClusterMessage_t *message)
+{
+    bool has_leaving = false;
+    for (uint32_t i = 0; i < message->backend_count; i++) {
+        const EyBackendRecord_t *said = &message->backends[i];
+        take_record(self, now_ms, said);
+        has_leaving = has_leaving || said->listing != EY_LISTING_SERVING;
+    }
+    for (uint32_t i = 0; i < message->load_count; i++) {
+        EyRecord_t *record = EyRegistry_Record(self, message->loads[i].id);
+        if (record != NULL) {
+            EyRegistry_TakeLoad(self, record, &message->loads[i].load);
+        }
+    }
+    if (has_leaving) {
+        EyRegistry_SpreadRumors(self);
+    }
+}
+
+static void
+take_refresh(EyRegistry_t *self, int64_t now_ms,
+             const EyClusterMessage_t *message)
+{
+    EyRecord_t *record = EyRegistry_Record(self, message->target);
+    if (record == NULL || !EyRegistry_IsOwn(self, &record->said)) {
+        return;
+    }
+    record->heard_ms = now_ms;
+    if (message->load_count == 1) {
+        EyRegistry_TakeLoad(self, record, &message->loads[0].load);
+    }
+}
+
+void
+EyRegistry_Receive(EyRegistry_t *self, int64_t now_ms, const char *from,
+                   const char *from_address, const EyClusterMessage_t *message)
+{
+    EyRegistry_Recover(self, now_ms);
+    if (strcmp(message->region, EyRegistry_Own(self)->region) != 0) {
+        return;
+    }
+    switch (message->type) {
+    case EY_CLUSTER_BACKENDS:
+        take_backends(self, now_ms, message);
+        break;
+    case EY_CLUSTER_BACKEND_CHECK:
+        if (message->hash != EyDigest_Hash(&self->digest) &&
+            now_ms - self->digest_ms >= DIGEST_INTERVAL_MS)
+        {
+            self->digest_ms = now_ms;
+            EyRegistry_SendDigest(self, from, from_address, false);
+        }
+        break;
+    case EY_CLUSTER_BACKEND_DIGEST:
+        confirm(self, now_ms, message);
+        answer_digest(self, from, from_address, message);
+        break;
+    case EY_CLUSTER_REFRESH:
+        take_refresh(self, now_ms, message);
+        break;
+    default:
+        break;
+    }
+}
