Fakes and ebonyyard-load free their options

Cause: in the sanitizer build the process test found a fake's exit code 1: popt leaves a replaced default allocated. Defaults are set after reading now; the load tool frees its flags. The test passes in both builds.

--- a/src/daemons/ebonyyard_load.c
+++ b/src/daemons/ebonyyard_load.c
@@ -142,31 +142,53 @@
     }
 }
 
-int
-main(int argc, const char **argv)
+static void
+free_flags(Flags_t *flags)
 {
-    Flags_t flags = {.length_s = 10.0, .factor = 1.0, .seed = 1};
-    EyLoadOptions_t options = {.gateway_count = 0};
-    if (!read_flags(&flags, argc, argv) || !make_options(&flags, &options)) {
-        return EY_EXIT_SETTINGS;
+    for (char **each = flags->gateways; each != NULL && *each != NULL; each++)
+    {
+        free(*each);
     }
-    curl_global_init(CURL_GLOBAL_DEFAULT);
+    free(flags->gateways);
+    free(flags->workload);
+    free(flags->replicas);
+    free(flags->json);
+}
+
+/* The exit code. */
+static int
+run(const Flags_t *flags, EyLoadOptions_t *options)
+{
     void *ctx = talloc_new(NULL);
     GError *error = NULL;
     EyLoadReport_t *report = NULL;
-    options.workload = EyWorkload_Read(
-        ctx, flags.workload != NULL ? flags.workload : "", &error);
-    if (options.workload != NULL) {
-        report = EyLoadRun_Run(ctx, &options, &error);
+    options->workload = EyWorkload_Read(
+        ctx, flags->workload != NULL ? flags->workload : "", &error);
+    if (options->workload != NULL) {
+        report = EyLoadRun_Run(ctx, options, &error);
     }
-    if (report == NULL) {
+    if (report != NULL) {
+        write_report(flags, report);
+    }
+    else {
         (void)fprintf(stderr, "ebonyyard-load: %s\n", error->message);
         g_clear_error(&error);
-        talloc_free(ctx);
-        return EY_EXIT_SETTINGS;
     }
-    write_report(&flags, report);
     talloc_free(ctx);
-    curl_global_cleanup();
-    return 0;
+    return report != NULL ? 0 : EY_EXIT_SETTINGS;
+}
+
+int
+main(int argc, const char **argv)
+{
+    Flags_t flags = {.length_s = 10.0, .factor = 1.0, .seed = 1};
+    EyLoadOptions_t options = {.gateway_count = 0};
+    int code = EY_EXIT_SETTINGS;
+    if (read_flags(&flags, argc, argv) && make_options(&flags, &options)) {
+        curl_global_init(CURL_GLOBAL_DEFAULT);
+        code = run(&flags, &options);
+        curl_global_cleanup();
+    }
+    free_flags(&flags);
+    return code;
 }
--- a/tests/fakes/peer.c
+++ b/tests/fakes/peer.c
@@ -423,6 +423,14 @@
     } while (sigtimedwait(signals, NULL, &pause) < 0);
 }
 
+static void
+set_if_unset(char **option, const char *value)
+{
+    if (*option == NULL) {
+        *option = strdup(value);
+    }
+}
+
 static void
 read_options(FakePeer_t *self, int argc, const char **argv)
 {
@@ -454,6 +462,11 @@
         exit(2);
     }
     poptFreeContext(context);
+    set_if_unset(&self->listen, "127.0.0.1:0");
+    set_if_unset(&self->id, self->kind->program);
+    set_if_unset(&self->region, "home");
+    set_if_unset(&self->zone, "zone");
+    set_if_unset(&self->idempotent_methods, "");
     char **names = g_strsplit(targets != NULL ? targets : "", ",", -1);
     for (char **name = names; *name != NULL && **name != '\0'; name++) {
         g_ptr_array_add(self->targets, g_strdup(*name));
@@ -462,16 +475,25 @@
     free(targets);
 }
 
+static void
+free_peer(FakePeer_t *self)
+{
+    g_ptr_array_unref(self->targets);
+    g_hash_table_unref(self->runs_by_id);
+    g_hash_table_unref(self->runs_by_key);
+    free(self->listen);
+    free(self->announce);
+    free(self->id);
+    free(self->region);
+    free(self->zone);
+    free(self->idempotent_methods);
+}
+
 int
 FakePeer_Main(const FakeKind_t *kind, int argc, const char **argv)
 {
     FakePeer_t self = {
         .kind = kind,
-        .listen = strdup("127.0.0.1:0"),
-        .id = strdup(kind->program),
-        .region = strdup("home"),
-        .zone = strdup("zone"),
-        .idempotent_methods = strdup(""),
         .slots = 8,
         .speed = 1.0,
         .lock = PTHREAD_MUTEX_INITIALIZER,
@@ -492,6 +514,7 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     if (!start_server(&self)) {
         (void)fprintf(stderr, "can't listen on %s\n", self.listen);
+        free_peer(&self);
         return 1;
     }
     printf("listening on %u\n", self.port);
@@ -499,15 +522,7 @@
     announce_until_stopped(&self, &signals);
     leave(&self);
     MHD_stop_daemon(self.daemon);
-    g_ptr_array_unref(self.targets);
-    g_hash_table_unref(self.runs_by_id);
-    g_hash_table_unref(self.runs_by_key);
-    free(self.listen);
-    free(self.announce);
-    free(self.id);
-    free(self.region);
-    free(self.zone);
-    free(self.idempotent_methods);
+    free_peer(&self);
     curl_global_cleanup();
     return 0;
 }
