--- a/tests/plain/criterion/criterion.h
+++ b/tests/plain/criterion/criterion.h
@@ -15,9 +15,21 @@
 
 typedef void (*PlainTest_t)(void);
 
+/** What a test or its suite may name; only init and fini matter here. */
+typedef struct PlainOptions {
+    PlainTest_t init;
+    PlainTest_t fini;
+    double timeout;
+} PlainOptions_t;
+
 /** Adds a test; called before main. */
 void
-plain_register(const char *name, PlainTest_t test);
+plain_register(const char *suite, const char *name, PlainTest_t test,
+               PlainOptions_t options);
+
+/** Adds the options of a suite; called before main. */
+void
+plain_register_suite(const char *suite, PlainOptions_t options);
 
 /** Notes a failure with a message; ends the test's process if it is fatal. */
 void
@@ -32,10 +44,19 @@
     static void suite##_##name##_test(void);                                  \
     __attribute__((constructor)) static void suite##_##name##_register(void)  \
     {                                                                         \
-        plain_register(#suite "::" #name, suite##_##name##_test);             \
+        PlainOptions_t options = {__VA_ARGS__};                               \
+        plain_register(#suite, #name, suite##_##name##_test, options);        \
     }                                                                         \
     static void suite##_##name##_test(void)
 
+#define TestSuite(suite, ...)                                                 \
+    __attribute__((constructor)) static void suite##_suite_register(void)     \
+    {                                                                         \
+        PlainOptions_t options = {__VA_ARGS__};                               \
+        plain_register_suite(#suite, options);                                \
+    }                                                                         \
+    static void suite##_suite_register(void)
+
 /* A message is a literal format and its values, or nothing. */
 #define PLAIN_ASSERT(holds, text, ...)                                        \
     plain_check((holds), true, __FILE__, __LINE__, text, "" __VA_ARGS__)
--- a/tests/plain/runner.c
+++ b/tests/plain/runner.c
@@ -9,12 +9,16 @@
 #include <unistd.h>
 
 #define TESTS_MAX 1024
+#define SUITES_MAX 64
+#define NAME_SIZE_BYTES 160
 /* Of one test. */
 #define TIMEOUT_UNSET_S 300
 
 typedef struct Entry {
-    const char *name;
+    char name[NAME_SIZE_BYTES]; /* suite::name */
+    const char *suite;
     PlainTest_t test;
+    PlainOptions_t options;
 } Entry_t;
 
 /** What the command line says; Criterion's other flags are ignored. */
@@ -26,15 +30,29 @@
 
 static Entry_t Entries[TESTS_MAX];
 static int EntryCount;
+static Entry_t Suites[SUITES_MAX];
+static int SuiteCount;
 static bool Failed; /* in the test's own process */
 
 void
-plain_register(const char *name, PlainTest_t test)
+plain_register(const char *suite, const char *name, PlainTest_t test,
+               PlainOptions_t options)
 {
     if (EntryCount == TESTS_MAX) {
         abort();
     }
-    Entries[EntryCount++] = (Entry_t){.name = name, .test = test};
+    Entry_t *entry = &Entries[EntryCount++];
+    *entry = (Entry_t){.suite = suite, .test = test, .options = options};
+    (void)snprintf(entry->name, sizeof(entry->name), "%s::%s", suite, name);
+}
+
+void
+plain_register_suite(const char *suite, PlainOptions_t options)
+{
+    if (SuiteCount == SUITES_MAX) {
+        abort();
+    }
+    Suites[SuiteCount++] = (Entry_t){.suite = suite, .options = options};
 }
 
 void
@@ -58,6 +76,37 @@
     }
 }
 
+/** The options of a test's suite. */
+static PlainOptions_t
+suite_options(const Entry_t *entry)
+{
+    for (int i = 0; i < SuiteCount; i++) {
+        if (strcmp(Suites[i].suite, entry->suite) == 0) {
+            return Suites[i].options;
+        }
+    }
+    return (PlainOptions_t){.init = NULL};
+}
+
+static void
+call(PlainTest_t function)
+{
+    if (function != NULL) {
+        function();
+    }
+}
+
+static void
+run_here(const Entry_t *entry)
+{
+    PlainOptions_t suite = suite_options(entry);
+    call(suite.init);
+    call(entry->options.init);
+    entry->test();
+    call(entry->options.fini);
+    call(suite.fini);
+}
+
 static bool
 run(const Entry_t *entry, const Options_t *options)
 {
@@ -65,7 +114,7 @@
     pid_t child = fork();
     if (child == 0) {
         (void)alarm(options->timeout_s);
-        entry->test();
+        run_here(entry);
         exit(Failed ? EXIT_FAILURE : EXIT_SUCCESS);
     }
     int status = 0;
