--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -14,6 +14,10 @@
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
 #define GIVE_UP_SHARE 0.9
+/** Requests looked at, without a decision, whenever some may go. */
+#define RELEASE_KEPT_MAX 16
+#define LONG_LOOK_KEPT_MAX 128
+#define LONG_LOOK_EVERY_MS 100
 
 static int
 destroy_router(EyRouter_t *self)
@@ -394,23 +398,32 @@
         *decision = give_up(self, now_ms, waiting->request, pool, &plan);
         return true;
     }
-    if (plan.chosen != NULL) {
-        *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
+    bool goes_now = plan.chosen != NULL;
+    double left_ms = (double)(waiting->request->deadline_ms - now_ms);
+    double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
+    if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
+        try_away(self, now_ms, waiting->request,
+                 away_limit_ms(self, &plan, finish_ms), decision))
+    {
         return true;
     }
-    double left_ms = (double)(waiting->request->deadline_ms - now_ms);
-    double finish_ms = plan.queued_finish_ms;
-    return wants_away(self, &plan, false, finish_ms, left_ms) &&
-           try_away(self, now_ms, waiting->request,
-                    away_limit_ms(self, &plan, finish_ms), decision);
+    if (goes_now) {
+        *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
+    }
+    return goes_now;
 }
 
+/* Decides those with the earliest deadlines. All that are past theirs come
+ * first, so none of them is missed; once some go on waiting, the later ones
+ * do so too. */
 static void
-release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, GArray *decisions)
+release(EyRouter_t *self, int64_t now_ms, EyPool_t *pool, uint32_t kept_max,
+        GArray *decisions)
 {
     double work_ahead = 0.0;
+    uint32_t kept = 0;
     GSequenceIter *each = g_sequence_get_begin_iter(pool->queue->waiting);
-    while (!g_sequence_iter_is_end(each)) {
+    while (!g_sequence_iter_is_end(each) && kept < kept_max) {
         GSequenceIter *next = g_sequence_iter_next(each);
         const EyWaiting_t *waiting = g_sequence_get(each);
         EyRoutingDecision_t decision;
@@ -421,6 +434,7 @@
         }
         else {
             work_ahead += waiting->work;
+            kept++;
         }
         each = next;
     }
@@ -494,7 +508,7 @@
     end_flight(self, now_ms, open, result);
     g_hash_table_remove(self->flights, &number);
     if (pool != NULL) {
-        release(self, now_ms, pool, decisions);
+        release(self, now_ms, pool, RELEASE_KEPT_MAX, decisions);
     }
     return true;
 }
@@ -522,6 +536,17 @@
            EyAdmissionQueue_Length(self->queue) == 0;
 }
 
+/* From time to time a longer look, as other regions may take what waits. */
+static uint32_t
+kept_max_at(EyPool_t *pool, int64_t now_ms)
+{
+    if (now_ms - pool->looked_ms < LONG_LOOK_EVERY_MS) {
+        return RELEASE_KEPT_MAX;
+    }
+    pool->looked_ms = now_ms;
+    return LONG_LOOK_KEPT_MAX;
+}
+
 void
 EyRouter_Tick(EyRouter_t *self, int64_t now_ms, GArray *decisions)
 {
@@ -529,7 +554,7 @@
     gpointer pool;
     g_hash_table_iter_init(&each, self->pools);
     while (g_hash_table_iter_next(&each, NULL, &pool)) {
-        release(self, now_ms, pool, decisions);
+        release(self, now_ms, pool, kept_max_at(pool, now_ms), decisions);
     }
     g_hash_table_foreach_remove(self->pools, is_unused, NULL);
 }
