--- a/tests/bench/gateway_overhead.c
+++ b/tests/bench/gateway_overhead.c
@@ -9,6 +9,7 @@
 #include "core/memory.h"
 #include "unit/raw_socket.h"
 
+#include <dirent.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -222,6 +223,34 @@
     return ticks / (double)sysconf(_SC_CLK_TCK);
 }
 
+/** Time that a process's threads could run but had no processor. */
+static double
+waited_s(const char *pid)
+{
+    char path[320];
+    double waited_ns = 0;
+    (void)snprintf(path, sizeof(path), "/proc/%s/task", pid);
+    DIR *threads = opendir(path);
+    const struct dirent *thread = NULL;
+    while (threads != NULL && (thread = readdir(threads)) != NULL) {
+        char line[128] = "";
+        (void)snprintf(path, sizeof(path), "/proc/%s/task/%s/schedstat", pid,
+                       thread->d_name);
+        FILE *file = fopen(path, "r");
+        if (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+            char *second = strchr(line, ' ');
+            waited_ns += second != NULL ? strtod(second, NULL) : 0;
+        }
+        if (file != NULL) {
+            (void)fclose(file);
+        }
+    }
+    if (threads != NULL) {
+        (void)closedir(threads);
+    }
+    return waited_ns / 1e9;
+}
+
 static uint64_t
 failures(const Worker_t *workers)
 {
@@ -252,9 +281,11 @@
 
 static void
 measure_added(Worker_t *workers, const uint16_t ports[2], uint32_t seconds,
-              uint64_t rate)
+              uint64_t rate, const char *pid)
 {
+    double gateway_s = waited_s(pid);
     run_workers(workers, ports, seconds, rate);
+    gateway_s = waited_s(pid) - gateway_s;
     Samples_t by_gateway = merge(workers, false);
     Samples_t direct = merge(workers, true);
     (void)printf("half load: %lu requests/s by each way, %u and %u calls, "
@@ -268,6 +299,11 @@
                      Shares[i] * 100, with_us, without_us,
                      with_us - without_us);
     }
+    if (by_gateway.count > 0) {
+        (void)printf("  of it, the gateway's wait for a processor: mean %.0f "
+                     "us a request\n",
+                     gateway_s * 1e6 / by_gateway.count);
+    }
     talloc_free(by_gateway.us);
     talloc_free(direct.us);
 }
@@ -327,7 +363,7 @@
     }
     (void)printf("idle: %ld kB\n", memory_kb(pid));
     uint64_t rate = measure_rate(workers, ports, seconds, pid);
-    measure_added(workers, ports, seconds, rate / 2 > 0 ? rate / 2 : 1);
+    measure_added(workers, ports, seconds, rate / 2 > 0 ? rate / 2 : 1, pid);
     measure_streams(ports[0], pid);
     talloc_free(workers);
     return 0;
