--- a/src/node/cut_file.c
+++ b/src/node/cut_file.c
@@ -2,6 +2,7 @@
 
 #include "core/log.h"
 #include "core/memory.h"
+
 #include <glib.h>
 #include <stdlib.h>
 
