--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -197,7 +197,6 @@
 do_attempt(EyLive_t *live, const EyExchangeAction_t *action)
 {
     EyGateway_t *gateway = live->gateway;
-    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_ATTEMPTS], 1);
     if (live->exchange->tried_count > 1) {
         EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_RETRIES], 1);
     }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -321,6 +321,13 @@
     json_decref(json);
 }
 
+static void
+dump_backend(void *data, const EyBackend_t *backend)
+{
+    (void)json_array_append_new(data,
+                                EySchema_ToJson(&EyBackend_schema, backend));
+}
+
 json_t *
 EyNode_Dump(const EyNode_t *self)
 {
@@ -332,6 +339,9 @@
         (json_int_t)EyServer_InFlight(self->server));
     (void)json_object_set_new(json, "cluster",
                               EyCluster_Dump(self->cluster, EyClock_NowMs()));
+    json_t *backends = json_array();
+    EyRegistry_Each(EyCluster_Registry(self->cluster), dump_backend, backends);
+    (void)json_object_set_new(json, "backends", backends);
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->dump != NULL) {
