--- a/src/core/mailbox.c
+++ b/src/core/mailbox.c
@@ -12,6 +12,20 @@
 #define TURN_MESSAGES_MAX 256
 #define POST_WAIT_US 200
 
+/* The thread sanitizer can't see the ring's barriers, so it is told of them.
+ */
+#ifdef __SANITIZE_THREAD__
+void
+__tsan_acquire(void *address);
+void
+__tsan_release(void *address);
+#define TELL_ACQUIRE(address) __tsan_acquire(address)
+#define TELL_RELEASE(address) __tsan_release(address)
+#else
+#define TELL_ACQUIRE(address) ((void)0)
+#define TELL_RELEASE(address) ((void)0)
+#endif
+
 struct EyMailbox {
     ck_ring_t ring;
     ck_ring_buffer_t *buffer;
@@ -66,6 +80,7 @@
     if (ck_ring_size(&self->ring) >= self->capacity) {
         return false;
     }
+    TELL_RELEASE(message);
     if (!ck_ring_enqueue_mpsc(&self->ring, self->buffer, message)) {
         return false;
     }
@@ -88,6 +103,7 @@
     if (!ck_ring_dequeue_mpsc(&self->ring, self->buffer, (void *)&message)) {
         return NULL;
     }
+    TELL_ACQUIRE(message);
     return message;
 }
 
