--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -164,16 +164,21 @@
     return options;
 }
 
+static bool
+control_check_settings(const EySettings_t *settings, GError **error)
+{
+    if (settings->data_dir != NULL) {
+        return true;
+    }
+    g_set_error(error, EY_CONTROL_PART_ERROR, EY_CONTROL_PART_ERROR_DATA_DIR,
+                "--data-dir is missing: expected a folder that exists, since "
+                "the configuration must survive a restart");
+    return false;
+}
+
 static void *
 control_open(const void *ctx, EyNode_t *node, GError **error)
 {
-    if (node->settings->data_dir == NULL) {
-        g_set_error(error, EY_CONTROL_PART_ERROR,
-                    EY_CONTROL_PART_ERROR_DATA_DIR,
-                    "--data-dir is missing: expected a folder that exists, "
-                    "since the configuration must survive a restart");
-        return NULL;
-    }
     ControlPart_t *self = EY_NEW(ctx, ControlPart_t);
     self->node = node;
     EyLogDisk_t disk = {.incarnation = 0};
@@ -275,6 +280,7 @@
 
 const EyPartClass_t EyControlPart_class = {
     .name = "control",
+    .check_settings = control_check_settings,
     .open = control_open,
     .close = control_close,
     .wants = control_wants,
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -125,9 +125,21 @@
     return routing;
 }
 
+/** After a freeze what is listed may be long out of date: the cluster must
+ * notice before anything is sent by it. */
+static void
+notice_freeze(const EyGateway_t *gateway, int64_t now_ms)
+{
+    EyCluster_t *cluster = gateway->node->cluster;
+    if (EyRegistry_IsStale(EyCluster_Registry(cluster), now_ms)) {
+        EyCluster_Tick(cluster, now_ms);
+    }
+}
+
 void
 EyGateway_Route(EyLive_t *live)
 {
+    notice_freeze(live->gateway, EyClock_NowMs());
     const EyRoutingRequest_t request = make_request(live);
     EyRoutingDecision_t decision =
         EyRouter_Submit(live->gateway->router, EyClock_NowMs(), &request);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -598,11 +598,33 @@
     return asked_help ? EXIT_SUCCESS : EY_EXIT_SETTINGS;
 }
 
+static bool
+check_parts(const EySettings_t *settings, const EyPartClass_t *const *parts,
+            uint32_t part_count, GError **error)
+{
+    for (uint32_t i = 0; i < part_count; i++) {
+        if (parts[i]->check_settings != NULL &&
+            !parts[i]->check_settings(settings, error))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 static int
 run_daemon(const void *ctx, const char *program, const EySettings_t *settings,
            const EyPartClass_t *const *parts, uint32_t part_count)
 {
     GError *error = NULL;
+    if (!check_parts(settings, parts, part_count, &error)) {
+        return report_settings(program, error);
+    }
+    if (settings->check) {
+        (void)puts("the settings are good");
+        return EXIT_SUCCESS;
+    }
+    EyLog_Start(settings->id, settings->log_level, settings->log_json);
     EyNode_t *node = EyNode_Start(ctx, settings, parts, part_count, &error);
     if (node == NULL) {
         (void)fprintf(stderr, "%s: %s\n", program, error->message);
@@ -626,13 +648,9 @@
     if (settings == NULL) {
         code = report_settings(program, error);
     }
-    else if (settings->check) {
-        (void)puts("the settings are good");
-    }
     else {
         const EyPartClass_t *parts[EY_NODE_PARTS_MAX];
         uint32_t part_count = choose(settings, parts);
-        EyLog_Start(settings->id, settings->log_level, settings->log_json);
         code = run_daemon(ctx, program, settings, parts, part_count);
     }
     talloc_free(ctx);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,6 +43,8 @@
 typedef struct EyPartClass {
     const char *name;
     bool is_entry; /* callers may use an instance that has it */
+    /** Checks what the part needs of the settings; false with an error. */
+    bool (*check_settings)(const EySettings_t *settings, GError **error);
     /** Makes the part below ctx; NULL with an error of any domain. */
     void *(*open)(const void *ctx, struct EyNode *node, GError **error);
     /** Ends the part's threads; it is freed afterwards. */
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -62,6 +62,48 @@
     Reply_Clear(&other);
 }
 
+Test(fleet, an_answer_outlives_the_claimant_that_got_it)
+{
+    Fleet_Start(&Fleet, 3, 2);
+    Reply_t first = Fleet_Buy(&Fleet, 1, 0, "class-8b", NULL, 10000);
+    cr_assert_eq(first.status, 200, "%s", first.body);
+    Process_Kill(&Fleet.regions[1].gateways[0]);
+    Reply_t again = {.status = 0};
+    for (int i = 0; i < 100 && again.status != 200; i++) {
+        Reply_Clear(&again);
+        again = Fleet_Buy(&Fleet, 1, 1, "class-8b", NULL, 10000);
+        cr_assert_str_neq(again.outcome, "not-run");
+    }
+    cr_assert_str_eq(again.body, first.body);
+    cr_assert_eq(Fleet_Runs(&Fleet, 1, "class-8b"), 1);
+    Reply_Clear(&first);
+    Reply_Clear(&again);
+}
+
+Test(fleet, a_claimant_frozen_after_sending_gives_the_answer_when_it_wakes)
+{
+    Fleet_Start(&Fleet, 3, 2);
+    Process_t *claimant = &Fleet.regions[1].gateways[0];
+    Reply_t cut =
+        Fleet_Buy(&Fleet, 1, 0, "class-9c", "Fake-Behaviour: delay=1500", 500);
+    Reply_Clear(&cut);
+    Process_Signal(claimant, SIGSTOP);
+    cr_assert(Fleet_AwaitSelling(&Fleet, 1, 1, 30000));
+    /* Nobody else may run it, whatever is known of the claimant. */
+    Reply_t other = Fleet_Buy(&Fleet, 1, 1, "class-9c", NULL, 4000);
+    cr_assert_str_neq(other.outcome, "not-run");
+    cr_assert_neq(other.status, 200);
+    Process_Signal(claimant, SIGCONT);
+    Harness_SleepMs(2000);
+    Reply_t late = Fleet_Buy(&Fleet, 1, 1, "class-9c", NULL, 10000);
+    bool is_truthful =
+        late.status == 200 || strcmp(late.outcome, "unknown") == 0;
+    cr_assert(is_truthful, "%ld %s", late.status, late.outcome);
+    cr_assert_eq(Fleet_Runs(&Fleet, 1, "class-9c"), 1);
+    Reply_Clear(&other);
+    Reply_Clear(&late);
+}
+
 static const char Plan[] =
     "{\"model\":\"visit-plan\",\"max_tokens\":8,\"stream\":true,"
     "\"messages\":[{\"role\":\"user\",\"content\":\"plan our day\"}]}";
