--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -18,12 +18,13 @@
     [EY_GATEWAY_UNKNOWN] = {.name = "answers_total",
                             .labels = "outcome=\"unknown\"",
                             .help = "Final answers by outcome"},
-    [EY_GATEWAY_ATTEMPTS] = {.name = "attempts_total",
-                             .help = "Calls to backend servers"},
     [EY_GATEWAY_RETRIES] = {.name = "retries_total",
                             .help = "Attempts after a request's first"},
     [EY_GATEWAY_SENT_AWAY] = {.name = "sent_away_total",
                               .help = "Requests sent to another region"},
+    [EY_GATEWAY_SENT_AWAY_BYTES] = {.name = "sent_away_bytes_total",
+                                    .help = "Bytes of links to other regions "
+                                            "that routing has booked"},
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
@@ -41,22 +42,35 @@
     talloc_free(object);
 }
 
-static void *
-gateway_open(const void *ctx, EyNode_t *node, GError **error)
+static void
+make_tables(EyGateway_t *self)
 {
-    (void)error;
-    EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
-    self->node = node;
-    self->next_attempt = 1;
     self->lives = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                         free_talloc, free_talloc);
     self->attempts =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, free_talloc, NULL);
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
-    EyMailbox_Attach(self->attempt_events, node->loop, on_attempt_event, self);
+    EyMailbox_Attach(self->attempt_events, self->node->loop, on_attempt_event,
+                     self);
+}
+
+static void *
+gateway_open(const void *ctx, EyNode_t *node, GError **error)
+{
+    EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
+    self->node = node;
+    self->next_attempt = 1;
+    self->records = EyGatewayRecords_Start(self, error);
+    if (self->records == NULL) {
+        talloc_free(self);
+        return NULL;
+    }
+    make_tables(self);
     self->outbound = EyOutbound_Start(self, self->attempt_events);
+    self->policy = EyPolicyBoard_New(self, node->settings->region);
+    EyGateway_OpenForwarded(self);
+    EyGateway_OpenAway(self);
     EyGateway_OpenRouter(self);
-    self->records = EyGatewayRecords_New(self);
     EyGateway_OpenConfiguration(self);
     EyGateway_OpenNeighbours(self);
     EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
@@ -68,6 +82,8 @@
 {
     EyGateway_t *self = part;
     EyOutbound_Stop(self->outbound);
+    EyGatewayRecords_Stop(self->records);
+    EyGateway_CloseForwarded(self);
     g_hash_table_destroy(self->attempts);
     g_hash_table_destroy(self->lives);
     EyGateway_CloseRouter(self);
@@ -96,7 +112,8 @@
 gateway_wants(void *part, EyPeerKind_t kind)
 {
     (void)part;
-    return kind == EY_PEER_GROUP || kind == EY_PEER_CONFIG;
+    return kind == EY_PEER_GROUP || kind == EY_PEER_CONFIG ||
+           kind == EY_PEER_FORWARD;
 }
 
 static void
@@ -107,6 +124,10 @@
         EyGatewayRecords_Receive(self->records, message);
         return;
     }
+    if (message->kind == EY_PEER_FORWARD) {
+        EyGateway_ReceiveForward(self, message);
+        return;
+    }
     EyGateway_ReceiveConfig(self, message);
 }
 
@@ -128,6 +149,7 @@
 {
     const EyGateway_t *self = part;
     return g_hash_table_size(self->lives) == 0 &&
+           g_hash_table_size(self->pumps) == 0 &&
            EyGatewayRecords_OpenCount(self->records) == 0;
 }
 
@@ -153,6 +175,7 @@
     .is_entry = true,
     .open = gateway_open,
     .close = gateway_close,
+    .check = EyGateway_CheckHead,
     .on_request = gateway_on_request,
     .on_gone = gateway_on_gone,
     .wants = gateway_wants,
