Proofs; a known fault of a control cluster's first start, shown by a test of its own

The log's liveness property had been narrowed to exclude disks lost before the first commit. The excluded case is now a test with a fixed seed, which fails, and stands in KNOWN-RED.txt; safety under such losses is a property that passes.

--- a/tests/process/fleet.c
+++ b/tests/process/fleet.c
@@ -15,7 +15,7 @@
 addresses_of(const Fleet_t *fleet, bool is_control)
 {
     GString *text = g_string_new(NULL);
-    for (uint32_t r = 0; r < fleet->region_count; r++) {
+    for (uint32_t r = 0; r < fleet->region_count && r < FLEET_REGIONS; r++) {
         const FleetRegion_t *region = &fleet->regions[r];
         if (is_control) {
             g_string_append_printf(text, "127.0.0.1:%u,",
@@ -60,7 +60,7 @@
 static void
 make_daemons(Fleet_t *fleet)
 {
-    for (uint32_t r = 0; r < fleet->region_count; r++) {
+    for (uint32_t r = 0; r < fleet->region_count && r < FLEET_REGIONS; r++) {
         FleetRegion_t *region = &fleet->regions[r];
         const char *name = Fleet_regions[r];
         region->control = make_daemon("ebonyyard-control", name, "control");
@@ -76,12 +76,13 @@
 static void
 start_daemons(Fleet_t *fleet)
 {
-    for (uint32_t r = 0; r < fleet->region_count; r++) {
+    for (uint32_t r = 0; r < fleet->region_count && r < FLEET_REGIONS; r++) {
         FleetRegion_t *region = &fleet->regions[r];
         Harness_MakeFolder(region->control_folder,
                            sizeof(region->control_folder), Fleet_regions[r]);
-        (void)snprintf(region->cut_file, sizeof(region->cut_file), "%s/cut",
-                       region->control_folder);
+        char *cut_file = g_strconcat(region->control_folder, "/cut", NULL);
+        (void)g_strlcpy(region->cut_file, cut_file, sizeof(region->cut_file));
+        g_free(cut_file);
         (void)setenv("EBONYYARD_TEST_CUT_FILE", region->cut_file, 1);
         add_args(fleet, &region->control, Fleet_regions[r]);
         Process_Arg(&region->control, "--data-dir=%s", region->control_folder);
@@ -157,6 +158,8 @@
 Fleet_Start(Fleet_t *self, uint32_t region_count, uint32_t gateway_count)
 {
     memset(self, 0, sizeof(*self));
+    cr_assert_leq(region_count, FLEET_REGIONS);
+    cr_assert_leq(gateway_count, FLEET_GATEWAYS_MAX);
     self->region_count = region_count;
     self->gateway_count = gateway_count;
     make_daemons(self);
@@ -193,7 +196,7 @@
 void
 Fleet_Cut(const Fleet_t *self, uint32_t region, bool cut)
 {
-    for (uint32_t r = 0; r < self->region_count; r++) {
+    for (uint32_t r = 0; r < self->region_count && r < FLEET_REGIONS; r++) {
         GString *ids = g_string_new(NULL);
         for (uint32_t other = 0; cut && other < self->region_count; other++) {
             if (other != r && (other == region || r == region)) {
@@ -211,7 +214,7 @@
 void
 Fleet_Kill(Fleet_t *self)
 {
-    for (uint32_t r = 0; r < self->region_count; r++) {
+    for (uint32_t r = 0; r < self->region_count && r < FLEET_REGIONS; r++) {
         FleetRegion_t *region = &self->regions[r];
         for (uint32_t g = 0; g < self->gateway_count; g++) {
             Process_Kill(&region->gateways[g]);
--- a/tests/property/test_exchange_properties.cc
+++ b/tests/property/test_exchange_properties.cc
@@ -349,6 +349,15 @@
 };
 } // namespace rc
 
+/** A crossed answer that matters takes several rare events in a row. */
+static void
+more_cases()
+{
+    Check_Cases(500);
+}
+
+TestSuite(exchange_properties, .init = more_cases);
+
 Test(exchange_properties, a_call_that_must_not_repeat_runs_at_most_once)
 {
     EY_CHECK("with a claim, in any order of events",
--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -323,19 +323,11 @@
 GROUP_PROPERTY(three_replicas_with_disks, 3, 0, 7)
 GROUP_PROPERTY(one_replica_with_disk, 1, 0, 1)
 
-/** Runs more cases than is usual, unless RC_PARAMS says how many: races of
- * two candidates are rare. */
+/** Races of two candidates are rare. */
 static void
 more_cases()
 {
-    const char *given = std::getenv("RC_PARAMS");
-    std::string params = given != nullptr ? given : "";
-    if (params.find("max_success") == std::string::npos &&
-        params.find("reproduce") == std::string::npos)
-    {
-        params += " max_success=150";
-        (void)setenv("RC_PARAMS", params.c_str(), 1);
-    }
+    Check_Cases(150);
 }
 
 TestSuite(busy_group_properties, .init = more_cases);
--- a/tests/property/test_log_properties.cc
+++ b/tests/property/test_log_properties.cc
@@ -149,8 +149,10 @@
                     "all members are voters with equal state");
 }
 
+enum Demand { SAFETY, SAFETY_AND_LIVENESS };
+
 void
-check_any_orders(size_t count, bool may_lose_early)
+check_any_orders(size_t count, bool may_lose_early, Demand demand)
 {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
     const auto size = *rc::gen::inRange<size_t>(0, OrdersMax);
@@ -162,7 +164,7 @@
         for (uint32_t order : orders) {
             carry_out(world, order);
         }
-        if (!may_lose_early) {
+        if (demand == SAFETY_AND_LIVENESS) {
             check_liveness(world);
         }
     }
@@ -177,13 +179,13 @@
 Test(log_properties, three_members_keep_what_was_committed)
 {
     EY_CHECK("three members, any order of faults",
-             [] { check_any_orders(3, false); });
+             [] { check_any_orders(3, false, SAFETY_AND_LIVENESS); });
 }
 
 Test(log_properties, five_members_keep_what_was_committed)
 {
     EY_CHECK("five members, any order of faults",
-             [] { check_any_orders(5, false); });
+             [] { check_any_orders(5, false, SAFETY_AND_LIVENESS); });
 }
 
 namespace {
@@ -312,13 +314,13 @@
 Test(log_properties, disks_lost_in_the_first_start_lose_nothing)
 {
     EY_CHECK("three members, losses from the start on",
-             [] { check_any_orders(3, true); });
+             [] { check_any_orders(3, true, SAFETY); });
 }
 
 Test(log_properties, one_member_keeps_what_was_committed)
 {
     EY_CHECK("one member, any order of faults",
-             [] { check_any_orders(1, false); });
+             [] { check_any_orders(1, false, SAFETY_AND_LIVENESS); });
 }
 
 Test(log_properties, one_member_commits_alone)
@@ -334,3 +336,23 @@
     cr_assert_eq(world.committed.count(world.nodes[0].applied), 1);
     cr_assert(world.is_settled());
 }
+
+namespace {
+
+/** A seed that shows the fault, and no search for a shorter case. */
+void
+fixed_case()
+{
+    (void)setenv("RC_PARAMS", "seed=5 max_success=300 noshrink=1", 1);
+}
+
+} // namespace
+
+TestSuite(log_first_start, .init = fixed_case);
+
+/* See KNOWN-RED.txt: it may be left without a leader. */
+Test(log_first_start, disks_lost_in_the_first_start_are_replaced)
+{
+    EY_CHECK("five members, losses from the start on",
+             [] { check_any_orders(5, true, SAFETY_AND_LIVENESS); });
+}
