--- a/src/control/witnesses.c
+++ b/src/control/witnesses.c
@@ -79,8 +79,8 @@
     return XXH64(address, strlen(address), XXH64(region, strlen(region), 0));
 }
 
-/** True if this is one of the control processes that a region's witnesses
- * come from; each of them comes to the same choice by itself. */
+/** True if this is one of the control processes that offer themselves; each
+ * comes to the same choice by itself. */
 static bool
 is_chosen(const EyWitnesses_t *self, const char *region)
 {
@@ -93,7 +93,7 @@
     for (uint32_t i = 0; i < settings->control_count; i++) {
         before += rank_hash(settings->control[i], region) < own ? 1 : 0;
     }
-    return before < EY_WITNESSES_PER_REGION;
+    return before < EY_WITNESSES_OFFERED;
 }
 
 static Witness_t *
--- a/src/control/witnesses.h
+++ b/src/control/witnesses.h
@@ -12,10 +12,10 @@
 extern "C" {
 #endif
 
-/** Witnesses that a region's group has at most, as far as control processes
- * choose themselves. With three, a region of two replicas that is cut off
- * could not lose one more. */
-#define EY_WITNESSES_PER_REGION 2
+/** Control processes that offer themselves as a region's witnesses. One of
+ * them may be the region's own, which does not; the group's leader takes as
+ * many as it wants. */
+#define EY_WITNESSES_OFFERED 3
 
 typedef struct EyWitnesses EyWitnesses_t;
 
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -14,6 +14,10 @@
 
 #define TICK_MS 50
 #define PROPOSE_MS 1000
+#define INVITE_MS 200
+/** With three, a region of two replicas that is cut off could not lose one
+ * more. */
+#define WITNESSES_MAX 2
 
 struct EyGatewayRecords {
     EyGateway_t *gateway;
@@ -22,6 +26,7 @@
     EyRecordStorage_t *storage; /* NULL: no disk */
     uint64_t epoch;             /* configured */
     int64_t proposed_ms;
+    int64_t invited_ms;
 };
 
 /* Turning decisions into events */
@@ -180,10 +185,54 @@
     }
 }
 
+static uint32_t
+witness_count(const EyView_t *view)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < view->member_count; i++) {
+        count += view->members[i].is_witness ? 1 : 0;
+    }
+    return count;
+}
+
+/**
+ * Tells a control process of the view while witnesses lack. One that should
+ * be a witness may know no way to the members: the message shows it one, and
+ * it asks to join then.
+ */
+static void
+invite_witness(EyGatewayRecords_t *self, int64_t now_ms)
+{
+    EyNode_t *node = self->gateway->node;
+    const EySettings_t *settings = node->settings;
+    const EyView_t *view = EyGroup_View(self->group);
+    bool is_due = settings->control_count > 0 &&
+                  now_ms - self->invited_ms >= INVITE_MS &&
+                  strcmp(view->leader, settings->id) == 0 &&
+                  EyGroup_IsServing(self->group) &&
+                  witness_count(view) < WITNESSES_MAX;
+    if (!is_due) {
+        return;
+    }
+    self->invited_ms = now_ms;
+    EyGroupEnvelope_t envelope = {
+        .message = {.kind = EY_GROUP_INSTALL,
+                    .from_incarnation = EyGroup_Self(self->group).incarnation,
+                    .epoch = view->epoch,
+                    .view_number = view->number,
+                    .view = *view},
+    };
+    (void)EY_COPY(envelope.region, settings->region);
+    uint64_t pick = EyRandom_Below(&node->random, settings->control_count);
+    EyNode_SendTo(node, EY_PEER_GROUP, settings->control[pick],
+                  &EyGroupEnvelope_schema, &envelope);
+}
+
 static void
 on_tick(void *data, int64_t now_ms)
 {
     EyGatewayRecords_t *self = data;
+    invite_witness(self, now_ms);
     const EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_TICK};
     step_group(self, &event);
     /* The own replica may be the only one left that knows the view. */
@@ -250,6 +299,7 @@
     EyGroupOptions_t options = {
         .incarnation = node->incarnation,
         .has_disk = self->storage != NULL,
+        .witness_max = WITNESSES_MAX,
         .seed = EyRandom_Next(&node->random),
     };
     (void)EY_COPY(options.name, node->settings->id);
--- a/src/idempotency/group.c
+++ b/src/idempotency/group.c
@@ -486,6 +486,9 @@
     /* No grant may outlive its record. */
     limits->retention_ms =
         MAX(limits->retention_ms, 2 * EY_CLAIM_DEADLINE_MAX_MS);
+    if (options->witness_max == 0) {
+        options->witness_max = EY_VIEW_MEMBERS_MAX;
+    }
     if (options->replica_max == 0) {
         options->replica_max = REPLICA_PRESET;
     }
--- a/src/idempotency/group.h
+++ b/src/idempotency/group.h
@@ -28,6 +28,7 @@
     bool is_witness;
     bool has_disk;            /* PERSIST actions are answered by PERSISTED */
     uint32_t replica_max;     /* replicas that a view has at most; 0: preset */
+    uint32_t witness_max;     /* witnesses that join a view; 0: no limit */
     EyRecordsLimits_t limits; /* zeros: presets */
     uint64_t seed;
 } EyGroupOptions_t;
--- a/src/idempotency/group_vote.c
+++ b/src/idempotency/group_vote.c
@@ -135,6 +135,21 @@
     return count;
 }
 
+/** True if a view may take one more of the member's kind, or has it already
+ * under another incarnation. */
+static bool
+has_room(const EyGroup_t *self, const EyView_t *view,
+         const EyGroupMember_t *member)
+{
+    if (EyView_Find(view, member->name, 0) >= 0) {
+        return true;
+    }
+    uint32_t replicas = replica_count(view);
+    return member->is_witness
+               ? view->member_count - replicas < self->options.witness_max
+               : replicas < self->options.replica_max;
+}
+
 static void
 remove_named(EyView_t *view, const char *name)
 {
@@ -160,9 +175,9 @@
         if (!is_ready(self, peer)) {
             continue;
         }
+        bool is_taken = has_room(self, view, &peer->member);
         remove_named(view, peer->member.name);
-        if (peer->member.is_witness ||
-            replica_count(view) < self->options.replica_max) {
+        if (is_taken) {
             EyView_Add(view, &peer->member);
         }
     }
@@ -441,11 +456,8 @@
 {
     for (uint32_t i = 0; i < self->peer_count; i++) {
         const Peer_t *peer = &self->peers[i];
-        bool has_room =
-            peer->member.is_witness ||
-            replica_count(self->view) < self->options.replica_max ||
-            EyView_Find(self->view, peer->member.name, 0) >= 0;
-        if (is_ready(self, peer) && has_room) {
+        if (is_ready(self, peer) && has_room(self, self->view, &peer->member))
+        {
             return true;
         }
     }
