A soak's find: a slow link may raise a short suspicion

Seen in case 32: suspect for 0.4 s, not declared gone. Cause not yet found; not mended. It stands as a test with that seed and in KNOWN-RED.txt; the property itself stays as strict as it was.

--- a/tests/property/test_membership_properties.cc
+++ b/tests/property/test_membership_properties.cc
@@ -196,25 +196,47 @@
     });
 }
 
-Test(membership_properties, a_slow_link_that_is_known_raises_no_suspicion)
+namespace {
+
+void
+check_slow_link()
 {
-    EY_CHECK("slow links", [] {
-        const auto count = *rc::gen::inRange<size_t>(3, 7);
-        auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
-        RC_ASSERT(net->settle(join_limit_ms) >= 0);
-        net->delay_max_ms = *rc::gen::inRange<int64_t>(1500, 2500);
-        net->run(60000); /* the pauses are learnt */
-        uint32_t suspicions = 0;
-        net->run(60000, [&](Node &node) {
-            for (auto &other : net->nodes) {
-                suspicions +=
-                    EyMembership_IsSuspect(node.membership, other->id.c_str())
-                        ? 1
-                        : 0;
-            }
-        });
-        RC_ASSERT(suspicions == 0U);
+    const auto count = *rc::gen::inRange<size_t>(3, 7);
+    auto net = make_region(count, *rc::gen::arbitrary<uint64_t>());
+    RC_ASSERT(net->settle(join_limit_ms) >= 0);
+    net->delay_max_ms = *rc::gen::inRange<int64_t>(1500, 2500);
+    net->run(60000); /* the pauses are learnt */
+    uint32_t suspicions = 0;
+    net->run(60000, [&](Node &node) {
+        for (auto &other : net->nodes) {
+            suspicions +=
+                EyMembership_IsSuspect(node.membership, other->id.c_str()) ? 1
+                                                                           : 0;
+        }
     });
+    RC_ASSERT(suspicions == 0U);
+}
+
+/** A seed that shows the fault, and no search for a shorter case. */
+void
+fixed_slow_link()
+{
+    (void)setenv("RC_PARAMS", "seed=1948210728 max_success=100 noshrink=1", 1);
+}
+
+} // namespace
+
+Test(membership_properties, a_slow_link_that_is_known_raises_no_suspicion)
+{
+    EY_CHECK("slow links", check_slow_link);
+}
+
+TestSuite(membership_slow_link, .init = fixed_slow_link);
+
+/* See KNOWN-RED.txt: one case in some hundreds raises a short suspicion. */
+Test(membership_slow_link, no_case_raises_a_suspicion)
+{
+    EY_CHECK("slow links, at the seed that showed it", check_slow_link);
 }
 
 Test(membership_properties, a_leaving_instance_is_known_in_two_seconds)
