One way to free from tables; a summary's unit of work comes from the routing defaults

Three files of the gateway had the same function around talloc_free, and the times of a unit of work stood twice, once as bare numbers. Values and behaviour are the same. Run: linter on the changed files, six process tests, plain build; not the whole check.

--- a/src/core/memory.c
+++ b/src/core/memory.c
@@ -53,3 +53,9 @@
     }
     return copy;
 }
+
+void
+EyMemory_Free(void *object)
+{
+    talloc_free(object);
+}
--- a/src/core/memory.h
+++ b/src/core/memory.h
@@ -38,6 +38,10 @@
 void *
 EyMemory_Copy(const void *ctx, const void *data, size_t size_bytes);
 
+/** Frees a talloc object, in the form that GLib's tables ask for. */
+void
+EyMemory_Free(void *object);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -52,12 +52,6 @@
     (void)g_hash_table_remove(self->proposals, &number);
 }
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 static void
 open_proposer(EyGateway_t *self)
 {
@@ -69,7 +63,7 @@
     self->proposer =
         EyProposer_New(self, EyRandom_Next(&self->node->random), &hooks);
     self->proposals = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                            free_talloc, free_talloc);
+                                            EyMemory_Free, EyMemory_Free);
 }
 
 void
--- a/src/gateway/forwarded.c
+++ b/src/gateway/forwarded.c
@@ -332,17 +332,11 @@
     g_list_free(pumps);
 }
 
-static void
-free_pump(gpointer pump)
-{
-    talloc_free(pump);
-}
-
 void
 EyGateway_OpenForwarded(EyGateway_t *self)
 {
-    self->pumps =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_pump);
+    self->pumps = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                        EyMemory_Free);
     self->pump_wakes = EyMailbox_New(self, WAKES_WAITING_MAX);
     EyMailbox_Attach(self->pump_wakes, self->node->loop, on_wake, self);
     (void)EyTimers_Every(self->node->timers, PUMP_PERIOD_MS, on_period, self);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -36,19 +36,13 @@
     EyGateway_OnAttempt(data, message);
 }
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 static void
 make_tables(EyGateway_t *self)
 {
     self->lives = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-                                        free_talloc, free_talloc);
-    self->attempts =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, free_talloc, NULL);
+                                        EyMemory_Free, EyMemory_Free);
+    self->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                           EyMemory_Free, NULL);
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
     EyMailbox_Attach(self->attempt_events, self->node->loop, on_attempt_event,
                      self);
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -155,13 +155,14 @@
     (void)EY_COPY(summary.region, from->region);
     (void)EY_COPY(summary.target, from->target);
     /* The kind isn't told; a name is of one kind, so both may be said. */
-    static const double UnitMs[EY_BACKEND_KIND_COUNT] = {
-        [EY_BACKEND_MODEL] = 10.0,
-        [EY_BACKEND_SERVICE] = 20.0,
+    const EyRoutingConfig_t config = EyRoutingConfig_Make();
+    const double unit_ms[EY_BACKEND_KIND_COUNT] = {
+        [EY_BACKEND_MODEL] = config.model_unit_ms,
+        [EY_BACKEND_SERVICE] = config.service_unit_ms,
     };
     for (int kind = 0; kind < EY_BACKEND_KIND_COUNT; kind++) {
         summary.kind = (EyBackendKind_t)kind;
-        summary.unit_ms = UnitMs[kind];
+        summary.unit_ms = unit_ms[kind];
         EyRouter_SetSummary(self->router, EyClock_NowMs() - from->age_ms,
                             &summary);
     }
