--- /dev/null
+++ b/src/backends/announcement.c
@@ -0,0 +1,172 @@
+#include "backends/announcement.h"
+
+#include "core/memory.h"
+#include "core/settings.h"
+
+#include <string.h>
+
+static const EyField_t AnnouncementFields[] = {
+    EY_FIELD_OF(EyAnnouncement_t, backend, EyBackend_schema),
+    EY_FIELD(EyAnnouncement_t, withdraws, EY_FIELD_BOOL),
+    EY_FIELD_END,
+};
+const EySchema_t EyAnnouncement_schema =
+    EY_SCHEMA(EyAnnouncement_t, AnnouncementFields);
+
+/** The short form as it is written. */
+typedef struct Word {
+    EyName_t service;
+    EyAddress_t address;
+    EyName_t zone;
+    uint32_t slots;
+    EyBackendState_t state;
+    double cold_ms; /* it is cold for so long */
+    uint64_t serial;
+} Word_t;
+
+#define REQUIRED_TEXT(member)                                                 \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_FIXED,                              \
+        .offset_bytes = offsetof(Word_t, member),                             \
+        .limit = sizeof(((Word_t *)0)->member), .required = true              \
+    }
+
+static const EyField_t WordFields[] = {
+    REQUIRED_TEXT(service),
+    REQUIRED_TEXT(address),
+    REQUIRED_TEXT(zone),
+    EY_FIELD(Word_t, slots, EY_FIELD_U32),
+    {.name = "state",
+     .kind = EY_FIELD_ENUM,
+     .offset_bytes = offsetof(Word_t, state),
+     .limit = EY_BACKEND_STATE_COUNT,
+     .names = EyBackend_state_names,
+     .required = true},
+    EY_FIELD(Word_t, cold_ms, EY_FIELD_F64),
+    {.name = "serial",
+     .kind = EY_FIELD_U64,
+     .offset_bytes = offsetof(Word_t, serial),
+     .required = true},
+    EY_FIELD_END,
+};
+static const EySchema_t WordSchema = EY_SCHEMA(Word_t, WordFields);
+
+static json_t *
+load(const EyBytes_t *text, GError **error)
+{
+    json_error_t where;
+    json_t *json = json_loadb((const char *)text->data, text->size_bytes,
+                              JSON_REJECT_DUPLICATES, &where);
+    if (json == NULL) {
+        g_set_error(error, EY_SCHEMA_ERROR, EY_SCHEMA_ERROR_MALFORMED,
+                    "not JSON at byte %d: %s", where.position, where.text);
+    }
+    return json;
+}
+
+/** The start of the server; false if it isn't a whole number. */
+static bool
+read_start(const json_t *json, const char *start_field, uint64_t *start_ms)
+{
+    const json_t *value = json_object_get(json, start_field);
+    *start_ms = 0;
+    if (value == NULL) {
+        return true;
+    }
+    json_int_t number = json_integer_value(value);
+    *start_ms = number > 0 ? (uint64_t)number : 0;
+    return json_is_integer(value) && number >= 0;
+}
+
+static bool
+check(const char *id, const Word_t *word, GError **error)
+{
+    const char *fault = NULL;
+    if (id[0] == '\0') {
+        fault = "id: expected a name";
+    }
+    else if (word->service[0] == '\0') {
+        fault = "field service: expected a name";
+    }
+    else if (word->zone[0] == '\0') {
+        fault = "field zone: expected a name";
+    }
+    else if (!EyAddress_IsValid(word->address)) {
+        fault = "field address: expected IP:port";
+    }
+    if (fault != NULL) {
+        g_set_error_literal(error, EY_SCHEMA_ERROR, EY_SCHEMA_ERROR_TYPE,
+                            fault);
+    }
+    return fault == NULL;
+}
+
+static EyBackend_t *
+make_backend(const void *ctx, const char *id, const Word_t *word,
+             const json_t *json)
+{
+    EyBackend_t *self = EY_NEW(ctx, EyBackend_t);
+    EyName_t *names = EY_NEW_ARRAY(self, EyName_t, 1);
+    (void)EY_COPY(names[0], word->service);
+    (void)EY_COPY(self->id, id);
+    (void)EY_COPY(self->address, word->address);
+    (void)EY_COPY(self->zone, word->zone);
+    /* Its callers name the service, whatever models its engine holds. */
+    bool has_engine =
+        json_array_size(json_object_get(json, "engine_models")) > 0;
+    if (has_engine) {
+        self->kind = EY_BACKEND_MODEL;
+        self->models = names;
+        self->model_count = 1;
+    }
+    else {
+        self->kind = EY_BACKEND_SERVICE;
+        self->services = names;
+        self->service_count = 1;
+    }
+    self->slots = word->slots > 0 ? word->slots : 1;
+    self->speed = 1.0;
+    self->state = word->state;
+    self->is_cold = word->cold_ms > 0.0;
+    self->load.at = (int64_t)word->serial;
+    return self;
+}
+
+EyBackend_t *
+EyAnnouncement_Read(const void *ctx, const char *id, const EyBytes_t *text,
+                    const char *start_field, GError **error)
+{
+    json_t *json = load(text, error);
+    if (json == NULL) {
+        return NULL;
+    }
+    Word_t word;
+    uint64_t start_ms = 0;
+    EyBackend_t *self = NULL;
+    if (EySchema_FromJson(&WordSchema, ctx, json, &word, error) &&
+        check(id, &word, error))
+    {
+        if (read_start(json, start_field, &start_ms)) {
+            self = make_backend(ctx, id, &word, json);
+            self->incarnation = start_ms;
+        }
+        else {
+            g_set_error(error, EY_SCHEMA_ERROR, EY_SCHEMA_ERROR_TYPE,
+                        "field %s: expected whole milliseconds", start_field);
+        }
+    }
+    json_decref(json);
+    return self;
+}
+
+uint64_t
+EyAnnouncement_ReadStart(const EyBytes_t *text, const char *start_field)
+{
+    uint64_t start_ms = 0;
+    json_t *json = text->size_bytes > 0 ? load(text, NULL) : NULL;
+    if (json != NULL) {
+        (void)read_start(json, start_field, &start_ms);
+        json_decref(json);
+    }
+    return start_ms;
+}
--- a/src/backends/backend.h
+++ b/src/backends/backend.h
@@ -57,6 +57,7 @@
     EyBackendLoad_t load;
     uint32_t ttl_ms;
     uint64_t incarnation; /* rises with each start; 0: not said */
+    bool is_cold; /* it started lately and bears few requests yet */
 } EyBackend_t;
 
 extern const EySchema_t EyBackendLoad_schema;
--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -110,6 +110,7 @@
     event->kind = kind;
     event->events_passed = transfer->events_passed;
     event->bytes_passed = transfer->bytes_passed;
+    (void)EY_COPY(event->last_event, transfer->last_event);
     return event;
 }
 
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -8,6 +8,7 @@
 #include "core/stream.h"
 #include "core/timers.h"
 #include "exchange/answer.h"
+#include "exchange/header_names.h"
 #include "exchange/request.h"
 
 #include <tevent.h>
@@ -39,6 +40,11 @@
     bool may_repeat; /* may be sent again if a kept connection proves dead
                         before the answer's first byte; else it is sent at
                         most once, on a connection of its own */
+    const EyHeaderNames_t *names; /* NULL: the product's own */
+    EyName_t expected_backend; /* empty: whichever server is there */
+    char *host;                /* NULL: the address */
+    uint32_t whole_up_to_bytes; /* an answer of a known length up to this is
+                                   collected in any mode */
     EyHeader_t *headers;
     uint32_t header_count;
     EyBytes_t body;
@@ -51,6 +57,7 @@
                               another attempt or its owner to end */
     uint32_t resume_after; /* events that the caller has already: sent as
                               Ebonyyard-Resume-After; 0: from the start */
+    EyEventId_t last_event; /* id of the last of them, if they bear ids */
 } EyAttempt_t;
 
 typedef enum EyAttemptEventKind {
@@ -85,6 +92,7 @@
     bool nothing_sent;      /* FAILED: no byte of the request left */
     uint32_t events_passed; /* server-sent events given to the stream by this
                                attempt */
+    EyEventId_t last_event; /* id of the last of them that bears one */
     uint64_t bytes_passed;  /* given to the stream by this attempt */
     EyAnswer_t *answer;     /* HEAD: no body yet; DONE when collected: whole,
                                when streamed: NULL; a talloc child of the
--- a/src/backends/event_framer.c
+++ b/src/backends/event_framer.c
@@ -15,6 +15,8 @@
     bool has_data;  /* the event that isn't whole has a data line */
     bool has_done;  /* and that line is [DONE] */
     bool last_done; /* the last whole event was [DONE] */
+    EyEventId_t next_id; /* of the event that isn't whole */
+    EyEventId_t last_id; /* of the last whole event with one */
 } Scan_t;
 
 struct EyEventFramer {
@@ -38,11 +40,30 @@
     if (scan->has_data) {
         scan->whole_events++;
         scan->last_done = scan->has_done;
+        if (scan->next_id[0] != '\0') {
+            (void)EY_COPY(scan->last_id, scan->next_id);
+        }
     }
+    scan->next_id[0] = '\0';
     scan->has_data = false;
     scan->has_done = false;
 }
 
+/** Takes the value of an id line; one that is too long counts as none. */
+static void
+take_id(Scan_t *scan, const uint8_t *line, uint32_t size_bytes)
+{
+    uint32_t from = 3;
+    if (from < size_bytes && line[from] == ' ') {
+        from++;
+    }
+    uint32_t length_bytes = size_bytes - from;
+    if (length_bytes < EY_EVENT_ID_SIZE_BYTES) {
+        memcpy(scan->next_id, line + from, length_bytes);
+        scan->next_id[length_bytes] = '\0';
+    }
+}
+
 static void
 end_line(Scan_t *scan, const uint8_t *line, uint32_t size_bytes,
          uint32_t end_bytes)
@@ -54,6 +75,10 @@
         end_event(scan, end_bytes);
         return;
     }
+    if (size_bytes >= 3 && memcmp(line, "id:", 3) == 0) {
+        take_id(scan, line, size_bytes);
+        return;
+    }
     if (size_bytes >= 4 && memcmp(line, "data", 4) == 0 &&
         (size_bytes == 4 || line[4] == ':'))
     {
@@ -177,6 +202,12 @@
     EyEventFramer_Commit(self);
 }
 
+const char *
+EyEventFramer_LastId(const EyEventFramer_t *self)
+{
+    return self->committed.last_id;
+}
+
 bool
 EyEventFramer_IsDone(const EyEventFramer_t *self)
 {
--- a/src/backends/event_framer.h
+++ b/src/backends/event_framer.h
@@ -6,6 +6,8 @@
 #ifndef EY_BACKENDS_EVENT_FRAMER_H
 #define EY_BACKENDS_EVENT_FRAMER_H
 
+#include "exchange/answer.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -54,6 +56,10 @@
 void
 EyEventFramer_Drop(EyEventFramer_t *self);
 
+/** The id of the last whole event that bears one; empty if none did. */
+const char *
+EyEventFramer_LastId(const EyEventFramer_t *self);
+
 /** True if the last whole event was the [DONE] that ends a model's answer. */
 bool
 EyEventFramer_IsDone(const EyEventFramer_t *self);
--- a/src/backends/response_head.c
+++ b/src/backends/response_head.c
@@ -60,7 +60,7 @@
         self->chunked = strcasecmp(value, "chunked") == 0;
         return self->chunked;
     }
-    if (strcasecmp(name, "X-Request-Id") == 0) {
+    if (EyHeaderNames_Is(self->names, EY_HEADER_REQUEST_ID, name)) {
         bool second = self->echoed_id != NULL;
         self->echoed_id = EyMemory_Strdup(self->answer, value);
         return !second;
--- a/src/backends/response_head.h
+++ b/src/backends/response_head.h
@@ -3,6 +3,7 @@
 #define EY_BACKENDS_RESPONSE_HEAD_H
 
 #include "exchange/answer.h"
+#include "exchange/header_names.h"
 
 #include <stddef.h>
 
@@ -17,6 +18,7 @@
 } EyHeadProgress_t;
 
 typedef struct EyResponseHead {
+    const EyHeaderNames_t *names;
     EyAnswer_t *answer;         /* NULL before the status line; owned */
     int64_t content_size_bytes; /* -1: not said */
     bool chunked;
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -6,6 +6,7 @@
 #include "exchange/body.h"
 #include "exchange/hop_headers.h"
 
+#include <glib.h>
 #include <jansson.h>
 #include <string.h>
 #include <strings.h>
@@ -13,6 +14,8 @@
 /* A kept connection older than this isn't used again; backend servers close
  * theirs later. */
 #define KEEP_IDLE_MAX_S 20L
+/* The status by which a server says that it isn't the one meant. */
+#define STATUS_MISDIRECTED 421
 
 /** Called when the connection is there, just before the request is sent. */
 static int /* NOLINTNEXTLINE(readability-non-const-parameter) */
@@ -77,19 +80,42 @@
     EyClient_OnHead(self->client, self);
 }
 
+/** True if the whole answer is known to be small. */
+static bool
+is_short(const EyTransfer_t *self)
+{
+    int64_t size_bytes = self->head.content_size_bytes;
+    return !self->head.chunked && size_bytes >= 0 &&
+           size_bytes <= (int64_t)self->attempt->whole_up_to_bytes;
+}
+
+/** True if the answer is the request's own, by the id that it bears. One that
+ * says that nothing was run may lack it. */
+static bool
+is_own_answer(const EyTransfer_t *self)
+{
+    const char *echoed_id = self->head.echoed_id;
+    if (echoed_id != NULL) {
+        return strcmp(echoed_id, self->attempt->request_id) == 0;
+    }
+    const char *name = self->names->of[EY_HEADER_NOT_RUN];
+    return self->names->always_echoes &&
+           (self->head.answer->status == STATUS_MISDIRECTED ||
+            (name != NULL &&
+             EyAnswer_Header(self->head.answer, name) != NULL));
+}
+
 static bool
 end_head(EyTransfer_t *self)
 {
     const EyAttempt_t *attempt = self->attempt;
-    const char *echoed_id = self->head.echoed_id;
     self->head_done = true;
-    if (attempt->check_echo &&
-        (echoed_id == NULL || strcmp(echoed_id, attempt->request_id) != 0))
-    {
+    if (attempt->check_echo && !is_own_answer(self)) {
         return fail(self, EY_FAILURE_WRONG_ID);
     }
     self->collects = attempt->body_mode == EY_ATTEMPT_COLLECT ||
-                     attempt->stream == NULL || !is_success(self);
+                     attempt->stream == NULL || !is_success(self) ||
+                     is_short(self);
     if (!self->collects) {
         start_stream(self);
     }
@@ -171,6 +197,7 @@
     }
     self->events_passed += EyEventFramer_WholeEvents(framer);
     EyEventFramer_Drop(framer);
+    (void)EY_COPY(self->last_event, EyEventFramer_LastId(framer));
     return true;
 }
 
@@ -209,11 +236,53 @@
     talloc_free(line);
 }
 
+/** True for headers that are set here, whatever the caller sent. */
 static bool
-is_set_here(const char *name)
+is_set_here(const EyTransfer_t *self, const char *name)
+{
+    bool resumes = self->attempt->last_event[0] != '\0';
+    return EyHeaderNames_Is(self->names, EY_HEADER_REQUEST_ID, name) ||
+           EyHeaderNames_Is(self->names, EY_HEADER_RESUME_AFTER, name) ||
+           EyHeaderNames_Is(self->names, EY_HEADER_TIMEOUT, name) ||
+           (resumes && EyHeaderNames_Is(self->names, EY_HEADER_LAST_EVENT,
+                                        name));
+}
+
+/** Adds a header by its role, if the table has it and there is a value. */
+static void
+add_role(EyTransfer_t *self, EyHeaderRole_t role, const char *value)
+{
+    if (self->names->of[role] != NULL && value[0] != '\0') {
+        add_line(self, self->names->of[role], value);
+    }
+}
+
+static void
+add_number(EyTransfer_t *self, EyHeaderRole_t role, int64_t number)
 {
-    return strcasecmp(name, "X-Request-Id") == 0 ||
-           strcasecmp(name, "Ebonyyard-Resume-After") == 0;
+    char text[24];
+    (void)g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT, number);
+    add_role(self, role, text);
+}
+
+/** Headers by which the server knows what it is asked. */
+static void
+add_own_headers(EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    if (attempt->host != NULL) {
+        add_line(self, "Host", attempt->host);
+    }
+    add_role(self, EY_HEADER_REQUEST_ID, attempt->request_id);
+    add_role(self, EY_HEADER_EXPECTED_BACKEND, attempt->expected_backend);
+    add_role(self, EY_HEADER_LAST_EVENT, attempt->last_event);
+    if (attempt->resume_after > 0) {
+        add_number(self, EY_HEADER_RESUME_AFTER, attempt->resume_after);
+    }
+    if (attempt->deadline_ms > 0) {
+        int64_t left_ms = attempt->deadline_ms - EyClock_NowMs();
+        add_number(self, EY_HEADER_TIMEOUT, left_ms > 0 ? left_ms : 1);
+    }
 }
 
 static void
@@ -224,7 +293,8 @@
     bool has_accept = false;
     for (uint32_t i = 0; i < attempt->header_count; i++) {
         const EyHeader_t *header = &attempt->headers[i];
-        if (EyHopHeaders_Has(header->name) || is_set_here(header->name)) {
+        if (EyHopHeaders_Has(header->name) ||
+            is_set_here(self, header->name)) {
             continue;
         }
         has_type = has_type || strcasecmp(header->name, "Content-Type") == 0;
@@ -239,14 +309,7 @@
         self->headers = curl_slist_append(self->headers, "Accept:");
     }
     self->headers = curl_slist_append(self->headers, "Expect:");
-    if (attempt->request_id[0] != '\0') {
-        add_line(self, "X-Request-Id", attempt->request_id);
-    }
-    if (attempt->resume_after > 0) {
-        char *events = talloc_asprintf(NULL, "%u", attempt->resume_after);
-        add_line(self, "Ebonyyard-Resume-After", events);
-        talloc_free(events);
-    }
+    add_own_headers(self);
 }
 
 /** True if the method has a body by its nature, be it empty. */
@@ -326,6 +389,9 @@
     self->client = client;
     self->connections = connections;
     self->attempt = talloc_steal(self, attempt);
+    self->names =
+        attempt->names != NULL ? attempt->names : &EyHeaderNames_native;
+    self->head.names = self->names;
     self->head.content_size_bytes = -1;
     self->started_us = EyClock_NowUs();
     if (!EyAddress_IsValid(attempt->address) || attempt->path == NULL ||
@@ -400,10 +466,15 @@
     {
         return true;
     }
-    if (self->framer != NULL) {
+    if (self->framer != NULL && !self->names->ends_by_close) {
         return EyEventFramer_IsDone(self->framer) &&
                EyEventFramer_HeldBytes(self->framer) == 0;
     }
+    if (self->names->ends_by_close) {
+        /* A reset is told apart by libcurl's result. */
+        return self->framer == NULL ||
+               EyEventFramer_HeldBytes(self->framer) == 0;
+    }
     return self->collects && is_whole_json(self);
 }
 
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -19,6 +19,7 @@
 
 typedef struct EyTransfer {
     EyAttempt_t *attempt;
+    const EyHeaderNames_t *names;
     EyClient_t *client;
     EyConnections_t *connections;
     CURL *easy;
@@ -36,6 +37,7 @@
     EyBytes_t collected;
     EyEventFramer_t *framer; /* NULL: bytes pass as they come */
     uint32_t events_passed;
+    EyEventId_t last_event; /* id of the last of them, if it bears one */
     uint64_t bytes_passed;
     int64_t started_us;
     int64_t first_byte_us;
--- a/src/callers/inbound.c
+++ b/src/callers/inbound.c
@@ -31,7 +31,8 @@
 {
     size_t size_bytes = sizeof(ErrorEvent) - 1;
     self->broken = true;
-    if (!self->answer->is_events || self->error_event_given ||
+    if (!self->names->tells_broken_events || !self->answer->is_events ||
+        self->error_event_given ||
         room_bytes < size_bytes)
     {
         return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -83,17 +84,23 @@
     }
 }
 
+/** True for headers that the server itself sets. */
 static bool
-is_own_header(const char *name)
+is_own_header(const EyInbound_t *self, const char *name)
 {
-    static const char *const Own[] = {"X-Request-Id", "Ebonyyard-Outcome",
-                                      "Date"};
-    for (size_t i = 0; i < sizeof(Own) / sizeof(Own[0]); i++) {
-        if (strcasecmp(Own[i], name) == 0) {
-            return true;
-        }
+    return strcasecmp(name, "Date") == 0 ||
+           EyHeaderNames_Is(self->names, EY_HEADER_REQUEST_ID, name) ||
+           EyHeaderNames_Is(self->names, EY_HEADER_OUTCOME, name);
+}
+
+static void
+add_header(const EyInbound_t *self, struct MHD_Response *response,
+           EyHeaderRole_t role, const char *value)
+{
+    const char *name = self->names->of[role];
+    if (name != NULL) {
+        (void)MHD_add_response_header(response, name, value);
     }
-    return false;
 }
 
 static void
@@ -104,16 +111,16 @@
         const EyHeader_t *header = &answer->headers[i];
         bool replaced = answer->retry_after_s > 0 &&
                         strcasecmp(header->name, "Retry-After") == 0;
-        if (!replaced && !is_own_header(header->name) &&
+        if (!replaced && !is_own_header(self, header->name) &&
             !EyHopHeaders_Has(header->name))
         {
             (void)MHD_add_response_header(response, header->name,
                                           header->value);
         }
     }
-    (void)MHD_add_response_header(response, "X-Request-Id", self->id);
-    (void)MHD_add_response_header(response, "Ebonyyard-Outcome",
-                                  EyOutcome_Name(answer->outcome));
+    add_header(self, response, EY_HEADER_REQUEST_ID, self->id);
+    add_header(self, response, EY_HEADER_OUTCOME,
+               EyOutcome_Name(answer->outcome));
     if (answer->retry_after_s > 0) {
         char seconds[16];
         (void)snprintf(seconds, sizeof(seconds), "%u", answer->retry_after_s);
@@ -164,11 +171,16 @@
     GString *text = g_string_new(NULL);
     g_string_append_printf(
         text,
-        "HTTP/1.1 %u %s\r\nContent-Type: %s\r\nX-Request-Id: %s\r\n"
-        "Ebonyyard-Outcome: %s\r\nConnection: close\r\n",
+        "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n%s: %s\r\n"
+        "Connection: close\r\n",
         answer->status, MHD_get_reason_phrase_for(answer->status),
-        EyAnswer_Header(answer, "Content-Type"), self->id,
-        EyOutcome_Name(answer->outcome));
+        EyAnswer_Header(answer, "Content-Type"),
+        self->names->of[EY_HEADER_REQUEST_ID], self->id);
+    if (self->names->of[EY_HEADER_OUTCOME] != NULL) {
+        g_string_append_printf(text, "%s: %s\r\n",
+                               self->names->of[EY_HEADER_OUTCOME],
+                               EyOutcome_Name(answer->outcome));
+    }
     if (answer->retry_after_s > 0) {
         g_string_append_printf(text, "Retry-After: %u\r\n",
                                answer->retry_after_s);
--- a/src/callers/inbound.h
+++ b/src/callers/inbound.h
@@ -7,6 +7,7 @@
 
 #include "callers/suspension.h"
 #include "exchange/answer.h"
+#include "exchange/header_names.h"
 #include "exchange/request.h"
 
 #include <microhttpd.h>
@@ -25,6 +26,8 @@
 typedef struct EyInbound {
     uint64_t number;
     EyKey_t id;
+    const EyHeaderNames_t *names;
+    bool is_routed; /* by the configured routes */
     EyInboundStage_t stage;
     bool submitted;
     bool watched;      /* by the hang-up watcher */
--- a/src/callers/parse.c
+++ b/src/callers/parse.c
@@ -37,8 +37,9 @@
     return size_bytes > 0 && size_bytes < 16 && method[size_bytes] == '\0';
 }
 
-EyAnswer_t *
-EyParse_Line(EyRequest_t *request, const char *method, const char *path)
+/** Checks method and path, and sets the method. */
+static EyAnswer_t *
+take_line(EyRequest_t *request, const char *method, const char *path)
 {
     if (!is_method(method)) {
         return refuse(EY_PROBLEM_METHOD, "the method isn't known");
@@ -51,7 +52,25 @@
         return refuse(EY_PROBLEM_BAD_REQUEST,
                       "the path must start with / and be visible ASCII");
     }
-    return EyRoute_Apply(request, path);
+    return NULL;
+}
+
+EyAnswer_t *
+EyParse_Line(EyRequest_t *request, const char *method, const char *path)
+{
+    EyAnswer_t *refusal = take_line(request, method, path);
+    return refusal != NULL ? refusal : EyRoute_Apply(request, path);
+}
+
+EyAnswer_t *
+EyParse_RoutedLine(EyRequest_t *request, const char *method, const char *path)
+{
+    request->call = EY_CALL_ROUTED;
+    EyAnswer_t *refusal = take_line(request, method, path);
+    if (refusal == NULL) {
+        request->path = EyMemory_Strdup(request, path);
+    }
+    return refusal;
 }
 
 static bool
@@ -109,7 +128,8 @@
 {
     return take_text(self->request->id, sizeof(self->request->id), value)
                ? NULL
-               : "X-Request-Id must be 1 to 255 visible ASCII characters";
+               : "the request's id must be 1 to 255 visible ASCII characters, "
+                 "said once";
 }
 
 static const char *
@@ -145,12 +165,93 @@
         !read_number(value, EY_REQUEST_TIMEOUT_MAX_MS, &timeout_ms) ||
         timeout_ms == 0)
     {
-        return "Ebonyyard-Timeout-Ms must be a whole number from 1 to 3600000";
+        return "the timeout must be a whole number of milliseconds from 1 to "
+               "3600000, said once";
     }
     self->timeout_ms = (uint32_t)timeout_ms;
     return NULL;
 }
 
+static const char *
+take_host(EyParsedHead_t *self, const char *value)
+{
+    return EY_COPY(self->request->host, value) ? NULL
+                                               : "Host is longer than 255";
+}
+
+/** Reads up to count numbers of a comma list; returns how many it has. */
+static uint32_t
+read_list(const char *value, uint32_t *numbers, uint32_t count)
+{
+    uint32_t found = 0;
+    gchar **items = g_strsplit(value, ",", -1);
+    for (gchar **item = items; *item != NULL && found < count; item++) {
+        int64_t number = 0;
+        if (!read_number(g_strstrip(*item), G_MAXUINT32, &number)) {
+            break;
+        }
+        numbers[found++] = (uint32_t)number;
+    }
+    g_strfreev(items);
+    return found;
+}
+
+/* What callers say of a model call's size are hints: one that can't be read
+ * is passed on and otherwise left aside. */
+
+static const char *
+take_tokens(EyParsedHead_t *self, const char *value)
+{
+    uint32_t numbers[2];
+    if (read_list(value, numbers, 2) == 2) {
+        self->request->prompt_tokens = numbers[0];
+        self->request->tokens_max = numbers[1];
+    }
+    return NULL;
+}
+
+static const char *
+take_length_hint(EyParsedHead_t *self, const char *value)
+{
+    (void)read_list(value, &self->request->expected_tokens, 1);
+    return NULL;
+}
+
+/** Reads one ID:TOKENS. */
+static bool
+read_part(char *text, EyPromptPart_t *part)
+{
+    char *colon = strchr(text, ':');
+    if (colon == NULL || colon == text) {
+        return false;
+    }
+    *colon = '\0';
+    gchar *end = NULL;
+    int64_t tokens = 0;
+    part->id = g_ascii_strtoull(text, &end, 16);
+    bool good = *end == '\0' && read_number(colon + 1, G_MAXUINT32, &tokens);
+    part->tokens = (uint32_t)tokens;
+    return good;
+}
+
+static const char *
+take_prompt_parts(EyParsedHead_t *self, const char *value)
+{
+    EyRequest_t *request = self->request;
+    gchar **items = g_strsplit(value, ",", -1);
+    request->part_count = 0;
+    for (gchar **item = items; *item != NULL; item++) {
+        if (request->part_count == EY_PROMPT_PARTS_MAX ||
+            !read_part(g_strstrip(*item), &request->parts[request->part_count]))
+        {
+            break;
+        }
+        request->part_count++;
+    }
+    g_strfreev(items);
+    return NULL;
+}
+
 static const char *
 take_content_size(EyParsedHead_t *self, const char *value)
 {
@@ -179,28 +280,42 @@
 }
 
 typedef struct Reader {
-    const char *name;
+    const char *name; /* NULL: of the role, by the table of names */
+    EyHeaderRole_t role;
+    bool passes_on; /* backend servers read it too */
     /** Returns what is wrong, or NULL. */
     const char *(*take)(EyParsedHead_t *self, const char *value);
 } Reader_t;
 
 static const Reader_t Readers[] = {
-    {"X-Request-Id", take_id},
-    {"Idempotency-Key", take_key},
-    {"Ebonyyard-Home", take_home},
-    {"Ebonyyard-Account", take_account},
-    {"Ebonyyard-Timeout-Ms", take_timeout},
-    {"Content-Length", take_content_size},
-    {"Transfer-Encoding", take_transfer_encoding},
-    {"Connection", take_connection},
+    {.role = EY_HEADER_REQUEST_ID, .take = take_id},
+    {.role = EY_HEADER_HOME, .take = take_home},
+    {.role = EY_HEADER_ACCOUNT, .take = take_account},
+    {.role = EY_HEADER_TIMEOUT, .take = take_timeout},
+    {.role = EY_HEADER_TOKENS, .passes_on = true, .take = take_tokens},
+    {.role = EY_HEADER_PROMPT_PARTS,
+     .passes_on = true,
+     .take = take_prompt_parts},
+    {.role = EY_HEADER_LENGTH_HINT,
+     .passes_on = true,
+     .take = take_length_hint},
+    {.name = "Idempotency-Key", .take = take_key},
+    {.name = "Host", .take = take_host},
+    {.name = "Content-Length", .take = take_content_size},
+    {.name = "Transfer-Encoding", .take = take_transfer_encoding},
+    {.name = "Connection", .take = take_connection},
 };
 
 static const Reader_t *
-find_reader(const char *name)
+find_reader(const EyHeaderNames_t *names, const char *name)
 {
     for (size_t i = 0; i < sizeof(Readers) / sizeof(Readers[0]); i++) {
-        if (strcasecmp(Readers[i].name, name) == 0) {
-            return &Readers[i];
+        const Reader_t *reader = &Readers[i];
+        bool matches = reader->name != NULL
+                           ? strcasecmp(reader->name, name) == 0
+                           : EyHeaderNames_Is(names, reader->role, name);
+        if (matches) {
+            return reader;
         }
     }
     return NULL;
@@ -209,7 +324,8 @@
 static EyAnswer_t *
 pass_on(EyParsedHead_t *self, const char *name, const char *value)
 {
-    if (EyHopHeaders_Has(name)) {
+    if (EyHopHeaders_Has(name) || EyHeaderNames_IsReserved(self->names, name))
+    {
         return NULL;
     }
     if (strlen(name) > HEADER_NAME_MAX_BYTES ||
@@ -234,15 +350,14 @@
             refuse(EY_PROBLEM_BAD_REQUEST, "a header isn't well formed");
         return;
     }
-    const Reader_t *reader = find_reader(name);
-    if (reader == NULL) {
-        self->refusal = pass_on(self, name, value);
-        return;
-    }
-    const char *wrong = reader->take(self, value);
+    const Reader_t *reader = find_reader(self->names, name);
+    const char *wrong = reader != NULL ? reader->take(self, value) : NULL;
     if (wrong != NULL) {
         self->refusal = refuse(EY_PROBLEM_BAD_REQUEST, wrong);
     }
+    else if (reader == NULL || reader->passes_on) {
+        self->refusal = pass_on(self, name, value);
+    }
 }
 
 /** True if a comma list, such as Connection's value, holds the name. */
--- a/src/callers/parse.h
+++ b/src/callers/parse.h
@@ -6,6 +6,7 @@
 #define EY_CALLERS_PARSE_H
 
 #include "exchange/answer.h"
+#include "exchange/header_names.h"
 #include "exchange/request.h"
 
 #ifdef __cplusplus
@@ -18,6 +19,7 @@
 /** What is known of a request's head while its headers are read. */
 typedef struct EyParsedHead {
     EyRequest_t *request;
+    const EyHeaderNames_t *names;
     EyAnswer_t *refusal;        /* of the first bad header, or NULL */
     const char *connection;     /* names more headers not to pass on */
     uint32_t framing_headers;   /* Content-Length and Transfer-Encoding */
@@ -29,6 +31,11 @@
 EyAnswer_t *
 EyParse_Line(EyRequest_t *request, const char *method, const char *path);
 
+/** The same where every call goes by the configured routes. */
+EyAnswer_t *
+EyParse_RoutedLine(EyRequest_t *request, const char *method,
+                   const char *path);
+
 /** Takes one header; a bad one sets self->refusal. */
 void
 EyParse_Header(EyParsedHead_t *self, const char *name, const char *value);
--- a/src/callers/route.c
+++ b/src/callers/route.c
@@ -27,6 +27,7 @@
     {"/v1/instances", "GET", EY_CALL_INSTANCES, BELOW_NOTHING},
     {"/v1/idempotency-keys", "POST", EY_CALL_MAKE_KEY, BELOW_NOTHING},
     {"/v1/backends", "POST", EY_CALL_ANNOUNCE, BELOW_NOTHING},
+    {"/v1/backends", "POST", EY_CALL_ANNOUNCE, BELOW_NAME},
     {"/v1/backends", "DELETE", EY_CALL_WITHDRAW, BELOW_NAME},
     {"/v1/config", NULL, EY_CALL_OPERATOR, BELOW_ANY},
     {"/v1/dump", "GET", EY_CALL_OPERATOR, BELOW_ANY},
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -25,17 +25,25 @@
 
 EY_DEFINE_ERROR_DOMAIN(Server, "ey-server")
 
+/** One address that is listened on, with a thread of libmicrohttpd's. */
+typedef struct Listener {
+    struct EyServer *server;
+    struct MHD_Daemon *daemon;
+    int descriptor; /* once it is quiescing; -1: not yet */
+    bool is_routed;
+} Listener_t;
+
 struct EyServer {
     EyServerHooks_t hooks;
-    struct MHD_Daemon *daemon;
+    const EyHeaderNames_t *names;
+    Listener_t listeners[EY_SERVER_LISTENERS_MAX];
+    uint32_t listener_count;
     EyHangups_t *hangups;
-    uint16_t port;
-    int listener;          /* once it is quiescing */
-    EyRandom_t random;     /* of libmicrohttpd's thread */
-    uint64_t bodies_bytes; /* of libmicrohttpd's thread */
+    uint64_t bodies_bytes; /* atomic */
     pthread_mutex_t lock;
+    EyRandom_t random;    /* under the lock */
     GHashTable *inbounds; /* by number; under the lock */
-    bool quiescing;       /* under the lock */
+    bool closing;         /* under the lock: answers close connections */
     bool stopping;        /* under the lock */
 };
 
@@ -125,8 +133,10 @@
 on_request_line(void *data, const char *path,
                 struct MHD_Connection *connection)
 {
-    (void)data;
+    const Listener_t *listener = data;
     EyInbound_t *inbound = EY_NEW(NULL, EyInbound_t);
+    inbound->names = listener->server->names;
+    inbound->is_routed = listener->is_routed;
     inbound->number = __atomic_add_fetch(&LastNumber, 1, __ATOMIC_RELAXED);
     inbound->path = EyMemory_Strdup(inbound, path);
     inbound->started_us = EyClock_NowUs();
@@ -140,7 +150,7 @@
 {
     inbound->stage = EY_INBOUND_ANSWERED;
     (void)pthread_mutex_lock(&self->lock);
-    bool closes = self->quiescing;
+    bool closes = self->closing;
     (void)pthread_mutex_unlock(&self->lock);
     uint32_t status = inbound->answer->status;
     if (status < 200 || status > 999) {
@@ -176,9 +186,11 @@
 static void
 make_id(EyServer_t *self, EyRequest_t *request)
 {
+    (void)pthread_mutex_lock(&self->lock);
     (void)snprintf(request->id, sizeof(request->id), "%016llx%016llx",
                    (unsigned long long)EyRandom_Next(&self->random),
                    (unsigned long long)EyRandom_Next(&self->random));
+    (void)pthread_mutex_unlock(&self->lock);
 }
 
 /** Reads the head; has_body tells whether more is to come. */
@@ -187,8 +199,13 @@
           bool *has_body)
 {
     EyRequest_t *request = inbound->request;
-    EyParsedHead_t head = {.request = request, .content_size_bytes = -1};
-    EyAnswer_t *refusal = EyParse_Line(request, method, inbound->path);
+    EyParsedHead_t head = {.request = request,
+                           .names = self->names,
+                           .content_size_bytes = -1};
+    EyAnswer_t *refusal =
+        inbound->is_routed
+            ? EyParse_RoutedLine(request, method, inbound->path)
+            : EyParse_Line(request, method, inbound->path);
     (void)MHD_get_connection_values(inbound->suspension.connection,
                                     MHD_HEADER_KIND, take_header, &head);
     EyAnswer_t *head_refusal = EyParse_HeadEnd(&head);
@@ -251,7 +268,9 @@
         size_t size_bytes)
 {
     EyRequest_t *request = inbound->request;
-    if (self->bodies_bytes + size_bytes > BODIES_MAX_BYTES) {
+    if (__atomic_load_n(&self->bodies_bytes, __ATOMIC_RELAXED) + size_bytes >
+        BODIES_MAX_BYTES)
+    {
         return refuse_body(inbound, EyAnswer_Problem(EY_PROBLEM_OVERLOADED,
                                                      EY_OUTCOME_NOT_RUN,
                                                      RETRY_AFTER_FULL_S,
@@ -265,7 +284,8 @@
                                             EY_OUTCOME_NOT_RUN, 0, NULL));
     }
     inbound->body_bytes += size_bytes;
-    self->bodies_bytes += size_bytes;
+    (void)__atomic_add_fetch(&self->bodies_bytes, size_bytes,
+                             __ATOMIC_RELAXED);
     return MHD_YES;
 }
 
@@ -345,7 +365,7 @@
     (void)connection;
     (void)url;
     (void)version;
-    EyServer_t *self = data;
+    EyServer_t *self = ((Listener_t *)data)->server;
     EyInbound_t *inbound = *place;
     if (inbound->stage == EY_INBOUND_HEAD) {
         return on_head(self, inbound, method);
@@ -386,7 +406,7 @@
              enum MHD_RequestTerminationCode code)
 {
     (void)connection;
-    EyServer_t *self = data;
+    EyServer_t *self = ((Listener_t *)data)->server;
     EyInbound_t *inbound = *place;
     *place = NULL;
     if (inbound == NULL) {
@@ -401,7 +421,8 @@
     if (inbound->drains && !stopping) {
         EyHangups_Drain(self->hangups, EyInbound_Socket(inbound));
     }
-    self->bodies_bytes -= inbound->body_bytes;
+    (void)__atomic_sub_fetch(&self->bodies_bytes, inbound->body_bytes,
+                             __ATOMIC_RELAXED);
     if (inbound->answer != NULL && inbound->answer->stream != NULL) {
         EyStream_SetReader(inbound->answer->stream, NULL, NULL);
         EyStream_Leave(inbound->answer->stream);
@@ -435,33 +456,55 @@
     EyMetrics_Register(Metrics, METRIC_COUNT);
     EyServer_t *self = EY_NEW(ctx, EyServer_t);
     self->hooks = *hooks;
-    self->listener = -1;
+    self->names = hooks->names != NULL ? hooks->names : &EyHeaderNames_native;
     self->random = EyRandom_Make(EyRandom_SystemSeed());
     (void)pthread_mutex_init(&self->lock, NULL);
     self->inbounds = g_hash_table_new(g_int64_hash, g_int64_equal);
     self->hangups = EyHangups_Start(self, on_hangup, self);
+    if (!EyServer_Listen(self, address, false, error)) {
+        free_parts(self);
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+bool
+EyServer_Listen(EyServer_t *self, const char *address, bool is_routed,
+                GError **error)
+{
+    if (self->listener_count == EY_SERVER_LISTENERS_MAX) {
+        g_set_error(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN,
+                    "can't listen on '%s': at most %d addresses", address,
+                    EY_SERVER_LISTENERS_MAX);
+        return false;
+    }
+    Listener_t *listener = &self->listeners[self->listener_count];
+    *listener = (Listener_t){
+        .server = self,
+        .descriptor = -1,
+        .is_routed = is_routed,
+    };
     EyListenerCalls_t calls = {
         .on_access = on_access,
         .on_request_line = on_request_line,
         .on_completed = on_completed,
-        .data = self,
+        .data = listener,
     };
-    self->daemon = EyListener_Start(address, &calls);
-    if (self->daemon == NULL) {
+    listener->daemon = EyListener_Start(address, &calls);
+    if (listener->daemon == NULL) {
         g_set_error(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN,
                     "can't listen on '%s': not IP:port, or in use", address);
-        free_parts(self);
-        talloc_free(self);
-        return NULL;
+        return false;
     }
-    self->port = EyListener_Port(self->daemon);
-    return self;
+    self->listener_count++;
+    return true;
 }
 
 uint16_t
 EyServer_Port(const EyServer_t *self)
 {
-    return self->port;
+    return EyListener_Port(self->listeners[0].daemon);
 }
 
 void
@@ -496,12 +539,12 @@
 
 /** Takes the connections that wait in the kernel's queue. */
 static void
-accept_waiting(EyServer_t *self, int listener)
+accept_waiting(const Listener_t *self)
 {
     struct sockaddr_storage address;
     socklen_t size_bytes = sizeof(address);
     int socket = -1;
-    while ((socket = accept4(listener, (struct sockaddr *)&address,
+    while ((socket = accept4(self->descriptor, (struct sockaddr *)&address,
                              &size_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
     {
         (void)MHD_add_connection(self->daemon, socket,
@@ -511,21 +554,34 @@
 }
 
 void
-EyServer_Quiesce(EyServer_t *self)
+EyServer_CloseAfterAnswers(EyServer_t *self)
 {
     (void)pthread_mutex_lock(&self->lock);
-    bool first = !self->quiescing;
-    self->quiescing = true;
+    self->closing = true;
     (void)pthread_mutex_unlock(&self->lock);
-    if (!first) {
+}
+
+static void
+quiesce_listener(Listener_t *self)
+{
+    if (self->descriptor >= 0) {
         return;
     }
-    self->listener = MHD_quiesce_daemon(self->daemon);
-    if (self->listener >= 0) {
-        accept_waiting(self, self->listener);
+    self->descriptor = MHD_quiesce_daemon(self->daemon);
+    if (self->descriptor >= 0) {
+        accept_waiting(self);
         /* libmicrohttpd's thread may still name the descriptor to epoll, so
          * it is closed only after that thread's end. */
-        (void)shutdown(self->listener, SHUT_RDWR);
+        (void)shutdown(self->descriptor, SHUT_RDWR);
+    }
+}
+
+void
+EyServer_Quiesce(EyServer_t *self)
+{
+    EyServer_CloseAfterAnswers(self);
+    for (uint32_t i = 0; i < self->listener_count; i++) {
+        quiesce_listener(&self->listeners[i]);
     }
 }
 
@@ -551,9 +607,12 @@
     for (int i = 0; i < STOP_TURNS_MAX && EyServer_InFlight(self) > 0; i++) {
         (void)usleep(STOP_TURN_US);
     }
-    MHD_stop_daemon(self->daemon);
-    if (self->listener >= 0) {
-        (void)close(self->listener);
+    for (uint32_t i = 0; i < self->listener_count; i++) {
+        const Listener_t *listener = &self->listeners[i];
+        MHD_stop_daemon(listener->daemon);
+        if (listener->descriptor >= 0) {
+            (void)close(listener->descriptor);
+        }
     }
     free_parts(self);
     talloc_free(self);
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -7,6 +7,7 @@
 
 #include "core/error.h"
 #include "exchange/answer.h"
+#include "exchange/header_names.h"
 #include "exchange/request.h"
 
 #ifdef __cplusplus
@@ -32,8 +33,12 @@
     /** The caller hung up before its answer's end. */
     void (*gone)(void *data, uint64_t number);
     void *data;
+    const EyHeaderNames_t *names; /* NULL: the product's own */
 } EyServerHooks_t;
 
+/** Most addresses that one server listens on. */
+#define EY_SERVER_LISTENERS_MAX 6
+
 typedef struct EyServer EyServer_t;
 
 /** Listens on IP:port (port 0: any free one) and serves. */
@@ -41,7 +46,13 @@
 EyServer_Start(const void *ctx, const char *address,
                const EyServerHooks_t *hooks, GError **error);
 
-/** The port that is listened on. */
+/** Listens on a further address; is_routed: every call there goes by the
+ * configured routes. False with EY_SERVER_ERROR. */
+bool
+EyServer_Listen(EyServer_t *self, const char *address, bool is_routed,
+                GError **error);
+
+/** The port of the first address. */
 uint16_t
 EyServer_Port(const EyServer_t *self);
 
@@ -56,6 +67,10 @@
 uint32_t
 EyServer_InFlight(const EyServer_t *self);
 
+/** Answers close their connections from now on. */
+void
+EyServer_CloseAfterAnswers(EyServer_t *self);
+
 /** No new connections from now on; answers close theirs. */
 void
 EyServer_Quiesce(EyServer_t *self);
--- a/src/config/feed.c
+++ b/src/config/feed.c
@@ -28,8 +28,8 @@
     }
     EyCommand_t *kept = slot(self, revision);
     talloc_free(kept->group.members);
-    *kept = *command;
-    kept->group.members = EyGroupEpoch_CopyMembers(self, &command->group);
+    talloc_free(kept->document.data);
+    *kept = EyCommand_Copy(self, command);
     self->last = revision;
     if (self->first == 0) {
         self->first = revision;
@@ -46,6 +46,17 @@
     self->last = 0;
 }
 
+/** True if the commands of the revisions don't make a message too large. */
+static bool
+fits_message(const EyFeed_t *self, uint64_t first, uint64_t last)
+{
+    uint64_t size_bytes = 0;
+    for (uint64_t revision = first; revision <= last; revision++) {
+        size_bytes += slot(self, revision)->document.size_bytes;
+    }
+    return size_bytes < EY_PUSH_SNAPSHOT_MAX_BYTES / 2;
+}
+
 /** A push of what follows a revision; what it points to is below ctx. */
 static EyConfigMessage_t
 make_push(const EyFeed_t *self, const void *ctx, const EyStore_t *store,
@@ -59,7 +70,8 @@
         return push;
     }
     bool has_commands = self->first != 0 && revision + 1 >= self->first &&
-                        self->last == push.revision;
+                        self->last == push.revision &&
+                        fits_message(self, revision + 1, push.revision);
     if (!has_commands) {
         push.snapshot = EyStore_SharedSnapshot(store, ctx);
         return push;
--- a/src/config/log.h
+++ b/src/config/log.h
@@ -45,6 +45,8 @@
     EyAddress_t *list; /* addresses of all control processes, own included */
     uint32_t list_count;
     uint64_t seed;
+    bool only_joins;          /* never starts a cluster by itself */
+    bool takes_joiners;       /* as leader, also ones not in the list */
     uint32_t heartbeat_ms;    /* 0: EY_LOG_HEARTBEAT_MS */
     uint32_t election_min_ms; /* 0: EY_LOG_ELECTION_MIN_MS */
 } EyLogOptions_t;
--- a/src/config/log_members.c
+++ b/src/config/log_members.c
@@ -182,7 +182,7 @@
 void
 ey_log_bootstrap(EyLog_t *self)
 {
-    if (self->cluster != 0) {
+    if (self->cluster != 0 || self->options.only_joins) {
         return;
     }
     uint32_t count = self->options.list_count;
@@ -260,7 +260,8 @@
     EyLogJoiner_t joiner = self->joiner;
     self->joiner = (EyLogJoiner_t){.incarnation = 0};
     self->nonce = EyRandom_Next(&self->random);
-    bool is_known = heard_of(self, joiner.address) != NULL ||
+    bool is_known = self->options.takes_joiners ||
+                    heard_of(self, joiner.address) != NULL ||
                     EyLogMembers_Find(&self->members, joiner.address) != NULL;
     if (!is_known || is_self(self, joiner.address)) {
         return;
--- a/src/config/log_replication.c
+++ b/src/config/log_replication.c
@@ -42,6 +42,22 @@
     ey_log_send(self, message);
 }
 
+/** How many of the entries from first on go into one message. */
+static uint32_t
+batch_size(const EyLog_t *self, uint64_t first)
+{
+    uint64_t last = ey_log_last_index(self);
+    uint32_t count = 0;
+    uint64_t size_bytes = 0;
+    while (count < EY_LOG_BATCH_MAX && first + count <= last &&
+           size_bytes < EY_LOG_BATCH_FULL_BYTES)
+    {
+        size_bytes += EyLog_Entry(self, first + count)->data.size_bytes;
+        count++;
+    }
+    return count;
+}
+
 void
 ey_log_replicate(EyLog_t *self, EyLogPeer_t *peer)
 {
@@ -49,9 +65,7 @@
         send_snapshot(self, peer);
         return;
     }
-    uint64_t last = ey_log_last_index(self);
-    uint32_t count =
-        (uint32_t)MIN(last + 1 - peer->next, (uint64_t)EY_LOG_BATCH_MAX);
+    uint32_t count = batch_size(self, peer->next);
     EyLogMessage_t *message =
         ey_log_message(self, EY_LOG_APPEND, peer->address, peer->incarnation);
     message->index = peer->next - 1;
--- a/src/config/proposer.c
+++ b/src/config/proposer.c
@@ -101,9 +101,7 @@
 {
     Waiting_t *waiting = EY_NEW(self, Waiting_t);
     waiting->number = number;
-    waiting->command = *command;
-    waiting->command.group.members =
-        EyGroupEpoch_CopyMembers(waiting, &command->group);
+    waiting->command = EyCommand_Copy(waiting, command);
     waiting->ends_ms = now_ms + EY_PROPOSER_ANSWER_MS;
     g_ptr_array_add(self->waiting, waiting);
     if (self->waiting->len > EY_PROPOSER_WAITING_MAX) {
--- /dev/null
+++ b/src/config/route_table.c
@@ -0,0 +1,297 @@
+#include "config/route_table.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+#include <strings.h>
+
+EY_DEFINE_ERROR_DOMAIN(RouteTable, "ey-route-table")
+
+const char *const EyRouteTable_call_kind_names[EY_CALL_KIND_COUNT] = {
+    [EY_CALL_KIND_IDEMPOTENT] = "idempotent",
+    [EY_CALL_KIND_AT_MOST_ONCE] = "at_most_once",
+    [EY_CALL_KIND_STREAM] = "stream",
+};
+
+#define REQUIRED_TEXT(type, member)                                           \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_FIXED,                              \
+        .offset_bytes = offsetof(type, member),                               \
+        .limit = sizeof(((type *)0)->member), .required = true                \
+    }
+#define REQUIRED_NUMBER(type, member, field_kind)                             \
+    {                                                                         \
+        .name = #member, .kind = (field_kind),                                \
+        .offset_bytes = offsetof(type, member), .required = true              \
+    }
+
+static const EyField_t ShareFields[] = {
+    REQUIRED_TEXT(EyRouteShare_t, service),
+    REQUIRED_NUMBER(EyRouteShare_t, weight, EY_FIELD_F64),
+    EY_FIELD_END,
+};
+static const EySchema_t ShareSchema = EY_SCHEMA(EyRouteShare_t, ShareFields);
+
+static const EyField_t RouteFields[] = {
+    EY_FIELD_TEXT(EyRouteRule_t, name),
+    REQUIRED_TEXT(EyRouteRule_t, host),
+    REQUIRED_TEXT(EyRouteRule_t, path_prefix),
+    {.name = "call_kind",
+     .kind = EY_FIELD_ENUM,
+     .offset_bytes = offsetof(EyRouteRule_t, call_kind),
+     .limit = EY_CALL_KIND_COUNT,
+     .names = EyRouteTable_call_kind_names,
+     .required = true},
+    REQUIRED_NUMBER(EyRouteRule_t, timeout_ms, EY_FIELD_F64),
+    EY_FIELD(EyRouteRule_t, latency_objective_ms, EY_FIELD_F64),
+    EY_FIELD(EyRouteRule_t, event_gap_ms, EY_FIELD_F64),
+    EY_FIELD(EyRouteRule_t, priority, EY_FIELD_U32),
+    EY_FIELD_TEXT(EyRouteRule_t, service),
+    EY_FIELD_ARRAY_OF(EyRouteRule_t, split, split_count, ShareSchema,
+                      EY_ROUTE_SPLIT_MAX),
+    EY_FIELD(EyRouteRule_t, attempts_max, EY_FIELD_U32),
+    EY_FIELD(EyRouteRule_t, sticky, EY_FIELD_BOOL),
+    EY_FIELD(EyRouteRule_t, resumable, EY_FIELD_BOOL),
+    EY_FIELD_ARRAY_OF(EyRouteRule_t, allowed_regions, allowed_region_count,
+                      EyName_schema, EY_REQUEST_ALLOWED_MAX),
+    EY_FIELD_END,
+};
+static const EySchema_t RouteSchema = EY_SCHEMA(EyRouteRule_t, RouteFields);
+
+static const EyField_t EngineFields[] = {
+    EY_FIELD(EyEngineRule_t, slots, EY_FIELD_U32),
+    EY_FIELD(EyEngineRule_t, kv_capacity, EY_FIELD_F64),
+    EY_FIELD(EyEngineRule_t, kv_token_bytes, EY_FIELD_F64),
+    EY_FIELD(EyEngineRule_t, pin_ms, EY_FIELD_F64),
+    EY_FIELD(EyEngineRule_t, hold_ms, EY_FIELD_F64),
+    EY_FIELD_END,
+};
+static const EySchema_t EngineSchema = EY_SCHEMA(EyEngineRule_t, EngineFields);
+
+static const EyField_t ServiceFields[] = {
+    REQUIRED_TEXT(EyServiceRule_t, name),
+    EY_FIELD_TEXT(EyServiceRule_t, health_path),
+    EY_FIELD(EyServiceRule_t, max_connections, EY_FIELD_U32),
+    EY_FIELD(EyServiceRule_t, cold_start_s, EY_FIELD_F64),
+    EY_FIELD(EyServiceRule_t, cold_per_s, EY_FIELD_F64),
+    EY_FIELD_OF(EyServiceRule_t, engine, EngineSchema),
+    EY_FIELD_END,
+};
+static const EySchema_t ServiceSchema =
+    EY_SCHEMA(EyServiceRule_t, ServiceFields);
+
+static const EyField_t LimitsFields[] = {
+    EY_FIELD(EyCallerLimits_t, max_header_bytes, EY_FIELD_F64),
+    EY_FIELD(EyCallerLimits_t, max_body_bytes, EY_FIELD_F64),
+    EY_FIELD(EyCallerLimits_t, header_timeout_ms, EY_FIELD_F64),
+    EY_FIELD(EyCallerLimits_t, idle_timeout_ms, EY_FIELD_F64),
+    EY_FIELD_END,
+};
+static const EySchema_t LimitsSchema =
+    EY_SCHEMA(EyCallerLimits_t, LimitsFields);
+
+static const EyField_t TableFields[] = {
+    REQUIRED_NUMBER(EyRouteTable_t, version, EY_FIELD_U64),
+    {.name = "routes",
+     .kind = EY_FIELD_ARRAY,
+     .offset_bytes = offsetof(EyRouteTable_t, routes),
+     .limit = EY_ROUTES_MAX,
+     .count_offset_bytes = offsetof(EyRouteTable_t, route_count),
+     .sub = &RouteSchema,
+     .required = true},
+    {.name = "services",
+     .kind = EY_FIELD_ARRAY,
+     .offset_bytes = offsetof(EyRouteTable_t, services),
+     .limit = EY_SERVICES_MAX,
+     .count_offset_bytes = offsetof(EyRouteTable_t, service_count),
+     .sub = &ServiceSchema,
+     .required = true},
+    EY_FIELD_OF(EyRouteTable_t, limits, LimitsSchema),
+    EY_FIELD_END,
+};
+static const EySchema_t TableSchema = EY_SCHEMA(EyRouteTable_t, TableFields);
+
+/* Checks */
+
+static bool
+refuse_route(const EyRouteRule_t *route, const char *fault, GError **error)
+{
+    g_set_error(error, EY_ROUTE_TABLE_ERROR, EY_ROUTE_TABLE_ERROR_INVALID,
+                "route %s (host %s, path_prefix %s): %s", route->name,
+                route->host, route->path_prefix, fault);
+    return false;
+}
+
+static bool
+is_prefix(const char *path_prefix)
+{
+    size_t length = strlen(path_prefix);
+    return length > 0 && path_prefix[0] == '/' &&
+           path_prefix[length - 1] == '/';
+}
+
+static bool
+check_split(const EyRouteTable_t *self, const EyRouteRule_t *route,
+            GError **error)
+{
+    double sum = 0.0;
+    for (uint32_t i = 0; i < route->split_count; i++) {
+        const EyRouteShare_t *share = &route->split[i];
+        if (EyRouteTable_Service(self, share->service) == NULL) {
+            return refuse_route(route, "split names an unknown service",
+                                error);
+        }
+        if (share->weight < 0.0) {
+            return refuse_route(route, "a weight is below 0", error);
+        }
+        sum += share->weight;
+    }
+    if (sum <= 0.0) {
+        return refuse_route(route, "the weights add up to 0", error);
+    }
+    return true;
+}
+
+static bool
+check_route(const EyRouteTable_t *self, const EyRouteRule_t *route,
+            GError **error)
+{
+    if (route->host[0] == '\0') {
+        return refuse_route(route, "host is empty", error);
+    }
+    if (!is_prefix(route->path_prefix)) {
+        return refuse_route(route, "path_prefix: expected a path that starts "
+                                   "and ends with a slash",
+                            error);
+    }
+    if (!(route->timeout_ms > 0.0)) {
+        return refuse_route(route, "timeout_ms: expected more than 0", error);
+    }
+    if (route->split_count > 0) {
+        return check_split(self, route, error);
+    }
+    if (EyRouteTable_Service(self, route->service) == NULL) {
+        return refuse_route(route, "service names an unknown service", error);
+    }
+    return true;
+}
+
+static bool
+check_routes(const EyRouteTable_t *self, GError **error)
+{
+    GHashTable *seen =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    bool good = true;
+    for (uint32_t i = 0; i < self->route_count && good; i++) {
+        const EyRouteRule_t *route = &self->routes[i];
+        good = check_route(self, route, error);
+        gchar *host = g_ascii_strdown(route->host, -1);
+        gchar *key = g_strconcat(host, " ", route->path_prefix, NULL);
+        g_free(host);
+        if (good && !g_hash_table_add(seen, key)) {
+            good = refuse_route(
+                route, "another route has this host and path_prefix", error);
+        }
+        else if (!good) {
+            g_free(key);
+        }
+    }
+    g_hash_table_destroy(seen);
+    return good;
+}
+
+EyRouteTable_t *
+EyRouteTable_Parse(const void *ctx, const EyBytes_t *document, GError **error)
+{
+    json_error_t where;
+    json_t *json = json_loadb((const char *)document->data,
+                              document->size_bytes, JSON_REJECT_DUPLICATES,
+                              &where);
+    if (json == NULL) {
+        g_set_error(error, EY_ROUTE_TABLE_ERROR,
+                    EY_ROUTE_TABLE_ERROR_MALFORMED, "not JSON at byte %d: %s",
+                    where.position, where.text);
+        return NULL;
+    }
+    EyRouteTable_t *self = EY_NEW(ctx, EyRouteTable_t);
+    bool good = EySchema_FromJson(&TableSchema, self, json, self, error);
+    json_decref(json);
+    if (!good) {
+        EyError_Turn(error, EY_ROUTE_TABLE_ERROR,
+                     EY_ROUTE_TABLE_ERROR_MALFORMED, "routes");
+    }
+    if (!good || !check_routes(self, error)) {
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
+
+/* Look-ups */
+
+const EyServiceRule_t *
+EyRouteTable_Service(const EyRouteTable_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->service_count; i++) {
+        if (strcmp(self->services[i].name, name) == 0) {
+            return &self->services[i];
+        }
+    }
+    return NULL;
+}
+
+/** True if two hosts are the same but for case and a port of the second. */
+static bool
+is_same_host(const char *host, const char *given)
+{
+    size_t length = strlen(host);
+    return strncasecmp(host, given, length) == 0 &&
+           (given[length] == '\0' || given[length] == ':');
+}
+
+const EyRouteRule_t *
+EyRouteTable_Find(const EyRouteTable_t *self, const char *host,
+                  const char *path)
+{
+    const EyRouteRule_t *best = NULL;
+    size_t best_length = 0;
+    size_t path_length = strcspn(path, "?");
+    for (uint32_t i = 0; i < self->route_count; i++) {
+        const EyRouteRule_t *route = &self->routes[i];
+        size_t length = strlen(route->path_prefix);
+        if (length > best_length && length <= path_length &&
+            strncmp(route->path_prefix, path, length) == 0 &&
+            is_same_host(route->host, host))
+        {
+            best = route;
+            best_length = length;
+        }
+    }
+    return best;
+}
+
+const char *
+EyRouteRule_Choose(const EyRouteRule_t *self, double unit)
+{
+    if (self->split_count == 0) {
+        return self->service;
+    }
+    double sum = 0.0;
+    for (uint32_t i = 0; i < self->split_count; i++) {
+        sum += self->split[i].weight;
+    }
+    double at = unit * sum;
+    const EyRouteShare_t *last = NULL;
+    for (uint32_t i = 0; i < self->split_count; i++) {
+        const EyRouteShare_t *share = &self->split[i];
+        if (share->weight <= 0.0) {
+            continue;
+        }
+        last = share;
+        if (at < share->weight) {
+            break;
+        }
+        at -= share->weight;
+    }
+    return last != NULL ? last->service : self->service;
+}
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -377,6 +377,116 @@
     return result_of(self, EY_RESULT_DONE);
 }
 
+/** Puts a change into the history that no version is held against. */
+static void
+note_change(EyStore_t *self, const EyCommand_t *command, const char *before,
+            const char *after)
+{
+    EyHistory_t history = {
+        .version = self->config.version,
+        .kind = command->kind,
+    };
+    (void)EY_COPY(history.key, command->key);
+    (void)EY_COPY(history.before, before);
+    (void)EY_COPY(history.after, after);
+    (void)EY_COPY(history.reason, command->reason);
+    (void)EY_COPY(history.author, command->author);
+    (void)EY_COPY(history.change_id, command->change_id);
+    APPEND_BOUNDED(self, history, history_count, EY_HISTORY_MAX, EyHistory_t,
+                   history);
+}
+
+/** The highest version wins; one that isn't higher changes nothing, whatever
+ * its content, and is as good as done. */
+static EyResult_t
+replace_routes(EyStore_t *self, const EyCommand_t *command)
+{
+    if (command->routes_version <= self->routes_version) {
+        return result_of(self, EY_RESULT_DONE);
+    }
+    EyValueText_t before;
+    EyValueText_t after;
+    (void)g_snprintf(before, sizeof(before), "%" G_GUINT64_FORMAT,
+                     self->routes_version);
+    (void)g_snprintf(after, sizeof(after), "%" G_GUINT64_FORMAT,
+                     command->routes_version);
+    talloc_free(self->routes.data);
+    self->routes.data = EyMemory_Copy(self, command->document.data,
+                                      command->document.size_bytes);
+    self->routes.size_bytes = command->document.size_bytes;
+    self->routes_version = command->routes_version;
+    note_change(self, command, before, after);
+    return result_of(self, EY_RESULT_DONE);
+}
+
+/** The place of an evacuated zone, or evacuated_count. */
+static uint32_t
+find_evacuated(const EyStore_t *self, const char *zone)
+{
+    uint32_t i = 0;
+    while (i < self->evacuated_count && strcmp(self->evacuated[i], zone) != 0)
+    {
+        i++;
+    }
+    return i;
+}
+
+bool
+EyStore_IsEvacuated(const EyStore_t *self, const char *zone)
+{
+    return find_evacuated(self, zone) < self->evacuated_count;
+}
+
+static EyResult_t
+evacuate_zone(EyStore_t *self, const EyCommand_t *command)
+{
+    if (command->key[0] == '\0') {
+        return refusal(self, EY_RESULT_INVALID, "expected a zone's name");
+    }
+    if (EyStore_IsEvacuated(self, command->key)) {
+        return result_of(self, EY_RESULT_DONE);
+    }
+    if (self->evacuated_count == EY_EVACUATIONS_MAX) {
+        return refusal(self, EY_RESULT_INVALID,
+                       "too many zones are being evacuated");
+    }
+    EyName_t *zones =
+        EY_NEW_ARRAY(self, EyName_t, self->evacuated_count + 1);
+    for (uint32_t i = 0; i < self->evacuated_count; i++) {
+        (void)EY_COPY(zones[i], self->evacuated[i]);
+    }
+    (void)EY_COPY(zones[self->evacuated_count], command->key);
+    talloc_free(self->evacuated);
+    self->evacuated = zones;
+    self->evacuated_count++;
+    note_change(self, command, "in service", "evacuated");
+    return result_of(self, EY_RESULT_DONE);
+}
+
+static EyResult_t
+restore_zone(EyStore_t *self, const EyCommand_t *command)
+{
+    uint32_t place = find_evacuated(self, command->key);
+    if (place == self->evacuated_count) {
+        return result_of(self, EY_RESULT_DONE);
+    }
+    self->evacuated_count--;
+    memmove(self->evacuated[place], self->evacuated[place + 1],
+            sizeof(EyName_t) * (self->evacuated_count - place));
+    note_change(self, command, "evacuated", "in service");
+    return result_of(self, EY_RESULT_DONE);
+}
+
+EyCommand_t
+EyCommand_Copy(const void *ctx, const EyCommand_t *from)
+{
+    EyCommand_t copy = *from;
+    copy.group.members = EyGroupEpoch_CopyMembers(ctx, &from->group);
+    copy.document.data =
+        EyMemory_Copy(ctx, from->document.data, from->document.size_bytes);
+    return copy;
+}
+
 static EyResult_t
 do_nothing(EyStore_t *self, const EyCommand_t *command)
 {
@@ -423,6 +533,9 @@
     [EY_COMMAND_TAKE_LEASE] = take_lease,
     [EY_COMMAND_RENEW_LEASE] = renew_lease,
     [EY_COMMAND_RELEASE_LEASE] = release_lease,
+    [EY_COMMAND_REPLACE_ROUTES] = replace_routes,
+    [EY_COMMAND_EVACUATE_ZONE] = evacuate_zone,
+    [EY_COMMAND_RESTORE_ZONE] = restore_zone,
 };
 
 static uint64_t
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -18,6 +18,7 @@
 #define EY_CONFIG_STORE_H
 
 #include "config/config.h"
+#include "config/route_table.h"
 #include "idempotency/view.h"
 
 #ifdef __cplusplus
@@ -34,6 +35,7 @@
 #define EY_GROUP_MEMBERS_MAX 16
 #define EY_GROUPS_MAX 256
 #define EY_LEASES_MAX 1024
+#define EY_EVACUATIONS_MAX 256
 
 typedef enum EyCommandKind {
     EY_COMMAND_NOTHING,
@@ -46,6 +48,9 @@
                                   * fencing and renewals that were seen */
     EY_COMMAND_RENEW_LEASE,      /* the same, by the holder */
     EY_COMMAND_RELEASE_LEASE,    /* the same, by the holder */
+    EY_COMMAND_REPLACE_ROUTES,   /* routes_version, document */
+    EY_COMMAND_EVACUATE_ZONE,    /* key: an availability zone */
+    EY_COMMAND_RESTORE_ZONE,     /* key: an availability zone */
     EY_COMMAND_KIND_COUNT
 } EyCommandKind_t;
 
@@ -83,6 +88,8 @@
     uint64_t tick;
     EyGroupEpoch_t group;
     EyLeaseRecord_t lease;
+    uint64_t routes_version; /* of the document */
+    EyBytes_t document;      /* a route table as JSON */
 } EyCommand_t;
 
 typedef enum EyResultStatus {
@@ -140,6 +147,10 @@
     uint32_t group_count;
     EyLeaseRecord_t *leases;
     uint32_t lease_count;
+    uint64_t routes_version; /* 0: no routes were set yet */
+    EyBytes_t routes;        /* their document, as it was sent */
+    EyName_t *evacuated;     /* availability zones that get no requests */
+    uint32_t evacuated_count;
 } EyStore_t;
 
 extern const EySchema_t EyGroupEpoch_schema;
@@ -153,9 +164,17 @@
 EyGroupMember_t *
 EyGroupEpoch_CopyMembers(const void *ctx, const EyGroupEpoch_t *from);
 
+/** A copy below ctx that shares nothing; from itself is a plain struct. */
+EyCommand_t
+EyCommand_Copy(const void *ctx, const EyCommand_t *from);
+
 EyStore_t *
 EyStore_New(const void *ctx);
 
+/** True if the availability zone is being evacuated. */
+bool
+EyStore_IsEvacuated(const EyStore_t *self, const char *zone);
+
 /**
  * Checks a command's key, value, scope and reason by this build's table,
  * before it is proposed. Applying doesn't look at the table, so that processes
--- a/src/config/store_schema.c
+++ b/src/config/store_schema.c
@@ -10,6 +10,9 @@
     [EY_COMMAND_TAKE_LEASE] = "take-lease",
     [EY_COMMAND_RENEW_LEASE] = "renew-lease",
     [EY_COMMAND_RELEASE_LEASE] = "release-lease",
+    [EY_COMMAND_REPLACE_ROUTES] = "replace-routes",
+    [EY_COMMAND_EVACUATE_ZONE] = "evacuate-zone",
+    [EY_COMMAND_RESTORE_ZONE] = "restore-zone",
 };
 
 const char *const EyStore_result_names[EY_RESULT_STATUS_COUNT] = {
@@ -53,6 +56,8 @@
     EY_FIELD(EyCommand_t, tick, EY_FIELD_U64),
     EY_FIELD_OF(EyCommand_t, group, EyGroupEpoch_schema),
     EY_FIELD_OF(EyCommand_t, lease, EyLeaseRecord_schema),
+    EY_FIELD(EyCommand_t, routes_version, EY_FIELD_U64),
+    EY_FIELD_BYTES_MAX(EyCommand_t, document, EY_ROUTE_DOCUMENT_MAX_BYTES),
     EY_FIELD_END,
 };
 const EySchema_t EyCommand_schema = EY_SCHEMA(EyCommand_t, CommandFields);
@@ -106,6 +111,10 @@
                       EY_GROUPS_MAX),
     EY_FIELD_ARRAY_OF(EyStore_t, leases, lease_count, EyLeaseRecord_schema,
                       EY_LEASES_MAX),
+    EY_FIELD(EyStore_t, routes_version, EY_FIELD_U64),
+    EY_FIELD_BYTES_MAX(EyStore_t, routes, EY_ROUTE_DOCUMENT_MAX_BYTES),
+    EY_FIELD_ARRAY_OF(EyStore_t, evacuated, evacuated_count, EyName_schema,
+                      EY_EVACUATIONS_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyStore_schema = EY_SCHEMA(EyStore_t, StoreFields);
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -7,6 +7,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "core/worker.h"
+#include "operators/operators.h"
 
 #include <string.h>
 
@@ -15,6 +16,8 @@
 #define TICK_MS 50
 #define WRITES_WAITING_MAX 1024
 #define WRITE_RETRY_MS 1000
+/* Longest wait of a read for what was committed before it. */
+#define READ_WAIT_MS 800
 
 typedef struct ControlPart {
     EyNode_t *node;
@@ -23,8 +26,19 @@
     EyLogFile_t *file; /* the storage thread's while it runs */
     EyWorker_t *storage;
     EyMailbox_t *written;
+    GHashTable *orders; /* number -> Order_t, of operators */
+    uint64_t last_order;
 } ControlPart_t;
 
+/** An operator's request that waits. */
+typedef struct Order {
+    EyRequest_t *request; /* owned */
+    bool is_read;
+    bool is_committed; /* a read: revision is known */
+    uint64_t revision; /* that the store must have for the answer */
+    int64_t ends_ms;
+} Order_t;
+
 /** What the storage thread says of a write. */
 typedef struct Written {
     uint64_t serial;
@@ -117,28 +131,139 @@
     }
 }
 
+/* Operators' requests */
+
+static void
+order_free(void *data)
+{
+    Order_t *order = data;
+    talloc_free(order->request);
+    talloc_free(order);
+}
+
+/** Answers an order and forgets it. */
+static void
+finish_order(ControlPart_t *self, uint64_t number, EyAnswer_t *answer)
+{
+    const Order_t *order = g_hash_table_lookup(self->orders, &number);
+    EyServer_Answer(self->node->server, order->request->number, answer);
+    (void)g_hash_table_remove(self->orders, &number);
+}
+
+static EyAnswer_t *
+refuse_read(void)
+{
+    return EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN, 1,
+                            "this process can't be sure which is the newest");
+}
+
+/** Reads whose revision is here are answered, late ones refused. */
+static void
+serve_reads(ControlPart_t *self, int64_t now_ms)
+{
+    const EyStore_t *store = EyControl_Store(self->control);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->orders);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const Order_t *order = value;
+        bool is_here =
+            order->is_committed && store->config.revision >= order->revision;
+        if (!order->is_read || (!is_here && now_ms < order->ends_ms)) {
+            continue;
+        }
+        EyServer_Answer(self->node->server, order->request->number,
+                        is_here ? EyOperators_Read(store) : refuse_read());
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
-    const ControlPart_t *self = data;
+    ControlPart_t *self = data;
     EyWitnesses_Configure(self->witnesses, store);
+    EY_LOG(EY_LOG_INFO, "control", "configuration",
+           EY_LOG_NUMBER("revision", store->config.revision),
+           EY_LOG_NUMBER("routes_version", store->routes_version),
+           EY_LOG_NUMBER("evacuated_zones", store->evacuated_count));
 }
 
 static void
 hook_answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
             const EyResult_t *result)
 {
-    (void)data;
-    (void)number;
-    (void)outcome;
-    (void)result;
+    ControlPart_t *self = data;
+    Order_t *order = g_hash_table_lookup(self->orders, &number);
+    if (order == NULL) {
+        return;
+    }
+    EY_LOG(EY_LOG_INFO, "control", "order_settled",
+           EY_LOG_TEXT("request_id", order->request->id),
+           EY_LOG_TEXT("path", order->request->path),
+           EY_LOG_TEXT("outcome", EyConfigMessage_outcome_names[outcome]),
+           EY_LOG_TEXT("result", EyStore_result_names[result->status]),
+           EY_LOG_NUMBER("revision", result->revision));
+    if (!order->is_read) {
+        finish_order(self, number, EyOperators_Answer(outcome, result));
+    }
+    else if (outcome == EY_PROPOSAL_APPLIED) {
+        order->is_committed = true;
+        order->revision = result->revision;
+    }
+    else {
+        finish_order(self, number, refuse_read());
+    }
+}
+
+/** Names a change of which the operator gave no id of its own. */
+static void
+name_change(const ControlPart_t *self, uint64_t number, EyCommand_t *command)
+{
+    if (command->change_id[0] == '\0') {
+        (void)g_snprintf(command->change_id, sizeof(command->change_id),
+                         "order-%llx-%llu",
+                         (unsigned long long)self->node->incarnation,
+                         (unsigned long long)number);
+    }
+}
+
+static bool
+control_on_request(void *part, EyRequest_t *request)
+{
+    ControlPart_t *self = part;
+    if (request->call != EY_CALL_OPERATOR) {
+        return false;
+    }
+    EyOperatorsReply_t reply =
+        EyOperators_Handle(request, EyControl_Store(self->control),
+                           self->node->operator_token);
+    if (reply.answer != NULL) {
+        EyNode_Answer(self->node, request, reply.answer);
+        return true;
+    }
+    uint64_t number = ++self->last_order;
+    Order_t *order = EY_NEW(NULL, Order_t);
+    order->request = request;
+    order->is_read = reply.is_read;
+    order->ends_ms = EyClock_NowMs() + READ_WAIT_MS;
+    uint64_t *key = EY_NEW(NULL, uint64_t);
+    *key = number;
+    (void)g_hash_table_insert(self->orders, key, order);
+    if (!reply.is_read) {
+        name_change(self, number, &reply.command);
+    }
+    EyControl_Propose(self->control, EyClock_NowMs(), number, &reply.command);
+    serve_reads(self, EyClock_NowMs());
+    return true;
 }
 
 static void
 on_tick(void *data, int64_t now_ms)
 {
-    const ControlPart_t *self = data;
+    ControlPart_t *self = data;
     EyControl_Tick(self->control, now_ms);
+    serve_reads(self, now_ms);
 }
 
 /** The addresses of all control processes, this one's included. */
@@ -149,6 +274,8 @@
     EyLogOptions_t options = {
         .list = EY_NEW_ARRAY(self, EyAddress_t, settings->control_count + 1),
         .seed = EyRandom_Next(&self->node->random),
+        .only_joins = !settings->may_found,
+        .takes_joiners = settings->takes_joiners,
     };
     (void)EY_COPY(options.self, settings->peer_listen);
     bool has_self = false;
@@ -190,6 +317,8 @@
         talloc_free(self);
         return NULL;
     }
+    self->orders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+                                         EyMemory_Free, order_free);
     self->written = EyMailbox_New(self, WRITES_WAITING_MAX * 2);
     EyMailbox_Attach(self->written, node->loop, on_written, self);
     self->storage =
@@ -216,6 +345,7 @@
     ControlPart_t *self = part;
     EyWorker_Stop(self->storage);
     self->storage = NULL;
+    g_hash_table_destroy(self->orders);
 }
 
 static bool
@@ -283,6 +413,7 @@
     .check_settings = control_check_settings,
     .open = control_open,
     .close = control_close,
+    .on_request = control_on_request,
     .wants = control_wants,
     .on_message = control_on_message,
     .dump = control_dump,
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -11,15 +11,25 @@
 
 #define ENVIRONMENT_PREFIX "EBONYYARD_"
 #define CAPACITY_MAX 1000000
+#define STOP_LINGER_MAX_MS 600000
+#define BACKEND_TTL_MAX_MS 60000
 
 typedef enum SettingId {
     SETTING_ID,
     SETTING_REGION,
     SETTING_ZONE,
     SETTING_LISTEN,
+    SETTING_ROUTED_LISTEN,
     SETTING_PEER_LISTEN,
+    SETTING_ZONES,
+    SETTING_HEADERS,
     SETTING_PEERS,
     SETTING_CONTROL,
+    SETTING_CONTROL_PORT, /* behind CONTROL, whose ports it replaces */
+    SETTING_MAY_FOUND,
+    SETTING_TAKES_JOINERS,
+    SETTING_STOP_LINGER,
+    SETTING_BACKEND_TTL,
     SETTING_DATA_DIR,
     SETTING_OPERATOR_TOKEN_FILE,
     SETTING_PEER_SECRET_FILE,
@@ -73,11 +83,6 @@
     return is_name(text) && EY_COPY(settings->zone, text);
 }
 
-static bool
-read_listen(EySettings_t *settings, const char *text)
-{
-    return EyAddress_IsValid(text) && EY_COPY(settings->listen, text);
-}
 
 static bool
 read_peer_listen(EySettings_t *settings, const char *text)
@@ -106,6 +111,108 @@
     return good;
 }
 
+static bool
+read_listen(EySettings_t *settings, const char *text)
+{
+    EyAddress_t addresses[EY_SETTINGS_ADDRESSES_MAX];
+    uint32_t count = 0;
+    if (!read_addresses(text, addresses, &count) || count == 0 ||
+        count > EY_SETTINGS_LISTENS_MAX)
+    {
+        return false;
+    }
+    (void)EY_COPY(settings->listen, addresses[0]);
+    for (uint32_t i = 1; i < count; i++) {
+        (void)EY_COPY(settings->more_listens[i - 1], addresses[i]);
+    }
+    settings->more_listen_count = count - 1;
+    return true;
+}
+
+static bool
+read_routed_listen(EySettings_t *settings, const char *text)
+{
+    return *text == '\0' || (EyAddress_IsValid(text) &&
+                             EY_COPY(settings->routed_listen, text));
+}
+
+/** Reads one ZONE=REGION. */
+static bool
+read_zone_region(EySettings_t *settings, char *pair)
+{
+    char *equals = strchr(pair, '=');
+    if (equals == NULL || settings->zone_count == EY_SETTINGS_ZONES_MAX) {
+        return false;
+    }
+    *equals = '\0';
+    EyZone_t *zone = &settings->zones[settings->zone_count++];
+    return is_name(pair) && is_name(equals + 1) &&
+           EY_COPY(zone->zone, pair) && EY_COPY(zone->region, equals + 1);
+}
+
+static bool
+read_zones(EySettings_t *settings, const char *text)
+{
+    settings->zones =
+        EY_NEW_ARRAY(settings, EyZone_t, EY_SETTINGS_ZONES_MAX);
+    bool good = true;
+    gchar **parts = g_strsplit(text, ",", -1);
+    for (gchar **part = parts; *part != NULL && good; part++) {
+        char *pair = g_strstrip(*part);
+        good = *pair == '\0' || read_zone_region(settings, pair);
+    }
+    g_strfreev(parts);
+    return good;
+}
+
+static bool
+read_headers(EySettings_t *settings, const char *text)
+{
+    return is_name(text) && EY_COPY(settings->headers, text);
+}
+
+/** Reads a whole number from least to most. */
+static bool
+read_whole(const char *text, uint32_t least, uint32_t most, uint32_t *number)
+{
+    char *end = NULL;
+    unsigned long value = strtoul(text, &end, 10);
+    *number = (uint32_t)value;
+    return g_ascii_isdigit(*text) && *end == '\0' && value >= least &&
+           value <= most;
+}
+
+static bool
+read_stop_linger(EySettings_t *settings, const char *text)
+{
+    return read_whole(text, 0, STOP_LINGER_MAX_MS, &settings->stop_linger_ms);
+}
+
+static bool
+read_backend_ttl(EySettings_t *settings, const char *text)
+{
+    return read_whole(text, 1, BACKEND_TTL_MAX_MS, &settings->backend_ttl_ms);
+}
+
+static bool
+read_truth(const char *text, bool *value)
+{
+    *value = strcmp(text, "1") == 0 || strcmp(text, "true") == 0;
+    return *value || strcmp(text, "0") == 0 || strcmp(text, "false") == 0;
+}
+
+static bool
+read_may_found(EySettings_t *settings, const char *text)
+{
+    return read_truth(text, &settings->may_found);
+}
+
+static bool
+read_takes_joiners(EySettings_t *settings, const char *text)
+{
+    return read_truth(text, &settings->takes_joiners);
+}
+
 static bool
 read_peers(EySettings_t *settings, const char *text)
 {
@@ -118,6 +225,30 @@
     return read_addresses(text, settings->control, &settings->control_count);
 }
 
+/** Puts another port into IP:port. */
+static void
+set_port(EyAddress_t address, const char *port)
+{
+    char *colon = strrchr(address, ':');
+    *colon = '\0';
+    gchar *whole = g_strconcat(address, ":", port, NULL);
+    (void)EyText_Copy(address, EY_ADDRESS_SIZE_BYTES, whole);
+    g_free(whole);
+}
+
+static bool
+read_control_port(EySettings_t *settings, const char *text)
+{
+    uint32_t port = 0;
+    if (!read_whole(text, 1, UINT16_MAX, &port)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < settings->control_count; i++) {
+        set_port(settings->control[i], text);
+    }
+    return true;
+}
+
 static bool
 read_data_dir(EySettings_t *settings, const char *text)
 {
@@ -142,11 +273,7 @@
 static bool
 read_capacity(EySettings_t *settings, const char *text)
 {
-    char *end = NULL;
-    unsigned long value = strtoul(text, &end, 10);
-    settings->capacity = (uint32_t)value;
-    return g_ascii_isdigit(*text) && *end == '\0' && value > 0 &&
-           value <= CAPACITY_MAX;
+    return read_whole(text, 1, CAPACITY_MAX, &settings->capacity);
 }
 
 static bool
@@ -211,10 +338,57 @@
                       .required = true,
                       .read = read_zone},
     [SETTING_LISTEN] = {.flag = "listen",
-                        .help = "address for HTTP, IP:port",
-                        .expected = ADDRESS_EXPECTED,
+                        .help = "addresses for HTTP, at most 4",
+                        .expected = "a comma list of at most 4 IP:port",
                         .required = true,
                         .read = read_listen},
+    [SETTING_ROUTED_LISTEN] = {.flag = "routed-listen",
+                               .help = "address at which every call goes "
+                                       "by the configured routes, IP:port",
+                               .unset = "",
+                               .expected = ADDRESS_EXPECTED,
+                               .read = read_routed_listen},
+    [SETTING_ZONES] = {.flag = "zones",
+                       .help = "the fleet's availability zones as "
+                               "ZONE=REGION",
+                       .unset = "",
+                       .expected = "a comma list of ZONE=REGION",
+                       .read = read_zones},
+    [SETTING_HEADERS] = {.flag = "headers",
+                         .help = "table of header names towards callers and "
+                                 "backend servers",
+                         .unset = "native",
+                         .expected = "native or platform",
+                         .read = read_headers},
+    [SETTING_CONTROL_PORT] = {.flag = "control-port",
+                              .help = "port in place of those in --control",
+                              .expected = "a port from 1 to 65535",
+                              .read = read_control_port},
+    [SETTING_MAY_FOUND] = {.flag = "may-found",
+                           .help = "control: with an empty data folder, "
+                                   "start a new cluster with the others in "
+                                   "--control; else only join one",
+                           .unset = "1",
+                           .expected = "0 or 1",
+                           .read = read_may_found},
+    [SETTING_TAKES_JOINERS] = {.flag = "takes-joiners",
+                               .help = "control: let processes join that "
+                                       "--control doesn't name",
+                               .unset = "0",
+                               .expected = "0 or 1",
+                               .read = read_takes_joiners},
+    [SETTING_STOP_LINGER] = {.flag = "stop-linger-ms",
+                             .help = "how long requests are taken after "
+                                     "SIGTERM, while callers move away",
+                             .unset = "0",
+                             .expected = "0 to 600000 milliseconds",
+                             .read = read_stop_linger},
+    [SETTING_BACKEND_TTL] = {.flag = "backend-ttl-ms",
+                             .help = "how long an announcement holds that "
+                                     "doesn't say it",
+                             .unset = "3000",
+                             .expected = "1 to 60000 milliseconds",
+                             .read = read_backend_ttl},
     [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
                              .help = "address for other instances, IP:port",
                              .expected = ADDRESS_EXPECTED,
@@ -279,6 +453,27 @@
                        .read = read_check},
 };
 
+const char *
+EySettings_RegionOf(const EySettings_t *self, const char *zone)
+{
+    if (strcmp(zone, self->zone) == 0) {
+        return self->region;
+    }
+    for (uint32_t i = 0; i < self->zone_count; i++) {
+        if (strcmp(self->zones[i].zone, zone) == 0) {
+            return self->zones[i].region;
+        }
+    }
+    return NULL;
+}
+
+const char *
+EySettings_CallersAddress(const EySettings_t *self)
+{
+    return self->routed_listen[0] != '\0' ? self->routed_listen
+                                          : self->listen;
+}
+
 bool
 EyAddress_Split(const char *text, char *ip, uint32_t ip_size_bytes,
                 uint16_t *port)
--- a/src/daemons/ebonyyard_gateway.c
+++ b/src/daemons/ebonyyard_gateway.c
@@ -1,5 +1,7 @@
 #include "control/control_part.h"
+#include "discovery/discovery_part.h"
 #include "gateway/gateway.h"
+#include "platform/headers.h"
 
 static uint32_t
 choose(const EySettings_t *settings, const EyPartClass_t **parts)
@@ -9,11 +11,13 @@
         parts[count++] = &EyControlPart_class;
     }
     parts[count++] = &EyGateway_class;
+    parts[count++] = &EyDiscoveryPart_class;
     return count;
 }
 
 int
 main(int argc, const char **argv)
 {
+    EyHeaderNames_Register(&EyPlatform_headers);
     return EyNode_Main("ebonyyard-gateway", argc, argv, choose);
 }
--- /dev/null
+++ b/src/discovery/discovery_part.c
@@ -0,0 +1,371 @@
+#include "discovery/discovery_part.h"
+
+#include "backends/announcement.h"
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/memory.h"
+#include "discovery/query.h"
+
+#include <string.h>
+
+/* Instances of another region that are told of one announcement: the first
+ * may be down. */
+#define RELAYS_MAX 2
+/* Contacts of another region that are looked at. */
+#define CONTACTS_MAX 64
+/* A contact not heard of for so long may be gone. */
+#define CONTACT_FRESH_MS 5000
+/* How long callers may keep an answer. */
+#define ANSWER_TTL_S 2
+
+typedef struct DiscoveryPart {
+    EyNode_t *node;
+    const EyHeaderNames_t *names;
+} DiscoveryPart_t;
+
+/** The instances of one other region. */
+typedef struct Contacts {
+    const EyMembership_t *membership;
+    const char *region; /* NULL: any */
+    const EyMember_t *members[CONTACTS_MAX];
+    uint32_t count;
+} Contacts_t;
+
+static void
+add_contact(void *data, const EyMember_t *member)
+{
+    Contacts_t *contacts = data;
+    bool is_wanted = contacts->region == NULL ||
+                     strcmp(member->region, contacts->region) == 0;
+    if (is_wanted && member->state == EY_MEMBER_ALIVE &&
+        contacts->count < CONTACTS_MAX)
+    {
+        contacts->members[contacts->count++] = member;
+    }
+}
+
+static Contacts_t
+find_contacts(const DiscoveryPart_t *self, const char *region)
+{
+    Contacts_t contacts = {
+        .membership = EyCluster_Membership(self->node->cluster),
+        .region = region,
+    };
+    EyMembership_EachContact(contacts.membership, add_contact, &contacts);
+    return contacts;
+}
+
+/** Takes the contact heard of last out of the list; NULL: none is left. */
+static const EyMember_t *
+take_freshest(Contacts_t *contacts)
+{
+    uint32_t best = 0;
+    int64_t best_age_ms = INT64_MAX;
+    for (uint32_t i = 0; i < contacts->count; i++) {
+        int64_t age_ms = EyMembership_ContactAgeMs(contacts->membership,
+                                                   contacts->members[i]->id);
+        if (age_ms < best_age_ms) {
+            best = i;
+            best_age_ms = age_ms;
+        }
+    }
+    if (contacts->count == 0) {
+        return NULL;
+    }
+    const EyMember_t *taken = contacts->members[best];
+    contacts->members[best] = contacts->members[--contacts->count];
+    return taken;
+}
+
+/* Announcements */
+
+/** Passes an announcement on to a region; false if nobody is known there. */
+static bool
+relay(const DiscoveryPart_t *self, const char *region,
+      const EyAnnouncement_t *announcement)
+{
+    Contacts_t contacts = find_contacts(self, region);
+    uint32_t sent = 0;
+    for (; sent < RELAYS_MAX; sent++) {
+        const EyMember_t *member = take_freshest(&contacts);
+        if (member == NULL) {
+            break;
+        }
+        EyNode_SendTo(self->node, EY_PEER_ANNOUNCE, member->peer_address,
+                      &EyAnnouncement_schema, announcement);
+    }
+    return sent > 0;
+}
+
+static EyRegistry_t *
+registry(const DiscoveryPart_t *self)
+{
+    return EyCluster_Registry(self->node->cluster);
+}
+
+static EyAnswer_t *
+bad_announcement(GError *error)
+{
+    EyAnswer_t *answer = EyAnswer_Problem(
+        EY_PROBLEM_BAD_REQUEST, EY_OUTCOME_NOT_RUN, 0, error->message);
+    g_error_free(error);
+    return answer;
+}
+
+/** Takes over what a backend server says, here or in its region. */
+static EyAnswer_t *
+take_backend(const DiscoveryPart_t *self, EyBackend_t *backend)
+{
+    const EySettings_t *settings = self->node->settings;
+    if (strcmp(backend->region, settings->region) == 0) {
+        EyRegistry_Announce(registry(self), EyClock_NowMs(), backend);
+    }
+    else {
+        const EyAnnouncement_t announcement = {.backend = *backend};
+        if (!relay(self, backend->region, &announcement)) {
+            return EyAnswer_Problem(EY_PROBLEM_NO_BACKEND, EY_OUTCOME_NOT_RUN,
+                                    1, "no instance of the region is known");
+        }
+    }
+    return EyAnswer_Json(200, json_pack("{s:s, s:i}", "id", backend->id,
+                                        "ttl_ms", (int)backend->ttl_ms));
+}
+
+static EyAnswer_t *
+announce_short(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    GError *error = NULL;
+    EyBackend_t *backend =
+        EyAnnouncement_Read(request, request->target, &request->body,
+                            self->names->start_field, &error);
+    if (backend == NULL) {
+        return bad_announcement(error);
+    }
+    const EySettings_t *settings = self->node->settings;
+    const char *region = EySettings_RegionOf(settings, backend->zone);
+    if (region == NULL) {
+        return EyAnswer_Problem(EY_PROBLEM_BAD_REQUEST, EY_OUTCOME_NOT_RUN, 0,
+                                "field zone: no such availability zone");
+    }
+    (void)EY_COPY(backend->region, region);
+    backend->ttl_ms = settings->backend_ttl_ms;
+    return take_backend(self, backend);
+}
+
+static EyAnswer_t *
+announce_long(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    GError *error = NULL;
+    EyBackend_t *backend =
+        EyBackend_FromJsonText(request, (const char *)request->body.data,
+                               request->body.size_bytes, &error);
+    if (backend == NULL) {
+        return bad_announcement(error);
+    }
+    if (strcmp(backend->region, self->node->settings->region) != 0) {
+        return EyAnswer_Problem(EY_PROBLEM_WRONG_REGION, EY_OUTCOME_NOT_RUN, 0,
+                                "announce to an instance of the own region");
+    }
+    return take_backend(self, backend);
+}
+
+static EyAnswer_t *
+answer_announce(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    return request->target[0] != '\0' ? announce_short(self, request)
+                                      : announce_long(self, request);
+}
+
+/** True if a withdrawal speaks of an earlier start of the server. */
+static bool
+is_of_earlier_start(const EyBackend_t *known, uint64_t start_ms)
+{
+    return known != NULL && start_ms != 0 && start_ms < known->incarnation;
+}
+
+static EyAnswer_t *
+answer_withdraw(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    EyAnnouncement_t announcement = {.withdraws = true};
+    (void)EY_COPY(announcement.backend.id, request->target);
+    announcement.backend.incarnation =
+        EyAnnouncement_ReadStart(&request->body, self->names->start_field);
+    const EyBackend_t *known =
+        EyRegistry_Find(registry(self), request->target);
+    if (known != NULL) {
+        if (!is_of_earlier_start(known, announcement.backend.incarnation)) {
+            (void)EyRegistry_Withdraw(registry(self), EyClock_NowMs(),
+                                      request->target);
+        }
+        return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
+    }
+    /* It may be another region's: each is told. */
+    bool was_told = false;
+    const EySettings_t *settings = self->node->settings;
+    for (uint32_t i = 0; i < settings->zone_count; i++) {
+        const char *region = settings->zones[i].region;
+        bool is_first = i == 0 ||
+                        strcmp(region, settings->zones[i - 1].region) != 0;
+        if (is_first && strcmp(region, settings->region) != 0) {
+            was_told |= relay(self, region, &announcement);
+        }
+    }
+    if (was_told) {
+        return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
+    }
+    return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
+                            "no such backend server");
+}
+
+static void
+take_relayed(const DiscoveryPart_t *self, const EyAnnouncement_t *announcement)
+{
+    const EyBackend_t *backend = &announcement->backend;
+    int64_t now_ms = EyClock_NowMs();
+    if (!announcement->withdraws) {
+        if (strcmp(backend->region, self->node->settings->region) == 0) {
+            EyRegistry_Announce(registry(self), now_ms, backend);
+        }
+        return;
+    }
+    const EyBackend_t *known = EyRegistry_Find(registry(self), backend->id);
+    if (known != NULL && !is_of_earlier_start(known, backend->incarnation)) {
+        (void)EyRegistry_Withdraw(registry(self), now_ms, backend->id);
+    }
+}
+
+/* Callers */
+
+/** Live gateways of a region that isn't the own one. */
+static json_t *
+contact_addresses(const DiscoveryPart_t *self, const char *region)
+{
+    Contacts_t contacts = find_contacts(self, region);
+    json_t *addresses = json_array();
+    const EyMember_t *member = NULL;
+    while ((member = take_freshest(&contacts)) != NULL) {
+        int64_t age_ms =
+            EyMembership_ContactAgeMs(contacts.membership, member->id);
+        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS) {
+            (void)json_array_append_new(addresses,
+                                        json_string(member->http_address));
+        }
+    }
+    return addresses;
+}
+
+/** Live gateways of the own region, best first. */
+static json_t *
+own_addresses(const DiscoveryPart_t *self, const char *zone)
+{
+    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
+    uint32_t count = EyDirectory_Choose(self->node->directory, zone, entries,
+                                        EY_DIRECTORY_ANSWER_MAX);
+    json_t *addresses = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        if (entries[i].weight > 0) {
+            (void)json_array_append_new(addresses,
+                                        json_string(entries[i].address));
+        }
+    }
+    return addresses;
+}
+
+/** Gateways for a caller in a region: its own, else whichever is there. */
+static json_t *
+addresses_for(const DiscoveryPart_t *self, const char *region,
+              const char *zone)
+{
+    const char *own = self->node->settings->region;
+    bool is_own = region[0] == '\0' || strcmp(region, own) == 0;
+    json_t *addresses = is_own ? own_addresses(self, zone)
+                               : contact_addresses(self, region);
+    if (json_array_size(addresses) == 0) {
+        json_decref(addresses);
+        addresses = is_own ? contact_addresses(self, NULL)
+                           : own_addresses(self, "");
+    }
+    return addresses;
+}
+
+static EyAnswer_t *
+answer_instances(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    EyName_t region;
+    EyName_t zone;
+    EyQuery_Get(request->path, "region", region, sizeof(region));
+    EyQuery_Get(request->path, "zone", zone, sizeof(zone));
+    json_t *answer = EyDirectory_Answer(self->node->directory, zone);
+    (void)json_object_set_new(answer, "addresses",
+                              addresses_for(self, region, zone));
+    (void)json_object_set_new(answer, "ttl_s", json_integer(ANSWER_TTL_S));
+    return EyAnswer_Json(200, answer);
+}
+
+/* The part */
+
+typedef EyAnswer_t *(*Handler_t)(const DiscoveryPart_t *self,
+                                 const EyRequest_t *request);
+
+static const Handler_t Handlers[EY_CALL_COUNT] = {
+    [EY_CALL_ANNOUNCE] = answer_announce,
+    [EY_CALL_WITHDRAW] = answer_withdraw,
+    [EY_CALL_INSTANCES] = answer_instances,
+};
+
+static void *
+discovery_open(const void *ctx, EyNode_t *node, GError **error)
+{
+    (void)error;
+    DiscoveryPart_t *self = EY_NEW(ctx, DiscoveryPart_t);
+    self->node = node;
+    self->names = EyHeaderNames_Find(node->settings->headers);
+    return self;
+}
+
+static bool
+discovery_on_request(void *part, EyRequest_t *request)
+{
+    const DiscoveryPart_t *self = part;
+    Handler_t handler = Handlers[request->call];
+    if (handler == NULL) {
+        return false;
+    }
+    EyNode_Answer(self->node, request, handler(self, request));
+    return true;
+}
+
+static bool
+discovery_wants(void *part, EyPeerKind_t kind)
+{
+    (void)part;
+    return kind == EY_PEER_ANNOUNCE;
+}
+
+static void
+discovery_on_message(void *part, const EyPeerMessage_t *message)
+{
+    void *ctx = talloc_new(NULL);
+    EyAnnouncement_t announcement;
+    GError *error = NULL;
+    if (EySchema_Unpack(&EyAnnouncement_schema, ctx, message->payload.data,
+                        message->payload.size_bytes, &announcement, &error))
+    {
+        take_relayed(part, &announcement);
+    }
+    else {
+        EY_LOG(EY_LOG_WARNING, "discovery", "announcement_unreadable",
+               EY_LOG_TEXT("from", message->from),
+               EY_LOG_TEXT("reason", error->message));
+        g_error_free(error);
+    }
+    talloc_free(ctx);
+}
+
+const EyPartClass_t EyDiscoveryPart_class = {
+    .name = "discovery",
+    .open = discovery_open,
+    .on_request = discovery_on_request,
+    .wants = discovery_wants,
+    .on_message = discovery_on_message,
+};
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -11,6 +11,12 @@
 extern "C" {
 #endif
 
+/** Longest id of a server-sent event that is kept, with NUL. */
+#define EY_EVENT_ID_SIZE_BYTES 32
+
+/** The id of a server-sent event; empty: none. */
+typedef char EyEventId_t[EY_EVENT_ID_SIZE_BYTES];
+
 /** Longest whole answer that is kept in memory or stored with a key. */
 #define EY_ANSWER_BODY_MAX_BYTES (1024 * 1024)
 #define EY_ANSWER_HEADERS_MAX 32
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -47,7 +47,7 @@
 bool
 EyExchange_StreamsEvents(const EyExchange_t *self)
 {
-    return self->request->call == EY_CALL_MODEL && self->request->streamed;
+    return EyRequest_IsForModel(self->request) && self->request->streamed;
 }
 
 static EyExchangeAction_t *
@@ -204,6 +204,7 @@
     action->attempt = exchange->attempt;
     action->is_away = step->event->is_away;
     action->resume_after = exchange->events_passed;
+    (void)EY_COPY(action->last_event, exchange->last_event);
     (void)EY_COPY(action->to, step->event->to);
 }
 
@@ -271,11 +272,46 @@
     end(step);
 }
 
+/** True if what the caller has of a stream allows it to go on. */
+static bool
+stream_allows(const EyExchange_t *exchange)
+{
+    const EyRequest_t *request = exchange->request;
+    bool resumes = request->call != EY_CALL_ROUTED ||
+                   request->terms.is_resumable;
+    return !exchange->head_passed ||
+           (resumes && EyExchange_StreamsEvents(exchange));
+}
+
+/** True if one more server may run it. */
+static bool
+may_run_again(const EyExchange_t *exchange)
+{
+    uint32_t runs_max = exchange->request->terms.runs_max;
+    return runs_max == 0 || exchange->run_count < runs_max;
+}
+
 static bool
 may_try_again(const EyExchange_t *exchange)
 {
     return exchange->state == EY_EXCHANGE_TRYING &&
-           exchange->tried_count < EY_EXCHANGE_ATTEMPTS_MAX;
+           exchange->tried_count < EY_EXCHANGE_ATTEMPTS_MAX &&
+           may_run_again(exchange);
+}
+
+/** The server answered that it didn't run it: as if nothing had been sent. */
+static void
+on_attempt_declined(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    exchange->is_sending = false;
+    if (step->event->try_again && stream_allows(exchange) &&
+        may_try_again(exchange))
+    {
+        route(step);
+        return;
+    }
+    give_up(step, EY_PROBLEM_OVERLOADED);
 }
 
 static void
@@ -285,7 +321,12 @@
     if (!is_current(step)) {
         return;
     }
+    if (step->event->not_run) {
+        on_attempt_declined(step);
+        return;
+    }
     exchange->sent_before = true;
+    exchange->run_count++;
     bool again = step->event->try_again && exchange->is_idempotent &&
                  !exchange->head_passed && may_try_again(exchange);
     if (again) {
@@ -295,13 +336,6 @@
     complete(step);
 }
 
-/** True if what the caller has of a stream allows it to go on. */
-static bool
-stream_allows(const EyExchange_t *exchange)
-{
-    return !exchange->head_passed || EyExchange_StreamsEvents(exchange);
-}
-
 /** Books what a failed attempt is known to have sent. */
 static void
 book_failure(EyExchange_t *exchange, const EyExchangeEvent_t *event)
@@ -309,8 +343,12 @@
     exchange->is_sending = false;
     if (!event->nothing_sent) {
         exchange->sent_before = true;
+        exchange->run_count++;
     }
     exchange->events_passed += event->events_passed;
+    if (event->last_event[0] != '\0') {
+        (void)EY_COPY(exchange->last_event, event->last_event);
+    }
 }
 
 static void
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -61,6 +61,8 @@
     bool nothing_sent;
     bool try_again; /* ATTEMPT_DONE, _FAILED: another replica may do better */
     uint32_t events_passed;
+    EyEventId_t last_event; /* ATTEMPT_FAILED: of those events */
+    bool not_run; /* ATTEMPT_DONE: the server says that it didn't run it */
     EyProblem_t problem;
     EyOutcome_t outcome;
     uint32_t retry_after_s;
@@ -92,6 +94,7 @@
     EyName_t to;
     bool is_away;
     uint32_t resume_after;
+    EyEventId_t last_event;
     EyStreamState_t stream_state;
     EyAnswer_t *answer;
 } EyExchangeAction_t;
@@ -116,6 +119,8 @@
     bool head_passed; /* the caller has the head of a streamed answer */
     uint64_t attempt; /* the current one */
     uint32_t events_passed;
+    EyEventId_t last_event; /* of the last event passed, if they bear ids */
+    uint32_t run_count; /* attempts that may have run */
     EyName_t tried[EY_EXCHANGE_ATTEMPTS_MAX];
     uint32_t tried_count;
     EyAnswer_t *kept; /* what the claim is completed with */
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -13,8 +13,22 @@
     [EY_CALL_ANNOUNCE] = "announce",   [EY_CALL_WITHDRAW] = "withdraw",
     [EY_CALL_OPERATOR] = "operator",   [EY_CALL_METRICS] = "metrics",
     [EY_CALL_HEALTH] = "health",       [EY_CALL_READY] = "ready",
+    [EY_CALL_ROUTED] = "routed",
 };
 
+static const EyField_t TermsFields[] = {
+    EY_FIELD_TEXT(EyCallTerms_t, route),
+    EY_FIELD(EyCallTerms_t, is_idempotent, EY_FIELD_BOOL),
+    EY_FIELD(EyCallTerms_t, is_model, EY_FIELD_BOOL),
+    EY_FIELD(EyCallTerms_t, is_resumable, EY_FIELD_BOOL),
+    EY_FIELD(EyCallTerms_t, priority, EY_FIELD_U32),
+    EY_FIELD(EyCallTerms_t, runs_max, EY_FIELD_U32),
+    EY_FIELD(EyCallTerms_t, timeout_ms, EY_FIELD_U32),
+    EY_FIELD(EyCallTerms_t, objective_ms, EY_FIELD_U32),
+    EY_FIELD_END,
+};
+static const EySchema_t TermsSchema = EY_SCHEMA(EyCallTerms_t, TermsFields);
+
 static const EyField_t HeaderFields[] = {
     EY_FIELD_STRING_MAX(EyHeader_t, name, HEADER_NAME_MAX_BYTES),
     EY_FIELD_STRING_MAX(EyHeader_t, value, HEADER_VALUE_MAX_BYTES),
@@ -40,6 +54,12 @@
     EY_FIELD_BYTES_MAX(EyRequest_t, body, EY_REQUEST_BODY_MAX_BYTES),
     EY_FIELD_ARRAY_OF(EyRequest_t, visited, visited_count, EyName_schema,
                       EY_REQUEST_REGIONS_MAX),
+    EY_FIELD_TEXT(EyRequest_t, host),
+    EY_FIELD_OF(EyRequest_t, terms, TermsSchema),
+    EY_FIELD_ARRAY_OF(EyRequest_t, allowed_regions, allowed_region_count,
+                      EyName_schema, EY_REQUEST_ALLOWED_MAX),
+    EY_FIELD(EyRequest_t, prompt_tokens, EY_FIELD_U32),
+    EY_FIELD(EyRequest_t, expected_tokens, EY_FIELD_U32),
     EY_FIELD_END,
 };
 const EySchema_t EyRequest_schema = EY_SCHEMA(EyRequest_t, RequestFields);
@@ -65,6 +85,20 @@
     return true;
 }
 
+bool
+EyRequest_IsForModel(const EyRequest_t *self)
+{
+    return self->call == EY_CALL_MODEL ||
+           (self->call == EY_CALL_ROUTED && self->terms.is_model);
+}
+
+bool
+EyRequest_IsForBackend(const EyRequest_t *self)
+{
+    return self->call == EY_CALL_MODEL || self->call == EY_CALL_SERVICE ||
+           self->call == EY_CALL_ROUTED;
+}
+
 bool
 EyRequest_HasSafeMethod(const EyRequest_t *self)
 {
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -15,6 +15,8 @@
 #define EY_REQUEST_PATH_MAX_BYTES 4096
 /** Most headers that are passed on. */
 #define EY_REQUEST_HEADERS_MAX 32
+/** Most regions that a route allows by name. */
+#define EY_REQUEST_ALLOWED_MAX 64
 /** Regions that one request may have visited: its first and one other. */
 #define EY_REQUEST_REGIONS_MAX 2
 
@@ -30,12 +32,36 @@
     EY_CALL_METRICS,   /* GET /metrics */
     EY_CALL_HEALTH,    /* GET /healthz */
     EY_CALL_READY,     /* GET /readyz */
+    EY_CALL_ROUTED,    /* by host and path, as the configured routes say */
     EY_CALL_COUNT
 } EyCall_t;
 
 /** Names of the calls, indexed by EyCall_t, for logs and dumps. */
 extern const char *const EyCall_names[EY_CALL_COUNT];
 
+/** Longest host name, with NUL. */
+#define EY_HOST_SIZE_BYTES 256
+/** Most parts of a prompt that are looked at. */
+#define EY_PROMPT_PARTS_MAX 16
+
+/** A part of a prompt, which other prompts may share. */
+typedef struct EyPromptPart {
+    uint64_t id;
+    uint32_t tokens;
+} EyPromptPart_t;
+
+/** What the route of a routed call says of it. */
+typedef struct EyCallTerms {
+    EyName_t route;
+    bool is_idempotent;  /* may run again */
+    bool is_model;       /* a model engine runs it */
+    bool is_resumable;   /* its stream may go on at another replica */
+    uint32_t priority;   /* 0: first */
+    uint32_t runs_max;   /* replicas that may run it; 0: not said */
+    uint32_t timeout_ms; /* longest wait for its answer */
+    uint32_t objective_ms; /* answer or first event are on time until then */
+} EyCallTerms_t;
+
 typedef struct EyHeader {
     char *name;
     char *value;
@@ -66,6 +92,14 @@
     EyBytes_t body;
     EyName_t *visited; /* regions, in order, before this one */
     uint32_t visited_count;
+    char host[EY_HOST_SIZE_BYTES]; /* of a routed call */
+    EyCallTerms_t terms;           /* of a routed call */
+    EyName_t *allowed_regions;     /* of its route; none: any */
+    uint32_t allowed_region_count;
+    uint32_t prompt_tokens;        /* 0: not said */
+    uint32_t expected_tokens;      /* of the answer, by the caller; 0: none */
+    EyPromptPart_t parts[EY_PROMPT_PARTS_MAX];
+    uint32_t part_count;
 } EyRequest_t;
 
 extern const EySchema_t EyHeader_schema;
@@ -80,6 +114,14 @@
 bool
 EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value);
 
+/** True if a model engine runs it. */
+bool
+EyRequest_IsForModel(const EyRequest_t *self);
+
+/** True if a backend server, not this instance, answers it. */
+bool
+EyRequest_IsForBackend(const EyRequest_t *self);
+
 /** True for methods that are idempotent in any service. */
 bool
 EyRequest_HasSafeMethod(const EyRequest_t *self);
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -43,6 +43,9 @@
 static bool
 is_idempotent(const EyGateway_t *gateway, const EyRequest_t *request)
 {
+    if (request->call == EY_CALL_ROUTED) {
+        return request->terms.is_idempotent;
+    }
     if (request->call == EY_CALL_MODEL || EyRequest_HasSafeMethod(request)) {
         return true;
     }
@@ -70,9 +73,10 @@
 EyGateway_CheckHead(void *part, const EyRequest_t *request)
 {
     EyGateway_t *self = part;
-    bool is_for_backend =
+    /* Where a routed call may be depends on its route, not known yet. */
+    bool is_bound =
         request->call == EY_CALL_MODEL || request->call == EY_CALL_SERVICE;
-    if (!is_for_backend || EyPolicyBoard_Check(self->policy, request,
+    if (!is_bound || EyPolicyBoard_Check(self->policy, request,
                                                self->node->settings->region) ==
                                EY_RESIDENCY_ALLOW)
     {
@@ -131,13 +135,13 @@
 
 /** NULL, or the answer to a request that isn't taken on. */
 static EyAnswer_t *
-check_request(EyGateway_t *self, const EyRequest_t *request, bool may_repeat)
+check_request(EyGateway_t *self, const EyRequest_t *request, bool needs_claim)
 {
-    if (self->node->state == EY_NODE_LEAVING) {
+    if (self->node->takes_nothing) {
         EyAnswer_t *answer =
             EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1, NULL);
         EyAddress_t better;
-        if (EyDirectory_Better(self->directory, self->node->settings->id,
+        if (EyDirectory_Better(self->node->directory, self->node->settings->id,
                                better)) {
             EyAnswer_SetHeader(answer, "Ebonyyard-Instances", better);
         }
@@ -147,7 +151,7 @@
         return EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 1,
                                 "too many requests are in flight here");
     }
-    return may_repeat ? NULL : check_key(self, request);
+    return needs_claim ? check_key(self, request) : NULL;
 }
 
 static void
@@ -159,15 +163,35 @@
     if (request->deadline_ms == 0) {
         request->deadline_ms = request->arrived_ms + timeout_ms;
     }
+    if (request->call == EY_CALL_ROUTED) {
+        int64_t route_ms = request->arrived_ms + request->terms.timeout_ms;
+        request->deadline_ms = MIN(request->deadline_ms, route_ms);
+    }
+}
+
+/** True for a routed call without a key: one attempt, which no retry can be
+ * told from, is sent once and needs no record. */
+static bool
+runs_unclaimed(const EyRequest_t *request)
+{
+    return request->call == EY_CALL_ROUTED &&
+           request->idempotency_key[0] == '\0';
 }
 
 static void
 start(EyGateway_t *self, EyLive_t *live)
 {
-    live->allowed_regions =
-        EY_NEW_ARRAY(live, EyName_t, EY_POLICY_REGIONS_MAX);
-    live->allowed_region_count = EyPolicyBoard_Allowed(
-        self->policy, live->exchange->request, live->allowed_regions);
+    const EyRequest_t *request = live->exchange->request;
+    if (request->call == EY_CALL_ROUTED) {
+        live->allowed_regions = request->allowed_regions;
+        live->allowed_region_count = request->allowed_region_count;
+    }
+    else {
+        live->allowed_regions =
+            EY_NEW_ARRAY(live, EyName_t, EY_POLICY_REGIONS_MAX);
+        live->allowed_region_count = EyPolicyBoard_Allowed(
+            self->policy, request, live->allowed_regions);
+    }
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_START};
     EyLive_Step(live, &event);
 }
@@ -175,15 +199,21 @@
 void
 EyGateway_Accept(EyGateway_t *self, EyRequest_t *request)
 {
+    EyAnswer_t *refusal = request->call == EY_CALL_ROUTED
+                              ? EyGateway_ApplyRoute(self, request)
+                              : NULL;
     bool may_repeat = is_idempotent(self, request);
-    EyAnswer_t *refusal = check_request(self, request, may_repeat);
+    bool needs_claim = !may_repeat && !runs_unclaimed(request);
+    if (refusal == NULL) {
+        refusal = check_request(self, request, needs_claim);
+    }
     if (refusal != NULL) {
         EyNode_Answer(self->node, request, refusal);
         return;
     }
     set_deadline(self, request);
     start(self,
-          EyLive_New(self, request, may_repeat, !may_repeat, &CallerSink));
+          EyLive_New(self, request, may_repeat, needs_claim, &CallerSink));
 }
 
 void
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -18,15 +18,41 @@
                 message);
 }
 
+/** Takes the routes over if they are new. */
+static void
+take_routes(EyGateway_t *self, const EyStore_t *store)
+{
+    uint64_t known = self->routes != NULL ? self->routes->version : 0;
+    if (store->routes_version <= known) {
+        return;
+    }
+    GError *error = NULL;
+    EyRouteTable_t *routes = EyRouteTable_Parse(self, &store->routes, &error);
+    if (routes == NULL) {
+        /* Another build took it; the former ones stay in force. */
+        EY_LOG(EY_LOG_ERROR, "gateway", "routes_unreadable",
+               EY_LOG_NUMBER("version", store->routes_version),
+               EY_LOG_TEXT("reason", error->message));
+        g_error_free(error);
+        return;
+    }
+    talloc_free(self->routes);
+    self->routes = routes;
+}
+
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
     EyGateway_t *self = data;
     EY_LOG(EY_LOG_INFO, "gateway", "configuration",
            EY_LOG_NUMBER("version", store->config.version),
-           EY_LOG_NUMBER("revision", store->config.revision));
+           EY_LOG_NUMBER("revision", store->config.revision),
+           EY_LOG_NUMBER("routes_version", store->routes_version),
+           EY_LOG_NUMBER("evacuated_zones", store->evacuated_count));
     EyPolicyBoard_Set(self->policy, &store->config);
+    take_routes(self, store);
     EyGateway_ConfigureRouter(self);
+    EyGateway_ReviewBackends(self);
     EyGatewayRecords_Configure(self->records, store);
 }
 
@@ -47,7 +73,17 @@
     if (request == NULL) {
         return;
     }
+    const EyStore_t *store = EyConfigReplica_Store(self->configuration);
     EyAnswer_t *answer = EyOperators_Answer(outcome, result);
+    bool is_read = strcmp(request->method, "GET") == 0;
+    if (is_read && outcome == EY_PROPOSAL_APPLIED) {
+        talloc_free(answer);
+        answer = store->config.revision >= result->revision
+                     ? EyOperators_Read(store)
+                     : EyAnswer_Problem(EY_PROBLEM_NO_QUORUM,
+                                        EY_OUTCOME_NOT_RUN, 1,
+                                        "the newest isn't here yet");
+    }
     EyServer_Answer(self->node->server, request->number, answer);
     (void)g_hash_table_remove(self->proposals, &number);
 }
@@ -127,6 +163,12 @@
     uint64_t *key = EY_NEW(NULL, uint64_t);
     *key = ++self->last_proposal;
     g_hash_table_insert(self->proposals, key, request);
+    if (!reply.is_read && reply.command.change_id[0] == '\0') {
+        (void)snprintf(reply.command.change_id,
+                       sizeof(reply.command.change_id), "order-%llx-%llu",
+                       (unsigned long long)self->node->incarnation,
+                       (unsigned long long)*key);
+    }
     EyProposer_Propose(self->proposer, EyClock_NowMs(), *key, &reply.command);
 }
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -54,6 +54,7 @@
     EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
     self->node = node;
     self->next_attempt = 1;
+    self->names = EyHeaderNames_Find(node->settings->headers);
     self->records = EyGatewayRecords_Start(self, error);
     if (self->records == NULL) {
         talloc_free(self);
@@ -87,9 +88,7 @@
 static bool
 gateway_on_request(void *part, EyRequest_t *request)
 {
-    bool is_for_backend =
-        request->call == EY_CALL_MODEL || request->call == EY_CALL_SERVICE;
-    if (is_for_backend) {
+    if (EyRequest_IsForBackend(request)) {
         EyGateway_Accept(part, request);
         return true;
     }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -17,7 +17,6 @@
 #include "gateway/policy_board.h"
 #include "gateway/records.h"
 #include "instances/peers.h"
-#include "membership/directory.h"
 #include "routing/router.h"
 
 /** Answer buffers: what one slow caller can make the gateway hold. */
@@ -74,12 +73,13 @@
     GHashTable *lives;    /* request number -> EyLive_t */
     GHashTable *attempts; /* attempt number -> EyLive_t */
     uint64_t next_attempt;
+    const EyHeaderNames_t *names; /* towards callers and backend servers */
     EyConfigReplica_t *configuration;
+    EyRouteTable_t *routes; /* in force; NULL: none is known yet */
     EyProposer_t *proposer;
     uint64_t last_proposal;
     GHashTable *proposals; /* number -> EyRequest_t of an operator */
     EyGatewayRecords_t *records;
-    EyDirectory_t *directory;
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
     EyTimer_t *router_wakeup;
@@ -146,6 +146,10 @@
 void
 EyGateway_OpenNeighbours(EyGateway_t *self);
 
+/** Which zones are evacuated may have changed. */
+void
+EyGateway_ReviewBackends(EyGateway_t *self);
+
 /** A backend server is new, changed or gone. */
 void
 EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
@@ -178,6 +182,11 @@
 void
 EyGateway_OpenAway(EyGateway_t *self);
 
+/** Finds the route of a routed call and puts its terms into the request;
+ * an answer refuses it. */
+EyAnswer_t *
+EyGateway_ApplyRoute(EyGateway_t *self, EyRequest_t *request);
+
 /** Looks at a request's head before its body is read; any thread. */
 EyAnswer_t *
 EyGateway_CheckHead(void *part, const EyRequest_t *request);
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -6,6 +6,11 @@
 
 #include <string.h>
 
+/* Answers up to this length are passed on in one piece. */
+#define WHOLE_ANSWER_MAX_BYTES (64 * 1024)
+/* The status by which a server says that it isn't the one meant. */
+#define STATUS_MISDIRECTED 421
+
 static void
 live_end(EyLive_t *live)
 {
@@ -89,7 +94,8 @@
 static EyAttemptBody_t
 body_mode(const EyExchange_t *exchange)
 {
-    if (!exchange->is_idempotent) {
+    bool is_routed = exchange->request->call == EY_CALL_ROUTED;
+    if (exchange->needs_claim || (!exchange->is_idempotent && !is_routed)) {
         return EY_ATTEMPT_COLLECT;
     }
     if (EyExchange_StreamsEvents(exchange)) {
@@ -141,7 +147,13 @@
     (void)EY_COPY(attempt->method, request->method);
     attempt->path = EyMemory_Strdup(attempt, request->path);
     (void)EY_COPY(attempt->request_id, request->id);
-    attempt->check_echo = backend->echoes_request_id;
+    attempt->check_echo =
+        backend->echoes_request_id || live->gateway->names->always_echoes;
+    attempt->names = live->gateway->names;
+    if (request->call == EY_CALL_ROUTED) {
+        (void)EY_COPY(attempt->expected_backend, backend->id);
+        attempt->host = EyMemory_Strdup(attempt, request->host);
+    }
     copy_headers(attempt, request);
     attempt->body.data =
         EyMemory_Copy(attempt, request->body.data, request->body.size_bytes);
@@ -154,6 +166,12 @@
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
     attempt->resume_after = action->resume_after;
+    (void)EY_COPY(attempt->last_event, action->last_event);
+    if (attempt->body_mode == EY_ATTEMPT_STREAM &&
+        request->call == EY_CALL_ROUTED)
+    {
+        attempt->whole_up_to_bytes = WHOLE_ANSWER_MAX_BYTES;
+    }
     if (attempt->body_mode == EY_ATTEMPT_COLLECT) {
         attempt->deadline_ms += EY_EXCHANGE_LATE_ANSWER_MS;
         return attempt;
@@ -325,11 +343,24 @@
     return status == 502 || status == 503 || status == 504;
 }
 
+/** True if the server says that it didn't run the call. */
+static bool
+says_not_run(const EyLive_t *live, const EyAnswer_t *answer)
+{
+    const char *name = live->gateway->names->of[EY_HEADER_NOT_RUN];
+    bool was_expected = live->exchange->request->call == EY_CALL_ROUTED;
+    return (was_expected && answer->status == STATUS_MISDIRECTED) ||
+           (name != NULL && EyAnswer_Header(answer, name) != NULL);
+}
+
 static void
 take_answer(EyLive_t *live, EyAttemptEvent_t *from, EyExchangeEvent_t *event)
 {
     event->answer = talloc_steal(NULL, from->answer);
-    event->try_again = is_passing(event->answer->status);
+    event->not_run = says_not_run(live, event->answer);
+    event->try_again = event->not_run || is_passing(event->answer->status) ||
+                       (live->exchange->request->call == EY_CALL_ROUTED &&
+                        event->answer->status >= 500);
     if (from->kind == EY_ATTEMPT_HEAD) {
         event->answer->stream = EyStream_Ref(live->stream);
     }
@@ -360,9 +391,15 @@
         .duration_ms = event->total_us / 1000,
         .tokens = event->events_passed,
     };
-    bool is_passed =
-        event->answer != NULL && is_passing(event->answer->status);
-    if (result.kind == EY_RESULT_OK && is_passed) {
+    const EyAnswer_t *answer = event->answer;
+    if (result.kind == EY_RESULT_OK && answer != NULL &&
+        says_not_run(live, answer) && answer->status != STATUS_MISDIRECTED)
+    {
+        result.kind = EY_RESULT_REFUSED;
+    }
+    else if (result.kind == EY_RESULT_OK && answer != NULL &&
+             is_passing(answer->status))
+    {
         result.kind = EY_RESULT_FAILED;
     }
     EyGateway_RouteFinished(live, &result);
@@ -391,9 +428,10 @@
         .attempt = from->number,
         .nothing_sent = from->nothing_sent,
         .events_passed = from->events_passed,
-        .try_again = from->kind == EY_ATTEMPT_FAILED,
         .retry_after_s = 1,
+        .try_again = from->kind == EY_ATTEMPT_FAILED,
     };
+    (void)EY_COPY(event.last_event, from->last_event);
     if (from->kind == EY_ATTEMPT_FAILED) {
         event.detail = EyAttemptFailure_names[from->failure];
     }
--- a/src/gateway/local.c
+++ b/src/gateway/local.c
@@ -10,52 +10,6 @@
 typedef EyAnswer_t *(*LocalHandler_t)(EyGateway_t *gateway,
                                       EyRequest_t *request);
 
-static EyAnswer_t *
-answer_announce(EyGateway_t *gateway, EyRequest_t *request)
-{
-    GError *error = NULL;
-    EyBackend_t *backend =
-        EyBackend_FromJsonText(gateway, (const char *)request->body.data,
-                               request->body.size_bytes, &error);
-    if (backend == NULL) {
-        EyAnswer_t *answer = EyAnswer_Problem(
-            EY_PROBLEM_BAD_REQUEST, EY_OUTCOME_NOT_RUN, 0, error->message);
-        g_error_free(error);
-        return answer;
-    }
-    if (strcmp(backend->region, gateway->node->settings->region) != 0) {
-        talloc_free(backend);
-        return EyAnswer_Problem(EY_PROBLEM_WRONG_REGION, EY_OUTCOME_NOT_RUN, 0,
-                                "announce to a gateway of the own region");
-    }
-    EyRegistry_Announce(EyCluster_Registry(gateway->node->cluster),
-                        EyClock_NowMs(), backend);
-    EyAnswer_t *answer =
-        EyAnswer_Json(200, json_pack("{s:s, s:i}", "id", backend->id, "ttl_ms",
-                                     (int)backend->ttl_ms));
-    talloc_free(backend);
-    return answer;
-}
-
-static EyAnswer_t *
-answer_withdraw(EyGateway_t *gateway, EyRequest_t *request)
-{
-    if (!EyRegistry_Withdraw(EyCluster_Registry(gateway->node->cluster),
-                             EyClock_NowMs(), request->target))
-    {
-        return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
-                                "no such backend server");
-    }
-    return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
-}
-
-static EyAnswer_t *
-answer_instances(EyGateway_t *gateway, EyRequest_t *request)
-{
-    (void)request;
-    return EyAnswer_Json(200, EyDirectory_Answer(gateway->directory, ""));
-}
-
 static EyAnswer_t *
 answer_make_key(EyGateway_t *gateway, EyRequest_t *request)
 {
@@ -72,10 +26,7 @@
 }
 
 static const LocalHandler_t LocalHandlers[EY_CALL_COUNT] = {
-    [EY_CALL_INSTANCES] = answer_instances,
     [EY_CALL_MAKE_KEY] = answer_make_key,
-    [EY_CALL_ANNOUNCE] = answer_announce,
-    [EY_CALL_WITHDRAW] = answer_withdraw,
 };
 
 bool
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -8,6 +8,19 @@
 #define PERIOD_MS 500
 #define GATEWAYS_MAX 512
 
+/** Tells the router; a server in an evacuated zone gets nothing more. */
+static void
+upsert(EyGateway_t *self, int64_t now_ms, const EyBackend_t *backend)
+{
+    EyBackend_t shown = *backend;
+    if (EyStore_IsEvacuated(EyConfigReplica_Store(self->configuration),
+                            backend->zone))
+    {
+        shown.state = EY_BACKEND_LEAVING;
+    }
+    EyRouter_UpsertBackend(self->router, now_ms, &shown);
+}
+
 void
 EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
                     const EyBackend_t *backend)
@@ -17,20 +30,31 @@
         EyRouter_RemoveBackend(self->router, now_ms, backend->id);
     }
     else {
-        EyRouter_UpsertBackend(self->router, now_ms, backend);
+        upsert(self, now_ms, backend);
     }
     EyGateway_WakeRouter(self);
 }
 
+static void
+review_backend(void *data, const EyBackend_t *backend)
+{
+    upsert(data, EyClock_NowMs(), backend);
+}
+
+void
+EyGateway_ReviewBackends(EyGateway_t *self)
+{
+    EyRegistry_Each(EyCluster_Registry(self->node->cluster), review_backend,
+                    self);
+    EyGateway_WakeRouter(self);
+}
+
 /** Gathers members while they are visited. */
 typedef struct Gathering {
-    EyDirectoryInstance_t *instances;
-    uint32_t instance_count;
     EyName_t gateways[GATEWAYS_MAX];
     uint32_t gateway_count;
     EyName_t controls[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t control_count;
-    const EyMembership_t *membership;
     EyPolicyBoard_t *policy;
 } Gathering_t;
 
@@ -40,18 +64,6 @@
     if (gathering->gateway_count == GATEWAYS_MAX) {
         return;
     }
-    EyDirectoryInstance_t *instance =
-        &gathering->instances[gathering->instance_count++];
-    *instance = (EyDirectoryInstance_t){
-        .state = member->state,
-        .suspect = EyMembership_IsSuspect(gathering->membership, member->id),
-        .capacity = member->capacity,
-        .load_per_mille = member->vitals.load_per_mille,
-    };
-    (void)EY_COPY(instance->id, member->id);
-    (void)EY_COPY(instance->address, member->http_address);
-    (void)EY_COPY(instance->region, member->region);
-    (void)EY_COPY(instance->zone, member->zone);
     if (member->state == EY_MEMBER_ALIVE) {
         (void)EY_COPY(gathering->gateways[gathering->gateway_count],
                       member->id);
@@ -101,23 +113,18 @@
 }
 
 static void
-spread_members(EyGateway_t *self, int64_t now_ms)
+spread_members(EyGateway_t *self)
 {
     const EyMembership_t *membership =
         EyCluster_Membership(self->node->cluster);
     void *ctx = talloc_new(NULL);
     Gathering_t *gathering = EY_NEW(ctx, Gathering_t);
-    gathering->membership = membership;
     gathering->policy = self->policy;
-    gathering->instances =
-        EY_NEW_ARRAY(ctx, EyDirectoryInstance_t, GATEWAYS_MAX);
     if (self->node->settings->standalone) {
         gather_control(gathering, EyMembership_Self(membership));
     }
     EyMembership_Each(membership, gather_own, gathering);
     EyMembership_EachContact(membership, gather_contact, gathering);
-    EyDirectory_Update(self->directory, now_ms, gathering->instances,
-                       gathering->instance_count);
     uint32_t gateway_count = gathering->gateway_count;
     EyGatewayRecords_SetCandidates(self->records, gathering->gateways,
                                    gateway_count);
@@ -172,7 +179,7 @@
 on_period(void *data, int64_t now_ms)
 {
     EyGateway_t *self = data;
-    spread_members(self, now_ms);
+    spread_members(self);
     tell_summaries(self, now_ms);
     EySummary_Each(EyCluster_Summary(self->node->cluster), now_ms,
                    take_summary, self);
@@ -188,9 +195,7 @@
 void
 EyGateway_OpenNeighbours(EyGateway_t *self)
 {
-    self->directory =
-        EyDirectory_New(self, EyRandom_Next(&self->node->random));
-    spread_members(self, EyClock_NowMs());
+    spread_members(self);
     (void)EyTimers_Every(self->node->timers, PERIOD_MS, on_period, self);
 }
 
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -94,12 +94,14 @@
 {
     const EyExchange_t *exchange = live->exchange;
     const EyRequest_t *request = exchange->request;
-    bool is_model = request->call == EY_CALL_MODEL;
+    bool is_model = EyRequest_IsForModel(request);
     EyRoutingRequest_t routing = {
         .number = request->number,
         .kind = is_model ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE,
         .body_bytes = request->body.size_bytes,
-        .tokens_max = request->tokens_max,
+        .prompt_tokens = request->prompt_tokens,
+        .tokens_max = request->expected_tokens > 0 ? request->expected_tokens
+                                                   : request->tokens_max,
         .deadline_ms = request->deadline_ms,
         .allowed_regions = live->allowed_regions,
         .allowed_region_count = live->allowed_region_count,
@@ -111,7 +113,10 @@
         .is_retry = exchange->tried_count > 0,
         .was_sent = exchange->sent_before,
     };
-    if (is_model) {
+    if (request->part_count > 0) {
+        routing.prefix_hash = request->parts[0].id;
+    }
+    else if (is_model) {
         size_t size_bytes = request->body.size_bytes < PREFIX_BYTES
                                 ? request->body.size_bytes
                                 : PREFIX_BYTES;
--- a/src/instances/peer_message.c
+++ b/src/instances/peer_message.c
@@ -12,6 +12,7 @@
     [EY_PEER_LOG] = "log",
     [EY_PEER_CONFIG] = "config",
     [EY_PEER_FORWARD] = "forward",
+    [EY_PEER_ANNOUNCE] = "announce",
 };
 
 /** What is on the wire. The version stays first in every version. */
--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -109,6 +109,7 @@
         [EY_PEER_LOG] = TRAFFIC(name, "log", help),                           \
         [EY_PEER_CONFIG] = TRAFFIC(name, "config", help),                     \
         [EY_PEER_FORWARD] = TRAFFIC(name, "forward", help),                   \
+        [EY_PEER_ANNOUNCE] = TRAFFIC(name, "announce", help),                 \
     }
 
 static EyMetric_t Dropped[DROP_COUNT] = {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,6 +5,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "node/cut_file.h"
+#include "node/entries.h"
 #include "operators/operators.h"
 
 #include <signal.h>
@@ -284,6 +285,17 @@
     }
 }
 
+/** Callers had the time to move to other instances. */
+static void
+on_linger_end(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyNode_t *self = data;
+    self->takes_nothing = true;
+    EyServer_Quiesce(self->server);
+    (void)EyTimers_Every(self->timers, STOP_CHECK_MS, on_stop_check, self);
+}
+
 static void
 on_stop_signal(struct tevent_context *loop, struct tevent_signal *event,
                int number, int count, void *info, void *data)
@@ -300,9 +312,14 @@
     self->state = EY_NODE_LEAVING;
     EyMembership_Leave(EyCluster_Membership(self->cluster));
     leave_parts(self);
-    EyServer_Quiesce(self->server);
-    (void)EyTimers_Every(self->timers, STOP_CHECK_MS, on_stop_check, self);
+    EyServer_CloseAfterAnswers(self->server);
     (void)EyTimers_After(self->timers, STOP_LIMIT_MS, on_stop_limit, self);
+    if (self->settings->stop_linger_ms == 0) {
+        on_linger_end(self, EyClock_NowMs());
+        return;
+    }
+    (void)EyTimers_After(self->timers, self->settings->stop_linger_ms,
+                         on_linger_end, self);
 }
 
 static void
@@ -420,7 +437,7 @@
     (void)EY_COPY(member.id, settings->id);
     (void)EY_COPY(member.region, settings->region);
     (void)EY_COPY(member.zone, settings->zone);
-    (void)EY_COPY(member.http_address, settings->listen);
+    (void)EY_COPY(member.http_address, EySettings_CallersAddress(settings));
     (void)EY_COPY(member.peer_address, settings->peer_listen);
     const EyClusterHooks_t hooks = {
         .send = cluster_send,
@@ -520,9 +537,20 @@
         .submit = hook_submit,
         .gone = hook_gone,
         .data = self,
+        .names = EyHeaderNames_Find(self->settings->headers),
     };
-    self->server = EyServer_Start(self, self->settings->listen, &hooks, error);
-    return self->server != NULL;
+    const EySettings_t *settings = self->settings;
+    self->server = EyServer_Start(self, settings->listen, &hooks, error);
+    bool good = self->server != NULL;
+    for (uint32_t i = 0; i < settings->more_listen_count && good; i++) {
+        good = EyServer_Listen(self->server, settings->more_listens[i], false,
+                               error);
+    }
+    if (good && settings->routed_listen[0] != '\0') {
+        good = EyServer_Listen(self->server, settings->routed_listen, true,
+                               error);
+    }
+    return good;
 }
 
 EyNode_t *
@@ -542,6 +570,7 @@
     make_mailboxes(self);
     watch_signals(self);
     start_cluster(self, has_entry(parts, part_count));
+    EyEntries_Watch(self);
     if (!read_token(self, error) || !start_peers(self, error) ||
         !open_parts(self, parts, part_count, error) ||
         !start_server(self, error))
@@ -617,6 +646,12 @@
            const EyPartClass_t *const *parts, uint32_t part_count)
 {
     GError *error = NULL;
+    if (EyHeaderNames_Find(settings->headers) == NULL) {
+        g_set_error(&error, EY_SETTINGS_ERROR, EY_SETTINGS_ERROR_VALUE,
+                    "--headers \"%s\": expected native or platform",
+                    settings->headers);
+        return report_settings(program, error);
+    }
     if (!check_parts(settings, parts, part_count, &error)) {
         return report_settings(program, error);
     }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include "core/timers.h"
 #include "instances/peers.h"
 #include "membership/cluster.h"
+#include "membership/directory.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -90,11 +91,13 @@
     EyServer_t *server;
     EyPeers_t *peers;
     EyCluster_t *cluster;
+    EyDirectory_t *directory; /* of the region's entry instances */
     EyMailbox_t *requests;
     EyMailbox_t *gone;
     EyMailbox_t *peer_messages;
     EyPart_t parts[EY_NODE_PARTS_MAX];
     uint32_t part_count;
+    bool takes_nothing; /* it leaves, and callers had time to move away */
     bool is_stopping;
 } EyNode_t;
 
--- a/src/operators/operators.c
+++ b/src/operators/operators.c
@@ -371,6 +371,96 @@
     return reply;
 }
 
+/* Routes and evacuations */
+
+static EyOperatorsReply_t
+on_get_routes(const EyRequest_t *request, const EyStore_t *store,
+              const char *rest)
+{
+    (void)request;
+    (void)store;
+    (void)rest;
+    return (EyOperatorsReply_t){
+        .is_read = true,
+        .command.kind = EY_COMMAND_NOTHING,
+    };
+}
+
+EyAnswer_t *
+EyOperators_Read(const EyStore_t *store)
+{
+    if (store->routes_version == 0) {
+        return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
+                                "no route table was set yet");
+    }
+    EyAnswer_t *answer = EyAnswer_Text(200, "application/json", "");
+    answer->body = (EyBytes_t){
+        .data = EyMemory_Copy(answer, store->routes.data,
+                              store->routes.size_bytes),
+        .size_bytes = store->routes.size_bytes,
+    };
+    return answer;
+}
+
+static EyOperatorsReply_t
+on_put_routes(const EyRequest_t *request, const EyStore_t *store,
+              const char *rest)
+{
+    (void)store;
+    (void)rest;
+    if (request->body.size_bytes > EY_ROUTE_DOCUMENT_MAX_BYTES) {
+        return reply_with(EyAnswer_Problem(
+            EY_PROBLEM_TOO_LARGE, EY_OUTCOME_NOT_RUN, 0,
+            "a route table may have 1 MiB at most"));
+    }
+    GError *error = NULL;
+    EyRouteTable_t *table = EyRouteTable_Parse(NULL, &request->body, &error);
+    if (table == NULL) {
+        EyAnswer_t *answer = bad_request(error->message);
+        g_error_free(error);
+        return reply_with(answer);
+    }
+    EyOperatorsReply_t reply = {
+        .command =
+            {
+                .kind = EY_COMMAND_REPLACE_ROUTES,
+                .routes_version = table->version,
+                .document = request->body,
+            },
+    };
+    talloc_free(table);
+    return reply;
+}
+
+static EyOperatorsReply_t
+evacuation(EyCommandKind_t kind, const char *zone)
+{
+    EyOperatorsReply_t reply = {.command.kind = kind};
+    if (!EY_COPY(reply.command.key, zone) || !is_visible(zone)) {
+        return reply_with(bad_request("the zone: expected a name of 1 to 63 "
+                                      "characters"));
+    }
+    return reply;
+}
+
+static EyOperatorsReply_t
+on_evacuate(const EyRequest_t *request, const EyStore_t *store,
+            const char *rest)
+{
+    (void)request;
+    (void)store;
+    return evacuation(EY_COMMAND_EVACUATE_ZONE, rest);
+}
+
+static EyOperatorsReply_t
+on_restore(const EyRequest_t *request, const EyStore_t *store,
+           const char *rest)
+{
+    (void)request;
+    (void)store;
+    return evacuation(EY_COMMAND_RESTORE_ZONE, rest);
+}
+
 typedef struct Route {
     const char *method;
     const char *prefix;
@@ -385,6 +475,10 @@
     {"PUT", ROOT "/defaults/", true, on_default},
     {"POST", ROOT "/exceptions", false, on_add_exception},
     {"DELETE", ROOT "/exceptions/", true, on_remove_exception},
+    {"GET", ROOT "/routes", false, on_get_routes},
+    {"PUT", ROOT "/routes", false, on_put_routes},
+    {"PUT", ROOT "/evacuations/", true, on_evacuate},
+    {"DELETE", ROOT "/evacuations/", true, on_restore},
 };
 
 static bool
--- a/src/operators/operators.h
+++ b/src/operators/operators.h
@@ -8,9 +8,15 @@
  *     PUT    /v1/config/defaults/{key}   value
  *     POST   /v1/config/exceptions       key, scope, value, reason, duration_s
  *     DELETE /v1/config/exceptions/{id}  reason
+ *     GET    /v1/config/routes           the newest committed route table
+ *     PUT    /v1/config/routes           a whole route table; see
+ *                                        config/route_table.h
+ *     PUT    /v1/config/evacuations/{zone}   sends nothing there any more
+ *     DELETE /v1/config/evacuations/{zone}   takes that back
  *
- * Each change's JSON body has also version (that it was made against),
- * change_id and author.
+ * The body of a change of defaults or exceptions has also version (that it
+ * was made against), change_id and author. Of route tables the highest
+ * version wins, so one that is sent again is acknowledged again.
  */
 #ifndef EY_OPERATORS_OPERATORS_H
 #define EY_OPERATORS_OPERATORS_H
@@ -36,6 +42,8 @@
 /** Either answer, or a command to propose if answer is NULL. */
 typedef struct EyOperatorsReply {
     EyAnswer_t *answer;
+    bool is_read; /* the command, which changes nothing, shows how new the
+                     store must be for EyOperators_Read */
     EyCommand_t command;
 } EyOperatorsReply_t;
 
@@ -55,6 +63,10 @@
 EyAnswer_t *
 EyOperators_Refusal(void);
 
+/** The answer to a read once the store is new enough. */
+EyAnswer_t *
+EyOperators_Read(const EyStore_t *store);
+
 /** Handles a request below /v1/config. */
 EyOperatorsReply_t
 EyOperators_Handle(const EyRequest_t *request, const EyStore_t *store,
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -19,7 +19,8 @@
     EyName_t target;      /* model or service */
     uint64_t prefix_hash; /* of the prompt's beginning; 0: none */
     uint32_t body_bytes;
-    uint32_t tokens_max; /* 0: not said */
+    uint32_t prompt_tokens; /* 0: not said; else body_bytes tell nothing */
+    uint32_t tokens_max;    /* of the answer; 0: not said */
     int64_t deadline_ms;
     EyName_t home;                   /* region the data is bound to, or "" */
     const EyName_t *allowed_regions; /* borrowed; count 0: home only, or any
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -107,8 +107,7 @@
         .unit_ms = EyReplica_UnitMs(replica, now_ms, planning->config),
     };
     if (EyPrefixHints_Has(&replica->prefixes, now_ms, request->prefix_hash)) {
-        work -= (double)request->body_bytes / EY_PROMPT_BYTES_PER_UNIT *
-                PREFIX_SAVING;
+        work -= EyRoutingRequest_PromptWork(request) * PREFIX_SAVING;
     }
     candidate.run_ms =
         candidate.unit_ms * work *
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -19,6 +19,15 @@
 /** Durations are whole milliseconds; 0 isn't instant. */
 #define DURATION_LEAST_MS 0.5
 
+double
+EyRoutingRequest_PromptWork(const EyRoutingRequest_t *self)
+{
+    if (self->prompt_tokens > 0) {
+        return (double)self->prompt_tokens / EY_PROMPT_TOKENS_PER_UNIT;
+    }
+    return (double)self->body_bytes / EY_PROMPT_BYTES_PER_UNIT;
+}
+
 double
 EyRoutingRequest_Work(const EyRoutingRequest_t *self)
 {
@@ -27,7 +36,7 @@
     }
     double tokens =
         self->tokens_max > 0 ? (double)self->tokens_max : TOKENS_UNSET;
-    return tokens + (double)self->body_bytes / EY_PROMPT_BYTES_PER_UNIT;
+    return tokens + EyRoutingRequest_PromptWork(self);
 }
 
 EyReplica_t *
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -21,6 +21,8 @@
 #endif
 
 #define EY_PROMPT_BYTES_PER_UNIT 1000.0
+/** Prompt tokens that are read in the time of one token of an answer. */
+#define EY_PROMPT_TOKENS_PER_UNIT 256.0
 
 struct EyPool;
 struct EyReplica;
@@ -51,6 +53,10 @@
     EyPrefixHints_t prefixes;
 } EyReplica_t;
 
+/** The units of reading a request's prompt. */
+double
+EyRoutingRequest_PromptWork(const EyRoutingRequest_t *self);
+
 /** The units of a request, without any help of a prefix cache. */
 double
 EyRoutingRequest_Work(const EyRoutingRequest_t *self);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -331,6 +331,9 @@
                 const EyRoutingRequest_t *request)
 {
     EyRefusal_t reason = check_request(self, now_ms, request);
+    if (reason == EY_REFUSAL_WRONG_REGION) {
+        return away_or_refuse(self, now_ms, request, reason, 0.0);
+    }
     if (reason != EY_REFUSAL_NONE) {
         return refuse(self, request->number, reason, 0.0);
     }
