SIGHUP is taken; a stream resumed in another region says where; cold servers are paced

A stream that went on in another region started anew there, as the message to that region had no place for the point (ORDER). Cold servers got what each gateway thought right by itself (FAILBACK). Ruled out: waiting for a reload of settings, since flags and environment of a running process don't change; one gateway alone for a cold server, as its loss would stop service there.

--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -314,6 +314,9 @@
     give_up(step, EY_PROBLEM_OVERLOADED);
 }
 
+static void
+on_attempt_failed(const Step_t *step);
+
 static void
 on_attempt_done(const Step_t *step)
 {
@@ -325,6 +328,12 @@
         on_attempt_declined(step);
         return;
     }
+    if (exchange->head_passed && step->event->answer != NULL) {
+        /* Asked to go on with a stream, it answered something else. */
+        step->event->events_passed = 0;
+        on_attempt_failed(step);
+        return;
+    }
     exchange->sent_before = true;
     exchange->run_count++;
     bool again = step->event->try_again && exchange->is_idempotent &&
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -60,6 +60,8 @@
                       EyName_schema, EY_REQUEST_ALLOWED_MAX),
     EY_FIELD(EyRequest_t, prompt_tokens, EY_FIELD_U32),
     EY_FIELD(EyRequest_t, expected_tokens, EY_FIELD_U32),
+    EY_FIELD(EyRequest_t, resume_after, EY_FIELD_U32),
+    EY_FIELD_TEXT(EyRequest_t, resume_event),
     EY_FIELD_END,
 };
 const EySchema_t EyRequest_schema = EY_SCHEMA(EyRequest_t, RequestFields);
--- a/src/gateway/away.c
+++ b/src/gateway/away.c
@@ -44,6 +44,8 @@
     live->away_sequence = 0;
     EyName_t visited[1];
     EyRequest_t outgoing = outgoing_request(live, visited);
+    outgoing.resume_after = action->resume_after;
+    (void)EY_COPY(outgoing.resume_event, action->last_event);
     EyForward_t forward = {
         .kind = EY_FORWARD_REQUEST,
         .attempt = action->attempt,
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -165,8 +165,10 @@
     attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
-    attempt->resume_after = action->resume_after;
-    (void)EY_COPY(attempt->last_event, action->last_event);
+    attempt->resume_after = request->resume_after + action->resume_after;
+    (void)EY_COPY(attempt->last_event, action->last_event[0] != '\0'
+                                           ? action->last_event
+                                           : request->resume_event);
     if (attempt->body_mode == EY_ATTEMPT_STREAM &&
         request->call == EY_CALL_ROUTED)
     {
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -8,6 +8,18 @@
 #define PERIOD_MS 500
 #define GATEWAYS_MAX 512
 
+/** What the routes say of the server's service, or NULL. */
+static const EyServiceRule_t *
+service_of(const EyGateway_t *self, const EyBackend_t *backend)
+{
+    bool is_model = backend->kind == EY_BACKEND_MODEL;
+    const EyName_t *targets = is_model ? backend->models : backend->services;
+    uint32_t count = is_model ? backend->model_count : backend->service_count;
+    return self->routes != NULL && count > 0
+               ? EyRouteTable_Service(self->routes, targets[0])
+               : NULL;
+}
+
 /** Tells the router; a server in an evacuated zone gets nothing more. */
 static void
 upsert(EyGateway_t *self, int64_t now_ms, const EyBackend_t *backend)
@@ -18,6 +30,10 @@
     {
         shown.state = EY_BACKEND_LEAVING;
     }
+    const EyServiceRule_t *service = service_of(self, backend);
+    if (service != NULL) {
+        shown.cold_per_s = service->cold_per_s;
+    }
     EyRouter_UpsertBackend(self->router, now_ms, &shown);
 }
 
@@ -112,6 +128,17 @@
     }
 }
 
+/** How many of the gateways come before an id. */
+static uint32_t
+rank_of(const char *id, const Gathering_t *gathering)
+{
+    uint32_t rank = 0;
+    for (uint32_t i = 0; i < gathering->gateway_count; i++) {
+        rank += strcmp(gathering->gateways[i], id) < 0;
+    }
+    return rank;
+}
+
 static void
 spread_members(EyGateway_t *self)
 {
@@ -129,6 +156,9 @@
     EyGatewayRecords_SetCandidates(self->records, gathering->gateways,
                                    gateway_count);
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
+    EyRouter_SetRank(self->router, EyClock_NowMs(),
+                     rank_of(self->node->settings->id, gathering),
+                     gateway_count);
     EyGateway_SetSources(self, gathering->gateways, gateway_count,
                          gathering->controls, gathering->control_count);
     talloc_free(ctx);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -322,6 +322,21 @@
                          on_linger_end, self);
 }
 
+/** Flags and environment can't change in a running process: a new value
+ * counts from the next start on. */
+static void
+on_reload_signal(struct tevent_context *loop, struct tevent_signal *event,
+                 int number, int count, void *info, void *data)
+{
+    (void)loop;
+    (void)event;
+    (void)count;
+    (void)info;
+    (void)data;
+    EY_LOG(EY_LOG_INFO, "node", "reload", EY_LOG_NUMBER("signal", number),
+           EY_LOG_TEXT("outcome", "settings are read at the start only"));
+}
+
 static void
 on_dump_signal(struct tevent_context *loop, struct tevent_signal *event,
                int number, int count, void *info, void *data)
@@ -482,6 +497,8 @@
                                         on_stop_signal, self) != NULL &&
                       tevent_add_signal(self->loop, self, SIGINT, 0,
                                         on_stop_signal, self) != NULL &&
+                      tevent_add_signal(self->loop, self, SIGHUP, 0,
+                                        on_reload_signal, self) != NULL &&
                       tevent_add_signal(self->loop, self, SIGUSR1, 0,
                                         on_dump_signal, self) != NULL;
     if (!is_watched) {
--- /dev/null
+++ b/src/routing/cold_pace.c
@@ -0,0 +1,40 @@
+#include "routing/cold_pace.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/** One above what it bears a second may come within one window. */
+#define BURST 1U
+
+uint32_t
+EyColdPace_Share(const EyGatewayRank_t *rank, const char *backend,
+                 double per_s)
+{
+    uint32_t total = (uint32_t)per_s + BURST;
+    uint32_t count = rank->count > 0 ? rank->count : 1;
+    uint32_t sharers = count < total ? count : total;
+    uint32_t first = (uint32_t)(XXH64(backend, strlen(backend), 0) % count);
+    uint32_t place = (rank->rank + count - first) % count;
+    uint32_t share = place < sharers ? total / sharers : 0;
+    return share < EY_COLD_TAKEN_MAX ? share : EY_COLD_TAKEN_MAX;
+}
+
+bool
+EyColdPace_MayTake(const EyColdPace_t *self, int64_t now_ms, uint32_t share)
+{
+    uint32_t recent = 0;
+    for (uint32_t i = 0; i < self->taken_count; i++) {
+        recent += now_ms - self->taken_ms[i] < EY_COLD_WINDOW_MS;
+    }
+    return recent < share;
+}
+
+void
+EyColdPace_Take(EyColdPace_t *self, int64_t now_ms)
+{
+    self->taken_ms[self->next] = now_ms;
+    self->next = (self->next + 1) % EY_COLD_TAKEN_MAX;
+    if (self->taken_count < EY_COLD_TAKEN_MAX) {
+        self->taken_count++;
+    }
+}
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -89,6 +89,9 @@
 has_room(const EyReplica_t *replica, double holds, double slots,
          const EyPlanning_t *planning)
 {
+    if (!EyReplica_KeepsPace(replica, planning->now_ms, &planning->rank)) {
+        return false;
+    }
     double limit = slots * planning->config->overcommit;
     double part = ceil(limit / (double)planning->gateways);
     return (double)replica->outstanding < part || holds + 1.0 <= limit;
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -38,6 +38,7 @@
     const EyPolicy_t *policy;
     EyPolicyState_t *state;
     uint32_t gateways; /* that send to the same replicas, with this one */
+    EyGatewayRank_t rank;
 } EyPlanning_t;
 
 /** Where a request would go. Times count from now. */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -77,6 +77,7 @@
     }
     self->newest = flight;
     self->outstanding++;
+    EyColdPace_Take(&self->cold_pace, now_ms);
     EyRecent_Add(&self->net_sent, now_ms, 1.0);
 }
 
@@ -139,6 +140,18 @@
     return self->backend->state == EY_BACKEND_SERVING;
 }
 
+bool
+EyReplica_KeepsPace(const EyReplica_t *self, int64_t now_ms,
+                    const EyGatewayRank_t *rank)
+{
+    const EyBackend_t *backend = self->backend;
+    if (!backend->is_cold || backend->cold_per_s <= 0.0) {
+        return true;
+    }
+    uint32_t share = EyColdPace_Share(rank, backend->id, backend->cold_per_s);
+    return EyColdPace_MayTake(&self->cold_pace, now_ms, share);
+}
+
 double
 EyReplica_Slots(const EyReplica_t *self, int64_t now_ms)
 {
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -10,6 +10,7 @@
 #define EY_ROUTING_REPLICA_H
 
 #include "backends/backend.h"
+#include "routing/cold_pace.h"
 #include "routing/decision.h"
 #include "routing/outlier.h"
 #include "routing/prefix_hint.h"
@@ -51,6 +52,7 @@
     int64_t learned_ms;
     EyOutlier_t outlier;
     EyPrefixHints_t prefixes;
+    EyColdPace_t cold_pace;
 } EyReplica_t;
 
 /** The units of reading a request's prompt. */
@@ -87,6 +89,11 @@
 bool
 EyReplica_IsServing(const EyReplica_t *self);
 
+/** True unless it is cold and has got what it bears from this gateway. */
+bool
+EyReplica_KeepsPace(const EyReplica_t *self, int64_t now_ms,
+                    const EyGatewayRank_t *rank);
+
 /** Slots, fewer while its share grows; at least 1. */
 double
 EyReplica_Slots(const EyReplica_t *self, int64_t now_ms);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 /** A refused caller comes back after at least and at most so long. */
+/** A gateway that isn't seen any more may still send for so long. */
+#define RANK_KEPT_MS 30000
 #define RETRY_AFTER_LEAST_MS 250
 #define RETRY_AFTER_MOST_MS 30000
 /** Share by which refused callers are spread. */
@@ -42,6 +44,7 @@
     (void)EY_COPY(self->region, options->region);
     self->state.random = EyRandom_Make(options->seed);
     self->gateways = 1;
+    self->rank = (EyGatewayRank_t){.count = 1};
     self->started_ms = -1;
     self->replicas =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
@@ -80,9 +83,21 @@
         .policy = self->policy,
         .state = &self->state,
         .gateways = self->gateways,
+        .rank = self->rank,
     };
 }
 
+void
+EyRouter_SetRank(EyRouter_t *self, int64_t now_ms, uint32_t rank,
+                 uint32_t count)
+{
+    self->rank.rank = rank;
+    if (count >= self->rank.count || now_ms - self->rank_ms > RANK_KEPT_MS) {
+        self->rank.count = count > 0 ? count : 1;
+        self->rank_ms = now_ms;
+    }
+}
+
 /* Decisions */
 
 static EyRoutingDecision_t
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -50,6 +50,12 @@
 void
 EyRouter_SetGateways(EyRouter_t *self, uint32_t gateways);
 
+/** This gateway's place among those of the region; for the pace of what all
+ * of them send together. */
+void
+EyRouter_SetRank(EyRouter_t *self, int64_t now_ms, uint32_t rank,
+                 uint32_t count);
+
 /** Takes an announcement of a backend server of this region. */
 void
 EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
