--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -43,6 +43,7 @@
     const EyHeaderNames_t *names; /* NULL: the product's own */
     EyName_t expected_backend; /* empty: whichever server is there */
     char *host;                /* NULL: the address */
+    bool tells_timeout; /* the server is told how much time is left */
     uint32_t whole_up_to_bytes; /* an answer of a known length up to this is
                                    collected in any mode */
     EyHeader_t *headers;
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -279,7 +279,7 @@
     if (attempt->resume_after > 0) {
         add_number(self, EY_HEADER_RESUME_AFTER, attempt->resume_after);
     }
-    if (attempt->deadline_ms > 0) {
+    if (attempt->tells_timeout) {
         int64_t left_ms = attempt->deadline_ms - EyClock_NowMs();
         add_number(self, EY_HEADER_TIMEOUT, left_ms > 0 ? left_ms : 1);
     }
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -29,6 +29,7 @@
     uint32_t status;
     EyOutcome_t outcome;
     uint32_t retry_after_s; /* 0: not said */
+    char *reason; /* why it is a refusal or failure, for logs; or NULL */
     EyHeader_t *headers;
     uint32_t header_count;
     EyBytes_t body;
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -118,6 +118,10 @@
         act(step, EY_EXCHANGE_DO_FINISH_STREAM)->stream_state =
             EY_STREAM_BROKEN;
     }
+    else if (!exchange->is_answered && exchange->failed != NULL) {
+        answer(step, talloc_steal(NULL, exchange->failed));
+        exchange->failed = NULL;
+    }
     else if (!exchange->is_answered) {
         answer(step,
                EyAnswer_Problem(problem, outcome, step->event->retry_after_s,
@@ -314,6 +318,21 @@
     give_up(step, EY_PROBLEM_OVERLOADED);
 }
 
+/** Keeps a server's own word on its failure while others are tried. */
+static void
+keep_failed(const Step_t *step)
+{
+    EyExchange_t *exchange = step->exchange;
+    talloc_free(exchange->failed);
+    exchange->failed = NULL;
+    if (exchange->request->call == EY_CALL_ROUTED &&
+        step->event->answer != NULL)
+    {
+        exchange->failed = talloc_steal(exchange, step->event->answer);
+        step->event->answer = NULL;
+    }
+}
+
 static void
 on_attempt_failed(const Step_t *step);
 
@@ -339,6 +358,7 @@
     bool again = step->event->try_again && exchange->is_idempotent &&
                  !exchange->head_passed && may_try_again(exchange);
     if (again) {
+        keep_failed(step);
         route(step);
         return;
     }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -124,6 +124,8 @@
     EyName_t tried[EY_EXCHANGE_ATTEMPTS_MAX];
     uint32_t tried_count;
     EyAnswer_t *kept; /* what the claim is completed with */
+    EyAnswer_t *failed; /* a server's answer of failure; given to the caller
+                           if no other server does better; or NULL */
 } EyExchange_t;
 
 /** An exchange for a request, which it takes over. */
--- a/src/gateway/away.c
+++ b/src/gateway/away.c
@@ -27,6 +27,15 @@
     return request;
 }
 
+/** How many servers may still run it, of this region and the other. */
+static uint32_t
+runs_left(const EyExchange_t *exchange)
+{
+    uint32_t runs_max = exchange->request->terms.runs_max;
+    return runs_max > exchange->run_count ? runs_max - exchange->run_count
+                                          : runs_max;
+}
+
 void
 EyGateway_SendAway(EyLive_t *live, const EyExchangeAction_t *action)
 {
@@ -46,6 +55,7 @@
     EyRequest_t outgoing = outgoing_request(live, visited);
     outgoing.resume_after = action->resume_after;
     (void)EY_COPY(outgoing.resume_event, action->last_event);
+    outgoing.terms.runs_max = runs_left(live->exchange);
     EyForward_t forward = {
         .kind = EY_FORWARD_REQUEST,
         .attempt = action->attempt,
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -153,6 +153,7 @@
     if (request->call == EY_CALL_ROUTED) {
         (void)EY_COPY(attempt->expected_backend, backend->id);
         attempt->host = EyMemory_Strdup(attempt, request->host);
+        attempt->tells_timeout = true;
     }
     copy_headers(attempt, request);
     attempt->body.data =
@@ -267,7 +268,15 @@
            EY_LOG_TEXT("target", request->target),
            EY_LOG_NUMBER("status", action->answer->status),
            EY_LOG_TEXT("outcome", EyOutcome_Name(action->answer->outcome)),
-           EY_LOG_NUMBER("took_ms", took_ms));
+           EY_LOG_TEXT("reason", action->answer->reason != NULL
+                                     ? action->answer->reason
+                                     : "answered"),
+           EY_LOG_NUMBER("took_ms", took_ms),
+           EY_LOG_NUMBER("attempts", live->exchange->tried_count),
+           EY_LOG_TEXT("last", live->exchange->tried_count > 0
+                                   ? live->exchange->tried[
+                                         live->exchange->tried_count - 1]
+                                   : ""));
     live->sink->answer(live->gateway, live, action->answer);
 }
 
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -108,6 +108,7 @@
         .excluded_count = exchange->tried_count,
         .is_idempotent = exchange->is_idempotent,
         .is_booking = !exchange->is_idempotent,
+        .may_go_home = request->call == EY_CALL_ROUTED,
         .is_forwarded = request->visited_count > 0,
         .stays_home = live->was_away,
         .is_retry = exchange->tried_count > 0,
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -30,6 +30,8 @@
     uint32_t excluded_count;
     bool is_idempotent;
     bool is_booking;   /* goes first on links between regions */
+    bool may_go_home;  /* where it may run was learnt only here: it may be
+                          sent on to such a region */
     bool is_forwarded; /* came from another region: is served here or not */
     bool stays_home;   /* was sent away and refused there */
     bool is_retry;     /* an attempt failed before */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -346,7 +346,7 @@
                 const EyRoutingRequest_t *request)
 {
     EyRefusal_t reason = check_request(self, now_ms, request);
-    if (reason == EY_REFUSAL_WRONG_REGION) {
+    if (reason == EY_REFUSAL_WRONG_REGION && request->may_go_home) {
         return away_or_refuse(self, now_ms, request, reason, 0.0);
     }
     if (reason != EY_REFUSAL_NONE) {
