Engines are chosen by when their answer begins; prompts that share parts go together

Cause: an engine was judged by how long a whole answer takes, so gateways piled prompts on the fast ones (busiest 2.75 times the mean), and each gateway warmed caches of its own. Now: the expected beginning of an answer from the prompt tokens to be read first (own ones, and what the engine says of its queue), a first replica for each shared part by hash, and calls away counted while they last. Ruled out: the processors of the gateways (0.0125 of 0.25 cores).

--- a/src/callers/parse.c
+++ b/src/callers/parse.c
@@ -239,6 +239,9 @@
 {
     EyRequest_t *request = self->request;
     gchar **items = g_strsplit(value, ",", -1);
+    talloc_free(request->parts);
+    request->parts =
+        EY_NEW_ARRAY(request, EyPromptPart_t, EY_PROMPT_PARTS_MAX);
     request->part_count = 0;
     for (gchar **item = items; *item != NULL; item++) {
         if (request->part_count == EY_PROMPT_PARTS_MAX ||
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -16,6 +16,13 @@
     [EY_CALL_ROUTED] = "routed",
 };
 
+static const EyField_t PartFields[] = {
+    EY_FIELD(EyPromptPart_t, id, EY_FIELD_U64),
+    EY_FIELD(EyPromptPart_t, tokens, EY_FIELD_U32),
+    EY_FIELD_END,
+};
+static const EySchema_t PartSchema = EY_SCHEMA(EyPromptPart_t, PartFields);
+
 static const EyField_t TermsFields[] = {
     EY_FIELD_TEXT(EyCallTerms_t, route),
     EY_FIELD(EyCallTerms_t, is_idempotent, EY_FIELD_BOOL),
@@ -62,6 +69,8 @@
     EY_FIELD(EyRequest_t, expected_tokens, EY_FIELD_U32),
     EY_FIELD(EyRequest_t, resume_after, EY_FIELD_U32),
     EY_FIELD_TEXT(EyRequest_t, resume_event),
+    EY_FIELD_ARRAY_OF(EyRequest_t, parts, part_count, PartSchema,
+                      EY_PROMPT_PARTS_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyRequest_schema = EY_SCHEMA(EyRequest_t, RequestFields);
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -100,7 +100,7 @@
     char resume_event[32]; /* and after the one of this id, if not empty */
     uint32_t prompt_tokens;        /* 0: not said */
     uint32_t expected_tokens;      /* of the answer, by the caller; 0: none */
-    EyPromptPart_t parts[EY_PROMPT_PARTS_MAX];
+    EyPromptPart_t *parts;         /* of the prompt, in order */
     uint32_t part_count;
 } EyRequest_t;
 
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -4,6 +4,7 @@
 #include "core/memory.h"
 #include "gateway/internal.h"
 
+#include <stdio.h>
 #include <string.h>
 
 /* Answers up to this length are passed on in one piece. */
@@ -364,9 +365,33 @@
            (name != NULL && EyAnswer_Header(answer, name) != NULL);
 }
 
+/** Tells the router what a backend server says of its load. */
+static void
+take_load(const EyLive_t *live, const EyAnswer_t *answer)
+{
+    const EyExchange_t *exchange = live->exchange;
+    const char *name = live->gateway->names->of[EY_HEADER_LOAD];
+    const char *value = name != NULL ? EyAnswer_Header(answer, name) : NULL;
+    unsigned int running = 0;
+    unsigned int waiting = 0;
+    if (value == NULL || exchange->tried_count == 0 ||
+        sscanf(value, "%u,%u", &running, &waiting) != 2)
+    {
+        return;
+    }
+    EyRouter_TakeLoad(live->gateway->router, EyClock_NowMs(),
+                      exchange->tried[exchange->tried_count - 1], running,
+                      waiting);
+}
+
 static void
 take_answer(EyLive_t *live, EyAttemptEvent_t *from, EyExchangeEvent_t *event)
 {
+    if (from->kind == EY_ATTEMPT_HEAD) {
+        EyRouter_Started(live->gateway->router, EyClock_NowMs(),
+                         live->exchange->request->number);
+    }
+    take_load(live, from->answer);
     event->answer = talloc_steal(NULL, from->answer);
     event->not_run = says_not_run(live, event->answer);
     event->try_again = event->not_run || is_passing(event->answer->status) ||
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -89,6 +89,23 @@
     return g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
 }
 
+/** Hashes each beginning of the prompt that ends with one of its parts. */
+static void
+add_starts(EyRoutingRequest_t *routing, const EyRequest_t *request)
+{
+    uint64_t hash = 0;
+    uint32_t count = MIN(request->part_count, EY_ROUTING_PARTS_MAX);
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t id = request->parts[i].id;
+        hash = XXH64(&id, sizeof(id), hash);
+        routing->starts[i] = (EyPromptStart_t){
+            .hash = hash,
+            .tokens = request->parts[i].tokens,
+        };
+    }
+    routing->start_count = count;
+}
+
 static EyRoutingRequest_t
 make_request(const EyLive_t *live)
 {
@@ -100,6 +117,8 @@
         .kind = is_model ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE,
         .body_bytes = request->body.size_bytes,
         .prompt_tokens = request->prompt_tokens,
+        .objective_ms = is_model ? request->terms.objective_ms : 0,
+        .priority = request->terms.priority,
         .tokens_max = request->expected_tokens > 0 ? request->expected_tokens
                                                    : request->tokens_max,
         .deadline_ms = request->deadline_ms,
@@ -115,7 +134,7 @@
         .was_sent = exchange->sent_before,
     };
     if (request->part_count > 0) {
-        routing.prefix_hash = request->parts[0].id;
+        add_starts(&routing, request);
     }
     else if (is_model) {
         size_t size_bytes = request->body.size_bytes < PREFIX_BYTES
--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -8,6 +8,10 @@
 
 /** A region unheard of for this long counts as cold when it returns. */
 #define COLD_AFTER_MS 10000
+/** A summary's age is known to a few milliseconds. */
+#define SAME_WORD_MS 50
+/** Time that another region's engines take for a unit of prompts. */
+#define PROMPT_UNIT_MS 6.0
 #define WORD_KEY_SIZE_BYTES (2 * EY_NAME_SIZE_BYTES + 16)
 
 typedef struct Region {
@@ -21,7 +25,8 @@
 typedef struct Word {
     EyRegionSummary_t summary;
     int64_t heard_ms;
-    uint32_t sent; /* by us since then */
+    uint32_t in_flight; /* sent by us and not ended */
+    double sent_work;   /* of prompts, by us since then */
 } Word_t;
 
 struct EyAway {
@@ -118,7 +123,10 @@
                        config->link_bytes_per_s);
     }
     region->heard_ms = now_ms;
-    *word = (Word_t){.summary = *summary, .heard_ms = now_ms};
+    bool is_news = now_ms - word->heard_ms > SAME_WORD_MS;
+    word->summary = *summary;
+    word->heard_ms = now_ms;
+    word->sent_work = is_news ? 0.0 : word->sent_work;
 }
 
 void
@@ -148,16 +156,22 @@
 {
     double share = EyRamp_Share(region->ramp_from_ms, now_ms);
     double room = (double)word->summary.free_slots * share / (double)gateways;
-    return word->summary.accepts && (double)word->sent < room;
+    return word->summary.accepts && (double)word->in_flight < room;
 }
 
 static double
 finish_ms(const Word_t *word, const EyRoutingConfig_t *config,
           const EyRoutingRequest_t *request)
 {
-    return 2.0 * (double)config->link_delay_ms +
-           (double)word->summary.expected_wait_ms +
-           word->summary.unit_ms * EyRoutingRequest_Work(request);
+    double wait_ms = 2.0 * (double)config->link_delay_ms +
+                     (double)word->summary.expected_wait_ms;
+    if (request->prompt_tokens > 0) {
+        /* A model engine's answer is on time by its beginning. */
+        double prompts =
+            word->sent_work + EyRoutingRequest_PromptWork(request);
+        return wait_ms + PROMPT_UNIT_MS * prompts;
+    }
+    return wait_ms + word->summary.unit_ms * EyRoutingRequest_Work(request);
 }
 
 static bool
@@ -192,13 +206,24 @@
             EyLinkBudget_Take(&region->link, now_ms, size_bytes,
                               request->is_booking))
         {
-            word->sent++;
+            word->in_flight++;
+            word->sent_work += EyRoutingRequest_PromptWork(request);
             return region->name;
         }
     }
     return NULL;
 }
 
+void
+EyAway_Ended(EyAway_t *self, const char *region, EyBackendKind_t kind,
+             const char *target)
+{
+    Word_t *word = find_word(self, region, kind, target);
+    if (word != NULL && word->in_flight > 0) {
+        word->in_flight--;
+    }
+}
+
 json_t *
 EyAway_Dump(const EyAway_t *self, int64_t now_ms)
 {
--- a/src/routing/away.h
+++ b/src/routing/away.h
@@ -51,6 +51,11 @@
               const EyRoutingRequest_t *request, double limit_ms,
               uint32_t gateways);
 
+/** A request that was sent to the region ended. */
+void
+EyAway_Ended(EyAway_t *self, const char *region, EyBackendKind_t kind,
+             const char *target);
+
 /** The regions and their links, as JSON. */
 json_t *
 EyAway_Dump(const EyAway_t *self, int64_t now_ms);
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -12,6 +12,15 @@
 /** Most backend servers that one request may have tried before. */
 #define EY_ROUTING_EXCLUDED_MAX 8
 
+/** Most parts of a prompt that routing looks at. */
+#define EY_ROUTING_PARTS_MAX 8
+
+/** The beginning of a prompt up to the end of one of its parts. */
+typedef struct EyPromptStart {
+    uint64_t hash; /* of all parts up to here */
+    uint32_t tokens; /* of this part alone */
+} EyPromptStart_t;
+
 /** One request as far as routing needs to know it. */
 typedef struct EyRoutingRequest {
     uint64_t number; /* unique among the requests that the router holds */
@@ -20,6 +29,11 @@
     uint64_t prefix_hash; /* of the prompt's beginning; 0: none */
     uint32_t body_bytes;
     uint32_t prompt_tokens; /* 0: not said; else body_bytes tell nothing */
+    EyPromptStart_t starts[EY_ROUTING_PARTS_MAX]; /* the last part is taken
+                                                     to be its own */
+    uint32_t start_count;
+    uint32_t objective_ms; /* until the answer should begin; 0: not said */
+    uint32_t priority;     /* 0: first */
     uint32_t tokens_max;    /* of the answer; 0: not said */
     int64_t deadline_ms;
     EyName_t home;                   /* region the data is bound to, or "" */
--- a/src/routing/policy.c
+++ b/src/routing/policy.c
@@ -11,17 +11,17 @@
 choose_expected_finish(const EyCandidate_t *candidates, uint32_t count,
                        EyPolicyState_t *state)
 {
-    double best_ms = candidates[0].finish_ms;
+    double best_ms = candidates[0].cost_ms;
     for (uint32_t i = 1; i < count; i++) {
-        if (candidates[i].finish_ms < best_ms) {
-            best_ms = candidates[i].finish_ms;
+        if (candidates[i].cost_ms < best_ms) {
+            best_ms = candidates[i].cost_ms;
         }
     }
     double limit_ms = best_ms * ALIKE_FACTOR + ALIKE_MS;
     uint32_t chosen = 0;
     uint32_t alike = 0;
     for (uint32_t i = 0; i < count; i++) {
-        if (candidates[i].finish_ms <= limit_ms) {
+        if (candidates[i].cost_ms <= limit_ms) {
             alike++;
             if (EyRandom_Below(&state->random, alike) == 0) {
                 chosen = i;
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -4,10 +4,17 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 /** Share of the prompt's reading that a cached prefix saves. */
 #define PREFIX_SAVING 0.5
 #define DRAIN_WINDOW_MS 2000
+/** Time to an engine's first token beside the reading of prompts. */
+#define ENGINE_START_MS 25.0
+/** Time for each further token, whatever the batch. */
+#define ENGINE_ANSWER_TOKEN_MS 6.0
+/** What reading costs others, against what it costs the request itself. */
+#define READ_WEIGHT 0.5
 /** Share of the rate that is left to patient work at least. */
 #define RATE_LEAST_SHARE 0.1
 /** Most replicas of a pool that may be ejected at once. */
@@ -97,9 +104,57 @@
     return (double)replica->outstanding < part || holds + 1.0 <= limit;
 }
 
+/* Expects of an engine when the answer begins and ends. */
+static void
+weigh_engine(EyCandidate_t *candidate, const EyPlanning_t *planning,
+             const EyRoutingRequest_t *request, bool likely_holds)
+{
+    const EyEngineLoad_t *engine = &candidate->replica->engine;
+    double token_ms = EyEngineLoad_TokenMs(engine);
+    double ahead = EyEngineLoad_AheadTokens(engine, planning->now_ms,
+                                            planning->gateways);
+    candidate->read_tokens = EyReplica_ReadTokens(
+        candidate->replica, planning->now_ms, request, likely_holds);
+    candidate->start_ms =
+        (ahead + candidate->read_tokens) * token_ms + ENGINE_START_MS;
+    candidate->run_ms =
+        candidate->read_tokens * token_ms + ENGINE_START_MS +
+        (double)request->tokens_max * ENGINE_ANSWER_TOKEN_MS;
+    candidate->finish_ms = candidate->start_ms +
+                           (double)request->tokens_max *
+                               ENGINE_ANSWER_TOKEN_MS;
+    /* Reading again takes time from all others too. */
+    candidate->cost_ms = candidate->start_ms +
+                         candidate->read_tokens * token_ms * READ_WEIGHT;
+}
+
+/* The replica to which all gateways send such prompts first, by the shared
+ * part's hash and the replicas' ids alone; NULL: the prompt shares nothing. */
+static const EyReplica_t *
+preferred(const EyPool_t *self, const EyRoutingRequest_t *request)
+{
+    if (request->start_count < 2) {
+        return NULL;
+    }
+    uint64_t shared = request->starts[request->start_count - 2].hash;
+    const EyReplica_t *best = NULL;
+    uint64_t best_draw = 0;
+    for (uint32_t i = 0; i < self->replicas->len; i++) {
+        const EyReplica_t *replica = replica_at(self, i);
+        const char *id = replica->backend->id;
+        uint64_t draw = XXH64(id, strlen(id), shared);
+        if (EyReplica_IsServing(replica) && draw >= best_draw) {
+            best = replica;
+            best_draw = draw;
+        }
+    }
+    return best;
+}
+
 static EyCandidate_t
 make_candidate(EyReplica_t *replica, const EyPlanning_t *planning,
-               const EyRoutingRequest_t *request, double work)
+               const EyRoutingRequest_t *request, double work,
+               bool likely_holds)
 {
     int64_t now_ms = planning->now_ms;
     EyCandidate_t candidate = {
@@ -119,6 +174,11 @@
     double wait_ms =
         queued > 0.0 ? queued / candidate.slots * candidate.run_ms : 0.0;
     candidate.finish_ms = wait_ms + candidate.run_ms;
+    candidate.start_ms = candidate.finish_ms;
+    candidate.cost_ms = candidate.finish_ms;
+    if (request->prompt_tokens > 0) {
+        weigh_engine(&candidate, planning, request, likely_holds);
+    }
     candidate.has_room =
         has_room(replica, candidate.holds, candidate.slots, planning);
     return candidate;
@@ -137,12 +197,13 @@
 collect(EyPool_t *self, const EyPlanning_t *planning,
         const EyRoutingRequest_t *request, double work, bool with_ejected)
 {
+    const EyReplica_t *holder = preferred(self, request);
     g_array_set_size(self->candidates, 0);
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         EyReplica_t *replica = replica_at(self, i);
         if (is_candidate(replica, planning->now_ms, request, with_ejected)) {
-            EyCandidate_t candidate =
-                make_candidate(replica, planning, request, work);
+            EyCandidate_t candidate = make_candidate(
+                replica, planning, request, work, replica == holder);
             g_array_append_val(self->candidates, candidate);
         }
     }
@@ -207,6 +268,13 @@
         self->choices->len, planning->state);
     const EyCandidate_t *chosen = candidate_at(self->choices, place);
     plan->finish_ms = chosen->finish_ms;
+    plan->start_ms = chosen->start_ms;
+    plan->read_tokens = chosen->read_tokens;
+    plan->ahead_tokens =
+        chosen->read_tokens > 0.0
+            ? EyEngineLoad_AheadTokens(&chosen->replica->engine,
+                                       planning->now_ms, planning->gateways)
+            : 0.0;
     plan->slowdown = EyReplica_Slowdown(chosen->holds + 1.0, chosen->slots);
     double faster_rate = drain_rate(self, planning, chosen->finish_ms);
     double held_finish_ms =
@@ -260,6 +328,22 @@
     return plan;
 }
 
+/* How long the engine that is free first is busy with reading prompts. */
+static int64_t
+reading_wait_ms(const EyPool_t *self, const EyPlanning_t *planning)
+{
+    double least_ms = INFINITY;
+    for (uint32_t i = 0; i < self->candidates->len; i++) {
+        const EyEngineLoad_t *engine =
+            &candidate_at(self->candidates, i)->replica->engine;
+        double wait_ms = EyEngineLoad_AheadTokens(engine, planning->now_ms,
+                                                  planning->gateways) *
+                         EyEngineLoad_TokenMs(engine);
+        least_ms = wait_ms < least_ms ? wait_ms : least_ms;
+    }
+    return (int64_t)least_ms;
+}
+
 bool
 EyPool_Summarize(EyPool_t *self, const EyPlanning_t *planning,
                  EyRegionSummary_t *summary)
@@ -286,6 +370,9 @@
     summary->free_slots = (uint32_t)free_slots;
     summary->unit_ms = slots / speeds * EyReplica_Slowdown(1.0, 1.0);
     summary->expected_wait_ms = (int64_t)(self->queue->work / rate);
+    if (self->kind == EY_BACKEND_MODEL) {
+        summary->expected_wait_ms += reading_wait_ms(self, planning);
+    }
     summary->accepts = summary->free_slots > 0 && waiting == 0;
     return true;
 }
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -46,6 +46,9 @@
     bool has_replica;        /* some replica may get it, now or later */
     EyReplica_t *chosen;     /* gets it now, or NULL: it should wait */
     double finish_ms;        /* expected at chosen */
+    double start_ms;         /* expected beginning of the answer there */
+    double read_tokens;      /* to be read there; 0: no engine */
+    double ahead_tokens;     /* before them */
     double slowdown;         /* at chosen */
     double queued_finish_ms; /* expected if it waits */
     double best_run_ms;      /* on the fastest replica, without waiting */
--- a/src/routing/prefix_hint.h
+++ b/src/routing/prefix_hint.h
@@ -13,7 +13,7 @@
 extern "C" {
 #endif
 
-#define EY_PREFIX_HINTS_MAX 32
+#define EY_PREFIX_HINTS_MAX 256
 #define EY_PREFIX_HINT_TTL_MS 60000
 
 typedef struct EyPrefixHint {
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -5,6 +5,9 @@
 #include <math.h>
 
 #define TOKENS_UNSET 64.0
+/** Share of a prompt's shared parts that a replica is taken to hold to which
+ * all gateways send such prompts first. */
+#define LIKELY_SHARE 0.8
 /** Weight of a new sample of the time for a unit. */
 #define LEARNING_RATE 0.2
 /** A slow time is forgotten by halves, or nothing would be sent there and
@@ -56,6 +59,7 @@
     }
     if (backend->incarnation != self->backend->incarnation) {
         EyPrefixHints_Clear(&self->prefixes);
+        self->engine.has_said = false;
         EyOutlier_StartRamp(&self->outlier, now_ms);
     }
     talloc_free(self->backend);
@@ -77,10 +81,63 @@
     }
     self->newest = flight;
     self->outstanding++;
+    if (flight->read_tokens > 0.0) {
+        EyEngineLoad_Begin(&self->engine, flight->read_tokens);
+    }
     EyColdPace_Take(&self->cold_pace, now_ms);
     EyRecent_Add(&self->net_sent, now_ms, 1.0);
 }
 
+double
+EyReplica_ReadTokens(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request, bool likely_holds)
+{
+    double held = 0.0;
+    double shared = 0.0;
+    bool holds_all = true;
+    for (uint32_t i = 0; i < request->start_count; i++) {
+        const EyPromptStart_t *start = &request->starts[i];
+        holds_all = holds_all && EyPrefixHints_Has(&self->prefixes, now_ms,
+                                                   start->hash);
+        held += holds_all ? start->tokens : 0.0;
+        shared += i + 1 < request->start_count ? start->tokens : 0.0;
+    }
+    if (likely_holds) {
+        held = fmax(held, shared * LIKELY_SHARE);
+    }
+    return fmax((double)request->prompt_tokens - held, 1.0);
+}
+
+void
+EyReplica_HoldStarts(EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request)
+{
+    for (uint32_t i = 0; i < request->start_count; i++) {
+        EyPrefixHints_Add(&self->prefixes, now_ms, request->starts[i].hash);
+    }
+}
+
+void
+EyReplica_Started(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight)
+{
+    if (flight->read_tokens > 0.0) {
+        EyEngineLoad_End(&self->engine, flight->read_tokens,
+                         flight->ahead_tokens,
+                         (double)(now_ms - flight->started_ms));
+        flight->read_tokens = 0.0;
+    }
+}
+
+/** Forgets what a flight that ends had still to read. */
+static void
+end_reading(EyReplica_t *self, EyFlight_t *flight)
+{
+    if (flight->read_tokens > 0.0) {
+        EyEngineLoad_End(&self->engine, flight->read_tokens, 0.0, -1.0);
+        flight->read_tokens = 0.0;
+    }
+}
+
 static void
 unlink_flight(EyReplica_t *self, EyFlight_t *flight)
 {
@@ -96,6 +153,7 @@
     else {
         self->newest = flight->older;
     }
+    end_reading(self, flight);
     flight->replica = NULL;
     self->outstanding--;
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -11,6 +11,7 @@
 
 #include "backends/backend.h"
 #include "routing/cold_pace.h"
+#include "routing/engine_load.h"
 #include "routing/decision.h"
 #include "routing/outlier.h"
 #include "routing/prefix_hint.h"
@@ -36,6 +37,8 @@
     double work;
     double slowdown; /* by the load that the replica had */
     uint64_t prefix_hash;
+    double read_tokens;  /* to be read by an engine; 0: none, or it began */
+    double ahead_tokens; /* read before them */
     int64_t started_ms;
     struct EyFlight *older; /* of the same replica */
     struct EyFlight *newer;
@@ -53,6 +56,7 @@
     EyOutlier_t outlier;
     EyPrefixHints_t prefixes;
     EyColdPace_t cold_pace;
+    EyEngineLoad_t engine;
 } EyReplica_t;
 
 /** The units of reading a request's prompt. */
@@ -72,6 +76,21 @@
 EyReplica_Update(EyReplica_t *self, int64_t now_ms,
                  const EyBackend_t *backend);
 
+/** Prompt tokens that the replica would have to read: not those that it is
+ * known to hold, nor most of the shared ones if likely_holds. */
+double
+EyReplica_ReadTokens(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request, bool likely_holds);
+
+/** Remembers that the replica gets the beginnings of a prompt. */
+void
+EyReplica_HoldStarts(EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request);
+
+/** The answer to a flight has begun. */
+void
+EyReplica_Started(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight);
+
 /** Links a flight to the replica. */
 void
 EyReplica_Begin(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -5,13 +5,16 @@
 #include <math.h>
 #include <string.h>
 
-/** A refused caller comes back after at least and at most so long. */
 /** A gateway that isn't seen any more may still send for so long. */
 #define RANK_KEPT_MS 30000
+/** A refused caller comes back after at least and at most so long. */
 #define RETRY_AFTER_LEAST_MS 250
 #define RETRY_AFTER_MOST_MS 30000
 /** Share by which refused callers are spread. */
 #define RETRY_AFTER_SPREAD 0.25
+/** Another region is looked at when this share of the time until an answer
+ * should begin would pass at home. */
+#define OBJECTIVE_SHARE 0.6
 #define NO_BACKEND_RETRY_AFTER_MS 1000
 /** A waiting request is given up when even this share of the best time is
  * more than what is left. */
@@ -140,6 +143,8 @@
         .prefix_hash = request->prefix_hash,
         .started_ms = now_ms,
     };
+    open->kind = request->kind;
+    (void)EY_COPY(open->target, request->target);
     g_hash_table_insert(self->flights, &open->flight.number, open);
     return open;
 }
@@ -151,7 +156,10 @@
     EyOpenFlight_t *open = open_flight(self, now_ms, request);
     open->flight.pool = pool;
     open->flight.slowdown = plan->slowdown;
+    open->flight.read_tokens = plan->read_tokens;
+    open->flight.ahead_tokens = plan->ahead_tokens;
     pool->flight_count++;
+    EyReplica_HoldStarts(plan->chosen, now_ms, request);
     EyReplica_Begin(plan->chosen, now_ms, &open->flight);
     EyRoutingDecision_t decision = {
         .number = request->number,
@@ -248,8 +256,13 @@
  * are servers that fail. */
 static bool
 wants_away(const EyRouter_t *self, const EyPlan_t *plan, bool goes_now,
-           double finish_ms, double left_ms)
+           double objective_ms, double finish_ms, double left_ms)
 {
+    if (goes_now && objective_ms > 0 &&
+        plan->start_ms > objective_ms * OBJECTIVE_SHARE)
+    {
+        return true;
+    }
     if (goes_now) {
         return finish_ms > left_ms || is_suspect(plan);
     }
@@ -260,6 +273,9 @@
 static double
 away_limit_ms(const EyRouter_t *self, const EyPlan_t *plan, double finish_ms)
 {
+    if (plan->read_tokens > 0.0) {
+        finish_ms = plan->start_ms;
+    }
     return is_suspect(plan)
                ? INFINITY
                : finish_ms * EyRoutingConfig_AwayGain(&self->config);
@@ -284,7 +300,8 @@
     double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t away;
-    if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
+    if (wants_away(self, &plan, goes_now, request->objective_ms, finish_ms,
+                   left_ms) &&
         try_away(self, now_ms, request, away_limit_ms(self, &plan, finish_ms),
                  &away))
     {
@@ -419,7 +436,8 @@
     bool goes_now = plan.chosen != NULL;
     double left_ms = (double)(waiting->request->deadline_ms - now_ms);
     double finish_ms = goes_now ? plan.finish_ms : plan.queued_finish_ms;
-    if (wants_away(self, &plan, goes_now, finish_ms, left_ms) &&
+    if (wants_away(self, &plan, goes_now, waiting->request->objective_ms,
+                   finish_ms, left_ms) &&
         try_away(self, now_ms, waiting->request,
                  away_limit_ms(self, &plan, finish_ms), decision))
     {
@@ -514,6 +532,25 @@
     }
 }
 
+void
+EyRouter_Started(EyRouter_t *self, int64_t now_ms, uint64_t number)
+{
+    EyOpenFlight_t *open = g_hash_table_lookup(self->flights, &number);
+    if (open != NULL && open->flight.replica != NULL) {
+        EyReplica_Started(open->flight.replica, now_ms, &open->flight);
+    }
+}
+
+void
+EyRouter_TakeLoad(EyRouter_t *self, int64_t now_ms, const char *id,
+                  uint32_t running, uint32_t waiting)
+{
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica != NULL) {
+        EyEngineLoad_Say(&replica->engine, now_ms, running, waiting);
+    }
+}
+
 bool
 EyRouter_Finished(EyRouter_t *self, int64_t now_ms, uint64_t number,
                   const EyRoutingResult_t *result, GArray *decisions)
@@ -523,6 +560,9 @@
         return false;
     }
     EyPool_t *pool = open->flight.pool;
+    if (open->region[0] != '\0') {
+        EyAway_Ended(self->away, open->region, open->kind, open->target);
+    }
     end_flight(self, now_ms, open, result);
     g_hash_table_remove(self->flights, &number);
     if (pool != NULL) {
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -88,6 +88,15 @@
 EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
                 const EyRoutingRequest_t *request);
 
+/** The answer to a dispatched request has begun. */
+void
+EyRouter_Started(EyRouter_t *self, int64_t now_ms, uint64_t number);
+
+/** A backend server spoke of its load, in an answer. */
+void
+EyRouter_TakeLoad(EyRouter_t *self, int64_t now_ms, const char *id,
+                  uint32_t running, uint32_t waiting);
+
 /**
  * A dispatched or sent away request ended. Requests that waited may go now:
  * their decisions are appended to decisions, of EyRoutingDecision_t. False if
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -21,6 +21,8 @@
 typedef struct EyOpenFlight {
     EyFlight_t flight;
     EyName_t region; /* sent away to, or "" */
+    EyBackendKind_t kind;
+    EyName_t target;
 } EyOpenFlight_t;
 
 struct EyRouter {
