Gateways ask control processes in turn beside their tree's source

Ruled out: a lost push (the source had nothing newer to push); membership (all instances were known). Now each gateway asks two control processes in turn with each pull.

--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 /** Sources asked at once while nobody has answered. */
+/* Control processes asked with each pull, besides the tree's source. */
+#define CONTROLS_IN_TURN 2U
 #define START_SOURCES 3
 /** Unanswered pulls after which other sources are tried in turn. */
 #define PATIENCE 1
@@ -23,6 +25,7 @@
     EyName_t *controls;
     uint32_t control_count;
     uint32_t control_turn; /* the control process that the first one asks */
+    uint32_t asked_turn; /* of the control processes asked besides */
     uint64_t highest;      /* revision that was heard of */
     int64_t started_ms;
     int64_t pull_ms;     /* when to pull next */
@@ -138,10 +141,26 @@
     self->hooks.send(self->hooks.data, source, &message);
 }
 
+/** Asks some control processes in turn, so that a source which answers but
+ * is itself cut off from the others isn't believed for long. */
+static void
+pull_in_turn(EyConfigReplica_t *self)
+{
+    uint32_t count = MIN(CONTROLS_IN_TURN, self->control_count);
+    for (uint32_t i = 0; i < count; i++) {
+        self->asked_turn++;
+        pull_from(self,
+                  self->controls[self->asked_turn % self->control_count]);
+    }
+}
+
 static void
 pull(EyConfigReplica_t *self, int64_t now_ms)
 {
     pull_from(self, tree_source(self));
+    if (self->was_answered) {
+        pull_in_turn(self);
+    }
     if (!self->was_answered) {
         for (uint32_t i = 1; i < START_SOURCES; i++) {
             pull_from(self, random_source(self));
