A process that lost its disk finds a leader that nobody told it of

Only a leader takes a process in, and an empty one asked just the addresses of its settings. With a leader that wasn't among them it stayed out for good; the final fault then found too few disks. Answers now name the leader, and the asker asks it too. The log's properties run with three members that all are told of and two that join: without the mend a_lost_disk_is_replaced_whoever_leads and members_that_few_are_told_of_keep_what_was_committed fail, with it both pass.

--- a/src/config/log_internal.h
+++ b/src/config/log_internal.h
@@ -80,6 +80,9 @@
     int64_t heartbeat_ms; /* when to send the next heartbeats or hellos */
     GArray *peers;        /* EyLogPeer_t: members but self */
     EyLogHeard_t heard[EY_LOG_MEMBERS_MAX]; /* indexed as options.list */
+    EyAddress_t guide;    /* a leader that isn't in options.list, of which
+                             an answer told; empty: none */
+    uint64_t guide_nonce; /* to be given back to it */
     EyLogJoiner_t joiner;
     uint64_t nonce; /* a hello must give it back, which shows that it is new */
     bool restore_due;
--- a/src/config/log_members.c
+++ b/src/config/log_members.c
@@ -105,6 +105,12 @@
         message->nonce = self->heard[i].nonce;
         ey_log_send(self, message);
     }
+    if (self->guide[0] != '\0') {
+        EyLogMessage_t *message =
+            ey_log_message(self, EY_LOG_HELLO, self->guide, 0);
+        message->nonce = self->guide_nonce;
+        ey_log_send(self, message);
+    }
     ey_log_bootstrap(self);
 }
 
@@ -126,6 +132,7 @@
         self, EY_LOG_HELLO_ANSWER, message->from, message->from_incarnation);
     answer->list_hash = self->list_hash;
     answer->nonce = self->nonce;
+    (void)EY_COPY(answer->leader, self->leader);
     const EyLogMember_t *member =
         EyLogMembers_Find(&self->members, message->from);
     bool is_member =
@@ -143,6 +150,22 @@
     }
 }
 
+/** Only a leader takes a process in, and it need not be in the list. */
+static void
+follow_guide(EyLog_t *self, const EyLogMessage_t *message)
+{
+    if (strcmp(message->from, self->guide) == 0) {
+        self->guide_nonce = message->nonce;
+    }
+    bool is_new = message->leader[0] != '\0' &&
+                  heard_of(self, message->leader) == NULL &&
+                  strcmp(message->leader, self->guide) != 0;
+    if (is_new) {
+        (void)EY_COPY(self->guide, message->leader);
+        self->guide_nonce = 0;
+    }
+}
+
 void
 ey_log_on_hello_answer(EyLog_t *self, const EyLogMessage_t *message)
 {
@@ -150,6 +173,7 @@
     if (heard != NULL) {
         heard->nonce = message->nonce;
     }
+    follow_guide(self, message);
     if (self->cluster != 0) {
         return;
     }
--- a/src/config/log_message.c
+++ b/src/config/log_message.c
@@ -76,6 +76,7 @@
     EY_FIELD_ARRAY_OF(EyLogMessage_t, entries, entry_count, EyLogEntry_schema,
                       EY_LOG_BATCH_MAX),
     EY_FIELD_OF(EyLogMessage_t, snapshot, EyLogSnapshot_schema),
+    EY_FIELD_TEXT(EyLogMessage_t, leader),
     EY_FIELD_END,
 };
 const EySchema_t EyLogMessage_schema =
--- a/src/config/log_message.h
+++ b/src/config/log_message.h
@@ -93,6 +93,7 @@
     EyLogEntry_t *entries;
     uint32_t entry_count;
     EyLogSnapshot_t snapshot;
+    EyAddress_t leader; /* HELLO_ANSWER: who can take the asker in */
 } EyLogMessage_t;
 
 extern const EySchema_t EyLogMembers_schema;
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -10,6 +10,7 @@
 #include "operators/operators.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 EY_DEFINE_ERROR_DOMAIN(ControlPart, "ey-control-part")
 
@@ -28,6 +29,10 @@
     EyMailbox_t *written;
     GHashTable *orders; /* number -> Order_t, of operators */
     uint64_t last_order;
+    EyLogRole_t role; /* as last logged, with what follows */
+    EyAddress_t leader;
+    bool is_voter;
+    uint64_t members_hash;
 } ControlPart_t;
 
 /** An operator's request that waits. */
@@ -258,12 +263,64 @@
     return true;
 }
 
+/** A hash of who belongs to the log, and as what. */
+static uint64_t
+hash_members(const EyLogMembers_t *members)
+{
+    EyBytes_t bytes = EySchema_Pack(&EyLogMembers_schema, NULL, members);
+    uint64_t hash = XXH64(bytes.data, bytes.size_bytes, 0);
+    talloc_free(bytes.data);
+    return hash;
+}
+
+/** The members as text: voters, and learners in brackets. */
+static char *
+describe_members(const EyLogMembers_t *members)
+{
+    GString *text = g_string_new(NULL);
+    for (uint32_t i = 0; i < members->count; i++) {
+        const EyLogMember_t *member = &members->items[i];
+        g_string_append_printf(text, member->is_voter ? "%s%s" : "%s[%s]",
+                               i > 0 ? " " : "", member->address);
+    }
+    return g_string_free(text, FALSE);
+}
+
+/** Logs what changed in this process's place in the cluster. */
+static void
+log_standing(ControlPart_t *self)
+{
+    EyLogStatus_t status = EyControl_Status(self->control);
+    uint64_t hash = hash_members(&status.members);
+    if (status.role == self->role && status.is_voter == self->is_voter &&
+        hash == self->members_hash &&
+        strcmp(status.leader, self->leader) == 0)
+    {
+        return;
+    }
+    self->role = status.role;
+    self->is_voter = status.is_voter;
+    self->members_hash = hash;
+    (void)EY_COPY(self->leader, status.leader);
+    char *members = describe_members(&status.members);
+    EY_LOG(EY_LOG_INFO, "control", "standing",
+           EY_LOG_TEXT("role", EyLog_role_names[status.role]),
+           EY_LOG_TEXT("leader", status.leader),
+           EY_LOG_NUMBER("term", status.term),
+           EY_LOG_NUMBER("is_voter", status.is_voter),
+           EY_LOG_NUMBER("commit", status.commit),
+           EY_LOG_NUMBER("last_index", status.last_index),
+           EY_LOG_TEXT("members", members));
+    g_free(members);
+}
+
 static void
 on_tick(void *data, int64_t now_ms)
 {
     ControlPart_t *self = data;
     EyControl_Tick(self->control, now_ms);
     serve_reads(self, now_ms);
+    log_standing(self);
 }
 
 /** The addresses of all control processes, this one's included. */
--- a/tests/property/log_world.h
+++ b/tests/property/log_world.h
@@ -169,6 +169,7 @@
     int64_t clock_ms = 0; /* ahead of the world's */
     bool is_frozen = false;
     bool is_disk_full = false;
+    bool lost_disk = false; /* once */
     uint64_t applied = 0;
     std::string state;            /* a digest of all that was applied */
     std::set<std::string> voters; /* as the log last showed them */
@@ -185,7 +186,11 @@
 
 class World {
   public:
-    World(size_t count, uint64_t seed) : random(EyRandom_Make(seed))
+    /** seed_count: members that all are told of; the others know them and
+     * themselves only, and join. 0: all members are told of all. */
+    World(size_t count, uint64_t seed, size_t seed_count = 0)
+        : random(EyRandom_Make(seed)),
+          seeds(seed_count > 0 ? seed_count : count)
     {
         ctx = talloc_new(nullptr);
         list = EY_NEW_ARRAY(ctx, EyAddress_t, count);
@@ -261,10 +266,12 @@
         }
         EyLogOptions_t options = {};
         (void)EY_COPY(options.self, node.address.c_str());
-        options.list = list;
-        options.list_count = static_cast<uint32_t>(nodes.size());
-        options.seed = EyRandom_Next(&random);
         void *scratch = talloc_new(nullptr);
+        options.list = own_list(scratch, i);
+        options.list_count = static_cast<uint32_t>(seeds + (i >= seeds));
+        options.seed = EyRandom_Next(&random);
+        options.takes_joiners = seeds < nodes.size();
+        options.only_joins = node.lost_disk && seeds < nodes.size();
         EyLogDisk_t disk = node.disk.load(scratch);
         node.log = EyLog_New(ctx, &options, &disk, clock(node));
         talloc_free(scratch);
@@ -292,6 +299,7 @@
     {
         crash(i);
         nodes[i].disk = Disk();
+        nodes[i].lost_disk = true;
         nodes[i].disk.incarnation = next_incarnation++;
         wipes++;
     }
@@ -363,6 +371,20 @@
         }
     }
 
+    /** The addresses that a node is told of. */
+    EyAddress_t *
+    own_list(const void *scratch, size_t i) const
+    {
+        EyAddress_t *own = EY_NEW_ARRAY(scratch, EyAddress_t, seeds + 1);
+        for (size_t j = 0; j < seeds; j++) {
+            (void)EY_COPY(own[j], list[j]);
+        }
+        if (i >= seeds) {
+            (void)EY_COPY(own[seeds], list[i]);
+        }
+        return own;
+    }
+
     /** The index of a leader, or the count of nodes. */
     size_t
     leader() const
@@ -718,6 +740,7 @@
     void *ctx;
     EyAddress_t *list;
     EyRandom_t random;
+    size_t seeds;
     std::vector<std::vector<bool>> cuts;
     std::vector<Packet> packets;
     std::map<uint64_t, std::string> leaders; /* by term */
--- a/tests/property/test_log_properties.cc
+++ b/tests/property/test_log_properties.cc
@@ -152,14 +152,15 @@
 enum Demand { SAFETY, SAFETY_AND_LIVENESS };
 
 void
-check_any_orders(size_t count, bool may_lose_early, Demand demand)
+check_any_orders(size_t count, bool may_lose_early, Demand demand,
+                 size_t seeds = 0)
 {
     const auto seed = *rc::gen::arbitrary<uint64_t>();
     const auto size = *rc::gen::inRange<size_t>(0, OrdersMax);
     const auto orders = *rc::gen::container<std::vector<uint32_t>>(
         size, rc::gen::inRange<uint32_t>(0, 1U << 24));
     try {
-        World world(count, seed);
+        World world(count, seed, seeds);
         world.may_lose_early = may_lose_early;
         for (uint32_t order : orders) {
             carry_out(world, order);
@@ -188,6 +189,13 @@
              [] { check_any_orders(5, false, SAFETY_AND_LIVENESS); });
 }
 
+Test(log_properties, members_that_few_are_told_of_keep_what_was_committed)
+{
+    EY_CHECK("five members, three that all are told of", [] {
+        check_any_orders(5, false, SAFETY_AND_LIVENESS, 3);
+    });
+}
+
 namespace {
 
 /** A world with a leader that has committed something. */
@@ -204,6 +212,49 @@
 
 } // namespace
 
+Test(log_properties, a_lost_disk_is_replaced_whoever_leads)
+{
+    EY_CHECK("any seed, five members, three that all are told of",
+             [](uint64_t seed) {
+                 World world(5, seed, 3);
+                 world.run(10000);
+                 RC_ASSERT(world.is_settled());
+                 /* Lead by one that the others weren't told of. */
+                 for (int tries = 0; tries < 40 && world.leader() < 3; tries++)
+                 {
+                     size_t leader = world.leader();
+                     world.crash(leader);
+                     world.run(4000);
+                     world.start(leader);
+                     world.run(2000);
+                 }
+                 RC_PRE(world.leader() == 3 || world.leader() == 4);
+                 RC_ASSERT(world.wipe(0));
+                 world.start(0);
+                 world.run(4000);
+                 RC_ASSERT(world.is_settled());
+             });
+}
+
+Test(log_properties, one_that_only_joins_never_founds)
+{
+    EY_CHECK("any seed, all disks lost", [](uint64_t seed) {
+        World world(5, seed, 3);
+        world.run(10000);
+        RC_ASSERT(world.is_settled());
+        for (size_t i = 0; i < 5; i++) {
+            world.lose(i);
+        }
+        for (size_t i = 0; i < 5; i++) {
+            world.start(i);
+        }
+        world.run(20000);
+        for (const auto &node : world.nodes) {
+            RC_ASSERT(EyLog_Status(node.log).cluster == 0U);
+        }
+    });
+}
+
 Test(log_properties, member_that_was_cut_off_does_not_unseat_the_leader)
 {
     EY_CHECK("any seed", [](uint64_t seed) {
--- /dev/null
+++ b/tests/unit/test_announcement.c
@@ -0,0 +1,108 @@
+#include "backends/announcement.h"
+#include "core/memory.h"
+
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <string.h>
+
+#define WORD(rest)                                                            \
+    "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"" rest "}"
+#define SERVING ",\"state\":\"serving\",\"serial\":4"
+
+typedef struct Case {
+    const char *id;
+    const char *text;
+    const char *fault; /* a part of the message; NULL: it is good */
+    EyBackendKind_t kind;
+    EyBackendState_t state;
+    bool is_cold;
+    uint64_t incarnation;
+} Case_t;
+
+static const Case_t Cases[] = {
+    {"i-1", WORD(SERVING), NULL, EY_BACKEND_SERVICE, EY_BACKEND_SERVING},
+    {"i-1", WORD(SERVING ",\"new\":{\"a\":[1]}"), NULL, EY_BACKEND_SERVICE,
+     EY_BACKEND_SERVING},
+    {"i-1", WORD(SERVING ",\"engine_models\":[{\"name\":\"m\"}]"), NULL,
+     EY_BACKEND_MODEL, EY_BACKEND_SERVING},
+    {"i-1", WORD(SERVING ",\"engine_models\":[]"), NULL, EY_BACKEND_SERVICE,
+     EY_BACKEND_SERVING},
+    {"i-1", WORD(SERVING ",\"cold_ms\":0.5"), NULL, EY_BACKEND_SERVICE,
+     EY_BACKEND_SERVING, true},
+    {"i-1", WORD(SERVING ",\"cold_ms\":0,\"start\":17"), NULL,
+     EY_BACKEND_SERVICE, EY_BACKEND_SERVING, false, 17},
+    {"i-1", WORD(",\"state\":\"leaving\",\"serial\":5"), NULL,
+     EY_BACKEND_SERVICE, EY_BACKEND_LEAVING},
+    {"i-1", WORD(",\"state\":\"asleep\",\"serial\":5"), "state"},
+    {"i-1", WORD(",\"serial\":5"), "state"},
+    {"i-1", WORD(",\"state\":\"serving\""), "serial"},
+    {"i-1", WORD(",\"state\":\"serving\",\"serial\":\"5\""), "serial"},
+    {"i-1", WORD(SERVING ",\"start\":\"17\""), "start"},
+    {"i-1", WORD(SERVING ",\"start\":1.5"), "start"},
+    {"i-1", WORD(SERVING ",\"slots\":-1"), "slots"},
+    {"i-1",
+     "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\"" SERVING "}",
+     "address"},
+    {"i-1",
+     "{\"service\":\"\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"" SERVING
+     "}",
+     "service"},
+    {"i-1", "{\"service\":\"s\",\"zone\":\"z\"" SERVING "}", "address"},
+    {"i-1", "\x01\x02", "not JSON"},
+    {"i-1", "", "not JSON"},
+    {"i-1", "[]", ""},
+    {"", WORD(SERVING), "id"},
+};
+
+Test(announcement, a_word_names_a_server_or_its_fault)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        const Case_t *test = &Cases[i];
+        const EyBytes_t text = {.data = (uint8_t *)test->text,
+                                .size_bytes = (uint32_t)strlen(test->text)};
+        GError *error = NULL;
+        void *ctx = talloc_new(NULL);
+        const EyBackend_t *backend =
+            EyAnnouncement_Read(ctx, test->id, &text, "start", &error);
+        if (test->fault != NULL) {
+            cr_assert_null(backend, "%zu", i);
+            cr_expect_not_null(strstr(error->message, test->fault),
+                               "%zu: %s", i, error->message);
+            g_error_free(error);
+        }
+        else {
+            cr_assert_not_null(backend, "%zu: %s", i,
+                               error != NULL ? error->message : "");
+            cr_expect_str_eq(backend->id, test->id);
+            cr_expect_eq(backend->kind, test->kind, "%zu", i);
+            cr_expect_eq(backend->state, test->state, "%zu", i);
+            cr_expect_eq(backend->is_cold, test->is_cold, "%zu", i);
+            cr_expect_eq(backend->incarnation, test->incarnation, "%zu", i);
+            cr_expect(EyBackend_Serves(backend, "s"), "%zu", i);
+        }
+        talloc_free(ctx);
+    }
+}
+
+Test(announcement, a_withdrawal_tells_which_start_it_speaks_of)
+{
+    typedef struct StartCase {
+        const char *text;
+        uint64_t start_ms;
+    } StartCase_t;
+    static const StartCase_t StartCases[] = {
+        {"", 0},
+        {"{}", 0},
+        {"junk", 0},
+        {"{\"start\":17}", 17},
+        {"{\"start\":\"17\"}", 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(StartCases); i++) {
+        const EyBytes_t text = {
+            .data = (uint8_t *)StartCases[i].text,
+            .size_bytes = (uint32_t)strlen(StartCases[i].text),
+        };
+        cr_expect_eq(EyAnnouncement_ReadStart(&text, "start"),
+                     StartCases[i].start_ms, "%zu", i);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_cold_pace.c
@@ -0,0 +1,88 @@
+#include "core/random.h"
+#include "routing/cold_pace.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define GATEWAYS_MAX 40
+#define SENDS_MAX 4096
+#define PER_S 2.4
+
+/** What all gateways sent to one server, in order of time. */
+typedef struct Sends {
+    int64_t at_ms[SENDS_MAX];
+    uint32_t count;
+} Sends_t;
+
+static uint32_t
+most_in_window(const Sends_t *sends)
+{
+    uint32_t most = 0;
+    for (uint32_t first = 0; first < sends->count; first++) {
+        uint32_t count = 0;
+        while (first + count < sends->count &&
+               sends->at_ms[first + count] - sends->at_ms[first] <
+                   EY_COLD_WINDOW_MS)
+        {
+            count++;
+        }
+        most = count > most ? count : most;
+    }
+    return most;
+}
+
+/** Each gateway wants to send all the time; sees are the gateways that it
+ * counts, itself included. */
+static void
+press(uint32_t gateways, const uint32_t *sees, const char *backend,
+      Sends_t *sends)
+{
+    EyColdPace_t paces[GATEWAYS_MAX];
+    memset(paces, 0, sizeof(paces));
+    EyRandom_t random = EyRandom_Make(gateways);
+    for (int64_t now_ms = 0; now_ms < 5000; now_ms += 5) {
+        uint32_t first = (uint32_t)EyRandom_Below(&random, gateways);
+        for (uint32_t i = 0; i < gateways; i++) {
+            uint32_t g = (first + i) % gateways;
+            const EyGatewayRank_t rank = {.rank = g, .count = sees[g]};
+            uint32_t share = EyColdPace_Share(&rank, backend, PER_S);
+            if (EyColdPace_MayTake(&paces[g], now_ms, share)) {
+                EyColdPace_Take(&paces[g], now_ms);
+                sends->at_ms[sends->count++] = now_ms;
+            }
+        }
+    }
+}
+
+Test(cold_pace, all_gateways_together_keep_to_what_a_server_bears)
+{
+    static const uint32_t Counts[] = {1, 2, 3, 4, 7, 28, 40};
+    for (size_t i = 0; i < sizeof(Counts) / sizeof(Counts[0]); i++) {
+        uint32_t sees[GATEWAYS_MAX];
+        for (uint32_t g = 0; g < Counts[i]; g++) {
+            sees[g] = Counts[i];
+        }
+        for (uint32_t server = 0; server < 20; server++) {
+            char id[16];
+            (void)snprintf(id, sizeof(id), "i-%u", server);
+            Sends_t sends = {.count = 0};
+            press(Counts[i], sees, id, &sends);
+            /* The bound is what it bears a second, and one more. */
+            cr_expect_leq(most_in_window(&sends), (uint32_t)PER_S + 1,
+                          "%u gateways, %s", Counts[i], id);
+            cr_expect_geq(sends.count, 5, "%u gateways, %s: nobody sends",
+                          Counts[i], id);
+        }
+    }
+}
+
+Test(cold_pace, a_gateway_that_is_alone_gets_no_more_than_the_whole)
+{
+    const EyGatewayRank_t alone = {.rank = 0, .count = 1};
+    cr_expect_leq(EyColdPace_Share(&alone, "i-1", PER_S),
+                  (uint32_t)PER_S + 1);
+    const EyGatewayRank_t nobody = {.rank = 0, .count = 0};
+    cr_expect_leq(EyColdPace_Share(&nobody, "i-1", PER_S),
+                  (uint32_t)PER_S + 1);
+}
--- /dev/null
+++ b/tests/unit/test_route_table.c
@@ -0,0 +1,227 @@
+#include "config/route_table.h"
+#include "config/store.h"
+#include "core/memory.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define SERVICES                                                              \
+    "\"services\":[{\"name\":\"a\"},{\"name\":\"b\","                         \
+    "\"engine\":{\"slots\":8}}]"
+#define ROUTE(host, prefix, rest)                                             \
+    "{\"name\":\"r\",\"host\":\"" host "\",\"path_prefix\":\"" prefix         \
+    "\",\"call_kind\":\"idempotent\"," rest "}"
+#define TABLE(routes) "{\"version\":7,\"routes\":[" routes "]," SERVICES "}"
+#define GOOD "\"timeout_ms\":1000,\"service\":\"a\""
+
+static EyBytes_t
+bytes_of(const char *text)
+{
+    return (EyBytes_t){.data = (uint8_t *)text,
+                       .size_bytes = (uint32_t)strlen(text)};
+}
+
+typedef struct DocumentCase {
+    const char *document;
+    const char *fault; /* a part of the message; NULL: it is good */
+} DocumentCase_t;
+
+static const DocumentCase_t DocumentCases[] = {
+    {TABLE(ROUTE("h", "/p/", GOOD)), NULL},
+    {TABLE(""), NULL},
+    {TABLE(ROUTE("h", "/p/", GOOD)) "x", "not JSON"},
+    {"{\"version\":7,\"routes\":[", "not JSON"},
+    {"{\"version\":7," SERVICES "}", "routes"},
+    {"{\"routes\":[]," SERVICES "}", "version"},
+    {"{\"version\":\"7\",\"routes\":[]," SERVICES "}", "version"},
+    {"{\"version\":7,\"version\":8,\"routes\":[]," SERVICES "}", "not JSON"},
+    {TABLE(ROUTE("h", "/p/", "\"timeout_ms\":0,\"service\":\"a\"")),
+     "timeout_ms"},
+    {TABLE(ROUTE("h", "/p/", "\"timeout_ms\":\"9\",\"service\":\"a\"")),
+     "timeout_ms"},
+    {TABLE(ROUTE("h", "/p/", "\"service\":\"a\"")), "timeout_ms"},
+    {TABLE(ROUTE("h", "/p/", "\"timeout_ms\":9,\"service\":\"x\"")),
+     "unknown service"},
+    {TABLE(ROUTE("h", "/p/", "\"timeout_ms\":9")), "unknown service"},
+    {TABLE(ROUTE("h", "/p/",
+                 "\"timeout_ms\":9,\"split\":[{\"service\":\"x\","
+                 "\"weight\":1}]")),
+     "unknown service"},
+    {TABLE(ROUTE("h", "/p/",
+                 "\"timeout_ms\":9,\"split\":[{\"service\":\"a\","
+                 "\"weight\":0},{\"service\":\"b\",\"weight\":0}]")),
+     "add up to 0"},
+    {TABLE(ROUTE("h", "/p/",
+                 "\"timeout_ms\":9,\"split\":[{\"service\":\"a\","
+                 "\"weight\":-1},{\"service\":\"b\",\"weight\":2}]")),
+     "below 0"},
+    {TABLE(ROUTE("h", "/p/", GOOD) "," ROUTE("H", "/p/", GOOD)),
+     "another route"},
+    {TABLE(ROUTE("h", "/p/", GOOD) "," ROUTE("h", "/p/q/", GOOD)), NULL},
+    {TABLE(ROUTE("h", "p/", GOOD)), "path_prefix"},
+    {TABLE(ROUTE("h", "/p", GOOD)), "path_prefix"},
+    {TABLE(ROUTE("", "/p/", GOOD)), "host"},
+    {"{\"version\":7,\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\","
+     "\"call_kind\":\"sometimes\"," GOOD "}]," SERVICES "}",
+     "call_kind"},
+};
+
+Test(route_table, a_document_is_taken_whole_or_its_fault_is_named)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(DocumentCases); i++) {
+        const DocumentCase_t *test = &DocumentCases[i];
+        EyBytes_t document = bytes_of(test->document);
+        GError *error = NULL;
+        EyRouteTable_t *table = EyRouteTable_Parse(NULL, &document, &error);
+        if (test->fault == NULL) {
+            cr_assert_not_null(table, "%zu: %s", i,
+                               error != NULL ? error->message : "");
+            cr_expect_eq(table->version, 7);
+        }
+        else {
+            cr_assert_null(table, "%zu: %s", i, test->document);
+            cr_expect_not_null(strstr(error->message, test->fault),
+                               "%zu: %s", i, error->message);
+            g_error_free(error);
+        }
+        talloc_free(table);
+    }
+}
+
+typedef struct FindCase {
+    const char *host;
+    const char *path;
+    const char *service; /* NULL: none */
+} FindCase_t;
+
+static const FindCase_t FindCases[] = {
+    {"h.example", "/p/x", "a"},
+    {"H.EXAMPLE", "/p/x?q=/p/q/", "a"},
+    {"h.example:8080", "/p/", "a"},
+    {"h.example", "/p/q/x", "b"},
+    {"h.example", "/p/q", "a"},
+    {"h.example", "/p", NULL},
+    {"h.example", "/x/p/", NULL},
+    {"h.example", "/?/p/", NULL},
+    {"h.exampl", "/p/", NULL},
+    {"h.examples", "/p/", NULL},
+    {"", "/p/", NULL},
+};
+
+Test(route_table, the_longest_prefix_of_the_host_gets_a_call)
+{
+    EyBytes_t document = bytes_of(
+        TABLE(ROUTE("h.example", "/p/", GOOD) "," ROUTE(
+            "h.example", "/p/q/", "\"timeout_ms\":9,\"service\":\"b\"")));
+    EyRouteTable_t *table = EyRouteTable_Parse(NULL, &document, NULL);
+    cr_assert_not_null(table);
+    for (size_t i = 0; i < G_N_ELEMENTS(FindCases); i++) {
+        const FindCase_t *test = &FindCases[i];
+        const EyRouteRule_t *route =
+            EyRouteTable_Find(table, test->host, test->path);
+        if (test->service == NULL) {
+            cr_expect_null(route, "%zu: %s", i, test->path);
+        }
+        else {
+            cr_assert_not_null(route, "%zu: %s", i, test->path);
+            cr_expect_str_eq(route->service, test->service, "%zu", i);
+        }
+    }
+    talloc_free(table);
+}
+
+Test(route_table, a_split_follows_its_weights)
+{
+    EyRouteShare_t shares[] = {
+        {.service = "none", .weight = 0.0},
+        {.service = "most", .weight = 90.0},
+        {.service = "few", .weight = 10.0},
+        {.service = "last", .weight = 0.0},
+    };
+    const EyRouteRule_t route = {.split = shares, .split_count = 4};
+    uint32_t few = 0;
+    for (uint32_t i = 0; i < 1000; i++) {
+        const char *service = EyRouteRule_Choose(&route, i / 1000.0);
+        cr_assert(strcmp(service, "most") == 0 || strcmp(service, "few") == 0,
+                  "%s", service);
+        few += strcmp(service, "few") == 0;
+    }
+    cr_expect_eq(few, 100);
+}
+
+static EyResult_t
+replace(EyStore_t *store, uint64_t version, const char *document)
+{
+    EyCommand_t command = {
+        .kind = EY_COMMAND_REPLACE_ROUTES,
+        .routes_version = version,
+        .document = bytes_of(document),
+    };
+    return EyStore_Apply(store, &command);
+}
+
+typedef struct ReplaceCase {
+    uint64_t version;
+    const char *document;
+    uint64_t held; /* afterwards */
+    const char *kept;
+} ReplaceCase_t;
+
+static const ReplaceCase_t ReplaceCases[] = {
+    {3, "three", 3, "three"}, {3, "other", 3, "three"},
+    {2, "two", 3, "three"},   {9, "nine", 9, "nine"},
+    {3, "three", 9, "nine"},  {9, "nine", 9, "nine"},
+};
+
+Test(route_table, the_highest_version_wins_and_the_rest_is_acknowledged)
+{
+    EyStore_t *store = EyStore_New(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(ReplaceCases); i++) {
+        const ReplaceCase_t *test = &ReplaceCases[i];
+        EyResult_t result = replace(store, test->version, test->document);
+        cr_expect_eq(result.status, EY_RESULT_DONE, "%zu", i);
+        cr_expect_eq(store->routes_version, test->held, "%zu", i);
+        cr_expect_eq(store->routes.size_bytes, strlen(test->kept));
+        cr_expect_arr_eq(store->routes.data, test->kept, strlen(test->kept));
+    }
+    EyBytes_t snapshot = EyStore_Snapshot(store, store);
+    EyStore_t *again = EyStore_Restore(store, &snapshot, NULL);
+    cr_assert_not_null(again);
+    cr_expect_eq(EyStore_Hash(again), EyStore_Hash(store));
+    cr_expect_eq(again->routes_version, 9);
+    talloc_free(store);
+}
+
+Test(route_table, zones_are_evacuated_and_restored_by_name)
+{
+    typedef struct Step {
+        EyCommandKind_t kind;
+        const char *zone;
+        const char *evacuated; /* afterwards, as letters */
+    } Step_t;
+    static const Step_t Steps[] = {
+        {EY_COMMAND_EVACUATE_ZONE, "a", "a"},
+        {EY_COMMAND_EVACUATE_ZONE, "b", "ab"},
+        {EY_COMMAND_EVACUATE_ZONE, "a", "ab"},
+        {EY_COMMAND_EVACUATE_ZONE, "c", "abc"},
+        {EY_COMMAND_RESTORE_ZONE, "b", "ac"},
+        {EY_COMMAND_RESTORE_ZONE, "b", "ac"},
+        {EY_COMMAND_RESTORE_ZONE, "x", "ac"},
+        {EY_COMMAND_EVACUATE_ZONE, "b", "abc"},
+        {EY_COMMAND_RESTORE_ZONE, "c", "ab"},
+    };
+    EyStore_t *store = EyStore_New(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(Steps); i++) {
+        EyCommand_t command = {.kind = Steps[i].kind};
+        (void)EY_COPY(command.key, Steps[i].zone);
+        EyResult_t result = EyStore_Apply(store, &command);
+        cr_expect_eq(result.status, EY_RESULT_DONE, "%zu", i);
+        static const char *const Zones[] = {"a", "b", "c"};
+        for (size_t zone = 0; zone < G_N_ELEMENTS(Zones); zone++) {
+            bool is_meant = strstr(Steps[i].evacuated, Zones[zone]) != NULL;
+            cr_expect_eq(EyStore_IsEvacuated(store, Zones[zone]), is_meant,
+                         "%zu: %s", i, Zones[zone]);
+        }
+    }
+    talloc_free(store);
+}
