--- a/src/callers/inbound.c
+++ b/src/callers/inbound.c
@@ -103,13 +103,26 @@
     }
 }
 
+/** Seconds, rounded up where the site's callers take whole ones only. */
+static void
+write_retry_after(const EyInbound_t *self, char *seconds, size_t size_bytes)
+{
+    uint32_t after_ms = self->answer->retry_after_ms;
+    if (self->names->retries_in_fractions) {
+        (void)snprintf(seconds, size_bytes, "%u.%03u", after_ms / 1000,
+                       after_ms % 1000);
+        return;
+    }
+    (void)snprintf(seconds, size_bytes, "%u", (after_ms + 999) / 1000);
+}
+
 static void
 add_headers(EyInbound_t *self, struct MHD_Response *response)
 {
     const EyAnswer_t *answer = self->answer;
     for (uint32_t i = 0; i < answer->header_count; i++) {
         const EyHeader_t *header = &answer->headers[i];
-        bool replaced = answer->retry_after_s > 0 &&
+        bool replaced = answer->retry_after_ms > 0 &&
                         strcasecmp(header->name, "Retry-After") == 0;
         if (!replaced && !is_own_header(self, header->name) &&
             !EyHopHeaders_Has(header->name))
@@ -121,9 +134,9 @@
     add_header(self, response, EY_HEADER_REQUEST_ID, self->id);
     add_header(self, response, EY_HEADER_OUTCOME,
                EyOutcome_Name(answer->outcome));
-    if (answer->retry_after_s > 0) {
+    if (answer->retry_after_ms > 0) {
         char seconds[16];
-        (void)snprintf(seconds, sizeof(seconds), "%u", answer->retry_after_s);
+        write_retry_after(self, seconds, sizeof(seconds));
         (void)MHD_add_response_header(response, "Retry-After", seconds);
     }
 }
@@ -181,9 +194,10 @@
                                self->names->of[EY_HEADER_OUTCOME],
                                EyOutcome_Name(answer->outcome));
     }
-    if (answer->retry_after_s > 0) {
-        g_string_append_printf(text, "Retry-After: %u\r\n",
-                               answer->retry_after_s);
+    if (answer->retry_after_ms > 0) {
+        char seconds[16];
+        write_retry_after(self, seconds, sizeof(seconds));
+        g_string_append_printf(text, "Retry-After: %s\r\n", seconds);
     }
     g_string_append_printf(text, "Content-Length: %u\r\n\r\n",
                            answer->body.size_bytes);
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -45,7 +45,7 @@
 static const EyField_t AnswerFields[] = {
     EY_FIELD(EyAnswer_t, status, EY_FIELD_U32),
     EY_FIELD_NAMED(EyAnswer_t, outcome, EyOutcome_names, EY_OUTCOME_COUNT),
-    EY_FIELD(EyAnswer_t, retry_after_s, EY_FIELD_U32),
+    EY_FIELD(EyAnswer_t, retry_after_ms, EY_FIELD_U32),
     EY_FIELD_ARRAY_OF(EyAnswer_t, headers, header_count, EyHeader_schema,
                       EY_ANSWER_HEADERS_MAX),
     EY_FIELD_BYTES_MAX(EyAnswer_t, body, EY_ANSWER_BODY_MAX_BYTES),
@@ -76,7 +76,7 @@
 EyAnswer_Copy(const EyAnswer_t *from)
 {
     EyAnswer_t *self = EyAnswer_New(from->status, from->outcome);
-    self->retry_after_s = from->retry_after_s;
+    self->retry_after_ms = from->retry_after_ms;
     self->is_events = from->is_events;
     for (uint32_t i = 0; i < from->header_count; i++) {
         EyAnswer_SetHeader(self, from->headers[i].name,
@@ -111,7 +111,7 @@
 {
     const ProblemText_t *text = &ProblemTexts[problem];
     EyAnswer_t *self = EyAnswer_New(text->status, outcome);
-    self->retry_after_s = retry_after_s;
+    self->retry_after_ms = retry_after_s * 1000;
     self->reason = EyMemory_Strdup(self, detail != NULL ? detail : text->title);
     json_t *json = json_object();
     (void)json_object_set_new(json, "type", json_string(text->type));
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -28,7 +28,7 @@
 typedef struct EyAnswer {
     uint32_t status;
     EyOutcome_t outcome;
-    uint32_t retry_after_s; /* 0: not said */
+    uint32_t retry_after_ms; /* 0: not said */
     char *reason; /* why it is a refusal or failure, for logs; or NULL */
     EyHeader_t *headers;
     uint32_t header_count;
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -109,6 +109,44 @@
     (void)act(step, EY_EXCHANGE_DO_END);
 }
 
+/** True for problems whose status callers read as "not run". */
+static bool
+promises_not_run(EyProblem_t problem)
+{
+    return problem == EY_PROBLEM_OVERLOADED || problem == EY_PROBLEM_LEAVING ||
+           problem == EY_PROBLEM_NO_BACKEND ||
+           problem == EY_PROBLEM_NO_QUORUM ||
+           problem == EY_PROBLEM_WRONG_REGION;
+}
+
+/** The status of a routed call says by itself whether it may have run. */
+static EyProblem_t
+truthful(const EyExchange_t *exchange, EyProblem_t problem,
+         EyOutcome_t outcome)
+{
+    if (exchange->request->call != EY_CALL_ROUTED) {
+        return problem;
+    }
+    if (outcome == EY_OUTCOME_UNKNOWN && promises_not_run(problem)) {
+        return EY_PROBLEM_BACKEND_FAILED;
+    }
+    bool is_unrun = outcome == EY_OUTCOME_NOT_RUN &&
+                    (problem == EY_PROBLEM_DEADLINE ||
+                     problem == EY_PROBLEM_BACKEND_FAILED ||
+                     problem == EY_PROBLEM_WRONG_REGION);
+    return is_unrun ? EY_PROBLEM_OVERLOADED : problem;
+}
+
+static EyAnswer_t *
+make_problem(const Step_t *step, EyProblem_t problem, EyOutcome_t outcome)
+{
+    problem = truthful(step->exchange, problem, outcome);
+    EyAnswer_t *made =
+        EyAnswer_Problem(problem, outcome, 0, step->event->detail);
+    made->retry_after_ms = step->event->retry_after_ms;
+    return made;
+}
+
 /** The final answer of a failure, or a stream's recognisable end. */
 static void
 answer_problem(const Step_t *step, EyProblem_t problem, EyOutcome_t outcome)
@@ -123,9 +161,7 @@
         exchange->failed = NULL;
     }
     else if (!exchange->is_answered) {
-        answer(step,
-               EyAnswer_Problem(problem, outcome, step->event->retry_after_s,
-                                step->event->detail));
+        answer(step, make_problem(step, problem, outcome));
     }
 }
 
@@ -187,8 +223,7 @@
         return;
     }
     const EyExchangeEvent_t *event = step->event;
-    answer(step, EyAnswer_Problem(event->problem, event->outcome,
-                                  event->retry_after_s, event->detail));
+    answer(step, make_problem(step, event->problem, event->outcome));
     end(step);
 }
 
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -41,9 +41,9 @@
     EY_EXCHANGE_START,
     EY_EXCHANGE_GRANTED,       /* the claim counts */
     EY_EXCHANGE_REPLAYED,      /* the key has an answer: answer */
-    EY_EXCHANGE_CLAIM_REFUSED, /* problem, outcome, retry_after_s */
+    EY_EXCHANGE_CLAIM_REFUSED, /* problem, outcome, retry_after_ms */
     EY_EXCHANGE_ROUTED,        /* to: backend server or region */
-    EY_EXCHANGE_ROUTE_REFUSED, /* problem, retry_after_s */
+    EY_EXCHANGE_ROUTE_REFUSED, /* problem, retry_after_ms */
     EY_EXCHANGE_ATTEMPT_SENDING,
     EY_EXCHANGE_ATTEMPT_HEAD,   /* answer without body */
     EY_EXCHANGE_ATTEMPT_DONE,   /* answer, if it was collected */
@@ -65,7 +65,7 @@
     bool not_run; /* ATTEMPT_DONE: the server says that it didn't run it */
     EyProblem_t problem;
     EyOutcome_t outcome;
-    uint32_t retry_after_s;
+    uint32_t retry_after_ms;
     const char *detail;
     EyAnswer_t *answer; /* taken over by the step */
 } EyExchangeEvent_t;
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -39,6 +39,8 @@
     /** A broken stream of events ends with an event that says so; else the
      * connection just breaks off. */
     bool tells_broken_events;
+    /** Retry-After may bear a fraction of a second. */
+    bool retries_in_fractions;
     /** Backend servers may end an answer without a length by closing. */
     bool ends_by_close;
     /** Backend servers echo the request's id though they don't say so. */
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* Another instance may be asked at once. */
+#define LEAVING_RETRY_AFTER_MS 50
+
 static void
 caller_answer(EyGateway_t *gateway, EyLive_t *live, EyAnswer_t *answer)
 {
@@ -139,7 +142,8 @@
 {
     if (self->node->takes_nothing) {
         EyAnswer_t *answer =
-            EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1, NULL);
+            EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 0, NULL);
+        answer->retry_after_ms = LEAVING_RETRY_AFTER_MS;
         EyAddress_t better;
         if (EyDirectory_Better(self->node->directory, self->node->settings->id,
                                better)) {
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <string.h>
 
+/* When a caller whose request failed may come back. */
+#define RETRY_AFTER_MS 1000
 /* Answers up to this length are passed on in one piece. */
 #define WHOLE_ANSWER_MAX_BYTES (64 * 1024)
 /* The status by which a server says that it isn't the one meant. */
@@ -39,7 +41,7 @@
     EyLive_t *live = data;
     live->deadline = NULL;
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_DEADLINE,
-                               .retry_after_s = 1,
+                               .retry_after_ms = RETRY_AFTER_MS,
                                .detail = "the request's time is up"};
     EyLive_Step(live, &event);
 }
@@ -197,7 +199,7 @@
                                .attempt = attempt,
                                .nothing_sent = true,
                                .try_again = true,
-                               .retry_after_s = 1};
+                               .retry_after_ms = RETRY_AFTER_MS};
     EyLive_Step(self, &event);
 }
 
@@ -464,7 +466,7 @@
         .attempt = from->number,
         .nothing_sent = from->nothing_sent,
         .events_passed = from->events_passed,
-        .retry_after_s = 1,
+        .retry_after_ms = RETRY_AFTER_MS,
         .try_again = from->kind == EY_ATTEMPT_FAILED,
     };
     (void)EY_COPY(event.last_event, from->last_event);
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -62,7 +62,7 @@
         .kind = EY_EXCHANGE_CLAIM_REFUSED,
         .problem = DecisionProblems[action->decision],
         .outcome = action->outcome,
-        .retry_after_s = (uint32_t)((action->retry_after_ms + 999) / 1000),
+        .retry_after_ms = (uint32_t)action->retry_after_ms,
         .detail = action->reason == EY_REASON_NONE
                       ? NULL
                       : EyGroupReason_names[action->reason],
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -32,12 +32,6 @@
     [EY_REFUSAL_INVALID] = {EY_PROBLEM_INTERNAL, "routed twice"},
 };
 
-static uint32_t
-seconds_up(uint32_t duration_ms)
-{
-    return (duration_ms + 999) / 1000;
-}
-
 static void
 apply_decision(EyLive_t *live, const EyRoutingDecision_t *decision)
 {
@@ -46,7 +40,7 @@
         .kind = EY_EXCHANGE_ROUTE_REFUSED,
         .problem = refusal->problem,
         .detail = refusal->detail,
-        .retry_after_s = seconds_up(decision->retry_after_ms),
+        .retry_after_ms = decision->retry_after_ms,
     };
     switch (decision->kind) {
     case EY_DECISION_QUEUED:
--- a/tests/unit/test_operators.c
+++ b/tests/unit/test_operators.c
@@ -168,7 +168,7 @@
         cr_expect_eq(answer->status, row->http_status, "case %zu", i);
         cr_expect_eq(answer->outcome, row->said, "case %zu", i);
         if (row->outcome != EY_PROPOSAL_APPLIED) {
-            cr_expect_gt(answer->retry_after_s, 0);
+            cr_expect_gt(answer->retry_after_ms, 0);
         }
         talloc_free(answer);
     }
