What was committed is shown at once after a restart; the first election comes sooner

Ruled out: the start of the programs (50 ms), the gateways' pulls (10 ms after the first control process had it). Now the commit is written with the log's state, so a process that comes back feeds what was committed; reads still wait for a quorum. The first election after a start waits for two heartbeats and a random part, not for a whole timeout.

--- a/src/config/log.c
+++ b/src/config/log.c
@@ -129,6 +129,7 @@
     persist->term = self->term;
     (void)EY_COPY(persist->vote, self->vote);
     persist->vote_incarnation = self->vote_incarnation;
+    persist->commit = self->commit;
     EyLogAction_t *action = ey_log_act(self, EY_LOG_ACTION_PERSIST);
     action->persist = talloc_steal(action, persist);
     EyLogAction_t **items = self->actions->items;
@@ -294,10 +295,9 @@
     ey_log_reload_members(self);
 }
 
-void
-ey_log_set_commit(EyLog_t *self, uint64_t commit)
+static void
+apply_committed(EyLog_t *self)
 {
-    self->commit = MAX(self->commit, commit);
     while (self->applied < self->commit) {
         const EyLogEntry_t *entry = EyLog_Entry(self, self->applied + 1);
         if (entry == NULL) {
@@ -310,6 +310,17 @@
     }
 }
 
+void
+ey_log_set_commit(EyLog_t *self, uint64_t commit)
+{
+    uint64_t before = self->commit;
+    self->commit = MAX(before, commit);
+    apply_committed(self);
+    if (self->commit > before) {
+        (void)ey_log_persist(self);
+    }
+}
+
 /* Members */
 
 EyLogPeer_t *
@@ -592,6 +603,7 @@
     if (self->restore_due) {
         self->restore_due = false;
         restore(self);
+        apply_committed(self);
     }
     /* A leader that was frozen must find out before anything else. */
     if (self->role == EY_LOG_LEADER) {
@@ -664,13 +676,24 @@
     for (uint32_t i = 0; i < disk->entry_count; i++) {
         keep_entry(self, &disk->entries[i]);
     }
-    self->commit = self->base.index;
+    /* What was committed before the start is so after it: a process that
+     * comes back shows it without waiting for a leader. */
+    uint64_t known = MIN(disk->commit, ey_log_last_index(self));
+    self->commit = MAX(self->base.index, known);
     self->applied = self->base.index;
     self->restore_due = self->base.index != 0;
     self->persisted_index = ey_log_last_index(self);
     ey_log_reload_members(self);
 }
 
+static int64_t
+first_election_ms(EyLog_t *self)
+{
+    uint32_t min_ms = self->options.election_min_ms;
+    return self->now_ms + 2 * (int64_t)self->options.heartbeat_ms +
+           (int64_t)EyRandom_Below(&self->random, min_ms / 2);
+}
+
 EyLog_t *
 EyLog_New(const void *ctx, const EyLogOptions_t *options,
           const EyLogDisk_t *disk, int64_t now_ms)
@@ -687,8 +710,11 @@
     load(self, disk);
     self->nonce = EyRandom_Next(&self->random);
     self->heartbeat_ms = now_ms;
-    self->leader_ms = now_ms;
+    /* It has heard no leader yet; one that is there sends heartbeats sooner
+     * than the first election. */
+    self->leader_ms = now_ms - self->options.election_min_ms;
     ey_log_reset_election(self);
+    self->election_ms = MIN(self->election_ms, first_election_ms(self));
     return self;
 }
 
--- a/src/config/log.h
+++ b/src/config/log.h
@@ -62,6 +62,7 @@
     uint64_t term;
     EyAddress_t vote; /* whom it voted for in term; empty: nobody */
     uint64_t vote_incarnation;
+    uint64_t commit; /* entries up to here are known to be committed */
     EyLogSnapshot_t snapshot;
     EyLogEntry_t *entries; /* after the snapshot */
     uint32_t entry_count;
@@ -74,6 +75,7 @@
     uint64_t term;
     EyAddress_t vote;
     uint64_t vote_incarnation;
+    uint64_t commit;
     uint64_t truncate_from; /* entries from this index on go; 0: none */
     EyLogEntry_t *entries;  /* to append */
     uint32_t entry_count;
--- a/src/config/log_file.c
+++ b/src/config/log_file.c
@@ -45,6 +45,7 @@
     uint64_t term;
     EyAddress_t vote;
     uint64_t vote_incarnation;
+    uint64_t commit;
 } StateRecord_t;
 
 typedef struct CutRecord {
@@ -62,6 +63,7 @@
     EY_FIELD(StateRecord_t, term, EY_FIELD_U64),
     EY_FIELD_TEXT(StateRecord_t, vote),
     EY_FIELD(StateRecord_t, vote_incarnation, EY_FIELD_U64),
+    EY_FIELD(StateRecord_t, commit, EY_FIELD_U64),
     EY_FIELD_END,
 };
 static const EySchema_t StateSchema = EY_SCHEMA(StateRecord_t, StateFields);
@@ -152,6 +154,7 @@
         .cluster = persist->cluster,
         .term = persist->term,
         .vote_incarnation = persist->vote_incarnation,
+        .commit = persist->commit,
     };
     (void)EY_COPY(state.vote, persist->vote);
     return state;
@@ -162,6 +165,7 @@
 {
     return left->cluster == right->cluster && left->term == right->term &&
            left->vote_incarnation == right->vote_incarnation &&
+           left->commit == right->commit &&
            strcmp(left->vote, right->vote) == 0;
 }
 
@@ -402,6 +406,7 @@
     reading->disk->term = state.term;
     (void)EY_COPY(reading->disk->vote, state.vote);
     reading->disk->vote_incarnation = state.vote_incarnation;
+    reading->disk->commit = state.commit;
     return true;
 }
 
@@ -598,6 +603,7 @@
         .cluster = disk->cluster,
         .term = disk->term,
         .vote_incarnation = disk->vote_incarnation,
+        .commit = disk->commit,
     };
     return EY_COPY(self->state.vote, disk->vote);
 }
--- a/tests/property/log_world.h
+++ b/tests/property/log_world.h
@@ -84,6 +84,7 @@
     uint64_t term = 0;
     std::string vote;
     uint64_t vote_incarnation = 0;
+    uint64_t commit = 0;
     uint64_t base_index = 0;
     uint64_t base_term = 0;
     std::string base_data;
@@ -103,6 +104,7 @@
         term = persist.term;
         vote = persist.vote;
         vote_incarnation = persist.vote_incarnation;
+        commit = persist.commit;
         const EyLogSnapshot_t &snapshot = persist.snapshot;
         if (snapshot.index != 0) {
             base_index = snapshot.index;
@@ -133,6 +135,7 @@
         disk.term = term;
         (void)EY_COPY(disk.vote, vote.c_str());
         disk.vote_incarnation = vote_incarnation;
+        disk.commit = commit;
         disk.snapshot.index = base_index;
         disk.snapshot.term = base_term;
         disk.snapshot.data = bytes_of(ctx, base_data);
