--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -6,11 +6,11 @@
 
 #include <string.h>
 
-#define SPEAK_INTERVAL_MS 1000
+#define SPEAK_INTERVAL_MS 250
 /* Other regions that are spoken to in one interval; the rest take turns. */
 #define REGIONS_PER_INTERVAL 1
 #define REGIONS_MAX 64
-#define SPREAD_INTERVAL_MS 1000
+#define SPREAD_INTERVAL_MS 250
 #define SPREAD_TARGETS 2
 #define SPREAD_ROUNDS 2
 #define ENTRIES_MAX 8192
--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -148,15 +148,28 @@
            (uint64_t)request->tokens_max * config->answer_token_size_bytes;
 }
 
+/* The share of its time away for which a call holds a slot there; the rest
+ * it is on the way. */
+static double
+held_share(const Word_t *word, const EyRoutingConfig_t *config)
+{
+    if (word->summary.kind != EY_BACKEND_SERVICE) {
+        return 1.0;
+    }
+    double way_ms = 2.0 * (double)config->link_delay_ms;
+    return word->summary.unit_ms / (word->summary.unit_ms + way_ms);
+}
+
 /* True if the region has said that it can, and hasn't been sent so much since
  * that its word is used up; other gateways are taken to send as we do. */
 static bool
 has_room(const Region_t *region, const Word_t *word, int64_t now_ms,
-         uint32_t gateways)
+         const EyRoutingConfig_t *config, uint32_t gateways)
 {
     double share = EyRamp_Share(region->ramp_from_ms, now_ms);
     double room = (double)word->summary.free_slots * share / (double)gateways;
-    return word->summary.accepts && (double)word->in_flight < room;
+    return word->summary.accepts &&
+           (double)word->in_flight * held_share(word, config) < room;
 }
 
 static double
@@ -202,7 +215,7 @@
         }
         Word_t *word =
             find_word(self, region->name, request->kind, request->target);
-        if (has_room(region, word, now_ms, gateways) &&
+        if (has_room(region, word, now_ms, config, gateways) &&
             EyLinkBudget_Take(&region->link, now_ms, size_bytes,
                               request->is_booking))
         {
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -13,6 +13,8 @@
 #define ENGINE_START_MS 25.0
 /** Time for each further token, whatever the batch. */
 #define ENGINE_ANSWER_TOKEN_MS 6.0
+/** A region whose engines have so much to read takes no more from others. */
+#define ENGINE_WAIT_MOST_MS 1000
 /** What reading costs others, against what it costs the request itself. */
 #define READ_WEIGHT 0.5
 /** Share of the rate that is left to patient work at least. */
@@ -280,7 +282,8 @@
     double held_finish_ms =
         (work_ahead + work) / faster_rate + plan->best_run_ms;
     bool holds =
-        planning->policy->waits_for_room && faster_rate > 0.0 &&
+        planning->policy->waits_for_room && chosen->read_tokens <= 0.0 &&
+        faster_rate > 0.0 &&
         held_finish_ms < chosen->finish_ms * planning->config->hold_factor;
     plan->chosen = holds ? NULL : chosen->replica;
 }
@@ -373,7 +376,11 @@
     if (self->kind == EY_BACKEND_MODEL) {
         summary->expected_wait_ms += reading_wait_ms(self, planning);
     }
-    summary->accepts = summary->free_slots > 0 && waiting == 0;
+    /* What waits for a model engine here waits for the best one. */
+    bool is_behind = self->kind == EY_BACKEND_MODEL
+                         ? summary->expected_wait_ms > ENGINE_WAIT_MOST_MS
+                         : waiting > 0;
+    summary->accepts = summary->free_slots > 0 && !is_behind;
     return true;
 }
 
