--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -378,6 +378,7 @@
     if (!is_current(step)) {
         return;
     }
+    exchange->arrival_count++;
     if (step->event->not_run) {
         on_attempt_declined(step);
         return;
@@ -407,6 +408,7 @@
     exchange->is_sending = false;
     if (!event->nothing_sent) {
         exchange->sent_before = true;
+        exchange->arrival_count++;
         exchange->run_count++;
     }
     exchange->events_passed += event->events_passed;
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -121,6 +121,7 @@
     uint32_t events_passed;
     EyEventId_t last_event; /* of the last event passed, if they bear ids */
     uint32_t run_count; /* attempts that may have run */
+    uint32_t arrival_count; /* attempts that a server may have got */
     EyName_t tried[EY_EXCHANGE_ATTEMPTS_MAX];
     uint32_t tried_count;
     EyAnswer_t *kept; /* what the claim is completed with */
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -123,8 +123,10 @@
         .is_booking = !exchange->is_idempotent,
         .may_go_home = request->call == EY_CALL_ROUTED,
         .is_forwarded = request->visited_count > 0,
-        .stays_home = live->was_away,
-        .is_retry = exchange->tried_count > 0,
+        .stays_home = live->was_away && request->call != EY_CALL_ROUTED,
+        .is_retry = request->call == EY_CALL_ROUTED
+                        ? exchange->arrival_count > 0
+                        : exchange->tried_count > 0,
         .was_sent = exchange->sent_before,
     };
     if (request->part_count > 0) {
--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -4,10 +4,13 @@
 #include "routing/outlier.h"
 #include "routing/replica.h"
 
+#include <math.h>
 #include <string.h>
 
 /** A region unheard of for this long counts as cold when it returns. */
 #define COLD_AFTER_MS 10000
+/** Regions whose expected ends differ less than this share are alike. */
+#define ALIKE_SHARE 0.3
 /** A summary's age is known to a few milliseconds. */
 #define SAME_WORD_MS 50
 /** Time that another region's engines take for a unit of prompts. */
@@ -196,6 +199,7 @@
         find_word(self, region->name, request->kind, request->target);
     return word != NULL && now_ms - word->heard_ms < config->summary_ttl_ms &&
            EyRoutingRequest_MayRunIn(request, region->name) &&
+           !EyRoutingRequest_Excludes(request, region->name) &&
            finish_ms(word, config, request) < limit_ms;
 }
 
@@ -206,25 +210,36 @@
 {
     double left_ms = (double)(request->deadline_ms - now_ms);
     limit_ms = limit_ms < left_ms ? limit_ms : left_ms;
-    uint64_t size_bytes = EyAway_Bytes(request, config);
-    uint64_t draw = EyRandom_Next(&self->random);
+    Region_t *best = NULL;
+    double best_ms = INFINITY;
     for (uint32_t i = 0; i < self->region_count; i++) {
-        Region_t *region = &self->regions[(draw + i) % self->region_count];
+        Region_t *region = &self->regions[i];
         if (!can_meet(self, region, now_ms, config, request, limit_ms)) {
             continue;
         }
-        Word_t *word =
+        const Word_t *word =
             find_word(self, region->name, request->kind, request->target);
-        if (has_room(region, word, now_ms, config, gateways) &&
-            EyLinkBudget_Take(&region->link, now_ms, size_bytes,
-                              request->is_booking))
+        /* Gateways with the same news don't all choose the same. */
+        double cost_ms = finish_ms(word, config, request) *
+                         (1.0 + ALIKE_SHARE * EyRandom_Unit(&self->random));
+        if (cost_ms < best_ms &&
+            has_room(region, word, now_ms, config, gateways))
         {
-            word->in_flight++;
-            word->sent_work += EyRoutingRequest_PromptWork(request);
-            return region->name;
+            best = region;
+            best_ms = cost_ms;
         }
     }
-    return NULL;
+    if (best == NULL ||
+        !EyLinkBudget_Take(&best->link, now_ms, EyAway_Bytes(request, config),
+                           request->is_booking))
+    {
+        return NULL;
+    }
+    Word_t *word =
+        find_word(self, best->name, request->kind, request->target);
+    word->in_flight++;
+    word->sent_work += EyRoutingRequest_PromptWork(request);
+    return best->name;
 }
 
 void
