--- a/src/backends/announcement.c
+++ b/src/backends/announcement.c
@@ -24,29 +24,15 @@
     uint64_t serial;
 } Word_t;
 
-#define REQUIRED_TEXT(member)                                                 \
-    {                                                                         \
-        .name = #member, .kind = EY_FIELD_FIXED,                              \
-        .offset_bytes = offsetof(Word_t, member),                             \
-        .limit = sizeof(((Word_t *)0)->member), .required = true              \
-    }
-
 static const EyField_t WordFields[] = {
-    REQUIRED_TEXT(service),
-    REQUIRED_TEXT(address),
-    REQUIRED_TEXT(zone),
+    EY_FIELD_REQUIRED_TEXT(Word_t, service),
+    EY_FIELD_REQUIRED_TEXT(Word_t, address),
+    EY_FIELD_REQUIRED_TEXT(Word_t, zone),
     EY_FIELD(Word_t, slots, EY_FIELD_U32),
-    {.name = "state",
-     .kind = EY_FIELD_ENUM,
-     .offset_bytes = offsetof(Word_t, state),
-     .limit = EY_BACKEND_STATE_COUNT,
-     .names = EyBackend_state_names,
-     .required = true},
+    EY_FIELD_REQUIRED_NAMED(Word_t, state, EyBackend_state_names,
+                            EY_BACKEND_STATE_COUNT),
     EY_FIELD(Word_t, cold_ms, EY_FIELD_F64),
-    {.name = "serial",
-     .kind = EY_FIELD_U64,
-     .offset_bytes = offsetof(Word_t, serial),
-     .required = true},
+    EY_FIELD_REQUIRED(Word_t, serial, EY_FIELD_U64),
     EY_FIELD_END,
 };
 static const EySchema_t WordSchema = EY_SCHEMA(Word_t, WordFields);
--- a/src/backends/backend.c
+++ b/src/backends/backend.c
@@ -26,24 +26,13 @@
 };
 const EySchema_t EyBackendLoad_schema = EY_SCHEMA(EyBackendLoad_t, LoadFields);
 
-#define REQUIRED_TEXT(member)                                                 \
-    {                                                                         \
-        .name = #member, .kind = EY_FIELD_FIXED,                              \
-        .offset_bytes = offsetof(EyBackend_t, member),                        \
-        .limit = sizeof(((EyBackend_t *)0)->member), .required = true         \
-    }
-
 static const EyField_t BackendFields[] = {
-    REQUIRED_TEXT(id),
-    REQUIRED_TEXT(address),
-    REQUIRED_TEXT(region),
-    REQUIRED_TEXT(zone),
-    {.name = "kind",
-     .kind = EY_FIELD_ENUM,
-     .offset_bytes = offsetof(EyBackend_t, kind),
-     .limit = EY_BACKEND_KIND_COUNT,
-     .names = EyBackend_kind_names,
-     .required = true},
+    EY_FIELD_REQUIRED_TEXT(EyBackend_t, id),
+    EY_FIELD_REQUIRED_TEXT(EyBackend_t, address),
+    EY_FIELD_REQUIRED_TEXT(EyBackend_t, region),
+    EY_FIELD_REQUIRED_TEXT(EyBackend_t, zone),
+    EY_FIELD_REQUIRED_NAMED(EyBackend_t, kind, EyBackend_kind_names,
+                            EY_BACKEND_KIND_COUNT),
     EY_FIELD_ARRAY_OF(EyBackend_t, models, model_count, EyName_schema,
                       EY_BACKEND_TARGETS_MAX),
     EY_FIELD_ARRAY_OF(EyBackend_t, services, service_count, EyName_schema,
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -41,11 +41,13 @@
                         before the answer's first byte; else it is sent at
                         most once, on a connection of its own */
     const EyHeaderNames_t *names; /* NULL: the product's own */
-    EyName_t expected_backend; /* empty: whichever server is there */
-    char *host;                /* NULL: the address */
-    bool tells_timeout; /* the server is told how much time is left */
+    EyName_t expected_backend;    /* empty: whichever server is there */
+    char *host;                   /* NULL: the address */
+    bool tells_timeout;         /* the server is told how much time is left */
     uint32_t whole_up_to_bytes; /* an answer of a known length up to this is
                                    collected in any mode */
+    bool keeps_connection; /* though it may not repeat: if it has a body, it
+                              may go on a kept connection and leave its own */
     EyHeader_t *headers;
     uint32_t header_count;
     EyBytes_t body;
@@ -53,11 +55,11 @@
     uint32_t idle_timeout_ms; /* longest silence once the call was sent */
     int64_t deadline_ms;
     EyAttemptBody_t body_mode;
-    EyStream_t *stream;    /* a reference of its own, or NULL; it is finished
-                              as WHOLE at DONE and left open at FAILED, for
-                              another attempt or its owner to end */
-    uint32_t resume_after; /* events that the caller has already: sent as
-                              Ebonyyard-Resume-After; 0: from the start */
+    EyStream_t *stream;     /* a reference of its own, or NULL; it is finished
+                               as WHOLE at DONE and left open at FAILED, for
+                               another attempt or its owner to end */
+    uint32_t resume_after;  /* events that the caller has already: sent as
+                               Ebonyyard-Resume-After; 0: from the start */
     EyEventId_t last_event; /* id of the last of them, if they bear ids */
 } EyAttempt_t;
 
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -14,6 +14,9 @@
 /* A kept connection older than this isn't used again; backend servers close
  * theirs later. */
 #define KEEP_IDLE_MAX_S 20L
+/* The same for a call that must not run twice: if the server closes at the
+ * moment of sending, it can't be said whether it ran. */
+#define KEEP_IDLE_ONCE_MAX_S 1L
 /* The status by which a server says that it isn't the one meant. */
 #define STATUS_MISDIRECTED 421
 
@@ -244,8 +247,8 @@
     return EyHeaderNames_Is(self->names, EY_HEADER_REQUEST_ID, name) ||
            EyHeaderNames_Is(self->names, EY_HEADER_RESUME_AFTER, name) ||
            EyHeaderNames_Is(self->names, EY_HEADER_TIMEOUT, name) ||
-           (resumes && EyHeaderNames_Is(self->names, EY_HEADER_LAST_EVENT,
-                                        name));
+           (resumes &&
+            EyHeaderNames_Is(self->names, EY_HEADER_LAST_EVENT, name));
 }
 
 /** Adds a header by its role, if the table has it and there is a value. */
@@ -293,8 +296,8 @@
     bool has_accept = false;
     for (uint32_t i = 0; i < attempt->header_count; i++) {
         const EyHeader_t *header = &attempt->headers[i];
-        if (EyHopHeaders_Has(header->name) ||
-            is_set_here(self, header->name)) {
+        if (EyHopHeaders_Has(header->name) || is_set_here(self, header->name))
+        {
             continue;
         }
         has_type = has_type || strcasecmp(header->name, "Content-Type") == 0;
@@ -320,12 +323,54 @@
            strcmp(method, "PATCH") == 0;
 }
 
+/** Gives libcurl the body of a call that must not run twice. */
+static size_t
+read_body(char *buffer, size_t unit, size_t count, void *data)
+{
+    EyTransfer_t *self = data;
+    const EyBytes_t *body = &self->attempt->body;
+    uint32_t left_bytes = body->size_bytes - self->body_read_bytes;
+    size_t room_bytes = unit * count;
+    uint32_t size_bytes =
+        room_bytes < left_bytes ? (uint32_t)room_bytes : left_bytes;
+    memcpy(buffer, body->data + self->body_read_bytes, size_bytes);
+    self->body_read_bytes += size_bytes;
+    return size_bytes;
+}
+
+/** libcurl sends a call again if a kept connection dies before its answer;
+ * it has to rewind the body for that, and is refused. */
+static int
+refuse_rewind(void *data, curl_off_t offset_bytes, int origin)
+{
+    (void)data;
+    (void)offset_bytes;
+    (void)origin;
+    return CURL_SEEKFUNC_FAIL;
+}
+
+static void
+set_body_once(EyTransfer_t *self)
+{
+    CURL *easy = self->easy;
+    (void)curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                           (curl_off_t)self->attempt->body.size_bytes);
+    (void)curl_easy_setopt(easy, CURLOPT_READFUNCTION, read_body);
+    (void)curl_easy_setopt(easy, CURLOPT_READDATA, self);
+    (void)curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, refuse_rewind);
+}
+
 static void
 set_method(EyTransfer_t *self)
 {
     const EyAttempt_t *attempt = self->attempt;
     CURL *easy = self->easy;
-    if (attempt->body.size_bytes > 0 || has_body_always(attempt->method)) {
+    if (self->runs_once) {
+        set_body_once(self);
+    }
+    else if (attempt->body.size_bytes > 0 || has_body_always(attempt->method))
+    {
         const void *body = attempt->body.data;
         (void)curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                                (curl_off_t)attempt->body.size_bytes);
@@ -355,7 +400,9 @@
     (void)curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
                            (long)CURL_HTTP_VERSION_1_1);
     (void)curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
-    (void)curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KEEP_IDLE_MAX_S);
+    (void)curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                           self->runs_once ? KEEP_IDLE_ONCE_MAX_S
+                                           : KEEP_IDLE_MAX_S);
     (void)curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                            (long)attempt->connect_timeout_ms);
     (void)curl_easy_setopt(easy, CURLOPT_HTTPHEADER, self->headers);
@@ -366,7 +413,7 @@
     (void)curl_easy_setopt(easy, CURLOPT_HEADERDATA, self);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
     (void)curl_easy_setopt(easy, CURLOPT_WRITEDATA, self);
-    if (!attempt->may_repeat) {
+    if (!attempt->may_repeat && !self->runs_once) {
         EyTransfer_UseFresh(self);
         (void)curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
@@ -392,6 +439,8 @@
     self->names =
         attempt->names != NULL ? attempt->names : &EyHeaderNames_native;
     self->head.names = self->names;
+    self->runs_once = attempt->keeps_connection && !attempt->may_repeat &&
+                      attempt->body.size_bytes > 0;
     self->head.content_size_bytes = -1;
     self->started_us = EyClock_NowUs();
     if (!EyAddress_IsValid(attempt->address) || attempt->path == NULL ||
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -25,6 +25,8 @@
     CURL *easy;
     struct curl_slist *headers;
     EyAttemptFailure_t failure; /* why it is being ended; NONE: it isn't */
+    bool runs_once;             /* and may use a kept connection */
+    uint32_t body_read_bytes;   /* of its body, by libcurl */
     bool fresh;                 /* on a connection of its own */
     bool stale;                 /* ended, as its kept connection is unusable */
     bool sent;                  /* bytes of the request may have left */
--- a/src/config/log.c
+++ b/src/config/log.c
@@ -620,6 +620,9 @@
 int64_t
 EyLog_DueMs(const EyLog_t *self)
 {
+    if (self->restore_due) {
+        return self->now_ms;
+    }
     bool beats = self->cluster == 0 || !ey_log_is_voter(self) ||
                  self->role == EY_LOG_LEADER;
     return beats ? self->heartbeat_ms : self->election_ms;
--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -13,36 +13,20 @@
     [EY_CALL_KIND_STREAM] = "stream",
 };
 
-#define REQUIRED_TEXT(type, member)                                           \
-    {                                                                         \
-        .name = #member, .kind = EY_FIELD_FIXED,                              \
-        .offset_bytes = offsetof(type, member),                               \
-        .limit = sizeof(((type *)0)->member), .required = true                \
-    }
-#define REQUIRED_NUMBER(type, member, field_kind)                             \
-    {                                                                         \
-        .name = #member, .kind = (field_kind),                                \
-        .offset_bytes = offsetof(type, member), .required = true              \
-    }
-
 static const EyField_t ShareFields[] = {
-    REQUIRED_TEXT(EyRouteShare_t, service),
-    REQUIRED_NUMBER(EyRouteShare_t, weight, EY_FIELD_F64),
+    EY_FIELD_REQUIRED_TEXT(EyRouteShare_t, service),
+    EY_FIELD_REQUIRED(EyRouteShare_t, weight, EY_FIELD_F64),
     EY_FIELD_END,
 };
 static const EySchema_t ShareSchema = EY_SCHEMA(EyRouteShare_t, ShareFields);
 
 static const EyField_t RouteFields[] = {
     EY_FIELD_TEXT(EyRouteRule_t, name),
-    REQUIRED_TEXT(EyRouteRule_t, host),
-    REQUIRED_TEXT(EyRouteRule_t, path_prefix),
-    {.name = "call_kind",
-     .kind = EY_FIELD_ENUM,
-     .offset_bytes = offsetof(EyRouteRule_t, call_kind),
-     .limit = EY_CALL_KIND_COUNT,
-     .names = EyRouteTable_call_kind_names,
-     .required = true},
-    REQUIRED_NUMBER(EyRouteRule_t, timeout_ms, EY_FIELD_F64),
+    EY_FIELD_REQUIRED_TEXT(EyRouteRule_t, host),
+    EY_FIELD_REQUIRED_TEXT(EyRouteRule_t, path_prefix),
+    EY_FIELD_REQUIRED_NAMED(EyRouteRule_t, call_kind,
+                            EyRouteTable_call_kind_names, EY_CALL_KIND_COUNT),
+    EY_FIELD_REQUIRED(EyRouteRule_t, timeout_ms, EY_FIELD_F64),
     EY_FIELD(EyRouteRule_t, latency_objective_ms, EY_FIELD_F64),
     EY_FIELD(EyRouteRule_t, event_gap_ms, EY_FIELD_F64),
     EY_FIELD(EyRouteRule_t, priority, EY_FIELD_U32),
@@ -69,7 +53,7 @@
 static const EySchema_t EngineSchema = EY_SCHEMA(EyEngineRule_t, EngineFields);
 
 static const EyField_t ServiceFields[] = {
-    REQUIRED_TEXT(EyServiceRule_t, name),
+    EY_FIELD_REQUIRED_TEXT(EyServiceRule_t, name),
     EY_FIELD_TEXT(EyServiceRule_t, health_path),
     EY_FIELD(EyServiceRule_t, max_connections, EY_FIELD_U32),
     EY_FIELD(EyServiceRule_t, cold_start_s, EY_FIELD_F64),
@@ -91,21 +75,11 @@
     EY_SCHEMA(EyCallerLimits_t, LimitsFields);
 
 static const EyField_t TableFields[] = {
-    REQUIRED_NUMBER(EyRouteTable_t, version, EY_FIELD_U64),
-    {.name = "routes",
-     .kind = EY_FIELD_ARRAY,
-     .offset_bytes = offsetof(EyRouteTable_t, routes),
-     .limit = EY_ROUTES_MAX,
-     .count_offset_bytes = offsetof(EyRouteTable_t, route_count),
-     .sub = &RouteSchema,
-     .required = true},
-    {.name = "services",
-     .kind = EY_FIELD_ARRAY,
-     .offset_bytes = offsetof(EyRouteTable_t, services),
-     .limit = EY_SERVICES_MAX,
-     .count_offset_bytes = offsetof(EyRouteTable_t, service_count),
-     .sub = &ServiceSchema,
-     .required = true},
+    EY_FIELD_REQUIRED(EyRouteTable_t, version, EY_FIELD_U64),
+    EY_FIELD_REQUIRED_ARRAY_OF(EyRouteTable_t, routes, route_count,
+                               RouteSchema, EY_ROUTES_MAX),
+    EY_FIELD_REQUIRED_ARRAY_OF(EyRouteTable_t, services, service_count,
+                               ServiceSchema, EY_SERVICES_MAX),
     EY_FIELD_OF(EyRouteTable_t, limits, LimitsSchema),
     EY_FIELD_END,
 };
@@ -160,8 +134,9 @@
         return refuse_route(route, "host is empty", error);
     }
     if (!is_prefix(route->path_prefix)) {
-        return refuse_route(route, "path_prefix: expected a path that starts "
-                                   "and ends with a slash",
+        return refuse_route(route,
+                            "path_prefix: expected a path that starts "
+                            "and ends with a slash",
                             error);
     }
     if (!(route->timeout_ms > 0.0)) {
@@ -204,9 +179,9 @@
 EyRouteTable_Parse(const void *ctx, const EyBytes_t *document, GError **error)
 {
     json_error_t where;
-    json_t *json = json_loadb((const char *)document->data,
-                              document->size_bytes, JSON_REJECT_DUPLICATES,
-                              &where);
+    json_t *json =
+        json_loadb((const char *)document->data, document->size_bytes,
+                   JSON_REJECT_DUPLICATES, &where);
     if (json == NULL) {
         g_set_error(error, EY_ROUTE_TABLE_ERROR,
                     EY_ROUTE_TABLE_ERROR_MALFORMED, "not JSON at byte %d: %s",
--- a/src/core/log.c
+++ b/src/core/log.c
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/types.h"
 
+#include <fcntl.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -29,6 +30,10 @@
 static EyName_t Source = "-";
 static EyLogLevel_t Level = EY_LOG_WARNING;
 static bool Json;
+/* Lines of the present second, and lines dropped; atomic. */
+static int64_t Second;
+static uint32_t Lines;
+static uint32_t Dropped;
 
 static bool
 needs_quotes(const char *text)
@@ -81,8 +86,9 @@
     }
     g_string_append_c(line, '\n');
     /* One write, so that lines of several threads don't mix. */
-    ssize_t written = write(STDERR_FILENO, line->str, line->len);
-    (void)written;
+    if (write(STDOUT_FILENO, line->str, line->len) < 0) {
+        (void)__atomic_add_fetch(&Dropped, 1, __ATOMIC_RELAXED);
+    }
     g_string_free(line, TRUE);
 }
 
@@ -104,19 +110,44 @@
     Level = level;
     Json = json;
     if (!started) {
+        int flags = fcntl(STDOUT_FILENO, F_GETFL);
+        if (flags >= 0) {
+            (void)fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+        }
         started = true;
         g_log_set_writer_func(writer, NULL, NULL);
     }
 }
 
+/** Counts a line against its second; false if there were enough. */
+static bool
+has_room(EyLogLevel_t level)
+{
+    if (level <= EY_LOG_WARNING) {
+        return true;
+    }
+    int64_t second = EyClock_NowMs() / 1000;
+    int64_t known = __atomic_exchange_n(&Second, second, __ATOMIC_RELAXED);
+    if (known != second) {
+        __atomic_store_n(&Lines, 0, __ATOMIC_RELAXED);
+    }
+    if (__atomic_add_fetch(&Lines, 1, __ATOMIC_RELAXED) <=
+        EY_LOG_LINES_PER_S_MAX) {
+        return true;
+    }
+    (void)__atomic_add_fetch(&Dropped, 1, __ATOMIC_RELAXED);
+    return false;
+}
+
 void
 EyLog_Write(EyLogLevel_t level, const char *part, const char *event,
             const EyLogField_t *fields, uint32_t count)
 {
     enum { FIELDS_MAX = 24, FIXED_FIELDS = 5, NUMBER_SIZE_BYTES = 24 };
-    if (level > Level) {
+    if (level > Level || !has_room(level)) {
         return;
     }
+    uint32_t dropped = __atomic_exchange_n(&Dropped, 0, __ATOMIC_RELAXED);
     if (count > FIELDS_MAX - FIXED_FIELDS) {
         count = FIELDS_MAX - FIXED_FIELDS;
     }
@@ -142,4 +173,8 @@
         }
     }
     g_log_structured_array(GlibLevels[level], all, FIXED_FIELDS + count);
+    if (dropped > 0) {
+        EY_LOG(EY_LOG_WARNING, "log", "lines_dropped",
+               EY_LOG_NUMBER("count", dropped));
+    }
 }
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,5 +1,9 @@
 /**
- * Structured logs over GLib: one line per event, as key=value or JSON.
+ * Structured logs over GLib: one line per event, as key=value or JSON, on
+ * standard output. Writing never blocks and is bounded: what is below a
+ * warning is dropped beyond EY_LOG_LINES_PER_S_MAX lines a second, and any
+ * line while the reader is behind; the next line that is written is followed
+ * by one that counts them.
  *
  *     EY_LOG(EY_LOG_INFO, "callers", "answer_sent",
  *            EY_LOG_TEXT("request_id", id), EY_LOG_NUMBER("status", 200));
@@ -14,6 +18,9 @@
 extern "C" {
 #endif
 
+/** Most lines below a warning that are written in a second. */
+#define EY_LOG_LINES_PER_S_MAX 500
+
 typedef enum EyLogLevel {
     EY_LOG_ERROR,
     EY_LOG_WARNING,
--- a/src/core/schema.h
+++ b/src/core/schema.h
@@ -95,6 +95,39 @@
         .limit = sizeof(((type *)0)->member)                                  \
     }
 
+/** A char array that JSON must have. */
+#define EY_FIELD_REQUIRED_TEXT(type, member)                                  \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_FIXED,                              \
+        .offset_bytes = offsetof(type, member),                               \
+        .limit = sizeof(((type *)0)->member), .required = true                \
+    }
+
+/** A number or truth value that JSON must have. */
+#define EY_FIELD_REQUIRED(type, member, field_kind)                           \
+    {                                                                         \
+        .name = #member, .kind = (field_kind),                                \
+        .offset_bytes = offsetof(type, member), .required = true              \
+    }
+
+/** An enum by name that JSON must have. */
+#define EY_FIELD_REQUIRED_NAMED(type, member, name_array, name_count)         \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_ENUM,                               \
+        .offset_bytes = offsetof(type, member), .limit = (name_count),        \
+        .names = (name_array), .required = true                               \
+    }
+
+/** Pointer and count of structs that JSON must have. */
+#define EY_FIELD_REQUIRED_ARRAY_OF(type, member, count_member, schema,        \
+                                   max_items)                                 \
+    {                                                                         \
+        .name = #member, .kind = EY_FIELD_ARRAY,                              \
+        .offset_bytes = offsetof(type, member), .limit = (max_items),         \
+        .count_offset_bytes = offsetof(type, count_member), .sub = &(schema), \
+        .required = true                                                      \
+    }
+
 /** A char * of at most max_bytes bytes. */
 #define EY_FIELD_STRING_MAX(type, member, max_bytes)                          \
     {                                                                         \
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -157,6 +157,7 @@
         (void)EY_COPY(attempt->expected_backend, backend->id);
         attempt->host = EyMemory_Strdup(attempt, request->host);
         attempt->tells_timeout = true;
+        attempt->keeps_connection = true;
     }
     copy_headers(attempt, request);
     attempt->body.data =
@@ -174,8 +175,7 @@
                                            ? action->last_event
                                            : request->resume_event);
     if (attempt->body_mode == EY_ATTEMPT_STREAM &&
-        request->call == EY_CALL_ROUTED)
-    {
+        request->call == EY_CALL_ROUTED) {
         attempt->whole_up_to_bytes = WHOLE_ANSWER_MAX_BYTES;
     }
     if (attempt->body_mode == EY_ATTEMPT_COLLECT) {
@@ -276,10 +276,11 @@
                                      : "answered"),
            EY_LOG_NUMBER("took_ms", took_ms),
            EY_LOG_NUMBER("attempts", live->exchange->tried_count),
-           EY_LOG_TEXT("last", live->exchange->tried_count > 0
-                                   ? live->exchange->tried[
-                                         live->exchange->tried_count - 1]
-                                   : ""));
+           EY_LOG_TEXT(
+               "last",
+               live->exchange->tried_count > 0
+                   ? live->exchange->tried[live->exchange->tried_count - 1]
+                   : ""));
     live->sink->answer(live->gateway, live, action->answer);
 }
 
@@ -471,6 +472,12 @@
     };
     (void)EY_COPY(event.last_event, from->last_event);
     if (from->kind == EY_ATTEMPT_FAILED) {
+        EY_LOG(EY_LOG_INFO, "gateway", "attempt_failed",
+               EY_LOG_TEXT("request_id", live->exchange->request->id),
+               EY_LOG_TEXT("failure", EyAttemptFailure_names[from->failure]),
+               EY_LOG_NUMBER("nothing_sent", from->nothing_sent),
+               EY_LOG_NUMBER("events_passed", from->events_passed),
+               EY_LOG_TEXT("last_event", from->last_event));
         event.detail = EyAttemptFailure_names[from->failure];
     }
     if (from->answer != NULL) {
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -1,5 +1,6 @@
 /* The gateway's side of the router: what it is asked, and what follows. */
 #include "core/clock.h"
+#include "core/log.h"
 #include "core/memory.h"
 #include "gateway/internal.h"
 
@@ -32,9 +33,35 @@
     [EY_REFUSAL_INVALID] = {EY_PROBLEM_INTERNAL, "routed twice"},
 };
 
+/** One line for each decision on a request, with what decided it. */
+static void
+log_decision(const EyLive_t *live, const EyRoutingDecision_t *decision)
+{
+    const EyRequest_t *request = live->exchange->request;
+    const EyRouteTable_t *routes = live->gateway->routes;
+    int64_t now_ms = EyClock_NowMs();
+    EY_LOG(
+        EY_LOG_INFO, "gateway", EyDecision_kind_names[decision->kind],
+        EY_LOG_TEXT("request_id", request->id),
+        EY_LOG_TEXT("route", request->terms.route),
+        EY_LOG_NUMBER("routes_version", routes != NULL ? routes->version : 0),
+        EY_LOG_TEXT("target", request->target),
+        EY_LOG_TEXT("to", decision->kind == EY_DECISION_SEND_AWAY
+                              ? decision->region
+                              : decision->backend),
+        EY_LOG_TEXT("reason", EyRefusal_names[decision->reason]),
+        EY_LOG_NUMBER("expected_ms", decision->expected_ms),
+        EY_LOG_NUMBER("ahead_tokens", decision->ahead_tokens),
+        EY_LOG_NUMBER("load_age_ms", decision->load_age_ms),
+        EY_LOG_NUMBER("left_ms", request->deadline_ms - now_ms),
+        EY_LOG_NUMBER("waited_ms", now_ms - request->arrived_ms),
+        EY_LOG_NUMBER("retry_after_ms", decision->retry_after_ms));
+}
+
 static void
 apply_decision(EyLive_t *live, const EyRoutingDecision_t *decision)
 {
+    log_decision(live, decision);
     const RefusalAnswer_t *refusal = &RefusalAnswers[decision->reason];
     EyExchangeEvent_t event = {
         .kind = EY_EXCHANGE_ROUTE_REFUSED,
--- a/src/platform/publication.c
+++ b/src/membership/publication.c
@@ -1,4 +1,4 @@
-#include "platform/publication.h"
+#include "membership/publication.h"
 
 #include <glib.h>
 
--- a/src/platform/publication.h
+++ b/src/membership/publication.h
@@ -3,8 +3,8 @@
  * to push what, as a state machine. One gateway of a region publishes; the
  * daemon carries the push out and says what came of it.
  */
-#ifndef EY_PLATFORM_PUBLICATION_H
-#define EY_PLATFORM_PUBLICATION_H
+#ifndef EY_MEMBERSHIP_PUBLICATION_H
+#define EY_MEMBERSHIP_PUBLICATION_H
 
 #include "core/random.h"
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -397,6 +397,10 @@
 cluster_member(void *data, const EyMember_t *member)
 {
     const EyNode_t *self = data;
+    EY_LOG(EY_LOG_INFO, "node", "instance", EY_LOG_TEXT("id", member->id),
+           EY_LOG_TEXT("state", EyMember_state_names[member->state]),
+           EY_LOG_TEXT("role", EyMember_role_names[member->role]),
+           EY_LOG_NUMBER("incarnation", member->incarnation));
     if (strcmp(member->id, self->settings->id) != 0) {
         (void)EyPeers_SetRoute(self->peers, member->id, member->peer_address);
     }
@@ -408,11 +412,28 @@
     }
 }
 
+static const char *const RegistryChangeNames[EY_REGISTRY_CHANGE_COUNT] = {
+    [EY_REGISTRY_ADDED] = "added",
+    [EY_REGISTRY_CHANGED] = "changed",
+    [EY_REGISTRY_LOADED] = "loaded",
+    [EY_REGISTRY_REMOVED] = "removed",
+};
+
 static void
 cluster_backend(void *data, EyRegistryChange_t change,
                 const EyBackend_t *backend)
 {
     const EyNode_t *self = data;
+    if (change != EY_REGISTRY_LOADED) {
+        EY_LOG(EY_LOG_INFO, "node", "backend_server",
+               EY_LOG_TEXT("id", backend->id),
+               EY_LOG_TEXT("change", RegistryChangeNames[change]),
+               EY_LOG_TEXT("address", backend->address),
+               EY_LOG_TEXT("state", EyBackend_state_names[backend->state]),
+               EY_LOG_NUMBER("is_cold", backend->is_cold),
+               EY_LOG_NUMBER("incarnation", backend->incarnation),
+               EY_LOG_NUMBER("serial", backend->load.at));
+    }
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->on_backend != NULL) {
@@ -684,6 +705,8 @@
         return EXIT_FAILURE;
     }
     EyNode_Run(node);
+    EY_LOG(EY_LOG_INFO, "node", "stopped",
+           EY_LOG_NUMBER("in_flight", EyServer_InFlight(node->server)));
     EyNode_Stop(node);
     return EXIT_SUCCESS;
 }
--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -29,6 +29,12 @@
     "                                    SCOPE: region:NAME, account:NAME,\n"
     "                                    model:NAME or service:NAME\n"
     "  exception remove ID               take one back\n"
+    "  routes get                        the newest route table\n"
+    "  routes put FILE                   replace it; the highest version\n"
+    "                                    wins\n"
+    "  zone evacuate ZONE                send nothing there any more\n"
+    "  zone restore ZONE                 take that back\n"
+    "  zone list                         zones that are evacuated\n"
     "  history                           who changed what, and why\n"
     "  keys [--markdown]                 all keys with limits and meaning\n"
     "  dump                              state of each part of the server\n"
@@ -422,6 +428,95 @@
     return code;
 }
 
+/* Routes and zones */
+
+static EyCtlExit_t
+run_routes_get(const Ctl_t *self)
+{
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/config/routes", &code);
+    if (json != NULL) {
+        EyCtlPrint_Json(self->out, json);
+        json_decref(json);
+    }
+    return code;
+}
+
+/** Sends what may be sent again as it is: the same again is the same. */
+static EyCtlExit_t
+send_order(const Ctl_t *self, const char *method, const char *path,
+           json_t *body)
+{
+    EyCtlAnswer_t answer = EyCtlClient_Send(&self->client, method, path, body);
+    EyCtlExit_t code = report_failure(self, &answer);
+    if (code == EY_CTL_DONE && self->flags.json) {
+        EyCtlPrint_Json(self->out, answer.json);
+    }
+    else if (code == EY_CTL_UNKNOWN) {
+        (void)fprintf(self->err, "repeat the command to be sure\n");
+    }
+    json_decref(answer.json);
+    json_decref(body);
+    return code;
+}
+
+static EyCtlExit_t
+run_routes_put(const Ctl_t *self)
+{
+    json_error_t where;
+    json_t *body =
+        json_load_file(self->arguments[0], JSON_REJECT_DUPLICATES, &where);
+    if (body == NULL) {
+        (void)fprintf(self->err, "ebonyyardctl: %s: line %d: %s\n",
+                      self->arguments[0], where.line, where.text);
+        return EY_CTL_USAGE;
+    }
+    return send_order(self, "PUT", "/v1/config/routes", body);
+}
+
+static EyCtlExit_t
+send_zone(const Ctl_t *self, const char *method)
+{
+    json_t *body = make_body(self, 0);
+    char *path =
+        talloc_asprintf(NULL, "/v1/config/evacuations/%s", self->arguments[0]);
+    EyCtlExit_t code = send_order(self, method, path, body);
+    talloc_free(path);
+    return code;
+}
+
+static EyCtlExit_t
+run_zone_evacuate(const Ctl_t *self)
+{
+    return send_zone(self, "PUT");
+}
+
+static EyCtlExit_t
+run_zone_restore(const Ctl_t *self)
+{
+    return send_zone(self, "DELETE");
+}
+
+static EyCtlExit_t
+run_zone_list(const Ctl_t *self)
+{
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/config", &code);
+    if (json == NULL) {
+        return code;
+    }
+    const json_t *zones = json_object_get(json, "evacuated_zones");
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, zones);
+    }
+    for (size_t i = 0; !self->flags.json && i < json_array_size(zones); i++) {
+        (void)fprintf(self->out, "%s\n",
+                      json_string_value(json_array_get(zones, i)));
+    }
+    json_decref(json);
+    return EY_CTL_DONE;
+}
+
 /* The command line */
 
 typedef struct Command {
@@ -438,6 +533,11 @@
     {"exception", "list", 0, 0, run_exception_list},
     {"exception", "add", 3, 3, run_exception_add},
     {"exception", "remove", 1, 1, run_exception_remove},
+    {"routes", "get", 0, 0, run_routes_get},
+    {"routes", "put", 1, 1, run_routes_put},
+    {"zone", "evacuate", 1, 1, run_zone_evacuate},
+    {"zone", "restore", 1, 1, run_zone_restore},
+    {"zone", "list", 0, 0, run_zone_list},
     {"history", NULL, 0, 0, run_history},
     {"keys", NULL, 0, 0, run_keys},
     {"dump", NULL, 0, 0, run_dump},
--- a/src/operators/operators.c
+++ b/src/operators/operators.c
@@ -22,17 +22,10 @@
     uint32_t duration_s;
 } Body_t;
 
-#define REQUIRED(member, field_kind, field_limit)                             \
-    {                                                                         \
-        .name = #member, .kind = (field_kind),                                \
-        .offset_bytes = offsetof(Body_t, member), .limit = (field_limit),     \
-        .required = true                                                      \
-    }
-
 static const EyField_t BodyFields[] = {
-    REQUIRED(version, EY_FIELD_U64, 0),
-    REQUIRED(change_id, EY_FIELD_FIXED, EY_NAME_SIZE_BYTES),
-    REQUIRED(author, EY_FIELD_FIXED, EY_NAME_SIZE_BYTES),
+    EY_FIELD_REQUIRED(Body_t, version, EY_FIELD_U64),
+    EY_FIELD_REQUIRED_TEXT(Body_t, change_id),
+    EY_FIELD_REQUIRED_TEXT(Body_t, author),
     EY_FIELD_TEXT(Body_t, key),
     EY_FIELD_TEXT(Body_t, scope),
     EY_FIELD_TEXT(Body_t, reason),
@@ -159,6 +152,16 @@
     return groups;
 }
 
+static json_t *
+evacuated_to_json(const EyStore_t *store)
+{
+    json_t *zones = json_array();
+    for (uint32_t i = 0; i < store->evacuated_count; i++) {
+        (void)json_array_append_new(zones, json_string(store->evacuated[i]));
+    }
+    return zones;
+}
+
 static EyAnswer_t *
 get_config(const EyStore_t *store)
 {
@@ -173,12 +176,14 @@
         (void)json_array_append_new(
             exceptions, exception_to_json(store, &config->exceptions[i]));
     }
-    return EyAnswer_Json(200,
-                         json_pack("{s:I, s:I, s:o, s:o, s:o}", "version",
-                                   (json_int_t)config->version, "revision",
-                                   (json_int_t)config->revision, "defaults",
-                                   defaults, "exceptions", exceptions,
-                                   "groups", groups_to_json(store)));
+    return EyAnswer_Json(
+        200,
+        json_pack("{s:I, s:I, s:o, s:o, s:o, s:I, s:o}", "version",
+                  (json_int_t)config->version, "revision",
+                  (json_int_t)config->revision, "defaults", defaults,
+                  "exceptions", exceptions, "groups", groups_to_json(store),
+                  "routes_version", (json_int_t)store->routes_version,
+                  "evacuated_zones", evacuated_to_json(store)));
 }
 
 static EyAnswer_t *
@@ -409,9 +414,9 @@
     (void)store;
     (void)rest;
     if (request->body.size_bytes > EY_ROUTE_DOCUMENT_MAX_BYTES) {
-        return reply_with(EyAnswer_Problem(
-            EY_PROBLEM_TOO_LARGE, EY_OUTCOME_NOT_RUN, 0,
-            "a route table may have 1 MiB at most"));
+        return reply_with(
+            EyAnswer_Problem(EY_PROBLEM_TOO_LARGE, EY_OUTCOME_NOT_RUN, 0,
+                             "a route table may have 1 MiB at most"));
     }
     GError *error = NULL;
     EyRouteTable_t *table = EyRouteTable_Parse(NULL, &request->body, &error);
@@ -432,14 +437,49 @@
     return reply;
 }
 
+/** Who evacuates a zone and why; all of it may lack. */
+static const EyField_t NoteFields[] = {
+    EY_FIELD_TEXT(Body_t, change_id),
+    EY_FIELD_TEXT(Body_t, author),
+    EY_FIELD_TEXT(Body_t, reason),
+    EY_FIELD_END,
+};
+static const EySchema_t NoteSchema = EY_SCHEMA(Body_t, NoteFields);
+
+/** Reads the note if there is a body; an answer says what is wrong. */
+static EyAnswer_t *
+read_note(const EyRequest_t *request, EyCommand_t *command)
+{
+    if (request->body.size_bytes == 0) {
+        return NULL;
+    }
+    GError *error = NULL;
+    json_t *json =
+        json_loadb((const char *)request->body.data, request->body.size_bytes,
+                   JSON_REJECT_DUPLICATES, NULL);
+    Body_t note;
+    bool good = json != NULL &&
+                EySchema_FromJson(&NoteSchema, NULL, json, &note, &error);
+    json_decref(json);
+    if (!good) {
+        EyAnswer_t *answer = bad_request(
+            error != NULL ? error->message : "body: expected JSON or nothing");
+        g_clear_error(&error);
+        return answer;
+    }
+    fill_command(command, &note);
+    return NULL;
+}
+
 static EyOperatorsReply_t
-evacuation(EyCommandKind_t kind, const char *zone)
+evacuation(const EyRequest_t *request, EyCommandKind_t kind, const char *zone)
 {
     EyOperatorsReply_t reply = {.command.kind = kind};
     if (!EY_COPY(reply.command.key, zone) || !is_visible(zone)) {
         return reply_with(bad_request("the zone: expected a name of 1 to 63 "
                                       "characters"));
     }
+    reply.answer = read_note(request, &reply.command);
     return reply;
 }
 
@@ -447,18 +487,16 @@
 on_evacuate(const EyRequest_t *request, const EyStore_t *store,
             const char *rest)
 {
-    (void)request;
     (void)store;
-    return evacuation(EY_COMMAND_EVACUATE_ZONE, rest);
+    return evacuation(request, EY_COMMAND_EVACUATE_ZONE, rest);
 }
 
 static EyOperatorsReply_t
 on_restore(const EyRequest_t *request, const EyStore_t *store,
            const char *rest)
 {
-    (void)request;
     (void)store;
-    return evacuation(EY_COMMAND_RESTORE_ZONE, rest);
+    return evacuation(request, EY_COMMAND_RESTORE_ZONE, rest);
 }
 
 typedef struct Route {
--- a/src/operators/operators.h
+++ b/src/operators/operators.h
@@ -12,7 +12,8 @@
  *     PUT    /v1/config/routes           a whole route table; see
  *                                        config/route_table.h
  *     PUT    /v1/config/evacuations/{zone}   sends nothing there any more
- *     DELETE /v1/config/evacuations/{zone}   takes that back
+ *     DELETE /v1/config/evacuations/{zone}   takes that back; a body may
+ *                                        give author, reason and change_id
  *
  * The body of a change of defaults or exceptions has also version (that it
  * was made against), change_id and author. Of route tables the highest
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -17,7 +17,7 @@
 
 /** The beginning of a prompt up to the end of one of its parts. */
 typedef struct EyPromptStart {
-    uint64_t hash; /* of all parts up to here */
+    uint64_t hash;   /* of all parts up to here */
     uint32_t tokens; /* of this part alone */
 } EyPromptStart_t;
 
@@ -34,7 +34,7 @@
     uint32_t start_count;
     uint32_t objective_ms; /* until the answer should begin; 0: not said */
     uint32_t priority;     /* 0: first */
-    uint32_t tokens_max;    /* of the answer; 0: not said */
+    uint32_t tokens_max;   /* of the answer; 0: not said */
     int64_t deadline_ms;
     EyName_t home;                   /* region the data is bound to, or "" */
     const EyName_t *allowed_regions; /* borrowed; count 0: home only, or any
@@ -82,6 +82,10 @@
     EyName_t backend;    /* DISPATCH */
     EyAddress_t address; /* DISPATCH */
     EyName_t region;     /* SEND_AWAY */
+    double expected_ms;  /* until the answer ends, or of an engine begins;
+                            0: not known */
+    double ahead_tokens; /* to be read before it by an engine */
+    int64_t load_age_ms; /* of the server's word on its load; < 0: none */
     EyRefusal_t reason;  /* REFUSE */
     uint32_t retry_after_ms;
 } EyRoutingDecision_t;
--- a/src/platform/load_budget.c
+++ b/src/routing/load_budget.c
@@ -1,4 +1,4 @@
-#include "platform/load_budget.h"
+#include "routing/load_budget.h"
 
 #include <glib.h>
 #include <math.h>
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -161,9 +161,14 @@
     pool->flight_count++;
     EyReplica_HoldStarts(plan->chosen, now_ms, request);
     EyReplica_Begin(plan->chosen, now_ms, &open->flight);
+    const EyEngineLoad_t *load = &plan->chosen->engine;
     EyRoutingDecision_t decision = {
         .number = request->number,
         .kind = EY_DECISION_DISPATCH,
+        .expected_ms =
+            plan->read_tokens > 0.0 ? plan->start_ms : plan->finish_ms,
+        .ahead_tokens = plan->ahead_tokens,
+        .load_age_ms = load->has_said ? now_ms - load->said_ms : -1,
     };
     (void)EY_COPY(decision.backend, plan->chosen->backend->id);
     (void)EY_COPY(decision.address, plan->chosen->backend->address);
--- /dev/null
+++ b/tests/process/test_routes.c
@@ -0,0 +1,168 @@
+/* Configured routes with real processes: announce, set, call, evacuate. */
+#include "process/harness.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <string.h>
+
+#define ROUTES(version, path, service)                                        \
+    "{\"version\":" version ",\"routes\":[{\"name\":\"r\",\"host\":"          \
+    "\"127.0.0.1\",\"path_prefix\":\"" path "\",\"call_kind\":"               \
+    "\"at_most_once\",\"timeout_ms\":3000,\"service\":\"" service             \
+    "\",\"attempts_max\":1}],\"services\":[{\"name\":\"booking\"}]}"
+#define WITHIN_MS 10000
+
+static Process_t Gateway;
+static uint16_t RoutedPort;
+
+static void
+start_gateway(void)
+{
+    Gateway = Process_Make("ebonyyard-gateway", "routes-gw");
+    Gateway.port = Harness_FreePort();
+    Gateway.peer_port = Harness_FreePort();
+    RoutedPort = Harness_FreePort();
+    Process_Arg(&Gateway, "--id=gw-1");
+    Process_Arg(&Gateway, "--region=istra");
+    Process_Arg(&Gateway, "--zone=istra-a");
+    Process_Arg(&Gateway, "--zones=istra-a=istra,istra-b=istra");
+    Process_Arg(&Gateway, "--listen=127.0.0.1:%u", Gateway.port);
+    Process_Arg(&Gateway, "--routed-listen=127.0.0.1:%u", RoutedPort);
+    Process_Arg(&Gateway, "--peer-listen=127.0.0.1:%u", Gateway.peer_port);
+    char folder[HARNESS_ARG_SIZE_BYTES];
+    Harness_MakeFolder(folder, sizeof(folder), "routes");
+    Process_Arg(&Gateway, "--data-dir=%s", folder);
+    Process_Arg(&Gateway, "--standalone");
+    Process_Arg(&Gateway, "--backend-ttl-ms=60000");
+    Process_Start(&Gateway);
+    cr_assert(Process_Await(&Gateway, "/readyz", 200, WITHIN_MS));
+}
+
+static long
+send(uint16_t port, const char *method, const char *path, const char *body)
+{
+    Reply_t reply = Http_Call(port, method, path, NULL, body, 5000);
+    long status = reply.status;
+    Reply_Clear(&reply);
+    return status;
+}
+
+/** Sends until a status comes; fails if it doesn't in time. */
+static void
+await(uint16_t port, const char *method, const char *path, const char *body,
+      long status)
+{
+    int64_t until_ms = Harness_NowMs() + WITHIN_MS;
+    long last = 0;
+    while (Harness_NowMs() < until_ms) {
+        last = send(port, method, path, body);
+        if (last == status) {
+            return;
+        }
+        Harness_SleepMs(50);
+    }
+    cr_assert_fail("%s %s: %ld, expected %ld", method, path, last, status);
+}
+
+/** A service that announces itself elsewhere; its word comes from here. */
+static Process_t
+start_service(void)
+{
+    Process_t fake = Process_Make("fake-service", "routes-service");
+    fake.port = Harness_FreePort();
+    Process_Arg(&fake, "--listen=127.0.0.1:%u", fake.port);
+    Process_Arg(&fake, "--announce=127.0.0.1:%u", Harness_FreePort());
+    Process_Arg(&fake, "--id=seats-1");
+    Process_Arg(&fake, "--region=istra");
+    Process_Arg(&fake, "--zone=istra-b");
+    Process_Arg(&fake, "--services=booking");
+    Process_Start(&fake);
+    cr_assert(Process_Await(&fake, "/v1/fake", 200, WITHIN_MS));
+    return fake;
+}
+
+static long
+announce(const Process_t *fake, const char *state, uint32_t serial)
+{
+    gchar *body = g_strdup_printf(
+        "{\"service\":\"booking\",\"address\":\"127.0.0.1:%u\",\"zone\":"
+        "\"istra-b\",\"slots\":4,\"state\":\"%s\",\"serial\":%u}",
+        fake->port, state, serial);
+    long status = send(Gateway.port, "POST", "/v1/backends/seats-1", body);
+    g_free(body);
+    return status;
+}
+
+TestSuite(routes, .timeout = 90);
+
+Test(routes, calls_go_by_the_table_in_force)
+{
+    start_gateway();
+    Process_t fake = start_service();
+    /* Nothing is known yet: not run, and no word on whether it exists. */
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 503);
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    await(RoutedPort, "POST", "/elsewhere/1", "{}", 404);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 503);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    cr_expect_eq(send(RoutedPort, "GET", "/readyz", NULL), 404);
+
+    /* What isn't valid or isn't higher changes nothing. */
+    cr_expect_eq(send(Gateway.port, "PUT", "/v1/config/routes",
+                      ROUTES("9", "/buy/", "nobody")),
+                 400);
+    cr_expect_eq(send(Gateway.port, "PUT", "/v1/config/routes",
+                      ROUTES("3", "/other/", "booking")),
+                 200);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 200);
+    cr_expect_eq(send(RoutedPort, "POST", "/other/1", "{}"), 404);
+    Reply_t read =
+        Http_Call(Gateway.port, "GET", "/v1/config/routes", NULL, NULL, 5000);
+    cr_expect_eq(read.status, 200);
+    cr_expect_str_eq(read.body, ROUTES("3", "/buy/", "booking"));
+    Reply_Clear(&read);
+
+    /* A reload signal ends nothing, and what was committed outlives a kill. */
+    Process_Signal(&Gateway, SIGHUP);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 200);
+    Process_Kill(&Gateway);
+    Process_Start(&Gateway);
+    await(RoutedPort, "POST", "/elsewhere/1", "{}", 404);
+    cr_expect_eq(announce(&fake, "serving", 2), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_Signal(&Gateway, SIGTERM);
+    cr_expect_eq(Process_Wait(&Gateway, WITHIN_MS), 0);
+    Process_Kill(&fake);
+}
+
+Test(routes, a_zone_that_is_evacuated_gets_nothing_until_it_is_restored)
+{
+    start_gateway();
+    Process_t fake = start_service();
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    await(Gateway.port, "PUT", "/v1/config/evacuations/istra-b",
+          "{\"author\":\"ana\",\"reason\":\"new switch\"}", 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 503);
+    cr_expect_eq(announce(&fake, "serving", 2), 200);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 503);
+    Reply_t history =
+        Http_Call(Gateway.port, "GET", "/v1/config/history", NULL, NULL, 5000);
+    cr_expect_not_null(strstr(history.body, "new switch"), "%s", history.body);
+    Reply_Clear(&history);
+    await(Gateway.port, "DELETE", "/v1/config/evacuations/istra-b", NULL, 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+
+    /* One that leaves gets nothing new, whatever is said late. */
+    cr_expect_eq(announce(&fake, "leaving", 9), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 503);
+    cr_expect_eq(announce(&fake, "serving", 8), 200);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 503);
+    cr_expect_eq(announce(&fake, "asleep", 10), 400);
+    Process_Kill(&Gateway);
+    Process_Kill(&fake);
+}
--- a/tests/property/test_log_properties.cc
+++ b/tests/property/test_log_properties.cc
@@ -191,9 +191,8 @@
 
 Test(log_properties, members_that_few_are_told_of_keep_what_was_committed)
 {
-    EY_CHECK("five members, three that all are told of", [] {
-        check_any_orders(5, false, SAFETY_AND_LIVENESS, 3);
-    });
+    EY_CHECK("five members, three that all are told of",
+             [] { check_any_orders(5, false, SAFETY_AND_LIVENESS, 3); });
 }
 
 namespace {
@@ -236,6 +235,29 @@
              });
 }
 
+Test(log_properties, what_was_committed_is_shown_before_there_is_a_leader)
+{
+    EY_CHECK("any seed, one of three comes back alone", [](uint64_t seed) {
+        World world(3, seed);
+        (void)elect(world);
+        world.run(1000);
+        for (size_t i = 0; i < 3; i++) {
+            uint64_t applied = world.nodes[i].applied;
+            RC_ASSERT(applied > 0U);
+            for (size_t j = 0; j < 3; j++) {
+                world.crash(j);
+            }
+            world.start(i);
+            world.run(20);
+            RC_ASSERT(world.nodes[i].applied == applied);
+            for (size_t j = 0; j < 3; j++) {
+                world.start(j);
+            }
+            world.run(8000);
+        }
+    });
+}
+
 Test(log_properties, one_that_only_joins_never_founds)
 {
     EY_CHECK("any seed, all disks lost", [](uint64_t seed) {
--- a/tests/property/test_replica_properties.cc
+++ b/tests/property/test_replica_properties.cc
@@ -81,9 +81,28 @@
         }
     }
 
+    /** A change is committed that the first control process, which goes on
+     * answering, isn't told of. */
+    void
+    change_behind_the_first()
+    {
+        commands.push_back(next_command());
+        catch_up(1);
+    }
+
     /** A change is committed; one control process may hear of it later. */
     void
     change(bool is_known_everywhere)
+    {
+        commands.push_back(next_command());
+        catch_up(0);
+        if (is_known_everywhere) {
+            catch_up(1);
+        }
+    }
+
+    EyCommand_t
+    next_command() const
     {
         EyCommand_t command = {};
         command.kind = EY_COMMAND_SET_DEFAULT;
@@ -100,11 +119,7 @@
             (void)EY_COPY(command.lease.name, "x");
             (void)EY_COPY(command.lease.holder, "y");
         }
-        commands.push_back(command);
-        catch_up(0);
-        if (is_known_everywhere) {
-            catch_up(1);
-        }
+        return command;
     }
 
     void
@@ -344,6 +359,20 @@
 
 } // namespace
 
+Test(replica_properties, a_source_that_lags_behind_is_not_believed_for_long)
+{
+    EY_CHECK("any seed, the first source is cut off from the others",
+             [](uint64_t seed) {
+                 Region region(seed);
+                 region.change(true);
+                 region.run(InForceMs);
+                 RC_ASSERT(region.is_in_force());
+                 region.change_behind_the_first();
+                 region.run(InForceMs);
+                 RC_ASSERT(region.is_in_force());
+             });
+}
+
 Test(replica_properties, versions_rise_and_all_converge)
 {
     EY_CHECK("any changes, cuts, losses and restarts", [] {
--- /dev/null
+++ b/tests/unit/test_client_routed.c
@@ -0,0 +1,211 @@
+/* Calls of configured routes, as a backend server sees them. */
+#include "client_bench.h"
+#include "core/memory.h"
+#include "platform/headers.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/** Answers the first call of a connection; runs the second and dies. */
+static void
+serve_dying_later(RawPeer_t *peer, int socket)
+{
+    const bool *resets = peer->data;
+    char text[RAW_TEXT_MAX_BYTES];
+    if (!raw_peer_read_request(peer, socket, text)) {
+        return;
+    }
+    (void)raw_send_text(socket, OK "Attempt-Id: order-7\r\n"
+                                   "Content-Length: 4\r\n\r\nfine");
+    if (!raw_peer_read_request(peer, socket, text)) {
+        return;
+    }
+    if (*resets) {
+        const struct linger now = {.l_onoff = 1};
+        (void)setsockopt(socket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    }
+    (void)shutdown(socket, *resets ? SHUT_RD : SHUT_RDWR);
+}
+
+static EyAttempt_t *
+make_once(uint64_t number, uint16_t port, const char *body)
+{
+    EyAttempt_t *attempt = make_attempt(number, port, "POST", "/pay/1");
+    attempt->names = &EyPlatform_headers;
+    attempt->may_repeat = false;
+    attempt->keeps_connection = true;
+    attempt->check_echo = true;
+    attempt->body.size_bytes = (uint32_t)strlen(body);
+    attempt->body.data =
+        EyMemory_Copy(attempt, body, attempt->body.size_bytes);
+    return attempt;
+}
+
+Test(client_routed, a_kept_connection_that_dies_runs_no_call_twice)
+{
+    static const bool Resets[] = {false, true};
+    for (size_t i = 0; i < 2; i++) {
+        Bench_t *bench = bench_new();
+        RawPeer_t *peer = raw_peer_start(serve_dying_later, &Resets[i]);
+        EyClient_Start(bench->client, make_once(1, peer->port, "one"));
+        assert_body(run_until_ended(bench, 1), "fine");
+        EyClient_Start(bench->client, make_once(2, peer->port, "two"));
+        const EyAttemptEvent_t *event = run_until_ended(bench, 2);
+        cr_expect_eq(event->kind, EY_ATTEMPT_FAILED);
+        cr_expect_not(event->nothing_sent);
+        run_for(bench, 100);
+        /* The second was sent on the kept connection; libcurl opens another
+         * to send it again, and is refused before its first byte. */
+        cr_expect_eq(raw_peer_requests(peer), 2, "%u",
+                     raw_peer_requests(peer));
+        cr_expect_leq(raw_peer_connections(peer), 2, "%u",
+                      raw_peer_connections(peer));
+        bench_free(bench);
+        raw_peer_stop(peer);
+    }
+}
+
+Test(client_routed, a_call_without_a_body_that_must_not_repeat_goes_alone)
+{
+    static const bool Resets = false;
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(serve_dying_later, &Resets);
+    for (uint64_t number = 1; number <= 3; number++) {
+        EyClient_Start(bench->client, make_once(number, peer->port, ""));
+        assert_body(run_until_ended(bench, number), "fine");
+    }
+    cr_expect_eq(raw_peer_connections(peer), 3);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
+
+/** Keeps the text of the last request and answers it by its path. */
+static char LastRequest[RAW_TEXT_MAX_BYTES];
+
+static void
+serve_recording(RawPeer_t *peer, int socket)
+{
+    const char *reply = peer->data;
+    if (raw_peer_read_request(peer, socket, LastRequest)) {
+        (void)raw_send_text(socket, reply);
+        (void)shutdown(socket, SHUT_WR);
+    }
+}
+
+typedef struct HeaderCase {
+    const char *line;
+    bool is_there;
+} HeaderCase_t;
+
+static const HeaderCase_t HeaderCases[] = {
+    {"Host: cafe.example\r\n", true},
+    {"Attempt-Id: order-7\r\n", true},
+    {"Expect-Instance: i-1\r\n", true},
+    {"Deadline-Ms: ", true},
+    {"Last-Event-Id: 41\r\n", true},
+    {"Last-Event-Id: 7\r\n", false},
+    {"Deadline-Ms: 99999999\r\n", false},
+    {"X-Request-Id", false},
+    {"Ebonyyard-", false},
+    {"Model: m\r\n", true},
+};
+
+Test(client_routed, a_server_is_told_what_it_must_know)
+{
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer =
+        raw_peer_start(serve_recording, OK "Attempt-Id: order-7\r\n"
+                                           "Content-Length: 2\r\n\r\nok");
+    EyAttempt_t *attempt = make_once(1, peer->port, "{}");
+    attempt->host = EyMemory_Strdup(attempt, "cafe.example");
+    attempt->tells_timeout = true;
+    (void)EY_COPY(attempt->expected_backend, "i-1");
+    (void)EY_COPY(attempt->last_event, "41");
+    EyHeader_t headers[] = {
+        {.name = "Last-Event-Id", .value = "7"},
+        {.name = "Deadline-Ms", .value = "99999999"},
+        {.name = "Model", .value = "m"},
+    };
+    attempt->headers = EyMemory_Copy(attempt, headers, sizeof(headers));
+    attempt->header_count = 3;
+    EyClient_Start(bench->client, attempt);
+    assert_body(run_until_ended(bench, 1), "ok");
+    for (size_t i = 0; i < sizeof(HeaderCases) / sizeof(HeaderCases[0]); i++) {
+        const HeaderCase_t *test = &HeaderCases[i];
+        cr_expect_eq(strstr(LastRequest, test->line) != NULL, test->is_there,
+                     "%s in\n%s", test->line, LastRequest);
+    }
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
+
+typedef struct AnswerCase {
+    const char *reply;
+    EyAttemptFailure_t failure;
+    const char *body;
+} AnswerCase_t;
+
+static const AnswerCase_t AnswerCases[] = {
+    {OK "Attempt-Id: order-7\r\nContent-Length: 2\r\n\r\nok", EY_FAILURE_NONE,
+     "ok"},
+    {OK "Attempt-Id: order-8\r\nContent-Length: 2\r\n\r\nok",
+     EY_FAILURE_WRONG_ID, NULL},
+    {OK "Content-Length: 2\r\n\r\nok", EY_FAILURE_WRONG_ID, NULL},
+    {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+     EY_FAILURE_NONE, ""},
+    {"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: order-8\r\n"
+     "Content-Length: 0\r\n\r\n",
+     EY_FAILURE_WRONG_ID, NULL},
+    {"HTTP/1.1 421 Not Me\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n",
+     EY_FAILURE_NONE, ""},
+    {"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", EY_FAILURE_WRONG_ID,
+     NULL},
+    /* No length: whole when the connection is closed in order. */
+    {OK "Attempt-Id: order-7\r\n\r\nuntil the end", EY_FAILURE_NONE,
+     "until the end"},
+    {"gibberish\r\n\r\n", EY_FAILURE_MALFORMED, NULL},
+};
+
+Test(client_routed, an_answer_is_the_calls_own_or_none)
+{
+    for (size_t i = 0; i < sizeof(AnswerCases) / sizeof(AnswerCases[0]); i++) {
+        const AnswerCase_t *test = &AnswerCases[i];
+        Bench_t *bench = bench_new();
+        RawPeer_t *peer = raw_peer_start(serve_recording, test->reply);
+        EyClient_Start(bench->client, make_once(1, peer->port, "{}"));
+        const EyAttemptEvent_t *event = run_until_ended(bench, 1);
+        cr_expect_eq(event->failure, test->failure, "%zu: %s", i,
+                     EyAttemptFailure_names[event->failure]);
+        if (test->body != NULL && event->kind == EY_ATTEMPT_DONE) {
+            assert_body(event, test->body);
+        }
+        bench_free(bench);
+        raw_peer_stop(peer);
+    }
+}
+
+Test(client_routed, the_last_event_passed_is_known_when_a_stream_breaks)
+{
+    Bench_t *bench = bench_new();
+    RawPeer_t *peer = raw_peer_start(
+        serve_recording,
+        OK "Attempt-Id: order-7\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+           "f\r\nid: 5\ndata: a\n\n\r\n"
+           "f\r\nid: 6\ndata: b\n\n\r\n"
+           "8\r\nid: 7\nda\r\n");
+    EyAttempt_t *attempt = make_once(1, peer->port, "{}");
+    attempt->body_mode = EY_ATTEMPT_EVENTS;
+    EyStream_t *stream = EyStream_New(4096);
+    attempt->stream = EyStream_Ref(stream);
+    EyClient_Start(bench->client, attempt);
+    const EyAttemptEvent_t *event = run_until_ended(bench, 1);
+    cr_expect_eq(event->kind, EY_ATTEMPT_FAILED);
+    cr_expect_eq(event->events_passed, 2, "%u", event->events_passed);
+    cr_expect_str_eq(event->last_event, "6");
+    EyStream_Unref(stream);
+    bench_free(bench);
+    raw_peer_stop(peer);
+}
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_publication.c
@@ -1,5 +1,5 @@
-#include "platform/load_budget.h"
-#include "platform/publication.h"
+#include "membership/publication.h"
+#include "routing/load_budget.h"
 
 #include <criterion/criterion.h>
 
--- /dev/null
+++ b/tests/unit/test_server_routed.c
@@ -0,0 +1,154 @@
+/* An address at which every call goes by the configured routes. */
+#include "core/memory.h"
+#include "platform/headers.h"
+#include "server_bench.h"
+
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <string.h>
+#include <unistd.h>
+
+/** A server of the platform's headers on two addresses. */
+typedef struct Routed {
+    EyServer_t *server;
+    uint16_t port; /* of the routed address */
+    EyRequest_t *request;
+    EyAnswer_t *(*make)(void);
+} Routed_t;
+
+static bool
+on_submit(void *data, EyRequest_t *request)
+{
+    Routed_t *routed = data;
+    uint64_t number = request->number;
+    __atomic_store_n(&routed->request, request, __ATOMIC_RELEASE);
+    EyServer_Answer(routed->server, number, routed->make());
+    return true;
+}
+
+static void
+on_gone(void *data, uint64_t number)
+{
+    (void)data;
+    (void)number;
+}
+
+static Routed_t *
+routed_new(EyAnswer_t *(*make)(void))
+{
+    Routed_t *routed = EY_NEW(NULL, Routed_t);
+    routed->make = make;
+    const EyServerHooks_t hooks = {
+        .submit = on_submit,
+        .gone = on_gone,
+        .data = routed,
+        .names = &EyPlatform_headers,
+    };
+    GError *error = NULL;
+    routed->server = EyServer_Start(routed, "127.0.0.1:0", &hooks, &error);
+    cr_assert_not_null(routed->server);
+    int probe = raw_listen(&routed->port);
+    (void)close(probe);
+    gchar *address = g_strdup_printf("127.0.0.1:%u", routed->port);
+    cr_assert(EyServer_Listen(routed->server, address, true, &error));
+    g_free(address);
+    return routed;
+}
+
+static void
+routed_free(Routed_t *routed)
+{
+    EyServer_Stop(routed->server);
+    talloc_free(routed->request);
+    talloc_free(routed);
+}
+
+/** Sends text to the routed address; the answer is valid until the next. */
+static const char *
+ask(const Routed_t *routed, const char *text)
+{
+    static char answer[RAW_TEXT_MAX_BYTES];
+    int socket = raw_connect(routed->port);
+    cr_assert_geq(socket, 0);
+    cr_assert(raw_send_text(socket, text));
+    (void)raw_read_until(socket, NULL, SERVER_WAIT_MS, answer);
+    (void)close(socket);
+    return answer;
+}
+
+static EyAnswer_t *
+make_fine(void)
+{
+    return EyAnswer_Text(200, "text/plain", "fine");
+}
+
+#define HEAD                                                                  \
+    "Host: cafe.example\r\nConnection: close\r\nAttempt-Id: a-1\r\n"          \
+    "Deadline-Ms: 2500\r\n"
+
+Test(server_routed, a_call_arrives_whole_whatever_its_path)
+{
+    static const char *const Paths[] = {"/readyz", "/metrics", "/v1/config",
+                                        "/p/a%2Fb/../c?x=%20", "/"};
+    for (size_t i = 0; i < sizeof(Paths) / sizeof(Paths[0]); i++) {
+        Routed_t *routed = routed_new(make_fine);
+        gchar *text = g_strdup_printf(
+            "GET %s HTTP/1.1\r\n" HEAD "Model: m\r\nToken-Usage: 1460,80\r\n"
+            "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\nLength-Hint: 33\r\n"
+            "Expect-Instance: evil\r\nKv-From: evil\r\nPin-Ms: 9\r\n\r\n",
+            Paths[i]);
+        const char *answer = ask(routed, text);
+        g_free(text);
+        cr_expect_eq(status_of(answer), 200, "%s: %s", Paths[i], answer);
+        cr_expect_not_null(strstr(answer, "Attempt-Id: a-1"));
+        cr_expect_null(strstr(answer, "Ebonyyard-"), "%s", answer);
+        const EyRequest_t *request =
+            __atomic_load_n(&routed->request, __ATOMIC_ACQUIRE);
+        cr_assert_not_null(request);
+        cr_expect_eq(request->call, EY_CALL_ROUTED);
+        cr_expect_str_eq(request->path, Paths[i]);
+        cr_expect_str_eq(request->host, "cafe.example");
+        cr_expect_str_eq(request->id, "a-1");
+        cr_expect_eq(request->deadline_ms, request->arrived_ms + 2500);
+        cr_expect_eq(request->prompt_tokens, 1460);
+        cr_expect_eq(request->tokens_max, 80);
+        cr_expect_eq(request->expected_tokens, 33);
+        cr_assert_eq(request->part_count, 2);
+        cr_expect_eq(request->parts[1].id, 0x91bd3f06);
+        cr_expect_eq(request->parts[1].tokens, 410);
+        /* Passed on as they came, but for what only the system may say. */
+        cr_assert_eq(request->header_count, 4, "%u", request->header_count);
+        cr_expect_str_eq(request->headers[0].name, "Model");
+        cr_expect_str_eq(request->headers[3].name, "Length-Hint");
+        routed_free(routed);
+    }
+}
+
+static EyAnswer_t *
+make_busy(void)
+{
+    EyAnswer_t *answer =
+        EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 0, "busy");
+    answer->retry_after_ms = 250;
+    return answer;
+}
+
+Test(server_routed, a_refusal_says_to_the_millisecond_when_to_come_back)
+{
+    Routed_t *routed = routed_new(make_busy);
+    const char *answer = ask(routed, "GET /p/ HTTP/1.1\r\n" HEAD "\r\n");
+    cr_expect_eq(status_of(answer), 503);
+    cr_expect_not_null(strstr(answer, "Retry-After: 0.250\r\n"), "%s", answer);
+    routed_free(routed);
+}
+
+Test(server_routed, answers_close_connections_that_still_come_while_it_leaves)
+{
+    Routed_t *routed = routed_new(make_fine);
+    EyServer_CloseAfterAnswers(routed->server);
+    const char *answer =
+        ask(routed, "GET /p/ HTTP/1.1\r\nHost: cafe.example\r\n\r\n");
+    cr_expect_eq(status_of(answer), 200, "%s", answer);
+    cr_expect_not_null(strstr(answer, "Connection: close"), "%s", answer);
+    routed_free(routed);
+}
