--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -50,6 +50,7 @@
                       EY_ANSWER_HEADERS_MAX),
     EY_FIELD_BYTES_MAX(EyAnswer_t, body, EY_ANSWER_BODY_MAX_BYTES),
     EY_FIELD(EyAnswer_t, is_events, EY_FIELD_BOOL),
+    EY_FIELD(EyAnswer_t, reached_server, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyAnswer_schema = EY_SCHEMA(EyAnswer_t, AnswerFields);
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -40,6 +40,7 @@
     EyExchange_t *self = EY_NEW(ctx, EyExchange_t);
     self->request = talloc_steal(self, request);
     self->is_idempotent = is_idempotent;
+    self->arrival_count = request->arrivals;
     self->needs_claim = needs_claim;
     return self;
 }
@@ -144,6 +145,8 @@
     EyAnswer_t *made =
         EyAnswer_Problem(problem, outcome, 0, step->event->detail);
     made->retry_after_ms = step->event->retry_after_ms;
+    made->reached_server =
+        step->exchange->arrival_count > step->exchange->request->arrivals;
     return made;
 }
 
@@ -411,6 +414,9 @@
         exchange->arrival_count++;
         exchange->run_count++;
     }
+    else if (event->reached_server) {
+        exchange->arrival_count++;
+    }
     exchange->events_passed += event->events_passed;
     if (event->last_event[0] != '\0') {
         (void)EY_COPY(exchange->last_event, event->last_event);
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -62,6 +62,8 @@
     bool try_again; /* ATTEMPT_DONE, _FAILED: another replica may do better */
     uint32_t events_passed;
     EyEventId_t last_event; /* ATTEMPT_FAILED: of those events */
+    bool reached_server; /* ATTEMPT_FAILED, nothing_sent: in another region
+                            a server got the call and didn't run it */
     bool not_run; /* ATTEMPT_DONE: the server says that it didn't run it */
     EyProblem_t problem;
     EyOutcome_t outcome;
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -96,6 +96,7 @@
     EyCallTerms_t terms;           /* of a routed call */
     EyName_t *allowed_regions;     /* of its route; none: any */
     uint32_t allowed_region_count;
+    uint32_t arrivals; /* at servers, before it came to this instance */
     uint32_t resume_after; /* its stream goes on after so many events */
     char resume_event[32]; /* and after the one of this id, if not empty */
     uint32_t prompt_tokens;        /* 0: not said */
--- a/src/gateway/away.c
+++ b/src/gateway/away.c
@@ -56,6 +56,7 @@
     outgoing.resume_after = action->resume_after;
     (void)EY_COPY(outgoing.resume_event, action->last_event);
     outgoing.terms.runs_max = runs_left(live->exchange);
+    outgoing.arrivals = live->exchange->arrival_count;
     EyForward_t forward = {
         .kind = EY_FORWARD_REQUEST,
         .attempt = action->attempt,
@@ -116,6 +117,7 @@
     }
     event.kind = EY_EXCHANGE_ATTEMPT_FAILED;
     event.nothing_sent = answer->outcome == EY_OUTCOME_NOT_RUN;
+    event.reached_server = answer->reached_server;
     event.try_again = true;
     event.retry_after_ms = answer->retry_after_ms;
     event.detail = "the other region gave it back";
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -128,6 +128,21 @@
     }
 }
 
+/** Regions of the fleet, as far as the settings name them. */
+static uint32_t
+fleet_regions(const EyGateway_t *self)
+{
+    const EySettings_t *settings = self->node->settings;
+    GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+    (void)g_hash_table_add(regions, (gpointer)settings->region);
+    for (uint32_t i = 0; i < settings->zone_count; i++) {
+        (void)g_hash_table_add(regions, settings->zones[i].region);
+    }
+    uint32_t count = g_hash_table_size(regions);
+    g_hash_table_destroy(regions);
+    return count;
+}
+
 /** How many of the gateways come before an id. */
 static uint32_t
 rank_of(const char *id, const Gathering_t *gathering)
@@ -155,6 +170,8 @@
     uint32_t gateway_count = gathering->gateway_count;
     EyGatewayRecords_SetCandidates(self->records, gathering->gateways,
                                    gateway_count);
+    EyRouter_SetFleet(self->router,
+                      MAX(gateway_count, 1) * fleet_regions(self));
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
     EyRouter_SetRank(self->router, EyClock_NowMs(),
                      rank_of(self->node->settings->id, gathering),
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -96,6 +96,7 @@
     EY_RESULT_FAILED,     /* the server's fault: counts for its ejection */
     EY_RESULT_DISTRUSTED, /* answered with another request's answer */
     EY_RESULT_REFUSED,    /* not run there: full or leaving */
+    EY_RESULT_GONE,       /* another server answers at the address */
     EY_RESULT_CANCELLED,  /* the caller went, or its deadline passed */
     EY_RESULT_KIND_COUNT
 } EyResultKind_t;
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -190,7 +190,7 @@
 is_candidate(const EyReplica_t *replica, int64_t now_ms,
              const EyRoutingRequest_t *request, bool with_ejected)
 {
-    return EyReplica_IsServing(replica) &&
+    return EyReplica_IsServing(replica) && now_ms >= replica->gone_until_ms &&
            !EyRoutingRequest_Excludes(request, replica->backend->id) &&
            (with_ejected || !EyOutlier_IsEjected(&replica->outlier, now_ms));
 }
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -3,6 +3,7 @@
 #include "core/memory.h"
 
 #include <math.h>
+#include <string.h>
 
 #define TOKENS_UNSET 64.0
 /** Share of a prompt's shared parts that a replica is taken to hold to which
@@ -57,6 +58,11 @@
     if (backend->load.at != self->backend->load.at) {
         self->report_ms = now_ms;
     }
+    if (backend->incarnation != self->backend->incarnation ||
+        strcmp(backend->address, self->backend->address) != 0)
+    {
+        self->gone_until_ms = 0;
+    }
     if (backend->incarnation != self->backend->incarnation) {
         EyPrefixHints_Clear(&self->prefixes);
         self->engine.has_said = false;
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -56,6 +56,8 @@
     EyOutlier_t outlier;
     EyPrefixHints_t prefixes;
     EyColdPace_t cold_pace;
+    int64_t gone_until_ms; /* another server answered at its address: it gets
+                              nothing until then, or until it has moved */
     EyEngineLoad_t engine;
 } EyReplica_t;
 
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -7,6 +7,8 @@
 
 /** A gateway that isn't seen any more may still send for so long. */
 #define RANK_KEPT_MS 30000
+/** How long a server gets nothing at whose address another one answered. */
+#define GONE_MS 3000
 /** A refused caller comes back after at least and at most so long. */
 #define RETRY_AFTER_LEAST_MS 250
 #define RETRY_AFTER_MOST_MS 30000
@@ -101,6 +103,12 @@
     }
 }
 
+void
+EyRouter_SetFleet(EyRouter_t *self, uint32_t gateways)
+{
+    EyRetryBudget_Share(&self->retries, gateways);
+}
+
 /* Decisions */
 
 static EyRoutingDecision_t
@@ -531,6 +539,9 @@
         return;
     }
     EyReplica_End(replica, now_ms, flight, result);
+    if (result->kind == EY_RESULT_GONE) {
+        replica->gone_until_ms = now_ms + GONE_MS;
+    }
     if (result->kind == EY_RESULT_FAILED ||
         result->kind == EY_RESULT_DISTRUSTED) {
         note_failure(self, now_ms, replica, result->kind);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -56,6 +56,10 @@
 EyRouter_SetRank(EyRouter_t *self, int64_t now_ms, uint32_t rank,
                  uint32_t count);
 
+/** How many gateways the fleet may have, whether they are seen or not. */
+void
+EyRouter_SetFleet(EyRouter_t *self, uint32_t gateways);
+
 /** Takes an announcement of a backend server of this region. */
 void
 EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
