--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -124,6 +124,13 @@
     EyGateway_ReceiveConfig(self, message);
 }
 
+static void
+gateway_on_member(void *part, const EyMember_t *member)
+{
+    (void)member;
+    EyGateway_OnMember(part);
+}
+
 static void
 gateway_on_backend(void *part, EyRegistryChange_t change,
                    const EyBackend_t *backend)
@@ -173,6 +180,7 @@
     .on_gone = gateway_on_gone,
     .wants = gateway_wants,
     .on_message = gateway_on_message,
+    .on_member = gateway_on_member,
     .on_backend = gateway_on_backend,
     .is_ready = gateway_is_ready,
     .is_idle = gateway_is_idle,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -83,6 +83,7 @@
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
     EyTimer_t *router_wakeup;
+    EyTimer_t *members_wakeup;
     EyPolicyBoard_t *policy;
     GHashTable *pumps;       /* request number -> pump, see forwarded.c */
     EyMailbox_t *pump_wakes; /* streams that have something to read */
@@ -150,6 +151,10 @@
 void
 EyGateway_ReviewBackends(EyGateway_t *self);
 
+/** An instance of the region is new or changed. */
+void
+EyGateway_OnMember(EyGateway_t *self);
+
 /** A backend server is new, changed or gone. */
 void
 EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -7,6 +7,8 @@
 
 #define PERIOD_MS 500
 #define GATEWAYS_MAX 512
+/* Changes of members that come together are taken together. */
+#define MEMBERS_PAUSE_MS 20
 
 /** What the routes say of the server's service, or NULL. */
 static const EyServiceRule_t *
@@ -239,6 +241,24 @@
                            load_per_mille, EyGateway_Config(self)->revision);
 }
 
+static void
+on_members_changed(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyGateway_t *self = data;
+    self->members_wakeup = NULL;
+    spread_members(self);
+}
+
+void
+EyGateway_OnMember(EyGateway_t *self)
+{
+    if (self->members_wakeup == NULL) {
+        self->members_wakeup = EyTimers_After(
+            self->node->timers, MEMBERS_PAUSE_MS, on_members_changed, self);
+    }
+}
+
 void
 EyGateway_OpenNeighbours(EyGateway_t *self)
 {
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -15,6 +15,7 @@
 #define VITALS_LOAD_STEP_PER_MILLE 50
 #define DIGEST_INTERVAL_MS 1000
 #define HELLO_INTERVAL_MS 1000
+#define HELLO_ALONE_INTERVAL_MS 200
 #define HELLOS_MAX 4
 /* Age that a contact has at least when another instance names it. */
 #define HEARSAY_AGE_MS 10000
@@ -422,7 +423,11 @@
 static void
 say_hello(EyMembership_t *self, int64_t now_ms)
 {
-    if (now_ms - self->hello_ms < HELLO_INTERVAL_MS) {
+    /* One that knows nobody in its region can't serve there yet. */
+    bool is_alone = self->members->ring->len <= 1;
+    int64_t interval_ms =
+        is_alone ? HELLO_ALONE_INTERVAL_MS : HELLO_INTERVAL_MS;
+    if (now_ms - self->hello_ms < interval_ms) {
         return;
     }
     self->hello_ms = now_ms;
