--- a/src/callers/listener.c
+++ b/src/callers/listener.c
@@ -1,5 +1,6 @@
 #include "callers/listener.h"
 
+#include "core/liveness.h"
 #include "core/log.h"
 #include "core/settings.h"
 
@@ -48,6 +49,19 @@
     return inet_pton(AF_INET6, ip, &ipv6->sin6_addr) == 1;
 }
 
+static void
+on_connection(void *data, struct MHD_Connection *connection, void **place,
+              enum MHD_ConnectionNotificationCode code)
+{
+    (void)data;
+    (void)place;
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED && info != NULL) {
+        EyLiveness_Watch(info->connect_fd);
+    }
+}
+
 static struct MHD_Daemon *
 start(const struct sockaddr_storage *address, const EyListenerCalls_t *calls)
 {
@@ -61,7 +75,8 @@
         MHD_OPTION_EXTERNAL_LOGGER, log_library, NULL, MHD_OPTION_SOCK_ADDR,
         (const struct sockaddr *)address, MHD_OPTION_URI_LOG_CALLBACK,
         calls->on_request_line, calls->data, MHD_OPTION_NOTIFY_COMPLETED,
-        calls->on_completed, calls->data, MHD_OPTION_CONNECTION_LIMIT,
+        calls->on_completed, calls->data, MHD_OPTION_NOTIFY_CONNECTION,
+        on_connection, NULL, MHD_OPTION_CONNECTION_LIMIT,
         (unsigned int)CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
         (unsigned int)CONNECTION_IDLE_TIMEOUT_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -11,6 +11,8 @@
 #define RETRY_AFTER_MS 1000
 /* Answers up to this length are passed on in one piece. */
 #define WHOLE_ANSWER_MAX_BYTES (64 * 1024)
+/* A server heard within this time is taken to live. */
+#define HEARD_LATELY_MS 500
 /* The status by which a server says that it isn't the one meant. */
 #define STATUS_MISDIRECTED 421
 
@@ -157,7 +159,11 @@
         (void)EY_COPY(attempt->expected_backend, backend->id);
         attempt->host = EyMemory_Strdup(attempt, request->host);
         attempt->tells_timeout = true;
-        attempt->keeps_connection = true;
+        /* A new connection shows that the server lives before a call that
+         * can't be repeated is sent. */
+        attempt->keeps_connection =
+            EyRouter_HeardAgoMs(live->gateway->router, EyClock_NowMs(),
+                                backend->id) < HEARD_LATELY_MS;
     }
     copy_headers(attempt, request);
     attempt->body.data =
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -126,6 +126,7 @@
 void
 EyReplica_Started(EyReplica_t *self, int64_t now_ms, EyFlight_t *flight)
 {
+    self->heard_ms = now_ms;
     if (flight->read_tokens > 0.0) {
         EyEngineLoad_End(&self->engine, flight->read_tokens,
                          flight->ahead_tokens,
@@ -183,6 +184,9 @@
 {
     unlink_flight(self, flight);
     EyRecent_Add(&self->net_sent, now_ms, -1.0);
+    if (result->kind == EY_RESULT_OK || result->kind == EY_RESULT_REFUSED) {
+        self->heard_ms = now_ms;
+    }
     if (result->kind == EY_RESULT_OK) {
         learn(self, now_ms, flight, result->duration_ms);
         EyOutlier_Success(&self->outlier);
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -59,6 +59,7 @@
     int64_t gone_until_ms; /* another server answered at its address: it gets
                               nothing until then, or until it has moved */
     EyEngineLoad_t engine;
+    int64_t heard_ms; /* when an answer or its beginning last came; 0: never */
 } EyReplica_t;
 
 /** The units of reading a request's prompt. */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -557,6 +557,21 @@
     }
 }
 
+int64_t
+EyRouter_HeardAgoMs(const EyRouter_t *self, int64_t now_ms, const char *id)
+{
+    const EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    return replica != NULL && replica->heard_ms != 0
+               ? now_ms - replica->heard_ms
+               : INT64_MAX;
+}
+
+bool
+EyRouter_MayRetry(const EyRouter_t *self)
+{
+    return !self->config.limits_retries || self->retries.retries >= 1.0;
+}
+
 void
 EyRouter_TakeLoad(EyRouter_t *self, int64_t now_ms, const char *id,
                   uint32_t running, uint32_t waiting)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -96,6 +96,14 @@
 void
 EyRouter_Started(EyRouter_t *self, int64_t now_ms, uint64_t number);
 
+/** Time since the server was last heard in an answer; INT64_MAX: never. */
+int64_t
+EyRouter_HeardAgoMs(const EyRouter_t *self, int64_t now_ms, const char *id);
+
+/** True if a retry would be allowed now. */
+bool
+EyRouter_MayRetry(const EyRouter_t *self);
+
 /** A backend server spoke of its load, in an answer. */
 void
 EyRouter_TakeLoad(EyRouter_t *self, int64_t now_ms, const char *id,
