--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -13,6 +13,10 @@
 #define WHOLE_ANSWER_MAX_BYTES (64 * 1024)
 /* A server heard within this time is taken to live. */
 #define HEARD_LATELY_MS 500
+/* An answer that hasn't begun after so many times of what was expected, and
+ * this share of its objective, is looked for elsewhere. */
+#define PATIENCE_FACTOR 4.0
+#define PATIENCE_OBJECTIVE_SHARE 0.6
 /* The status by which a server says that it isn't the one meant. */
 #define STATUS_MISDIRECTED 421
 
@@ -32,6 +36,7 @@
 live_destroy(EyLive_t *live)
 {
     talloc_free(live->deadline);
+    talloc_free(live->patience);
     EyStream_Unref(live->stream);
     return 0;
 }
@@ -223,6 +228,51 @@
     g_hash_table_insert(self->gateway->attempts, number_key(attempt), self);
 }
 
+/** The answer hasn't begun by far when it should have: if the call may run
+ * again and a retry is allowed, another server is asked. */
+static void
+on_patience_end(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyLive_t *live = data;
+    EyGateway_t *gateway = live->gateway;
+    const EyExchange_t *exchange = live->exchange;
+    live->patience = NULL;
+    if (!EyRouter_MayRetry(gateway->router) || exchange->head_passed ||
+        exchange->state != EY_EXCHANGE_TRYING ||
+        exchange->run_count + 1 >= exchange->request->terms.runs_max)
+    {
+        return;
+    }
+    EY_LOG(EY_LOG_INFO, "gateway", "attempt_too_slow",
+           EY_LOG_TEXT("request_id", exchange->request->id),
+           EY_LOG_TEXT("to", exchange->tried[exchange->tried_count - 1]),
+           EY_LOG_NUMBER("expected_ms", live->expected_ms));
+    live->is_impatient = true;
+    EyOutbound_Cancel(gateway->outbound, exchange->attempt);
+}
+
+static void
+watch_start(EyLive_t *live)
+{
+    const EyRequest_t *request = live->exchange->request;
+    talloc_free(live->patience);
+    live->patience = NULL;
+    live->is_impatient = false;
+    bool may_move = request->call == EY_CALL_ROUTED &&
+                    live->exchange->is_idempotent &&
+                    live->exchange->events_passed == 0;
+    if (!may_move || live->expected_ms <= 0.0) {
+        return;
+    }
+    double objective_ms = request->terms.objective_ms;
+    double patience_ms = MAX(live->expected_ms * PATIENCE_FACTOR,
+                             objective_ms * PATIENCE_OBJECTIVE_SHARE);
+    live->patience =
+        EyTimers_After(live->gateway->node->timers, (int64_t)patience_ms,
+                       on_patience_end, live);
+}
+
 static void
 do_attempt(EyLive_t *live, const EyExchangeAction_t *action)
 {
@@ -242,6 +292,7 @@
         return;
     }
     EyAttempt_t *attempt = make_attempt(live, action, backend);
+    watch_start(live);
     if (!EyOutbound_Send(gateway->outbound, attempt)) {
         talloc_free(attempt);
         EyLive_FailUnsent(live, action->attempt);
@@ -396,6 +447,8 @@
 static void
 take_answer(EyLive_t *live, EyAttemptEvent_t *from, EyExchangeEvent_t *event)
 {
+    talloc_free(live->patience);
+    live->patience = NULL;
     if (from->kind == EY_ATTEMPT_HEAD) {
         EyRouter_Started(live->gateway->router, EyClock_NowMs(),
                          live->exchange->request->number);
@@ -431,8 +484,10 @@
 static void
 finish_route(EyLive_t *live, const EyAttemptEvent_t *event)
 {
+    bool is_too_slow =
+        live->is_impatient && event->failure == EY_FAILURE_CANCELLED;
     EyRoutingResult_t result = {
-        .kind = result_kind(event),
+        .kind = is_too_slow ? EY_RESULT_FAILED : result_kind(event),
         .duration_ms = event->total_us / 1000,
         .tokens = event->events_passed,
     };
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -75,6 +75,7 @@
     case EY_DECISION_DISPATCH:
         event.kind = EY_EXCHANGE_ROUTED;
         (void)EY_COPY(event.to, decision->backend);
+        live->expected_ms = decision->expected_ms;
         live->is_routed = true;
         break;
     case EY_DECISION_SEND_AWAY:
