--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -13,6 +13,8 @@
 #define ENGINE_START_MS 25.0
 /** A region whose engines have so much to read takes no more from others. */
 #define ENGINE_WAIT_MOST_MS 1000
+/** Replicas of a pool from which on each shared part has two of them. */
+#define TWO_HOLDERS_POOL 12
 /** What reading costs others, against what it costs the request itself. */
 #define READ_WEIGHT 0.5
 /** Share of the rate that is left to patient work at least. */
@@ -126,27 +128,46 @@
         candidate->start_ms + candidate->read_tokens * token_ms * READ_WEIGHT;
 }
 
-/* The replica to which all gateways send such prompts first, by the shared
- * part's hash and the replicas' ids alone; NULL: the prompt shares nothing. */
-static const EyReplica_t *
-preferred(const EyPool_t *self, const EyRoutingRequest_t *request)
+/* The replicas to which all gateways send such prompts first, by the shared
+ * part's hash and the replicas' ids alone. In a large pool there are two for
+ * each part: what one gateway can't see of the others' load then evens out. */
+typedef struct Holders {
+    const EyReplica_t *best;   /* NULL: the prompt shares nothing */
+    const EyReplica_t *second; /* NULL: only one */
+} Holders_t;
+
+static Holders_t
+find_holders(const EyPool_t *self, const EyRoutingRequest_t *request)
 {
+    Holders_t holders = {.best = NULL};
+    uint64_t best_draw = 0;
+    uint64_t second_draw = 0;
     if (request->start_count < 2) {
-        return NULL;
+        return holders;
     }
     uint64_t shared = request->starts[request->start_count - 2].hash;
-    const EyReplica_t *best = NULL;
-    uint64_t best_draw = 0;
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         const EyReplica_t *replica = replica_at(self, i);
         const char *id = replica->backend->id;
         uint64_t draw = XXH64(id, strlen(id), shared);
-        if (EyReplica_IsServing(replica) && draw >= best_draw) {
-            best = replica;
+        if (!EyReplica_IsServing(replica)) {
+            continue;
+        }
+        if (draw >= best_draw) {
+            holders.second = holders.best;
+            second_draw = best_draw;
+            holders.best = replica;
             best_draw = draw;
         }
+        else if (draw >= second_draw) {
+            holders.second = replica;
+            second_draw = draw;
+        }
+    }
+    if (self->replicas->len < TWO_HOLDERS_POOL) {
+        holders.second = NULL;
     }
-    return best;
+    return holders;
 }
 
 static EyCandidate_t
@@ -195,13 +216,15 @@
 collect(EyPool_t *self, const EyPlanning_t *planning,
         const EyRoutingRequest_t *request, double work, bool with_ejected)
 {
-    const EyReplica_t *holder = preferred(self, request);
+    const Holders_t holders = find_holders(self, request);
     g_array_set_size(self->candidates, 0);
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         EyReplica_t *replica = replica_at(self, i);
         if (is_candidate(replica, planning->now_ms, request, with_ejected)) {
+            bool likely_holds =
+                replica == holders.best || replica == holders.second;
             EyCandidate_t candidate = make_candidate(
-                replica, planning, request, work, replica == holder);
+                replica, planning, request, work, likely_holds);
             g_array_append_val(self->candidates, candidate);
         }
     }
