--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -39,7 +39,8 @@
     bool check_echo; /* the answer must bear the same X-Request-Id */
     bool may_repeat; /* may be sent again if a kept connection proves dead
                         before the answer's first byte; else it is sent at
-                        most once, on a connection of its own */
+                        most once, on a connection of its own unless
+                        keeps_connection says otherwise */
     const EyHeaderNames_t *names; /* NULL: the product's own */
     EyName_t expected_backend;    /* empty: whichever server is there */
     char *host;                   /* NULL: the address */
--- a/src/callers/listener.c
+++ b/src/callers/listener.c
@@ -12,7 +12,7 @@
 /* Connections at once; more wait in the kernel's queue. */
 #define CONNECTIONS_MAX 8192
 /* Silence after which a connection is closed, unless its answer is awaited. */
-#define CONNECTION_IDLE_TIMEOUT_S 30
+#define CONNECTION_IDLE_TIMEOUT_S 120
 /* Room for one connection's head and buffers. */
 #define CONNECTION_MEMORY_BYTES 32768
 /* Deeply nested JSON is read on this stack. */
