Log: a line that can't be written no longer calls itself without end

Cause: when the reader of the log stands still, the write of a line fails, is counted, and the report "lines_dropped" is written by the same function; that write fails too, is counted, and reports again, until the stack is used up. Found by reading the code for the exit 135 of one gateway on the grown site.

Test: log::a_reader_that_stands_still_blocks_nobody crashed before and passes now. The report is written once; if that fails as well, its count is kept for a later line.

Not shown: that this was the cause of exit 135.

--- a/src/core/log.c
+++ b/src/core/log.c
@@ -34,6 +34,8 @@
 static int64_t Second;
 static uint32_t Lines;
 static uint32_t Dropped;
+/* Whether this thread's last line was written. */
+static _Thread_local bool WasWritten;
 
 static bool
 needs_quotes(const char *text)
@@ -86,9 +88,7 @@
     }
     g_string_append_c(line, '\n');
     /* One write, so that lines of several threads don't mix. */
-    if (write(STDOUT_FILENO, line->str, line->len) < 0) {
-        (void)__atomic_add_fetch(&Dropped, 1, __ATOMIC_RELAXED);
-    }
+    WasWritten = write(STDOUT_FILENO, line->str, line->len) >= 0;
     g_string_free(line, TRUE);
 }
 
@@ -139,15 +139,12 @@
     return false;
 }
 
-void
-EyLog_Write(EyLogLevel_t level, const char *part, const char *event,
+/** Writes one line; false if the reader is behind. */
+static bool
+write_event(EyLogLevel_t level, const char *part, const char *event,
             const EyLogField_t *fields, uint32_t count)
 {
     enum { FIELDS_MAX = 24, FIXED_FIELDS = 5, NUMBER_SIZE_BYTES = 24 };
-    if (level > Level || !has_room(level)) {
-        return;
-    }
-    uint32_t dropped = __atomic_exchange_n(&Dropped, 0, __ATOMIC_RELAXED);
     if (count > FIELDS_MAX - FIXED_FIELDS) {
         count = FIELDS_MAX - FIXED_FIELDS;
     }
@@ -173,8 +170,24 @@
         }
     }
     g_log_structured_array(GlibLevels[level], all, FIXED_FIELDS + count);
-    if (dropped > 0) {
-        EY_LOG(EY_LOG_WARNING, "log", "lines_dropped",
-               EY_LOG_NUMBER("count", dropped));
+    return WasWritten;
+}
+
+void
+EyLog_Write(EyLogLevel_t level, const char *part, const char *event,
+            const EyLogField_t *fields, uint32_t count)
+{
+    if (level > Level || !has_room(level)) {
+        return;
+    }
+    uint32_t dropped = __atomic_exchange_n(&Dropped, 0, __ATOMIC_RELAXED);
+    dropped += write_event(level, part, event, fields, count) ? 0 : 1;
+    if (dropped == 0) {
+        return;
+    }
+    const EyLogField_t told = EY_LOG_NUMBER("count", dropped);
+    if (!write_event(EY_LOG_WARNING, "log", "lines_dropped", &told, 1)) {
+        /* A later line tells. */
+        (void)__atomic_add_fetch(&Dropped, dropped, __ATOMIC_RELAXED);
     }
 }
--- /dev/null
+++ b/tests/unit/test_log.c
@@ -0,0 +1,71 @@
+#include "core/clock.h"
+#include "core/log.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define LINES 5000
+/* Room for all that a pipe holds. */
+#define TEXT_MAX_BYTES (1024 * 1024)
+
+/** Puts a pipe in the place of standard output; returns its other end. */
+static int
+take_output(void)
+{
+    int ends[2];
+    cr_assert_eq(pipe(ends), 0);
+    cr_assert_geq(dup2(ends[1], STDOUT_FILENO), 0);
+    (void)close(ends[1]);
+    return ends[0];
+}
+
+/** Reads what is there and counts the lines that have a part. */
+static uint32_t
+count_lines(int reader, const char *part)
+{
+    static char text[TEXT_MAX_BYTES];
+    ssize_t size_bytes = read(reader, text, sizeof(text) - 1);
+    cr_assert_gt(size_bytes, 0);
+    text[size_bytes] = '\0';
+    uint32_t count = 0;
+    for (const char *at = strstr(text, part); at != NULL;
+         at = strstr(at + 1, part))
+    {
+        count++;
+    }
+    return count;
+}
+
+Test(log, a_reader_that_stands_still_blocks_nobody, .timeout = 20)
+{
+    int reader = take_output();
+    EyLog_Start("gw-1", EY_LOG_INFO, true);
+    for (uint32_t i = 0; i < LINES; i++) {
+        EY_LOG(EY_LOG_WARNING, "test", "loud", EY_LOG_NUMBER("i", i));
+    }
+    uint32_t written = count_lines(reader, "\"loud\"");
+    cr_expect_gt(written, 0);
+    cr_expect_lt(written, LINES, "the pipe holds less than all");
+    EY_LOG(EY_LOG_WARNING, "test", "after", EY_LOG_NUMBER("i", 0));
+    cr_expect_eq(count_lines(reader, "lines_dropped"), 1);
+    (void)close(reader);
+}
+
+Test(log, lines_of_a_second_are_bounded_but_for_warnings)
+{
+    int reader = take_output();
+    EyLog_Start("gw-1", EY_LOG_INFO, false);
+    int64_t first_second = EyClock_NowMs() / 1000;
+    for (uint32_t i = 0; i < 2 * EY_LOG_LINES_PER_S_MAX; i++) {
+        EY_LOG(EY_LOG_INFO, "t", "e", EY_LOG_NUMBER("i", i));
+    }
+    int64_t seconds = EyClock_NowMs() / 1000 - first_second + 1;
+    uint32_t written = count_lines(reader, "event=e");
+    cr_expect_leq(written, EY_LOG_LINES_PER_S_MAX * (uint64_t)seconds, "%u",
+                  written);
+    EY_LOG(EY_LOG_WARNING, "t", "w", EY_LOG_NUMBER("i", 0));
+    cr_expect_eq(count_lines(reader, "event=w"), 1);
+    (void)close(reader);
+}
