A caller that pauses its reading for some seconds keeps its answer

Cause: TCP_USER_TIMEOUT on callers' connections ends one whose far side is alive but has read nothing for 4 s, as a window of zero counts as no progress.

Ruled out: the idle timeout of 120 s; the case isn't idle. Callers' connections are now probed when they are silent, but no longer watched for progress; the idle timeout ends a caller that reads nothing for good. Connections to backend servers keep the bound: a server that takes no bytes for 4 s stands still, and the call goes elsewhere.

--- a/src/backends/connections.c
+++ b/src/backends/connections.c
@@ -65,7 +65,7 @@
     if (descriptor < 0) {
         return CURL_SOCKET_BAD;
     }
-    EyLiveness_Watch(descriptor);
+    EyLiveness_WatchProgress(descriptor);
     Entry_t *entry = g_new0(Entry_t, 1);
     entry->descriptor = descriptor;
     (void)g_hash_table_insert(self->by_descriptor, GINT_TO_POINTER(descriptor),
--- a/src/core/liveness.c
+++ b/src/core/liveness.c
@@ -19,25 +19,41 @@
     int value;
 } Option_t;
 
-static const Option_t Options[] = {
-    {IPPROTO_TCP, TCP_USER_TIMEOUT, EY_LIVENESS_TIMEOUT_MS},
+/* Ends a connection that leaves bytes unacknowledged, and also one whose far
+ * side is alive but reads nothing. */
+static const Option_t Progress = {IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                  EY_LIVENESS_TIMEOUT_MS};
+
+static const Option_t Probing[] = {
     {SOL_SOCKET, SO_KEEPALIVE, 1},
     {IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_S},
     {IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S},
     {IPPROTO_TCP, TCP_KEEPCNT, PROBES},
 };
 
+static void
+set_option(int socket, const Option_t *option)
+{
+    if (setsockopt(socket, option->level, option->name, &option->value,
+                   sizeof(option->value)) != 0)
+    {
+        EY_LOG(EY_LOG_WARNING, "core", "socket_option_refused",
+               EY_LOG_NUMBER("option", option->name),
+               EY_LOG_TEXT("reason", strerror(errno)));
+    }
+}
+
 void
-EyLiveness_Watch(int socket)
+EyLiveness_WatchSilence(int socket)
 {
-    for (size_t i = 0; i < sizeof(Options) / sizeof(Options[0]); i++) {
-        const Option_t *option = &Options[i];
-        if (setsockopt(socket, option->level, option->name, &option->value,
-                       sizeof(option->value)) != 0)
-        {
-            EY_LOG(EY_LOG_WARNING, "core", "socket_option_refused",
-                   EY_LOG_NUMBER("option", option->name),
-                   EY_LOG_TEXT("reason", strerror(errno)));
-        }
+    for (size_t i = 0; i < sizeof(Probing) / sizeof(Probing[0]); i++) {
+        set_option(socket, &Probing[i]);
     }
 }
+
+void
+EyLiveness_WatchProgress(int socket)
+{
+    EyLiveness_WatchSilence(socket);
+    set_option(socket, &Progress);
+}
--- a/src/core/liveness.h
+++ b/src/core/liveness.h
@@ -6,13 +6,18 @@
 extern "C" {
 #endif
 
-/** Unacknowledged bytes, or unanswered probes of a silent connection, end it
- * after about this time. */
+/** A connection watched for progress ends after about this time without. */
 #define EY_LIVENESS_TIMEOUT_MS 4000
 
-/** Sets the options of a TCP socket; a failure is logged and left. */
+/** Ends a silent connection whose probes stay unanswered for some seconds; a
+ * far side that is alive may pause its reading for as long as it likes. */
 void
-EyLiveness_Watch(int socket);
+EyLiveness_WatchSilence(int socket);
+
+/** The same, and ends one whose far side takes no bytes for
+ * EY_LIVENESS_TIMEOUT_MS, be it dead or standing still. */
+void
+EyLiveness_WatchProgress(int socket);
 
 #ifdef __cplusplus
 }
--- a/tests/unit/test_server.c
+++ b/tests/unit/test_server.c
@@ -1,4 +1,5 @@
 #include "core/clock.h"
+#include "core/liveness.h"
 #include "core/memory.h"
 #include "server_bench.h"
 
@@ -364,6 +365,42 @@
     check_hangup_midway(UINT32_MAX);
 }
 
+/** Writes until the stream is full and stays so: its caller reads nothing. */
+static void
+fill(EyStream_t *stream)
+{
+    enum { BLOCK_BYTES = 4096, FULL_MS = 300 };
+    static const char Zeros[BLOCK_BYTES];
+    int64_t written_ms = EyClock_NowMs();
+    while (EyClock_NowMs() - written_ms < FULL_MS) {
+        if (EyStream_Write(stream, Zeros, BLOCK_BYTES)) {
+            written_ms = EyClock_NowMs();
+            continue;
+        }
+        (void)usleep(1000);
+    }
+}
+
+Test(server, a_caller_that_pauses_its_reading_keeps_its_answer)
+{
+    ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
+    int socket = server_bench_send(bench, GET "\r\n");
+    EyRequest_t *request = server_bench_take(bench);
+    EyAnswer_t *answer = EyAnswer_New(200, EY_OUTCOME_COMPLETED);
+    EyStream_t *stream = EyStream_New(65536);
+    answer->stream = EyStream_Ref(stream);
+    EyServer_Answer(bench->server, request->number, answer);
+    fill(stream);
+    (void)usleep((EY_LIVENESS_TIMEOUT_MS + 2000) * 1000);
+    cr_assert_eq(server_bench_gone(bench, NULL), 0);
+    cr_assert_neq(EyStream_State(stream), EY_STREAM_LEFT);
+    (void)close(socket);
+    cr_assert(server_bench_wait_gone(bench, 1));
+    talloc_free(request);
+    EyStream_Unref(stream);
+    server_bench_free(bench);
+}
+
 Test(server, an_answer_for_a_caller_that_is_gone_frees_its_writer)
 {
     ServerBench_t *bench = server_bench_new(SERVER_QUEUES);
