--- a/src/backends/backend.h
+++ b/src/backends/backend.h
@@ -57,8 +57,8 @@
     EyBackendLoad_t load;
     uint32_t ttl_ms;
     uint64_t incarnation; /* rises with each start; 0: not said */
-    bool is_cold; /* it started lately and bears few requests yet */
-    double cold_per_s; /* so many a second, from all; 0: any number */
+    bool is_cold;         /* it started lately and bears few requests yet */
+    double cold_per_s;    /* so many a second, from all; 0: any number */
 } EyBackend_t;
 
 extern const EySchema_t EyBackendLoad_schema;
--- a/src/backends/event_framer.c
+++ b/src/backends/event_framer.c
@@ -12,9 +12,9 @@
     uint32_t line_start_bytes; /* of the line that isn't complete */
     uint32_t whole_bytes;
     uint32_t whole_events;
-    bool has_data;  /* the event that isn't whole has a data line */
-    bool has_done;  /* and that line is [DONE] */
-    bool last_done; /* the last whole event was [DONE] */
+    bool has_data;       /* the event that isn't whole has a data line */
+    bool has_done;       /* and that line is [DONE] */
+    bool last_done;      /* the last whole event was [DONE] */
     EyEventId_t next_id; /* of the event that isn't whole */
     EyEventId_t last_id; /* of the last whole event with one */
 } Scan_t;
--- a/src/callers/inbound.c
+++ b/src/callers/inbound.c
@@ -32,8 +32,7 @@
     size_t size_bytes = sizeof(ErrorEvent) - 1;
     self->broken = true;
     if (!self->names->tells_broken_events || !self->answer->is_events ||
-        self->error_event_given ||
-        room_bytes < size_bytes)
+        self->error_event_given || room_bytes < size_bytes)
     {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
@@ -182,13 +181,13 @@
 {
     const EyAnswer_t *answer = self->answer;
     GString *text = g_string_new(NULL);
-    g_string_append_printf(
-        text,
-        "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n%s: %s\r\n"
-        "Connection: close\r\n",
-        answer->status, MHD_get_reason_phrase_for(answer->status),
-        EyAnswer_Header(answer, "Content-Type"),
-        self->names->of[EY_HEADER_REQUEST_ID], self->id);
+    g_string_append_printf(text,
+                           "HTTP/1.1 %u %s\r\nContent-Type: %s\r\n%s: %s\r\n"
+                           "Connection: close\r\n",
+                           answer->status,
+                           MHD_get_reason_phrase_for(answer->status),
+                           EyAnswer_Header(answer, "Content-Type"),
+                           self->names->of[EY_HEADER_REQUEST_ID], self->id);
     if (self->names->of[EY_HEADER_OUTCOME] != NULL) {
         g_string_append_printf(text, "%s: %s\r\n",
                                self->names->of[EY_HEADER_OUTCOME],
--- a/src/callers/parse.c
+++ b/src/callers/parse.c
@@ -245,7 +245,8 @@
     request->part_count = 0;
     for (gchar **item = items; *item != NULL; item++) {
         if (request->part_count == EY_PROMPT_PARTS_MAX ||
-            !read_part(g_strstrip(*item), &request->parts[request->part_count]))
+            !read_part(g_strstrip(*item),
+                       &request->parts[request->part_count]))
         {
             break;
         }
--- a/src/callers/parse.h
+++ b/src/callers/parse.h
@@ -33,8 +33,7 @@
 
 /** The same where every call goes by the configured routes. */
 EyAnswer_t *
-EyParse_RoutedLine(EyRequest_t *request, const char *method,
-                   const char *path);
+EyParse_RoutedLine(EyRequest_t *request, const char *method, const char *path);
 
 /** Takes one header; a bad one sets self->refusal. */
 void
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -199,13 +199,11 @@
           bool *has_body)
 {
     EyRequest_t *request = inbound->request;
-    EyParsedHead_t head = {.request = request,
-                           .names = self->names,
-                           .content_size_bytes = -1};
+    EyParsedHead_t head = {
+        .request = request, .names = self->names, .content_size_bytes = -1};
     EyAnswer_t *refusal =
-        inbound->is_routed
-            ? EyParse_RoutedLine(request, method, inbound->path)
-            : EyParse_Line(request, method, inbound->path);
+        inbound->is_routed ? EyParse_RoutedLine(request, method, inbound->path)
+                           : EyParse_Line(request, method, inbound->path);
     (void)MHD_get_connection_values(inbound->suspension.connection,
                                     MHD_HEADER_KIND, take_header, &head);
     EyAnswer_t *head_refusal = EyParse_HeadEnd(&head);
--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -25,7 +25,7 @@
     EyName_t *controls;
     uint32_t control_count;
     uint32_t control_turn; /* the control process that the first one asks */
-    uint32_t asked_turn; /* of the control processes asked besides */
+    uint32_t asked_turn;   /* of the control processes asked besides */
     uint64_t highest;      /* revision that was heard of */
     int64_t started_ms;
     int64_t pull_ms;     /* when to pull next */
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -450,8 +450,7 @@
         return refusal(self, EY_RESULT_INVALID,
                        "too many zones are being evacuated");
     }
-    EyName_t *zones =
-        EY_NEW_ARRAY(self, EyName_t, self->evacuated_count + 1);
+    EyName_t *zones = EY_NEW_ARRAY(self, EyName_t, self->evacuated_count + 1);
     for (uint32_t i = 0; i < self->evacuated_count; i++) {
         (void)EY_COPY(zones[i], self->evacuated[i]);
     }
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -83,7 +83,6 @@
     return is_name(text) && EY_COPY(settings->zone, text);
 }
 
-
 static bool
 read_peer_listen(EySettings_t *settings, const char *text)
 {
@@ -132,8 +131,8 @@
 static bool
 read_routed_listen(EySettings_t *settings, const char *text)
 {
-    return *text == '\0' || (EyAddress_IsValid(text) &&
-                             EY_COPY(settings->routed_listen, text));
+    return *text == '\0' ||
+           (EyAddress_IsValid(text) && EY_COPY(settings->routed_listen, text));
 }
 
 /** Reads one ZONE=REGION. */
@@ -146,15 +145,14 @@
     }
     *equals = '\0';
     EyZone_t *zone = &settings->zones[settings->zone_count++];
-    return is_name(pair) && is_name(equals + 1) &&
-           EY_COPY(zone->zone, pair) && EY_COPY(zone->region, equals + 1);
+    return is_name(pair) && is_name(equals + 1) && EY_COPY(zone->zone, pair) &&
+           EY_COPY(zone->region, equals + 1);
 }
 
 static bool
 read_zones(EySettings_t *settings, const char *text)
 {
-    settings->zones =
-        EY_NEW_ARRAY(settings, EyZone_t, EY_SETTINGS_ZONES_MAX);
+    settings->zones = EY_NEW_ARRAY(settings, EyZone_t, EY_SETTINGS_ZONES_MAX);
     bool good = true;
     gchar **parts = g_strsplit(text, ",", -1);
     for (gchar **part = parts; *part != NULL && good; part++) {
@@ -470,8 +468,7 @@
 const char *
 EySettings_CallersAddress(const EySettings_t *self)
 {
-    return self->routed_listen[0] != '\0' ? self->routed_listen
-                                          : self->listen;
+    return self->routed_listen[0] != '\0' ? self->routed_listen : self->listen;
 }
 
 bool
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -51,11 +51,11 @@
     EyAddress_t peer_listen;
     EyZone_t *zones; /* of the fleet, as far as the settings name them */
     uint32_t zone_count;
-    EyName_t headers;         /* name of the table of header names */
-    uint32_t stop_linger_ms;  /* service goes on so long after SIGTERM */
-    uint32_t backend_ttl_ms;  /* of announcements that name none */
-    bool may_found;           /* may start a new control cluster */
-    bool takes_joiners;       /* control: also ones not in --control */
+    EyName_t headers;        /* name of the table of header names */
+    uint32_t stop_linger_ms; /* service goes on so long after SIGTERM */
+    uint32_t backend_ttl_ms; /* of announcements that name none */
+    bool may_found;          /* may start a new control cluster */
+    bool takes_joiners;      /* control: also ones not in --control */
     EyAddress_t peers[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t peer_count;
     EyAddress_t control[EY_SETTINGS_ADDRESSES_MAX];
--- a/src/discovery/query.c
+++ b/src/discovery/query.c
@@ -21,10 +21,9 @@
             (*pair)[name_length] != '=') {
             continue;
         }
-        gchar *decoded =
-            g_uri_unescape_string(*pair + name_length + 1, NULL);
-        if (decoded == NULL ||
-            !EyText_Copy(value, value_size_bytes, decoded)) {
+        gchar *decoded = g_uri_unescape_string(*pair + name_length + 1, NULL);
+        if (decoded == NULL || !EyText_Copy(value, value_size_bytes, decoded))
+        {
             value[0] = '\0';
         }
         g_free(decoded);
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -113,7 +113,8 @@
     const ProblemText_t *text = &ProblemTexts[problem];
     EyAnswer_t *self = EyAnswer_New(text->status, outcome);
     self->retry_after_ms = retry_after_s * 1000;
-    self->reason = EyMemory_Strdup(self, detail != NULL ? detail : text->title);
+    self->reason =
+        EyMemory_Strdup(self, detail != NULL ? detail : text->title);
     json_t *json = json_object();
     (void)json_object_set_new(json, "type", json_string(text->type));
     (void)json_object_set_new(json, "title", json_string(text->title));
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -29,7 +29,7 @@
     uint32_t status;
     EyOutcome_t outcome;
     uint32_t retry_after_ms; /* 0: not said */
-    bool reached_server; /* a refusal: some backend server got the call */
+    bool reached_server;     /* a refusal: some backend server got the call */
     char *reason; /* why it is a refusal or failure, for logs; or NULL */
     EyHeader_t *headers;
     uint32_t header_count;
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -319,8 +319,8 @@
 stream_allows(const EyExchange_t *exchange)
 {
     const EyRequest_t *request = exchange->request;
-    bool resumes = request->call != EY_CALL_ROUTED ||
-                   request->terms.is_resumable;
+    bool resumes =
+        request->call != EY_CALL_ROUTED || request->terms.is_resumable;
     return !exchange->head_passed ||
            (resumes && EyExchange_StreamsEvents(exchange));
 }
@@ -364,8 +364,7 @@
     talloc_free(exchange->failed);
     exchange->failed = NULL;
     if (exchange->request->call == EY_CALL_ROUTED &&
-        step->event->answer != NULL)
-    {
+        step->event->answer != NULL) {
         exchange->failed = talloc_steal(exchange, step->event->answer);
         step->event->answer = NULL;
     }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -62,8 +62,8 @@
     bool try_again; /* ATTEMPT_DONE, _FAILED: another replica may do better */
     uint32_t events_passed;
     EyEventId_t last_event; /* ATTEMPT_FAILED: of those events */
-    bool reached_server; /* ATTEMPT_FAILED, nothing_sent: in another region
-                            a server got the call and didn't run it */
+    bool reached_server;    /* ATTEMPT_FAILED, nothing_sent: in another region
+                               a server got the call and didn't run it */
     bool not_run; /* ATTEMPT_DONE: the server says that it didn't run it */
     EyProblem_t problem;
     EyOutcome_t outcome;
@@ -122,11 +122,11 @@
     uint64_t attempt; /* the current one */
     uint32_t events_passed;
     EyEventId_t last_event; /* of the last event passed, if they bear ids */
-    uint32_t run_count; /* attempts that may have run */
+    uint32_t run_count;     /* attempts that may have run */
     uint32_t arrival_count; /* attempts that a server may have got */
     EyName_t tried[EY_EXCHANGE_ATTEMPTS_MAX];
     uint32_t tried_count;
-    EyAnswer_t *kept; /* what the claim is completed with */
+    EyAnswer_t *kept;   /* what the claim is completed with */
     EyAnswer_t *failed; /* a server's answer of failure; given to the caller
                            if no other server does better; or NULL */
 } EyExchange_t;
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -53,12 +53,12 @@
 /** What the route of a routed call says of it. */
 typedef struct EyCallTerms {
     EyName_t route;
-    bool is_idempotent;  /* may run again */
-    bool is_model;       /* a model engine runs it */
-    bool is_resumable;   /* its stream may go on at another replica */
-    uint32_t priority;   /* 0: first */
-    uint32_t runs_max;   /* replicas that may run it; 0: not said */
-    uint32_t timeout_ms; /* longest wait for its answer */
+    bool is_idempotent;    /* may run again */
+    bool is_model;         /* a model engine runs it */
+    bool is_resumable;     /* its stream may go on at another replica */
+    uint32_t priority;     /* 0: first */
+    uint32_t runs_max;     /* replicas that may run it; 0: not said */
+    uint32_t timeout_ms;   /* longest wait for its answer */
     uint32_t objective_ms; /* answer or first event are on time until then */
 } EyCallTerms_t;
 
@@ -96,12 +96,12 @@
     EyCallTerms_t terms;           /* of a routed call */
     EyName_t *allowed_regions;     /* of its route; none: any */
     uint32_t allowed_region_count;
-    uint32_t arrivals; /* at servers, before it came to this instance */
-    uint32_t resume_after; /* its stream goes on after so many events */
-    char resume_event[32]; /* and after the one of this id, if not empty */
-    uint32_t prompt_tokens;        /* 0: not said */
-    uint32_t expected_tokens;      /* of the answer, by the caller; 0: none */
-    EyPromptPart_t *parts;         /* of the prompt, in order */
+    uint32_t arrivals;        /* at servers, before it came to this instance */
+    uint32_t resume_after;    /* its stream goes on after so many events */
+    char resume_event[32];    /* and after the one of this id, if not empty */
+    uint32_t prompt_tokens;   /* 0: not said */
+    uint32_t expected_tokens; /* of the answer, by the caller; 0: none */
+    EyPromptPart_t *parts;    /* of the prompt, in order */
     uint32_t part_count;
 } EyRequest_t;
 
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -80,8 +80,8 @@
     bool is_bound =
         request->call == EY_CALL_MODEL || request->call == EY_CALL_SERVICE;
     if (!is_bound || EyPolicyBoard_Check(self->policy, request,
-                                               self->node->settings->region) ==
-                               EY_RESIDENCY_ALLOW)
+                                         self->node->settings->region) ==
+                         EY_RESIDENCY_ALLOW)
     {
         return NULL;
     }
@@ -146,7 +146,8 @@
         answer->retry_after_ms = LEAVING_RETRY_AFTER_MS;
         EyAddress_t better;
         if (EyDirectory_Better(self->node->directory, self->node->settings->id,
-                               better)) {
+                               better))
+        {
             EyAnswer_SetHeader(answer, "Ebonyyard-Instances", better);
         }
         return answer;
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -495,9 +495,8 @@
     if (result.kind == EY_RESULT_OK && answer != NULL &&
         says_not_run(live, answer))
     {
-        result.kind = answer->status == STATUS_MISDIRECTED
-                          ? EY_RESULT_GONE
-                          : EY_RESULT_REFUSED;
+        result.kind = answer->status == STATUS_MISDIRECTED ? EY_RESULT_GONE
+                                                           : EY_RESULT_REFUSED;
     }
     else if (result.kind == EY_RESULT_OK && answer != NULL &&
              is_passing(answer->status))
--- a/src/gateway/routed.c
+++ b/src/gateway/routed.c
@@ -45,8 +45,8 @@
         return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
                                 "no route for this host and path");
     }
-    const char *service = EyRouteRule_Choose(
-        route, EyRandom_Unit(&self->node->random));
+    const char *service =
+        EyRouteRule_Choose(route, EyRandom_Unit(&self->node->random));
     (void)EY_COPY(request->target, service);
     copy_terms(request, route, EyRouteTable_Service(self->routes, service));
     return NULL;
--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -223,8 +223,7 @@
         double cost_ms = finish_ms(word, config, request) *
                          (1.0 + ALIKE_SHARE * EyRandom_Unit(&self->random));
         if (cost_ms < best_ms &&
-            has_room(region, word, now_ms, config, gateways))
-        {
+            has_room(region, word, now_ms, config, gateways)) {
             best = region;
             best_ms = cost_ms;
         }
@@ -235,8 +234,7 @@
     {
         return NULL;
     }
-    Word_t *word =
-        find_word(self, best->name, request->kind, request->target);
+    Word_t *word = find_word(self, best->name, request->kind, request->target);
     word->in_flight++;
     word->sent_work += EyRoutingRequest_PromptWork(request);
     return best->name;
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -18,11 +18,11 @@
     double holds; /* requests that it probably holds */
     double slots;
     double unit_ms;
-    double run_ms;    /* expected time once it runs */
-    double finish_ms; /* expected time from now to the end */
-    double start_ms;  /* expected time to the answer's beginning, of a model
-                         engine; else as finish_ms */
-    double cost_ms;   /* what the choice weighs */
+    double run_ms;      /* expected time once it runs */
+    double finish_ms;   /* expected time from now to the end */
+    double start_ms;    /* expected time to the answer's beginning, of a model
+                           engine; else as finish_ms */
+    double cost_ms;     /* what the choice weighs */
     double read_tokens; /* of the prompt, at a model engine */
     bool has_room;
 } EyCandidate_t;
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -223,8 +223,8 @@
         if (is_candidate(replica, planning->now_ms, request, with_ejected)) {
             bool likely_holds =
                 replica == holders.best || replica == holders.second;
-            EyCandidate_t candidate = make_candidate(
-                replica, planning, request, work, likely_holds);
+            EyCandidate_t candidate =
+                make_candidate(replica, planning, request, work, likely_holds);
             g_array_append_val(self->candidates, candidate);
         }
     }
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -103,8 +103,8 @@
     bool holds_all = true;
     for (uint32_t i = 0; i < request->start_count; i++) {
         const EyPromptStart_t *start = &request->starts[i];
-        holds_all = holds_all && EyPrefixHints_Has(&self->prefixes, now_ms,
-                                                   start->hash);
+        holds_all = holds_all &&
+                    EyPrefixHints_Has(&self->prefixes, now_ms, start->hash);
         held += holds_all ? start->tokens : 0.0;
         shared += i + 1 < request->start_count ? start->tokens : 0.0;
     }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -11,8 +11,8 @@
 
 #include "backends/backend.h"
 #include "routing/cold_pace.h"
-#include "routing/engine_load.h"
 #include "routing/decision.h"
+#include "routing/engine_load.h"
 #include "routing/outlier.h"
 #include "routing/prefix_hint.h"
 #include "routing/recent.h"
--- a/src/routing/retry_budget.c
+++ b/src/routing/retry_budget.c
@@ -21,7 +21,8 @@
 void
 EyRetryBudget_Share(EyRetryBudget_t *self, uint32_t gateways)
 {
-    double part = EY_RETRY_BUDGET_FLEET / (double)(gateways > 0 ? gateways : 1);
+    double part =
+        EY_RETRY_BUDGET_FLEET / (double)(gateways > 0 ? gateways : 1);
     self->most = part < EY_RETRY_BUDGET_MAX ? part : EY_RETRY_BUDGET_MAX;
     /* A retry is a whole one: what is saved up must reach it. */
     self->most = self->most > 1.0 ? self->most : 1.0;
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -32,7 +32,7 @@
     EyPolicyState_t state;
     uint32_t gateways;
     EyGatewayRank_t rank;
-    int64_t rank_ms; /* when its count was last as high as now */
+    int64_t rank_ms;      /* when its count was last as high as now */
     int64_t started_ms;   /* < 0: no event yet */
     GHashTable *replicas; /* id to EyReplica_t */
     GHashTable *pools;    /* target to EyPool_t */
--- a/tests/unit/test_announcement.c
+++ b/tests/unit/test_announcement.c
@@ -66,8 +66,8 @@
             EyAnnouncement_Read(ctx, test->id, &text, "start", &error);
         if (test->fault != NULL) {
             cr_assert_null(backend, "%zu", i);
-            cr_expect_not_null(strstr(error->message, test->fault),
-                               "%zu: %s", i, error->message);
+            cr_expect_not_null(strstr(error->message, test->fault), "%zu: %s",
+                               i, error->message);
             g_error_free(error);
         }
         else {
--- a/tests/unit/test_cold_pace.c
+++ b/tests/unit/test_cold_pace.c
@@ -80,8 +80,7 @@
 Test(cold_pace, a_gateway_that_is_alone_gets_no_more_than_the_whole)
 {
     const EyGatewayRank_t alone = {.rank = 0, .count = 1};
-    cr_expect_leq(EyColdPace_Share(&alone, "i-1", PER_S),
-                  (uint32_t)PER_S + 1);
+    cr_expect_leq(EyColdPace_Share(&alone, "i-1", PER_S), (uint32_t)PER_S + 1);
     const EyGatewayRank_t nobody = {.rank = 0, .count = 0};
     cr_expect_leq(EyColdPace_Share(&nobody, "i-1", PER_S),
                   (uint32_t)PER_S + 1);
--- a/tests/unit/test_exchange_routed.c
+++ b/tests/unit/test_exchange_routed.c
@@ -67,8 +67,7 @@
 {
     const EyExchangeAction_t *action = find(actions, EY_EXCHANGE_DO_ANSWER);
     cr_assert_not_null(action, "no answer");
-    cr_expect_eq(action->answer->status, status, "%u",
-                 action->answer->status);
+    cr_expect_eq(action->answer->status, status, "%u", action->answer->status);
     cr_expect_eq(action->answer->outcome, outcome, "%d",
                  action->answer->outcome);
     talloc_free(action->answer);
@@ -133,8 +132,8 @@
             send_to(exchange, "s");
             EyExchangeActions_t actions =
                 step(exchange, answer_of(exchange, 500));
-            cr_assert_not_null(find(&actions, EY_EXCHANGE_DO_ROUTE),
-                               "%zu: %u", i, run);
+            cr_assert_not_null(find(&actions, EY_EXCHANGE_DO_ROUTE), "%zu: %u",
+                               i, run);
         }
         send_to(exchange, "s");
         EyExchangeActions_t actions = step(exchange, answer_of(exchange, 500));
@@ -197,8 +196,7 @@
     cr_assert_not_null(find(&actions, EY_EXCHANGE_DO_ROUTE));
     EyExchangeEvent_t routed = {.kind = EY_EXCHANGE_ROUTED, .to = "two"};
     actions = step(exchange, routed);
-    const EyExchangeAction_t *attempt =
-        find(&actions, EY_EXCHANGE_DO_ATTEMPT);
+    const EyExchangeAction_t *attempt = find(&actions, EY_EXCHANGE_DO_ATTEMPT);
     cr_assert_not_null(attempt);
     cr_expect_eq(attempt->resume_after, 12);
     cr_expect_str_eq(attempt->last_event, "11");
