Discovery: while a region has no gateway, those its routes allow come first

Both gateways of a region leave 1.3 s apart; for 3.4 s none is there, and the directory named any other region's, also those that the host's routes don't allow, though an allowed region had gateways; callers' bodies went there and had to be passed on.

Change: the answer to GET /v1/instances takes the host (?name=) into account: the own region's gateways, else those of regions that one of the host's routes allows, else any. Control processes keep the routes in force, as gateways do, by the same EyRouteTable_Renew.

Ruled out: naming the gateways that leave for as long as they linger: it covers less than half of the gap, and callers keep answers longer.

--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -1,5 +1,6 @@
 #include "config/route_table.h"
 
+#include "core/log.h"
 #include "core/memory.h"
 
 #include <string.h>
@@ -202,6 +203,28 @@
     return self;
 }
 
+bool
+EyRouteTable_Renew(EyRouteTable_t **self, const void *ctx, uint64_t version,
+                   const EyBytes_t *document)
+{
+    uint64_t known = *self != NULL ? (*self)->version : 0;
+    if (version <= known) {
+        return false;
+    }
+    GError *error = NULL;
+    EyRouteTable_t *routes = EyRouteTable_Parse(ctx, document, &error);
+    if (routes == NULL) {
+        EY_LOG(EY_LOG_ERROR, "config", "routes_unreadable",
+               EY_LOG_NUMBER("version", version),
+               EY_LOG_TEXT("reason", error->message));
+        g_error_free(error);
+        return false;
+    }
+    talloc_free(*self);
+    *self = routes;
+    return true;
+}
+
 /* Look-ups */
 
 const EyServiceRule_t *
@@ -245,6 +268,35 @@
     return best;
 }
 
+static bool
+allows_region(const EyRouteRule_t *route, const char *region)
+{
+    for (uint32_t i = 0; i < route->allowed_region_count; i++) {
+        if (strcmp(route->allowed_regions[i], region) == 0) {
+            return true;
+        }
+    }
+    return route->allowed_region_count == 0;
+}
+
+bool
+EyRouteTable_MayEnter(const EyRouteTable_t *self, const char *host,
+                      const char *region)
+{
+    bool is_known = false;
+    for (uint32_t i = 0; i < self->route_count; i++) {
+        const EyRouteRule_t *route = &self->routes[i];
+        if (!is_same_host(route->host, host)) {
+            continue;
+        }
+        if (allows_region(route, region)) {
+            return true;
+        }
+        is_known = true;
+    }
+    return !is_known;
+}
+
 const char *
 EyRouteRule_Choose(const EyRouteRule_t *self, double unit)
 {
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -2,6 +2,7 @@
 
 #include "config/control.h"
 #include "config/log_file.h"
+#include "config/route_table.h"
 #include "control/witnesses.h"
 #include "core/clock.h"
 #include "core/log.h"
@@ -33,6 +34,7 @@
     EyAddress_t leader;
     bool is_voter;
     uint64_t members_hash;
+    EyRouteTable_t *routes; /* in force; NULL: none is known yet */
 } ControlPart_t;
 
 /** An operator's request that waits. */
@@ -183,11 +185,23 @@
     }
 }
 
+/** Takes the routes over if they are new. */
+static void
+take_routes(ControlPart_t *self, const EyStore_t *store)
+{
+    if (EyRouteTable_Renew(&self->routes, self, store->routes_version,
+                           &store->routes))
+    {
+        self->node->routes = self->routes;
+    }
+}
+
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
     ControlPart_t *self = data;
     EyWitnesses_Configure(self->witnesses, store);
+    take_routes(self, store);
     EY_LOG(EY_LOG_INFO, "control", "configuration",
            EY_LOG_NUMBER("revision", store->config.revision),
            EY_LOG_NUMBER("routes_version", store->routes_version),
@@ -240,9 +254,8 @@
     if (request->call != EY_CALL_OPERATOR) {
         return false;
     }
-    EyOperatorsReply_t reply =
-        EyOperators_Handle(request, EyControl_Store(self->control),
-                           self->node->operator_token);
+    EyOperatorsReply_t reply = EyOperators_Handle(
+        request, EyControl_Store(self->control), self->node->operator_token);
     if (reply.answer != NULL) {
         EyNode_Answer(self->node, request, reply.answer);
         return true;
@@ -293,8 +306,7 @@
     EyLogStatus_t status = EyControl_Status(self->control);
     uint64_t hash = hash_members(&status.members);
     if (status.role == self->role && status.is_voter == self->is_voter &&
-        hash == self->members_hash &&
-        strcmp(status.leader, self->leader) == 0)
+        hash == self->members_hash && strcmp(status.leader, self->leader) == 0)
     {
         return;
     }
--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -1,6 +1,7 @@
 #include "discovery/discovery_part.h"
 
 #include "backends/announcement.h"
+#include "config/route_table.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
@@ -204,8 +205,8 @@
     const EySettings_t *settings = self->node->settings;
     for (uint32_t i = 0; i < settings->zone_count; i++) {
         const char *region = settings->zones[i].region;
-        bool is_first = i == 0 ||
-                        strcmp(region, settings->zones[i - 1].region) != 0;
+        bool is_first =
+            i == 0 || strcmp(region, settings->zones[i - 1].region) != 0;
         if (is_first && strcmp(region, settings->region) != 0) {
             was_told |= relay(self, region, &announcement);
         }
@@ -236,9 +237,21 @@
 
 /* Callers */
 
-/** Live gateways of a region that isn't the own one. */
+/** True if calls to a host may enter at an instance. */
+static bool
+may_enter(const DiscoveryPart_t *self, const char *host,
+          const EyMember_t *member)
+{
+    const EyRouteTable_t *routes = self->node->routes;
+    return host == NULL || routes == NULL ||
+           EyRouteTable_MayEnter(routes, host, member->region);
+}
+
+/** Live gateways of another region, or of any (NULL), for calls to a host;
+ * host NULL: whatever its routes allow. */
 static json_t *
-contact_addresses(const DiscoveryPart_t *self, const char *region)
+contact_addresses(const DiscoveryPart_t *self, const char *region,
+                  const char *host)
 {
     Contacts_t contacts = find_contacts(self, region);
     json_t *addresses = json_array();
@@ -246,7 +259,9 @@
     while ((member = take_freshest(&contacts)) != NULL) {
         int64_t age_ms =
             EyMembership_ContactAgeMs(contacts.membership, member->id);
-        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS) {
+        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS &&
+            may_enter(self, host, member))
+        {
             (void)json_array_append_new(addresses,
                                         json_string(member->http_address));
         }
@@ -271,23 +286,43 @@
     return addresses;
 }
 
-/** Gateways for a caller in a region: its own, else whichever is there. */
+/** Gateways for a caller of the own region: there, else in regions that the
+ * host's routes allow, else whichever are there. */
 static json_t *
-addresses_for(const DiscoveryPart_t *self, const char *region,
-              const char *zone)
+addresses_for_own(const DiscoveryPart_t *self, const char *host,
+                  const char *zone)
 {
-    const char *own = self->node->settings->region;
-    bool is_own = region[0] == '\0' || strcmp(region, own) == 0;
-    json_t *addresses = is_own ? own_addresses(self, zone)
-                               : contact_addresses(self, region);
+    json_t *addresses = own_addresses(self, zone);
+    const char *const hosts[] = {host, NULL};
+    for (size_t i = 0; i < 2 && json_array_size(addresses) == 0; i++) {
+        json_decref(addresses);
+        addresses = contact_addresses(self, NULL, hosts[i]);
+    }
+    return addresses;
+}
+
+/** Gateways for a caller of another region: there, else here. */
+static json_t *
+addresses_for_other(const DiscoveryPart_t *self, const char *region)
+{
+    json_t *addresses = contact_addresses(self, region, NULL);
     if (json_array_size(addresses) == 0) {
         json_decref(addresses);
-        addresses = is_own ? contact_addresses(self, NULL)
-                           : own_addresses(self, "");
+        addresses = own_addresses(self, "");
     }
     return addresses;
 }
 
+static json_t *
+addresses_for(const DiscoveryPart_t *self, const char *region,
+              const char *zone, const char *host)
+{
+    const char *own = self->node->settings->region;
+    bool is_own = region[0] == '\0' || strcmp(region, own) == 0;
+    return is_own ? addresses_for_own(self, host, zone)
+                  : addresses_for_other(self, region);
+}
+
 static EyAnswer_t *
 answer_instances(const DiscoveryPart_t *self, const EyRequest_t *request)
 {
@@ -295,9 +330,11 @@
     EyName_t zone;
     EyQuery_Get(request->path, "region", region, sizeof(region));
     EyQuery_Get(request->path, "zone", zone, sizeof(zone));
+    char host[EY_HOST_SIZE_BYTES];
+    EyQuery_Get(request->path, "name", host, sizeof(host));
     json_t *answer = EyDirectory_Answer(self->node->directory, zone);
     (void)json_object_set_new(answer, "addresses",
-                              addresses_for(self, region, zone));
+                              addresses_for(self, region, zone, host));
     (void)json_object_set_new(answer, "ttl_s", json_integer(ANSWER_TTL_S));
     return EyAnswer_Json(200, answer);
 }
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -22,22 +22,11 @@
 static void
 take_routes(EyGateway_t *self, const EyStore_t *store)
 {
-    uint64_t known = self->routes != NULL ? self->routes->version : 0;
-    if (store->routes_version <= known) {
-        return;
-    }
-    GError *error = NULL;
-    EyRouteTable_t *routes = EyRouteTable_Parse(self, &store->routes, &error);
-    if (routes == NULL) {
-        /* Another build took it; the former ones stay in force. */
-        EY_LOG(EY_LOG_ERROR, "gateway", "routes_unreadable",
-               EY_LOG_NUMBER("version", store->routes_version),
-               EY_LOG_TEXT("reason", error->message));
-        g_error_free(error);
-        return;
+    if (EyRouteTable_Renew(&self->routes, self, store->routes_version,
+                           &store->routes))
+    {
+        self->node->routes = self->routes;
     }
-    talloc_free(self->routes);
-    self->routes = routes;
 }
 
 static void
@@ -78,11 +67,11 @@
     bool is_read = strcmp(request->method, "GET") == 0;
     if (is_read && outcome == EY_PROPOSAL_APPLIED) {
         talloc_free(answer);
-        answer = store->config.revision >= result->revision
-                     ? EyOperators_Read(store)
-                     : EyAnswer_Problem(EY_PROBLEM_NO_QUORUM,
-                                        EY_OUTCOME_NOT_RUN, 1,
-                                        "the newest isn't here yet");
+        answer =
+            store->config.revision >= result->revision
+                ? EyOperators_Read(store)
+                : EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN, 1,
+                                   "the newest isn't here yet");
     }
     EyServer_Answer(self->node->server, request->number, answer);
     (void)g_hash_table_remove(self->proposals, &number);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -39,6 +39,7 @@
 extern const char *const EyNode_state_names[EY_NODE_STATE_COUNT];
 
 struct EyNode;
+struct EyRouteTable;
 
 /** A part of a daemon. All but name and open may be NULL. */
 typedef struct EyPartClass {
@@ -92,6 +93,8 @@
     EyPeers_t *peers;
     EyCluster_t *cluster;
     EyDirectory_t *directory; /* of the region's entry instances */
+    /* In force, of the part that took it over last; NULL: none is known. */
+    const struct EyRouteTable *routes;
     EyMailbox_t *requests;
     EyMailbox_t *gone;
     EyMailbox_t *peer_messages;
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -13,6 +13,16 @@
     "\",\"call_kind\":\"idempotent\"," rest "}"
 #define TABLE(routes) "{\"version\":7,\"routes\":[" routes "]," SERVICES "}"
 #define GOOD "\"timeout_ms\":1000,\"service\":\"a\""
+#define IN(region) GOOD ",\"allowed_regions\":[\"" region "\"]"
+/* A host of one region, one with a route for each of two. */
+#define ONE ROUTE("bound", "/p/", IN("istra"))
+#define TWO ROUTE("two", "/p/", IN("istra"))
+#define OTHER ROUTE("two", "/q/", IN("zagreb"))
+#define BOUND ONE "," TWO "," OTHER
+/* A host without limits, one with a route that has none. */
+#define ANY ROUTE("free", "/p/", GOOD)
+#define PARTLY ROUTE("mixed", "/p/", IN("istra"))
+#define FREE ANY "," PARTLY "," ROUTE("mixed", "/q/", GOOD)
 
 static EyBytes_t
 bytes_of(const char *text)
@@ -80,8 +90,8 @@
         }
         else {
             cr_assert_null(table, "%zu: %s", i, test->document);
-            cr_expect_not_null(strstr(error->message, test->fault),
-                               "%zu: %s", i, error->message);
+            cr_expect_not_null(strstr(error->message, test->fault), "%zu: %s",
+                               i, error->message);
             g_error_free(error);
         }
         talloc_free(table);
@@ -110,8 +120,8 @@
 
 Test(route_table, the_longest_prefix_of_the_host_gets_a_call)
 {
-    EyBytes_t document = bytes_of(
-        TABLE(ROUTE("h.example", "/p/", GOOD) "," ROUTE(
+    EyBytes_t document =
+        bytes_of(TABLE(ROUTE("h.example", "/p/", GOOD) "," ROUTE(
             "h.example", "/p/q/", "\"timeout_ms\":9,\"service\":\"b\"")));
     EyRouteTable_t *table = EyRouteTable_Parse(NULL, &document, NULL);
     cr_assert_not_null(table);
@@ -130,6 +140,35 @@
     talloc_free(table);
 }
 
+typedef struct EntryCase {
+    const char *host;
+    const char *region;
+    bool may_enter;
+} EntryCase_t;
+
+static const EntryCase_t EntryCases[] = {
+    {"bound", "istra", true},    {"BOUND:80", "istra", true},
+    {"bound", "zagreb", false},  {"two", "istra", true},
+    {"two", "zagreb", true},     {"two", "lika", false},
+    {"free", "zagreb", true},    {"mixed", "zagreb", true},
+    {"unknown", "zagreb", true}, {"", "zagreb", true},
+};
+
+Test(route_table, calls_enter_where_a_route_of_their_host_allows_it)
+{
+    EyBytes_t document = bytes_of(TABLE(BOUND "," FREE));
+    GError *error = NULL;
+    EyRouteTable_t *table = EyRouteTable_Parse(NULL, &document, &error);
+    cr_assert_not_null(table, "%s", error != NULL ? error->message : "");
+    for (size_t i = 0; i < G_N_ELEMENTS(EntryCases); i++) {
+        const EntryCase_t *test = &EntryCases[i];
+        cr_expect_eq(EyRouteTable_MayEnter(table, test->host, test->region),
+                     test->may_enter, "%zu: %s in %s", i, test->host,
+                     test->region);
+    }
+    talloc_free(table);
+}
+
 Test(route_table, a_split_follows_its_weights)
 {
     EyRouteShare_t shares[] = {
@@ -168,9 +207,8 @@
 } ReplaceCase_t;
 
 static const ReplaceCase_t ReplaceCases[] = {
-    {3, "three", 3, "three"}, {3, "other", 3, "three"},
-    {2, "two", 3, "three"},   {9, "nine", 9, "nine"},
-    {3, "three", 9, "nine"},  {9, "nine", 9, "nine"},
+    {3, "three", 3, "three"}, {3, "other", 3, "three"}, {2, "two", 3, "three"},
+    {9, "nine", 9, "nine"},   {3, "three", 9, "nine"},  {9, "nine", 9, "nine"},
 };
 
 Test(route_table, the_highest_version_wins_and_the_rest_is_acknowledged)
