--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -247,8 +247,8 @@
            EyRouteTable_MayEnter(routes, host, member->region);
 }
 
-/** Live gateways of another region, or of any (NULL), for calls to a host;
- * host NULL: whatever its routes allow. */
+/** Live gateways of another region, or of any (NULL), where calls to a host
+ * may enter; host NULL: routes aren't regarded. */
 static json_t *
 contact_addresses(const DiscoveryPart_t *self, const char *region,
                   const char *host)
