Backends: a socket that never came up is forgotten when its number comes again

Cause: libcurl closes a socket whose connect hasn't finished (timeout, cancel) without the close callback. Its entry stayed; when the number came again the entry was freed by the table but stayed in the queue of unnamed sockets, which every new connection walks: use after free.

--- a/src/backends/connections.c
+++ b/src/backends/connections.c
@@ -55,6 +55,24 @@
     return self;
 }
 
+static void
+forget(EyConnections_t *self, int descriptor)
+{
+    Entry_t *entry =
+        g_hash_table_lookup(self->by_descriptor, GINT_TO_POINTER(descriptor));
+    if (entry == NULL) {
+        return;
+    }
+    if (entry->key[0] == '\0') {
+        (void)g_queue_remove(&self->unnamed, entry);
+    }
+    else if (g_hash_table_lookup(self->by_key, entry->key) == entry) {
+        (void)g_hash_table_remove(self->by_key, entry->key);
+    }
+    (void)g_hash_table_remove(self->by_descriptor,
+                              GINT_TO_POINTER(descriptor));
+}
+
 static curl_socket_t
 on_open(void *data, curlsocktype purpose, struct curl_sockaddr *address)
 {
@@ -65,6 +83,8 @@
     if (descriptor < 0) {
         return CURL_SOCKET_BAD;
     }
+    /* libcurl closes a socket that isn't connected yet without on_close. */
+    forget(self, descriptor);
     EyLiveness_WatchProgress(descriptor);
     Entry_t *entry = g_new0(Entry_t, 1);
     entry->descriptor = descriptor;
@@ -78,18 +98,7 @@
 on_close(void *data, curl_socket_t descriptor)
 {
     EyConnections_t *self = data;
-    Entry_t *entry =
-        g_hash_table_lookup(self->by_descriptor, GINT_TO_POINTER(descriptor));
-    if (entry != NULL) {
-        if (entry->key[0] == '\0') {
-            (void)g_queue_remove(&self->unnamed, entry);
-        }
-        else if (g_hash_table_lookup(self->by_key, entry->key) == entry) {
-            (void)g_hash_table_remove(self->by_key, entry->key);
-        }
-        (void)g_hash_table_remove(self->by_descriptor,
-                                  GINT_TO_POINTER(descriptor));
-    }
+    forget(self, descriptor);
     return close(descriptor);
 }
 
