Routing: an engine copies the shared parts of a prompt from one that holds them

Change: routing/prompt_cache says which engine of a pool holds most of a prompt's beginning; a call that goes to another one names it (a header role of its own), and reading is weighed as a copy costs. Holders' choice moved there from pool.c. Ruled out: holding calls for the holder (reads less, begins later). What is left is a region's first reading of what another region holds, and parts whose holder only another gateway knows.

--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -54,12 +54,13 @@
     const EySinkClass_t *sink;
     EyStream_t *stream; /* of a streamed answer */
     EyTimer_t *deadline;
-    EyTimer_t *patience;   /* until the present attempt's answer begins */
-    bool is_impatient;     /* the present attempt was ended for that */
-    double expected_ms;    /* until the answer begins, when it was sent */
-    EyName_t sink_id;      /* for another instance: its id */
-    uint64_t sink_attempt; /* and the number that it gave */
-    EyName_t away_id;      /* the instance that it was sent to, or empty */
+    EyTimer_t *patience;      /* until the present attempt's answer begins */
+    bool is_impatient;        /* the present attempt was ended for that */
+    EyAddress_t cache_source; /* of the attempt in hand, or "" */
+    double expected_ms;       /* until the answer begins, when it was sent */
+    EyName_t sink_id;         /* for another instance: its id */
+    uint64_t sink_attempt;    /* and the number that it gave */
+    EyName_t away_id;         /* the instance that it was sent to, or empty */
     uint32_t away_sequence;
     uint32_t away_received_bytes;
     uint32_t away_credited_bytes;
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -162,6 +162,7 @@
     attempt->names = live->gateway->names;
     if (request->call == EY_CALL_ROUTED) {
         (void)EY_COPY(attempt->expected_backend, backend->id);
+        (void)EY_COPY(attempt->cache_source, live->cache_source);
         attempt->host = EyMemory_Strdup(attempt, request->host);
         attempt->tells_timeout = true;
         /* A new connection shows that the server lives before a call that
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -49,6 +49,7 @@
         EY_LOG_TEXT("to", decision->kind == EY_DECISION_SEND_AWAY
                               ? decision->region
                               : decision->backend),
+        EY_LOG_TEXT("cache_source", decision->cache_source),
         EY_LOG_TEXT("reason", EyRefusal_names[decision->reason]),
         EY_LOG_NUMBER("expected_ms", decision->expected_ms),
         EY_LOG_NUMBER("ahead_tokens", decision->ahead_tokens),
@@ -76,6 +77,7 @@
         event.kind = EY_EXCHANGE_ROUTED;
         (void)EY_COPY(event.to, decision->backend);
         live->expected_ms = decision->expected_ms;
+        (void)EY_COPY(live->cache_source, decision->cache_source);
         live->is_routed = true;
         break;
     case EY_DECISION_SEND_AWAY:
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -79,14 +79,16 @@
 typedef struct EyRoutingDecision {
     uint64_t number;
     EyDecisionKind_t kind;
-    EyName_t backend;    /* DISPATCH */
-    EyAddress_t address; /* DISPATCH */
-    EyName_t region;     /* SEND_AWAY */
-    double expected_ms;  /* until the answer ends, or of an engine begins;
-                            0: not known */
-    double ahead_tokens; /* to be read before it by an engine */
-    int64_t load_age_ms; /* of the server's word on its load; < 0: none */
-    EyRefusal_t reason;  /* REFUSE */
+    EyName_t backend;         /* DISPATCH */
+    EyAddress_t address;      /* DISPATCH */
+    EyAddress_t cache_source; /* DISPATCH: an engine that holds more of the
+                                 prompt than backend, to copy from; or "" */
+    EyName_t region;          /* SEND_AWAY */
+    double expected_ms;       /* until the answer ends, or of an engine begins;
+                                 0: not known */
+    double ahead_tokens;      /* to be read before it by an engine */
+    int64_t load_age_ms;      /* of the server's word on its load; < 0: none */
+    EyRefusal_t reason;       /* REFUSE */
     uint32_t retry_after_ms;
 } EyRoutingDecision_t;
 
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -24,6 +24,7 @@
                            engine; else as finish_ms */
     double cost_ms;     /* what the choice weighs */
     double read_tokens; /* of the prompt, at a model engine */
+    double copy_tokens; /* of the prompt, that it may copy from another */
     bool has_room;
 } EyCandidate_t;
 
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -4,7 +4,6 @@
 
 #include <math.h>
 #include <string.h>
-#include <xxhash.h>
 
 /** Share of the prompt's reading that a cached prefix saves. */
 #define PREFIX_SAVING 0.5
@@ -13,10 +12,10 @@
 #define ENGINE_START_MS 25.0
 /** A region whose engines have so much to read takes no more from others. */
 #define ENGINE_WAIT_MOST_MS 1000
-/** Replicas of a pool from which on each shared part has two of them. */
-#define TWO_HOLDERS_POOL 12
 /** What reading costs others, against what it costs the request itself. */
 #define READ_WEIGHT 0.5
+/** What copying a token costs an engine, against reading it. */
+#define COPY_COST 0.15
 /** Share of the rate that is left to patient work at least. */
 #define RATE_LEAST_SHARE 0.1
 /** Most replicas of a pool that may be ejected at once. */
@@ -109,14 +108,19 @@
 /* Expects of an engine when the answer begins. */
 static void
 weigh_engine(EyCandidate_t *candidate, const EyPlanning_t *planning,
-             const EyRoutingRequest_t *request, bool likely_holds)
+             const EyRoutingRequest_t *request, const EyPromptCache_t *cache)
 {
-    const EyEngineLoad_t *engine = &candidate->replica->engine;
+    const EyReplica_t *replica = candidate->replica;
+    const EyEngineLoad_t *engine = &replica->engine;
     double token_ms = EyEngineLoad_TokenMs(engine);
     double ahead =
         EyEngineLoad_AheadTokens(engine, planning->now_ms, planning->gateways);
-    candidate->read_tokens = EyReplica_ReadTokens(
-        candidate->replica, planning->now_ms, request, likely_holds);
+    double held =
+        EyPromptCache_HeldTokens(cache, replica, planning->now_ms, request);
+    candidate->copy_tokens = EyPromptCache_CopyTokens(cache, held);
+    double gained = candidate->copy_tokens * (1.0 - COPY_COST);
+    candidate->read_tokens =
+        fmax((double)request->prompt_tokens - held - gained, 1.0);
     candidate->start_ms =
         (ahead + candidate->read_tokens) * token_ms + ENGINE_START_MS;
     /* How long the answer goes on is a guess that is often far off: whether
@@ -128,52 +132,10 @@
         candidate->start_ms + candidate->read_tokens * token_ms * READ_WEIGHT;
 }
 
-/* The replicas to which all gateways send such prompts first, by the shared
- * part's hash and the replicas' ids alone. In a large pool there are two for
- * each part: what one gateway can't see of the others' load then evens out. */
-typedef struct Holders {
-    const EyReplica_t *best;   /* NULL: the prompt shares nothing */
-    const EyReplica_t *second; /* NULL: only one */
-} Holders_t;
-
-static Holders_t
-find_holders(const EyPool_t *self, const EyRoutingRequest_t *request)
-{
-    Holders_t holders = {.best = NULL};
-    uint64_t best_draw = 0;
-    uint64_t second_draw = 0;
-    if (request->start_count < 2) {
-        return holders;
-    }
-    uint64_t shared = request->starts[request->start_count - 2].hash;
-    for (uint32_t i = 0; i < self->replicas->len; i++) {
-        const EyReplica_t *replica = replica_at(self, i);
-        const char *id = replica->backend->id;
-        uint64_t draw = XXH64(id, strlen(id), shared);
-        if (!EyReplica_IsServing(replica)) {
-            continue;
-        }
-        if (draw >= best_draw) {
-            holders.second = holders.best;
-            second_draw = best_draw;
-            holders.best = replica;
-            best_draw = draw;
-        }
-        else if (draw >= second_draw) {
-            holders.second = replica;
-            second_draw = draw;
-        }
-    }
-    if (self->replicas->len < TWO_HOLDERS_POOL) {
-        holders.second = NULL;
-    }
-    return holders;
-}
-
 static EyCandidate_t
 make_candidate(EyReplica_t *replica, const EyPlanning_t *planning,
                const EyRoutingRequest_t *request, double work,
-               bool likely_holds)
+               const EyPromptCache_t *cache)
 {
     int64_t now_ms = planning->now_ms;
     EyCandidate_t candidate = {
@@ -196,7 +158,7 @@
     candidate.start_ms = candidate.finish_ms;
     candidate.cost_ms = candidate.finish_ms;
     if (request->prompt_tokens > 0) {
-        weigh_engine(&candidate, planning, request, likely_holds);
+        weigh_engine(&candidate, planning, request, cache);
     }
     candidate.has_room =
         has_room(replica, candidate.holds, candidate.slots, planning);
@@ -216,15 +178,14 @@
 collect(EyPool_t *self, const EyPlanning_t *planning,
         const EyRoutingRequest_t *request, double work, bool with_ejected)
 {
-    const Holders_t holders = find_holders(self, request);
+    self->cache =
+        EyPromptCache_Find(self->replicas, planning->now_ms, request);
     g_array_set_size(self->candidates, 0);
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         EyReplica_t *replica = replica_at(self, i);
         if (is_candidate(replica, planning->now_ms, request, with_ejected)) {
-            bool likely_holds =
-                replica == holders.best || replica == holders.second;
             EyCandidate_t candidate =
-                make_candidate(replica, planning, request, work, likely_holds);
+                make_candidate(replica, planning, request, work, &self->cache);
             g_array_append_val(self->candidates, candidate);
         }
     }
@@ -305,6 +266,7 @@
         faster_rate > 0.0 &&
         held_finish_ms < chosen->finish_ms * planning->config->hold_factor;
     plan->chosen = holds ? NULL : chosen->replica;
+    plan->source = chosen->copy_tokens > 0.0 ? self->cache.source : NULL;
 }
 
 /* What is left of the rate for a request that waits: more urgent work will
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -7,6 +7,7 @@
 
 #include "routing/admission_queue.h"
 #include "routing/policy.h"
+#include "routing/prompt_cache.h"
 #include "routing/replica.h"
 #include "routing/urgency.h"
 
@@ -26,8 +27,9 @@
     EyRecent_t finished_work;
     EyUrgency_t urgency; /* of the work admitted */
     uint32_t flight_count;
-    int64_t looked_ms;  /* when the last long look was taken at the queue */
-    GArray *candidates; /* room for EyPool_Plan */
+    int64_t looked_ms;     /* when the last long look was taken at the queue */
+    EyPromptCache_t cache; /* for the request that is planned */
+    GArray *candidates;    /* room for EyPool_Plan */
     GArray *choices;
 } EyPool_t;
 
@@ -43,16 +45,18 @@
 
 /** Where a request would go. Times count from now. */
 typedef struct EyPlan {
-    bool has_replica;        /* some replica may get it, now or later */
-    EyReplica_t *chosen;     /* gets it now, or NULL: it should wait */
-    double finish_ms;        /* expected at chosen */
-    double start_ms;         /* expected beginning of the answer there */
-    double read_tokens;      /* to be read there; 0: no engine */
-    double ahead_tokens;     /* before them */
-    double slowdown;         /* at chosen */
-    double queued_finish_ms; /* expected if it waits */
-    double best_run_ms;      /* on the fastest replica, without waiting */
-    double work_per_ms;      /* at which the queue drains */
+    bool has_replica;          /* some replica may get it, now or later */
+    EyReplica_t *chosen;       /* gets it now, or NULL: it should wait */
+    const EyReplica_t *source; /* chosen may copy the prompt's beginning
+                                  from its cache; NULL: nothing to gain */
+    double finish_ms;          /* expected at chosen */
+    double start_ms;           /* expected beginning of the answer there */
+    double read_tokens;        /* to be read there; 0: no engine */
+    double ahead_tokens;       /* before them */
+    double slowdown;           /* at chosen */
+    double queued_finish_ms;   /* expected if it waits */
+    double best_run_ms;        /* on the fastest replica, without waiting */
+    double work_per_ms;        /* at which the queue drains */
 } EyPlan_t;
 
 /** Writes the pool's key: a model and a service of one name are two. */
--- /dev/null
+++ b/src/routing/prompt_cache.h
@@ -0,0 +1,48 @@
+/**
+ * Which engines of a pool hold the beginning of a prompt, and from which of
+ * them another one may copy it instead of reading it anew.
+ */
+#ifndef EY_ROUTING_PROMPT_CACHE_H
+#define EY_ROUTING_PROMPT_CACHE_H
+
+#include "routing/replica.h"
+
+#include <glib.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+typedef struct EyPromptCache {
+    /** The replicas to which all gateways send such prompts first, by the
+     * shared part's hash and the replicas' ids alone. In a large pool there
+     * are two for each part: what one gateway can't see of the others' load
+     * then evens out. NULL: the prompt shares nothing, or only one. */
+    const EyReplica_t *first;
+    const EyReplica_t *second;
+    /** Holds most of the prompt's beginning; NULL: none holds any. */
+    const EyReplica_t *source;
+    double source_tokens; /* that it probably holds */
+} EyPromptCache_t;
+
+/** Looks through a pool's replicas (EyReplica_t). */
+EyPromptCache_t
+EyPromptCache_Find(const GPtrArray *replicas, int64_t now_ms,
+                   const EyRoutingRequest_t *request);
+
+/** Tokens of the prompt that a replica probably holds. */
+double
+EyPromptCache_HeldTokens(const EyPromptCache_t *self,
+                         const EyReplica_t *replica, int64_t now_ms,
+                         const EyRoutingRequest_t *request);
+
+/** Tokens that a replica which holds held_tokens gains by copying from the
+ * source; 0 if that isn't worth the copy. */
+double
+EyPromptCache_CopyTokens(const EyPromptCache_t *self, double held_tokens);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -6,9 +6,6 @@
 #include <string.h>
 
 #define TOKENS_UNSET 64.0
-/** Share of a prompt's shared parts that a replica is taken to hold to which
- * all gateways send such prompts first. */
-#define LIKELY_SHARE 0.8
 /** Weight of a new sample of the time for a unit. */
 #define LEARNING_RATE 0.2
 /** A slow time is forgotten by halves, or nothing would be sent there and
@@ -95,23 +92,18 @@
 }
 
 double
-EyReplica_ReadTokens(const EyReplica_t *self, int64_t now_ms,
-                     const EyRoutingRequest_t *request, bool likely_holds)
+EyReplica_HeldTokens(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request)
 {
     double held = 0.0;
-    double shared = 0.0;
-    bool holds_all = true;
     for (uint32_t i = 0; i < request->start_count; i++) {
         const EyPromptStart_t *start = &request->starts[i];
-        holds_all = holds_all &&
-                    EyPrefixHints_Has(&self->prefixes, now_ms, start->hash);
-        held += holds_all ? start->tokens : 0.0;
-        shared += i + 1 < request->start_count ? start->tokens : 0.0;
-    }
-    if (likely_holds) {
-        held = fmax(held, shared * LIKELY_SHARE);
+        if (!EyPrefixHints_Has(&self->prefixes, now_ms, start->hash)) {
+            break;
+        }
+        held += start->tokens;
     }
-    return fmax((double)request->prompt_tokens - held, 1.0);
+    return held;
 }
 
 void
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -79,11 +79,11 @@
 EyReplica_Update(EyReplica_t *self, int64_t now_ms,
                  const EyBackend_t *backend);
 
-/** Prompt tokens that the replica would have to read: not those that it is
- * known to hold, nor most of the shared ones if likely_holds. */
+/** Tokens of the prompt that the replica holds, by what was sent there and by
+ * its cache events. */
 double
-EyReplica_ReadTokens(const EyReplica_t *self, int64_t now_ms,
-                     const EyRoutingRequest_t *request, bool likely_holds);
+EyReplica_HeldTokens(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request);
 
 /** Remembers that the replica gets the beginnings of a prompt. */
 void
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -180,6 +180,9 @@
     };
     (void)EY_COPY(decision.backend, plan->chosen->backend->id);
     (void)EY_COPY(decision.address, plan->chosen->backend->address);
+    if (plan->source != NULL) {
+        (void)EY_COPY(decision.cache_source, plan->source->backend->address);
+    }
     return note(self, decision);
 }
 
--- a/tests/unit/test_client_routed.c
+++ b/tests/unit/test_client_routed.c
@@ -107,6 +107,7 @@
     {"Expect-Instance: i-1\r\n", true},
     {"Deadline-Ms: ", true},
     {"Last-Event-Id: 41\r\n", true},
+    {"Kv-Fetch: 10.0.0.9:80\r\n", true},
     {"Last-Event-Id: 7\r\n", false},
     {"Deadline-Ms: 99999999\r\n", false},
     {"X-Request-Id", false},
@@ -125,6 +126,7 @@
     attempt->tells_timeout = true;
     (void)EY_COPY(attempt->expected_backend, "i-1");
     (void)EY_COPY(attempt->last_event, "41");
+    (void)EY_COPY(attempt->cache_source, "10.0.0.9:80");
     EyHeader_t headers[] = {
         {.name = "Last-Event-Id", .value = "7"},
         {.name = "Deadline-Ms", .value = "99999999"},
--- a/tests/unit/test_router_engines.c
+++ b/tests/unit/test_router_engines.c
@@ -26,6 +26,8 @@
             .speed = 1.0,
         };
         (void)g_snprintf(backend.id, sizeof(backend.id), "b%u", i);
+        (void)g_snprintf(backend.address, sizeof(backend.address), "%s:80",
+                         backend.id);
         EyRouter_UpsertBackend(router, NOW_MS, &backend);
     }
     return router;
@@ -126,6 +128,46 @@
     talloc_free(ctx);
 }
 
+/** Has an engine read a prompt of thing 7, then be busy; returns its id. */
+static void
+make_holder_busy(EyRouter_t *router, EyName_t holder)
+{
+    EyRoutingRequest_t request = make_request(1, 7);
+    EyRoutingDecision_t decision = submit(router, &request);
+    (void)EyText_Copy(holder, sizeof(EyName_t), decision.backend);
+    cr_expect_str_eq(decision.cache_source, "");
+    EyRouter_TakeLoad(router, NOW_MS, holder, SLOTS / 2, 50);
+}
+
+Test(router_engines, an_engine_that_lacks_a_part_copies_it_from_its_holder)
+{
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, 1, 1);
+    EyName_t holder;
+    make_holder_busy(router, holder);
+    EyRoutingRequest_t next = make_request(2, 7);
+    EyRoutingDecision_t decision = submit(router, &next);
+    char *address = talloc_asprintf(ctx, "%s:80", holder);
+    cr_expect_str_neq(decision.backend, holder);
+    cr_expect_str_eq(decision.cache_source, address);
+    talloc_free(ctx);
+}
+
+Test(router_engines, nothing_is_copied_from_an_engine_that_is_gone)
+{
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, 1, 1);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    EyName_t holder;
+    make_holder_busy(router, holder);
+    const EyRoutingResult_t gone = {.kind = EY_RESULT_GONE};
+    (void)EyRouter_Finished(router, NOW_MS, 1, &gone, decisions);
+    EyRoutingRequest_t next = make_request(2, 7);
+    cr_expect_str_eq(submit(router, &next).cache_source, "");
+    g_array_free(decisions, TRUE);
+    talloc_free(ctx);
+}
+
 Test(router_engines, a_server_at_whose_address_another_answers_rests)
 {
     void *ctx = talloc_new(NULL);
