Log: a first start outlives lost disks, and never founds two clusters of one list

Cause 1 (KNOWN-RED log_first_start): a member of a cluster that lost a quorum before its first entry waited for ever. It now leaves once all of the list have answered in one round of hellos, nobody holds an entry of that cluster, and a quorum of its members is gone. Not where joiners outside of the list are taken: they might hold what it committed. All are asked once more, after all incarnations are known. Ruled out: a new incarnation for who leaves (its vote must be kept).

--- a/src/config/log.c
+++ b/src/config/log.c
@@ -283,18 +283,31 @@
            self->entries->len == 0 && self->commit == self->base.index;
 }
 
-void
-ey_log_leave_unused(EyLog_t *self)
+static void
+leave_cluster(EyLog_t *self)
 {
     EyLogSnapshot_t nothing = {.index = 0};
     set_base(self, &nothing);
     self->cluster = 0;
-    self->term = 0;
     self->commit = 0;
     self->applied = 0;
     ey_log_reload_members(self);
 }
 
+void
+ey_log_leave_unused(EyLog_t *self)
+{
+    leave_cluster(self);
+    self->term = 0;
+}
+
+void
+ey_log_leave_dead(EyLog_t *self)
+{
+    leave_cluster(self);
+    ey_log_follow(self, self->term, "");
+}
+
 static void
 apply_committed(EyLog_t *self)
 {
--- a/src/config/log.h
+++ b/src/config/log.h
@@ -12,13 +12,16 @@
  * Bootstrap. Each process is told the same list of addresses. One whose disk
  * is empty is in no cluster: it doesn't vote. It asks the whole list. Only
  * when each of the others has said, in answer to this very incarnation, that
- * it is in no cluster either and has the same list, do they start one, with
- * all their incarnations as voters. So a process that comes back with an
- * empty disk while others remember the cluster can't vote as its former self;
- * the leader takes it in as a learner and makes it a voter when it has caught
- * up. A list of one starts alone. Disks lost before the first entry is
- * committed may leave no leader; nothing is lost then, and the start can be
- * repeated with empty folders.
+ * it is in no cluster either and has the same list, and has said so again
+ * after all these incarnations were known, do they start one, with all their
+ * incarnations as voters. So a process that comes back with an empty disk
+ * while others remember the cluster can't vote as its former self; the leader
+ * takes it in as a learner and makes it a voter when it has caught up. A list
+ * of one starts alone. Disks lost before the first entry is committed may
+ * leave a cluster without a quorum: its members leave it once all of the list
+ * have answered that nobody holds an entry of it. Where processes outside of
+ * the list are taken in, they stay; nothing is lost then, and the start can
+ * be repeated with empty folders.
  */
 #ifndef EY_CONFIG_LOG_H
 #define EY_CONFIG_LOG_H
--- a/src/config/log_internal.h
+++ b/src/config/log_internal.h
@@ -25,9 +25,12 @@
     int64_t snapshot_ms; /* when a snapshot was last sent; 0: none */
 } EyLogPeer_t;
 
-/** An address of the list, as heard from while in no cluster. */
+/** What an address of the list last answered to a hello. */
 typedef struct EyLogHeard {
     uint64_t incarnation;
+    uint64_t cluster;
+    uint64_t last_index;
+    uint64_t round; /* of the hello that it answered */
     uint64_t nonce; /* to be given back in the next hello */
     bool is_fresh;
 } EyLogHeard_t;
@@ -80,6 +83,9 @@
     int64_t heartbeat_ms; /* when to send the next heartbeats or hellos */
     GArray *peers;        /* EyLogPeer_t: members but self */
     EyLogHeard_t heard[EY_LOG_MEMBERS_MAX]; /* indexed as options.list */
+    uint64_t round;       /* of hellos; answers to former ones may be old */
+    int64_t round_ms;     /* when it began */
+    uint64_t founding;    /* the cluster that this round is to confirm */
     EyAddress_t guide;    /* a leader that isn't in options.list, of which
                              an answer told; empty: none */
     uint64_t guide_nonce; /* to be given back to it */
@@ -150,6 +156,11 @@
 void
 ey_log_leave_unused(EyLog_t *self);
 
+/** Leaves a cluster that can't have a quorum any more and in which nobody
+ * holds an entry; what it voted for is kept. */
+void
+ey_log_leave_dead(EyLog_t *self);
+
 void
 ey_log_set_commit(EyLog_t *self, uint64_t commit);
 
--- a/src/config/log_members.c
+++ b/src/config/log_members.c
@@ -5,6 +5,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/** Answers to a hello count together if they came within so long. */
+#define HELLO_ROUND_MS 5000
+
 static void
 sync_peers(EyLog_t *self)
 {
@@ -92,24 +95,42 @@
     return strcmp(address, self->options.self) == 0;
 }
 
-void
-ey_log_say_hello(EyLog_t *self)
+static void
+begin_round(EyLog_t *self)
+{
+    self->round = EyRandom_Next(&self->random) | 1;
+    self->round_ms = self->now_ms;
+}
+
+static void
+send_hello(EyLog_t *self, const char *address, uint64_t nonce)
+{
+    EyLogMessage_t *message = ey_log_message(self, EY_LOG_HELLO, address, 0);
+    message->nonce = nonce;
+    message->round = self->round;
+    ey_log_send(self, message);
+}
+
+static void
+ask_list(EyLog_t *self)
 {
     for (uint32_t i = 0; i < self->options.list_count; i++) {
         const char *address = self->options.list[i];
-        if (is_self(self, address)) {
-            continue;
+        if (!is_self(self, address)) {
+            send_hello(self, address, self->heard[i].nonce);
         }
-        EyLogMessage_t *message =
-            ey_log_message(self, EY_LOG_HELLO, address, 0);
-        message->nonce = self->heard[i].nonce;
-        ey_log_send(self, message);
     }
+}
+
+void
+ey_log_say_hello(EyLog_t *self)
+{
+    if (self->round == 0 || self->now_ms - self->round_ms >= HELLO_ROUND_MS) {
+        begin_round(self);
+    }
+    ask_list(self);
     if (self->guide[0] != '\0') {
-        EyLogMessage_t *message =
-            ey_log_message(self, EY_LOG_HELLO, self->guide, 0);
-        message->nonce = self->guide_nonce;
-        ey_log_send(self, message);
+        send_hello(self, self->guide, self->guide_nonce);
     }
     ey_log_bootstrap(self);
 }
@@ -132,6 +153,8 @@
         self, EY_LOG_HELLO_ANSWER, message->from, message->from_incarnation);
     answer->list_hash = self->list_hash;
     answer->nonce = self->nonce;
+    answer->index = ey_log_last_index(self);
+    answer->round = message->round;
     (void)EY_COPY(answer->leader, self->leader);
     const EyLogMember_t *member =
         EyLogMembers_Find(&self->members, message->from);
@@ -166,14 +189,83 @@
     }
 }
 
+/** True if a member of our cluster's first set can't vote in it: its disk was
+ * lost, or it went into another one. */
+static bool
+is_lost(EyLog_t *self, const EyLogMember_t *member)
+{
+    const EyLogHeard_t *heard = heard_of(self, member->address);
+    if (heard == NULL || is_self(self, member->address)) {
+        return false;
+    }
+    bool is_elsewhere = heard->cluster != 0 && heard->cluster != self->cluster;
+    return heard->incarnation != member->incarnation || is_elsewhere;
+}
+
+/** True if each other process of the list answered in this round. */
+static bool
+all_answered(const EyLog_t *self)
+{
+    for (uint32_t i = 0; i < self->options.list_count; i++) {
+        if (!is_self(self, self->options.list[i]) &&
+            self->heard[i].round != self->round)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/** True if nobody of the list holds an entry of our cluster. */
+static bool
+is_empty_everywhere(const EyLog_t *self)
+{
+    for (uint32_t i = 0; i < self->options.list_count; i++) {
+        const EyLogHeard_t *heard = &self->heard[i];
+        if (heard->cluster == self->cluster &&
+            heard->last_index > EY_LOG_FIRST_INDEX) {
+            return false;
+        }
+    }
+    return all_answered(self);
+}
+
+/** A cluster is dead if disks lost in the first start left it without a
+ * quorum before anything was in it. Where processes outside of the list may
+ * have joined, they might hold what it committed. */
+static bool
+is_dead(EyLog_t *self)
+{
+    bool is_blank = self->base.index == EY_LOG_FIRST_INDEX &&
+                    self->entries->len == 0 &&
+                    self->commit == EY_LOG_FIRST_INDEX;
+    if (!is_blank || self->role == EY_LOG_LEADER ||
+        self->options.takes_joiners || !is_empty_everywhere(self))
+    {
+        return false;
+    }
+    uint32_t lost = 0;
+    for (uint32_t i = 0; i < self->members.count; i++) {
+        lost += is_lost(self, &self->members.items[i]);
+    }
+    return self->members.count - lost < ey_log_quorum(self);
+}
+
 void
 ey_log_on_hello_answer(EyLog_t *self, const EyLogMessage_t *message)
 {
     EyLogHeard_t *heard = heard_of(self, message->from);
     if (heard != NULL) {
         heard->nonce = message->nonce;
+        heard->incarnation = message->from_incarnation;
+        heard->cluster = message->cluster;
+        heard->last_index = message->index;
+        heard->round = message->round;
     }
     follow_guide(self, message);
+    if (self->cluster != 0 && is_dead(self)) {
+        ey_log_leave_dead(self);
+    }
     if (self->cluster != 0) {
         return;
     }
@@ -184,7 +276,6 @@
         return;
     }
     if (heard != NULL) {
-        heard->incarnation = message->from_incarnation;
         heard->is_fresh =
             message->cluster == 0 && message->list_hash == self->list_hash;
         ey_log_bootstrap(self);
@@ -226,7 +317,19 @@
     }
     EyBytes_t packed =
         EySchema_Pack(&EyLogMembers_schema, self->actions, &members);
-    self->cluster = XXH64(packed.data, packed.size_bytes, 0) | 1;
+    uint64_t founding = XXH64(packed.data, packed.size_bytes, 0) | 1;
+    if (self->founding != founding) {
+        /* An answer may be older than another member's present disk: what
+         * was committed between would be founded over. So all are asked once
+         * more, now that these incarnations are known to exist. */
+        self->founding = founding;
+        begin_round(self);
+        ask_list(self);
+    }
+    if (!all_answered(self)) {
+        return;
+    }
+    self->cluster = founding;
     EyLogSnapshot_t first = {
         .index = EY_LOG_FIRST_INDEX,
         .term = EY_LOG_FIRST_TERM,
--- a/src/config/log_message.c
+++ b/src/config/log_message.c
@@ -77,6 +77,7 @@
                       EY_LOG_BATCH_MAX),
     EY_FIELD_OF(EyLogMessage_t, snapshot, EyLogSnapshot_schema),
     EY_FIELD_TEXT(EyLogMessage_t, leader),
+    EY_FIELD(EyLogMessage_t, round, EY_FIELD_U64),
     EY_FIELD_END,
 };
 const EySchema_t EyLogMessage_schema =
--- a/src/config/log_message.h
+++ b/src/config/log_message.h
@@ -84,7 +84,8 @@
     uint64_t cluster;        /* 0: in no cluster yet */
     uint64_t term;
     uint64_t index;     /* APPEND: before its entries; VOTE: last entry;
-                         * APPEND_ANSWER: last that matches, or a hint */
+                         * APPEND_ANSWER: last that matches, or a hint;
+                         * HELLO_ANSWER: last entry */
     uint64_t log_term;  /* of the entry at index */
     uint64_t commit;    /* the leader's */
     uint64_t list_hash; /* HELLO_ANSWER: of the member list in the settings */
@@ -94,6 +95,7 @@
     uint32_t entry_count;
     EyLogSnapshot_t snapshot;
     EyAddress_t leader; /* HELLO_ANSWER: who can take the asker in */
+    uint64_t round;     /* HELLO: when it asks; HELLO_ANSWER: gives it back */
 } EyLogMessage_t;
 
 extern const EySchema_t EyLogMembers_schema;
--- a/tests/property/test_log_properties.cc
+++ b/tests/property/test_log_properties.cc
@@ -383,11 +383,16 @@
     });
 }
 
-/* Safety only: such a loss may leave the first start without a leader. */
 Test(log_properties, disks_lost_in_the_first_start_lose_nothing)
 {
     EY_CHECK("three members, losses from the start on",
-             [] { check_any_orders(3, true, SAFETY); });
+             [] { check_any_orders(3, true, SAFETY_AND_LIVENESS); });
+}
+
+Test(log_properties, five_disks_lost_in_the_first_start_lose_nothing)
+{
+    EY_CHECK("five members, losses from the start on",
+             [] { check_any_orders(5, true, SAFETY_AND_LIVENESS); });
 }
 
 Test(log_properties, one_member_keeps_what_was_committed)
@@ -423,7 +428,8 @@
 
 TestSuite(log_first_start, .init = fixed_case);
 
-/* See KNOWN-RED.txt: it may be left without a leader. */
+/* It was left without a leader in case 49 until members left a cluster that
+ * can't have a quorum. */
 Test(log_first_start, disks_lost_in_the_first_start_are_replaced)
 {
     EY_CHECK("five members, losses from the start on",
