Peers: a connection that doesn't come up is tried anew after 400 ms

Cause: after a loss of power of all, gateways started up to 0.5 s before the control processes; their first packet went to machines that were still dark, and the kernel sent it again after a second. Ruled out: the first election (routes are shown without a leader).

--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -25,7 +25,10 @@
 #define SEND_TIMEOUT_MS 10000
 #define KEEPALIVE_IDLE_S 60
 #define RECONNECT_MIN_MS 50
-#define RECONNECT_MAX_MS 1000
+#define RECONNECT_MAX_MS 500
+/* A connection that isn't up after so long is tried anew: a machine without
+ * power swallows the first packet, which is sent again only after seconds. */
+#define CONNECT_TIMEOUT_MS 400
 /* A connection that isn't used for so long is closed. */
 #define LINK_IDLE_MS 60000
 #define SWEEP_INTERVAL_MS 10000
@@ -189,6 +192,7 @@
 {
     return set_common(socket, address) &&
            set_number(socket, ZMQ_TCP_MAXRT, SEND_TIMEOUT_MS) &&
+           set_number(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS) &&
            set_number(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
            set_number(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
            (!self->encrypted || EyPeerKeys_SetClient(&self->keys, socket));
--- a/tests/unit/raw_socket.c
+++ b/tests/unit/raw_socket.c
@@ -114,3 +114,41 @@
     }
     return false;
 }
+
+static int
+connect_hanging(uint16_t port)
+{
+    const struct sockaddr_in address = loopback(port);
+    int filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    (void)connect(filler, (const struct sockaddr *)&address, sizeof(address));
+    return filler;
+}
+
+RawFullListener_t
+raw_listen_full(void)
+{
+    RawFullListener_t self = {.listener = -1};
+    self.listener = raw_listen(&self.port);
+    (void)listen(self.listener, 0);
+    for (int i = 0; i < RAW_FILLERS; i++) {
+        self.fillers[i] = connect_hanging(self.port);
+    }
+    return self;
+}
+
+void
+raw_full_drain(RawFullListener_t *self)
+{
+    (void)listen(self->listener, SOMAXCONN);
+    for (int i = 0; i < RAW_FILLERS; i++) {
+        (void)close(self->fillers[i]);
+        self->fillers[i] = -1;
+    }
+}
+
+void
+raw_full_close(RawFullListener_t *self)
+{
+    raw_full_drain(self);
+    (void)close(self->listener);
+}
--- a/tests/unit/raw_socket.h
+++ b/tests/unit/raw_socket.h
@@ -9,10 +9,31 @@
 /** Longest text that is read at once. */
 #define RAW_TEXT_MAX_BYTES 65536
 
+/** Connections that fill a queue of no length, and some more. */
+#define RAW_FILLERS 4
+
 /** Listens on a free port of 127.0.0.1. */
 int
 raw_listen(uint16_t *port);
 
+/** A listener whose queue is full: further connections hang, as to a machine
+ * without power. */
+typedef struct RawFullListener {
+    int listener;
+    uint16_t port;
+    int fillers[RAW_FILLERS];
+} RawFullListener_t;
+
+RawFullListener_t
+raw_listen_full(void);
+
+/** Takes what waits in the queue off it, so that others come through. */
+void
+raw_full_drain(RawFullListener_t *self);
+
+void
+raw_full_close(RawFullListener_t *self);
+
 /** Connects to a port of 127.0.0.1; -1 if it is refused. */
 int
 raw_connect(uint16_t port);
--- a/tests/unit/test_client_routed.c
+++ b/tests/unit/test_client_routed.c
@@ -3,9 +3,7 @@
 #include "core/memory.h"
 #include "platform/headers.h"
 
-#include <arpa/inet.h>
 #include <criterion/criterion.h>
-#include <netinet/in.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -214,37 +212,15 @@
     raw_peer_stop(peer);
 }
 
-/** Fills the queue of a listener that accepts nothing, so that further
- * connections hang; returns its port. */
-static uint16_t
-listen_full(int *listener, int fillers[4])
-{
-    uint16_t port = 0;
-    *listener = raw_listen(&port);
-    cr_assert_eq(listen(*listener, 0), 0);
-    for (int i = 0; i < 4; i++) {
-        const struct sockaddr_in address = {.sin_family = AF_INET,
-                                            .sin_port = htons(port),
-                                            .sin_addr.s_addr =
-                                                htonl(INADDR_LOOPBACK)};
-        fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        (void)connect(fillers[i], (const struct sockaddr *)&address,
-                      sizeof(address));
-    }
-    return port;
-}
-
 /* libcurl closes such sockets without telling, and their numbers come
  * again. Under the address sanitizer this failed at the second call. */
 Test(client_routed, connections_that_never_come_up_are_forgotten)
 {
     Bench_t *bench = bench_new();
     RawPeer_t *peer = raw_peer_start(serve_dying_later, NULL);
-    int listener = -1;
-    int fillers[4];
-    uint16_t port = listen_full(&listener, fillers);
+    RawFullListener_t full = raw_listen_full();
     for (uint64_t i = 0; i < 3; i++) {
-        EyAttempt_t *attempt = make_once(2 * i + 1, port, "one");
+        EyAttempt_t *attempt = make_once(2 * i + 1, full.port, "one");
         attempt->connect_timeout_ms = 50;
         EyClient_Start(bench->client, attempt);
         const EyAttemptEvent_t *event = run_until_ended(bench, 2 * i + 1);
@@ -255,10 +231,7 @@
         EyClient_Start(bench->client, attempt);
         assert_body(run_until_ended(bench, 2 * i + 2), "fine");
     }
-    for (int i = 0; i < 4; i++) {
-        (void)close(fillers[i]);
-    }
-    (void)close(listener);
+    raw_full_close(&full);
     raw_peer_stop(peer);
     bench_free(bench);
 }
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -3,6 +3,7 @@
 #include "core/memory.h"
 #include "core/random.h"
 #include "instances/peer_message.h"
+#include "raw_socket.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -368,3 +369,47 @@
         talloc_free(ctx);
     }
 }
+
+/** Accepts until a connection says something; the time that took, or -1. */
+static int64_t
+wait_greeting(int listener, int64_t wait_ms)
+{
+    int64_t begin_ms = EyClock_NowMs();
+    while (EyClock_NowMs() - begin_ms < wait_ms) {
+        struct pollfd item = {.fd = listener, .events = POLLIN};
+        if (poll(&item, 1, 50) != 1) {
+            continue;
+        }
+        int accepted = accept(listener, NULL, NULL);
+        char byte = 0;
+        struct pollfd greeting = {.fd = accepted, .events = POLLIN};
+        bool spoke =
+            poll(&greeting, 1, 50) == 1 && recv(accepted, &byte, 1, 0) == 1;
+        (void)close(accepted);
+        if (spoke) {
+            return EyClock_NowMs() - begin_ms;
+        }
+    }
+    return -1;
+}
+
+/* A machine without power swallows the first packet, which the kernel sends
+ * again after a second; a process that has just come back is to be met
+ * sooner. */
+Test(peers, a_connection_that_hangs_is_tried_anew_within_a_second)
+{
+    enum { DARK_MS = 150, MET_WITHIN_MS = 800 };
+    void *ctx = talloc_new(NULL);
+    Side_t left = start(ctx, "istra-1", NULL);
+    RawFullListener_t dark = raw_listen_full();
+    char *address = talloc_asprintf(ctx, "127.0.0.1:%u", dark.port);
+    send_text(&left, "", address, "hello");
+    (void)poll(NULL, 0, DARK_MS);
+    raw_full_drain(&dark);
+    int64_t took_ms = wait_greeting(dark.listener, 3000);
+    cr_expect(took_ms >= 0 && took_ms < MET_WITHIN_MS, "%ld ms",
+              (long)took_ms);
+    raw_full_close(&dark);
+    EyPeers_Stop(left.peers);
+    talloc_free(ctx);
+}
