Servers are shown again after a loss of power: list on the disk, tables asked for at once, bound calls go unheard-of regions' way

Change: control processes keep the region's servers in servers.list (synced, checksummed, on a thread of its own) and show them for 3 s after a start as cold ones, so paced; an instance asks others for their table as soon as it knows them, in its first 5 s; a call that can't run here goes to an allowed region that has said nothing lately. Ruled out: showing the list only where no server is known after 200 ms (two of five had announced themselves by then, so it was never shown).

--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -3,6 +3,7 @@
 #include "config/control.h"
 #include "config/log_file.h"
 #include "config/route_table.h"
+#include "control/server_memory.h"
 #include "control/witnesses.h"
 #include "core/clock.h"
 #include "core/log.h"
@@ -25,6 +26,7 @@
     EyNode_t *node;
     EyControl_t *control;
     EyWitnesses_t *witnesses;
+    EyServerMemory_t *servers;
     EyLogFile_t *file; /* the storage thread's while it runs */
     EyWorker_t *storage;
     EyMailbox_t *written;
@@ -404,6 +406,7 @@
     const EyLogOptions_t options = log_options(self);
     self->control =
         EyControl_New(self, &options, &disk, &hooks, EyClock_NowMs());
+    self->servers = EyServerMemory_Start(self, node);
     (void)EyTimers_Every(node->timers, TICK_MS, on_tick, self);
     return self;
 }
@@ -412,6 +415,7 @@
 control_close(void *part)
 {
     ControlPart_t *self = part;
+    EyServerMemory_Stop(self->servers);
     EyWorker_Stop(self->storage);
     self->storage = NULL;
     g_hash_table_destroy(self->orders);
@@ -467,6 +471,15 @@
     receive_config(part, message);
 }
 
+static void
+control_on_backend(void *part, EyRegistryChange_t change,
+                   const EyBackend_t *backend)
+{
+    (void)backend;
+    const ControlPart_t *self = part;
+    EyServerMemory_OnBackend(self->servers, change);
+}
+
 static json_t *
 control_dump(void *part)
 {
@@ -485,5 +498,6 @@
     .on_request = control_on_request,
     .wants = control_wants,
     .on_message = control_on_message,
+    .on_backend = control_on_backend,
     .dump = control_dump,
 };
--- /dev/null
+++ b/src/control/server_list.c
@@ -0,0 +1,180 @@
+#include "control/server_list.h"
+
+#include "core/memory.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+EY_DEFINE_ERROR_DOMAIN(ServerList, "ey-server-list")
+
+#define FILE_NAME "servers.list"
+#define NEW_FILE_NAME "servers.list.new"
+/** Largest file that is read. */
+#define FILE_MAX_BYTES (4 * 1024 * 1024)
+
+static const EyField_t ListFields[] = {
+    EY_FIELD_ARRAY_OF(EyServerList_t, servers, count, EyBackend_schema,
+                      EY_SERVER_LIST_MAX),
+    EY_FIELD_END,
+};
+static const EySchema_t ListSchema = EY_SCHEMA(EyServerList_t, ListFields);
+
+/* Of the registry */
+
+typedef struct Gathering {
+    EyServerList_t *list;
+    uint32_t room;
+} Gathering_t;
+
+static void
+gather(void *data, const EyBackend_t *backend)
+{
+    Gathering_t *gathering = data;
+    EyServerList_t *list = gathering->list;
+    if (backend->state == EY_BACKEND_SERVING && list->count < gathering->room)
+    {
+        EyBackend_t *copy = EyBackend_Copy(list, backend);
+        list->servers[list->count++] = *copy;
+    }
+}
+
+EyServerList_t *
+EyServerList_FromRegistry(const void *ctx, const EyRegistry_t *registry)
+{
+    EyServerList_t *self = EY_NEW(ctx, EyServerList_t);
+    Gathering_t gathering = {
+        .list = self,
+        .room = MIN(EyRegistry_Count(registry), EY_SERVER_LIST_MAX),
+    };
+    self->servers = EY_NEW_ARRAY(self, EyBackend_t, gathering.room);
+    EyRegistry_Each(registry, gather, &gathering);
+    return self;
+}
+
+uint32_t
+EyServerList_Show(const EyServerList_t *self, EyRegistry_t *registry,
+                  int64_t now_ms)
+{
+    if (EyRegistry_Count(registry) > 0) {
+        return 0;
+    }
+    for (uint32_t i = 0; i < self->count; i++) {
+        EyBackend_t shown = self->servers[i];
+        shown.ttl_ms = EY_SERVER_LIST_TTL_MS;
+        shown.is_cold = true;
+        EyRegistry_Announce(registry, now_ms, &shown);
+    }
+    return self->count;
+}
+
+/* The file: a checksum, then the packed list. */
+
+static bool
+write_all(int file, const void *data, size_t size_bytes)
+{
+    const char *from = data;
+    while (size_bytes > 0) {
+        ssize_t written = write(file, from, size_bytes);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written <= 0) {
+            return false;
+        }
+        from += written;
+        size_bytes -= (size_t)written;
+    }
+    return true;
+}
+
+static bool
+sync_folder(const char *folder)
+{
+    int file = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bool done = file >= 0 && fsync(file) == 0;
+    if (file >= 0) {
+        (void)close(file);
+    }
+    return done;
+}
+
+static bool
+write_file(const char *path, const EyBytes_t *packed)
+{
+    uint64_t sum = XXH64(packed->data, packed->size_bytes, 0);
+    int file = open(path, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+    bool done = file >= 0 && write_all(file, &sum, sizeof(sum)) &&
+                write_all(file, packed->data, packed->size_bytes) &&
+                fsync(file) == 0;
+    if (file >= 0) {
+        done = close(file) == 0 && done;
+    }
+    return done;
+}
+
+bool
+EyServerList_Save(const EyServerList_t *self, const char *folder,
+                  GError **error)
+{
+    void *ctx = talloc_new(NULL);
+    const EyBytes_t packed = EySchema_Pack(&ListSchema, ctx, self);
+    char *new_path = talloc_asprintf(ctx, "%s/%s", folder, NEW_FILE_NAME);
+    char *path = talloc_asprintf(ctx, "%s/%s", folder, FILE_NAME);
+    bool done = write_file(new_path, &packed) && rename(new_path, path) == 0 &&
+                sync_folder(folder);
+    if (!done) {
+        g_set_error(error, EY_SERVER_LIST_ERROR, EY_SERVER_LIST_ERROR_WRITE,
+                    "%s can't be written: %s", path, g_strerror(errno));
+    }
+    talloc_free(ctx);
+    return done;
+}
+
+/** Reads the packed list out of a file's content; false if it is damaged. */
+static bool
+unpack(EyServerList_t *self, const uint8_t *content, size_t size_bytes)
+{
+    uint64_t sum = 0;
+    if (size_bytes < sizeof(sum) || size_bytes > FILE_MAX_BYTES) {
+        return false;
+    }
+    memcpy(&sum, content, sizeof(sum));
+    const uint8_t *packed = content + sizeof(sum);
+    size_t packed_size_bytes = size_bytes - sizeof(sum);
+    return XXH64(packed, packed_size_bytes, 0) == sum &&
+           EySchema_Unpack(&ListSchema, self, packed,
+                           (uint32_t)packed_size_bytes, self, NULL);
+}
+
+EyServerList_t *
+EyServerList_Load(const void *ctx, const char *folder, GError **error)
+{
+    EyServerList_t *self = EY_NEW(ctx, EyServerList_t);
+    char *path = talloc_asprintf(self, "%s/%s", folder, FILE_NAME);
+    char *content = NULL;
+    gsize size_bytes = 0;
+    GError *failure = NULL;
+    if (!g_file_get_contents(path, &content, &size_bytes, &failure)) {
+        bool is_missing =
+            g_error_matches(failure, G_FILE_ERROR, G_FILE_ERROR_NOENT);
+        if (!is_missing) {
+            g_set_error(error, EY_SERVER_LIST_ERROR, EY_SERVER_LIST_ERROR_READ,
+                        "%s", failure->message);
+            talloc_free(self);
+        }
+        g_error_free(failure);
+        return is_missing ? self : NULL;
+    }
+    bool is_whole = unpack(self, (const uint8_t *)content, size_bytes);
+    g_free(content);
+    if (!is_whole) {
+        g_set_error(error, EY_SERVER_LIST_ERROR, EY_SERVER_LIST_ERROR_DAMAGED,
+                    "%s is damaged", path);
+        talloc_free(self);
+        return NULL;
+    }
+    return self;
+}
--- /dev/null
+++ b/src/control/server_memory.c
@@ -0,0 +1,125 @@
+#include "control/server_memory.h"
+
+#include "control/server_list.h"
+#include "core/clock.h"
+#include "core/log.h"
+#include "core/memory.h"
+#include "core/worker.h"
+
+/** Changes within this time are written together. */
+#define SAVE_PAUSE_MS 300
+#define WRITES_WAITING_MAX 4
+
+struct EyServerMemory {
+    EyNode_t *node;
+    EyServerList_t *loaded; /* NULL once it was shown */
+    EyTimer_t *saving;
+    EyWorker_t *worker;
+};
+
+/* On the worker's thread. */
+
+static void *
+worker_open(void *ctx, struct tevent_context *loop, EyTimers_t *timers,
+            void *data)
+{
+    (void)loop;
+    (void)timers;
+    return EyMemory_Strdup(ctx, data);
+}
+
+static void
+worker_handle(void *state, void *message)
+{
+    const char *folder = state;
+    GError *error = NULL;
+    if (!EyServerList_Save(message, folder, &error)) {
+        EY_LOG(EY_LOG_WARNING, "control", "server_list_not_written",
+               EY_LOG_TEXT("reason", error->message));
+        g_error_free(error);
+    }
+    talloc_free(message);
+}
+
+static const EyWorkerClass_t WorkerClass = {
+    .name = "server-list",
+    .open = worker_open,
+    .handle = worker_handle,
+};
+
+/* On the decisions' thread. */
+
+static EyRegistry_t *
+registry(const EyServerMemory_t *self)
+{
+    return EyCluster_Registry(self->node->cluster);
+}
+
+static void
+on_show(void *data, int64_t now_ms)
+{
+    EyServerMemory_t *self = data;
+    uint32_t shown = EyServerList_Show(self->loaded, registry(self), now_ms);
+    EY_LOG(EY_LOG_INFO, "control", "server_list_shown",
+           EY_LOG_NUMBER("listed", self->loaded->count),
+           EY_LOG_NUMBER("shown", shown));
+    talloc_free(self->loaded);
+    self->loaded = NULL;
+}
+
+static void
+on_save(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyServerMemory_t *self = data;
+    self->saving = NULL;
+    EyServerList_t *list = EyServerList_FromRegistry(NULL, registry(self));
+    if (!EyWorker_Post(self->worker, list)) {
+        /* The disk is behind; the next change writes a newer list. */
+        talloc_free(list);
+    }
+}
+
+static EyServerList_t *
+load(const void *ctx, const char *folder)
+{
+    GError *error = NULL;
+    EyServerList_t *list = EyServerList_Load(ctx, folder, &error);
+    if (list == NULL) {
+        EY_LOG(EY_LOG_WARNING, "control", "server_list_not_read",
+               EY_LOG_TEXT("reason", error->message));
+        g_error_free(error);
+        return EY_NEW(ctx, EyServerList_t);
+    }
+    return list;
+}
+
+EyServerMemory_t *
+EyServerMemory_Start(const void *ctx, EyNode_t *node)
+{
+    EyServerMemory_t *self = EY_NEW(ctx, EyServerMemory_t);
+    char *folder = node->settings->data_dir;
+    self->node = node;
+    self->loaded = load(self, folder);
+    self->worker =
+        EyWorker_Start(self, &WorkerClass, WRITES_WAITING_MAX, folder);
+    /* Once the loop runs, before the first server announces itself. */
+    (void)EyTimers_After(node->timers, 0, on_show, self);
+    return self;
+}
+
+void
+EyServerMemory_OnBackend(EyServerMemory_t *self, EyRegistryChange_t change)
+{
+    if (change != EY_REGISTRY_LOADED && self->saving == NULL) {
+        self->saving =
+            EyTimers_After(self->node->timers, SAVE_PAUSE_MS, on_save, self);
+    }
+}
+
+void
+EyServerMemory_Stop(EyServerMemory_t *self)
+{
+    EyWorker_Stop(self->worker);
+    self->worker = NULL;
+}
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -409,6 +409,7 @@
     EyRegistry_SpreadRumors(self);
     EyRegistry_SpreadLoads(self, now_ms);
     EyRegistry_SendCheck(self, now_ms);
+    EyRegistry_AskNew(self, now_ms);
     if (now_ms - self->tidy_ms >= TIDY_INTERVAL_MS) {
         self->tidy_ms = now_ms;
         (void)g_hash_table_foreach_remove(self->records, is_forgotten, self);
@@ -460,6 +461,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     self->ticked_ms = now_ms;
     self->tidy_ms = now_ms;
+    self->started_ms = now_ms;
     talloc_set_destructor(self, registry_destroy);
     return self;
 }
--- a/src/membership/registry_gossip.c
+++ b/src/membership/registry_gossip.c
@@ -8,6 +8,8 @@
 #define LOADS_PER_MESSAGE 6
 #define CHECK_INTERVAL_MS 1000
 #define DIGEST_INTERVAL_MS 500
+/* So long after its start an instance asks others as soon as it knows them. */
+#define JOINING_MS 5000
 
 /* Messages out */
 
@@ -163,6 +165,23 @@
     send_to(self, sponsor, &message);
 }
 
+void
+EyRegistry_AskNew(EyRegistry_t *self, int64_t now_ms)
+{
+    const EyMember_t *targets[EY_REGISTRY_TARGETS];
+    uint32_t count = EyMembership_GossipTargets(self->membership, targets,
+                                                EY_REGISTRY_TARGETS);
+    bool is_new = now_ms - self->started_ms < JOINING_MS;
+    if (!is_new || count <= self->asked_count) {
+        return;
+    }
+    self->asked_count = count;
+    for (uint32_t i = 0; i < count; i++) {
+        EyRegistry_SendDigest(self, targets[i]->id, targets[i]->peer_address,
+                              false);
+    }
+}
+
 /* Messages in */
 
 static void
--- a/src/membership/registry_state.h
+++ b/src/membership/registry_state.h
@@ -25,6 +25,8 @@
     int64_t check_ms;
     int64_t digest_ms;
     int64_t tidy_ms;
+    int64_t started_ms;
+    uint32_t asked_count; /* instances known when they were last asked */
 };
 
 /** The record, over or not, or NULL. */
@@ -70,6 +72,11 @@
 void
 EyRegistry_SendCheck(EyRegistry_t *self, int64_t now_ms);
 
+/** Soon after the start: asks instances for their tables when further ones
+ * are known, so that the first requests find servers. */
+void
+EyRegistry_AskNew(EyRegistry_t *self, int64_t now_ms);
+
 void
 EyRegistry_SendDigest(EyRegistry_t *self, const char *to, const char *address,
                       bool answers);
--- a/src/routing/away.c
+++ b/src/routing/away.c
@@ -240,6 +240,27 @@
     return best->name;
 }
 
+const char *
+EyAway_Guess(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
+             const EyRoutingRequest_t *request)
+{
+    const char *chosen = NULL;
+    uint32_t alike = 0;
+    for (uint32_t i = 0; i < request->allowed_region_count; i++) {
+        const char *region = request->allowed_regions[i];
+        const Word_t *word =
+            find_word(self, region, request->kind, request->target);
+        bool is_silent =
+            word == NULL || now_ms - word->heard_ms >= config->summary_ttl_ms;
+        if (is_silent && !EyRoutingRequest_Excludes(request, region) &&
+            EyRandom_Below(&self->random, ++alike) == 0)
+        {
+            chosen = region;
+        }
+    }
+    return chosen;
+}
+
 void
 EyAway_Ended(EyAway_t *self, const char *region, EyBackendKind_t kind,
              const char *target)
--- a/src/routing/away.h
+++ b/src/routing/away.h
@@ -51,6 +51,15 @@
               const EyRoutingRequest_t *request, double limit_ms,
               uint32_t gateways);
 
+/**
+ * One of the regions that the request's data is bound to, drawn at random
+ * among those that have said nothing lately; NULL if there is none. For a
+ * request that can't be served here: asking there is better than refusing.
+ */
+const char *
+EyAway_Guess(EyAway_t *self, int64_t now_ms, const EyRoutingConfig_t *config,
+             const EyRoutingRequest_t *request);
+
 /** A request that was sent to the region ended. */
 void
 EyAway_Ended(EyAway_t *self, const char *region, EyBackendKind_t kind,
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -203,6 +203,10 @@
     }
     const char *region = EyAway_Choose(self->away, now_ms, &self->config,
                                        request, limit_ms, self->gateways);
+    bool must_go = !EyRoutingRequest_MayRunIn(request, self->region);
+    if (region == NULL && must_go) {
+        region = EyAway_Guess(self->away, now_ms, &self->config, request);
+    }
     if (region == NULL) {
         return false;
     }
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -512,3 +512,38 @@
         cr_assert_lt(bytes, 3500.0);
     }
 }
+
+namespace {
+
+/** True if the node knows another live instance. */
+bool
+knows_another(const Node &node)
+{
+    const EyMember_t *targets[1];
+    return EyMembership_GossipTargets(node.membership, targets, 1) > 0;
+}
+
+} // namespace
+
+/* Without asking it took up to a second and a half. */
+Test(registry_properties, a_newcomer_knows_the_servers_as_soon_as_an_instance)
+{
+    EY_CHECK("a restart", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(2, 7);
+        auto site = make_site(gateways, *rc::gen::inRange<size_t>(1, 8));
+        Node &node = *site->net.nodes[*rc::gen::inRange<size_t>(0, gateways)];
+        for (Server &server : site->servers) {
+            server.gateway = (node.index + 1) % gateways;
+        }
+        site->run(3 * heartbeat_ms);
+        site->start(node);
+        for (int i = 0; i < 100 && !knows_another(node); i++) {
+            site->run(cluster::tick_ms);
+        }
+        RC_ASSERT(knows_another(node));
+        site->run(4 * cluster::tick_ms);
+        for (const Server &server : site->servers) {
+            RC_ASSERT(site->is_used(node.index, server));
+        }
+    });
+}
--- a/tests/unit/test_router_engines.c
+++ b/tests/unit/test_router_engines.c
@@ -207,3 +207,41 @@
         talloc_free(ctx);
     }
 }
+
+typedef struct BoundCase {
+    const char *name;
+    const char *allowed_region;
+    bool is_forwarded;
+    EyDecisionKind_t kind;
+} BoundCase_t;
+
+static const BoundCase_t BoundCases[] = {
+    {"bound to a region that said nothing yet", "dalmacija", false,
+     EY_DECISION_SEND_AWAY},
+    {"bound here", "istra", false, EY_DECISION_DISPATCH},
+    {"it crossed once already", "dalmacija", true, EY_DECISION_REFUSE},
+};
+
+/* After a start regions hear of each other later than callers come. */
+Test(router_engines, a_call_bound_elsewhere_goes_though_nothing_was_heard)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(BoundCases); i++) {
+        const BoundCase_t *test = &BoundCases[i];
+        void *ctx = talloc_new(NULL);
+        EyRouter_t *router = make_router(ctx, 1, 1);
+        EyName_t allowed;
+        (void)EY_COPY(allowed, test->allowed_region);
+        EyRoutingRequest_t request = make_request(1, 7);
+        request.allowed_regions = &allowed;
+        request.allowed_region_count = 1;
+        request.may_go_home = true;
+        request.is_forwarded = test->is_forwarded;
+        EyRoutingDecision_t decision = submit(router, &request);
+        cr_expect_eq(decision.kind, test->kind, "%s: %s", test->name,
+                     EyDecision_kind_names[decision.kind]);
+        if (test->kind == EY_DECISION_SEND_AWAY) {
+            cr_expect_str_eq(decision.region, test->allowed_region);
+        }
+        talloc_free(ctx);
+    }
+}
--- /dev/null
+++ b/tests/unit/test_server_list.c
@@ -0,0 +1,221 @@
+/* The list of servers that outlives a loss of power. */
+#include "control/server_list.h"
+#include "core/memory.h"
+#include "membership/membership.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define NOW_MS 1000
+#define TICK_MS 100
+
+static void
+send_nothing(void *data, const char *to, const char *address,
+             const EyClusterMessage_t *message)
+{
+    (void)data;
+    (void)to;
+    (void)address;
+    (void)message;
+}
+
+static void
+note_nothing(void *data, EyRegistryChange_t change, const EyBackend_t *backend)
+{
+    (void)data;
+    (void)change;
+    (void)backend;
+}
+
+static EyRegistry_t *
+make_registry(void *ctx)
+{
+    EyMember_t own = {.incarnation = 1, .role = EY_MEMBER_CONTROL};
+    (void)EY_COPY(own.id, "core-1");
+    (void)EY_COPY(own.region, "istra");
+    const EyMembershipHooks_t membership_hooks = {.send = send_nothing};
+    EyMembership_t *membership =
+        EyMembership_New(ctx, &own, &membership_hooks, 1, NOW_MS);
+    const EyRegistryHooks_t hooks = {.send = send_nothing,
+                                     .changed = note_nothing};
+    return EyRegistry_New(ctx, membership, &hooks, 1, NOW_MS);
+}
+
+static EyBackend_t
+make_backend(const char *id, EyBackendState_t state)
+{
+    static EyName_t models[] = {"plan"};
+    EyBackend_t backend = {
+        .models = models,
+        .model_count = 1,
+        .slots = 64,
+        .speed = 1.0,
+        .ttl_ms = 6000,
+        .incarnation = 1700000000000,
+        .load = {.running = 3, .at = 7},
+        .state = state,
+    };
+    (void)EY_COPY(backend.id, id);
+    (void)EY_COPY(backend.address, "10.0.0.1:80");
+    (void)EY_COPY(backend.region, "istra");
+    (void)EY_COPY(backend.zone, "pula-a");
+    return backend;
+}
+
+static char *
+make_folder(void *ctx)
+{
+    char *folder = talloc_strdup(ctx, "/tmp/ey-server-list-XXXXXX");
+    cr_assert_not_null(mkdtemp(folder));
+    return folder;
+}
+
+static void
+remove_folder(const char *folder)
+{
+    char path[128];
+    (void)snprintf(path, sizeof(path), "%s/servers.list", folder);
+    (void)unlink(path);
+    (void)rmdir(folder);
+}
+
+/** A folder with the list of a registry that had two servers, one leaving. */
+static char *
+save_list(void *ctx)
+{
+    char *folder = make_folder(ctx);
+    EyRegistry_t *registry = make_registry(ctx);
+    const EyBackend_t serving = make_backend("i-1", EY_BACKEND_SERVING);
+    const EyBackend_t leaving = make_backend("i-2", EY_BACKEND_LEAVING);
+    EyRegistry_Announce(registry, NOW_MS, &serving);
+    EyRegistry_Announce(registry, NOW_MS, &leaving);
+    const EyServerList_t *list = EyServerList_FromRegistry(ctx, registry);
+    cr_assert(EyServerList_Save(list, folder, NULL));
+    return folder;
+}
+
+Test(server_list, servers_that_served_are_shown_as_cold_for_a_short_time)
+{
+    void *ctx = talloc_new(NULL);
+    char *folder = save_list(ctx);
+    EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
+    cr_assert_not_null(list);
+    EyRegistry_t *registry = make_registry(ctx);
+    cr_expect_eq(EyServerList_Show(list, registry, NOW_MS), 1);
+    const EyBackend_t *shown = EyRegistry_Find(registry, "i-1");
+    cr_assert_not_null(shown);
+    cr_expect(shown->is_cold);
+    cr_expect_str_eq(shown->address, "10.0.0.1:80");
+    cr_expect_str_eq(shown->models[0], "plan");
+    cr_expect_null(EyRegistry_Find(registry, "i-2"));
+    int64_t end_ms = NOW_MS + EY_SERVER_LIST_TTL_MS + 2 * TICK_MS;
+    for (int64_t now_ms = NOW_MS; now_ms < end_ms; now_ms += TICK_MS) {
+        EyRegistry_Tick(registry, now_ms);
+    }
+    cr_expect_null(EyRegistry_Find(registry, "i-1"));
+    remove_folder(folder);
+    talloc_free(ctx);
+}
+
+Test(server_list, a_servers_own_word_takes_its_place)
+{
+    void *ctx = talloc_new(NULL);
+    char *folder = save_list(ctx);
+    EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
+    EyRegistry_t *registry = make_registry(ctx);
+    (void)EyServerList_Show(list, registry, NOW_MS);
+    EyBackend_t word = make_backend("i-1", EY_BACKEND_SERVING);
+    word.load.at = 8;
+    EyRegistry_Announce(registry, NOW_MS + TICK_MS, &word);
+    cr_expect_not(EyRegistry_Find(registry, "i-1")->is_cold);
+    word.state = EY_BACKEND_LEAVING;
+    word.load.at = 9;
+    EyRegistry_Announce(registry, NOW_MS + 2 * TICK_MS, &word);
+    cr_expect_eq(EyRegistry_Find(registry, "i-1")->state, EY_BACKEND_LEAVING);
+    remove_folder(folder);
+    talloc_free(ctx);
+}
+
+Test(server_list, a_registry_that_knows_servers_is_left_alone)
+{
+    void *ctx = talloc_new(NULL);
+    char *folder = save_list(ctx);
+    EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
+    EyRegistry_t *registry = make_registry(ctx);
+    const EyBackend_t other = make_backend("i-3", EY_BACKEND_SERVING);
+    EyRegistry_Announce(registry, NOW_MS, &other);
+    cr_expect_eq(EyServerList_Show(list, registry, NOW_MS), 0);
+    cr_expect_null(EyRegistry_Find(registry, "i-1"));
+    remove_folder(folder);
+    talloc_free(ctx);
+}
+
+typedef struct FileCase {
+    const char *name;
+    long cut_bytes;  /* off the end; < 0: no file at all */
+    long flipped_at; /* < 0: none */
+    bool is_read;
+} FileCase_t;
+
+static const FileCase_t FileCases[] = {
+    {"whole", 0, -1, true},
+    {"missing: nothing is known", -1, -1, true},
+    {"cut off", 5, -1, false},
+    {"nearly nothing left", 1000000, -1, false},
+    {"a bit in the checksum", 0, 3, false},
+    {"a bit in the list", 0, 20, false},
+};
+
+static void
+damage(const char *path, const FileCase_t *test)
+{
+    struct stat status;
+    if (test->cut_bytes < 0) {
+        cr_assert_eq(unlink(path), 0);
+        return;
+    }
+    cr_assert_eq(stat(path, &status), 0);
+    long left = status.st_size - test->cut_bytes;
+    cr_assert_eq(truncate(path, left > 2 ? left : 2), 0);
+    if (test->flipped_at >= 0) {
+        FILE *file = fopen(path, "r+");
+        (void)fseek(file, test->flipped_at, SEEK_SET);
+        int byte = fgetc(file);
+        (void)fseek(file, test->flipped_at, SEEK_SET);
+        (void)fputc(byte ^ 1, file);
+        (void)fclose(file);
+    }
+}
+
+Test(server_list, a_damaged_file_is_told_and_harms_nothing)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(FileCases); i++) {
+        const FileCase_t *test = &FileCases[i];
+        void *ctx = talloc_new(NULL);
+        char *folder = save_list(ctx);
+        char *path = talloc_asprintf(ctx, "%s/servers.list", folder);
+        damage(path, test);
+        GError *error = NULL;
+        const EyServerList_t *list = EyServerList_Load(ctx, folder, &error);
+        cr_expect_eq(list != NULL, test->is_read, "%s", test->name);
+        cr_expect_eq(error == NULL, test->is_read, "%s", test->name);
+        g_clear_error(&error);
+        remove_folder(folder);
+        talloc_free(ctx);
+    }
+}
+
+Test(server_list, a_folder_that_cant_be_written_is_told)
+{
+    void *ctx = talloc_new(NULL);
+    const EyServerList_t *list = EY_NEW(ctx, EyServerList_t);
+    GError *error = NULL;
+    cr_expect_not(EyServerList_Save(list, "/tmp/ey-no-such-folder", &error));
+    cr_assert_not_null(error);
+    cr_expect_eq(error->code, EY_SERVER_LIST_ERROR_WRITE);
+    g_error_free(error);
+    talloc_free(ctx);
+}
