Membership: contacts reach the gateway that speaks to a region, summaries reach gateways

Summaries went along the ring as well. Change: every instance names a contact that it heard to the gateway that is to speak to its region, once for each speaker; summaries go to gateways drawn at random. Ruled out: connection timeouts (contacts heard were fresh), the limit of contacts for a region.

--- a/src/membership/cluster.c
+++ b/src/membership/cluster.c
@@ -93,6 +93,7 @@
     if (EyMembership_Self(self->membership)->role == EY_MEMBER_GATEWAY) {
         EySummary_Tick(self->summary, now_ms);
     }
+    EySummary_TellContacts(self->summary, now_ms);
 }
 
 static void
--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -14,6 +14,8 @@
 #define SPREAD_TARGETS 2
 #define SPREAD_ROUNDS 2
 #define ENTRIES_MAX 8192
+/* Contacts of which is remembered who was told; then all are told again. */
+#define TOLD_MAX 1024
 /* Age up to which a contact counts as living. */
 #define CONTACT_FRESH_MS 5000
 /* One message in so many names another contact. */
@@ -34,12 +36,14 @@
     EyRandom_t random;
     GHashTable *own;    /* target -> EyTargetSummary_t */
     GHashTable *others; /* region/target -> Entry_t */
+    GHashTable *told; /* id of a contact -> id of the speaker that was told */
     uint64_t serial;
     uint32_t own_next; /* where the next message begins */
     uint32_t region_next;
     int64_t now_ms;
     int64_t spoke_ms;
     int64_t spread_ms;
+    int64_t told_ms;
 };
 
 /** The other regions that have a contact, each once. */
@@ -96,14 +100,21 @@
     }
 }
 
-bool
-EySummary_IsSpeaker(const EySummary_t *self, const char *region)
+/** The gateway of the own region that speaks to another; NULL: none. */
+static const EyMember_t *
+speaker_to(const EySummary_t *self, const char *region)
 {
     Ranking_t ranking = {.membership = self->membership, .region = region};
     EyMembership_Each(self->membership, rank_gateway, &ranking);
-    return ranking.first != NULL &&
-           strcmp(ranking.first->id,
-                  EyMembership_Self(self->membership)->id) == 0;
+    return ranking.first;
+}
+
+bool
+EySummary_IsSpeaker(const EySummary_t *self, const char *region)
+{
+    const EyMember_t *speaker = speaker_to(self, region);
+    return speaker != NULL &&
+           strcmp(speaker->id, EyMembership_Self(self->membership)->id) == 0;
 }
 
 static void
@@ -271,6 +282,70 @@
     }
 }
 
+/** Names a contact to the gateway that is to speak to its region. */
+static void
+tell_speaker(EySummary_t *self, const EyMember_t *contact)
+{
+    const EyMember_t *speaker = speaker_to(self, contact->region);
+    if (speaker == NULL ||
+        strcmp(speaker->id, EyMembership_Self(self->membership)->id) == 0)
+    {
+        return;
+    }
+    (void)g_hash_table_insert(self->told, g_strdup(contact->id),
+                              g_strdup(speaker->id));
+    EyMember_t named = *contact;
+    EyClusterMessage_t message = make_message(self);
+    message.members = &named;
+    message.member_count = 1;
+    self->hooks.send(self->hooks.data, speaker->id, speaker->peer_address,
+                     &message);
+}
+
+/** Tells of a contact that lives, unless the present speaker was told. */
+static void
+tell_if_new(void *data, const EyMember_t *contact)
+{
+    EySummary_t *self = data;
+    const EyMember_t *speaker = speaker_to(self, contact->region);
+    const char *told = g_hash_table_lookup(self->told, contact->id);
+    bool was_told =
+        speaker != NULL && told != NULL && strcmp(told, speaker->id) == 0;
+    bool is_fresh = EyMembership_ContactAgeMs(self->membership, contact->id) <
+                    CONTACT_FRESH_MS;
+    if (contact->role == EY_MEMBER_GATEWAY && is_fresh && !was_told) {
+        tell_speaker(self, contact);
+    }
+}
+
+/** Some other gateways of the own region, at random. */
+typedef struct Sample {
+    EySummary_t *summary;
+    const EyMember_t *members[SPREAD_TARGETS];
+    uint32_t count;
+    uint64_t seen;
+} Sample_t;
+
+static void
+sample_gateway(void *data, const EyMember_t *member)
+{
+    Sample_t *sample = data;
+    const EyMembership_t *membership = sample->summary->membership;
+    if (member->role != EY_MEMBER_GATEWAY || member->state == EY_MEMBER_GONE ||
+        strcmp(member->id, EyMembership_Self(membership)->id) == 0)
+    {
+        return;
+    }
+    uint64_t at =
+        sample->count < SPREAD_TARGETS
+            ? sample->count++
+            : EyRandom_Below(&sample->summary->random, sample->seen + 1);
+    if (at < SPREAD_TARGETS) {
+        sample->members[at] = member;
+    }
+    sample->seen++;
+}
+
 /** Passes summaries of other regions on inside the own one. */
 static void
 spread(EySummary_t *self, int64_t now_ms)
@@ -299,15 +374,19 @@
     }
     EyMember_t contact;
     add_contact(self, &message, &contact);
+    if (message.member_count > 0) {
+        tell_speaker(self, &contact);
+    }
     if (message.summary_count == 0 && message.member_count == 0) {
         return;
     }
-    const EyMember_t *targets[SPREAD_TARGETS];
-    uint32_t count =
-        EyMembership_GossipTargets(self->membership, targets, SPREAD_TARGETS);
-    for (uint32_t i = 0; i < count; i++) {
-        self->hooks.send(self->hooks.data, targets[i]->id,
-                         targets[i]->peer_address, &message);
+    /* Not by the ring: between two gateways there may stand instances that
+     * pass no summaries on. */
+    Sample_t sample = {.summary = self};
+    EyMembership_Each(self->membership, sample_gateway, &sample);
+    for (uint32_t i = 0; i < sample.count; i++) {
+        self->hooks.send(self->hooks.data, sample.members[i]->id,
+                         sample.members[i]->peer_address, &message);
     }
 }
 
@@ -327,6 +406,19 @@
     (void)g_hash_table_foreach_remove(self->others, is_lost, &now_ms);
 }
 
+void
+EySummary_TellContacts(EySummary_t *self, int64_t now_ms)
+{
+    if (now_ms - self->told_ms < SPREAD_INTERVAL_MS) {
+        return;
+    }
+    self->told_ms = now_ms;
+    if (g_hash_table_size(self->told) > TOLD_MAX) {
+        g_hash_table_remove_all(self->told);
+    }
+    EyMembership_EachContact(self->membership, tell_if_new, self);
+}
+
 /* Messages in */
 
 static void
@@ -388,6 +480,7 @@
 {
     g_hash_table_destroy(self->own);
     g_hash_table_destroy(self->others);
+    g_hash_table_destroy(self->told);
     return 0;
 }
 
@@ -403,6 +496,8 @@
     self->own = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     self->others =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    self->told =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     talloc_set_destructor(self, summary_destroy);
     return self;
 }
--- a/src/membership/summary.h
+++ b/src/membership/summary.h
@@ -38,6 +38,11 @@
 void
 EySummary_Tick(EySummary_t *self, int64_t now_ms);
 
+/** The same, on instances of any role: names instances of other regions that
+ * were heard to the gateways that are to speak to them. */
+void
+EySummary_TellContacts(EySummary_t *self, int64_t now_ms);
+
 /** Takes the summaries of any message; one of another region is answered, so
  * that its speaker knows which contacts live. */
 void
--- a/tests/bench/fleet.h
+++ b/tests/bench/fleet.h
@@ -35,6 +35,8 @@
     FleetNode_t *nodes;
     uint32_t count;
     uint32_t region_size;
+    uint32_t controls; /* the first of each region are control processes */
+    uint32_t salt;     /* in ids, for other places on the ring */
     int64_t now_ms;
     GPtrArray *slots[FLEET_SLOTS]; /* messages by their time of arrival */
     uint64_t cpu_ns;               /* spent inside the clusters */
@@ -88,7 +90,15 @@
     node->region = index / fleet->region_size;
     node->up = true;
     EyMember_t member = {.incarnation = incarnation, .capacity = 100};
-    (void)g_snprintf(member.id, sizeof(member.id), "gateway-%u", index);
+    bool is_control = index % fleet->region_size < fleet->controls;
+    member.role = is_control ? EY_MEMBER_CONTROL : EY_MEMBER_GATEWAY;
+    if (fleet->salt == 0) {
+        (void)g_snprintf(member.id, sizeof(member.id), "gateway-%u", index);
+    }
+    else {
+        (void)g_snprintf(member.id, sizeof(member.id), "instance-%u-%u",
+                         fleet->salt, index);
+    }
     (void)g_snprintf(member.region, sizeof(member.region), "region-%u",
                      node->region);
     (void)g_snprintf(member.zone, sizeof(member.zone), "zone-%u", index % 3);
@@ -109,10 +119,14 @@
     }
 }
 
+/** Some of each region are control processes; salt 0: ids by number alone. */
 static inline Fleet_t *
-fleet_make(uint32_t regions, uint32_t region_size)
+fleet_make_mixed(uint32_t regions, uint32_t region_size, uint32_t controls,
+                 uint32_t salt)
 {
     Fleet_t *fleet = g_new0(Fleet_t, 1);
+    fleet->controls = controls;
+    fleet->salt = salt;
     fleet->count = regions * region_size;
     fleet->region_size = region_size;
     fleet->nodes = g_new0(FleetNode_t, fleet->count);
@@ -126,6 +140,12 @@
     return fleet;
 }
 
+static inline Fleet_t *
+fleet_make(uint32_t regions, uint32_t region_size)
+{
+    return fleet_make_mixed(regions, region_size, 0, 0);
+}
+
 static inline void
 fleet_free(Fleet_t *fleet)
 {
--- a/tests/property/test_cluster_properties.cc
+++ b/tests/property/test_cluster_properties.cc
@@ -8,6 +8,8 @@
 
 constexpr int64_t summary_limit_ms = 15000;
 constexpr int64_t fallback_limit_ms = 40000;
+/* Traffic may start ten seconds after the instances. */
+constexpr int64_t first_word_ms = 8000;
 
 using FleetPointer = std::unique_ptr<Fleet_t, void (*)(Fleet_t *)>;
 
@@ -30,7 +32,8 @@
     for (uint32_t i = 0; i < fleet->count; i++) {
         EyTargetSummary_t summary;
         FleetNode_t *node = &fleet->nodes[i];
-        if (!node->up || node->region == region) {
+        bool is_control = i % fleet->region_size < fleet->controls;
+        if (!node->up || node->region == region || is_control) {
             continue;
         }
         bool found =
@@ -97,6 +100,29 @@
     });
 }
 
+/* A gateway that another region spoke to passed its contact on to its two
+ * neighbours on the ring only; were those control processes, the gateway that
+ * should answer that region never knew it. */
+Test(cluster_properties, regions_hear_of_each_other_soon_after_the_start)
+{
+    EY_CHECK("any places on the ring", [] {
+        const auto regions = *rc::gen::inRange<uint32_t>(2, 5);
+        const auto controls = *rc::gen::inRange<uint32_t>(0, 4);
+        const auto gateways = *rc::gen::inRange<uint32_t>(1, 5);
+        const auto salt = *rc::gen::inRange<uint32_t>(1, 1000000);
+        FleetPointer fleet(
+            fleet_make_mixed(regions, controls + gateways, controls, salt),
+            fleet_free);
+        for (uint32_t region = 0; region < regions; region++) {
+            set_own(fleet.get(), region, 7 + region);
+        }
+        fleet_run(fleet.get(), first_word_ms);
+        for (uint32_t region = 0; region < regions; region++) {
+            RC_ASSERT(is_known(fleet.get(), region, 7 + region));
+        }
+    });
+}
+
 Test(cluster_properties, a_lost_region_is_forgotten)
 {
     FleetPointer fleet(fleet_make(2, 3), fleet_free);
