--- a/src/core/timers.c
+++ b/src/core/timers.c
@@ -17,6 +17,7 @@
 struct EyTimers {
     struct tevent_context *loop;
     int descriptor;
+    int64_t started_ms;
     GSequence *queue; /* of EyTimer_t, earliest first */
 };
 
@@ -98,6 +99,14 @@
     return 0;
 }
 
+/** When a periodic timer fires next: at a multiple of its interval since the
+ * service's start, so that those of several parts share a wake-up. */
+static int64_t
+next_due_ms(const EyTimers_t *self, int64_t now_ms, int64_t interval_ms)
+{
+    return now_ms + interval_ms - (now_ms - self->started_ms) % interval_ms;
+}
+
 /** Calls one due timer's handler; false if none is due. */
 static bool
 fire_one(EyTimers_t *self, int64_t now_ms)
@@ -111,7 +120,7 @@
     dequeue(timer);
     /* The handler may free the timer, so it is settled before the call. */
     if (timer->interval_ms > 0) {
-        enqueue(timer, now_ms + timer->interval_ms);
+        enqueue(timer, next_due_ms(self, now_ms, timer->interval_ms));
     }
     else {
         talloc_free(timer);
@@ -142,6 +151,7 @@
 {
     EyTimers_t *self = EY_NEW(ctx, EyTimers_t);
     self->loop = loop;
+    self->started_ms = EyClock_NowMs();
     self->queue = g_sequence_new(NULL);
     self->descriptor =
         timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK | TFD_CLOEXEC);
@@ -158,7 +168,7 @@
 }
 
 static EyTimer_t *
-subscribe(EyTimers_t *self, int64_t delay_ms, int64_t interval_ms,
+subscribe(EyTimers_t *self, int64_t due_ms, int64_t interval_ms,
           EyTimerHandler_t handler, void *data)
 {
     EyTimer_t *timer = EY_NEW(self, EyTimer_t);
@@ -167,7 +177,7 @@
     timer->handler = handler;
     timer->data = data;
     talloc_set_destructor(timer, timer_destroy);
-    enqueue(timer, EyClock_NowMs() + delay_ms);
+    enqueue(timer, due_ms);
     /* Later ones are set when the earliest fires; one that was freed makes
      * the descriptor fire once for nothing. */
     if (earliest(self) == timer) {
@@ -180,12 +190,13 @@
 EyTimers_Every(EyTimers_t *self, int64_t interval_ms, EyTimerHandler_t handler,
                void *data)
 {
-    return subscribe(self, interval_ms, interval_ms, handler, data);
+    int64_t due_ms = next_due_ms(self, EyClock_NowMs(), interval_ms);
+    return subscribe(self, due_ms, interval_ms, handler, data);
 }
 
 EyTimer_t *
 EyTimers_After(EyTimers_t *self, int64_t delay_ms, EyTimerHandler_t handler,
                void *data)
 {
-    return subscribe(self, delay_ms, 0, handler, data);
+    return subscribe(self, EyClock_NowMs() + delay_ms, 0, handler, data);
 }
--- a/src/gateway/away.c
+++ b/src/gateway/away.c
@@ -6,6 +6,10 @@
 #include <string.h>
 
 #define CREDIT_PERIOD_MS 20
+/* So much must have been read before more is asked for; and a sender hears
+ * at least this often that its receiver is there. */
+#define CREDIT_STEP_BYTES (EY_FORWARD_WINDOW_BYTES / 4)
+#define CREDIT_SILENCE_MS 10000
 
 static void
 send_forward(const EyLive_t *live, const EyForward_t *forward)
@@ -126,6 +130,9 @@
            event.nothing_sent ? EY_RESULT_REFUSED : EY_RESULT_FAILED);
 }
 
+static void
+watch_credit(EyGateway_t *self);
+
 static void
 take_head(EyLive_t *live, const EyForward_t *forward)
 {
@@ -140,6 +147,8 @@
     }
     event.answer->stream = EyStream_Ref(live->stream);
     live->away_sequence = 1;
+    live->away_credited_ms = EyClock_NowMs();
+    watch_credit(live->gateway);
     EyLive_Step(live, &event);
 }
 
@@ -223,40 +232,50 @@
 }
 
 static void
-give_credit(EyLive_t *live)
+give_credit(EyLive_t *live, int64_t now_ms)
 {
-    if (live->away_id[0] == '\0' || live->stream == NULL) {
-        return;
-    }
     uint32_t read_bytes =
         live->away_received_bytes - EyStream_SizeBytes(live->stream);
     uint32_t new_bytes = read_bytes - live->away_credited_bytes;
-    if (new_bytes == 0) {
+    bool is_silent = now_ms - live->away_credited_ms >= CREDIT_SILENCE_MS;
+    if (new_bytes < CREDIT_STEP_BYTES && !is_silent) {
         return;
     }
     live->away_credited_bytes = read_bytes;
+    live->away_credited_ms = now_ms;
     const EyForward_t forward = {.kind = EY_FORWARD_CREDIT,
                                  .attempt = live->exchange->attempt,
                                  .size_bytes = new_bytes};
     send_forward(live, &forward);
 }
 
+/** Runs while an answer comes from another region. */
 static void
 on_credit_period(void *data, int64_t now_ms)
 {
-    (void)now_ms;
-    const EyGateway_t *self = data;
+    EyGateway_t *self = data;
     GHashTableIter iter;
     gpointer value = NULL;
+    bool has_streams = false;
+    self->credit_wakeup = NULL;
     g_hash_table_iter_init(&iter, self->attempts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        give_credit(value);
+        EyLive_t *live = value;
+        if (live->away_id[0] != '\0' && live->stream != NULL) {
+            has_streams = true;
+            give_credit(live, now_ms);
+        }
+    }
+    if (has_streams) {
+        watch_credit(self);
     }
 }
 
-void
-EyGateway_OpenAway(EyGateway_t *self)
+static void
+watch_credit(EyGateway_t *self)
 {
-    (void)EyTimers_Every(self->node->timers, CREDIT_PERIOD_MS,
-                         on_credit_period, self);
+    if (self->credit_wakeup == NULL) {
+        self->credit_wakeup = EyTimers_After(
+            self->node->timers, CREDIT_PERIOD_MS, on_credit_period, self);
+    }
 }
--- a/src/gateway/forwarded.c
+++ b/src/gateway/forwarded.c
@@ -122,6 +122,24 @@
     }
 }
 
+/** Runs all pumps now and then while there are any, should a wake be lost. */
+static void
+on_pump_period(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyGateway_t *self = data;
+    GList *pumps = g_hash_table_get_values(self->pumps);
+    for (GList *each = pumps; each != NULL; each = each->next) {
+        run_pump(each->data);
+    }
+    g_list_free(pumps);
+    self->pump_wakeup = NULL;
+    if (g_hash_table_size(self->pumps) > 0) {
+        self->pump_wakeup = EyTimers_After(self->node->timers, PUMP_PERIOD_MS,
+                                           on_pump_period, self);
+    }
+}
+
 static void
 start_pump(EyGateway_t *gateway, const EyLive_t *live, EyStream_t *stream)
 {
@@ -142,6 +160,10 @@
     target->number = pump->number;
     EyStream_SetReader(pump->stream, on_readable, target);
     rearm(pump);
+    if (gateway->pump_wakeup == NULL) {
+        gateway->pump_wakeup = EyTimers_After(
+            gateway->node->timers, PUMP_PERIOD_MS, on_pump_period, gateway);
+    }
     run_pump(pump);
 }
 
@@ -320,18 +342,6 @@
     }
 }
 
-static void
-on_period(void *data, int64_t now_ms)
-{
-    (void)now_ms;
-    const EyGateway_t *self = data;
-    GList *pumps = g_hash_table_get_values(self->pumps);
-    for (GList *each = pumps; each != NULL; each = each->next) {
-        run_pump(each->data);
-    }
-    g_list_free(pumps);
-}
-
 void
 EyGateway_OpenForwarded(EyGateway_t *self)
 {
@@ -339,7 +349,6 @@
                                         EyMemory_Free);
     self->pump_wakes = EyMailbox_New(self, WAKES_WAITING_MAX);
     EyMailbox_Attach(self->pump_wakes, self->node->loop, on_wake, self);
-    (void)EyTimers_Every(self->node->timers, PUMP_PERIOD_MS, on_period, self);
 }
 
 void
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -64,7 +64,6 @@
     self->outbound = EyOutbound_Start(self, self->attempt_events);
     self->policy = EyPolicyBoard_New(self, node->settings->region);
     EyGateway_OpenForwarded(self);
-    EyGateway_OpenAway(self);
     EyGateway_OpenRouter(self);
     EyGateway_OpenConfiguration(self);
     EyGateway_OpenNeighbours(self);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -64,6 +64,7 @@
     uint32_t away_sequence;
     uint32_t away_received_bytes;
     uint32_t away_credited_bytes;
+    int64_t away_credited_ms;  /* when more was last asked for */
     EyName_t *allowed_regions; /* where its data may be processed */
     uint32_t allowed_region_count;
     bool is_routed; /* the router counts it as in flight */
@@ -87,7 +88,11 @@
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
     EyTimer_t *router_wakeup;
+    EyTimer_t *router_tick;
+    bool router_ticks_often; /* the tick in hand is a short one */
     EyTimer_t *members_wakeup;
+    EyTimer_t *credit_wakeup; /* NULL: no answer comes from another region */
+    EyTimer_t *pump_wakeup;   /* NULL: none is passed on to one */
     EyPolicyBoard_t *policy;
     GHashTable *pumps;       /* request number -> pump, see forwarded.c */
     EyMailbox_t *pump_wakes; /* streams that have something to read */
@@ -198,10 +203,6 @@
 void
 EyGateway_CancelAway(EyLive_t *live, uint64_t attempt);
 
-/** Starts the timer of what was sent away. */
-void
-EyGateway_OpenAway(EyGateway_t *self);
-
 /** Finds the route of a routed call and puts its terms into the request;
  * an answer refuses it. */
 EyAnswer_t *
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -59,6 +59,9 @@
         EY_LOG_NUMBER("retry_after_ms", decision->retry_after_ms));
 }
 
+static void
+watch_router(EyGateway_t *self);
+
 static void
 apply_decision(EyLive_t *live, const EyRoutingDecision_t *decision)
 {
@@ -72,6 +75,7 @@
     };
     switch (decision->kind) {
     case EY_DECISION_QUEUED:
+        watch_router(live->gateway);
         return;
     case EY_DECISION_DISPATCH:
         event.kind = EY_EXCHANGE_ROUTED;
@@ -244,11 +248,32 @@
     }
 }
 
+/** Often while requests wait, else now and then. */
 static void
 on_router_tick(void *data, int64_t now_ms)
 {
     (void)now_ms;
-    EyGateway_WakeRouter(data);
+    EyGateway_t *self = data;
+    self->router_tick = NULL;
+    EyGateway_WakeRouter(self);
+    watch_router(self);
+}
+
+static void
+watch_router(EyGateway_t *self)
+{
+    enum { WAITING_TICK_MS = 20, IDLE_TICK_MS = 250 };
+    bool waits = EyRouter_Waiting(self->router) > 0;
+    if (waits && !self->router_ticks_often) {
+        talloc_free(self->router_tick);
+        self->router_tick = NULL;
+    }
+    if (self->router_tick == NULL) {
+        self->router_ticks_often = waits;
+        self->router_tick = EyTimers_After(
+            self->node->timers, waits ? WAITING_TICK_MS : IDLE_TICK_MS,
+            on_router_tick, self);
+    }
 }
 
 static int64_t
@@ -280,7 +305,6 @@
 void
 EyGateway_OpenRouter(EyGateway_t *self)
 {
-    enum { ROUTER_TICK_MS = 20 };
     const EyRouterOptions_t options = {
         .region = self->node->settings->region,
         .seed = EyRandom_Next(&self->node->random),
@@ -288,8 +312,7 @@
     };
     self->router = EyRouter_New(self, &options);
     self->pending_decisions = new_decisions();
-    (void)EyTimers_Every(self->node->timers, ROUTER_TICK_MS, on_router_tick,
-                         self);
+    watch_router(self);
 }
 
 void
