--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -43,9 +43,11 @@
                         keeps_connection says otherwise */
     const EyHeaderNames_t *names; /* NULL: the product's own */
     EyName_t expected_backend;    /* empty: whichever server is there */
-    EyAddress_t cache_source;     /* of an engine whose prompt cache the
-                                     server may copy from; empty: none */
-    char *host;                   /* NULL: the address */
+    uint32_t urgency;             /* 0 first to 9 last; told if has_urgency */
+    bool has_urgency;
+    EyAddress_t cache_source;   /* of an engine whose prompt cache the
+                                   server may copy from; empty: none */
+    char *host;                 /* NULL: the address */
     bool tells_timeout;         /* the server is told how much time is left */
     uint32_t whole_up_to_bytes; /* an answer of a known length up to this is
                                    collected in any mode */
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -278,6 +278,9 @@
     }
     add_role(self, EY_HEADER_REQUEST_ID, attempt->request_id);
     add_role(self, EY_HEADER_EXPECTED_BACKEND, attempt->expected_backend);
+    if (attempt->has_urgency) {
+        add_number(self, EY_HEADER_URGENCY, attempt->urgency);
+    }
     add_role(self, EY_HEADER_CACHE_SOURCE, attempt->cache_source);
     add_role(self, EY_HEADER_LAST_EVENT, attempt->last_event);
     if (attempt->resume_after > 0) {
--- a/src/exchange/header_names.c
+++ b/src/exchange/header_names.c
@@ -6,6 +6,7 @@
 
 static const char *const NativeReserved[] = {
     "Ebonyyard-Expected-Backend",
+    "Ebonyyard-Urgency",
     "Ebonyyard-Cache-Source",
     NULL,
 };
@@ -25,6 +26,7 @@
             [EY_HEADER_RESUME_AFTER] = "Ebonyyard-Resume-After",
             [EY_HEADER_LAST_EVENT] = NULL,
             [EY_HEADER_EXPECTED_BACKEND] = "Ebonyyard-Expected-Backend",
+            [EY_HEADER_URGENCY] = "Ebonyyard-Urgency",
             [EY_HEADER_CACHE_SOURCE] = "Ebonyyard-Cache-Source",
             [EY_HEADER_NOT_RUN] = "Ebonyyard-Not-Run",
             [EY_HEADER_LOAD] = "Ebonyyard-Load",
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -25,6 +25,7 @@
     EY_HEADER_RESUME_AFTER,     /* count of events that were passed on */
     EY_HEADER_LAST_EVENT,       /* id of the last event passed on */
     EY_HEADER_EXPECTED_BACKEND, /* only this backend server may run it */
+    EY_HEADER_URGENCY,          /* 0 first to 9 last; 5 if it isn't said */
     EY_HEADER_CACHE_SOURCE,     /* IP:port of an engine whose prompt cache
                                    the server may copy from */
     EY_HEADER_NOT_RUN,          /* in an answer: the request didn't run */
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -17,6 +17,10 @@
  * this share of its objective, is looked for elsewhere. */
 #define PATIENCE_FACTOR 4.0
 #define PATIENCE_OBJECTIVE_SHARE 0.6
+/* How urgent a model engine is told that a call is, by its route's rank. */
+#define URGENCY_FIRST 2
+#define URGENCY_STEP 3
+#define URGENCY_LAST 9
 /* The status by which a server says that it isn't the one meant. */
 #define STATUS_MISDIRECTED 421
 
@@ -163,6 +167,10 @@
     if (request->call == EY_CALL_ROUTED) {
         (void)EY_COPY(attempt->expected_backend, backend->id);
         (void)EY_COPY(attempt->cache_source, live->cache_source);
+        attempt->has_urgency = EyRequest_IsForModel(request);
+        attempt->urgency =
+            MIN(URGENCY_FIRST + request->terms.priority * URGENCY_STEP,
+                URGENCY_LAST);
         attempt->host = EyMemory_Strdup(attempt, request->host);
         attempt->tells_timeout = true;
         /* A new connection shows that the server lives before a call that
