Engines' pace is learnt from calls that found no queue only

A call counts as a sample only with at most a quarter of its own tokens before it; news between gateways every 5 ms for each gateway (10 before).

--- a/src/gateway/news.c
+++ b/src/gateway/news.c
@@ -10,7 +10,7 @@
 /* Between two words to the own region, and as much more for each gateway
  * there, so that what a gateway takes stays bounded. */
 #define NEWS_PERIOD_MS 200
-#define NEWS_PERIOD_PER_GATEWAY_MS 10
+#define NEWS_PERIOD_PER_GATEWAY_MS 5
 #define NEWS_PERIOD_MOST_MS 1200
 /* With nothing to tell, that is told this often. */
 #define NEWS_IDLE_MS 1000
--- a/src/routing/engine_load.c
+++ b/src/routing/engine_load.c
@@ -13,6 +13,9 @@
 #define START_MS 25.0
 /** Shorter readings tell little of the rate. */
 #define SAMPLE_TOKENS_LEAST 1000.0
+/** What is thought to be read before a request is known only so well: with
+ * more of it than this share of the request's own, the wait is no sample. */
+#define SAMPLE_AHEAD_SHARE 0.25
 /** The engine's word fades out over this time. */
 #define SAID_TTL_MS 1500.0
 /** Share of our own reading that each gateway without news is taken to have.
@@ -45,7 +48,9 @@
 {
     self->reading_tokens = fmax(self->reading_tokens - tokens, 0.0);
     self->reading_count -= self->reading_count > 0;
-    if (waited_ms >= 0.0 && tokens + ahead_tokens >= SAMPLE_TOKENS_LEAST) {
+    bool is_sample = waited_ms >= 0.0 && tokens >= SAMPLE_TOKENS_LEAST &&
+                     ahead_tokens <= tokens * SAMPLE_AHEAD_SHARE;
+    if (is_sample) {
         learn(self, tokens + ahead_tokens, waited_ms);
     }
 }
