--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -17,8 +17,6 @@
 /* The same for a call that must not run twice: if the server closes at the
  * moment of sending, it can't be said whether it ran. */
 #define KEEP_IDLE_ONCE_MAX_S 1L
-/* The status by which a server says that it isn't the one meant. */
-#define STATUS_MISDIRECTED 421
 
 /** Called when the connection is there, just before the request is sent. */
 static int /* NOLINTNEXTLINE(readability-non-const-parameter) */
@@ -101,11 +99,8 @@
     if (echoed_id != NULL) {
         return strcmp(echoed_id, self->attempt->request_id) == 0;
     }
-    const char *name = self->names->of[EY_HEADER_NOT_RUN];
     return self->names->always_echoes &&
-           (self->head.answer->status == STATUS_MISDIRECTED ||
-            (name != NULL &&
-             EyAnswer_Header(self->head.answer, name) != NULL));
+           EyAnswer_SaysNotRun(self->head.answer, self->names, true);
 }
 
 static bool
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -36,7 +36,6 @@
     EyAddress_t leader;
     bool is_voter;
     uint64_t members_hash;
-    EyRouteTable_t *routes; /* in force; NULL: none is known yet */
 } ControlPart_t;
 
 /** An operator's request that waits. */
@@ -187,23 +186,13 @@
     }
 }
 
-/** Takes the routes over if they are new. */
-static void
-take_routes(ControlPart_t *self, const EyStore_t *store)
-{
-    if (EyRouteTable_Renew(&self->routes, self, store->routes_version,
-                           &store->routes))
-    {
-        self->node->routes = self->routes;
-    }
-}
-
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
     ControlPart_t *self = data;
     EyWitnesses_Configure(self->witnesses, store);
-    take_routes(self, store);
+    (void)EyRouteTable_Renew(&self->node->routes, self->node,
+                             store->routes_version, &store->routes);
     EY_LOG(EY_LOG_INFO, "control", "configuration",
            EY_LOG_NUMBER("revision", store->config.revision),
            EY_LOG_NUMBER("routes_version", store->routes_version),
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -168,3 +168,12 @@
     }
     return NULL;
 }
+
+bool
+EyAnswer_SaysNotRun(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                    bool one_was_meant)
+{
+    const char *name = names->of[EY_HEADER_NOT_RUN];
+    return (one_was_meant && self->status == EY_STATUS_MISDIRECTED) ||
+           (name != NULL && EyAnswer_Header(self, name) != NULL);
+}
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -5,6 +5,7 @@
 #include "core/schema.h"
 #include "core/stream.h"
 #include "core/types.h"
+#include "exchange/header_names.h"
 #include "exchange/request.h"
 
 #ifdef __cplusplus
@@ -93,6 +94,15 @@
 const char *
 EyAnswer_Header(const EyAnswer_t *self, const char *name);
 
+/** The status by which a backend server says that it isn't the one meant. */
+#define EY_STATUS_MISDIRECTED 421
+
+/** True if a backend server says that it didn't run the call: by a header of
+ * the table, or, if just one server was meant, as not being that one. */
+bool
+EyAnswer_SaysNotRun(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                    bool one_was_meant);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -18,17 +18,6 @@
                 message);
 }
 
-/** Takes the routes over if they are new. */
-static void
-take_routes(EyGateway_t *self, const EyStore_t *store)
-{
-    if (EyRouteTable_Renew(&self->routes, self, store->routes_version,
-                           &store->routes))
-    {
-        self->node->routes = self->routes;
-    }
-}
-
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
@@ -39,7 +28,8 @@
            EY_LOG_NUMBER("routes_version", store->routes_version),
            EY_LOG_NUMBER("evacuated_zones", store->evacuated_count));
     EyPolicyBoard_Set(self->policy, &store->config);
-    take_routes(self, store);
+    (void)EyRouteTable_Renew(&self->node->routes, self->node,
+                             store->routes_version, &store->routes);
     EyGateway_ConfigureRouter(self);
     EyGateway_ReviewBackends(self);
     EyGatewayRecords_Configure(self->records, store);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -80,7 +80,6 @@
     uint64_t next_attempt;
     const EyHeaderNames_t *names; /* towards callers and backend servers */
     EyConfigReplica_t *configuration;
-    EyRouteTable_t *routes; /* in force; NULL: none is known yet */
     EyProposer_t *proposer;
     uint64_t last_proposal;
     GHashTable *proposals; /* number -> EyRequest_t of an operator */
--- a/src/gateway/live.c
+++ b/src/gateway/live.c
@@ -21,8 +21,6 @@
 #define URGENCY_FIRST 2
 #define URGENCY_STEP 3
 #define URGENCY_LAST 9
-/* The status by which a server says that it isn't the one meant. */
-#define STATUS_MISDIRECTED 421
 
 static void
 live_end(EyLive_t *live)
@@ -428,10 +426,9 @@
 static bool
 says_not_run(const EyLive_t *live, const EyAnswer_t *answer)
 {
-    const char *name = live->gateway->names->of[EY_HEADER_NOT_RUN];
-    bool was_expected = live->exchange->request->call == EY_CALL_ROUTED;
-    return (was_expected && answer->status == STATUS_MISDIRECTED) ||
-           (name != NULL && EyAnswer_Header(answer, name) != NULL);
+    return EyAnswer_SaysNotRun(answer, live->gateway->names,
+                               live->exchange->request->call ==
+                                   EY_CALL_ROUTED);
 }
 
 /** Tells the router what a backend server says of its load. */
@@ -504,8 +501,9 @@
     if (result.kind == EY_RESULT_OK && answer != NULL &&
         says_not_run(live, answer))
     {
-        result.kind = answer->status == STATUS_MISDIRECTED ? EY_RESULT_GONE
-                                                           : EY_RESULT_REFUSED;
+        result.kind = answer->status == EY_STATUS_MISDIRECTED
+                          ? EY_RESULT_GONE
+                          : EY_RESULT_REFUSED;
     }
     else if (result.kind == EY_RESULT_OK && answer != NULL &&
              is_passing(answer->status))
--- a/src/gateway/neighbours.c
+++ b/src/gateway/neighbours.c
@@ -17,8 +17,9 @@
     bool is_model = backend->kind == EY_BACKEND_MODEL;
     const EyName_t *targets = is_model ? backend->models : backend->services;
     uint32_t count = is_model ? backend->model_count : backend->service_count;
-    return self->routes != NULL && count > 0
-               ? EyRouteTable_Service(self->routes, targets[0])
+    const EyRouteTable_t *routes = self->node->routes;
+    return routes != NULL && count > 0
+               ? EyRouteTable_Service(routes, targets[0])
                : NULL;
 }
 
--- a/src/gateway/route.c
+++ b/src/gateway/route.c
@@ -38,7 +38,7 @@
 log_decision(const EyLive_t *live, const EyRoutingDecision_t *decision)
 {
     const EyRequest_t *request = live->exchange->request;
-    const EyRouteTable_t *routes = live->gateway->routes;
+    const EyRouteTable_t *routes = live->gateway->node->routes;
     int64_t now_ms = EyClock_NowMs();
     EY_LOG(
         EY_LOG_INFO, "gateway", EyDecision_kind_names[decision->kind],
--- a/src/gateway/routed.c
+++ b/src/gateway/routed.c
@@ -34,13 +34,13 @@
 EyAnswer_t *
 EyGateway_ApplyRoute(EyGateway_t *self, EyRequest_t *request)
 {
-    if (self->routes == NULL) {
+    if (self->node->routes == NULL) {
         return EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN,
                                 NO_ROUTES_RETRY_AFTER_S,
                                 "no routes are known here yet");
     }
     const EyRouteRule_t *route =
-        EyRouteTable_Find(self->routes, request->host, request->path);
+        EyRouteTable_Find(self->node->routes, request->host, request->path);
     if (route == NULL) {
         return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
                                 "no route for this host and path");
@@ -48,6 +48,7 @@
     const char *service =
         EyRouteRule_Choose(route, EyRandom_Unit(&self->node->random));
     (void)EY_COPY(request->target, service);
-    copy_terms(request, route, EyRouteTable_Service(self->routes, service));
+    copy_terms(request, route,
+               EyRouteTable_Service(self->node->routes, service));
     return NULL;
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -93,8 +93,9 @@
     EyPeers_t *peers;
     EyCluster_t *cluster;
     EyDirectory_t *directory; /* of the region's entry instances */
-    /* In force, of the part that took it over last; NULL: none is known. */
-    const struct EyRouteTable *routes;
+    /* In force, renewed by the parts that have the configuration; NULL: none
+     * is known. */
+    struct EyRouteTable *routes;
     EyMailbox_t *requests;
     EyMailbox_t *gone;
     EyMailbox_t *peer_messages;
