--- a/tests/unit/test_router_engines.c
+++ b/tests/unit/test_router_engines.c
@@ -1,55 +1,24 @@
 /* Choosing among model engines by when an answer begins. */
 #include "core/memory.h"
-#include "routing/router.h"
+#include "engine_site.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
 
-#define NOW_MS 1000
-#define REPLICAS 4
-#define SLOTS 64
+#define NOW_MS ENGINE_SITE_NOW_MS
+#define REPLICAS ENGINE_SITE_ENGINES
+#define SLOTS ENGINE_SITE_SLOTS
 
 static EyRouter_t *
 make_router(void *ctx, uint64_t seed, uint32_t gateways)
 {
-    static EyName_t model = "plan";
-    const EyRouterOptions_t options = {
-        .region = "istra", .seed = seed, .config = EyRoutingConfig_Make()};
-    EyRouter_t *router = EyRouter_New(ctx, &options);
-    EyRouter_SetGateways(router, gateways);
-    for (uint32_t i = 0; i < REPLICAS; i++) {
-        EyBackend_t backend = {
-            .kind = EY_BACKEND_MODEL,
-            .models = &model,
-            .model_count = 1,
-            .slots = SLOTS,
-            .speed = 1.0,
-        };
-        (void)g_snprintf(backend.id, sizeof(backend.id), "b%u", i);
-        (void)g_snprintf(backend.address, sizeof(backend.address), "%s:80",
-                         backend.id);
-        EyRouter_UpsertBackend(router, NOW_MS, &backend);
-    }
-    return router;
+    return engine_site_router(ctx, "istra", "b", seed, gateways);
 }
 
-/** A prompt of three parts, the second of which names a thing. */
 static EyRoutingRequest_t
 make_request(uint64_t number, uint64_t thing)
 {
-    return (EyRoutingRequest_t){
-        .number = number,
-        .target = "plan",
-        .prompt_tokens = 8000,
-        .starts = {{.hash = 1, .tokens = 500},
-                   {.hash = 1000 + thing, .tokens = 5000},
-                   {.hash = 1000000 + number, .tokens = 2500}},
-        .start_count = 3,
-        .objective_ms = 1200,
-        .tokens_max = 300,
-        .deadline_ms = NOW_MS + 12000,
-        .is_idempotent = true,
-    };
+    return engine_site_request(number, thing, 5000);
 }
 
 static EyRoutingDecision_t
--- a/tests/unit/test_router_news.c
+++ b/tests/unit/test_router_news.c
@@ -1,58 +1,30 @@
 /* News on model engines between gateways of one region and of others. */
 #include "core/memory.h"
 #include "core/random.h"
-#include "routing/router.h"
+#include "engine_site.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
 
-#define NOW_MS 1000
-#define ENGINES 4
-#define SLOTS 64
+#define NOW_MS ENGINE_SITE_NOW_MS
+#define ENGINES ENGINE_SITE_ENGINES
+#define SLOTS ENGINE_SITE_SLOTS
 /* Longer than a gateway's word counts. */
 #define SILENCE_MS 5000
 
+/** One of two gateways of a region. */
 static EyRouter_t *
 make_router(void *ctx, const char *region)
 {
-    static EyName_t model = "plan";
-    const EyRouterOptions_t options = {
-        .region = region, .seed = 1, .config = EyRoutingConfig_Make()};
-    EyRouter_t *router = EyRouter_New(ctx, &options);
-    EyRouter_SetGateways(router, 2);
-    for (uint32_t i = 0; i < ENGINES; i++) {
-        EyBackend_t backend = {
-            .kind = EY_BACKEND_MODEL,
-            .models = &model,
-            .model_count = 1,
-            .slots = SLOTS,
-            .speed = 1.0,
-        };
-        (void)g_snprintf(backend.id, sizeof(backend.id), "%s-%u", region, i);
-        (void)g_snprintf(backend.address, sizeof(backend.address), "%s:80",
-                         backend.id);
-        EyRouter_UpsertBackend(router, NOW_MS, &backend);
-    }
-    return router;
+    EyName_t prefix;
+    (void)g_snprintf(prefix, sizeof(prefix), "%s-", region);
+    return engine_site_router(ctx, region, prefix, 1, 2);
 }
 
-/** A prompt of three parts, the second of which is shared. */
 static EyRoutingRequest_t
 make_request(uint64_t number, uint32_t shared_tokens)
 {
-    return (EyRoutingRequest_t){
-        .number = number,
-        .target = "plan",
-        .prompt_tokens = 3000 + shared_tokens,
-        .starts = {{.hash = 1, .tokens = 500},
-                   {.hash = 7, .tokens = shared_tokens},
-                   {.hash = 1000000 + number, .tokens = 2500}},
-        .start_count = 3,
-        .objective_ms = 1200,
-        .tokens_max = 300,
-        .deadline_ms = NOW_MS + 60000,
-        .is_idempotent = true,
-    };
+    return engine_site_request(number, 7, shared_tokens);
 }
 
 static EyRoutingDecision_t
