Regions are told what has changed at once, the rest once a second

Change: a region is told at once when the wait differs by 50 ms, the free slots by an eighth or so, or the servers; else once a second. Test: cluster_properties::a_change_is_heard_in_other_regions_within_a_second.

--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -7,6 +7,11 @@
 #include <string.h>
 
 #define SPEAK_INTERVAL_MS 250
+/* What hasn't changed much is said this often. */
+#define REPEAT_INTERVAL_MS 1000
+/* Waits that differ by less, and shares of the free slots, are alike. */
+#define ALIKE_WAIT_MS 50
+#define ALIKE_SLOTS_STEPS 8
 /* Other regions that are spoken to in one interval; the rest take turns. */
 #define REGIONS_PER_INTERVAL 1
 #define REGIONS_MAX 64
@@ -30,6 +35,12 @@
     uint32_t rounds; /* times that it is still to be passed on */
 } Entry_t;
 
+/** What a region was last told. */
+typedef struct Told {
+    int64_t told_ms;
+    uint64_t gist;
+} Told_t;
+
 struct EySummary {
     EyMembership_t *membership;
     EySummaryHooks_t hooks;
@@ -37,6 +48,7 @@
     GHashTable *own;    /* target -> EyTargetSummary_t */
     GHashTable *others; /* region/target -> Entry_t */
     GHashTable *told; /* id of a contact -> id of the speaker that was told */
+    GHashTable *spoken; /* region -> Told_t */
     uint64_t serial;
     uint32_t own_next; /* where the next message begins */
     uint32_t region_next;
@@ -199,6 +211,55 @@
     message->members = room;
 }
 
+/** A number of free slots, in steps that grow with it. */
+static uint32_t
+slots_step(uint32_t free_slots)
+{
+    uint32_t step = 0;
+    for (; free_slots >= ALIKE_SLOTS_STEPS; free_slots /= 2) {
+        step += ALIKE_SLOTS_STEPS / 2;
+    }
+    return step + free_slots;
+}
+
+/** The own summaries in one number, alike if little has changed. */
+static uint64_t
+gist_of(const EySummary_t *self)
+{
+    GHashTableIter targets;
+    gpointer data = NULL;
+    uint64_t gist = 0;
+    g_hash_table_iter_init(&targets, self->own);
+    while (g_hash_table_iter_next(&targets, NULL, &data)) {
+        const EyTargetSummary_t *summary = data;
+        uint64_t state = ((uint64_t)summary->wait_ms / ALIKE_WAIT_MS << 32) |
+                         (uint64_t)slots_step(summary->free_slots) << 8 |
+                         summary->backend_count;
+        gist ^= EyDigest_Mix(EyDigest_HashId(summary->target), state);
+    }
+    return gist;
+}
+
+/** True if there is news for a region, or nothing was said for a while; it
+ * is then taken to be told. */
+static bool
+has_news(EySummary_t *self, const char *region)
+{
+    Told_t *told = g_hash_table_lookup(self->spoken, region);
+    uint64_t gist = gist_of(self);
+    if (told == NULL) {
+        told = g_new0(Told_t, 1);
+        (void)g_hash_table_insert(self->spoken, g_strdup(region), told);
+    }
+    else if (told->gist == gist &&
+             self->now_ms - told->told_ms < REPEAT_INTERVAL_MS)
+    {
+        return false;
+    }
+    *told = (Told_t){.told_ms = self->now_ms, .gist = gist};
+    return true;
+}
+
 static EyClusterMessage_t
 make_message(const EySummary_t *self)
 {
@@ -247,7 +308,7 @@
          i++) {
         self->region_next = (self->region_next + 1) % regions.count;
         const char *region = regions.names[self->region_next];
-        if (EySummary_IsSpeaker(self, region)) {
+        if (EySummary_IsSpeaker(self, region) && has_news(self, region)) {
             speak_to(self, region);
             spoken++;
         }
@@ -481,6 +542,7 @@
     g_hash_table_destroy(self->own);
     g_hash_table_destroy(self->others);
     g_hash_table_destroy(self->told);
+    g_hash_table_destroy(self->spoken);
     return 0;
 }
 
@@ -498,6 +560,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     self->told =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    self->spoken =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     talloc_set_destructor(self, summary_destroy);
     return self;
 }
--- a/tests/property/test_cluster_properties.cc
+++ b/tests/property/test_cluster_properties.cc
@@ -160,3 +160,21 @@
         RC_ASSERT(is_known);
     });
 }
+
+/* What hasn't changed is repeated once a second only. */
+Test(cluster_properties, a_change_is_heard_in_other_regions_within_a_second)
+{
+    EY_CHECK("a change of the free slots", [] {
+        const auto controls = *rc::gen::inRange<uint32_t>(0, 3);
+        const auto gateways = *rc::gen::inRange<uint32_t>(1, 3);
+        const auto salt = *rc::gen::inRange<uint32_t>(1, 1000000);
+        FleetPointer fleet(
+            fleet_make_mixed(2, controls + gateways, controls, salt),
+            fleet_free);
+        set_own(fleet.get(), 0, 7);
+        fleet_run(fleet.get(), first_word_ms);
+        fleet->now_ms += *rc::gen::inRange<int64_t>(0, 1000);
+        set_own(fleet.get(), 0, 100);
+        RC_ASSERT(wait_known(fleet.get(), 0, 100, 1000) >= 0);
+    });
+}
