--- a/src/control/server_list.c
+++ b/src/control/server_list.c
@@ -13,7 +13,7 @@
 #define FILE_NAME "servers.list"
 #define NEW_FILE_NAME "servers.list.new"
 /** Largest file that is read. */
-#define FILE_MAX_BYTES (4 * 1024 * 1024)
+#define FILE_MAX_BYTES ((size_t)4 * 1024 * 1024)
 
 static const EyField_t ListFields[] = {
     EY_FIELD_ARRAY_OF(EyServerList_t, servers, count, EyBackend_schema,
