--- a/tools/platform_days.sh
+++ b/tools/platform_days.sh
@@ -10,7 +10,7 @@
     name=$(basename "$site" .toml)
     "${FLEETBENCH:?the bench program}" score "$site" --why "$why" |
         awk -v site="$name" '
-            /^[a-z]+-[0-9a-f]+ / && NF > 6 {
+            /^[a-z]+-[0-9a-f]+ / && NF > 6 && $3 ~ /^[0-9.]+$/ {
                 rest = ""
                 for (i = 8; i <= NF; i++) {
                     rest = rest (i > 8 ? " " : "") $i
