Records: a rolling stop keeps the quorum of at-most-once calls

Cause, traced with the new log line view_installed. A gateway without a disk that restarts is a new incarnation, but the view keeps its dead one until it has been silent for a second and a view change has run (1.5 s in all). The view of three that the restarted gateway sees is that view. The next stop then takes the second of two members that are left, and the gateway that restarted first proposes a new epoch. 2. With that mended, the founder of the epoch did it alone: after a restart it knows the first view only, from the configuration, in which it is the only member, so it asks nobody and takes the quorum for lost after 3 s. 3. Graceful stops in the random properties then found two faults of leaders with a disk. A leader proposed itself before its own records were synced, and one that appended before the view was synced was given the same view again after a restart and assigned the same versions to other records; a replica could then acknowledge a claim that it did not have, so that the claim was granted on fewer copies than promised.

Change: at SIGTERM a member without a disk asks the leader for a view without it (LEAVE); a leader that stops hands over to a replica with all of its records; the process ends once it is in no view, or after 3 s. A member without a current view also asks other gateways of the region, four at a time. A leader drains until its records are synced before it proposes itself, and appends only once its view is synced.

group::grant_waits_until_record_is_persisted claimed before the view was synced, which now is refused; it syncs the view first, and a new test checks that nothing is appended before.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -155,7 +155,14 @@
     const EyGateway_t *self = part;
     return g_hash_table_size(self->active_requests) == 0 &&
            g_hash_table_size(self->relays) == 0 &&
-           EyGatewayRecords_OpenCount(self->records) == 0;
+           EyGatewayRecords_MayEnd(self->records);
+}
+
+static void
+gateway_on_leaving(void *part)
+{
+    const EyGateway_t *self = part;
+    EyGatewayRecords_Leave(self->records);
 }
 
 static json_t *
@@ -190,6 +197,7 @@
     .on_member = gateway_on_member,
     .on_backend = gateway_on_backend,
     .is_ready = gateway_is_ready,
+    .on_leaving = gateway_on_leaving,
     .is_idle = gateway_is_idle,
     .dump = gateway_dump,
 };
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -15,6 +15,8 @@
 #define TICK_MS 50
 #define PROPOSE_INTERVAL_MS 1000
 #define INVITE_INTERVAL_MS 200
+/** Longest time that a stop waits for a view without this instance. */
+#define LEAVE_WAIT_MAX_MS 3000
 /** With three, a partitioned region of two replicas could not lose one
  * more. */
 #define WITNESSES_MAX 2
@@ -27,6 +29,9 @@
     uint64_t epoch;             /* from the configuration; 0: none yet */
     int64_t proposed_ms;
     int64_t invited_ms;
+    int64_t leaving_ms;    /* when Leave was called */
+    uint64_t logged_epoch; /* of the last view that was logged */
+    uint64_t logged_view_number;
 };
 
 /* Group decisions as exchange events */
@@ -121,12 +126,35 @@
     talloc_free(actions);
 }
 
+/** Logs the view if this member has installed another one. */
+static void
+log_view_change(EyGatewayRecords_t *self)
+{
+    const EyView_t *view = EyGroup_View(self->group);
+    if (view->epoch == self->logged_epoch &&
+        view->number == self->logged_view_number)
+    {
+        return;
+    }
+    self->logged_epoch = view->epoch;
+    self->logged_view_number = view->number;
+    EyGroupMember_t own = EyGroup_Self(self->group);
+    bool is_member = EyView_Find(view, own.name, own.incarnation) >= 0;
+    EY_LOG(EY_LOG_INFO, "records", "view_installed",
+           EY_LOG_NUMBER("epoch", view->epoch),
+           EY_LOG_NUMBER("view", view->number),
+           EY_LOG_TEXT("leader", view->leader),
+           EY_LOG_NUMBER("members", view->member_count),
+           EY_LOG_TEXT("is_member", is_member ? "yes" : "no"));
+}
+
 static void
 step_group(EyGatewayRecords_t *self, const EyGroupEvent_t *event)
 {
     EyGroupActions_t *actions = EyGroupActions_New(NULL);
     EyGroup_Step(self->group, EyClock_NowMs(), event, actions);
     run_actions(self, actions);
+    log_view_change(self);
 }
 
 /* Epochs */
@@ -150,6 +178,10 @@
     const EySettings_t *settings = self->gateway->node->settings;
     (void)EY_COPY(command.author, settings->id);
     (void)EY_COPY(command.group.region, settings->region);
+    EY_LOG(EY_LOG_WARNING, "records", "epoch_proposed",
+           EY_LOG_NUMBER("epoch", command.group.epoch),
+           EY_LOG_TEXT("reason",
+                       self->epoch == 0 ? "first start" : "quorum lost"));
     EyGateway_Propose(self->gateway, &command);
 }
 
@@ -344,6 +376,7 @@
         (void)EY_COPY(members[i].name, gateways[i]);
     }
     EyClaims_SetMembers(self->claims, members, member_count);
+    EyGroup_SetContacts(self->group, gateways, count);
 }
 
 void
@@ -445,16 +478,26 @@
     end_claim(self, active, EyClaims_Abandon);
 }
 
-uint64_t
-EyGatewayRecords_Epoch(const EyGatewayRecords_t *self)
+void
+EyGatewayRecords_Leave(EyGatewayRecords_t *self)
 {
-    return self->epoch;
+    self->leaving_ms = EyClock_NowMs();
+    const EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_LEAVE};
+    step_group(self, &event);
 }
 
-uint32_t
-EyGatewayRecords_OpenCount(const EyGatewayRecords_t *self)
+bool
+EyGatewayRecords_MayEnd(const EyGatewayRecords_t *self)
 {
-    return EyClaims_OpenCount(self->claims);
+    return EyClaims_OpenCount(self->claims) == 0 &&
+           (EyGroup_MayEnd(self->group) ||
+            EyClock_NowMs() - self->leaving_ms >= LEAVE_WAIT_MAX_MS);
+}
+
+uint64_t
+EyGatewayRecords_Epoch(const EyGatewayRecords_t *self)
+{
+    return self->epoch;
 }
 
 json_t *
--- a/src/gateway/records.h
+++ b/src/gateway/records.h
@@ -73,9 +73,16 @@
 uint64_t
 EyGatewayRecords_Epoch(const EyGatewayRecords_t *self);
 
-/** Number of claims whose end has not reached all replicas yet. */
-uint32_t
-EyGatewayRecords_OpenCount(const EyGatewayRecords_t *self);
+/** The process will end: has the group's next view decided without this
+ * instance while it can still hand its records over. */
+void
+EyGatewayRecords_Leave(EyGatewayRecords_t *self);
+
+/** True if the end of every claim has reached all replicas and the group no
+ * longer counts on this instance, or didn't let it go within a bounded time
+ * after EyGatewayRecords_Leave. */
+bool
+EyGatewayRecords_MayEnd(const EyGatewayRecords_t *self);
 
 json_t *
 EyGatewayRecords_Dump(const EyGatewayRecords_t *self);
--- a/src/idempotency/group.c
+++ b/src/idempotency/group.c
@@ -14,6 +14,10 @@
 #define EXPIRY_INTERVAL_MS 1000
 /** Interval at which a member that isn't in the view sends JOIN. */
 #define JOIN_INTERVAL_MS 300
+/** Gateways outside the view that get each JOIN too, in turn. */
+#define JOIN_CONTACTS 4
+/** Interval at which a member that will end sends LEAVE. */
+#define LEAVE_INTERVAL_MS 100
 
 EyMetric_t EyGroup_metrics[EY_GROUP_METRIC_COUNT] = {
     [EY_GROUP_METRIC_GRANTED] = {.name = "idempotency_decisions_total",
@@ -185,6 +189,7 @@
     EyGroupAppend_Reset(self);
     EyGroupClaim_Reset(self);
     EyGroup_MarkDirty(self);
+    self->install_serial = self->options.has_disk ? self->serial + 1 : 0;
     EyMetric_Add(&EyGroup_metrics[EY_GROUP_METRIC_VIEWS], 1);
 }
 
@@ -238,6 +243,18 @@
     }
 }
 
+/** Records that a member of the view will end; the next view is without it. */
+static void
+handle_leave(EyGroup_t *self, const char *from,
+             const EyGroupMessage_t *message)
+{
+    Peer_t *peer = EyGroup_FindPeer(self, from, message->from_incarnation);
+    if (EyGroup_IsLeader(self) && peer != NULL && !peer->is_joiner) {
+        peer->is_leaving = true;
+        peer->last_received_ms = self->now_ms;
+    }
+}
+
 /** Installs the view in the message if it is newer; if it is older, replies
  * with the own view. */
 static void
@@ -292,6 +309,10 @@
     if (!is_from_current_view(self, from, message)) {
         return;
     }
+    if (message->kind == EY_GROUP_LEAVE) {
+        handle_leave(self, from, message);
+        return;
+    }
     if (message->kind <= EY_GROUP_APPEND_ACK) {
         EyGroupAppend_Message(self, from, message);
         return;
@@ -302,6 +323,16 @@
     }
 }
 
+void
+EyGroup_SetContacts(EyGroup_t *self, const EyName_t *names, uint32_t count)
+{
+    self->contact_count = MIN(count, EY_GROUP_CONTACTS_MAX);
+    self->next_contact = 0;
+    for (uint32_t i = 0; i < self->contact_count; i++) {
+        (void)EY_COPY(self->contacts[i], names[i]);
+    }
+}
+
 static void
 handle_epoch(EyGroup_t *self, const EyGroupEvent_t *event)
 {
@@ -341,30 +372,77 @@
     }
 }
 
+static void
+send_join_to(EyGroup_t *self, const char *name)
+{
+    if (strcmp(name, self->identity.name) != 0) {
+        EyGroupMessage_t *message = EyGroup_MakeMessage(self, EY_GROUP_JOIN);
+        message->is_witness = self->identity.is_witness;
+        EyGroup_Send(self, name, message);
+    }
+}
+
 static void
 send_join(EyGroup_t *self, const EyGroupMember_t *members, uint32_t count)
 {
     for (uint32_t i = 0; i < count; i++) {
-        if (strcmp(members[i].name, self->identity.name) != 0) {
-            EyGroupMessage_t *message =
-                EyGroup_MakeMessage(self, EY_GROUP_JOIN);
-            message->is_witness = self->identity.is_witness;
-            EyGroup_Send(self, members[i].name, message);
-        }
+        send_join_to(self, members[i].name);
+    }
+}
+
+/**
+ * Asks further gateways of the region. An instance that founded the epoch and
+ * has restarted knows the first view only, in which it is alone; if it asked
+ * nobody else, it would take the quorum for lost and found another epoch.
+ */
+static void
+send_join_to_contacts(EyGroup_t *self)
+{
+    uint32_t count = MIN(JOIN_CONTACTS, self->contact_count);
+    for (uint32_t i = 0; i < count; i++) {
+        send_join_to(self, self->contacts[self->next_contact]);
+        self->next_contact = (self->next_contact + 1) % self->contact_count;
+    }
+}
+
+/** Asks to become a member, unless this process will end. */
+static void
+ask_to_join(EyGroup_t *self)
+{
+    if (self->is_leaving ||
+        self->now_ms - self->join_sent_ms < JOIN_INTERVAL_MS) {
+        return;
+    }
+    self->join_sent_ms = self->now_ms;
+    send_join(self, self->configured, self->configured_count);
+    send_join(self, self->view->members, self->view->member_count);
+    send_join_to_contacts(self);
+}
+
+/** Asks the leader for a view without this member, which will end. A member
+ * with a disk keeps its place over a restart. */
+static void
+ask_to_leave(EyGroup_t *self)
+{
+    if (!self->is_leaving || self->options.has_disk ||
+        EyGroup_IsLeader(self) ||
+        self->now_ms - self->leave_sent_ms < LEAVE_INTERVAL_MS)
+    {
+        return;
     }
+    self->leave_sent_ms = self->now_ms;
+    EyGroup_Send(self, self->view->leader,
+                 EyGroup_MakeMessage(self, EY_GROUP_LEAVE));
 }
 
 static void
 handle_tick(EyGroup_t *self)
 {
     if (EyGroup_Rank(self) < 0) {
-        if (self->now_ms - self->join_sent_ms >= JOIN_INTERVAL_MS) {
-            self->join_sent_ms = self->now_ms;
-            send_join(self, self->configured, self->configured_count);
-            send_join(self, self->view->members, self->view->member_count);
-        }
+        ask_to_join(self);
         return;
     }
+    ask_to_leave(self);
     EyGroupViewChange_Tick(self);
     EyGroupClaim_Tick(self);
     if (self->now_ms - self->last_expiry_ms >= EXPIRY_INTERVAL_MS) {
@@ -408,6 +486,9 @@
     case EY_GROUP_EVENT_PERSIST_FAILED:
         self->is_halted = true;
         break;
+    case EY_GROUP_EVENT_LEAVE:
+        self->is_leaving = true;
+        break;
     default:
         break;
     }
--- a/src/idempotency/group.h
+++ b/src/idempotency/group.h
@@ -41,6 +41,7 @@
     EY_GROUP_EVENT_EPOCH,     /* epoch and first members, from configuration */
     EY_GROUP_EVENT_PERSISTED, /* all PERSIST up to serial are synced */
     EY_GROUP_EVENT_PERSIST_FAILED, /* the disk is full or has failed */
+    EY_GROUP_EVENT_LEAVE, /* this process will end; repeats have no effect */
     EY_GROUP_EVENT_KIND_COUNT
 } EyGroupEventKind_t;
 
@@ -64,6 +65,11 @@
 EyGroup_New(const void *ctx, const EyGroupOptions_t *options,
             const EyGroupState_t *restored, int64_t now_ms);
 
+/** Sets the region's gateways, any of which may know a newer view than the
+ * ones that this member can name. */
+void
+EyGroup_SetContacts(EyGroup_t *self, const EyName_t *names, uint32_t count);
+
 /** Handles one event; appends the actions to carry out. */
 void
 EyGroup_Step(EyGroup_t *self, int64_t now_ms, const EyGroupEvent_t *event,
@@ -96,6 +102,14 @@
 EyGroup_HasLostQuorum(const EyGroup_t *self, EyGroupMember_t *members,
                       uint32_t *member_count);
 
+/**
+ * True if this process can end without the loss of a member that the group
+ * counts on: it is in no view (any more), its state is on its disk, or nobody
+ * else could take over its records.
+ */
+bool
+EyGroup_MayEnd(const EyGroup_t *self);
+
 /** The whole state, for compaction of the journal; a talloc child of ctx. */
 EyGroupState_t *
 EyGroup_Snapshot(const EyGroup_t *self, const void *ctx);
--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -49,10 +49,22 @@
     }
 }
 
+/**
+ * True once the view is on this member's disk. A leader that appended before,
+ * and restarted, would be given the same view again and would assign the same
+ * versions to other records.
+ */
+static bool
+is_view_durable(const EyGroup_t *self)
+{
+    return self->persisted_serial >= self->install_serial;
+}
+
 bool
 EyGroup_MayAppend(const EyGroup_t *self)
 {
     return EyGroup_IsLeader(self) && !self->is_fenced && !self->is_halted &&
+           is_view_durable(self) &&
            self->view_change.phase != VIEW_CHANGE_DRAINING &&
            self->view_change.phase != VIEW_CHANGE_PROPOSING;
 }
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -22,6 +22,8 @@
 #define EY_GROUP_WITNESS_SUSPECT_TIMEOUT_MS 3000
 
 #define EY_GROUP_JOINERS_MAX 16
+/** Most gateways that a member without a current view asks for one. */
+#define EY_GROUP_CONTACTS_MAX 64
 #define EY_GROUP_PEERS_MAX (EY_VIEW_MEMBERS_MAX + EY_GROUP_JOINERS_MAX)
 
 /** The leader's state about another member, or about a joiner: an instance
@@ -31,6 +33,7 @@
     bool is_joiner;
     bool is_version_known; /* acked_version was received in this view */
     bool is_fenced;        /* has stopped following in this view */
+    bool is_leaving;       /* asked for a view without it */
     uint64_t acked_version;
     uint64_t sent_version;
     int64_t sent_ms;
@@ -90,7 +93,8 @@
     EyGroupOptions_t options;
     EyGroupMember_t identity;
     EyRandom_t random;
-    bool is_halted; /* the disk failed; handles no more events */
+    bool is_halted;  /* the disk failed; handles no more events */
+    bool is_leaving; /* the process will end */
 
     /* time */
     int64_t now_ms;
@@ -119,15 +123,20 @@
     /* members */
     EyGroupMember_t configured[EY_VIEW_MEMBERS_MAX];
     uint32_t configured_count;
+    EyName_t contacts[EY_GROUP_CONTACTS_MAX];
+    uint32_t contact_count;
+    uint32_t next_contact;
     EyGroupMember_t seen[EY_GROUP_PEERS_MAX]; /* newest known incarnations */
     uint32_t seen_count;
     int64_t leader_contact_ms;
     int64_t fenced_ms;
     int64_t join_sent_ms;
+    int64_t leave_sent_ms;
     ViewChange_t view_change;
 
     /* the leader */
     bool installed_as_leader; /* in this process; false after a restart */
+    uint64_t install_serial;  /* of the write with the current view */
     uint64_t durable_version;
     Peer_t peers[EY_GROUP_PEERS_MAX];
     uint32_t peer_count;
--- a/src/idempotency/group_state.c
+++ b/src/idempotency/group_state.c
@@ -74,6 +74,26 @@
            !EyView_IsQuorum(self->view, present);
 }
 
+/** True if another replica, or an instance that asked to become one, could
+ * have this member's records. */
+static bool
+has_successor(const EyGroup_t *self)
+{
+    for (uint32_t i = 0; i < self->peer_count; i++) {
+        if (!self->peers[i].member.is_witness) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EyGroup_MayEnd(const EyGroup_t *self)
+{
+    return self->options.has_disk || self->is_halted ||
+           EyGroup_Rank(self) < 0 || !has_successor(self);
+}
+
 EyGroupState_t *
 EyGroup_Snapshot(const EyGroup_t *self, const void *ctx)
 {
--- a/src/idempotency/group_view_change.c
+++ b/src/idempotency/group_view_change.c
@@ -123,6 +123,46 @@
     return false;
 }
 
+/** True if this leader will end, so that the next view must be without it. */
+static bool
+is_leaving_leader(const EyGroup_t *self)
+{
+    return self->is_leaving && !self->options.has_disk &&
+           is_unfenced_leader(self);
+}
+
+/** True if the member asked for a view without it, or is this member and will
+ * end. */
+static bool
+is_member_leaving(EyGroup_t *self, const EyGroupMember_t *member)
+{
+    if (strcmp(member->name, self->identity.name) == 0) {
+        return is_leaving_leader(self);
+    }
+    const Peer_t *peer =
+        EyGroup_FindPeer(self, member->name, member->incarnation);
+    return peer != NULL && peer->is_leaving;
+}
+
+static bool
+has_leaving_peer(const EyGroup_t *self)
+{
+    for (uint32_t i = 0; i < self->peer_count; i++) {
+        if (self->peers[i].is_leaving) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** True if a replica has all records of this leader, joiners included. */
+static bool
+has_all_records(const EyGroup_t *self, const Peer_t *peer)
+{
+    return !peer->member.is_witness && !peer->is_leaving && !peer->is_fenced &&
+           peer->is_version_known && peer->acked_version == self->version;
+}
+
 /** True if a joiner is responsive and, unless a witness, has all records. */
 static bool
 is_joiner_ready(const EyGroup_t *self, const Peer_t *peer)
@@ -206,7 +246,8 @@
     bool has_leader = false;
     for (uint32_t i = 0; i < self->view->member_count; i++) {
         const EyGroupMember_t *member = &self->view->members[i];
-        if ((change->answered & (1U << i)) == 0) {
+        if ((change->answered & (1U << i)) == 0 ||
+            is_member_leaving(self, member)) {
             continue;
         }
         EyView_Add(view, member);
@@ -232,6 +273,28 @@
     return is_same;
 }
 
+/** Chooses the leader of a proposal by an unfenced leader: itself, because the
+ * others may have records that it appended after its own promise; or, if it
+ * will end, a replica that has all of its records. False if there is none. */
+static bool
+set_leader(EyGroup_t *self, EyView_t *view)
+{
+    if (!is_leaving_leader(self)) {
+        (void)EY_COPY(view->leader, self->identity.name);
+        return true;
+    }
+    for (uint32_t i = 0; i < view->member_count; i++) {
+        const EyGroupMember_t *member = &view->members[i];
+        const Peer_t *peer =
+            EyGroup_FindPeer(self, member->name, member->incarnation);
+        if (peer != NULL && has_all_records(self, peer)) {
+            (void)EY_COPY(view->leader, member->name);
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 propose(EyGroup_t *self)
 {
@@ -246,10 +309,9 @@
         return;
     }
     change->proposal = build_view(self);
-    if (is_unfenced_leader(self)) {
-        /* The others may have records that it appended after its own
-         * promise. */
-        (void)EY_COPY(change->proposal->leader, self->identity.name);
+    if (is_unfenced_leader(self) && !set_leader(self, change->proposal)) {
+        abort_attempt(self);
+        return;
     }
     if (is_unfenced_leader(self) && !has_fenced_replica(self) &&
         is_same_membership(change->proposal, self->view))
@@ -262,13 +324,16 @@
     enter_phase(self, VIEW_CHANGE_PROPOSING);
 }
 
-/** True while a responsive joiner lacks the last records. */
+/** True while a responsive joiner lacks the last records; if the leader will
+ * end, also while another replica lacks them. */
 static bool
 is_draining(const EyGroup_t *self)
 {
+    bool is_leaving = is_leaving_leader(self);
     for (uint32_t i = 0; i < self->peer_count; i++) {
         const Peer_t *peer = &self->peers[i];
-        bool is_responsive = peer->is_joiner && !peer->member.is_witness &&
+        bool is_responsive = (peer->is_joiner || is_leaving) &&
+                             !peer->member.is_witness &&
                              peer->is_version_known &&
                              self->now_ms - peer->last_received_ms <
                                  EY_GROUP_SUSPECT_TIMEOUT_MS;
@@ -279,12 +344,23 @@
     return false;
 }
 
+/**
+ * True once this leader's disk has all of its records. It may not propose
+ * itself before: if it restarted after the proposal was accepted, it would
+ * lead without records that other replicas have.
+ */
+static bool
+is_durable(const EyGroup_t *self)
+{
+    return self->durable_version >= self->version;
+}
+
 /** A quorum has promised: drains if needed, or proposes. */
 static void
 end_prepare(EyGroup_t *self)
 {
     if (self->view_change.accepted == NULL && is_unfenced_leader(self) &&
-        is_draining(self))
+        (is_draining(self) || !is_durable(self)))
     {
         uint32_t answered = self->view_change.answered;
         enter_phase(self, VIEW_CHANGE_DRAINING);
@@ -491,15 +567,29 @@
     return false;
 }
 
-/** The leader starts a view change when members fail, are fenced, or are ready
- * to join. */
+/** True if this leader will end and a replica could take over. */
+static bool
+can_hand_over(const EyGroup_t *self)
+{
+    for (uint32_t i = 0; is_leaving_leader(self) && i < self->peer_count; i++)
+    {
+        if (has_all_records(self, &self->peers[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** The leader starts a view change when members fail, leave or are fenced, or
+ * when instances are ready to join. */
 static void
 start_as_leader(EyGroup_t *self)
 {
     uint32_t all = (1U << self->view->member_count) - 1;
     uint32_t responsive = responsive_members(self);
     bool is_due = responsive != all || has_ready_joiner(self) ||
-                  has_fenced_replica(self);
+                  has_fenced_replica(self) || has_leaving_peer(self) ||
+                  can_hand_over(self);
     if (is_due && EyView_IsQuorum(self->view, responsive)) {
         start_prepare(self, responsive);
     }
@@ -557,7 +647,8 @@
         return;
     }
     if (change->phase == VIEW_CHANGE_DRAINING) {
-        if (!is_draining(self) || phase_age_ms >= DRAIN_WAIT_MS) {
+        if (is_durable(self) &&
+            (!is_draining(self) || phase_age_ms >= DRAIN_WAIT_MS)) {
             propose(self);
         }
         return;
--- a/src/idempotency/message.c
+++ b/src/idempotency/message.c
@@ -3,16 +3,16 @@
 #include "core/memory.h"
 
 const char *const EyGroupMessage_names[EY_GROUP_MESSAGE_KIND_COUNT] = {
-    [EY_GROUP_APPEND] = "append",       [EY_GROUP_APPEND_ACK] = "append-ack",
-    [EY_GROUP_PROBE] = "probe",         [EY_GROUP_PROBE_ACK] = "probe-ack",
-    [EY_GROUP_PREPARE] = "prepare",     [EY_GROUP_PROMISE] = "promise",
-    [EY_GROUP_PROPOSE] = "propose",     [EY_GROUP_ACCEPT] = "accept",
-    [EY_GROUP_INSTALL] = "install",     [EY_GROUP_JOIN] = "join",
-    [EY_GROUP_CLAIM] = "claim",         [EY_GROUP_COMPLETE] = "complete",
-    [EY_GROUP_NOT_SENT] = "not-sent",   [EY_GROUP_UNKNOWN] = "lost",
-    [EY_GROUP_STILL_RUNNING] = "still", [EY_GROUP_DECISION] = "decision",
-    [EY_GROUP_SETTLED] = "settled",     [EY_GROUP_QUERY] = "ask",
-    [EY_GROUP_REDIRECT] = "redirect",
+    [EY_GROUP_APPEND] = "append",     [EY_GROUP_APPEND_ACK] = "append-ack",
+    [EY_GROUP_PROBE] = "probe",       [EY_GROUP_PROBE_ACK] = "probe-ack",
+    [EY_GROUP_PREPARE] = "prepare",   [EY_GROUP_PROMISE] = "promise",
+    [EY_GROUP_PROPOSE] = "propose",   [EY_GROUP_ACCEPT] = "accept",
+    [EY_GROUP_INSTALL] = "install",   [EY_GROUP_JOIN] = "join",
+    [EY_GROUP_LEAVE] = "leave",       [EY_GROUP_CLAIM] = "claim",
+    [EY_GROUP_COMPLETE] = "complete", [EY_GROUP_NOT_SENT] = "not-sent",
+    [EY_GROUP_UNKNOWN] = "lost",      [EY_GROUP_STILL_RUNNING] = "still",
+    [EY_GROUP_DECISION] = "decision", [EY_GROUP_SETTLED] = "settled",
+    [EY_GROUP_QUERY] = "ask",         [EY_GROUP_REDIRECT] = "redirect",
 };
 
 const char *const EyGroupDecision_names[EY_GROUP_DECISION_COUNT] = {
--- a/src/idempotency/message.h
+++ b/src/idempotency/message.h
@@ -27,6 +27,7 @@
     EY_GROUP_ACCEPT,    /* has accepted the view under ballot */
     EY_GROUP_INSTALL,   /* view is decided */
     EY_GROUP_JOIN,      /* asks to become a member */
+    EY_GROUP_LEAVE,     /* asks the leader for a view without the sender */
     /* claimant to leader, about claim and key */
     EY_GROUP_CLAIM,
     EY_GROUP_COMPLETE,      /* has run; answer */
--- a/tests/property/group_world.cc
+++ b/tests/property/group_world.cc
@@ -35,6 +35,8 @@
         node.name =
             (node.is_witness ? "control-" : "gateway-") + std::to_string(i);
         node.offset_ms = static_cast<int64_t>(EyRandom_Below(&random_, 99999));
+    }
+    for (uint32_t i = 0; i < nodes.size(); i++) {
         start(i);
     }
     raise_epoch();
@@ -97,6 +99,7 @@
     int64_t local_ms = now_ms + node.offset_ms;
     node.group = EyGroup_New(ctx_, &options, restored, local_ms);
     node.incarnation = EyGroup_Self(node.group).incarnation;
+    set_contacts(node);
     if (!node.is_witness) {
         EyClaimsOptions_t claims_options = {};
         EY_COPY(claims_options.name, node.name.c_str());
@@ -112,6 +115,21 @@
     }
 }
 
+/** Tells a replica the names of all of them. */
+void
+World::set_contacts(const Node &node)
+{
+    EyName_t contacts[EY_VIEW_MEMBERS_MAX] = {};
+    uint32_t count = 0;
+    for (const Node &other : nodes) {
+        if (!other.is_witness) {
+            EY_COPY(contacts[count], other.name.c_str());
+            count++;
+        }
+    }
+    EyGroup_SetContacts(node.group, contacts, count);
+}
+
 void
 World::crash(uint32_t index)
 {
@@ -130,6 +148,24 @@
     node.disk.writes.clear();
 }
 
+bool
+World::stop_gracefully(uint32_t index)
+{
+    constexpr int64_t WAIT_MAX_MS = 3000;
+    EyGroupEvent_t event = {};
+    event.kind = EY_GROUP_EVENT_LEAVE;
+    step(index, event);
+    const Node &node = nodes[index];
+    for (int64_t spent = 0; spent < WAIT_MAX_MS && !EyGroup_MayEnd(node.group);
+         spent += TICK_MS)
+    {
+        run(TICK_MS);
+    }
+    bool may_end = EyGroup_MayEnd(node.group);
+    crash(index);
+    return may_end;
+}
+
 void
 World::lose_disk(uint32_t index)
 {
@@ -152,18 +188,38 @@
     step(node, event);
 }
 
+void
+World::add_member(const Node &node)
+{
+    EyGroupMember_t member = {};
+    EY_COPY(member.name, node.name.c_str());
+    member.incarnation = node.incarnation;
+    member.is_witness = node.is_witness;
+    members_.push_back(member);
+}
+
 void
 World::raise_epoch()
 {
-    epoch_++;
     members_.clear();
     for (const Node &node : nodes) {
-        EyGroupMember_t member = {};
-        EY_COPY(member.name, node.name.c_str());
-        member.incarnation = node.incarnation;
-        member.is_witness = node.is_witness;
-        members_.push_back(member);
+        add_member(node);
     }
+    announce_epoch();
+}
+
+void
+World::found_epoch(uint32_t node)
+{
+    members_.clear();
+    add_member(nodes[node]);
+    announce_epoch();
+}
+
+void
+World::announce_epoch()
+{
+    epoch_++;
     for (uint32_t i = 0; i < nodes.size(); i++) {
         if (is_active(i)) {
             configure(i);
--- a/tests/property/group_world.h
+++ b/tests/property/group_world.h
@@ -119,12 +119,25 @@
           int64_t timeout_ms);
     void
     crash(uint32_t node);
+    /** Tells a node that its process will end, and ends it once it may or
+     * after a few seconds; returns whether it might. */
+    bool
+    stop_gracefully(uint32_t node);
     void
     start(uint32_t node);
     void
     lose_disk(uint32_t node);
     void
     raise_epoch();
+    /** Raises the epoch with one replica as its only member; the others join
+     * it. */
+    void
+    found_epoch(uint32_t node);
+    uint64_t
+    epoch() const
+    {
+        return epoch_;
+    }
     void
     heal();
     /** Raises the epoch if the quorum is lost, as operators do. */
@@ -159,6 +172,13 @@
     std::string violation;
 
   private:
+    void
+    set_contacts(const Node &node);
+    void
+    add_member(const Node &node);
+    /** Gives the epoch to all active nodes. */
+    void
+    announce_epoch();
     void
     step(uint32_t node, const EyGroupEvent_t &event);
     void
--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -27,6 +27,7 @@
     OP_JUMP,
     OP_NOISE,
     OP_RAISE_EPOCH,
+    OP_STOP,
     OP_COUNT
 };
 
@@ -46,6 +47,7 @@
     "run",     "claim",     "claim-again", "claim-other", "cut",
     "cut-off", "heal-cuts", "crash",       "start",       "lose-disk",
     "freeze",  "thaw",      "jump",        "noise",       "raise-epoch",
+    "stop",
 };
 
 std::ostream &
@@ -68,6 +70,7 @@
         {2, OP_ISOLATE},
         {2, OP_HEAL_CUTS},
         {3, OP_CRASH},
+        {3, OP_STOP},
         {4, OP_START},
         {1, OP_LOSE_DISK},
         {2, OP_FREEZE},
@@ -119,6 +122,9 @@
         case OP_CRASH:
             world_.crash(node);
             break;
+        case OP_STOP:
+            stop(node);
+            break;
         case OP_START:
             world_.start(node);
             break;
@@ -182,6 +188,15 @@
         }
     }
 
+    void
+    stop(uint32_t node)
+    {
+        const group_world::Node &at = world_.nodes[node];
+        if (at.is_up && !at.is_frozen) {
+            (void)world_.stop_gracefully(node);
+        }
+    }
+
     void
     isolate(uint32_t node)
     {
@@ -262,6 +277,7 @@
         {3, OP_ISOLATE},
         {3, OP_HEAL_CUTS},
         {3, OP_CRASH},
+        {3, OP_STOP},
         {5, OP_START},
         {1, OP_LOSE_DISK},
         {3, OP_FREEZE},
@@ -408,6 +424,92 @@
     });
 }
 
+/** Stops and starts each replica in turn, none of which has a disk, and waits
+ * between two of them for less time than a member may be silent. */
+void
+roll(World &world, uint32_t replicas)
+{
+    for (uint32_t i = 0; i < replicas; i++) {
+        RC_ASSERT(world.stop_gracefully(i));
+        world.run(*rc::gen::inRange(0, 700));
+        world.start(i);
+        world.run(*rc::gen::inRange(500, 5000));
+    }
+}
+
+/** A rolling stop must not cost the group its quorum: keys would be refused as
+ * unknown. */
+Test(group_properties, rolling_stop_keeps_epoch_and_records)
+{
+    EY_CHECK("each member leaves the view before its process ends", [] {
+        uint32_t replicas = *rc::gen::inRange<uint32_t>(2, 5);
+        uint32_t witnesses = *rc::gen::inRange<uint32_t>(0, 3);
+        World world(Shape{replicas, witnesses, 0},
+                    *rc::gen::arbitrary<uint32_t>());
+        world.forced_behaviour = group_world::BEHAVIOUR_COMPLETES;
+        world.run(300);
+        world.found_epoch(*rc::gen::inRange<uint32_t>(0, replicas));
+        world.run(3000);
+        uint64_t epoch = world.epoch();
+        std::string key = world.issue_key();
+        uint64_t first = world.claim(0, key, 1, 2000);
+        world.run(1000);
+        RC_ASSERT(world.attempt(first).was_granted);
+        roll(world, replicas);
+        world.raise_epoch_if_quorum_lost();
+        RC_ASSERT(world.epoch() == epoch);
+        uint64_t again = world.claim(0, key, 1, 2000);
+        world.run(2500);
+        RC_ASSERT(world.violation == "");
+        RC_ASSERT(world.attempt(again).decision == EY_GROUP_DECISION_REPLAY);
+    });
+}
+
+/** A leader with a slow disk changes the view, because a witness is lost, and
+ * restarts without its last records, which other replicas have. */
+Test(group_properties, leader_proposes_itself_with_synced_records_only)
+{
+    EY_CHECK("no replica is ahead of a leader that restarted", [] {
+        World world(Shape{2, 2, 1}, *rc::gen::arbitrary<uint32_t>());
+        world.run(300);
+        world.found_epoch(0);
+        world.run(3000);
+        world.write_max_ms = 300;
+        world.traffic_ms = 10;
+        world.crash(2);
+        world.run(*rc::gen::inRange(2800, 3800));
+        world.crash(0);
+        world.run(*rc::gen::inRange(0, 200));
+        world.start(0);
+        world.run(4000);
+        RC_ASSERT(world.violation == "");
+    });
+}
+
+/** The founder of an epoch restarts without its records. It knows no view but
+ * the first, in which it was alone. */
+Test(group_properties, restarted_founder_asks_before_it_founds_again)
+{
+    EY_CHECK("a founder that restarts doesn't take the quorum for lost", [] {
+        World world(Shape{3, 0, 0}, *rc::gen::arbitrary<uint32_t>());
+        world.run(300);
+        world.found_epoch(0);
+        world.run(3000);
+        uint64_t epoch = world.epoch();
+        bool left = *rc::gen::arbitrary<bool>() && world.stop_gracefully(0);
+        world.crash(0);
+        world.run(*rc::gen::inRange(0, 3000));
+        world.start(0);
+        for (int i = 0; i < 20; i++) {
+            world.run(500);
+            world.raise_epoch_if_quorum_lost();
+        }
+        RC_CLASSIFY(left, "left first");
+        RC_ASSERT(world.violation == "");
+        RC_ASSERT(world.epoch() == epoch);
+    });
+}
+
 /** A partitioned leader must not refuse a claim because of records that have
  * changed in a later view. */
 Test(group_properties, partitioned_leader_sends_no_stale_refusal)
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -275,19 +275,41 @@
     talloc_free(solo.ctx);
 }
 
+/** Reports the last write as synced. */
+static void
+sync_last_write(Solo_t *solo)
+{
+    const EyGroupAction_t *last = solo->writes->items[solo->writes->count - 1];
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_PERSISTED,
+                            .serial = last->state->serial};
+    step(solo, &event);
+}
+
 Test(group, grant_waits_until_record_is_persisted)
 {
     Solo_t solo = make_solo(true, 0, 1);
+    sync_last_write(&solo);
     cr_assert_null(claim(&solo, 1, "a", 1));
-    EyGroupAction_t *last = solo.writes->items[solo.writes->count - 1];
-    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_PERSISTED,
-                            .serial = last->state->serial};
-    step(&solo, &event);
+    sync_last_write(&solo);
     cr_assert_eq(solo.decided->count, 1);
     cr_assert_eq(solo.decided->items[0]->decision, EY_GROUP_DECISION_GRANTED);
     talloc_free(solo.ctx);
 }
 
+/** A leader that appended before its view is synced could lose the view in a
+ * restart, lead it again and assign the same versions to other records. */
+Test(group, leader_appends_nothing_before_its_view_is_synced)
+{
+    Solo_t solo = make_solo(true, 0, 1);
+    uint32_t writes = solo.writes->count;
+    cr_assert_null(claim(&solo, 1, "a", 1));
+    cr_assert_eq(solo.writes->count, writes);
+    cr_assert_not(EyGroup_IsServing(solo.group));
+    sync_last_write(&solo);
+    cr_assert(EyGroup_IsServing(solo.group));
+    talloc_free(solo.ctx);
+}
+
 Test(group, member_with_broken_disk_stops)
 {
     Solo_t solo = make_solo(true, 0, 1);
