Backend servers say in answers that they leave or want a pause

A server that leaves was used until its announcement had come; one that pushed back was asked again at once.

Change: a header role LEAVING (its name in platform/); an answer that bears it makes the server leave in the registry, at all gateways of the region, for the whole incarnation, whatever its announcements go on saying. A 503 with Retry-After pauses the server at this gateway (routing/server_pauses): it isn't a candidate, queued requests move or are refused at once, and a pause outlasts the server's removal from the list. When all servers of a target pause, callers get 503 with the time at which the first one wants calls again.

Not handled: a notice in an answer whose caller has left already is dropped with the answer.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -2,10 +2,16 @@
 
 #include "core/memory.h"
 
+#include <glib.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#define MS_PER_S 1000.0
+/** Longer delays are taken for malformed ones: one year. */
+#define RETRY_AFTER_MAX_S 31536000.0
+
 typedef struct ProblemText {
     uint32_t status;
     const char *type;
@@ -178,3 +184,30 @@
     return (has_expected_backend && self->status == EY_STATUS_MISDIRECTED) ||
            (name != NULL && EyAnswer_Header(self, name) != NULL);
 }
+
+EyRetryAfter_t
+EyAnswer_ReadRetryAfter(const EyAnswer_t *self, int64_t *delay_ms)
+{
+    const char *value = EyAnswer_Header(self, "Retry-After");
+    if (value == NULL) {
+        return EY_RETRY_AFTER_ABSENT;
+    }
+    gchar *end = NULL;
+    double seconds = g_ascii_strtod(value, &end);
+    /* Excludes signs, "inf", "nan" and hexadecimal numbers. */
+    bool is_decimal =
+        *value != '\0' && strspn(value, "0123456789.") == strlen(value);
+    if (!is_decimal || *end != '\0' || seconds > RETRY_AFTER_MAX_S) {
+        return EY_RETRY_AFTER_INVALID;
+    }
+    *delay_ms = (int64_t)ceil(seconds * MS_PER_S);
+    return EY_RETRY_AFTER_VALID;
+}
+
+bool
+EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names)
+{
+    const char *name = names->by_role[EY_HEADER_LEAVING];
+    const char *value = name != NULL ? EyAnswer_Header(self, name) : NULL;
+    return value != NULL && strcmp(value, "1") == 0;
+}
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -106,6 +106,22 @@
 EyAnswer_ReportsNotRun(const EyAnswer_t *self, const EyHeaderNames_t *names,
                        bool has_expected_backend);
 
+/** Value of a Retry-After header. */
+typedef enum EyRetryAfter {
+    EY_RETRY_AFTER_ABSENT,
+    EY_RETRY_AFTER_VALID,
+    EY_RETRY_AFTER_INVALID, /* not a number of seconds, or negative */
+    EY_RETRY_AFTER_COUNT
+} EyRetryAfter_t;
+
+/** Reads the Retry-After header, which may have decimals, into delay_ms. */
+EyRetryAfter_t
+EyAnswer_ReadRetryAfter(const EyAnswer_t *self, int64_t *delay_ms);
+
+/** True if a backend server says that it is leaving. */
+bool
+EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/exchange/header_names.c
+++ b/src/exchange/header_names.c
@@ -30,6 +30,7 @@
             [EY_HEADER_CACHE_SOURCE] = "Ebonyyard-Cache-Source",
             [EY_HEADER_NOT_RUN] = "Ebonyyard-Not-Run",
             [EY_HEADER_LOAD] = "Ebonyyard-Load",
+            [EY_HEADER_LEAVING] = "Ebonyyard-Leaving",
         },
     .reserved = NativeReserved,
     .sends_stream_error_event = true,
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -31,6 +31,7 @@
                                    the server may copy from */
     EY_HEADER_NOT_RUN,          /* in an answer: the request didn't run */
     EY_HEADER_LOAD,             /* RUNNING,QUEUED,SLOTS of the server */
+    EY_HEADER_LEAVING,          /* in an answer: 1 if the server is leaving */
     EY_HEADER_ROLE_COUNT
 } EyHeaderRole_t;
 
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -5,7 +5,6 @@
 #include "core/memory.h"
 #include "gateway/internal.h"
 
-#include <stdio.h>
 #include <string.h>
 
 /* Delay after which a caller may retry a failed request. */
@@ -441,25 +440,6 @@
                                       EY_CALL_ROUTED);
 }
 
-/** Passes the load report in an answer's header to the router. */
-static void
-update_load(const EyActiveRequest_t *active, const EyAnswer_t *answer)
-{
-    const EyExchange_t *exchange = active->exchange;
-    const char *name = active->gateway->names->by_role[EY_HEADER_LOAD];
-    const char *value = name != NULL ? EyAnswer_Header(answer, name) : NULL;
-    unsigned int running = 0;
-    unsigned int waiting = 0;
-    if (value == NULL || exchange->tried_count == 0 ||
-        sscanf(value, "%u,%u", &running, &waiting) != 2)
-    {
-        return;
-    }
-    EyRouter_UpdateLoad(active->gateway->router, EyClock_NowMs(),
-                        exchange->tried[exchange->tried_count - 1], running,
-                        waiting);
-}
-
 static void
 handle_answer(EyActiveRequest_t *active, EyAttemptEvent_t *from,
               EyExchangeEvent_t *event)
@@ -470,7 +450,7 @@
         EyRouter_AnswerStarted(active->gateway->router, EyClock_NowMs(),
                                active->exchange->request->number);
     }
-    update_load(active, from->answer);
+    EyGateway_ReadServerNotices(active, from->answer);
     event->answer = talloc_steal(NULL, from->answer);
     event->not_run = reports_not_run(active, event->answer);
     event->is_retryable = event->not_run ||
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,6 +25,14 @@
     [EY_GATEWAY_FORWARDED_BYTES] = {.name = "sent_away_bytes_total",
                                     .help = "Bytes of links to other regions "
                                             "that routing has booked"},
+    [EY_GATEWAY_LEAVING_NOTICES] =
+        {.name = "backend_notices_total",
+         .labels = "notice=\"leaving\"",
+         .help = "Notices of backend servers about themselves, in answers"},
+    [EY_GATEWAY_PAUSES] = {.name = "backend_notices_total",
+                           .labels = "notice=\"pause\"",
+                           .help = "Notices of backend servers about "
+                                   "themselves, in answers"},
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -32,6 +32,8 @@
     EY_GATEWAY_RETRIES,
     EY_GATEWAY_FORWARDED,
     EY_GATEWAY_FORWARDED_BYTES,
+    EY_GATEWAY_LEAVING_NOTICES,
+    EY_GATEWAY_PAUSES,
     EY_GATEWAY_LATENCY,
     EY_GATEWAY_METRIC_COUNT
 } EyGatewayMetric_t;
@@ -263,6 +265,13 @@
 void
 EyGateway_Unroute(EyActiveRequest_t *active);
 
+/** Passes what a backend server's answer says about the server itself to the
+ * router and the registry: its load, that it is leaving, or that it wants a
+ * pause. */
+void
+EyGateway_ReadServerNotices(EyActiveRequest_t *active,
+                            const EyAnswer_t *answer);
+
 /** Reports the result of an attempt to the router. */
 void
 EyGateway_RouteFinished(EyActiveRequest_t *active,
--- a/src/membership/message.c
+++ b/src/membership/message.c
@@ -68,6 +68,7 @@
     EY_FIELD_NAMED_ENUM(EyBackendRecord_t, listing, EyListing_names,
                         EY_LISTING_COUNT),
     EY_FIELD(EyBackendRecord_t, expired, EY_FIELD_BOOL),
+    EY_FIELD(EyBackendRecord_t, said_leaving, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyBackendRecord_schema =
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -70,8 +70,10 @@
     uint64_t epoch;  /* raised when the server serves again after leaving */
     uint64_t serial; /* of changes within an epoch */
     EyListing_t listing;
-    bool expired; /* announcements stopped; any later one supersedes this
-                     record */
+    bool expired;      /* announcements stopped; any later one supersedes this
+                          record */
+    bool said_leaving; /* said in an answer that it is leaving, which stays
+                          true of this incarnation whatever it announces */
 } EyBackendRecord_t;
 
 /** A backend server's load, gossiped at a bounded rate. */
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -196,6 +196,16 @@
     }
 }
 
+/** True if this incarnation of the server has said in an answer that it is
+ * leaving. A server without incarnations may have restarted since. */
+static bool
+has_said_leaving(const EyRegistryEntry_t *entry, const EyBackend_t *backend)
+{
+    return entry != NULL && entry->record.said_leaving &&
+           backend->incarnation != 0 &&
+           backend->incarnation == entry->record.backend.incarnation;
+}
+
 /** Stores a new record of a server, with this gateway as the sponsor. */
 static void
 store_own(EyRegistry_t *self, int64_t now_ms, const EyBackend_t *backend,
@@ -207,6 +217,8 @@
         .epoch = epoch,
         .serial = serial,
         .listing = listing,
+        .said_leaving =
+            has_said_leaving(EyRegistry_FindEntry(self, backend->id), backend),
     };
     (void)EY_COPY(record.sponsor, EyRegistry_Self(self)->id);
     (void)EyRegistry_Put(self, now_ms, &record);
@@ -293,10 +305,14 @@
                     const EyBackend_t *backend)
 {
     EyMetric_Add(&Counts[COUNT_ANNOUNCED], 1);
-    EyListing_t listing = backend->state == EY_BACKEND_LEAVING
+    EyRegistryEntry_t *entry = EyRegistry_FindEntry(self, backend->id);
+    EyBackend_t announced = *backend;
+    if (has_said_leaving(entry, backend)) {
+        announced.state = EY_BACKEND_LEAVING;
+    }
+    EyListing_t listing = announced.state == EY_BACKEND_LEAVING
                               ? EY_LISTING_LEAVING
                               : EY_LISTING_SERVING;
-    EyRegistryEntry_t *entry = EyRegistry_FindEntry(self, backend->id);
     if (entry == NULL ||
         backend->incarnation > entry->record.backend.incarnation) {
         store_own(self, now_ms, backend, listing, 1, 1);
@@ -306,7 +322,6 @@
         EyMetric_Add(&Counts[COUNT_STALE], 1);
         return;
     }
-    EyBackend_t announced = *backend;
     entry->numbers_own_loads = announced.load.at != 0;
     if (!entry->numbers_own_loads) {
         assign_load_number(&announced.load, &entry->record.backend.load);
@@ -327,6 +342,23 @@
     return true;
 }
 
+bool
+EyRegistry_ReportLeaving(EyRegistry_t *self, int64_t now_ms, const char *id)
+{
+    EyRegistryEntry_t *entry = EyRegistry_FindEntry(self, id);
+    if (entry == NULL || !entry->listed ||
+        entry->record.listing != EY_LISTING_SERVING)
+    {
+        return false;
+    }
+    entry->record.said_leaving = true;
+    EyBackend_t backend = entry->record.backend;
+    backend.state = EY_BACKEND_LEAVING;
+    store_own(self, now_ms, &backend, EY_LISTING_LEAVING, entry->record.epoch,
+              entry->record.serial + 1);
+    return true;
+}
+
 /* Expiry */
 
 void
--- a/src/membership/registry.h
+++ b/src/membership/registry.h
@@ -56,6 +56,12 @@
 bool
 EyRegistry_Withdraw(EyRegistry_t *self, int64_t now_ms, const char *id);
 
+/** Handles a listed server's answer that says it is leaving: it counts as
+ * leaving at all gateways until its next incarnation. False if that is known
+ * already, or the server isn't listed. */
+bool
+EyRegistry_ReportLeaving(EyRegistry_t *self, int64_t now_ms, const char *id);
+
 /** To be called every EY_MEMBERSHIP_TICK_MS, after EyMembership_Tick. */
 void
 EyRegistry_Tick(EyRegistry_t *self, int64_t now_ms);
--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -39,7 +39,9 @@
     "  keys [--markdown]                 all keys with limits and meaning\n"
     "  dump                              state of each part of the server\n"
     "  instances                         entry instances, best first\n"
-    "  backends                          backend servers\n\n"
+    "  backends                          backend servers\n"
+    "  replicas                          backend servers as the gateway's\n"
+    "                                    routing sees them\n\n"
     "A change is based on the version in force, or the one given by\n"
     "--version; if another change was made first, it is refused (exit 1).\n"
     "Each change has an id. If an answer is lost, the change is sent again\n"
@@ -225,6 +227,57 @@
     return show_rows(self, "/v1/dump", "backends", Columns);
 }
 
+/** The rows of all pools' replicas, each with its pool's target; the caller
+ * owns the reference. */
+static json_t *
+collect_replicas(const json_t *dump)
+{
+    json_t *pools = NULL;
+    (void)json_unpack((json_t *)dump, "{s:{s:{s:o}}}", "gateway", "router",
+                      "pools", &pools);
+    json_t *rows = json_array();
+    for (size_t i = 0; i < json_array_size(pools); i++) {
+        const json_t *pool = json_array_get(pools, i);
+        const json_t *replicas = json_object_get(pool, "replicas");
+        for (size_t j = 0; j < json_array_size(replicas); j++) {
+            json_t *row = json_copy(json_array_get(replicas, j));
+            (void)json_object_set(row, "target",
+                                  json_object_get(pool, "target"));
+            (void)json_array_append_new(rows, row);
+        }
+    }
+    return rows;
+}
+
+static EyCtlExit_t
+run_replicas(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {{"target", "TARGET"},
+                                            {"id", "ID"},
+                                            {"state", "STATE"},
+                                            {"ejected", "EJECTED"},
+                                            {"paused_ms", "PAUSED MS"},
+                                            {"outstanding", "IN FLIGHT"},
+                                            {"slots", "SLOTS"},
+                                            {"unit_ms", "UNIT MS"},
+                                            {NULL, NULL}};
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/dump", &code);
+    if (json == NULL) {
+        return code;
+    }
+    json_t *rows = collect_replicas(json);
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, rows);
+    }
+    else {
+        EyCtlPrint_Table(self->out, rows, Columns);
+    }
+    json_decref(rows);
+    json_decref(json);
+    return EY_CTL_DONE;
+}
+
 static EyCtlExit_t
 run_dump(const Ctl_t *self)
 {
@@ -552,6 +605,7 @@
     {"dump", NULL, 0, 0, run_dump},
     {"instances", NULL, 0, 0, run_instances},
     {"backends", NULL, 0, 0, run_backends},
+    {"replicas", NULL, 0, 0, run_replicas},
 };
 
 static int
--- a/src/routing/decision.c
+++ b/src/routing/decision.c
@@ -14,6 +14,7 @@
 const char *const EyRefusal_names[EY_REFUSAL_COUNT] = {
     [EY_REFUSAL_NONE] = "none",
     [EY_REFUSAL_NO_BACKEND] = "no-backend",
+    [EY_REFUSAL_PAUSED] = "paused",
     [EY_REFUSAL_OVERLOADED] = "overloaded",
     [EY_REFUSAL_QUEUE_FULL] = "queue-full",
     [EY_REFUSAL_DEADLINE] = "deadline",
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -70,6 +70,8 @@
 typedef enum EyRefusal {
     EY_REFUSAL_NONE,
     EY_REFUSAL_NO_BACKEND,   /* no backend server for the target */
+    EY_REFUSAL_PAUSED,       /* all backend servers for the target asked for a
+                                pause */
     EY_REFUSAL_OVERLOADED,   /* a deadline, also of a queued request, would be
                                 missed */
     EY_REFUSAL_QUEUE_FULL,   /* the admission queue is full */
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -188,6 +188,7 @@
 {
     return EyReplica_IsServing(replica) &&
            now_ms >= replica->misdirected_until_ms &&
+           now_ms >= replica->paused_until_ms &&
            !EyRoutingRequest_Excludes(request, replica->backend->id) &&
            (with_ejected || !EyOutlier_IsEjected(&replica->outlier, now_ms));
 }
@@ -209,6 +210,22 @@
     }
 }
 
+/* Time until the first of the paused replicas takes requests; 0: none is
+ * paused. */
+static int64_t
+shortest_pause_ms(const EyPool_t *self, int64_t now_ms)
+{
+    int64_t shortest_ms = INT64_MAX;
+    for (uint32_t i = 0; i < self->replicas->len; i++) {
+        const EyReplica_t *replica = replica_at(self, i);
+        int64_t left_ms = replica->paused_until_ms - now_ms;
+        if (EyReplica_IsServing(replica) && left_ms > 0) {
+            shortest_ms = MIN(shortest_ms, left_ms);
+        }
+    }
+    return shortest_ms == INT64_MAX ? 0 : shortest_ms;
+}
+
 static const EyCandidate_t *
 candidate_at(const GArray *candidates, uint32_t i)
 {
@@ -314,6 +331,7 @@
         collect(self, inputs, request, work, true);
     }
     if (self->candidates->len == 0) {
+        plan.pause_left_ms = shortest_pause_ms(self, inputs->now_ms);
         return plan;
     }
     plan.has_replica = true;
@@ -393,16 +411,17 @@
 dump_replica(const EyReplica_t *replica, const EyPlanInputs_t *inputs)
 {
     int64_t now_ms = inputs->now_ms;
-    return json_pack("{s:s,s:s,s:b,s:i,s:f,s:f,s:f,s:f}", "id",
-                     replica->backend->id, "state",
-                     EyBackend_state_names[replica->backend->state], "ejected",
-                     EyOutlier_IsEjected(&replica->outlier, now_ms),
-                     "outstanding", (int)replica->outstanding, "holds",
-                     EyReplica_EstimatedRequests(
-                         replica, now_ms, inputs->config, inputs->gateways),
-                     "slots", EyReplica_Slots(replica, now_ms), "share",
-                     EyOutlier_Share(&replica->outlier, now_ms), "unit_ms",
-                     EyReplica_UnitMs(replica, now_ms, inputs->config));
+    return json_pack(
+        "{s:s,s:s,s:b,s:I,s:i,s:f,s:f,s:f,s:f}", "id", replica->backend->id,
+        "state", EyBackend_state_names[replica->backend->state], "ejected",
+        EyOutlier_IsEjected(&replica->outlier, now_ms), "paused_ms",
+        (json_int_t)MAX(replica->paused_until_ms - now_ms, 0), "outstanding",
+        (int)replica->outstanding, "holds",
+        EyReplica_EstimatedRequests(replica, now_ms, inputs->config,
+                                    inputs->gateways),
+        "slots", EyReplica_Slots(replica, now_ms), "share",
+        EyOutlier_Share(&replica->outlier, now_ms), "unit_ms",
+        EyReplica_UnitMs(replica, now_ms, inputs->config));
 }
 
 json_t *
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -48,8 +48,10 @@
 
 /** The plan for a request. Times count from now. */
 typedef struct EyPlan {
-    bool has_replica;    /* false if no replica can serve it, now or later */
-    EyReplica_t *chosen; /* gets it now; NULL: it should wait */
+    bool has_replica;      /* false if no replica can serve it, now or later */
+    int64_t pause_left_ms; /* without a replica: time until the first of the
+                              paused ones takes requests; 0: none is paused */
+    EyReplica_t *chosen;   /* gets it now; NULL: it should wait */
     const char *cache_source; /* address of an engine from whose cache chosen
                                  may copy a prefix of the prompt; NULL: none */
     double finish_ms;         /* expected time to the end, at chosen */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -64,6 +64,7 @@
         self->misdirected_until_ms = 0;
     }
     if (backend->incarnation != self->backend->incarnation) {
+        self->paused_until_ms = 0;
         EyPrefixHints_Clear(&self->prefixes);
         self->engine.has_report = false;
         EyOutlier_StartSlowStart(&self->outlier, now_ms);
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -62,6 +62,7 @@
     int64_t misdirected_until_ms; /* no requests until then, or until its
                                      address or incarnation changes: another
                                      server answered at its address */
+    int64_t paused_until_ms;      /* it asked for no requests until then */
     EyEngineLoad_t engine;
     int64_t last_answer_ms; /* time of the last answer or start of an answer;
                                0: never */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -66,6 +66,7 @@
     self->remote_regions =
         EyRemoteRegions_New(self, EyRandom_Next(&self->state.random));
     self->retries = EyRetryBudget_Make();
+    self->pauses = EyServerPauses_New(self);
     ey_router_open_engine_updates(self);
     EyRouter_SetConfig(self, &options->config);
     talloc_set_destructor(self, destroy_router);
@@ -245,6 +246,21 @@
     return refuse(self, request->number, reason, after_ms);
 }
 
+/* No replica of the region can serve it. If that is because they asked for
+ * pauses, the caller is told when the first pause ends. */
+static EyRoutingDecision_t
+forward_or_refuse_without_replica(EyRouter_t *self, int64_t now_ms,
+                                  const EyRoutingRequest_t *request,
+                                  const EyPlan_t *plan)
+{
+    if (plan->pause_left_ms > 0) {
+        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_PAUSED,
+                                 (double)plan->pause_left_ms);
+    }
+    return forward_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
+                             NO_BACKEND_RETRY_AFTER_MS);
+}
+
 static EyRoutingDecision_t
 enqueue(EyRouter_t *self, EyPool_t *pool, const EyRoutingRequest_t *request,
         const EyPlan_t *plan)
@@ -334,8 +350,7 @@
             EyAdmissionQueue_WorkAhead(pool->queue, request->deadline_ms));
     }
     if (!plan.has_replica) {
-        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
-                                 NO_BACKEND_RETRY_AFTER_MS);
+        return forward_or_refuse_without_replica(self, now_ms, request, &plan);
     }
     bool dispatches_now =
         plan.chosen != NULL && has_earliest_deadline(pool, request);
@@ -457,8 +472,7 @@
         return refuse(self, request->number, EY_REFUSAL_DEADLINE, 0.0);
     }
     if (!plan->has_replica) {
-        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
-                                 NO_BACKEND_RETRY_AFTER_MS);
+        return forward_or_refuse_without_replica(self, now_ms, request, plan);
     }
     return forward_or_refuse(self, now_ms, request, EY_REFUSAL_DEADLINE,
                              pool->queue->work / plan->work_per_ms);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -71,6 +71,15 @@
 void
 EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id);
 
+/**
+ * A server refused a request and asked for a pause: it gets none from this
+ * gateway until the pause has ended, unless it restarts. Returns the duration
+ * of the pause if the server wasn't paused before, else 0.
+ */
+int64_t
+EyRouter_Pause(EyRouter_t *self, int64_t now_ms, const char *id,
+               int64_t pause_ms);
+
 /** Applies a cache event of a model engine; a hint that may be late or
  * missing. */
 void
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -64,6 +64,8 @@
 add_replica(EyRouter_t *self, int64_t now_ms, const EyBackend_t *backend)
 {
     EyReplica_t *replica = EyReplica_New(NULL, now_ms, backend);
+    replica->paused_until_ms =
+        EyServerPauses_End(self->pauses, backend->id, backend->incarnation);
     if (now_ms - self->started_ms > STARTUP_MS) {
         EyOutlier_StartSlowStart(&replica->outlier, now_ms);
     }
@@ -107,6 +109,20 @@
     }
 }
 
+int64_t
+EyRouter_Pause(EyRouter_t *self, int64_t now_ms, const char *id,
+               int64_t pause_ms)
+{
+    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    if (replica == NULL) {
+        return 0;
+    }
+    int64_t known_end_ms = replica->paused_until_ms;
+    replica->paused_until_ms = EyServerPauses_Add(
+        self->pauses, now_ms, id, replica->backend->incarnation, pause_ms);
+    return known_end_ms <= now_ms ? replica->paused_until_ms - now_ms : 0;
+}
+
 void
 EyRouter_ApplyCacheEvent(EyRouter_t *self, int64_t now_ms, const char *id,
                          uint64_t serial, uint64_t hash, bool is_stored)
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -7,6 +7,7 @@
 #include "routing/remote_regions.h"
 #include "routing/retry_budget.h"
 #include "routing/router.h"
+#include "routing/server_pauses.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -41,6 +42,7 @@
     GHashTable *tracked;  /* by number, of EyTrackedRequest_t */
     EyRemoteRegions_t *remote_regions;
     EyRetryBudget_t retries;
+    EyServerPauses_t *pauses;
     EyRoutingStats_t stats;
     GHashTable *updates; /* by id, last updates of other gateways */
     GHashTable
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -9,6 +9,9 @@
  *   never             send no answer until the caller disconnects
  *   big=BYTES         add as many bytes of filler to the body
  *   status=N          answer with this HTTP status
+ *   refuse=SECONDS    answer 503 without a run, with this Retry-After
+ *   leaving           say in the answer that this server is leaving
+ *   at=ID             the faults named after it occur at this server only
  */
 #include "fakes/server.h"
 
@@ -26,6 +29,9 @@
     bool never_answer;
     uint64_t filler_bytes;
     uint32_t status;
+    char retry_after[32]; /* "": runs the request */
+    bool says_leaving;
+    bool is_elsewhere; /* the further words are for another server */
 } Behaviour_t;
 
 /** A body that MHD reads in blocks and that may end early. */
@@ -36,9 +42,15 @@
 } Body_t;
 
 static void
-parse_behaviour(Behaviour_t *behaviour, const char *word)
+parse_behaviour(Behaviour_t *behaviour, const char *server, const char *word)
 {
     const char *value = strchr(word, '=');
+    if (g_str_has_prefix(word, "at=")) {
+        behaviour->is_elsewhere = strcmp(value + 1, server) != 0;
+    }
+    if (behaviour->is_elsewhere) {
+        return;
+    }
     uint64_t number = value != NULL ? strtoull(value + 1, NULL, 10) : 0;
     if (g_str_has_prefix(word, "delay=")) {
         behaviour->delay_ms = (int64_t)number;
@@ -49,6 +61,11 @@
     else if (g_str_has_prefix(word, "status=")) {
         behaviour->status = (uint32_t)number;
     }
+    else if (g_str_has_prefix(word, "refuse=")) {
+        (void)g_strlcpy(behaviour->retry_after, value + 1,
+                        sizeof(behaviour->retry_after));
+    }
+    behaviour->says_leaving |= strcmp(word, "leaving") == 0;
     behaviour->crash_after_read |= strcmp(word, "crash-after-read") == 0;
     behaviour->close_midway |= strcmp(word, "close-midway") == 0;
     behaviour->wrong_id |= strcmp(word, "wrong-id") == 0;
@@ -63,7 +80,7 @@
     const char *text = FakeRequest_Header(request, "Fake-Behaviour");
     char **words = g_strsplit(text != NULL ? text : "", ",", -1);
     for (char **word = words; *word != NULL; word++) {
-        parse_behaviour(&behaviour, g_strstrip(*word));
+        parse_behaviour(&behaviour, request->server->id, g_strstrip(*word));
     }
     g_strfreev(words);
     return behaviour;
@@ -131,16 +148,33 @@
     if (behaviour->wrong_id) {
         MHD_add_response_header(response, "X-Request-Id", "someone-elses");
     }
+    if (behaviour->says_leaving) {
+        MHD_add_response_header(response, "Ebonyyard-Leaving", "1");
+    }
     return FakeRequest_Respond(request, behaviour->status, "application/json",
                                response);
 }
 
+static enum MHD_Result
+refuse(const FakeRequest_t *request, const Behaviour_t *behaviour)
+{
+    struct MHD_Response *response =
+        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(response, "Ebonyyard-Not-Run", "1");
+    MHD_add_response_header(response, "Retry-After", behaviour->retry_after);
+    return FakeRequest_Respond(request, MHD_HTTP_SERVICE_UNAVAILABLE,
+                               "text/plain", response);
+}
+
 static enum MHD_Result
 handle(FakeRequest_t *request)
 {
     FakeServer_t *server = request->server;
     Behaviour_t behaviour = read_behaviour(request);
     const char *key = FakeRequest_Header(request, "Idempotency-Key");
+    if (behaviour.retry_after[0] != '\0') {
+        return refuse(request, &behaviour);
+    }
     if (!FakeServer_AcquireSlot(request)) {
         return MHD_NO;
     }
--- a/tests/fakes/server.c
+++ b/tests/fakes/server.c
@@ -320,6 +320,8 @@
         "load", "running", (int)self->previous_running, "queued",
         (int)self->previous_queued, "at", (json_int_t)time(NULL),
         self->kind->targets, targets_json(self));
+    json_object_set_new(json, "incarnation",
+                        json_integer((json_int_t)self->started_us));
     json_t *methods = json_array();
     char **names = g_strsplit(self->idempotent_methods, ",", -1);
     for (char **name = names; *name != NULL && **name != '\0'; name++) {
@@ -501,6 +503,7 @@
         .kind = kind,
         .slots = 8,
         .speed = 1.0,
+        .started_us = g_get_real_time(),
         .lock = PTHREAD_MUTEX_INITIALIZER,
         .slot_freed = PTHREAD_COND_INITIALIZER,
         .targets = g_ptr_array_new_with_free_func(g_free),
--- a/tests/fakes/server.h
+++ b/tests/fakes/server.h
@@ -48,6 +48,7 @@
     double speed;
     int32_t no_echo;
     int32_t no_fencing;
+    int64_t started_us; /* announced as its incarnation */
 
     pthread_mutex_t lock; /* guards the members below, up to leaving */
     pthread_cond_t slot_freed;
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -345,6 +345,37 @@
     });
 }
 
+/** A server says in an answer to one gateway that it is leaving, while its
+ * announcements still say that it serves. */
+Test(registry_properties, leaving_said_in_an_answer_holds_until_a_restart)
+{
+    EY_CHECK("no gateway uses a server after it has said it is leaving", [] {
+        auto site = make_site(*rc::gen::inRange<size_t>(2, 7),
+                              *rc::gen::inRange<size_t>(1, 4));
+        for (Server &server : site->servers) {
+            site->return_server(server, true);
+        }
+        site->run(3 * heartbeat_ms);
+        RC_ASSERT(site->settle(settle_limit_ms) >= 0);
+        site->round_robin = *rc::gen::arbitrary<bool>();
+        size_t gateway = *rc::gen::inRange<size_t>(0, site->registries.size());
+        Server &server = site->servers[0];
+        int64_t now_ms = site->net.local_ms(*site->net.nodes[gateway]);
+        EyRegistry_t *registry = site->registries[gateway];
+        RC_ASSERT(
+            EyRegistry_ReportLeaving(registry, now_ms, server.id.c_str()));
+        RC_ASSERT_FALSE(
+            EyRegistry_ReportLeaving(registry, now_ms, server.id.c_str()));
+        RC_ASSERT_FALSE(site->is_used(gateway, server));
+        server.left_ms = site->net.now_ms;
+        site->run(*rc::gen::inRange(0, 30000));
+        RC_ASSERT(site->fault == "");
+        RC_ASSERT_FALSE(site->is_used(gateway, server));
+        site->return_server(server, true);
+        RC_ASSERT(site->settle(settle_limit_ms) >= 0);
+    });
+}
+
 Test(registry_properties, a_server_that_comes_back_is_listed_again)
 {
     EY_CHECK("return", [] {
