Retry budget from the deployment's ratio and slack, paid once

Cause: the fleet's retry budget was a constant (40 for all gateways, 20 for one) over their number, whatever the deployment allows, one for all services; and a forwarded retry was taken from the home gateway's budget and from the receiver's, which refused it after the trip.

Each gateway has a budget for each service: it earns a share of a retry with each request of its own callers, and has its part of the slack, 0.35 of which may accumulate, 0.35 is earned in each window and 0.2 is given once the fleet's size is known. No messages are needed: the sum holds while links are cut, instances freeze or restart. A retry is paid for by the gateway that makes or forwards it, once for each arrival at a server; a request that is forwarded first counts at the gateway that serves it. The operators' default routing.retry_budget_permille can only lower the ratio; its initial value is 1000 now.

Tests: router::retries_are_a_share_of_successes and the_fleet_shares_the_retry_budget_limit checked the constants of before; they are replaced by retries_are_a_share_of_requests (at most ratio x requests, and three quarters of it used) and the_fleet_shares_the_slack_of_the_retry_budget, and router_properties now allows no retry above 0.1 for each own request (10 were free before). retry_budget_properties plays fleets of up to 60 gateways with cuts, freezes and restarts against the users' rule in every window.

Left: an idle gateway's share of the slack does not serve a busy one.

--- a/src/config/defaults.c
+++ b/src/config/defaults.c
@@ -71,9 +71,10 @@
          .type = EY_VALUE_NUMBER,
          .unit = "per mille",
          .max = PER_MILLE_MAX,
-         .initial = "100",
+         .initial = "1000",
          .scopes = EY_SCOPE_ANY & ~EY_SCOPE_BIT(EY_SCOPE_ACCOUNT),
-         .help = "Retries allowed as a share of requests that succeeded."},
+         .help = "Most retries as a share of requests, where that is below "
+                 "the gateways' --retry-ratio."},
     [EY_DEFAULT_REQUEST_TIMEOUT] =
         {.name = "request.timeout_ms",
          .type = EY_VALUE_NUMBER,
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -13,6 +13,9 @@
 #define CAPACITY_MAX 1000000
 #define STOP_LINGER_MAX_MS 600000
 #define BACKEND_TTL_MAX_MS 60000
+#define PER_MILLE 1000
+#define RETRY_SLACK_MAX 1000000
+#define RETRY_WINDOW_MAX_S 3600
 
 typedef enum SettingId {
     SETTING_ID,
@@ -30,6 +33,9 @@
     SETTING_TAKES_JOINERS,
     SETTING_STOP_LINGER,
     SETTING_BACKEND_TTL,
+    SETTING_RETRY_PERMILLE,
+    SETTING_RETRY_SLACK,
+    SETTING_RETRY_WINDOW,
     SETTING_DATA_DIR,
     SETTING_OPERATOR_TOKEN_FILE,
     SETTING_PEER_SECRET_FILE,
@@ -193,6 +199,31 @@
                         &settings->backend_ttl_ms);
 }
 
+/** Reads a ratio, such as 0.2, into per mille. */
+static bool
+read_retry_ratio(EySettings_t *settings, const char *text)
+{
+    gchar *end = NULL;
+    double ratio = g_ascii_strtod(text, &end);
+    settings->retry_permille = (uint32_t)(ratio * PER_MILLE + 0.5);
+    return g_ascii_isdigit(*text) && *end == '\0' && ratio <= 1.0;
+}
+
+static bool
+read_retry_slack(EySettings_t *settings, const char *text)
+{
+    return read_integer(text, 0, RETRY_SLACK_MAX, &settings->retry_slack);
+}
+
+static bool
+read_retry_window(EySettings_t *settings, const char *text)
+{
+    uint32_t window_s = 0;
+    bool is_valid = read_integer(text, 1, RETRY_WINDOW_MAX_S, &window_s);
+    settings->retry_window_ms = window_s * 1000;
+    return is_valid;
+}
+
 static bool
 read_bool(const char *text, bool *value)
 {
@@ -392,6 +423,23 @@
                              .default_text = "3000",
                              .expected = "1 to 60000 milliseconds",
                              .read = read_backend_ttl},
+    [SETTING_RETRY_PERMILLE] = {.flag = "retry-ratio",
+                                .help = "retries that the fleet may make for "
+                                        "each request",
+                                .default_text = "0.1",
+                                .expected = "a number from 0 to 1",
+                                .read = read_retry_ratio},
+    [SETTING_RETRY_SLACK] = {.flag = "retry-slack",
+                             .help = "further retries that the fleet may make "
+                                     "in each window",
+                             .default_text = "40",
+                             .expected = "a whole number from 0 to 1000000",
+                             .read = read_retry_slack},
+    [SETTING_RETRY_WINDOW] = {.flag = "retry-window-s",
+                              .help = "window of --retry-slack in seconds",
+                              .default_text = "10",
+                              .expected = "1 to 3600 seconds",
+                              .read = read_retry_window},
     [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
                              .help = "address for other instances, IP:port",
                              .expected = ADDRESS_EXPECTED,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -56,8 +56,11 @@
     EyName_t headers;        /* which table of header names is used */
     uint32_t stop_linger_ms; /* how long requests are accepted after SIGTERM */
     uint32_t backend_ttl_ms; /* default TTL of announcements */
-    bool may_found;          /* may bootstrap a new control cluster */
-    bool takes_joiners;      /* control: accept members not in --control */
+    uint32_t retry_permille; /* retries of the fleet for 1000 requests */
+    uint32_t retry_slack;    /* further ones in each window */
+    uint32_t retry_window_ms; /* window of the retry budget */
+    bool may_found;           /* may bootstrap a new control cluster */
+    bool takes_joiners;       /* control: accept members not in --control */
     EyAddress_t peers[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t peer_count;
     EyAddress_t control[EY_SETTINGS_ADDRESSES_MAX];
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -98,14 +98,16 @@
     EyCallTerms_t terms;           /* of a routed call */
     EyName_t *allowed_regions;     /* of its route; empty: any */
     uint32_t allowed_region_count;
-    uint32_t arrivals;        /* servers that may have got it before it was
-                                 forwarded to this instance */
-    uint32_t resume_after;    /* number of events after which the stream is
-                                 resumed */
-    char resume_event[32];    /* id of the last of them, or empty */
-    uint32_t prompt_tokens;   /* 0: unknown */
-    uint32_t expected_tokens; /* caller's estimate for the answer; 0: none */
-    EyPromptPart_t *parts;    /* of the prompt, in order */
+    uint32_t arrivals;         /* servers that may have got it before it was
+                                  forwarded to this instance */
+    bool carries_retry_credit; /* forwarded before it was counted for the retry
+                                  budget: the receiver counts it */
+    uint32_t resume_after;     /* number of events after which the stream is
+                                  resumed */
+    char resume_event[32];     /* id of the last of them, or empty */
+    uint32_t prompt_tokens;    /* 0: unknown */
+    uint32_t expected_tokens;  /* caller's estimate for the answer; 0: none */
+    EyPromptPart_t *parts;     /* of the prompt, in order */
     uint32_t part_count;
 } EyRequest_t;
 
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -245,13 +245,15 @@
 static void
 on_first_byte_timeout(void *data, int64_t now_ms)
 {
-    (void)now_ms;
     EyActiveRequest_t *active = data;
     EyGateway_t *gateway = active->gateway;
     const EyExchange_t *exchange = active->exchange;
     active->first_byte_timer = NULL;
-    if (!EyRouter_MayRetry(gateway->router) || exchange->head_passed ||
-        exchange->state != EY_EXCHANGE_TRYING ||
+    const EyRequest_t *request = exchange->request;
+    EyBackendKind_t kind =
+        EyRequest_IsForModel(request) ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE;
+    if (!EyRouter_MayRetry(gateway->router, now_ms, kind, request->target) ||
+        exchange->head_passed || exchange->state != EY_EXCHANGE_TRYING ||
         exchange->run_count + 1 >= exchange->request->terms.runs_max)
     {
         return;
@@ -415,6 +417,8 @@
     active->exchange =
         EyExchange_New(active, request, may_repeat, needs_claim);
     active->responder = responder;
+    active->has_retry_credit =
+        request->visited_count == 0 || request->carries_retry_credit;
     active->deadline = EyTimers_After(gateway->node->timers,
                                       request->deadline_ms - EyClock_NowMs(),
                                       on_deadline, active);
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -77,11 +77,14 @@
     EyName_t controls[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t control_count;
     EyResidencyPolicy_t *residency_policy;
+    GHashTable *places; /* zones of the region and other regions that have a
+                           gateway; borrowed names */
 } MemberScan_t;
 
 static void
 collect_gateway(MemberScan_t *scan, const EyMember_t *member)
 {
+    (void)g_hash_table_add(scan->places, (gpointer)member->zone);
     if (scan->gateway_count == GATEWAYS_MAX) {
         return;
     }
@@ -125,7 +128,9 @@
 collect_contact(void *data, const EyMember_t *member)
 {
     if (member->role == EY_MEMBER_GATEWAY) {
-        collect_remote_gateway(data, member);
+        const MemberScan_t *scan = data;
+        (void)g_hash_table_add(scan->places, (gpointer)member->region);
+        collect_remote_gateway(scan, member);
     }
     if (member->role == EY_MEMBER_CONTROL) {
         collect_control(data, member);
@@ -147,6 +152,23 @@
     return count;
 }
 
+/** True if a gateway is known in each zone of the region and in each other
+ * region. One that has restarted while it is cut off takes the fleet for
+ * smaller than it is. */
+static bool
+knows_fleet(const EyGateway_t *self, const MemberScan_t *scan)
+{
+    const EySettings_t *settings = self->node->settings;
+    bool knows_all = true;
+    for (uint32_t i = 0; i < settings->zone_count && knows_all; i++) {
+        const EyZone_t *zone = &settings->zones[i];
+        bool is_local = strcmp(zone->region, settings->region) == 0;
+        knows_all = g_hash_table_contains(
+            scan->places, is_local ? zone->zone : zone->region);
+    }
+    return knows_all;
+}
+
 /** Number of gateways whose id sorts before an id. */
 static uint32_t
 rank_of(const char *id, const MemberScan_t *scan)
@@ -166,6 +188,7 @@
     void *ctx = talloc_new(NULL);
     MemberScan_t *scan = EY_NEW(ctx, MemberScan_t);
     scan->residency_policy = self->residency_policy;
+    scan->places = g_hash_table_new(g_str_hash, g_str_equal);
     if (self->node->settings->standalone) {
         collect_control(scan, EyMembership_Self(membership));
     }
@@ -174,8 +197,15 @@
     uint32_t gateway_count = scan->gateway_count;
     EyGatewayRecords_SetCandidates(self->records, scan->gateways,
                                    gateway_count);
-    EyRouter_SetFleetSize(self->router,
-                          MAX(gateway_count, 1) * fleet_region_count(self));
+    const EySettings_t *settings = self->node->settings;
+    bool is_alone = settings->standalone && settings->peer_count == 0 &&
+                    settings->control_count == 0;
+    if (knows_fleet(self, scan)) {
+        EyRouter_SetFleetSize(self->router, EyClock_NowMs(),
+                              MAX(gateway_count, 1) * fleet_region_count(self),
+                              is_alone);
+    }
+    g_hash_table_destroy(scan->places);
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
     EyRouter_SetRank(self->router, EyClock_NowMs(),
                      rank_of(self->node->settings->id, scan), gateway_count);
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -67,6 +67,8 @@
     (void)EY_COPY(outgoing.resume_event, action->last_event);
     outgoing.terms.runs_max = runs_left(active->exchange);
     outgoing.arrivals = active->exchange->arrival_count;
+    outgoing.carries_retry_credit = active->has_retry_credit;
+    active->has_retry_credit = false;
     EyForwardMessage_t forward = {
         .kind = EY_FORWARD_REQUEST,
         .attempt = action->attempt,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -71,8 +71,12 @@
     int64_t remote_credited_ms; /* time of the last credit */
     EyName_t *allowed_regions;  /* where its data may be processed */
     uint32_t allowed_region_count;
-    bool is_routed;    /* the router counts it as in flight */
-    bool tried_remote; /* an attempt was assigned to a remote region */
+    uint32_t paid_arrivals; /* number of the arrival at a server that the last
+                               retry was taken from the retry budget for; 0:
+                               none */
+    bool has_retry_credit;  /* hasn't been counted for the retry budget yet */
+    bool is_routed;         /* the router counts it as in flight */
+    bool tried_remote;      /* an attempt was assigned to a remote region */
 } EyActiveRequest_t;
 
 typedef struct EyGateway {
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -170,6 +170,9 @@
                         ? exchange->arrival_count > 0
                         : exchange->tried_count > 0,
         .was_sent = exchange->sent_before,
+        .is_paid = active->paid_arrivals == exchange->arrival_count + 1 ||
+                   (request->visited_count > 0 && exchange->tried_count == 0),
+        .earns_retry_credit = active->has_retry_credit,
     };
     if (request->part_count > 0) {
         add_prefixes(&routing, request);
@@ -206,6 +209,14 @@
     const EyRoutingRequest_t request = make_request(active);
     EyRoutingDecision_t decision =
         EyRouter_Submit(active->gateway->router, EyClock_NowMs(), &request);
+    if (decision.kind != EY_DECISION_FORWARD) {
+        active->has_retry_credit = false;
+    }
+    if (decision.kind != EY_DECISION_REFUSE &&
+        EyRoutingRequest_TakesRetry(&request))
+    {
+        active->paid_arrivals = active->exchange->arrival_count + 1;
+    }
     apply_decision(active, &decision);
 }
 
@@ -305,8 +316,13 @@
         (uint32_t)config_number(self, EY_DEFAULT_ROUTING_QUEUE_MAX);
     config.link_bytes_per_s =
         (uint64_t)config_number(self, EY_DEFAULT_ROUTING_AWAY_BUDGET);
-    config.retry_share =
-        (double)config_number(self, EY_DEFAULT_ROUTING_RETRY_BUDGET) / 1000;
+    const EySettings_t *settings = self->node->settings;
+    config.retry_ratio =
+        MIN((double)settings->retry_permille,
+            (double)config_number(self, EY_DEFAULT_ROUTING_RETRY_BUDGET)) /
+        1000;
+    config.retry_slack = (double)settings->retry_slack;
+    config.retry_window_ms = (int64_t)settings->retry_window_ms;
     config.allows_forwarding =
         config_number(self, EY_DEFAULT_ROUTING_AWAY_ALLOWED) != 0;
     EyRouter_SetConfig(self->router, &config);
--- a/src/routing/decision.c
+++ b/src/routing/decision.c
@@ -52,6 +52,12 @@
     return false;
 }
 
+bool
+EyRoutingRequest_TakesRetry(const EyRoutingRequest_t *self)
+{
+    return self->is_retry && !self->is_paid;
+}
+
 bool
 EyRoutingRequest_Excludes(const EyRoutingRequest_t *self, const char *backend)
 {
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -53,10 +53,14 @@
                                     allowed regions became known only here */
     bool is_forwarded; /* forwarded by a remote region: served here or refused,
                           never forwarded again */
-    bool forward_refused; /* was forwarded and refused there: not forwarded
-                             again */
-    bool is_retry;        /* an earlier attempt failed */
-    bool was_sent;        /* bytes of an attempt may have left the gateway */
+    bool forward_refused;    /* was forwarded and refused there: not forwarded
+                                again */
+    bool is_retry;           /* an earlier attempt failed */
+    bool is_paid;            /* a retry that was taken from the retry budget
+                                already, also by the gateway that forwarded it */
+    bool earns_retry_credit; /* counts as a request for the retry budget if it
+                                isn't forwarded now */
+    bool was_sent; /* bytes of an attempt may have left the gateway */
 } EyRoutingRequest_t;
 
 typedef enum EyDecisionKind {
@@ -139,6 +143,10 @@
 bool
 EyRoutingRequest_MayRunIn(const EyRoutingRequest_t *self, const char *region);
 
+/** True if the request has to be taken from the retry budget. */
+bool
+EyRoutingRequest_TakesRetry(const EyRoutingRequest_t *self);
+
 /** True if the backend server was tried before. */
 bool
 EyRoutingRequest_Excludes(const EyRoutingRequest_t *self, const char *backend);
--- a/src/routing/retry_budget.c
+++ b/src/routing/retry_budget.c
@@ -1,52 +1,100 @@
 #include "routing/retry_budget.h"
 
-EyRetryBudget_t
-EyRetryBudget_Make(void)
+#include <glib.h>
+
+/** Share of the ratio and the slack that is used. The rest covers gateways
+ * that this one doesn't know of. */
+#define USED_SHARE 0.9
+
+/** Parts of a gateway's share of the slack: what may accumulate, what is
+ * earned in each window, and what a gateway has once it knows the fleet. A
+ * gateway that restarts may be given the last one twice in a window, so that
+ * the sum is 1.1, which USED_SHARE makes up for. */
+#define ACCUMULATED_PART 0.35
+#define EARNED_PART 0.35
+#define INITIAL_PART 0.2
+
+/** This gateway's part of the slack. */
+static double
+slack_share(const EyRetryLimits_t *limits)
+{
+    return limits->gateways > 0
+               ? limits->slack * USED_SHARE / (double)limits->gateways
+               : 0.0;
+}
+
+/** Most retries that may accumulate. A retry needs a whole one. */
+static double
+capacity(const EyRetryLimits_t *limits)
+{
+    return MAX(slack_share(limits) * ACCUMULATED_PART, 1.0);
+}
+
+/** Retries that are earned in each window whether there are requests or not.
+ */
+static double
+earned_in_window(const EyRetryLimits_t *limits)
+{
+    double excess = capacity(limits) - slack_share(limits) * ACCUMULATED_PART;
+    return MAX(slack_share(limits) * EARNED_PART - excess, 0.0);
+}
+
+static void
+add(EyRetryBudget_t *self, double retries, const EyRetryLimits_t *limits)
 {
-    return (EyRetryBudget_t){
-        .retries = EY_RETRY_BUDGET_START,
-        .limit = EY_RETRY_BUDGET_MAX,
-    };
+    self->retries = MIN(self->retries + retries, capacity(limits));
 }
 
+/** Gives a gateway that has come to know the fleet the initial part. */
 static void
-add(EyRetryBudget_t *self, double retries)
+grant_initial(EyRetryBudget_t *self, const EyRetryLimits_t *limits)
 {
-    self->retries += retries;
-    if (self->retries > self->limit) {
-        self->retries = self->limit;
+    if (!self->has_initial && limits->gateways > 0) {
+        self->has_initial = true;
+        add(self, slack_share(limits) * INITIAL_PART, limits);
     }
 }
 
-void
-EyRetryBudget_SetFleetSize(EyRetryBudget_t *self, uint32_t gateways)
+static void
+refill(EyRetryBudget_t *self, int64_t now_ms, const EyRetryLimits_t *limits)
 {
-    double share =
-        EY_RETRY_BUDGET_FLEET_MAX / (double)(gateways > 0 ? gateways : 1);
-    self->limit = share < EY_RETRY_BUDGET_MAX ? share : EY_RETRY_BUDGET_MAX;
-    /* A retry needs a whole unit, so the limit must reach 1. */
-    self->limit = self->limit > 1.0 ? self->limit : 1.0;
-    add(self, 0.0);
+    bool is_new = self->refilled_ms == 0;
+    double windows =
+        (double)(now_ms - self->refilled_ms) / (double)limits->window_ms;
+    self->refilled_ms = now_ms;
+    add(self, is_new ? 0.0 : windows * earned_in_window(limits), limits);
+    grant_initial(self, limits);
 }
 
 void
-EyRetryBudget_Earn(EyRetryBudget_t *self, double share)
+EyRetryBudget_AddRequest(EyRetryBudget_t *self, int64_t now_ms,
+                         const EyRetryLimits_t *limits)
 {
-    add(self, share);
+    refill(self, now_ms, limits);
+    add(self, limits->ratio * USED_SHARE, limits);
 }
 
 bool
-EyRetryBudget_Take(EyRetryBudget_t *self)
+EyRetryBudget_MayTake(EyRetryBudget_t *self, int64_t now_ms,
+                      const EyRetryLimits_t *limits)
 {
-    if (self->retries < 1.0) {
-        return false;
-    }
-    self->retries -= 1.0;
-    return true;
+    refill(self, now_ms, limits);
+    return self->retries >= 1.0;
+}
+
+bool
+EyRetryBudget_Take(EyRetryBudget_t *self, int64_t now_ms,
+                   const EyRetryLimits_t *limits)
+{
+    bool may_take = EyRetryBudget_MayTake(self, now_ms, limits);
+    self->retries -= may_take ? 1.0 : 0.0;
+    return may_take;
 }
 
 void
-EyRetryBudget_GiveBack(EyRetryBudget_t *self)
+EyRetryBudget_GiveBack(EyRetryBudget_t *self, int64_t now_ms,
+                       const EyRetryLimits_t *limits)
 {
-    add(self, 1.0);
+    refill(self, now_ms, limits);
+    add(self, 1.0, limits);
 }
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -1,7 +1,12 @@
 /**
- * Retry budget: limits retries to a share of successes, so that retries don't
- * overload a failing region. Each success earns a share of a retry, up to a
- * limit.
+ * Retry budget of one model or service: limits the retries of the whole fleet
+ * to a share of the requests plus a slack in any window of time, so that
+ * retries don't overload a failing region.
+ *
+ * Each gateway earns a share of a retry with each request of its own callers,
+ * and has its part of the slack, some of which may accumulate while the rest
+ * is earned by time. So the fleet keeps to its limit without any message
+ * between gateways, however they are partitioned, paused or restarted.
  */
 #ifndef EY_ROUTING_RETRY_BUDGET_H
 #define EY_ROUTING_RETRY_BUDGET_H
@@ -13,37 +18,40 @@
 extern "C" {
 #endif
 
-/** Most retries that one gateway may accumulate; a new budget holds
- * EY_RETRY_BUDGET_START. */
-#define EY_RETRY_BUDGET_MAX 20.0
-/** Most retries that all gateways of the fleet together may accumulate. */
-#define EY_RETRY_BUDGET_FLEET_MAX 40.0
-#define EY_RETRY_BUDGET_START 10.0
+/** The fleet's limit, and among how many it is divided. */
+typedef struct EyRetryLimits {
+    double ratio;      /* retries for each request */
+    double slack;      /* further retries of the fleet in each window */
+    int64_t window_ms; /* above 0 */
+    uint32_t gateways; /* of the fleet; 0: not known yet, no slack is used */
+} EyRetryLimits_t;
 
+/** A new budget is all zero. */
 typedef struct EyRetryBudget {
-    double retries;
-    double limit; /* most retries that may accumulate */
+    double retries;      /* that may be made now */
+    int64_t refilled_ms; /* up to which time has been credited */
+    bool has_initial;    /* the fleet's size has become known */
 } EyRetryBudget_t;
 
-EyRetryBudget_t
-EyRetryBudget_Make(void);
-
-/** Divides the fleet's limit among its gateways, whether they are connected or
- * not. */
+/** Records a request, which earns a share of a retry. */
 void
-EyRetryBudget_SetFleetSize(EyRetryBudget_t *self, uint32_t gateways);
+EyRetryBudget_AddRequest(EyRetryBudget_t *self, int64_t now_ms,
+                         const EyRetryLimits_t *limits);
 
-/** Records a success, which earns share of a retry. */
-void
-EyRetryBudget_Earn(EyRetryBudget_t *self, double share);
+/** True if a retry may be made now. */
+bool
+EyRetryBudget_MayTake(EyRetryBudget_t *self, int64_t now_ms,
+                      const EyRetryLimits_t *limits);
 
 /** Takes one retry; false if the budget has less than one. */
 bool
-EyRetryBudget_Take(EyRetryBudget_t *self);
+EyRetryBudget_Take(EyRetryBudget_t *self, int64_t now_ms,
+                   const EyRetryLimits_t *limits);
 
 /** Returns a retry that wasn't made. */
 void
-EyRetryBudget_GiveBack(EyRetryBudget_t *self);
+EyRetryBudget_GiveBack(EyRetryBudget_t *self, int64_t now_ms,
+                       const EyRetryLimits_t *limits);
 
 #ifdef __cplusplus
 }
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -65,7 +65,7 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_talloc);
     self->remote_regions =
         EyRemoteRegions_New(self, EyRandom_Next(&self->state.random));
-    self->retries = EyRetryBudget_Make();
+    self->retries = EyRetryBudgets_New(self);
     self->pauses = EyServerPauses_New(self);
     ey_router_open_engine_updates(self);
     EyRouter_SetConfig(self, &options->config);
@@ -78,6 +78,12 @@
 {
     self->config = *config;
     self->policy = EyPolicy_Find(config->policy);
+    const EyRetryLimits_t limits = {
+        .ratio = config->retry_ratio,
+        .slack = config->retry_slack,
+        .window_ms = config->retry_window_ms,
+    };
+    EyRetryBudgets_SetLimits(self->retries, &limits);
 }
 
 void
@@ -114,9 +120,10 @@
 }
 
 void
-EyRouter_SetFleetSize(EyRouter_t *self, uint32_t gateways)
+EyRouter_SetFleetSize(EyRouter_t *self, int64_t now_ms, uint32_t gateways,
+                      bool is_certain)
 {
-    EyRetryBudget_SetFleetSize(&self->retries, gateways);
+    EyRetryBudgets_SetFleetSize(self->retries, now_ms, gateways, is_certain);
 }
 
 /* Decisions */
@@ -416,9 +423,26 @@
     return EY_REFUSAL_NONE;
 }
 
-EyRoutingDecision_t
-EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
-                const EyRoutingRequest_t *request)
+/* Decides a retry that is paid for from the budget of its target. */
+static EyRoutingDecision_t
+decide_retry(EyRouter_t *self, int64_t now_ms,
+             const EyRoutingRequest_t *request)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    if (!EyRetryBudgets_Take(self->retries, now_ms, key)) {
+        return refuse(self, request->number, EY_REFUSAL_RETRY_BUDGET,
+                      NO_BACKEND_RETRY_AFTER_MS);
+    }
+    EyRoutingDecision_t decision = decide(self, now_ms, request);
+    if (decision.kind == EY_DECISION_REFUSE) {
+        EyRetryBudgets_GiveBack(self->retries, now_ms, key);
+    }
+    return decision;
+}
+
+static EyRoutingDecision_t
+submit(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
     EyRefusal_t reason = check_request(self, now_ms, request);
     if (reason == EY_REFUSAL_WRONG_REGION && request->may_forward_to_allowed) {
@@ -427,16 +451,22 @@
     if (reason != EY_REFUSAL_NONE) {
         return refuse(self, request->number, reason, 0.0);
     }
-    bool takes_retry = request->is_retry && self->config.limits_retries;
-    if (takes_retry && !EyRetryBudget_Take(&self->retries)) {
-        return refuse(self, request->number, EY_REFUSAL_RETRY_BUDGET,
-                      NO_BACKEND_RETRY_AFTER_MS);
-    }
-    EyRoutingDecision_t decision = decide(self, now_ms, request);
-    if (decision.kind == EY_DECISION_REFUSE && takes_retry) {
-        EyRetryBudget_GiveBack(&self->retries);
+    return EyRoutingRequest_TakesRetry(request) && self->config.limits_retries
+               ? decide_retry(self, now_ms, request)
+               : decide(self, now_ms, request);
+}
+
+EyRoutingDecision_t
+EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
+                const EyRoutingRequest_t *request)
+{
+    EyRoutingDecision_t decision = submit(self, now_ms, request);
+    if (request->earns_retry_credit && decision.kind != EY_DECISION_FORWARD) {
+        char key[EY_POOL_KEY_SIZE_BYTES];
+        EyPool_Key(key, request->kind, request->target);
+        EyRetryBudgets_AddRequest(self->retries, now_ms, key);
     }
-    else if (request->is_retry) {
+    if (request->is_retry && decision.kind != EY_DECISION_REFUSE) {
         self->stats.retries++;
     }
     return decision;
@@ -578,9 +608,6 @@
                              in_flight->work);
         }
     }
-    if (result->kind == EY_RESULT_OK) {
-        EyRetryBudget_Earn(&self->retries, self->config.retry_share);
-    }
     if (replica == NULL) {
         return;
     }
@@ -615,9 +642,13 @@
 }
 
 bool
-EyRouter_MayRetry(const EyRouter_t *self)
+EyRouter_MayRetry(EyRouter_t *self, int64_t now_ms, EyBackendKind_t kind,
+                  const char *target)
 {
-    return !self->config.limits_retries || self->retries.retries >= 1.0;
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, kind, target);
+    return !self->config.limits_retries ||
+           EyRetryBudgets_MayTake(self->retries, now_ms, key);
 }
 
 void
@@ -755,13 +786,16 @@
     gpointer pool;
     g_hash_table_iter_init(&each, self->pools);
     while (g_hash_table_iter_next(&each, NULL, &pool)) {
-        json_array_append_new(pools, EyPool_Dump(pool, &inputs));
+        json_t *dumped = EyPool_Dump(pool, &inputs);
+        double left = EyRetryBudgets_Left(self->retries, now_ms,
+                                          ((const EyPool_t *)pool)->key);
+        (void)json_object_set_new(dumped, "retries_left", json_real(left));
+        json_array_append_new(pools, dumped);
     }
-    return json_pack("{s:s,s:i,s:i,s:i,s:f,s:I,s:I,s:I,s:o,s:o,s:o}", "policy",
+    return json_pack("{s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:o,s:o,s:o}", "policy",
                      self->policy->name, "gateways", (int)self->gateways,
                      "waiting", (int)EyRouter_Waiting(self), "in_flight",
-                     (int)EyRouter_InFlight(self), "retries_left",
-                     self->retries.retries, "retries",
+                     (int)EyRouter_InFlight(self), "retries",
                      (json_int_t)self->stats.retries, "ejections",
                      (json_int_t)self->stats.ejections, "sent_away_bytes",
                      (json_int_t)self->stats.forwarded_bytes, "refusals",
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -57,9 +57,11 @@
 EyRouter_SetRank(EyRouter_t *self, int64_t now_ms, uint32_t rank,
                  uint32_t count);
 
-/** Sets how many gateways the fleet has, whether they are reachable or not. */
+/** Sets how many gateways of the fleet, which share the retry budget, are seen
+ * now; is_certain: there can be no others. */
 void
-EyRouter_SetFleetSize(EyRouter_t *self, uint32_t gateways);
+EyRouter_SetFleetSize(EyRouter_t *self, int64_t now_ms, uint32_t gateways,
+                      bool is_certain);
 
 /** Adds or updates a backend server of the local region from its announcement.
  */
@@ -114,9 +116,10 @@
 EyRouter_LastAnswerAgeMs(const EyRouter_t *self, int64_t now_ms,
                          const char *id);
 
-/** True if a retry would be allowed now. */
+/** True if a retry for the model or service would be allowed now. */
 bool
-EyRouter_MayRetry(const EyRouter_t *self);
+EyRouter_MayRetry(EyRouter_t *self, int64_t now_ms, EyBackendKind_t kind,
+                  const char *target);
 
 /** Stores a load report that a backend server sent with an answer. */
 void
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -5,7 +5,7 @@
 #include "routing/pool.h"
 #include "routing/remote_caches.h"
 #include "routing/remote_regions.h"
-#include "routing/retry_budget.h"
+#include "routing/retry_budgets.h"
 #include "routing/router.h"
 #include "routing/server_pauses.h"
 
@@ -41,7 +41,7 @@
     GHashTable *waiting;  /* by number, of EyQueuePosition_t */
     GHashTable *tracked;  /* by number, of EyTrackedRequest_t */
     EyRemoteRegions_t *remote_regions;
-    EyRetryBudget_t retries;
+    EyRetryBudgets_t *retries;
     EyServerPauses_t *pauses;
     EyRoutingStats_t stats;
     GHashTable *updates; /* by id, last updates of other gateways */
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -30,10 +30,12 @@
     double wait_for_faster_factor; /* a free replica is left idle if waiting
                                       for a faster one is expected to end
                                       within this share of its finish time */
-    double retry_share;            /* retries earned by each success */
-    double model_unit_ms;   /* time for a unit of work at speed 1.0, until
-                               learned */
-    double service_unit_ms; /* the same for services */
+    double retry_ratio;            /* retries of the fleet for each request */
+    double retry_slack;      /* further ones of the fleet in each window */
+    int64_t retry_window_ms; /* window of the retry budget */
+    double model_unit_ms;    /* time for a unit of work at speed 1.0, until
+                                learned */
+    double service_unit_ms;  /* the same for services */
     uint32_t answer_token_size_bytes; /* charged to the link budget for each
                                          token of an answer */
     bool admission; /* admission control: refuse a request on arrival if its
