Links between gateways: answers go back by the requests' link, links stand

Cause: an answer to a forwarded request opened a connection of its own, so a new pair of gateways paid for two connections with a handshake of several round trips each. The gateway that requests are forwarded to was the last of the contacts in the order of a hash table: the same for all gateways with the same contacts, and another whenever a contact came or went.

Change: one ZeroMQ ROUTER has all connections that an instance opens, in place of a DEALER each, so that both ends can send on a connection. A message goes by the receiver's own connection if something came on it in the last 5 s, else by an outgoing one. Each gateway keeps a connection to one gateway of each other region, chosen by rendezvous hashing. A log line attempt_unsuccessful with the status of an answer that may be retried; the traffic metrics have a row for engine updates.

--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -461,6 +461,14 @@
                           is_retryable_status(event->answer->status) ||
                           (active->exchange->request->call == EY_CALL_ROUTED &&
                            event->answer->status >= 500);
+    if (event->is_retryable) {
+        const EyExchange_t *exchange = active->exchange;
+        EY_LOG(EY_LOG_INFO, "gateway", "attempt_unsuccessful",
+               EY_LOG_TEXT("request_id", exchange->request->id),
+               EY_LOG_TEXT("to", exchange->tried[exchange->tried_count - 1]),
+               EY_LOG_NUMBER("status", event->answer->status),
+               EY_LOG_NUMBER("not_run", event->not_run));
+    }
     if (from->kind == EY_ATTEMPT_HEAD) {
         event->answer->stream = EyStream_Ref(active->stream);
     }
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -5,6 +5,7 @@
 #include "gateway/internal.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define UPDATE_INTERVAL_MS 500
 #define GATEWAYS_MAX 512
@@ -137,6 +138,83 @@
     }
 }
 
+/** A search for a gateway of a region among the contacts. */
+typedef struct Search {
+    const char *own_id;
+    const char *region;
+    const EyMember_t *found;
+    uint64_t score;
+} Search_t;
+
+/** Rendezvous hashing: each gateway prefers the contacts in an order of its
+ * own, so that requests are spread over them and the choice changes only with
+ * the chosen contact. */
+static uint64_t
+contact_score(const char *own_id, const char *contact_id)
+{
+    uint64_t seed = XXH64(own_id, strlen(own_id), 0);
+    return XXH64(contact_id, strlen(contact_id), seed);
+}
+
+static void
+search_contact(void *data, const EyMember_t *member)
+{
+    Search_t *search = data;
+    if (member->role != EY_MEMBER_GATEWAY ||
+        member->state != EY_MEMBER_ALIVE ||
+        strcmp(member->region, search->region) != 0)
+    {
+        return;
+    }
+    uint64_t score = contact_score(search->own_id, member->id);
+    if (search->found == NULL || score > search->score) {
+        search->found = member;
+        search->score = score;
+    }
+}
+
+static const EyMember_t *
+find_remote_gateway(EyGateway_t *self, const char *region)
+{
+    Search_t search = {.own_id = self->node->settings->id, .region = region};
+    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
+                             search_contact, &search);
+    return search.found;
+}
+
+const char *
+EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
+{
+    const EyMember_t *gateway = find_remote_gateway(self, region);
+    if (gateway == NULL) {
+        return NULL;
+    }
+    (void)EyPeers_SetPeerAddress(self->node->peers, gateway->id,
+                                 gateway->peer_address);
+    return gateway->id;
+}
+
+/** Keeps a connection open to the gateway of each other region that a request
+ * would be forwarded to, so that it needn't wait for one. */
+static void
+keep_forward_links(EyGateway_t *self)
+{
+    const EySettings_t *settings = self->node->settings;
+    GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
+    (void)g_hash_table_add(regions, (gpointer)settings->region);
+    for (uint32_t i = 0; i < settings->zone_count; i++) {
+        const char *region = settings->zones[i].region;
+        if (!g_hash_table_add(regions, (gpointer)region)) {
+            continue;
+        }
+        const EyMember_t *gateway = find_remote_gateway(self, region);
+        if (gateway != NULL) {
+            (void)EyPeers_KeepLink(self->node->peers, gateway->peer_address);
+        }
+    }
+    g_hash_table_destroy(regions);
+}
+
 /** Number of regions that the settings name, including the local one. */
 static uint32_t
 fleet_region_count(const EyGateway_t *self)
@@ -261,6 +339,7 @@
 {
     EyGateway_t *self = data;
     distribute_members(self);
+    keep_forward_links(self);
     publish_summaries(self, now_ms);
     EySummary_Each(EyCluster_Summary(self->node->cluster), now_ms,
                    apply_summary, self);
@@ -298,35 +377,3 @@
     (void)EyTimers_Every(self->node->timers, UPDATE_INTERVAL_MS, on_update,
                          self);
 }
-
-/** A search for a gateway of a region among the contacts. */
-typedef struct Search {
-    const char *region;
-    const EyMember_t *found;
-} Search_t;
-
-static void
-search_contact(void *data, const EyMember_t *member)
-{
-    Search_t *search = data;
-    if (member->role == EY_MEMBER_GATEWAY &&
-        member->state == EY_MEMBER_ALIVE &&
-        strcmp(member->region, search->region) == 0)
-    {
-        search->found = member;
-    }
-}
-
-const char *
-EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
-{
-    Search_t search = {.region = region};
-    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
-                             search_contact, &search);
-    if (search.found == NULL) {
-        return NULL;
-    }
-    (void)EyPeers_SetPeerAddress(self->node->peers, search.found->id,
-                                 search.found->peer_address);
-    return search.found->id;
-}
--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -30,20 +30,34 @@
  * without power drops the first SYN, and the kernel retransmits it only after
  * seconds. */
 #define CONNECT_TIMEOUT_MS 400
+/* A connection of another instance to this one is used for messages to that
+ * instance while it has sent something on it within this time. */
+#define INBOUND_FRESH_MS 5000
+/* Longest routing id of ZeroMQ that is kept. */
+#define ROUTING_ID_MAX_BYTES 16
 /* An unused connection is closed after this time. */
 #define LINK_IDLE_TIMEOUT_MS 60000
 #define IDLE_CHECK_INTERVAL_MS 10000
 #define ENTRIES_MAX 8192
+#define ENDPOINT_SIZE_BYTES (EY_ADDRESS_SIZE_BYTES + 8)
 /* Messages handled in one direction before the other direction is served. */
 #define MESSAGES_PER_ITERATION_MAX 256
 
 typedef enum CommandKind {
     COMMAND_SEND,
+    COMMAND_KEEP_LINK,
     COMMAND_SET_ADDRESS,
     COMMAND_SET_BLOCKED,
     COMMAND_STOP
 } CommandKind_t;
 
+/** The connection on which a message has arrived. */
+typedef struct Route {
+    bool socket_is_listener;
+    const uint8_t *id;
+    size_t id_bytes;
+} Route_t;
+
 /** A command of another thread to the peers' thread; a talloc root. */
 typedef struct Command {
     CommandKind_t kind;
@@ -59,11 +73,18 @@
     EyAddress_t address;
     uint64_t incarnation; /* highest one seen in a message */
     bool blocked;
+    /* The instance's own connection to this one, and when it was last used;
+     * size 0: none. */
+    uint8_t inbound_id[ROUTING_ID_MAX_BYTES];
+    size_t inbound_id_bytes;
+    int64_t inbound_ms;
 } PeerEntry_t;
 
-/** An outgoing connection to one address. */
+/** An outgoing connection to one address. Routing ids aren't used twice:
+ * ZeroMQ ends the process if one is set while an earlier connection with it is
+ * still being closed. */
 typedef struct Link {
-    void *socket;
+    uint64_t routing_id;
     int64_t used_ms;
 } Link_t;
 
@@ -75,9 +96,11 @@
     EyMailbox_t *inbox;
     EyMailbox_t *outbound;
     void *zmq;
-    void *listener;
+    void *listener;      /* takes connections */
+    void *connector;     /* has all connections that this instance opens */
     GHashTable *entries; /* id -> PeerEntry_t */
     GHashTable *links;   /* address -> Link_t */
+    uint64_t last_routing_id;
     int64_t idle_checked_ms;
     bool stopping;
     pthread_t thread;
@@ -115,6 +138,7 @@
         [EY_PEER_CONFIG] = TRAFFIC_METRIC(name, "config", help),              \
         [EY_PEER_FORWARD] = TRAFFIC_METRIC(name, "forward", help),            \
         [EY_PEER_ANNOUNCE] = TRAFFIC_METRIC(name, "announce", help),          \
+        [EY_PEER_ENGINE_UPDATE] = TRAFFIC_METRIC(name, "engine", help),       \
     }
 
 static EyMetric_t Dropped[DROP_COUNT] = {
@@ -166,13 +190,16 @@
     return zmq_setsockopt(socket, option, &value, sizeof(value)) == 0;
 }
 
-/** Sets the options of all sockets; address is the one it listens on or
- * connects to. */
+/** Sets the options of both sockets. A message to a connection that has gone
+ * fails, instead of being dropped silently. */
 static bool
-set_common_options(void *socket, const char *address)
+set_common_options(void *socket)
 {
+    const int64_t frame_max_bytes = EY_PEER_FRAME_MAX_BYTES;
     return set_int_option(socket, ZMQ_LINGER, 0) &&
-           set_int_option(socket, ZMQ_IPV6, address[0] == '[') &&
+           set_int_option(socket, ZMQ_ROUTER_MANDATORY, 1) &&
+           zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &frame_max_bytes,
+                          sizeof(frame_max_bytes)) == 0 &&
            set_int_option(socket, ZMQ_SNDHWM, QUEUED_MESSAGES_MAX) &&
            set_int_option(socket, ZMQ_RCVHWM, QUEUED_MESSAGES_MAX) &&
            set_int_option(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS) &&
@@ -183,43 +210,37 @@
 /* Connections and the table of instances */
 
 static void
-link_close(gpointer data)
+make_endpoint(char *endpoint, size_t size_bytes, const char *address)
 {
-    Link_t *link = data;
-    (void)zmq_close(link->socket);
-    g_free(link);
+    (void)g_snprintf(endpoint, size_bytes, "tcp://%s", address);
 }
 
-static bool
-link_set_options(const EyPeers_t *self, void *socket, const char *address)
+static void
+link_close(const EyPeers_t *self, const char *address)
 {
-    return set_common_options(socket, address) &&
-           set_int_option(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS) &&
-           set_int_option(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS) &&
-           set_int_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
-           set_int_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
-           (!self->encrypted || EyPeerKeys_SetClient(&self->keys, socket));
+    char endpoint[ENDPOINT_SIZE_BYTES];
+    make_endpoint(endpoint, sizeof(endpoint), address);
+    (void)zmq_disconnect(self->connector, endpoint);
 }
 
 static Link_t *
 link_open(EyPeers_t *self, const char *address)
 {
-    char *endpoint = talloc_asprintf(NULL, "tcp://%s", address);
-    void *socket = zmq_socket(self->zmq, ZMQ_DEALER);
-    bool ok = socket != NULL && link_set_options(self, socket, address) &&
-              zmq_connect(socket, endpoint) == 0;
-    (void)talloc_free(endpoint);
+    char endpoint[ENDPOINT_SIZE_BYTES];
+    make_endpoint(endpoint, sizeof(endpoint), address);
+    uint64_t routing_id = ++self->last_routing_id;
+    bool ok = set_int_option(self->connector, ZMQ_IPV6, address[0] == '[') &&
+              zmq_setsockopt(self->connector, ZMQ_CONNECT_ROUTING_ID,
+                             &routing_id, sizeof(routing_id)) == 0 &&
+              zmq_connect(self->connector, endpoint) == 0;
     if (!ok) {
         EY_LOG(EY_LOG_WARNING, "peers", "connect_failed",
                EY_LOG_TEXT("address", address),
                EY_LOG_TEXT("error", zmq_strerror(zmq_errno())));
-        if (socket != NULL) {
-            (void)zmq_close(socket);
-        }
         return NULL;
     }
     Link_t *link = g_new0(Link_t, 1);
-    link->socket = socket;
+    link->routing_id = routing_id;
     (void)g_hash_table_insert(self->links, g_strdup(address), link);
     return link;
 }
@@ -238,11 +259,16 @@
 }
 
 static gboolean
-link_is_idle(gpointer address, gpointer data, gpointer now_ms)
+close_if_idle(gpointer address, gpointer data, gpointer peers)
 {
-    (void)address;
+    const EyPeers_t *self = peers;
     const Link_t *link = data;
-    return *(const int64_t *)now_ms - link->used_ms > LINK_IDLE_TIMEOUT_MS;
+    bool is_idle =
+        self->idle_checked_ms - link->used_ms > LINK_IDLE_TIMEOUT_MS;
+    if (is_idle) {
+        link_close(self, address);
+    }
+    return is_idle;
 }
 
 static void
@@ -253,7 +279,7 @@
         return;
     }
     self->idle_checked_ms = now_ms;
-    (void)g_hash_table_foreach_remove(self->links, link_is_idle, &now_ms);
+    (void)g_hash_table_foreach_remove(self->links, close_if_idle, self);
 }
 
 /** The entry of an instance, created if missing; NULL if the table is full. */
@@ -268,17 +294,31 @@
     return entry;
 }
 
-/** Stores a sender's address if none is known or its incarnation is newer. */
+/** Stores the connection on which an instance has sent a message. */
 static void
-entry_update(EyPeers_t *self, const EyPeerMessage_t *message)
+record_inbound(PeerEntry_t *entry, const Route_t *route)
+{
+    if (route->socket_is_listener && route->id_bytes <= ROUTING_ID_MAX_BYTES) {
+        memcpy(entry->inbound_id, route->id, route->id_bytes);
+        entry->inbound_id_bytes = route->id_bytes;
+        entry->inbound_ms = EyClock_NowMs();
+    }
+}
+
+/** Stores a sender's connection, and its address if none is known or its
+ * incarnation is newer. */
+static void
+entry_update(EyPeers_t *self, const EyPeerMessage_t *message,
+             const Route_t *route)
 {
     if (!EyAddress_IsValid(message->from_address)) {
         return;
     }
     PeerEntry_t *entry = entry_get(self, message->from);
-    if (entry == NULL) {
+    if (entry == NULL || message->from_incarnation < entry->incarnation) {
         return;
     }
+    record_inbound(entry, route);
     bool is_newer = message->from_incarnation > entry->incarnation;
     if (entry->address[0] == '\0' || is_newer) {
         (void)EY_COPY(entry->address, message->from_address);
@@ -334,22 +374,55 @@
     return message->to_address;
 }
 
-static void
-transmit(EyPeers_t *self, const char *address, EyPeerMessage_t *message)
+/** Sends a frame on one connection of a socket; false if that has gone or has
+ * too much queued. */
+static bool
+send_frame(void *socket, const void *routing_id, size_t routing_id_bytes,
+           const EyBytes_t *frame)
+{
+    return zmq_send(socket, routing_id, routing_id_bytes,
+                    ZMQ_DONTWAIT | ZMQ_SNDMORE) >= 0 &&
+           zmq_send(socket, frame->data, frame->size_bytes, ZMQ_DONTWAIT) >= 0;
+}
+
+/** Sends a frame on the receiver's own connection to this instance, if it has
+ * one. So an answer doesn't wait until a connection is open. */
+static bool
+send_inbound(const EyPeers_t *self, const char *to, const EyBytes_t *frame)
+{
+    const PeerEntry_t *entry = g_hash_table_lookup(self->entries, to);
+    return entry != NULL && entry->inbound_id_bytes > 0 &&
+           EyClock_NowMs() - entry->inbound_ms < INBOUND_FRESH_MS &&
+           send_frame(self->listener, entry->inbound_id,
+                      entry->inbound_id_bytes, frame);
+}
+
+static bool
+send_outbound(EyPeers_t *self, const char *address, const EyBytes_t *frame)
 {
     Link_t *link = link_get(self, address);
     if (link == NULL) {
-        drop(DROP_NO_ADDRESS, message);
-        return;
+        EyMetric_Add(&Dropped[DROP_NO_ADDRESS], 1);
+        return false;
+    }
+    bool is_sent = send_frame(self->connector, &link->routing_id,
+                              sizeof(link->routing_id), frame);
+    if (!is_sent) {
+        EyMetric_Add(&Dropped[DROP_BACKLOG], 1);
     }
+    return is_sent;
+}
+
+static void
+transmit(EyPeers_t *self, const char *address, EyPeerMessage_t *message)
+{
     EyBytes_t frame = EyPeerMessage_Encode(message, message);
-    if (zmq_send(link->socket, frame.data, frame.size_bytes, ZMQ_DONTWAIT) < 0)
+    if (send_inbound(self, message->to, &frame) ||
+        send_outbound(self, address, &frame))
     {
-        drop(DROP_BACKLOG, message);
-        return;
+        EyMetric_Add(&Sent[message->kind], 1);
+        EyMetric_Add(&SentBytes[message->kind], frame.size_bytes);
     }
-    EyMetric_Add(&Sent[message->kind], 1);
-    EyMetric_Add(&SentBytes[message->kind], frame.size_bytes);
     (void)talloc_free(message);
 }
 
@@ -388,6 +461,9 @@
     case COMMAND_SEND:
         send_message(self, talloc_steal(NULL, command->message));
         break;
+    case COMMAND_KEEP_LINK:
+        (void)link_get(self, command->address);
+        break;
     case COMMAND_SET_ADDRESS:
         entry = entry_get(self, command->id);
         if (entry != NULL) {
@@ -424,7 +500,8 @@
 /* Receiving */
 
 static void
-process_frame(EyPeers_t *self, const uint8_t *data, size_t size_bytes)
+process_frame(EyPeers_t *self, const Route_t *route, const uint8_t *data,
+              size_t size_bytes)
 {
     EyPeerFault_t fault = EY_PEER_FAULT_NONE;
     EyPeerMessage_t *message = EyPeerMessage_Decode(data, size_bytes, &fault);
@@ -440,61 +517,71 @@
         drop(DROP_BLOCKED, message);
         return;
     }
-    entry_update(self, message);
+    entry_update(self, message, route);
     deliver(self, message);
 }
 
 /** Reads and drops the remaining frames of a message. */
 static void
-skip_frames(EyPeers_t *self)
+skip_frames(void *socket)
 {
     zmq_msg_t frame;
     int more = 1;
     while (more != 0) {
         (void)zmq_msg_init(&frame);
-        more = zmq_msg_recv(&frame, self->listener, ZMQ_DONTWAIT) >= 0 &&
+        more = zmq_msg_recv(&frame, socket, ZMQ_DONTWAIT) >= 0 &&
                zmq_msg_more(&frame) != 0;
         (void)zmq_msg_close(&frame);
     }
 }
 
-/** Receives one message: the sender's identity and one frame. False if none is
- * available. */
-static bool
-receive(EyPeers_t *self)
+/** Receives the frame that follows the connection's routing id. */
+static void
+receive_frame(EyPeers_t *self, void *socket, const Route_t *route)
 {
-    zmq_msg_t identity;
     zmq_msg_t frame;
-    (void)zmq_msg_init(&identity);
-    if (zmq_msg_recv(&identity, self->listener, ZMQ_DONTWAIT) < 0) {
-        (void)zmq_msg_close(&identity);
-        return false;
-    }
-    bool has_frame = zmq_msg_more(&identity) != 0;
-    (void)zmq_msg_close(&identity);
-    if (!has_frame) {
-        EyMetric_Add(&Dropped[DROP_MALFORMED], 1);
-        return true;
-    }
     (void)zmq_msg_init(&frame);
-    if (zmq_msg_recv(&frame, self->listener, ZMQ_DONTWAIT) >= 0) {
+    if (zmq_msg_recv(&frame, socket, ZMQ_DONTWAIT) >= 0) {
         if (zmq_msg_more(&frame) != 0) {
-            skip_frames(self);
+            skip_frames(socket);
             EyMetric_Add(&Dropped[DROP_MALFORMED], 1);
         }
         else {
-            process_frame(self, zmq_msg_data(&frame), zmq_msg_size(&frame));
+            process_frame(self, route, zmq_msg_data(&frame),
+                          zmq_msg_size(&frame));
         }
     }
     (void)zmq_msg_close(&frame);
-    return true;
 }
 
+/** Receives one message: the routing id of its connection and one frame. False
+ * if none is available. */
 static bool
-receive_all(EyPeers_t *self)
+receive(EyPeers_t *self, void *socket)
+{
+    zmq_msg_t routing_id;
+    (void)zmq_msg_init(&routing_id);
+    bool has_message = zmq_msg_recv(&routing_id, socket, ZMQ_DONTWAIT) >= 0;
+    if (has_message && zmq_msg_more(&routing_id) == 0) {
+        EyMetric_Add(&Dropped[DROP_MALFORMED], 1);
+    }
+    else if (has_message) {
+        const Route_t route = {
+            .socket_is_listener = socket == self->listener,
+            .id = zmq_msg_data(&routing_id),
+            .id_bytes = zmq_msg_size(&routing_id),
+        };
+        receive_frame(self, socket, &route);
+    }
+    (void)zmq_msg_close(&routing_id);
+    return has_message;
+}
+
+static bool
+receive_all(EyPeers_t *self, void *socket)
 {
     for (uint32_t i = 0; i < MESSAGES_PER_ITERATION_MAX; i++) {
-        if (!receive(self)) {
+        if (!receive(self, socket)) {
             return false;
         }
     }
@@ -509,6 +596,7 @@
     EyPeers_t *self = data;
     zmq_pollitem_t items[] = {
         {.socket = self->listener, .events = ZMQ_POLLIN},
+        {.socket = self->connector, .events = ZMQ_POLLIN},
         {.fd = EyMailbox_Descriptor(self->outbound), .events = ZMQ_POLLIN},
     };
     bool has_more = false;
@@ -516,7 +604,8 @@
         (void)zmq_poll(items, (int)G_N_ELEMENTS(items),
                        has_more ? 0 : IDLE_CHECK_INTERVAL_MS);
         has_more = run_commands(self, MESSAGES_PER_ITERATION_MAX);
-        has_more = receive_all(self) || has_more;
+        has_more = receive_all(self, self->listener) || has_more;
+        has_more = receive_all(self, self->connector) || has_more;
         close_idle_links(self);
     }
     (void)run_commands(self, OUTBOUND_CAPACITY);
@@ -545,22 +634,45 @@
 static bool
 listener_set_options(const EyPeers_t *self)
 {
-    const int64_t frame_max_bytes = EY_PEER_FRAME_MAX_BYTES;
-    return set_common_options(self->listener, self->options.listen) &&
-           zmq_setsockopt(self->listener, ZMQ_MAXMSGSIZE, &frame_max_bytes,
-                          sizeof(frame_max_bytes)) == 0 &&
+    return set_common_options(self->listener) &&
+           set_int_option(self->listener, ZMQ_IPV6,
+                          self->options.listen[0] == '[') &&
            (!self->encrypted ||
             EyPeerKeys_SetServer(&self->keys, self->listener));
 }
 
+static bool
+connector_set_options(const EyPeers_t *self)
+{
+    void *socket = self->connector;
+    return set_common_options(socket) &&
+           set_int_option(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS) &&
+           set_int_option(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS) &&
+           set_int_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
+           set_int_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
+           (!self->encrypted || EyPeerKeys_SetClient(&self->keys, socket));
+}
+
+static bool
+open_connector(EyPeers_t *self, GError **error)
+{
+    self->connector = zmq_socket(self->zmq, ZMQ_ROUTER);
+    bool ok = self->connector != NULL && connector_set_options(self);
+    if (!ok) {
+        g_set_error(error, EY_PEERS_ERROR, EY_PEERS_ERROR_LISTEN,
+                    "can't open a socket for other instances: %s",
+                    zmq_strerror(zmq_errno()));
+    }
+    return ok;
+}
+
 static bool
 start_listener(EyPeers_t *self, GError **error)
 {
-    char endpoint[EY_ADDRESS_SIZE_BYTES + 8];
+    char endpoint[ENDPOINT_SIZE_BYTES];
     size_t endpoint_bytes = sizeof(endpoint);
     self->listener = zmq_socket(self->zmq, ZMQ_ROUTER);
-    (void)g_snprintf(endpoint, sizeof(endpoint), "tcp://%s",
-                     self->options.listen);
+    make_endpoint(endpoint, sizeof(endpoint), self->options.listen);
     bool ok = self->listener != NULL && listener_set_options(self) &&
               zmq_bind(self->listener, endpoint) == 0 &&
               zmq_getsockopt(self->listener, ZMQ_LAST_ENDPOINT, endpoint,
@@ -575,15 +687,6 @@
     return true;
 }
 
-static void
-set_linger(gpointer address, gpointer data, gpointer unused)
-{
-    (void)address;
-    (void)unused;
-    const Link_t *link = data;
-    (void)set_int_option(link->socket, ZMQ_LINGER, STOP_LINGER_MS);
-}
-
 static int
 peers_destroy(EyPeers_t *self)
 {
@@ -607,10 +710,12 @@
     self->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     self->links =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, link_close);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     talloc_set_destructor(self, peers_destroy);
     (void)zmq_ctx_set(self->zmq, ZMQ_IO_THREADS, 1);
-    if (!read_keys(self, error) || !start_listener(self, error)) {
+    if (!read_keys(self, error) || !start_listener(self, error) ||
+        !open_connector(self, error))
+    {
         (void)talloc_free(self);
         return NULL;
     }
@@ -621,6 +726,16 @@
     return self;
 }
 
+/** Closes a socket after a short wait for the messages that it has queued. */
+static void
+close_socket(void *socket)
+{
+    if (socket != NULL) {
+        (void)set_int_option(socket, ZMQ_LINGER, STOP_LINGER_MS);
+        (void)zmq_close(socket);
+    }
+}
+
 void
 EyPeers_Stop(EyPeers_t *self)
 {
@@ -637,12 +752,10 @@
         (void)pthread_join(self->thread, NULL);
         self->running = false;
     }
-    g_hash_table_foreach(self->links, set_linger, NULL);
     g_hash_table_destroy(self->links);
     g_hash_table_destroy(self->entries);
-    if (self->listener != NULL) {
-        (void)zmq_close(self->listener);
-    }
+    close_socket(self->connector);
+    close_socket(self->listener);
     (void)zmq_ctx_term(self->zmq);
     self->zmq = NULL;
     explicit_bzero(&self->keys, sizeof(self->keys));
@@ -681,6 +794,15 @@
     return post(self, command);
 }
 
+bool
+EyPeers_KeepLink(EyPeers_t *self, const char *address)
+{
+    Command_t *command = EY_NEW(NULL, Command_t);
+    command->kind = COMMAND_KEEP_LINK;
+    (void)EY_COPY(command->address, address);
+    return post(self, command);
+}
+
 bool
 EyPeers_SetPeerAddress(EyPeers_t *self, const char *id, const char *address)
 {
