Record group: gateways beyond the members cost next to nothing

Cause: each gateway that isn't a member of its region's record group sent JOIN every 300 ms to the first member, all members and (since the rolling stop's mend) four contacts, and the leader took up to 16 of them as joiners, each with ten heartbeats a second, though the view is full at three replicas. In a region of 65 gateways that is about 60 x 3.3 x 9 messages a second, on machines of a tenth of a core. At a first start all gateways proposed an epoch every second.

Gateways propose an epoch one after the other by rank. Joining and leaving have a file of their own, one function counts a view's replicas.

--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -14,6 +14,10 @@
 
 #define TICK_MS 50
 #define PROPOSE_INTERVAL_MS 1000
+/** Each gateway of the region waits this much longer than the one before it in
+ * the order of ids, so that not all of them propose an epoch. */
+#define PROPOSE_RANK_DELAY_MS 300
+#define PROPOSE_RANK_MAX 10
 #define INVITE_INTERVAL_MS 200
 /** Longest time that a stop waits for a view without this instance. */
 #define LEAVE_WAIT_MAX_MS 3000
@@ -27,6 +31,8 @@
     EyGroup_t *group;
     EyRecordStorage_t *storage; /* NULL: no data folder */
     uint64_t epoch;             /* from the configuration; 0: none yet */
+    uint32_t rank;              /* among the region's gateways, by id */
+    int64_t needed_ms; /* since when an epoch is needed; 0: it isn't */
     int64_t proposed_ms;
     int64_t invited_ms;
     int64_t leaving_ms;    /* when Leave was called */
@@ -211,9 +217,19 @@
     }
     EyGroupMember_t members[EY_VIEW_MEMBERS_MAX];
     uint32_t member_count = 0;
-    if (self->epoch == 0 ||
-        EyGroup_HasLostQuorum(self->group, members, &member_count))
-    {
+    bool is_needed =
+        self->epoch == 0 ||
+        EyGroup_HasLostQuorum(self->group, members, &member_count);
+    if (!is_needed) {
+        self->needed_ms = 0;
+        return;
+    }
+    if (self->needed_ms == 0) {
+        self->needed_ms = now_ms;
+    }
+    int64_t delay_ms =
+        (int64_t)MIN(self->rank, PROPOSE_RANK_MAX) * PROPOSE_RANK_DELAY_MS;
+    if (now_ms - self->needed_ms >= delay_ms) {
         propose_epoch(self, now_ms);
     }
 }
@@ -375,6 +391,11 @@
     for (uint32_t i = 0; i < member_count; i++) {
         (void)EY_COPY(members[i].name, gateways[i]);
     }
+    const char *own_id = self->gateway->node->settings->id;
+    self->rank = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        self->rank += strcmp(gateways[i], own_id) < 0;
+    }
     EyClaims_SetMembers(self->claims, members, member_count);
     EyGroup_SetContacts(self->group, gateways, count);
 }
--- a/src/idempotency/claims.c
+++ b/src/idempotency/claims.c
@@ -138,21 +138,11 @@
     }
 }
 
-static uint32_t
-replica_count(const EyView_t *view)
-{
-    uint32_t count = 0;
-    while (count < view->member_count && !view->members[count].is_witness) {
-        count++;
-    }
-    return count;
-}
-
 /** Name of the target, or NULL if the index is past the last one. */
 static const char *
 target_name(const EyClaims_t *self)
 {
-    uint32_t count = replica_count(self->view);
+    uint32_t count = EyView_ReplicaCount(self->view);
     if (self->target < count) {
         return self->view->members[self->target].name;
     }
--- a/src/idempotency/group.c
+++ b/src/idempotency/group.c
@@ -12,12 +12,6 @@
  * neither a paused process nor a clock jump makes records expire. */
 #define AGE_STEP_MAX_MS 1000
 #define EXPIRY_INTERVAL_MS 1000
-/** Interval at which a member that isn't in the view sends JOIN. */
-#define JOIN_INTERVAL_MS 300
-/** Gateways outside the view that get each JOIN too, in turn. */
-#define JOIN_CONTACTS 4
-/** Interval at which a member that will end sends LEAVE. */
-#define LEAVE_INTERVAL_MS 100
 
 EyMetric_t EyGroup_metrics[EY_GROUP_METRIC_COUNT] = {
     [EY_GROUP_METRIC_GRANTED] = {.name = "idempotency_decisions_total",
@@ -195,66 +189,6 @@
 
 /* Events */
 
-static void
-record_incarnation(EyGroup_t *self, const EyGroupMember_t *member)
-{
-    uint32_t at = 0;
-    while (at < self->seen_count &&
-           strcmp(self->seen[at].name, member->name) != 0) {
-        at++;
-    }
-    if (at < EY_GROUP_PEERS_MAX) {
-        self->seen[at] = *member;
-        self->seen_count = MAX(self->seen_count, at + 1);
-    }
-}
-
-/** Adds an instance that asked to become a member to the leader's peers. */
-static void
-add_joiner(EyGroup_t *self, const EyGroupMember_t *member)
-{
-    Peer_t *peer = EyGroup_FindPeer(self, member->name, member->incarnation);
-    if (peer == NULL && self->peer_count < EY_GROUP_PEERS_MAX) {
-        peer = &self->peers[self->peer_count++];
-        *peer = (Peer_t){.member = *member, .is_joiner = true};
-    }
-    if (peer != NULL && peer->is_joiner) {
-        peer->last_received_ms = self->now_ms;
-    }
-}
-
-static void
-handle_join(EyGroup_t *self, const char *from, const EyGroupMessage_t *message)
-{
-    EyGroupMember_t member = {
-        .incarnation = message->from_incarnation,
-        .is_witness = message->is_witness,
-    };
-    (void)EY_COPY(member.name, from);
-    record_incarnation(self, &member);
-    EyView_t sender_view = {.epoch = message->epoch,
-                            .number = message->view_number};
-    if (EyView_IsNewer(self->view, &sender_view)) {
-        EyGroup_SendView(self, from);
-        return;
-    }
-    if (EyGroup_IsLeader(self)) {
-        add_joiner(self, &member);
-    }
-}
-
-/** Records that a member of the view will end; the next view is without it. */
-static void
-handle_leave(EyGroup_t *self, const char *from,
-             const EyGroupMessage_t *message)
-{
-    Peer_t *peer = EyGroup_FindPeer(self, from, message->from_incarnation);
-    if (EyGroup_IsLeader(self) && peer != NULL && !peer->is_joiner) {
-        peer->is_leaving = true;
-        peer->last_received_ms = self->now_ms;
-    }
-}
-
 /** Installs the view in the message if it is newer; if it is older, replies
  * with the own view. */
 static void
@@ -297,7 +231,7 @@
         return;
     }
     if (message->kind == EY_GROUP_JOIN) {
-        handle_join(self, from, message);
+        EyGroupJoin_HandleJoin(self, from, message);
         return;
     }
     if (message->kind >= EY_GROUP_CLAIM) {
@@ -310,7 +244,7 @@
         return;
     }
     if (message->kind == EY_GROUP_LEAVE) {
-        handle_leave(self, from, message);
+        EyGroupJoin_HandleLeave(self, from, message);
         return;
     }
     if (message->kind <= EY_GROUP_APPEND_ACK) {
@@ -323,16 +257,6 @@
     }
 }
 
-void
-EyGroup_SetContacts(EyGroup_t *self, const EyName_t *names, uint32_t count)
-{
-    self->contact_count = MIN(count, EY_GROUP_CONTACTS_MAX);
-    self->next_contact = 0;
-    for (uint32_t i = 0; i < self->contact_count; i++) {
-        (void)EY_COPY(self->contacts[i], names[i]);
-    }
-}
-
 static void
 handle_epoch(EyGroup_t *self, const EyGroupEvent_t *event)
 {
@@ -372,77 +296,13 @@
     }
 }
 
-static void
-send_join_to(EyGroup_t *self, const char *name)
-{
-    if (strcmp(name, self->identity.name) != 0) {
-        EyGroupMessage_t *message = EyGroup_MakeMessage(self, EY_GROUP_JOIN);
-        message->is_witness = self->identity.is_witness;
-        EyGroup_Send(self, name, message);
-    }
-}
-
-static void
-send_join(EyGroup_t *self, const EyGroupMember_t *members, uint32_t count)
-{
-    for (uint32_t i = 0; i < count; i++) {
-        send_join_to(self, members[i].name);
-    }
-}
-
-/**
- * Asks further gateways of the region. An instance that founded the epoch and
- * has restarted knows the first view only, in which it is alone; if it asked
- * nobody else, it would take the quorum for lost and found another epoch.
- */
-static void
-send_join_to_contacts(EyGroup_t *self)
-{
-    uint32_t count = MIN(JOIN_CONTACTS, self->contact_count);
-    for (uint32_t i = 0; i < count; i++) {
-        send_join_to(self, self->contacts[self->next_contact]);
-        self->next_contact = (self->next_contact + 1) % self->contact_count;
-    }
-}
-
-/** Asks to become a member, unless this process will end. */
-static void
-ask_to_join(EyGroup_t *self)
-{
-    if (self->is_leaving ||
-        self->now_ms - self->join_sent_ms < JOIN_INTERVAL_MS) {
-        return;
-    }
-    self->join_sent_ms = self->now_ms;
-    send_join(self, self->configured, self->configured_count);
-    send_join(self, self->view->members, self->view->member_count);
-    send_join_to_contacts(self);
-}
-
-/** Asks the leader for a view without this member, which will end. A member
- * with a disk keeps its place over a restart. */
-static void
-ask_to_leave(EyGroup_t *self)
-{
-    if (!self->is_leaving || self->options.has_disk ||
-        EyGroup_IsLeader(self) ||
-        self->now_ms - self->leave_sent_ms < LEAVE_INTERVAL_MS)
-    {
-        return;
-    }
-    self->leave_sent_ms = self->now_ms;
-    EyGroup_Send(self, self->view->leader,
-                 EyGroup_MakeMessage(self, EY_GROUP_LEAVE));
-}
-
 static void
 handle_tick(EyGroup_t *self)
 {
+    EyGroupJoin_Tick(self);
     if (EyGroup_Rank(self) < 0) {
-        ask_to_join(self);
         return;
     }
-    ask_to_leave(self);
     EyGroupViewChange_Tick(self);
     EyGroupClaim_Tick(self);
     if (self->now_ms - self->last_expiry_ms >= EXPIRY_INTERVAL_MS) {
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -132,6 +132,7 @@
     int64_t fenced_ms;
     int64_t join_sent_ms;
     int64_t leave_sent_ms;
+    int64_t invited_ms;
     ViewChange_t view_change;
 
     /* the leader */
@@ -223,6 +224,27 @@
 void
 EyGroupViewChange_Reset(EyGroup_t *self);
 
+/* group_join.c */
+
+/** True if a view may have one more member of this kind, or already has this
+ * member, possibly under another incarnation. */
+bool
+EyGroup_HasRoom(const EyGroup_t *self, const EyView_t *view,
+                const EyGroupMember_t *member);
+
+void
+EyGroupJoin_HandleJoin(EyGroup_t *self, const char *from,
+                       const EyGroupMessage_t *message);
+
+/** Records that a member of the view will end; the next view is without it. */
+void
+EyGroupJoin_HandleLeave(EyGroup_t *self, const char *from,
+                        const EyGroupMessage_t *message);
+
+/** Asks to join or to leave, or invites others, if that is due. */
+void
+EyGroupJoin_Tick(EyGroup_t *self);
+
 /* group_append.c */
 
 /** True while this member leads and may append records, that is order claims.
--- a/src/idempotency/group_view_change.c
+++ b/src/idempotency/group_view_change.c
@@ -174,31 +174,6 @@
             (peer->is_version_known && peer->acked_version == self->version));
 }
 
-static uint32_t
-replica_count(const EyView_t *view)
-{
-    uint32_t count = 0;
-    while (count < view->member_count && !view->members[count].is_witness) {
-        count++;
-    }
-    return count;
-}
-
-/** True if a view may have one more member of this kind, or already has this
- * member, possibly under another incarnation. */
-static bool
-has_room(const EyGroup_t *self, const EyView_t *view,
-         const EyGroupMember_t *member)
-{
-    if (EyView_Find(view, member->name, 0) >= 0) {
-        return true;
-    }
-    uint32_t replicas = replica_count(view);
-    return member->is_witness
-               ? view->member_count - replicas < self->options.witness_max
-               : replicas < self->options.replica_max;
-}
-
 static void
 remove_named(EyView_t *view, const char *name)
 {
@@ -225,7 +200,7 @@
         if (!is_joiner_ready(self, peer)) {
             continue;
         }
-        bool has_place = has_room(self, view, &peer->member);
+        bool has_place = EyGroup_HasRoom(self, view, &peer->member);
         remove_named(view, peer->member.name);
         if (has_place) {
             EyView_Add(view, &peer->member);
@@ -560,7 +535,8 @@
     for (uint32_t i = 0; i < self->peer_count; i++) {
         const Peer_t *peer = &self->peers[i];
         if (is_joiner_ready(self, peer) &&
-            has_room(self, self->view, &peer->member)) {
+            EyGroup_HasRoom(self, self->view, &peer->member))
+        {
             return true;
         }
     }
@@ -681,7 +657,7 @@
     }
     self->view_change.sent_ms = self->now_ms;
     const EyView_t *view = self->view;
-    for (uint32_t i = 0; i < replica_count(view); i++) {
+    for (uint32_t i = 0; i < EyView_ReplicaCount(view); i++) {
         EyGroup_Send(self, view->members[i].name,
                      EyGroup_MakeMessage(self, EY_GROUP_PROBE));
     }
--- a/src/idempotency/view.c
+++ b/src/idempotency/view.c
@@ -65,6 +65,16 @@
     return -1;
 }
 
+uint32_t
+EyView_ReplicaCount(const EyView_t *self)
+{
+    uint32_t count = 0;
+    while (count < self->member_count && !self->members[count].is_witness) {
+        count++;
+    }
+    return count;
+}
+
 bool
 EyView_IsNewer(const EyView_t *a, const EyView_t *b)
 {
--- a/src/idempotency/view.h
+++ b/src/idempotency/view.h
@@ -55,6 +55,10 @@
 bool
 EyView_IsNewer(const EyView_t *a, const EyView_t *b);
 
+/** Number of members that aren't witnesses; they rank first. */
+uint32_t
+EyView_ReplicaCount(const EyView_t *self);
+
 /** True if the members in ranks, a bit for each rank, are a quorum: at least
  * one replica, and either a majority or exactly half with the first rank. */
 bool
