Requests bound to a region that is full join its queue

Cause: a request that may run only in other regions was forwarded only where the region's summary accepts requests and this gateway's part of its free slots isn't used up.

Change: if no region has room, such a request goes to the allowed region with the lowest expected cost whose announced wait meets the deadline, and is queued or refused there like that region's own. One that may run here is forwarded as before, only where there is room.

Test: router_engines::a_request_bound_to_a_full_region_joins_its_queue, refused without the change.

--- a/src/routing/remote_regions.c
+++ b/src/routing/remote_regions.c
@@ -210,14 +210,13 @@
            finish_ms(state, config, request) < limit_ms;
 }
 
-const char *
-EyRemoteRegions_Choose(EyRemoteRegions_t *self, int64_t now_ms,
-                       const EyRoutingConfig_t *config,
-                       const EyRoutingRequest_t *request, double limit_ms,
-                       uint32_t gateways)
+/** The region with the lowest cost among those that can meet limit_ms, or
+ * NULL; if needs_room, only among those that have room. */
+static Region_t *
+find_best(EyRemoteRegions_t *self, int64_t now_ms,
+          const EyRoutingConfig_t *config, const EyRoutingRequest_t *request,
+          double limit_ms, uint32_t gateways, bool needs_room)
 {
-    double left_ms = (double)(request->deadline_ms - now_ms);
-    limit_ms = limit_ms < left_ms ? limit_ms : left_ms;
     Region_t *best = NULL;
     double best_ms = INFINITY;
     for (uint32_t i = 0; i < self->region_count; i++) {
@@ -231,12 +230,30 @@
          * same region. */
         double cost_ms = finish_ms(state, config, request) *
                          (1.0 + JITTER_SHARE * EyRandom_Unit(&self->random));
-        if (cost_ms < best_ms &&
-            has_room(region, state, now_ms, config, gateways)) {
+        bool fits =
+            !needs_room || has_room(region, state, now_ms, config, gateways);
+        if (cost_ms < best_ms && fits) {
             best = region;
             best_ms = cost_ms;
         }
     }
+    return best;
+}
+
+const char *
+EyRemoteRegions_Choose(EyRemoteRegions_t *self, int64_t now_ms,
+                       const EyRoutingConfig_t *config,
+                       const EyRoutingRequest_t *request, double limit_ms,
+                       uint32_t gateways, bool must_leave)
+{
+    double left_ms = (double)(request->deadline_ms - now_ms);
+    limit_ms = limit_ms < left_ms ? limit_ms : left_ms;
+    Region_t *best =
+        find_best(self, now_ms, config, request, limit_ms, gateways, true);
+    if (best == NULL && must_leave) {
+        best = find_best(self, now_ms, config, request, limit_ms, gateways,
+                         false);
+    }
     if (best == NULL ||
         !EyLinkBudget_Take(&best->link, now_ms,
                            EyRemoteRegions_LinkBytes(request, config),
--- a/src/routing/remote_regions.h
+++ b/src/routing/remote_regions.h
@@ -47,13 +47,14 @@
  * and within limit_ms from now, with random jitter among regions that are
  * about equal, and charges its link budget; NULL if there is none. gateways is
  * the number of gateways of the local region, which are assumed to forward as
- * this one does.
+ * this one does. A request that must leave the local region also goes to a
+ * region without free slots, whose queue it joins like that region's own.
  */
 const char *
 EyRemoteRegions_Choose(EyRemoteRegions_t *self, int64_t now_ms,
                        const EyRoutingConfig_t *config,
                        const EyRoutingRequest_t *request, double limit_ms,
-                       uint32_t gateways);
+                       uint32_t gateways, bool must_leave);
 
 /**
  * Chooses at random one of the allowed regions of the request without a fresh
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -217,10 +217,10 @@
     {
         return false;
     }
+    bool must_leave = !EyRoutingRequest_MayRunIn(request, self->region);
     const char *region =
         EyRemoteRegions_Choose(self->remote_regions, now_ms, &self->config,
-                               request, limit_ms, self->gateways);
-    bool must_leave = !EyRoutingRequest_MayRunIn(request, self->region);
+                               request, limit_ms, self->gateways, must_leave);
     if (region == NULL && must_leave) {
         region = EyRemoteRegions_ChooseUnreported(self->remote_regions, now_ms,
                                                   &self->config, request);
--- a/tests/unit/test_router_engines.c
+++ b/tests/unit/test_router_engines.c
@@ -240,3 +240,47 @@
         talloc_free(ctx);
     }
 }
+
+typedef struct FullRegionCase {
+    const char *name;
+    const char *allowed_region;
+    int64_t expected_wait_ms;
+    EyDecisionKind_t kind;
+} FullRegionCase_t;
+
+static const FullRegionCase_t FullRegionCases[] = {
+    {"bound there, and the queue is short enough", "dalmacija", 300,
+     EY_DECISION_FORWARD},
+    {"bound there, and the queue is too long", "dalmacija", 60000,
+     EY_DECISION_REFUSE},
+    {"bound to this region", "istra", 300, EY_DECISION_DISPATCH},
+};
+
+/* A region whose gateways queue and serve its own callers says that it has no
+ * room. A request that may run nowhere else was refused without a try. */
+Test(router_engines, a_request_bound_to_a_full_region_joins_its_queue)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(FullRegionCases); i++) {
+        const FullRegionCase_t *test = &FullRegionCases[i];
+        void *ctx = talloc_new(NULL);
+        EyRouter_t *router = make_router(ctx, 1, 1);
+        EyName_t allowed;
+        (void)EY_COPY(allowed, test->allowed_region);
+        EyRoutingRequest_t request = make_request(1, 7);
+        request.allowed_regions = &allowed;
+        request.allowed_region_count = 1;
+        request.may_forward_to_allowed = true;
+        EyRegionSummary_t summary = {
+            .region = "dalmacija",
+            .kind = request.kind,
+            .expected_wait_ms = test->expected_wait_ms,
+            .unit_ms = 1.0,
+        };
+        (void)EY_COPY(summary.target, request.target);
+        EyRouter_SetSummary(router, NOW_MS, &summary);
+        EyRoutingDecision_t decision = submit(router, &request);
+        cr_expect_eq(decision.kind, test->kind, "%s: %s", test->name,
+                     EyDecision_kind_names[decision.kind]);
+        talloc_free(ctx);
+    }
+}
