--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -18,7 +18,6 @@
 
 #define TICK_MS 50
 #define WRITE_QUEUE_MAX 1024
-#define WRITE_RETRY_MS 1000
 /* Longest wait of a read until the store has every entry that was committed
  * before the read. */
 #define READ_TIMEOUT_MS 800
--- a/src/control/server_list.c
+++ b/src/control/server_list.c
@@ -111,7 +111,11 @@
                 write_all(file, packed->data, packed->size_bytes) &&
                 fdatasync(file) == 0;
     if (file >= 0) {
-        done = close(file) == 0 && done;
+        /* The first failure is the one to report. */
+        int cause = errno;
+        bool is_closed = close(file) == 0;
+        errno = done ? errno : cause;
+        done = done && is_closed;
     }
     return done;
 }
--- a/src/daemons/ebonyyard_load.c
+++ b/src/daemons/ebonyyard_load.c
@@ -164,6 +164,7 @@
     void *ctx = talloc_new(NULL);
     GError *error = NULL;
     EyLoadRunReport_t *report = NULL;
+    int code = EY_EXIT_SETTINGS;
     options->workload = EyWorkload_Read(
         ctx, flags->workload != NULL ? flags->workload : "", &error);
     if (options->workload != NULL) {
@@ -171,13 +172,17 @@
     }
     if (report != NULL) {
         write_report(flags, report);
+        code = 0;
     }
     else {
+        bool is_usage =
+            !g_error_matches(error, EY_LOAD_ERROR, EY_LOAD_ERROR_CLIENT);
+        code = is_usage ? EY_EXIT_SETTINGS : EXIT_FAILURE;
         (void)fprintf(stderr, "ebonyyard-load: %s\n", error->message);
         g_clear_error(&error);
     }
     talloc_free(ctx);
-    return report != NULL ? 0 : EY_EXIT_SETTINGS;
+    return code;
 }
 
 int
--- a/src/load/load_run.c
+++ b/src/load/load_run.c
@@ -399,11 +399,16 @@
     self->nonce = EyRandom_SystemSeed();
     self->loop = tevent_context_init(self);
     self->client = EyLoadClient_New(self, self->loop, on_call_end, self);
+    if (self->client == NULL) {
+        g_set_error(error, EY_LOAD_ERROR, EY_LOAD_ERROR_CLIENT,
+                    "libcurl can't be initialized");
+        talloc_free(self);
+        return NULL;
+    }
     make_sources(self);
-    if (self->client == NULL || self->source_count == 0) {
+    if (self->source_count == 0) {
         g_set_error(error, EY_LOAD_ERROR, EY_LOAD_ERROR_USAGE,
-                    "no gateway is in a region of the workload, or libcurl "
-                    "can't be initialized");
+                    "no gateway is in a region of the workload");
         talloc_free(self);
         return NULL;
     }
--- a/src/operators/operators.c
+++ b/src/operators/operators.c
@@ -508,6 +508,9 @@
     return handle_evacuation(request, EY_COMMAND_RESTORE_ZONE, rest);
 }
 
+/** Room for the methods of one path. */
+#define ALLOWED_SIZE_BYTES 64
+
 typedef struct Route {
     const char *method;
     const char *prefix;
@@ -540,7 +543,8 @@
 find_route(const EyRequest_t *request, const EyStore_t *store,
            const char *path)
 {
-    const char *allowed = NULL;
+    /* The methods of the path, separated by commas. */
+    char allowed[ALLOWED_SIZE_BYTES] = "";
     for (size_t i = 0; i < G_N_ELEMENTS(Routes); i++) {
         const Route_t *route = &Routes[i];
         if (!matches(route, path)) {
@@ -549,9 +553,11 @@
         if (strcmp(route->method, request->method) == 0) {
             return route->handle(request, store, path + strlen(route->prefix));
         }
-        allowed = route->method;
+        (void)g_strlcat(allowed, allowed[0] != '\0' ? ", " : "",
+                        sizeof(allowed));
+        (void)g_strlcat(allowed, route->method, sizeof(allowed));
     }
-    if (allowed != NULL) {
+    if (allowed[0] != '\0') {
         return wrong_method(allowed);
     }
     return reply_with(
--- a/tests/unit/test_operators.c
+++ b/tests/unit/test_operators.c
@@ -40,6 +40,7 @@
     {"GET", "/v1/config/history", NULL, 200, "history"},
     {"GET", "/v1/config/other", NULL, 404, ""},
     {"POST", "/v1/config", NULL, 405, "GET"},
+    {"POST", "/v1/config/routes", NULL, 405, "GET, PUT"},
     {"PUT", "/v1/config/defaults/callers.ttl_s", "{" CHANGE ",\"value\":5}", 0,
      ""},
     {"PUT", "/v1/config/defaults/callers.ttl_s",
