--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -85,9 +85,9 @@
 bool
 EyPeers_Send(EyPeers_t *self, EyPeerMessage_t *message);
 
-/** Opens a connection to an address, or keeps it open, so that the next message
- * there doesn't wait for it; from any thread. To be repeated within a minute.
- * False if the outbound queue is full. */
+/** Opens a connection to an address, or keeps it open, so that the next
+ * message there doesn't wait for it; from any thread. To be repeated within a
+ * minute. False if the outbound queue is full. */
 bool
 EyPeers_KeepLink(EyPeers_t *self, const char *address);
 
