Record group: every contact gets its turn

Cause, found at the last reading of the change: the list of contacts is set every half second, and each time the turn began anew, so that a gateway without a current view asked only the first four to eight of its region, and a leader with room showed its view to the first two only.

Change: the turn goes on where it was while the list is long enough.

Test: group::every_contact_is_asked_though_the_list_is_set_again, 8 of 12 not asked before.

--- a/src/idempotency/group_join.c
+++ b/src/idempotency/group_join.c
@@ -30,6 +30,8 @@
                : replicas < self->options.replica_max;
 }
 
+/** Keeps the newest known incarnation of an instance, from which a member can
+ * tell that others of its view have restarted without their state. */
 static void
 record_incarnation(EyGroup_t *self, const EyGroupMember_t *member)
 {
@@ -94,7 +96,10 @@
 EyGroup_SetContacts(EyGroup_t *self, const EyName_t *names, uint32_t count)
 {
     self->contact_count = MIN(count, EY_GROUP_CONTACTS_MAX);
-    self->next_contact = 0;
+    /* The turn goes on where it was: the list is set every half second. */
+    if (self->next_contact >= self->contact_count) {
+        self->next_contact = 0;
+    }
     for (uint32_t i = 0; i < self->contact_count; i++) {
         (void)EY_COPY(self->contacts[i], names[i]);
     }
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -488,3 +488,46 @@
     cr_assert_not_null(decision);
     talloc_free(ctx);
 }
+
+#define CONTACT_COUNT 12
+
+/** Marks the contacts that the member sends JOIN to. */
+static void
+mark_asked(const EyGroupActions_t *actions, const EyName_t *contacts,
+           bool *asked)
+{
+    for (uint32_t i = 0; i < actions->count; i++) {
+        const EyGroupAction_t *action = actions->items[i];
+        for (uint32_t c = 0; c < CONTACT_COUNT; c++) {
+            asked[c] |= action->kind == EY_GROUP_ACTION_SEND &&
+                        action->message->kind == EY_GROUP_JOIN &&
+                        strcmp(action->to, contacts[c]) == 0;
+        }
+    }
+}
+
+/** The contacts are set again and again, as members change; each of them must
+ * be asked in its turn all the same. */
+Test(group, every_contact_is_asked_though_the_list_is_set_again)
+{
+    void *ctx = talloc_new(NULL);
+    EyGroupOptions_t options = {
+        .name = "late", .region = "istra", .incarnation = 9};
+    EyGroup_t *group = EyGroup_New(ctx, &options, NULL, 1000);
+    EyName_t contacts[CONTACT_COUNT];
+    bool asked[CONTACT_COUNT] = {false};
+    for (uint32_t c = 0; c < CONTACT_COUNT; c++) {
+        (void)g_snprintf(contacts[c], sizeof(contacts[c]), "gw-%u", c);
+    }
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_TICK};
+    for (int64_t now_ms = 1500; now_ms <= 4000; now_ms += 500) {
+        EyGroup_SetContacts(group, contacts, CONTACT_COUNT);
+        EyGroupActions_t *actions = EyGroupActions_New(ctx);
+        EyGroup_Step(group, now_ms, &event, actions);
+        mark_asked(actions, contacts, asked);
+    }
+    for (uint32_t c = 0; c < CONTACT_COUNT; c++) {
+        cr_expect(asked[c], "%s was not asked", contacts[c]);
+    }
+    talloc_free(ctx);
+}
