Review: one rank of a gateway, one name for the retry ratio

The record group worked out this gateway's rank among its region's again, next to rank_of in cluster_updates; it is given it now. Two functions got comments. No change of behaviour.

--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -33,7 +33,7 @@
     SETTING_TAKES_JOINERS,
     SETTING_STOP_LINGER,
     SETTING_BACKEND_TTL,
-    SETTING_RETRY_PERMILLE,
+    SETTING_RETRY_RATIO,
     SETTING_RETRY_SLACK,
     SETTING_RETRY_WINDOW,
     SETTING_DATA_DIR,
@@ -423,12 +423,12 @@
                              .default_text = "3000",
                              .expected = "1 to 60000 milliseconds",
                              .read = read_backend_ttl},
-    [SETTING_RETRY_PERMILLE] = {.flag = "retry-ratio",
-                                .help = "retries that the fleet may make for "
-                                        "each request",
-                                .default_text = "0.1",
-                                .expected = "a number from 0 to 1",
-                                .read = read_retry_ratio},
+    [SETTING_RETRY_RATIO] = {.flag = "retry-ratio",
+                             .help = "retries that the fleet may make for "
+                                     "each request",
+                             .default_text = "0.1",
+                             .expected = "a number from 0 to 1",
+                             .read = read_retry_ratio},
     [SETTING_RETRY_SLACK] = {.flag = "retry-slack",
                              .help = "further retries that the fleet may make "
                                      "in each window",
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -173,6 +173,8 @@
     }
 }
 
+/** The gateway of a remote region that this one forwards to; NULL if none is
+ * known to be alive. */
 static const EyMember_t *
 find_remote_gateway(EyGateway_t *self, const char *region)
 {
@@ -273,8 +275,9 @@
     EyMembership_Each(membership, collect_local_region, scan);
     EyMembership_EachContact(membership, collect_contact, scan);
     uint32_t gateway_count = scan->gateway_count;
+    uint32_t rank = rank_of(self->node->settings->id, scan);
     EyGatewayRecords_SetCandidates(self->records, scan->gateways,
-                                   gateway_count);
+                                   gateway_count, rank);
     const EySettings_t *settings = self->node->settings;
     bool is_alone = settings->standalone && settings->peer_count == 0 &&
                     settings->control_count == 0;
@@ -285,8 +288,7 @@
     }
     g_hash_table_destroy(scan->places);
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
-    EyRouter_SetRank(self->router, EyClock_NowMs(),
-                     rank_of(self->node->settings->id, scan), gateway_count);
+    EyRouter_SetRank(self->router, EyClock_NowMs(), rank, gateway_count);
     EyGateway_SetSources(self, scan->gateways, gateway_count, scan->controls,
                          scan->control_count);
     talloc_free(ctx);
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -384,18 +384,15 @@
 
 void
 EyGatewayRecords_SetCandidates(EyGatewayRecords_t *self,
-                               const EyName_t *gateways, uint32_t count)
+                               const EyName_t *gateways, uint32_t count,
+                               uint32_t rank)
 {
     EyGroupMember_t members[EY_VIEW_MEMBERS_MAX] = {0};
     uint32_t member_count = MIN(count, EY_VIEW_MEMBERS_MAX);
     for (uint32_t i = 0; i < member_count; i++) {
         (void)EY_COPY(members[i].name, gateways[i]);
     }
-    const char *own_id = self->gateway->node->settings->id;
-    self->rank = 0;
-    for (uint32_t i = 0; i < count; i++) {
-        self->rank += strcmp(gateways[i], own_id) < 0;
-    }
+    self->rank = rank;
     EyClaims_SetMembers(self->claims, members, member_count);
     EyGroup_SetContacts(self->group, gateways, count);
 }
--- a/src/gateway/records.h
+++ b/src/gateway/records.h
@@ -32,11 +32,12 @@
 void
 EyGatewayRecords_Configure(EyGatewayRecords_t *self, const EyStore_t *store);
 
-/** Sets the gateways of the region that are alive. Claims may ask them for
- * the view of the record group. */
+/** Sets the gateways of the region that are alive, and this one's rank among
+ * them. Claims may ask them for the view of the record group. */
 void
 EyGatewayRecords_SetCandidates(EyGatewayRecords_t *self,
-                               const EyName_t *gateways, uint32_t count);
+                               const EyName_t *gateways, uint32_t count,
+                               uint32_t rank);
 
 void
 EyGatewayRecords_Receive(EyGatewayRecords_t *self,
