Stop: a gateway waits a second for requests on open connections

A stopping gateway ended as soon as no request was in flight: a connection that had been accepted but whose request had not been read, or whose head was half read, was closed, and so was one on which the body of a refused call was still being discarded. Change: EyServer_IsIdle; after quiesce open connections may deliver a request for a second (the time that callers wait for a request to be read), and draining sockets count. Result: the new test (late request on an open connection, three cases) fails before in two cases ('' in place of an answer) and passes after.

--- a/src/callers/listener.c
+++ b/src/callers/listener.c
@@ -103,3 +103,11 @@
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_BIND_PORT);
     return info != NULL ? info->port : 0;
 }
+
+uint32_t
+EyListener_ConnectionCount(struct MHD_Daemon *daemon)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info != NULL ? info->num_connections : 0;
+}
--- a/src/callers/listener.h
+++ b/src/callers/listener.h
@@ -26,6 +26,10 @@
 uint16_t
 EyListener_Port(struct MHD_Daemon *daemon);
 
+/** Number of open connections. */
+uint32_t
+EyListener_ConnectionCount(struct MHD_Daemon *daemon);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -44,6 +44,7 @@
     pthread_mutex_t lock;
     EyRandom_t random;    /* under the lock */
     GHashTable *inbounds; /* by number; under the lock */
+    int64_t quiesced_ms;  /* 0: not quiesced */
     bool closing;         /* under the lock: answers close their connections */
     bool stopping;        /* under the lock */
 };
@@ -549,6 +550,31 @@
     return count;
 }
 
+static bool
+has_connections(const EyServer_t *self)
+{
+    for (uint32_t i = 0; i < self->listener_count; i++) {
+        if (EyListener_ConnectionCount(self->listeners[i].daemon) > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EyServer_IsIdle(const EyServer_t *self)
+{
+    if (EyServer_InFlight(self) > 0 ||
+        EySocketWatcher_IsDraining(self->socket_watcher))
+    {
+        return false;
+    }
+    bool may_deliver =
+        self->quiesced_ms == 0 ||
+        EyClock_NowMs() - self->quiesced_ms < EY_SERVER_LATE_REQUEST_MS;
+    return !may_deliver || !has_connections(self);
+}
+
 /** Accepts the connections that wait in the kernel's queue. */
 static void
 accept_queued(const Listener_t *self)
@@ -592,6 +618,9 @@
 EyServer_Quiesce(EyServer_t *self)
 {
     EyServer_CloseAfterAnswers(self);
+    if (self->quiesced_ms == 0) {
+        self->quiesced_ms = EyClock_NowMs();
+    }
     for (uint32_t i = 0; i < self->listener_count; i++) {
         quiesce_listener(&self->listeners[i]);
     }
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -37,6 +37,10 @@
     const EyHeaderNames_t *names; /* NULL: EyHeaderNames_native */
 } EyServerHooks_t;
 
+/** How long after EyServer_Quiesce open connections may deliver a request:
+ * callers wait about a second for a request to be read. */
+#define EY_SERVER_LATE_REQUEST_MS 1000
+
 /** Most addresses that one server listens on. */
 #define EY_SERVER_LISTENERS_MAX 6
 
@@ -70,6 +74,15 @@
 uint32_t
 EyServer_InFlight(const EyServer_t *self);
 
+/**
+ * True if the server can be stopped without loss to a caller: no request is in
+ * flight, no refused body is being read, and no open connection may still
+ * deliver a request. Once the server is quiesced, connections may do so for
+ * EY_SERVER_LATE_REQUEST_MS.
+ */
+bool
+EyServer_IsIdle(const EyServer_t *self);
+
 /** From now on connections are closed after their current answer. */
 void
 EyServer_CloseAfterAnswers(EyServer_t *self);
@@ -80,8 +93,7 @@
 EyServer_Quiesce(EyServer_t *self);
 
 /** Stops the threads and frees the server. Requests still in flight are
- * aborted; to avoid that, quiesce first and wait for EyServer_InFlight to be
- * 0. */
+ * aborted; to avoid that, quiesce first and wait for EyServer_IsIdle. */
 void
 EyServer_Stop(EyServer_t *self);
 
--- a/src/callers/socket_watcher.c
+++ b/src/callers/socket_watcher.c
@@ -183,6 +183,16 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
+bool
+EySocketWatcher_IsDraining(const EySocketWatcher_t *self)
+{
+    EySocketWatcher_t *watcher = (EySocketWatcher_t *)self;
+    (void)pthread_mutex_lock(&watcher->lock);
+    bool is_draining = watcher->drain_count > 0;
+    (void)pthread_mutex_unlock(&watcher->lock);
+    return is_draining;
+}
+
 void
 EySocketWatcher_Stop(EySocketWatcher_t *self)
 {
--- a/src/callers/socket_watcher.h
+++ b/src/callers/socket_watcher.h
@@ -9,6 +9,7 @@
 #ifndef EY_CALLERS_SOCKET_WATCHER_H
 #define EY_CALLERS_SOCKET_WATCHER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -41,6 +42,10 @@
 void
 EySocketWatcher_Drain(EySocketWatcher_t *self, int socket);
 
+/** True while the bytes of a refused caller are being discarded. */
+bool
+EySocketWatcher_IsDraining(const EySocketWatcher_t *self);
+
 /** Stops the thread, closes all draining sockets and frees the watcher. */
 void
 EySocketWatcher_Stop(EySocketWatcher_t *self);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -254,7 +254,7 @@
             return false;
         }
     }
-    return EyServer_InFlight(self->server) == 0;
+    return EyServer_IsIdle(self->server);
 }
 
 static void
--- a/tests/process/test_stop.c
+++ b/tests/process/test_stop.c
@@ -1,13 +1,20 @@
 /* Planned stops under load: requests in flight must complete. */
 #include "process/fleet.h"
+#include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define CALLERS 4
+#define ANSWER_WAIT_MS 5000
+/* Longer than the interval at which a stopping gateway looks whether it may
+ * end, shorter than it waits for requests on open connections. */
+#define LATE_REQUEST_MS 400
+#define SIGNAL_HANDLED_MS 20
 
 static Fleet_t Fleet;
 
@@ -129,6 +136,60 @@
     check_callers(callers);
 }
 
+/** What a caller sends late on a connection that was open at the stop. */
+typedef struct LateRequestCase {
+    const char *label;
+    const char *before; /* sent before the stop */
+    const char *early;  /* sent right after the stop */
+    const char *late;   /* sent LATE_REQUEST_MS later */
+} LateRequestCase_t;
+
+static const LateRequestCase_t LateRequestCases[] = {
+    {.label = "nothing read yet",
+     .before = "",
+     .early = "",
+     .late = "GET /v1/services/booking/seats HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {.label = "half of the head read",
+     .before = "GET /v1/services/booking/seats HTTP/1.1\r\n",
+     .early = "Host: a\r\n",
+     .late = "\r\n"},
+    {.label = "refused before its body was read",
+     .before = "",
+     .early = "POST /v1/services/booking/purchases HTTP/1.1\r\nHost: a\r\n"
+              "Idempotency-Key: late\r\nContent-Length: 4\r\n\r\n",
+     .late = "body"},
+};
+
+static void
+check_late_request(const LateRequestCase_t *test)
+{
+    Fleet_Start(&Fleet, 1, 1);
+    Process_t *gateway = &Fleet.regions[0].gateways[0];
+    int socket = raw_connect(gateway->port);
+    (void)raw_send_text(socket, test->before);
+    Process_Signal(gateway, SIGTERM);
+    Harness_SleepMs(SIGNAL_HANDLED_MS);
+    (void)raw_send_text(socket, test->early);
+    Harness_SleepMs(LATE_REQUEST_MS);
+    (void)raw_send_text(socket, test->late);
+    char text[RAW_TEXT_MAX_BYTES];
+    (void)raw_read_until(socket, NULL, ANSWER_WAIT_MS, text);
+    cr_expect_not_null(strstr(text, "Ebonyyard-Outcome: "), "%s: '%s'",
+                       test->label, text);
+    (void)close(socket);
+    cr_expect_eq(Process_Wait(gateway, 20000), 0, "%s", test->label);
+    Fleet_Kill(&Fleet);
+}
+
+Test(stop, requests_on_open_connections_are_answered_after_the_stop)
+{
+    for (size_t i = 0;
+         i < sizeof(LateRequestCases) / sizeof(LateRequestCases[0]); i++)
+    {
+        check_late_request(&LateRequestCases[i]);
+    }
+}
+
 Test(stop, a_backend_server_that_leaves_fails_no_request)
 {
     Fleet_Start(&Fleet, 1, 2);
