Links between gateways: a path in use isn't changed

Since a message takes the receiver's own connection while something came on it within 5 s, else the other one. Once the other end answers on that other connection, nothing comes on the first any more, and 5 s later a stream in progress moves over; parts may overtake each other, and a gap in their numbers breaks the answer off. Change: EyPeerPath decides, with the time passed in: the connection is changed only after 2 s without a message, on failure, or when the other instance has restarted.

--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -6,6 +6,7 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "instances/peer_message.h"
+#include "instances/peer_path.h"
 #include "instances/peer_secret.h"
 
 #include <pthread.h>
@@ -30,9 +31,6 @@
  * without power drops the first SYN, and the kernel retransmits it only after
  * seconds. */
 #define CONNECT_TIMEOUT_MS 400
-/* A connection of another instance to this one is used for messages to that
- * instance while it has sent something on it within this time. */
-#define INBOUND_FRESH_MS 5000
 /* Longest routing id of ZeroMQ that is kept. */
 #define ROUTING_ID_MAX_BYTES 16
 /* An unused connection is closed after this time. */
@@ -73,11 +71,10 @@
     EyAddress_t address;
     uint64_t incarnation; /* highest one seen in a message */
     bool blocked;
-    /* The instance's own connection to this one, and when it was last used;
-     * size 0: none. */
+    /* The instance's own connection to this one; size 0: none. */
     uint8_t inbound_id[ROUTING_ID_MAX_BYTES];
     size_t inbound_id_bytes;
-    int64_t inbound_ms;
+    EyPeerPath_t path;
 } PeerEntry_t;
 
 /** An outgoing connection to one address. Routing ids aren't used twice:
@@ -301,7 +298,7 @@
     if (route->socket_is_listener && route->id_bytes <= ROUTING_ID_MAX_BYTES) {
         memcpy(entry->inbound_id, route->id, route->id_bytes);
         entry->inbound_id_bytes = route->id_bytes;
-        entry->inbound_ms = EyClock_NowMs();
+        EyPeerPath_Received(&entry->path, EyClock_NowMs());
     }
 }
 
@@ -318,8 +315,11 @@
     if (entry == NULL || message->from_incarnation < entry->incarnation) {
         return;
     }
-    record_inbound(entry, route);
     bool is_newer = message->from_incarnation > entry->incarnation;
+    if (is_newer) {
+        EyPeerPath_Restarted(&entry->path);
+    }
+    record_inbound(entry, route);
     if (entry->address[0] == '\0' || is_newer) {
         (void)EY_COPY(entry->address, message->from_address);
     }
@@ -385,14 +385,14 @@
            zmq_send(socket, frame->data, frame->size_bytes, ZMQ_DONTWAIT) >= 0;
 }
 
-/** Sends a frame on the receiver's own connection to this instance, if it has
- * one. So an answer doesn't wait until a connection is open. */
+/** Sends a frame on the receiver's own connection to this instance, if that is
+ * the path. So an answer doesn't wait until a connection is open. */
 static bool
-send_inbound(const EyPeers_t *self, const char *to, const EyBytes_t *frame)
+send_inbound(const EyPeers_t *self, const PeerEntry_t *entry,
+             const EyBytes_t *frame)
 {
-    const PeerEntry_t *entry = g_hash_table_lookup(self->entries, to);
     return entry != NULL && entry->inbound_id_bytes > 0 &&
-           EyClock_NowMs() - entry->inbound_ms < INBOUND_FRESH_MS &&
+           EyPeerPath_PrefersInbound(&entry->path, EyClock_NowMs()) &&
            send_frame(self->listener, entry->inbound_id,
                       entry->inbound_id_bytes, frame);
 }
@@ -417,9 +417,12 @@
 transmit(EyPeers_t *self, const char *address, EyPeerMessage_t *message)
 {
     EyBytes_t frame = EyPeerMessage_Encode(message, message);
-    if (send_inbound(self, message->to, &frame) ||
-        send_outbound(self, address, &frame))
-    {
+    PeerEntry_t *entry = g_hash_table_lookup(self->entries, message->to);
+    bool inbound = send_inbound(self, entry, &frame);
+    if (inbound || send_outbound(self, address, &frame)) {
+        if (entry != NULL) {
+            EyPeerPath_Sent(&entry->path, EyClock_NowMs(), inbound);
+        }
         EyMetric_Add(&Sent[message->kind], 1);
         EyMetric_Add(&SentBytes[message->kind], frame.size_bytes);
     }
