Routing of prompts: what engines evict is estimated, copies and second reads have a price

Gateways tell each other how many tokens they sent. - The source of a copy is the engine that used the part last and has had time to prefill it. A source that is only assumed isn't taken any more. - Shared tokens that are copied or prefilled again cost 1.0 and 2.0 times their prefill in the choice, beside the time that they take. - Engines of equal cost are drawn by rendezvous rank of the shared part, if they have at most 1.25 times the mean load, else at random. - Parts shorter than 128 tokens aren't reported; others again after 2 s (5), to other regions every 0.3 s (1).

--- a/src/backends/backend.c
+++ b/src/backends/backend.c
@@ -50,6 +50,7 @@
     EY_FIELD(EyBackend_t, incarnation, EY_FIELD_U64),
     EY_FIELD(EyBackend_t, is_cold, EY_FIELD_BOOL),
     EY_FIELD(EyBackend_t, cold_per_s, EY_FIELD_F64),
+    EY_FIELD(EyBackend_t, cache_tokens, EY_FIELD_F64),
     EY_FIELD_END,
 };
 const EySchema_t EyBackend_schema = EY_SCHEMA(EyBackend_t, BackendFields);
--- a/src/backends/backend.h
+++ b/src/backends/backend.h
@@ -60,6 +60,8 @@
     bool is_cold;         /* started recently; can't take full load yet */
     double cold_per_s;    /* requests a second that it takes from all
                              gateways while cold; 0: no limit */
+    double cache_tokens;  /* that a model engine can keep in memory, of running
+                             requests and of prompts before; 0: unknown */
 } EyBackend_t;
 
 extern const EySchema_t EyBackendLoad_schema;
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -39,6 +39,7 @@
     const EyServiceRule_t *service = find_service(self, backend);
     if (service != NULL) {
         effective.cold_per_s = service->cold_per_s;
+        effective.cache_tokens = service->engine.kv_capacity;
     }
     EyRouter_UpsertBackend(self->router, now_ms, &effective);
 }
--- a/src/gateway/engine_updates.c
+++ b/src/gateway/engine_updates.c
@@ -1,6 +1,6 @@
 /* Engine updates: sent to the gateways of the local region every 0.2 to 1.2 s,
  * less often the more of them there are, and to one gateway of each remote
- * region once a second. */
+ * region several times a second. */
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
@@ -17,7 +17,7 @@
 /* Interval between updates that contain no engines. The first of them, after
  * one that did, is sent without this delay. */
 #define IDLE_UPDATE_INTERVAL_MS 1000
-#define REMOTE_UPDATE_INTERVAL_MS 1000
+#define REMOTE_UPDATE_INTERVAL_MS 300
 
 /** An update that is being sent to the gateways of the local region. */
 typedef struct Broadcast {
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -13,6 +13,7 @@
     EY_FIELD(EyEngineUpdateEntry_t, reading_tokens, EY_FIELD_U32),
     EY_FIELD_ARRAY_OF(EyEngineUpdateEntry_t, held, held_count, HeldSchema,
                       EY_ENGINE_UPDATE_PREFIXES_MAX),
+    EY_FIELD(EyEngineUpdateEntry_t, taken_tokens, EY_FIELD_U32),
     EY_FIELD_END,
 };
 static const EySchema_t WordSchema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -31,6 +31,8 @@
     uint32_t reading_tokens; /* sent by the sender and still in prefill */
     EyCachedPrefix_t *held;  /* cached since the last update */
     uint32_t held_count;
+    uint32_t taken_tokens; /* that the sender's requests brought to its cache
+                              since the last update */
 } EyEngineUpdateEntry_t;
 
 /** The update of one gateway. An engine of its region that isn't listed has no
--- a/src/routing/policy.c
+++ b/src/routing/policy.c
@@ -7,10 +7,18 @@
  * load reports don't all choose the same replica. */
 #define NEAR_BEST_FACTOR 1.1
 #define NEAR_BEST_MS 2.0
+/** A candidate is preferred for a prompt's shared prefix while its load is at
+ * most this many times the mean. */
+#define PREFERRED_LOAD_FACTOR 1.25
 
-static uint32_t
-choose_expected_finish(const EyCandidate_t *candidates, uint32_t count,
-                       EyPolicyState_t *state)
+static double
+load_ratio(const EyCandidate_t *candidate)
+{
+    return candidate->estimated_requests / candidate->slots;
+}
+
+static double
+best_cost_ms(const EyCandidate_t *candidates, uint32_t count)
 {
     double best_ms = candidates[0].cost_ms;
     for (uint32_t i = 1; i < count; i++) {
@@ -18,18 +26,55 @@
             best_ms = candidates[i].cost_ms;
         }
     }
-    double limit_ms = best_ms * NEAR_BEST_FACTOR + NEAR_BEST_MS;
+    return best_ms;
+}
+
+/* Mean load of the candidates that count as equal. */
+static double
+mean_load_ratio(const EyCandidate_t *candidates, uint32_t count,
+                double limit_ms)
+{
+    double sum = 0.0;
+    double ties = 0.0;
+    for (uint32_t i = 0; i < count; i++) {
+        if (candidates[i].cost_ms <= limit_ms) {
+            sum += load_ratio(&candidates[i]);
+            ties += 1.0;
+        }
+    }
+    return sum / ties;
+}
+
+/* Prompts with the same shared prefix go to the same one of equal candidates,
+ * as long as that has no more than its part of the load. */
+static uint32_t
+choose_expected_finish(const EyCandidate_t *candidates, uint32_t count,
+                       EyPolicyState_t *state)
+{
+    double limit_ms =
+        best_cost_ms(candidates, count) * NEAR_BEST_FACTOR + NEAR_BEST_MS;
+    double load_max =
+        mean_load_ratio(candidates, count, limit_ms) * PREFERRED_LOAD_FACTOR;
     uint32_t chosen = 0;
+    uint32_t preferred = count;
     uint32_t ties = 0;
     for (uint32_t i = 0; i < count; i++) {
-        if (candidates[i].cost_ms <= limit_ms) {
-            ties++;
-            if (EyRandom_Below(&state->random, ties) == 0) {
-                chosen = i;
-            }
+        const EyCandidate_t *each = &candidates[i];
+        if (each->cost_ms > limit_ms) {
+            continue;
+        }
+        ties++;
+        if (EyRandom_Below(&state->random, ties) == 0) {
+            chosen = i;
+        }
+        bool is_loaded = load_ratio(each) > load_max + 1.0 / each->slots;
+        bool is_higher =
+            preferred == count || each->rank > candidates[preferred].rank;
+        if (each->rank != 0 && !is_loaded && is_higher) {
+            preferred = i;
         }
     }
-    return chosen;
+    return preferred < count ? preferred : chosen;
 }
 
 static uint32_t
@@ -48,12 +93,6 @@
     return (uint32_t)EyRandom_Below(&state->random, count);
 }
 
-static double
-load_ratio(const EyCandidate_t *candidate)
-{
-    return candidate->estimated_requests / candidate->slots;
-}
-
 static uint32_t
 choose_least_outstanding(const EyCandidate_t *candidates, uint32_t count,
                          EyPolicyState_t *state)
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -27,6 +27,8 @@
     double prefill_tokens; /* prompt tokens to prefill at a model engine */
     double copy_tokens; /* prompt tokens that it may copy from another engine's
                            cache */
+    double new_tokens;  /* prompt tokens that its cache takes in */
+    uint64_t rank;      /* breaks ties; 0: they are broken at random */
     bool has_room;
 } EyCandidate_t;
 
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -16,8 +16,13 @@
 /** Weight of the delay that a request's prefill causes to other requests,
  * relative to the request's own. */
 #define PREFILL_WEIGHT 0.5
-/** Cost of copying a cached token, relative to its prefill. */
-#define COPY_COST 0.15
+/** Time to copy a cached token, relative to its prefill. */
+#define COPY_TIME 0.15
+/** Further cost of a shared token that a replica copies or prefills although
+ * another one has it, relative to its prefill: it takes memory from other
+ * prefixes, and prefilling it takes time from other requests. */
+#define COPY_COST 1.0
+#define PREFILL_AGAIN_COST 2.0
 /** Least share of the drain rate that is assumed to remain for less urgent
  * work. */
 #define RATE_SHARE_MIN 0.1
@@ -28,6 +33,7 @@
 destroy_pool(EyPool_t *self)
 {
     g_ptr_array_unref(self->replicas);
+    g_array_unref(self->cached);
     g_array_unref(self->candidates);
     g_array_unref(self->choices);
     return 0;
@@ -49,6 +55,7 @@
     (void)EY_COPY(self->target, target);
     self->replicas = g_ptr_array_new();
     self->queue = EyAdmissionQueue_New(self);
+    self->cached = g_array_new(FALSE, FALSE, sizeof(EyCachedPrompt_t));
     self->candidates = g_array_new(FALSE, FALSE, sizeof(EyCandidate_t));
     self->choices = g_array_new(FALSE, FALSE, sizeof(EyCandidate_t));
     talloc_set_destructor(self, destroy_pool);
@@ -120,21 +127,30 @@
                : 0;
 }
 
+/* Shared tokens that the candidate neither has cached nor copies. */
+static double
+tokens_again(const EyCandidate_t *candidate, const EyRoutingRequest_t *request,
+             double cached)
+{
+    return fmax(EyRoutingRequest_SharedTokens(request) - cached -
+                    candidate->copy_tokens,
+                0.0);
+}
+
 /* Estimates when a model engine begins the answer. */
 static void
 estimate_engine(EyCandidate_t *candidate, const EyPlanInputs_t *inputs,
                 const EyRoutingRequest_t *request,
-                const EyPromptAffinity_t *affinity)
+                const EyPromptAffinity_t *affinity, double cached)
 {
     const EyReplica_t *replica = candidate->replica;
     const EyEngineLoad_t *engine = &replica->engine;
     double token_ms = EyEngineLoad_TokenMs(engine);
     double ahead = EyEngineLoad_AheadTokens(engine, inputs->now_ms,
                                             unreported_gateways(inputs));
-    double cached = EyPromptAffinity_CachedTokens(affinity, replica,
-                                                  inputs->now_ms, request);
     candidate->copy_tokens = EyPromptAffinity_CopyTokens(affinity, cached);
-    double saved_tokens = candidate->copy_tokens * (1.0 - COPY_COST);
+    candidate->new_tokens = fmax((double)request->prompt_tokens - cached, 0.0);
+    double saved_tokens = candidate->copy_tokens * (1.0 - COPY_TIME);
     candidate->prefill_tokens =
         fmax((double)request->prompt_tokens - cached - saved_tokens, 1.0);
     candidate->start_ms = (ahead + candidate->prefill_tokens) * token_ms +
@@ -145,15 +161,28 @@
         candidate->prefill_tokens * token_ms + FIRST_TOKEN_OVERHEAD_MS;
     candidate->finish_ms = candidate->start_ms;
     /* Prefill also delays all other requests of the engine. */
-    candidate->cost_ms = candidate->start_ms +
-                         candidate->prefill_tokens * token_ms * PREFILL_WEIGHT;
+    candidate->cost_ms =
+        candidate->start_ms +
+        candidate->prefill_tokens * token_ms * PREFILL_WEIGHT +
+        candidate->copy_tokens * token_ms * COPY_COST +
+        tokens_again(candidate, request, cached) * token_ms *
+            PREFILL_AGAIN_COST;
+}
+
+/* What the replica with this index has cached of the prompt. */
+static EyCachedPrompt_t
+cached_at(const EyPool_t *self, uint32_t i)
+{
+    return self->cached->len == 0
+               ? (EyCachedPrompt_t){.tokens = 0.0}
+               : g_array_index(self->cached, EyCachedPrompt_t, i);
 }
 
 static EyCandidate_t
-make_candidate(EyReplica_t *replica, const EyPlanInputs_t *inputs,
-               const EyRoutingRequest_t *request, double work,
-               const EyPromptAffinity_t *affinity)
+make_candidate(const EyPool_t *self, uint32_t i, const EyPlanInputs_t *inputs,
+               const EyRoutingRequest_t *request, double work)
 {
+    EyReplica_t *replica = replica_at(self, i);
     int64_t now_ms = inputs->now_ms;
     EyCandidate_t candidate = {
         .replica = replica,
@@ -175,7 +204,11 @@
     candidate.start_ms = candidate.finish_ms;
     candidate.cost_ms = candidate.finish_ms;
     if (request->prompt_tokens > 0) {
-        estimate_engine(&candidate, inputs, request, affinity);
+        EyCachedPrompt_t cached = cached_at(self, i);
+        candidate.rank = cached.rank;
+        estimate_engine(&candidate, inputs, request, &self->affinity,
+                        EyPromptAffinity_CachedTokens(&self->affinity, replica,
+                                                      &cached, request));
     }
     candidate.has_room = has_room(replica, candidate.estimated_requests,
                                   candidate.slots, inputs);
@@ -197,14 +230,15 @@
 collect(EyPool_t *self, const EyPlanInputs_t *inputs,
         const EyRoutingRequest_t *request, double work, bool with_ejected)
 {
-    self->affinity = EyPromptAffinity_Find(
-        self->replicas, inputs->remote_caches, inputs->now_ms, request);
+    self->affinity =
+        EyPromptAffinity_Find(self->replicas, inputs->remote_caches,
+                              inputs->now_ms, request, self->cached);
     g_array_set_size(self->candidates, 0);
     for (uint32_t i = 0; i < self->replicas->len; i++) {
-        EyReplica_t *replica = replica_at(self, i);
-        if (is_candidate(replica, inputs->now_ms, request, with_ejected)) {
-            EyCandidate_t candidate = make_candidate(replica, inputs, request,
-                                                     work, &self->affinity);
+        if (is_candidate(replica_at(self, i), inputs->now_ms, request,
+                         with_ejected)) {
+            EyCandidate_t candidate =
+                make_candidate(self, i, inputs, request, work);
             g_array_append_val(self->candidates, candidate);
         }
     }
@@ -288,6 +322,7 @@
     plan->finish_ms = chosen->finish_ms;
     plan->start_ms = chosen->start_ms;
     plan->prefill_tokens = chosen->prefill_tokens;
+    plan->new_tokens = chosen->new_tokens;
     plan->ahead_tokens = chosen->prefill_tokens > 0.0
                              ? EyEngineLoad_AheadTokens(
                                    &chosen->replica->engine, inputs->now_ms,
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -30,7 +30,8 @@
     uint32_t in_flight_count;
     int64_t last_full_scan_ms;   /* time of the last full scan of the queue */
     EyPromptAffinity_t affinity; /* of the request being planned */
-    GArray *candidates;          /* scratch arrays of EyPool_Plan */
+    GArray *cached;     /* of EyCachedPrompt_t: of the replicas for it */
+    GArray *candidates; /* scratch arrays of EyPool_Plan */
     GArray *choices;
 } EyPool_t;
 
@@ -57,6 +58,7 @@
     double finish_ms;         /* expected time to the end, at chosen */
     double start_ms;          /* expected time to the start of the answer */
     double prefill_tokens;    /* to prefill at chosen; 0: no model engine */
+    double new_tokens;        /* that chosen's cache takes in */
     double ahead_tokens;      /* prefill queued before them */
     double slowdown;          /* expected at chosen, see EyReplica_Slowdown */
     double queued_finish_ms;  /* expected time to the end if it waits */
--- a/src/routing/prompt_affinity.h
+++ b/src/routing/prompt_affinity.h
@@ -28,20 +28,24 @@
      */
     EyAddress_t source_address;
     double source_tokens; /* probably cached at the source */
+    int64_t source_used_ms;
 } EyPromptAffinity_t;
 
 /** Searches a pool's replicas (EyReplica_t) and, if none of them has the
  * shared prefix cached, the engines of remote regions (remote_caches may be
- * NULL). */
+ * NULL). Sets cached (EyCachedPrompt_t) to what each of the replicas has
+ * cached, in their order; empty if the prompt's parts aren't known. */
 EyPromptAffinity_t
 EyPromptAffinity_Find(const GPtrArray *replicas,
                       const EyRemoteCaches_t *remote_caches, int64_t now_ms,
-                      const EyRoutingRequest_t *request);
+                      const EyRoutingRequest_t *request, GArray *cached);
 
-/** Prompt tokens that a replica probably has cached. */
+/** Prompt tokens that a replica probably has cached; cached: what is known of
+ * it. */
 double
 EyPromptAffinity_CachedTokens(const EyPromptAffinity_t *self,
-                              const EyReplica_t *replica, int64_t now_ms,
+                              const EyReplica_t *replica,
+                              const EyCachedPrompt_t *cached,
                               const EyRoutingRequest_t *request);
 
 /** Tokens that a replica with cached_tokens gains by copying from the source;
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -43,12 +43,23 @@
     return tokens + EyRoutingRequest_PromptWork(self);
 }
 
+double
+EyRoutingRequest_SharedTokens(const EyRoutingRequest_t *self)
+{
+    double tokens = 0.0;
+    for (uint32_t i = 0; i + 1 < self->prefix_count; i++) {
+        tokens += self->prefixes[i].tokens;
+    }
+    return tokens;
+}
+
 EyReplica_t *
 EyReplica_New(const void *ctx, int64_t now_ms, const EyBackend_t *backend)
 {
     EyReplica_t *self = EY_NEW(ctx, EyReplica_t);
     self->backend = EyBackend_Copy(self, backend);
     self->report_ms = now_ms;
+    self->prefixes.capacity_tokens = (uint64_t)backend->cache_tokens;
     return self;
 }
 
@@ -69,6 +80,7 @@
         self->engine.has_report = false;
         EyOutlier_StartSlowStart(&self->outlier, now_ms);
     }
+    self->prefixes.capacity_tokens = (uint64_t)backend->cache_tokens;
     talloc_free(self->backend);
     self->backend = EyBackend_Copy(self, backend);
 }
@@ -96,17 +108,24 @@
     EySlidingSum_Add(&self->net_sent, now_ms, 1.0);
 }
 
-double
-EyReplica_CachedTokens(const EyReplica_t *self, int64_t now_ms,
-                       const EyRoutingRequest_t *request)
+EyCachedPrompt_t
+EyReplica_FindCached(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request)
 {
-    double cached = 0.0;
+    EyCachedPrompt_t cached = {.tokens = 0.0};
+    double tokens = 0.0;
     for (uint32_t i = 0; i < request->prefix_count; i++) {
         const EyPromptPrefix_t *prefix = &request->prefixes[i];
-        if (!EyPrefixHints_Has(&self->prefixes, now_ms, prefix->hash)) {
-            break;
+        const EyPrefixHint_t *hint =
+            EyPrefixHints_Find(&self->prefixes, now_ms, prefix->hash);
+        tokens += prefix->tokens;
+        if (hint != NULL) {
+            /* The hash covers all parts before it too, which are used
+             * whenever it is. */
+            cached.tokens = tokens;
+            cached.first_ms = hint->first_ms;
+            cached.used_ms = hint->seen_ms;
         }
-        cached += prefix->tokens;
     }
     return cached;
 }
@@ -120,6 +139,13 @@
     }
 }
 
+void
+EyReplica_TakeTokens(EyReplica_t *self, uint64_t tokens)
+{
+    EyPrefixHints_Take(&self->prefixes, tokens);
+    self->unreported_tokens += tokens;
+}
+
 void
 EyReplica_AnswerStarted(EyReplica_t *self, int64_t now_ms,
                         EyInFlight_t *in_flight)
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -58,6 +58,8 @@
     int64_t learned_ms;
     EyOutlier_t outlier;
     EyPrefixHints_t prefixes;
+    uint64_t unreported_tokens; /* that own requests brought to its cache since
+                                   the last update to other gateways */
     EyColdLimiter_t cold_limiter;
     int64_t misdirected_until_ms; /* no requests until then, or until its
                                      address or incarnation changes: another
@@ -76,6 +78,11 @@
 double
 EyRoutingRequest_Work(const EyRoutingRequest_t *self);
 
+/** Tokens of the prompt's parts that other requests share: all but the last.
+ */
+double
+EyRoutingRequest_SharedTokens(const EyRoutingRequest_t *self);
+
 /** Makes a replica as a talloc child of ctx from its first announcement. */
 EyReplica_t *
 EyReplica_New(const void *ctx, int64_t now_ms, const EyBackend_t *backend);
@@ -85,11 +92,24 @@
 EyReplica_Update(EyReplica_t *self, int64_t now_ms,
                  const EyBackend_t *backend);
 
-/** Prompt tokens that the replica has cached, judging by what was sent there
- * and by its cache events. */
-double
-EyReplica_CachedTokens(const EyReplica_t *self, int64_t now_ms,
-                       const EyRoutingRequest_t *request);
+/** What a replica has cached of a prompt, judging by what was sent there and
+ * by its cache events. */
+typedef struct EyCachedPrompt {
+    double tokens;    /* of its parts from the first one on */
+    int64_t first_ms; /* since when the last of these parts is there */
+    int64_t used_ms;  /* last use of that part */
+    uint64_t rank; /* of the replica for the prompt's shared prefix; higher is
+                      preferred; 0: there is no shared prefix */
+} EyCachedPrompt_t;
+
+EyCachedPrompt_t
+EyReplica_FindCached(const EyReplica_t *self, int64_t now_ms,
+                     const EyRoutingRequest_t *request);
+
+/** Counts tokens that a request of this gateway brings to the replica's
+ * cache. */
+void
+EyReplica_TakeTokens(EyReplica_t *self, uint64_t tokens);
 
 /** Records that the replica gets the prefixes of a prompt. */
 void
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -187,6 +187,7 @@
     EyReplica_RecordPrefixes(plan->chosen, now_ms, request);
     ey_router_record_prefixes(self, now_ms, plan->chosen->backend->id,
                               request);
+    EyReplica_TakeTokens(plan->chosen, (uint64_t)plan->new_tokens);
     EyReplica_AddRequest(plan->chosen, now_ms, &tracked->in_flight);
     const EyEngineLoad_t *load = &plan->chosen->engine;
     EyRoutingDecision_t decision = {
--- a/src/routing/router_engine_update.c
+++ b/src/routing/router_engine_update.c
@@ -8,7 +8,11 @@
  * stopped. */
 #define UPDATE_TTL_MS 2500
 /** A cached prefix is reported again after this time. */
-#define REPORT_AGAIN_MS 5000
+#define REPORT_AGAIN_MS 2000
+/** Shorter prefixes are prefilled faster than they are copied. */
+#define REPORTED_PREFIX_TOKENS_MIN 128
+/** Tokens that an engine's cache took in are reported from this many on. */
+#define REPORTED_TOKENS_MIN 2000
 
 /** Pending prefill at one engine, from a gateway's last update. */
 typedef struct PendingPrefill {
@@ -101,10 +105,14 @@
 ey_router_record_prefixes(EyRouter_t *self, int64_t now_ms, const char *id,
                           const EyRoutingRequest_t *request)
 {
+    uint32_t tokens = 0;
     /* The last part is unique to the request. */
     for (uint32_t i = 0; i + 1 < request->prefix_count; i++) {
         const EyCachedPrefix_t prefix = {.hash = request->prefixes[i].hash};
-        if (!mark_reported(self, now_ms, id, prefix.hash)) {
+        tokens += request->prefixes[i].tokens;
+        if (tokens < REPORTED_PREFIX_TOKENS_MIN ||
+            !mark_reported(self, now_ms, id, prefix.hash))
+        {
             continue;
         }
         for (int scope = 0; scope < EY_ENGINE_UPDATE_SCOPE_COUNT; scope++) {
@@ -173,22 +181,27 @@
 /** Moves the unreported prefixes of an engine into an entry of the update. */
 static void
 move_unreported(EyRouter_t *self, EyEngineUpdateScope_t scope,
-                EyEngineUpdate_t *update, const EyReplica_t *replica)
+                EyEngineUpdate_t *update, EyReplica_t *replica)
 {
     const char *id = replica->backend->id;
     const GArray *held =
         g_hash_table_lookup(self->unreported_prefixes[scope], id);
-    bool with_prefill = scope == EY_ENGINE_UPDATE_OWN_REGION;
-    double prefill = with_prefill ? replica->engine.prefill_tokens : 0.0;
-    if ((held == NULL && prefill < 1.0) ||
+    bool is_own_region = scope == EY_ENGINE_UPDATE_OWN_REGION;
+    double prefill = is_own_region ? replica->engine.prefill_tokens : 0.0;
+    bool reports_taken =
+        is_own_region && replica->unreported_tokens >= REPORTED_TOKENS_MIN;
+    if ((held == NULL && prefill < 1.0 && !reports_taken) ||
         update->engine_count == EY_ENGINE_UPDATE_ENGINES_MAX)
     {
         return;
     }
     EyEngineUpdateEntry_t *entry = add_entry(update);
     entry->reading_tokens = (uint32_t)prefill;
-    if (with_prefill) {
+    if (is_own_region) {
         (void)EY_COPY(entry->id, id);
+        entry->taken_tokens =
+            (uint32_t)MIN(replica->unreported_tokens, (uint64_t)UINT32_MAX);
+        replica->unreported_tokens = 0;
     }
     else {
         (void)EY_COPY(entry->region, self->region);
@@ -297,6 +310,7 @@
         (void)EY_COPY(prefill.engine, entry->id);
         g_array_append_val(sender->prefills, prefill);
     }
+    EyPrefixHints_Take(&replica->prefixes, entry->taken_tokens);
     apply_prefixes(self, now_ms, entry, replica);
 }
 
