Directory: callers of a region in a rolling stop stay where their data may be

When all gateways of a region are leaving, callers were led to any region that one route of the host allows. Change: entry_choice, a decision without I/O: while gateways leave, they are named, and gateways where all routes of the host allow their data.

--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -299,6 +299,19 @@
     return !is_known;
 }
 
+bool
+EyRouteTable_AllowsAllCalls(const EyRouteTable_t *self, const char *host,
+                            const char *region)
+{
+    for (uint32_t i = 0; i < self->route_count; i++) {
+        const EyRouteRule_t *route = &self->routes[i];
+        if (is_same_host(route->host, host) && !allows_region(route, region)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 const char *
 EyRouteRule_ChooseService(const EyRouteRule_t *self, double unit)
 {
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -130,6 +130,11 @@
 EyRouteTable_AllowsRegion(const EyRouteTable_t *self, const char *host,
                           const char *region);
 
+/** Returns true if all of the host's routes allow their data in a region. */
+bool
+EyRouteTable_AllowsAllCalls(const EyRouteTable_t *self, const char *host,
+                            const char *region);
+
 /** Returns the service with this name, or NULL. */
 const EyServiceRule_t *
 EyRouteTable_FindService(const EyRouteTable_t *self, const char *name);
--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
+#include "discovery/entry_choice.h"
 #include "discovery/query.h"
 
 #include <string.h>
@@ -245,80 +246,117 @@
 
 /* Callers */
 
-/** True if the host's routes allow requests to enter in a member's region. */
-static bool
-allows_region_of(const DiscoveryPart_t *self, const char *host,
-                 const EyMember_t *member)
+/** The groups that a gateway of another region is in, by the host's routes, as
+ * a mask. */
+static uint32_t
+remote_groups(const DiscoveryPart_t *self, const char *host,
+              const char *region)
 {
     const EyRouteTable_t *routes = self->node->routes;
-    return host == NULL || routes == NULL ||
-           EyRouteTable_AllowsRegion(routes, host, member->region);
+    uint32_t groups = 1U << EY_ENTRY_ANY;
+    if (routes == NULL || EyRouteTable_AllowsRegion(routes, host, region)) {
+        groups |= 1U << EY_ENTRY_PARTLY_ALLOWED;
+    }
+    if (routes == NULL || EyRouteTable_AllowsAllCalls(routes, host, region)) {
+        groups |= 1U << EY_ENTRY_ALLOWED;
+    }
+    return groups;
 }
 
-/** Addresses of live gateways in a remote region, or in all of them if region
- * is NULL, where requests for a host may enter; host NULL: any. */
-static json_t *
-contact_addresses(const DiscoveryPart_t *self, const char *region,
-                  const char *host)
+/** Gateways that a caller may be told to use, the best first. */
+typedef struct EntryList {
+    const char *addresses[CONTACTS_MAX + EY_DIRECTORY_ANSWER_MAX];
+    uint32_t groups[CONTACTS_MAX + EY_DIRECTORY_ANSWER_MAX]; /* masks */
+    uint32_t count;
+    EyEntryCounts_t counts;
+} EntryList_t;
+
+static void
+add_entry(EntryList_t *self, const char *address, uint32_t groups)
+{
+    self->addresses[self->count] = address;
+    self->groups[self->count] = groups;
+    self->count++;
+    for (uint32_t group = 0; group < EY_ENTRY_GROUP_COUNT; group++) {
+        self->counts.gateways[group] += (groups >> group) & 1U;
+    }
+}
+
+/** Adds live gateways of a remote region, or of all of them if region is
+ * NULL. */
+static void
+add_contacts(const DiscoveryPart_t *self, EntryList_t *list,
+             const char *region, const char *host)
 {
     Contacts_t contacts = find_contacts(self, region);
-    json_t *addresses = json_array();
     const EyMember_t *member = NULL;
     while ((member = pop_freshest(&contacts)) != NULL) {
         int64_t age_ms =
             EyMembership_ContactAgeMs(contacts.membership, member->id);
-        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS &&
-            allows_region_of(self, host, member))
-        {
-            (void)json_array_append_new(addresses,
-                                        json_string(member->http_address));
+        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS) {
+            add_entry(list, member->http_address,
+                      remote_groups(self, host, member->region));
         }
     }
-    return addresses;
 }
 
-/** Addresses of live gateways of the local region in order of preference. */
-static json_t *
-local_addresses(const DiscoveryPart_t *self, const char *zone)
+/** Adds the gateways of the local region, which stand in entries. */
+static void
+add_local(EntryList_t *list, const EyDirectoryEntry_t *entries, uint32_t count)
 {
-    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
-    uint32_t count = EyDirectory_Choose(self->node->directory, zone, entries,
-                                        EY_DIRECTORY_ANSWER_MAX);
-    json_t *addresses = json_array();
     for (uint32_t i = 0; i < count; i++) {
         if (entries[i].weight > 0) {
+            add_entry(list, entries[i].address, 1U << EY_ENTRY_SERVING);
+        }
+        else if (entries[i].state == EY_MEMBER_LEAVING) {
+            add_entry(list, entries[i].address, 1U << EY_ENTRY_LEAVING);
+        }
+    }
+}
+
+/** The addresses of the entries that are in one of the groups. */
+static json_t *
+addresses_in(const EntryList_t *list, uint32_t groups)
+{
+    json_t *addresses = json_array();
+    for (uint32_t i = 0; i < list->count; i++) {
+        if ((list->groups[i] & groups) != 0) {
             (void)json_array_append_new(addresses,
-                                        json_string(entries[i].address));
+                                        json_string(list->addresses[i]));
         }
     }
     return addresses;
 }
 
-/** Gateways for a caller in the local region: local ones, else those in
- * regions that the host's routes allow, else any. */
+/** Gateways for a caller in the local region. */
 static json_t *
 addresses_for_local(const DiscoveryPart_t *self, const char *host,
                     const char *zone)
 {
-    json_t *addresses = local_addresses(self, zone);
-    const char *const hosts[] = {host, NULL};
-    for (size_t i = 0; i < 2 && json_array_size(addresses) == 0; i++) {
-        json_decref(addresses);
-        addresses = contact_addresses(self, NULL, hosts[i]);
+    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
+    uint32_t count = EyDirectory_Choose(self->node->directory, zone, entries,
+                                        EY_DIRECTORY_ANSWER_MAX);
+    EntryList_t list = {.count = 0};
+    add_local(&list, entries, count);
+    if (list.counts.gateways[EY_ENTRY_SERVING] == 0) {
+        add_contacts(self, &list, NULL, host);
     }
-    return addresses;
+    return addresses_in(&list, EyEntryChoice_Groups(&list.counts));
 }
 
 /** Gateways for a caller in a remote region: those there, else local ones. */
 static json_t *
 addresses_for_remote(const DiscoveryPart_t *self, const char *region)
 {
-    json_t *addresses = contact_addresses(self, region, NULL);
-    if (json_array_size(addresses) == 0) {
-        json_decref(addresses);
-        addresses = local_addresses(self, "");
+    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
+    EntryList_t list = {.count = 0};
+    add_contacts(self, &list, region, "");
+    if (list.count == 0) {
+        uint32_t count = EyDirectory_Choose(self->node->directory, "", entries,
+                                            EY_DIRECTORY_ANSWER_MAX);
+        add_local(&list, entries, count);
     }
-    return addresses;
+    return addresses_in(&list, 1U << EY_ENTRY_ANY | 1U << EY_ENTRY_SERVING);
 }
 
 static json_t *
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -143,15 +143,16 @@
 typedef struct EntryCase {
     const char *host;
     const char *region;
-    bool may_enter;
+    bool may_enter;       /* with calls of one of its routes */
+    bool may_enter_fully; /* with calls of all its routes */
 } EntryCase_t;
 
 static const EntryCase_t EntryCases[] = {
-    {"bound", "istra", true},    {"BOUND:80", "istra", true},
-    {"bound", "zagreb", false},  {"two", "istra", true},
-    {"two", "zagreb", true},     {"two", "lika", false},
-    {"free", "zagreb", true},    {"mixed", "zagreb", true},
-    {"unknown", "zagreb", true}, {"", "zagreb", true},
+    {"bound", "istra", true, true},    {"BOUND:80", "istra", true, true},
+    {"bound", "zagreb", false, false}, {"two", "istra", true, false},
+    {"two", "zagreb", true, false},     {"two", "lika", false, false},
+    {"free", "zagreb", true, true},    {"mixed", "zagreb", true, false},
+    {"unknown", "zagreb", true, true}, {"", "zagreb", true, true},
 };
 
 Test(route_table, host_is_allowed_in_the_regions_of_its_routes)
@@ -165,6 +166,10 @@
         cr_expect_eq(
             EyRouteTable_AllowsRegion(table, test->host, test->region),
             test->may_enter, "%zu: %s in %s", i, test->host, test->region);
+        cr_expect_eq(
+            EyRouteTable_AllowsAllCalls(table, test->host, test->region),
+            test->may_enter_fully, "%zu: all of %s in %s", i, test->host,
+            test->region);
     }
     talloc_free(table);
 }
