Membership: the slack of an irregular link falls slowly

Change: the deviation rises by 1/4 of the difference as before and falls by 1/32; a gap counts as 2.5 s at most (10 s), so that an outage isn't taken for a slow link.

--- a/src/membership/link_quality.c
+++ b/src/membership/link_quality.c
@@ -2,12 +2,15 @@
 
 #include <glib.h>
 
-/* Weights of a new sample: 1/8 in the mean, 1/4 in the deviation. */
+/* Weights of a new sample: 1/8 in the mean, 1/4 in a deviation that rises and
+ * 1/32 in one that falls, since a slow link has several regular samples in a
+ * row now and then. */
 #define INTERVAL_DIVISOR 8
-#define DEVIATION_DIVISOR 4
+#define DEVIATION_RISE_DIVISOR 4
+#define DEVIATION_FALL_DIVISOR 32
 #define SLACK_DEVIATIONS 4
 /* Longer gaps are capped, since they are outages. */
-#define SAMPLE_MAX_MS 10000
+#define SAMPLE_MAX_MS 2500
 #define SLACK_MAX_MS 8000
 
 void
@@ -27,8 +30,9 @@
     }
     int64_t difference_ms = sample_ms - self->interval_ms;
     self->interval_ms += difference_ms / INTERVAL_DIVISOR;
-    self->deviation_ms +=
-        (ABS(difference_ms) - self->deviation_ms) / DEVIATION_DIVISOR;
+    int64_t change_ms = ABS(difference_ms) - self->deviation_ms;
+    self->deviation_ms += change_ms / (change_ms > 0 ? DEVIATION_RISE_DIVISOR
+                                                     : DEVIATION_FALL_DIVISOR);
 }
 
 int64_t
