--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -216,10 +216,10 @@
     if (pending == NULL) {
         return;
     }
-    EY_LOG(EY_LOG_INFO, "control", "order_settled",
+    EY_LOG(EY_LOG_INFO, "control", "operator_request",
            EY_LOG_TEXT("request_id", pending->request->id),
            EY_LOG_TEXT("path", pending->request->path),
-           EY_LOG_TEXT("outcome", EyConfigMessage_outcome_names[outcome]),
+           EY_LOG_TEXT("proposal", EyConfigMessage_outcome_names[outcome]),
            EY_LOG_TEXT("result", EyStore_result_names[result->status]),
            EY_LOG_NUMBER("revision", result->revision));
     if (!pending->is_read) {
--- a/src/core/log.c
+++ b/src/core/log.c
@@ -59,6 +59,39 @@
     g_free(escaped);
 }
 
+/** Fields with a length are numbers of this type; texts have none (-1). */
+typedef int64_t Number_t;
+
+static bool
+is_number(const GLogField *field)
+{
+    return field->length == (gssize)sizeof(Number_t);
+}
+
+static json_t *
+to_json(const GLogField *field)
+{
+    if (is_number(field)) {
+        return json_integer(*(const Number_t *)field->value);
+    }
+    json_t *text = json_string(field->value);
+    return text != NULL ? text : json_null();
+}
+
+static void
+append_to_line(GString *line, const GLogField *field)
+{
+    if (!is_number(field)) {
+        append_field(line, field->key, field->value);
+        return;
+    }
+    enum { NUMBER_SIZE_BYTES = 24 };
+    char text[NUMBER_SIZE_BYTES];
+    (void)snprintf(text, sizeof(text), "%lld",
+                   (long long)*(const Number_t *)field->value);
+    append_field(line, field->key, text);
+}
+
 static void
 write_line(const GLogField *fields, gsize count)
 {
@@ -70,14 +103,12 @@
         {
             continue;
         }
-        const char *text = fields[i].value;
         if (Json) {
-            json_t *value = json_string(text);
             (void)json_object_set_new(object, fields[i].key,
-                                      value != NULL ? value : json_null());
+                                      to_json(&fields[i]));
         }
         else {
-            append_field(line, fields[i].key, text);
+            append_to_line(line, &fields[i]);
         }
     }
     if (Json) {
@@ -146,30 +177,26 @@
 write_event(EyLogLevel_t level, const char *part, const char *event,
             const EyLogField_t *fields, uint32_t count)
 {
-    enum { FIELDS_MAX = 24, FIXED_FIELDS = 5, NUMBER_SIZE_BYTES = 24 };
+    enum { FIELDS_MAX = 24, FIXED_FIELDS = 5 };
     if (count > FIELDS_MAX - FIXED_FIELDS) {
         count = FIELDS_MAX - FIXED_FIELDS;
     }
-    char numbers[FIELDS_MAX][NUMBER_SIZE_BYTES];
+    const Number_t time_ms = EyClock_WallMs();
     GLogField all[FIELDS_MAX] = {
-        {.key = "time_ms", .value = numbers[0], .length = -1},
+        {.key = "time_ms", .value = &time_ms, .length = sizeof(time_ms)},
         {.key = "level", .value = EyLog_level_names[level], .length = -1},
         {.key = "source", .value = Source, .length = -1},
         {.key = "part", .value = part, .length = -1},
         {.key = "event", .value = event, .length = -1},
     };
-    (void)snprintf(numbers[0], NUMBER_SIZE_BYTES, "%lld",
-                   (long long)EyClock_WallMs());
     for (uint32_t i = 0; i < count; i++) {
-        GLogField *field = &all[FIXED_FIELDS + i];
-        *field = (GLogField){
-            .key = fields[i].key, .value = fields[i].text, .length = -1};
-        if (fields[i].text == NULL) {
-            char *number = numbers[FIXED_FIELDS + i];
-            (void)snprintf(number, NUMBER_SIZE_BYTES, "%lld",
-                           (long long)fields[i].number);
-            field->value = number;
-        }
+        bool has_text = fields[i].text != NULL;
+        all[FIXED_FIELDS + i] = (GLogField){
+            .key = fields[i].key,
+            .value = has_text ? (const void *)fields[i].text
+                              : (const void *)&fields[i].number,
+            .length = has_text ? -1 : (gssize)sizeof(Number_t),
+        };
     }
     g_log_structured_array(GlibLevels[level], all, FIXED_FIELDS + count);
     return LastLineWritten;
--- a/src/gateway/engine_updates.c
+++ b/src/gateway/engine_updates.c
@@ -119,7 +119,7 @@
     if (!EySchema_Unpack(&EyEngineUpdate_schema, update, message->payload.data,
                          message->payload.size_bytes, update, &error))
     {
-        EY_LOG(EY_LOG_WARNING, "gateway", "news_unreadable",
+        EY_LOG(EY_LOG_WARNING, "gateway", "engine_update_unreadable",
                EY_LOG_TEXT("from", message->from),
                EY_LOG_TEXT("reason", error->message));
         g_error_free(error);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -20,9 +20,9 @@
                             .help = "Final answers by outcome"},
     [EY_GATEWAY_RETRIES] = {.name = "retries_total",
                             .help = "Attempts after a request's first"},
-    [EY_GATEWAY_FORWARDED] = {.name = "sent_away_total",
+    [EY_GATEWAY_FORWARDED] = {.name = "forwarded_total",
                               .help = "Requests sent to another region"},
-    [EY_GATEWAY_FORWARDED_BYTES] = {.name = "sent_away_bytes_total",
+    [EY_GATEWAY_FORWARDED_BYTES] = {.name = "forwarded_bytes_total",
                                     .help = "Bytes of links to other regions "
                                             "that routing has booked"},
     [EY_GATEWAY_LEAVING_NOTICES] =
--- a/src/load/load_run.c
+++ b/src/load/load_run.c
@@ -68,9 +68,9 @@
     char *url = talloc_asprintf(NULL, "http://%s/metrics", gateway->address);
     char *page = EyLoadClient_Get(url, url);
     if (page != NULL) {
-        double forwarded = sum_metric(page, "ebonyyard_sent_away_total");
+        double forwarded = sum_metric(page, "ebonyyard_forwarded_total");
         double forwarded_bytes =
-            sum_metric(page, "ebonyyard_sent_away_bytes_total");
+            sum_metric(page, "ebonyyard_forwarded_bytes_total");
         if (forwarded >= 0.0) {
             counters->forwarded_requests =
                 add_measured(counters->forwarded_requests, forwarded);
--- a/src/load/load_run_report.c
+++ b/src/load/load_run_report.c
@@ -183,10 +183,10 @@
         "{s:s,s:I,s:f,s:f,s:f,s:o,s:o,s:o,s:o,s:o}", "workload",
         self->workload->name, "seed", (json_int_t)seed, "length_s", length_s,
         "goodput_per_s", answered / length_s, "goodput_share",
-        arrivals > 0.0 ? answered / arrivals : 0.0, "sent_away_share",
+        arrivals > 0.0 ? answered / arrivals : 0.0, "forwarded_share",
         real_or_null(
             forwarded < 0.0 || arrivals <= 0.0 ? -1.0 : forwarded / arrivals),
-        "sent_away_bytes", real_or_null(self->counters.forwarded_bytes),
+        "forwarded_bytes", real_or_null(self->counters.forwarded_bytes),
         "busy_s_per_answer",
         real_or_null(replica_busy_s < 0.0 || answered <= 0.0
                          ? -1.0
--- a/src/routing/decision.c
+++ b/src/routing/decision.c
@@ -7,7 +7,7 @@
 const char *const EyDecision_kind_names[EY_DECISION_KIND_COUNT] = {
     [EY_DECISION_DISPATCH] = "dispatch",
     [EY_DECISION_QUEUED] = "queued",
-    [EY_DECISION_FORWARD] = "send-away",
+    [EY_DECISION_FORWARD] = "forward",
     [EY_DECISION_REFUSE] = "refuse",
 };
 
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -798,7 +798,7 @@
                      "waiting", (int)EyRouter_Waiting(self), "in_flight",
                      (int)EyRouter_InFlight(self), "retries",
                      (json_int_t)self->stats.retries, "ejections",
-                     (json_int_t)self->stats.ejections, "sent_away_bytes",
+                     (json_int_t)self->stats.ejections, "forwarded_bytes",
                      (json_int_t)self->stats.forwarded_bytes, "refusals",
                      dump_refusals(&self->stats), "pools", pools, "regions",
                      EyRemoteRegions_Dump(self->remote_regions, now_ms));
--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -161,7 +161,7 @@
     cr_expect(latency(json, "p99.9") == 999.0);
     json_t *all = json_object_get(json, "all");
     cr_expect(json_integer_value(json_object_get(all, "late_refusals")) == 1);
-    cr_expect(json_is_null(json_object_get(json, "sent_away_share")));
+    cr_expect(json_is_null(json_object_get(json, "forwarded_share")));
     json_decref(json);
     talloc_free(report);
 }
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -72,3 +72,28 @@
     cr_expect_eq(count_lines(reader, "event=w"), 1);
     (void)close(reader);
 }
+
+/** A line of two fields, as text and as JSON. */
+typedef struct FormatCase {
+    bool json;
+    const char *part;
+} FormatCase_t;
+
+static const FormatCase_t FormatCases[] = {
+    {true, "\"n\":-12,\"t\":\"12\""},
+    {true, "\"time_ms\":1"},
+    {false, "event=e n=-12 t=12"},
+};
+
+Test(log, numbers_are_numbers_and_texts_are_texts)
+{
+    for (size_t i = 0; i < sizeof(FormatCases) / sizeof(FormatCases[0]); i++) {
+        int reader = redirect_output();
+        EyLog_Start("gw-1", EY_LOG_INFO, FormatCases[i].json);
+        EY_LOG(EY_LOG_WARNING, "p", "e", EY_LOG_NUMBER("n", -12),
+               EY_LOG_TEXT("t", "12"));
+        cr_expect_eq(count_lines(reader, FormatCases[i].part), 1, "%s",
+                     FormatCases[i].part);
+        (void)close(reader);
+    }
+}
--- a/tools/forward_latency.sh
+++ b/tools/forward_latency.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # How long forwarded requests and their answers travel between gateways of two
 # regions, from the gateways' logs in JSON: out from the home gateway's
-# "send-away" line to the remote gateway's first line on the request, back from
+# "forward" line to the remote gateway's first line on the request, back from
 # the remote gateway's "answer" line to the home gateway's next line. If each
 # line starts with a number, that is taken as its time in seconds, else the
 # field time_ms. Requests that are forwarded twice count twice.
@@ -38,7 +38,7 @@
         print "back", t - answered[id]
         delete answered[id]
     }
-    if (event == "send-away") {
+    if (event == "forward") {
         home[id] = source
         sent[id] = t
     }
