--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -92,8 +92,8 @@
     self->gateways = gateways > 0 ? gateways : 1;
 }
 
-static EyPlanInputs_t
-plan_inputs(EyRouter_t *self, int64_t now_ms)
+EyPlanInputs_t
+ey_router_plan_inputs(EyRouter_t *self, int64_t now_ms)
 {
     return (EyPlanInputs_t){
         .now_ms = now_ms,
@@ -352,7 +352,7 @@
     EyPool_t *pool = EyRouter_FindPool(self, request->kind, request->target);
     EyPlan_t plan = {.has_replica = false};
     if (pool != NULL) {
-        EyPlanInputs_t inputs = plan_inputs(self, now_ms);
+        EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
         plan = EyPool_Plan(
             pool, &inputs, request, EyRoutingRequest_Work(request),
             EyAdmissionQueue_WorkAhead(pool->queue, request->deadline_ms));
@@ -515,7 +515,7 @@
               const EyQueuedRequest_t *waiting, double work_ahead,
               EyRoutingDecision_t *decision)
 {
-    EyPlanInputs_t inputs = plan_inputs(self, now_ms);
+    EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
     EyPlan_t plan = EyPool_Plan(pool, &inputs, waiting->request, waiting->work,
                                 work_ahead);
     if (misses_deadline(self, now_ms, waiting->request, &plan)) {
@@ -730,76 +730,3 @@
     }
     g_hash_table_foreach_remove(self->pools, is_unused, NULL);
 }
-
-/* Reports */
-
-void
-EyRouter_Summarize(EyRouter_t *self, int64_t now_ms, GArray *summaries)
-{
-    EyPlanInputs_t inputs = plan_inputs(self, now_ms);
-    GHashTableIter each;
-    gpointer pool;
-    g_hash_table_iter_init(&each, self->pools);
-    while (g_hash_table_iter_next(&each, NULL, &pool)) {
-        EyRegionSummary_t summary = {.accepts = false};
-        (void)EY_COPY(summary.region, self->region);
-        if (EyPool_Summarize(pool, &inputs, &summary)) {
-            g_array_append_val(summaries, summary);
-        }
-    }
-}
-
-uint32_t
-EyRouter_Waiting(const EyRouter_t *self)
-{
-    return g_hash_table_size(self->waiting);
-}
-
-uint32_t
-EyRouter_InFlight(const EyRouter_t *self)
-{
-    return g_hash_table_size(self->tracked);
-}
-
-const EyRoutingStats_t *
-EyRouter_Stats(const EyRouter_t *self)
-{
-    return &self->stats;
-}
-
-static json_t *
-dump_refusals(const EyRoutingStats_t *stats)
-{
-    json_t *json = json_object();
-    for (uint32_t i = EY_REFUSAL_NO_BACKEND; i < EY_REFUSAL_COUNT; i++) {
-        json_object_set_new(json, EyRefusal_names[i],
-                            json_integer((json_int_t)stats->refusals[i]));
-    }
-    return json;
-}
-
-json_t *
-EyRouter_Dump(EyRouter_t *self, int64_t now_ms)
-{
-    EyPlanInputs_t inputs = plan_inputs(self, now_ms);
-    json_t *pools = json_array();
-    GHashTableIter each;
-    gpointer pool;
-    g_hash_table_iter_init(&each, self->pools);
-    while (g_hash_table_iter_next(&each, NULL, &pool)) {
-        json_t *dumped = EyPool_Dump(pool, &inputs);
-        double left = EyRetryBudgets_Left(self->retries, now_ms,
-                                          ((const EyPool_t *)pool)->key);
-        (void)json_object_set_new(dumped, "retries_left", json_real(left));
-        json_array_append_new(pools, dumped);
-    }
-    return json_pack("{s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:o,s:o,s:o}", "policy",
-                     self->policy->name, "gateways", (int)self->gateways,
-                     "waiting", (int)EyRouter_Waiting(self), "in_flight",
-                     (int)EyRouter_InFlight(self), "retries",
-                     (json_int_t)self->stats.retries, "ejections",
-                     (json_int_t)self->stats.ejections, "forwarded_bytes",
-                     (json_int_t)self->stats.forwarded_bytes, "refusals",
-                     dump_refusals(&self->stats), "pools", pools, "regions",
-                     EyRemoteRegions_Dump(self->remote_regions, now_ms));
-}
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -74,6 +74,10 @@
 uint32_t
 ey_router_reporting_gateways(const EyRouter_t *self);
 
+/** The inputs of a plan at this time. */
+EyPlanInputs_t
+ey_router_plan_inputs(EyRouter_t *self, int64_t now_ms);
+
 /** The pool of a model or service, or NULL. */
 EyPool_t *
 EyRouter_FindPool(const EyRouter_t *self, EyBackendKind_t kind,
