--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -150,7 +150,7 @@
 static const EntryCase_t EntryCases[] = {
     {"bound", "istra", true, true},    {"BOUND:80", "istra", true, true},
     {"bound", "zagreb", false, false}, {"two", "istra", true, false},
-    {"two", "zagreb", true, false},     {"two", "lika", false, false},
+    {"two", "zagreb", true, false},    {"two", "lika", false, false},
     {"free", "zagreb", true, true},    {"mixed", "zagreb", true, false},
     {"unknown", "zagreb", true, true}, {"", "zagreb", true, true},
 };
