--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -8,6 +8,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
 
 static Fleet_t Fleet;
 
@@ -332,3 +334,84 @@
     cr_assert(change_default(&Fleet.regions[1].gateways[0], 500, 20, "last"));
     cr_assert(await_default(&Fleet.regions[2].gateways[0], 500, 5000));
 }
+
+/** Lets the files of a control process grow no further, as on a full disk, or
+ * ends that. */
+static void
+set_disk_full(const FleetRegion_t *region, bool is_full)
+{
+    struct rlimit limit = {.rlim_cur = RLIM_INFINITY,
+                           .rlim_max = RLIM_INFINITY};
+    if (is_full) {
+        char path[HARNESS_ARG_SIZE_BYTES + 32];
+        struct stat status;
+        (void)snprintf(path, sizeof(path), "%s/control.log",
+                       region->control_folder);
+        cr_assert_eq(stat(path, &status), 0);
+        limit.rlim_cur = (rlim_t)status.st_size;
+    }
+    cr_assert_eq(prlimit(region->control.pid, RLIMIT_FSIZE, &limit, NULL), 0);
+}
+
+static bool
+has_failed_disk(const Process_t *control)
+{
+    Reply_t reply =
+        Http_Call(control->port, "GET", "/v1/dump", NULL, NULL, 5000);
+    json_t *json = Reply_Json(&reply);
+    int failed = 1;
+    (void)json_unpack(json, "{s:{s:{s:b}}}", "control", "log", "disk_failed",
+                      &failed);
+    json_decref(json);
+    Reply_Clear(&reply);
+    return failed != 0;
+}
+
+static bool
+await_failed_disk(const Process_t *control, bool failed, int64_t timeout_ms)
+{
+    int64_t deadline_ms = Harness_NowMs() + timeout_ms;
+    while (has_failed_disk(control) != failed) {
+        if (Harness_NowMs() >= deadline_ms) {
+            return false;
+        }
+        Harness_SleepMs(50);
+    }
+    return true;
+}
+
+Test(fleet, control_process_starts_again_after_its_disk_was_full)
+{
+    /* Writes beyond the limit then fail instead of ending the process. */
+    (void)signal(SIGXFSZ, SIG_IGN);
+    Fleet_Start(&Fleet, 3, 1);
+    FleetRegion_t *full = &Fleet.regions[2];
+    int made = 0;
+    char id[32];
+    for (int i = 0; i < 3; i++, made++) {
+        (void)snprintf(id, sizeof(id), "full-%d", made);
+        cr_assert(change_default(&Fleet.regions[0].gateways[0], 600 + made,
+                                 made, id));
+    }
+    set_disk_full(full, true);
+    for (int i = 0; i < 5; i++, made++) {
+        (void)snprintf(id, sizeof(id), "full-%d", made);
+        cr_assert(change_default(&Fleet.regions[0].gateways[0], 600 + made,
+                                 made, id));
+    }
+    cr_assert(await_failed_disk(&full->control, true, 5000));
+    set_disk_full(full, false);
+    for (int i = 0; i < 3; i++, made++) {
+        (void)snprintf(id, sizeof(id), "full-%d", made);
+        cr_assert(change_default(&Fleet.regions[0].gateways[0], 600 + made,
+                                 made, id));
+    }
+    cr_assert(await_failed_disk(&full->control, false, 10000));
+    Process_Kill(&full->control);
+    Process_Start(&full->control);
+    cr_assert(Process_AwaitStatus(&full->control, "/readyz", 200, 10000));
+    /* With another member lost, it is needed for each change. */
+    Process_Kill(&Fleet.regions[0].control);
+    cr_assert(change_default(&Fleet.regions[1].gateways[0], 700, made, "on"));
+    cr_assert(await_default(&full->gateways[0], 700, 10000));
+}
