Control: a disk write that failed is made before any later one

Callers saw a request run outside its home region (HOME) after a loss of power and of two disks, which is to be borne. Cause: the storage thread reported a write that failed (a full disk) and went on with the next one, while the contract of the replicated log is that it is repeated first. Also, the confirmation of the later write counted for the lost one: entries were acknowledged that weren't on the disk.

Change: EyRaftWriter holds writes in order and repeats the first one until it is done; EyRaftStorage is its thread, out of control_part.c. A full mailbox no longer drops a write either. write_failed is logged once an outage, and write_recovered when it ends.

fleet::control_process_starts_again_after_its_disk_was_full failed before ("corrupt at byte 1325: an entry is out of order") and passes; the tests of raft_writer play a full disk at each place. The property test of the replicated log repeated failed writes itself, so it never saw this.

--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -5,7 +5,8 @@
  *
  * The caller must:
  * - Write the content of each PERSIST action, synced, in order, then pass the
- *   PERSISTED event with its serial; or pass PERSIST_FAILED and try again.
+ *   PERSISTED event with its serial, which also confirms all earlier ones; or
+ *   pass PERSIST_FAILED and repeat it before any later one.
  * - Carry out APPLY and RESTORE in order.
  * - Call EyRaft_Step no later than at EyRaft_DueMs; any event will do.
  *
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -1,14 +1,13 @@
 #include "control/control_part.h"
 
 #include "config/control.h"
-#include "config/raft_file.h"
 #include "config/route_table.h"
+#include "control/raft_storage.h"
 #include "control/server_list_saver.h"
 #include "control/witnesses.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
-#include "core/worker.h"
 #include "operators/operators.h"
 
 #include <string.h>
@@ -17,7 +16,6 @@
 EY_DEFINE_ERROR_DOMAIN(ControlPart, "ey-control-part")
 
 #define TICK_MS 50
-#define WRITE_QUEUE_MAX 1024
 /* Longest wait of a read until the store has every entry that was committed
  * before the read. */
 #define READ_TIMEOUT_MS 800
@@ -27,9 +25,7 @@
     EyControl_t *control;
     EyWitnesses_t *witnesses;
     EyServerListSaver_t *list_saver;
-    EyRaftFile_t *raft_file; /* the storage thread's while that runs */
-    EyWorker_t *storage;
-    EyMailbox_t *write_results;
+    EyRaftStorage_t *storage;
     GHashTable *pending_requests; /* number -> PendingRequest_t */
     uint64_t last_request_number;
     EyRaftRole_t role; /* as last logged, like the members below */
@@ -47,63 +43,11 @@
     int64_t deadline_ms;
 } PendingRequest_t;
 
-/** The result of a write, from the storage thread. */
-typedef struct WriteResult {
-    uint64_t serial;
-    bool done;
-    char reason[200];
-} WriteResult_t;
-
-/* Called on the storage thread. */
-
-static void *
-storage_open(void *ctx, struct tevent_context *loop, EyTimers_t *timers,
-             void *data)
-{
-    (void)loop;
-    (void)timers;
-    ControlPart_t **state = EY_NEW(ctx, ControlPart_t *);
-    *state = data;
-    return state;
-}
-
-static void
-storage_handle(void *state, void *message)
-{
-    ControlPart_t *self = *(ControlPart_t **)state;
-    EyRaftDiskWrite_t *disk_write = message;
-    GError *error = NULL;
-    WriteResult_t *result = EY_NEW(NULL, WriteResult_t);
-    result->serial = disk_write->serial;
-    result->done = EyRaftFile_Write(self->raft_file, disk_write, &error);
-    if (!result->done) {
-        (void)EY_COPY(result->reason, error->message);
-        g_error_free(error);
-    }
-    talloc_free(disk_write);
-    EyMailbox_PostWait(self->write_results, result);
-}
-
-static const EyWorkerClass_t StorageClass = {
-    .name = "storage",
-    .open = storage_open,
-    .handle = storage_handle,
-};
-
-/* Called on the main thread. */
-
 static void
-on_written(void *data, void *message)
+on_stored(void *data, uint64_t serial, bool done)
 {
-    ControlPart_t *self = data;
-    const WriteResult_t *result = message;
-    if (!result->done) {
-        EY_LOG(EY_LOG_ERROR, "control", "write_failed",
-               EY_LOG_TEXT("reason", result->reason));
-    }
-    EyControl_Persisted(self->control, EyClock_NowMs(), result->serial,
-                        result->done);
-    talloc_free(message);
+    const ControlPart_t *self = data;
+    EyControl_Persisted(self->control, EyClock_NowMs(), serial, done);
 }
 
 static void
@@ -132,11 +76,7 @@
 hook_persist(void *data, EyRaftDiskWrite_t *disk_write)
 {
     const ControlPart_t *self = data;
-    uint64_t serial = disk_write->serial;
-    if (!EyWorker_Post(self->storage, disk_write)) {
-        talloc_free(disk_write);
-        EyControl_Persisted(self->control, EyClock_NowMs(), serial, false);
-    }
+    EyRaftStorage_Write(self->storage, disk_write);
 }
 
 /* Operators' requests */
@@ -384,9 +324,10 @@
     ControlPart_t *self = EY_NEW(ctx, ControlPart_t);
     self->node = node;
     EyRaftDiskState_t disk = {.incarnation = 0};
-    self->raft_file =
-        EyRaftFile_Open(self, node->settings->data_dir, NULL, &disk, error);
-    if (self->raft_file == NULL) {
+    self->storage =
+        EyRaftStorage_Start(self, node->settings->data_dir, node->loop,
+                            on_stored, self, &disk, error);
+    if (self->storage == NULL) {
         EyError_Wrap(error, EY_CONTROL_PART_ERROR, EY_CONTROL_PART_ERROR_FILE,
                      "opening the configuration's file");
         talloc_free(self);
@@ -394,9 +335,6 @@
     }
     self->pending_requests = g_hash_table_new_full(
         g_int64_hash, g_int64_equal, EyMemory_Free, pending_request_free);
-    self->write_results = EyMailbox_New(self, WRITE_QUEUE_MAX * 2);
-    EyMailbox_Attach(self->write_results, node->loop, on_written, self);
-    self->storage = EyWorker_Start(self, &StorageClass, WRITE_QUEUE_MAX, self);
     self->witnesses = EyWitnesses_New(self, node);
     const EyControlHooks_t hooks = {
         .send_raft = hook_send_raft,
@@ -419,7 +357,7 @@
 {
     ControlPart_t *self = part;
     EyServerListSaver_Stop(self->list_saver);
-    EyWorker_Stop(self->storage);
+    EyRaftStorage_Stop(self->storage);
     self->storage = NULL;
     g_hash_table_destroy(self->pending_requests);
 }
