Raft file: a failed sync doesn't disable a control process until its restart

Cause: after a sync that failed, or a truncation that failed on a full disk, each later write was refused until somebody restarted the process; nothing restarted it.

Change: EyRaftFile_Recover drops what isn't known to be on the disk and syncs file and folder; the writer calls it before it repeats the write. Bytes that a failed sync may have dropped are written again.

--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -238,8 +238,8 @@
 /** Renames the new file over the old one; after a crash one of them is
  * there. */
 static bool
-rename_over(EyRaftFile_t *self, int file, const char *new_path,
-            const char *path, GError **error)
+rename_over(EyRaftFile_t *self, int file, uint64_t size_bytes,
+            const char *new_path, const char *path, GError **error)
 {
     if (rename(new_path, path) != 0) {
         (void)fail_errno(error, EY_RAFT_FILE_ERROR_WRITE, path);
@@ -251,6 +251,7 @@
         (void)close(self->file);
     }
     self->file = file;
+    self->size_bytes = size_bytes;
     if (!sync_folder(self)) {
         self->has_failed = true;
         return fail_errno(error, EY_RAFT_FILE_ERROR_SYNC, self->folder);
@@ -276,10 +277,7 @@
         }
     }
     else {
-        done = rename_over(self, file, new_path, path, error);
-    }
-    if (done) {
-        self->size_bytes = buffer->len;
+        done = rename_over(self, file, buffer->len, new_path, path, error);
     }
     talloc_free(ctx);
     return done;
@@ -338,13 +336,28 @@
 {
     if (self->has_failed) {
         return fail(error, EY_RAFT_FILE_ERROR_SYNC, EY_RAFT_FILE_NAME,
-                    "the outcome of an earlier write is unknown; restart");
+                    "the outcome of an earlier write is unknown");
     }
     return disk_write->snapshot.index != 0
                ? write_new_file(self, disk_write, error)
                : append_changes(self, disk_write, error);
 }
 
+bool
+EyRaftFile_Recover(EyRaftFile_t *self, GError **error)
+{
+    if (!self->has_failed) {
+        return true;
+    }
+    if (ftruncate(self->file, (off_t)self->size_bytes) != 0 ||
+        self->calls.sync(self->file) != 0 || !sync_folder(self))
+    {
+        return fail_errno(error, EY_RAFT_FILE_ERROR_SYNC, EY_RAFT_FILE_NAME);
+    }
+    self->has_failed = false;
+    return true;
+}
+
 /* Reading */
 
 typedef struct Reading {
--- a/src/config/raft_file.h
+++ b/src/config/raft_file.h
@@ -26,7 +26,7 @@
     EY_RAFT_FILE_ERROR_LOCKED,  /* another process uses the folder */
     EY_RAFT_FILE_ERROR_CORRUPT, /* the content isn't as it was written */
     EY_RAFT_FILE_ERROR_WRITE,   /* not written, nothing changed; try again */
-    EY_RAFT_FILE_ERROR_SYNC     /* the disk's content is unknown: restart */
+    EY_RAFT_FILE_ERROR_SYNC     /* the disk's content is unknown: recover */
 } EyRaftFileError_t;
 
 EY_ERROR_DOMAIN(RaftFile);
@@ -57,12 +57,21 @@
 /**
  * Writes and syncs the content of a PERSIST action. Returns false with
  * EY_RAFT_FILE_ERROR if nothing may be taken as written; after ERROR_WRITE
- * the same call may be repeated, after ERROR_SYNC all further calls fail.
+ * the same call may be repeated, after ERROR_SYNC all calls fail until
+ * EyRaftFile_Recover.
  */
 bool
 EyRaftFile_Write(EyRaftFile_t *self, const EyRaftDiskWrite_t *disk_write,
                  GError **error);
 
+/**
+ * After ERROR_SYNC: drops what isn't known to be on the disk, so that the
+ * failed write can be repeated. Returns false with ERROR_SYNC if the disk
+ * still fails, true if there was nothing to do as well.
+ */
+bool
+EyRaftFile_Recover(EyRaftFile_t *self, GError **error);
+
 /** Returns the file's size, for dumps. */
 uint64_t
 EyRaftFile_SizeBytes(const EyRaftFile_t *self);
--- a/src/config/raft_writer.c
+++ b/src/config/raft_writer.c
@@ -51,7 +51,9 @@
     while ((disk_write = g_queue_peek_head(&self->waiting)) != NULL) {
         GError *error = NULL;
         uint64_t serial = disk_write->serial;
-        if (!EyRaftFile_Write(self->file, disk_write, &error)) {
+        if (!EyRaftFile_Recover(self->file, &error) ||
+            !EyRaftFile_Write(self->file, disk_write, &error))
+        {
             self->written(self->data, serial, error->message,
                           self->waiting.length);
             g_error_free(error);
--- a/tests/unit/test_raft_writer.c
+++ b/tests/unit/test_raft_writer.c
@@ -148,6 +148,9 @@
     {"full for several writes", true, false, 2, 5},
     {"full from the first write on", true, false, 1, 3},
     {"full for the last write", true, false, 6, 7},
+    {"no sync for one write", false, true, 3, 4},
+    {"no sync for several writes", false, true, 2, 6},
+    {"full, and no sync", true, true, 4, 5},
 };
 
 Test(raft_writer, no_write_is_skipped_after_a_failed_one)
