Raft file: a torn write doesn't commit an entry that it replaces

Cause: a write that replaced entries and moved the commit had its state record before the truncation. After a loss of power that tore it between the two, the new commit covered the old, conflicting entry: it was applied at the start, and the leader's entry was refused for good.

Change: the truncation comes first. An entry that is truncated can't be committed any more, so it may be dropped without the state that follows.

--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -313,14 +313,16 @@
 {
     GByteArray *buffer = g_byte_array_new();
     StateRecord_t state = state_of(disk_write);
-    if (!is_same_state(&state, &self->state)) {
-        add_record(buffer, RECORD_STATE, &StateSchema, &state);
-    }
+    /* Before the state, whose commit may cover entries that replace these: a
+     * torn write ends after any record. */
     if (disk_write->truncate_from != 0) {
         TruncateRecord_t truncation = {.from_index =
                                            disk_write->truncate_from};
         add_record(buffer, RECORD_TRUNCATE, &TruncateSchema, &truncation);
     }
+    if (!is_same_state(&state, &self->state)) {
+        add_record(buffer, RECORD_STATE, &StateSchema, &state);
+    }
     add_entries(buffer, disk_write);
     bool done = append(self, buffer, error);
     g_byte_array_free(buffer, TRUE);
--- a/tests/unit/test_raft_file.c
+++ b/tests/unit/test_raft_file.c
@@ -203,6 +203,65 @@
     remove_folder(&fixture);
 }
 
+/** A follower's log ends with entries 2 and 3 of term 2, committed up to 1; it
+ * then replaces 3 by one of term 3, which is committed already. Returns the
+ * size before the second write. */
+static uint64_t
+replace_entry(const Fixture_t *fixture)
+{
+    EyRaftEntry_t entries[] = {
+        {.index = 1, .term = 2, .kind = EY_RAFT_NO_OP},
+        {.index = 2, .term = 2, .kind = EY_RAFT_COMMAND},
+        {.index = 3, .term = 2, .kind = EY_RAFT_COMMAND},
+    };
+    EyRaftEntry_t replacement = {
+        .index = 3, .term = 3, .kind = EY_RAFT_COMMAND};
+    EyRaftDiskWrite_t before = {
+        .cluster = 7,
+        .term = 2,
+        .commit = 1,
+        .entries = entries,
+        .entry_count = 3,
+    };
+    EyRaftDiskWrite_t after = {
+        .cluster = 7,
+        .term = 3,
+        .commit = 3,
+        .truncate_from = 3,
+        .entries = &replacement,
+        .entry_count = 1,
+    };
+    EyRaftDiskState_t disk;
+    EyRaftFile_t *file = open_good(fixture, &disk);
+    cr_assert(EyRaftFile_Write(file, &before, NULL));
+    uint64_t before_bytes = EyRaftFile_SizeBytes(file);
+    cr_assert(EyRaftFile_Write(file, &after, NULL));
+    talloc_free(file);
+    return before_bytes;
+}
+
+Test(raft_file, torn_write_commits_no_entry_that_it_replaces)
+{
+    Fixture_t fixture = make_folder();
+    uint64_t before_bytes = replace_entry(&fixture);
+    size_t size_bytes = 0;
+    uint8_t *data = read_bytes(&fixture, &size_bytes);
+    for (size_t cut = before_bytes; cut <= size_bytes; cut++) {
+        write_bytes(&fixture, data, cut);
+        EyRaftDiskState_t disk;
+        EyRaftFile_t *file = open_good(&fixture, &disk);
+        bool holds_replaced =
+            disk.entry_count == 3 && disk.entries[2].term == 2;
+        cr_expect(!holds_replaced || disk.commit < 3,
+                  "cut at %zu of %zu: the replaced entry counts as committed",
+                  cut, size_bytes);
+        cr_expect(cut < size_bytes || disk.commit == 3);
+        talloc_free(file);
+    }
+    g_free(data);
+    remove_folder(&fixture);
+}
+
 /* The rest of a long incomplete record must not follow a shorter one that is
  * written over it. */
 Test(raft_file, torn_record_is_truncated_on_open)
