Raft file: a torn write whose rest reads as zeros doesn't stop the start

Cause: zeros after a loss of power were taken for space that was never written only where a whole record or its trailer at the file's end was zero. With a header that was torn, or with another record of the same write behind, the process ended with code 1 at each start ("invalid record header", "checksum mismatch in a record").

Change: a record that ends behind the last byte that isn't zero is incomplete; a record's last byte is never zero. Other wrong bytes are refused as before.

--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -365,7 +365,7 @@
 typedef struct Reading {
     const EyRaftFile_t *self;
     const uint8_t *data;
-    uint64_t size_bytes;
+    uint64_t content_bytes; /* size without the zeros at its end */
     uint64_t offset_bytes;
     EyRaftDiskState_t *disk;
     GPtrArray *entries; /* EyRaftEntry_t */
@@ -373,15 +373,15 @@
     GError **error;
 } Reading_t;
 
-static bool
-is_zero(const uint8_t *data, uint64_t size_bytes)
+/** Returns the size without the zeros at its end: space that was never written
+ * reads as zeros after a power failure, and a record ends in none. */
+static uint64_t
+content_size(const uint8_t *data, uint64_t size_bytes)
 {
-    for (uint64_t i = 0; i < size_bytes; i++) {
-        if (data[i] != 0) {
-            return false;
-        }
+    while (size_bytes > 0 && data[size_bytes - 1] == 0) {
+        size_bytes--;
     }
-    return true;
+    return size_bytes;
 }
 
 static bool
@@ -507,7 +507,7 @@
     const uint8_t *payload_start = start + sizeof(*header);
     uint64_t whole_bytes =
         sizeof(*header) + (uint64_t)header->size_bytes + sizeof(uint32_t);
-    if (whole_bytes > reading->size_bytes - reading->offset_bytes) {
+    if (whole_bytes > reading->content_bytes - reading->offset_bytes) {
         return READ_END;
     }
     EyBytes_t payload = {
@@ -518,11 +518,6 @@
     memcpy(&trailer, payload_start + header->size_bytes, sizeof(trailer));
     uint64_t hash = XXH64(payload.data, payload.size_bytes, header->kind);
     if (trailer != TRAILER || hash != header->payload_hash) {
-        bool is_last =
-            reading->offset_bytes + whole_bytes == reading->size_bytes;
-        if (is_last && trailer == 0) {
-            return READ_END;
-        }
         (void)corrupt(reading, "checksum mismatch in a record");
         return READ_CORRUPT;
     }
@@ -537,10 +532,8 @@
 read_record(Reading_t *reading)
 {
     const uint8_t *start = reading->data + reading->offset_bytes;
-    uint64_t left_bytes = reading->size_bytes - reading->offset_bytes;
     RecordHeader_t header;
-    /* Space that was never written reads as zeros after a power failure. */
-    if (left_bytes < sizeof(header) || is_zero(start, left_bytes)) {
+    if (reading->content_bytes < reading->offset_bytes + sizeof(header)) {
         return READ_END;
     }
     memcpy(&header, start, sizeof(header));
@@ -598,7 +591,7 @@
     Reading_t reading = {
         .self = self,
         .data = (const uint8_t *)data,
-        .size_bytes = size_bytes,
+        .content_bytes = content_size((const uint8_t *)data, size_bytes),
         .disk = disk,
         .entries = g_ptr_array_new(),
         .error = error,
--- a/tests/unit/test_raft_file.c
+++ b/tests/unit/test_raft_file.c
@@ -262,6 +262,30 @@
     remove_folder(&fixture);
 }
 
+Test(raft_file, torn_write_that_ends_in_zeros_is_dropped)
+{
+    Fixture_t fixture = make_folder();
+    uint64_t before_bytes = replace_entry(&fixture);
+    size_t size_bytes = 0;
+    uint8_t *data = read_bytes(&fixture, &size_bytes);
+    uint8_t *torn = g_malloc0(size_bytes);
+    for (size_t cut = before_bytes; cut < size_bytes; cut++) {
+        memcpy(torn, data, cut);
+        write_bytes(&fixture, torn, size_bytes);
+        EyRaftDiskState_t disk;
+        GError *error = NULL;
+        EyRaftFile_t *file =
+            EyRaftFile_Open(NULL, fixture.folder, NULL, &disk, &error);
+        cr_expect_not_null(file, "zeros from %zu of %zu on: %s", cut,
+                           size_bytes, error != NULL ? error->message : "");
+        g_clear_error(&error);
+        talloc_free(file);
+    }
+    g_free(torn);
+    g_free(data);
+    remove_folder(&fixture);
+}
+
 /* The rest of a long incomplete record must not follow a shorter one that is
  * written over it. */
 Test(raft_file, torn_record_is_truncated_on_open)
