Registry: a late announcement no longer overrides a later one

Cause: an announcement that differed from the record replaced it, whatever its number, unless the server was leaving. An announcement from before a server turned cold, delayed on its way, so ended the cold state at all gateways until the server's next announcement, up to 1.2 s later, and every gateway sent the server its full load.

Change: of two announcements of the same start (incarnation) with the same listing, the one with the lower load number is ignored and counted in registry_stale_total. Servers without an incarnation or without load numbers are handled as before, as a restart can't be told from a late announcement there.

Sanitizer builds were not run.

--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -46,7 +46,7 @@
     [COUNT_EXPIRED] = {"registry_expired_total", NULL,
                        "Backend servers that fell silent", EY_METRIC_COUNTER},
     [COUNT_STALE] = {"registry_stale_total", NULL,
-                     "Announcements that were older than a leaving",
+                     "Announcements that were older than what is known",
                      EY_METRIC_COUNTER},
     [COUNT_LISTED] = {"registry_backends", NULL, "Backend servers listed",
                       EY_METRIC_GAUGE},
@@ -240,6 +240,15 @@
     return now_ms - entry->listing_changed_ms < REOPEN_DELAY_MS;
 }
 
+/** True if this start of the server has sent the announcement before one that
+ * is known, as its load's number tells. */
+static bool
+is_out_of_order(const EyRegistryEntry_t *entry, const EyBackend_t *backend)
+{
+    return entry->numbers_own_loads && backend->incarnation != 0 &&
+           backend->load.at < entry->record.backend.load.at;
+}
+
 /** Handles an announcement without any change but in load. */
 static void
 handle_repeat(EyRegistry_t *self, int64_t now_ms, EyRegistryEntry_t *entry,
@@ -280,6 +289,10 @@
         store_own(self, now_ms, backend, listing, record->epoch + 1, 1);
         return;
     }
+    if (listing == record->listing && is_out_of_order(entry, backend)) {
+        EyMetric_Add(&Counts[COUNT_STALE], 1);
+        return;
+    }
     bool is_changed = listing > record->listing || record->expired ||
                       entry->unconfirmed ||
                       !EyBackend_EqualsExceptLoad(backend, &record->backend);
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -25,6 +25,7 @@
     int64_t left_ms = 0; /* 0: it serves */
     int64_t load_at = 0;
     bool numbers_loads = true;
+    bool is_cold = false;
 };
 
 /** Gateways with registries, and backend servers. */
@@ -126,6 +127,7 @@
         backend.ttl_ms = ttl_ms;
         backend.incarnation = server.incarnation;
         backend.state = server.state;
+        backend.is_cold = server.is_cold;
         server.load_at++;
         if (server.numbers_loads) {
             backend.load.at = server.load_at;
@@ -186,6 +188,19 @@
         return backend != NULL && backend->state == EY_BACKEND_SERVING;
     }
 
+    /** Number of gateways that list the server as cold. */
+    size_t
+    cold_at(const Server &server) const
+    {
+        size_t count = 0;
+        for (const EyRegistry_t *registry : registries) {
+            const EyBackend_t *backend =
+                EyRegistry_Find(registry, server.id.c_str());
+            count += backend != NULL && backend->is_cold ? 1 : 0;
+        }
+        return count;
+    }
+
     /** Checks that no running gateway uses a server that left over limit_ms
      * ago. */
     void
@@ -345,6 +360,36 @@
     });
 }
 
+/* A server that turned cold got its full load when an announcement from before
+ * that arrived late. */
+Test(registry_properties, a_late_announcement_does_not_end_the_cold_state)
+{
+    EY_CHECK("late announcement of a server that isn't cold yet", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(2, 10);
+        auto site = make_site(gateways, 1);
+        site->round_robin = *rc::gen::arbitrary<bool>();
+        Server &server = site->servers[0];
+        site->return_server(server, true);
+        site->run(3 * heartbeat_ms);
+        RC_ASSERT(site->settle(settle_limit_ms) >= 0);
+        EyBackend_t late = site->make_backend(server);
+        server.is_cold = true;
+        site->announce(server);
+        site->run(*rc::gen::inRange<int64_t>(0, 3000));
+        size_t at = *rc::gen::inRange<size_t>(0, gateways);
+        EyRegistry_Announce(site->registries[at],
+                            site->net.local_ms(*site->net.nodes[at]), &late);
+        site->run(1000);
+        for (int i = 0; i < 20; i++) {
+            RC_ASSERT(site->cold_at(server) == gateways);
+            site->run(cluster::tick_ms);
+        }
+        server.is_cold = false;
+        site->run(2 * heartbeat_ms + 1000);
+        RC_ASSERT(site->cold_at(server) == 0);
+    });
+}
+
 /** A server says in an answer to one gateway that it is leaving, while its
  * announcements still say that it serves. */
 Test(registry_properties, leaving_said_in_an_answer_holds_until_a_restart)
