Registry: the later of two announcements wins at all gateways

Cause: the serial of a record counted the changes that its gateway knew of. A restarted gateway, whose registry is empty, gave the first announcement that it received serial 1, and the older record of the other gateways replaced it. If that announcement was the one that said that the server is cold, no gateway had it until the next one, up to 1.2 s later. For the same reason an entry restored from a control process's list could supersede a live one.

Change: where a server numbers its loads and announces its start, the serial of a record from an announcement follows the load number, with room for the changes that a gateway makes between two announcements. An entry restored from the stored list has no load number, and so supersedes no announced record.

Measured: registry_properties:: a_cold_state_announced_to_a_restarted_gateway_holds fails on the code before at its first case (2 gateways), server_list:: restored_entry_does_not_supersede_an_announced_one too (both serials are 1). Sanitizer builds were not run.

--- a/src/control/server_list.c
+++ b/src/control/server_list.c
@@ -64,6 +64,9 @@
         EyBackend_t restored = self->servers[i];
         restored.ttl_ms = EY_SERVER_LIST_RESTORED_TTL_MS;
         restored.is_cold = true;
+        /* Without a load number it supersedes no record from an announcement.
+         */
+        restored.load = (EyBackendLoad_t){.at = 0};
         EyRegistry_Announce(registry, now_ms, &restored);
     }
     return self->count;
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -13,6 +13,11 @@
 /* A serving announcement received this soon after the server left is taken to
  * have been sent before, unless numbered loads tell their order. */
 #define REOPEN_DELAY_MS 1000
+/* Serials for the changes that a gateway makes to a record by itself between
+ * two announcements. */
+#define SERIALS_PER_ANNOUNCEMENT 256U
+/* Largest load number that serials follow. */
+#define LOAD_NUMBER_MAX (INT64_MAX / SERIALS_PER_ANNOUNCEMENT)
 /* Consecutive announcements after which this gateway takes over a server that
  * another gateway sponsors. */
 #define TAKEOVER_ANNOUNCEMENTS 3
@@ -206,6 +211,24 @@
            backend->incarnation == entry->record.backend.incarnation;
 }
 
+/** The serial of a record from an announcement that supersedes the known
+ * record; entry: NULL if none is known. If the server has numbered the
+ * announcement, the serial follows that number: gateways that don't have each
+ * other's records yet then agree on the later one. */
+static uint64_t
+announcement_serial(const EyRegistryEntry_t *entry, const EyBackend_t *backend)
+{
+    uint64_t next = entry != NULL ? entry->record.serial + 1 : 1;
+    bool is_numbered =
+        entry != NULL ? entry->numbers_own_loads : backend->load.at != 0;
+    if (!is_numbered || backend->incarnation == 0 || backend->load.at <= 0 ||
+        backend->load.at > LOAD_NUMBER_MAX)
+    {
+        return next;
+    }
+    return MAX(next, (uint64_t)backend->load.at * SERIALS_PER_ANNOUNCEMENT);
+}
+
 /** Stores a new record of a server, with this gateway as the sponsor. */
 static void
 store_own(EyRegistry_t *self, int64_t now_ms, const EyBackend_t *backend,
@@ -269,7 +292,7 @@
     }
     if (!EyRegistry_IsSponsor(self, record)) {
         store_own(self, now_ms, backend, record->listing, record->epoch,
-                  record->serial + 1);
+                  announcement_serial(entry, backend));
         return;
     }
     entry->refreshed_ms = now_ms;
@@ -286,7 +309,8 @@
             EyMetric_Add(&Counts[COUNT_STALE], 1);
             return;
         }
-        store_own(self, now_ms, backend, listing, record->epoch + 1, 1);
+        store_own(self, now_ms, backend, listing, record->epoch + 1,
+                  announcement_serial(NULL, backend));
         return;
     }
     if (listing == record->listing && is_out_of_order(entry, backend)) {
@@ -298,7 +322,7 @@
                       !EyBackend_EqualsExceptLoad(backend, &record->backend);
     if (is_changed) {
         store_own(self, now_ms, backend, listing, record->epoch,
-                  record->serial + 1);
+                  announcement_serial(entry, backend));
         return;
     }
     handle_repeat(self, now_ms, entry, backend);
@@ -328,7 +352,8 @@
                               : EY_LISTING_SERVING;
     if (entry == NULL ||
         backend->incarnation > entry->record.backend.incarnation) {
-        store_own(self, now_ms, backend, listing, 1, 1);
+        store_own(self, now_ms, backend, listing, 1,
+                  announcement_serial(NULL, backend));
         return;
     }
     if (backend->incarnation < entry->record.backend.incarnation) {
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -390,6 +390,27 @@
     });
 }
 
+/* A restarted gateway had no record of the server yet, numbered its first one
+ * from 1, and the others' older record replaced it. */
+Test(registry_properties, a_cold_state_announced_to_a_restarted_gateway_holds)
+{
+    EY_CHECK("cold state announced to a restarted gateway", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(2, 10);
+        auto site = make_site(gateways, 1);
+        Server &server = site->servers[0];
+        site->return_server(server, true);
+        server.gateway = *rc::gen::inRange<size_t>(0, gateways);
+        site->run(3 * heartbeat_ms);
+        RC_ASSERT(site->settle(settle_limit_ms) >= 0);
+        site->start(*site->net.nodes[server.gateway]);
+        server.is_cold = true;
+        site->announce(server);
+        server.up = false;
+        site->run(1500);
+        RC_ASSERT(site->cold_at(server) == gateways);
+    });
+}
+
 /** A server says in an answer to one gateway that it is leaving, while its
  * announcements still say that it serves. */
 Test(registry_properties, leaving_said_in_an_answer_holds_until_a_restart)
--- a/tests/unit/test_server_list.c
+++ b/tests/unit/test_server_list.c
@@ -142,6 +142,31 @@
     talloc_free(ctx);
 }
 
+static json_int_t
+dumped_serial(const EyRegistry_t *registry)
+{
+    json_t *dump = EyRegistry_Dump(registry);
+    const json_t *first = json_array_get(json_object_get(dump, "backends"), 0);
+    json_int_t serial = json_integer_value(json_object_get(first, "serial"));
+    json_decref(dump);
+    return serial;
+}
+
+Test(server_list, restored_entry_does_not_supersede_an_announced_one)
+{
+    void *ctx = talloc_new(NULL);
+    char *folder = save_list(ctx);
+    EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
+    EyRegistry_t *restored = make_registry(ctx);
+    cr_expect_eq(EyServerList_Restore(list, restored, NOW_MS), 1);
+    EyRegistry_t *announced = make_registry(ctx);
+    const EyBackend_t announcement = make_backend("i-1", EY_BACKEND_SERVING);
+    EyRegistry_Announce(announced, NOW_MS, &announcement);
+    cr_expect_lt(dumped_serial(restored), dumped_serial(announced));
+    remove_folder(folder);
+    talloc_free(ctx);
+}
+
 Test(server_list, non_empty_registry_is_not_changed)
 {
     void *ctx = talloc_new(NULL);
