Router: a cold server keeps its limit when it is unlisted and listed again

Cause: the times of the requests sent to a server were part of the router's state of the server, which goes when the registry unlists it. Servers are unlisted for a moment when the gateway that receives their announcements is lost or a gateway wakes from a pause; each gateway then sent its whole share once more within the same second.

Change: the limiters of unlisted servers are kept by the server's id until their window is over (routing/cold_limiters), as pauses are.

Measured: cold_properties:: unlisting_and_listing_a_cold_server_keeps_its_limit (1, 3, 9 or 60 gateways in simulated time) fails on the code before at its first case: 24 requests in one second where 13 are allowed (7 a second; 9 gateways). Sanitizer builds were not run.

--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -68,6 +68,7 @@
         EyRemoteRegions_New(self, EyRandom_Next(&self->state.random));
     self->retries = EyRetryBudgets_New(self);
     self->pauses = EyServerPauses_New(self);
+    self->cold_limiters = EyColdLimiters_New(self);
     ey_router_open_engine_updates(self);
     ey_router_open_suspects(self);
     EyRouter_SetConfig(self, &options->config);
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -66,6 +66,8 @@
     EyReplica_t *replica = EyReplica_New(NULL, now_ms, backend);
     replica->paused_until_ms =
         EyServerPauses_End(self->pauses, backend->id, backend->incarnation);
+    replica->cold_limiter =
+        EyColdLimiters_Take(self->cold_limiters, backend->id);
     if (now_ms - self->started_ms > STARTUP_MS) {
         EyOutlier_StartSlowStart(&replica->outlier, now_ms);
     }
@@ -100,9 +102,10 @@
 void
 EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id)
 {
-    (void)now_ms;
     EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
     if (replica != NULL) {
+        EyColdLimiters_Keep(self->cold_limiters, now_ms, id,
+                            &replica->cold_limiter);
         EyReplica_DetachRequests(replica);
         each_target(replica->backend, self, replica, EyPool_RemoveReplica);
         g_hash_table_remove(self->replicas, id);
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -2,6 +2,7 @@
 #ifndef EY_ROUTING_ROUTER_INTERNAL_H
 #define EY_ROUTING_ROUTER_INTERNAL_H
 
+#include "routing/cold_limiters.h"
 #include "routing/crash_suspects.h"
 #include "routing/pool.h"
 #include "routing/remote_caches.h"
@@ -50,6 +51,7 @@
     EyRemoteRegions_t *remote_regions;
     EyRetryBudgets_t *retries;
     EyServerPauses_t *pauses;
+    EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
     GHashTable *updates; /* by id, last updates of other gateways */
     GHashTable
