Router: a share of a cold server's rate is used a while after a rank changes

Cause: the gateways that share a cold server's rate are chosen by rank and number of gateways, and a new rank took effect at once. When gateways stop or start, the ranks of the others move, and gateways that get a share used it in the same second as those that had it before, or that hadn't seen the change yet. A gateway that had just started took itself for the only one and used the whole rate.

Change: a gateway uses the smallest share of all the ranks that it had within the last 2 s (1 s in which all gateways see a change, and the limiter's window of 1 s), and none for 2 s after its start (routing/rank_history). Where a share doesn't change, as among three gateways of a rate of 7, nothing changes. The price: after a start of all gateways of a region cold servers get nothing for 2 s.

Sanitizer builds were not run.

--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -107,7 +107,7 @@
 has_room(const EyReplica_t *replica, double estimated_requests, double slots,
          const EyPlanInputs_t *inputs)
 {
-    if (!EyReplica_IsWithinColdLimit(replica, inputs->now_ms, &inputs->rank)) {
+    if (!EyReplica_IsWithinColdLimit(replica, inputs->now_ms, inputs->ranks)) {
         return false;
     }
     double limit = slots * inputs->config->overcommit;
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -44,7 +44,7 @@
     uint32_t gateways; /* that send to the same replicas, including this one */
     uint32_t reporting_gateways; /* others with a fresh engine update */
     const EyRemoteCaches_t *remote_caches; /* may be NULL */
-    EyGatewayRank_t rank;
+    const EyRankHistory_t *ranks;
 } EyPlanInputs_t;
 
 /** The plan for a request. Times count from now. */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -236,14 +236,14 @@
 
 bool
 EyReplica_IsWithinColdLimit(const EyReplica_t *self, int64_t now_ms,
-                            const EyGatewayRank_t *rank)
+                            const EyRankHistory_t *ranks)
 {
     const EyBackend_t *backend = self->backend;
     if (!backend->is_cold || backend->cold_per_s <= 0.0) {
         return true;
     }
-    uint32_t share =
-        EyColdLimiter_Share(rank, backend->id, backend->cold_per_s);
+    uint32_t share = EyRankHistory_ColdShare(ranks, now_ms, backend->id,
+                                             backend->cold_per_s);
     return EyColdLimiter_MaySend(&self->cold_limiter, now_ms, share);
 }
 
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -16,6 +16,7 @@
 #include "routing/engine_load.h"
 #include "routing/outlier.h"
 #include "routing/prefix_hint.h"
+#include "routing/rank_history.h"
 #include "routing/routing_config.h"
 #include "routing/sliding_sum.h"
 
@@ -144,7 +145,7 @@
  * limit. */
 bool
 EyReplica_IsWithinColdLimit(const EyReplica_t *self, int64_t now_ms,
-                            const EyGatewayRank_t *rank);
+                            const EyRankHistory_t *ranks);
 
 /** Its slots, reduced during slow start; at least 1. */
 double
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -54,7 +54,7 @@
     (void)EY_COPY(self->region, options->region);
     self->state.random = EyRandom_Make(options->seed);
     self->gateways = 1;
-    self->rank = (EyGatewayRank_t){.count = 1};
+    self->ranks = EyRankHistory_Make();
     self->started_ms = -1;
     self->replicas =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
@@ -106,7 +106,7 @@
         .gateways = self->gateways,
         .reporting_gateways = ey_router_reporting_gateways(self),
         .remote_caches = self->remote_caches,
-        .rank = self->rank,
+        .ranks = &self->ranks,
     };
 }
 
@@ -114,13 +114,16 @@
 EyRouter_SetRank(EyRouter_t *self, int64_t now_ms, uint32_t rank,
                  uint32_t count)
 {
-    self->rank.rank = rank;
-    if (count >= self->rank.count ||
-        now_ms - self->rank_ms > RANK_COUNT_TTL_MS) {
-        self->rank.count = count > 0 ? count : 1;
+    EyGatewayRank_t present = {
+        .rank = rank,
+        .count = self->ranks.current.count,
+    };
+    if (count >= present.count || now_ms - self->rank_ms > RANK_COUNT_TTL_MS) {
+        present.count = count > 0 ? count : 1;
         self->rank_ms = now_ms;
     }
-    EyCrashSuspects_SetRank(self->suspects, rank, self->rank.count);
+    EyRankHistory_Set(&self->ranks, now_ms, &present);
+    EyCrashSuspects_SetRank(self->suspects, rank, present.count);
 }
 
 void
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -41,7 +41,7 @@
     const EyPolicy_t *policy;
     EyPolicyState_t state;
     uint32_t gateways;
-    EyGatewayRank_t rank;
+    EyRankHistory_t ranks;
     int64_t rank_ms;      /* when its count was last as high as now */
     int64_t started_ms;   /* time of the first announcement; < 0: none yet */
     GHashTable *replicas; /* by id, of EyReplica_t */
--- a/tests/property/test_cold_properties.cc
+++ b/tests/property/test_cold_properties.cc
@@ -312,3 +312,48 @@
         RC_ASSERT(region->sent_count > 0U);
     });
 }
+
+Test(cold_properties, gateways_that_stop_for_good_keep_the_limit)
+{
+    Check_SetCaseCount(20);
+    EY_CHECK("gateways stop", [] {
+        auto region = make_region();
+        /* All at once, or one after the other. */
+        const auto pause_ms = *rc::gen::element<int64_t>(0, 100, 1000);
+        for (size_t i = 0; i < region->size() / 3; i++) {
+            region->stop(region->below(region->size()));
+            region->run(pause_ms);
+        }
+        size_t sent_count = region->sent_count;
+        region->run(SETTLE_MS);
+        check_limit(*region);
+        RC_ASSERT(region->sent_count > sent_count);
+    });
+}
+
+Test(cold_properties, gateways_that_restart_keep_the_limit)
+{
+    Check_SetCaseCount(20);
+    EY_CHECK("gateways restart", [] {
+        auto region = make_region();
+        const auto pause_ms = *rc::gen::element<int64_t>(0, 100, 1000);
+        const auto down_ms = *rc::gen::element<int64_t>(0, 500, 3000);
+        std::vector<size_t> stopped;
+        for (size_t i = 0; i < (region->size() + 2) / 3; i++) {
+            stopped.push_back(region->below(region->size()));
+            region->stop(stopped.back());
+            region->run(pause_ms);
+        }
+        region->run(down_ms);
+        for (size_t index : stopped) {
+            if (!region->is_up(index)) {
+                region->start(index, false);
+                region->run(pause_ms);
+            }
+        }
+        size_t sent_count = region->sent_count;
+        region->run(SETTLE_MS);
+        check_limit(*region);
+        RC_ASSERT(region->sent_count > sent_count);
+    });
+}
