Process tests: stand-in servers and gateways are shared by their kinds

Change: backend_servers holds the servers, backend_connection one request, routed_gateways the processes; engines.c is left with what is an engine's own. test_crashing_prompts.c uses them; its cases, rates, limits and checks are as they were, only type and function names differ.

Conclusion: nothing of what the tests ask is changed.

--- /dev/null
+++ b/tests/process/routed_gateways.h
@@ -0,0 +1,37 @@
+/** Gateways that serve calls by a route table, with one control process. */
+#ifndef EY_TESTS_PROCESS_ROUTED_GATEWAYS_H
+#define EY_TESTS_PROCESS_ROUTED_GATEWAYS_H
+
+#include "process/harness.h"
+
+#define ROUTED_REGIONS 3
+#define ROUTED_GATEWAYS_MAX 3
+
+/** Each region has one zone, REGION-a. */
+extern const char *const RoutedGateways_regions[ROUTED_REGIONS];
+extern const char *const RoutedGateways_zones[ROUTED_REGIONS];
+
+typedef struct RoutedGateways {
+    Process_t control; /* in the first region */
+    Process_t gateways[ROUTED_GATEWAYS_MAX];
+    uint16_t routed_ports[ROUTED_GATEWAYS_MAX]; /* for calls of routes */
+    uint32_t count;
+} RoutedGateways_t;
+
+/** Starts a control process and one gateway for each number of a region in
+ * regions; label begins the names of the processes, headers names the table of
+ * header names. */
+void
+RoutedGateways_Start(RoutedGateways_t *self, const char *label,
+                     const uint32_t *regions, uint32_t count,
+                     const char *headers);
+
+/** Sets the route table, as soon as there is a control process for it. */
+void
+RoutedGateways_PutRoutes(const RoutedGateways_t *self, const char *routes);
+
+/** Kills all processes. */
+void
+RoutedGateways_Kill(RoutedGateways_t *self);
+
+#endif
--- a/tests/process/test_crashing_prompts.c
+++ b/tests/process/test_crashing_prompts.c
@@ -3,13 +3,13 @@
  * two regions. */
 #include "process/engines.h"
 #include "process/harness.h"
+#include "process/routed_gateways.h"
 
 #include <criterion/criterion.h>
 #include <curl/curl.h>
 #include <stdio.h>
 #include <string.h>
 
-#define REGIONS 2
 #define GATEWAYS 3
 #define ENGINES 12
 #define START_TIMEOUT_MS 15000
@@ -39,7 +39,6 @@
 #define OTHER_CRASHES 8
 #define OTHER_CRASH_INTERVAL_MS 600
 
-static const char *const RegionNames[REGIONS] = {"dalmacija", "istra"};
 static const uint32_t GatewayRegions[GATEWAYS] = {0, 0, 1};
 
 /* The parts of a prompt but the last one, which is the request's own. All
@@ -57,9 +56,7 @@
     "a1:800,c3:300,d4:200," FATAL_PART_TEXT,
 };
 
-static Process_t Control;
-static Process_t Gateways[GATEWAYS];
-static uint16_t RoutedPorts[GATEWAYS];
+static RoutedGateways_t Fleet;
 static Engines_t *Engines;
 
 /** One request of a caller and its result. */
@@ -109,75 +106,13 @@
         Engines_Stop(Engines);
         Engines = NULL;
     }
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
-        Process_Kill(&Gateways[i]);
-    }
-    Process_Kill(&Control);
+    RoutedGateways_Kill(&Fleet);
 }
 
 TestSuite(crashing_prompts, .fini = end_all, .timeout = 120);
 
 /* Start */
 
-static Process_t
-make_daemon(const char *program, const char *region, uint32_t number)
-{
-    char name[64];
-    (void)snprintf(name, sizeof(name), "crashing-%s-%u", region, number);
-    Process_t process = Process_Make(program, name);
-    process.port = Harness_FreePort();
-    process.peer_port = Harness_FreePort();
-    return process;
-}
-
-static char *
-gateway_peers(void)
-{
-    GString *text = g_string_new(NULL);
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
-        g_string_append_printf(text, "%s127.0.0.1:%u", i > 0 ? "," : "",
-                               Gateways[i].peer_port);
-    }
-    return g_string_free(text, FALSE);
-}
-
-static void
-start_daemon(Process_t *process, const char *region)
-{
-    char *peers = gateway_peers();
-    Process_Arg(process, "--id=%s", process->name);
-    Process_Arg(process, "--region=%s", region);
-    Process_Arg(process, "--zone=%s-a", region);
-    Process_Arg(process, "--zones=dalmacija-a=dalmacija,istra-a=istra");
-    Process_Arg(process, "--headers=platform");
-    Process_Arg(process, "--listen=127.0.0.1:%u", process->port);
-    Process_Arg(process, "--peer-listen=127.0.0.1:%u", process->peer_port);
-    Process_Arg(process, "--peers=%s", peers);
-    Process_Arg(process, "--control=127.0.0.1:%u", Control.peer_port);
-    g_free(peers);
-    Process_Start(process);
-}
-
-static void
-start_daemons(void)
-{
-    Control = make_daemon("ebonyyard-control", RegionNames[0], 0);
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
-        Gateways[i] = make_daemon("ebonyyard-gateway",
-                                  RegionNames[GatewayRegions[i]], i + 1);
-        RoutedPorts[i] = Harness_FreePort();
-    }
-    char folder[HARNESS_ARG_SIZE_BYTES];
-    Harness_MakeFolder(folder, sizeof(folder), Control.name);
-    Process_Arg(&Control, "--data-dir=%s", folder);
-    start_daemon(&Control, RegionNames[0]);
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
-        Process_Arg(&Gateways[i], "--routed-listen=127.0.0.1:%u",
-                    RoutedPorts[i]);
-        start_daemon(&Gateways[i], RegionNames[GatewayRegions[i]]);
-    }
-}
-
 static void
 put_routes(void)
 {
@@ -187,30 +122,21 @@
         "true,\"timeout_ms\":5000,\"latency_objective_ms\":1500,\"priority\":"
         "1,\"service\":\"guide\",\"attempts_max\":3}],\"services\":[{\"name\":"
         "\"guide\",\"engine\":{\"slots\":4}}]}";
-    int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
-    long status = 0;
-    while (status != 200 && Harness_NowMs() < until_ms) {
-        Reply_t reply = Http_Call(Gateways[0].port, "PUT", "/v1/config/routes",
-                                  NULL, Routes, 5000);
-        status = reply.status;
-        Reply_Clear(&reply);
-        Harness_SleepMs(50);
-    }
-    cr_assert_eq(status, 200, "the route table was answered with %ld", status);
+    RoutedGateways_PutRoutes(&Fleet, Routes);
 }
 
 /** Starts an equal number of engines for each gateway in its region. */
 static void
 start_engines(uint64_t fatal_part)
 {
-    EngineSite_t sites[ENGINES] = {{.zone = NULL}};
+    BackendSite_t sites[ENGINES] = {{.zone = NULL}};
     for (uint32_t i = 0; i < ENGINES; i++) {
         uint32_t region = GatewayRegions[i % GATEWAYS];
-        sites[i].zone = region == 0 ? "dalmacija-a" : "istra-a";
+        sites[i].zone = RoutedGateways_zones[region];
         uint32_t count = 0;
         for (uint32_t g = 0; g < GATEWAYS; g++) {
             if (GatewayRegions[g] == region) {
-                sites[i].gateway_ports[count++] = Gateways[g].port;
+                sites[i].gateway_ports[count++] = Fleet.gateways[g].port;
             }
         }
     }
@@ -240,7 +166,7 @@
                    (prompt->is_fatal ? 0x20000 : 0x10000) + prompt->number);
     const char *const headers[] = {id, prefix, "Deadline-Ms: 5000",
                                    "Token-Usage: 1700,20", NULL};
-    Reply_t reply = Http_Call(RoutedPorts[gateway_of(prompt)], "POST",
+    Reply_t reply = Http_Call(Fleet.routed_ports[gateway_of(prompt)], "POST",
                               "/plan/trip", headers, "{}", CALL_TIMEOUT_MS);
     prompt->status = reply.status;
     prompt->has_begun = reply.status == 200 && reply.body != NULL &&
@@ -352,7 +278,8 @@
 start_all(uint64_t fatal_part)
 {
     (void)curl_global_init(CURL_GLOBAL_DEFAULT);
-    start_daemons();
+    RoutedGateways_Start(&Fleet, "crashing", GatewayRegions, GATEWAYS,
+                         "platform");
     put_routes();
     start_engines(fatal_part);
     await_service();
@@ -364,12 +291,12 @@
 static uint32_t
 read_crashes(int64_t *reference_ms)
 {
-    GArray *crashes = Engines_Crashes(Engines);
+    GArray *crashes = Backends_Crashes(Engines_Servers(Engines));
     uint32_t count = crashes->len;
     *reference_ms = 0;
     if (count > 0) {
         *reference_ms =
-            g_array_index(crashes, EngineCrash_t, MIN(count, CRASHES_MAX) - 1)
+            g_array_index(crashes, BackendCrash_t, MIN(count, CRASHES_MAX) - 1)
                 .at_ms;
     }
     g_array_unref(crashes);
@@ -379,11 +306,11 @@
 static void
 count_arrivals(Outcome_t *outcome)
 {
-    GArray *arrivals = Engines_Arrivals(Engines);
+    GArray *arrivals = Backends_Arrivals(Engines_Servers(Engines));
     for (guint i = 0; i < arrivals->len; i++) {
-        const EngineArrival_t *arrival =
-            &g_array_index(arrivals, EngineArrival_t, i);
-        if (!arrival->has_fatal_part) {
+        const BackendArrival_t *arrival =
+            &g_array_index(arrivals, BackendArrival_t, i);
+        if (!arrival->is_fatal) {
             continue;
         }
         outcome->arrivals++;
@@ -466,7 +393,7 @@
     run_traffic(traffic, OTHER_CRASH_INTERVAL_MS);
     for (uint32_t i = 0; i < OTHER_CRASHES; i++) {
         int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
-        while (!Engines_CrashBusiest(Engines)) {
+        while (!Backends_CrashBusiest(Engines_Servers(Engines))) {
             cr_assert_lt(Harness_NowMs(), until_ms, "no prompt is running");
             step_traffic(traffic);
         }
