Tests of answers that end with their connection, whole and broken off

Cause: nothing showed what becomes of an answer with neither a length nor chunks when its server ends between two writes, which looks like a whole one.

Its servers close their listener before their connections, as a process does that ends.

--- a/tests/process/backend_servers.c
+++ b/tests/process/backend_servers.c
@@ -91,6 +91,9 @@
         .is_by_request = is_by_request,
     };
     g_array_append_val(self->crashes, entry);
+    /* As when a process ends: it was opened before the connections. */
+    (void)close(server->listener);
+    server->listener = -1;
     for (guint i = 0; i < self->connections->len; i++) {
         BackendConnection_t *connection = self->connections->pdata[i];
         if (connection->server == server && connection->state != STATE_CLOSED)
@@ -98,8 +101,6 @@
             BackendConnection_End(connection, !self->kind->ends_without_reset);
         }
     }
-    (void)close(server->listener);
-    server->listener = -1;
     server->back_at_ms =
         now_ms + Backends_RandomBetween(self, self->kind->down_min_ms,
                                         self->kind->down_max_ms);
@@ -370,6 +371,12 @@
     return busiest != NULL;
 }
 
+uint16_t
+Backends_Port(const Backends_t *self, uint32_t server)
+{
+    return self->servers[server].port;
+}
+
 static GArray *
 copy_array(Backends_t *self, GArray *array)
 {
--- a/tests/process/backend_servers.h
+++ b/tests/process/backend_servers.h
@@ -78,6 +78,10 @@
 bool
 Backends_CrashBusiest(Backends_t *self);
 
+/** The server's port on 127.0.0.1, the same at each start. */
+uint16_t
+Backends_Port(const Backends_t *self, uint32_t server);
+
 /** All crashes so far, in order; the caller frees the array. */
 GArray *
 Backends_Crashes(Backends_t *self);
--- a/tests/process/services.c
+++ b/tests/process/services.c
@@ -13,8 +13,6 @@
 #define CRASH_DELAY_MIN_MS 30
 #define CRASH_DELAY_MAX_MS 50
 #define DOWN_MIN_MS 1300
-#define ANSWER_FIRST "first part, "
-#define ANSWER_REST "rest"
 
 struct Services {
     ServicesEnd_t end;
@@ -74,12 +72,12 @@
     case SERVICES_END_AFTER_HEAD:
         send_head(connection, "Transfer-Encoding: chunked");
         (void)snprintf(chunk, sizeof(chunk), "%zx\r\n%s\r\n",
-                       strlen(ANSWER_FIRST), ANSWER_FIRST);
+                       strlen(SERVICES_ANSWER_FIRST), SERVICES_ANSWER_FIRST);
         (void)BackendConnection_Send(connection, chunk);
         break;
     case SERVICES_END_UNFRAMED:
         send_head(connection, "Connection: close");
-        (void)BackendConnection_Send(connection, ANSWER_FIRST);
+        (void)BackendConnection_Send(connection, SERVICES_ANSWER_FIRST);
         break;
     case SERVICES_END_BEFORE_HEAD:
         break;
@@ -104,15 +102,15 @@
     const Services_t *self = context;
     if (self->end == SERVICES_END_UNFRAMED) {
         send_head(connection, "Connection: close");
-        (void)BackendConnection_Send(connection, ANSWER_FIRST ANSWER_REST);
+        (void)BackendConnection_Send(connection, SERVICES_ANSWER);
         BackendConnection_Close(connection);
         return;
     }
     char framing[64];
     (void)snprintf(framing, sizeof(framing), "Content-Length: %zu",
-                   strlen(ANSWER_FIRST ANSWER_REST));
+                   strlen(SERVICES_ANSWER));
     send_head(connection, framing);
-    (void)BackendConnection_Send(connection, ANSWER_FIRST ANSWER_REST);
+    (void)BackendConnection_Send(connection, SERVICES_ANSWER);
     BackendConnection_Finish(connection);
 }
 
--- a/tests/process/services.h
+++ b/tests/process/services.h
@@ -14,6 +14,9 @@
 #define SERVICES_FATAL_PATH "fatal"
 #define SERVICES_POPULAR_PATH "popular"
 #define SERVICES_POLL_PATH "poll"
+/** The body of an answer, and what came of it before a server ended. */
+#define SERVICES_ANSWER_FIRST "first part, "
+#define SERVICES_ANSWER SERVICES_ANSWER_FIRST "rest"
 
 typedef struct Services Services_t;
 
