Crash suspects: one file each for the table, bars and evidence

The table with its events, the bars, and the evidence of this gateway with what refutes it get files of their own; what is suspected is called by its key, as not only parts will be.

--- /dev/null
+++ b/src/routing/crash_suspects_bars.c
@@ -0,0 +1,223 @@
+/* When suspects are barred, and for how long. */
+#include "routing/crash_suspects_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/** The gateways' turns to try a part are spread over this share of its bar. */
+#define TURNS_SHARE 0.25
+/** A caller refused because of a running trial may come back after this time.
+ */
+#define TRIAL_LEFT_MS 1000
+
+static int64_t
+bar_duration_ms(uint32_t crashes)
+{
+    int64_t duration_ms = EY_CRASH_BAR_MS;
+    for (uint32_t i = EY_CRASH_BAR_CRASHES; i < crashes; i++) {
+        duration_ms =
+            MIN(duration_ms * EY_CRASH_BAR_FACTOR, EY_CRASH_BAR_MAX_MS);
+    }
+    return duration_ms;
+}
+
+/** The part whose bar ended first; NULL if no bar has ended. */
+static EyCrashSuspect_t *
+find_ended_bar(const EyCrashSuspects_t *self, int64_t now_ms)
+{
+    EyCrashSuspect_t *first = NULL;
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        EyCrashSuspect_t *suspect = value;
+        if (ey_crash_suspects_was_barred(suspect) &&
+            suspect->bar_end_ms <= now_ms &&
+            (first == NULL || suspect->bar_end_ms < first->bar_end_ms))
+        {
+            first = suspect;
+        }
+    }
+    return first;
+}
+
+/** True if the part may be barred; if too many are, one whose bar has ended
+ * goes, else the one with the least evidence. */
+static bool
+make_room_for_bar(EyCrashSuspects_t *self, int64_t now_ms,
+                  const EyCrashSuspect_t *suspect)
+{
+    if (ey_crash_suspects_was_barred(suspect)) {
+        return true;
+    }
+    uint32_t count = 0;
+    EyCrashSuspect_t *least = ey_crash_suspects_find_least(self, true, &count);
+    if (count < EY_CRASH_BARS_MAX) {
+        return true;
+    }
+    EyCrashSuspect_t *ended = find_ended_bar(self, now_ms);
+    if (ended == NULL && !ey_crash_suspects_has_less(least, suspect)) {
+        return false;
+    }
+    least = ended != NULL ? ended : least;
+    (void)g_hash_table_remove(self->by_key, &least->key);
+    return true;
+}
+
+/** Bars a part until its evidence says so; end_ms depends on the time of the
+ * crash only, so that repeated evidence doesn't prolong it. */
+static void
+bar_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect,
+         int64_t end_ms, int64_t bar_ms)
+{
+    if (!make_room_for_bar(self, now_ms, suspect)) {
+        return;
+    }
+    bool is_longer =
+        end_ms > suspect->bar_end_ms || !ey_crash_suspects_was_barred(suspect);
+    suspect->bar_ms = MAX(bar_ms, suspect->bar_ms);
+    suspect->bar_end_ms = MAX(end_ms, suspect->bar_end_ms);
+    if (is_longer) {
+        ey_crash_suspects_add_event(self, EY_SUSPECT_BARRED, suspect);
+    }
+}
+
+void
+ey_crash_suspects_note_start(EyCrashSuspects_t *self, int64_t now_ms)
+{
+    if (!self->has_started) {
+        self->has_started = true;
+        self->started_ms = now_ms;
+    }
+}
+
+/** True if the crashes of a part are held against it. */
+static bool
+is_settled(const EyCrashSuspects_t *self, int64_t now_ms,
+           const EyCrashSuspect_t *suspect)
+{
+    int64_t first_ms = now_ms;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        first_ms = MIN(first_ms, suspect->crashes[i].crash_ms);
+    }
+    return now_ms - self->started_ms >= EY_CRASH_START_MS &&
+           now_ms - first_ms >= EY_CRASH_SETTLE_MS &&
+           ey_crash_suspects_last_crash_ms(suspect) - first_ms >=
+               EY_CRASH_SPAN_MS;
+}
+
+/** Bars a part, or for longer, if its evidence says so. */
+static void
+judge_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect)
+{
+    if (suspect->crash_count < EY_CRASH_BAR_CRASHES ||
+        (!ey_crash_suspects_was_barred(suspect) &&
+         !is_settled(self, now_ms, suspect)))
+    {
+        return;
+    }
+    int64_t bar_ms = bar_duration_ms(suspect->crash_count);
+    bar_part(self, now_ms, suspect,
+             ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
+}
+
+bool
+ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
+                      const EyCrashEvidence_t *evidence)
+{
+    if (evidence->age_ms >= EY_CRASH_WINDOW_MS ||
+        g_hash_table_contains(self->refuted, &evidence->crash))
+    {
+        return false;
+    }
+    EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
+        self, now_ms, evidence->key, evidence->part_id);
+    if (ey_crash_suspects_has_crash(suspect, evidence->crash)) {
+        return false;
+    }
+    const EyCrash_t crash = {
+        .crash = evidence->crash,
+        .crash_ms = now_ms - (int64_t)evidence->age_ms,
+    };
+    ey_crash_suspects_append_crash(suspect, crash);
+    judge_part(self, now_ms, suspect);
+    return true;
+}
+
+/** Number of crashes of a told bar that weren't refuted. */
+static uint32_t
+count_crashes(const EyCrashSuspects_t *self, const EyPartBar_t *bar)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < bar->crash_count; i++) {
+        count += !g_hash_table_contains(self->refuted, &bar->crashes[i].crash);
+    }
+    return count;
+}
+
+void
+ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
+                            const EyPartBar_t *bar)
+{
+    const EyCrashSuspect_t *known = ey_crash_suspects_find(self, bar->key);
+    bool has_as_much = known != NULL && ey_crash_suspects_was_barred(known) &&
+                       known->crash_count >= bar->crash_count;
+    if (count_crashes(self, bar) < EY_CRASH_BAR_CRASHES ||
+        bar->crash_count > EY_CRASHES_MAX || has_as_much ||
+        bar->left_ms > EY_CRASH_BAR_MAX_MS ||
+        -bar->left_ms > EY_CRASH_BAR_KEPT_MS)
+    {
+        return;
+    }
+    EyCrashSuspect_t *suspect =
+        ey_crash_suspects_add_suspect(self, now_ms, bar->key, bar->part_id);
+    int64_t bar_ms = bar_duration_ms(bar->crash_count);
+    for (uint32_t i = 0; i < bar->crash_count; i++) {
+        const EyCrash_t crash = {
+            .crash = bar->crashes[i].crash,
+            .crash_ms = now_ms + bar->left_ms - bar_ms,
+        };
+        bool is_refuted = g_hash_table_contains(self->refuted, &crash.crash);
+        if (!is_refuted && !ey_crash_suspects_has_crash(suspect, crash.crash))
+        {
+            ey_crash_suspects_append_crash(suspect, crash);
+        }
+    }
+    bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+}
+
+/** The time after the end of a bar at which this gateway may try the part. The
+ * gateways of a region have different times, and the regions' times are
+ * interleaved: the crash of the first trial is known before most others may
+ * try. */
+static int64_t
+turn_ms(const EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect)
+{
+    uint64_t hash = XXH64(self->region, strlen(self->region), suspect->key);
+    double of_region = (double)(hash % 1000) / 1000;
+    uint64_t turn =
+        (self->rank + suspect->key % self->rank_count) % self->rank_count;
+    double share = ((double)turn + of_region) / self->rank_count;
+    return (int64_t)((double)suspect->bar_ms * TURNS_SHARE * share);
+}
+
+EySuspicionResult_t
+ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
+                        EyCrashSuspect_t *suspect)
+{
+    ey_crash_suspects_drop_old(suspect, now_ms);
+    if (!ey_crash_suspects_was_barred(suspect)) {
+        judge_part(self, now_ms, suspect);
+    }
+    if (!ey_crash_suspects_was_barred(suspect)) {
+        return (EySuspicionResult_t){.suspicion = EY_SUSPICION_NONE};
+    }
+    int64_t left_ms = suspect->bar_end_ms + turn_ms(self, suspect) - now_ms;
+    if (left_ms <= 0 && suspect->has_trial) {
+        left_ms = TRIAL_LEFT_MS;
+    }
+    return (EySuspicionResult_t){
+        .suspicion = left_ms > 0 ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+        .left_ms = MAX(left_ms, 0),
+    };
+}
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -11,6 +11,10 @@
 extern "C" {
 #endif
 
+/** Evidence of a part is kept for this time after its bar, so that a crash of
+ * its trial bars it for longer. */
+#define EY_CRASH_BAR_KEPT_MS EY_CRASH_BAR_MAX_MS
+
 typedef struct EyCrash {
     uint64_t crash;
     int64_t crash_ms;
@@ -18,7 +22,7 @@
 
 /** A part with evidence that wasn't cleared. */
 typedef struct EyCrashSuspect {
-    uint64_t part;
+    uint64_t key;
     uint64_t part_id;
     EyCrash_t crashes[EY_CRASHES_MAX]; /* distinct, earliest evidence first */
     uint32_t crash_count;
@@ -40,7 +44,7 @@
     int64_t started_ms; /* time of the first call that has a time */
     uint32_t rank;
     uint32_t rank_count;
-    GHashTable *by_part; /* of EyCrashSuspect_t */
+    GHashTable *by_key; /* of EyCrashSuspect_t */
     EyClearedParts_t *cleared;
     GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
     GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
@@ -49,6 +53,56 @@
     GQueue events;       /* of EySuspectEvent_t */
 };
 
+/* crash_suspects_table.c */
+
+void
+ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
+                            const EyCrashSuspect_t *suspect);
+
+bool
+ey_crash_suspects_was_barred(const EyCrashSuspect_t *suspect);
+
+/** The suspect with that key, or NULL. */
+EyCrashSuspect_t *
+ey_crash_suspects_find(const EyCrashSuspects_t *self, uint64_t part);
+
+int64_t
+ey_crash_suspects_last_crash_ms(const EyCrashSuspect_t *suspect);
+
+/** Drops the crashes that no longer add up with later ones. */
+void
+ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms);
+
+/** True if there is less reason to keep one than other. */
+bool
+ey_crash_suspects_has_less(const EyCrashSuspect_t *one,
+                           const EyCrashSuspect_t *other);
+
+/** The suspect with the least evidence, of all or of those that were barred;
+ * count: of these. */
+EyCrashSuspect_t *
+ey_crash_suspects_find_least(const EyCrashSuspects_t *self, bool only_barred,
+                             uint32_t *count);
+
+/** The suspect with that key, new if there was none. */
+EyCrashSuspect_t *
+ey_crash_suspects_add_suspect(EyCrashSuspects_t *self, int64_t now_ms,
+                              uint64_t part, uint64_t part_id);
+
+bool
+ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash);
+
+/** Adds a crash; the first one makes room. */
+void
+ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash);
+
+/* crash_suspects_bars.c */
+
+/** What may be done now with a request that has the part. */
+EySuspicionResult_t
+ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
+                        EyCrashSuspect_t *suspect);
+
 /** Adds evidence; false if it is known or too old. */
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
--- /dev/null
+++ b/src/routing/crash_suspects_table.c
@@ -0,0 +1,208 @@
+/* The table of suspects, and the events about them. */
+#include "routing/crash_suspects_internal.h"
+
+#include <string.h>
+
+#define EVENTS_MAX 64
+
+/* Events */
+
+void
+ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
+                            const EyCrashSuspect_t *suspect)
+{
+    if (self->events.length == EVENTS_MAX) {
+        g_free(g_queue_pop_head(&self->events));
+    }
+    EySuspectEvent_t *event = g_new0(EySuspectEvent_t, 1);
+    *event = (EySuspectEvent_t){
+        .kind = kind,
+        .part_id = suspect->part_id,
+        .crashes = suspect->crash_count,
+        .bar_ms = suspect->bar_ms,
+    };
+    g_queue_push_tail(&self->events, event);
+}
+
+bool
+EyCrashSuspects_NextEvent(EyCrashSuspects_t *self, EySuspectEvent_t *event)
+{
+    EySuspectEvent_t *first = g_queue_pop_head(&self->events);
+    if (first == NULL) {
+        return false;
+    }
+    *event = *first;
+    g_free(first);
+    return true;
+}
+
+/* The table */
+
+bool
+ey_crash_suspects_was_barred(const EyCrashSuspect_t *suspect)
+{
+    return suspect->bar_ms > 0;
+}
+
+EyCrashSuspect_t *
+ey_crash_suspects_find(const EyCrashSuspects_t *self, uint64_t part)
+{
+    return g_hash_table_lookup(self->by_key, &part);
+}
+
+int64_t
+ey_crash_suspects_last_crash_ms(const EyCrashSuspect_t *suspect)
+{
+    int64_t last_ms = INT64_MIN;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        last_ms = MAX(last_ms, suspect->crashes[i].crash_ms);
+    }
+    return last_ms;
+}
+
+/** Drops the crashes that no longer add up with later ones. */
+void
+ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms)
+{
+    if (ey_crash_suspects_was_barred(suspect)) {
+        return;
+    }
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        if (now_ms - suspect->crashes[i].crash_ms < EY_CRASH_WINDOW_MS) {
+            suspect->crashes[kept++] = suspect->crashes[i];
+        }
+    }
+    suspect->crash_count = kept;
+}
+
+static bool
+is_outdated(EyCrashSuspect_t *suspect, int64_t now_ms)
+{
+    ey_crash_suspects_drop_old(suspect, now_ms);
+    return ey_crash_suspects_was_barred(suspect)
+               ? now_ms - suspect->bar_end_ms >= EY_CRASH_BAR_KEPT_MS
+               : suspect->crash_count == 0;
+}
+
+static gboolean
+is_outdated_entry(gpointer part, gpointer suspect, gpointer now_ms)
+{
+    (void)part;
+    return is_outdated(suspect, *(const int64_t *)now_ms);
+}
+
+static gboolean
+is_refuted_long_ago(gpointer crash, gpointer refuted_ms, gpointer now_ms)
+{
+    (void)crash;
+    return *(const int64_t *)now_ms - *(const int64_t *)refuted_ms >=
+           EY_CRASH_WINDOW_MS;
+}
+
+void
+ey_crash_suspects_expire(EyCrashSuspects_t *self, int64_t now_ms)
+{
+    (void)g_hash_table_foreach_remove(self->by_key, is_outdated_entry,
+                                      &now_ms);
+    (void)g_hash_table_foreach_remove(self->refuted, is_refuted_long_ago,
+                                      &now_ms);
+}
+
+/** True if there is less reason to keep one than other. */
+bool
+ey_crash_suspects_has_less(const EyCrashSuspect_t *one,
+                           const EyCrashSuspect_t *other)
+{
+    if (one->crash_count != other->crash_count) {
+        return one->crash_count < other->crash_count;
+    }
+    if (ey_crash_suspects_last_crash_ms(one) !=
+        ey_crash_suspects_last_crash_ms(other))
+    {
+        return ey_crash_suspects_last_crash_ms(one) <
+               ey_crash_suspects_last_crash_ms(other);
+    }
+    return one->key < other->key;
+}
+
+/** The suspect with the least evidence, of all or of those that were barred.
+ */
+EyCrashSuspect_t *
+ey_crash_suspects_find_least(const EyCrashSuspects_t *self, bool only_barred,
+                             uint32_t *count)
+{
+    EyCrashSuspect_t *least = NULL;
+    *count = 0;
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        EyCrashSuspect_t *suspect = value;
+        if (only_barred && !ey_crash_suspects_was_barred(suspect)) {
+            continue;
+        }
+        (*count)++;
+        if (least == NULL || ey_crash_suspects_has_less(suspect, least)) {
+            least = suspect;
+        }
+    }
+    return least;
+}
+
+EyCrashSuspect_t *
+ey_crash_suspects_add_suspect(EyCrashSuspects_t *self, int64_t now_ms,
+                              uint64_t part, uint64_t part_id)
+{
+    EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, part);
+    if (suspect != NULL) {
+        ey_crash_suspects_drop_old(suspect, now_ms);
+        return suspect;
+    }
+    if (g_hash_table_size(self->by_key) >= EY_CRASH_SUSPECTS_MAX) {
+        uint32_t count = 0;
+        const EyCrashSuspect_t *least =
+            ey_crash_suspects_find_least(self, false, &count);
+        (void)g_hash_table_remove(self->by_key, &least->key);
+    }
+    suspect = g_new0(EyCrashSuspect_t, 1);
+    suspect->key = part;
+    suspect->part_id = part_id;
+    (void)g_hash_table_insert(self->by_key, &suspect->key, suspect);
+    return suspect;
+}
+
+bool
+ey_crash_suspects_remove(EyCrashSuspects_t *self, uint64_t part)
+{
+    const EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, part);
+    if (suspect == NULL) {
+        return false;
+    }
+    ey_crash_suspects_add_event(self, EY_SUSPECT_CLEARED, suspect);
+    (void)g_hash_table_remove(self->by_key, &part);
+    return true;
+}
+
+bool
+ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash)
+{
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        if (suspect->crashes[i].crash == crash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** Adds a crash; the first one makes room. */
+void
+ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash)
+{
+    if (suspect->crash_count == EY_CRASHES_MAX) {
+        suspect->crash_count--;
+        memmove(suspect->crashes, suspect->crashes + 1,
+                sizeof(EyCrash_t) * suspect->crash_count);
+    }
+    suspect->crashes[suspect->crash_count++] = crash;
+}
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -15,7 +15,7 @@
 
 /** Evidence, a cleared part or a refuted crash, to be sent until then. */
 typedef struct Told {
-    uint64_t part; /* 0: the crash is refuted */
+    uint64_t key; /* 0: the crash is refuted */
     uint64_t part_id;
     uint64_t crash; /* 0: the part is cleared */
     int64_t at_ms;
@@ -27,7 +27,7 @@
 {
     for (const GList *link = queue->head; link != NULL; link = link->next) {
         Told_t *told = link->data;
-        if (told->part == part && told->crash == crash) {
+        if (told->key == part && told->crash == crash) {
             return told;
         }
     }
@@ -37,7 +37,7 @@
 static void
 tell(GQueue *queue, const Told_t *told)
 {
-    Told_t *known = find_told(queue, told->part, told->crash);
+    Told_t *known = find_told(queue, told->key, told->crash);
     if (known != NULL) {
         known->until_ms = MAX(known->until_ms, told->until_ms);
         known->at_ms = MAX(known->at_ms, told->at_ms);
@@ -54,7 +54,7 @@
               int64_t told_ms)
 {
     return (Told_t){
-        .part = evidence->part,
+        .key = evidence->key,
         .part_id = evidence->part_id,
         .crash = evidence->crash,
         .at_ms = now_ms - (int64_t)evidence->age_ms,
@@ -81,7 +81,7 @@
         return;
     }
     const Told_t told = {
-        .part = part,
+        .key = part,
         .at_ms = now_ms - age_ms,
         .until_ms = now_ms + SHORTLY_TOLD_MS,
     };
@@ -166,7 +166,7 @@
             break;
         }
         update->evidence[update->evidence_count++] = (EyCrashEvidence_t){
-            .part = told->part,
+            .key = told->key,
             .part_id = told->part_id,
             .crash = told->crash,
             .age_ms = age_of(told, now_ms),
@@ -185,7 +185,7 @@
             break;
         }
         update->cleared[update->cleared_count++] = (EyPartCleared_t){
-            .part = told->part,
+            .key = told->key,
             .age_ms = age_of(told, now_ms),
         };
     }
@@ -211,7 +211,7 @@
 {
     EyPartBar_t *bar = &update->bars[update->bar_count++];
     *bar = (EyPartBar_t){
-        .part = suspect->part,
+        .key = suspect->key,
         .part_id = suspect->part_id,
         .crashes = EY_NEW_ARRAY(update, EyCrashKey_t, suspect->crash_count),
         .crash_count = suspect->crash_count,
@@ -230,7 +230,7 @@
         EY_NEW_ARRAY(update, EyPartBar_t, EY_ENGINE_UPDATE_BARS_MAX);
     GHashTableIter each;
     gpointer value = NULL;
-    g_hash_table_iter_init(&each, self->by_part);
+    g_hash_table_iter_init(&each, self->by_key);
     while (g_hash_table_iter_next(&each, NULL, &value) &&
            update->bar_count < EY_ENGINE_UPDATE_BARS_MAX)
     {
@@ -252,7 +252,7 @@
     collect_evidence(&self->told_evidence[scope], now_ms, update);
     collect_cleared(&self->told_cleared[scope], now_ms, update);
     collect_refuted(&self->told_refuted[scope], now_ms, update);
-    if (g_hash_table_size(self->by_part) > 0) {
+    if (g_hash_table_size(self->by_key) > 0) {
         collect_bars(self, now_ms, update);
     }
 }
@@ -275,7 +275,7 @@
                const EyCrashEvidence_t *evidence)
 {
     if (g_hash_table_contains(self->refuted, &evidence->crash) ||
-        answer_cleared(self, now_ms, evidence->part))
+        answer_cleared(self, now_ms, evidence->key))
     {
         return;
     }
@@ -294,11 +294,11 @@
         return;
     }
     int64_t cleared_ms = now_ms - (int64_t)cleared->age_ms;
-    EyClearedParts_Add(self->cleared, cleared_ms, cleared->part);
-    (void)ey_crash_suspects_remove(self, cleared->part);
+    EyClearedParts_Add(self->cleared, cleared_ms, cleared->key);
+    (void)ey_crash_suspects_remove(self, cleared->key);
     if (!is_own_region) {
         const Told_t told = {
-            .part = cleared->part,
+            .key = cleared->key,
             .at_ms = cleared_ms,
             .until_ms = now_ms + SHORTLY_TOLD_MS,
         };
@@ -332,7 +332,7 @@
         apply_evidence(self, now_ms, is_own_region, &update->evidence[i]);
     }
     for (uint32_t i = 0; i < update->bar_count; i++) {
-        if (!answer_cleared(self, now_ms, update->bars[i].part)) {
+        if (!answer_cleared(self, now_ms, update->bars[i].key)) {
             ey_crash_suspects_adopt_bar(self, now_ms, &update->bars[i]);
         }
     }
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -20,7 +20,7 @@
     EY_SCHEMA(EyEngineUpdateEntry_t, WordFields);
 
 static const EyField_t EvidenceFields[] = {
-    EY_FIELD(EyCrashEvidence_t, part, EY_FIELD_U64),
+    EY_FIELD(EyCrashEvidence_t, key, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, part_id, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, crash, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, age_ms, EY_FIELD_U32),
@@ -30,7 +30,7 @@
     EY_SCHEMA(EyCrashEvidence_t, EvidenceFields);
 
 static const EyField_t ClearedFields[] = {
-    EY_FIELD(EyPartCleared_t, part, EY_FIELD_U64),
+    EY_FIELD(EyPartCleared_t, key, EY_FIELD_U64),
     EY_FIELD(EyPartCleared_t, age_ms, EY_FIELD_U32),
     EY_FIELD_END,
 };
@@ -44,7 +44,7 @@
 static const EySchema_t CrashSchema = EY_SCHEMA(EyCrashKey_t, CrashFields);
 
 static const EyField_t BarFields[] = {
-    EY_FIELD(EyPartBar_t, part, EY_FIELD_U64),
+    EY_FIELD(EyPartBar_t, key, EY_FIELD_U64),
     EY_FIELD(EyPartBar_t, part_id, EY_FIELD_U64),
     EY_FIELD_ARRAY_OF(EyPartBar_t, crashes, crash_count, CrashSchema,
                       EY_ENGINE_UPDATE_BAR_CRASHES_MAX),
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -45,7 +45,7 @@
 /** An engine crashed while it answered a prompt with the part. Keys are those
  * of crash_suspects.h. */
 typedef struct EyCrashEvidence {
-    uint64_t part;
+    uint64_t key;
     uint64_t part_id; /* as callers send it, for logs */
     uint64_t crash;
     uint32_t age_ms;
@@ -54,7 +54,7 @@
 /** An engine completed an answer to a prompt with the part, or went on with
  * it. */
 typedef struct EyPartCleared {
-    uint64_t part;
+    uint64_t key;
     uint32_t age_ms;
 } EyPartCleared_t;
 
@@ -65,7 +65,7 @@
 
 /** Requests with the part are refused. */
 typedef struct EyPartBar {
-    uint64_t part;
+    uint64_t key;
     uint64_t part_id;
     EyCrashKey_t *crashes; /* that it is suspected of */
     uint32_t crash_count;
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -208,7 +208,7 @@
     EyCrashEvidence_t evidence[3];
     for (uint32_t i = 0; i < 3; i++) {
         evidence[i] = (EyCrashEvidence_t){
-            .part = EyCrashSuspects_PartKey("plan", FATAL_PART),
+            .key = EyCrashSuspects_PartKey("plan", FATAL_PART),
             .part_id = FATAL_PART,
             .crash = i + 1,
             .age_ms = 1000 * (i + 1),
