--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -3,6 +3,7 @@
 #include "core/memory.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define HEADER_NAME_MAX_BYTES 256
 #define HEADER_VALUE_MAX_BYTES 8192
@@ -126,3 +127,42 @@
     }
     return false;
 }
+
+/** Adds a field with its size, so that no other split of the same bytes has
+ * the same hash. */
+static uint64_t
+hash_field(uint64_t hash, const void *data, size_t size_bytes)
+{
+    uint64_t size = size_bytes;
+    hash = XXH64(&size, sizeof(size), hash);
+    return size_bytes > 0 ? XXH64(data, size_bytes, hash) : hash;
+}
+
+static uint64_t
+hash_text(uint64_t hash, const char *text)
+{
+    return hash_field(hash, text, text != NULL ? strlen(text) : 0);
+}
+
+static uint64_t
+hash_parts(uint64_t hash, const EyPromptPart_t *parts, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        hash = XXH64(&parts[i].id, sizeof(parts[i].id), hash);
+    }
+    return hash;
+}
+
+uint64_t
+EyRequest_Key(const EyRequest_t *self)
+{
+    uint64_t hash = hash_text(0, self->target);
+    hash = hash_text(hash, self->method);
+    hash = hash_text(hash, self->host);
+    hash = hash_text(hash, self->path);
+    hash = hash_text(hash, self->account);
+    hash = hash_field(hash, self->body.data, self->body.size_bytes);
+    hash = hash_parts(hash, self->parts, self->part_count);
+    hash = hash_parts(hash, self->more_parts, self->more_part_count);
+    return hash != 0 ? hash : 1;
+}
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -130,6 +130,12 @@
 bool
 EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value);
 
+/** A hash that is equal for equal requests at any instance: of target, method,
+ * host, path with query, client account, body and all parts of the prompt.
+ * Ids, keys, times and other headers don't count. Never 0. */
+uint64_t
+EyRequest_Key(const EyRequest_t *self);
+
 /** True if it is run by a model engine. */
 bool
 EyRequest_IsForModel(const EyRequest_t *self);
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -428,6 +428,7 @@
     active->exchange =
         EyExchange_New(active, request, may_repeat, needs_claim);
     active->responder = responder;
+    active->request_key = EyRequest_Key(request);
     active->has_retry_credit =
         request->visited_count == 0 || request->carries_retry_credit;
     active->deadline = EyTimers_After(gateway->node->timers,
@@ -518,15 +519,20 @@
 }
 
 static EyAnswerEnd_t
-answer_end(const EyAttemptEvent_t *event)
+answer_end(const EyActiveRequest_t *active, const EyAttemptEvent_t *event)
 {
     bool is_broken = event->failure == EY_FAILURE_BROKEN ||
                      event->failure == EY_FAILURE_MALFORMED;
     if (is_broken && !event->nothing_sent) {
         return EY_ANSWER_END_BROKEN;
     }
-    return has_whole_answer(event) ? EY_ANSWER_END_COMPLETE
-                                   : EY_ANSWER_END_OTHER;
+    if (has_whole_answer(event)) {
+        return EY_ANSWER_END_COMPLETE;
+    }
+    bool is_answered =
+        event->kind == EY_ATTEMPT_DONE &&
+        (event->answer == NULL || !reports_not_run(active, event->answer));
+    return is_answered ? EY_ANSWER_END_ANSWERED : EY_ANSWER_END_OTHER;
 }
 
 static void
@@ -538,7 +544,7 @@
         .kind = is_too_slow ? EY_RESULT_FAILED : result_kind(event),
         .duration_ms = event->total_us / 1000,
         .tokens = event->events_passed,
-        .answer_end = answer_end(event),
+        .answer_end = answer_end(active, event),
         .hides_start = !EyExchange_StreamsEvents(active->exchange),
     };
     const EyAnswer_t *answer = event->answer;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -59,7 +59,8 @@
     struct EyGateway *gateway;
     EyExchange_t *exchange;
     const EyResponderClass_t *responder;
-    EyStream_t *stream; /* of a streamed answer */
+    EyStream_t *stream;   /* of a streamed answer */
+    uint64_t request_key; /* see EyRequest_Key */
     EyTimer_t *deadline;
     EyTimer_t *first_byte_timer; /* of the current attempt */
     bool first_byte_timed_out;   /* the current attempt was cancelled by it */
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -38,6 +38,8 @@
     [EY_REFUSAL_SUSPECT_PROMPT] =
         {EY_PROBLEM_OVERLOADED,
          "model engines crashed on a part of this prompt"},
+    [EY_REFUSAL_SUSPECT_REQUEST] = {EY_PROBLEM_OVERLOADED,
+                                    "backend servers crashed on this request"},
     [EY_REFUSAL_INVALID] = {EY_PROBLEM_INTERNAL,
                             "the router already holds this request"},
 };
@@ -76,7 +78,9 @@
 apply_decision(EyActiveRequest_t *active, const EyRoutingDecision_t *decision)
 {
     log_decision(active, decision);
-    if (decision->reason == EY_REFUSAL_SUSPECT_PROMPT) {
+    if (decision->reason == EY_REFUSAL_SUSPECT_PROMPT ||
+        decision->reason == EY_REFUSAL_SUSPECT_REQUEST)
+    {
         EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_SUSPECT_REFUSALS], 1);
     }
     const RefusalAnswer_t *refusal = &RefusalAnswers[decision->reason];
@@ -173,6 +177,7 @@
         .number = request->number,
         .kind = is_model ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE,
         .body_bytes = request->body.size_bytes,
+        .request_key = active->request_key,
         .prompt_tokens = request->prompt_tokens,
         .objective_ms = is_model ? request->terms.objective_ms : 0,
         .priority = request->terms.priority,
--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -1,4 +1,5 @@
-/* Reports of parts of prompts that are suspected of crashing model engines. */
+/* Reports of requests and parts of prompts that are suspected of crashing
+ * backend servers. */
 #include "core/log.h"
 #include "gateway/internal.h"
 
@@ -15,11 +16,13 @@
     char part[17];
     (void)g_snprintf(part, sizeof(part), "%016" G_GINT64_MODIFIER "x",
                      event->part_id);
-    EY_LOG(event->kind == EY_SUSPECT_BARRED ? EY_LOG_WARNING : EY_LOG_INFO,
-           "gateway", EventNames[event->kind],
-           EY_LOG_TEXT("prompt_part", part),
-           EY_LOG_NUMBER("crashes", event->crashes),
-           EY_LOG_NUMBER("bar_ms", event->bar_ms));
+    EY_LOG(
+        event->kind == EY_SUSPECT_BARRED ? EY_LOG_WARNING : EY_LOG_INFO,
+        "gateway", EventNames[event->kind],
+        EY_LOG_TEXT("suspect", event->is_request ? "request" : "part"),
+        EY_LOG_TEXT(event->is_request ? "request_key" : "prompt_part", part),
+        EY_LOG_NUMBER("crashes", event->crashes),
+        EY_LOG_NUMBER("bar_ms", event->bar_ms));
 }
 
 void
--- a/src/routing/crash_suspects.c
+++ b/src/routing/crash_suspects.c
@@ -9,6 +9,7 @@
 {
     g_hash_table_unref(self->by_key);
     g_hash_table_unref(self->refuted);
+    g_hash_table_unref(self->crash_times);
     for (int i = 0; i < EY_TOLD_SCOPE_COUNT; i++) {
         g_queue_clear_full(&self->told_evidence[i], g_free);
         g_queue_clear_full(&self->told_cleared[i], g_free);
@@ -28,7 +29,10 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     self->refuted =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    self->crash_times =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     self->cleared = EyClearedParts_New(self);
+    self->cleared_requests = EyClearedParts_New(self);
     for (int i = 0; i < EY_TOLD_SCOPE_COUNT; i++) {
         g_queue_init(&self->told_evidence[i]);
         g_queue_init(&self->told_cleared[i]);
@@ -58,12 +62,16 @@
     return XXH64(engine, strlen(engine), incarnation);
 }
 
+/** The suspect at an index: the parts in order, then the request; NULL: it
+ * isn't suspected. */
 static EyCrashSuspect_t *
-find_part(const EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
-          uint32_t index)
+find_of(const EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
+        uint32_t index)
 {
     return ey_crash_suspects_find(
-        self, EyCrashSuspects_PartKey(prompt->target, prompt->ids[index]));
+        self, index < prompt->count
+                  ? EyCrashSuspects_PartKey(prompt->target, prompt->ids[index])
+                  : prompt->request);
 }
 
 EySuspicionResult_t
@@ -75,15 +83,18 @@
     if (g_hash_table_size(self->by_key) == 0) {
         return result;
     }
-    for (uint32_t i = 0; i < prompt->count; i++) {
-        EyCrashSuspect_t *suspect = find_part(self, prompt, i);
+    for (uint32_t i = 0; i <= prompt->count; i++) {
+        EyCrashSuspect_t *suspect = find_of(self, prompt, i);
         if (suspect == NULL) {
             continue;
         }
-        EySuspicionResult_t of_part =
+        EySuspicionResult_t of_one =
             ey_crash_suspects_check(self, now_ms, suspect);
-        result.suspicion = MAX(result.suspicion, of_part.suspicion);
-        result.left_ms = MAX(result.left_ms, of_part.left_ms);
+        if (of_one.suspicion > result.suspicion) {
+            result.is_request = of_one.is_request;
+        }
+        result.suspicion = MAX(result.suspicion, of_one.suspicion);
+        result.left_ms = MAX(result.left_ms, of_one.left_ms);
     }
     return result;
 }
@@ -95,14 +106,15 @@
     if (g_hash_table_size(self->by_key) == 0) {
         return;
     }
-    for (uint32_t i = 0; i < prompt->count; i++) {
-        EyCrashSuspect_t *suspect = find_part(self, prompt, i);
+    for (uint32_t i = 0; i <= prompt->count; i++) {
+        EyCrashSuspect_t *suspect = find_of(self, prompt, i);
         if (suspect != NULL &&
             ey_crash_suspects_check(self, now_ms, suspect).suspicion ==
                 EY_SUSPICION_TRIAL)
         {
             suspect->has_trial = true;
             suspect->trial = number;
+            self->has_trials = true;
             ey_crash_suspects_add_event(self, EY_SUSPECT_TRIAL, suspect);
         }
     }
@@ -111,6 +123,10 @@
 void
 EyCrashSuspects_EndTrial(EyCrashSuspects_t *self, uint64_t number)
 {
+    if (!self->has_trials) {
+        return;
+    }
+    self->has_trials = false;
     GHashTableIter each;
     gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
@@ -119,6 +135,7 @@
         if (suspect->trial == number) {
             suspect->has_trial = false;
         }
+        self->has_trials |= suspect->has_trial;
     }
 }
 
@@ -153,9 +170,10 @@
         (void)g_snprintf(part, sizeof(part), "%016" G_GINT64_MODIFIER "x",
                          suspect->part_id);
         json_array_append_new(
-            json, json_pack("{s:s,s:i,s:I,s:I,s:b}", "part", part, "crashes",
-                            (int)suspect->crash_count, "bar_ms",
-                            (json_int_t)suspect->bar_ms, "left_ms",
+            json, json_pack("{s:s,s:s,s:i,s:I,s:I,s:b}", "kind",
+                            suspect->is_request ? "request" : "part", "part",
+                            part, "crashes", (int)suspect->crash_count,
+                            "bar_ms", (json_int_t)suspect->bar_ms, "left_ms",
                             (json_int_t)(suspect->bar_end_ms - now_ms),
                             "has_trial", (int)suspect->has_trial));
     }
--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -1,16 +1,23 @@
 /**
- * Parts of prompts that may crash model engines. An engine that ends soon
- * after it began to answer is evidence against each part of that prompt which
- * other prompts may share; an answer that completes or goes on clears them. A
- * part with evidence of several crashes that was never cleared is barred:
+ * What may crash backend servers: a request, which may come again and again,
+ * or a part of prompts, which other prompts may share. A server that ends
+ * while it may run a request is evidence against that request; a model engine
+ * that ends soon after it began to answer is evidence against each shared part
+ * of the prompt as well. An answer that completes or goes on clears them. A
+ * suspect with evidence of several crashes that was never cleared is barred:
  * requests with it are refused for a time that grows with each further crash.
  * After that single requests with it are tried.
  *
+ * Requests that ran beside a fatal one on the same servers have some of its
+ * crashes: those are explained by the suspect that has more. Requests with
+ * equal crashes run one at a time until one of them crashes alone. A part is
+ * barred only if its crashes came under different requests.
+ *
  * Gateways share evidence, cleared parts and bars by engine updates. Evidence
- * is a set of (part, crash), so that it counts once however many gateways saw
- * the crash and however often it is told.
+ * is a set of (suspect, crash), so that it counts once however many gateways
+ * saw the crash and however often it is told.
  *
- * Only crashes add parts; all tables are bounded.
+ * Only crashes add suspects; all tables are bounded.
  */
 #ifndef EY_ROUTING_CRASH_SUSPECTS_H
 #define EY_ROUTING_CRASH_SUSPECTS_H
@@ -53,27 +60,31 @@
 #define EY_CRASH_SUSPECTS_MAX 256
 /** Most crashes that are kept of one part. */
 #define EY_CRASHES_MAX EY_ENGINE_UPDATE_BAR_CRASHES_MAX
+/** Most requests with a part that are told apart at one crash. */
+#define EY_CRASH_REQUESTS_MAX 8
 
 typedef struct EyCrashSuspects EyCrashSuspects_t;
 
-/** The parts of a prompt that other prompts may share. */
+/** The parts of a prompt that other prompts may share, and the request. */
 typedef struct EyPromptParts {
     const char *target;
     const uint64_t *ids;
     uint32_t count;
+    uint64_t request; /* key, equal for equal requests; 0: unknown */
 } EyPromptParts_t;
 
 /** What may be done with a prompt; a later value goes before an earlier one.
  */
 typedef enum EySuspicion {
     EY_SUSPICION_NONE,
-    EY_SUSPICION_TRIAL, /* run it as the only one with that part */
+    EY_SUSPICION_TRIAL, /* run it as the only one with that suspect */
     EY_SUSPICION_BARRED /* refuse it */
 } EySuspicion_t;
 
 typedef struct EySuspicionResult {
     EySuspicion_t suspicion;
     int64_t left_ms; /* BARRED: until it may be tried here */
+    bool is_request; /* because of the request itself */
 } EySuspicionResult_t;
 
 /** What happened, for logs and metrics. */
@@ -87,7 +98,8 @@
 
 typedef struct EySuspectEvent {
     EySuspectEventKind_t kind;
-    uint64_t part_id; /* as callers send it */
+    bool is_request;  /* about a request, not a part */
+    uint64_t part_id; /* as callers send it; of a request: its key */
     uint32_t crashes;
     int64_t bar_ms; /* duration of the bar */
 } EySuspectEvent_t;
@@ -110,13 +122,14 @@
 uint64_t
 EyCrashSuspects_CrashKey(const char *engine, uint64_t incarnation);
 
-/** An engine crashed soon after it began to answer the prompt. */
+/** A server crashed while it may have run the request; prompt: of that the
+ * parts which may have caused it. */
 void
 EyCrashSuspects_AddCrash(EyCrashSuspects_t *self, int64_t now_ms,
                          const EyPromptParts_t *prompt, uint64_t crash);
 
-/** An engine completed an answer to the prompt, or went on with it for
- * EY_CRASH_SURVIVAL_MS. */
+/** A server completed an answer to the request, or went on with it for
+ * EY_CRASH_SURVIVAL_MS; prompt: of that the parts which are cleared by it. */
 void
 EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyPromptParts_t *prompt);
@@ -158,11 +171,11 @@
 bool
 EyCrashSuspects_NextEvent(EyCrashSuspects_t *self, EySuspectEvent_t *event);
 
-/** Number of parts that are barred now. */
+/** Number of parts and requests that are barred now. */
 uint32_t
 EyCrashSuspects_BarCount(const EyCrashSuspects_t *self, int64_t now_ms);
 
-/** The barred parts as JSON, a new reference. */
+/** The barred parts and requests as JSON, a new reference. */
 json_t *
 EyCrashSuspects_Dump(const EyCrashSuspects_t *self, int64_t now_ms);
 
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -110,9 +110,12 @@
 static void
 judge_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect)
 {
+    bool has_trial = false;
     if (suspect->crash_count < EY_CRASH_BAR_CRASHES ||
         (!ey_crash_suspects_was_barred(suspect) &&
-         !is_settled(self, now_ms, suspect)))
+         (!is_settled(self, now_ms, suspect) ||
+          ey_crash_suspects_is_explained(self, suspect) ||
+          ey_crash_suspects_is_tied(self, suspect, &has_trial))))
     {
         return;
     }
@@ -121,6 +124,42 @@
              ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
 }
 
+/** Notes that the evidence's request had the part at the crash; false if that
+ * is known. */
+static bool
+add_request(EyCrash_t *crash, const EyCrashEvidence_t *evidence)
+{
+    for (uint32_t i = 0; i < crash->request_count; i++) {
+        if (crash->requests[i] == evidence->request) {
+            return false;
+        }
+    }
+    if (crash->request_count == EY_CRASH_REQUESTS_MAX) {
+        return false;
+    }
+    crash->requests[crash->request_count++] = evidence->request;
+    return true;
+}
+
+/** Notes when the crash was first told. */
+static void
+note_crash_time(EyCrashSuspects_t *self, const EyCrash_t *crash)
+{
+    if (!g_hash_table_contains(self->crash_times, &crash->crash) &&
+        g_hash_table_size(self->crash_times) < EY_CRASH_SUSPECTS_MAX)
+    {
+        (void)g_hash_table_insert(
+            self->crash_times, g_memdup2(&crash->crash, sizeof(crash->crash)),
+            g_memdup2(&crash->crash_ms, sizeof(crash->crash_ms)));
+    }
+}
+
+bool
+ey_crash_evidence_is_request(const EyCrashEvidence_t *evidence)
+{
+    return evidence->request != 0 && evidence->request == evidence->key;
+}
+
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyCrashEvidence_t *evidence)
@@ -131,15 +170,22 @@
         return false;
     }
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
-        self, now_ms, evidence->key, evidence->part_id);
-    if (ey_crash_suspects_has_crash(suspect, evidence->crash)) {
+        self, now_ms, evidence->key, evidence->part_id,
+        ey_crash_evidence_is_request(evidence));
+    EyCrash_t *known = ey_crash_suspects_find_crash(suspect, evidence->crash);
+    if (known != NULL && !add_request(known, evidence)) {
         return false;
     }
-    const EyCrash_t crash = {
-        .crash = evidence->crash,
-        .crash_ms = now_ms - (int64_t)evidence->age_ms,
-    };
-    ey_crash_suspects_append_crash(suspect, crash);
+    if (known == NULL) {
+        const EyCrash_t crash = {
+            .crash = evidence->crash,
+            .crash_ms = now_ms - (int64_t)evidence->age_ms,
+            .requests = {evidence->request},
+            .request_count = 1,
+        };
+        ey_crash_suspects_append_crash(suspect, crash);
+        note_crash_time(self, &crash);
+    }
     judge_part(self, now_ms, suspect);
     return true;
 }
@@ -169,8 +215,8 @@
     {
         return;
     }
-    EyCrashSuspect_t *suspect =
-        ey_crash_suspects_add_suspect(self, now_ms, bar->key, bar->part_id);
+    EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
+        self, now_ms, bar->key, bar->part_id, bar->is_request);
     int64_t bar_ms = bar_duration_ms(bar->crash_count);
     for (uint32_t i = 0; i < bar->crash_count; i++) {
         const EyCrash_t crash = {
@@ -201,6 +247,27 @@
     return (int64_t)((double)suspect->bar_ms * TURNS_SHARE * share);
 }
 
+/** Of requests with the same crashes one runs at a time. */
+static EySuspicionResult_t
+check_tie(EyCrashSuspects_t *self, int64_t now_ms,
+          const EyCrashSuspect_t *suspect)
+{
+    EySuspicionResult_t result = {.suspicion = EY_SUSPICION_NONE};
+    bool has_trial = false;
+    if (suspect->crash_count >= EY_CRASH_BAR_CRASHES &&
+        is_settled(self, now_ms, suspect) &&
+        !ey_crash_suspects_is_explained(self, suspect) &&
+        ey_crash_suspects_is_tied(self, suspect, &has_trial))
+    {
+        result = (EySuspicionResult_t){
+            .suspicion = has_trial ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+            .left_ms = has_trial ? TRIAL_LEFT_MS : 0,
+            .is_request = true,
+        };
+    }
+    return result;
+}
+
 EySuspicionResult_t
 ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
                         EyCrashSuspect_t *suspect)
@@ -210,7 +277,7 @@
         judge_part(self, now_ms, suspect);
     }
     if (!ey_crash_suspects_was_barred(suspect)) {
-        return (EySuspicionResult_t){.suspicion = EY_SUSPICION_NONE};
+        return check_tie(self, now_ms, suspect);
     }
     int64_t left_ms = suspect->bar_end_ms + turn_ms(self, suspect) - now_ms;
     if (left_ms <= 0 && suspect->has_trial) {
@@ -219,5 +286,6 @@
     return (EySuspicionResult_t){
         .suspicion = left_ms > 0 ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
         .left_ms = MAX(left_ms, 0),
+        .is_request = suspect->is_request,
     };
 }
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -1,28 +1,64 @@
 /* Evidence of this gateway, and what refutes evidence. */
 #include "routing/crash_suspects_internal.h"
 
+/** Adds evidence that was seen here, and tells it. */
+static void
+add_own_evidence(EyCrashSuspects_t *self, int64_t now_ms,
+                 const EyCrashEvidence_t *evidence)
+{
+    bool is_request = ey_crash_evidence_is_request(evidence);
+    const EyCrashSuspect_t *known =
+        ey_crash_suspects_find(self, evidence->key);
+    bool is_new_crash =
+        known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
+    int64_t age_ms = 0;
+    if (EyClearedParts_Has(ey_crash_suspects_cleared(self, is_request), now_ms,
+                           evidence->key, &age_ms) ||
+        !ey_crash_suspects_add(self, now_ms, evidence))
+    {
+        return;
+    }
+    const EyCrashSuspect_t *suspect =
+        ey_crash_suspects_find(self, evidence->key);
+    if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
+        ey_crash_suspects_add_event(self, EY_SUSPECT_CRASH, suspect);
+    }
+    ey_crash_suspects_tell_crash(self, now_ms, evidence);
+}
+
 void
 EyCrashSuspects_AddCrash(EyCrashSuspects_t *self, int64_t now_ms,
                          const EyPromptParts_t *prompt, uint64_t crash)
 {
     ey_crash_suspects_note_start(self, now_ms);
     ey_crash_suspects_expire(self, now_ms);
+    if (prompt->request != 0) {
+        const EyCrashEvidence_t evidence = {
+            .key = prompt->request,
+            .part_id = prompt->request,
+            .crash = crash,
+            .request = prompt->request,
+        };
+        add_own_evidence(self, now_ms, &evidence);
+    }
     for (uint32_t i = 0; i < prompt->count; i++) {
         const EyCrashEvidence_t evidence = {
             .key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]),
             .part_id = prompt->ids[i],
             .crash = crash,
+            .request = prompt->request,
         };
-        int64_t age_ms = 0;
-        if (EyClearedParts_Has(self->cleared, now_ms, evidence.key, &age_ms)) {
-            continue;
-        }
-        if (ey_crash_suspects_add(self, now_ms, &evidence)) {
-            const EyCrashSuspect_t *suspect =
-                ey_crash_suspects_find(self, evidence.key);
-            ey_crash_suspects_add_event(self, EY_SUSPECT_CRASH, suspect);
-            ey_crash_suspects_tell_crash(self, now_ms, &evidence);
-        }
+        add_own_evidence(self, now_ms, &evidence);
+    }
+}
+
+static void
+clear(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key, bool is_request)
+{
+    EyClearedParts_Add(ey_crash_suspects_cleared(self, is_request), now_ms,
+                       key);
+    if (ey_crash_suspects_remove(self, key)) {
+        ey_crash_suspects_tell_cleared(self, now_ms, key, is_request);
     }
 }
 
@@ -30,13 +66,12 @@
 EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyPromptParts_t *prompt)
 {
+    if (prompt->request != 0) {
+        clear(self, now_ms, prompt->request, true);
+    }
     for (uint32_t i = 0; i < prompt->count; i++) {
-        uint64_t part =
-            EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]);
-        EyClearedParts_Add(self->cleared, now_ms, part);
-        if (ey_crash_suspects_remove(self, part)) {
-            ey_crash_suspects_tell_cleared(self, now_ms, part);
-        }
+        clear(self, now_ms,
+              EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]), false);
     }
 }
 
@@ -79,34 +114,19 @@
     return true;
 }
 
-/** True if the engine seemed to crash a short time ago. */
-static bool
-is_refuted_now(const EyCrashSuspect_t *suspect, int64_t now_ms, uint64_t crash)
-{
-    for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        int64_t age_ms = now_ms - suspect->crashes[i].crash_ms;
-        if (suspect->crashes[i].crash == crash &&
-            age_ms >= EY_CRASH_REFUTED_FROM_MS &&
-            age_ms <= EY_CRASH_REFUTED_UNTIL_MS)
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 void
 EyCrashSuspects_EngineRuns(EyCrashSuspects_t *self, int64_t now_ms,
                            uint64_t crash)
 {
-    bool is_refuted = false;
-    GHashTableIter each;
-    gpointer value = NULL;
-    g_hash_table_iter_init(&each, self->by_key);
-    while (!is_refuted && g_hash_table_iter_next(&each, NULL, &value)) {
-        is_refuted = is_refuted_now(value, now_ms, crash);
+    const int64_t *crash_ms = g_hash_table_lookup(self->crash_times, &crash);
+    if (crash_ms == NULL) {
+        return;
     }
-    if (is_refuted && ey_crash_suspects_refute(self, now_ms, crash)) {
+    int64_t age_ms = now_ms - *crash_ms;
+    if (age_ms >= EY_CRASH_REFUTED_FROM_MS &&
+        age_ms <= EY_CRASH_REFUTED_UNTIL_MS &&
+        ey_crash_suspects_refute(self, now_ms, crash))
+    {
         ey_crash_suspects_tell_refuted(self, now_ms, crash);
     }
 }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -18,12 +18,15 @@
 typedef struct EyCrash {
     uint64_t crash;
     int64_t crash_ms;
+    uint64_t requests[EY_CRASH_REQUESTS_MAX]; /* with the part; 0: unknown */
+    uint32_t request_count;
 } EyCrash_t;
 
-/** A part with evidence that wasn't cleared. */
+/** A part or a request with evidence that wasn't cleared. */
 typedef struct EyCrashSuspect {
     uint64_t key;
     uint64_t part_id;
+    bool is_request;
     EyCrash_t crashes[EY_CRASHES_MAX]; /* distinct, earliest evidence first */
     uint32_t crash_count;
     int64_t bar_ms; /* duration of the last bar; 0: never barred */
@@ -44,8 +47,11 @@
     int64_t started_ms; /* time of the first call that has a time */
     uint32_t rank;
     uint32_t rank_count;
-    GHashTable *by_key; /* of EyCrashSuspect_t */
+    GHashTable *by_key;      /* of EyCrashSuspect_t */
+    GHashTable *crash_times; /* by crash, time of its first evidence */
+    bool has_trials;         /* a suspect may have one */
     EyClearedParts_t *cleared;
+    EyClearedParts_t *cleared_requests;
     GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
     GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
     GQueue told_refuted[EY_TOLD_SCOPE_COUNT];
@@ -87,7 +93,14 @@
 /** The suspect with that key, new if there was none. */
 EyCrashSuspect_t *
 ey_crash_suspects_add_suspect(EyCrashSuspects_t *self, int64_t now_ms,
-                              uint64_t part, uint64_t part_id);
+                              uint64_t key, uint64_t part_id, bool is_request);
+
+/** The cleared parts, or the cleared requests. */
+EyClearedParts_t *
+ey_crash_suspects_cleared(const EyCrashSuspects_t *self, bool is_request);
+
+EyCrash_t *
+ey_crash_suspects_find_crash(EyCrashSuspect_t *suspect, uint64_t crash);
 
 bool
 ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash);
@@ -96,6 +109,20 @@
 void
 ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash);
 
+/* crash_suspects_ties.c */
+
+/** True if the crashes have another cause that is more likely: a request,
+ * those that have more of them; a part, a request that had it at each. */
+bool
+ey_crash_suspects_is_explained(const EyCrashSuspects_t *self,
+                               const EyCrashSuspect_t *suspect);
+
+/** True if another request has the same crashes; has_trial: one of them is run
+ * as a trial. */
+bool
+ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
+                          const EyCrashSuspect_t *suspect, bool *has_trial);
+
 /* crash_suspects_bars.c */
 
 /** What may be done now with a request that has the part. */
@@ -103,6 +130,10 @@
 ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
                         EyCrashSuspect_t *suspect);
 
+/** True if it is against a request, not against a part. */
+bool
+ey_crash_evidence_is_request(const EyCrashEvidence_t *evidence);
+
 /** Adds evidence; false if it is known or too old. */
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
@@ -140,7 +171,7 @@
 
 void
 ey_crash_suspects_tell_cleared(EyCrashSuspects_t *self, int64_t now_ms,
-                               uint64_t part);
+                               uint64_t key, bool is_request);
 
 void
 ey_crash_suspects_tell_refuted(EyCrashSuspects_t *self, int64_t now_ms,
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -17,6 +17,7 @@
     EySuspectEvent_t *event = g_new0(EySuspectEvent_t, 1);
     *event = (EySuspectEvent_t){
         .kind = kind,
+        .is_request = suspect->is_request,
         .part_id = suspect->part_id,
         .crashes = suspect->crash_count,
         .bar_ms = suspect->bar_ms,
@@ -93,10 +94,10 @@
 }
 
 static gboolean
-is_refuted_long_ago(gpointer crash, gpointer refuted_ms, gpointer now_ms)
+is_long_ago(gpointer crash, gpointer time_ms, gpointer now_ms)
 {
     (void)crash;
-    return *(const int64_t *)now_ms - *(const int64_t *)refuted_ms >=
+    return *(const int64_t *)now_ms - *(const int64_t *)time_ms >=
            EY_CRASH_WINDOW_MS;
 }
 
@@ -105,8 +106,8 @@
 {
     (void)g_hash_table_foreach_remove(self->by_key, is_outdated_entry,
                                       &now_ms);
-    (void)g_hash_table_foreach_remove(self->refuted, is_refuted_long_ago,
-                                      &now_ms);
+    (void)g_hash_table_foreach_remove(self->refuted, is_long_ago, &now_ms);
+    (void)g_hash_table_foreach_remove(self->crash_times, is_long_ago, &now_ms);
 }
 
 /** True if there is less reason to keep one than other. */
@@ -152,9 +153,9 @@
 
 EyCrashSuspect_t *
 ey_crash_suspects_add_suspect(EyCrashSuspects_t *self, int64_t now_ms,
-                              uint64_t part, uint64_t part_id)
+                              uint64_t key, uint64_t part_id, bool is_request)
 {
-    EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, part);
+    EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, key);
     if (suspect != NULL) {
         ey_crash_suspects_drop_old(suspect, now_ms);
         return suspect;
@@ -166,8 +167,9 @@
         (void)g_hash_table_remove(self->by_key, &least->key);
     }
     suspect = g_new0(EyCrashSuspect_t, 1);
-    suspect->key = part;
+    suspect->key = key;
     suspect->part_id = part_id;
+    suspect->is_request = is_request;
     (void)g_hash_table_insert(self->by_key, &suspect->key, suspect);
     return suspect;
 }
@@ -179,11 +181,30 @@
     if (suspect == NULL) {
         return false;
     }
-    ey_crash_suspects_add_event(self, EY_SUSPECT_CLEARED, suspect);
+    if (!suspect->is_request || suspect->crash_count > 1) {
+        ey_crash_suspects_add_event(self, EY_SUSPECT_CLEARED, suspect);
+    }
     (void)g_hash_table_remove(self->by_key, &part);
     return true;
 }
 
+EyCrash_t *
+ey_crash_suspects_find_crash(EyCrashSuspect_t *suspect, uint64_t crash)
+{
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        if (suspect->crashes[i].crash == crash) {
+            return &suspect->crashes[i];
+        }
+    }
+    return NULL;
+}
+
+EyClearedParts_t *
+ey_crash_suspects_cleared(const EyCrashSuspects_t *self, bool is_request)
+{
+    return is_request ? self->cleared_requests : self->cleared;
+}
+
 bool
 ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash)
 {
--- /dev/null
+++ b/src/routing/crash_suspects_ties.c
@@ -0,0 +1,113 @@
+/* Which of several suspects of the same crashes caused them. */
+#include "routing/crash_suspects_internal.h"
+
+/** True if the other request is the more likely cause of common crashes. */
+static bool
+dominates(const EyCrashSuspect_t *other, const EyCrashSuspect_t *suspect)
+{
+    if (!other->is_request || other == suspect) {
+        return false;
+    }
+    return other->crash_count > suspect->crash_count ||
+           (ey_crash_suspects_was_barred(other) &&
+            !ey_crash_suspects_was_barred(suspect));
+}
+
+/** True if a more likely request has the crash. */
+static bool
+has_other_cause(const EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect,
+                uint64_t crash)
+{
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        if (dominates(value, suspect) &&
+            ey_crash_suspects_has_crash(value, crash)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+has_request(const EyCrash_t *crash, uint64_t request)
+{
+    for (uint32_t i = 0; i < crash->request_count; i++) {
+        if (crash->requests[i] == request) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/** True if one and the same request had the part at each crash. */
+static bool
+is_of_one_request(const EyCrashSuspect_t *part)
+{
+    for (uint32_t i = 0; i < part->crashes[0].request_count; i++) {
+        uint64_t request = part->crashes[0].requests[i];
+        uint32_t count = 0;
+        while (count < part->crash_count &&
+               has_request(&part->crashes[count], request))
+        {
+            count++;
+        }
+        if (request != 0 && count == part->crash_count) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+ey_crash_suspects_is_explained(const EyCrashSuspects_t *self,
+                               const EyCrashSuspect_t *suspect)
+{
+    if (!suspect->is_request) {
+        return is_of_one_request(suspect);
+    }
+    uint32_t unexplained = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        unexplained +=
+            !has_other_cause(self, suspect, suspect->crashes[i].crash);
+    }
+    return unexplained < EY_CRASH_BAR_CRASHES;
+}
+
+static bool
+has_same_crashes(const EyCrashSuspect_t *one, const EyCrashSuspect_t *other)
+{
+    if (one->crash_count != other->crash_count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < one->crash_count; i++) {
+        if (!ey_crash_suspects_has_crash(other, one->crashes[i].crash)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool
+ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
+                          const EyCrashSuspect_t *suspect, bool *has_trial)
+{
+    *has_trial = suspect->has_trial;
+    if (!suspect->is_request) {
+        return false;
+    }
+    bool is_tied = false;
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const EyCrashSuspect_t *other = value;
+        if (other != suspect && other->is_request &&
+            has_same_crashes(suspect, other)) {
+            is_tied = true;
+            *has_trial |= other->has_trial;
+        }
+    }
+    return is_tied;
+}
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -17,17 +17,21 @@
 typedef struct Told {
     uint64_t key; /* 0: the crash is refuted */
     uint64_t part_id;
-    uint64_t crash; /* 0: the part is cleared */
+    uint64_t crash; /* 0: the part or request is cleared */
+    uint64_t request;
+    bool is_request;
     int64_t at_ms;
     int64_t until_ms;
 } Told_t;
 
 static Told_t *
-find_told(const GQueue *queue, uint64_t part, uint64_t crash)
+find_told(const GQueue *queue, const Told_t *like)
 {
     for (const GList *link = queue->head; link != NULL; link = link->next) {
         Told_t *told = link->data;
-        if (told->key == part && told->crash == crash) {
+        if (told->key == like->key && told->crash == like->crash &&
+            told->request == like->request)
+        {
             return told;
         }
     }
@@ -37,7 +41,7 @@
 static void
 tell(GQueue *queue, const Told_t *told)
 {
-    Told_t *known = find_told(queue, told->key, told->crash);
+    Told_t *known = find_told(queue, told);
     if (known != NULL) {
         known->until_ms = MAX(known->until_ms, told->until_ms);
         known->at_ms = MAX(known->at_ms, told->at_ms);
@@ -57,6 +61,7 @@
         .key = evidence->key,
         .part_id = evidence->part_id,
         .crash = evidence->crash,
+        .request = evidence->request,
         .at_ms = now_ms - (int64_t)evidence->age_ms,
         .until_ms = now_ms + told_ms,
     };
@@ -74,14 +79,17 @@
 
 void
 ey_crash_suspects_tell_cleared(EyCrashSuspects_t *self, int64_t now_ms,
-                               uint64_t part)
+                               uint64_t key, bool is_request)
 {
     int64_t age_ms = 0;
-    if (!EyClearedParts_Has(self->cleared, now_ms, part, &age_ms)) {
+    if (!EyClearedParts_Has(ey_crash_suspects_cleared(self, is_request),
+                            now_ms, key, &age_ms))
+    {
         return;
     }
     const Told_t told = {
-        .key = part,
+        .key = key,
+        .is_request = is_request,
         .at_ms = now_ms - age_ms,
         .until_ms = now_ms + SHORTLY_TOLD_MS,
     };
@@ -170,6 +178,7 @@
             .part_id = told->part_id,
             .crash = told->crash,
             .age_ms = age_of(told, now_ms),
+            .request = told->request,
         };
     }
 }
@@ -187,6 +196,7 @@
         update->cleared[update->cleared_count++] = (EyPartCleared_t){
             .key = told->key,
             .age_ms = age_of(told, now_ms),
+            .is_request = told->is_request,
         };
     }
 }
@@ -216,6 +226,7 @@
         .crashes = EY_NEW_ARRAY(update, EyCrashKey_t, suspect->crash_count),
         .crash_count = suspect->crash_count,
         .left_ms = suspect->bar_end_ms - now_ms,
+        .is_request = suspect->is_request,
     };
     for (uint32_t i = 0; i < suspect->crash_count; i++) {
         bar->crashes[i].crash = suspect->crashes[i].crash;
@@ -258,15 +269,18 @@
 }
 
 /** True, and the sender's region is told, if this gateway knows that the part
- * causes no crashes. */
+ * or request causes no crashes. */
 static bool
-answer_cleared(EyCrashSuspects_t *self, int64_t now_ms, uint64_t part)
+answer_cleared(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key,
+               bool is_request)
 {
     int64_t age_ms = 0;
-    if (!EyClearedParts_Has(self->cleared, now_ms, part, &age_ms)) {
+    if (!EyClearedParts_Has(ey_crash_suspects_cleared(self, is_request),
+                            now_ms, key, &age_ms))
+    {
         return false;
     }
-    ey_crash_suspects_tell_cleared(self, now_ms, part);
+    ey_crash_suspects_tell_cleared(self, now_ms, key, is_request);
     return true;
 }
 
@@ -275,7 +289,8 @@
                const EyCrashEvidence_t *evidence)
 {
     if (g_hash_table_contains(self->refuted, &evidence->crash) ||
-        answer_cleared(self, now_ms, evidence->key))
+        answer_cleared(self, now_ms, evidence->key,
+                       ey_crash_evidence_is_request(evidence)))
     {
         return;
     }
@@ -294,11 +309,13 @@
         return;
     }
     int64_t cleared_ms = now_ms - (int64_t)cleared->age_ms;
-    EyClearedParts_Add(self->cleared, cleared_ms, cleared->key);
+    EyClearedParts_Add(ey_crash_suspects_cleared(self, cleared->is_request),
+                       cleared_ms, cleared->key);
     (void)ey_crash_suspects_remove(self, cleared->key);
     if (!is_own_region) {
         const Told_t told = {
             .key = cleared->key,
+            .is_request = cleared->is_request,
             .at_ms = cleared_ms,
             .until_ms = now_ms + SHORTLY_TOLD_MS,
         };
@@ -332,7 +349,9 @@
         apply_evidence(self, now_ms, is_own_region, &update->evidence[i]);
     }
     for (uint32_t i = 0; i < update->bar_count; i++) {
-        if (!answer_cleared(self, now_ms, update->bars[i].key)) {
+        if (!answer_cleared(self, now_ms, update->bars[i].key,
+                            update->bars[i].is_request))
+        {
             ey_crash_suspects_adopt_bar(self, now_ms, &update->bars[i]);
         }
     }
--- a/src/routing/decision.c
+++ b/src/routing/decision.c
@@ -23,6 +23,7 @@
     [EY_REFUSAL_WRONG_REGION] = "wrong-region",
     [EY_REFUSAL_INVALID] = "invalid",
     [EY_REFUSAL_SUSPECT_PROMPT] = "suspect-prompt",
+    [EY_REFUSAL_SUSPECT_REQUEST] = "suspect-request",
 };
 
 static const EyField_t SummaryFields[] = {
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -41,6 +41,8 @@
                                              other requests may share: not the
                                              last one */
     uint32_t part_count;
+    uint64_t request_key;  /* equal for requests with the same path, client
+                              account and body, at any gateway; 0: unknown */
     uint32_t objective_ms; /* objective for the start of the answer; 0: none */
     uint32_t priority;     /* 0: highest */
     uint32_t tokens_max;   /* of the answer; 0: unknown */
@@ -88,11 +90,12 @@
     EY_REFUSAL_QUEUE_FULL,   /* the admission queue is full */
     EY_REFUSAL_DEADLINE,     /* the deadline passed, or can no longer be met */
     EY_REFUSAL_RETRY_BUDGET, /* the retry budget is empty */
-    EY_REFUSAL_NOT_REPEATABLE, /* may have been executed, isn't idempotent */
-    EY_REFUSAL_WRONG_REGION,   /* its data may not be processed in the local
-                                  region */
-    EY_REFUSAL_INVALID,        /* the number is already in use */
-    EY_REFUSAL_SUSPECT_PROMPT, /* engines crashed on a part of its prompt */
+    EY_REFUSAL_NOT_REPEATABLE,  /* may have been executed, isn't idempotent */
+    EY_REFUSAL_WRONG_REGION,    /* its data may not be processed in the local
+                                   region */
+    EY_REFUSAL_INVALID,         /* the number is already in use */
+    EY_REFUSAL_SUSPECT_PROMPT,  /* engines crashed on a part of its prompt */
+    EY_REFUSAL_SUSPECT_REQUEST, /* servers crashed on this request */
     EY_REFUSAL_COUNT
 } EyRefusal_t;
 
@@ -132,6 +135,7 @@
 typedef enum EyAnswerEnd {
     EY_ANSWER_END_OTHER,
     EY_ANSWER_END_COMPLETE, /* a whole answer of status 2xx with content */
+    EY_ANSWER_END_ANSWERED, /* another whole answer of a server that ran it */
     EY_ANSWER_END_BROKEN,   /* the connection broke after the request was sent
                              */
 } EyAnswerEnd_t;
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -24,6 +24,7 @@
     EY_FIELD(EyCrashEvidence_t, part_id, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, crash, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, age_ms, EY_FIELD_U32),
+    EY_FIELD(EyCrashEvidence_t, request, EY_FIELD_U64),
     EY_FIELD_END,
 };
 static const EySchema_t EvidenceSchema =
@@ -32,6 +33,7 @@
 static const EyField_t ClearedFields[] = {
     EY_FIELD(EyPartCleared_t, key, EY_FIELD_U64),
     EY_FIELD(EyPartCleared_t, age_ms, EY_FIELD_U32),
+    EY_FIELD(EyPartCleared_t, is_request, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t ClearedSchema =
@@ -49,6 +51,7 @@
     EY_FIELD_ARRAY_OF(EyPartBar_t, crashes, crash_count, CrashSchema,
                       EY_ENGINE_UPDATE_BAR_CRASHES_MAX),
     EY_FIELD(EyPartBar_t, left_ms, EY_FIELD_I64),
+    EY_FIELD(EyPartBar_t, is_request, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t BarSchema = EY_SCHEMA(EyPartBar_t, BarFields);
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -1,9 +1,9 @@
 /**
  * Engine updates that gateways send each other: how many prompt tokens each
  * gateway has sent to a model engine that are still in prefill, and which
- * prompt prefixes engines have cached since the last update; and which parts
- * of prompts are suspected of crashing engines. Updates may arrive late or not
- * at all; correctness never depends on them.
+ * prompt prefixes engines have cached since the last update; and which
+ * requests and parts of prompts are suspected of crashing servers. Updates may
+ * arrive late or not at all; correctness never depends on them.
  */
 #ifndef EY_ROUTING_ENGINE_UPDATE_H
 #define EY_ROUTING_ENGINE_UPDATE_H
@@ -42,20 +42,23 @@
                               since the last update */
 } EyEngineUpdateEntry_t;
 
-/** An engine crashed while it answered a prompt with the part. Keys are those
- * of crash_suspects.h. */
+/** A server crashed while it may have run the request, or answered a prompt
+ * with the part. Keys are those of crash_suspects.h. */
 typedef struct EyCrashEvidence {
-    uint64_t key;
-    uint64_t part_id; /* as callers send it, for logs */
+    uint64_t key;     /* of the part, or of the request */
+    uint64_t part_id; /* as callers send it, for logs; of a request: its key */
     uint64_t crash;
     uint32_t age_ms;
+    uint64_t request; /* key of the request that had the part; equal to key: it
+                         is against the request; 0: unknown */
 } EyCrashEvidence_t;
 
-/** An engine completed an answer to a prompt with the part, or went on with
- * it. */
+/** A server completed an answer to the request or to a prompt with the part,
+ * or went on with it. */
 typedef struct EyPartCleared {
     uint64_t key;
     uint32_t age_ms;
+    bool is_request;
 } EyPartCleared_t;
 
 /** The key of an engine's crash. */
@@ -63,7 +66,7 @@
     uint64_t crash;
 } EyCrashKey_t;
 
-/** Requests with the part are refused. */
+/** Requests with the part, or equal requests, are refused. */
 typedef struct EyPartBar {
     uint64_t key;
     uint64_t part_id;
@@ -71,6 +74,7 @@
     uint32_t crash_count;
     int64_t left_ms; /* of the bar; negative: it has ended and the part hasn't
                         been cleared since */
+    bool is_request;
 } EyPartBar_t;
 
 /** The update of one gateway. An engine of its region that isn't listed has no
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -147,9 +147,10 @@
     if (!(after_ms > RETRY_AFTER_MIN_MS)) {
         after_ms = RETRY_AFTER_MIN_MS;
     }
-    double after_max_ms = reason == EY_REFUSAL_SUSPECT_PROMPT
-                              ? (double)EY_CRASH_BAR_MAX_MS
-                              : RETRY_AFTER_MAX_MS;
+    bool is_barred = reason == EY_REFUSAL_SUSPECT_PROMPT ||
+                     reason == EY_REFUSAL_SUSPECT_REQUEST;
+    double after_max_ms =
+        is_barred ? (double)EY_CRASH_BAR_MAX_MS : RETRY_AFTER_MAX_MS;
     if (after_ms > after_max_ms) {
         after_ms = after_max_ms;
     }
@@ -457,9 +458,11 @@
     int64_t left_ms = 0;
     bool is_valid =
         reason == EY_REFUSAL_NONE || reason == EY_REFUSAL_WRONG_REGION;
-    if (is_valid && ey_router_is_suspect(self, now_ms, request, &left_ms)) {
-        return refuse(self, request->number, EY_REFUSAL_SUSPECT_PROMPT,
-                      (double)left_ms);
+    EyRefusal_t suspicion =
+        is_valid ? ey_router_check_suspect(self, now_ms, request, &left_ms)
+                 : EY_REFUSAL_NONE;
+    if (suspicion != EY_REFUSAL_NONE) {
+        return refuse(self, request->number, suspicion, (double)left_ms);
     }
     if (reason == EY_REFUSAL_WRONG_REGION && request->may_forward_to_allowed) {
         return forward_or_refuse(self, now_ms, request, reason, 0.0);
@@ -531,10 +534,11 @@
               EyRoutingDecision_t *decision)
 {
     int64_t suspect_left_ms = 0;
-    if (ey_router_is_suspect(self, now_ms, waiting->request, &suspect_left_ms))
-    {
-        *decision = refuse(self, waiting->request->number,
-                           EY_REFUSAL_SUSPECT_PROMPT, (double)suspect_left_ms);
+    EyRefusal_t suspicion = ey_router_check_suspect(
+        self, now_ms, waiting->request, &suspect_left_ms);
+    if (suspicion != EY_REFUSAL_NONE) {
+        *decision = refuse(self, waiting->request->number, suspicion,
+                           (double)suspect_left_ms);
         return true;
     }
     EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -1,4 +1,5 @@
-/* The router's part of barring prompts whose parts crash engines. */
+/* The router's part of barring requests that crash servers, and prompts whose
+ * parts crash engines. */
 #include "core/memory.h"
 #include "routing/router_internal.h"
 
@@ -7,50 +8,59 @@
  * connection may not have been seen yet. */
 #define EVENT_GAP_MAX_MS 1000
 
-/** An answer that has begun and will clear its prompt's parts unless it ends
- * before. */
+/** An answer that has begun and will clear its request and prompt's parts
+ * unless it ends before. */
 typedef struct BegunAnswer {
     uint64_t number;
     int64_t begun_ms;
 } BegunAnswer_t;
 
-/** Most answers that wait for their engine to be seen running. */
-#define COMPLETED_MAX 256
+/** Most answers that wait for their engine to be seen running; above it the
+ * newest aren't kept. */
+#define COMPLETED_MAX 1024
 /** An engine may end this long after it has completed an answer on which it
  * crashes. */
 #define COMPLETED_DOUBT_MS 250
 /** An engine that is seen running later may have been started again. */
 #define COMPLETED_KEPT_MS 1000
 
-/** An answer that was completed sooner than its engine may end on it. It
- * clears its prompt's parts once the engine is seen running later. */
+/** An answer that was completed sooner than its server may end on it. It
+ * clears its request and prompt's parts once the server is seen running later.
+ */
 typedef struct CompletedAnswer {
-    char *target;
+    char *target; /* NULL: no parts are cleared */
     uint64_t *parts;
     uint32_t part_count;
-    uint64_t crash; /* key of the crash of the engine's incarnation */
+    uint64_t request;
     int64_t completed_ms;
 } CompletedAnswer_t;
 
-void
-ey_router_open_suspects(EyRouter_t *self)
+static void
+free_talloc(gpointer object)
 {
-    self->suspects = EyCrashSuspects_New(self, self->region);
-    g_queue_init(&self->begun_answers);
-    g_queue_init(&self->completed_answers);
+    talloc_free(object);
 }
 
 static void
-free_talloc(gpointer object)
+free_completed(gpointer answers)
 {
-    talloc_free(object);
+    g_queue_free_full(answers, free_talloc);
+}
+
+void
+ey_router_open_suspects(EyRouter_t *self)
+{
+    self->suspects = EyCrashSuspects_New(self, self->region);
+    g_queue_init(&self->begun_answers);
+    self->completed_answers = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, g_free, free_completed);
 }
 
 void
 ey_router_close_suspects(EyRouter_t *self)
 {
     g_queue_clear_full(&self->begun_answers, g_free);
-    g_queue_clear_full(&self->completed_answers, free_talloc);
+    g_hash_table_unref(self->completed_answers);
 }
 
 static EyPromptParts_t
@@ -60,6 +70,7 @@
         .target = request->target,
         .ids = request->parts,
         .count = request->kind == EY_BACKEND_MODEL ? request->part_count : 0,
+        .request = request->request_key,
     };
 }
 
@@ -70,18 +81,23 @@
         .target = tracked->target,
         .ids = tracked->parts,
         .count = tracked->part_count,
+        .request = tracked->request,
     };
 }
 
-bool
-ey_router_is_suspect(EyRouter_t *self, int64_t now_ms,
-                     const EyRoutingRequest_t *request, int64_t *left_ms)
+EyRefusal_t
+ey_router_check_suspect(EyRouter_t *self, int64_t now_ms,
+                        const EyRoutingRequest_t *request, int64_t *left_ms)
 {
     const EyPromptParts_t parts = parts_of(request);
     EySuspicionResult_t result =
         EyCrashSuspects_Check(self->suspects, now_ms, &parts);
     *left_ms = result.left_ms;
-    return result.suspicion == EY_SUSPICION_BARRED;
+    if (result.suspicion != EY_SUSPICION_BARRED) {
+        return EY_REFUSAL_NONE;
+    }
+    return result.is_request ? EY_REFUSAL_SUSPECT_REQUEST
+                             : EY_REFUSAL_SUSPECT_PROMPT;
 }
 
 void
@@ -90,12 +106,15 @@
                       EyTrackedRequest_t *tracked, const EyBackend_t *backend)
 {
     const EyPromptParts_t parts = parts_of(request);
-    if (parts.count == 0) {
+    if (parts.count == 0 && parts.request == 0) {
         return;
     }
-    tracked->parts =
-        EyMemory_Copy(tracked, parts.ids, parts.count * sizeof(*parts.ids));
-    tracked->part_count = parts.count;
+    if (parts.count > 0) {
+        tracked->parts = EyMemory_Copy(tracked, parts.ids,
+                                       parts.count * sizeof(*parts.ids));
+        tracked->part_count = parts.count;
+    }
+    tracked->request = parts.request;
     tracked->crash =
         EyCrashSuspects_CrashKey(backend->id, backend->incarnation);
     tracked->has_incarnation = backend->incarnation > 0;
@@ -103,56 +122,106 @@
                                request->number);
 }
 
+/** True if the request may be suspected, or be found innocent. */
+static bool
+is_watched(const EyTrackedRequest_t *tracked)
+{
+    return tracked->part_count > 0 || tracked->request != 0;
+}
+
+static GQueue *
+completed_of(EyRouter_t *self, uint64_t crash)
+{
+    GQueue *answers = g_hash_table_lookup(self->completed_answers, &crash);
+    if (answers == NULL) {
+        answers = g_queue_new();
+        (void)g_hash_table_insert(self->completed_answers,
+                                  g_memdup2(&crash, sizeof(crash)), answers);
+    }
+    return answers;
+}
+
 static void
-keep_completed(EyRouter_t *self, int64_t now_ms,
-               const EyTrackedRequest_t *tracked)
+keep_completed(EyRouter_t *self, int64_t now_ms, uint64_t crash,
+               const EyPromptParts_t *parts)
 {
-    if (g_queue_get_length(&self->completed_answers) == COMPLETED_MAX) {
-        talloc_free(g_queue_pop_head(&self->completed_answers));
+    if (self->completed_count == COMPLETED_MAX) {
+        return;
     }
     CompletedAnswer_t *answer = EY_NEW(NULL, CompletedAnswer_t);
-    answer->target = EyMemory_Strdup(answer, tracked->target);
-    answer->parts = EyMemory_Copy(
-        answer, tracked->parts, tracked->part_count * sizeof(*tracked->parts));
-    answer->part_count = tracked->part_count;
-    answer->crash = tracked->crash;
+    if (parts->count > 0) {
+        answer->target = EyMemory_Strdup(answer, parts->target);
+        answer->parts = EyMemory_Copy(answer, parts->ids,
+                                      parts->count * sizeof(*parts->ids));
+        answer->part_count = parts->count;
+    }
+    answer->request = parts->request;
     answer->completed_ms = now_ms;
-    g_queue_push_tail(&self->completed_answers, answer);
+    g_queue_push_tail(completed_of(self, crash), answer);
+    self->completed_count++;
 }
 
-/** Decides the completed answers of an engine that was seen running now
- * (is_running), or whose connections broke. */
+/** The server with these completed answers runs now: those that are old enough
+ * clear their requests. */
 static void
-settle_completed(EyRouter_t *self, int64_t now_ms, uint64_t crash,
-                 bool is_running)
+clear_completed(EyRouter_t *self, int64_t now_ms, GQueue *answers)
 {
-    GList *link = self->completed_answers.head;
-    while (link != NULL) {
-        GList *next = link->next;
-        CompletedAnswer_t *answer = link->data;
-        int64_t age_ms = now_ms - answer->completed_ms;
-        bool is_cleared = is_running && answer->crash == crash &&
-                          age_ms >= COMPLETED_DOUBT_MS &&
-                          age_ms < COMPLETED_KEPT_MS;
-        if (is_cleared) {
-            const EyPromptParts_t parts = {
-                .target = answer->target,
-                .ids = answer->parts,
-                .count = answer->part_count,
-            };
+    CompletedAnswer_t *answer = g_queue_peek_head(answers);
+    while (answer != NULL &&
+           now_ms - answer->completed_ms >= COMPLETED_DOUBT_MS) {
+        const EyPromptParts_t parts = {
+            .target = answer->target,
+            .ids = answer->parts,
+            .count = answer->part_count,
+            .request = answer->request,
+        };
+        if (now_ms - answer->completed_ms < COMPLETED_KEPT_MS) {
             EyCrashSuspects_Clear(self->suspects, now_ms, &parts);
         }
-        bool has_crashed = !is_running && answer->crash == crash &&
-                           age_ms < COMPLETED_DOUBT_MS;
-        if (is_cleared || has_crashed || age_ms >= COMPLETED_KEPT_MS) {
-            talloc_free(answer);
-            g_queue_delete_link(&self->completed_answers, link);
+        talloc_free(g_queue_pop_head(answers));
+        self->completed_count--;
+        answer = g_queue_peek_head(answers);
+    }
+}
+
+/** The server's connections broke: what it completed shortly before clears
+ * nothing. */
+static void
+drop_doubtful(EyRouter_t *self, int64_t now_ms, uint64_t crash)
+{
+    GQueue *answers = g_hash_table_lookup(self->completed_answers, &crash);
+    CompletedAnswer_t *answer =
+        answers != NULL ? g_queue_peek_tail(answers) : NULL;
+    while (answer != NULL &&
+           now_ms - answer->completed_ms < COMPLETED_DOUBT_MS) {
+        talloc_free(g_queue_pop_tail(answers));
+        self->completed_count--;
+        answer = g_queue_peek_tail(answers);
+    }
+}
+
+/** Drops the answers of servers that weren't seen running any more. */
+static void
+expire_completed(EyRouter_t *self, int64_t now_ms)
+{
+    if (now_ms - self->completed_expired_ms < COMPLETED_KEPT_MS) {
+        return;
+    }
+    self->completed_expired_ms = now_ms;
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->completed_answers);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        GQueue *answers = value;
+        const CompletedAnswer_t *last = g_queue_peek_tail(answers);
+        if (last == NULL || now_ms - last->completed_ms >= COMPLETED_KEPT_MS) {
+            self->completed_count -= answers->length;
+            g_hash_table_iter_remove(&each);
         }
-        link = next;
     }
 }
 
-/** The engine has begun or completed an answer: if it seemed to have crashed
+/** The server has begun or completed an answer: if it seemed to have crashed
  * shortly before, it didn't. */
 static void
 note_running(EyRouter_t *self, int64_t now_ms,
@@ -161,7 +230,11 @@
     if (tracked->has_incarnation) {
         EyCrashSuspects_EngineRuns(self->suspects, now_ms, tracked->crash);
     }
-    settle_completed(self, now_ms, tracked->crash, true);
+    GQueue *answers =
+        g_hash_table_lookup(self->completed_answers, &tracked->crash);
+    if (answers != NULL) {
+        clear_completed(self, now_ms, answers);
+    }
 }
 
 /** True if the answer has gone on for so long that its engine would have ended
@@ -177,7 +250,7 @@
 ey_router_track_answer(EyRouter_t *self, int64_t now_ms,
                        EyTrackedRequest_t *tracked)
 {
-    if (tracked->part_count == 0 || tracked->has_begun) {
+    if (!is_watched(tracked) || tracked->has_begun) {
         return;
     }
     note_running(self, now_ms, tracked);
@@ -221,6 +294,7 @@
         restart_begun_answers(self, now_ms);
     }
     self->suspects_ms = now_ms;
+    expire_completed(self, now_ms);
     const BegunAnswer_t *first = g_queue_peek_head(&self->begun_answers);
     while (first != NULL && now_ms - first->begun_ms >= EY_CRASH_SURVIVAL_MS) {
         const EyTrackedRequest_t *tracked = find_begun(self, first);
@@ -233,35 +307,48 @@
     }
 }
 
+/** True if the end of the answer says something of the prompt's parts, and not
+ * of the request alone. */
+static bool
+concerns_parts(const EyTrackedRequest_t *tracked,
+               const EyRoutingResult_t *result)
+{
+    return result->answer_end == EY_ANSWER_END_COMPLETE ||
+           tracked->has_begun || result->hides_start;
+}
+
 void
 ey_router_judge_answer(EyRouter_t *self, int64_t now_ms,
                        const EyTrackedRequest_t *tracked,
                        const EyRoutingResult_t *result)
 {
-    const EyPromptParts_t parts = tracked_parts(tracked);
-    if (parts.count == 0) {
+    if (!is_watched(tracked)) {
         return;
     }
+    EyPromptParts_t parts = tracked_parts(tracked);
     EyCrashSuspects_EndTrial(self->suspects, tracked->in_flight.number);
     ey_router_clear_surviving(self, now_ms);
     bool has_survived = tracked->has_begun &&
                         now_ms - tracked->begun_ms >= EY_CRASH_SURVIVAL_MS;
-    bool is_complete = result->answer_end == EY_ANSWER_END_COMPLETE;
-    if (is_complete) {
+    bool is_answered = result->answer_end == EY_ANSWER_END_COMPLETE ||
+                       result->answer_end == EY_ANSWER_END_ANSWERED;
+    bool is_broken = result->answer_end == EY_ANSWER_END_BROKEN;
+    if (is_answered) {
         note_running(self, now_ms, tracked);
     }
-    if (has_survived || (is_complete && clears_at_once(tracked, now_ms))) {
+    if (!has_survived && !concerns_parts(tracked, result)) {
+        parts.count = 0;
+    }
+    if (has_survived || (is_answered && clears_at_once(tracked, now_ms))) {
         EyCrashSuspects_Clear(self->suspects, now_ms, &parts);
     }
-    else if (is_complete) {
-        keep_completed(self, now_ms, tracked);
+    else if (is_answered) {
+        keep_completed(self, now_ms, tracked->crash, &parts);
     }
-    else if (result->answer_end == EY_ANSWER_END_BROKEN &&
-             (tracked->has_begun || result->hides_start))
-    {
+    else if (is_broken) {
         EyCrashSuspects_AddCrash(self->suspects, now_ms, &parts,
                                  tracked->crash);
-        settle_completed(self, now_ms, tracked->crash, false);
+        drop_doubtful(self, now_ms, tracked->crash);
     }
 }
 
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -28,6 +28,7 @@
     EyName_t target;
     uint64_t *parts; /* ids of the prompt's parts that others may share */
     uint32_t part_count;
+    uint64_t request;     /* key of equal requests; 0: unknown */
     uint64_t crash;       /* key of the engine's crash, if it crashes */
     bool has_incarnation; /* the engine announces its incarnation */
     bool has_begun;       /* the answer has begun */
@@ -62,9 +63,12 @@
                                one; of EyEngineUpdateEntry_t, whose arrays are
                                talloc children of the router */
     EyCrashSuspects_t *suspects;
-    GQueue begun_answers;     /* see router_crash_suspects.c */
-    GQueue completed_answers; /* of CompletedAnswer_t, oldest first */
-    int64_t suspects_ms;      /* last time at which they were checked */
+    GQueue begun_answers;          /* see router_crash_suspects.c */
+    GHashTable *completed_answers; /* by crash of the server, of GQueue of
+                                      CompletedAnswer_t, oldest first */
+    uint32_t completed_count;
+    int64_t completed_expired_ms; /* when old ones were last dropped */
+    int64_t suspects_ms;          /* last time at which they were checked */
 };
 
 /* router_crash_suspects.c */
@@ -75,11 +79,11 @@
 void
 ey_router_close_suspects(EyRouter_t *self);
 
-/** True if the request must be refused because one of its prompt's parts may
- * crash engines; left_ms: until it may be tried here. */
-bool
-ey_router_is_suspect(EyRouter_t *self, int64_t now_ms,
-                     const EyRoutingRequest_t *request, int64_t *left_ms);
+/** The reason to refuse the request because it or a part of its prompt may
+ * crash servers, or EY_REFUSAL_NONE; left_ms: until it may be tried here. */
+EyRefusal_t
+ey_router_check_suspect(EyRouter_t *self, int64_t now_ms,
+                        const EyRoutingRequest_t *request, int64_t *left_ms);
 
 /** The request is sent to the engine. */
 void
@@ -96,8 +100,8 @@
 void
 ey_router_clear_surviving(EyRouter_t *self, int64_t now_ms);
 
-/** The request ended: takes the result as evidence for or against its prompt's
- * parts. */
+/** The request ended: takes the result as evidence for or against it and its
+ * prompt's parts. */
 void
 ey_router_judge_answer(EyRouter_t *self, int64_t now_ms,
                        const EyTrackedRequest_t *tracked,
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -225,8 +225,8 @@
         start_attempt(self, request, decision->backend);
     }
     else if (decision->kind == EY_DECISION_REFUSE) {
-        bool is_suspect =
-            strcmp(EyRefusal_names[decision->reason], "suspect-prompt") == 0;
+        bool is_suspect = decision->reason == EY_REFUSAL_SUSPECT_PROMPT ||
+                          decision->reason == EY_REFUSAL_SUSPECT_REQUEST;
         self->counts.sound_suspect += !request->is_fatal && is_suspect;
         drop_request(self, request);
     }
@@ -274,6 +274,7 @@
                   CLIENT_PART + EyRandom_Below(&self->random, CLIENTS),
                   DOCUMENT_PART + EyRandom_Below(&self->random, DOCUMENTS)},
         .part_count = PARTS - 1,
+        .request_key = request->number << 32,
         .tokens_max = 300,
         .objective_ms = 1200,
         .deadline_ms = self->now_ms + TIMEOUT_MS,
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -38,8 +38,8 @@
     uint32_t sound;         /* sound requests from 10 s after the fifth, or
                                the last, crash on; all if there was none */
     uint32_t sound_begun;   /* of these, whose first attempt began to answer */
-    uint32_t sound_suspect; /* sound requests refused because of a part of
-                               their prompt, at any time */
+    uint32_t sound_suspect; /* sound requests refused as suspect, themselves or
+                               by a part of their prompt, at any time */
 } CrashFleetCounts_t;
 
 CrashFleetCounts_t
--- /dev/null
+++ b/tests/unit/test_crash_suspects_services.c
@@ -0,0 +1,155 @@
+/* A request that ends each server of a plain service which runs it. */
+#include "service_fleet.h"
+
+#include <criterion/criterion.h>
+
+/* Arrivals of a fatal request at servers from 5 s after its third crash on. */
+#define LATE_ARRIVALS_MAX 3
+/* Least share of sound requests served, of what is served without the fatal
+ * ones. */
+#define SERVED_SHARE_MIN 0.95
+
+#define NEVER SERVICE_FLEET_NEVER
+
+static ServiceFleetOptions_t
+base_options(void)
+{
+    return (ServiceFleetOptions_t){
+        .regions = 1,
+        .gateways = 3,
+        .servers = 12,
+        .unique_per_s = 60,
+        .fatal_requests = 1,
+        .is_idempotent = true,
+        .fatal_from_ms = 10000,
+        .release_ms = NEVER,
+        .end_ms = 50000,
+    };
+}
+
+static double
+served_share(const ServiceFleetCounts_t *counts)
+{
+    return (double)counts->sound_served / (double)counts->sound;
+}
+
+static void
+expect_sound_unbarred(const ServiceFleetOptions_t *options,
+                      const ServiceFleetCounts_t *counts)
+{
+    cr_expect_eq(counts->popular_refused, 0, "%s: popular refused %u",
+                 options->name, counts->popular_refused);
+    cr_expect_eq(counts->poll_refused, 0, "%s: poll refused %u", options->name,
+                 counts->poll_refused);
+    cr_expect_eq(counts->unique_refused, 0, "%s: unique refused %u",
+                 options->name, counts->unique_refused);
+}
+
+static void
+check_case(const ServiceFleetOptions_t *options)
+{
+    ServiceFleetOptions_t calm = *options;
+    calm.fatal_requests = 0;
+    ServiceFleetCounts_t without = service_fleet_run(&calm);
+    ServiceFleetCounts_t counts = service_fleet_run(options);
+    double share = served_share(&counts) / served_share(&without);
+    cr_log_info("%s: %u crashes, %u late, sound %.4f (%.4f), refused %u %u %u",
+                options->name, counts.fatal_crashes, counts.late_arrivals,
+                served_share(&counts), served_share(&without),
+                counts.popular_refused, counts.poll_refused,
+                counts.unique_refused);
+    cr_expect_leq(counts.late_arrivals,
+                  LATE_ARRIVALS_MAX * options->fatal_requests, "%s: %u late",
+                  options->name, counts.late_arrivals);
+    cr_expect_geq(share, SERVED_SHARE_MIN, "%s: served %f", options->name,
+                  share);
+    expect_sound_unbarred(options, &counts);
+}
+
+Test(crash_suspects_services,
+     a_request_that_ends_its_servers_stops_reaching_them)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t servers;
+        uint32_t fatal_requests;
+        uint32_t fatal_begun_share;
+        bool is_idempotent;
+        bool keeps_ids;
+    } Cases[] = {
+        {"12 servers, before a byte", 1, 12, 1, 0, true, false},
+        {"12 servers, after the head", 2, 12, 1, 100, true, false},
+        {"12 servers, at most once", 3, 12, 1, 0, false, false},
+        {"12 servers, some heads", 4, 12, 1, 50, true, true},
+        {"3 servers, before a byte", 5, 3, 1, 0, true, false},
+        {"3 servers, after the head", 6, 3, 1, 100, true, true},
+        {"3 servers, at most once", 7, 3, 1, 50, false, false},
+        {"two fatal requests in turn", 8, 12, 2, 50, true, false},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.servers = Cases[i].servers;
+        options.fatal_requests = Cases[i].fatal_requests;
+        options.fatal_begun_share = Cases[i].fatal_begun_share;
+        options.is_idempotent = Cases[i].is_idempotent;
+        options.keeps_ids = Cases[i].keeps_ids;
+        check_case(&options);
+    }
+}
+
+Test(crash_suspects_services, a_fatal_request_stops_at_all_sizes_of_the_fleet)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t regions;
+        uint32_t gateways;
+        int64_t end_ms;
+    } Cases[] = {
+        {"3 gateways of three regions", 11, 3, 1, 120000},
+        {"6 gateways", 12, 3, 2, 120000},
+        {"9 gateways", 13, 3, 3, 120000},
+        {"60 gateways", 14, 3, 20, 60000},
+        {"195 gateways", 15, 3, 65, 45000},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.regions = Cases[i].regions;
+        options.gateways = Cases[i].gateways;
+        options.fatal_begun_share = 50;
+        options.end_ms = Cases[i].end_ms;
+        check_case(&options);
+    }
+}
+
+Test(crash_suspects_services,
+     servers_that_end_for_other_reasons_bar_no_request)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        int64_t kill_period_ms;
+        int64_t release_ms;
+    } Cases[] = {
+        {"kill of a third each 2 s", 21, 2000, NEVER},
+        {"kill of a third each 10 s", 22, 10000, NEVER},
+        {"a release", 23, 0, 11000},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.kill_period_ms = Cases[i].kill_period_ms;
+        options.release_ms = Cases[i].release_ms;
+        options.fatal_requests = 0;
+        options.end_ms = 40000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_expect_gt(counts.sound, 0, "%s", options.name);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
