Crash suspects: an engine counts that crashes after a refuted crash

Cause: a crash that was refuted, as the engine was seen running afterwards, was remembered for 60 s as none. When that incarnation did crash within this time, nobody counted it.

Change: a refutation covers crashes up to 2 s after it, in which gateways still tell the refuted one; a later one is evidence, and may be refuted in its turn.

Its entry is taken out.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -51,6 +51,10 @@
  * may have been started again. */
 #define EY_CRASH_REFUTED_FROM_MS 200
 #define EY_CRASH_REFUTED_UNTIL_MS 1500
+/** A crash that is seen this much later than it was refuted is another one:
+ * the engine went on and crashed after that. Within this time gateways still
+ * tell the refuted one. */
+#define EY_CRASH_REFUTED_COVERS_MS 2000
 /** Duration of the first bar; each further crash makes it FACTOR times as
  * long. */
 #define EY_CRASH_BAR_MS 30000
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -164,8 +164,9 @@
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyCrashEvidence_t *evidence)
 {
+    int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
     if (evidence->age_ms >= EY_CRASH_WINDOW_MS ||
-        g_hash_table_contains(self->refuted, &evidence->crash))
+        ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms))
     {
         return false;
     }
@@ -179,7 +180,7 @@
     if (known == NULL) {
         const EyCrash_t crash = {
             .crash = evidence->crash,
-            .crash_ms = now_ms - (int64_t)evidence->age_ms,
+            .crash_ms = crash_ms,
             .requests = {evidence->request},
             .request_count = 1,
         };
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -93,17 +93,30 @@
     }
 }
 
+bool
+ey_crash_suspects_is_refuted(const EyCrashSuspects_t *self, uint64_t crash,
+                             int64_t crash_ms)
+{
+    const int64_t *refuted_ms = g_hash_table_lookup(self->refuted, &crash);
+    return refuted_ms != NULL &&
+           crash_ms - *refuted_ms < EY_CRASH_REFUTED_COVERS_MS;
+}
+
 bool
 ey_crash_suspects_refute(EyCrashSuspects_t *self, int64_t now_ms,
                          uint64_t crash)
 {
-    if (g_hash_table_contains(self->refuted, &crash) ||
+    bool is_known = g_hash_table_contains(self->refuted, &crash);
+    bool has_crashed_since =
+        is_known && g_hash_table_contains(self->crash_times, &crash);
+    if ((is_known && !has_crashed_since) ||
         g_hash_table_size(self->refuted) >= EY_CRASH_SUSPECTS_MAX)
     {
         return false;
     }
-    (void)g_hash_table_insert(self->refuted, g_memdup2(&crash, sizeof(crash)),
-                              g_memdup2(&now_ms, sizeof(now_ms)));
+    (void)g_hash_table_replace(self->refuted, g_memdup2(&crash, sizeof(crash)),
+                               g_memdup2(&now_ms, sizeof(now_ms)));
+    (void)g_hash_table_remove(self->crash_times, &crash);
     ey_crash_suspects_stop_telling(self, crash);
     GHashTableIter each;
     gpointer value = NULL;
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -149,6 +149,11 @@
 ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
                             const EyPartBar_t *bar);
 
+/** True if a crash at that time was refuted. */
+bool
+ey_crash_suspects_is_refuted(const EyCrashSuspects_t *self, uint64_t crash,
+                             int64_t crash_ms);
+
 /** The engine didn't crash: takes the crash back from all parts. False if that
  * is known. */
 bool
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -288,7 +288,8 @@
 apply_evidence(EyCrashSuspects_t *self, int64_t now_ms, bool is_own_region,
                const EyCrashEvidence_t *evidence)
 {
-    if (g_hash_table_contains(self->refuted, &evidence->crash) ||
+    int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
+    if (ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms) ||
         answer_cleared(self, now_ms, evidence->key,
                        ey_crash_evidence_is_request(evidence)))
     {
