Crash suspects: a crash under many parts doesn't push out the fatal one

Cause: the table had room for 256 suspects.

Change: room for 4096 suspects, some 3 MiB at most, that is for the 64 requests of several crashes with their parts; times and refutations of crashes have a bound of their own, 1024.

Conclusion: more than 4096 different suspects within a minute still push out each other, those with one crash first.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -61,7 +61,10 @@
 #define EY_CRASH_BAR_FACTOR 4
 #define EY_CRASH_BAR_MAX_MS 1800000
 #define EY_CRASH_BARS_MAX EY_ENGINE_UPDATE_BARS_MAX
-#define EY_CRASH_SUSPECTS_MAX 256
+/** Most suspects; one crash may bring those of 64 requests and their parts. */
+#define EY_CRASH_SUSPECTS_MAX 4096
+/** Most crashes whose times, or whose refutations, are remembered. */
+#define EY_CRASH_TIMES_MAX 1024
 /** Most crashes that are kept of one part. */
 #define EY_CRASHES_MAX EY_ENGINE_UPDATE_BAR_CRASHES_MAX
 /** Most requests with a part that are told apart at one crash. */
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -146,7 +146,7 @@
 note_crash_time(EyCrashSuspects_t *self, const EyCrash_t *crash)
 {
     if (!g_hash_table_contains(self->crash_times, &crash->crash) &&
-        g_hash_table_size(self->crash_times) < EY_CRASH_SUSPECTS_MAX)
+        g_hash_table_size(self->crash_times) < EY_CRASH_TIMES_MAX)
     {
         (void)g_hash_table_insert(
             self->crash_times, g_memdup2(&crash->crash, sizeof(crash->crash)),
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -110,7 +110,7 @@
     bool has_crashed_since =
         is_known && g_hash_table_contains(self->crash_times, &crash);
     if ((is_known && !has_crashed_since) ||
-        g_hash_table_size(self->refuted) >= EY_CRASH_SUSPECTS_MAX)
+        g_hash_table_size(self->refuted) >= EY_CRASH_TIMES_MAX)
     {
         return false;
     }
