--- /dev/null
+++ b/src/routing/crash_suspects_evidence.c
@@ -0,0 +1,145 @@
+/* Evidence of this gateway, and what refutes evidence. */
+#include "routing/crash_suspects_internal.h"
+
+/** Adds evidence that was seen here, and tells it. */
+static void
+add_own_evidence(EyCrashSuspects_t *self, int64_t now_ms,
+                 const EyCrashEvidence_t *evidence)
+{
+    bool is_request = ey_crash_evidence_is_request(evidence);
+    const EyCrashSuspect_t *known =
+        ey_crash_suspects_find(self, evidence->key);
+    bool is_new_crash =
+        known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
+    int64_t age_ms = 0;
+    if (EyClearedParts_Has(ey_crash_suspects_cleared(self, is_request), now_ms,
+                           evidence->key, &age_ms) ||
+        !ey_crash_suspects_add(self, now_ms, evidence))
+    {
+        return;
+    }
+    const EyCrashSuspect_t *suspect =
+        ey_crash_suspects_find(self, evidence->key);
+    if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
+        ey_crash_suspects_add_event(self, EY_SUSPECT_CRASH, suspect);
+    }
+    ey_crash_suspects_tell_crash(self, now_ms, evidence);
+}
+
+void
+EyCrashSuspects_AddCrash(EyCrashSuspects_t *self, int64_t now_ms,
+                         const EyPromptParts_t *prompt, uint64_t crash)
+{
+    ey_crash_suspects_note_start(self, now_ms);
+    ey_crash_suspects_expire(self, now_ms);
+    if (prompt->request != 0) {
+        const EyCrashEvidence_t evidence = {
+            .key = prompt->request,
+            .part_id = prompt->request,
+            .crash = crash,
+            .request = prompt->request,
+        };
+        add_own_evidence(self, now_ms, &evidence);
+    }
+    for (uint32_t i = 0; i < prompt->count; i++) {
+        const EyCrashEvidence_t evidence = {
+            .key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]),
+            .part_id = prompt->ids[i],
+            .crash = crash,
+            .request = prompt->request,
+        };
+        add_own_evidence(self, now_ms, &evidence);
+    }
+}
+
+static void
+clear(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key, bool is_request)
+{
+    EyClearedParts_Add(ey_crash_suspects_cleared(self, is_request), now_ms,
+                       key);
+    if (ey_crash_suspects_remove(self, key)) {
+        ey_crash_suspects_tell_cleared(self, now_ms, key, is_request);
+    }
+}
+
+void
+EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
+                      const EyPromptParts_t *prompt)
+{
+    if (prompt->request != 0) {
+        clear(self, now_ms, prompt->request, true);
+    }
+    for (uint32_t i = 0; i < prompt->count; i++) {
+        clear(self, now_ms,
+              EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]), false);
+    }
+}
+
+/* Crashes that were none */
+
+static void
+remove_crash(EyCrashSuspect_t *suspect, uint64_t crash)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        if (suspect->crashes[i].crash != crash) {
+            suspect->crashes[kept++] = suspect->crashes[i];
+        }
+    }
+    suspect->crash_count = kept;
+    if (kept < EY_CRASH_BAR_CRASHES) {
+        suspect->bar_ms = 0;
+        suspect->bar_end_ms = 0;
+    }
+}
+
+bool
+ey_crash_suspects_is_refuted(const EyCrashSuspects_t *self, uint64_t crash,
+                             int64_t crash_ms)
+{
+    const int64_t *refuted_ms = g_hash_table_lookup(self->refuted, &crash);
+    return refuted_ms != NULL &&
+           crash_ms - *refuted_ms < EY_CRASH_REFUTED_COVERS_MS;
+}
+
+bool
+ey_crash_suspects_refute(EyCrashSuspects_t *self, int64_t now_ms,
+                         uint64_t crash)
+{
+    bool is_known = g_hash_table_contains(self->refuted, &crash);
+    bool has_crashed_since =
+        is_known && g_hash_table_contains(self->crash_times, &crash);
+    if ((is_known && !has_crashed_since) ||
+        g_hash_table_size(self->refuted) >= EY_CRASH_TIMES_MAX)
+    {
+        return false;
+    }
+    (void)g_hash_table_replace(self->refuted, g_memdup2(&crash, sizeof(crash)),
+                               g_memdup2(&now_ms, sizeof(now_ms)));
+    (void)g_hash_table_remove(self->crash_times, &crash);
+    ey_crash_suspects_stop_telling(self, crash);
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        remove_crash(value, crash);
+    }
+    return true;
+}
+
+void
+EyCrashSuspects_EngineRuns(EyCrashSuspects_t *self, int64_t now_ms,
+                           uint64_t crash)
+{
+    const int64_t *crash_ms = g_hash_table_lookup(self->crash_times, &crash);
+    if (crash_ms == NULL) {
+        return;
+    }
+    int64_t age_ms = now_ms - *crash_ms;
+    if (age_ms >= EY_CRASH_REFUTED_FROM_MS &&
+        age_ms <= EY_CRASH_REFUTED_UNTIL_MS &&
+        ey_crash_suspects_refute(self, now_ms, crash))
+    {
+        ey_crash_suspects_tell_refuted(self, now_ms, crash);
+    }
+}
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -11,15 +11,22 @@
 extern "C" {
 #endif
 
+/** Evidence of a part is kept for this time after its bar, so that a crash of
+ * its trial bars it for longer. */
+#define EY_CRASH_BAR_KEPT_MS EY_CRASH_BAR_MAX_MS
+
 typedef struct EyCrash {
     uint64_t crash;
     int64_t crash_ms;
+    uint64_t requests[EY_CRASH_REQUESTS_MAX]; /* with the part; 0: unknown */
+    uint32_t request_count;
 } EyCrash_t;
 
-/** A part with evidence that wasn't cleared. */
+/** A part or a request with evidence that wasn't cleared. */
 typedef struct EyCrashSuspect {
-    uint64_t part;
+    uint64_t key;
     uint64_t part_id;
+    bool is_request;
     EyCrash_t crashes[EY_CRASHES_MAX]; /* distinct, earliest evidence first */
     uint32_t crash_count;
     int64_t bar_ms; /* duration of the last bar; 0: never barred */
@@ -40,8 +47,11 @@
     int64_t started_ms; /* time of the first call that has a time */
     uint32_t rank;
     uint32_t rank_count;
-    GHashTable *by_part; /* of EyCrashSuspect_t */
+    GHashTable *by_key;      /* of EyCrashSuspect_t */
+    GHashTable *crash_times; /* by crash, time of its first evidence */
+    bool has_trials;         /* a suspect may have one */
     EyClearedParts_t *cleared;
+    EyClearedParts_t *cleared_requests;
     GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
     GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
     GQueue told_refuted[EY_TOLD_SCOPE_COUNT];
@@ -49,6 +59,81 @@
     GQueue events;       /* of EySuspectEvent_t */
 };
 
+/* crash_suspects_table.c */
+
+void
+ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
+                            const EyCrashSuspect_t *suspect);
+
+bool
+ey_crash_suspects_was_barred(const EyCrashSuspect_t *suspect);
+
+/** The suspect with that key, or NULL. */
+EyCrashSuspect_t *
+ey_crash_suspects_find(const EyCrashSuspects_t *self, uint64_t part);
+
+int64_t
+ey_crash_suspects_last_crash_ms(const EyCrashSuspect_t *suspect);
+
+/** Drops the crashes that no longer add up with later ones. */
+void
+ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms);
+
+/** True if there is less reason to keep one than other. */
+bool
+ey_crash_suspects_has_less(const EyCrashSuspect_t *one,
+                           const EyCrashSuspect_t *other);
+
+/** The suspect with the least evidence, of all or of those that were barred;
+ * count: of these. */
+EyCrashSuspect_t *
+ey_crash_suspects_find_least(const EyCrashSuspects_t *self, bool only_barred,
+                             uint32_t *count);
+
+/** The suspect with that key, new if there was none. */
+EyCrashSuspect_t *
+ey_crash_suspects_add_suspect(EyCrashSuspects_t *self, int64_t now_ms,
+                              uint64_t key, uint64_t part_id, bool is_request);
+
+/** The cleared parts, or the cleared requests. */
+EyClearedParts_t *
+ey_crash_suspects_cleared(const EyCrashSuspects_t *self, bool is_request);
+
+EyCrash_t *
+ey_crash_suspects_find_crash(EyCrashSuspect_t *suspect, uint64_t crash);
+
+bool
+ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash);
+
+/** Adds a crash; the first one makes room. */
+void
+ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash);
+
+/* crash_suspects_ties.c */
+
+/** True if the crashes have another cause that is more likely: a request,
+ * those that have more of them; a part, a request that had it at each. */
+bool
+ey_crash_suspects_is_explained(const EyCrashSuspects_t *self,
+                               const EyCrashSuspect_t *suspect);
+
+/** True if another request has the same crashes; has_trial: one of them is run
+ * as a trial. */
+bool
+ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
+                          const EyCrashSuspect_t *suspect, bool *has_trial);
+
+/* crash_suspects_bars.c */
+
+/** What may be done now with a request that has the part. */
+EySuspicionResult_t
+ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
+                        EyCrashSuspect_t *suspect);
+
+/** True if it is against a request, not against a part. */
+bool
+ey_crash_evidence_is_request(const EyCrashEvidence_t *evidence);
+
 /** Adds evidence; false if it is known or too old. */
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
@@ -64,6 +149,11 @@
 ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
                             const EyPartBar_t *bar);
 
+/** True if a crash at that time was refuted. */
+bool
+ey_crash_suspects_is_refuted(const EyCrashSuspects_t *self, uint64_t crash,
+                             int64_t crash_ms);
+
 /** The engine didn't crash: takes the crash back from all parts. False if that
  * is known. */
 bool
@@ -86,7 +176,7 @@
 
 void
 ey_crash_suspects_tell_cleared(EyCrashSuspects_t *self, int64_t now_ms,
-                               uint64_t part);
+                               uint64_t key, bool is_request);
 
 void
 ey_crash_suspects_tell_refuted(EyCrashSuspects_t *self, int64_t now_ms,
