Tests: bars of requests that end, and ends before the first byte

The router's rules one by one: an end before a byte bars the request and not another one, an answer with an error clears it, a refusal and a short answer of a server that ends don't.

--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -127,6 +127,33 @@
     }
 }
 
+Test(crash_suspects_services,
+     a_barred_request_is_not_tried_by_many_when_bars_end)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t gateways; /* of each of three regions */
+        int64_t end_ms;
+    } Cases[] = {
+        {"3 gateways, 15 minutes", 31, 1, 15 * INT64_C(60000)},
+        {"18 gateways, 15 minutes", 32, 6, 15 * INT64_C(60000)},
+        {"60 gateways, two bars", 33, 20, 230000},
+        {"195 gateways, a minute", 34, 65, 60000},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.regions = 3;
+        options.gateways = Cases[i].gateways;
+        options.servers = 4;
+        options.unique_per_s = 10;
+        options.end_ms = Cases[i].end_ms;
+        check_case(&options);
+    }
+}
+
 Test(crash_suspects_services,
      servers_that_end_for_other_reasons_bar_no_request)
 {
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -14,6 +14,7 @@
     EyRouter_t *router;
     GArray *decisions;
     uint64_t last_number;
+    uint64_t request_key; /* of the requests */
 } World_t;
 
 static World_t
@@ -47,6 +48,7 @@
     request.deadline_ms = now_ms + 12000;
     request.parts[0] = part;
     request.part_count = 1;
+    request.request_key = world->request_key;
     return EyRouter_Submit(world->router, now_ms, &request);
 }
 
@@ -251,3 +253,55 @@
     cr_expect_eq(decision.reason, EY_REFUSAL_SUSPECT_PROMPT);
     free_world(&world);
 }
+
+Test(router_crash_suspects, ends_before_the_first_byte_bar_the_request)
+{
+    static const Course_t Answered = {
+        "answered with an error",
+        true,
+        300,
+        50,
+        false,
+        {.kind = EY_RESULT_OK, .answer_end = EY_ANSWER_END_ANSWERED},
+        false};
+    static const Course_t Refused = {
+        "not run", true, 300, 50, false, {.kind = EY_RESULT_REFUSED}, false};
+    static const Course_t Short = {
+        "complete before the engine ends",
+        true,
+        20,
+        0,
+        false,
+        {.kind = EY_RESULT_OK, .answer_end = EY_ANSWER_END_COMPLETE},
+        false};
+    static const Course_t Crash = {"crash", false,  100, 50,
+                                   false,   BROKEN, true};
+    static const struct {
+        const char *name;
+        const Course_t *before;
+        EyRefusal_t expected;
+    } Cases[] = {
+        {"nothing before", NULL, EY_REFUSAL_SUSPECT_REQUEST},
+        {"answered before", &Answered, EY_REFUSAL_NONE},
+        {"refused before", &Refused, EY_REFUSAL_SUSPECT_REQUEST},
+        {"a short answer before", &Short, EY_REFUSAL_SUSPECT_REQUEST},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        World_t world = make_world();
+        world.request_key = 5;
+        if (Cases[i].before != NULL) {
+            run_request(&world, NOW_MS, Cases[i].before);
+        }
+        for (int run = 1; run <= 3; run++) {
+            run_request(&world, NOW_MS + 500 * (int64_t)run, &Crash);
+        }
+        EyRoutingDecision_t decision =
+            submit(&world, NOW_MS + 2500, FATAL_PART);
+        cr_expect_eq(decision.reason, Cases[i].expected, "%s: %s",
+                     Cases[i].name, EyRefusal_names[decision.reason]);
+        world.request_key = 6;
+        decision = submit(&world, NOW_MS + 2500, FATAL_PART);
+        cr_expect_eq(decision.kind, EY_DECISION_DISPATCH, "%s", Cases[i].name);
+        free_world(&world);
+    }
+}
