Cold limiter: requests that leave late don't add to the next window's

Cause: the limiter counts a request from its decision. The first requests after an idle time, as when an evacuated zone is taken back, wait for connections or the processor; those of the next window don't, and the server gets the shares of two windows within one second.

Change: a decision counts for the window and 100 ms in which its request may leave. With the request that the limit has beyond the rate, a server of 7 a second still gets its rate.

Sanitizer builds were not run.

--- a/src/routing/cold_limiter.c
+++ b/src/routing/cold_limiter.c
@@ -26,7 +26,8 @@
 {
     uint32_t recent = 0;
     for (uint32_t i = 0; i < self->sent_count; i++) {
-        recent += now_ms - self->sent_ms[i] < EY_COLD_WINDOW_MS;
+        int64_t age_ms = now_ms - self->sent_ms[i];
+        recent += age_ms < EY_COLD_WINDOW_MS + EY_COLD_SEND_DELAY_MS;
     }
     return recent < share;
 }
--- a/src/routing/cold_limiter.h
+++ b/src/routing/cold_limiter.h
@@ -18,6 +18,9 @@
 
 /** Length of the sliding window in which requests are counted. */
 #define EY_COLD_WINDOW_MS 1000
+/** A request leaves this long after its decision at most, as it may wait for a
+ * connection. */
+#define EY_COLD_SEND_DELAY_MS 100
 /** Largest share of one gateway in a window. */
 #define EY_COLD_SENT_MAX 32
 
--- a/src/routing/rank_history.h
+++ b/src/routing/rank_history.h
@@ -18,7 +18,7 @@
 
 /** Time for which an earlier rank counts: until all gateways have seen the
  * change, and a window of requests sent before. */
-#define EY_RANK_SETTLE_MS (1000 + EY_COLD_WINDOW_MS)
+#define EY_RANK_SETTLE_MS (1000 + EY_COLD_WINDOW_MS + EY_COLD_SEND_DELAY_MS)
 #define EY_PAST_RANKS_MAX 32
 
 /** An earlier rank; a count of 0 stands for an unknown one. */
--- a/tests/unit/test_cold_limiter.c
+++ b/tests/unit/test_cold_limiter.c
@@ -77,6 +77,30 @@
     }
 }
 
+/* The first requests after an idle time wait for their connections, the next
+ * ones don't. */
+Test(cold_limiter, requests_that_leave_late_keep_the_limit)
+{
+    enum { GATEWAYS = 9, LATE_MS = 50, BOUND = 13 };
+    const double per_s = 7.0;
+    EyColdLimiter_t limiters[GATEWAYS] = {0};
+    Sends_t sends = {.count = 0};
+    for (int64_t now_ms = 0; now_ms < 3000; now_ms += 5) {
+        for (uint32_t g = 0; g < GATEWAYS; g++) {
+            const EyGatewayRank_t rank = {.rank = g, .count = GATEWAYS};
+            uint32_t share = EyColdLimiter_Share(&rank, "i-1", per_s);
+            if (EyColdLimiter_MaySend(&limiters[g], now_ms, share)) {
+                EyColdLimiter_RecordSend(&limiters[g], now_ms);
+                sends.at_ms[sends.count++] =
+                    now_ms + (now_ms == 0 ? LATE_MS : 0);
+            }
+        }
+    }
+    cr_expect_leq(most_in_window(&sends), BOUND);
+    /* The server still gets its rate. */
+    cr_expect_geq(sends.count, 3 * (uint32_t)per_s);
+}
+
 Test(cold_limiter, a_single_gateway_gets_at_most_the_whole_limit)
 {
     const EyGatewayRank_t alone = {.rank = 0, .count = 1};
