Raft: a follower whose disk fails keeps one answer of a kind to a member

Cause: an answer waits until what it reports is on the disk; while the disk stays full, each heartbeat and each entry added one, without a limit, and all were sent at once when the disk recovered.

Change: while the disk fails, a newer message replaces those of its kind to the same member; members bear lost messages. On a slow disk each is sent as before.

raft_full_disk::an_outage_leaves_one_answer_of_a_kind failed before: 3000 answers after 10 simulated minutes, 1118128 bytes in all.

--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -84,6 +84,24 @@
     action->message = talloc_steal(action, message);
 }
 
+/** Drops deferred messages that a newer one of the same kind to the same
+ * member replaces, as if they were lost on the way. */
+static void
+drop_replaced(EyRaft_t *self, const EyRaftMessage_t *newer)
+{
+    guint i = 0;
+    while (i < self->deferred->len) {
+        EyRaftMessage_t *older =
+            g_array_index(self->deferred, EyRaftDeferredMessage_t, i).message;
+        if (older->kind != newer->kind || strcmp(older->to, newer->to) != 0) {
+            i++;
+            continue;
+        }
+        talloc_free(older);
+        g_array_remove_index(self->deferred, i);
+    }
+}
+
 void
 ey_raft_send_when_persisted(EyRaft_t *self, EyRaftMessage_t *message)
 {
@@ -91,6 +109,11 @@
         ey_raft_send(self, message);
         return;
     }
+    /* While the disk fails, nothing is sent: the last message is enough. On a
+     * slow disk each one is sent in turn. */
+    if (self->disk_failed) {
+        drop_replaced(self, message);
+    }
     EyRaftDeferredMessage_t deferred = {
         .serial = self->serial,
         .message = talloc_steal(self, message),
