--- a/tests/unit/test_config_distribution.c
+++ b/tests/unit/test_config_distribution.c
@@ -357,6 +357,31 @@
                   (unsigned long)node->received_bytes);
 }
 
+/* After a loss of power, control processes show what their disks know as
+ * committed, until there is a leader. */
+Test(config_distribution, no_gateway_starts_on_a_table_that_was_replaced)
+{
+    Region_t *region = make_region(SLOW_LINK_BYTES_PER_MS);
+    region->routes = 10;
+    change_routes(region, 1);
+    for (uint32_t i = 0; i < LOCAL_CONTROLS; i++) {
+        region->nodes[i].is_stale = true;
+    }
+    change_routes(region, 2);
+    add_gateways(region);
+    uint32_t early = 0;
+    for (uint32_t i = CONTROLS; i < region->node_count; i++) {
+        const EyConfigReplica_t *replica = region->nodes[i].replica;
+        while (!EyConfigReplica_IsReady(replica)) {
+            run(region, STEP_MS);
+        }
+        early += EyConfigReplica_Store(replica)->routes_version < 2;
+    }
+    cr_expect_eq(early, 0, "%u of %u gateways began with the old table", early,
+                 region->node_count - CONTROLS);
+    free_region(region);
+}
+
 Test(config_distribution, no_gateway_restarts_without_many_routes)
 {
     for (size_t i = 0; i < sizeof(RestartCases) / sizeof(RestartCases[0]); i++)
