Control: stop doesn't wait for results that nobody reads

Cause: with the mailbox of results full, the storage thread waited for room, while the loop's thread waited for it to end. It takes over 2048 results that the loop hasn't read, as when a disk recovers at the moment of the stop.

Change: once the stop has begun, results that find no room are dropped.

raft_storage::stop_does_not_wait_for_results_that_nobody_reads failed before (no end within 20 s) and passes; the 17 unit tests of raft* pass.

--- a/src/control/raft_storage.c
+++ b/src/control/raft_storage.c
@@ -7,6 +7,8 @@
 #define QUEUE_MAX 1024
 /** Interval at which a failed write is repeated. */
 #define REPEAT_INTERVAL_MS 250
+/** Interval at which a full mailbox of results is tried again. */
+#define RESULT_RETRY_INTERVAL_US 200
 
 struct EyRaftStorage {
     EyRaftStored_t stored;
@@ -14,8 +16,9 @@
     EyRaftFile_t *file; /* the storage thread's while that runs */
     EyWorker_t *thread;
     EyMailbox_t *results;
-    GQueue overflow; /* of EyRaftDiskWrite_t: wait for room in the mailbox */
-    bool is_failing; /* as last logged */
+    GQueue overflow;  /* of EyRaftDiskWrite_t: wait for room in the mailbox */
+    bool is_stopping; /* atomic; nobody reads results any more */
+    bool is_failing;  /* as last logged */
 };
 
 /** The result of a try, from the storage thread. */
@@ -47,7 +50,13 @@
     if (reason != NULL) {
         (void)EY_COPY(result->reason, reason);
     }
-    EyMailbox_PostWait(self->storage->results, result);
+    while (!EyMailbox_Post(self->storage->results, result)) {
+        if (__atomic_load_n(&self->storage->is_stopping, __ATOMIC_ACQUIRE)) {
+            talloc_free(result);
+            return;
+        }
+        g_usleep(RESULT_RETRY_INTERVAL_US);
+    }
 }
 
 static void
@@ -169,6 +178,7 @@
 void
 EyRaftStorage_Stop(EyRaftStorage_t *self)
 {
+    __atomic_store_n(&self->is_stopping, true, __ATOMIC_RELEASE);
     EyWorker_Stop(self->thread);
     g_queue_clear_full(&self->overflow, free_write);
     talloc_free(self);
