--- a/src/idempotency/journal.c
+++ b/src/idempotency/journal.c
@@ -148,7 +148,7 @@
     return true;
 }
 
-/** Reads all entries and truncates an incomplete last one. */
+/** Reads all entries, truncates an incomplete last one and syncs the file. */
 static bool
 load_entries(EyJournal_t *self, Loading_t *loading, const uint8_t *data,
              uint64_t size_bytes, GError **error)
@@ -168,12 +168,16 @@
                         self->path, at);
             return false;
         }
-        if (ftruncate(self->file, (off_t)at) != 0 ||
-            fdatasync(self->file) != 0) {
+        if (ftruncate(self->file, (off_t)at) != 0) {
             return fail(error, EY_JOURNAL_ERROR_WRITE, self->path,
                         "can't truncate an incomplete entry");
         }
     }
+    /* A process that was killed may not have synced its last entries, which
+     * the member acknowledges from now on. */
+    if (fdatasync(self->file) != 0) {
+        return fail(error, EY_JOURNAL_ERROR_WRITE, self->path, "can't sync");
+    }
     self->size_bytes = at;
     self->compacted_bytes = at;
     return true;
--- a/src/idempotency/journal.h
+++ b/src/idempotency/journal.h
@@ -30,7 +30,8 @@
 typedef struct EyJournal EyJournal_t;
 
 /**
- * Opens the file idempotency.journal in a folder, or creates it, and loads it.
+ * Opens the file idempotency.journal in a folder, or creates it, loads it and
+ * syncs what was loaded.
  * *state is set to the state to restore a member from, a talloc child of the
  * journal, or to NULL if the file is new. Returns NULL and sets error on
  * failure.
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -1,5 +1,6 @@
 #include "core/memory.h"
 #include "idempotency/journal.h"
+#include "sync_calls.h"
 
 #include <criterion/criterion.h>
 #include <fcntl.h>
@@ -217,3 +218,23 @@
     talloc_free(journal);
     cr_assert_eq(reload(NULL)->serial, 1);
 }
+
+/* A process that was killed may have written an entry without syncing it. */
+Test(journal, restored_state_is_synced_before_it_is_used)
+{
+    uint64_t sizes[3];
+    write_three(sizes);
+    Sync_calls.file_count = 0;
+    cr_assert_not_null(reload(NULL));
+    cr_expect_eq(Sync_calls.file_count, 1);
+    talloc_free(Ctx);
+    Ctx = talloc_new(NULL);
+    Sync_calls.file_fails = true;
+    GError *error = NULL;
+    cr_expect_null(reload(&error));
+    Sync_calls.file_fails = false;
+    cr_assert_not_null(error);
+    cr_expect_eq(error->code, EY_JOURNAL_ERROR_WRITE);
+    g_clear_error(&error);
+    cr_assert_eq(reload(NULL)->serial, 3);
+}
