Server list: a folder that wasn't synced is synced by the next save

Cause: the folder is synced only if the file wasn't there before. When that sync, or the write of the new file, failed, the next save found the file, left out the folder and reported success: after a loss of power the list could be missing.

Change: a first save that fails removes its file, so the next one is a first save again. Nothing is lost by it: there was no list before.

Test server_list/unsynced_folder_is_synced_by_the_next_save, on the old code: 0 syncs of the folder by the second save instead of 1.

--- a/src/control/server_list.c
+++ b/src/control/server_list.c
@@ -130,6 +130,12 @@
     bool is_new = access(path, F_OK) != 0;
     bool done = write_file(path, &packed) && (!is_new || sync_folder(folder));
     if (!done) {
+        int cause = errno;
+        if (is_new) {
+            /* The next save must sync the folder, as for a new file. */
+            (void)unlink(path);
+        }
+        errno = cause;
         g_set_error(error, EY_SERVER_LIST_ERROR, EY_SERVER_LIST_ERROR_WRITE,
                     "can't write %s: %s", path, g_strerror(errno));
     }
--- a/tests/unit/test_server_list.c
+++ b/tests/unit/test_server_list.c
@@ -3,6 +3,7 @@
 #include "control/server_list.h"
 #include "core/memory.h"
 #include "membership/membership.h"
+#include "sync_calls.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -222,3 +223,21 @@
     g_error_free(error);
     talloc_free(ctx);
 }
+
+/* A file whose name isn't synced is missing after a power loss. */
+Test(server_list, unsynced_folder_is_synced_by_the_next_save)
+{
+    void *ctx = talloc_new(NULL);
+    char *folder = make_folder(ctx);
+    const EyServerList_t *list = EY_NEW(ctx, EyServerList_t);
+    Sync_calls.folder_fails = true;
+    cr_expect_not(EyServerList_Save(list, folder, NULL));
+    Sync_calls.folder_fails = false;
+    Sync_calls.folder_count = 0;
+    cr_expect(EyServerList_Save(list, folder, NULL));
+    cr_expect_eq(Sync_calls.folder_count, 1);
+    cr_expect(EyServerList_Save(list, folder, NULL));
+    cr_expect_eq(Sync_calls.folder_count, 1);
+    remove_folder(folder);
+    talloc_free(ctx);
+}
