Log file: a rename that wasn't synced is synced by the next open

Cause: when the folder's sync after the rename of a compacted file fails, or the process is killed before it, the process asks for a restart. The next process opened the new file, synced its content, but not the folder, and confirmed what it appended: a loss of power could bring back the old file, without those entries and votes.

--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -606,6 +606,11 @@
     {
         return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
     }
+    /* An earlier process may have ended between the rename of a new file and
+     * the sync of the folder. */
+    if (!sync_folder(self)) {
+        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
+    }
     self->incarnation = disk->incarnation;
     self->state = (StateRecord_t){
         .cluster = disk->cluster,
--- a/tests/unit/test_raft_file.c
+++ b/tests/unit/test_raft_file.c
@@ -1,5 +1,6 @@
 #include "config/raft_file.h"
 #include "core/memory.h"
+#include "sync_calls.h"
 
 #include <criterion/criterion.h>
 #include <errno.h>
@@ -402,3 +403,29 @@
     talloc_free(file);
     remove_folder(&fixture);
 }
+
+/* An unsynced rename is undone by a power loss, with all that is appended. */
+Test(raft_file, unsynced_rename_is_synced_by_the_next_open)
+{
+    Fixture_t fixture = make_folder();
+    EyRaftDiskState_t disk;
+    EyRaftFile_t *file = open_good(&fixture, &disk);
+    EyRaftDiskWrite_t disk_write = make_snapshot_write(file);
+    Sync_calls.folder_fails = true;
+    cr_expect_not(EyRaftFile_Write(file, &disk_write, NULL));
+    talloc_free(file);
+    GError *error = NULL;
+    file = EyRaftFile_Open(NULL, fixture.folder, NULL, &disk, &error);
+    Sync_calls.folder_fails = false;
+    cr_expect_null(file);
+    cr_expect(
+        g_error_matches(error, EY_RAFT_FILE_ERROR, EY_RAFT_FILE_ERROR_OPEN));
+    g_clear_error(&error);
+    talloc_free(file);
+    Sync_calls.folder_count = 0;
+    file = open_good(&fixture, &disk);
+    cr_expect_eq(Sync_calls.folder_count, 1);
+    cr_expect_eq(disk.snapshot.index, 10);
+    talloc_free(file);
+    remove_folder(&fixture);
+}
