Requests: the key of a request doesn't depend on the address it was sent to

Cause: the host was a part of the key under which crashes are counted. A caller that calls each gateway at its own address, as the tests of crashing_requests do, was three callers to them: each gateway learned by three crashes of its own.

Change: the name of the route takes its place; a route belongs to a host, or to any.

--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -158,7 +158,7 @@
 {
     uint64_t hash = hash_text(0, self->target);
     hash = hash_text(hash, self->method);
-    hash = hash_text(hash, self->host);
+    hash = hash_text(hash, self->terms.route);
     hash = hash_text(hash, self->path);
     hash = hash_text(hash, self->account);
     hash = hash_field(hash, self->body.data, self->body.size_bytes);
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -131,8 +131,9 @@
 EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value);
 
 /** A hash that is equal for equal requests at any instance: of target, method,
- * host, path with query, client account, body and all parts of the prompt.
- * Ids, keys, times and other headers don't count. Never 0. */
+ * route, path with query, client account, body and all parts of the prompt.
+ * Ids, keys, times and other headers don't count, nor does the host, which
+ * may be the address of the instance. Never 0. */
 uint64_t
 EyRequest_Key(const EyRequest_t *self);
 
--- a/tests/unit/test_request_key.c
+++ b/tests/unit/test_request_key.c
@@ -7,6 +7,8 @@
 
 typedef struct KeyCase {
     const char *name;
+    const char *host;
+    const char *route;
     const char *path;
     const char *account;
     const char *body;
@@ -36,7 +38,8 @@
     };
     (void)EY_COPY(request.method, "POST");
     (void)EY_COPY(request.target, "tickets");
-    (void)EY_COPY(request.host, "tickets.example");
+    (void)EY_COPY(request.host, each->host);
+    (void)EY_COPY(request.terms.route, each->route);
     (void)EY_COPY(request.account, each->account);
     (void)EY_COPY(request.id, each->id);
     (void)EY_COPY(request.idempotency_key, each->idempotency_key);
@@ -46,18 +49,26 @@
 Test(request_key, counts_what_a_server_runs_and_not_the_attempt)
 {
     static const KeyCase_t Cases[] = {
-        {"first", "/a?x=1", "one", "body", "id-1", "", 100, 2, 0, true},
-        {"other attempt", "/a?x=1", "one", "body", "id-2", "key-2", 200, 2, 7,
-         true},
-        {"other query", "/a?x=2", "one", "body", "id-1", "", 100, 2, 0, false},
-        {"other account", "/a?x=1", "two", "body", "id-1", "", 100, 2, 0,
-         false},
-        {"other body", "/a?x=1", "one", "body2", "id-1", "", 100, 2, 0, false},
-        {"no body", "/a?x=1", "one", "", "id-1", "", 100, 2, 0, false},
-        {"bytes moved to the account", "/a?x=1", "onebody", "", "id-1", "",
-         100, 2, 0, false},
-        {"other last part", "/a?x=1", "one", "body", "id-1", "", 100, 3, 0,
-         false},
+        {"first", "a.example", "buy", "/a?x=1", "one", "body", "id-1", "", 100,
+         2, 0, true},
+        {"other attempt", "a.example", "buy", "/a?x=1", "one", "body", "id-2",
+         "key-2", 200, 2, 7, true},
+        {"other query", "a.example", "buy", "/a?x=2", "one", "body", "id-1",
+         "", 100, 2, 0, false},
+        {"other account", "a.example", "buy", "/a?x=1", "two", "body", "id-1",
+         "", 100, 2, 0, false},
+        {"other body", "a.example", "buy", "/a?x=1", "one", "body2", "id-1",
+         "", 100, 2, 0, false},
+        {"no body", "a.example", "buy", "/a?x=1", "one", "", "id-1", "", 100,
+         2, 0, false},
+        {"bytes moved to the account", "a.example", "buy", "/a?x=1", "onebody",
+         "", "id-1", "", 100, 2, 0, false},
+        {"other last part", "a.example", "buy", "/a?x=1", "one", "body",
+         "id-1", "", 100, 3, 0, false},
+        {"other host", "10.0.0.7:8080", "buy", "/a?x=1", "one", "body", "id-1",
+         "", 100, 2, 0, true},
+        {"other route", "a.example", "refund", "/a?x=1", "one", "body", "id-1",
+         "", 100, 2, 0, false},
     };
     EyPromptPart_t parts[2];
     EyRequest_t first = make_request(&Cases[0], parts);
@@ -72,8 +83,9 @@
 
 Test(request_key, is_the_same_at_the_gateway_that_it_is_forwarded_to)
 {
-    static const KeyCase_t Case = {
-        "forwarded", "/a?x=1", "one", "body", "id-1", "key", 100, 2, 0, true};
+    static const KeyCase_t Case = {"forwarded", "a.example", "buy",  "/a?x=1",
+                                   "one",       "body",      "id-1", "key",
+                                   100,         2,           0,      true};
     void *ctx = talloc_new(NULL);
     EyPromptPart_t parts[2];
     EyRequest_t request = make_request(&Case, parts);
