Tests: a failed test's assertions are printed

Change: run_tests.sh prints the assertions of each failed test from its TAP report. Result: a report with a failed, a known red and two passed tests prints the assertions of the failed one and counts as before.

--- a/tools/run_tests.sh
+++ b/tools/run_tests.sh
@@ -15,20 +15,27 @@
     [ -f KNOWN-RED.txt ] && grep -qF -- "$1" KNOWN-RED.txt
 }
 
+# Adds up the tests of a TAP report and prints the assertions of failed ones.
 count_report() {
-    local report=$1 program=$2 line name
+    local report=$1 program=$2 line name prints=
     while IFS= read -r line; do
         case $line in
-        "ok - "*) passed=$((passed + 1)) ;;
+        "ok - "*)
+            passed=$((passed + 1))
+            prints= ;;
         "not ok - "*)
             name=$(sed -E 's/^not ok - ([A-Za-z0-9_]+::[A-Za-z0-9_]+).*/\1/' \
                 <<<"$line")
+            prints=
             if known_red "$name"; then
                 echo "KNOWN RED: $program $name"
             else
                 echo "FAILED: $program $name"
                 failed=$((failed + 1))
+                prints=1
             fi ;;
+        "  ..."*) prints= ;;
+        "  "*) [ -z "$prints" ] || echo "$line" ;;
         esac
     done <"$report"
 }
