--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -11,10 +11,9 @@
 #define STARTUP_SOURCES 3
 /** Unanswered pulls after which other sources are tried in turn. */
 #define UNANSWERED_PULLS_MAX 1
-/** Time that a source has to send what it was asked for, after which another
- * one is asked: a fixed part and, by size, the time on a slow link. */
+/** Time that a source has to send what it was asked for, in addition to that
+ * of its size on a slow link, after which another source is asked. */
 #define FETCH_MIN_MS 200
-#define FETCH_BYTES_PER_MS 400
 /** Time that control processes have to announce a change. */
 #define CONTROL_ANSWER_MS 400
 
@@ -323,8 +322,8 @@
         return;
     }
     uint64_t size_bytes = expected_bytes(self, omitted_bytes);
-    self->fetch_ends_ms =
-        now_ms + FETCH_MIN_MS + (int64_t)(size_bytes / FETCH_BYTES_PER_MS);
+    self->fetch_ends_ms = now_ms + FETCH_MIN_MS +
+                          (int64_t)(size_bytes / EY_SLOW_LINK_BYTES_PER_MS);
     send_pull(self, announcer, false);
 }
 
--- a/src/config/proposer.c
+++ b/src/config/proposer.c
@@ -2,9 +2,6 @@
 
 #include "core/memory.h"
 
-/** Slowest link that is expected: a large route table is given more time. */
-#define SLOW_LINK_BYTES_PER_MS 400
-
 typedef struct Pending {
     uint64_t number;      /* chosen by the caller */
     uint64_t sent_number; /* of the last message sent for it */
@@ -81,7 +78,7 @@
 retry_delay_ms(const EyCommand_t *command)
 {
     return MAX(EY_PROPOSER_RETRY_MS,
-               command->document.size_bytes / SLOW_LINK_BYTES_PER_MS);
+               command->document.size_bytes / EY_SLOW_LINK_BYTES_PER_MS);
 }
 
 static void
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -14,7 +14,6 @@
 /** A snapshot is sent again if there is no answer after this, or after the
  * time that a large one takes on a slow link. */
 #define EY_RAFT_SNAPSHOT_RESEND_MS 2000
-#define EY_RAFT_SLOW_LINK_BYTES_PER_MS 400
 /** Smaller snapshots are sent in each answer to a hello. */
 #define EY_RAFT_SNAPSHOT_LARGE_BYTES (16U * 1024)
 
--- a/src/config/raft_replication.c
+++ b/src/config/raft_replication.c
@@ -30,7 +30,7 @@
 ey_raft_awaits_snapshot(const EyRaft_t *self, const EyRaftPeer_t *peer)
 {
     uint32_t transfer_ms =
-        self->base.data.size_bytes / EY_RAFT_SLOW_LINK_BYTES_PER_MS;
+        self->base.data.size_bytes / EY_SLOW_LINK_BYTES_PER_MS;
     return peer->snapshot_ms != 0 &&
            self->now_ms - peer->snapshot_ms <
                MAX(EY_RAFT_SNAPSHOT_RESEND_MS, (int64_t)transfer_ms);
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -15,6 +15,12 @@
 #define EY_KEY_SIZE_BYTES 256
 /** Size of an IP:port string, with NUL. */
 #define EY_ADDRESS_SIZE_BYTES 64
+/** Size limit of all header lines and trailers of an answer that a client of
+ * ours reads. */
+#define EY_HEADER_LINES_MAX_BYTES 65536U
+/** Slowest link between instances that is expected: large messages are given
+ * the time that they take on it. */
+#define EY_SLOW_LINK_BYTES_PER_MS 400
 
 typedef char EyName_t[EY_NAME_SIZE_BYTES];
 typedef char EyKey_t[EY_KEY_SIZE_BYTES];
--- a/src/idempotency/group_append.c
+++ b/src/idempotency/group_append.c
@@ -8,8 +8,6 @@
 #define BATCH_BYTES (1024ULL * 1024)
 /** Time without an acknowledgement after which records are resent. */
 #define RESEND_MS 100
-/** Slowest link that is expected: more time is given for large records. */
-#define SLOW_LINK_BYTES_PER_MS 400
 /** Time without a message after which a joiner is dropped. */
 #define JOINER_TIMEOUT_MS 5000
 
@@ -155,7 +153,7 @@
         return false;
     }
     int64_t transfer_ms =
-        (int64_t)(peer->unacked_bytes / SLOW_LINK_BYTES_PER_MS);
+        (int64_t)(peer->unacked_bytes / EY_SLOW_LINK_BYTES_PER_MS);
     return peer->stale_ack_ms - peer->progress_ms >= RESEND_MS ||
            self->now_ms - peer->progress_ms >= RESEND_MS + transfer_ms;
 }
