--- a/src/backends/response_head.c
+++ b/src/backends/response_head.c
@@ -1,14 +1,13 @@
 #include "backends/response_head.h"
 
 #include "core/memory.h"
+#include "core/types.h"
 #include "exchange/hop_headers.h"
 
 #include <glib.h>
 #include <string.h>
 #include <strings.h>
 
-/* Size limit of all lines of a head and of the trailers after its body. */
-#define HEAD_MAX_BYTES 65536
 /* Lower statuses are interim (1xx) answers. */
 #define STATUS_FINAL_MIN 200
 #define STATUS_MAX 599
@@ -105,7 +104,7 @@
 static bool
 count_bytes(EyResponseHead_t *self, size_t size_bytes)
 {
-    if (size_bytes > HEAD_MAX_BYTES - self->size_bytes) {
+    if (size_bytes > EY_HEADER_LINES_MAX_BYTES - self->size_bytes) {
         return false;
     }
     self->size_bytes += (uint32_t)size_bytes;
--- a/src/load/load_client.c
+++ b/src/load/load_client.c
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/memory.h"
+#include "core/types.h"
 
 #include <glib.h>
 #include <string.h>
@@ -9,9 +10,6 @@
 #define CONNECT_TIMEOUT_MS 1000L
 #define GET_TIMEOUT_MS 1000L
 #define CONNECTION_CACHE_SIZE 1024L
-/* Size limit of all header lines and trailers of a call; libcurl keeps them.
- */
-#define HEADERS_MAX_BYTES 65536U
 #define PAGE_MAX_BYTES 67108864U
 /* Delay of libcurl's next turn when it has more to read from a socket. */
 #define NEXT_TURN_MS 1
@@ -85,7 +83,7 @@
     (void)line;
     uint64_t *headers_bytes = user;
     *headers_bytes += size * count;
-    return *headers_bytes <= HEADERS_MAX_BYTES ? size * count : 0;
+    return *headers_bytes <= EY_HEADER_LINES_MAX_BYTES ? size * count : 0;
 }
 
 static size_t
--- a/src/operators/ctl_client.c
+++ b/src/operators/ctl_client.c
@@ -1,6 +1,7 @@
 #include "operators/ctl_client.h"
 
 #include "core/memory.h"
+#include "core/types.h"
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -8,8 +9,6 @@
 #include <string.h>
 
 #define ANSWER_MAX_BYTES 67108864U
-/* Size limit of all header lines and trailers; libcurl keeps them. */
-#define HEADERS_MAX_BYTES 65536U
 #define RETRY_DELAY_US 300000U
 
 static size_t
@@ -31,7 +30,7 @@
     (void)line;
     size_t *headers_bytes = user;
     *headers_bytes += size * count;
-    return *headers_bytes <= HEADERS_MAX_BYTES ? size * count : 0;
+    return *headers_bytes <= EY_HEADER_LINES_MAX_BYTES ? size * count : 0;
 }
 
 static struct curl_slist *
