--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -679,12 +679,6 @@
 
 /* Creation */
 
-static void
-free_entry(gpointer entry)
-{
-    talloc_free(entry);
-}
-
 static int
 raft_destroy(EyRaft_t *self)
 {
@@ -752,7 +746,7 @@
            const EyRaftDiskState_t *disk, int64_t now_ms)
 {
     EyRaft_t *self = EY_NEW(ctx, EyRaft_t);
-    self->entries = g_ptr_array_new_with_free_func(free_entry);
+    self->entries = g_ptr_array_new_with_free_func(EyMemory_Free);
     self->peers = g_array_new(FALSE, TRUE, sizeof(EyRaftPeer_t));
     self->writes = g_array_new(FALSE, TRUE, sizeof(EyRaftPendingWrite_t));
     self->deferred = g_array_new(FALSE, TRUE, sizeof(EyRaftDeferredMessage_t));
--- a/src/config/raft_writer.c
+++ b/src/config/raft_writer.c
@@ -9,16 +9,10 @@
     GQueue waiting; /* of EyRaftDiskWrite_t, oldest first */
 };
 
-static void
-free_write(gpointer disk_write)
-{
-    talloc_free(disk_write);
-}
-
 static int
 destroy_writer(EyRaftWriter_t *self)
 {
-    g_queue_clear_full(&self->waiting, free_write);
+    g_queue_clear_full(&self->waiting, EyMemory_Free);
     return 0;
 }
 
@@ -39,7 +33,7 @@
 EyRaftWriter_Add(EyRaftWriter_t *self, EyRaftDiskWrite_t *disk_write)
 {
     if (disk_write->snapshot.index != 0) {
-        g_queue_clear_full(&self->waiting, free_write);
+        g_queue_clear_full(&self->waiting, EyMemory_Free);
     }
     g_queue_push_tail(&self->waiting, disk_write);
 }
--- a/src/control/raft_storage.c
+++ b/src/control/raft_storage.c
@@ -169,17 +169,11 @@
     post_overflow(self);
 }
 
-static void
-free_write(gpointer disk_write)
-{
-    talloc_free(disk_write);
-}
-
 void
 EyRaftStorage_Stop(EyRaftStorage_t *self)
 {
     __atomic_store_n(&self->is_stopping, true, __ATOMIC_RELEASE);
     EyWorker_Stop(self->thread);
-    g_queue_clear_full(&self->overflow, free_write);
+    g_queue_clear_full(&self->overflow, EyMemory_Free);
     talloc_free(self);
 }
--- a/src/routing/admission_queue.c
+++ b/src/routing/admission_queue.c
@@ -9,17 +9,11 @@
     return 0;
 }
 
-static void
-free_waiting(gpointer waiting)
-{
-    talloc_free(waiting);
-}
-
 EyAdmissionQueue_t *
 EyAdmissionQueue_New(const void *ctx)
 {
     EyAdmissionQueue_t *self = EY_NEW(ctx, EyAdmissionQueue_t);
-    self->waiting = g_sequence_new(free_waiting);
+    self->waiting = g_sequence_new(EyMemory_Free);
     talloc_set_destructor(self, destroy_queue);
     return self;
 }
--- a/src/routing/placement.c
+++ b/src/routing/placement.c
@@ -50,21 +50,15 @@
     return 0;
 }
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 EyPlacement_t *
 EyPlacement_New(const void *ctx, const EyPlacementOptions_t *options)
 {
     EyPlacement_t *self = EY_NEW(ctx, EyPlacement_t);
     self->options = *options;
     self->models =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, EyMemory_Free);
     self->replicas =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_talloc);
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, EyMemory_Free);
     self->loads = options->loads_burst;
     self->last_tick_ms = -1;
     talloc_set_destructor(self, destroy_placement);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -41,12 +41,6 @@
     return 0;
 }
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 EyRouter_t *
 EyRouter_New(const void *ctx, const EyRouterOptions_t *options)
 {
@@ -57,13 +51,13 @@
     self->ranks = EyRankHistory_Make();
     self->started_ms = -1;
     self->replicas =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, EyMemory_Free);
     self->pools =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_talloc);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, EyMemory_Free);
     self->waiting =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    self->tracked =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_talloc);
+    self->tracked = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+                                          EyMemory_Free);
     self->remote_regions =
         EyRemoteRegions_New(self, EyRandom_Next(&self->state.random));
     self->retries = EyRetryBudgets_New(self);
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -35,16 +35,10 @@
     int64_t completed_ms;
 } CompletedAnswer_t;
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 static void
 free_completed(gpointer answers)
 {
-    g_queue_free_full(answers, free_talloc);
+    g_queue_free_full(answers, EyMemory_Free);
 }
 
 void
