Requests: the key of a routed request doesn't depend on the chosen service

Cause: the key had the target. A route with several weighted services chooses one at random for each request, and a configuration may move the route to another service, so equal requests had a key for each service and were counted and barred apart. Change: the route stands for its services; a call without a route still has its target in the key.

--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -156,9 +156,11 @@
 uint64_t
 EyRequest_Key(const EyRequest_t *self)
 {
-    uint64_t hash = hash_text(0, self->target);
-    hash = hash_text(hash, self->method);
+    /* A route's calls may go to several services, and to others later. */
+    bool is_routed = self->terms.route[0] != '\0';
+    uint64_t hash = hash_text(0, is_routed ? "" : self->target);
     hash = hash_text(hash, self->terms.route);
+    hash = hash_text(hash, self->method);
     hash = hash_text(hash, self->path);
     hash = hash_text(hash, self->account);
     hash = hash_field(hash, self->body.data, self->body.size_bytes);
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -130,8 +130,9 @@
 bool
 EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value);
 
-/** A hash that is equal for equal requests at any instance: of target, method,
- * route, path with query, client account, body and all parts of the prompt.
+/** A hash that is equal for equal requests at any instance: of the route, or
+ * without one the target, and of method, path with query, client account, body
+ * and all parts of the prompt. The service that a route chose doesn't count.
  * Ids, keys, times and other headers don't count, nor does the host, which
  * may be the address of the instance. Never 0. */
 uint64_t
--- a/tests/unit/test_request_key.c
+++ b/tests/unit/test_request_key.c
@@ -102,3 +102,22 @@
     cr_expect_eq(EyRequest_Key(&received), EyRequest_Key(&request));
     talloc_free(ctx);
 }
+
+Test(request_key, is_the_same_when_the_route_goes_to_another_service)
+{
+    static const KeyCase_t Routed = {"routed", "a.example", "buy",  "/a?x=1",
+                                     "one",    "body",      "id-1", "",
+                                     100,      2,           0,      true};
+    static const KeyCase_t Direct = {"direct", "a.example", "",     "/a?x=1",
+                                     "one",    "body",      "id-1", "",
+                                     100,      2,           0,      true};
+    EyPromptPart_t parts[2];
+    EyRequest_t routed = make_request(&Routed, parts);
+    EyRequest_t direct = make_request(&Direct, parts);
+    uint64_t routed_key = EyRequest_Key(&routed);
+    uint64_t direct_key = EyRequest_Key(&direct);
+    (void)EY_COPY(routed.target, "tickets-2");
+    (void)EY_COPY(direct.target, "tickets-2");
+    cr_expect_eq(EyRequest_Key(&routed), routed_key);
+    cr_expect_neq(EyRequest_Key(&direct), direct_key);
+}
