Suspects: crashes of a request add up over ten minutes

Cause: crashes added up within a minute, for requests as for parts. A request that runs once for each call (no second attempt) and comes each 31 s or more seldom had never three crashes in a minute and was never barred. Change: crashes of a request add up over ten minutes; any answer to it meanwhile clears it, as before. Those of parts keep the minute. The other tests of suspects pass as before.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -32,8 +32,11 @@
 
 /** An answer that has gone on for this long didn't crash its engine. */
 #define EY_CRASH_SURVIVAL_MS 2000
-/** Crashes within this time add up. */
+/** Crashes on a part within this time add up. */
 #define EY_CRASH_WINDOW_MS 60000
+/** Those on a request: it may come once in several minutes, and any answer to
+ * it meanwhile clears it. */
+#define EY_CRASH_REQUEST_WINDOW_MS 600000
 /** Crashes from which on a part is barred. */
 #define EY_CRASH_BAR_CRASHES 3
 /** Crashes are held against a part only if the first and the last of them are
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -165,14 +165,14 @@
                       const EyCrashEvidence_t *evidence)
 {
     int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
-    if (evidence->age_ms >= EY_CRASH_WINDOW_MS ||
+    bool is_request = ey_crash_evidence_is_request(evidence);
+    if (evidence->age_ms >= ey_crash_suspects_window_ms(is_request) ||
         ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms))
     {
         return false;
     }
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
-        self, now_ms, evidence->key, evidence->part_id,
-        ey_crash_evidence_is_request(evidence));
+        self, now_ms, evidence->key, evidence->part_id, is_request);
     EyCrash_t *known = ey_crash_suspects_find_crash(suspect, evidence->crash);
     if (known != NULL && !add_request(known, evidence)) {
         return false;
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -75,6 +75,10 @@
 int64_t
 ey_crash_suspects_last_crash_ms(const EyCrashSuspect_t *suspect);
 
+/** Time in which crashes on a request, or on a part, add up. */
+int64_t
+ey_crash_suspects_window_ms(bool is_request);
+
 /** Drops the crashes that no longer add up with later ones. */
 void
 ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms);
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -61,6 +61,12 @@
     return last_ms;
 }
 
+int64_t
+ey_crash_suspects_window_ms(bool is_request)
+{
+    return is_request ? EY_CRASH_REQUEST_WINDOW_MS : EY_CRASH_WINDOW_MS;
+}
+
 /** Drops the crashes that no longer add up with later ones. */
 void
 ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms)
@@ -68,9 +74,10 @@
     if (ey_crash_suspects_was_barred(suspect)) {
         return;
     }
+    int64_t window_ms = ey_crash_suspects_window_ms(suspect->is_request);
     uint32_t kept = 0;
     for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        if (now_ms - suspect->crashes[i].crash_ms < EY_CRASH_WINDOW_MS) {
+        if (now_ms - suspect->crashes[i].crash_ms < window_ms) {
             suspect->crashes[kept++] = suspect->crashes[i];
         }
     }
--- a/tests/unit/service_fleet.c
+++ b/tests/unit/service_fleet.c
@@ -16,7 +16,9 @@
 #define POPULAR_KEY 0x909
 #define POLL_KEY 0x901
 #define FATAL_KEY 0xFA7A1
-#define FATAL_MAX 4
+#define FATAL_MAX 64
+#define COMPANION_KEY 0xC0000
+#define COMPANION_MS 150
 #define TIMEOUT_MS 2000
 #define GONE_MS 300
 #define BACK_MIN_MS 1300
@@ -90,6 +92,7 @@
     uint64_t last_number;
     uint32_t crashes[FATAL_MAX]; /* by fatal request */
     int64_t third_crash_ms[FATAL_MAX];
+    uint32_t late[FATAL_MAX];
     ServiceFleetCounts_t counts;
 } Fleet_t;
 
@@ -160,6 +163,13 @@
 
 /* Requests */
 
+static bool
+is_companion(const Request_t *request)
+{
+    return request->key >= COMPANION_KEY &&
+           request->key < COMPANION_KEY + FATAL_MAX;
+}
+
 static bool
 counts_as_sound(const Fleet_t *self, const Request_t *request)
 {
@@ -176,6 +186,7 @@
         self->counts.sound++;
         self->counts.sound_served += is_served;
     }
+    self->counts.companion_served += is_served && is_companion(request);
     (void)g_hash_table_remove(self->requests, &request->number);
 }
 
@@ -184,9 +195,13 @@
 {
     if (request->is_fatal) {
         uint64_t index = request->key - FATAL_KEY;
-        self->counts.late_arrivals +=
+        bool is_late =
             self->crashes[index] >= 3 &&
             self->now_ms >= self->third_crash_ms[index] + LATE_FROM_MS;
+        self->late[index] += is_late;
+        self->counts.late_arrivals += is_late;
+        self->counts.late_of_one =
+            MAX(self->counts.late_of_one, self->late[index]);
     }
 }
 
@@ -209,7 +224,9 @@
     count_late(self, request);
     if (!request->is_fatal) {
         event.kind = EVENT_END;
-        schedule(self, between(self, 25, 40), event);
+        schedule(self,
+                 is_companion(request) ? COMPANION_MS : between(self, 25, 40),
+                 event);
         return;
     }
     if (EyRandom_Below(&self->random, 100) < self->options->fatal_begun_share)
@@ -231,10 +248,11 @@
     if (decision->reason != EY_REFUSAL_SUSPECT_REQUEST || request->is_fatal) {
         return;
     }
-    uint32_t *count =
-        request->key == POPULAR_KEY ? &self->counts.popular_refused
-        : request->key == POLL_KEY  ? &self->counts.poll_refused
-                                    : &self->counts.unique_refused;
+    uint32_t *count = request->key == POPULAR_KEY
+                          ? &self->counts.popular_refused
+                      : request->key == POLL_KEY ? &self->counts.poll_refused
+                      : is_companion(request) ? &self->counts.companion_refused
+                                              : &self->counts.unique_refused;
     (*count)++;
 }
 
@@ -615,12 +633,18 @@
         add_request(self, POLL_KEY, false);
     }
     int64_t since_ms = self->now_ms - options->fatal_from_ms;
+    int64_t interval_ms = options->fatal_interval_ms > 0
+                              ? options->fatal_interval_ms
+                              : FATAL_INTERVAL_MS;
     if (options->fatal_requests > 0 && since_ms >= 0 &&
-        since_ms % FATAL_INTERVAL_MS == 0)
+        since_ms % interval_ms == 0)
     {
         uint64_t index =
-            (uint64_t)(since_ms / FATAL_INTERVAL_MS) % options->fatal_requests;
+            (uint64_t)(since_ms / interval_ms) % options->fatal_requests;
         add_request(self, FATAL_KEY + index, true);
+        for (uint32_t i = 0; i < options->companions; i++) {
+            add_request(self, COMPANION_KEY + i, false);
+        }
     }
 }
 
--- a/tests/unit/service_fleet.h
+++ b/tests/unit/service_fleet.h
@@ -18,6 +18,9 @@
     uint32_t servers;           /* of each region */
     uint32_t unique_per_s;      /* sound requests that come once, fleet-wide */
     uint32_t fatal_requests;    /* different ones, in turn each 0.3 s */
+    int64_t fatal_interval_ms;  /* other interval; 0: 0.3 s */
+    uint32_t companions;        /* sound requests that come with each fatal one
+                                   and run for longer than its crash takes */
     uint32_t fatal_begun_share; /* of 100: the answer's head passes before the
                                    server ends */
     bool is_idempotent;         /* two attempts, else one */
@@ -37,6 +40,9 @@
     uint32_t popular_refused; /* equal requests that were refused as suspect */
     uint32_t poll_refused;
     uint32_t unique_refused;
+    uint32_t late_of_one; /* most late arrivals of one fatal request */
+    uint32_t companion_refused;
+    uint32_t companion_served;
     uint32_t sound; /* from 10 s after the first fatal request on */
     uint32_t sound_served;
 } ServiceFleetCounts_t;
--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -180,3 +180,24 @@
         expect_sound_unbarred(&options, &counts);
     }
 }
+
+Test(crash_suspects_services, a_fatal_request_that_comes_seldom_is_barred)
+{
+    static const int64_t IntervalsMs[] = {10000, 31000, 45000, 90000};
+    for (size_t i = 0; i < sizeof(IntervalsMs) / sizeof(IntervalsMs[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "seldom";
+        options.seed = 41 + i;
+        options.is_idempotent = false;
+        options.unique_per_s = 10;
+        options.fatal_interval_ms = IntervalsMs[i];
+        options.end_ms = 10 * INT64_C(60000);
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("each %ld ms: %u crashes, %u late", (long)IntervalsMs[i],
+                    counts.fatal_crashes, counts.late_arrivals);
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX,
+                      "each %ld ms: %u late", (long)IntervalsMs[i],
+                      counts.late_arrivals);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
