Suspects: 256 bars, of which an update tells 16 in turn

Cause: a gateway kept at most as many bars as one update tells, 16. With more fatal requests at once each new bar dropped another one with its evidence, which began again with no crash. Change: 256 bars; each update goes on in the list where the last one ended. The format of updates is as before. The test of full tables used 100 parts for 16 bars and takes 84 above the limit now. Conclusion: up to 256 fatal requests at once are barred.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -63,7 +63,8 @@
 #define EY_CRASH_BAR_MS 30000
 #define EY_CRASH_BAR_FACTOR 4
 #define EY_CRASH_BAR_MAX_MS 1800000
-#define EY_CRASH_BARS_MAX EY_ENGINE_UPDATE_BARS_MAX
+/** Most bars; an update has EY_ENGINE_UPDATE_BARS_MAX of them, in turn. */
+#define EY_CRASH_BARS_MAX 256
 /** Most suspects; one crash may bring those of 64 requests and their parts. */
 #define EY_CRASH_SUSPECTS_MAX 4096
 /** Most crashes whose times, or whose refutations, are remembered. */
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -55,6 +55,7 @@
     GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
     GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
     GQueue told_refuted[EY_TOLD_SCOPE_COUNT];
+    uint32_t next_bar[EY_TOLD_SCOPE_COUNT]; /* to be told, by its position */
     GHashTable *refuted; /* by crash, time at which it was refuted */
     GQueue events;       /* of EySuspectEvent_t */
 };
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -233,24 +233,37 @@
     }
 }
 
-static void
-collect_bars(const EyCrashSuspects_t *self, int64_t now_ms,
-             EyEngineUpdate_t *update)
+/** The suspects whose bars are told. */
+static GPtrArray *
+find_told_bars(const EyCrashSuspects_t *self, int64_t now_ms)
 {
-    update->bars =
-        EY_NEW_ARRAY(update, EyPartBar_t, EY_ENGINE_UPDATE_BARS_MAX);
+    GPtrArray *told = g_ptr_array_new();
     GHashTableIter each;
     gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (g_hash_table_iter_next(&each, NULL, &value) &&
-           update->bar_count < EY_ENGINE_UPDATE_BARS_MAX)
-    {
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
         const EyCrashSuspect_t *suspect = value;
         if (suspect->bar_ms > 0 &&
             now_ms - suspect->bar_end_ms < ENDED_BAR_TOLD_MS) {
-            collect_bar(suspect, now_ms, update);
+            g_ptr_array_add(told, value);
         }
     }
+    return told;
+}
+
+/** Adds as many bars as an update may have; those after them come next. */
+static void
+collect_bars(EyCrashSuspects_t *self, int64_t now_ms, EyToldScope_t scope,
+             EyEngineUpdate_t *update)
+{
+    GPtrArray *told = find_told_bars(self, now_ms);
+    uint32_t count = MIN(told->len, EY_ENGINE_UPDATE_BARS_MAX);
+    update->bars = EY_NEW_ARRAY(update, EyPartBar_t, count);
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t at = self->next_bar[scope]++ % told->len;
+        collect_bar(g_ptr_array_index(told, at), now_ms, update);
+    }
+    g_ptr_array_free(told, TRUE);
 }
 
 void
@@ -259,12 +272,13 @@
 {
     ey_crash_suspects_note_start(self, now_ms);
     ey_crash_suspects_expire(self, now_ms);
-    int scope = is_own_region ? EY_TOLD_OWN_REGION : EY_TOLD_OTHER_REGIONS;
+    EyToldScope_t scope =
+        is_own_region ? EY_TOLD_OWN_REGION : EY_TOLD_OTHER_REGIONS;
     collect_evidence(&self->told_evidence[scope], now_ms, update);
     collect_cleared(&self->told_cleared[scope], now_ms, update);
     collect_refuted(&self->told_refuted[scope], now_ms, update);
     if (g_hash_table_size(self->by_key) > 0) {
-        collect_bars(self, now_ms, update);
+        collect_bars(self, now_ms, scope, update);
     }
 }
 
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -457,7 +457,7 @@
     }
     cr_expect_eq(check(self, LATER_MS + 2000, PART).suspicion,
                  EY_SUSPICION_BARRED);
-    for (uint64_t part = 1000; part < 1100; part++) {
+    for (uint64_t part = 1000; part < 1084 + EY_CRASH_BARS_MAX; part++) {
         for (int i = 0; i < 4; i++) {
             add_crash(self, LATER_MS + 3000 + 500 * (int64_t)i, part, ++crash);
         }
--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -201,3 +201,26 @@
         expect_sound_unbarred(&options, &counts);
     }
 }
+
+Test(crash_suspects_services, many_fatal_requests_at_once_are_all_barred)
+{
+    static const uint32_t Counts[] = {12, 20, 40};
+    for (size_t i = 0; i < sizeof(Counts) / sizeof(Counts[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "many";
+        options.seed = 51 + i;
+        options.is_idempotent = false;
+        options.servers = 60;
+        options.fatal_requests = Counts[i];
+        options.fatal_interval_ms = 200;
+        options.end_ms = 60000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%u fatal: %u crashes, %u late, %u of one", Counts[i],
+                    counts.fatal_crashes, counts.late_arrivals,
+                    counts.late_of_one);
+        cr_expect_leq(counts.late_of_one, LATE_ARRIVALS_MAX,
+                      "%u fatal: %u late of one", Counts[i],
+                      counts.late_of_one);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
