Suspects: a sound request that comes with a fatal one isn't barred

Cause: with few servers sound requests that always come with the fatal one have its crashes. A gateway that got their evidence of the third crash before that of the fatal request barred them for 30 s, and told the others. Requests with equal crashes run one at a time at each gateway only, so that two gateways may run them together again. Change: evidence that another request has all crashes of one that was barred less than 2 s after its last crash takes that bar back, and such a bar isn't taken over from others. Tied requests that crashed together more than three times run in one order at all gateways, for up to 10 s after a crash.

--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -186,6 +186,7 @@
         };
         ey_crash_suspects_append_crash(suspect, crash);
         note_crash_time(self, &crash);
+        ey_crash_suspects_lift_covered(self, now_ms, suspect);
     }
     judge_part(self, now_ms, suspect);
     return true;
@@ -230,7 +231,11 @@
             ey_crash_suspects_append_crash(suspect, crash);
         }
     }
-    bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+    if (ey_crash_suspects_was_barred(suspect) ||
+        !ey_crash_suspects_is_covered(self, suspect))
+    {
+        bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+    }
 }
 
 /** The time after the end of a bar at which this gateway may try the part. The
@@ -260,9 +265,11 @@
         !ey_crash_suspects_is_explained(self, suspect) &&
         ey_crash_suspects_is_tied(self, suspect, &has_trial))
     {
+        bool waits =
+            has_trial || !ey_crash_suspects_has_turn(self, now_ms, suspect);
         result = (EySuspicionResult_t){
-            .suspicion = has_trial ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
-            .left_ms = has_trial ? TRIAL_LEFT_MS : 0,
+            .suspicion = waits ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+            .left_ms = waits ? TRIAL_LEFT_MS : 0,
             .is_request = true,
         };
     }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -128,6 +128,23 @@
 ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
                           const EyCrashSuspect_t *suspect, bool *has_trial);
 
+/** True if another request has all crashes of the suspect. */
+bool
+ey_crash_suspects_is_covered(const EyCrashSuspects_t *self,
+                             const EyCrashSuspect_t *suspect);
+
+/** Takes back recent bars of requests whose crashes all are the suspect's as
+ * well: they were barred before its evidence arrived. */
+void
+ey_crash_suspects_lift_covered(EyCrashSuspects_t *self, int64_t now_ms,
+                               const EyCrashSuspect_t *suspect);
+
+/** False if another request with the same crashes has to run first: they came
+ * together again though each gateway ran one at a time. */
+bool
+ey_crash_suspects_has_turn(const EyCrashSuspects_t *self, int64_t now_ms,
+                           const EyCrashSuspect_t *suspect);
+
 /* crash_suspects_bars.c */
 
 /** What may be done now with a request that has the part. */
--- a/src/routing/crash_suspects_ties.c
+++ b/src/routing/crash_suspects_ties.c
@@ -1,6 +1,25 @@
 /* Which of several suspects of the same crashes caused them. */
 #include "routing/crash_suspects_internal.h"
 
+#include <xxhash.h>
+
+/** Evidence of another request at a crash may arrive this much later. */
+#define LIFT_MS 2000
+/** Requests that stay tied wait this long for the one whose turn it is. */
+#define TURN_MS 10000
+
+/** The tied request with the least value has the turn: the same one at all
+ * gateways, and another one after each crash. */
+static uint64_t
+turn_of(const EyCrashSuspect_t *suspect)
+{
+    uint64_t crashes = 0;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        crashes ^= suspect->crashes[i].crash;
+    }
+    return XXH64(&suspect->key, sizeof(suspect->key), crashes);
+}
+
 /** True if the other request is the more likely cause of common crashes. */
 static bool
 dominates(const EyCrashSuspect_t *other, const EyCrashSuspect_t *suspect)
@@ -75,12 +94,10 @@
     return unexplained < EY_CRASH_BAR_CRASHES;
 }
 
+/** True if other has each crash of one. */
 static bool
-has_same_crashes(const EyCrashSuspect_t *one, const EyCrashSuspect_t *other)
+covers(const EyCrashSuspect_t *other, const EyCrashSuspect_t *one)
 {
-    if (one->crash_count != other->crash_count) {
-        return false;
-    }
     for (uint32_t i = 0; i < one->crash_count; i++) {
         if (!ey_crash_suspects_has_crash(other, one->crashes[i].crash)) {
             return false;
@@ -89,6 +106,74 @@
     return true;
 }
 
+static bool
+has_same_crashes(const EyCrashSuspect_t *one, const EyCrashSuspect_t *other)
+{
+    return one->crash_count == other->crash_count && covers(other, one);
+}
+
+void
+ey_crash_suspects_lift_covered(EyCrashSuspects_t *self, int64_t now_ms,
+                               const EyCrashSuspect_t *suspect)
+{
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (suspect->is_request && g_hash_table_iter_next(&each, NULL, &value))
+    {
+        EyCrashSuspect_t *other = value;
+        if (other != suspect && other->is_request &&
+            ey_crash_suspects_was_barred(other) &&
+            now_ms - ey_crash_suspects_last_crash_ms(other) < LIFT_MS &&
+            covers(suspect, other))
+        {
+            other->bar_ms = 0;
+            other->bar_end_ms = 0;
+        }
+    }
+}
+
+bool
+ey_crash_suspects_is_covered(const EyCrashSuspects_t *self,
+                             const EyCrashSuspect_t *suspect)
+{
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (suspect->is_request && g_hash_table_iter_next(&each, NULL, &value))
+    {
+        const EyCrashSuspect_t *other = value;
+        if (other != suspect && other->is_request && covers(other, suspect)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+ey_crash_suspects_has_turn(const EyCrashSuspects_t *self, int64_t now_ms,
+                           const EyCrashSuspect_t *suspect)
+{
+    if (suspect->crash_count <= EY_CRASH_BAR_CRASHES ||
+        now_ms - ey_crash_suspects_last_crash_ms(suspect) >= TURN_MS)
+    {
+        return true;
+    }
+    uint64_t own = turn_of(suspect);
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->by_key);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const EyCrashSuspect_t *other = value;
+        if (other != suspect && other->is_request &&
+            has_same_crashes(suspect, other) && turn_of(other) < own)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
                           const EyCrashSuspect_t *suspect, bool *has_trial)
--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -224,3 +224,47 @@
         expect_sound_unbarred(&options, &counts);
     }
 }
+
+Test(crash_suspects_services,
+     sound_requests_that_always_come_with_a_fatal_one_are_told_apart)
+{
+    enum { SEEDS = 3 };
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t gateways;
+        uint32_t servers;
+        uint32_t companions;
+        bool is_idempotent;
+    } Cases[] = {
+        {"1 server, 1 companion", 61, 3, 1, 1, false},
+        {"1 server, 6 companions", 62, 3, 1, 6, false},
+        {"1 server, 20 gateways", 63, 20, 1, 3, false},
+        {"3 servers, 3 companions", 64, 3, 3, 3, false},
+        {"3 servers, 20 gateways", 65, 20, 3, 3, true},
+        {"3 servers, 6 companions", 66, 6, 3, 6, true},
+        {"1 server, 60 gateways", 67, 60, 1, 3, true},
+    };
+    for (size_t run = 0; run < SEEDS * sizeof(Cases) / sizeof(Cases[0]); run++)
+    {
+        size_t i = run / SEEDS;
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed + 100 * (run % SEEDS);
+        options.gateways = Cases[i].gateways;
+        options.servers = Cases[i].servers;
+        options.companions = Cases[i].companions;
+        options.is_idempotent = Cases[i].is_idempotent;
+        options.end_ms = 60000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%s: %u crashes, %u late, companions refused %u served %u",
+                    options.name, counts.fatal_crashes, counts.late_arrivals,
+                    counts.companion_refused, counts.companion_served);
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX, "%s: %u late",
+                      options.name, counts.late_arrivals);
+        cr_expect_leq(counts.companion_refused, counts.companion_served / 5,
+                      "%s: companions refused %u", options.name,
+                      counts.companion_refused);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
