Tests: suspects when all gateways restart while a fatal request comes

All gateways lose what they know 12 s after the first fatal request and bar nothing by their own evidence for 5 s.

--- a/tests/unit/service_fleet.c
+++ b/tests/unit/service_fleet.c
@@ -195,8 +195,11 @@
 {
     if (request->is_fatal) {
         uint64_t index = request->key - FATAL_KEY;
+        int64_t restarted_ms = self->options->restart_ms;
+        bool is_in_touch = restarted_ms == 0 || self->now_ms < restarted_ms ||
+                           self->now_ms >= restarted_ms + LATE_FROM_MS;
         bool is_late =
-            self->crashes[index] >= 3 &&
+            is_in_touch && self->crashes[index] >= 3 &&
             self->now_ms >= self->third_crash_ms[index] + LATE_FROM_MS;
         self->late[index] += is_late;
         self->counts.late_arrivals += is_late;
@@ -222,7 +225,9 @@
         return;
     }
     count_late(self, request);
-    if (!request->is_fatal) {
+    if (!request->is_fatal || self->now_ms < self->options->fatal_from_ms +
+                                                 self->options->fatal_sound_ms)
+    {
         event.kind = EVENT_END;
         schedule(self,
                  is_companion(request) ? COMPANION_MS : between(self, 25, 40),
@@ -547,12 +552,10 @@
 /* The run */
 
 static void
-open_gateway(Fleet_t *self, uint32_t index)
+make_router(Fleet_t *self, uint32_t index)
 {
     static const char *const Regions[] = {"istra", "kvarner", "zadar"};
     Gateway_t *gateway = &self->gateways[index];
-    gateway->region = index / self->options->gateways;
-    (void)g_snprintf(gateway->id, sizeof(gateway->id), "g%u", index);
     const EyRouterOptions_t options = {
         .region = Regions[gateway->region],
         .seed = EyRandom_Next(&self->random),
@@ -564,6 +567,15 @@
                      index % self->options->gateways, self->options->gateways);
     EyRouter_SetFleetSize(gateway->router, self->now_ms, self->gateway_count,
                           true);
+}
+
+static void
+open_gateway(Fleet_t *self, uint32_t index)
+{
+    Gateway_t *gateway = &self->gateways[index];
+    gateway->region = index / self->options->gateways;
+    (void)g_snprintf(gateway->id, sizeof(gateway->id), "g%u", index);
+    make_router(self, index);
     schedule(self, between(self, 10, 1000),
              (Event_t){.kind = EVENT_SEND_OWN, .index = index});
     schedule(self, between(self, 10, REMOTE_UPDATE_MS),
@@ -593,9 +605,32 @@
     return self;
 }
 
+/** Replaces all routers. Requests that run are lost. */
+static void
+restart_gateways(Fleet_t *self)
+{
+    g_hash_table_remove_all(self->requests);
+    for (uint32_t i = 0; i < self->gateway_count; i++) {
+        Gateway_t *gateway = &self->gateways[i];
+        talloc_free(gateway->router);
+        make_router(self, i);
+        for (uint32_t server = 0; server < self->server_count; server++) {
+            if (self->servers[server].is_up &&
+                self->servers[server].region == gateway->region)
+            {
+                announce(self, gateway, &self->servers[server]);
+            }
+        }
+    }
+}
+
 static void
 apply_faults(Fleet_t *self)
 {
+    if (self->options->restart_ms > 0 &&
+        self->now_ms == self->options->restart_ms) {
+        restart_gateways(self);
+    }
     const ServiceFleetOptions_t *options = self->options;
     int64_t since_ms = self->now_ms - options->fatal_from_ms;
     if (options->kill_period_ms > 0 && since_ms >= 0 &&
--- a/tests/unit/service_fleet.h
+++ b/tests/unit/service_fleet.h
@@ -26,6 +26,9 @@
     bool is_idempotent;         /* two attempts, else one */
     bool keeps_ids;             /* a server comes back with the same id */
     int64_t fatal_from_ms;
+    int64_t fatal_sound_ms; /* for this time after that they are sound */
+    int64_t restart_ms;     /* all gateways restart; 0: never. For 5 s
+                                   after that no arrival counts as late */
     int64_t kill_period_ms; /* a third of the servers ends; 0: never */
     int64_t release_ms;     /* from then on one server after the other is
                                replaced, one each second; NEVER */
--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -9,6 +9,9 @@
  * ones. */
 #define SERVED_SHARE_MIN 0.95
 
+/* The same in a run with a restart of all gateways. */
+#define RESTART_SERVED_SHARE_MIN 0.8
+
 #define NEVER SERVICE_FLEET_NEVER
 
 static ServiceFleetOptions_t
@@ -268,3 +271,25 @@
         expect_sound_unbarred(&options, &counts);
     }
 }
+
+Test(crash_suspects_services, a_restart_of_all_gateways_lets_few_pass)
+{
+    for (uint64_t i = 0; i < 3; i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "restart after 12 s";
+        options.seed = 72 + i;
+        options.is_idempotent = i > 0;
+        options.servers = i == 2 ? 3 : 12;
+        options.restart_ms = 22000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%s: %u crashes, %u late, sound %.4f", options.name,
+                    counts.fatal_crashes, counts.late_arrivals,
+                    served_share(&counts));
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX, "%lu: %u late",
+                      (unsigned long)i, counts.late_arrivals);
+        cr_expect_geq(served_share(&counts), RESTART_SERVED_SHARE_MIN,
+                      "%lu: served %f", (unsigned long)i,
+                      served_share(&counts));
+        expect_sound_unbarred(&options, &counts);
+    }
+}
