--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -32,8 +32,11 @@
 
 /** An answer that has gone on for this long didn't crash its engine. */
 #define EY_CRASH_SURVIVAL_MS 2000
-/** Crashes within this time add up. */
+/** Crashes on a part within this time add up. */
 #define EY_CRASH_WINDOW_MS 60000
+/** Those on a request: it may come once in several minutes, and any answer to
+ * it meanwhile clears it. */
+#define EY_CRASH_REQUEST_WINDOW_MS 600000
 /** Crashes from which on a part is barred. */
 #define EY_CRASH_BAR_CRASHES 3
 /** Crashes are held against a part only if the first and the last of them are
@@ -60,7 +63,8 @@
 #define EY_CRASH_BAR_MS 30000
 #define EY_CRASH_BAR_FACTOR 4
 #define EY_CRASH_BAR_MAX_MS 1800000
-#define EY_CRASH_BARS_MAX EY_ENGINE_UPDATE_BARS_MAX
+/** Most bars; an update has EY_ENGINE_UPDATE_BARS_MAX of them, in turn. */
+#define EY_CRASH_BARS_MAX 256
 /** Most suspects; one crash may bring those of 64 requests and their parts. */
 #define EY_CRASH_SUSPECTS_MAX 4096
 /** Most crashes whose times, or whose refutations, are remembered. */
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -165,14 +165,14 @@
                       const EyCrashEvidence_t *evidence)
 {
     int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
-    if (evidence->age_ms >= EY_CRASH_WINDOW_MS ||
+    bool is_request = ey_crash_evidence_is_request(evidence);
+    if (evidence->age_ms >= ey_crash_suspects_window_ms(is_request) ||
         ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms))
     {
         return false;
     }
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
-        self, now_ms, evidence->key, evidence->part_id,
-        ey_crash_evidence_is_request(evidence));
+        self, now_ms, evidence->key, evidence->part_id, is_request);
     EyCrash_t *known = ey_crash_suspects_find_crash(suspect, evidence->crash);
     if (known != NULL && !add_request(known, evidence)) {
         return false;
@@ -186,6 +186,7 @@
         };
         ey_crash_suspects_append_crash(suspect, crash);
         note_crash_time(self, &crash);
+        ey_crash_suspects_lift_covered(self, now_ms, suspect);
     }
     judge_part(self, now_ms, suspect);
     return true;
@@ -230,7 +231,11 @@
             ey_crash_suspects_append_crash(suspect, crash);
         }
     }
-    bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+    if (ey_crash_suspects_was_barred(suspect) ||
+        !ey_crash_suspects_is_covered(self, suspect))
+    {
+        bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+    }
 }
 
 /** The time after the end of a bar at which this gateway may try the part. The
@@ -260,9 +265,11 @@
         !ey_crash_suspects_is_explained(self, suspect) &&
         ey_crash_suspects_is_tied(self, suspect, &has_trial))
     {
+        bool waits =
+            has_trial || !ey_crash_suspects_has_turn(self, now_ms, suspect);
         result = (EySuspicionResult_t){
-            .suspicion = has_trial ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
-            .left_ms = has_trial ? TRIAL_LEFT_MS : 0,
+            .suspicion = waits ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+            .left_ms = waits ? TRIAL_LEFT_MS : 0,
             .is_request = true,
         };
     }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -45,6 +45,7 @@
     EyName_t region;
     bool has_started;
     int64_t started_ms; /* time of the first call that has a time */
+    int64_t expired_ms; /* time at which old entries were last dropped */
     uint32_t rank;
     uint32_t rank_count;
     GHashTable *by_key;      /* of EyCrashSuspect_t */
@@ -55,6 +56,7 @@
     GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
     GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
     GQueue told_refuted[EY_TOLD_SCOPE_COUNT];
+    uint32_t next_bar[EY_TOLD_SCOPE_COUNT]; /* to be told, by its position */
     GHashTable *refuted; /* by crash, time at which it was refuted */
     GQueue events;       /* of EySuspectEvent_t */
 };
@@ -75,6 +77,10 @@
 int64_t
 ey_crash_suspects_last_crash_ms(const EyCrashSuspect_t *suspect);
 
+/** Time in which crashes on a request, or on a part, add up. */
+int64_t
+ey_crash_suspects_window_ms(bool is_request);
+
 /** Drops the crashes that no longer add up with later ones. */
 void
 ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms);
@@ -123,6 +129,23 @@
 ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
                           const EyCrashSuspect_t *suspect, bool *has_trial);
 
+/** True if another request has all crashes of the suspect. */
+bool
+ey_crash_suspects_is_covered(const EyCrashSuspects_t *self,
+                             const EyCrashSuspect_t *suspect);
+
+/** Takes back recent bars of requests whose crashes all are the suspect's as
+ * well: they were barred before its evidence arrived. */
+void
+ey_crash_suspects_lift_covered(EyCrashSuspects_t *self, int64_t now_ms,
+                               const EyCrashSuspect_t *suspect);
+
+/** False if another request with the same crashes has to run first: they came
+ * together again though each gateway ran one at a time. */
+bool
+ey_crash_suspects_has_turn(const EyCrashSuspects_t *self, int64_t now_ms,
+                           const EyCrashSuspect_t *suspect);
+
 /* crash_suspects_bars.c */
 
 /** What may be done now with a request that has the part. */
--- a/tests/unit/service_fleet.h
+++ b/tests/unit/service_fleet.h
@@ -18,11 +18,17 @@
     uint32_t servers;           /* of each region */
     uint32_t unique_per_s;      /* sound requests that come once, fleet-wide */
     uint32_t fatal_requests;    /* different ones, in turn each 0.3 s */
+    int64_t fatal_interval_ms;  /* other interval; 0: 0.3 s */
+    uint32_t companions;        /* sound requests that come with each fatal one
+                                   and run for longer than its crash takes */
     uint32_t fatal_begun_share; /* of 100: the answer's head passes before the
                                    server ends */
     bool is_idempotent;         /* two attempts, else one */
     bool keeps_ids;             /* a server comes back with the same id */
     int64_t fatal_from_ms;
+    int64_t fatal_sound_ms; /* for this time after that they are sound */
+    int64_t restart_ms;     /* all gateways restart; 0: never. For 5 s
+                                   after that no arrival counts as late */
     int64_t kill_period_ms; /* a third of the servers ends; 0: never */
     int64_t release_ms;     /* from then on one server after the other is
                                replaced, one each second; NEVER */
@@ -37,6 +43,9 @@
     uint32_t popular_refused; /* equal requests that were refused as suspect */
     uint32_t poll_refused;
     uint32_t unique_refused;
+    uint32_t late_of_one; /* most late arrivals of one fatal request */
+    uint32_t companion_refused;
+    uint32_t companion_served;
     uint32_t sound; /* from 10 s after the first fatal request on */
     uint32_t sound_served;
 } ServiceFleetCounts_t;
--- a/tests/unit/test_crash_suspects_services.c
+++ b/tests/unit/test_crash_suspects_services.c
@@ -9,6 +9,9 @@
  * ones. */
 #define SERVED_SHARE_MIN 0.95
 
+/* The same in a run with a restart of all gateways. */
+#define RESTART_SERVED_SHARE_MIN 0.8
+
 #define NEVER SERVICE_FLEET_NEVER
 
 static ServiceFleetOptions_t
@@ -180,3 +183,123 @@
         expect_sound_unbarred(&options, &counts);
     }
 }
+
+Test(crash_suspects_services, a_fatal_request_that_comes_seldom_is_barred)
+{
+    static const int64_t IntervalsMs[] = {10000, 31000, 45000, 90000};
+    for (size_t i = 0; i < sizeof(IntervalsMs) / sizeof(IntervalsMs[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "seldom";
+        options.seed = 41 + i;
+        options.is_idempotent = false;
+        options.unique_per_s = 10;
+        options.fatal_interval_ms = IntervalsMs[i];
+        options.end_ms = 10 * INT64_C(60000);
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("each %ld ms: %u crashes, %u late", (long)IntervalsMs[i],
+                    counts.fatal_crashes, counts.late_arrivals);
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX,
+                      "each %ld ms: %u late", (long)IntervalsMs[i],
+                      counts.late_arrivals);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
+
+Test(crash_suspects_services, many_fatal_requests_at_once_are_all_barred)
+{
+    static const uint32_t Counts[] = {12, 20, 40};
+    for (size_t i = 0; i < sizeof(Counts) / sizeof(Counts[0]); i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "many";
+        options.seed = 51 + i;
+        options.is_idempotent = false;
+        options.servers = 60;
+        options.fatal_requests = Counts[i];
+        options.fatal_interval_ms = 200;
+        options.end_ms = 60000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%u fatal: %u crashes, %u late, %u of one", Counts[i],
+                    counts.fatal_crashes, counts.late_arrivals,
+                    counts.late_of_one);
+        cr_expect_leq(counts.late_of_one, LATE_ARRIVALS_MAX,
+                      "%u fatal: %u late of one", Counts[i],
+                      counts.late_of_one);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
+
+Test(crash_suspects_services,
+     sound_requests_that_always_come_with_a_fatal_one_are_told_apart)
+{
+    enum { SEEDS = 3 };
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t gateways;
+        uint32_t servers;
+        uint32_t companions;
+        bool is_idempotent;
+    } Cases[] = {
+        {"1 server, 1 companion", 61, 3, 1, 1, false},
+        {"1 server, 6 companions", 62, 3, 1, 6, false},
+        {"1 server, 20 gateways", 63, 20, 1, 3, false},
+        {"3 servers, 3 companions", 64, 3, 3, 3, false},
+        {"3 servers, 20 gateways", 65, 20, 3, 3, true},
+        {"3 servers, 6 companions", 66, 6, 3, 6, true},
+        {"1 server, 60 gateways", 67, 60, 1, 3, true},
+    };
+    for (size_t run = 0; run < SEEDS * sizeof(Cases) / sizeof(Cases[0]); run++)
+    {
+        size_t i = run / SEEDS;
+        ServiceFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed + 100 * (run % SEEDS);
+        options.gateways = Cases[i].gateways;
+        options.servers = Cases[i].servers;
+        options.companions = Cases[i].companions;
+        options.is_idempotent = Cases[i].is_idempotent;
+        options.end_ms = 60000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%s: %u crashes, %u late, companions refused %u served %u",
+                    options.name, counts.fatal_crashes, counts.late_arrivals,
+                    counts.companion_refused, counts.companion_served);
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX, "%s: %u late",
+                      options.name, counts.late_arrivals);
+        cr_expect_leq(counts.companion_refused, counts.companion_served / 5,
+                      "%s: companions refused %u", options.name,
+                      counts.companion_refused);
+        expect_sound_unbarred(&options, &counts);
+    }
+}
+
+Test(crash_suspects_services, a_restart_of_all_gateways_lets_few_pass)
+{
+    for (uint64_t i = 0; i < 3; i++) {
+        ServiceFleetOptions_t options = base_options();
+        options.name = "restart after 12 s";
+        options.seed = 72 + i;
+        options.is_idempotent = i > 0;
+        options.servers = i == 2 ? 3 : 12;
+        options.restart_ms = 22000;
+        ServiceFleetCounts_t counts = service_fleet_run(&options);
+        cr_log_info("%s: %u crashes, %u late, sound %.4f", options.name,
+                    counts.fatal_crashes, counts.late_arrivals,
+                    served_share(&counts));
+        cr_expect_leq(counts.late_arrivals, LATE_ARRIVALS_MAX, "%lu: %u late",
+                      (unsigned long)i, counts.late_arrivals);
+        cr_expect_geq(served_share(&counts), RESTART_SERVED_SHARE_MIN,
+                      "%lu: served %f", (unsigned long)i,
+                      served_share(&counts));
+        expect_sound_unbarred(&options, &counts);
+    }
+}
+
+Test(crash_suspects_services, a_request_that_becomes_fatal_later_is_barred)
+{
+    ServiceFleetOptions_t options = base_options();
+    options.name = "fatal after 10 s";
+    options.seed = 71;
+    options.fatal_sound_ms = 10000;
+    options.end_ms = 60000;
+    check_case(&options);
+}
