Stop: no connection is reset while a server stops accepting

Cause: shutting down a listening socket makes the kernel reset connections whose handshake ended after the last accept. Their callers had connected and sent their requests, and got no answer. Change: before the last accept the listening socket gets a filter that drops SYN packets; the server waits 5 ms for handshakes that have begun, accepts them and then shuts the socket down. Where the kernel refuses the filter, a warning is logged and the window remains. Tried first: accept4 after shutdown of a listening socket fails with EINVAL (Linux 6.18), so accepting after the shutdown loses the connections too.

--- a/src/callers/listener.c
+++ b/src/callers/listener.c
@@ -5,6 +5,8 @@
 #include "core/settings.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
+#include <linux/filter.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -18,6 +20,13 @@
 #define CONNECTION_MEMORY_BYTES 32768
 /* Deeply nested JSON is parsed recursively on this stack. */
 #define THREAD_STACK_SIZE_BYTES (4 * 1024 * 1024)
+/* The byte of a TCP header that has the flags, and two of them. */
+#define TCP_FLAGS_OFFSET_BYTES 13
+#define TCP_FLAG_SYN 0x02
+#define TCP_FLAG_ACK 0x10
+/* Results of a socket filter: how much of a packet is kept. */
+#define FILTER_DROP 0
+#define FILTER_KEEP UINT32_MAX
 
 static void
 log_library(void *data, const char *format, va_list arguments)
@@ -111,3 +120,52 @@
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
     return info != NULL ? info->num_connections : 0;
 }
+
+/** Lets the kernel drop packets that begin a handshake (SYN without ACK). A
+ * TCP socket's filter is given packets from the TCP header on, for IPv4 and
+ * IPv6 alike. */
+static bool
+drop_new_handshakes(int descriptor)
+{
+    struct sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, TCP_FLAGS_OFFSET_BYTES),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TCP_FLAG_SYN | TCP_FLAG_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TCP_FLAG_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, FILTER_DROP),
+        BPF_STMT(BPF_RET | BPF_K, FILTER_KEEP),
+    };
+    struct sock_fprog program = {
+        .len = sizeof(code) / sizeof(code[0]),
+        .filter = code,
+    };
+    return setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                      sizeof(program)) == 0;
+}
+
+int
+EyListener_Detach(struct MHD_Daemon *daemon)
+{
+    int descriptor = MHD_quiesce_daemon(daemon);
+    if (descriptor >= 0 && !drop_new_handshakes(descriptor)) {
+        EY_LOG(EY_LOG_WARNING, "callers", "handshake_filter_refused",
+               EY_LOG_TEXT("error", strerror(errno)),
+               EY_LOG_TEXT("effect", "connections that are made while the "
+                                     "socket is shut down are reset"));
+    }
+    return descriptor;
+}
+
+void
+EyListener_AcceptQueued(struct MHD_Daemon *daemon, int descriptor)
+{
+    struct sockaddr_storage address;
+    socklen_t size_bytes = sizeof(address);
+    int socket = -1;
+    while ((socket = accept4(descriptor, (struct sockaddr *)&address,
+                             &size_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    {
+        (void)MHD_add_connection(daemon, socket, (struct sockaddr *)&address,
+                                 size_bytes);
+        size_bytes = sizeof(address);
+    }
+}
--- a/src/callers/listener.h
+++ b/src/callers/listener.h
@@ -30,6 +30,27 @@
 uint32_t
 EyListener_ConnectionCount(struct MHD_Daemon *daemon);
 
+/**
+ * How long handshakes that have begun may take to end after EyListener_Detach:
+ * some round trips within a region. The kernel resets the connections of later
+ * ones when the socket is shut down.
+ */
+#define EY_LISTENER_HANDSHAKE_MS 5
+
+/**
+ * Takes the listening socket from the daemon, which accepts no more
+ * connections itself, and lets the kernel drop new connection attempts.
+ * Callers repeat them after a second and are refused then. Returns the
+ * descriptor, -1 on failure. It may be closed once the daemon has stopped.
+ */
+int
+EyListener_Detach(struct MHD_Daemon *daemon);
+
+/** Passes the connections that wait in the detached socket's queue to the
+ * daemon. */
+void
+EyListener_AcceptQueued(struct MHD_Daemon *daemon, int descriptor);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -575,22 +575,6 @@
     return !may_deliver || !has_connections(self);
 }
 
-/** Accepts the connections that wait in the kernel's queue. */
-static void
-accept_queued(const Listener_t *self)
-{
-    struct sockaddr_storage address;
-    socklen_t size_bytes = sizeof(address);
-    int socket = -1;
-    while ((socket = accept4(self->descriptor, (struct sockaddr *)&address,
-                             &size_bytes, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
-    {
-        (void)MHD_add_connection(self->daemon, socket,
-                                 (struct sockaddr *)&address, size_bytes);
-        size_bytes = sizeof(address);
-    }
-}
-
 void
 EyServer_CloseAfterAnswers(EyServer_t *self)
 {
@@ -599,18 +583,26 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
+/** Stops accepting on all listeners. Connections whose handshakes have begun
+ * are accepted first: shutting the sockets down would reset them after their
+ * callers had sent requests. */
 static void
-quiesce_listener(Listener_t *self)
+quiesce_listeners(EyServer_t *self)
 {
-    if (self->descriptor >= 0) {
-        return;
+    for (uint32_t i = 0; i < self->listener_count; i++) {
+        Listener_t *listener = &self->listeners[i];
+        listener->descriptor = EyListener_Detach(listener->daemon);
+        EyListener_AcceptQueued(listener->daemon, listener->descriptor);
     }
-    self->descriptor = MHD_quiesce_daemon(self->daemon);
-    if (self->descriptor >= 0) {
-        accept_queued(self);
-        /* libmicrohttpd's thread may still pass the descriptor to epoll, so it
-         * is closed only after that thread has ended. */
-        (void)shutdown(self->descriptor, SHUT_RDWR);
+    (void)usleep(EY_LISTENER_HANDSHAKE_MS * 1000);
+    for (uint32_t i = 0; i < self->listener_count; i++) {
+        const Listener_t *listener = &self->listeners[i];
+        EyListener_AcceptQueued(listener->daemon, listener->descriptor);
+        if (listener->descriptor >= 0) {
+            /* libmicrohttpd's thread may still pass the descriptor to epoll,
+             * so it is closed only after that thread has ended. */
+            (void)shutdown(listener->descriptor, SHUT_RDWR);
+        }
     }
 }
 
@@ -619,11 +611,9 @@
 {
     EyServer_CloseAfterAnswers(self);
     if (self->quiesced_ms == 0) {
+        quiesce_listeners(self);
         self->quiesced_ms = EyClock_NowMs();
     }
-    for (uint32_t i = 0; i < self->listener_count; i++) {
-        quiesce_listener(&self->listeners[i]);
-    }
 }
 
 static void
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -88,7 +88,7 @@
 EyServer_CloseAfterAnswers(EyServer_t *self);
 
 /** Stops accepting connections; the open ones are closed after their current
- * answer. */
+ * answer. Blocks for EY_LISTENER_HANDSHAKE_MS the first time. */
 void
 EyServer_Quiesce(EyServer_t *self);
 
