Process tests: the data of fleets' control processes is in memory

In the logs of such runs the leader has entries that aren't committed (commit 4, last_index 7) and steps down a second later, again and again, on all three processes: they share one disk whose syncs wait for those of the builds (some tasks waited for I/O 8 to 12% of the time). The refusals are true answers to a majority that doesn't store anything. Change: the folders of Fleet and RoutedGateways are in memory, as that of load_run is, and removed at the end. Checks and limits are as they were; the tests kill, wipe and fill, none takes power away. path and routes still use the disk. Conclusion: a disk that stalls for seconds isn't what these tests are about; the property tests of the replicated log play it.

--- a/tests/process/fleet.c
+++ b/tests/process/fleet.c
@@ -79,8 +79,9 @@
 {
     for (uint32_t r = 0; r < fleet->region_count && r < FLEET_REGIONS; r++) {
         FleetRegion_t *region = &fleet->regions[r];
-        Harness_MakeFolder(region->control_folder,
-                           sizeof(region->control_folder), Fleet_regions[r]);
+        Harness_MakeMemoryFolder(region->control_folder,
+                                 sizeof(region->control_folder),
+                                 Fleet_regions[r]);
         char *cut_file = g_strconcat(region->control_folder, "/cut", NULL);
         (void)g_strlcpy(region->cut_file, cut_file, sizeof(region->cut_file));
         g_free(cut_file);
@@ -227,6 +228,10 @@
         Process_Kill(&region->control);
         Process_Kill(&region->booking);
         Process_Kill(&region->model);
+        if (region->control_folder[0] != '\0') {
+            Harness_RemoveFolder(region->control_folder);
+            region->control_folder[0] = '\0';
+        }
     }
 }
 
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -15,7 +15,7 @@
     Process_t control;
     Process_t booking;
     Process_t model;
-    char control_folder[HARNESS_ARG_SIZE_BYTES];
+    char control_folder[HARNESS_ARG_SIZE_BYTES]; /* in memory */
     /* Lists the ids of the instances whose messages are dropped. */
     char cut_file[HARNESS_ARG_SIZE_BYTES + 16];
 } FleetRegion_t;
--- a/tests/process/routed_gateways.c
+++ b/tests/process/routed_gateways.c
@@ -67,9 +67,9 @@
                         RoutedGateways_regions[regions[i]], i + 1);
         self->routed_ports[i] = Harness_FreePort();
     }
-    char folder[HARNESS_ARG_SIZE_BYTES];
-    Harness_MakeFolder(folder, sizeof(folder), self->control.name);
-    Process_Arg(&self->control, "--data-dir=%s", folder);
+    Harness_MakeMemoryFolder(self->folder, sizeof(self->folder),
+                             self->control.name);
+    Process_Arg(&self->control, "--data-dir=%s", self->folder);
     start_daemon(self, &self->control, 0, headers);
     for (uint32_t i = 0; i < count; i++) {
         Process_Arg(&self->gateways[i], "--routed-listen=127.0.0.1:%u",
@@ -100,4 +100,8 @@
         Process_Kill(&self->gateways[i]);
     }
     Process_Kill(&self->control);
+    if (self->folder[0] != '\0') {
+        Harness_RemoveFolder(self->folder);
+        self->folder[0] = '\0';
+    }
 }
--- a/tests/process/routed_gateways.h
+++ b/tests/process/routed_gateways.h
@@ -12,7 +12,8 @@
 extern const char *const RoutedGateways_zones[ROUTED_REGIONS];
 
 typedef struct RoutedGateways {
-    Process_t control; /* in the first region */
+    Process_t control;                   /* in the first region */
+    char folder[HARNESS_ARG_SIZE_BYTES]; /* its data, in memory */
     Process_t gateways[ROUTED_GATEWAYS_MAX];
     uint16_t routed_ports[ROUTED_GATEWAYS_MAX]; /* for calls of routes */
     uint32_t count;
