Routing: answers that end with their connection are settled by their server

Cause: an answer with neither a length nor chunks looks whole by its bytes if its server ends while it sends it, so it cleared the request that crashes the server.

Change: the end of such an answer is marked as inferred on its way from the transfer to the routing result and clears nothing by itself.

Not run: property-tests.

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -239,6 +239,7 @@
     EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_DONE);
     event->first_byte_us = transfer->first_byte_us;
     event->total_us = EyClock_NowUs() - transfer->started_us;
+    event->is_end_inferred = EyTransfer_IsEndInferred(transfer);
     if (transfer->collects) {
         event->answer = talloc_steal(event, EyTransfer_TakeAnswer(transfer));
     }
@@ -253,6 +254,8 @@
     EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_FAILED);
     event->failure = failure;
     event->nothing_sent = !transfer->sent;
+    event->is_connect_refused =
+        failure == EY_FAILURE_CONNECT && EyTransfer_IsConnectRefused(transfer);
     EyMetric_Add(&Metrics[METRIC_FAILURES + failure - 1], 1);
     return event;
 }
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -101,15 +101,19 @@
     uint64_t number;
     EyAttemptEventKind_t kind;
     EyAttemptFailure_t failure;
-    bool nothing_sent;      /* FAILED: no byte of the request was sent */
-    uint32_t events_passed; /* server-sent events that this attempt wrote to
-                               the stream */
-    EyEventId_t last_event; /* id of the last of them that has one */
-    uint64_t bytes_passed;  /* bytes that this attempt wrote to the stream */
-    EyAnswer_t *answer;     /* HEAD: without body; DONE: whole if collected,
-                               NULL if streamed; a talloc child of the event */
-    int64_t first_byte_us;  /* DONE: from start to first byte of the answer */
-    int64_t total_us;       /* DONE */
+    bool nothing_sent;       /* FAILED: no byte of the request was sent */
+    bool is_connect_refused; /* FAILED with CONNECT: the server's port refused
+                                the connection */
+    bool is_end_inferred;    /* DONE: nothing tells the end of the answer from
+                                that of its connection */
+    uint32_t events_passed;  /* server-sent events that this attempt wrote to
+                                the stream */
+    EyEventId_t last_event;  /* id of the last of them that has one */
+    uint64_t bytes_passed;   /* bytes that this attempt wrote to the stream */
+    EyAnswer_t *answer;      /* HEAD: without body; DONE: whole if collected,
+                                NULL if streamed; a talloc child of the event */
+    int64_t first_byte_us;   /* DONE: from start to first byte of the answer */
+    int64_t total_us;        /* DONE */
 } EyAttemptEvent_t;
 
 typedef void (*EyAttemptHandler_t)(void *data, EyAttemptEvent_t *event);
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -6,6 +6,7 @@
 #include "exchange/body.h"
 #include "exchange/hop_headers.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <jansson.h>
 #include <string.h>
@@ -517,21 +518,34 @@
     return json != NULL;
 }
 
+/** True if the head of the answer tells where it ends. */
+static bool
+is_framed(const EyTransfer_t *self)
+{
+    uint32_t status = self->head.answer->status;
+    return self->head.chunked || self->head.content_size_bytes >= 0 ||
+           status == 204 || status == 304 ||
+           strcmp(self->attempt->method, "HEAD") == 0;
+}
+
+/** True if the last event of a stream says that it is the last one. */
+static bool
+has_last_event(const EyTransfer_t *self)
+{
+    return EyEventFramer_IsDone(self->framer) &&
+           EyEventFramer_HeldBytes(self->framer) == 0;
+}
+
 /** True if the end of the answer can be distinguished from a broken
  * connection. */
 static bool
 has_detectable_end(const EyTransfer_t *self)
 {
-    uint32_t status = self->head.answer->status;
-    if (self->head.chunked || self->head.content_size_bytes >= 0 ||
-        status == 204 || status == 304 ||
-        strcmp(self->attempt->method, "HEAD") == 0)
-    {
+    if (is_framed(self)) {
         return true;
     }
     if (self->framer != NULL && !self->names->accepts_close_delimited_bodies) {
-        return EyEventFramer_IsDone(self->framer) &&
-               EyEventFramer_HeldBytes(self->framer) == 0;
+        return has_last_event(self);
     }
     if (self->names->accepts_close_delimited_bodies) {
         /* A reset is detected by libcurl's result. */
@@ -541,6 +555,26 @@
     return self->collects && is_whole_json(self);
 }
 
+bool
+EyTransfer_IsEndInferred(const EyTransfer_t *self)
+{
+    if (is_framed(self)) {
+        return false;
+    }
+    return self->framer != NULL ? !has_last_event(self)
+                                : !(self->collects && is_whole_json(self));
+}
+
+bool
+EyTransfer_IsConnectRefused(const EyTransfer_t *self)
+{
+    long number = 0;
+    return self->easy != NULL &&
+           curl_easy_getinfo(self->easy, CURLINFO_OS_ERRNO, &number) ==
+               CURLE_OK &&
+           number == ECONNREFUSED;
+}
+
 /** Writes the bytes after the last complete event of a whole answer. */
 static EyAttemptFailure_t
 forward_rest(EyTransfer_t *self)
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -75,6 +75,16 @@
 EyAttemptFailure_t
 EyTransfer_Finish(EyTransfer_t *self, CURLcode result);
 
+/** True if nothing tells the end of the whole answer from that of its
+ * connection: a server that ended while it sent it would leave the same bytes.
+ */
+bool
+EyTransfer_IsEndInferred(const EyTransfer_t *self);
+
+/** True if the connection that failed was refused by the server's port. */
+bool
+EyTransfer_IsConnectRefused(const EyTransfer_t *self);
+
 /** Returns the collected answer, a talloc root that the caller owns; NULL if
  * none was received. */
 EyAnswer_t *
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -546,6 +546,8 @@
         .tokens = event->events_passed,
         .answer_end = answer_end(active, event),
         .hides_start = !EyExchange_StreamsEvents(active->exchange),
+        .is_end_inferred = event->is_end_inferred,
+        .is_connect_refused = event->is_connect_refused,
     };
     const EyAnswer_t *answer = event->answer;
     if (result.kind == EY_RESULT_OK && answer != NULL &&
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -55,6 +55,9 @@
     else {
         upsert_backend(self, now_ms, backend);
     }
+    if (change == EY_REGISTRY_LOAD_CHANGED) {
+        EyRouter_NoteAnnouncement(self->router, now_ms, backend);
+    }
     EyGateway_WakeRouter(self);
 }
 
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -147,6 +147,10 @@
     EyAnswerEnd_t answer_end;
     bool hides_start; /* the answer is collected whole: EyRouter_AnswerStarted
                          isn't called when it begins */
+    bool is_end_inferred;    /* a whole answer by its bytes, but nothing tells
+                                its end from that of its connection */
+    bool is_connect_refused; /* nothing was sent: the server's port refused the
+                                connection */
 } EyRoutingResult_t;
 
 /** The summary of one target that a region sends to the others. */
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -70,6 +70,11 @@
 EyRouter_UpsertBackend(EyRouter_t *self, int64_t now_ms,
                        const EyBackend_t *backend);
 
+/** The server has announced its load again. */
+void
+EyRouter_NoteAnnouncement(EyRouter_t *self, int64_t now_ms,
+                          const EyBackend_t *backend);
+
 /** Removes a server; its requests stay tracked until they are finished. */
 void
 EyRouter_RemoveBackend(EyRouter_t *self, int64_t now_ms, const char *id);
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -82,6 +82,7 @@
     if (self->started_ms < 0) {
         self->started_ms = now_ms;
     }
+    ey_router_read_announced_state(self, now_ms, backend);
     EyReplica_t *replica = g_hash_table_lookup(self->replicas, backend->id);
     if (replica == NULL) {
         add_replica(self, now_ms, backend);
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -51,6 +51,7 @@
 ey_router_open_suspects(EyRouter_t *self)
 {
     self->suspects = EyCrashSuspects_New(self, self->region);
+    self->inferred_ends = EyInferredEnds_New(self);
     g_queue_init(&self->begun_answers);
     self->completed_answers = g_hash_table_new_full(
         g_int64_hash, g_int64_equal, g_free, free_completed);
@@ -208,6 +209,7 @@
         return;
     }
     self->completed_expired_ms = now_ms;
+    EyInferredEnds_Expire(self->inferred_ends, now_ms);
     GHashTableIter each;
     gpointer value = NULL;
     g_hash_table_iter_init(&each, self->completed_answers);
@@ -230,6 +232,8 @@
     if (tracked->has_incarnation) {
         EyCrashSuspects_EngineRuns(self->suspects, now_ms, tracked->crash);
     }
+    ey_router_add_server_sign(self, now_ms, EY_SERVER_SIGN_RUNS,
+                              tracked->crash);
     GQueue *answers =
         g_hash_table_lookup(self->completed_answers, &tracked->crash);
     if (answers != NULL) {
@@ -292,6 +296,7 @@
 {
     if (now_ms - self->suspects_ms > EVENT_GAP_MAX_MS) {
         restart_begun_answers(self, now_ms);
+        EyInferredEnds_Reset(self->inferred_ends);
     }
     self->suspects_ms = now_ms;
     expire_completed(self, now_ms);
@@ -333,13 +338,19 @@
     bool is_answered = result->answer_end == EY_ANSWER_END_COMPLETE ||
                        result->answer_end == EY_ANSWER_END_ANSWERED;
     bool is_broken = result->answer_end == EY_ANSWER_END_BROKEN;
-    if (is_answered) {
+    bool is_inferred = is_answered && result->is_end_inferred;
+    if (is_answered && !is_inferred) {
         note_running(self, now_ms, tracked);
     }
+    ey_router_read_result_signs(self, now_ms, tracked, result);
     if (!has_survived && !concerns_parts(tracked, result)) {
         parts.count = 0;
     }
-    if (has_survived || (is_answered && clears_at_once(tracked, now_ms))) {
+    if (is_inferred && !has_survived) {
+        ey_router_add_inferred_end(self, now_ms, tracked, &parts);
+    }
+    else if (has_survived || (is_answered && clears_at_once(tracked, now_ms)))
+    {
         EyCrashSuspects_Clear(self->suspects, now_ms, &parts);
     }
     else if (is_answered) {
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -4,6 +4,7 @@
 
 #include "routing/cold_limiters.h"
 #include "routing/crash_suspects.h"
+#include "routing/inferred_ends.h"
 #include "routing/pool.h"
 #include "routing/remote_caches.h"
 #include "routing/remote_regions.h"
@@ -65,6 +66,7 @@
                                one; of EyEngineUpdateEntry_t, whose arrays are
                                talloc children of the router */
     EyCrashSuspects_t *suspects;
+    EyInferredEnds_t *inferred_ends;
     GQueue begun_answers;          /* see router_crash_suspects.c */
     GHashTable *completed_answers; /* by crash of the server, of GQueue of
                                       CompletedAnswer_t, oldest first */
@@ -109,6 +111,30 @@
                        const EyTrackedRequest_t *tracked,
                        const EyRoutingResult_t *result);
 
+/* router_inferred_ends.c */
+
+/** Something was seen of the server with that crash key. */
+void
+ey_router_add_server_sign(EyRouter_t *self, int64_t now_ms,
+                          EyServerSign_t sign, uint64_t crash);
+
+/** The end of the answer was inferred; parts: what it says something of. */
+void
+ey_router_add_inferred_end(EyRouter_t *self, int64_t now_ms,
+                           const EyTrackedRequest_t *tracked,
+                           const EyPromptParts_t *parts);
+
+/** Applies what the result of a request says of its server. */
+void
+ey_router_read_result_signs(EyRouter_t *self, int64_t now_ms,
+                            const EyTrackedRequest_t *tracked,
+                            const EyRoutingResult_t *result);
+
+/** Applies what a server's entry says of it and of others at its address. */
+void
+ey_router_read_announced_state(EyRouter_t *self, int64_t now_ms,
+                               const EyBackend_t *backend);
+
 /* router_engine_update.c */
 
 void
