Gateway: a refusal because a bar runs is final

Cause: a gateway that had forwarded a request took each refusal of the remote region for retryable. A 503 because servers crashed on the request was followed by an attempt in the next region, which may not know the bar yet, and a server ended there.

Change: an answer has is_barred, set by the gateway that refuses if a bar runs. The gateway of origin then answers its caller at once: 503 with the Retry-After of the bar if nothing ran, else 502 or 504. A refusal that only waits for a running trial or for the gateway's turn stays retryable, and so does an answer of an older build, which lacks the field.

Conclusion: of a known bar no other region is asked.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -58,6 +58,7 @@
     EY_FIELD_BYTES_MAX(EyAnswer_t, body, EY_ANSWER_BODY_MAX_BYTES),
     EY_FIELD(EyAnswer_t, is_events, EY_FIELD_BOOL),
     EY_FIELD(EyAnswer_t, reached_server, EY_FIELD_BOOL),
+    EY_FIELD(EyAnswer_t, is_barred, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyAnswer_schema = EY_SCHEMA(EyAnswer_t, AnswerFields);
@@ -86,6 +87,7 @@
     EyAnswer_t *self = EyAnswer_New(from->status, from->outcome);
     self->retry_after_ms = from->retry_after_ms;
     self->is_events = from->is_events;
+    self->is_barred = from->is_barred;
     for (uint32_t i = 0; i < from->header_count; i++) {
         EyAnswer_SetHeader(self, from->headers[i].name,
                            from->headers[i].value);
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -31,6 +31,8 @@
     EyOutcome_t outcome;
     uint32_t retry_after_ms; /* 0: no Retry-After */
     bool reached_server;     /* a refusal, but a backend server got the call */
+    bool is_barred;          /* a refusal or failure: servers crashed on equal
+                                requests, no other region should try it */
     char *reason; /* cause of a refusal or failure, for logs; or NULL */
     EyHeader_t *headers;
     uint32_t header_count;
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -147,6 +147,7 @@
     EyAnswer_t *made =
         EyAnswer_Problem(problem, outcome, 0, step->event->detail);
     made->retry_after_ms = step->event->retry_after_ms;
+    made->is_barred = step->event->is_barred;
     made->reached_server =
         step->exchange->arrival_count > step->exchange->request->arrivals;
     return made;
@@ -431,6 +432,19 @@
     }
 }
 
+/** The problem to report if a failed attempt isn't followed by another. */
+static EyProblem_t
+problem_of_failure(const EyExchange_t *exchange,
+                   const EyExchangeEvent_t *event)
+{
+    if (!exchange->sent_before) {
+        return event->is_barred ? EY_PROBLEM_OVERLOADED
+                                : EY_PROBLEM_BACKEND_FAILED;
+    }
+    return exchange->is_idempotent ? EY_PROBLEM_BACKEND_FAILED
+                                   : EY_PROBLEM_OUTCOME_UNKNOWN;
+}
+
 static void
 on_attempt_failed(const Step_t *step)
 {
@@ -447,9 +461,7 @@
         route(step);
         return;
     }
-    bool is_uncertain = !exchange->is_idempotent && exchange->sent_before;
-    give_up(step, is_uncertain ? EY_PROBLEM_OUTCOME_UNKNOWN
-                               : EY_PROBLEM_BACKEND_FAILED);
+    give_up(step, problem_of_failure(exchange, event));
 }
 
 /** Lets the attempt finish, because its outcome is needed for the claim; one
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -68,6 +68,8 @@
     bool reached_server; /* ATTEMPT_FAILED, nothing_sent: in a remote region
                             a server got the call and didn't run it */
     bool not_run; /* ATTEMPT_DONE: the server reports that it didn't run it */
+    bool is_barred; /* ROUTE_REFUSED, ATTEMPT_FAILED: because servers crashed
+                       on equal requests; see EyAnswer_t */
     EyProblem_t problem;
     EyOutcome_t outcome;
     uint32_t retry_after_ms;
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -113,27 +113,43 @@
                                       : NULL;
 }
 
+EyExchangeEvent_t
+EyGateway_ForwardFailure(const EyAnswer_t *answer, uint64_t attempt)
+{
+    return (EyExchangeEvent_t){
+        .kind = EY_EXCHANGE_ATTEMPT_FAILED,
+        .attempt = attempt,
+        .nothing_sent = answer->outcome == EY_OUTCOME_NOT_RUN,
+        .reached_server = answer->reached_server,
+        .is_retryable = !answer->is_barred,
+        .is_barred = answer->is_barred,
+        .retry_after_ms = answer->retry_after_ms,
+        .detail = answer->is_barred
+                      ? "servers of another region crashed on this request or "
+                        "on a part of its prompt"
+                      : "the remote region returned no completed answer",
+    };
+}
+
 /** Handles a complete answer or a refusal. */
 static void
 handle_answer(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
 {
-    EyExchangeEvent_t event = {.attempt = forward->attempt};
     EyAnswer_t *answer = copy_answer(forward);
     if (answer == NULL) {
         return;
     }
     if (answer->outcome == EY_OUTCOME_COMPLETED) {
-        event.kind = EY_EXCHANGE_ATTEMPT_DONE;
-        event.answer = answer;
+        EyExchangeEvent_t event = {
+            .kind = EY_EXCHANGE_ATTEMPT_DONE,
+            .attempt = forward->attempt,
+            .answer = answer,
+        };
         finish_attempt(active, &event, EY_RESULT_OK);
         return;
     }
-    event.kind = EY_EXCHANGE_ATTEMPT_FAILED;
-    event.nothing_sent = answer->outcome == EY_OUTCOME_NOT_RUN;
-    event.reached_server = answer->reached_server;
-    event.is_retryable = true;
-    event.retry_after_ms = answer->retry_after_ms;
-    event.detail = "the remote region returned no completed answer";
+    EyExchangeEvent_t event =
+        EyGateway_ForwardFailure(answer, forward->attempt);
     talloc_free(answer);
     finish_attempt(active, &event,
                    event.nothing_sent ? EY_RESULT_REFUSED : EY_RESULT_FAILED);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -220,6 +220,11 @@
 EyGateway_ForwardRequest(EyActiveRequest_t *active,
                          const EyExchangeAction_t *action);
 
+/** The event of a refusal or failure that a remote region answered. If a bar
+ * runs there, no other region is tried: it may not know the bar yet. */
+EyExchangeEvent_t
+EyGateway_ForwardFailure(const EyAnswer_t *answer, uint64_t attempt);
+
 /** Cancels an attempt in a remote region. */
 void
 EyGateway_CancelForward(EyActiveRequest_t *active, uint64_t attempt);
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -89,6 +89,7 @@
         .problem = refusal->problem,
         .detail = refusal->detail,
         .retry_after_ms = decision->retry_after_ms,
+        .is_barred = decision->has_running_bar,
     };
     switch (decision->kind) {
     case EY_DECISION_QUEUED:
--- a/src/routing/crash_suspects.c
+++ b/src/routing/crash_suspects.c
@@ -95,6 +95,7 @@
         }
         result.suspicion = MAX(result.suspicion, of_one.suspicion);
         result.left_ms = MAX(result.left_ms, of_one.left_ms);
+        result.has_running_bar |= of_one.has_running_bar;
     }
     return result;
 }
--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -94,8 +94,10 @@
 
 typedef struct EySuspicionResult {
     EySuspicion_t suspicion;
-    int64_t left_ms; /* BARRED: until it may be tried here */
-    bool is_request; /* because of the request itself */
+    int64_t left_ms;      /* BARRED: until it may be tried here */
+    bool is_request;      /* because of the request itself */
+    bool has_running_bar; /* BARRED: by a bar that runs, not only until another
+                             request's trial ends or this gateway's turn */
 } EySuspicionResult_t;
 
 /** What happened, for logs and metrics. */
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -295,5 +295,6 @@
         .suspicion = left_ms > 0 ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
         .left_ms = MAX(left_ms, 0),
         .is_request = suspect->is_request,
+        .has_running_bar = suspect->bar_end_ms > now_ms,
     };
 }
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -117,6 +117,8 @@
     int64_t load_age_ms; /* age of the engine's load report; < 0: none */
     EyRefusal_t reason;  /* REFUSE */
     uint32_t retry_after_ms;
+    bool has_running_bar; /* REFUSE: by a bar that runs, see
+                             EySuspicionResult_t */
 } EyRoutingDecision_t;
 
 /** How a dispatched or forwarded request ended. */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -161,6 +161,16 @@
                                 });
 }
 
+static EyRoutingDecision_t
+refuse_suspect(EyRouter_t *self, uint64_t number, EyRefusal_t reason,
+               const EySuspicionResult_t *result)
+{
+    EyRoutingDecision_t decision =
+        refuse(self, number, reason, (double)result->left_ms);
+    decision.has_running_bar = result->has_running_bar;
+    return decision;
+}
+
 static EyTrackedRequest_t *
 track_request(EyRouter_t *self, int64_t now_ms,
               const EyRoutingRequest_t *request)
@@ -453,14 +463,14 @@
 submit(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
     EyRefusal_t reason = check_request(self, now_ms, request);
-    int64_t left_ms = 0;
+    EySuspicionResult_t result;
     bool is_valid =
         reason == EY_REFUSAL_NONE || reason == EY_REFUSAL_WRONG_REGION;
     EyRefusal_t suspicion =
-        is_valid ? ey_router_check_suspect(self, now_ms, request, &left_ms)
+        is_valid ? ey_router_check_suspect(self, now_ms, request, &result)
                  : EY_REFUSAL_NONE;
     if (suspicion != EY_REFUSAL_NONE) {
-        return refuse(self, request->number, suspicion, (double)left_ms);
+        return refuse_suspect(self, request->number, suspicion, &result);
     }
     if (reason == EY_REFUSAL_WRONG_REGION && request->may_forward_to_allowed) {
         return forward_or_refuse(self, now_ms, request, reason, 0.0);
@@ -531,12 +541,12 @@
               const EyQueuedRequest_t *waiting, double work_ahead,
               EyRoutingDecision_t *decision)
 {
-    int64_t suspect_left_ms = 0;
-    EyRefusal_t suspicion = ey_router_check_suspect(
-        self, now_ms, waiting->request, &suspect_left_ms);
+    EySuspicionResult_t result;
+    EyRefusal_t suspicion =
+        ey_router_check_suspect(self, now_ms, waiting->request, &result);
     if (suspicion != EY_REFUSAL_NONE) {
-        *decision = refuse(self, waiting->request->number, suspicion,
-                           (double)suspect_left_ms);
+        *decision =
+            refuse_suspect(self, waiting->request->number, suspicion, &result);
         return true;
     }
     EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -81,17 +81,16 @@
 
 EyRefusal_t
 ey_router_check_suspect(EyRouter_t *self, int64_t now_ms,
-                        const EyRoutingRequest_t *request, int64_t *left_ms)
+                        const EyRoutingRequest_t *request,
+                        EySuspicionResult_t *result)
 {
     const EyPromptParts_t parts = parts_of(request);
-    EySuspicionResult_t result =
-        EyCrashSuspects_Check(self->suspects, now_ms, &parts);
-    *left_ms = result.left_ms;
-    if (result.suspicion != EY_SUSPICION_BARRED) {
+    *result = EyCrashSuspects_Check(self->suspects, now_ms, &parts);
+    if (result->suspicion != EY_SUSPICION_BARRED) {
         return EY_REFUSAL_NONE;
     }
-    return result.is_request ? EY_REFUSAL_SUSPECT_REQUEST
-                             : EY_REFUSAL_SUSPECT_PROMPT;
+    return result->is_request ? EY_REFUSAL_SUSPECT_REQUEST
+                              : EY_REFUSAL_SUSPECT_PROMPT;
 }
 
 void
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -82,10 +82,11 @@
 ey_router_close_suspects(EyRouter_t *self);
 
 /** The reason to refuse the request because it or a part of its prompt may
- * crash servers, or EY_REFUSAL_NONE; left_ms: until it may be tried here. */
+ * crash servers, or EY_REFUSAL_NONE. */
 EyRefusal_t
 ey_router_check_suspect(EyRouter_t *self, int64_t now_ms,
-                        const EyRoutingRequest_t *request, int64_t *left_ms);
+                        const EyRoutingRequest_t *request,
+                        EySuspicionResult_t *result);
 
 /** The request is sent to the engine. */
 void
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -305,3 +305,22 @@
         free_world(&world);
     }
 }
+
+Test(router_crash_suspects, only_a_bar_that_runs_is_refused_as_such)
+{
+    World_t world = make_world();
+    int64_t now_ms = bar_part(&world);
+    EyRoutingDecision_t decision = submit(&world, now_ms + 1000, FATAL_PART);
+    cr_expect_eq(decision.reason, EY_REFUSAL_SUSPECT_PROMPT);
+    cr_expect(decision.has_running_bar);
+    /* After the bar the first request is a trial, and others wait for it. */
+    int64_t after_ms = now_ms + 2 * (int64_t)BAR_MS;
+    decision = submit(&world, after_ms, FATAL_PART);
+    cr_expect_eq(decision.kind, EY_DECISION_DISPATCH, "%s",
+                 EyRefusal_names[decision.reason]);
+    decision = submit(&world, after_ms, FATAL_PART);
+    cr_expect_eq(decision.reason, EY_REFUSAL_SUSPECT_PROMPT, "%s",
+                 EyRefusal_names[decision.reason]);
+    cr_expect_not(decision.has_running_bar);
+    free_world(&world);
+}
