Answers: a copy keeps that a server got the call

Cause: EyAnswer_Copy dropped reached_server, which a forwarding gateway reads from its copy of a remote region's refusal. Calls that a server there had turned away weren't counted as arrivals, which the retry budget sums up. Change: the copy has it. Result: forward_failure::a_call_that_a_remote_server_turned_away_has_arrived fails before and passes after.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -87,6 +87,7 @@
     EyAnswer_t *self = EyAnswer_New(from->status, from->outcome);
     self->retry_after_ms = from->retry_after_ms;
     self->is_events = from->is_events;
+    self->reached_server = from->reached_server;
     self->is_barred = from->is_barred;
     for (uint32_t i = 0; i < from->header_count; i++) {
         EyAnswer_SetHeader(self, from->headers[i].name,
--- a/tests/unit/test_forward_failure.c
+++ b/tests/unit/test_forward_failure.c
@@ -157,3 +157,14 @@
         talloc_free(exchange);
     }
 }
+
+Test(forward_failure, a_call_that_a_remote_server_turned_away_has_arrived)
+{
+    EyAnswer_t *sent =
+        EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 1, NULL);
+    sent->reached_server = true;
+    EyAnswer_t *received = EyAnswer_Copy(sent);
+    cr_expect(EyGateway_ForwardFailure(received, 1).reached_server);
+    talloc_free(received);
+    talloc_free(sent);
+}
