--- a/src/routing/crash_suspects.c
+++ b/src/routing/crash_suspects.c
@@ -10,10 +10,10 @@
     g_hash_table_unref(self->by_key);
     g_hash_table_unref(self->refuted);
     g_hash_table_unref(self->crash_times);
-    for (int i = 0; i < EY_TOLD_SCOPE_COUNT; i++) {
-        g_queue_clear_full(&self->told_evidence[i], g_free);
-        g_queue_clear_full(&self->told_cleared[i], g_free);
-        g_queue_clear_full(&self->told_refuted[i], g_free);
+    for (int i = 0; i < EY_REPORT_SCOPE_COUNT; i++) {
+        g_queue_clear_full(&self->evidence_reports[i], g_free);
+        g_queue_clear_full(&self->cleared_reports[i], g_free);
+        g_queue_clear_full(&self->refuted_reports[i], g_free);
     }
     g_queue_clear_full(&self->events, g_free);
     return 0;
@@ -31,12 +31,12 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     self->crash_times =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    self->cleared = EyClearedParts_New(self);
-    self->cleared_requests = EyClearedParts_New(self);
-    for (int i = 0; i < EY_TOLD_SCOPE_COUNT; i++) {
-        g_queue_init(&self->told_evidence[i]);
-        g_queue_init(&self->told_cleared[i]);
-        g_queue_init(&self->told_refuted[i]);
+    self->cleared = EyClearedSuspects_New(self);
+    self->cleared_requests = EyClearedSuspects_New(self);
+    for (int i = 0; i < EY_REPORT_SCOPE_COUNT; i++) {
+        g_queue_init(&self->evidence_reports[i]);
+        g_queue_init(&self->cleared_reports[i]);
+        g_queue_init(&self->refuted_reports[i]);
     }
     g_queue_init(&self->events);
     talloc_set_destructor(self, destroy_suspects);
--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -15,7 +15,7 @@
  *
  * Gateways share evidence, cleared parts and bars by engine updates. Evidence
  * is a set of (suspect, crash), so that it counts once however many gateways
- * saw the crash and however often it is told.
+ * saw the crash and however often it is reported.
  *
  * Only crashes add suspects; all tables are bounded.
  */
@@ -43,7 +43,7 @@
  * this far apart: many engines may be killed at once. */
 #define EY_CRASH_SPAN_MS 400
 /** They are held against it only after this time, in which other gateways can
- * tell that the part was cleared there. */
+ * report that the part was cleared there. */
 #define EY_CRASH_SETTLE_MS 700
 /** A gateway that started more recently hasn't seen many parts cleared: it
  * only takes over the bars of others. */
@@ -56,7 +56,7 @@
 #define EY_CRASH_REFUTED_UNTIL_MS 1500
 /** A crash that is seen this much later than it was refuted is another one:
  * the engine went on and crashed after that. Within this time gateways still
- * tell the refuted one. */
+ * report the refuted one. */
 #define EY_CRASH_REFUTED_COVERS_MS 2000
 /** Duration of the first bar; each further crash makes it FACTOR times as
  * long. */
@@ -71,7 +71,7 @@
 #define EY_CRASH_TIMES_MAX 1024
 /** Most crashes that are kept of one part. */
 #define EY_CRASHES_MAX EY_ENGINE_UPDATE_BAR_CRASHES_MAX
-/** Most requests with a part that are told apart at one crash. */
+/** Most requests with a part that are distinguished at one crash. */
 #define EY_CRASH_REQUESTS_MAX 8
 
 typedef struct EyCrashSuspects EyCrashSuspects_t;
@@ -169,7 +169,8 @@
 EyCrashSuspects_EndTrial(EyCrashSuspects_t *self, uint64_t number);
 
 /** Adds what other gateways should know to an update; is_own_region: it goes
- * to those of the local region, which also get what remote regions told. */
+ * to those of the local region, which also get what remote regions reported.
+ */
 void
 EyCrashSuspects_Collect(EyCrashSuspects_t *self, int64_t now_ms,
                         bool is_own_region, EyEngineUpdate_t *update);
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -4,7 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/** The gateways' turns to try a part are spread over this share of its bar. */
+/** The gateways' turns to try a suspect are spread over this share of its bar.
+ */
 #define TURNS_SHARE 0.25
 /** A caller refused because of a running trial may come back after this time.
  */
@@ -21,7 +22,7 @@
     return duration_ms;
 }
 
-/** The part whose bar ended first; NULL if no bar has ended. */
+/** The suspect whose bar ended first; NULL if no bar has ended. */
 static EyCrashSuspect_t *
 find_ended_bar(const EyCrashSuspects_t *self, int64_t now_ms)
 {
@@ -41,7 +42,7 @@
     return first;
 }
 
-/** True if the part may be barred; if too many are, one whose bar has ended
+/** True if the suspect may be barred; if too many are, one whose bar has ended
  * goes, else the one with the least evidence. */
 static bool
 make_room_for_bar(EyCrashSuspects_t *self, int64_t now_ms,
@@ -64,11 +65,11 @@
     return true;
 }
 
-/** Bars a part until its evidence says so; end_ms depends on the time of the
- * crash only, so that repeated evidence doesn't prolong it. */
+/** Bars a suspect for the time that its evidence gives; end_ms depends on the
+ * time of the crash only, so that repeated evidence doesn't prolong it. */
 static void
-bar_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect,
-         int64_t end_ms, int64_t bar_ms)
+bar_suspect(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect,
+            int64_t end_ms, int64_t bar_ms)
 {
     if (!make_room_for_bar(self, now_ms, suspect)) {
         return;
@@ -91,7 +92,7 @@
     }
 }
 
-/** True if the crashes of a part are held against it. */
+/** True if the crashes of a suspect are held against it. */
 static bool
 is_settled(const EyCrashSuspects_t *self, int64_t now_ms,
            const EyCrashSuspect_t *suspect)
@@ -106,9 +107,10 @@
                EY_CRASH_SPAN_MS;
 }
 
-/** Bars a part, or for longer, if its evidence says so. */
+/** Bars a suspect, or prolongs its bar, if its evidence suffices. */
 static void
-judge_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect)
+judge_suspect(EyCrashSuspects_t *self, int64_t now_ms,
+              EyCrashSuspect_t *suspect)
 {
     bool has_trial = false;
     if (suspect->crash_count < EY_CRASH_BAR_CRASHES ||
@@ -120,8 +122,8 @@
         return;
     }
     int64_t bar_ms = bar_duration_ms(suspect->crash_count);
-    bar_part(self, now_ms, suspect,
-             ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
+    bar_suspect(self, now_ms, suspect,
+                ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
 }
 
 /** Notes that the evidence's request had the part at the crash; false if that
@@ -141,7 +143,7 @@
     return true;
 }
 
-/** Notes when the crash was first told. */
+/** Notes the time of the first evidence of the crash. */
 static void
 note_crash_time(EyCrashSuspects_t *self, const EyCrash_t *crash)
 {
@@ -188,13 +190,13 @@
         note_crash_time(self, &crash);
         ey_crash_suspects_lift_covered(self, now_ms, suspect);
     }
-    judge_part(self, now_ms, suspect);
+    judge_suspect(self, now_ms, suspect);
     return true;
 }
 
-/** Number of crashes of a told bar that weren't refuted. */
+/** Number of crashes of a reported bar that weren't refuted. */
 static uint32_t
-count_crashes(const EyCrashSuspects_t *self, const EyPartBar_t *bar)
+count_crashes(const EyCrashSuspects_t *self, const EySuspectBar_t *bar)
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < bar->crash_count; i++) {
@@ -205,7 +207,7 @@
 
 void
 ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
-                            const EyPartBar_t *bar)
+                            const EySuspectBar_t *bar)
 {
     const EyCrashSuspect_t *known = ey_crash_suspects_find(self, bar->key);
     bool has_as_much = known != NULL && ey_crash_suspects_was_barred(known) &&
@@ -234,16 +236,16 @@
     if (ey_crash_suspects_was_barred(suspect) ||
         !ey_crash_suspects_is_covered(self, suspect))
     {
-        bar_part(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
+        bar_suspect(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
     }
 }
 
-/** The time after the end of a bar at which this gateway may try the part. The
- * gateways of a region have different times, and the regions' times are
+/** The time after the end of a bar at which this gateway may try the suspect.
+ * The gateways of a region have different times, and the regions' times are
  * interleaved: the crash of the first trial is known before most others may
  * try. */
 static int64_t
-turn_ms(const EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect)
+turn_delay_ms(const EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect)
 {
     uint64_t hash = XXH64(self->region, strlen(self->region), suspect->key);
     double of_region = (double)(hash % 1000) / 1000;
@@ -282,12 +284,13 @@
 {
     ey_crash_suspects_drop_old(suspect, now_ms);
     if (!ey_crash_suspects_was_barred(suspect)) {
-        judge_part(self, now_ms, suspect);
+        judge_suspect(self, now_ms, suspect);
     }
     if (!ey_crash_suspects_was_barred(suspect)) {
         return check_tie(self, now_ms, suspect);
     }
-    int64_t left_ms = suspect->bar_end_ms + turn_ms(self, suspect) - now_ms;
+    int64_t left_ms =
+        suspect->bar_end_ms + turn_delay_ms(self, suspect) - now_ms;
     if (left_ms <= 0 && suspect->has_trial) {
         left_ms = TRIAL_LEFT_MS;
     }
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -1,7 +1,7 @@
 /* Evidence of this gateway, and what refutes evidence. */
 #include "routing/crash_suspects_internal.h"
 
-/** Adds evidence that was seen here, and tells it. */
+/** Adds evidence that was seen here, and reports it to other gateways. */
 static void
 add_own_evidence(EyCrashSuspects_t *self, int64_t now_ms,
                  const EyCrashEvidence_t *evidence)
@@ -12,8 +12,8 @@
     bool is_new_crash =
         known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
     int64_t age_ms = 0;
-    if (EyClearedParts_Has(ey_crash_suspects_cleared(self, is_request), now_ms,
-                           evidence->key, &age_ms) ||
+    if (EyClearedSuspects_Has(ey_crash_suspects_cleared(self, is_request),
+                              now_ms, evidence->key, &age_ms) ||
         !ey_crash_suspects_add(self, now_ms, evidence))
     {
         return;
@@ -23,7 +23,7 @@
     if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
         ey_crash_suspects_add_event(self, EY_SUSPECT_CRASH, suspect);
     }
-    ey_crash_suspects_tell_crash(self, now_ms, evidence);
+    ey_crash_suspects_report_crash(self, now_ms, evidence);
 }
 
 void
@@ -55,10 +55,10 @@
 static void
 clear(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key, bool is_request)
 {
-    EyClearedParts_Add(ey_crash_suspects_cleared(self, is_request), now_ms,
-                       key);
+    EyClearedSuspects_Add(ey_crash_suspects_cleared(self, is_request), now_ms,
+                          key);
     if (ey_crash_suspects_remove(self, key)) {
-        ey_crash_suspects_tell_cleared(self, now_ms, key, is_request);
+        ey_crash_suspects_report_cleared(self, now_ms, key, is_request);
     }
 }
 
@@ -117,7 +117,7 @@
     (void)g_hash_table_replace(self->refuted, g_memdup2(&crash, sizeof(crash)),
                                g_memdup2(&now_ms, sizeof(now_ms)));
     (void)g_hash_table_remove(self->crash_times, &crash);
-    ey_crash_suspects_stop_telling(self, crash);
+    ey_crash_suspects_stop_reporting(self, crash);
     GHashTableIter each;
     gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
@@ -140,6 +140,6 @@
         age_ms <= EY_CRASH_REFUTED_UNTIL_MS &&
         ey_crash_suspects_refute(self, now_ms, crash))
     {
-        ey_crash_suspects_tell_refuted(self, now_ms, crash);
+        ey_crash_suspects_report_refuted(self, now_ms, crash);
     }
 }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -2,7 +2,7 @@
 #ifndef EY_ROUTING_CRASH_SUSPECTS_INTERNAL_H
 #define EY_ROUTING_CRASH_SUSPECTS_INTERNAL_H
 
-#include "routing/cleared_parts.h"
+#include "routing/cleared_suspects.h"
 #include "routing/crash_suspects.h"
 
 #include <glib.h>
@@ -35,11 +35,11 @@
     uint64_t trial; /* number of the request */
 } EyCrashSuspect_t;
 
-typedef enum EyToldScope {
-    EY_TOLD_OWN_REGION,
-    EY_TOLD_OTHER_REGIONS,
-    EY_TOLD_SCOPE_COUNT
-} EyToldScope_t;
+typedef enum EyReportScope {
+    EY_REPORT_OWN_REGION,
+    EY_REPORT_OTHER_REGIONS,
+    EY_REPORT_SCOPE_COUNT
+} EyReportScope_t;
 
 struct EyCrashSuspects {
     EyName_t region;
@@ -51,12 +51,14 @@
     GHashTable *by_key;      /* of EyCrashSuspect_t */
     GHashTable *crash_times; /* by crash, time of its first evidence */
     bool has_trials;         /* a suspect may have one */
-    EyClearedParts_t *cleared;
-    EyClearedParts_t *cleared_requests;
-    GQueue told_evidence[EY_TOLD_SCOPE_COUNT]; /* to be sent, see update.c */
-    GQueue told_cleared[EY_TOLD_SCOPE_COUNT];
-    GQueue told_refuted[EY_TOLD_SCOPE_COUNT];
-    uint32_t next_bar[EY_TOLD_SCOPE_COUNT]; /* to be told, by its position */
+    EyClearedSuspects_t *cleared;
+    EyClearedSuspects_t *cleared_requests;
+    GQueue
+        evidence_reports[EY_REPORT_SCOPE_COUNT]; /* to be sent, see update.c */
+    GQueue cleared_reports[EY_REPORT_SCOPE_COUNT];
+    GQueue refuted_reports[EY_REPORT_SCOPE_COUNT];
+    uint32_t
+        next_bar[EY_REPORT_SCOPE_COUNT]; /* to be reported, by its position */
     GHashTable *refuted; /* by crash, time at which it was refuted */
     GQueue events;       /* of EySuspectEvent_t */
 };
@@ -102,7 +104,7 @@
                               uint64_t key, uint64_t part_id, bool is_request);
 
 /** The cleared parts, or the cleared requests. */
-EyClearedParts_t *
+EyClearedSuspects_t *
 ey_crash_suspects_cleared(const EyCrashSuspects_t *self, bool is_request);
 
 EyCrash_t *
@@ -166,11 +168,11 @@
 bool
 ey_crash_suspects_remove(EyCrashSuspects_t *self, uint64_t part);
 
-/** Takes over the bar that another gateway told, unless this one has as much
- * evidence. */
+/** Takes over the bar that another gateway reported, unless this one has as
+ * much evidence. */
 void
 ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
-                            const EyPartBar_t *bar);
+                            const EySuspectBar_t *bar);
 
 /** True if a crash at that time was refuted. */
 bool
@@ -194,20 +196,20 @@
 /* crash_suspects_update.c */
 
 void
-ey_crash_suspects_tell_crash(EyCrashSuspects_t *self, int64_t now_ms,
-                             const EyCrashEvidence_t *evidence);
+ey_crash_suspects_report_crash(EyCrashSuspects_t *self, int64_t now_ms,
+                               const EyCrashEvidence_t *evidence);
 
 void
-ey_crash_suspects_tell_cleared(EyCrashSuspects_t *self, int64_t now_ms,
-                               uint64_t key, bool is_request);
+ey_crash_suspects_report_cleared(EyCrashSuspects_t *self, int64_t now_ms,
+                                 uint64_t key, bool is_request);
 
 void
-ey_crash_suspects_tell_refuted(EyCrashSuspects_t *self, int64_t now_ms,
-                               uint64_t crash);
+ey_crash_suspects_report_refuted(EyCrashSuspects_t *self, int64_t now_ms,
+                                 uint64_t crash);
 
-/** Stops telling evidence of the crash. */
+/** Stops reporting evidence of the crash. */
 void
-ey_crash_suspects_stop_telling(EyCrashSuspects_t *self, uint64_t crash);
+ey_crash_suspects_stop_reporting(EyCrashSuspects_t *self, uint64_t crash);
 
 #ifdef __cplusplus
 }
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -238,7 +238,7 @@
     return NULL;
 }
 
-EyClearedParts_t *
+EyClearedSuspects_t *
 ey_crash_suspects_cleared(const EyCrashSuspects_t *self, bool is_request)
 {
     return is_request ? self->cleared_requests : self->cleared;
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -31,13 +31,13 @@
     EY_SCHEMA(EyCrashEvidence_t, EvidenceFields);
 
 static const EyField_t ClearedFields[] = {
-    EY_FIELD(EyPartCleared_t, key, EY_FIELD_U64),
-    EY_FIELD(EyPartCleared_t, age_ms, EY_FIELD_U32),
-    EY_FIELD(EyPartCleared_t, is_request, EY_FIELD_BOOL),
+    EY_FIELD(EySuspectCleared_t, key, EY_FIELD_U64),
+    EY_FIELD(EySuspectCleared_t, age_ms, EY_FIELD_U32),
+    EY_FIELD(EySuspectCleared_t, is_request, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t ClearedSchema =
-    EY_SCHEMA(EyPartCleared_t, ClearedFields);
+    EY_SCHEMA(EySuspectCleared_t, ClearedFields);
 
 static const EyField_t CrashFields[] = {
     EY_FIELD(EyCrashKey_t, crash, EY_FIELD_U64),
@@ -46,15 +46,15 @@
 static const EySchema_t CrashSchema = EY_SCHEMA(EyCrashKey_t, CrashFields);
 
 static const EyField_t BarFields[] = {
-    EY_FIELD(EyPartBar_t, key, EY_FIELD_U64),
-    EY_FIELD(EyPartBar_t, part_id, EY_FIELD_U64),
-    EY_FIELD_ARRAY_OF(EyPartBar_t, crashes, crash_count, CrashSchema,
+    EY_FIELD(EySuspectBar_t, key, EY_FIELD_U64),
+    EY_FIELD(EySuspectBar_t, part_id, EY_FIELD_U64),
+    EY_FIELD_ARRAY_OF(EySuspectBar_t, crashes, crash_count, CrashSchema,
                       EY_ENGINE_UPDATE_BAR_CRASHES_MAX),
-    EY_FIELD(EyPartBar_t, left_ms, EY_FIELD_I64),
-    EY_FIELD(EyPartBar_t, is_request, EY_FIELD_BOOL),
+    EY_FIELD(EySuspectBar_t, left_ms, EY_FIELD_I64),
+    EY_FIELD(EySuspectBar_t, is_request, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
-static const EySchema_t BarSchema = EY_SCHEMA(EyPartBar_t, BarFields);
+static const EySchema_t BarSchema = EY_SCHEMA(EySuspectBar_t, BarFields);
 
 static const EyField_t UpdateFields[] = {
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, engines, engine_count, WordSchema,
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -55,11 +55,11 @@
 
 /** A server completed an answer to the request or to a prompt with the part,
  * or went on with it. */
-typedef struct EyPartCleared {
+typedef struct EySuspectCleared {
     uint64_t key;
     uint32_t age_ms;
     bool is_request;
-} EyPartCleared_t;
+} EySuspectCleared_t;
 
 /** The key of an engine's crash. */
 typedef struct EyCrashKey {
@@ -67,7 +67,7 @@
 } EyCrashKey_t;
 
 /** Requests with the part, or equal requests, are refused. */
-typedef struct EyPartBar {
+typedef struct EySuspectBar {
     uint64_t key;
     uint64_t part_id;
     EyCrashKey_t *crashes; /* that it is suspected of */
@@ -75,7 +75,7 @@
     int64_t left_ms; /* of the bar; negative: it has ended and the part hasn't
                         been cleared since */
     bool is_request;
-} EyPartBar_t;
+} EySuspectBar_t;
 
 /** The update of one gateway. An engine of its region that isn't listed has no
  * pending prefill from the sender. */
@@ -84,9 +84,9 @@
     uint32_t engine_count;
     EyCrashEvidence_t *evidence;
     uint32_t evidence_count;
-    EyPartCleared_t *cleared;
+    EySuspectCleared_t *cleared;
     uint32_t cleared_count;
-    EyPartBar_t *bars;
+    EySuspectBar_t *bars;
     uint32_t bar_count;
     EyCrashKey_t *refuted; /* crashes that were none: the engine went on */
     uint32_t refuted_count;
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -1,6 +1,6 @@
 /* Parts of prompts that are suspected of crashing engines. */
 #include "core/memory.h"
-#include "routing/cleared_parts.h"
+#include "routing/cleared_suspects.h"
 #include "routing/crash_suspects.h"
 
 #include <criterion/criterion.h>
@@ -183,11 +183,10 @@
           {3000, STEP_IS_FREE, 0}}},
         {"a success long ago is forgotten",
          {{0, STEP_CLEAR, 0},
-          {EY_CLEARED_PART_TTL_MS, STEP_CRASH, 1},
-          {EY_CLEARED_PART_TTL_MS + 1000, STEP_CRASH, 2},
-          {EY_CLEARED_PART_TTL_MS + 2000, STEP_CRASH, 3},
-          {EY_CLEARED_PART_TTL_MS + 33000 + TURN_MS(30000), STEP_MAY_BE_TRIED,
-           0}}},
+          {EY_CLEARED_TTL_MS, STEP_CRASH, 1},
+          {EY_CLEARED_TTL_MS + 1000, STEP_CRASH, 2},
+          {EY_CLEARED_TTL_MS + 2000, STEP_CRASH, 3},
+          {EY_CLEARED_TTL_MS + 33000 + TURN_MS(30000), STEP_MAY_BE_TRIED, 0}}},
         {"one trial at a time, and its crash bars for longer",
          {{0, STEP_CRASH, 1},
           {1000, STEP_CRASH, 2},
@@ -501,19 +500,19 @@
 
 Test(crash_suspects, the_least_recently_cleared_part_is_forgotten_first)
 {
-    EyClearedParts_t *self = EyClearedParts_New(NULL);
-    for (uint64_t part = 1; part <= EY_CLEARED_PARTS_MAX; part++) {
-        EyClearedParts_Add(self, (int64_t)part, part);
+    EyClearedSuspects_t *self = EyClearedSuspects_New(NULL);
+    for (uint64_t part = 1; part <= EY_CLEARED_SUSPECTS_MAX; part++) {
+        EyClearedSuspects_Add(self, (int64_t)part, part);
     }
-    EyClearedParts_Add(self, INT64_C(2) * EY_CLEARED_PARTS_MAX, 1);
-    EyClearedParts_Add(self, INT64_C(3) * EY_CLEARED_PARTS_MAX, 1000000);
+    EyClearedSuspects_Add(self, INT64_C(2) * EY_CLEARED_SUSPECTS_MAX, 1);
+    EyClearedSuspects_Add(self, INT64_C(3) * EY_CLEARED_SUSPECTS_MAX, 1000000);
     int64_t age_ms = 0;
-    int64_t now_ms = INT64_C(3) * EY_CLEARED_PARTS_MAX + 1;
-    cr_expect(EyClearedParts_Has(self, now_ms, 1, &age_ms));
-    cr_expect_eq(age_ms, EY_CLEARED_PARTS_MAX + 1);
-    cr_expect_not(EyClearedParts_Has(self, now_ms, 2, &age_ms));
-    cr_expect(EyClearedParts_Has(self, now_ms, 1000000, &age_ms));
-    cr_expect_eq(EyClearedParts_Count(self), EY_CLEARED_PARTS_MAX);
+    int64_t now_ms = INT64_C(3) * EY_CLEARED_SUSPECTS_MAX + 1;
+    cr_expect(EyClearedSuspects_Has(self, now_ms, 1, &age_ms));
+    cr_expect_eq(age_ms, EY_CLEARED_SUSPECTS_MAX + 1);
+    cr_expect_not(EyClearedSuspects_Has(self, now_ms, 2, &age_ms));
+    cr_expect(EyClearedSuspects_Has(self, now_ms, 1000000, &age_ms));
+    cr_expect_eq(EyClearedSuspects_Count(self), EY_CLEARED_SUSPECTS_MAX);
     talloc_free(self);
 }
 
