Suspects: one judgement for bars and ties; loops and code that stood twice

A check of a suspect asked twice whether it is settled, explained and tied, a walk over the table each time: judge says it once. Five walks over the other requests share next_other_request, has_crash is find_crash, lift_bar stood twice, find_least was only called for barred ones since a full table drops many at once, and inferred_ends had EyMemory_Free again.

--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -52,7 +52,8 @@
         return true;
     }
     uint32_t count = 0;
-    EyCrashSuspect_t *least = ey_crash_suspects_find_least(self, true, &count);
+    EyCrashSuspect_t *least =
+        ey_crash_suspects_find_least_barred(self, &count);
     if (count < EY_CRASH_BARS_MAX) {
         return true;
     }
@@ -107,23 +108,44 @@
                EY_CRASH_SPAN_MS;
 }
 
+typedef enum Judgement {
+    JUDGED_HARMLESS, /* by its present evidence */
+    JUDGED_TIED, /* its evidence suffices, but another request's is equal */
+    JUDGED_FATAL
+} Judgement_t;
+
+/** has_trial: TIED, one of the tied requests is run as a trial. */
+static Judgement_t
+judge(const EyCrashSuspects_t *self, int64_t now_ms,
+      const EyCrashSuspect_t *suspect, bool *has_trial)
+{
+    if (suspect->crash_count < EY_CRASH_BAR_CRASHES) {
+        return JUDGED_HARMLESS;
+    }
+    if (ey_crash_suspects_was_barred(suspect)) {
+        return JUDGED_FATAL;
+    }
+    if (!is_settled(self, now_ms, suspect) ||
+        ey_crash_suspects_is_explained(self, suspect))
+    {
+        return JUDGED_HARMLESS;
+    }
+    return ey_crash_suspects_is_tied(self, suspect, has_trial) ? JUDGED_TIED
+                                                               : JUDGED_FATAL;
+}
+
 /** Bars a suspect, or prolongs its bar, if its evidence suffices. */
-static void
+static Judgement_t
 judge_suspect(EyCrashSuspects_t *self, int64_t now_ms,
-              EyCrashSuspect_t *suspect)
+              EyCrashSuspect_t *suspect, bool *has_trial)
 {
-    bool has_trial = false;
-    if (suspect->crash_count < EY_CRASH_BAR_CRASHES ||
-        (!ey_crash_suspects_was_barred(suspect) &&
-         (!is_settled(self, now_ms, suspect) ||
-          ey_crash_suspects_is_explained(self, suspect) ||
-          ey_crash_suspects_is_tied(self, suspect, &has_trial))))
-    {
-        return;
+    Judgement_t judgement = judge(self, now_ms, suspect, has_trial);
+    if (judgement == JUDGED_FATAL) {
+        int64_t bar_ms = bar_duration_ms(suspect->crash_count);
+        bar_suspect(self, now_ms, suspect,
+                    ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
     }
-    int64_t bar_ms = bar_duration_ms(suspect->crash_count);
-    bar_suspect(self, now_ms, suspect,
-                ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
+    return judgement;
 }
 
 /** Notes that the evidence's request had the part at the crash; false if that
@@ -190,7 +212,8 @@
         note_crash_time(self, &crash);
         ey_crash_suspects_lift_covered(self, now_ms, suspect);
     }
-    judge_suspect(self, now_ms, suspect);
+    bool has_trial = false;
+    (void)judge_suspect(self, now_ms, suspect, &has_trial);
     return true;
 }
 
@@ -257,25 +280,16 @@
 
 /** Of requests with the same crashes one runs at a time. */
 static EySuspicionResult_t
-check_tie(EyCrashSuspects_t *self, int64_t now_ms,
-          const EyCrashSuspect_t *suspect)
+check_tied(const EyCrashSuspects_t *self, int64_t now_ms,
+           const EyCrashSuspect_t *suspect, bool has_trial)
 {
-    EySuspicionResult_t result = {.suspicion = EY_SUSPICION_NONE};
-    bool has_trial = false;
-    if (suspect->crash_count >= EY_CRASH_BAR_CRASHES &&
-        is_settled(self, now_ms, suspect) &&
-        !ey_crash_suspects_is_explained(self, suspect) &&
-        ey_crash_suspects_is_tied(self, suspect, &has_trial))
-    {
-        bool waits =
-            has_trial || !ey_crash_suspects_has_turn(self, now_ms, suspect);
-        result = (EySuspicionResult_t){
-            .suspicion = waits ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
-            .left_ms = waits ? TRIAL_LEFT_MS : 0,
-            .is_request = true,
-        };
-    }
-    return result;
+    bool waits =
+        has_trial || !ey_crash_suspects_has_turn(self, now_ms, suspect);
+    return (EySuspicionResult_t){
+        .suspicion = waits ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+        .left_ms = waits ? TRIAL_LEFT_MS : 0,
+        .is_request = true,
+    };
 }
 
 EySuspicionResult_t
@@ -284,10 +298,13 @@
 {
     ey_crash_suspects_drop_old(suspect, now_ms);
     if (!ey_crash_suspects_was_barred(suspect)) {
-        judge_suspect(self, now_ms, suspect);
+        bool has_trial = false;
+        if (judge_suspect(self, now_ms, suspect, &has_trial) == JUDGED_TIED) {
+            return check_tied(self, now_ms, suspect, has_trial);
+        }
     }
     if (!ey_crash_suspects_was_barred(suspect)) {
-        return check_tie(self, now_ms, suspect);
+        return (EySuspicionResult_t){.suspicion = EY_SUSPICION_NONE};
     }
     int64_t left_ms =
         suspect->bar_end_ms + turn_delay_ms(self, suspect) - now_ms;
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -88,8 +88,7 @@
     }
     suspect->crash_count = kept;
     if (kept < EY_CRASH_BAR_CRASHES) {
-        suspect->bar_ms = 0;
-        suspect->bar_end_ms = 0;
+        ey_crash_suspects_lift_bar(suspect);
     }
 }
 
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -92,11 +92,11 @@
 ey_crash_suspects_has_less(const EyCrashSuspect_t *one,
                            const EyCrashSuspect_t *other);
 
-/** The suspect with the least evidence, of all or of those that were barred;
- * count: of these. */
+/** The suspect with the least evidence of those that were barred; count: of
+ * these. */
 EyCrashSuspect_t *
-ey_crash_suspects_find_least(const EyCrashSuspects_t *self, bool only_barred,
-                             uint32_t *count);
+ey_crash_suspects_find_least_barred(const EyCrashSuspects_t *self,
+                                    uint32_t *count);
 
 /** The suspect with that key, new if there was none. */
 EyCrashSuspect_t *
@@ -113,6 +113,10 @@
 bool
 ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash);
 
+/** Makes it a suspect that was never barred. */
+void
+ey_crash_suspects_lift_bar(EyCrashSuspect_t *suspect);
+
 /** Adds a crash; the first one makes room. */
 void
 ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash);
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -141,11 +141,9 @@
     return one->key < other->key;
 }
 
-/** The suspect with the least evidence, of all or of those that were barred.
- */
 EyCrashSuspect_t *
-ey_crash_suspects_find_least(const EyCrashSuspects_t *self, bool only_barred,
-                             uint32_t *count)
+ey_crash_suspects_find_least_barred(const EyCrashSuspects_t *self,
+                                    uint32_t *count)
 {
     EyCrashSuspect_t *least = NULL;
     *count = 0;
@@ -154,7 +152,7 @@
     g_hash_table_iter_init(&each, self->by_key);
     while (g_hash_table_iter_next(&each, NULL, &value)) {
         EyCrashSuspect_t *suspect = value;
-        if (only_barred && !ey_crash_suspects_was_barred(suspect)) {
+        if (!ey_crash_suspects_was_barred(suspect)) {
             continue;
         }
         (*count)++;
@@ -173,8 +171,8 @@
     return ey_crash_suspects_has_less(a, b) ? -1 : (a == b ? 0 : 1);
 }
 
-/** Drops the suspects with the least evidence, many at once: finding them
- * takes time. */
+/** Drops the suspects with the least evidence, many in one call: sorting the
+ * table takes time. */
 static void
 make_room(EyCrashSuspects_t *self)
 {
@@ -247,12 +245,15 @@
 bool
 ey_crash_suspects_has_crash(const EyCrashSuspect_t *suspect, uint64_t crash)
 {
-    for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        if (suspect->crashes[i].crash == crash) {
-            return true;
-        }
-    }
-    return false;
+    return ey_crash_suspects_find_crash((EyCrashSuspect_t *)suspect, crash) !=
+           NULL;
+}
+
+void
+ey_crash_suspects_lift_bar(EyCrashSuspect_t *suspect)
+{
+    suspect->bar_ms = 0;
+    suspect->bar_end_ms = 0;
 }
 
 /** Adds a crash; the first one makes room. */
--- a/src/routing/crash_suspects_ties.c
+++ b/src/routing/crash_suspects_ties.c
@@ -20,13 +20,25 @@
     return XXH64(&suspect->key, sizeof(suspect->key), crashes);
 }
 
+/** The next request of the table other than the suspect; NULL: there is none.
+ */
+static EyCrashSuspect_t *
+next_other_request(GHashTableIter *each, const EyCrashSuspect_t *suspect)
+{
+    gpointer value = NULL;
+    while (g_hash_table_iter_next(each, NULL, &value)) {
+        EyCrashSuspect_t *other = value;
+        if (other->is_request && other != suspect) {
+            return other;
+        }
+    }
+    return NULL;
+}
+
 /** True if the other request is the more likely cause of common crashes. */
 static bool
 dominates(const EyCrashSuspect_t *other, const EyCrashSuspect_t *suspect)
 {
-    if (!other->is_request || other == suspect) {
-        return false;
-    }
     return other->crash_count > suspect->crash_count ||
            (ey_crash_suspects_was_barred(other) &&
             !ey_crash_suspects_was_barred(suspect));
@@ -37,12 +49,12 @@
 has_other_cause(const EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect,
                 uint64_t crash)
 {
+    const EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
-    gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        if (dominates(value, suspect) &&
-            ey_crash_suspects_has_crash(value, crash)) {
+    while ((other = next_other_request(&each, suspect)) != NULL) {
+        if (dominates(other, suspect) &&
+            ey_crash_suspects_has_crash(other, crash)) {
             return true;
         }
     }
@@ -119,18 +131,15 @@
     if (!suspect->is_request || suspect->crash_count < EY_CRASH_BAR_CRASHES) {
         return;
     }
+    EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
-    gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        EyCrashSuspect_t *other = value;
-        if (other != suspect && other->is_request &&
-            ey_crash_suspects_was_barred(other) &&
+    while ((other = next_other_request(&each, suspect)) != NULL) {
+        if (ey_crash_suspects_was_barred(other) &&
             now_ms - ey_crash_suspects_last_crash_ms(other) < LIFT_MS &&
             covers(suspect, other))
         {
-            other->bar_ms = 0;
-            other->bar_end_ms = 0;
+            ey_crash_suspects_lift_bar(other);
         }
     }
 }
@@ -139,13 +148,14 @@
 ey_crash_suspects_is_covered(const EyCrashSuspects_t *self,
                              const EyCrashSuspect_t *suspect)
 {
+    if (!suspect->is_request) {
+        return false;
+    }
+    const EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
-    gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (suspect->is_request && g_hash_table_iter_next(&each, NULL, &value))
-    {
-        const EyCrashSuspect_t *other = value;
-        if (other != suspect && other->is_request && covers(other, suspect)) {
+    while ((other = next_other_request(&each, suspect)) != NULL) {
+        if (covers(other, suspect)) {
             return true;
         }
     }
@@ -162,14 +172,11 @@
         return true;
     }
     uint64_t own = turn_of(suspect);
+    const EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
-    gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const EyCrashSuspect_t *other = value;
-        if (other != suspect && other->is_request &&
-            has_same_crashes(suspect, other) && turn_of(other) < own)
-        {
+    while ((other = next_other_request(&each, suspect)) != NULL) {
+        if (has_same_crashes(suspect, other) && turn_of(other) < own) {
             return false;
         }
     }
@@ -185,13 +192,11 @@
         return false;
     }
     bool is_tied = false;
+    const EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
-    gpointer value = NULL;
     g_hash_table_iter_init(&each, self->by_key);
-    while (g_hash_table_iter_next(&each, NULL, &value)) {
-        const EyCrashSuspect_t *other = value;
-        if (other != suspect && other->is_request &&
-            has_same_crashes(suspect, other)) {
+    while ((other = next_other_request(&each, suspect)) != NULL) {
+        if (has_same_crashes(suspect, other)) {
             is_tied = true;
             *has_trial |= other->has_trial;
         }
--- a/src/routing/inferred_ends.c
+++ b/src/routing/inferred_ends.c
@@ -46,6 +46,7 @@
                              .until_ms = EY_INFERRED_RUNS_MAX_MS},
     [EY_SERVER_SIGN_ANNOUNCED] = {.from_ms = EY_INFERRED_ANNOUNCED_MS,
                                   .until_ms = EY_INFERRED_KEPT_MS},
+    /* Settles none: its ends are dropped. */
     [EY_SERVER_SIGN_LEAVING] = {.from_ms = 0, .until_ms = -1},
     [EY_SERVER_SIGN_BROKEN] = {.is_crash = true,
                                .until_ms = EY_INFERRED_DOUBT_MS},
@@ -55,17 +56,11 @@
                                  .until_ms = EY_INFERRED_REPLACED_MAX_MS},
 };
 
-static void
-free_talloc(gpointer object)
-{
-    talloc_free(object);
-}
-
 static void
 free_server(gpointer object)
 {
     Server_t *server = object;
-    g_queue_clear_full(&server->ends, free_talloc);
+    g_queue_clear_full(&server->ends, EyMemory_Free);
     g_free(server);
 }
 
@@ -73,7 +68,7 @@
 destroy_ends(EyInferredEnds_t *self)
 {
     g_hash_table_unref(self->servers);
-    g_queue_clear_full(&self->settled, free_talloc);
+    g_queue_clear_full(&self->settled, EyMemory_Free);
     talloc_free(self->taken);
     return 0;
 }
