--- a/src/control/raft_storage.c
+++ b/src/control/raft_storage.c
@@ -7,8 +7,6 @@
 #define QUEUE_MAX 1024
 /** Interval at which a failed write is repeated. */
 #define REPEAT_INTERVAL_MS 250
-/** Interval at which a full mailbox of results is tried again. */
-#define RESULT_RETRY_INTERVAL_US 200
 
 struct EyRaftStorage {
     EyRaftStored_t stored;
@@ -17,7 +15,7 @@
     EyWorker_t *thread;
     EyMailbox_t *results;
     GQueue overflow;  /* of EyRaftDiskWrite_t: wait for room in the mailbox */
-    bool is_stopping; /* atomic; nobody reads results any more */
+    bool is_stopping; /* atomic; results are no longer read */
     bool is_failing;  /* as last logged */
 };
 
@@ -50,12 +48,10 @@
     if (reason != NULL) {
         (void)EY_COPY(result->reason, reason);
     }
-    while (!EyMailbox_Post(self->storage->results, result)) {
-        if (__atomic_load_n(&self->storage->is_stopping, __ATOMIC_ACQUIRE)) {
-            talloc_free(result);
-            return;
-        }
-        g_usleep(RESULT_RETRY_INTERVAL_US);
+    if (!EyMailbox_PostUntil(self->storage->results, result,
+                             &self->storage->is_stopping))
+    {
+        talloc_free(result);
     }
 }
 
--- a/src/core/mailbox.c
+++ b/src/core/mailbox.c
@@ -89,12 +89,23 @@
     return true;
 }
 
-void
-EyMailbox_PostWait(EyMailbox_t *self, void *message)
+bool
+EyMailbox_PostUntil(EyMailbox_t *self, void *message, const bool *is_stopping)
 {
     while (!EyMailbox_Post(self, message)) {
+        if (__atomic_load_n(is_stopping, __ATOMIC_ACQUIRE)) {
+            return false;
+        }
         (void)usleep(POST_RETRY_INTERVAL_US);
     }
+    return true;
+}
+
+void
+EyMailbox_PostWait(EyMailbox_t *self, void *message)
+{
+    const bool never = false;
+    (void)EyMailbox_PostUntil(self, message, &never);
 }
 
 void *
--- a/src/core/mailbox.h
+++ b/src/core/mailbox.h
@@ -38,6 +38,12 @@
 void
 EyMailbox_PostWait(EyMailbox_t *self, void *message);
 
+/** As EyMailbox_PostWait, but gives up once *is_stopping, read atomically, is
+ * set while the mailbox is full. False: the caller then still owns the
+ * message. */
+bool
+EyMailbox_PostUntil(EyMailbox_t *self, void *message, const bool *is_stopping);
+
 /** The next message, or NULL; on the consumer's thread only. */
 void *
 EyMailbox_Take(EyMailbox_t *self);
