--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -282,25 +282,27 @@
     Reply_Clear(&again);
 }
 
+/** A flag of the replicated log in the dump of a control process; or_else: if
+ * the dump can't be read. */
 static bool
-is_voter(const Process_t *control)
+log_flag(const Process_t *control, const char *name, bool or_else)
 {
     Reply_t reply =
         Http_Call(control->port, "GET", "/v1/dump", NULL, NULL, 5000);
     json_t *json = Reply_Json(&reply);
-    int voter = 0;
-    (void)json_unpack(json, "{s:{s:{s:b}}}", "control", "log", "is_voter",
-                      &voter);
+    int flag = or_else;
+    (void)json_unpack(json, "{s:{s:{s:b}}}", "control", "log", name, &flag);
     json_decref(json);
     Reply_Clear(&reply);
-    return voter != 0;
+    return flag != 0;
 }
 
 static bool
-await_voter(const Process_t *control, int64_t timeout_ms)
+await_log_flag(const Process_t *control, const char *name, bool or_else,
+               bool wanted, int64_t timeout_ms)
 {
     int64_t deadline_ms = Harness_NowMs() + timeout_ms;
-    while (!is_voter(control)) {
+    while (log_flag(control, name, or_else) != wanted) {
         if (Harness_NowMs() >= deadline_ms) {
             return false;
         }
@@ -309,6 +311,12 @@
     return true;
 }
 
+static bool
+await_voter(const Process_t *control, int64_t timeout_ms)
+{
+    return await_log_flag(control, "is_voter", false, true, timeout_ms);
+}
+
 Test(fleet, wiped_raft_log_and_second_failure_lose_no_change)
 {
     Fleet_Start(&Fleet, 3, 1);
@@ -353,31 +361,10 @@
     cr_assert_eq(prlimit(region->control.pid, RLIMIT_FSIZE, &limit, NULL), 0);
 }
 
-static bool
-has_failed_disk(const Process_t *control)
-{
-    Reply_t reply =
-        Http_Call(control->port, "GET", "/v1/dump", NULL, NULL, 5000);
-    json_t *json = Reply_Json(&reply);
-    int failed = 1;
-    (void)json_unpack(json, "{s:{s:{s:b}}}", "control", "log", "disk_failed",
-                      &failed);
-    json_decref(json);
-    Reply_Clear(&reply);
-    return failed != 0;
-}
-
 static bool
 await_failed_disk(const Process_t *control, bool failed, int64_t timeout_ms)
 {
-    int64_t deadline_ms = Harness_NowMs() + timeout_ms;
-    while (has_failed_disk(control) != failed) {
-        if (Harness_NowMs() >= deadline_ms) {
-            return false;
-        }
-        Harness_SleepMs(50);
-    }
-    return true;
+    return await_log_flag(control, "disk_failed", true, failed, timeout_ms);
 }
 
 Test(fleet, control_process_starts_again_after_its_disk_was_full)
