--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -518,7 +518,7 @@
     return json != NULL;
 }
 
-/** True if the head of the answer tells where it ends. */
+/** True if the head of the answer frames its body. */
 static bool
 is_framed(const EyTransfer_t *self)
 {
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -75,7 +75,7 @@
 EyAttemptFailure_t
 EyTransfer_Finish(EyTransfer_t *self, CURLcode result);
 
-/** True if nothing tells the end of the whole answer from that of its
+/** True if the end of the whole answer can't be distinguished from that of its
  * connection: a server that ended while it sent it would leave the same bytes.
  */
 bool
--- a/src/config/config_message.h
+++ b/src/config/config_message.h
@@ -58,12 +58,12 @@
     EyCommand_t *commands;
     uint32_t command_count;
     EyBytes_t snapshot;
-    bool wants_snapshot;           /* PULL: the commands couldn't be applied */
-    bool is_probe;                 /* PULL: changes of more than
-                                    * EY_PUSH_UNASKED_MAX_BYTES are to be omitted */
-    EyConfirmation_t confirmation; /* PUSH: of the sender's revision */
+    bool wants_snapshot;    /* PULL: the commands couldn't be applied */
+    bool is_probe;          /* PULL: omit changes of more than
+                             * EY_PUSH_UNASKED_MAX_BYTES */
     uint64_t omitted_bytes; /* PUSH: estimated size of the changes that were
                              * omitted; the receiver has to ask for them */
+    EyConfirmation_t confirmation; /* PUSH: of the sender's revision */
     uint64_t number;
     bool is_forwarded; /* by a control process; not to be forwarded again */
     EyCommand_t command;
--- a/src/config/raft_writer.h
+++ b/src/config/raft_writer.h
@@ -31,8 +31,8 @@
 void
 EyRaftWriter_Add(EyRaftWriter_t *self, EyRaftDiskWrite_t *disk_write);
 
-/** Writes what waits until a write fails; returns false if one has failed: it
- * is to be called again later. */
+/** Writes what waits until a write fails; returns false if one has failed;
+ * the caller then has to repeat the call. */
 bool
 EyRaftWriter_Flush(EyRaftWriter_t *self);
 
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -13,7 +13,7 @@
 /* A serving announcement received this soon after the server left is taken to
  * have been sent before, unless numbered loads tell their order. */
 #define REOPEN_DELAY_MS 1000
-/* Serials for the changes that a gateway makes to a record by itself between
+/* Serials for the changes that a gateway makes to a record on its own between
  * two announcements. */
 #define SERIALS_PER_ANNOUNCEMENT 256U
 /* Largest load number that serials follow. */
@@ -264,7 +264,7 @@
 }
 
 /** True if this start of the server has sent the announcement before one that
- * is known, as its load's number tells. */
+ * is known, by the number of its load. */
 static bool
 is_out_of_order(const EyRegistryEntry_t *entry, const EyBackend_t *backend)
 {
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -7,8 +7,7 @@
 /** The gateways' turns to try a suspect are spread over this share of its bar.
  */
 #define TURNS_SHARE 0.25
-/** A caller refused because of a running trial may come back after this time.
- */
+/** Retry-After of a caller that is refused because of a running trial. */
 #define TRIAL_LEFT_MS 1000
 
 static int64_t
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -149,8 +149,8 @@
     EyAnswerEnd_t answer_end;
     bool hides_start; /* the answer is collected whole: EyRouter_AnswerStarted
                          isn't called when it begins */
-    bool is_end_inferred;    /* a whole answer by its bytes, but nothing tells
-                                its end from that of its connection */
+    bool is_end_inferred;    /* a whole answer by its bytes, but its end can't
+                                be distinguished from that of its connection */
     bool is_connect_refused; /* nothing was sent: the server's port refused the
                                 connection */
 } EyRoutingResult_t;
--- a/src/routing/inferred_ends.c
+++ b/src/routing/inferred_ends.c
@@ -8,7 +8,7 @@
 /** Most times of signs that are kept. */
 #define SIGN_TIMES_MAX 64
 
-/** An end that isn't settled, or one that was and is to be taken. */
+/** An end that isn't settled, or a settled one for EyInferredEnds_Next. */
 typedef struct End {
     EyInferredVerdict_t verdict; /* its pointers are talloc children */
     int64_t ended_ms;
--- a/src/routing/inferred_ends.h
+++ b/src/routing/inferred_ends.h
@@ -1,7 +1,7 @@
 /**
  * Answers whose end was inferred from the end of their connection: they have
  * neither a length nor chunks, so a whole one and one that broke off with its
- * server look alike. Such an answer clears nothing by itself. It is settled by
+ * server look alike. Such an answer alone clears nothing. It is settled by
  * what is seen of its server afterwards: the server is seen running, then the
  * answer was whole; or the server turns out to have ended at about that time,
  * then it may have crashed on the request. Without such a sign it counts as
--- a/src/routing/rank_history.h
+++ b/src/routing/rank_history.h
@@ -21,7 +21,7 @@
 #define EY_RANK_SETTLE_MS (1000 + EY_COLD_WINDOW_MS + EY_COLD_SEND_DELAY_MS)
 #define EY_PAST_RANKS_MAX 32
 
-/** An earlier rank; a count of 0 stands for an unknown one. */
+/** An earlier rank; its count is 0 if it is unknown. */
 typedef struct EyPastRank {
     EyGatewayRank_t rank;
     int64_t end_ms; /* time at which it was replaced */
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -305,7 +305,7 @@
     }
 }
 
-/** True if the end of the answer says something of the prompt's parts, and not
+/** True if the end of the answer is evidence on the prompt's parts, and not
  * of the request alone. */
 static bool
 concerns_parts(const EyTrackedRequest_t *tracked,
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -119,7 +119,8 @@
 ey_router_add_server_sign(EyRouter_t *self, int64_t now_ms,
                           EyServerSign_t sign, uint64_t crash);
 
-/** The end of the answer was inferred; parts: what it says something of. */
+/** The end of the answer was inferred; parts: the suspects that it is evidence
+ * on. */
 void
 ey_router_add_inferred_end(EyRouter_t *self, int64_t now_ms,
                            const EyTrackedRequest_t *tracked,
--- a/tests/process/test_unframed_answers.c
+++ b/tests/process/test_unframed_answers.c
@@ -110,8 +110,8 @@
     return descriptor < 0;
 }
 
-/* Its bytes look like those of a whole answer; the port of the server tells.
- */
+/* Its bytes look like those of a whole answer; the server's port refuses
+ * connections. */
 Test(unframed_answers, what_came_before_a_server_ended_is_not_passed_on)
 {
     start_all();
--- a/tests/unit/test_config_confirmation.c
+++ b/tests/unit/test_config_confirmation.c
@@ -425,6 +425,6 @@
     cr_expect_eq(told, PENDING);
     push.confirmation = DONE;
     EyConfigReplica_Receive(replica, START_MS, "control-1", &push);
-    cr_expect_eq(told, DONE, "subscribers aren't told at once");
+    cr_expect_eq(told, DONE, "the confirmation isn't pushed immediately");
     talloc_free(replica);
 }
--- a/tests/unit/test_crash_requests.c
+++ b/tests/unit/test_crash_requests.c
@@ -138,7 +138,7 @@
           {1000, STEP_CRASH, 1, 103},
           {1000, STEP_IS_BARRED, 1, 0},
           {1000, STEP_IS_FREE, 2, 0}}},
-        {"one crash told thrice",
+        {"one crash reported three times",
          false,
          {{0, STEP_CRASH, 1, 101},
           {500, STEP_CRASH, 1, 101},
@@ -295,7 +295,7 @@
           {500, STEP_CRASH, 1, 102},
           {1000, STEP_CRASH, 2, 103},
           {2500, STEP_PART_IS_BARRED, 3, 0}}},
-        {"requests that older gateways don't tell",
+        {"requests that older gateways don't report",
          true,
          {{0, STEP_CRASH, 0, 101},
           {500, STEP_CRASH, 0, 102},
@@ -305,7 +305,7 @@
     RUN_CASES(Cases);
 }
 
-/** Sends what one gateway has to tell to another, as bytes. */
+/** Sends the update of one gateway to another, as bytes. */
 static void
 send_update(EyCrashSuspects_t *from, EyCrashSuspects_t *to, int64_t now_ms,
             bool is_own_region)
@@ -346,7 +346,7 @@
         EyCrashSuspects_t *one = make_suspects(ctx);
         add_crashes(one, 1, 3);
         EyCrashSuspects_t *started = EyCrashSuspects_New(ctx, "istra");
-        /* Its evidence is no longer told. */
+        /* Its evidence is no longer reported. */
         int64_t now_ms = LATER_MS + 15000;
         cr_expect_eq(check(started, now_ms - 100, 1), EY_SUSPICION_NONE);
         send_update(one, started, now_ms, IsOwnRegion[i]);
