Known red: a power loss during a write of the replicated log ends each start

What callers saw: after a power loss, with two disks lost beside it, no configuration could be read back; the control processes that had kept their disks ended with code 1 at each start.

--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -402,3 +402,39 @@
     cr_assert(change_default(&Fleet.regions[1].gateways[0], 700, made, "on"));
     cr_assert(await_default(&full->gateways[0], 700, 10000));
 }
+
+/** Appends bytes to a control process's log, as a power loss leaves them of a
+ * write that was never confirmed. */
+static void
+append_other_bytes(const FleetRegion_t *region)
+{
+    static const char Other[] =
+        "bytes of a write that was never confirmed, or "
+        "of whatever was in that place on the disk";
+    char path[HARNESS_ARG_SIZE_BYTES + 32];
+    (void)snprintf(path, sizeof(path), "%s/control.log",
+                   region->control_folder);
+    FILE *file = fopen(path, "ab");
+    cr_assert_not_null(file);
+    cr_assert_eq(fwrite(Other, 1, sizeof(Other), file), sizeof(Other));
+    cr_assert_eq(fclose(file), 0);
+}
+
+Test(fleet, power_loss_during_a_write_of_all_control_processes_loses_no_change)
+{
+    Fleet_Start(&Fleet, 3, 1);
+    cr_assert(change_default(&Fleet.regions[0].gateways[0], 800, 0, "before"));
+    for (uint32_t r = 0; r < 3; r++) {
+        Process_Kill(&Fleet.regions[r].control);
+        append_other_bytes(&Fleet.regions[r]);
+    }
+    for (uint32_t r = 0; r < 3; r++) {
+        Process_Start(&Fleet.regions[r].control);
+    }
+    for (uint32_t r = 0; r < 3; r++) {
+        cr_assert(Process_AwaitStatus(&Fleet.regions[r].control, "/readyz",
+                                      200, 10000));
+    }
+    cr_assert(change_default(&Fleet.regions[1].gateways[0], 801, 1, "after"));
+    cr_assert(await_default(&Fleet.regions[2].gateways[0], 801, 10000));
+}
