Replicated log's file: records and reading are modules of their own

The unit tests of the file have the same results: 13 pass, the known red one fails in the same forms.

--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -1,5 +1,7 @@
 #include "config/raft_file.h"
 
+#include "config/raft_file_reader.h"
+#include "config/raft_record.h"
 #include "core/memory.h"
 
 #include <errno.h>
@@ -8,7 +10,6 @@
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
-#include <xxhash.h>
 
 EY_DEFINE_ERROR_DOMAIN(RaftFile, "ey-log-file")
 
@@ -16,64 +17,6 @@
 #define NEW_NAME "control.log.new"
 #define FOLDER_MODE 0700
 #define FILE_MODE 0600
-#define TRAILER 0xe0b05a7dU
-
-typedef enum RecordKind {
-    RECORD_HEAD = 1, /* incarnation; the first record of a file */
-    RECORD_STATE,    /* cluster, term, vote, commit */
-    RECORD_SNAPSHOT,
-    RECORD_ENTRY,    /* replaces the entries from its index on */
-    RECORD_TRUNCATE, /* drops the entries from its index on */
-    RECORD_COMPLETE  /* ends the records written before the file's rename; a
-                      * file without it is corrupt */
-} RecordKind_t;
-
-/** Precedes each record's payload, which TRAILER follows. */
-typedef struct RecordHeader {
-    uint32_t kind;
-    uint32_t size_bytes;
-    uint64_t payload_hash;
-    uint64_t header_hash; /* of the fields above */
-} RecordHeader_t;
-
-typedef struct HeadRecord {
-    uint64_t incarnation;
-} HeadRecord_t;
-
-typedef struct StateRecord {
-    uint64_t cluster;
-    uint64_t term;
-    EyAddress_t vote;
-    uint64_t vote_incarnation;
-    uint64_t commit;
-} StateRecord_t;
-
-typedef struct TruncateRecord {
-    uint64_t from_index;
-} TruncateRecord_t;
-
-static const EyField_t HeadFields[] = {
-    EY_FIELD(HeadRecord_t, incarnation, EY_FIELD_U64),
-    EY_FIELD_END,
-};
-static const EySchema_t HeadSchema = EY_SCHEMA(HeadRecord_t, HeadFields);
-
-static const EyField_t StateFields[] = {
-    EY_FIELD(StateRecord_t, cluster, EY_FIELD_U64),
-    EY_FIELD(StateRecord_t, term, EY_FIELD_U64),
-    EY_FIELD_TEXT(StateRecord_t, vote),
-    EY_FIELD(StateRecord_t, vote_incarnation, EY_FIELD_U64),
-    EY_FIELD(StateRecord_t, commit, EY_FIELD_U64),
-    EY_FIELD_END,
-};
-static const EySchema_t StateSchema = EY_SCHEMA(StateRecord_t, StateFields);
-
-static const EyField_t TruncateFields[] = {
-    EY_FIELD(TruncateRecord_t, from_index, EY_FIELD_U64),
-    EY_FIELD_END,
-};
-static const EySchema_t TruncateSchema =
-    EY_SCHEMA(TruncateRecord_t, TruncateFields);
 
 struct EyRaftFile {
     char *folder;
@@ -82,7 +25,7 @@
     uint64_t size_bytes; /* synced */
     bool has_failed;     /* the disk's content is unknown; writes fail */
     uint64_t incarnation;
-    StateRecord_t state; /* last one in the file */
+    EyRaftStateRecord_t state; /* last one in the file */
     EyRaftFileCalls_t calls;
 };
 
@@ -125,34 +68,10 @@
 
 /* Writing */
 
-static uint64_t
-header_hash(const RecordHeader_t *header)
-{
-    return XXH64(header, offsetof(RecordHeader_t, header_hash), TRAILER);
-}
-
-static void
-add_record(GByteArray *buffer, RecordKind_t kind, const EySchema_t *schema,
-           const void *object)
-{
-    EyBytes_t payload = EySchema_Pack(schema, NULL, object);
-    RecordHeader_t header = {
-        .kind = (uint32_t)kind,
-        .size_bytes = payload.size_bytes,
-        .payload_hash = XXH64(payload.data, payload.size_bytes, kind),
-    };
-    header.header_hash = header_hash(&header);
-    uint32_t trailer = TRAILER;
-    g_byte_array_append(buffer, (const guint8 *)&header, sizeof(header));
-    g_byte_array_append(buffer, payload.data, payload.size_bytes);
-    g_byte_array_append(buffer, (const guint8 *)&trailer, sizeof(trailer));
-    talloc_free(payload.data);
-}
-
-static StateRecord_t
+static EyRaftStateRecord_t
 state_of(const EyRaftDiskWrite_t *disk_write)
 {
-    StateRecord_t state = {
+    EyRaftStateRecord_t state = {
         .cluster = disk_write->cluster,
         .term = disk_write->term,
         .vote_incarnation = disk_write->vote_incarnation,
@@ -163,7 +82,8 @@
 }
 
 static bool
-is_same_state(const StateRecord_t *left, const StateRecord_t *right)
+is_same_state(const EyRaftStateRecord_t *left,
+              const EyRaftStateRecord_t *right)
 {
     return left->cluster == right->cluster && left->term == right->term &&
            left->vote_incarnation == right->vote_incarnation &&
@@ -175,8 +95,8 @@
 add_entries(GByteArray *buffer, const EyRaftDiskWrite_t *disk_write)
 {
     for (uint32_t i = 0; i < disk_write->entry_count; i++) {
-        add_record(buffer, RECORD_ENTRY, &EyRaftEntry_schema,
-                   &disk_write->entries[i]);
+        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_ENTRY, &EyRaftEntry_schema,
+                         &disk_write->entries[i]);
     }
 }
 
@@ -289,16 +209,19 @@
                GError **error)
 {
     GByteArray *buffer = g_byte_array_new();
-    HeadRecord_t head = {.incarnation = self->incarnation};
-    StateRecord_t state = state_of(disk_write);
-    add_record(buffer, RECORD_HEAD, &HeadSchema, &head);
-    add_record(buffer, RECORD_STATE, &StateSchema, &state);
+    EyRaftHeadRecord_t head = {.incarnation = self->incarnation};
+    EyRaftStateRecord_t state = state_of(disk_write);
+    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_HEAD, &EyRaftHeadRecord_schema,
+                     &head);
+    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_STATE, &EyRaftStateRecord_schema,
+                     &state);
     if (disk_write->snapshot.index != 0) {
-        add_record(buffer, RECORD_SNAPSHOT, &EyRaftSnapshot_schema,
-                   &disk_write->snapshot);
+        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_SNAPSHOT,
+                         &EyRaftSnapshot_schema, &disk_write->snapshot);
     }
     add_entries(buffer, disk_write);
-    add_record(buffer, RECORD_COMPLETE, &HeadSchema, &head);
+    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_COMPLETE, &EyRaftHeadRecord_schema,
+                     &head);
     bool done = replace_file(self, buffer, error);
     g_byte_array_free(buffer, TRUE);
     if (done) {
@@ -312,16 +235,18 @@
                GError **error)
 {
     GByteArray *buffer = g_byte_array_new();
-    StateRecord_t state = state_of(disk_write);
+    EyRaftStateRecord_t state = state_of(disk_write);
     /* Before the state, whose commit may cover entries that replace these: a
      * torn write ends after any record. */
     if (disk_write->truncate_from != 0) {
-        TruncateRecord_t truncation = {.from_index =
-                                           disk_write->truncate_from};
-        add_record(buffer, RECORD_TRUNCATE, &TruncateSchema, &truncation);
+        EyRaftTruncateRecord_t truncation = {.from_index =
+                                                 disk_write->truncate_from};
+        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_TRUNCATE,
+                         &EyRaftTruncateRecord_schema, &truncation);
     }
     if (!is_same_state(&state, &self->state)) {
-        add_record(buffer, RECORD_STATE, &StateSchema, &state);
+        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_STATE,
+                         &EyRaftStateRecord_schema, &state);
     }
     add_entries(buffer, disk_write);
     bool done = append(self, buffer, error);
@@ -362,219 +287,6 @@
 
 /* Reading */
 
-typedef struct Reading {
-    const EyRaftFile_t *self;
-    const uint8_t *data;
-    uint64_t content_bytes; /* size without the zeros at its end */
-    uint64_t offset_bytes;
-    EyRaftDiskState_t *disk;
-    GPtrArray *entries; /* EyRaftEntry_t */
-    bool is_complete;   /* RECORD_COMPLETE was read */
-    GError **error;
-} Reading_t;
-
-/** Returns the size without the zeros at its end: space that was never written
- * reads as zeros after a power failure, and a record ends in none. */
-static uint64_t
-content_size(const uint8_t *data, uint64_t size_bytes)
-{
-    while (size_bytes > 0 && data[size_bytes - 1] == 0) {
-        size_bytes--;
-    }
-    return size_bytes;
-}
-
-static bool
-corrupt(const Reading_t *reading, const char *what)
-{
-    char text[160];
-    (void)g_snprintf(text, sizeof(text),
-                     "corrupt at byte %" G_GUINT64_FORMAT
-                     ": %s; restore a good copy, or empty the data folder to "
-                     "join again as a new member",
-                     reading->offset_bytes, what);
-    return fail(reading->error, EY_RAFT_FILE_ERROR_CORRUPT, EY_RAFT_FILE_NAME,
-                text);
-}
-
-static bool
-unpack(const Reading_t *reading, const EySchema_t *schema, const void *ctx,
-       const EyBytes_t *payload, void *object)
-{
-    return EySchema_Unpack(schema, ctx, payload->data, payload->size_bytes,
-                           object, NULL) ||
-           corrupt(reading, "can't decode a record");
-}
-
-static bool
-read_head(Reading_t *reading, const EyBytes_t *payload)
-{
-    HeadRecord_t head;
-    if (!unpack(reading, &HeadSchema, NULL, payload, &head)) {
-        return false;
-    }
-    reading->disk->incarnation = head.incarnation;
-    return true;
-}
-
-static bool
-read_state(Reading_t *reading, const EyBytes_t *payload)
-{
-    StateRecord_t state;
-    if (!unpack(reading, &StateSchema, NULL, payload, &state)) {
-        return false;
-    }
-    reading->disk->cluster = state.cluster;
-    reading->disk->term = state.term;
-    (void)EY_COPY(reading->disk->vote, state.vote);
-    reading->disk->vote_incarnation = state.vote_incarnation;
-    reading->disk->commit = state.commit;
-    return true;
-}
-
-static bool
-read_snapshot(Reading_t *reading, const EyBytes_t *payload)
-{
-    return unpack(reading, &EyRaftSnapshot_schema, reading->self, payload,
-                  &reading->disk->snapshot);
-}
-
-static uint64_t
-last_index(const Reading_t *reading)
-{
-    return reading->disk->snapshot.index + reading->entries->len;
-}
-
-static bool
-truncate_entries(Reading_t *reading, uint64_t from_index)
-{
-    uint64_t base = reading->disk->snapshot.index;
-    if (from_index <= base || from_index > last_index(reading) + 1) {
-        return corrupt(reading, "an entry is out of order");
-    }
-    g_ptr_array_set_size(reading->entries, (gint)(from_index - base - 1));
-    return true;
-}
-
-static bool
-read_entry(Reading_t *reading, const EyBytes_t *payload)
-{
-    EyRaftEntry_t *entry = EY_NEW(reading->self, EyRaftEntry_t);
-    if (!unpack(reading, &EyRaftEntry_schema, entry, payload, entry) ||
-        !truncate_entries(reading, entry->index))
-    {
-        talloc_free(entry);
-        return false;
-    }
-    g_ptr_array_add(reading->entries, entry);
-    return true;
-}
-
-static bool
-read_truncate(Reading_t *reading, const EyBytes_t *payload)
-{
-    TruncateRecord_t truncation;
-    return unpack(reading, &TruncateSchema, NULL, payload, &truncation) &&
-           truncate_entries(reading, truncation.from_index);
-}
-
-static bool
-read_complete(Reading_t *reading, const EyBytes_t *payload)
-{
-    (void)payload;
-    reading->is_complete = true;
-    return true;
-}
-
-typedef bool (*Reader_t)(Reading_t *reading, const EyBytes_t *payload);
-
-static const Reader_t Readers[] = {
-    [RECORD_HEAD] = read_head,         [RECORD_STATE] = read_state,
-    [RECORD_SNAPSHOT] = read_snapshot, [RECORD_ENTRY] = read_entry,
-    [RECORD_TRUNCATE] = read_truncate, [RECORD_COMPLETE] = read_complete,
-};
-
-typedef enum ReadStatus {
-    READ_RECORD, /* a record was read */
-    READ_END,    /* no more records, or an incomplete last one */
-    READ_CORRUPT /* corrupt; the error is set */
-} ReadStatus_t;
-
-static ReadStatus_t
-read_payload(Reading_t *reading, const RecordHeader_t *header)
-{
-    const uint8_t *start = reading->data + reading->offset_bytes;
-    const uint8_t *payload_start = start + sizeof(*header);
-    uint64_t whole_bytes =
-        sizeof(*header) + (uint64_t)header->size_bytes + sizeof(uint32_t);
-    if (whole_bytes > reading->content_bytes - reading->offset_bytes) {
-        return READ_END;
-    }
-    EyBytes_t payload = {
-        .data = (uint8_t *)payload_start,
-        .size_bytes = header->size_bytes,
-    };
-    uint32_t trailer = 0;
-    memcpy(&trailer, payload_start + header->size_bytes, sizeof(trailer));
-    uint64_t hash = XXH64(payload.data, payload.size_bytes, header->kind);
-    if (trailer != TRAILER || hash != header->payload_hash) {
-        (void)corrupt(reading, "checksum mismatch in a record");
-        return READ_CORRUPT;
-    }
-    if (!Readers[header->kind](reading, &payload)) {
-        return READ_CORRUPT;
-    }
-    reading->offset_bytes += whole_bytes;
-    return READ_RECORD;
-}
-
-static ReadStatus_t
-read_record(Reading_t *reading)
-{
-    const uint8_t *start = reading->data + reading->offset_bytes;
-    RecordHeader_t header;
-    if (reading->content_bytes < reading->offset_bytes + sizeof(header)) {
-        return READ_END;
-    }
-    memcpy(&header, start, sizeof(header));
-    bool is_known =
-        header.kind >= RECORD_HEAD && header.kind <= RECORD_COMPLETE;
-    bool is_first = reading->offset_bytes == 0;
-    if (header.header_hash != header_hash(&header) || !is_known ||
-        is_first != (header.kind == RECORD_HEAD))
-    {
-        (void)corrupt(reading, "invalid record header");
-        return READ_CORRUPT;
-    }
-    return read_payload(reading, &header);
-}
-
-static bool
-read_records(Reading_t *reading)
-{
-    ReadStatus_t result = READ_RECORD;
-    while (result == READ_RECORD) {
-        result = read_record(reading);
-    }
-    if (result == READ_END && !reading->is_complete) {
-        return corrupt(reading, "the file is truncated");
-    }
-    return result == READ_END;
-}
-
-static void
-move_entries(Reading_t *reading)
-{
-    EyRaftDiskState_t *disk = reading->disk;
-    disk->entry_count = reading->entries->len;
-    disk->entries =
-        EY_NEW_ARRAY(reading->self, EyRaftEntry_t, disk->entry_count);
-    for (uint32_t i = 0; i < disk->entry_count; i++) {
-        disk->entries[i] =
-            *(const EyRaftEntry_t *)g_ptr_array_index(reading->entries, i);
-    }
-}
-
 static bool
 read_file(EyRaftFile_t *self, const char *path, EyRaftDiskState_t *disk,
           GError **error)
@@ -588,24 +300,13 @@
                      "can't be read");
         return false;
     }
-    Reading_t reading = {
-        .self = self,
-        .data = (const uint8_t *)data,
-        .content_bytes = content_size((const uint8_t *)data, size_bytes),
-        .disk = disk,
-        .entries = g_ptr_array_new(),
-        .error = error,
-    };
-    bool done = read_records(&reading);
-    if (done) {
-        move_entries(&reading);
-    }
-    g_ptr_array_free(reading.entries, TRUE);
+    uint64_t read_bytes = EyRaftFileReader_Read(self, (const uint8_t *)data,
+                                                size_bytes, disk, error);
     g_free(data);
-    if (!done) {
+    if (read_bytes == 0) {
         return false;
     }
-    self->size_bytes = reading.offset_bytes;
+    self->size_bytes = read_bytes;
     self->file = open(path, O_RDWR | O_CLOEXEC);
     /* Remove an incomplete record before anything is appended. */
     if (self->file < 0 ||
@@ -620,7 +321,7 @@
         return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
     }
     self->incarnation = disk->incarnation;
-    self->state = (StateRecord_t){
+    self->state = (EyRaftStateRecord_t){
         .cluster = disk->cluster,
         .term = disk->term,
         .vote_incarnation = disk->vote_incarnation,
--- /dev/null
+++ b/src/config/raft_record.c
@@ -0,0 +1,108 @@
+#include "config/raft_record.h"
+
+#include "core/memory.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define TRAILER 0xe0b05a7dU
+
+/** Precedes each record's payload, which TRAILER follows. */
+typedef struct RecordHeader {
+    uint32_t kind;
+    uint32_t size_bytes;
+    uint64_t payload_hash;
+    uint64_t header_hash; /* of the fields above */
+} RecordHeader_t;
+
+static const EyField_t HeadFields[] = {
+    EY_FIELD(EyRaftHeadRecord_t, incarnation, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyRaftHeadRecord_schema =
+    EY_SCHEMA(EyRaftHeadRecord_t, HeadFields);
+
+static const EyField_t StateFields[] = {
+    EY_FIELD(EyRaftStateRecord_t, cluster, EY_FIELD_U64),
+    EY_FIELD(EyRaftStateRecord_t, term, EY_FIELD_U64),
+    EY_FIELD_TEXT(EyRaftStateRecord_t, vote),
+    EY_FIELD(EyRaftStateRecord_t, vote_incarnation, EY_FIELD_U64),
+    EY_FIELD(EyRaftStateRecord_t, commit, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyRaftStateRecord_schema =
+    EY_SCHEMA(EyRaftStateRecord_t, StateFields);
+
+static const EyField_t TruncateFields[] = {
+    EY_FIELD(EyRaftTruncateRecord_t, from_index, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyRaftTruncateRecord_schema =
+    EY_SCHEMA(EyRaftTruncateRecord_t, TruncateFields);
+
+static uint64_t
+header_hash(const RecordHeader_t *header)
+{
+    return XXH64(header, offsetof(RecordHeader_t, header_hash), TRAILER);
+}
+
+void
+EyRaftRecord_Add(GByteArray *buffer, EyRaftRecordKind_t kind,
+                 const EySchema_t *schema, const void *object)
+{
+    EyBytes_t payload = EySchema_Pack(schema, NULL, object);
+    RecordHeader_t header = {
+        .kind = (uint32_t)kind,
+        .size_bytes = payload.size_bytes,
+        .payload_hash = XXH64(payload.data, payload.size_bytes, kind),
+    };
+    header.header_hash = header_hash(&header);
+    uint32_t trailer = TRAILER;
+    g_byte_array_append(buffer, (const guint8 *)&header, sizeof(header));
+    g_byte_array_append(buffer, payload.data, payload.size_bytes);
+    g_byte_array_append(buffer, (const guint8 *)&trailer, sizeof(trailer));
+    talloc_free(payload.data);
+}
+
+EyRaftRecordStatus_t
+EyRaftRecord_Read(const uint8_t *data, uint64_t size_bytes,
+                  EyRaftRecord_t *record)
+{
+    RecordHeader_t header;
+    if (size_bytes < sizeof(header)) {
+        return EY_RAFT_RECORD_INCOMPLETE;
+    }
+    memcpy(&header, data, sizeof(header));
+    if (header.header_hash != header_hash(&header) ||
+        header.kind < EY_RAFT_RECORD_HEAD ||
+        header.kind >= EY_RAFT_RECORD_KIND_END)
+    {
+        return EY_RAFT_RECORD_BAD_HEADER;
+    }
+    const uint8_t *payload = data + sizeof(header);
+    uint32_t trailer = 0;
+    *record = (EyRaftRecord_t){
+        .kind = (EyRaftRecordKind_t)header.kind,
+        .payload = {.data = (uint8_t *)payload,
+                    .size_bytes = header.size_bytes},
+        .whole_bytes =
+            sizeof(header) + (uint64_t)header.size_bytes + sizeof(trailer),
+    };
+    if (record->whole_bytes > size_bytes) {
+        return EY_RAFT_RECORD_INCOMPLETE;
+    }
+    memcpy(&trailer, payload + header.size_bytes, sizeof(trailer));
+    bool is_valid =
+        trailer == TRAILER &&
+        header.payload_hash == XXH64(payload, header.size_bytes, header.kind);
+    return is_valid ? EY_RAFT_RECORD_VALID : EY_RAFT_RECORD_BAD_CHECKSUM;
+}
+
+uint64_t
+EyRaftRecord_ContentBytes(const uint8_t *data, uint64_t size_bytes)
+{
+    while (size_bytes > 0 && data[size_bytes - 1] == 0) {
+        size_bytes--;
+    }
+    return size_bytes;
+}
