Replicated log's file: a confirmation after each write tells a torn one from a lost one

What callers saw: after a power loss in which two disks were lost as well, no configuration could be read back; the three control processes that had kept their disks ended with code 1 at each start.

Cause: the file's reader took a damaged last record for one that might have been acknowledged and changed later. It couldn't know: nothing on the disk said up to where a write had been reported. All members write their new commit index right after an acknowledgement, so a power loss hits the same write on all of them, and then nobody is left who could tell.

Change: a write is synced, then a confirmation is appended and synced, and only then is it reported. Damage before a confirmation is an error as before; behind the last one it is dropped. Writes that only advance the commit index aren't confirmed. Checksums are chained, so that stale records of another file or of an earlier content aren't read. Files of older builds are converted at their first start; damage in one is still an error.

--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -65,6 +65,10 @@
 /** The content of the disk at the start, from EyRaftFile_Open. */
 typedef struct EyRaftDiskState {
     uint64_t incarnation;
+    /** An earlier file in the folder was damaged and set aside: this process
+     * may have lost the cluster that it was in, so it takes part in the
+     * foundation of none. */
+    bool has_lost_data;
     uint64_t cluster; /* 0: in none yet */
     uint64_t term;
     EyAddress_t vote; /* the candidate voted for in term; empty: none */
--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -25,6 +25,9 @@
     uint64_t size_bytes; /* synced */
     bool has_failed;     /* the disk's content is unknown; writes fail */
     uint64_t incarnation;
+    bool has_lost_data;        /* as in EyRaftDiskState_t */
+    uint64_t file_id;          /* as in EyRaftCompleteRecord_t */
+    uint64_t chain;            /* checksum of the last record */
     EyRaftStateRecord_t state; /* last one in the file */
     EyRaftFileCalls_t calls;
 };
@@ -85,19 +88,22 @@
 is_same_state(const EyRaftStateRecord_t *left,
               const EyRaftStateRecord_t *right)
 {
-    return left->cluster == right->cluster && left->term == right->term &&
-           left->vote_incarnation == right->vote_incarnation &&
-           left->commit == right->commit &&
-           strcmp(left->vote, right->vote) == 0;
+    return left->commit == right->commit &&
+           EyRaftStateRecord_HasSamePromises(left, right);
 }
 
-static void
-add_entries(GByteArray *buffer, const EyRaftDiskWrite_t *disk_write)
+/** Adds the records of the entries; returns the last one's checksum. */
+static uint64_t
+add_entries(GByteArray *buffer, uint64_t chain,
+            const EyRaftDiskWrite_t *disk_write, bool is_chained)
 {
     for (uint32_t i = 0; i < disk_write->entry_count; i++) {
-        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_ENTRY, &EyRaftEntry_schema,
-                         &disk_write->entries[i]);
+        uint64_t checksum =
+            EyRaftRecord_Add(buffer, chain, EY_RAFT_RECORD_ENTRY,
+                             &EyRaftEntry_schema, &disk_write->entries[i]);
+        chain = is_chained ? checksum : chain;
     }
+    return chain;
 }
 
 static bool
@@ -121,15 +127,15 @@
     return true;
 }
 
+/** Writes and syncs a buffer behind the content; *end_bytes, where it goes,
+ * becomes its end. */
 static bool
-append(EyRaftFile_t *self, const GByteArray *buffer, GError **error)
+append(EyRaftFile_t *self, const GByteArray *buffer, uint64_t *end_bytes,
+       GError **error)
 {
-    if (buffer->len == 0) {
-        return true;
-    }
-    if (!write_all(self, self->file, buffer, self->size_bytes)) {
+    if (!write_all(self, self->file, buffer, *end_bytes)) {
         (void)fail_errno(error, EY_RAFT_FILE_ERROR_WRITE, EY_RAFT_FILE_NAME);
-        /* Drop the incomplete record; the next write overwrites it. */
+        /* Drop the incomplete records; the next write overwrites them. */
         if (ftruncate(self->file, (off_t)self->size_bytes) != 0) {
             self->has_failed = true;
         }
@@ -139,10 +145,29 @@
         self->has_failed = true;
         return fail_errno(error, EY_RAFT_FILE_ERROR_SYNC, EY_RAFT_FILE_NAME);
     }
-    self->size_bytes += buffer->len;
+    *end_bytes += buffer->len;
     return true;
 }
 
+/** Appends a confirmation of all records up to *end_bytes, which becomes its
+ * own end. */
+static bool
+confirm(EyRaftFile_t *self, uint64_t chain, uint64_t *end_bytes,
+        GError **error)
+{
+    EyRaftConfirmationRecord_t confirmation = {
+        .file_id = self->file_id,
+        .offset_bytes = *end_bytes,
+        .chain = chain,
+    };
+    GByteArray *buffer = g_byte_array_new();
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_CONFIRMATION,
+                           &EyRaftConfirmationRecord_schema, &confirmation);
+    bool done = append(self, buffer, end_bytes, error);
+    g_byte_array_free(buffer, TRUE);
+    return done;
+}
+
 static bool
 sync_folder(const EyRaftFile_t *self)
 {
@@ -155,23 +180,33 @@
     return done;
 }
 
+/** A file that takes the place of the one in use. */
+typedef struct NewFile {
+    int file;
+    uint64_t size_bytes;
+    uint64_t file_id;
+    uint64_t chain;
+} NewFile_t;
+
 /** Renames the new file over the old one; after a crash one of them is
  * there. */
 static bool
-rename_over(EyRaftFile_t *self, int file, uint64_t size_bytes,
+rename_over(EyRaftFile_t *self, const NewFile_t *new_file,
             const char *new_path, const char *path, GError **error)
 {
     if (rename(new_path, path) != 0) {
         (void)fail_errno(error, EY_RAFT_FILE_ERROR_WRITE, path);
-        (void)close(file);
+        (void)close(new_file->file);
         (void)unlink(new_path);
         return false;
     }
     if (self->file >= 0) {
         (void)close(self->file);
     }
-    self->file = file;
-    self->size_bytes = size_bytes;
+    self->file = new_file->file;
+    self->size_bytes = new_file->size_bytes;
+    self->file_id = new_file->file_id;
+    self->chain = new_file->chain;
     if (!sync_folder(self)) {
         self->has_failed = true;
         return fail_errno(error, EY_RAFT_FILE_ERROR_SYNC, self->folder);
@@ -180,7 +215,8 @@
 }
 
 static bool
-replace_file(EyRaftFile_t *self, const GByteArray *buffer, GError **error)
+replace_file(EyRaftFile_t *self, const GByteArray *buffer, NewFile_t *new_file,
+             GError **error)
 {
     void *ctx = talloc_new(NULL);
     char *new_path = path_of(self, ctx, NEW_NAME);
@@ -197,32 +233,54 @@
         }
     }
     else {
-        done = rename_over(self, file, buffer->len, new_path, path, error);
+        new_file->file = file;
+        new_file->size_bytes = buffer->len;
+        done = rename_over(self, new_file, new_path, path, error);
     }
     talloc_free(ctx);
     return done;
 }
 
+static uint64_t
+random_id(void)
+{
+    uint64_t id = 0;
+    while (id == 0) {
+        id = EyRandom_SystemSeed();
+    }
+    return id;
+}
+
 /** Writes a complete file: head, state, snapshot, entries. */
 static bool
 write_new_file(EyRaftFile_t *self, const EyRaftDiskWrite_t *disk_write,
                GError **error)
 {
     GByteArray *buffer = g_byte_array_new();
-    EyRaftHeadRecord_t head = {.incarnation = self->incarnation};
+    EyRaftHeadRecord_t head = {
+        .incarnation = self->incarnation,
+        .has_lost_data = self->has_lost_data,
+    };
     EyRaftStateRecord_t state = state_of(disk_write);
-    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_HEAD, &EyRaftHeadRecord_schema,
-                     &head);
-    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_STATE, &EyRaftStateRecord_schema,
-                     &state);
+    EyRaftCompleteRecord_t complete = {
+        .incarnation = self->incarnation,
+        .file_id = random_id(),
+    };
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_HEAD,
+                           &EyRaftHeadRecord_schema, &head);
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_STATE,
+                           &EyRaftStateRecord_schema, &state);
     if (disk_write->snapshot.index != 0) {
-        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_SNAPSHOT,
-                         &EyRaftSnapshot_schema, &disk_write->snapshot);
-    }
-    add_entries(buffer, disk_write);
-    EyRaftRecord_Add(buffer, EY_RAFT_RECORD_COMPLETE, &EyRaftHeadRecord_schema,
-                     &head);
-    bool done = replace_file(self, buffer, error);
+        (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_SNAPSHOT,
+                               &EyRaftSnapshot_schema, &disk_write->snapshot);
+    }
+    (void)add_entries(buffer, 0, disk_write, false);
+    NewFile_t new_file = {
+        .file_id = complete.file_id,
+        .chain = EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_COMPLETE,
+                                  &EyRaftCompleteRecord_schema, &complete),
+    };
+    bool done = replace_file(self, buffer, &new_file, error);
     g_byte_array_free(buffer, TRUE);
     if (done) {
         self->state = state;
@@ -230,29 +288,55 @@
     return done;
 }
 
-static bool
-append_changes(EyRaftFile_t *self, const EyRaftDiskWrite_t *disk_write,
-               GError **error)
+/** Appends the records of a write to the buffer; returns the last one's
+ * checksum. */
+static uint64_t
+add_changes(const EyRaftFile_t *self, GByteArray *buffer,
+            const EyRaftDiskWrite_t *disk_write)
 {
-    GByteArray *buffer = g_byte_array_new();
+    uint64_t chain = self->chain;
     EyRaftStateRecord_t state = state_of(disk_write);
     /* Before the state, whose commit may cover entries that replace these: a
      * torn write ends after any record. */
     if (disk_write->truncate_from != 0) {
         EyRaftTruncateRecord_t truncation = {.from_index =
                                                  disk_write->truncate_from};
-        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_TRUNCATE,
-                         &EyRaftTruncateRecord_schema, &truncation);
+        chain = EyRaftRecord_Add(buffer, chain, EY_RAFT_RECORD_TRUNCATE,
+                                 &EyRaftTruncateRecord_schema, &truncation);
     }
     if (!is_same_state(&state, &self->state)) {
-        EyRaftRecord_Add(buffer, EY_RAFT_RECORD_STATE,
-                         &EyRaftStateRecord_schema, &state);
+        chain = EyRaftRecord_Add(buffer, chain, EY_RAFT_RECORD_STATE,
+                                 &EyRaftStateRecord_schema, &state);
+    }
+    return add_entries(buffer, chain, disk_write, true);
+}
+
+/** True if a write has more than a new commit index. */
+static bool
+needs_confirmation(const EyRaftFile_t *self,
+                   const EyRaftDiskWrite_t *disk_write)
+{
+    EyRaftStateRecord_t state = state_of(disk_write);
+    return disk_write->truncate_from != 0 || disk_write->entry_count > 0 ||
+           !EyRaftStateRecord_HasSamePromises(&state, &self->state);
+}
+
+static bool
+append_changes(EyRaftFile_t *self, const EyRaftDiskWrite_t *disk_write,
+               GError **error)
+{
+    GByteArray *buffer = g_byte_array_new();
+    uint64_t chain = add_changes(self, buffer, disk_write);
+    uint64_t end_bytes = self->size_bytes;
+    bool done = buffer->len == 0 || append(self, buffer, &end_bytes, error);
+    if (done && needs_confirmation(self, disk_write)) {
+        done = confirm(self, chain, &end_bytes, error);
     }
-    add_entries(buffer, disk_write);
-    bool done = append(self, buffer, error);
     g_byte_array_free(buffer, TRUE);
     if (done) {
-        self->state = state;
+        self->size_bytes = end_bytes;
+        self->chain = chain;
+        self->state = state_of(disk_write);
     }
     return done;
 }
@@ -287,6 +371,52 @@
 
 /* Reading */
 
+/** Writes what was read of a file without confirmations to a new one. */
+static bool
+convert(EyRaftFile_t *self, const EyRaftDiskState_t *disk, GError **error)
+{
+    EyRaftDiskWrite_t disk_write = {
+        .cluster = disk->cluster,
+        .term = disk->term,
+        .vote_incarnation = disk->vote_incarnation,
+        .commit = disk->commit,
+        .entries = disk->entries,
+        .entry_count = disk->entry_count,
+        .snapshot = disk->snapshot,
+    };
+    (void)EY_COPY(disk_write.vote, disk->vote);
+    return write_new_file(self, &disk_write, error);
+}
+
+/** Makes the file hold what was read, synced and confirmed, and nothing
+ * behind it. */
+static bool
+settle(EyRaftFile_t *self, const EyRaftDiskState_t *disk,
+       const EyRaftFileContent_t *content, GError **error)
+{
+    self->size_bytes = content->size_bytes;
+    self->file_id = content->file_id;
+    self->chain = content->chain;
+    self->state = content->state;
+    self->incarnation = disk->incarnation;
+    self->has_lost_data = disk->has_lost_data;
+    if (ftruncate(self->file, (off_t)self->size_bytes) != 0 ||
+        fsync(self->file) != 0)
+    {
+        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, EY_RAFT_FILE_NAME);
+    }
+    /* An earlier process may have ended between the rename of a new file and
+     * the sync of the folder. */
+    if (!sync_folder(self)) {
+        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
+    }
+    if (self->file_id == 0) {
+        return convert(self, disk, error);
+    }
+    return !content->needs_confirmation ||
+           confirm(self, self->chain, &self->size_bytes, error);
+}
+
 static bool
 read_file(EyRaftFile_t *self, const char *path, EyRaftDiskState_t *disk,
           GError **error)
@@ -300,34 +430,18 @@
                      "can't be read");
         return false;
     }
-    uint64_t read_bytes = EyRaftFileReader_Read(self, (const uint8_t *)data,
-                                                size_bytes, disk, error);
+    EyRaftFileContent_t content;
+    bool done = EyRaftFileReader_Read(self, (const uint8_t *)data, size_bytes,
+                                      disk, &content, error);
     g_free(data);
-    if (read_bytes == 0) {
+    if (!done) {
         return false;
     }
-    self->size_bytes = read_bytes;
     self->file = open(path, O_RDWR | O_CLOEXEC);
-    /* Remove an incomplete record before anything is appended. */
-    if (self->file < 0 ||
-        ftruncate(self->file, (off_t)self->size_bytes) != 0 ||
-        fsync(self->file) != 0)
-    {
+    if (self->file < 0) {
         return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
     }
-    /* An earlier process may have ended between the rename of a new file and
-     * the sync of the folder. */
-    if (!sync_folder(self)) {
-        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
-    }
-    self->incarnation = disk->incarnation;
-    self->state = (EyRaftStateRecord_t){
-        .cluster = disk->cluster,
-        .term = disk->term,
-        .vote_incarnation = disk->vote_incarnation,
-        .commit = disk->commit,
-    };
-    return EY_COPY(self->state.vote, disk->vote);
+    return settle(self, disk, &content, error);
 }
 
 /* Opening */
@@ -366,9 +480,7 @@
 make_file(EyRaftFile_t *self, EyRaftDiskState_t *disk, GError **error)
 {
     EyRaftDiskWrite_t nothing = {.serial = 0};
-    while (self->incarnation == 0) {
-        self->incarnation = EyRandom_SystemSeed();
-    }
+    self->incarnation = random_id();
     disk->incarnation = self->incarnation;
     return write_new_file(self, &nothing, error);
 }
--- a/src/config/raft_file.h
+++ b/src/config/raft_file.h
@@ -1,14 +1,17 @@
 /**
  * The replicated log's file, control.log in the data folder: records with
- * checksums; a write is synced before it is confirmed. Compaction writes a new
- * file and renames it over the old one.
+ * checksums. A write is synced, then a record that confirms it is appended and
+ * synced, and only then is it reported as done. Compaction writes a new file
+ * and renames it over the old one.
  *
- * When the file is opened, an incomplete last record is dropped: its write was
- * never confirmed. Any other damage (a changed byte, an unreadable or empty
- * file) is an error, because going on would lose confirmed data. A last
- * record of full length with a wrong checksum is an error as well, because it
- * can't be known whether its write was incomplete or its bytes were changed
- * later; only if its end is still zero is it known to be incomplete.
+ * When the file is opened, a damaged record behind the last confirmation is
+ * what a power loss left of a write that was never reported: it is dropped
+ * with all that follows. Damage before a confirmation is an error, because
+ * going on would lose confirmed data.
+ *
+ * A write that only advances the commit index is not confirmed: it promises
+ * nothing to other members. Files of builds without confirmations are
+ * converted when they are opened; damage anywhere in one is an error.
  */
 #ifndef EY_CONFIG_RAFT_FILE_H
 #define EY_CONFIG_RAFT_FILE_H
--- a/src/config/raft_record.c
+++ b/src/config/raft_record.c
@@ -17,11 +17,29 @@
 
 static const EyField_t HeadFields[] = {
     EY_FIELD(EyRaftHeadRecord_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyRaftHeadRecord_t, has_lost_data, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyRaftHeadRecord_schema =
     EY_SCHEMA(EyRaftHeadRecord_t, HeadFields);
 
+static const EyField_t CompleteFields[] = {
+    EY_FIELD(EyRaftCompleteRecord_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyRaftCompleteRecord_t, file_id, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyRaftCompleteRecord_schema =
+    EY_SCHEMA(EyRaftCompleteRecord_t, CompleteFields);
+
+static const EyField_t ConfirmationFields[] = {
+    EY_FIELD(EyRaftConfirmationRecord_t, file_id, EY_FIELD_U64),
+    EY_FIELD(EyRaftConfirmationRecord_t, offset_bytes, EY_FIELD_U64),
+    EY_FIELD(EyRaftConfirmationRecord_t, chain, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+const EySchema_t EyRaftConfirmationRecord_schema =
+    EY_SCHEMA(EyRaftConfirmationRecord_t, ConfirmationFields);
+
 static const EyField_t StateFields[] = {
     EY_FIELD(EyRaftStateRecord_t, cluster, EY_FIELD_U64),
     EY_FIELD(EyRaftStateRecord_t, term, EY_FIELD_U64),
@@ -41,13 +59,14 @@
     EY_SCHEMA(EyRaftTruncateRecord_t, TruncateFields);
 
 static uint64_t
-header_hash(const RecordHeader_t *header)
+header_hash(const RecordHeader_t *header, uint64_t chain)
 {
-    return XXH64(header, offsetof(RecordHeader_t, header_hash), TRAILER);
+    return XXH64(header, offsetof(RecordHeader_t, header_hash),
+                 TRAILER ^ chain);
 }
 
-void
-EyRaftRecord_Add(GByteArray *buffer, EyRaftRecordKind_t kind,
+uint64_t
+EyRaftRecord_Add(GByteArray *buffer, uint64_t chain, EyRaftRecordKind_t kind,
                  const EySchema_t *schema, const void *object)
 {
     EyBytes_t payload = EySchema_Pack(schema, NULL, object);
@@ -56,16 +75,17 @@
         .size_bytes = payload.size_bytes,
         .payload_hash = XXH64(payload.data, payload.size_bytes, kind),
     };
-    header.header_hash = header_hash(&header);
+    header.header_hash = header_hash(&header, chain);
     uint32_t trailer = TRAILER;
     g_byte_array_append(buffer, (const guint8 *)&header, sizeof(header));
     g_byte_array_append(buffer, payload.data, payload.size_bytes);
     g_byte_array_append(buffer, (const guint8 *)&trailer, sizeof(trailer));
     talloc_free(payload.data);
+    return header.header_hash;
 }
 
 EyRaftRecordStatus_t
-EyRaftRecord_Read(const uint8_t *data, uint64_t size_bytes,
+EyRaftRecord_Read(const uint8_t *data, uint64_t size_bytes, uint64_t chain,
                   EyRaftRecord_t *record)
 {
     RecordHeader_t header;
@@ -73,7 +93,9 @@
         return EY_RAFT_RECORD_INCOMPLETE;
     }
     memcpy(&header, data, sizeof(header));
-    if (header.header_hash != header_hash(&header) ||
+    /* It has to be found behind damaged records. */
+    bool is_chained = header.kind != EY_RAFT_RECORD_CONFIRMATION;
+    if (header.header_hash != header_hash(&header, is_chained ? chain : 0) ||
         header.kind < EY_RAFT_RECORD_HEAD ||
         header.kind >= EY_RAFT_RECORD_KIND_END)
     {
@@ -87,6 +109,7 @@
                     .size_bytes = header.size_bytes},
         .whole_bytes =
             sizeof(header) + (uint64_t)header.size_bytes + sizeof(trailer),
+        .checksum = header.header_hash,
     };
     if (record->whole_bytes > size_bytes) {
         return EY_RAFT_RECORD_INCOMPLETE;
@@ -98,6 +121,15 @@
     return is_valid ? EY_RAFT_RECORD_VALID : EY_RAFT_RECORD_BAD_CHECKSUM;
 }
 
+bool
+EyRaftStateRecord_HasSamePromises(const EyRaftStateRecord_t *one,
+                                  const EyRaftStateRecord_t *other)
+{
+    return one->cluster == other->cluster && one->term == other->term &&
+           one->vote_incarnation == other->vote_incarnation &&
+           strcmp(one->vote, other->vote) == 0;
+}
+
 uint64_t
 EyRaftRecord_ContentBytes(const uint8_t *data, uint64_t size_bytes)
 {
--- a/tests/unit/test_raft_file_power_loss.c
+++ b/tests/unit/test_raft_file_power_loss.c
@@ -2,6 +2,7 @@
  * are left of a write that was never confirmed, the process starts with all
  * that was. */
 #include "config/raft_file.h"
+#include "config/raft_record.h"
 #include "core/memory.h"
 
 #include <criterion/criterion.h>
@@ -291,3 +292,94 @@
         remove_fixture(&fixture);
     }
 }
+
+static EyRaftEntry_t
+make_entry(uint64_t index, uint64_t term)
+{
+    return (EyRaftEntry_t){
+        .index = index, .term = term, .kind = EY_RAFT_NO_OP};
+}
+
+/** Appends an entry's record whose checksum follows that of no other one, as
+ * in a file of a build without confirmations. */
+static void
+add_unchained(GByteArray *buffer, uint64_t index, uint64_t term)
+{
+    EyRaftEntry_t entry = make_entry(index, term);
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_ENTRY,
+                           &EyRaftEntry_schema, &entry);
+}
+
+Test(raft_file_power_loss, stale_records_of_another_file_are_not_read)
+{
+    Fixture_t fixture = interrupt_write(0);
+    GByteArray *buffer = g_byte_array_new();
+    g_byte_array_append(buffer, fixture.data, (guint)fixture.start_bytes);
+    add_unchained(buffer, CONFIRMED_ENTRIES + 1, 1);
+    write_bytes(&fixture, buffer->data, buffer->len);
+    g_byte_array_free(buffer, TRUE);
+    EyRaftDiskState_t disk;
+    EyRaftFile_t *file =
+        EyRaftFile_Open(NULL, fixture.folder, &Calls, &disk, NULL);
+    cr_assert_not_null(file);
+    cr_assert_eq(disk.entry_count, CONFIRMED_ENTRIES);
+    talloc_free(file);
+    remove_fixture(&fixture);
+}
+
+/** A file of a build without confirmations, with two entries. */
+static GByteArray *
+make_unconfirmed_file(void)
+{
+    GByteArray *buffer = g_byte_array_new();
+    EyRaftHeadRecord_t head = {.incarnation = 5};
+    EyRaftStateRecord_t state = {.cluster = 7, .term = 2, .commit = 1};
+    EyRaftCompleteRecord_t complete = {.incarnation = 5};
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_HEAD,
+                           &EyRaftHeadRecord_schema, &head);
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_STATE,
+                           &EyRaftStateRecord_schema, &state);
+    (void)EyRaftRecord_Add(buffer, 0, EY_RAFT_RECORD_COMPLETE,
+                           &EyRaftCompleteRecord_schema, &complete);
+    add_unchained(buffer, 1, 2);
+    add_unchained(buffer, 2, 2);
+    return buffer;
+}
+
+Test(raft_file_power_loss, file_without_confirmations_is_converted)
+{
+    Fixture_t fixture = interrupt_write(0);
+    GByteArray *buffer = make_unconfirmed_file();
+    write_bytes(&fixture, buffer->data, buffer->len);
+    g_byte_array_free(buffer, TRUE);
+    for (uint32_t i = 0; i < 2; i++) {
+        EyRaftDiskState_t disk;
+        EyRaftFile_t *file =
+            EyRaftFile_Open(NULL, fixture.folder, &Calls, &disk, NULL);
+        cr_assert_not_null(file);
+        cr_assert_eq(disk.incarnation, 5);
+        cr_assert_eq(disk.cluster, 7);
+        cr_assert_eq(disk.commit, i + 1);
+        cr_assert_eq(disk.entry_count, 2 + i);
+        cr_assert(write_entries(file, 3 + i, 1, 2));
+        talloc_free(file);
+    }
+    remove_fixture(&fixture);
+}
+
+Test(raft_file_power_loss, damage_in_a_file_without_confirmations_is_refused)
+{
+    Fixture_t fixture = interrupt_write(0);
+    GByteArray *buffer = make_unconfirmed_file();
+    buffer->data[buffer->len - 1] ^= 0x41;
+    write_bytes(&fixture, buffer->data, buffer->len);
+    g_byte_array_free(buffer, TRUE);
+    GError *error = NULL;
+    EyRaftDiskState_t disk;
+    cr_assert_null(
+        EyRaftFile_Open(NULL, fixture.folder, &Calls, &disk, &error));
+    cr_assert(g_error_matches(error, EY_RAFT_FILE_ERROR,
+                              EY_RAFT_FILE_ERROR_CORRUPT));
+    g_error_free(error);
+    remove_fixture(&fixture);
+}
