Replicated log: a damaged file is set aside instead of ending the process

What operators saw: a control process whose log was damaged ended with code 1 at each start, with the advice to empty the folder; done on all of them, that loses the configuration.

Cause: any damage was an error that ended the process.

Change: the file is renamed to control.log.damaged, and the process goes on as a new member, as after the loss of its disk. It knows that it has lost data, also after a kill between the two: it founds no cluster, and no other process founds one with it, since the configuration may still be in the file. The first and the last damaged file are kept.

--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -24,6 +24,7 @@
     EY_FIELD(EyRaftStatus_t, is_voter, EY_FIELD_BOOL),
     EY_FIELD(EyRaftStatus_t, disk_failed, EY_FIELD_BOOL),
     EY_FIELD(EyRaftStatus_t, is_confirmed, EY_FIELD_BOOL),
+    EY_FIELD(EyRaftStatus_t, has_lost_data, EY_FIELD_BOOL),
     EY_FIELD_TEXT(EyRaftStatus_t, leader),
     EY_FIELD_NESTED(EyRaftStatus_t, members, EyRaftMembers_schema),
     EY_FIELD_END,
@@ -716,6 +717,7 @@
 load(EyRaft_t *self, const EyRaftDiskState_t *disk)
 {
     self->incarnation = disk->incarnation;
+    self->has_lost_data = disk->has_lost_data;
     self->cluster = disk->cluster;
     self->term = disk->term;
     (void)EY_COPY(self->vote, disk->vote);
@@ -783,6 +785,7 @@
         .is_voter = ey_raft_is_voter(self),
         .disk_failed = self->disk_failed,
         .is_confirmed = self->is_confirmed,
+        .has_lost_data = self->has_lost_data,
         .members = self->members,
     };
     (void)EY_COPY(status.leader, self->leader);
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -19,7 +19,8 @@
  * returns with an empty disk while others still have the cluster can't vote
  * as its former self; the leader adds it as a learner and makes it a voter
  * once it has caught up. A process that is configured alone founds a cluster
- * at once.
+ * at once. One whose disk was damaged founds none, and others don't found one
+ * with it.
  *
  * Disks lost before the first entry is committed may leave a cluster without
  * a quorum: its members leave it once all configured addresses have answered
@@ -179,6 +180,7 @@
      * includes all entries that had been committed before. Until then commit
      * is what the disk knows, and later entries may be committed. */
     bool is_confirmed;
+    bool has_lost_data; /* as in EyRaftDiskState_t */
     EyAddress_t leader; /* empty: none known */
     EyRaftMembers_t members;
 } EyRaftStatus_t;
--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -458,16 +458,34 @@
     return 0;
 }
 
+/** Fails with the cause in errno: a lack of room or of descriptors, or a disk
+ * that fails, may end; else the setting is wrong. */
+static bool
+fail_folder(GError **error, const char *path)
+{
+    switch (errno) {
+    case ENOSPC:
+    case EDQUOT:
+    case EIO:
+    case EMFILE:
+    case ENFILE:
+    case ENOMEM:
+        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
+    default:
+        return fail_errno(error, EY_RAFT_FILE_ERROR_FOLDER, path);
+    }
+}
+
 static bool
 lock_folder(EyRaftFile_t *self, const void *ctx, GError **error)
 {
     if (g_mkdir_with_parents(self->folder, FOLDER_MODE) != 0) {
-        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
+        return fail_folder(error, self->folder);
     }
     char *path = path_of(self, ctx, LOCK_NAME);
     self->lock = open(path, O_RDWR | O_CREAT | O_CLOEXEC, FILE_MODE);
     if (self->lock < 0) {
-        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
+        return fail_folder(error, path);
     }
     if (flock(self->lock, LOCK_EX | LOCK_NB) != 0) {
         return fail(error, EY_RAFT_FILE_ERROR_LOCKED, self->folder,
@@ -477,9 +495,13 @@
 }
 
 static bool
-make_file(EyRaftFile_t *self, EyRaftDiskState_t *disk, GError **error)
+make_file(EyRaftFile_t *self, const void *ctx, EyRaftDiskState_t *disk,
+          GError **error)
 {
     EyRaftDiskWrite_t nothing = {.serial = 0};
+    const char *damaged = path_of(self, ctx, EY_RAFT_FILE_DAMAGED_NAME);
+    self->has_lost_data = access(damaged, F_OK) == 0;
+    disk->has_lost_data = self->has_lost_data;
     self->incarnation = random_id();
     disk->incarnation = self->incarnation;
     return write_new_file(self, &nothing, error);
@@ -500,13 +522,12 @@
     if (errno != ENOENT) {
         return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
     }
-    return make_file(self, disk, error);
+    return make_file(self, ctx, disk, error);
 }
 
-EyRaftFile_t *
-EyRaftFile_Open(const void *ctx, const char *folder,
-                const EyRaftFileCalls_t *calls, EyRaftDiskState_t *disk,
-                GError **error)
+static EyRaftFile_t *
+new_file_of(const void *ctx, const char *folder,
+            const EyRaftFileCalls_t *calls)
 {
     EyRaftFile_t *self = EY_NEW(ctx, EyRaftFile_t);
     self->folder = EyMemory_Strdup(self, folder);
@@ -514,6 +535,15 @@
     self->lock = -1;
     self->calls = calls != NULL ? *calls : SystemCalls;
     talloc_set_destructor(self, file_destroy);
+    return self;
+}
+
+EyRaftFile_t *
+EyRaftFile_Open(const void *ctx, const char *folder,
+                const EyRaftFileCalls_t *calls, EyRaftDiskState_t *disk,
+                GError **error)
+{
+    EyRaftFile_t *self = new_file_of(ctx, folder, calls);
     *disk = (EyRaftDiskState_t){.incarnation = 0};
     void *scratch = talloc_new(NULL);
     bool done = open_file(self, scratch, disk, error);
@@ -525,6 +555,32 @@
     return self;
 }
 
+static bool
+rename_damaged(const EyRaftFile_t *self, const void *ctx, GError **error)
+{
+    const char *path = path_of(self, ctx, EY_RAFT_FILE_NAME);
+    const char *aside = path_of(self, ctx, EY_RAFT_FILE_DAMAGED_NAME);
+    if (access(aside, F_OK) == 0) {
+        aside = path_of(self, ctx, EY_RAFT_FILE_DAMAGED_AGAIN_NAME);
+    }
+    if (rename(path, aside) != 0) {
+        return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
+    }
+    /* Else a power loss could bring it back in place of the new file. */
+    return sync_folder(self) ||
+           fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, self->folder);
+}
+
+bool
+EyRaftFile_SetAside(const char *folder, GError **error)
+{
+    EyRaftFile_t *self = new_file_of(NULL, folder, NULL);
+    bool done =
+        lock_folder(self, self, error) && rename_damaged(self, self, error);
+    talloc_free(self);
+    return done;
+}
+
 uint64_t
 EyRaftFile_SizeBytes(const EyRaftFile_t *self)
 {
--- a/src/config/raft_file.h
+++ b/src/config/raft_file.h
@@ -25,7 +25,8 @@
 #endif
 
 typedef enum EyRaftFileError {
-    EY_RAFT_FILE_ERROR_OPEN,    /* the folder or file can't be opened */
+    EY_RAFT_FILE_ERROR_FOLDER,  /* the folder can't be used: a wrong setting */
+    EY_RAFT_FILE_ERROR_OPEN,    /* the file can't be opened now; try again */
     EY_RAFT_FILE_ERROR_LOCKED,  /* another process uses the folder */
     EY_RAFT_FILE_ERROR_CORRUPT, /* the content isn't as it was written */
     EY_RAFT_FILE_ERROR_WRITE,   /* not written, nothing changed; try again */
@@ -36,6 +37,9 @@
 #define EY_RAFT_FILE_ERROR EyRaftFile_ErrorDomain()
 
 #define EY_RAFT_FILE_NAME "control.log"
+/** A damaged file that was set aside; a second name for later ones. */
+#define EY_RAFT_FILE_DAMAGED_NAME "control.log.damaged"
+#define EY_RAFT_FILE_DAMAGED_AGAIN_NAME "control.log.damaged-again"
 
 /** The system calls for writing; tests replace them to inject faults. */
 typedef struct EyRaftFileCalls {
@@ -57,6 +61,14 @@
                 const EyRaftFileCalls_t *calls, EyRaftDiskState_t *disk,
                 GError **error);
 
+/**
+ * Renames a damaged file, so that the next open creates a new one, with a new
+ * incarnation and has_lost_data. The first damaged file is kept, and the last
+ * one. Returns false with EY_RAFT_FILE_ERROR.
+ */
+bool
+EyRaftFile_SetAside(const char *folder, GError **error);
+
 /**
  * Writes and syncs the content of a PERSIST action. Returns false with
  * EY_RAFT_FILE_ERROR if nothing may be taken as written; after ERROR_WRITE
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -68,6 +68,7 @@
     uint64_t list_hash;
     EyRandom_t random;
     uint64_t incarnation;
+    bool has_lost_data; /* as in EyRaftDiskState_t */
     uint64_t cluster;
     uint64_t term;
     EyAddress_t vote;
--- a/src/config/raft_members.c
+++ b/src/config/raft_members.c
@@ -173,7 +173,7 @@
 {
     EyRaftMessage_t *answer = ey_raft_new_message(
         self, EY_RAFT_HELLO_ANSWER, message->from, message->from_incarnation);
-    answer->list_hash = self->list_hash;
+    answer->list_hash = self->has_lost_data ? 0 : self->list_hash;
     answer->nonce = self->nonce;
     answer->index = ey_raft_last_index(self);
     answer->round = message->round;
@@ -325,7 +325,7 @@
 void
 ey_raft_bootstrap(EyRaft_t *self)
 {
-    if (self->cluster != 0 || self->options.join_only) {
+    if (self->cluster != 0 || self->options.join_only || self->has_lost_data) {
         return;
     }
     uint32_t count = self->options.address_count;
--- a/src/config/raft_message.h
+++ b/src/config/raft_message.h
@@ -91,7 +91,8 @@
                          * HELLO_ANSWER: of the last entry */
     uint64_t log_term;  /* of the entry at index */
     uint64_t commit;    /* the leader's */
-    uint64_t list_hash; /* HELLO_ANSWER: of the configured addresses */
+    uint64_t list_hash; /* HELLO_ANSWER: of the configured addresses; 0: the
+                         * sender takes part in no bootstrap */
     uint64_t nonce;     /* HELLO_ANSWER: chosen by the sender; HELLO: copied
                          * from the receiver's last HELLO_ANSWER */
     bool granted;       /* in answers */
--- a/src/control/raft_storage.c
+++ b/src/control/raft_storage.c
@@ -138,6 +138,43 @@
     talloc_free(message);
 }
 
+/** Opens the file. A damaged one is set aside: the process goes on as a new
+ * member of the group, which has what it acknowledged, instead of ending at
+ * each start. */
+static EyRaftFile_t *
+open_file(const void *ctx, const char *folder, EyRaftDiskState_t *disk,
+          GError **error)
+{
+    GError *cause = NULL;
+    EyRaftFile_t *file = EyRaftFile_Open(ctx, folder, NULL, disk, &cause);
+    if (file != NULL || !g_error_matches(cause, EY_RAFT_FILE_ERROR,
+                                         EY_RAFT_FILE_ERROR_CORRUPT))
+    {
+        if (cause != NULL) {
+            g_propagate_error(error, cause);
+        }
+        return file;
+    }
+    EY_LOG(EY_LOG_ERROR, "control", "log_damaged",
+           EY_LOG_TEXT("reason", cause->message),
+           EY_LOG_TEXT("folder", folder),
+           EY_LOG_TEXT("outcome", "set aside as " EY_RAFT_FILE_DAMAGED_NAME
+                                  "; joins again as a new member"));
+    g_error_free(cause);
+    return EyRaftFile_SetAside(folder, error)
+               ? EyRaftFile_Open(ctx, folder, NULL, disk, error)
+               : NULL;
+}
+
+bool
+EyRaftStorage_MayOpenLater(const GError *error)
+{
+    return !g_error_matches(error, EY_RAFT_FILE_ERROR,
+                            EY_RAFT_FILE_ERROR_FOLDER) &&
+           !g_error_matches(error, EY_RAFT_FILE_ERROR,
+                            EY_RAFT_FILE_ERROR_LOCKED);
+}
+
 EyRaftStorage_t *
 EyRaftStorage_Start(const void *ctx, const char *folder,
                     struct tevent_context *loop, EyRaftStored_t stored,
@@ -146,7 +183,7 @@
     EyRaftStorage_t *self = EY_NEW(ctx, EyRaftStorage_t);
     self->stored = stored;
     self->data = data;
-    self->file = EyRaftFile_Open(self, folder, NULL, disk, error);
+    self->file = open_file(self, folder, disk, error);
     if (self->file == NULL) {
         talloc_free(self);
         return NULL;
--- a/src/control/raft_storage.h
+++ b/src/control/raft_storage.h
@@ -21,12 +21,18 @@
 typedef struct EyRaftStorage EyRaftStorage_t;
 
 /** Opens the file in folder, reads it into disk and starts the thread; NULL
- * with EY_RAFT_FILE_ERROR. */
+ * with EY_RAFT_FILE_ERROR. A damaged file is set aside, and a new one created
+ * with has_lost_data. */
 EyRaftStorage_t *
 EyRaftStorage_Start(const void *ctx, const char *folder,
                     struct tevent_context *loop, EyRaftStored_t stored,
                     void *data, EyRaftDiskState_t *disk, GError **error);
 
+/** True if a start that failed with this error may succeed later, as on a disk
+ * that was full; else a setting is wrong. */
+bool
+EyRaftStorage_MayOpenLater(const GError *error);
+
 /** Passes a disk write to the thread; takes ownership of it, a talloc object
  * without a parent. */
 void
