Control: a log that can't be opened now keeps the process waiting, not ending

What operators saw: a control process whose disk was full at its start, or couldn't be read or synced for a moment, ended with code 1 at each start.

Cause: the part opened the file once, at its start, and any error ended the process.

Change: it runs without its log, isn't ready (the readiness check names the part), refuses operators' calls with 503 and opens the file again twice a second. A folder that can't be used at all, or that another process uses, still ends it: that is a wrong setting. After a loss of data it is ready once the group has made it a voter again.

Evidence: fleet::control_process_whose_disk_takes_no_file_at_its_start_joins_later and fleet::control_process_with_a_damaged_log_joins_again pass; on the code before, both processes end.

--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -16,13 +16,15 @@
 EY_DEFINE_ERROR_DOMAIN(ControlPart, "ey-control-part")
 
 #define TICK_MS 50
+/** Interval at which the log's file is opened again if it couldn't be. */
+#define OPEN_INTERVAL_MS 500
 /* Longest wait of a read until the store has every entry that was committed
  * before the read. */
 #define READ_TIMEOUT_MS 800
 
 typedef struct ControlPart {
     EyNode_t *node;
-    EyControl_t *control;
+    EyControl_t *control; /* NULL, like storage, until the file is open */
     EyWitnesses_t *witnesses;
     EyServerListSaver_t *list_saver;
     EyRaftStorage_t *storage;
@@ -196,6 +198,10 @@
     if (request->call != EY_CALL_OPERATOR) {
         return false;
     }
+    if (self->control == NULL) {
+        EyNode_Answer(self->node, request, refuse_read());
+        return true;
+    }
     EyOperatorsReply_t reply = EyOperators_Handle(
         request, EyControl_Store(self->control), self->node->operator_token);
     if (reply.answer != NULL) {
@@ -322,24 +328,19 @@
     return false;
 }
 
-static void *
-control_open(const void *ctx, EyNode_t *node, GError **error)
+/** Opens the log's file and, if that succeeds, starts the control process's
+ * logic. */
+static bool
+start_control(ControlPart_t *self, GError **error)
 {
-    ControlPart_t *self = EY_NEW(ctx, ControlPart_t);
-    self->node = node;
+    EyNode_t *node = self->node;
     EyRaftDiskState_t disk = {.incarnation = 0};
     self->storage =
         EyRaftStorage_Start(self, node->settings->data_dir, node->loop,
                             on_stored, self, &disk, error);
     if (self->storage == NULL) {
-        EyError_Wrap(error, EY_CONTROL_PART_ERROR, EY_CONTROL_PART_ERROR_FILE,
-                     "opening the configuration's file");
-        talloc_free(self);
-        return NULL;
+        return false;
     }
-    self->pending_requests = g_hash_table_new_full(
-        g_int64_hash, g_int64_equal, EyMemory_Free, pending_request_free);
-    self->witnesses = EyWitnesses_New(self, node);
     const EyControlHooks_t hooks = {
         .send_raft = hook_send_raft,
         .send_config = hook_send_config,
@@ -351,8 +352,61 @@
     const EyRaftOptions_t options = raft_options(self);
     self->control =
         EyControl_New(self, &options, &disk, &hooks, EyClock_NowMs());
-    self->list_saver = EyServerListSaver_Start(self, node);
     (void)EyTimers_Every(node->timers, TICK_MS, on_tick, self);
+    return true;
+}
+
+static void
+on_open_again(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    ControlPart_t *self = data;
+    GError *error = NULL;
+    if (start_control(self, &error)) {
+        EY_LOG(EY_LOG_WARNING, "control", "log_opened",
+               EY_LOG_TEXT("folder", self->node->settings->data_dir));
+        return;
+    }
+    g_error_free(error);
+    (void)EyTimers_After(self->node->timers, OPEN_INTERVAL_MS, on_open_again,
+                         self);
+}
+
+/** Keeps the process running without its log: it takes no part in the group,
+ * isn't ready, and opens the file again. */
+static void
+open_later(ControlPart_t *self, GError *error)
+{
+    EY_LOG(EY_LOG_ERROR, "control", "log_not_opened",
+           EY_LOG_TEXT("reason", error->message),
+           EY_LOG_TEXT("outcome", "not ready; opened again until it is done"));
+    g_error_free(error);
+    (void)EyTimers_After(self->node->timers, OPEN_INTERVAL_MS, on_open_again,
+                         self);
+}
+
+static void *
+control_open(const void *ctx, EyNode_t *node, GError **error)
+{
+    ControlPart_t *self = EY_NEW(ctx, ControlPart_t);
+    self->node = node;
+    self->pending_requests = g_hash_table_new_full(
+        g_int64_hash, g_int64_equal, EyMemory_Free, pending_request_free);
+    self->witnesses = EyWitnesses_New(self, node);
+    GError *cause = NULL;
+    if (!start_control(self, &cause)) {
+        if (!EyRaftStorage_MayOpenLater(cause)) {
+            g_propagate_error(error, cause);
+            EyError_Wrap(error, EY_CONTROL_PART_ERROR,
+                         EY_CONTROL_PART_ERROR_FILE,
+                         "opening the configuration's file");
+            g_hash_table_destroy(self->pending_requests);
+            talloc_free(self);
+            return NULL;
+        }
+        open_later(self, cause);
+    }
+    self->list_saver = EyServerListSaver_Start(self, node);
     return self;
 }
 
@@ -361,8 +415,10 @@
 {
     ControlPart_t *self = part;
     EyServerListSaver_Stop(self->list_saver);
-    EyRaftStorage_Stop(self->storage);
-    self->storage = NULL;
+    if (self->storage != NULL) {
+        EyRaftStorage_Stop(self->storage);
+        self->storage = NULL;
+    }
     g_hash_table_destroy(self->pending_requests);
 }
 
@@ -404,16 +460,19 @@
 static void
 control_on_message(void *part, const EyPeerMessage_t *message)
 {
-    if (message->kind == EY_PEER_RAFT) {
-        receive_raft(part, message);
-        return;
-    }
+    ControlPart_t *self = part;
     if (message->kind == EY_PEER_GROUP) {
-        const ControlPart_t *self = part;
         EyWitnesses_Receive(self->witnesses, message);
         return;
     }
-    receive_config(part, message);
+    if (self->control == NULL) {
+        return;
+    }
+    if (message->kind == EY_PEER_RAFT) {
+        receive_raft(self, message);
+        return;
+    }
+    receive_config(self, message);
 }
 
 static void
@@ -425,11 +484,27 @@
     EyServerListSaver_OnBackend(self->list_saver, change);
 }
 
+/** False without an open log, and after a loss of data until the group has
+ * made this process a voter again. */
+static bool
+control_is_ready(void *part)
+{
+    const ControlPart_t *self = part;
+    if (self->control == NULL) {
+        return false;
+    }
+    EyRaftStatus_t status = EyControl_Status(self->control);
+    return !status.has_lost_data || status.is_voter;
+}
+
 static json_t *
 control_dump(void *part)
 {
     const ControlPart_t *self = part;
-    json_t *json = EyControl_Dump(self->control);
+    json_t *json =
+        self->control != NULL ? EyControl_Dump(self->control) : json_object();
+    (void)json_object_set_new(json, "is_log_open",
+                              json_boolean(self->control != NULL));
     (void)json_object_set_new(json, "witnesses",
                               EyWitnesses_Dump(self->witnesses));
     return json;
@@ -444,5 +519,6 @@
     .handles_kind = control_wants,
     .on_message = control_on_message,
     .on_backend = control_on_backend,
+    .is_ready = control_is_ready,
     .dump = control_dump,
 };
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -73,18 +73,19 @@
 
 /* Called on the main thread. */
 
-static bool
-is_ready(const EyNode_t *self)
+/** Returns the name of a part that isn't ready; NULL: all are. */
+static const char *
+unready_part(const EyNode_t *self)
 {
     for (uint32_t i = 0; i < self->part_count; i++) {
         const EyPart_t *part = &self->parts[i];
         if (part->class_table->is_ready != NULL &&
             !part->class_table->is_ready(part->state))
         {
-            return false;
+            return part->class_table->name;
         }
     }
-    return self->state == EY_NODE_SERVING;
+    return NULL;
 }
 
 static EyAnswer_t *
@@ -97,11 +98,16 @@
 static EyAnswer_t *
 answer_ready(EyNode_t *self)
 {
-    if (is_ready(self)) {
+    const char *part = unready_part(self);
+    if (part == NULL && self->state == EY_NODE_SERVING) {
         return EyAnswer_Text(200, "text/plain", "ready\n");
     }
-    return EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1,
-                            EyNode_state_names[self->state]);
+    char detail[64];
+    (void)g_snprintf(detail, sizeof(detail), "%s%s%s",
+                     EyNode_state_names[self->state],
+                     part != NULL ? "; not ready: " : "",
+                     part != NULL ? part : "");
+    return EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1, detail);
 }
 
 static EyAnswer_t *
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -438,3 +438,63 @@
     cr_assert(change_default(&Fleet.regions[1].gateways[0], 801, 1, "after"));
     cr_assert(await_default(&Fleet.regions[2].gateways[0], 801, 10000));
 }
+
+static void
+path_in_folder(const FleetRegion_t *region, const char *name, char *path,
+               size_t size_bytes)
+{
+    (void)snprintf(path, size_bytes, "%s/%s", region->control_folder, name);
+}
+
+/** Changes a byte in the middle of a control process's log. */
+static void
+damage_log(const FleetRegion_t *region)
+{
+    char path[HARNESS_ARG_SIZE_BYTES + 32];
+    path_in_folder(region, "control.log", path, sizeof(path));
+    FILE *file = fopen(path, "r+b");
+    cr_assert_not_null(file);
+    cr_assert_eq(fseek(file, 0, SEEK_END), 0);
+    long middle = ftell(file) / 2;
+    cr_assert_eq(fseek(file, middle, SEEK_SET), 0);
+    int byte = fgetc(file);
+    cr_assert_eq(fseek(file, middle, SEEK_SET), 0);
+    cr_assert_eq(fputc(byte ^ 0x41, file), byte ^ 0x41);
+    cr_assert_eq(fclose(file), 0);
+}
+
+Test(fleet, control_process_with_a_damaged_log_joins_again)
+{
+    Fleet_Start(&Fleet, 3, 1);
+    FleetRegion_t *damaged = &Fleet.regions[2];
+    cr_assert(change_default(&Fleet.regions[0].gateways[0], 810, 0, "first"));
+    Process_Kill(&damaged->control);
+    damage_log(damaged);
+    Process_Start(&damaged->control);
+    cr_assert(Process_AwaitStatus(&damaged->control, "/readyz", 200, 20000));
+    cr_assert(await_voter(&damaged->control, 20000));
+    /* With another member lost, it is needed for each change. */
+    Process_Kill(&Fleet.regions[0].control);
+    cr_assert(change_default(&Fleet.regions[1].gateways[0], 811, 1, "second"));
+    cr_assert(await_default(&damaged->gateways[0], 811, 10000));
+}
+
+Test(fleet, control_process_whose_disk_takes_no_file_at_its_start_joins_later)
+{
+    Fleet_Start(&Fleet, 3, 1);
+    FleetRegion_t *full = &Fleet.regions[2];
+    char log[HARNESS_ARG_SIZE_BYTES + 32];
+    char in_the_way[HARNESS_ARG_SIZE_BYTES + 32];
+    path_in_folder(full, "control.log", log, sizeof(log));
+    path_in_folder(full, "control.log.new", in_the_way, sizeof(in_the_way));
+    Process_Kill(&full->control);
+    cr_assert_eq(remove(log), 0);
+    cr_assert_eq(mkdir(in_the_way, 0700), 0);
+    Process_Start(&full->control);
+    cr_assert(Process_AwaitStatus(&full->control, "/healthz", 200, 10000));
+    cr_assert(Process_AwaitStatus(&full->control, "/readyz", 503, 10000));
+    cr_assert(change_default(&Fleet.regions[0].gateways[0], 820, 0, "first"));
+    cr_assert_eq(rmdir(in_the_way), 0);
+    cr_assert(Process_AwaitStatus(&full->control, "/readyz", 200, 10000));
+    cr_assert(await_voter(&full->control, 20000));
+}
