--- a/src/gateway/record_storage.c
+++ b/src/gateway/record_storage.c
@@ -127,6 +127,31 @@
     talloc_free(message);
 }
 
+/** Opens the journal. A damaged one is set aside: the member comes back as one
+ * that lost its disk and copies the records, instead of ending at each start.
+ */
+static EyJournal_t *
+open_journal(const void *ctx, const char *folder, EyGroupState_t **restored,
+             GError **error)
+{
+    GError *cause = NULL;
+    EyJournal_t *journal = EyJournal_Open(ctx, folder, restored, &cause);
+    if (journal != NULL) {
+        return journal;
+    }
+    if (!g_error_matches(cause, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_DAMAGED)) {
+        g_propagate_error(error, cause);
+        return NULL;
+    }
+    EY_LOG(EY_LOG_ERROR, "records", "journal_damaged",
+           EY_LOG_TEXT("reason", cause->message),
+           EY_LOG_TEXT("outcome", "set aside; comes back without records"));
+    g_error_free(cause);
+    return EyJournal_SetAside(folder, error)
+               ? EyJournal_Open(ctx, folder, restored, error)
+               : NULL;
+}
+
 EyRecordStorage_t *
 EyRecordStorage_Start(const void *ctx, const char *folder,
                       struct tevent_context *loop,
@@ -135,7 +160,7 @@
 {
     EyRecordStorage_t *self = EY_NEW(ctx, EyRecordStorage_t);
     self->hooks = *hooks;
-    self->journal = EyJournal_Open(self, folder, restored, error);
+    self->journal = open_journal(self, folder, restored, error);
     if (self->journal == NULL) {
         talloc_free(self);
         return NULL;
--- a/src/idempotency/journal.c
+++ b/src/idempotency/journal.c
@@ -305,6 +305,22 @@
     return self;
 }
 
+bool
+EyJournal_SetAside(const char *folder, GError **error)
+{
+    char *path = talloc_asprintf(NULL, "%s/%s", folder, FILE_NAME);
+    char *aside = talloc_asprintf(path, "%s.damaged", path);
+    bool is_ok = true;
+    if (rename(path, aside) != 0) {
+        is_ok = fail(error, EY_JOURNAL_ERROR_OPEN, path, "can't rename");
+    }
+    else if (!sync_folder(folder)) {
+        is_ok = fail(error, EY_JOURNAL_ERROR_OPEN, folder, "can't sync");
+    }
+    talloc_free(path);
+    return is_ok;
+}
+
 bool
 EyJournal_Append(EyJournal_t *self, const EyGroupState_t *state,
                  GError **error)
--- a/src/idempotency/journal.h
+++ b/src/idempotency/journal.h
@@ -58,6 +58,14 @@
 EyJournal_Compact(EyJournal_t *self, const EyGroupState_t *snapshot,
                   GError **error);
 
+/**
+ * Renames a damaged file to idempotency.journal.damaged, so that the next open
+ * creates a new one: the member then comes back without records, as after the
+ * loss of its disk. Returns false and sets error on failure.
+ */
+bool
+EyJournal_SetAside(const char *folder, GError **error);
+
 uint64_t
 EyJournal_SizeBytes(const EyJournal_t *self);
 
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -1,4 +1,5 @@
 #include "core/memory.h"
+#include "gateway/record_storage.h"
 #include "idempotency/journal.h"
 #include "sync_calls.h"
 
@@ -155,6 +156,30 @@
     (void)close(file);
 }
 
+Test(journal, damaged_journal_is_set_aside_and_the_gateway_starts)
+{
+    uint64_t sizes[3];
+    write_three(sizes);
+    gchar *data = NULL;
+    gsize size_bytes = 0;
+    cr_assert(g_file_get_contents(Path, &data, &size_bytes, NULL));
+    data[10] = (gchar)(data[10] ^ 0x40);
+    cr_assert(g_file_set_contents(Path, data, (gssize)size_bytes, NULL));
+    g_free(data);
+    struct tevent_context *loop = tevent_context_init(Ctx);
+    const EyRecordStorageHooks_t hooks = {.data = NULL};
+    EyGroupState_t *restored = NULL;
+    GError *error = NULL;
+    EyRecordStorage_t *storage =
+        EyRecordStorage_Start(Ctx, Folder, loop, &hooks, &restored, &error);
+    cr_assert_not_null(storage, "%s", error != NULL ? error->message : "");
+    cr_assert_null(restored);
+    EyRecordStorage_Stop(storage);
+    gchar *aside = g_strconcat(Path, ".damaged", NULL);
+    cr_assert_eq(g_unlink(aside), 0);
+    g_free(aside);
+}
+
 Test(journal, compaction_keeps_all)
 {
     EyGroupState_t *state = NULL;
