Known red: a server that names a limit of requests a second gets more

What callers' servers saw: one that named a limit of 1 request a second got 29 and 38 in 4 s, 11 allowed.

The stand-in learns the header.

--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -11,6 +11,7 @@
  *   status=N          answer with this HTTP status
  *   refuse=SECONDS    answer 503 without a run, with this Retry-After
  *   leaving           say in the answer that this server is leaving
+ *   limit=TEXT        name this limit of requests a second in the answer
  *   at=ID             the faults named after it occur at this server only
  */
 #include "fakes/server.h"
@@ -30,6 +31,7 @@
     uint64_t filler_bytes;
     uint32_t status;
     char retry_after[32]; /* "": runs the request */
+    char limit[32];       /* "": names none */
     bool says_leaving;
     bool is_elsewhere; /* the further words are for another server */
 } Behaviour_t;
@@ -65,6 +67,9 @@
         (void)g_strlcpy(behaviour->retry_after, value + 1,
                         sizeof(behaviour->retry_after));
     }
+    else if (g_str_has_prefix(word, "limit=")) {
+        (void)g_strlcpy(behaviour->limit, value + 1, sizeof(behaviour->limit));
+    }
     behaviour->says_leaving |= strcmp(word, "leaving") == 0;
     behaviour->crash_after_read |= strcmp(word, "crash-after-read") == 0;
     behaviour->close_midway |= strcmp(word, "close-midway") == 0;
@@ -151,6 +156,9 @@
     if (behaviour->says_leaving) {
         MHD_add_response_header(response, "Ebonyyard-Leaving", "1");
     }
+    if (behaviour->limit[0] != '\0') {
+        MHD_add_response_header(response, "Ebonyyard-Limit", behaviour->limit);
+    }
     return FakeRequest_Respond(request, behaviour->status, "application/json",
                                response);
 }
--- a/tests/process/test_server_notices.c
+++ b/tests/process/test_server_notices.c
@@ -1,5 +1,5 @@
-/* Backend servers that say in their answers that they are leaving or want a
- * pause, with real processes. */
+/* Backend servers that say in their answers that they are leaving, want a
+ * pause or take only so many requests, with real processes. */
 #include "process/fleet.h"
 
 #include <criterion/criterion.h>
@@ -10,6 +10,12 @@
 /** Time for a notice to reach the other gateways of the region. */
 #define SPREAD_MS 1500
 #define PAUSE_MS 3000
+#define LIMIT_RUN_MS 8000
+#define LIMIT_WINDOW_MS 4000
+/** One request a second: one and a half times that, and five. */
+#define LIMIT_WINDOW_REQUESTS 11
+#define SAMPLE_MS 500
+#define SAMPLES (LIMIT_RUN_MS / SAMPLE_MS)
 /** Slows the first server down, so that the second one is preferred. */
 #define FIRST_IS_SLOW "Fake-Behaviour: at=dalmacija-fake-service,delay=40"
 
@@ -135,3 +141,41 @@
     cr_expect_eq(second_requests(), paused_count);
     cr_expect(call_until_second(0, FIRST_IS_SLOW));
 }
+
+/** Calls both gateways in turn for a while; false if a call isn't served. */
+static bool
+call_both(const char *behaviour, int64_t duration_ms)
+{
+    int64_t until_ms = Harness_NowMs() + duration_ms;
+    bool is_served = true;
+    for (uint32_t i = 0; Harness_NowMs() < until_ms; i++) {
+        bool is_second = false;
+        is_served &= call(i % 2, behaviour, &is_second);
+        Harness_SleepMs(10);
+    }
+    return is_served;
+}
+
+Test(server_notices, a_server_that_names_a_limit_gets_no_more)
+{
+    static const char Limited[] = FIRST_IS_SLOW ",at=second,limit=1";
+    Fleet_Start(&Fleet, 1, 2);
+    start_second();
+    cr_assert(call_until_second(0, Limited));
+    cr_assert(call_until_second(1, Limited));
+    cr_expect(call_both(Limited, SPREAD_MS));
+    json_int_t counts[SAMPLES + 1] = {second_requests()};
+    for (uint32_t i = 1; i <= SAMPLES; i++) {
+        cr_expect(call_both(Limited, SAMPLE_MS), "the other server is idle");
+        counts[i] = second_requests();
+        uint32_t window = MIN(i, LIMIT_WINDOW_MS / SAMPLE_MS);
+        cr_expect_leq(counts[i] - counts[i - window], LIMIT_WINDOW_REQUESTS,
+                      "sample %u", i);
+    }
+    cr_expect_gt(counts[SAMPLES], counts[0], "the limit isn't used");
+    /* It says so no more, and is used as before. */
+    cr_expect(call_both(FIRST_IS_SLOW, LIMIT_WINDOW_MS));
+    json_int_t after = second_requests();
+    cr_expect(call_both(FIRST_IS_SLOW, LIMIT_WINDOW_MS));
+    cr_expect_gt(second_requests() - after, 2 * LIMIT_WINDOW_REQUESTS);
+}
