Routing: a server that names a limit gets no more from all gateways together

What servers saw: one in need that named a limit of 1 request a second got 29 and 38 in 4 s, 11 allowed.

Change: Server-Limit (Ebonyyard-Limit) is read from each answer. A few gateways of the region, by rank and the server's id, share the rate as token buckets with fractions of a request; their bursts are 3 requests and half a second of the rate in all, and the smallest share of the last 5 s counts, so that a share that passes on isn't spent twice. What a gateway hears of a limit or its end goes to the others with the engine updates, the latest answer holds, and an answer to a request that was sent before the last naming ends none. Without a token the request goes to another server or is refused at once with the time of the next token.

Weighed: the windows of cold servers (cold_limiter) for both. Their shares are whole requests, so at 1 a second most of the rate is lost; ranks and the history of ranks serve both.

A lower limit than 0.1 counts as 0.1: without any request its end would never be heard.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -2,6 +2,7 @@
 
 #include "core/memory.h"
 
+#include <float.h>
 #include <glib.h>
 #include <math.h>
 #include <stdlib.h>
@@ -188,6 +189,18 @@
            (name != NULL && EyAnswer_Header(self, name) != NULL);
 }
 
+/** Reads a decimal number without a sign or an exponent, up to max. */
+static bool
+read_decimal(const char *value, double max, double *number)
+{
+    gchar *end = NULL;
+    *number = g_ascii_strtod(value, &end);
+    /* Excludes signs, "inf", "nan" and hexadecimal numbers. */
+    bool is_decimal =
+        *value != '\0' && strspn(value, "0123456789.") == strlen(value);
+    return is_decimal && *end == '\0' && *number <= max;
+}
+
 EyRetryAfter_t
 EyAnswer_ReadRetryAfter(const EyAnswer_t *self, int64_t *delay_ms)
 {
@@ -195,18 +208,27 @@
     if (value == NULL) {
         return EY_RETRY_AFTER_ABSENT;
     }
-    gchar *end = NULL;
-    double seconds = g_ascii_strtod(value, &end);
-    /* Excludes signs, "inf", "nan" and hexadecimal numbers. */
-    bool is_decimal =
-        *value != '\0' && strspn(value, "0123456789.") == strlen(value);
-    if (!is_decimal || *end != '\0' || seconds > RETRY_AFTER_MAX_S) {
+    double seconds = 0.0;
+    if (!read_decimal(value, RETRY_AFTER_MAX_S, &seconds)) {
         return EY_RETRY_AFTER_INVALID;
     }
     *delay_ms = (int64_t)ceil(seconds * MS_PER_S);
     return EY_RETRY_AFTER_VALID;
 }
 
+EyLimitHeader_t
+EyAnswer_ReadLimit(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                   double *per_s)
+{
+    const char *name = names->by_role[EY_HEADER_LIMIT];
+    const char *value = name != NULL ? EyAnswer_Header(self, name) : NULL;
+    if (value == NULL) {
+        return EY_LIMIT_HEADER_ABSENT;
+    }
+    return read_decimal(value, DBL_MAX, per_s) ? EY_LIMIT_HEADER_VALID
+                                               : EY_LIMIT_HEADER_INVALID;
+}
+
 bool
 EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names)
 {
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -120,6 +120,19 @@
 EyRetryAfter_t
 EyAnswer_ReadRetryAfter(const EyAnswer_t *self, int64_t *delay_ms);
 
+/** Value of a header that names a limit of requests a second. */
+typedef enum EyLimitHeader {
+    EY_LIMIT_HEADER_ABSENT,
+    EY_LIMIT_HEADER_VALID,
+    EY_LIMIT_HEADER_INVALID, /* not a number, or negative */
+    EY_LIMIT_HEADER_COUNT
+} EyLimitHeader_t;
+
+/** Reads the header with the limit that a backend server names into per_s. */
+EyLimitHeader_t
+EyAnswer_ReadLimit(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                   double *per_s);
+
 /** True if a backend server says that it is leaving. */
 bool
 EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names);
--- a/src/exchange/header_names.c
+++ b/src/exchange/header_names.c
@@ -31,6 +31,7 @@
             [EY_HEADER_NOT_RUN] = "Ebonyyard-Not-Run",
             [EY_HEADER_LOAD] = "Ebonyyard-Load",
             [EY_HEADER_LEAVING] = "Ebonyyard-Leaving",
+            [EY_HEADER_LIMIT] = "Ebonyyard-Limit",
         },
     .reserved = NativeReserved,
     .sends_stream_error_event = true,
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -32,6 +32,8 @@
     EY_HEADER_NOT_RUN,          /* in an answer: the request didn't run */
     EY_HEADER_LOAD,             /* RUNNING,QUEUED,SLOTS of the server */
     EY_HEADER_LEAVING,          /* in an answer: 1 if the server is leaving */
+    EY_HEADER_LIMIT,            /* in an answer: requests a second that the
+                                   server takes from all gateways together */
     EY_HEADER_ROLE_COUNT
 } EyHeaderRole_t;
 
--- a/src/gateway/engine_updates.c
+++ b/src/gateway/engine_updates.c
@@ -46,7 +46,8 @@
 has_content(const EyEngineUpdate_t *update)
 {
     return update->engine_count > 0 || update->evidence_count > 0 ||
-           update->cleared_count > 0 || update->refuted_count > 0;
+           update->cleared_count > 0 || update->refuted_count > 0 ||
+           update->limit_count > 0;
 }
 
 static int64_t
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -33,6 +33,10 @@
                            .labels = "notice=\"pause\"",
                            .help = "Notices of backend servers about "
                                    "themselves, in answers"},
+    [EY_GATEWAY_LIMITS] = {.name = "backend_notices_total",
+                           .labels = "notice=\"limit\"",
+                           .help = "Notices of backend servers about "
+                                   "themselves, in answers"},
     [EY_GATEWAY_CRASHES] = {.name = "prompt_crashes_total",
                             .help = "Crashes of engines held against a part "
                                     "of the prompt"},
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -21,7 +21,8 @@
     [EY_REFUSAL_NO_BACKEND] = {EY_PROBLEM_NO_BACKEND,
                                "no backend server serves the target now"},
     [EY_REFUSAL_PAUSED] = {EY_PROBLEM_OVERLOADED,
-                           "all backend servers asked for a pause"},
+                           "all backend servers asked for a pause or "
+                           "named a limit that is used up"},
     [EY_REFUSAL_OVERLOADED] = {EY_PROBLEM_OVERLOADED,
                                "the deadline can't be met"},
     [EY_REFUSAL_QUEUE_FULL] = {EY_PROBLEM_OVERLOADED, "the queue is full"},
--- a/src/gateway/server_notices.c
+++ b/src/gateway/server_notices.c
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "gateway/internal.h"
 
+#include <math.h>
 #include <stdio.h>
 
 #define STATUS_UNAVAILABLE 503
@@ -80,6 +81,39 @@
            EY_LOG_NUMBER("pause_ms", new_pause_ms));
 }
 
+/** The server gets its limit of requests at most from all gateways of the
+ * region, for as long as it names one. */
+static void
+read_limit(const EyActiveRequest_t *active, const EyAnswer_t *answer)
+{
+    const EyGateway_t *gateway = active->gateway;
+    const EyRequest_t *request = active->exchange->request;
+    double per_s = EY_SERVER_LIMIT_NONE;
+    EyLimitHeader_t read = EyAnswer_ReadLimit(answer, gateway->names, &per_s);
+    if (read == EY_LIMIT_HEADER_INVALID) {
+        EY_LOG(EY_LOG_WARNING, "gateway", "limit_ignored",
+               EY_LOG_TEXT("id", server_id(active)),
+               EY_LOG_TEXT("request_id", request->id));
+        return;
+    }
+    if (read == EY_LIMIT_HEADER_VALID) {
+        per_s = fmax(per_s, EY_SERVER_LIMIT_MIN_PER_S);
+    }
+    if (!EyRouter_HearLimit(gateway->router, EyClock_NowMs(), request->number,
+                            server_id(active), per_s))
+    {
+        return;
+    }
+    EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_LIMITS], 1);
+    char text[32];
+    (void)g_snprintf(text, sizeof(text), "%.3f", per_s);
+    EY_LOG(
+        EY_LOG_INFO, "gateway", "server_limit",
+        EY_LOG_TEXT("id", server_id(active)),
+        EY_LOG_TEXT("request_id", request->id),
+        EY_LOG_TEXT("per_s", per_s == EY_SERVER_LIMIT_NONE ? "none" : text));
+}
+
 void
 EyGateway_ReadServerNotices(EyActiveRequest_t *active,
                             const EyAnswer_t *answer)
@@ -90,4 +124,8 @@
     read_load(active, answer);
     read_leaving(active, answer);
     read_pause(active, answer);
+    /* Another server answered at its address. */
+    if (answer->status != EY_STATUS_MISDIRECTED) {
+        read_limit(active, answer);
+    }
 }
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -84,7 +84,7 @@
     EY_REFUSAL_NONE,
     EY_REFUSAL_NO_BACKEND,   /* no backend server for the target */
     EY_REFUSAL_PAUSED,       /* all backend servers for the target asked for a
-                                pause */
+                                pause, or named a limit that is used up */
     EY_REFUSAL_OVERLOADED,   /* a deadline, also of a queued request, would be
                                 missed */
     EY_REFUSAL_QUEUE_FULL,   /* the admission queue is full */
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -56,6 +56,15 @@
 };
 static const EySchema_t BarSchema = EY_SCHEMA(EySuspectBar_t, BarFields);
 
+static const EyField_t LimitFields[] = {
+    EY_FIELD_TEXT(EyHeardLimit_t, id),
+    EY_FIELD(EyHeardLimit_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyHeardLimit_t, per_s, EY_FIELD_F64),
+    EY_FIELD(EyHeardLimit_t, age_ms, EY_FIELD_U32),
+    EY_FIELD_END,
+};
+static const EySchema_t LimitSchema = EY_SCHEMA(EyHeardLimit_t, LimitFields);
+
 static const EyField_t UpdateFields[] = {
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, engines, engine_count, WordSchema,
                       EY_ENGINE_UPDATE_ENGINES_MAX),
@@ -67,6 +76,8 @@
                       EY_ENGINE_UPDATE_BARS_MAX),
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, refuted, refuted_count, CrashSchema,
                       EY_ENGINE_UPDATE_REFUTED_MAX),
+    EY_FIELD_ARRAY_OF(EyEngineUpdate_t, limits, limit_count, LimitSchema,
+                      EY_ENGINE_UPDATE_LIMITS_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyEngineUpdate_schema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -2,8 +2,9 @@
  * Engine updates that gateways send each other: how many prompt tokens each
  * gateway has sent to a model engine that are still in prefill, and which
  * prompt prefixes engines have cached since the last update; and which
- * requests and parts of prompts are suspected of crashing servers. Updates may
- * arrive late or not at all; correctness never depends on them.
+ * requests and parts of prompts are suspected of crashing servers; and which
+ * servers named a limit of requests. Updates may arrive late or not at all;
+ * correctness never depends on them.
  */
 #ifndef EY_ROUTING_ENGINE_UPDATE_H
 #define EY_ROUTING_ENGINE_UPDATE_H
@@ -24,6 +25,8 @@
 #define EY_ENGINE_UPDATE_BARS_MAX 16
 #define EY_ENGINE_UPDATE_REFUTED_MAX 64
 #define EY_ENGINE_UPDATE_BAR_CRASHES_MAX 8
+/** Most limits of servers in one message. */
+#define EY_ENGINE_UPDATE_LIMITS_MAX 256
 
 /** A prompt prefix, by the hash of its parts. */
 typedef struct EyCachedPrefix {
@@ -77,6 +80,14 @@
     bool is_request;
 } EySuspectBar_t;
 
+/** A limit that a server named in an answer, or its end. */
+typedef struct EyHeardLimit {
+    EyName_t id;
+    uint64_t incarnation;
+    double per_s; /* 0: the server names none any more */
+    uint32_t age_ms;
+} EyHeardLimit_t;
+
 /** The update of one gateway. An engine of its region that isn't listed has no
  * pending prefill from the sender. */
 typedef struct EyEngineUpdate {
@@ -90,6 +101,8 @@
     uint32_t bar_count;
     EyCrashKey_t *refuted; /* crashes that were none: the engine went on */
     uint32_t refuted_count;
+    EyHeardLimit_t *limits; /* own region only */
+    uint32_t limit_count;
 } EyEngineUpdate_t;
 
 extern const EySchema_t EyEngineUpdate_schema;
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -215,15 +215,30 @@
     return candidate;
 }
 
+/* Time until the replica takes requests again, by the pause that it asked for
+ * and the limit that it named; 0: now. */
+static int64_t
+wait_for_replica_ms(const EyReplica_t *replica, const EyPlanInputs_t *inputs)
+{
+    int64_t pause_ms = MAX(replica->paused_until_ms - inputs->now_ms, 0);
+    int64_t limit_ms =
+        inputs->limits != NULL
+            ? EyServerLimits_WaitMs(inputs->limits, inputs->now_ms,
+                                    replica->backend, inputs->ranks)
+            : 0;
+    return MAX(pause_ms, limit_ms);
+}
+
 static bool
-is_candidate(const EyReplica_t *replica, int64_t now_ms,
+is_candidate(const EyReplica_t *replica, const EyPlanInputs_t *inputs,
              const EyRoutingRequest_t *request, bool with_ejected)
 {
+    int64_t now_ms = inputs->now_ms;
     return EyReplica_IsServing(replica) &&
            now_ms >= replica->misdirected_until_ms &&
-           now_ms >= replica->paused_until_ms &&
            !EyRoutingRequest_Excludes(request, replica->backend->id) &&
-           (with_ejected || !EyOutlier_IsEjected(&replica->outlier, now_ms));
+           (with_ejected || !EyOutlier_IsEjected(&replica->outlier, now_ms)) &&
+           wait_for_replica_ms(replica, inputs) == 0;
 }
 
 static void
@@ -235,8 +250,7 @@
                               inputs->now_ms, request, self->cached);
     g_array_set_size(self->candidates, 0);
     for (uint32_t i = 0; i < self->replicas->len; i++) {
-        if (is_candidate(replica_at(self, i), inputs->now_ms, request,
-                         with_ejected)) {
+        if (is_candidate(replica_at(self, i), inputs, request, with_ejected)) {
             EyCandidate_t candidate =
                 make_candidate(self, i, inputs, request, work);
             g_array_append_val(self->candidates, candidate);
@@ -244,15 +258,15 @@
     }
 }
 
-/* Time until the first of the paused replicas takes requests; 0: none is
- * paused. */
+/* Time until the first of the replicas that are paused or limited takes
+ * requests; 0: none is. */
 static int64_t
-shortest_pause_ms(const EyPool_t *self, int64_t now_ms)
+shortest_wait_ms(const EyPool_t *self, const EyPlanInputs_t *inputs)
 {
     int64_t shortest_ms = INT64_MAX;
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         const EyReplica_t *replica = replica_at(self, i);
-        int64_t left_ms = replica->paused_until_ms - now_ms;
+        int64_t left_ms = wait_for_replica_ms(replica, inputs);
         if (EyReplica_IsServing(replica) && left_ms > 0) {
             shortest_ms = MIN(shortest_ms, left_ms);
         }
@@ -366,7 +380,7 @@
         collect(self, inputs, request, work, true);
     }
     if (self->candidates->len == 0) {
-        plan.pause_left_ms = shortest_pause_ms(self, inputs->now_ms);
+        plan.pause_left_ms = shortest_wait_ms(self, inputs);
         return plan;
     }
     plan.has_replica = true;
@@ -447,11 +461,15 @@
 {
     int64_t now_ms = inputs->now_ms;
     return json_pack(
-        "{s:s,s:s,s:b,s:I,s:i,s:f,s:f,s:f,s:f}", "id", replica->backend->id,
-        "state", EyBackend_state_names[replica->backend->state], "ejected",
+        "{s:s,s:s,s:b,s:I,s:f,s:i,s:f,s:f,s:f,s:f}", "id",
+        replica->backend->id, "state",
+        EyBackend_state_names[replica->backend->state], "ejected",
         EyOutlier_IsEjected(&replica->outlier, now_ms), "paused_ms",
-        (json_int_t)MAX(replica->paused_until_ms - now_ms, 0), "outstanding",
-        (int)replica->outstanding, "holds",
+        (json_int_t)MAX(replica->paused_until_ms - now_ms, 0), "limit_per_s",
+        inputs->limits != NULL
+            ? EyServerLimits_PerS(inputs->limits, replica->backend)
+            : EY_SERVER_LIMIT_NONE,
+        "outstanding", (int)replica->outstanding, "holds",
         EyReplica_EstimatedRequests(replica, now_ms, inputs->config,
                                     inputs->gateways),
         "slots", EyReplica_Slots(replica, now_ms), "share",
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -10,6 +10,7 @@
 #include "routing/prompt_affinity.h"
 #include "routing/remote_caches.h"
 #include "routing/replica.h"
+#include "routing/server_limits.h"
 #include "routing/urgency.h"
 
 #ifdef __cplusplus
@@ -45,13 +46,15 @@
     uint32_t reporting_gateways; /* others with a fresh engine update */
     const EyRemoteCaches_t *remote_caches; /* may be NULL */
     const EyRankHistory_t *ranks;
+    EyServerLimits_t *limits; /* may be NULL */
 } EyPlanInputs_t;
 
 /** The plan for a request. Times count from now. */
 typedef struct EyPlan {
     bool has_replica;      /* false if no replica can serve it, now or later */
     int64_t pause_left_ms; /* without a replica: time until the first of the
-                              paused ones takes requests; 0: none is paused */
+                              paused or limited ones takes requests; 0: none
+                              is */
     EyReplica_t *chosen;   /* gets it now; NULL: it should wait */
     const char *cache_source; /* address of an engine from whose cache chosen
                                  may copy a prefix of the prompt; NULL: none */
--- a/src/routing/rank_history.h
+++ b/src/routing/rank_history.h
@@ -5,12 +5,13 @@
  * server's rate that passes from one gateway to another would be spent by
  * both if the new one used it at once, so a gateway uses the smallest share of
  * all the ranks that it had within EY_RANK_SETTLE_MS, and none within that
- * time after its start.
+ * time after its start. The same goes for the limits that servers name.
  */
 #ifndef EY_ROUTING_RANK_HISTORY_H
 #define EY_ROUTING_RANK_HISTORY_H
 
 #include "routing/cold_limiter.h"
+#include "routing/server_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -19,6 +20,9 @@
 /** Time for which an earlier rank counts: until all gateways have seen the
  * change, and a window of requests sent before. */
 #define EY_RANK_SETTLE_MS (1000 + EY_COLD_WINDOW_MS + EY_COLD_SEND_DELAY_MS)
+/** The same for shares of the limits that servers name, which hold for windows
+ * of four seconds. */
+#define EY_LIMIT_SETTLE_MS 5000
 #define EY_PAST_RANKS_MAX 32
 
 /** An earlier rank; its count is 0 if it is unknown. */
@@ -50,6 +54,12 @@
 EyRankHistory_ColdShare(const EyRankHistory_t *self, int64_t now_ms,
                         const char *backend, double per_s);
 
+/** This gateway's share in the limit of per_s requests a second that a server
+ * has named. */
+EyServerLimitShare_t
+EyRankHistory_LimitShare(const EyRankHistory_t *self, int64_t now_ms,
+                         const char *backend, double per_s);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -62,6 +62,7 @@
         EyRemoteRegions_New(self, EyRandom_Next(&self->state.random));
     self->retries = EyRetryBudgets_New(self);
     self->pauses = EyServerPauses_New(self);
+    self->limits = EyServerLimits_New(self);
     self->cold_limiters = EyColdLimiters_New(self);
     ey_router_open_engine_updates(self);
     ey_router_open_suspects(self);
@@ -101,6 +102,7 @@
         .reporting_gateways = ey_router_reporting_gateways(self),
         .remote_caches = self->remote_caches,
         .ranks = &self->ranks,
+        .limits = self->limits,
     };
 }
 
@@ -204,6 +206,8 @@
                               request);
     EyReplica_TakeTokens(plan->chosen, (uint64_t)plan->new_tokens);
     EyReplica_AddRequest(plan->chosen, now_ms, &tracked->in_flight);
+    EyServerLimits_Spend(self->limits, now_ms, plan->chosen->backend,
+                         &self->ranks);
     ey_router_track_parts(self, now_ms, request, tracked,
                           plan->chosen->backend);
     const EyEngineLoad_t *load = &plan->chosen->engine;
@@ -272,7 +276,8 @@
 }
 
 /* No replica of the region can serve it. If that is because they asked for
- * pauses, the caller is told when the first pause ends. */
+ * pauses or named limits, the caller is told when the first one takes requests
+ * again. */
 static EyRoutingDecision_t
 forward_or_refuse_without_replica(EyRouter_t *self, int64_t now_ms,
                                   const EyRoutingRequest_t *request,
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -15,6 +15,7 @@
 #include "routing/decision.h"
 #include "routing/engine_update.h"
 #include "routing/routing_config.h"
+#include "routing/server_limit.h"
 
 #include <glib.h>
 #include <jansson.h>
@@ -88,6 +89,15 @@
 EyRouter_Pause(EyRouter_t *self, int64_t now_ms, const char *id,
                int64_t pause_ms);
 
+/**
+ * An answer of the server to the request with this number named a limit of
+ * per_s requests a second for all gateways together, or EY_SERVER_LIMIT_NONE.
+ * Returns true if the server's limit changed.
+ */
+bool
+EyRouter_HearLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                   const char *id, double per_s);
+
 /** Applies a cache event of a model engine; a hint that may be late or
  * missing. */
 void
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -127,6 +127,20 @@
     return known_end_ms <= now_ms ? replica->paused_until_ms - now_ms : 0;
 }
 
+bool
+EyRouter_HearLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                   const char *id, double per_s)
+{
+    const EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
+    const EyTrackedRequest_t *tracked =
+        g_hash_table_lookup(self->tracked, &number);
+    if (replica == NULL || tracked == NULL) {
+        return false;
+    }
+    return EyServerLimits_Hear(self->limits, now_ms, replica->backend, per_s,
+                               tracked->in_flight.started_ms);
+}
+
 void
 EyRouter_ApplyCacheEvent(EyRouter_t *self, int64_t now_ms, const char *id,
                          uint64_t serial, uint64_t hash, bool is_stored)
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -10,6 +10,7 @@
 #include "routing/remote_regions.h"
 #include "routing/retry_budgets.h"
 #include "routing/router.h"
+#include "routing/server_limits.h"
 #include "routing/server_pauses.h"
 
 #ifdef __cplusplus
@@ -53,6 +54,7 @@
     EyRemoteRegions_t *remote_regions;
     EyRetryBudgets_t *retries;
     EyServerPauses_t *pauses;
+    EyServerLimits_t *limits;
     EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
     GHashTable *updates; /* by id, last updates of other gateways */
