--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -347,9 +347,11 @@
 }
 
 static void
-finish(EyRouter_t *router, int64_t now_ms, uint64_t number)
+finish(EyRouter_t *router, int64_t now_ms, uint64_t number,
+       int64_t duration_ms)
 {
-    const EyRoutingResult_t result = {.kind = EY_RESULT_OK, .duration_ms = 5};
+    const EyRoutingResult_t result = {.kind = EY_RESULT_OK,
+                                      .duration_ms = duration_ms};
     GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
     cr_assert(EyRouter_Finished(router, now_ms, number, &result, decisions));
     cr_assert_eq(decisions->len, 0);
@@ -386,7 +388,8 @@
         to_limited += is_limited;
         (void)EyRouter_HearLimit(router, now_ms + 5, i, decision.backend,
                                  is_limited ? 1.0 : EY_SERVER_LIMIT_NONE);
-        finish(router, now_ms + 5, i);
+        /* The limited server is the faster one. */
+        finish(router, now_ms + 5, i, is_limited ? 5 : 200);
     }
     return to_limited;
 }
@@ -399,7 +402,7 @@
     upsert(router, "b");
     uint32_t sent = run_limited(router, true);
     cr_expect_leq(sent, 20 + 5);
-    cr_expect_geq(sent, 1);
+    cr_expect_geq(sent, 15);
     talloc_free(ctx);
 }
 
