Backend servers: odd entries of another gateway or of the stored list are left out

Reported by other operators: one odd entry among those of the servers ended the machines that read the list, or they stopped following it.

Looked at: announcements (nesting of 200,000, numbers too large, negative, other types, ports) are refused with a clear error, but for an address with port 0, which was taken. What gateways tell each other and what control processes keep was not checked at all beyond its types: slots of 4 billion, a speed that is no number, a server without a target or an address nobody can connect to were listed.

Change: one check for all three; a record that fails it is logged (backend_record_ignored) and left out, the others hold. Port 0 is refused.

--- a/src/backends/announcement.c
+++ b/src/backends/announcement.c
@@ -79,7 +79,7 @@
     else if (announcement->zone[0] == '\0') {
         fault = "field zone: expected a name";
     }
-    else if (!EyAddress_IsValid(announcement->address)) {
+    else if (!EyAddress_IsConnectable(announcement->address)) {
         fault = "field address: expected IP:port";
     }
     if (fault != NULL) {
--- a/src/backends/backend.c
+++ b/src/backends/backend.c
@@ -7,6 +7,8 @@
 
 #define SPEED_MAX 1000.0
 #define SLOTS_MAX 100000
+#define COLD_PER_S_MAX 1e6
+#define CACHE_TOKENS_MAX 1e15
 
 const char *const EyBackend_kind_names[EY_BACKEND_KIND_COUNT] = {
     [EY_BACKEND_MODEL] = "model",
@@ -76,14 +78,21 @@
     }
 }
 
+/** True if the number is in the range; not a number isn't. */
 static bool
-check(const EyBackend_t *self, GError **error)
+is_within(double number, double max)
+{
+    return number >= 0.0 && number <= max;
+}
+
+bool
+EyBackend_Check(const EyBackend_t *self, GError **error)
 {
     if (self->id[0] == '\0' || self->region[0] == '\0' ||
         self->zone[0] == '\0') {
         return refuse(error, "field id, region, zone: expected a name");
     }
-    if (!EyAddress_IsValid(self->address)) {
+    if (!EyAddress_IsConnectable(self->address)) {
         return refuse(error, "field address: expected IP:port");
     }
     if (self->kind == EY_BACKEND_MODEL && self->model_count == 0) {
@@ -95,12 +104,18 @@
     if (self->slots > SLOTS_MAX) {
         return refuse(error, "field slots: expected 1 to 100000");
     }
-    if (self->speed < 0.0 || self->speed > SPEED_MAX) {
+    if (!is_within(self->speed, SPEED_MAX)) {
         return refuse(error, "field speed: expected above 0 and at most 1000");
     }
     if (self->ttl_ms > EY_BACKEND_TTL_MAX_MS) {
         return refuse(error, "field ttl_ms: expected 1 to 60000");
     }
+    if (!is_within(self->cold_per_s, COLD_PER_S_MAX)) {
+        return refuse(error, "field cold_per_s: expected 0 to 1000000");
+    }
+    if (!is_within(self->cache_tokens, CACHE_TOKENS_MAX)) {
+        return refuse(error, "field cache_tokens: expected 0 to 1e15");
+    }
     return true;
 }
 
@@ -121,7 +136,7 @@
     json_decref(json);
     if (good) {
         set_defaults(self);
-        good = check(self, error);
+        good = EyBackend_Check(self, error);
     }
     if (!good) {
         talloc_free(self);
--- a/src/backends/backend.h
+++ b/src/backends/backend.h
@@ -67,6 +67,10 @@
 extern const EySchema_t EyBackendLoad_schema;
 extern const EySchema_t EyBackend_schema;
 
+/** False with EY_SCHEMA_ERROR if a field is out of its range. */
+bool
+EyBackend_Check(const EyBackend_t *self, GError **error);
+
 /**
  * Reads the JSON text of an announcement into a new talloc object below ctx
  * and validates it. On failure returns NULL and sets EY_SCHEMA_ERROR, which
--- a/src/control/server_list.c
+++ b/src/control/server_list.c
@@ -60,8 +60,13 @@
     if (EyRegistry_Count(registry) > 0) {
         return 0;
     }
+    uint32_t restored_count = 0;
     for (uint32_t i = 0; i < self->count; i++) {
         EyBackend_t restored = self->servers[i];
+        if (!EyBackend_Check(&restored, NULL)) {
+            continue;
+        }
+        restored_count++;
         restored.ttl_ms = EY_SERVER_LIST_RESTORED_TTL_MS;
         restored.is_cold = true;
         /* Without a load number it supersedes no record from an announcement.
@@ -69,7 +74,7 @@
         restored.load = (EyBackendLoad_t){.at = 0};
         EyRegistry_Announce(registry, now_ms, &restored);
     }
-    return self->count;
+    return restored_count;
 }
 
 /* The file: an XXH64 checksum, then the packed list. */
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -563,6 +563,15 @@
            EyAddress_Split(text, ip, sizeof(ip), &port);
 }
 
+bool
+EyAddress_IsConnectable(const char *text)
+{
+    EyAddress_t ip;
+    uint16_t port = 0;
+    return strlen(text) < sizeof(ip) &&
+           EyAddress_Split(text, ip, sizeof(ip), &port) && port != 0;
+}
+
 /** Sets values[] from flags; the caller frees the strings with free(). */
 static bool
 read_flags(const char *program, int argc, const char **argv, char **values,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -94,6 +94,10 @@
 bool
 EyAddress_IsValid(const char *text);
 
+/** True if it is valid and can be connected to: its port isn't 0. */
+bool
+EyAddress_IsConnectable(const char *text);
+
 /** Splits IP:port, without brackets; false if text has another format. */
 bool
 EyAddress_Split(const char *text, char *ip, uint32_t ip_size_bytes,
--- a/src/membership/registry_gossip.c
+++ b/src/membership/registry_gossip.c
@@ -1,3 +1,4 @@
+#include "core/log.h"
 #include "core/memory.h"
 #include "membership/registry_state.h"
 
@@ -185,6 +186,25 @@
 
 /* Receiving */
 
+/** False, with a log line, for a record that no server could have announced:
+ * of a faulty gateway, or of a build with other limits. */
+static bool
+is_sound(const EyBackendRecord_t *record)
+{
+    GError *error = NULL;
+    if (EyBackendRecord_IsTombstone(record) ||
+        EyBackend_Check(&record->backend, &error))
+    {
+        return true;
+    }
+    EY_LOG(EY_LOG_WARNING, "membership", "backend_record_ignored",
+           EY_LOG_TEXT("id", record->backend.id),
+           EY_LOG_TEXT("sponsor", record->sponsor),
+           EY_LOG_TEXT("reason", error->message));
+    g_error_free(error);
+    return false;
+}
+
 static void
 merge_record(EyRegistry_t *self, int64_t now_ms,
              const EyBackendRecord_t *record)
@@ -208,7 +228,9 @@
         }
         return;
     }
-    (void)EyRegistry_Put(self, now_ms, record);
+    if (is_sound(record)) {
+        (void)EyRegistry_Put(self, now_ms, record);
+    }
 }
 
 /** Sends the records of the buckets that differ, including tombstones. */
--- a/tests/unit/test_announcement.c
+++ b/tests/unit/test_announcement.c
@@ -9,6 +9,9 @@
     "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"" rest "}"
 #define SERVING ",\"state\":\"serving\",\"serial\":4"
 
+#define AT(address)                                                           \
+    "{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\"" SERVING "}"
+
 typedef struct Case {
     const char *id;
     const char *text;
@@ -53,6 +56,15 @@
     {"i-1", "", "not JSON"},
     {"i-1", "[]", ""},
     {"", ANNOUNCEMENT(SERVING), "id"},
+    {"i-1", AT("10.0.0.9:0"), "address"},
+    {"i-1", AT("10.0.0.9:99999"), "address"},
+    {"i-1", AT("10.0.0.9:-80"), "address"},
+    {"i-1", AT("10.0.0.9:"), "address"},
+    {"i-1", AT("10.0.0.9:80\\u0000"), ""},
+    {"i-1", ANNOUNCEMENT(SERVING ",\"slots\":99999999999999999999"), ""},
+    {"i-1", ANNOUNCEMENT(SERVING ",\"slots\":1e999"), ""},
+    {"i-1", ANNOUNCEMENT(SERVING ",\"cold_ms\":1e999"), ""},
+    {"i-1", ANNOUNCEMENT(SERVING ",\"start\":99999999999999999999"), ""},
 };
 
 Test(announcement, short_announcement_is_read_or_refused)
@@ -85,6 +97,20 @@
     }
 }
 
+Test(announcement, deep_nesting_is_refused)
+{
+    enum { DEPTH = 200000 };
+    char *brackets = g_strnfill(DEPTH, '[');
+    char *text = g_strconcat("{\"service\":", brackets, NULL);
+    const EyBytes_t bytes = {.data = (uint8_t *)text,
+                             .size_bytes = (uint32_t)strlen(text)};
+    GError *error = NULL;
+    cr_assert_null(EyAnnouncement_Read(NULL, "i-1", &bytes, "start", &error));
+    g_error_free(error);
+    g_free(text);
+    g_free(brackets);
+}
+
 Test(announcement, withdrawal_names_the_start_it_refers_to)
 {
     typedef struct StartCase {
