Backend client: a refusal without an id on a used connection tells nothing

Reported by other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told that a request hadn't run that had.

Cause: an answer that says that nothing ran was accepted without the id of the request. On a connection that was used before it may be the answer to an earlier request, written once more just after the next one was sent; bytes that come before that close the connection already.

Change: on such a connection an answer must name its request.

Evidence: client_routed::refusal_without_id_on_a_used_connection_tells_nothing accepted both refusals before (with the refusal first, and after an answer) and passes.

--- a/src/backends/connections.c
+++ b/src/backends/connections.c
@@ -211,7 +211,8 @@
     (void)snprintf(key, sizeof(key), "%d/%s/%d", local_port, remote_ip,
                    remote_port);
     Entry_t *entry = g_hash_table_lookup(self->by_key, key);
-    if (entry == NULL) {
+    bool is_first = entry == NULL;
+    if (is_first) {
         entry = assign_key(self, local_port, key);
         if (entry == NULL) {
             return false;
@@ -225,6 +226,7 @@
     *use = (EyConnectionUse_t){
         .descriptor = entry->descriptor,
         .number = entry->use,
+        .is_first = is_first,
     };
     return true;
 }
--- a/src/backends/connections.h
+++ b/src/backends/connections.h
@@ -23,6 +23,7 @@
 typedef struct EyConnectionUse {
     int descriptor;
     uint64_t number; /* unique among all uses; 0: no connection was used */
+    bool is_first;   /* the connection was not used before */
 } EyConnectionUse_t;
 
 /** Must be freed after the multi handle that its sockets belong to, and before
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -99,7 +99,8 @@
 }
 
 /** True if the request id in the answer is that of this request. An answer
- * that reports that nothing was run may lack it. */
+ * that reports that nothing was run may lack it, but not on a connection that
+ * was used before: it could be an earlier refusal, written once more. */
 static bool
 is_answer_of_request(const EyTransfer_t *self)
 {
@@ -107,7 +108,7 @@
     if (echoed_id != NULL) {
         return strcmp(echoed_id, self->attempt->request_id) == 0;
     }
-    return self->names->always_echoes_request_id &&
+    return self->names->always_echoes_request_id && self->use.is_first &&
            EyAnswer_ReportsNotRun(self->head.answer, self->names, true);
 }
 
--- a/tests/unit/test_client_routed.c
+++ b/tests/unit/test_client_routed.c
@@ -313,3 +313,45 @@
     scripted_server_stop(peer);
     client_fixture_free(fixture);
 }
+
+#define REFUSED_WITHOUT_ID                                                    \
+    "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+/** Answers the first request and, as a faulty server, all later ones on that
+ * connection with a refusal that names no request. */
+static void
+serve_refusal_again(ScriptedServer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    const char *reply = peer->data;
+    while (scripted_server_read_request(peer, socket, text)) {
+        (void)raw_send_text(socket, reply);
+        reply = REFUSED_WITHOUT_ID;
+    }
+}
+
+Test(client_routed, refusal_without_id_on_a_used_connection_tells_nothing)
+{
+    static const char *const First[] = {
+        REFUSED_WITHOUT_ID,
+        OK "Attempt-Id: order-7\r\nContent-Length: 2\r\n\r\nok",
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(First); i++) {
+        ClientFixture_t *fixture = client_fixture_new();
+        ScriptedServer_t *peer =
+            scripted_server_start(serve_refusal_again, First[i]);
+        EyClient_Start(fixture->client,
+                       make_non_repeatable(1, peer->port, "{}"));
+        cr_expect_eq(run_until_ended(fixture, 1)->failure, EY_FAILURE_NONE);
+        EyClient_Start(fixture->client,
+                       make_non_repeatable(2, peer->port, "{}"));
+        const EyAttemptEvent_t *event = run_until_ended(fixture, 2);
+        bool is_reused = scripted_server_connections(peer) == 1;
+        cr_expect_eq(event->failure,
+                     is_reused ? EY_FAILURE_WRONG_ID : EY_FAILURE_NONE,
+                     "%zu: %s", i, EyAttemptFailure_names[event->failure]);
+        cr_expect(is_reused, "%zu", i);
+        client_fixture_free(fixture);
+        scripted_server_stop(peer);
+    }
+}
