Streams: only events continue a stream of events

Looked at: an answer with an error status, and one that is collected, end the stream as broken already. But an answer with a status of 2xx that wasn't a stream of events, in chunks or without content (204), was passed on behind the events, or ended the stream as complete; so was one that another region's gateway forwarded.

Change: the attempt knows that it continues a stream; any other answer fails it, and the next server is tried or the stream ends as broken.

Evidence: client_streams::only_events_continue_a_stream_of_events failed for three of its four answers' checks (html and plain text in chunks, 204) and passes. The check of forwarded answers has no test of its own: it was read, not run.

--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -66,6 +66,8 @@
     EyStream_t *stream;    /* a reference of its own or NULL; it is finished as
                               COMPLETE at DONE and stays open at FAILED, so that
                               another attempt or its owner can finish it */
+    bool continues_stream; /* the caller has got the head of an event stream,
+                              which only events may follow */
     uint32_t resume_after; /* events that the caller has received already, sent
                               as Ebonyyard-Resume-After; 0: from the start */
     EyEventId_t last_event; /* id of the last of them, if they have ids */
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -112,6 +112,15 @@
            EyAnswer_ReportsNotRun(self->head.answer, self->names, true);
 }
 
+/** True if the answer can't go on with the stream of events that the attempt
+ * resumes: whatever it has would be read as a part or as the end of that. */
+static bool
+breaks_resumed_stream(const EyTransfer_t *self)
+{
+    return self->attempt->continues_stream && is_success(self) &&
+           !self->head.answer->is_events;
+}
+
 static bool
 end_head(EyTransfer_t *self)
 {
@@ -120,6 +129,9 @@
     if (attempt->check_echo && !is_answer_of_request(self)) {
         return fail(self, EY_FAILURE_WRONG_ID);
     }
+    if (breaks_resumed_stream(self)) {
+        return fail(self, EY_FAILURE_MALFORMED);
+    }
     self->collects = attempt->body_mode == EY_ATTEMPT_COLLECT ||
                      attempt->stream == NULL || !is_success(self) ||
                      is_within_collect_limit(self);
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -253,6 +253,7 @@
     action->attempt = exchange->attempt;
     action->is_remote = step->event->is_remote;
     action->resume_after = exchange->events_passed;
+    action->continues_stream = exchange->head_passed;
     (void)EY_COPY(action->last_event, exchange->last_event);
     (void)EY_COPY(action->to, step->event->to);
 }
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -101,6 +101,7 @@
     EyName_t to;
     bool is_remote;
     uint32_t resume_after;
+    bool continues_stream; /* the head of a stream was passed to the caller */
     EyEventId_t last_event;
     EyStreamState_t stream_state;
     const char *detail; /* of a broken stream: why; borrowed */
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -193,6 +193,7 @@
     attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
+    attempt->continues_stream = action->continues_stream;
     attempt->resume_after = request->resume_after + action->resume_after;
     (void)EY_COPY(attempt->last_event, action->last_event[0] != '\0'
                                            ? action->last_event
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -158,6 +158,16 @@
 static void
 schedule_credit(EyGateway_t *self);
 
+static void
+abort_attempt(EyActiveRequest_t *active, uint64_t attempt, const char *detail)
+{
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
+                               .attempt = attempt,
+                               .detail = detail};
+    EyGateway_CancelForward(active, attempt);
+    finish_attempt(active, &event, EY_RESULT_FAILED);
+}
+
 static void
 handle_head(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
 {
@@ -167,6 +177,12 @@
     if (event.answer == NULL) {
         return;
     }
+    if (active->exchange->head_passed && !event.answer->is_events) {
+        talloc_free(event.answer);
+        abort_attempt(active, forward->attempt,
+                      "an answer without events can't continue a stream");
+        return;
+    }
     if (active->stream == NULL) {
         active->stream = EyStream_New(EY_FORWARD_WINDOW_BYTES);
     }
@@ -177,16 +193,6 @@
     EyActiveRequest_Step(active, &event);
 }
 
-static void
-abort_attempt(EyActiveRequest_t *active, uint64_t attempt, const char *detail)
-{
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
-                               .attempt = attempt,
-                               .detail = detail};
-    EyGateway_CancelForward(active, attempt);
-    finish_attempt(active, &event, EY_RESULT_FAILED);
-}
-
 /** True if the message has the expected sequence number. */
 static bool
 is_in_sequence(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
--- a/tests/unit/test_client_streams.c
+++ b/tests/unit/test_client_streams.c
@@ -81,6 +81,53 @@
     scripted_server_stop(peer);
 }
 
+/** Serves what a test gives it as the answer to each request. */
+static void
+serve_reply(ScriptedServer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    while (scripted_server_read_request(peer, socket, text)) {
+        (void)raw_send_text(socket, peer->data);
+    }
+}
+
+Test(client_streams, only_events_continue_a_stream_of_events)
+{
+    static const char *const Replies[] = {
+        OK "Content-Type: text/html\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "5\r\nerror\r\n0\r\n\r\n",
+        OK "Transfer-Encoding: chunked\r\n\r\n5\r\nerror\r\n0\r\n\r\n",
+        "HTTP/1.1 500 Oh\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nerror\r\n0\r\n\r\n",
+        "HTTP/1.1 204 None\r\n\r\n",
+    };
+    for (size_t i = 0; i < sizeof(Replies) / sizeof(Replies[0]); i++) {
+        ClientFixture_t *fixture = client_fixture_new();
+        ScriptedServer_t *peer =
+            scripted_server_start(serve_reply, Replies[i]);
+        EyStream_t *stream = EyStream_New(4096);
+        EyAttempt_t *attempt = make_attempt(1, peer->port, "POST", "/chat");
+        attempt->body_mode = EY_ATTEMPT_EVENTS;
+        attempt->stream = EyStream_Ref(stream);
+        attempt->resume_after = 2;
+        attempt->continues_stream = true;
+        EyClient_Start(fixture->client, attempt);
+        const EyAttemptEvent_t *event = run_until_ended(fixture, 1);
+        /* A whole answer of another kind ends the stream in the exchange. */
+        cr_expect(event->kind == EY_ATTEMPT_FAILED || event->answer != NULL,
+                  "%zu", i);
+        cr_expect_eq(count_events(fixture, 1, EY_ATTEMPT_HEAD), 0, "%zu", i);
+        char text[256];
+        EyStreamState_t state = EY_STREAM_OPEN;
+        (void)drain(stream, text, sizeof(text), &state);
+        cr_expect_str_eq(text, "", "%zu", i);
+        cr_expect_eq(state, EY_STREAM_OPEN, "%zu", i);
+        EyStream_Unref(stream);
+        client_fixture_free(fixture);
+        scripted_server_stop(peer);
+    }
+}
+
 #define LONG_BYTES (8UL * 1024 * 1024)
 
 /** Serves one long answer, as plain text or as events of 32 bytes. */
