Suspects: an answer clears a request for two seconds, not for ten minutes

Cause: an answer cleared a request for ten minutes, as it does for parts of prompts, and all evidence in that time was dropped, also of crashes after the answer.

Change: a crash is held against a request unless an answer came after it or at most 2 s before. Equal requests that come often are cleared again and again. A clearing that arrives late removes only what it covers. Parts are as before.

--- a/src/routing/cleared_suspects.c
+++ b/src/routing/cleared_suspects.c
@@ -10,6 +10,7 @@
 } ClearedEntry_t;
 
 struct EyClearedSuspects {
+    int64_t ttl_ms;
     GHashTable *by_key; /* links of order */
     GQueue order;       /* of ClearedEntry_t, least recently added first */
 };
@@ -23,9 +24,10 @@
 }
 
 EyClearedSuspects_t *
-EyClearedSuspects_New(const void *ctx)
+EyClearedSuspects_New(const void *ctx, int64_t ttl_ms)
 {
     EyClearedSuspects_t *self = EY_NEW(ctx, EyClearedSuspects_t);
+    self->ttl_ms = ttl_ms;
     self->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
     g_queue_init(&self->order);
     talloc_set_destructor(self, destroy_cleared);
@@ -65,16 +67,25 @@
 }
 
 bool
-EyClearedSuspects_Has(const EyClearedSuspects_t *self, int64_t now_ms,
-                      uint64_t key, int64_t *age_ms)
+EyClearedSuspects_Find(const EyClearedSuspects_t *self, uint64_t key,
+                       int64_t *cleared_ms)
 {
     const GList *link = g_hash_table_lookup(self->by_key, &key);
     if (link == NULL) {
         return false;
     }
     const ClearedEntry_t *known = link->data;
-    *age_ms = now_ms - known->cleared_ms;
-    return *age_ms < EY_CLEARED_TTL_MS;
+    *cleared_ms = known->cleared_ms;
+    return true;
+}
+
+bool
+EyClearedSuspects_Covers(const EyClearedSuspects_t *self, int64_t crash_ms,
+                         uint64_t key)
+{
+    int64_t cleared_ms = 0;
+    return EyClearedSuspects_Find(self, key, &cleared_ms) &&
+           crash_ms - cleared_ms < self->ttl_ms;
 }
 
 uint32_t
--- a/src/routing/cleared_suspects.h
+++ b/src/routing/cleared_suspects.h
@@ -14,13 +14,16 @@
 #endif
 
 #define EY_CLEARED_SUSPECTS_MAX 4096
-/** Time for which one stays cleared. */
+/** Time for which a part stays cleared. */
 #define EY_CLEARED_TTL_MS 600000
+/** The same for a request, which may become fatal after it was answered; equal
+ * ones that come often are cleared again and again meanwhile. */
+#define EY_CLEARED_REQUEST_TTL_MS 2000
 
 typedef struct EyClearedSuspects EyClearedSuspects_t;
 
 EyClearedSuspects_t *
-EyClearedSuspects_New(const void *ctx);
+EyClearedSuspects_New(const void *ctx, int64_t ttl_ms);
 
 /** Records that one was cleared at that time; an earlier time than the
  * recorded one changes nothing. */
@@ -28,10 +31,16 @@
 EyClearedSuspects_Add(EyClearedSuspects_t *self, int64_t cleared_ms,
                       uint64_t key);
 
-/** True if it is cleared now; then its age is set. */
+/** True if a crash at that time is not held against it: it was cleared after
+ * that, or not longer before than it stays cleared. */
 bool
-EyClearedSuspects_Has(const EyClearedSuspects_t *self, int64_t now_ms,
-                      uint64_t key, int64_t *age_ms);
+EyClearedSuspects_Covers(const EyClearedSuspects_t *self, int64_t crash_ms,
+                         uint64_t key);
+
+/** Sets the time at which it was last cleared; false if it never was. */
+bool
+EyClearedSuspects_Find(const EyClearedSuspects_t *self, uint64_t key,
+                       int64_t *cleared_ms);
 
 uint32_t
 EyClearedSuspects_Count(const EyClearedSuspects_t *self);
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -11,9 +11,8 @@
         ey_crash_suspects_find(self, evidence->key);
     bool is_new_crash =
         known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
-    int64_t age_ms = 0;
-    if (EyClearedSuspects_Has(ey_crash_suspects_cleared(self, is_request),
-                              now_ms, evidence->key, &age_ms) ||
+    if (EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
+                                 now_ms, evidence->key) ||
         !ey_crash_suspects_add(self, now_ms, evidence))
     {
         return;
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -82,16 +82,16 @@
 ey_crash_suspects_report_cleared(EyCrashSuspects_t *self, int64_t now_ms,
                                  uint64_t key, bool is_request)
 {
-    int64_t age_ms = 0;
-    if (!EyClearedSuspects_Has(ey_crash_suspects_cleared(self, is_request),
-                               now_ms, key, &age_ms))
+    int64_t cleared_ms = 0;
+    if (!EyClearedSuspects_Find(ey_crash_suspects_cleared(self, is_request),
+                                key, &cleared_ms))
     {
         return;
     }
     const Report_t report = {
         .key = key,
         .is_request = is_request,
-        .at_ms = now_ms - age_ms,
+        .at_ms = cleared_ms,
         .until_ms = now_ms + SHORTLY_REPORTED_MS,
     };
     for (int i = 0; i < EY_REPORT_SCOPE_COUNT; i++) {
@@ -300,14 +300,13 @@
 }
 
 /** True, and the sender's region gets a report, if this gateway knows that the
- * part or request causes no crashes. */
+ * part or request didn't cause the crash. */
 static bool
-answer_cleared(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key,
-               bool is_request)
+answer_cleared(EyCrashSuspects_t *self, int64_t now_ms, int64_t crash_ms,
+               uint64_t key, bool is_request)
 {
-    int64_t age_ms = 0;
-    if (!EyClearedSuspects_Has(ey_crash_suspects_cleared(self, is_request),
-                               now_ms, key, &age_ms))
+    if (!EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
+                                  crash_ms, key))
     {
         return false;
     }
@@ -321,7 +320,7 @@
 {
     int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
     if (ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms) ||
-        answer_cleared(self, now_ms, evidence->key,
+        answer_cleared(self, now_ms, crash_ms, evidence->key,
                        ey_crash_evidence_is_request(evidence)))
     {
         return;
@@ -334,6 +333,21 @@
     }
 }
 
+/** Removes the suspect unless it has a crash that the clearing doesn't
+ * cover. */
+static void
+remove_covered(EyCrashSuspects_t *self, const EyClearedSuspects_t *cleared,
+               uint64_t key)
+{
+    const EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, key);
+    if (suspect == NULL ||
+        EyClearedSuspects_Covers(
+            cleared, ey_crash_suspects_last_crash_ms(suspect), key))
+    {
+        (void)ey_crash_suspects_remove(self, key);
+    }
+}
+
 static void
 apply_cleared(EyCrashSuspects_t *self, int64_t now_ms, bool is_own_region,
               const EySuspectCleared_t *cleared)
@@ -342,9 +356,10 @@
         return;
     }
     int64_t cleared_ms = now_ms - (int64_t)cleared->age_ms;
-    EyClearedSuspects_Add(ey_crash_suspects_cleared(self, cleared->is_request),
-                          cleared_ms, cleared->key);
-    (void)ey_crash_suspects_remove(self, cleared->key);
+    EyClearedSuspects_t *known =
+        ey_crash_suspects_cleared(self, cleared->is_request);
+    EyClearedSuspects_Add(known, cleared_ms, cleared->key);
+    remove_covered(self, known, cleared->key);
     if (!is_own_region) {
         const Report_t report = {
             .key = cleared->key,
@@ -382,7 +397,7 @@
         apply_evidence(self, now_ms, is_own_region, &update->evidence[i]);
     }
     for (uint32_t i = 0; i < update->bar_count; i++) {
-        if (!answer_cleared(self, now_ms, update->bars[i].key,
+        if (!answer_cleared(self, now_ms, now_ms, update->bars[i].key,
                             update->bars[i].is_request))
         {
             ey_crash_suspects_adopt_bar(self, now_ms, &update->bars[i]);
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -500,18 +500,19 @@
 
 Test(crash_suspects, the_least_recently_cleared_part_is_forgotten_first)
 {
-    EyClearedSuspects_t *self = EyClearedSuspects_New(NULL);
+    EyClearedSuspects_t *self = EyClearedSuspects_New(NULL, EY_CLEARED_TTL_MS);
     for (uint64_t part = 1; part <= EY_CLEARED_SUSPECTS_MAX; part++) {
         EyClearedSuspects_Add(self, (int64_t)part, part);
     }
     EyClearedSuspects_Add(self, INT64_C(2) * EY_CLEARED_SUSPECTS_MAX, 1);
     EyClearedSuspects_Add(self, INT64_C(3) * EY_CLEARED_SUSPECTS_MAX, 1000000);
-    int64_t age_ms = 0;
+    int64_t cleared_ms = 0;
     int64_t now_ms = INT64_C(3) * EY_CLEARED_SUSPECTS_MAX + 1;
-    cr_expect(EyClearedSuspects_Has(self, now_ms, 1, &age_ms));
-    cr_expect_eq(age_ms, EY_CLEARED_SUSPECTS_MAX + 1);
-    cr_expect_not(EyClearedSuspects_Has(self, now_ms, 2, &age_ms));
-    cr_expect(EyClearedSuspects_Has(self, now_ms, 1000000, &age_ms));
+    cr_expect(EyClearedSuspects_Covers(self, now_ms, 1));
+    cr_expect(EyClearedSuspects_Find(self, 1, &cleared_ms));
+    cr_expect_eq(cleared_ms, INT64_C(2) * EY_CLEARED_SUSPECTS_MAX);
+    cr_expect_not(EyClearedSuspects_Covers(self, now_ms, 2));
+    cr_expect(EyClearedSuspects_Covers(self, now_ms, 1000000));
     cr_expect_eq(EyClearedSuspects_Count(self), EY_CLEARED_SUSPECTS_MAX);
     talloc_free(self);
 }
