--- a/src/config/raft_file.c
+++ b/src/config/raft_file.c
@@ -437,6 +437,7 @@
     if (!done) {
         return false;
     }
+    disk->dropped_bytes = size_bytes - content.size_bytes;
     self->file = open(path, O_RDWR | O_CLOEXEC);
     if (self->file < 0) {
         return fail_errno(error, EY_RAFT_FILE_ERROR_OPEN, path);
--- a/src/control/raft_storage.c
+++ b/src/control/raft_storage.c
@@ -188,6 +188,13 @@
         talloc_free(self);
         return NULL;
     }
+    if (disk->dropped_bytes > 0) {
+        EY_LOG(EY_LOG_WARNING, "control", "log_tail_dropped",
+               EY_LOG_TEXT("folder", folder),
+               EY_LOG_NUMBER("bytes", disk->dropped_bytes),
+               EY_LOG_TEXT("reason", "left of a write that was never "
+                                     "confirmed"));
+    }
     g_queue_init(&self->overflow);
     self->results = EyMailbox_New(self, QUEUE_MAX * 2);
     EyMailbox_Attach(self->results, loop, on_result, self);
