--- a/src/gateway/server_notices.c
+++ b/src/gateway/server_notices.c
@@ -99,8 +99,8 @@
     if (read == EY_LIMIT_HEADER_VALID) {
         per_s = fmax(per_s, EY_SERVER_LIMIT_MIN_PER_S);
     }
-    if (!EyRouter_HearLimit(gateway->router, EyClock_NowMs(), request->number,
-                            server_id(active), per_s))
+    if (!EyRouter_ObserveLimit(gateway->router, EyClock_NowMs(),
+                               request->number, server_id(active), per_s))
     {
         return;
     }
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -57,13 +57,14 @@
 static const EySchema_t BarSchema = EY_SCHEMA(EySuspectBar_t, BarFields);
 
 static const EyField_t LimitFields[] = {
-    EY_FIELD_TEXT(EyHeardLimit_t, id),
-    EY_FIELD(EyHeardLimit_t, incarnation, EY_FIELD_U64),
-    EY_FIELD(EyHeardLimit_t, per_s, EY_FIELD_F64),
-    EY_FIELD(EyHeardLimit_t, age_ms, EY_FIELD_U32),
+    EY_FIELD_TEXT(EyObservedLimit_t, id),
+    EY_FIELD(EyObservedLimit_t, incarnation, EY_FIELD_U64),
+    EY_FIELD(EyObservedLimit_t, per_s, EY_FIELD_F64),
+    EY_FIELD(EyObservedLimit_t, age_ms, EY_FIELD_U32),
     EY_FIELD_END,
 };
-static const EySchema_t LimitSchema = EY_SCHEMA(EyHeardLimit_t, LimitFields);
+static const EySchema_t LimitSchema =
+    EY_SCHEMA(EyObservedLimit_t, LimitFields);
 
 static const EyField_t UpdateFields[] = {
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, engines, engine_count, WordSchema,
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -81,12 +81,12 @@
 } EySuspectBar_t;
 
 /** A limit that a server named in an answer, or its end. */
-typedef struct EyHeardLimit {
+typedef struct EyObservedLimit {
     EyName_t id;
     uint64_t incarnation;
     double per_s; /* 0: the server names none any more */
     uint32_t age_ms;
-} EyHeardLimit_t;
+} EyObservedLimit_t;
 
 /** The update of one gateway. An engine of its region that isn't listed has no
  * pending prefill from the sender. */
@@ -101,7 +101,7 @@
     uint32_t bar_count;
     EyCrashKey_t *refuted; /* crashes that were none: the engine went on */
     uint32_t refuted_count;
-    EyHeardLimit_t *limits; /* own region only */
+    EyObservedLimit_t *limits; /* own region only */
     uint32_t limit_count;
 } EyEngineUpdate_t;
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -95,7 +95,7 @@
  * Returns true if the server's limit changed.
  */
 bool
-EyRouter_HearLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
+EyRouter_ObserveLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
                    const char *id, double per_s);
 
 /** Applies a cache event of a model engine; a hint that may be late or
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -128,8 +128,8 @@
 }
 
 bool
-EyRouter_HearLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
-                   const char *id, double per_s)
+EyRouter_ObserveLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
+                      const char *id, double per_s)
 {
     const EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
     const EyTrackedRequest_t *tracked =
@@ -137,8 +137,8 @@
     if (replica == NULL || tracked == NULL) {
         return false;
     }
-    return EyServerLimits_Hear(self->limits, now_ms, replica->backend, per_s,
-                               tracked->in_flight.started_ms);
+    return EyServerLimits_Observe(self->limits, now_ms, replica->backend,
+                                  per_s, tracked->in_flight.started_ms);
 }
 
 void
--- a/src/routing/server_limit.h
+++ b/src/routing/server_limit.h
@@ -20,12 +20,12 @@
 
 /** The server names no limit. */
 #define EY_SERVER_LIMIT_NONE 0.0
-/** A lower limit counts as this one: without any request it would never be
- * known that the limit has ended. */
+/** A lower limit counts as this one: without any request the end of the limit
+ * would never be observed. */
 #define EY_SERVER_LIMIT_MIN_PER_S 0.1
 #define EY_SERVER_LIMIT_MAX_PER_S 1e6
 #define EY_SERVER_LIMIT_BURST_REQUESTS 3U
-/** A gateway without a share tells its callers to come back after this. */
+/** Retry-After of a gateway without a share. */
 #define EY_SERVER_LIMIT_UNSHARED_WAIT_MS 2000
 
 /** What one gateway may send to a server. */
@@ -43,10 +43,12 @@
 typedef struct EyServerLimit {
     uint64_t incarnation; /* of the server */
     double per_s;         /* EY_SERVER_LIMIT_NONE: it has ended */
-    int64_t heard_ms;     /* time of the answer that says so */
+    int64_t observed_ms;  /* time of the last answer that named it or its
+                             end */
     double tokens;        /* requests that may be sent now */
     int64_t filled_ms;    /* time of tokens */
-    bool is_own;          /* heard by this gateway, not told by another one */
+    bool is_own;          /* seen in an answer to this gateway, not
+                             reported by another one */
     int64_t reported_ms;  /* last report to other gateways; 0: none since the
                              limit changed */
 } EyServerLimit_t;
--- a/src/routing/server_limits.c
+++ b/src/routing/server_limits.c
@@ -6,12 +6,12 @@
 #include <math.h>
 #include <string.h>
 
-/** What was heard is reported for this long, again and again: an update may be
- * lost. */
+/** An observation is reported repeatedly for this long: an update may be lost.
+ */
 #define REPORTED_MS 10000
 #define REPORT_AGAIN_MS 1000
-/** A limit that has ended, or of a server that was not heard of, is forgotten
- * after this. */
+/** Time after which a limit that has ended, or one of a silent server, is
+ * dropped. */
 #define ENDED_TTL_MS 60000
 #define SILENT_TTL_MS 3600000
 
@@ -51,7 +51,7 @@
     const EyServerLimit_t *limit = value;
     int64_t ttl_ms =
         limit->per_s == EY_SERVER_LIMIT_NONE ? ENDED_TTL_MS : SILENT_TTL_MS;
-    return *(const int64_t *)now_ms - limit->heard_ms > ttl_ms;
+    return *(const int64_t *)now_ms - limit->observed_ms > ttl_ms;
 }
 
 static EyServerLimit_t *
@@ -65,9 +65,9 @@
     return limit;
 }
 
-/** Sets a limit as it was heard; returns true if it changed. */
+/** Sets a limit as it was observed; returns true if it changed. */
 static bool
-set(EyServerLimit_t *limit, int64_t now_ms, double per_s, int64_t heard_ms,
+set(EyServerLimit_t *limit, int64_t now_ms, double per_s, int64_t observed_ms,
     bool is_own)
 {
     bool has_changed = limit->per_s != per_s;
@@ -77,7 +77,7 @@
         limit->filled_ms = now_ms;
     }
     limit->per_s = per_s;
-    limit->heard_ms = heard_ms;
+    limit->observed_ms = observed_ms;
     limit->is_own = is_own;
     limit->reported_ms = has_changed ? 0 : limit->reported_ms;
     return has_changed;
@@ -94,13 +94,14 @@
 }
 
 bool
-EyServerLimits_Hear(EyServerLimits_t *self, int64_t now_ms,
-                    const EyBackend_t *backend, double per_s, int64_t sent_ms)
+EyServerLimits_Observe(EyServerLimits_t *self, int64_t now_ms,
+                       const EyBackend_t *backend, double per_s,
+                       int64_t sent_ms)
 {
     EyServerLimit_t *limit = find(self, backend->id, backend->incarnation);
     if (per_s == EY_SERVER_LIMIT_NONE &&
         (limit == NULL || limit->per_s == EY_SERVER_LIMIT_NONE ||
-         sent_ms <= limit->heard_ms))
+         sent_ms <= limit->observed_ms))
     {
         return false;
     }
@@ -151,7 +152,7 @@
 static bool
 is_report_due(const EyServerLimit_t *limit, int64_t now_ms)
 {
-    return limit->is_own && now_ms - limit->heard_ms < REPORTED_MS &&
+    return limit->is_own && now_ms - limit->observed_ms < REPORTED_MS &&
            (limit->reported_ms == 0 ||
             now_ms - limit->reported_ms >= REPORT_AGAIN_MS);
 }
@@ -165,7 +166,7 @@
     if (capacity == 0) {
         return;
     }
-    update->limits = EY_NEW_ARRAY(update, EyHeardLimit_t, capacity);
+    update->limits = EY_NEW_ARRAY(update, EyObservedLimit_t, capacity);
     GHashTableIter each;
     gpointer id = NULL;
     gpointer value = NULL;
@@ -177,30 +178,31 @@
         if (!is_report_due(limit, now_ms)) {
             continue;
         }
-        EyHeardLimit_t *heard = &update->limits[update->limit_count++];
-        (void)EY_COPY(heard->id, (const char *)id);
-        heard->incarnation = limit->incarnation;
-        heard->per_s = limit->per_s;
-        heard->age_ms = (uint32_t)(now_ms - limit->heard_ms);
+        EyObservedLimit_t *observed = &update->limits[update->limit_count++];
+        (void)EY_COPY(observed->id, (const char *)id);
+        observed->incarnation = limit->incarnation;
+        observed->per_s = limit->per_s;
+        observed->age_ms = (uint32_t)(now_ms - limit->observed_ms);
         limit->reported_ms = now_ms;
     }
 }
 
 static void
-apply(EyServerLimits_t *self, int64_t now_ms, const EyHeardLimit_t *heard)
+apply(EyServerLimits_t *self, int64_t now_ms,
+      const EyObservedLimit_t *observed)
 {
-    if (!isfinite(heard->per_s) || heard->per_s < 0.0) {
+    if (!isfinite(observed->per_s) || observed->per_s < 0.0) {
         return;
     }
-    int64_t heard_ms = now_ms - (int64_t)heard->age_ms;
-    EyServerLimit_t *limit = g_hash_table_lookup(self->by_id, heard->id);
-    if (limit != NULL && heard_ms <= limit->heard_ms) {
+    int64_t observed_ms = now_ms - (int64_t)observed->age_ms;
+    EyServerLimit_t *limit = g_hash_table_lookup(self->by_id, observed->id);
+    if (limit != NULL && observed_ms <= limit->observed_ms) {
         return;
     }
-    if (limit == NULL || limit->incarnation != heard->incarnation) {
-        limit = add(self, now_ms, heard->id, heard->incarnation);
+    if (limit == NULL || limit->incarnation != observed->incarnation) {
+        limit = add(self, now_ms, observed->id, observed->incarnation);
     }
-    (void)set(limit, now_ms, bounded(heard->per_s), heard_ms, false);
+    (void)set(limit, now_ms, bounded(observed->per_s), observed_ms, false);
 }
 
 void
--- a/src/routing/server_limits.h
+++ b/src/routing/server_limits.h
@@ -2,8 +2,8 @@
  * The limits that backend servers in need have named in their answers, and
  * this gateway's use of its shares in them. They are kept apart from the
  * replicas, because a server may be unlisted and listed again meanwhile. The
- * gateways of a region tell each other what they heard: one without a share
- * gets no answers from that server.
+ * gateways of a region report their observations to each other: one without a
+ * share gets no answers from that server.
  */
 #ifndef EY_ROUTING_SERVER_LIMITS_H
 #define EY_ROUTING_SERVER_LIMITS_H
@@ -26,8 +26,9 @@
  * last answer that named it: answers may overtake each other. Returns true if
  * the limit changed. */
 bool
-EyServerLimits_Hear(EyServerLimits_t *self, int64_t now_ms,
-                    const EyBackend_t *backend, double per_s, int64_t sent_ms);
+EyServerLimits_Observe(EyServerLimits_t *self, int64_t now_ms,
+                       const EyBackend_t *backend, double per_s,
+                       int64_t sent_ms);
 
 /** Time until this gateway may send the server the next request; 0: now. */
 int64_t
@@ -40,13 +41,13 @@
 EyServerLimits_Spend(EyServerLimits_t *self, int64_t now_ms,
                      const EyBackend_t *backend, const EyRankHistory_t *ranks);
 
-/** Adds to the update what this gateway heard and other gateways should know.
- */
+/** Adds this gateway's recent observations to the update. */
 void
 EyServerLimits_Collect(EyServerLimits_t *self, int64_t now_ms,
                        EyEngineUpdate_t *update);
 
-/** Takes over what another gateway of the region heard later than this one. */
+/** Applies the observations of another gateway of the region that are newer
+ * than the own ones. */
 void
 EyServerLimits_Apply(EyServerLimits_t *self, int64_t now_ms,
                      const EyEngineUpdate_t *update);
--- a/tests/unit/test_odd_backends.c
+++ b/tests/unit/test_odd_backends.c
@@ -3,8 +3,8 @@
  * hold. */
 #include "control/server_list.h"
 #include "core/memory.h"
-#include "membership/membership.h"
 #include "membership/registry_state.h"
+#include "registry_fixture.h"
 
 #include <criterion/criterion.h>
 #include <math.h>
@@ -12,39 +12,6 @@
 
 #define NOW_MS 1000
 
-static void
-ignore_message(void *data, const char *to, const char *address,
-               const EyClusterMessage_t *message)
-{
-    (void)data;
-    (void)to;
-    (void)address;
-    (void)message;
-}
-
-static void
-ignore_change(void *data, EyRegistryChange_t change,
-              const EyBackend_t *backend)
-{
-    (void)data;
-    (void)change;
-    (void)backend;
-}
-
-static EyRegistry_t *
-make_registry(void *ctx)
-{
-    EyMember_t own = {.incarnation = 1, .role = EY_MEMBER_GATEWAY};
-    (void)EY_COPY(own.id, "gw-1");
-    (void)EY_COPY(own.region, "istra");
-    const EyMembershipHooks_t membership_hooks = {.send = ignore_message};
-    EyMembership_t *membership =
-        EyMembership_New(ctx, &own, &membership_hooks, 1, NOW_MS);
-    const EyRegistryHooks_t hooks = {.send = ignore_message,
-                                     .changed = ignore_change};
-    return EyRegistry_New(ctx, membership, &hooks, 1, NOW_MS);
-}
-
 static EyBackend_t
 make_backend(const char *id)
 {
@@ -131,7 +98,8 @@
 Test(odd_backends, records_of_another_gateway_are_left_out)
 {
     void *ctx = talloc_new(NULL);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_GATEWAY, NOW_MS);
     for (size_t i = 0; i <= G_N_ELEMENTS(Odd); i++) {
         EyBackendRecord_t record = {.serial = 1};
         record.backend = make_backend("odd");
@@ -158,7 +126,8 @@
 Test(odd_backends, entries_of_a_stored_list_are_left_out)
 {
     void *ctx = talloc_new(NULL);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_GATEWAY, NOW_MS);
     EyBackend_t servers[G_N_ELEMENTS(Odd) + 1];
     for (size_t i = 0; i < G_N_ELEMENTS(Odd); i++) {
         servers[i] = make_backend(Odd[i].name);
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -79,8 +79,8 @@
         region.ranks[g] = EyRankHistory_Make();
         EyRankHistory_Set(&region.ranks[g], 0, &rank);
         region.limits[g] = EyServerLimits_New(ctx);
-        cr_assert(EyServerLimits_Hear(region.limits[g], START_MS, backend,
-                                      per_s, START_MS));
+        cr_assert(EyServerLimits_Observe(region.limits[g], START_MS, backend,
+                                         per_s, START_MS));
     }
     return region;
 }
@@ -182,7 +182,7 @@
     }
 }
 
-/* What is heard and told */
+/* Observations and reports */
 
 Test(server_limits, limit_rises_falls_and_ends_as_the_server_says)
 {
@@ -208,8 +208,8 @@
     const EyBackend_t restarted = make_backend("i-1", 2);
     int64_t now_ms = START_MS;
     for (size_t i = 0; i < G_N_ELEMENTS(Steps); i++, now_ms += 1000) {
-        (void)EyServerLimits_Hear(limits, now_ms, &backend, Steps[i].per_s,
-                                  now_ms + Steps[i].sent_ms);
+        (void)EyServerLimits_Observe(limits, now_ms, &backend, Steps[i].per_s,
+                                     now_ms + Steps[i].sent_ms);
         cr_expect_eq(EyServerLimits_PerS(limits, &backend), Steps[i].expected,
                      "step %zu", i);
         cr_expect_eq(EyServerLimits_PerS(limits, &restarted),
@@ -218,7 +218,8 @@
     talloc_free(ctx);
 }
 
-/** Passes what one gateway heard to another one, through the wire format. */
+/** Reports the observations of one gateway to another one, through the wire
+ * format. */
 static void
 tell(void *ctx, int64_t now_ms, EyServerLimits_t *from, EyServerLimits_t *to,
      int64_t delay_ms)
@@ -238,21 +239,21 @@
     EyServerLimits_t *one = EyServerLimits_New(ctx);
     EyServerLimits_t *other = EyServerLimits_New(ctx);
     const EyBackend_t backend = make_backend("i-1", 1);
-    (void)EyServerLimits_Hear(one, START_MS, &backend, 2.0, START_MS);
+    (void)EyServerLimits_Observe(one, START_MS, &backend, 2.0, START_MS);
     tell(ctx, START_MS + 200, one, other, 5);
     cr_assert_eq(EyServerLimits_PerS(other, &backend), 2.0);
     /* The other one hears of the end before the first one's report comes. */
-    (void)EyServerLimits_Hear(one, START_MS + 2000, &backend, 3.0,
-                              START_MS + 2000);
-    (void)EyServerLimits_Hear(other, START_MS + 2400, &backend,
-                              EY_SERVER_LIMIT_NONE, START_MS + 2300);
+    (void)EyServerLimits_Observe(one, START_MS + 2000, &backend, 3.0,
+                                 START_MS + 2000);
+    (void)EyServerLimits_Observe(other, START_MS + 2400, &backend,
+                                 EY_SERVER_LIMIT_NONE, START_MS + 2300);
     tell(ctx, START_MS + 2500, one, other, 5);
     cr_assert_eq(EyServerLimits_PerS(other, &backend), EY_SERVER_LIMIT_NONE);
     tell(ctx, START_MS + 2600, other, one, 5);
     cr_assert_eq(EyServerLimits_PerS(one, &backend), EY_SERVER_LIMIT_NONE);
     /* A report that is lost is repeated. */
-    (void)EyServerLimits_Hear(one, START_MS + 4000, &backend, 1.0,
-                              START_MS + 4000);
+    (void)EyServerLimits_Observe(one, START_MS + 4000, &backend, 1.0,
+                                 START_MS + 4000);
     EyEngineUpdate_t *lost = EY_NEW(ctx, EyEngineUpdate_t);
     EyServerLimits_Collect(one, START_MS + 4100, lost);
     cr_assert_eq(lost->limit_count, 1);
@@ -268,9 +269,9 @@
     EyServerLimits_t *limits = EyServerLimits_New(ctx);
     const EyBackend_t backend = make_backend("i-1", 1);
     for (size_t i = 0; i < G_N_ELEMENTS(Junk); i++) {
-        EyHeardLimit_t heard = {
+        EyObservedLimit_t observed = {
             .id = "i-1", .incarnation = 1, .per_s = Junk[i]};
-        EyEngineUpdate_t update = {.limits = &heard, .limit_count = 1};
+        EyEngineUpdate_t update = {.limits = &observed, .limit_count = 1};
         EyServerLimits_Apply(limits, START_MS, &update);
         cr_expect_eq(EyServerLimits_PerS(limits, &backend),
                      EY_SERVER_LIMIT_NONE, "%g", Junk[i]);
@@ -386,8 +387,8 @@
         cr_assert_eq(decision.kind, EY_DECISION_DISPATCH);
         bool is_limited = strcmp(decision.backend, "a") == 0;
         to_limited += is_limited;
-        (void)EyRouter_HearLimit(router, now_ms + 5, i, decision.backend,
-                                 is_limited ? 1.0 : EY_SERVER_LIMIT_NONE);
+        (void)EyRouter_ObserveLimit(router, now_ms + 5, i, decision.backend,
+                                    is_limited ? 1.0 : EY_SERVER_LIMIT_NONE);
         /* The limited server is the faster one. */
         finish(router, now_ms + 5, i, is_limited ? 5 : 200);
     }
--- a/tests/unit/test_server_list.c
+++ b/tests/unit/test_server_list.c
@@ -2,7 +2,7 @@
  * for the time until servers announce themselves again. */
 #include "control/server_list.h"
 #include "core/memory.h"
-#include "membership/membership.h"
+#include "registry_fixture.h"
 #include "sync_calls.h"
 
 #include <criterion/criterion.h>
@@ -14,39 +14,6 @@
 #define NOW_MS 1000
 #define TICK_MS 100
 
-static void
-ignore_message(void *data, const char *to, const char *address,
-               const EyClusterMessage_t *message)
-{
-    (void)data;
-    (void)to;
-    (void)address;
-    (void)message;
-}
-
-static void
-ignore_change(void *data, EyRegistryChange_t change,
-              const EyBackend_t *backend)
-{
-    (void)data;
-    (void)change;
-    (void)backend;
-}
-
-static EyRegistry_t *
-make_registry(void *ctx)
-{
-    EyMember_t own = {.incarnation = 1, .role = EY_MEMBER_CONTROL};
-    (void)EY_COPY(own.id, "core-1");
-    (void)EY_COPY(own.region, "istra");
-    const EyMembershipHooks_t membership_hooks = {.send = ignore_message};
-    EyMembership_t *membership =
-        EyMembership_New(ctx, &own, &membership_hooks, 1, NOW_MS);
-    const EyRegistryHooks_t hooks = {.send = ignore_message,
-                                     .changed = ignore_change};
-    return EyRegistry_New(ctx, membership, &hooks, 1, NOW_MS);
-}
-
 static EyBackend_t
 make_backend(const char *id, EyBackendState_t state)
 {
@@ -91,7 +58,8 @@
 save_list(void *ctx)
 {
     char *folder = make_folder(ctx);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     const EyBackend_t serving = make_backend("i-1", EY_BACKEND_SERVING);
     const EyBackend_t leaving = make_backend("i-2", EY_BACKEND_LEAVING);
     EyRegistry_Announce(registry, NOW_MS, &serving);
@@ -107,7 +75,8 @@
     char *folder = save_list(ctx);
     EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
     cr_assert_not_null(list);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     cr_expect_eq(EyServerList_Restore(list, registry, NOW_MS), 1);
     const EyBackend_t *restored = EyRegistry_Find(registry, "i-1");
     cr_assert_not_null(restored);
@@ -129,7 +98,8 @@
     void *ctx = talloc_new(NULL);
     char *folder = save_list(ctx);
     EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     (void)EyServerList_Restore(list, registry, NOW_MS);
     EyBackend_t announcement = make_backend("i-1", EY_BACKEND_SERVING);
     announcement.load.at = 8;
@@ -158,9 +128,11 @@
     void *ctx = talloc_new(NULL);
     char *folder = save_list(ctx);
     EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
-    EyRegistry_t *restored = make_registry(ctx);
+    EyRegistry_t *restored =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     cr_expect_eq(EyServerList_Restore(list, restored, NOW_MS), 1);
-    EyRegistry_t *announced = make_registry(ctx);
+    EyRegistry_t *announced =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     const EyBackend_t announcement = make_backend("i-1", EY_BACKEND_SERVING);
     EyRegistry_Announce(announced, NOW_MS, &announcement);
     cr_expect_lt(dumped_serial(restored), dumped_serial(announced));
@@ -173,7 +145,8 @@
     void *ctx = talloc_new(NULL);
     char *folder = save_list(ctx);
     EyServerList_t *list = EyServerList_Load(ctx, folder, NULL);
-    EyRegistry_t *registry = make_registry(ctx);
+    EyRegistry_t *registry =
+        registry_fixture_new(ctx, EY_MEMBER_CONTROL, NOW_MS);
     const EyBackend_t other = make_backend("i-3", EY_BACKEND_SERVING);
     EyRegistry_Announce(registry, NOW_MS, &other);
     cr_expect_eq(EyServerList_Restore(list, registry, NOW_MS), 0);
