--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -71,7 +71,7 @@
      * foundation of none. */
     bool has_lost_data;
     uint64_t dropped_bytes; /* left of a write that was never confirmed */
-    uint64_t cluster; /* 0: in none yet */
+    uint64_t cluster;       /* 0: in none yet */
     uint64_t term;
     EyAddress_t vote; /* the candidate voted for in term; empty: none */
     uint64_t vote_incarnation;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -103,10 +103,9 @@
         return EyAnswer_Text(200, "text/plain", "ready\n");
     }
     char detail[64];
-    (void)g_snprintf(detail, sizeof(detail), "%s%s%s",
-                     EyNode_state_names[self->state],
-                     part != NULL ? "; not ready: " : "",
-                     part != NULL ? part : "");
+    (void)g_snprintf(
+        detail, sizeof(detail), "%s%s%s", EyNode_state_names[self->state],
+        part != NULL ? "; not ready: " : "", part != NULL ? part : "");
     return EyAnswer_Problem(EY_PROBLEM_LEAVING, EY_OUTCOME_NOT_RUN, 1, detail);
 }
 
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -96,7 +96,7 @@
  */
 bool
 EyRouter_ObserveLimit(EyRouter_t *self, int64_t now_ms, uint64_t number,
-                   const char *id, double per_s);
+                      const char *id, double per_s);
 
 /** Applies a cache event of a model engine; a hint that may be late or
  * missing. */
--- a/tests/process/test_server_notices.c
+++ b/tests/process/test_server_notices.c
@@ -177,5 +177,6 @@
     cr_expect(call_both(FIRST_IS_SLOW, LIMIT_WINDOW_MS));
     json_int_t after = second_requests();
     cr_expect(call_both(FIRST_IS_SLOW, LIMIT_WINDOW_MS));
-    cr_expect_gt(second_requests() - after, 2 * LIMIT_WINDOW_REQUESTS);
+    cr_expect_gt(second_requests() - after,
+                 INT64_C(2) * LIMIT_WINDOW_REQUESTS);
 }
--- a/tests/unit/test_raft_file_power_loss.c
+++ b/tests/unit/test_raft_file_power_loss.c
@@ -143,7 +143,7 @@
  * the file's new size. */
 typedef size_t (*Damage_t)(uint8_t *data, size_t start, size_t size);
 
-static size_t
+static size_t /* NOLINTNEXTLINE(readability-non-const-parameter) */
 leave_nothing(uint8_t *data, size_t start, size_t size)
 {
     (void)data;
@@ -151,7 +151,7 @@
     return start;
 }
 
-static size_t
+static size_t /* NOLINTNEXTLINE(readability-non-const-parameter) */
 leave_half(uint8_t *data, size_t start, size_t size)
 {
     (void)data;
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -162,7 +162,7 @@
         int64_t change_ms = START_MS;
         for (int64_t now_ms = START_MS; now_ms < START_MS + RUN_MS;
              now_ms += STEP_MS) {
-            if (now_ms >= change_ms + SPREAD_MS * 3) {
+            if (now_ms >= change_ms + INT64_C(3) * SPREAD_MS) {
                 count = 18 + (uint32_t)EyRandom_Below(&random, 7);
                 change_ms = now_ms;
             }
