--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -160,11 +160,14 @@
         Region_t region = make_region(ctx, 24, &backend, per_s);
         uint32_t count = region.count;
         int64_t change_ms = START_MS;
+        int64_t interval_ms = SPREAD_MS;
         for (int64_t now_ms = START_MS; now_ms < START_MS + RUN_MS;
              now_ms += STEP_MS) {
-            if (now_ms >= change_ms + INT64_C(3) * SPREAD_MS) {
+            if (now_ms >= change_ms + interval_ms) {
                 count = 18 + (uint32_t)EyRandom_Below(&random, 7);
                 change_ms = now_ms;
+                interval_ms = SPREAD_MS +
+                              (int64_t)EyRandom_Below(&random, 8 * SPREAD_MS);
             }
             for (uint32_t g = 0; g < region.count; g++) {
                 const EyGatewayRank_t rank = {.rank = g, .count = count};
