--- a/src/routing/cleared_suspects.c
+++ b/src/routing/cleared_suspects.c
@@ -85,7 +85,7 @@
 {
     int64_t cleared_ms = 0;
     return EyClearedSuspects_Find(self, key, &cleared_ms) &&
-           crash_ms - cleared_ms < self->ttl_ms;
+           crash_ms < cleared_ms + self->ttl_ms;
 }
 
 uint32_t
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -514,6 +514,8 @@
     cr_expect_not(EyClearedSuspects_Covers(self, now_ms, 2));
     cr_expect(EyClearedSuspects_Covers(self, now_ms, 1000000));
     cr_expect_eq(EyClearedSuspects_Count(self), EY_CLEARED_SUSPECTS_MAX);
+    /* A suspect whose crashes were all refuted. */
+    cr_expect(EyClearedSuspects_Covers(self, INT64_MIN, 1));
     talloc_free(self);
 }
 
