--- a/tests/unit/test_http_memory.c
+++ b/tests/unit/test_http_memory.c
@@ -116,9 +116,8 @@
     while (!__atomic_load_n(&reader.ended, __ATOMIC_SEQ_CST)) {
         run_for(client_fixture, 20);
         const EyAttemptEvent_t *event = last_event(client_fixture, 1);
-        cr_assert(event == NULL || event->kind != EY_ATTEMPT_FAILED,
-                  "the attempt failed: %s",
-                  EyAttemptFailure_names[event->failure]);
+        bool has_failed = event != NULL && event->kind == EY_ATTEMPT_FAILED;
+        cr_assert_not(has_failed, "the attempt failed");
     }
     (void)pthread_join(thread, NULL);
     int64_t growth_kb = memory_kb("VmHWM:") - before_kb;
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -166,8 +166,9 @@
             if (now_ms >= change_ms + interval_ms) {
                 count = 18 + (uint32_t)EyRandom_Below(&random, 7);
                 change_ms = now_ms;
-                interval_ms = SPREAD_MS +
-                              (int64_t)EyRandom_Below(&random, 8 * SPREAD_MS);
+                interval_ms =
+                    SPREAD_MS +
+                    (int64_t)EyRandom_Below(&random, UINT64_C(8) * SPREAD_MS);
             }
             for (uint32_t g = 0; g < region.count; g++) {
                 const EyGatewayRank_t rank = {.rank = g, .count = count};
