--- a/review/standins/foreign_answer.c
+++ b/review/standins/foreign_answer.c
@@ -90,7 +90,8 @@
     for (int i = 0; i < 40 && !works; i++) {
         char id[40];
         snprintf(id, sizeof(id), "warm%012d", i);
-        works = request(home, "POST", "/pule252/a", id, 2500, "x").status == 200;
+        works =
+            request(home, "POST", "/pule252/a", id, 2500, "x").status == 200;
         sleep_ms(250);
     }
     if (!works) {
--- a/review/standins/rig.c
+++ b/review/standins/rig.c
@@ -149,7 +149,11 @@
     if (mkdtemp(Folder) == NULL || getcwd(Root, sizeof(Root)) == NULL) {
         finish(2);
     }
-    srand((unsigned)(getpid() ^ wall_ms()));
+    unsigned seed = (unsigned)getpid();
+    int source = open("/dev/urandom", O_RDONLY | O_CLOEXEC);
+    (void)!read(source, &seed, sizeof(seed));
+    close(source);
+    srand(seed);
     int base = 0;
     for (int i = 0; i < 50 && base == 0; i++) {
         int tried = 20000 + (rand() % 1000) * 10;
@@ -418,7 +422,7 @@
         int got = read_more(conn, deadline);
         if (got <= 0) {
             snprintf(answer->how, sizeof(answer->how), "%s",
-                     got == 0            ? "connection closed"
+                     got == 0             ? "connection closed"
                      : errno == ETIMEDOUT ? "timeout"
                                           : "connection reset");
             return;
@@ -444,16 +448,16 @@
     for (;;) {
         size_t size = conn->size - start;
         if (chunked) {
-            answer->whole = decode_chunks(conn->buffer + start, size,
-                                          answer->body,
-                                          sizeof(answer->body) - 1,
-                                          &answer->body_bytes);
+            answer->whole =
+                decode_chunks(conn->buffer + start, size, answer->body,
+                              sizeof(answer->body) - 1, &answer->body_bytes);
         }
         else {
             answer->body_bytes =
                 size < sizeof(answer->body) ? size : sizeof(answer->body) - 1;
             memcpy(answer->body, conn->buffer + start, answer->body_bytes);
-            answer->whole = has_length ? size >= length : answer->status == 204;
+            answer->whole =
+                has_length ? size >= length : answer->status == 204;
         }
         answer->body[answer->body_bytes] = '\0';
         if (answer->whole) {
@@ -483,11 +487,11 @@
     }
     size_t body_bytes = body != NULL ? strlen(body) : 0;
     char *text = NULL;
-    int bytes = asprintf(&text,
-                         "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\n"
-                         "Connection: close\r\n\r\n%s",
-                         method, path, headers, body_bytes,
-                         body != NULL ? body : "");
+    int bytes =
+        asprintf(&text,
+                 "%s %s HTTP/1.1\r\n%sContent-Length: %zu\r\n"
+                 "Connection: close\r\n\r\n%s",
+                 method, path, headers, body_bytes, body != NULL ? body : "");
     ssize_t sent = send(conn->socket, text, (size_t)bytes, MSG_NOSIGNAL);
     if (sent == bytes) {
         read_answer(conn, &answer, from + timeout_ms);
@@ -505,8 +509,8 @@
 void
 describe(const char *what, const char *id, const Answer_t *answer)
 {
-    note("%s %s: status %d%s%s, signature '%s', body '%s'%s, %lld ms", what, id,
-         answer->status, answer->how[0] != '\0' ? ", " : "", answer->how,
+    note("%s %s: status %d%s%s, signature '%s', body '%s'%s, %lld ms", what,
+         id, answer->status, answer->how[0] != '\0' ? ", " : "", answer->how,
          answer->signature, answer->body, answer->whole ? "" : " (not whole)",
          (long long)answer->took_ms);
 }
@@ -551,10 +555,9 @@
             if (!Machines[i].is_core || Machines[i].pid == 0) {
                 continue;
             }
-            Answer_t answer =
-                call(Machines[i].ip, ControlPort, "PUT", "/v1/config/routes",
-                     "Host: x\r\nContent-Type: application/json\r\n", json,
-                     1000);
+            Answer_t answer = call(
+                Machines[i].ip, ControlPort, "PUT", "/v1/config/routes",
+                "Host: x\r\nContent-Type: application/json\r\n", json, 1000);
             if (answer.status / 100 == 2) {
                 note("operator: configuration acknowledged by %s",
                      Machines[i].name);
@@ -669,6 +672,9 @@
         note("replica %s: runs %s (%.40s)", server->id, id,
              strtok(head, "\r\n"));
         sleep_ms(server->work_ms);
+        if (server->stopped) {
+            return false;
+        }
         char body[200];
         snprintf(body, sizeof(body), "receipt of %s by %s", id, server->id);
         snprintf(answer, sizeof(answer),
@@ -688,10 +694,25 @@
 {
     Serving_t *serving = data;
     Conn_t *conn = calloc(1, sizeof(*conn));
+    Server_t *server = serving->server;
     conn->socket = serving->socket;
-    while (serve_one(serving->server, conn)) {
+    int place = -1;
+    pthread_mutex_lock(&Lock);
+    for (int i = 0; i < 256 && place < 0; i++) {
+        place = server->sockets[i] == 0 ? i : -1;
+    }
+    if (place >= 0) {
+        server->sockets[place] = conn->socket;
+    }
+    pthread_mutex_unlock(&Lock);
+    while (!server->stopped && serve_one(server, conn)) {
+    }
+    pthread_mutex_lock(&Lock);
+    if (place >= 0) {
+        server->sockets[place] = 0;
     }
     close(conn->socket);
+    pthread_mutex_unlock(&Lock);
     free(conn);
     free(serving);
     return NULL;
@@ -782,6 +803,20 @@
     return answer.status;
 }
 
+void
+exit_server(Server_t *server)
+{
+    note("replica %s: exits", server->id);
+    pthread_mutex_lock(&Lock);
+    server->stopped = true;
+    for (int i = 0; i < 256; i++) {
+        if (server->sockets[i] != 0) {
+            shutdown(server->sockets[i], SHUT_RDWR);
+        }
+    }
+    pthread_mutex_unlock(&Lock);
+}
+
 static void *
 send_heartbeats(void *data)
 {
