--- a/review/standins/large_bodies.c
+++ b/review/standins/large_bodies.c
@@ -71,8 +71,11 @@
              "Host: ficu95.example\r\nAttempt-Id: %s\r\n"
              "Deadline-Ms: 12000\r\n",
              client->id);
+    note("client: sends purchase %s of %zu bytes", client->id, body_bytes);
     client->answer = call_on(client->socket, "POST", "/pule252/a", headers,
                              Body, body_bytes, 12500);
+    note("client: %s is answered with %d %s", client->id,
+         client->answer.status, client->answer.how);
 }
 
 static void *
@@ -94,6 +97,7 @@
 run_ordinary_client(void *data)
 {
     Client_t *client = data;
+    sleep_ms(20 * client->number); /* not all in step */
     for (int i = 0; !Ends; i++) {
         char name[40];
         snprintf(name, sizeof(name), "o%06d", i);
--- a/review/standins/late_heartbeat.c
+++ b/review/standins/late_heartbeat.c
@@ -50,8 +50,10 @@
                  "Host: ficu95.example\r\nAttempt-Id: %s\r\n"
                  "Deadline-Ms: 2500\r\n",
                  id);
+        note("client: sends purchase %s", id);
         Answer_t answer = call(Front->ip, FrontPort, "POST", "/pule252/a",
                                headers, "card=1", 3000);
+        note("client: %s is answered with %d", id, answer.status);
         const Run_t *run = find_run(id);
         if (answer.status / 100 != 2) {
             note("client: answer to %s: status %d %s; it ran %d times%s%s", id,
--- a/review/standins/rig.c
+++ b/review/standins/rig.c
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <ftw.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -81,6 +82,28 @@
     pthread_mutex_unlock(&Lock);
 }
 
+static int
+remove_path(const char *path, const struct stat *status, int kind,
+            struct FTW *place)
+{
+    (void)status;
+    (void)kind;
+    (void)place;
+    return remove(path);
+}
+
+/** Out of time, or told to end: ends all processes. */
+static void
+on_end_signal(int number)
+{
+    for (int i = 0; i < MachineCount; i++) {
+        if (Machines[i].pid > 0) {
+            kill(Machines[i].pid, SIGKILL);
+        }
+    }
+    _exit(number == SIGALRM ? 2 : 128 + number);
+}
+
 void
 finish(int code)
 {
@@ -95,6 +118,9 @@
          code == 0   ? "the rule held"
          : code == 1 ? "THE RULE WAS BROKEN"
                      : "the case could not run");
+    if (getenv("REVIEW_KEEP") == NULL) {
+        (void)nftw(Folder, remove_path, 16, FTW_DEPTH | FTW_PHYS);
+    }
     printf("result %d\n", code);
     fflush(stdout);
     _exit(code);
@@ -143,6 +169,10 @@
     }
     Began = now_ms();
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGTERM, on_end_signal);
+    signal(SIGINT, on_end_signal);
+    signal(SIGALRM, on_end_signal);
+    alarm(118);
     const char *trouble = getenv("TROUBLE");
     Trouble = trouble == NULL || strcmp(trouble, "0") != 0;
     snprintf(Folder, sizeof(Folder), "/tmp/review-XXXXXX");
@@ -170,8 +200,11 @@
     InternalPort = base + 5;
     ServerPort = base + 6;
     Net = 64 + rand() % 128;
-    note("folder %s, ports from %d, addresses 127.%d.x.y, trouble %d", Folder,
-         base, Net, Trouble);
+    note("ports from %d, addresses 127.%d.x.y, trouble %d", base, Net,
+         Trouble);
+    if (getenv("REVIEW_KEEP") != NULL) {
+        printf("logs and data stay in %s\n", Folder);
+    }
 }
 
 static void
@@ -273,6 +306,11 @@
     machine->starts++;
     pid_t pid = fork();
     if (pid == 0) {
+        alarm(0);
+        signal(SIGTERM, SIG_DFL);
+        signal(SIGINT, SIG_DFL);
+        signal(SIGALRM, SIG_DFL);
+        signal(SIGPIPE, SIG_DFL);
         int out = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
         dup2(out, 1);
         dup2(out, 2);
--- a/review/standins/stale_order.c
+++ b/review/standins/stale_order.c
@@ -32,13 +32,17 @@
 {
     long number = 0;
     while (!Ends) {
+        char id[40];
         char headers[300];
+        snprintf(id, sizeof(id), "l%d%010ld", *(int *)data, ++number);
         snprintf(headers, sizeof(headers),
-                 "Host: ficu95.example\r\nAttempt-Id: l%d%010ld\r\n"
+                 "Host: ficu95.example\r\nAttempt-Id: %s\r\n"
                  "Deadline-Ms: 2500\r\n",
-                 *(int *)data, ++number);
-        (void)call(Front->ip, FrontPort, "GET", "/puxa403/a", headers, NULL,
-                   3000);
+                 id);
+        note("client: sends look-up %s", id);
+        Answer_t answer = call(Front->ip, FrontPort, "GET", "/puxa403/a",
+                               headers, NULL, 3000);
+        note("client: %s is answered with %d", id, answer.status);
         sleep_ms(100);
     }
     return NULL;
