Control processes that are gone leave the voters of the replicated log

Cause: nobody took a replaced member out.

Change: the leader removes a voter that is silent for 2 s, or says that it stops, while 2n + 1 voters remain (--control-losses n); a leader that stops removes itself; a removed member joins again by its first hello; silent learners leave too. Elections settle in one round more often (tie-break of pre-votes by address, 300 ms after a granted one), as the change of members waits for a leader. Each change is logged with its reason; ebonyyardctl members and the dump show them.

Found on the way by the property: a removal that asked for five answering voters failed while another member was cut off; hellos of a returning member needed two election timeouts.

--- a/src/config/control.c
+++ b/src/config/control.c
@@ -184,6 +184,11 @@
         self->hooks.persist(self->hooks.data,
                             talloc_steal(NULL, action->disk_write));
         break;
+    case EY_RAFT_ACTION_MEMBERS:
+        if (self->hooks.members_changed != NULL) {
+            self->hooks.members_changed(self->hooks.data, &action->change);
+        }
+        break;
     case EY_RAFT_ACTION_APPLY:
         apply_entry(self, action);
         break;
@@ -388,6 +393,13 @@
     run(self, now_ms, &event);
 }
 
+void
+EyControl_Leave(EyControl_t *self, int64_t now_ms)
+{
+    EyRaftEvent_t event = {.kind = EY_RAFT_EVENT_LEAVE};
+    run(self, now_ms, &event);
+}
+
 /** Proposes the next tick of the store when it is due. */
 static void
 propose_tick(EyControl_t *self, int64_t now_ms)
@@ -439,6 +451,28 @@
     return EyRaft_Status(self->log);
 }
 
+/** The members of the replicated log. Only a leader tells for how long each
+ * has been silent. */
+static json_t *
+dump_members(const EyControl_t *self, const EyRaftStatus_t *status)
+{
+    json_t *rows = json_array();
+    for (uint32_t i = 0; i < status->members.count; i++) {
+        const EyRaftMember_t *member = &status->members.items[i];
+        json_t *row =
+            json_pack("{s:s, s:s, s:b}", "address", member->address, "role",
+                      member->is_voter ? "voter" : "learner", "leader",
+                      strcmp(member->address, status->leader) == 0);
+        if (status->role == EY_RAFT_LEADER) {
+            (void)json_object_set_new(row, "silent_ms",
+                                      json_integer((json_int_t)EyRaft_SilentMs(
+                                          self->log, member->address)));
+        }
+        (void)json_array_append_new(rows, row);
+    }
+    return rows;
+}
+
 json_t *
 EyControl_Dump(const EyControl_t *self)
 {
@@ -446,6 +480,7 @@
     json_t *json = json_object();
     (void)json_object_set_new(json, "log",
                               EySchema_ToJson(&EyRaftStatus_schema, &status));
+    (void)json_object_set_new(json, "members", dump_members(self, &status));
     (void)json_object_set_new(
         json, "version",
         json_integer((json_int_t)self->store->config.version));
--- a/src/config/control.h
+++ b/src/config/control.h
@@ -40,6 +40,9 @@
     /** The answer to EyControl_Propose. */
     void (*answer)(void *data, uint64_t number, EyProposalOutcome_t outcome,
                    const EyCommandResult_t *result);
+    /** As the leader, this process changes the members of the replicated log;
+     * may be NULL. */
+    void (*members_changed)(void *data, const EyRaftMemberChange_t *change);
     /** The configuration changed; may be NULL. */
     void (*changed)(void *data, const EyStore_t *store);
     void *data;
@@ -76,6 +79,10 @@
 void
 EyControl_RemoveMember(EyControl_t *self, int64_t now_ms, const char *address);
 
+/** Tells the leader that this process is about to stop. */
+void
+EyControl_Leave(EyControl_t *self, int64_t now_ms);
+
 /** Runs the timers; call no later than at EyControl_DueMs. */
 void
 EyControl_Tick(EyControl_t *self, int64_t now_ms);
--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -10,6 +10,16 @@
     [EY_RAFT_LEADER] = "leader",
 };
 
+const char *const EyRaft_change_reason_names[EY_RAFT_CHANGE_REASON_COUNT] = {
+    [EY_RAFT_CHANGE_ADMITTED] = "admitted",
+    [EY_RAFT_CHANGE_DISK_REPLACED] = "disk_replaced",
+    [EY_RAFT_CHANGE_CAUGHT_UP] = "caught_up",
+    [EY_RAFT_CHANGE_VOTER_SILENT] = "voter_silent",
+    [EY_RAFT_CHANGE_LEARNER_SILENT] = "learner_silent",
+    [EY_RAFT_CHANGE_VOTER_LEAVING] = "voter_leaving",
+    [EY_RAFT_CHANGE_REQUESTED] = "requested",
+};
+
 static const EyField_t StatusFields[] = {
     EY_FIELD_NAMED_ENUM(EyRaftStatus_t, role, EyRaft_role_names,
                         EY_RAFT_ROLE_COUNT),
@@ -448,10 +458,14 @@
 static void
 run_timers(EyRaft_t *self)
 {
-    if (self->cluster == 0 || !ey_raft_is_voter(self)) {
+    bool is_outside = self->cluster == 0 || (!ey_raft_is_voter(self) &&
+                                             self->role != EY_RAFT_LEADER);
+    if (is_outside) {
         if (self->now_ms >= self->heartbeat_ms) {
             self->heartbeat_ms = self->now_ms + EY_RAFT_HELLO_INTERVAL_MS;
-            ey_raft_send_hellos(self);
+            if (!self->is_leaving) {
+                ey_raft_send_hellos(self);
+            }
         }
         return;
     }
@@ -463,6 +477,10 @@
         }
         return;
     }
+    if (self->is_leaving && self->now_ms >= self->heartbeat_ms) {
+        self->heartbeat_ms = self->now_ms + self->options.heartbeat_ms;
+        ey_raft_send_leaving(self);
+    }
     if (self->disk_failed) {
         self->election_ms = self->now_ms + self->options.election_min_ms;
         return;
@@ -592,6 +610,7 @@
     [EY_RAFT_APPEND] = ey_raft_on_append,
     [EY_RAFT_APPEND_ANSWER] = ey_raft_on_append_answer,
     [EY_RAFT_SNAPSHOT] = ey_raft_on_snapshot,
+    [EY_RAFT_LEAVING] = ey_raft_on_leaving,
 };
 
 static void
@@ -603,6 +622,11 @@
     {
         return;
     }
+    EyRaftPeer_t *peer =
+        ey_raft_find_peer(self, message->from, message->from_incarnation);
+    if (peer != NULL) {
+        peer->heard_ms = self->now_ms;
+    }
     bool is_hello = message->kind == EY_RAFT_HELLO;
     bool may_switch_cluster = self->cluster == 0 || ey_raft_is_unused(self);
     bool is_joining =
@@ -626,6 +650,14 @@
     ey_raft_remove_member(self, event->address);
 }
 
+static void
+on_leave(EyRaft_t *self, const EyRaftEvent_t *event)
+{
+    (void)event;
+    self->is_leaving = true;
+    self->heartbeat_ms = self->now_ms;
+}
+
 static void
 on_tick(EyRaft_t *self, const EyRaftEvent_t *event)
 {
@@ -643,6 +675,7 @@
     [EY_RAFT_EVENT_PROPOSE] = on_propose,
     [EY_RAFT_EVENT_COMPACT] = on_compact,
     [EY_RAFT_EVENT_REMOVE_MEMBER] = on_remove_member,
+    [EY_RAFT_EVENT_LEAVE] = on_leave,
 };
 
 EyRaftActions_t *
@@ -676,7 +709,11 @@
     }
     bool sends_periodically = self->cluster == 0 || !ey_raft_is_voter(self) ||
                               self->role == EY_RAFT_LEADER;
-    return sends_periodically ? self->heartbeat_ms : self->election_ms;
+    if (sends_periodically) {
+        return self->heartbeat_ms;
+    }
+    return self->is_leaving ? MIN(self->heartbeat_ms, self->election_ms)
+                            : self->election_ms;
 }
 
 /* Creation */
@@ -768,6 +805,19 @@
     return self;
 }
 
+int64_t
+EyRaft_SilentMs(const EyRaft_t *self, const char *address)
+{
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyRaftPeer_t *peer =
+            &g_array_index(self->peers, EyRaftPeer_t, i);
+        if (strcmp(peer->address, address) == 0) {
+            return self->now_ms - peer->heard_ms;
+        }
+    }
+    return 0;
+}
+
 EyRaftStatus_t
 EyRaft_Status(const EyRaft_t *self)
 {
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -55,6 +55,9 @@
     uint64_t seed;
     bool join_only;           /* never founds a cluster */
     bool takes_joiners;       /* as leader, admits any address */
+    uint32_t voters_min;      /* as leader, removes a voter that is silent
+                               * if at least so many remain; 0: removes
+                               * none */
     uint32_t heartbeat_ms;    /* 0: EY_RAFT_HEARTBEAT_MS */
     uint32_t election_min_ms; /* 0: EY_RAFT_ELECTION_MIN_MS */
 } EyRaftOptions_t;
@@ -63,6 +66,16 @@
 /** Shortest election timeout; the actual one is random, up to twice this. */
 #define EY_RAFT_ELECTION_MIN_MS 1000
 
+/** A voter that hasn't been heard of for this time is taken for gone. */
+#define EY_RAFT_VOTER_SILENT_MS 2000
+/** Time for which a new leader asks before it takes a voter for gone. */
+#define EY_RAFT_VOTER_ASKED_MS 600
+/** A voter that said that it stops is taken for gone for this time. */
+#define EY_RAFT_VOTER_LEAVING_MS 1000
+/** A learner that hasn't been heard of for this time is removed; it may join
+ * again. */
+#define EY_RAFT_LEARNER_SILENT_MS 10000
+
 /** The content of the disk at the start, from EyRaftFile_Open. */
 typedef struct EyRaftDiskState {
     uint64_t incarnation;
@@ -107,6 +120,7 @@
     EY_RAFT_EVENT_REMOVE_MEMBER,  /* address, of a process that has stopped for
                                    * good: if its address is configured and it
                                    * still runs, it joins again */
+    EY_RAFT_EVENT_LEAVE,          /* this process is about to stop */
     EY_RAFT_EVENT_KIND_COUNT
 } EyRaftEventKind_t;
 
@@ -118,6 +132,30 @@
     const char *address;
 } EyRaftEvent_t;
 
+/** Why a leader changes the members. */
+typedef enum EyRaftChangeReason {
+    EY_RAFT_CHANGE_ADMITTED,       /* as a learner, at a new address */
+    EY_RAFT_CHANGE_DISK_REPLACED,  /* as a learner, in place of its former
+                                    * incarnation */
+    EY_RAFT_CHANGE_CAUGHT_UP,      /* the learner becomes a voter */
+    EY_RAFT_CHANGE_VOTER_SILENT,   /* removed: enough others answer */
+    EY_RAFT_CHANGE_LEARNER_SILENT, /* removed */
+    EY_RAFT_CHANGE_VOTER_LEAVING,  /* removed: it said that it stops */
+    EY_RAFT_CHANGE_REQUESTED,      /* removed by EY_RAFT_EVENT_REMOVE_MEMBER */
+    EY_RAFT_CHANGE_REASON_COUNT
+} EyRaftChangeReason_t;
+
+extern const char
+    *const EyRaft_change_reason_names[EY_RAFT_CHANGE_REASON_COUNT];
+
+/** A change of the members that a leader proposes. */
+typedef struct EyRaftMemberChange {
+    EyRaftChangeReason_t reason;
+    EyAddress_t address;
+    int64_t silent_ms; /* since the member was last heard of */
+    uint32_t voters;   /* after the change */
+} EyRaftMemberChange_t;
+
 typedef enum EyRaftActionKind {
     EY_RAFT_ACTION_SEND,     /* message */
     EY_RAFT_ACTION_PERSIST,  /* disk_write */
@@ -126,6 +164,7 @@
     EY_RAFT_ACTION_RESTORE,  /* snapshot replaces the applied state */
     EY_RAFT_ACTION_REJECTED, /* number: not appended, will not be applied */
     EY_RAFT_ACTION_UNKNOWN,  /* number: may or may not be applied */
+    EY_RAFT_ACTION_MEMBERS,  /* change: proposed by this leader */
     EY_RAFT_ACTION_KIND_COUNT
 } EyRaftActionKind_t;
 
@@ -137,6 +176,7 @@
     EyRaftDiskWrite_t *disk_write;
     EyRaftEntry_t entry;
     EyRaftSnapshot_t snapshot;
+    EyRaftMemberChange_t change;
     uint64_t number;
 } EyRaftAction_t;
 
@@ -192,6 +232,11 @@
 EyRaftStatus_t
 EyRaft_Status(const EyRaft_t *self);
 
+/** Returns for how long a member hasn't been heard of; 0 for this process and
+ * for unknown addresses. Only a leader hears of all members regularly. */
+int64_t
+EyRaft_SilentMs(const EyRaft_t *self, const char *address);
+
 /** Returns the entry at an index above base_index, or NULL. */
 const EyRaftEntry_t *
 EyRaft_Entry(const EyRaft_t *self, uint64_t index);
--- a/src/config/raft_election.c
+++ b/src/config/raft_election.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+/** After granting a pre-vote a process starts no election of its own for this
+ * time, as two at once often elect nobody. */
+#define PRE_VOTE_COURTESY_MS 300
+
 void
 ey_raft_reset_election(EyRaft_t *self)
 {
@@ -109,6 +113,19 @@
            self->now_ms - self->leader_ms < self->options.election_min_ms;
 }
 
+/** Returns true if this process asks for pre-votes itself and the sender,
+ * which has the same entries, comes after it by address: of two that ask at
+ * once only one goes on. */
+static bool
+comes_first(const EyRaft_t *self, const EyRaftMessage_t *message)
+{
+    uint64_t own_index = ey_raft_last_index(self);
+    return self->role == EY_RAFT_PRE_CANDIDATE &&
+           message->index == own_index &&
+           message->log_term == ey_raft_term_at(self, own_index) &&
+           strcmp(self->options.self, message->from) < 0;
+}
+
 void
 ey_raft_on_pre_vote(EyRaft_t *self, const EyRaftMessage_t *message)
 {
@@ -116,10 +133,16 @@
         ey_raft_new_message(self, EY_RAFT_PRE_VOTE_ANSWER, message->from,
                             message->from_incarnation);
     answer->granted = message->term > self->term && !has_leader(self) &&
-                      !self->disk_failed &&
+                      !self->disk_failed && !comes_first(self, message) &&
                       is_up_to_date(self, message->log_term, message->index);
     if (answer->granted) {
         answer->term = message->term;
+        if (self->role == EY_RAFT_PRE_CANDIDATE) {
+            self->role = EY_RAFT_FOLLOWER;
+        }
+        /* Not for longer: the sender may be unable to receive answers. */
+        self->election_ms =
+            MAX(self->election_ms, self->now_ms + PRE_VOTE_COURTESY_MS);
     }
     ey_raft_send_when_persisted(self, answer);
 }
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -26,6 +26,8 @@
     uint64_t next;          /* index of the next entry to send */
     uint64_t match;         /* entries up to this index are on its disk */
     int64_t last_answer_ms; /* time of its last answer to the leader */
+    int64_t heard_ms;       /* time of its last message of any kind */
+    int64_t leaving_ms;     /* when it last said that it stops; 0: never */
     int64_t snapshot_ms;    /* time of an unanswered snapshot; 0: none */
 } EyRaftPeer_t;
 
@@ -86,6 +88,8 @@
     EyAddress_t leader;
     int64_t election_ms;  /* when to start an election */
     int64_t leader_ms;    /* time of the leader's last message */
+    int64_t leading_ms;   /* when this process became the leader */
+    bool is_leaving;      /* this process is about to stop */
     int64_t heartbeat_ms; /* when to send the next heartbeats or hellos */
     GArray *peers;        /* EyRaftPeer_t: the other members */
     /** Indexed as options.addresses. */
@@ -97,6 +101,8 @@
      * none. */
     EyAddress_t unlisted_leader;
     uint64_t unlisted_leader_nonce; /* to be copied into the next hello */
+    uint64_t asked_nonce; /* of the last hello that was sent to a leader in
+                           * answer to its own answer */
     EyRaftJoiner_t joiner;
     uint64_t nonce;   /* must be copied by a hello, which proves that the hello
                        * isn't an old one */
@@ -249,5 +255,10 @@
 ey_raft_advance_members(EyRaft_t *self);
 void
 ey_raft_remove_member(EyRaft_t *self, const char *address);
+void
+ey_raft_on_leaving(EyRaft_t *self, const EyRaftMessage_t *message);
+/** Tells the leader that this process is about to stop. */
+void
+ey_raft_send_leaving(EyRaft_t *self);
 
 #endif
--- a/src/config/raft_members.c
+++ b/src/config/raft_members.c
@@ -21,6 +21,7 @@
             .incarnation = member->incarnation,
             .next = ey_raft_last_index(self) + 1,
             .last_answer_ms = self->now_ms,
+            .heard_ms = self->now_ms,
         };
         (void)EY_COPY(peer.address, member->address);
         const EyRaftPeer_t *known =
@@ -114,6 +115,34 @@
     ey_raft_send(self, message);
 }
 
+static EyRaftHelloAnswer_t *
+find_hello_answer(EyRaft_t *self, const char *address)
+{
+    for (uint32_t i = 0; i < self->options.address_count; i++) {
+        if (strcmp(self->options.addresses[i], address) == 0) {
+            return &self->hello_answers[i];
+        }
+    }
+    return NULL;
+}
+
+/** Sends hellos to members that aren't configured addresses: of a process that
+ * was cut off or frozen for long, all configured ones may have been replaced.
+ */
+static void
+send_hello_to_members(EyRaft_t *self)
+{
+    for (guint i = 0; i < self->peers->len; i++) {
+        const char *address =
+            g_array_index(self->peers, EyRaftPeer_t, i).address;
+        if (find_hello_answer(self, address) == NULL &&
+            strcmp(address, self->unlisted_leader) != 0)
+        {
+            send_hello(self, address, 0);
+        }
+    }
+}
+
 static void
 send_hello_to_all(EyRaft_t *self)
 {
@@ -137,20 +166,10 @@
     if (self->unlisted_leader[0] != '\0') {
         send_hello(self, self->unlisted_leader, self->unlisted_leader_nonce);
     }
+    send_hello_to_members(self);
     ey_raft_bootstrap(self);
 }
 
-static EyRaftHelloAnswer_t *
-find_hello_answer(EyRaft_t *self, const char *address)
-{
-    for (uint32_t i = 0; i < self->options.address_count; i++) {
-        if (strcmp(self->options.addresses[i], address) == 0) {
-            return &self->hello_answers[i];
-        }
-    }
-    return NULL;
-}
-
 /** Adds the snapshot to an answer to a hello, unless a large one is on its way
  * to that member: it repeats its hello until a snapshot has arrived. */
 static void
@@ -213,6 +232,21 @@
     }
 }
 
+/** Sends the leader a hello with the nonce of its answer at once, if this
+ * process isn't a voter or doesn't hear of a leader. A leader ignores it if
+ * this process is a member. */
+static void
+ask_leader_again(EyRaft_t *self, const EyRaftMessage_t *message)
+{
+    bool is_from_leader = strcmp(message->leader, message->from) == 0;
+    bool is_outside =
+        !ey_raft_is_voter(self) || self->role == EY_RAFT_PRE_CANDIDATE;
+    if (is_from_leader && is_outside && message->nonce != self->asked_nonce) {
+        self->asked_nonce = message->nonce;
+        send_hello(self, message->from, message->nonce);
+    }
+}
+
 /** Returns true if a member of the cluster's first set can't vote in it any
  * more: it lost its disk, or it is in another cluster. */
 static bool
@@ -291,6 +325,7 @@
         answer->round = message->round;
     }
     remember_unlisted_leader(self, message);
+    ask_leader_again(self, message);
     if (self->cluster != 0 && has_failed(self)) {
         ey_raft_leave_failed(self);
     }
@@ -370,8 +405,16 @@
 /* Membership changes by the leader, one at a time. */
 
 static void
-propose_members(EyRaft_t *self, const EyRaftMembers_t *members)
+propose_members(EyRaft_t *self, const EyRaftMembers_t *members,
+                EyRaftChangeReason_t reason, const char *address)
 {
+    EyRaftMemberChange_t change = {
+        .reason = reason,
+        .silent_ms = EyRaft_SilentMs(self, address),
+        .voters = EyRaftMembers_Voters(members),
+    };
+    (void)EY_COPY(change.address, address);
+    ey_raft_add_action(self, EY_RAFT_ACTION_MEMBERS)->change = change;
     EyRaftEntry_t entry = {
         .index = ey_raft_last_index(self) + 1,
         .term = self->term,
@@ -429,11 +472,16 @@
     EyRaftMember_t *learner = &members.items[members.count++];
     (void)EY_COPY(learner->address, joiner.address);
     learner->incarnation = joiner.incarnation;
-    propose_members(self, &members);
+    bool is_replaced =
+        EyRaftMembers_Find(&self->members, joiner.address) != NULL;
+    propose_members(self, &members,
+                    is_replaced ? EY_RAFT_CHANGE_DISK_REPLACED
+                                : EY_RAFT_CHANGE_ADMITTED,
+                    joiner.address);
 }
 
-/** Makes a voter of a learner that has caught up. */
-static void
+/** Makes a voter of a learner that has caught up; returns true if one has. */
+static bool
 promote_learner(EyRaft_t *self)
 {
     for (guint i = 0; i < self->peers->len; i++) {
@@ -447,22 +495,42 @@
         EyRaftMembers_t members =
             EyRaftMessage_CopyMembers(self->actions, &self->members);
         EyRaftMembers_Find(&members, peer->address)->is_voter = true;
-        propose_members(self, &members);
-        return;
+        propose_members(self, &members, EY_RAFT_CHANGE_CAUGHT_UP,
+                        peer->address);
+        return true;
     }
+    return false;
 }
 
-void
-ey_raft_advance_members(EyRaft_t *self)
+/** Returns true if enough voters remain without one of them: what is committed
+ * has to be on the disk of one that is left after the losses that the group
+ * must bear. */
+static bool
+may_spare_voter(const EyRaft_t *self)
 {
-    if (!may_change_members(self)) {
-        return;
-    }
-    if (self->joiner.incarnation != 0) {
-        admit_joiner(self);
-        return;
+    return self->options.voters_min > 0 &&
+           EyRaftMembers_Voters(&self->members) > self->options.voters_min;
+}
+
+static bool
+is_leaving(const EyRaft_t *self, const EyRaftPeer_t *peer)
+{
+    return peer->leaving_ms != 0 &&
+           self->now_ms - peer->leaving_ms < EY_RAFT_VOTER_LEAVING_MS;
+}
+
+/** Returns true if a member may be removed because it is gone or about to
+ * stop. */
+static bool
+is_removable(const EyRaft_t *self, const EyRaftPeer_t *peer)
+{
+    int64_t silent_ms = self->now_ms - peer->heard_ms;
+    if (!peer->is_voter) {
+        return silent_ms >= EY_RAFT_LEARNER_SILENT_MS;
     }
-    promote_learner(self);
+    bool is_silent = silent_ms >= EY_RAFT_VOTER_SILENT_MS &&
+                     self->now_ms - self->leading_ms >= EY_RAFT_VOTER_ASKED_MS;
+    return (is_silent || is_leaving(self, peer)) && may_spare_voter(self);
 }
 
 /** Returns true if a quorum of a member set answered recently. */
@@ -483,6 +551,100 @@
     return alive >= EyRaftMembers_Voters(members) / 2 + 1;
 }
 
+/** Removes this leader itself if it is about to stop; returns true if so. */
+static bool
+remove_self(EyRaft_t *self)
+{
+    EyRaftMembers_t members = members_without(self, self->options.self);
+    if (!self->is_leaving || !may_spare_voter(self) ||
+        !has_live_quorum(self, &members))
+    {
+        return false;
+    }
+    propose_members(self, &members, EY_RAFT_CHANGE_VOTER_LEAVING,
+                    self->options.self);
+    return true;
+}
+
+static EyRaftChangeReason_t
+removal_reason(const EyRaft_t *self, const EyRaftPeer_t *peer)
+{
+    if (!peer->is_voter) {
+        return EY_RAFT_CHANGE_LEARNER_SILENT;
+    }
+    return is_leaving(self, peer) ? EY_RAFT_CHANGE_VOTER_LEAVING
+                                  : EY_RAFT_CHANGE_VOTER_SILENT;
+}
+
+/** Removes a member that is gone or about to stop, the one that has been
+ * silent for the longest time first. */
+static void
+remove_gone_member(EyRaft_t *self)
+{
+    const EyRaftPeer_t *silent = NULL;
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyRaftPeer_t *peer =
+            &g_array_index(self->peers, EyRaftPeer_t, i);
+        if (is_removable(self, peer) &&
+            (silent == NULL || peer->heard_ms < silent->heard_ms))
+        {
+            silent = peer;
+        }
+    }
+    if (silent == NULL) {
+        return;
+    }
+    EyRaftMembers_t members = members_without(self, silent->address);
+    if (!has_live_quorum(self, &members)) {
+        return;
+    }
+    propose_members(self, &members, removal_reason(self, silent),
+                    silent->address);
+}
+
+void
+ey_raft_advance_members(EyRaft_t *self)
+{
+    if (!may_change_members(self)) {
+        return;
+    }
+    if (self->joiner.incarnation != 0) {
+        admit_joiner(self);
+        return;
+    }
+    if (!promote_learner(self) && !remove_self(self)) {
+        remove_gone_member(self);
+    }
+}
+
+void
+ey_raft_send_leaving(EyRaft_t *self)
+{
+    if (self->leader[0] == '\0') {
+        return;
+    }
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyRaftPeer_t *peer =
+            &g_array_index(self->peers, EyRaftPeer_t, i);
+        if (strcmp(peer->address, self->leader) == 0) {
+            ey_raft_send(self, ey_raft_new_message(self, EY_RAFT_LEAVING,
+                                                   peer->address,
+                                                   peer->incarnation));
+        }
+    }
+}
+
+void
+ey_raft_on_leaving(EyRaft_t *self, const EyRaftMessage_t *message)
+{
+    EyRaftPeer_t *peer =
+        ey_raft_find_peer(self, message->from, message->from_incarnation);
+    if (self->role == EY_RAFT_LEADER && peer != NULL) {
+        peer->leaving_ms = self->now_ms;
+        ey_raft_advance_members(self);
+    }
+}
+
 void
 ey_raft_remove_member(EyRaft_t *self, const char *address)
 {
@@ -494,6 +656,6 @@
     /* The remaining members must be able to commit the change. */
     EyRaftMembers_t members = members_without(self, address);
     if (has_live_quorum(self, &members)) {
-        propose_members(self, &members);
+        propose_members(self, &members, EY_RAFT_CHANGE_REQUESTED, address);
     }
 }
--- a/src/config/raft_message.c
+++ b/src/config/raft_message.c
@@ -14,6 +14,7 @@
     [EY_RAFT_APPEND] = "append",
     [EY_RAFT_APPEND_ANSWER] = "append-answer",
     [EY_RAFT_SNAPSHOT] = "snapshot",
+    [EY_RAFT_LEAVING] = "leaving",
 };
 
 static const char *const EntryKindNames[EY_RAFT_ENTRY_KIND_COUNT] = {
--- a/src/config/raft_message.h
+++ b/src/config/raft_message.h
@@ -72,6 +72,8 @@
     EY_RAFT_APPEND, /* without entries: a heartbeat */
     EY_RAFT_APPEND_ANSWER,
     EY_RAFT_SNAPSHOT, /* answered by APPEND_ANSWER */
+    EY_RAFT_LEAVING,  /* to the leader, again and again: the sender is about to
+                       * stop */
     EY_RAFT_MESSAGE_KIND_COUNT
 } EyRaftMessageKind_t;
 
--- a/src/config/raft_replication.c
+++ b/src/config/raft_replication.c
@@ -8,6 +8,7 @@
 ey_raft_become_leader(EyRaft_t *self)
 {
     self->role = EY_RAFT_LEADER;
+    self->leading_ms = self->now_ms;
     (void)EY_COPY(self->leader, self->options.self);
     self->heartbeat_ms = self->now_ms + self->options.heartbeat_ms;
     for (guint i = 0; i < self->peers->len; i++) {
@@ -134,6 +135,11 @@
     ey_raft_set_commit(self, agreed);
     self->is_confirmed = true;
     ey_raft_replicate_all(self);
+    if (self->members_index <= self->commit && !ey_raft_is_voter(self)) {
+        /* It has removed itself, because it is about to stop. */
+        ey_raft_follow(self, self->term, "");
+        return;
+    }
     ey_raft_advance_members(self);
 }
 
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -149,6 +149,17 @@
            EY_LOG_NUMBER("evacuated_zones", store->evacuated_count));
 }
 
+static void
+hook_members_changed(void *data, const EyRaftMemberChange_t *change)
+{
+    (void)data;
+    EY_LOG(EY_LOG_INFO, "control", "member_change",
+           EY_LOG_TEXT("address", change->address),
+           EY_LOG_TEXT("reason", EyRaft_change_reason_names[change->reason]),
+           EY_LOG_NUMBER("silent_ms", change->silent_ms),
+           EY_LOG_NUMBER("voters", change->voters));
+}
+
 static void
 hook_answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
             const EyCommandResult_t *result)
@@ -300,6 +311,8 @@
         .seed = EyRandom_Next(&self->node->random),
         .join_only = !settings->may_found,
         .takes_joiners = settings->takes_joiners,
+        .voters_min =
+            settings->takes_joiners ? 2 * settings->control_losses + 1 : 0,
     };
     (void)EY_COPY(options.self, settings->peer_listen);
     bool has_self = false;
@@ -346,6 +359,7 @@
         .send_config = hook_send_config,
         .persist = hook_persist,
         .answer = hook_answer,
+        .members_changed = hook_members_changed,
         .changed = hook_changed,
         .data = self,
     };
@@ -492,6 +506,15 @@
     EyServerListSaver_OnBackend(self->list_saver, change);
 }
 
+static void
+control_on_leaving(void *part)
+{
+    const ControlPart_t *self = part;
+    if (self->control != NULL) {
+        EyControl_Leave(self->control, EyClock_NowMs());
+    }
+}
+
 /** False without an open log, and after a loss of data until the group has
  * made this process a voter again. */
 static bool
@@ -527,6 +550,7 @@
     .handles_kind = control_wants,
     .on_message = control_on_message,
     .on_backend = control_on_backend,
+    .on_leaving = control_on_leaving,
     .is_ready = control_is_ready,
     .dump = control_dump,
 };
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -15,6 +15,8 @@
 #define BACKEND_TTL_MAX_MS 60000
 #define PER_MILLE 1000
 #define RETRY_SLACK_MAX 1000000
+/* A group has at most 16 members, of which a majority must remain. */
+#define CONTROL_LOSSES_MAX 7
 #define RETRY_WINDOW_MAX_S 3600
 
 typedef enum SettingId {
@@ -31,6 +33,7 @@
     SETTING_CONTROL_PORT, /* after CONTROL, as it replaces the ports there */
     SETTING_MAY_FOUND,
     SETTING_TAKES_JOINERS,
+    SETTING_CONTROL_LOSSES,
     SETTING_STOP_LINGER,
     SETTING_BACKEND_TTL,
     SETTING_RETRY_RATIO,
@@ -243,6 +246,13 @@
     return read_bool(text, &settings->takes_joiners);
 }
 
+static bool
+read_control_losses(EySettings_t *settings, const char *text)
+{
+    return read_integer(text, 0, CONTROL_LOSSES_MAX,
+                        &settings->control_losses);
+}
+
 static bool
 read_peers(EySettings_t *settings, const char *text)
 {
@@ -410,6 +420,14 @@
                                .default_text = "0",
                                .expected = "0 or 1",
                                .read = read_takes_joiners},
+    [SETTING_CONTROL_LOSSES] =
+        {.flag = "control-losses",
+         .help = "control: processes that may be lost at once, with their "
+                 "disks; with --takes-joiners one that is gone is removed if "
+                 "twice as many and one remain",
+         .default_text = "2",
+         .expected = "a whole number from 0 to 7",
+         .read = read_control_losses},
     [SETTING_STOP_LINGER] = {.flag = "stop-linger-ms",
                              .help = "how long requests are accepted after "
                                      "SIGTERM, while callers move to other "
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -61,6 +61,7 @@
     uint32_t retry_window_ms; /* window of the retry budget */
     bool may_found;           /* may bootstrap a new control cluster */
     bool takes_joiners;       /* control: accept members not in --control */
+    uint32_t control_losses;  /* control processes that may be lost at once */
     EyAddress_t peers[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t peer_count;
     EyAddress_t control[EY_SETTINGS_ADDRESSES_MAX];
--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -41,7 +41,9 @@
     "  instances                         entry instances, best first\n"
     "  backends                          backend servers\n"
     "  replicas                          backend servers as the gateway's\n"
-    "                                    routing sees them\n\n"
+    "                                    routing sees them\n"
+    "  members                           of the replicated log, as a control\n"
+    "                                    process sees them\n\n"
     "A change is based on the version in force, or the one given by\n"
     "--version; if another change was made first, it is refused (exit 1).\n"
     "Each change has an id. If an answer is lost, the change is sent again\n"
@@ -278,6 +280,35 @@
     return EY_CTL_DONE;
 }
 
+static EyCtlExit_t
+run_members(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {{"address", "ADDRESS"},
+                                            {"role", "ROLE"},
+                                            {"leader", "LEADER"},
+                                            {"silent_ms", "SILENT MS"},
+                                            {NULL, NULL}};
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/dump", &code);
+    if (json == NULL) {
+        return code;
+    }
+    json_t *rows =
+        json_object_get(json_object_get(json, "control"), "members");
+    if (rows == NULL) {
+        (void)fputs("this server isn't a control process\n", self->err);
+        code = EY_CTL_REFUSED;
+    }
+    else if (self->flags.json) {
+        EyCtlPrint_Json(self->out, rows);
+    }
+    else {
+        EyCtlPrint_Table(self->out, rows, Columns);
+    }
+    json_decref(json);
+    return code;
+}
+
 static EyCtlExit_t
 run_dump(const Ctl_t *self)
 {
@@ -606,6 +637,7 @@
     {"instances", NULL, 0, 0, run_instances},
     {"backends", NULL, 0, 0, run_backends},
     {"replicas", NULL, 0, 0, run_replicas},
+    {"members", NULL, 0, 0, run_members},
 };
 
 static int
--- a/tests/property/raft_world.h
+++ b/tests/property/raft_world.h
@@ -175,6 +175,9 @@
     bool is_paused = false;
     bool is_disk_full = false;
     bool lost_disk = false; /* at least once */
+    bool is_unused = false; /* a spare that wasn't started yet */
+    bool is_gone = false;   /* for good: replaced by a spare */
+    bool joins_only = false;
     uint64_t applied = 0;
     std::string state;            /* a hash of all applied entries */
     std::set<std::string> voters; /* in the last status */
@@ -189,23 +192,40 @@
     EyRaftMessage_t *message;
 };
 
+/** Voters that the group keeps where nodes are replaced: two disks may be lost
+ * at once. */
+constexpr uint32_t VotersMin = 5;
+
+inline std::string
+name_of(const EyRaftMember_t &member)
+{
+    return std::string(member.address) + "/" +
+           std::to_string(member.incarnation);
+}
+
 class World {
   public:
     /** seed_count: the first nodes, whose addresses all nodes are configured
      * with; each other node is configured with them and itself, and joins.
-     * 0: all nodes are configured with all addresses. */
-    World(size_t count, uint64_t seed, size_t seed_count = 0)
+     * 0: all nodes are configured with all addresses. spare_count: further
+     * nodes, each of which may replace another one; with spares a node that
+     * starts is configured with the first seed_count ones that are left. */
+    World(size_t count, uint64_t seed, size_t seed_count = 0,
+          size_t spare_count = 0)
         : random(EyRandom_Make(seed)),
-          seeds(seed_count > 0 ? seed_count : count)
+          seeds(seed_count > 0 ? seed_count : count),
+          has_spares(spare_count > 0)
     {
+        size_t all = count + spare_count;
         ctx = talloc_new(nullptr);
-        all_addresses = EY_NEW_ARRAY(ctx, EyAddress_t, count);
-        nodes.resize(count);
-        cuts.assign(count, std::vector<bool>(count, false));
-        for (size_t i = 0; i < count; i++) {
+        all_addresses = EY_NEW_ARRAY(ctx, EyAddress_t, all);
+        nodes.resize(all);
+        cuts.assign(all, std::vector<bool>(all, false));
+        for (size_t i = 0; i < all; i++) {
             nodes[i].address = "10.0.0." + std::to_string(i + 1) + ":7000";
             (void)EY_COPY(all_addresses[i], nodes[i].address.c_str());
             nodes[i].disk.incarnation = next_incarnation++;
+            nodes[i].is_unused = i >= count;
         }
         for (size_t i = 0; i < count; i++) {
             start(i);
@@ -268,17 +288,19 @@
     start(size_t i)
     {
         Node &node = nodes[i];
-        if (node.log != nullptr) {
+        if (node.log != nullptr || node.is_gone || node.is_unused) {
             return;
         }
         EyRaftOptions_t options = {};
         (void)EY_COPY(options.self, node.address.c_str());
         void *scratch = talloc_new(nullptr);
-        options.addresses = configured_addresses(scratch, i);
-        options.address_count = static_cast<uint32_t>(seeds + (i >= seeds));
+        options.addresses =
+            configured_addresses(scratch, i, &options.address_count);
         options.seed = EyRandom_Next(&random);
         options.takes_joiners = seeds < nodes.size();
-        options.join_only = node.lost_disk && seeds < nodes.size();
+        options.voters_min = has_spares ? VotersMin : 0;
+        options.join_only =
+            (node.lost_disk && seeds < nodes.size()) || node.joins_only;
         EyRaftDiskState_t disk = node.disk.load(scratch);
         node.log = EyRaft_New(ctx, &options, &disk, clock(node));
         talloc_free(scratch);
@@ -383,18 +405,95 @@
 
     /** Returns the addresses that a node is configured with. */
     EyAddress_t *
-    configured_addresses(const void *scratch, size_t i) const
+    configured_addresses(const void *scratch, size_t i, uint32_t *count) const
     {
         EyAddress_t *own = EY_NEW_ARRAY(scratch, EyAddress_t, seeds + 1);
-        for (size_t j = 0; j < seeds; j++) {
-            (void)EY_COPY(own[j], all_addresses[j]);
+        uint32_t used = 0;
+        bool has_self = false;
+        for (size_t j = 0; j < nodes.size() && used < seeds; j++) {
+            if (nodes[j].is_gone || nodes[j].is_unused) {
+                continue;
+            }
+            has_self = has_self || j == i;
+            (void)EY_COPY(own[used], all_addresses[j]);
+            used++;
         }
-        if (i >= seeds) {
-            (void)EY_COPY(own[seeds], all_addresses[i]);
+        if (!has_self) {
+            (void)EY_COPY(own[used], all_addresses[i]);
+            used++;
         }
+        *count = used;
         return own;
     }
 
+    /** Takes a node away for good. */
+    void
+    retire(size_t i)
+    {
+        crash(i);
+        nodes[i].is_gone = true;
+    }
+
+    /** Tells a node that it is about to stop. */
+    void
+    leave(size_t i)
+    {
+        EyRaftEvent_t event = {};
+        event.kind = EY_RAFT_EVENT_LEAVE;
+        if (is_running(nodes[i])) {
+            step(i, event);
+        }
+    }
+
+    /** Starts the first unused spare, with an empty disk, to join; returns its
+     * index. */
+    size_t
+    start_spare()
+    {
+        for (size_t i = 0; i < nodes.size(); i++) {
+            if (nodes[i].is_unused) {
+                nodes[i].is_unused = false;
+                nodes[i].joins_only = true;
+                start(i);
+                return i;
+            }
+        }
+        throw std::logic_error("no spare is left");
+    }
+
+    /** The voters in a node's latest member set, as addresses and disk
+     * incarnations. */
+    static std::set<std::string>
+    voters_of(const Node &node)
+    {
+        std::set<std::string> voters;
+        EyRaftStatus_t status = EyRaft_Status(node.log);
+        for (uint32_t i = 0; i < status.members.count; i++) {
+            if (status.members.items[i].is_voter) {
+                voters.insert(name_of(status.members.items[i]));
+            }
+        }
+        return voters;
+    }
+
+    /** Returns true if the leader's voters are the nodes that run. */
+    bool
+    voters_are_those_running() const
+    {
+        size_t from = leader();
+        if (from == nodes.size()) {
+            return false;
+        }
+        std::set<std::string> running;
+        for (const Node &node : nodes) {
+            if (is_running(node)) {
+                running.insert(node.address + "/" +
+                               std::to_string(node.disk.incarnation));
+            }
+        }
+        return voters_of(nodes[from]) == running;
+    }
+
     /** Returns the index of a leader, or the number of nodes if there is
      * none. */
     size_t
@@ -656,13 +755,6 @@
         }
     }
 
-    static std::string
-    name_of(const EyRaftMember_t &member)
-    {
-        return std::string(member.address) + "/" +
-               std::to_string(member.incarnation);
-    }
-
     void
     check_promotions(const Node &leader, const EyRaftStatus_t &status)
     {
@@ -757,6 +849,7 @@
     EyAddress_t *all_addresses;
     EyRandom_t random;
     size_t seeds;
+    bool has_spares;
     std::vector<std::vector<bool>> cuts;
     std::vector<Packet> packets;
     std::map<uint64_t, std::string> leaders; /* by term */
