A gateway uses no old table while the core only waits for a leader, and never for routes bound to regions

Cause: the wait for a confirmed table ended after 6 s whatever was known of the core. It was meant for a region that is cut off.

Change: a control process that isn't confirmed says whether it reaches a majority of the voters. While one does, gateways wait. Where none does, the table is used after 6 s as before, but not for routes whose data is bound to regions: those are refused, not run.

--- a/src/config/config_message.c
+++ b/src/config/config_message.c
@@ -40,6 +40,7 @@
     EY_FIELD_NESTED(EyConfigMessage_t, result, EyCommandResult_schema),
     EY_FIELD_NAMED_ENUM(EyConfigMessage_t, confirmation, ConfirmationNames,
                         EY_CONFIRMATION_COUNT),
+    EY_FIELD(EyConfigMessage_t, awaits_leader, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyConfigMessage_schema =
--- a/src/config/config_message.h
+++ b/src/config/config_message.h
@@ -64,6 +64,9 @@
     uint64_t omitted_bytes; /* PUSH: estimated size of the changes that were
                              * omitted; the receiver has to ask for them */
     EyConfirmation_t confirmation; /* PUSH: of the sender's revision */
+    bool awaits_leader; /* PUSH: unconfirmed; the sender, a control process,
+                         * reaches a majority of the others, so that a leader
+                         * is about to confirm it */
     uint64_t number;
     bool is_forwarded; /* by a control process; not to be forwarded again */
     EyCommand_t command;
--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -47,7 +47,9 @@
     bool has_confirmed_source;
     uint64_t confirmed_revision; /* lowest one of a confirmed source */
     int64_t held_since_ms;       /* since then the store is held back; 0: no */
-    int64_t use_checked_ms;      /* last time that this was looked at */
+    int64_t awaits_leader_ms; /* when a control process last said so; 0: never
+                               */
+    int64_t use_checked_ms;   /* last time that this was looked at */
     /** Control processes that answered without a confirmation. */
     EyName_t older_controls[EY_CONFIG_REPLICA_OLDER_MAX];
     uint32_t older_control_count;
@@ -314,9 +316,12 @@
 
 /** Records what a push says of its sender's revision. */
 static void
-note_confirmation(EyConfigReplica_t *self, const char *from,
+note_confirmation(EyConfigReplica_t *self, int64_t now_ms, const char *from,
                   const EyConfigMessage_t *push)
 {
+    if (push->awaits_leader && is_control(self, from)) {
+        self->awaits_leader_ms = now_ms;
+    }
     if (push->confirmation == EY_CONFIRMATION_DONE) {
         self->confirmed_revision =
             self->has_confirmed_source
@@ -388,9 +393,21 @@
     self->use_checked_ms = now_ms;
     if (self->held_since_ms != 0 && paused_ms > 0) {
         self->held_since_ms += paused_ms;
+        self->awaits_leader_ms += paused_ms;
     }
 }
 
+/** True if a control process that reaches a majority waits for a leader: the
+ * core is there, so this gateway isn't cut off and its store may be older than
+ * what was acknowledged. */
+static bool
+awaits_leader(const EyConfigReplica_t *self, int64_t now_ms)
+{
+    return self->awaits_leader_ms != 0 &&
+           now_ms - self->awaits_leader_ms <
+               EY_CONFIG_REPLICA_AWAITS_LEADER_MS;
+}
+
 /** Holds an unconfirmed store back: from its first revision on, until it is
  * confirmed or the time has passed. */
 static void
@@ -410,7 +427,9 @@
         report_unconfirmed(self, now_ms, false);
     }
     if (now_ms - self->held_since_ms >=
-        EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS) {
+            EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS &&
+        !awaits_leader(self, now_ms))
+    {
         report_unconfirmed(self, now_ms, true);
         use_store(self);
     }
@@ -505,7 +524,7 @@
     if (push->snapshot.size_bytes > 0) {
         restore_snapshot(self, push);
     }
-    note_confirmation(self, from, push);
+    note_confirmation(self, now_ms, from, push);
     after_push(self, now_ms, from, before);
     uint64_t after = self->store->config.revision;
     if (after > before && after < self->highest_revision) {
@@ -559,6 +578,12 @@
     return self->is_ready && self->held_since_ms == 0;
 }
 
+bool
+EyConfigReplica_IsConfirmed(const EyConfigReplica_t *self)
+{
+    return is_confirmed(self);
+}
+
 const EyStore_t *
 EyConfigReplica_Store(const EyConfigReplica_t *self)
 {
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -19,8 +19,11 @@
  * and a later change may have been acknowledged. A gateway without a
  * configuration in use therefore keeps the newest one that it has received,
  * isn't ready and doesn't use it until a source says that its own is
- * confirmed, or EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS after the first one
- * arrived: a region that is partitioned must serve, also after a restart.
+ * confirmed. A region that is partitioned must serve, also after a restart: if
+ * no control process answers, or those that do reach no majority, the gateway
+ * uses what it has EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS after the first
+ * one arrived. Until it is confirmed, EyConfigReplica_IsConfirmed returns
+ * false and routes whose data is bound to regions must not be served by it.
  * Sources of older builds don't say so. The answers of a majority of the
  * control processes count as a confirmation if all of them are of such builds.
  */
@@ -44,10 +47,13 @@
  * answer. */
 #define EY_CONFIG_REPLICA_READY_TIMEOUT_MS 3000
 
-/** Longest time for which a gateway that has no configuration in use holds
- * back an unconfirmed one. Control processes that have lost power must be able
- * to elect a leader in it. */
+/** Time for which a gateway that has no configuration in use holds back an
+ * unconfirmed one, and longer as long as a control process waits for a leader.
+ * Control processes that have lost power must be able to elect one in it. */
 #define EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS 6000
+/** A control process is taken to wait for a leader for this time after it has
+ * said so. */
+#define EY_CONFIG_REPLICA_AWAITS_LEADER_MS 2000
 /** Most control processes of older builds whose answers are counted. */
 #define EY_CONFIG_REPLICA_OLDER_MAX 32
 
@@ -97,6 +103,11 @@
 bool
 EyConfigReplica_IsReady(const EyConfigReplica_t *self);
 
+/** Returns true if the store includes all that had been acknowledged when its
+ * sources started. */
+bool
+EyConfigReplica_IsConfirmed(const EyConfigReplica_t *self);
+
 /** Returns the store; valid until the replica changes it. */
 const EyStore_t *
 EyConfigReplica_Store(const EyConfigReplica_t *self);
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -240,6 +240,8 @@
 static void
 update_confirmation(EyControl_t *self, const EyRaftStatus_t *status)
 {
+    self->feed->awaits_leader =
+        !status->is_confirmed && status->reaches_quorum;
     if (status->is_confirmed &&
         self->feed->confirmation != EY_CONFIRMATION_DONE) {
         EyFeed_SetConfirmation(self->feed, EY_CONFIRMATION_DONE);
--- a/src/config/feed.c
+++ b/src/config/feed.c
@@ -117,6 +117,7 @@
         .kind = EY_CONFIG_PUSH,
         .revision = store->config.revision,
         .confirmation = self->confirmation,
+        .awaits_leader = self->awaits_leader,
     };
     if (revision >= push.revision) {
         return push;
@@ -159,6 +160,7 @@
         .kind = EY_CONFIG_PUSH,
         .revision = store->config.revision,
         .confirmation = self->confirmation,
+        .awaits_leader = self->awaits_leader,
         .omitted_bytes = omitted_bytes,
     };
     self->send(self->data, to, &push);
@@ -225,6 +227,7 @@
         .kind = EY_CONFIG_PUSH,
         .revision = current,
         .confirmation = self->confirmation,
+        .awaits_leader = self->awaits_leader,
         .snapshot = EyStore_SharedSnapshot(store, ctx),
     };
     self->send(self->data, from, &push);
--- a/src/config/feed.h
+++ b/src/config/feed.h
@@ -42,6 +42,7 @@
     uint64_t documents_bytes; /* size of the route tables among them */
     EyFeedSubscriber_t subscribers[EY_FEED_SUBSCRIBERS_MAX];
     EyConfirmation_t confirmation; /* of the store, sent with each push */
+    bool awaits_leader;            /* as in EyConfigMessage_t */
     EyFeedSend_t send;
     void *data;
 } EyFeed_t;
--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -35,6 +35,7 @@
     EY_FIELD(EyRaftStatus_t, disk_failed, EY_FIELD_BOOL),
     EY_FIELD(EyRaftStatus_t, is_confirmed, EY_FIELD_BOOL),
     EY_FIELD(EyRaftStatus_t, has_lost_data, EY_FIELD_BOOL),
+    EY_FIELD(EyRaftStatus_t, reaches_quorum, EY_FIELD_BOOL),
     EY_FIELD_TEXT(EyRaftStatus_t, leader),
     EY_FIELD_NESTED(EyRaftStatus_t, members, EyRaftMembers_schema),
     EY_FIELD_END,
@@ -818,6 +819,27 @@
     return 0;
 }
 
+/** As EyRaftStatus_t.reaches_quorum. */
+static bool
+reaches_quorum(const EyRaft_t *self)
+{
+    if (!ey_raft_is_voter(self)) {
+        return false;
+    }
+    bool has_leader =
+        self->role == EY_RAFT_LEADER ||
+        (self->leader[0] != '\0' &&
+         self->now_ms - self->leader_ms < self->options.election_min_ms);
+    uint32_t reached = 1;
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyRaftPeer_t *peer =
+            &g_array_index(self->peers, EyRaftPeer_t, i);
+        reached +=
+            peer->is_voter && self->now_ms - peer->heard_ms < EY_RAFT_REACH_MS;
+    }
+    return has_leader || reached >= ey_raft_quorum(self);
+}
+
 EyRaftStatus_t
 EyRaft_Status(const EyRaft_t *self)
 {
@@ -836,6 +858,7 @@
         .disk_failed = self->disk_failed,
         .is_confirmed = self->is_confirmed,
         .has_lost_data = self->has_lost_data,
+        .reaches_quorum = reaches_quorum(self),
         .members = self->members,
     };
     (void)EY_COPY(status.leader, self->leader);
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -70,6 +70,10 @@
 #define EY_RAFT_VOTER_SILENT_MS 2000
 /** Time for which a new leader asks before it takes a voter for gone. */
 #define EY_RAFT_VOTER_ASKED_MS 600
+/** A voter counts as reached if something was heard of it within this time;
+ * longer than an election timeout, as voters without a leader ask each other
+ * in that interval. */
+#define EY_RAFT_REACH_MS 3000
 /** A voter that said that it stops is taken for gone for this time. */
 #define EY_RAFT_VOTER_LEAVING_MS 1000
 /** A learner that hasn't been heard of for this time is removed; it may join
@@ -222,6 +226,10 @@
      * is what the disk knows, and later entries may be committed. */
     bool is_confirmed;
     bool has_lost_data; /* as in EyRaftDiskState_t */
+    /** Of a voter: it has heard of a majority of the voters lately, itself
+     * included, or has a leader. If not, it is cut off, or too many are lost.
+     */
+    bool reaches_quorum;
     EyAddress_t leader; /* empty: none known */
     EyRaftMembers_t members;
 } EyRaftStatus_t;
--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -312,6 +312,12 @@
     return true;
 }
 
+bool
+EyRouteRule_AllowsUnconfirmed(const EyRouteRule_t *self)
+{
+    return self->allowed_region_count == 0;
+}
+
 const char *
 EyRouteRule_ChooseService(const EyRouteRule_t *self, double unit)
 {
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -139,6 +139,12 @@
 const EyServiceRule_t *
 EyRouteTable_FindService(const EyRouteTable_t *self, const char *name);
 
+/** Returns true if a call of the route may be served by a table that may not
+ * be the newest one: not if its data is bound to regions, as a newer table may
+ * bind it to others. */
+bool
+EyRouteRule_AllowsUnconfirmed(const EyRouteRule_t *self);
+
 /** Chooses the service for a call by the weights; unit is a random number
  * from 0.0 to below 1.0. */
 const char *
--- a/src/gateway/route_terms.c
+++ b/src/gateway/route_terms.c
@@ -46,6 +46,15 @@
         return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
                                 "no route matches this host and path");
     }
+    if (!EyConfigReplica_IsConfirmed(self->configuration) &&
+        !EyRouteRule_AllowsUnconfirmed(route))
+    {
+        return EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN,
+                                NO_ROUTES_RETRY_AFTER_S,
+                                "the route's data is bound to regions, and "
+                                "this gateway can't confirm that its route "
+                                "table is the newest");
+    }
     const char *service =
         EyRouteRule_ChooseService(route, EyRandom_Unit(&self->node->random));
     (void)EY_COPY(request->target, service);
--- a/tests/property/test_raft_properties.cc
+++ b/tests/property/test_raft_properties.cc
@@ -302,6 +302,40 @@
     });
 }
 
+Test(raft_properties, member_that_is_cut_off_is_told_from_one_without_leader)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        World world(5, seed);
+        size_t leader = elect(world);
+        for (size_t i = 0; i < 5; i++) {
+            world.crash(i);
+        }
+        size_t first = (leader + 1) % 5;
+        size_t second = (leader + 2) % 5;
+        world.start(first);
+        world.start(second);
+        world.run(2 * EY_RAFT_REACH_MS);
+        RC_ASSERT(!EyRaft_Status(world.nodes[first].log).reaches_quorum);
+        RC_ASSERT(!EyRaft_Status(world.nodes[second].log).reaches_quorum);
+        /* With a third one they reach a majority before they have a leader. */
+        world.start((leader + 3) % 5);
+        bool has_reached = false;
+        for (int i = 0; i < 500 && world.leader() == 5; i++) {
+            world.run(10);
+            for (size_t j = 1; j <= 3; j++) {
+                const EyRaft_t *log = world.nodes[(leader + j) % 5].log;
+                has_reached =
+                    has_reached || (!EyRaft_Status(log).is_confirmed &&
+                                    EyRaft_Status(log).reaches_quorum);
+            }
+        }
+        RC_ASSERT(world.leader() < 5U);
+        RC_ASSERT(has_reached);
+        world.run(1000);
+        RC_ASSERT(EyRaft_Status(world.nodes[first].log).reaches_quorum);
+    });
+}
+
 Test(raft_properties, leader_without_quorum_rejects_proposals)
 {
     EY_CHECK("any seed", [](uint64_t seed) {
--- a/tests/unit/test_config_confirmation.c
+++ b/tests/unit/test_config_confirmation.c
@@ -21,6 +21,7 @@
     uint64_t revision; /* 0: it has no configuration */
     EyConfirmation_t confirmation;
     bool is_up;
+    bool awaits_leader;
 } Source_t;
 
 /** A gateway and the sources that it may ask. */
@@ -128,6 +129,7 @@
         .commands = commands,
         .command_count = (uint32_t)source->revision,
         .confirmation = source->confirmation,
+        .awaits_leader = source->awaits_leader,
     };
     EyConfigReplica_Receive(fleet->replica, fleet->now_ms, source->id, &push);
 }
@@ -289,6 +291,41 @@
     free_fleet(fleet);
 }
 
+Test(config_confirmation,
+     an_old_table_is_not_used_while_the_core_has_no_leader)
+{
+    Fleet_t *fleet = make_fleet(Restarted, 3);
+    fleet->sources[2].awaits_leader = true;
+    run(fleet, INT64_C(10) * EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS);
+    expect_held(fleet, "no leader");
+    fleet->sources[0].confirmation = DONE;
+    fleet->sources[0].revision = 2;
+    run(fleet, PROMPT_MS);
+    expect_used(fleet, 2, "a leader");
+    cr_expect_eq(fleet->used_unconfirmed_ms, 0);
+    free_fleet(fleet);
+}
+
+/* Control processes that were there first and are cut off later. */
+Test(config_confirmation, a_region_that_is_cut_off_serves_unconfirmed)
+{
+    Fleet_t *fleet = make_fleet(Restarted, 3);
+    fleet->sources[1].awaits_leader = true;
+    fleet->sources[2].awaits_leader = true;
+    run(fleet, INT64_C(2) * EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS);
+    expect_held(fleet, "reached");
+    fleet->sources[1].is_up = false;
+    fleet->sources[2].is_up = false;
+    run(fleet, EY_CONFIG_REPLICA_AWAITS_LEADER_MS + PROMPT_MS);
+    expect_used(fleet, 1, "cut off");
+    cr_expect_not(EyConfigReplica_IsConfirmed(fleet->replica));
+    fleet->sources[2].is_up = true;
+    fleet->sources[2].confirmation = DONE;
+    run(fleet, INT64_C(3) * EY_CONFIG_REPLICA_PULL_INTERVAL_MS);
+    cr_expect(EyConfigReplica_IsConfirmed(fleet->replica));
+    free_fleet(fleet);
+}
+
 /* A confirmed source that only announces a large table confirms that table,
  * not the older one that this gateway has. */
 Test(config_confirmation, an_announcement_does_not_confirm_an_older_store)
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -3,6 +3,7 @@
 #include "core/memory.h"
 
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <string.h>
 
 #define SERVICES                                                              \
@@ -174,6 +175,30 @@
     talloc_free(table);
 }
 
+Test(route_table, an_unconfirmed_table_serves_no_route_bound_to_regions)
+{
+    EyBytes_t document = bytes_of(TABLE(BOUND "," FREE));
+    EyRouteTable_t *table = EyRouteTable_Parse(NULL, &document, NULL);
+    cr_assert_not_null(table);
+    const struct {
+        const char *host;
+        const char *path;
+        bool is_allowed;
+    } cases[] = {{"bound", "/p/", false},
+                 {"two", "/q/", false},
+                 {"free", "/p/", true},
+                 {"mixed", "/p/", false},
+                 {"mixed", "/q/", true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        const EyRouteRule_t *rule =
+            EyRouteTable_FindRoute(table, cases[i].host, cases[i].path);
+        cr_assert_not_null(rule);
+        cr_expect_eq(EyRouteRule_AllowsUnconfirmed(rule), cases[i].is_allowed,
+                     "%s%s", cases[i].host, cases[i].path);
+    }
+    talloc_free(table);
+}
+
 Test(route_table, a_split_follows_its_weights)
 {
     EyRouteShare_t shares[] = {
