A connection between instances that falls silent is noticed within 1.5 to 2 s

What callers saw: a gateway whose connections had fallen silent without a reset went on by the table that it had for 5 to 10 s: 404 for routes that were there (CONFIG), requests outside of their homes (HOME), withdrawn servers and evacuated zones in use (DRAIN).

Cause: unacknowledged data broke a connection after 10 s, and only on the side that had opened it; an idle one was probed after 60 s, and on the other side nothing was set but the kernel's 15 minutes. All links between processes share these connections: configuration, gossip, withdrawals, forwarded requests, records, the log.

Change: both sides close a connection after 1.5 s with unacknowledged data, or when a probe after 1 s without data stays unanswered for 1 s. Ruled out: ZMTP heartbeats, which a large table on a slow link would delay past their timeout, as nothing is counted until its frame is whole, and which cost messages on each connection.

--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -22,9 +22,14 @@
 /* How long EyPeers_Stop waits for queued messages to be sent. */
 #define STOP_LINGER_MS 200
 #define HANDSHAKE_TIMEOUT_MS 5000
-/* Closes a connection whose data stays unacknowledged for this time. */
-#define UNACKNOWLEDGED_TIMEOUT_MS 10000
-#define KEEPALIVE_IDLE_S 60
+/* Closes a connection whose data stays unacknowledged for this time. A change
+ * of the configuration must reach everyone within 3 s. */
+#define UNACKNOWLEDGED_TIMEOUT_MS 1500
+/* An idle connection is probed after this time, and closed if the probe stays
+ * unanswered for the interval. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 1
 #define RECONNECT_MIN_MS 50
 #define RECONNECT_MAX_MS 500
 /* A connection attempt that takes longer is abandoned and repeated: a machine
@@ -201,7 +206,11 @@
            set_int_option(socket, ZMQ_RCVHWM, QUEUED_MESSAGES_MAX) &&
            set_int_option(socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS) &&
            set_int_option(socket, ZMQ_TCP_KEEPALIVE, 1) &&
-           set_int_option(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S);
+           set_int_option(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS) &&
+           set_int_option(socket, ZMQ_TCP_KEEPALIVE_IDLE, KEEPALIVE_IDLE_S) &&
+           set_int_option(socket, ZMQ_TCP_KEEPALIVE_INTVL,
+                          KEEPALIVE_INTERVAL_S) &&
+           set_int_option(socket, ZMQ_TCP_KEEPALIVE_CNT, KEEPALIVE_PROBES);
 }
 
 /* Connections and the table of instances */
@@ -649,7 +658,6 @@
 {
     void *socket = self->connector;
     return set_common_options(socket) &&
-           set_int_option(socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_TIMEOUT_MS) &&
            set_int_option(socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS) &&
            set_int_option(socket, ZMQ_RECONNECT_IVL, RECONNECT_MIN_MS) &&
            set_int_option(socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS) &&
--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -8,6 +8,8 @@
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -516,3 +518,98 @@
     EyPeers_Stop(left.peers);
     talloc_free(ctx);
 }
+
+/* Longest time for which an instance may be without what another one sends: a
+ * change must be in force everywhere within 3 s of its acknowledgement. */
+#define SILENCE_MAX_MS 2600
+#define SEND_INTERVAL_MS 100
+#define DESCRIPTORS_MAX 256
+
+/** Drops all that arrives on the connections of this process from now on,
+ * acknowledgements as well: they are silent for good, without a reset. */
+static uint32_t
+silence_connections(void)
+{
+    struct sock_filter code[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+    struct sock_fprog program = {.len = 1, .filter = code};
+    uint32_t count = 0;
+    for (int descriptor = 0; descriptor < DESCRIPTORS_MAX; descriptor++) {
+        struct tcp_info info;
+        socklen_t size_bytes = sizeof(info);
+        bool is_connected = getsockopt(descriptor, IPPROTO_TCP, TCP_INFO,
+                                       &info, &size_bytes) == 0 &&
+                            info.tcpi_state == TCP_ESTABLISHED;
+        if (is_connected) {
+            cr_assert_eq(setsockopt(descriptor, SOL_SOCKET, SO_ATTACH_FILTER,
+                                    &program, sizeof(program)),
+                         0);
+            count++;
+        }
+    }
+    return count;
+}
+
+typedef struct SilenceCase {
+    const char *name;
+    bool right_opens;  /* and left answers on that connection */
+    int64_t paused_ms; /* nothing is sent for this time after the silence */
+} SilenceCase_t;
+
+static const SilenceCase_t SilenceCases[] = {
+    {"on an outgoing connection", false, 0},
+    {"on the receiver's own connection", true, 0},
+    {"idle, on an outgoing connection", false, SILENCE_MAX_MS},
+    {"idle, on the receiver's own connection", true, SILENCE_MAX_MS},
+};
+
+/** Sends again and again until something arrives; returns after how long. */
+static int64_t
+time_of_arrival(const Instance_t *from, const Instance_t *to, const char *id,
+                const char *address)
+{
+    int64_t started_ms = EyClock_NowMs();
+    for (;;) {
+        send_text(from, id, address, "again");
+        EyPeerMessage_t *message = wait_message(to, SEND_INTERVAL_MS);
+        int64_t passed_ms = EyClock_NowMs() - started_ms;
+        if (message != NULL || passed_ms > 4 * WAIT_MS) {
+            talloc_free(message);
+            return passed_ms;
+        }
+    }
+}
+
+static void
+check_silence(const SilenceCase_t *given)
+{
+    void *ctx = talloc_new(NULL);
+    Instance_t left = start(ctx, "istra-1", NULL);
+    Instance_t right = start(ctx, "zagreb-1", NULL);
+    const char *left_address = EyPeers_ListenAddress(left.peers);
+    const char *right_address = EyPeers_ListenAddress(right.peers);
+    if (given->right_opens) {
+        send_text(&right, "istra-1", left_address, "first");
+        expect_text(&left, "zagreb-1", "first");
+    }
+    send_text(&left, "zagreb-1", right_address, "before");
+    expect_text(&right, "istra-1", "before");
+    cr_assert_geq(silence_connections(), 2);
+    if (given->paused_ms > 0) {
+        (void)poll(NULL, 0, (int)given->paused_ms);
+    }
+    int64_t arrived_ms =
+        time_of_arrival(&left, &right, "zagreb-1", right_address);
+    int64_t limit_ms = SILENCE_MAX_MS - given->paused_ms;
+    cr_expect_leq(arrived_ms, MAX(limit_ms, NO_MESSAGE_WAIT_MS),
+                  "%s: nothing for %ld ms", given->name, (long)arrived_ms);
+    EyPeers_Stop(left.peers);
+    EyPeers_Stop(right.peers);
+    talloc_free(ctx);
+}
+
+Test(peers, a_connection_that_falls_silent_is_replaced)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(SilenceCases); i++) {
+        check_silence(&SilenceCases[i]);
+    }
+}
