A gateway asks for changes again after 500 ms without an answer

Cause: after a connection had fallen silent and was replaced, a gateway asked for changes only at its next pull, up to a second later, so that a change could be in force 3.4 s after its acknowledgement.

Change: a pull is repeated, to the next sources too, while a source that was asked has not answered for 500 ms. With all sources answering nothing changes.

Measured: config_distribution::a_change_made_during_a_silence_is_in_force_in_time, 20 phases: 6 of 20 late before, none now.

--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -11,6 +11,10 @@
 #define STARTUP_SOURCES 3
 /** Unanswered pulls after which other sources are tried in turn. */
 #define UNANSWERED_PULLS_MAX 1
+/** Time after which a source that hasn't answered is asked again. */
+#define ANSWER_MAX_MS 500
+/** Most sources that one pull asks. */
+#define ASKED_MAX 8
 /** Time that a source has to send what it was asked for, in addition to that
  * of its size on a slow link, after which another source is asked. */
 #define FETCH_MIN_MS 200
@@ -41,9 +45,12 @@
     uint64_t announced_bytes;
     bool wants_snapshot;       /* the last commands couldn't be applied */
     uint32_t unanswered_pulls; /* pulls since the last push */
-    bool has_answer;           /* since the start */
-    bool is_ready;             /* unless the store is held back */
-    bool is_used;              /* the store was passed to the changed hook */
+    int64_t pulled_ms;         /* time of the last pull */
+    EyName_t asked[ASKED_MAX]; /* by it; without those that have answered */
+    uint32_t asked_count;
+    bool has_answer; /* since the start */
+    bool is_ready;   /* unless the store is held back */
+    bool is_used;    /* the store was passed to the changed hook */
     bool has_confirmed_source;
     uint64_t confirmed_revision; /* lowest one of a confirmed source */
     int64_t held_since_ms;       /* since then the store is held back; 0: no */
@@ -169,9 +176,36 @@
 static void
 probe(EyConfigReplica_t *self, const char *source)
 {
+    if (source != NULL && self->asked_count < ASKED_MAX) {
+        (void)EY_COPY(self->asked[self->asked_count], source);
+        self->asked_count++;
+    }
     send_pull(self, source, true);
 }
 
+static void
+note_answer(EyConfigReplica_t *self, const char *source)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < self->asked_count; i++) {
+        if (strcmp(self->asked[i], source) != 0) {
+            if (kept < i) {
+                (void)EY_COPY(self->asked[kept], self->asked[i]);
+            }
+            kept++;
+        }
+    }
+    self->asked_count = kept;
+}
+
+/** True if a source hasn't answered the last pull in time: its connection may
+ * have fallen silent, and a change with it. */
+static bool
+lacks_answer(const EyConfigReplica_t *self, int64_t now_ms)
+{
+    return self->asked_count > 0 && now_ms - self->pulled_ms >= ANSWER_MAX_MS;
+}
+
 /** Pulls from some control processes in turn, so that a source that answers
  * but is partitioned from the others isn't relied on for long. */
 static void
@@ -187,6 +221,8 @@
 static void
 pull(EyConfigReplica_t *self, int64_t now_ms)
 {
+    self->pulled_ms = now_ms;
+    self->asked_count = 0;
     probe(self, tree_source(self));
     if (self->has_answer) {
         pull_extra(self);
@@ -516,6 +552,7 @@
     uint64_t before = self->store->config.revision;
     self->has_answer = true;
     self->unanswered_pulls = 0;
+    note_answer(self, from);
     if (push->revision < before) {
         self->stale_pushes++;
     }
@@ -557,7 +594,7 @@
         fetch(self, now_ms, self->announcer, self->announced_bytes);
         self->announcer[0] = '\0';
     }
-    if (now_ms >= self->pull_ms) {
+    if (now_ms >= self->pull_ms || lacks_answer(self, now_ms)) {
         pull(self, now_ms);
     }
     update_use(self, now_ms);
@@ -569,7 +606,9 @@
 int64_t
 EyConfigReplica_DueMs(const EyConfigReplica_t *self)
 {
-    return self->pull_ms;
+    return self->asked_count > 0
+               ? MIN(self->pull_ms, self->pulled_ms + ANSWER_MAX_MS)
+               : self->pull_ms;
 }
 
 bool
--- a/tests/unit/test_config_distribution.c
+++ b/tests/unit/test_config_distribution.c
@@ -565,3 +565,27 @@
     cr_expect_eq(fetches, 1, "%u snapshots were asked for", fetches);
     talloc_free(replica);
 }
+
+/* Time in which a connection that has fallen silent is replaced, and within
+ * which an acknowledged change must be in force. */
+#define SILENCE_MS 2300
+#define IN_FORCE_MAX_MS 3000
+
+Test(config_distribution, a_change_made_during_a_silence_is_in_force_in_time)
+{
+    for (int64_t phase_ms = 0; phase_ms < 1000; phase_ms += 50) {
+        Region_t *region = make_region(LinkCases[1].bytes_per_ms);
+        region->routes = 10;
+        add_gateways(region);
+        run(region, 5000 + phase_ms);
+        Node_t *silent = &region->nodes[region->node_count - 1];
+        silent->is_cut = true;
+        change_routes(region, 1);
+        run(region, SILENCE_MS);
+        silent->is_cut = false;
+        run(region, IN_FORCE_MAX_MS - SILENCE_MS);
+        cr_expect_eq(EyConfigReplica_Store(silent->replica)->routes_version, 1,
+                     "phase %ld ms: not in force", (long)phase_ms);
+        free_region(region);
+    }
+}
