A stop ends what it has taken before its grace ends

Reported by other operators: in a planned stop requests that came late were taken and passed on, and were cut without an answer when the process was killed, among them calls that may not be repeated (LOST).

Cause: a stop refuses what comes after its linger (2.5 s of 8 s on the users' machines; tests of late requests passed), but what it had taken it awaited for two minutes; it did not know when it is killed.

Measured: routes::a_stop_ends_what_it_has_taken_before_its_grace_ends; with the setting at 0, as before, no answer within the grace.

--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -12,6 +12,7 @@
 #define ENVIRONMENT_PREFIX "EBONYYARD_"
 #define CAPACITY_MAX 1000000
 #define STOP_LINGER_MAX_MS 600000
+#define STOP_GRACE_MAX_S 3600
 #define BACKEND_TTL_MAX_MS 60000
 #define PER_MILLE 1000
 #define RETRY_SLACK_MAX 1000000
@@ -35,6 +36,7 @@
     SETTING_TAKES_JOINERS,
     SETTING_CONTROL_LOSSES,
     SETTING_STOP_LINGER,
+    SETTING_STOP_GRACE,
     SETTING_BACKEND_TTL,
     SETTING_RETRY_RATIO,
     SETTING_RETRY_SLACK,
@@ -195,6 +197,15 @@
                         &settings->stop_linger_ms);
 }
 
+static bool
+read_stop_grace(EySettings_t *settings, const char *text)
+{
+    uint32_t grace_s = 0;
+    bool is_valid = read_integer(text, 0, STOP_GRACE_MAX_S, &grace_s);
+    settings->stop_grace_ms = grace_s * 1000;
+    return is_valid;
+}
+
 static bool
 read_backend_ttl(EySettings_t *settings, const char *text)
 {
@@ -435,6 +446,13 @@
                              .default_text = "0",
                              .expected = "0 to 600000 milliseconds",
                              .read = read_stop_linger},
+    [SETTING_STOP_GRACE] = {.flag = "stop-grace-s",
+                            .help = "time from SIGTERM until the process is "
+                                    "killed: what is in flight then is "
+                                    "answered before; 0: it isn't killed",
+                            .default_text = "0",
+                            .expected = "0 to 3600 seconds",
+                            .read = read_stop_grace},
     [SETTING_BACKEND_TTL] = {.flag = "backend-ttl-ms",
                              .help = "validity of an announcement that "
                                      "doesn't state one",
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -55,6 +55,7 @@
     uint32_t zone_count;
     EyName_t headers;        /* which table of header names is used */
     uint32_t stop_linger_ms; /* how long requests are accepted after SIGTERM */
+    uint32_t stop_grace_ms;  /* time from SIGTERM to SIGKILL; 0: no limit */
     uint32_t backend_ttl_ms; /* default TTL of announcements */
     uint32_t retry_permille; /* retries of the fleet for 1000 requests */
     uint32_t retry_slack;    /* further ones in each window */
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -628,3 +628,27 @@
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
     EyActiveRequest_Step(active, &event);
 }
+
+void
+EyGateway_EndActiveRequests(EyGateway_t *self)
+{
+    guint count = 0;
+    gpointer *keys =
+        g_hash_table_get_keys_as_array(self->active_requests, &count);
+    uint64_t *numbers = EY_NEW_ARRAY(NULL, uint64_t, count);
+    for (guint i = 0; i < count; i++) {
+        numbers[i] = *(const uint64_t *)keys[i];
+    }
+    g_free(keys);
+    for (guint i = 0; i < count; i++) {
+        EyActiveRequest_t *active =
+            g_hash_table_lookup(self->active_requests, &numbers[i]);
+        EyExchangeEvent_t event = {.kind = EY_EXCHANGE_DEADLINE,
+                                   .retry_after_ms = RETRY_AFTER_MS,
+                                   .detail = "this instance stops"};
+        if (active != NULL) {
+            EyActiveRequest_Step(active, &event);
+        }
+    }
+    talloc_free(numbers);
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -196,6 +196,12 @@
     EyGatewayRecords_Leave(self->records);
 }
 
+static void
+gateway_on_ending(void *part)
+{
+    EyGateway_EndActiveRequests(part);
+}
+
 static json_t *
 gateway_dump(void *part)
 {
@@ -229,6 +235,7 @@
     .on_backend = gateway_on_backend,
     .is_ready = gateway_is_ready,
     .on_leaving = gateway_on_leaving,
+    .on_ending = gateway_on_ending,
     .is_idle = gateway_is_idle,
     .dump = gateway_dump,
 };
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -166,6 +166,11 @@
 void
 EyGateway_OnAttemptEvent(EyGateway_t *self, EyAttemptEvent_t *from);
 
+/** Ends all requests in flight with truthful answers, as the process ends
+ * soon. */
+void
+EyGateway_EndActiveRequests(EyGateway_t *self);
+
 /** Handles the disconnection of a caller. */
 void
 EyGateway_OnCallerDisconnected(EyGateway_t *self, uint64_t number);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,8 +19,13 @@
 #define DISCONNECTS_WAITING_MAX 4096
 #define PEER_MESSAGES_WAITING_MAX 8192
 #define STOP_CHECK_MS 50
-/** Maximum time that a graceful shutdown waits for requests in flight. */
+/** Maximum time that a graceful shutdown waits for requests in flight, where
+ * the time until the process is killed isn't known. */
 #define STOP_DRAIN_MAX_MS 120000
+/** Time before the process is killed at which requests in flight are ended,
+ * and after which it stops whether their answers have been sent or not. */
+#define STOP_ENDING_MS 800
+#define STOP_ANSWERING_MS 500
 
 const char *const EyNode_state_names[EY_NODE_STATE_COUNT] = {
     [EY_NODE_STARTING] = "starting",
@@ -282,6 +287,37 @@
     self->is_stopping = true;
 }
 
+/** The process is killed soon: has the parts end what is in flight. */
+static void
+on_ending(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyNode_t *self = data;
+    EY_LOG(EY_LOG_WARNING, "node", "ending_requests",
+           EY_LOG_NUMBER("in_flight", EyServer_InFlight(self->server)));
+    for (uint32_t i = 0; i < self->part_count; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->on_ending != NULL) {
+            part->class_table->on_ending(part->state);
+        }
+    }
+    (void)EyTimers_After(self->timers, STOP_ANSWERING_MS, on_stop_deadline,
+                         self);
+}
+
+static void
+limit_stop(EyNode_t *self)
+{
+    int64_t grace_ms = self->settings->stop_grace_ms;
+    if (grace_ms > STOP_ENDING_MS) {
+        (void)EyTimers_After(self->timers, grace_ms - STOP_ENDING_MS,
+                             on_ending, self);
+        return;
+    }
+    (void)EyTimers_After(self->timers, STOP_DRAIN_MAX_MS, on_stop_deadline,
+                         self);
+}
+
 static void
 leave_parts(const EyNode_t *self)
 {
@@ -322,8 +358,7 @@
     EyMembership_Leave(EyCluster_Membership(self->cluster));
     leave_parts(self);
     EyServer_CloseAfterAnswers(self->server);
-    (void)EyTimers_After(self->timers, STOP_DRAIN_MAX_MS, on_stop_deadline,
-                         self);
+    limit_stop(self);
     if (self->settings->stop_linger_ms == 0) {
         on_linger_end(self, EyClock_NowMs());
         return;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -72,6 +72,9 @@
                        const EyBackend_t *backend);
     /** The instance is leaving: the part must accept no new work. */
     void (*on_leaving)(void *part);
+    /** The process ends soon: the part must end what is in flight, each
+     * request with its truthful answer. */
+    void (*on_ending)(void *part);
     /** True when nothing is in flight. */
     bool (*is_idle)(void *part);
     /** False until the part can serve requests. */
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -1,10 +1,12 @@
 /* Configured routes with real processes: announces a server, sets routes,
  * calls them and evacuates a zone. */
 #include "process/harness.h"
+#include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ROUTES(version, path, service)                                        \
     "{\"version\":" version ",\"routes\":[{\"name\":\"r\",\"host\":"          \
@@ -17,7 +19,7 @@
 static uint16_t RoutedPort;
 
 static void
-start_gateway(void)
+start_gateway_with(const char *flag)
 {
     Gateway = Process_Make("ebonyyard-gateway", "routes-gw");
     Gateway.port = Harness_FreePort();
@@ -35,10 +37,19 @@
     Process_Arg(&Gateway, "--data-dir=%s", folder);
     Process_Arg(&Gateway, "--standalone");
     Process_Arg(&Gateway, "--backend-ttl-ms=60000");
+    if (flag != NULL) {
+        Process_Arg(&Gateway, "%s", flag);
+    }
     Process_Start(&Gateway);
     cr_assert(Process_AwaitStatus(&Gateway, "/readyz", 200, WITHIN_MS));
 }
 
+static void
+start_gateway(void)
+{
+    start_gateway_with(NULL);
+}
+
 static long
 send(uint16_t port, const char *method, const char *path, const char *body)
 {
@@ -171,3 +182,34 @@
     Process_Kill(&Gateway);
     Process_Kill(&fake);
 }
+
+#define GRACE_MS 2000
+
+/* A request whose server is still at work when the process is about to be
+ * killed. */
+Test(routes, a_stop_ends_what_it_has_taken_before_its_grace_ends)
+{
+    start_gateway_with("--stop-grace-s=2");
+    Process_t fake = start_service();
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    int socket = raw_connect(RoutedPort);
+    (void)raw_send_text(socket, "POST /buy/2 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+                                "Fake-Behaviour: delay=20000\r\n"
+                                "Content-Length: 2\r\n\r\n{}");
+    Harness_SleepMs(300);
+    Process_Signal(&Gateway, SIGTERM);
+    int64_t stopped_ms = Harness_NowMs();
+    char text[RAW_TEXT_MAX_BYTES];
+    (void)raw_read_until(socket, NULL, GRACE_MS, text);
+    cr_expect_leq(Harness_NowMs() - stopped_ms, GRACE_MS);
+    cr_expect_not_null(strstr(text, "HTTP/1.1 504"), "'%s'", text);
+    cr_expect_not_null(strstr(text, "Ebonyyard-Outcome: unknown"), "'%s'",
+                       text);
+    (void)close(socket);
+    cr_expect_eq(Process_Wait(&Gateway, GRACE_MS), 0);
+    cr_expect_leq(Harness_NowMs() - stopped_ms, GRACE_MS);
+    Process_Kill(&fake);
+}
