Forwarded requests of two lives of a gateway have different numbers

Cause: attempts were numbered from 1 at each start, and an answer was known by that number and the instance alone.

--- a/src/gateway/forward_message.c
+++ b/src/gateway/forward_message.c
@@ -23,3 +23,11 @@
 };
 const EySchema_t EyForwardMessage_schema =
     EY_SCHEMA(EyForwardMessage_t, ForwardFields);
+
+uint64_t
+EyForwardMessage_FirstAttempt(EyRandom_t *random)
+{
+    /* Leaves room to count on. */
+    enum { ROOM_BITS = 1 };
+    return (EyRandom_Next(random) >> ROOM_BITS) | 1;
+}
--- a/src/gateway/forward_message.h
+++ b/src/gateway/forward_message.h
@@ -6,6 +6,7 @@
 #ifndef EY_GATEWAY_FORWARD_MESSAGE_H
 #define EY_GATEWAY_FORWARD_MESSAGE_H
 
+#include "core/random.h"
 #include "exchange/answer.h"
 #include "exchange/request.h"
 
@@ -35,7 +36,8 @@
 typedef struct EyForwardMessage {
     EyForwardMessageKind_t kind;
     uint64_t attempt; /* number given by the forwarding gateway; identifies the
-                         request */
+                         request, and the life of that gateway, see
+                         EyForwardMessage_FirstAttempt */
     uint32_t sequence; /* of HEAD, CHUNK and END, starting at 0 */
     EyRequest_t *request;
     uint32_t request_count;
@@ -48,6 +50,12 @@
 
 extern const EySchema_t EyForwardMessage_schema;
 
+/** The number of a gateway's first attempt, from which it counts on. Random,
+ * so that a gateway that starts again gives no number that it gave before: an
+ * answer to a request of its earlier life may still be on its way. */
+uint64_t
+EyForwardMessage_FirstAttempt(EyRandom_t *random);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -77,7 +77,7 @@
 {
     EyGateway_t *self = EY_NEW(ctx, EyGateway_t);
     self->node = node;
-    self->next_attempt = 1;
+    self->next_attempt = EyForwardMessage_FirstAttempt(&node->random);
     self->names = EyHeaderNames_Find(node->settings->headers);
     self->records = EyGatewayRecords_Start(self, error);
     if (self->records == NULL) {
--- a/tests/unit/test_forward_failure.c
+++ b/tests/unit/test_forward_failure.c
@@ -167,3 +167,23 @@
     talloc_free(received);
     talloc_free(sent);
 }
+
+/* After a restart an answer to an earlier request must not be taken for one to
+ * a new request. */
+Test(forward_failure, attempts_of_two_lives_have_different_numbers)
+{
+    enum { LIVES = 200 };
+    const uint64_t attempts_of_a_life = UINT64_C(1) << 40;
+    uint64_t first[LIVES];
+    for (uint64_t i = 0; i < LIVES; i++) {
+        EyRandom_t random = EyRandom_Make(i + 1);
+        first[i] = EyForwardMessage_FirstAttempt(&random);
+        cr_assert_gt(first[i], 0);
+        cr_assert_lt(first[i], UINT64_MAX - attempts_of_a_life);
+        for (uint64_t j = 0; j < i; j++) {
+            uint64_t distance = first[i] > first[j] ? first[i] - first[j]
+                                                    : first[j] - first[i];
+            cr_assert_gt(distance, attempts_of_a_life);
+        }
+    }
+}
