A withdrawal is the last word of a start of a server

Cause: a serving announcement heard after a withdrawal opened a new epoch if its number was higher than the highest known. A withdrawal has no number, and the start of the server wasn't compared.

Change: of a start that was withdrawn nothing is taken any more; the withdrawn record has the last epoch, so that it wins over what an instance that has not heard of it gossips.

Elsewhere: a withdrawal of a server that is known but not listed (fallen silent, from before a pause) did nothing; it ends the start now.

Open: a relayed withdrawal is acknowledged when it is sent, not when the other region has it.

--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -208,6 +208,8 @@
         }
         return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
     }
+    EyRegistry_EndStart(registry(self), EyClock_NowMs(), request->target,
+                        announcement.backend.incarnation);
     /* The server may be in any remote region: relays to all of them. */
     bool is_relayed = false;
     const EySettings_t *settings = self->node->settings;
@@ -239,7 +241,11 @@
         return;
     }
     const EyBackend_t *known = EyRegistry_Find(registry(self), backend->id);
-    if (known != NULL && !is_from_earlier_start(known, backend->incarnation)) {
+    if (known == NULL) {
+        EyRegistry_EndStart(registry(self), now_ms, backend->id,
+                            backend->incarnation);
+    }
+    else if (!is_from_earlier_start(known, backend->incarnation)) {
         (void)EyRegistry_Withdraw(registry(self), now_ms, backend->id);
     }
 }
--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -32,6 +32,18 @@
 #define UNCONFIRMED_MAX_MS 10000
 #define CLEANUP_INTERVAL_MS 10000
 
+/* Epoch of a withdrawn record of a server with starts: whatever else is said
+ * of that start is older. */
+#define FINAL_EPOCH UINT32_MAX
+/* Withdrawn starts of unknown servers that are remembered. */
+#define ENDED_MAX 1024
+
+/** The last withdrawn start of a server. */
+typedef struct EndedStart {
+    uint64_t start;
+    int64_t ended_ms;
+} EndedStart_t;
+
 enum {
     COUNT_ANNOUNCED,
     COUNT_LEFT,
@@ -251,11 +263,16 @@
     }
 }
 
-/** True if a serving announcement was sent before the server left. */
+/** True if a serving announcement was sent before the server left: always, if
+ * the same start of the server has been withdrawn, which is its last word. */
 static bool
 is_before_leaving(int64_t now_ms, const EyRegistryEntry_t *entry,
                   const EyBackend_t *backend)
 {
+    if (entry->record.listing == EY_LISTING_WITHDRAWN &&
+        backend->incarnation != 0) {
+        return true;
+    }
     int64_t known_at = entry->record.backend.load.at;
     if (entry->numbers_own_loads && backend->load.at != 0) {
         return backend->load.at <= known_at;
@@ -337,11 +354,23 @@
     load->at = known->at + (is_changed ? 1 : 0);
 }
 
+bool
+EyRegistry_HasEnded(const EyRegistry_t *self, const EyBackend_t *backend)
+{
+    const EndedStart_t *ended = g_hash_table_lookup(self->ended, backend->id);
+    return ended != NULL && backend->incarnation != 0 &&
+           backend->incarnation <= ended->start;
+}
+
 void
 EyRegistry_Announce(EyRegistry_t *self, int64_t now_ms,
                     const EyBackend_t *backend)
 {
     EyMetric_Add(&Counts[COUNT_ANNOUNCED], 1);
+    if (EyRegistry_HasEnded(self, backend)) {
+        EyMetric_Add(&Counts[COUNT_STALE], 1);
+        return;
+    }
     EyRegistryEntry_t *entry = EyRegistry_FindEntry(self, backend->id);
     EyBackend_t announced = *backend;
     if (has_said_leaving(entry, backend)) {
@@ -375,11 +404,44 @@
         return false;
     }
     EyBackend_t backend = entry->record.backend;
-    store_own(self, now_ms, &backend, EY_LISTING_WITHDRAWN,
-              entry->record.epoch, entry->record.serial + 1);
+    uint64_t epoch =
+        backend.incarnation != 0 ? FINAL_EPOCH : entry->record.epoch;
+    store_own(self, now_ms, &backend, EY_LISTING_WITHDRAWN, epoch,
+              entry->record.serial + 1);
     return true;
 }
 
+static gboolean
+is_forgotten(gpointer id, gpointer data, gpointer now_ms)
+{
+    (void)id;
+    const EndedStart_t *ended = data;
+    return *(const int64_t *)now_ms - ended->ended_ms > TOMBSTONE_KEPT_MS;
+}
+
+void
+EyRegistry_EndStart(EyRegistry_t *self, int64_t now_ms, const char *id,
+                    uint64_t start)
+{
+    const EyRegistryEntry_t *entry = EyRegistry_FindEntry(self, id);
+    if (entry != NULL && entry->record.backend.incarnation >= start) {
+        if (entry->record.backend.incarnation == start) {
+            (void)EyRegistry_Withdraw(self, now_ms, id);
+        }
+        return;
+    }
+    (void)g_hash_table_foreach_remove(self->ended, is_forgotten, &now_ms);
+    const EndedStart_t *known = g_hash_table_lookup(self->ended, id);
+    bool has_room =
+        known != NULL || g_hash_table_size(self->ended) < ENDED_MAX;
+    if (start != 0 && has_room && (known == NULL || known->start < start)) {
+        EndedStart_t *ended = g_new0(EndedStart_t, 1);
+        ended->start = start;
+        ended->ended_ms = now_ms;
+        (void)g_hash_table_insert(self->ended, g_strdup(id), ended);
+    }
+}
+
 bool
 EyRegistry_ReportLeaving(EyRegistry_t *self, int64_t now_ms, const char *id)
 {
@@ -528,6 +590,7 @@
 {
     (void)g_hash_table_foreach_remove(self->entries, free_entry, NULL);
     g_hash_table_destroy(self->entries);
+    g_hash_table_destroy(self->ended);
     return 0;
 }
 
@@ -542,6 +605,8 @@
     self->random = EyRandom_Make(seed);
     self->entries =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    self->ended =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     self->ticked_ms = now_ms;
     self->cleanup_ms = now_ms;
     self->started_ms = now_ms;
--- a/src/membership/registry.h
+++ b/src/membership/registry.h
@@ -56,6 +56,14 @@
 bool
 EyRegistry_Withdraw(EyRegistry_t *self, int64_t now_ms, const char *id);
 
+/** Handles the withdrawal of a start of a server that isn't listed here, and
+ * that may not have been heard of yet: words of that start that arrive later
+ * are ignored. start: of the server's announcements; 0: unknown, nothing is
+ * done. */
+void
+EyRegistry_EndStart(EyRegistry_t *self, int64_t now_ms, const char *id,
+                    uint64_t start);
+
 /** Handles a listed server's answer that says it is leaving: it counts as
  * leaving at all gateways until its next incarnation. False if that is known
  * already, or the server isn't listed. */
--- a/src/membership/registry_gossip.c
+++ b/src/membership/registry_gossip.c
@@ -228,9 +228,18 @@
         }
         return;
     }
-    if (is_sound(record)) {
+    if (!is_sound(record)) {
+        return;
+    }
+    if (EyRegistry_HasEnded(self, &record->backend) &&
+        record->listing != EY_LISTING_WITHDRAWN)
+    {
+        /* The sender hasn't heard of the withdrawal: it is told by this. */
         (void)EyRegistry_Put(self, now_ms, record);
+        (void)EyRegistry_Withdraw(self, now_ms, record->backend.id);
+        return;
     }
+    (void)EyRegistry_Put(self, now_ms, record);
 }
 
 /** Sends the records of the buckets that differ, including tombstones. */
--- a/src/membership/registry_state.h
+++ b/src/membership/registry_state.h
@@ -17,6 +17,8 @@
     EyRandom_t random;
     GHashTable *entries; /* id -> EyRegistryEntry_t, a talloc child */
     EyDigest_t digest;   /* of records that aren't tombstones */
+    GHashTable *ended;   /* id -> EndedStart_t of a server that was withdrawn
+                            before anything else was heard of it */
     uint32_t listed_count;
     uint32_t tombstone_count;
     int64_t ticked_ms;
@@ -29,6 +31,11 @@
     uint32_t synced_count; /* gossip targets known at the last table request */
 };
 
+/** True if the start of the server that sent this has been withdrawn here
+ * before. */
+bool
+EyRegistry_HasEnded(const EyRegistry_t *self, const EyBackend_t *backend);
+
 /** The entry, also of a tombstone, or NULL. */
 EyRegistryEntry_t *
 EyRegistry_FindEntry(const EyRegistry_t *self, const char *id);
