An order whose caller has gone, or that was read long ago, is not carried out

Cause: an order without a version is proposed whenever it is read, whether its caller is there and however long the process was paused.

--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -332,6 +332,36 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
+/** True if the caller has closed its side of the connection: behind the
+ * request nothing more can come. */
+static bool
+has_caller_closed(const EyInboundRequest_t *inbound)
+{
+    char byte = 0;
+    return recv(EyInboundRequest_Socket(inbound), &byte, sizeof(byte),
+                MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+/** Refuses an order whose caller has closed the connection before it was read:
+ * this process may have been paused, and the caller has given the same order,
+ * or a newer one, elsewhere. NULL for all other requests. */
+static EyAnswer_t *
+refuse_abandoned_order(const EyInboundRequest_t *inbound)
+{
+    const EyRequest_t *request = inbound->request;
+    if (request->call != EY_CALL_OPERATOR ||
+        EyRequest_HasSafeMethod(request) || !has_caller_closed(inbound))
+    {
+        return NULL;
+    }
+    EY_LOG(EY_LOG_WARNING, "callers", "order_abandoned",
+           EY_LOG_TEXT("request_id", inbound->id),
+           EY_LOG_TEXT("path", request->path));
+    return EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 0,
+                            "the connection was closed before the order was "
+                            "read");
+}
+
 /** Submits a completely received request to the daemon. */
 static enum MHD_Result
 on_complete_request(EyServer_t *self, EyInboundRequest_t *inbound)
@@ -341,6 +371,9 @@
     if (refusal == NULL) {
         refusal = EyParse_Body(inbound->request);
     }
+    if (refusal == NULL) {
+        refusal = refuse_abandoned_order(inbound);
+    }
     if (refusal != NULL) {
         return refuse(self, inbound, refusal);
     }
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -221,6 +221,11 @@
         EyNode_Answer(self->node, request, reply.answer);
         return true;
     }
+    int64_t age_ms = EyClock_NowMs() - request->arrived_ms;
+    if (!reply.is_read && EyOperators_IsTooOld(&reply.command, age_ms)) {
+        EyNode_Answer(self->node, request, EyOperators_RefuseOld());
+        return true;
+    }
     uint64_t number = ++self->last_request_number;
     PendingRequest_t *pending = EY_NEW(NULL, PendingRequest_t);
     pending->request = request;
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -154,6 +154,11 @@
         EyNode_Answer(self->node, request, reply.answer);
         return;
     }
+    int64_t age_ms = EyClock_NowMs() - request->arrived_ms;
+    if (!reply.is_read && EyOperators_IsTooOld(&reply.command, age_ms)) {
+        EyNode_Answer(self->node, request, EyOperators_RefuseOld());
+        return;
+    }
     uint64_t *key = EY_NEW(NULL, uint64_t);
     *key = ++self->last_proposal;
     g_hash_table_insert(self->proposals, key, request);
--- a/src/operators/operators.c
+++ b/src/operators/operators.c
@@ -616,3 +616,18 @@
     }
     return EyAnswer_Json(200, json);
 }
+
+bool
+EyOperators_IsTooOld(const EyCommand_t *command, int64_t age_ms)
+{
+    bool has_no_version = command->kind == EY_COMMAND_EVACUATE_ZONE ||
+                          command->kind == EY_COMMAND_RESTORE_ZONE;
+    return has_no_version && age_ms > EY_OPERATORS_ORDER_AGE_MAX_MS;
+}
+
+EyAnswer_t *
+EyOperators_RefuseOld(void)
+{
+    return EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 1,
+                            "the order was read too long ago; retry");
+}
--- a/src/operators/operators.h
+++ b/src/operators/operators.h
@@ -38,6 +38,11 @@
 EY_ERROR_DOMAIN(Operators);
 #define EY_OPERATORS_ERROR EyOperators_ErrorDomain()
 
+/** Time for which an order without a version is carried out after it was
+ * read. Its caller gives it again elsewhere after a second, and an older one
+ * would undo what was ordered since. */
+#define EY_OPERATORS_ORDER_AGE_MAX_MS 1000
+
 /** Minimum length of the token. */
 #define EY_OPERATORS_TOKEN_MIN_BYTES 16
 
@@ -82,6 +87,15 @@
 EyOperators_AnswerChange(EyProposalOutcome_t outcome,
                          const EyCommandResult_t *result);
 
+/** True if a command must not be proposed any more, age_ms after its request
+ * was read: the process was paused in between. */
+bool
+EyOperators_IsTooOld(const EyCommand_t *command, int64_t age_ms);
+
+/** The refusal of such a command. */
+EyAnswer_t *
+EyOperators_RefuseOld(void);
+
 #ifdef __cplusplus
 }
 #endif
