A caller's own Idempotency-Key is only forwarded where it has no meaning

What callers saw: on the users' platform, which has no such header, an at-most-once call with an Idempotency-Key of the caller's own was answered 400 (a remark of the review).

Change: the table of header names says whether the header is one of the system.

Measured: server_routed::an_idempotency_key_of_a_callers_own_is_only_forwarded; 400 before.

--- a/src/callers/parse.c
+++ b/src/callers/parse.c
@@ -359,7 +359,9 @@
                            ? strcasecmp(parser->name, name) == 0
                            : EyHeaderNames_Is(names, parser->role, name);
         if (matches) {
-            return parser;
+            bool is_foreign =
+                parser->parse == parse_key && names->forwards_idempotency_key;
+            return is_foreign ? NULL : parser;
         }
     }
     return NULL;
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -57,6 +57,9 @@
     bool accepts_close_delimited_bodies;
     /** Backend servers echo the request id even if they don't announce it. */
     bool always_echoes_request_id;
+    /** Idempotency-Key isn't a header of this system: callers' own ones are
+     * only forwarded. */
+    bool forwards_idempotency_key;
     /** Field of an announcement that has the server's start time, as Unix
      * time in milliseconds. */
     const char *start_field;
--- a/tests/unit/test_server_routed.c
+++ b/tests/unit/test_server_routed.c
@@ -174,6 +174,24 @@
     return answer;
 }
 
+Test(server_routed, an_idempotency_key_of_a_callers_own_is_only_forwarded)
+{
+    RoutedServer_t *routed = routed_new(make_fine);
+    const char *answer =
+        send_request(routed, "POST /buy/1 HTTP/1.1\r\n" HEAD
+                             "Idempotency-Key: my own\r\n"
+                             "Content-Length: 2\r\n\r\n{}");
+    cr_expect_eq(status_of(answer), 200, "%s", answer);
+    const EyRequest_t *request =
+        __atomic_load_n(&routed->request, __ATOMIC_ACQUIRE);
+    cr_assert_not_null(request);
+    cr_expect_str_empty(request->idempotency_key);
+    cr_assert_eq(request->header_count, 1);
+    cr_expect_str_eq(request->headers[0].name, "Idempotency-Key");
+    cr_expect_str_eq(request->headers[0].value, "my own");
+    routed_free(routed);
+}
+
 Test(server_routed, retry_after_has_milliseconds)
 {
     RoutedServer_t *routed = routed_new(make_busy);
