Events of services without engines are framed too

What callers saw: an event stream of a service without engines that ended inside an event, by an orderly close without a length, passed as whole (a remark of the review).

Cause: only streams of model engines were read as events.

Not played end to end.

--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -48,7 +48,9 @@
 bool
 EyExchange_StreamsEvents(const EyExchange_t *self)
 {
-    return EyRequest_IsForModel(self->request) && self->request->streamed;
+    const EyRequest_t *request = self->request;
+    return request->streamed &&
+           (EyRequest_IsForModel(request) || request->call == EY_CALL_ROUTED);
 }
 
 static EyExchangeAction_t *
--- a/tests/unit/test_exchange_routed.c
+++ b/tests/unit/test_exchange_routed.c
@@ -247,3 +247,32 @@
     cr_expect_eq(end->stream_state, EY_STREAM_BROKEN);
     talloc_free(exchange);
 }
+
+typedef struct EventsCase {
+    EyCall_t call;
+    bool is_model;
+    bool streamed;
+    bool expected;
+} EventsCase_t;
+
+static const EventsCase_t EventsCases[] = {
+    {EY_CALL_ROUTED, true, true, true},
+    {EY_CALL_ROUTED, false, true, true}, /* a service without engines */
+    {EY_CALL_ROUTED, true, false, false},
+    {EY_CALL_ROUTED, false, false, false},
+    {EY_CALL_SERVICE, false, true, false},
+};
+
+/* Else a stream that ends inside an event passes as whole. */
+Test(exchange_routed, events_of_services_without_engines_are_framed_too)
+{
+    for (size_t i = 0; i < sizeof(EventsCases) / sizeof(EventsCases[0]); i++) {
+        const EventsCase_t *given = &EventsCases[i];
+        const EyCallTerms_t terms = {.is_model = given->is_model};
+        EyExchange_t *exchange = make_exchange(&terms, given->streamed);
+        exchange->request->call = given->call;
+        cr_expect_eq(EyExchange_StreamsEvents(exchange), given->expected,
+                     "%zu", i);
+        talloc_free(exchange);
+    }
+}
