--- a/tests/unit/test_peers.c
+++ b/tests/unit/test_peers.c
@@ -572,7 +572,7 @@
         send_text(from, id, address, "again");
         EyPeerMessage_t *message = wait_message(to, SEND_INTERVAL_MS);
         int64_t passed_ms = EyClock_NowMs() - started_ms;
-        if (message != NULL || passed_ms > 4 * WAIT_MS) {
+        if (message != NULL || passed_ms > INT64_C(4) * WAIT_MS) {
             talloc_free(message);
             return passed_ms;
         }
--- a/tests/unit/test_server_routed.c
+++ b/tests/unit/test_server_routed.c
@@ -177,10 +177,9 @@
 Test(server_routed, an_idempotency_key_of_a_callers_own_is_only_forwarded)
 {
     RoutedServer_t *routed = routed_new(make_fine);
-    const char *answer =
-        send_request(routed, "POST /buy/1 HTTP/1.1\r\n" HEAD
-                             "Idempotency-Key: my own\r\n"
-                             "Content-Length: 2\r\n\r\n{}");
+    const char *answer = send_request(routed, "POST /buy/1 HTTP/1.1\r\n" HEAD
+                                              "Idempotency-Key: my own\r\n"
+                                              "Content-Length: 2\r\n\r\n{}");
     cr_expect_eq(status_of(answer), 200, "%s", answer);
     const EyRequest_t *request =
         __atomic_load_n(&routed->request, __ATOMIC_ACQUIRE);
