--- a/src/callers/parse.c
+++ b/src/callers/parse.c
@@ -146,7 +146,7 @@
 static const char *
 parse_last_event(EyParsedHead_t *self, const char *value)
 {
-    self->request->takes_up_stream = value[0] != '\0';
+    self->request->resumes_stream = value[0] != '\0';
     return NULL;
 }
 
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -51,8 +51,8 @@
  * unconfirmed one, and longer as long as a control process waits for a leader.
  * Control processes that have lost power must be able to elect one in it. */
 #define EY_CONFIG_REPLICA_UNCONFIRMED_TIMEOUT_MS 6000
-/** A control process is taken to wait for a leader for this time after it has
- * said so. */
+/** A control process is assumed to wait for a leader for this time after it
+ * reported so. */
 #define EY_CONFIG_REPLICA_AWAITS_LEADER_MS 2000
 /** Most control processes of older builds whose answers are counted. */
 #define EY_CONFIG_REPLICA_OLDER_MAX 32
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -453,8 +453,8 @@
     return EyRaft_Status(self->log);
 }
 
-/** The members of the replicated log. Only a leader tells for how long each
- * has been silent. */
+/** The members of the replicated log; at a leader also the time since each
+ * member's last message. */
 static json_t *
 dump_members(const EyControl_t *self, const EyRaftStatus_t *status)
 {
--- a/src/config/control.h
+++ b/src/config/control.h
@@ -79,7 +79,7 @@
 void
 EyControl_RemoveMember(EyControl_t *self, int64_t now_ms, const char *address);
 
-/** Tells the leader that this process is about to stop. */
+/** Announces the shutdown of this process to the leader. */
 void
 EyControl_Leave(EyControl_t *self, int64_t now_ms);
 
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -66,18 +66,18 @@
 /** Shortest election timeout; the actual one is random, up to twice this. */
 #define EY_RAFT_ELECTION_MIN_MS 1000
 
-/** A voter that hasn't been heard of for this time is taken for gone. */
+/** A voter that sent nothing for this time is considered lost. */
 #define EY_RAFT_VOTER_SILENT_MS 2000
-/** Time for which a new leader asks before it takes a voter for gone. */
+/** A new leader waits for answers this long before it considers a voter lost.
+ */
 #define EY_RAFT_VOTER_ASKED_MS 600
-/** A voter counts as reached if something was heard of it within this time;
- * longer than an election timeout, as voters without a leader ask each other
- * in that interval. */
+/** A voter counts as reachable if it sent something within this time; longer
+ * than an election timeout, the interval at which voters without a leader send
+ * pre-votes. */
 #define EY_RAFT_REACH_MS 3000
-/** A voter that said that it stops is taken for gone for this time. */
+/** A voter that announced its shutdown is considered lost for this time. */
 #define EY_RAFT_VOTER_LEAVING_MS 1000
-/** A learner that hasn't been heard of for this time is removed; it may join
- * again. */
+/** A learner that sent nothing for this time is removed; it may join again. */
 #define EY_RAFT_LEARNER_SILENT_MS 10000
 
 /** The content of the disk at the start, from EyRaftFile_Open. */
@@ -156,7 +156,7 @@
 typedef struct EyRaftMemberChange {
     EyRaftChangeReason_t reason;
     EyAddress_t address;
-    int64_t silent_ms; /* since the member was last heard of */
+    int64_t silent_ms; /* since the member's last message */
     uint32_t voters;   /* after the change */
 } EyRaftMemberChange_t;
 
@@ -226,9 +226,9 @@
      * is what the disk knows, and later entries may be committed. */
     bool is_confirmed;
     bool has_lost_data; /* as in EyRaftDiskState_t */
-    /** Of a voter: it has heard of a majority of the voters lately, itself
-     * included, or has a leader. If not, it is cut off, or too many are lost.
-     */
+    /** This process is a voter and has a leader or, counting itself, recent
+     * messages from a majority of the voters. Otherwise it is partitioned, or
+     * too many voters are lost. */
     bool reaches_quorum;
     EyAddress_t leader; /* empty: none known */
     EyRaftMembers_t members;
@@ -240,8 +240,9 @@
 EyRaftStatus_t
 EyRaft_Status(const EyRaft_t *self);
 
-/** Returns for how long a member hasn't been heard of; 0 for this process and
- * for unknown addresses. Only a leader hears of all members regularly. */
+/** Returns the time since a member's last message; 0 for this process and for
+ * unknown addresses. Only a leader gets messages from all members regularly.
+ */
 int64_t
 EyRaft_SilentMs(const EyRaft_t *self, const char *address);
 
--- a/src/config/raft_election.c
+++ b/src/config/raft_election.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-/** After granting a pre-vote a process starts no election of its own for this
- * time, as two at once often elect nobody. */
+/** After granting a pre-vote a process starts no election for this time, to
+ * avoid split votes. */
 #define PRE_VOTE_COURTESY_MS 300
 
 void
@@ -113,9 +113,9 @@
            self->now_ms - self->leader_ms < self->options.election_min_ms;
 }
 
-/** Returns true if this process asks for pre-votes itself and the sender,
- * which has the same entries, comes after it by address: of two that ask at
- * once only one goes on. */
+/** Returns true if this process is a pre-candidate with the same entries as
+ * the sender and a lower address. Of two simultaneous pre-candidates only that
+ * one continues. */
 static bool
 comes_first(const EyRaft_t *self, const EyRaftMessage_t *message)
 {
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -257,7 +257,7 @@
 ey_raft_remove_member(EyRaft_t *self, const char *address);
 void
 ey_raft_on_leaving(EyRaft_t *self, const EyRaftMessage_t *message);
-/** Tells the leader that this process is about to stop. */
+/** Announces the shutdown of this process to the leader. */
 void
 ey_raft_send_leaving(EyRaft_t *self);
 
--- a/src/config/raft_members.c
+++ b/src/config/raft_members.c
@@ -502,9 +502,9 @@
     return false;
 }
 
-/** Returns true if enough voters remain without one of them: what is committed
- * has to be on the disk of one that is left after the losses that the group
- * must bear. */
+/** Returns true if enough voters remain without one of them: a committed entry
+ * must survive on at least one disk after the losses that the group
+ * tolerates. */
 static bool
 may_spare_voter(const EyRaft_t *self)
 {
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -4,7 +4,7 @@
 #include "config/route_table.h"
 #include "control/raft_storage.h"
 #include "control/server_list_saver.h"
-#include "control/stream_keeper.h"
+#include "control/stream_table.h"
 #include "control/witnesses.h"
 #include "core/clock.h"
 #include "core/log.h"
@@ -27,7 +27,7 @@
     EyNode_t *node;
     EyControl_t *control; /* NULL, like storage, until the file is open */
     EyWitnesses_t *witnesses;
-    EyStreamKeeper_t *stream_keeper;
+    EyStreamTable_t *stream_table;
     EyServerListSaver_t *list_saver;
     EyRaftStorage_t *storage;
     GHashTable *pending_requests; /* number -> PendingRequest_t */
@@ -422,7 +422,7 @@
     self->pending_requests = g_hash_table_new_full(
         g_int64_hash, g_int64_equal, EyMemory_Free, pending_request_free);
     self->witnesses = EyWitnesses_New(self, node);
-    self->stream_keeper = EyStreamKeeper_New(self, node);
+    self->stream_table = EyStreamTable_New(self, node);
     GError *cause = NULL;
     if (!start_control(self, &cause)) {
         if (!EyRaftStorage_MayOpenLater(cause)) {
@@ -496,7 +496,7 @@
         return;
     }
     if (message->kind == EY_PEER_STREAM) {
-        EyStreamKeeper_Receive(self->stream_keeper, message);
+        EyStreamTable_Receive(self->stream_table, message);
         return;
     }
     if (self->control == NULL) {
@@ -550,7 +550,7 @@
                               json_boolean(self->control != NULL));
     (void)json_object_set_new(
         json, "streams",
-        json_integer(EyStreamKeeper_Count(self->stream_keeper)));
+        json_integer(EyStreamTable_Count(self->stream_table)));
     (void)json_object_set_new(json, "witnesses",
                               EyWitnesses_Dump(self->witnesses));
     return json;
--- a/src/control/stream_keeper.c
+++ b/src/control/stream_table.c
@@ -1,25 +1,25 @@
-#include "control/stream_keeper.h"
+#include "control/stream_table.h"
 
 #include "core/clock.h"
 #include "core/memory.h"
 #include "exchange/stream_message.h"
 
-struct EyStreamKeeper {
+struct EyStreamTable {
     EyNode_t *node;
     EyStreamVersions_t *versions;
 };
 
-EyStreamKeeper_t *
-EyStreamKeeper_New(const void *ctx, EyNode_t *node)
+EyStreamTable_t *
+EyStreamTable_New(const void *ctx, EyNode_t *node)
 {
-    EyStreamKeeper_t *self = EY_NEW(ctx, EyStreamKeeper_t);
+    EyStreamTable_t *self = EY_NEW(ctx, EyStreamTable_t);
     self->node = node;
     self->versions = EyStreamVersions_New(self);
     return self;
 }
 
 static void
-answer(const EyStreamKeeper_t *self, const char *to,
+answer(const EyStreamTable_t *self, const char *to,
        const EyStreamMessage_t *query)
 {
     const EyStreamMessage_t message = {
@@ -33,7 +33,7 @@
 }
 
 void
-EyStreamKeeper_Receive(EyStreamKeeper_t *self, const EyPeerMessage_t *message)
+EyStreamTable_Receive(EyStreamTable_t *self, const EyPeerMessage_t *message)
 {
     void *ctx = talloc_new(NULL);
     EyStreamMessage_t stream;
@@ -53,7 +53,7 @@
 }
 
 uint32_t
-EyStreamKeeper_Count(const EyStreamKeeper_t *self)
+EyStreamTable_Count(const EyStreamTable_t *self)
 {
     return EyStreamVersions_Count(self->versions);
 }
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -112,8 +112,8 @@
                                    stream; another one must not go on with it
                                  */
     EyKey_t resumes; /* id of the caller's attempt that brought the first event
-                        of the stream that is taken up; empty: none named */
-    bool takes_up_stream;     /* the caller has events of the stream already */
+                        of the resumed stream; empty: none named */
+    bool resumes_stream;      /* the caller has events of the stream already */
     uint32_t prompt_tokens;   /* 0: unknown */
     uint32_t expected_tokens; /* caller's estimate for the answer; 0: none */
     EyPromptPart_t *parts;    /* of the prompt, in order */
--- a/src/exchange/server_version.h
+++ b/src/exchange/server_version.h
@@ -1,7 +1,7 @@
 /**
  * The version of a backend server's software. Servers of several versions may
- * serve one service side by side; what two versions write doesn't fit
- * together, so a stream goes on only at the version that began it.
+ * serve one service side by side; the output of two versions can't
+ * be combined, so a stream is continued only by the version that began it.
  */
 #ifndef EY_EXCHANGE_SERVER_VERSION_H
 #define EY_EXCHANGE_SERVER_VERSION_H
@@ -24,8 +24,7 @@
 EyServerVersion_t
 EyServerVersion_Make(const char *name);
 
-/** True if a server of a version may go on with a stream that was begun by
- * self. */
+/** True if a server of a version may continue a stream that self began. */
 bool
 EyServerVersion_Allows(const EyServerVersion_t *self, const char *name);
 
--- a/src/exchange/stream_message.h
+++ b/src/exchange/stream_message.h
@@ -1,6 +1,6 @@
 /**
- * Messages of kind EY_PEER_STREAM: gateways tell control processes which
- * version began which stream, and ask them.
+ * Messages of kind EY_PEER_STREAM: gateways report to control processes
+ * which version began which stream, and query them.
  */
 #ifndef EY_EXCHANGE_STREAM_MESSAGE_H
 #define EY_EXCHANGE_STREAM_MESSAGE_H
--- a/src/exchange/stream_versions.h
+++ b/src/exchange/stream_versions.h
@@ -12,7 +12,7 @@
 extern "C" {
 #endif
 
-/** A stream is remembered for this time after it has begun or was taken up. */
+/** A stream is remembered for this time after it was begun or resumed. */
 #define EY_STREAM_VERSIONS_KEPT_MS 60000
 /** Most streams that are remembered; the oldest ones are forgotten first. */
 #define EY_STREAM_VERSIONS_MAX 262144
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -219,8 +219,8 @@
         EyNode_Answer(self->node, request, refusal);
         return;
     }
-    if (EyTakeUps_Concerns(request)) {
-        EyGateway_BeginTakeUp(self, request);
+    if (EyResumptions_Concerns(request)) {
+        EyGateway_BeginResumption(self, request);
         return;
     }
     EyGateway_StartRequest(self, request);
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -626,7 +626,7 @@
     EyActiveRequest_t *active =
         g_hash_table_lookup(self->active_requests, &number);
     if (active == NULL) {
-        EyTakeUps_Cancel(self->take_ups, number);
+        EyResumptions_Cancel(self->resumptions, number);
         return;
     }
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -118,7 +118,7 @@
     EyConfigReplica_SetSources(self->configuration, gateways, gateway_count,
                                controls, control_count);
     EyProposer_SetControls(self->proposer, controls, control_count);
-    EyTakeUps_SetControls(self->take_ups, controls, control_count);
+    EyResumptions_SetControls(self->resumptions, controls, control_count);
 }
 
 bool
--- a/src/gateway/forward_message.h
+++ b/src/gateway/forward_message.h
@@ -52,7 +52,7 @@
 
 /** The number of a gateway's first attempt, from which it counts on. Random,
  * so that a gateway that starts again gives no number that it gave before: an
- * answer to a request of its earlier life may still be on its way. */
+ * answer to a request from before the restart may still arrive. */
 uint64_t
 EyForwardMessage_FirstAttempt(EyRandom_t *random);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -91,7 +91,7 @@
     EyGateway_OpenForwardServer(self);
     EyGateway_OpenRouter(self);
     EyGateway_OpenConfiguration(self);
-    EyGateway_OpenTakeUps(self);
+    EyGateway_OpenResumptions(self);
     EyGateway_OpenClusterUpdates(self);
     EyGateway_OpenEngineUpdates(self);
     EyMetrics_Register(EyGateway_metrics, EY_GATEWAY_METRIC_COUNT);
@@ -184,7 +184,7 @@
 {
     const EyGateway_t *self = part;
     return g_hash_table_size(self->active_requests) == 0 &&
-           EyTakeUps_Waiting(self->take_ups) == 0 &&
+           EyResumptions_Waiting(self->resumptions) == 0 &&
            g_hash_table_size(self->relays) == 0 &&
            EyGatewayRecords_MayEnd(self->records);
 }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -16,7 +16,7 @@
 #include "gateway/gateway.h"
 #include "gateway/records.h"
 #include "gateway/residency_policy.h"
-#include "gateway/take_ups.h"
+#include "gateway/resumptions.h"
 #include "instances/peers.h"
 #include "routing/router.h"
 
@@ -98,8 +98,8 @@
     const EyHeaderNames_t *names; /* to and from callers and backend servers */
     EyConfigReplica_t *configuration;
     EyProposer_t *proposer;
-    EyTakeUps_t *take_ups;
-    EyTimer_t *take_ups_timer; /* NULL: nothing is due */
+    EyResumptions_t *resumptions;
+    EyTimer_t *resumptions_timer; /* NULL: nothing is due */
     uint64_t last_proposal;
     GHashTable *proposals; /* number -> an operator's EyRequest_t */
     EyGatewayRecords_t *records;
@@ -140,17 +140,17 @@
 
 /** Creates the part that finds out which version began a stream. */
 void
-EyGateway_OpenTakeUps(EyGateway_t *self);
+EyGateway_OpenResumptions(EyGateway_t *self);
 
 /** Continues with a request whose route is applied: refuses it, or starts its
  * exchange; takes it over. */
 void
 EyGateway_StartRequest(EyGateway_t *self, EyRequest_t *request);
 
-/** Finds out which version began the stream that a request takes up, then
+/** Finds out which version began the stream that a request resumes, then
  * starts the request or refuses it; takes it over. */
 void
-EyGateway_BeginTakeUp(EyGateway_t *self, EyRequest_t *request);
+EyGateway_BeginResumption(EyGateway_t *self, EyRequest_t *request);
 
 /** Remembers which version began the stream that answers a caller's request.
  */
--- a/src/gateway/take_ups.c
+++ b/src/gateway/resumptions.c
@@ -1,4 +1,4 @@
-#include "gateway/take_ups.h"
+#include "gateway/resumptions.h"
 
 #include "core/memory.h"
 #include "core/random.h"
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <string.h>
 
-/** A take-up that waits for the answers of the control processes. */
+/** A resumption that waits for the answers of the control processes. */
 typedef struct Waiting {
     uint64_t number; /* of its query */
     EyRequest_t *request;
@@ -14,8 +14,8 @@
     uint32_t unanswered; /* control processes that were asked */
 } Waiting_t;
 
-struct EyTakeUps {
-    EyTakeUpsHooks_t hooks;
+struct EyResumptions {
+    EyResumptionsHooks_t hooks;
     EyStreamVersions_t *versions;
     EyName_t *controls;
     uint32_t control_count;
@@ -26,7 +26,7 @@
 };
 
 static int
-destroy(EyTakeUps_t *self)
+destroy(EyResumptions_t *self)
 {
     for (guint i = 0; i < self->waiting->len; i++) {
         talloc_free(g_array_index(self->waiting, Waiting_t, i).request);
@@ -36,15 +36,16 @@
     return 0;
 }
 
-EyTakeUps_t *
-EyTakeUps_New(const void *ctx, uint64_t seed, const EyTakeUpsHooks_t *hooks)
+EyResumptions_t *
+EyResumptions_New(const void *ctx, uint64_t seed,
+                  const EyResumptionsHooks_t *hooks)
 {
-    EyTakeUps_t *self = EY_NEW(ctx, EyTakeUps_t);
+    EyResumptions_t *self = EY_NEW(ctx, EyResumptions_t);
     self->hooks = *hooks;
     self->versions = EyStreamVersions_New(self);
     self->untold = g_array_new(FALSE, FALSE, sizeof(EyStreamRecord_t));
     self->waiting = g_array_new(FALSE, FALSE, sizeof(Waiting_t));
-    /* Answers to an earlier life of this process must not match. */
+    /* Answers to queries from before a restart must not match. */
     EyRandom_t random = EyRandom_Make(seed);
     self->last_number = EyRandom_Next(&random);
     talloc_set_destructor(self, destroy);
@@ -52,8 +53,8 @@
 }
 
 void
-EyTakeUps_SetControls(EyTakeUps_t *self, const EyName_t *controls,
-                      uint32_t count)
+EyResumptions_SetControls(EyResumptions_t *self, const EyName_t *controls,
+                          uint32_t count)
 {
     talloc_free(self->controls);
     self->controls =
@@ -62,36 +63,37 @@
 }
 
 bool
-EyTakeUps_Concerns(const EyRequest_t *request)
+EyResumptions_Concerns(const EyRequest_t *request)
 {
     return request->call == EY_CALL_ROUTED && request->terms.is_resumable &&
-           request->takes_up_stream && !request->begun_by.is_set;
+           request->resumes_stream && !request->begun_by.is_set;
 }
 
 static void
-remember(EyTakeUps_t *self, int64_t now_ms, const char *attempt_id,
+remember(EyResumptions_t *self, int64_t now_ms, const char *attempt_id,
          const EyServerVersion_t *version)
 {
     EyStreamRecord_t record = {.key = EyStreamVersions_Key(attempt_id)};
     (void)EY_COPY(record.version, version->name);
     EyStreamVersions_Add(self->versions, now_ms, &record);
     if (self->untold->len == 0) {
-        self->tell_ms = now_ms + EY_TAKE_UPS_TELL_MS;
+        self->tell_ms = now_ms + EY_RESUMPTIONS_REPORT_MS;
     }
     g_array_append_val(self->untold, record);
 }
 
 void
-EyTakeUps_Began(EyTakeUps_t *self, int64_t now_ms, const EyRequest_t *request,
-                const EyServerVersion_t *version)
+EyResumptions_Began(EyResumptions_t *self, int64_t now_ms,
+                    const EyRequest_t *request,
+                    const EyServerVersion_t *version)
 {
-    if (version->is_set && !request->takes_up_stream) {
+    if (version->is_set && !request->resumes_stream) {
         remember(self, now_ms, request->id, version);
     }
 }
 
 static void
-decide(EyTakeUps_t *self, int64_t now_ms, EyRequest_t *request,
+decide(EyResumptions_t *self, int64_t now_ms, EyRequest_t *request,
        const EyServerVersion_t *version)
 {
     request->begun_by = *version;
@@ -101,9 +103,9 @@
     self->hooks.decided(self->hooks.data, request, version->is_set);
 }
 
-/** Takes the i-th waiting take-up off the list and decides it. */
+/** Takes the i-th waiting resumption off the list and decides it. */
 static void
-end_waiting(EyTakeUps_t *self, int64_t now_ms, guint i,
+end_waiting(EyResumptions_t *self, int64_t now_ms, guint i,
             const EyServerVersion_t *version)
 {
     EyRequest_t *request = g_array_index(self->waiting, Waiting_t, i).request;
@@ -112,7 +114,8 @@
 }
 
 void
-EyTakeUps_Begin(EyTakeUps_t *self, int64_t now_ms, EyRequest_t *request)
+EyResumptions_Begin(EyResumptions_t *self, int64_t now_ms,
+                    EyRequest_t *request)
 {
     uint64_t key = EyStreamVersions_Key(request->resumes);
     EyServerVersion_t version =
@@ -121,7 +124,7 @@
             : (EyServerVersion_t){.is_set = false};
     if (version.is_set || request->resumes[0] == '\0' ||
         self->control_count == 0 ||
-        self->waiting->len >= EY_TAKE_UPS_WAITING_MAX)
+        self->waiting->len >= EY_RESUMPTIONS_WAITING_MAX)
     {
         decide(self, now_ms, request, &version);
         return;
@@ -129,7 +132,7 @@
     Waiting_t waiting = {
         .number = ++self->last_number,
         .request = request,
-        .ends_ms = now_ms + EY_TAKE_UPS_ASK_MAX_MS,
+        .ends_ms = now_ms + EY_RESUMPTIONS_ASK_MAX_MS,
         .unanswered = self->control_count,
     };
     g_array_append_val(self->waiting, waiting);
@@ -141,7 +144,7 @@
 }
 
 void
-EyTakeUps_Cancel(EyTakeUps_t *self, uint64_t request_number)
+EyResumptions_Cancel(EyResumptions_t *self, uint64_t request_number)
 {
     for (guint i = 0; i < self->waiting->len; i++) {
         EyRequest_t *request =
@@ -155,8 +158,8 @@
 }
 
 void
-EyTakeUps_Receive(EyTakeUps_t *self, int64_t now_ms, const char *from,
-                  const EyStreamMessage_t *message)
+EyResumptions_Receive(EyResumptions_t *self, int64_t now_ms, const char *from,
+                      const EyStreamMessage_t *message)
 {
     (void)from;
     if (message->kind != EY_STREAM_ANSWER) {
@@ -176,7 +179,7 @@
 }
 
 static void
-tell(EyTakeUps_t *self)
+tell(EyResumptions_t *self)
 {
     guint sent = 0;
     while (sent < self->untold->len) {
@@ -186,8 +189,8 @@
             .record_count =
                 MIN(self->untold->len - sent, EY_STREAM_RECORDS_MAX),
         };
-        for (uint32_t i = 0; i < MIN(self->control_count, EY_TAKE_UPS_KEEPERS);
-             i++) {
+        for (uint32_t i = 0;
+             i < MIN(self->control_count, EY_RESUMPTIONS_COPIES); i++) {
             self->hooks.send(self->hooks.data, self->controls[i], &message);
         }
         sent += message.record_count;
@@ -196,7 +199,7 @@
 }
 
 void
-EyTakeUps_Tick(EyTakeUps_t *self, int64_t now_ms)
+EyResumptions_Tick(EyResumptions_t *self, int64_t now_ms)
 {
     const EyServerVersion_t unknown = {.is_set = false};
     while (self->waiting->len > 0 &&
@@ -210,7 +213,7 @@
 }
 
 int64_t
-EyTakeUps_DueMs(const EyTakeUps_t *self)
+EyResumptions_DueMs(const EyResumptions_t *self)
 {
     int64_t due_ms = self->untold->len > 0 ? self->tell_ms : INT64_MAX;
     if (self->waiting->len > 0) {
@@ -221,7 +224,7 @@
 }
 
 uint32_t
-EyTakeUps_Waiting(const EyTakeUps_t *self)
+EyResumptions_Waiting(const EyResumptions_t *self)
 {
     return self->waiting->len;
 }
--- a/src/gateway/stream_origins.c
+++ b/src/gateway/stream_resumption.c
@@ -1,5 +1,5 @@
-/* Which version of a server's software began the streams that callers take up
- * again. */
+/* Which version of a server's software began the streams that callers
+ * resume. */
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
@@ -14,18 +14,18 @@
 on_tick(void *data, int64_t now_ms)
 {
     EyGateway_t *self = data;
-    self->take_ups_timer = NULL;
-    EyTakeUps_Tick(self->take_ups, now_ms);
+    self->resumptions_timer = NULL;
+    EyResumptions_Tick(self->resumptions, now_ms);
     schedule_tick(self);
 }
 
 static void
 schedule_tick(EyGateway_t *self)
 {
-    int64_t due_ms = EyTakeUps_DueMs(self->take_ups);
-    if (self->take_ups_timer == NULL && due_ms != INT64_MAX) {
+    int64_t due_ms = EyResumptions_DueMs(self->resumptions);
+    if (self->resumptions_timer == NULL && due_ms != INT64_MAX) {
         int64_t delay_ms = MAX(due_ms - EyClock_NowMs(), 0);
-        self->take_ups_timer =
+        self->resumptions_timer =
             EyTimers_After(self->node->timers, delay_ms, on_tick, self);
     }
 }
@@ -42,7 +42,7 @@
 hook_decided(void *data, EyRequest_t *request, bool is_known)
 {
     EyGateway_t *self = data;
-    EY_LOG(EY_LOG_INFO, "gateway", "take_up",
+    EY_LOG(EY_LOG_INFO, "gateway", "resumption",
            EY_LOG_TEXT("request_id", request->id),
            EY_LOG_TEXT("resumes", request->resumes),
            EY_LOG_NUMBER("is_known", is_known),
@@ -60,21 +60,21 @@
 }
 
 void
-EyGateway_OpenTakeUps(EyGateway_t *self)
+EyGateway_OpenResumptions(EyGateway_t *self)
 {
-    const EyTakeUpsHooks_t hooks = {
+    const EyResumptionsHooks_t hooks = {
         .send = hook_send,
         .decided = hook_decided,
         .data = self,
     };
-    self->take_ups =
-        EyTakeUps_New(self, EyRandom_Next(&self->node->random), &hooks);
+    self->resumptions =
+        EyResumptions_New(self, EyRandom_Next(&self->node->random), &hooks);
 }
 
 void
-EyGateway_BeginTakeUp(EyGateway_t *self, EyRequest_t *request)
+EyGateway_BeginResumption(EyGateway_t *self, EyRequest_t *request)
 {
-    EyTakeUps_Begin(self->take_ups, EyClock_NowMs(), request);
+    EyResumptions_Begin(self->resumptions, EyClock_NowMs(), request);
     schedule_tick(self);
 }
 
@@ -88,7 +88,8 @@
     if (is_from_caller && request->call == EY_CALL_ROUTED &&
         request->terms.is_resumable)
     {
-        EyTakeUps_Began(self->take_ups, EyClock_NowMs(), request, version);
+        EyResumptions_Began(self->resumptions, EyClock_NowMs(), request,
+                            version);
         schedule_tick(self);
     }
 }
@@ -101,8 +102,8 @@
     if (EySchema_Unpack(&EyStreamMessage_schema, ctx, message->payload.data,
                         message->payload.size_bytes, &stream, NULL))
     {
-        EyTakeUps_Receive(self->take_ups, EyClock_NowMs(), message->from,
-                          &stream);
+        EyResumptions_Receive(self->resumptions, EyClock_NowMs(),
+                              message->from, &stream);
         schedule_tick(self);
     }
     talloc_free(ctx);
--- a/src/membership/registry.h
+++ b/src/membership/registry.h
@@ -57,8 +57,8 @@
 EyRegistry_Withdraw(EyRegistry_t *self, int64_t now_ms, const char *id);
 
 /** Handles the withdrawal of a start of a server that isn't listed here, and
- * that may not have been heard of yet: words of that start that arrive later
- * are ignored. start: of the server's announcements; 0: unknown, nothing is
+ * that may be unknown: announcements of that start that arrive later are
+ * ignored. start: of the server's announcements; 0: unknown, nothing is
  * done. */
 void
 EyRegistry_EndStart(EyRegistry_t *self, int64_t now_ms, const char *id,
--- a/src/membership/registry_gossip.c
+++ b/src/membership/registry_gossip.c
@@ -234,7 +234,7 @@
     if (EyRegistry_HasEnded(self, &record->backend) &&
         record->listing != EY_LISTING_WITHDRAWN)
     {
-        /* The sender hasn't heard of the withdrawal: it is told by this. */
+        /* The sender doesn't know of the withdrawal yet: gossips it. */
         (void)EyRegistry_Put(self, now_ms, record);
         (void)EyRegistry_Withdraw(self, now_ms, record->backend.id);
         return;
--- a/tests/bench/stream_cost.c
+++ b/tests/bench/stream_cost.c
@@ -10,7 +10,7 @@
 #define STREAMS 2000000U
 #define BATCH 90U
 #define STREAMS_PER_S 9000.0
-#define KEEPERS 3.0
+#define COPIES 3.0
 
 static double
 now_ns(void)
@@ -62,7 +62,7 @@
         talloc_free(ctx);
     }
     double batches = (double)STREAMS / BATCH;
-    double gateway_ns = (add_ns + KEEPERS * pack_ns) / STREAMS;
+    double gateway_ns = (add_ns + COPIES * pack_ns) / STREAMS;
     double control_ns = (add_ns + unpack_ns) / STREAMS;
     printf("a stream: add %.0f ns, pack %.0f ns, unpack %.0f ns, %.1f bytes; "
            "find %.0f ns (%lu)\n",
@@ -71,7 +71,7 @@
     printf("at %.0f streams a second: %.4f cores at all gateways together, "
            "%.4f at each of %.0f control processes, %.0f kB/s to each\n",
            STREAMS_PER_S, gateway_ns * STREAMS_PER_S / 1e9,
-           control_ns * STREAMS_PER_S / 1e9, KEEPERS,
+           control_ns * STREAMS_PER_S / 1e9, COPIES,
            (double)bytes / STREAMS * STREAMS_PER_S / 1000);
     talloc_free(versions);
     return 0;
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -1,10 +1,10 @@
-/* A stream goes on only at the version of the server software that began it:
- * within one answer, and when its caller takes it up at another gateway. */
+/* A stream is continued only by servers of the software version that began it:
+ * within one answer, and when its caller resumes it at another gateway. */
 #include "backends/announcement.h"
 #include "core/memory.h"
 #include "core/random.h"
 #include "exchange/exchange.h"
-#include "gateway/take_ups.h"
+#include "gateway/resumptions.h"
 #include "routing/router.h"
 
 #include <criterion/criterion.h>
@@ -148,7 +148,7 @@
     EyStreamVersions_t *versions = EyStreamVersions_New(NULL);
     add(versions, 0, 1, "v1");
     add(versions, 10, 2, "v2");
-    add(versions, EY_STREAM_VERSIONS_KEPT_MS, 1, "v1"); /* taken up */
+    add(versions, EY_STREAM_VERSIONS_KEPT_MS, 1, "v1"); /* resumed */
     int64_t later_ms = EY_STREAM_VERSIONS_KEPT_MS + 11;
     cr_expect_str_eq(EyStreamVersions_Find(versions, later_ms, 1).name, "v1");
     cr_expect_not(EyStreamVersions_Find(versions, later_ms, 2).is_set);
@@ -161,18 +161,18 @@
     talloc_free(versions);
 }
 
-/* Take-ups */
+/* Resumptions */
 
 /** Two gateways, of which the first has begun a stream, and the control
  * processes. */
 typedef struct Fleet {
     int64_t now_ms;
-    EyTakeUps_t *gateways[2];
+    EyResumptions_t *gateways[2];
     EyStreamVersions_t *kept[CONTROLS];
     bool is_silent[CONTROLS];
     uint32_t sender;    /* gateway that sends now */
     uint32_t queries;   /* sent by gateways */
-    uint32_t decisions; /* on the take-up */
+    uint32_t decisions; /* on the resumption */
     bool is_known;
     EyName_t version;
 } Fleet_t;
@@ -206,12 +206,12 @@
 {
     Fleet_t *fleet = g_new0(Fleet_t, 1);
     fleet->now_ms = NOW_MS;
-    const EyTakeUpsHooks_t hooks = {
+    const EyResumptionsHooks_t hooks = {
         .send = on_send, .decided = on_decided, .data = fleet};
     const EyName_t controls[CONTROLS] = {"a", "b", "c", "d", "e"};
     for (uint32_t i = 0; i < 2; i++) {
-        fleet->gateways[i] = EyTakeUps_New(NULL, i + 1, &hooks);
-        EyTakeUps_SetControls(fleet->gateways[i], controls, CONTROLS);
+        fleet->gateways[i] = EyResumptions_New(NULL, i + 1, &hooks);
+        EyResumptions_SetControls(fleet->gateways[i], controls, CONTROLS);
     }
     for (uint32_t i = 0; i < CONTROLS; i++) {
         fleet->kept[i] = EyStreamVersions_New(NULL);
@@ -240,7 +240,7 @@
     request->number = 7;
     (void)EY_COPY(request->id, id);
     (void)EY_COPY(request->resumes, resumes);
-    request->takes_up_stream = resumes[0] != '\0';
+    request->resumes_stream = resumes[0] != '\0';
     return request;
 }
 
@@ -249,10 +249,10 @@
 {
     const EyServerVersion_t at = EyServerVersion_Make(version);
     EyRequest_t *request = make_request(id, "");
-    EyTakeUps_Began(fleet->gateways[0], fleet->now_ms, request, &at);
+    EyResumptions_Began(fleet->gateways[0], fleet->now_ms, request, &at);
     talloc_free(request);
-    fleet->now_ms += EY_TAKE_UPS_TELL_MS;
-    EyTakeUps_Tick(fleet->gateways[0], fleet->now_ms);
+    fleet->now_ms += EY_RESUMPTIONS_REPORT_MS;
+    EyResumptions_Tick(fleet->gateways[0], fleet->now_ms);
 }
 
 /** All control processes that aren't silent answer the query of a number. */
@@ -267,8 +267,8 @@
                                              EyStreamVersions_Key(id)),
         };
         if (!fleet->is_silent[i]) {
-            EyTakeUps_Receive(fleet->gateways[gateway], fleet->now_ms, "a",
-                              &answer);
+            EyResumptions_Receive(fleet->gateways[gateway], fleet->now_ms, "a",
+                                  &answer);
         }
     }
 }
@@ -281,30 +281,31 @@
     return EyRandom_Next(&random) + 1;
 }
 
-typedef struct TakeUpCase {
+typedef struct ResumptionCase {
     const char *name;
     uint32_t gateway;      /* where it comes */
-    const char *resumes;   /* stream that it takes up; "s" was begun by v1 */
+    const char *resumes;   /* stream that it resumes; "s" was begun by v1 */
     uint32_t silent;       /* control processes, from the first one on */
-    bool are_wiped;        /* control processes started anew */
+    bool are_wiped;        /* control processes restarted */
     bool has_earlier_life; /* the answers are to an earlier query */
     bool is_known;
-} TakeUpCase_t;
+} ResumptionCase_t;
 
-static const TakeUpCase_t TakeUpCases[] = {
+static const ResumptionCase_t ResumptionCases[] = {
     {"at the same gateway", 0, "s", 5, false, false, true},
     {"at another gateway", 1, "s", 0, false, false, true},
     {"beside two lost control processes", 1, "s", 2, false, false, true},
     {"beside three lost ones", 1, "s", 3, false, false, false},
-    {"after all gateways and the core started anew", 1, "s", 0, true, false,
+    {"after a restart of all gateways and the core", 1, "s", 0, true, false,
      false},
-    {"of a stream that nobody knows", 1, "t", 0, false, false, false},
+    {"of an unknown stream", 1, "t", 0, false, false, false},
     {"without the name of the stream", 1, "-", 0, false, false, false},
-    {"with answers to an earlier life", 1, "s", 0, false, true, false},
+    {"with answers to queries from before a restart", 1, "s", 0, false, true,
+     false},
 };
 
 static void
-check_take_up(const TakeUpCase_t *given)
+check_resumption(const ResumptionCase_t *given)
 {
     Fleet_t *fleet = make_fleet();
     begin_stream(fleet, "s", "v1");
@@ -319,49 +320,51 @@
     if (given->resumes[0] == '-') {
         request->resumes[0] = '\0';
     }
-    cr_assert(EyTakeUps_Concerns(request));
-    EyTakeUps_Begin(fleet->gateways[given->gateway], fleet->now_ms, request);
+    cr_assert(EyResumptions_Concerns(request));
+    EyResumptions_Begin(fleet->gateways[given->gateway], fleet->now_ms,
+                        request);
     uint64_t number = first_number(given->gateway + 1);
     answer_all(fleet, given->gateway,
                given->has_earlier_life ? number - 1 : number, given->resumes);
-    fleet->now_ms += EY_TAKE_UPS_ASK_MAX_MS;
-    EyTakeUps_Tick(fleet->gateways[given->gateway], fleet->now_ms);
+    fleet->now_ms += EY_RESUMPTIONS_ASK_MAX_MS;
+    EyResumptions_Tick(fleet->gateways[given->gateway], fleet->now_ms);
     cr_expect_eq(fleet->decisions, 1, "%s: %u decisions", given->name,
                  fleet->decisions);
     cr_expect_eq(fleet->is_known, given->is_known, "%s", given->name);
     cr_expect_str_eq(fleet->version, given->is_known ? "v1" : "", "%s",
                      given->name);
-    cr_expect_eq(EyTakeUps_Waiting(fleet->gateways[given->gateway]), 0);
+    cr_expect_eq(EyResumptions_Waiting(fleet->gateways[given->gateway]), 0);
     free_fleet(fleet);
 }
 
-Test(stream_versions, a_take_up_goes_to_the_version_that_began_or_is_refused)
+Test(stream_versions,
+     a_resumption_goes_to_the_version_that_began_or_is_refused)
 {
-    for (size_t i = 0; i < G_N_ELEMENTS(TakeUpCases); i++) {
-        check_take_up(&TakeUpCases[i]);
+    for (size_t i = 0; i < G_N_ELEMENTS(ResumptionCases); i++) {
+        check_resumption(&ResumptionCases[i]);
     }
 }
 
 Test(stream_versions, a_caller_that_leaves_ends_the_wait)
 {
     Fleet_t *fleet = make_fleet();
-    EyTakeUps_Begin(fleet->gateways[1], NOW_MS, make_request("r", "s"));
+    EyResumptions_Begin(fleet->gateways[1], NOW_MS, make_request("r", "s"));
     cr_expect_eq(fleet->queries, CONTROLS);
-    EyTakeUps_Cancel(fleet->gateways[1], 7);
+    EyResumptions_Cancel(fleet->gateways[1], 7);
     answer_all(fleet, 1, first_number(2), "s");
     cr_expect_eq(fleet->decisions, 0);
-    cr_expect_eq(EyTakeUps_Waiting(fleet->gateways[1]), 0);
+    cr_expect_eq(EyResumptions_Waiting(fleet->gateways[1]), 0);
     free_fleet(fleet);
 }
 
-Test(stream_versions, only_take_ups_of_resumable_streams_ask)
+Test(stream_versions, only_resumptions_of_resumable_streams_ask)
 {
     EyRequest_t *request = make_request("r", "s");
-    cr_expect(EyTakeUps_Concerns(request));
+    cr_expect(EyResumptions_Concerns(request));
     request->terms.is_resumable = false;
-    cr_expect_not(EyTakeUps_Concerns(request));
+    cr_expect_not(EyResumptions_Concerns(request));
     request->terms.is_resumable = true;
-    request->takes_up_stream = false;
-    cr_expect_not(EyTakeUps_Concerns(request));
+    request->resumes_stream = false;
+    cr_expect_not(EyResumptions_Concerns(request));
     talloc_free(request);
 }
