An order that was held up between control processes undoes no newer one

An evacuation, or its end, that a control process had forwarded to the leader took effect whenever it arrived there, also seconds after its caller had given it elsewhere and had given the opposite one since.

Cause: the age of an order without a version was checked once, by the process that read it, before it was forwarded. Time on the way (a connection that hangs, a queue, a leader that stands still) and at a gateway that tries one control process after the other wasn't counted.

Change: the age is checked where the order is appended. A forwarder tells the age that it knows and the leader's clock as it heard it last in a message of the log, so the leader counts the way by its own clock; clocks of two machines are never compared. A gateway tells the age that it knows, and gives an order to the next control process after 300 ms, not 1 s, so that three are tried before it is too old. Messages of older builds have no such clock: their age is counted as before.

Other commands were read: defaults, exceptions and route tables have versions; groups their epoch; leases a holder, an incarnation and a fencing number; ticks their number.

Open: time on the way from a gateway to a control process is not counted.

--- a/src/config/control.c
+++ b/src/config/control.c
@@ -10,6 +10,8 @@
     EyName_t from;            /* instance that proposed it; empty: this one */
     uint64_t from_number;     /* at the proposing instance */
     EyAddress_t forwarded_to; /* a leader; empty: not forwarded */
+    int64_t given_ms; /* its caller gave it then at the earliest, by this
+                       * process's clock */
     int64_t deadline_ms;
 } PendingProposal_t;
 
@@ -288,14 +290,16 @@
 }
 
 static void
-forward(EyControl_t *self, const PendingProposal_t *pending,
-        const EyCommand_t *command)
+forward(EyControl_t *self, int64_t now_ms, const PendingProposal_t *pending,
+        const EyCommand_t *command, int64_t leader_clock_ms)
 {
     EyConfigMessage_t message = {
         .kind = EY_CONFIG_PROPOSE,
         .number = pending->number,
         .is_forwarded = true,
         .command = *command,
+        .age_ms = now_ms - pending->given_ms,
+        .heard_ms = leader_clock_ms,
     };
     self->hooks.send_config(self->hooks.data, "", pending->forwarded_to,
                             &message);
@@ -315,7 +319,9 @@
     bool is_leader = status.role == EY_RAFT_LEADER;
     bool can_reach_leader =
         is_leader || (status.leader[0] != '\0' && !is_forwarded);
-    if (!can_reach_leader || self->pending->len >= EY_CONTROL_PENDING_MAX) {
+    if (!can_reach_leader || self->pending->len >= EY_CONTROL_PENDING_MAX ||
+        EyCommand_IsTooOld(command, now_ms - pending.given_ms))
+    {
         result.version = self->store->config.version;
         answer(self, &pending, EY_PROPOSAL_REJECTED, &result);
         return;
@@ -330,18 +336,28 @@
         append_command(self, now_ms, pending.number, command);
     }
     else {
-        forward(self, &pending, command);
+        forward(self, now_ms, &pending, command, status.leader_clock_ms);
     }
 }
 
 void
 EyControl_Propose(EyControl_t *self, int64_t now_ms, uint64_t number,
-                  const EyCommand_t *command)
+                  const EyCommand_t *command, int64_t given_ms)
 {
-    PendingProposal_t pending = {.from_number = number};
+    PendingProposal_t pending = {.from_number = number, .given_ms = given_ms};
     propose(self, now_ms, pending, false, command);
 }
 
+/** When the caller of a received proposal gave it at the earliest. Time on the
+ * way is counted by this process's own clock, as the sender had last heard it:
+ * the message may have been held up for long. */
+static int64_t
+given_ms(const EyConfigMessage_t *message, int64_t now_ms)
+{
+    int64_t sent_ms = message->heard_ms != 0 ? message->heard_ms : now_ms;
+    return sent_ms - message->age_ms;
+}
+
 /* Events */
 
 void
@@ -363,6 +379,7 @@
         break;
     case EY_CONFIG_PROPOSE:
         (void)EY_COPY(pending.from, from);
+        pending.given_ms = given_ms(message, now_ms);
         propose(self, now_ms, pending, message->is_forwarded,
                 &message->command);
         break;
--- a/src/config/control.h
+++ b/src/config/control.h
@@ -68,11 +68,12 @@
 EyControl_Persisted(EyControl_t *self, int64_t now_ms, uint64_t serial,
                     bool done);
 
-/** Proposes a command; the answer hook gets number, which the caller
- * chooses. */
+/** Proposes a command; the answer hook gets number, which the caller chooses.
+ * The command can't have been given before given_ms: an order without a
+ * version that is too old when it reaches the leader is rejected. */
 void
 EyControl_Propose(EyControl_t *self, int64_t now_ms, uint64_t number,
-                  const EyCommand_t *command);
+                  const EyCommand_t *command, int64_t given_ms);
 
 /** Removes a member that has stopped for good from the Raft group; only a
  * leader can. */
--- a/src/config/proposer.c
+++ b/src/config/proposer.c
@@ -6,6 +6,7 @@
     uint64_t number;      /* chosen by the caller */
     uint64_t sent_number; /* of the last message sent for it */
     EyCommand_t command;
+    int64_t given_ms;  /* at the earliest */
     uint32_t control;  /* index of the control process tried last */
     uint32_t attempts; /* number of control processes tried */
     bool may_be_applied;
@@ -77,6 +78,9 @@
 static int64_t
 retry_delay_ms(const EyCommand_t *command)
 {
+    if (EyCommand_IsUnversioned(command)) {
+        return EY_PROPOSER_ORDER_RETRY_MS;
+    }
     return MAX(EY_PROPOSER_RETRY_MS,
                command->document.size_bytes / EY_SLOW_LINK_BYTES_PER_MS);
 }
@@ -100,6 +104,7 @@
         .kind = EY_CONFIG_PROPOSE,
         .number = pending->sent_number,
         .command = pending->command,
+        .age_ms = now_ms - pending->given_ms,
     };
     self->hooks.send(self->hooks.data, self->controls[pending->control],
                      &message);
@@ -107,11 +112,12 @@
 
 void
 EyProposer_Propose(EyProposer_t *self, int64_t now_ms, uint64_t number,
-                   const EyCommand_t *command)
+                   const EyCommand_t *command, int64_t given_ms)
 {
     Pending_t *pending = EY_NEW(self, Pending_t);
     pending->number = number;
     pending->command = EyCommand_Copy(pending, command);
+    pending->given_ms = given_ms;
     pending->deadline_ms = now_ms + EY_PROPOSER_TIMEOUT_MS;
     g_ptr_array_add(self->pending, pending);
     if (self->pending->len > EY_PROPOSER_PENDING_MAX) {
--- a/src/config/proposer.h
+++ b/src/config/proposer.h
@@ -18,6 +18,9 @@
 /** A proposal without an answer is sent to the next control process after
  * this, or after the time that a large route table takes on a slow link. */
 #define EY_PROPOSER_RETRY_MS 1000
+/** The same for an order without a version, which is given to each of three
+ * control processes before it is too old. */
+#define EY_PROPOSER_ORDER_RETRY_MS 300
 /** Time limit of a proposal, over all control processes. */
 #define EY_PROPOSER_TIMEOUT_MS 4000
 
@@ -39,10 +42,10 @@
                        uint32_t count);
 
 /** Proposes a command; the answer hook is called exactly once, possibly
- * before this returns. */
+ * before this returns. The command can't have been given before given_ms. */
 void
 EyProposer_Propose(EyProposer_t *self, int64_t now_ms, uint64_t number,
-                   const EyCommand_t *command);
+                   const EyCommand_t *command, int64_t given_ms);
 
 /** Handles an ANSWER message; ignores other kinds. */
 void
--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -87,6 +87,7 @@
     message->to_incarnation = to_incarnation;
     message->cluster = self->cluster;
     message->term = self->term;
+    message->clock_ms = self->now_ms;
     return message;
 }
 
@@ -859,6 +860,7 @@
         .is_confirmed = self->is_confirmed,
         .has_lost_data = self->has_lost_data,
         .reaches_quorum = reaches_quorum(self),
+        .leader_clock_ms = self->leader_clock_ms,
         .members = self->members,
     };
     (void)EY_COPY(status.leader, self->leader);
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -231,6 +231,9 @@
      * too many voters are lost. */
     bool reaches_quorum;
     EyAddress_t leader; /* empty: none known */
+    /** At a follower with a leader: the leader's clock in its last message; 0:
+     * it is of an older build. */
+    int64_t leader_clock_ms;
     EyRaftMembers_t members;
 } EyRaftStatus_t;
 
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -86,12 +86,13 @@
 
     EyRaftRole_t role;
     EyAddress_t leader;
-    int64_t election_ms;  /* when to start an election */
-    int64_t leader_ms;    /* time of the leader's last message */
-    int64_t leading_ms;   /* when this process became the leader */
-    bool is_leaving;      /* this process is about to stop */
-    int64_t heartbeat_ms; /* when to send the next heartbeats or hellos */
-    GArray *peers;        /* EyRaftPeer_t: the other members */
+    int64_t election_ms;     /* when to start an election */
+    int64_t leader_ms;       /* time of the leader's last message */
+    int64_t leader_clock_ms; /* as in EyRaftStatus_t */
+    int64_t leading_ms;      /* when this process became the leader */
+    bool is_leaving;         /* this process is about to stop */
+    int64_t heartbeat_ms;    /* when to send the next heartbeats or hellos */
+    GArray *peers;           /* EyRaftPeer_t: the other members */
     /** Indexed as options.addresses. */
     EyRaftHelloAnswer_t hello_answers[EY_RAFT_MEMBERS_MAX];
     uint64_t round;   /* of hellos; answers to earlier ones may be stale */
--- a/src/config/raft_message.h
+++ b/src/config/raft_message.h
@@ -105,6 +105,7 @@
                          * sender of the hello */
     uint64_t round;     /* HELLO: number of the round of hellos;
                          * HELLO_ANSWER: copied from the HELLO */
+    int64_t clock_ms;   /* the sender's; 0: of an older build */
 } EyRaftMessage_t;
 
 extern const EySchema_t EyRaftMembers_schema;
--- a/src/config/raft_replication.c
+++ b/src/config/raft_replication.c
@@ -196,6 +196,7 @@
     }
     ey_raft_follow(self, message->term, message->from);
     self->leader_ms = self->now_ms;
+    self->leader_clock_ms = message->clock_ms;
     return true;
 }
 
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -483,6 +483,20 @@
     return result_of(self, EY_COMMAND_RESULT_DONE);
 }
 
+bool
+EyCommand_IsUnversioned(const EyCommand_t *command)
+{
+    return command->kind == EY_COMMAND_EVACUATE_ZONE ||
+           command->kind == EY_COMMAND_RESTORE_ZONE;
+}
+
+bool
+EyCommand_IsTooOld(const EyCommand_t *command, int64_t age_ms)
+{
+    return EyCommand_IsUnversioned(command) &&
+           (age_ms < 0 || age_ms > EY_ORDER_AGE_MAX_MS);
+}
+
 EyCommand_t
 EyCommand_Copy(const void *ctx, const EyCommand_t *from)
 {
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -165,6 +165,21 @@
 EyGroupMember_t *
 EyGroupEpoch_CopyMembers(const void *ctx, const EyGroupEpoch_t *from);
 
+/** Time after which an order without a version isn't carried out any more. Its
+ * caller gives it again elsewhere after a second, and then it would undo what
+ * was ordered since. */
+#define EY_ORDER_AGE_MAX_MS 1000
+
+/** True if a command takes effect whatever was ordered before. */
+bool
+EyCommand_IsUnversioned(const EyCommand_t *command);
+
+/** True if a command must not be appended any more, age_ms after its caller
+ * gave it: it has no version that tells it from newer ones. A negative age is
+ * an unknown one. */
+bool
+EyCommand_IsTooOld(const EyCommand_t *command, int64_t age_ms);
+
 /** Returns a copy whose arrays and data are copied below ctx. */
 EyCommand_t
 EyCommand_Copy(const void *ctx, const EyCommand_t *from);
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -221,8 +221,11 @@
         EyNode_Answer(self->node, request, reply.answer);
         return true;
     }
-    int64_t age_ms = EyClock_NowMs() - request->arrived_ms;
-    if (!reply.is_read && EyOperators_IsTooOld(&reply.command, age_ms)) {
+    int64_t now_ms = EyClock_NowMs();
+    int64_t sent_ms = request->arrived_ms;
+    if (!reply.is_read && EyCommand_IsTooOld(&reply.command, now_ms - sent_ms))
+    {
+        EyOperators_LogOld(request, now_ms - sent_ms);
         EyNode_Answer(self->node, request, EyOperators_RefuseOld());
         return true;
     }
@@ -230,15 +233,15 @@
     PendingRequest_t *pending = EY_NEW(NULL, PendingRequest_t);
     pending->request = request;
     pending->is_read = reply.is_read;
-    pending->deadline_ms = EyClock_NowMs() + READ_TIMEOUT_MS;
+    pending->deadline_ms = now_ms + READ_TIMEOUT_MS;
     uint64_t *key = EY_NEW(NULL, uint64_t);
     *key = number;
     (void)g_hash_table_insert(self->pending_requests, key, pending);
     if (!reply.is_read) {
         set_default_change_id(self, number, &reply.command);
     }
-    EyControl_Propose(self->control, EyClock_NowMs(), number, &reply.command);
-    serve_reads(self, EyClock_NowMs());
+    EyControl_Propose(self->control, now_ms, number, &reply.command, sent_ms);
+    serve_reads(self, now_ms);
     return true;
 }
 
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -141,7 +141,8 @@
                    "system-%llx-%llu",
                    (unsigned long long)self->node->incarnation,
                    (unsigned long long)number);
-    EyProposer_Propose(self->proposer, EyClock_NowMs(), number, command);
+    int64_t now_ms = EyClock_NowMs();
+    EyProposer_Propose(self->proposer, now_ms, number, command, now_ms);
 }
 
 void
@@ -154,8 +155,11 @@
         EyNode_Answer(self->node, request, reply.answer);
         return;
     }
-    int64_t age_ms = EyClock_NowMs() - request->arrived_ms;
-    if (!reply.is_read && EyOperators_IsTooOld(&reply.command, age_ms)) {
+    int64_t now_ms = EyClock_NowMs();
+    int64_t sent_ms = request->arrived_ms;
+    if (!reply.is_read && EyCommand_IsTooOld(&reply.command, now_ms - sent_ms))
+    {
+        EyOperators_LogOld(request, now_ms - sent_ms);
         EyNode_Answer(self->node, request, EyOperators_RefuseOld());
         return;
     }
@@ -168,7 +172,7 @@
                        (unsigned long long)self->node->incarnation,
                        (unsigned long long)*key);
     }
-    EyProposer_Propose(self->proposer, EyClock_NowMs(), *key, &reply.command);
+    EyProposer_Propose(self->proposer, now_ms, *key, &reply.command, sent_ms);
 }
 
 void
--- a/src/operators/operators.c
+++ b/src/operators/operators.c
@@ -1,5 +1,6 @@
 #include "operators/operators.h"
 
+#include "core/log.h"
 #include "core/memory.h"
 
 #include <string.h>
@@ -617,17 +618,18 @@
     return EyAnswer_Json(200, json);
 }
 
-bool
-EyOperators_IsTooOld(const EyCommand_t *command, int64_t age_ms)
+void
+EyOperators_LogOld(const EyRequest_t *request, int64_t age_ms)
 {
-    bool has_no_version = command->kind == EY_COMMAND_EVACUATE_ZONE ||
-                          command->kind == EY_COMMAND_RESTORE_ZONE;
-    return has_no_version && age_ms > EY_OPERATORS_ORDER_AGE_MAX_MS;
+    EY_LOG(EY_LOG_WARNING, "operators", "order_too_old",
+           EY_LOG_TEXT("request_id", request->id),
+           EY_LOG_TEXT("path", request->path), EY_LOG_NUMBER("age_ms", age_ms),
+           EY_LOG_TEXT("outcome", "refused, not carried out"));
 }
 
 EyAnswer_t *
 EyOperators_RefuseOld(void)
 {
     return EyAnswer_Problem(EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN, 1,
-                            "the order was read too long ago; retry");
+                            "the order is too old; retry");
 }
--- a/src/operators/operators.h
+++ b/src/operators/operators.h
@@ -38,11 +38,6 @@
 EY_ERROR_DOMAIN(Operators);
 #define EY_OPERATORS_ERROR EyOperators_ErrorDomain()
 
-/** Time for which an order without a version is carried out after it was
- * read. Its caller gives it again elsewhere after a second, and an older one
- * would undo what was ordered since. */
-#define EY_OPERATORS_ORDER_AGE_MAX_MS 1000
-
 /** Minimum length of the token. */
 #define EY_OPERATORS_TOKEN_MIN_BYTES 16
 
@@ -87,12 +82,11 @@
 EyOperators_AnswerChange(EyProposalOutcome_t outcome,
                          const EyCommandResult_t *result);
 
-/** True if a command must not be proposed any more, age_ms after its request
- * was read: the process was paused in between. */
-bool
-EyOperators_IsTooOld(const EyCommand_t *command, int64_t age_ms);
+/** Logs that the command of a request is not carried out as it is too old. */
+void
+EyOperators_LogOld(const EyRequest_t *request, int64_t age_ms);
 
-/** The refusal of such a command. */
+/** The refusal of a command that EyCommand_IsTooOld. */
 EyAnswer_t *
 EyOperators_RefuseOld(void);
 
--- a/tests/property/test_control_properties.cc
+++ b/tests/property/test_control_properties.cc
@@ -1,364 +1,12 @@
 #include "config/config_replica.h"
-#include "config/control.h"
-#include "property/check.h"
-#include "property/raft_world.h"
+#include "property/control_site.h"
 
-#include <algorithm>
-#include <map>
-#include <string>
-#include <vector>
-
-using raft_world::Disk;
+using control_site::Count;
+using control_site::SettleMs;
+using control_site::Site;
 
 namespace {
 
-constexpr size_t Count = 3;
-constexpr int64_t StepMs = 10;
-constexpr int64_t SettleMs = 15000;
-
-struct Packet {
-    int64_t due_ms;
-    size_t from;
-    size_t to;
-    EyRaftMessage_t *log; /* either this or config is set */
-    EyConfigMessage_t *config;
-};
-
-/** An operator's change and its answer. */
-struct Change {
-    size_t at;
-    EyCommand_t command;
-    bool is_answered = false;
-    EyProposalOutcome_t outcome = EY_PROPOSAL_UNKNOWN;
-    EyCommandResult_t result = {};
-};
-
-/** A simulation of three control processes, with disks and a network in
- * memory. */
-class Site {
-  public:
-    explicit Site(uint64_t seed) : random(EyRandom_Make(seed))
-    {
-        ctx = talloc_new(nullptr);
-        for (size_t i = 0; i < Count; i++) {
-            nodes[i].site = this;
-            nodes[i].index = i;
-            nodes[i].name = "control-" + std::to_string(i);
-            nodes[i].address = "10.0.0." + std::to_string(i + 1) + ":7000";
-            nodes[i].disk.incarnation = i + 1;
-            (void)EY_COPY(all_addresses[i], nodes[i].address.c_str());
-        }
-        for (size_t i = 0; i < Count; i++) {
-            start(i);
-        }
-    }
-
-    ~Site()
-    {
-        for (Node &node : nodes) {
-            stop(node.index);
-        }
-        talloc_free(ctx);
-    }
-
-    Site(const Site &) = delete;
-    Site &
-    operator=(const Site &) = delete;
-
-    void
-    start(size_t i)
-    {
-        Node &node = nodes[i];
-        if (node.control != nullptr) {
-            return;
-        }
-        EyRaftOptions_t options = {};
-        (void)EY_COPY(options.self, node.address.c_str());
-        options.addresses = all_addresses;
-        options.address_count = Count;
-        options.seed = EyRandom_Next(&random);
-        EyControlHooks_t hooks = {};
-        hooks.send_raft = send_log;
-        hooks.send_config = send_config;
-        hooks.persist = persist;
-        hooks.answer = answer;
-        hooks.data = &node;
-        void *scratch = talloc_new(nullptr);
-        EyRaftDiskState_t disk = node.disk.load(scratch);
-        node.control = EyControl_New(ctx, &options, &disk, &hooks, now_ms);
-        node.acknowledged_at_start = acknowledged;
-        talloc_free(scratch);
-    }
-
-    void
-    stop(size_t i)
-    {
-        Node &node = nodes[i];
-        talloc_free(node.control);
-        node.control = nullptr;
-        for (EyRaftDiskWrite_t *disk_write : node.writes) {
-            talloc_free(disk_write);
-        }
-        node.writes.clear();
-    }
-
-    void
-    run(int64_t for_ms)
-    {
-        int64_t end_ms = now_ms + for_ms;
-        while (now_ms < end_ms) {
-            now_ms += StepMs;
-            deliver();
-            for (Node &node : nodes) {
-                finish_writes(node);
-                if (node.control != nullptr &&
-                    now_ms >= EyControl_DueMs(node.control)) {
-                    EyControl_Tick(node.control, now_ms);
-                }
-                check_confirmation(node);
-            }
-        }
-    }
-
-    bool
-    is_confirmed(size_t i) const
-    {
-        return EyControl_Status(nodes[i].control).is_confirmed;
-    }
-
-    /** Returns the confirmation in a process's answer to a pull. */
-    EyConfirmation_t
-    pull(size_t i)
-    {
-        EyConfigMessage_t message = {};
-        message.kind = EY_CONFIG_PULL;
-        nodes[i].confirmation = EY_CONFIRMATION_UNKNOWN;
-        EyControl_ReceiveConfig(nodes[i].control, now_ms, "gateway", &message);
-        return nodes[i].confirmation;
-    }
-
-    /** Sends an operator's change to a node, made against the node's current
-     * version. */
-    void
-    change(size_t i, const std::string &id)
-    {
-        if (nodes[i].control == nullptr) {
-            return;
-        }
-        const EyStore_t *store = EyControl_Store(nodes[i].control);
-        EyCommand_t command = {};
-        command.kind = EY_COMMAND_SET_DEFAULT;
-        command.version = store->config.version;
-        (void)EY_COPY(command.change_id, id.c_str());
-        (void)EY_COPY(command.key, "routing.queue_max");
-        (void)EY_COPY(command.value, std::to_string(changes.size()).c_str());
-        send(i, command);
-    }
-
-    void
-    send(size_t i, EyCommand_t command)
-    {
-        if (nodes[i].control == nullptr) {
-            return;
-        }
-        Change one = {};
-        one.at = i;
-        one.command = command;
-        changes.push_back(one);
-        EyControl_Propose(nodes[i].control, now_ms, changes.size() - 1,
-                          &command);
-    }
-
-    const EyStore_t *
-    store(size_t i) const
-    {
-        return EyControl_Store(nodes[i].control);
-    }
-
-    void
-    check() const
-    {
-        std::map<std::string, EyCommandResult_t> results;
-        std::map<uint64_t, std::string> winners;
-        std::map<std::string, uint64_t> in_history;
-        for (uint32_t i = 0; i < store(0)->history_count; i++) {
-            const EyHistoryRecord_t &record = store(0)->history[i];
-            RC_ASSERT(
-                in_history.emplace(record.change_id, record.version).second);
-        }
-        std::map<std::string, bool> only_rejected;
-        for (const Change &one : changes) {
-            std::string id = one.command.change_id;
-            bool is_rejected =
-                one.is_answered && one.outcome == EY_PROPOSAL_REJECTED;
-            auto entry = only_rejected.emplace(id, true);
-            entry.first->second = entry.first->second && is_rejected;
-            if (!one.is_answered || one.outcome != EY_PROPOSAL_APPLIED) {
-                continue;
-            }
-            auto first = results.emplace(id, one.result);
-            RC_ASSERT(first.first->second.status == one.result.status);
-            RC_ASSERT(first.first->second.version == one.result.version);
-            if (one.result.status == EY_COMMAND_RESULT_DONE) {
-                auto winner = winners.emplace(one.command.version, id);
-                RC_ASSERT(winner.first->second == id);
-                RC_ASSERT(in_history[id] == one.result.version);
-            }
-        }
-        for (const auto &one : only_rejected) {
-            RC_ASSERT(!one.second || in_history.count(one.first) == 0);
-        }
-    }
-
-    struct Node {
-        Site *site;
-        size_t index;
-        std::string name;
-        std::string address;
-        Disk disk;
-        EyControl_t *control = nullptr;
-        std::vector<EyRaftDiskWrite_t *> writes;
-        bool is_cut = false;
-        uint64_t acknowledged_at_start = 0; /* revision */
-        EyConfirmation_t confirmation =
-            EY_CONFIRMATION_UNKNOWN; /* last push */
-    };
-
-    Node nodes[Count];
-    std::vector<Change> changes;
-    uint64_t fault_rate = 0;
-    uint64_t acknowledged = 0; /* highest revision */
-
-  private:
-    /** A confirmed process has all that had been acknowledged when it
-     * started. */
-    static void
-    check_confirmation(const Node &node)
-    {
-        if (node.control == nullptr ||
-            !EyControl_Status(node.control).is_confirmed) {
-            return;
-        }
-        RC_ASSERT(EyControl_Store(node.control)->config.revision >=
-                  node.acknowledged_at_start);
-    }
-
-    static void
-    send_log(void *data, const EyRaftMessage_t *message)
-    {
-        Node *node = static_cast<Node *>(data);
-        EyBytes_t bytes =
-            EySchema_Pack(&EyRaftMessage_schema, nullptr, message);
-        EyRaftMessage_t *copy = EY_NEW(node->site->ctx, EyRaftMessage_t);
-        RC_ASSERT(EySchema_Unpack(&EyRaftMessage_schema, copy, bytes.data,
-                                  bytes.size_bytes, copy, nullptr));
-        talloc_free(bytes.data);
-        node->site->post(node, message->to, copy, nullptr);
-    }
-
-    static void
-    send_config(void *data, const char *id, const char *address,
-                const EyConfigMessage_t *message)
-    {
-        Node *node = static_cast<Node *>(data);
-        if (message->kind == EY_CONFIG_PUSH) {
-            node->confirmation = message->confirmation;
-        }
-        EyBytes_t bytes =
-            EySchema_Pack(&EyConfigMessage_schema, nullptr, message);
-        EyConfigMessage_t *copy = EY_NEW(node->site->ctx, EyConfigMessage_t);
-        RC_ASSERT(EySchema_Unpack(&EyConfigMessage_schema, copy, bytes.data,
-                                  bytes.size_bytes, copy, nullptr));
-        talloc_free(bytes.data);
-        node->site->post(node, id[0] != '\0' ? id : address, nullptr, copy);
-    }
-
-    static void
-    persist(void *data, EyRaftDiskWrite_t *disk_write)
-    {
-        static_cast<Node *>(data)->writes.push_back(disk_write);
-    }
-
-    static void
-    answer(void *data, uint64_t number, EyProposalOutcome_t outcome,
-           const EyCommandResult_t *result)
-    {
-        Site *site = static_cast<Node *>(data)->site;
-        Change &one = site->changes[number];
-        RC_ASSERT(!one.is_answered);
-        one.is_answered = true;
-        one.outcome = outcome;
-        one.result = *result;
-        if (outcome == EY_PROPOSAL_APPLIED &&
-            result->status == EY_COMMAND_RESULT_DONE) {
-            site->acknowledged =
-                std::max(site->acknowledged, result->revision);
-        }
-    }
-
-    void
-    post(const Node *from, const std::string &to, EyRaftMessage_t *log,
-         EyConfigMessage_t *config)
-    {
-        for (const Node &node : nodes) {
-            bool is_lost = from->is_cut || node.is_cut ||
-                           EyRandom_Below(&random, 1000) < fault_rate;
-            if ((node.name == to || node.address == to) && !is_lost) {
-                int64_t latency_ms =
-                    1 + static_cast<int64_t>(EyRandom_Below(&random, 40));
-                packets.push_back({now_ms + latency_ms, from->index,
-                                   node.index, log, config});
-                return;
-            }
-        }
-        talloc_free(log);
-        talloc_free(config);
-    }
-
-    void
-    deliver()
-    {
-        std::vector<Packet> due;
-        std::vector<Packet> rest;
-        for (Packet &packet : packets) {
-            (packet.due_ms <= now_ms ? due : rest).push_back(packet);
-        }
-        packets = rest;
-        for (Packet &packet : due) {
-            Node &node = nodes[packet.to];
-            if (node.control != nullptr && packet.log != nullptr) {
-                EyControl_ReceiveRaft(node.control, now_ms, packet.log);
-            }
-            else if (node.control != nullptr) {
-                EyControl_ReceiveConfig(node.control, now_ms,
-                                        nodes[packet.from].name.c_str(),
-                                        packet.config);
-            }
-            talloc_free(packet.log);
-            talloc_free(packet.config);
-        }
-    }
-
-    void
-    finish_writes(Node &node)
-    {
-        while (node.control != nullptr && !node.writes.empty()) {
-            EyRaftDiskWrite_t *disk_write = node.writes.front();
-            node.writes.erase(node.writes.begin());
-            node.disk.write(*disk_write);
-            uint64_t serial = disk_write->serial;
-            talloc_free(disk_write);
-            EyControl_Persisted(node.control, now_ms, serial, true);
-        }
-    }
-
-    void *ctx;
-    EyAddress_t all_addresses[Count];
-    EyRandom_t random;
-    int64_t now_ms = 1000;
-    std::vector<Packet> packets;
-};
-
 void
 run_operation(Site &site, uint32_t number)
 {
@@ -492,6 +140,46 @@
     });
 }
 
+/* An order that was forwarded to the leader and waited on the way, or at a
+ * leader that stood still, while its operator gave it elsewhere and then gave
+ * the opposite one. */
+Test(control_properties, an_order_that_was_held_up_undoes_no_newer_one)
+{
+    EY_CHECK("any seed, place and time of the delay", [] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto first = *rc::gen::inRange<size_t>(0, Count);
+        const auto freezes = *rc::gen::arbitrary<bool>();
+        const auto delay_ms = *rc::gen::inRange<int64_t>(1000, 7000);
+        const auto evacuates = *rc::gen::arbitrary<bool>();
+        const EyCommandKind_t old_kind =
+            evacuates ? EY_COMMAND_EVACUATE_ZONE : EY_COMMAND_RESTORE_ZONE;
+        const EyCommandKind_t new_kind =
+            evacuates ? EY_COMMAND_RESTORE_ZONE : EY_COMMAND_EVACUATE_ZONE;
+        Site site(seed);
+        site.run(4000);
+        site.order(new_kind, first);
+        size_t leader = site.leader();
+        RC_PRE(leader != Count);
+        EyCommand_t command = {};
+        command.kind = old_kind;
+        (void)EY_COPY(command.key, control_site::Zone);
+        (void)EY_COPY(command.change_id, "held-up");
+        site.held_up_ms = freezes ? 0 : delay_ms;
+        site.send(first, command);
+        site.held_up_ms = 0;
+        site.nodes[leader].is_frozen = freezes;
+        site.run(control_site::CallerTimeoutMs);
+        site.order(old_kind, first + 1);
+        site.order(new_kind, first + 1);
+        site.run(delay_ms);
+        site.nodes[leader].is_frozen = false;
+        site.run(SettleMs);
+        for (size_t i = 0; i < Count; i++) {
+            RC_ASSERT(site.store(i)->evacuated_count == (evacuates ? 0U : 1U));
+        }
+    });
+}
+
 Test(control_properties, state_survives_a_restart_after_five_hundred_changes)
 {
     Site site(1);
--- a/tests/unit/test_abandoned_orders.c
+++ b/tests/unit/test_abandoned_orders.c
@@ -75,9 +75,10 @@
 
 static const AgeCase_t AgeCases[] = {
     {EY_COMMAND_RESTORE_ZONE, 0, false},
-    {EY_COMMAND_RESTORE_ZONE, EY_OPERATORS_ORDER_AGE_MAX_MS, false},
-    {EY_COMMAND_RESTORE_ZONE, EY_OPERATORS_ORDER_AGE_MAX_MS + 1, true},
+    {EY_COMMAND_RESTORE_ZONE, EY_ORDER_AGE_MAX_MS, false},
+    {EY_COMMAND_RESTORE_ZONE, EY_ORDER_AGE_MAX_MS + 1, true},
     {EY_COMMAND_EVACUATE_ZONE, 3500, true},
+    {EY_COMMAND_EVACUATE_ZONE, -1, true},
     {EY_COMMAND_REPLACE_ROUTES, 3500, false},
 };
 
@@ -85,7 +86,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(AgeCases); i++) {
         const EyCommand_t command = {.kind = AgeCases[i].kind};
-        cr_expect_eq(EyOperators_IsTooOld(&command, AgeCases[i].age_ms),
+        cr_expect_eq(EyCommand_IsTooOld(&command, AgeCases[i].age_ms),
                      AgeCases[i].is_too_old, "%zu", i);
     }
 }
--- a/tests/unit/test_proposer.c
+++ b/tests/unit/test_proposer.c
@@ -43,7 +43,7 @@
         .document = {.data = talloc_zero_size(proposer, document_bytes),
                      .size_bytes = document_bytes}};
     (void)EyText_Copy(command.change_id, sizeof(command.change_id), "order-1");
-    EyProposer_Propose(proposer, 1000, 1, &command);
+    EyProposer_Propose(proposer, 1000, 1, &command, 1000);
     for (int64_t now_ms = 1000; now_ms <= 1000 + time_ms; now_ms += 100) {
         EyProposer_Tick(proposer, now_ms);
     }
