An order that lay in the socket of a process that stood still is not carried out

Cause: the age of an order was counted from when it was read. After a pause that is just now, however long it had waited in the socket.

Change: the main thread notes each 100 ms, and before an operator's request is handled, whether more than 500 ms have passed (core/pauses). What is read up to a second after such a pause counts as sent at its beginning, so an order without a version is refused with 503, not run, and a line in the log (order_too_old).

--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -222,7 +222,7 @@
         return true;
     }
     int64_t now_ms = EyClock_NowMs();
-    int64_t sent_ms = request->arrived_ms;
+    int64_t sent_ms = EyNode_SentMs(self->node, request);
     if (!reply.is_read && EyCommand_IsTooOld(&reply.command, now_ms - sent_ms))
     {
         EyOperators_LogOld(request, now_ms - sent_ms);
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -156,7 +156,7 @@
         return;
     }
     int64_t now_ms = EyClock_NowMs();
-    int64_t sent_ms = request->arrived_ms;
+    int64_t sent_ms = EyNode_SentMs(self->node, request);
     if (!reply.is_read && EyCommand_IsTooOld(&reply.command, now_ms - sent_ms))
     {
         EyOperators_LogOld(request, now_ms - sent_ms);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -134,6 +134,12 @@
     [EY_CALL_METRICS] = answer_metrics,
 };
 
+int64_t
+EyNode_SentMs(const EyNode_t *self, const EyRequest_t *request)
+{
+    return EyPauses_SentMs(&self->pauses, request->arrived_ms);
+}
+
 void
 EyNode_Answer(EyNode_t *self, EyRequest_t *request, EyAnswer_t *answer)
 {
@@ -163,6 +169,9 @@
 {
     EyNode_t *self = data;
     EyRequest_t *request = message;
+    if (request->call == EY_CALL_OPERATOR) {
+        EyPauses_Note(&self->pauses, EyClock_NowMs());
+    }
     LocalHandler_t handler = LocalHandlers[request->call];
     if (handler != NULL) {
         EyNode_Answer(self, request, handler(self));
@@ -492,7 +501,8 @@
 static void
 on_cluster_tick(void *data, int64_t now_ms)
 {
-    const EyNode_t *self = data;
+    EyNode_t *self = data;
+    EyPauses_Note(&self->pauses, now_ms);
     EyCluster_Tick(self->cluster, now_ms);
 }
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #define EY_NODE_NODE_H
 
 #include "callers/server.h"
+#include "core/pauses.h"
 #include "core/random.h"
 #include "core/settings.h"
 #include "core/timers.h"
@@ -98,6 +99,7 @@
     char *operator_token; /* NULL: operators need no token */
     struct tevent_context *loop;
     EyTimers_t *timers;
+    EyPauses_t pauses;
     EyServer_t *server;
     EyPeers_t *peers;
     EyCluster_t *cluster;
@@ -140,6 +142,11 @@
                      const char *address, const EySchema_t *schema,
                      const void *object);
 
+/** When the caller of a request sent it at the earliest: it may have waited
+ * while this process stood still. */
+int64_t
+EyNode_SentMs(const EyNode_t *self, const EyRequest_t *request);
+
 /** Answers an HTTP request and frees it; takes ownership of answer. */
 void
 EyNode_Answer(EyNode_t *self, EyRequest_t *request, EyAnswer_t *answer);
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -183,6 +183,37 @@
     Process_Kill(&fake);
 }
 
+/* An order that lay in the socket of a process that stood still; its caller
+ * has given up without closing the connection. */
+Test(routes, an_order_that_waited_in_a_stopped_process_is_not_carried_out)
+{
+    start_gateway();
+    Process_t fake = start_service();
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    await(Gateway.port, "PUT", "/v1/config/evacuations/istra-b", NULL, 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 503);
+    int socket = raw_connect(Gateway.port);
+    Process_Signal(&Gateway, SIGSTOP);
+    (void)raw_send_text(socket,
+                        "DELETE /v1/config/evacuations/istra-b HTTP/1.1\r\n"
+                        "Host: 127.0.0.1\r\n\r\n");
+    Harness_SleepMs(2500);
+    Process_Signal(&Gateway, SIGCONT);
+    char text[RAW_TEXT_MAX_BYTES];
+    (void)raw_read_until(socket, "\r\n\r\n", 3000, text);
+    cr_expect_not_null(strstr(text, "HTTP/1.1 503"), "'%s'", text);
+    cr_expect_eq(announce(&fake, "serving", 2), 200);
+    cr_expect_eq(send(RoutedPort, "POST", "/buy/1", "{}"), 503);
+    (void)close(socket);
+    await(Gateway.port, "DELETE", "/v1/config/evacuations/istra-b", NULL, 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_Kill(&Gateway);
+    Process_Kill(&fake);
+}
+
 #define GRACE_MS 2000
 
 /* A request whose server is still at work when the process is about to be
