--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -9,7 +9,8 @@
  *   never             send no answer until the caller disconnects
  *   big=BYTES         add as many bytes of filler to the body
  *   status=N          answer with this HTTP status
- *   refuse=SECONDS    answer 503 without a run, with this Retry-After
+ *   refuse=SECONDS    answer 503 without a run, with this Retry-After, after
+ *                     the delay
  *   leaving           say in the answer that this server is leaving
  *   limit=TEXT        name this limit of requests a second in the answer
  *   at=ID             the faults named after it occur at this server only
@@ -181,7 +182,9 @@
     Behaviour_t behaviour = read_behaviour(request);
     const char *key = FakeRequest_Header(request, "Idempotency-Key");
     if (behaviour.retry_after[0] != '\0') {
-        return refuse(request, &behaviour);
+        return FakeRequest_Sleep(request, behaviour.delay_ms)
+                   ? refuse(request, &behaviour)
+                   : MHD_NO;
     }
     if (!FakeServer_AcquireSlot(request)) {
         return MHD_NO;
