A server's leaving is acknowledged once its own region has recorded it

A withdrawal, or an announcement that says leaving, that came to an instance of another region was acknowledged when it had been sent on to two instances there. If both were down, frozen or behind a dead connection, the server's region went on to send it requests after the acknowledgement.

Cause: an acknowledgement that rested on a message that may be lost.

Change: what a leaving depends on is relayed with a number and acknowledged by a receipt (discovery/relays): of an instance that knew the server, or of all that were asked where none knows it. It is repeated each 250 ms; without a receipt within 800 ms the answer is 503, so that the server, which waits a second, asks another instance. Numbers begin at a random one, so receipts for an earlier life count for nothing. Announcements that say serving are answered as before: nothing depends on one of them. An instance of an older build sends no receipt.

Measured: relayed_leaving::is_acknowledged_once_the_servers_region_knows (two real gateways in two regions, the server's own one stopped) fails on (200 and 204) and passes now; relays, ten cases without processes.

--- a/src/backends/announcement.c
+++ b/src/backends/announcement.c
@@ -8,6 +8,10 @@
 static const EyField_t AnnouncementFields[] = {
     EY_FIELD_NESTED(EyAnnouncement_t, backend, EyBackend_schema),
     EY_FIELD(EyAnnouncement_t, withdraws, EY_FIELD_BOOL),
+    EY_FIELD(EyAnnouncement_t, number, EY_FIELD_U64),
+    EY_FIELD(EyAnnouncement_t, round, EY_FIELD_U32),
+    EY_FIELD(EyAnnouncement_t, is_receipt, EY_FIELD_BOOL),
+    EY_FIELD(EyAnnouncement_t, is_known, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 const EySchema_t EyAnnouncement_schema =
--- a/src/backends/announcement.h
+++ b/src/backends/announcement.h
@@ -13,10 +13,16 @@
 extern "C" {
 #endif
 
-/** An announcement or withdrawal that one instance forwards to another. */
+/** An announcement or withdrawal that one instance forwards to another, or the
+ * receipt for it. */
 typedef struct EyAnnouncement {
-    EyBackend_t backend; /* of a withdrawal only id and incarnation are used */
+    EyBackend_t backend; /* of a withdrawal only id and incarnation are used,
+                          * of a receipt only the region, of its sender */
     bool withdraws;
+    uint64_t number; /* 0: needs no receipt */
+    uint32_t round;  /* how often it has been sent, also in the receipt */
+    bool is_receipt;
+    bool is_known; /* receipt: its sender knew the server */
 } EyAnnouncement_t;
 
 extern const EySchema_t EyAnnouncement_schema;
--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -7,6 +7,7 @@
 #include "core/memory.h"
 #include "discovery/entry_choice.h"
 #include "discovery/query.h"
+#include "discovery/relays.h"
 
 #include <string.h>
 
@@ -23,6 +24,8 @@
 typedef struct DiscoveryPart {
     EyNode_t *node;
     const EyHeaderNames_t *names;
+    EyRelays_t *relays;
+    EyTimer_t *relay_timer; /* NULL: nothing waits for a receipt */
 } DiscoveryPart_t;
 
 /** The contacts in one remote region, or in all of them. */
@@ -82,8 +85,8 @@
 
 /* Announcements */
 
-/** Relays an announcement to a region; false if no instance there is known. */
-static bool
+/** Relays an announcement to instances of a region, and returns how many. */
+static uint32_t
 relay(const DiscoveryPart_t *self, const char *region,
       const EyAnnouncement_t *announcement)
 {
@@ -98,7 +101,14 @@
                              member->peer_address, &EyAnnouncement_schema,
                              announcement);
     }
-    return sent > 0;
+    return sent;
+}
+
+static uint32_t
+hook_relay(void *data, const char *region,
+           const EyAnnouncement_t *announcement)
+{
+    return relay(data, region, announcement);
 }
 
 static EyRegistry_t *
@@ -116,30 +126,117 @@
     return answer;
 }
 
+static EyAnswer_t *
+answer_unknown_region(void)
+{
+    return EyAnswer_Problem(
+        EY_PROBLEM_NO_BACKEND, EY_OUTCOME_NOT_RUN, 1,
+        "no instance of the backend server's region is known");
+}
+
+static EyAnswer_t *
+answer_announced(const char *id, uint32_t ttl_ms)
+{
+    return EyAnswer_Json(
+        200, json_pack("{s:s, s:i}", "id", id, "ttl_ms", (int)ttl_ms));
+}
+
+static void
+on_relay_due(void *data, int64_t now_ms);
+
+static void
+schedule_relays(DiscoveryPart_t *self)
+{
+    int64_t due_ms = EyRelays_DueMs(self->relays);
+    if (self->relay_timer == NULL && due_ms != INT64_MAX) {
+        self->relay_timer = EyTimers_After(self->node->timers,
+                                           MAX(due_ms - EyClock_NowMs(), 1),
+                                           on_relay_due, self);
+    }
+}
+
+static void
+on_relay_due(void *data, int64_t now_ms)
+{
+    DiscoveryPart_t *self = data;
+    self->relay_timer = NULL;
+    EyRelays_Tick(self->relays, now_ms);
+    schedule_relays(self);
+}
+
+/** Relays what a server's leaving depends on; its request is answered when the
+ * other region has recorded it. */
+static void
+begin_relay(DiscoveryPart_t *self, EyRequest_t *request,
+            const EyAnnouncement_t *announcement, const char *const *regions,
+            uint32_t region_count)
+{
+    EyRelays_Begin(self->relays, EyClock_NowMs(), request, announcement,
+                   regions, region_count);
+    schedule_relays(self);
+}
+
+/** The answer to a relayed request. */
+static EyAnswer_t *
+answer_relayed(const DiscoveryPart_t *self, const EyRequest_t *request,
+               EyRelayOutcome_t outcome)
+{
+    bool withdraws = request->call == EY_CALL_WITHDRAW;
+    switch (outcome) {
+    case EY_RELAY_RECORDED:
+        return withdraws
+                   ? EyAnswer_New(204, EY_OUTCOME_COMPLETED)
+                   : answer_announced(request->target,
+                                      self->node->settings->backend_ttl_ms);
+    case EY_RELAY_UNREACHABLE:
+        return withdraws
+                   ? EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN,
+                                      0, "no such backend server")
+                   : answer_unknown_region();
+    default:
+        return EyAnswer_Problem(
+            EY_PROBLEM_NO_BACKEND, EY_OUTCOME_UNKNOWN, 1,
+            "the backend server's region hasn't confirmed it in time; repeat "
+            "it at another instance");
+    }
+}
+
+static void
+hook_decided(void *data, EyRequest_t *request, EyRelayOutcome_t outcome)
+{
+    const DiscoveryPart_t *self = data;
+    EY_LOG(outcome == EY_RELAY_RECORDED ? EY_LOG_INFO : EY_LOG_WARNING,
+           "discovery", "relayed", EY_LOG_TEXT("server", request->target),
+           EY_LOG_TEXT("path", request->path),
+           EY_LOG_TEXT("outcome", EyRelays_outcome_names[outcome]));
+    EyNode_Answer(self->node, request, answer_relayed(self, request, outcome));
+}
+
 /** Registers a backend server of the local region, or relays its announcement
- * to the server's region. */
+ * to the server's region. NULL: the request is answered later. */
 static EyAnswer_t *
-register_backend(const DiscoveryPart_t *self, EyBackend_t *backend)
+register_backend(DiscoveryPart_t *self, EyRequest_t *request,
+                 const EyBackend_t *backend)
 {
     const EySettings_t *settings = self->node->settings;
+    const EyAnnouncement_t announcement = {.backend = *backend};
     if (strcmp(backend->region, settings->region) == 0) {
         EyRegistry_Announce(registry(self), EyClock_NowMs(), backend);
     }
-    else {
-        const EyAnnouncement_t announcement = {.backend = *backend};
-        if (!relay(self, backend->region, &announcement)) {
-            return EyAnswer_Problem(
-                EY_PROBLEM_NO_BACKEND, EY_OUTCOME_NOT_RUN, 1,
-                "no instance of the backend server's region is known");
-        }
+    else if (backend->state == EY_BACKEND_LEAVING) {
+        const char *region = backend->region;
+        begin_relay(self, request, &announcement, &region, 1);
+        return NULL;
+    }
+    else if (relay(self, backend->region, &announcement) == 0) {
+        return answer_unknown_region();
     }
-    return EyAnswer_Json(200, json_pack("{s:s, s:i}", "id", backend->id,
-                                        "ttl_ms", (int)backend->ttl_ms));
+    return answer_announced(backend->id, backend->ttl_ms);
 }
 
 /** The short form, POST /v1/backends/{id}. */
 static EyAnswer_t *
-announce_short(const DiscoveryPart_t *self, const EyRequest_t *request)
+announce_short(DiscoveryPart_t *self, EyRequest_t *request)
 {
     GError *error = NULL;
     EyBackend_t *backend =
@@ -156,12 +253,12 @@
     }
     (void)EY_COPY(backend->region, region);
     backend->ttl_ms = settings->backend_ttl_ms;
-    return register_backend(self, backend);
+    return register_backend(self, request, backend);
 }
 
 /** The full form, POST /v1/backends. */
 static EyAnswer_t *
-announce_full(const DiscoveryPart_t *self, const EyRequest_t *request)
+announce_full(DiscoveryPart_t *self, EyRequest_t *request)
 {
     GError *error = NULL;
     EyBackend_t *backend =
@@ -175,11 +272,11 @@
             EY_PROBLEM_WRONG_REGION, EY_OUTCOME_NOT_RUN, 0,
             "announce to an instance of the backend server's region");
     }
-    return register_backend(self, backend);
+    return register_backend(self, request, backend);
 }
 
 static EyAnswer_t *
-answer_announce(const DiscoveryPart_t *self, const EyRequest_t *request)
+answer_announce(DiscoveryPart_t *self, EyRequest_t *request)
 {
     return request->target[0] != '\0' ? announce_short(self, request)
                                       : announce_full(self, request);
@@ -192,8 +289,26 @@
     return known != NULL && start_ms != 0 && start_ms < known->incarnation;
 }
 
+/** The regions of the fleet but this instance's; returns how many. */
+static uint32_t
+remote_regions(const EySettings_t *settings, const char **regions)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < settings->zone_count; i++) {
+        const char *region = settings->zones[i].region;
+        bool is_new = strcmp(region, settings->region) != 0;
+        for (uint32_t j = 0; j < count && is_new; j++) {
+            is_new = strcmp(region, regions[j]) != 0;
+        }
+        if (is_new && count < EY_RELAY_REGIONS_MAX) {
+            regions[count++] = region;
+        }
+    }
+    return count;
+}
+
 static EyAnswer_t *
-answer_withdraw(const DiscoveryPart_t *self, const EyRequest_t *request)
+answer_withdraw(DiscoveryPart_t *self, EyRequest_t *request)
 {
     EyAnnouncement_t announcement = {.withdraws = true};
     (void)EY_COPY(announcement.backend.id, request->target);
@@ -211,43 +326,54 @@
     EyRegistry_EndStart(registry(self), EyClock_NowMs(), request->target,
                         announcement.backend.incarnation);
     /* The server may be in any remote region: relays to all of them. */
-    bool is_relayed = false;
-    const EySettings_t *settings = self->node->settings;
-    for (uint32_t i = 0; i < settings->zone_count; i++) {
-        const char *region = settings->zones[i].region;
-        bool is_first =
-            i == 0 || strcmp(region, settings->zones[i - 1].region) != 0;
-        if (is_first && strcmp(region, settings->region) != 0) {
-            is_relayed |= relay(self, region, &announcement);
-        }
-    }
-    if (is_relayed) {
-        return EyAnswer_New(204, EY_OUTCOME_COMPLETED);
-    }
-    return EyAnswer_Problem(EY_PROBLEM_NOT_FOUND, EY_OUTCOME_NOT_RUN, 0,
-                            "no such backend server");
+    const char *regions[EY_RELAY_REGIONS_MAX];
+    uint32_t count = remote_regions(self->node->settings, regions);
+    begin_relay(self, request, &announcement, regions, count);
+    return NULL;
 }
 
-static void
-handle_relayed(const DiscoveryPart_t *self,
+/** Records a relayed announcement; false if the server isn't known here. */
+static bool
+record_relayed(const DiscoveryPart_t *self,
                const EyAnnouncement_t *announcement)
 {
     const EyBackend_t *backend = &announcement->backend;
     int64_t now_ms = EyClock_NowMs();
     if (!announcement->withdraws) {
-        if (strcmp(backend->region, self->node->settings->region) == 0) {
+        bool is_own =
+            strcmp(backend->region, self->node->settings->region) == 0;
+        if (is_own) {
             EyRegistry_Announce(registry(self), now_ms, backend);
         }
-        return;
+        return is_own;
     }
     const EyBackend_t *known = EyRegistry_Find(registry(self), backend->id);
     if (known == NULL) {
         EyRegistry_EndStart(registry(self), now_ms, backend->id,
                             backend->incarnation);
+        return false;
     }
-    else if (!is_from_earlier_start(known, backend->incarnation)) {
+    if (!is_from_earlier_start(known, backend->incarnation)) {
         (void)EyRegistry_Withdraw(registry(self), now_ms, backend->id);
     }
+    return true;
+}
+
+static void
+handle_relayed(const DiscoveryPart_t *self, const char *from,
+               const EyAnnouncement_t *announcement)
+{
+    EyAnnouncement_t receipt = {
+        .number = announcement->number,
+        .round = announcement->round,
+        .is_receipt = true,
+        .is_known = record_relayed(self, announcement),
+    };
+    (void)EY_COPY(receipt.backend.region, self->node->settings->region);
+    if (receipt.number != 0) {
+        EyNode_Send(self->node, EY_PEER_ANNOUNCE, from, &EyAnnouncement_schema,
+                    &receipt);
+    }
 }
 
 /* Callers */
@@ -376,7 +502,7 @@
 }
 
 static EyAnswer_t *
-answer_instances(const DiscoveryPart_t *self, const EyRequest_t *request)
+answer_instances(DiscoveryPart_t *self, EyRequest_t *request)
 {
     EyName_t region;
     EyName_t zone;
@@ -393,8 +519,8 @@
 
 /* Part interface */
 
-typedef EyAnswer_t *(*Handler_t)(const DiscoveryPart_t *self,
-                                 const EyRequest_t *request);
+/** Returns the answer; NULL if the request was taken over. */
+typedef EyAnswer_t *(*Handler_t)(DiscoveryPart_t *self, EyRequest_t *request);
 
 static const Handler_t Handlers[EY_CALL_COUNT] = {
     [EY_CALL_ANNOUNCE] = answer_announce,
@@ -409,18 +535,24 @@
     DiscoveryPart_t *self = EY_NEW(ctx, DiscoveryPart_t);
     self->node = node;
     self->names = EyHeaderNames_Find(node->settings->headers);
+    const EyRelaysHooks_t hooks = {
+        .send = hook_relay, .decided = hook_decided, .data = self};
+    self->relays = EyRelays_New(self, EyRandom_Next(&node->random), &hooks);
     return self;
 }
 
 static bool
 discovery_on_request(void *part, EyRequest_t *request)
 {
-    const DiscoveryPart_t *self = part;
+    DiscoveryPart_t *self = part;
     Handler_t handler = Handlers[request->call];
     if (handler == NULL) {
         return false;
     }
-    EyNode_Answer(self->node, request, handler(self, request));
+    EyAnswer_t *answer = handler(self, request);
+    if (answer != NULL) {
+        EyNode_Answer(self->node, request, answer);
+    }
     return true;
 }
 
@@ -434,13 +566,19 @@
 static void
 discovery_on_message(void *part, const EyPeerMessage_t *message)
 {
+    const DiscoveryPart_t *self = part;
     void *ctx = talloc_new(NULL);
     EyAnnouncement_t announcement;
     GError *error = NULL;
     if (EySchema_Unpack(&EyAnnouncement_schema, ctx, message->payload.data,
                         message->payload.size_bytes, &announcement, &error))
     {
-        handle_relayed(part, &announcement);
+        if (announcement.is_receipt) {
+            EyRelays_Receive(self->relays, EyClock_NowMs(), &announcement);
+        }
+        else {
+            handle_relayed(self, message->from, &announcement);
+        }
     }
     else {
         EY_LOG(EY_LOG_WARNING, "discovery", "announcement_unreadable",
