--- a/tests/property/test_raft_replacement_properties.cc
+++ b/tests/property/test_raft_replacement_properties.cc
@@ -223,14 +223,15 @@
     OP_RETURN,
     OP_LOSE_DISK,
     OP_CRASH,
+    OP_FILL_DISK,
     OP_POWER,
     OP_COUNT
 };
 
 const char *const OperationNames[OP_COUNT] = {
-    "run",    "propose", "replace", "replace planned", "replace leader",
-    "freeze", "isolate", "return",  "lose disk",       "crash",
-    "power",
+    "run",       "propose", "replace", "replace planned", "replace leader",
+    "freeze",    "isolate", "return",  "lose disk",       "crash",
+    "fill disk", "power",
 };
 
 const Operation Frequencies[] = {
@@ -251,9 +252,26 @@
     OP_RETURN,
     OP_LOSE_DISK,
     OP_CRASH,
+    OP_FILL_DISK,
+    OP_FILL_DISK,
     OP_POWER,
 };
 
+/** A node's disk is full for a time, beside a storm of changes. */
+void
+fill_disk(Deployment &deployment, size_t node, int64_t for_ms)
+{
+    World &world = deployment.world;
+    deployment.lose(node);
+    world.fill_disk(node, true);
+    for (int64_t end_ms = world.now_ms + for_ms; world.now_ms < end_ms;) {
+        (void)world.propose(deployment.any_node());
+        world.run(100);
+    }
+    world.fill_disk(node, false);
+    deployment.is_back(node);
+}
+
 /** Ends all freezes and cuts. */
 void
 return_all(Deployment &deployment)
@@ -341,6 +359,9 @@
         world.start(node);
         deployment.is_back(node);
         break;
+    case OP_FILL_DISK:
+        fill_disk(deployment, node, 200 + amount * 50);
+        break;
     case OP_POWER:
         deployment.lose_power_everywhere();
         break;
@@ -392,6 +413,51 @@
     });
 }
 
+/* Every disk has been full, one after the other, and changes are taken again.
+ */
+Test(raft_replacement, disks_that_were_full_in_turn_leave_a_leader)
+{
+    Check_SetCaseCount(100);
+    EY_CHECK("any seed, five or six members, the leader's too", [] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto has_sixth = *rc::gen::arbitrary<bool>();
+        const auto full_ms = *rc::gen::inRange<int64_t>(500, 8000);
+        const auto pause_ms = *rc::gen::inRange<int64_t>(0, 3000);
+        const auto leader_each_time = *rc::gen::arbitrary<bool>();
+        const auto replaced = *rc::gen::inRange<size_t>(0, 2 * Members);
+        Deployment deployment(seed);
+        World &world = deployment.world;
+        if (has_sixth) {
+            (void)world.start_spare();
+            world.run(CatchUpMs);
+        }
+        for (size_t i = 0; i < Members + has_sixth; i++) {
+            size_t leader = world.leader();
+            bool is_led = leader < world.nodes.size();
+            size_t node = leader_each_time && is_led ? leader : i;
+            if (world.nodes[node].log == nullptr) {
+                continue;
+            }
+            fill_disk(deployment, node, full_ms);
+            world.run(pause_ms);
+            if (i == replaced) {
+                deployment.replace(node, false, 1000);
+                world.run(CatchUpMs);
+            }
+        }
+        try {
+            deployment.check_recovery("the last disk had room");
+            world.run(RecoveryMs);
+            raft_world::require(world.voters_are_those_running(),
+                                "the voters are those that run");
+        }
+        catch (const raft_world::Violation &violation) {
+            RC_LOG() << violation.what() << deployment.describe() << "\n";
+            RC_FAIL(violation.what());
+        }
+    });
+}
+
 Test(raft_replacement, members_replaced_in_any_order_lose_no_entries)
 {
     Check_SetCaseCount(400);
