The list of servers is stored once a full disk has room again

The list of servers that a control process keeps for a start without announcements was written at a change and given up if that failed. After a full disk it showed servers that had left until the next change, and a power loss in that time brings them back for 3 s.

Change: a failed write is repeated each second until it is done or a newer list comes; so is one for which the queue of a slow disk had no room.

--- a/src/control/server_list_saver.c
+++ b/src/control/server_list_saver.c
@@ -10,6 +10,8 @@
  * the disk and delays the syncs of the Raft file. */
 #define SAVE_DELAY_MS 1000
 #define WRITE_QUEUE_MAX 4
+/** Interval at which a failed write is repeated. */
+#define REPEAT_INTERVAL_MS 1000
 
 struct EyServerListSaver {
     EyNode_t *node;
@@ -20,26 +22,67 @@
 
 /* Called on the saver's worker thread. */
 
+typedef struct Thread {
+    char *folder;
+    EyTimers_t *timers;
+    EyServerList_t *unsaved; /* the newest list, if it couldn't be written */
+    bool repeats;            /* the timer runs */
+} Thread_t;
+
 static void *
 worker_open(void *ctx, struct tevent_context *loop, EyTimers_t *timers,
             void *data)
 {
     (void)loop;
-    (void)timers;
-    return EyMemory_Strdup(ctx, data);
+    Thread_t *self = EY_NEW(ctx, Thread_t);
+    self->folder = EyMemory_Strdup(self, data);
+    self->timers = timers;
+    return self;
 }
 
 static void
-worker_handle(void *state, void *message)
+on_repeat(void *data, int64_t now_ms);
+
+/** Writes the list; a failed write is repeated until it is done or there is a
+ * newer list. Else the file would show servers that have left since. */
+static void
+save(Thread_t *self)
 {
-    const char *folder = state;
     GError *error = NULL;
-    if (!EyServerList_Save(message, folder, &error)) {
+    if (EyServerList_Save(self->unsaved, self->folder, &error)) {
+        talloc_free(self->unsaved);
+        self->unsaved = NULL;
+        return;
+    }
+    if (!self->repeats) {
         EY_LOG(EY_LOG_WARNING, "control", "server_list_not_written",
-               EY_LOG_TEXT("reason", error->message));
-        g_error_free(error);
+               EY_LOG_TEXT("reason", error->message),
+               EY_LOG_TEXT("outcome", "repeated until it is done"));
+        (void)EyTimers_After(self->timers, REPEAT_INTERVAL_MS, on_repeat,
+                             self);
+        self->repeats = true;
     }
-    talloc_free(message);
+    g_error_free(error);
+}
+
+static void
+on_repeat(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    Thread_t *self = data;
+    self->repeats = false;
+    if (self->unsaved != NULL) {
+        save(self);
+    }
+}
+
+static void
+worker_handle(void *state, void *message)
+{
+    Thread_t *self = state;
+    talloc_free(self->unsaved);
+    self->unsaved = talloc_steal(self, message);
+    save(self);
 }
 
 static const EyWorkerClass_t WorkerClass = {
@@ -77,9 +120,10 @@
     self->save_timer = NULL;
     EyServerList_t *list = EyServerList_FromRegistry(NULL, registry(self));
     if (!EyWorker_Post(self->worker, list)) {
-        /* The queue is full because the disk is slow: drop this list, the next
-         * change writes a newer one. */
+        /* The queue is full because the disk is slow. */
         talloc_free(list);
+        self->save_timer =
+            EyTimers_After(self->node->timers, SAVE_DELAY_MS, on_save, self);
     }
 }
 
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -136,6 +136,14 @@
     cr_assert_eq(kill(self->pid, signal_number), 0);
 }
 
+void
+Process_LimitFiles(const Process_t *self, rlim_t size_bytes)
+{
+    const struct rlimit limit = {.rlim_cur = size_bytes,
+                                 .rlim_max = RLIM_INFINITY};
+    cr_assert_eq(prlimit(self->pid, RLIMIT_FSIZE, &limit, NULL), 0);
+}
+
 int
 Process_Wait(Process_t *self, int64_t timeout_ms)
 {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #define HARNESS_ARGS_MAX 48
@@ -74,6 +75,12 @@
 void
 Process_Signal(const Process_t *self, int signal_number);
 
+/** Limits the size of the files that the process writes, which stands in for a
+ * full disk; RLIM_INFINITY: no limit. Each write that goes beyond fails; the
+ * process must have been started with SIGXFSZ ignored. */
+void
+Process_LimitFiles(const Process_t *self, rlim_t size_bytes);
+
 /** Waits for the process to end. Returns its exit code, the negated number of
  * the signal that ended it, or -1000 if it still runs after timeout_ms. */
 int
--- a/tests/process/test_fleet.c
+++ b/tests/process/test_fleet.c
@@ -348,17 +348,16 @@
 static void
 set_disk_full(const FleetRegion_t *region, bool is_full)
 {
-    struct rlimit limit = {.rlim_cur = RLIM_INFINITY,
-                           .rlim_max = RLIM_INFINITY};
+    rlim_t size_bytes = RLIM_INFINITY;
     if (is_full) {
         char path[HARNESS_ARG_SIZE_BYTES + 32];
         struct stat status;
         (void)snprintf(path, sizeof(path), "%s/control.log",
                        region->control_folder);
         cr_assert_eq(stat(path, &status), 0);
-        limit.rlim_cur = (rlim_t)status.st_size;
+        size_bytes = (rlim_t)status.st_size;
     }
-    cr_assert_eq(prlimit(region->control.pid, RLIMIT_FSIZE, &limit, NULL), 0);
+    Process_LimitFiles(&region->control, size_bytes);
 }
 
 static bool
