A gateway whose disk was full takes part in the records of calls again

With all gateways of a region, one after the other, calls with an idempotency key stayed refused until restarts.

Cause: a failed write halted the member for good, and the state that couldn't be written was dropped. A failed compaction counted as a failed write though the old file stays in use.

Meanwhile the member is silent, as one that is frozen, which its group has to bear anyway; when the write is done it goes on, and is told the epoch that it may have missed.

Open: a gateway that starts on a full disk ends with an error until it has room.

--- a/src/gateway/record_storage.h
+++ b/src/gateway/record_storage.h
@@ -15,8 +15,8 @@
 typedef struct EyRecordStorage EyRecordStorage_t;
 
 typedef struct EyRecordStorageHooks {
-    /** A write was synced to disk (done) or failed; called on the main
-     * thread. */
+    /** A write was synced to disk (done), or it failed and is repeated until
+     * it is done; called on the main thread. */
     void (*written)(void *data, uint64_t serial, bool done);
     /** Returns a snapshot for a compaction, as a talloc child of ctx; called
      * on the main thread. */
@@ -40,7 +40,8 @@
 void
 EyRecordStorage_Write(EyRecordStorage_t *self, const EyGroupState_t *state);
 
-/** Completes the queued writes, ends the thread and frees self. */
+/** Completes the queued writes, ends the thread and frees self. Writes that
+ * fail are given up; they were never reported as done. */
 void
 EyRecordStorage_Stop(EyRecordStorage_t *self);
 
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -36,6 +36,7 @@
     int64_t proposed_ms;
     int64_t invited_ms;
     int64_t leaving_ms;    /* when Leave was called */
+    bool has_failed_write; /* it is being repeated; the group ignores events */
     uint64_t logged_epoch; /* of the last view that was logged */
     uint64_t logged_view_number;
 };
@@ -305,6 +306,15 @@
         .serial = serial,
     };
     step_group(self, &event);
+    if (done && self->has_failed_write) {
+        EY_LOG(EY_LOG_WARNING, "records", "write_recovered",
+               EY_LOG_NUMBER("serial", serial));
+        /* A change of the epoch meanwhile was ignored. */
+        self->epoch = 0;
+        EyGatewayRecords_Configure(
+            self, EyConfigReplica_Store(self->gateway->configuration));
+    }
+    self->has_failed_write = !done;
 }
 
 static EyGroupState_t *
--- a/src/idempotency/group.c
+++ b/src/idempotency/group.c
@@ -343,17 +343,27 @@
     case EY_GROUP_EVENT_PERSISTED:
         handle_persisted(self, event->serial);
         break;
-    case EY_GROUP_EVENT_PERSIST_FAILED:
-        self->is_halted = true;
-        break;
-    case EY_GROUP_EVENT_LEAVE:
-        self->is_leaving = true;
-        break;
     default:
         break;
     }
 }
 
+/** A member whose disk fails is silent, as one that is frozen, until what it
+ * was to write is written. That it is to stop counts meanwhile too. */
+static void
+update_halt(EyGroup_t *self, const EyGroupEvent_t *event)
+{
+    if (event->kind == EY_GROUP_EVENT_PERSIST_FAILED) {
+        self->is_halted = true;
+    }
+    else if (event->kind == EY_GROUP_EVENT_PERSISTED) {
+        self->is_halted = false;
+    }
+    else if (event->kind == EY_GROUP_EVENT_LEAVE) {
+        self->is_leaving = true;
+    }
+}
+
 /** Adds a PERSIST action with the changes of this step. */
 static void
 add_persist(EyGroup_t *self)
@@ -387,6 +397,7 @@
 {
     self->actions = actions;
     advance_age_clock(self, now_ms);
+    update_halt(self, event);
     if (!self->is_halted) {
         handle_event(self, event);
     }
--- a/src/idempotency/group.h
+++ b/src/idempotency/group.h
@@ -40,7 +40,8 @@
     EY_GROUP_EVENT_MESSAGE,   /* message from an instance */
     EY_GROUP_EVENT_EPOCH,     /* epoch and first members, from configuration */
     EY_GROUP_EVENT_PERSISTED, /* all PERSIST up to serial are synced */
-    EY_GROUP_EVENT_PERSIST_FAILED, /* the disk is full or has failed */
+    EY_GROUP_EVENT_PERSIST_FAILED, /* the disk is full or fails; the caller
+                                    * repeats the write until PERSISTED */
     EY_GROUP_EVENT_LEAVE, /* this process will end; repeats have no effect */
     EY_GROUP_EVENT_KIND_COUNT
 } EyGroupEventKind_t;
--- a/src/idempotency/group_internal.h
+++ b/src/idempotency/group_internal.h
@@ -95,7 +95,7 @@
     EyGroupOptions_t options;
     EyGroupMember_t identity;
     EyRandom_t random;
-    bool is_halted;  /* the disk failed; handles no more events */
+    bool is_halted;  /* the disk fails; events are ignored */
     bool is_leaving; /* the process will end */
 
     /* time */
--- a/src/idempotency/journal.c
+++ b/src/idempotency/journal.c
@@ -34,9 +34,9 @@
     char *folder;
     char *path;
     int file;
-    uint64_t size_bytes;
+    uint64_t size_bytes;      /* of the entries that are written whole */
     uint64_t compacted_bytes; /* size after the last compaction */
-    bool has_failed;
+    bool has_failed;          /* what is behind them is unknown */
 };
 
 /** State of loading. */
@@ -321,21 +321,30 @@
     return is_ok;
 }
 
+/** After a failed write: drops what it left behind the whole entries. */
+static bool
+recover(EyJournal_t *self)
+{
+    if (self->has_failed) {
+        self->has_failed =
+            ftruncate(self->file, (off_t)self->size_bytes) != 0 ||
+            fdatasync(self->file) != 0 || !sync_folder(self->folder);
+    }
+    return !self->has_failed;
+}
+
 bool
 EyJournal_Append(EyJournal_t *self, const EyGroupState_t *state,
                  GError **error)
 {
-    if (self->has_failed) {
-        errno = EIO;
-        return fail(error, EY_JOURNAL_ERROR_WRITE, self->path,
-                    "an earlier write failed");
-    }
-    if (!write_entry(self->file, state, &self->size_bytes) ||
+    uint64_t size_bytes = self->size_bytes;
+    if (!recover(self) || !write_entry(self->file, state, &size_bytes) ||
         fdatasync(self->file) != 0)
     {
         self->has_failed = true;
         return fail(error, EY_JOURNAL_ERROR_WRITE, self->path, "can't write");
     }
+    self->size_bytes = size_bytes;
     return true;
 }
 
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 
 static Process_t
@@ -91,6 +92,49 @@
     Process_Kill(&fake);
 }
 
+static long
+buy(uint16_t port, const char *key)
+{
+    char header[64];
+    (void)snprintf(header, sizeof(header), "Idempotency-Key: %s", key);
+    const char *const headers[] = {header, NULL};
+    Reply_t reply = Http_Call(port, "POST", "/v1/services/booking/purchases",
+                              headers, "{\"seats\":30}", 5000);
+    long status = reply.status;
+    Reply_Clear(&reply);
+    return status;
+}
+
+/* The records of purchases could not be written for a while. */
+Test(path, purchases_go_on_after_the_disk_was_full)
+{
+    (void)signal(SIGXFSZ, SIG_IGN);
+    Process_t gateway = start_gateway();
+    Process_t fake =
+        start_fake("fake-service", "--services=booking", gateway.port);
+    const char *const headers[] = {"Idempotency-Key: first", NULL};
+    Reply_t first =
+        call_when_known(gateway.port, "POST", "/v1/services/booking/purchases",
+                        headers, "{\"seats\":30}");
+    cr_assert_eq(first.status, 200, "%s", first.body);
+    Reply_Clear(&first);
+    Process_LimitFiles(&gateway, 16);
+    cr_expect_neq(buy(gateway.port, "while-full"), 200);
+    Harness_SleepMs(1000);
+    Process_LimitFiles(&gateway, RLIM_INFINITY);
+    int64_t until_ms = Harness_NowMs() + 10000;
+    long status = 0;
+    for (int i = 0; status != 200 && Harness_NowMs() < until_ms; i++) {
+        char key[32];
+        (void)snprintf(key, sizeof(key), "after-%d", i);
+        status = buy(gateway.port, key);
+        Harness_SleepMs(100);
+    }
+    cr_expect_eq(status, 200);
+    Process_Kill(&gateway);
+    Process_Kill(&fake);
+}
+
 Test(path, a_purchase_runs_once_and_its_retry_gets_the_same_answer)
 {
     Process_t gateway = start_gateway();
--- a/tests/property/group_world.cc
+++ b/tests/property/group_world.cc
@@ -146,6 +146,7 @@
         talloc_free(write.state);
     }
     node.disk.writes.clear();
+    node.disk.is_failure_told = false;
 }
 
 bool
@@ -254,6 +255,7 @@
     forced_behaviour = BEHAVIOUR_COMPLETES;
     for (uint32_t i = 0; i < nodes.size(); i++) {
         nodes[i].is_frozen = false;
+        nodes[i].disk.is_full = false;
         start(i);
         configure(i);
     }
@@ -431,6 +433,16 @@
 {
     Disk &disk = nodes[index].disk;
     while (!disk.writes.empty() && disk.writes.front().due_ms <= now_ms) {
+        EyGroupEvent_t event = {};
+        event.serial = disk.writes.front().state->serial;
+        if (disk.is_full) {
+            event.kind = EY_GROUP_EVENT_PERSIST_FAILED;
+            if (!disk.is_failure_told) {
+                disk.is_failure_told = true;
+                step(index, event);
+            }
+            return;
+        }
         EyGroupState_t *state = disk.writes.front().state;
         disk.writes.pop_front();
         if (state->clear) {
@@ -441,10 +453,12 @@
                 copy_record(ctx_, &state->records[i]);
         }
         disk.state = state;
-        EyGroupEvent_t event = {};
         event.kind = EY_GROUP_EVENT_PERSISTED;
-        event.serial = state->serial;
         step(index, event);
+        if (disk.is_failure_told) {
+            disk.is_failure_told = false;
+            configure(index);
+        }
     }
 }
 
--- a/tests/property/group_world.h
+++ b/tests/property/group_world.h
@@ -55,6 +55,8 @@
         EyGroupState_t *state;
     };
     std::deque<Write> writes;
+    bool is_full = false;
+    bool is_failure_told = false; /* of the write that comes next */
 };
 
 struct Node {
--- a/tests/property/test_group_properties.cc
+++ b/tests/property/test_group_properties.cc
@@ -28,6 +28,8 @@
     OP_NOISE,
     OP_RAISE_EPOCH,
     OP_STOP,
+    OP_FILL_DISK,
+    OP_EMPTY_DISK,
     OP_COUNT
 };
 
@@ -44,9 +46,10 @@
 }
 
 const char *const Names[OP_COUNT] = {
-    "run",       "claim", "claim-again", "claim-other", "cut",    "cut-off",
-    "heal-cuts", "crash", "start",       "lose-disk",   "freeze", "thaw",
-    "jump",      "noise", "raise-epoch", "stop",
+    "run",     "claim",     "claim-again", "claim-other", "cut",
+    "cut-off", "heal-cuts", "crash",       "start",       "lose-disk",
+    "freeze",  "thaw",      "jump",        "noise",       "raise-epoch",
+    "stop",    "fill-disk", "empty-disk",
 };
 
 std::ostream &
@@ -77,6 +80,8 @@
         {1, OP_JUMP},
         {1, OP_NOISE},
         {1, OP_RAISE_EPOCH},
+        {2, OP_FILL_DISK},
+        {2, OP_EMPTY_DISK},
     });
     auto number = rc::gen::inRange<uint32_t>(0, 1000);
     return rc::gen::build<Command>(rc::gen::set(&Command::op, op),
@@ -136,6 +141,12 @@
         case OP_THAW:
             world_.nodes[node].is_frozen = false;
             break;
+        case OP_FILL_DISK:
+            world_.nodes[node].disk.is_full = true;
+            break;
+        case OP_EMPTY_DISK:
+            world_.nodes[node].disk.is_full = false;
+            break;
         case OP_JUMP:
             jump(node, command.b);
             break;
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -320,6 +320,27 @@
     talloc_free(solo.ctx);
 }
 
+Test(group, member_whose_disk_has_room_again_goes_on)
+{
+    Solo_t solo = make_solo(true, 0, 1);
+    EyGroupEvent_t failed = {.kind = EY_GROUP_EVENT_PERSIST_FAILED};
+    step(&solo, &failed);
+    solo.now_ms += 3000;
+    sync_last_write(&solo);
+    EyGroupEvent_t tick = {.kind = EY_GROUP_EVENT_TICK};
+    for (uint32_t i = 0; i < 50 && !EyGroup_IsServing(solo.group); i++) {
+        solo.now_ms += 100;
+        step(&solo, &tick);
+        sync_last_write(&solo);
+    }
+    cr_assert(EyGroup_IsServing(solo.group));
+    cr_assert_null(claim(&solo, 1, "a", 1));
+    sync_last_write(&solo);
+    cr_assert_eq(solo.decided->count, 1);
+    cr_expect_eq(solo.decided->items[0]->decision, EY_GROUP_DECISION_GRANTED);
+    talloc_free(solo.ctx);
+}
+
 Test(group, claim_without_leader_ends_as_unknown)
 {
     void *ctx = talloc_new(NULL);
--- a/tests/unit/test_journal.c
+++ b/tests/unit/test_journal.c
@@ -217,31 +217,68 @@
     g_error_free(error);
 }
 
-Test(journal, full_disk_stops_the_journal)
+/** Sets the limit on file sizes, which stands in for a full disk. */
+static void
+limit_files(rlim_t size_bytes)
+{
+    struct rlimit limit = {.rlim_max = RLIM_INFINITY};
+    (void)getrlimit(RLIMIT_FSIZE, &limit);
+    limit.rlim_cur = MIN(size_bytes, limit.rlim_max);
+    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+}
+
+/* What a failed write left behind must not be read, nor hide what is written
+ * when there is room again. */
+Test(journal, entries_written_after_a_full_disk_are_read_back)
 {
     EyGroupState_t *state = NULL;
     EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, NULL);
     append(journal, 1, "a", EY_RECORD_CLAIMED);
     rlim_t size_bytes = (rlim_t)EyJournal_SizeBytes(journal);
-    /* Simulates a full disk by the process's limit on file sizes. */
     (void)signal(SIGXFSZ, SIG_IGN);
-    struct rlimit limit = {.rlim_cur = size_bytes + 10,
-                           .rlim_max = RLIM_INFINITY};
-    (void)getrlimit(RLIMIT_FSIZE, &limit);
-    limit.rlim_cur = size_bytes + 10;
-    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
     EyGroupState_t next = make_state(2, NULL);
-    GError *error = NULL;
-    cr_assert_not(EyJournal_Append(journal, &next, &error));
-    cr_assert(
-        g_error_matches(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_WRITE));
-    g_clear_error(&error);
-    limit.rlim_cur = limit.rlim_max;
-    cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
-    cr_assert_not(EyJournal_Append(journal, &next, &error));
-    g_clear_error(&error);
+    for (int i = 0; i < 3; i++) {
+        limit_files(size_bytes + 10);
+        GError *error = NULL;
+        cr_assert_not(EyJournal_Append(journal, &next, &error));
+        cr_assert(
+            g_error_matches(error, EY_JOURNAL_ERROR, EY_JOURNAL_ERROR_WRITE));
+        g_clear_error(&error);
+        cr_assert_eq(EyJournal_SizeBytes(journal), size_bytes);
+    }
+    /* As after a power loss before there is room. */
+    limit_files(RLIM_INFINITY);
+    talloc_free(journal);
+    EyGroupState_t *restored = NULL;
+    journal = EyJournal_Open(Ctx, Folder, &restored, NULL);
+    cr_assert_not_null(journal);
+    cr_assert_eq(restored->serial, 1);
+    limit_files(size_bytes + 10);
+    cr_assert_not(EyJournal_Append(journal, &next, NULL));
+    limit_files(RLIM_INFINITY);
+    append(journal, 2, "b", EY_RECORD_CLAIMED);
+    append(journal, 3, "c", EY_RECORD_CLAIMED);
+    talloc_free(journal);
+    state = reload(NULL);
+    cr_assert_eq(state->serial, 3);
+    cr_assert_eq(state->record_count, 3);
+}
+
+Test(journal, failed_compaction_leaves_a_journal_that_goes_on)
+{
+    EyGroupState_t *state = NULL;
+    EyJournal_t *journal = EyJournal_Open(Ctx, Folder, &state, NULL);
+    append(journal, 1, "a", EY_RECORD_CLAIMED);
+    (void)signal(SIGXFSZ, SIG_IGN);
+    EyGroupState_t snapshot = make_state(1, NULL);
+    limit_files(10);
+    cr_assert_not(EyJournal_Compact(journal, &snapshot, NULL));
+    limit_files(RLIM_INFINITY);
+    append(journal, 2, "b", EY_RECORD_CLAIMED);
     talloc_free(journal);
-    cr_assert_eq(reload(NULL)->serial, 1);
+    state = reload(NULL);
+    cr_assert_eq(state->serial, 2);
+    cr_assert_eq(state->record_count, 2);
 }
 
 /* A process that was killed may have written an entry without syncing it. */
