--- a/tests/process/engines.c
+++ b/tests/process/engines.c
@@ -15,6 +15,8 @@
 struct Engines {
     uint64_t fatal_part; /* 0: none */
     char *fields;
+    char *version;
+    char *name;
     BackendKind_t kind;
     Backends_t *servers;
 };
@@ -53,12 +55,13 @@
 }
 
 static void
-send_event(BackendConnection_t *connection, uint32_t number)
+send_event(const Engines_t *self, BackendConnection_t *connection,
+           uint32_t number)
 {
-    char event[64];
-    char chunk[96];
-    int size = snprintf(event, sizeof(event), "id: %u\ndata: w%u\n\n", number,
-                        number);
+    char event[96];
+    char chunk[128];
+    int size = snprintf(event, sizeof(event), "id: %u\ndata: %.16sw%u\n\n",
+                        number, self->version, number);
     (void)snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", (unsigned)size,
                    event);
     (void)BackendConnection_Send(connection, chunk);
@@ -70,13 +73,13 @@
 static void
 begin_stream(const void *context, BackendConnection_t *connection)
 {
-    (void)context;
+    const Engines_t *self = context;
     char *head = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
                                  "Content-Type: text/event-stream\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n",
                                  BackendConnection_RequestId(connection));
     if (BackendConnection_Send(connection, head)) {
-        send_event(connection, next_event(connection));
+        send_event(self, connection, next_event(connection));
     }
     g_free(head);
     if (BackendConnection_IsFatal(connection)) {
@@ -88,10 +91,10 @@
 static void
 continue_stream(const void *context, BackendConnection_t *connection)
 {
-    (void)context;
+    const Engines_t *self = context;
     uint32_t number = next_event(connection);
     if (number <= EVENTS) {
-        send_event(connection, number);
+        send_event(self, connection, number);
         return;
     }
     (void)BackendConnection_Send(connection, "0\r\n\r\n");
@@ -100,14 +103,18 @@
 
 Engines_t *
 Engines_Start(const char *service, const BackendSite_t *sites, uint32_t count,
-              uint64_t fatal_part)
+              uint64_t fatal_part, const char *version)
 {
     Engines_t *self = g_new0(Engines_t, 1);
     self->fatal_part = fatal_part;
+    self->version = g_strdup(version);
+    self->name = g_strconcat("engine", version, NULL);
     self->fields =
-        g_strdup_printf("\"engine_models\":[{\"name\":\"%s\"}],", service);
+        g_strdup_printf("\"engine_models\":[{\"name\":\"%s\"}],\"version\":"
+                        "\"%s\",",
+                        service, version);
     self->kind = (BackendKind_t){
-        .name = "engine",
+        .name = self->name,
         .fields = self->fields,
         .start_field = "born",
         .id_header = "Attempt-Id",
@@ -135,5 +142,7 @@
 {
     Backends_Stop(self->servers);
     g_free(self->fields);
+    g_free(self->version);
+    g_free(self->name);
     g_free(self);
 }
--- a/tests/process/engines.h
+++ b/tests/process/engines.h
@@ -13,10 +13,12 @@
 
 typedef struct Engines Engines_t;
 
-/** Starts one engine for each site; fatal_part 0: no part is fatal. */
+/** Starts one engine for each site; fatal_part 0: no part is fatal. Event N of
+ * a stream has the data wN, with the version of the engines' software before
+ * it; version "": they name none. */
 Engines_t *
 Engines_Start(const char *service, const BackendSite_t *sites, uint32_t count,
-              uint64_t fatal_part);
+              uint64_t fatal_part, const char *version);
 
 /** The engines as servers: their arrivals and crashes. */
 Backends_t *
--- a/tests/process/test_crashing_prompts.c
+++ b/tests/process/test_crashing_prompts.c
@@ -140,7 +140,7 @@
             }
         }
     }
-    Engines = Engines_Start("guide", sites, ENGINES, fatal_part);
+    Engines = Engines_Start("guide", sites, ENGINES, fatal_part, "");
 }
 
 /* Prompts */
