--- a/src/config/config_message.c
+++ b/src/config/config_message.c
@@ -42,7 +42,7 @@
                         EY_CONFIRMATION_COUNT),
     EY_FIELD(EyConfigMessage_t, awaits_leader, EY_FIELD_BOOL),
     EY_FIELD(EyConfigMessage_t, age_ms, EY_FIELD_I64),
-    EY_FIELD(EyConfigMessage_t, heard_ms, EY_FIELD_I64),
+    EY_FIELD(EyConfigMessage_t, receiver_clock_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 const EySchema_t EyConfigMessage_schema =
--- a/src/config/config_message.h
+++ b/src/config/config_message.h
@@ -70,11 +70,11 @@
     uint64_t number;
     bool is_forwarded; /* by a control process; not to be forwarded again */
     EyCommand_t command;
-    int64_t age_ms;   /* PROPOSE: since its caller gave the command, when this
-                       * message was sent */
-    int64_t heard_ms; /* forwarded PROPOSE: the receiver's clock in the last
-                       * message that the sender had from it; so this message
-                       * was sent later. 0: unknown */
+    int64_t age_ms; /* PROPOSE: since its caller gave the command, when this
+                     * message was sent */
+    int64_t receiver_clock_ms; /* forwarded PROPOSE: the receiver's clock in
+                                * the last message that the sender had from it;
+                                * so this message was sent later. 0: unknown */
     EyProposalOutcome_t outcome;
     EyCommandResult_t result;
 } EyConfigMessage_t;
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -299,7 +299,7 @@
         .is_forwarded = true,
         .command = *command,
         .age_ms = now_ms - pending->given_ms,
-        .heard_ms = leader_clock_ms,
+        .receiver_clock_ms = leader_clock_ms,
     };
     self->hooks.send_config(self->hooks.data, "", pending->forwarded_to,
                             &message);
@@ -354,7 +354,8 @@
 static int64_t
 given_ms(const EyConfigMessage_t *message, int64_t now_ms)
 {
-    int64_t sent_ms = message->heard_ms != 0 ? message->heard_ms : now_ms;
+    int64_t sent_ms =
+        message->receiver_clock_ms != 0 ? message->receiver_clock_ms : now_ms;
     return sent_ms - message->age_ms;
 }
 
--- a/src/discovery/relays.h
+++ b/src/discovery/relays.h
@@ -45,8 +45,8 @@
 
 typedef struct EyRelays EyRelays_t;
 
-/** seed: differs at each start, so that receipts for an earlier life of this
- * instance count for nothing. */
+/** seed: differs at each start, so that receipts for an earlier
+ * incarnation of this instance are ignored. */
 EyRelays_t *
 EyRelays_New(const void *ctx, uint64_t seed, const EyRelaysHooks_t *hooks);
 
--- a/tests/process/test_two_lives.c
+++ b/tests/process/test_gateway_incarnations.c
@@ -43,8 +43,8 @@
     uint32_t false_not_run; /* refused as not run, though the server ran it */
 } Caller_t;
 
-/* What the servers answer when the entry's second life has calls of its own on
- * the way: a whole answer, a long one in pieces, and "not run". */
+/* What the servers answer when the entry's second incarnation has forwarded
+ * calls of its own: a whole answer, a long one in pieces, and "not run". */
 static Caller_t First[CALLERS] = {
     {.name = "whole", .behaviour = "Fake-Behaviour: delay=4000"},
     {.name = "pieces", .behaviour = "Fake-Behaviour: delay=4000,big=400000"},
@@ -63,12 +63,12 @@
     RoutedGateways_Kill(&Fleet);
 }
 
-TestSuite(two_lives, .fini = end_all, .timeout = 90);
+TestSuite(gateway_incarnations, .fini = end_all, .timeout = 90);
 
 static void
 start_booking(void)
 {
-    Booking = Process_Make("fake-service", "two-lives-booking");
+    Booking = Process_Make("fake-service", "incarnations-booking");
     Booking.port = Harness_FreePort();
     Process_Arg(&Booking, "--listen=127.0.0.1:%u", Booking.port);
     Process_Arg(&Booking, "--announce=127.0.0.1:%u",
@@ -159,7 +159,7 @@
 static void
 start_all(void)
 {
-    RoutedGateways_Start(&Fleet, "two-lives", Regions, GATEWAYS, "native");
+    RoutedGateways_Start(&Fleet, "incarnations", Regions, GATEWAYS, "native");
     RoutedGateways_PutRoutes(&Fleet, Routes);
     start_booking();
     Caller_t probe = {.name = "probe", .behaviour = "Fake-Behaviour: delay=1"};
@@ -171,12 +171,13 @@
         Harness_SleepMs(50);
     }
     cr_assert_eq(probe.status, 200);
-    /* The first life begins without a call of its own. */
+    /* The first incarnation begins without a call of its own. */
     restart_entry();
     Harness_SleepMs(SETTLE_MS);
 }
 
-Test(two_lives, answers_to_an_earlier_life_reach_no_other_caller)
+Test(gateway_incarnations,
+     answers_to_an_earlier_incarnation_reach_no_other_caller)
 {
     start_all();
     start_callers(First, 1);
--- a/tests/unit/test_config_lives.c
+++ b/tests/unit/test_config_incarnations.c
@@ -1,5 +1,5 @@
-/* What was meant for an earlier life of a gateway and arrives after it has
- * started again: pushes of the configuration, and answers to proposals. */
+/* What was sent to an earlier incarnation of a gateway and arrives after it
+ * has started again: pushes of the configuration, and answers to proposals. */
 #include "config/config_replica.h"
 #include "config/proposer.h"
 #include "core/memory.h"
@@ -9,7 +9,7 @@
 
 #define NOW_MS 1000
 #define REVISIONS 8
-#define LIVES 50
+#define INCARNATIONS 50
 
 /* Pushes */
 
@@ -84,14 +84,14 @@
 
 typedef struct PushCase {
     const char *name;
-    uint64_t held;     /* revision of the new life; 0: none yet */
+    uint64_t held;     /* revision of the new incarnation; 0: none yet */
     uint64_t first;    /* late commands from here on; 0: a late snapshot */
     uint64_t last;     /* the push's revision */
     uint64_t expected; /* revision afterwards */
 } PushCase_t;
 
 static const PushCase_t PushCases[] = {
-    {"commands that follow what the earlier life had", 0, 5, 6, 0},
+    {"commands that follow the earlier one's revision", 0, 5, 6, 0},
     {"the same, on what is held by chance", 4, 5, 6, 6},
     {"commands with a gap", 2, 5, 6, 2},
     {"older commands", 7, 5, 6, 7},
@@ -99,7 +99,8 @@
     {"a snapshot before anything else", 0, 0, 5, 5},
 };
 
-Test(config_lives, a_push_to_an_earlier_life_leaves_no_gap_and_reverts_nothing)
+Test(config_incarnations,
+     a_push_to_an_earlier_one_leaves_no_gap_and_reverts_nothing)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(PushCases); i++) {
         const PushCase_t *given = &PushCases[i];
@@ -130,18 +131,18 @@
 
 /* Proposals */
 
-/** What the proposer of one life sent and was answered. */
-typedef struct Life {
+/** What the proposer of one incarnation sent and was answered. */
+typedef struct Incarnation {
     uint64_t sent_number;
     uint32_t answers;
-} Life_t;
+} Incarnation_t;
 
 static void
 note_sent(void *data, const char *to, const EyConfigMessage_t *message)
 {
     (void)to;
-    Life_t *life = data;
-    life->sent_number = message->number;
+    Incarnation_t *incarnation = data;
+    incarnation->sent_number = message->number;
 }
 
 static void
@@ -151,16 +152,16 @@
     (void)number;
     (void)outcome;
     (void)result;
-    Life_t *life = data;
-    life->answers++;
+    Incarnation_t *incarnation = data;
+    incarnation->answers++;
 }
 
 /** A proposer that waits for the answer to its first proposal. */
 static EyProposer_t *
-make_proposer(Life_t *life, uint64_t seed)
+make_proposer(Incarnation_t *incarnation, uint64_t seed)
 {
     const EyProposerHooks_t hooks = {
-        .send = note_sent, .answer = note_answer, .data = life};
+        .send = note_sent, .answer = note_answer, .data = incarnation};
     EyProposer_t *proposer = EyProposer_New(NULL, seed, &hooks);
     const EyName_t control = "control";
     EyProposer_SetControls(proposer, &control, 1);
@@ -169,12 +170,12 @@
     return proposer;
 }
 
-Test(config_lives, an_answer_to_an_earlier_life_answers_no_proposal)
+Test(config_incarnations, an_answer_to_an_earlier_one_answers_no_proposal)
 {
     EyRandom_t random = EyRandom_Make(20261205);
-    for (uint32_t i = 0; i < LIVES; i++) {
-        Life_t earlier = {.answers = 0};
-        Life_t later = {.answers = 0};
+    for (uint32_t i = 0; i < INCARNATIONS; i++) {
+        Incarnation_t earlier = {.answers = 0};
+        Incarnation_t later = {.answers = 0};
         talloc_free(make_proposer(&earlier, EyRandom_Next(&random)));
         EyProposer_t *proposer = make_proposer(&later, EyRandom_Next(&random));
         EyConfigMessage_t answer = {.kind = EY_CONFIG_ANSWER,
--- a/tests/unit/test_relays.c
+++ b/tests/unit/test_relays.c
@@ -25,8 +25,9 @@
 typedef struct RelayCase {
     const char *name;
     Region_t regions[REGIONS];
-    bool is_late;         /* receipts come after the next message is sent */
-    bool is_earlier_life; /* receipts are for an earlier life's messages */
+    bool is_late; /* receipts come after the next message is sent */
+    bool is_earlier_incarnation; /* receipts are for an earlier incarnation's
+                                    messages */
     EyRelayOutcome_t outcome;
     int64_t within_ms;
 } RelayCase_t;
@@ -65,9 +66,9 @@
      .is_late = true,
      .outcome = EY_RELAY_RECORDED,
      .within_ms = EY_RELAY_REPEAT_MS + LATENCY_MS},
-    {"receipts for an earlier life",
+    {"receipts for an earlier incarnation",
      {{"istra", 2, 1, 0, 0}, {"zagreb", 2, 0, 0, 0}},
-     .is_earlier_life = true,
+     .is_earlier_incarnation = true,
      .outcome = EY_RELAY_UNANSWERED,
      .within_ms = EY_RELAY_TIMEOUT_MS},
 };
@@ -113,7 +114,7 @@
                       (world->given->is_late ? EY_RELAY_REPEAT_MS : 0),
             .announcement = {.is_receipt = true,
                              .number = announcement->number -
-                                       (world->given->is_earlier_life),
+                                       (world->given->is_earlier_incarnation),
                              .round = announcement->round,
                              .is_known = i < region->known},
         };
