Bodies take a fifth of the memory that the process may use, and each is held once

Cause: bodies were limited to 256 MiB whatever memory there is, and each was held up to four times.

Bodies are read into a block of their size and shared with the attempts.

The price for a request wasn't measured.

--- a/src/callers/inbound_request.h
+++ b/src/callers/inbound_request.h
@@ -7,6 +7,7 @@
 #define EY_CALLERS_INBOUND_REQUEST_H
 
 #include "callers/suspension.h"
+#include "core/memory_budget.h"
 #include "exchange/answer.h"
 #include "exchange/header_names.h"
 #include "exchange/request.h"
@@ -37,13 +38,14 @@
     bool answered_raw;       /* by EyInboundRequest_AnswerRaw */
     bool error_event_sent;
     int64_t started_us;
-    char *path;                /* undecoded, from the request line */
-    EyRequest_t *request;      /* until it is submitted */
-    EyAnswer_t *refusal;       /* until libmicrohttpd accepts a response */
-    EyAnswer_t *answer;        /* set by any thread, under the server's lock */
-    uint64_t body_bytes;       /* counted for this request */
-    uint64_t sent_bytes;       /* of a streamed body */
-    EySuspension_t suspension; /* may be woken by any thread */
+    char *path;           /* undecoded, from the request line */
+    EyRequest_t *request; /* until it is submitted */
+    EyAnswer_t *refusal;  /* until libmicrohttpd accepts a response */
+    EyAnswer_t *answer;   /* set by any thread, under the server's lock */
+    EyMemoryShare_t *body_share; /* of request, until it is submitted; NULL:
+                                    none yet */
+    uint64_t sent_bytes;         /* of a streamed body */
+    EySuspension_t suspension;   /* may be woken by any thread */
 } EyInboundRequest_t;
 
 /**
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -16,7 +16,8 @@
 #include <unistd.h>
 
 /* Total size limit of the bodies of all requests in flight. */
-#define BODIES_TOTAL_MAX_BYTES (256ULL * 1024 * 1024)
+/** A body without a length takes memory in steps of this size. */
+#define BODY_STEP_BYTES (UINT64_C(64) * 1024)
 /* Retry-After of a request that is refused because of a full queue. */
 #define RETRY_AFTER_QUEUE_FULL_S 1
 /* How long the server waits for aborted requests to end when it stops. */
@@ -40,7 +41,6 @@
     Listener_t listeners[EY_SERVER_LISTENERS_MAX];
     uint32_t listener_count;
     EySocketWatcher_t *socket_watcher;
-    uint64_t bodies_bytes; /* atomic */
     pthread_mutex_t lock;
     EyRandom_t random;    /* under the lock */
     GHashTable *inbounds; /* by number; under the lock */
@@ -89,6 +89,9 @@
                          .kind = EY_METRIC_HISTOGRAM},
 };
 
+/** Of servers without a budget of their own. */
+static EyMemoryBudget_t CommonBodies = {.limit_bytes = EY_SERVER_BODIES_BYTES};
+
 /* Request numbers are unique in the process, across all servers. */
 static uint64_t LastNumber;
 
@@ -198,7 +201,32 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
-/** Parses the head; sets has_body if a body follows. */
+/** Makes the request's share of the memory for bodies large enough; returns
+ * the refusal if there is no room. */
+static EyAnswer_t *
+reserve_memory(EyServer_t *self, EyInboundRequest_t *inbound,
+               uint64_t size_bytes)
+{
+    bool has_room = true;
+    if (inbound->body_share == NULL) {
+        inbound->body_share = EyMemoryBudget_Take(
+            self->hooks.bodies, inbound->request, size_bytes);
+        has_room = inbound->body_share != NULL;
+    }
+    else {
+        has_room = EyMemoryShare_Reserve(inbound->body_share, size_bytes);
+    }
+    return has_room ? NULL
+                    : EyAnswer_Problem(
+                          EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN,
+                          RETRY_AFTER_QUEUE_FULL_S,
+                          "the bodies of requests in flight use all of the "
+                          "memory that is set aside for them");
+}
+
+/** Parses the head; sets has_body if a body follows. The memory of a body
+ * whose length is known is taken at once, so that a request that has been
+ * accepted isn't refused midway. */
 static EyAnswer_t *
 read_head(EyServer_t *self, EyInboundRequest_t *inbound, const char *method,
           bool *has_body)
@@ -228,6 +256,14 @@
         request->deadline_ms = request->arrived_ms + head.timeout_ms;
     }
     *has_body = head.framing_headers > 0 && head.content_size_bytes != 0;
+    if (refusal == NULL && head.content_size_bytes > 0) {
+        refusal =
+            reserve_memory(self, inbound, (uint64_t)head.content_size_bytes);
+    }
+    if (refusal == NULL && head.content_size_bytes > 0) {
+        EyBody_Reserve(request, &request->body,
+                       (uint32_t)head.content_size_bytes);
+    }
     return refusal;
 }
 
@@ -272,15 +308,13 @@
         size_t size_bytes)
 {
     EyRequest_t *request = inbound->request;
-    if (__atomic_load_n(&self->bodies_bytes, __ATOMIC_RELAXED) + size_bytes >
-        BODIES_TOTAL_MAX_BYTES)
-    {
-        return refuse_body(
-            inbound,
-            EyAnswer_Problem(
-                EY_PROBLEM_OVERLOADED, EY_OUTCOME_NOT_RUN,
-                RETRY_AFTER_QUEUE_FULL_S,
-                "the bodies of requests in flight use too much memory"));
+    uint64_t needed_bytes = request->body.size_bytes + size_bytes;
+    EyAnswer_t *refusal =
+        reserve_memory(self, inbound,
+                       (needed_bytes + BODY_STEP_BYTES - 1) / BODY_STEP_BYTES *
+                           BODY_STEP_BYTES);
+    if (refusal != NULL) {
+        return refuse_body(inbound, refusal);
     }
     if (!EyBody_Append(request, &request->body, data, size_bytes,
                        EY_REQUEST_BODY_MAX_BYTES))
@@ -289,9 +323,6 @@
                            EyAnswer_Problem(EY_PROBLEM_TOO_LARGE,
                                             EY_OUTCOME_NOT_RUN, 0, NULL));
     }
-    inbound->body_bytes += size_bytes;
-    (void)__atomic_add_fetch(&self->bodies_bytes, size_bytes,
-                             __ATOMIC_RELAXED);
     return MHD_YES;
 }
 
@@ -466,8 +497,6 @@
         EySocketWatcher_Drain(self->socket_watcher,
                               EyInboundRequest_Socket(inbound));
     }
-    (void)__atomic_sub_fetch(&self->bodies_bytes, inbound->body_bytes,
-                             __ATOMIC_RELAXED);
     if (inbound->answer != NULL && inbound->answer->stream != NULL) {
         EyStream_SetReader(inbound->answer->stream, NULL, NULL);
         EyStream_CloseReader(inbound->answer->stream);
@@ -501,6 +530,9 @@
     EyMetrics_Register(Metrics, METRIC_COUNT);
     EyServer_t *self = EY_NEW(ctx, EyServer_t);
     self->hooks = *hooks;
+    if (self->hooks.bodies == NULL) {
+        self->hooks.bodies = &CommonBodies;
+    }
     self->names = hooks->names != NULL ? hooks->names : &EyHeaderNames_native;
     self->random = EyRandom_Make(EyRandom_SystemSeed());
     (void)pthread_mutex_init(&self->lock, NULL);
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -6,6 +6,7 @@
 #define EY_CALLERS_SERVER_H
 
 #include "core/error.h"
+#include "core/memory_budget.h"
 #include "exchange/answer.h"
 #include "exchange/header_names.h"
 #include "exchange/request.h"
@@ -35,12 +36,18 @@
     void (*disconnected)(void *data, uint64_t number);
     void *data;
     const EyHeaderNames_t *names; /* NULL: EyHeaderNames_native */
+    /** For bodies, from the head of a request until the request is freed;
+     * NULL: EY_SERVER_BODIES_BYTES, for all servers without one. */
+    EyMemoryBudget_t *bodies;
 } EyServerHooks_t;
 
 /** How long after EyServer_Quiesce open connections may deliver a request:
  * callers wait about a second for a request to be read. */
 #define EY_SERVER_LATE_REQUEST_MS 1000
 
+/** Memory for bodies where no limit is known. */
+#define EY_SERVER_BODIES_BYTES (UINT64_C(256) * 1024 * 1024)
+
 /** Most addresses that one server listens on. */
 #define EY_SERVER_LISTENERS_MAX 6
 
--- a/src/core/memory.c
+++ b/src/core/memory.c
@@ -34,6 +34,16 @@
     return EyMemory_Checked(memory, total_bytes);
 }
 
+void *
+EyMemory_Block(const void *ctx, size_t size_bytes)
+{
+    void *memory = talloc_named_const(ctx, size_bytes, "block");
+    if (memory == NULL) {
+        out_of_memory(size_bytes);
+    }
+    return memory;
+}
+
 char *
 EyMemory_Strdup(const void *ctx, const char *text)
 {
--- a/src/core/memory.h
+++ b/src/core/memory.h
@@ -31,6 +31,11 @@
 EyMemory_Array(const void *ctx, size_t size_bytes, size_t count,
                const char *name);
 
+/** Allocates a block that isn't zeroed, as a child of ctx; aborts if out of
+ * memory. */
+void *
+EyMemory_Block(const void *ctx, size_t size_bytes);
+
 /** Copies a string as a child of ctx; NULL gives NULL. */
 char *
 EyMemory_Strdup(const void *ctx, const char *text);
--- /dev/null
+++ b/src/core/memory_budget.c
@@ -0,0 +1,62 @@
+#include "core/memory_budget.h"
+
+#include "core/memory.h"
+
+struct EyMemoryShare {
+    EyMemoryBudget_t *budget;
+    uint64_t size_bytes;
+};
+
+static bool
+take(EyMemoryBudget_t *budget, uint64_t size_bytes)
+{
+    uint64_t used_bytes =
+        __atomic_add_fetch(&budget->used_bytes, size_bytes, __ATOMIC_RELAXED);
+    if (used_bytes <= budget->limit_bytes) {
+        return true;
+    }
+    (void)__atomic_sub_fetch(&budget->used_bytes, size_bytes,
+                             __ATOMIC_RELAXED);
+    return false;
+}
+
+static int
+destroy(EyMemoryShare_t *self)
+{
+    (void)__atomic_sub_fetch(&self->budget->used_bytes, self->size_bytes,
+                             __ATOMIC_RELAXED);
+    return 0;
+}
+
+EyMemoryShare_t *
+EyMemoryBudget_Take(EyMemoryBudget_t *self, const void *ctx,
+                    uint64_t size_bytes)
+{
+    if (!take(self, size_bytes)) {
+        return NULL;
+    }
+    EyMemoryShare_t *share = EY_NEW(ctx, EyMemoryShare_t);
+    share->budget = self;
+    share->size_bytes = size_bytes;
+    talloc_set_destructor(share, destroy);
+    return share;
+}
+
+bool
+EyMemoryShare_Reserve(EyMemoryShare_t *self, uint64_t size_bytes)
+{
+    if (size_bytes <= self->size_bytes) {
+        return true;
+    }
+    if (!take(self->budget, size_bytes - self->size_bytes)) {
+        return false;
+    }
+    self->size_bytes = size_bytes;
+    return true;
+}
+
+uint64_t
+EyMemoryBudget_UsedBytes(const EyMemoryBudget_t *self)
+{
+    return __atomic_load_n(&self->used_bytes, __ATOMIC_RELAXED);
+}
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -13,6 +13,8 @@
 #define CAPACITY_MAX 1000000
 #define STOP_LINGER_MAX_MS 600000
 #define STOP_GRACE_MAX_S 3600
+#define MEMORY_MIN_MIB 64
+#define MEMORY_MAX_MIB 1048576
 #define BACKEND_TTL_MAX_MS 60000
 #define PER_MILLE 1000
 #define RETRY_SLACK_MAX 1000000
@@ -44,6 +46,7 @@
     SETTING_DATA_DIR,
     SETTING_OPERATOR_TOKEN_FILE,
     SETTING_PEER_SECRET_FILE,
+    SETTING_MEMORY,
     SETTING_CAPACITY,
     SETTING_LOG_LEVEL,
     SETTING_LOG_FORMAT,
@@ -321,6 +324,13 @@
     return g_file_test(text, G_FILE_TEST_IS_REGULAR);
 }
 
+static bool
+read_memory(EySettings_t *settings, const char *text)
+{
+    return read_integer(text, MEMORY_MIN_MIB, MEMORY_MAX_MIB,
+                        &settings->memory_mib);
+}
+
 static bool
 read_capacity(EySettings_t *settings, const char *text)
 {
@@ -504,6 +514,12 @@
                                           "which peer keys are derived",
                                   .expected = "a file that exists",
                                   .read = read_peer_secret_file},
+    [SETTING_MEMORY] = {.flag = "memory-mib",
+                        .help = "memory that the process may use; a fifth of "
+                                "it is for bodies of requests",
+                        .default_text = "256",
+                        .expected = "64 to 1048576 MiB",
+                        .read = read_memory},
     [SETTING_CAPACITY] = {.flag = "capacity",
                           .help = "weight of this instance in the "
                                   "distribution of callers",
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -70,6 +70,7 @@
     char *data_dir;            /* NULL: no persistent state */
     char *operator_token_file; /* NULL: operators need no token */
     char *peer_secret_file;    /* NULL: no encryption between instances */
+    uint32_t memory_mib;       /* that the process may use */
     uint32_t capacity;         /* weight in the distribution of callers */
     EyLogLevel_t log_level;
     bool log_json;
--- a/src/exchange/body.c
+++ b/src/exchange/body.c
@@ -7,6 +7,19 @@
 /* Initial capacity of a body; doubled whenever it is exceeded. */
 #define INITIAL_CAPACITY_BYTES 4096
 
+/** Moves the body to a block of this size, which isn't zeroed: pages are used
+ * only as it grows. */
+static void
+move(const void *ctx, EyBytes_t *body, size_t capacity_bytes)
+{
+    uint8_t *data = EyMemory_Block(ctx, capacity_bytes);
+    if (body->data != NULL) {
+        memcpy(data, body->data, body->size_bytes);
+    }
+    talloc_free(body->data);
+    body->data = data;
+}
+
 /** Grows the capacity to at least required_bytes. */
 static void
 reserve(const void *ctx, EyBytes_t *body, size_t required_bytes)
@@ -19,12 +32,16 @@
     while (capacity_bytes < required_bytes) {
         capacity_bytes *= 2;
     }
-    uint8_t *data = EY_NEW_ARRAY(ctx, uint8_t, capacity_bytes);
-    if (body->data != NULL) {
-        memcpy(data, body->data, body->size_bytes);
+    move(ctx, body, capacity_bytes);
+}
+
+void
+EyBody_Reserve(const void *ctx, EyBytes_t *body, uint32_t size_bytes)
+{
+    size_t old_bytes = body->data != NULL ? talloc_get_size(body->data) : 0;
+    if (size_bytes > old_bytes) {
+        move(ctx, body, size_bytes);
     }
-    talloc_free(body->data);
-    body->data = data;
 }
 
 bool
--- a/src/exchange/body.h
+++ b/src/exchange/body.h
@@ -16,6 +16,10 @@
 EyBody_Append(const void *ctx, EyBytes_t *body, const void *data,
               size_t size_bytes, uint32_t max_bytes);
 
+/** Makes room for a body of size_bytes, so that it isn't moved as it grows. */
+void
+EyBody_Reserve(const void *ctx, EyBytes_t *body, uint32_t size_bytes);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -152,6 +152,23 @@
                                      request->account, request->target);
 }
 
+/** Gives an attempt the request's body, a large one without a copy. */
+static void
+set_body(EyActiveRequest_t *active, EyAttempt_t *attempt)
+{
+    EyRequest_t *request = active->exchange->request;
+    attempt->body = request->body;
+    if (request->body.size_bytes < EY_SHARED_BODY_MIN_BYTES) {
+        attempt->body.data = EyMemory_Copy(attempt, request->body.data,
+                                           request->body.size_bytes);
+        return;
+    }
+    if (active->shared_body == NULL) {
+        active->shared_body = EySharedBody_New(request, &request->body);
+    }
+    (void)EySharedBody_Ref(active->shared_body, attempt);
+}
+
 static EyAttempt_t *
 make_attempt(EyActiveRequest_t *active, const EyExchangeAction_t *action,
              const EyBackend_t *backend)
@@ -183,9 +200,7 @@
                                      backend->id) < RECENT_ANSWER_MS;
     }
     copy_headers(attempt, request);
-    attempt->body.data =
-        EyMemory_Copy(attempt, request->body.data, request->body.size_bytes);
-    attempt->body.size_bytes = request->body.size_bytes;
+    set_body(active, attempt);
     attempt->connect_timeout_ms =
         config_timeout_ms(active, EY_DEFAULT_BACKEND_CONNECT_TIMEOUT);
     attempt->idle_timeout_ms =
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -253,10 +253,20 @@
         return;
     }
     EyRequest_t *request = copy_request(self, forward);
-    if (request != NULL) {
-        EyGateway_AcceptForwarded(self, request, &PeerResponder, from,
-                                  forward->attempt);
+    if (request == NULL) {
+        return;
+    }
+    if (EyMemoryBudget_Take(&self->node->bodies, request,
+                            request->body.size_bytes) == NULL)
+    {
+        refuse(self, from, forward->attempt, EY_PROBLEM_OVERLOADED,
+               "the bodies of requests in flight use all of the memory that "
+               "is set aside for them");
+        talloc_free(request);
+        return;
     }
+    EyGateway_AcceptForwarded(self, request, &PeerResponder, from,
+                              forward->attempt);
 }
 
 /** Finds the active request or relay for an attempt of an instance. */
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -12,6 +12,7 @@
 #include "core/random.h"
 #include "core/timers.h"
 #include "exchange/exchange.h"
+#include "exchange/shared_body.h"
 #include "gateway/forward_message.h"
 #include "gateway/gateway.h"
 #include "gateway/records.h"
@@ -66,6 +67,8 @@
     EyTimer_t *deadline;
     EyTimer_t *first_byte_timer; /* of the current attempt */
     bool first_byte_timed_out;   /* the current attempt was cancelled by it */
+    EySharedBody_t *shared_body; /* of the request; NULL: a small one, or no
+                                    attempt yet */
     EyAddress_t cache_source;    /* of the current attempt, or "" */
     EyServerVersion_t server_version; /* of the current attempt's server, when
                                          it was sent; none if it is remote */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -633,6 +633,7 @@
         .disconnected = on_caller_disconnected,
         .data = self,
         .names = EyHeaderNames_Find(self->settings->headers),
+        .bodies = &self->bodies,
     };
     const EySettings_t *settings = self->settings;
     self->server = EyServer_Start(self, settings->listen, &hooks, error);
@@ -648,6 +649,17 @@
     return ok;
 }
 
+/** What a body needs beside itself: buffers of its connections, and copies of
+ * a forwarded one while it is sent. */
+#define MEMORY_PER_BODY_BYTE 5
+
+static uint64_t
+bodies_limit_bytes(const EySettings_t *settings)
+{
+    return settings->memory_mib * (UINT64_C(1024) * 1024) /
+           MEMORY_PER_BODY_BYTE;
+}
+
 EyNode_t *
 EyNode_Start(const void *ctx, const EySettings_t *settings,
              const EyPartClass_t *const *parts, uint32_t part_count,
@@ -662,6 +674,7 @@
         abort();
     }
     self->timers = EyTimers_New(self, self->loop);
+    self->bodies.limit_bytes = bodies_limit_bytes(settings);
     make_mailboxes(self);
     watch_signals(self);
     start_cluster(self, serves_callers(parts, part_count));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -100,6 +100,7 @@
     struct tevent_context *loop;
     EyTimers_t *timers;
     EyPauses_t pauses;
+    EyMemoryBudget_t bodies; /* of requests, callers' and forwarded ones */
     EyServer_t *server;
     EyPeers_t *peers;
     EyCluster_t *cluster;
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -4,7 +4,9 @@
 #include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -183,6 +185,73 @@
     Process_Kill(&fake);
 }
 
+#define BODY_BYTES (4U * 1024 * 1024)
+#define LARGE_CALLS 32
+#define MEMORY_MIB 128
+/* The sanitizers keep freed memory and its shadow memory. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define PEAK_MAX_KB (4 * MEMORY_MIB * 1024)
+#else
+#define PEAK_MAX_KB (MEMORY_MIB * 1024)
+#endif
+
+static gpointer
+send_large(gpointer data)
+{
+    const char *const headers[] = {"Fake-Behaviour: delay=500", NULL};
+    Reply_t reply =
+        Http_Call(RoutedPort, "POST", "/buy/large", headers, data, 10000);
+    long status = reply.complete ? reply.status : 0;
+    Reply_Clear(&reply);
+    return GINT_TO_POINTER((gint)status);
+}
+
+static int64_t
+peak_kb(const Process_t *process)
+{
+    char path[64];
+    gchar *text = NULL;
+    (void)snprintf(path, sizeof(path), "/proc/%d/status", (int)process->pid);
+    cr_assert(g_file_get_contents(path, &text, NULL, NULL));
+    const char *line = strstr(text, "VmHWM:");
+    cr_assert_not_null(line);
+    int64_t peak = g_ascii_strtoll(line + strlen("VmHWM:"), NULL, 10);
+    g_free(text);
+    return peak;
+}
+
+/* Many bodies of the largest size at once must not end the process: it would
+ * lose the calls that it has passed on. */
+Test(routes, large_bodies_at_once_stay_within_the_memory_of_the_process)
+{
+    start_gateway_with("--memory-mib=128");
+    Process_t fake = start_service();
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    char *body = g_strnfill(BODY_BYTES, 'x');
+    GThread *threads[LARGE_CALLS];
+    for (uint32_t i = 0; i < LARGE_CALLS; i++) {
+        threads[i] = g_thread_new("large", send_large, body);
+    }
+    uint32_t served = 0;
+    uint32_t refused = 0;
+    for (uint32_t i = 0; i < LARGE_CALLS; i++) {
+        int status = GPOINTER_TO_INT(g_thread_join(threads[i]));
+        served += status == 200;
+        refused += status == 503;
+    }
+    g_free(body);
+    cr_expect_geq(served, 4, "%u served", served);
+    cr_expect_eq(served + refused, LARGE_CALLS, "%u served, %u refused",
+                 served, refused);
+    cr_expect_lt(peak_kb(&Gateway), PEAK_MAX_KB, "%lld kB",
+                 (long long)peak_kb(&Gateway));
+    Process_Kill(&Gateway);
+    Process_Kill(&fake);
+}
+
 /* An order that lay in the socket of a process that stood still; its caller
  * has given up without closing the connection. */
 Test(routes, an_order_that_waited_in_a_stopped_process_is_not_carried_out)
--- a/tests/unit/server_fixture.c
+++ b/tests/unit/server_fixture.c
@@ -62,6 +62,12 @@
 
 ServerFixture_t *
 server_fixture_new(ServerMode_t mode)
+{
+    return server_fixture_new_with_bodies(mode, NULL);
+}
+
+ServerFixture_t *
+server_fixture_new_with_bodies(ServerMode_t mode, EyMemoryBudget_t *bodies)
 {
     ServerFixture_t *fixture = EY_NEW(NULL, ServerFixture_t);
     fixture->mode = mode;
@@ -70,7 +76,8 @@
     EyServerHooks_t hooks = {.check = check,
                              .submit = submit,
                              .disconnected = on_disconnect,
-                             .data = fixture};
+                             .data = fixture,
+                             .bodies = bodies};
     GError *error = NULL;
     fixture->server = EyServer_Start(NULL, "127.0.0.1:0", &hooks, &error);
     cr_assert_not_null(fixture->server);
--- a/tests/unit/server_fixture.h
+++ b/tests/unit/server_fixture.h
@@ -37,6 +37,10 @@
 ServerFixture_t *
 server_fixture_new(ServerMode_t mode);
 
+/** The same, with a budget for bodies that outlives it. */
+ServerFixture_t *
+server_fixture_new_with_bodies(ServerMode_t mode, EyMemoryBudget_t *bodies);
+
 void
 server_fixture_free(ServerFixture_t *fixture);
 
