--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -13,7 +13,7 @@
 #define CAPACITY_MAX 1000000
 #define STOP_LINGER_MAX_MS 600000
 #define STOP_GRACE_MAX_S 3600
-#define MEMORY_MIN_MIB 64
+#define MEMORY_MIN_MIB 16
 #define MEMORY_MAX_MIB 1048576
 #define BACKEND_TTL_MAX_MS 60000
 #define PER_MILLE 1000
@@ -324,11 +324,17 @@
     return g_file_test(text, G_FILE_TEST_IS_REGULAR);
 }
 
+/** A platform may give a fraction, which is left out. */
 static bool
 read_memory(EySettings_t *settings, const char *text)
 {
-    return read_integer(text, MEMORY_MIN_MIB, MEMORY_MAX_MIB,
-                        &settings->memory_mib);
+    char *end = NULL;
+    double memory_mib = g_ascii_strtod(text, &end);
+    bool is_valid = g_ascii_isdigit(*text) && *end == '\0' &&
+                    memory_mib >= MEMORY_MIN_MIB &&
+                    memory_mib <= MEMORY_MAX_MIB;
+    settings->memory_mib = is_valid ? (uint32_t)memory_mib : 0;
+    return is_valid;
 }
 
 static bool
@@ -518,7 +524,7 @@
                         .help = "memory that the process may use; a fifth of "
                                 "it is for bodies of requests",
                         .default_text = "256",
-                        .expected = "64 to 1048576 MiB",
+                        .expected = "16 to 1048576 MiB",
                         .read = read_memory},
     [SETTING_CAPACITY] = {.flag = "capacity",
                           .help = "weight of this instance in the "
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -109,6 +109,20 @@
     return status;
 }
 
+/** Starts a gateway with a flag (NULL: none) and a service, and waits until
+ * calls are served. */
+static Process_t
+start_serving(const char *flag)
+{
+    start_gateway_with(flag);
+    Process_t fake = start_service();
+    await(Gateway.port, "PUT", "/v1/config/routes",
+          ROUTES("3", "/buy/", "booking"), 200);
+    cr_expect_eq(announce(&fake, "serving", 1), 200);
+    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    return fake;
+}
+
 TestSuite(routes, .timeout = 90);
 
 Test(routes, calls_follow_the_committed_route_table)
@@ -156,12 +170,7 @@
 
 Test(routes, an_evacuated_zone_gets_no_requests_until_it_is_restored)
 {
-    start_gateway();
-    Process_t fake = start_service();
-    await(Gateway.port, "PUT", "/v1/config/routes",
-          ROUTES("3", "/buy/", "booking"), 200);
-    cr_expect_eq(announce(&fake, "serving", 1), 200);
-    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_t fake = start_serving(NULL);
     await(Gateway.port, "PUT", "/v1/config/evacuations/istra-b",
           "{\"author\":\"ana\",\"reason\":\"new switch\"}", 200);
     await(RoutedPort, "POST", "/buy/1", "{}", 503);
@@ -185,14 +194,14 @@
     Process_Kill(&fake);
 }
 
-#define BODY_BYTES (4U * 1024 * 1024)
+#define BODY_BYTES (UINT64_C(4) * 1024 * 1024)
 #define LARGE_CALLS 32
 #define MEMORY_MIB 128
 /* The sanitizers keep freed memory and its shadow memory. */
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define PEAK_MAX_KB (4 * MEMORY_MIB * 1024)
+#define PEAK_MAX_KB (INT64_C(4) * MEMORY_MIB * 1024)
 #else
-#define PEAK_MAX_KB (MEMORY_MIB * 1024)
+#define PEAK_MAX_KB (INT64_C(1) * MEMORY_MIB * 1024)
 #endif
 
 static gpointer
@@ -224,12 +233,7 @@
  * lose the calls that it has passed on. */
 Test(routes, large_bodies_at_once_stay_within_the_memory_of_the_process)
 {
-    start_gateway_with("--memory-mib=128");
-    Process_t fake = start_service();
-    await(Gateway.port, "PUT", "/v1/config/routes",
-          ROUTES("3", "/buy/", "booking"), 200);
-    cr_expect_eq(announce(&fake, "serving", 1), 200);
-    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_t fake = start_serving("--memory-mib=128");
     char *body = g_strnfill(BODY_BYTES, 'x');
     GThread *threads[LARGE_CALLS];
     for (uint32_t i = 0; i < LARGE_CALLS; i++) {
@@ -256,12 +260,7 @@
  * has given up without closing the connection. */
 Test(routes, an_order_that_waited_in_a_stopped_process_is_not_carried_out)
 {
-    start_gateway();
-    Process_t fake = start_service();
-    await(Gateway.port, "PUT", "/v1/config/routes",
-          ROUTES("3", "/buy/", "booking"), 200);
-    cr_expect_eq(announce(&fake, "serving", 1), 200);
-    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_t fake = start_serving(NULL);
     await(Gateway.port, "PUT", "/v1/config/evacuations/istra-b", NULL, 200);
     await(RoutedPort, "POST", "/buy/1", "{}", 503);
     int socket = raw_connect(Gateway.port);
@@ -289,12 +288,7 @@
  * killed. */
 Test(routes, a_stop_ends_what_it_has_taken_before_its_grace_ends)
 {
-    start_gateway_with("--stop-grace-s=2");
-    Process_t fake = start_service();
-    await(Gateway.port, "PUT", "/v1/config/routes",
-          ROUTES("3", "/buy/", "booking"), 200);
-    cr_expect_eq(announce(&fake, "serving", 1), 200);
-    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_t fake = start_serving("--stop-grace-s=2");
     int socket = raw_connect(RoutedPort);
     (void)raw_send_text(socket, "POST /buy/2 HTTP/1.1\r\nHost: 127.0.0.1\r\n"
                                 "Fake-Behaviour: delay=20000\r\n"
@@ -324,12 +318,7 @@
 /* A whole answer ends its attempt: what it says of its server still counts. */
 Test(routes, a_limit_that_a_whole_answer_names_is_kept)
 {
-    start_gateway();
-    Process_t fake = start_service();
-    await(Gateway.port, "PUT", "/v1/config/routes",
-          ROUTES("3", "/buy/", "booking"), 200);
-    cr_expect_eq(announce(&fake, "serving", 1), 200);
-    await(RoutedPort, "POST", "/buy/1", "{}", 200);
+    Process_t fake = start_serving(NULL);
     Harness_SleepMs(SHARE_SETTLED_MS);
     const char *headers[] = {"Fake-Behaviour: limit=1", NULL};
     uint32_t served = 0;
