Process tests: no two test processes use the same ports

Change: a test process keeps the first port of its block bound until its end, and takes the next block if that one is in use.

--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -20,34 +20,66 @@
 #define POLL_INTERVAL_MS 20
 #define STILL_RUNNING (-1000)
 
-static bool
-can_bind(uint16_t port)
+/** A socket bound to a port of 127.0.0.1; -1 if it is in use. */
+static int
+bind_port(uint16_t port)
 {
-    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons(port)};
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bool bound =
-        bind(descriptor, (struct sockaddr *)&address, sizeof(address)) == 0;
-    (void)close(descriptor);
-    return bound;
+    if (bind(descriptor, (struct sockaddr *)&address, sizeof(address)) != 0) {
+        (void)close(descriptor);
+        return -1;
+    }
+    return descriptor;
+}
+
+static bool
+can_bind(uint16_t port)
+{
+    int descriptor = bind_port(port);
+    if (descriptor >= 0) {
+        (void)close(descriptor);
+    }
+    return descriptor >= 0;
+}
+
+/** The first port of a block that no other test process uses. This process
+ * keeps that port bound until its end, which marks the block as used. */
+static uint16_t
+claim_block(void)
+{
+    uint32_t first = (uint32_t)getpid() % HARNESS_PORT_BLOCKS;
+    for (uint32_t i = 0; i < HARNESS_PORT_BLOCKS; i++) {
+        uint32_t block = (first + i) % HARNESS_PORT_BLOCKS;
+        uint16_t port =
+            (uint16_t)(HARNESS_FIRST_PORT + block * HARNESS_BLOCK_PORTS);
+        if (bind_port(port) >= 0) {
+            return port;
+        }
+    }
+    cr_assert_fail("no block of ports is free");
+    return 0;
 }
 
 /*
  * The ports are below the kernel's ephemeral range: an outgoing connection
  * could otherwise occupy a port between its choice here and the start of the
- * process that listens on it. Each test process uses its own block of ports,
- * chosen by process id.
+ * process that listens on it. Each test process has its own block of ports, as
+ * another one could otherwise take a port while its server is down.
  */
 uint16_t
 Harness_FreePort(void)
 {
-    enum { FIRST_PORT = 10000, BLOCK_SIZE = 100, BLOCK_COUNT = 200 };
+    static uint16_t first_port;
     static uint32_t ports_tried;
-    uint32_t block = (uint32_t)getpid() % BLOCK_COUNT;
-    while (ports_tried < BLOCK_SIZE) {
-        uint16_t port =
-            (uint16_t)(FIRST_PORT + block * BLOCK_SIZE + ports_tried);
+    if (first_port == 0) {
+        first_port = claim_block();
+        ports_tried = 1;
+    }
+    while (ports_tried < HARNESS_BLOCK_PORTS) {
+        uint16_t port = (uint16_t)(first_port + ports_tried);
         ports_tried++;
         if (can_bind(port)) {
             return port;
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -38,7 +38,13 @@
     double total_ms;
 } Reply_t;
 
-/** Returns a free loopback port that it has not returned before. */
+/** Blocks of ports, of which each test process uses one. */
+#define HARNESS_FIRST_PORT 10000
+#define HARNESS_BLOCK_PORTS 100
+#define HARNESS_PORT_BLOCKS 200
+
+/** Returns a free loopback port that it has not returned before, and that no
+ * other test process is given as long as this one runs. */
 uint16_t
 Harness_FreePort(void);
 
