--- a/src/config/control.c
+++ b/src/config/control.c
@@ -348,9 +348,9 @@
     propose(self, now_ms, pending, false, command);
 }
 
-/** When the caller of a received proposal gave it at the earliest. Time on the
- * way is counted by this process's own clock, as the sender had last heard it:
- * the message may have been held up for long. */
+/** When the caller of a received proposal gave it at the earliest. Time in
+ * transit is counted by this process's own clock, from the last reading that
+ * the sender had received: the message may have been delayed for seconds. */
 static int64_t
 given_ms(const EyConfigMessage_t *message, int64_t now_ms)
 {
