--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -57,6 +57,8 @@
     METRIC_PAUSES,
     METRIC_STALE,
     METRIC_FIRST_BYTE,
+    METRIC_CLOSE_TO_ABORT,
+    METRIC_SENT_AFTER_CLOSE,
     METRIC_COUNT
 };
 
@@ -90,6 +92,15 @@
     [METRIC_FIRST_BYTE] = {.name = "attempt_first_byte_seconds",
                            .help = "From a call's start to its first byte",
                            .kind = EY_METRIC_HISTOGRAM},
+    [METRIC_CLOSE_TO_ABORT] =
+        {.name = "attempt_close_to_abort_seconds",
+         .help = "From the close of a caller's connection to the end of the "
+                 "call to a backend server for it",
+         .kind = EY_METRIC_HISTOGRAM},
+    [METRIC_SENT_AFTER_CLOSE] =
+        {.name = "attempts_sent_after_close_total",
+         .help = "Calls sent to a backend server although the caller's close "
+                 "had been noticed"},
 };
 
 static void
@@ -119,6 +130,9 @@
 void
 EyClient_OnSending(EyClient_t *self, EyTransfer_t *transfer)
 {
+    if (EyCancellation_IsSet(transfer->attempt->cancellation)) {
+        EyMetric_Add(&Metrics[METRIC_SENT_AFTER_CLOSE], 1);
+    }
     self->handler(self->data, make_event(transfer, EY_ATTEMPT_SENDING));
 }
 
@@ -260,6 +274,16 @@
     return event;
 }
 
+/** Records how long after the caller's close its attempt ends. */
+static void
+observe_abort(const EyTransfer_t *transfer)
+{
+    int64_t age_us = EyCancellation_AgeUs(transfer->attempt->cancellation);
+    if (age_us >= 0) {
+        EyMetric_Observe(&Metrics[METRIC_CLOSE_TO_ABORT], age_us);
+    }
+}
+
 /** Ends the transfer and reports its final event. */
 static void
 finish(EyClient_t *self, EyTransfer_t *transfer, CURLcode result)
@@ -267,6 +291,9 @@
     detach(self, transfer);
     EyConnections_End(self->connections, &transfer->use);
     EyAttemptFailure_t failure = EyTransfer_Finish(transfer, result);
+    if (failure == EY_FAILURE_CANCELLED) {
+        observe_abort(transfer);
+    }
     EyAttemptEvent_t *event = failure == EY_FAILURE_NONE
                                   ? make_done_event(transfer)
                                   : make_failed_event(transfer, failure);
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -5,6 +5,7 @@
 #ifndef EY_BACKENDS_CLIENT_H
 #define EY_BACKENDS_CLIENT_H
 
+#include "core/cancellation.h"
 #include "core/stream.h"
 #include "core/timers.h"
 #include "exchange/answer.h"
@@ -71,6 +72,8 @@
     uint32_t resume_after; /* events that the caller has received already, sent
                               as Ebonyyard-Resume-After; 0: from the start */
     EyEventId_t last_event; /* id of the last of them, if they have ids */
+    EyCancellation_t *cancellation; /* set when the caller has left; NULL: the
+                                       attempt goes on without a caller */
 } EyAttempt_t;
 
 typedef enum EyAttemptEventKind {
--- a/src/callers/inbound_request.h
+++ b/src/callers/inbound_request.h
@@ -7,6 +7,7 @@
 #define EY_CALLERS_INBOUND_REQUEST_H
 
 #include "callers/suspension.h"
+#include "core/cancellation.h"
 #include "core/memory_budget.h"
 #include "exchange/answer.h"
 #include "exchange/header_names.h"
@@ -42,10 +43,11 @@
     EyRequest_t *request; /* until it is submitted */
     EyAnswer_t *refusal;  /* until libmicrohttpd accepts a response */
     EyAnswer_t *answer;   /* set by any thread, under the server's lock */
-    EyMemoryShare_t *body_share; /* of request, until it is submitted; NULL:
-                                    none yet */
-    uint64_t sent_bytes;         /* of a streamed body */
-    EySuspension_t suspension;   /* may be woken by any thread */
+    EyMemoryShare_t *body_share;    /* of request, until it is submitted; NULL:
+                                       none yet */
+    uint64_t sent_bytes;            /* of a streamed body */
+    EyCancellation_t *cancellation; /* set by any thread; NULL: no head yet */
+    EySuspension_t suspension;      /* may be woken by any thread */
 } EyInboundRequest_t;
 
 /**
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -129,6 +129,7 @@
     (void)pthread_mutex_lock(&self->lock);
     EyInboundRequest_t *inbound = g_hash_table_lookup(self->inbounds, &number);
     if (inbound != NULL) {
+        EyCancellation_Set(inbound->cancellation);
         EySuspension_Close(&inbound->suspension);
     }
     (void)pthread_mutex_unlock(&self->lock);
@@ -273,6 +274,9 @@
     EyMetric_Add(&Metrics[METRIC_REQUESTS], 1);
     inbound->stage = EY_INBOUND_BODY;
     inbound->request = EyRequest_New();
+    inbound->cancellation = EyCancellation_New(inbound);
+    inbound->request->cancellation =
+        EyCancellation_Ref(inbound->cancellation, inbound->request);
     register_inbound(self, inbound);
     bool has_body = false;
     EyAnswer_t *refusal = read_head(self, inbound, method, &has_body);
@@ -506,6 +510,7 @@
     }
     if (inbound->submitted && !completed && !inbound->aborted && !stopping) {
         EyMetric_Add(&Metrics[METRIC_DISCONNECTED], 1);
+        EyCancellation_Set(inbound->cancellation);
         self->hooks.disconnected(self->hooks.data, inbound->number);
     }
     EySuspension_Clear(&inbound->suspension);
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -2,6 +2,7 @@
 #ifndef EY_EXCHANGE_REQUEST_H
 #define EY_EXCHANGE_REQUEST_H
 
+#include "core/cancellation.h"
 #include "core/schema.h"
 #include "core/types.h"
 #include "exchange/server_version.h"
@@ -123,10 +124,12 @@
     uint32_t more_part_count;
     bool are_parts_cut; /* there were still more, or the list is invalid from
                            there on: the last part here isn't its last one */
+    EyCancellation_t *cancellation; /* set when its caller has left; NULL: it
+                                       has none */
 } EyRequest_t;
 
 extern const EySchema_t EyHeader_schema;
-/** Without arrived_ms and deadline_ms, which are local times. */
+/** Without the local times and the cancellation. */
 extern const EySchema_t EyRequest_schema;
 
 /** An empty request, a talloc root. */
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -201,6 +201,11 @@
     }
     copy_headers(attempt, request);
     set_body(active, attempt);
+    if (!exchange->needs_claim) {
+        /* The outcome of a claimed call is recorded without its caller. */
+        attempt->cancellation =
+            EyCancellation_Ref(request->cancellation, attempt);
+    }
     attempt->connect_timeout_ms =
         config_timeout_ms(active, EY_DEFAULT_BACKEND_CONNECT_TIMEOUT);
     attempt->idle_timeout_ms =
@@ -635,6 +640,24 @@
     talloc_free(from);
 }
 
+/** Records how long after the caller's close its request stops, unless an
+ * attempt runs here: that one's end is recorded by the client. */
+static void
+observe_close(const EyActiveRequest_t *active)
+{
+    const EyExchange_t *exchange = active->exchange;
+    int64_t age_us = EyCancellation_AgeUs(exchange->request->cancellation);
+    bool is_forwarded = active->remote_id[0] != '\0';
+    if (age_us < 0 || (exchange->state == EY_EXCHANGE_TRYING && !is_forwarded))
+    {
+        return;
+    }
+    EyMetric_Observe(
+        &EyGateway_metrics[is_forwarded ? EY_GATEWAY_CLOSE_FORWARDED
+                                        : EY_GATEWAY_CLOSE_WAITING],
+        age_us);
+}
+
 void
 EyGateway_OnCallerDisconnected(EyGateway_t *self, uint64_t number)
 {
@@ -644,6 +667,7 @@
         EyResumptions_Cancel(self->resumptions, number);
         return;
     }
+    observe_close(active);
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
     EyActiveRequest_Step(active, &event);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -52,6 +52,17 @@
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
+    [EY_GATEWAY_CLOSE_WAITING] =
+        {.name = "caller_close_to_stop_seconds",
+         .labels = "way=\"waiting\"",
+         .help = "From the close of a caller's connection to the end of the "
+                 "request where it waits, or to the message that cancels it "
+                 "in another region",
+         .kind = EY_METRIC_HISTOGRAM},
+    [EY_GATEWAY_CLOSE_FORWARDED] = {.name = "caller_close_to_stop_seconds",
+                                    .labels = "way=\"forwarded\"",
+                                    .help = "",
+                                    .kind = EY_METRIC_HISTOGRAM},
 };
 
 static void
