--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -34,6 +34,10 @@
     if (self->failure != EY_FAILURE_NONE) {
         return CURL_PREREQFUNC_ABORT;
     }
+    if (EyCancellation_IsSet(self->attempt->cancellation)) {
+        self->failure = EY_FAILURE_CANCELLED;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (self->sent && !self->attempt->may_repeat) {
         self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -11,6 +11,7 @@
 #include "core/random.h"
 #include "exchange/body.h"
 
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -54,6 +55,7 @@
     METRIC_ANSWERS,
     METRIC_ANSWERS_END = METRIC_ANSWERS + EY_OUTCOME_COUNT,
     METRIC_DISCONNECTED = METRIC_ANSWERS_END,
+    METRIC_LEFT_UNREAD,
     METRIC_BROKEN,
     METRIC_BODY_BYTES,
     METRIC_IN_FLIGHT,
@@ -77,6 +79,10 @@
     [METRIC_DISCONNECTED] =
         {.name = "caller_gone_total",
          .help = "Callers that hung up before their answer's end"},
+    [METRIC_LEFT_UNREAD] =
+        {.name = "caller_gone_unread_total",
+         .help = "Requests that were dropped because their callers had hung "
+                 "up before they were read"},
     [METRIC_BROKEN] = {.name = "caller_answers_broken_total",
                        .help = "Answers that were broken off midway"},
     [METRIC_BODY_BYTES] = {.name = "caller_stream_bytes_total",
@@ -367,14 +373,14 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
-/** True if the caller has closed its side of the connection: behind the
- * request nothing more can come. */
+/** True if the caller has closed its side of the connection, whatever it sent
+ * behind the request. */
 static bool
 has_caller_closed(const EyInboundRequest_t *inbound)
 {
-    char byte = 0;
-    return recv(EyInboundRequest_Socket(inbound), &byte, sizeof(byte),
-                MSG_PEEK | MSG_DONTWAIT) == 0;
+    struct pollfd socket = {.fd = EyInboundRequest_Socket(inbound),
+                            .events = POLLRDHUP};
+    return poll(&socket, 1, 0) > 0;
 }
 
 /** Refuses an order whose caller has closed the connection before it was read:
@@ -412,6 +418,12 @@
     if (refusal != NULL) {
         return refuse(self, inbound, refusal);
     }
+    if (EyRequest_IsForBackend(inbound->request) && has_caller_closed(inbound))
+    {
+        /* This process read it late: nobody waits for the answer. */
+        EyMetric_Add(&Metrics[METRIC_LEFT_UNREAD], 1);
+        return MHD_NO;
+    }
     EY_LOG(EY_LOG_DEBUG, "callers", "request",
            EY_LOG_TEXT("request_id", inbound->id),
            EY_LOG_TEXT("call", EyCall_names[inbound->request->call]),
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -59,6 +59,41 @@
     EyActiveRequest_Step(active, &event);
 }
 
+/** Records how long after the caller's close its request stops, unless an
+ * attempt runs here: that one's end is recorded by the client. */
+static void
+observe_close(const EyActiveRequest_t *active)
+{
+    const EyExchange_t *exchange = active->exchange;
+    int64_t age_us = EyCancellation_AgeUs(exchange->request->cancellation);
+    bool is_forwarded = active->remote_id[0] != '\0';
+    if (age_us < 0 || (exchange->state == EY_EXCHANGE_TRYING && !is_forwarded))
+    {
+        return;
+    }
+    EyMetric_Observe(
+        &EyGateway_metrics[is_forwarded ? EY_GATEWAY_CLOSE_FORWARDED
+                                        : EY_GATEWAY_CLOSE_WAITING],
+        age_us);
+}
+
+/** True if the caller has closed its connection; the message that says so may
+ * still be queued, or may have come before the request. */
+static bool
+has_caller_left(const EyActiveRequest_t *active)
+{
+    return EyCancellation_IsSet(active->exchange->request->cancellation);
+}
+
+/** Ends a request as its caller has left. May free active. */
+static void
+end_without_caller(EyActiveRequest_t *active)
+{
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
+    observe_close(active);
+    EyActiveRequest_Step(active, &event);
+}
+
 static void
 do_claim(EyActiveRequest_t *active, const EyExchangeAction_t *action)
 {
@@ -98,9 +133,23 @@
 do_route(EyActiveRequest_t *active, const EyExchangeAction_t *action)
 {
     (void)action;
+    if (has_caller_left(active)) {
+        end_without_caller(active);
+        return;
+    }
     EyGateway_Route(active);
 }
 
+void
+EyActiveRequest_Assign(EyActiveRequest_t *self, EyExchangeEvent_t *event)
+{
+    if (has_caller_left(self)) {
+        end_without_caller(self);
+        return;
+    }
+    EyActiveRequest_Step(self, event);
+}
+
 static void
 do_unroute(EyActiveRequest_t *active, const EyExchangeAction_t *action)
 {
@@ -640,24 +689,6 @@
     talloc_free(from);
 }
 
-/** Records how long after the caller's close its request stops, unless an
- * attempt runs here: that one's end is recorded by the client. */
-static void
-observe_close(const EyActiveRequest_t *active)
-{
-    const EyExchange_t *exchange = active->exchange;
-    int64_t age_us = EyCancellation_AgeUs(exchange->request->cancellation);
-    bool is_forwarded = active->remote_id[0] != '\0';
-    if (age_us < 0 || (exchange->state == EY_EXCHANGE_TRYING && !is_forwarded))
-    {
-        return;
-    }
-    EyMetric_Observe(
-        &EyGateway_metrics[is_forwarded ? EY_GATEWAY_CLOSE_FORWARDED
-                                        : EY_GATEWAY_CLOSE_WAITING],
-        age_us);
-}
-
 void
 EyGateway_OnCallerDisconnected(EyGateway_t *self, uint64_t number)
 {
@@ -667,9 +698,7 @@
         EyResumptions_Cancel(self->resumptions, number);
         return;
     }
-    observe_close(active);
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
-    EyActiveRequest_Step(active, &event);
+    end_without_caller(active);
 }
 
 void
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -224,6 +224,7 @@
         return NULL;
     }
     talloc_free(packed.data);
+    request->cancellation = EyCancellation_New(request);
     request->number = FORWARDED_BIT | ++self->last_forwarded_number;
     request->arrived_ms = EyClock_NowMs();
     request->deadline_ms = request->arrived_ms + request->time_left_ms;
@@ -314,6 +315,7 @@
     EyActiveRequest_t *active = find_by_attempt(
         self->active_requests, active_request_matches, from, attempt);
     if (active != NULL) {
+        EyCancellation_Set(active->exchange->request->cancellation);
         EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
         EyActiveRequest_Step(active, &event);
     }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -143,6 +143,11 @@
 void
 EyActiveRequest_Step(EyActiveRequest_t *self, EyExchangeEvent_t *event);
 
+/** Passes the router's choice of a server or region to the exchange, unless
+ * the caller has left meanwhile: then nothing is sent. May free self. */
+void
+EyActiveRequest_Assign(EyActiveRequest_t *self, EyExchangeEvent_t *event);
+
 /** Creates the part that finds out which version began a stream. */
 void
 EyGateway_OpenResumptions(EyGateway_t *self);
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -112,7 +112,7 @@
     default:
         break;
     }
-    EyActiveRequest_Step(active, &event);
+    EyActiveRequest_Assign(active, &event);
 }
 
 static void
--- /dev/null
+++ b/tests/process/test_departed_callers.c
@@ -0,0 +1,153 @@
+/* Callers that close their connections while the gateway is held up. */
+#include "process/harness.h"
+#include "process/routed_gateways.h"
+#include "process/services.h"
+#include "unit/raw_socket.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define START_TIMEOUT_MS 15000
+#define CALL_TIMEOUT_MS 4000
+#define CALLERS 40
+/** The gateway hears nothing for this long. */
+#define PAUSE_MS 900
+/** Time until a stopped process runs none of its threads any more. */
+#define STOP_MS 100
+/** Time for the calls that were read after the pause. */
+#define SETTLE_MS 1200
+#define REQUEST_MAX_BYTES 512
+
+static const char Routes[] =
+    "{\"version\":3,\"routes\":[{\"name\":\"look\",\"host\":\"127.0.0.1\","
+    "\"path_prefix\":\"/look/\",\"call_kind\":\"idempotent\",\"timeout_ms\":"
+    "3000,\"latency_objective_ms\":1000,\"priority\":1,\"service\":"
+    "\"booking\",\"attempts_max\":3},{\"name\":\"buy\",\"host\":"
+    "\"127.0.0.1\",\"path_prefix\":\"/buy/\",\"call_kind\":\"at_most_once\","
+    "\"timeout_ms\":3000,\"latency_objective_ms\":1000,\"priority\":1,"
+    "\"service\":\"booking\",\"attempts_max\":1}],\"services\":[{\"name\":"
+    "\"booking\"}]}";
+
+static RoutedGateways_t Fleet;
+static Services_t *Services;
+
+static void
+end_all(void)
+{
+    if (Services != NULL) {
+        Services_Stop(Services);
+        Services = NULL;
+    }
+    RoutedGateways_Kill(&Fleet);
+}
+
+TestSuite(departed_callers, .fini = end_all, .timeout = 60);
+
+static bool
+is_served(void)
+{
+    const char *const headers[] = {"Attempt-Id: start", "Deadline-Ms: 3000",
+                                   NULL};
+    Reply_t reply = Http_Call(Fleet.routed_ports[0], "GET", "/look/ready",
+                              headers, NULL, CALL_TIMEOUT_MS);
+    bool served = reply.status == 200;
+    Reply_Clear(&reply);
+    return served;
+}
+
+static void
+start_all(void)
+{
+    static const uint32_t Regions[1] = {0};
+    RoutedGateways_Start(&Fleet, "departed", Regions, 1, "platform");
+    RoutedGateways_PutRoutes(&Fleet, Routes);
+    const BackendSite_t site = {.zone = RoutedGateways_zones[0],
+                                .gateway_ports = {Fleet.gateways[0].port}};
+    Services = Services_Start("booking", &site, 1, SERVICES_END_UNFRAMED);
+    int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
+    bool served = false;
+    while (!served && Harness_NowMs() < until_ms) {
+        served = is_served();
+        Harness_SleepMs(50);
+    }
+    cr_assert(served);
+}
+
+typedef struct DepartedCase {
+    const char *name; /* also begins the ids of its requests */
+    const char *line;
+    const char *body;
+    const char *behind; /* bytes on the connection after the request */
+    bool leaves;
+    uint32_t arrivals;
+} DepartedCase_t;
+
+static const DepartedCase_t Cases[] = {
+    {"stays", "GET /look/1", "", "", false, CALLERS},
+    {"read", "GET /look/2", "", "", true, 0},
+    {"purchase", "POST /buy/3", "one", "", true, 0},
+    {"pipelined", "GET /look/4", "", "GET /look/5 HTTP/1.1\r\n", true, 0},
+};
+
+static int
+send_request(const DepartedCase_t *given, uint32_t number)
+{
+    char text[REQUEST_MAX_BYTES];
+    (void)snprintf(text, sizeof(text),
+                   "%s HTTP/1.1\r\nHost: 127.0.0.1\r\nAttempt-Id: %s-%u\r\n"
+                   "Deadline-Ms: 3000\r\nContent-Length: %zu\r\n\r\n%s%s",
+                   given->line, given->name, number, strlen(given->body),
+                   given->body, given->behind);
+    int connection = raw_connect(Fleet.routed_ports[0]);
+    cr_assert_geq(connection, 0);
+    cr_assert(raw_send_text(connection, text));
+    return connection;
+}
+
+static uint32_t
+count_arrivals(const char *name)
+{
+    GArray *arrivals = Backends_Arrivals(Services_Servers(Services));
+    uint32_t count = 0;
+    for (guint i = 0; i < arrivals->len; i++) {
+        const BackendArrival_t *arrival =
+            &g_array_index(arrivals, BackendArrival_t, i);
+        count += strncmp(arrival->request_id, name, strlen(name)) == 0;
+    }
+    g_array_unref(arrivals);
+    return count;
+}
+
+static void
+play(const DepartedCase_t *given)
+{
+    int connections[CALLERS];
+    Process_Signal(&Fleet.gateways[0], SIGSTOP);
+    Harness_SleepMs(STOP_MS);
+    for (uint32_t i = 0; i < CALLERS; i++) {
+        connections[i] = send_request(given, i);
+    }
+    for (uint32_t i = 0; i < CALLERS && given->leaves; i++) {
+        (void)close(connections[i]);
+    }
+    Harness_SleepMs(PAUSE_MS);
+    Process_Signal(&Fleet.gateways[0], SIGCONT);
+    Harness_SleepMs(SETTLE_MS);
+    for (uint32_t i = 0; i < CALLERS && !given->leaves; i++) {
+        (void)close(connections[i]);
+    }
+    uint32_t arrivals = count_arrivals(given->name);
+    cr_expect_eq(arrivals, given->arrivals, "%s: %u of %u reached the server",
+                 given->name, arrivals, CALLERS);
+}
+
+Test(departed_callers, requests_of_callers_that_left_unread_reach_no_server)
+{
+    start_all();
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        play(&Cases[i]);
+    }
+}
