--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -37,8 +37,8 @@
     GQueue ending;         /* of EyTransfer_t whose failure is set */
     int wake_descriptor;
     pthread_mutex_t lock;
-    GQueue writable; /* of EyTransfer_t whose stream may be written or was
-                        closed; under the lock */
+    GQueue notified; /* of EyTransfer_t whose stream may be written or was
+                        closed, or whose caller has left; under the lock */
 };
 
 /** A socket of libcurl that the loop watches. */
@@ -196,18 +196,18 @@
                                     limit_ms - idle_ms, on_idle, transfer);
 }
 
-/** The stream has room again or its reader closed it; called on any thread.
- */
+/** The stream has room again, its reader closed it, or the caller has left;
+ * called on any thread. */
 static void
-on_writable(void *data)
+on_notified(void *data)
 {
     EyTransfer_t *transfer = data;
     EyClient_t *self = transfer->client;
     (void)pthread_mutex_lock(&self->lock);
-    bool first = !transfer->writable;
+    bool first = !transfer->notified;
     if (first) {
-        transfer->writable = true;
-        g_queue_push_tail(&self->writable, transfer);
+        transfer->notified = true;
+        g_queue_push_tail(&self->notified, transfer);
     }
     (void)pthread_mutex_unlock(&self->lock);
     if (first) {
@@ -217,16 +217,20 @@
     }
 }
 
+/** Ends the notifications by other threads. */
 static void
-detach_stream(EyClient_t *self, EyTransfer_t *transfer)
+detach_notifiers(EyClient_t *self, EyTransfer_t *transfer)
 {
-    if (transfer->attempt->stream == NULL) {
-        return;
+    const EyAttempt_t *attempt = transfer->attempt;
+    if (attempt->stream != NULL) {
+        EyStream_SetWriter(attempt->stream, NULL, NULL);
+    }
+    if (attempt->cancellation != NULL) {
+        EyCancellation_SetHandler(attempt->cancellation, NULL, NULL);
     }
-    EyStream_SetWriter(transfer->attempt->stream, NULL, NULL);
     (void)pthread_mutex_lock(&self->lock);
-    if (transfer->writable) {
-        (void)g_queue_remove(&self->writable, transfer);
+    if (transfer->notified) {
+        (void)g_queue_remove(&self->notified, transfer);
     }
     (void)pthread_mutex_unlock(&self->lock);
 }
@@ -241,7 +245,7 @@
     (void)g_queue_remove(&self->ending, transfer);
     EyMetric_Set(&Metrics[METRIC_IN_FLIGHT],
                  g_hash_table_size(self->transfers));
-    detach_stream(self, transfer);
+    detach_notifiers(self, transfer);
     if (transfer->easy != NULL) {
         (void)curl_multi_remove_handle(self->multi, transfer->easy);
     }
@@ -466,7 +470,11 @@
                                         on_idle, transfer);
     }
     if (attempt->stream != NULL) {
-        EyStream_SetWriter(attempt->stream, on_writable, transfer);
+        EyStream_SetWriter(attempt->stream, on_notified, transfer);
+    }
+    if (attempt->cancellation != NULL) {
+        EyCancellation_SetHandler(attempt->cancellation, on_notified,
+                                  transfer);
     }
     (void)curl_multi_add_handle(self->multi, transfer->easy);
 }
@@ -489,11 +497,15 @@
 }
 
 /** Resumes a transfer whose stream was full, or ends it if its reader closed
- * the stream. */
+ * the stream or the caller has left. */
 static void
 resume_transfer(EyTransfer_t *transfer)
 {
-    if (EyStream_State(transfer->attempt->stream) == EY_STREAM_READER_CLOSED) {
+    const EyAttempt_t *attempt = transfer->attempt;
+    bool is_unread =
+        attempt->stream != NULL &&
+        EyStream_State(attempt->stream) == EY_STREAM_READER_CLOSED;
+    if (is_unread || EyCancellation_IsSet(attempt->cancellation)) {
         schedule_end(transfer, EY_FAILURE_CANCELLED);
         return;
     }
@@ -510,12 +522,12 @@
 }
 
 static EyTransfer_t *
-pop_writable(EyClient_t *self)
+pop_notified(EyClient_t *self)
 {
     (void)pthread_mutex_lock(&self->lock);
-    EyTransfer_t *transfer = g_queue_pop_head(&self->writable);
+    EyTransfer_t *transfer = g_queue_pop_head(&self->notified);
     if (transfer != NULL) {
-        transfer->writable = false;
+        transfer->notified = false;
     }
     (void)pthread_mutex_unlock(&self->lock);
     return transfer;
@@ -533,7 +545,7 @@
     ssize_t got = read(self->wake_descriptor, &count, sizeof(count));
     (void)got;
     EyTransfer_t *transfer = NULL;
-    while ((transfer = pop_writable(self)) != NULL) {
+    while ((transfer = pop_notified(self)) != NULL) {
         resume_transfer(transfer);
     }
 }
@@ -554,7 +566,7 @@
     g_hash_table_destroy(self->transfers);
     g_queue_clear(&self->starting);
     g_queue_clear(&self->ending);
-    g_queue_clear(&self->writable);
+    g_queue_clear(&self->notified);
     (void)close(self->wake_descriptor);
     (void)pthread_mutex_destroy(&self->lock);
     return 0;
@@ -599,7 +611,7 @@
     self->transfers = g_hash_table_new(g_int64_hash, g_int64_equal);
     g_queue_init(&self->starting);
     g_queue_init(&self->ending);
-    g_queue_init(&self->writable);
+    g_queue_init(&self->notified);
     (void)pthread_mutex_init(&self->lock, NULL);
     self->deferred = tevent_create_immediate(self);
     self->wake_descriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -36,7 +36,7 @@
     bool collects;
     bool paused; /* receiving is paused: the stream was full */
     bool queued_for_end;
-    bool writable; /* queued as such; under the client's lock */
+    bool notified; /* queued as such; under the client's lock */
     EyResponseHead_t head;
     EyBytes_t collected;
     EyEventFramer_t *framer; /* NULL: bytes are written as they arrive */
--- a/src/callers/inbound_request.h
+++ b/src/callers/inbound_request.h
@@ -33,10 +33,11 @@
     bool is_routed; /* handled by the configured routes */
     EyInboundStage_t stage;
     bool submitted;
-    bool watched;            /* by the socket watcher */
-    bool aborted;            /* the server aborted its answer */
-    bool drain_after_answer; /* the caller may still be sending */
-    bool answered_raw;       /* by EyInboundRequest_AnswerRaw */
+    bool watched;             /* by the socket watcher */
+    bool disconnect_reported; /* to the daemon; under the server's lock */
+    bool aborted;             /* the server aborted its answer */
+    bool drain_after_answer;  /* the caller may still be sending */
+    bool answered_raw;        /* by EyInboundRequest_AnswerRaw */
     bool error_event_sent;
     int64_t started_us;
     char *path;           /* undecoded, from the request line */
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -127,6 +127,17 @@
     return stopping;
 }
 
+/** Tells the daemon that the caller of a submitted request has left, once. The
+ * lock must be held. */
+static void
+report_disconnect(const EyServer_t *self, EyInboundRequest_t *inbound)
+{
+    if (inbound->submitted && !inbound->disconnect_reported) {
+        inbound->disconnect_reported = true;
+        self->hooks.disconnected(self->hooks.data, inbound->number);
+    }
+}
+
 /** Called on the socket watcher's thread. */
 static void
 on_disconnect(void *data, uint64_t number)
@@ -136,6 +147,7 @@
     EyInboundRequest_t *inbound = g_hash_table_lookup(self->inbounds, &number);
     if (inbound != NULL) {
         EyCancellation_Set(inbound->cancellation);
+        report_disconnect(self, inbound);
         EySuspension_Close(&inbound->suspension);
     }
     (void)pthread_mutex_unlock(&self->lock);
@@ -523,7 +535,9 @@
     if (inbound->submitted && !completed && !inbound->aborted && !stopping) {
         EyMetric_Add(&Metrics[METRIC_DISCONNECTED], 1);
         EyCancellation_Set(inbound->cancellation);
-        self->hooks.disconnected(self->hooks.data, inbound->number);
+        (void)pthread_mutex_lock(&self->lock);
+        report_disconnect(self, inbound);
+        (void)pthread_mutex_unlock(&self->lock);
     }
     EySuspension_Clear(&inbound->suspension);
     talloc_free(inbound->answer);
--- /dev/null
+++ b/tests/unit/test_client_cancellation.c
@@ -0,0 +1,114 @@
+/* Attempts whose callers leave, without a command to the client. */
+#include "client_fixture.h"
+#include "core/memory.h"
+
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SET_AFTER_US 100000
+#define CLOSE_MAX_MS 300
+
+/** Begins an answer as the path says and reports when the client closes. */
+static void
+serve_without_end(ScriptedServer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    bool *is_closed = (bool *)(uintptr_t)peer->data;
+    if (!scripted_server_read_request(peer, socket, text)) {
+        return;
+    }
+    if (strstr(text, "/begins") != NULL) {
+        (void)raw_send_text(socket, OK "Content-Length: 100\r\n\r\nfirst");
+    }
+    *is_closed = raw_is_closed(socket, WAIT_MS);
+}
+
+static void *
+set_later(void *data)
+{
+    (void)usleep(SET_AFTER_US);
+    EyCancellation_Set(data);
+    return NULL;
+}
+
+typedef struct LeaveCase {
+    const char *path;
+    bool is_set_at_start;
+    uint32_t requests;
+} LeaveCase_t;
+
+static const LeaveCase_t Cases[] = {
+    {"/before", true, 0},
+    {"/waits", false, 1},
+    {"/begins", false, 1},
+};
+
+static void
+check_case(const LeaveCase_t *given)
+{
+    bool is_closed = false;
+    ClientFixture_t *fixture = client_fixture_new();
+    ScriptedServer_t *peer =
+        scripted_server_start(serve_without_end, &is_closed);
+    EyCancellation_t *cancellation = EyCancellation_New(NULL);
+    EyCancellation_t *setter = EyCancellation_Ref(cancellation, NULL);
+    pthread_t thread;
+    if (given->is_set_at_start) {
+        EyCancellation_Set(cancellation);
+    }
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "GET", given->path);
+    attempt->cancellation = EyCancellation_Ref(cancellation, attempt);
+    attempt->stream = EyStream_New(RAW_TEXT_MAX_BYTES);
+    EyStream_t *stream = EyStream_Ref(attempt->stream);
+    EyClient_Start(fixture->client, attempt);
+    (void)pthread_create(&thread, NULL, set_later, setter);
+    const EyAttemptEvent_t *event = run_until_ended(fixture, 1);
+    cr_expect_eq(event->failure, EY_FAILURE_CANCELLED, "%s: %s", given->path,
+                 EyAttemptFailure_names[event->failure]);
+    cr_expect_eq(event->nothing_sent, given->requests == 0, "%s", given->path);
+    run_for(fixture, CLOSE_MAX_MS);
+    cr_expect_eq(scripted_server_requests(peer), given->requests, "%s",
+                 given->path);
+    cr_expect_eq(is_closed, given->requests > 0, "%s", given->path);
+    (void)pthread_join(thread, NULL);
+    client_fixture_free(fixture);
+    scripted_server_stop(peer);
+    EyStream_Unref(stream);
+    talloc_free(setter);
+    talloc_free(cancellation);
+}
+
+Test(client_cancellation, a_call_ends_when_its_caller_leaves_without_a_command)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        check_case(&Cases[i]);
+    }
+}
+
+static void
+count(void *data)
+{
+    (*(uint32_t *)data)++;
+}
+
+Test(client_cancellation, the_handler_is_called_once_or_not_after_its_removal)
+{
+    uint32_t calls = 0;
+    EyCancellation_t *one = EyCancellation_New(NULL);
+    EyCancellation_t *other = EyCancellation_Ref(one, NULL);
+    cr_expect_eq(EyCancellation_AgeUs(one), -1);
+    EyCancellation_SetHandler(one, count, &calls);
+    EyCancellation_SetHandler(one, NULL, NULL);
+    EyCancellation_Set(other);
+    cr_expect_eq(calls, 0);
+    EyCancellation_SetHandler(one, count, &calls);
+    EyCancellation_Set(one);
+    cr_expect_eq(calls, 1);
+    talloc_free(one);
+    cr_expect(EyCancellation_IsSet(other));
+    cr_expect(!EyCancellation_IsSet(NULL));
+    talloc_free(other);
+}
