--- a/src/membership/registry.c
+++ b/src/membership/registry.c
@@ -256,10 +256,10 @@
             has_said_leaving(EyRegistry_FindEntry(self, backend->id), backend),
     };
     (void)EY_COPY(record.sponsor, EyRegistry_Self(self)->id);
-    (void)EyRegistry_Put(self, now_ms, &record);
+    const EyRegistryEntry_t *entry = EyRegistry_Put(self, now_ms, &record);
     if (listing != EY_LISTING_SERVING) {
         EyMetric_Add(&Counts[COUNT_LEFT], 1);
-        EyRegistry_GossipChanges(self);
+        EyRegistry_SendToRegion(self, entry);
     }
 }
 
--- a/src/membership/registry_gossip.c
+++ b/src/membership/registry_gossip.c
@@ -81,6 +81,33 @@
     }
 }
 
+/** A message that is being sent to all members. */
+typedef struct Broadcast {
+    EyRegistry_t *registry;
+    const EyClusterMessage_t *message;
+} Broadcast_t;
+
+static void
+send_to_other(void *data, const EyMember_t *member)
+{
+    const Broadcast_t *broadcast = data;
+    const EyMember_t *self = EyRegistry_Self(broadcast->registry);
+    if (strcmp(member->id, self->id) != 0) {
+        send_to(broadcast->registry, member, broadcast->message);
+    }
+}
+
+void
+EyRegistry_SendToRegion(EyRegistry_t *self, const EyRegistryEntry_t *entry)
+{
+    EyBackendRecord_t record = entry->record;
+    EyClusterMessage_t message = make_message(self, EY_CLUSTER_BACKENDS);
+    message.backends = &record;
+    message.backend_count = 1;
+    Broadcast_t broadcast = {.registry = self, .message = &message};
+    EyMembership_Each(self->membership, send_to_other, &broadcast);
+}
+
 void
 EyRegistry_GossipLoads(EyRegistry_t *self, int64_t now_ms)
 {
--- a/src/membership/registry_state.h
+++ b/src/membership/registry_state.h
@@ -70,6 +70,10 @@
 void
 EyRegistry_Recover(EyRegistry_t *self, int64_t now_ms);
 
+/** Sends a record to every instance of the region. */
+void
+EyRegistry_SendToRegion(EyRegistry_t *self, const EyRegistryEntry_t *entry);
+
 /** Gossips changes, those of leaving servers first. */
 void
 EyRegistry_GossipChanges(EyRegistry_t *self);
--- a/tests/property/test_registry_properties.cc
+++ b/tests/property/test_registry_properties.cc
@@ -303,6 +303,28 @@
     });
 }
 
+/* Hop by hop, one instance that is behind delays all those after it. */
+Test(registry_properties, a_leaving_is_told_to_every_gateway_without_relays)
+{
+    EY_CHECK("leaving without relays", [] {
+        const auto gateways = *rc::gen::inRange<size_t>(2, 60);
+        auto site = make_site(gateways, 3);
+        Server &server = site->servers[1];
+        server.gateway = *rc::gen::inRange<size_t>(0, gateways);
+        for (size_t i = 0; i < gateways; i++) {
+            for (size_t j = 0; j < gateways; j++) {
+                if (i != server.gateway) {
+                    site->net.cuts.insert({i, j});
+                }
+            }
+        }
+        site->leave(server);
+        site->run(2 * cluster::tick_ms);
+        site->check(0);
+        RC_ASSERT(site->fault == "");
+    });
+}
+
 Test(registry_properties, leaving_wins_over_changes_announced_elsewhere)
 {
     EY_CHECK("leaving and changes", [] {
