--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -253,7 +253,8 @@
     }
     MessageHandler_t handler = MessageHandlers[forward.kind];
     if (handler == NULL) {
-        EyGateway_ServeForwardMessage(self, message->from, &forward);
+        EyGateway_ServeForwardMessage(self, message->from, &forward,
+                                      message->late_ms);
         talloc_free(ctx);
         return;
     }
--- a/src/gateway/forward_message.c
+++ b/src/gateway/forward_message.c
@@ -31,3 +31,10 @@
     enum { ROOM_BITS = 1 };
     return (EyRandom_Next(random) >> ROOM_BITS) | 1;
 }
+
+bool
+EyForwardMessage_IsTooLate(int64_t late_ms, uint32_t body_bytes)
+{
+    int64_t transfer_ms = body_bytes / EY_FORWARD_SLOW_LINK_BYTES_PER_MS;
+    return late_ms > EY_FORWARD_LATE_MAX_MS + transfer_ms;
+}
--- a/src/gateway/forward_message.h
+++ b/src/gateway/forward_message.h
@@ -16,6 +16,10 @@
 
 /** Largest chunk of a body in one message. */
 #define EY_FORWARD_CHUNK_MAX_BYTES (64 * 1024)
+/** How much longer than the fastest message a request may be on its way. */
+#define EY_FORWARD_LATE_MAX_MS INT64_C(500)
+/** What a slow link carries of its body meanwhile, in bytes a millisecond. */
+#define EY_FORWARD_SLOW_LINK_BYTES_PER_MS 500
 /** Flow-control window: most bytes in flight without further credit. */
 #define EY_FORWARD_WINDOW_BYTES (256 * 1024)
 
@@ -48,6 +52,12 @@
     bool is_whole;
 } EyForwardMessage_t;
 
+/** True if a request is refused because it was late_ms longer on its way than
+ * the fastest message of its sender: its caller may have left, and what the
+ * receiver knows of its servers may be as old. */
+bool
+EyForwardMessage_IsTooLate(int64_t late_ms, uint32_t body_bytes);
+
 extern const EySchema_t EyForwardMessage_schema;
 
 /** The number of a gateway's first attempt, from which it counts on. Random,
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -210,9 +210,11 @@
 }
 
 /** Copies the request as a talloc root, with a number and times of this
- * process; NULL if it can't be copied. */
+ * process; NULL if it can't be copied. late_ms: time that its way took of what
+ * was left. */
 static EyRequest_t *
-copy_request(EyGateway_t *self, const EyForwardMessage_t *forward)
+copy_request(EyGateway_t *self, const EyForwardMessage_t *forward,
+             int64_t late_ms)
 {
     EyRequest_t *request = EyRequest_New();
     EyBytes_t packed =
@@ -227,18 +229,25 @@
     request->cancellation = EyCancellation_New(request);
     request->number = FORWARDED_BIT | ++self->last_forwarded_number;
     request->arrived_ms = EyClock_NowMs();
-    request->deadline_ms = request->arrived_ms + request->time_left_ms;
+    request->deadline_ms =
+        request->arrived_ms + request->time_left_ms - late_ms;
     return request;
 }
 
 static void
 handle_request(EyGateway_t *self, const char *from,
-               const EyForwardMessage_t *forward)
+               const EyForwardMessage_t *forward, int64_t late_ms)
 {
     if (forward->request_count != 1) {
         return;
     }
     const EyRequest_t *incoming = &forward->request[0];
+    if (EyForwardMessage_IsTooLate(late_ms, incoming->body.size_bytes)) {
+        EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_FORWARDED_LATE], 1);
+        refuse(self, from, forward->attempt, EY_PROBLEM_OVERLOADED,
+               "the request was on its way between instances for too long");
+        return;
+    }
     bool is_allowed = incoming->visited_count == 1 &&
                       EyResidencyPolicy_Check(self->residency_policy, incoming,
                                               self->node->settings->region) ==
@@ -253,7 +262,7 @@
         refuse(self, from, forward->attempt, EY_PROBLEM_OVERLOADED, NULL);
         return;
     }
-    EyRequest_t *request = copy_request(self, forward);
+    EyRequest_t *request = copy_request(self, forward, late_ms);
     if (request == NULL) {
         return;
     }
@@ -338,11 +347,11 @@
 
 void
 EyGateway_ServeForwardMessage(EyGateway_t *self, const char *from,
-                              EyForwardMessage_t *forward)
+                              EyForwardMessage_t *forward, int64_t late_ms)
 {
     switch (forward->kind) {
     case EY_FORWARD_REQUEST:
-        handle_request(self, from, forward);
+        handle_request(self, from, forward, late_ms);
         break;
     case EY_FORWARD_CANCEL:
         handle_cancel(self, from, forward->attempt);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,6 +25,10 @@
     [EY_GATEWAY_FORWARDED_BYTES] = {.name = "forwarded_bytes_total",
                                     .help = "Bytes of links to other regions "
                                             "that routing has booked"},
+    [EY_GATEWAY_FORWARDED_LATE] =
+        {.name = "forwarded_late_total",
+         .help = "Requests of other regions that were refused because they "
+                 "were on their way for too long"},
     [EY_GATEWAY_LEAVING_NOTICES] =
         {.name = "backend_notices_total",
          .labels = "notice=\"leaving\"",
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -34,6 +34,7 @@
     EY_GATEWAY_RETRIES,
     EY_GATEWAY_FORWARDED,
     EY_GATEWAY_FORWARDED_BYTES,
+    EY_GATEWAY_FORWARDED_LATE,
     EY_GATEWAY_LEAVING_NOTICES,
     EY_GATEWAY_PAUSES,
     EY_GATEWAY_LIMITS,
@@ -297,10 +298,10 @@
 EyGateway_ReceiveForward(EyGateway_t *self, const EyPeerMessage_t *message);
 
 /** Handles a message from a forwarding gateway: a request, its cancellation or
- * credit for its answer. */
+ * credit for its answer. late_ms: see EyMessageDelays_Add. */
 void
 EyGateway_ServeForwardMessage(EyGateway_t *self, const char *from,
-                              EyForwardMessage_t *forward);
+                              EyForwardMessage_t *forward, int64_t late_ms);
 
 /** Starts a request that was forwarded from a remote region; takes it over. */
 void
--- a/src/instances/peer_message.c
+++ b/src/instances/peer_message.c
@@ -1,5 +1,6 @@
 #include "instances/peer_message.h"
 
+#include "core/clock.h"
 #include "core/memory.h"
 
 /* Maximum number of msgpack objects in an envelope, and in its payload. */
@@ -26,6 +27,7 @@
     EyAddress_t from_address;
     EyName_t to;
     EyBytes_t payload;
+    int64_t sent_ms;
 } Envelope_t;
 
 static const EyField_t EnvelopeFields[] = {
@@ -36,6 +38,7 @@
     EY_FIELD_TEXT(Envelope_t, from_address),
     EY_FIELD_TEXT(Envelope_t, to),
     EY_FIELD_BYTES_MAX(Envelope_t, payload, EY_PEER_MESSAGE_MAX_BYTES),
+    EY_FIELD(Envelope_t, sent_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 static const EySchema_t EnvelopeSchema = EY_SCHEMA(Envelope_t, EnvelopeFields);
@@ -53,6 +56,7 @@
 {
     EyPeerMessage_t *self = EY_NEW(NULL, EyPeerMessage_t);
     self->kind = kind;
+    self->sent_ms = EyClock_NowMs();
     if (to != NULL) {
         (void)EY_COPY(self->to, to);
     }
@@ -68,6 +72,7 @@
         .kind = (uint32_t)self->kind,
         .from_incarnation = self->from_incarnation,
         .payload = self->payload,
+        .sent_ms = self->sent_ms,
     };
     (void)EY_COPY(envelope.from, self->from);
     (void)EY_COPY(envelope.from_address, self->from_address);
@@ -256,5 +261,6 @@
     (void)EY_COPY(self->from_address, envelope.from_address);
     (void)EY_COPY(self->to, envelope.to);
     self->payload = envelope.payload;
+    self->sent_ms = envelope.sent_ms;
     return self;
 }
--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -53,6 +53,8 @@
     EyName_t to;              /* empty: any instance at to_address */
     EyAddress_t to_address;   /* used if to is empty or has no known address */
     EyBytes_t payload;        /* one msgpack object */
+    int64_t sent_ms; /* when it was made, by the sender's clock; 0: unknown */
+    int64_t late_ms; /* received: see EyMessageDelays_Add; not sent */
 } EyPeerMessage_t;
 
 typedef struct EyPeersOptions {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -33,6 +33,13 @@
     [EY_NODE_LEAVING] = "leaving",
 };
 
+static EyMetric_t PeerMetrics[] = {
+    {.name = "peer_message_late_seconds",
+     .help = "How much longer than the fastest recent one of its sender a "
+             "message of another instance took until it was handled",
+     .kind = EY_METRIC_HISTOGRAM},
+};
+
 /** Message to the main thread: a caller has disconnected. */
 typedef struct Disconnect {
     uint64_t number;
@@ -213,7 +220,11 @@
 on_peer_message(void *data, void *message)
 {
     EyNode_t *self = data;
-    const EyPeerMessage_t *peer_message = message;
+    EyPeerMessage_t *peer_message = message;
+    peer_message->late_ms = EyMessageDelays_Add(
+        self->message_delays, EyClock_NowMs(), peer_message->from,
+        peer_message->from_incarnation, peer_message->sent_ms);
+    EyMetric_Observe(&PeerMetrics[0], peer_message->late_ms * 1000);
     if (peer_message->kind == EY_PEER_MEMBERSHIP) {
         (void)EyCluster_Receive(self->cluster, EyClock_NowMs(), peer_message);
         talloc_free(message);
@@ -562,6 +573,8 @@
     self->requests = EyMailbox_New(self, REQUESTS_WAITING_MAX);
     self->disconnects = EyMailbox_New(self, DISCONNECTS_WAITING_MAX);
     self->peer_messages = EyMailbox_New(self, PEER_MESSAGES_WAITING_MAX);
+    self->message_delays = EyMessageDelays_New(self);
+    EyMetrics_Register(PeerMetrics, G_N_ELEMENTS(PeerMetrics));
     EyMailbox_Attach(self->requests, self->loop, on_request, self);
     EyMailbox_Attach(self->disconnects, self->loop, on_disconnect, self);
     EyMailbox_Attach(self->peer_messages, self->loop, on_peer_message, self);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -13,6 +13,7 @@
 #include "core/random.h"
 #include "core/settings.h"
 #include "core/timers.h"
+#include "instances/message_delays.h"
 #include "instances/peers.h"
 #include "membership/cluster.h"
 #include "membership/directory.h"
@@ -111,6 +112,7 @@
     EyMailbox_t *requests;
     EyMailbox_t *disconnects;
     EyMailbox_t *peer_messages;
+    EyMessageDelays_t *message_delays;
     EyPart_t parts[EY_NODE_PARTS_MAX];
     uint32_t part_count;
     bool refuses_requests; /* the time to linger after SIGTERM has passed */
--- a/tests/process/test_departed_callers.c
+++ b/tests/process/test_departed_callers.c
@@ -15,6 +15,8 @@
 #define CALLERS 40
 /** The gateway hears nothing for this long. */
 #define PAUSE_MS 900
+/** Callers wait for this long. */
+#define STAY_MS 50
 /** Time until a stopped process runs none of its threads any more. */
 #define STOP_MS 100
 /** Time for the calls that were read after the pause. */
@@ -58,14 +60,18 @@
     return served;
 }
 
+/** Starts a gateway in each of the first regions, and a server in the last of
+ * them. */
 static void
-start_all(void)
+start_all(uint32_t region_count)
 {
-    static const uint32_t Regions[1] = {0};
-    RoutedGateways_Start(&Fleet, "departed", Regions, 1, "platform");
+    static const uint32_t Regions[] = {0, 1};
+    uint32_t last = region_count - 1;
+    RoutedGateways_Start(&Fleet, "departed", Regions, region_count,
+                         "platform");
     RoutedGateways_PutRoutes(&Fleet, Routes);
-    const BackendSite_t site = {.zone = RoutedGateways_zones[0],
-                                .gateway_ports = {Fleet.gateways[0].port}};
+    const BackendSite_t site = {.zone = RoutedGateways_zones[last],
+                                .gateway_ports = {Fleet.gateways[last].port}};
     Services = Services_Start("booking", &site, 1, SERVICES_END_UNFRAMED);
     int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
     bool served = false;
@@ -121,20 +127,22 @@
     return count;
 }
 
+/** Plays a case while one of the gateways is stopped. */
 static void
-play(const DepartedCase_t *given)
+play(const DepartedCase_t *given, const Process_t *stopped)
 {
     int connections[CALLERS];
-    Process_Signal(&Fleet.gateways[0], SIGSTOP);
+    Process_Signal(stopped, SIGSTOP);
     Harness_SleepMs(STOP_MS);
     for (uint32_t i = 0; i < CALLERS; i++) {
         connections[i] = send_request(given, i);
     }
+    Harness_SleepMs(STAY_MS);
     for (uint32_t i = 0; i < CALLERS && given->leaves; i++) {
         (void)close(connections[i]);
     }
     Harness_SleepMs(PAUSE_MS);
-    Process_Signal(&Fleet.gateways[0], SIGCONT);
+    Process_Signal(stopped, SIGCONT);
     Harness_SleepMs(SETTLE_MS);
     for (uint32_t i = 0; i < CALLERS && !given->leaves; i++) {
         (void)close(connections[i]);
@@ -146,8 +154,23 @@
 
 Test(departed_callers, requests_of_callers_that_left_unread_reach_no_server)
 {
-    start_all();
+    start_all(1);
     for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
-        play(&Cases[i]);
+        play(&Cases[i], &Fleet.gateways[0]);
+    }
+}
+
+/* They and their cancellations reach the other region together. */
+Test(departed_callers, forwarded_requests_that_are_late_reach_no_server)
+{
+    static const DepartedCase_t Forwarded[] = {
+        {"far-read", "GET /look/6", "", "", true, 0},
+        {"far-purchase", "POST /buy/7", "one", "", true, 0},
+        /* Refused: the region may know as little of its servers. */
+        {"far-stays", "GET /look/8", "", "", false, 0},
+    };
+    start_all(2);
+    for (size_t i = 0; i < G_N_ELEMENTS(Forwarded); i++) {
+        play(&Forwarded[i], &Fleet.gateways[1]);
     }
 }
