--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -33,6 +33,7 @@
     uint64_t number = active->exchange->request->number;
     const EyRoutingResult_t cancelled = {.kind = EY_RESULT_CANCELLED};
     EyGateway_RouteFinished(active, &cancelled);
+    EyGateway_EndForward(active);
     g_hash_table_remove(gateway->attempts, &attempt);
     g_hash_table_remove(gateway->active_requests, &number);
 }
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -5,7 +5,6 @@
 #include "gateway/internal.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 #define UPDATE_INTERVAL_MS 500
 #define GATEWAYS_MAX 512
@@ -144,54 +143,38 @@
 
 /** A search for a gateway of a region among the contacts. */
 typedef struct Search {
-    const char *own_id;
+    const EyForwardTargets_t *targets;
     const char *region;
     const EyMember_t *found;
-    uint64_t score;
 } Search_t;
 
-/** Rendezvous hashing: each gateway prefers the contacts in an order of its
- * own, so that requests are spread over them and the choice changes only with
- * the chosen contact. */
-static uint64_t
-contact_score(const char *own_id, const char *contact_id)
+static bool
+is_live_gateway(const EyMember_t *member)
 {
-    uint64_t seed = XXH64(own_id, strlen(own_id), 0);
-    return XXH64(contact_id, strlen(contact_id), seed);
+    return member->role == EY_MEMBER_GATEWAY &&
+           member->state == EY_MEMBER_ALIVE;
 }
 
 static void
 search_contact(void *data, const EyMember_t *member)
 {
     Search_t *search = data;
-    if (member->role != EY_MEMBER_GATEWAY ||
-        member->state != EY_MEMBER_ALIVE ||
-        strcmp(member->region, search->region) != 0)
+    const char *best = search->found != NULL ? search->found->id : NULL;
+    if (is_live_gateway(member) &&
+        strcmp(member->region, search->region) == 0 &&
+        EyForwardTargets_IsBetter(search->targets, member->id, best))
     {
-        return;
-    }
-    uint64_t score = contact_score(search->own_id, member->id);
-    if (search->found == NULL || score > search->score) {
         search->found = member;
-        search->score = score;
     }
 }
 
-/** The gateway of a remote region that this one forwards to; NULL if none is
- * known to be alive. */
-static const EyMember_t *
-find_remote_gateway(EyGateway_t *self, const char *region)
-{
-    Search_t search = {.own_id = self->node->settings->id, .region = region};
-    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
-                             search_contact, &search);
-    return search.found;
-}
-
 const char *
 EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
 {
-    const EyMember_t *gateway = find_remote_gateway(self, region);
+    Search_t search = {.targets = self->forward_targets, .region = region};
+    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
+                             search_contact, &search);
+    const EyMember_t *gateway = search.found;
     if (gateway == NULL) {
         return NULL;
     }
@@ -200,25 +183,22 @@
     return gateway->id;
 }
 
-/** Keeps a connection open to the gateway of each other region that a request
- * would be forwarded to, so that it needn't wait for one. */
 static void
-keep_forward_links(EyGateway_t *self)
+keep_link(void *data, const EyMember_t *member)
 {
-    const EySettings_t *settings = self->node->settings;
-    GHashTable *regions = g_hash_table_new(g_str_hash, g_str_equal);
-    (void)g_hash_table_add(regions, (gpointer)settings->region);
-    for (uint32_t i = 0; i < settings->zone_count; i++) {
-        const char *region = settings->zones[i].region;
-        if (!g_hash_table_add(regions, (gpointer)region)) {
-            continue;
-        }
-        const EyMember_t *gateway = find_remote_gateway(self, region);
-        if (gateway != NULL) {
-            (void)EyPeers_KeepLink(self->node->peers, gateway->peer_address);
-        }
+    EyGateway_t *self = data;
+    if (is_live_gateway(member)) {
+        (void)EyPeers_KeepLink(self->node->peers, member->peer_address);
     }
-    g_hash_table_destroy(regions);
+}
+
+/** Keeps a connection open to the known gateways of other regions, so that a
+ * request that is forwarded needn't wait for one. */
+static void
+keep_forward_links(EyGateway_t *self)
+{
+    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
+                             keep_link, self);
 }
 
 /** Number of regions that the settings name, including the local one. */
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -60,6 +60,7 @@
         return;
     }
     (void)EY_COPY(active->remote_id, remote_gateway);
+    EyForwardTargets_Begin(gateway->forward_targets, remote_gateway);
     active->remote_sequence = 0;
     EyName_t visited[1];
     EyRequest_t outgoing = outgoing_request(active, visited);
@@ -82,6 +83,16 @@
     EyActiveRequest_Step(active, &event);
 }
 
+void
+EyGateway_EndForward(EyActiveRequest_t *active)
+{
+    if (active->remote_id[0] != '\0') {
+        EyForwardTargets_End(active->gateway->forward_targets,
+                             active->remote_id);
+        active->remote_id[0] = '\0';
+    }
+}
+
 void
 EyGateway_CancelForward(EyActiveRequest_t *active, uint64_t attempt)
 {
@@ -101,7 +112,7 @@
         .duration_ms = EyClock_NowMs() - active->exchange->request->arrived_ms,
     };
     EyGateway_RouteFinished(active, &result);
-    active->remote_id[0] = '\0';
+    EyGateway_EndForward(active);
     g_hash_table_remove(active->gateway->attempts, &event->attempt);
     EyActiveRequest_Step(active, event);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -100,6 +100,7 @@
         return NULL;
     }
     make_tables(self);
+    self->forward_targets = EyForwardTargets_New(self, node->settings->id);
     self->outbound = EyClientThread_Start(self, self->attempt_events);
     self->residency_policy =
         EyResidencyPolicy_New(self, node->settings->region);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -19,6 +19,7 @@
 #include "gateway/residency_policy.h"
 #include "gateway/resumptions.h"
 #include "instances/peers.h"
+#include "routing/forward_targets.h"
 #include "routing/router.h"
 
 /** Size of an answer buffer: bounds the memory that one slow caller uses. */
@@ -122,6 +123,7 @@
                                     forward_server.c */
     EyMailbox_t *relay_wakeups; /* from readable streams */
     uint64_t last_forwarded_number;
+    EyForwardTargets_t *forward_targets;
     /* The last engine update to the local region. */
     int64_t engine_update_sent_ms;
     uint32_t engine_update_receiver_count;
@@ -245,8 +247,8 @@
 EyGateway_OnBackend(EyGateway_t *self, EyRegistryChange_t change,
                     const EyBackend_t *backend);
 
-/** Finds a gateway of a remote region and sets its peer address; NULL if none
- * is known to be alive. */
+/** Finds the gateway of a remote region that the next request is forwarded to,
+ * and sets its peer address; NULL if none is known to be alive. */
 const char *
 EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region);
 
@@ -271,6 +273,11 @@
 EyExchangeEvent_t
 EyGateway_ForwardFailure(const EyAnswer_t *answer, uint64_t attempt);
 
+/** A forwarded attempt has ended, or its request; does nothing if there is
+ * none. */
+void
+EyGateway_EndForward(EyActiveRequest_t *active);
+
 /** Cancels an attempt in a remote region. */
 void
 EyGateway_CancelForward(EyActiveRequest_t *active, uint64_t attempt);
