--- a/tests/plain/criterion/criterion.h
+++ b/tests/plain/criterion/criterion.h
@@ -84,6 +84,9 @@
     PLAIN_ASSERT((a) >= (b), #a " >= " #b, __VA_ARGS__)
 #define cr_assert_str_eq(a, b, ...)                                           \
     PLAIN_ASSERT(strcmp((a), (b)) == 0, #a " == " #b, __VA_ARGS__)
+#define cr_assert_str_neq(a, b, ...)                                          \
+    PLAIN_ASSERT(strcmp((a), (b)) != 0, #a " != " #b, __VA_ARGS__)
+#define cr_assert_fail(...) PLAIN_ASSERT(false, "failure", __VA_ARGS__)
 #define cr_assert_arr_eq(a, b, size, ...)                                     \
     PLAIN_ASSERT(memcmp((a), (b), (size)) == 0, #a " == " #b, __VA_ARGS__)
 #define cr_expect(a, ...) PLAIN_EXPECT((a), #a, __VA_ARGS__)
@@ -106,6 +109,13 @@
     PLAIN_EXPECT((a) >= (b), #a " >= " #b, __VA_ARGS__)
 #define cr_expect_str_eq(a, b, ...)                                           \
     PLAIN_EXPECT(strcmp((a), (b)) == 0, #a " == " #b, __VA_ARGS__)
+#define cr_expect_str_neq(a, b, ...)                                          \
+    PLAIN_EXPECT(strcmp((a), (b)) != 0, #a " != " #b, __VA_ARGS__)
+#define cr_expect_str_empty(a, ...)                                           \
+    PLAIN_EXPECT((a)[0] == '\0', #a " is empty", __VA_ARGS__)
+#define cr_expect_float_eq(a, b, epsilon, ...)                                \
+    PLAIN_EXPECT((a) - (b) <= (epsilon) && (b) - (a) <= (epsilon),            \
+                 #a " == " #b, __VA_ARGS__)
 #define cr_expect_arr_eq(a, b, size, ...)                                     \
     PLAIN_EXPECT(memcmp((a), (b), (size)) == 0, #a " == " #b, __VA_ARGS__)
 #define cr_log_info(...) ((void)0)
