--- a/src/core/cancellation.c
+++ b/src/core/cancellation.c
@@ -3,7 +3,6 @@
 #include "core/clock.h"
 #include "core/memory.h"
 
-#include <glib.h>
 #include <pthread.h>
 
 /** What all references share. */
@@ -11,30 +10,29 @@
     pthread_mutex_t lock; /* protects the handler */
     EyCancellationHandler_t handler;
     void *data;
-    int64_t set_us; /* atomic; 0: not set */
+    int64_t set_us;      /* atomic; 0: not set */
+    uint32_t references; /* atomic */
 } State_t;
 
 struct EyCancellation {
-    State_t *state; /* a GLib reference-counted box */
+    State_t *state;
 };
 
-static void
-clear_state(gpointer data)
-{
-    State_t *state = data;
-    (void)pthread_mutex_destroy(&state->lock);
-}
-
 static int
 destroy(EyCancellation_t *self)
 {
-    g_atomic_rc_box_release_full(self->state, clear_state);
+    State_t *state = self->state;
+    if (__atomic_sub_fetch(&state->references, 1, __ATOMIC_ACQ_REL) == 0) {
+        (void)pthread_mutex_destroy(&state->lock);
+        talloc_free(state);
+    }
     return 0;
 }
 
 static EyCancellation_t *
 make(const void *ctx, State_t *state)
 {
+    (void)__atomic_add_fetch(&state->references, 1, __ATOMIC_RELAXED);
     EyCancellation_t *self = EY_NEW(ctx, EyCancellation_t);
     self->state = state;
     talloc_set_destructor(self, destroy);
@@ -44,7 +42,7 @@
 EyCancellation_t *
 EyCancellation_New(const void *ctx)
 {
-    State_t *state = g_atomic_rc_box_new0(State_t);
+    State_t *state = EY_NEW(NULL, State_t);
     (void)pthread_mutex_init(&state->lock, NULL);
     return make(ctx, state);
 }
@@ -52,8 +50,7 @@
 EyCancellation_t *
 EyCancellation_Ref(const EyCancellation_t *self, const void *ctx)
 {
-    return self != NULL ? make(ctx, g_atomic_rc_box_acquire(self->state))
-                        : NULL;
+    return self != NULL ? make(ctx, self->state) : NULL;
 }
 
 static int64_t
--- a/tests/unit/test_client_cancellation.c
+++ b/tests/unit/test_client_cancellation.c
@@ -23,7 +23,8 @@
     if (strstr(text, "/begins") != NULL) {
         (void)raw_send_text(socket, OK "Content-Length: 100\r\n\r\nfirst");
     }
-    *is_closed = raw_is_closed(socket, WAIT_MS);
+    __atomic_store_n(is_closed, raw_is_closed(socket, WAIT_MS),
+                     __ATOMIC_RELEASE);
 }
 
 static void *
@@ -72,7 +73,8 @@
     run_for(fixture, CLOSE_MAX_MS);
     cr_expect_eq(scripted_server_requests(peer), given->requests, "%s",
                  given->path);
-    cr_expect_eq(is_closed, given->requests > 0, "%s", given->path);
+    cr_expect_eq(__atomic_load_n(&is_closed, __ATOMIC_ACQUIRE),
+                 given->requests > 0, "%s", given->path);
     (void)pthread_join(thread, NULL);
     client_fixture_free(fixture);
     scripted_server_stop(peer);
