--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -127,6 +127,17 @@
     return stopping;
 }
 
+/** True once nothing more is written for the answer: a caller that closes its
+ * connection then may just have read all of it. */
+static bool
+is_answer_whole(const EyInboundRequest_t *inbound)
+{
+    const EyAnswer_t *answer = inbound->answer;
+    return answer != NULL &&
+           (answer->stream == NULL ||
+            EyStream_State(answer->stream) != EY_STREAM_OPEN);
+}
+
 /** Tells the daemon that the caller of a submitted request has left, once. The
  * lock must be held. */
 static void
@@ -145,9 +156,11 @@
     EyServer_t *self = data;
     (void)pthread_mutex_lock(&self->lock);
     EyInboundRequest_t *inbound = g_hash_table_lookup(self->inbounds, &number);
-    if (inbound != NULL) {
+    if (inbound != NULL && !is_answer_whole(inbound)) {
         EyCancellation_Set(inbound->cancellation);
         report_disconnect(self, inbound);
+    }
+    if (inbound != NULL) {
         EySuspension_Close(&inbound->suspension);
     }
     (void)pthread_mutex_unlock(&self->lock);
