--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -38,6 +38,13 @@
         self->failure = EY_FAILURE_CANCELLED;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (self->attempt->deadline_ms > 0 &&
+        EyClock_NowMs() >= self->attempt->deadline_ms)
+    {
+        /* The timer of the deadline may be behind, as this call was. */
+        self->failure = EY_FAILURE_DEADLINE;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (self->sent && !self->attempt->may_repeat) {
         self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -394,6 +394,12 @@
         EyGateway_CancelForward(active, action->attempt);
         return;
     }
+    if (!active->exchange->needs_claim &&
+        active->exchange->request->cancellation != NULL)
+    {
+        /* Overtakes a command to start it that is still queued. */
+        EyCancellation_Set(active->exchange->request->cancellation);
+    }
     EyClientThread_Cancel(active->gateway->outbound, action->attempt);
 }
 
--- a/tests/unit/test_client_cancellation.c
+++ b/tests/unit/test_client_cancellation.c
@@ -1,5 +1,6 @@
 /* Attempts whose callers leave, without a command to the client. */
 #include "client_fixture.h"
+#include "core/clock.h"
 #include "core/memory.h"
 
 #include <criterion/criterion.h>
@@ -10,6 +11,7 @@
 
 #define SET_AFTER_US 100000
 #define CLOSE_MAX_MS 300
+#define LATE_MS 100
 
 /** Begins an answer as the path says and reports when the client closes. */
 static void
@@ -90,6 +92,36 @@
     }
 }
 
+static void
+serve_all(ScriptedServer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    while (scripted_server_read_request(peer, socket, text)) {
+        (void)raw_send_text(socket, OK "Content-Length: 4\r\n\r\nfine");
+    }
+}
+
+/* The client's thread may be so far behind that it starts a call after its
+ * deadline, on a connection that is open already. */
+Test(client_cancellation,
+     a_call_that_is_started_after_its_deadline_is_not_sent)
+{
+    ClientFixture_t *fixture = client_fixture_new();
+    ScriptedServer_t *peer = scripted_server_start(serve_all, NULL);
+    (void)call(fixture, 1, peer->port, "/first");
+    EyAttempt_t *attempt = make_attempt(2, peer->port, "GET", "/late");
+    attempt->deadline_ms = EyClock_NowMs() + LATE_MS / 2;
+    EyClient_Start(fixture->client, attempt);
+    (void)usleep(LATE_MS * 1000);
+    const EyAttemptEvent_t *event = run_until_ended(fixture, 2);
+    cr_expect_eq(event->failure, EY_FAILURE_DEADLINE, "%s",
+                 EyAttemptFailure_names[event->failure]);
+    cr_expect(event->nothing_sent);
+    cr_expect_eq(scripted_server_requests(peer), 1);
+    client_fixture_free(fixture);
+    scripted_server_stop(peer);
+}
+
 static void
 count(void *data)
 {
