--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -31,6 +31,10 @@
                            STREAM */
 } EyAttemptBody_t;
 
+/** How long after its server was chosen, and the time that a connection may
+ * take, a call may still be sent: the server may have left since. */
+#define EY_ATTEMPT_CHOICE_AGE_MAX_MS INT64_C(500)
+
 /** One call to one backend server; a talloc root, owned by the client once
  * started. */
 typedef struct EyAttempt {
@@ -63,6 +67,7 @@
     uint32_t connect_timeout_ms;
     uint32_t idle_timeout_ms; /* longest time without data after sending */
     int64_t deadline_ms;
+    int64_t chosen_ms; /* when its server was chosen; 0: it doesn't expire */
     EyAttemptBody_t body_mode;
     EyStream_t *stream;    /* a reference of its own or NULL; it is finished as
                               COMPLETE at DONE and stays open at FAILED, so that
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -23,6 +23,17 @@
  * turn, and each other call needs several turns. */
 #define READ_BUFFER_BYTES 4096L
 
+/** True if the server was chosen so long ago that another choice is needed:
+ * this thread was behind, or libcurl sends the call again. */
+static bool
+is_choice_outdated(const EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    int64_t age_ms = EyClock_NowMs() - attempt->chosen_ms;
+    return attempt->chosen_ms > 0 &&
+           age_ms > attempt->connect_timeout_ms + EY_ATTEMPT_CHOICE_AGE_MAX_MS;
+}
+
 /** Called by libcurl when the connection is open, just before the request is
  * sent. */
 static int /* NOLINTNEXTLINE(readability-non-const-parameter) */
@@ -45,6 +56,11 @@
         self->failure = EY_FAILURE_DEADLINE;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (is_choice_outdated(self)) {
+        /* Not the server's fault, unless a connection to it broke before. */
+        self->failure = self->sent ? EY_FAILURE_BROKEN : EY_FAILURE_CANCELLED;
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (self->sent && !self->attempt->may_repeat) {
         self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -260,6 +260,7 @@
         config_timeout_ms(active, EY_DEFAULT_BACKEND_CONNECT_TIMEOUT);
     attempt->idle_timeout_ms =
         config_timeout_ms(active, EY_DEFAULT_BACKEND_IDLE_TIMEOUT);
+    attempt->chosen_ms = EyClock_NowMs();
     attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
--- a/tests/unit/test_client_cancellation.c
+++ b/tests/unit/test_client_cancellation.c
@@ -122,6 +122,29 @@
     scripted_server_stop(peer);
 }
 
+Test(client_cancellation, a_call_is_not_sent_long_after_its_server_was_chosen)
+{
+    ClientFixture_t *fixture = client_fixture_new();
+    ScriptedServer_t *peer = scripted_server_start(serve_all, NULL);
+    for (uint64_t number = 1; number <= 3; number++) {
+        EyAttempt_t *attempt = make_attempt(number, peer->port, "GET", "/1");
+        int64_t limit_ms =
+            attempt->connect_timeout_ms + EY_ATTEMPT_CHOICE_AGE_MAX_MS;
+        bool is_old = number > 1;
+        attempt->chosen_ms = EyClock_NowMs() - (is_old ? limit_ms + 1 : 0);
+        attempt->may_repeat = number < 3;
+        EyClient_Start(fixture->client, attempt);
+        const EyAttemptEvent_t *event = run_until_ended(fixture, number);
+        cr_expect_eq(event->failure,
+                     is_old ? EY_FAILURE_CANCELLED : EY_FAILURE_NONE, "%s",
+                     EyAttemptFailure_names[event->failure]);
+        cr_expect_eq(event->nothing_sent, is_old);
+    }
+    cr_expect_eq(scripted_server_requests(peer), 1);
+    client_fixture_free(fixture);
+    scripted_server_stop(peer);
+}
+
 static void
 count(void *data)
 {
