--- a/tests/unit/test_client_cancellation.c
+++ b/tests/unit/test_client_cancellation.c
@@ -18,7 +18,7 @@
 serve_without_end(ScriptedServer_t *peer, int socket)
 {
     char text[RAW_TEXT_MAX_BYTES];
-    bool *is_closed = (bool *)(uintptr_t)peer->data;
+    bool *is_closed = (bool *)peer->data;
     if (!scripted_server_read_request(peer, socket, text)) {
         return;
     }
--- a/tests/unit/test_forward_targets.c
+++ b/tests/unit/test_forward_targets.c
@@ -22,7 +22,7 @@
         (void)snprintf(id, sizeof(id), "gateway-%u", numbers[i]);
         if (EyForwardTargets_IsBetter(targets, id,
                                       best[0] != '\0' ? best : NULL)) {
-            (void)strcpy(best, id);
+            (void)g_strlcpy(best, id, sizeof(best));
             chosen = numbers[i];
         }
     }
