--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -141,9 +141,14 @@
     }
 }
 
+/** EyForwardTargets_Prefers or EyForwardTargets_IsBetter. */
+typedef bool (*Comparison_t)(const EyForwardTargets_t *targets,
+                             const char *candidate, const char *best);
+
 /** A search for a gateway of a region among the contacts. */
 typedef struct Search {
     const EyForwardTargets_t *targets;
+    Comparison_t is_better;
     const char *region;
     const EyMember_t *found;
 } Search_t;
@@ -162,16 +167,21 @@
     const char *best = search->found != NULL ? search->found->id : NULL;
     if (is_live_gateway(member) &&
         strcmp(member->region, search->region) == 0 &&
-        EyForwardTargets_IsBetter(search->targets, member->id, best))
+        search->is_better(search->targets, member->id, best))
     {
         search->found = member;
     }
 }
 
-const char *
-EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
+/** The best live gateway of a remote region, with its peer address set; NULL
+ * if none is known. */
+static const char *
+find_remote_gateway(EyGateway_t *self, const char *region,
+                    Comparison_t is_better)
 {
-    Search_t search = {.targets = self->forward_targets, .region = region};
+    Search_t search = {.targets = self->forward_targets,
+                       .is_better = is_better,
+                       .region = region};
     EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
                              search_contact, &search);
     const EyMember_t *gateway = search.found;
@@ -183,6 +193,18 @@
     return gateway->id;
 }
 
+const char *
+EyGateway_FindForwardTarget(EyGateway_t *self, const char *region)
+{
+    return find_remote_gateway(self, region, EyForwardTargets_IsBetter);
+}
+
+const char *
+EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
+{
+    return find_remote_gateway(self, region, EyForwardTargets_Prefers);
+}
+
 static void
 keep_link(void *data, const EyMember_t *member)
 {
--- a/src/routing/forward_targets.c
+++ b/src/routing/forward_targets.c
@@ -35,14 +35,20 @@
     return GPOINTER_TO_UINT(g_hash_table_lookup(self->in_flight, id));
 }
 
-/** Rendezvous hashing: gateways with as few requests are preferred in an order
- * that differs from gateway to gateway. */
+/** Rendezvous hashing: an order that differs from gateway to gateway. */
 static uint64_t
 score(const EyForwardTargets_t *self, const char *id)
 {
     return XXH64(id, strlen(id), self->seed);
 }
 
+bool
+EyForwardTargets_Prefers(const EyForwardTargets_t *self, const char *first,
+                         const char *second)
+{
+    return second == NULL || score(self, first) > score(self, second);
+}
+
 bool
 EyForwardTargets_IsBetter(const EyForwardTargets_t *self,
                           const char *candidate, const char *best)
@@ -54,7 +60,7 @@
     uint32_t best_count = EyForwardTargets_InFlight(self, best);
     return candidate_count != best_count
                ? candidate_count < best_count
-               : score(self, candidate) > score(self, best);
+               : EyForwardTargets_Prefers(self, candidate, best);
 }
 
 static void
--- a/src/routing/forward_targets.h
+++ b/src/routing/forward_targets.h
@@ -18,7 +18,14 @@
 EyForwardTargets_t *
 EyForwardTargets_New(const void *ctx, const char *own_id);
 
-/** True if candidate is to be chosen rather than best; best may be NULL. */
+/** True if this gateway prefers the first of two gateways, whatever is in
+ * flight there: its order is the same at all times. second may be NULL. */
+bool
+EyForwardTargets_Prefers(const EyForwardTargets_t *self, const char *first,
+                         const char *second);
+
+/** True if the next request is sent to candidate and not to best, which may be
+ * NULL. */
 bool
 EyForwardTargets_IsBetter(const EyForwardTargets_t *self,
                           const char *candidate, const char *best);
--- a/tests/unit/test_forward_targets.c
+++ b/tests/unit/test_forward_targets.c
@@ -29,7 +29,7 @@
     return chosen;
 }
 
-/* A single preferred gateway of each sender: of 27, one got six times its
+/* With one preferred gateway for each sender, some got a multiple of their
  * share. */
 Test(forward_targets, no_gateway_gets_the_requests_of_many_others)
 {
@@ -80,3 +80,19 @@
     cr_expect_eq(EyForwardTargets_InFlight(targets, "gateway-9"), 0);
     talloc_free(targets);
 }
+
+/* Engine updates replace the sender's last one, so they keep to one gateway.
+ */
+Test(forward_targets, the_preferred_gateway_is_the_same_whatever_is_in_flight)
+{
+    EyForwardTargets_t *targets = EyForwardTargets_New(NULL, "sender");
+    bool is_first =
+        EyForwardTargets_Prefers(targets, "gateway-0", "gateway-1");
+    const char *preferred = is_first ? "gateway-0" : "gateway-1";
+    const char *other = is_first ? "gateway-1" : "gateway-0";
+    EyForwardTargets_Begin(targets, preferred);
+    cr_expect(EyForwardTargets_Prefers(targets, preferred, other));
+    cr_expect(!EyForwardTargets_IsBetter(targets, preferred, other));
+    cr_expect(EyForwardTargets_Prefers(targets, other, NULL));
+    talloc_free(targets);
+}
