--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -58,7 +58,6 @@
     METRIC_STALE,
     METRIC_FIRST_BYTE,
     METRIC_CLOSE_TO_ABORT,
-    METRIC_SENT_AFTER_CLOSE,
     METRIC_COUNT
 };
 
@@ -94,13 +93,9 @@
                            .kind = EY_METRIC_HISTOGRAM},
     [METRIC_CLOSE_TO_ABORT] =
         {.name = "attempt_close_to_abort_seconds",
-         .help = "From the close of a caller's connection to the end of the "
-                 "call to a backend server for it",
+         .help = "From the close of a caller's connection, or the deadline of "
+                 "its request, to the end of the call to a backend server",
          .kind = EY_METRIC_HISTOGRAM},
-    [METRIC_SENT_AFTER_CLOSE] =
-        {.name = "attempts_sent_after_close_total",
-         .help = "Calls sent to a backend server although the caller's close "
-                 "had been noticed"},
 };
 
 static void
@@ -130,9 +125,6 @@
 void
 EyClient_OnSending(EyClient_t *self, EyTransfer_t *transfer)
 {
-    if (EyCancellation_IsSet(transfer->attempt->cancellation)) {
-        EyMetric_Add(&Metrics[METRIC_SENT_AFTER_CLOSE], 1);
-    }
     self->handler(self->data, make_event(transfer, EY_ATTEMPT_SENDING));
 }
 
@@ -278,7 +270,7 @@
     return event;
 }
 
-/** Records how long after the caller's close its attempt ends. */
+/** Records how long after the cancellation the attempt ends. */
 static void
 observe_abort(const EyTransfer_t *transfer)
 {
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -77,8 +77,8 @@
     uint32_t resume_after; /* events that the caller has received already, sent
                               as Ebonyyard-Resume-After; 0: from the start */
     EyEventId_t last_event; /* id of the last of them, if they have ids */
-    EyCancellation_t *cancellation; /* set when the caller has left; NULL: the
-                                       attempt goes on without a caller */
+    EyCancellation_t *cancellation; /* of the request; NULL: the attempt goes
+                                       on without its caller */
 } EyAttempt_t;
 
 typedef enum EyAttemptEventKind {
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -23,8 +23,8 @@
  * turn, and each other call needs several turns. */
 #define READ_BUFFER_BYTES 4096L
 
-/** True if the server was chosen so long ago that another choice is needed:
- * this thread was behind, or libcurl sends the call again. */
+/** True if the server was chosen too long ago, as this thread is overloaded or
+ * libcurl sends the call again: the router has to choose again. */
 static bool
 is_choice_outdated(const EyTransfer_t *self)
 {
@@ -52,7 +52,7 @@
     if (self->attempt->deadline_ms > 0 &&
         EyClock_NowMs() >= self->attempt->deadline_ms)
     {
-        /* The timer of the deadline may be behind, as this call was. */
+        /* On an overloaded thread its timer may not have run yet. */
         self->failure = EY_FAILURE_DEADLINE;
         return CURL_PREREQFUNC_ABORT;
     }
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -138,8 +138,8 @@
             EyStream_State(answer->stream) != EY_STREAM_OPEN);
 }
 
-/** Tells the daemon that the caller of a submitted request has left, once. The
- * lock must be held. */
+/** Reports to the daemon, once, that the caller of a submitted request has
+ * disconnected. The lock must be held. */
 static void
 report_disconnect(const EyServer_t *self, EyInboundRequest_t *inbound)
 {
@@ -445,7 +445,7 @@
     }
     if (EyRequest_IsForBackend(inbound->request) && has_caller_closed(inbound))
     {
-        /* This process read it late: nobody waits for the answer. */
+        /* Nobody waits for the answer any more. */
         EyMetric_Add(&Metrics[METRIC_LEFT_UNREAD], 1);
         return MHD_NO;
     }
--- a/src/core/cancellation.h
+++ b/src/core/cancellation.h
@@ -1,7 +1,7 @@
 /**
- * Tells all threads that work on a request that its caller has left. It is set
- * once and never cleared, so a thread that checks it just before a step can't
- * be overtaken by a message that is still queued.
+ * Cancels a request on all threads that work on it: its caller has closed the
+ * connection, or its deadline has passed. It is set once and never cleared;
+ * unlike a message, it can't be delayed in a queue.
  */
 #ifndef EY_CORE_CANCELLATION_H
 #define EY_CORE_CANCELLATION_H
@@ -42,9 +42,9 @@
 
 /**
  * Sets the handler, which is called at most once, on the thread that sets the
- * cancellation, or at once if it is set already. NULL removes it: after that
- * the old one isn't running and won't be called. The handler must not call
- * functions of the cancellation.
+ * cancellation, or at once if it is set already. NULL removes it; after that
+ * the previous handler isn't running and won't be called. The handler must not
+ * call functions of the cancellation.
  */
 void
 EyCancellation_SetHandler(EyCancellation_t *self,
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -124,8 +124,7 @@
     uint32_t more_part_count;
     bool are_parts_cut; /* there were still more, or the list is invalid from
                            there on: the last part here isn't its last one */
-    EyCancellation_t *cancellation; /* set when its caller has left; NULL: it
-                                       has none */
+    EyCancellation_t *cancellation; /* NULL: it can't be cancelled */
 } EyRequest_t;
 
 extern const EySchema_t EyHeader_schema;
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -78,8 +78,8 @@
         age_us);
 }
 
-/** True if the caller has closed its connection; the message that says so may
- * still be queued, or may have come before the request. */
+/** True if the caller has disconnected. The message about it may still be
+ * queued, or may have been handled before the request was. */
 static bool
 has_caller_left(const EyActiveRequest_t *active)
 {
@@ -219,6 +219,15 @@
     (void)EySharedBody_Ref(active->shared_body, attempt);
 }
 
+/** The cancellation of the request's attempts; NULL for a call with a claim,
+ * whose outcome is recorded without its caller. */
+static EyCancellation_t *
+attempt_cancellation(const EyActiveRequest_t *active)
+{
+    const EyExchange_t *exchange = active->exchange;
+    return exchange->needs_claim ? NULL : exchange->request->cancellation;
+}
+
 static EyAttempt_t *
 make_attempt(EyActiveRequest_t *active, const EyExchangeAction_t *action,
              const EyBackend_t *backend)
@@ -251,11 +260,8 @@
     }
     copy_headers(attempt, request);
     set_body(active, attempt);
-    if (!exchange->needs_claim) {
-        /* The outcome of a claimed call is recorded without its caller. */
-        attempt->cancellation =
-            EyCancellation_Ref(request->cancellation, attempt);
-    }
+    attempt->cancellation =
+        EyCancellation_Ref(attempt_cancellation(active), attempt);
     attempt->connect_timeout_ms =
         config_timeout_ms(active, EY_DEFAULT_BACKEND_CONNECT_TIMEOUT);
     attempt->idle_timeout_ms =
@@ -395,11 +401,11 @@
         EyGateway_CancelForward(active, action->attempt);
         return;
     }
-    if (!active->exchange->needs_claim &&
-        active->exchange->request->cancellation != NULL)
-    {
+    EyCancellation_t *cancellation = attempt_cancellation(active);
+    if (cancellation != NULL) {
         /* Overtakes a command to start it that is still queued. */
-        EyCancellation_Set(active->exchange->request->cancellation);
+        EyCancellation_Set(cancellation);
+        return;
     }
     EyClientThread_Cancel(active->gateway->outbound, action->attempt);
 }
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -324,7 +324,6 @@
     EyActiveRequest_t *active = find_by_attempt(
         self->active_requests, active_request_matches, from, attempt);
     if (active != NULL) {
-        EyCancellation_Set(active->exchange->request->cancellation);
         EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
         EyActiveRequest_Step(active, &event);
     }
--- a/src/instances/message_delays.h
+++ b/src/instances/message_delays.h
@@ -1,8 +1,9 @@
 /**
- * How late messages of other instances are. Clocks of two machines aren't
- * compared: the fastest recent message of an instance tells the difference of
- * the two clocks and the shortest way, and a message is late by what it took
- * beyond that, in the queues of both processes too.
+ * Estimates how late messages of other instances are, including the time that
+ * they wait in queues of both processes. Clocks of two machines aren't
+ * synchronized: the smallest recent difference between the receiver's time and
+ * the sender's time is taken as the baseline, and a message is late by what
+ * its own difference exceeds that.
  */
 #ifndef EY_INSTANCES_MESSAGE_DELAYS_H
 #define EY_INSTANCES_MESSAGE_DELAYS_H
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -33,11 +33,11 @@
     [EY_NODE_LEAVING] = "leaving",
 };
 
-static EyMetric_t PeerMetrics[] = {
-    {.name = "peer_message_late_seconds",
-     .help = "How much longer than the fastest recent one of its sender a "
-             "message of another instance took until it was handled",
-     .kind = EY_METRIC_HISTOGRAM},
+static EyMetric_t MessageDelay = {
+    .name = "peer_message_late_seconds",
+    .help = "How much longer than the fastest recent one of its sender a "
+            "message of another instance took until it was handled",
+    .kind = EY_METRIC_HISTOGRAM,
 };
 
 /** Message to the main thread: a caller has disconnected. */
@@ -224,7 +224,7 @@
     peer_message->late_ms = EyMessageDelays_Add(
         self->message_delays, EyClock_NowMs(), peer_message->from,
         peer_message->from_incarnation, peer_message->sent_ms);
-    EyMetric_Observe(&PeerMetrics[0], peer_message->late_ms * 1000);
+    EyMetric_Observe(&MessageDelay, peer_message->late_ms * 1000);
     if (peer_message->kind == EY_PEER_MEMBERSHIP) {
         (void)EyCluster_Receive(self->cluster, EyClock_NowMs(), peer_message);
         talloc_free(message);
@@ -574,7 +574,7 @@
     self->disconnects = EyMailbox_New(self, DISCONNECTS_WAITING_MAX);
     self->peer_messages = EyMailbox_New(self, PEER_MESSAGES_WAITING_MAX);
     self->message_delays = EyMessageDelays_New(self);
-    EyMetrics_Register(PeerMetrics, G_N_ELEMENTS(PeerMetrics));
+    EyMetrics_Register(&MessageDelay, 1);
     EyMailbox_Attach(self->requests, self->loop, on_request, self);
     EyMailbox_Attach(self->disconnects, self->loop, on_disconnect, self);
     EyMailbox_Attach(self->peer_messages, self->loop, on_peer_message, self);
