A process that lost its disk joins through the members that still know it

The change that had been acknowledged was read back by the three that were left; the two with empty disks refused every read for good, never voted again, and the next lost disk would have ended the group.

Where all of these are gone or empty too, nobody has the group, and no answer names it. The members do send to it (appends, requests for pre-votes), but for its former incarnation, which it dropped without a look at the sender.

Change: a process in no cluster that gets a message to its former incarnation from a member of one remembers the sender as a contact and sends it a hello; its answer names the leader, which admits it as a learner as always. Messages are unchanged: an older build drops them as before, and answers the hello.

With it a process test of a group of five that is replaced, killed and wiped, which the project didn't have.

--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -635,6 +635,7 @@
         is_hello || message->kind == EY_RAFT_HELLO_ANSWER ||
         (message->kind == EY_RAFT_SNAPSHOT && may_switch_cluster);
     if (!is_hello && message->to_incarnation != self->incarnation) {
+        ey_raft_on_message_to_former(self, message);
         return;
     }
     /* Drop other messages between different clusters. A leader that has no
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -98,10 +98,10 @@
     uint64_t round;   /* of hellos; answers to earlier ones may be stale */
     int64_t round_ms; /* when the round began */
     uint64_t proposed_cluster; /* id of the cluster that this round confirms */
-    /** A leader, named by an answer, that isn't in options.addresses; empty:
-     * none. */
-    EyAddress_t unlisted_leader;
-    uint64_t unlisted_leader_nonce; /* to be copied into the next hello */
+    /** A leader that an answer named, or a member that took this process for
+     * its former incarnation, if not in options.addresses; empty: none. */
+    EyAddress_t unlisted_contact;
+    uint64_t unlisted_contact_nonce; /* to be copied into the next hello */
     uint64_t asked_nonce; /* of the last hello that was sent to a leader in
                            * answer to its own answer */
     EyRaftJoiner_t joiner;
@@ -246,6 +246,10 @@
 ey_raft_send_hellos(EyRaft_t *self);
 void
 ey_raft_on_hello(EyRaft_t *self, const EyRaftMessage_t *message);
+/** Handles a message to this process's former incarnation, whose disk is lost:
+ * the sender knows the cluster, maybe as the only one that can be found. */
+void
+ey_raft_on_message_to_former(EyRaft_t *self, const EyRaftMessage_t *message);
 void
 ey_raft_on_hello_answer(EyRaft_t *self, const EyRaftMessage_t *message);
 /** Founds a cluster if all configured addresses are ready for it. */
--- a/src/config/raft_members.c
+++ b/src/config/raft_members.c
@@ -136,7 +136,7 @@
         const char *address =
             g_array_index(self->peers, EyRaftPeer_t, i).address;
         if (find_hello_answer(self, address) == NULL &&
-            strcmp(address, self->unlisted_leader) != 0)
+            strcmp(address, self->unlisted_contact) != 0)
         {
             send_hello(self, address, 0);
         }
@@ -163,8 +163,8 @@
         begin_round(self);
     }
     send_hello_to_all(self);
-    if (self->unlisted_leader[0] != '\0') {
-        send_hello(self, self->unlisted_leader, self->unlisted_leader_nonce);
+    if (self->unlisted_contact[0] != '\0') {
+        send_hello(self, self->unlisted_contact, self->unlisted_contact_nonce);
     }
     send_hello_to_members(self);
     ey_raft_bootstrap(self);
@@ -215,20 +215,38 @@
     }
 }
 
-/** Records a leader that isn't one of the configured addresses, so that hellos
- * are sent to it too: only the leader admits a process. */
+/** Records an address that isn't one of the configured ones, so that hellos
+ * are sent to it too. Returns true if it is a new one. */
+static bool
+remember_unlisted(EyRaft_t *self, const char *address)
+{
+    bool is_new = address[0] != '\0' &&
+                  find_hello_answer(self, address) == NULL &&
+                  strcmp(address, self->unlisted_contact) != 0;
+    if (is_new) {
+        (void)EY_COPY(self->unlisted_contact, address);
+        self->unlisted_contact_nonce = 0;
+    }
+    return is_new;
+}
+
+/** Records the leader that the sender knows: only the leader admits a process.
+ */
 static void
-remember_unlisted_leader(EyRaft_t *self, const EyRaftMessage_t *message)
+remember_leader(EyRaft_t *self, const EyRaftMessage_t *message)
 {
-    if (strcmp(message->from, self->unlisted_leader) == 0) {
-        self->unlisted_leader_nonce = message->nonce;
+    if (strcmp(message->from, self->unlisted_contact) == 0) {
+        self->unlisted_contact_nonce = message->nonce;
     }
-    bool is_new = message->leader[0] != '\0' &&
-                  find_hello_answer(self, message->leader) == NULL &&
-                  strcmp(message->leader, self->unlisted_leader) != 0;
-    if (is_new) {
-        (void)EY_COPY(self->unlisted_leader, message->leader);
-        self->unlisted_leader_nonce = 0;
+    (void)remember_unlisted(self, message->leader);
+}
+
+void
+ey_raft_on_message_to_former(EyRaft_t *self, const EyRaftMessage_t *message)
+{
+    bool is_outside = self->cluster == 0 && message->cluster != 0;
+    if (is_outside && remember_unlisted(self, message->from)) {
+        send_hello(self, message->from, 0);
     }
 }
 
@@ -324,7 +342,7 @@
         answer->last_index = message->index;
         answer->round = message->round;
     }
-    remember_unlisted_leader(self, message);
+    remember_leader(self, message);
     ask_leader_again(self, message);
     if (self->cluster != 0 && has_failed(self)) {
         ey_raft_leave_failed(self);
--- /dev/null
+++ b/tests/process/test_control_group.c
@@ -0,0 +1,137 @@
+/* Five control processes, of which some are replaced at other addresses; then
+ * all are killed and two lose their disks, right after a change was
+ * acknowledged. It must be read back, and further changes must be possible. */
+#include "core/random.h"
+#include "process/control_group.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static ControlGroup_t Group;
+
+static void
+end_group(void)
+{
+    ControlGroup_End(&Group);
+}
+
+TestSuite(control_group, .fini = end_group, .timeout = 240);
+
+/** Whose disks are lost. */
+typedef enum Victims {
+    VICTIMS_ANY,
+    VICTIMS_CONTACTS,
+    VICTIMS_LEADER
+} Victims_t;
+
+typedef struct Case {
+    const char *name;
+    uint32_t replaced;     /* one after the other */
+    bool is_planned;       /* the successor first, then SIGTERM */
+    bool has_old_contacts; /* --control names the first three all the while */
+    Victims_t victims;
+} Case_t;
+
+static uint64_t
+seed(void)
+{
+    const char *text = getenv("EY_TEST_SEED");
+    return text != NULL ? strtoull(text, NULL, 10) : 1;
+}
+
+/** A process that runs, other than the given one. */
+static uint32_t
+any_member(EyRandom_t *random, uint32_t other)
+{
+    for (;;) {
+        uint32_t index = (uint32_t)EyRandom_Below(random, Group.count);
+        if (index != other && !Group.members[index].is_gone) {
+            return index;
+        }
+    }
+}
+
+static void
+replace(const Case_t *test, EyRandom_t *random, uint32_t number)
+{
+    uint32_t index = number == 0 && test->victims == VICTIMS_CONTACTS
+                         ? 0
+                         : any_member(random, Group.count);
+    if (!test->has_old_contacts) {
+        Group.members[index].is_gone = true;
+        ControlGroup_RenewContacts(&Group);
+        Group.members[index].is_gone = false;
+    }
+    if (test->is_planned) {
+        (void)ControlGroup_Add(&Group);
+        Harness_SleepMs(CONTROL_GROUP_CATCH_UP_MS / 2);
+        Process_Signal(&Group.members[index].process, SIGTERM);
+        (void)Process_Wait(&Group.members[index].process, 10000);
+        ControlGroup_Remove(&Group, index);
+        Harness_SleepMs(CONTROL_GROUP_CATCH_UP_MS / 2);
+        return;
+    }
+    ControlGroup_Remove(&Group, index);
+    Harness_SleepMs((int64_t)EyRandom_Below(random, 2000));
+    (void)ControlGroup_Add(&Group);
+    Harness_SleepMs(CONTROL_GROUP_CATCH_UP_MS);
+}
+
+static void
+run_case(const Case_t *test)
+{
+    EyRandom_t random = EyRandom_Make(seed());
+    ControlGroup_Start(&Group, test->name);
+    cr_assert(ControlGroup_Change(&Group, 1, CONTROL_GROUP_RECOVERY_MS));
+    for (uint32_t i = 0; i < test->replaced; i++) {
+        replace(test, &random, i);
+    }
+    uint32_t first = any_member(&random, Group.count);
+    uint32_t second = any_member(&random, first);
+    if (test->victims == VICTIMS_CONTACTS) {
+        first = 1;
+        second = 2;
+    }
+    if (test->victims == VICTIMS_LEADER) {
+        first = ControlGroup_Leader(&Group);
+        second = any_member(&random, first);
+    }
+    cr_assert_lt(first, Group.count);
+    cr_assert(ControlGroup_Change(&Group, 2, CONTROL_GROUP_RECOVERY_MS));
+    ControlGroup_KillAll(&Group);
+    ControlGroup_LoseDisk(&Group, first);
+    ControlGroup_LoseDisk(&Group, second);
+    Harness_SleepMs(700);
+    ControlGroup_StartAll(&Group);
+    cr_expect(ControlGroup_AwaitVersion(&Group, 2, CONTROL_GROUP_RECOVERY_MS),
+              "%s: what was acknowledged is not read back", test->name);
+    cr_expect(ControlGroup_AwaitVoters(&Group, CONTROL_GROUP_CATCH_UP_MS),
+              "%s: the voters are not those that run", test->name);
+    cr_expect(ControlGroup_Change(&Group, 3, CONTROL_GROUP_RECOVERY_MS),
+              "%s: no change is possible", test->name);
+}
+
+/* A replaced process stayed a voter, so two lost disks left no quorum. */
+Test(control_group, two_disks_are_lost_after_one_was_replaced)
+{
+    run_case(&(Case_t){.name = "group-one", .replaced = 1});
+}
+
+Test(control_group, two_disks_are_lost_after_three_planned_replacements)
+{
+    run_case(&(Case_t){.name = "group-planned",
+                       .replaced = 3,
+                       .is_planned = true,
+                       .victims = VICTIMS_LEADER});
+}
+
+/* Processes that lost their disks stayed outside of the group for ever, where
+ * --control named only themselves and one that was gone. */
+Test(control_group, the_contacts_lose_their_disks_after_one_was_replaced)
+{
+    run_case(&(Case_t){.name = "group-contacts",
+                       .replaced = 1,
+                       .has_old_contacts = true,
+                       .victims = VICTIMS_CONTACTS});
+}
--- a/tests/property/raft_world.h
+++ b/tests/property/raft_world.h
@@ -411,7 +411,8 @@
         uint32_t used = 0;
         bool has_self = false;
         for (size_t j = 0; j < nodes.size() && used < seeds; j++) {
-            if (nodes[j].is_gone || nodes[j].is_unused) {
+            bool is_left = !nodes[j].is_gone && !nodes[j].is_unused;
+            if (!is_left && !keeps_first_seeds) {
                 continue;
             }
             has_self = has_self || j == i;
@@ -530,6 +531,8 @@
     std::set<uint64_t> rejected;
     uint64_t fault_rate =
         0; /* lost messages, and duplicated ones, per mille */
+    bool keeps_first_seeds = false; /* nodes that start are configured with the
+                                     * first seeds, even if those are gone */
     bool may_lose_during_bootstrap =
         false; /* disks may be lost before the first commit */
     int64_t now_ms = 1000;
--- a/tests/property/test_raft_replacement_properties.cc
+++ b/tests/property/test_raft_replacement_properties.cc
@@ -496,3 +496,23 @@
         RC_ASSERT(world.voters_are_those_running());
     });
 }
+
+/* Processes that lost their disks know only addresses at which nobody has the
+ * group any more: they stayed outside of it for ever. */
+Test(raft_replacement, members_that_lost_their_disks_and_all_contacts_return)
+{
+    EY_CHECK("any seed", [](uint64_t seed) {
+        Deployment deployment(seed);
+        World &world = deployment.world;
+        world.keeps_first_seeds = true;
+        deployment.replace(0, false, 1000);
+        world.run(CatchUpMs);
+        world.lose_disk(1);
+        world.lose_disk(2);
+        deployment.lose_power_everywhere();
+        deployment.check_recovery("the loss of the other two seeds' disks");
+        world.run(CatchUpMs);
+        raft_world::require(world.voters_are_those_running(),
+                            "the voters are those that run");
+    });
+}
