Control processes as contacts take no places of a region's gateways

Cause: of each remote region four contacts are kept, of both roles together, and only gateways are evicted. Control processes that were replaced stay for ten minutes, so four of them, living or gone, left no gateway to forward to. That needs no change elsewhere: each replacement adds a contact.

Change: gateways and control processes are counted apart, four and sixteen of a region; of control processes the one that was seen least recently goes.

--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -10,7 +10,8 @@
 #define GONE_KEPT_MS 600000
 /* Gone incarnations remembered beyond that time, one per instance. */
 #define GONE_INCARNATIONS_MAX 8192
-#define CONTACTS_PER_REGION 4
+#define GATEWAY_CONTACTS_PER_REGION 4
+#define CONTROL_CONTACTS_PER_REGION 16
 #define CONTACTS_MAX 256
 /* Age after which a contact's address is contacted again if it is a seed, and
  * age after which the contact is dropped. */
@@ -138,29 +139,40 @@
     return entry;
 }
 
+/** Most contacts of a role in each remote region. Control processes of small
+ * numbers that were replaced stay until they expire, and must not take the
+ * places of gateways. */
+static uint32_t
+contacts_max(EyMemberRole_t role)
+{
+    return role == EY_MEMBER_GATEWAY ? GATEWAY_CONTACTS_PER_REGION
+                                     : CONTROL_CONTACTS_PER_REGION;
+}
+
+/** Drops the contact of this region and role that was seen least recently, if
+ * there are too many of them. */
 static void
-evict_oldest_contact(EyMembers_t *self, const char *region)
+evict_oldest_contact(EyMembers_t *self, const char *region,
+                     EyMemberRole_t role)
 {
     GHashTableIter contacts;
     gpointer data = NULL;
     const EyContact_t *oldest = NULL;
-    uint32_t in_region = 0;
+    uint32_t count = 0;
     g_hash_table_iter_init(&contacts, self->contacts);
     while (g_hash_table_iter_next(&contacts, NULL, &data)) {
         const EyContact_t *contact = data;
-        if (strcmp(contact->member.region, region) != 0) {
+        if (contact->member.role != role ||
+            strcmp(contact->member.region, region) != 0)
+        {
             continue;
         }
-        in_region++;
-        /* Control processes are few and are never evicted. */
-        bool is_evictable =
-            contact->member.role == EY_MEMBER_GATEWAY &&
-            (oldest == NULL || contact->last_seen_ms < oldest->last_seen_ms);
-        if (is_evictable) {
+        count++;
+        if (oldest == NULL || contact->last_seen_ms < oldest->last_seen_ms) {
             oldest = contact;
         }
     }
-    if (oldest != NULL && in_region > CONTACTS_PER_REGION) {
+    if (oldest != NULL && count > contacts_max(role)) {
         (void)g_hash_table_remove(self->contacts, oldest->member.id);
     }
 }
@@ -191,7 +203,7 @@
     }
     contact->member = *member;
     contact->last_seen_ms = MAX(contact->last_seen_ms, last_seen_ms);
-    evict_oldest_contact(self, member->region);
+    evict_oldest_contact(self, member->region, member->role);
 }
 
 static bool
