Instances learn from the configuration which control processes form the group

Cause: an instance greets the addresses of its settings, read at its start, and what instances of its own region name. When all of these are gone it meets no successor: a successor greets control processes that live, which name members of their own region only. So a region fell into two parts. Its gateways asked control processes that were gone for changes, first and last; servers and the directory were at successors that knew no gateway.

Change: the member set of the replicated log, once committed, comes with the configuration (EyControlSet, the index orders two sets), in answers to pulls and with the next push, to those that have an older one. Instances greet its addresses beside those of the settings, so a successor is met by its region within about two seconds; gateways ask only control processes of the set, or all that they know if they know none of it. Logged as control_processes.

Older builds ignore the field, and say nothing of it in their pulls, so they are sent the set with each answer (320 bytes at most, worked out); between new ones it adds some 5 bytes to a message.

--- a/src/config/config_message.c
+++ b/src/config/config_message.c
@@ -43,6 +43,7 @@
     EY_FIELD(EyConfigMessage_t, awaits_leader, EY_FIELD_BOOL),
     EY_FIELD(EyConfigMessage_t, age_ms, EY_FIELD_I64),
     EY_FIELD(EyConfigMessage_t, receiver_clock_ms, EY_FIELD_I64),
+    EY_FIELD_NESTED(EyConfigMessage_t, controls, EyControlSet_schema),
     EY_FIELD_END,
 };
 const EySchema_t EyConfigMessage_schema =
--- a/src/config/config_message.h
+++ b/src/config/config_message.h
@@ -5,6 +5,7 @@
 #ifndef EY_CONFIG_CONFIG_MESSAGE_H
 #define EY_CONFIG_CONFIG_MESSAGE_H
 
+#include "config/control_set.h"
 #include "config/store.h"
 
 #ifdef __cplusplus
@@ -77,6 +78,8 @@
                                 * so this message was sent later. 0: unknown */
     EyProposalOutcome_t outcome;
     EyCommandResult_t result;
+    EyControlSet_t controls; /* PULL: the sender's, without addresses; PUSH:
+                              * with them if the receiver's is older */
 } EyConfigMessage_t;
 
 extern const EySchema_t EyConfigMessage_schema;
--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -167,6 +167,7 @@
         .revision = self->store->config.revision,
         .wants_snapshot = self->wants_snapshot,
         .is_probe = is_probe,
+        .controls.index = self->feed->controls.index,
     };
     self->hooks.send(self->hooks.data, source, &message);
 }
@@ -545,6 +546,16 @@
     }
 }
 
+static void
+update_controls(EyConfigReplica_t *self, const EyConfigMessage_t *push)
+{
+    if (EyFeed_SetControls(self->feed, &push->controls) &&
+        self->hooks.controls_changed != NULL)
+    {
+        self->hooks.controls_changed(self->hooks.data, &self->feed->controls);
+    }
+}
+
 static void
 on_push(EyConfigReplica_t *self, int64_t now_ms, const char *from,
         const EyConfigMessage_t *push)
@@ -553,6 +564,7 @@
     self->has_answer = true;
     self->unanswered_pulls = 0;
     note_answer(self, from);
+    update_controls(self, push);
     if (push->revision < before) {
         self->stale_pushes++;
     }
@@ -623,6 +635,12 @@
     return is_confirmed(self);
 }
 
+const EyControlSet_t *
+EyConfigReplica_Controls(const EyConfigReplica_t *self)
+{
+    return &self->feed->controls;
+}
+
 const EyStore_t *
 EyConfigReplica_Store(const EyConfigReplica_t *self)
 {
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -61,6 +61,8 @@
     EyFeedSend_t send;
     /** The configuration to be used changed. */
     void (*changed)(void *data, const EyStore_t *store);
+    /** Other control processes form their group. May be NULL. */
+    void (*controls_changed)(void *data, const EyControlSet_t *controls);
     /** The store isn't confirmed, since held_ms; is_used: it is used from now
      * on nevertheless. May be NULL. */
     void (*unconfirmed)(void *data, const EyStore_t *store, int64_t held_ms,
@@ -108,6 +110,11 @@
 bool
 EyConfigReplica_IsConfirmed(const EyConfigReplica_t *self);
 
+/** Returns the control processes that form their group, as far as this
+ * instance was told. */
+const EyControlSet_t *
+EyConfigReplica_Controls(const EyConfigReplica_t *self);
+
 /** Returns the store; valid until the replica changes it. */
 const EyStore_t *
 EyConfigReplica_Store(const EyConfigReplica_t *self);
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -27,7 +27,8 @@
     int64_t tick_ms; /* start of the current tick; -1: starts with this step */
     bool was_leader;
     bool has_changed; /* in the current step */
-    bool must_push;   /* the confirmation changed in the current step */
+    bool must_push;   /* the confirmation or the set of control processes
+                       * changed in the current step */
 };
 
 static void
@@ -251,6 +252,24 @@
     }
 }
 
+/** Tells the gateways which processes form the group, if that is new. */
+static void
+update_controls(EyControl_t *self, const EyRaftStatus_t *status)
+{
+    if (status->members_index <= self->feed->controls.index) {
+        return;
+    }
+    void *ctx = talloc_new(NULL);
+    const EyControlSet_t controls =
+        EyControlSet_Make(ctx, status->members_index, &status->members);
+    bool is_new = EyFeed_SetControls(self->feed, &controls);
+    talloc_free(ctx);
+    self->must_push = self->must_push || is_new;
+    if (is_new && self->hooks.controls_changed != NULL) {
+        self->hooks.controls_changed(self->hooks.data, &self->feed->controls);
+    }
+}
+
 /** Runs one step, then compaction and pushes if they are due. */
 static void
 run(EyControl_t *self, int64_t now_ms, const EyRaftEvent_t *event)
@@ -260,6 +279,7 @@
     EyRaftStatus_t status = EyRaft_Status(self->log);
     bool is_leader = status.role == EY_RAFT_LEADER;
     update_confirmation(self, &status);
+    update_controls(self, &status);
     if (self->tick_ms < 0 || is_leader != self->was_leader) {
         self->tick_ms = now_ms;
         self->was_leader = is_leader;
@@ -459,6 +479,12 @@
     return due_ms;
 }
 
+const EyControlSet_t *
+EyControl_Controls(const EyControl_t *self)
+{
+    return &self->feed->controls;
+}
+
 const EyStore_t *
 EyControl_Store(const EyControl_t *self)
 {
--- a/src/config/control.h
+++ b/src/config/control.h
@@ -43,6 +43,8 @@
     /** As the leader, this process changes the members of the replicated log;
      * may be NULL. */
     void (*members_changed)(void *data, const EyRaftMemberChange_t *change);
+    /** Other processes form the group from now on; may be NULL. */
+    void (*controls_changed)(void *data, const EyControlSet_t *controls);
     /** The configuration changed; may be NULL. */
     void (*changed)(void *data, const EyStore_t *store);
     void *data;
@@ -92,6 +94,10 @@
 EyControl_DueMs(const EyControl_t *self);
 
 /** Returns the store; valid until the control process changes it. */
+/** The processes that form the group, as far as this one knows. */
+const EyControlSet_t *
+EyControl_Controls(const EyControl_t *self);
+
 const EyStore_t *
 EyControl_Store(const EyControl_t *self);
 
--- a/src/config/feed.c
+++ b/src/config/feed.c
@@ -57,6 +57,12 @@
     self->confirmation = confirmation;
 }
 
+bool
+EyFeed_SetControls(EyFeed_t *self, const EyControlSet_t *controls)
+{
+    return EyControlSet_Update(&self->controls, self, controls);
+}
+
 void
 EyFeed_Clear(EyFeed_t *self)
 {
@@ -108,10 +114,15 @@
     return store->routes.size_bytes + records * RECORD_BYTES;
 }
 
-/** Returns a push of everything after a revision; its data is below ctx. */
+/** What a receiver has, as far as the sender knows. */
+typedef struct Known {
+    uint64_t revision;
+    uint64_t controls_index;
+} Known_t;
+
+/** Returns a push without changes. */
 static EyConfigMessage_t
-make_push(const EyFeed_t *self, const void *ctx, const EyStore_t *store,
-          uint64_t revision)
+make_push(const EyFeed_t *self, const EyStore_t *store, Known_t known)
 {
     EyConfigMessage_t push = {
         .kind = EY_CONFIG_PUSH,
@@ -119,28 +130,39 @@
         .confirmation = self->confirmation,
         .awaits_leader = self->awaits_leader,
     };
-    if (revision >= push.revision) {
-        return push;
+    if (known.controls_index < self->controls.index) {
+        push.controls = self->controls;
+    }
+    return push;
+}
+
+/** Adds everything after the receiver's revision; its data is below ctx. */
+static void
+add_changes(const EyFeed_t *self, const void *ctx, const EyStore_t *store,
+            uint64_t revision, EyConfigMessage_t *push)
+{
+    if (revision >= push->revision) {
+        return;
     }
     if (!sends_commands(self, store, revision)) {
-        push.snapshot = EyStore_SharedSnapshot(store, ctx);
-        return push;
+        push->snapshot = EyStore_SharedSnapshot(store, ctx);
+        return;
     }
-    push.first_revision = revision + 1;
-    push.command_count = (uint32_t)(push.revision - revision);
-    push.commands = EY_NEW_ARRAY(ctx, EyCommand_t, push.command_count);
-    for (uint32_t i = 0; i < push.command_count; i++) {
-        push.commands[i] = *slot(self, push.first_revision + i);
+    push->first_revision = revision + 1;
+    push->command_count = (uint32_t)(push->revision - revision);
+    push->commands = EY_NEW_ARRAY(ctx, EyCommand_t, push->command_count);
+    for (uint32_t i = 0; i < push->command_count; i++) {
+        push->commands[i] = *slot(self, push->first_revision + i);
     }
-    return push;
 }
 
 static void
 send_push(const EyFeed_t *self, const EyStore_t *store, const char *to,
-          uint64_t revision)
+          Known_t known)
 {
     void *ctx = talloc_new(NULL);
-    EyConfigMessage_t push = make_push(self, ctx, store, revision);
+    EyConfigMessage_t push = make_push(self, store, known);
+    add_changes(self, ctx, store, known.revision, &push);
     self->send(self->data, to, &push);
     talloc_free(ctx);
 }
@@ -149,22 +171,17 @@
  * Returns the revision that the receiver has then, if nothing is lost. */
 static uint64_t
 push_or_announce(const EyFeed_t *self, const EyStore_t *store, const char *to,
-                 uint64_t revision)
+                 Known_t known)
 {
-    uint64_t omitted_bytes = missing_bytes(self, store, revision);
+    uint64_t omitted_bytes = missing_bytes(self, store, known.revision);
     if (omitted_bytes <= EY_PUSH_UNASKED_MAX_BYTES) {
-        send_push(self, store, to, revision);
-        return MAX(store->config.revision, revision);
+        send_push(self, store, to, known);
+        return MAX(store->config.revision, known.revision);
     }
-    const EyConfigMessage_t push = {
-        .kind = EY_CONFIG_PUSH,
-        .revision = store->config.revision,
-        .confirmation = self->confirmation,
-        .awaits_leader = self->awaits_leader,
-        .omitted_bytes = omitted_bytes,
-    };
+    EyConfigMessage_t push = make_push(self, store, known);
+    push.omitted_bytes = omitted_bytes;
     self->send(self->data, to, &push);
-    return revision;
+    return known.revision;
 }
 
 void
@@ -179,8 +196,10 @@
             continue;
         }
         /* A subscriber that missed a push detects the gap and pulls. */
-        subscriber->revision = push_or_announce(self, store, subscriber->id,
-                                                subscriber->revision);
+        Known_t known = {subscriber->revision, subscriber->controls_index};
+        subscriber->revision =
+            push_or_announce(self, store, subscriber->id, known);
+        subscriber->controls_index = self->controls.index;
     }
 }
 
@@ -204,6 +223,7 @@
         (void)EY_COPY(found->id, id);
         found->ends_ms = now_ms + EY_FEED_SUBSCRIPTION_MS;
         found->revision = revision;
+        found->controls_index = self->controls.index;
     }
 }
 
@@ -212,24 +232,20 @@
                   const char *from, const EyConfigMessage_t *pull)
 {
     uint64_t current = store->config.revision;
+    Known_t known = {pull->revision, pull->controls.index};
     if (pull->is_probe) {
         subscribe(self, now_ms, from,
-                  push_or_announce(self, store, from, pull->revision));
+                  push_or_announce(self, store, from, known));
         return;
     }
     subscribe(self, now_ms, from, MAX(current, pull->revision));
     if (!pull->wants_snapshot || pull->revision >= current) {
-        send_push(self, store, from, pull->revision);
+        send_push(self, store, from, known);
         return;
     }
     void *ctx = talloc_new(NULL);
-    EyConfigMessage_t push = {
-        .kind = EY_CONFIG_PUSH,
-        .revision = current,
-        .confirmation = self->confirmation,
-        .awaits_leader = self->awaits_leader,
-        .snapshot = EyStore_SharedSnapshot(store, ctx),
-    };
+    EyConfigMessage_t push = make_push(self, store, known);
+    push.snapshot = EyStore_SharedSnapshot(store, ctx);
     self->send(self->data, from, &push);
     talloc_free(ctx);
 }
--- a/src/config/feed.h
+++ b/src/config/feed.h
@@ -32,7 +32,8 @@
 typedef struct EyFeedSubscriber {
     EyName_t id;
     int64_t ends_ms;
-    uint64_t revision; /* revision that it has if no push was lost */
+    uint64_t revision;       /* revision that it has if no push was lost */
+    uint64_t controls_index; /* of its set of control processes, likewise */
 } EyFeedSubscriber_t;
 
 typedef struct EyFeed {
@@ -43,6 +44,7 @@
     EyFeedSubscriber_t subscribers[EY_FEED_SUBSCRIBERS_MAX];
     EyConfirmation_t confirmation; /* of the store, sent with each push */
     bool awaits_leader;            /* as in EyConfigMessage_t */
+    EyControlSet_t controls;       /* the newest that is known */
     EyFeedSend_t send;
     void *data;
 } EyFeed_t;
@@ -58,6 +60,11 @@
 void
 EyFeed_SetConfirmation(EyFeed_t *self, EyConfirmation_t confirmation);
 
+/** Takes over a copy of a newer set of control processes, which subscribers
+ * get with the next push; returns true if it is newer. */
+bool
+EyFeed_SetControls(EyFeed_t *self, const EyControlSet_t *controls);
+
 /** Drops the commands; to be called when a snapshot replaces the store. */
 void
 EyFeed_Clear(EyFeed_t *self);
--- a/src/config/raft.c
+++ b/src/config/raft.c
@@ -38,6 +38,7 @@
     EY_FIELD(EyRaftStatus_t, reaches_quorum, EY_FIELD_BOOL),
     EY_FIELD_TEXT(EyRaftStatus_t, leader),
     EY_FIELD_NESTED(EyRaftStatus_t, members, EyRaftMembers_schema),
+    EY_FIELD(EyRaftStatus_t, members_index, EY_FIELD_U64),
     EY_FIELD_END,
 };
 const EySchema_t EyRaftStatus_schema = EY_SCHEMA(EyRaftStatus_t, StatusFields);
@@ -863,6 +864,8 @@
         .reaches_quorum = reaches_quorum(self),
         .leader_clock_ms = self->leader_clock_ms,
         .members = self->members,
+        .members_index =
+            self->members_index <= self->commit ? self->members_index : 0,
     };
     (void)EY_COPY(status.leader, self->leader);
     return status;
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -235,6 +235,8 @@
      * it is of an older build. */
     int64_t leader_clock_ms;
     EyRaftMembers_t members;
+    /** Index as of which the members are committed; 0: not yet. */
+    uint64_t members_index;
 } EyRaftStatus_t;
 
 extern const EySchema_t EyRaftStatus_schema;
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -151,6 +151,13 @@
            EY_LOG_NUMBER("evacuated_zones", store->evacuated_count));
 }
 
+static void
+hook_controls_changed(void *data, const EyControlSet_t *controls)
+{
+    const ControlPart_t *self = data;
+    EyNode_ContactControls(self->node, controls);
+}
+
 static void
 hook_members_changed(void *data, const EyRaftMemberChange_t *change)
 {
@@ -370,6 +377,7 @@
         .persist = hook_persist,
         .answer = hook_answer,
         .members_changed = hook_members_changed,
+        .controls_changed = hook_controls_changed,
         .changed = hook_changed,
         .data = self,
     };
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -78,8 +78,12 @@
 typedef struct MemberScan {
     EyName_t gateways[GATEWAYS_MAX];
     uint32_t gateway_count;
+    const EyControlSet_t *group; /* of the control processes */
     EyName_t controls[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t control_count;
+    /** Used while none of the group is known: the set may be too old. */
+    EyName_t other_controls[EY_SETTINGS_ADDRESSES_MAX];
+    uint32_t other_control_count;
     EyResidencyPolicy_t *residency_policy;
     GHashTable *places; /* zones of the region and other regions that have a
                            gateway; borrowed names */
@@ -98,13 +102,37 @@
     }
 }
 
+static void
+add_name(EyName_t *names, uint32_t *count, const char *name)
+{
+    if (*count < EY_SETTINGS_ADDRESSES_MAX) {
+        (void)EY_COPY(names[*count], name);
+        (*count)++;
+    }
+}
+
+/** A contact in another region that was replaced stays known for minutes, but
+ * no longer belongs to the group. */
 static void
 collect_control(MemberScan_t *scan, const EyMember_t *member)
 {
-    if (scan->control_count < EY_SETTINGS_ADDRESSES_MAX) {
-        (void)EY_COPY(scan->controls[scan->control_count], member->id);
-        scan->control_count++;
+    if (EyControlSet_Has(scan->group, member->peer_address)) {
+        add_name(scan->controls, &scan->control_count, member->id);
+        return;
+    }
+    add_name(scan->other_controls, &scan->other_control_count, member->id);
+}
+
+static void
+distribute_sources(EyGateway_t *self, const MemberScan_t *scan)
+{
+    if (scan->control_count > 0) {
+        EyGateway_SetSources(self, scan->gateways, scan->gateway_count,
+                             scan->controls, scan->control_count);
+        return;
     }
+    EyGateway_SetSources(self, scan->gateways, scan->gateway_count,
+                         scan->other_controls, scan->other_control_count);
 }
 
 static void
@@ -274,6 +302,7 @@
     void *ctx = talloc_new(NULL);
     MemberScan_t *scan = EY_NEW(ctx, MemberScan_t);
     scan->residency_policy = self->residency_policy;
+    scan->group = EyConfigReplica_Controls(self->configuration);
     scan->places = g_hash_table_new(g_str_hash, g_str_equal);
     if (self->node->settings->standalone) {
         collect_control(scan, EyMembership_Self(membership));
@@ -295,8 +324,7 @@
     g_hash_table_destroy(scan->places);
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
     EyRouter_SetRank(self->router, EyClock_NowMs(), rank, gateway_count);
-    EyGateway_SetSources(self, scan->gateways, gateway_count, scan->controls,
-                         scan->control_count);
+    distribute_sources(self, scan);
     talloc_free(ctx);
 }
 
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -35,6 +35,14 @@
     EyGatewayRecords_Configure(self->records, store);
 }
 
+static void
+hook_controls_changed(void *data, const EyControlSet_t *controls)
+{
+    EyGateway_t *self = data;
+    EyNode_ContactControls(self->node, controls);
+    EyGateway_OnMember(self);
+}
+
 static void
 hook_unconfirmed(void *data, const EyStore_t *store, int64_t held_ms,
                  bool is_used)
@@ -101,6 +109,7 @@
         .send = hook_send,
         .changed = hook_changed,
         .unconfirmed = hook_unconfirmed,
+        .controls_changed = hook_controls_changed,
         .data = self,
     };
     self->configuration = EyConfigReplica_New(
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -578,6 +578,26 @@
     }
 }
 
+void
+EyMembership_AddLearnedSeed(EyMembership_t *self, const char *address)
+{
+    uint32_t before = self->seed_count;
+    for (uint32_t i = 0; i < before; i++) {
+        if (strcmp(self->seeds[i], address) == 0) {
+            return;
+        }
+    }
+    EyMembership_AddSeed(self, address);
+    self->learned_seed_count += self->seed_count - before;
+}
+
+void
+EyMembership_DropLearnedSeeds(EyMembership_t *self)
+{
+    self->seed_count -= self->learned_seed_count;
+    self->learned_seed_count = 0;
+}
+
 void
 EyMembership_SetVitals(EyMembership_t *self, uint32_t load_per_mille,
                        uint64_t config_version)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -64,6 +64,14 @@
 void
 EyMembership_AddSeed(EyMembership_t *self, const char *address);
 
+/** Adds an address that is learned while running; all of them are dropped
+ * together. */
+void
+EyMembership_AddLearnedSeed(EyMembership_t *self, const char *address);
+
+void
+EyMembership_DropLearnedSeeds(EyMembership_t *self);
+
 /** To be called every EY_MEMBERSHIP_TICK_MS. */
 void
 EyMembership_Tick(EyMembership_t *self, int64_t now_ms);
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -20,8 +20,10 @@
     EyMembershipHooks_t hooks;
     EyRandom_t random;
     EyMembers_t *members;
-    EyAddress_t seeds[EY_SEEDS_MAX]; /* addresses from the settings */
+    /** Addresses from the settings, then those learned since. */
+    EyAddress_t seeds[EY_SEEDS_MAX];
     uint32_t seed_count;
+    uint32_t learned_seed_count;
     uint32_t next_seed;
     EyProbe_t probes[EY_PROBES_MAX];
     uint64_t number;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -273,6 +273,23 @@
     }
 }
 
+void
+EyNode_ContactControls(EyNode_t *self, const EyControlSet_t *controls)
+{
+    EyMembership_t *membership = EyCluster_Membership(self->cluster);
+    GString *addresses = g_string_new(NULL);
+    EyMembership_DropLearnedSeeds(membership);
+    for (uint32_t i = 0; i < controls->count; i++) {
+        const char *address = controls->items[i].address;
+        EyMembership_AddLearnedSeed(membership, address);
+        g_string_append_printf(addresses, "%s%s", i > 0 ? " " : "", address);
+    }
+    EY_LOG(EY_LOG_INFO, "node", "control_processes",
+           EY_LOG_NUMBER("index", controls->index),
+           EY_LOG_TEXT("addresses", addresses->str));
+    (void)g_string_free(addresses, TRUE);
+}
+
 static bool
 is_idle(const EyNode_t *self)
 {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -9,6 +9,7 @@
 #define EY_NODE_NODE_H
 
 #include "callers/server.h"
+#include "config/control_set.h"
 #include "core/pauses.h"
 #include "core/random.h"
 #include "core/settings.h"
@@ -145,6 +146,11 @@
                      const char *address, const EySchema_t *schema,
                      const void *object);
 
+/** Contacts the control processes that form the group now: those named by the
+ * settings may all have been replaced. Logs the set. */
+void
+EyNode_ContactControls(EyNode_t *self, const EyControlSet_t *controls);
+
 /** When the caller of a request sent it at the earliest: it may have waited
  * while this process stood still. */
 int64_t
--- a/tests/process/control_group.c
+++ b/tests/process/control_group.c
@@ -9,6 +9,8 @@
 #define CALL_TIMEOUT_MS 2000
 #define POLL_INTERVAL_MS 50
 #define REGIONS 3
+/** The gateway shares its region with the third control process. */
+#define GATEWAY_NUMBER 3
 /** Arguments that are given anew at each start. */
 #define FIXED_ARGS 8
 
@@ -20,6 +22,13 @@
     return member->process.pid != 0;
 }
 
+/** Region of the process with an index. */
+static uint32_t
+region_of(uint32_t index)
+{
+    return (index + 1) % REGIONS;
+}
+
 static Process_t
 make_process(const char *program, const char *label, const char *role,
              uint32_t number)
@@ -29,7 +38,7 @@
     Process_t process = Process_Make(program, name);
     process.port = Harness_FreePort();
     process.peer_port = Harness_FreePort();
-    const char *region = Regions[number % REGIONS];
+    const char *region = Regions[region_of(number - 1)];
     Process_Arg(&process, "--id=%s", name);
     Process_Arg(&process, "--region=%s", region);
     Process_Arg(&process, "--zone=%s-a", region);
@@ -94,7 +103,8 @@
     for (uint32_t i = 0; i < CONTROL_GROUP_SIZE; i++) {
         start_member(self, &self->members[i], true);
     }
-    self->gateway = make_process("ebonyyard-gateway", label, "gateway", 0);
+    self->gateway =
+        make_process("ebonyyard-gateway", label, "gateway", GATEWAY_NUMBER);
     start_gateway(self);
     cr_assert(ControlGroup_AwaitVoters(self, START_TIMEOUT_MS),
               "the group has not formed");
@@ -312,6 +322,64 @@
     return is_read;
 }
 
+/** True if one process's dump names another one's peer address among the
+ * instances of its region, or the contacts in others. */
+static bool
+knows(const Process_t *process, const Process_t *other)
+{
+    char address[40];
+    (void)snprintf(address, sizeof(address), "\"127.0.0.1:%u\"",
+                   other->peer_port);
+    Reply_t reply = Http_Call(process->port, "GET", "/v1/dump", NULL, NULL,
+                              CALL_TIMEOUT_MS);
+    json_t *dump = Reply_Json(&reply);
+    const json_t *membership =
+        json_object_get(json_object_get(dump, "cluster"), "membership");
+    char *text = json_dumps(membership, JSON_COMPACT | JSON_ENCODE_ANY);
+    bool is_known = text != NULL && strstr(text, address) != NULL;
+    g_free(text);
+    json_decref(dump);
+    Reply_Clear(&reply);
+    return is_known;
+}
+
+static bool
+await_contact(const Process_t *process, const Process_t *other,
+              int64_t until_ms)
+{
+    bool are_running = process->pid != 0 && other->pid != 0;
+    while (are_running && !knows(process, other)) {
+        if (Harness_NowMs() >= until_ms) {
+            (void)fprintf(stderr, "%s does not know %s\n", process->name,
+                          other->name);
+            return false;
+        }
+        Harness_SleepMs(POLL_INTERVAL_MS);
+    }
+    return true;
+}
+
+bool
+ControlGroup_AwaitContacts(const ControlGroup_t *self, int64_t timeout_ms)
+{
+    int64_t until_ms = Harness_NowMs() + timeout_ms;
+    bool are_known = true;
+    for (uint32_t i = 0; i < self->count; i++) {
+        const Process_t *one = &self->members[i].process;
+        are_known = await_contact(&self->gateway, one, until_ms) && are_known;
+        if (region_of(i) == region_of(GATEWAY_NUMBER - 1)) {
+            are_known =
+                await_contact(one, &self->gateway, until_ms) && are_known;
+        }
+        for (uint32_t j = 0; j < self->count; j++) {
+            are_known =
+                await_contact(one, &self->members[j].process, until_ms) &&
+                are_known;
+        }
+    }
+    return are_known;
+}
+
 static bool
 await_voters(const ControlGroup_t *self, const Process_t *process,
              int64_t until_ms)
--- a/tests/process/control_group.h
+++ b/tests/process/control_group.h
@@ -15,6 +15,8 @@
 #define CONTROL_GROUP_LOSSES 2
 /** A process counts as lost until it has been back for this time. */
 #define CONTROL_GROUP_CATCH_UP_MS 4000
+/** A change that was acknowledged must be in force after this time. */
+#define CONTROL_GROUP_APPLY_MS 3000
 /** What was lost must be back in use after this time. */
 #define CONTROL_GROUP_RECOVERY_MS 12000
 
@@ -80,6 +82,12 @@
 ControlGroup_AwaitVersion(const ControlGroup_t *self, uint32_t version,
                           int64_t timeout_ms);
 
+/** Waits until each process, the gateway included, knows the addresses of all
+ * control processes, and those of the gateway's region know the gateway's;
+ * false, with what is missing on stderr, after timeout_ms. */
+bool
+ControlGroup_AwaitContacts(const ControlGroup_t *self, int64_t timeout_ms);
+
 /** Waits until the voters of each process are those that run; false, with the
  * dump of one that has others on stderr, after timeout_ms. */
 bool
--- a/tests/process/test_control_group.c
+++ b/tests/process/test_control_group.c
@@ -28,6 +28,7 @@
 typedef struct Case {
     const char *name;
     uint32_t replaced;     /* one after the other */
+    bool is_in_order;      /* the first one first, else any */
     bool is_planned;       /* the successor first, then SIGTERM */
     bool has_old_contacts; /* --control names the first three all the while */
     Victims_t victims;
@@ -55,9 +56,8 @@
 static void
 replace(const Case_t *test, EyRandom_t *random, uint32_t number)
 {
-    uint32_t index = number == 0 && test->victims == VICTIMS_CONTACTS
-                         ? 0
-                         : any_member(random, Group.count);
+    uint32_t index =
+        test->is_in_order ? number : any_member(random, Group.count);
     if (!test->has_old_contacts) {
         Group.members[index].is_gone = true;
         ControlGroup_RenewContacts(&Group);
@@ -99,6 +99,10 @@
     }
     cr_assert_lt(first, Group.count);
     cr_assert(ControlGroup_Change(&Group, 2, CONTROL_GROUP_RECOVERY_MS));
+    cr_expect(ControlGroup_AwaitVersion(&Group, 2, CONTROL_GROUP_APPLY_MS),
+              "%s: what was acknowledged is not in force", test->name);
+    cr_expect(ControlGroup_AwaitContacts(&Group, CONTROL_GROUP_APPLY_MS),
+              "%s: the processes do not know each other", test->name);
     ControlGroup_KillAll(&Group);
     ControlGroup_LoseDisk(&Group, first);
     ControlGroup_LoseDisk(&Group, second);
@@ -132,6 +136,15 @@
 {
     run_case(&(Case_t){.name = "group-contacts",
                        .replaced = 1,
+                       .is_in_order = true,
                        .has_old_contacts = true,
                        .victims = VICTIMS_CONTACTS});
 }
+
+/* Gateways that went on while every control process was replaced knew only
+ * addresses of those that were gone. */
+Test(control_group, two_disks_are_lost_after_each_was_replaced)
+{
+    run_case(
+        &(Case_t){.name = "group-row", .replaced = 6, .is_in_order = true});
+}
