A lost quorum of records is noticed after many gateways came and went

It tells from them that members of its view have restarted without their records, so that no view can be decided any more and the epoch must be raised. Once 32 gateways of other names had asked, no further incarnation was kept: after the loss of all copies the region would have refused every call with an idempotency key until somebody restarted the rest.

Change: only members of the view are looked up; a full table gives the place of an instance that isn't in the view.

group::a_lost_quorum_is_noticed_after_many_gateways_came_and_went failed before for 32, 33 and 400 gateways, passes now for 0 to 400. Other tests of the group, 19 and 17 properties, pass.

--- a/src/idempotency/group_join.c
+++ b/src/idempotency/group_join.c
@@ -30,16 +30,35 @@
                : replicas < self->options.replica_max;
 }
 
+/** The place of an instance in the table of incarnations: its own, a new one
+ * or, if the table is full, that of an instance that isn't in the view. Only
+ * incarnations of the view's members are looked up, and there are fewer of
+ * them than places; EY_GROUP_PEERS_MAX if none is found. */
+static uint32_t
+find_place(const EyGroup_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->seen_count; i++) {
+        if (strcmp(self->seen[i].name, name) == 0) {
+            return i;
+        }
+    }
+    if (self->seen_count < EY_GROUP_PEERS_MAX) {
+        return self->seen_count;
+    }
+    for (uint32_t i = 0; i < self->seen_count; i++) {
+        if (EyView_Find(self->view, self->seen[i].name, 0) < 0) {
+            return i;
+        }
+    }
+    return EY_GROUP_PEERS_MAX;
+}
+
 /** Keeps the newest known incarnation of an instance, from which a member can
  * tell that others of its view have restarted without their state. */
 static void
 record_incarnation(EyGroup_t *self, const EyGroupMember_t *member)
 {
-    uint32_t at = 0;
-    while (at < self->seen_count &&
-           strcmp(self->seen[at].name, member->name) != 0) {
-        at++;
-    }
+    uint32_t at = find_place(self, member->name);
     if (at < EY_GROUP_PEERS_MAX) {
         self->seen[at] = *member;
         self->seen_count = MAX(self->seen_count, at + 1);
--- a/tests/unit/test_group.c
+++ b/tests/unit/test_group.c
@@ -644,3 +644,41 @@
     cr_expect_geq(sent_bytes, 2 * LARGE_ANSWER_BYTES);
     talloc_free(ctx);
 }
+
+/** Passes a JOIN of an instance in its incarnation. */
+static void
+join_as(void *ctx, EyGroup_t *group, const char *name, uint64_t incarnation)
+{
+    EyGroupMessage_t message = {.kind = EY_GROUP_JOIN,
+                                .from_incarnation = incarnation};
+    EyGroupEvent_t event = {.kind = EY_GROUP_EVENT_MESSAGE,
+                            .message = &message};
+    (void)EY_COPY(event.from, name);
+    EyGroup_Step(group, 1, &event, EyGroupActions_New(ctx));
+}
+
+/* Guards against a region that refuses all purchases for good: a member that
+ * had been asked by many gateways, most of them gone, took no note any more
+ * that the others of its view had restarted without their records. */
+Test(group, a_lost_quorum_is_noticed_after_many_gateways_came_and_went)
+{
+    static const uint32_t Earlier[] = {0, 1, 31, 32, 33, 400};
+    for (size_t i = 0; i < G_N_ELEMENTS(Earlier); i++) {
+        void *ctx = talloc_new(NULL);
+        EyGroup_t *group = make_member(ctx, 0, NULL);
+        for (uint32_t g = 0; g < Earlier[i]; g++) {
+            char name[32];
+            (void)g_snprintf(name, sizeof(name), "gw-%u", g);
+            join_as(ctx, group, name, g + 1);
+        }
+        join_as(ctx, group, "b", 20);
+        join_as(ctx, group, "c", 30);
+        const EyGroupEvent_t tick = {.kind = EY_GROUP_EVENT_TICK};
+        EyGroup_Step(group, 10000, &tick, EyGroupActions_New(ctx));
+        EyGroupMember_t members[EY_VIEW_MEMBERS_MAX];
+        uint32_t count = 0;
+        cr_expect(EyGroup_HasLostQuorum(group, members, &count),
+                  "after %u gateways", Earlier[i]);
+        talloc_free(ctx);
+    }
+}
