Witnesses are chosen among the control processes that form the group

Cause: the leader of the record group showed its view only to addresses of its settings, so no successor was ever asked, and control processes ranked themselves against the list of their own settings: with dead addresses in it fewer than needed offered themselves, with different lists others than the leader asked. Processes of the group's own region took ranks without offering.

Change: both use the set that comes with the configuration; ranks are among the processes of other regions, as far as their regions are known, and looked at again each second. Nothing on the wire changed; an older control process ranks itself as before, and joins if it is asked.

--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -19,6 +19,8 @@
 #define TICK_MS 50
 /** Interval at which the log's file is opened again if it couldn't be. */
 #define OPEN_INTERVAL_MS 500
+/** Interval at which this process looks whether it is to be a witness. */
+#define OFFER_INTERVAL_MS 1000
 /* Longest wait of a read until the store has every entry that was committed
  * before the read. */
 #define READ_TIMEOUT_MS 800
@@ -138,11 +140,20 @@
     }
 }
 
+static void
+configure_witnesses(const ControlPart_t *self)
+{
+    if (self->control != NULL) {
+        EyWitnesses_Configure(self->witnesses, EyControl_Store(self->control),
+                              EyControl_Controls(self->control));
+    }
+}
+
 static void
 hook_changed(void *data, const EyStore_t *store)
 {
     ControlPart_t *self = data;
-    EyWitnesses_Configure(self->witnesses, store);
+    configure_witnesses(self);
     (void)EyRouteTable_Update(&self->node->routes, self->node,
                               store->routes_version, &store->routes);
     EY_LOG(EY_LOG_INFO, "control", "configuration",
@@ -156,6 +167,14 @@
 {
     const ControlPart_t *self = data;
     EyNode_ContactControls(self->node, controls);
+    configure_witnesses(self);
+}
+
+static void
+on_offer(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    configure_witnesses(data);
 }
 
 static void
@@ -385,6 +404,7 @@
     self->control =
         EyControl_New(self, &options, &disk, &hooks, EyClock_NowMs());
     (void)EyTimers_Every(node->timers, TICK_MS, on_tick, self);
+    (void)EyTimers_Every(node->timers, OFFER_INTERVAL_MS, on_offer, self);
     return true;
 }
 
--- a/src/control/witnesses.c
+++ b/src/control/witnesses.c
@@ -79,11 +79,37 @@
     return XXH64(address, strlen(address), XXH64(region, strlen(region), 0));
 }
 
+/** A search for the region of the control process at an address. */
+typedef struct RegionSearch {
+    const char *address;
+    const char *region; /* NULL: not known */
+} RegionSearch_t;
+
+static void
+match_address(void *data, const EyMember_t *member)
+{
+    RegionSearch_t *search = data;
+    if (strcmp(member->peer_address, search->address) == 0) {
+        search->region = member->region;
+    }
+}
+
+static bool
+is_in_region(const EyWitnesses_t *self, const char *address,
+             const char *region)
+{
+    RegionSearch_t search = {.address = address};
+    EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
+                             match_address, &search);
+    return search.region != NULL && strcmp(search.region, region) == 0;
+}
+
 /** True if this control process offers itself as the region's witness. Uses
  * rendezvous hashing, so that all control processes select the same ones
  * without coordination. */
 static bool
-is_offered(const EyWitnesses_t *self, const char *region)
+is_offered(const EyWitnesses_t *self, const char *region,
+           const EyControlSet_t *controls)
 {
     const EySettings_t *settings = self->node->settings;
     if (strcmp(settings->region, region) == 0) {
@@ -91,8 +117,10 @@
     }
     uint64_t own_hash = rank_hash(settings->peer_listen, region);
     uint32_t rank = 0;
-    for (uint32_t i = 0; i < settings->control_count; i++) {
-        rank += rank_hash(settings->control[i], region) < own_hash ? 1 : 0;
+    for (uint32_t i = 0; i < controls->count; i++) {
+        const char *address = controls->items[i].address;
+        rank += rank_hash(address, region) < own_hash &&
+                !is_in_region(self, address, region);
     }
     return rank < EY_WITNESSES_OFFERED_PER_REGION;
 }
@@ -115,10 +143,11 @@
 }
 
 static void
-configure_group(EyWitnesses_t *self, const EyGroupEpoch_t *group)
+configure_group(EyWitnesses_t *self, const EyGroupEpoch_t *group,
+                const EyControlSet_t *controls)
 {
     Witness_t *witness = g_hash_table_lookup(self->by_region, group->region);
-    if (witness == NULL && is_offered(self, group->region)) {
+    if (witness == NULL && is_offered(self, group->region, controls)) {
         witness = make_witness(self, group->region);
     }
     if (witness == NULL || witness->epoch == group->epoch) {
@@ -135,10 +164,11 @@
 }
 
 void
-EyWitnesses_Configure(EyWitnesses_t *self, const EyStore_t *store)
+EyWitnesses_Configure(EyWitnesses_t *self, const EyStore_t *store,
+                      const EyControlSet_t *controls)
 {
     for (uint32_t i = 0; i < store->group_count; i++) {
-        configure_group(self, &store->groups[i]);
+        configure_group(self, &store->groups[i], controls);
     }
 }
 
--- a/src/gateway/records.c
+++ b/src/gateway/records.c
@@ -245,6 +245,25 @@
     return count;
 }
 
+/** A random control process of the group or, as long as that isn't known, of
+ * the settings; NULL if there is none. */
+static const char *
+random_control(const EyGatewayRecords_t *self)
+{
+    EyNode_t *node = self->gateway->node;
+    const EySettings_t *settings = node->settings;
+    const EyControlSet_t *group =
+        EyConfigReplica_Controls(self->gateway->configuration);
+    if (group->count > 0) {
+        return group->items[EyRandom_Below(&node->random, group->count)]
+            .address;
+    }
+    return settings->control_count > 0
+               ? settings->control[EyRandom_Below(&node->random,
+                                                  settings->control_count)]
+               : NULL;
+}
+
 /**
  * Sends the view to a random control process while the group has fewer than
  * WITNESSES_MAX witnesses. A control process may not have the address of any
@@ -256,12 +275,12 @@
     EyNode_t *node = self->gateway->node;
     const EySettings_t *settings = node->settings;
     const EyView_t *view = EyGroup_View(self->group);
-    bool is_due = settings->control_count > 0 &&
-                  now_ms - self->invited_ms >= INVITE_INTERVAL_MS &&
+    bool is_due = now_ms - self->invited_ms >= INVITE_INTERVAL_MS &&
                   strcmp(view->leader, settings->id) == 0 &&
                   EyGroup_IsServing(self->group) &&
                   witness_count(view) < WITNESSES_MAX;
-    if (!is_due) {
+    const char *control = is_due ? random_control(self) : NULL;
+    if (control == NULL) {
         return;
     }
     self->invited_ms = now_ms;
@@ -273,10 +292,8 @@
                     .view = *view},
     };
     (void)EY_COPY(envelope.region, settings->region);
-    uint64_t control_index =
-        EyRandom_Below(&node->random, settings->control_count);
-    EyNode_SendToAddress(node, EY_PEER_GROUP, settings->control[control_index],
-                         &EyGroupEnvelope_schema, &envelope);
+    EyNode_SendToAddress(node, EY_PEER_GROUP, control, &EyGroupEnvelope_schema,
+                         &envelope);
 }
 
 static void
--- a/tests/process/control_group.c
+++ b/tests/process/control_group.c
@@ -380,6 +380,67 @@
     return are_known;
 }
 
+static bool
+is_running_name(const ControlGroup_t *self, const char *name)
+{
+    for (uint32_t i = 0; i < self->count; i++) {
+        const Process_t *process = &self->members[i].process;
+        if (name != NULL && strcmp(process->name, name) == 0) {
+            return process->pid != 0;
+        }
+    }
+    return false;
+}
+
+/** The view of the gateway's record group; the caller owns it. */
+static json_t *
+records_view(const Process_t *gateway)
+{
+    Reply_t reply = Http_Call(gateway->port, "GET", "/v1/dump", NULL, NULL,
+                              CALL_TIMEOUT_MS);
+    json_t *dump = Reply_Json(&reply);
+    json_t *view = NULL;
+    (void)json_unpack(dump, "{s:{s:{s:{s:O}}}}", "gateway", "records", "group",
+                      "view", &view);
+    json_decref(dump);
+    Reply_Clear(&reply);
+    return view;
+}
+
+static uint32_t
+count_witnesses(const ControlGroup_t *self, const json_t *view)
+{
+    const json_t *members = json_object_get(view, "members");
+    uint32_t count = 0;
+    for (size_t i = 0; i < json_array_size(members); i++) {
+        const json_t *member = json_array_get(members, i);
+        count += json_is_true(json_object_get(member, "is_witness")) &&
+                 is_running_name(
+                     self, json_string_value(json_object_get(member, "name")));
+    }
+    return count;
+}
+
+bool
+ControlGroup_AwaitWitnesses(const ControlGroup_t *self, uint32_t count,
+                            int64_t timeout_ms)
+{
+    int64_t until_ms = Harness_NowMs() + timeout_ms;
+    for (;;) {
+        json_t *view = records_view(&self->gateway);
+        bool is_enough = count_witnesses(self, view) == count;
+        bool is_over = Harness_NowMs() >= until_ms;
+        if (is_over && !is_enough) {
+            (void)json_dumpf(view, stderr, JSON_COMPACT);
+        }
+        json_decref(view);
+        if (is_enough || is_over) {
+            return is_enough;
+        }
+        Harness_SleepMs(POLL_INTERVAL_MS);
+    }
+}
+
 static bool
 await_voters(const ControlGroup_t *self, const Process_t *process,
              int64_t until_ms)
--- a/tests/process/control_group.h
+++ b/tests/process/control_group.h
@@ -17,6 +17,9 @@
 #define CONTROL_GROUP_CATCH_UP_MS 4000
 /** A change that was acknowledged must be in force after this time. */
 #define CONTROL_GROUP_APPLY_MS 3000
+/** Witnesses that a record group has, if control processes of other regions
+ * run. */
+#define CONTROL_GROUP_WITNESSES 2
 /** What was lost must be back in use after this time. */
 #define CONTROL_GROUP_RECOVERY_MS 12000
 
@@ -88,6 +91,12 @@
 bool
 ControlGroup_AwaitContacts(const ControlGroup_t *self, int64_t timeout_ms);
 
+/** Waits until the gateway's record group has this many witnesses, all of
+ * processes that run; false, with its view on stderr, after timeout_ms. */
+bool
+ControlGroup_AwaitWitnesses(const ControlGroup_t *self, uint32_t count,
+                            int64_t timeout_ms);
+
 /** Waits until the voters of each process are those that run; false, with the
  * dump of one that has others on stderr, after timeout_ms. */
 bool
--- a/tests/process/test_control_group.c
+++ b/tests/process/test_control_group.c
@@ -103,6 +103,9 @@
               "%s: what was acknowledged is not in force", test->name);
     cr_expect(ControlGroup_AwaitContacts(&Group, CONTROL_GROUP_APPLY_MS),
               "%s: the processes do not know each other", test->name);
+    cr_expect(ControlGroup_AwaitWitnesses(&Group, CONTROL_GROUP_WITNESSES,
+                                          CONTROL_GROUP_RECOVERY_MS),
+              "%s: the record group has too few witnesses", test->name);
     ControlGroup_KillAll(&Group);
     ControlGroup_LoseDisk(&Group, first);
     ControlGroup_LoseDisk(&Group, second);
