Contacts that others of the region told of can be sent to

Cause: the gateway knew the control processes of other regions as contacts, from the control process of its own region; only messages of an instance, or a record of its own region, told the sockets its address. What was sent to those contacts was dropped, and a read asks them in turn, a second each.

Change: a contact that is new, or has another address, is passed on to the sockets, as instances of the own region are.

--- a/src/membership/cluster.c
+++ b/src/membership/cluster.c
@@ -38,6 +38,15 @@
     }
 }
 
+static void
+on_contact(void *data, const EyMember_t *member)
+{
+    const EyCluster_t *self = data;
+    if (self->hooks.contact != NULL) {
+        self->hooks.contact(self->hooks.data, member);
+    }
+}
+
 static void
 on_incarnation_raised(void *data, uint64_t incarnation)
 {
@@ -66,6 +75,7 @@
     const EyMembershipHooks_t membership_hooks = {
         .send = on_send,
         .changed = on_member,
+        .contact = on_contact,
         .incarnation_raised = on_incarnation_raised,
         .data = self,
     };
--- a/src/membership/cluster.h
+++ b/src/membership/cluster.h
@@ -20,6 +20,9 @@
     /** An instance of the local region was added or changed;
      * EyPeers_SetPeerAddress can be called here. May be NULL. */
     void (*member)(void *data, const EyMember_t *member);
+    /** A contact in a remote region was added or has another address;
+     * EyPeers_SetPeerAddress can be called here. May be NULL. */
+    void (*contact)(void *data, const EyMember_t *member);
     /** A backend server was added, changed or removed. May be NULL. */
     void (*backend)(void *data, EyRegistryChange_t change,
                     const EyBackend_t *backend);
--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -177,33 +177,36 @@
     }
 }
 
-void
+bool
 EyMembers_PutContact(EyMembers_t *self, int64_t last_seen_ms,
                      const EyMember_t *member)
 {
     EyContact_t *contact = g_hash_table_lookup(self->contacts, member->id);
     if (member->incarnation <= EyMembers_GoneIncarnation(self, member->id)) {
-        return;
+        return false;
     }
     if (EyMember_IsGone(member)) {
         (void)g_hash_table_remove(self->contacts, member->id);
         raise_gone_incarnation(self, member->id, member->incarnation);
-        return;
+        return false;
     }
     if (contact == NULL) {
         if (g_hash_table_size(self->contacts) >= CONTACTS_MAX) {
-            return;
+            return false;
         }
         contact = g_new0(EyContact_t, 1);
         (void)g_hash_table_insert(self->contacts, g_strdup(member->id),
                                   contact);
     }
     else if (member->incarnation < contact->member.incarnation) {
-        return;
+        return false;
     }
+    bool has_moved =
+        strcmp(contact->member.peer_address, member->peer_address) != 0;
     contact->member = *member;
     contact->last_seen_ms = MAX(contact->last_seen_ms, last_seen_ms);
     evict_oldest_contact(self, member->region, member->role);
+    return has_moved;
 }
 
 static bool
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -78,8 +78,8 @@
 EyMembers_OwnRingIndex(const EyMembers_t *self);
 
 /** Stores the record of an instance of a remote region, last seen at
- * last_seen_ms. */
-void
+ * last_seen_ms. Returns true if it is new or has another address. */
+bool
 EyMembers_PutContact(EyMembers_t *self, int64_t last_seen_ms,
                      const EyMember_t *member);
 
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -201,7 +201,11 @@
     if (strcmp(member->region, self->members->own->member.region) != 0) {
         int64_t last_seen_ms =
             is_indirect ? now_ms - INDIRECT_CONTACT_AGE_MS : now_ms;
-        EyMembers_PutContact(self->members, last_seen_ms, member);
+        bool has_moved =
+            EyMembers_PutContact(self->members, last_seen_ms, member);
+        if (has_moved && self->hooks.contact != NULL) {
+            self->hooks.contact(self->hooks.data, member);
+        }
         return;
     }
     if (EyMembers_IsNewer(self->members, member)) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -44,6 +44,9 @@
     /** An instance of the local region was added, or its state, address or
      * incarnation changed. */
     void (*changed)(void *data, const EyMember_t *member);
+    /** A contact in a remote region was added or has another address. May be
+     * NULL. */
+    void (*contact)(void *data, const EyMember_t *member);
     /** This instance took a new incarnation, since others may have declared
      * the earlier one gone. May be NULL. */
     void (*incarnation_raised)(void *data, uint64_t incarnation);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -476,6 +476,15 @@
     }
 }
 
+/** A contact may be known from another instance of this region only. */
+static void
+cluster_contact(void *data, const EyMember_t *member)
+{
+    const EyNode_t *self = data;
+    (void)EyPeers_SetPeerAddress(self->peers, member->id,
+                                 member->peer_address);
+}
+
 static void
 cluster_member(void *data, const EyMember_t *member)
 {
@@ -563,6 +572,7 @@
     const EyClusterHooks_t hooks = {
         .send = cluster_send,
         .member = cluster_member,
+        .contact = cluster_contact,
         .backend = cluster_backend,
         .data = self,
     };
--- a/tests/process/test_control_group.c
+++ b/tests/process/test_control_group.c
@@ -27,6 +27,7 @@
 
 typedef struct Case {
     const char *name;
+    uint64_t seed;
     uint32_t replaced;     /* one after the other */
     bool is_in_order;      /* the first one first, else any */
     bool is_planned;       /* the successor first, then SIGTERM */
@@ -34,11 +35,12 @@
     Victims_t victims;
 } Case_t;
 
+/** The seed of the test, unless another one is given by hand. */
 static uint64_t
-seed(void)
+seed_of(const Case_t *test)
 {
     const char *text = getenv("EY_TEST_SEED");
-    return text != NULL ? strtoull(text, NULL, 10) : 1;
+    return text != NULL ? strtoull(text, NULL, 10) : test->seed;
 }
 
 /** A process that runs, other than the given one. */
@@ -81,7 +83,7 @@
 static void
 run_case(const Case_t *test)
 {
-    EyRandom_t random = EyRandom_Make(seed());
+    EyRandom_t random = EyRandom_Make(seed_of(test));
     ControlGroup_Start(&Group, test->name);
     cr_assert(ControlGroup_Change(&Group, 1, CONTROL_GROUP_RECOVERY_MS));
     for (uint32_t i = 0; i < test->replaced; i++) {
@@ -122,12 +124,15 @@
 /* A replaced process stayed a voter, so two lost disks left no quorum. */
 Test(control_group, two_disks_are_lost_after_one_was_replaced)
 {
-    run_case(&(Case_t){.name = "group-one", .replaced = 1});
+    run_case(&(Case_t){.name = "group-one", .seed = 1, .replaced = 1});
 }
 
+/* With this seed the gateway asked only control processes that it knew from
+ * others of its region, without their addresses. */
 Test(control_group, two_disks_are_lost_after_three_planned_replacements)
 {
     run_case(&(Case_t){.name = "group-planned",
+                       .seed = 110,
                        .replaced = 3,
                        .is_planned = true,
                        .victims = VICTIMS_LEADER});
@@ -138,6 +143,7 @@
 Test(control_group, the_contacts_lose_their_disks_after_one_was_replaced)
 {
     run_case(&(Case_t){.name = "group-contacts",
+                       .seed = 1,
                        .replaced = 1,
                        .is_in_order = true,
                        .has_old_contacts = true,
@@ -148,6 +154,6 @@
  * addresses of those that were gone. */
 Test(control_group, two_disks_are_lost_after_each_was_replaced)
 {
-    run_case(
-        &(Case_t){.name = "group-row", .replaced = 6, .is_in_order = true});
+    run_case(&(Case_t){
+        .name = "group-row", .seed = 1, .replaced = 6, .is_in_order = true});
 }
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -14,6 +14,8 @@
         .incarnation = 1, .role = role, .state = EY_MEMBER_ALIVE};
     (void)snprintf(member.id, sizeof(member.id), "%s-%d-%u", region, (int)role,
                    number);
+    (void)snprintf(member.peer_address, sizeof(member.peer_address),
+                   "10.0.%d.%u:7000", (int)role, number);
     (void)EY_COPY(member.region, region);
     return member;
 }
@@ -26,7 +28,8 @@
     for (uint32_t i = 0; i < count; i++) {
         EyMember_t member = make_member(Region, role, i);
         *now_ms += 1000;
-        EyMembers_PutContact(members, *now_ms, &member);
+        cr_expect(EyMembers_PutContact(members, *now_ms, &member));
+        cr_expect_not(EyMembers_PutContact(members, *now_ms, &member));
     }
 }
 
@@ -77,3 +80,24 @@
         talloc_free(members);
     }
 }
+
+/* Guards against control processes that are asked in vain: what an instance
+ * knows of a contact is used to send to it, also if another one has told it.
+ */
+Test(members, a_contact_that_moved_is_reported)
+{
+    EyMember_t own = make_member("zagreb", EY_MEMBER_GATEWAY, 0);
+    EyMembers_t *members = EyMembers_New(NULL, &own);
+    EyMember_t contact = make_member(Region, EY_MEMBER_CONTROL, 1);
+    (void)EY_COPY(contact.peer_address, "10.0.0.1:7000");
+    cr_expect(EyMembers_PutContact(members, 1, &contact), "new");
+    cr_expect_not(EyMembers_PutContact(members, 2, &contact), "known");
+    contact.incarnation++;
+    cr_expect_not(EyMembers_PutContact(members, 3, &contact), "restarted");
+    (void)EY_COPY(contact.peer_address, "10.0.0.2:7000");
+    cr_expect(EyMembers_PutContact(members, 4, &contact), "moved");
+    (void)EY_COPY(contact.peer_address, "10.0.0.1:7000");
+    contact.incarnation--;
+    cr_expect_not(EyMembers_PutContact(members, 5, &contact), "outdated");
+    talloc_free(members);
+}
