What is buffered of answers keeps to a budget of the settings

Reported by other operators: a faulty server sends bytes without end, the machine that called it runs out of memory, and other clients' requests end with it.

Cause: limits of one answer (1 MiB collected or an event, 256 KiB a stream) times a number that only the load decides.

An attempt that needs more ends with no_memory, which isn't held against the server; streams that are empty give their buffer back when less than half is left.

Nothing on the wire changed.

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -20,7 +20,7 @@
     [EY_FAILURE_BROKEN] = "broken",       [EY_FAILURE_IDLE] = "idle",
     [EY_FAILURE_DEADLINE] = "deadline",   [EY_FAILURE_CANCELLED] = "cancelled",
     [EY_FAILURE_WRONG_ID] = "wrong_id",   [EY_FAILURE_TOO_LARGE] = "too_large",
-    [EY_FAILURE_MALFORMED] = "malformed",
+    [EY_FAILURE_NO_MEMORY] = "no_memory", [EY_FAILURE_MALFORMED] = "malformed",
 };
 
 struct EyClient {
@@ -80,6 +80,7 @@
     [METRIC_FAILURES + EY_FAILURE_CANCELLED - 1] = FAILURE_METRIC("cancelled"),
     [METRIC_FAILURES + EY_FAILURE_WRONG_ID - 1] = FAILURE_METRIC("wrong_id"),
     [METRIC_FAILURES + EY_FAILURE_TOO_LARGE - 1] = FAILURE_METRIC("too_large"),
+    [METRIC_FAILURES + EY_FAILURE_NO_MEMORY - 1] = FAILURE_METRIC("no_memory"),
     [METRIC_FAILURES + EY_FAILURE_MALFORMED - 1] = FAILURE_METRIC("malformed"),
     [METRIC_IN_FLIGHT] = {.name = "attempts_in_flight",
                           .help = "Calls to backend servers in flight",
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -69,6 +69,8 @@
     int64_t deadline_ms;
     int64_t chosen_ms; /* when its server was chosen; 0: it doesn't expire */
     EyAttemptBody_t body_mode;
+    EyMemoryBudget_t *answers; /* for what is buffered of the answer; NULL:
+                                  without a limit for all together */
     EyStream_t *stream;    /* a reference of its own or NULL; it is finished as
                               COMPLETE at DONE and stays open at FAILED, so that
                               another attempt or its owner can finish it */
@@ -101,6 +103,8 @@
                              another request's */
     EY_FAILURE_TOO_LARGE, /* body or event too large to be buffered */
     EY_FAILURE_MALFORMED, /* not HTTP, or truncated */
+    EY_FAILURE_NO_MEMORY, /* this process has no memory left to buffer the
+                             answer */
     EY_FAILURE_COUNT
 } EyAttemptFailure_t;
 
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -204,27 +204,52 @@
     return continues ? size_bytes : 0;
 }
 
+/** Takes the memory that the answer's buffer needs for so many bytes. */
+static bool
+take_memory(EyTransfer_t *self, size_t size_bytes)
+{
+    return EyMemoryBudget_Cover(self->attempt->answers, self, &self->share,
+                                size_bytes) ||
+           fail(self, EY_FAILURE_NO_MEMORY);
+}
+
 static bool
 collect(EyTransfer_t *self, const char *data, size_t size_bytes)
 {
+    if (!take_memory(self, self->collected.size_bytes + size_bytes)) {
+        return false;
+    }
     return EyBody_Append(self, &self->collected, data, size_bytes,
                          EY_ANSWER_BODY_MAX_BYTES) ||
            fail(self, EY_FAILURE_TOO_LARGE);
 }
 
-/** Writes to the stream; false if it is full or its reader has closed it. */
+/** Writes to the stream. A refused write is tried again if the stream is
+ * empty: then no reader will make room, and there is no memory. */
 static bool
-write_stream(EyTransfer_t *self, const void *data, uint32_t size_bytes)
+try_write(EyTransfer_t *self, const void *data, uint32_t size_bytes)
 {
     EyStream_t *stream = self->attempt->stream;
     if (EyStream_Write(stream, data, size_bytes)) {
-        self->bytes_passed += size_bytes;
         return true;
     }
     if (EyStream_State(stream) != EY_STREAM_OPEN) {
-        (void)fail(self, EY_FAILURE_CANCELLED);
+        return fail(self, EY_FAILURE_CANCELLED);
     }
-    return false;
+    if (EyStream_SizeBytes(stream) > 0) {
+        return false;
+    }
+    return EyStream_Write(stream, data, size_bytes) ||
+           fail(self, EY_FAILURE_NO_MEMORY);
+}
+
+/** Writes to the stream; false if it is full or its reader has closed it. */
+static bool
+write_stream(EyTransfer_t *self, const void *data, uint32_t size_bytes)
+{
+    bool is_written = try_write(self, data, size_bytes);
+    self->bytes_passed += is_written ? size_bytes : 0;
+    return is_written;
 }
 
 /** Writes the complete events to the stream. False as write_stream; the new
@@ -233,6 +258,9 @@
 forward_events(EyTransfer_t *self, const char *data, uint32_t size_bytes)
 {
     EyEventFramer_t *framer = self->framer;
+    if (!take_memory(self, EyEventFramer_HeldBytes(framer) + size_bytes)) {
+        return false;
+    }
     if (!EyEventFramer_Add(framer, data, size_bytes)) {
         return fail(self, EY_FAILURE_TOO_LARGE);
     }
@@ -658,6 +686,8 @@
             .size_bytes = self->collected.size_bytes,
         };
         self->collected = (EyBytes_t){.data = NULL};
+        self->share = talloc_steal(answer, self->share);
+        self->share = NULL;
     }
     return answer;
 }
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -39,6 +39,7 @@
     bool notified; /* queued as such; under the client's lock */
     EyResponseHead_t head;
     EyBytes_t collected;
+    EyMemoryShare_t *share;  /* for what is buffered; NULL: it is little */
     EyEventFramer_t *framer; /* NULL: bytes are written as they arrive */
     uint32_t events_passed;
     EyEventId_t last_event; /* id of the last of them that has one */
--- a/src/core/memory_budget.c
+++ b/src/core/memory_budget.c
@@ -55,6 +55,30 @@
     return true;
 }
 
+bool
+EyMemoryBudget_Cover(EyMemoryBudget_t *self, const void *ctx,
+                     EyMemoryShare_t **share, uint64_t size_bytes)
+{
+    if (self == NULL || size_bytes <= EY_MEMORY_BUDGET_UNCOUNTED_BYTES) {
+        return true;
+    }
+    uint64_t buffer_bytes = EY_MEMORY_BUDGET_UNCOUNTED_BYTES;
+    while (buffer_bytes < size_bytes) {
+        buffer_bytes *= 2;
+    }
+    if (*share == NULL) {
+        *share = EyMemoryBudget_Take(self, ctx, buffer_bytes);
+        return *share != NULL;
+    }
+    return EyMemoryShare_Reserve(*share, buffer_bytes);
+}
+
+bool
+EyMemoryBudget_IsScarce(const EyMemoryBudget_t *self)
+{
+    return EyMemoryBudget_UsedBytes(self) > self->limit_bytes / 2;
+}
+
 uint64_t
 EyMemoryBudget_UsedBytes(const EyMemoryBudget_t *self)
 {
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -19,6 +19,10 @@
 
 typedef struct EyMemoryShare EyMemoryShare_t;
 
+/** Buffers up to this size aren't counted by EyMemoryBudget_Cover, so that
+ * each user of a budget can go on, if slowly, while others use all of it. */
+#define EY_MEMORY_BUDGET_UNCOUNTED_BYTES 8192
+
 /** Takes size_bytes for a talloc object; NULL if there is no room. The budget
  * must outlive ctx. */
 EyMemoryShare_t *
@@ -30,6 +34,17 @@
 bool
 EyMemoryShare_Reserve(EyMemoryShare_t *self, uint64_t size_bytes);
 
+/** Has *share, made below ctx if it is NULL, cover a buffer for size_bytes
+ * whose sizes double as it grows. True without a share if the buffer is small
+ * or there is no budget (self is NULL); false if there is no room. */
+bool
+EyMemoryBudget_Cover(EyMemoryBudget_t *self, const void *ctx,
+                     EyMemoryShare_t **share, uint64_t size_bytes);
+
+/** True if less than half of the budget is left. */
+bool
+EyMemoryBudget_IsScarce(const EyMemoryBudget_t *self);
+
 uint64_t
 EyMemoryBudget_UsedBytes(const EyMemoryBudget_t *self);
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -522,7 +522,8 @@
                                   .read = read_peer_secret_file},
     [SETTING_MEMORY] = {.flag = "memory-mib",
                         .help = "memory that the process may use; a fifth of "
-                                "it is for bodies of requests",
+                                "it is for bodies of requests, a fifth for "
+                                "what is buffered of answers",
                         .default_text = "256",
                         .expected = "16 to 1048576 MiB",
                         .read = read_memory},
--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -26,6 +26,8 @@
     /* Size of buffer; above capacity_bytes after an oversized chunk. */
     uint32_t allocated_bytes;
     uint8_t *buffer;
+    EyMemoryBudget_t *budget; /* NULL: none */
+    EyMemoryShare_t *share;   /* for the buffer; NULL: it is small */
     bool writer_waiting;
     EyStreamState_t state;
     Callback_t reader;
@@ -81,6 +83,14 @@
     return self;
 }
 
+void
+EyStream_SetBudget(EyStream_t *self, EyMemoryBudget_t *budget)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    self->budget = budget;
+    (void)pthread_mutex_unlock(&self->lock);
+}
+
 EyStream_t *
 EyStream_Ref(EyStream_t *self)
 {
@@ -168,6 +178,33 @@
     return allocated_bytes;
 }
 
+/** Takes the memory for so many bytes, unless the buffer has it already. */
+static bool
+take_memory(EyStream_t *self, uint32_t size_bytes)
+{
+    uint32_t allocated_bytes = allocation_for(self, size_bytes);
+    return allocated_bytes <= self->allocated_bytes ||
+           EyMemoryBudget_Cover(self->budget, self, &self->share,
+                                allocated_bytes);
+}
+
+/** Gives an empty buffer back while memory is scarce. */
+static void
+release_memory(EyStream_t *self)
+{
+    if (self->share == NULL || self->size_bytes > 0 ||
+        !EyMemoryBudget_IsScarce(self->budget))
+    {
+        return;
+    }
+    talloc_free(self->buffer);
+    talloc_free(self->share);
+    self->buffer = NULL;
+    self->share = NULL;
+    self->allocated_bytes = 0;
+    self->head = 0;
+}
+
 bool
 EyStream_Write(EyStream_t *self, const void *data, uint32_t size_bytes)
 {
@@ -178,7 +215,8 @@
     uint32_t needed_bytes = self->size_bytes + size_bytes;
     bool was_empty = self->size_bytes == 0;
     bool fits = needed_bytes <= self->capacity_bytes || was_empty;
-    bool accepted = fits && self->state == EY_STREAM_OPEN;
+    bool accepted = fits && self->state == EY_STREAM_OPEN &&
+                    take_memory(self, needed_bytes);
     if (accepted) {
         grow(self, allocation_for(self, needed_bytes));
         append(self, data, size_bytes);
@@ -221,6 +259,7 @@
                read_bytes - first_bytes);
         self->head = (self->head + read_bytes) % self->allocated_bytes;
         self->size_bytes -= read_bytes;
+        release_memory(self);
     }
     *state = self->state;
     bool notify_writer = self->writer_waiting && read_bytes > 0 &&
--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -9,6 +9,8 @@
 #ifndef EY_CORE_STREAM_H
 #define EY_CORE_STREAM_H
 
+#include "core/memory_budget.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -31,6 +33,13 @@
 EyStream_t *
 EyStream_New(uint32_t capacity_bytes);
 
+/** Has the buffer count in a budget (NULL: in none), which must outlive the
+ * stream; to be called before the first write. While there is no room in it,
+ * writes are refused that need more than EY_MEMORY_BUDGET_UNCOUNTED_BYTES,
+ * also if the stream is empty. */
+void
+EyStream_SetBudget(EyStream_t *self, EyMemoryBudget_t *budget);
+
 EyStream_t *
 EyStream_Ref(EyStream_t *self);
 
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -270,6 +270,7 @@
     attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
+    attempt->answers = &active->gateway->node->answers;
     attempt->continues_stream = action->continues_stream;
     attempt->resume_after = request->resume_after + action->resume_after;
     (void)EY_COPY(attempt->last_event, action->last_event[0] != '\0'
@@ -285,6 +286,7 @@
     }
     if (active->stream == NULL) {
         active->stream = EyStream_New(EY_GATEWAY_STREAM_BYTES);
+        EyStream_SetBudget(active->stream, &active->gateway->node->answers);
     }
     attempt->stream = EyStream_Ref(active->stream);
     return attempt;
@@ -585,6 +587,7 @@
         return EY_RESULT_OK;
     case EY_FAILURE_CANCELLED:
     case EY_FAILURE_DEADLINE:
+    case EY_FAILURE_NO_MEMORY:
         return EY_RESULT_CANCELLED;
     case EY_FAILURE_WRONG_ID:
         return EY_RESULT_WRONG_ID;
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -142,6 +142,26 @@
     };
 }
 
+static void
+abort_attempt(EyActiveRequest_t *active, uint64_t attempt, const char *detail)
+{
+    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
+                               .attempt = attempt,
+                               .detail = detail};
+    EyGateway_CancelForward(active, attempt);
+    finish_attempt(active, &event, EY_RESULT_FAILED);
+}
+
+/** Counts the body of an answer until it is freed; false if there is no memory
+ * for it. */
+static bool
+take_memory(EyActiveRequest_t *active, EyAnswer_t *answer)
+{
+    EyMemoryShare_t *share = NULL;
+    return EyMemoryBudget_Cover(&active->gateway->node->answers, answer,
+                                &share, answer->body.size_bytes);
+}
+
 /** Handles a complete answer or a refusal. */
 static void
 handle_answer(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
@@ -150,6 +170,12 @@
     if (answer == NULL) {
         return;
     }
+    if (!take_memory(active, answer)) {
+        talloc_free(answer);
+        abort_attempt(active, forward->attempt,
+                      "no memory is left for the forwarded answer");
+        return;
+    }
     if (answer->outcome == EY_OUTCOME_COMPLETED) {
         EyExchangeEvent_t event = {
             .kind = EY_EXCHANGE_ATTEMPT_DONE,
@@ -169,16 +195,6 @@
 static void
 schedule_credit(EyGateway_t *self);
 
-static void
-abort_attempt(EyActiveRequest_t *active, uint64_t attempt, const char *detail)
-{
-    EyExchangeEvent_t event = {.kind = EY_EXCHANGE_ATTEMPT_FAILED,
-                               .attempt = attempt,
-                               .detail = detail};
-    EyGateway_CancelForward(active, attempt);
-    finish_attempt(active, &event, EY_RESULT_FAILED);
-}
-
 static void
 handle_head(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
 {
@@ -196,6 +212,7 @@
     }
     if (active->stream == NULL) {
         active->stream = EyStream_New(EY_FORWARD_WINDOW_BYTES);
+        EyStream_SetBudget(active->stream, &active->gateway->node->answers);
     }
     event.answer->stream = EyStream_Ref(active->stream);
     active->remote_sequence = 1;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -715,6 +715,7 @@
     }
     self->timers = EyTimers_New(self, self->loop);
     self->bodies.limit_bytes = bodies_limit_bytes(settings);
+    self->answers.limit_bytes = bodies_limit_bytes(settings);
     make_mailboxes(self);
     watch_signals(self);
     start_cluster(self, serves_callers(parts, part_count));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -102,7 +102,8 @@
     struct tevent_context *loop;
     EyTimers_t *timers;
     EyPauses_t pauses;
-    EyMemoryBudget_t bodies; /* of requests, callers' and forwarded ones */
+    EyMemoryBudget_t bodies;  /* of requests, callers' and forwarded ones */
+    EyMemoryBudget_t answers; /* what is buffered of them */
     EyServer_t *server;
     EyPeers_t *peers;
     EyCluster_t *cluster;
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -160,6 +160,22 @@
     cr_assert_eq(result, 0, "%s: %s", path, strerror(result));
 }
 
+int64_t
+Process_PeakKb(const Process_t *self)
+{
+    char path[64];
+    gchar *text = NULL;
+    (void)snprintf(path, sizeof(path), "/proc/%d/status", (int)self->pid);
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        return 0;
+    }
+    const char *line = strstr(text, "VmHWM:");
+    int64_t peak_kb =
+        line != NULL ? g_ascii_strtoll(line + strlen("VmHWM:"), NULL, 10) : 0;
+    g_free(text);
+    return peak_kb;
+}
+
 void
 Process_Signal(const Process_t *self, int signal_number)
 {
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -77,6 +77,10 @@
 void
 Process_Start(Process_t *self);
 
+/** Most memory that the process has used so far, in kB; 0 if it has ended. */
+int64_t
+Process_PeakKb(const Process_t *self);
+
 /** Sends a signal. */
 void
 Process_Signal(const Process_t *self, int signal_number);
--- a/tests/process/routed_gateways.c
+++ b/tests/process/routed_gateways.c
@@ -74,6 +74,9 @@
     for (uint32_t i = 0; i < count; i++) {
         Process_Arg(&self->gateways[i], "--routed-listen=127.0.0.1:%u",
                     self->routed_ports[i]);
+        if (self->gateway_flag != NULL) {
+            Process_Arg(&self->gateways[i], "%s", self->gateway_flag);
+        }
         start_daemon(self, &self->gateways[i], regions[i], headers);
     }
 }
--- a/tests/process/routed_gateways.h
+++ b/tests/process/routed_gateways.h
@@ -17,6 +17,7 @@
     Process_t gateways[ROUTED_GATEWAYS_MAX];
     uint16_t routed_ports[ROUTED_GATEWAYS_MAX]; /* for calls of routes */
     uint32_t count;
+    const char *gateway_flag; /* a further flag of each gateway; NULL: none */
 } RoutedGateways_t;
 
 /** Starts a control process and one gateway for each number of a region in
--- a/tests/process/test_routes.c
+++ b/tests/process/test_routes.c
@@ -215,20 +215,6 @@
     return GINT_TO_POINTER((gint)status);
 }
 
-static int64_t
-peak_kb(const Process_t *process)
-{
-    char path[64];
-    gchar *text = NULL;
-    (void)snprintf(path, sizeof(path), "/proc/%d/status", (int)process->pid);
-    cr_assert(g_file_get_contents(path, &text, NULL, NULL));
-    const char *line = strstr(text, "VmHWM:");
-    cr_assert_not_null(line);
-    int64_t peak = g_ascii_strtoll(line + strlen("VmHWM:"), NULL, 10);
-    g_free(text);
-    return peak;
-}
-
 /* Many bodies of the largest size at once must not end the process: it would
  * lose the calls that it has passed on. */
 Test(routes, large_bodies_at_once_stay_within_the_memory_of_the_process)
@@ -250,8 +236,8 @@
     cr_expect_geq(served, 4, "%u served", served);
     cr_expect_eq(served + refused, LARGE_CALLS, "%u served, %u refused",
                  served, refused);
-    cr_expect_lt(peak_kb(&Gateway), PEAK_MAX_KB, "%lld kB",
-                 (long long)peak_kb(&Gateway));
+    cr_expect_lt(Process_PeakKb(&Gateway), PEAK_MAX_KB, "%lld kB",
+                 (long long)Process_PeakKb(&Gateway));
     Process_Kill(&Gateway);
     Process_Kill(&fake);
 }
--- a/tests/unit/test_stream.c
+++ b/tests/unit/test_stream.c
@@ -110,3 +110,33 @@
     cr_assert_eq(state, EY_STREAM_COMPLETE);
     EyStream_Unref(stream);
 }
+
+#define BUDGET_BYTES 65536
+#define CAPACITY_BYTES 262144
+
+/* Guards against a process that runs out of memory by answers that nobody
+ * reads, or that have no end: all streams together keep to the budget, and
+ * each of them goes on with a small buffer. */
+Test(stream, streams_together_keep_to_their_budget)
+{
+    static uint8_t block[4096];
+    EyMemoryBudget_t budget = {.limit_bytes = BUDGET_BYTES};
+    EyStream_t *greedy = EyStream_New(CAPACITY_BYTES);
+    EyStream_t *late = EyStream_New(CAPACITY_BYTES);
+    EyStream_SetBudget(greedy, &budget);
+    EyStream_SetBudget(late, &budget);
+    while (EyStream_Write(greedy, block, sizeof(block))) {
+    }
+    cr_expect_eq(EyStream_SizeBytes(greedy), BUDGET_BYTES);
+    cr_expect(EyStream_Write(late, block, sizeof(block)));
+    cr_expect(EyStream_Write(late, block, sizeof(block)));
+    cr_expect_not(EyStream_Write(late, block, sizeof(block)));
+    EyStreamState_t state = EY_STREAM_OPEN;
+    while (EyStream_Read(greedy, block, sizeof(block), &state) > 0) {
+    }
+    cr_expect_eq(EyMemoryBudget_UsedBytes(&budget), 0);
+    cr_expect(EyStream_Write(late, block, sizeof(block)));
+    EyStream_Unref(greedy);
+    EyStream_Unref(late);
+    cr_expect_eq(EyMemoryBudget_UsedBytes(&budget), 0);
+}
