A drain that has ended reads from no other connection

A body is the caller's choice, so a request in it would have been run.

Cause: after a refusal the rest of a body is read and thrown away on a copy of the connection's descriptor. Closing the copy doesn't end its epoll registration while the connection's own descriptor is open; its events went on, marked with the number of the copy, and the thread read from whatever had that number next: a new caller's connection, or one to a server or another instance.

Change: the registration is removed before the copy is closed.

socket_watcher::an_ended_drain_reads_from_no_other_connection failed before ("its bytes were read by the drain"), without a race.

--- a/src/callers/socket_watcher.c
+++ b/src/callers/socket_watcher.c
@@ -43,10 +43,13 @@
     uint32_t drain_count;
 };
 
-/** Closes a draining socket. The lock must be held. */
+/** Closes a draining socket. The lock must be held. Its descriptor is a copy:
+ * closing it doesn't end its events while the connection's own descriptor is
+ * open, and they would be taken for those of whoever gets its number next. */
 static void
 close_drain(EySocketWatcher_t *self, Drain_t *drain)
 {
+    (void)epoll_ctl(self->epoll, EPOLL_CTL_DEL, drain->descriptor, NULL);
     (void)close(drain->descriptor);
     drain->descriptor = -1;
     self->drain_count--;
