--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -139,9 +139,9 @@
     return entry;
 }
 
-/** Most contacts of a role in each remote region. Control processes of small
- * numbers that were replaced stay until they expire, and must not take the
- * places of gateways. */
+/** Most contacts of a role in each remote region. Those of control processes
+ * that were replaced stay until they expire, so they are counted apart from
+ * gateways. */
 static uint32_t
 contacts_max(EyMemberRole_t role)
 {
