Read once more: a doc comment at its function again, plainer words

EyControl_Controls had come between EyControl_Store and its comment. The handing over of an answer's share of memory, the choice of the gateways' sources and the limit that serves request bodies and answers (named for bodies only) read simpler; comments are reworded. No behaviour changes.

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -686,7 +686,7 @@
             .size_bytes = self->collected.size_bytes,
         };
         self->collected = (EyBytes_t){.data = NULL};
-        self->share = talloc_steal(answer, self->share);
+        (void)talloc_steal(answer, self->share);
         self->share = NULL;
     }
     return answer;
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -110,8 +110,7 @@
 bool
 EyConfigReplica_IsConfirmed(const EyConfigReplica_t *self);
 
-/** Returns the control processes that form their group, as far as this
- * instance was told. */
+/** Returns the newest set of control processes that was received. */
 const EyControlSet_t *
 EyConfigReplica_Controls(const EyConfigReplica_t *self);
 
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -252,7 +252,7 @@
     }
 }
 
-/** Tells the gateways which processes form the group, if that is new. */
+/** Distributes the set of control processes if it has changed. */
 static void
 update_controls(EyControl_t *self, const EyRaftStatus_t *status)
 {
--- a/src/config/control.h
+++ b/src/config/control.h
@@ -93,11 +93,11 @@
 int64_t
 EyControl_DueMs(const EyControl_t *self);
 
-/** Returns the store; valid until the control process changes it. */
-/** The processes that form the group, as far as this one knows. */
+/** Returns the processes that form the group, as far as this one knows. */
 const EyControlSet_t *
 EyControl_Controls(const EyControl_t *self);
 
+/** Returns the store; valid until the control process changes it. */
 const EyStore_t *
 EyControl_Store(const EyControl_t *self);
 
--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -19,7 +19,7 @@
 #define TICK_MS 50
 /** Interval at which the log's file is opened again if it couldn't be. */
 #define OPEN_INTERVAL_MS 500
-/** Interval at which this process looks whether it is to be a witness. */
+/** Interval at which the selection of witnesses is evaluated again. */
 #define OFFER_INTERVAL_MS 1000
 /* Longest wait of a read until the store has every entry that was committed
  * before the read. */
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -20,7 +20,7 @@
 typedef struct EyMemoryShare EyMemoryShare_t;
 
 /** Buffers up to this size aren't counted by EyMemoryBudget_Cover, so that
- * each user of a budget can go on, if slowly, while others use all of it. */
+ * every user of a budget makes progress even when it is exhausted. */
 #define EY_MEMORY_BUDGET_UNCOUNTED_BYTES 8192
 
 /** Takes size_bytes for a talloc object; NULL if there is no room. The budget
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -126,13 +126,11 @@
 static void
 distribute_sources(EyGateway_t *self, const MemberScan_t *scan)
 {
-    if (scan->control_count > 0) {
-        EyGateway_SetSources(self, scan->gateways, scan->gateway_count,
-                             scan->controls, scan->control_count);
-        return;
-    }
-    EyGateway_SetSources(self, scan->gateways, scan->gateway_count,
-                         scan->other_controls, scan->other_control_count);
+    bool is_group_known = scan->control_count > 0;
+    EyGateway_SetSources(
+        self, scan->gateways, scan->gateway_count,
+        is_group_known ? scan->controls : scan->other_controls,
+        is_group_known ? scan->control_count : scan->other_control_count);
 }
 
 static void
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -689,15 +689,16 @@
     return ok;
 }
 
-/** What a body needs beside itself: buffers of its connections, and copies of
- * a forwarded one while it is sent. */
-#define MEMORY_PER_BODY_BYTE 5
+/** What a buffered byte, of requests or of answers, needs beside itself:
+ * buffers of its connections, and copies of a forwarded body while it is sent.
+ */
+#define MEMORY_PER_BUFFERED_BYTE 5
 
 static uint64_t
-bodies_limit_bytes(const EySettings_t *settings)
+buffers_limit_bytes(const EySettings_t *settings)
 {
     return settings->memory_mib * (UINT64_C(1024) * 1024) /
-           MEMORY_PER_BODY_BYTE;
+           MEMORY_PER_BUFFERED_BYTE;
 }
 
 EyNode_t *
@@ -714,8 +715,8 @@
         abort();
     }
     self->timers = EyTimers_New(self, self->loop);
-    self->bodies.limit_bytes = bodies_limit_bytes(settings);
-    self->answers.limit_bytes = bodies_limit_bytes(settings);
+    self->bodies.limit_bytes = buffers_limit_bytes(settings);
+    self->answers.limit_bytes = buffers_limit_bytes(settings);
     make_mailboxes(self);
     watch_signals(self);
     start_cluster(self, serves_callers(parts, part_count));
--- a/tests/process/control_group.c
+++ b/tests/process/control_group.c
@@ -11,7 +11,7 @@
 #define REGIONS 3
 /** The gateway shares its region with the third control process. */
 #define GATEWAY_NUMBER 3
-/** Arguments that are given anew at each start. */
+/** Number of the arguments that stay the same over restarts. */
 #define FIXED_ARGS 8
 
 static const char *const Regions[REGIONS] = {"dalmacija", "istra", "zagreb"};
--- a/tests/process/control_group.h
+++ b/tests/process/control_group.h
@@ -56,7 +56,7 @@
 void
 ControlGroup_RenewContacts(ControlGroup_t *self);
 
-/** Kills all processes of the group at once, and the gateway. */
+/** Kills all processes of the group at the same moment, then the gateway. */
 void
 ControlGroup_KillAll(ControlGroup_t *self);
 
@@ -73,8 +73,8 @@
 uint32_t
 ControlGroup_Leader(const ControlGroup_t *self);
 
-/** Sets a route table of this version; false if nobody has acknowledged it
- * after timeout_ms. */
+/** Sets a route table of this version; false if it isn't acknowledged within
+ * timeout_ms. */
 bool
 ControlGroup_Change(const ControlGroup_t *self, uint32_t version,
                     int64_t timeout_ms);
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -81,9 +81,8 @@
     }
 }
 
-/* Guards against control processes that are asked in vain: what an instance
- * knows of a contact is used to send to it, also if another one has told it.
- */
+/* Guards against messages to contacts that are dropped: the sockets must get
+ * the address of a contact also if a third instance has sent it. */
 Test(members, a_contact_that_moved_is_reported)
 {
     EyMember_t own = make_member("zagreb", EY_MEMBER_GATEWAY, 0);
