Log: an answer that is whole by its framing but ends inside an event

The line names how the end was told, how many events had passed and the id of the last. The answer is passed on as before.

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -1,6 +1,7 @@
 #include "backends/transfer.h"
 
 #include "core/clock.h"
+#include "core/log.h"
 #include "core/memory.h"
 #include "core/settings.h"
 #include "exchange/body.h"
@@ -279,6 +280,19 @@
     return true;
 }
 
+/** Buffers or passes on the next bytes of the body; false, without a failure,
+ * if they have to come again once the stream has room. */
+static bool
+take_body(EyTransfer_t *self, const char *data, size_t size_bytes)
+{
+    if (self->collects) {
+        return collect(self, data, size_bytes);
+    }
+    return self->framer != NULL
+               ? forward_events(self, data, (uint32_t)size_bytes)
+               : write_stream(self, data, (uint32_t)size_bytes);
+}
+
 static size_t
 on_body(char *data, size_t unit, size_t count, void *context)
 {
@@ -288,13 +302,10 @@
     if (self->failure != EY_FAILURE_NONE || !self->head_done) {
         return 0;
     }
-    if (self->collects) {
-        return collect(self, data, size_bytes) ? size_bytes : 0;
-    }
-    bool forwarded = self->framer != NULL
-                         ? forward_events(self, data, (uint32_t)size_bytes)
-                         : write_stream(self, data, (uint32_t)size_bytes);
-    if (forwarded) {
+    if (take_body(self, data, size_bytes)) {
+        if (is_success(self) && self->head.answer->is_events) {
+            EyEventBoundary_Add(&self->boundary, data, size_bytes);
+        }
         return size_bytes;
     }
     if (self->failure != EY_FAILURE_NONE) {
@@ -643,6 +654,19 @@
            number == ECONNREFUSED;
 }
 
+static void
+log_cut_event(const EyTransfer_t *self)
+{
+    const EyAttempt_t *attempt = self->attempt;
+    EY_LOG(EY_LOG_INFO, "backends", "answer_ends_inside_event",
+           EY_LOG_TEXT("request_id", attempt->request_id),
+           EY_LOG_TEXT("address", attempt->address),
+           EY_LOG_NUMBER("is_chunked", self->head.chunked),
+           EY_LOG_NUMBER("content_bytes", self->head.content_size_bytes),
+           EY_LOG_NUMBER("events_passed", self->events_passed),
+           EY_LOG_TEXT("last_event", self->last_event));
+}
+
 /** Writes the bytes after the last complete event of a whole answer. */
 static EyAttemptFailure_t
 forward_rest(EyTransfer_t *self)
@@ -672,6 +696,9 @@
     if (!self->head_done || !has_detectable_end(self)) {
         return EY_FAILURE_MALFORMED;
     }
+    if (EyEventBoundary_IsInside(&self->boundary)) {
+        log_cut_event(self);
+    }
     return self->framer != NULL ? forward_rest(self) : EY_FAILURE_NONE;
 }
 
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -8,6 +8,7 @@
 
 #include "backends/client.h"
 #include "backends/connections.h"
+#include "backends/event_boundary.h"
 #include "backends/event_framer.h"
 #include "backends/response_head.h"
 
@@ -39,8 +40,9 @@
     bool notified; /* queued as such; under the client's lock */
     EyResponseHead_t head;
     EyBytes_t collected;
-    EyMemoryShare_t *share;  /* for what is buffered; NULL: it is little */
-    EyEventFramer_t *framer; /* NULL: bytes are written as they arrive */
+    EyMemoryShare_t *share;     /* for what is buffered; NULL: it is little */
+    EyEventFramer_t *framer;    /* NULL: bytes are written as they arrive */
+    EyEventBoundary_t boundary; /* of a successful answer of events */
     uint32_t events_passed;
     EyEventId_t last_event; /* id of the last of them that has one */
     uint64_t bytes_passed;
