Test: an answer that ends inside an event is not whole (red)

Seventeen ends of answers: chunks and lengths in order with half an event, lengths shorter than the body, ends with the connection; passed on, collected for at-most-once calls, resumed.

--- a/tests/unit/test_client_streams.c
+++ b/tests/unit/test_client_streams.c
@@ -1,5 +1,6 @@
 #include "client_fixture.h"
 #include "core/clock.h"
+#include "platform/headers.h"
 
 #include <criterion/criterion.h>
 #include <stdio.h>
@@ -316,3 +317,101 @@
     client_fixture_free(fixture);
     scripted_server_stop(peer);
 }
+
+#define EVENTS_HEAD                                                           \
+    OK "Attempt-Id: order-7\r\nContent-Type: text/event-stream\r\n"
+#define CHUNKED EVENTS_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+/** An answer of events, and what must become of it. */
+typedef struct EndCase {
+    const char *answer;
+    EyAttemptBody_t mode;
+    bool is_whole;
+    uint32_t events;
+    const char *passed; /* all that was written to the stream */
+} EndCase_t;
+
+static const EndCase_t EndCases[] = {
+    /* Broken off. */
+    {CHUNKED "9\r\ndata: 0\n\n\r\n5\r\ndata:\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS,
+     false, 1, "data: 0\n\n"},
+    {CHUNKED "9\r\ndata: 0\n\n\r\n8\r\ndata: 1\n\r\n0\r\n\r\n",
+     EY_ATTEMPT_EVENTS, false, 1, "data: 0\n\n"},
+    {CHUNKED "5\r\nid: 4\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS, false, 0, ""},
+    {CHUNKED "9\r\ndata: 0\n\n\r\n5\r\ndata:\r\n0\r\n\r\n", EY_ATTEMPT_STREAM,
+     false, 1, "data: 0\n\n"},
+    {CHUNKED "9\r\ndata: 0\n\n\r\n5\r\ndata:\r\n0\r\n\r\n", EY_ATTEMPT_COLLECT,
+     false, 0, ""},
+    {EVENTS_HEAD "Content-Length: 14\r\n\r\ndata: 0\n\ndata:",
+     EY_ATTEMPT_EVENTS, false, 1, "data: 0\n\n"},
+    {EVENTS_HEAD "Content-Length: 14\r\n\r\ndata: 0\n\ndata: 1\n\n",
+     EY_ATTEMPT_EVENTS, false, 1, "data: 0\n\n"},
+    {EVENTS_HEAD "Content-Length: 14\r\n\r\ndata: 0\n\ndata:",
+     EY_ATTEMPT_COLLECT, false, 0, ""},
+    {EVENTS_HEAD "Content-Length: 14\r\n\r\ndata: 0\n\ndata:",
+     EY_ATTEMPT_STREAM, false, 0, ""},
+    {EVENTS_HEAD "\r\ndata: 0\n\ndata:", EY_ATTEMPT_EVENTS, false, 1,
+     "data: 0\n\n"},
+    {EVENTS_HEAD "\r\ndata: 0\n\ndata:", EY_ATTEMPT_COLLECT, false, 0, ""},
+    /* Whole. */
+    {CHUNKED "9\r\ndata: 0\n\n\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS, true, 1,
+     "data: 0\n\n"},
+    {CHUNKED "9\r\ndata: 0\n\n\r\n4\r\n: x\n\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS,
+     true, 1, "data: 0\n\n: x\n"},
+    {EVENTS_HEAD "Content-Length: 9\r\n\r\ndata: 0\n\n", EY_ATTEMPT_COLLECT,
+     true, 0, ""},
+    {EVENTS_HEAD "\r\ndata: 0\n\n", EY_ATTEMPT_EVENTS, true, 1, "data: 0\n\n"},
+    {OK "Attempt-Id: order-7\r\nContent-Length: 5\r\n\r\ndata:",
+     EY_ATTEMPT_COLLECT, true, 0, ""},
+    {"HTTP/1.1 500 Oh\r\nAttempt-Id: order-7\r\nContent-Type: "
+     "text/event-stream\r\nContent-Length: 5\r\n\r\nerror",
+     EY_ATTEMPT_EVENTS, true, 0, ""},
+};
+
+/** Serves the answer of a case and closes the connection in order. */
+static void
+serve_once(ScriptedServer_t *peer, int socket)
+{
+    char text[RAW_TEXT_MAX_BYTES];
+    if (scripted_server_read_request(peer, socket, text)) {
+        (void)raw_send_text(socket, peer->data);
+    }
+}
+
+static void
+check_end(const EndCase_t *each, size_t number)
+{
+    enum { COLLECT_MAX_BYTES = 1000 };
+    ClientFixture_t *fixture = client_fixture_new();
+    ScriptedServer_t *peer = scripted_server_start(serve_once, each->answer);
+    EyStream_t *stream = EyStream_New(4096);
+    EyAttempt_t *attempt = make_attempt(1, peer->port, "POST", "/chat");
+    attempt->names = &EyPlatform_headers;
+    attempt->body_mode = each->mode;
+    attempt->collect_max_bytes =
+        each->mode == EY_ATTEMPT_STREAM ? COLLECT_MAX_BYTES : 0;
+    attempt->stream = EyStream_Ref(stream);
+    EyClient_Start(fixture->client, attempt);
+    const EyAttemptEvent_t *event = run_until_ended(fixture, 1);
+    cr_expect_eq(event->kind == EY_ATTEMPT_DONE, each->is_whole, "%zu: %s",
+                 number, EyAttemptFailure_names[event->failure]);
+    cr_expect_eq(event->events_passed, each->events, "%zu: %u events", number,
+                 event->events_passed);
+    char text[256];
+    EyStreamState_t state = EY_STREAM_OPEN;
+    (void)drain(stream, text, sizeof(text), &state);
+    cr_expect_str_eq(text, each->passed, "%zu: \"%s\"", number, text);
+    bool is_finished = each->is_whole && event->answer == NULL;
+    cr_expect_eq(state, is_finished ? EY_STREAM_COMPLETE : EY_STREAM_OPEN,
+                 "%zu: state %d", number, state);
+    EyStream_Unref(stream);
+    client_fixture_free(fixture);
+    scripted_server_stop(peer);
+}
+
+Test(client_streams, an_answer_that_ends_inside_an_event_is_not_whole)
+{
+    for (size_t i = 0; i < sizeof(EndCases) / sizeof(EndCases[0]); i++) {
+        check_end(&EndCases[i], i);
+    }
+}
