An answer that ends inside an event was broken off, whatever frames it

Callers saw streams that ended as complete in the middle of an event (rule ORDER), where a server stops inside an event and still sends a last chunk or the announced length.

Cause: the end of an answer was judged by its frame alone. Only where there is no frame was the event framer asked, and the half event that it held was written behind the last whole one. An at-most-once call kept such a text as its answer, with or without a frame. The class: the envelope is taken for the content.

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -21,6 +21,7 @@
     [EY_FAILURE_DEADLINE] = "deadline",   [EY_FAILURE_CANCELLED] = "cancelled",
     [EY_FAILURE_WRONG_ID] = "wrong_id",   [EY_FAILURE_TOO_LARGE] = "too_large",
     [EY_FAILURE_NO_MEMORY] = "no_memory", [EY_FAILURE_MALFORMED] = "malformed",
+    [EY_FAILURE_CUT_EVENT] = "cut_event",
 };
 
 struct EyClient {
@@ -82,6 +83,7 @@
     [METRIC_FAILURES + EY_FAILURE_TOO_LARGE - 1] = FAILURE_METRIC("too_large"),
     [METRIC_FAILURES + EY_FAILURE_NO_MEMORY - 1] = FAILURE_METRIC("no_memory"),
     [METRIC_FAILURES + EY_FAILURE_MALFORMED - 1] = FAILURE_METRIC("malformed"),
+    [METRIC_FAILURES + EY_FAILURE_CUT_EVENT - 1] = FAILURE_METRIC("cut_event"),
     [METRIC_IN_FLIGHT] = {.name = "attempts_in_flight",
                           .help = "Calls to backend servers in flight",
                           .kind = EY_METRIC_GAUGE},
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -103,6 +103,7 @@
                              another request's */
     EY_FAILURE_TOO_LARGE, /* body or event too large to be buffered */
     EY_FAILURE_MALFORMED, /* not HTTP, or truncated */
+    EY_FAILURE_CUT_EVENT, /* the answer ends inside an event of its stream */
     EY_FAILURE_NO_MEMORY, /* this process has no memory left to buffer the
                              answer */
     EY_FAILURE_COUNT
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -1,5 +1,6 @@
 #include "backends/transfer.h"
 
+#include "backends/body_end.h"
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
@@ -607,41 +608,36 @@
            strcmp(self->attempt->method, "HEAD") == 0;
 }
 
-/** True if the last event of a stream says that it is the last one. */
+/** True if the body itself says that nothing follows. */
 static bool
-has_last_event(const EyTransfer_t *self)
+says_its_end(const EyTransfer_t *self)
 {
-    return EyEventFramer_IsDone(self->framer) &&
-           EyEventFramer_HeldBytes(self->framer) == 0;
-}
-
-/** True if the end of the answer can be distinguished from a broken
- * connection. */
-static bool
-has_detectable_end(const EyTransfer_t *self)
-{
-    if (is_framed(self)) {
-        return true;
-    }
-    if (self->framer != NULL && !self->names->accepts_close_delimited_bodies) {
-        return has_last_event(self);
-    }
-    if (self->names->accepts_close_delimited_bodies) {
-        /* A reset is detected by libcurl's result. */
-        return self->framer == NULL ||
+    if (self->framer != NULL) {
+        return EyEventFramer_IsDone(self->framer) &&
                EyEventFramer_HeldBytes(self->framer) == 0;
     }
     return self->collects && is_whole_json(self);
 }
 
+/** What is known of the end of the answer's body. */
+static EyBodyEnd_t
+body_end(const EyTransfer_t *self)
+{
+    bool framed = is_framed(self);
+    return (EyBodyEnd_t){
+        .is_framed = framed,
+        .may_end_with_connection = self->names->accepts_close_delimited_bodies,
+        .is_inside_event = EyEventBoundary_IsInside(&self->boundary),
+        /* Parses the body, which a frame makes needless. */
+        .says_its_end = !framed && says_its_end(self),
+    };
+}
+
 bool
 EyTransfer_IsEndInferred(const EyTransfer_t *self)
 {
-    if (is_framed(self)) {
-        return false;
-    }
-    return self->framer != NULL ? !has_last_event(self)
-                                : !(self->collects && is_whole_json(self));
+    const EyBodyEnd_t end = body_end(self);
+    return EyBodyEnd_IsInferred(&end);
 }
 
 bool
@@ -667,7 +663,8 @@
            EY_LOG_TEXT("last_event", self->last_event));
 }
 
-/** Writes the bytes after the last complete event of a whole answer. */
+/** Writes the bytes after the last complete event of a whole answer: comments.
+ */
 static EyAttemptFailure_t
 forward_rest(EyTransfer_t *self)
 {
@@ -693,11 +690,16 @@
     if (failure != EY_FAILURE_NONE) {
         return failure;
     }
-    if (!self->head_done || !has_detectable_end(self)) {
+    if (!self->head_done) {
         return EY_FAILURE_MALFORMED;
     }
-    if (EyEventBoundary_IsInside(&self->boundary)) {
+    const EyBodyEnd_t end = body_end(self);
+    if (end.is_inside_event) {
         log_cut_event(self);
+        return EY_FAILURE_CUT_EVENT;
+    }
+    if (!EyBodyEnd_IsWhole(&end)) {
+        return EY_FAILURE_MALFORMED;
     }
     return self->framer != NULL ? forward_rest(self) : EY_FAILURE_NONE;
 }
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -614,7 +614,8 @@
 answer_end(const EyActiveRequest_t *active, const EyAttemptEvent_t *event)
 {
     bool is_broken = event->failure == EY_FAILURE_BROKEN ||
-                     event->failure == EY_FAILURE_MALFORMED;
+                     event->failure == EY_FAILURE_MALFORMED ||
+                     event->failure == EY_FAILURE_CUT_EVENT;
     if (is_broken && !event->nothing_sent) {
         return EY_ANSWER_END_BROKEN;
     }
