A broken-off answer ends with a reset where its caller knows no chunks

A caller of HTTP/1.0 got the answer up to where it was broken off and then the end of the connection in order, which is how a whole answer without a length ends there. The connection is reset now. server::streams_end_whole_or_recognisably_incomplete has three rows for it, the two broken ones red before (an end in order instead of a reset). The users' clients speak HTTP/1.1 and never saw this.

--- a/src/callers/inbound_request.c
+++ b/src/callers/inbound_request.c
@@ -1,7 +1,9 @@
 #include "callers/inbound_request.h"
 
+#include "core/log.h"
 #include "exchange/hop_headers.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
@@ -25,6 +27,19 @@
     EySuspension_Wake(&self->suspension);
 }
 
+/** Resets the caller's connection, as its end in order would be read as that
+ * of a whole answer. */
+static void
+reset_connection(const EyInboundRequest_t *self)
+{
+    const struct sockaddr none = {.sa_family = AF_UNSPEC};
+    if (connect(EyInboundRequest_Socket(self), &none, sizeof(none)) != 0) {
+        EY_LOG(EY_LOG_WARNING, "callers", "reset_failed",
+               EY_LOG_TEXT("request_id", self->id),
+               EY_LOG_NUMBER("error", errno));
+    }
+}
+
 /** True if an error event can be sent: its callers expect one, and it would be
  * an event of its own. */
 static bool
@@ -47,6 +62,9 @@
         memcpy(buffer, StreamErrorEvent, sizeof(StreamErrorEvent) - 1);
         return (ssize_t)sizeof(StreamErrorEvent) - 1;
     }
+    if (self->lacks_chunks && self->answer->stream_size_bytes < 0) {
+        reset_connection(self);
+    }
     return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
--- a/src/callers/inbound_request.h
+++ b/src/callers/inbound_request.h
@@ -40,6 +40,8 @@
     bool drain_after_answer;  /* the caller may still be sending */
     bool answered_raw;        /* by EyInboundRequest_AnswerRaw */
     bool error_event_sent;
+    bool lacks_chunks; /* the caller speaks HTTP/1.0: an answer without a
+                          length ends with its connection */
     EyEventBoundary_t boundary; /* of what was sent of an event stream */
     int64_t started_us;
     char *path;           /* undecoded, from the request line */
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -479,10 +479,10 @@
 {
     (void)connection;
     (void)url;
-    (void)version;
     EyServer_t *self = ((Listener_t *)data)->server;
     EyInboundRequest_t *inbound = *place;
     if (inbound->stage == EY_INBOUND_HEAD) {
+        inbound->lacks_chunks = strcmp(version, MHD_HTTP_VERSION_1_1) != 0;
         return on_head(self, inbound, method);
     }
     if (inbound->stage == EY_INBOUND_BODY && *upload_size_bytes > 0) {
