Encoded answers of events are passed on as they are

It is passed on as any other body now, without an error event behind it. A row of client_streams::an_answer_that_ends_inside_an_event_is_not_whole, red before.

--- a/src/backends/response_head.c
+++ b/src/backends/response_head.c
@@ -78,6 +78,26 @@
     return self->answer->header_count > count;
 }
 
+/** True if the body is encoded, so that its text can't be read here. */
+static bool
+is_encoded(const EyAnswer_t *answer)
+{
+    const char *encoding = EyAnswer_Header(answer, "Content-Encoding");
+    return encoding != NULL && strcasecmp(encoding, "identity") != 0;
+}
+
+/** The blank line: ends the head, unless it is that of an interim answer. */
+static EyHeadProgress_t
+end_head(EyResponseHead_t *self)
+{
+    if (self->answer->status < STATUS_FINAL_MIN) {
+        return EY_HEAD_MORE;
+    }
+    self->answer->is_events =
+        self->answer->is_events && !is_encoded(self->answer);
+    return EY_HEAD_COMPLETE;
+}
+
 static EyHeadProgress_t
 add_line(EyResponseHead_t *self, char *line)
 {
@@ -88,8 +108,7 @@
         return EY_HEAD_MALFORMED;
     }
     if (*line == '\0') {
-        return self->answer->status < STATUS_FINAL_MIN ? EY_HEAD_MORE
-                                                       : EY_HEAD_COMPLETE;
+        return end_head(self);
     }
     char *colon = strchr(line, ':');
     if (colon == NULL || colon == line || g_ascii_isspace(*line)) {
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -40,7 +40,7 @@
     EyBytes_t body;
     EyStream_t *stream; /* holds a reference until the answer is freed */
     int64_t stream_size_bytes;        /* -1: unknown until the stream ends */
-    bool is_events;                   /* server-sent events */
+    bool is_events;                   /* server-sent events, not encoded */
     EyServerVersion_t server_version; /* of the server that gave it */
 } EyAnswer_t;
 
--- a/tests/unit/test_client_streams.c
+++ b/tests/unit/test_client_streams.c
@@ -361,6 +361,9 @@
     {EVENTS_HEAD "Content-Length: 9\r\n\r\ndata: 0\n\n", EY_ATTEMPT_COLLECT,
      true, 0, ""},
     {EVENTS_HEAD "\r\ndata: 0\n\n", EY_ATTEMPT_EVENTS, true, 1, "data: 0\n\n"},
+    {EVENTS_HEAD
+     "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\n\x1f\x8bzz",
+     EY_ATTEMPT_EVENTS, true, 0, "\x1f\x8bzz"},
     {OK "Attempt-Id: order-7\r\nContent-Length: 5\r\n\r\ndata:",
      EY_ATTEMPT_COLLECT, true, 0, ""},
     {"HTTP/1.1 500 Oh\r\nAttempt-Id: order-7\r\nContent-Type: "
