The window of a relayed answer follows the memory of the settings

The window is the 128th part of what is set aside for buffered answers, at least a quarter of the former one (the step in which receivers grant credit). Bytes in the sockets still aren't counted; they are bounded by what the settings allow for 128 relays.

--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -9,6 +9,12 @@
 #define RELAY_POLL_INTERVAL_MS 50
 /** A receiver that grants no credit for this long is taken to have failed. */
 #define CREDIT_TIMEOUT_MS 60000
+/** Relays at their window that take as much memory as is set aside for what is
+ * buffered of answers: messages in the sockets between instances aren't
+ * counted there. */
+#define RELAYS_AT_WINDOW 128
+/** Receivers grant credit in such steps at most, so no window is smaller. */
+#define RELAY_WINDOW_MIN_BYTES (EY_FORWARD_WINDOW_BYTES / 4)
 /** Set in the numbers of forwarded requests only, so that they differ from
  * those of callers' requests. */
 #define FORWARDED_BIT (1ULL << 62)
@@ -21,6 +27,8 @@
     EyName_t to;
     uint64_t attempt;
     EyStream_t *stream;
+    uint32_t
+        window_bytes; /* that may be sent ahead of the receiver's credit */
     uint32_t credit_bytes;
     uint32_t sequence;
     EyTimer_t *credit_timer;
@@ -145,6 +153,17 @@
     }
 }
 
+/** The window of each relay: less than the receiver's where this process may
+ * use little memory. */
+static uint32_t
+relay_window_bytes(const EyGateway_t *gateway)
+{
+    const uint32_t most_bytes = EY_FORWARD_WINDOW_BYTES;
+    uint64_t share_bytes =
+        gateway->node->answers.limit_bytes / RELAYS_AT_WINDOW;
+    return (uint32_t)CLAMP(share_bytes, RELAY_WINDOW_MIN_BYTES, most_bytes);
+}
+
 static void
 start_relay(EyGateway_t *gateway, const EyActiveRequest_t *active,
             EyStream_t *stream)
@@ -155,7 +174,8 @@
     (void)EY_COPY(relay->to, active->origin_id);
     relay->attempt = active->origin_attempt;
     relay->stream = EyStream_Ref(stream);
-    relay->credit_bytes = EY_FORWARD_WINDOW_BYTES;
+    relay->window_bytes = relay_window_bytes(gateway);
+    relay->credit_bytes = relay->window_bytes;
     relay->sequence = 1;
     talloc_set_destructor(relay, relay_destroy);
     uint64_t *key = EY_NEW(relay, uint64_t);
@@ -338,7 +358,7 @@
     if (relay == NULL) {
         return;
     }
-    uint32_t room_bytes = EY_FORWARD_WINDOW_BYTES - relay->credit_bytes;
+    uint32_t room_bytes = relay->window_bytes - relay->credit_bytes;
     relay->credit_bytes += MIN(forward->size_bytes, room_bytes);
     restart_credit_timer(relay);
     run_relay(relay);
