A server that ends its answer inside an event hasn't crashed

Cause: an answer that ends inside an event counted as a connection that broke. Where the last chunk or the whole length came, the server itself ended it and runs; only an end by the connection is a sign of a crash. What the router learns from an attempt's end is a module of its own now (gateway/attempt_result, taken out of active_request.c).

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -266,6 +266,8 @@
 {
     EyAttemptEvent_t *event = make_event(transfer, EY_ATTEMPT_FAILED);
     event->failure = failure;
+    event->is_end_inferred =
+        failure == EY_FAILURE_CUT_EVENT && EyTransfer_IsEndInferred(transfer);
     event->nothing_sent = !transfer->sent;
     event->is_connect_refused =
         failure == EY_FAILURE_CONNECT && EyTransfer_IsConnectRefused(transfer);
--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -119,8 +119,9 @@
     bool nothing_sent;       /* FAILED: no byte of the request was sent */
     bool is_connect_refused; /* FAILED with CONNECT: the server's port refused
                                 the connection */
-    bool is_end_inferred;    /* DONE: the end of the answer can't be
-                                distinguished from that of its connection */
+    bool is_end_inferred;    /* DONE, or FAILED with CUT_EVENT: the end of the
+                                answer can't be distinguished from that of its
+                                connection */
     uint32_t events_passed;  /* server-sent events that this attempt wrote to
                                 the stream */
     EyEventId_t last_event;  /* id of the last of them that has one */
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/log.h"
 #include "core/memory.h"
+#include "gateway/attempt_result.h"
 #include "gateway/internal.h"
 
 #include <string.h>
@@ -580,83 +581,18 @@
     }
 }
 
-/** The result of a finished attempt for the router's statistics. */
-static EyResultKind_t
-result_kind(const EyAttemptEvent_t *event)
-{
-    switch (event->failure) {
-    case EY_FAILURE_NONE:
-        return EY_RESULT_OK;
-    case EY_FAILURE_CANCELLED:
-    case EY_FAILURE_DEADLINE:
-    case EY_FAILURE_NO_MEMORY:
-        return EY_RESULT_CANCELLED;
-    case EY_FAILURE_WRONG_ID:
-        return EY_RESULT_WRONG_ID;
-    default:
-        return EY_RESULT_FAILED;
-    }
-}
-
-/** True if the attempt ended with a whole answer of status 2xx that has
- * content. A streamed one has that status. */
-static bool
-has_whole_answer(const EyAttemptEvent_t *event)
-{
-    const EyAnswer_t *answer = event->answer;
-    if (event->kind != EY_ATTEMPT_DONE) {
-        return false;
-    }
-    return answer == NULL
-               ? event->bytes_passed > 0
-               : answer->status / 100 == 2 && answer->body.size_bytes > 0;
-}
-
-static EyAnswerEnd_t
-answer_end(const EyActiveRequest_t *active, const EyAttemptEvent_t *event)
-{
-    bool is_broken = event->failure == EY_FAILURE_BROKEN ||
-                     event->failure == EY_FAILURE_MALFORMED ||
-                     event->failure == EY_FAILURE_CUT_EVENT;
-    if (is_broken && !event->nothing_sent) {
-        return EY_ANSWER_END_BROKEN;
-    }
-    if (has_whole_answer(event)) {
-        return EY_ANSWER_END_COMPLETE;
-    }
-    bool is_answered =
-        event->kind == EY_ATTEMPT_DONE &&
-        (event->answer == NULL || !reports_not_run(active, event->answer));
-    return is_answered ? EY_ANSWER_END_ANSWERED : EY_ANSWER_END_OTHER;
-}
-
 static void
 finish_route(EyActiveRequest_t *active, const EyAttemptEvent_t *event)
 {
-    bool is_too_slow =
-        active->first_byte_timed_out && event->failure == EY_FAILURE_CANCELLED;
-    EyRoutingResult_t result = {
-        .kind = is_too_slow ? EY_RESULT_FAILED : result_kind(event),
-        .duration_ms = event->total_us / 1000,
-        .tokens = event->events_passed,
-        .answer_end = answer_end(active, event),
-        .hides_start = !EyExchange_StreamsEvents(active->exchange),
-        .is_end_inferred = event->is_end_inferred,
-        .is_connect_refused = event->is_connect_refused,
+    const EyAttemptFacts_t facts = {
+        .is_too_slow = active->first_byte_timed_out,
+        .reports_not_run =
+            event->answer != NULL && reports_not_run(active, event->answer),
+        .is_retryable_status = event->answer != NULL &&
+                               is_retryable_status(event->answer->status),
     };
-    const EyAnswer_t *answer = event->answer;
-    if (result.kind == EY_RESULT_OK && answer != NULL &&
-        reports_not_run(active, answer))
-    {
-        result.kind = answer->status == EY_STATUS_MISDIRECTED
-                          ? EY_RESULT_MISDIRECTED
-                          : EY_RESULT_REFUSED;
-    }
-    else if (result.kind == EY_RESULT_OK && answer != NULL &&
-             is_retryable_status(answer->status))
-    {
-        result.kind = EY_RESULT_FAILED;
-    }
+    EyRoutingResult_t result = EyAttemptResult_Of(event, &facts);
+    result.hides_start = !EyExchange_StreamsEvents(active->exchange);
     EyGateway_RouteFinished(active, &result);
 }
 
