A stream goes on behind its last event only if that event has an id

The id of the last event that had one was taken for that of the last event. A bare CR in an id went into the next server's request as it was (a header of its own where CR ends lines), as the framer knew only LF while EyEventBoundary knows CR and CRLF.

The framer reads the format's own line ends, an event without an id, or with one that can't be sent in a header, leaves none behind, and the exchange forgets the former one. Comments between events are passed on at once, so nothing but an unfinished comment is left at a whole end: a full stream no longer turns that into a failure, and the end in a comment is whole again.

--- a/src/backends/client.h
+++ b/src/backends/client.h
@@ -124,7 +124,7 @@
                                 connection */
     uint32_t events_passed;  /* server-sent events that this attempt wrote to
                                 the stream */
-    EyEventId_t last_event;  /* id of the last of them that has one */
+    EyEventId_t last_event;  /* id of the last of them; empty: it has none */
     uint64_t bytes_passed;   /* bytes that this attempt wrote to the stream */
     EyAnswer_t *answer;      /* HEAD: without body; DONE: whole if collected,
                                 NULL if streamed; a talloc child of the event */
--- a/src/backends/event_framer.c
+++ b/src/backends/event_framer.c
@@ -12,11 +12,13 @@
     uint32_t line_start_bytes; /* of the incomplete line */
     uint32_t whole_bytes;
     uint32_t whole_events;
+    bool has_field;      /* the incomplete event has a line; comments aside */
     bool has_data;       /* the incomplete event has a data line */
     bool has_done;       /* and its last data line is [DONE] */
     bool last_done;      /* the last complete event was [DONE] */
+    bool follows_return; /* the last byte was a CR, which an LF may follow */
     EyEventId_t next_id; /* of the incomplete event */
-    EyEventId_t last_id; /* of the last complete event with an id */
+    EyEventId_t last_id; /* of the last complete event */
 } Scan_t;
 
 struct EyEventFramer {
@@ -40,16 +42,29 @@
     if (scan->has_data) {
         scan->whole_events++;
         scan->last_done = scan->has_done;
-        if (scan->next_id[0] != '\0') {
-            (void)EY_COPY(scan->last_id, scan->next_id);
-        }
+        (void)EY_COPY(scan->last_id, scan->next_id);
     }
     scan->next_id[0] = '\0';
+    scan->has_field = false;
     scan->has_data = false;
     scan->has_done = false;
 }
 
-/** Reads the value of an id line; an id that is too long is ignored. */
+/** True for an id that can be sent in a header as it is. */
+static bool
+is_plain_id(const uint8_t *id, uint32_t size_bytes)
+{
+    for (uint32_t i = 0; i < size_bytes; i++) {
+        if (id[i] < ' ' || id[i] == 0x7f) {
+            return false;
+        }
+    }
+    return size_bytes > 0 && size_bytes < EY_EVENT_ID_SIZE_BYTES &&
+           id[0] != ' ' && id[size_bytes - 1] != ' ';
+}
+
+/** Reads the value of an id line; one that can't be sent in a header counts as
+ * none. */
 static void
 read_id(Scan_t *scan, const uint8_t *line, uint32_t size_bytes)
 {
@@ -58,23 +73,28 @@
         from++;
     }
     uint32_t length_bytes = size_bytes - from;
-    if (length_bytes < EY_EVENT_ID_SIZE_BYTES) {
+    scan->next_id[0] = '\0';
+    if (is_plain_id(line + from, length_bytes)) {
         memcpy(scan->next_id, line + from, length_bytes);
         scan->next_id[length_bytes] = '\0';
     }
 }
 
+/** Handles a line without its end; a comment outside of an event is passed on
+ * as a complete event is. */
 static void
 end_line(Scan_t *scan, const uint8_t *line, uint32_t size_bytes,
          uint32_t end_bytes)
 {
-    if (size_bytes > 0 && line[size_bytes - 1] == '\r') {
-        size_bytes--;
-    }
     if (size_bytes == 0) {
         end_event(scan, end_bytes);
         return;
     }
+    if (line[0] == ':') {
+        scan->whole_bytes = scan->has_field ? scan->whole_bytes : end_bytes;
+        return;
+    }
+    scan->has_field = true;
     if (size_bytes >= 3 && memcmp(line, "id:", 3) == 0) {
         read_id(scan, line, size_bytes);
         return;
@@ -89,23 +109,34 @@
     }
 }
 
-/** Scans the bytes from start_bytes to the end. */
+/** Adds the LF of a CRLF to the line that its CR has ended. */
+static void
+end_return(Scan_t *scan, uint32_t at_bytes)
+{
+    if (scan->whole_bytes == at_bytes) {
+        scan->whole_bytes++;
+    }
+    scan->line_start_bytes = at_bytes + 1;
+}
+
+/** Scans the bytes from start_bytes to the end. Lines end with LF, CR or CRLF.
+ */
 static void
 scan_lines(EyEventFramer_t *self, uint32_t start_bytes)
 {
     Scan_t *scan = &self->current;
-    uint32_t from = start_bytes;
-    while (from < scan->size_bytes) {
-        const uint8_t *newline =
-            memchr(self->buffer + from, '\n', scan->size_bytes - from);
-        if (newline == NULL) {
-            return;
+    for (uint32_t at = start_bytes; at < scan->size_bytes; at++) {
+        uint8_t byte = self->buffer[at];
+        bool ends_return = byte == '\n' && scan->follows_return;
+        scan->follows_return = byte == '\r';
+        if (ends_return) {
+            end_return(scan, at);
+        }
+        else if (byte == '\n' || byte == '\r') {
+            end_line(scan, self->buffer + scan->line_start_bytes,
+                     at - scan->line_start_bytes, at + 1);
+            scan->line_start_bytes = at + 1;
         }
-        uint32_t at = (uint32_t)(newline - self->buffer);
-        end_line(scan, self->buffer + scan->line_start_bytes,
-                 at - scan->line_start_bytes, at + 1);
-        scan->line_start_bytes = at + 1;
-        from = at + 1;
     }
 }
 
--- a/src/backends/event_framer.h
+++ b/src/backends/event_framer.h
@@ -1,7 +1,7 @@
 /**
- * Splits a stream of server-sent events into complete events. Added bytes are
- * buffered until their event is complete and the owner has forwarded it and
- * drops it.
+ * Splits a stream of server-sent events into complete events; comments between
+ * two events count as such. Added bytes are buffered until their event is
+ * complete and the owner has forwarded it and drops it.
  */
 #ifndef EY_BACKENDS_EVENT_FRAMER_H
 #define EY_BACKENDS_EVENT_FRAMER_H
@@ -57,7 +57,8 @@
 void
 EyEventFramer_Drop(EyEventFramer_t *self);
 
-/** Id of the last complete event that has one; empty if none had. */
+/** Id of the last complete event with data; empty if it has none that can be
+ * sent in a header, so that nobody can be told to go on behind it. */
 const char *
 EyEventFramer_LastId(const EyEventFramer_t *self);
 
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -663,18 +663,16 @@
            EY_LOG_TEXT("last_event", self->last_event));
 }
 
-/** Writes the bytes after the last complete event of a whole answer: comments.
- */
+/** Writes what is left of a whole answer, an unfinished comment, if the stream
+ * has room for it. */
 static EyAttemptFailure_t
 forward_rest(EyTransfer_t *self)
 {
     uint32_t held_bytes = EyEventFramer_HeldBytes(self->framer);
-    if (held_bytes == 0) {
-        return EY_FAILURE_NONE;
+    if (held_bytes > 0) {
+        (void)write_stream(self, EyEventFramer_Data(self->framer), held_bytes);
     }
-    const uint8_t *data = EyEventFramer_Data(self->framer);
-    return write_stream(self, data, held_bytes) ? EY_FAILURE_NONE
-                                                : EY_FAILURE_MALFORMED;
+    return self->failure;
 }
 
 EyAttemptFailure_t
--- a/src/callers/inbound_request.c
+++ b/src/callers/inbound_request.c
@@ -47,7 +47,7 @@
 {
     return self->names->sends_stream_error_event && self->answer->is_events &&
            !self->error_event_sent &&
-           !EyEventBoundary_IsInside(&self->boundary) &&
+           EyEventBoundary_IsBetween(&self->boundary) &&
            room_bytes >= sizeof(StreamErrorEvent) - 1;
 }
 
--- a/src/exchange/event_boundary.c
+++ b/src/exchange/event_boundary.c
@@ -43,5 +43,11 @@
 bool
 EyEventBoundary_IsInside(const EyEventBoundary_t *self)
 {
-    return self->is_in_line || self->has_field;
+    return self->has_field || (self->is_in_line && !self->is_in_comment);
+}
+
+bool
+EyEventBoundary_IsBetween(const EyEventBoundary_t *self)
+{
+    return !self->has_field && !self->is_in_line;
 }
--- a/src/exchange/event_boundary.h
+++ b/src/exchange/event_boundary.h
@@ -27,11 +27,16 @@
 EyEventBoundary_Add(EyEventBoundary_t *self, const void *data,
                     size_t size_bytes);
 
-/** True if the text would end in a line, or before the blank line that ends an
- * event. Whole lines of comments are no part of an event. */
+/** True if the text would end before the blank line that ends an event.
+ * Comments, unfinished ones too, are no part of an event. */
 bool
 EyEventBoundary_IsInside(const EyEventBoundary_t *self);
 
+/** True if another event may follow here: neither in an event nor in a line.
+ */
+bool
+EyEventBoundary_IsBetween(const EyEventBoundary_t *self);
+
 #ifdef __cplusplus
 }
 #endif
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -443,7 +443,7 @@
         exchange->arrival_count++;
     }
     exchange->events_passed += event->events_passed;
-    if (event->last_event[0] != '\0') {
+    if (event->events_passed > 0) {
         (void)EY_COPY(exchange->last_event, event->last_event);
     }
 }
