The length of an event stream is not promised to its caller

No stream of events has a length for its caller now, and a part of a text (206) is no such stream: it may end anywhere.

And a gateway believed another's word that an answer is whole: beside half events came with a last chunk. The caller's side, which follows the text already, has the last word; collected answers of another region are read where they arrive.

Rows in client_streams::an_answer_that_ends_inside_an_event_is_not_whole and server::streams_end_whole_or_recognisably_incomplete, red before.

--- a/src/backends/response_head.c
+++ b/src/backends/response_head.c
@@ -10,6 +10,7 @@
 
 /* Lower statuses are interim (1xx) answers. */
 #define STATUS_FINAL_MIN 200
+#define STATUS_PARTIAL 206
 #define STATUS_MAX 599
 
 /** Parses a status line, such as HTTP/1.1 200 OK, which starts a head. */
@@ -93,8 +94,10 @@
     if (self->answer->status < STATUS_FINAL_MIN) {
         return EY_HEAD_MORE;
     }
-    self->answer->is_events =
-        self->answer->is_events && !is_encoded(self->answer);
+    /* A part of a text may end anywhere. */
+    self->answer->is_events = self->answer->is_events &&
+                              !is_encoded(self->answer) &&
+                              self->answer->status != STATUS_PARTIAL;
     return EY_HEAD_COMPLETE;
 }
 
--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -110,9 +110,9 @@
     if (is_framed_stream) {
         self->framer = EyEventFramer_New(self);
     }
-    /* A broken event stream may be resumed at another server, with another
-     * size. */
-    answer->stream_size_bytes = is_framed_stream || self->head.chunked
+    /* The length of events proves nothing, and a broken stream of them may be
+     * resumed at another server, with another length. */
+    answer->stream_size_bytes = answer->is_events || self->head.chunked
                                     ? -1
                                     : self->head.content_size_bytes;
     EyClient_OnHead(self->client, self);
--- a/src/callers/inbound_request.c
+++ b/src/callers/inbound_request.c
@@ -75,6 +75,7 @@
     int64_t expected_bytes = self->answer->stream_size_bytes;
     bool whole =
         state == EY_STREAM_COMPLETE &&
+        !EyEventBoundary_IsInside(&self->boundary) &&
         (expected_bytes < 0 || self->sent_bytes == (uint64_t)expected_bytes);
     if (whole) {
         return MHD_CONTENT_READER_END_OF_STREAM;
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -1,6 +1,7 @@
 /* Forwards requests to remote regions and receives their answers. */
 #include "core/clock.h"
 #include "core/memory.h"
+#include "exchange/event_boundary.h"
 #include "gateway/internal.h"
 
 #include <string.h>
@@ -162,6 +163,19 @@
                                 &share, answer->body.size_bytes);
 }
 
+/** True if an answer that was collected as whole ends inside an event: an
+ * instance of an older build judges by the length or the chunks alone. */
+static bool
+is_cut(const EyAnswer_t *answer)
+{
+    EyEventBoundary_t boundary = {.has_field = false};
+    if (!answer->is_events || answer->status / 100 != 2) {
+        return false;
+    }
+    EyEventBoundary_Add(&boundary, answer->body.data, answer->body.size_bytes);
+    return EyEventBoundary_IsInside(&boundary);
+}
+
 /** Handles a complete answer or a refusal. */
 static void
 handle_answer(EyActiveRequest_t *active, const EyForwardMessage_t *forward)
@@ -176,6 +190,12 @@
                       "no memory is left for the forwarded answer");
         return;
     }
+    if (is_cut(answer)) {
+        talloc_free(answer);
+        abort_attempt(active, forward->attempt,
+                      "the forwarded answer ends inside an event");
+        return;
+    }
     if (answer->outcome == EY_OUTCOME_COMPLETED) {
         EyExchangeEvent_t event = {
             .kind = EY_EXCHANGE_ATTEMPT_DONE,
--- a/tests/unit/test_client_streams.c
+++ b/tests/unit/test_client_streams.c
@@ -372,6 +372,9 @@
     /* Whole. */
     {CHUNKED "9\r\ndata: 0\n\n\r\n3\r\n: x\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS,
      true, 1, "data: 0\n\n: x"},
+    {"HTTP/1.1 206 Part\r\nAttempt-Id: order-7\r\nContent-Type: "
+     "text/event-stream\r\nContent-Length: 5\r\n\r\ndata:",
+     EY_ATTEMPT_EVENTS, true, 0, "data:"},
     {CHUNKED "9\r\ndata: 0\n\n\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS, true, 1,
      "data: 0\n\n"},
     {CHUNKED "9\r\ndata: 0\n\n\r\n4\r\n: x\n\r\n0\r\n\r\n", EY_ATTEMPT_EVENTS,
@@ -399,6 +402,21 @@
     }
 }
 
+/** True if the head of a stream of events has its length. */
+static bool
+announces_length(const ClientFixture_t *fixture)
+{
+    for (uint32_t i = 0; i < fixture->event_count; i++) {
+        const EyAttemptEvent_t *event = fixture->events[i];
+        if (event->kind == EY_ATTEMPT_HEAD && event->answer->is_events &&
+            event->answer->stream_size_bytes >= 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 check_end(const EndCase_t *each, size_t number)
 {
@@ -421,6 +439,7 @@
     cr_expect_str_eq(event->last_event,
                      each->last_event != NULL ? each->last_event : "",
                      "%zu: last event %s", number, event->last_event);
+    cr_expect(!announces_length(fixture), "%zu: length of events", number);
     char text[256];
     EyStreamState_t state = EY_STREAM_OPEN;
     (void)drain(stream, text, sizeof(text), &state);
