A route whose time-out does not fit 32 bits, or is below 1 ms, gets its time

The table was acknowledged and read back: timeout_ms was above 0.

Cause: the route's double was converted to uint32_t. 2^32, 1e19 and 1e300 gave 0 (undefined in C), and so did 0.4: a request was past its deadline when it arrived.

The new test can't be built without the function that it tests.

Times are rounded up and bounded by what the type holds, in one place, so that only 0 stays 0.

--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 
+#include <math.h>
 #include <string.h>
 #include <strings.h>
 
@@ -280,6 +281,13 @@
     return best;
 }
 
+uint32_t
+EyRouteTable_WholeMs(double time_ms)
+{
+    /* Converting a double that the type can't hold is undefined. */
+    return (uint32_t)ceil(CLAMP(time_ms, 0.0, (double)UINT32_MAX));
+}
+
 static bool
 allows_region(const EyRouteRule_t *route, const char *region)
 {
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -125,6 +125,11 @@
 EyRouteTable_FindRoute(const EyRouteTable_t *self, const char *host,
                        const char *path);
 
+/** A time of a table in whole milliseconds: rounded up, so that only 0 stays
+ * 0, and at most UINT32_MAX. */
+uint32_t
+EyRouteTable_WholeMs(double time_ms);
+
 /** Returns true if a region may receive calls to the host: one of the host's
  * routes allows its data there, or the host has no routes. */
 bool
--- a/src/gateway/route_terms.c
+++ b/src/gateway/route_terms.c
@@ -21,8 +21,8 @@
         .is_resumable = resumes,
         .priority = route->priority,
         .runs_max = route->attempts_max,
-        .timeout_ms = (uint32_t)route->timeout_ms,
-        .objective_ms = (uint32_t)route->latency_objective_ms,
+        .timeout_ms = EyRouteTable_WholeMs(route->timeout_ms),
+        .objective_ms = EyRouteTable_WholeMs(route->latency_objective_ms),
     };
     (void)EY_COPY(request->terms.route, route->name);
     request->streamed = is_stream;
--- a/tests/unit/test_route_table.c
+++ b/tests/unit/test_route_table.c
@@ -245,6 +245,28 @@
     cr_expect_eq(few, 100);
 }
 
+/* Routes with such a time-out got 0 ms, and were never served. */
+Test(route_table, times_beyond_whole_milliseconds_leave_a_route_its_time)
+{
+    const struct {
+        double time_ms;
+        uint32_t whole_ms;
+    } cases[] = {
+        {0.0, 0},
+        {0.4, 1},
+        {3000.0, 3000},
+        {-1.0, 0},
+        {4294967295.0, UINT32_MAX},
+        {4294967296.0, UINT32_MAX},
+        {1e19, UINT32_MAX},
+        {1e300, UINT32_MAX},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        cr_expect_eq(EyRouteTable_WholeMs(cases[i].time_ms), cases[i].whole_ms,
+                     "%g ms", cases[i].time_ms);
+    }
+}
+
 static EyCommandResult_t
 replace(EyStore_t *store, uint64_t version, const char *document)
 {
