A route table that is held already is acknowledged at once, without a leader

Callers saw: an order whose acknowledgement was lost, sent again to a control process that holds it as committed, got 503 while there was no leader, 504 at a gateway; so did older versions and other content under the version held, which change nothing.

Cause: a proposal was compared with the committed table only when its entry was applied.

Why it works: what a control process has applied is committed and stays so, and versions only rise; so the answer can't change, whoever leads. Gateways ask a control process as before.

A failed try: the test first asked the gateway for the higher version as well. It answers 504 (unknown), and the proposal, which ZeroMQ keeps for a process that is down, was carried out after its start: allowed, but another version was read back then.

--- a/src/config/control.c
+++ b/src/config/control.c
@@ -330,8 +330,12 @@
         bool is_forwarded, const EyCommand_t *command)
 {
     EyCommandResult_t result;
-    if (!EyStore_Check(command, &result)) {
+    /* What is held already was committed: it needs no leader, and another
+     * entry would send the whole table to everyone once more. */
+    if (!EyStore_Check(command, &result) ||
+        EyStore_Holds(self->store, command)) {
         result.version = self->store->config.version;
+        result.revision = self->store->config.revision;
         answer(self, &pending, EY_PROPOSAL_APPLIED, &result);
         return;
     }
--- a/src/config/store.c
+++ b/src/config/store.c
@@ -401,13 +401,20 @@
                    EyHistoryRecord_t, history);
 }
 
+bool
+EyStore_Holds(const EyStore_t *self, const EyCommand_t *command)
+{
+    return command->kind == EY_COMMAND_REPLACE_ROUTES &&
+           command->routes_version <= self->routes_version;
+}
+
 /** Replaces the routes by a document of a higher version. A document of the
  * same or a lower version changes nothing, whatever its content, and is
  * acknowledged. */
 static EyCommandResult_t
 replace_routes(EyStore_t *self, const EyCommand_t *command)
 {
-    if (command->routes_version <= self->routes_version) {
+    if (EyStore_Holds(self, command)) {
         return result_of(self, EY_COMMAND_RESULT_DONE);
     }
     EyValueText_t before;
--- a/src/config/store.h
+++ b/src/config/store.h
@@ -199,6 +199,11 @@
 bool
 EyStore_Check(const EyCommand_t *command, EyCommandResult_t *result);
 
+/** True for a route table whose version isn't higher than the committed one:
+ * it changes nothing, now or later, and is acknowledged. */
+bool
+EyStore_Holds(const EyStore_t *self, const EyCommand_t *command);
+
 /** Applies a command; if the status isn't DONE, nothing but the list of
  * change ids changes. */
 EyCommandResult_t
--- a/tests/process/test_control_group.c
+++ b/tests/process/test_control_group.c
@@ -157,3 +157,62 @@
     run_case(&(Case_t){
         .name = "group-row", .seed = 1, .replaced = 6, .is_in_order = true});
 }
+
+#define TABLE(version, service)                                               \
+    "{\"version\":" version                                                   \
+    ",\"routes\":[],\"services\":[{\"name\":\"" service "\"}]}"
+/** A gateway tries the control processes one after the other. */
+#define GATEWAY_CALL_MS 5000
+
+typedef struct HeldCase {
+    const char *table;
+    long status;
+} HeldCase_t;
+
+static const HeldCase_t HeldCases[] = {
+    {TABLE("7", "first"), 200},
+    {TABLE("7", "other"), 200},
+    {TABLE("6", "earlier"), 200},
+    {TABLE("8", "next"), 503},
+};
+
+static void
+expect_answers(const Process_t *process, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        const HeldCase_t *test = &HeldCases[i];
+        Reply_t reply = Http_Call(process->port, "PUT", "/v1/config/routes",
+                                  NULL, test->table, GATEWAY_CALL_MS);
+        cr_expect_eq(reply.status, test->status, "%s: %s: %ld", process->name,
+                     test->table, reply.status);
+        Reply_Clear(&reply);
+    }
+}
+
+/* Its first acknowledgement may be lost; each repeat was another entry of the
+ * log, and got no clear answer without a leader. */
+Test(control_group, a_table_that_is_held_is_acknowledged_without_a_leader)
+{
+    ControlGroup_Start(&Group, "group-held");
+    Reply_t reply =
+        Http_Call(Group.members[0].process.port, "PUT", "/v1/config/routes",
+                  NULL, HeldCases[0].table, CONTROL_GROUP_RECOVERY_MS);
+    cr_assert_eq(reply.status, 200);
+    Reply_Clear(&reply);
+    cr_assert(ControlGroup_AwaitVersion(&Group, 7, CONTROL_GROUP_APPLY_MS));
+    for (uint32_t i = 0; i < CONTROL_GROUP_SIZE - 2; i++) {
+        Process_Kill(&Group.members[i].process);
+    }
+    Harness_SleepMs(CONTROL_GROUP_APPLY_MS);
+    for (uint32_t i = CONTROL_GROUP_SIZE - 2; i < CONTROL_GROUP_SIZE; i++) {
+        expect_answers(&Group.members[i].process, G_N_ELEMENTS(HeldCases));
+    }
+    /* It can't tell whether a process that is gone has taken the last one. */
+    expect_answers(&Group.gateway, G_N_ELEMENTS(HeldCases) - 1);
+    ControlGroup_StartAll(&Group);
+    cr_assert(ControlGroup_AwaitVersion(&Group, 7, CONTROL_GROUP_RECOVERY_MS));
+    reply = Http_Call(Group.gateway.port, "GET", "/v1/config/routes", NULL,
+                      NULL, GATEWAY_CALL_MS);
+    cr_expect_str_eq(reply.body, HeldCases[0].table);
+    Reply_Clear(&reply);
+}
