--- a/tests/property/test_control_properties.cc
+++ b/tests/property/test_control_properties.cc
@@ -1,6 +1,8 @@
 #include "config/config_replica.h"
 #include "property/control_site.h"
 
+#include <list>
+
 using control_site::Count;
 using control_site::SettleMs;
 using control_site::Site;
@@ -50,6 +52,40 @@
     }
 }
 
+/** Sends a route table; documents keeps its content. */
+void
+send_table(Site &site, size_t node, uint64_t version,
+           std::list<std::string> &documents)
+{
+    documents.push_back("table " + std::to_string(documents.size()));
+    std::string &document = documents.back();
+    EyCommand_t command = {};
+    command.kind = EY_COMMAND_REPLACE_ROUTES;
+    command.routes_version = version;
+    command.document.data = reinterpret_cast<uint8_t *>(&document[0]);
+    command.document.size_bytes = static_cast<uint32_t>(document.size());
+    (void)EY_COPY(command.change_id, document.c_str());
+    site.send(node, command);
+}
+
+/** Content of each version of the routes that a process has held. */
+using Tables = std::map<uint64_t, std::string>;
+
+void
+check_tables(const Site &site, Tables &tables)
+{
+    for (const Site::Node &node : site.nodes) {
+        if (node.control == nullptr) {
+            continue;
+        }
+        const EyStore_t *store = EyControl_Store(node.control);
+        std::string content(reinterpret_cast<char *>(store->routes.data),
+                            store->routes.size_bytes);
+        auto first = tables.emplace(store->routes_version, content);
+        RC_ASSERT(first.first->second == content);
+    }
+}
+
 void
 settle(Site &site)
 {
@@ -84,6 +120,39 @@
     });
 }
 
+/* Versions repeat, with other content, and come late; an acknowledgement may
+ * be lost with a process or a cut. */
+Test(control_properties, a_version_of_the_routes_has_one_content)
+{
+    EY_CHECK("any tables of several operators, resends, stops, cuts", [] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto operations = *rc::gen::container<std::vector<uint32_t>>(
+            60, rc::gen::inRange<uint32_t>(0, 1U << 16));
+        Site site(seed);
+        std::list<std::string> documents;
+        Tables tables;
+        for (uint32_t operation : operations) {
+            if (operation % 16 < 4) {
+                send_table(site, operation / 16 % Count,
+                           1 + operation / 64 % 12, documents);
+            }
+            else {
+                run_operation(site, operation);
+            }
+            check_tables(site, tables);
+        }
+        settle(site);
+        check_tables(site, tables);
+        for (const control_site::Change &one : site.changes) {
+            if (one.is_answered && one.outcome == EY_PROPOSAL_APPLIED) {
+                RC_ASSERT(one.result.status == EY_COMMAND_RESULT_DONE);
+                RC_ASSERT(site.store(0)->routes_version >=
+                          one.command.routes_version);
+            }
+        }
+    });
+}
+
 Test(control_properties, restarted_processes_are_confirmed_by_a_new_leader)
 {
     EY_CHECK("any seed, all are killed at once and one doesn't restart", [] {
