The directory names no region where none of a host's data may be

Callers saw: while the control process of their region restarted (planned, nothing else disturbed), look-ups there named gateways of other regions, though the host's data was bound to the callers' own region and its gateways served all the while.

Cause: an instance that has no route table yet took every region for allowed, and where none was allowed, any gateway of any region was named as a last resort. A process that has just started hears of contacts in other regions at once, but lists its own region's gateways only at the directory's next update.

Why it works: the group of last resort is gone. A gateway of another region is named only if the route table that is held allows it some of the host's calls; without a table it isn't named for a host, for callers without a host it is as before. Nothing is lost: a gateway outside the homes can't serve such a call. An answer without addresses makes callers keep the earlier one.

--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -379,17 +379,23 @@
 /* Callers */
 
 /** The groups that a gateway of another region is in, by the host's routes, as
- * a mask. */
+ * a mask. Without a route table it isn't known where the host's data may be.
+ */
 static uint32_t
 remote_groups(const DiscoveryPart_t *self, const char *host,
               const char *region)
 {
     const EyRouteTable_t *routes = self->node->routes;
-    uint32_t groups = 1U << EY_ENTRY_ANY;
-    if (routes == NULL || EyRouteTable_AllowsRegion(routes, host, region)) {
+    bool is_of_no_route = host[0] == '\0';
+    uint32_t groups = 0;
+    if (is_of_no_route ||
+        (routes != NULL && EyRouteTable_AllowsRegion(routes, host, region)))
+    {
         groups |= 1U << EY_ENTRY_PARTLY_ALLOWED;
     }
-    if (routes == NULL || EyRouteTable_AllowsAllCalls(routes, host, region)) {
+    if (is_of_no_route ||
+        (routes != NULL && EyRouteTable_AllowsAllCalls(routes, host, region)))
+    {
         groups |= 1U << EY_ENTRY_ALLOWED;
     }
     return groups;
@@ -488,7 +494,8 @@
                                             EY_DIRECTORY_ANSWER_MAX);
         add_local(&list, entries, count);
     }
-    return addresses_in(&list, 1U << EY_ENTRY_ANY | 1U << EY_ENTRY_SERVING);
+    return addresses_in(&list,
+                        1U << EY_ENTRY_ALLOWED | 1U << EY_ENTRY_SERVING);
 }
 
 static json_t *
--- a/src/discovery/entry_choice.h
+++ b/src/discovery/entry_choice.h
@@ -19,7 +19,6 @@
     EY_ENTRY_ALLOWED, /* of other regions, where the data of all routes of the
                          host may be */
     EY_ENTRY_PARTLY_ALLOWED, /* where the data of one of its routes may be */
-    EY_ENTRY_ANY,            /* of other regions */
     EY_ENTRY_GROUP_COUNT
 } EyEntryGroup_t;
 
@@ -31,7 +30,8 @@
 /**
  * Returns the groups to name, as a mask of 1 << EyEntryGroup_t. While gateways
  * of the region leave, others are about to take their place, so callers aren't
- * sent where the data of their requests may not be.
+ * sent where the data of their requests may not be. A gateway of another
+ * region in no group isn't named: none of the host's data may be there.
  */
 uint32_t
 EyEntryChoice_Groups(const EyEntryCounts_t *counts);
