Callers of another region are sent where their host's data may be

Callers saw: a caller whose nearest directory doesn't answer asks one of another region.

For others the host wasn't looked at, and contacts that leave were left out, so that the directory's own gateways were next.

Why it works: there is one choice for all callers. A gateway of the caller's region counts as serving or leaving, whether it is a member or a contact; one of another region counts by the host's routes, the directory's own region included.

--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -28,36 +28,44 @@
     EyTimer_t *relay_timer; /* NULL: nothing waits for a receipt */
 } DiscoveryPart_t;
 
-/** The contacts in one remote region, or in all of them. */
+/** Instances of remote regions. */
 typedef struct Contacts {
     const EyMembership_t *membership;
-    const char *region; /* NULL: all remote regions */
     const EyMember_t *members[CONTACTS_MAX];
     uint32_t count;
 } Contacts_t;
 
+/** A search for the live contacts of a remote region. */
+typedef struct RegionSearch {
+    Contacts_t *contacts;
+    const char *region;
+} RegionSearch_t;
+
 static void
-add_contact(void *data, const EyMember_t *member)
+collect(Contacts_t *contacts, const EyMember_t *member)
 {
-    Contacts_t *contacts = data;
-    bool is_wanted = contacts->region == NULL ||
-                     strcmp(member->region, contacts->region) == 0;
-    if (is_wanted && member->state == EY_MEMBER_ALIVE &&
-        contacts->count < CONTACTS_MAX)
-    {
+    if (contacts->count < CONTACTS_MAX) {
         contacts->members[contacts->count++] = member;
     }
 }
 
-static Contacts_t
-find_contacts(const DiscoveryPart_t *self, const char *region)
+static void
+collect_of_region(void *data, const EyMember_t *member)
 {
-    Contacts_t contacts = {
-        .membership = EyCluster_Membership(self->node->cluster),
-        .region = region,
-    };
-    EyMembership_EachContact(contacts.membership, add_contact, &contacts);
-    return contacts;
+    const RegionSearch_t *search = data;
+    if (strcmp(member->region, search->region) == 0 &&
+        member->state == EY_MEMBER_ALIVE)
+    {
+        collect(search->contacts, member);
+    }
+}
+
+static void
+collect_gateway(void *data, const EyMember_t *member)
+{
+    if (member->role == EY_MEMBER_GATEWAY) {
+        collect(data, member);
+    }
 }
 
 /** Removes the most recently seen contact from the list and returns it; NULL
@@ -90,7 +98,11 @@
 relay(const DiscoveryPart_t *self, const char *region,
       const EyAnnouncement_t *announcement)
 {
-    Contacts_t contacts = find_contacts(self, region);
+    Contacts_t contacts = {
+        .membership = EyCluster_Membership(self->node->cluster),
+    };
+    RegionSearch_t search = {.contacts = &contacts, .region = region};
+    EyMembership_EachContact(contacts.membership, collect_of_region, &search);
     uint32_t sent = 0;
     for (; sent < RELAY_TARGETS_MAX; sent++) {
         const EyMember_t *member = pop_freshest(&contacts);
@@ -378,6 +390,26 @@
 
 /* Callers */
 
+/** A caller that asks for entry instances, from its query. */
+typedef struct Caller {
+    EyName_t region; /* this instance's, if the query names none */
+    EyName_t zone;
+    char host[EY_HOST_SIZE_BYTES]; /* "": of no route */
+} Caller_t;
+
+static Caller_t
+read_caller(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    Caller_t caller;
+    EyQuery_Get(request->path, "region", caller.region, sizeof(caller.region));
+    EyQuery_Get(request->path, "zone", caller.zone, sizeof(caller.zone));
+    EyQuery_Get(request->path, "name", caller.host, sizeof(caller.host));
+    if (caller.region[0] == '\0') {
+        (void)EY_COPY(caller.region, self->node->settings->region);
+    }
+    return caller;
+}
+
 /** The groups that a gateway of another region is in, by the host's routes, as
  * a mask. Without a route table it isn't known where the host's data may be.
  */
@@ -401,6 +433,23 @@
     return groups;
 }
 
+/** The groups, as a mask, that a gateway is in for the caller: by its state in
+ * the caller's region, by the host's routes in another one. */
+static uint32_t
+groups_for(const DiscoveryPart_t *self, const Caller_t *caller,
+           const char *region, EyMemberState_t state)
+{
+    if (strcmp(region, caller->region) == 0) {
+        return state == EY_MEMBER_ALIVE     ? 1U << EY_ENTRY_SERVING
+               : state == EY_MEMBER_LEAVING ? 1U << EY_ENTRY_LEAVING
+                                            : 0;
+    }
+    if (state != EY_MEMBER_ALIVE) {
+        return 0;
+    }
+    return remote_groups(self, caller->host, region);
+}
+
 /** Gateways that a caller may be told to use, the best first. */
 typedef struct EntryList {
     const char *addresses[CONTACTS_MAX + EY_DIRECTORY_ANSWER_MAX];
@@ -420,34 +469,39 @@
     }
 }
 
-/** Adds live gateways of a remote region, or of all of them if region is
- * NULL. */
+/** Adds the gateways of remote regions that were heard of lately. */
 static void
 add_contacts(const DiscoveryPart_t *self, EntryList_t *list,
-             const char *region, const char *host)
+             const Caller_t *caller)
 {
-    Contacts_t contacts = find_contacts(self, region);
+    Contacts_t contacts = {
+        .membership = EyCluster_Membership(self->node->cluster),
+    };
+    EyMembership_EachContact(contacts.membership, collect_gateway, &contacts);
     const EyMember_t *member = NULL;
     while ((member = pop_freshest(&contacts)) != NULL) {
         int64_t age_ms =
             EyMembership_ContactAgeMs(contacts.membership, member->id);
-        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS) {
+        if (age_ms < CONTACT_FRESH_MS) {
             add_entry(list, member->http_address,
-                      remote_groups(self, host, member->region));
+                      groups_for(self, caller, member->region, member->state));
         }
     }
 }
 
 /** Adds the gateways of the local region, which stand in entries. */
 static void
-add_local(EntryList_t *list, const EyDirectoryEntry_t *entries, uint32_t count)
+add_local(const DiscoveryPart_t *self, EntryList_t *list,
+          const Caller_t *caller, const EyDirectoryEntry_t *entries,
+          uint32_t count)
 {
+    const char *region = self->node->settings->region;
     for (uint32_t i = 0; i < count; i++) {
-        if (entries[i].weight > 0) {
-            add_entry(list, entries[i].address, 1U << EY_ENTRY_SERVING);
-        }
-        else if (entries[i].state == EY_MEMBER_LEAVING) {
-            add_entry(list, entries[i].address, 1U << EY_ENTRY_LEAVING);
+        bool is_usable =
+            entries[i].weight > 0 || entries[i].state == EY_MEMBER_LEAVING;
+        if (is_usable) {
+            add_entry(list, entries[i].address,
+                      groups_for(self, caller, region, entries[i].state));
         }
     }
 }
@@ -466,60 +520,27 @@
     return addresses;
 }
 
-/** Gateways for a caller in the local region. */
 static json_t *
-addresses_for_local(const DiscoveryPart_t *self, const char *host,
-                    const char *zone)
+addresses_for(const DiscoveryPart_t *self, const Caller_t *caller)
 {
     EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
-    uint32_t count = EyDirectory_Choose(self->node->directory, zone, entries,
-                                        EY_DIRECTORY_ANSWER_MAX);
+    uint32_t count = EyDirectory_Choose(self->node->directory, caller->zone,
+                                        entries, EY_DIRECTORY_ANSWER_MAX);
     EntryList_t list = {.count = 0};
-    add_local(&list, entries, count);
+    add_local(self, &list, caller, entries, count);
     if (list.counts.gateways[EY_ENTRY_SERVING] == 0) {
-        add_contacts(self, &list, NULL, host);
+        add_contacts(self, &list, caller);
     }
     return addresses_in(&list, EyEntryChoice_Groups(&list.counts));
 }
 
-/** Gateways for a caller in a remote region: those there, else local ones. */
-static json_t *
-addresses_for_remote(const DiscoveryPart_t *self, const char *region)
-{
-    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
-    EntryList_t list = {.count = 0};
-    add_contacts(self, &list, region, "");
-    if (list.count == 0) {
-        uint32_t count = EyDirectory_Choose(self->node->directory, "", entries,
-                                            EY_DIRECTORY_ANSWER_MAX);
-        add_local(&list, entries, count);
-    }
-    return addresses_in(&list,
-                        1U << EY_ENTRY_ALLOWED | 1U << EY_ENTRY_SERVING);
-}
-
-static json_t *
-addresses_for(const DiscoveryPart_t *self, const char *region,
-              const char *zone, const char *host)
-{
-    const char *own = self->node->settings->region;
-    bool is_own = region[0] == '\0' || strcmp(region, own) == 0;
-    return is_own ? addresses_for_local(self, host, zone)
-                  : addresses_for_remote(self, region);
-}
-
 static EyAnswer_t *
 answer_instances(DiscoveryPart_t *self, EyRequest_t *request)
 {
-    EyName_t region;
-    EyName_t zone;
-    EyQuery_Get(request->path, "region", region, sizeof(region));
-    EyQuery_Get(request->path, "zone", zone, sizeof(zone));
-    char host[EY_HOST_SIZE_BYTES];
-    EyQuery_Get(request->path, "name", host, sizeof(host));
-    json_t *answer = EyDirectory_Answer(self->node->directory, zone);
+    Caller_t caller = read_caller(self, request);
+    json_t *answer = EyDirectory_Answer(self->node->directory, caller.zone);
     (void)json_object_set_new(answer, "addresses",
-                              addresses_for(self, region, zone, host));
+                              addresses_for(self, &caller));
     (void)json_object_set_new(answer, "ttl_s", json_integer(ANSWER_TTL_S));
     return EyAnswer_Json(200, answer);
 }
--- a/tests/process/test_bound_directory.c
+++ b/tests/process/test_bound_directory.c
@@ -12,6 +12,9 @@
 #define LOOKUP_INTERVAL_MS 20
 /** How long callers look up after a signal. */
 #define PERIOD_MS 2500
+/** Less than callers of a leaving gateway may still come. */
+#define LEAVE_MS 1400
+#define GONE_MS 1000
 /** By then the instances of all regions have heard of each other. */
 #define CONTACTS_MS 3000
 
@@ -95,6 +98,7 @@
 static void
 start_all(const char *routes)
 {
+    Fleet.gateway_flag = "--stop-linger-ms=1500";
     RoutedGateways_Start(&Fleet, "bound", Regions, 3, "native");
     RoutedGateways_PutRoutes(&Fleet, routes);
     Harness_SleepMs(CONTACTS_MS);
@@ -120,3 +124,27 @@
                  looked.named[ISTRA], looked.named[ZAGREB]);
     cr_expect_gt(looked.named[DALMACIJA], 0);
 }
+
+/** Restarts zagreb's gateway while a caller there looks up in dalmacija. */
+static Looked_t
+restart_zagreb(void)
+{
+    Process_t *gateway = &Fleet.gateways[ZAGREB];
+    uint16_t port = Fleet.control.port;
+    Process_Signal(gateway, SIGTERM);
+    Looked_t looked = look_up_for(port, ZAGREB, LEAVE_MS);
+    (void)Process_Wait(gateway, START_TIMEOUT_MS);
+    look_up_on(&looked, port, ZAGREB, GONE_MS);
+    Process_Start(gateway);
+    look_up_on(&looked, port, ZAGREB, PERIOD_MS);
+    return looked;
+}
+
+Test(bound_directory, callers_of_a_leaving_region_are_sent_to_no_third_one)
+{
+    start_all(TABLE(ROUTE("buy", "\"istra\"")));
+    Looked_t looked = restart_zagreb();
+    cr_expect_eq(looked.named[DALMACIJA], 0, "dalmacija was named %u times",
+                 looked.named[DALMACIJA]);
+    cr_expect_gt(looked.named[ZAGREB], 0);
+}
