A restart in a region doesn't send its callers where only other data may be

Callers saw: a host has a route that is bound to the callers' region and one that isn't.

Cause: a region of which no gateway was known counted as lost at once, and then a region that some of the host's routes allow is named. Of a process that has just started and of gateways that left in order a moment ago the same is true.

Why it works: the region counts as lost only after 5 s without a gateway, or at once while gateways that haven't left don't answer, so that a region whose gateways have crashed is left no later than before. Until then regions that all routes of the host allow are named, else nobody, and callers keep what they have. Its price: a host with both kinds of routes in a region that was stopped in order for good is named a way out up to 5 s later.

--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -18,6 +18,8 @@
 #define CONTACTS_MAX 64
 /* A contact not seen for this long may be gone. */
 #define CONTACT_FRESH_MS 5000
+/* Regions that may lack a gateway at once; further ones count as lost. */
+#define ABSENT_REGIONS_MAX 64
 /* How long callers may cache an answer. */
 #define ANSWER_TTL_S 2
 
@@ -26,6 +28,8 @@
     const EyHeaderNames_t *names;
     EyRelays_t *relays;
     EyTimer_t *relay_timer; /* NULL: nothing waits for a receipt */
+    /** Callers' regions without a gateway -> since when: int64_t. */
+    GHashTable *absent_regions;
 } DiscoveryPart_t;
 
 /** Instances of remote regions. */
@@ -486,6 +490,9 @@
             add_entry(list, member->http_address,
                       groups_for(self, caller, member->region, member->state));
         }
+        else if (strcmp(member->region, caller->region) == 0) {
+            list->counts.silent++;
+        }
     }
 }
 
@@ -503,9 +510,36 @@
             add_entry(list, entries[i].address,
                       groups_for(self, caller, region, entries[i].state));
         }
+        else if (strcmp(region, caller->region) == 0 &&
+                 entries[i].state == EY_MEMBER_ALIVE)
+        {
+            list->counts.silent++;
+        }
     }
 }
 
+/** How long no answer for callers of the region has known a gateway there. */
+static int64_t
+note_absence(const DiscoveryPart_t *self, const char *region, bool is_absent)
+{
+    int64_t now_ms = EyClock_NowMs();
+    if (!is_absent) {
+        (void)g_hash_table_remove(self->absent_regions, region);
+        return 0;
+    }
+    const int64_t *since_ms =
+        g_hash_table_lookup(self->absent_regions, region);
+    if (since_ms != NULL) {
+        return now_ms - *since_ms;
+    }
+    if (g_hash_table_size(self->absent_regions) >= ABSENT_REGIONS_MAX) {
+        return EY_ENTRY_LOST_AFTER_MS;
+    }
+    (void)g_hash_table_insert(self->absent_regions, g_strdup(region),
+                              g_memdup2(&now_ms, sizeof(now_ms)));
+    return 0;
+}
+
 /** The addresses of the entries that are in one of the groups. */
 static json_t *
 addresses_in(const EntryList_t *list, uint32_t groups)
@@ -531,6 +565,10 @@
     if (list.counts.gateways[EY_ENTRY_SERVING] == 0) {
         add_contacts(self, &list, caller);
     }
+    const uint32_t *gateways = list.counts.gateways;
+    list.counts.absent_ms = note_absence(
+        self, caller->region,
+        gateways[EY_ENTRY_SERVING] + gateways[EY_ENTRY_LEAVING] == 0);
     return addresses_in(&list, EyEntryChoice_Groups(&list.counts));
 }
 
@@ -556,6 +594,13 @@
     [EY_CALL_INSTANCES] = answer_instances,
 };
 
+static int
+discovery_destroy(DiscoveryPart_t *self)
+{
+    g_hash_table_destroy(self->absent_regions);
+    return 0;
+}
+
 static void *
 discovery_open(const void *ctx, EyNode_t *node, GError **error)
 {
@@ -566,6 +611,9 @@
     const EyRelaysHooks_t hooks = {
         .send = hook_relay, .decided = hook_decided, .data = self};
     self->relays = EyRelays_New(self, EyRandom_Next(&node->random), &hooks);
+    self->absent_regions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    talloc_set_destructor(self, discovery_destroy);
     return self;
 }
 
--- a/src/discovery/entry_choice.h
+++ b/src/discovery/entry_choice.h
@@ -22,15 +22,23 @@
     EY_ENTRY_GROUP_COUNT
 } EyEntryGroup_t;
 
-/** The number of gateways in each group. */
+/** After this time without a gateway a region counts as lost; until then they
+ * restart, or haven't been heard of yet. */
+#define EY_ENTRY_LOST_AFTER_MS 5000
+
+/** What is known of the gateways. */
 typedef struct EyEntryCounts {
-    uint32_t gateways[EY_ENTRY_GROUP_COUNT];
+    uint32_t gateways[EY_ENTRY_GROUP_COUNT]; /* in each group */
+    uint32_t silent;   /* of the region, that haven't left but don't answer */
+    int64_t absent_ms; /* time for which the region has had neither a serving
+                          nor a leaving one */
 } EyEntryCounts_t;
 
 /**
  * Returns the groups to name, as a mask of 1 << EyEntryGroup_t. While gateways
  * of the region leave, others are about to take their place, so callers aren't
- * sent where the data of their requests may not be. A gateway of another
+ * sent where the data of their requests may not be; the same holds until the
+ * region counts as lost. A gateway of another
  * region in no group isn't named: none of the host's data may be there.
  */
 uint32_t
--- a/tests/process/test_bound_directory.c
+++ b/tests/process/test_bound_directory.c
@@ -51,7 +51,7 @@
 static void
 count_region(Looked_t *looked, const char *address)
 {
-    for (uint32_t i = 0; i < Fleet.count; i++) {
+    for (uint32_t i = 0; i < ROUTED_REGIONS; i++) {
         gchar *of_gateway =
             g_strdup_printf("127.0.0.1:%u", Fleet.routed_ports[i]);
         looked->named[Regions[i]] += strcmp(address, of_gateway) == 0;
@@ -125,26 +125,41 @@
     cr_expect_gt(looked.named[DALMACIJA], 0);
 }
 
-/** Restarts zagreb's gateway while a caller there looks up in dalmacija. */
+/** Restarts a region's only gateway while a caller there looks up in
+ * dalmacija. */
 static Looked_t
-restart_zagreb(void)
+restart_gateway(uint32_t region)
 {
-    Process_t *gateway = &Fleet.gateways[ZAGREB];
+    Process_t *gateway = &Fleet.gateways[region];
     uint16_t port = Fleet.control.port;
     Process_Signal(gateway, SIGTERM);
-    Looked_t looked = look_up_for(port, ZAGREB, LEAVE_MS);
+    Looked_t looked = look_up_for(port, region, LEAVE_MS);
     (void)Process_Wait(gateway, START_TIMEOUT_MS);
-    look_up_on(&looked, port, ZAGREB, GONE_MS);
+    look_up_on(&looked, port, region, GONE_MS);
     Process_Start(gateway);
-    look_up_on(&looked, port, ZAGREB, PERIOD_MS);
+    look_up_on(&looked, port, region, PERIOD_MS);
     return looked;
 }
 
 Test(bound_directory, callers_of_a_leaving_region_are_sent_to_no_third_one)
 {
     start_all(TABLE(ROUTE("buy", "\"istra\"")));
-    Looked_t looked = restart_zagreb();
+    Looked_t looked = restart_gateway(ZAGREB);
     cr_expect_eq(looked.named[DALMACIJA], 0, "dalmacija was named %u times",
                  looked.named[DALMACIJA]);
     cr_expect_gt(looked.named[ZAGREB], 0);
 }
+
+Test(bound_directory, a_restart_sends_bound_calls_away_with_no_others)
+{
+    start_all(TABLE(ROUTE("buy", "\"dalmacija\"") "," ROUTE("read", "")));
+    const Looked_t restarts[] = {restart_control(),
+                                 restart_gateway(DALMACIJA)};
+    for (size_t i = 0; i < G_N_ELEMENTS(restarts); i++) {
+        const Looked_t *looked = &restarts[i];
+        cr_expect_eq(looked->named[ISTRA] + looked->named[ZAGREB], 0,
+                     "restart %zu: istra was named %u times, zagreb %u times",
+                     i, looked->named[ISTRA], looked->named[ZAGREB]);
+        cr_expect_gt(looked->named[DALMACIJA], 0);
+    }
+}
