The newest route table decides where a call in flight may go

Callers and servers saw: a call on a route whose data may be anywhere; an operator binds the route to one region, and that is acknowledged. A retry made more than config_apply_ms later still ran in another region.

Cause: a call's regions were those of the table under which it came in. Nobody looked at them again: not at a further attempt, not when a queued call was sent, and a gateway that was handed a forwarded call took the sender's word.

Why it works: a call carries the version of the table that gave its regions. A gateway with a newer one takes them from there when it routes the call, when it sends it to a server and when it forwards it. A gateway that is handed a call routes it as any other, so that it answers one that its newer table doesn't allow there with "not run", and the sender tries another region. A call of a route that is gone keeps its regions, and one from an older build, without a version, is judged by the receiver's table. A server that a call was chosen for and not sent to isn't counted as failed.

Not played: a queued call that is held back when it is sent.

--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -58,12 +58,13 @@
 /** Settings of the route that a routed call matched. */
 typedef struct EyCallTerms {
     EyName_t route;
-    bool is_idempotent;    /* may run more than once */
-    bool is_model;         /* run by a model engine */
-    bool is_resumable;     /* another server may resume its event stream */
-    uint32_t priority;     /* 0: highest */
-    uint32_t runs_max;     /* servers that may run it; 0: no limit */
-    uint32_t timeout_ms;   /* longest wait for its answer */
+    uint64_t routes_version; /* of the table that allowed its regions */
+    bool is_idempotent;      /* may run more than once */
+    bool is_model;           /* run by a model engine */
+    bool is_resumable;       /* another server may resume its event stream */
+    uint32_t priority;       /* 0: highest */
+    uint32_t runs_max;       /* servers that may run it; 0: no limit */
+    uint32_t timeout_ms;     /* longest wait for its answer */
     uint32_t objective_ms; /* latency objective of the answer, or of the first
                               event */
 } EyCallTerms_t;
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -381,6 +381,13 @@
         EyGateway_ForwardRequest(active, action);
         return;
     }
+    if (!EyGateway_MayRunIn(active, gateway->node->settings->region)) {
+        /* The server isn't to blame. */
+        const EyRoutingResult_t cancelled = {.kind = EY_RESULT_CANCELLED};
+        EyGateway_RouteFinished(active, &cancelled);
+        EyActiveRequest_FailUnsent(active, action->attempt);
+        return;
+    }
     const EyBackend_t *backend = EyRegistry_Find(
         EyCluster_Registry(gateway->node->cluster), action->to);
     if (backend == NULL) {
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -52,6 +52,7 @@
     const char *remote_gateway =
         EyGateway_FindForwardTarget(gateway, action->to);
     bool is_allowed =
+        EyGateway_MayRunIn(active, action->to) &&
         EyResidencyPolicy_Check(gateway->residency_policy, request,
                                 action->to) == EY_RESIDENCY_ALLOW;
     active->tried_remote = true;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -293,6 +293,16 @@
 EyAnswer_t *
 EyGateway_ApplyRoute(EyGateway_t *self, EyRequest_t *request);
 
+/** Has a route table that is newer than the one that a routed call matched, at
+ * this gateway or the one that forwarded it, decide where its data may be. */
+void
+EyGateway_UpdateRegions(EyActiveRequest_t *active);
+
+/** True if the newest route table allows a routed call to run in the region;
+ * the router decided by the one that it had when the call was queued. */
+bool
+EyGateway_MayRunIn(EyActiveRequest_t *active, const char *region);
+
 /** Checks the residency of a request by its head, before its body is read.
  * Returns NULL, or the answer that refuses it. May be called from any thread.
  */
--- a/src/gateway/route_terms.c
+++ b/src/gateway/route_terms.c
@@ -6,8 +6,19 @@
 
 #define NO_ROUTES_RETRY_AFTER_S 1
 
+static void
+set_regions(const EyGateway_t *self, EyRequest_t *request,
+            const EyRouteRule_t *route)
+{
+    request->terms.routes_version = self->node->routes->version;
+    request->allowed_region_count = route->allowed_region_count;
+    request->allowed_regions =
+        EyMemory_Copy(request, route->allowed_regions,
+                      sizeof(EyName_t) * route->allowed_region_count);
+}
+
 /** Copies the route's terms into the request, so that a later route table
- * doesn't change them. */
+ * doesn't change them, but for the regions. */
 static void
 copy_terms(EyRequest_t *request, const EyRouteRule_t *route,
            const EyServiceRule_t *service)
@@ -26,10 +37,6 @@
     };
     (void)EY_COPY(request->terms.route, route->name);
     request->streamed = is_stream;
-    request->allowed_region_count = route->allowed_region_count;
-    request->allowed_regions =
-        EyMemory_Copy(request, route->allowed_regions,
-                      sizeof(EyName_t) * route->allowed_region_count);
 }
 
 EyAnswer_t *
@@ -60,5 +67,40 @@
     (void)EY_COPY(request->target, service);
     copy_terms(request, route,
                EyRouteTable_FindService(self->node->routes, service));
+    set_regions(self, request, route);
     return NULL;
 }
+
+void
+EyGateway_UpdateRegions(EyActiveRequest_t *active)
+{
+    const EyGateway_t *self = active->gateway;
+    EyRequest_t *request = active->exchange->request;
+    const EyRouteTable_t *routes = self->node->routes;
+    if (request->call != EY_CALL_ROUTED || routes == NULL ||
+        routes->version <= request->terms.routes_version)
+    {
+        return;
+    }
+    const EyRouteRule_t *route =
+        EyRouteTable_FindRoute(routes, request->host, request->path);
+    if (route != NULL) {
+        set_regions(self, request, route);
+        active->allowed_regions = request->allowed_regions;
+        active->allowed_region_count = request->allowed_region_count;
+    }
+}
+
+bool
+EyGateway_MayRunIn(EyActiveRequest_t *active, const char *region)
+{
+    EyGateway_UpdateRegions(active);
+    if (active->exchange->request->call != EY_CALL_ROUTED) {
+        return true;
+    }
+    const EyRoutingRequest_t query = {
+        .allowed_regions = active->allowed_regions,
+        .allowed_region_count = active->allowed_region_count,
+    };
+    return EyRoutingRequest_MayRunIn(&query, region);
+}
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -237,6 +237,7 @@
 EyGateway_Route(EyActiveRequest_t *active)
 {
     detect_pause(active->gateway, EyClock_NowMs());
+    EyGateway_UpdateRegions(active);
     const EyRoutingRequest_t request = make_request(active);
     EyRoutingDecision_t decision =
         EyRouter_Submit(active->gateway->router, EyClock_NowMs(), &request);
