--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -18,6 +18,8 @@
 #define CONTACTS_MAX 64
 /* A contact not seen for this long may be gone. */
 #define CONTACT_FRESH_MS 5000
+/* Regions that may lack a gateway at once; further ones count as lost. */
+#define ABSENT_REGIONS_MAX 64
 /* How long callers may cache an answer. */
 #define ANSWER_TTL_S 2
 
@@ -26,38 +28,48 @@
     const EyHeaderNames_t *names;
     EyRelays_t *relays;
     EyTimer_t *relay_timer; /* NULL: nothing waits for a receipt */
+    /** Callers' regions without a gateway -> since when: int64_t. */
+    GHashTable *absent_regions;
 } DiscoveryPart_t;
 
-/** The contacts in one remote region, or in all of them. */
+/** Instances of remote regions. */
 typedef struct Contacts {
     const EyMembership_t *membership;
-    const char *region; /* NULL: all remote regions */
     const EyMember_t *members[CONTACTS_MAX];
     uint32_t count;
 } Contacts_t;
 
+/** A search for the live contacts of a remote region. */
+typedef struct RegionSearch {
+    Contacts_t *contacts;
+    const char *region;
+} RegionSearch_t;
+
 static void
-add_contact(void *data, const EyMember_t *member)
+collect(Contacts_t *contacts, const EyMember_t *member)
 {
-    Contacts_t *contacts = data;
-    bool is_wanted = contacts->region == NULL ||
-                     strcmp(member->region, contacts->region) == 0;
-    if (is_wanted && member->state == EY_MEMBER_ALIVE &&
-        contacts->count < CONTACTS_MAX)
-    {
+    if (contacts->count < CONTACTS_MAX) {
         contacts->members[contacts->count++] = member;
     }
 }
 
-static Contacts_t
-find_contacts(const DiscoveryPart_t *self, const char *region)
+static void
+collect_of_region(void *data, const EyMember_t *member)
 {
-    Contacts_t contacts = {
-        .membership = EyCluster_Membership(self->node->cluster),
-        .region = region,
-    };
-    EyMembership_EachContact(contacts.membership, add_contact, &contacts);
-    return contacts;
+    const RegionSearch_t *search = data;
+    if (strcmp(member->region, search->region) == 0 &&
+        member->state == EY_MEMBER_ALIVE)
+    {
+        collect(search->contacts, member);
+    }
+}
+
+static void
+collect_gateway(void *data, const EyMember_t *member)
+{
+    if (member->role == EY_MEMBER_GATEWAY) {
+        collect(data, member);
+    }
 }
 
 /** Removes the most recently seen contact from the list and returns it; NULL
@@ -90,7 +102,11 @@
 relay(const DiscoveryPart_t *self, const char *region,
       const EyAnnouncement_t *announcement)
 {
-    Contacts_t contacts = find_contacts(self, region);
+    Contacts_t contacts = {
+        .membership = EyCluster_Membership(self->node->cluster),
+    };
+    RegionSearch_t search = {.contacts = &contacts, .region = region};
+    EyMembership_EachContact(contacts.membership, collect_of_region, &search);
     uint32_t sent = 0;
     for (; sent < RELAY_TARGETS_MAX; sent++) {
         const EyMember_t *member = pop_freshest(&contacts);
@@ -378,23 +394,66 @@
 
 /* Callers */
 
+/** A caller that asks for entry instances, from its query. */
+typedef struct Caller {
+    EyName_t region; /* this instance's, if the query names none */
+    EyName_t zone;
+    char host[EY_HOST_SIZE_BYTES]; /* "": of no route */
+} Caller_t;
+
+static Caller_t
+read_caller(const DiscoveryPart_t *self, const EyRequest_t *request)
+{
+    Caller_t caller;
+    EyQuery_Get(request->path, "region", caller.region, sizeof(caller.region));
+    EyQuery_Get(request->path, "zone", caller.zone, sizeof(caller.zone));
+    EyQuery_Get(request->path, "name", caller.host, sizeof(caller.host));
+    if (caller.region[0] == '\0') {
+        (void)EY_COPY(caller.region, self->node->settings->region);
+    }
+    return caller;
+}
+
 /** The groups that a gateway of another region is in, by the host's routes, as
- * a mask. */
+ * a mask. Without a route table it isn't known where the host's data may be.
+ */
 static uint32_t
 remote_groups(const DiscoveryPart_t *self, const char *host,
               const char *region)
 {
     const EyRouteTable_t *routes = self->node->routes;
-    uint32_t groups = 1U << EY_ENTRY_ANY;
-    if (routes == NULL || EyRouteTable_AllowsRegion(routes, host, region)) {
+    bool is_of_no_route = host[0] == '\0';
+    uint32_t groups = 0;
+    if (is_of_no_route ||
+        (routes != NULL && EyRouteTable_AllowsRegion(routes, host, region)))
+    {
         groups |= 1U << EY_ENTRY_PARTLY_ALLOWED;
     }
-    if (routes == NULL || EyRouteTable_AllowsAllCalls(routes, host, region)) {
+    if (is_of_no_route ||
+        (routes != NULL && EyRouteTable_AllowsAllCalls(routes, host, region)))
+    {
         groups |= 1U << EY_ENTRY_ALLOWED;
     }
     return groups;
 }
 
+/** The groups, as a mask, that a gateway is in for the caller: by its state in
+ * the caller's region, by the host's routes in another one. */
+static uint32_t
+groups_for(const DiscoveryPart_t *self, const Caller_t *caller,
+           const char *region, EyMemberState_t state)
+{
+    if (strcmp(region, caller->region) == 0) {
+        return state == EY_MEMBER_ALIVE     ? 1U << EY_ENTRY_SERVING
+               : state == EY_MEMBER_LEAVING ? 1U << EY_ENTRY_LEAVING
+                                            : 0;
+    }
+    if (state != EY_MEMBER_ALIVE) {
+        return 0;
+    }
+    return remote_groups(self, caller->host, region);
+}
+
 /** Gateways that a caller may be told to use, the best first. */
 typedef struct EntryList {
     const char *addresses[CONTACTS_MAX + EY_DIRECTORY_ANSWER_MAX];
@@ -414,38 +473,73 @@
     }
 }
 
-/** Adds live gateways of a remote region, or of all of them if region is
- * NULL. */
+/** Adds the gateways of remote regions that were heard of lately. */
 static void
 add_contacts(const DiscoveryPart_t *self, EntryList_t *list,
-             const char *region, const char *host)
+             const Caller_t *caller)
 {
-    Contacts_t contacts = find_contacts(self, region);
+    Contacts_t contacts = {
+        .membership = EyCluster_Membership(self->node->cluster),
+    };
+    EyMembership_EachContact(contacts.membership, collect_gateway, &contacts);
     const EyMember_t *member = NULL;
     while ((member = pop_freshest(&contacts)) != NULL) {
         int64_t age_ms =
             EyMembership_ContactAgeMs(contacts.membership, member->id);
-        if (member->role == EY_MEMBER_GATEWAY && age_ms < CONTACT_FRESH_MS) {
+        if (age_ms < CONTACT_FRESH_MS) {
             add_entry(list, member->http_address,
-                      remote_groups(self, host, member->region));
+                      groups_for(self, caller, member->region, member->state));
+        }
+        else if (strcmp(member->region, caller->region) == 0) {
+            list->counts.silent++;
         }
     }
 }
 
 /** Adds the gateways of the local region, which stand in entries. */
 static void
-add_local(EntryList_t *list, const EyDirectoryEntry_t *entries, uint32_t count)
+add_local(const DiscoveryPart_t *self, EntryList_t *list,
+          const Caller_t *caller, const EyDirectoryEntry_t *entries,
+          uint32_t count)
 {
+    const char *region = self->node->settings->region;
     for (uint32_t i = 0; i < count; i++) {
-        if (entries[i].weight > 0) {
-            add_entry(list, entries[i].address, 1U << EY_ENTRY_SERVING);
+        bool is_usable =
+            entries[i].weight > 0 || entries[i].state == EY_MEMBER_LEAVING;
+        if (is_usable) {
+            add_entry(list, entries[i].address,
+                      groups_for(self, caller, region, entries[i].state));
         }
-        else if (entries[i].state == EY_MEMBER_LEAVING) {
-            add_entry(list, entries[i].address, 1U << EY_ENTRY_LEAVING);
+        else if (strcmp(region, caller->region) == 0 &&
+                 entries[i].state == EY_MEMBER_ALIVE)
+        {
+            list->counts.silent++;
         }
     }
 }
 
+/** How long no answer for callers of the region has known a gateway there. */
+static int64_t
+note_absence(const DiscoveryPart_t *self, const char *region, bool is_absent)
+{
+    int64_t now_ms = EyClock_NowMs();
+    if (!is_absent) {
+        (void)g_hash_table_remove(self->absent_regions, region);
+        return 0;
+    }
+    const int64_t *since_ms =
+        g_hash_table_lookup(self->absent_regions, region);
+    if (since_ms != NULL) {
+        return now_ms - *since_ms;
+    }
+    if (g_hash_table_size(self->absent_regions) >= ABSENT_REGIONS_MAX) {
+        return EY_ENTRY_LOST_AFTER_MS;
+    }
+    (void)g_hash_table_insert(self->absent_regions, g_strdup(region),
+                              g_memdup2(&now_ms, sizeof(now_ms)));
+    return 0;
+}
+
 /** The addresses of the entries that are in one of the groups. */
 static json_t *
 addresses_in(const EntryList_t *list, uint32_t groups)
@@ -460,59 +554,31 @@
     return addresses;
 }
 
-/** Gateways for a caller in the local region. */
 static json_t *
-addresses_for_local(const DiscoveryPart_t *self, const char *host,
-                    const char *zone)
+addresses_for(const DiscoveryPart_t *self, const Caller_t *caller)
 {
     EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
-    uint32_t count = EyDirectory_Choose(self->node->directory, zone, entries,
-                                        EY_DIRECTORY_ANSWER_MAX);
+    uint32_t count = EyDirectory_Choose(self->node->directory, caller->zone,
+                                        entries, EY_DIRECTORY_ANSWER_MAX);
     EntryList_t list = {.count = 0};
-    add_local(&list, entries, count);
+    add_local(self, &list, caller, entries, count);
     if (list.counts.gateways[EY_ENTRY_SERVING] == 0) {
-        add_contacts(self, &list, NULL, host);
+        add_contacts(self, &list, caller);
     }
+    const uint32_t *gateways = list.counts.gateways;
+    list.counts.absent_ms = note_absence(
+        self, caller->region,
+        gateways[EY_ENTRY_SERVING] + gateways[EY_ENTRY_LEAVING] == 0);
     return addresses_in(&list, EyEntryChoice_Groups(&list.counts));
 }
 
-/** Gateways for a caller in a remote region: those there, else local ones. */
-static json_t *
-addresses_for_remote(const DiscoveryPart_t *self, const char *region)
-{
-    EyDirectoryEntry_t entries[EY_DIRECTORY_ANSWER_MAX];
-    EntryList_t list = {.count = 0};
-    add_contacts(self, &list, region, "");
-    if (list.count == 0) {
-        uint32_t count = EyDirectory_Choose(self->node->directory, "", entries,
-                                            EY_DIRECTORY_ANSWER_MAX);
-        add_local(&list, entries, count);
-    }
-    return addresses_in(&list, 1U << EY_ENTRY_ANY | 1U << EY_ENTRY_SERVING);
-}
-
-static json_t *
-addresses_for(const DiscoveryPart_t *self, const char *region,
-              const char *zone, const char *host)
-{
-    const char *own = self->node->settings->region;
-    bool is_own = region[0] == '\0' || strcmp(region, own) == 0;
-    return is_own ? addresses_for_local(self, host, zone)
-                  : addresses_for_remote(self, region);
-}
-
 static EyAnswer_t *
 answer_instances(DiscoveryPart_t *self, EyRequest_t *request)
 {
-    EyName_t region;
-    EyName_t zone;
-    EyQuery_Get(request->path, "region", region, sizeof(region));
-    EyQuery_Get(request->path, "zone", zone, sizeof(zone));
-    char host[EY_HOST_SIZE_BYTES];
-    EyQuery_Get(request->path, "name", host, sizeof(host));
-    json_t *answer = EyDirectory_Answer(self->node->directory, zone);
+    Caller_t caller = read_caller(self, request);
+    json_t *answer = EyDirectory_Answer(self->node->directory, caller.zone);
     (void)json_object_set_new(answer, "addresses",
-                              addresses_for(self, region, zone, host));
+                              addresses_for(self, &caller));
     (void)json_object_set_new(answer, "ttl_s", json_integer(ANSWER_TTL_S));
     return EyAnswer_Json(200, answer);
 }
@@ -528,6 +594,13 @@
     [EY_CALL_INSTANCES] = answer_instances,
 };
 
+static int
+discovery_destroy(DiscoveryPart_t *self)
+{
+    g_hash_table_destroy(self->absent_regions);
+    return 0;
+}
+
 static void *
 discovery_open(const void *ctx, EyNode_t *node, GError **error)
 {
@@ -538,6 +611,9 @@
     const EyRelaysHooks_t hooks = {
         .send = hook_relay, .decided = hook_decided, .data = self};
     self->relays = EyRelays_New(self, EyRandom_Next(&node->random), &hooks);
+    self->absent_regions =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    talloc_set_destructor(self, discovery_destroy);
     return self;
 }
 
