A request whose body does not come in time is answered 408

Callers saw no answer at all, for as long as they waited: a request whose body came slowly, or not at all, was kept beyond its route's timeout and its caller's deadline.

Cause: a deadline was set, and its timer started, only once the body was whole. Before that only libmicrohttpd's limit on inactivity ended the connection, after 120 s, and a byte now and then put it off without end.

Every 100 ms the main thread looks at the requests whose bodies are being read, asks once for the deadline of each (that of the route, as for whole requests) and answers those that are late on the socket itself, as libmicrohttpd takes no response then. The socket is shut for reading, which ends the connection. The server's lock decides whether a request is late or whole, so that one that was answered 408 is never submitted: 408 promises that it hasn't run and never will.

Weighed, not played: libmicrohttpd's limit on inactivity per connection ends a connection without an answer, and not while bytes come.

--- a/src/callers/inbound_request.h
+++ b/src/callers/inbound_request.h
@@ -36,6 +36,8 @@
     bool submitted;
     bool watched;             /* by the socket watcher */
     bool disconnect_reported; /* to the daemon; under the server's lock */
+    bool is_reading;          /* its body; under the server's lock */
+    int64_t read_until_ms;    /* its body; 0: not known yet; under the lock */
     bool aborted;             /* the server aborted its answer */
     bool drain_after_answer;  /* the caller may still be sending */
     bool answered_raw;        /* by EyInboundRequest_AnswerRaw */
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -45,6 +45,7 @@
     pthread_mutex_t lock;
     EyRandom_t random;    /* under the lock */
     GHashTable *inbounds; /* by number; under the lock */
+    uint32_t reading;     /* inbounds whose bodies come; under the lock */
     int64_t quiesced_ms;  /* 0: not quiesced */
     bool closing;         /* under the lock: answers close their connections */
     bool stopping;        /* under the lock */
@@ -114,11 +115,42 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
+/** Notes that the body of the request begins to be read. */
+static void
+begin_reading(EyServer_t *self, EyInboundRequest_t *inbound)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    inbound->is_reading = true;
+    self->reading++;
+    (void)pthread_mutex_unlock(&self->lock);
+}
+
+/** The lock must be held. */
+static void
+end_reading_locked(EyServer_t *self, EyInboundRequest_t *inbound)
+{
+    self->reading -= inbound->is_reading;
+    inbound->is_reading = false;
+}
+
+/** Ends the reading of the body; false if it was late and has been answered.
+ */
+static bool
+end_reading(EyServer_t *self, EyInboundRequest_t *inbound)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    bool is_in_time = inbound->answer == NULL;
+    end_reading_locked(self, inbound);
+    (void)pthread_mutex_unlock(&self->lock);
+    return is_in_time;
+}
+
 /** Removes the request; true if the server is stopping. */
 static bool
 unregister_inbound(EyServer_t *self, EyInboundRequest_t *inbound)
 {
     (void)pthread_mutex_lock(&self->lock);
+    end_reading_locked(self, inbound);
     (void)g_hash_table_remove(self->inbounds, &inbound->number);
     EyMetric_Set(&Metrics[METRIC_IN_FLIGHT],
                  g_hash_table_size(self->inbounds));
@@ -315,6 +347,7 @@
         refusal = self->hooks.check(self->hooks.data, inbound->request);
     }
     if (refusal == NULL) {
+        begin_reading(self, inbound);
         return MHD_YES;
     }
     if (has_body) {
@@ -329,8 +362,12 @@
 
 /** Refuses a request while its body is being read. */
 static enum MHD_Result
-refuse_body(EyInboundRequest_t *inbound, EyAnswer_t *refusal)
+refuse_body(EyServer_t *self, EyInboundRequest_t *inbound, EyAnswer_t *refusal)
 {
+    if (!end_reading(self, inbound)) {
+        talloc_free(refusal);
+        return MHD_NO;
+    }
     inbound->answer = refusal;
     inbound->drain_after_answer = true;
     EyInboundRequest_AnswerRaw(inbound);
@@ -349,12 +386,12 @@
                        (needed_bytes + BODY_STEP_BYTES - 1) / BODY_STEP_BYTES *
                            BODY_STEP_BYTES);
     if (refusal != NULL) {
-        return refuse_body(inbound, refusal);
+        return refuse_body(self, inbound, refusal);
     }
     if (!EyBody_Append(request, &request->body, data, size_bytes,
                        EY_REQUEST_BODY_MAX_BYTES))
     {
-        return refuse_body(inbound,
+        return refuse_body(self, inbound,
                            EyAnswer_Problem(EY_PROBLEM_TOO_LARGE,
                                             EY_OUTCOME_NOT_RUN, 0, NULL));
     }
@@ -432,6 +469,9 @@
 static enum MHD_Result
 on_complete_request(EyServer_t *self, EyInboundRequest_t *inbound)
 {
+    if (!end_reading(self, inbound)) {
+        return MHD_NO;
+    }
     EyAnswer_t *refusal = inbound->refusal;
     inbound->refusal = NULL;
     if (refusal == NULL) {
@@ -527,9 +567,9 @@
     if (inbound == NULL) {
         return;
     }
+    bool stopping = unregister_inbound(self, inbound);
     bool completed =
         code == MHD_REQUEST_TERMINATED_COMPLETED_OK || inbound->answered_raw;
-    bool stopping = unregister_inbound(self, inbound);
     if (inbound->watched) {
         EySocketWatcher_Unwatch(self->socket_watcher,
                                 EyInboundRequest_Socket(inbound));
@@ -649,6 +689,48 @@
     }
 }
 
+/** Answers a request whose body is late. Its socket gives libmicrohttpd no
+ * more bytes, which ends the connection. The lock must be held. */
+static void
+end_late_body(EyServer_t *self, EyInboundRequest_t *inbound)
+{
+    EY_LOG(EY_LOG_INFO, "callers", "body_late",
+           EY_LOG_TEXT("request_id", inbound->id),
+           EY_LOG_TEXT("path", inbound->path));
+    end_reading_locked(self, inbound);
+    inbound->answer =
+        EyAnswer_Problem(EY_PROBLEM_REQUEST_LATE, EY_OUTCOME_NOT_RUN, 0,
+                         "the body did not come in time");
+    inbound->drain_after_answer = true;
+    EyInboundRequest_AnswerRaw(inbound);
+    (void)shutdown(EyInboundRequest_Socket(inbound), SHUT_RD);
+}
+
+void
+EyServer_EndLateBodies(EyServer_t *self, int64_t now_ms,
+                       EyBodyDeadline_t deadline, void *data)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->inbounds);
+    while (self->reading > 0 &&
+           g_hash_table_iter_next(&iterator, NULL, &value)) {
+        EyInboundRequest_t *inbound = value;
+        if (!inbound->is_reading) {
+            continue;
+        }
+        if (inbound->read_until_ms == 0) {
+            int64_t until_ms = deadline(data, inbound->request);
+            inbound->read_until_ms = until_ms > 0 ? until_ms : INT64_MAX;
+        }
+        if (inbound->read_until_ms <= now_ms) {
+            end_late_body(self, inbound);
+        }
+    }
+    (void)pthread_mutex_unlock(&self->lock);
+}
+
 uint32_t
 EyServer_InFlight(const EyServer_t *self)
 {
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -77,6 +77,17 @@
 void
 EyServer_Answer(EyServer_t *self, uint64_t number, EyAnswer_t *answer);
 
+/** The time until which a request, whose head was read, must have its body;
+ * 0: any time. */
+typedef int64_t (*EyBodyDeadline_t)(void *data, const EyRequest_t *request);
+
+/** Answers requests whose bodies have not come in time, 408 and not run, and
+ * closes their connections. Asks for the deadline of each once, in the calling
+ * thread. To be called now and then. */
+void
+EyServer_EndLateBodies(EyServer_t *self, int64_t now_ms,
+                       EyBodyDeadline_t deadline, void *data);
+
 /** Number of requests whose answers haven't been sent completely. */
 uint32_t
 EyServer_InFlight(const EyServer_t *self);
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -27,6 +27,8 @@
                                  "A bearer token is required"},
     [EY_PROBLEM_NOT_FOUND] = {404, "not-found", "No such resource"},
     [EY_PROBLEM_METHOD] = {405, "method-not-allowed", "Method not allowed"},
+    [EY_PROBLEM_REQUEST_LATE] = {408, "request-late",
+                                 "The request did not come in time"},
     [EY_PROBLEM_CONFLICT] = {409, "conflict", "The version has changed"},
     [EY_PROBLEM_TOO_LARGE] = {413, "too-large", "The body is too large"},
     [EY_PROBLEM_WRONG_REGION] = {421, "wrong-region",
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -63,6 +63,7 @@
     EY_PROBLEM_UNAUTHORIZED,      /* 401 */
     EY_PROBLEM_NOT_FOUND,         /* 404 */
     EY_PROBLEM_METHOD,            /* 405 */
+    EY_PROBLEM_REQUEST_LATE,      /* 408 */
     EY_PROBLEM_CONFLICT,          /* 409 */
     EY_PROBLEM_TOO_LARGE,         /* 413 */
     EY_PROBLEM_WRONG_REGION,      /* 421 */
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -8,6 +8,8 @@
 
 /* Short: another instance can accept the request immediately. */
 #define LEAVING_RETRY_AFTER_MS 50
+/* Of requests that no route limits. */
+#define NO_ROUTE_TIMEOUT_MS INT32_MAX
 
 static void
 caller_answer(EyGateway_t *gateway, EyActiveRequest_t *active,
@@ -167,19 +169,36 @@
     return needs_claim ? check_key(self, request) : NULL;
 }
 
-static void
-set_deadline(const EyGateway_t *self, EyRequest_t *request)
+/** The deadline of a request: its own, or the default, but not later than that
+ * of its route. */
+static int64_t
+deadline_ms(const EyGateway_t *self, const EyRequest_t *request,
+            int64_t route_timeout_ms)
 {
     int64_t timeout_ms = EyConfig_Number(
         EyGateway_Config(self), EY_DEFAULT_REQUEST_TIMEOUT,
         self->node->settings->region, request->account, request->target);
-    if (request->deadline_ms == 0) {
-        request->deadline_ms = request->arrived_ms + timeout_ms;
-    }
-    if (request->call == EY_CALL_ROUTED) {
-        int64_t route_ms = request->arrived_ms + request->terms.timeout_ms;
-        request->deadline_ms = MIN(request->deadline_ms, route_ms);
+    int64_t until_ms = request->deadline_ms != 0
+                           ? request->deadline_ms
+                           : request->arrived_ms + timeout_ms;
+    return MIN(until_ms, request->arrived_ms + route_timeout_ms);
+}
+
+int64_t
+EyGateway_BodyDeadlineMs(void *part, const EyRequest_t *request)
+{
+    const EyGateway_t *self = part;
+    if (!EyRequest_IsForBackend(request)) {
+        return 0;
     }
+    const EyRouteRule_t *route =
+        request->call == EY_CALL_ROUTED && self->node->routes != NULL
+            ? EyRouteTable_FindRoute(self->node->routes, request->host,
+                                     request->path)
+            : NULL;
+    return deadline_ms(self, request,
+                       route != NULL ? (int64_t)route->timeout_ms
+                                     : NO_ROUTE_TIMEOUT_MS);
 }
 
 /** True for a routed call without a key: a retry could not be recognised, so
@@ -236,7 +255,10 @@
         EyNode_Answer(self->node, request, refusal);
         return;
     }
-    set_deadline(self, request);
+    request->deadline_ms =
+        deadline_ms(self, request,
+                    request->call == EY_CALL_ROUTED ? request->terms.timeout_ms
+                                                    : NO_ROUTE_TIMEOUT_MS);
     start_exchange(self, EyActiveRequest_New(self, request, may_repeat,
                                              needs_claim, &CallerResponder));
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -243,6 +243,7 @@
     .open = gateway_open,
     .close = gateway_close,
     .check = EyGateway_CheckHead,
+    .body_deadline_ms = EyGateway_BodyDeadlineMs,
     .on_request = gateway_on_request,
     .on_disconnected = gateway_on_caller_disconnected,
     .handles_kind = gateway_wants,
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -299,6 +299,10 @@
 EyAnswer_t *
 EyGateway_CheckHead(void *part, const EyRequest_t *request);
 
+/** The deadline of a request as far as its head tells it; 0: none. */
+int64_t
+EyGateway_BodyDeadlineMs(void *part, const EyRequest_t *request);
+
 /** Creates the relays that stream answers to remote regions. */
 void
 EyGateway_OpenForwardServer(EyGateway_t *self);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -19,6 +19,8 @@
 #define DISCONNECTS_WAITING_MAX 4096
 #define PEER_MESSAGES_WAITING_MAX 8192
 #define STOP_CHECK_MS 50
+/* How often requests are looked for whose bodies are late. */
+#define BODY_CHECK_MS 100
 /** Maximum time that a graceful shutdown waits for requests in flight, where
  * the time until the process is killed isn't known. */
 #define STOP_DRAIN_MAX_MS 120000
@@ -594,6 +596,29 @@
     return found;
 }
 
+/** Called by the server, on the main thread. */
+static int64_t
+body_deadline_ms(void *data, const EyRequest_t *request)
+{
+    const EyNode_t *self = data;
+    int64_t until_ms = 0;
+    for (uint32_t i = 0; i < self->part_count && until_ms == 0; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->body_deadline_ms != NULL) {
+            until_ms =
+                part->class_table->body_deadline_ms(part->state, request);
+        }
+    }
+    return until_ms;
+}
+
+static void
+on_body_check(void *data, int64_t now_ms)
+{
+    EyNode_t *self = data;
+    EyServer_EndLateBodies(self->server, now_ms, body_deadline_ms, self);
+}
+
 static void
 make_mailboxes(EyNode_t *self)
 {
@@ -729,6 +754,7 @@
         EyNode_Stop(self);
         return NULL;
     }
+    (void)EyTimers_Every(self->timers, BODY_CHECK_MS, on_body_check, self);
     EyTestPartition_Watch(self, self->timers, self->peers);
     self->state = EY_NODE_SERVING;
     EY_LOG(EY_LOG_INFO, "node", "serving",
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -60,6 +60,9 @@
     /** Called on HTTP threads with the head of a request; an answer refuses
      * the request before its body is read, NULL accepts it. */
     EyAnswer_t *(*check)(void *part, const EyRequest_t *request);
+    /** The time until which a request for a backend server must have its body,
+     * from its head; 0: any time. */
+    int64_t (*body_deadline_ms)(void *part, const EyRequest_t *request);
     /** True if the part handles the request; it then owns the request. */
     bool (*on_request)(void *part, EyRequest_t *request);
     /** The caller of a request, given by its number, has disconnected. */
--- a/tests/process/endless_server.c
+++ b/tests/process/endless_server.c
@@ -70,6 +70,10 @@
 answer(const EndlessServer_t *self, int socket, const EndlessAnswer_t *answer)
 {
     bool is_open = raw_send_text(socket, answer->head);
+    while (answer->is_silent && g_atomic_int_get(&self->is_stopping) == 0 &&
+           !raw_is_closed(socket, SLOW_INTERVAL_MS))
+    {
+    }
     if (answer->repeated[0] == '\0') {
         return;
     }
--- a/tests/process/endless_server.h
+++ b/tests/process/endless_server.h
@@ -13,6 +13,7 @@
     const char *repeated;   /* sent again and again; "" for a whole answer */
     uint32_t at_once_bytes; /* of it, before the slow rest */
     bool is_stream;         /* asked for by a route of streams */
+    bool is_silent;         /* sends nothing after the head */
 } EndlessAnswer_t;
 
 typedef struct EndlessServer EndlessServer_t;
--- a/tests/unit/test_server.c
+++ b/tests/unit/test_server.c
@@ -226,6 +226,70 @@
     server_fixture_free(fixture);
 }
 
+typedef struct BodyDeadline {
+    uint32_t asked;
+    int64_t until_ms;
+} BodyDeadline_t;
+
+static int64_t
+body_deadline_ms(void *data, const EyRequest_t *request)
+{
+    BodyDeadline_t *deadline = data;
+    cr_expect_str_eq(request->path, "/x");
+    deadline->asked++;
+    return deadline->until_ms;
+}
+
+/* They were kept without an answer for as long as a byte came now and then. */
+Test(server, requests_with_late_bodies_are_answered_and_closed)
+{
+    static const struct {
+        const char *name;
+        const char *body;
+        int64_t until_ms;
+        bool is_complete;
+        bool is_ended;
+    } Cases[] = {
+        {"length, nothing yet", "Content-Length: 9\r\n\r\n", 1000, false,
+         true},
+        {"length, a part", "Content-Length: 9\r\n\r\nbook", 1000, false, true},
+        {"chunks", "Transfer-Encoding: chunked\r\n\r\n4\r\nbook\r\n", 1000,
+         false, true},
+        {"in time", "Content-Length: 9\r\n\r\nbook", 1001, false, false},
+        {"no deadline", "Content-Length: 9\r\n\r\nbook", 0, false, false},
+        {"complete", "Content-Length: 4\r\n\r\nbook", 1000, true, false},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        ServerFixture_t *fixture = server_fixture_new(SERVER_QUEUES);
+        BodyDeadline_t deadline = {.until_ms = Cases[i].until_ms};
+        char head[256];
+        (void)snprintf(head, sizeof(head),
+                       "POST /v1/services/a/x HTTP/1.1\r\nHost: a\r\n%s",
+                       Cases[i].body);
+        int socket = server_fixture_send(fixture, head);
+        EyRequest_t *request =
+            Cases[i].is_complete ? server_fixture_take(fixture) : NULL;
+        for (int turn = 0; request == NULL && deadline.asked == 0; turn++) {
+            cr_assert_lt(turn, 500, "%s: no body is read", Cases[i].name);
+            EyServer_EndLateBodies(fixture->server, 1000, body_deadline_ms,
+                                   &deadline);
+            (void)usleep(10000);
+        }
+        EyServer_EndLateBodies(fixture->server, 1000, body_deadline_ms,
+                               &deadline);
+        char text[RAW_TEXT_MAX_BYTES];
+        (void)raw_read_until(socket, NULL, Cases[i].is_ended ? 5000 : 100,
+                             text);
+        cr_expect_eq(strstr(text, "HTTP/1.1 408") != NULL, Cases[i].is_ended,
+                     "%s: '%s'", Cases[i].name, text);
+        cr_expect_eq(deadline.asked, !Cases[i].is_complete, "%s",
+                     Cases[i].name);
+        talloc_free(request);
+        (void)close(socket);
+        server_fixture_free(fixture);
+    }
+}
+
 Test(server, a_head_request_gets_no_body)
 {
     ServerFixture_t *fixture = server_fixture_new(SERVER_ANSWERS);
