Connections without requests make room for new ones

Callers saw no answer: when an address had as many connections as it may have, most of them kept open without a request, further ones waited in the kernel's queue, unread, until others were closed, for up to 120 s. No request on them had an answer by its route's timeout, nor a refusal.

Cause: libmicrohttpd accepts nothing at its limit, and nothing ended kept connections sooner than their limit of inactivity.

Each listener keeps its connections without a request in order. Connections that all have requests are not touched: these end by their deadlines.

--- a/src/callers/listener.c
+++ b/src/callers/listener.c
@@ -11,8 +11,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* Concurrent connections; further ones wait in the kernel's queue. */
-#define CONNECTIONS_MAX 8192
 /* Inactivity after which a connection is closed, unless it waits for its
  * answer. */
 #define CONNECTION_IDLE_TIMEOUT_S 120
@@ -63,12 +61,28 @@
 on_connection(void *data, struct MHD_Connection *connection, void **place,
               enum MHD_ConnectionNotificationCode code)
 {
-    (void)data;
-    (void)place;
+    EyKeptConnections_t *connections = data;
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (code == MHD_CONNECTION_NOTIFY_STARTED && info != NULL) {
         EyLiveness_EnableKeepalive(info->connect_fd);
+        *place = EyKeptConnections_Add(connections, info->connect_fd);
+    }
+    else if (*place != NULL) {
+        EyKeptConnections_Remove(connections, *place);
+        *place = NULL;
+    }
+}
+
+void
+EyListener_SetBusy(const EyListenerCallbacks_t *callbacks,
+                   struct MHD_Connection *connection, bool is_busy)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    if (info != NULL && info->socket_context != NULL) {
+        EyKeptConnections_SetBusy(callbacks->connections, info->socket_context,
+                                  is_busy);
     }
 }
 
@@ -87,8 +101,8 @@
         (const struct sockaddr *)address, MHD_OPTION_URI_LOG_CALLBACK,
         callbacks->on_request_line, callbacks->data,
         MHD_OPTION_NOTIFY_COMPLETED, callbacks->on_completed, callbacks->data,
-        MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_MAX,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, callbacks->connections,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)callbacks->connections_max,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)CONNECTION_IDLE_TIMEOUT_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)THREAD_STACK_SIZE_BYTES,
--- a/src/callers/listener.h
+++ b/src/callers/listener.h
@@ -2,7 +2,10 @@
 #ifndef EY_CALLERS_LISTENER_H
 #define EY_CALLERS_LISTENER_H
 
+#include "callers/kept_connections.h"
+
 #include <microhttpd.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -16,12 +19,20 @@
                              struct MHD_Connection *connection);
     MHD_RequestCompletedCallback on_completed;
     void *data;
+    uint32_t connections_max; /* further ones wait in the kernel's queue */
+    EyKeptConnections_t *connections;
 } EyListenerCallbacks_t;
 
 /** Listens on IP:port; NULL if the address is malformed or can't be bound. */
 struct MHD_Daemon *
 EyListener_Start(const char *address, const EyListenerCallbacks_t *callbacks);
 
+/** A request on the connection begins to be read, or its answer has ended. On
+ * the daemon's thread. */
+void
+EyListener_SetBusy(const EyListenerCallbacks_t *callbacks,
+                   struct MHD_Connection *connection, bool is_busy);
+
 /** The port that the daemon listens on. */
 uint16_t
 EyListener_Port(struct MHD_Daemon *daemon);
--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -31,6 +31,7 @@
 typedef struct Listener {
     struct EyServer *server;
     struct MHD_Daemon *daemon;
+    EyListenerCallbacks_t callbacks;
     int descriptor; /* listening socket, taken from the daemon on quiesce;
                        -1: not yet */
     bool is_routed;
@@ -212,6 +213,7 @@
     inbound->path = EyMemory_Strdup(inbound, path);
     inbound->started_us = EyClock_NowUs();
     EySuspension_Init(&inbound->suspension, connection);
+    EyListener_SetBusy(&listener->callbacks, connection, true);
     return inbound;
 }
 
@@ -560,13 +562,14 @@
 on_completed(void *data, struct MHD_Connection *connection, void **place,
              enum MHD_RequestTerminationCode code)
 {
-    (void)connection;
-    EyServer_t *self = ((Listener_t *)data)->server;
+    const Listener_t *listener = data;
+    EyServer_t *self = listener->server;
     EyInboundRequest_t *inbound = *place;
     *place = NULL;
     if (inbound == NULL) {
         return;
     }
+    EyListener_SetBusy(&listener->callbacks, connection, false);
     bool stopping = unregister_inbound(self, inbound);
     bool completed =
         code == MHD_REQUEST_TERMINATED_COMPLETED_OK || inbound->answered_raw;
@@ -617,6 +620,9 @@
     if (self->hooks.bodies == NULL) {
         self->hooks.bodies = &CommonBodies;
     }
+    if (self->hooks.connections_max == 0) {
+        self->hooks.connections_max = EY_SERVER_CONNECTIONS_MAX;
+    }
     self->names = hooks->names != NULL ? hooks->names : &EyHeaderNames_native;
     self->random = EyRandom_Make(EyRandom_SystemSeed());
     (void)pthread_mutex_init(&self->lock, NULL);
@@ -646,13 +652,16 @@
         .descriptor = -1,
         .is_routed = is_routed,
     };
-    EyListenerCallbacks_t callbacks = {
+    listener->callbacks = (EyListenerCallbacks_t){
         .on_access = on_access,
         .on_request_line = on_request_line,
         .on_completed = on_completed,
         .data = listener,
+        .connections_max = self->hooks.connections_max,
+        .connections =
+            EyKeptConnections_New(self, self->hooks.connections_max),
     };
-    listener->daemon = EyListener_Start(address, &callbacks);
+    listener->daemon = EyListener_Start(address, &listener->callbacks);
     if (listener->daemon == NULL) {
         g_set_error(error, EY_SERVER_ERROR, EY_SERVER_ERROR_LISTEN,
                     "can't listen on '%s': not IP:port, or can't be bound",
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -39,12 +39,17 @@
     /** For bodies, from the head of a request until the request is freed;
      * NULL: EY_SERVER_BODIES_BYTES, for all servers without one. */
     EyMemoryBudget_t *bodies;
+    /** Connections on each address; 0: EY_SERVER_CONNECTIONS_MAX. */
+    uint32_t connections_max;
 } EyServerHooks_t;
 
 /** How long after EyServer_Quiesce open connections may deliver a request:
  * callers wait about a second for a request to be read. */
 #define EY_SERVER_LATE_REQUEST_MS 1000
 
+/** Most connections on an address. */
+#define EY_SERVER_CONNECTIONS_MAX 8192
+
 /** Memory for bodies where no limit is known. */
 #define EY_SERVER_BODIES_BYTES (UINT64_C(256) * 1024 * 1024)
 
--- a/tests/unit/server_fixture.c
+++ b/tests/unit/server_fixture.c
@@ -60,30 +60,42 @@
     (void)pthread_mutex_unlock(&fixture->lock);
 }
 
-ServerFixture_t *
-server_fixture_new(ServerMode_t mode)
-{
-    return server_fixture_new_with_bodies(mode, NULL);
-}
-
-ServerFixture_t *
-server_fixture_new_with_bodies(ServerMode_t mode, EyMemoryBudget_t *bodies)
+static ServerFixture_t *
+start(ServerMode_t mode, EyServerHooks_t hooks)
 {
     ServerFixture_t *fixture = EY_NEW(NULL, ServerFixture_t);
     fixture->mode = mode;
     (void)pthread_mutex_init(&fixture->lock, NULL);
     (void)pthread_cond_init(&fixture->changed, NULL);
-    EyServerHooks_t hooks = {.check = check,
-                             .submit = submit,
-                             .disconnected = on_disconnect,
-                             .data = fixture,
-                             .bodies = bodies};
+    hooks.check = check;
+    hooks.submit = submit;
+    hooks.disconnected = on_disconnect;
+    hooks.data = fixture;
     GError *error = NULL;
     fixture->server = EyServer_Start(NULL, "127.0.0.1:0", &hooks, &error);
     cr_assert_not_null(fixture->server);
     return fixture;
 }
 
+ServerFixture_t *
+server_fixture_new(ServerMode_t mode)
+{
+    return server_fixture_new_with_bodies(mode, NULL);
+}
+
+ServerFixture_t *
+server_fixture_new_with_bodies(ServerMode_t mode, EyMemoryBudget_t *bodies)
+{
+    return start(mode, (EyServerHooks_t){.bodies = bodies});
+}
+
+ServerFixture_t *
+server_fixture_new_with_connections(ServerMode_t mode,
+                                    uint32_t connections_max)
+{
+    return start(mode, (EyServerHooks_t){.connections_max = connections_max});
+}
+
 void
 server_fixture_free(ServerFixture_t *fixture)
 {
--- a/tests/unit/server_fixture.h
+++ b/tests/unit/server_fixture.h
@@ -41,6 +41,11 @@
 ServerFixture_t *
 server_fixture_new_with_bodies(ServerMode_t mode, EyMemoryBudget_t *bodies);
 
+/** The same, for so many connections. */
+ServerFixture_t *
+server_fixture_new_with_connections(ServerMode_t mode,
+                                    uint32_t connections_max);
+
 void
 server_fixture_free(ServerFixture_t *fixture);
 
--- a/tests/unit/test_server.c
+++ b/tests/unit/test_server.c
@@ -290,6 +290,23 @@
     }
 }
 
+/* Requests on new connections waited unread until others ended. */
+Test(server, connections_without_requests_make_room_for_new_ones)
+{
+    enum { LIMIT = 16, KEPT = 3 * LIMIT };
+    ServerFixture_t *fixture =
+        server_fixture_new_with_connections(SERVER_ANSWERS, LIMIT);
+    int kept[KEPT];
+    for (int i = 0; i < KEPT; i++) {
+        kept[i] = server_fixture_send(fixture, i % 2 == 0 ? GET "\r\n" : "");
+    }
+    server_fixture_assert_serves(fixture, "connections without requests");
+    for (int i = 0; i < KEPT; i++) {
+        (void)close(kept[i]);
+    }
+    server_fixture_free(fixture);
+}
+
 Test(server, a_head_request_gets_no_body)
 {
     ServerFixture_t *fixture = server_fixture_new(SERVER_ANSWERS);
