A gateway raises its limit of descriptors and shares it

Callers saw no answer from a gateway that ran with a low soft limit of descriptors, as 1024 is on many machines: their connections weren't accepted, or there was no descriptor for a connection to a server.

Cause: the process took the soft limit as it came, and each address accepted up to 8192 connections whatever the limit was.

The soft limit is raised to the hard one (65536 at most), as other servers do, and logged. Callers' connections on an address get half of what the limit leaves, so that those to servers have as many.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "core/metrics.h"
+#include "node/descriptors.h"
 #include "node/directory_updater.h"
 #include "node/test_partition.h"
 #include "operators/operators.h"
@@ -690,7 +691,7 @@
 }
 
 static bool
-start_server(EyNode_t *self, GError **error)
+start_server(EyNode_t *self, uint64_t descriptors, GError **error)
 {
     const EyServerHooks_t hooks = {
         .check = on_request_head,
@@ -699,6 +700,7 @@
         .data = self,
         .names = EyHeaderNames_Find(self->settings->headers),
         .bodies = &self->bodies,
+        .connections_max = EyDescriptors_CallersMax(descriptors),
     };
     const EySettings_t *settings = self->settings;
     self->server = EyServer_Start(self, settings->listen, &hooks, error);
@@ -732,6 +734,7 @@
              GError **error)
 {
     EyNode_t *self = EY_NEW(ctx, EyNode_t);
+    uint64_t descriptors = EyDescriptors_Raise();
     self->settings = settings;
     self->random = EyRandom_Make(EyRandom_SystemSeed());
     self->incarnation = EyRandom_SystemSeed() >> 1;
@@ -748,7 +751,7 @@
     EyDirectoryUpdater_Start(self);
     if (!read_token(self, error) || !start_peers(self, error) ||
         !open_parts(self, parts, part_count, error) ||
-        !start_server(self, error))
+        !start_server(self, descriptors, error))
     {
         EyError_Wrap(error, EY_NODE_ERROR, EY_NODE_ERROR_START, "can't start");
         EyNode_Stop(self);
@@ -759,7 +762,8 @@
     self->state = EY_NODE_SERVING;
     EY_LOG(EY_LOG_INFO, "node", "serving",
            EY_LOG_TEXT("listen", settings->listen),
-           EY_LOG_NUMBER("port", EyServer_Port(self->server)));
+           EY_LOG_NUMBER("port", EyServer_Port(self->server)),
+           EY_LOG_NUMBER("descriptors", descriptors));
     return self;
 }
 
--- a/tests/process/test_route_timeouts.c
+++ b/tests/process/test_route_timeouts.c
@@ -10,6 +10,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,6 +26,9 @@
 #define STEP_MS 10
 #define READ_BYTES 65536
 #define CALLS 4
+/** A soft limit of a gateway, and connections that use it up. */
+#define FEW_DESCRIPTORS 200
+#define KEPT_CONNECTIONS 250
 
 enum { HOME, ENTRY, GATEWAYS };
 
@@ -361,3 +365,42 @@
     Process_Signal(&Fleet.gateways[HOME], SIGCONT);
     EndlessServer_Stop(Server);
 }
+
+static void
+set_soft_limit(rlim_t descriptors)
+{
+    struct rlimit limit = {.rlim_cur = 0};
+    cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    limit.rlim_cur = MIN(descriptors, limit.rlim_max);
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+}
+
+/* Their connections were not accepted, or not passed on, and nobody said so.
+ */
+Test(route_timeouts, calls_beside_many_kept_connections_are_answered)
+{
+    static const TimeoutCase_t Beside[] = {
+        {"silent", "once", SILENT, SEND_AT_ONCE, 0},
+        {"whole", "once", WHOLE, SEND_AT_ONCE, 0},
+        {"one event", "events", ONE_EVENT, SEND_AT_ONCE, 0},
+    };
+    Play_t *plays[G_N_ELEMENTS(Beside)];
+    int kept[KEPT_CONNECTIONS];
+    struct rlimit limit = {.rlim_cur = 0};
+    cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    cr_assert_gt(limit.rlim_cur / 2, KEPT_CONNECTIONS);
+    set_soft_limit(FEW_DESCRIPTORS);
+    start_all();
+    set_soft_limit(limit.rlim_cur);
+    for (uint32_t i = 0; i < KEPT_CONNECTIONS; i++) {
+        kept[i] = raw_connect(Fleet.routed_ports[HOME]);
+    }
+    play_all(Beside, G_N_ELEMENTS(Beside), HOME, plays);
+    for (size_t i = 0; i < G_N_ELEMENTS(Beside); i++) {
+        finish_play(plays[i]);
+    }
+    for (uint32_t i = 0; i < KEPT_CONNECTIONS; i++) {
+        (void)close(kept[i]);
+    }
+    EndlessServer_Stop(Server);
+}
