--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -39,12 +39,17 @@
     /** For bodies, from the head of a request until the request is freed;
      * NULL: EY_SERVER_BODIES_BYTES, for all servers without one. */
     EyMemoryBudget_t *bodies;
+    /** Connections on each address; 0: EY_SERVER_CONNECTIONS_MAX. */
+    uint32_t connections_max;
 } EyServerHooks_t;
 
 /** How long after EyServer_Quiesce open connections may deliver a request:
  * callers wait about a second for a request to be read. */
 #define EY_SERVER_LATE_REQUEST_MS 1000
 
+/** Most connections on an address. */
+#define EY_SERVER_CONNECTIONS_MAX 8192
+
 /** Memory for bodies where no limit is known. */
 #define EY_SERVER_BODIES_BYTES (UINT64_C(256) * 1024 * 1024)
 
@@ -77,6 +82,17 @@
 void
 EyServer_Answer(EyServer_t *self, uint64_t number, EyAnswer_t *answer);
 
+/** The time until which a request, whose head was read, must have its body;
+ * 0: any time. */
+typedef int64_t (*EyBodyDeadline_t)(void *data, const EyRequest_t *request);
+
+/** Answers requests whose bodies have not come in time, 408 and not run, and
+ * closes their connections. Asks for the deadline of each once, in the calling
+ * thread. To be called now and then. */
+void
+EyServer_EndLateBodies(EyServer_t *self, int64_t now_ms,
+                       EyBodyDeadline_t deadline, void *data);
+
 /** Number of requests whose answers haven't been sent completely. */
 uint32_t
 EyServer_InFlight(const EyServer_t *self);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "core/log.h"
 #include "core/memory.h"
 #include "core/metrics.h"
+#include "node/descriptors.h"
 #include "node/directory_updater.h"
 #include "node/test_partition.h"
 #include "operators/operators.h"
@@ -19,6 +20,8 @@
 #define DISCONNECTS_WAITING_MAX 4096
 #define PEER_MESSAGES_WAITING_MAX 8192
 #define STOP_CHECK_MS 50
+/* How often requests are looked for whose bodies are late. */
+#define BODY_CHECK_MS 100
 /** Maximum time that a graceful shutdown waits for requests in flight, where
  * the time until the process is killed isn't known. */
 #define STOP_DRAIN_MAX_MS 120000
@@ -594,6 +597,29 @@
     return found;
 }
 
+/** Called by the server, on the main thread. */
+static int64_t
+body_deadline_ms(void *data, const EyRequest_t *request)
+{
+    const EyNode_t *self = data;
+    int64_t until_ms = 0;
+    for (uint32_t i = 0; i < self->part_count && until_ms == 0; i++) {
+        const EyPart_t *part = &self->parts[i];
+        if (part->class_table->body_deadline_ms != NULL) {
+            until_ms =
+                part->class_table->body_deadline_ms(part->state, request);
+        }
+    }
+    return until_ms;
+}
+
+static void
+on_body_check(void *data, int64_t now_ms)
+{
+    EyNode_t *self = data;
+    EyServer_EndLateBodies(self->server, now_ms, body_deadline_ms, self);
+}
+
 static void
 make_mailboxes(EyNode_t *self)
 {
@@ -665,7 +691,7 @@
 }
 
 static bool
-start_server(EyNode_t *self, GError **error)
+start_server(EyNode_t *self, uint64_t descriptors, GError **error)
 {
     const EyServerHooks_t hooks = {
         .check = on_request_head,
@@ -674,6 +700,7 @@
         .data = self,
         .names = EyHeaderNames_Find(self->settings->headers),
         .bodies = &self->bodies,
+        .connections_max = EyDescriptors_CallersMax(descriptors),
     };
     const EySettings_t *settings = self->settings;
     self->server = EyServer_Start(self, settings->listen, &hooks, error);
@@ -707,6 +734,7 @@
              GError **error)
 {
     EyNode_t *self = EY_NEW(ctx, EyNode_t);
+    uint64_t descriptors = EyDescriptors_Raise();
     self->settings = settings;
     self->random = EyRandom_Make(EyRandom_SystemSeed());
     self->incarnation = EyRandom_SystemSeed() >> 1;
@@ -723,17 +751,19 @@
     EyDirectoryUpdater_Start(self);
     if (!read_token(self, error) || !start_peers(self, error) ||
         !open_parts(self, parts, part_count, error) ||
-        !start_server(self, error))
+        !start_server(self, descriptors, error))
     {
         EyError_Wrap(error, EY_NODE_ERROR, EY_NODE_ERROR_START, "can't start");
         EyNode_Stop(self);
         return NULL;
     }
+    (void)EyTimers_Every(self->timers, BODY_CHECK_MS, on_body_check, self);
     EyTestPartition_Watch(self, self->timers, self->peers);
     self->state = EY_NODE_SERVING;
     EY_LOG(EY_LOG_INFO, "node", "serving",
            EY_LOG_TEXT("listen", settings->listen),
-           EY_LOG_NUMBER("port", EyServer_Port(self->server)));
+           EY_LOG_NUMBER("port", EyServer_Port(self->server)),
+           EY_LOG_NUMBER("descriptors", descriptors));
     return self;
 }
 
