A call on a kept connection that breaks is repeated by the gateway only

Cause: libcurl sends a request again by itself when a reused connection ends before the first byte of an answer. on_connected stopped that only for calls that must not repeat; for others the second sending was silent, with the headers of the first one, Deadline-Ms among them. The class of fault: a layer below the one that counts makes the attempts.

Why it works: libcurl calls back when it has a connection, before the first byte. A call that was sent once ends there as broken, as it did before for calls that must not repeat; the gateway decides on the next attempt, pays for it, chooses another server and names the time that is left.

A service with one server only isn't tried again. Kept connections that are closed while idle are found before the call is sent and still replaced at no cost.

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -25,8 +25,8 @@
  * turn, and each other call needs several turns. */
 #define READ_BUFFER_BYTES 4096L
 
-/** True if the server was chosen too long ago, as this thread is overloaded or
- * libcurl sends the call again: the router has to choose again. */
+/** True if the server was chosen too long ago, as this thread is overloaded:
+ * the router has to choose again. */
 static bool
 is_choice_outdated(const EyTransfer_t *self)
 {
@@ -58,13 +58,14 @@
         self->failure = EY_FAILURE_DEADLINE;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (is_choice_outdated(self)) {
-        /* Not the server's fault, unless a connection to it broke before. */
-        self->failure = self->sent ? EY_FAILURE_BROKEN : EY_FAILURE_CANCELLED;
+    if (self->sent) {
+        /* A kept connection broke, and libcurl would send the call again. That
+         * is for the gateway to decide: the retry budget counts each one. */
+        self->failure = EY_FAILURE_BROKEN;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (self->sent && !self->attempt->may_repeat) {
-        self->failure = EY_FAILURE_BROKEN;
+    if (is_choice_outdated(self)) {
+        self->failure = EY_FAILURE_CANCELLED; /* not the server's fault */
         return CURL_PREREQFUNC_ABORT;
     }
     /* Also called for a new connection, so that it is tracked from now on. */
@@ -75,9 +76,7 @@
         return CURL_PREREQFUNC_ABORT;
     }
     self->last_activity_ms = EyClock_NowMs();
-    if (!self->sent) {
-        EyClient_OnSending(self->client, self);
-    }
+    EyClient_OnSending(self->client, self);
     if (self->failure != EY_FAILURE_NONE) {
         return CURL_PREREQFUNC_ABORT;
     }
