Servers of other regions that ran a request count against its limit

Cause: a gateway that forwards a request lets the other region run it on as many servers as are left, but counted a failure from there as one run, however many there had been. After three there it had two left, for a third region or its own. The class of fault: a limit of the whole request is counted in two places that don't tell each other.

Why it works: the answer of the region that failed says how many servers may have run the request; the exchange adds them. An older gateway says nothing, which counts as one, as before.

--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -61,6 +61,7 @@
     EY_FIELD(EyAnswer_t, reached_server, EY_FIELD_BOOL),
     EY_FIELD(EyAnswer_t, is_barred, EY_FIELD_BOOL),
     EY_FIELD_NESTED(EyAnswer_t, server_version, EyServerVersion_schema),
+    EY_FIELD(EyAnswer_t, runs, EY_FIELD_U32),
     EY_FIELD_END,
 };
 const EySchema_t EyAnswer_schema = EY_SCHEMA(EyAnswer_t, AnswerFields);
@@ -91,6 +92,7 @@
     self->is_events = from->is_events;
     self->reached_server = from->reached_server;
     self->is_barred = from->is_barred;
+    self->runs = from->runs;
     self->server_version = from->server_version;
     for (uint32_t i = 0; i < from->header_count; i++) {
         EyAnswer_SetHeader(self, from->headers[i].name,
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -34,6 +34,8 @@
     bool reached_server;     /* a refusal, but a backend server got the call */
     bool is_barred;          /* a refusal or failure: servers crashed on equal
                                 requests, no other region should try it */
+    uint32_t runs;           /* servers of a remote region that may have run
+                                the call before this answer */
     char *reason; /* cause of a refusal or failure, for logs; or NULL */
     EyHeader_t *headers;
     uint32_t header_count;
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -437,7 +437,7 @@
     if (!event->nothing_sent) {
         exchange->sent_before = true;
         exchange->arrival_count++;
-        exchange->run_count++;
+        exchange->run_count += event->runs > 0 ? event->runs : 1;
     }
     else if (event->reached_server) {
         exchange->arrival_count++;
--- a/src/exchange/exchange.h
+++ b/src/exchange/exchange.h
@@ -67,7 +67,9 @@
         last_event;      /* ATTEMPT_FAILED: id of the last of these events */
     bool reached_server; /* ATTEMPT_FAILED, nothing_sent: in a remote region
                             a server got the call and didn't run it */
-    bool not_run; /* ATTEMPT_DONE: the server reports that it didn't run it */
+    uint32_t runs; /* ATTEMPT_FAILED: servers of a remote region that may have
+                      run it; 0 if something was sent: one */
+    bool not_run;  /* ATTEMPT_DONE: the server reports that it didn't run it */
     bool is_barred; /* ROUTE_REFUSED, ATTEMPT_FAILED: because servers crashed
                        on equal requests; see EyAnswer_t */
     EyProblem_t problem;
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -132,6 +132,7 @@
         .attempt = attempt,
         .nothing_sent = answer->outcome == EY_OUTCOME_NOT_RUN,
         .reached_server = answer->reached_server,
+        .runs = answer->runs,
         .is_retryable = !answer->is_barred,
         .is_barred = answer->is_barred,
         .retry_after_ms = answer->retry_after_ms,
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -178,6 +178,7 @@
 peer_answer(EyGateway_t *gateway, EyActiveRequest_t *active,
             EyAnswer_t *answer)
 {
+    answer->runs = active->exchange->run_count;
     EyForwardMessage_t forward = {
         .kind = answer->stream != NULL ? EY_FORWARD_HEAD : EY_FORWARD_ANSWER,
         .attempt = active->origin_attempt,
--- a/tests/process/test_repeat_budget.c
+++ b/tests/process/test_repeat_budget.c
@@ -18,10 +18,8 @@
 #define SETTLE_MS 5500
 #define CALLERS_MAX 96
 #define CALLS_MAX 1100
-#define CALL_INTERVAL_MS 10
 #define CALL_TIMEOUT_MS 3000
-/** Of the calls, a third gets no answer; half of those break off late. */
-#define BROKEN_SHARE 3
+#define ATTEMPTS_MAX 3
 #define RUN_MS 20
 #define RUN_LATE_MS 700
 /** The defaults of --retry-ratio, --retry-slack and --retry-window-s. */
@@ -31,6 +29,16 @@
 /** A call that is sent again may end this much later than the first time. */
 #define DEADLINE_SLACK_MS 500
 
+typedef struct Case {
+    uint32_t calls;
+    int64_t interval_ms;
+    uint32_t broken_percent; /* calls that get no answer */
+    bool breaks_late;        /* half of those */
+    uint32_t first_region;   /* that has servers; all later ones have, too */
+    bool is_one_entry;       /* all calls come to the first gateway */
+    const char *gateway_flag;
+} Case_t;
+
 typedef struct Arrival {
     int64_t at_ms;
     int64_t ends_ms; /* when the time is up that the server is handed */
@@ -46,6 +54,7 @@
 
 static RoutedGateways_t Fleet;
 static Backends_t *Servers;
+static const Case_t *Case;
 static Call_t Calls[CALLS_MAX];
 static GArray *Arrivals; /* used by the servers' thread until they stop */
 
@@ -93,9 +102,11 @@
     if (call > 0) {
         note_arrival(connection, call);
     }
-    if (call > 0 && g_random_int_range(0, BROKEN_SHARE) == 0) {
+    if (call > 0 &&
+        (uint32_t)g_random_int_range(0, 100) < Case->broken_percent) {
         (void)BackendConnection_CountStep(connection);
-        run_ms = g_random_boolean() ? RUN_LATE_MS : RUN_MS;
+        bool is_late = Case->breaks_late && g_random_boolean();
+        run_ms = is_late ? RUN_LATE_MS : RUN_MS;
     }
     BackendConnection_ProceedAfter(connection, run_ms);
 }
@@ -151,7 +162,7 @@
 {
     (void)user_data;
     Call_t *call = data;
-    send_call(call, call->number % GATEWAYS);
+    send_call(call, Case->is_one_entry ? 0 : call->number % GATEWAYS);
 }
 
 static void
@@ -169,7 +180,7 @@
     Harness_SleepMs(SETTLE_MS);
 }
 
-/** One gateway and two servers in each region. */
+/** One gateway in each region, the servers in some of them. */
 static void
 start_all(void)
 {
@@ -178,16 +189,20 @@
         "{\"version\":3,\"routes\":[{\"name\":\"buy\",\"host\":\"127.0.0.1\","
         "\"path_prefix\":\"/buy/\",\"call_kind\":\"idempotent\","
         "\"timeout_ms\":3000,\"latency_objective_ms\":1000,\"priority\":1,"
-        "\"service\":\"booking\",\"attempts_max\":3}],"
-        "\"services\":[{\"name\":\"booking\"}]}";
+        "\"service\":\"booking\",\"attempts_max\":" G_STRINGIFY(
+            ATTEMPTS_MAX) "}],"
+                          "\"services\":[{\"name\":\"booking\"}]}";
     BackendSite_t sites[SERVERS] = {{.zone = NULL}};
     (void)curl_global_init(CURL_GLOBAL_DEFAULT);
     Arrivals = g_array_new(FALSE, FALSE, sizeof(Arrival_t));
+    Fleet.gateway_flag = Case->gateway_flag;
     RoutedGateways_Start(&Fleet, "repeats", Regions, GATEWAYS, "platform");
     RoutedGateways_PutRoutes(&Fleet, Routes);
     for (uint32_t i = 0; i < SERVERS; i++) {
-        sites[i].zone = RoutedGateways_zones[i % GATEWAYS];
-        sites[i].gateway_ports[0] = Fleet.gateways[i % GATEWAYS].port;
+        uint32_t region =
+            Case->first_region + i % (GATEWAYS - Case->first_region);
+        sites[i].zone = RoutedGateways_zones[region];
+        sites[i].gateway_ports[0] = Fleet.gateways[region].port;
     }
     Servers = Backends_Start(&Kind, NULL, "booking", sites, SERVERS);
     await_service();
@@ -199,8 +214,8 @@
     GThreadPool *callers =
         g_thread_pool_new(call_on_thread, NULL, CALLERS_MAX, FALSE, NULL);
     int64_t start_ms = Harness_NowMs();
-    for (uint32_t i = 0; i < CALLS_MAX; i++) {
-        int64_t due_ms = start_ms + (int64_t)i * CALL_INTERVAL_MS;
+    for (uint32_t i = 0; i < Case->calls; i++) {
+        int64_t due_ms = start_ms + (int64_t)i * Case->interval_ms;
         Harness_SleepMs(MAX(due_ms - Harness_NowMs(), 0));
         Calls[i].number = i + 1;
         Calls[i].sent_ms = Harness_NowMs();
@@ -209,13 +224,23 @@
     g_thread_pool_free(callers, FALSE, TRUE);
 }
 
+/** Plays a case up to the end of all processes. */
+static void
+play(const Case_t *test_case)
+{
+    Case = test_case;
+    start_all();
+    run_calls();
+    end_all();
+}
+
 /* What came of it */
 
 static uint32_t
 calls_since(int64_t from_ms)
 {
     uint32_t count = 0;
-    for (uint32_t i = 0; i < CALLS_MAX; i++) {
+    for (uint32_t i = 0; i < Case->calls; i++) {
         int64_t age_ms = Calls[i].sent_ms - from_ms;
         count += age_ms >= 0 && age_ms < RETRY_WINDOW_MS;
     }
@@ -281,12 +306,48 @@
     cr_expect_gt(repeats, RETRY_SLACK, "only %u repeats", repeats);
 }
 
+/** Calls that reached more servers than the route allows. */
+static uint32_t
+count_exceeding(void)
+{
+    uint32_t arrivals[CALLS_MAX + 1] = {0};
+    uint32_t count = 0;
+    for (guint i = 0; i < Arrivals->len; i++) {
+        uint32_t call = g_array_index(Arrivals, Arrival_t, i).call;
+        arrivals[call]++;
+        count += arrivals[call] == ATTEMPTS_MAX + 1;
+    }
+    return count;
+}
+
 /* Repeats that the retry budget doesn't know of. */
 Test(repeat_budget, calls_whose_kept_connections_break_are_repeated_within_it)
 {
-    start_all();
-    run_calls();
-    end_all();
+    static const Case_t KeptConnections = {
+        .calls = CALLS_MAX,
+        .interval_ms = 10,
+        .broken_percent = 33,
+        .breaks_late = true,
+    };
+    play(&KeptConnections);
     check_deadlines();
     check_windows();
 }
+
+/* Each region tried as many servers as if no other one had. */
+Test(repeat_budget, servers_of_several_regions_count_against_one_limit)
+{
+    static const Case_t OtherRegions = {
+        .calls = 200,
+        .interval_ms = 20,
+        .broken_percent = 80,
+        .first_region = 1,
+        .is_one_entry = true,
+        .gateway_flag = "--retry-ratio=1",
+    };
+    play(&OtherRegions);
+    uint32_t count = count_exceeding();
+    cr_expect_eq(count, 0, "%u calls reached more servers than allowed",
+                 count);
+    cr_expect_gt(Arrivals->len, OtherRegions.calls);
+}
--- a/tests/unit/test_forward_failure.c
+++ b/tests/unit/test_forward_failure.c
@@ -9,6 +9,7 @@
 #define DEADLINE_MS 1000
 #define RETRY_AFTER_MS 30000
 #define FIELDS_MAX 16
+#define RUNS_MAX 3
 
 typedef struct FailureCase {
     const char *name;
@@ -47,7 +48,7 @@
     EyRequest_t *request = EyRequest_New();
     request->call = EY_CALL_ROUTED;
     request->terms.is_idempotent = is_idempotent;
-    request->terms.runs_max = 3;
+    request->terms.runs_max = RUNS_MAX;
     request->deadline_ms = DEADLINE_MS;
     EyExchange_t *exchange =
         EyExchange_New(NULL, request, is_idempotent, false);
@@ -62,14 +63,10 @@
     return exchange;
 }
 
-/** The answer of the remote region as the forwarding gateway receives it. */
+/** An answer as the forwarding gateway receives it; frees the one sent. */
 static EyAnswer_t *
-receive_refusal(const FailureCase_t *each)
+pass_on(EyAnswer_t *sent)
 {
-    EyAnswer_t *sent =
-        EyAnswer_Problem(EY_PROBLEM_OVERLOADED, each->outcome, 0, NULL);
-    sent->retry_after_ms = RETRY_AFTER_MS;
-    sent->is_barred = each->is_barred;
     EyBytes_t packed = EySchema_Pack(&EyAnswer_schema, sent, sent);
     EyAnswer_t *unpacked = EyAnswer_New(0, EY_OUTCOME_NOT_RUN);
     cr_assert(EySchema_Unpack(&EyAnswer_schema, unpacked, packed.data,
@@ -80,6 +77,17 @@
     return received;
 }
 
+/** The answer of the remote region as the forwarding gateway receives it. */
+static EyAnswer_t *
+receive_refusal(const FailureCase_t *each)
+{
+    EyAnswer_t *sent =
+        EyAnswer_Problem(EY_PROBLEM_OVERLOADED, each->outcome, 0, NULL);
+    sent->retry_after_ms = RETRY_AFTER_MS;
+    sent->is_barred = each->is_barred;
+    return pass_on(sent);
+}
+
 static void
 expect_refusal(const EyExchangeActions_t *actions, const FailureCase_t *each)
 {
@@ -168,6 +176,28 @@
     talloc_free(sent);
 }
 
+/* Servers of the other region that ran it count against the route's limit. */
+Test(forward_failure, runs_in_a_remote_region_count_as_many)
+{
+    for (uint32_t runs = 0; runs <= RUNS_MAX; runs++) {
+        EyExchange_t *exchange = make_forwarded(true);
+        EyAnswer_t *sent = EyAnswer_Problem(EY_PROBLEM_BACKEND_FAILED,
+                                            EY_OUTCOME_UNKNOWN, 0, NULL);
+        sent->runs = runs;
+        EyAnswer_t *received = pass_on(sent);
+        EyExchangeActions_t actions = step(
+            exchange, EyGateway_ForwardFailure(received, exchange->attempt));
+        cr_expect_eq(exchange->run_count, MAX(runs, 1));
+        bool is_retried = actions.items[0].kind == EY_EXCHANGE_DO_ROUTE;
+        cr_expect_eq(is_retried, runs < RUNS_MAX, "%u", runs);
+        if (!is_retried) {
+            talloc_free(actions.items[0].answer);
+        }
+        talloc_free(received);
+        talloc_free(exchange);
+    }
+}
+
 /* After a restart an answer to an earlier request must not be taken for one to
  * a new request. */
 Test(forward_failure, attempts_of_two_lives_have_different_numbers)
