Retries that wait in a queue count as not made yet

Cause: the budget bounds what is taken in a window, not what is made in it. Waits of over 2 s at 100 calls a second for the service, or over 3 s at 50, use up the part that is kept back.

Evidence: router::retries_that_waited_are_not_made_on_top_of_the_budget, one gateway with a slack of 40 in 10 s whose only server is full for 60 s: 75 retries wait without the change (red), at most 40 with it.

Why it works: a retry that waits takes the room in which others would accumulate. What waits and what may be made at a moment is at most what may accumulate, so any window has no more than before the queue was there.

What it costs: fewer retries where all wait for long.

Not covered: a retry that another gateway forwarded waits in the queue of the one that serves it at the expense of neither.

--- a/src/routing/retry_budget.c
+++ b/src/routing/retry_budget.c
@@ -42,7 +42,8 @@
 static void
 add(EyRetryBudget_t *self, double retries, const EyRetryLimits_t *limits)
 {
-    self->retries = MIN(self->retries + retries, capacity(limits));
+    double room = MAX(capacity(limits) - self->held, 0.0);
+    self->retries = MIN(self->retries + retries, room);
 }
 
 /** Gives a gateway that has come to know the fleet the initial part. */
@@ -91,6 +92,20 @@
     return may_take;
 }
 
+void
+EyRetryBudget_Hold(EyRetryBudget_t *self)
+{
+    self->held += 1.0;
+}
+
+void
+EyRetryBudget_Release(EyRetryBudget_t *self, int64_t now_ms,
+                      const EyRetryLimits_t *limits)
+{
+    refill(self, now_ms, limits);
+    self->held = MAX(self->held - 1.0, 0.0);
+}
+
 void
 EyRetryBudget_GiveBack(EyRetryBudget_t *self, int64_t now_ms,
                        const EyRetryLimits_t *limits)
--- a/src/routing/retry_budget.h
+++ b/src/routing/retry_budget.h
@@ -29,6 +29,7 @@
 /** A new budget is all zero. */
 typedef struct EyRetryBudget {
     double retries;      /* that may be made now */
+    double held;         /* that were taken and wait to be made */
     int64_t refilled_ms; /* up to which time has been credited */
     bool has_initial;    /* the fleet's size has become known */
 } EyRetryBudget_t;
@@ -48,6 +49,16 @@
 EyRetryBudget_Take(EyRetryBudget_t *self, int64_t now_ms,
                    const EyRetryLimits_t *limits);
 
+/** A retry that was taken has to wait: until its release it takes room of what
+ * may accumulate, so that those that wait aren't made on top of that. */
+void
+EyRetryBudget_Hold(EyRetryBudget_t *self);
+
+/** Ends the wait of a retry. */
+void
+EyRetryBudget_Release(EyRetryBudget_t *self, int64_t now_ms,
+                      const EyRetryLimits_t *limits);
+
 /** Returns a retry that wasn't made. */
 void
 EyRetryBudget_GiveBack(EyRetryBudget_t *self, int64_t now_ms,
--- a/src/routing/retry_budgets.c
+++ b/src/routing/retry_budgets.c
@@ -98,6 +98,19 @@
     return EyRetryBudget_Take(get_budget(self, key), now_ms, &limits);
 }
 
+void
+EyRetryBudgets_Hold(EyRetryBudgets_t *self, const char *key)
+{
+    EyRetryBudget_Hold(get_budget(self, key));
+}
+
+void
+EyRetryBudgets_Release(EyRetryBudgets_t *self, int64_t now_ms, const char *key)
+{
+    EyRetryLimits_t limits = current_limits(self, now_ms);
+    EyRetryBudget_Release(get_budget(self, key), now_ms, &limits);
+}
+
 void
 EyRetryBudgets_GiveBack(EyRetryBudgets_t *self, int64_t now_ms,
                         const char *key)
--- a/src/routing/retry_budgets.h
+++ b/src/routing/retry_budgets.h
@@ -43,6 +43,13 @@
 bool
 EyRetryBudgets_Take(EyRetryBudgets_t *self, int64_t now_ms, const char *key);
 
+void
+EyRetryBudgets_Hold(EyRetryBudgets_t *self, const char *key);
+
+void
+EyRetryBudgets_Release(EyRetryBudgets_t *self, int64_t now_ms,
+                       const char *key);
+
 void
 EyRetryBudgets_GiveBack(EyRetryBudgets_t *self, int64_t now_ms,
                         const char *key);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -461,6 +461,9 @@
     if (decision.kind == EY_DECISION_REFUSE) {
         EyRetryBudgets_GiveBack(self->retries, now_ms, key);
     }
+    else if (decision.kind == EY_DECISION_QUEUED) {
+        EyRetryBudgets_Hold(self->retries, key);
+    }
     return decision;
 }
 
@@ -507,9 +510,15 @@
 /* Queued requests */
 
 static void
-dequeue(EyRouter_t *self, EyPool_t *pool, GSequenceIter *position)
+dequeue(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+        GSequenceIter *position)
 {
     const EyQueuedRequest_t *waiting = g_sequence_get(position);
+    if (EyRoutingRequest_TakesRetry(waiting->request)) {
+        char key[EY_POOL_KEY_SIZE_BYTES];
+        EyPool_Key(key, waiting->request->kind, waiting->request->target);
+        EyRetryBudgets_Release(self->retries, now_ms, key);
+    }
     g_hash_table_remove(self->waiting, &waiting->request->number);
     EyAdmissionQueue_Remove(pool->queue, position);
 }
@@ -593,7 +602,7 @@
         EyRoutingDecision_t decision;
         if (decide_queued(self, now_ms, pool, waiting, work_ahead, &decision))
         {
-            dequeue(self, pool, each);
+            dequeue(self, now_ms, pool, each);
             g_array_append_val(decisions, decision);
         }
         else {
@@ -733,7 +742,7 @@
     const EyQueuePosition_t *position =
         g_hash_table_lookup(self->waiting, &number);
     if (position != NULL) {
-        dequeue(self, position->pool, position->position);
+        dequeue(self, now_ms, position->pool, position->position);
         return true;
     }
     const EyRoutingResult_t result = {.kind = EY_RESULT_CANCELLED};
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -311,6 +311,35 @@
     talloc_free(ctx);
 }
 
+/* They reach servers all at once when there is room again. */
+Test(router, retries_that_waited_are_not_made_on_top_of_the_budget)
+{
+    void *ctx = talloc_new(NULL);
+    EyName_t model = "plan";
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.admission = false;
+    config.retry_ratio = 0.0;
+    config.retry_slack = 40.0;
+    config.retry_window_ms = 10000;
+    EyRouter_t *router = make_router(ctx, 1, config);
+    EyRouter_SetFleetSize(router, 1000, 1, true);
+    EyBackend_t backend = make_backend("b0", &model, 1);
+    EyRouter_UpsertBackend(router, 1000, &backend);
+    uint32_t paid = 0;
+    for (uint64_t i = 0; i < 600; i++) {
+        EyRoutingRequest_t request = make_request(i, 200000);
+        request.is_retry = i > 0;
+        request.is_paid = i == 0;
+        int64_t now_ms = 1000 + (int64_t)i * 100;
+        EyRoutingDecision_t decision =
+            EyRouter_Submit(router, now_ms, &request);
+        paid += decision.kind == EY_DECISION_QUEUED;
+    }
+    cr_expect_gt(paid, 0);
+    cr_expect_leq(paid, config.retry_slack, "%u retries wait", paid);
+    talloc_free(ctx);
+}
+
 /* After a pause of the process the first tick decides all queued requests,
  * past any limit on one scan. */
 Test(router, the_first_tick_after_a_pause_decides_every_queued_request)
