--- a/tests/process/backend_connection.c
+++ b/tests/process/backend_connection.c
@@ -190,6 +190,14 @@
     }
 }
 
+void
+BackendConnection_Reset(BackendConnection_t *self)
+{
+    if (self->state != STATE_CLOSED) {
+        BackendConnection_End(self, true);
+    }
+}
+
 void
 BackendConnection_EndServer(BackendConnection_t *self, int64_t delay_min_ms,
                             int64_t delay_max_ms)
--- a/tests/process/backend_servers.h
+++ b/tests/process/backend_servers.h
@@ -130,6 +130,10 @@
 void
 BackendConnection_Close(BackendConnection_t *self);
 
+/** Closes the connection with a reset. */
+void
+BackendConnection_Reset(BackendConnection_t *self);
+
 /** Sets the time of the server's end, unless it is set. */
 void
 BackendConnection_EndServer(BackendConnection_t *self, int64_t delay_min_ms,
--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -20,6 +20,9 @@
 #define POLL_INTERVAL_MS 20
 #define STILL_RUNNING (-1000)
 
+static const char *ProgramFolder = EY_BINARY_DIR;
+static const char *LogFolder = EY_BINARY_DIR;
+
 /** A socket bound to a port of 127.0.0.1; -1 if it is in use. */
 static int
 bind_port(uint16_t port)
@@ -88,6 +91,13 @@
     }
 }
 
+void
+Harness_SetFolders(const char *programs, const char *logs)
+{
+    ProgramFolder = programs;
+    LogFolder = logs;
+}
+
 void
 Harness_MakeFolder(char *path, size_t path_size_bytes, const char *name)
 {
@@ -144,9 +154,9 @@
     char path[512];
     char log_path[512];
     char *argv[HARNESS_ARGS_MAX + 2] = {path};
-    (void)snprintf(path, sizeof(path), "%s/%s", EY_BINARY_DIR, self->program);
-    (void)snprintf(log_path, sizeof(log_path), "%s/log-%s-%d.txt",
-                   EY_BINARY_DIR, self->name, (int)getpid());
+    (void)snprintf(path, sizeof(path), "%s/%s", ProgramFolder, self->program);
+    (void)snprintf(log_path, sizeof(log_path), "%s/log-%s-%d.txt", LogFolder,
+                   self->name, (int)getpid());
     for (uint32_t i = 0; i < self->arg_count; i++) {
         argv[i + 1] = self->args[i];
     }
--- a/tests/process/harness.h
+++ b/tests/process/harness.h
@@ -61,7 +61,12 @@
 void
 Harness_RemoveFolder(const char *path);
 
-/** Describes a process of a program in the build folder; not started yet. */
+/** Sets the folders of the programs and of their logs, both the build folder
+ * unless set; they must outlive all processes. */
+void
+Harness_SetFolders(const char *programs, const char *logs);
+
+/** Describes a process of a program; not started yet. */
 Process_t
 Process_Make(const char *program, const char *name);
 
--- a/tests/process/routed_gateways.c
+++ b/tests/process/routed_gateways.c
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #define START_TIMEOUT_MS 15000
 
@@ -33,6 +34,18 @@
     return g_string_free(text, FALSE);
 }
 
+void
+RoutedGateways_SetCutFile(const RoutedGateways_t *self, uint32_t region)
+{
+    if (self->cut_folder == NULL) {
+        return;
+    }
+    char *path = g_strdup_printf("%s/cut-%s", self->cut_folder,
+                                 RoutedGateways_regions[region]);
+    (void)setenv("EBONYYARD_TEST_CUT_FILE", path, 1);
+    g_free(path);
+}
+
 static void
 start_daemon(const RoutedGateways_t *self, Process_t *process, uint32_t region,
              const char *headers)
@@ -49,6 +62,7 @@
     Process_Arg(process, "--peers=%s", peers);
     Process_Arg(process, "--control=127.0.0.1:%u", self->control.peer_port);
     g_free(peers);
+    RoutedGateways_SetCutFile(self, region);
     Process_Start(process);
 }
 
--- a/tests/process/routed_gateways.h
+++ b/tests/process/routed_gateways.h
@@ -5,7 +5,7 @@
 #include "process/harness.h"
 
 #define ROUTED_REGIONS 3
-#define ROUTED_GATEWAYS_MAX 3
+#define ROUTED_GATEWAYS_MAX 6
 
 /** Each region has one zone, REGION-a. */
 extern const char *const RoutedGateways_regions[ROUTED_REGIONS];
@@ -17,6 +17,9 @@
     Process_t gateways[ROUTED_GATEWAYS_MAX];
     uint16_t routed_ports[ROUTED_GATEWAYS_MAX]; /* for calls of routes */
     uint32_t count;
+    /* Has a file cut-REGION for each region with the ids of instances whose
+     * messages are dropped there; NULL: none. */
+    const char *cut_folder;
     const char *gateway_flag; /* a further flag of each gateway; NULL: none */
 } RoutedGateways_t;
 
@@ -32,6 +35,10 @@
 void
 RoutedGateways_PutRoutes(const RoutedGateways_t *self, const char *routes);
 
+/** Names the cut file of a region to the processes that are started next. */
+void
+RoutedGateways_SetCutFile(const RoutedGateways_t *self, uint32_t region);
+
 /** Kills all processes. */
 void
 RoutedGateways_Kill(RoutedGateways_t *self);
--- /dev/null
+++ b/tests/soak/fault_soak.c
@@ -0,0 +1,115 @@
+/* Plays one seeded soak with real processes; see docs/DEVELOPING.md. Ends with
+ * 0 if no rule was broken, 1 if one was, 2 if the soak was not played. */
+#include "core/random.h"
+#include "soak/callers.h"
+#include "soak/ledger.h"
+#include "soak/soak_fleet.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define EXIT_BROKEN 1
+#define EXIT_NOT_PLAYED 2
+#define STEP_MS 50
+#define CALLERS 24
+
+typedef struct Options {
+    gint64 seed;
+    gint seconds;
+    gchar *programs;
+    gchar *logs;
+} Options_t;
+
+static SoakFleet_t Fleet;
+static volatile sig_atomic_t IsStopped;
+
+static void
+on_signal(int number)
+{
+    (void)number;
+    IsStopped = 1;
+}
+
+static void
+end_all(void)
+{
+    SoakFleet_Stop(&Fleet);
+}
+
+static bool
+read_options(int argc, char **argv, Options_t *options)
+{
+    const GOptionEntry entries[] = {
+        {"seed", 0, 0, G_OPTION_ARG_INT64, &options->seed, "0: a fresh one",
+         "N"},
+        {"seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "Duration",
+         "S"},
+        {"bin", 0, 0, G_OPTION_ARG_FILENAME, &options->programs,
+         "Folder of the daemons", "DIR"},
+        {"logs", 0, 0, G_OPTION_ARG_FILENAME, &options->logs,
+         "Folder of their logs", "DIR"},
+        {NULL},
+    };
+    GOptionContext *context = g_option_context_new(NULL);
+    GError *error = NULL;
+    g_option_context_add_main_entries(context, entries, NULL);
+    bool is_read = g_option_context_parse(context, &argc, &argv, &error);
+    if (!is_read) {
+        (void)fprintf(stderr, "%s\n", error->message);
+        g_error_free(error);
+    }
+    g_option_context_free(context);
+    return is_read;
+}
+
+static bool
+play(const Options_t *options, Ledger_t *ledger)
+{
+    uint64_t seed = (uint64_t)options->seed;
+    if (!SoakFleet_Start(&Fleet, seed, ledger)) {
+        return false;
+    }
+    Callers_t *callers = Callers_Start(&Fleet.gateways, CALLERS, seed, ledger);
+    int64_t until_ms = Harness_NowMs() + options->seconds * (int64_t)1000;
+    while (!IsStopped && Harness_NowMs() < until_ms) {
+        Harness_SleepMs(STEP_MS);
+    }
+    Callers_Stop(callers);
+    return true;
+}
+
+int
+main(int argc, char **argv)
+{
+    Options_t options = {.seconds = 20,
+                         .programs = g_strdup(EY_BINARY_DIR),
+                         .logs = g_strdup(EY_BINARY_DIR)};
+    Ledger_t ledger;
+    if (!read_options(argc, argv, &options)) {
+        return EXIT_NOT_PLAYED;
+    }
+    if (options.seed == 0) {
+        options.seed = (gint64)(EyRandom_SystemSeed() % 1000000000) + 1;
+    }
+    (void)printf("fault-soak --seed %" G_GINT64_FORMAT
+                 " --seconds %d --bin %s --logs %s\n",
+                 options.seed, options.seconds, options.programs,
+                 options.logs);
+    (void)fflush(stdout);
+    (void)signal(SIGINT, on_signal);
+    (void)signal(SIGTERM, on_signal);
+    (void)signal(SIGPIPE, SIG_IGN);
+    (void)atexit(end_all);
+    (void)curl_global_init(CURL_GLOBAL_DEFAULT);
+    Harness_SetFolders(options.programs, options.logs);
+    Ledger_Init(&ledger);
+    bool is_played = play(&options, &ledger);
+    SoakFleet_Stop(&Fleet);
+    bool is_kept = Ledger_Report(&ledger);
+    if (!is_played) {
+        return EXIT_NOT_PLAYED;
+    }
+    return is_kept ? EXIT_SUCCESS : EXIT_BROKEN;
+}
