The soak plays troubles and checks eight rules

Gateways frozen, killed, ended with SIGTERM, regions cut off, the control process killed, servers ended, in overlapping bursts drawn from the seed; route tables set and read back all the while. Checked: ORDER, MIXED, TWICE, REFUSED, HOME, BUDGET, CONFIG, GONE, and processes that end by themselves.

--- a/tests/soak/fault_soak.c
+++ b/tests/soak/fault_soak.c
@@ -3,7 +3,10 @@
 #include "core/random.h"
 #include "soak/callers.h"
 #include "soak/ledger.h"
+#include "soak/rules.h"
 #include "soak/soak_fleet.h"
+#include "soak/soak_operator.h"
+#include "soak/troubles.h"
 
 #include <curl/curl.h>
 #include <signal.h>
@@ -12,7 +15,9 @@
 
 #define EXIT_BROKEN 1
 #define EXIT_NOT_PLAYED 2
-#define STEP_MS 50
+#define STEP_MS 20
+/** No trouble begins in the last seconds. */
+#define CALM_END_MS 6000
 #define CALLERS 24
 
 typedef struct Options {
@@ -20,6 +25,8 @@
     gint seconds;
     gchar *programs;
     gchar *logs;
+    gchar *only;
+    gchar *without;
 } Options_t;
 
 static SoakFleet_t Fleet;
@@ -50,6 +57,11 @@
          "Folder of the daemons", "DIR"},
         {"logs", 0, 0, G_OPTION_ARG_FILENAME, &options->logs,
          "Folder of their logs", "DIR"},
+        {"only", 0, 0, G_OPTION_ARG_STRING, &options->only,
+         "Troubles to play: freeze,kill,term,cut,control-kill,server",
+         "NAMES"},
+        {"without", 0, 0, G_OPTION_ARG_STRING, &options->without,
+         "Troubles to leave out", "NAMES"},
         {NULL},
     };
     GOptionContext *context = g_option_context_new(NULL);
@@ -72,11 +84,21 @@
         return false;
     }
     Callers_t *callers = Callers_Start(&Fleet.gateways, CALLERS, seed, ledger);
+    SoakOperator_t *operator= SoakOperator_Start(&Fleet, seed, ledger);
     int64_t until_ms = Harness_NowMs() + options->seconds * (int64_t)1000;
-    while (!IsStopped && Harness_NowMs() < until_ms) {
+    Troubles_t troubles =
+        Troubles_Make(&Fleet, ledger, seed, options->only, options->without,
+                      until_ms - CALM_END_MS);
+    while (!IsStopped &&
+           (Harness_NowMs() < until_ms || Troubles_AreRunning(&troubles)))
+    {
+        Troubles_Step(&troubles);
         Harness_SleepMs(STEP_MS);
     }
+    Troubles_End(&troubles);
     Callers_Stop(callers);
+    SoakOperator_Stop(operator);
+    Rules_Check(ledger, &Fleet);
     return true;
 }
 
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -10,8 +10,9 @@
 /** Time that a machine must have been undisturbed to be in touch. */
 #define CONTACT_MS 5000
 
-static const char *const RuleNames[RULE_COUNT] = {
-    "ORDER", "MIXED", "TWICE", "REFUSED", "HOME", "BUDGET", "CONFIG", "GONE"};
+static const char *const RuleNames[RULE_COUNT] = {"ORDER",   "MIXED", "TWICE",
+                                                  "REFUSED", "HOME",  "BUDGET",
+                                                  "CONFIG",  "GONE",  "ENDED"};
 
 const RouteInfo_t Soak_routes[ROUTE_COUNT] = {
     [ROUTE_RESUMABLE] = {.name = "resumable",
@@ -64,11 +65,12 @@
 }
 
 void
-Ledger_AddRun(Ledger_t *self, const char *id)
+Ledger_AddRun(Ledger_t *self, const char *id, int64_t lasts_ms)
 {
     SoakRun_t run = {.began_ms = Harness_NowMs()};
     (void)g_strlcpy(run.id, id, sizeof(run.id));
     run.worked_ms = run.began_ms;
+    run.planned_until_ms = run.began_ms + lasts_ms;
     g_mutex_lock(&self->lock);
     g_array_append_val(self->runs, run);
     g_mutex_unlock(&self->lock);
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -18,6 +18,7 @@
     RULE_BUDGET,
     RULE_CONFIG,
     RULE_GONE,
+    RULE_ENDED, /* a process ended by itself, or not when it should */
     RULE_COUNT
 } SoakRule_t;
 
@@ -59,6 +60,7 @@
     char id[LEDGER_ID_SIZE_BYTES];
     int64_t began_ms;
     int64_t worked_ms; /* when it last wrote a part of its answer */
+    int64_t planned_until_ms;
 } SoakRun_t;
 
 /** When a gateway, or all of them, was disturbed. */
@@ -87,8 +89,9 @@
 void
 Ledger_AddCall(Ledger_t *self, const SoakCall_t *call);
 
+/** A server began to run a request; lasts_ms: until its answer's end. */
 void
-Ledger_AddRun(Ledger_t *self, const char *id);
+Ledger_AddRun(Ledger_t *self, const char *id, int64_t lasts_ms);
 
 /** A server wrote a part of the answer to its latest run of a request. */
 void
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -35,6 +35,13 @@
         }
         g_string_append(text, "}");
     }
+    /* Content that only this version has. */
+    g_string_append_printf(
+        text,
+        ",{\"name\":\"marker\",\"host\":\"127.0.0.1\",\"path_prefix\":"
+        "\"/marker-%u/\",\"call_kind\":\"idempotent\",\"timeout_ms\":%d,"
+        "\"service\":\"booking\"}",
+        version, CALLERS_TIMEOUT_MS);
     g_string_append(text, "],\"services\":[{\"name\":\"guide\",\"engine\":{"
                           "\"slots\":6}},{\"name\":\"booking\"}]}");
     return g_string_free(text, FALSE);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -15,6 +15,7 @@
     RoutedGateways_t gateways;
     SoakServers_t *groups[SOAK_SERVER_GROUPS];
     char cut_folder[HARNESS_ARG_SIZE_BYTES];
+    gint lives[SOAK_GATEWAYS]; /* restarts; read and set as atomic */
 } SoakFleet_t;
 
 extern const uint32_t SoakFleet_regions[SOAK_GATEWAYS];
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -67,7 +67,11 @@
                                    sizeof(instance));
     if (is_engine(self)) {
         work.first = (uint32_t)strtoul(last_event, NULL, 10) + 1;
-        work.first = MIN(work.first, work.last);
+    }
+    if (work.first > work.last) {
+        /* All events are there; only the end is missing. */
+        work.plan = (AnswerPlan_t){.framing = FRAMED_CHUNKS};
+        return work;
     }
     /* The same request is answered otherwise at another server. */
     uint64_t mixed = self->seed;
@@ -227,6 +231,19 @@
     BackendConnection_Finish(connection);
 }
 
+static int64_t
+planned_ms(const SoakServers_t *self, const Work_t *work)
+{
+    uint32_t last = breaks_off(&work->plan) || work->plan.end == END_CRASH
+                        ? work->plan.piece
+                        : work->last;
+    int64_t interval_ms =
+        is_engine(self) ? EVENT_INTERVAL_MS : LINE_INTERVAL_MS;
+    int64_t silence_ms =
+        work->plan.end == END_SILENCE ? work->plan.silence_ms : 0;
+    return (last - work->first) * interval_ms + silence_ms;
+}
+
 static void
 begin(const void *context, BackendConnection_t *connection)
 {
@@ -236,14 +253,21 @@
         decline(connection);
         return;
     }
-    Ledger_AddRun(self->ledger, BackendConnection_RequestId(connection));
+    Ledger_AddRun(self->ledger, BackendConnection_RequestId(connection),
+                  planned_ms(self, &work));
     /* Half of the crashes come before the head. */
     if (work.plan.end == END_CRASH && work.plan.sends_beyond) {
         BackendConnection_EndServer(connection, CRASH_DELAY_MIN_MS,
                                     CRASH_DELAY_MAX_MS);
         return;
     }
-    if (send_head(self, connection, &work)) {
+    if (!send_head(self, connection, &work)) {
+        return;
+    }
+    if (work.first > work.last) {
+        finish(connection, &work);
+    }
+    else {
         send_piece(self, connection, &work, work.first);
     }
 }
