--- a/tests/soak/answer_plan.c
+++ b/tests/soak/answer_plan.c
@@ -5,30 +5,50 @@
 #define SILENCE_MIN_MS 1000
 #define SILENCE_SPAN_MS 7000
 
-/** Shares of the ends, in percent; the rest is whole. */
-typedef struct EndShare {
-    AnswerEnd_t end;
-    uint32_t percent;
-    bool is_for_plain; /* else it would be a whole answer there */
-} EndShare_t;
-
-static const EndShare_t Shares[] = {
-    {END_LAST_CHUNK, 7, false}, {END_LENGTH_SHORT, 6, false},
-    {END_LENGTH_LONG, 3, true}, {END_RESET, 5, true},
-    {END_CLOSE, 5, true},       {END_SILENCE, 2, true},
-    {END_CRASH, 1, true},       {END_DECLINE, 4, true},
+/** Usual shares, in permille. */
+static const uint32_t Usual[END_COUNT] = {
+    [END_LAST_CHUNK] = 60, [END_LENGTH_SHORT] = 50, [END_LENGTH_LONG] = 30,
+    [END_RESET] = 50,      [END_CLOSE] = 50,        [END_SILENCE] = 25,
+    [END_CRASH] = 8,       [END_DECLINE] = 40,
 };
+/** What the frequent one gets more; no more than that of crashes, after each
+ * of which a server is down for seconds. */
+#define FREQUENT_PERMILLE 150
+#define FREQUENT_CRASH_PERMILLE 30
+
+EndShares_t
+EndShares_Draw(uint64_t seed)
+{
+    EyRandom_t random = EyRandom_Make(seed);
+    EndShares_t shares = {.permille = {0}};
+    double factor = 0.2 + 1.4 * EyRandom_Unit(&random);
+    for (uint32_t i = 0; i < END_COUNT; i++) {
+        shares.permille[i] = (uint32_t)(factor * Usual[i]);
+    }
+    AnswerEnd_t frequent = (AnswerEnd_t)EyRandom_Below(&random, END_COUNT);
+    shares.permille[frequent] +=
+        frequent == END_CRASH ? FREQUENT_CRASH_PERMILLE : FREQUENT_PERMILLE;
+    shares.permille[END_WHOLE] = 0;
+    return shares;
+}
+
+/** For plain calls some ends would be those of whole answers. */
+static bool
+is_for_plain(AnswerEnd_t end)
+{
+    return end != END_LAST_CHUNK && end != END_LENGTH_SHORT;
+}
 
 static AnswerEnd_t
-draw_end(EyRandom_t *random, bool is_stream)
+draw_end(const EndShares_t *shares, EyRandom_t *random, bool is_stream)
 {
-    uint32_t drawn = (uint32_t)EyRandom_Below(random, 100);
-    for (uint32_t i = 0; i < sizeof(Shares) / sizeof(Shares[0]); i++) {
-        if (drawn < Shares[i].percent) {
-            return is_stream || Shares[i].is_for_plain ? Shares[i].end
-                                                       : END_WHOLE;
+    uint32_t drawn = (uint32_t)EyRandom_Below(random, 1000);
+    for (uint32_t i = 0; i < END_COUNT; i++) {
+        if (drawn < shares->permille[i]) {
+            return is_stream || is_for_plain((AnswerEnd_t)i) ? (AnswerEnd_t)i
+                                                             : END_WHOLE;
         }
-        drawn -= Shares[i].percent;
+        drawn -= shares->permille[i];
     }
     return END_WHOLE;
 }
@@ -52,10 +72,11 @@
 }
 
 AnswerPlan_t
-AnswerPlan_Draw(uint64_t seed, bool is_stream, uint32_t first, uint32_t last)
+AnswerPlan_Draw(const EndShares_t *shares, uint64_t seed, bool is_stream,
+                uint32_t first, uint32_t last)
 {
     EyRandom_t random = EyRandom_Make(seed);
-    AnswerPlan_t plan = {.end = draw_end(&random, is_stream)};
+    AnswerPlan_t plan = {.end = draw_end(shares, &random, is_stream)};
     plan.framing =
         fitting((Framing_t)EyRandom_Below(&random, 3), plan.end, is_stream);
     plan.piece = first + (uint32_t)EyRandom_Below(&random, last - first + 1);
--- a/tests/soak/answer_plan.h
+++ b/tests/soak/answer_plan.h
@@ -30,8 +30,18 @@
     bool sends_beyond; /* the whole body, beyond the declared length */
 } AnswerPlan_t;
 
+/** Shares of the ends in one run, in permille; the rest is whole. */
+typedef struct EndShares {
+    uint32_t permille[END_COUNT];
+} EndShares_t;
+
+/** Few or many ends that aren't whole, with one kind that is frequent. */
+EndShares_t
+EndShares_Draw(uint64_t seed);
+
 /** first and last: numbers of the pieces to answer with. */
 AnswerPlan_t
-AnswerPlan_Draw(uint64_t seed, bool is_stream, uint32_t first, uint32_t last);
+AnswerPlan_Draw(const EndShares_t *shares, uint64_t seed, bool is_stream,
+                uint32_t first, uint32_t last);
 
 #endif
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "soak/exchange_call.h"
+#include "soak/soak_servers.h"
 #include "soak/story.h"
 
 #include <stdio.h>
@@ -220,7 +221,7 @@
 {
     static uint32_t probes;
     SoakCall_t call = {.route = route, .gateway = gateway};
-    const CallPlan_t plan = {.story = "probe", .resumes = ""};
+    const CallPlan_t plan = {.story = SOAK_PROBE, .resumes = ""};
     int socket = -1;
     probes++;
     (void)snprintf(call.id, sizeof(call.id), "p%u", probes);
--- a/tests/soak/fault_soak.c
+++ b/tests/soak/fault_soak.c
@@ -18,11 +18,12 @@
 #define STEP_MS 20
 /** No trouble begins in the last seconds. */
 #define CALM_END_MS 6000
-#define CALLERS 24
+#define CALLERS_DEFAULT 32
 
 typedef struct Options {
     gint64 seed;
     gint seconds;
+    gint callers;
     gchar *programs;
     gchar *logs;
     gchar *only;
@@ -53,6 +54,8 @@
          "N"},
         {"seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds, "Duration",
          "S"},
+        {"callers", 0, 0, G_OPTION_ARG_INT, &options->callers, "At most 64",
+         "N"},
         {"bin", 0, 0, G_OPTION_ARG_FILENAME, &options->programs,
          "Folder of the daemons", "DIR"},
         {"logs", 0, 0, G_OPTION_ARG_FILENAME, &options->logs,
@@ -83,7 +86,8 @@
     if (!SoakFleet_Start(&Fleet, seed, ledger)) {
         return false;
     }
-    Callers_t *callers = Callers_Start(&Fleet.gateways, CALLERS, seed, ledger);
+    Callers_t *callers = Callers_Start(
+        &Fleet.gateways, (uint32_t)options->callers, seed, ledger);
     SoakOperator_t *operator= SoakOperator_Start(&Fleet, seed, ledger);
     int64_t until_ms = Harness_NowMs() + options->seconds * (int64_t)1000;
     Troubles_t troubles =
@@ -106,6 +110,7 @@
 main(int argc, char **argv)
 {
     Options_t options = {.seconds = 20,
+                         .callers = CALLERS_DEFAULT,
                          .programs = g_strdup(EY_BINARY_DIR),
                          .logs = g_strdup(EY_BINARY_DIR)};
     Ledger_t ledger;
@@ -116,9 +121,9 @@
         options.seed = (gint64)(EyRandom_SystemSeed() % 1000000000) + 1;
     }
     (void)printf("fault-soak --seed %" G_GINT64_FORMAT
-                 " --seconds %d --bin %s --logs %s\n",
-                 options.seed, options.seconds, options.programs,
-                 options.logs);
+                 " --seconds %d --callers %d --bin %s --logs %s\n",
+                 options.seed, options.seconds, options.callers,
+                 options.programs, options.logs);
     (void)fflush(stdout);
     (void)signal(SIGINT, on_signal);
     (void)signal(SIGTERM, on_signal);
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -23,6 +23,7 @@
     char *version; /* "": plain services */
     char *fields;
     uint64_t seed;
+    EndShares_t shares;
     Ledger_t *ledger;
     BackendKind_t kind;
     Backends_t *servers;
@@ -68,8 +69,8 @@
     if (is_engine(self)) {
         work.first = (uint32_t)strtoul(last_event, NULL, 10) + 1;
     }
-    if (work.first > work.last) {
-        /* All events are there; only the end is missing. */
+    /* The caller may have all events and lack only the end. */
+    if (strcmp(work.story, SOAK_PROBE) == 0 || work.first > work.last) {
         work.plan = (AnswerPlan_t){.framing = FRAMED_CHUNKS};
         return work;
     }
@@ -78,7 +79,8 @@
     mixed = mixed * 31 + g_str_hash(BackendConnection_RequestId(connection));
     mixed = mixed * 31 + g_str_hash(instance);
     mixed = mixed * 31 + work.first;
-    work.plan = AnswerPlan_Draw(mixed, is_engine(self), work.first, work.last);
+    work.plan = AnswerPlan_Draw(&self->shares, mixed, is_engine(self),
+                                work.first, work.last);
     return work;
 }
 
@@ -313,6 +315,7 @@
     self->version = g_strdup(version);
     self->fields = make_fields(self, service);
     self->seed = seed;
+    self->shares = EndShares_Draw(seed);
     self->ledger = ledger;
     self->kind = (BackendKind_t){
         .name = self->name,
--- a/tests/soak/soak_servers.h
+++ b/tests/soak/soak_servers.h
@@ -6,6 +6,9 @@
 #include "process/backend_servers.h"
 #include "soak/ledger.h"
 
+/** A story that is always told whole. */
+#define SOAK_PROBE "probe"
+
 typedef struct SoakServers SoakServers_t;
 
 /** Starts one server for each site. version "": plain services, else engines
