The soak checks which route tables are in force by calls of their routes

A read is answered with what the control process has; each table now has routes of its own, called at every gateway: one that must be in force is served, one that was served stays, one that was dropped is not served.

--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -11,6 +11,20 @@
 
 static const char *const GroupVersions[SOAK_SERVER_GROUPS] = {"v1", "v2", ""};
 
+/** Routes of the newest versions up to this one. */
+static void
+append_markers(GString *text, uint32_t version)
+{
+    for (uint32_t i = version; i > 0 && i + SOAK_MARKERS > version; i--) {
+        g_string_append_printf(
+            text,
+            ",{\"name\":\"marker-%u\",\"host\":\"127.0.0.1\",\"path_prefix\":"
+            "\"/marker-%u/\",\"call_kind\":\"idempotent\",\"timeout_ms\":%d,"
+            "\"service\":\"booking\",\"attempts_max\":3}",
+            i, i, CALLERS_TIMEOUT_MS);
+    }
+}
+
 char *
 SoakFleet_RouteTable(uint32_t version)
 {
@@ -35,13 +49,7 @@
         }
         g_string_append(text, "}");
     }
-    /* Content that only this version has. */
-    g_string_append_printf(
-        text,
-        ",{\"name\":\"marker\",\"host\":\"127.0.0.1\",\"path_prefix\":"
-        "\"/marker-%u/\",\"call_kind\":\"idempotent\",\"timeout_ms\":%d,"
-        "\"service\":\"booking\"}",
-        version, CALLERS_TIMEOUT_MS);
+    append_markers(text, version);
     g_string_append(text, "],\"services\":[{\"name\":\"guide\",\"engine\":{"
                           "\"slots\":6}},{\"name\":\"booking\"}]}");
     return g_string_free(text, FALSE);
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -10,6 +10,9 @@
 /** Engines of the first version, of the second one, services. */
 #define SOAK_SERVER_GROUPS 3
 #define SOAK_SERVERS_EACH 6
+/** Each table has a route marker-V of its own version V and of those before
+ * it, so many in all. */
+#define SOAK_MARKERS 6
 
 typedef struct SoakFleet {
     RoutedGateways_t gateways;
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -8,7 +8,7 @@
 #define CHANGE_TIMEOUT_MS 2500
 #define READ_TIMEOUT_MS 300
 #define PAUSE_MIN_MS 100
-#define PAUSE_SPAN_MS 600
+#define PAUSE_SPAN_MS 300
 /** A version that was acknowledged is in force everywhere after this. */
 #define APPLY_MS 3000
 
@@ -26,8 +26,11 @@
     uint32_t version; /* sent last */
     GArray *acknowledged;
     uint32_t read[SOAK_GATEWAYS]; /* newest that was read in this life */
+    uint32_t seen[SOAK_GATEWAYS]; /* newest whose route served a call */
     gint lives[SOAK_GATEWAYS];
     uint32_t reads;
+    uint32_t marker_calls;
+    uint32_t marker_answers;
 };
 
 static void
@@ -99,6 +102,7 @@
     if (life != self->lives[gateway]) {
         self->lives[gateway] = life;
         self->read[gateway] = 0;
+        self->seen[gateway] = 0;
     }
     int64_t sent_ms = Harness_NowMs();
     Reply_t reply =
@@ -116,6 +120,80 @@
     Reply_Clear(&reply);
 }
 
+/** Calls the route of a version; the status, or 0 if the process has ended
+ * meanwhile. */
+static long
+call_marker(SoakOperator_t *self, uint32_t gateway, uint32_t version)
+{
+    char id[64];
+    char path[64];
+    const char *const headers[] = {id, "Deadline-Ms: 300", NULL};
+    self->marker_calls++;
+    (void)snprintf(id, sizeof(id), "Attempt-Id: m%u", self->marker_calls);
+    (void)snprintf(path, sizeof(path), "/marker-%u/", version);
+    Reply_t reply =
+        Http_Call(self->fleet->gateways.routed_ports[gateway], "PUT", path,
+                  headers, SOAK_PROBE, READ_TIMEOUT_MS);
+    long status = reply.status;
+    Reply_Clear(&reply);
+    bool lives_on =
+        g_atomic_int_get(&self->fleet->lives[gateway]) == self->lives[gateway];
+    self->marker_answers += lives_on && status != 0;
+    return lives_on ? status : 0;
+}
+
+/** Checks that the route of a version that must be in force is served. */
+static void
+check_added(SoakOperator_t *self, uint32_t gateway)
+{
+    int64_t sent_ms = Harness_NowMs();
+    uint32_t version = oldest_allowed(self, sent_ms);
+    if (version == 0 || version + SOAK_MARKERS <= self->version) {
+        return;
+    }
+    if (call_marker(self, gateway, version) == 404 &&
+        Ledger_IsInTouch(self->ledger, gateway, sent_ms, Harness_NowMs()))
+    {
+        Ledger_Break(self->ledger, RULE_CONFIG,
+                     "gateway %u does not serve version %u", gateway, version);
+    }
+}
+
+/** Checks that a version that was in force once in this life still is. */
+static void
+check_kept(SoakOperator_t *self, uint32_t gateway)
+{
+    uint32_t seen = self->seen[gateway];
+    if (seen > 0 && seen + SOAK_MARKERS > self->version &&
+        call_marker(self, gateway, seen) == 404)
+    {
+        Ledger_Break(self->ledger, RULE_CONFIG,
+                     "gateway %u served version %u and does not now", gateway,
+                     seen);
+    }
+    if (call_marker(self, gateway, self->version) == 200) {
+        self->seen[gateway] = self->version;
+    }
+}
+
+/** Checks that a route that must have been dropped isn't served. */
+static void
+check_dropped(SoakOperator_t *self, uint32_t gateway)
+{
+    int64_t sent_ms = Harness_NowMs();
+    uint32_t version = oldest_allowed(self, sent_ms);
+    if (version <= SOAK_MARKERS) {
+        return;
+    }
+    if (call_marker(self, gateway, version - SOAK_MARKERS) == 200 &&
+        Ledger_IsInTouch(self->ledger, gateway, sent_ms, Harness_NowMs()))
+    {
+        Ledger_Break(self->ledger, RULE_CONFIG,
+                     "gateway %u serves a route that version %u dropped",
+                     gateway, version);
+    }
+}
+
 static void *
 run_operator(void *data)
 {
@@ -124,6 +202,9 @@
         change(self);
         for (uint32_t i = 0; i < SOAK_GATEWAYS; i++) {
             read_back(self, i);
+            check_added(self, i);
+            check_kept(self, i);
+            check_dropped(self, i);
         }
         Harness_SleepMs(PAUSE_MIN_MS +
                         (int64_t)EyRandom_Below(&self->random, PAUSE_SPAN_MS));
@@ -149,8 +230,10 @@
 {
     g_atomic_int_set(&self->stops, 1);
     (void)g_thread_join(self->thread);
-    (void)printf("route tables: %u sent, %u acknowledged, %u reads\n",
-                 self->version, self->acknowledged->len, self->reads);
+    (void)printf("route tables: %u sent, %u acknowledged, %u reads, %u of %u "
+                 "calls of their routes answered\n",
+                 self->version, self->acknowledged->len, self->reads,
+                 self->marker_answers, self->marker_calls);
     g_array_unref(self->acknowledged);
     g_free(self);
 }
