--- a/tests/process/harness.c
+++ b/tests/process/harness.c
@@ -249,8 +249,7 @@
     Reply_t *reply = user_data;
     size_t size_bytes = item_size * count;
     reply->body =
-        realloc(reply->body, reply->body_size_bytes + size_bytes + 1);
-    cr_assert_not_null(reply->body);
+        g_realloc(reply->body, reply->body_size_bytes + size_bytes + 1);
     memcpy(reply->body + reply->body_size_bytes, data, size_bytes);
     reply->body_size_bytes += size_bytes;
     reply->body[reply->body_size_bytes] = '\0';
@@ -333,7 +332,7 @@
 void
 Reply_Clear(Reply_t *self)
 {
-    free(self->body);
+    g_free(self->body);
     self->body = NULL;
 }
 
--- a/tests/soak/check_stand_in.c
+++ b/tests/soak/check_stand_in.c
@@ -1,5 +1,6 @@
 /* The assertions of tests/process, which this program shares, end it. */
 #include <criterion/criterion.h>
+#include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -15,10 +16,10 @@
     }
     va_list values;
     va_start(values, format);
-    (void)fprintf(stderr, "%s:%d: %s: ", file, line, text);
-    (void)vfprintf(stderr, format, values);
-    (void)fprintf(stderr, "\n");
+    char *message = g_strdup_vprintf(format, values);
     va_end(values);
+    (void)fprintf(stderr, "%s:%d: %s: %s\n", file, line, text, message);
+    g_free(message);
     if (is_fatal) {
         exit(EXIT_NOT_RUN);
     }
