--- a/tests/soak/fault_soak.c
+++ b/tests/soak/fault_soak.c
@@ -112,37 +112,56 @@
     return true;
 }
 
-int
-main(int argc, char **argv)
+/** Plays the soak, prints what was broken and returns the exit code. */
+static int
+run(const Options_t *options)
 {
-    Options_t options = {.seconds = 20,
-                         .callers = CALLERS_DEFAULT,
-                         .programs = g_strdup(EY_BINARY_DIR),
-                         .logs = g_strdup(EY_BINARY_DIR)};
     Ledger_t ledger;
-    if (!read_options(argc, argv, &options)) {
+    Ledger_Init(&ledger);
+    bool is_played = play(options, &ledger);
+    SoakFleet_Stop(&Fleet);
+    bool is_kept = Ledger_Report(&ledger);
+    Ledger_Clear(&ledger);
+    if (!is_played) {
         return EXIT_NOT_PLAYED;
     }
-    if (options.seed == 0) {
-        options.seed = (gint64)(EyRandom_SystemSeed() % 1000000000) + 1;
-    }
+    return is_kept ? EXIT_SUCCESS : EXIT_BROKEN;
+}
+
+static void
+prepare(const Options_t *options)
+{
+    const char *programs =
+        options->programs != NULL ? options->programs : EY_BINARY_DIR;
+    const char *logs = options->logs != NULL ? options->logs : EY_BINARY_DIR;
     (void)printf("fault-soak --seed %" G_GINT64_FORMAT
                  " --seconds %d --callers %d --bin %s --logs %s\n",
-                 options.seed, options.seconds, options.callers,
-                 options.programs, options.logs);
+                 options->seed, options->seconds, options->callers, programs,
+                 logs);
     (void)fflush(stdout);
     (void)signal(SIGINT, on_signal);
     (void)signal(SIGTERM, on_signal);
     (void)signal(SIGPIPE, SIG_IGN);
     (void)atexit(end_all);
     (void)curl_global_init(CURL_GLOBAL_DEFAULT);
-    Harness_SetFolders(options.programs, options.logs);
-    Ledger_Init(&ledger);
-    bool is_played = play(&options, &ledger);
-    SoakFleet_Stop(&Fleet);
-    bool is_kept = Ledger_Report(&ledger);
-    if (!is_played) {
+    Harness_SetFolders(programs, logs);
+}
+
+int
+main(int argc, char **argv)
+{
+    Options_t options = {.seconds = 20, .callers = CALLERS_DEFAULT};
+    if (!read_options(argc, argv, &options)) {
         return EXIT_NOT_PLAYED;
     }
-    return is_kept ? EXIT_SUCCESS : EXIT_BROKEN;
+    if (options.seed == 0) {
+        options.seed = (gint64)(EyRandom_SystemSeed() % 1000000000) + 1;
+    }
+    prepare(&options);
+    int code = run(&options);
+    g_free(options.programs);
+    g_free(options.logs);
+    g_free(options.only);
+    g_free(options.without);
+    return code;
 }
