--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -31,6 +31,11 @@
 void
 SoakFleet_Stop(SoakFleet_t *self);
 
+/** True if a server of a region may run calls of the bound route by the table
+ * with a version: of the first region always, of the second one in some. */
+bool
+SoakFleet_IsHome(uint32_t version, uint32_t region);
+
 /** The route table with a version; the caller frees it. */
 char *
 SoakFleet_RouteTable(uint32_t version);
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -15,4 +15,13 @@
 void
 SoakOperator_Stop(SoakOperator_t *self);
 
+/** True if a version that may have been in force allows a call of the bound
+ * route to run in a region. */
+bool
+SoakOperator_MayBeHome(const SoakOperator_t *self, uint32_t region,
+                       int64_t sent_ms, int64_t arrived_ms);
+
+void
+SoakOperator_Free(SoakOperator_t *self);
+
 #endif
