Test: a queued call is sent under the newest route table

The case that left unplayed: a call waits for a slot in zagreb, a table binds its route to istra, the slot becomes free 3.3 s after the acknowledgement.

--- a/tests/process/test_bound_calls.c
+++ b/tests/process/test_bound_calls.c
@@ -16,6 +16,9 @@
 /** Longer: a retry after it is made under the new table. */
 #define SLOW_CALL "at=bound-istra,delay=3500,status=503"
 #define CALLS 8
+/** Holds a slot for longer than APPLY_MS. */
+#define LONG_CALL "delay=3600"
+#define LONGER_CALL "delay=5000"
 /** Time until calls have reached a server, or a cut is in force. */
 #define SENT_MS 300
 
@@ -35,6 +38,7 @@
 static RoutedGateways_t Fleet;
 /** Of the region of the gateway with that number; none in dalmacija. */
 static Process_t Servers[DALMACIJA];
+static uint32_t SlotCount;
 static char CutFile[HARNESS_ARG_SIZE_BYTES + 16];
 
 static void
@@ -65,6 +69,7 @@
     Process_Arg(server, "--region=%s", region);
     Process_Arg(server, "--zone=%s", RoutedGateways_zones[Regions[gateway]]);
     Process_Arg(server, "--services=catalogue");
+    Process_Arg(server, "--slots=%u", SlotCount);
     Process_Start(server);
 }
 
@@ -104,8 +109,9 @@
 
 /** The data may be anywhere first. */
 static void
-start_all(void)
+start_all(uint32_t slots)
 {
+    SlotCount = slots;
     Fleet.gateway_flag = "--retry-slack=64";
     RoutedGateways_Start(&Fleet, "boundcalls", Regions, GATEWAYS, "native");
     RoutedGateways_PutRoutes(&Fleet, TABLE("3", ""));
@@ -130,7 +136,7 @@
 
 Test(bound_calls, a_retry_under_a_newer_table_stays_inside_its_regions)
 {
-    start_all();
+    start_all(CALLS);
     Harness_SleepMs(EY_RETRY_FLEET_SETTLE_MS);
     gchar *bodies[CALLS];
     GThread *threads[CALLS];
@@ -148,6 +154,49 @@
     cr_expect_eq(outside, 0, "%u of %u calls ran in zagreb", outside, CALLS);
 }
 
+static gpointer
+call_zagreb_long(gpointer body)
+{
+    (void)call(ZAGREB, LONG_CALL, body);
+    return NULL;
+}
+
+static gpointer
+call_istra_long(gpointer body)
+{
+    (void)call(ISTRA, LONGER_CALL, body);
+    return NULL;
+}
+
+static gpointer
+call_zagreb(gpointer body)
+{
+    (void)call(ZAGREB, "", body);
+    return NULL;
+}
+
+Test(bound_calls, a_queued_call_is_sent_under_the_newest_table)
+{
+    static const GThreadFunc Callers[] = {call_zagreb_long, call_istra_long,
+                                          call_zagreb};
+    gchar *bodies[G_N_ELEMENTS(Callers)];
+    GThread *threads[G_N_ELEMENTS(Callers)];
+    start_all(1);
+    for (size_t i = 0; i < G_N_ELEMENTS(Callers); i++) {
+        threads[i] = g_thread_new("call", Callers[i], &bodies[i]);
+        Harness_SleepMs(SENT_MS);
+    }
+    bind_to_istra();
+    for (size_t i = 0; i < G_N_ELEMENTS(Callers); i++) {
+        (void)g_thread_join(threads[i]);
+    }
+    const char *queued = bodies[G_N_ELEMENTS(Callers) - 1];
+    cr_expect_null(strstr(queued, Servers[ZAGREB].name), "%s", queued);
+    for (size_t i = 0; i < G_N_ELEMENTS(Callers); i++) {
+        g_free(bodies[i]);
+    }
+}
+
 /** Restarts a gateway as one that takes no messages of the control process
  * while the cut file names it. */
 static void
@@ -165,7 +214,7 @@
 
 Test(bound_calls, no_region_runs_what_an_older_table_sent_it)
 {
-    start_all();
+    start_all(CALLS);
     make_cuttable(DALMACIJA);
     await_servers();
     cr_assert(g_file_set_contents(CutFile, Fleet.control.name, -1, NULL));
