Callers of a gateway that can't connect to its servers are served

Cause: failed connects were the servers' fault for the gateway. It knew only the way to other regions.

While reach says that the own way is broken, requests go to another gateway of the region before a connect is tried, by the exchange that is used between regions. The receiver tells such a request by its own region as the only visited one; it serves or refuses it and passes it on to nobody; an older one refuses it as a loop, not run. A request crosses regions once at most as before, homes are checked as before. Two neighbours are tried at most; with no other way it is refused at once. One request in two seconds tries the own way. Connects that fail meanwhile are no strike, ejection or suspicion against servers, and those that led to the verdict are taken back. A request whose connects all failed goes to a neighbour too before there is a verdict.

Test hook: EBONYYARD_TEST_UNREACHABLE_FILE lists servers that the process can't connect to.

--- a/src/backends/client.c
+++ b/src/backends/client.c
@@ -1,5 +1,6 @@
 #include "backends/client.h"
 
+#include "backends/test_unreachable.h"
 #include "backends/transfer.h"
 #include "core/clock.h"
 #include "core/log.h"
@@ -442,6 +443,33 @@
     return 0;
 }
 
+static void
+on_unreachable(void *data, int64_t now_ms)
+{
+    (void)now_ms;
+    EyTransfer_t *transfer = data;
+    transfer->idle = NULL;
+    schedule_end(transfer, EY_FAILURE_CONNECT);
+}
+
+/** True if a test simulates that the server can't be reached. */
+static bool
+simulate_unreachable(EyClient_t *self, EyTransfer_t *transfer)
+{
+    const EyAttempt_t *attempt = transfer->attempt;
+    if (EyTestUnreachable_Lists("refuse", attempt->address)) {
+        schedule_end(transfer, EY_FAILURE_CONNECT);
+        return true;
+    }
+    if (EyTestUnreachable_Lists("hang", attempt->address)) {
+        transfer->idle =
+            EyTimers_After(self->timers, attempt->connect_timeout_ms,
+                           on_unreachable, transfer);
+        return true;
+    }
+    return false;
+}
+
 /** Starts a transfer's timers and passes it to libcurl. */
 static void
 start_transfer(EyClient_t *self, EyTransfer_t *transfer)
@@ -454,6 +482,9 @@
         schedule_end(transfer, EY_FAILURE_CONNECT);
         return;
     }
+    if (simulate_unreachable(self, transfer)) {
+        return;
+    }
     transfer->last_activity_ms = EyClock_NowMs();
     if (attempt->deadline_ms > 0) {
         transfer->deadline = EyTimers_After(
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -643,6 +643,8 @@
         .hides_start = !EyExchange_StreamsEvents(active->exchange),
         .is_end_inferred = event->is_end_inferred,
         .is_connect_refused = event->is_connect_refused,
+        .is_connect_failed =
+            event->failure == EY_FAILURE_CONNECT && event->nothing_sent,
     };
     const EyAnswer_t *answer = event->answer;
     if (result.kind == EY_RESULT_OK && answer != NULL &&
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -176,6 +176,7 @@
     const EyForwardTargets_t *targets;
     Comparison_t is_better;
     const char *region;
+    const char *own_id; /* of a search in the own region */
     const EyMember_t *found;
 } Search_t;
 
@@ -219,10 +220,34 @@
     return gateway->id;
 }
 
+static void
+search_neighbour(void *data, const EyMember_t *member)
+{
+    Search_t *search = data;
+    if (strcmp(member->id, search->own_id) != 0) {
+        search_contact(data, member);
+    }
+}
+
+/** The best other live gateway of the own region, or NULL. */
+static const char *
+find_neighbour(EyGateway_t *self)
+{
+    Search_t search = {.targets = self->forward_targets,
+                       .is_better = EyForwardTargets_IsBetter,
+                       .region = self->node->settings->region,
+                       .own_id = self->node->settings->id};
+    EyMembership_Each(EyCluster_Membership(self->node->cluster),
+                      search_neighbour, &search);
+    return search.found != NULL ? search.found->id : NULL;
+}
+
 const char *
 EyGateway_FindForwardTarget(EyGateway_t *self, const char *region)
 {
-    return find_remote_gateway(self, region, EyForwardTargets_IsBetter);
+    return strcmp(region, self->node->settings->region) == 0
+               ? find_neighbour(self)
+               : find_remote_gateway(self, region, EyForwardTargets_IsBetter);
 }
 
 const char *
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -54,7 +54,9 @@
     bool is_allowed =
         EyResidencyPolicy_Check(gateway->residency_policy, request,
                                 action->to) == EY_RESIDENCY_ALLOW;
-    active->tried_remote = true;
+    bool is_own_region =
+        strcmp(action->to, gateway->node->settings->region) == 0;
+    active->tried_remote = active->tried_remote || !is_own_region;
     if (remote_gateway == NULL || !is_allowed) {
         EyActiveRequest_FailUnsent(active, action->attempt);
         return;
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -254,6 +254,24 @@
     return request;
 }
 
+/** True if the request comes from one other region and may be in this one, or
+ * from another gateway of this region and has been in no other. An older
+ * gateway refuses the latter as a loop, without running it. */
+static bool
+is_allowed(const EyGateway_t *self, const EyRequest_t *incoming)
+{
+    const char *own_region = self->node->settings->region;
+    if (incoming->visited_count != 1) {
+        return false;
+    }
+    EyRequest_t checked = *incoming;
+    if (strcmp(incoming->visited[0], own_region) == 0) {
+        checked.visited_count = 0;
+    }
+    return EyResidencyPolicy_Check(self->residency_policy, &checked,
+                                   own_region) == EY_RESIDENCY_ALLOW;
+}
+
 static void
 handle_request(EyGateway_t *self, const char *from,
                const EyForwardMessage_t *forward, int64_t late_ms)
@@ -268,11 +286,7 @@
                "the request was on its way between instances for too long");
         return;
     }
-    bool is_allowed = incoming->visited_count == 1 &&
-                      EyResidencyPolicy_Check(self->residency_policy, incoming,
-                                              self->node->settings->region) ==
-                          EY_RESIDENCY_ALLOW;
-    if (!is_allowed) {
+    if (!is_allowed(self, incoming)) {
         refuse(self, from, forward->attempt, EY_PROBLEM_WRONG_REGION, NULL);
         return;
     }
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -155,6 +155,7 @@
                                 be distinguished from that of its connection */
     bool is_connect_refused; /* nothing was sent: the server's port refused the
                                 connection */
+    bool is_connect_failed;  /* nothing was sent: no connection to the server */
 } EyRoutingResult_t;
 
 /** The summary of one target that a region sends to the others. */
--- a/src/routing/outlier.c
+++ b/src/routing/outlier.c
@@ -36,6 +36,19 @@
     self->slow_start_from_ms = self->ejected_until_ms;
 }
 
+void
+EyOutlier_Forgive(EyOutlier_t *self)
+{
+    bool is_slow_by_ejection =
+        self->ejected_until_ms != 0 &&
+        self->slow_start_from_ms == self->ejected_until_ms;
+    EyOutlier_Success(self);
+    self->ejected_until_ms = 0;
+    if (is_slow_by_ejection) {
+        self->slow_start_from_ms = 0;
+    }
+}
+
 bool
 EyOutlier_IsEjected(const EyOutlier_t *self, int64_t now_ms)
 {
--- a/src/routing/outlier.h
+++ b/src/routing/outlier.h
@@ -40,6 +40,10 @@
 void
 EyOutlier_Eject(EyOutlier_t *self, int64_t now_ms);
 
+/** The failures weren't the server's: takes them and their ejections back. */
+void
+EyOutlier_Forgive(EyOutlier_t *self);
+
 bool
 EyOutlier_IsEjected(const EyOutlier_t *self, int64_t now_ms);
 
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -63,6 +63,7 @@
     self->retries = EyRetryBudgets_New(self);
     self->pauses = EyServerPauses_New(self);
     self->limits = EyServerLimits_New(self);
+    self->reach = EyReach_New(self);
     self->cold_limiters = EyColdLimiters_New(self);
     ey_router_open_engine_updates(self);
     ey_router_open_suspects(self);
@@ -131,8 +132,8 @@
 
 /* Decisions */
 
-static EyRoutingDecision_t
-count_decision(EyRouter_t *self, EyRoutingDecision_t decision)
+EyRoutingDecision_t
+ey_router_count_decision(EyRouter_t *self, EyRoutingDecision_t decision)
 {
     self->stats.decisions[decision.kind]++;
     if (decision.kind == EY_DECISION_REFUSE) {
@@ -155,12 +156,13 @@
         after_ms = after_max_ms;
     }
     after_ms *= 1.0 + RETRY_AFTER_JITTER * EyRandom_Unit(&self->state.random);
-    return count_decision(self, (EyRoutingDecision_t){
-                                    .number = number,
-                                    .kind = EY_DECISION_REFUSE,
-                                    .reason = reason,
-                                    .retry_after_ms = (uint32_t)after_ms,
-                                });
+    return ey_router_count_decision(self,
+                                    (EyRoutingDecision_t){
+                                        .number = number,
+                                        .kind = EY_DECISION_REFUSE,
+                                        .reason = reason,
+                                        .retry_after_ms = (uint32_t)after_ms,
+                                    });
 }
 
 static EyRoutingDecision_t
@@ -173,9 +175,9 @@
     return decision;
 }
 
-static EyTrackedRequest_t *
-track_request(EyRouter_t *self, int64_t now_ms,
-              const EyRoutingRequest_t *request)
+EyTrackedRequest_t *
+ey_router_track_request(EyRouter_t *self, int64_t now_ms,
+                        const EyRoutingRequest_t *request)
 {
     EyTrackedRequest_t *tracked = EY_NEW(NULL, EyTrackedRequest_t);
     tracked->in_flight = (EyInFlight_t){
@@ -195,7 +197,8 @@
 dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
          const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
-    EyTrackedRequest_t *tracked = track_request(self, now_ms, request);
+    EyTrackedRequest_t *tracked =
+        ey_router_track_request(self, now_ms, request);
     tracked->in_flight.pool = pool;
     tracked->in_flight.slowdown = plan->slowdown;
     tracked->in_flight.prefill_tokens = plan->prefill_tokens;
@@ -224,7 +227,7 @@
     if (plan->cache_source != NULL) {
         (void)EY_COPY(decision.cache_source, plan->cache_source);
     }
-    return count_decision(self, decision);
+    return ey_router_count_decision(self, decision);
 }
 
 /* Forwards the request to a remote region, if that is allowed and one is
@@ -250,7 +253,8 @@
     if (region == NULL) {
         return false;
     }
-    EyTrackedRequest_t *tracked = track_request(self, now_ms, request);
+    EyTrackedRequest_t *tracked =
+        ey_router_track_request(self, now_ms, request);
     (void)EY_COPY(tracked->region, region);
     self->stats.forwarded_bytes +=
         EyRemoteRegions_LinkBytes(request, &self->config);
@@ -259,14 +263,14 @@
         .kind = EY_DECISION_FORWARD,
     };
     (void)EY_COPY(decision->region, region);
-    (void)count_decision(self, *decision);
+    (void)ey_router_count_decision(self, *decision);
     return true;
 }
 
-static EyRoutingDecision_t
-forward_or_refuse(EyRouter_t *self, int64_t now_ms,
-                  const EyRoutingRequest_t *request, EyRefusal_t reason,
-                  double after_ms)
+EyRoutingDecision_t
+ey_router_forward_or_refuse(EyRouter_t *self, int64_t now_ms,
+                            const EyRoutingRequest_t *request,
+                            EyRefusal_t reason, double after_ms)
 {
     EyRoutingDecision_t decision;
     if (try_forward(self, now_ms, request, INFINITY, &decision)) {
@@ -284,11 +288,17 @@
                                   const EyPlan_t *plan)
 {
     if (plan->pause_left_ms > 0) {
-        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_PAUSED,
-                                 (double)plan->pause_left_ms);
+        return ey_router_forward_or_refuse(self, now_ms, request,
+                                           EY_REFUSAL_PAUSED,
+                                           (double)plan->pause_left_ms);
     }
-    return forward_or_refuse(self, now_ms, request, EY_REFUSAL_NO_BACKEND,
-                             NO_BACKEND_RETRY_AFTER_MS);
+    EyRoutingDecision_t decision;
+    if (ey_router_try_neighbour_for_unsent(self, now_ms, request, &decision)) {
+        return decision;
+    }
+    return ey_router_forward_or_refuse(self, now_ms, request,
+                                       EY_REFUSAL_NO_BACKEND,
+                                       NO_BACKEND_RETRY_AFTER_MS);
 }
 
 static EyRoutingDecision_t
@@ -303,10 +313,10 @@
     g_hash_table_insert(self->waiting,
                         g_memdup2(&request->number, sizeof(request->number)),
                         position);
-    return count_decision(self, (EyRoutingDecision_t){
-                                    .number = request->number,
-                                    .kind = EY_DECISION_QUEUED,
-                                });
+    return ey_router_count_decision(self, (EyRoutingDecision_t){
+                                              .number = request->number,
+                                              .kind = EY_DECISION_QUEUED,
+                                          });
 }
 
 /* True if queued requests with later deadlines can still meet them. */
@@ -371,6 +381,10 @@
 static EyRoutingDecision_t
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
+    EyRoutingDecision_t other_way;
+    if (ey_router_takes_other_way(self, now_ms, request, &other_way)) {
+        return other_way;
+    }
     EyPool_t *pool = EyRouter_FindPool(self, request->kind, request->target);
     EyPlan_t plan = {.has_replica = false};
     if (pool != NULL) {
@@ -404,14 +418,14 @@
     }
     double drain_ms = pool->queue->work / plan.work_per_ms;
     if (!keeps_queued_deadlines(self, now_ms, pool, request, &plan)) {
-        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_OVERLOADED,
-                                 drain_ms / 2.0);
+        return ey_router_forward_or_refuse(
+            self, now_ms, request, EY_REFUSAL_OVERLOADED, drain_ms / 2.0);
     }
     if (!dispatches_now &&
         EyAdmissionQueue_Length(pool->queue) >= self->config.queue_max)
     {
-        return forward_or_refuse(self, now_ms, request, EY_REFUSAL_QUEUE_FULL,
-                                 drain_ms / 2.0);
+        return ey_router_forward_or_refuse(
+            self, now_ms, request, EY_REFUSAL_QUEUE_FULL, drain_ms / 2.0);
     }
     EyUrgency_Add(&pool->urgency, now_ms, request->deadline_ms - now_ms,
                   EyRoutingRequest_Work(request));
@@ -478,7 +492,7 @@
         return refuse_suspect(self, request->number, suspicion, &result);
     }
     if (reason == EY_REFUSAL_WRONG_REGION && request->may_forward_to_allowed) {
-        return forward_or_refuse(self, now_ms, request, reason, 0.0);
+        return ey_router_forward_or_refuse(self, now_ms, request, reason, 0.0);
     }
     if (reason != EY_REFUSAL_NONE) {
         return refuse(self, request->number, reason, 0.0);
@@ -536,8 +550,9 @@
     if (!plan->has_replica) {
         return forward_or_refuse_without_replica(self, now_ms, request, plan);
     }
-    return forward_or_refuse(self, now_ms, request, EY_REFUSAL_DEADLINE,
-                             pool->queue->work / plan->work_per_ms);
+    return ey_router_forward_or_refuse(self, now_ms, request,
+                                       EY_REFUSAL_DEADLINE,
+                                       pool->queue->work / plan->work_per_ms);
 }
 
 /* Decides a queued request; false if it stays queued. */
@@ -554,6 +569,9 @@
             refuse_suspect(self, waiting->request->number, suspicion, &result);
         return true;
     }
+    if (ey_router_takes_other_way(self, now_ms, waiting->request, decision)) {
+        return true;
+    }
     EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
     EyPlan_t plan = EyPool_Plan(pool, &inputs, waiting->request, waiting->work,
                                 work_ahead);
@@ -667,6 +685,7 @@
     EyTrackedRequest_t *tracked = g_hash_table_lookup(self->tracked, &number);
     if (tracked != NULL) {
         ey_router_track_answer(self, now_ms, tracked);
+        ey_router_note_reached(self, now_ms, tracked);
     }
     if (tracked != NULL && tracked->in_flight.replica != NULL) {
         EyReplica_AnswerStarted(tracked->in_flight.replica, now_ms,
@@ -713,12 +732,14 @@
         return false;
     }
     EyPool_t *pool = tracked->in_flight.pool;
-    ey_router_judge_answer(self, now_ms, tracked, result);
+    const EyRoutingResult_t judged =
+        ey_router_judge_reach(self, now_ms, tracked, result);
+    ey_router_judge_answer(self, now_ms, tracked, &judged);
     if (tracked->region[0] != '\0') {
         EyRemoteRegions_Finished(self->remote_regions, tracked->region,
                                  tracked->kind, tracked->target);
     }
-    finish_request(self, now_ms, tracked, result);
+    finish_request(self, now_ms, tracked, &judged);
     g_hash_table_remove(self->tracked, &number);
     if (pool != NULL) {
         decide_queue(self, now_ms, pool, SHORT_SCAN_MAX, decisions);
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -6,6 +6,7 @@
 #include "routing/crash_suspects.h"
 #include "routing/inferred_ends.h"
 #include "routing/pool.h"
+#include "routing/reach.h"
 #include "routing/remote_caches.h"
 #include "routing/remote_regions.h"
 #include "routing/retry_budgets.h"
@@ -54,6 +55,7 @@
     EyRemoteRegions_t *remote_regions;
     EyRetryBudgets_t *retries;
     EyServerPauses_t *pauses;
+    EyReach_t *reach;
     EyServerLimits_t *limits;
     EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
@@ -139,6 +141,49 @@
 ey_router_read_announced_state(EyRouter_t *self, int64_t now_ms,
                                const EyBackend_t *backend);
 
+/* router_reach.c */
+
+/** True if the request must not take the way of this gateway to the servers of
+ * its target, which is broken: the decision says where else it goes. */
+bool
+ey_router_takes_other_way(EyRouter_t *self, int64_t now_ms,
+                          const EyRoutingRequest_t *request,
+                          EyRoutingDecision_t *decision);
+
+/** Sends a request to another gateway of the region if connects to servers
+ * failed for it here and nothing of it was sent; false: it can't. */
+bool
+ey_router_try_neighbour_for_unsent(EyRouter_t *self, int64_t now_ms,
+                                   const EyRoutingRequest_t *request,
+                                   EyRoutingDecision_t *decision);
+
+/** Takes the result as evidence on the way to the servers. Returns it, without
+ * the blame on the server if the way is broken. */
+EyRoutingResult_t
+ey_router_judge_reach(EyRouter_t *self, int64_t now_ms,
+                      const EyTrackedRequest_t *tracked,
+                      const EyRoutingResult_t *result);
+
+/** The server has begun to answer. */
+void
+ey_router_note_reached(EyRouter_t *self, int64_t now_ms,
+                       const EyTrackedRequest_t *tracked);
+
+/* router.c, for router_reach.c */
+
+EyTrackedRequest_t *
+ey_router_track_request(EyRouter_t *self, int64_t now_ms,
+                        const EyRoutingRequest_t *request);
+
+EyRoutingDecision_t
+ey_router_count_decision(EyRouter_t *self, EyRoutingDecision_t decision);
+
+/** Forwards the request to a remote region or refuses it. */
+EyRoutingDecision_t
+ey_router_forward_or_refuse(EyRouter_t *self, int64_t now_ms,
+                            const EyRoutingRequest_t *request,
+                            EyRefusal_t reason, double after_ms);
+
 /* router_engine_update.c */
 
 void
--- /dev/null
+++ b/src/routing/router_reach.c
@@ -0,0 +1,167 @@
+/* The router's part of requests that go another way than this gateway's own,
+ * because it reaches few of the servers. */
+#include "core/log.h"
+#include "core/memory.h"
+#include "routing/router_internal.h"
+
+#include <string.h>
+
+/** Other gateways of the region that one request is sent to at most. */
+#define NEIGHBOURS_MAX 2
+#define RETRY_AFTER_MIN_MS 1000
+
+static uint32_t
+neighbours_tried(const EyRouter_t *self, const EyRoutingRequest_t *request)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < request->excluded_count; i++) {
+        count += strcmp(request->excluded[i], self->region) == 0;
+    }
+    return count;
+}
+
+/** Sends the request to another gateway of the region, which serves it or
+ * refuses it, but doesn't pass it on. */
+static bool
+try_neighbour(EyRouter_t *self, int64_t now_ms,
+              const EyRoutingRequest_t *request, EyRoutingDecision_t *decision)
+{
+    if (request->is_forwarded || self->gateways < 2 ||
+        neighbours_tried(self, request) >= NEIGHBOURS_MAX)
+    {
+        return false;
+    }
+    (void)ey_router_track_request(self, now_ms, request);
+    *decision = (EyRoutingDecision_t){
+        .number = request->number,
+        .kind = EY_DECISION_FORWARD,
+    };
+    (void)EY_COPY(decision->region, self->region);
+    (void)ey_router_count_decision(self, *decision);
+    return true;
+}
+
+static bool
+has_failed_connect(const EyRouter_t *self, const EyRoutingRequest_t *request)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    for (uint32_t i = 0; i < request->excluded_count; i++) {
+        if (EyReach_HasFailed(self->reach, key, request->excluded[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+ey_router_try_neighbour_for_unsent(EyRouter_t *self, int64_t now_ms,
+                                   const EyRoutingRequest_t *request,
+                                   EyRoutingDecision_t *decision)
+{
+    return !request->was_sent && has_failed_connect(self, request) &&
+           try_neighbour(self, now_ms, request, decision);
+}
+
+bool
+ey_router_takes_other_way(EyRouter_t *self, int64_t now_ms,
+                          const EyRoutingRequest_t *request,
+                          EyRoutingDecision_t *decision)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    if (!EyReach_IsBroken(self->reach, key)) {
+        return false;
+    }
+    bool may_probe = !request->is_forwarded && request->excluded_count == 0;
+    if (may_probe && EyReach_TakeProbe(self->reach, now_ms, key)) {
+        return false;
+    }
+    if (try_neighbour(self, now_ms, request, decision)) {
+        return true;
+    }
+    int64_t probe_ms = EyReach_ProbeLeftMs(self->reach, now_ms, key);
+    *decision = ey_router_forward_or_refuse(
+        self, now_ms, request, EY_REFUSAL_NO_BACKEND,
+        (double)MAX(probe_ms, RETRY_AFTER_MIN_MS));
+    return true;
+}
+
+/** Takes back what failed connects did to the servers of the target. */
+static void
+forgive_servers(EyRouter_t *self, const char *key)
+{
+    const EyPool_t *pool = g_hash_table_lookup(self->pools, key);
+    for (guint i = 0; pool != NULL && i < pool->replicas->len; i++) {
+        EyReplica_t *replica = pool->replicas->pdata[i];
+        if (EyReach_HasFailed(self->reach, key, replica->backend->id)) {
+            EyOutlier_Forgive(&replica->outlier);
+        }
+    }
+}
+
+static void
+apply_change(EyRouter_t *self, const char *key, EyReachChange_t change)
+{
+    if (change == EY_REACH_UNCHANGED) {
+        return;
+    }
+    bool is_broken = change == EY_REACH_BROKE;
+    EY_LOG(EY_LOG_WARNING, "routing",
+           is_broken ? "servers_unreachable" : "servers_reachable",
+           EY_LOG_TEXT("target", key));
+    if (is_broken) {
+        forgive_servers(self, key);
+    }
+}
+
+void
+ey_router_note_reached(EyRouter_t *self, int64_t now_ms,
+                       const EyTrackedRequest_t *tracked)
+{
+    const EyReplica_t *replica = tracked->in_flight.replica;
+    if (replica == NULL) {
+        return;
+    }
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, tracked->kind, tracked->target);
+    apply_change(
+        self, key,
+        EyReach_Answered(self->reach, now_ms, key, replica->backend->id));
+}
+
+static bool
+is_answered(EyResultKind_t kind)
+{
+    return kind == EY_RESULT_OK || kind == EY_RESULT_REFUSED ||
+           kind == EY_RESULT_MISDIRECTED;
+}
+
+EyRoutingResult_t
+ey_router_judge_reach(EyRouter_t *self, int64_t now_ms,
+                      const EyTrackedRequest_t *tracked,
+                      const EyRoutingResult_t *result)
+{
+    EyRoutingResult_t judged = *result;
+    const EyReplica_t *replica = tracked->in_flight.replica;
+    if (replica == NULL) {
+        return judged;
+    }
+    if (is_answered(result->kind)) {
+        ey_router_note_reached(self, now_ms, tracked);
+        return judged;
+    }
+    if (!result->is_connect_failed) {
+        return judged;
+    }
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, tracked->kind, tracked->target);
+    apply_change(
+        self, key,
+        EyReach_Failed(self->reach, now_ms, key, replica->backend->id));
+    if (EyReach_IsBroken(self->reach, key)) {
+        judged.kind = EY_RESULT_CANCELLED;
+        judged.is_connect_refused = false;
+    }
+    return judged;
+}
--- a/tests/process/routed_gateways.c
+++ b/tests/process/routed_gateways.c
@@ -2,8 +2,10 @@
 
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #define START_TIMEOUT_MS 15000
+#define UNREACHABLE_VARIABLE "EBONYYARD_TEST_UNREACHABLE_FILE"
 
 const char *const RoutedGateways_regions[ROUTED_REGIONS] = {"dalmacija",
                                                             "istra", "zagreb"};
@@ -77,7 +79,11 @@
         if (self->gateway_flag != NULL) {
             Process_Arg(&self->gateways[i], "%s", self->gateway_flag);
         }
+        if (self->unreachable_files[i] != NULL) {
+            (void)setenv(UNREACHABLE_VARIABLE, self->unreachable_files[i], 1);
+        }
         start_daemon(self, &self->gateways[i], regions[i], headers);
+        (void)unsetenv(UNREACHABLE_VARIABLE);
     }
 }
 
--- a/tests/process/routed_gateways.h
+++ b/tests/process/routed_gateways.h
@@ -17,6 +17,9 @@
     Process_t gateways[ROUTED_GATEWAYS_MAX];
     uint16_t routed_ports[ROUTED_GATEWAYS_MAX]; /* for calls of routes */
     uint32_t count;
+    /** Lists the servers that a gateway can't connect to, see
+     * backends/test_unreachable.h; NULL: none. */
+    const char *unreachable_files[ROUTED_GATEWAYS_MAX];
     const char *gateway_flag; /* a further flag of each gateway; NULL: none */
 } RoutedGateways_t;
 
--- /dev/null
+++ b/tests/process/test_reach.c
@@ -0,0 +1,191 @@
+/* Gateways that can't connect to the servers of their region. */
+#include "process/backend_servers.h"
+#include "process/harness.h"
+#include "process/routed_gateways.h"
+#include "process/services.h"
+
+#include <criterion/criterion.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+
+#define START_TIMEOUT_MS 15000
+#define CALL_TIMEOUT_MS 4000
+#define SERVERS 3
+#define CALLS 60
+#define CALL_INTERVAL_MS 20
+/** From the cut on a gateway may take this long to find another way. */
+#define CONTACT_MS 5000
+/** Longest time until the own way is used again after the cut. */
+#define RETURN_MS 10000
+
+enum { CUT, OTHER, GATEWAYS };
+
+static const uint32_t Regions[GATEWAYS] = {[CUT] = 1, [OTHER] = 1};
+
+static const char Routes[] =
+    "{\"version\":3,\"routes\":[{\"name\":\"seats\",\"host\":\"127.0.0.1\","
+    "\"path_prefix\":\"/seats/\",\"call_kind\":\"idempotent\",\"timeout_ms\":"
+    "2000,\"latency_objective_ms\":1000,\"priority\":1,\"service\":"
+    "\"booking\",\"attempts_max\":2,\"allowed_regions\":[\"istra\"]},"
+    "{\"name\":\"buy\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/buy/\","
+    "\"call_kind\":\"at_most_once\",\"timeout_ms\":2000,"
+    "\"latency_objective_ms\":1000,\"priority\":1,\"service\":\"booking\","
+    "\"attempts_max\":1,\"allowed_regions\":[\"istra\"]}],"
+    "\"services\":[{\"name\":\"booking\"}]}";
+
+static RoutedGateways_t Fleet;
+static Services_t *Servers;
+static char Folder[HARNESS_ARG_SIZE_BYTES];
+static char *File;
+
+static void
+end_all(void)
+{
+    RoutedGateways_Kill(&Fleet);
+    if (Servers != NULL) {
+        Services_Stop(Servers);
+    }
+    if (File != NULL) {
+        Harness_RemoveFolder(Folder);
+    }
+}
+
+TestSuite(reach, .fini = end_all, .timeout = 90);
+
+static long
+call(uint32_t gateway, const char *method, const char *path)
+{
+    Reply_t reply = Http_Call(Fleet.routed_ports[gateway], method, path, NULL,
+                              "{}", CALL_TIMEOUT_MS);
+    long status = reply.status;
+    Reply_Clear(&reply);
+    return status;
+}
+
+/** Lists all servers with the word; "": none. */
+static void
+set_cut(const char *word)
+{
+    GString *text = g_string_new(NULL);
+    for (uint32_t i = 0; word[0] != '\0' && i < SERVERS; i++) {
+        g_string_append_printf(text, "%s 127.0.0.1:%u\n", word,
+                               Backends_Port(Services_Servers(Servers), i));
+    }
+    cr_assert(g_file_set_contents(File, text->str, (gssize)text->len, NULL));
+    g_string_free(text, TRUE);
+}
+
+static void
+await_served(uint32_t gateway, const char *method, const char *path)
+{
+    int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
+    long status = 0;
+    while (status != 200 && Harness_NowMs() < until_ms) {
+        status = call(gateway, method, path);
+        Harness_SleepMs(50);
+    }
+    cr_assert_eq(status, 200, "gateway %u answered with %ld", gateway, status);
+}
+
+static void
+start_all(void)
+{
+    Harness_MakeMemoryFolder(Folder, sizeof(Folder), "reach");
+    File = g_strconcat(Folder, "/unreachable", NULL);
+    Fleet.unreachable_files[CUT] = File;
+    RoutedGateways_Start(&Fleet, "reach", Regions, GATEWAYS, "native");
+    RoutedGateways_PutRoutes(&Fleet, Routes);
+    BackendSite_t sites[SERVERS];
+    for (uint32_t i = 0; i < SERVERS; i++) {
+        sites[i] = (BackendSite_t){
+            .zone = "istra-a",
+            .gateway_ports = {Fleet.gateways[CUT].port,
+                              Fleet.gateways[OTHER].port},
+        };
+    }
+    Servers =
+        Services_Start("booking", sites, SERVERS, SERVICES_END_BEFORE_HEAD);
+    await_served(CUT, "GET", "/seats/a");
+    await_served(OTHER, "GET", "/seats/a");
+}
+
+static uint32_t
+count_served(uint32_t gateway, const char *method, const char *path)
+{
+    uint32_t served = 0;
+    for (uint32_t i = 0; i < CALLS; i++) {
+        served += call(gateway, method, path) == 200;
+        Harness_SleepMs(CALL_INTERVAL_MS);
+    }
+    return served;
+}
+
+/** Calls until the verdict must stand. */
+static void
+call_while_contact_passes(uint32_t gateway)
+{
+    int64_t until_ms = Harness_NowMs() + CONTACT_MS;
+    while (Harness_NowMs() < until_ms) {
+        (void)call(gateway, "GET", "/seats/a");
+        Harness_SleepMs(100);
+    }
+}
+
+static guint
+arrivals(void)
+{
+    GArray *all = Backends_Arrivals(Services_Servers(Servers));
+    guint count = all->len;
+    g_array_free(all, TRUE);
+    return count;
+}
+
+static void
+check_cut(const char *word)
+{
+    start_all();
+    set_cut(word);
+    call_while_contact_passes(CUT);
+    guint before = arrivals();
+    uint32_t repeatable = count_served(CUT, "GET", "/seats/a");
+    uint32_t once = count_served(CUT, "POST", "/buy/a");
+    cr_expect_geq(repeatable, CALLS * 2 / 3, "%u of %d", repeatable, CALLS);
+    cr_expect_geq(once, CALLS * 2 / 3, "%u of %d", once, CALLS);
+    cr_expect_eq(arrivals() - before, repeatable + once);
+    cr_expect_eq(count_served(OTHER, "GET", "/seats/a"), CALLS);
+}
+
+Test(reach, callers_are_served_while_connects_hang)
+{
+    check_cut("hang");
+}
+
+Test(reach, callers_are_served_while_connects_are_refused)
+{
+    check_cut("refuse");
+}
+
+static bool
+is_own_way_used(void)
+{
+    Process_t *other = &Fleet.gateways[OTHER];
+    Process_Signal(other, SIGSTOP);
+    long status = call(CUT, "GET", "/seats/a");
+    Process_Signal(other, SIGCONT);
+    return status == 200;
+}
+
+Test(reach, the_own_way_is_used_again_after_the_cut)
+{
+    start_all();
+    set_cut("refuse");
+    call_while_contact_passes(CUT);
+    set_cut("");
+    int64_t until_ms = Harness_NowMs() + RETURN_MS;
+    while (Harness_NowMs() < until_ms) {
+        (void)call(CUT, "GET", "/seats/a");
+        Harness_SleepMs(50);
+    }
+    cr_expect(is_own_way_used());
+}
