Gateways tell which targets' servers they don't reach

The directory went on naming both with full weight.

The engine updates between gateways of a region, sent every 0.2 to 1.2 s, name the targets whose servers the sender doesn't reach. Such a gateway gets no request of these; with no other gateway left there is no other way. The summary for other regions says so then. A gateway that is cut off from what others reach reports a load at which the directory names it a tenth as often; its weight grows back with the time constant of the directory.

Probes: each 2 s with another way, each 0.25 s without one (what isn't tried is refused then).

--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -8,6 +8,10 @@
 
 #define UPDATE_INTERVAL_MS 500
 #define GATEWAYS_MAX 512
+/* Least load that a gateway reports while it doesn't reach servers that others
+ * of its region do: the directory then names it seldom, and more often again
+ * by and by. */
+#define CUT_OFF_LOAD_PER_MILLE 1200
 /* Delay that combines several membership changes into one update. */
 #define MEMBERS_DEBOUNCE_MS 20
 
@@ -176,7 +180,10 @@
     const EyForwardTargets_t *targets;
     Comparison_t is_better;
     const char *region;
-    const char *own_id; /* of a search in the own region */
+    /* Of a search in the own region: */
+    const EyGateway_t *gateway;
+    const EyRequest_t *request;
+    int64_t now_ms;
     const EyMember_t *found;
 } Search_t;
 
@@ -224,29 +231,40 @@
 search_neighbour(void *data, const EyMember_t *member)
 {
     Search_t *search = data;
-    if (strcmp(member->id, search->own_id) != 0) {
+    const EyGateway_t *self = search->gateway;
+    EyBackendKind_t kind = EyRequest_IsForModel(search->request)
+                               ? EY_BACKEND_MODEL
+                               : EY_BACKEND_SERVICE;
+    if (strcmp(member->id, self->node->settings->id) != 0 &&
+        EyRouter_IsReachedBy(self->router, search->now_ms, member->id, kind,
+                             search->request->target))
+    {
         search_contact(data, member);
     }
 }
 
-/** The best other live gateway of the own region, or NULL. */
+/** The best other live gateway of the own region that hasn't said that it
+ * can't reach the request's servers, or NULL. */
 static const char *
-find_neighbour(EyGateway_t *self)
+find_neighbour(EyGateway_t *self, const EyRequest_t *request)
 {
     Search_t search = {.targets = self->forward_targets,
                        .is_better = EyForwardTargets_IsBetter,
                        .region = self->node->settings->region,
-                       .own_id = self->node->settings->id};
+                       .gateway = self,
+                       .request = request,
+                       .now_ms = EyClock_NowMs()};
     EyMembership_Each(EyCluster_Membership(self->node->cluster),
                       search_neighbour, &search);
     return search.found != NULL ? search.found->id : NULL;
 }
 
 const char *
-EyGateway_FindForwardTarget(EyGateway_t *self, const char *region)
+EyGateway_FindForwardTarget(EyGateway_t *self, const char *region,
+                            const EyRequest_t *request)
 {
     return strcmp(region, self->node->settings->region) == 0
-               ? find_neighbour(self)
+               ? find_neighbour(self, request)
                : find_remote_gateway(self, region, EyForwardTargets_IsBetter);
 }
 
@@ -407,6 +425,9 @@
     uint32_t load_per_mille =
         (uint32_t)(1000 * g_hash_table_size(self->active_requests) /
                    EY_GATEWAY_IN_FLIGHT_MAX);
+    if (EyRouter_IsCutOff(self->router, now_ms)) {
+        load_per_mille = MAX(load_per_mille, CUT_OFF_LOAD_PER_MILLE);
+    }
     EyMembership_SetVitals(EyCluster_Membership(self->node->cluster),
                            load_per_mille, EyGateway_Config(self)->revision);
 }
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -50,7 +50,7 @@
     EyGateway_t *gateway = active->gateway;
     const EyRequest_t *request = active->exchange->request;
     const char *remote_gateway =
-        EyGateway_FindForwardTarget(gateway, action->to);
+        EyGateway_FindForwardTarget(gateway, action->to, request);
     bool is_allowed =
         EyResidencyPolicy_Check(gateway->residency_policy, request,
                                 action->to) == EY_RESIDENCY_ALLOW;
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -250,7 +250,8 @@
 /** Finds the gateway of a remote region that the next request is forwarded to,
  * and sets its peer address; NULL if none is known to be alive. */
 const char *
-EyGateway_FindForwardTarget(EyGateway_t *self, const char *region);
+EyGateway_FindForwardTarget(EyGateway_t *self, const char *region,
+                            const EyRequest_t *request);
 
 /** Finds the gateway of a remote region that gets this one's updates, the same
  * each time while it lives, and sets its peer address; NULL if none is known
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -66,6 +66,13 @@
 static const EySchema_t LimitSchema =
     EY_SCHEMA(EyObservedLimit_t, LimitFields);
 
+static const EyField_t UnreachedFields[] = {
+    EY_FIELD_TEXT(EyUnreachedTarget_t, key),
+    EY_FIELD_END,
+};
+static const EySchema_t UnreachedSchema =
+    EY_SCHEMA(EyUnreachedTarget_t, UnreachedFields);
+
 static const EyField_t UpdateFields[] = {
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, engines, engine_count, WordSchema,
                       EY_ENGINE_UPDATE_ENGINES_MAX),
@@ -79,6 +86,8 @@
                       EY_ENGINE_UPDATE_REFUTED_MAX),
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, limits, limit_count, LimitSchema,
                       EY_ENGINE_UPDATE_LIMITS_MAX),
+    EY_FIELD_ARRAY_OF(EyEngineUpdate_t, unreached, unreached_count,
+                      UnreachedSchema, EY_ENGINE_UPDATE_UNREACHED_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyEngineUpdate_schema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -3,7 +3,8 @@
  * gateway has sent to a model engine that are still in prefill, and which
  * prompt prefixes engines have cached since the last update; and which
  * requests and parts of prompts are suspected of crashing servers; and which
- * servers named a limit of requests. Updates may arrive late or not at all;
+ * servers named a limit of requests; and which targets' servers the sender
+ * doesn't reach. Updates may arrive late or not at all;
  * correctness never depends on them.
  */
 #ifndef EY_ROUTING_ENGINE_UPDATE_H
@@ -27,6 +28,10 @@
 #define EY_ENGINE_UPDATE_BAR_CRASHES_MAX 8
 /** Most limits of servers in one message. */
 #define EY_ENGINE_UPDATE_LIMITS_MAX 256
+/** Most targets whose servers the sender doesn't reach in one message. */
+#define EY_ENGINE_UPDATE_UNREACHED_MAX 256
+/** Size of a key by EyPool_Key. */
+#define EY_TARGET_KEY_SIZE_BYTES (EY_NAME_SIZE_BYTES + 16)
 
 /** A prompt prefix, by the hash of its parts. */
 typedef struct EyCachedPrefix {
@@ -88,6 +93,11 @@
     uint32_t age_ms;
 } EyObservedLimit_t;
 
+/** A target whose servers the sender reaches few of, see reach.h. */
+typedef struct EyUnreachedTarget {
+    char key[EY_TARGET_KEY_SIZE_BYTES];
+} EyUnreachedTarget_t;
+
 /** The update of one gateway. An engine of its region that isn't listed has no
  * pending prefill from the sender. */
 typedef struct EyEngineUpdate {
@@ -103,6 +113,8 @@
     uint32_t refuted_count;
     EyObservedLimit_t *limits; /* own region only */
     uint32_t limit_count;
+    EyUnreachedTarget_t *unreached; /* own region only */
+    uint32_t unreached_count;
 } EyEngineUpdate_t;
 
 extern const EySchema_t EyEngineUpdate_schema;
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -6,6 +6,7 @@
 #define EY_ROUTING_POOL_H
 
 #include "routing/admission_queue.h"
+#include "routing/engine_update.h"
 #include "routing/policy.h"
 #include "routing/prompt_affinity.h"
 #include "routing/remote_caches.h"
@@ -18,7 +19,7 @@
 #endif
 
 /** Size of the buffer for EyPool_Key. */
-#define EY_POOL_KEY_SIZE_BYTES (EY_NAME_SIZE_BYTES + 16)
+#define EY_POOL_KEY_SIZE_BYTES EY_TARGET_KEY_SIZE_BYTES
 
 typedef struct EyPool {
     char key[EY_POOL_KEY_SIZE_BYTES];
--- a/src/routing/reach.c
+++ b/src/routing/reach.c
@@ -196,25 +196,18 @@
     return way != NULL && way->is_broken;
 }
 
-int64_t
-EyReach_ProbeLeftMs(const EyReach_t *self, int64_t now_ms, const char *target)
-{
-    const Way_t *way = g_hash_table_lookup(self->ways, target);
-    if (way == NULL || !way->is_broken) {
-        return 0;
-    }
-    int64_t interval_ms = way->answers > 0 ? EY_REACH_FAST_PROBE_INTERVAL_MS
-                                           : EY_REACH_PROBE_INTERVAL_MS;
-    return MAX(way->probed_ms + interval_ms - now_ms, 0);
-}
-
 bool
-EyReach_TakeProbe(EyReach_t *self, int64_t now_ms, const char *target)
+EyReach_TakeProbe(EyReach_t *self, int64_t now_ms, const char *target,
+                  bool has_other_way)
 {
     Way_t *way = g_hash_table_lookup(self->ways, target);
-    if (way == NULL || !way->is_broken ||
-        EyReach_ProbeLeftMs(self, now_ms, target) > 0)
-    {
+    if (way == NULL || !way->is_broken) {
+        return false;
+    }
+    int64_t interval_ms = way->answers == 0 && has_other_way
+                              ? EY_REACH_PROBE_INTERVAL_MS
+                              : EY_REACH_FAST_PROBE_INTERVAL_MS;
+    if (now_ms - way->probed_ms < interval_ms) {
         return false;
     }
     way->probed_ms = now_ms;
--- a/src/routing/reach.h
+++ b/src/routing/reach.h
@@ -32,11 +32,12 @@
 #define EY_REACH_FAILED_PER_ANSWERED 2
 /** Interval of requests that try the own way while it is broken. */
 #define EY_REACH_PROBE_INTERVAL_MS 2000
-/** The same once a probe has been answered. */
-#define EY_REACH_FAST_PROBE_INTERVAL_MS 100
+/** The same once a probe has been answered, and if there is no other way: a
+ * request that isn't tried is refused then. */
+#define EY_REACH_FAST_PROBE_INTERVAL_MS 250
 /** Answers in a row after which the own way is sound; doubled each time that
  * it breaks again within EY_REACH_FLAP_MS. */
-#define EY_REACH_ANSWERS_NEEDED 2
+#define EY_REACH_ANSWERS_NEEDED 1
 #define EY_REACH_ANSWERS_NEEDED_MAX 16
 #define EY_REACH_FLAP_MS 15000
 
@@ -73,11 +74,8 @@
 /** True if the way is broken and the next request should try it nevertheless;
  * counts as that probe. */
 bool
-EyReach_TakeProbe(EyReach_t *self, int64_t now_ms, const char *target);
-
-/** Time until the next probe; 0: now. */
-int64_t
-EyReach_ProbeLeftMs(const EyReach_t *self, int64_t now_ms, const char *target);
+EyReach_TakeProbe(EyReach_t *self, int64_t now_ms, const char *target,
+                  bool has_other_way);
 
 /** Calls visit with each target whose way is broken. */
 void
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -64,6 +64,7 @@
     self->pauses = EyServerPauses_New(self);
     self->limits = EyServerLimits_New(self);
     self->reach = EyReach_New(self);
+    self->neighbours = EyNeighbours_New(self);
     self->cold_limiters = EyColdLimiters_New(self);
     ey_router_open_engine_updates(self);
     ey_router_open_suspects(self);
@@ -382,7 +383,7 @@
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
     EyRoutingDecision_t other_way;
-    if (ey_router_takes_other_way(self, now_ms, request, &other_way)) {
+    if (ey_router_takes_other_way(self, now_ms, request, true, &other_way)) {
         return other_way;
     }
     EyPool_t *pool = EyRouter_FindPool(self, request->kind, request->target);
@@ -569,7 +570,8 @@
             refuse_suspect(self, waiting->request->number, suspicion, &result);
         return true;
     }
-    if (ey_router_takes_other_way(self, now_ms, waiting->request, decision)) {
+    if (ey_router_takes_other_way(self, now_ms, waiting->request, false,
+                                  decision)) {
         return true;
     }
     EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -194,6 +194,17 @@
 bool
 EyRouter_NextSuspectEvent(EyRouter_t *self, EySuspectEvent_t *event);
 
+/** True if another gateway of the region, of which some may not be known,
+ * hasn't said that it doesn't reach the servers of the target. */
+bool
+EyRouter_IsReachedBy(const EyRouter_t *self, int64_t now_ms, const char *id,
+                     EyBackendKind_t kind, const char *target);
+
+/** True if this gateway doesn't reach the servers of a target that other
+ * gateways of the region do. */
+bool
+EyRouter_IsCutOff(const EyRouter_t *self, int64_t now_ms);
+
 /** Number of parts of prompts that are barred now. */
 uint32_t
 EyRouter_BarredParts(const EyRouter_t *self, int64_t now_ms);
--- a/src/routing/router_engine_update.c
+++ b/src/routing/router_engine_update.c
@@ -248,6 +248,7 @@
                             scope == EY_ENGINE_UPDATE_OWN_REGION, update);
     if (scope == EY_ENGINE_UPDATE_OWN_REGION) {
         EyServerLimits_Collect(self->limits, now_ms, update);
+        ey_router_collect_unreached(self, update);
         relay_remote(self, update);
         drop_expired(self, now_ms);
         (void)g_hash_table_foreach_remove(self->reported_prefixes, is_expired,
@@ -337,6 +338,8 @@
     if (sender != NULL) {
         count_prefills(self, sender, 1.0);
         EyServerLimits_Apply(self->limits, now_ms, update);
+        EyNeighbours_Set(self->neighbours, now_ms, from, update->unreached,
+                         update->unreached_count);
     }
     EyCrashSuspects_Apply(self->suspects, now_ms, is_same_region, update);
 }
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -5,6 +5,7 @@
 #include "routing/cold_limiters.h"
 #include "routing/crash_suspects.h"
 #include "routing/inferred_ends.h"
+#include "routing/neighbours.h"
 #include "routing/pool.h"
 #include "routing/reach.h"
 #include "routing/remote_caches.h"
@@ -56,6 +57,7 @@
     EyRetryBudgets_t *retries;
     EyServerPauses_t *pauses;
     EyReach_t *reach;
+    EyNeighbours_t *neighbours;
     EyServerLimits_t *limits;
     EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
@@ -144,10 +146,11 @@
 /* router_reach.c */
 
 /** True if the request must not take the way of this gateway to the servers of
- * its target, which is broken: the decision says where else it goes. */
+ * its target, which is broken: the decision says where else it goes.
+ * may_probe: the request may be one of the few that try that way. */
 bool
 ey_router_takes_other_way(EyRouter_t *self, int64_t now_ms,
-                          const EyRoutingRequest_t *request,
+                          const EyRoutingRequest_t *request, bool may_probe,
                           EyRoutingDecision_t *decision);
 
 /** Sends a request to another gateway of the region if connects to servers
@@ -157,6 +160,15 @@
                                    const EyRoutingRequest_t *request,
                                    EyRoutingDecision_t *decision);
 
+/** Adds the targets whose servers this gateway doesn't reach. */
+void
+ey_router_collect_unreached(EyRouter_t *self, EyEngineUpdate_t *update);
+
+/** True if another gateway of the region may reach the target's servers. */
+bool
+ey_router_has_other_way(const EyRouter_t *self, int64_t now_ms,
+                        const char *key);
+
 /** Takes the result as evidence on the way to the servers. Returns it, without
  * the blame on the server if the way is broken. */
 EyRoutingResult_t
--- a/src/routing/router_reach.c
+++ b/src/routing/router_reach.c
@@ -8,7 +8,67 @@
 
 /** Other gateways of the region that one request is sent to at most. */
 #define NEIGHBOURS_MAX 2
-#define RETRY_AFTER_MIN_MS 1000
+/** Probes find the own way again within this time. */
+#define RETRY_AFTER_MS 1000
+
+bool
+ey_router_has_other_way(const EyRouter_t *self, int64_t now_ms,
+                        const char *key)
+{
+    return EyNeighbours_CutCount(self->neighbours, now_ms, key) + 1 <
+           self->gateways;
+}
+
+bool
+EyRouter_IsReachedBy(const EyRouter_t *self, int64_t now_ms, const char *id,
+                     EyBackendKind_t kind, const char *target)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, kind, target);
+    return !EyNeighbours_IsCut(self->neighbours, now_ms, id, key);
+}
+
+/** A search among the targets whose servers this gateway doesn't reach. */
+typedef struct CutSearch {
+    const EyRouter_t *router;
+    int64_t now_ms;
+    bool is_cut_off;
+} CutSearch_t;
+
+static void
+search_other_way(void *data, const char *key)
+{
+    CutSearch_t *search = data;
+    search->is_cut_off =
+        search->is_cut_off ||
+        ey_router_has_other_way(search->router, search->now_ms, key);
+}
+
+bool
+EyRouter_IsCutOff(const EyRouter_t *self, int64_t now_ms)
+{
+    CutSearch_t search = {.router = self, .now_ms = now_ms};
+    EyReach_EachBroken(self->reach, search_other_way, &search);
+    return search.is_cut_off;
+}
+
+static void
+add_unreached(void *data, const char *key)
+{
+    EyEngineUpdate_t *update = data;
+    if (update->unreached_count < EY_ENGINE_UPDATE_UNREACHED_MAX) {
+        (void)EY_COPY(update->unreached[update->unreached_count].key, key);
+        update->unreached_count++;
+    }
+}
+
+void
+ey_router_collect_unreached(EyRouter_t *self, EyEngineUpdate_t *update)
+{
+    update->unreached = EY_NEW_ARRAY(update, EyUnreachedTarget_t,
+                                     EY_ENGINE_UPDATE_UNREACHED_MAX);
+    EyReach_EachBroken(self->reach, add_unreached, update);
+}
 
 static uint32_t
 neighbours_tried(const EyRouter_t *self, const EyRoutingRequest_t *request)
@@ -26,7 +86,9 @@
 try_neighbour(EyRouter_t *self, int64_t now_ms,
               const EyRoutingRequest_t *request, EyRoutingDecision_t *decision)
 {
-    if (request->is_forwarded || self->gateways < 2 ||
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    if (request->is_forwarded || !ey_router_has_other_way(self, now_ms, key) ||
         neighbours_tried(self, request) >= NEIGHBOURS_MAX)
     {
         return false;
@@ -65,7 +127,7 @@
 
 bool
 ey_router_takes_other_way(EyRouter_t *self, int64_t now_ms,
-                          const EyRoutingRequest_t *request,
+                          const EyRoutingRequest_t *request, bool may_probe,
                           EyRoutingDecision_t *decision)
 {
     char key[EY_POOL_KEY_SIZE_BYTES];
@@ -73,17 +135,17 @@
     if (!EyReach_IsBroken(self->reach, key)) {
         return false;
     }
-    bool may_probe = !request->is_forwarded && request->excluded_count == 0;
-    if (may_probe && EyReach_TakeProbe(self->reach, now_ms, key)) {
+    if (may_probe && !request->is_forwarded && request->excluded_count == 0 &&
+        EyReach_TakeProbe(self->reach, now_ms, key,
+                          ey_router_has_other_way(self, now_ms, key)))
+    {
         return false;
     }
     if (try_neighbour(self, now_ms, request, decision)) {
         return true;
     }
-    int64_t probe_ms = EyReach_ProbeLeftMs(self->reach, now_ms, key);
     *decision = ey_router_forward_or_refuse(
-        self, now_ms, request, EY_REFUSAL_NO_BACKEND,
-        (double)MAX(probe_ms, RETRY_AFTER_MIN_MS));
+        self, now_ms, request, EY_REFUSAL_NO_BACKEND, RETRY_AFTER_MS);
     return true;
 }
 
--- a/src/routing/router_report.c
+++ b/src/routing/router_report.c
@@ -12,6 +12,10 @@
         EyRegionSummary_t summary = {.accepts = false};
         (void)EY_COPY(summary.region, self->region);
         if (EyPool_Summarize(pool, &inputs, &summary)) {
+            const char *key = ((const EyPool_t *)pool)->key;
+            summary.accepts = summary.accepts &&
+                              (!EyReach_IsBroken(self->reach, key) ||
+                               ey_router_has_other_way(self, now_ms, key));
             g_array_append_val(summaries, summary);
         }
     }
--- a/tests/process/test_reach.c
+++ b/tests/process/test_reach.c
@@ -19,9 +19,9 @@
 /** Longest time until the own way is used again after the cut. */
 #define RETURN_MS 10000
 
-enum { CUT, OTHER, GATEWAYS };
+enum { CUT, SECOND, OTHER, GATEWAYS };
 
-static const uint32_t Regions[GATEWAYS] = {[CUT] = 1, [OTHER] = 1};
+static const uint32_t Regions[GATEWAYS] = {1, 1, 1};
 
 static const char Routes[] =
     "{\"version\":3,\"routes\":[{\"name\":\"seats\",\"host\":\"127.0.0.1\","
@@ -88,12 +88,15 @@
     cr_assert_eq(status, 200, "gateway %u answered with %ld", gateway, status);
 }
 
+/** The first cut_count gateways will not reach the servers that are listed. */
 static void
-start_all(void)
+start_all(uint32_t cut_count)
 {
     Harness_MakeMemoryFolder(Folder, sizeof(Folder), "reach");
     File = g_strconcat(Folder, "/unreachable", NULL);
-    Fleet.unreachable_files[CUT] = File;
+    for (uint32_t i = 0; i < cut_count; i++) {
+        Fleet.unreachable_files[i] = File;
+    }
     RoutedGateways_Start(&Fleet, "reach", Regions, GATEWAYS, "native");
     RoutedGateways_PutRoutes(&Fleet, Routes);
     BackendSite_t sites[SERVERS];
@@ -101,13 +104,15 @@
         sites[i] = (BackendSite_t){
             .zone = "istra-a",
             .gateway_ports = {Fleet.gateways[CUT].port,
+                              Fleet.gateways[SECOND].port,
                               Fleet.gateways[OTHER].port},
         };
     }
     Servers =
         Services_Start("booking", sites, SERVERS, SERVICES_END_BEFORE_HEAD);
-    await_served(CUT, "GET", "/seats/a");
-    await_served(OTHER, "GET", "/seats/a");
+    for (uint32_t i = 0; i < GATEWAYS; i++) {
+        await_served(i, "GET", "/seats/a");
+    }
 }
 
 static uint32_t
@@ -123,11 +128,13 @@
 
 /** Calls until the verdict must stand. */
 static void
-call_while_contact_passes(uint32_t gateway)
+call_while_contact_passes(uint32_t cut_count)
 {
     int64_t until_ms = Harness_NowMs() + CONTACT_MS;
     while (Harness_NowMs() < until_ms) {
-        (void)call(gateway, "GET", "/seats/a");
+        for (uint32_t i = 0; i < cut_count; i++) {
+            (void)call(i, "GET", "/seats/a");
+        }
         Harness_SleepMs(100);
     }
 }
@@ -142,45 +149,54 @@
 }
 
 static void
-check_cut(const char *word)
+check_cut(const char *word, uint32_t cut_count)
 {
-    start_all();
+    start_all(cut_count);
     set_cut(word);
-    call_while_contact_passes(CUT);
-    guint before = arrivals();
-    uint32_t repeatable = count_served(CUT, "GET", "/seats/a");
-    uint32_t once = count_served(CUT, "POST", "/buy/a");
-    cr_expect_geq(repeatable, CALLS * 2 / 3, "%u of %d", repeatable, CALLS);
-    cr_expect_geq(once, CALLS * 2 / 3, "%u of %d", once, CALLS);
-    cr_expect_eq(arrivals() - before, repeatable + once);
+    call_while_contact_passes(cut_count);
+    for (uint32_t i = 0; i < cut_count; i++) {
+        guint before = arrivals();
+        uint32_t repeatable = count_served(i, "GET", "/seats/a");
+        uint32_t once = count_served(i, "POST", "/buy/a");
+        cr_expect_geq(repeatable, CALLS * 2 / 3, "%u of %d", repeatable,
+                      CALLS);
+        cr_expect_geq(once, CALLS * 2 / 3, "%u of %d", once, CALLS);
+        cr_expect_eq(arrivals() - before, repeatable + once);
+    }
     cr_expect_eq(count_served(OTHER, "GET", "/seats/a"), CALLS);
 }
 
 Test(reach, callers_are_served_while_connects_hang)
 {
-    check_cut("hang");
+    check_cut("hang", 1);
 }
 
 Test(reach, callers_are_served_while_connects_are_refused)
 {
-    check_cut("refuse");
+    check_cut("refuse", 1);
+}
+
+Test(reach, callers_are_served_by_the_only_gateway_that_reaches_the_servers)
+{
+    check_cut("refuse", 2);
 }
 
 static bool
 is_own_way_used(void)
 {
-    Process_t *other = &Fleet.gateways[OTHER];
-    Process_Signal(other, SIGSTOP);
+    Process_Signal(&Fleet.gateways[SECOND], SIGSTOP);
+    Process_Signal(&Fleet.gateways[OTHER], SIGSTOP);
     long status = call(CUT, "GET", "/seats/a");
-    Process_Signal(other, SIGCONT);
+    Process_Signal(&Fleet.gateways[SECOND], SIGCONT);
+    Process_Signal(&Fleet.gateways[OTHER], SIGCONT);
     return status == 200;
 }
 
 Test(reach, the_own_way_is_used_again_after_the_cut)
 {
-    start_all();
+    start_all(1);
     set_cut("refuse");
-    call_while_contact_passes(CUT);
+    call_while_contact_passes(1);
     set_cut("");
     int64_t until_ms = Harness_NowMs() + RETURN_MS;
     while (Harness_NowMs() < until_ms) {
