--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -171,8 +171,9 @@
     }
 }
 
-/** EyForwardTargets_Prefers or EyForwardTargets_IsBetter. */
-typedef bool (*Comparison_t)(const EyForwardTargets_t *targets,
+struct Search;
+/** True if candidate is better than best, which may be NULL. */
+typedef bool (*Comparison_t)(const struct Search *search,
                              const char *candidate, const char *best);
 
 /** A search for a gateway of a region among the contacts. */
@@ -180,13 +181,26 @@
     const EyForwardTargets_t *targets;
     Comparison_t is_better;
     const char *region;
+    int64_t now_ms;
     /* Of a search in the own region: */
     const EyGateway_t *gateway;
     const EyRequest_t *request;
-    int64_t now_ms;
     const EyMember_t *found;
 } Search_t;
 
+static bool
+prefers(const Search_t *search, const char *candidate, const char *best)
+{
+    return EyForwardTargets_Prefers(search->targets, candidate, best);
+}
+
+static bool
+is_better(const Search_t *search, const char *candidate, const char *best)
+{
+    return EyForwardTargets_IsBetter(search->targets, search->now_ms,
+                                     candidate, best);
+}
+
 static bool
 is_live_gateway(const EyMember_t *member)
 {
@@ -201,7 +215,7 @@
     const char *best = search->found != NULL ? search->found->id : NULL;
     if (is_live_gateway(member) &&
         strcmp(member->region, search->region) == 0 &&
-        search->is_better(search->targets, member->id, best))
+        search->is_better(search, member->id, best))
     {
         search->found = member;
     }
@@ -215,6 +229,7 @@
 {
     Search_t search = {.targets = self->forward_targets,
                        .is_better = is_better,
+                       .now_ms = EyClock_NowMs(),
                        .region = region};
     EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
                              search_contact, &search);
@@ -249,7 +264,7 @@
 find_neighbour(EyGateway_t *self, const EyRequest_t *request)
 {
     Search_t search = {.targets = self->forward_targets,
-                       .is_better = EyForwardTargets_IsBetter,
+                       .is_better = is_better,
                        .region = self->node->settings->region,
                        .gateway = self,
                        .request = request,
@@ -265,13 +280,13 @@
 {
     return strcmp(region, self->node->settings->region) == 0
                ? find_neighbour(self, request)
-               : find_remote_gateway(self, region, EyForwardTargets_IsBetter);
+               : find_remote_gateway(self, region, is_better);
 }
 
 const char *
 EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
 {
-    return find_remote_gateway(self, region, EyForwardTargets_Prefers);
+    return find_remote_gateway(self, region, prefers);
 }
 
 static void
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -190,6 +190,10 @@
     EyExchangeEvent_t event =
         EyGateway_ForwardFailure(answer, forward->attempt);
     talloc_free(answer);
+    if (event.nothing_sent) {
+        EyForwardTargets_Refused(active->gateway->forward_targets,
+                                 EyClock_NowMs(), active->remote_id);
+    }
     finish_attempt(active, &event,
                    event.nothing_sent ? EY_RESULT_REFUSED : EY_RESULT_FAILED);
 }
--- a/src/routing/forward_targets.h
+++ b/src/routing/forward_targets.h
@@ -1,7 +1,7 @@
 /**
- * Chooses the gateway of another region that gets the next request: of those
- * that are known the one at which the fewest requests from here are in flight,
- * so that one that is behind gets fewer.
+ * Chooses the gateway that gets the next forwarded request: of those that are
+ * known and haven't just refused one the one at which the fewest requests from
+ * here are in flight, so that one that is behind gets fewer.
  */
 #ifndef EY_ROUTING_FORWARD_TARGETS_H
 #define EY_ROUTING_FORWARD_TARGETS_H
@@ -12,6 +12,9 @@
 extern "C" {
 #endif
 
+/** Time for which a gateway that refused a request is the last choice. */
+#define EY_FORWARD_TARGETS_REFUSED_MS 1000
+
 typedef struct EyForwardTargets EyForwardTargets_t;
 
 /** own_id: of this gateway, which prefers gateways in an order of its own. */
@@ -25,11 +28,17 @@
                          const char *second);
 
 /** True if the next request is sent to candidate and not to best, which may be
- * NULL. */
+ * NULL. One that refused a request lately gets none while there are others: it
+ * has few in flight for that reason. */
 bool
-EyForwardTargets_IsBetter(const EyForwardTargets_t *self,
+EyForwardTargets_IsBetter(const EyForwardTargets_t *self, int64_t now_ms,
                           const char *candidate, const char *best);
 
+/** A gateway refused a request, which didn't run. */
+void
+EyForwardTargets_Refused(EyForwardTargets_t *self, int64_t now_ms,
+                         const char *id);
+
 /** A request was sent to a gateway. */
 void
 EyForwardTargets_Begin(EyForwardTargets_t *self, const char *id);
--- a/tests/unit/test_forward_targets.c
+++ b/tests/unit/test_forward_targets.c
@@ -20,7 +20,7 @@
     for (uint32_t i = 0; i < CONTACTS; i++) {
         char id[32];
         (void)snprintf(id, sizeof(id), "gateway-%u", numbers[i]);
-        if (EyForwardTargets_IsBetter(targets, id,
+        if (EyForwardTargets_IsBetter(targets, 0, id,
                                       best[0] != '\0' ? best : NULL)) {
             (void)g_strlcpy(best, id, sizeof(best));
             chosen = numbers[i];
@@ -92,7 +92,34 @@
     const char *other = is_first ? "gateway-1" : "gateway-0";
     EyForwardTargets_Begin(targets, preferred);
     cr_expect(EyForwardTargets_Prefers(targets, preferred, other));
-    cr_expect(!EyForwardTargets_IsBetter(targets, preferred, other));
+    cr_expect(!EyForwardTargets_IsBetter(targets, 0, preferred, other));
     cr_expect(EyForwardTargets_Prefers(targets, other, NULL));
     talloc_free(targets);
 }
+
+typedef struct RefusalCase {
+    const char *name;
+    int64_t at_ms;
+    bool is_chosen;
+} RefusalCase_t;
+
+static const RefusalCase_t RefusalCases[] = {
+    {"at once", 100, false},
+    {"a while after", 99 + EY_FORWARD_TARGETS_REFUSED_MS, false},
+    {"long after", 100 + EY_FORWARD_TARGETS_REFUSED_MS, true},
+};
+
+/* One that refuses all requests at once has the fewest in flight. */
+Test(forward_targets, a_gateway_that_refused_is_the_last_choice)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(RefusalCases); i++) {
+        EyForwardTargets_t *targets = EyForwardTargets_New(NULL, "sender");
+        EyForwardTargets_Begin(targets, "busy");
+        EyForwardTargets_Refused(targets, 100, "idle");
+        cr_expect_eq(EyForwardTargets_IsBetter(targets, RefusalCases[i].at_ms,
+                                               "idle", "busy"),
+                     RefusalCases[i].is_chosen, "%s", RefusalCases[i].name);
+        cr_expect(EyForwardTargets_IsBetter(targets, 100, "idle", NULL));
+        talloc_free(targets);
+    }
+}
