A probe of the own way isn't sent to another region

Cause: requests that should try the own way were planned as others are. The server's answers had been broken off by the cut, so it counted as failing and the plan preferred another region; only a request bound to the region tried it.

Evidence: reach/a_probe_takes_the_own_way_though_another_region_serves failed before, passes now.

--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -402,7 +402,8 @@
     double finish_ms = dispatches_now ? plan.finish_ms : plan.queued_finish_ms;
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t forward;
-    if (should_forward(self, &plan, dispatches_now, request->objective_ms,
+    if (!ey_router_is_probe(self, request) &&
+        should_forward(self, &plan, dispatches_now, request->objective_ms,
                        finish_ms, left_ms) &&
         try_forward(self, now_ms, request,
                     forward_limit_ms(self, &plan, finish_ms), &forward))
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -153,6 +153,11 @@
                           const EyRoutingRequest_t *request, bool may_probe,
                           EyRoutingDecision_t *decision);
 
+/** True if the request, which doesn't take another way, is one that tries the
+ * broken one. */
+bool
+ey_router_is_probe(const EyRouter_t *self, const EyRoutingRequest_t *request);
+
 /** Sends a request to another gateway of the region if connects to servers
  * failed for it here and nothing of it was sent; false: it can't. */
 bool
--- a/src/routing/router_reach.c
+++ b/src/routing/router_reach.c
@@ -125,6 +125,14 @@
            try_neighbour(self, now_ms, request, decision);
 }
 
+bool
+ey_router_is_probe(const EyRouter_t *self, const EyRoutingRequest_t *request)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    return EyReach_IsBroken(self->reach, key);
+}
+
 bool
 ey_router_takes_other_way(EyRouter_t *self, int64_t now_ms,
                           const EyRoutingRequest_t *request, bool may_probe,
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -1,9 +1,11 @@
 #include "core/memory.h"
 #include "routing/neighbours.h"
 #include "routing/reach.h"
+#include "routing/router.h"
 
 #include <criterion/criterion.h>
 #include <glib.h>
+#include <string.h>
 
 #define TARGET "service/booking"
 #define STEPS_MAX 16
@@ -164,3 +166,131 @@
     cr_expect_eq(EyNeighbours_CutCount(neighbours, 200, TARGET), 0);
     talloc_free(neighbours);
 }
+
+typedef struct Play {
+    EyRouter_t *router;
+    uint64_t number;
+} Play_t;
+
+/** A router with two servers, another gateway of its region, and another
+ * region that takes requests. */
+static Play_t
+make_play(void)
+{
+    const EyRouterOptions_t options = {
+        .region = "istra", .seed = 1, .config = EyRoutingConfig_Make()};
+    Play_t play = {.router = EyRouter_New(NULL, &options)};
+    EyName_t service = "booking";
+    const char *const ids[] = {"a", "b"};
+    for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+        EyBackend_t backend = {
+            .kind = EY_BACKEND_SERVICE,
+            .services = &service,
+            .service_count = 1,
+            .slots = 8,
+            .speed = 1.0,
+            .load = {.at = 1},
+        };
+        (void)EY_COPY(backend.id, ids[i]);
+        EyRouter_UpsertBackend(play.router, 0, &backend);
+    }
+    EyRouter_SetGateways(play.router, 2);
+    return play;
+}
+
+static void
+show_other_region(const Play_t *play, int64_t now_ms)
+{
+    EyRegionSummary_t summary = {.kind = EY_BACKEND_SERVICE,
+                                 .region = "zagreb",
+                                 .target = "booking",
+                                 .unit_ms = 1.0,
+                                 .free_slots = 100,
+                                 .accepts = true};
+    EyRouter_SetSummary(play->router, now_ms, &summary);
+}
+
+static EyRoutingDecision_t
+submit(Play_t *play, int64_t now_ms, const char *excluded)
+{
+    EyRoutingRequest_t request = {
+        .number = ++play->number,
+        .kind = EY_BACKEND_SERVICE,
+        .target = "booking",
+        .body_bytes = 100,
+        .deadline_ms = now_ms + 5000,
+        .is_idempotent = true,
+    };
+    if (excluded != NULL) {
+        request.excluded_count = 1;
+        (void)EY_COPY(request.excluded[0], excluded);
+    }
+    return EyRouter_Submit(play->router, now_ms, &request);
+}
+
+static void
+finish_number(const Play_t *play, int64_t now_ms, uint64_t number,
+              EyResultKind_t kind, bool is_connect_failed)
+{
+    const EyRoutingResult_t result = {.kind = kind,
+                                      .is_connect_failed = is_connect_failed};
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    (void)EyRouter_Finished(play->router, now_ms, number, &result, decisions);
+    g_array_free(decisions, TRUE);
+}
+
+static void
+finish(const Play_t *play, int64_t now_ms, EyResultKind_t kind,
+       bool is_connect_failed)
+{
+    finish_number(play, now_ms, play->number, kind, is_connect_failed);
+}
+
+/** Connects to both servers fail. */
+static void
+lose_way(Play_t *play, int64_t now_ms)
+{
+    EyRoutingDecision_t first = submit(play, now_ms, NULL);
+    cr_assert_eq(first.kind, EY_DECISION_DISPATCH);
+    finish(play, now_ms, EY_RESULT_FAILED, true);
+    cr_assert_eq(submit(play, now_ms, first.backend).kind,
+                 EY_DECISION_DISPATCH);
+    finish(play, now_ms, EY_RESULT_FAILED, true);
+}
+
+Test(reach, requests_go_through_another_gateway_of_the_region)
+{
+    Play_t play = make_play();
+    lose_way(&play, 1000);
+    EyRoutingDecision_t decision = submit(&play, 1001, NULL);
+    cr_expect_eq(decision.kind, EY_DECISION_FORWARD);
+    cr_expect_str_eq(decision.region, "istra");
+    cr_expect_eq(EyRouter_Stats(play.router)->ejections, 0);
+    EyEngineUpdate_t update = {.unreached_count = 1};
+    EyUnreachedTarget_t unreached = {.key = "service/booking"};
+    update.unreached = &unreached;
+    EyRouter_ApplyEngineUpdate(play.router, 1002, "front-2", &update, true);
+    EyRoutingDecision_t refused = submit(&play, 1003, NULL);
+    cr_expect_eq(refused.kind, EY_DECISION_REFUSE);
+    cr_expect_geq(refused.retry_after_ms, 1000);
+    show_other_region(&play, 1004);
+    EyRoutingDecision_t crossing = submit(&play, 1004, NULL);
+    cr_expect_eq(crossing.kind, EY_DECISION_FORWARD);
+    cr_expect_str_eq(crossing.region, "zagreb");
+    talloc_free(play.router);
+}
+
+/* Servers whose answers broke off are avoided while another region serves. */
+Test(reach, a_probe_takes_the_own_way_though_another_region_serves)
+{
+    Play_t play = make_play();
+    cr_assert_eq(submit(&play, 900, "a").kind, EY_DECISION_DISPATCH);
+    cr_assert_eq(submit(&play, 900, "b").kind, EY_DECISION_DISPATCH);
+    lose_way(&play, 1000);
+    finish_number(&play, 1100, 1, EY_RESULT_FAILED, false);
+    finish_number(&play, 1100, 2, EY_RESULT_FAILED, false);
+    int64_t probe_ms = 1000 + EY_REACH_PROBE_INTERVAL_MS;
+    show_other_region(&play, probe_ms);
+    cr_expect_eq(submit(&play, probe_ms, NULL).kind, EY_DECISION_DISPATCH);
+    talloc_free(play.router);
+}
