What a lost way to servers was judged by is logged and counted

The lines servers_unreachable and servers_reachable name the evidence and whether there is another way, and the gateway writes them: the router logs nothing by itself. Their count is a metric.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -53,6 +53,9 @@
     [EY_GATEWAY_SUSPECT_REFUSALS] = {.name = "prompt_refusals_total",
                                      .help = "Requests refused because of a "
                                              "barred part of the prompt"},
+    [EY_GATEWAY_UNREACHABLE] = {.name = "servers_unreachable_total",
+                                .help = "Times that this gateway lost its "
+                                        "way to the servers of a target"},
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -279,6 +279,24 @@
     EyGateway_WakeRouter(gateway);
 }
 
+static void
+report_reach(EyGateway_t *self)
+{
+    EyReachEvent_t event;
+    while (EyRouter_NextReachEvent(self->router, &event)) {
+        if (event.is_broken) {
+            EyMetric_Add(&EyGateway_metrics[EY_GATEWAY_UNREACHABLE], 1);
+        }
+        EY_LOG(EY_LOG_WARNING, "gateway",
+               event.is_broken ? "servers_unreachable" : "servers_reachable",
+               EY_LOG_TEXT("target", event.target),
+               EY_LOG_NUMBER("failed_servers", event.evidence.failed),
+               EY_LOG_NUMBER("answered_servers", event.evidence.answered),
+               EY_LOG_NUMBER("span_ms", event.evidence.span_ms),
+               EY_LOG_NUMBER("has_other_way", event.has_other_way));
+    }
+}
+
 static void
 on_router_wakeup(void *data, int64_t now_ms)
 {
@@ -288,6 +306,7 @@
     gateway->pending_decisions = new_decisions();
     EyRouter_Tick(gateway->router, now_ms, decisions);
     EyGateway_ReportSuspects(gateway, now_ms);
+    report_reach(gateway);
     apply_decisions(gateway, decisions);
 }
 
--- a/src/routing/reach.c
+++ b/src/routing/reach.c
@@ -15,6 +15,7 @@
 typedef struct Way {
     GHashTable *servers; /* id -> Server_t with evidence of the last while */
     bool is_broken;
+    EyReachEvidence_t evidence;
     int64_t probed_ms;
     int64_t returned_ms;     /* when it was last found sound again; 0: never */
     uint32_t answers;        /* in a row while it is broken */
@@ -125,6 +126,11 @@
         const Server_t *server = value;
         answered += !has_failed(server) && server->answered_ms >= first_ms;
     }
+    way->evidence = (EyReachEvidence_t){
+        .failed = failed,
+        .answered = answered,
+        .span_ms = now_ms - first_ms,
+    };
     bool is_single_enough = failures >= EY_REACH_SINGLE_FAILURES_MIN &&
                             now_ms - first_ms >= EY_REACH_SINGLE_MS;
     return (failed > 1 || is_single_enough) &&
@@ -189,6 +195,13 @@
     return found != NULL && has_failed(found);
 }
 
+EyReachEvidence_t
+EyReach_Evidence(const EyReach_t *self, const char *target)
+{
+    const Way_t *way = g_hash_table_lookup(self->ways, target);
+    return way != NULL ? way->evidence : (EyReachEvidence_t){.failed = 0};
+}
+
 bool
 EyReach_IsBroken(const EyReach_t *self, const char *target)
 {
--- a/src/routing/reach.h
+++ b/src/routing/reach.h
@@ -49,6 +49,13 @@
     EY_REACH_RETURNED
 } EyReachChange_t;
 
+/** What a verdict was based on. */
+typedef struct EyReachEvidence {
+    uint32_t failed;   /* servers with failed connects */
+    uint32_t answered; /* servers that answered since the first failure */
+    int64_t span_ms;   /* since that failure */
+} EyReachEvidence_t;
+
 EyReach_t *
 EyReach_New(const void *ctx);
 
@@ -67,6 +74,10 @@
 EyReach_HasFailed(const EyReach_t *self, const char *target,
                   const char *server);
 
+/** What the last verdict that the way is broken was based on. */
+EyReachEvidence_t
+EyReach_Evidence(const EyReach_t *self, const char *target);
+
 /** True if requests for the target should go another way. */
 bool
 EyReach_IsBroken(const EyReach_t *self, const char *target);
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -36,6 +36,7 @@
     g_hash_table_unref(self->tracked);
     g_hash_table_unref(self->pools);
     g_hash_table_unref(self->replicas);
+    g_array_free(self->reach_events, TRUE);
     ey_router_close_engine_updates(self);
     ey_router_close_suspects(self);
     return 0;
@@ -65,6 +66,7 @@
     self->limits = EyServerLimits_New(self);
     self->reach = EyReach_New(self);
     self->neighbours = EyNeighbours_New(self);
+    self->reach_events = g_array_new(FALSE, FALSE, sizeof(EyReachEvent_t));
     self->cold_limiters = EyColdLimiters_New(self);
     ey_router_open_engine_updates(self);
     ey_router_open_suspects(self);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -14,6 +14,7 @@
 #include "routing/crash_suspects.h"
 #include "routing/decision.h"
 #include "routing/engine_update.h"
+#include "routing/reach.h"
 #include "routing/routing_config.h"
 #include "routing/server_limit.h"
 
@@ -194,6 +195,18 @@
 bool
 EyRouter_NextSuspectEvent(EyRouter_t *self, EySuspectEvent_t *event);
 
+/** The way to the servers of a target broke or was found sound again. */
+typedef struct EyReachEvent {
+    char target[EY_TARGET_KEY_SIZE_BYTES];
+    bool is_broken;
+    EyReachEvidence_t evidence; /* of the break */
+    bool has_other_way;         /* through another gateway of the region */
+} EyReachEvent_t;
+
+/** Takes the next event about the ways to servers; false: there is none. */
+bool
+EyRouter_NextReachEvent(EyRouter_t *self, EyReachEvent_t *event);
+
 /** True if another gateway of the region, of which some may not be known,
  * hasn't said that it doesn't reach the servers of the target. */
 bool
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -58,6 +58,7 @@
     EyServerPauses_t *pauses;
     EyReach_t *reach;
     EyNeighbours_t *neighbours;
+    GArray *reach_events; /* of EyReachEvent_t, oldest first */
     EyServerLimits_t *limits;
     EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
--- a/src/routing/router_reach.c
+++ b/src/routing/router_reach.c
@@ -1,6 +1,5 @@
 /* The router's part of requests that go another way than this gateway's own,
  * because it reaches few of the servers. */
-#include "core/log.h"
 #include "core/memory.h"
 #include "routing/router_internal.h"
 
@@ -8,6 +7,8 @@
 
 /** Other gateways of the region that one request is sent to at most. */
 #define NEIGHBOURS_MAX 2
+/** Most events that wait to be taken. */
+#define REACH_EVENTS_MAX 64
 /** Probes find the own way again within this time. */
 #define RETRY_AFTER_MS 1000
 
@@ -171,20 +172,37 @@
 }
 
 static void
-apply_change(EyRouter_t *self, const char *key, EyReachChange_t change)
+apply_change(EyRouter_t *self, int64_t now_ms, const char *key,
+             EyReachChange_t change)
 {
     if (change == EY_REACH_UNCHANGED) {
         return;
     }
-    bool is_broken = change == EY_REACH_BROKE;
-    EY_LOG(EY_LOG_WARNING, "routing",
-           is_broken ? "servers_unreachable" : "servers_reachable",
-           EY_LOG_TEXT("target", key));
-    if (is_broken) {
+    EyReachEvent_t event = {
+        .is_broken = change == EY_REACH_BROKE,
+        .evidence = EyReach_Evidence(self->reach, key),
+        .has_other_way = ey_router_has_other_way(self, now_ms, key),
+    };
+    (void)EY_COPY(event.target, key);
+    if (self->reach_events->len < REACH_EVENTS_MAX) {
+        g_array_append_val(self->reach_events, event);
+    }
+    if (event.is_broken) {
         forgive_servers(self, key);
     }
 }
 
+bool
+EyRouter_NextReachEvent(EyRouter_t *self, EyReachEvent_t *event)
+{
+    if (self->reach_events->len == 0) {
+        return false;
+    }
+    *event = g_array_index(self->reach_events, EyReachEvent_t, 0);
+    g_array_remove_index(self->reach_events, 0);
+    return true;
+}
+
 void
 ey_router_note_reached(EyRouter_t *self, int64_t now_ms,
                        const EyTrackedRequest_t *tracked)
@@ -196,7 +214,7 @@
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyPool_Key(key, tracked->kind, tracked->target);
     apply_change(
-        self, key,
+        self, now_ms, key,
         EyReach_Answered(self->reach, now_ms, key, replica->backend->id));
 }
 
@@ -227,7 +245,7 @@
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyPool_Key(key, tracked->kind, tracked->target);
     apply_change(
-        self, key,
+        self, now_ms, key,
         EyReach_Failed(self->reach, now_ms, key, replica->backend->id));
     if (EyReach_IsBroken(self->reach, key)) {
         judged.kind = EY_RESULT_CANCELLED;
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -266,6 +266,12 @@
     cr_expect_eq(decision.kind, EY_DECISION_FORWARD);
     cr_expect_str_eq(decision.region, "istra");
     cr_expect_eq(EyRouter_Stats(play.router)->ejections, 0);
+    EyReachEvent_t event;
+    cr_assert(EyRouter_NextReachEvent(play.router, &event));
+    cr_expect_str_eq(event.target, "service/booking");
+    cr_expect(event.is_broken && event.has_other_way);
+    cr_expect_eq(event.evidence.failed, 2);
+    cr_expect_not(EyRouter_NextReachEvent(play.router, &event));
     EyEngineUpdate_t update = {.unreached_count = 1};
     EyUnreachedTarget_t unreached = {.key = "service/booking"};
     update.unreached = &unreached;
