A request from another region is served by way of a gateway that is cut off

The gateway that gets a request from another region may pass it on to one of its own region, which passes it on to nobody: visited names both regions then, the own one last. A request still crosses regions once and takes one step within a region at most; its home is checked at each. An older build refuses two visited regions without running the request. What a stream goes on after is added up over the gateways: a passed-on request has such a place already.

--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -11,6 +11,9 @@
  * interval, so that the sender detects a lost receiver. */
 #define CREDIT_MIN_BYTES (EY_FORWARD_WINDOW_BYTES / 4)
 #define CREDIT_KEEPALIVE_MS 10000
+/* The caller's region, and the next one if its gateway passes the request on
+ * to another gateway there. */
+#define VISITED_MAX 2
 
 static void
 send_forward(const EyActiveRequest_t *active,
@@ -27,10 +30,13 @@
 {
     EyRequest_t request = *active->exchange->request;
     request.time_left_ms = request.deadline_ms - EyClock_NowMs();
-    (void)EyText_Copy(visited[0], EY_NAME_SIZE_BYTES,
-                      active->gateway->node->settings->region);
+    uint32_t count = MIN(request.visited_count, VISITED_MAX - 1);
+    for (uint32_t i = 0; i < count; i++) {
+        (void)EY_COPY(visited[i], request.visited[i]);
+    }
+    (void)EY_COPY(visited[count], active->gateway->node->settings->region);
     request.visited = visited;
-    request.visited_count = 1;
+    request.visited_count = count + 1;
     return request;
 }
 
@@ -64,10 +70,12 @@
     (void)EY_COPY(active->remote_id, remote_gateway);
     EyForwardTargets_Begin(gateway->forward_targets, remote_gateway);
     active->remote_sequence = 0;
-    EyName_t visited[1];
+    EyName_t visited[VISITED_MAX];
     EyRequest_t outgoing = outgoing_request(active, visited);
-    outgoing.resume_after = action->resume_after;
-    (void)EY_COPY(outgoing.resume_event, action->last_event);
+    outgoing.resume_after = request->resume_after + action->resume_after;
+    if (action->last_event[0] != '\0') {
+        (void)EY_COPY(outgoing.resume_event, action->last_event);
+    }
     outgoing.terms.runs_max = runs_left(active->exchange);
     outgoing.arrivals = active->exchange->arrival_count;
     outgoing.carries_retry_credit = active->has_retry_credit;
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -254,22 +254,29 @@
     return request;
 }
 
-/** True if the request comes from one other region and may be in this one, or
- * from another gateway of this region and has been in no other. An older
- * gateway refuses the latter as a loop, without running it. */
+bool
+EyGateway_IsFromOwnRegion(const EyGateway_t *self, const EyRequest_t *request)
+{
+    uint32_t count = request->visited_count;
+    return count > 0 && strcmp(request->visited[count - 1],
+                               self->node->settings->region) == 0;
+}
+
+/** True if the request has crossed regions once at most, comes straight from
+ * there or through one gateway of this region, and may be in this one. An
+ * older gateway refuses the latter, without running it. */
 static bool
 is_allowed(const EyGateway_t *self, const EyRequest_t *incoming)
 {
-    const char *own_region = self->node->settings->region;
-    if (incoming->visited_count != 1) {
-        return false;
-    }
     EyRequest_t checked = *incoming;
-    if (strcmp(incoming->visited[0], own_region) == 0) {
-        checked.visited_count = 0;
+    bool is_from_own = EyGateway_IsFromOwnRegion(self, incoming);
+    checked.visited_count -= is_from_own ? 1 : 0;
+    if (incoming->visited_count == 0 || checked.visited_count > 1) {
+        return false;
     }
     return EyResidencyPolicy_Check(self->residency_policy, &checked,
-                                   own_region) == EY_RESIDENCY_ALLOW;
+                                   self->node->settings->region) ==
+           EY_RESIDENCY_ALLOW;
 }
 
 static void
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -312,6 +312,10 @@
 void
 EyGateway_ReceiveForward(EyGateway_t *self, const EyPeerMessage_t *message);
 
+/** True if another gateway of this region forwarded the request. */
+bool
+EyGateway_IsFromOwnRegion(const EyGateway_t *self, const EyRequest_t *request);
+
 /** Handles a message from a forwarding gateway: a request, its cancellation or
  * credit for its answer. late_ms: see EyMessageDelays_Add. */
 void
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -194,6 +194,8 @@
         .has_link_priority = !exchange->is_idempotent,
         .may_forward_to_allowed = request->call == EY_CALL_ROUTED,
         .is_forwarded = request->visited_count > 0,
+        .is_from_own_region =
+            EyGateway_IsFromOwnRegion(active->gateway, request),
         .forward_refused =
             active->tried_remote && request->call != EY_CALL_ROUTED,
         .is_retry = request->call == EY_CALL_ROUTED
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -62,8 +62,10 @@
     bool may_forward_to_allowed; /* if the local region may not process it, it
                                     may be forwarded to an allowed region: its
                                     allowed regions became known only here */
-    bool is_forwarded; /* forwarded by a remote region: served here or refused,
-                          never forwarded again */
+    bool is_forwarded; /* forwarded by another gateway: served in this region
+                          or refused, never forwarded to another one */
+    bool is_from_own_region; /* forwarded by a gateway of this region: served
+                                here or refused */
     bool forward_refused;    /* was forwarded and refused there: not forwarded
                                 again */
     bool is_retry;           /* an earlier attempt failed */
@@ -155,7 +157,7 @@
                                 be distinguished from that of its connection */
     bool is_connect_refused; /* nothing was sent: the server's port refused the
                                 connection */
-    bool is_connect_failed;  /* nothing was sent: no connection to the server */
+    bool is_connect_failed; /* nothing was sent: no connection to the server */
 } EyRoutingResult_t;
 
 /** The summary of one target that a region sends to the others. */
--- a/src/routing/router_reach.c
+++ b/src/routing/router_reach.c
@@ -89,7 +89,8 @@
 {
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyPool_Key(key, request->kind, request->target);
-    if (request->is_forwarded || !ey_router_has_other_way(self, now_ms, key) ||
+    if (request->is_from_own_region ||
+        !ey_router_has_other_way(self, now_ms, key) ||
         neighbours_tried(self, request) >= NEIGHBOURS_MAX)
     {
         return false;
--- a/tests/process/test_reach.c
+++ b/tests/process/test_reach.c
@@ -21,7 +21,8 @@
 
 enum { CUT, SECOND, OTHER, GATEWAYS };
 
-static const uint32_t Regions[GATEWAYS] = {1, 1, 1};
+static const uint32_t OneRegion[GATEWAYS] = {1, 1, 1};
+static const uint32_t TwoRegions[GATEWAYS] = {1, 1, 2};
 
 static const char Routes[] =
     "{\"version\":3,\"routes\":[{\"name\":\"seats\",\"host\":\"127.0.0.1\","
@@ -90,14 +91,14 @@
 
 /** The first cut_count gateways will not reach the servers that are listed. */
 static void
-start_all(uint32_t cut_count)
+start_all(const uint32_t *regions, uint32_t cut_count)
 {
     Harness_MakeMemoryFolder(Folder, sizeof(Folder), "reach");
     File = g_strconcat(Folder, "/unreachable", NULL);
     for (uint32_t i = 0; i < cut_count; i++) {
         Fleet.unreachable_files[i] = File;
     }
-    RoutedGateways_Start(&Fleet, "reach", Regions, GATEWAYS, "native");
+    RoutedGateways_Start(&Fleet, "reach", regions, GATEWAYS, "native");
     RoutedGateways_PutRoutes(&Fleet, Routes);
     BackendSite_t sites[SERVERS];
     for (uint32_t i = 0; i < SERVERS; i++) {
@@ -151,7 +152,7 @@
 static void
 check_cut(const char *word, uint32_t cut_count)
 {
-    start_all(cut_count);
+    start_all(OneRegion, cut_count);
     set_cut(word);
     call_while_contact_passes(cut_count);
     for (uint32_t i = 0; i < cut_count; i++) {
@@ -181,6 +182,16 @@
     check_cut("refuse", 2);
 }
 
+/* The region's other gateways may be unknown in the caller's. */
+Test(reach, callers_of_another_region_are_served_by_way_of_a_cut_gateway)
+{
+    start_all(TwoRegions, 1);
+    set_cut("refuse");
+    call_while_contact_passes(1);
+    cr_expect_eq(count_served(OTHER, "GET", "/seats/a"), CALLS);
+    cr_expect_eq(count_served(OTHER, "POST", "/buy/a"), CALLS);
+}
+
 static bool
 is_own_way_used(void)
 {
@@ -194,7 +205,7 @@
 
 Test(reach, the_own_way_is_used_again_after_the_cut)
 {
-    start_all(1);
+    start_all(OneRegion, 1);
     set_cut("refuse");
     call_while_contact_passes(1);
     set_cut("");
