--- a/src/gateway/attempt_result.c
+++ b/src/gateway/attempt_result.c
@@ -92,5 +92,7 @@
         .is_end_inferred =
             event->kind == EY_ATTEMPT_DONE && event->is_end_inferred,
         .is_connect_refused = event->is_connect_refused,
+        .is_connect_failed =
+            event->failure == EY_FAILURE_CONNECT && event->nothing_sent,
     };
 }
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -8,6 +8,10 @@
 
 #define UPDATE_INTERVAL_MS 500
 #define GATEWAYS_MAX 512
+/* Least load that a gateway reports while it doesn't reach servers that others
+ * of its region do: the directory then names it seldom, and more often again
+ * by and by. */
+#define CUT_OFF_LOAD_PER_MILLE 1200
 /* Delay that combines several membership changes into one update. */
 #define MEMBERS_DEBOUNCE_MS 20
 
@@ -167,8 +171,9 @@
     }
 }
 
-/** EyForwardTargets_Prefers or EyForwardTargets_IsBetter. */
-typedef bool (*Comparison_t)(const EyForwardTargets_t *targets,
+struct Search;
+/** True if candidate is better than best, which may be NULL. */
+typedef bool (*Comparison_t)(const struct Search *search,
                              const char *candidate, const char *best);
 
 /** A search for a gateway of a region among the contacts. */
@@ -176,9 +181,26 @@
     const EyForwardTargets_t *targets;
     Comparison_t is_better;
     const char *region;
+    int64_t now_ms;
+    /* Of a search in the own region: */
+    const EyGateway_t *gateway;
+    const EyRequest_t *request;
     const EyMember_t *found;
 } Search_t;
 
+static bool
+prefers(const Search_t *search, const char *candidate, const char *best)
+{
+    return EyForwardTargets_Prefers(search->targets, candidate, best);
+}
+
+static bool
+is_better(const Search_t *search, const char *candidate, const char *best)
+{
+    return EyForwardTargets_IsBetter(search->targets, search->now_ms,
+                                     candidate, best);
+}
+
 static bool
 is_live_gateway(const EyMember_t *member)
 {
@@ -193,7 +215,7 @@
     const char *best = search->found != NULL ? search->found->id : NULL;
     if (is_live_gateway(member) &&
         strcmp(member->region, search->region) == 0 &&
-        search->is_better(search->targets, member->id, best))
+        search->is_better(search, member->id, best))
     {
         search->found = member;
     }
@@ -207,6 +229,7 @@
 {
     Search_t search = {.targets = self->forward_targets,
                        .is_better = is_better,
+                       .now_ms = EyClock_NowMs(),
                        .region = region};
     EyMembership_EachContact(EyCluster_Membership(self->node->cluster),
                              search_contact, &search);
@@ -219,16 +242,51 @@
     return gateway->id;
 }
 
+static void
+search_neighbour(void *data, const EyMember_t *member)
+{
+    Search_t *search = data;
+    const EyGateway_t *self = search->gateway;
+    EyBackendKind_t kind = EyRequest_IsForModel(search->request)
+                               ? EY_BACKEND_MODEL
+                               : EY_BACKEND_SERVICE;
+    if (strcmp(member->id, self->node->settings->id) != 0 &&
+        EyRouter_IsReachedBy(self->router, search->now_ms, member->id, kind,
+                             search->request->target))
+    {
+        search_contact(data, member);
+    }
+}
+
+/** The best other live gateway of the own region that hasn't said that it
+ * can't reach the request's servers, or NULL. */
+static const char *
+find_neighbour(EyGateway_t *self, const EyRequest_t *request)
+{
+    Search_t search = {.targets = self->forward_targets,
+                       .is_better = is_better,
+                       .region = self->node->settings->region,
+                       .gateway = self,
+                       .request = request,
+                       .now_ms = EyClock_NowMs()};
+    EyMembership_Each(EyCluster_Membership(self->node->cluster),
+                      search_neighbour, &search);
+    return search.found != NULL ? search.found->id : NULL;
+}
+
 const char *
-EyGateway_FindForwardTarget(EyGateway_t *self, const char *region)
+EyGateway_FindForwardTarget(EyGateway_t *self, const char *region,
+                            const EyRequest_t *request)
 {
-    return find_remote_gateway(self, region, EyForwardTargets_IsBetter);
+    return strcmp(region, self->node->settings->region) == 0
+               ? find_neighbour(self, request)
+               : find_remote_gateway(self, region, is_better);
 }
 
 const char *
 EyGateway_FindRemoteGateway(EyGateway_t *self, const char *region)
 {
-    return find_remote_gateway(self, region, EyForwardTargets_Prefers);
+    return find_remote_gateway(self, region, prefers);
 }
 
 static void
@@ -382,6 +440,9 @@
     uint32_t load_per_mille =
         (uint32_t)(1000 * g_hash_table_size(self->active_requests) /
                    EY_GATEWAY_IN_FLIGHT_MAX);
+    if (EyRouter_IsCutOff(self->router, now_ms)) {
+        load_per_mille = MAX(load_per_mille, CUT_OFF_LOAD_PER_MILLE);
+    }
     EyMembership_SetVitals(EyCluster_Membership(self->node->cluster),
                            load_per_mille, EyGateway_Config(self)->revision);
 }
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -12,6 +12,9 @@
  * interval, so that the sender detects a lost receiver. */
 #define CREDIT_MIN_BYTES (EY_FORWARD_WINDOW_BYTES / 4)
 #define CREDIT_KEEPALIVE_MS 10000
+/* The caller's region, and the next one if its gateway passes the request on
+ * to another gateway there. */
+#define VISITED_MAX 2
 
 static void
 send_forward(const EyActiveRequest_t *active,
@@ -28,10 +31,13 @@
 {
     EyRequest_t request = *active->exchange->request;
     request.time_left_ms = request.deadline_ms - EyClock_NowMs();
-    (void)EyText_Copy(visited[0], EY_NAME_SIZE_BYTES,
-                      active->gateway->node->settings->region);
+    uint32_t count = MIN(request.visited_count, VISITED_MAX - 1);
+    for (uint32_t i = 0; i < count; i++) {
+        (void)EY_COPY(visited[i], request.visited[i]);
+    }
+    (void)EY_COPY(visited[count], active->gateway->node->settings->region);
     request.visited = visited;
-    request.visited_count = 1;
+    request.visited_count = count + 1;
     return request;
 }
 
@@ -51,12 +57,14 @@
     EyGateway_t *gateway = active->gateway;
     const EyRequest_t *request = active->exchange->request;
     const char *remote_gateway =
-        EyGateway_FindForwardTarget(gateway, action->to);
+        EyGateway_FindForwardTarget(gateway, action->to, request);
     bool is_allowed =
         EyGateway_MayRunIn(active, action->to) &&
         EyResidencyPolicy_Check(gateway->residency_policy, request,
                                 action->to) == EY_RESIDENCY_ALLOW;
-    active->tried_remote = true;
+    bool is_own_region =
+        strcmp(action->to, gateway->node->settings->region) == 0;
+    active->tried_remote = active->tried_remote || !is_own_region;
     if (remote_gateway == NULL || !is_allowed) {
         EyActiveRequest_FailUnsent(active, action->attempt);
         return;
@@ -64,10 +72,12 @@
     (void)EY_COPY(active->remote_id, remote_gateway);
     EyForwardTargets_Begin(gateway->forward_targets, remote_gateway);
     active->remote_sequence = 0;
-    EyName_t visited[1];
+    EyName_t visited[VISITED_MAX];
     EyRequest_t outgoing = outgoing_request(active, visited);
-    outgoing.resume_after = action->resume_after;
-    (void)EY_COPY(outgoing.resume_event, action->last_event);
+    outgoing.resume_after = request->resume_after + action->resume_after;
+    if (action->last_event[0] != '\0') {
+        (void)EY_COPY(outgoing.resume_event, action->last_event);
+    }
     outgoing.terms.runs_max = runs_left(active->exchange);
     outgoing.arrivals = active->exchange->arrival_count;
     outgoing.carries_retry_credit = active->has_retry_credit;
@@ -210,6 +220,10 @@
     EyExchangeEvent_t event =
         EyGateway_ForwardFailure(answer, forward->attempt);
     talloc_free(answer);
+    if (event.nothing_sent) {
+        EyForwardTargets_Refused(active->gateway->forward_targets,
+                                 EyClock_NowMs(), active->remote_id);
+    }
     finish_attempt(active, &event,
                    event.nothing_sent ? EY_RESULT_REFUSED : EY_RESULT_FAILED);
 }
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -255,6 +255,31 @@
     return request;
 }
 
+bool
+EyGateway_IsFromOwnRegion(const EyGateway_t *self, const EyRequest_t *request)
+{
+    uint32_t count = request->visited_count;
+    return count > 0 && strcmp(request->visited[count - 1],
+                               self->node->settings->region) == 0;
+}
+
+/** True if the request has crossed regions once at most, comes straight from
+ * there or through one gateway of this region, and may be in this one. An
+ * older gateway refuses the latter, without running it. */
+static bool
+is_allowed(const EyGateway_t *self, const EyRequest_t *incoming)
+{
+    EyRequest_t checked = *incoming;
+    bool is_from_own = EyGateway_IsFromOwnRegion(self, incoming);
+    checked.visited_count -= is_from_own ? 1 : 0;
+    if (incoming->visited_count == 0 || checked.visited_count > 1) {
+        return false;
+    }
+    return EyResidencyPolicy_Check(self->residency_policy, &checked,
+                                   self->node->settings->region) ==
+           EY_RESIDENCY_ALLOW;
+}
+
 static void
 handle_request(EyGateway_t *self, const char *from,
                const EyForwardMessage_t *forward, int64_t late_ms)
@@ -269,11 +294,7 @@
                "the request was on its way between instances for too long");
         return;
     }
-    bool is_allowed = incoming->visited_count == 1 &&
-                      EyResidencyPolicy_Check(self->residency_policy, incoming,
-                                              self->node->settings->region) ==
-                          EY_RESIDENCY_ALLOW;
-    if (!is_allowed) {
+    if (!is_allowed(self, incoming)) {
         refuse(self, from, forward->attempt, EY_PROBLEM_WRONG_REGION, NULL);
         return;
     }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -43,6 +43,7 @@
     EY_GATEWAY_BARS,
     EY_GATEWAY_BARRED_PARTS,
     EY_GATEWAY_SUSPECT_REFUSALS,
+    EY_GATEWAY_UNREACHABLE,
     EY_GATEWAY_LATENCY,
     EY_GATEWAY_CLOSE_WAITING,
     EY_GATEWAY_CLOSE_FORWARDED,
@@ -250,7 +251,8 @@
 /** Finds the gateway of a remote region that the next request is forwarded to,
  * and sets its peer address; NULL if none is known to be alive. */
 const char *
-EyGateway_FindForwardTarget(EyGateway_t *self, const char *region);
+EyGateway_FindForwardTarget(EyGateway_t *self, const char *region,
+                            const EyRequest_t *request);
 
 /** Finds the gateway of a remote region that gets this one's updates, the same
  * each time while it lives, and sets its peer address; NULL if none is known
@@ -324,6 +326,10 @@
 void
 EyGateway_ReceiveForward(EyGateway_t *self, const EyPeerMessage_t *message);
 
+/** True if another gateway of this region forwarded the request. */
+bool
+EyGateway_IsFromOwnRegion(const EyGateway_t *self, const EyRequest_t *request);
+
 /** Handles a message from a forwarding gateway: a request, its cancellation or
  * credit for its answer. late_ms: see EyMessageDelays_Add. */
 void
--- a/tests/process/routed_gateways.h
+++ b/tests/process/routed_gateways.h
@@ -20,6 +20,9 @@
     /* Has a file cut-REGION for each region with the ids of instances whose
      * messages are dropped there; NULL: none. */
     const char *cut_folder;
+    /** Lists the servers that a gateway can't connect to, see
+     * backends/test_unreachable.h; NULL: none. */
+    const char *unreachable_files[ROUTED_GATEWAYS_MAX];
     const char *gateway_flag; /* a further flag of each gateway; NULL: none */
 } RoutedGateways_t;
 
