A silent server is given up only for another one

A server's silence is no reason to end an answer sooner.

The first-byte time-out asks the router now whether a server or region that hasn't been tried may serve the request. router::a_silent_server_is_given_up_only_for_another_one is a table of that decision; it can't run on the code before, which has no such question.

--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -335,7 +335,8 @@
         EyRequest_IsForModel(request) ? EY_BACKEND_MODEL : EY_BACKEND_SERVICE;
     if (!EyRouter_MayRetry(gateway->router, now_ms, kind, request->target) ||
         exchange->head_passed || exchange->state != EY_EXCHANGE_TRYING ||
-        exchange->run_count + 1 >= exchange->request->terms.runs_max)
+        exchange->run_count + 1 >= exchange->request->terms.runs_max ||
+        !EyGateway_HasAlternative(active))
     {
         return;
     }
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -354,6 +354,10 @@
 void
 EyGateway_Route(EyActiveRequest_t *active);
 
+/** True if a server or region that hasn't been tried may serve the request. */
+bool
+EyGateway_HasAlternative(const EyActiveRequest_t *active);
+
 /** Withdraws the request from the router. */
 void
 EyGateway_Unroute(EyActiveRequest_t *active);
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -224,6 +224,13 @@
     return routing;
 }
 
+bool
+EyGateway_HasAlternative(const EyActiveRequest_t *active)
+{
+    const EyRoutingRequest_t request = make_request(active);
+    return EyRouter_HasAlternative(active->gateway->router, &request);
+}
+
 /** After the process was paused, the registry may be far out of date: the
  * cluster must detect this before a request is sent to a listed server. */
 static void
--- a/src/routing/remote_regions.c
+++ b/src/routing/remote_regions.c
@@ -290,6 +290,22 @@
     return chosen;
 }
 
+bool
+EyRemoteRegions_MayServe(const EyRemoteRegions_t *self,
+                         const EyRoutingRequest_t *request)
+{
+    for (uint32_t i = 0; i < self->region_count; i++) {
+        const char *region = self->regions[i].name;
+        if (EyRoutingRequest_MayRunIn(request, region) &&
+            !EyRoutingRequest_Excludes(request, region) &&
+            find_state(self, region, request->kind, request->target) != NULL)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 EyRemoteRegions_Finished(EyRemoteRegions_t *self, const char *region,
                          EyBackendKind_t kind, const char *target)
--- a/src/routing/remote_regions.h
+++ b/src/routing/remote_regions.h
@@ -66,6 +66,12 @@
                                  const EyRoutingConfig_t *config,
                                  const EyRoutingRequest_t *request);
 
+/** True if a region that the request may still be forwarded to has reported
+ * its target. */
+bool
+EyRemoteRegions_MayServe(const EyRemoteRegions_t *self,
+                         const EyRoutingRequest_t *request);
+
 /** A request that was forwarded to the region ended. */
 void
 EyRemoteRegions_Finished(EyRemoteRegions_t *self, const char *region,
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -727,6 +727,35 @@
            EyRetryBudgets_MayTake(self->retries, now_ms, key);
 }
 
+/** True if a server of this region that hasn't been tried serves the target.
+ */
+static bool
+has_untried_server(const EyRouter_t *self, const EyRoutingRequest_t *request)
+{
+    char key[EY_POOL_KEY_SIZE_BYTES];
+    EyPool_Key(key, request->kind, request->target);
+    const EyPool_t *pool = g_hash_table_lookup(self->pools, key);
+    if (pool == NULL || !EyRoutingRequest_MayRunIn(request, self->region)) {
+        return false;
+    }
+    for (guint i = 0; i < pool->replicas->len; i++) {
+        const EyReplica_t *replica = g_ptr_array_index(pool->replicas, i);
+        if (!EyRoutingRequest_Excludes(request, replica->backend->id)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+EyRouter_HasAlternative(const EyRouter_t *self,
+                        const EyRoutingRequest_t *request)
+{
+    return has_untried_server(self, request) ||
+           (!request->is_forwarded &&
+            EyRemoteRegions_MayServe(self->remote_regions, request));
+}
+
 void
 EyRouter_UpdateLoad(EyRouter_t *self, int64_t now_ms, const char *id,
                     uint32_t running, uint32_t waiting)
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -138,6 +138,12 @@
 EyRouter_MayRetry(EyRouter_t *self, int64_t now_ms, EyBackendKind_t kind,
                   const char *target);
 
+/** True if a server or region that hasn't been tried may serve the request:
+ * one that is silent isn't given up for nothing. */
+bool
+EyRouter_HasAlternative(const EyRouter_t *self,
+                        const EyRoutingRequest_t *request);
+
 /** Stores a load report that a backend server sent with an answer. */
 void
 EyRouter_UpdateLoad(EyRouter_t *self, int64_t now_ms, const char *id,
--- a/tests/unit/test_router.c
+++ b/tests/unit/test_router.c
@@ -364,3 +364,49 @@
     g_array_unref(decisions);
     talloc_free(ctx);
 }
+
+/** What is left to try for a request whose first server is silent. */
+typedef struct AlternativeCase {
+    const char *name;
+    uint32_t servers;
+    bool has_region; /* another region reported the target */
+    bool is_bound;   /* the data may only be in this region */
+    bool is_forwarded;
+    bool expected;
+} AlternativeCase_t;
+
+static const AlternativeCase_t AlternativeCases[] = {
+    {"nothing else", 1, false, false, false, false},
+    {"another server", 2, false, false, false, true},
+    {"another region", 1, true, false, false, true},
+    {"another region, bound here", 1, true, true, false, false},
+    {"another region, forwarded here", 1, true, false, true, false},
+};
+
+Test(router, a_silent_server_is_given_up_only_for_another_one)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(AlternativeCases); i++) {
+        const AlternativeCase_t *test = &AlternativeCases[i];
+        void *ctx = talloc_new(NULL);
+        EyName_t model = "plan";
+        EyRouter_t *router = make_router(ctx, 1, EyRoutingConfig_Make());
+        for (uint32_t j = 0; j < test->servers; j++) {
+            EyBackend_t backend =
+                make_backend(j == 0 ? "b0" : "b1", &model, 0);
+            EyRouter_UpsertBackend(router, 1000, &backend);
+        }
+        const EyRegionSummary_t summary = {.region = "zagreb",
+                                           .target = "plan"};
+        if (test->has_region) {
+            EyRouter_SetSummary(router, 1000, &summary);
+        }
+        EyRoutingRequest_t request = make_request(1, 21000);
+        request.is_forwarded = test->is_forwarded;
+        (void)EY_COPY(request.home, test->is_bound ? "istra" : "");
+        (void)EY_COPY(request.excluded[0], "b0");
+        request.excluded_count = 1;
+        cr_expect_eq(EyRouter_HasAlternative(router, &request), test->expected,
+                     "%s", test->name);
+        talloc_free(ctx);
+    }
+}
