Reach: requests of another region probe too; a few dead servers prove nothing

Failed connects prove a broken way only if they are to half of the known servers or more. Two rows of reach::a_broken_way_is_told_apart_from_servers_that_ended; the first can't be asked of the code before, which doesn't know their number.

--- a/src/routing/reach.c
+++ b/src/routing/reach.c
@@ -100,10 +100,10 @@
     return *(const int64_t *)now_ms - last_ms > EY_REACH_EVIDENCE_MS;
 }
 
-/** True if most servers that were tried since the first failure that counts
- * can't be reached. */
+/** True if at least half of the known servers, and most of those that were
+ * tried since the first failure that counts, can't be reached. */
 static bool
-is_evidence_enough(Way_t *way, int64_t now_ms)
+is_evidence_enough(Way_t *way, int64_t now_ms, uint32_t known)
 {
     (void)g_hash_table_foreach_remove(way->servers, is_old, &now_ms);
     GHashTableIter each;
@@ -133,7 +133,7 @@
     };
     bool is_single_enough = failures >= EY_REACH_SINGLE_FAILURES_MIN &&
                             now_ms - first_ms >= EY_REACH_SINGLE_MS;
-    return (failed > 1 || is_single_enough) &&
+    return (failed > 1 || is_single_enough) && failed * 2 >= known &&
            failed >= answered * EY_REACH_FAILED_PER_ANSWERED;
 }
 
@@ -152,12 +152,12 @@
 
 EyReachChange_t
 EyReach_Failed(EyReach_t *self, int64_t now_ms, const char *target,
-               const char *server)
+               const char *server, uint32_t known)
 {
     Way_t *way = obtain_way(self, target);
     add_failure(obtain_server(way, server), now_ms);
     way->answers = 0;
-    if (way->is_broken || !is_evidence_enough(way, now_ms)) {
+    if (way->is_broken || !is_evidence_enough(way, now_ms, known)) {
         return EY_REACH_UNCHANGED;
     }
     set_broken(way, now_ms);
--- a/src/routing/reach.h
+++ b/src/routing/reach.h
@@ -59,10 +59,12 @@
 EyReach_t *
 EyReach_New(const void *ctx);
 
-/** A connect to the server failed; nothing was sent. */
+/** A connect to the server failed; nothing was sent. known: servers of the
+ * target in all; while most of them weren't tried, some may just have ended.
+ */
 EyReachChange_t
 EyReach_Failed(EyReach_t *self, int64_t now_ms, const char *target,
-               const char *server);
+               const char *server, uint32_t known);
 
 /** The server answered. */
 EyReachChange_t
--- a/src/routing/router_reach.c
+++ b/src/routing/router_reach.c
@@ -145,7 +145,7 @@
     if (!EyReach_IsBroken(self->reach, key)) {
         return false;
     }
-    if (may_probe && !request->is_forwarded && request->excluded_count == 0 &&
+    if (may_probe && request->excluded_count == 0 &&
         EyReach_TakeProbe(self->reach, now_ms, key,
                           ey_router_has_other_way(self, now_ms, key)))
     {
@@ -245,9 +245,11 @@
     }
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyPool_Key(key, tracked->kind, tracked->target);
+    const EyPool_t *pool = g_hash_table_lookup(self->pools, key);
+    uint32_t known = pool != NULL ? pool->replicas->len : 0;
     apply_change(
         self, now_ms, key,
-        EyReach_Failed(self->reach, now_ms, key, replica->backend->id));
+        EyReach_Failed(self->reach, now_ms, key, replica->backend->id, known));
     if (EyReach_IsBroken(self->reach, key)) {
         judged.kind = EY_RESULT_CANCELLED;
         judged.is_connect_refused = false;
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -20,6 +20,7 @@
 typedef struct Case {
     const char *name;
     Outcome_t outcomes[STEPS_MAX];
+    uint32_t known; /* servers of the target */
     bool is_broken;
 } Case_t;
 
@@ -54,6 +55,13 @@
                   {210, "c"},
                   {220, "d"}},
      .is_broken = true},
+    {.name = "two of ten fail while the others answer slowly",
+     .outcomes = {{100, "a"}, {200, "b"}, {900, "a"}, {1000, "b"}},
+     .known = 10},
+    {.name = "five of ten fail",
+     .outcomes = {{100, "a"}, {200, "b"}, {300, "c"}, {400, "d"}, {500, "e"}},
+     .known = 10,
+     .is_broken = true},
     {.name = "failures too far apart",
      .outcomes = {{100, "a"}, {101 + EY_REACH_EVIDENCE_MS, "b"}}},
     {.name = "a failed server answered since",
@@ -96,12 +104,13 @@
 };
 
 static void
-play(EyReach_t *reach, const Outcome_t *outcomes)
+play(EyReach_t *reach, const Outcome_t *outcomes, uint32_t known)
 {
     for (const Outcome_t *each = outcomes; each->server != NULL; each++) {
         (void)(each->is_answered
                    ? EyReach_Answered(reach, each->at_ms, TARGET, each->server)
-                   : EyReach_Failed(reach, each->at_ms, TARGET, each->server));
+                   : EyReach_Failed(reach, each->at_ms, TARGET, each->server,
+                                    known));
     }
 }
 
@@ -109,7 +118,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
         EyReach_t *reach = EyReach_New(NULL);
-        play(reach, Cases[i].outcomes);
+        play(reach, Cases[i].outcomes, Cases[i].known);
         cr_expect_eq(EyReach_IsBroken(reach, TARGET), Cases[i].is_broken, "%s",
                      Cases[i].name);
         cr_expect_not(EyReach_IsBroken(reach, "service/other"));
@@ -121,8 +130,8 @@
 {
     EyReach_t *reach = EyReach_New(NULL);
     cr_expect_not(EyReach_TakeProbe(reach, 0, TARGET, true));
-    (void)EyReach_Failed(reach, 100, TARGET, "a");
-    cr_expect_eq(EyReach_Failed(reach, 100, TARGET, "b"), EY_REACH_BROKE);
+    (void)EyReach_Failed(reach, 100, TARGET, "a", 2);
+    cr_expect_eq(EyReach_Failed(reach, 100, TARGET, "b", 2), EY_REACH_BROKE);
     int64_t fast_ms = 100 + EY_REACH_FAST_PROBE_INTERVAL_MS;
     cr_expect_not(EyReach_TakeProbe(reach, fast_ms - 1, TARGET, false));
     cr_expect_not(EyReach_TakeProbe(reach, fast_ms, TARGET, true));
@@ -170,6 +179,7 @@
 typedef struct Play {
     EyRouter_t *router;
     uint64_t number;
+    bool is_forwarded; /* requests come from another region */
 } Play_t;
 
 /** A router with two servers, another gateway of its region, and another
@@ -220,6 +230,7 @@
         .body_bytes = 100,
         .deadline_ms = now_ms + 5000,
         .is_idempotent = true,
+        .is_forwarded = play->is_forwarded,
     };
     if (excluded != NULL) {
         request.excluded_count = 1;
@@ -300,3 +311,17 @@
     cr_expect_eq(submit(&play, probe_ms, NULL).kind, EY_DECISION_DISPATCH);
     talloc_free(play.router);
 }
+
+Test(reach, requests_of_another_region_alone_find_the_own_way_again)
+{
+    Play_t play = make_play();
+    EyRouter_SetGateways(play.router, 1);
+    lose_way(&play, 1000);
+    play.is_forwarded = true;
+    bool is_tried = false;
+    for (int64_t now_ms = 1250; now_ms < 10000 && !is_tried; now_ms += 250) {
+        is_tried = submit(&play, now_ms, NULL).kind == EY_DECISION_DISPATCH;
+    }
+    cr_expect(is_tried);
+    talloc_free(play.router);
+}
