A forwarded repeat is paid for once

Found by the review, by run of the router alone: a repeat that its sender had paid for was taken from the receiver's budget once more after a connect that failed, though nothing had reached a server, and refused where that was empty. The receiver remembers now that this arrival is paid for, whoever paid. No test of its own: the flag is set between two steps of a gateway's request, for which there is no fixture.

--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -253,9 +253,9 @@
     if (decision.kind != EY_DECISION_FORWARD) {
         active->has_retry_credit = false;
     }
+    bool is_paid_here = EyRoutingRequest_TakesRetry(&request);
     if (decision.kind != EY_DECISION_REFUSE &&
-        EyRoutingRequest_TakesRetry(&request))
-    {
+        (is_paid_here || request.is_paid)) {
         active->paid_arrivals = active->exchange->arrival_count + 1;
     }
     apply_decision(active, &decision);
