An absence that nobody asked about may have ended

Found by the review, by reading: a region that once had no gateway when a caller of another region asked counted from that moment on, so that its next planned restart, hours later, named regions for some data at once; and 64 made-up regions filled the table for good. What nobody asked about for 10 s is forgotten.

--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -18,17 +18,25 @@
 #define CONTACTS_MAX 64
 /* A contact not seen for this long may be gone. */
 #define CONTACT_FRESH_MS 5000
+/* An absence that nobody asked about for this long may have ended. */
+#define ABSENCE_FORGOTTEN_AFTER_MS 10000
 /* Regions that may lack a gateway at once; further ones count as lost. */
 #define ABSENT_REGIONS_MAX 64
 /* How long callers may cache an answer. */
 #define ANSWER_TTL_S 2
 
+/** A region of which no gateway is known. */
+typedef struct Absence {
+    int64_t since_ms;
+    int64_t asked_ms; /* last time that a caller of it asked */
+} Absence_t;
+
 typedef struct DiscoveryPart {
     EyNode_t *node;
     const EyHeaderNames_t *names;
     EyRelays_t *relays;
     EyTimer_t *relay_timer; /* NULL: nothing waits for a receipt */
-    /** Callers' regions without a gateway -> since when: int64_t. */
+    /** Callers' regions without a gateway, of Absence_t. */
     GHashTable *absent_regions;
 } DiscoveryPart_t;
 
@@ -518,7 +526,17 @@
     }
 }
 
-/** How long no answer for callers of the region has known a gateway there. */
+static gboolean
+is_forgotten(gpointer region, gpointer value, gpointer now_ms)
+{
+    (void)region;
+    const Absence_t *absence = value;
+    return *(const int64_t *)now_ms - absence->asked_ms >
+           ABSENCE_FORGOTTEN_AFTER_MS;
+}
+
+/** How long no answer for callers of the region has known a gateway there;
+ * nobody asked for a while: not known any more. */
 static int64_t
 note_absence(const DiscoveryPart_t *self, const char *region, bool is_absent)
 {
@@ -527,16 +545,20 @@
         (void)g_hash_table_remove(self->absent_regions, region);
         return 0;
     }
-    const int64_t *since_ms =
-        g_hash_table_lookup(self->absent_regions, region);
-    if (since_ms != NULL) {
-        return now_ms - *since_ms;
+    (void)g_hash_table_foreach_remove(self->absent_regions, is_forgotten,
+                                      &now_ms);
+    Absence_t *absence = g_hash_table_lookup(self->absent_regions, region);
+    if (absence != NULL) {
+        absence->asked_ms = now_ms;
+        return now_ms - absence->since_ms;
     }
     if (g_hash_table_size(self->absent_regions) >= ABSENT_REGIONS_MAX) {
         return EY_ENTRY_LOST_AFTER_MS;
     }
-    (void)g_hash_table_insert(self->absent_regions, g_strdup(region),
-                              g_memdup2(&now_ms, sizeof(now_ms)));
+    absence = g_new0(Absence_t, 1);
+    absence->since_ms = now_ms;
+    absence->asked_ms = now_ms;
+    (void)g_hash_table_insert(self->absent_regions, g_strdup(region), absence);
     return 0;
 }
 
