--- a/src/backends/body_end.h
+++ b/src/backends/body_end.h
@@ -1,7 +1,8 @@
 /**
- * Decides, at the end of an answer's bytes, whether the answer is whole. This
- * is the only place that decides it: what frames the body says where its bytes
- * end, and what it holds may still contradict that.
+ * Decides, at the end of the bytes of a backend server's answer, whether the
+ * answer is whole. What frames the body says where its bytes end, and what it
+ * holds may still contradict that. An answer that came through another
+ * instance is checked once more where it is sent to its caller.
  */
 #ifndef EY_BACKENDS_BODY_END_H
 #define EY_BACKENDS_BODY_END_H
