The caller of a late body gets its answer before the connection is reset

By reading: the socket was shut for reading right behind the 408, closed with what had come meanwhile unread, and the reset that follows may overtake the answer. It is shut for writing first, which tells the caller; for reading 2 s later, if its caller hasn't closed by then.

--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -37,6 +37,9 @@
     bool is_routed;
 } Listener_t;
 
+/* How long the caller of a late body may take to read its answer and close. */
+#define LATE_BODY_LINGER_MS 2000
+
 struct EyServer {
     EyServerHooks_t hooks;
     const EyHeaderNames_t *names;
@@ -698,20 +701,35 @@
     }
 }
 
-/** Answers a request whose body is late. Its socket gives libmicrohttpd no
- * more bytes, which ends the connection. The lock must be held. */
+/** Answers a request whose body is late, and ends what is sent to its caller.
+ * The socket still takes what the caller sends: a socket that is closed with
+ * unread bytes resets the connection, and its caller may lose the answer. The
+ * lock must be held. */
 static void
-end_late_body(EyServer_t *self, EyInboundRequest_t *inbound)
+answer_late_body(EyInboundRequest_t *inbound)
 {
     EY_LOG(EY_LOG_INFO, "callers", "body_late",
            EY_LOG_TEXT("request_id", inbound->id),
            EY_LOG_TEXT("path", inbound->path));
-    end_reading_locked(self, inbound);
     inbound->answer =
         EyAnswer_Problem(EY_PROBLEM_REQUEST_LATE, EY_OUTCOME_NOT_RUN, 0,
                          "the body did not come in time");
     inbound->drain_after_answer = true;
     EyInboundRequest_AnswerRaw(inbound);
+    (void)shutdown(EyInboundRequest_Socket(inbound), SHUT_WR);
+}
+
+/** Ends the reading of a body beyond its time. The lock must be held. */
+static void
+end_late_body(EyServer_t *self, EyInboundRequest_t *inbound, int64_t now_ms)
+{
+    if (inbound->answer == NULL) {
+        answer_late_body(inbound);
+        inbound->read_until_ms = now_ms + LATE_BODY_LINGER_MS;
+        return;
+    }
+    /* Its caller hasn't closed: libmicrohttpd reads an end, and closes. */
+    end_reading_locked(self, inbound);
     (void)shutdown(EyInboundRequest_Socket(inbound), SHUT_RD);
 }
 
@@ -734,7 +752,7 @@
             inbound->read_until_ms = until_ms > 0 ? until_ms : INT64_MAX;
         }
         if (inbound->read_until_ms <= now_ms) {
-            end_late_body(self, inbound);
+            end_late_body(self, inbound, now_ms);
         }
     }
     (void)pthread_mutex_unlock(&self->lock);
