--- a/src/backends/event_framer.h
+++ b/src/backends/event_framer.h
@@ -58,7 +58,7 @@
 EyEventFramer_Drop(EyEventFramer_t *self);
 
 /** Id of the last complete event with data; empty if it has none that can be
- * sent in a header, so that nobody can be told to go on behind it. */
+ * sent in a header: the stream can't be resumed after it. */
 const char *
 EyEventFramer_LastId(const EyEventFramer_t *self);
 
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -44,7 +44,7 @@
     EyEventFramer_t *framer;    /* NULL: bytes are written as they arrive */
     EyEventBoundary_t boundary; /* of a successful answer of events */
     uint32_t events_passed;
-    EyEventId_t last_event; /* id of the last of them that has one */
+    EyEventId_t last_event; /* id of the last of them; empty: it has none */
     uint64_t bytes_passed;
     int64_t started_us;
     int64_t first_byte_us;
--- a/src/callers/inbound_request.c
+++ b/src/callers/inbound_request.c
@@ -27,8 +27,8 @@
     EySuspension_Wake(&self->suspension);
 }
 
-/** Resets the caller's connection, as its end in order would be read as that
- * of a whole answer. */
+/** Resets the caller's connection: an orderly close would mark the end of a
+ * whole answer. */
 static void
 reset_connection(const EyInboundRequest_t *self)
 {
--- a/src/discovery/discovery_part.c
+++ b/src/discovery/discovery_part.c
@@ -18,7 +18,7 @@
 #define CONTACTS_MAX 64
 /* A contact not seen for this long may be gone. */
 #define CONTACT_FRESH_MS 5000
-/* An absence that nobody asked about for this long may have ended. */
+/* An absence is dropped if no caller of the region asked for this long. */
 #define ABSENCE_FORGOTTEN_AFTER_MS 10000
 /* Regions that may lack a gateway at once; further ones count as lost. */
 #define ABSENT_REGIONS_MAX 64
@@ -481,7 +481,7 @@
     }
 }
 
-/** Adds the gateways of remote regions that were heard of lately. */
+/** Adds the gateways of remote regions that were seen recently. */
 static void
 add_contacts(const DiscoveryPart_t *self, EntryList_t *list,
              const Caller_t *caller)
--- a/src/discovery/entry_choice.h
+++ b/src/discovery/entry_choice.h
@@ -23,7 +23,7 @@
 } EyEntryGroup_t;
 
 /** After this time without a gateway a region counts as lost; until then they
- * restart, or haven't been heard of yet. */
+ * restart, or aren't known yet. */
 #define EY_ENTRY_LOST_AFTER_MS 5000
 
 /** What is known of the gateways. */
--- a/src/exchange/exchange.c
+++ b/src/exchange/exchange.c
@@ -330,7 +330,7 @@
     end_exchange(step);
 }
 
-/** True if another server can be told after which event to go on. */
+/** True if it is known after which event another server has to resume. */
 static bool
 knows_last_event(const EyExchange_t *exchange)
 {
--- a/src/routing/neighbours.h
+++ b/src/routing/neighbours.h
@@ -33,7 +33,7 @@
 EyNeighbours_IsCut(const EyNeighbours_t *self, int64_t now_ms,
                    const char *gateway, const char *key);
 
-/** Number of gateways that said so. */
+/** Number of gateways that reported it. */
 uint32_t
 EyNeighbours_CutCount(const EyNeighbours_t *self, int64_t now_ms,
                       const char *key);
--- a/src/routing/reach.h
+++ b/src/routing/reach.h
@@ -9,7 +9,7 @@
  * is only late doesn't, so that a silent server alone changes nothing. The end
  * of a single server fails its own connects only, and answers of other servers
  * outweigh them. When all servers have crashed the verdict is wrong, but
- * harmless: other gateways don't reach them either and say so at once.
+ * harmless: other gateways don't reach them either and report it at once.
  */
 #ifndef EY_ROUTING_REACH_H
 #define EY_ROUTING_REACH_H
--- a/tests/process/test_bound_directory.c
+++ b/tests/process/test_bound_directory.c
@@ -15,7 +15,7 @@
 /** Less than callers of a leaving gateway may still come. */
 #define LEAVE_MS 1400
 #define GONE_MS 1000
-/** By then the instances of all regions have heard of each other. */
+/** By then the instances of all regions know each other. */
 #define CONTACTS_MS 3000
 
 enum { DALMACIJA, ISTRA, ZAGREB };
