Client accounts: keys are checked per call, and stay at the gateway

Calls of a route couldn't be told apart by who made them: any caller could name any account, and its Authorization header went to the backend server.

A route table may now have accounts with API keys, priorities, quotas' figures and allowed regions, and routes may be public. A call of a route that isn't public needs one known key, else it is refused with 401 in the same words whatever is wrong. The key is removed and the account header replaced at the gateway that accepts the call, before it goes to a server or another region; allowed regions of route and account are intersected, also for queued calls under a newer table. Without accounts both headers are forwarded as before.

--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -39,6 +39,11 @@
     EY_FIELD(EyRouteRule_t, attempts_max, EY_FIELD_U32),
     EY_FIELD(EyRouteRule_t, sticky, EY_FIELD_BOOL),
     EY_FIELD(EyRouteRule_t, resumable, EY_FIELD_BOOL),
+    {
+        .name = "public",
+        .kind = EY_FIELD_BOOL,
+        .offset_bytes = offsetof(EyRouteRule_t, is_public),
+    },
     EY_FIELD_ARRAY_OF(EyRouteRule_t, allowed_regions, allowed_region_count,
                       EyName_schema, EY_REQUEST_ALLOWED_MAX),
     EY_FIELD_END,
@@ -84,6 +89,8 @@
     EY_FIELD_REQUIRED_ARRAY_OF(EyRouteTable_t, services, service_count,
                                ServiceSchema, EY_SERVICES_MAX),
     EY_FIELD_NESTED(EyRouteTable_t, limits, LimitsSchema),
+    EY_FIELD_ARRAY_OF(EyRouteTable_t, accounts, account_count,
+                      EyAccountRule_schema, EY_ACCOUNTS_MAX),
     EY_FIELD_END,
 };
 static const EySchema_t TableSchema = EY_SCHEMA(EyRouteTable_t, TableFields);
@@ -178,7 +185,31 @@
     return valid;
 }
 
-/** Reads a document without validating its routes. */
+static bool
+check_accounts(const EyRouteTable_t *self, GError **error)
+{
+    const char *fault = EyAccountIndex_Fault(self->account_index);
+    if (fault != NULL) {
+        g_set_error(error, EY_ROUTE_TABLE_ERROR, EY_ROUTE_TABLE_ERROR_INVALID,
+                    "%s", fault);
+    }
+    return fault == NULL;
+}
+
+/** Sets the error of a document that isn't JSON, without the text that the
+ * parser quotes after "near", as it may be a part of a key. */
+static void
+set_json_error(GError **error, const json_error_t *where)
+{
+    const char *quoted = strstr(where->text, " near ");
+    int length = quoted != NULL ? (int)(quoted - where->text)
+                                : (int)strlen(where->text);
+    g_set_error(error, EY_ROUTE_TABLE_ERROR, EY_ROUTE_TABLE_ERROR_MALFORMED,
+                "not JSON at byte %d: %.*s", where->position, length,
+                where->text);
+}
+
+/** Reads a document without validating its routes and accounts. */
 static EyRouteTable_t *
 read_document(const void *ctx, const EyBytes_t *document, GError **error)
 {
@@ -187,13 +218,16 @@
         json_loadb((const char *)document->data, document->size_bytes,
                    JSON_REJECT_DUPLICATES, &where);
     if (json == NULL) {
-        g_set_error(error, EY_ROUTE_TABLE_ERROR,
-                    EY_ROUTE_TABLE_ERROR_MALFORMED, "not JSON at byte %d: %s",
-                    where.position, where.text);
+        set_json_error(error, &where);
         return NULL;
     }
     EyRouteTable_t *self = EY_NEW(ctx, EyRouteTable_t);
     bool valid = EySchema_FromJson(&TableSchema, self, json, self, error);
+    if (valid) {
+        self->account_index =
+            EyAccountIndex_New(self, self->accounts, self->account_count,
+                               json_object_get(json, "accounts"));
+    }
     json_decref(json);
     if (!valid) {
         EyError_Wrap(error, EY_ROUTE_TABLE_ERROR,
@@ -208,7 +242,9 @@
 EyRouteTable_Parse(const void *ctx, const EyBytes_t *document, GError **error)
 {
     EyRouteTable_t *self = read_document(ctx, document, error);
-    if (self != NULL && !check_routes(self, error)) {
+    if (self != NULL &&
+        (!check_routes(self, error) || !check_accounts(self, error)))
+    {
         talloc_free(self);
         return NULL;
     }
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -6,6 +6,7 @@
 #ifndef EY_CONFIG_ROUTE_TABLE_H
 #define EY_CONFIG_ROUTE_TABLE_H
 
+#include "config/accounts.h"
 #include "core/error.h"
 #include "core/schema.h"
 #include "core/types.h"
@@ -63,6 +64,7 @@
     uint32_t attempts_max; /* most servers that may execute one call */
     bool sticky;           /* calls carry the parts of their prompt */
     bool resumable;
+    bool is_public;            /* calls need no key of a client account */
     EyName_t *allowed_regions; /* where its data may be; none: any region */
     uint32_t allowed_region_count;
 } EyRouteRule_t;
@@ -102,6 +104,9 @@
     EyServiceRule_t *services;
     uint32_t service_count;
     EyCallerLimits_t limits;
+    EyAccountRule_t *accounts; /* none: calls need no key */
+    uint32_t account_count;
+    EyAccountIndex_t *account_index;
 } EyRouteTable_t;
 
 /** Parses and validates a document; returns NULL with
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -25,6 +25,8 @@
                                 "Idempotency-Key is required"},
     [EY_PROBLEM_UNAUTHORIZED] = {401, "unauthorized",
                                  "A bearer token is required"},
+    [EY_PROBLEM_NO_REGION] = {403, "wrong-region",
+                              "The data may not be in any region"},
     [EY_PROBLEM_NOT_FOUND] = {404, "not-found", "No such resource"},
     [EY_PROBLEM_METHOD] = {405, "method-not-allowed", "Method not allowed"},
     [EY_PROBLEM_REQUEST_LATE] = {408, "request-late",
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -17,7 +17,10 @@
     EY_HEADER_REQUEST_ID,       /* id of one attempt by a caller; echoed */
     EY_HEADER_TIMEOUT,          /* remaining time in milliseconds */
     EY_HEADER_HOME,             /* region that the data is bound to */
-    EY_HEADER_ACCOUNT,          /* client account */
+    EY_HEADER_ACCOUNT,          /* client account that a caller names */
+    EY_HEADER_AUTHORIZATION,    /* key of a client account */
+    EY_HEADER_KEY_OWNER,        /* to a backend server: name of the client
+                                   account whose key the caller gave */
     EY_HEADER_OUTCOME,          /* completed, not-run or unknown */
     EY_HEADER_TOKENS,           /* PROMPT,MAX of a model call: tokens of the
                                    prompt, upper bound for the answer */
--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -34,6 +34,7 @@
     EY_FIELD(EyCallTerms_t, timeout_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, objective_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, routes_version, EY_FIELD_U64),
+    EY_FIELD(EyCallTerms_t, is_account_checked, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t TermsSchema = EY_SCHEMA(EyCallTerms_t, TermsFields);
@@ -104,6 +105,19 @@
     return true;
 }
 
+void
+EyRequest_RemoveHeaders(EyRequest_t *self, const EyHeaderNames_t *names,
+                        EyHeaderRole_t role)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < self->header_count; i++) {
+        if (!EyHeaderNames_Is(names, role, self->headers[i].name)) {
+            self->headers[kept++] = self->headers[i];
+        }
+    }
+    self->header_count = kept;
+}
+
 bool
 EyRequest_IsForModel(const EyRequest_t *self)
 {
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -5,6 +5,7 @@
 #include "core/cancellation.h"
 #include "core/schema.h"
 #include "core/types.h"
+#include "exchange/header_names.h"
 #include "exchange/server_version.h"
 
 #ifdef __cplusplus
@@ -67,6 +68,9 @@
     uint32_t timeout_ms;     /* longest wait for its answer */
     uint32_t objective_ms; /* latency objective of the answer, or of the first
                               event */
+    bool is_account_checked; /* by a route table with client accounts: account
+                                is the one whose key the caller gave, or empty
+                              */
 } EyCallTerms_t;
 
 typedef struct EyHeader {
@@ -140,6 +144,11 @@
 bool
 EyRequest_AddHeader(EyRequest_t *self, const char *name, const char *value);
 
+/** Removes all headers to forward that have the role's name. */
+void
+EyRequest_RemoveHeaders(EyRequest_t *self, const EyHeaderNames_t *names,
+                        EyHeaderRole_t role);
+
 /** A hash that is equal for equal requests at any instance: of the route, or
  * without one the target, and of method, path with query, client account, body
  * and all parts of the prompt. The service that a route chose doesn't count.
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -56,6 +56,19 @@
     [EY_GATEWAY_UNREACHABLE] = {.name = "servers_unreachable_total",
                                 .help = "Times that this gateway lost its "
                                         "way to the servers of a target"},
+    [EY_GATEWAY_KEY_MISSING] = {.name = "unauthorized_total",
+                                .labels = "key=\"missing\"",
+                                .help = "Calls refused with 401, by the fault "
+                                        "of their key"},
+    [EY_GATEWAY_KEY_MALFORMED] = {.name = "unauthorized_total",
+                                  .labels = "key=\"malformed\"",
+                                  .help = ""},
+    [EY_GATEWAY_KEY_DUPLICATED] = {.name = "unauthorized_total",
+                                   .labels = "key=\"duplicated\"",
+                                   .help = ""},
+    [EY_GATEWAY_KEY_UNKNOWN] = {.name = "unauthorized_total",
+                                .labels = "key=\"unknown\"",
+                                .help = ""},
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
@@ -85,6 +98,8 @@
         g_int64_hash, g_int64_equal, EyMemory_Free, EyMemory_Free);
     self->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
                                            EyMemory_Free, NULL);
+    self->logged_unknown_keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     self->attempt_events = EyMailbox_New(self, ATTEMPT_EVENTS_WAITING_MAX);
     EyMailbox_Attach(self->attempt_events, self->node->loop, on_attempt_event,
                      self);
@@ -128,6 +143,7 @@
     g_hash_table_destroy(self->active_requests);
     EyGateway_CloseRouter(self);
     g_hash_table_destroy(self->proposals);
+    g_hash_table_destroy(self->logged_unknown_keys);
 }
 
 static bool
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -44,6 +44,10 @@
     EY_GATEWAY_BARRED_PARTS,
     EY_GATEWAY_SUSPECT_REFUSALS,
     EY_GATEWAY_UNREACHABLE,
+    EY_GATEWAY_KEY_MISSING,
+    EY_GATEWAY_KEY_MALFORMED,
+    EY_GATEWAY_KEY_DUPLICATED,
+    EY_GATEWAY_KEY_UNKNOWN,
     EY_GATEWAY_LATENCY,
     EY_GATEWAY_CLOSE_WAITING,
     EY_GATEWAY_CLOSE_FORWARDED,
@@ -109,7 +113,8 @@
     EyResumptions_t *resumptions;
     EyTimer_t *resumptions_timer; /* NULL: nothing is due */
     uint64_t last_proposal;
-    GHashTable *proposals; /* number -> an operator's EyRequest_t */
+    GHashTable *logged_unknown_keys; /* route -> time of the last line in ms */
+    GHashTable *proposals;           /* number -> an operator's EyRequest_t */
     EyGatewayRecords_t *records;
     EyRouter_t *router;
     GArray *pending_decisions; /* of EyRoutingDecision_t */
@@ -290,6 +295,29 @@
 void
 EyGateway_CancelForward(EyActiveRequest_t *active, uint64_t attempt);
 
+/** True if the route table has client accounts. */
+bool
+EyGateway_HasAccounts(const EyGateway_t *self);
+
+/** Finds the account whose key a routed call has, and replaces the call's
+ * account and the headers about it; account: NULL if there are no accounts, or
+ * the route is public and the key isn't known. Returns NULL, or the answer
+ * that refuses the call. */
+EyAnswer_t *
+EyGateway_CheckAccount(EyGateway_t *self, EyRequest_t *request,
+                       const EyRouteRule_t *route,
+                       const EyAccountRule_t **account);
+
+/** The account in the route table by whose key a call was accepted; NULL if
+ * there was none or the table no longer has it. */
+const EyAccountRule_t *
+EyGateway_AccountOf(const EyGateway_t *self, const EyRequest_t *request);
+
+/** Removes a caller's key and the account that it names before a call is sent
+ * on that was accepted by a table without accounts, if there are some now. */
+void
+EyGateway_RemoveKeys(const EyGateway_t *self, EyRequest_t *request);
+
 /** Finds the route of a routed call and copies its terms into the request.
  * Returns NULL, or the answer that refuses the call. */
 EyAnswer_t *
