Load header: speed factor of a server's machine; activation of predictive routing

Servers may report a fourth field in the load header, the speed factor of their machine. It is read within bounds (10 to 10,000 %), and a malformed header is logged once for each server: until now a negative count was read as 4 billion.

--predictive auto|on|off decides with the route table's accounts (set through EyRouter_SetHasAccounts, false until the table has them) and the age of the last factor whether predictive routing is active for a target (EyPool_t.is_predictive). Nothing reads it yet. engine.stride of a service is the tokens in one event.

--- a/src/config/route_table.c
+++ b/src/config/route_table.c
@@ -51,6 +51,7 @@
     EY_FIELD(EyEngineRule_t, kv_token_bytes, EY_FIELD_F64),
     EY_FIELD(EyEngineRule_t, pin_ms, EY_FIELD_F64),
     EY_FIELD(EyEngineRule_t, hold_ms, EY_FIELD_F64),
+    EY_FIELD(EyEngineRule_t, stride, EY_FIELD_U32),
     EY_FIELD_END,
 };
 static const EySchema_t EngineSchema = EY_SCHEMA(EyEngineRule_t, EngineFields);
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -74,6 +74,7 @@
     double kv_token_bytes;
     double pin_ms;
     double hold_ms;
+    uint32_t stride; /* tokens in one event of a stream; 0: 1 */
 } EyEngineRule_t;
 
 typedef struct EyServiceRule {
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -43,6 +43,7 @@
     SETTING_RETRY_RATIO,
     SETTING_RETRY_SLACK,
     SETTING_RETRY_WINDOW,
+    SETTING_PREDICTIVE,
     SETTING_DATA_DIR,
     SETTING_OPERATOR_TOKEN_FILE,
     SETTING_PEER_SECRET_FILE,
@@ -241,6 +242,24 @@
     return is_valid;
 }
 
+const char *const EyPredictive_mode_names[EY_PREDICTIVE_COUNT] = {
+    [EY_PREDICTIVE_AUTO] = "auto",
+    [EY_PREDICTIVE_ON] = "on",
+    [EY_PREDICTIVE_OFF] = "off",
+};
+
+static bool
+read_predictive(EySettings_t *settings, const char *text)
+{
+    for (int mode = 0; mode < EY_PREDICTIVE_COUNT; mode++) {
+        if (strcmp(text, EyPredictive_mode_names[mode]) == 0) {
+            settings->predictive = (EyPredictiveMode_t)mode;
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool
 read_bool(const char *text, bool *value)
 {
@@ -492,6 +511,12 @@
                               .default_text = "10",
                               .expected = "1 to 3600 seconds",
                               .read = read_retry_window},
+    [SETTING_PREDICTIVE] = {.flag = "predictive",
+                            .help = "when routing predicts the time and the "
+                                    "work of calls",
+                            .default_text = "auto",
+                            .expected = "auto, on or off",
+                            .read = read_predictive},
     [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
                              .help = "address for other instances, IP:port",
                              .expected = ADDRESS_EXPECTED,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -42,6 +42,16 @@
     EyName_t region;
 } EyZone_t;
 
+/** When predictive routing is active for a target. */
+typedef enum EyPredictiveMode {
+    EY_PREDICTIVE_AUTO, /* see EyRoutingConfig_IsPredictive */
+    EY_PREDICTIVE_ON,
+    EY_PREDICTIVE_OFF,
+    EY_PREDICTIVE_COUNT
+} EyPredictiveMode_t;
+
+extern const char *const EyPredictive_mode_names[EY_PREDICTIVE_COUNT];
+
 typedef struct EySettings {
     EyName_t id;
     EyName_t region;
@@ -72,6 +82,7 @@
     char *peer_secret_file;    /* NULL: no encryption between instances */
     uint32_t memory_mib;       /* that the process may use */
     uint32_t capacity;         /* weight in the distribution of callers */
+    EyPredictiveMode_t predictive;
     EyLogLevel_t log_level;
     bool log_json;
     bool standalone;
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -12,6 +12,9 @@
 #define MS_PER_S 1000.0
 /** Longer delays are taken for malformed ones: one year. */
 #define RETRY_AFTER_MAX_S 31536000.0
+/** Larger counts in a load header are taken for malformed ones. */
+#define LOAD_MAX 1000000U
+#define PERCENT 100.0
 
 typedef struct ProblemText {
     uint32_t status;
@@ -235,6 +238,68 @@
                                                : EY_LIMIT_HEADER_INVALID;
 }
 
+/** Reads a decimal integer of at most LOAD_MAX and moves text past it and the
+ * comma after it; false if there is none. */
+static bool
+read_load_field(const char **text, uint32_t *number)
+{
+    gchar *end = NULL;
+    const char *start = *text + strspn(*text, " ");
+    guint64 value = g_ascii_strtoull(start, &end, 10);
+    if (!g_ascii_isdigit(*start) || value > LOAD_MAX) {
+        return false;
+    }
+    end += strspn(end, " ");
+    *number = (uint32_t)value;
+    *text = *end == ',' ? end + 1 : end;
+    return *end == ',' || *end == '\0';
+}
+
+/** Reads the fields SLOTS and SPEED FACTOR, if there are any. */
+static bool
+read_speed_factor(const char *text, double *factor)
+{
+    uint32_t slots = 0;
+    if (*text == '\0') {
+        return true;
+    }
+    if (!read_load_field(&text, &slots)) {
+        return false;
+    }
+    if (*text == '\0') {
+        return true;
+    }
+    gchar *first = g_strndup(text, strcspn(text, ","));
+    double percent = 0.0;
+    bool is_valid = read_decimal(g_strstrip(first),
+                                 EY_SPEED_FACTOR_MAX * PERCENT, &percent) &&
+                    percent >= EY_SPEED_FACTOR_MIN * PERCENT;
+    g_free(first);
+    *factor = is_valid ? percent / PERCENT : 0.0;
+    return is_valid;
+}
+
+EyLoadHeader_t
+EyAnswer_ReadLoad(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                  EyReportedLoad_t *load)
+{
+    const char *name = names->by_role[EY_HEADER_LOAD];
+    const char *value = name != NULL ? EyAnswer_Header(self, name) : NULL;
+    *load = (EyReportedLoad_t){.running = 0};
+    if (value == NULL) {
+        return EY_LOAD_HEADER_ABSENT;
+    }
+    bool has_both = read_load_field(&value, &load->running) &&
+                    value[-1] == ',' &&
+                    read_load_field(&value, &load->waiting);
+    if (!has_both) {
+        return EY_LOAD_HEADER_INVALID;
+    }
+    return read_speed_factor(value, &load->speed_factor)
+               ? EY_LOAD_HEADER_VALID
+               : EY_LOAD_HEADER_NO_FACTOR;
+}
+
 bool
 EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names)
 {
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -138,6 +138,35 @@
 EyAnswer_ReadLimit(const EyAnswer_t *self, const EyHeaderNames_t *names,
                    double *per_s);
 
+/** The load that a backend server reports of itself. */
+typedef struct EyReportedLoad {
+    uint32_t running;
+    uint32_t waiting;
+    double speed_factor; /* time for work relative to the usual: 1.0 as usual,
+                            2.5 takes 2.5 times as long; 0: not reported */
+} EyReportedLoad_t;
+
+/** Value of the load header. */
+typedef enum EyLoadHeader {
+    EY_LOAD_HEADER_ABSENT,
+    EY_LOAD_HEADER_VALID,
+    EY_LOAD_HEADER_NO_FACTOR, /* RUNNING and QUEUED are valid, the fields after
+                                 them are malformed or out of range */
+    EY_LOAD_HEADER_INVALID,   /* RUNNING or QUEUED is malformed */
+    EY_LOAD_HEADER_COUNT
+} EyLoadHeader_t;
+
+/** Bounds on a speed factor that is used. */
+#define EY_SPEED_FACTOR_MIN 0.1
+#define EY_SPEED_FACTOR_MAX 100.0
+
+/** Reads the load header, RUNNING,QUEUED[,SLOTS[,SPEED FACTOR in percent]].
+ * Fields after these are ignored. load is set if the result is VALID or
+ * NO_FACTOR. */
+EyLoadHeader_t
+EyAnswer_ReadLoad(const EyAnswer_t *self, const EyHeaderNames_t *names,
+                  EyReportedLoad_t *load);
+
 /** True if a backend server says that it is leaving. */
 bool
 EyAnswer_SaysLeaving(const EyAnswer_t *self, const EyHeaderNames_t *names);
--- a/src/exchange/header_names.h
+++ b/src/exchange/header_names.h
@@ -33,7 +33,8 @@
     EY_HEADER_CACHE_SOURCE,     /* IP:port of an engine whose prompt cache
                                    the server may copy from */
     EY_HEADER_NOT_RUN,          /* in an answer: the request didn't run */
-    EY_HEADER_LOAD,             /* RUNNING,QUEUED,SLOTS of the server */
+    EY_HEADER_LOAD,             /* RUNNING,QUEUED,SLOTS[,FACTOR] of the
+                                    server, see EyAnswer_ReadLoad */
     EY_HEADER_LEAVING,          /* in an answer: 1 if the server is leaving */
     EY_HEADER_LIMIT,            /* in an answer: requests a second that the
                                    server takes from all gateways together */
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -31,6 +31,8 @@
     (void)EyRouteTable_Update(&self->node->routes, self->node,
                               store->routes_version, &store->routes);
     EyGateway_ConfigureRouter(self);
+    /* The route table has no client accounts yet. */
+    EyRouter_SetHasAccounts(self->router, EyClock_NowMs(), false);
     EyGateway_RefreshBackends(self);
     EyGatewayRecords_Configure(self->records, store);
 }
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -384,6 +384,7 @@
         1000;
     config.retry_slack = (double)settings->retry_slack;
     config.retry_window_ms = (int64_t)settings->retry_window_ms;
+    config.predictive = settings->predictive;
     config.allows_forwarding =
         config_number(self, EY_DEFAULT_ROUTING_AWAY_ALLOWED) != 0;
     EyRouter_SetConfig(self->router, &config);
@@ -392,10 +393,12 @@
 void
 EyGateway_OpenRouter(EyGateway_t *self)
 {
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.predictive = self->node->settings->predictive;
     const EyRouterOptions_t options = {
         .region = self->node->settings->region,
         .seed = EyRandom_Next(&self->node->random),
-        .config = EyRoutingConfig_Make(),
+        .config = config,
     };
     self->router = EyRouter_New(self, &options);
     self->pending_decisions = new_decisions();
--- a/src/gateway/server_notices.c
+++ b/src/gateway/server_notices.c
@@ -4,7 +4,6 @@
 #include "gateway/internal.h"
 
 #include <math.h>
-#include <stdio.h>
 
 #define STATUS_UNAVAILABLE 503
 
@@ -20,15 +19,27 @@
 static void
 read_load(const EyActiveRequest_t *active, const EyAnswer_t *answer)
 {
-    const char *name = active->gateway->names->by_role[EY_HEADER_LOAD];
-    const char *value = name != NULL ? EyAnswer_Header(answer, name) : NULL;
-    unsigned int running = 0;
-    unsigned int waiting = 0;
-    if (value == NULL || sscanf(value, "%u,%u", &running, &waiting) != 2) {
+    EyRouter_t *router = active->gateway->router;
+    EyReportedLoad_t load;
+    EyLoadHeader_t read =
+        EyAnswer_ReadLoad(answer, active->gateway->names, &load);
+    if (read == EY_LOAD_HEADER_ABSENT) {
         return;
     }
-    EyRouter_UpdateLoad(active->gateway->router, EyClock_NowMs(),
-                        server_id(active), running, waiting);
+    if (read != EY_LOAD_HEADER_VALID &&
+        EyRouter_MarkMalformedLoad(router, server_id(active)))
+    {
+        EY_LOG(EY_LOG_WARNING, "gateway", "load_ignored",
+               EY_LOG_TEXT("id", server_id(active)),
+               EY_LOG_TEXT("request_id", active->exchange->request->id),
+               EY_LOG_TEXT("ignored", read == EY_LOAD_HEADER_INVALID
+                                          ? "all fields"
+                                          : "speed factor"));
+    }
+    if (read != EY_LOAD_HEADER_INVALID) {
+        EyRouter_UpdateLoad(router, EyClock_NowMs(), server_id(active),
+                            load.running, load.waiting, load.speed_factor);
+    }
 }
 
 /** The server gets no further requests from any gateway of the region. */
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -52,6 +52,7 @@
     EyPool_t *self = EY_NEW(ctx, EyPool_t);
     EyPool_Key(self->key, kind, target);
     self->kind = kind;
+    self->factor_ms = -1;
     (void)EY_COPY(self->target, target);
     self->replicas = g_ptr_array_new();
     self->queue = EyAdmissionQueue_New(self);
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -35,6 +35,9 @@
     GArray *cached;     /* of EyCachedPrompt_t: of the replicas for it */
     GArray *candidates; /* scratch arrays of EyPool_Plan */
     GArray *choices;
+    int64_t factor_ms; /* when a replica last reported a speed factor; below 0:
+                          never */
+    bool is_predictive; /* predictive routing is active for the target */
 } EyPool_t;
 
 /** The inputs of a plan besides the pool. */
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -67,8 +67,9 @@
                                      server answered at its address */
     int64_t paused_until_ms;      /* it asked for no requests until then */
     EyEngineLoad_t engine;
-    int64_t last_answer_ms; /* time of the last answer or start of an answer;
-                               0: never */
+    int64_t last_answer_ms;  /* time of the last answer or start of an answer;
+                                0: never */
+    bool has_malformed_load; /* one of its load reports was malformed */
 } EyReplica_t;
 
 /** Units of work of a request's prompt. */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -756,16 +756,6 @@
             EyRemoteRegions_MayServe(self->remote_regions, request));
 }
 
-void
-EyRouter_UpdateLoad(EyRouter_t *self, int64_t now_ms, const char *id,
-                    uint32_t running, uint32_t waiting)
-{
-    EyReplica_t *replica = g_hash_table_lookup(self->replicas, id);
-    if (replica != NULL) {
-        EyEngineLoad_Report(&replica->engine, now_ms, running, waiting);
-    }
-}
-
 bool
 EyRouter_Finished(EyRouter_t *self, int64_t now_ms, uint64_t number,
                   const EyRoutingResult_t *result, GArray *decisions)
@@ -834,6 +824,7 @@
     gpointer pool;
     g_hash_table_iter_init(&each, self->pools);
     while (g_hash_table_iter_next(&each, NULL, &pool)) {
+        ey_router_refresh_predictive(self, now_ms, pool);
         decide_queue(self, now_ms, pool, scan_limit(pool, now_ms), decisions);
     }
     g_hash_table_foreach_remove(self->pools, is_unused, NULL);
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -49,6 +49,16 @@
 void
 EyRouter_SetConfig(EyRouter_t *self, const EyRoutingConfig_t *config);
 
+/** Sets whether the route table has client accounts, which activates
+ * predictive routing. */
+void
+EyRouter_SetHasAccounts(EyRouter_t *self, int64_t now_ms, bool has_accounts);
+
+/** True if predictive routing is active for the target. */
+bool
+EyRouter_IsPredictive(const EyRouter_t *self, EyBackendKind_t kind,
+                      const char *target);
+
 /** Sets the number of gateways of the region that send to the same backend
  * servers, at least 1 (this one). */
 void
@@ -144,10 +154,16 @@
 EyRouter_HasAlternative(const EyRouter_t *self,
                         const EyRoutingRequest_t *request);
 
-/** Stores a load report that a backend server sent with an answer. */
+/** Stores a load report that a backend server sent with an answer.
+ * speed_factor: of its machine, see EyReportedLoad_t; 0: not reported. */
 void
 EyRouter_UpdateLoad(EyRouter_t *self, int64_t now_ms, const char *id,
-                    uint32_t running, uint32_t waiting);
+                    uint32_t running, uint32_t waiting, double speed_factor);
+
+/** A backend server sent a malformed load report; true if it is the first one
+ * of that server. */
+bool
+EyRouter_MarkMalformedLoad(EyRouter_t *self, const char *id);
 
 /**
  * A dispatched or forwarded request ended. Appends the decisions on queued
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -17,26 +17,30 @@
 }
 
 static EyPool_t *
-get_pool(EyRouter_t *self, EyBackendKind_t kind, const char *target)
+get_pool(EyRouter_t *self, int64_t now_ms, EyBackendKind_t kind,
+         const char *target)
 {
     EyPool_t *pool = EyRouter_FindPool(self, kind, target);
     if (pool == NULL) {
         pool = EyPool_New(NULL, kind, target);
+        ey_router_refresh_predictive(self, now_ms, pool);
         g_hash_table_insert(self->pools, pool->key, pool);
     }
     return pool;
 }
 
 static void
-each_target(const EyBackend_t *backend, EyRouter_t *self, EyReplica_t *replica,
-            void (*change)(EyPool_t *, EyReplica_t *))
+each_target(const EyBackend_t *backend, EyRouter_t *self, int64_t now_ms,
+            EyReplica_t *replica, void (*change)(EyPool_t *, EyReplica_t *))
 {
     for (uint32_t i = 0; i < backend->model_count; i++) {
-        change(get_pool(self, EY_BACKEND_MODEL, backend->models[i]), replica);
+        change(get_pool(self, now_ms, EY_BACKEND_MODEL, backend->models[i]),
+               replica);
     }
     for (uint32_t i = 0; i < backend->service_count; i++) {
-        change(get_pool(self, EY_BACKEND_SERVICE, backend->services[i]),
-               replica);
+        change(
+            get_pool(self, now_ms, EY_BACKEND_SERVICE, backend->services[i]),
+            replica);
     }
 }
 
@@ -72,7 +76,7 @@
         EyOutlier_StartSlowStart(&replica->outlier, now_ms);
     }
     g_hash_table_insert(self->replicas, replica->backend->id, replica);
-    each_target(backend, self, replica, EyPool_AddReplica);
+    each_target(backend, self, now_ms, replica, EyPool_AddReplica);
 }
 
 void
@@ -90,13 +94,14 @@
     }
     bool same = same_targets(replica->backend, backend);
     if (!same) {
-        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+        each_target(replica->backend, self, now_ms, replica,
+                    EyPool_RemoveReplica);
     }
     g_hash_table_steal(self->replicas, backend->id);
     EyReplica_Update(replica, now_ms, backend);
     g_hash_table_insert(self->replicas, replica->backend->id, replica);
     if (!same) {
-        each_target(backend, self, replica, EyPool_AddReplica);
+        each_target(backend, self, now_ms, replica, EyPool_AddReplica);
     }
 }
 
@@ -108,7 +113,8 @@
         EyColdLimiters_Keep(self->cold_limiters, now_ms, id,
                             &replica->cold_limiter);
         EyReplica_DetachRequests(replica);
-        each_target(replica->backend, self, replica, EyPool_RemoveReplica);
+        each_target(replica->backend, self, now_ms, replica,
+                    EyPool_RemoveReplica);
         g_hash_table_remove(self->replicas, id);
     }
 }
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -80,6 +80,7 @@
     uint32_t completed_count;
     int64_t completed_expired_ms; /* when old ones were last dropped */
     int64_t suspects_ms;          /* last time at which they were checked */
+    bool has_accounts;            /* the route table has client accounts */
 };
 
 /* router_crash_suspects.c */
@@ -220,6 +221,13 @@
 uint32_t
 ey_router_reporting_gateways(const EyRouter_t *self);
 
+/* router_predictive.c */
+
+/** Updates whether predictive routing is active for the pool. */
+void
+ey_router_refresh_predictive(const EyRouter_t *self, int64_t now_ms,
+                             EyPool_t *pool);
+
 /** The inputs of a plan at this time. */
 EyPlanInputs_t
 ey_router_plan_inputs(EyRouter_t *self, int64_t now_ms);
--- a/src/routing/routing_config.c
+++ b/src/routing/routing_config.c
@@ -40,6 +40,17 @@
     };
 }
 
+bool
+EyRoutingConfig_IsPredictive(const EyRoutingConfig_t *self, int64_t now_ms,
+                             bool has_accounts, int64_t factor_ms)
+{
+    bool has_factor =
+        factor_ms >= 0 && now_ms - factor_ms <= EY_SPEED_FACTOR_TTL_MS;
+    return self->predictive == EY_PREDICTIVE_ON ||
+           (self->predictive == EY_PREDICTIVE_AUTO &&
+            (has_accounts || has_factor));
+}
+
 /* The normalised weight of tail latency, from 0.0 to 1.0. */
 static double
 tail_weight_share(const EyRoutingConfig_t *self)
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -2,6 +2,7 @@
 #ifndef EY_ROUTING_ROUTING_CONFIG_H
 #define EY_ROUTING_ROUTING_CONFIG_H
 
+#include "core/settings.h"
 #include "core/types.h"
 
 #ifdef __cplusplus
@@ -43,12 +44,26 @@
     bool limits_retries;
     bool ejects;
     bool allows_forwarding;
+    EyPredictiveMode_t predictive;
 } EyRoutingConfig_t;
 
+/** Predictive routing stays active for this long after the last speed factor.
+ */
+#define EY_SPEED_FACTOR_TTL_MS 10000
+
 /** The defaults. */
 EyRoutingConfig_t
 EyRoutingConfig_Make(void);
 
+/**
+ * Decides whether predictive routing is active for a target. has_accounts: the
+ * route table has client accounts; factor_ms: when a server of the target last
+ * reported a speed factor, below 0: never.
+ */
+bool
+EyRoutingConfig_IsPredictive(const EyRoutingConfig_t *self, int64_t now_ms,
+                             bool has_accounts, int64_t factor_ms);
+
 /**
  * Share of a request's remaining time that it may be expected to take in the
  * local region before it is forwarded instead of queued, from the weights.
--- a/tests/unit/test_router_engines.c
+++ b/tests/unit/test_router_engines.c
@@ -155,7 +155,7 @@
     EyRoutingRequest_t request = make_request(1, 7);
     EyName_t busy;
     (void)EY_COPY(busy, submit(router, &request).backend);
-    EyRouter_UpdateLoad(router, NOW_MS, busy, SLOTS / 2, 50);
+    EyRouter_UpdateLoad(router, NOW_MS, busy, SLOTS / 2, 50, 0.0);
     for (uint64_t number = 2; number < 12; number++) {
         EyRoutingRequest_t next = make_request(number, 7);
         cr_expect_str_neq(submit(router, &next).backend, busy);
@@ -172,7 +172,7 @@
     EyRoutingDecision_t decision = submit(router, &request);
     (void)EyText_Copy(caching_engine, sizeof(EyName_t), decision.backend);
     cr_expect_str_eq(decision.cache_source, "");
-    EyRouter_UpdateLoad(router, NOW_MS, caching_engine, SLOTS / 2, 50);
+    EyRouter_UpdateLoad(router, NOW_MS, caching_engine, SLOTS / 2, 50, 0.0);
 }
 
 Test(router_engines,
