Admission by the caller's patience, for targets with predictive routing

EyRoutingRequest_t carries when the caller leaves and when it arrived at the first gateway; event_gap_ms and the wait before forwarding travel with forwarded requests, and are 0 from older peers. Other pools take the code path that they took before.

--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -7,6 +7,11 @@
 
 #define HEADER_NAME_MAX_BYTES 256
 #define HEADER_VALUE_MAX_BYTES 8192
+/** A caller of an event stream leaves when an event takes longer than the
+ * largest of these: fixed behavior of the callers. */
+#define PATIENCE_MIN_MS INT64_C(2000)
+#define PATIENCE_OBJECTIVES 4
+#define PATIENCE_GAPS 8
 
 const char *const EyCall_names[EY_CALL_COUNT] = {
     [EY_CALL_MODEL] = "model",         [EY_CALL_SERVICE] = "service",
@@ -34,6 +39,7 @@
     EY_FIELD(EyCallTerms_t, timeout_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, objective_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, routes_version, EY_FIELD_U64),
+    EY_FIELD(EyCallTerms_t, event_gap_ms, EY_FIELD_U32),
     EY_FIELD_END,
 };
 static const EySchema_t TermsSchema = EY_SCHEMA(EyCallTerms_t, TermsFields);
@@ -79,6 +85,7 @@
                       EY_PROMPT_MORE_PARTS_MAX),
     EY_FIELD(EyRequest_t, are_parts_cut, EY_FIELD_BOOL),
     EY_FIELD_NESTED(EyRequest_t, begun_by, EyServerVersion_schema),
+    EY_FIELD(EyRequest_t, waited_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 const EySchema_t EyRequest_schema = EY_SCHEMA(EyRequest_t, RequestFields);
@@ -111,6 +118,19 @@
            (self->call == EY_CALL_ROUTED && self->terms.is_model);
 }
 
+int64_t
+EyRequest_PatienceMs(const EyRequest_t *self)
+{
+    if (self->call != EY_CALL_ROUTED || !self->streamed) {
+        return 0;
+    }
+    int64_t objectives_ms =
+        PATIENCE_OBJECTIVES * (int64_t)self->terms.objective_ms;
+    int64_t gaps_ms = PATIENCE_GAPS * (int64_t)self->terms.event_gap_ms;
+    int64_t longest_ms = objectives_ms > gaps_ms ? objectives_ms : gaps_ms;
+    return longest_ms > PATIENCE_MIN_MS ? longest_ms : PATIENCE_MIN_MS;
+}
+
 bool
 EyRequest_IsForBackend(const EyRequest_t *self)
 {
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -67,6 +67,8 @@
     uint32_t timeout_ms;     /* longest wait for its answer */
     uint32_t objective_ms; /* latency objective of the answer, or of the first
                               event */
+    uint32_t event_gap_ms; /* longest gap between events of a stream that is on
+                              time; 0: none, or a peer didn't send it */
 } EyCallTerms_t;
 
 typedef struct EyHeader {
@@ -125,6 +127,8 @@
     uint32_t more_part_count;
     bool are_parts_cut; /* there were still more, or the list is invalid from
                            there on: the last part here isn't its last one */
+    int64_t waited_ms;  /* from its arrival at the first gateway to its arrival
+                           here; 0 also if a peer didn't send it */
     EyCancellation_t *cancellation; /* NULL: it can't be cancelled */
 } EyRequest_t;
 
@@ -152,6 +156,11 @@
 bool
 EyRequest_IsForModel(const EyRequest_t *self);
 
+/** Longest time for which the caller of a routed event stream waits for each
+ * event; 0: the caller waits until the deadline. */
+int64_t
+EyRequest_PatienceMs(const EyRequest_t *self);
+
 /** True if it is answered by a backend server, not by this instance. */
 bool
 EyRequest_IsForBackend(const EyRequest_t *self);
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -30,7 +30,9 @@
 outgoing_request(const EyActiveRequest_t *active, EyName_t *visited)
 {
     EyRequest_t request = *active->exchange->request;
-    request.time_left_ms = request.deadline_ms - EyClock_NowMs();
+    int64_t now_ms = EyClock_NowMs();
+    request.time_left_ms = request.deadline_ms - now_ms;
+    request.waited_ms += now_ms - request.arrived_ms;
     uint32_t count = MIN(request.visited_count, VISITED_MAX - 1);
     for (uint32_t i = 0; i < count; i++) {
         (void)EY_COPY(visited[i], request.visited[i]);
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -7,6 +7,9 @@
 
 #define WAKEUPS_PENDING_MAX 16384
 #define RELAY_POLL_INTERVAL_MS 50
+/** Longest time that a request may have spent at the gateway that forwarded
+ * it. */
+#define WAITED_MAX_MS INT64_C(3600000)
 /** A receiver that grants no credit for this long is taken to have failed. */
 #define CREDIT_TIMEOUT_MS 60000
 /** Relays at their window that take as much memory as is set aside for what is
@@ -252,6 +255,10 @@
     request->arrived_ms = EyClock_NowMs();
     request->deadline_ms =
         request->arrived_ms + request->time_left_ms - late_ms;
+    /* A negative or huge value of a faulty peer would let the call wait for
+     * ever or not at all. */
+    request->waited_ms =
+        CLAMP(request->waited_ms, 0, WAITED_MAX_MS) + MAX(late_ms, 0);
     return request;
 }
 
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -41,6 +41,11 @@
          "model engines crashed on a part of this prompt"},
     [EY_REFUSAL_SUSPECT_REQUEST] = {EY_PROBLEM_OVERLOADED,
                                     "backend servers crashed on this request"},
+    [EY_REFUSAL_PATIENCE] =
+        {EY_PROBLEM_OVERLOADED,
+         "the answer can't begin in the time that its caller waits"},
+    [EY_REFUSAL_WARM_UP] = {EY_PROBLEM_OVERLOADED,
+                            "the backend servers have just started"},
     [EY_REFUSAL_INVALID] = {EY_PROBLEM_INTERNAL,
                             "the router already holds this request"},
 };
@@ -169,6 +174,22 @@
     routing->part_count = count;
 }
 
+/** Sets until when the caller waits for the first event, or, if it has events
+ * already, for the next one. */
+static void
+set_patience(EyRoutingRequest_t *routing, const EyExchange_t *exchange)
+{
+    const EyRequest_t *request = exchange->request;
+    bool has_events = exchange->head_passed || request->resume_after > 0;
+    routing->arrived_ms = has_events
+                              ? EyClock_NowMs()
+                              : request->arrived_ms - request->waited_ms;
+    int64_t patience_ms = EyRequest_PatienceMs(request);
+    if (patience_ms > 0) {
+        routing->leaves_ms = routing->arrived_ms + patience_ms;
+    }
+}
+
 static EyRoutingRequest_t
 make_request(const EyActiveRequest_t *active)
 {
@@ -216,6 +237,7 @@
                                 : PREFIX_BYTES;
         routing.prefix_hash = XXH64(request->body.data, size_bytes, 0);
     }
+    set_patience(&routing, exchange);
     (void)EY_COPY(routing.target, request->target);
     (void)EY_COPY(routing.home, request->home);
     for (uint32_t i = 0; i < exchange->tried_count; i++) {
--- a/src/routing/admission_queue.c
+++ b/src/routing/admission_queue.c
@@ -41,6 +41,14 @@
     return 0;
 }
 
+static gint
+compare_keys(gconstpointer one, gconstpointer other, gpointer data)
+{
+    (void)data;
+    return EyQueueKey_Compare(&((const EyQueuedRequest_t *)one)->key,
+                              &((const EyQueuedRequest_t *)other)->key);
+}
+
 GSequenceIter *
 EyAdmissionQueue_Add(EyAdmissionQueue_t *self,
                      const EyRoutingRequest_t *request, double work,
@@ -51,8 +59,65 @@
     waiting->work = work;
     waiting->run_ms = run_ms;
     self->work += work;
-    return g_sequence_insert_sorted(self->waiting, waiting, compare_deadlines,
-                                    NULL);
+    waiting->key = EyQueueKey_Make(waiting->request, &self->state, run_ms, 0);
+    return g_sequence_insert_sorted(
+        self->waiting, waiting,
+        self->is_ordered ? compare_keys : compare_deadlines, NULL);
+}
+
+void
+EyAdmissionQueue_Order(EyAdmissionQueue_t *self, const EyQueueState_t *state)
+{
+    self->state = *state;
+    self->is_ordered = true;
+    GSequenceIter *each = g_sequence_get_begin_iter(self->waiting);
+    for (; !g_sequence_iter_is_end(each); each = g_sequence_iter_next(each)) {
+        EyQueuedRequest_t *waiting = g_sequence_get(each);
+        waiting->key = EyQueueKey_Make(waiting->request, state,
+                                       waiting->run_ms, waiting->passed);
+    }
+    g_sequence_sort(self->waiting, compare_keys, NULL);
+}
+
+void
+EyAdmissionQueue_OrderByDeadline(EyAdmissionQueue_t *self)
+{
+    if (self->is_ordered) {
+        self->is_ordered = false;
+        g_sequence_sort(self->waiting, compare_deadlines, NULL);
+    }
+}
+
+double
+EyAdmissionQueue_WorkBefore(const EyAdmissionQueue_t *self,
+                            const EyQueueKey_t *key)
+{
+    double work = 0.0;
+    GSequenceIter *each = g_sequence_get_begin_iter(self->waiting);
+    for (; !g_sequence_iter_is_end(each); each = g_sequence_iter_next(each)) {
+        const EyQueuedRequest_t *waiting = g_sequence_get(each);
+        if (EyQueueKey_Compare(&waiting->key, key) > 0) {
+            break;
+        }
+        work += waiting->work;
+    }
+    return work;
+}
+
+void
+EyAdmissionQueue_NotePassed(EyAdmissionQueue_t *self,
+                            const EyRoutingRequest_t *sent)
+{
+    GSequenceIter *each = g_sequence_get_begin_iter(self->waiting);
+    for (; !g_sequence_iter_is_end(each); each = g_sequence_iter_next(each)) {
+        EyQueuedRequest_t *waiting = g_sequence_get(each);
+        const EyRoutingRequest_t *request = waiting->request;
+        bool is_passed = request->arrived_ms < sent->arrived_ms &&
+                         request->priority == sent->priority;
+        if (is_passed && waiting->work >= self->state.large_work) {
+            waiting->passed++;
+        }
+    }
 }
 
 void
--- a/src/routing/admission_queue.h
+++ b/src/routing/admission_queue.h
@@ -1,11 +1,12 @@
 /**
  * The admission queue of one target: requests waiting for a replica, bounded
- * in number and ordered by earliest deadline first.
+ * in number and ordered by earliest deadline first, or, for a target with
+ * predictive routing, as queue_order.h says.
  */
 #ifndef EY_ROUTING_ADMISSION_QUEUE_H
 #define EY_ROUTING_ADMISSION_QUEUE_H
 
-#include "routing/decision.h"
+#include "routing/queue_order.h"
 
 #include <glib.h>
 
@@ -17,12 +18,18 @@
 typedef struct EyQueuedRequest {
     EyRoutingRequest_t *request;
     double work;
-    double run_ms; /* expected time on a replica, without waiting */
+    double run_ms;    /* expected time on a replica, without waiting */
+    EyQueueKey_t key; /* of an ordered queue */
+    uint32_t passed;  /* if it is large: later ones of its urgency that were
+                         served first */
+    int64_t held_ms;  /* since when others wait for it; 0: they don't */
 } EyQueuedRequest_t;
 
 typedef struct EyAdmissionQueue {
-    GSequence *waiting; /* of EyQueuedRequest_t, by deadline */
-    double work;        /* sum over the queued requests */
+    GSequence *waiting;   /* of EyQueuedRequest_t, by deadline */
+    double work;          /* sum over the queued requests */
+    bool is_ordered;      /* by their keys, not by deadline */
+    EyQueueState_t state; /* that the keys were made with */
 } EyAdmissionQueue_t;
 
 /** Makes an empty queue as a talloc child of ctx. */
@@ -42,7 +49,27 @@
 void
 EyAdmissionQueue_Remove(EyAdmissionQueue_t *self, GSequenceIter *position);
 
-/** The request with the earliest deadline, or NULL. */
+/** Orders the requests by their keys in this state, from now on. */
+void
+EyAdmissionQueue_Order(EyAdmissionQueue_t *self, const EyQueueState_t *state);
+
+/** Orders the requests by deadline, from now on. */
+void
+EyAdmissionQueue_OrderByDeadline(EyAdmissionQueue_t *self);
+
+/** Work queued before a call with that key. */
+double
+EyAdmissionQueue_WorkBefore(const EyAdmissionQueue_t *self,
+                            const EyQueueKey_t *key);
+
+/** A request was sent: counts it for the large ones of its urgency that
+ * arrived before it and still wait. */
+void
+EyAdmissionQueue_NotePassed(EyAdmissionQueue_t *self,
+                            const EyRoutingRequest_t *sent);
+
+/** The first request, that with the earliest deadline unless the queue is
+ * ordered by keys; or NULL. */
 const EyQueuedRequest_t *
 EyAdmissionQueue_First(const EyAdmissionQueue_t *self);
 
--- a/src/routing/decision.c
+++ b/src/routing/decision.c
@@ -24,6 +24,8 @@
     [EY_REFUSAL_INVALID] = "invalid",
     [EY_REFUSAL_SUSPECT_PROMPT] = "suspect-prompt",
     [EY_REFUSAL_SUSPECT_REQUEST] = "suspect-request",
+    [EY_REFUSAL_PATIENCE] = "patience",
+    [EY_REFUSAL_WARM_UP] = "warm-up",
 };
 
 static const EyField_t SummaryFields[] = {
@@ -35,6 +37,8 @@
     EY_FIELD(EyRegionSummary_t, unit_ms, EY_FIELD_F64),
     EY_FIELD(EyRegionSummary_t, free_slots, EY_FIELD_U32),
     EY_FIELD(EyRegionSummary_t, accepts, EY_FIELD_BOOL),
+    EY_FIELD(EyRegionSummary_t, first_event_ms, EY_FIELD_U32),
+    EY_FIELD(EyRegionSummary_t, work_per_s, EY_FIELD_U32),
     EY_FIELD_END,
 };
 const EySchema_t EyRegionSummary_schema =
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -73,7 +73,12 @@
                                 already, also by the gateway that forwarded it */
     bool earns_retry_credit; /* counts as a request for the retry budget if it
                                 isn't forwarded now */
-    bool was_sent; /* bytes of an attempt may have left the gateway */
+    bool was_sent;      /* bytes of an attempt may have left the gateway */
+    int64_t arrived_ms; /* at the first gateway; 0: unknown, counts as now */
+    int64_t leaves_ms;  /* when the caller leaves if no event has arrived; 0:
+                           at the deadline */
+    bool has_place; /* refused before; this is the time it was told to return
+                       at, and a place is kept for it */
 } EyRoutingRequest_t;
 
 typedef enum EyDecisionKind {
@@ -100,6 +105,9 @@
     EY_REFUSAL_INVALID,         /* the number is already in use */
     EY_REFUSAL_SUSPECT_PROMPT,  /* engines crashed on a part of its prompt */
     EY_REFUSAL_SUSPECT_REQUEST, /* servers crashed on this request */
+    EY_REFUSAL_PATIENCE, /* its caller would leave before the answer could
+                            begin */
+    EY_REFUSAL_WARM_UP,  /* the servers of the target have just started */
     EY_REFUSAL_COUNT
 } EyRefusal_t;
 
@@ -169,6 +177,11 @@
     double unit_ms; /* typical time for a unit of work, see replica.h */
     uint32_t free_slots;
     bool accepts;
+    /* Of a target with predictive routing; 0: unknown, or from a region
+     * without it. */
+    uint32_t first_event_ms; /* time to the first event of a typical call */
+    uint32_t work_per_s;     /* units of work a second that all its servers
+                                together can still take */
 } EyRegionSummary_t;
 
 extern const EySchema_t EyRegionSummary_schema;
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -21,6 +21,8 @@
 /** Size of the buffer for EyPool_Key. */
 #define EY_POOL_KEY_SIZE_BYTES EY_TARGET_KEY_SIZE_BYTES
 
+struct EyAdmission;
+
 typedef struct EyPool {
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyBackendKind_t kind;
@@ -35,6 +37,8 @@
     GArray *cached;     /* of EyCachedPrompt_t: of the replicas for it */
     GArray *candidates; /* scratch arrays of EyPool_Plan */
     GArray *choices;
+    bool is_predictive; /* predictive routing is active for the target */
+    struct EyAdmission *admission; /* used while it is; see admission.h */
 } EyPool_t;
 
 /** The inputs of a plan besides the pool. */
--- a/src/routing/remote_regions.c
+++ b/src/routing/remote_regions.c
@@ -18,6 +18,10 @@
 /** Time for a unit of prompt work that is assumed for a remote region's
  * engines. */
 #define PROMPT_UNIT_MS 6.0
+/** Time for which the share of a region's work that isn't used is kept: the
+ * age of the summary that it comes from. */
+#define WORK_KEPT_MS 500
+#define MS_PER_S 1000.0
 #define STATE_KEY_SIZE_BYTES (2 * EY_NAME_SIZE_BYTES + 16)
 
 typedef struct Region {
@@ -34,6 +38,9 @@
     uint32_t in_flight;      /* forwarded by this gateway and not ended */
     double sent_prompt_work; /* prompt work forwarded by this gateway since the
                                 summary */
+    double work_left; /* of this gateway's share of the work that the region
+                         takes; below 0: in debt */
+    int64_t work_ms;  /* time of work_left; 0: not used yet */
 } TargetState_t;
 
 struct EyRemoteRegions {
@@ -268,6 +275,107 @@
     return best->name;
 }
 
+/* Time to the first event in the region; infinite if it can't be used. */
+static double
+first_event_ms(const EyRemoteRegions_t *self, const Region_t *region,
+               int64_t now_ms, const EyRoutingConfig_t *config,
+               const EyRoutingRequest_t *request)
+{
+    if (!can_meet(self, region, now_ms, config, request, INFINITY)) {
+        return INFINITY;
+    }
+    const TargetState_t *state =
+        find_state(self, region->name, request->kind, request->target);
+    const EyRegionSummary_t *summary = &state->summary;
+    if (summary->first_event_ms == 0) {
+        return finish_ms(state, config, request);
+    }
+    /* A call with a longer prompt than a typical one begins later. */
+    double own_ms = request->prompt_tokens > 0
+                        ? PROMPT_UNIT_MS * EyRoutingRequest_PromptWork(request)
+                        : 0.0;
+    return 2.0 * (double)config->region_delay_ms +
+           fmax((double)summary->first_event_ms,
+                (double)summary->expected_wait_ms + own_ms);
+}
+
+/* Brings this gateway's share of the region's work up to date. It begins with
+ * a random debt of up to one call, so that gateways that read the same summary
+ * don't all forward a call at once. */
+static void
+update_work(EyRemoteRegions_t *self, TargetState_t *state, int64_t now_ms,
+            double share, double work, uint32_t gateways)
+{
+    double per_ms = (double)state->summary.work_per_s * share / MS_PER_S /
+                    (double)gateways;
+    if (state->work_ms == 0) {
+        state->work_left = -work * EyRandom_Unit(&self->random);
+        state->work_ms = now_ms;
+    }
+    double passed_ms = fmax((double)(now_ms - state->work_ms), 0.0);
+    state->work_left =
+        fmin(state->work_left + per_ms * passed_ms, per_ms * WORK_KEPT_MS);
+    state->work_ms = now_ms;
+}
+
+/* True if this gateway has a part of its share of the region's room left; it
+ * may go into debt by one call, so that large calls are forwarded too. */
+static bool
+has_work_left(EyRemoteRegions_t *self, const Region_t *region,
+              TargetState_t *state, int64_t now_ms,
+              const EyRoutingConfig_t *config,
+              const EyRoutingRequest_t *request, uint32_t gateways)
+{
+    if (state->summary.first_event_ms == 0) {
+        return has_room(region, state, now_ms, config, gateways);
+    }
+    update_work(self, state, now_ms,
+                EySlowStart_Share(region->slow_start_from_ms, now_ms),
+                EyRoutingRequest_Work(request), gateways);
+    return state->summary.accepts && state->work_left >= 0.0;
+}
+
+const char *
+EyRemoteRegions_ChooseByWork(EyRemoteRegions_t *self, int64_t now_ms,
+                             const EyRoutingConfig_t *config,
+                             const EyRoutingRequest_t *request,
+                             double limit_ms, uint32_t gateways)
+{
+    Region_t *best = NULL;
+    double best_ms = INFINITY;
+    for (uint32_t i = 0; i < self->region_count; i++) {
+        Region_t *region = &self->regions[i];
+        double expected_ms =
+            first_event_ms(self, region, now_ms, config, request);
+        if (expected_ms >= limit_ms) {
+            continue;
+        }
+        TargetState_t *state =
+            find_state(self, region->name, request->kind, request->target);
+        double cost_ms =
+            expected_ms * (1.0 + JITTER_SHARE * EyRandom_Unit(&self->random));
+        if (cost_ms < best_ms && has_work_left(self, region, state, now_ms,
+                                               config, request, gateways))
+        {
+            best = region;
+            best_ms = cost_ms;
+        }
+    }
+    if (best == NULL ||
+        !EyLinkBudget_Take(&best->link, now_ms,
+                           EyRemoteRegions_LinkBytes(request, config),
+                           request->has_link_priority))
+    {
+        return NULL;
+    }
+    TargetState_t *state =
+        find_state(self, best->name, request->kind, request->target);
+    state->in_flight++;
+    state->sent_prompt_work += EyRoutingRequest_PromptWork(request);
+    state->work_left -= EyRoutingRequest_Work(request);
+    return best->name;
+}
+
 const char *
 EyRemoteRegions_ChooseUnreported(EyRemoteRegions_t *self, int64_t now_ms,
                                  const EyRoutingConfig_t *config,
--- a/src/routing/remote_regions.h
+++ b/src/routing/remote_regions.h
@@ -56,6 +56,19 @@
                        const EyRoutingRequest_t *request, double limit_ms,
                        uint32_t gateways, bool must_leave);
 
+/**
+ * Chooses a region for a request to a target with predictive routing: one that
+ * is expected to send the first event within limit_ms from now, while this
+ * gateway has spent less than its share of the work that the region can still
+ * take. Regions without predictive routing are chosen as by
+ * EyRemoteRegions_Choose.
+ */
+const char *
+EyRemoteRegions_ChooseByWork(EyRemoteRegions_t *self, int64_t now_ms,
+                             const EyRoutingConfig_t *config,
+                             const EyRoutingRequest_t *request,
+                             double limit_ms, uint32_t gateways);
+
 /**
  * Chooses at random one of the allowed regions of the request without a fresh
  * summary; NULL if there is none. For a request that can't be served in this
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -145,8 +145,9 @@
     return decision;
 }
 
-static EyRoutingDecision_t
-refuse(EyRouter_t *self, uint64_t number, EyRefusal_t reason, double after_ms)
+EyRoutingDecision_t
+ey_router_refuse(EyRouter_t *self, uint64_t number, EyRefusal_t reason,
+                 double after_ms)
 {
     if (!(after_ms > RETRY_AFTER_MIN_MS)) {
         after_ms = RETRY_AFTER_MIN_MS;
@@ -173,7 +174,7 @@
                const EySuspicionResult_t *result)
 {
     EyRoutingDecision_t decision =
-        refuse(self, number, reason, (double)result->left_ms);
+        ey_router_refuse(self, number, reason, (double)result->left_ms);
     decision.has_running_bar = result->has_running_bar;
     return decision;
 }
@@ -196,9 +197,9 @@
     return tracked;
 }
 
-static EyRoutingDecision_t
-dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
-         const EyRoutingRequest_t *request, const EyPlan_t *plan)
+EyRoutingDecision_t
+ey_router_dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+                   const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
     EyTrackedRequest_t *tracked =
         ey_router_track_request(self, now_ms, request);
@@ -233,6 +234,23 @@
     return ey_router_count_decision(self, decision);
 }
 
+EyRoutingDecision_t
+ey_router_forward(EyRouter_t *self, int64_t now_ms,
+                  const EyRoutingRequest_t *request, const char *region)
+{
+    EyTrackedRequest_t *tracked =
+        ey_router_track_request(self, now_ms, request);
+    (void)EY_COPY(tracked->region, region);
+    self->stats.forwarded_bytes +=
+        EyRemoteRegions_LinkBytes(request, &self->config);
+    EyRoutingDecision_t decision = {
+        .number = request->number,
+        .kind = EY_DECISION_FORWARD,
+    };
+    (void)EY_COPY(decision.region, region);
+    return ey_router_count_decision(self, decision);
+}
+
 /* Forwards the request to a remote region, if that is allowed and one is
  * expected to finish it within limit_ms. */
 static bool
@@ -256,17 +274,7 @@
     if (region == NULL) {
         return false;
     }
-    EyTrackedRequest_t *tracked =
-        ey_router_track_request(self, now_ms, request);
-    (void)EY_COPY(tracked->region, region);
-    self->stats.forwarded_bytes +=
-        EyRemoteRegions_LinkBytes(request, &self->config);
-    *decision = (EyRoutingDecision_t){
-        .number = request->number,
-        .kind = EY_DECISION_FORWARD,
-    };
-    (void)EY_COPY(decision->region, region);
-    (void)ey_router_count_decision(self, *decision);
+    *decision = ey_router_forward(self, now_ms, request, region);
     return true;
 }
 
@@ -279,16 +287,16 @@
     if (try_forward(self, now_ms, request, INFINITY, &decision)) {
         return decision;
     }
-    return refuse(self, request->number, reason, after_ms);
+    return ey_router_refuse(self, request->number, reason, after_ms);
 }
 
 /* No replica of the region can serve it. If that is because they asked for
  * pauses or named limits, the caller is told when the first one takes requests
  * again. */
-static EyRoutingDecision_t
-forward_or_refuse_without_replica(EyRouter_t *self, int64_t now_ms,
-                                  const EyRoutingRequest_t *request,
-                                  const EyPlan_t *plan)
+EyRoutingDecision_t
+ey_router_forward_or_refuse_without_replica(EyRouter_t *self, int64_t now_ms,
+                                            const EyRoutingRequest_t *request,
+                                            const EyPlan_t *plan)
 {
     if (plan->pause_left_ms > 0) {
         return ey_router_forward_or_refuse(self, now_ms, request,
@@ -304,9 +312,9 @@
                                        NO_BACKEND_RETRY_AFTER_MS);
 }
 
-static EyRoutingDecision_t
-enqueue(EyRouter_t *self, EyPool_t *pool, const EyRoutingRequest_t *request,
-        const EyPlan_t *plan)
+EyRoutingDecision_t
+ey_router_enqueue(EyRouter_t *self, EyPool_t *pool,
+                  const EyRoutingRequest_t *request, const EyPlan_t *plan)
 {
     double work = EyRoutingRequest_Work(request);
     EyQueuePosition_t *position = g_new0(EyQueuePosition_t, 1);
@@ -342,8 +350,8 @@
     return first == NULL || request->deadline_ms < first->request->deadline_ms;
 }
 
-static bool
-is_failing(const EyPlan_t *plan)
+bool
+ey_router_is_failing(const EyPlan_t *plan)
 {
     return plan->chosen != NULL &&
            plan->chosen->outlier.consecutive_failures > 0;
@@ -362,7 +370,7 @@
         return true;
     }
     if (dispatches_now) {
-        return finish_ms > left_ms || is_failing(plan);
+        return finish_ms > left_ms || ey_router_is_failing(plan);
     }
     return finish_ms > left_ms * EyRoutingConfig_LocalWaitShare(&self->config);
 }
@@ -376,7 +384,7 @@
     if (plan->prefill_tokens > 0.0) {
         finish_ms = plan->start_ms;
     }
-    return is_failing(plan)
+    return ey_router_is_failing(plan)
                ? INFINITY
                : finish_ms * EyRoutingConfig_ForwardGain(&self->config);
 }
@@ -389,6 +397,12 @@
         return other_way;
     }
     EyPool_t *pool = EyRouter_FindPool(self, request->kind, request->target);
+    if (pool != NULL && pool->is_predictive) {
+        return ey_router_admit(self, now_ms, pool, request);
+    }
+    if (pool != NULL) {
+        EyAdmissionQueue_OrderByDeadline(pool->queue);
+    }
     EyPlan_t plan = {.has_replica = false};
     if (pool != NULL) {
         EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
@@ -397,7 +411,8 @@
             EyAdmissionQueue_WorkAhead(pool->queue, request->deadline_ms));
     }
     if (!plan.has_replica) {
-        return forward_or_refuse_without_replica(self, now_ms, request, &plan);
+        return ey_router_forward_or_refuse_without_replica(self, now_ms,
+                                                           request, &plan);
     }
     bool dispatches_now =
         plan.chosen != NULL && has_earliest_deadline(pool, request);
@@ -417,8 +432,8 @@
             ? left_ms
             : left_ms * EyRoutingConfig_QueueTimeShare(&self->config);
     if (self->config.admission && finish_ms > limit_ms) {
-        return refuse(self, request->number, EY_REFUSAL_OVERLOADED,
-                      finish_ms - limit_ms);
+        return ey_router_refuse(self, request->number, EY_REFUSAL_OVERLOADED,
+                                finish_ms - limit_ms);
     }
     double drain_ms = pool->queue->work / plan.work_per_ms;
     if (!keeps_queued_deadlines(self, now_ms, pool, request, &plan)) {
@@ -433,8 +448,9 @@
     }
     EyUrgency_Add(&pool->urgency, now_ms, request->deadline_ms - now_ms,
                   EyRoutingRequest_Work(request));
-    return dispatches_now ? dispatch(self, now_ms, pool, request, &plan)
-                          : enqueue(self, pool, request, &plan);
+    return dispatches_now
+               ? ey_router_dispatch(self, now_ms, pool, request, &plan)
+               : ey_router_enqueue(self, pool, request, &plan);
 }
 
 static bool
@@ -472,8 +488,8 @@
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyPool_Key(key, request->kind, request->target);
     if (!EyRetryBudgets_Take(self->retries, now_ms, key)) {
-        return refuse(self, request->number, EY_REFUSAL_RETRY_BUDGET,
-                      NO_BACKEND_RETRY_AFTER_MS);
+        return ey_router_refuse(self, request->number, EY_REFUSAL_RETRY_BUDGET,
+                                NO_BACKEND_RETRY_AFTER_MS);
     }
     EyRoutingDecision_t decision = decide(self, now_ms, request);
     if (decision.kind == EY_DECISION_REFUSE) {
@@ -502,7 +518,7 @@
         return ey_router_forward_or_refuse(self, now_ms, request, reason, 0.0);
     }
     if (reason != EY_REFUSAL_NONE) {
-        return refuse(self, request->number, reason, 0.0);
+        return ey_router_refuse(self, request->number, reason, 0.0);
     }
     return EyRoutingRequest_TakesRetry(request) && self->config.limits_retries
                ? decide_retry(self, now_ms, request)
@@ -527,9 +543,9 @@
 
 /* Queued requests */
 
-static void
-dequeue(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
-        GSequenceIter *position)
+void
+ey_router_dequeue(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+                  GSequenceIter *position)
 {
     const EyQueuedRequest_t *waiting = g_sequence_get(position);
     if (EyRoutingRequest_TakesRetry(waiting->request)) {
@@ -558,32 +574,40 @@
             const EyPlan_t *plan)
 {
     if (request->deadline_ms <= now_ms) {
-        return refuse(self, request->number, EY_REFUSAL_DEADLINE, 0.0);
+        return ey_router_refuse(self, request->number, EY_REFUSAL_DEADLINE,
+                                0.0);
     }
     if (!plan->has_replica) {
-        return forward_or_refuse_without_replica(self, now_ms, request, plan);
+        return ey_router_forward_or_refuse_without_replica(self, now_ms,
+                                                           request, plan);
     }
     return ey_router_forward_or_refuse(self, now_ms, request,
                                        EY_REFUSAL_DEADLINE,
                                        pool->queue->work / plan->work_per_ms);
 }
 
-/* Decides a queued request; false if it stays queued. */
-static bool
-decide_queued(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
-              const EyQueuedRequest_t *waiting, double work_ahead,
-              EyRoutingDecision_t *decision)
+bool
+ey_router_diverts(EyRouter_t *self, int64_t now_ms,
+                  const EyRoutingRequest_t *request,
+                  EyRoutingDecision_t *decision)
 {
     EySuspicionResult_t result;
     EyRefusal_t suspicion =
-        ey_router_check_suspect(self, now_ms, waiting->request, &result);
+        ey_router_check_suspect(self, now_ms, request, &result);
     if (suspicion != EY_REFUSAL_NONE) {
-        *decision =
-            refuse_suspect(self, waiting->request->number, suspicion, &result);
+        *decision = refuse_suspect(self, request->number, suspicion, &result);
         return true;
     }
-    if (ey_router_takes_other_way(self, now_ms, waiting->request, false,
-                                  decision)) {
+    return ey_router_takes_other_way(self, now_ms, request, false, decision);
+}
+
+/* Decides a queued request; false if it stays queued. */
+static bool
+decide_queued(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+              const EyQueuedRequest_t *waiting, double work_ahead,
+              EyRoutingDecision_t *decision)
+{
+    if (ey_router_diverts(self, now_ms, waiting->request, decision)) {
         return true;
     }
     EyPlanInputs_t inputs = ey_router_plan_inputs(self, now_ms);
@@ -604,7 +628,8 @@
         return true;
     }
     if (dispatches_now) {
-        *decision = dispatch(self, now_ms, pool, waiting->request, &plan);
+        *decision =
+            ey_router_dispatch(self, now_ms, pool, waiting->request, &plan);
     }
     return dispatches_now;
 }
@@ -616,6 +641,12 @@
 decide_queue(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
              uint32_t remaining_max, GArray *decisions)
 {
+    if (pool->is_predictive) {
+        ey_router_decide_ordered_queue(self, now_ms, pool, remaining_max,
+                                       decisions);
+        return;
+    }
+    EyAdmissionQueue_OrderByDeadline(pool->queue);
     double work_ahead = 0.0;
     uint32_t remaining = 0;
     GSequenceIter *each = g_sequence_get_begin_iter(pool->queue->waiting);
@@ -625,7 +656,7 @@
         EyRoutingDecision_t decision;
         if (decide_queued(self, now_ms, pool, waiting, work_ahead, &decision))
         {
-            dequeue(self, now_ms, pool, each);
+            ey_router_dequeue(self, now_ms, pool, each);
             g_array_append_val(decisions, decision);
         }
         else {
@@ -797,7 +828,7 @@
     const EyQueuePosition_t *position =
         g_hash_table_lookup(self->waiting, &number);
     if (position != NULL) {
-        dequeue(self, now_ms, position->pool, position->position);
+        ey_router_dequeue(self, now_ms, position->pool, position->position);
         return true;
     }
     const EyRoutingResult_t result = {.kind = EY_RESULT_CANCELLED};
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -2,6 +2,7 @@
 #ifndef EY_ROUTING_ROUTER_INTERNAL_H
 #define EY_ROUTING_ROUTER_INTERNAL_H
 
+#include "routing/admission.h"
 #include "routing/cold_limiters.h"
 #include "routing/crash_suspects.h"
 #include "routing/inferred_ends.h"
@@ -202,6 +203,60 @@
                             const EyRoutingRequest_t *request,
                             EyRefusal_t reason, double after_ms);
 
+/* router.c, for router_admission.c */
+
+/** Sends the request to the chosen server. */
+EyRoutingDecision_t
+ey_router_dispatch(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+                   const EyRoutingRequest_t *request, const EyPlan_t *plan);
+
+EyRoutingDecision_t
+ey_router_enqueue(EyRouter_t *self, EyPool_t *pool,
+                  const EyRoutingRequest_t *request, const EyPlan_t *plan);
+
+void
+ey_router_dequeue(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+                  GSequenceIter *position);
+
+/** Forwards the request to a region that was chosen for it. */
+EyRoutingDecision_t
+ey_router_forward(EyRouter_t *self, int64_t now_ms,
+                  const EyRoutingRequest_t *request, const char *region);
+
+/** Decides a request that no server of the region can serve now or later. */
+EyRoutingDecision_t
+ey_router_forward_or_refuse_without_replica(EyRouter_t *self, int64_t now_ms,
+                                            const EyRoutingRequest_t *request,
+                                            const EyPlan_t *plan);
+
+EyRoutingDecision_t
+ey_router_refuse(EyRouter_t *self, uint64_t number, EyRefusal_t reason,
+                 double after_ms);
+
+/** True if the plan's server failed last. */
+bool
+ey_router_is_failing(const EyPlan_t *plan);
+
+/** True if a queued request is refused because it may crash servers, or takes
+ * another way to the servers: the decision says so. */
+bool
+ey_router_diverts(EyRouter_t *self, int64_t now_ms,
+                  const EyRoutingRequest_t *request,
+                  EyRoutingDecision_t *decision);
+
+/* router_admission.c */
+
+/** Decides a request for a target with predictive routing. */
+EyRoutingDecision_t
+ey_router_admit(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
+                const EyRoutingRequest_t *request);
+
+/** Decides the queued requests of a target with predictive routing. */
+void
+ey_router_decide_ordered_queue(EyRouter_t *self, int64_t now_ms,
+                               EyPool_t *pool, uint32_t remaining_max,
+                               GArray *decisions);
+
 /* router_engine_update.c */
 
 void
--- a/src/routing/router_report.c
+++ b/src/routing/router_report.c
@@ -16,6 +16,10 @@
             summary.accepts = summary.accepts &&
                               (!EyReach_IsBroken(self->reach, key) ||
                                ey_router_has_other_way(self, now_ms, key));
+            if (((const EyPool_t *)pool)->is_predictive) {
+                EyAdmission_Summarize(EyAdmission_Of(pool), pool, &inputs,
+                                      &summary);
+            }
             g_array_append_val(summaries, summary);
         }
     }
--- a/src/routing/routing_config.c
+++ b/src/routing/routing_config.c
@@ -22,6 +22,7 @@
         .queue_max = 512,
         .link_bytes_per_s = LINK_BYTES_PER_S,
         .link_delay_ms = 40,
+        .region_delay_ms = 55,
         .report_lag_ms = 1000,
         .summary_ttl_ms = 3000,
         .overcommit = 1.0,
--- a/src/routing/routing_config.h
+++ b/src/routing/routing_config.h
@@ -19,6 +19,8 @@
     uint32_t queue_max;        /* queued requests of each target */
     uint64_t link_bytes_per_s; /* of links without a rate of their own */
     int64_t link_delay_ms;     /* one way between regions */
+    int64_t region_delay_ms;   /* the same for targets with predictive routing
+                                */
     int64_t report_lag_ms;     /* age of a load report when it arrives */
     int64_t summary_ttl_ms;    /* validity of a remote summary */
     double overcommit;  /* limit on requests at a replica, as a multiple of its
