Departures of callers are logged and counted; summaries carry work

Summaries between regions carry the time to the first event of a typical call and the work a second that can still be taken; 0 from older gateways, which ignore the new fields.

--- a/src/core/stream.c
+++ b/src/core/stream.c
@@ -1,5 +1,6 @@
 #include "core/stream.h"
 
+#include "core/clock.h"
 #include "core/memory.h"
 
 #include <pthread.h>
@@ -29,6 +30,7 @@
     EyMemoryBudget_t *budget; /* NULL: none */
     EyMemoryShare_t *share;   /* for the buffer; NULL: it is small */
     bool writer_waiting;
+    int64_t written_ms; /* time of the last write; 0: none */
     EyStreamState_t state;
     Callback_t reader;
     Callback_t writer;
@@ -220,6 +222,7 @@
     if (accepted) {
         grow(self, allocation_for(self, needed_bytes));
         append(self, data, size_bytes);
+        self->written_ms = EyClock_NowMs();
     }
     else {
         self->writer_waiting = true;
@@ -283,6 +286,15 @@
     invoke(self, &self->writer);
 }
 
+int64_t
+EyStream_LastWriteMs(EyStream_t *self)
+{
+    (void)pthread_mutex_lock(&self->lock);
+    int64_t written_ms = self->written_ms;
+    (void)pthread_mutex_unlock(&self->lock);
+    return written_ms;
+}
+
 uint32_t
 EyStream_SizeBytes(EyStream_t *self)
 {
--- a/src/core/stream.h
+++ b/src/core/stream.h
@@ -86,6 +86,10 @@
 uint32_t
 EyStream_SizeBytes(EyStream_t *self);
 
+/** Time of the last write, by EyClock_NowMs; 0: nothing was written. */
+int64_t
+EyStream_LastWriteMs(EyStream_t *self);
+
 /** Closes the reader's side; later writes are refused. */
 void
 EyStream_CloseReader(EyStream_t *self);
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -87,10 +87,52 @@
     return EyCancellation_IsSet(active->exchange->request->cancellation);
 }
 
+/** Counts and logs that the caller left, and what it waited for how long. The
+ * first gateway does this for a forwarded call. */
+static void
+report_departure(const EyActiveRequest_t *active)
+{
+    const EyExchange_t *exchange = active->exchange;
+    const EyRequest_t *request = exchange->request;
+    if (exchange->is_answered && !exchange->head_passed) {
+        return;
+    }
+    int64_t now_ms = EyClock_NowMs();
+    int64_t written_ms =
+        active->stream != NULL ? EyStream_LastWriteMs(active->stream) : 0;
+    EyDepartureWait_t wait = EyDeparture_Wait(exchange, written_ms != 0);
+    uint32_t index =
+        EyDeparture_Kind(exchange) * EY_DEPARTURE_WAIT_COUNT + wait;
+    EyMetric_Add(&EyDeparture_metrics[index], 1);
+    uint32_t unlogged = 0;
+    if (!EyDepartures_TakeLine(&active->gateway->departures, now_ms,
+                               &unlogged)) {
+        return;
+    }
+    int64_t since_ms = written_ms != 0
+                           ? written_ms
+                           : request->arrived_ms - request->waited_ms;
+    EY_LOG(EY_LOG_INFO, "gateway", "caller_left",
+           EY_LOG_TEXT("request_id", request->id),
+           EY_LOG_TEXT("waited_for", EyDeparture_wait_names[wait]),
+           EY_LOG_NUMBER("waited_ms", now_ms - since_ms),
+           EY_LOG_TEXT("route", request->terms.route),
+           EY_LOG_TEXT("account", request->account),
+           EY_LOG_TEXT("target", request->target),
+           EY_LOG_TEXT("to", exchange->tried_count > 0
+                                 ? exchange->tried[exchange->tried_count - 1]
+                                 : ""),
+           EY_LOG_NUMBER("left_ms", request->deadline_ms - now_ms),
+           EY_LOG_NUMBER("unlogged", unlogged));
+}
+
 /** Ends a request as its caller has left. May free active. */
 static void
 end_without_caller(EyActiveRequest_t *active)
 {
+    if (active->origin_id[0] == '\0') {
+        report_departure(active);
+    }
     EyExchangeEvent_t event = {.kind = EY_EXCHANGE_CALLER_DISCONNECTED};
     observe_close(active);
     EyActiveRequest_Step(active, &event);
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -396,6 +396,8 @@
         EySummary_SetOwn(summary, target->target, target->accepts ? 1 : 0,
                          target->free_slots,
                          (uint32_t)target->expected_wait_ms);
+        EySummary_SetOwnWork(summary, target->target, target->first_event_ms,
+                             target->work_per_s);
     }
     g_array_free(own, TRUE);
 }
@@ -408,6 +410,8 @@
         .expected_wait_ms = from->wait_ms,
         .free_slots = from->free_slots,
         .accepts = from->backend_count > 0,
+        .first_event_ms = from->first_event_ms,
+        .work_per_s = from->work_per_s,
     };
     (void)EY_COPY(summary.region, from->region);
     (void)EY_COPY(summary.target, from->target);
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -13,6 +13,7 @@
 #include "core/timers.h"
 #include "exchange/exchange.h"
 #include "exchange/shared_body.h"
+#include "gateway/departures.h"
 #include "gateway/forward_message.h"
 #include "gateway/gateway.h"
 #include "gateway/records.h"
@@ -129,6 +130,7 @@
     int64_t engine_update_sent_ms;
     uint32_t engine_update_receiver_count;
     bool engine_update_had_content;
+    EyDepartures_t departures;
 } EyGateway_t;
 
 /** Handles a request that was received by HTTP; takes it over. */
--- a/src/membership/message.c
+++ b/src/membership/message.c
@@ -90,6 +90,8 @@
     EY_FIELD(EyTargetSummary_t, free_slots, EY_FIELD_U32),
     EY_FIELD(EyTargetSummary_t, wait_ms, EY_FIELD_U32),
     EY_FIELD(EyTargetSummary_t, age_ms, EY_FIELD_U32),
+    EY_FIELD(EyTargetSummary_t, first_event_ms, EY_FIELD_U32),
+    EY_FIELD(EyTargetSummary_t, work_per_s, EY_FIELD_U32),
     EY_FIELD_END,
 };
 const EySchema_t EyTargetSummary_schema =
--- a/src/membership/message.h
+++ b/src/membership/message.h
@@ -91,6 +91,8 @@
     uint32_t free_slots;
     uint32_t wait_ms; /* expected waiting time */
     uint32_t age_ms;  /* since it was made in its region, as far as known */
+    uint32_t first_event_ms; /* see EyRegionSummary_t; 0: unknown */
+    uint32_t work_per_s;
 } EyTargetSummary_t;
 
 /** Maximum number of items of each kind in a message. */
--- a/src/membership/summary.c
+++ b/src/membership/summary.c
@@ -13,6 +13,8 @@
  * slots in steps that grow with their number. */
 #define WAIT_STEP_MS 50
 #define SLOTS_STEPS 8
+/* Keeps steps of work apart from those of waiting times. */
+#define WORK_STEP_SHIFT 48
 /* Remote regions that get a report in one interval; the others take turns. */
 #define REPORTS_PER_INTERVAL 1
 #define REGIONS_MAX 64
@@ -225,6 +227,14 @@
     return step + free_slots;
 }
 
+/** Quantizes the work that a target can take, where it is known. */
+static uint64_t
+work_step(const EyTargetSummary_t *summary)
+{
+    return (uint64_t)slots_step(summary->work_per_s) + 1 +
+           (uint64_t)(summary->first_event_ms / WAIT_STEP_MS);
+}
+
 /** Hash of the quantized local summaries, to detect notable changes. */
 static uint64_t
 quantized_hash_of(const EySummary_t *self)
@@ -238,6 +248,9 @@
         uint64_t state = ((uint64_t)summary->wait_ms / WAIT_STEP_MS << 32) |
                          (uint64_t)slots_step(summary->free_slots) << 8 |
                          summary->backend_count;
+        if (summary->first_event_ms != 0) {
+            state ^= work_step(summary) << WORK_STEP_SHIFT;
+        }
         quantized_hash ^=
             EyDigest_Mix(EyDigest_HashId(summary->target), state);
     }
@@ -595,6 +608,17 @@
     summary->wait_ms = wait_ms;
 }
 
+void
+EySummary_SetOwnWork(EySummary_t *self, const char *target,
+                     uint32_t first_event_ms, uint32_t work_per_s)
+{
+    EyTargetSummary_t *summary = g_hash_table_lookup(self->own, target);
+    if (summary != NULL) {
+        summary->first_event_ms = first_event_ms;
+        summary->work_per_s = work_per_s;
+    }
+}
+
 bool
 EySummary_Find(const EySummary_t *self, int64_t now_ms, const char *region,
                const char *target, EyTargetSummary_t *summary)
--- a/src/membership/summary.h
+++ b/src/membership/summary.h
@@ -35,6 +35,12 @@
 EySummary_SetOwn(EySummary_t *self, const char *target, uint32_t backend_count,
                  uint32_t free_slots, uint32_t wait_ms);
 
+/** Sets the work that the servers of a target can take, after
+ * EySummary_SetOwn; see EyRegionSummary_t. */
+void
+EySummary_SetOwnWork(EySummary_t *self, const char *target,
+                     uint32_t first_event_ms, uint32_t work_per_s);
+
 /** To be called on gateways every EY_MEMBERSHIP_TICK_MS. */
 void
 EySummary_Tick(EySummary_t *self, int64_t now_ms);
