--- a/src/routing/admission.c
+++ b/src/routing/admission.c
@@ -41,18 +41,31 @@
         updated_mean(self->mean_prompt_tokens, (double)request->prompt_tokens);
 }
 
+static uint32_t
+class_of(uint32_t priority)
+{
+    return priority < EY_ADMISSION_PRIORITIES ? priority
+                                              : EY_ADMISSION_PRIORITIES - 1;
+}
+
 void
-EyAdmission_NoteAdmitted(EyAdmission_t *self, int64_t now_ms, double work)
+EyAdmission_NoteAdmitted(EyAdmission_t *self, int64_t now_ms,
+                         uint32_t priority, double work)
 {
-    EySlidingSum_Add(&self->admitted_work, now_ms, work);
+    EySlidingSum_Add(&self->admitted_work[class_of(priority)], now_ms, work);
 }
 
 double
-EyAdmission_RateLeft(const EyAdmission_t *self, int64_t now_ms, double rate)
+EyAdmission_RateLeft(const EyAdmission_t *self, int64_t now_ms,
+                     uint32_t priority, bool is_late, double rate)
 {
-    double admitted = EySlidingSum_Sum(&self->admitted_work,
-                                       now_ms - ADMITTED_WINDOW_MS, now_ms) /
-                      (double)(ADMITTED_WINDOW_MS + EY_SLIDING_SUM_BUCKET_MS);
+    uint32_t end = class_of(priority) + (is_late ? 1 : 0);
+    double admitted = 0.0;
+    for (uint32_t i = 0; i < end; i++) {
+        admitted += EySlidingSum_Sum(&self->admitted_work[i],
+                                     now_ms - ADMITTED_WINDOW_MS, now_ms);
+    }
+    admitted /= (double)(ADMITTED_WINDOW_MS + EY_SLIDING_SUM_BUCKET_MS);
     return fmax(rate - admitted, rate * RATE_SHARE_MIN);
 }
 
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -14,9 +14,13 @@
 extern "C" {
 #endif
 
+/** Priorities that are told apart; the least urgent one has all further ones.
+ */
+#define EY_ADMISSION_PRIORITIES 4
+
 typedef struct EyAdmission {
     EyReturnSchedule_t *returns;
-    EySlidingSum_t admitted_work;
+    EySlidingSum_t admitted_work[EY_ADMISSION_PRIORITIES];
     double mean_work;          /* of recent calls; 0: none yet */
     double mean_prompt_tokens; /* of recent calls */
     EyWarmUp_t warm_up;
@@ -46,12 +50,15 @@
 
 /** Records admitted work. */
 void
-EyAdmission_NoteAdmitted(EyAdmission_t *self, int64_t now_ms, double work);
+EyAdmission_NoteAdmitted(EyAdmission_t *self, int64_t now_ms,
+                         uint32_t priority, double work);
 
-/** The rate in work per ms that remains for calls which later ones go before.
- */
+/** The rate in work per ms that remains for calls of this priority, as later
+ * ones that are more urgent go before them; and, if they are late, later ones
+ * of the same priority too. */
 double
-EyAdmission_RateLeft(const EyAdmission_t *self, int64_t now_ms, double rate);
+EyAdmission_RateLeft(const EyAdmission_t *self, int64_t now_ms,
+                     uint32_t priority, bool is_late, double rate);
 
 /** Time to the first event of a call that waits with work_ahead before it. */
 double
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -77,8 +77,8 @@
     int64_t arrived_ms; /* at the first gateway; 0: unknown, counts as now */
     int64_t leaves_ms;  /* when the caller leaves if no event has arrived; 0:
                            at the deadline */
-    bool has_place; /* refused before; this is the time it was told to return
-                       at, and a place is kept for it */
+    bool is_return;     /* refused before, and back at the time it was told */
+    bool has_place;     /* a place is kept for it, too */
 } EyRoutingRequest_t;
 
 typedef enum EyDecisionKind {
--- a/src/routing/return_schedule.c
+++ b/src/routing/return_schedule.c
@@ -13,7 +13,7 @@
  * gateways refuse at once don't return at once. */
 #define JITTER 0.25
 /** Places are counted in slots of this length. */
-#define SLOT_MS 250
+#define SLOT_MS 1000
 #define SLOTS 128
 /** Share of what is served that places are kept for. The rest is for new
  * callers, whose calls can still be on time. */
@@ -140,24 +140,20 @@
     return (uint32_t)after_ms;
 }
 
-bool
-EyReturnSchedule_Return(EyReturnSchedule_t *self, int64_t now_ms, uint64_t key,
-                        int64_t *arrived_ms)
+EyReturn_t
+EyReturnSchedule_Return(EyReturnSchedule_t *self, int64_t now_ms, uint64_t key)
 {
     Entry_t *entry = key != 0 ? g_hash_table_lookup(self->by_key, &key) : NULL;
-    if (entry == NULL) {
-        return false;
-    }
-    bool is_due = now_ms >= entry->due_ms - EARLY_MS &&
-                  now_ms <= entry->due_ms + LATE_MS;
-    bool has_place = is_due && entry->has_place;
-    if (is_due) {
-        *arrived_ms = entry->arrived_ms;
+    if (entry == NULL || now_ms < entry->due_ms - EARLY_MS) {
+        return (EyReturn_t){.is_return = false};
     }
-    if (is_due || now_ms > entry->due_ms) {
-        forget(self, entry);
+    EyReturn_t found = {.is_return = now_ms <= entry->due_ms + LATE_MS};
+    if (found.is_return) {
+        found.has_place = entry->has_place;
+        found.arrived_ms = entry->arrived_ms;
     }
-    return has_place;
+    forget(self, entry);
+    return found;
 }
 
 uint32_t
--- a/src/routing/return_schedule.h
+++ b/src/routing/return_schedule.h
@@ -37,12 +37,17 @@
 EyReturnSchedule_Refuse(EyReturnSchedule_t *self, int64_t now_ms,
                         const EyRefusedCall_t *call, EyRandom_t *random);
 
-/** True if a place is kept now for the call with that key, which is then
- * taken. Sets arrived_ms to the first attempt of a call that was refused
- * before, with or without a place. */
-bool
-EyReturnSchedule_Return(EyReturnSchedule_t *self, int64_t now_ms, uint64_t key,
-                        int64_t *arrived_ms);
+/** What is known of a call that may have been refused before. */
+typedef struct EyReturn {
+    bool is_return;     /* it was, and is back at the time it was told */
+    bool has_place;     /* and a place was kept for it */
+    int64_t arrived_ms; /* its first attempt, if it is back */
+} EyReturn_t;
+
+/** Looks the call with that key up and takes its place. */
+EyReturn_t
+EyReturnSchedule_Return(EyReturnSchedule_t *self, int64_t now_ms,
+                        uint64_t key);
 
 /** Number of kept places that are due now and not taken yet. */
 uint32_t
--- a/src/routing/router_admission.c
+++ b/src/routing/router_admission.c
@@ -23,20 +23,23 @@
 /** Queue order is renewed at most this often. */
 #define ORDER_PERIOD_MS 5
 
-/* A call that a place is kept for goes first, and its objective counts from
- * its first attempt. */
+/* The objective of a call that was refused and is back counts from its first
+ * attempt. */
 static EyRoutingRequest_t
-with_place(EyAdmission_t *admission, int64_t now_ms,
-           const EyRoutingRequest_t *request)
+with_return(EyAdmission_t *admission, int64_t now_ms,
+            const EyRoutingRequest_t *request)
 {
     EyRoutingRequest_t own = *request;
     if (own.arrived_ms == 0) {
         own.arrived_ms = now_ms;
     }
-    int64_t arrived_ms = own.arrived_ms;
-    own.has_place = EyReturnSchedule_Return(admission->returns, now_ms,
-                                            request->request_key, &arrived_ms);
-    own.arrived_ms = MIN(own.arrived_ms, arrived_ms);
+    EyReturn_t found = EyReturnSchedule_Return(admission->returns, now_ms,
+                                               request->request_key);
+    own.is_return = found.is_return;
+    own.has_place = found.has_place;
+    if (found.is_return) {
+        own.arrived_ms = MIN(own.arrived_ms, found.arrived_ms);
+    }
     return own;
 }
 
@@ -79,6 +82,27 @@
     return ends_with_start ? start_ms : start_ms - plan->best_run_ms;
 }
 
+/* Sets when a call begins that waits. */
+static void
+look_ahead_queued(EyOutlook_t *outlook, const EyAdmission_t *admission,
+                  int64_t now_ms, const EyRoutingRequest_t *request,
+                  const EyPlan_t *plan, double work_ahead)
+{
+    double rate = EyAdmission_RateLeft(admission, now_ms, request->priority,
+                                       false, outlook->rate);
+    outlook->start_ms =
+        queued_start_ms(admission, plan, request, work_ahead, rate);
+    outlook->is_late = outlook->start_ms > outlook->due_ms;
+    /* A refused call that is back waits for as long as its caller does: a
+     * second refusal is worse for it than the wait. */
+    if (outlook->is_late && !request->is_return) {
+        rate = EyAdmission_RateLeft(admission, now_ms, request->priority, true,
+                                    outlook->rate);
+        outlook->start_ms =
+            queued_start_ms(admission, plan, request, work_ahead, rate);
+    }
+}
+
 static EyOutlook_t
 look_ahead(const EyPlanInputs_t *inputs, EyPool_t *pool,
            const EyRoutingRequest_t *request, const EyPlan_t *plan,
@@ -95,16 +119,13 @@
             (double)(EyRoutingRequest_PatienceEndMs(request) - now_ms),
         .left_ms = (double)(request->deadline_ms - now_ms),
     };
-    outlook.start_ms = dispatches_now
-                           ? planned_start_ms(plan, request)
-                           : queued_start_ms(admission, plan, request,
-                                             work_ahead, outlook.rate);
-    outlook.is_late = outlook.start_ms > outlook.due_ms;
-    /* Later calls that can be on time go before one that can't. */
-    if (!dispatches_now && outlook.is_late && !request->has_place) {
-        outlook.start_ms = queued_start_ms(
-            admission, plan, request, work_ahead,
-            EyAdmission_RateLeft(admission, now_ms, outlook.rate));
+    if (dispatches_now) {
+        outlook.start_ms = planned_start_ms(plan, request);
+        outlook.is_late = outlook.start_ms > outlook.due_ms;
+    }
+    else {
+        look_ahead_queued(&outlook, admission, now_ms, request, plan,
+                          work_ahead);
     }
     outlook.end_ms = dispatches_now ? plan->finish_ms : outlook.start_ms;
     return outlook;
@@ -230,7 +251,7 @@
                 const EyRoutingRequest_t *request, const EyOutlook_t *outlook)
 {
     EyOutlook_t limited = *outlook;
-    if (!outlook->dispatches_now && !request->has_place) {
+    if (!outlook->dispatches_now && !request->is_return) {
         limited.patience_ms *= EyRoutingConfig_QueueTimeShare(&self->config);
     }
     if (cannot_begin(self, &limited, 1.0)) {
@@ -292,7 +313,7 @@
         return forward_or_refuse(self, now_ms, pool, request, &outlook,
                                  reason);
     }
-    EyAdmission_NoteAdmitted(admission, now_ms, work);
+    EyAdmission_NoteAdmitted(admission, now_ms, request->priority, work);
     return dispatches_now ? dispatch(self, now_ms, pool, request, &plan)
                           : ey_router_enqueue(self, pool, request, &plan);
 }
@@ -310,7 +331,7 @@
     if (!pool->queue->is_ordered) {
         order_queue(self, now_ms, pool, INFINITY);
     }
-    const EyRoutingRequest_t own = with_place(admission, now_ms, request);
+    const EyRoutingRequest_t own = with_return(admission, now_ms, request);
     return admit_own(self, now_ms, pool, &own);
 }
 
