--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -21,6 +21,8 @@
 /** Size of the buffer for EyPool_Key. */
 #define EY_POOL_KEY_SIZE_BYTES EY_TARGET_KEY_SIZE_BYTES
 
+struct EyAdmission;
+
 typedef struct EyPool {
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyBackendKind_t kind;
@@ -38,6 +40,7 @@
     int64_t factor_ms; /* when a replica last reported a speed factor; below 0:
                           never */
     bool is_predictive; /* predictive routing is active for the target */
+    struct EyAdmission *admission; /* used while it is; see admission.h */
 } EyPool_t;
 
 /** The inputs of a plan besides the pool. */
