--- a/src/routing/return_schedule.c
+++ b/src/routing/return_schedule.c
@@ -9,6 +9,8 @@
 /** A shorter time wouldn't let anything be served before the caller is back.
  */
 #define AFTER_MIN_MS 100.0
+/** A longer time says nothing about the load then. */
+#define AFTER_MAX_MS 30000.0
 /** Random part of the time, as a share of it, so that callers that several
  * gateways refuse at once don't return at once. */
 #define JITTER 0.25
@@ -120,7 +122,8 @@
 EyReturnSchedule_Refuse(EyReturnSchedule_t *self, int64_t now_ms,
                         const EyRefusedCall_t *call, EyRandom_t *random)
 {
-    double limit_ms = (double)MAX(call->left_ms, 0) * LEFT_SHARE;
+    double limit_ms =
+        MIN((double)MAX(call->left_ms, 0) * LEFT_SHARE, AFTER_MAX_MS);
     double from_ms = MAX(self->next_ms, (double)now_ms + call->wait_ms);
     double step_ms =
         call->calls_per_ms > 0.0 ? 1.0 / call->calls_per_ms : limit_ms;
--- a/tests/unit/admission_fleet.c
+++ b/tests/unit/admission_fleet.c
@@ -4,9 +4,15 @@
 #include "routing/router_internal.h"
 
 #include <math.h>
+#include <stdlib.h>
+#include <string.h>
 
+/* Of each region. */
 #define GATEWAYS 6
 #define ENGINES 4
+#define REGIONS_MAX 3
+#define LINK_MS 55
+#define SUMMARY_MS 500
 #define SLOTS 16
 #define STEP_MS 5
 #define TICK_MS 20
@@ -31,7 +37,8 @@
 typedef enum CallState {
     CALL_QUEUED,
     CALL_AT_ENGINE,
-    CALL_AWAY, /* refused; the caller returns */
+    CALL_AWAY,    /* refused; the caller returns */
+    CALL_ON_LINK, /* forwarded, or on its way back after a refusal there */
     CALL_ENDED
 } CallState_t;
 
@@ -39,8 +46,12 @@
     CallState_t state;
     int64_t first_ms;   /* first attempt */
     int64_t arrived_ms; /* this attempt */
-    int64_t returns_ms;
-    uint32_t gateway;
+    int64_t returns_ms; /* or when it is at the end of the link */
+    uint32_t region;    /* of its caller */
+    uint32_t gateway;   /* index over all regions: where its caller sent it */
+    uint32_t remote;    /* the gateway that it was forwarded to */
+    bool is_remote;
+    bool was_refused_there;
     uint32_t attempts;
     uint32_t refusals;
     uint32_t engine;
@@ -63,14 +74,25 @@
     EyRandom_t random;         /* of arrivals and calls */
     EyRandom_t returns_random; /* so that returns don't change the arrivals */
     void *ctx;
-    EyRouter_t *routers[GATEWAYS];
+    EyRouter_t *routers[GATEWAYS * REGIONS_MAX];
     Call_t calls[CALLS_MAX];
     uint32_t count;
     int64_t now_ms;
     int64_t report_at;
-    double due; /* fraction of the next arrival */
+    double due[REGIONS_MAX]; /* fraction of the next arrival */
+    GArray *summaries;       /* of EyRegionSummary_t, on their way */
 } Fleet_t;
 
+static const char *const RegionNames[REGIONS_MAX] = {"istra", "zagreb",
+                                                     "dalmacija"};
+
+/* The gateway at whose servers a call is. */
+static uint32_t
+serving_gateway(const Call_t *call)
+{
+    return call->is_remote ? call->remote : call->gateway;
+}
+
 static double
 normal(EyRandom_t *random)
 {
@@ -89,7 +111,8 @@
 {
     static EyName_t model = "plan";
     self->report_at++;
-    for (uint32_t engine = 0; engine < ENGINES; engine++) {
+    for (uint32_t engine = 0; engine < ENGINES * self->load->regions; engine++)
+    {
         EyBackend_t backend = {
             .kind = EY_BACKEND_MODEL,
             .models = &model,
@@ -106,7 +129,8 @@
                 backend.load.queued += call->runs ? 0 : 1;
             }
         }
-        for (uint32_t i = 0; i < GATEWAYS; i++) {
+        uint32_t first = engine / ENGINES * GATEWAYS;
+        for (uint32_t i = first; i < first + GATEWAYS; i++) {
             EyRouter_UpsertBackend(self->routers[i], self->now_ms, &backend);
             EyRouter_UpdateLoad(self->routers[i], self->now_ms, backend.id,
                                 backend.load.running, backend.load.queued);
@@ -117,13 +141,14 @@
 static void
 exchange_updates(Fleet_t *self)
 {
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
+    for (uint32_t i = 0; i < GATEWAYS * self->load->regions; i++) {
         void *ctx = talloc_new(NULL);
+        uint32_t first = i / GATEWAYS * GATEWAYS;
         EyName_t from;
         (void)g_snprintf(from, sizeof(from), "g%u", i);
         const EyEngineUpdate_t *update = EyRouter_CollectEngineUpdate(
             self->routers[i], ctx, self->now_ms, EY_ENGINE_UPDATE_OWN_REGION);
-        for (uint32_t j = 0; update != NULL && j < GATEWAYS; j++) {
+        for (uint32_t j = first; update != NULL && j < first + GATEWAYS; j++) {
             if (j != i) {
                 EyRouter_ApplyEngineUpdate(self->routers[j], self->now_ms,
                                            from, update, true);
@@ -133,9 +158,46 @@
     }
 }
 
+/* Has the summaries of the last time arrive, and collects new ones from one
+ * gateway of each region. */
+static void
+exchange_summaries(Fleet_t *self)
+{
+    for (guint i = 0; i < self->summaries->len; i++) {
+        const EyRegionSummary_t *summary =
+            &g_array_index(self->summaries, EyRegionSummary_t, i);
+        for (uint32_t j = 0; j < GATEWAYS * self->load->regions; j++) {
+            /* A router ignores that of its own region. Their age is part of
+             * the time of receipt, as in a gateway. */
+            EyRouter_SetSummary(self->routers[j], self->now_ms - SUMMARY_MS,
+                                summary);
+        }
+    }
+    g_array_set_size(self->summaries, 0);
+    for (uint32_t region = 0; region < self->load->regions; region++) {
+        EyRouter_Summarize(self->routers[region * GATEWAYS], self->now_ms,
+                           self->summaries);
+    }
+}
+
 static void
 finish(Fleet_t *self, Call_t *call, EyResultKind_t kind);
 
+static void
+forget_at(Fleet_t *self, const Call_t *call, uint32_t gateway,
+          EyResultKind_t kind);
+
+/* A refusal of another region goes back to the gateway that forwarded the
+ * call. */
+static void
+return_over_link(Fleet_t *self, Call_t *call)
+{
+    call->state = CALL_ON_LINK;
+    call->is_remote = false;
+    call->was_refused_there = true;
+    call->returns_ms = self->now_ms + LINK_MS;
+}
+
 /* The caller was refused: returns once, if it is told a time that it waits. */
 static void
 take_refusal(Fleet_t *self, Call_t *call, const EyRoutingDecision_t *decision)
@@ -153,6 +215,21 @@
     call->returns_ms = self->now_ms + after_ms;
 }
 
+static void
+forward(Fleet_t *self, Call_t *call, const EyRoutingDecision_t *decision)
+{
+    uint32_t region = 0;
+    while (strcmp(decision->region, RegionNames[region]) != 0) {
+        region++;
+    }
+    self->outcome->forwarded++;
+    call->state = CALL_ON_LINK;
+    call->is_remote = true;
+    call->remote = region * GATEWAYS +
+                   (uint32_t)EyRandom_Below(&self->returns_random, GATEWAYS);
+    call->returns_ms = self->now_ms + LINK_MS;
+}
+
 static void
 apply(Fleet_t *self, const EyRoutingDecision_t *decision)
 {
@@ -164,12 +241,21 @@
     self->outcome->longest_wait_ms =
         MAX(self->outcome->longest_wait_ms, self->now_ms - call->arrived_ms);
     if (decision->kind == EY_DECISION_REFUSE) {
-        take_refusal(self, call, decision);
+        if (call->is_remote) {
+            return_over_link(self, call);
+        }
+        else {
+            take_refusal(self, call, decision);
+        }
+        return;
+    }
+    if (decision->kind == EY_DECISION_FORWARD) {
+        forward(self, call, decision);
         return;
     }
     g_assert(decision->kind == EY_DECISION_DISPATCH);
     call->state = CALL_AT_ENGINE;
-    call->engine = (uint32_t)(decision->backend[1] - '0');
+    call->engine = (uint32_t)strtoul(decision->backend + 1, NULL, 10);
     call->prefill_left = call->prompt;
     call->output_left = call->output;
     call->sent_ms = self->now_ms;
@@ -197,12 +283,10 @@
     return (uint64_t)(call - self->calls) * 2 + (call->attempts - 1);
 }
 
+/* Submits the call at the gateway where it is now. */
 static void
-submit(Fleet_t *self, Call_t *call)
+submit_there(Fleet_t *self, Call_t *call)
 {
-    call->attempts++;
-    call->arrived_ms = self->now_ms;
-    call->first_event_ms = 0;
     EyRoutingRequest_t request = {
         .number = number_of(self, call),
         .request_key = (uint64_t)(call - self->calls) + 1,
@@ -215,17 +299,40 @@
         .objective_ms = ADMISSION_FLEET_OBJECTIVE_MS,
         .priority = call->priority,
         .deadline_ms = call->first_ms + ADMISSION_FLEET_DEADLINE_MS,
-        .arrived_ms = self->now_ms,
-        .leaves_ms = self->now_ms + ADMISSION_FLEET_PATIENCE_MS,
+        .arrived_ms = call->arrived_ms,
+        .leaves_ms = call->arrived_ms + ADMISSION_FLEET_PATIENCE_MS,
         .is_idempotent = true,
+        .is_forwarded = call->is_remote,
+        .forward_refused = call->was_refused_there,
     };
-    EyRoutingDecision_t decision =
-        EyRouter_Submit(self->routers[call->gateway], self->now_ms, &request);
+    EyRoutingDecision_t decision = EyRouter_Submit(
+        self->routers[serving_gateway(call)], self->now_ms, &request);
     apply(self, &decision);
 }
 
 static void
-finish(Fleet_t *self, Call_t *call, EyResultKind_t kind)
+submit(Fleet_t *self, Call_t *call)
+{
+    call->attempts++;
+    call->arrived_ms = self->now_ms;
+    call->first_event_ms = 0;
+    call->was_refused_there = false;
+    submit_there(self, call);
+}
+
+/* The call has arrived at the other end of the link. */
+static void
+leave_link(Fleet_t *self, Call_t *call)
+{
+    if (call->was_refused_there) {
+        forget_at(self, call, call->gateway, EY_RESULT_REFUSED);
+    }
+    submit_there(self, call);
+}
+
+static void
+forget_at(Fleet_t *self, const Call_t *call, uint32_t gateway,
+          EyResultKind_t kind)
 {
     const EyRoutingResult_t result = {
         .kind = kind,
@@ -233,12 +340,30 @@
         .tokens = kind == EY_RESULT_OK ? (uint32_t)call->output : 0,
     };
     GArray *decisions = new_decisions();
-    call->state = CALL_ENDED;
-    (void)EyRouter_Finished(self->routers[call->gateway], self->now_ms,
+    (void)EyRouter_Finished(self->routers[gateway], self->now_ms,
                             number_of(self, call), &result, decisions);
     apply_all(self, decisions);
 }
 
+static void
+finish(Fleet_t *self, Call_t *call, EyResultKind_t kind)
+{
+    call->state = CALL_ENDED;
+    if (call->is_remote) {
+        forget_at(self, call, call->remote, kind);
+    }
+    forget_at(self, call, call->gateway, kind);
+}
+
+static void
+cancel_at(Fleet_t *self, const Call_t *call, uint32_t gateway)
+{
+    GArray *decisions = new_decisions();
+    (void)EyRouter_Cancel(self->routers[gateway], self->now_ms,
+                          number_of(self, call), decisions);
+    apply_all(self, decisions);
+}
+
 static void
 leave(Fleet_t *self, Call_t *call)
 {
@@ -248,23 +373,25 @@
                                          ? MAX(self->outcome->longest_wait_ms,
                                                self->now_ms - call->arrived_ms)
                                          : self->outcome->longest_wait_ms;
-    GArray *decisions = new_decisions();
     call->state = CALL_ENDED;
-    (void)EyRouter_Cancel(self->routers[call->gateway], self->now_ms,
-                          number_of(self, call), decisions);
-    apply_all(self, decisions);
+    cancel_at(self, call, call->gateway);
+    if (call->is_remote) {
+        cancel_at(self, call, call->remote);
+    }
 }
 
 static void
-arrive(Fleet_t *self, double per_ms)
+arrive(Fleet_t *self, uint32_t region, double per_ms)
 {
-    self->due += per_ms * STEP_MS;
-    while (self->due >= 1.0 && self->count < CALLS_MAX) {
-        self->due -= EyRandom_Unit(&self->random) * 2.0;
+    self->due[region] += per_ms * STEP_MS;
+    while (self->due[region] >= 1.0 && self->count < CALLS_MAX) {
+        self->due[region] -= EyRandom_Unit(&self->random) * 2.0;
         Call_t *call = &self->calls[self->count++];
         *call = (Call_t){
             .first_ms = self->now_ms,
-            .gateway = (uint32_t)EyRandom_Below(&self->random, GATEWAYS),
+            .region = region,
+            .gateway = region * GATEWAYS +
+                       (uint32_t)EyRandom_Below(&self->random, GATEWAYS),
             .priority = EyRandom_Unit(&self->random) < self->load->urgent_share
                             ? 0
                             : 1,
@@ -313,13 +440,14 @@
         }
         if (call->first_event_ms == 0) {
             call->first_event_ms = self->now_ms;
-            EyRouter_AnswerStarted(self->routers[call->gateway], self->now_ms,
-                                   number_of(self, call));
+            EyRouter_AnswerStarted(self->routers[serving_gateway(call)],
+                                   self->now_ms, number_of(self, call));
         }
         call->output_left -= tokens;
         if (call->output_left <= 0.0) {
             call->is_served = true;
-            call->is_on_time = call->first_event_ms <=
+            int64_t link_ms = call->is_remote ? LINK_MS : 0;
+            call->is_on_time = call->first_event_ms + link_ms <=
                                call->first_ms + ADMISSION_FLEET_OBJECTIVE_MS;
             finish(self, call, EY_RESULT_OK);
         }
@@ -332,8 +460,9 @@
 {
     for (uint32_t i = 0; i < self->count; i++) {
         Call_t *call = &self->calls[i];
-        bool waits =
-            call->state == CALL_QUEUED || call->state == CALL_AT_ENGINE;
+        bool waits = call->state == CALL_QUEUED ||
+                     call->state == CALL_AT_ENGINE ||
+                     call->state == CALL_ON_LINK;
         int64_t leaves_ms = call->arrived_ms + ADMISSION_FLEET_PATIENCE_MS;
         int64_t deadline_ms = call->first_ms + ADMISSION_FLEET_DEADLINE_MS;
         if (waits && self->now_ms >= deadline_ms && call->first_event_ms != 0)
@@ -345,10 +474,15 @@
         {
             leave(self, call);
         }
+        else if (call->state == CALL_ON_LINK &&
+                 self->now_ms >= call->returns_ms) {
+            leave_link(self, call);
+        }
         else if (call->state == CALL_AWAY && self->now_ms >= call->returns_ms)
         {
             if (!self->load->returns_to_same) {
                 call->gateway =
+                    call->region * GATEWAYS +
                     (uint32_t)EyRandom_Below(&self->returns_random, GATEWAYS);
             }
             submit(self, call);
@@ -359,7 +493,7 @@
 static void
 tick(Fleet_t *self)
 {
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
+    for (uint32_t i = 0; i < GATEWAYS * self->load->regions; i++) {
         GArray *decisions = new_decisions();
         EyRouter_Tick(self->routers[i], self->now_ms, decisions);
         apply_all(self, decisions);
@@ -417,25 +551,26 @@
 static void
 open_routers(Fleet_t *self)
 {
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
+    for (uint32_t i = 0; i < GATEWAYS * self->load->regions; i++) {
         const EyRouterOptions_t options = {
-            .region = "istra",
-            .seed = self->load->seed * GATEWAYS + i + 1,
+            .region = RegionNames[i / GATEWAYS],
+            .seed = self->load->seed * GATEWAYS * REGIONS_MAX + i + 1,
             .config = EyRoutingConfig_Make(),
         };
         self->routers[i] = EyRouter_New(self->ctx, &options);
         EyRouter_SetGateways(self->routers[i], GATEWAYS);
-        EyRouter_SetRank(self->routers[i], self->now_ms, i, GATEWAYS);
+        EyRouter_SetRank(self->routers[i], self->now_ms, i % GATEWAYS,
+                         GATEWAYS);
     }
     announce(self);
-    for (uint32_t i = 0; i < GATEWAYS; i++) {
+    for (uint32_t i = 0; i < GATEWAYS * self->load->regions; i++) {
         EyRouter_FindPool(self->routers[i], EY_BACKEND_MODEL, "plan")
             ->is_predictive = self->load->is_predictive;
     }
 }
 
 static double
-arrivals_per_ms(const Fleet_t *self, int64_t since_ms)
+arrivals_per_ms(const Fleet_t *self, uint32_t region, int64_t since_ms)
 {
     /* A full engine generates SLOTS tokens in twice the time of an idle one.
      */
@@ -444,7 +579,7 @@
         return CALM_LOAD * capacity;
     }
     if (since_ms < CALM_MS + self->load->overload_ms) {
-        return self->load->overload * capacity;
+        return (region == 0 ? self->load->overload : CALM_LOAD) * capacity;
     }
     return since_ms < 2 * CALM_MS + self->load->overload_ms
                ? CALM_LOAD * capacity
@@ -464,12 +599,15 @@
     int64_t end_ms = begin_ms + 2 * CALM_MS + load->overload_ms +
                      ADMISSION_FLEET_DEADLINE_MS + 1000;
     self->now_ms = begin_ms;
+    self->summaries = g_array_new(FALSE, FALSE, sizeof(EyRegionSummary_t));
     open_routers(self);
     for (; self->now_ms < end_ms; self->now_ms += STEP_MS) {
         int64_t since_ms = self->now_ms - begin_ms;
-        arrive(self, arrivals_per_ms(self, since_ms));
-        for (uint32_t engine = 0; engine < ENGINES; engine++) {
-            run_engine(self, engine);
+        for (uint32_t i = 0; i < load->regions; i++) {
+            arrive(self, i, arrivals_per_ms(self, i, since_ms));
+        }
+        for (uint32_t i = 0; i < ENGINES * load->regions; i++) {
+            run_engine(self, i);
         }
         if (since_ms % REPORT_MS == 0) {
             announce(self);
@@ -477,11 +615,15 @@
         if (since_ms % UPDATE_MS == 0) {
             exchange_updates(self);
         }
+        if (since_ms % SUMMARY_MS == 0) {
+            exchange_summaries(self);
+        }
         if (since_ms % TICK_MS == 0) {
             tick(self);
         }
         act_as_callers(self);
     }
     add_outcome(self);
+    g_array_free(self->summaries, TRUE);
     talloc_free(self);
 }
--- a/tests/unit/admission_fleet.h
+++ b/tests/unit/admission_fleet.h
@@ -1,6 +1,6 @@
-/** A region in overload, for tests of admission: the routers of several
- * gateways with late views of model engines, and callers that leave and return
- * as real ones do. */
+/** Regions in overload, for tests of admission: the routers of several
+ * gateways each with late views of model engines, and callers that leave and
+ * return as real ones do. */
 #ifndef EY_TESTS_UNIT_ADMISSION_FLEET_H
 #define EY_TESTS_UNIT_ADMISSION_FLEET_H
 
@@ -13,7 +13,8 @@
 
 typedef struct AdmissionLoad {
     uint64_t seed;
-    double overload; /* arrivals in the middle, as a multiple of capacity */
+    uint32_t regions; /* 1 to 3; all but the first have the calm load */
+    double overload;  /* arrivals in the middle, as a multiple of capacity */
     int64_t overload_ms; /* its length */
     double urgent_share; /* of calls with the more urgent priority */
     bool is_predictive;
@@ -33,6 +34,7 @@
     uint32_t left_queued; /* of these, while they were queued */
     uint32_t refused;     /* calls that were refused at least once */
     uint32_t refused_twice;
+    uint32_t forwarded;
     uint32_t undecided;      /* calls without a final decision at the end */
     int64_t longest_wait_ms; /* from arrival to a final decision */
     uint32_t held_refused;   /* refusals after more than an eighth of the
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -443,3 +443,157 @@
     cr_expect(EyDepartures_TakeLine(&departures, 6000, &unlogged));
     cr_expect_eq(unlogged, 500 - EY_DEPARTURE_LINES_PER_S);
 }
+
+/** Random events, and which calls still lack a final decision. */
+typedef struct RandomPlay {
+    EyRouter_t *router;
+    EyRandom_t random;
+    int64_t now_ms;
+    GHashTable *open;    /* number -> when its caller leaves */
+    GHashTable *running; /* number -> itself */
+    GArray *decisions;
+} RandomPlay_t;
+
+static uint64_t
+pick(RandomPlay_t *play, const uint64_t *values, uint32_t count)
+{
+    return values[EyRandom_Below(&play->random, count)];
+}
+
+static void
+take_decisions(RandomPlay_t *play)
+{
+    for (guint i = 0; i < play->decisions->len; i++) {
+        const EyRoutingDecision_t *decision =
+            &g_array_index(play->decisions, EyRoutingDecision_t, i);
+        if (decision->kind == EY_DECISION_QUEUED) {
+            continue;
+        }
+        cr_assert(g_hash_table_remove(play->open, &decision->number),
+                  "a second decision");
+        if (decision->kind != EY_DECISION_REFUSE) {
+            g_hash_table_add(
+                play->running,
+                g_memdup2(&decision->number, sizeof(decision->number)));
+        }
+        else {
+            cr_assert_leq(decision->retry_after_ms, 60000);
+        }
+    }
+    g_array_set_size(play->decisions, 0);
+}
+
+static void
+submit_random(RandomPlay_t *play, uint64_t number)
+{
+    static const uint64_t Objectives[] = {0, 1, 1200, UINT32_MAX};
+    static const uint64_t Tokens[] = {0, 1, 3000, 200000, UINT32_MAX};
+    static const uint64_t LeavesAfter[] = {0, 1, 2000, 4800, 1u << 30};
+    static const uint64_t DeadlineAfter[] = {1, 300, 12000, 1u << 30};
+    static const uint64_t Ago[] = {0, 100, 5000, 1u << 30};
+    EyRoutingRequest_t request = {
+        .number = number,
+        .request_key = number % 7,
+        .target = "plan",
+        .objective_ms = (uint32_t)pick(play, Objectives, 4),
+        .prompt_tokens = (uint32_t)pick(play, Tokens, 5),
+        .tokens_max = (uint32_t)pick(play, Tokens, 5),
+        .priority = (uint32_t)pick(play, Tokens, 5),
+        .arrived_ms = play->now_ms - (int64_t)pick(play, Ago, 4),
+        .deadline_ms = play->now_ms + (int64_t)pick(play, DeadlineAfter, 4),
+        .is_idempotent = true,
+    };
+    uint64_t leaves_after = pick(play, LeavesAfter, 5);
+    request.leaves_ms =
+        leaves_after > 0 ? play->now_ms + (int64_t)leaves_after : 0;
+    int64_t *leaves_ms = g_new(int64_t, 1);
+    *leaves_ms = EyRoutingRequest_PatienceEndMs(&request);
+    g_hash_table_insert(play->open, g_memdup2(&number, sizeof(number)),
+                        leaves_ms);
+    EyRoutingDecision_t decision =
+        EyRouter_Submit(play->router, play->now_ms, &request);
+    g_array_append_val(play->decisions, decision);
+}
+
+static void
+end_one(RandomPlay_t *play, bool is_cancelled)
+{
+    GHashTableIter each;
+    gpointer key = NULL;
+    g_hash_table_iter_init(&each, play->running);
+    if (!g_hash_table_iter_next(&each, &key, NULL)) {
+        return;
+    }
+    const EyRoutingResult_t result = {
+        .kind = is_cancelled ? EY_RESULT_CANCELLED : EY_RESULT_OK,
+        .duration_ms = 300,
+        .tokens = 40,
+    };
+    uint64_t number = *(uint64_t *)key;
+    g_hash_table_remove(play->running, &number);
+    cr_assert(EyRouter_Finished(play->router, play->now_ms, number, &result,
+                                play->decisions));
+}
+
+static void
+check_patience(RandomPlay_t *play)
+{
+    GHashTableIter each;
+    gpointer leaves_ms = NULL;
+    g_hash_table_iter_init(&each, play->open);
+    while (g_hash_table_iter_next(&each, NULL, &leaves_ms)) {
+        cr_assert_gt(*(int64_t *)leaves_ms, play->now_ms,
+                     "queued past its caller's patience");
+    }
+}
+
+/* Failure: a call gets two decisions or none, or extreme terms of calls break
+ * the order or the times. */
+Test(admission, each_call_gets_one_decision_under_random_events)
+{
+    void *ctx = talloc_new(NULL);
+    RandomPlay_t play = {
+        .router = make_router(ctx, 5, 2, true),
+        .random = EyRandom_Make(17),
+        .now_ms = LATER_MS,
+        .open =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free),
+        .running =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL),
+        .decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t)),
+    };
+    for (uint64_t step = 1; step <= 20000; step++) {
+        uint64_t kind = EyRandom_Below(&play.random, 40);
+        if (kind < 24) {
+            submit_random(&play, step);
+        }
+        else if (kind < 34) {
+            end_one(&play, kind == 33);
+        }
+        else if (kind == 34) {
+            pool_of(play.router)->is_predictive =
+                EyRandom_Below(&play.random, 3) > 0;
+        }
+        else if (kind == 35) {
+            announce_cold(play.router, play.now_ms,
+                          (double)EyRandom_Below(&play.random, 3));
+        }
+        else {
+            play.now_ms += (int64_t)EyRandom_Below(&play.random, 50);
+        }
+        EyRouter_Tick(play.router, play.now_ms, play.decisions);
+        take_decisions(&play);
+        if (pool_of(play.router)->is_predictive) {
+            check_patience(&play);
+        }
+    }
+    play.now_ms += 1 << 30;
+    EyRouter_Tick(play.router, play.now_ms, play.decisions);
+    take_decisions(&play);
+    cr_expect_eq(g_hash_table_size(play.open), 0);
+    cr_expect_eq(EyRouter_Waiting(play.router), 0);
+    g_array_free(play.decisions, TRUE);
+    g_hash_table_unref(play.open);
+    g_hash_table_unref(play.running);
+    talloc_free(ctx);
+}
--- a/tests/unit/test_admission_load.c
+++ b/tests/unit/test_admission_load.c
@@ -17,16 +17,17 @@
     cr_log_warn(
         "predictive %d: %u calls, on time %u, served %u, large %u of %u, "
         "urgent %u of %u, left %u (%u queued), refused %u, twice %u, "
-        "held %u, longest wait %ld ms",
+        "held %u, longest wait %ld ms, forwarded %u",
         load.is_predictive, outcome.calls, outcome.on_time, outcome.served,
         outcome.large_served, outcome.large_calls, outcome.urgent_served,
         outcome.urgent_calls, outcome.left, outcome.left_queued,
         outcome.refused, outcome.refused_twice, outcome.held_refused,
-        (long)outcome.longest_wait_ms);
+        (long)outcome.longest_wait_ms, outcome.forwarded);
     return outcome;
 }
 
 static const AdmissionLoad_t Overload = {
+    .regions = 1,
     .overload = 2.0,
     .overload_ms = 6000,
     .urgent_share = 0.3,
@@ -88,3 +89,20 @@
     cr_expect_leq(with_share, without_share, "%.2f, without %.2f", with_share,
                   without_share);
 }
+
+/* Failure: the largest region has calls wait until they are late while other
+ * regions have room; or it fills those up, so that fewer calls are on time in
+ * all regions together. */
+Test(admission_load, regions_with_room_serve_calls_of_a_region_in_overload)
+{
+    AdmissionLoad_t load = Overload;
+    load.regions = 3;
+    AdmissionLoad_t without = load;
+    without.is_predictive = false;
+    AdmissionOutcome_t with_outcome = play(load);
+    AdmissionOutcome_t without_outcome = play(without);
+    cr_expect_eq(with_outcome.undecided, 0);
+    cr_expect_eq(with_outcome.left_queued, 0);
+    cr_expect_gt(with_outcome.forwarded, 0);
+    cr_expect_geq(with_outcome.on_time, without_outcome.on_time);
+}
