Strict revocation: keys are refused while the table can't be confirmed

A gateway that is cut off went on accepting keys that had been revoked since, for as long as it was cut off. A control process tells in its answer to a pull up to which time it knows its revision to be the newest: as a leader by the quorum's answers, as a follower by its leader's; not right after a pause of its own. The pull's time at the gateway counts, so that an answer that waited proves nothing.

--- a/src/config/config_message.c
+++ b/src/config/config_message.c
@@ -44,6 +44,9 @@
     EY_FIELD(EyConfigMessage_t, age_ms, EY_FIELD_I64),
     EY_FIELD(EyConfigMessage_t, receiver_clock_ms, EY_FIELD_I64),
     EY_FIELD_NESTED(EyConfigMessage_t, controls, EyControlSet_schema),
+    EY_FIELD(EyConfigMessage_t, pulled_ms, EY_FIELD_I64),
+    EY_FIELD(EyConfigMessage_t, is_current, EY_FIELD_BOOL),
+    EY_FIELD(EyConfigMessage_t, current_age_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 const EySchema_t EyConfigMessage_schema =
--- a/src/config/config_message.h
+++ b/src/config/config_message.h
@@ -68,6 +68,11 @@
     bool awaits_leader; /* PUSH: unconfirmed; the sender, a control process,
                          * reaches a majority of the others, so that a leader
                          * is about to confirm it */
+    int64_t pulled_ms;  /* PULL: the sender's clock; PUSH: of the pull that it
+                         * answers; 0: of none, or of an older build */
+    bool is_current;    /* PUSH: the sender, a control process, knows that its
+                         * revision was the cluster's newest one ... */
+    int64_t current_age_ms; /* ... this long before the push was sent */
     uint64_t number;
     bool is_forwarded; /* by a control process; not to be forwarded again */
     EyCommand_t command;
--- a/src/config/config_replica.c
+++ b/src/config/config_replica.c
@@ -61,6 +61,8 @@
     EyName_t older_controls[EY_CONFIG_REPLICA_OLDER_MAX];
     uint32_t older_control_count;
     uint64_t stale_pushes; /* pushes of an older revision */
+    int64_t clock_ms;      /* of the current call */
+    int64_t current_ms;    /* as EyConfigReplica_CurrentMs */
 };
 
 EyConfigReplica_t *
@@ -167,6 +169,7 @@
         .revision = self->store->config.revision,
         .wants_snapshot = self->wants_snapshot,
         .is_probe = is_probe,
+        .pulled_ms = self->clock_ms,
         .controls.index = self->feed->controls.index,
     };
     self->hooks.send(self->hooks.data, source, &message);
@@ -372,6 +375,22 @@
     }
 }
 
+/** Notes that a control process has confirmed the store. The time of the pull
+ * counts, as the answer may have waited for this process. */
+static void
+note_current(EyConfigReplica_t *self, const char *from,
+             const EyConfigMessage_t *push)
+{
+    bool is_answer = push->pulled_ms > 0 && push->pulled_ms <= self->clock_ms;
+    if (push->is_current && is_answer && push->current_age_ms >= 0 &&
+        self->store->config.revision >= push->revision &&
+        is_control(self, from))
+    {
+        self->current_ms =
+            MAX(self->current_ms, push->pulled_ms - push->current_age_ms);
+    }
+}
+
 /** True if control processes of older builds are the majority, have answered,
  * and the store is the newest one that they have announced. */
 static bool
@@ -574,6 +593,7 @@
         restore_snapshot(self, push);
     }
     note_confirmation(self, now_ms, from, push);
+    note_current(self, from, push);
     after_push(self, now_ms, from, before);
     uint64_t after = self->store->config.revision;
     if (after > before && after < self->highest_revision) {
@@ -590,6 +610,7 @@
 EyConfigReplica_Receive(EyConfigReplica_t *self, int64_t now_ms,
                         const char *from, const EyConfigMessage_t *message)
 {
+    self->clock_ms = now_ms;
     if (message->kind == EY_CONFIG_PUSH) {
         on_push(self, now_ms, from, message);
     }
@@ -602,6 +623,7 @@
 void
 EyConfigReplica_Tick(EyConfigReplica_t *self, int64_t now_ms)
 {
+    self->clock_ms = now_ms;
     if (self->announcer[0] != '\0' && now_ms >= self->control_ends_ms) {
         fetch(self, now_ms, self->announcer, self->announced_bytes);
         self->announcer[0] = '\0';
@@ -635,6 +657,12 @@
     return is_confirmed(self);
 }
 
+int64_t
+EyConfigReplica_CurrentMs(const EyConfigReplica_t *self)
+{
+    return self->current_ms;
+}
+
 const EyControlSet_t *
 EyConfigReplica_Controls(const EyConfigReplica_t *self)
 {
--- a/src/config/config_replica.h
+++ b/src/config/config_replica.h
@@ -110,6 +110,13 @@
 bool
 EyConfigReplica_IsConfirmed(const EyConfigReplica_t *self);
 
+/** Returns the time up to which the store is known to include all that was
+ * acknowledged: that of the last pull which a control process answered that
+ * has a leader, less the age of what that process knew; 0: not since the
+ * start. */
+int64_t
+EyConfigReplica_CurrentMs(const EyConfigReplica_t *self);
+
 /** Returns the newest set of control processes that was received. */
 const EyControlSet_t *
 EyConfigReplica_Controls(const EyConfigReplica_t *self);
--- a/src/config/control.c
+++ b/src/config/control.c
@@ -4,6 +4,12 @@
 
 #include <string.h>
 
+/** Longer times without a step are pauses of the process; ticks are 50 ms
+ * apart. */
+#define PAUSE_MIN_MS 500
+/** Time after a pause in which messages that waited are still received. */
+#define RESUME_MS 500
+
 /** A proposal without an answer yet. */
 typedef struct PendingProposal {
     uint64_t number;          /* in this process */
@@ -25,6 +31,8 @@
     uint64_t base_index;    /* of the last compaction */
     uint64_t applied_bytes; /* size of the entries applied since then */
     int64_t tick_ms; /* start of the current tick; -1: starts with this step */
+    int64_t stepped_ms; /* time of the last step */
+    int64_t resumed_ms; /* start, or end of the last pause */
     bool was_leader;
     bool has_changed; /* in the current step */
     bool must_push;   /* the confirmation or the set of control processes
@@ -62,6 +70,8 @@
     /* Numbers must differ from those of the process before a restart. */
     self->last_number = options->seed << 32;
     self->tick_ms = now_ms;
+    self->stepped_ms = now_ms;
+    self->resumed_ms = now_ms;
     return self;
 }
 
@@ -252,6 +262,21 @@
     }
 }
 
+/** Updates the time up to which the store is known to be the newest. After a
+ * pause of this process, the messages that waited for it say nothing of the
+ * time in which they are received. */
+static void
+update_currency(EyControl_t *self, int64_t now_ms)
+{
+    if (now_ms - self->stepped_ms >= PAUSE_MIN_MS) {
+        self->resumed_ms = now_ms;
+    }
+    self->stepped_ms = now_ms;
+    int64_t current_ms = EyRaft_CurrentMs(self->log);
+    self->feed->current_ms =
+        current_ms >= self->resumed_ms + RESUME_MS ? current_ms : 0;
+}
+
 /** Distributes the set of control processes if it has changed. */
 static void
 update_controls(EyControl_t *self, const EyRaftStatus_t *status)
@@ -279,6 +304,7 @@
     EyRaftStatus_t status = EyRaft_Status(self->log);
     bool is_leader = status.role == EY_RAFT_LEADER;
     update_confirmation(self, &status);
+    update_currency(self, now_ms);
     update_controls(self, &status);
     if (self->tick_ms < 0 || is_leader != self->was_leader) {
         self->tick_ms = now_ms;
--- a/src/config/feed.c
+++ b/src/config/feed.c
@@ -118,6 +118,8 @@
 typedef struct Known {
     uint64_t revision;
     uint64_t controls_index;
+    int64_t now_ms;
+    int64_t pulled_ms; /* of the pull that is answered; 0: none */
 } Known_t;
 
 /** Returns a push without changes. */
@@ -129,7 +131,12 @@
         .revision = store->config.revision,
         .confirmation = self->confirmation,
         .awaits_leader = self->awaits_leader,
+        .pulled_ms = known.pulled_ms,
+        .is_current = self->current_ms > 0,
     };
+    if (push.is_current) {
+        push.current_age_ms = known.now_ms - self->current_ms;
+    }
     if (known.controls_index < self->controls.index) {
         push.controls = self->controls;
     }
@@ -196,7 +203,11 @@
             continue;
         }
         /* A subscriber that missed a push detects the gap and pulls. */
-        Known_t known = {subscriber->revision, subscriber->controls_index};
+        Known_t known = {
+            .revision = subscriber->revision,
+            .controls_index = subscriber->controls_index,
+            .now_ms = now_ms,
+        };
         subscriber->revision =
             push_or_announce(self, store, subscriber->id, known);
         subscriber->controls_index = self->controls.index;
@@ -232,7 +243,12 @@
                   const char *from, const EyConfigMessage_t *pull)
 {
     uint64_t current = store->config.revision;
-    Known_t known = {pull->revision, pull->controls.index};
+    Known_t known = {
+        .revision = pull->revision,
+        .controls_index = pull->controls.index,
+        .now_ms = now_ms,
+        .pulled_ms = pull->pulled_ms,
+    };
     if (pull->is_probe) {
         subscribe(self, now_ms, from,
                   push_or_announce(self, store, from, known));
--- a/src/config/feed.h
+++ b/src/config/feed.h
@@ -44,6 +44,9 @@
     EyFeedSubscriber_t subscribers[EY_FEED_SUBSCRIBERS_MAX];
     EyConfirmation_t confirmation; /* of the store, sent with each push */
     bool awaits_leader;            /* as in EyConfigMessage_t */
+    int64_t current_ms;            /* of a control process: time up to which
+                                    * the store is known to be the newest; 0:
+                                    * unknown */
     EyControlSet_t controls;       /* the newest that is known */
     EyFeedSend_t send;
     void *data;
--- a/src/config/raft.h
+++ b/src/config/raft.h
@@ -245,6 +245,12 @@
 EyRaftStatus_t
 EyRaft_Status(const EyRaft_t *self);
 
+/** Returns the time up to which commit is known to include all entries that
+ * were committed in the cluster: a leader has confirmed it, which a quorum had
+ * answered; 0: not since the start. */
+int64_t
+EyRaft_CurrentMs(const EyRaft_t *self);
+
 /** Returns the time since a member's last message; 0 for this process and for
  * unknown addresses. Only a leader gets messages from all members regularly.
  */
--- a/src/config/raft_internal.h
+++ b/src/config/raft_internal.h
@@ -89,6 +89,7 @@
     int64_t election_ms;     /* when to start an election */
     int64_t leader_ms;       /* time of the leader's last message */
     int64_t leader_clock_ms; /* as in EyRaftStatus_t */
+    int64_t current_ms;      /* of a follower: as EyRaft_CurrentMs */
     int64_t leading_ms;      /* when this process became the leader */
     bool is_leaving;         /* this process is about to stop */
     int64_t heartbeat_ms;    /* when to send the next heartbeats or hellos */
--- a/src/config/raft_message.c
+++ b/src/config/raft_message.c
@@ -80,6 +80,7 @@
     EY_FIELD_TEXT(EyRaftMessage_t, leader),
     EY_FIELD(EyRaftMessage_t, round, EY_FIELD_U64),
     EY_FIELD(EyRaftMessage_t, clock_ms, EY_FIELD_I64),
+    EY_FIELD(EyRaftMessage_t, quorum_age_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 const EySchema_t EyRaftMessage_schema =
--- a/src/config/raft_message.h
+++ b/src/config/raft_message.h
@@ -101,11 +101,13 @@
     EyRaftEntry_t *entries;
     uint32_t entry_count;
     EyRaftSnapshot_t snapshot;
-    EyAddress_t leader; /* HELLO_ANSWER: the leader, which can admit the
-                         * sender of the hello */
-    uint64_t round;     /* HELLO: number of the round of hellos;
-                         * HELLO_ANSWER: copied from the HELLO */
-    int64_t clock_ms;   /* the sender's; 0: of an older build */
+    EyAddress_t leader;    /* HELLO_ANSWER: the leader, which can admit the
+                            * sender of the hello */
+    uint64_t round;        /* HELLO: number of the round of hellos;
+                            * HELLO_ANSWER: copied from the HELLO */
+    int64_t clock_ms;      /* the sender's; 0: of an older build */
+    int64_t quorum_age_ms; /* APPEND: time since a quorum last answered the
+                            * leader */
 } EyRaftMessage_t;
 
 extern const EySchema_t EyRaftMembers_schema;
--- a/src/config/raft_replication.c
+++ b/src/config/raft_replication.c
@@ -4,6 +4,50 @@
 
 #include <string.h>
 
+static int
+compare_times_descending(gconstpointer left, gconstpointer right)
+{
+    int64_t left_ms = *(const int64_t *)left;
+    int64_t right_ms = *(const int64_t *)right;
+    return (left_ms < right_ms) - (left_ms > right_ms);
+}
+
+/** Returns the time since which each process of some quorum has answered this
+ * leader. */
+static int64_t
+quorum_ms(const EyRaft_t *self)
+{
+    GArray *answers = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    if (ey_raft_is_voter(self)) {
+        g_array_append_val(answers, self->now_ms);
+    }
+    for (guint i = 0; i < self->peers->len; i++) {
+        const EyRaftPeer_t *peer =
+            &g_array_index(self->peers, EyRaftPeer_t, i);
+        if (peer->is_voter) {
+            g_array_append_val(answers, peer->last_answer_ms);
+        }
+    }
+    g_array_sort(answers, compare_times_descending);
+    uint32_t quorum = ey_raft_quorum(self);
+    int64_t since_ms = answers->len >= quorum
+                           ? g_array_index(answers, int64_t, quorum - 1)
+                           : 0;
+    g_array_free(answers, TRUE);
+    return since_ms;
+}
+
+int64_t
+EyRaft_CurrentMs(const EyRaft_t *self)
+{
+    if (self->role != EY_RAFT_LEADER) {
+        return self->current_ms;
+    }
+    /* Before that, entries of earlier terms may be committed elsewhere. */
+    bool has_committed = ey_raft_term_at(self, self->commit) == self->term;
+    return has_committed ? quorum_ms(self) : 0;
+}
+
 void
 ey_raft_become_leader(EyRaft_t *self)
 {
@@ -78,6 +122,7 @@
         self, EY_RAFT_APPEND, peer->address, peer->incarnation);
     message->index = peer->next - 1;
     message->log_term = ey_raft_term_at(self, message->index);
+    message->quorum_age_ms = self->now_ms - EyRaft_CurrentMs(self);
     message->commit = self->commit;
     message->entries = EY_NEW_ARRAY(message, EyRaftEntry_t, count);
     message->entry_count = count;
@@ -210,6 +255,8 @@
         ey_raft_term_at(self, message->commit) == message->term)
     {
         self->is_confirmed = true;
+        self->current_ms =
+            MAX(self->current_ms, self->now_ms - message->quorum_age_ms);
     }
 }
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -20,6 +20,7 @@
 #define RETRY_SLACK_MAX 1000000
 /* A group has at most 16 members, of which a majority must remain. */
 #define CONTROL_LOSSES_MAX 7
+#define REVOKE_MAX_MS 3600000
 #define RETRY_WINDOW_MAX_S 3600
 
 typedef enum SettingId {
@@ -40,6 +41,8 @@
     SETTING_STOP_LINGER,
     SETTING_STOP_GRACE,
     SETTING_BACKEND_TTL,
+    SETTING_STRICT_REVOCATION,
+    SETTING_REVOKE,
     SETTING_RETRY_RATIO,
     SETTING_RETRY_SLACK,
     SETTING_RETRY_WINDOW,
@@ -248,6 +251,18 @@
     return *value || strcmp(text, "0") == 0 || strcmp(text, "false") == 0;
 }
 
+static bool
+read_strict_revocation(EySettings_t *settings, const char *text)
+{
+    return read_bool(text, &settings->strict_revocation);
+}
+
+static bool
+read_revoke(EySettings_t *settings, const char *text)
+{
+    return read_integer(text, 1, REVOKE_MAX_MS, &settings->revoke_ms);
+}
+
 static bool
 read_may_found(EySettings_t *settings, const char *text)
 {
@@ -492,6 +507,20 @@
                               .default_text = "10",
                               .expected = "1 to 3600 seconds",
                               .read = read_retry_window},
+    [SETTING_STRICT_REVOCATION] =
+        {.flag = "strict-revocation",
+         .help = "gateway: refuse calls that need a key while the route table "
+                 "hasn't been confirmed for --revoke-ms",
+         .default_text = "0",
+         .expected = "0 or 1",
+         .is_switch = true,
+         .read = read_strict_revocation},
+    [SETTING_REVOKE] = {.flag = "revoke-ms",
+                        .help = "with --strict-revocation: longest time "
+                                "without a confirmation",
+                        .default_text = "5000",
+                        .expected = "1 to 3600000 milliseconds",
+                        .read = read_revoke},
     [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
                              .help = "address for other instances, IP:port",
                              .expected = ADDRESS_EXPECTED,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -60,6 +60,9 @@
     uint32_t retry_permille; /* retries of the fleet for 1000 requests */
     uint32_t retry_slack;    /* further ones in each window */
     uint32_t retry_window_ms; /* window of the retry budget */
+    uint32_t revoke_ms;       /* see strict_revocation */
+    bool strict_revocation;   /* refuse calls that need a key while the route
+                               * table hasn't been confirmed for revoke_ms */
     bool may_found;           /* may bootstrap a new control cluster */
     bool takes_joiners;       /* control: accept members not in --control */
     uint32_t control_losses;  /* control processes that may be lost at once */
--- a/src/gateway/accounts.c
+++ b/src/gateway/accounts.c
@@ -9,6 +9,7 @@
 #include <strings.h>
 
 #define SCHEME "Bearer "
+#define UNCONFIRMED_RETRY_AFTER_S 1
 /* A refusal by an unknown key is logged once per route and interval. */
 #define LOG_INTERVAL_MS 10000
 /* Most routes whose last log line is remembered; the calls of further ones
@@ -133,6 +134,19 @@
     }
 }
 
+/** True if a control process has confirmed the table that is used, no longer
+ * ago than strict revocation allows. */
+static bool
+is_table_fresh(const EyGateway_t *self)
+{
+    const EySettings_t *settings = self->node->settings;
+    const EyStore_t *store = EyConfigReplica_Store(self->configuration);
+    int64_t age_ms =
+        EyClock_NowMs() - EyConfigReplica_CurrentMs(self->configuration);
+    return age_ms <= (int64_t)settings->revoke_ms &&
+           self->node->routes->version == store->routes_version;
+}
+
 EyAnswer_t *
 EyGateway_CheckAccount(EyGateway_t *self, EyRequest_t *request,
                        const EyRouteRule_t *route,
@@ -142,6 +156,14 @@
     if (!EyGateway_HasAccounts(self)) {
         return NULL;
     }
+    if (!route->is_public && self->node->settings->strict_revocation &&
+        !is_table_fresh(self))
+    {
+        return EyAnswer_Problem(EY_PROBLEM_NO_QUORUM, EY_OUTCOME_NOT_RUN,
+                                UNCONFIRMED_RETRY_AFTER_S,
+                                "this gateway can't confirm in time that its "
+                                "keys are the newest");
+    }
     KeyState_t state = find_account(self, request, account);
     if (state != KEY_FOUND && !route->is_public) {
         EyMetric_Add(&EyGateway_metrics[RefusalMetrics[state]], 1);
--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -5,6 +5,7 @@
 #include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -13,6 +14,8 @@
 #define WITHIN_MS 15000
 #define CALL_TIMEOUT_MS 8000
 #define SLOW_MS 2500
+/** The default of --revoke-ms, and some time for the last answer to a pull. */
+#define REVOKE_MS 5200
 #define KEY "key-of-acme-4711"
 #define NEW_KEY "new-of-acme-4712"
 #define BOUND_KEY "key-of-bound-4713"
@@ -389,6 +392,39 @@
     (void)close(socket);
 }
 
+/* With strict revocation a gateway refuses keys that it can't confirm, and
+ * only those; else it goes on with its table. */
+static void
+play_revocation(bool is_strict)
+{
+    static const uint32_t regions[] = {ISTRA};
+    static const char *const Good = BEARER KEY "\r\n";
+    Fleet.gateway_flag = is_strict ? "--strict-revocation" : NULL;
+    start(is_strict ? "keysstrict" : "keyslax", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, TABLE("3", ACCOUNTS("\"" KEY "\"")));
+    await(0, "/own/a", Good, 200);
+    Process_Signal(&Fleet.control, SIGSTOP);
+    Harness_SleepMs(REVOKE_MS);
+    gchar *answer = NULL;
+    cr_expect_eq(call(0, "/own/a", Good, &answer), is_strict ? 503 : 200, "%s",
+                 answer);
+    cr_expect_eq(call(0, "/own/a", "", &answer), is_strict ? 503 : 401, "%s",
+                 answer);
+    cr_expect_eq(call(0, "/open/a", Good, &answer), 200, "%s", answer);
+    Process_Signal(&Fleet.control, SIGCONT);
+    await(0, "/own/a", Good, 200);
+}
+
+Test(account_keys, strict_revocation_refuses_keys_that_are_not_confirmed)
+{
+    play_revocation(true);
+}
+
+Test(account_keys, without_strict_revocation_the_table_stays_in_use)
+{
+    play_revocation(false);
+}
+
 Test(account_keys, a_call_crosses_regions_with_its_account_and_without_its_key)
 {
     static const uint32_t regions[] = {ISTRA, ZAGREB};
--- a/tests/property/control_site.h
+++ b/tests/property/control_site.h
@@ -24,6 +24,9 @@
 /** How long an operator waits for an answer, and how many nodes it tries. */
 constexpr int64_t CallerTimeoutMs = 1000;
 constexpr size_t OrderTries = 20;
+/** What a current answer may be wrong by: the latency of two messages, and two
+ * pauses that are too short to be noticed. */
+constexpr int64_t CurrencyErrorMs = 1100;
 
 struct Packet {
     int64_t due_ms;
@@ -151,6 +154,28 @@
         return nodes[i].confirmation;
     }
 
+    /** A process that answers a pull as current holds all that had been
+     * acknowledged at the time which it names, but for what the latency of two
+     * messages and two short pauses hide. */
+    void
+    check_currency(size_t i)
+    {
+        if (nodes[i].control == nullptr || nodes[i].is_frozen) {
+            return;
+        }
+        (void)pull(i);
+        if (!nodes[i].push.is_current) {
+            return;
+        }
+        current_answers++;
+        int64_t at_ms =
+            now_ms - nodes[i].push.current_age_ms - CurrencyErrorMs;
+        for (const auto &known : acknowledged_ms) {
+            RC_ASSERT(known.second > at_ms ||
+                      known.first <= nodes[i].push.revision);
+        }
+    }
+
     /** Sends an operator's change to a node, made against the node's current
      * version. */
     void
@@ -277,6 +302,11 @@
         uint64_t acknowledged_at_start = 0; /* revision */
         EyConfirmation_t confirmation =
             EY_CONFIRMATION_UNKNOWN; /* last push */
+        struct Push {
+            bool is_current = false;
+            int64_t current_age_ms = 0;
+            uint64_t revision = 0;
+        } push; /* last one */
     };
 
     Node nodes[Count];
@@ -285,6 +315,8 @@
     int64_t held_up_ms = 0;    /* forwarded proposals sent now take so much
                                 * longer */
     uint64_t acknowledged = 0; /* highest revision */
+    std::map<uint64_t, int64_t> acknowledged_ms; /* by revision */
+    uint64_t current_answers = 0;                /* to pulls */
 
   private:
     /** The nodes' clocks differ. */
@@ -327,6 +359,9 @@
         Node *node = static_cast<Node *>(data);
         if (message->kind == EY_CONFIG_PUSH) {
             node->confirmation = message->confirmation;
+            node->push.is_current = message->is_current;
+            node->push.current_age_ms = message->current_age_ms;
+            node->push.revision = message->revision;
         }
         EyBytes_t bytes =
             EySchema_Pack(&EyConfigMessage_schema, nullptr, message);
@@ -357,6 +392,7 @@
             result->status == EY_COMMAND_RESULT_DONE) {
             site->acknowledged =
                 std::max(site->acknowledged, result->revision);
+            site->acknowledged_ms.emplace(result->revision, site->now_ms);
         }
     }
 
--- a/tests/property/test_control_properties.cc
+++ b/tests/property/test_control_properties.cc
@@ -298,3 +298,38 @@
     }
     cr_assert_eq(site.store(0)->routes_version, 60U);
 }
+
+/* Guards against revoked keys that a gateway accepts because a deposed leader,
+ * its follower, or a process that was frozen calls its old table current. */
+Test(control_properties, a_current_answer_has_all_that_was_acknowledged)
+{
+    uint64_t current_answers = 0;
+    EY_CHECK("any changes, stops, partitions and pauses", [&current_answers] {
+        const auto seed = *rc::gen::arbitrary<uint64_t>();
+        const auto operations = *rc::gen::container<std::vector<uint32_t>>(
+            60, rc::gen::inRange<uint32_t>(0, 1U << 16));
+        Site site(seed);
+        site.run(SettleMs);
+        for (uint32_t operation : operations) {
+            size_t node = operation / 16 % Count;
+            if (operation % 16 == 11) {
+                site.nodes[node].is_frozen = !site.nodes[node].is_frozen;
+            }
+            run_operation(site, operation);
+            for (size_t i = 0; i < Count; i++) {
+                site.check_currency(i);
+                site.run(control_site::StepMs);
+            }
+        }
+        for (control_site::Site::Node &node : site.nodes) {
+            node.is_frozen = false;
+        }
+        settle(site);
+        for (size_t i = 0; i < Count; i++) {
+            site.check_currency(i);
+            RC_ASSERT(site.nodes[i].push.is_current);
+        }
+        current_answers += site.current_answers;
+    });
+    cr_expect_gt(current_answers, 0);
+}
