--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -124,7 +124,8 @@
                                  which backend copies it; or "" */
     EyName_t region;          /* FORWARD */
     double expected_ms;  /* until the answer ends, or, from a model engine,
-                            begins; 0: unknown */
+                            begins; 0: unknown. With predictive routing also
+                            of QUEUED and REFUSE: until it would begin here */
     double ahead_tokens; /* prompt tokens queued before it at an engine */
     int64_t load_age_ms; /* age of the engine's load report; < 0: none */
     EyRefusal_t reason;  /* REFUSE */
--- a/src/routing/router_admission.c
+++ b/src/routing/router_admission.c
@@ -22,6 +22,7 @@
 #define HELD_MAX_MS 200
 /** Queue order is renewed at most this often. */
 #define ORDER_PERIOD_MS 5
+#define LOGGED_MAX_MS 1e9
 
 /* The objective of a call that was refused and is back counts from its first
  * attempt. */
@@ -187,6 +188,13 @@
                        is_failing ? INFINITY : sooner_ms, decision);
 }
 
+/* An expected time for the log, whose numbers are whole. */
+static double
+logged_ms(double expected_ms)
+{
+    return fmin(expected_ms, LOGGED_MAX_MS);
+}
+
 static EyRoutingDecision_t
 refuse(EyRouter_t *self, int64_t now_ms, EyPool_t *pool,
        const EyRoutingRequest_t *request, const EyOutlook_t *outlook,
@@ -213,12 +221,14 @@
         after_ms = EyReturnSchedule_Refuse(admission->returns, now_ms, &call,
                                            &self->state.random);
     }
-    return ey_router_count_decision(self, (EyRoutingDecision_t){
-                                              .number = request->number,
-                                              .kind = EY_DECISION_REFUSE,
-                                              .reason = reason,
-                                              .retry_after_ms = after_ms,
-                                          });
+    return ey_router_count_decision(
+        self, (EyRoutingDecision_t){
+                  .number = request->number,
+                  .kind = EY_DECISION_REFUSE,
+                  .reason = reason,
+                  .expected_ms = logged_ms(outlook->start_ms),
+                  .retry_after_ms = after_ms,
+              });
 }
 
 static EyRoutingDecision_t
@@ -314,8 +324,12 @@
                                  reason);
     }
     EyAdmission_NoteAdmitted(admission, now_ms, request->priority, work);
-    return dispatches_now ? dispatch(self, now_ms, pool, request, &plan)
-                          : ey_router_enqueue(self, pool, request, &plan);
+    if (dispatches_now) {
+        return dispatch(self, now_ms, pool, request, &plan);
+    }
+    EyRoutingDecision_t queued = ey_router_enqueue(self, pool, request, &plan);
+    queued.expected_ms = logged_ms(outlook.start_ms);
+    return queued;
 }
 
 EyRoutingDecision_t
--- a/tests/unit/test_admission_load.c
+++ b/tests/unit/test_admission_load.c
@@ -14,7 +14,7 @@
         load.seed = seed;
         admission_fleet_play(&load, &outcome);
     }
-    cr_log_warn(
+    cr_log_info(
         "predictive %d: %u calls, on time %u, served %u, large %u of %u, "
         "urgent %u of %u, left %u (%u queued), refused %u, twice %u, "
         "held %u, longest wait %ld ms, forwarded %u",
