The property of current answers: a frozen process's sockets end with it

Its failure was one of the model: what waits for a frozen process was delivered to its next life, and a stopped process could be frozen.

--- a/tests/property/control_site.h
+++ b/tests/property/control_site.h
@@ -109,6 +109,10 @@
         Node &node = nodes[i];
         talloc_free(node.control);
         node.control = nullptr;
+        if (node.is_frozen) {
+            drop_waiting(i);
+            node.is_frozen = false;
+        }
         for (EyRaftDiskWrite_t *disk_write : node.writes) {
             talloc_free(disk_write);
         }
@@ -418,6 +422,22 @@
         talloc_free(config);
     }
 
+    /** What waits in the sockets of a process ends with it. */
+    void
+    drop_waiting(size_t i)
+    {
+        std::vector<Packet> rest;
+        for (Packet &packet : packets) {
+            if (packet.to != i || packet.due_ms > now_ms) {
+                rest.push_back(packet);
+                continue;
+            }
+            talloc_free(packet.log);
+            talloc_free(packet.config);
+        }
+        packets = rest;
+    }
+
     void
     deliver()
     {
--- a/tests/property/test_control_properties.cc
+++ b/tests/property/test_control_properties.cc
@@ -312,7 +312,8 @@
         site.run(SettleMs);
         for (uint32_t operation : operations) {
             size_t node = operation / 16 % Count;
-            if (operation % 16 == 11) {
+            bool is_running = site.nodes[node].control != nullptr;
+            if (operation % 16 == 11 && is_running) {
                 site.nodes[node].is_frozen = !site.nodes[node].is_frozen;
             }
             run_operation(site, operation);
