ebonyyardctl account list, show, set, key add and key remove

Accounts could only be looked at and changed through the whole route table, with all keys in sight. A table that isn't JSON no longer has its text quoted by routes put.

--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -3,7 +3,7 @@
 #include "config/defaults.h"
 #include "core/memory.h"
 #include "core/random.h"
-#include "operators/ctl_client.h"
+#include "operators/ctl_internal.h"
 #include "operators/ctl_print.h"
 #include "operators/operators.h"
 
@@ -32,6 +32,12 @@
     "  routes get                        the newest route table\n"
     "  routes put FILE                   replace it; the highest version\n"
     "                                    wins\n"
+    "  account list                      client accounts of the route table\n"
+    "  account show NAME                 one, with its keys' fingerprints\n"
+    "  account set NAME FIELD VALUE      set a field, of a new account if\n"
+    "                                    there is none; none removes it\n"
+    "  account key add NAME FILE         add the key in a file; - for stdin\n"
+    "  account key remove NAME FINGERPRINT\n"
     "  zone evacuate ZONE                stop routing requests to a zone\n"
     "  zone restore ZONE                 route requests to it again\n"
     "  zone list                         evacuated zones\n"
@@ -57,28 +63,6 @@
     "allowed.\n"
     "\nOptions:";
 
-/** The values of the flags. */
-typedef struct Flags {
-    char *server;
-    char *token_file;
-    char *reason;
-    char *author;
-    char *change_id;
-    long long version;
-    int duration_s;
-    int json;
-    int markdown;
-} Flags_t;
-
-typedef struct Ctl {
-    Flags_t flags;
-    EyCtlClient_t client;
-    const char **arguments; /* after the command's name and subcommand */
-    int argument_count;
-    FILE *out;
-    FILE *err;
-} Ctl_t;
-
 /* Answers */
 
 static EyCtlExit_t
@@ -110,10 +94,8 @@
     return code;
 }
 
-/** Requests a path and returns its JSON; NULL, after printing an error, if it
- * fails. Sets *code. */
-static json_t *
-get(const Ctl_t *self, const char *path, EyCtlExit_t *code)
+json_t *
+EyCtl_Get(const Ctl_t *self, const char *path, EyCtlExit_t *code)
 {
     EyCtlAnswer_t answer = EyCtlClient_Send(&self->client, "GET", path, NULL);
     *code = report_failure(self, &answer);
@@ -133,7 +115,7 @@
           const EyCtlColumn_t *columns)
 {
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, path, &code);
+    json_t *json = EyCtl_Get(self, path, &code);
     if (json == NULL) {
         return code;
     }
@@ -160,7 +142,7 @@
         return show_rows(self, "/v1/config", "defaults", Columns);
     }
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/config", &code);
+    json_t *json = EyCtl_Get(self, "/v1/config", &code);
     if (json == NULL) {
         return code;
     }
@@ -264,7 +246,7 @@
                                             {"unit_ms", "UNIT MS"},
                                             {NULL, NULL}};
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/dump", &code);
+    json_t *json = EyCtl_Get(self, "/v1/dump", &code);
     if (json == NULL) {
         return code;
     }
@@ -289,7 +271,7 @@
                                             {"silent_ms", "SILENT MS"},
                                             {NULL, NULL}};
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/dump", &code);
+    json_t *json = EyCtl_Get(self, "/v1/dump", &code);
     if (json == NULL) {
         return code;
     }
@@ -313,7 +295,7 @@
 run_dump(const Ctl_t *self)
 {
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/dump", &code);
+    json_t *json = EyCtl_Get(self, "/v1/dump", &code);
     if (json != NULL) {
         EyCtlPrint_Json(self->out, json);
         json_decref(json);
@@ -364,7 +346,7 @@
     if (self->flags.version != VERSION_UNSET) {
         return self->flags.version;
     }
-    json_t *json = get(self, "/v1/config", code);
+    json_t *json = EyCtl_Get(self, "/v1/config", code);
     if (json == NULL) {
         return VERSION_UNSET;
     }
@@ -526,7 +508,7 @@
 run_routes_get(const Ctl_t *self)
 {
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/config/routes", &code);
+    json_t *json = EyCtl_Get(self, "/v1/config/routes", &code);
     if (json != NULL) {
         EyCtlPrint_Json(self->out, json);
         json_decref(json);
@@ -534,11 +516,9 @@
     return code;
 }
 
-/** Sends an idempotent change, which may be repeated as it is; takes over
- * body. */
-static EyCtlExit_t
-send_idempotent(const Ctl_t *self, const char *method, const char *path,
-                json_t *body)
+EyCtlExit_t
+EyCtl_SendIdempotent(const Ctl_t *self, const char *method, const char *path,
+                     json_t *body)
 {
     EyCtlAnswer_t answer = EyCtlClient_Send(&self->client, method, path, body);
     EyCtlExit_t code = report_failure(self, &answer);
@@ -560,11 +540,16 @@
     json_t *body = json_load_file(self->arguments[0], JSON_REJECT_DUPLICATES,
                                   &parse_error);
     if (body == NULL) {
+        /* What the parser quotes may be a part of a key. */
+        char *quoted = strstr(parse_error.text, " near ");
+        if (quoted != NULL) {
+            *quoted = '\0';
+        }
         (void)fprintf(self->err, "ebonyyardctl: %s: line %d: %s\n",
                       self->arguments[0], parse_error.line, parse_error.text);
         return EY_CTL_USAGE;
     }
-    return send_idempotent(self, "PUT", "/v1/config/routes", body);
+    return EyCtl_SendIdempotent(self, "PUT", "/v1/config/routes", body);
 }
 
 static EyCtlExit_t
@@ -573,7 +558,7 @@
     json_t *body = make_body(self, 0);
     char *path =
         talloc_asprintf(NULL, "/v1/config/evacuations/%s", self->arguments[0]);
-    EyCtlExit_t code = send_idempotent(self, method, path, body);
+    EyCtlExit_t code = EyCtl_SendIdempotent(self, method, path, body);
     talloc_free(path);
     return code;
 }
@@ -594,7 +579,7 @@
 run_zone_list(const Ctl_t *self)
 {
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/config", &code);
+    json_t *json = EyCtl_Get(self, "/v1/config", &code);
     if (json == NULL) {
         return code;
     }
@@ -628,6 +613,10 @@
     {"exception", "remove", 1, 1, run_exception_remove},
     {"routes", "get", 0, 0, run_routes_get},
     {"routes", "put", 1, 1, run_routes_put},
+    {"account", "list", 0, 0, EyCtl_RunAccountList},
+    {"account", "show", 1, 1, EyCtl_RunAccountShow},
+    {"account", "set", 3, 3, EyCtl_RunAccountSet},
+    {"account", "key", 3, 3, EyCtl_RunAccountKey},
     {"zone", "evacuate", 1, 1, run_zone_evacuate},
     {"zone", "restore", 1, 1, run_zone_restore},
     {"zone", "list", 0, 0, run_zone_list},
