--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -49,6 +49,7 @@
 /** The head of the last request that the server got. */
 static GMutex SeenLock;
 static gchar *Seen;
+static uint32_t Slots = 8;
 
 static void
 end_all(void)
@@ -104,7 +105,8 @@
     return seen;
 }
 
-/** Starts gateways in these regions, the last of which has a server. */
+/** Starts gateways in these regions, the last of which has a server; it runs
+ * as many calls at once as Slots. */
 static void
 start(const char *label, const uint32_t *regions, uint32_t count,
       bool is_platform)
@@ -119,7 +121,7 @@
         .expected_header =
             is_platform ? "Expect-Instance" : "Ebonyyard-Expected-Backend",
         .not_run_header = is_platform ? "Not-Executed" : "Ebonyyard-Not-Run",
-        .slots = 8,
+        .slots = Slots,
         .is_fatal = is_never_fatal,
         .begin = begin,
         .proceed = proceed,
@@ -425,6 +427,65 @@
     play_revocation(false);
 }
 
+static gpointer
+call_late(gpointer took_ms)
+{
+    int64_t at_ms = Harness_NowMs();
+    gchar *answer = NULL;
+    (void)call(0, "/own/late", BEARER KEY "\r\nTenant: x\r\n", &answer);
+    g_free(answer);
+    *(int64_t *)took_ms = Harness_NowMs() - at_ms;
+    return NULL;
+}
+
+/** Puts another table while a call waits for the server's only slot; returns
+ * the head of the last request that the server got. */
+static gchar *
+play_queued(const char *before, const char *after)
+{
+    static const uint32_t regions[] = {ZAGREB};
+    long running = 0;
+    int64_t took_ms = 0;
+    Slots = 1;
+    start("keysqueue", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, before);
+    await(0, "/own/a", BEARER KEY "\r\n", 200);
+    GThread *slow = g_thread_new("slow", call_slowly, &running);
+    Harness_SleepMs(300);
+    GThread *late = g_thread_new("late", call_late, &took_ms);
+    Harness_SleepMs(300);
+    RoutedGateways_PutRoutes(&Fleet, after);
+    (void)g_thread_join(slow);
+    (void)g_thread_join(late);
+    cr_expect_eq(running, 200);
+    cr_expect_gt(took_ms, SLOW_MS / 2, "the late call wasn't queued");
+    return take_seen();
+}
+
+/* Guards against data of an account outside its regions, as a call was queued
+ * before they were set. */
+Test(account_keys, a_queued_call_stays_in_the_newest_regions_of_its_account)
+{
+    gchar *seen =
+        play_queued(TABLE("3", ACCOUNTS("\"" KEY "\"")),
+                    TABLE("4", "{\"name\":\"acme\",\"api_keys\":[\"" KEY "\"],"
+                               "\"allowed_regions\":[\"istra\"]}"));
+    cr_expect_null(strstr(seen, "/own/late"), "%s", seen);
+    g_free(seen);
+}
+
+/* Guards against a key that reaches a server, as a call was queued before
+ * there were accounts. */
+Test(account_keys, a_queued_call_loses_its_key_with_the_first_accounts)
+{
+    gchar *seen =
+        play_queued(TABLE("3", ""), TABLE("4", ACCOUNTS("\"" KEY "\"")));
+    cr_expect_not_null(strstr(seen, "/own/late"), "%s", seen);
+    cr_expect_null(strcasestr(seen, "authorization"), "%s", seen);
+    cr_expect_null(strcasestr(seen, "tenant"), "%s", seen);
+    g_free(seen);
+}
+
 Test(account_keys, a_call_crosses_regions_with_its_account_and_without_its_key)
 {
     static const uint32_t regions[] = {ISTRA, ZAGREB};
