Routing: objectives of plain services count; bound calls go where they begin first

With predictive routing, calls of plain services waited for 242 ms (p50) in the loaded region's queues while other regions were idle: their objective wasn't known to the router. And calls bound to other regions were divided among these without regard to the time of the first event there.

--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -202,7 +202,7 @@
         .body_bytes = request->body.size_bytes,
         .request_key = active->request_key,
         .prompt_tokens = request->prompt_tokens,
-        .objective_ms = is_model ? request->terms.objective_ms : 0,
+        .objective_ms = request->terms.objective_ms,
         .priority = request->terms.priority,
         .tokens_max = request->expected_tokens > 0 ? request->expected_tokens
                                                    : request->tokens_max,
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -264,9 +264,18 @@
         return false;
     }
     bool must_leave = !EyRoutingRequest_MayRunIn(request, self->region);
-    const char *region =
-        EyRemoteRegions_Choose(self->remote_regions, now_ms, &self->config,
-                               request, limit_ms, self->gateways, must_leave);
+    const char *region = NULL;
+    if (must_leave &&
+        EyRouter_IsPredictive(self, request->kind, request->target)) {
+        region = EyRemoteRegions_ChooseByWork(
+            self->remote_regions, now_ms, &self->config, request,
+            (double)(request->deadline_ms - now_ms), self->gateways);
+    }
+    if (region == NULL) {
+        region = EyRemoteRegions_Choose(self->remote_regions, now_ms,
+                                        &self->config, request, limit_ms,
+                                        self->gateways, must_leave);
+    }
     if (region == NULL && must_leave) {
         region = EyRemoteRegions_ChooseUnreported(self->remote_regions, now_ms,
                                                   &self->config, request);
@@ -361,10 +370,13 @@
  * candidates are failing servers. */
 static bool
 should_forward(const EyRouter_t *self, const EyPlan_t *plan,
-               bool dispatches_now, double objective_ms, double finish_ms,
-               double left_ms)
+               bool dispatches_now, const EyRoutingRequest_t *request,
+               double finish_ms, double left_ms)
 {
-    if (dispatches_now && objective_ms > 0 &&
+    /* The objective of plain services counts with predictive routing only. */
+    double objective_ms =
+        request->kind == EY_BACKEND_MODEL ? request->objective_ms : 0.0;
+    if (dispatches_now && objective_ms > 0.0 &&
         plan->start_ms > objective_ms * OBJECTIVE_SHARE)
     {
         return true;
@@ -420,8 +432,8 @@
     double left_ms = (double)(request->deadline_ms - now_ms);
     EyRoutingDecision_t forward;
     if (!ey_router_is_probe(self, request) &&
-        should_forward(self, &plan, dispatches_now, request->objective_ms,
-                       finish_ms, left_ms) &&
+        should_forward(self, &plan, dispatches_now, request, finish_ms,
+                       left_ms) &&
         try_forward(self, now_ms, request,
                     forward_limit_ms(self, &plan, finish_ms), &forward))
     {
@@ -620,8 +632,8 @@
     bool dispatches_now = plan.chosen != NULL;
     double left_ms = (double)(waiting->request->deadline_ms - now_ms);
     double finish_ms = dispatches_now ? plan.finish_ms : plan.queued_finish_ms;
-    if (should_forward(self, &plan, dispatches_now,
-                       waiting->request->objective_ms, finish_ms, left_ms) &&
+    if (should_forward(self, &plan, dispatches_now, waiting->request,
+                       finish_ms, left_ms) &&
         try_forward(self, now_ms, waiting->request,
                     forward_limit_ms(self, &plan, finish_ms), decision))
     {
