--- /dev/null
+++ b/src/quotas/quota_client.c
@@ -0,0 +1,686 @@
+#include "quotas/quota_client.h"
+
+#include "core/memory.h"
+#include "core/random.h"
+
+#include <glib.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000.0
+#define REPORT_MS 200
+/** Interval of reports without accounts. */
+#define EMPTY_REPORT_MS 1000
+/** When a report has waited this long for its answer, the next control process
+ * is asked. */
+#define CONTROL_TIMEOUT_MS 600
+/** When a report has waited this long for its answer, the share applies; also
+ * after a pause of this process of that length. */
+#define CONTACT_MS 1000
+/** When a report has waited this long, which is longer than an answer takes
+ * between the farthest regions, the share limits what the answer allows. */
+#define LATE_ANSWER_MS 450
+/** An answer about an account applies for this time. */
+#define ANSWER_KEPT_MS 2000
+/** A gateway out of contact keeps its share for less time than the
+ * coordinator reserves it (EY_QUOTA_RESERVED_MS), as it may run late. */
+#define SHARE_KEPT_MS 28000
+/** Reports whose answers are recognised: 3.2 s of them. */
+#define REPORTS_KEPT 16
+/** A report is made early if the demand of an account has grown by this factor
+ * since the last one, by at least this number of calls. */
+#define SURGE_FACTOR 2.0
+#define SURGE_CALLS 3
+/** A gateway that knows fewer gateways than this may be cut off; with less it
+ * would take too large a part of the overage. */
+#define GATEWAYS_MIN 16
+/** After the first limits, the coordinator learns the demand first. */
+#define FIRST_LIMITS_MS 2000
+/** An estimate of demand below this part of the rate is taken for 0. */
+#define DEMAND_MIN_PART 1e-4
+/** Bounds and jitter of Retry-After. */
+#define RETRY_MIN_S 0.25
+#define RETRY_MAX_S 8.0
+#define RETRY_JITTER 0.25
+#define DUMP_MAX 100
+
+const char *const EyQuotaClient_mode_names[EY_QUOTA_MODE_COUNT] = {
+    [EY_QUOTA_BY_ANSWER] = "answer",
+    [EY_QUOTA_BY_SHARE] = "share",
+};
+
+/** An account that this gateway gets calls of. */
+typedef struct Account {
+    EyQuotaLimit_t limit;
+    /* What this gateway sees. */
+    double asked;       /* units since the last tick */
+    uint32_t calls;     /* since the last report */
+    double asked_per_s; /* smoothed, at ticked_ms */
+    int64_t ticked_ms;
+    double reported_per_s; /* demand in the last report */
+    double admitted;       /* units since the start */
+    double credit;         /* given back; taken off what is admitted next */
+    double answered;       /* units of admitted in the last answered report */
+    double admitted_at[REPORTS_KEPT]; /* by report number */
+    double asked_at[REPORTS_KEPT];    /* demand, by report number */
+    uint64_t joined_number; /* the first report that can have named it */
+    double debt;            /* of the fraction: calls to admit, see admit() */
+    int64_t refused_ms;     /* start of the window of the last logged refusal;
+                               INT64_MIN: none */
+    /* What the last answer said. */
+    bool has_answer;
+    EyQuotaAnswerEntry_t answer;
+    int64_t answer_sent_ms; /* of the report that was answered */
+    double base_per_s;      /* own demand in that report */
+    /* The share, as a local token bucket. */
+    double share;
+    double level; /* units */
+    int64_t level_ms;
+} Account_t;
+
+struct EyQuotaClient {
+    EyQuotaBounds_t bounds;
+    uint64_t incarnation;
+    EyRandom_t random;
+    GHashTable *limits;                       /* name -> EyQuotaLimit_t */
+    GHashTable *accounts;                     /* name -> Account_t */
+    EyName_t controls[EY_QUOTA_CONTROLS_MAX]; /* by name */
+    uint32_t control_count;
+    uint32_t control;        /* index of the current one */
+    uint64_t control_number; /* last report that it needn't answer any more */
+    uint32_t gateway_count;
+    uint32_t answered_gateway_count; /* as the last answer named; 0: none */
+    uint64_t number;                 /* of the last report */
+    int64_t sent_ms[REPORTS_KEPT];   /* by report number */
+    int64_t reported_ms;             /* of the last report */
+    int64_t ticked_ms;               /* -1: never */
+    int64_t answered_ms; /* when the newest answered report was sent; -1:
+                            none was */
+    uint64_t answered_number;
+    uint64_t resumed_number; /* first report after the last pause: an answer to
+                                an earlier one doesn't restore contact */
+    bool has_limits;         /* they were set, to none or more */
+    int64_t enforced_from_ms; /* until then all calls are admitted */
+};
+
+static int
+client_destroy(EyQuotaClient_t *self)
+{
+    g_hash_table_destroy(self->accounts);
+    g_hash_table_destroy(self->limits);
+    return 0;
+}
+
+static GHashTable *
+new_table(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                 EyMemory_Free);
+}
+
+EyQuotaClient_t *
+EyQuotaClient_New(const void *ctx, const EyQuotaBounds_t *bounds,
+                  uint64_t incarnation, uint64_t seed)
+{
+    EyQuotaClient_t *self = EY_NEW(ctx, EyQuotaClient_t);
+    self->bounds = *bounds;
+    self->incarnation = incarnation;
+    self->random = EyRandom_Make(seed);
+    self->limits = new_table();
+    self->accounts = new_table();
+    self->answered_ms = -1;
+    self->ticked_ms = -1;
+    self->reported_ms = INT64_MIN / 2;
+    talloc_set_destructor(self, client_destroy);
+    return self;
+}
+
+void
+EyQuotaClient_SetLimits(EyQuotaClient_t *self, int64_t now_ms,
+                        const EyQuotaLimit_t *limits, uint32_t count)
+{
+    bool was_unlimited = self->has_limits && !EyQuotaClient_IsActive(self);
+    g_hash_table_remove_all(self->limits);
+    for (uint32_t i = 0; i < count; i++) {
+        if (limits[i].rate_per_s > 0.0) {
+            EyQuotaLimit_t *limit = EY_NEW(NULL, EyQuotaLimit_t);
+            *limit = limits[i];
+            (void)g_hash_table_insert(self->limits, g_strdup(limit->name),
+                                      limit);
+        }
+    }
+    self->has_limits = true;
+    if (was_unlimited && EyQuotaClient_IsActive(self)) {
+        self->enforced_from_ms = now_ms + FIRST_LIMITS_MS;
+    }
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Account_t *account = value;
+        const EyQuotaLimit_t *limit =
+            g_hash_table_lookup(self->limits, account->limit.name);
+        if (limit == NULL) {
+            g_hash_table_iter_remove(&iterator);
+            continue;
+        }
+        account->limit = *limit;
+    }
+}
+
+static int
+compare_names(const void *a, const void *b)
+{
+    return strcmp(a, b);
+}
+
+void
+EyQuotaClient_SetControls(EyQuotaClient_t *self, const EyName_t *controls,
+                          uint32_t count)
+{
+    EyName_t current = "";
+    if (self->control_count > 0) {
+        (void)EY_COPY(current, self->controls[self->control]);
+    }
+    self->control_count = MIN(count, EY_QUOTA_CONTROLS_MAX);
+    for (uint32_t i = 0; i < self->control_count; i++) {
+        (void)EY_COPY(self->controls[i], controls[i]);
+    }
+    qsort(self->controls, self->control_count, sizeof(EyName_t),
+          compare_names);
+    self->control = 0;
+    for (uint32_t i = 0; i < self->control_count; i++) {
+        if (strcmp(self->controls[i], current) == 0) {
+            self->control = i;
+        }
+    }
+}
+
+void
+EyQuotaClient_SetGatewayCount(EyQuotaClient_t *self, uint32_t count)
+{
+    self->gateway_count = count;
+}
+
+bool
+EyQuotaClient_IsActive(const EyQuotaClient_t *self)
+{
+    return g_hash_table_size(self->limits) > 0;
+}
+
+const EyQuotaLimit_t *
+EyQuotaClient_Limit(const EyQuotaClient_t *self, const char *account)
+{
+    return g_hash_table_lookup(self->limits, account);
+}
+
+/* Decisions */
+
+/** How long the first report after the one with a number has waited; 0 if
+ * there is none. */
+static int64_t
+waiting_ms(const EyQuotaClient_t *self, int64_t now_ms, uint64_t number)
+{
+    if (number >= self->number) {
+        return 0;
+    }
+    if (number + REPORTS_KEPT <= self->number) {
+        return INT64_MAX;
+    }
+    return now_ms - self->sent_ms[(number + 1) % REPORTS_KEPT];
+}
+
+/** True if this process stood still since the last tick. */
+static bool
+is_paused(const EyQuotaClient_t *self, int64_t now_ms)
+{
+    return self->ticked_ms >= 0 && now_ms - self->ticked_ms > CONTACT_MS;
+}
+
+static bool
+is_in_contact(const EyQuotaClient_t *self, int64_t now_ms)
+{
+    return self->answered_ms >= 0 &&
+           self->answered_number >= self->resumed_number &&
+           !is_paused(self, now_ms) &&
+           waiting_ms(self, now_ms, self->answered_number) <= CONTACT_MS;
+}
+
+/** The smoothed demand at a time after the last tick, in units a second. */
+static double
+demand_per_s(const EyQuotaClient_t *self, const Account_t *account,
+             int64_t now_ms)
+{
+    double elapsed_s = (double)MAX(now_ms - account->ticked_ms, 1) / MS_PER_S;
+    double decay = exp(
+        -elapsed_s / EyQuotaLimit_SmoothingS(&account->limit, &self->bounds));
+    return account->asked_per_s * decay +
+           account->asked / elapsed_s * (1.0 - decay);
+}
+
+/** The share of the rate that this gateway may spend out of contact. */
+static double
+share(const EyQuotaClient_t *self, const Account_t *account, int64_t now_ms)
+{
+    uint32_t count = MAX(self->gateway_count, self->answered_gateway_count);
+    double least = self->bounds.overage / MAX(count, GATEWAYS_MIN);
+    bool is_kept = account->has_answer &&
+                   now_ms - account->answer_sent_ms < SHARE_KEPT_MS;
+    return is_kept ? MAX(account->share, least) : least;
+}
+
+static void
+advance_level(const EyQuotaClient_t *self, Account_t *account, int64_t now_ms)
+{
+    double part = share(self, account, now_ms);
+    double elapsed_s = (double)MAX(now_ms - account->level_ms, 0) / MS_PER_S;
+    account->level += part * account->limit.rate_per_s * elapsed_s;
+    account->level = MIN(account->level, part * account->limit.burst);
+    account->level_ms = MAX(now_ms, account->level_ms);
+}
+
+/** Decides by this gateway's share of the rate: as the coordinator does for
+ * the fleet. A bucket that lets one call pass while it isn't empty would send
+ * up to one call too many at each gateway, which is more than the bound
+ * allows for an account with a low rate. */
+static void
+decide_by_share(const EyQuotaClient_t *self, Account_t *account,
+                int64_t now_ms, EyQuotaDecision_t *decision)
+{
+    advance_level(self, account, now_ms);
+    decision->mode = EY_QUOTA_BY_SHARE;
+    decision->demand = demand_per_s(self, account, now_ms);
+    decision->level = account->level;
+    double supply_per_s =
+        share(self, account, now_ms) * account->limit.rate_per_s +
+        account->level;
+    decision->fraction = supply_per_s >= decision->demand
+                             ? 1.0
+                             : MAX(supply_per_s, 0.0) / decision->demand;
+}
+
+/** Decides by the coordinator's answer, corrected for what the demand of this
+ * gateway has grown by since. An account that wasn't named in answers isn't
+ * above its limit. */
+static void
+decide_by_answer(const EyQuotaClient_t *self, const Account_t *account,
+                 int64_t now_ms, EyQuotaDecision_t *decision)
+{
+    decision->mode = EY_QUOTA_BY_ANSWER;
+    double own_per_s = demand_per_s(self, account, now_ms);
+    if (!account->has_answer ||
+        now_ms - account->answer_sent_ms > ANSWER_KEPT_MS) {
+        decision->fraction = 1.0;
+        decision->demand = own_per_s;
+        return;
+    }
+    const EyQuotaAnswerEntry_t *answer = &account->answer;
+    decision->level = answer->level;
+    decision->demand =
+        answer->demand + MAX(own_per_s - account->base_per_s, 0.0);
+    decision->fraction = EyQuotaLimit_Fraction(
+        &account->limit, &self->bounds, answer->rate_per_s, answer->level,
+        decision->demand);
+}
+
+static void
+decide(const EyQuotaClient_t *self, Account_t *account, int64_t now_ms,
+       EyQuotaDecision_t *decision)
+{
+    bool is_enforced = now_ms >= self->enforced_from_ms;
+    bool is_late =
+        waiting_ms(self, now_ms, self->answered_number) > LATE_ANSWER_MS;
+    bool in_contact = is_in_contact(self, now_ms);
+    if (account->has_answer) {
+        decision->age_ms = now_ms - account->answer_sent_ms;
+    }
+    if (in_contact || !is_enforced) {
+        decide_by_answer(self, account, now_ms, decision);
+    }
+    if (!is_enforced || (in_contact && !is_late)) {
+        return;
+    }
+    EyQuotaDecision_t by_share = *decision;
+    decide_by_share(self, account, now_ms, &by_share);
+    if (!in_contact || by_share.fraction < decision->fraction) {
+        *decision = by_share;
+    }
+}
+
+/** Admits a fraction of the calls, evenly: the debt is what fraction of a call
+ * should have been admitted so far. The threshold varies, so that no order of
+ * large and small calls is favoured. */
+static bool
+admit_fraction(EyQuotaClient_t *self, Account_t *account, double part)
+{
+    if (part >= 1.0) {
+        return true;
+    }
+    account->debt += part;
+    if (account->debt < 0.5 + EyRandom_Unit(&self->random)) {
+        return false;
+    }
+    account->debt -= 1.0;
+    return true;
+}
+
+/** How long the calls that were refused in the last second would take at the
+ * account's rate, with jitter. */
+static int64_t
+retry_after_ms(EyQuotaClient_t *self, double part)
+{
+    double refused_s = 1.0 / MAX(part, 1.0 / (RETRY_MAX_S + 1.0)) - 1.0;
+    double jitter =
+        1.0 + RETRY_JITTER * (2.0 * EyRandom_Unit(&self->random) - 1.0);
+    return (int64_t)(CLAMP(refused_s * jitter, RETRY_MIN_S, RETRY_MAX_S) *
+                     MS_PER_S);
+}
+
+static Account_t *
+find_account(EyQuotaClient_t *self, int64_t now_ms, const char *name)
+{
+    Account_t *account = g_hash_table_lookup(self->accounts, name);
+    if (account != NULL) {
+        return account;
+    }
+    const EyQuotaLimit_t *limit = g_hash_table_lookup(self->limits, name);
+    if (limit == NULL) {
+        return NULL;
+    }
+    account = EY_NEW(NULL, Account_t);
+    account->limit = *limit;
+    account->ticked_ms = now_ms;
+    account->level_ms = now_ms;
+    account->refused_ms = INT64_MIN;
+    account->joined_number = self->number + 1;
+    /* Gateways that begin to refuse at the same time do so out of step. */
+    account->debt = EyRandom_Unit(&self->random) - 0.5;
+    (void)g_hash_table_insert(self->accounts, g_strdup(name), account);
+    return account;
+}
+
+static void
+count_admitted(Account_t *account, double units)
+{
+    double credit = MIN(account->credit, units);
+    account->credit -= credit;
+    account->admitted += units - credit;
+    account->level -= units - credit;
+}
+
+EyQuotaDecision_t
+EyQuotaClient_Admit(EyQuotaClient_t *self, int64_t now_ms, const char *name,
+                    double units)
+{
+    EyQuotaDecision_t decision = {
+        .is_admitted = true, .fraction = 1.0, .age_ms = -1};
+    Account_t *account = find_account(self, now_ms, name);
+    if (account == NULL) {
+        return decision;
+    }
+    account->asked += units;
+    account->calls++;
+    decide(self, account, now_ms, &decision);
+    decision.is_admitted = admit_fraction(self, account, decision.fraction);
+    if (decision.is_admitted) {
+        advance_level(self, account, now_ms);
+        count_admitted(account, units);
+        return decision;
+    }
+    decision.retry_after_ms = retry_after_ms(self, decision.fraction);
+    int64_t window_ms = (int64_t)(self->bounds.window_s * MS_PER_S);
+    decision.is_first_refusal = account->refused_ms == INT64_MIN ||
+                                now_ms - account->refused_ms >= window_ms;
+    if (decision.is_first_refusal) {
+        account->refused_ms = now_ms;
+    }
+    return decision;
+}
+
+void
+EyQuotaClient_GiveBack(EyQuotaClient_t *self, const char *name, double units)
+{
+    Account_t *account = g_hash_table_lookup(self->accounts, name);
+    if (account != NULL) {
+        account->credit += units;
+        account->level += units;
+    }
+}
+
+/* Reports */
+
+static void
+tick_account(const EyQuotaClient_t *self, Account_t *account, int64_t now_ms)
+{
+    if (now_ms <= account->ticked_ms) {
+        return;
+    }
+    account->asked_per_s = demand_per_s(self, account, now_ms);
+    account->asked = 0.0;
+    account->ticked_ms = now_ms;
+    if (account->asked_per_s < DEMAND_MIN_PART * account->limit.rate_per_s) {
+        account->asked_per_s = 0.0;
+    }
+}
+
+/** True if the demand has risen so fast that the coordinator must know before
+ * the next report is due. */
+static bool
+has_surged(const Account_t *account)
+{
+    return account->calls >= SURGE_CALLS &&
+           account->asked_per_s > SURGE_FACTOR * account->reported_per_s;
+}
+
+/** True if the coordinator needs to know more of the account. */
+static bool
+is_reportable(const EyQuotaClient_t *self, const Account_t *account)
+{
+    uint32_t index = self->answered_number % REPORTS_KEPT;
+    return account->asked_per_s > 0.0 ||
+           account->admitted > account->answered ||
+           (account->joined_number <= self->answered_number &&
+            account->asked_at[index] > 0.0);
+}
+
+static void
+report_account(const EyQuotaClient_t *self, Account_t *account,
+               EyQuotaReport_t *report)
+{
+    uint32_t index = report->number % REPORTS_KEPT;
+    account->admitted_at[index] = account->admitted;
+    account->asked_at[index] = account->asked_per_s;
+    account->reported_per_s = account->asked_per_s;
+    account->calls = 0;
+    if (!is_reportable(self, account) ||
+        report->account_count == EY_QUOTA_ACCOUNTS_MAX)
+    {
+        return;
+    }
+    EyQuotaReportEntry_t *entry = &report->accounts[report->account_count++];
+    (void)EY_COPY(entry->name, account->limit.name);
+    entry->asked_per_s = account->asked_per_s;
+    entry->admitted = account->admitted;
+    entry->unanswered = account->admitted - account->answered;
+    entry->level = account->answer.level;
+    entry->share = account->share;
+}
+
+static EyQuotaReport_t *
+make_report(EyQuotaClient_t *self, const void *ctx, int64_t now_ms)
+{
+    EyQuotaReport_t *report = EY_NEW(ctx, EyQuotaReport_t);
+    report->from_incarnation = self->incarnation;
+    report->number = ++self->number;
+    report->level_age_ms =
+        self->answered_ms < 0 ? -1 : now_ms - self->answered_ms;
+    report->gateway_count = self->answered_gateway_count;
+    report->accounts = EY_NEW_ARRAY(report, EyQuotaReportEntry_t,
+                                    g_hash_table_size(self->accounts));
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        report_account(self, value, report);
+    }
+    self->sent_ms[report->number % REPORTS_KEPT] = now_ms;
+    self->reported_ms = now_ms;
+    return report;
+}
+
+/** Asks the next control process if the current one doesn't answer. */
+static void
+choose_control(EyQuotaClient_t *self, int64_t now_ms)
+{
+    if (waiting_ms(self, now_ms, self->control_number) > CONTROL_TIMEOUT_MS) {
+        self->control = (self->control + 1) % self->control_count;
+        self->control_number = self->number;
+    }
+}
+
+static bool
+is_report_due(const EyQuotaClient_t *self, int64_t now_ms, bool has_surge,
+              bool has_content)
+{
+    int64_t elapsed_ms = now_ms - self->reported_ms;
+    return has_surge || elapsed_ms >= EMPTY_REPORT_MS ||
+           (has_content && elapsed_ms >= REPORT_MS);
+}
+
+EyQuotaDispatch_t
+EyQuotaClient_Tick(EyQuotaClient_t *self, const void *ctx, int64_t now_ms)
+{
+    EyQuotaDispatch_t dispatch = {.report = NULL};
+    if (!EyQuotaClient_IsActive(self)) {
+        return dispatch;
+    }
+    if (is_paused(self, now_ms)) {
+        self->resumed_number = self->number + 1;
+        self->control_number = self->number;
+    }
+    self->ticked_ms = now_ms;
+    bool has_surge = false;
+    bool has_content = false;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        tick_account(self, value, now_ms);
+        has_surge |= has_surged(value);
+        has_content |= is_reportable(self, value);
+    }
+    if (self->control_count == 0 ||
+        !is_report_due(self, now_ms, has_surge, has_content))
+    {
+        return dispatch;
+    }
+    choose_control(self, now_ms);
+    dispatch.report = make_report(self, ctx, now_ms);
+    dispatch.to[0] = self->controls[self->control];
+    /* The preferred one learns of everything before it takes over again. */
+    dispatch.to[1] = self->control > 0 ? self->controls[0] : NULL;
+    return dispatch;
+}
+
+static void
+apply_entry(EyQuotaClient_t *self, int64_t now_ms, int64_t sent_ms,
+            uint32_t index, const EyQuotaAnswerEntry_t *entry)
+{
+    Account_t *account = find_account(self, now_ms, entry->name);
+    if (account == NULL) {
+        return;
+    }
+    bool was_reported = account->joined_number <= self->answered_number;
+    account->answer = *entry;
+    account->has_answer = true;
+    account->answer_sent_ms = sent_ms;
+    account->share = entry->share;
+    account->base_per_s = was_reported ? account->asked_at[index] : 0.0;
+    double admitted_since =
+        account->admitted - (was_reported ? account->admitted_at[index] : 0.0);
+    /* The share of the level, less what was admitted since the report. */
+    account->level_ms = sent_ms;
+    account->level =
+        MIN(entry->share * entry->level, entry->share * account->limit.burst) -
+        admitted_since;
+    advance_level(self, account, now_ms);
+}
+
+/** The reports up to the answered one needn't be repeated. */
+static void
+acknowledge(EyQuotaClient_t *self, uint32_t index)
+{
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->accounts);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Account_t *account = value;
+        if (account->joined_number <= self->answered_number) {
+            account->answered = account->admitted_at[index];
+        }
+    }
+}
+
+void
+EyQuotaClient_Answer(EyQuotaClient_t *self, int64_t now_ms, const char *from,
+                     const EyQuotaAnswer_t *answer)
+{
+    bool is_known = answer->incarnation == self->incarnation &&
+                    answer->number <= self->number &&
+                    answer->number + REPORTS_KEPT > self->number &&
+                    answer->number > self->answered_number;
+    bool is_current = self->control_count > 0 &&
+                      strcmp(from, self->controls[self->control]) == 0;
+    bool is_preferred =
+        self->control_count > 0 && strcmp(from, self->controls[0]) == 0;
+    if (is_known && is_current) {
+        self->control_number = MAX(self->control_number, answer->number);
+    }
+    if (!is_known || !answer->is_ready || (!is_current && !is_preferred)) {
+        return;
+    }
+    if (!is_current) {
+        self->control = 0;
+        self->control_number = answer->number;
+    }
+    uint32_t index = answer->number % REPORTS_KEPT;
+    self->answered_number = answer->number;
+    self->answered_ms = self->sent_ms[index];
+    self->answered_gateway_count = answer->gateway_count;
+    acknowledge(self, index);
+    for (uint32_t i = 0; i < answer->account_count; i++) {
+        apply_entry(self, now_ms, self->answered_ms, index,
+                    &answer->accounts[i]);
+    }
+}
+
+json_t *
+EyQuotaClient_Dump(const EyQuotaClient_t *self, int64_t now_ms)
+{
+    json_t *items = json_array();
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, self->accounts);
+    while (json_array_size(items) < DUMP_MAX &&
+           g_hash_table_iter_next(&iterator, NULL, &value))
+    {
+        const Account_t *account = value;
+        (void)json_array_append_new(
+            items,
+            json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f}", "account",
+                      account->limit.name, "rate_per_s",
+                      account->limit.rate_per_s, "asked_per_s",
+                      account->asked_per_s, "fleet_asked_per_s",
+                      account->answer.demand, "fleet_level",
+                      account->answer.level, "fraction",
+                      account->has_answer ? account->answer.fraction : 1.0,
+                      "share", account->share));
+    }
+    return json_pack(
+        "{s:s, s:I, s:b, s:o}", "coordinator",
+        self->control_count > 0 ? self->controls[self->control] : "",
+        "answer_age_ms",
+        (json_int_t)(self->answered_ms < 0 ? -1 : now_ms - self->answered_ms),
+        "in_contact", is_in_contact(self, now_ms), "accounts", items);
+}
