Quotas: reports by a timer, the coordinator in control processes, 429

The gateway counts a caller's routed call of an account with a limit before its exchange starts, and gives it back when no attempt was made. Control processes answer reports while they reach a quorum.

--- a/src/control/control_part.c
+++ b/src/control/control_part.c
@@ -2,6 +2,7 @@
 
 #include "config/control.h"
 #include "config/route_table.h"
+#include "control/quota_part.h"
 #include "control/raft_storage.h"
 #include "control/server_list_saver.h"
 #include "control/stream_table.h"
@@ -30,6 +31,7 @@
     EyControl_t *control; /* NULL, like storage, until the file is open */
     EyWitnesses_t *witnesses;
     EyStreamTable_t *stream_table;
+    EyQuotaPart_t *quotas;
     EyServerListSaver_t *list_saver;
     EyRaftStorage_t *storage;
     GHashTable *pending_requests; /* number -> PendingRequest_t */
@@ -156,6 +158,7 @@
     configure_witnesses(self);
     (void)EyRouteTable_Update(&self->node->routes, self->node,
                               store->routes_version, &store->routes);
+    EyQuotaPart_Configure(self->quotas);
     EY_LOG(EY_LOG_INFO, "control", "configuration",
            EY_LOG_NUMBER("revision", store->config.revision),
            EY_LOG_NUMBER("routes_version", store->routes_version),
@@ -454,6 +457,7 @@
         g_int64_hash, g_int64_equal, EyMemory_Free, pending_request_free);
     self->witnesses = EyWitnesses_New(self, node);
     self->stream_table = EyStreamTable_New(self, node);
+    self->quotas = EyQuotaPart_New(self, node);
     GError *cause = NULL;
     if (!start_control(self, &cause)) {
         if (!EyRaftStorage_MayOpenLater(cause)) {
@@ -488,7 +492,8 @@
 {
     (void)part;
     return kind == EY_PEER_RAFT || kind == EY_PEER_CONFIG ||
-           kind == EY_PEER_GROUP || kind == EY_PEER_STREAM;
+           kind == EY_PEER_GROUP || kind == EY_PEER_STREAM ||
+           kind == EY_PEER_QUOTA;
 }
 
 static void
@@ -537,6 +542,14 @@
         receive_raft(self, message);
         return;
     }
+    if (message->kind == EY_PEER_QUOTA) {
+        /* A process that is cut off from the others would give out the rate a
+         * second time. */
+        if (EyControl_Status(self->control).reaches_quorum) {
+            EyQuotaPart_Receive(self->quotas, message);
+        }
+        return;
+    }
     receive_config(self, message);
 }
 
@@ -582,6 +595,7 @@
     (void)json_object_set_new(
         json, "streams",
         json_integer(EyStreamTable_Count(self->stream_table)));
+    (void)json_object_set_new(json, "quotas", EyQuotaPart_Dump(self->quotas));
     (void)json_object_set_new(json, "witnesses",
                               EyWitnesses_Dump(self->witnesses));
     return json;
--- a/src/core/metrics.c
+++ b/src/core/metrics.c
@@ -31,6 +31,9 @@
         Tables[TableCount++] =
             (MetricTable_t){.metrics = table, .count = count};
     }
+    else if (index < TableCount) {
+        Tables[index].count = MAX(Tables[index].count, count);
+    }
     (void)pthread_mutex_unlock(&TablesLock);
 }
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -34,7 +34,8 @@
     uint64_t buckets[EY_METRIC_BUCKET_COUNT];
 } EyMetric_t;
 
-/** Adds a static table to the output of EyMetrics_Text. Idempotent. */
+/** Adds a static table to the output of EyMetrics_Text. It may be registered
+ * again with more metrics of the table. */
 void
 EyMetrics_Register(EyMetric_t *table, uint32_t count);
 
--- a/src/core/settings.c
+++ b/src/core/settings.c
@@ -21,6 +21,8 @@
 /* A group has at most 16 members, of which a majority must remain. */
 #define CONTROL_LOSSES_MAX 7
 #define RETRY_WINDOW_MAX_S 3600
+#define QUOTA_WINDOW_MAX_S 3600
+#define QUOTA_SLACK_MAX 1e12
 
 typedef enum SettingId {
     SETTING_ID,
@@ -43,6 +45,9 @@
     SETTING_RETRY_RATIO,
     SETTING_RETRY_SLACK,
     SETTING_RETRY_WINDOW,
+    SETTING_QUOTA_WINDOW,
+    SETTING_QUOTA_OVERAGE,
+    SETTING_QUOTA_SLACK,
     SETTING_DATA_DIR,
     SETTING_OPERATOR_TOKEN_FILE,
     SETTING_PEER_SECRET_FILE,
@@ -218,12 +223,41 @@
 
 /** Reads a ratio, such as 0.2, into per mille. */
 static bool
-read_retry_ratio(EySettings_t *settings, const char *text)
+read_ratio(const char *text, uint32_t *permille)
 {
     gchar *end = NULL;
     double ratio = g_ascii_strtod(text, &end);
-    settings->retry_permille = (uint32_t)(ratio * PER_MILLE + 0.5);
-    return g_ascii_isdigit(*text) && *end == '\0' && ratio <= 1.0;
+    bool is_valid = g_ascii_isdigit(*text) && *end == '\0' && ratio <= 1.0;
+    *permille = is_valid ? (uint32_t)(ratio * PER_MILLE + 0.5) : 0;
+    return is_valid;
+}
+
+static bool
+read_retry_ratio(EySettings_t *settings, const char *text)
+{
+    return read_ratio(text, &settings->retry_permille);
+}
+
+static bool
+read_quota_window(EySettings_t *settings, const char *text)
+{
+    return read_integer(text, 1, QUOTA_WINDOW_MAX_S,
+                        &settings->quota_window_s);
+}
+
+static bool
+read_quota_overage(EySettings_t *settings, const char *text)
+{
+    return read_ratio(text, &settings->quota_overage_permille);
+}
+
+static bool
+read_quota_slack(EySettings_t *settings, const char *text)
+{
+    gchar *end = NULL;
+    settings->quota_slack = g_ascii_strtod(text, &end);
+    return g_ascii_isdigit(*text) && *end == '\0' &&
+           settings->quota_slack <= QUOTA_SLACK_MAX;
 }
 
 static bool
@@ -492,6 +526,24 @@
                               .default_text = "10",
                               .expected = "1 to 3600 seconds",
                               .read = read_retry_window},
+    [SETTING_QUOTA_WINDOW] = {.flag = "quota-window-s",
+                              .help = "window in seconds in which accounts "
+                                      "keep to their quotas",
+                              .default_text = "8",
+                              .expected = "1 to 3600 seconds",
+                              .read = read_quota_window},
+    [SETTING_QUOTA_OVERAGE] = {.flag = "quota-overage",
+                               .help = "part of a quota by which the fleet "
+                                       "may exceed it in a window",
+                               .default_text = "0.1",
+                               .expected = "a number from 0 to 1",
+                               .read = read_quota_overage},
+    [SETTING_QUOTA_SLACK] = {.flag = "quota-slack",
+                             .help = "further units, requests or tokens, that "
+                                     "the fleet may send in a window",
+                             .default_text = "140000",
+                             .expected = "a number from 0 to 1e12",
+                             .read = read_quota_slack},
     [SETTING_PEER_LISTEN] = {.flag = "peer-listen",
                              .help = "address for other instances, IP:port",
                              .expected = ADDRESS_EXPECTED,
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -59,10 +59,13 @@
     uint32_t backend_ttl_ms; /* default TTL of announcements */
     uint32_t retry_permille; /* retries of the fleet for 1000 requests */
     uint32_t retry_slack;    /* further ones in each window */
-    uint32_t retry_window_ms; /* window of the retry budget */
-    bool may_found;           /* may bootstrap a new control cluster */
-    bool takes_joiners;       /* control: accept members not in --control */
-    uint32_t control_losses;  /* control processes that may be lost at once */
+    uint32_t retry_window_ms;        /* window of the retry budget */
+    uint32_t quota_window_s;         /* window of the accounts' quotas */
+    uint32_t quota_overage_permille; /* of a quota, that may be exceeded */
+    double quota_slack; /* units that may be sent in each window above that */
+    bool may_found;     /* may bootstrap a new control cluster */
+    bool takes_joiners; /* control: accept members not in --control */
+    uint32_t control_losses; /* control processes that may be lost at once */
     EyAddress_t peers[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t peer_count;
     EyAddress_t control[EY_SETTINGS_ADDRESSES_MAX];
--- a/src/exchange/answer.c
+++ b/src/exchange/answer.c
@@ -37,6 +37,8 @@
                                  "The data is bound to another region"},
     [EY_PROBLEM_KEY_REUSED] = {422, "idempotency-key-reused",
                                "The key was used with another request"},
+    [EY_PROBLEM_QUOTA] = {429, "quota-exceeded",
+                          "The account's quota is used up"},
     [EY_PROBLEM_HEADERS_TOO_LARGE] = {431, "headers-too-large",
                                       "A header is too large"},
     [EY_PROBLEM_OVERLOADED] = {503, "overloaded", "No capacity in time"},
--- a/src/exchange/answer.h
+++ b/src/exchange/answer.h
@@ -71,6 +71,7 @@
     EY_PROBLEM_TOO_LARGE,         /* 413 */
     EY_PROBLEM_WRONG_REGION,      /* 421 */
     EY_PROBLEM_KEY_REUSED,        /* 422 */
+    EY_PROBLEM_QUOTA,             /* 429 */
     EY_PROBLEM_HEADERS_TOO_LARGE, /* 431 */
     EY_PROBLEM_OVERLOADED,        /* 503 */
     EY_PROBLEM_LEAVING,           /* 503 */
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -130,6 +130,8 @@
     bool are_parts_cut; /* there were still more, or the list is invalid from
                            there on: the last part here isn't its last one */
     EyCancellation_t *cancellation; /* NULL: it can't be cancelled */
+    double quota_units; /* that were counted here for the quota of its account;
+                           not sent */
 } EyRequest_t;
 
 extern const EySchema_t EyHeader_schema;
--- a/src/gateway/accept.c
+++ b/src/gateway/accept.c
@@ -251,6 +251,9 @@
     bool may_repeat = is_idempotent(self, request);
     bool needs_claim = !may_repeat && !needs_no_claim(request);
     EyAnswer_t *refusal = check_request(self, request, needs_claim);
+    if (refusal == NULL) {
+        refusal = EyGateway_CheckQuota(self, request);
+    }
     if (refusal != NULL) {
         EyNode_Answer(self->node, request, refusal);
         return;
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -35,6 +35,9 @@
     const EyRoutingResult_t cancelled = {.kind = EY_RESULT_CANCELLED};
     EyGateway_RouteFinished(active, &cancelled);
     EyGateway_EndForward(active);
+    if (active->exchange->tried_count == 0) {
+        EyGateway_ReturnQuota(gateway, active->exchange->request);
+    }
     g_hash_table_remove(gateway->attempts, &attempt);
     g_hash_table_remove(gateway->active_requests, &number);
 }
--- a/src/gateway/cluster_updates.c
+++ b/src/gateway/cluster_updates.c
@@ -378,6 +378,8 @@
                               is_alone);
     }
     g_hash_table_destroy(scan->places);
+    EyQuotaClient_SetGatewayCount(self->quotas, MAX(gateway_count, 1) *
+                                                    fleet_region_count(self));
     EyRouter_SetGateways(self->router, gateway_count > 0 ? gateway_count : 1);
     EyRouter_SetRank(self->router, EyClock_NowMs(), rank, gateway_count);
     distribute_sources(self, scan);
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -31,6 +31,7 @@
     (void)EyRouteTable_Update(&self->node->routes, self->node,
                               store->routes_version, &store->routes);
     EyGateway_ConfigureRouter(self);
+    EyGateway_ConfigureQuotas(self);
     EyGateway_RefreshBackends(self);
     EyGatewayRecords_Configure(self->records, store);
 }
@@ -128,6 +129,7 @@
                                controls, control_count);
     EyProposer_SetControls(self->proposer, controls, control_count);
     EyResumptions_SetControls(self->resumptions, controls, control_count);
+    EyQuotaClient_SetControls(self->quotas, controls, control_count);
 }
 
 bool
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -124,6 +124,7 @@
         EyResidencyPolicy_New(self, node->settings->region);
     EyGateway_OpenForwardServer(self);
     EyGateway_OpenRouter(self);
+    EyGateway_OpenQuotas(self);
     EyGateway_OpenConfiguration(self);
     EyGateway_OpenResumptions(self);
     EyGateway_OpenClusterUpdates(self);
@@ -168,7 +169,7 @@
     (void)part;
     return kind == EY_PEER_GROUP || kind == EY_PEER_CONFIG ||
            kind == EY_PEER_FORWARD || kind == EY_PEER_ENGINE_UPDATE ||
-           kind == EY_PEER_STREAM;
+           kind == EY_PEER_STREAM || kind == EY_PEER_QUOTA_ANSWER;
 }
 
 static void
@@ -191,6 +192,10 @@
         EyGateway_ReceiveStream(self, message);
         return;
     }
+    if (message->kind == EY_PEER_QUOTA_ANSWER) {
+        EyGateway_ReceiveQuota(self, message);
+        return;
+    }
     EyGateway_ReceiveConfig(self, message);
 }
 
@@ -253,6 +258,8 @@
                               EyConfigReplica_Dump(self->configuration));
     (void)json_object_set_new(json, "router",
                               EyRouter_Dump(self->router, EyClock_NowMs()));
+    (void)json_object_set_new(
+        json, "quotas", EyQuotaClient_Dump(self->quotas, EyClock_NowMs()));
     return json;
 }
 
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -19,6 +19,7 @@
 #include "gateway/residency_policy.h"
 #include "gateway/resumptions.h"
 #include "instances/peers.h"
+#include "quotas/quota_client.h"
 #include "routing/forward_targets.h"
 #include "routing/router.h"
 
@@ -130,6 +131,8 @@
     EyMailbox_t *relay_wakeups; /* from readable streams */
     uint64_t last_forwarded_number;
     EyForwardTargets_t *forward_targets;
+    EyQuotaClient_t *quotas;
+    EyTimer_t *quota_timer; /* NULL: no account has a limit */
     /* The last engine update to the local region. */
     int64_t engine_update_sent_ms;
     uint32_t engine_update_receiver_count;
@@ -238,6 +241,28 @@
 EyGateway_ReceiveEngineUpdate(EyGateway_t *self,
                               const EyPeerMessage_t *message);
 
+/** Creates the client of the quotas. */
+void
+EyGateway_OpenQuotas(EyGateway_t *self);
+
+/** Applies the limits of the current route table's accounts. */
+void
+EyGateway_ConfigureQuotas(EyGateway_t *self);
+
+/** Counts a caller's call for its account's quota. Returns NULL, or the answer
+ * that refuses it. */
+EyAnswer_t *
+EyGateway_CheckQuota(EyGateway_t *self, EyRequest_t *request);
+
+/** Gives back what a call was counted as that is refused without having been
+ * sent anywhere. */
+void
+EyGateway_ReturnQuota(EyGateway_t *self, EyRequest_t *request);
+
+/** Handles a message of kind EY_PEER_QUOTA_ANSWER. */
+void
+EyGateway_ReceiveQuota(EyGateway_t *self, const EyPeerMessage_t *message);
+
 /** Updates all backend servers in the router; the evacuated zones or the
  * routes may have changed. */
 void
--- a/src/instances/peer_message.c
+++ b/src/instances/peer_message.c
@@ -16,6 +16,8 @@
     [EY_PEER_ANNOUNCE] = "announce",
     [EY_PEER_ENGINE_UPDATE] = "news",
     [EY_PEER_STREAM] = "stream",
+    [EY_PEER_QUOTA] = "quota",
+    [EY_PEER_QUOTA_ANSWER] = "quota_answer",
 };
 
 /** The wire format. The version is the first field in every version. */
--- a/src/instances/peers.c
+++ b/src/instances/peers.c
@@ -142,6 +142,8 @@
         [EY_PEER_ANNOUNCE] = TRAFFIC_METRIC(name, "announce", help),          \
         [EY_PEER_ENGINE_UPDATE] = TRAFFIC_METRIC(name, "engine", help),       \
         [EY_PEER_STREAM] = TRAFFIC_METRIC(name, "stream", help),              \
+        [EY_PEER_QUOTA] = TRAFFIC_METRIC(name, "quota", help),                \
+        [EY_PEER_QUOTA_ANSWER] = TRAFFIC_METRIC(name, "quota_answer", help),  \
     }
 
 static EyMetric_t Dropped[DROP_COUNT] = {
--- a/src/instances/peers.h
+++ b/src/instances/peers.h
@@ -39,6 +39,8 @@
     EY_PEER_ANNOUNCE,      /* announcements relayed to the server's region */
     EY_PEER_ENGINE_UPDATE, /* engine updates between gateways */
     EY_PEER_STREAM,        /* which server version began a stream */
+    EY_PEER_QUOTA,         /* gateways' reports to the quota coordinator */
+    EY_PEER_QUOTA_ANSWER,  /* its answers */
     EY_PEER_KIND_COUNT
 } EyPeerMessageKind_t;
 
--- a/src/quotas/quota_limit.c
+++ b/src/quotas/quota_limit.c
@@ -1,7 +1,11 @@
 #include "quotas/quota_limit.h"
 
+#include "core/memory.h"
+
 #include <glib.h>
 
+#define PER_MILLE 1000.0
+
 /** Time at the account's rate that the headroom keeps for what is sent before
  * the fleet's demand is known everywhere: a flood of 3.3 times the rate, of
  * which a third is at gateways that lose contact as it begins, exceeds the
@@ -21,6 +25,51 @@
 #define SMOOTHING_MIN_S 0.3
 #define SMOOTHING_MAX_S 2.0
 
+EyQuotaLimit_t *
+EyQuotaLimit_OfTable(const void *ctx, const EyRouteTable_t *table,
+                     uint32_t *count)
+{
+    *count = 0;
+    uint32_t account_count = table != NULL ? table->account_count : 0;
+    EyQuotaLimit_t *limits = EY_NEW_ARRAY(ctx, EyQuotaLimit_t, account_count);
+    for (uint32_t i = 0; i < account_count; i++) {
+        const EyAccountRule_t *account = &table->accounts[i];
+        if (!(account->rate_per_s > 0.0)) {
+            continue;
+        }
+        EyQuotaLimit_t *limit = &limits[(*count)++];
+        *limit = (EyQuotaLimit_t){
+            .unit = account->unit == EY_ACCOUNT_UNIT_TOKENS
+                        ? EY_QUOTA_TOKENS
+                        : EY_QUOTA_REQUESTS,
+            .rate_per_s = account->rate_per_s,
+            .burst = account->burst,
+            .plain_tokens = account->plain_tokens,
+        };
+        (void)EY_COPY(limit->name, account->name);
+    }
+    return limits;
+}
+
+double
+EyQuotaLimit_Units(const EyQuotaLimit_t *self, double tokens)
+{
+    if (self->unit == EY_QUOTA_REQUESTS) {
+        return 1.0;
+    }
+    return tokens > 0.0 ? tokens : self->plain_tokens;
+}
+
+EyQuotaBounds_t
+EyQuotaBounds_Make(const EySettings_t *settings)
+{
+    return (EyQuotaBounds_t){
+        .window_s = settings->quota_window_s,
+        .overage = settings->quota_overage_permille / PER_MILLE,
+        .slack = settings->quota_slack,
+    };
+}
+
 double
 EyQuotaLimit_Headroom(const EyQuotaLimit_t *self,
                       const EyQuotaBounds_t *bounds)
--- a/src/quotas/quota_limit.h
+++ b/src/quotas/quota_limit.h
@@ -2,6 +2,8 @@
 #ifndef EY_QUOTAS_QUOTA_LIMIT_H
 #define EY_QUOTAS_QUOTA_LIMIT_H
 
+#include "config/route_table.h"
+#include "core/settings.h"
 #include "core/types.h"
 
 #ifdef __cplusplus
@@ -31,6 +33,20 @@
     double slack; /* units */
 } EyQuotaBounds_t;
 
+/** The limits of a table's accounts that have one, as an array below ctx;
+ * table may be NULL. */
+EyQuotaLimit_t *
+EyQuotaLimit_OfTable(const void *ctx, const EyRouteTable_t *table,
+                     uint32_t *count);
+
+/** The units that a call counts as; tokens: the sum in its token header, 0 if
+ * it has none. */
+double
+EyQuotaLimit_Units(const EyQuotaLimit_t *self, double tokens);
+
+EyQuotaBounds_t
+EyQuotaBounds_Make(const EySettings_t *settings);
+
 /** What may be sent above rate_per_s x window_s + burst, in units. */
 double
 EyQuotaLimit_Headroom(const EyQuotaLimit_t *self,
--- a/tests/property/quota_fleet.h
+++ b/tests/property/quota_fleet.h
@@ -10,9 +10,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <functional>
 #include <map>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -49,8 +49,8 @@
   public:
     Fleet(uint32_t size, const EyQuotaLimit_t &limit,
           const EyQuotaBounds_t &bounds, uint64_t seed)
-        : ctx_(talloc_new(nullptr)), random_(EyRandom_Make(seed)),
-          limit_(limit), bounds_(bounds), gateways(size), controls(REGIONS)
+        : gateways(size), controls(REGIONS), ctx_(talloc_new(nullptr)),
+          random_(EyRandom_Make(seed)), limit_(limit), bounds_(bounds)
     {
         for (uint32_t i = 0; i < REGIONS; i++) {
             controls[i].id = "control-" + std::to_string(i);
@@ -100,9 +100,7 @@
     {
         for (int64_t end_ms = now_ms + duration_ms; now_ms < end_ms;
              now_ms += STEP_MS) {
-            asked.push_back(0.0);
-            sent.push_back(0.0);
-            refused.push_back(0);
+            sent_.push_back(0.0);
             if (trouble) {
                 trouble(*this, now_ms);
             }
@@ -113,22 +111,38 @@
         }
     }
 
+    /** Starts the records of what was asked, sent and refused again. */
+    void
+    forget()
+    {
+        sent_.clear();
+        refused_ = 0;
+    }
+
+    /** Callers send only what a token bucket of this rate and depth allows. */
+    void
+    keep_callers_below(double rate_per_s, double burst)
+    {
+        caller_rate_per_s_ = rate_per_s;
+        caller_burst_ = burst;
+        caller_level_ = burst;
+    }
+
     /** Most units sent in a window, less what is allowed. */
     double
-    excess(int64_t from_ms = 0) const
+    excess() const
     {
         auto steps = static_cast<size_t>(bounds_.window_s * 1000 / STEP_MS);
-        auto first = static_cast<size_t>(from_ms / STEP_MS);
         double allowed =
             (limit_.rate_per_s * bounds_.window_s + limit_.burst) *
                 (1 + bounds_.overage) +
             bounds_.slack;
         double most = 0.0;
         double sum = 0.0;
-        for (size_t i = first; i < sent.size(); i++) {
-            sum += sent[i];
-            if (i >= first + steps) {
-                sum -= sent[i - steps];
+        for (size_t i = 0; i < sent_.size(); i++) {
+            sum += sent_[i];
+            if (i >= steps) {
+                sum -= sent_[i - steps];
             }
             most = std::max(most, sum);
         }
@@ -136,25 +150,15 @@
     }
 
     double
-    sent_since(int64_t from_ms) const
+    sent_total() const
     {
-        double sum = 0.0;
-        for (auto i = static_cast<size_t>(from_ms / STEP_MS); i < sent.size();
-             i++) {
-            sum += sent[i];
-        }
-        return sum;
+        return std::accumulate(sent_.begin(), sent_.end(), 0.0);
     }
 
     uint32_t
-    refused_since(int64_t from_ms) const
+    refused_total() const
     {
-        uint32_t sum = 0;
-        for (auto i = static_cast<size_t>(from_ms / STEP_MS);
-             i < refused.size(); i++) {
-            sum += refused[i];
-        }
-        return sum;
+        return refused_;
     }
 
     /** A bounded Pareto distribution: most calls are small, most units are in
@@ -178,29 +182,11 @@
         EyName_t name;
     };
 
-  private:
-    struct Message {
-        int64_t due_ms;
-        std::function<void()> apply;
-    };
-    void *ctx_;
-    EyRandom_t random_;
-    EyQuotaLimit_t limit_;
-    EyQuotaBounds_t bounds_;
-    uint64_t incarnation_ = 0;
-    std::multimap<int64_t, std::function<void()>> messages_;
-
-  public:
     std::vector<Gateway> gateways;
     std::vector<Control> controls;
-    std::vector<double> asked;
-    std::vector<double> sent;
-    std::vector<uint32_t> refused;
     int64_t now_ms = 1000000;
-    /** Depth and rate of a token bucket that the callers keep to; 0: none. */
-    double caller_rate_per_s = 0.0;
-    double caller_burst = 0.0;
-    double caller_level = 0.0;
+    uint64_t message_count = 0;
+    uint64_t message_bytes = 0;
 
   private:
     int64_t
@@ -226,23 +212,23 @@
         EyQuotaDecision_t decision =
             EyQuotaClient_Admit(gateway.client, now_ms, limit_.name, units);
         if (decision.is_admitted) {
-            sent.back() += units;
+            sent_.back() += units;
         }
         else {
-            refused.back()++;
+            refused_++;
         }
     }
 
     bool
     conforms(double units)
     {
-        if (caller_burst == 0.0) {
+        if (caller_burst_ == 0.0) {
             return true;
         }
-        if (caller_level < units) {
+        if (caller_level_ < units) {
             return false;
         }
-        caller_level -= units;
+        caller_level_ -= units;
         return true;
     }
 
@@ -251,9 +237,9 @@
     {
         Gateway &gateway = gateways[index];
         if (index == 0) {
-            caller_level =
-                std::min(caller_burst,
-                         caller_level + caller_rate_per_s * STEP_MS / 1000.0);
+            caller_level_ =
+                std::min(caller_burst_, caller_level_ + caller_rate_per_s_ *
+                                                            STEP_MS / 1000.0);
         }
         double calls = demand_per_s / UNITS_MEAN * STEP_MS / 1000.0;
         bool is_frozen = now_ms < gateway.frozen_until_ms;
@@ -268,7 +254,6 @@
             if (is_down || !conforms(units)) {
                 continue;
             }
-            asked.back() += units;
             if (is_frozen) {
                 gateway.waiting.push_back(units);
             }
@@ -397,9 +382,17 @@
         }
     }
 
-  public:
-    uint64_t message_count = 0;
-    uint64_t message_bytes = 0;
+    void *ctx_;
+    EyRandom_t random_;
+    EyQuotaLimit_t limit_;
+    EyQuotaBounds_t bounds_;
+    uint64_t incarnation_ = 0;
+    std::multimap<int64_t, std::function<void()>> messages_;
+    std::vector<double> sent_; /* units in each step */
+    uint32_t refused_ = 0;
+    double caller_rate_per_s_ = 0.0;
+    double caller_burst_ = 0.0; /* 0: no limit */
+    double caller_level_ = 0.0;
 };
 
 } // namespace quota
