Quotas: what a silent gateway didn't use is given back up to its bucket's depth

The refund is now at most share x burst, the depth of the gateway's own bucket. Also: the report interval grows with the accounts in a report.

--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -12,6 +12,9 @@
 #define REPORT_MS 200
 /** Interval of reports without accounts. */
 #define EMPTY_REPORT_MS 1000
+/** With more accounts in a report than this the interval grows in proportion,
+ * so that the bytes a second stay bounded. */
+#define REPORT_ACCOUNTS 256
 /** When a report has waited this long for its answer, the next control process
  * is asked. */
 #define CONTROL_TIMEOUT_MS 600
@@ -94,6 +97,7 @@
     uint64_t number;                 /* of the last report */
     int64_t sent_ms[REPORTS_KEPT];   /* by report number */
     int64_t reported_ms;             /* of the last report */
+    int64_t interval_ms;             /* of reports */
     int64_t ticked_ms;               /* -1: never */
     int64_t answered_ms; /* when the newest answered report was sent; -1:
                             none was */
@@ -132,6 +136,7 @@
     self->answered_ms = -1;
     self->ticked_ms = -1;
     self->reported_ms = INT64_MIN / 2;
+    self->interval_ms = REPORT_MS;
     talloc_set_destructor(self, client_destroy);
     return self;
 }
@@ -309,8 +314,9 @@
 {
     decision->mode = EY_QUOTA_BY_ANSWER;
     double own_per_s = demand_per_s(self, account, now_ms);
-    if (!account->has_answer ||
-        now_ms - account->answer_sent_ms > ANSWER_KEPT_MS) {
+    if (!account->has_answer || now_ms - account->answer_sent_ms >
+                                    MAX(ANSWER_KEPT_MS, 2 * self->interval_ms))
+    {
         decision->fraction = 1.0;
         decision->demand = own_per_s;
         return;
@@ -526,6 +532,9 @@
     }
     self->sent_ms[report->number % REPORTS_KEPT] = now_ms;
     self->reported_ms = now_ms;
+    self->interval_ms =
+        REPORT_MS * MAX(report->account_count / REPORT_ACCOUNTS, 1);
+    report->interval_ms = (uint32_t)self->interval_ms;
     return report;
 }
 
@@ -544,8 +553,9 @@
               bool has_content)
 {
     int64_t elapsed_ms = now_ms - self->reported_ms;
-    return has_surge || elapsed_ms >= EMPTY_REPORT_MS ||
-           (has_content && elapsed_ms >= REPORT_MS);
+    return (has_surge && self->interval_ms == REPORT_MS) ||
+           elapsed_ms >= MAX(EMPTY_REPORT_MS, self->interval_ms) ||
+           (has_content && elapsed_ms >= self->interval_ms);
 }
 
 EyQuotaDispatch_t
--- a/src/quotas/quota_coordinator.c
+++ b/src/quotas/quota_coordinator.c
@@ -24,6 +24,9 @@
  * report them. */
 #define CONSTRAINED_MAX 64
 #define DUMP_MAX 100
+/** A gateway is silent when this many of its reports are missing. */
+#define REPORTS_MISSED 3
+#define INTERVAL_MAX_MS 9000
 
 /** One account of the fleet. */
 typedef struct Account {
@@ -55,10 +58,11 @@
     uint64_t incarnation;
     uint64_t report_number;
     int64_t reported_ms;
+    uint32_t interval_ms;      /* of its reports */
     int64_t reserved_until_ms; /* silent: up to which shares were counted */
     bool is_silent;
     bool has_expired;    /* silent, and its shares are no longer kept */
-    GHashTable *entries; /* account name -> Entry_t */
+    GHashTable *entries; /* Account_t -> Entry_t */
 } Gateway_t;
 
 struct EyQuotaCoordinator {
@@ -283,10 +287,10 @@
     self->reporting_count--;
 }
 
-/** The gateway reports again: its reports take the place of the estimate. */
+/** The gateway reports again. If it is the same process, what it was reserved
+ * is settled with what it reports. */
 static void
-end_silence(EyQuotaCoordinator_t *self, Gateway_t *gateway, int64_t now_ms,
-            bool is_same_process)
+end_silence(EyQuotaCoordinator_t *self, Gateway_t *gateway, int64_t now_ms)
 {
     reserve(self, gateway, now_ms);
     GHashTableIter iterator;
@@ -295,10 +299,6 @@
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         Entry_t *entry = value;
         entry->account->reserved_per_s -= entry->reserved_per_s;
-        if (is_same_process) {
-            spend(self, entry->account, now_ms, -entry->reserved);
-        }
-        entry->reserved = 0.0;
         entry->reserved_per_s = 0.0;
     }
     gateway->is_silent = false;
@@ -306,6 +306,23 @@
     self->reporting_count++;
 }
 
+/** Takes off the level what a gateway has admitted since its last report, less
+ * what was reserved for it meanwhile. Of a reservation that it didn't use, no
+ * more is given back than the depth of its own bucket: the rest would have
+ * been lost there, and 28 s of it exceed the bound when they are spent at
+ * once. */
+static void
+settle(EyQuotaCoordinator_t *self, Entry_t *entry, int64_t now_ms,
+       double admitted)
+{
+    double depth =
+        entry->share * entry->account->limit.burst * entry->account->scale;
+    double unused = MIN(entry->reserved - admitted, depth);
+    spend(self, entry->account, now_ms,
+          entry->reserved > 0.0 ? -unused : admitted);
+    entry->reserved = 0.0;
+}
+
 /** Counts what the former process of a gateway may have sent after its last
  * report, and forgets that process. */
 static void
@@ -324,7 +341,7 @@
         entry->account->demand_per_s -= entry->asked_per_s;
     }
     if (gateway->is_silent) {
-        end_silence(self, gateway, now_ms, false);
+        end_silence(self, gateway, now_ms);
     }
     g_hash_table_remove_all(gateway->entries);
     gateway->report_number = 0;
@@ -413,6 +430,14 @@
     set_scale(self, now_ms, WHOLE_FLEET_PART);
 }
 
+/** A gateway counts as silent when it hasn't reported for this long. */
+static int64_t
+silent_after_ms(const Gateway_t *gateway)
+{
+    int64_t interval_ms = MIN(gateway->interval_ms, INTERVAL_MAX_MS);
+    return MAX(EY_QUOTA_SILENT_MS, REPORTS_MISSED * interval_ms);
+}
+
 static void
 sweep(EyQuotaCoordinator_t *self, int64_t now_ms)
 {
@@ -429,7 +454,7 @@
         if (gateway->is_silent) {
             reserve(self, gateway, now_ms);
         }
-        else if (silent_ms > EY_QUOTA_SILENT_MS) {
+        else if (silent_ms > silent_after_ms(gateway)) {
             begin_silence(self, gateway, now_ms);
         }
         if (silent_ms > FORGOTTEN_MS) {
@@ -458,7 +483,8 @@
     if (gateway == NULL) {
         gateway = EY_NEW(NULL, Gateway_t);
         gateway->incarnation = incarnation;
-        gateway->entries = new_table(EyMemory_Free);
+        gateway->entries =
+            g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
         (void)g_hash_table_insert(self->gateways, g_strdup(id), gateway);
         self->reporting_count++;
     }
@@ -499,15 +525,15 @@
     if (account == NULL) {
         return;
     }
-    Entry_t *entry = g_hash_table_lookup(gateway->entries, from->name);
+    Entry_t *entry = g_hash_table_lookup(gateway->entries, account);
     double units = from->unanswered;
     if (entry == NULL) {
-        entry = EY_NEW(NULL, Entry_t);
+        /* Not a talloc object: there may be millions of them. */
+        entry = g_new0(Entry_t, 1);
         entry->account = account;
         entry->fraction = 1.0;
         entry->share = from->share;
-        (void)g_hash_table_insert(gateway->entries, g_strdup(from->name),
-                                  entry);
+        (void)g_hash_table_insert(gateway->entries, account, entry);
         if (!self->is_ready) {
             account->inherited += from->share;
             take_level(self, account, now_ms, report, from->level);
@@ -516,24 +542,29 @@
     else {
         units = MAX(from->admitted - entry->admitted, 0.0);
     }
-    spend(self, account, now_ms, units);
+    settle(self, entry, now_ms, units);
     account->demand_per_s += from->asked_per_s - entry->asked_per_s;
     entry->admitted = from->admitted;
     entry->asked_per_s = from->asked_per_s;
     entry->report_number = report->number;
 }
 
-static gboolean
-is_absent(gpointer key, gpointer value, gpointer data)
+/** An account that a report doesn't name is idle at the gateway. */
+static void
+remove_absent(EyQuotaCoordinator_t *self, const Gateway_t *gateway,
+              int64_t now_ms, uint64_t report_number)
 {
-    (void)key;
-    const Entry_t *entry = value;
-    const EyQuotaReport_t *report = data;
-    if (entry->report_number == report->number) {
-        return FALSE;
+    GHashTableIter iterator;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&iterator, gateway->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        Entry_t *entry = value;
+        if (entry->report_number != report_number) {
+            settle(self, entry, now_ms, 0.0);
+            entry->account->demand_per_s -= entry->asked_per_s;
+            g_hash_table_iter_remove(&iterator);
+        }
     }
-    entry->account->demand_per_s -= entry->asked_per_s;
-    return TRUE;
 }
 
 static void
@@ -546,7 +577,7 @@
     to->demand = MAX(account->demand_per_s, 0.0);
     to->level = account->level;
     to->rate_per_s = available_per_s(account);
-    Entry_t *entry = g_hash_table_lookup(gateway->entries, to->name);
+    Entry_t *entry = g_hash_table_lookup(gateway->entries, account);
     if (entry == NULL) {
         return;
     }
@@ -580,8 +611,7 @@
     }
     for (guint i = 0; i < self->constrained->len; i++) {
         const Account_t *account = g_ptr_array_index(self->constrained, i);
-        if (g_hash_table_lookup(gateway->entries, account->limit.name) == NULL)
-        {
+        if (g_hash_table_lookup(gateway->entries, account) == NULL) {
             add_answer(self, gateway, account, answer);
         }
     }
@@ -608,16 +638,16 @@
         return NULL;
     }
     if (gateway->is_silent) {
-        end_silence(self, gateway, now_ms, true);
+        end_silence(self, gateway, now_ms);
     }
     gateway->report_number = report->number;
     gateway->reported_ms = now_ms;
+    gateway->interval_ms = report->interval_ms;
     self->carried_count = MAX(self->carried_count, report->gateway_count);
     for (uint32_t i = 0; i < report->account_count; i++) {
         apply_entry(self, gateway, now_ms, report, &report->accounts[i]);
     }
-    (void)g_hash_table_foreach_remove(gateway->entries, is_absent,
-                                      (gpointer)report);
+    remove_absent(self, gateway, now_ms, report->number);
     sweep(self, now_ms);
     return make_answer(self, ctx, gateway, report);
 }
--- a/src/quotas/quota_message.c
+++ b/src/quotas/quota_message.c
@@ -19,6 +19,7 @@
     EY_FIELD(EyQuotaReport_t, number, EY_FIELD_U64),
     EY_FIELD(EyQuotaReport_t, level_age_ms, EY_FIELD_I64),
     EY_FIELD(EyQuotaReport_t, gateway_count, EY_FIELD_U32),
+    EY_FIELD(EyQuotaReport_t, interval_ms, EY_FIELD_U32),
     EY_FIELD_ARRAY_OF(EyQuotaReport_t, accounts, account_count,
                       ReportEntrySchema, EY_QUOTA_ACCOUNTS_MAX),
     EY_FIELD_END,
--- a/src/quotas/quota_message.h
+++ b/src/quotas/quota_message.h
@@ -33,6 +33,7 @@
     uint64_t number;        /* of the report, ascending in an incarnation */
     int64_t level_age_ms;   /* of the levels; -1: there was no answer yet */
     uint32_t gateway_count; /* that the last answer named; 0: none */
+    uint32_t interval_ms;   /* until the next report */
     EyQuotaReportEntry_t *accounts;
     uint32_t account_count;
 } EyQuotaReport_t;
