Quotas: the test of a restart finds use that is forgotten

Tried: with the debit for unreported use at a restart removed, no test failed; now quotas/use_during_silence_is_counted does.

--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -146,15 +146,16 @@
         (void)report_until(&here, NULL, 5100, 5000 + cases[i].gap_ms);
         there.incarnation = cases[i].incarnation;
         there.admitted = cases[i].admitted;
-        /* The level stands at its maximum, and would rise without that. */
+        /* It stands at its maximum, and rises again only after a reservation
+         * has been taken off, when the gateway has been silent for 1 s. */
         double level = before.accounts[0].level;
         EyQuotaAnswer_t after =
             report(&there, 5000 + cases[i].gap_ms, 0.0, -1, 0);
         double risen = level - cases[i].spent;
-        double most = level - cases[i].spent +
-                      RATE_PER_S * (double)cases[i].gap_ms / 1000.0;
+        double most = risen + fmax((double)cases[i].gap_ms - 1000.0, 0.0) /
+                                  1000.0 * RATE_PER_S;
         cr_assert(after.accounts[0].level >= risen - 1.0 &&
-                      after.accounts[0].level <= fmin(most, level) + 1.0,
+                      after.accounts[0].level <= most + 1.0,
                   "%s: level %f of %f", cases[i].what, after.accounts[0].level,
                   level);
         talloc_free(coordinator);
