--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -76,6 +76,9 @@
     bool may_found;           /* may bootstrap a new control cluster */
     bool takes_joiners;       /* control: accept members not in --control */
     uint32_t control_losses;  /* control processes that may be lost at once */
+    uint32_t quota_window_s;  /* window of the accounts' quotas */
+    uint32_t quota_overage_permille; /* of a quota, that may be exceeded */
+    double quota_slack; /* units that may be sent in each window above that */
     EyAddress_t peers[EY_SETTINGS_ADDRESSES_MAX];
     uint32_t peer_count;
     EyAddress_t control[EY_SETTINGS_ADDRESSES_MAX];
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -134,6 +134,8 @@
     int64_t waited_ms;  /* from its arrival at the first gateway to its arrival
                            here; 0 also if a peer didn't send it */
     EyCancellation_t *cancellation; /* NULL: it can't be cancelled */
+    double quota_units; /* that were counted here for the quota of its account;
+                           not sent */
 } EyRequest_t;
 
 extern const EySchema_t EyHeader_schema;
--- a/src/gateway/configuration.c
+++ b/src/gateway/configuration.c
@@ -33,6 +33,7 @@
     EyGateway_ConfigureRouter(self);
     EyRouter_SetHasAccounts(self->router, EyClock_NowMs(),
                             EyGateway_HasAccounts(self));
+    EyGateway_ConfigureQuotas(self);
     EyGateway_RefreshBackends(self);
     EyGatewayRecords_Configure(self->records, store);
 }
@@ -130,6 +131,7 @@
                                controls, control_count);
     EyProposer_SetControls(self->proposer, controls, control_count);
     EyResumptions_SetControls(self->resumptions, controls, control_count);
+    EyQuotaClient_SetControls(self->quotas, controls, control_count);
 }
 
 bool
