Admission: objectives of services, the wait for a place at a full engine

Calls to services were ordered by their deadlines, as only model calls had an objective in routing; response_objective_ms has it for all, for targets with predictive routing only. The first event of a call that is sent to an engine which is full by its report has the wait for a place in its batch, and a queued call waits for half the time between two places of its gateway, not the whole.

--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -203,6 +203,7 @@
         .request_key = active->request_key,
         .prompt_tokens = request->prompt_tokens,
         .objective_ms = is_model ? request->terms.objective_ms : 0,
+        .response_objective_ms = request->terms.objective_ms,
         .priority = request->terms.priority,
         .tokens_max = request->expected_tokens > 0 ? request->expected_tokens
                                                    : request->tokens_max,
--- a/src/routing/admission.c
+++ b/src/routing/admission.c
@@ -13,6 +13,9 @@
 /** A model engine's time to the first event apart from prefill. */
 #define FIRST_EVENT_OVERHEAD_MS 25.0
 #define MS_PER_S 1000.0
+/** Share of the time between two places that come to this gateway which a call
+ * waits for the next one: others of the region may or may not wait too. */
+#define NEXT_PLACE_SHARE 0.5
 /** Instead of a rate of 0, in work per ms. */
 #define RATE_MIN 1e-9
 
@@ -74,7 +77,8 @@
                           double work_ahead, double rate)
 {
     /* The wait for the next free place doesn't depend on the call's size. */
-    return (work_ahead + self->mean_work) / rate + plan->best_run_ms;
+    return (work_ahead + NEXT_PLACE_SHARE * self->mean_work) / rate +
+           plan->best_run_ms;
 }
 
 double
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -77,8 +77,12 @@
     int64_t arrived_ms; /* at the first gateway; 0: unknown, counts as now */
     int64_t leaves_ms;  /* when the caller leaves if no event has arrived; 0:
                            at the deadline */
-    bool is_return;     /* refused before, and back at the time it was told */
-    bool has_place;     /* a place is kept for it, too */
+    uint32_t response_objective_ms; /* objective for the answer of any routed
+                                       call, or its first event; used with
+                                       predictive routing only; 0: as
+                                       objective_ms */
+    bool is_return; /* refused before, and back at the time it was told */
+    bool has_place; /* a place is kept for it, too */
 } EyRoutingRequest_t;
 
 typedef enum EyDecisionKind {
--- a/src/routing/queue_order.c
+++ b/src/routing/queue_order.c
@@ -3,14 +3,22 @@
 /** Longest time to begin that counts; also bounds an infinite one. */
 #define RUN_MAX_MS INT64_C(600000)
 
+uint32_t
+EyRoutingRequest_ObjectiveMs(const EyRoutingRequest_t *self)
+{
+    return self->response_objective_ms > 0 ? self->response_objective_ms
+                                           : self->objective_ms;
+}
+
 int64_t
 EyRoutingRequest_DueMs(const EyRoutingRequest_t *self, int64_t now_ms)
 {
-    if (self->objective_ms == 0) {
+    uint32_t wanted_ms = EyRoutingRequest_ObjectiveMs(self);
+    if (wanted_ms == 0) {
         return self->deadline_ms;
     }
     int64_t arrived_ms = self->arrived_ms != 0 ? self->arrived_ms : now_ms;
-    int64_t due_ms = arrived_ms + self->objective_ms;
+    int64_t due_ms = arrived_ms + wanted_ms;
     return due_ms < self->deadline_ms ? due_ms : self->deadline_ms;
 }
 
@@ -35,10 +43,9 @@
         key.due_ms = INT64_MIN;
         return key;
     }
-    double objective_ms = request->objective_ms > 0
-                              ? (double)request->objective_ms
-                              : (double)(key.due_ms - state->now_ms);
     double left_ms = (double)(key.due_ms - state->now_ms);
+    uint32_t wanted_ms = EyRoutingRequest_ObjectiveMs(request);
+    double objective_ms = wanted_ms > 0 ? (double)wanted_ms : left_ms;
     key.is_late = state->wait_ms > objective_ms && run_ms > left_ms;
     if (key.is_late) {
         key.due_ms = EyRoutingRequest_PatienceEndMs(request);
--- a/src/routing/queue_order.h
+++ b/src/routing/queue_order.h
@@ -37,6 +37,10 @@
     double large_work; /* calls with at least this work are large */
 } EyQueueState_t;
 
+/** The objective for the start of the answer; 0: none. */
+uint32_t
+EyRoutingRequest_ObjectiveMs(const EyRoutingRequest_t *self);
+
 /** Until when the call should begin: the end of its objective, or its deadline
  * without one. */
 int64_t
--- a/tests/unit/admission_fleet.c
+++ b/tests/unit/admission_fleet.c
@@ -18,7 +18,7 @@
 #define TICK_MS 20
 #define REPORT_MS 250
 #define UPDATE_MS 100
-#define CALM_MS 4000
+#define CALM_MS INT64_C(4000)
 #define CALM_LOAD 0.6
 #define TOKEN_MS 0.022      /* prefill */
 #define STREAM_STEP_MS 15.0 /* time of a token on an idle engine */
@@ -175,8 +175,8 @@
     }
     g_array_set_size(self->summaries, 0);
     for (uint32_t region = 0; region < self->load->regions; region++) {
-        EyRouter_Summarize(self->routers[region * GATEWAYS], self->now_ms,
-                           self->summaries);
+        EyRouter_Summarize(self->routers[(size_t)region * GATEWAYS],
+                           self->now_ms, self->summaries);
     }
 }
 
@@ -219,7 +219,9 @@
 forward(Fleet_t *self, Call_t *call, const EyRoutingDecision_t *decision)
 {
     uint32_t region = 0;
-    while (strcmp(decision->region, RegionNames[region]) != 0) {
+    while (region + 1 < REGIONS_MAX &&
+           strcmp(decision->region, RegionNames[region]) != 0)
+    {
         region++;
     }
     self->outcome->forwarded++;
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -11,7 +11,7 @@
 #define NOW_MS ENGINE_FIXTURE_NOW_MS
 /* The gateway's own warm-up is over. */
 #define LATER_MS (NOW_MS + 10000)
-#define OBJECTIVE_MS 1200
+#define OBJECTIVE_MS INT64_C(1200)
 
 static EyPool_t *
 pool_of(EyRouter_t *router)
@@ -57,8 +57,9 @@
 static void
 fill_slots(EyRouter_t *router, int64_t now_ms)
 {
-    for (uint64_t n = 0; n < ENGINE_FIXTURE_ENGINES * ENGINE_FIXTURE_SLOTS;
-         n++) {
+    for (uint64_t n = 0;
+         n < (uint64_t)ENGINE_FIXTURE_ENGINES * ENGINE_FIXTURE_SLOTS; n++)
+    {
         EyRoutingRequest_t request = make_request(100000 + n, now_ms);
         request.prompt_tokens = 1;
         request.prefix_count = 0;
--- a/tests/unit/test_queue_order.c
+++ b/tests/unit/test_queue_order.c
@@ -7,7 +7,7 @@
 #include <criterion/criterion.h>
 
 #define NOW_MS 10000
-#define OBJECTIVE_MS 1200
+#define OBJECTIVE_MS INT64_C(1200)
 
 typedef struct PatienceCase {
     const char *what;
--- a/tests/unit/test_return_schedule.c
+++ b/tests/unit/test_return_schedule.c
@@ -103,7 +103,7 @@
     void *ctx = talloc_new(NULL);
     EyRandom_t random = EyRandom_Make(4);
     EyReturnSchedule_t *schedule = EyReturnSchedule_New(ctx);
-    for (uint64_t n = 1; n <= 4 * EY_RETURNS_MAX; n++) {
+    for (uint64_t n = 1; n <= UINT64_C(4) * EY_RETURNS_MAX; n++) {
         EyRefusedCall_t call = make_call(n, 6000);
         (void)EyReturnSchedule_Refuse(schedule, NOW_MS, &call, &random);
     }
