--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -373,11 +373,8 @@
                bool dispatches_now, const EyRoutingRequest_t *request,
                double finish_ms, double left_ms)
 {
-    /* The objective of plain services counts with predictive routing only. */
-    double objective_ms =
-        request->kind == EY_BACKEND_MODEL ? request->objective_ms : 0.0;
-    if (dispatches_now && objective_ms > 0.0 &&
-        plan->start_ms > objective_ms * OBJECTIVE_SHARE)
+    if (dispatches_now && request->objective_ms > 0 &&
+        plan->start_ms > request->objective_ms * OBJECTIVE_SHARE)
     {
         return true;
     }
