An answer without a length that ends during the upload is not whole

A server that answers 200 without a length while the request is still being written, and closes the connection in order before it resets it, left a part of its answer that the caller got as a whole one: libcurl stops sending at the end of such an answer and reports success. A reset alone was recognized before.

A successful answer that ends with its connection now counts as whole only once the whole request was sent. Refusals are passed on as before.

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -618,6 +618,27 @@
     return self->collects && is_whole_json(self);
 }
 
+/** True if the whole request was sent. */
+static bool
+is_request_sent(const EyTransfer_t *self)
+{
+    curl_off_t sent_bytes = 0;
+    return curl_easy_getinfo(self->easy, CURLINFO_SIZE_UPLOAD_T,
+                             &sent_bytes) == CURLE_OK &&
+           sent_bytes >= (curl_off_t)self->attempt->body.size_bytes;
+}
+
+/** True if the end of the connection may be that of the answer. A server that
+ * fails while the request is being sent may close the connection in order
+ * before it resets it, and libcurl then stops sending and takes the body for
+ * whole. */
+static bool
+may_end_with_connection(const EyTransfer_t *self)
+{
+    return self->names->accepts_close_delimited_bodies &&
+           (!is_success(self) || is_request_sent(self));
+}
+
 /** What is known of the end of the answer's body. */
 static EyBodyEnd_t
 body_end(const EyTransfer_t *self)
@@ -625,7 +646,7 @@
     bool framed = is_framed(self);
     return (EyBodyEnd_t){
         .is_framed = framed,
-        .may_end_with_connection = self->names->accepts_close_delimited_bodies,
+        .may_end_with_connection = may_end_with_connection(self),
         .is_inside_event = EyEventBoundary_IsInside(&self->boundary),
         /* Parses the body, which a frame makes needless. */
         .says_its_end = !framed && says_its_end(self),
