--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -44,8 +44,8 @@
     uint32_t part_count;
     uint64_t request_key;  /* equal for requests with the same path, client
                               account and body, at any gateway; 0: unknown */
-    uint32_t objective_ms; /* objective for the start of a model's answer, or
-                              for the end of a service's; 0: none */
+    uint32_t objective_ms; /* objective for the start of a model's answer; 0:
+                              none, or a plain service */
     uint32_t priority;     /* 0: highest */
     uint32_t tokens_max;   /* of the answer; 0: unknown */
     int64_t deadline_ms;
