A server that stalls inside an event counts as silent

Bytes that only lengthen an incomplete event kept the idle timer from running out: a stalled engine that sent one now and then held its call until the deadline of the request, though its caller got nothing of them. They don't count as activity any more; whole events and comments do, so that slow but sound streams go on.

client::complete_truncated_mismatched_and_malformed_answers: with an idle timeout of 150 ms, "stalled inside an event" had not ended after 10 s before; it ends as idle now.

--- a/src/backends/transfer.c
+++ b/src/backends/transfer.c
@@ -293,12 +293,26 @@
                : write_stream(self, data, (uint32_t)size_bytes);
 }
 
+/** Notes that the server has sent bytes of the body. Those that only lengthen
+ * an incomplete event don't count as activity: the caller gets none of them,
+ * and a stalled server that sends one now and then would hold the call until
+ * its deadline. Comments, which keep a stream open, count. */
+static void
+note_activity(EyTransfer_t *self, uint64_t passed_before)
+{
+    if (self->framer == NULL || self->bytes_passed > passed_before ||
+        !EyEventBoundary_IsInside(&self->boundary))
+    {
+        self->last_activity_ms = EyClock_NowMs();
+    }
+}
+
 static size_t
 on_body(char *data, size_t unit, size_t count, void *context)
 {
     EyTransfer_t *self = context;
     size_t size_bytes = unit * count;
-    self->last_activity_ms = EyClock_NowMs();
+    uint64_t passed_before = self->bytes_passed;
     if (self->failure != EY_FAILURE_NONE || !self->head_done) {
         return 0;
     }
@@ -306,6 +320,7 @@
         if (is_success(self) && self->head.answer->is_events) {
             EyEventBoundary_Add(&self->boundary, data, size_bytes);
         }
+        note_activity(self, passed_before);
         return size_bytes;
     }
     if (self->failure != EY_FAILURE_NONE) {
--- a/src/backends/transfer.h
+++ b/src/backends/transfer.h
@@ -48,7 +48,8 @@
     uint64_t bytes_passed;
     int64_t started_us;
     int64_t first_byte_us;
-    int64_t last_activity_ms; /* time when data was last sent or received */
+    int64_t last_activity_ms; /* when data was last sent or received, but for
+                                 parts of incomplete events */
     EyTimer_t *deadline;
     EyTimer_t *idle;
 } EyTransfer_t;
--- a/tests/unit/test_client.c
+++ b/tests/unit/test_client.c
@@ -10,6 +10,8 @@
 
 #define IDLE_TIMEOUT_MS 150
 #define DEADLINE_MS 600
+/* Of streams that are active up to the deadline. */
+#define ACTIVE_IDLE_TIMEOUT_MS 300
 /* Below the connect timeout: a refusal must be reported at once. */
 #define REFUSED_WITHIN_MS 700
 
@@ -142,6 +144,31 @@
      .reply = OK "Content-Length: 50\r\n\r\nhello",
      .keeps_open = true,
      .failure = EY_FAILURE_IDLE},
+    {.name = "stalled inside an event",
+     .reply = OK "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n"
+                 "f\r\ndata: 1\n\ndata: \r\n",
+     .repeated = "1\r\nx\r\n",
+     .body_mode = EY_ATTEMPT_EVENTS,
+     .failure = EY_FAILURE_IDLE},
+    {.name = "stalled inside an event without a length",
+     .reply = OK "Content-Type: text/event-stream\r\n\r\n"
+                 "data: 1\n\ndata: ",
+     .repeated = "x",
+     .body_mode = EY_ATTEMPT_EVENTS,
+     .failure = EY_FAILURE_IDLE},
+    {.name = "comments that keep a stream of events open",
+     .reply = OK "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n",
+     .repeated = "3\r\n: \n\r\n",
+     .body_mode = EY_ATTEMPT_EVENTS,
+     .failure = EY_FAILURE_DEADLINE},
+    {.name = "events without end",
+     .reply = OK "Content-Type: text/event-stream\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n",
+     .repeated = "9\r\ndata: 1\n\n\r\n",
+     .body_mode = EY_ATTEMPT_EVENTS,
+     .failure = EY_FAILURE_DEADLINE},
     {.name = "never-ending",
      .reply = OK "Transfer-Encoding: chunked\r\n\r\n",
      .repeated = "1\r\nx\r\n",
@@ -241,6 +268,7 @@
     }
     if (test->failure == EY_FAILURE_DEADLINE) {
         attempt->deadline_ms = EyClock_NowMs() + DEADLINE_MS;
+        attempt->idle_timeout_ms = ACTIVE_IDLE_TIMEOUT_MS;
     }
     EyClient_Start(fixture->client, attempt);
     cr_assert_eq(fixture->event_count, 0);
