Late copies of an answer on a connection in use: eight cases

The copy comes after the check of the kept connection and before the second call's own answer. The ids in the answers tell them apart: the second call fails as wrong_id and its connection isn't used again. All held without a change.

--- a/tests/unit/test_client_kept.c
+++ b/tests/unit/test_client_kept.c
@@ -3,8 +3,11 @@
 #include "client_fixture.h"
 #include "core/clock.h"
 #include "flood.h"
+#include "platform/headers.h"
 
 #include <criterion/criterion.h>
+#include <glib.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -162,3 +165,100 @@
     client_fixture_free(fixture);
     scripted_server_stop(peer);
 }
+
+typedef struct CopyCase {
+    const char *name;
+    const char *copy; /* of the first answer, sent when the second call has
+                         come */
+    EyAttemptBody_t body_mode;
+} CopyCase_t;
+
+#define FIRST_ID "Attempt-Id: order-1\r\nX-Request-Id: order-1\r\n"
+#define OWN OK "Content-Length: 3\r\n"
+#define EVENTS "Content-Type: text/event-stream\r\n"
+
+static const CopyCase_t CopyCases[] = {
+    {"a length", OK FIRST_ID "Content-Length: 4\r\n\r\nevil",
+     EY_ATTEMPT_COLLECT},
+    {"a length, streamed", OK FIRST_ID "Content-Length: 4\r\n\r\nevil",
+     EY_ATTEMPT_STREAM},
+    {"chunks", OK FIRST_ID "Transfer-Encoding: chunked\r\n\r\n"
+                           "4\r\nevil\r\n0\r\n\r\n",
+     EY_ATTEMPT_STREAM},
+    {"events", OK FIRST_ID EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+                                  "c\r\ndata: evil\n\n\r\n0\r\n\r\n",
+     EY_ATTEMPT_EVENTS},
+    {"no content", "HTTP/1.1 204 None\r\n" FIRST_ID "\r\n",
+     EY_ATTEMPT_STREAM},
+    {"a failure", "HTTP/1.1 500 Failed\r\n" FIRST_ID
+                  "Content-Length: 4\r\n\r\nevil",
+     EY_ATTEMPT_STREAM},
+    {"a refusal", "HTTP/1.1 503 Full\r\n" FIRST_ID
+                  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+     EY_ATTEMPT_STREAM},
+    {"a refusal without an id",
+     "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+     EY_ATTEMPT_STREAM},
+};
+
+/** Answers the first call, and the second one with a copy of that answer and
+ * then its own. */
+static void
+serve_copy(ScriptedServer_t *peer, int socket)
+{
+    const CopyCase_t *test = peer->data;
+    char text[RAW_TEXT_MAX_BYTES];
+    for (uint32_t i = 0; scripted_server_read_request(peer, socket, text); i++)
+    {
+        const char *id = strstr(text, "Attempt-Id: ") + strlen("Attempt-Id: ");
+        char *answer = g_strdup_printf(OWN "Attempt-Id: %.*s\r\n\r\nown",
+                                       (int)strcspn(id, "\r\n"), id);
+        if (i == 1) {
+            (void)raw_send_text(socket, test->copy);
+        }
+        (void)raw_send_text(socket, answer);
+        g_free(answer);
+    }
+}
+
+static const EyAttemptEvent_t *
+call_with_id(ClientFixture_t *fixture, uint64_t number, uint16_t port,
+             EyAttemptBody_t body_mode)
+{
+    EyAttempt_t *attempt = make_attempt(number, port, "GET", "/x");
+    EyStream_t *stream = EyStream_New(4096);
+    (void)snprintf(attempt->request_id, sizeof(attempt->request_id),
+                   "order-%lu", number);
+    attempt->names = &EyPlatform_headers;
+    attempt->check_echo = true;
+    attempt->body_mode = body_mode;
+    attempt->collect_max_bytes = 1024;
+    attempt->stream = EyStream_Ref(stream);
+    EyClient_Start(fixture->client, attempt);
+    const EyAttemptEvent_t *event = run_until_ended(fixture, number);
+    EyStream_Unref(stream);
+    return event;
+}
+
+/* The copy comes after the check of the connection that is used again. */
+Test(client_kept, a_late_copy_of_an_answer_reaches_no_later_call)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(CopyCases); i++) {
+        const CopyCase_t *test = &CopyCases[i];
+        ClientFixture_t *fixture = client_fixture_new();
+        ScriptedServer_t *peer = scripted_server_start(serve_copy, test);
+        EyAttemptBody_t mode = test->body_mode;
+        assert_body(call_with_id(fixture, 1, peer->port, mode), "own");
+        const EyAttemptEvent_t *second =
+            call_with_id(fixture, 2, peer->port, mode);
+        cr_expect_eq(second->failure, EY_FAILURE_WRONG_ID, "%s: %s",
+                     test->name, EyAttemptFailure_names[second->failure]);
+        cr_expect_eq(second->bytes_passed, 0, "%s", test->name);
+        cr_expect_eq(count_events(fixture, 2, EY_ATTEMPT_HEAD), 0, "%s",
+                     test->name);
+        assert_body(call_with_id(fixture, 3, peer->port, mode), "own");
+        cr_expect_eq(scripted_server_connections(peer), 2, "%s", test->name);
+        client_fixture_free(fixture);
+        scripted_server_stop(peer);
+    }
+}
