--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -171,6 +171,24 @@
     return status;
 }
 
+static void
+expect_on(int socket, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call_on(socket, "/own/a", headers, &answer), status, "%s",
+                 answer);
+    g_free(answer);
+}
+
+static void
+expect(const char *path, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call(0, path, headers, &answer), status, "%s: %s", path,
+                 answer);
+    g_free(answer);
+}
+
 static void
 await(uint32_t gateway, const char *path, const char *headers, long status)
 {
@@ -357,15 +375,14 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("3", ACCOUNTS("\"" KEY "\"")));
     await(0, "/own/a", Old, 200);
     int socket = raw_connect(Fleet.routed_ports[0]);
-    gchar *answer = NULL;
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 401, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 401);
 
     RoutedGateways_PutRoutes(
         &Fleet, TABLE("4", ACCOUNTS("\"" KEY "\",\"" NEW_KEY "\"")));
     await(0, "/own/a", New, 200);
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 200);
 
     long running = 0;
     GThread *thread = g_thread_new("call", call_slowly, &running);
@@ -373,8 +390,8 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("5", ACCOUNTS("\"" NEW_KEY "\"")));
     await(0, "/own/a", Old, 401);
     cr_expect_eq(running, 0, "the slow call has ended before the key");
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 401, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 401);
+    expect_on(socket, New, 200);
     (void)g_thread_join(thread);
     cr_expect_eq(running, 200);
     (void)close(socket);
@@ -393,12 +410,9 @@
     await(0, "/own/a", Good, 200);
     Process_Signal(&Fleet.control, SIGSTOP);
     Harness_SleepMs(REVOKE_MS);
-    gchar *answer = NULL;
-    cr_expect_eq(call(0, "/own/a", Good, &answer), is_strict ? 503 : 200, "%s",
-                 answer);
-    cr_expect_eq(call(0, "/own/a", "", &answer), is_strict ? 503 : 401, "%s",
-                 answer);
-    cr_expect_eq(call(0, "/open/a", Good, &answer), 200, "%s", answer);
+    expect("/own/a", Good, is_strict ? 503 : 200);
+    expect("/own/a", "", is_strict ? 503 : 401);
+    expect("/open/a", Good, 200);
     Process_Signal(&Fleet.control, SIGCONT);
     await(0, "/own/a", Good, 200);
 }
