--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -50,6 +50,7 @@
 static GMutex SeenLock;
 static gchar *Seen;
 static uint32_t Slots = 8;
+static const char *Fields = ""; /* of its announcements */
 
 static void
 end_all(void)
@@ -115,7 +116,7 @@
                          is_platform ? "platform" : "native");
     Kind = (BackendKind_t){
         .name = label,
-        .fields = "",
+        .fields = Fields,
         .start_field = is_platform ? "born" : "started_at_ms",
         .id_header = is_platform ? "Attempt-Id" : "X-Request-Id",
         .expected_header =
@@ -427,6 +428,42 @@
     play_revocation(false);
 }
 
+/* The table of the test of priorities: a service of model engines, which are
+ * told the urgency. */
+#define ENGINE_TABLE                                                          \
+    "{\"version\":3,\"routes\":[" ROUTE(                                      \
+        "own",                                                                \
+        ",\"public\":true,\"priority\":2") "],\"services\":[{\"name\""        \
+                                           ":\"catalogue\",\"engine\":{"      \
+                                           "\"slots\":8}}],\"accounts\":["    \
+                                           "{\"name\":\"acme\",\"api_keys\":" \
+                                           "[\"" KEY "\"],\"priority\":0},"   \
+                                           "{\"name\":\"plain\",\"api_"       \
+                                           "keys\":[\"" NEW_KEY "\"]}]}"
+
+Test(account_keys, the_priority_of_an_account_goes_before_that_of_the_route)
+{
+    static const uint32_t regions[] = {ISTRA};
+    static const struct {
+        const char *headers;
+        const char *urgency;
+    } Cases[] = {
+        {"", "\r\nRequest-Urgency: 8\r\n"},
+        {BEARER KEY "\r\n", "\r\nRequest-Urgency: 2\r\n"},
+        {BEARER NEW_KEY "\r\n", "\r\nRequest-Urgency: 8\r\n"},
+    };
+    Fields = "\"engine_models\":[{\"name\":\"catalogue\"}],";
+    start("keysurgent", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, ENGINE_TABLE);
+    await(0, "/own/a", "", 200);
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        expect("/own/a", Cases[i].headers, 200);
+        gchar *seen = take_seen();
+        cr_expect_not_null(strstr(seen, Cases[i].urgency), "%zu: %s", i, seen);
+        g_free(seen);
+    }
+}
+
 static gpointer
 call_late(gpointer took_ms)
 {
