--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -30,7 +30,9 @@
     char *name = Labels[index] + strlen("account=\"");
     for (char *c = name; *c != '\0' && c[1] != '\0'; c++) {
         bool is_plain = g_ascii_isprint(*c) && *c != '"' && *c != '\\';
-        *c = is_plain ? *c : '_';
+        if (!is_plain) {
+            *c = '_';
+        }
     }
     AdmittedUnits[index] = (EyMetric_t){
         .name = "quota_admitted_units_total",
--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -42,6 +42,9 @@
     "  backends                          backend servers\n"
     "  replicas                          backend servers as the gateway's\n"
     "                                    routing sees them\n"
+    "  quotas                            accounts with a limit: of the fleet\n"
+    "                                    at a control process that answers\n"
+    "                                    reports, or as a gateway sees them\n"
     "  members                           of the replicated log, as a control\n"
     "                                    process sees them\n\n"
     "A change is based on the version in force, or the one given by\n"
@@ -280,6 +283,36 @@
     return EY_CTL_DONE;
 }
 
+static EyCtlExit_t
+run_quotas(const Ctl_t *self)
+{
+    static const EyCtlColumn_t Columns[] = {
+        {"account", "ACCOUNT"},      {"rate_per_s", "RATE/S"},
+        {"demand_per_s", "ASKED/S"}, {"own_per_s", "ASKED HERE/S"},
+        {"level", "LEVEL"},          {"fraction", "ADMITTED"},
+        {"share", "SHARE"},          {NULL, NULL}};
+    EyCtlExit_t code = EY_CTL_DONE;
+    json_t *json = get(self, "/v1/dump", &code);
+    if (json == NULL) {
+        return code;
+    }
+    json_t *rows = NULL;
+    if (json_unpack(json, "{s:{s:{s:o}}}", "control", "quotas", "accounts",
+                    &rows) != 0)
+    {
+        (void)json_unpack(json, "{s:{s:{s:o}}}", "gateway", "quotas",
+                          "accounts", &rows);
+    }
+    if (self->flags.json) {
+        EyCtlPrint_Json(self->out, rows);
+    }
+    else {
+        EyCtlPrint_Table(self->out, rows, Columns);
+    }
+    json_decref(json);
+    return EY_CTL_DONE;
+}
+
 static EyCtlExit_t
 run_members(const Ctl_t *self)
 {
@@ -637,6 +670,7 @@
     {"instances", NULL, 0, 0, run_instances},
     {"backends", NULL, 0, 0, run_backends},
     {"replicas", NULL, 0, 0, run_replicas},
+    {"quotas", NULL, 0, 0, run_quotas},
     {"members", NULL, 0, 0, run_members},
 };
 
--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -416,41 +416,42 @@
 }
 
 EyQuotaDecision_t
-EyQuotaClient_Admit(EyQuotaClient_t *self, int64_t now_ms, const char *name,
+EyQuotaClient_Admit(EyQuotaClient_t *self, int64_t now_ms, const char *account,
                     double units)
 {
     EyQuotaDecision_t decision = {
         .is_admitted = true, .fraction = 1.0, .age_ms = -1};
-    Account_t *account = find_account(self, now_ms, name);
-    if (account == NULL) {
+    Account_t *state = find_account(self, now_ms, account);
+    if (state == NULL) {
         return decision;
     }
-    account->asked += units;
-    account->calls++;
-    decide(self, account, now_ms, &decision);
-    decision.is_admitted = admit_fraction(self, account, decision.fraction);
+    state->asked += units;
+    state->calls++;
+    decide(self, state, now_ms, &decision);
+    decision.is_admitted = admit_fraction(self, state, decision.fraction);
     if (decision.is_admitted) {
-        advance_level(self, account, now_ms);
-        count_admitted(account, units);
+        advance_level(self, state, now_ms);
+        count_admitted(state, units);
         return decision;
     }
     decision.retry_after_ms = retry_after_ms(self, decision.fraction);
     int64_t window_ms = (int64_t)(self->bounds.window_s * MS_PER_S);
-    decision.is_first_refusal = account->refused_ms == INT64_MIN ||
-                                now_ms - account->refused_ms >= window_ms;
+    decision.is_first_refusal = state->refused_ms == INT64_MIN ||
+                                now_ms - state->refused_ms >= window_ms;
     if (decision.is_first_refusal) {
-        account->refused_ms = now_ms;
+        state->refused_ms = now_ms;
     }
     return decision;
 }
 
 void
-EyQuotaClient_GiveBack(EyQuotaClient_t *self, const char *name, double units)
+EyQuotaClient_GiveBack(EyQuotaClient_t *self, const char *account,
+                       double units)
 {
-    Account_t *account = g_hash_table_lookup(self->accounts, name);
-    if (account != NULL) {
-        account->credit += units;
-        account->level += units;
+    Account_t *state = g_hash_table_lookup(self->accounts, account);
+    if (state != NULL) {
+        state->credit += units;
+        state->level += units;
     }
 }
 
@@ -533,7 +534,7 @@
     self->sent_ms[report->number % REPORTS_KEPT] = now_ms;
     self->reported_ms = now_ms;
     self->interval_ms =
-        REPORT_MS * MAX(report->account_count / REPORT_ACCOUNTS, 1);
+        (int64_t)REPORT_MS * MAX(report->account_count / REPORT_ACCOUNTS, 1);
     report->interval_ms = (uint32_t)self->interval_ms;
     return report;
 }
@@ -680,10 +681,10 @@
             items,
             json_pack("{s:s, s:f, s:f, s:f, s:f, s:f, s:f}", "account",
                       account->limit.name, "rate_per_s",
-                      account->limit.rate_per_s, "asked_per_s",
-                      account->asked_per_s, "fleet_asked_per_s",
-                      account->answer.demand, "fleet_level",
-                      account->answer.level, "fraction",
+                      account->limit.rate_per_s, "own_per_s",
+                      account->asked_per_s, "demand_per_s",
+                      account->answer.demand, "level", account->answer.level,
+                      "fraction",
                       account->has_answer ? account->answer.fraction : 1.0,
                       "share", account->share));
     }
--- a/src/quotas/quota_coordinator.c
+++ b/src/quotas/quota_coordinator.c
@@ -73,6 +73,7 @@
     GPtrArray *constrained; /* Account_t, of which calls are refused */
     int64_t active_from_ms; /* first report; -1: there is none */
     int64_t reported_ms;    /* of any gateway */
+    uint32_t interval_ms;   /* in that report */
     int64_t swept_ms;
     uint32_t reporting_count; /* of gateways that aren't silent */
     uint32_t carried_count;   /* of gateways, by former answers */
@@ -81,6 +82,15 @@
     double fleet_part; /* of the gateways, that report; when ready */
 };
 
+/** Silence of a gateway that reports at this interval is noticed after this
+ * time. */
+static int64_t
+silent_after_ms(uint32_t interval_ms)
+{
+    return MAX(EY_QUOTA_SILENT_MS,
+               REPORTS_MISSED * (int64_t)MIN(interval_ms, INTERVAL_MAX_MS));
+}
+
 static void
 gateway_free(void *data)
 {
@@ -430,14 +440,6 @@
     set_scale(self, now_ms, WHOLE_FLEET_PART);
 }
 
-/** A gateway counts as silent when it hasn't reported for this long. */
-static int64_t
-silent_after_ms(const Gateway_t *gateway)
-{
-    int64_t interval_ms = MIN(gateway->interval_ms, INTERVAL_MAX_MS);
-    return MAX(EY_QUOTA_SILENT_MS, REPORTS_MISSED * interval_ms);
-}
-
 static void
 sweep(EyQuotaCoordinator_t *self, int64_t now_ms)
 {
@@ -454,7 +456,7 @@
         if (gateway->is_silent) {
             reserve(self, gateway, now_ms);
         }
-        else if (silent_ms > silent_after_ms(gateway)) {
+        else if (silent_ms > silent_after_ms(gateway->interval_ms)) {
             begin_silence(self, gateway, now_ms);
         }
         if (silent_ms > FORGOTTEN_MS) {
@@ -624,7 +626,7 @@
                           const EyQuotaReport_t *report)
 {
     if (self->active_from_ms >= 0 &&
-        now_ms - self->reported_ms > EY_QUOTA_SILENT_MS)
+        now_ms - self->reported_ms > silent_after_ms(self->interval_ms))
     {
         reset(self);
     }
@@ -632,6 +634,7 @@
         self->active_from_ms = now_ms;
     }
     self->reported_ms = now_ms;
+    self->interval_ms = report->interval_ms;
     Gateway_t *gateway =
         find_gateway(self, now_ms, from, report->from_incarnation);
     if (report->number <= gateway->report_number) {
