--- a/src/quotas/quota_coordinator.c
+++ b/src/quotas/quota_coordinator.c
@@ -13,6 +13,8 @@
 #define COLLECT_UNKNOWN_MS 1000
 /** Interval at which silent gateways are looked for. */
 #define SWEEP_MS 100
+/** Interval at which the sums of demand are made anew. */
+#define SUM_MS 5000
 /** A gateway is forgotten after this time without a report. */
 #define FORGOTTEN_MS 600000
 /** A coordinator that at least this part of the gateways report to may give
@@ -73,7 +75,9 @@
     GPtrArray *constrained; /* Account_t, of which calls are refused */
     int64_t active_from_ms; /* first report; -1: there is none */
     int64_t reported_ms;    /* of any gateway */
+    uint32_t interval_ms;   /* in that report */
     int64_t swept_ms;
+    int64_t summed_ms;
     uint32_t reporting_count; /* of gateways that aren't silent */
     uint32_t carried_count;   /* of gateways, by former answers */
     bool has_carried_level;
@@ -81,6 +85,15 @@
     double fleet_part; /* of the gateways, that report; when ready */
 };
 
+/** Silence of a gateway that reports at this interval is noticed after this
+ * time. */
+static int64_t
+silent_after_ms(uint32_t interval_ms)
+{
+    return MAX(EY_QUOTA_SILENT_MS,
+               REPORTS_MISSED * (int64_t)MIN(interval_ms, INTERVAL_MAX_MS));
+}
+
 static void
 gateway_free(void *data)
 {
@@ -430,14 +443,6 @@
     set_scale(self, now_ms, WHOLE_FLEET_PART);
 }
 
-/** A gateway counts as silent when it hasn't reported for this long. */
-static int64_t
-silent_after_ms(const Gateway_t *gateway)
-{
-    int64_t interval_ms = MIN(gateway->interval_ms, INTERVAL_MAX_MS);
-    return MAX(EY_QUOTA_SILENT_MS, REPORTS_MISSED * interval_ms);
-}
-
 static void
 sweep(EyQuotaCoordinator_t *self, int64_t now_ms)
 {
@@ -454,14 +459,17 @@
         if (gateway->is_silent) {
             reserve(self, gateway, now_ms);
         }
-        else if (silent_ms > silent_after_ms(gateway)) {
+        else if (silent_ms > silent_after_ms(gateway->interval_ms)) {
             begin_silence(self, gateway, now_ms);
         }
         if (silent_ms > FORGOTTEN_MS) {
             g_hash_table_iter_remove(&iterator);
         }
     }
-    sum_demand(self);
+    if (now_ms - self->summed_ms >= SUM_MS) {
+        self->summed_ms = now_ms;
+        sum_demand(self);
+    }
     if (!self->is_ready) {
         become_ready(self, now_ms);
     }
@@ -624,7 +632,7 @@
                           const EyQuotaReport_t *report)
 {
     if (self->active_from_ms >= 0 &&
-        now_ms - self->reported_ms > EY_QUOTA_SILENT_MS)
+        now_ms - self->reported_ms > silent_after_ms(self->interval_ms))
     {
         reset(self);
     }
@@ -632,6 +640,7 @@
         self->active_from_ms = now_ms;
     }
     self->reported_ms = now_ms;
+    self->interval_ms = report->interval_ms;
     Gateway_t *gateway =
         find_gateway(self, now_ms, from, report->from_incarnation);
     if (report->number <= gateway->report_number) {
--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -50,6 +50,7 @@
 static GMutex SeenLock;
 static gchar *Seen;
 static uint32_t Slots = 8;
+static const char *Fields = ""; /* of its announcements */
 
 static void
 end_all(void)
@@ -115,7 +116,7 @@
                          is_platform ? "platform" : "native");
     Kind = (BackendKind_t){
         .name = label,
-        .fields = "",
+        .fields = Fields,
         .start_field = is_platform ? "born" : "started_at_ms",
         .id_header = is_platform ? "Attempt-Id" : "X-Request-Id",
         .expected_header =
@@ -171,6 +172,24 @@
     return status;
 }
 
+static void
+expect_on(int socket, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call_on(socket, "/own/a", headers, &answer), status, "%s",
+                 answer);
+    g_free(answer);
+}
+
+static void
+expect(const char *path, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call(0, path, headers, &answer), status, "%s: %s", path,
+                 answer);
+    g_free(answer);
+}
+
 static void
 await(uint32_t gateway, const char *path, const char *headers, long status)
 {
@@ -357,15 +376,14 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("3", ACCOUNTS("\"" KEY "\"")));
     await(0, "/own/a", Old, 200);
     int socket = raw_connect(Fleet.routed_ports[0]);
-    gchar *answer = NULL;
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 401, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 401);
 
     RoutedGateways_PutRoutes(
         &Fleet, TABLE("4", ACCOUNTS("\"" KEY "\",\"" NEW_KEY "\"")));
     await(0, "/own/a", New, 200);
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 200);
 
     long running = 0;
     GThread *thread = g_thread_new("call", call_slowly, &running);
@@ -373,8 +391,8 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("5", ACCOUNTS("\"" NEW_KEY "\"")));
     await(0, "/own/a", Old, 401);
     cr_expect_eq(running, 0, "the slow call has ended before the key");
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 401, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 401);
+    expect_on(socket, New, 200);
     (void)g_thread_join(thread);
     cr_expect_eq(running, 200);
     (void)close(socket);
@@ -393,12 +411,9 @@
     await(0, "/own/a", Good, 200);
     Process_Signal(&Fleet.control, SIGSTOP);
     Harness_SleepMs(REVOKE_MS);
-    gchar *answer = NULL;
-    cr_expect_eq(call(0, "/own/a", Good, &answer), is_strict ? 503 : 200, "%s",
-                 answer);
-    cr_expect_eq(call(0, "/own/a", "", &answer), is_strict ? 503 : 401, "%s",
-                 answer);
-    cr_expect_eq(call(0, "/open/a", Good, &answer), 200, "%s", answer);
+    expect("/own/a", Good, is_strict ? 503 : 200);
+    expect("/own/a", "", is_strict ? 503 : 401);
+    expect("/open/a", Good, 200);
     Process_Signal(&Fleet.control, SIGCONT);
     await(0, "/own/a", Good, 200);
 }
@@ -413,6 +428,42 @@
     play_revocation(false);
 }
 
+/* The table of the test of priorities: a service of model engines, which are
+ * told the urgency. */
+#define ENGINE_TABLE                                                          \
+    "{\"version\":3,\"routes\":[" ROUTE(                                      \
+        "own",                                                                \
+        ",\"public\":true,\"priority\":2") "],\"services\":[{\"name\""        \
+                                           ":\"catalogue\",\"engine\":{"      \
+                                           "\"slots\":8}}],\"accounts\":["    \
+                                           "{\"name\":\"acme\",\"api_keys\":" \
+                                           "[\"" KEY "\"],\"priority\":0},"   \
+                                           "{\"name\":\"plain\",\"api_"       \
+                                           "keys\":[\"" NEW_KEY "\"]}]}"
+
+Test(account_keys, the_priority_of_an_account_goes_before_that_of_the_route)
+{
+    static const uint32_t regions[] = {ISTRA};
+    static const struct {
+        const char *headers;
+        const char *urgency;
+    } Cases[] = {
+        {"", "\r\nRequest-Urgency: 8\r\n"},
+        {BEARER KEY "\r\n", "\r\nRequest-Urgency: 2\r\n"},
+        {BEARER NEW_KEY "\r\n", "\r\nRequest-Urgency: 8\r\n"},
+    };
+    Fields = "\"engine_models\":[{\"name\":\"catalogue\"}],";
+    start("keysurgent", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, ENGINE_TABLE);
+    await(0, "/own/a", "", 200);
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        expect("/own/a", Cases[i].headers, 200);
+        gchar *seen = take_seen();
+        cr_expect_not_null(strstr(seen, Cases[i].urgency), "%zu: %s", i, seen);
+        g_free(seen);
+    }
+}
+
 static gpointer
 call_late(gpointer took_ms)
 {
