Predictive routing: cost of a call, remaining work, room by goodput

Cause: placement counted requests and estimated the first event from the prefill ahead alone. Answers of 2 and of 112 events weighed the same, finish_ms was start_ms, and a full batch or a machine that is slow now looked as good as others.

Change, where predictive routing is active for the target: answer_length learns lengths by route and account, engine_cost the step time by number of runs, each engine's relative speed and its machine's speed factor, service_cost the times of services by route. A candidate gets a predicted start, longest gap, end and cost; of two random ones of about the least cost the one with less work is chosen. A candidate has room if one more run keeps the gap between events and the deadlines of the own runs. Updates between gateways carry runs, tokens left and speed factors (13 bytes for an engine). The decision log, the dump and a histogram show predictions and their errors. Other targets are routed as before.

--- a/src/exchange/request.c
+++ b/src/exchange/request.c
@@ -34,6 +34,7 @@
     EY_FIELD(EyCallTerms_t, timeout_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, objective_ms, EY_FIELD_U32),
     EY_FIELD(EyCallTerms_t, routes_version, EY_FIELD_U64),
+    EY_FIELD(EyCallTerms_t, event_gap_ms, EY_FIELD_U32),
     EY_FIELD_END,
 };
 static const EySchema_t TermsSchema = EY_SCHEMA(EyCallTerms_t, TermsFields);
--- a/src/exchange/request.h
+++ b/src/exchange/request.h
@@ -67,6 +67,8 @@
     uint32_t timeout_ms;     /* longest wait for its answer */
     uint32_t objective_ms; /* latency objective of the answer, or of the first
                               event */
+    uint32_t event_gap_ms; /* objective for the pauses between events; 0: none
+                            */
 } EyCallTerms_t;
 
 typedef struct EyHeader {
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -6,6 +6,7 @@
 #include "gateway/attempt_result.h"
 #include "gateway/internal.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Delay after which a caller may retry a failed request. */
@@ -566,8 +567,13 @@
     active->first_byte_timer = NULL;
     active->first_byte_timed_out = false;
     if (from->kind == EY_ATTEMPT_HEAD) {
-        EyRouter_AnswerStarted(active->gateway->router, EyClock_NowMs(),
-                               active->exchange->request->number);
+        EyStartError_t error =
+            EyRouter_AnswerStarted(active->gateway->router, EyClock_NowMs(),
+                                   active->exchange->request->number);
+        if (error.is_predicted) {
+            EyMetric_Observe(&EyGateway_metrics[EY_GATEWAY_START_ERROR],
+                             (int64_t)(fabs(error.error_ms) * 1000.0));
+        }
     }
     event->answer = talloc_steal(NULL, from->answer);
     event->answer->server_version = active->server_version;
--- a/src/gateway/engine_updates.c
+++ b/src/gateway/engine_updates.c
@@ -47,7 +47,8 @@
 {
     return update->engine_count > 0 || update->evidence_count > 0 ||
            update->cleared_count > 0 || update->refuted_count > 0 ||
-           update->limit_count > 0 || update->unreached_count > 0;
+           update->limit_count > 0 || update->unreached_count > 0 ||
+           update->run_count > 0;
 }
 
 static int64_t
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -59,6 +59,11 @@
     [EY_GATEWAY_LATENCY] = {.name = "answer_seconds",
                             .help = "From arrival to the answer's head",
                             .kind = EY_METRIC_HISTOGRAM},
+    [EY_GATEWAY_START_ERROR] = {.name = "predicted_start_error_seconds",
+                                .help = "Difference between the predicted and "
+                                        "the actual time until an answer's "
+                                        "start",
+                                .kind = EY_METRIC_HISTOGRAM},
     [EY_GATEWAY_CLOSE_WAITING] =
         {.name = "caller_close_to_stop_seconds",
          .labels = "way=\"waiting\"",
--- a/src/gateway/route_terms.c
+++ b/src/gateway/route_terms.c
@@ -34,6 +34,7 @@
         .runs_max = route->attempts_max,
         .timeout_ms = EyRouteTable_WholeMs(route->timeout_ms),
         .objective_ms = EyRouteTable_WholeMs(route->latency_objective_ms),
+        .event_gap_ms = EyRouteTable_WholeMs(route->event_gap_ms),
     };
     (void)EY_COPY(request->terms.route, route->name);
     request->streamed = is_stream;
--- a/src/gateway/routing.c
+++ b/src/gateway/routing.c
@@ -11,6 +11,9 @@
  * assumed to share an engine's prefix cache. */
 #define PREFIX_BYTES 512
 
+/** More tokens in an event than this are taken for a mistake. */
+#define STRIDE_MAX 1000
+
 typedef struct RefusalAnswer {
     EyProblem_t problem;
     const char *detail;
@@ -72,6 +75,22 @@
         EY_LOG_NUMBER("retry_after_ms", decision->retry_after_ms));
 }
 
+/** Logs what was predicted for a call that is sent to a server. */
+static void
+log_prediction(const EyActiveRequest_t *active,
+               const EyRoutingDecision_t *decision)
+{
+    EY_LOG(
+        EY_LOG_INFO, "gateway", "prediction",
+        EY_LOG_TEXT("request_id", active->exchange->request->id),
+        EY_LOG_NUMBER("first_event_ms", decision->expected_ms),
+        EY_LOG_NUMBER("end_ms", decision->finish_ms),
+        EY_LOG_NUMBER("pause_ms", decision->pause_ms),
+        EY_LOG_NUMBER("tokens", decision->tokens),
+        EY_LOG_NUMBER("speed_factor_percent", decision->speed_factor * 100.0),
+        EY_LOG_NUMBER("speed_factor_age_ms", decision->factor_age_ms));
+}
+
 static void
 schedule_router_tick(EyGateway_t *self);
 
@@ -79,6 +98,9 @@
 apply_decision(EyActiveRequest_t *active, const EyRoutingDecision_t *decision)
 {
     log_decision(active, decision);
+    if (decision->is_predictive) {
+        log_prediction(active, decision);
+    }
     if (decision->reason == EY_REFUSAL_SUSPECT_PROMPT ||
         decision->reason == EY_REFUSAL_SUSPECT_REQUEST)
     {
@@ -169,6 +191,27 @@
     routing->part_count = count;
 }
 
+/** Tokens in an event of the target's streams. */
+static uint32_t
+stride_of(const EyActiveRequest_t *active)
+{
+    const EyRouteTable_t *routes = active->gateway->node->routes;
+    const EyServiceRule_t *service =
+        routes != NULL ? EyRouteTable_FindService(
+                             routes, active->exchange->request->target)
+                       : NULL;
+    return service != NULL ? CLAMP(service->engine.stride, 1, STRIDE_MAX) : 1;
+}
+
+/** Calls with the same key have similar lengths and times. */
+static uint64_t
+route_key(const EyRequest_t *request)
+{
+    uint64_t hash =
+        XXH64(request->terms.route, strlen(request->terms.route), 0);
+    return XXH64(request->account, strlen(request->account), hash);
+}
+
 static EyRoutingRequest_t
 make_request(const EyActiveRequest_t *active)
 {
@@ -185,6 +228,11 @@
         .priority = request->terms.priority,
         .tokens_max = request->expected_tokens > 0 ? request->expected_tokens
                                                    : request->tokens_max,
+        .length_hint = request->expected_tokens,
+        .tokens_limit = request->tokens_max,
+        .event_gap_ms = is_model ? request->terms.event_gap_ms : 0,
+        .stride = is_model ? stride_of(active) : 0,
+        .route_key = route_key(request),
         .deadline_ms = request->deadline_ms,
         .allowed_regions = active->allowed_regions,
         .allowed_region_count = active->allowed_region_count,
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -47,6 +47,12 @@
     uint32_t objective_ms; /* objective for the start of the answer; 0: none */
     uint32_t priority;     /* 0: highest */
     uint32_t tokens_max;   /* of the answer; 0: unknown */
+    uint32_t length_hint;  /* expected tokens of the answer; 0: none */
+    uint32_t tokens_limit; /* most tokens of the answer; 0: unknown */
+    uint32_t event_gap_ms; /* objective for the pauses between events; 0: none
+                            */
+    uint32_t stride;       /* tokens in an event; 0: 1 */
+    uint64_t route_key;    /* of the route and client account, for learning */
     int64_t deadline_ms;
     EyName_t home; /* region that the data is bound to, or "" */
     const EyName_t *allowed_regions; /* borrowed; if the count is 0: home only,
@@ -115,11 +121,17 @@
                                  of the prompt cached than backend and from
                                  which backend copies it; or "" */
     EyName_t region;          /* FORWARD */
-    double expected_ms;  /* until the answer ends, or, from a model engine,
-                            begins; 0: unknown */
-    double ahead_tokens; /* prompt tokens queued before it at an engine */
-    int64_t load_age_ms; /* age of the engine's load report; < 0: none */
-    EyRefusal_t reason;  /* REFUSE */
+    double expected_ms;    /* until the answer ends, or, from a model engine,
+                              begins; 0: unknown */
+    double ahead_tokens;   /* prompt tokens queued before it at an engine */
+    int64_t load_age_ms;   /* age of the engine's load report; < 0: none */
+    bool is_predictive;    /* DISPATCH: the following fields are set */
+    double finish_ms;      /* until the answer of median length ends */
+    double pause_ms;       /* longest gap between events */
+    double tokens;         /* expected of the answer; 0: unknown */
+    double speed_factor;   /* of the server's machine */
+    int64_t factor_age_ms; /* < 0: it reports none */
+    EyRefusal_t reason;    /* REFUSE */
     uint32_t retry_after_ms;
     bool has_running_bar; /* REFUSE: by a bar that runs, see
                              EySuspicionResult_t */
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -73,6 +73,16 @@
 static const EySchema_t UnreachedSchema =
     EY_SCHEMA(EyUnreachedTarget_t, UnreachedFields);
 
+static const EyField_t RunsFields[] = {
+    EY_FIELD(EyEngineRuns_t, engine, EY_FIELD_U32),
+    EY_FIELD(EyEngineRuns_t, runs, EY_FIELD_U32),
+    EY_FIELD(EyEngineRuns_t, left, EY_FIELD_U32),
+    EY_FIELD(EyEngineRuns_t, factor, EY_FIELD_U32),
+    EY_FIELD(EyEngineRuns_t, factor_age, EY_FIELD_U32),
+    EY_FIELD_END,
+};
+static const EySchema_t RunsSchema = EY_SCHEMA(EyEngineRuns_t, RunsFields);
+
 static const EyField_t UpdateFields[] = {
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, engines, engine_count, WordSchema,
                       EY_ENGINE_UPDATE_ENGINES_MAX),
@@ -88,6 +98,8 @@
                       EY_ENGINE_UPDATE_LIMITS_MAX),
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, unreached, unreached_count,
                       UnreachedSchema, EY_ENGINE_UPDATE_UNREACHED_MAX),
+    EY_FIELD_ARRAY_OF(EyEngineUpdate_t, runs, run_count, RunsSchema,
+                      EY_ENGINE_UPDATE_ENGINES_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyEngineUpdate_schema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -98,6 +98,20 @@
     char key[EY_TARGET_KEY_SIZE_BYTES];
 } EyUnreachedTarget_t;
 
+/** Bounds on the fields of EyEngineRuns_t that are used. */
+#define EY_ENGINE_RUNS_MAX 10000U
+#define EY_ENGINE_RUNS_LEFT_MAX 1000000U
+
+/** The sender's runs at one engine of its region for which predictive routing
+ * is active, and the speed factor that the engine last reported to it. */
+typedef struct EyEngineRuns {
+    uint32_t engine;     /* hash of the engine's id, to keep updates small */
+    uint32_t runs;       /* of the sender */
+    uint32_t left;       /* to generate for them, in 16 tokens */
+    uint32_t factor;     /* in percent; 0: none is known */
+    uint32_t factor_age; /* in 10 ms */
+} EyEngineRuns_t;
+
 /** The update of one gateway. An engine of its region that isn't listed has no
  * pending prefill from the sender. */
 typedef struct EyEngineUpdate {
@@ -115,6 +129,9 @@
     uint32_t limit_count;
     EyUnreachedTarget_t *unreached; /* own region only */
     uint32_t unreached_count;
+    EyEngineRuns_t *runs; /* own region only; an engine that isn't listed has
+                             none */
+    uint32_t run_count;
 } EyEngineUpdate_t;
 
 extern const EySchema_t EyEngineUpdate_schema;
--- a/src/routing/policy.c
+++ b/src/routing/policy.c
@@ -7,6 +7,10 @@
  * load reports don't all choose the same replica. */
 #define NEAR_BEST_FACTOR 1.1
 #define NEAR_BEST_MS 2.0
+/** The same for predicted costs, which include the generation of the answer.
+ */
+#define NEAR_PREDICTED_FACTOR 1.05
+#define NEAR_PREDICTED_MS 10.0
 /** A candidate is preferred for a prompt's shared prefix while its load is at
  * most this many times the mean. */
 #define PREFERRED_LOAD_FACTOR 1.25
@@ -77,6 +81,73 @@
     return preferred < count ? preferred : chosen;
 }
 
+/* The candidates of about the least cost, of which there is at least one. */
+static uint32_t
+count_near_best(const EyCandidate_t *candidates, uint32_t count,
+                double limit_ms)
+{
+    uint32_t near_best = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        near_best += candidates[i].cost_ms <= limit_ms;
+    }
+    return near_best;
+}
+
+/* Index of the n-th candidate of about the least cost. */
+static uint32_t
+near_best_at(const EyCandidate_t *candidates, double limit_ms, uint64_t n)
+{
+    uint32_t i = 0;
+    while (candidates[i].cost_ms > limit_ms || n-- > 0) {
+        i++;
+    }
+    return i;
+}
+
+/* The preferred one of the candidates of about the least cost; count: none. */
+static uint32_t
+find_preferred(const EyCandidate_t *candidates, uint32_t count,
+               double limit_ms)
+{
+    uint32_t preferred = count;
+    double load_max = 0.0;
+    for (uint32_t i = 0; i < count; i++) {
+        const EyCandidate_t *each = &candidates[i];
+        if (each->rank == 0 || each->cost_ms > limit_ms) {
+            continue;
+        }
+        if (load_max <= 0.0) {
+            load_max = mean_load_ratio(candidates, count, limit_ms) *
+                       PREFERRED_LOAD_FACTOR;
+        }
+        bool is_loaded = load_ratio(each) > load_max + 1.0 / each->slots;
+        bool is_higher =
+            preferred == count || each->rank > candidates[preferred].rank;
+        if (!is_loaded && is_higher) {
+            preferred = i;
+        }
+    }
+    return preferred;
+}
+
+uint32_t
+EyPolicy_ChoosePredicted(const EyCandidate_t *candidates, uint32_t count,
+                         EyPolicyState_t *state)
+{
+    double limit_ms = best_cost_ms(candidates, count) * NEAR_PREDICTED_FACTOR +
+                      NEAR_PREDICTED_MS;
+    uint32_t preferred = find_preferred(candidates, count, limit_ms);
+    if (preferred < count) {
+        return preferred;
+    }
+    uint32_t near_best = count_near_best(candidates, count, limit_ms);
+    uint32_t one = near_best_at(candidates, limit_ms,
+                                EyRandom_Below(&state->random, near_best));
+    uint32_t other = near_best_at(candidates, limit_ms,
+                                  EyRandom_Below(&state->random, near_best));
+    return candidates[one].work_ms <= candidates[other].work_ms ? one : other;
+}
+
 static uint32_t
 choose_round_robin(const EyCandidate_t *candidates, uint32_t count,
                    EyPolicyState_t *state)
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -29,6 +29,10 @@
                            cache */
     double new_tokens;  /* prompt tokens that its cache takes in */
     uint64_t rank;      /* breaks ties; 0: they are broken at random */
+    double ahead_tokens; /* prefill ahead of it */
+    double pause_ms;     /* predicted: longest gap between events */
+    double work_ms;      /* predicted: of the requests there */
+    double factor;       /* predicted: speed factor of the machine */
     bool has_room;
 } EyCandidate_t;
 
@@ -48,6 +52,14 @@
     bool waits_for_room;
 } EyPolicy_t;
 
+/** Chooses among candidates with predicted costs: of two random ones whose
+ * cost is about the least, the one with less predicted work; or the one
+ * preferred for the prompt's shared prefix, while its load is about the mean.
+ */
+uint32_t
+EyPolicy_ChoosePredicted(const EyCandidate_t *candidates, uint32_t count,
+                         EyPolicyState_t *state);
+
 /** The policy with that name, or the default for an unknown one. */
 const EyPolicy_t *
 EyPolicy_Find(const char *name);
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -1,6 +1,7 @@
 #include "routing/pool.h"
 
 #include "core/memory.h"
+#include "routing/pool_predictive.h"
 
 #include <math.h>
 #include <string.h>
@@ -161,6 +162,7 @@
     candidate->run_ms =
         candidate->prefill_tokens * token_ms + FIRST_TOKEN_OVERHEAD_MS;
     candidate->finish_ms = candidate->start_ms;
+    candidate->ahead_tokens = ahead;
     /* Prefill also delays all other requests of the engine. */
     candidate->cost_ms =
         candidate->start_ms +
@@ -180,15 +182,18 @@
 }
 
 static EyCandidate_t
-make_candidate(const EyPool_t *self, uint32_t i, const EyPlanInputs_t *inputs,
+make_candidate(EyPool_t *self, uint32_t i, const EyPlanInputs_t *inputs,
                const EyRoutingRequest_t *request, double work)
 {
     EyReplica_t *replica = replica_at(self, i);
     int64_t now_ms = inputs->now_ms;
     EyCandidate_t candidate = {
         .replica = replica,
-        .estimated_requests = EyReplica_EstimatedRequests(
-            replica, now_ms, inputs->config, inputs->gateways),
+        .estimated_requests =
+            self->is_predictive
+                ? EyPool_EstimatedRuns(self, replica, inputs)
+                : EyReplica_EstimatedRequests(replica, now_ms, inputs->config,
+                                              inputs->gateways),
         .slots = EyReplica_Slots(replica, now_ms),
         .unit_ms = EyReplica_UnitMs(replica, now_ms, inputs->config),
     };
@@ -211,6 +216,10 @@
                         EyPromptAffinity_CachedTokens(&self->affinity, replica,
                                                       &cached, request));
     }
+    if (self->is_predictive) {
+        EyPool_Predict(self, &candidate, inputs, request);
+        return candidate;
+    }
     candidate.has_room = has_room(replica, candidate.estimated_requests,
                                   candidate.slots, inputs);
     return candidate;
@@ -252,6 +261,10 @@
         EyPromptAffinity_Find(self->replicas, inputs->remote_caches,
                               inputs->now_ms, request, self->cached);
     g_array_set_size(self->candidates, 0);
+    if (self->is_predictive) {
+        EyPool_OpenPrediction(self, inputs->config);
+        EyPool_ExpectCall(self, request);
+    }
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         if (is_candidate(replica_at(self, i), inputs, request, with_ejected)) {
             EyCandidate_t candidate =
@@ -332,12 +345,19 @@
     if (self->choices->len == 0) {
         return;
     }
-    uint32_t chosen_index = inputs->policy->choose(
-        (const EyCandidate_t *)(const void *)self->choices->data,
-        self->choices->len, inputs->state);
+    bool is_predicted = self->is_predictive && inputs->policy->waits_for_room;
+    uint32_t chosen_index =
+        (is_predicted ? EyPolicy_ChoosePredicted : inputs->policy->choose)(
+            (const EyCandidate_t *)(const void *)self->choices->data,
+            self->choices->len, inputs->state);
     const EyCandidate_t *chosen = candidate_at(self->choices, chosen_index);
     plan->finish_ms = chosen->finish_ms;
     plan->start_ms = chosen->start_ms;
+    plan->pause_ms = chosen->pause_ms;
+    plan->tokens = self->expected.tokens;
+    plan->factor = chosen->factor;
+    plan->slots = chosen->slots;
+    plan->runs = fmin(chosen->estimated_requests + 1.0, chosen->slots);
     plan->prefill_tokens = chosen->prefill_tokens;
     plan->new_tokens = chosen->new_tokens;
     plan->ahead_tokens = chosen->prefill_tokens > 0.0
@@ -460,10 +480,11 @@
 }
 
 static json_t *
-dump_replica(const EyReplica_t *replica, const EyPlanInputs_t *inputs)
+dump_replica(const EyPool_t *self, const EyReplica_t *replica,
+             const EyPlanInputs_t *inputs)
 {
     int64_t now_ms = inputs->now_ms;
-    return json_pack(
+    json_t *json = json_pack(
         "{s:s,s:s,s:b,s:I,s:f,s:i,s:f,s:f,s:f,s:f}", "id",
         replica->backend->id, "state",
         EyBackend_state_names[replica->backend->state], "ejected",
@@ -478,6 +499,12 @@
         "slots", EyReplica_Slots(replica, now_ms), "share",
         EyOutlier_Share(&replica->outlier, now_ms), "unit_ms",
         EyReplica_UnitMs(replica, now_ms, inputs->config));
+    if (self->is_predictive) {
+        (void)json_object_set_new(
+            json, "predicted",
+            EyPool_DumpReplicaPrediction(self, replica, inputs));
+    }
+    return json;
 }
 
 json_t *
@@ -486,10 +513,16 @@
     json_t *replicas = json_array();
     for (uint32_t i = 0; i < self->replicas->len; i++) {
         json_array_append_new(replicas,
-                              dump_replica(replica_at(self, i), inputs));
+                              dump_replica(self, replica_at(self, i), inputs));
+    }
+    json_t *json =
+        json_pack("{s:s,s:i,s:f,s:i,s:o}", "target", self->key, "waiting",
+                  (int)EyAdmissionQueue_Length(self->queue), "waiting_work",
+                  self->queue->work, "in_flight", (int)self->in_flight_count,
+                  "replicas", replicas);
+    if (self->is_predictive) {
+        (void)json_object_set_new(json, "predicted",
+                                  EyPool_DumpPrediction(self));
     }
-    return json_pack("{s:s,s:i,s:f,s:i,s:o}", "target", self->key, "waiting",
-                     (int)EyAdmissionQueue_Length(self->queue), "waiting_work",
-                     self->queue->work, "in_flight",
-                     (int)self->in_flight_count, "replicas", replicas);
+    return json;
 }
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -12,6 +12,7 @@
 #include "routing/remote_caches.h"
 #include "routing/replica.h"
 #include "routing/server_limits.h"
+#include "routing/service_cost.h"
 #include "routing/urgency.h"
 
 #ifdef __cplusplus
@@ -21,6 +22,15 @@
 /** Size of the buffer for EyPool_Key. */
 #define EY_POOL_KEY_SIZE_BYTES EY_TARGET_KEY_SIZE_BYTES
 
+/** What is expected of the call being planned, at any replica. */
+typedef struct EyExpectedCall {
+    EyLengthEstimate_t length;
+    double tokens; /* 0: no model engine */
+    double likely_tokens;
+    EyWorkTime_t work_time; /* of a service */
+    bool has_work_time;
+} EyExpectedCall_t;
+
 typedef struct EyPool {
     char key[EY_POOL_KEY_SIZE_BYTES];
     EyBackendKind_t kind;
@@ -35,6 +45,13 @@
     GArray *cached;     /* of EyCachedPrompt_t: of the replicas for it */
     GArray *candidates; /* scratch arrays of EyPool_Plan */
     GArray *choices;
+    EyStepTime_t step;             /* of a model's engines */
+    double prefill_token_ms;       /* of a typical one of them, usual speed */
+    EyAnswerLengths_t *lengths;    /* NULL: not predictive so far, or a service
+                                    */
+    EyServiceCost_t *service_cost; /* the same for services */
+    EyExpectedCall_t expected;
+    int64_t runs_refreshed_ms;
     int64_t factor_ms; /* when a replica last reported a speed factor; below 0:
                           never */
     bool is_predictive; /* predictive routing is active for the target */
@@ -68,6 +85,11 @@
     double new_tokens;        /* that chosen's cache takes in */
     double ahead_tokens;      /* prefill queued before them */
     double slowdown;          /* expected at chosen, see EyReplica_Slowdown */
+    double pause_ms;          /* predicted: longest gap between events */
+    double tokens;            /* predicted: of the answer */
+    double factor;            /* predicted: speed factor of chosen's machine */
+    double runs;              /* predicted: at chosen, with it */
+    double slots;             /* of chosen */
     double queued_finish_ms;  /* expected time to the end if it waits */
     double best_run_ms;       /* on the fastest replica without waiting */
     double work_per_ms;       /* rate at which the queue drains */
--- a/src/routing/replica.c
+++ b/src/routing/replica.c
@@ -59,6 +59,7 @@
     EyReplica_t *self = EY_NEW(ctx, EyReplica_t);
     self->backend = EyBackend_Copy(self, backend);
     self->report_ms = now_ms;
+    self->cost.slowness = backend->speed > 0.0 ? 1.0 / backend->speed : 0.0;
     self->prefixes.capacity_tokens = (uint64_t)backend->cache_tokens;
     return self;
 }
@@ -78,6 +79,7 @@
         self->paused_until_ms = 0;
         EyPrefixHints_Clear(&self->prefixes);
         self->engine.has_report = false;
+        self->cost.factor = (EySpeedFactor_t){.current = 0.0};
         EyOutlier_StartSlowStart(&self->outlier, now_ms);
     }
     self->prefixes.capacity_tokens = (uint64_t)backend->cache_tokens;
@@ -170,6 +172,19 @@
     }
 }
 
+/** Removes what a request that ends had left to generate. */
+static void
+end_generation(EyReplica_t *self, EyInFlight_t *in_flight)
+{
+    EyEngineCost_t *cost = &self->cost;
+    if (in_flight->run.left_tokens > 0.0) {
+        cost->own_runs -= cost->own_runs > 0;
+        cost->own_left_tokens =
+            fmax(cost->own_left_tokens - in_flight->run.left_tokens, 0.0);
+        in_flight->run.left_tokens = 0.0;
+    }
+}
+
 static void
 unlink_request(EyReplica_t *self, EyInFlight_t *in_flight)
 {
@@ -186,6 +201,7 @@
         self->newest = in_flight->older;
     }
     end_prefill(self, in_flight);
+    end_generation(self, in_flight);
     in_flight->replica = NULL;
     self->outstanding--;
 }
--- a/src/routing/replica.h
+++ b/src/routing/replica.h
@@ -11,8 +11,10 @@
 #define EY_ROUTING_REPLICA_H
 
 #include "backends/backend.h"
+#include "routing/answer_length.h"
 #include "routing/cold_limiter.h"
 #include "routing/decision.h"
+#include "routing/engine_cost.h"
 #include "routing/engine_load.h"
 #include "routing/outlier.h"
 #include "routing/prefix_hint.h"
@@ -32,6 +34,24 @@
 struct EyPool;
 struct EyReplica;
 
+/** What was predicted for a dispatched request, and what it has left. */
+typedef struct EyPredictedRun {
+    bool is_predicted; /* predictive routing was active when it was sent */
+    EyLengthTerms_t length_terms;
+    EyLengthEstimate_t length;
+    double left_tokens;    /* counted in the replica's own_left_tokens; 0: not
+                              counted */
+    double stride;         /* tokens in an event */
+    double predicted_ms;   /* until the answer begins */
+    double first_event_ms; /* learned when it was sent */
+    double factor;         /* expected speed factor */
+    double runs;           /* at the replica when it was sent, with it */
+    double factor_integral_ms; /* when it was sent or, later, begun */
+    int64_t begun_ms;          /* 0: not yet */
+    bool had_slot;             /* the replica's slots weren't all busy */
+    int64_t deadline_ms;
+} EyPredictedRun_t;
+
 /** A dispatched or forwarded request that hasn't ended. */
 typedef struct EyInFlight {
     uint64_t number;
@@ -44,6 +64,7 @@
                               the answer has begun */
     double ahead_tokens;   /* prefill queued before them when it was sent */
     int64_t started_ms;
+    EyPredictedRun_t run;
     struct EyInFlight *older; /* links of the replica's list */
     struct EyInFlight *newer;
 } EyInFlight_t;
@@ -67,6 +88,7 @@
                                      server answered at its address */
     int64_t paused_until_ms;      /* it asked for no requests until then */
     EyEngineLoad_t engine;
+    EyEngineCost_t cost;
     int64_t last_answer_ms;  /* time of the last answer or start of an answer;
                                 0: never */
     bool has_malformed_load; /* one of its load reports was malformed */
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -1,5 +1,6 @@
 #include "core/memory.h"
 #include "core/random.h"
+#include "routing/pool_predictive.h"
 #include "routing/router_internal.h"
 
 #include <math.h>
@@ -212,6 +213,9 @@
                               request);
     EyReplica_TakeTokens(plan->chosen, (uint64_t)plan->new_tokens);
     EyReplica_AddRequest(plan->chosen, now_ms, &tracked->in_flight);
+    if (pool->is_predictive) {
+        EyPool_BeginRun(pool, now_ms, &tracked->in_flight, request, plan);
+    }
     EyServerLimits_Spend(self->limits, now_ms, plan->chosen->backend,
                          &self->ranks);
     ey_router_track_parts(self, now_ms, request, tracked,
@@ -225,6 +229,15 @@
         .ahead_tokens = plan->ahead_tokens,
         .load_age_ms = load->has_report ? now_ms - load->reported_ms : -1,
     };
+    if (pool->is_predictive) {
+        const EySpeedFactor_t *factor = &plan->chosen->cost.factor;
+        decision.is_predictive = true;
+        decision.finish_ms = plan->finish_ms;
+        decision.pause_ms = plan->pause_ms;
+        decision.tokens = plan->tokens;
+        decision.speed_factor = plan->factor;
+        decision.factor_age_ms = EySpeedFactor_AgeMs(factor, now_ms);
+    }
     (void)EY_COPY(decision.backend, plan->chosen->backend->id);
     (void)EY_COPY(decision.address, plan->chosen->backend->address);
     if (plan->cache_source != NULL) {
@@ -381,6 +394,18 @@
                : finish_ms * EyRoutingConfig_ForwardGain(&self->config);
 }
 
+/* The expected time to its end up to which a request is queued. If the end is
+ * predicted, the share applies to what the run itself leaves of the time. */
+static double
+queue_limit_ms(const EyRouter_t *self, const EyPool_t *pool,
+               const EyPlan_t *plan, double left_ms)
+{
+    double share = EyRoutingConfig_QueueTimeShare(&self->config);
+    double run_ms =
+        pool->is_predictive ? fmin(plan->best_run_ms, left_ms) : 0.0;
+    return run_ms + (left_ms - run_ms) * share;
+}
+
 static EyRoutingDecision_t
 decide(EyRouter_t *self, int64_t now_ms, const EyRoutingRequest_t *request)
 {
@@ -413,9 +438,7 @@
         return forward;
     }
     double limit_ms =
-        dispatches_now
-            ? left_ms
-            : left_ms * EyRoutingConfig_QueueTimeShare(&self->config);
+        dispatches_now ? left_ms : queue_limit_ms(self, pool, &plan, left_ms);
     if (self->config.admission && finish_ms > limit_ms) {
         return refuse(self, request->number, EY_REFUSAL_OVERLOADED,
                       finish_ms - limit_ms);
@@ -683,6 +706,9 @@
     if (replica == NULL) {
         return;
     }
+    if (in_flight->pool != NULL) {
+        EyPool_LearnEnd(in_flight->pool, now_ms, in_flight, result);
+    }
     EyReplica_FinishRequest(replica, now_ms, in_flight, result);
     if (result->kind == EY_RESULT_MISDIRECTED) {
         replica->misdirected_until_ms = now_ms + MISDIRECTED_PAUSE_MS;
@@ -693,18 +719,21 @@
     }
 }
 
-void
+EyStartError_t
 EyRouter_AnswerStarted(EyRouter_t *self, int64_t now_ms, uint64_t number)
 {
+    EyStartError_t error = {.is_predicted = false};
     EyTrackedRequest_t *tracked = g_hash_table_lookup(self->tracked, &number);
     if (tracked != NULL) {
         ey_router_track_answer(self, now_ms, tracked);
         ey_router_note_reached(self, now_ms, tracked);
     }
     if (tracked != NULL && tracked->in_flight.replica != NULL) {
+        error = ey_router_learn_start(self, now_ms, &tracked->in_flight);
         EyReplica_AnswerStarted(tracked->in_flight.replica, now_ms,
                                 &tracked->in_flight);
     }
+    return error;
 }
 
 int64_t
--- a/src/routing/router.h
+++ b/src/routing/router.h
@@ -33,6 +33,12 @@
     EyRoutingConfig_t config;
 } EyRouterOptions_t;
 
+/** Errors of predicted starts of answers are counted by their size: up to
+ * EY_START_ERROR_FIRST_MS, up to twice that, and so on; the last bucket has
+ * all larger ones. */
+#define EY_START_ERROR_BUCKETS 8
+#define EY_START_ERROR_FIRST_MS 25.0
+
 /** Counters since the start. */
 typedef struct EyRoutingStats {
     uint64_t decisions[EY_DECISION_KIND_COUNT];
@@ -40,6 +46,8 @@
     uint64_t ejections;
     uint64_t retries;
     uint64_t forwarded_bytes;
+    uint64_t start_errors[EY_START_ERROR_BUCKETS];
+    uint64_t late_starts; /* later than predicted */
 } EyRoutingStats_t;
 
 EyRouter_t *
@@ -133,8 +141,14 @@
 EyRouter_Submit(EyRouter_t *self, int64_t now_ms,
                 const EyRoutingRequest_t *request);
 
+/** How far a predicted start of an answer was off. */
+typedef struct EyStartError {
+    bool is_predicted;
+    double error_ms; /* above 0: later than predicted */
+} EyStartError_t;
+
 /** The answer to a dispatched request has begun. */
-void
+EyStartError_t
 EyRouter_AnswerStarted(EyRouter_t *self, int64_t now_ms, uint64_t number);
 
 /** Time since the server last answered or began to answer; INT64_MAX: never.
--- a/src/routing/router_backends.c
+++ b/src/routing/router_backends.c
@@ -76,6 +76,7 @@
         EyOutlier_StartSlowStart(&replica->outlier, now_ms);
     }
     g_hash_table_insert(self->replicas, replica->backend->id, replica);
+    ey_router_index_engine(self, replica);
     each_target(backend, self, now_ms, replica, EyPool_AddReplica);
 }
 
@@ -113,6 +114,7 @@
         EyColdLimiters_Keep(self->cold_limiters, now_ms, id,
                             &replica->cold_limiter);
         EyReplica_DetachRequests(replica);
+        ey_router_unindex_engine(self, replica);
         each_target(replica->backend, self, now_ms, replica,
                     EyPool_RemoveReplica);
         g_hash_table_remove(self->replicas, id);
--- a/src/routing/router_engine_update.c
+++ b/src/routing/router_engine_update.c
@@ -23,6 +23,7 @@
 typedef struct SenderState {
     int64_t received_ms;
     GArray *prefills; /* of PendingPrefill_t */
+    GArray *runs;     /* see router_run_updates.c */
 } SenderState_t;
 
 static void
@@ -30,6 +31,7 @@
 {
     SenderState_t *sender = data;
     g_array_free(sender->prefills, TRUE);
+    g_array_free(sender->runs, TRUE);
     g_free(sender);
 }
 
@@ -42,6 +44,7 @@
 void
 ey_router_open_engine_updates(EyRouter_t *self)
 {
+    self->engines = g_hash_table_new(g_direct_hash, g_direct_equal);
     self->updates =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_sender);
     self->reported_prefixes =
@@ -59,6 +62,7 @@
 ey_router_close_engine_updates(EyRouter_t *self)
 {
     g_hash_table_unref(self->updates);
+    g_hash_table_unref(self->engines);
     g_hash_table_unref(self->reported_prefixes);
     for (int i = 0; i < EY_ENGINE_UPDATE_SCOPE_COUNT; i++) {
         g_hash_table_unref(self->unreported_prefixes[i]);
@@ -160,6 +164,7 @@
         const SenderState_t *sender = value;
         if (now_ms - sender->received_ms > UPDATE_TTL_MS) {
             count_prefills(self, sender, -1.0);
+            ey_router_drop_runs(self, sender->runs);
             g_hash_table_iter_remove(&iterator);
         }
     }
@@ -249,6 +254,7 @@
     if (scope == EY_ENGINE_UPDATE_OWN_REGION) {
         EyServerLimits_Collect(self->limits, now_ms, update);
         ey_router_collect_unreached(self, update);
+        ey_router_collect_runs(self, now_ms, update);
         relay_remote(self, update);
         drop_expired(self, now_ms);
         (void)g_hash_table_foreach_remove(self->reported_prefixes, is_expired,
@@ -293,9 +299,11 @@
     if (sender == NULL) {
         sender = g_new0(SenderState_t, 1);
         sender->prefills = g_array_new(FALSE, FALSE, sizeof(PendingPrefill_t));
+        sender->runs = ey_router_new_runs();
         (void)g_hash_table_insert(self->updates, g_strdup(from), sender);
     }
     count_prefills(self, sender, -1.0);
+    ey_router_drop_runs(self, sender->runs);
     g_array_set_size(sender->prefills, 0);
     sender->received_ms = now_ms;
     return sender;
@@ -337,6 +345,7 @@
     }
     if (sender != NULL) {
         count_prefills(self, sender, 1.0);
+        ey_router_apply_runs(self, now_ms, sender->runs, update);
         EyServerLimits_Apply(self->limits, now_ms, update);
         EyNeighbours_Set(self->neighbours, now_ms, from, update->unreached,
                          update->unreached_count);
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -62,6 +62,7 @@
     EyServerLimits_t *limits;
     EyColdLimiters_t *cold_limiters; /* of servers that were unlisted */
     EyRoutingStats_t stats;
+    GHashTable *engines; /* by the hash of the id, of borrowed EyReplica_t */
     GHashTable *updates; /* by id, last updates of other gateways */
     GHashTable
         *reported_prefixes; /* by engine and prefix, time of the last report */
@@ -221,12 +222,49 @@
 uint32_t
 ey_router_reporting_gateways(const EyRouter_t *self);
 
+/** The answer to a request has begun. */
+EyStartError_t
+ey_router_learn_start(EyRouter_t *self, int64_t now_ms,
+                      EyInFlight_t *in_flight);
+
+/** A replica reported a speed factor at this time. */
+void
+ey_router_note_factor(EyRouter_t *self, int64_t now_ms, EyReplica_t *replica,
+                      double speed_factor);
+
+/* router_run_updates.c */
+
+/** Makes the replica known by the hash of its id, or no longer. */
+void
+ey_router_index_engine(EyRouter_t *self, EyReplica_t *replica);
+
+void
+ey_router_unindex_engine(EyRouter_t *self, const EyReplica_t *replica);
+
+/** Makes the array of what a gateway reports of its runs. */
+GArray *
+ey_router_new_runs(void);
+
+/** Adds the own runs to the update. */
+void
+ey_router_collect_runs(EyRouter_t *self, int64_t now_ms,
+                       EyEngineUpdate_t *update);
+
+/** Stores what another gateway reports of its runs into its empty array. */
+void
+ey_router_apply_runs(EyRouter_t *self, int64_t now_ms, GArray *runs,
+                     const EyEngineUpdate_t *update);
+
+/** Empties the array of what a gateway reported. */
+void
+ey_router_drop_runs(EyRouter_t *self, GArray *runs);
+
 /* router_predictive.c */
 
-/** Updates whether predictive routing is active for the pool. */
+/** Updates whether predictive routing is active for the pool, and what its
+ * runs have left. */
 void
-ey_router_refresh_predictive(const EyRouter_t *self, int64_t now_ms,
-                             EyPool_t *pool);
+ey_router_refresh_predictive(EyRouter_t *self, int64_t now_ms, EyPool_t *pool);
 
 /** The inputs of a plan at this time. */
 EyPlanInputs_t
--- a/src/routing/router_report.c
+++ b/src/routing/router_report.c
@@ -50,6 +50,17 @@
     return json;
 }
 
+static json_t *
+dump_start_errors(const EyRoutingStats_t *stats)
+{
+    json_t *json = json_array();
+    for (uint32_t i = 0; i < EY_START_ERROR_BUCKETS; i++) {
+        json_array_append_new(
+            json, json_integer((json_int_t)stats->start_errors[i]));
+    }
+    return json;
+}
+
 json_t *
 EyRouter_Dump(EyRouter_t *self, int64_t now_ms)
 {
@@ -66,7 +77,7 @@
         json_array_append_new(pools, dumped);
     }
     return json_pack(
-        "{s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:o,s:o,s:o,s:o}", "policy",
+        "{s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:o,s:o,s:o,s:o,s:o,s:I}", "policy",
         self->policy->name, "gateways", (int)self->gateways, "waiting",
         (int)EyRouter_Waiting(self), "in_flight", (int)EyRouter_InFlight(self),
         "retries", (json_int_t)self->stats.retries, "ejections",
@@ -74,5 +85,7 @@
         (json_int_t)self->stats.forwarded_bytes, "refusals",
         dump_refusals(&self->stats), "pools", pools, "regions",
         EyRemoteRegions_Dump(self->remote_regions, now_ms), "barred_parts",
-        EyCrashSuspects_Dump(self->suspects, now_ms));
+        EyCrashSuspects_Dump(self->suspects, now_ms), "start_errors",
+        dump_start_errors(&self->stats), "late_starts",
+        (json_int_t)self->stats.late_starts);
 }
--- a/tests/bench/routing_cost.c
+++ b/tests/bench/routing_cost.c
@@ -96,6 +96,45 @@
     return spent_us;
 }
 
+/* Submits, starts and finishes calls with a prompt at model engines, of which
+ * some are always running; returns the microseconds for each. */
+static double
+measure_engine_call(uint32_t replicas, EyPredictiveMode_t mode)
+{
+    enum { RUNNING = 64 };
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, replicas, false);
+    EyRoutingConfig_t config = EyRoutingConfig_Make();
+    config.predictive = mode;
+    EyRouter_SetConfig(router, &config);
+    GArray *decisions = g_array_new(FALSE, FALSE, sizeof(EyRoutingDecision_t));
+    EyRouter_Tick(router, 1000, decisions);
+    const EyRoutingResult_t result = {.kind = EY_RESULT_OK,
+                                      .duration_ms = 1000,
+                                      .tokens = 30,
+                                      .answer_end = EY_ANSWER_END_COMPLETE};
+    int64_t start_us = EyClock_NowUs();
+    for (uint64_t i = 0; i < ROUNDS; i++) {
+        int64_t now_ms = 1000 + (int64_t)(i / 8);
+        EyRoutingRequest_t request = make_request(i);
+        request.prompt_tokens = 1500;
+        request.length_hint = 200;
+        request.tokens_limit = 1000;
+        request.objective_ms = 1200;
+        request.stride = 10;
+        (void)EyRouter_Submit(router, now_ms, &request);
+        if (i >= RUNNING) {
+            (void)EyRouter_AnswerStarted(router, now_ms, i - RUNNING);
+            (void)EyRouter_Finished(router, now_ms, i - RUNNING, &result,
+                                    decisions);
+        }
+    }
+    double spent_us = (double)(EyClock_NowUs() - start_us) / ROUNDS;
+    g_array_unref(decisions);
+    talloc_free(ctx);
+    return spent_us;
+}
+
 static double
 measure_memory_kb(uint32_t replicas)
 {
@@ -110,13 +149,16 @@
 int
 main(void)
 {
-    static const uint32_t counts[] = {4, 16, 64, 128, 256, 370, 512};
+    static const uint32_t counts[] = {4, 16, 46, 64, 128, 256, 370, 512};
     printf("replicas,submit_and_finish_us,tick_16_waiting_us,"
-           "tick_500_waiting_us,memory_kb\n");
+           "tick_500_waiting_us,memory_kb,engine_call_us,"
+           "predictive_engine_call_us\n");
     for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
-        printf("%u,%.2f,%.1f,%.1f,%.1f\n", counts[i],
+        printf("%u,%.2f,%.1f,%.1f,%.1f,%.2f,%.2f\n", counts[i],
                measure_decision(counts[i]), measure_tick(counts[i], 16),
-               measure_tick(counts[i], 500), measure_memory_kb(counts[i]));
+               measure_tick(counts[i], 500), measure_memory_kb(counts[i]),
+               measure_engine_call(counts[i], EY_PREDICTIVE_OFF),
+               measure_engine_call(counts[i], EY_PREDICTIVE_ON));
     }
     return 0;
 }
