--- a/src/operators/ctl.c
+++ b/src/operators/ctl.c
@@ -274,7 +274,7 @@
         {"level", "LEVEL"},          {"fraction", "ADMITTED"},
         {"share", "SHARE"},          {NULL, NULL}};
     EyCtlExit_t code = EY_CTL_DONE;
-    json_t *json = get(self, "/v1/dump", &code);
+    json_t *json = EyCtl_Get(self, "/v1/dump", &code);
     if (json == NULL) {
         return code;
     }
