One client account gets half of the memory for buffers at most

The memory for bodies and for what is buffered of answers is limited for the process only, and one account's slow callers could take all of it. A budget may now be a part of another one, and each account has one of half the total, for both kinds; accounts share 4096 budgets by a seeded hash. Requests without an account are counted as before.

--- a/src/callers/server.c
+++ b/src/callers/server.c
@@ -270,6 +270,16 @@
     (void)pthread_mutex_unlock(&self->lock);
 }
 
+/** What the body of the request is counted towards. */
+static EyMemoryBudget_t *
+body_budget(const EyServer_t *self, const EyRequest_t *request)
+{
+    return self->hooks.account_bodies != NULL
+               ? EyAccountBudgets_Of(self->hooks.account_bodies,
+                                     request->account)
+               : self->hooks.bodies;
+}
+
 /** Makes the request's share of the memory for bodies large enough; returns
  * the refusal if there is no room. */
 static EyAnswer_t *
@@ -279,7 +289,7 @@
     bool has_room = true;
     if (inbound->body_share == NULL) {
         inbound->body_share = EyMemoryBudget_Take(
-            self->hooks.bodies, inbound->request, size_bytes);
+            body_budget(self, inbound->request), inbound->request, size_bytes);
         has_room = inbound->body_share != NULL;
     }
     else {
--- a/src/callers/server.h
+++ b/src/callers/server.h
@@ -5,6 +5,7 @@
 #ifndef EY_CALLERS_SERVER_H
 #define EY_CALLERS_SERVER_H
 
+#include "core/account_budgets.h"
 #include "core/error.h"
 #include "core/memory_budget.h"
 #include "exchange/answer.h"
@@ -39,6 +40,8 @@
     /** For bodies, from the head of a request until the request is freed;
      * NULL: EY_SERVER_BODIES_BYTES, for all servers without one. */
     EyMemoryBudget_t *bodies;
+    /** What one client account may take of them; NULL: all. */
+    EyAccountBudgets_t *account_bodies;
     /** Connections on each address; 0: EY_SERVER_CONNECTIONS_MAX. */
     uint32_t connections_max;
 } EyServerHooks_t;
--- a/src/core/memory_budget.c
+++ b/src/core/memory_budget.c
@@ -7,24 +7,36 @@
     uint64_t size_bytes;
 };
 
+/** Gives bytes back to the budget and to those above it, up to but without
+ * end. */
+static void
+give_back(EyMemoryBudget_t *budget, const EyMemoryBudget_t *end,
+          uint64_t size_bytes)
+{
+    for (; budget != end; budget = budget->parent) {
+        (void)__atomic_sub_fetch(&budget->used_bytes, size_bytes,
+                                 __ATOMIC_RELAXED);
+    }
+}
+
 static bool
 take(EyMemoryBudget_t *budget, uint64_t size_bytes)
 {
-    uint64_t used_bytes =
-        __atomic_add_fetch(&budget->used_bytes, size_bytes, __ATOMIC_RELAXED);
-    if (used_bytes <= budget->limit_bytes) {
-        return true;
+    for (EyMemoryBudget_t *at = budget; at != NULL; at = at->parent) {
+        uint64_t used_bytes =
+            __atomic_add_fetch(&at->used_bytes, size_bytes, __ATOMIC_RELAXED);
+        if (used_bytes > at->limit_bytes) {
+            give_back(budget, at->parent, size_bytes);
+            return false;
+        }
     }
-    (void)__atomic_sub_fetch(&budget->used_bytes, size_bytes,
-                             __ATOMIC_RELAXED);
-    return false;
+    return true;
 }
 
 static int
 destroy(EyMemoryShare_t *self)
 {
-    (void)__atomic_sub_fetch(&self->budget->used_bytes, self->size_bytes,
-                             __ATOMIC_RELAXED);
+    give_back(self->budget, NULL, self->size_bytes);
     return 0;
 }
 
@@ -76,7 +88,12 @@
 bool
 EyMemoryBudget_IsScarce(const EyMemoryBudget_t *self)
 {
-    return EyMemoryBudget_UsedBytes(self) > self->limit_bytes / 2;
+    for (; self != NULL; self = self->parent) {
+        if (EyMemoryBudget_UsedBytes(self) > self->limit_bytes / 2) {
+            return true;
+        }
+    }
+    return false;
 }
 
 uint64_t
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -1,6 +1,7 @@
 /**
  * A limit on the memory that a process uses for one purpose, over all threads.
- * A share of it belongs to a talloc object and is given back with it.
+ * A share of it belongs to a talloc object and is given back with it. A budget
+ * may be a part of another one: what is taken of it is taken of both.
  */
 #ifndef EY_CORE_MEMORY_BUDGET_H
 #define EY_CORE_MEMORY_BUDGET_H
@@ -14,7 +15,8 @@
 
 typedef struct EyMemoryBudget {
     uint64_t limit_bytes;
-    uint64_t used_bytes; /* atomic */
+    uint64_t used_bytes;           /* atomic */
+    struct EyMemoryBudget *parent; /* must outlive it; NULL: none */
 } EyMemoryBudget_t;
 
 typedef struct EyMemoryShare EyMemoryShare_t;
@@ -41,7 +43,8 @@
 EyMemoryBudget_Cover(EyMemoryBudget_t *self, const void *ctx,
                      EyMemoryShare_t **share, uint64_t size_bytes);
 
-/** True if less than half of the budget is left. */
+/** True if less than half of the budget, or of one that it is a part of, is
+ * left. */
 bool
 EyMemoryBudget_IsScarce(const EyMemoryBudget_t *self);
 
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -229,6 +229,13 @@
     return exchange->needs_claim ? NULL : exchange->request->cancellation;
 }
 
+EyMemoryBudget_t *
+EyActiveRequest_Answers(const EyActiveRequest_t *self)
+{
+    return EyAccountBudgets_Of(self->gateway->node->account_answers,
+                               self->exchange->request->account);
+}
+
 static EyAttempt_t *
 make_attempt(EyActiveRequest_t *active, const EyExchangeAction_t *action,
              const EyBackend_t *backend)
@@ -271,7 +278,7 @@
     attempt->may_repeat = exchange->is_idempotent;
     attempt->deadline_ms = request->deadline_ms;
     attempt->body_mode = body_mode(exchange);
-    attempt->answers = &active->gateway->node->answers;
+    attempt->answers = EyActiveRequest_Answers(active);
     attempt->continues_stream = action->continues_stream;
     attempt->resume_after = request->resume_after + action->resume_after;
     (void)EY_COPY(attempt->last_event, action->last_event[0] != '\0'
@@ -287,7 +294,7 @@
     }
     if (active->stream == NULL) {
         active->stream = EyStream_New(EY_GATEWAY_STREAM_BYTES);
-        EyStream_SetBudget(active->stream, &active->gateway->node->answers);
+        EyStream_SetBudget(active->stream, attempt->answers);
     }
     attempt->stream = EyStream_Ref(active->stream);
     return attempt;
--- a/src/gateway/forward_client.c
+++ b/src/gateway/forward_client.c
@@ -171,7 +171,7 @@
 take_memory(EyActiveRequest_t *active, EyAnswer_t *answer)
 {
     EyMemoryShare_t *share = NULL;
-    return EyMemoryBudget_Cover(&active->gateway->node->answers, answer,
+    return EyMemoryBudget_Cover(EyActiveRequest_Answers(active), answer,
                                 &share, answer->body.size_bytes);
 }
 
@@ -248,7 +248,7 @@
     }
     if (active->stream == NULL) {
         active->stream = EyStream_New(EY_FORWARD_WINDOW_BYTES);
-        EyStream_SetBudget(active->stream, &active->gateway->node->answers);
+        EyStream_SetBudget(active->stream, EyActiveRequest_Answers(active));
     }
     event.answer->stream = EyStream_Ref(active->stream);
     active->remote_sequence = 1;
--- a/src/gateway/forward_server.c
+++ b/src/gateway/forward_server.c
@@ -308,8 +308,9 @@
     if (request == NULL) {
         return;
     }
-    if (EyMemoryBudget_Take(&self->node->bodies, request,
-                            request->body.size_bytes) == NULL)
+    EyMemoryBudget_t *bodies =
+        EyAccountBudgets_Of(self->node->account_bodies, request->account);
+    if (EyMemoryBudget_Take(bodies, request, request->body.size_bytes) == NULL)
     {
         refuse(self, from, forward->attempt, EY_PROBLEM_OVERLOADED,
                "the bodies of requests in flight use all of the memory that "
--- a/src/gateway/internal.h
+++ b/src/gateway/internal.h
@@ -346,6 +346,10 @@
 void
 EyActiveRequest_FailUnsent(EyActiveRequest_t *self, uint64_t attempt);
 
+/** The memory for what is buffered of its answer. */
+EyMemoryBudget_t *
+EyActiveRequest_Answers(const EyActiveRequest_t *self);
+
 /** Registers an attempt, so that its events reach this request. */
 void
 EyActiveRequest_AddAttempt(EyActiveRequest_t *self, uint64_t attempt);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -700,6 +700,7 @@
         .data = self,
         .names = EyHeaderNames_Find(self->settings->headers),
         .bodies = &self->bodies,
+        .account_bodies = self->account_bodies,
         .connections_max = EyDescriptors_CallersMax(descriptors),
     };
     const EySettings_t *settings = self->settings;
@@ -745,6 +746,10 @@
     self->timers = EyTimers_New(self, self->loop);
     self->bodies.limit_bytes = buffers_limit_bytes(settings);
     self->answers.limit_bytes = buffers_limit_bytes(settings);
+    self->account_bodies = EyAccountBudgets_New(self, &self->bodies,
+                                                EyRandom_Next(&self->random));
+    self->account_answers = EyAccountBudgets_New(self, &self->answers,
+                                                 EyRandom_Next(&self->random));
     make_mailboxes(self);
     watch_signals(self);
     start_cluster(self, serves_callers(parts, part_count));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,6 +10,7 @@
 
 #include "callers/server.h"
 #include "config/control_set.h"
+#include "core/account_budgets.h"
 #include "core/pauses.h"
 #include "core/random.h"
 #include "core/settings.h"
@@ -107,6 +108,9 @@
     EyPauses_t pauses;
     EyMemoryBudget_t bodies;  /* of requests, callers' and forwarded ones */
     EyMemoryBudget_t answers; /* what is buffered of them */
+    /* What one client account may take of the two. */
+    EyAccountBudgets_t *account_bodies;
+    EyAccountBudgets_t *account_answers;
     EyServer_t *server;
     EyPeers_t *peers;
     EyCluster_t *cluster;
--- a/tests/process/odd_server.c
+++ b/tests/process/odd_server.c
@@ -26,8 +26,8 @@
 /* Two events and a part of the next one: the end of its chunks shows that the
  * server runs, so that gateways go on sending requests to it. */
 #define STREAM_BEGINNING                                                      \
-    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"  \
-    "f\r\nid: 1\ndata: 1\n\n\r\nf\r\nid: 2\ndata: 2\n\n\r\n"     \
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"   \
+    "f\r\nid: 1\ndata: 1\n\n\r\nf\r\nid: 2\ndata: 2\n\n\r\n"                  \
     "6\r\nid: 3\n\r\n" LAST_CHUNK
 
 struct OddServer {
--- a/tests/process/test_odd_answers.c
+++ b/tests/process/test_odd_answers.c
@@ -31,16 +31,17 @@
 
 #define ROUTE(name, kind, attempts)                                           \
     "{\"name\":\"" name "\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/" name  \
-    "/\",\"call_kind\":\"" kind "\",\"attempts_max\":" attempts                \
-    ",\"timeout_ms\":5000,\"latency_objective_ms\":4000,\"priority\":1,"       \
-    "\"service\":\"guide\",\"resumable\":true,"                                \
+    "/\",\"call_kind\":\"" kind "\",\"attempts_max\":" attempts               \
+    ",\"timeout_ms\":5000,\"latency_objective_ms\":4000,\"priority\":1,"      \
+    "\"service\":\"guide\",\"resumable\":true,"                               \
     "\"allowed_regions\":[\"istra\"]}"
 static const char Routes[] =
     "{\"version\":3,\"routes\":[" ROUTE("plain", "idempotent", "1") "," ROUTE(
         "once", "at_most_once",
-        "1") "," ROUTE("paced", "stream", "1") "," ROUTE("events", "stream",
-                                               "2") "],\"services\":[{\"name\""
-                                                    ":\"guide\"}]}";
+        "1") "," ROUTE("paced", "stream",
+                       "1") "," ROUTE("events", "stream",
+                                      "2") "],\"services\":[{\"name\""
+                                           ":\"guide\"}]}";
 
 #define TEXT "Content-Type: text/plain\r\n"
 #define JSON "Content-Type: application/json\r\n"
@@ -302,8 +303,8 @@
         announce(Single.port, TTL_MS);
         for (uint32_t repeat = 0; repeat < 2; repeat++) {
             Reply_t reply = call_with_id(Single.port, Path, i, header, i + 1);
-            bool is_expected = i == 0 ? reply.status == 200
-                                      : is_recognizable(&reply);
+            bool is_expected =
+                i == 0 ? reply.status == 200 : is_recognizable(&reply);
             cr_expect(is_expected, "%s, call %u: status %ld, whole: %d, %s",
                       Answers[i].name, repeat, reply.status, reply.complete,
                       reply.body);
--- a/tests/unit/test_client_kept.c
+++ b/tests/unit/test_client_kept.c
@@ -182,19 +182,21 @@
      EY_ATTEMPT_COLLECT},
     {"a length, streamed", OK FIRST_ID "Content-Length: 4\r\n\r\nevil",
      EY_ATTEMPT_STREAM},
-    {"chunks", OK FIRST_ID "Transfer-Encoding: chunked\r\n\r\n"
-                           "4\r\nevil\r\n0\r\n\r\n",
+    {"chunks",
+     OK FIRST_ID "Transfer-Encoding: chunked\r\n\r\n"
+                 "4\r\nevil\r\n0\r\n\r\n",
      EY_ATTEMPT_STREAM},
-    {"events", OK FIRST_ID EVENTS "Transfer-Encoding: chunked\r\n\r\n"
-                                  "c\r\ndata: evil\n\n\r\n0\r\n\r\n",
+    {"events",
+     OK FIRST_ID EVENTS "Transfer-Encoding: chunked\r\n\r\n"
+                        "c\r\ndata: evil\n\n\r\n0\r\n\r\n",
      EY_ATTEMPT_EVENTS},
-    {"no content", "HTTP/1.1 204 None\r\n" FIRST_ID "\r\n",
+    {"no content", "HTTP/1.1 204 None\r\n" FIRST_ID "\r\n", EY_ATTEMPT_STREAM},
+    {"a failure",
+     "HTTP/1.1 500 Failed\r\n" FIRST_ID "Content-Length: 4\r\n\r\nevil",
      EY_ATTEMPT_STREAM},
-    {"a failure", "HTTP/1.1 500 Failed\r\n" FIRST_ID
-                  "Content-Length: 4\r\n\r\nevil",
-     EY_ATTEMPT_STREAM},
-    {"a refusal", "HTTP/1.1 503 Full\r\n" FIRST_ID
-                  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    {"a refusal",
+     "HTTP/1.1 503 Full\r\n" FIRST_ID
+     "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
      EY_ATTEMPT_STREAM},
     {"a refusal without an id",
      "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
