Routing: a queued call's first event is predicted without its generation

best_run_ms of a predictive pool holds the generation too since the cost model landed, and the admission took it for the time until the first event; and it added the wait for a slot that the plan has already.

--- a/src/routing/admission.c
+++ b/src/routing/admission.c
@@ -78,7 +78,7 @@
 {
     /* The wait for the next free place doesn't depend on the call's size. */
     return (work_ahead + NEXT_PLACE_SHARE * self->mean_work) / rate +
-           plan->best_run_ms;
+           plan->best_begin_ms;
 }
 
 double
--- a/src/routing/engine_cost.c
+++ b/src/routing/engine_cost.c
@@ -196,7 +196,8 @@
         .work_ms = call->runs * left_tokens * token_ms / active * factor,
         .factor = factor,
     };
-    forecast.run_ms = (call->prefill_ms + first_ms) * factor + likely_ms;
+    forecast.begin_ms = (call->prefill_ms + first_ms) * factor;
+    forecast.run_ms = forecast.begin_ms + likely_ms;
     forecast.finish_ms = forecast.start_ms + likely_ms;
     return forecast;
 }
--- a/src/routing/engine_cost.h
+++ b/src/routing/engine_cost.h
@@ -106,8 +106,9 @@
 typedef struct EyEngineForecast {
     double start_ms; /* until the first event */
     double pause_ms; /* the longest gap between events, of it and the others */
-    double finish_ms;     /* until the end, if it has likely_tokens */
-    double run_ms;        /* from the begin of its prefill to the end */
+    double finish_ms; /* until the end, if it has likely_tokens */
+    double begin_ms;  /* from the begin of its prefill to the first event */
+    double run_ms;    /* from the begin of its prefill to the end */
     double generation_ms; /* of the expected length */
     double wait_ms;       /* for a slot in the batch */
     double delay_ms;      /* that it causes, summed over the other runs */
--- a/src/routing/policy.h
+++ b/src/routing/policy.h
@@ -20,6 +20,8 @@
     double slots;
     double unit_ms;
     double run_ms;    /* expected time on the replica without waiting */
+    double begin_ms;  /* of it, until the start of the answer, from a model
+                         engine; else all of it */
     double finish_ms; /* expected time from now to the end */
     double start_ms;  /* expected time to the start of the answer, from a model
                          engine; else equal to finish_ms */
--- a/src/routing/pool.c
+++ b/src/routing/pool.c
@@ -216,6 +216,7 @@
                         EyPromptAffinity_CachedTokens(&self->affinity, replica,
                                                       &cached, request));
     }
+    candidate.begin_ms = candidate.run_ms;
     if (self->is_predictive) {
         EyPool_Predict(self, &candidate, inputs, request);
         return candidate;
@@ -397,7 +398,7 @@
 EyPool_Plan(EyPool_t *self, const EyPlanInputs_t *inputs,
             const EyRoutingRequest_t *request, double work, double work_ahead)
 {
-    EyPlan_t plan = {.best_run_ms = INFINITY};
+    EyPlan_t plan = {.best_run_ms = INFINITY, .best_begin_ms = INFINITY};
     collect(self, inputs, request, work, false);
     if (self->candidates->len == 0) {
         collect(self, inputs, request, work, true);
@@ -408,9 +409,9 @@
     }
     plan.has_replica = true;
     for (uint32_t i = 0; i < self->candidates->len; i++) {
-        double run_ms = candidate_at(self->candidates, i)->run_ms;
-        plan.best_run_ms =
-            run_ms < plan.best_run_ms ? run_ms : plan.best_run_ms;
+        const EyCandidate_t *each = candidate_at(self->candidates, i);
+        plan.best_run_ms = fmin(plan.best_run_ms, each->run_ms);
+        plan.best_begin_ms = fmin(plan.best_begin_ms, each->begin_ms);
     }
     double measured = measured_rate(self, inputs->now_ms);
     double own = drain_rate(self, inputs, INFINITY);
--- a/src/routing/pool.h
+++ b/src/routing/pool.h
@@ -94,6 +94,7 @@
     double slots;             /* of chosen */
     double queued_finish_ms;  /* expected time to the end if it waits */
     double best_run_ms;       /* on the fastest replica without waiting */
+    double best_begin_ms;     /* of that, until a model's answer begins */
     double work_per_ms;       /* rate at which the queue drains */
 } EyPlan_t;
 
--- a/src/routing/pool_predictive.c
+++ b/src/routing/pool_predictive.c
@@ -185,6 +185,7 @@
     candidate->start_ms = forecast.start_ms;
     candidate->finish_ms = forecast.finish_ms;
     candidate->run_ms = forecast.run_ms;
+    candidate->begin_ms = forecast.begin_ms;
     candidate->pause_ms = forecast.pause_ms;
     candidate->work_ms = forecast.work_ms;
     candidate->factor = forecast.factor;
@@ -217,6 +218,7 @@
     candidate->work_ms =
         candidate->estimated_requests / candidate->slots * run_ms;
     candidate->run_ms = run_ms;
+    candidate->begin_ms = run_ms;
     candidate->finish_ms = queued / candidate->slots * run_ms + run_ms;
     candidate->start_ms = candidate->finish_ms;
     candidate->cost_ms =
--- a/src/routing/router.c
+++ b/src/routing/router.c
@@ -341,8 +341,9 @@
     double work = EyRoutingRequest_Work(request);
     EyQueuePosition_t *position = g_new0(EyQueuePosition_t, 1);
     position->pool = pool;
-    position->position =
-        EyAdmissionQueue_Add(pool->queue, request, work, plan->best_run_ms);
+    position->position = EyAdmissionQueue_Add(
+        pool->queue, request, work,
+        pool->is_predictive ? plan->best_begin_ms : plan->best_run_ms);
     g_hash_table_insert(self->waiting,
                         g_memdup2(&request->number, sizeof(request->number)),
                         position);
--- a/src/routing/router_admission.c
+++ b/src/routing/router_admission.c
@@ -60,37 +60,15 @@
     admission->ordered_ms = now_ms;
 }
 
-/* Expected wait for a place in the batch of an engine that is full by its last
- * report: a gateway may use its share of the slots even then. The plan's start
- * only has the prefill before it. */
-static double
-slot_wait_ms(const EyPlanInputs_t *inputs, const EyAdmission_t *admission,
-             const EyReplica_t *replica)
-{
-    double slots = EyReplica_Slots(replica, inputs->now_ms);
-    double excess =
-        EyReplica_EstimatedRequests(replica, inputs->now_ms, inputs->config,
-                                    inputs->gateways) +
-        1.0 - slots;
-    double call_ms =
-        admission->mean_work *
-        EyReplica_UnitMs(replica, inputs->now_ms, inputs->config) *
-        EyReplica_Slowdown(1.0, 1.0);
-    return excess > 0.0 ? excess * call_ms / slots : 0.0;
-}
-
 /* The time to the first event by the plan, if the call is sent now. The plan
  * of a stream without prompt tokens knows its end only. */
 static double
-planned_start_ms(const EyPlanInputs_t *inputs, const EyAdmission_t *admission,
-                 const EyPlan_t *plan, const EyRoutingRequest_t *request)
+planned_start_ms(const EyPlan_t *plan, const EyRoutingRequest_t *request)
 {
-    if (plan->prefill_tokens > 0.0) {
-        return plan->start_ms + slot_wait_ms(inputs, admission, plan->chosen);
-    }
     bool is_stream = request->leaves_ms != 0;
-    return is_stream ? fmax(plan->finish_ms - plan->best_run_ms, 0.0)
-                     : plan->start_ms;
+    return plan->prefill_tokens > 0.0 || !is_stream
+               ? plan->start_ms
+               : fmax(plan->finish_ms - plan->best_run_ms, 0.0);
 }
 
 static double
@@ -102,7 +80,7 @@
         EyAdmission_QueuedStartMs(admission, plan, work_ahead, rate);
     bool ends_with_start =
         request->prompt_tokens > 0 || request->leaves_ms == 0;
-    return ends_with_start ? start_ms : start_ms - plan->best_run_ms;
+    return ends_with_start ? start_ms : start_ms - plan->best_begin_ms;
 }
 
 /* Sets when a call begins that waits. */
@@ -143,14 +121,16 @@
         .left_ms = (double)(request->deadline_ms - now_ms),
     };
     if (dispatches_now) {
-        outlook.start_ms = planned_start_ms(inputs, admission, plan, request);
+        outlook.start_ms = planned_start_ms(plan, request);
         outlook.is_late = outlook.start_ms > outlook.due_ms;
     }
     else {
         look_ahead_queued(&outlook, admission, now_ms, request, plan,
                           work_ahead);
     }
-    outlook.end_ms = dispatches_now ? plan->finish_ms : outlook.start_ms;
+    outlook.end_ms = dispatches_now ? plan->finish_ms
+                                    : outlook.start_ms + plan->best_run_ms -
+                                          plan->best_begin_ms;
     return outlook;
 }
 
@@ -397,7 +377,7 @@
             self, now_ms, request, &plan);
         return true;
     }
-    waiting->run_ms = plan.best_run_ms;
+    waiting->run_ms = plan.best_begin_ms;
     bool dispatches_now = plan.chosen != NULL && !is_held;
     EyOutlook_t outlook =
         look_ahead(&inputs, pool, request, &plan, work_ahead, dispatches_now);
