--- a/tests/bench/predictive_experiment.c
+++ b/tests/bench/predictive_experiment.c
@@ -2,7 +2,7 @@
  * Plays a region of gateways and model engines with and without predictive
  * routing, and prints what callers got as CSV.
  *
- * usage: predictive-experiment [SEEDS [GATEWAYS [ENGINES]]]
+ * usage: predictive-experiment [SEEDS [GATEWAYS [ENGINES [CASES]]]]
  */
 #include "predictive_fleet.h"
 
@@ -35,9 +35,11 @@
     uint32_t seeds = number_of(argc, argv, 1, 3);
     uint32_t gateways = number_of(argc, argv, 2, 12);
     uint32_t engines = number_of(argc, argv, 3, 12);
+    uint32_t cases = MIN(number_of(argc, argv, 4, G_N_ELEMENTS(Cases)),
+                         (uint32_t)G_N_ELEMENTS(Cases));
     printf("case,predictive,calls,started,ended,smooth,good,refused,"
            "start_p50_ms,start_p99_ms,error_p50_ms,update_bytes\n");
-    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+    for (size_t i = 0; i < cases; i++) {
         for (int on = 0; on < 2; on++) {
             FleetOutcome_t sum = {.calls = 0};
             for (uint32_t seed = 1; seed <= seeds; seed++) {
--- a/tests/bench/routing_cost.c
+++ b/tests/bench/routing_cost.c
@@ -15,6 +15,7 @@
 #define ROUNDS 20000
 #define TICKS 500
 #define SLOTS 8
+#define UPDATES 2000
 
 static EyRouter_t *
 make_router(void *ctx, uint32_t replicas, bool full)
@@ -146,6 +147,61 @@
     return (double)(after - before) / 1024.0;
 }
 
+/** Size of an engine update with runs at all engines, in bytes, and the
+ * microseconds to decode and apply it. */
+typedef struct UpdateCost {
+    uint32_t size_bytes;
+    double apply_us;
+} UpdateCost_t;
+
+static UpdateCost_t
+measure_update(uint32_t engines, bool has_runs)
+{
+    void *ctx = talloc_new(NULL);
+    EyRouter_t *router = make_router(ctx, engines, false);
+    EyEngineUpdate_t *update = EY_NEW(ctx, EyEngineUpdate_t);
+    update->runs = EY_NEW_ARRAY(update, EyEngineRuns_t, engines);
+    update->run_count = has_runs ? engines : 0;
+    for (uint32_t i = 0; i < engines; i++) {
+        EyName_t id;
+        (void)g_snprintf(id, sizeof(id), "b%u", i);
+        update->runs[i] = (EyEngineRuns_t){.engine = g_str_hash(id),
+                                           .runs = 3,
+                                           .left = 60,
+                                           .factor = 100 + i % 2 * 150,
+                                           .factor_age = i % 100};
+    }
+    EyBytes_t bytes = EySchema_Pack(&EyEngineUpdate_schema, ctx, update);
+    int64_t start_us = EyClock_NowUs();
+    for (uint32_t i = 0; i < UPDATES; i++) {
+        EyEngineUpdate_t *read = EY_NEW(ctx, EyEngineUpdate_t);
+        (void)EySchema_Unpack(&EyEngineUpdate_schema, read, bytes.data,
+                              bytes.size_bytes, read, NULL);
+        EyRouter_ApplyEngineUpdate(router, 1000 + i, "other", read, true);
+        talloc_free(read);
+    }
+    UpdateCost_t cost = {
+        .size_bytes = bytes.size_bytes,
+        .apply_us = (double)(EyClock_NowUs() - start_us) / UPDATES,
+    };
+    talloc_free(ctx);
+    return cost;
+}
+
+static void
+print_updates(void)
+{
+    static const uint32_t engines[] = {6, 46, 150};
+    printf("\nengines,update_bytes,apply_us,with_runs_bytes,"
+           "with_runs_apply_us\n");
+    for (size_t i = 0; i < G_N_ELEMENTS(engines); i++) {
+        UpdateCost_t empty = measure_update(engines[i], false);
+        UpdateCost_t full = measure_update(engines[i], true);
+        printf("%u,%u,%.2f,%u,%.2f\n", engines[i], empty.size_bytes,
+               empty.apply_us, full.size_bytes, full.apply_us);
+    }
+}
+
 int
 main(void)
 {
@@ -160,5 +216,6 @@
                measure_engine_call(counts[i], EY_PREDICTIVE_OFF),
                measure_engine_call(counts[i], EY_PREDICTIVE_ON));
     }
+    print_updates();
     return 0;
 }
--- a/tests/unit/test_engine_cost.c
+++ b/tests/unit/test_engine_cost.c
@@ -99,12 +99,12 @@
     learn_engines(engines, &step);
     static const double Speeds[] = {0.6, 1.0, 1.6};
     for (uint32_t i = 0; i < 3; i++) {
-        for (double runs = 2.0; runs <= 16.0; runs += 7.0) {
+        for (uint32_t runs = 2; runs <= 16; runs += 7) {
             double learned_ms = EyStepTime_At(&step, runs) *
                                 EyEngineCost_Slowness(&engines[i]);
             double true_ms = (6.0 + 0.25 * runs) / Speeds[i];
             cr_expect_float_eq(learned_ms / true_ms, 1.0, 0.15,
-                               "speed %.1f, %.0f runs: %.2f of %.2f ms",
+                               "speed %.1f, %u runs: %.2f of %.2f ms",
                                Speeds[i], runs, learned_ms, true_ms);
         }
     }
