Quotas: late reports are dropped, lost contact is bridged, refused calls are returned

Now reports over 600 ms late are ignored, the last answer is extrapolated by the own growth for 3 s, and every call that is answered with not-run is returned.

--- a/src/control/quota_part.c
+++ b/src/control/quota_part.c
@@ -6,6 +6,11 @@
 #include "core/memory.h"
 #include "quotas/quota_coordinator.h"
 
+/** A gateway asks another control process when a report has waited this long.
+ * Reports that waited longer, as while this process was paused, tell of a past
+ * that the other one has dealt with. */
+#define REPORT_LATE_MAX_MS 600
+
 struct EyQuotaPart {
     EyNode_t *node;
     EyQuotaCoordinator_t *coordinator;
@@ -35,6 +40,13 @@
 void
 EyQuotaPart_Receive(EyQuotaPart_t *self, const EyPeerMessage_t *message)
 {
+    if (message->late_ms > REPORT_LATE_MAX_MS) {
+        EY_LOG(EY_LOG_INFO, "control", "quota_report_late",
+               EY_LOG_TEXT("from", message->from),
+               EY_LOG_NUMBER("late_ms", message->late_ms),
+               EY_LOG_TEXT("outcome", "ignored"));
+        return;
+    }
     void *ctx = talloc_new(NULL);
     EyQuotaReport_t report;
     bool is_valid =
--- a/src/gateway/active_request.c
+++ b/src/gateway/active_request.c
@@ -484,6 +484,10 @@
     };
     const EyRequest_t *request = active->exchange->request;
     int64_t took_ms = EyClock_NowMs() - request->arrived_ms;
+    if (action->answer->outcome == EY_OUTCOME_NOT_RUN) {
+        /* Also where a server or another region has refused it. */
+        EyGateway_ReturnQuota(active->gateway, active->exchange->request);
+    }
     EyMetric_Add(&EyGateway_metrics[OutcomeMetrics[action->answer->outcome]],
                  1);
     EyMetric_Observe(&EyGateway_metrics[EY_GATEWAY_LATENCY], took_ms * 1000);
--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -24,6 +24,13 @@
 /** When a report has waited this long, which is longer than an answer takes
  * between the farthest regions, the share limits what the answer allows. */
 #define LATE_ANSWER_MS 450
+/** Out of contact, the last answer is extrapolated for this time before the
+ * share applies: when a coordinator fails, the next one answers sooner, and a
+ * share of few calls a second refuses calls of accounts below their limits. */
+#define FORECAST_MS 3000
+/** Least own demand, as a part of the rate divided among the gateways, of
+ * which a growth is taken for a growth of the whole fleet's demand. */
+#define FORECAST_BASE_PART 0.5
 /** An answer about an account applies for this time. */
 #define ANSWER_KEPT_MS 2000
 /** A gateway out of contact keeps its share for less time than the
@@ -52,6 +59,7 @@
 
 const char *const EyQuotaClient_mode_names[EY_QUOTA_MODE_COUNT] = {
     [EY_QUOTA_BY_ANSWER] = "answer",
+    [EY_QUOTA_BY_FORECAST] = "forecast",
     [EY_QUOTA_BY_SHARE] = "share",
 };
 
@@ -332,6 +340,51 @@
         decision->demand);
 }
 
+/** True if what the coordinator said lately still tells the fleet's demand. */
+static bool
+may_forecast(const EyQuotaClient_t *self, int64_t now_ms)
+{
+    return self->answered_ms >= 0 &&
+           now_ms - self->answered_ms <= FORECAST_MS &&
+           self->answered_number >= self->resumed_number &&
+           !is_paused(self, now_ms);
+}
+
+/** By what factor the own demand has grown since the last answer. */
+static double
+growth(const EyQuotaClient_t *self, const Account_t *account, double own_per_s)
+{
+    uint32_t count = MAX(self->answered_gateway_count, 1);
+    double base_per_s =
+        MAX(account->base_per_s,
+            account->limit.rate_per_s * FORECAST_BASE_PART / count);
+    return MAX(own_per_s / base_per_s, 1.0);
+}
+
+/** Decides by what the last answer says if the fleet's demand has grown as the
+ * own one has, and is spent from the level. */
+static void
+decide_by_forecast(const EyQuotaClient_t *self, const Account_t *account,
+                   int64_t now_ms, EyQuotaDecision_t *decision)
+{
+    double own_per_s = demand_per_s(self, account, now_ms);
+    decision->mode = EY_QUOTA_BY_FORECAST;
+    decision->fraction = 1.0;
+    decision->demand = own_per_s;
+    if (!account->has_answer) {
+        return;
+    }
+    const EyQuotaAnswerEntry_t *answer = &account->answer;
+    double age_s = (double)decision->age_ms / MS_PER_S;
+    decision->demand = answer->demand * growth(self, account, own_per_s);
+    decision->level =
+        MIN(answer->level + (answer->rate_per_s - decision->demand) * age_s,
+            EyQuotaLimit_LevelMax(&account->limit, &self->bounds));
+    decision->fraction = EyQuotaLimit_Fraction(
+        &account->limit, &self->bounds, answer->rate_per_s, decision->level,
+        decision->demand);
+}
+
 static void
 decide(const EyQuotaClient_t *self, Account_t *account, int64_t now_ms,
        EyQuotaDecision_t *decision)
@@ -349,6 +402,10 @@
     if (!is_enforced || (in_contact && !is_late)) {
         return;
     }
+    if (may_forecast(self, now_ms)) {
+        decide_by_forecast(self, account, now_ms, decision);
+        return;
+    }
     EyQuotaDecision_t by_share = *decision;
     decide_by_share(self, account, now_ms, &by_share);
     if (!in_contact || by_share.fraction < decision->fraction) {
--- a/src/quotas/quota_client.h
+++ b/src/quotas/quota_client.h
@@ -29,8 +29,9 @@
 
 /** What a decision is based on. */
 typedef enum EyQuotaMode {
-    EY_QUOTA_BY_ANSWER, /* the coordinator's answer */
-    EY_QUOTA_BY_SHARE,  /* the gateway's share of the rate */
+    EY_QUOTA_BY_ANSWER,   /* the coordinator's answer */
+    EY_QUOTA_BY_FORECAST, /* its last answer, extrapolated */
+    EY_QUOTA_BY_SHARE,    /* the gateway's share of the rate */
     EY_QUOTA_MODE_COUNT
 } EyQuotaMode_t;
 
