--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -5,6 +5,7 @@
 #include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
@@ -13,6 +14,8 @@
 #define WITHIN_MS 15000
 #define CALL_TIMEOUT_MS 8000
 #define SLOW_MS 2500
+/** The default of --revoke-ms, and some time for the last answer to a pull. */
+#define REVOKE_MS 5200
 #define KEY "key-of-acme-4711"
 #define NEW_KEY "new-of-acme-4712"
 #define BOUND_KEY "key-of-bound-4713"
@@ -46,6 +49,8 @@
 /** The head of the last request that the server got. */
 static GMutex SeenLock;
 static gchar *Seen;
+static uint32_t Slots = 8;
+static const char *Fields = ""; /* of its announcements */
 
 static void
 end_all(void)
@@ -84,7 +89,7 @@
 {
     (void)context;
     char *answer = g_strdup_printf(
-        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\n{}",
         Kind.id_header, BackendConnection_RequestId(connection));
     (void)BackendConnection_Send(connection, answer);
     g_free(answer);
@@ -101,7 +106,8 @@
     return seen;
 }
 
-/** Starts gateways in these regions, the last of which has a server. */
+/** Starts gateways in these regions, the last of which has a server; it runs
+ * as many calls at once as Slots. */
 static void
 start(const char *label, const uint32_t *regions, uint32_t count,
       bool is_platform)
@@ -110,13 +116,13 @@
                          is_platform ? "platform" : "native");
     Kind = (BackendKind_t){
         .name = label,
-        .fields = "",
+        .fields = Fields,
         .start_field = is_platform ? "born" : "started_at_ms",
         .id_header = is_platform ? "Attempt-Id" : "X-Request-Id",
         .expected_header =
             is_platform ? "Expect-Instance" : "Ebonyyard-Expected-Backend",
         .not_run_header = is_platform ? "Not-Executed" : "Ebonyyard-Not-Run",
-        .slots = 8,
+        .slots = Slots,
         .is_fatal = is_never_fatal,
         .begin = begin,
         .proceed = proceed,
@@ -138,23 +144,10 @@
                                      path, headers);
     (void)raw_send_text(socket, request);
     g_free(request);
-    (void)raw_read_until(socket, "\r\n\r\n", CALL_TIMEOUT_MS, text);
-    const char *size = strcasestr(text, "\r\nContent-Length:");
-    const char *body = strstr(text, "\r\n\r\n");
-    size_t left_bytes = 0;
-    if (size != NULL && body != NULL) {
-        size_t body_bytes =
-            (size_t)g_ascii_strtoull(strchr(size + 2, ':') + 2, NULL, 10);
-        left_bytes = body_bytes - MIN(body_bytes, strlen(body + 4));
-    }
-    GString *whole = g_string_new(text);
-    while (left_bytes > 0 &&
-           raw_read_until(socket, "", CALL_TIMEOUT_MS, text) > 0) {
-        g_string_append(whole, text);
-        left_bytes -= MIN(left_bytes, strlen(text));
-    }
-    gchar **lines = g_strsplit(whole->str, "\r\n", -1);
-    g_string_truncate(whole, 0);
+    /* All bodies are flat JSON, and no head has a brace. */
+    (void)raw_read_until(socket, "}", CALL_TIMEOUT_MS, text);
+    GString *whole = g_string_new(NULL);
+    gchar **lines = g_strsplit(text, "\r\n", -1);
     for (gchar **line = lines; *line != NULL; line++) {
         if (strncasecmp(*line, "Date:", 5) != 0 &&
             strncasecmp(*line, Kind.id_header, strlen(Kind.id_header)) != 0)
@@ -163,11 +156,10 @@
         }
     }
     g_strfreev(lines);
-    long status =
-        strtol(strchr(whole->str, ' ') != NULL ? strchr(whole->str, ' ') : "0",
-               NULL, 10);
+    const char *status = strchr(whole->str, ' ');
+    long number = status != NULL ? strtol(status, NULL, 10) : 0;
     *answer = g_string_free(whole, FALSE);
-    return status;
+    return number;
 }
 
 static long
@@ -180,6 +172,24 @@
     return status;
 }
 
+static void
+expect_on(int socket, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call_on(socket, "/own/a", headers, &answer), status, "%s",
+                 answer);
+    g_free(answer);
+}
+
+static void
+expect(const char *path, const char *headers, long status)
+{
+    gchar *answer = NULL;
+    cr_expect_eq(call(0, path, headers, &answer), status, "%s: %s", path,
+                 answer);
+    g_free(answer);
+}
+
 static void
 await(uint32_t gateway, const char *path, const char *headers, long status)
 {
@@ -366,15 +376,14 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("3", ACCOUNTS("\"" KEY "\"")));
     await(0, "/own/a", Old, 200);
     int socket = raw_connect(Fleet.routed_ports[0]);
-    gchar *answer = NULL;
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 401, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 401);
 
     RoutedGateways_PutRoutes(
         &Fleet, TABLE("4", ACCOUNTS("\"" KEY "\",\"" NEW_KEY "\"")));
     await(0, "/own/a", New, 200);
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 200, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 200);
+    expect_on(socket, New, 200);
 
     long running = 0;
     GThread *thread = g_thread_new("call", call_slowly, &running);
@@ -382,13 +391,138 @@
     RoutedGateways_PutRoutes(&Fleet, TABLE("5", ACCOUNTS("\"" NEW_KEY "\"")));
     await(0, "/own/a", Old, 401);
     cr_expect_eq(running, 0, "the slow call has ended before the key");
-    cr_expect_eq(call_on(socket, "/own/a", Old, &answer), 401, "%s", answer);
-    cr_expect_eq(call_on(socket, "/own/a", New, &answer), 200, "%s", answer);
+    expect_on(socket, Old, 401);
+    expect_on(socket, New, 200);
     (void)g_thread_join(thread);
     cr_expect_eq(running, 200);
     (void)close(socket);
 }
 
+/* With strict revocation a gateway refuses keys that it can't confirm, and
+ * only those; else it goes on with its table. */
+static void
+play_revocation(bool is_strict)
+{
+    static const uint32_t regions[] = {ISTRA};
+    static const char *const Good = BEARER KEY "\r\n";
+    Fleet.gateway_flag = is_strict ? "--strict-revocation" : NULL;
+    start(is_strict ? "keysstrict" : "keyslax", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, TABLE("3", ACCOUNTS("\"" KEY "\"")));
+    await(0, "/own/a", Good, 200);
+    Process_Signal(&Fleet.control, SIGSTOP);
+    Harness_SleepMs(REVOKE_MS);
+    expect("/own/a", Good, is_strict ? 503 : 200);
+    expect("/own/a", "", is_strict ? 503 : 401);
+    expect("/open/a", Good, 200);
+    Process_Signal(&Fleet.control, SIGCONT);
+    await(0, "/own/a", Good, 200);
+}
+
+Test(account_keys, strict_revocation_refuses_keys_that_are_not_confirmed)
+{
+    play_revocation(true);
+}
+
+Test(account_keys, without_strict_revocation_the_table_stays_in_use)
+{
+    play_revocation(false);
+}
+
+/* The table of the test of priorities: a service of model engines, which are
+ * told the urgency. */
+#define ENGINE_TABLE                                                          \
+    "{\"version\":3,\"routes\":[" ROUTE(                                      \
+        "own",                                                                \
+        ",\"public\":true,\"priority\":2") "],\"services\":[{\"name\""        \
+                                           ":\"catalogue\",\"engine\":{"      \
+                                           "\"slots\":8}}],\"accounts\":["    \
+                                           "{\"name\":\"acme\",\"api_keys\":" \
+                                           "[\"" KEY "\"],\"priority\":0},"   \
+                                           "{\"name\":\"plain\",\"api_"       \
+                                           "keys\":[\"" NEW_KEY "\"]}]}"
+
+Test(account_keys, the_priority_of_an_account_goes_before_that_of_the_route)
+{
+    static const uint32_t regions[] = {ISTRA};
+    static const struct {
+        const char *headers;
+        const char *urgency;
+    } Cases[] = {
+        {"", "\r\nRequest-Urgency: 8\r\n"},
+        {BEARER KEY "\r\n", "\r\nRequest-Urgency: 2\r\n"},
+        {BEARER NEW_KEY "\r\n", "\r\nRequest-Urgency: 8\r\n"},
+    };
+    Fields = "\"engine_models\":[{\"name\":\"catalogue\"}],";
+    start("keysurgent", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, ENGINE_TABLE);
+    await(0, "/own/a", "", 200);
+    for (size_t i = 0; i < G_N_ELEMENTS(Cases); i++) {
+        expect("/own/a", Cases[i].headers, 200);
+        gchar *seen = take_seen();
+        cr_expect_not_null(strstr(seen, Cases[i].urgency), "%zu: %s", i, seen);
+        g_free(seen);
+    }
+}
+
+static gpointer
+call_late(gpointer took_ms)
+{
+    int64_t at_ms = Harness_NowMs();
+    gchar *answer = NULL;
+    (void)call(0, "/own/late", BEARER KEY "\r\nTenant: x\r\n", &answer);
+    g_free(answer);
+    *(int64_t *)took_ms = Harness_NowMs() - at_ms;
+    return NULL;
+}
+
+/** Puts another table while a call waits for the server's only slot; returns
+ * the head of the last request that the server got. */
+static gchar *
+play_queued(const char *before, const char *after)
+{
+    static const uint32_t regions[] = {ZAGREB};
+    long running = 0;
+    int64_t took_ms = 0;
+    Slots = 1;
+    start("keysqueue", regions, 1, true);
+    RoutedGateways_PutRoutes(&Fleet, before);
+    await(0, "/own/a", BEARER KEY "\r\n", 200);
+    GThread *slow = g_thread_new("slow", call_slowly, &running);
+    Harness_SleepMs(300);
+    GThread *late = g_thread_new("late", call_late, &took_ms);
+    Harness_SleepMs(300);
+    RoutedGateways_PutRoutes(&Fleet, after);
+    (void)g_thread_join(slow);
+    (void)g_thread_join(late);
+    cr_expect_eq(running, 200);
+    cr_expect_gt(took_ms, SLOW_MS / 2, "the late call wasn't queued");
+    return take_seen();
+}
+
+/* Guards against data of an account outside its regions, as a call was queued
+ * before they were set. */
+Test(account_keys, a_queued_call_stays_in_the_newest_regions_of_its_account)
+{
+    gchar *seen =
+        play_queued(TABLE("3", ACCOUNTS("\"" KEY "\"")),
+                    TABLE("4", "{\"name\":\"acme\",\"api_keys\":[\"" KEY "\"],"
+                               "\"allowed_regions\":[\"istra\"]}"));
+    cr_expect_null(strstr(seen, "/own/late"), "%s", seen);
+    g_free(seen);
+}
+
+/* Guards against a key that reaches a server, as a call was queued before
+ * there were accounts. */
+Test(account_keys, a_queued_call_loses_its_key_with_the_first_accounts)
+{
+    gchar *seen =
+        play_queued(TABLE("3", ""), TABLE("4", ACCOUNTS("\"" KEY "\"")));
+    cr_expect_not_null(strstr(seen, "/own/late"), "%s", seen);
+    cr_expect_null(strcasestr(seen, "authorization"), "%s", seen);
+    cr_expect_null(strcasestr(seen, "tenant"), "%s", seen);
+    g_free(seen);
+}
+
 Test(account_keys, a_call_crosses_regions_with_its_account_and_without_its_key)
 {
     static const uint32_t regions[] = {ISTRA, ZAGREB};
