--- a/src/routing/pool_predictive.c
+++ b/src/routing/pool_predictive.c
@@ -26,6 +26,10 @@
  * a run that finds none waits for another one to end. Not while calls wait at
  * this gateway. */
 #define HEADROOM 0.25
+/** Calls that a plain service's server may have, relative to its slots: those
+ * above wait in its queue, which all gateways share. With none there, a server
+ * is idle for the delay of its reports after each call. */
+#define SERVICE_OVERCOMMIT 2.0
 /** An engine with less than this share of its slots in use has room, whatever
  * gap between events is predicted: otherwise no engine would be used when the
  * learned step time is too long. */
@@ -146,9 +150,9 @@
  * estimated to have free ones. */
 static bool
 has_free_slot(const EyCandidate_t *candidate, const EyPlanInputs_t *inputs,
-              double headroom)
+              double overcommit, double headroom)
 {
-    double limit = candidate->slots * inputs->config->overcommit;
+    double limit = candidate->slots * overcommit;
     double share = floor(limit / (double)inputs->gateways);
     return (double)candidate->replica->outstanding < share ||
            candidate->estimated_requests + 1.0 + headroom * sqrt(limit) <=
@@ -239,10 +243,13 @@
     bool keeps_headroom =
         is_engine && EyAdmissionQueue_Length(self->queue) == 0;
     double headroom = keeps_headroom ? HEADROOM : 0.0;
+    double overcommit = self->kind == EY_BACKEND_SERVICE
+                            ? SERVICE_OVERCOMMIT
+                            : inputs->config->overcommit;
     candidate->has_room =
         EyReplica_IsWithinColdLimit(candidate->replica, inputs->now_ms,
                                     inputs->ranks) &&
-        has_free_slot(candidate, inputs, headroom) &&
+        has_free_slot(candidate, inputs, overcommit, headroom) &&
         (!is_engine || keeps_pace(self, candidate, request));
 }
 
