--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -31,6 +31,8 @@
 /** Least own demand, as a part of the rate divided among the gateways, of
  * which a growth is taken for a growth of the whole fleet's demand. */
 #define FORECAST_BASE_PART 0.5
+/** Half of a growth is believed that is seen in this many calls a second. */
+#define GROWTH_CALLS_PER_S 10.0
 /** An answer about an account applies for this time. */
 #define ANSWER_KEPT_MS 2000
 /** A gateway out of contact keeps its share for less time than the
@@ -69,6 +71,8 @@
     /* What this gateway sees. */
     double asked;       /* units since the last tick */
     uint32_t calls;     /* since the last report */
+    uint32_t new_calls; /* since the last tick */
+    double calls_per_s; /* smoothed, at ticked_ms */
     double asked_per_s; /* smoothed, at ticked_ms */
     int64_t ticked_ms;
     double reported_per_s; /* demand in the last report */
@@ -262,16 +266,24 @@
            waiting_ms(self, now_ms, self->answered_number) <= CONTACT_MS;
 }
 
-/** The smoothed demand at a time after the last tick, in units a second. */
+/** A smoothed rate at a time after the last tick, since which there was count
+ * more. */
 static double
-demand_per_s(const EyQuotaClient_t *self, const Account_t *account,
-             int64_t now_ms)
+smooth(const EyQuotaClient_t *self, const Account_t *account, int64_t now_ms,
+       double per_s, double count)
 {
     double elapsed_s = (double)MAX(now_ms - account->ticked_ms, 1) / MS_PER_S;
     double decay = exp(
         -elapsed_s / EyQuotaLimit_SmoothingS(&account->limit, &self->bounds));
-    return account->asked_per_s * decay +
-           account->asked / elapsed_s * (1.0 - decay);
+    return per_s * decay + count / elapsed_s * (1.0 - decay);
+}
+
+/** The smoothed demand at a time after the last tick, in units a second. */
+static double
+demand_per_s(const EyQuotaClient_t *self, const Account_t *account,
+             int64_t now_ms)
+{
+    return smooth(self, account, now_ms, account->asked_per_s, account->asked);
 }
 
 /** The share of the rate that this gateway may spend out of contact. */
@@ -350,15 +362,21 @@
            !is_paused(self, now_ms);
 }
 
-/** By what factor the own demand has grown since the last answer. */
+/** By what factor the fleet's demand is taken to have grown since the last
+ * answer: the own one's, but less of it the fewer calls it is made of, as a
+ * single large call is no flood. */
 static double
-growth(const EyQuotaClient_t *self, const Account_t *account, double own_per_s)
+growth(const EyQuotaClient_t *self, const Account_t *account, int64_t now_ms,
+       double own_per_s)
 {
     uint32_t count = MAX(self->answered_gateway_count, 1);
     double base_per_s =
         MAX(account->base_per_s,
             account->limit.rate_per_s * FORECAST_BASE_PART / count);
-    return MAX(own_per_s / base_per_s, 1.0);
+    double calls_per_s = smooth(self, account, now_ms, account->calls_per_s,
+                                (double)account->new_calls);
+    double weight = calls_per_s / (calls_per_s + GROWTH_CALLS_PER_S);
+    return 1.0 + MAX(own_per_s / base_per_s - 1.0, 0.0) * weight;
 }
 
 /** Decides by what the last answer says if the fleet's demand has grown as the
@@ -376,7 +394,8 @@
     }
     const EyQuotaAnswerEntry_t *answer = &account->answer;
     double age_s = (double)decision->age_ms / MS_PER_S;
-    decision->demand = answer->demand * growth(self, account, own_per_s);
+    decision->demand =
+        answer->demand * growth(self, account, now_ms, own_per_s);
     decision->level =
         MIN(answer->level + (answer->rate_per_s - decision->demand) * age_s,
             EyQuotaLimit_LevelMax(&account->limit, &self->bounds));
@@ -488,6 +507,7 @@
     }
     state->asked += units;
     state->calls++;
+    state->new_calls++;
     decide(self, state, now_ms, &decision);
     decision.is_admitted = admit_fraction(self, state, decision.fraction);
     if (decision.is_admitted) {
@@ -525,7 +545,10 @@
         return;
     }
     account->asked_per_s = demand_per_s(self, account, now_ms);
+    account->calls_per_s = smooth(self, account, now_ms, account->calls_per_s,
+                                  account->new_calls);
     account->asked = 0.0;
+    account->new_calls = 0;
     account->ticked_ms = now_ms;
     if (account->asked_per_s < DEMAND_MIN_PART * account->limit.rate_per_s) {
         account->asked_per_s = 0.0;
