--- a/src/control/quota_part.c
+++ b/src/control/quota_part.c
@@ -7,8 +7,8 @@
 #include "quotas/quota_coordinator.h"
 
 /** A gateway asks another control process when a report has waited this long.
- * Reports that waited longer, as while this process was paused, tell of a past
- * that the other one has dealt with. */
+ * Older ones, which were queued while this process was paused, have been
+ * answered by another process and are ignored. */
 #define REPORT_LATE_MAX_MS 600
 
 struct EyQuotaPart {
--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -352,7 +352,8 @@
         decision->demand);
 }
 
-/** True if what the coordinator said lately still tells the fleet's demand. */
+/** True if the last answer is recent enough to extrapolate the fleet's demand
+ * from it. */
 static bool
 may_forecast(const EyQuotaClient_t *self, int64_t now_ms)
 {
--- a/src/quotas/quota_coordinator.c
+++ b/src/quotas/quota_coordinator.c
@@ -13,7 +13,7 @@
 #define COLLECT_UNKNOWN_MS 1000
 /** Interval at which silent gateways are looked for. */
 #define SWEEP_MS 100
-/** Interval at which the sums of demand are made anew. */
+/** Interval at which the sums of demand are recomputed. */
 #define SUM_MS 5000
 /** A gateway is forgotten after this time without a report. */
 #define FORGOTTEN_MS 600000
--- a/src/routing/pool_predictive.c
+++ b/src/routing/pool_predictive.c
@@ -26,9 +26,10 @@
  * a run that finds none waits for another one to end. Not while calls wait at
  * this gateway. */
 #define HEADROOM 0.25
-/** Calls that a plain service's server may have, relative to its slots: those
- * above wait in its queue, which all gateways share. With none there, a server
- * is idle for the delay of its reports after each call. */
+/** Calls that a plain service's server may have, relative to its slots, if
+ * more gateways send to it than it has slots: the further ones wait in its
+ * queue, which all gateways share. Without them the server is idle after each
+ * call for the delay of its reports. */
 #define SERVICE_OVERCOMMIT 2.0
 /** An engine with less than this share of its slots in use has room, whatever
  * gap between events is predicted: otherwise no engine would be used when the
@@ -243,9 +244,10 @@
     bool keeps_headroom =
         is_engine && EyAdmissionQueue_Length(self->queue) == 0;
     double headroom = keeps_headroom ? HEADROOM : 0.0;
-    double overcommit = self->kind == EY_BACKEND_SERVICE
-                            ? SERVICE_OVERCOMMIT
-                            : inputs->config->overcommit;
+    bool shares_slots = self->kind == EY_BACKEND_SERVICE &&
+                        (double)inputs->gateways > candidate->slots;
+    double overcommit =
+        shares_slots ? SERVICE_OVERCOMMIT : inputs->config->overcommit;
     candidate->has_room =
         EyReplica_IsWithinColdLimit(candidate->replica, inputs->now_ms,
                                     inputs->ranks) &&
--- a/src/routing/router_predictive.c
+++ b/src/routing/router_predictive.c
@@ -4,7 +4,7 @@
 
 #include <math.h>
 
-/** What runs have left is estimated anew at most this often. */
+/** Least interval between two estimates of what runs have left. */
 #define REFRESH_RUNS_MS 200
 
 void
