Quotas: an old answer about an account isn't extrapolated

Found on reading the change: out of contact, the level of an account was extrapolated from the last answer that named it, however old that was. One that had been flooded 20 s before was refused, although it was idle since. An account that recent answers don't name isn't above its limit, as in contact. The check of a valid answer stood twice.

--- a/src/quotas/quota_client.c
+++ b/src/quotas/quota_client.c
@@ -22,7 +22,7 @@
  * after a pause of this process of that length. */
 #define CONTACT_MS 1000
 /** When a report has waited this long, which is longer than an answer takes
- * between the farthest regions, the share limits what the answer allows. */
+ * between the farthest regions, the last answer is extrapolated. */
 #define LATE_ANSWER_MS 450
 /** Out of contact, the last answer is extrapolated for this time before the
  * share applies: when a coordinator fails, the next one answers sooner, and a
@@ -257,12 +257,20 @@
     return self->ticked_ms >= 0 && now_ms - self->ticked_ms > CONTACT_MS;
 }
 
+/** True if there was an answer since this process started or last stood still.
+ */
 static bool
-is_in_contact(const EyQuotaClient_t *self, int64_t now_ms)
+has_valid_answer(const EyQuotaClient_t *self, int64_t now_ms)
 {
     return self->answered_ms >= 0 &&
            self->answered_number >= self->resumed_number &&
-           !is_paused(self, now_ms) &&
+           !is_paused(self, now_ms);
+}
+
+static bool
+is_in_contact(const EyQuotaClient_t *self, int64_t now_ms)
+{
+    return has_valid_answer(self, now_ms) &&
            waiting_ms(self, now_ms, self->answered_number) <= CONTACT_MS;
 }
 
@@ -357,10 +365,8 @@
 static bool
 may_forecast(const EyQuotaClient_t *self, int64_t now_ms)
 {
-    return self->answered_ms >= 0 &&
-           now_ms - self->answered_ms <= FORECAST_MS &&
-           self->answered_number >= self->resumed_number &&
-           !is_paused(self, now_ms);
+    return has_valid_answer(self, now_ms) &&
+           now_ms - self->answered_ms <= FORECAST_MS;
 }
 
 /** By what factor the fleet's demand is taken to have grown since the last
@@ -381,7 +387,8 @@
 }
 
 /** Decides by what the last answer says if the fleet's demand has grown as the
- * own one has, and is spent from the level. */
+ * own one has, and is spent from the level. An account that wasn't named in
+ * recent answers isn't above its limit. */
 static void
 decide_by_forecast(const EyQuotaClient_t *self, const Account_t *account,
                    int64_t now_ms, EyQuotaDecision_t *decision)
@@ -390,7 +397,8 @@
     decision->mode = EY_QUOTA_BY_FORECAST;
     decision->fraction = 1.0;
     decision->demand = own_per_s;
-    if (!account->has_answer) {
+    bool is_named = account->has_answer && decision->age_ms <= FORECAST_MS;
+    if (!is_named) {
         return;
     }
     const EyQuotaAnswerEntry_t *answer = &account->answer;
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -227,12 +227,12 @@
 }
 
 static void
-answer(EyQuotaClient_t *client, int64_t now_ms, uint64_t number,
-       const char *from)
+answer_demand(EyQuotaClient_t *client, int64_t now_ms, uint64_t number,
+              const char *from, double demand)
 {
     EyQuotaAnswerEntry_t entry = {.name = "a",
                                   .fraction = 1.0,
-                                  .demand = 500.0,
+                                  .demand = demand,
                                   .level = BURST,
                                   .share = 0.01,
                                   .rate_per_s = RATE_PER_S};
@@ -245,6 +245,13 @@
     EyQuotaClient_Answer(client, now_ms, from, &message);
 }
 
+static void
+answer(EyQuotaClient_t *client, int64_t now_ms, uint64_t number,
+       const char *from)
+{
+    answer_demand(client, now_ms, number, from, 500.0);
+}
+
 /* Guards against a process that spends the fleet's rate by an answer from
  * before a pause, or without a coordinator. */
 Test(quotas, without_contact_the_share_decides)
@@ -321,6 +328,33 @@
     }
 }
 
+/* Guards against refusals because of a flood that an account had long before
+ * contact was lost. */
+Test(quotas, an_old_answer_about_an_account_is_not_extrapolated)
+{
+    EyQuotaClient_t *client = new_client();
+    EyName_t to;
+    int64_t now_ms = 1000;
+    uint64_t number = tick_until(client, &now_ms, 2000, to);
+    (void)EyQuotaClient_Admit(client, now_ms, "a", 1.0);
+    answer_demand(client, now_ms, number, to, 2.0 * RATE_PER_S);
+    for (int64_t end_ms = now_ms + 20000; now_ms < end_ms;) {
+        number = tick_until(client, &now_ms, end_ms, to);
+        const EyQuotaAnswer_t idle = {.number = number,
+                                      .incarnation = 9,
+                                      .is_ready = true,
+                                      .gateway_count = 2};
+        EyQuotaClient_Answer(client, now_ms, to, &idle);
+    }
+    for (int64_t end_ms = now_ms + 1900; now_ms < end_ms;) {
+        (void)tick_until(client, &now_ms, now_ms, to);
+    }
+    EyQuotaDecision_t decision = EyQuotaClient_Admit(client, now_ms, "a", 1.0);
+    cr_assert_eq(decision.mode, EY_QUOTA_BY_FORECAST);
+    cr_assert_eq(decision.fraction, 1.0);
+    talloc_free(client);
+}
+
 /* Guards against reports to a process that has failed, and to the spare one
  * while the first is there. */
 Test(quotas, the_next_control_process_is_asked_after_a_timeout)
