--- a/src/gateway/accounts.c
+++ b/src/gateway/accounts.c
@@ -105,7 +105,7 @@
            EY_LOG_NUMBER("routes_version", self->node->routes->version));
 }
 
-/** The same answer whatever is wrong with the key, so that it tells nothing
+/** The same answer whatever is wrong with the key, so that it reveals nothing
  * about the keys that exist. */
 static EyAnswer_t *
 refuse_key(void)
--- a/src/quotas/quota_client.h
+++ b/src/quotas/quota_client.h
@@ -22,7 +22,7 @@
 extern "C" {
 #endif
 
-/** Interval at which EyQuotaClient_Tick is to be called. */
+/** Interval of the calls of EyQuotaClient_Tick. */
 #define EY_QUOTA_TICK_MS 50
 /** Most control processes that a gateway chooses its coordinator from. */
 #define EY_QUOTA_CONTROLS_MAX 64
--- a/src/quotas/quota_coordinator.c
+++ b/src/quotas/quota_coordinator.c
@@ -49,8 +49,8 @@
     Account_t *account;
     double admitted; /* as last reported */
     double asked_per_s;
-    double share;    /* that it was told */
-    double fraction; /* that it was told */
+    double share;    /* in its last answer */
+    double fraction; /* in its last answer */
     double reserved; /* units counted as spent while it is silent */
     double reserved_per_s;
     uint64_t report_number; /* that named it last */
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -14,7 +14,8 @@
 extern "C" {
 #endif
 
-/** Priorities that are told apart; the least urgent one has all further ones.
+/** Priorities that are distinguished; the least urgent one has all further
+ * ones.
  */
 #define EY_ADMISSION_PRIORITIES 4
 
--- a/src/routing/answer_length.h
+++ b/src/routing/answer_length.h
@@ -14,8 +14,8 @@
 extern "C" {
 #endif
 
-/** Most routes and accounts that are told apart; the least recently used ones
- * are dropped. */
+/** Most routes and accounts that are distinguished; the least recently used
+ * ones are dropped. */
 #define EY_ANSWER_LENGTH_KEYS 512
 
 /** Longest answer that is learned or expected, in tokens. */
@@ -40,7 +40,7 @@
 EyAnswerLengths_t *
 EyAnswerLengths_New(const void *ctx);
 
-/** Learns from an answer that ended by itself. */
+/** Learns from an answer that wasn't cut off. */
 void
 EyAnswerLengths_Learn(EyAnswerLengths_t *self, const EyLengthTerms_t *terms,
                       double tokens);
--- a/src/routing/decision.h
+++ b/src/routing/decision.h
@@ -88,7 +88,7 @@
                                        call, or its first event; used with
                                        predictive routing only; 0: as
                                        objective_ms */
-    bool is_return; /* refused before, and back at the time it was told */
+    bool is_return; /* refused before, and back after its Retry-After */
     bool has_place; /* a place is kept for it, too */
 } EyRoutingRequest_t;
 
--- a/src/routing/engine_cost.h
+++ b/src/routing/engine_cost.h
@@ -60,7 +60,7 @@
                            time left divided by the expected time to the end */
 } EyEngineCost_t;
 
-/** A run whose answer has ended by itself. */
+/** A run whose answer was completed by the engine. */
 typedef struct EyRunSample {
     double token_ms; /* mean time between its tokens */
     double factor;   /* mean speed factor of the machine meanwhile */
--- a/src/routing/pool_predictive.c
+++ b/src/routing/pool_predictive.c
@@ -316,7 +316,7 @@
     return waited_ms - run->predicted_ms;
 }
 
-/** Learns from a stream that the engine ended by itself. */
+/** Learns from a stream that the engine completed. */
 static void
 learn_run(EyPool_t *self, int64_t now_ms, EyInFlight_t *in_flight,
           uint32_t events)
--- a/src/routing/pool_predictive.h
+++ b/src/routing/pool_predictive.h
@@ -47,8 +47,8 @@
 EyPool_LearnEnd(EyPool_t *self, int64_t now_ms, EyInFlight_t *in_flight,
                 const EyRoutingResult_t *result);
 
-/** Estimates anew what the own runs have left, from the time that they have
- * taken, and relates the engines' speeds to their mean. */
+/** Updates the estimates of what the own runs have left, from the time that
+ * they have taken, and relates the engines' speeds to their mean. */
 void
 EyPool_RefreshRuns(EyPool_t *self, int64_t now_ms);
 
--- a/src/routing/return_schedule.h
+++ b/src/routing/return_schedule.h
@@ -39,7 +39,7 @@
 
 /** What is known of a call that may have been refused before. */
 typedef struct EyReturn {
-    bool is_return;     /* it was, and is back at the time it was told */
+    bool is_return;     /* it was, and is back after its Retry-After */
     bool has_place;     /* and a place was kept for it */
     int64_t arrived_ms; /* its first attempt, if it is back */
 } EyReturn_t;
--- a/src/routing/service_cost.h
+++ b/src/routing/service_cost.h
@@ -11,7 +11,8 @@
 extern "C" {
 #endif
 
-/** Most routes that are told apart; the least recently used ones are dropped.
+/** Most routes that are distinguished; the least recently used ones are
+ * dropped.
  */
 #define EY_SERVICE_COST_KEYS 64
 
