Crash suspects: logs tell why a crash isn't held against a part

Change: prompt_part_spared with its reason; prompt_part_crash says whether a head was seen and for how long the answer had gone on.

--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -8,6 +8,15 @@
     [EY_SUSPECT_BARRED] = "prompt_part_barred",
     [EY_SUSPECT_CLEARED] = "prompt_part_cleared",
     [EY_SUSPECT_TRIAL] = "prompt_part_trial",
+    [EY_SUSPECT_SPARED] = "prompt_part_spared",
+};
+
+static const char *const SpareReasons[EY_SPARE_REASON_COUNT] = {
+    [EY_SPARE_NONE] = "none",
+    [EY_SPARE_NO_HEAD] = "no_head",
+    [EY_SPARE_CLEARED_BEFORE] = "cleared_before",
+    [EY_SPARE_ONE_KILL] = "one_kill",
+    [EY_SPARE_EXPLAINED] = "explained",
 };
 
 static void
@@ -21,7 +30,10 @@
         "gateway", EventNames[event->kind],
         EY_LOG_TEXT("suspect", event->is_request ? "request" : "part"),
         EY_LOG_TEXT(event->is_request ? "request_key" : "prompt_part", part),
+        EY_LOG_TEXT("reason", SpareReasons[event->reason]),
         EY_LOG_NUMBER("crashes", event->crashes),
+        EY_LOG_NUMBER("has_head", !event->is_unbegun),
+        EY_LOG_NUMBER("ran_ms", event->ran_ms),
         EY_LOG_NUMBER("bar_ms", event->bar_ms));
 }
 
--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -82,6 +82,9 @@
     const uint64_t *ids;
     uint32_t count;
     uint64_t request; /* key, equal for equal requests; 0: unknown */
+    /* Of an answer that broke off: */
+    bool is_unbegun; /* its head wasn't seen */
+    int64_t ran_ms;  /* since its head was seen */
 } EyPromptParts_t;
 
 /** What may be done with a prompt; a later value goes before an earlier one.
@@ -106,15 +109,29 @@
     EY_SUSPECT_BARRED,  /* the part is barred, or for longer than before */
     EY_SUSPECT_CLEARED, /* it was suspected and is cleared */
     EY_SUSPECT_TRIAL,   /* a request with it is run as a trial */
+    EY_SUSPECT_SPARED,  /* a crash isn't held against it, see reason */
     EY_SUSPECT_EVENT_COUNT
 } EySuspectEventKind_t;
 
+/** Why a crash, or all of them, aren't held against a part. */
+typedef enum EySpareReason {
+    EY_SPARE_NONE,
+    EY_SPARE_NO_HEAD,        /* the answer's head wasn't seen */
+    EY_SPARE_CLEARED_BEFORE, /* an answer to it completed before */
+    EY_SPARE_ONE_KILL,       /* all crashes came at the same time */
+    EY_SPARE_EXPLAINED,      /* they have another cause that is more likely */
+    EY_SPARE_REASON_COUNT
+} EySpareReason_t;
+
 typedef struct EySuspectEvent {
     EySuspectEventKind_t kind;
-    bool is_request;  /* about a request, not a part */
-    uint64_t part_id; /* as callers send it; of a request: its key */
+    EySpareReason_t reason; /* of SPARED */
+    bool is_request;        /* about a request, not a part */
+    uint64_t part_id;       /* as callers send it; of a request: its key */
     uint32_t crashes;
-    int64_t bar_ms; /* duration of the bar */
+    bool is_unbegun; /* of CRASH: the answer's head wasn't seen */
+    int64_t ran_ms;  /* of CRASH: since its head was seen */
+    int64_t bar_ms;  /* duration of the bar */
 } EySuspectEvent_t;
 
 EyCrashSuspects_t *
@@ -141,6 +158,11 @@
 EyCrashSuspects_AddCrash(EyCrashSuspects_t *self, int64_t now_ms,
                          const EyPromptParts_t *prompt, uint64_t crash);
 
+/** Reports that a crash isn't evidence against the parts of that prompt. */
+void
+EyCrashSuspects_Spare(EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
+                      EySpareReason_t reason);
+
 /** A server completed an answer to the request, or went on with it for
  * EY_CRASH_SURVIVAL_MS; prompt: of that the parts which are cleared by it. */
 void
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -92,19 +92,33 @@
     }
 }
 
-/** True if the crashes of a suspect are held against it. */
-static bool
-is_settled(const EyCrashSuspects_t *self, int64_t now_ms,
-           const EyCrashSuspect_t *suspect)
+static int64_t
+first_crash_ms(const EyCrashSuspect_t *suspect, int64_t now_ms)
 {
     int64_t first_ms = now_ms;
     for (uint32_t i = 0; i < suspect->crash_count; i++) {
         first_ms = MIN(first_ms, suspect->crashes[i].crash_ms);
     }
+    return first_ms;
+}
+
+/** True if the crashes came at the same time, as when many engines are killed.
+ */
+static bool
+is_one_kill(const EyCrashSuspect_t *suspect, int64_t now_ms)
+{
+    return ey_crash_suspects_last_crash_ms(suspect) -
+               first_crash_ms(suspect, now_ms) <
+           EY_CRASH_SPAN_MS;
+}
+
+/** True if other gateways had time to report on the suspect. */
+static bool
+is_settled(const EyCrashSuspects_t *self, int64_t now_ms,
+           const EyCrashSuspect_t *suspect)
+{
     return now_ms - self->started_ms >= EY_CRASH_START_MS &&
-           now_ms - first_ms >= EY_CRASH_SETTLE_MS &&
-           ey_crash_suspects_last_crash_ms(suspect) - first_ms >=
-               EY_CRASH_SPAN_MS;
+           now_ms - first_crash_ms(suspect, now_ms) >= EY_CRASH_SETTLE_MS;
 }
 
 typedef enum Judgement {
@@ -115,8 +129,8 @@
 
 /** has_trial: TIED, one of the tied requests is run as a trial. */
 static Judgement_t
-judge(const EyCrashSuspects_t *self, int64_t now_ms,
-      const EyCrashSuspect_t *suspect, bool *has_trial)
+judge(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect,
+      bool *has_trial)
 {
     if (suspect->crash_count < EY_CRASH_BAR_CRASHES) {
         return JUDGED_HARMLESS;
@@ -124,9 +138,15 @@
     if (ey_crash_suspects_was_barred(suspect)) {
         return JUDGED_FATAL;
     }
-    if (!is_settled(self, now_ms, suspect) ||
-        ey_crash_suspects_is_explained(self, suspect))
-    {
+    if (!is_settled(self, now_ms, suspect)) {
+        return JUDGED_HARMLESS;
+    }
+    if (is_one_kill(suspect, now_ms)) {
+        ey_crash_suspects_note_spared(self, suspect, EY_SPARE_ONE_KILL);
+        return JUDGED_HARMLESS;
+    }
+    if (ey_crash_suspects_is_explained(self, suspect)) {
+        ey_crash_suspects_note_spared(self, suspect, EY_SPARE_EXPLAINED);
         return JUDGED_HARMLESS;
     }
     return ey_crash_suspects_is_tied(self, suspect, has_trial) ? JUDGED_TIED
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -1,10 +1,46 @@
 /* Evidence of this gateway, and what refutes evidence. */
 #include "routing/crash_suspects_internal.h"
 
+/** Reports a crash that is held against a suspect. */
+static void
+add_crash_event(EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect,
+                const EyPromptParts_t *prompt)
+{
+    const EySuspectEvent_t event = {
+        .kind = EY_SUSPECT_CRASH,
+        .is_request = suspect->is_request,
+        .part_id = suspect->part_id,
+        .crashes = suspect->crash_count,
+        .is_unbegun = prompt->is_unbegun,
+        .ran_ms = prompt->ran_ms,
+        .bar_ms = suspect->bar_ms,
+    };
+    ey_crash_suspects_push_event(self, &event);
+}
+
+static void
+add_spared_event(EyCrashSuspects_t *self, uint64_t part_id,
+                 EySpareReason_t reason)
+{
+    const EySuspectEvent_t event = {
+        .kind = EY_SUSPECT_SPARED, .reason = reason, .part_id = part_id};
+    ey_crash_suspects_push_event(self, &event);
+}
+
+void
+EyCrashSuspects_Spare(EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
+                      EySpareReason_t reason)
+{
+    for (uint32_t i = 0; i < prompt->count; i++) {
+        add_spared_event(self, prompt->ids[i], reason);
+    }
+}
+
 /** Adds evidence that was seen here, and reports it to other gateways. */
 static void
 add_own_evidence(EyCrashSuspects_t *self, int64_t now_ms,
-                 const EyCrashEvidence_t *evidence)
+                 const EyCrashEvidence_t *evidence,
+                 const EyPromptParts_t *prompt)
 {
     bool is_request = ey_crash_evidence_is_request(evidence);
     const EyCrashSuspect_t *known =
@@ -12,15 +48,20 @@
     bool is_new_crash =
         known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
     if (EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
-                                 now_ms, evidence->key) ||
-        !ey_crash_suspects_add(self, now_ms, evidence))
+                                 now_ms, evidence->key))
     {
+        if (!is_request) {
+            add_spared_event(self, evidence->part_id, EY_SPARE_CLEARED_BEFORE);
+        }
+        return;
+    }
+    if (!ey_crash_suspects_add(self, now_ms, evidence)) {
         return;
     }
     const EyCrashSuspect_t *suspect =
         ey_crash_suspects_find(self, evidence->key);
     if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
-        ey_crash_suspects_add_event(self, EY_SUSPECT_CRASH, suspect);
+        add_crash_event(self, suspect, prompt);
     }
     ey_crash_suspects_report_crash(self, now_ms, evidence);
 }
@@ -38,7 +79,7 @@
             .crash = crash,
             .request = prompt->request,
         };
-        add_own_evidence(self, now_ms, &evidence);
+        add_own_evidence(self, now_ms, &evidence, prompt);
     }
     for (uint32_t i = 0; i < prompt->count; i++) {
         const EyCrashEvidence_t evidence = {
@@ -47,7 +88,7 @@
             .crash = crash,
             .request = prompt->request,
         };
-        add_own_evidence(self, now_ms, &evidence);
+        add_own_evidence(self, now_ms, &evidence, prompt);
     }
 }
 
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -32,7 +32,8 @@
     int64_t bar_ms; /* duration of the last bar; 0: never barred */
     int64_t bar_end_ms;
     bool has_trial;
-    uint64_t trial; /* number of the request */
+    uint64_t trial;         /* number of the request */
+    EySpareReason_t spared; /* why it isn't barred, as last reported */
 } EyCrashSuspect_t;
 
 typedef enum EyReportScope {
@@ -69,6 +70,17 @@
 ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
                             const EyCrashSuspect_t *suspect);
 
+/** Adds an event; the oldest is dropped if there are too many. */
+void
+ey_crash_suspects_push_event(EyCrashSuspects_t *self,
+                             const EySuspectEvent_t *event);
+
+/** Reports why a suspect isn't barred, once for each change. */
+void
+ey_crash_suspects_note_spared(EyCrashSuspects_t *self,
+                              EyCrashSuspect_t *suspect,
+                              EySpareReason_t reason);
+
 bool
 ey_crash_suspects_was_barred(const EyCrashSuspect_t *suspect);
 
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -11,21 +11,47 @@
 /* Events */
 
 void
-ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
-                            const EyCrashSuspect_t *suspect)
+ey_crash_suspects_push_event(EyCrashSuspects_t *self,
+                             const EySuspectEvent_t *event)
 {
     if (self->events.length == EVENTS_MAX) {
         g_free(g_queue_pop_head(&self->events));
     }
-    EySuspectEvent_t *event = g_new0(EySuspectEvent_t, 1);
-    *event = (EySuspectEvent_t){
+    g_queue_push_tail(&self->events, g_memdup2(event, sizeof(*event)));
+}
+
+static EySuspectEvent_t
+event_of(EySuspectEventKind_t kind, const EyCrashSuspect_t *suspect)
+{
+    return (EySuspectEvent_t){
         .kind = kind,
         .is_request = suspect->is_request,
         .part_id = suspect->part_id,
         .crashes = suspect->crash_count,
         .bar_ms = suspect->bar_ms,
     };
-    g_queue_push_tail(&self->events, event);
+}
+
+void
+ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
+                            const EyCrashSuspect_t *suspect)
+{
+    const EySuspectEvent_t event = event_of(kind, suspect);
+    ey_crash_suspects_push_event(self, &event);
+}
+
+void
+ey_crash_suspects_note_spared(EyCrashSuspects_t *self,
+                              EyCrashSuspect_t *suspect,
+                              EySpareReason_t reason)
+{
+    if (suspect->spared == reason || suspect->is_request) {
+        return;
+    }
+    suspect->spared = reason;
+    EySuspectEvent_t event = event_of(EY_SUSPECT_SPARED, suspect);
+    event.reason = reason;
+    ey_crash_suspects_push_event(self, &event);
 }
 
 bool
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -337,8 +337,13 @@
     }
     ey_router_read_result_signs(self, now_ms, tracked, result);
     if (!has_survived && !concerns_parts(tracked, result)) {
+        if (is_broken) {
+            EyCrashSuspects_Spare(self->suspects, &parts, EY_SPARE_NO_HEAD);
+        }
         parts.count = 0;
     }
+    parts.is_unbegun = !tracked->has_begun;
+    parts.ran_ms = tracked->has_begun ? now_ms - tracked->begun_ms : 0;
     if (is_inferred && !has_survived) {
         ey_router_add_inferred_end(self, now_ms, tracked, &parts);
     }
