--- a/tests/process/backend_internal.h
+++ b/tests/process/backend_internal.h
@@ -11,6 +11,7 @@
     STATE_READING,
     STATE_QUEUED,
     STATE_RUNNING,
+    STATE_SILENT, /* its server has ended; the socket is open */
     STATE_CLOSED
 } ConnectionState_t;
 
--- a/tests/process/backend_servers.c
+++ b/tests/process/backend_servers.c
@@ -79,6 +79,16 @@
            (int64_t)EyRandom_Below(&self->random, (uint64_t)(max_ms - min_ms));
 }
 
+static void
+end_connection(BackendConnection_t *connection, BackendEnd_t end)
+{
+    if (end == BACKEND_END_SILENCE) {
+        connection->state = STATE_SILENT;
+        return;
+    }
+    BackendConnection_End(connection, end == BACKEND_END_RESET);
+}
+
 static void
 crash(Backends_t *self, Server_t *server, bool is_by_request)
 {
@@ -96,9 +106,8 @@
     server->listener = -1;
     for (guint i = 0; i < self->connections->len; i++) {
         BackendConnection_t *connection = self->connections->pdata[i];
-        if (connection->server == server && connection->state != STATE_CLOSED)
-        {
-            BackendConnection_End(connection, !self->kind->ends_without_reset);
+        if (connection->server == server && connection->state < STATE_SILENT) {
+            end_connection(connection, self->kind->end);
         }
     }
     server->back_at_ms =
@@ -207,7 +216,9 @@
     }
     for (guint i = 0; i < self->connections->len; i++) {
         const BackendConnection_t *connection = self->connections->pdata[i];
-        struct pollfd entry = {.fd = connection->socket, .events = POLLIN};
+        bool is_silent = connection->state == STATE_SILENT;
+        struct pollfd entry = {.fd = is_silent ? -1 : connection->socket,
+                               .events = POLLIN};
         g_array_append_val(sockets, entry);
     }
     return sockets;
--- a/tests/process/backend_servers.h
+++ b/tests/process/backend_servers.h
@@ -44,6 +44,13 @@
     bool is_by_request; /* a fatal one */
 } BackendCrash_t;
 
+/** What becomes of the connections of a server that ends. */
+typedef enum BackendEnd {
+    BACKEND_END_RESET,
+    BACKEND_END_CLOSE,  /* in order */
+    BACKEND_END_SILENCE /* they stay open and nothing more is sent */
+} BackendEnd_t;
+
 /** What the servers of one kind say and do; the functions run on the thread
  * that serves all connections. */
 typedef struct BackendKind {
@@ -58,8 +65,7 @@
     /** Time from the end of a server to its next start. */
     int64_t down_min_ms;
     int64_t down_max_ms;
-    /** Ends close the connections in order instead of with a reset. */
-    bool ends_without_reset;
+    BackendEnd_t end;
     bool (*is_fatal)(const void *context,
                      const BackendConnection_t *connection);
     /** The request has got a slot. */
--- a/tests/process/engines.c
+++ b/tests/process/engines.c
@@ -8,12 +8,11 @@
 /** Events of one stream and the time between two of them. */
 #define EVENTS 10
 #define EVENT_INTERVAL_MS 35
-#define CRASH_DELAY_MIN_MS 50
-#define CRASH_DELAY_MAX_MS 150
 #define DOWN_MIN_MS 2000
 
 struct Engines {
-    uint64_t fatal_part; /* 0: none */
+    EngineFault_t fault;
+    gint is_fatal; /* atomic: the part of the fault ends engines */
     char *fields;
     char *version;
     char *name;
@@ -27,7 +26,7 @@
 {
     const Engines_t *self = context;
     char parts[512];
-    if (self->fatal_part == 0 ||
+    if (self->fault.part == 0 || g_atomic_int_get(&self->is_fatal) == 0 ||
         !BackendConnection_Header(connection, "Prompt-Prefix", parts,
                                   sizeof(parts)))
     {
@@ -36,7 +35,7 @@
     char **items = g_strsplit(parts, ",", -1);
     bool found = false;
     for (char **item = items; item[0] != NULL && item[1] != NULL; item++) {
-        found = found || g_ascii_strtoull(*item, NULL, 16) == self->fatal_part;
+        found = found || g_ascii_strtoull(*item, NULL, 16) == self->fault.part;
     }
     g_strfreev(items);
     return found;
@@ -65,15 +64,31 @@
     (void)snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", (unsigned)size,
                    event);
     (void)BackendConnection_Send(connection, chunk);
-    BackendConnection_ProceedAfter(connection, EVENT_INTERVAL_MS);
+    BackendConnection_ProceedAfter(connection, self->fault.event_interval_ms);
 }
 
-/** Sends the head and the first event; with the fatal part it also sets the
- * time of the engine's end. */
+/** Sets the time of the engine's end if it is due after that event. */
+static void
+end_engine_if_due(const Engines_t *self, BackendConnection_t *connection,
+                  uint32_t event)
+{
+    if (BackendConnection_IsFatal(connection) &&
+        event == self->fault.after_event) {
+        BackendConnection_EndServer(connection, self->fault.delay_min_ms,
+                                    self->fault.delay_max_ms);
+    }
+}
+
+/** Sends the head and the first event, unless the engine ends before. */
 static void
 begin_stream(const void *context, BackendConnection_t *connection)
 {
     const Engines_t *self = context;
+    if (BackendConnection_IsFatal(connection) && self->fault.after_event == 0)
+    {
+        end_engine_if_due(self, connection, 0);
+        return;
+    }
     char *head = g_strdup_printf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
                                  "Content-Type: text/event-stream\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n",
@@ -82,10 +97,7 @@
         send_event(self, connection, next_event(connection));
     }
     g_free(head);
-    if (BackendConnection_IsFatal(connection)) {
-        BackendConnection_EndServer(connection, CRASH_DELAY_MIN_MS,
-                                    CRASH_DELAY_MAX_MS);
-    }
+    end_engine_if_due(self, connection, 1);
 }
 
 static void
@@ -93,20 +105,38 @@
 {
     const Engines_t *self = context;
     uint32_t number = next_event(connection);
-    if (number <= EVENTS) {
+    if (number <= self->fault.events) {
         send_event(self, connection, number);
+        end_engine_if_due(self, connection, number);
         return;
     }
     (void)BackendConnection_Send(connection, "0\r\n\r\n");
     BackendConnection_Finish(connection);
 }
 
+static EngineFault_t
+with_defaults(const EngineFault_t *fault)
+{
+    EngineFault_t full = *fault;
+    if (full.down_max_ms == 0) {
+        full.down_min_ms = DOWN_MIN_MS;
+        full.down_max_ms = ENGINES_DOWN_MAX_MS;
+    }
+    full.slots = full.slots > 0 ? full.slots : SLOTS;
+    full.events = full.events > 0 ? full.events : EVENTS;
+    if (full.event_interval_ms == 0) {
+        full.event_interval_ms = EVENT_INTERVAL_MS;
+    }
+    return full;
+}
+
 Engines_t *
 Engines_Start(const char *service, const BackendSite_t *sites, uint32_t count,
-              uint64_t fatal_part, const char *version)
+              const EngineFault_t *fault, const char *version)
 {
     Engines_t *self = g_new0(Engines_t, 1);
-    self->fatal_part = fatal_part;
+    self->fault = with_defaults(fault);
+    self->is_fatal = !fault->is_latent;
     self->version = g_strdup(version);
     self->name = g_strconcat("engine", version, NULL);
     self->fields =
@@ -120,9 +150,10 @@
         .id_header = "Attempt-Id",
         .expected_header = "Expect-Instance",
         .not_run_header = "Not-Executed",
-        .slots = SLOTS,
-        .down_min_ms = DOWN_MIN_MS,
-        .down_max_ms = ENGINES_DOWN_MAX_MS,
+        .slots = self->fault.slots,
+        .down_min_ms = self->fault.down_min_ms,
+        .down_max_ms = self->fault.down_max_ms,
+        .end = fault->end,
         .is_fatal = has_fatal_part,
         .begin = begin_stream,
         .proceed = continue_stream,
@@ -131,6 +162,12 @@
     return self;
 }
 
+void
+Engines_SetFatal(Engines_t *self)
+{
+    g_atomic_int_set(&self->is_fatal, 1);
+}
+
 Backends_t *
 Engines_Servers(Engines_t *self)
 {
--- a/tests/process/test_crashing_prompts.c
+++ b/tests/process/test_crashing_prompts.c
@@ -1,6 +1,5 @@
-/* A part of a prompt that ends each model engine that begins to write an
- * answer to it, and engines that end for another reason, with real gateways in
- * two regions. */
+/* A part of a prompt that ends each model engine that runs it, and engines
+ * that end for another reason, with real gateways in several regions. */
 #include "process/engines.h"
 #include "process/harness.h"
 #include "process/routed_gateways.h"
@@ -10,6 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#define GATEWAYS_MAX 6
 #define GATEWAYS 3
 #define ENGINES 12
 #define START_TIMEOUT_MS 15000
@@ -21,14 +21,14 @@
 #define FATAL_INTERVAL_MS 100
 /** Prompts with the fatal part that are sent at once to begin with. */
 #define FATAL_BURST 6
-#define CALLERS_MAX 100
+#define CALLERS_MAX 300
 #define CALL_TIMEOUT_MS 6000
 #define PROMPTS_MAX 1000
 /** Sound prompts before the first one with the fatal part. */
 #define BEFORE_MS 2500
 /** Crashes after which the gateways must protect the engines. */
 #define CRASHES_MAX 5
-#define PROTECTION_DELAY_MS 5000
+#define PROTECTION_DELAY_MS 3000
 #define ARRIVALS_AFTER_MAX 3
 #define RECOVERY_DELAY_MS 10000
 /** Time of the sound prompts that are compared with those before. */
@@ -39,7 +39,7 @@
 #define OTHER_CRASHES 8
 #define OTHER_CRASH_INTERVAL_MS 600
 
-static const uint32_t GatewayRegions[GATEWAYS] = {0, 0, 1};
+static const uint32_t GatewayRegions[GATEWAYS_MAX] = {0, 0, 1, 1, 2, 2};
 
 /* The parts of a prompt but the last one, which is the request's own. All
  * prompts of the route share the first part. */
@@ -56,6 +56,110 @@
     "a1:800,c3:300,d4:200," FATAL_PART_TEXT,
 };
 
+/** How engines end on the fatal part, and the fleet that plays it. */
+typedef struct FatalCase {
+    const char *name;
+    EngineFault_t fault;
+    uint32_t gateways;
+    uint32_t engines;
+    uint32_t burst;  /* prompts with the part that are sent at once */
+    bool was_served; /* it was answered before it became fatal */
+} FatalCase_t;
+
+typedef enum FatalCaseName {
+    FIRST_EVENT_RESET,
+    THIRD_EVENT_CLOSE,
+    SILENCE,
+    BEFORE_HEAD_CLOSE,
+    BEFORE_HEAD_RESET,
+    SERVED_BEFORE,
+    LONG_AFTER_HEAD,
+    ALL_AT_ONCE,
+    FATAL_CASE_COUNT
+} FatalCaseName_t;
+
+static const FatalCase_t FatalCases[FATAL_CASE_COUNT] = {
+    [FIRST_EVENT_RESET] = {"after the first event, by reset",
+                           {.part = FATAL_PART,
+                            .after_event = 1,
+                            .delay_min_ms = 50,
+                            .delay_max_ms = 150},
+                           GATEWAYS,
+                           ENGINES,
+                           FATAL_BURST,
+                           false},
+    [THIRD_EVENT_CLOSE] = {"after the third event, closed in order",
+                           {.part = FATAL_PART,
+                            .after_event = 3,
+                            .delay_min_ms = 1,
+                            .delay_max_ms = 2,
+                            .end = BACKEND_END_CLOSE},
+                           GATEWAYS,
+                           ENGINES,
+                           FATAL_BURST,
+                           false},
+    [SILENCE] = {"after the first event, silently",
+                 {.part = FATAL_PART,
+                  .after_event = 1,
+                  .delay_min_ms = 50,
+                  .delay_max_ms = 150,
+                  .end = BACKEND_END_SILENCE},
+                 GATEWAYS,
+                 ENGINES,
+                 FATAL_BURST,
+                 false},
+    [BEFORE_HEAD_CLOSE] = {"before the head, closed in order",
+                           {.part = FATAL_PART,
+                            .delay_min_ms = 50,
+                            .delay_max_ms = 51,
+                            .end = BACKEND_END_CLOSE},
+                           GATEWAYS_MAX,
+                           ENGINES,
+                           FATAL_BURST,
+                           false},
+    [BEFORE_HEAD_RESET] = {"before the head, by reset",
+                           {.part = FATAL_PART,
+                            .delay_min_ms = 50,
+                            .delay_max_ms = 51},
+                           GATEWAYS_MAX,
+                           ENGINES,
+                           FATAL_BURST,
+                           false},
+    [SERVED_BEFORE] = {"after the part was served",
+                       {.part = FATAL_PART,
+                        .after_event = 1,
+                        .delay_min_ms = 50,
+                        .delay_max_ms = 150,
+                        .is_latent = true},
+                       GATEWAYS_MAX,
+                       ENGINES,
+                       FATAL_BURST,
+                       true},
+    [LONG_AFTER_HEAD] = {"2.4 s after the head",
+                         {.part = FATAL_PART,
+                          .after_event = 1,
+                          .delay_min_ms = 2400,
+                          .delay_max_ms = 2401,
+                          .slots = 16,
+                          .events = 6,
+                          .event_interval_ms = 600},
+                         GATEWAYS_MAX,
+                         ENGINES,
+                         FATAL_BURST,
+                         false},
+    [ALL_AT_ONCE] = {"all within 0.4 s",
+                     {.part = FATAL_PART,
+                      .after_event = 1,
+                      .delay_min_ms = 50,
+                      .delay_max_ms = 150,
+                      .down_min_ms = 6000,
+                      .down_max_ms = 6001},
+                     GATEWAYS_MAX,
+                     9,
+                     36,
+                     false},
+};
+
 static RoutedGateways_t Fleet;
 static Engines_t *Engines;
 
@@ -125,22 +229,22 @@
     RoutedGateways_PutRoutes(&Fleet, Routes);
 }
 
-/** Starts an equal number of engines for each gateway in its region. */
+/** Starts the engines, spread over the regions as the gateways are. */
 static void
-start_engines(uint64_t fatal_part)
+start_engines(const EngineFault_t *fault, uint32_t engines)
 {
     BackendSite_t sites[ENGINES] = {{.zone = NULL}};
-    for (uint32_t i = 0; i < ENGINES; i++) {
-        uint32_t region = GatewayRegions[i % GATEWAYS];
+    for (uint32_t i = 0; i < engines; i++) {
+        uint32_t region = GatewayRegions[i % Fleet.count];
         sites[i].zone = RoutedGateways_zones[region];
         uint32_t count = 0;
-        for (uint32_t g = 0; g < GATEWAYS; g++) {
+        for (uint32_t g = 0; g < Fleet.count; g++) {
             if (GatewayRegions[g] == region) {
                 sites[i].gateway_ports[count++] = Fleet.gateways[g].port;
             }
         }
     }
-    Engines = Engines_Start("guide", sites, ENGINES, fatal_part, "");
+    Engines = Engines_Start("guide", sites, engines, fault, "");
 }
 
 /* Prompts */
@@ -148,13 +252,13 @@
 static uint32_t
 gateway_of(const Prompt_t *prompt)
 {
-    return prompt->number % GATEWAYS;
+    return prompt->number % Fleet.count;
 }
 
 static void
 send_prompt(Prompt_t *prompt)
 {
-    uint32_t turn = prompt->number / GATEWAYS;
+    uint32_t turn = prompt->number / Fleet.count;
     const char *parts = prompt->is_fatal
                             ? FatalParts[turn % G_N_ELEMENTS(FatalParts)]
                             : SoundParts[turn % G_N_ELEMENTS(SoundParts)];
@@ -260,12 +364,12 @@
 static void
 await_service(void)
 {
-    int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
-    for (uint32_t g = 0; g < GATEWAYS; g++) {
-        Prompt_t prompt = {.number = PROMPTS_MAX * GATEWAYS + g};
+    for (uint32_t g = 0; g < Fleet.count; g++) {
+        int64_t until_ms = Harness_NowMs() + START_TIMEOUT_MS;
+        Prompt_t prompt = {.number = PROMPTS_MAX * Fleet.count + g};
         while (!prompt.is_complete && Harness_NowMs() < until_ms) {
             send_prompt(&prompt);
-            prompt.number += GATEWAYS;
+            prompt.number += Fleet.count;
             Harness_SleepMs(20);
         }
         cr_assert(prompt.is_complete, "gateway %u answered with %ld", g,
@@ -275,13 +379,13 @@
 }
 
 static void
-start_all(uint64_t fatal_part)
+start_all(const EngineFault_t *fault, uint32_t gateways, uint32_t engines)
 {
     (void)curl_global_init(CURL_GLOBAL_DEFAULT);
-    RoutedGateways_Start(&Fleet, "crashing", GatewayRegions, GATEWAYS,
+    RoutedGateways_Start(&Fleet, "crashing", GatewayRegions, gateways,
                          "platform");
     put_routes();
-    start_engines(fatal_part);
+    start_engines(fault, engines);
     await_service();
 }
 
@@ -327,14 +431,16 @@
 /** Sends sound prompts, then also ones with the fatal part until AFTER_MS of
  * them can be compared with those before. */
 static Outcome_t
-play_fatal_part(void)
+play_fatal_part(const FatalCase_t *each)
 {
     Outcome_t outcome = {.crashes = 0};
     Traffic_t *traffic = start_traffic();
     int64_t started_ms = Harness_NowMs();
+    traffic->next_fatal_ms = each->was_served ? started_ms : 0;
     run_traffic(traffic, BEFORE_MS);
     int64_t fatal_ms = Harness_NowMs();
-    for (uint32_t i = 0; i < FATAL_BURST; i++) {
+    Engines_SetFatal(Engines);
+    for (uint32_t i = 0; i < each->burst; i++) {
         add_prompt(traffic, true);
     }
     traffic->next_fatal_ms = fatal_ms + FATAL_INTERVAL_MS;
@@ -357,21 +463,23 @@
     return outcome;
 }
 
-Test(crashing_prompts, only_the_part_that_crashes_engines_is_withheld)
+static void
+check_fatal_case(FatalCaseName_t name)
 {
-    start_all(FATAL_PART);
-    Outcome_t outcome = play_fatal_part();
+    const FatalCase_t *each = &FatalCases[name];
+    start_all(&each->fault, each->gateways, each->engines);
+    Outcome_t outcome = play_fatal_part(each);
     const Share_t *before = &outcome.before;
     const Share_t *during = &outcome.during;
     const Share_t *after = &outcome.after;
     (void)fprintf(stderr,
-                  "fatal part: %u prompts, %u arrivals, %u crashes; %u "
-                  "arrivals later (%u misdirected); sound prompts begun: %u "
-                  "of %u before, %u of %u during, %u of %u after\n",
-                  outcome.fatal_sent, outcome.arrivals, outcome.crashes,
-                  outcome.arrivals_after, outcome.misdirected_after,
-                  before->begun, before->sent, during->begun, during->sent,
-                  after->begun, after->sent);
+                  "%s: %u prompts, %u arrivals, %u crashes; %u arrivals "
+                  "later (%u misdirected); sound prompts begun: %u of %u "
+                  "before, %u of %u during, %u of %u after\n",
+                  each->name, outcome.fatal_sent, outcome.arrivals,
+                  outcome.crashes, outcome.arrivals_after,
+                  outcome.misdirected_after, before->begun, before->sent,
+                  during->begun, during->sent, after->begun, after->sent);
     cr_expect_gt(outcome.crashes, 0);
     cr_expect_leq(outcome.arrivals_after, ARRIVALS_AFTER_MAX,
                   "%u requests with the part reached engines after crash %d",
@@ -384,11 +492,52 @@
                   before->begun, before->sent, after->begun, after->sent);
 }
 
+Test(crashing_prompts, only_the_part_that_crashes_engines_is_withheld)
+{
+    check_fatal_case(FIRST_EVENT_RESET);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_ends_engines_in_order)
+{
+    check_fatal_case(THIRD_EVENT_CLOSE);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_silences_engines)
+{
+    check_fatal_case(SILENCE);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_ends_engines_before_the_head)
+{
+    check_fatal_case(BEFORE_HEAD_CLOSE);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_resets_engines_before_the_head)
+{
+    check_fatal_case(BEFORE_HEAD_RESET);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_was_served_before)
+{
+    check_fatal_case(SERVED_BEFORE);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_ends_engines_long_after_a_head)
+{
+    check_fatal_case(LONG_AFTER_HEAD);
+}
+
+Test(crashing_prompts, a_part_is_withheld_that_ends_all_engines_at_once)
+{
+    check_fatal_case(ALL_AT_ONCE);
+}
+
 /* Other reasons */
 
 Test(crashing_prompts, crashes_for_another_reason_get_no_sound_prompt_refused)
 {
-    start_all(0);
+    static const EngineFault_t None = {.part = 0};
+    start_all(&None, GATEWAYS, ENGINES);
     Traffic_t *traffic = start_traffic();
     run_traffic(traffic, OTHER_CRASH_INTERVAL_MS);
     for (uint32_t i = 0; i < OTHER_CRASHES; i++) {
--- a/tests/process/test_stream_versions.c
+++ b/tests/process/test_stream_versions.c
@@ -108,7 +108,8 @@
         sites[i].zone = RoutedGateways_zones[0];
         sites[i].gateway_ports[0] = Fleet.gateways[OTHER].port;
     }
-    return Engines_Start("guide", sites, ENGINES, 0, version);
+    static const EngineFault_t None = {.part = 0};
+    return Engines_Start("guide", sites, ENGINES, &None, version);
 }
 
 static void
