--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -13,9 +13,9 @@
 
 static const char *const SpareReasons[EY_SPARE_REASON_COUNT] = {
     [EY_SPARE_NONE] = "none",
-    [EY_SPARE_NO_HEAD] = "no_head",
-    [EY_SPARE_CLEARED_BEFORE] = "cleared_before",
+    [EY_SPARE_FEW_CRASHES] = "few_crashes",
     [EY_SPARE_ONE_KILL] = "one_kill",
+    [EY_SPARE_NO_CONTRAST] = "no_contrast",
     [EY_SPARE_EXPLAINED] = "explained",
 };
 
--- a/src/routing/cleared_suspects.c
+++ b/src/routing/cleared_suspects.c
@@ -4,9 +4,12 @@
 
 #include <glib.h>
 
+#define NEVER INT64_MIN
+
 typedef struct ClearedEntry {
     uint64_t key;
     int64_t cleared_ms;
+    int64_t own_ms; /* when it was cleared here; NEVER */
 } ClearedEntry_t;
 
 struct EyClearedSuspects {
@@ -60,12 +63,36 @@
         drop_oldest(self);
     }
     ClearedEntry_t *added = g_new0(ClearedEntry_t, 1);
-    *added = (ClearedEntry_t){.key = key, .cleared_ms = cleared_ms};
+    *added = (ClearedEntry_t){
+        .key = key, .cleared_ms = cleared_ms, .own_ms = NEVER};
     g_queue_push_tail(&self->order, added);
     (void)g_hash_table_insert(self->by_key, &added->key,
                               g_queue_peek_tail_link(&self->order));
 }
 
+void
+EyClearedSuspects_AddOwn(EyClearedSuspects_t *self, int64_t cleared_ms,
+                         uint64_t key)
+{
+    EyClearedSuspects_Add(self, cleared_ms, key);
+    const GList *link = g_hash_table_lookup(self->by_key, &key);
+    ClearedEntry_t *entry = link->data;
+    entry->own_ms = MAX(entry->own_ms, cleared_ms);
+}
+
+bool
+EyClearedSuspects_FindOwn(const EyClearedSuspects_t *self, uint64_t key,
+                          int64_t *cleared_ms)
+{
+    const GList *link = g_hash_table_lookup(self->by_key, &key);
+    const ClearedEntry_t *known = link != NULL ? link->data : NULL;
+    if (known == NULL || known->own_ms == NEVER) {
+        return false;
+    }
+    *cleared_ms = known->own_ms;
+    return true;
+}
+
 bool
 EyClearedSuspects_Find(const EyClearedSuspects_t *self, uint64_t key,
                        int64_t *cleared_ms)
@@ -88,6 +115,15 @@
            crash_ms < cleared_ms + self->ttl_ms;
 }
 
+bool
+EyClearedSuspects_IsClearedSince(const EyClearedSuspects_t *self,
+                                 int64_t since_ms, uint64_t key)
+{
+    int64_t cleared_ms = 0;
+    return EyClearedSuspects_Find(self, key, &cleared_ms) &&
+           cleared_ms > since_ms;
+}
+
 uint32_t
 EyClearedSuspects_Count(const EyClearedSuspects_t *self)
 {
--- a/src/routing/crash_suspects.c
+++ b/src/routing/crash_suspects.c
@@ -31,9 +31,10 @@
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
     self->crash_times =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    self->cleared = EyClearedSuspects_New(self, EY_CLEARED_TTL_MS);
+    self->cleared = EyClearedSuspects_New(self, EY_CLEARED_PART_TTL_MS);
     self->cleared_requests =
         EyClearedSuspects_New(self, EY_CLEARED_REQUEST_TTL_MS);
+    self->outcomes = EyRunOutcomes_New(self);
     for (int i = 0; i < EY_REPORT_SCOPE_COUNT; i++) {
         g_queue_init(&self->evidence_reports[i]);
         g_queue_init(&self->cleared_reports[i]);
--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -1,12 +1,16 @@
 /**
  * What may crash backend servers: a request, which may come again and again,
  * or a part of prompts, which other prompts may share. A server that ends
- * while it may run a request is evidence against that request; a model engine
- * that ends soon after it began to answer is evidence against each shared part
- * of the prompt as well. An answer that completes or goes on clears them. A
- * suspect with evidence of several crashes that was never cleared is barred:
- * requests with it are refused for a time that grows with each further crash.
- * After that single requests with it are tried.
+ * while it may run a request is evidence against that request, and that of a
+ * model engine against each shared part of the prompt as well. An answer that
+ * completes clears them. A suspect with several crashes since it was last
+ * cleared is barred: requests with it are refused for a time that grows with
+ * each further crash. After that single requests with it are tried.
+ *
+ * Sound parts are in the prompts beside a fatal one, or in all of a route. So
+ * the crashes on a part are weighed against what happens without it: engines
+ * that end without the part, other parts with the same crashes, and, where the
+ * evidence is weak, answers of the target that complete meanwhile.
  *
  * Requests that ran beside a fatal one on the same servers have some of its
  * crashes: those are explained by the suspect that has more. Requests with
@@ -30,7 +34,8 @@
 extern "C" {
 #endif
 
-/** An answer that has gone on for this long didn't crash its engine. */
+/** An answer to a request that has gone on for this long didn't crash its
+ * server. */
 #define EY_CRASH_SURVIVAL_MS 2000
 /** Crashes on a part within this time add up. */
 #define EY_CRASH_WINDOW_MS 60000
@@ -39,8 +44,8 @@
 #define EY_CRASH_REQUEST_WINDOW_MS 600000
 /** Crashes from which on a part is barred. */
 #define EY_CRASH_BAR_CRASHES 3
-/** Crashes are held against a part only if the first and the last of them are
- * this far apart: many engines may be killed at once. */
+/** Crashes bar a part only if the first and the last of them are this far
+ * apart: many engines may be killed at once. */
 #define EY_CRASH_SPAN_MS 400
 /** They are held against it only after this time, in which other gateways can
  * report that the part was cleared there. */
@@ -69,8 +74,8 @@
 #define EY_CRASH_SUSPECTS_MAX 4096
 /** Most crashes whose times, or whose refutations, are remembered. */
 #define EY_CRASH_TIMES_MAX 1024
-/** Most crashes that are kept of one part. */
-#define EY_CRASHES_MAX EY_ENGINE_UPDATE_BAR_CRASHES_MAX
+/** Most crashes that are kept of one part; updates have fewer. */
+#define EY_CRASHES_MAX 16
 /** Most requests with a part that are distinguished at one crash. */
 #define EY_CRASH_REQUESTS_MAX 8
 
@@ -113,13 +118,14 @@
     EY_SUSPECT_EVENT_COUNT
 } EySuspectEventKind_t;
 
-/** Why a crash, or all of them, aren't held against a part. */
+/** Why a part isn't barred by its crashes. */
 typedef enum EySpareReason {
     EY_SPARE_NONE,
-    EY_SPARE_NO_HEAD,        /* the answer's head wasn't seen */
-    EY_SPARE_CLEARED_BEFORE, /* an answer to it completed before */
-    EY_SPARE_ONE_KILL,       /* all crashes came at the same time */
-    EY_SPARE_EXPLAINED,      /* they have another cause that is more likely */
+    EY_SPARE_FEW_CRASHES, /* more are needed: it was cleared before, or engines
+                             end without it too */
+    EY_SPARE_ONE_KILL,    /* all crashes came at the same time */
+    EY_SPARE_NO_CONTRAST, /* hardly any answers complete without it either */
+    EY_SPARE_EXPLAINED,   /* they have another cause that is more likely */
     EY_SPARE_REASON_COUNT
 } EySpareReason_t;
 
@@ -158,17 +164,18 @@
 EyCrashSuspects_AddCrash(EyCrashSuspects_t *self, int64_t now_ms,
                          const EyPromptParts_t *prompt, uint64_t crash);
 
-/** Reports that a crash isn't evidence against the parts of that prompt. */
-void
-EyCrashSuspects_Spare(EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
-                      EySpareReason_t reason);
-
-/** A server completed an answer to the request, or went on with it for
- * EY_CRASH_SURVIVAL_MS; prompt: of that the parts which are cleared by it. */
+/** A server completed an answer to the request; prompt: of that the parts
+ * which are cleared by it. */
 void
 EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyPromptParts_t *prompt);
 
+/** A server went on with an answer to the request for EY_CRASH_SURVIVAL_MS. A
+ * part of its prompt may end the engine later. */
+void
+EyCrashSuspects_ClearRequest(EyCrashSuspects_t *self, int64_t now_ms,
+                             uint64_t request);
+
 /** An engine has begun or completed an answer; crash: key of the crash of its
  * incarnation. */
 void
@@ -202,6 +209,12 @@
 EyCrashSuspects_Apply(EyCrashSuspects_t *self, int64_t now_ms,
                       bool is_own_region, const EyEngineUpdate_t *update);
 
+/** Counts the answers that completed at the gateway which sent the update. */
+void
+EyCrashSuspects_ApplyAnswers(EyCrashSuspects_t *self, int64_t now_ms,
+                             const char *gateway,
+                             const EyEngineUpdate_t *update);
+
 /** Takes the next event; false: there is none. The oldest are dropped if
  * nobody takes them. */
 bool
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -9,6 +9,10 @@
 #define TURNS_SHARE 0.25
 /** Retry-After of a caller that is refused because of a running trial. */
 #define TRIAL_LEFT_MS 1000
+/** Turns to try a part that may have ended all engines, and the time of one:
+ * in it the crash of a trial becomes known. */
+#define KILL_TURNS 8
+#define KILL_TURN_MS 500
 
 static int64_t
 bar_duration_ms(uint32_t crashes)
@@ -92,42 +96,53 @@
     }
 }
 
-static int64_t
-first_crash_ms(const EyCrashSuspect_t *suspect, int64_t now_ms)
-{
-    int64_t first_ms = now_ms;
-    for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        first_ms = MIN(first_ms, suspect->crashes[i].crash_ms);
-    }
-    return first_ms;
-}
-
-/** True if the crashes came at the same time, as when many engines are killed.
- */
-static bool
-is_one_kill(const EyCrashSuspect_t *suspect, int64_t now_ms)
-{
-    return ey_crash_suspects_last_crash_ms(suspect) -
-               first_crash_ms(suspect, now_ms) <
-           EY_CRASH_SPAN_MS;
-}
-
 /** True if other gateways had time to report on the suspect. */
 static bool
 is_settled(const EyCrashSuspects_t *self, int64_t now_ms,
            const EyCrashSuspect_t *suspect)
 {
     return now_ms - self->started_ms >= EY_CRASH_START_MS &&
-           now_ms - first_crash_ms(suspect, now_ms) >= EY_CRASH_SETTLE_MS;
+           now_ms - ey_crash_suspects_first_crash_ms(suspect, now_ms) >=
+               EY_CRASH_SETTLE_MS;
 }
 
 typedef enum Judgement {
     JUDGED_HARMLESS, /* by its present evidence */
     JUDGED_TIED, /* its evidence suffices, but another request's is equal */
+    JUDGED_ONE_KILL, /* it may have ended all engines, or something else did */
     JUDGED_FATAL
 } Judgement_t;
 
 /** has_trial: TIED, one of the tied requests is run as a trial. */
+static Judgement_t
+judge_request(const EyCrashSuspects_t *self, int64_t now_ms,
+              const EyCrashSuspect_t *request, bool *has_trial)
+{
+    int64_t span_ms = ey_crash_suspects_last_crash_ms(request) -
+                      ey_crash_suspects_first_crash_ms(request, now_ms);
+    if (span_ms < EY_CRASH_SPAN_MS ||
+        ey_crash_suspects_is_explained(self, request))
+    {
+        return JUDGED_HARMLESS;
+    }
+    return ey_crash_suspects_is_tied(self, request, has_trial) ? JUDGED_TIED
+                                                               : JUDGED_FATAL;
+}
+
+static Judgement_t
+judge_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *part)
+{
+    EySpareReason_t reason = ey_crash_suspects_weigh_part(self, now_ms, part);
+    if (reason == EY_SPARE_NONE) {
+        return JUDGED_FATAL;
+    }
+    ey_crash_suspects_note_spared(self, part, reason);
+    return reason != EY_SPARE_EXPLAINED &&
+                   ey_crash_suspects_may_end_all(self, now_ms, part)
+               ? JUDGED_ONE_KILL
+               : JUDGED_HARMLESS;
+}
+
 static Judgement_t
 judge(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *suspect,
       bool *has_trial)
@@ -141,16 +156,22 @@
     if (!is_settled(self, now_ms, suspect)) {
         return JUDGED_HARMLESS;
     }
-    if (is_one_kill(suspect, now_ms)) {
-        ey_crash_suspects_note_spared(self, suspect, EY_SPARE_ONE_KILL);
-        return JUDGED_HARMLESS;
-    }
-    if (ey_crash_suspects_is_explained(self, suspect)) {
-        ey_crash_suspects_note_spared(self, suspect, EY_SPARE_EXPLAINED);
-        return JUDGED_HARMLESS;
+    return suspect->is_request
+               ? judge_request(self, now_ms, suspect, has_trial)
+               : judge_part(self, now_ms, suspect);
+}
+
+/** A part that was cleared before gets the shortest bar first, however many
+ * crashes it took. */
+static void
+note_free_crashes(const EyCrashSuspects_t *self, int64_t now_ms,
+                  EyCrashSuspect_t *suspect)
+{
+    if (!suspect->is_request && !ey_crash_suspects_was_barred(suspect) &&
+        ey_crash_suspects_is_established(self, now_ms, suspect->key))
+    {
+        suspect->free_crashes = suspect->crash_count - EY_CRASH_BAR_CRASHES;
     }
-    return ey_crash_suspects_is_tied(self, suspect, has_trial) ? JUDGED_TIED
-                                                               : JUDGED_FATAL;
 }
 
 /** Bars a suspect, or prolongs its bar, if its evidence suffices. */
@@ -160,7 +181,9 @@
 {
     Judgement_t judgement = judge(self, now_ms, suspect, has_trial);
     if (judgement == JUDGED_FATAL) {
-        int64_t bar_ms = bar_duration_ms(suspect->crash_count);
+        note_free_crashes(self, now_ms, suspect);
+        int64_t bar_ms =
+            bar_duration_ms(suspect->crash_count - suspect->free_crashes);
         bar_suspect(self, now_ms, suspect,
                     ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
     }
@@ -172,6 +195,7 @@
 static bool
 add_request(EyCrash_t *crash, const EyCrashEvidence_t *evidence)
 {
+    crash->is_unbegun &= evidence->is_unbegun;
     for (uint32_t i = 0; i < crash->request_count; i++) {
         if (crash->requests[i] == evidence->request) {
             return false;
@@ -197,6 +221,14 @@
     }
 }
 
+void
+ey_crash_suspects_note_end(EyCrashSuspects_t *self, int64_t crash_ms,
+                           const EyCrashEvidence_t *evidence)
+{
+    EyRunOutcomes_AddEnd(self->outcomes, crash_ms, evidence->target,
+                         evidence->crash, evidence->request);
+}
+
 bool
 ey_crash_evidence_is_request(const EyCrashEvidence_t *evidence)
 {
@@ -214,8 +246,10 @@
     {
         return false;
     }
+    ey_crash_suspects_note_end(self, crash_ms, evidence);
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
         self, now_ms, evidence->key, evidence->part_id, is_request);
+    suspect->target = MAX(suspect->target, evidence->target);
     EyCrash_t *known = ey_crash_suspects_find_crash(suspect, evidence->crash);
     if (known != NULL && !add_request(known, evidence)) {
         return false;
@@ -226,6 +260,7 @@
             .crash_ms = crash_ms,
             .requests = {evidence->request},
             .request_count = 1,
+            .is_unbegun = evidence->is_unbegun,
         };
         ey_crash_suspects_append_crash(suspect, crash);
         note_crash_time(self, &crash);
@@ -247,6 +282,27 @@
     return count;
 }
 
+/** Duration of a reported bar. */
+static int64_t
+reported_bar_ms(const EySuspectBar_t *bar)
+{
+    return bar->bar_ms > 0 ? MIN(bar->bar_ms, EY_CRASH_BAR_MAX_MS)
+                           : bar_duration_ms(bar->crash_count);
+}
+
+/** True if a reported bar isn't justified: the part was cleared since, or it
+ * was cleared before and has too few crashes for that. */
+static bool
+is_bar_cleared(const EyCrashSuspects_t *self, int64_t now_ms,
+               const EySuspectBar_t *bar)
+{
+    int64_t last_crash_ms = now_ms + bar->left_ms - reported_bar_ms(bar);
+    return !bar->is_request && (EyClearedSuspects_IsClearedSince(
+                                    self->cleared, last_crash_ms, bar->key) ||
+                                !ey_crash_suspects_suffice(
+                                    self, now_ms, bar->key, bar->crash_count));
+}
+
 void
 ey_crash_suspects_adopt_bar(EyCrashSuspects_t *self, int64_t now_ms,
                             const EySuspectBar_t *bar)
@@ -256,6 +312,7 @@
                        known->crash_count >= bar->crash_count;
     if (count_crashes(self, bar) < EY_CRASH_BAR_CRASHES ||
         bar->crash_count > EY_CRASHES_MAX || has_as_much ||
+        is_bar_cleared(self, now_ms, bar) ||
         bar->left_ms > EY_CRASH_BAR_MAX_MS ||
         -bar->left_ms > EY_CRASH_BAR_KEPT_MS)
     {
@@ -263,7 +320,7 @@
     }
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
         self, now_ms, bar->key, bar->part_id, bar->is_request);
-    int64_t bar_ms = bar_duration_ms(bar->crash_count);
+    int64_t bar_ms = reported_bar_ms(bar);
     for (uint32_t i = 0; i < bar->crash_count; i++) {
         const EyCrash_t crash = {
             .crash = bar->crashes[i].crash,
@@ -311,6 +368,29 @@
     };
 }
 
+/** Of requests with a part that may have ended all engines one runs at a time,
+ * and not at all gateways at once: each has its turn in each round. */
+static EySuspicionResult_t
+check_one_kill(const EyCrashSuspects_t *self, int64_t now_ms,
+               const EyCrashSuspect_t *part)
+{
+    uint64_t turn =
+        (XXH64(self->region, strlen(self->region), part->key) + self->rank) %
+        KILL_TURNS;
+    int64_t round_ms = KILL_TURN_MS * KILL_TURNS;
+    int64_t since_ms = (now_ms - ey_crash_suspects_last_crash_ms(part) -
+                        KILL_TURN_MS * (int64_t)turn) %
+                       round_ms;
+    since_ms += since_ms < 0 ? round_ms : 0;
+    bool has_turn = since_ms < KILL_TURN_MS;
+    bool waits = !has_turn || part->has_trial;
+    int64_t left_ms = has_turn ? TRIAL_LEFT_MS : round_ms - since_ms;
+    return (EySuspicionResult_t){
+        .suspicion = waits ? EY_SUSPICION_BARRED : EY_SUSPICION_TRIAL,
+        .left_ms = waits ? left_ms : 0,
+    };
+}
+
 EySuspicionResult_t
 ey_crash_suspects_check(EyCrashSuspects_t *self, int64_t now_ms,
                         EyCrashSuspect_t *suspect)
@@ -318,9 +398,14 @@
     ey_crash_suspects_drop_old(suspect, now_ms);
     if (!ey_crash_suspects_was_barred(suspect)) {
         bool has_trial = false;
-        if (judge_suspect(self, now_ms, suspect, &has_trial) == JUDGED_TIED) {
+        Judgement_t judgement =
+            judge_suspect(self, now_ms, suspect, &has_trial);
+        if (judgement == JUDGED_TIED) {
             return check_tied(self, now_ms, suspect, has_trial);
         }
+        if (judgement == JUDGED_ONE_KILL) {
+            return check_one_kill(self, now_ms, suspect);
+        }
     }
     if (!ey_crash_suspects_was_barred(suspect)) {
         return (EySuspicionResult_t){.suspicion = EY_SUSPICION_NONE};
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -1,6 +1,13 @@
 /* Evidence of this gateway, and what refutes evidence. */
 #include "routing/crash_suspects_internal.h"
 
+#include <string.h>
+#include <xxhash.h>
+
+/** Requests with a part that are reported for one crash: two show that it
+ * wasn't one request alone. */
+#define REPORTED_REQUESTS_MAX 2
+
 /** Reports a crash that is held against a suspect. */
 static void
 add_crash_event(EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect,
@@ -18,24 +25,6 @@
     ey_crash_suspects_push_event(self, &event);
 }
 
-static void
-add_spared_event(EyCrashSuspects_t *self, uint64_t part_id,
-                 EySpareReason_t reason)
-{
-    const EySuspectEvent_t event = {
-        .kind = EY_SUSPECT_SPARED, .reason = reason, .part_id = part_id};
-    ey_crash_suspects_push_event(self, &event);
-}
-
-void
-EyCrashSuspects_Spare(EyCrashSuspects_t *self, const EyPromptParts_t *prompt,
-                      EySpareReason_t reason)
-{
-    for (uint32_t i = 0; i < prompt->count; i++) {
-        add_spared_event(self, prompt->ids[i], reason);
-    }
-}
-
 /** Adds evidence that was seen here, and reports it to other gateways. */
 static void
 add_own_evidence(EyCrashSuspects_t *self, int64_t now_ms,
@@ -50,9 +39,6 @@
     if (EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
                                  now_ms, evidence->key))
     {
-        if (!is_request) {
-            add_spared_event(self, evidence->part_id, EY_SPARE_CLEARED_BEFORE);
-        }
         return;
     }
     if (!ey_crash_suspects_add(self, now_ms, evidence)) {
@@ -63,7 +49,20 @@
     if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
         add_crash_event(self, suspect, prompt);
     }
-    ey_crash_suspects_report_crash(self, now_ms, evidence);
+    const EyCrash_t *crash = ey_crash_suspects_find_crash(
+        ey_crash_suspects_find(self, evidence->key), evidence->crash);
+    if (crash->request_count <= REPORTED_REQUESTS_MAX) {
+        ey_crash_suspects_report_crash(self, now_ms, evidence);
+    }
+}
+
+/** The key of the prompt's target for all gateways; 0: it is unknown. */
+static uint64_t
+target_key(const EyPromptParts_t *prompt)
+{
+    return prompt->target != NULL
+               ? XXH64(prompt->target, strlen(prompt->target), 0)
+               : 0;
 }
 
 void
@@ -72,22 +71,20 @@
 {
     ey_crash_suspects_note_start(self, now_ms);
     ey_crash_suspects_expire(self, now_ms);
+    EyCrashEvidence_t evidence = {
+        .crash = crash,
+        .request = prompt->request,
+        .target = target_key(prompt),
+        .is_unbegun = prompt->is_unbegun,
+    };
     if (prompt->request != 0) {
-        const EyCrashEvidence_t evidence = {
-            .key = prompt->request,
-            .part_id = prompt->request,
-            .crash = crash,
-            .request = prompt->request,
-        };
+        evidence.key = prompt->request;
+        evidence.part_id = prompt->request;
         add_own_evidence(self, now_ms, &evidence, prompt);
     }
     for (uint32_t i = 0; i < prompt->count; i++) {
-        const EyCrashEvidence_t evidence = {
-            .key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]),
-            .part_id = prompt->ids[i],
-            .crash = crash,
-            .request = prompt->request,
-        };
+        evidence.key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]);
+        evidence.part_id = prompt->ids[i];
         add_own_evidence(self, now_ms, &evidence, prompt);
     }
 }
@@ -95,23 +92,31 @@
 static void
 clear(EyCrashSuspects_t *self, int64_t now_ms, uint64_t key, bool is_request)
 {
-    EyClearedSuspects_Add(ey_crash_suspects_cleared(self, is_request), now_ms,
-                          key);
+    EyClearedSuspects_AddOwn(ey_crash_suspects_cleared(self, is_request),
+                             now_ms, key);
     if (ey_crash_suspects_remove(self, key)) {
         ey_crash_suspects_report_cleared(self, now_ms, key, is_request);
     }
 }
 
+void
+EyCrashSuspects_ClearRequest(EyCrashSuspects_t *self, int64_t now_ms,
+                             uint64_t request)
+{
+    if (request != 0) {
+        clear(self, now_ms, request, true);
+    }
+}
+
 void
 EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyPromptParts_t *prompt)
 {
-    if (prompt->request != 0) {
-        clear(self, now_ms, prompt->request, true);
-    }
+    EyRunOutcomes_AddAnswer(self->outcomes, now_ms, target_key(prompt));
+    EyCrashSuspects_ClearRequest(self, now_ms, prompt->request);
     for (uint32_t i = 0; i < prompt->count; i++) {
-        clear(self, now_ms,
-              EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]), false);
+        uint64_t key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]);
+        clear(self, now_ms, key, false);
     }
 }
 
@@ -156,6 +161,7 @@
     (void)g_hash_table_replace(self->refuted, g_memdup2(&crash, sizeof(crash)),
                                g_memdup2(&now_ms, sizeof(now_ms)));
     (void)g_hash_table_remove(self->crash_times, &crash);
+    EyRunOutcomes_RemoveEnd(self->outcomes, crash);
     ey_crash_suspects_stop_reporting(self, crash);
     GHashTableIter each;
     gpointer value = NULL;
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -4,6 +4,7 @@
 
 #include "routing/cleared_suspects.h"
 #include "routing/crash_suspects.h"
+#include "routing/run_outcomes.h"
 
 #include <glib.h>
 
@@ -20,16 +21,20 @@
     int64_t crash_ms;
     uint64_t requests[EY_CRASH_REQUESTS_MAX]; /* with the part; 0: unknown */
     uint32_t request_count;
+    bool is_unbegun; /* no answer with the part had begun */
 } EyCrash_t;
 
 /** A part or a request with evidence that wasn't cleared. */
 typedef struct EyCrashSuspect {
     uint64_t key;
     uint64_t part_id;
+    uint64_t target; /* key; 0: unknown */
     bool is_request;
     EyCrash_t crashes[EY_CRASHES_MAX]; /* distinct, earliest evidence first */
     uint32_t crash_count;
-    int64_t bar_ms; /* duration of the last bar; 0: never barred */
+    uint32_t dropped_count; /* crashes after the first that aren't kept */
+    uint32_t free_crashes;  /* those that don't make the bar longer */
+    int64_t bar_ms;         /* duration of the last bar; 0: never barred */
     int64_t bar_end_ms;
     bool has_trial;
     uint64_t trial;         /* number of the request */
@@ -60,6 +65,7 @@
     GQueue refuted_reports[EY_REPORT_SCOPE_COUNT];
     uint32_t
         next_bar[EY_REPORT_SCOPE_COUNT]; /* to be reported, by its position */
+    EyRunOutcomes_t *outcomes;
     GHashTable *refuted; /* by crash, time at which it was refuted */
     GQueue events;       /* of EySuspectEvent_t */
 };
@@ -129,14 +135,74 @@
 void
 ey_crash_suspects_lift_bar(EyCrashSuspect_t *suspect);
 
-/** Adds a crash; the first one makes room. */
+/** Adds a crash; the second one makes room. */
 void
 ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash);
 
+/** Time of the first of the crashes that are kept; now_ms if there are none.
+ */
+int64_t
+ey_crash_suspects_first_crash_ms(const EyCrashSuspect_t *suspect,
+                                 int64_t now_ms);
+
+/** The part was cleared at cleared_ms: drops the crashes before, and a bar
+ * that the others don't justify. */
+void
+ey_crash_suspects_clear_until(EyCrashSuspects_t *self, int64_t now_ms,
+                              EyCrashSuspect_t *suspect, int64_t cleared_ms);
+
+/* crash_suspects_weight.c */
+
+/** Why the crashes on a part that may be weighed don't bar it; NONE: they do.
+ */
+EySpareReason_t
+ey_crash_suspects_weigh_part(const EyCrashSuspects_t *self, int64_t now_ms,
+                             const EyCrashSuspect_t *part);
+
+/** Number of requests with the part that broke at its crashes. */
+uint32_t
+ey_crash_suspects_count_requests(const EyCrashSuspect_t *part);
+
+/** True if the part may have ended many engines at the same time. */
+bool
+ey_crash_suspects_may_end_all(const EyCrashSuspects_t *self, int64_t now_ms,
+                              const EyCrashSuspect_t *part);
+
+/** True if so many crashes may bar a part with that key. */
+bool
+ey_crash_suspects_suffice(const EyCrashSuspects_t *self, int64_t now_ms,
+                          uint64_t key, uint32_t crash_count);
+
+/** True if the part was cleared within EY_CLEARED_TTL_MS. */
+bool
+ey_crash_suspects_is_established(const EyCrashSuspects_t *self, int64_t now_ms,
+                                 uint64_t key);
+
 /* crash_suspects_ties.c */
 
-/** True if the crashes have another cause that is more likely: a request,
- * those that have more of them; a part, a request that had it at each. */
+/** True if one and the same request had the part at each crash. */
+bool
+ey_crash_suspects_is_of_one_request(const EyCrashSuspect_t *part);
+
+/** How the crashes on a part compare with those on other parts. */
+typedef struct EyPartRivals {
+    bool has_better;   /* another one has all of them and more */
+    bool has_equal;    /* another one has the same, and as many begun */
+    bool has_narrower; /* another one has the same under fewer requests */
+} EyPartRivals_t;
+
+/** Number of crashes at which an answer to the part had begun. */
+uint32_t
+ey_crash_suspects_count_begun(const EyCrashSuspect_t *part);
+
+/** Compares a part with the others that are as suspect by what is known of
+ * them from before. */
+EyPartRivals_t
+ey_crash_suspects_find_rivals(const EyCrashSuspects_t *self, int64_t now_ms,
+                              const EyCrashSuspect_t *part);
+
+/** True if the crashes of a request have another cause that is more likely: a
+ * request that has more of them, or what is barred. */
 bool
 ey_crash_suspects_is_explained(const EyCrashSuspects_t *self,
                                const EyCrashSuspect_t *suspect);
@@ -175,6 +241,11 @@
 bool
 ey_crash_evidence_is_request(const EyCrashEvidence_t *evidence);
 
+/** Notes that an engine ended, whatever it is evidence of. */
+void
+ey_crash_suspects_note_end(EyCrashSuspects_t *self, int64_t crash_ms,
+                           const EyCrashEvidence_t *evidence);
+
 /** Adds evidence; false if it is known or too old. */
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -90,29 +90,66 @@
     return last_ms;
 }
 
+int64_t
+ey_crash_suspects_first_crash_ms(const EyCrashSuspect_t *suspect,
+                                 int64_t now_ms)
+{
+    int64_t first_ms = now_ms;
+    for (uint32_t i = 0; i < suspect->crash_count; i++) {
+        first_ms = MIN(first_ms, suspect->crashes[i].crash_ms);
+    }
+    return first_ms;
+}
+
 int64_t
 ey_crash_suspects_window_ms(bool is_request)
 {
     return is_request ? EY_CRASH_REQUEST_WINDOW_MS : EY_CRASH_WINDOW_MS;
 }
 
-/** Drops the crashes that no longer add up with later ones. */
-void
-ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms)
+static void
+drop_until(EyCrashSuspect_t *suspect, int64_t until_ms)
 {
-    if (ey_crash_suspects_was_barred(suspect)) {
-        return;
-    }
-    int64_t window_ms = ey_crash_suspects_window_ms(suspect->is_request);
     uint32_t kept = 0;
     for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        if (now_ms - suspect->crashes[i].crash_ms < window_ms) {
+        if (suspect->crashes[i].crash_ms > until_ms) {
             suspect->crashes[kept++] = suspect->crashes[i];
         }
     }
+    if (kept < suspect->crash_count) {
+        suspect->dropped_count = 0;
+    }
     suspect->crash_count = kept;
 }
 
+/** Drops the crashes that no longer add up with later ones. */
+void
+ey_crash_suspects_drop_old(EyCrashSuspect_t *suspect, int64_t now_ms)
+{
+    if (!ey_crash_suspects_was_barred(suspect)) {
+        drop_until(suspect,
+                   now_ms - ey_crash_suspects_window_ms(suspect->is_request));
+    }
+}
+
+void
+ey_crash_suspects_clear_until(EyCrashSuspects_t *self, int64_t now_ms,
+                              EyCrashSuspect_t *suspect, int64_t cleared_ms)
+{
+    if (ey_crash_suspects_last_crash_ms(suspect) < cleared_ms) {
+        (void)ey_crash_suspects_remove(self, suspect->key);
+        return;
+    }
+    if (!ey_crash_suspects_was_barred(suspect)) {
+        drop_until(suspect, cleared_ms);
+    }
+    else if (!ey_crash_suspects_suffice(self, now_ms, suspect->key,
+                                        suspect->crash_count))
+    {
+        ey_crash_suspects_lift_bar(suspect);
+    }
+}
+
 static bool
 is_outdated(EyCrashSuspect_t *suspect, int64_t now_ms)
 {
@@ -282,14 +319,14 @@
     suspect->bar_end_ms = 0;
 }
 
-/** Adds a crash; the first one makes room. */
 void
 ey_crash_suspects_append_crash(EyCrashSuspect_t *suspect, EyCrash_t crash)
 {
     if (suspect->crash_count == EY_CRASHES_MAX) {
         suspect->crash_count--;
-        memmove(suspect->crashes, suspect->crashes + 1,
-                sizeof(EyCrash_t) * suspect->crash_count);
+        suspect->dropped_count++;
+        memmove(suspect->crashes + 1, suspect->crashes + 2,
+                sizeof(EyCrash_t) * (suspect->crash_count - 1));
     }
     suspect->crashes[suspect->crash_count++] = crash;
 }
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -19,7 +19,9 @@
     uint64_t part_id;
     uint64_t crash; /* 0: the part or request is cleared */
     uint64_t request;
+    uint64_t target;
     bool is_request;
+    bool is_unbegun;
     int64_t at_ms;
     int64_t until_ms;
 } Report_t;
@@ -45,6 +47,7 @@
     if (known != NULL) {
         known->until_ms = MAX(known->until_ms, report->until_ms);
         known->at_ms = MAX(known->at_ms, report->at_ms);
+        known->is_unbegun &= report->is_unbegun;
         return;
     }
     if (queue->length == REPORTS_MAX) {
@@ -62,6 +65,8 @@
         .part_id = evidence->part_id,
         .crash = evidence->crash,
         .request = evidence->request,
+        .target = evidence->target,
+        .is_unbegun = evidence->is_unbegun,
         .at_ms = now_ms - (int64_t)evidence->age_ms,
         .until_ms = now_ms + reported_ms,
     };
@@ -83,8 +88,8 @@
                                  uint64_t key, bool is_request)
 {
     int64_t cleared_ms = 0;
-    if (!EyClearedSuspects_Find(ey_crash_suspects_cleared(self, is_request),
-                                key, &cleared_ms))
+    if (!EyClearedSuspects_FindOwn(ey_crash_suspects_cleared(self, is_request),
+                                   key, &cleared_ms))
     {
         return;
     }
@@ -197,6 +202,8 @@
             .crash = reports[i]->crash,
             .age_ms = age_of(reports[i], now_ms),
             .request = reports[i]->request,
+            .target = reports[i]->target,
+            .is_unbegun = reports[i]->is_unbegun,
         };
     }
 }
@@ -236,16 +243,20 @@
             EyEngineUpdate_t *update)
 {
     EySuspectBar_t *bar = &update->bars[update->bar_count++];
+    uint32_t count =
+        MIN(suspect->crash_count, EY_ENGINE_UPDATE_BAR_CRASHES_MAX);
+    uint32_t first = suspect->crash_count - count;
     *bar = (EySuspectBar_t){
         .key = suspect->key,
         .part_id = suspect->part_id,
-        .crashes = EY_NEW_ARRAY(update, EyCrashKey_t, suspect->crash_count),
-        .crash_count = suspect->crash_count,
+        .crashes = EY_NEW_ARRAY(update, EyCrashKey_t, count),
+        .crash_count = count,
         .left_ms = suspect->bar_end_ms - now_ms,
         .is_request = suspect->is_request,
+        .bar_ms = suspect->bar_ms,
     };
-    for (uint32_t i = 0; i < suspect->crash_count; i++) {
-        bar->crashes[i].crash = suspect->crashes[i].crash;
+    for (uint32_t i = 0; i < count; i++) {
+        bar->crashes[i].crash = suspect->crashes[first + i].crash;
     }
 }
 
@@ -296,22 +307,25 @@
     collect_refuted(&self->refuted_reports[scope], now_ms, update);
     if (g_hash_table_size(self->by_key) > 0) {
         collect_bars(self, now_ms, scope, update);
+        EyRunOutcomes_Collect(self->outcomes, update);
     }
 }
 
-/** True, and the sender's region gets a report, if this gateway knows that the
- * part or request didn't cause the crash. */
+/** True if this gateway knows that the part or request didn't cause the crash.
+ * The sender's region gets a report of it, and of parts that were cleared
+ * before the crash. */
 static bool
 answer_cleared(EyCrashSuspects_t *self, int64_t now_ms, int64_t crash_ms,
                uint64_t key, bool is_request)
 {
-    if (!EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
-                                  crash_ms, key))
+    bool is_cleared = EyClearedSuspects_Covers(
+        ey_crash_suspects_cleared(self, is_request), crash_ms, key);
+    if (is_cleared ||
+        (!is_request && ey_crash_suspects_is_established(self, now_ms, key)))
     {
-        return false;
+        ey_crash_suspects_report_cleared(self, now_ms, key, is_request);
     }
-    ey_crash_suspects_report_cleared(self, now_ms, key, is_request);
-    return true;
+    return is_cleared;
 }
 
 static void
@@ -319,8 +333,11 @@
                const EyCrashEvidence_t *evidence)
 {
     int64_t crash_ms = now_ms - (int64_t)evidence->age_ms;
-    if (ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms) ||
-        answer_cleared(self, now_ms, crash_ms, evidence->key,
+    if (ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms)) {
+        return;
+    }
+    ey_crash_suspects_note_end(self, crash_ms, evidence);
+    if (answer_cleared(self, now_ms, crash_ms, evidence->key,
                        ey_crash_evidence_is_request(evidence)))
     {
         return;
@@ -333,16 +350,23 @@
     }
 }
 
-/** Removes the suspect unless it has a crash that the clearing doesn't
- * cover. */
+/** Removes a request from the suspects unless it has a crash that the clearing
+ * doesn't cover, and from those of a part what came before the clearing. */
 static void
-remove_covered(EyCrashSuspects_t *self, const EyClearedSuspects_t *cleared,
+remove_covered(EyCrashSuspects_t *self, int64_t now_ms, int64_t cleared_ms,
                uint64_t key)
 {
-    const EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, key);
-    if (suspect == NULL ||
-        EyClearedSuspects_Covers(
-            cleared, ey_crash_suspects_last_crash_ms(suspect), key))
+    EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, key);
+    if (suspect == NULL) {
+        return;
+    }
+    if (!suspect->is_request) {
+        ey_crash_suspects_clear_until(self, now_ms, suspect, cleared_ms);
+        return;
+    }
+    if (EyClearedSuspects_Covers(self->cleared_requests,
+                                 ey_crash_suspects_last_crash_ms(suspect),
+                                 key))
     {
         (void)ey_crash_suspects_remove(self, key);
     }
@@ -359,7 +383,7 @@
     EyClearedSuspects_t *known =
         ey_crash_suspects_cleared(self, cleared->is_request);
     EyClearedSuspects_Add(known, cleared_ms, cleared->key);
-    remove_covered(self, known, cleared->key);
+    remove_covered(self, now_ms, cleared_ms, cleared->key);
     if (!is_own_region) {
         const Report_t report = {
             .key = cleared->key,
@@ -382,6 +406,17 @@
     }
 }
 
+void
+EyCrashSuspects_ApplyAnswers(EyCrashSuspects_t *self, int64_t now_ms,
+                             const char *gateway,
+                             const EyEngineUpdate_t *update)
+{
+    for (uint32_t i = 0; i < update->answers_count; i++) {
+        EyRunOutcomes_AddReport(self->outcomes, now_ms, gateway,
+                                &update->answers[i]);
+    }
+}
+
 void
 EyCrashSuspects_Apply(EyCrashSuspects_t *self, int64_t now_ms,
                       bool is_own_region, const EyEngineUpdate_t *update)
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -25,6 +25,8 @@
     EY_FIELD(EyCrashEvidence_t, crash, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, age_ms, EY_FIELD_U32),
     EY_FIELD(EyCrashEvidence_t, request, EY_FIELD_U64),
+    EY_FIELD(EyCrashEvidence_t, target, EY_FIELD_U64),
+    EY_FIELD(EyCrashEvidence_t, is_unbegun, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t EvidenceSchema =
@@ -52,10 +54,19 @@
                       EY_ENGINE_UPDATE_BAR_CRASHES_MAX),
     EY_FIELD(EySuspectBar_t, left_ms, EY_FIELD_I64),
     EY_FIELD(EySuspectBar_t, is_request, EY_FIELD_BOOL),
+    EY_FIELD(EySuspectBar_t, bar_ms, EY_FIELD_I64),
     EY_FIELD_END,
 };
 static const EySchema_t BarSchema = EY_SCHEMA(EySuspectBar_t, BarFields);
 
+static const EyField_t AnswersFields[] = {
+    EY_FIELD(EyTargetAnswers_t, target, EY_FIELD_U64),
+    EY_FIELD(EyTargetAnswers_t, count, EY_FIELD_U64),
+    EY_FIELD_END,
+};
+static const EySchema_t AnswersSchema =
+    EY_SCHEMA(EyTargetAnswers_t, AnswersFields);
+
 static const EyField_t LimitFields[] = {
     EY_FIELD_TEXT(EyObservedLimit_t, id),
     EY_FIELD(EyObservedLimit_t, incarnation, EY_FIELD_U64),
@@ -100,6 +111,8 @@
                       UnreachedSchema, EY_ENGINE_UPDATE_UNREACHED_MAX),
     EY_FIELD_ARRAY_OF(EyEngineUpdate_t, runs, run_count, RunsSchema,
                       EY_ENGINE_UPDATE_ENGINES_MAX),
+    EY_FIELD_ARRAY_OF(EyEngineUpdate_t, answers, answers_count, AnswersSchema,
+                      EY_ENGINE_UPDATE_ANSWERS_MAX),
     EY_FIELD_END,
 };
 const EySchema_t EyEngineUpdate_schema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -26,6 +26,8 @@
 #define EY_ENGINE_UPDATE_BARS_MAX 16
 #define EY_ENGINE_UPDATE_REFUTED_MAX 64
 #define EY_ENGINE_UPDATE_BAR_CRASHES_MAX 8
+/** Most targets whose answers are counted in one message. */
+#define EY_ENGINE_UPDATE_ANSWERS_MAX 64
 /** Most limits of servers in one message. */
 #define EY_ENGINE_UPDATE_LIMITS_MAX 256
 /** Most targets whose servers the sender doesn't reach in one message. */
@@ -59,6 +61,8 @@
     uint32_t age_ms;
     uint64_t request; /* key of the request that had the part; equal to key: it
                          is against the request; 0: unknown */
+    uint64_t target;  /* key of the target; 0: unknown */
+    bool is_unbegun;  /* the answer's head wasn't seen */
 } EyCrashEvidence_t;
 
 /** A server completed an answer to the request or to a prompt with the part,
@@ -83,8 +87,16 @@
     int64_t left_ms; /* of the bar; negative: it has ended and the part hasn't
                         been cleared since */
     bool is_request;
+    int64_t bar_ms; /* its duration; 0: it follows from the crashes */
 } EySuspectBar_t;
 
+/** Answers to prompts for a target that completed at the sender since it
+ * started; told while there are suspects. */
+typedef struct EyTargetAnswers {
+    uint64_t target; /* its key */
+    uint64_t count;
+} EyTargetAnswers_t;
+
 /** A limit that a server named in an answer, or its end. */
 typedef struct EyObservedLimit {
     EyName_t id;
@@ -132,6 +144,8 @@
     EyEngineRuns_t *runs; /* own region only; an engine that isn't listed has
                              none */
     uint32_t run_count;
+    EyTargetAnswers_t *answers;
+    uint32_t answers_count;
 } EyEngineUpdate_t;
 
 extern const EySchema_t EyEngineUpdate_schema;
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -8,13 +8,6 @@
  * connection may not have been seen yet. */
 #define EVENT_GAP_MAX_MS 1000
 
-/** An answer that has begun and will clear its request and prompt's parts
- * unless it ends before. */
-typedef struct BegunAnswer {
-    uint64_t number;
-    int64_t begun_ms;
-} BegunAnswer_t;
-
 /** Most answers that wait for their engine to be seen running; above it the
  * newest aren't kept. */
 #define COMPLETED_MAX 1024
@@ -46,7 +39,7 @@
 {
     self->suspects = EyCrashSuspects_New(self, self->region);
     self->inferred_ends = EyInferredEnds_New(self);
-    g_queue_init(&self->begun_answers);
+    ey_router_open_begun_answers(self);
     self->completed_answers = g_hash_table_new_full(
         g_int64_hash, g_int64_equal, g_free, free_completed);
 }
@@ -54,7 +47,7 @@
 void
 ey_router_close_suspects(EyRouter_t *self)
 {
-    g_queue_clear_full(&self->begun_answers, g_free);
+    ey_router_close_begun_answers(self);
     g_hash_table_unref(self->completed_answers);
 }
 
@@ -253,66 +246,39 @@
     note_running(self, now_ms, tracked);
     tracked->has_begun = true;
     tracked->begun_ms = now_ms;
-    BegunAnswer_t *begun = g_new0(BegunAnswer_t, 1);
-    *begun = (BegunAnswer_t){.number = tracked->in_flight.number,
-                             .begun_ms = now_ms};
-    g_queue_push_tail(&self->begun_answers, begun);
-}
-
-static EyTrackedRequest_t *
-find_begun(const EyRouter_t *self, const BegunAnswer_t *begun)
-{
-    EyTrackedRequest_t *tracked =
-        g_hash_table_lookup(self->tracked, &begun->number);
-    bool is_same = tracked != NULL && tracked->has_begun &&
-                   tracked->begun_ms == begun->begun_ms;
-    return is_same ? tracked : NULL;
+    ey_router_watch_begun_answer(self, now_ms, tracked);
 }
 
-/** Takes all answers that have begun for ones that begin now. */
+/** Drops what is outdated; after a gap between events, as when the process was
+ * stopped, also what depends on when things were seen. */
 static void
-restart_begun_answers(EyRouter_t *self, int64_t now_ms)
+drop_outdated(EyRouter_t *self, int64_t now_ms)
 {
-    for (GList *link = self->begun_answers.head; link != NULL;
-         link = link->next) {
-        BegunAnswer_t *begun = link->data;
-        EyTrackedRequest_t *tracked = find_begun(self, begun);
-        if (tracked != NULL) {
-            tracked->begun_ms = now_ms;
-        }
-        begun->begun_ms = now_ms;
+    if (now_ms - self->suspects_ms > EVENT_GAP_MAX_MS) {
+        ey_router_restart_begun_answers(self, now_ms);
+        EyInferredEnds_Reset(self->inferred_ends);
     }
+    self->suspects_ms = now_ms;
+    expire_completed(self, now_ms);
 }
 
 void
 ey_router_clear_surviving(EyRouter_t *self, int64_t now_ms)
 {
-    if (now_ms - self->suspects_ms > EVENT_GAP_MAX_MS) {
-        restart_begun_answers(self, now_ms);
-        EyInferredEnds_Reset(self->inferred_ends);
-    }
-    self->suspects_ms = now_ms;
-    expire_completed(self, now_ms);
-    const BegunAnswer_t *first = g_queue_peek_head(&self->begun_answers);
-    while (first != NULL && now_ms - first->begun_ms >= EY_CRASH_SURVIVAL_MS) {
-        const EyTrackedRequest_t *tracked = find_begun(self, first);
-        if (tracked != NULL) {
-            const EyPromptParts_t parts = tracked_parts(tracked);
-            EyCrashSuspects_Clear(self->suspects, now_ms, &parts);
-        }
-        g_free(g_queue_pop_head(&self->begun_answers));
-        first = g_queue_peek_head(&self->begun_answers);
-    }
+    drop_outdated(self, now_ms);
+    ey_router_check_begun_answers(self, now_ms);
 }
 
-/** True if the end of the answer is evidence on the prompt's parts, and not
- * of the request alone. */
-static bool
-concerns_parts(const EyTrackedRequest_t *tracked,
-               const EyRoutingResult_t *result)
+/** What the end of an answer may be evidence of. */
+static EyPromptParts_t
+ended_parts(const EyTrackedRequest_t *tracked, int64_t now_ms,
+            const EyRoutingResult_t *result)
 {
-    return result->answer_end == EY_ANSWER_END_COMPLETE ||
-           tracked->has_begun || result->hides_start;
+    EyPromptParts_t parts = tracked_parts(tracked);
+    parts.is_unbegun = !tracked->has_begun && !result->hides_start &&
+                       result->answer_end != EY_ANSWER_END_COMPLETE;
+    parts.ran_ms = tracked->has_begun ? now_ms - tracked->begun_ms : 0;
+    return parts;
 }
 
 void
@@ -323,11 +289,9 @@
     if (!is_watched(tracked)) {
         return;
     }
-    EyPromptParts_t parts = tracked_parts(tracked);
     EyCrashSuspects_EndTrial(self->suspects, tracked->in_flight.number);
     ey_router_clear_surviving(self, now_ms);
-    bool has_survived = tracked->has_begun &&
-                        now_ms - tracked->begun_ms >= EY_CRASH_SURVIVAL_MS;
+    const EyPromptParts_t parts = ended_parts(tracked, now_ms, result);
     bool is_answered = result->answer_end == EY_ANSWER_END_COMPLETE ||
                        result->answer_end == EY_ANSWER_END_ANSWERED;
     bool is_broken = result->answer_end == EY_ANSWER_END_BROKEN;
@@ -336,19 +300,13 @@
         note_running(self, now_ms, tracked);
     }
     ey_router_read_result_signs(self, now_ms, tracked, result);
-    if (!has_survived && !concerns_parts(tracked, result)) {
-        if (is_broken) {
-            EyCrashSuspects_Spare(self->suspects, &parts, EY_SPARE_NO_HEAD);
-        }
-        parts.count = 0;
+    if (tracked->has_begun && parts.ran_ms >= EY_CRASH_SURVIVAL_MS) {
+        EyCrashSuspects_ClearRequest(self->suspects, now_ms, parts.request);
     }
-    parts.is_unbegun = !tracked->has_begun;
-    parts.ran_ms = tracked->has_begun ? now_ms - tracked->begun_ms : 0;
-    if (is_inferred && !has_survived) {
+    if (is_inferred) {
         ey_router_add_inferred_end(self, now_ms, tracked, &parts);
     }
-    else if (has_survived || (is_answered && clears_at_once(tracked, now_ms)))
-    {
+    else if (is_answered && clears_at_once(tracked, now_ms)) {
         EyCrashSuspects_Clear(self->suspects, now_ms, &parts);
     }
     else if (is_answered) {
--- a/src/routing/router_engine_update.c
+++ b/src/routing/router_engine_update.c
@@ -350,6 +350,7 @@
         EyNeighbours_Set(self->neighbours, now_ms, from, update->unreached,
                          update->unreached_count);
     }
+    EyCrashSuspects_ApplyAnswers(self->suspects, now_ms, from, update);
     EyCrashSuspects_Apply(self->suspects, now_ms, is_same_region, update);
 }
 
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -76,7 +76,7 @@
                                talloc children of the router */
     EyCrashSuspects_t *suspects;
     EyInferredEnds_t *inferred_ends;
-    GQueue begun_answers;          /* see router_crash_suspects.c */
+    GQueue begun_answers;          /* see router_begun_answers.c */
     GHashTable *completed_answers; /* by crash of the server, of GQueue of
                                       CompletedAnswer_t, oldest first */
     uint32_t completed_count;
@@ -85,6 +85,25 @@
     bool has_accounts;            /* the route table has client accounts */
 };
 
+/* router_begun_answers.c */
+
+void
+ey_router_open_begun_answers(EyRouter_t *self);
+
+void
+ey_router_close_begun_answers(EyRouter_t *self);
+
+void
+ey_router_watch_begun_answer(EyRouter_t *self, int64_t now_ms,
+                             const EyTrackedRequest_t *tracked);
+
+/** Takes all answers that have begun for ones that begin now. */
+void
+ey_router_restart_begun_answers(EyRouter_t *self, int64_t now_ms);
+
+void
+ey_router_check_begun_answers(EyRouter_t *self, int64_t now_ms);
+
 /* router_crash_suspects.c */
 
 void
@@ -111,7 +130,7 @@
 ey_router_track_answer(EyRouter_t *self, int64_t now_ms,
                        EyTrackedRequest_t *tracked);
 
-/** Clears the parts of the prompts whose answers have gone on long enough. */
+/** Clears requests whose answers have gone on long enough. */
 void
 ey_router_clear_surviving(EyRouter_t *self, int64_t now_ms);
 
--- a/tests/unit/crash_fleet.c
+++ b/tests/unit/crash_fleet.c
@@ -150,16 +150,23 @@
         GatewayFleet_Fail(fleet, request, &Refused, false);
         return;
     }
-    request->first_begun |= request->attempts == 1;
-    GatewayFleet_Begin(fleet, request);
+    const CrashFleetOptions_t *options = state_of(fleet)->options;
+    bool ends_engine =
+        request->is_fatal && fleet->now_ms >= options->fatal_from_ms;
+    if (!ends_engine || !options->ends_before_head) {
+        request->first_begun |= request->attempts == 1;
+        GatewayFleet_Begin(fleet, request);
+    }
     FleetEvent_t next = *event;
-    if (request->is_fatal) {
+    if (ends_engine) {
         next = (FleetEvent_t){.handle = on_crash,
                               .index = request->server,
                               .serial = fleet->servers[request->server].serial,
                               .number = request->number};
-        GatewayFleet_Schedule(fleet, GatewayFleet_Between(fleet, 10, 170),
-                              next);
+        int64_t delay_ms = options->ends_after_ms > 0
+                               ? options->ends_after_ms
+                               : GatewayFleet_Between(fleet, 10, 170);
+        GatewayFleet_Schedule(fleet, delay_ms, next);
         return;
     }
     bool is_cut = EyRandom_Below(&fleet->random, 1000) <
@@ -269,10 +276,31 @@
     }
 }
 
+/** Ends one of the engines that are up. */
+static void
+end_any_engine(GatewayFleet_t *fleet)
+{
+    uint32_t start =
+        (uint32_t)EyRandom_Below(&fleet->random, fleet->server_count);
+    for (uint32_t i = 0; i < fleet->server_count; i++) {
+        uint32_t index = (start + i) % fleet->server_count;
+        if (fleet->servers[index].is_up) {
+            end_engine(fleet, index);
+            return;
+        }
+    }
+}
+
 static void
 apply_faults(GatewayFleet_t *fleet)
 {
     const CrashFleetOptions_t *options = state_of(fleet)->options;
+    if (options->end_period_ms > 0 && fleet->now_ms >= options->end_from_ms &&
+        fleet->now_ms < options->end_until_ms &&
+        fleet->now_ms % options->end_period_ms == 0)
+    {
+        end_any_engine(fleet);
+    }
     int64_t since_ms = fleet->now_ms - options->kill_ms;
     if (options->kill_ms != CRASH_FLEET_NEVER && since_ms >= 0 &&
         (since_ms == 0 || (options->kill_period_ms > 0 &&
@@ -300,7 +328,8 @@
     if (is_due(fleet, options->sound_per_s)) {
         add_request(fleet, false);
     }
-    if (fleet->now_ms >= options->fatal_from_ms &&
+    if (fleet->now_ms >=
+            MIN(options->fatal_from_ms, options->served_from_ms) &&
         is_due(fleet, options->fatal_per_s))
     {
         add_request(fleet, true);
--- a/tests/unit/crash_fleet.h
+++ b/tests/unit/crash_fleet.h
@@ -21,6 +21,14 @@
     uint32_t fatal_position; /* of the fatal part among the parts */
     uint32_t loss_percent;   /* of engine updates */
     int64_t fatal_from_ms;
+    bool ends_before_head;  /* engines end without beginning the answer */
+    int64_t ends_after_ms;  /* from an answer's begin to its engine's end; 0:
+                               10 to 170 ms */
+    int64_t served_from_ms; /* from then to fatal_from_ms requests with the
+                               fatal part are answered; NEVER */
+    int64_t end_period_ms;  /* one engine ends by itself in each; 0: none */
+    int64_t end_from_ms;
+    int64_t end_until_ms;
     int64_t kill_ms;        /* a third of the engines ends; NEVER */
     int64_t kill_period_ms; /* and again after each period; 0: once */
     int64_t restart_ms;     /* a third of the gateways restarts; NEVER */
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -458,8 +458,8 @@
     cr_expect_eq(check(self, LATER_MS + 2000, PART).suspicion,
                  EY_SUSPICION_BARRED);
     for (uint64_t part = 1000; part < 1084 + EY_CRASH_BARS_MAX; part++) {
-        for (int i = 0; i < 4; i++) {
-            add_crash(self, LATER_MS + 3000 + 500 * (int64_t)i, part, ++crash);
+        for (int i = 0; i < 8; i++) {
+            add_crash(self, LATER_MS + 3000 + 250 * (int64_t)i, part, ++crash);
         }
     }
     cr_expect_eq(EyCrashSuspects_BarCount(self, LATER_MS + 5000),
@@ -622,11 +622,12 @@
     }
     const EyPromptParts_t prompt = {
         .target = TARGET, .ids = ids, .count = PARTS};
-    for (uint64_t crash = 1; crash <= 4; crash++) {
+    for (uint64_t crash = 1; crash <= 5; crash++) {
         EyCrashSuspects_AddCrash(self, LATER_MS + 500 * (int64_t)crash,
                                  &prompt, crash);
     }
-    int64_t now_ms = LATER_MS + 200000;
+    cr_expect_eq(EyCrashSuspects_BarCount(self, LATER_MS + 2600), PARTS);
+    int64_t now_ms = LATER_MS + 1000000;
     cr_expect_eq(EyCrashSuspects_BarCount(self, now_ms), 0);
     for (uint64_t crash = 11; crash <= 13; crash++) {
         add_crash(self, now_ms + 500 * (int64_t)crash, PART, crash);
--- a/tests/unit/test_crash_suspects_fleet.c
+++ b/tests/unit/test_crash_suspects_fleet.c
@@ -39,6 +39,7 @@
         .fatal_position = 2,
         .loss_percent = 2,
         .fatal_from_ms = 10000,
+        .served_from_ms = NEVER,
         .kill_ms = NEVER,
         .restart_ms = NEVER,
         .end_ms = 120000,
@@ -77,6 +78,99 @@
     }
 }
 
+Test(crash_suspects_fleet, a_part_stops_that_crashes_engines_in_other_ways)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t gateways;
+        uint32_t engines;
+        uint32_t fatal_per_s;
+        bool ends_before_head;
+        int64_t ends_after_ms;
+        int64_t served_from_ms;
+        int64_t end_period_ms;
+    } Cases[] = {
+        {"before the head", 21, 20, 16, 3, true, 0, NEVER, 0},
+        {"before the head, ten a second", 22, 2, 4, 10, true, 0, NEVER, 0},
+        {"before the head, few gateways", 23, 2, 16, 3, true, 0, NEVER, 0},
+        {"before the head, others end by themselves", 24, 20, 16, 3, true, 0,
+         NEVER, 700},
+        {"served before", 25, 20, 16, 3, false, 0, 2000, 0},
+        {"served before, before the head", 27, 20, 16, 3, true, 0, 2000, 0},
+        {"2.4 s after the head", 28, 20, 16, 3, false, 2400, NEVER, 0},
+        {"2.4 s after the head, few gateways", 29, 2, 16, 10, false, 2400,
+         NEVER, 0},
+        {"20 s after the head", 30, 6, 16, 1, false, 20000, NEVER, 0},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        CrashFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.gateways = Cases[i].gateways;
+        options.engines = Cases[i].engines;
+        options.fatal_per_s = Cases[i].fatal_per_s;
+        options.ends_before_head = Cases[i].ends_before_head;
+        options.ends_after_ms = Cases[i].ends_after_ms;
+        options.served_from_ms = Cases[i].served_from_ms;
+        options.end_period_ms = Cases[i].end_period_ms;
+        options.end_from_ms = 8000;
+        options.end_until_ms = 30000;
+        check_case(&options);
+    }
+}
+
+Test(crash_suspects_fleet, a_part_that_turns_fatal_at_few_engines_stops)
+{
+    CrashFleetOptions_t options = base_options();
+    options.name = "served before, few engines";
+    options.seed = 26;
+    options.gateways = 2;
+    options.engines = 4;
+    options.fatal_per_s = 10;
+    options.served_from_ms = 2000;
+    check_case(&options);
+}
+
+Test(crash_suspects_fleet, engines_that_end_one_by_one_bar_no_part)
+{
+    static const struct {
+        const char *name;
+        uint64_t seed;
+        uint32_t engines;
+        uint32_t sound_per_s;
+        int64_t end_period_ms;
+        int64_t end_from_ms;
+        int64_t end_until_ms;
+    } Cases[] = {
+        {"twelve in 6 s", 31, 16, 40, 500, 20000, 26000},
+        {"twelve in 6 s, soon after the start", 32, 16, 40, 500, 6000, 12000},
+        {"five a second", 33, 16, 40, 200, 20000, 30000},
+        {"one a second without end", 34, 16, 40, 1000, 6000, NEVER},
+        {"ten a second, few prompts", 35, 16, 5, 100, 20000, 30000},
+        {"few engines, two a second", 36, 4, 20, 500, 20000, 30000},
+        {"few engines, five a second", 37, 4, 20, 200, 20000, 26000},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        CrashFleetOptions_t options = base_options();
+        options.name = Cases[i].name;
+        options.seed = Cases[i].seed;
+        options.engines = Cases[i].engines;
+        options.sound_per_s = Cases[i].sound_per_s;
+        options.end_period_ms = Cases[i].end_period_ms;
+        options.end_from_ms = Cases[i].end_from_ms;
+        options.end_until_ms = Cases[i].end_until_ms;
+        options.fatal_per_s = 0;
+        options.end_ms = 40000;
+        CrashFleetCounts_t counts = crash_fleet_run(&options);
+        cr_log_info("%s: %u of %u suspect", options.name, counts.sound_suspect,
+                    counts.sound);
+        cr_expect_gt(counts.sound, 0, "%s", options.name);
+        cr_expect_eq(counts.sound_suspect, 0, "%s: %u", options.name,
+                     counts.sound_suspect);
+    }
+}
+
 Test(crash_suspects_fleet, a_part_that_crashes_engines_stops_at_195_gateways)
 {
     CrashFleetOptions_t options = base_options();
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -98,7 +98,7 @@
     engine_fixture_set_cache(world->router, next, 0.0);
 }
 
-Test(router_crash_suspects, only_answers_that_break_soon_after_their_start_bar)
+Test(router_crash_suspects, only_answers_that_break_after_their_start_bar)
 {
     static const Course_t Courses[] = {
         {"breaks after its start", true, 100, 50, false, BROKEN, true},
@@ -115,7 +115,7 @@
           .hides_start = true},
          true},
         {"breaks after it went on for long", true, 2100, 50, false, BROKEN,
-         false},
+         true},
         {"breaks while the process was stopped", true, 5000, 0, false, BROKEN,
          true},
         {"completes",
