Crash suspects: an engine that is replaced at its address has ended

Cause: the end of a server was only seen on its connections. Change: when a server is announced at the address of an earlier one that wasn't stopped orderly, what that one may still run counts as broken. A unit test fails before. Callers of such requests still wait for their deadlines.

--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -3,6 +3,9 @@
 #include "core/memory.h"
 #include "routing/router_internal.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 /** After a longer gap between events, as when the process was stopped, the
  * times of answers that began before it are unknown: a break of their
  * connection may not have been seen yet. */
@@ -87,6 +90,12 @@
                               : EY_REFUSAL_SUSPECT_PROMPT;
 }
 
+static uint64_t
+hash_address(const EyBackend_t *backend)
+{
+    return XXH64(backend->address, strlen(backend->address), 0);
+}
+
 void
 ey_router_track_parts(EyRouter_t *self, int64_t now_ms,
                       const EyRoutingRequest_t *request,
@@ -105,6 +114,8 @@
     tracked->crash =
         EyCrashSuspects_CrashKey(backend->id, backend->incarnation);
     tracked->has_incarnation = backend->incarnation > 0;
+    tracked->address = hash_address(backend);
+    tracked->incarnation = backend->incarnation;
     EyCrashSuspects_StartTrial(self->suspects, now_ms, &parts,
                                request->number);
 }
@@ -319,6 +330,40 @@
     }
 }
 
+/** True if the request was sent to an earlier server at the address that
+ * wasn't stopped orderly. */
+static bool
+is_at_predecessor(const EyTrackedRequest_t *tracked, uint64_t address,
+                  const EyBackend_t *backend)
+{
+    const EyReplica_t *replica = tracked->in_flight.replica;
+    bool is_stopped =
+        replica != NULL && replica->backend->state == EY_BACKEND_LEAVING;
+    return is_watched(tracked) && tracked->has_incarnation &&
+           tracked->address == address &&
+           tracked->incarnation < backend->incarnation && !is_stopped;
+}
+
+void
+ey_router_judge_predecessors(EyRouter_t *self, int64_t now_ms,
+                             const EyBackend_t *backend)
+{
+    static const EyRoutingResult_t Silent = {.kind = EY_RESULT_FAILED};
+    uint64_t address = hash_address(backend);
+    GHashTableIter each;
+    gpointer value = NULL;
+    g_hash_table_iter_init(&each, self->tracked);
+    while (g_hash_table_iter_next(&each, NULL, &value)) {
+        const EyTrackedRequest_t *tracked = value;
+        if (is_at_predecessor(tracked, address, backend)) {
+            const EyPromptParts_t parts =
+                ended_parts(tracked, now_ms, &Silent);
+            EyCrashSuspects_AddCrash(self->suspects, now_ms, &parts,
+                                     tracked->crash);
+        }
+    }
+}
+
 bool
 EyRouter_NextSuspectEvent(EyRouter_t *self, EySuspectEvent_t *event)
 {
--- a/src/routing/router_inferred_ends.c
+++ b/src/routing/router_inferred_ends.c
@@ -84,6 +84,7 @@
     if (known == NULL || known->backend->incarnation != backend->incarnation) {
         EyInferredEnds_AddStart(self->inferred_ends, now_ms, &server);
         execute_verdicts(self, now_ms);
+        ey_router_judge_predecessors(self, now_ms, backend);
     }
 }
 
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -37,7 +37,9 @@
     uint64_t request;     /* key of equal requests; 0: unknown */
     uint64_t crash;       /* key of the engine's crash, if it crashes */
     bool has_incarnation; /* the engine announces its incarnation */
-    bool has_begun;       /* the answer has begun */
+    uint64_t address;     /* hash of the engine's address */
+    uint64_t incarnation;
+    bool has_begun; /* the answer has begun */
     int64_t begun_ms;
 } EyTrackedRequest_t;
 
@@ -134,6 +136,12 @@
 void
 ey_router_clear_surviving(EyRouter_t *self, int64_t now_ms);
 
+/** A server is announced for the first time: its predecessors at the address
+ * have ended, and with them the requests that they may still run. */
+void
+ey_router_judge_predecessors(EyRouter_t *self, int64_t now_ms,
+                             const EyBackend_t *backend);
+
 /** The request ended: takes the result as evidence for or against it and its
  * prompt's parts. */
 void
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -324,3 +324,67 @@
     cr_expect_not(decision.has_running_bar);
     free_world(&world);
 }
+
+static void
+announce(World_t *world, int64_t now_ms, const char *id, const char *address,
+         uint64_t incarnation, EyBackendState_t state)
+{
+    static EyName_t model = "plan";
+    EyBackend_t backend = {.kind = EY_BACKEND_MODEL,
+                           .models = &model,
+                           .model_count = 1,
+                           .slots = ENGINE_FIXTURE_SLOTS,
+                           .incarnation = incarnation,
+                           .state = state};
+    (void)g_strlcpy(backend.id, id, sizeof(backend.id));
+    (void)g_strlcpy(backend.address, address, sizeof(backend.address));
+    EyRouter_UpsertBackend(world->router, now_ms, &backend);
+}
+
+Test(router_crash_suspects, an_engine_that_ended_in_silence_has_crashed)
+{
+    static const struct {
+        const char *name;
+        const char *next_address;
+        bool is_stopped; /* in order */
+        bool is_barred;
+    } Cases[] = {
+        {"another engine starts at its address", "127.0.0.1:1", false, true},
+        {"another engine starts elsewhere", "127.0.0.1:2", false, false},
+        {"it was stopped before", "127.0.0.1:1", true, false},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        World_t world = make_world();
+        for (uint32_t b = 0; b < ENGINE_FIXTURE_ENGINES; b++) {
+            EyName_t id;
+            (void)g_snprintf(id, sizeof(id), "b%u", b);
+            EyRouter_RemoveBackend(world.router, NOW_MS, id);
+        }
+        for (uint64_t run = 1; run <= 3; run++) {
+            int64_t now_ms = NOW_MS + 500 * (int64_t)run;
+            EyName_t id;
+            (void)g_snprintf(id, sizeof(id), "e%lu", (unsigned long)run);
+            announce(&world, now_ms, id, "127.0.0.1:1", run,
+                     EY_BACKEND_SERVING);
+            EyRoutingDecision_t decision = submit(&world, now_ms, FATAL_PART);
+            cr_assert_eq(decision.kind, EY_DECISION_DISPATCH);
+            EyRouter_AnswerStarted(world.router, now_ms, decision.number);
+            if (Cases[i].is_stopped) {
+                announce(&world, now_ms, id, "127.0.0.1:1", run,
+                         EY_BACKEND_LEAVING);
+            }
+            announce(&world, now_ms + 300, "next", Cases[i].next_address,
+                     run + 1, EY_BACKEND_SERVING);
+            EyRouter_RemoveBackend(world.router, now_ms + 300, id);
+            EyRouter_RemoveBackend(world.router, now_ms + 300, "next");
+        }
+        announce(&world, NOW_MS + 3000, "last", "127.0.0.1:3", 9,
+                 EY_BACKEND_SERVING);
+        EyRoutingDecision_t decision =
+            submit(&world, NOW_MS + 3000, FATAL_PART);
+        cr_expect_eq(decision.reason == EY_REFUSAL_SUSPECT_PROMPT,
+                     Cases[i].is_barred, "%s: %s", Cases[i].name,
+                     EyRefusal_names[decision.reason]);
+        free_world(&world);
+    }
+}
