--- a/src/gateway/suspects.c
+++ b/src/gateway/suspects.c
@@ -12,10 +12,8 @@
 };
 
 static const char *const SpareReasons[EY_SPARE_REASON_COUNT] = {
-    [EY_SPARE_NONE] = "none",
-    [EY_SPARE_FEW_CRASHES] = "few_crashes",
-    [EY_SPARE_ONE_KILL] = "one_kill",
-    [EY_SPARE_NO_CONTRAST] = "no_contrast",
+    [EY_SPARE_NONE] = "none",           [EY_SPARE_FEW_CRASHES] = "few_crashes",
+    [EY_SPARE_ONE_KILL] = "one_kill",   [EY_SPARE_NO_CONTRAST] = "no_contrast",
     [EY_SPARE_EXPLAINED] = "explained",
 };
 
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -377,7 +377,7 @@
     uint64_t turn =
         (XXH64(self->region, strlen(self->region), part->key) + self->rank) %
         KILL_TURNS;
-    int64_t round_ms = KILL_TURN_MS * KILL_TURNS;
+    int64_t round_ms = INT64_C(1) * KILL_TURN_MS * KILL_TURNS;
     int64_t since_ms = (now_ms - ey_crash_suspects_last_crash_ms(part) -
                         KILL_TURN_MS * (int64_t)turn) %
                        round_ms;
