--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -114,7 +114,7 @@
     EY_SUSPECT_BARRED,  /* the part is barred, or for longer than before */
     EY_SUSPECT_CLEARED, /* it was suspected and is cleared */
     EY_SUSPECT_TRIAL,   /* a request with it is run as a trial */
-    EY_SUSPECT_SPARED,  /* a crash isn't held against it, see reason */
+    EY_SUSPECT_SPARED,  /* its crashes don't bar it, see reason */
     EY_SUSPECT_EVENT_COUNT
 } EySuspectEventKind_t;
 
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -519,6 +519,28 @@
     talloc_free(self);
 }
 
+/* A success that gateways tell each other on and on would cover ever later
+ * crashes. */
+Test(crash_suspects, a_reported_success_is_not_reported_again)
+{
+    void *ctx = talloc_new(NULL);
+    EyCrashSuspects_t *saw = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *told = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *last = make_suspects(ctx, "istra");
+    add_crash(saw, LATER_MS, PART, 1);
+    clear(saw, LATER_MS + 100, PART);
+    send_update(saw, told, LATER_MS + 200, LATER_MS + 250, true);
+    add_crash(last, LATER_MS + 300, PART, 2);
+    send_update(last, told, LATER_MS + 400, LATER_MS + 450, true);
+    EyEngineUpdate_t *update = EY_NEW(ctx, EyEngineUpdate_t);
+    EyCrashSuspects_Collect(told, LATER_MS + 500, true, update);
+    cr_expect_eq(update->cleared_count, 0);
+    update = EY_NEW(ctx, EyEngineUpdate_t);
+    EyCrashSuspects_Collect(saw, LATER_MS + 500, true, update);
+    cr_expect_eq(update->cleared_count, 1);
+    talloc_free(ctx);
+}
+
 Test(crash_suspects, an_update_of_an_older_build_has_no_suspects)
 {
     void *ctx = talloc_new(NULL);
