Crash suspects: a request that ends its server late is barred too

What callers would see: a request that ends each server that runs it 2 s or more after the answer's head is never barred. Cause: an answer that went on for 2 s cleared its request, also of crashes that come later than that. Change: such an answer clears it only if all of its crashes came sooner. One that ended a server late needs more crashes where servers of its target end without it, as a long sound stream goes on at one server after the other. A part that was found harmless is weighed again after 20 ms at the earliest. Evidence: the two new tests fail before.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -35,7 +35,7 @@
 #endif
 
 /** An answer to a request that has gone on for this long didn't crash its
- * server. */
+ * server, unless others ended later than that. */
 #define EY_CRASH_SURVIVAL_MS 2000
 /** Crashes on a part within this time add up. */
 #define EY_CRASH_WINDOW_MS 60000
@@ -170,11 +170,12 @@
 EyCrashSuspects_Clear(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyPromptParts_t *prompt);
 
-/** A server went on with an answer to the request for EY_CRASH_SURVIVAL_MS. A
- * part of its prompt may end the engine later. */
+/** A server went on with an answer to the request for EY_CRASH_SURVIVAL_MS:
+ * clears it of its crashes if all came sooner. A part of its prompt may end
+ * the engine later. */
 void
-EyCrashSuspects_ClearRequest(EyCrashSuspects_t *self, int64_t now_ms,
-                             uint64_t request);
+EyCrashSuspects_Survive(EyCrashSuspects_t *self, int64_t now_ms,
+                        uint64_t request);
 
 /** An engine has begun or completed an answer; crash: key of the crash of its
  * incarnation. */
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -9,6 +9,9 @@
 #define TURNS_SHARE 0.25
 /** Retry-After of a caller that is refused because of a running trial. */
 #define TRIAL_LEFT_MS 1000
+/** A part that was found harmless is judged again after this time, or with new
+ * evidence: comparing it with all others takes time. */
+#define REJUDGE_MS 20
 /** Turns to try a part that may have ended all engines, and the time of one:
  * in it the crash of a trial becomes known. */
 #define KILL_TURNS 8
@@ -120,7 +123,9 @@
 {
     int64_t span_ms = ey_crash_suspects_last_crash_ms(request) -
                       ey_crash_suspects_first_crash_ms(request, now_ms);
-    if (span_ms < EY_CRASH_SPAN_MS ||
+    bool has_few = request->is_late &&
+                   ey_crash_suspects_has_few_crashes(self, now_ms, request);
+    if (span_ms < EY_CRASH_SPAN_MS || has_few ||
         ey_crash_suspects_is_explained(self, request))
     {
         return JUDGED_HARMLESS;
@@ -250,6 +255,7 @@
     EyCrashSuspect_t *suspect = ey_crash_suspects_add_suspect(
         self, now_ms, evidence->key, evidence->part_id, is_request);
     suspect->target = MAX(suspect->target, evidence->target);
+    suspect->is_late |= evidence->is_late;
     EyCrash_t *known = ey_crash_suspects_find_crash(suspect, evidence->crash);
     if (known != NULL && !add_request(known, evidence)) {
         return false;
@@ -397,9 +403,16 @@
 {
     ey_crash_suspects_drop_old(suspect, now_ms);
     if (!ey_crash_suspects_was_barred(suspect)) {
+        if (!suspect->is_request && now_ms - suspect->harmless_ms < REJUDGE_MS)
+        {
+            return (EySuspicionResult_t){.suspicion = EY_SUSPICION_NONE};
+        }
         bool has_trial = false;
         Judgement_t judgement =
             judge_suspect(self, now_ms, suspect, &has_trial);
+        if (judgement == JUDGED_HARMLESS) {
+            suspect->harmless_ms = now_ms;
+        }
         if (judgement == JUDGED_TIED) {
             return check_tied(self, now_ms, suspect, has_trial);
         }
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -76,6 +76,7 @@
         .request = prompt->request,
         .target = target_key(prompt),
         .is_unbegun = prompt->is_unbegun,
+        .is_late = prompt->ran_ms >= EY_CRASH_SURVIVAL_MS,
     };
     if (prompt->request != 0) {
         evidence.key = prompt->request;
@@ -100,10 +101,11 @@
 }
 
 void
-EyCrashSuspects_ClearRequest(EyCrashSuspects_t *self, int64_t now_ms,
-                             uint64_t request)
+EyCrashSuspects_Survive(EyCrashSuspects_t *self, int64_t now_ms,
+                        uint64_t request)
 {
-    if (request != 0) {
+    const EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, request);
+    if (suspect != NULL && suspect->is_request && !suspect->is_late) {
         clear(self, now_ms, request, true);
     }
 }
@@ -113,7 +115,9 @@
                       const EyPromptParts_t *prompt)
 {
     EyRunOutcomes_AddAnswer(self->outcomes, now_ms, target_key(prompt));
-    EyCrashSuspects_ClearRequest(self, now_ms, prompt->request);
+    if (prompt->request != 0) {
+        clear(self, now_ms, prompt->request, true);
+    }
     for (uint32_t i = 0; i < prompt->count; i++) {
         uint64_t key = EyCrashSuspects_PartKey(prompt->target, prompt->ids[i]);
         clear(self, now_ms, key, false);
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -30,6 +30,7 @@
     uint64_t part_id;
     uint64_t target; /* key; 0: unknown */
     bool is_request;
+    bool is_late; /* a server ended long after an answer's head */
     EyCrash_t crashes[EY_CRASHES_MAX]; /* distinct, earliest evidence first */
     uint32_t crash_count;
     uint32_t dropped_count; /* crashes after the first that aren't kept */
@@ -39,6 +40,7 @@
     bool has_trial;
     uint64_t trial;         /* number of the request */
     EySpareReason_t spared; /* why it isn't barred, as last reported */
+    int64_t harmless_ms;    /* when it was last found harmless */
 } EyCrashSuspect_t;
 
 typedef enum EyReportScope {
@@ -163,6 +165,12 @@
 uint32_t
 ey_crash_suspects_count_requests(const EyCrashSuspect_t *part);
 
+/** True if more crashes are needed to bar the suspect. */
+bool
+ey_crash_suspects_has_few_crashes(const EyCrashSuspects_t *self,
+                                  int64_t now_ms,
+                                  const EyCrashSuspect_t *suspect);
+
 /** True if the part may have ended many engines at the same time. */
 bool
 ey_crash_suspects_may_end_all(const EyCrashSuspects_t *self, int64_t now_ms,
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -22,6 +22,7 @@
     uint64_t target;
     bool is_request;
     bool is_unbegun;
+    bool is_late;
     int64_t at_ms;
     int64_t until_ms;
 } Report_t;
@@ -48,6 +49,7 @@
         known->until_ms = MAX(known->until_ms, report->until_ms);
         known->at_ms = MAX(known->at_ms, report->at_ms);
         known->is_unbegun &= report->is_unbegun;
+        known->is_late |= report->is_late;
         return;
     }
     if (queue->length == REPORTS_MAX) {
@@ -67,6 +69,7 @@
         .request = evidence->request,
         .target = evidence->target,
         .is_unbegun = evidence->is_unbegun,
+        .is_late = evidence->is_late,
         .at_ms = now_ms - (int64_t)evidence->age_ms,
         .until_ms = now_ms + reported_ms,
     };
@@ -204,6 +207,7 @@
             .request = reports[i]->request,
             .target = reports[i]->target,
             .is_unbegun = reports[i]->is_unbegun,
+            .is_late = reports[i]->is_late,
         };
     }
 }
--- a/src/routing/crash_suspects_weight.c
+++ b/src/routing/crash_suspects_weight.c
@@ -91,16 +91,17 @@
            EY_CRASH_SPAN_MS;
 }
 
-static bool
-has_few_crashes(const EyCrashSuspects_t *self, int64_t now_ms,
-                const EyCrashSuspect_t *part)
+bool
+ey_crash_suspects_has_few_crashes(const EyCrashSuspects_t *self,
+                                  int64_t now_ms,
+                                  const EyCrashSuspect_t *suspect)
 {
-    uint32_t other_ends = count_other_ends(self, now_ms, part);
-    uint32_t needed = crashes_needed(self, now_ms, part->key);
+    uint32_t other_ends = count_other_ends(self, now_ms, suspect);
+    uint32_t needed = crashes_needed(self, now_ms, suspect->key);
     if (other_ends > OTHER_ENDS_FREE) {
         needed += CRASHES_PER_OTHER_END * (other_ends - OTHER_ENDS_FREE);
     }
-    return part->crash_count < MIN(needed, CRASHES_NEEDED_MAX);
+    return suspect->crash_count < MIN(needed, CRASHES_NEEDED_MAX);
 }
 
 /** True if the crashes alone don't tell the part from sound ones: it was
@@ -169,7 +170,7 @@
 ey_crash_suspects_weigh_part(const EyCrashSuspects_t *self, int64_t now_ms,
                              const EyCrashSuspect_t *part)
 {
-    if (has_few_crashes(self, now_ms, part)) {
+    if (ey_crash_suspects_has_few_crashes(self, now_ms, part)) {
         return EY_SPARE_FEW_CRASHES;
     }
     if (is_one_kill(part, now_ms)) {
--- a/src/routing/engine_update.c
+++ b/src/routing/engine_update.c
@@ -27,6 +27,7 @@
     EY_FIELD(EyCrashEvidence_t, request, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, target, EY_FIELD_U64),
     EY_FIELD(EyCrashEvidence_t, is_unbegun, EY_FIELD_BOOL),
+    EY_FIELD(EyCrashEvidence_t, is_late, EY_FIELD_BOOL),
     EY_FIELD_END,
 };
 static const EySchema_t EvidenceSchema =
--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -63,6 +63,7 @@
                          is against the request; 0: unknown */
     uint64_t target;  /* key of the target; 0: unknown */
     bool is_unbegun;  /* the answer's head wasn't seen */
+    bool is_late;     /* the answer had gone on for EY_CRASH_SURVIVAL_MS */
 } EyCrashEvidence_t;
 
 /** A server completed an answer to the request or to a prompt with the part,
--- a/src/routing/router_begun_answers.c
+++ b/src/routing/router_begun_answers.c
@@ -61,8 +61,7 @@
     while (first != NULL && now_ms - first->begun_ms >= EY_CRASH_SURVIVAL_MS) {
         const EyTrackedRequest_t *tracked = find_begun(self, first);
         if (tracked != NULL) {
-            EyCrashSuspects_ClearRequest(self->suspects, now_ms,
-                                         tracked->request);
+            EyCrashSuspects_Survive(self->suspects, now_ms, tracked->request);
         }
         g_free(g_queue_pop_head(&self->begun_answers));
         first = g_queue_peek_head(&self->begun_answers);
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -311,9 +311,6 @@
         note_running(self, now_ms, tracked);
     }
     ey_router_read_result_signs(self, now_ms, tracked, result);
-    if (tracked->has_begun && parts.ran_ms >= EY_CRASH_SURVIVAL_MS) {
-        EyCrashSuspects_ClearRequest(self->suspects, now_ms, parts.request);
-    }
     if (is_inferred) {
         ey_router_add_inferred_end(self, now_ms, tracked, &parts);
     }
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -519,6 +519,35 @@
     talloc_free(self);
 }
 
+Test(crash_suspects, a_long_request_is_not_barred_while_servers_end_without_it)
+{
+    static const struct {
+        const char *name;
+        uint64_t other_ends;
+        EySuspicion_t expected;
+    } Cases[] = {
+        {"no other", 0, EY_SUSPICION_BARRED},
+        {"one other", 1, EY_SUSPICION_BARRED},
+        {"four others", 4, EY_SUSPICION_NONE},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        EyCrashSuspects_t *self = make_suspects(NULL, "istra");
+        const EyPromptParts_t prompt = {
+            .target = TARGET, .request = 50, .ran_ms = EY_CRASH_SURVIVAL_MS};
+        for (uint64_t crash = 1; crash <= Cases[i].other_ends; crash++) {
+            add_crash(self, LATER_MS + 4000, 1000 + crash, 100 + crash);
+        }
+        for (uint64_t crash = 1; crash <= 3; crash++) {
+            EyCrashSuspects_AddCrash(self, LATER_MS + 3000 * (int64_t)crash,
+                                     &prompt, crash);
+        }
+        cr_expect_eq(
+            EyCrashSuspects_Check(self, LATER_MS + 9500, &prompt).suspicion,
+            Cases[i].expected, "%s", Cases[i].name);
+        talloc_free(self);
+    }
+}
+
 /* A success that gateways tell each other on and on would cover ever later
  * crashes. */
 Test(crash_suspects, a_reported_success_is_not_reported_again)
--- a/tests/unit/test_router_crash_suspects.c
+++ b/tests/unit/test_router_crash_suspects.c
@@ -306,6 +306,20 @@
     }
 }
 
+Test(router_crash_suspects, ends_long_after_the_head_bar_the_request)
+{
+    static const Course_t Late = {"late", true, 2400, 50, false, BROKEN, true};
+    World_t world = make_world();
+    world.request_key = 5;
+    for (int run = 0; run < 3; run++) {
+        run_request(&world, NOW_MS + 3000 * (int64_t)run, &Late);
+    }
+    EyRoutingDecision_t decision = submit(&world, NOW_MS + 9000, FATAL_PART);
+    cr_expect_eq(decision.reason, EY_REFUSAL_SUSPECT_REQUEST, "%s",
+                 EyRefusal_names[decision.reason]);
+    free_world(&world);
+}
+
 Test(router_crash_suspects, only_a_bar_that_runs_is_refused_as_such)
 {
     World_t world = make_world();
