Crash suspects: the first bar of a part that was sound before stays short

Found on reading the change. Cause: the shortest bar was meant for such a part, but crashes of the same seconds that became known after it, or a gateway that adopted the bar, made it half an hour; and the number of crashes that don't count could exceed the rest after refutations: a loop from there to 2^32, 5.9 s in the test, and then the longest bar. Change: crashes from before the bar don't lengthen it, and an adopted bar keeps its duration until a later crash; at least three crashes count. Both new tests fail before.

--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -81,6 +81,9 @@
     if (!make_room_for_bar(self, now_ms, suspect)) {
         return;
     }
+    if (!ey_crash_suspects_was_barred(suspect)) {
+        suspect->barred_ms = now_ms;
+    }
     bool is_longer =
         end_ms > suspect->bar_end_ms || !ey_crash_suspects_was_barred(suspect);
     suspect->bar_ms = MAX(bar_ms, suspect->bar_ms);
@@ -166,6 +169,27 @@
                : judge_part(self, now_ms, suspect);
 }
 
+/** Number of crashes that make the bar longer. */
+static uint32_t
+counted_crashes(const EyCrashSuspect_t *suspect)
+{
+    uint32_t free = MIN(suspect->free_crashes, suspect->crash_count);
+    return MAX(suspect->crash_count - free, EY_CRASH_BAR_CRASHES);
+}
+
+/** Makes all present crashes of a suspect those of a bar of that duration. */
+static void
+set_free_crashes(EyCrashSuspect_t *suspect, int64_t bar_ms)
+{
+    uint32_t counted = EY_CRASH_BAR_CRASHES;
+    while (counted < suspect->crash_count && bar_duration_ms(counted) < bar_ms)
+    {
+        counted++;
+    }
+    suspect->free_crashes =
+        suspect->crash_count - MIN(counted, suspect->crash_count);
+}
+
 /** A part that was cleared before gets the shortest bar first, however many
  * crashes it took. */
 static void
@@ -175,7 +199,7 @@
     if (!suspect->is_request && !ey_crash_suspects_was_barred(suspect) &&
         ey_crash_suspects_is_established(self, now_ms, suspect->key))
     {
-        suspect->free_crashes = suspect->crash_count - EY_CRASH_BAR_CRASHES;
+        set_free_crashes(suspect, EY_CRASH_BAR_MS);
     }
 }
 
@@ -187,8 +211,7 @@
     Judgement_t judgement = judge(self, now_ms, suspect, has_trial);
     if (judgement == JUDGED_FATAL) {
         note_free_crashes(self, now_ms, suspect);
-        int64_t bar_ms =
-            bar_duration_ms(suspect->crash_count - suspect->free_crashes);
+        int64_t bar_ms = bar_duration_ms(counted_crashes(suspect));
         bar_suspect(self, now_ms, suspect,
                     ey_crash_suspects_last_crash_ms(suspect) + bar_ms, bar_ms);
     }
@@ -240,6 +263,16 @@
     return evidence->request != 0 && evidence->request == evidence->key;
 }
 
+/** True if a crash that becomes known now is of the time before the bar of a
+ * part which was cleared before. */
+static bool
+is_before_bar(const EyCrashSuspect_t *suspect, int64_t crash_ms)
+{
+    return ey_crash_suspects_was_barred(suspect) &&
+           suspect->free_crashes > 0 &&
+           crash_ms < suspect->barred_ms + EY_CRASH_SETTLE_MS;
+}
+
 bool
 ey_crash_suspects_add(EyCrashSuspects_t *self, int64_t now_ms,
                       const EyCrashEvidence_t *evidence)
@@ -269,6 +302,7 @@
             .is_unbegun = evidence->is_unbegun,
         };
         ey_crash_suspects_append_crash(suspect, crash);
+        suspect->free_crashes += is_before_bar(suspect, crash_ms);
         note_crash_time(self, &crash);
         ey_crash_suspects_lift_covered(self, now_ms, suspect);
     }
@@ -341,6 +375,9 @@
     if (ey_crash_suspects_was_barred(suspect) ||
         !ey_crash_suspects_is_covered(self, suspect))
     {
+        if (bar_ms < bar_duration_ms(bar->crash_count)) {
+            set_free_crashes(suspect, bar_ms);
+        }
         bar_suspect(self, now_ms, suspect, now_ms + bar->left_ms, bar_ms);
     }
 }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -35,6 +35,7 @@
     uint32_t crash_count;
     uint32_t dropped_count; /* crashes after the first that aren't kept */
     uint32_t free_crashes;  /* those that don't make the bar longer */
+    int64_t barred_ms;      /* when its first bar began */
     int64_t bar_ms;         /* duration of the last bar; 0: never barred */
     int64_t bar_end_ms;
     bool has_trial;
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -548,6 +548,69 @@
     }
 }
 
+/* Part of a storm in which a part that was sound before ends engines. */
+static void
+end_engines_beside_answers(EyCrashSuspects_t *self, uint64_t engines)
+{
+    clear(self, LATER_MS - 1000, PART);
+    for (uint64_t crash = 1; crash <= engines; crash++) {
+        add_crash(self, LATER_MS + 70 * (int64_t)crash, PART, crash);
+    }
+    for (int64_t at_ms = 1200; at_ms < 2000; at_ms += 50) {
+        clear(self, LATER_MS + at_ms, OTHER_PART);
+    }
+}
+
+Test(crash_suspects, a_part_that_was_sound_before_has_the_shortest_bar_first)
+{
+    static const struct {
+        const char *name;
+        int64_t crash_ms; /* of three that become known after the bar */
+        bool is_longer;
+    } Cases[] = {
+        {"of before the bar", 1500, false},
+        {"after it", 4000, true},
+    };
+    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
+        void *ctx = talloc_new(NULL);
+        EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+        EyCrashSuspects_t *other = make_suspects(ctx, "istra");
+        clear(other, LATER_MS - 1000, PART);
+        end_engines_beside_answers(self, 7);
+        EySuspicionResult_t result = check(self, LATER_MS + 2000, PART);
+        cr_expect_eq(result.suspicion, EY_SUSPICION_BARRED, "%s",
+                     Cases[i].name);
+        send_update(self, other, LATER_MS + 2000, LATER_MS + 2020, true);
+        for (uint64_t crash = 11; crash <= 13; crash++) {
+            add_crash(self, LATER_MS + Cases[i].crash_ms, PART, crash);
+            add_crash(other, LATER_MS + Cases[i].crash_ms, PART, crash);
+        }
+        int64_t left_ms = check(self, LATER_MS + 4100, PART).left_ms;
+        int64_t of_other_ms = check(other, LATER_MS + 4100, PART).left_ms;
+        cr_expect_eq(left_ms > 40000, Cases[i].is_longer, "%s: %ld",
+                     Cases[i].name, (long)left_ms);
+        cr_expect_eq(of_other_ms > 40000, Cases[i].is_longer, "%s: %ld",
+                     Cases[i].name, (long)of_other_ms);
+        talloc_free(ctx);
+    }
+}
+
+Test(crash_suspects, refuted_crashes_do_not_lengthen_a_bar)
+{
+    EyCrashSuspects_t *self = make_suspects(NULL, "istra");
+    end_engines_beside_answers(self, 12);
+    cr_expect_eq(check(self, LATER_MS + 2000, PART).suspicion,
+                 EY_SUSPICION_BARRED);
+    for (uint64_t crash = 5; crash <= 12; crash++) {
+        EyCrashSuspects_EngineRuns(self, LATER_MS + 1500, crash);
+    }
+    add_crash(self, LATER_MS + 2100, PART, 14);
+    EySuspicionResult_t result = check(self, LATER_MS + 2200, PART);
+    cr_expect_eq(result.suspicion, EY_SUSPICION_BARRED);
+    cr_expect_leq(result.left_ms, 40000);
+    talloc_free(self);
+}
+
 /* A success that gateways tell each other on and on would cover ever later
  * crashes. */
 Test(crash_suspects, a_reported_success_is_not_reported_again)
