--- a/tests/process/engines.c
+++ b/tests/process/engines.c
@@ -41,16 +41,21 @@
     return found;
 }
 
-/** The number of the next event: a caller that has a part of the stream names
- * the last event that it got. */
+/** The last event that the caller got; one that has a part of the stream names
+ * it. */
+static uint32_t
+last_event(const BackendConnection_t *connection)
+{
+    char number[24];
+    (void)BackendConnection_Header(connection, "Last-Event-Id", number,
+                                   sizeof(number));
+    return (uint32_t)strtoul(number, NULL, 10);
+}
+
 static uint32_t
 next_event(BackendConnection_t *connection)
 {
-    char last_event[24];
-    (void)BackendConnection_Header(connection, "Last-Event-Id", last_event,
-                                   sizeof(last_event));
-    return (uint32_t)strtoul(last_event, NULL, 10) +
-           BackendConnection_CountStep(connection);
+    return last_event(connection) + BackendConnection_CountStep(connection);
 }
 
 static void
@@ -67,13 +72,15 @@
     BackendConnection_ProceedAfter(connection, self->fault.event_interval_ms);
 }
 
-/** Sets the time of the engine's end if it is due after that event. */
+/** Sets the time of the engine's end if it is due after so many events of the
+ * answer. */
 static void
 end_engine_if_due(const Engines_t *self, BackendConnection_t *connection,
-                  uint32_t event)
+                  uint32_t events)
 {
     if (BackendConnection_IsFatal(connection) &&
-        event == self->fault.after_event) {
+        events == self->fault.after_events)
+    {
         BackendConnection_EndServer(connection, self->fault.delay_min_ms,
                                     self->fault.delay_max_ms);
     }
@@ -84,7 +91,7 @@
 begin_stream(const void *context, BackendConnection_t *connection)
 {
     const Engines_t *self = context;
-    if (BackendConnection_IsFatal(connection) && self->fault.after_event == 0)
+    if (BackendConnection_IsFatal(connection) && self->fault.after_events == 0)
     {
         end_engine_if_due(self, connection, 0);
         return;
@@ -107,7 +114,7 @@
     uint32_t number = next_event(connection);
     if (number <= self->fault.events) {
         send_event(self, connection, number);
-        end_engine_if_due(self, connection, number);
+        end_engine_if_due(self, connection, number - last_event(connection));
         return;
     }
     (void)BackendConnection_Send(connection, "0\r\n\r\n");
--- a/tests/process/engines.h
+++ b/tests/process/engines.h
@@ -15,10 +15,10 @@
 
 /** How engines end on a part of a prompt; what is 0 has a default. */
 typedef struct EngineFault {
-    uint64_t part;        /* 0: no part is fatal */
-    uint32_t after_event; /* the end is due after this one; 0: before the head
-                           */
-    int64_t delay_min_ms; /* from then to the end */
+    uint64_t part;         /* 0: no part is fatal */
+    uint32_t after_events; /* of an answer, also one that goes on with a
+                              stream; 0: before the head */
+    int64_t delay_min_ms;  /* from then to the end */
     int64_t delay_max_ms;
     BackendEnd_t end;
     bool is_latent; /* the part is harmless until Engines_SetFatal */
