--- a/src/routing/engine_update.h
+++ b/src/routing/engine_update.h
@@ -92,7 +92,7 @@
 } EySuspectBar_t;
 
 /** Answers to prompts for a target that completed at the sender since it
- * started; told while there are suspects. */
+ * started; sent while there are suspects. */
 typedef struct EyTargetAnswers {
     uint64_t target; /* its key */
     uint64_t count;
--- a/src/routing/router_begun_answers.c
+++ b/src/routing/router_begun_answers.c
@@ -1,5 +1,5 @@
-/* Answers that have begun, until they have gone on for so long that their
- * request didn't crash the server. */
+/* Running answers. One that runs for EY_CRASH_SURVIVAL_MS clears its request
+ * of crashes that came sooner after a head. */
 #include "routing/router_internal.h"
 
 typedef struct BegunAnswer {
--- a/src/routing/run_outcomes.h
+++ b/src/routing/run_outcomes.h
@@ -1,7 +1,7 @@
 /**
- * How runs at the servers of a target went lately: which servers ended under
- * how many requests, and how many answers completed at all gateways. Crashes
- * on a suspect are compared with both.
+ * Recent outcomes at the servers of a target: which servers ended, how many
+ * requests broke there, and how many answers completed at all gateways.
+ * Crashes on a suspect are compared with them.
  *
  * The tables are bounded; the oldest ends are dropped first.
  */
@@ -45,8 +45,9 @@
 EyRunOutcomes_t *
 EyRunOutcomes_New(const void *ctx);
 
-/** A server of the target ended at that time under the request; crash: the key
- * of its end, which counts once. target 0: unknown, it counts for all. */
+/** A server of the target ended at that time, and the request broke there.
+ * crash: key of the server's end, which counts once. target 0: unknown, it
+ * counts for all. */
 void
 EyRunOutcomes_AddEnd(EyRunOutcomes_t *self, int64_t at_ms, uint64_t target,
                      uint64_t crash, uint64_t request);
--- a/tests/process/test_crashing_prompts.c
+++ b/tests/process/test_crashing_prompts.c
@@ -62,7 +62,7 @@
     EngineFault_t fault;
     uint32_t gateways;
     uint32_t engines;
-    uint32_t burst;  /* prompts with the part that are sent at once */
+    uint32_t burst;  /* number of prompts with the part in the first moment */
     bool was_served; /* it was answered before it became fatal */
 } FatalCase_t;
 
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -548,7 +548,8 @@
     }
 }
 
-/* Part of a storm in which a part that was sound before ends engines. */
+/** Engines crash on a part that was sound before, and other answers complete.
+ */
 static void
 end_engines_beside_answers(EyCrashSuspects_t *self, uint64_t engines)
 {
@@ -611,8 +612,8 @@
     talloc_free(self);
 }
 
-/* A success that gateways tell each other on and on would cover ever later
- * crashes. */
+/* Failure: each gateway that repeats a reported success makes it younger, so
+ * that it covers later crashes. */
 Test(crash_suspects, a_reported_success_is_not_reported_again)
 {
     void *ctx = talloc_new(NULL);
