Crash suspects: a part's crashes are weighed once, in one place

What ended since a part's first crash was counted up to four times for one judgement, each time over all ends; the check for crashes at one time stood twice; holding a part back was called one kill, end all and hold; the log event of a crash was built twice; a server's end that another gateway reported was looked up twice; two checks had become dead; has_incarnation followed from incarnation. Change: the weighing is made once and decides both, barring and throttling.

--- a/src/routing/crash_suspects.h
+++ b/src/routing/crash_suspects.h
@@ -44,8 +44,8 @@
 #define EY_CRASH_REQUEST_WINDOW_MS 600000
 /** Crashes from which on a part is barred. */
 #define EY_CRASH_BAR_CRASHES 3
-/** Crashes bar a part only if the first and the last of them are this far
- * apart: many engines may be killed at once. */
+/** Crashes bar a suspect only if the first and the last of them are this far
+ * apart: many servers may be killed at the same time. */
 #define EY_CRASH_SPAN_MS 400
 /** They are held against it only after this time, in which other gateways can
  * report that the part was cleared there. */
--- a/src/routing/crash_suspects_bars.c
+++ b/src/routing/crash_suspects_bars.c
@@ -12,10 +12,10 @@
 /** A part that was found harmless is judged again after this time, or with new
  * evidence: comparing it with all others takes time. */
 #define REJUDGE_MS 20
-/** Turns to try a part that may have ended all engines, and the time of one:
+/** Turns to try a throttled part, and the time of one:
  * in it the crash of a trial becomes known. */
-#define KILL_TURNS 8
-#define KILL_TURN_MS 500
+#define THROTTLE_TURNS 8
+#define THROTTLE_TURN_MS 500
 
 static int64_t
 bar_duration_ms(uint32_t crashes)
@@ -115,7 +115,8 @@
 typedef enum Judgement {
     JUDGED_HARMLESS, /* by its present evidence */
     JUDGED_TIED, /* its evidence suffices, but another request's is equal */
-    JUDGED_ONE_KILL, /* it may have ended all engines, or something else did */
+    JUDGED_THROTTLED, /* it may have ended all engines, or something else did
+                       */
     JUDGED_FATAL
 } Judgement_t;
 
@@ -124,11 +125,9 @@
 judge_request(const EyCrashSuspects_t *self, int64_t now_ms,
               const EyCrashSuspect_t *request, bool *has_trial)
 {
-    int64_t span_ms = ey_crash_suspects_last_crash_ms(request) -
-                      ey_crash_suspects_first_crash_ms(request, now_ms);
     bool has_few = request->is_late &&
                    ey_crash_suspects_has_few_crashes(self, now_ms, request);
-    if (span_ms < EY_CRASH_SPAN_MS || has_few ||
+    if (ey_crash_suspects_is_one_kill(request, now_ms) || has_few ||
         ey_crash_suspects_is_explained(self, request))
     {
         return JUDGED_HARMLESS;
@@ -140,15 +139,12 @@
 static Judgement_t
 judge_part(EyCrashSuspects_t *self, int64_t now_ms, EyCrashSuspect_t *part)
 {
-    EySpareReason_t reason = ey_crash_suspects_weigh_part(self, now_ms, part);
-    if (reason == EY_SPARE_NONE) {
+    EyPartVerdict_t verdict = ey_crash_suspects_weigh_part(self, now_ms, part);
+    if (verdict.reason == EY_SPARE_NONE) {
         return JUDGED_FATAL;
     }
-    ey_crash_suspects_note_spared(self, part, reason);
-    return reason != EY_SPARE_EXPLAINED &&
-                   ey_crash_suspects_may_end_all(self, now_ms, part)
-               ? JUDGED_ONE_KILL
-               : JUDGED_HARMLESS;
+    ey_crash_suspects_note_spared(self, part, verdict.reason);
+    return verdict.is_throttled ? JUDGED_THROTTLED : JUDGED_HARMLESS;
 }
 
 static Judgement_t
@@ -411,21 +407,21 @@
     };
 }
 
-/** Of requests with a part that may have ended all engines one runs at a time,
- * and not at all gateways at once: each has its turn in each round. */
+/** Of requests with a throttled part one runs at a time,
+ * and the gateways have turns, one in each round. */
 static EySuspicionResult_t
-check_one_kill(const EyCrashSuspects_t *self, int64_t now_ms,
-               const EyCrashSuspect_t *part)
+check_throttled(const EyCrashSuspects_t *self, int64_t now_ms,
+                const EyCrashSuspect_t *part)
 {
     uint64_t turn =
         (XXH64(self->region, strlen(self->region), part->key) + self->rank) %
-        KILL_TURNS;
-    int64_t round_ms = INT64_C(1) * KILL_TURN_MS * KILL_TURNS;
+        THROTTLE_TURNS;
+    int64_t round_ms = INT64_C(1) * THROTTLE_TURN_MS * THROTTLE_TURNS;
     int64_t since_ms = (now_ms - ey_crash_suspects_last_crash_ms(part) -
-                        KILL_TURN_MS * (int64_t)turn) %
+                        THROTTLE_TURN_MS * (int64_t)turn) %
                        round_ms;
     since_ms += since_ms < 0 ? round_ms : 0;
-    bool has_turn = since_ms < KILL_TURN_MS;
+    bool has_turn = since_ms < THROTTLE_TURN_MS;
     bool waits = !has_turn || part->has_trial;
     int64_t left_ms = has_turn ? TRIAL_LEFT_MS : round_ms - since_ms;
     return (EySuspicionResult_t){
@@ -453,8 +449,8 @@
         if (judgement == JUDGED_TIED) {
             return check_tied(self, now_ms, suspect, has_trial);
         }
-        if (judgement == JUDGED_ONE_KILL) {
-            return check_one_kill(self, now_ms, suspect);
+        if (judgement == JUDGED_THROTTLED) {
+            return check_throttled(self, now_ms, suspect);
         }
     }
     if (!ey_crash_suspects_was_barred(suspect)) {
--- a/src/routing/crash_suspects_evidence.c
+++ b/src/routing/crash_suspects_evidence.c
@@ -13,15 +13,10 @@
 add_crash_event(EyCrashSuspects_t *self, const EyCrashSuspect_t *suspect,
                 const EyPromptParts_t *prompt)
 {
-    const EySuspectEvent_t event = {
-        .kind = EY_SUSPECT_CRASH,
-        .is_request = suspect->is_request,
-        .part_id = suspect->part_id,
-        .crashes = suspect->crash_count,
-        .is_unbegun = prompt->is_unbegun,
-        .ran_ms = prompt->ran_ms,
-        .bar_ms = suspect->bar_ms,
-    };
+    EySuspectEvent_t event =
+        ey_crash_suspects_event_of(EY_SUSPECT_CRASH, suspect);
+    event.is_unbegun = prompt->is_unbegun;
+    event.ran_ms = prompt->ran_ms;
     ey_crash_suspects_push_event(self, &event);
 }
 
@@ -37,20 +32,17 @@
     bool is_new_crash =
         known == NULL || !ey_crash_suspects_has_crash(known, evidence->crash);
     if (EyClearedSuspects_Covers(ey_crash_suspects_cleared(self, is_request),
-                                 now_ms, evidence->key))
+                                 now_ms, evidence->key) ||
+        !ey_crash_suspects_add(self, now_ms, evidence))
     {
         return;
     }
-    if (!ey_crash_suspects_add(self, now_ms, evidence)) {
-        return;
-    }
-    const EyCrashSuspect_t *suspect =
-        ey_crash_suspects_find(self, evidence->key);
+    EyCrashSuspect_t *suspect = ey_crash_suspects_find(self, evidence->key);
     if (is_new_crash && (!is_request || suspect->crash_count > 1)) {
         add_crash_event(self, suspect, prompt);
     }
-    const EyCrash_t *crash = ey_crash_suspects_find_crash(
-        ey_crash_suspects_find(self, evidence->key), evidence->crash);
+    const EyCrash_t *crash =
+        ey_crash_suspects_find_crash(suspect, evidence->crash);
     if (crash->request_count <= REPORTED_REQUESTS_MAX) {
         ey_crash_suspects_report_crash(self, now_ms, evidence);
     }
--- a/src/routing/crash_suspects_internal.h
+++ b/src/routing/crash_suspects_internal.h
@@ -79,15 +79,19 @@
 ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
                             const EyCrashSuspect_t *suspect);
 
+/** An event of that kind about the suspect. */
+EySuspectEvent_t
+ey_crash_suspects_event_of(EySuspectEventKind_t kind,
+                           const EyCrashSuspect_t *suspect);
+
 /** Adds an event; the oldest is dropped if there are too many. */
 void
 ey_crash_suspects_push_event(EyCrashSuspects_t *self,
                              const EySuspectEvent_t *event);
 
-/** Reports why a suspect isn't barred, once for each change. */
+/** Reports why a part isn't barred, once for each change. */
 void
-ey_crash_suspects_note_spared(EyCrashSuspects_t *self,
-                              EyCrashSuspect_t *suspect,
+ey_crash_suspects_note_spared(EyCrashSuspects_t *self, EyCrashSuspect_t *part,
                               EySpareReason_t reason);
 
 bool
@@ -156,15 +160,22 @@
 
 /* crash_suspects_weight.c */
 
-/** Why the crashes on a part that may be weighed don't bar it; NONE: they do.
- */
-EySpareReason_t
+/** What is done with a part of prompts. */
+typedef struct EyPartVerdict {
+    EySpareReason_t reason; /* why it isn't barred; NONE: it is */
+    bool is_throttled;      /* it may have ended all engines: its requests run
+                               one at a time, in turns of the gateways */
+} EyPartVerdict_t;
+
+/** Weighs the crashes on a part. */
+EyPartVerdict_t
 ey_crash_suspects_weigh_part(const EyCrashSuspects_t *self, int64_t now_ms,
                              const EyCrashSuspect_t *part);
 
-/** Number of requests with the part that broke at its crashes. */
-uint32_t
-ey_crash_suspects_count_requests(const EyCrashSuspect_t *part);
+/** True if the crashes came at the same time, as when many servers are killed.
+ */
+bool
+ey_crash_suspects_is_one_kill(const EyCrashSuspect_t *suspect, int64_t now_ms);
 
 /** True if more crashes are needed to bar the suspect. */
 bool
@@ -172,11 +183,6 @@
                                   int64_t now_ms,
                                   const EyCrashSuspect_t *suspect);
 
-/** True if the part may have ended many engines at the same time. */
-bool
-ey_crash_suspects_may_end_all(const EyCrashSuspects_t *self, int64_t now_ms,
-                              const EyCrashSuspect_t *part);
-
 /** True if so many crashes may bar a part with that key. */
 bool
 ey_crash_suspects_suffice(const EyCrashSuspects_t *self, int64_t now_ms,
@@ -200,6 +206,10 @@
     bool has_narrower; /* another one has the same under fewer requests */
 } EyPartRivals_t;
 
+/** Number of requests with the part that broke at its crashes. */
+uint32_t
+ey_crash_suspects_count_requests(const EyCrashSuspect_t *part);
+
 /** Number of crashes at which an answer to the part had begun. */
 uint32_t
 ey_crash_suspects_count_begun(const EyCrashSuspect_t *part);
@@ -216,8 +226,8 @@
 ey_crash_suspects_is_explained(const EyCrashSuspects_t *self,
                                const EyCrashSuspect_t *suspect);
 
-/** True if another request has the same crashes; has_trial: one of them is run
- * as a trial. */
+/** True if another request has the same crashes as this one; has_trial: one of
+ * them is run as a trial. */
 bool
 ey_crash_suspects_is_tied(const EyCrashSuspects_t *self,
                           const EyCrashSuspect_t *suspect, bool *has_trial);
--- a/src/routing/crash_suspects_table.c
+++ b/src/routing/crash_suspects_table.c
@@ -20,8 +20,9 @@
     g_queue_push_tail(&self->events, g_memdup2(event, sizeof(*event)));
 }
 
-static EySuspectEvent_t
-event_of(EySuspectEventKind_t kind, const EyCrashSuspect_t *suspect)
+EySuspectEvent_t
+ey_crash_suspects_event_of(EySuspectEventKind_t kind,
+                           const EyCrashSuspect_t *suspect)
 {
     return (EySuspectEvent_t){
         .kind = kind,
@@ -36,20 +37,20 @@
 ey_crash_suspects_add_event(EyCrashSuspects_t *self, EySuspectEventKind_t kind,
                             const EyCrashSuspect_t *suspect)
 {
-    const EySuspectEvent_t event = event_of(kind, suspect);
+    const EySuspectEvent_t event = ey_crash_suspects_event_of(kind, suspect);
     ey_crash_suspects_push_event(self, &event);
 }
 
 void
-ey_crash_suspects_note_spared(EyCrashSuspects_t *self,
-                              EyCrashSuspect_t *suspect,
+ey_crash_suspects_note_spared(EyCrashSuspects_t *self, EyCrashSuspect_t *part,
                               EySpareReason_t reason)
 {
-    if (suspect->spared == reason || suspect->is_request) {
+    if (part->spared == reason) {
         return;
     }
-    suspect->spared = reason;
-    EySuspectEvent_t event = event_of(EY_SUSPECT_SPARED, suspect);
+    part->spared = reason;
+    EySuspectEvent_t event =
+        ey_crash_suspects_event_of(EY_SUSPECT_SPARED, part);
     event.reason = reason;
     ey_crash_suspects_push_event(self, &event);
 }
--- a/src/routing/crash_suspects_ties.c
+++ b/src/routing/crash_suspects_ties.c
@@ -193,6 +193,16 @@
     return begun;
 }
 
+uint32_t
+ey_crash_suspects_count_requests(const EyCrashSuspect_t *part)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < part->crash_count; i++) {
+        count += part->crashes[i].request_count;
+    }
+    return count;
+}
+
 EyPartRivals_t
 ey_crash_suspects_find_rivals(const EyCrashSuspects_t *self, int64_t now_ms,
                               const EyCrashSuspect_t *part)
@@ -201,6 +211,7 @@
         ey_crash_suspects_is_established(self, now_ms, part->key);
     uint32_t count = count_known(part, now_ms);
     uint32_t begun = ey_crash_suspects_count_begun(part);
+    uint32_t requests = ey_crash_suspects_count_requests(part);
     EyPartRivals_t rivals = {.has_better = false};
     GHashTableIter each;
     gpointer value = NULL;
@@ -215,9 +226,9 @@
             rivals.has_better |= of_other > count;
             rivals.has_equal |= of_other == count &&
                                 ey_crash_suspects_count_begun(other) >= begun;
-            rivals.has_narrower |= of_other == count &&
-                                   ey_crash_suspects_count_requests(other) <
-                                       ey_crash_suspects_count_requests(part);
+            rivals.has_narrower |=
+                of_other == count &&
+                ey_crash_suspects_count_requests(other) < requests;
         }
     }
     return rivals;
@@ -287,9 +298,6 @@
                           const EyCrashSuspect_t *suspect, bool *has_trial)
 {
     *has_trial = suspect->has_trial;
-    if (!suspect->is_request) {
-        return false;
-    }
     bool is_tied = false;
     const EyCrashSuspect_t *other = NULL;
     GHashTableIter each;
--- a/src/routing/crash_suspects_update.c
+++ b/src/routing/crash_suspects_update.c
@@ -340,10 +340,10 @@
     if (ey_crash_suspects_is_refuted(self, evidence->crash, crash_ms)) {
         return;
     }
-    ey_crash_suspects_note_end(self, crash_ms, evidence);
     if (answer_cleared(self, now_ms, crash_ms, evidence->key,
                        ey_crash_evidence_is_request(evidence)))
     {
+        ey_crash_suspects_note_end(self, crash_ms, evidence);
         return;
     }
     (void)ey_crash_suspects_add(self, now_ms, evidence);
--- a/src/routing/crash_suspects_weight.c
+++ b/src/routing/crash_suspects_weight.c
@@ -10,8 +10,10 @@
 #define OTHER_ENDS_FREE 1
 #define CRASHES_PER_OTHER_END 2
 #define CRASHES_NEEDED_MAX 8
-/** Crashes from which on a part may be what ended all engines. */
-#define ONE_KILL_CRASHES 5
+/** Crashes from which on a part is throttled, as it may have ended all
+ * engines.
+ */
+#define THROTTLE_CRASHES 5
 /** Answers without the part that must have completed where the evidence is
  * weak. */
 #define CONTRAST_ANSWERS 3
@@ -22,7 +24,7 @@
 #define ESTABLISHED_CONTRAST_MIN 8
 /** Share of the broken requests above which it may be in all requests. */
 #define ESTABLISHED_SHARE_MAX 0.9
-/** An answer at another gateway is counted so much later. */
+/** Delay with which answers of other gateways are counted. */
 #define ANSWERS_LAG_MS 1000
 /** Time since the first crash in which a sound part that was cleared before
  * would be answered. */
@@ -37,18 +39,17 @@
 }
 
 static uint32_t
-crashes_needed(const EyCrashSuspects_t *self, int64_t now_ms, uint64_t key)
+crashes_needed(bool is_established)
 {
-    return ey_crash_suspects_is_established(self, now_ms, key)
-               ? ESTABLISHED_CRASHES
-               : EY_CRASH_BAR_CRASHES;
+    return is_established ? ESTABLISHED_CRASHES : EY_CRASH_BAR_CRASHES;
 }
 
 bool
 ey_crash_suspects_suffice(const EyCrashSuspects_t *self, int64_t now_ms,
                           uint64_t key, uint32_t crash_count)
 {
-    return crash_count >= crashes_needed(self, now_ms, key);
+    return crash_count >=
+           crashes_needed(ey_crash_suspects_is_established(self, now_ms, key));
 }
 
 static bool
@@ -57,38 +58,50 @@
     return ey_crash_suspects_has_crash(part, crash);
 }
 
-/** What ended since the part's first crash: engines without it, and requests.
- */
-static EyEndCounts_t
-count_ends(const EyCrashSuspects_t *self, int64_t now_ms,
-           const EyCrashSuspect_t *part)
+/** What the crashes on a suspect are weighed by. */
+typedef struct Weighing {
+    const EyCrashSuspect_t *suspect;
+    bool is_established;
+    int64_t first_crash_ms;
+    int64_t age_ms;        /* since the first crash */
+    uint32_t other_ends;   /* of servers of the target without it since then */
+    double requests;       /* with it that broke at its crashes */
+    double ended_requests; /* of the target that broke since then */
+} Weighing_t;
+
+static Weighing_t
+make_weighing(const EyCrashSuspects_t *self, int64_t now_ms,
+              const EyCrashSuspect_t *suspect)
 {
+    int64_t first_ms = ey_crash_suspects_first_crash_ms(suspect, now_ms);
     const EyEndFilter_t filter = {
-        .target = part->target,
-        .since_ms = ey_crash_suspects_first_crash_ms(part, now_ms),
+        .target = suspect->target,
+        .since_ms = first_ms,
         .is_excepted = is_own_crash,
-        .context = part,
+        .context = suspect,
+    };
+    EyEndCounts_t counts = EyRunOutcomes_CountEnds(self->outcomes, &filter);
+    return (Weighing_t){
+        .suspect = suspect,
+        .is_established =
+            ey_crash_suspects_is_established(self, now_ms, suspect->key),
+        .first_crash_ms = first_ms,
+        .age_ms = now_ms - first_ms,
+        .other_ends = counts.ends - MIN(counts.ends, suspect->dropped_count),
+        .requests = ey_crash_suspects_count_requests(suspect),
+        .ended_requests = counts.requests,
     };
-    return EyRunOutcomes_CountEnds(self->outcomes, &filter);
-}
-
-/** Engines of the target that ended without the part since its first crash. */
-static uint32_t
-count_other_ends(const EyCrashSuspects_t *self, int64_t now_ms,
-                 const EyCrashSuspect_t *part)
-{
-    uint32_t ends = count_ends(self, now_ms, part).ends;
-    return ends - MIN(ends, part->dropped_count);
 }
 
-/** True if the crashes came at the same time, as when many engines are killed.
- */
 static bool
-is_one_kill(const EyCrashSuspect_t *part, int64_t now_ms)
+has_few_crashes(const Weighing_t *weighing)
 {
-    return ey_crash_suspects_last_crash_ms(part) -
-               ey_crash_suspects_first_crash_ms(part, now_ms) <
-           EY_CRASH_SPAN_MS;
+    uint32_t needed = crashes_needed(weighing->is_established);
+    if (weighing->other_ends > OTHER_ENDS_FREE) {
+        needed +=
+            CRASHES_PER_OTHER_END * (weighing->other_ends - OTHER_ENDS_FREE);
+    }
+    return weighing->suspect->crash_count < MIN(needed, CRASHES_NEEDED_MAX);
 }
 
 bool
@@ -96,123 +109,125 @@
                                   int64_t now_ms,
                                   const EyCrashSuspect_t *suspect)
 {
-    uint32_t other_ends = count_other_ends(self, now_ms, suspect);
-    uint32_t needed = crashes_needed(self, now_ms, suspect->key);
-    if (other_ends > OTHER_ENDS_FREE) {
-        needed += CRASHES_PER_OTHER_END * (other_ends - OTHER_ENDS_FREE);
-    }
-    return suspect->crash_count < MIN(needed, CRASHES_NEEDED_MAX);
+    const Weighing_t weighing = make_weighing(self, now_ms, suspect);
+    return has_few_crashes(&weighing);
 }
 
-/** True if the crashes alone don't tell the part from sound ones: it was
- * cleared before, or its answers hadn't begun. */
-static bool
-is_weak(const EyCrashSuspects_t *self, int64_t now_ms,
-        const EyCrashSuspect_t *part)
+bool
+ey_crash_suspects_is_one_kill(const EyCrashSuspect_t *suspect, int64_t now_ms)
 {
-    return ey_crash_suspects_count_begun(part) < EY_CRASH_BAR_CRASHES ||
-           ey_crash_suspects_is_established(self, now_ms, part->key);
+    return ey_crash_suspects_last_crash_ms(suspect) -
+               ey_crash_suspects_first_crash_ms(suspect, now_ms) <
+           EY_CRASH_SPAN_MS;
 }
 
-uint32_t
-ey_crash_suspects_count_requests(const EyCrashSuspect_t *part)
+/** True if the crashes alone don't distinguish the part from sound ones: it
+ * was cleared before, or its answers hadn't begun. */
+static bool
+is_weak(const Weighing_t *weighing)
 {
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < part->crash_count; i++) {
-        count += part->crashes[i].request_count;
-    }
-    return count;
+    return weighing->is_established ||
+           ey_crash_suspects_count_begun(weighing->suspect) <
+               EY_CRASH_BAR_CRASHES;
 }
 
 /** True if so many answers completed without a part that was cleared before
  * that those with it are missing. */
 static bool
-has_established_contrast(const EyCrashSuspects_t *self, int64_t now_ms,
-                         const EyCrashSuspect_t *part, uint32_t answers)
+has_established_contrast(const Weighing_t *weighing, uint32_t answers)
 {
-    double with = MAX(ey_crash_suspects_count_requests(part), 1);
-    double all = MAX(count_ends(self, now_ms, part).requests, with);
+    double with = MAX(weighing->requests, 1.0);
+    double all = MAX(weighing->ended_requests, with);
     double needed = MISSING_ANSWERS * (all - with) / with;
-    return answers >= MAX(needed, ESTABLISHED_CONTRAST_MIN);
+    return weighing->age_ms >= ESTABLISHED_WAIT_MS &&
+           answers >= MAX(needed, ESTABLISHED_CONTRAST_MIN);
 }
 
 /** True if answers complete without the part. Those with it would have cleared
  * it. */
 static bool
 has_contrast(const EyCrashSuspects_t *self, int64_t now_ms,
-             const EyCrashSuspect_t *part)
+             const Weighing_t *weighing)
 {
-    int64_t since_ms = ey_crash_suspects_first_crash_ms(part, now_ms);
     uint32_t answers = EyRunOutcomes_CountAnswers(
-        self->outcomes, now_ms, part->target, since_ms + ANSWERS_LAG_MS);
-    if (!ey_crash_suspects_is_established(self, now_ms, part->key)) {
-        return answers >= CONTRAST_ANSWERS;
-    }
-    return now_ms - since_ms >= ESTABLISHED_WAIT_MS &&
-           has_established_contrast(self, now_ms, part, answers);
+        self->outcomes, now_ms, weighing->suspect->target,
+        weighing->first_crash_ms + ANSWERS_LAG_MS);
+    return weighing->is_established
+               ? has_established_contrast(weighing, answers)
+               : answers >= CONTRAST_ANSWERS;
 }
 
 /** True if another part, or one request, is the more likely cause. */
 static bool
 is_explained(const EyCrashSuspects_t *self, int64_t now_ms,
-             const EyCrashSuspect_t *part)
+             const Weighing_t *weighing)
 {
+    const EyCrashSuspect_t *part = weighing->suspect;
     if (ey_crash_suspects_is_of_one_request(part)) {
         return true;
     }
     EyPartRivals_t rivals = ey_crash_suspects_find_rivals(self, now_ms, part);
-    bool may_tie = part->crash_count >= TIED_CRASHES &&
-                   !ey_crash_suspects_is_established(self, now_ms, part->key);
+    bool may_tie =
+        part->crash_count >= TIED_CRASHES && !weighing->is_established;
     return rivals.has_better || (rivals.has_equal && !may_tie);
 }
 
-EySpareReason_t
-ey_crash_suspects_weigh_part(const EyCrashSuspects_t *self, int64_t now_ms,
-                             const EyCrashSuspect_t *part)
+static EySpareReason_t
+find_spare_reason(const EyCrashSuspects_t *self, int64_t now_ms,
+                  const Weighing_t *weighing)
 {
-    if (ey_crash_suspects_has_few_crashes(self, now_ms, part)) {
+    if (has_few_crashes(weighing)) {
         return EY_SPARE_FEW_CRASHES;
     }
-    if (is_one_kill(part, now_ms)) {
+    if (ey_crash_suspects_is_one_kill(weighing->suspect, now_ms)) {
         return EY_SPARE_ONE_KILL;
     }
-    if (is_weak(self, now_ms, part) && !has_contrast(self, now_ms, part)) {
+    if (is_weak(weighing) && !has_contrast(self, now_ms, weighing)) {
         return EY_SPARE_NO_CONTRAST;
     }
-    if (is_explained(self, now_ms, part)) {
+    if (is_explained(self, now_ms, weighing)) {
         return EY_SPARE_EXPLAINED;
     }
     return EY_SPARE_NONE;
 }
 
-/** True if a part that was cleared before may be held back: sound ones were
- * answered by now, and it isn't in nearly all requests. */
+/** True if a part that was cleared before may be throttled: sound ones would
+ * have been answered by now, and it isn't in nearly all requests. */
 static bool
-may_hold_established(const EyCrashSuspects_t *self, int64_t now_ms,
-                     const EyCrashSuspect_t *part)
+may_throttle_established(const Weighing_t *weighing)
 {
-    double with = ey_crash_suspects_count_requests(part);
-    double all = count_ends(self, now_ms, part).requests;
-    int64_t since_ms = ey_crash_suspects_first_crash_ms(part, now_ms);
-    return now_ms - since_ms >= ESTABLISHED_WAIT_MS &&
-           with <= ESTABLISHED_SHARE_MAX * all;
+    return weighing->age_ms >= ESTABLISHED_WAIT_MS &&
+           weighing->requests <=
+               ESTABLISHED_SHARE_MAX * weighing->ended_requests;
 }
 
-bool
-ey_crash_suspects_may_end_all(const EyCrashSuspects_t *self, int64_t now_ms,
-                              const EyCrashSuspect_t *part)
-{
-    if (part->crash_count < ONE_KILL_CRASHES ||
-        count_other_ends(self, now_ms, part) > OTHER_ENDS_FREE ||
-        ey_crash_suspects_is_of_one_request(part))
-    {
-        return false;
-    }
-    if (ey_crash_suspects_is_established(self, now_ms, part->key) &&
-        !may_hold_established(self, now_ms, part))
+/** True if the part may have ended all engines, and no other one more likely.
+ */
+static bool
+is_throttled(const EyCrashSuspects_t *self, int64_t now_ms,
+             const Weighing_t *weighing)
+{
+    const EyCrashSuspect_t *part = weighing->suspect;
+    if (part->crash_count < THROTTLE_CRASHES ||
+        weighing->other_ends > OTHER_ENDS_FREE ||
+        ey_crash_suspects_is_of_one_request(part) ||
+        (weighing->is_established && !may_throttle_established(weighing)))
     {
         return false;
     }
     EyPartRivals_t rivals = ey_crash_suspects_find_rivals(self, now_ms, part);
     return !rivals.has_better && !rivals.has_narrower;
 }
+
+EyPartVerdict_t
+ey_crash_suspects_weigh_part(const EyCrashSuspects_t *self, int64_t now_ms,
+                             const EyCrashSuspect_t *part)
+{
+    const Weighing_t weighing = make_weighing(self, now_ms, part);
+    EySpareReason_t reason = find_spare_reason(self, now_ms, &weighing);
+    bool is_decided = reason == EY_SPARE_NONE || reason == EY_SPARE_EXPLAINED;
+    return (EyPartVerdict_t){
+        .reason = reason,
+        .is_throttled = !is_decided && is_throttled(self, now_ms, &weighing),
+    };
+}
--- a/src/routing/router_crash_suspects.c
+++ b/src/routing/router_crash_suspects.c
@@ -113,7 +113,6 @@
     tracked->request = parts.request;
     tracked->crash =
         EyCrashSuspects_CrashKey(backend->id, backend->incarnation);
-    tracked->has_incarnation = backend->incarnation > 0;
     tracked->address = hash_address(backend);
     tracked->incarnation = backend->incarnation;
     EyCrashSuspects_StartTrial(self->suspects, now_ms, &parts,
@@ -226,7 +225,7 @@
 note_running(EyRouter_t *self, int64_t now_ms,
              const EyTrackedRequest_t *tracked)
 {
-    if (tracked->has_incarnation) {
+    if (tracked->incarnation > 0) {
         EyCrashSuspects_EngineRuns(self->suspects, now_ms, tracked->crash);
     }
     ey_router_add_server_sign(self, now_ms, EY_SERVER_SIGN_RUNS,
@@ -336,7 +335,7 @@
     const EyReplica_t *replica = tracked->in_flight.replica;
     bool is_stopped =
         replica != NULL && replica->backend->state == EY_BACKEND_LEAVING;
-    return is_watched(tracked) && tracked->has_incarnation &&
+    return is_watched(tracked) && tracked->incarnation > 0 &&
            tracked->address == address &&
            tracked->incarnation < backend->incarnation && !is_stopped;
 }
--- a/src/routing/router_inferred_ends.c
+++ b/src/routing/router_inferred_ends.c
@@ -41,7 +41,7 @@
         .crash = tracked->crash,
         .address = replica->backend->address,
         .incarnation =
-            tracked->has_incarnation ? replica->backend->incarnation : 0,
+            tracked->incarnation > 0 ? replica->backend->incarnation : 0,
     };
     EyInferredEnds_Add(self->inferred_ends, now_ms, &server, parts);
     execute_verdicts(self, now_ms);
--- a/src/routing/router_internal.h
+++ b/src/routing/router_internal.h
@@ -36,10 +36,9 @@
     uint32_t part_count;
     uint64_t request;     /* key of equal requests; 0: unknown */
     uint64_t crash;       /* key of the engine's crash, if it crashes */
-    bool has_incarnation; /* the engine announces its incarnation */
     uint64_t address;     /* hash of the engine's address */
-    uint64_t incarnation;
-    bool has_begun; /* the answer has begun */
+    uint64_t incarnation; /* of the engine; 0: it announces none */
+    bool has_begun;       /* the answer has begun */
     int64_t begun_ms;
 } EyTrackedRequest_t;
 
