--- a/tests/process/backend_connection.c
+++ b/tests/process/backend_connection.c
@@ -101,7 +101,8 @@
         BackendConnection_Header(self, kind->expected_header, expected_id,
                                  sizeof(expected_id)) &&
         strcmp(expected_id, self->server->id) != 0;
-    self->is_fatal = kind->is_fatal(self->group->context, self);
+    self->is_fatal =
+        kind->is_fatal != NULL && kind->is_fatal(self->group->context, self);
     self->step_count = 0;
     self->proceed_at_ms = 0;
     BackendArrival_t arrival = {
@@ -168,6 +169,17 @@
     return self->state != STATE_CLOSED;
 }
 
+void
+BackendConnection_Answer(BackendConnection_t *self, const char *body)
+{
+    char *answer = g_strdup_printf(
+        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %zu\r\n\r\n%s",
+        self->group->kind->id_header, self->request_id, strlen(body), body);
+    (void)BackendConnection_Send(self, answer);
+    g_free(answer);
+    BackendConnection_Finish(self);
+}
+
 void
 BackendConnection_ProceedAfter(BackendConnection_t *self, int64_t delay_ms)
 {
--- a/tests/process/backend_servers.h
+++ b/tests/process/backend_servers.h
@@ -66,6 +66,7 @@
     int64_t down_min_ms;
     int64_t down_max_ms;
     BackendEnd_t end;
+    /** NULL: no request is. */
     bool (*is_fatal)(const void *context,
                      const BackendConnection_t *connection);
     /** The request has got a slot. */
@@ -124,6 +125,10 @@
 bool
 BackendConnection_Send(BackendConnection_t *self, const char *text);
 
+/** Answers with 200 and the body, and frees the slot. */
+void
+BackendConnection_Answer(BackendConnection_t *self, const char *body);
+
 void
 BackendConnection_ProceedAfter(BackendConnection_t *self, int64_t delay_ms);
 
--- a/tests/process/test_account_keys.c
+++ b/tests/process/test_account_keys.c
@@ -63,14 +63,6 @@
 
 TestSuite(account_keys, .fini = end_all, .timeout = 120);
 
-static bool
-is_never_fatal(const void *context, const BackendConnection_t *connection)
-{
-    (void)context;
-    (void)connection;
-    return false;
-}
-
 static void
 begin(const void *context, BackendConnection_t *connection)
 {
@@ -88,12 +80,7 @@
 proceed(const void *context, BackendConnection_t *connection)
 {
     (void)context;
-    char *answer = g_strdup_printf(
-        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\n{}",
-        Kind.id_header, BackendConnection_RequestId(connection));
-    (void)BackendConnection_Send(connection, answer);
-    g_free(answer);
-    BackendConnection_Finish(connection);
+    BackendConnection_Answer(connection, "{}");
 }
 
 static gchar *
@@ -123,7 +110,6 @@
             is_platform ? "Expect-Instance" : "Ebonyyard-Expected-Backend",
         .not_run_header = is_platform ? "Not-Executed" : "Ebonyyard-Not-Run",
         .slots = Slots,
-        .is_fatal = is_never_fatal,
         .begin = begin,
         .proceed = proceed,
     };
--- a/tests/process/test_quotas_fleet.c
+++ b/tests/process/test_quotas_fleet.c
@@ -46,14 +46,6 @@
 
 TestSuite(quotas_fleet, .fini = end_all, .timeout = 120);
 
-static bool
-is_never_fatal(const void *context, const BackendConnection_t *connection)
-{
-    (void)context;
-    (void)connection;
-    return false;
-}
-
 static void
 begin(const void *context, BackendConnection_t *connection)
 {
@@ -65,12 +57,7 @@
 proceed(const void *context, BackendConnection_t *connection)
 {
     (void)context;
-    char *answer = g_strdup_printf(
-        "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok",
-        Kind.id_header, BackendConnection_RequestId(connection));
-    (void)BackendConnection_Send(connection, answer);
-    g_free(answer);
-    BackendConnection_Finish(connection);
+    BackendConnection_Answer(connection, "ok");
 }
 
 static void
@@ -87,7 +74,6 @@
         .expected_header = "Expect-Instance",
         .not_run_header = "Not-Executed",
         .slots = 64,
-        .is_fatal = is_never_fatal,
         .begin = begin,
         .proceed = proceed,
     };
--- a/tests/process/test_repeat_budget.c
+++ b/tests/process/test_repeat_budget.c
@@ -72,14 +72,6 @@
 
 /* Servers */
 
-static bool
-is_never_fatal(const void *context, const BackendConnection_t *connection)
-{
-    (void)context;
-    (void)connection;
-    return false;
-}
-
 static void
 note_arrival(const BackendConnection_t *connection, uint32_t call)
 {
@@ -135,7 +127,6 @@
     .expected_header = "Expect-Instance",
     .not_run_header = "Not-Executed",
     .slots = SLOTS,
-    .is_fatal = is_never_fatal,
     .begin = begin_call,
     .proceed = end_call,
 };
--- a/tests/soak/soak_servers.c
+++ b/tests/soak/soak_servers.c
@@ -285,14 +285,6 @@
     finish(connection, &work);
 }
 
-static bool
-is_never_fatal(const void *context, const BackendConnection_t *connection)
-{
-    (void)context;
-    (void)connection;
-    return false;
-}
-
 static char *
 make_fields(const SoakServers_t *self, const char *service)
 {
@@ -325,7 +317,6 @@
         .slots = is_engine(self) ? ENGINE_SLOTS : SERVICE_SLOTS,
         .down_min_ms = DOWN_MIN_MS,
         .down_max_ms = DOWN_MAX_MS,
-        .is_fatal = is_never_fatal,
         .begin = begin,
         .proceed = proceed,
     };
