--- a/tests/unit/test_crash_requests.c
+++ b/tests/unit/test_crash_requests.c
@@ -1,13 +1,9 @@
 /* Requests that are suspected of crashing servers. */
 #include "core/memory.h"
-#include "routing/crash_suspects.h"
+#include "suspects_fixture.h"
 
 #include <criterion/criterion.h>
 
-#define TARGET "plan"
-#define PART 7
-/* Later than a gateway's first seconds. */
-#define LATER_MS 10000
 #define STEPS_MAX 20
 
 typedef enum StepKind {
@@ -26,7 +22,7 @@
 
 /** What happens to a request, or what is expected of it. */
 typedef struct Step {
-    int64_t at_ms; /* after LATER_MS */
+    int64_t at_ms; /* after SUSPECTS_LATER_MS */
     StepKind_t kind;
     uint64_t request;
     uint64_t value;
@@ -48,16 +44,16 @@
         [STEP_PART_IS_FREE] = EY_SUSPICION_NONE,
         [STEP_PART_IS_BARRED] = EY_SUSPICION_BARRED,
     };
-    static const uint64_t Part = PART;
+    static const uint64_t Part = SUSPECTS_PART;
     bool is_of_part = step->kind >= STEP_PART_IS_FREE;
     const EyPromptParts_t prompt = {
-        .target = TARGET,
+        .target = SUSPECTS_TARGET,
         .ids = &Part,
         .count = is_of_part ? 1 : 0,
         .request = step->request,
     };
     EySuspicionResult_t result =
-        EyCrashSuspects_Check(self, LATER_MS + step->at_ms, &prompt);
+        EyCrashSuspects_Check(self, SUSPECTS_LATER_MS + step->at_ms, &prompt);
     cr_expect_eq(result.suspicion, Expected[step->kind], "%s at %ld: %d",
                  each->name, (long)step->at_ms, (int)result.suspicion);
     if (step->value > 0) {
@@ -69,14 +65,14 @@
 static void
 run_step(EyCrashSuspects_t *self, const StepCase_t *each, const Step_t *step)
 {
-    static const uint64_t Part = PART;
+    static const uint64_t Part = SUSPECTS_PART;
     const EyPromptParts_t prompt = {
-        .target = TARGET,
+        .target = SUSPECTS_TARGET,
         .ids = &Part,
         .count = each->has_part ? 1 : 0,
         .request = step->request,
     };
-    int64_t now_ms = LATER_MS + step->at_ms;
+    int64_t now_ms = SUSPECTS_LATER_MS + step->at_ms;
     switch (step->kind) {
     case STEP_CRASH:
         EyCrashSuspects_AddCrash(self, now_ms, &prompt, step->value);
@@ -99,20 +95,11 @@
     }
 }
 
-static EyCrashSuspects_t *
-make_suspects(void *ctx)
-{
-    EyCrashSuspects_t *self = EyCrashSuspects_New(ctx, "istra");
-    const EyPromptParts_t none = {.target = TARGET};
-    (void)EyCrashSuspects_Check(self, 0, &none);
-    return self;
-}
-
 static void
 run_cases(const StepCase_t *cases, size_t count)
 {
     for (size_t i = 0; i < count; i++) {
-        EyCrashSuspects_t *self = make_suspects(NULL);
+        EyCrashSuspects_t *self = suspects_make(NULL, "istra");
         for (const Step_t *step = cases[i].steps; step->kind != STEP_END;
              step++) {
             run_step(self, &cases[i], step);
@@ -332,17 +319,19 @@
 static EySuspicion_t
 check(EyCrashSuspects_t *self, int64_t now_ms, uint64_t request)
 {
-    const EyPromptParts_t prompt = {.target = TARGET, .request = request};
+    const EyPromptParts_t prompt = {.target = SUSPECTS_TARGET,
+                                    .request = request};
     return EyCrashSuspects_Check(self, now_ms, &prompt).suspicion;
 }
 
 static void
 add_crashes(EyCrashSuspects_t *self, uint64_t request, uint64_t count)
 {
-    const EyPromptParts_t prompt = {.target = TARGET, .request = request};
+    const EyPromptParts_t prompt = {.target = SUSPECTS_TARGET,
+                                    .request = request};
     for (uint64_t crash = 1; crash <= count; crash++) {
-        EyCrashSuspects_AddCrash(self, LATER_MS + 500 * (int64_t)crash,
-                                 &prompt, crash);
+        EyCrashSuspects_AddCrash(
+            self, SUSPECTS_LATER_MS + 500 * (int64_t)crash, &prompt, crash);
     }
 }
 
@@ -351,11 +340,11 @@
     static const bool IsOwnRegion[] = {true, false};
     for (size_t i = 0; i < 2; i++) {
         void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *one = make_suspects(ctx);
+        EyCrashSuspects_t *one = suspects_make(ctx, "istra");
         add_crashes(one, 1, 3);
         EyCrashSuspects_t *started = EyCrashSuspects_New(ctx, "istra");
         /* Its evidence is no longer reported. */
-        int64_t now_ms = LATER_MS + 15000;
+        int64_t now_ms = SUSPECTS_LATER_MS + 15000;
         cr_expect_eq(check(started, now_ms - 100, 1), EY_SUSPICION_NONE);
         send_update(one, started, now_ms, IsOwnRegion[i]);
         cr_expect_eq(check(started, now_ms, 1), EY_SUSPICION_BARRED);
@@ -367,15 +356,15 @@
 Test(crash_requests, a_gateway_that_saw_answers_answers_evidence)
 {
     void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *saw = make_suspects(ctx);
-    EyCrashSuspects_t *knows = make_suspects(ctx);
-    const EyPromptParts_t prompt = {.target = TARGET, .request = 1};
-    EyCrashSuspects_Clear(knows, LATER_MS, &prompt);
+    EyCrashSuspects_t *saw = suspects_make(ctx, "istra");
+    EyCrashSuspects_t *knows = suspects_make(ctx, "istra");
+    const EyPromptParts_t prompt = {.target = SUSPECTS_TARGET, .request = 1};
+    EyCrashSuspects_Clear(knows, SUSPECTS_LATER_MS, &prompt);
     add_crashes(saw, 1, 3);
-    send_update(saw, knows, LATER_MS + 1600, true);
-    cr_expect_eq(check(knows, LATER_MS + 1600, 1), EY_SUSPICION_NONE);
-    send_update(knows, saw, LATER_MS + 1700, true);
-    cr_expect_eq(check(saw, LATER_MS + 1700, 1), EY_SUSPICION_NONE);
+    send_update(saw, knows, SUSPECTS_LATER_MS + 1600, true);
+    cr_expect_eq(check(knows, SUSPECTS_LATER_MS + 1600, 1), EY_SUSPICION_NONE);
+    send_update(knows, saw, SUSPECTS_LATER_MS + 1700, true);
+    cr_expect_eq(check(saw, SUSPECTS_LATER_MS + 1700, 1), EY_SUSPICION_NONE);
     talloc_free(ctx);
 }
 
--- a/tests/unit/test_crash_suspects.c
+++ b/tests/unit/test_crash_suspects.c
@@ -1,73 +1,14 @@
 /* Parts of prompts that are suspected of crashing engines. */
 #include "core/memory.h"
 #include "routing/cleared_suspects.h"
-#include "routing/crash_suspects.h"
+#include "suspects_fixture.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
 #include <time.h>
 
-#define TARGET "plan"
-#define PART 7
-#define OTHER_PART 8
-/* Later than a gateway's first seconds. */
-#define LATER_MS 10000
 #define STEPS_MAX 16
 
-static EyPromptParts_t
-prompt_of(const uint64_t *part)
-{
-    return (EyPromptParts_t){.target = TARGET, .ids = part, .count = 1};
-}
-
-static EyCrashSuspects_t *
-make_suspects(void *ctx, const char *region)
-{
-    EyCrashSuspects_t *self = EyCrashSuspects_New(ctx, region);
-    const uint64_t part = PART;
-    const EyPromptParts_t prompt = prompt_of(&part);
-    (void)EyCrashSuspects_Check(self, 0, &prompt);
-    return self;
-}
-
-static void
-add_crash(EyCrashSuspects_t *self, int64_t now_ms, uint64_t part,
-          uint64_t crash)
-{
-    const EyPromptParts_t prompt = prompt_of(&part);
-    EyCrashSuspects_AddCrash(self, now_ms, &prompt, crash);
-}
-
-static void
-clear(EyCrashSuspects_t *self, int64_t now_ms, uint64_t part)
-{
-    const EyPromptParts_t prompt = prompt_of(&part);
-    EyCrashSuspects_Clear(self, now_ms, &prompt);
-}
-
-static EySuspicionResult_t
-check(EyCrashSuspects_t *self, int64_t now_ms, uint64_t part)
-{
-    const EyPromptParts_t prompt = prompt_of(&part);
-    return EyCrashSuspects_Check(self, now_ms, &prompt);
-}
-
-/** Sends what one gateway has to tell to another, as bytes. */
-static void
-send_update(EyCrashSuspects_t *from, EyCrashSuspects_t *to, int64_t sent_ms,
-            int64_t received_ms, bool is_own_region)
-{
-    void *ctx = talloc_new(NULL);
-    EyEngineUpdate_t *update = EY_NEW(ctx, EyEngineUpdate_t);
-    EyCrashSuspects_Collect(from, sent_ms, is_own_region, update);
-    EyBytes_t bytes = EySchema_Pack(&EyEngineUpdate_schema, ctx, update);
-    EyEngineUpdate_t received;
-    cr_assert(EySchema_Unpack(&EyEngineUpdate_schema, ctx, bytes.data,
-                              bytes.size_bytes, &received, NULL));
-    EyCrashSuspects_Apply(to, received_ms, is_own_region, &received);
-    talloc_free(ctx);
-}
-
 typedef enum StepKind {
     STEP_END,
     STEP_CRASH,
@@ -80,7 +21,7 @@
 } StepKind_t;
 
 typedef struct Step {
-    int64_t at_ms; /* after LATER_MS */
+    int64_t at_ms; /* after SUSPECTS_LATER_MS */
     StepKind_t kind;
     int64_t value; /* of a crash: its key; of a bar: time left */
 } Step_t;
@@ -98,7 +39,8 @@
         [STEP_IS_BARRED] = EY_SUSPICION_BARRED,
         [STEP_MAY_BE_TRIED] = EY_SUSPICION_TRIAL,
     };
-    EySuspicionResult_t result = check(self, LATER_MS + step->at_ms, PART);
+    EySuspicionResult_t result =
+        suspects_check(self, SUSPECTS_LATER_MS + step->at_ms, SUSPECTS_PART);
     cr_expect_eq(result.suspicion, Expected[step->kind], "%s at %ld: %d",
                  each->name, (long)step->at_ms, (int)result.suspicion);
     if (step->kind == STEP_IS_BARRED) {
@@ -110,17 +52,18 @@
 static void
 run_case(const StepCase_t *each)
 {
-    EyCrashSuspects_t *self = make_suspects(NULL, "istra");
-    const uint64_t part = PART;
-    const EyPromptParts_t prompt = prompt_of(&part);
+    EyCrashSuspects_t *self = suspects_make(NULL, "istra");
+    const uint64_t part = SUSPECTS_PART;
+    const EyPromptParts_t prompt = suspects_prompt(&part);
     for (const Step_t *step = each->steps; step->kind != STEP_END; step++) {
-        int64_t now_ms = LATER_MS + step->at_ms;
+        int64_t now_ms = SUSPECTS_LATER_MS + step->at_ms;
         switch (step->kind) {
         case STEP_CRASH:
-            add_crash(self, now_ms, PART, (uint64_t)step->value);
+            suspects_add_crash(self, now_ms, SUSPECTS_PART,
+                               (uint64_t)step->value);
             break;
         case STEP_CLEAR:
-            clear(self, now_ms, PART);
+            suspects_clear(self, now_ms, SUSPECTS_PART);
             break;
         case STEP_TRIAL:
             EyCrashSuspects_StartTrial(self, now_ms, &prompt,
@@ -210,13 +153,13 @@
 {
     static const int64_t Bars_ms[] = {30000,   120000,  480000,  1800000,
                                       1800000, 1800000, 1800000, 1800000};
-    EyCrashSuspects_t *self = make_suspects(NULL, "istra");
-    add_crash(self, LATER_MS, PART, 1);
-    add_crash(self, LATER_MS + 500, PART, 2);
+    EyCrashSuspects_t *self = suspects_make(NULL, "istra");
+    suspects_add_crash(self, SUSPECTS_LATER_MS, SUSPECTS_PART, 1);
+    suspects_add_crash(self, SUSPECTS_LATER_MS + 500, SUSPECTS_PART, 2);
     for (int i = 0; i < 8; i++) {
-        int64_t now_ms = LATER_MS + 1000 + 100 * (int64_t)i;
-        add_crash(self, now_ms, PART, 3U + (uint64_t)i);
-        int64_t left_ms = check(self, now_ms, PART).left_ms;
+        int64_t now_ms = SUSPECTS_LATER_MS + 1000 + 100 * (int64_t)i;
+        suspects_add_crash(self, now_ms, SUSPECTS_PART, 3U + (uint64_t)i);
+        int64_t left_ms = suspects_check(self, now_ms, SUSPECTS_PART).left_ms;
         cr_expect(left_ms >= Bars_ms[i] && left_ms <= Bars_ms[i] * 5 / 4,
                   "%d: %ld", i, (long)left_ms);
     }
@@ -225,198 +168,17 @@
 
 Test(crash_suspects, a_gateway_that_just_started_bars_nothing_by_itself)
 {
-    EyCrashSuspects_t *self = make_suspects(NULL, "istra");
+    EyCrashSuspects_t *self = suspects_make(NULL, "istra");
     for (int i = 0; i < 6; i++) {
-        add_crash(self, 500 * (int64_t)i, PART, 1U + (uint64_t)i);
+        suspects_add_crash(self, 500 * (int64_t)i, SUSPECTS_PART,
+                           1U + (uint64_t)i);
     }
-    cr_expect_eq(check(self, 3000, PART).suspicion, EY_SUSPICION_NONE);
-    cr_expect_eq(check(self, LATER_MS, PART).suspicion, EY_SUSPICION_BARRED);
-    talloc_free(self);
-}
-
-Test(crash_suspects, crashes_seen_by_several_gateways_add_up_and_count_once)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *all[3];
-    for (int i = 0; i < 3; i++) {
-        all[i] = make_suspects(ctx, "istra");
-        add_crash(all[i], LATER_MS + 500 * (int64_t)i, PART, 1U + (uint64_t)i);
-        add_crash(all[i], LATER_MS + 500 * (int64_t)i, OTHER_PART, 9);
-    }
-    for (int from = 0; from < 3; from++) {
-        for (int to = 0; to < 3; to++) {
-            if (from != to) {
-                send_update(all[from], all[to], LATER_MS + 1500,
-                            LATER_MS + 1520, true);
-            }
-        }
-    }
-    for (int i = 0; i < 3; i++) {
-        EySuspicionResult_t part = check(all[i], LATER_MS + 1600, PART);
-        EySuspicionResult_t other = check(all[i], LATER_MS + 1600, OTHER_PART);
-        cr_expect_eq(part.suspicion, EY_SUSPICION_BARRED, "%d", i);
-        cr_expect_eq(other.suspicion, EY_SUSPICION_NONE, "%d", i);
-    }
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, evidence_arrives_though_messages_are_lost)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *one = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *other = make_suspects(ctx, "istra");
-    for (int i = 0; i < 3; i++) {
-        add_crash(one, LATER_MS + 500 * (int64_t)i, PART, 1U + (uint64_t)i);
-    }
-    for (int64_t at_ms = 1000; at_ms < 8000; at_ms += 500) {
-        EyEngineUpdate_t *lost = EY_NEW(ctx, EyEngineUpdate_t);
-        EyCrashSuspects_Collect(one, LATER_MS + at_ms, true, lost);
-    }
-    send_update(one, other, LATER_MS + 8000, LATER_MS + 8020, true);
-    cr_expect_eq(check(other, LATER_MS + 8020, PART).suspicion,
-                 EY_SUSPICION_BARRED);
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, a_success_at_one_gateway_clears_the_part_at_others)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *one = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *other = make_suspects(ctx, "istra");
-    clear(other, LATER_MS - 5000, PART);
-    for (int i = 0; i < 3; i++) {
-        add_crash(one, LATER_MS + 500 * (int64_t)i, PART, 1U + (uint64_t)i);
-    }
-    cr_expect_eq(check(one, LATER_MS + 1000, PART).suspicion,
-                 EY_SUSPICION_BARRED);
-    send_update(one, other, LATER_MS + 1000, LATER_MS + 1020, true);
-    cr_expect_eq(check(other, LATER_MS + 1020, PART).suspicion,
-                 EY_SUSPICION_NONE);
-    send_update(other, one, LATER_MS + 1200, LATER_MS + 1220, true);
-    cr_expect_eq(check(one, LATER_MS + 1220, PART).suspicion,
+    cr_expect_eq(suspects_check(self, 3000, SUSPECTS_PART).suspicion,
                  EY_SUSPICION_NONE);
-    add_crash(one, LATER_MS + 2000, PART, 4);
-    cr_expect_eq(check(one, LATER_MS + 2000, PART).suspicion,
-                 EY_SUSPICION_NONE);
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, an_engine_that_goes_on_has_not_crashed)
-{
-    static const struct {
-        const char *name;
-        int64_t runs_ms; /* after the third crash */
-        EySuspicion_t expected;
-    } Cases[] = {
-        {"an answer that began before is seen late", 50, EY_SUSPICION_BARRED},
-        {"another answer begins", 500, EY_SUSPICION_NONE},
-        {"the engine may have been started again", 3000, EY_SUSPICION_BARRED},
-    };
-    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
-        void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *one = make_suspects(ctx, "istra");
-        EyCrashSuspects_t *other = make_suspects(ctx, "istra");
-        for (int crash = 1; crash <= 3; crash++) {
-            int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-            add_crash(one, now_ms, PART, (uint64_t)crash);
-        }
-        send_update(one, other, LATER_MS + 1500, LATER_MS + 1520, true);
-        int64_t runs_ms = LATER_MS + 1500 + Cases[i].runs_ms;
-        EyCrashSuspects_EngineRuns(one, runs_ms, 3);
-        send_update(one, other, runs_ms, runs_ms + 20, true);
-        send_update(other, one, runs_ms + 100, runs_ms + 120, true);
-        cr_expect_eq(check(one, runs_ms + 200, PART).suspicion,
-                     Cases[i].expected, "%s", Cases[i].name);
-        cr_expect_eq(check(other, runs_ms + 200, PART).suspicion,
-                     Cases[i].expected, "%s", Cases[i].name);
-        talloc_free(ctx);
-    }
-}
-
-Test(crash_suspects, a_remote_gateway_relays_to_its_region)
-{
-    static const struct {
-        const char *name;
-        bool is_cleared;
-        EySuspicion_t expected;
-    } Cases[] = {
-        {"evidence", false, EY_SUSPICION_BARRED},
-        {"success", true, EY_SUSPICION_NONE},
-    };
-    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
-        void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *far = make_suspects(ctx, "zadar");
-        EyCrashSuspects_t *relay = make_suspects(ctx, "istra");
-        EyCrashSuspects_t *last = make_suspects(ctx, "istra");
-        for (int crash = 1; crash <= 3; crash++) {
-            int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-            add_crash(far, now_ms, PART, (uint64_t)crash);
-        }
-        send_update(far, relay, LATER_MS + 2000, LATER_MS + 2050, false);
-        send_update(relay, last, LATER_MS + 2100, LATER_MS + 2120, true);
-        if (Cases[i].is_cleared) {
-            clear(far, LATER_MS + 2200, PART);
-            send_update(far, relay, LATER_MS + 2300, LATER_MS + 2350, false);
-            send_update(relay, last, LATER_MS + 2400, LATER_MS + 2420, true);
-        }
-        cr_expect_eq(check(last, LATER_MS + 2500, PART).suspicion,
-                     Cases[i].expected, "%s", Cases[i].name);
-        talloc_free(ctx);
-    }
-}
-
-Test(crash_suspects, a_restarted_gateway_learns_bars_and_ended_bars)
-{
-    static const struct {
-        int64_t at_ms; /* after the third crash */
-        EySuspicion_t expected;
-    } Cases[] = {
-        {15000, EY_SUSPICION_BARRED},
-        {60000, EY_SUSPICION_TRIAL},
-    };
-    for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
-        void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *one = make_suspects(ctx, "istra");
-        for (int crash = 0; crash < 3; crash++) {
-            int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-            add_crash(one, now_ms, PART, 1U + (uint64_t)crash);
-        }
-        EyCrashSuspects_t *restarted = EyCrashSuspects_New(ctx, "istra");
-        int64_t now_ms = LATER_MS + Cases[i].at_ms;
-        send_update(one, restarted, now_ms, now_ms + 20, true);
-        EySuspicionResult_t result = check(restarted, now_ms + 20, PART);
-        cr_expect_eq(result.suspicion, Cases[i].expected, "%ld: %d",
-                     (long)Cases[i].at_ms, (int)result.suspicion);
-        cr_expect_leq(result.left_ms, 30000 * 5 / 4);
-        talloc_free(ctx);
-    }
-}
-
-Test(crash_suspects, gateways_that_tell_each_other_do_not_prolong_a_bar)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *all[6];
-    for (int i = 0; i < 6; i++) {
-        all[i] = make_suspects(ctx, "istra");
-    }
-    for (int crash = 0; crash < 3; crash++) {
-        int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-        add_crash(all[0], now_ms, PART, 1U + (uint64_t)crash);
-    }
-    for (int64_t at_ms = 1000; at_ms < 31500; at_ms += 40) {
-        int from = (int)(at_ms / 40 % 6);
-        for (int to = 0; to < 6; to++) {
-            if (to != from) {
-                send_update(all[from], all[to], LATER_MS + at_ms,
-                            LATER_MS + at_ms + 30, true);
-            }
-        }
-    }
-    for (int i = 0; i < 6; i++) {
-        cr_expect_eq(EyCrashSuspects_BarCount(all[i], LATER_MS + 31500), 0,
-                     "%d", i);
-    }
-    talloc_free(ctx);
+    cr_expect_eq(
+        suspects_check(self, SUSPECTS_LATER_MS, SUSPECTS_PART).suspicion,
+        EY_SUSPICION_BARRED);
+    talloc_free(self);
 }
 
 Test(crash_suspects, gateways_try_a_part_one_after_the_other)
@@ -427,17 +189,20 @@
     uint32_t may_try_at_once = 0;
     uint32_t may_try_at_the_end = 0;
     for (uint32_t i = 0; i < 3 * GATEWAYS; i++) {
-        EyCrashSuspects_t *self = make_suspects(ctx, Regions[i / GATEWAYS]);
+        EyCrashSuspects_t *self = suspects_make(ctx, Regions[i / GATEWAYS]);
         EyCrashSuspects_SetRank(self, i % GATEWAYS, GATEWAYS);
         for (int crash = 0; crash < 5; crash++) {
-            int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-            add_crash(self, now_ms, PART, 1U + (uint64_t)crash);
+            int64_t now_ms = SUSPECTS_LATER_MS + 500 * (int64_t)crash;
+            suspects_add_crash(self, now_ms, SUSPECTS_PART,
+                               1U + (uint64_t)crash);
         }
-        int64_t end_ms = LATER_MS + 2000 + 480000;
+        int64_t end_ms = SUSPECTS_LATER_MS + 2000 + 480000;
         may_try_at_once +=
-            check(self, end_ms + 2000, PART).suspicion == EY_SUSPICION_TRIAL;
+            suspects_check(self, end_ms + 2000, SUSPECTS_PART).suspicion ==
+            EY_SUSPICION_TRIAL;
         may_try_at_the_end +=
-            check(self, end_ms + 120000, PART).suspicion == EY_SUSPICION_TRIAL;
+            suspects_check(self, end_ms + 120000, SUSPECTS_PART).suspicion ==
+            EY_SUSPICION_TRIAL;
     }
     cr_expect_leq(may_try_at_once, 3, "%u", may_try_at_once);
     cr_expect_eq(may_try_at_the_end, 3 * GATEWAYS, "%u", may_try_at_the_end);
@@ -447,25 +212,29 @@
 Test(crash_suspects, the_most_suspected_parts_stay_when_tables_are_full)
 {
     void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *self = suspects_make(ctx, "istra");
     uint64_t crash = 0;
     for (int i = 0; i < 3; i++) {
-        add_crash(self, LATER_MS + 500 * (int64_t)i, PART, ++crash);
+        suspects_add_crash(self, SUSPECTS_LATER_MS + 500 * (int64_t)i,
+                           SUSPECTS_PART, ++crash);
     }
     for (uint64_t part = 100; part < 100 + 2 * EY_CRASH_SUSPECTS_MAX; part++) {
-        add_crash(self, LATER_MS + 2000, part, ++crash);
+        suspects_add_crash(self, SUSPECTS_LATER_MS + 2000, part, ++crash);
     }
-    cr_expect_eq(check(self, LATER_MS + 2000, PART).suspicion,
+    cr_expect_eq(suspects_check(self, SUSPECTS_LATER_MS + 2000, SUSPECTS_PART)
+                     .suspicion,
                  EY_SUSPICION_BARRED);
     for (uint64_t part = 1000; part < 1084 + EY_CRASH_BARS_MAX; part++) {
         for (int i = 0; i < 8; i++) {
-            add_crash(self, LATER_MS + 3000 + 250 * (int64_t)i, part, ++crash);
+            suspects_add_crash(self,
+                               SUSPECTS_LATER_MS + 3000 + 250 * (int64_t)i,
+                               part, ++crash);
         }
     }
-    cr_expect_eq(EyCrashSuspects_BarCount(self, LATER_MS + 5000),
+    cr_expect_eq(EyCrashSuspects_BarCount(self, SUSPECTS_LATER_MS + 5000),
                  EY_CRASH_BARS_MAX);
     EyEngineUpdate_t *update = EY_NEW(ctx, EyEngineUpdate_t);
-    EyCrashSuspects_Collect(self, LATER_MS + 5000, true, update);
+    EyCrashSuspects_Collect(self, SUSPECTS_LATER_MS + 5000, true, update);
     cr_expect_eq(update->evidence_count, EY_ENGINE_UPDATE_EVIDENCE_MAX);
     cr_expect_eq(update->bar_count, EY_ENGINE_UPDATE_BARS_MAX);
     talloc_free(ctx);
@@ -476,10 +245,10 @@
 {
     enum { UPDATES = 200, CPU_MAX_MS = 600 };
     void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *self = suspects_make(ctx, "istra");
     uint64_t key = 1;
     for (; key <= EY_CRASH_SUSPECTS_MAX; key++) {
-        add_crash(self, LATER_MS, key, key);
+        suspects_add_crash(self, SUSPECTS_LATER_MS, key, key);
     }
     EyCrashEvidence_t evidence[EY_ENGINE_UPDATE_EVIDENCE_MAX];
     const EyEngineUpdate_t update = {
@@ -491,7 +260,7 @@
             evidence[j] = (EyCrashEvidence_t){
                 .key = key, .part_id = key, .crash = key, .request = key};
         }
-        EyCrashSuspects_Apply(self, LATER_MS + 100, true, &update);
+        EyCrashSuspects_Apply(self, SUSPECTS_LATER_MS + 100, true, &update);
     }
     int64_t took_ms = (int64_t)(clock() - started) * 1000 / CLOCKS_PER_SEC;
     cr_expect_leq(took_ms, CPU_MAX_MS, "%ld ms", (long)took_ms);
@@ -531,18 +300,22 @@
         {"four others", 4, EY_SUSPICION_NONE},
     };
     for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
-        EyCrashSuspects_t *self = make_suspects(NULL, "istra");
-        const EyPromptParts_t prompt = {
-            .target = TARGET, .request = 50, .ran_ms = EY_CRASH_SURVIVAL_MS};
+        EyCrashSuspects_t *self = suspects_make(NULL, "istra");
+        const EyPromptParts_t prompt = {.target = SUSPECTS_TARGET,
+                                        .request = 50,
+                                        .ran_ms = EY_CRASH_SURVIVAL_MS};
         for (uint64_t crash = 1; crash <= Cases[i].other_ends; crash++) {
-            add_crash(self, LATER_MS + 4000, 1000 + crash, 100 + crash);
+            suspects_add_crash(self, SUSPECTS_LATER_MS + 4000, 1000 + crash,
+                               100 + crash);
         }
         for (uint64_t crash = 1; crash <= 3; crash++) {
-            EyCrashSuspects_AddCrash(self, LATER_MS + 3000 * (int64_t)crash,
+            EyCrashSuspects_AddCrash(self,
+                                     SUSPECTS_LATER_MS + 3000 * (int64_t)crash,
                                      &prompt, crash);
         }
         cr_expect_eq(
-            EyCrashSuspects_Check(self, LATER_MS + 9500, &prompt).suspicion,
+            EyCrashSuspects_Check(self, SUSPECTS_LATER_MS + 9500, &prompt)
+                .suspicion,
             Cases[i].expected, "%s", Cases[i].name);
         talloc_free(self);
     }
@@ -553,12 +326,13 @@
 static void
 end_engines_beside_answers(EyCrashSuspects_t *self, uint64_t engines)
 {
-    clear(self, LATER_MS - 1000, PART);
+    suspects_clear(self, SUSPECTS_LATER_MS - 1000, SUSPECTS_PART);
     for (uint64_t crash = 1; crash <= engines; crash++) {
-        add_crash(self, LATER_MS + 70 * (int64_t)crash, PART, crash);
+        suspects_add_crash(self, SUSPECTS_LATER_MS + 70 * (int64_t)crash,
+                           SUSPECTS_PART, crash);
     }
     for (int64_t at_ms = 1200; at_ms < 2000; at_ms += 50) {
-        clear(self, LATER_MS + at_ms, OTHER_PART);
+        suspects_clear(self, SUSPECTS_LATER_MS + at_ms, SUSPECTS_OTHER_PART);
     }
 }
 
@@ -574,20 +348,28 @@
     };
     for (size_t i = 0; i < sizeof(Cases) / sizeof(Cases[0]); i++) {
         void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *self = make_suspects(ctx, "istra");
-        EyCrashSuspects_t *other = make_suspects(ctx, "istra");
-        clear(other, LATER_MS - 1000, PART);
+        EyCrashSuspects_t *self = suspects_make(ctx, "istra");
+        EyCrashSuspects_t *other = suspects_make(ctx, "istra");
+        suspects_clear(other, SUSPECTS_LATER_MS - 1000, SUSPECTS_PART);
         end_engines_beside_answers(self, 7);
-        EySuspicionResult_t result = check(self, LATER_MS + 2000, PART);
+        EySuspicionResult_t result =
+            suspects_check(self, SUSPECTS_LATER_MS + 2000, SUSPECTS_PART);
         cr_expect_eq(result.suspicion, EY_SUSPICION_BARRED, "%s",
                      Cases[i].name);
-        send_update(self, other, LATER_MS + 2000, LATER_MS + 2020, true);
+        suspects_send(self, other, SUSPECTS_LATER_MS + 2000,
+                      SUSPECTS_LATER_MS + 2020, true);
         for (uint64_t crash = 11; crash <= 13; crash++) {
-            add_crash(self, LATER_MS + Cases[i].crash_ms, PART, crash);
-            add_crash(other, LATER_MS + Cases[i].crash_ms, PART, crash);
+            suspects_add_crash(self, SUSPECTS_LATER_MS + Cases[i].crash_ms,
+                               SUSPECTS_PART, crash);
+            suspects_add_crash(other, SUSPECTS_LATER_MS + Cases[i].crash_ms,
+                               SUSPECTS_PART, crash);
         }
-        int64_t left_ms = check(self, LATER_MS + 4100, PART).left_ms;
-        int64_t of_other_ms = check(other, LATER_MS + 4100, PART).left_ms;
+        int64_t left_ms =
+            suspects_check(self, SUSPECTS_LATER_MS + 4100, SUSPECTS_PART)
+                .left_ms;
+        int64_t of_other_ms =
+            suspects_check(other, SUSPECTS_LATER_MS + 4100, SUSPECTS_PART)
+                .left_ms;
         cr_expect_eq(left_ms > 40000, Cases[i].is_longer, "%s: %ld",
                      Cases[i].name, (long)left_ms);
         cr_expect_eq(of_other_ms > 40000, Cases[i].is_longer, "%s: %ld",
@@ -598,98 +380,22 @@
 
 Test(crash_suspects, refuted_crashes_do_not_lengthen_a_bar)
 {
-    EyCrashSuspects_t *self = make_suspects(NULL, "istra");
+    EyCrashSuspects_t *self = suspects_make(NULL, "istra");
     end_engines_beside_answers(self, 12);
-    cr_expect_eq(check(self, LATER_MS + 2000, PART).suspicion,
+    cr_expect_eq(suspects_check(self, SUSPECTS_LATER_MS + 2000, SUSPECTS_PART)
+                     .suspicion,
                  EY_SUSPICION_BARRED);
     for (uint64_t crash = 5; crash <= 12; crash++) {
-        EyCrashSuspects_EngineRuns(self, LATER_MS + 1500, crash);
+        EyCrashSuspects_EngineRuns(self, SUSPECTS_LATER_MS + 1500, crash);
     }
-    add_crash(self, LATER_MS + 2100, PART, 14);
-    EySuspicionResult_t result = check(self, LATER_MS + 2200, PART);
+    suspects_add_crash(self, SUSPECTS_LATER_MS + 2100, SUSPECTS_PART, 14);
+    EySuspicionResult_t result =
+        suspects_check(self, SUSPECTS_LATER_MS + 2200, SUSPECTS_PART);
     cr_expect_eq(result.suspicion, EY_SUSPICION_BARRED);
     cr_expect_leq(result.left_ms, 40000);
     talloc_free(self);
 }
 
-/* Failure: each gateway that repeats a reported success makes it younger, so
- * that it covers later crashes. */
-Test(crash_suspects, a_reported_success_is_not_reported_again)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *saw = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *told = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *last = make_suspects(ctx, "istra");
-    add_crash(saw, LATER_MS, PART, 1);
-    clear(saw, LATER_MS + 100, PART);
-    send_update(saw, told, LATER_MS + 200, LATER_MS + 250, true);
-    add_crash(last, LATER_MS + 300, PART, 2);
-    send_update(last, told, LATER_MS + 400, LATER_MS + 450, true);
-    EyEngineUpdate_t *update = EY_NEW(ctx, EyEngineUpdate_t);
-    EyCrashSuspects_Collect(told, LATER_MS + 500, true, update);
-    cr_expect_eq(update->cleared_count, 0);
-    update = EY_NEW(ctx, EyEngineUpdate_t);
-    EyCrashSuspects_Collect(saw, LATER_MS + 500, true, update);
-    cr_expect_eq(update->cleared_count, 1);
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, an_update_of_an_older_build_has_no_suspects)
-{
-    void *ctx = talloc_new(NULL);
-    /* An array of one field: the engines, of which there are none. */
-    static const uint8_t Old[] = {0x91, 0x90};
-    EyEngineUpdate_t update;
-    cr_assert(EySchema_Unpack(&EyEngineUpdate_schema, ctx, Old, sizeof(Old),
-                              &update, NULL));
-    cr_expect_eq(
-        update.evidence_count + update.cleared_count + update.bar_count, 0);
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, evidence_that_was_refuted_is_not_told_any_more)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *saw = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *refutes = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *later = make_suspects(ctx, "istra");
-    for (uint64_t crash = 1; crash <= 3; crash++) {
-        int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-        add_crash(saw, now_ms, PART, crash);
-        send_update(saw, refutes, now_ms + 20, now_ms + 40, true);
-        EyCrashSuspects_EngineRuns(refutes, now_ms + 300, crash);
-        send_update(refutes, saw, now_ms + 320, now_ms + 340, true);
-    }
-    /* The refutations are told for 2 s, the evidence for 10 s. */
-    int64_t now_ms = LATER_MS + 5000;
-    send_update(refutes, later, now_ms, now_ms + 20, true);
-    send_update(saw, later, now_ms, now_ms + 20, true);
-    cr_expect_eq(check(saw, now_ms + 100, PART).suspicion, EY_SUSPICION_NONE);
-    cr_expect_eq(check(later, now_ms + 100, PART).suspicion,
-                 EY_SUSPICION_NONE);
-    talloc_free(ctx);
-}
-
-Test(crash_suspects, evidence_that_was_refuted_is_not_relayed_to_the_region)
-{
-    void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *far = make_suspects(ctx, "zadar");
-    EyCrashSuspects_t *relay = make_suspects(ctx, "istra");
-    EyCrashSuspects_t *last = make_suspects(ctx, "istra");
-    for (uint64_t crash = 1; crash <= 3; crash++) {
-        int64_t now_ms = LATER_MS + 500 * (int64_t)crash;
-        add_crash(far, now_ms, PART, crash);
-        send_update(far, relay, now_ms + 20, now_ms + 40, false);
-        EyCrashSuspects_EngineRuns(relay, now_ms + 300, crash);
-    }
-    /* The refutations are told no more; far has missed them. */
-    int64_t now_ms = LATER_MS + 5000;
-    send_update(far, relay, now_ms, now_ms + 20, false);
-    send_update(relay, last, now_ms + 100, now_ms + 120, true);
-    cr_expect_eq(check(last, now_ms + 200, PART).suspicion, EY_SUSPICION_NONE);
-    talloc_free(ctx);
-}
-
 /** An engine crashes under several prompts with many parts of their own, of
  * which one has the fatal part. */
 static void
@@ -703,10 +409,10 @@
             ids[i] = ((crash * PROMPTS + prompt) * PARTS + i) + 1000;
         }
         if (prompt == fatal_prompt) {
-            ids[0] = PART;
+            ids[0] = SUSPECTS_PART;
         }
         const EyPromptParts_t parts = {
-            .target = TARGET, .ids = ids, .count = PARTS};
+            .target = SUSPECTS_TARGET, .ids = ids, .count = PARTS};
         EyCrashSuspects_AddCrash(self, now_ms, &parts, crash);
     }
 }
@@ -715,13 +421,15 @@
 {
     for (uint64_t prompt = 0; prompt < 6; prompt++) {
         void *ctx = talloc_new(NULL);
-        EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+        EyCrashSuspects_t *self = suspects_make(ctx, "istra");
         for (uint64_t crash = 1; crash <= 8; crash++) {
-            crash_under_long_prompts(self, LATER_MS + 500 * (int64_t)crash,
-                                     crash, prompt);
+            crash_under_long_prompts(
+                self, SUSPECTS_LATER_MS + 500 * (int64_t)crash, crash, prompt);
         }
-        cr_expect_eq(check(self, LATER_MS + 5000, PART).suspicion,
-                     EY_SUSPICION_BARRED, "prompt %lu", (unsigned long)prompt);
+        cr_expect_eq(
+            suspects_check(self, SUSPECTS_LATER_MS + 5000, SUSPECTS_PART)
+                .suspicion,
+            EY_SUSPICION_BARRED, "prompt %lu", (unsigned long)prompt);
         talloc_free(ctx);
     }
 }
@@ -730,24 +438,26 @@
 {
     enum { PARTS = EY_CRASH_BARS_MAX };
     void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *self = suspects_make(ctx, "istra");
     uint64_t ids[PARTS];
     for (uint64_t i = 0; i < PARTS; i++) {
         ids[i] = 100 + i;
     }
     const EyPromptParts_t prompt = {
-        .target = TARGET, .ids = ids, .count = PARTS};
+        .target = SUSPECTS_TARGET, .ids = ids, .count = PARTS};
     for (uint64_t crash = 1; crash <= 5; crash++) {
-        EyCrashSuspects_AddCrash(self, LATER_MS + 500 * (int64_t)crash,
-                                 &prompt, crash);
+        EyCrashSuspects_AddCrash(
+            self, SUSPECTS_LATER_MS + 500 * (int64_t)crash, &prompt, crash);
     }
-    cr_expect_eq(EyCrashSuspects_BarCount(self, LATER_MS + 2600), PARTS);
-    int64_t now_ms = LATER_MS + 1000000;
+    cr_expect_eq(EyCrashSuspects_BarCount(self, SUSPECTS_LATER_MS + 2600),
+                 PARTS);
+    int64_t now_ms = SUSPECTS_LATER_MS + 1000000;
     cr_expect_eq(EyCrashSuspects_BarCount(self, now_ms), 0);
     for (uint64_t crash = 11; crash <= 13; crash++) {
-        add_crash(self, now_ms + 500 * (int64_t)crash, PART, crash);
+        suspects_add_crash(self, now_ms + 500 * (int64_t)crash, SUSPECTS_PART,
+                           crash);
     }
-    cr_expect_eq(check(self, now_ms + 8000, PART).suspicion,
+    cr_expect_eq(suspects_check(self, now_ms + 8000, SUSPECTS_PART).suspicion,
                  EY_SUSPICION_BARRED);
     talloc_free(ctx);
 }
@@ -755,17 +465,19 @@
 Test(crash_suspects, engines_count_that_crash_after_a_connection_broke_off)
 {
     void *ctx = talloc_new(NULL);
-    EyCrashSuspects_t *self = make_suspects(ctx, "istra");
+    EyCrashSuspects_t *self = suspects_make(ctx, "istra");
     for (uint64_t engine = 1; engine <= 4; engine++) {
-        int64_t now_ms = LATER_MS + 500 * (int64_t)engine;
-        add_crash(self, now_ms, OTHER_PART, engine);
+        int64_t now_ms = SUSPECTS_LATER_MS + 500 * (int64_t)engine;
+        suspects_add_crash(self, now_ms, SUSPECTS_OTHER_PART, engine);
         EyCrashSuspects_EngineRuns(self, now_ms + 300, engine);
     }
     for (uint64_t engine = 1; engine <= 4; engine++) {
-        add_crash(self, LATER_MS + 30000 + 500 * (int64_t)engine, PART,
-                  engine);
+        suspects_add_crash(self,
+                           SUSPECTS_LATER_MS + 30000 + 500 * (int64_t)engine,
+                           SUSPECTS_PART, engine);
     }
-    cr_expect_eq(check(self, LATER_MS + 34000, PART).suspicion,
+    cr_expect_eq(suspects_check(self, SUSPECTS_LATER_MS + 34000, SUSPECTS_PART)
+                     .suspicion,
                  EY_SUSPICION_BARRED);
     talloc_free(ctx);
 }
--- a/tests/unit/test_crash_suspects_fleet.c
+++ b/tests/unit/test_crash_suspects_fleet.c
@@ -28,6 +28,18 @@
                  counts.sound_suspect);
 }
 
+/** Plays a case without fatal requests. */
+static void
+check_no_suspects(const CrashFleetOptions_t *options)
+{
+    CrashFleetCounts_t counts = crash_fleet_run(options);
+    cr_log_info("%s: %u of %u suspect", options->name, counts.sound_suspect,
+                counts.sound);
+    cr_expect_gt(counts.sound, 0, "%s", options->name);
+    cr_expect_eq(counts.sound_suspect, 0, "%s: %u", options->name,
+                 counts.sound_suspect);
+}
+
 static CrashFleetOptions_t
 base_options(void)
 {
@@ -162,12 +174,7 @@
         options.end_until_ms = Cases[i].end_until_ms;
         options.fatal_per_s = 0;
         options.end_ms = 40000;
-        CrashFleetCounts_t counts = crash_fleet_run(&options);
-        cr_log_info("%s: %u of %u suspect", options.name, counts.sound_suspect,
-                    counts.sound);
-        cr_expect_gt(counts.sound, 0, "%s", options.name);
-        cr_expect_eq(counts.sound_suspect, 0, "%s: %u", options.name,
-                     counts.sound_suspect);
+        check_no_suspects(&options);
     }
 }
 
@@ -218,9 +225,6 @@
         options.cut_permille = Cases[i].cut_permille;
         options.fatal_per_s = 0;
         options.end_ms = 40000;
-        CrashFleetCounts_t counts = crash_fleet_run(&options);
-        cr_expect_gt(counts.sound, 0, "%s", options.name);
-        cr_expect_eq(counts.sound_suspect, 0, "%s: %u", options.name,
-                     counts.sound_suspect);
+        check_no_suspects(&options);
     }
 }
