Test servers: accepting, counting and stopping in one place

odd_server and endless_server each had the same threads, counter of open connections and stop. threaded_server has them now; what is served is as before.

--- a/tests/process/endless_server.c
+++ b/tests/process/endless_server.c
@@ -1,6 +1,7 @@
 #include "process/endless_server.h"
 
 #include "process/harness.h"
+#include "process/threaded_server.h"
 #include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
@@ -13,23 +14,13 @@
 #define BLOCK_BYTES 16384
 #define REQUEST_TIMEOUT_MS 10000
 #define SLOW_INTERVAL_MS 100
-#define STOP_INTERVAL_MS 20
 
 struct EndlessServer {
     const EndlessAnswer_t *answers;
     uint32_t count;
-    int listener;
-    uint16_t port;
-    GThread *acceptor;
-    gint is_stopping; /* atomic, like the counter */
-    gint open;
+    ThreadedServer_t *server;
 };
 
-typedef struct Connection {
-    EndlessServer_t *server;
-    int socket;
-} Connection_t;
-
 /** The answer that the request asks for; NULL if there is none. */
 static const EndlessAnswer_t *
 find_answer(const EndlessServer_t *self, const char *request)
@@ -70,7 +61,7 @@
 answer(const EndlessServer_t *self, int socket, const EndlessAnswer_t *answer)
 {
     bool is_open = raw_send_text(socket, answer->head);
-    while (answer->is_silent && g_atomic_int_get(&self->is_stopping) == 0 &&
+    while (answer->is_silent && !ThreadedServer_IsStopping(self->server) &&
            !raw_is_closed(socket, SLOW_INTERVAL_MS))
     {
     }
@@ -78,45 +69,22 @@
         return;
     }
     is_open = is_open && send_at_once(socket, answer);
-    while (is_open && g_atomic_int_get(&self->is_stopping) == 0) {
+    while (is_open && !ThreadedServer_IsStopping(self->server)) {
         Harness_SleepMs(SLOW_INTERVAL_MS);
         is_open = raw_send_text(socket, answer->repeated);
     }
 }
 
-static gpointer
-serve(gpointer data)
+static void
+serve(void *context, int socket)
 {
-    Connection_t *connection = data;
-    EndlessServer_t *self = connection->server;
+    EndlessServer_t *self = context;
     char *text = g_malloc(RAW_TEXT_MAX_BYTES);
-    (void)raw_read_until(connection->socket, "\r\n\r\n", REQUEST_TIMEOUT_MS,
-                         text);
+    (void)raw_read_until(socket, "\r\n\r\n", REQUEST_TIMEOUT_MS, text);
     const EndlessAnswer_t *found = find_answer(self, text);
     g_free(text);
     if (found != NULL) {
-        answer(self, connection->socket, found);
-    }
-    (void)shutdown(connection->socket, SHUT_RDWR);
-    (void)close(connection->socket);
-    g_free(connection);
-    (void)g_atomic_int_add(&self->open, -1);
-    return NULL;
-}
-
-static gpointer
-accept_all(gpointer data)
-{
-    EndlessServer_t *self = data;
-    for (;;) {
-        int socket = accept(self->listener, NULL, NULL);
-        if (socket < 0) {
-            return NULL;
-        }
-        Connection_t *connection = g_new0(Connection_t, 1);
-        *connection = (Connection_t){.server = self, .socket = socket};
-        g_atomic_int_inc(&self->open);
-        g_thread_unref(g_thread_new("endless", serve, connection));
+        answer(self, socket, found);
     }
 }
 
@@ -126,33 +94,27 @@
     EndlessServer_t *self = g_new0(EndlessServer_t, 1);
     self->answers = answers;
     self->count = count;
-    self->listener = raw_listen(&self->port);
-    cr_assert_eq(listen(self->listener, SOMAXCONN), 0);
-    self->acceptor = g_thread_new("endless-accept", accept_all, self);
+    const ThreadedServerOptions_t options = {
+        .name = "endless", .context = self, .serve = serve};
+    self->server = ThreadedServer_Start(&options);
     return self;
 }
 
 uint16_t
 EndlessServer_Port(const EndlessServer_t *self)
 {
-    return self->port;
+    return ThreadedServer_Port(self->server);
 }
 
 uint32_t
 EndlessServer_Open(const EndlessServer_t *self)
 {
-    return (uint32_t)g_atomic_int_get(&self->open);
+    return ThreadedServer_Open(self->server);
 }
 
 void
 EndlessServer_Stop(EndlessServer_t *self)
 {
-    g_atomic_int_set(&self->is_stopping, 1);
-    (void)shutdown(self->listener, SHUT_RDWR);
-    (void)g_thread_join(self->acceptor);
-    (void)close(self->listener);
-    while (EndlessServer_Open(self) > 0) {
-        Harness_SleepMs(STOP_INTERVAL_MS);
-    }
+    ThreadedServer_Stop(self->server);
     g_free(self);
 }
--- a/tests/process/odd_server.c
+++ b/tests/process/odd_server.c
@@ -1,6 +1,7 @@
 #include "process/odd_server.h"
 
 #include "process/harness.h"
+#include "process/threaded_server.h"
 #include "unit/raw_socket.h"
 
 #include <criterion/criterion.h>
@@ -18,7 +19,6 @@
 /* Time for what was sent to arrive before a reset discards it. */
 #define RESET_DELAY_MS 20
 #define CLOSE_DELAY_MS 300
-#define STOP_INTERVAL_MS 20
 #define RECEIVE_BYTES 16384
 #define SEGMENT_BYTES 1460
 
@@ -33,19 +33,10 @@
 struct OddServer {
     const OddAnswer_t *answers;
     uint32_t count;
-    int listener;
-    uint16_t port;
-    GThread *acceptor;
-    gint is_stopping; /* atomic, like the counters */
-    gint open;
-    gint given[ANSWERS_MAX];
+    ThreadedServer_t *server;
+    gint given[ANSWERS_MAX]; /* atomic */
 };
 
-typedef struct Connection {
-    OddServer_t *server;
-    int socket;
-} Connection_t;
-
 /** The value of a header, to be freed; empty without one. */
 static char *
 header_value(const char *request, const char *name)
@@ -133,7 +124,7 @@
 {
     uint32_t count = 0;
     bool is_open = true;
-    while (is_open && g_atomic_int_get(&self->is_stopping) == 0 &&
+    while (is_open && !ThreadedServer_IsStopping(self->server) &&
            (answer->drips_max == 0 || count < answer->drips_max))
     {
         is_open = !raw_is_closed(socket, answer->drip_interval_ms) &&
@@ -194,37 +185,16 @@
     g_free(rest);
 }
 
-static gpointer
-serve(gpointer data)
+static void
+serve(void *context, int socket)
 {
-    Connection_t *connection = data;
-    OddServer_t *self = connection->server;
+    OddServer_t *self = context;
     char *text = g_malloc(RAW_TEXT_MAX_BYTES);
-    size_t got = raw_read_until(connection->socket, "\r\n\r\n",
-                                REQUEST_TIMEOUT_MS, text);
+    size_t got = raw_read_until(socket, "\r\n\r\n", REQUEST_TIMEOUT_MS, text);
     if (strstr(text, "\r\n\r\n") != NULL) {
-        answer_request(self, connection->socket, text, got);
+        answer_request(self, socket, text, got);
     }
     g_free(text);
-    (void)shutdown(connection->socket, SHUT_RDWR);
-    (void)close(connection->socket);
-    g_free(connection);
-    (void)g_atomic_int_add(&self->open, -1);
-    return NULL;
-}
-
-static gpointer
-accept_all(gpointer data)
-{
-    OddServer_t *self = data;
-    int socket = -1;
-    while ((socket = accept(self->listener, NULL, NULL)) >= 0) {
-        Connection_t *connection = g_new0(Connection_t, 1);
-        *connection = (Connection_t){.server = self, .socket = socket};
-        g_atomic_int_inc(&self->open);
-        g_thread_unref(g_thread_new("odd", serve, connection));
-    }
-    return NULL;
 }
 
 /** Has connections buffer less than a large request: those on loopback hold
@@ -247,17 +217,20 @@
     OddServer_t *self = g_new0(OddServer_t, 1);
     self->answers = answers;
     self->count = count;
-    self->listener = raw_listen(&self->port);
-    limit_buffers(self->listener);
-    cr_assert_eq(listen(self->listener, SOMAXCONN), 0);
-    self->acceptor = g_thread_new("odd-accept", accept_all, self);
+    const ThreadedServerOptions_t options = {
+        .name = "odd",
+        .context = self,
+        .serve = serve,
+        .prepare = limit_buffers,
+    };
+    self->server = ThreadedServer_Start(&options);
     return self;
 }
 
 uint16_t
 OddServer_Port(const OddServer_t *self)
 {
-    return self->port;
+    return ThreadedServer_Port(self->server);
 }
 
 uint32_t
@@ -269,18 +242,12 @@
 uint32_t
 OddServer_Open(OddServer_t *self)
 {
-    return (uint32_t)g_atomic_int_get(&self->open);
+    return ThreadedServer_Open(self->server);
 }
 
 void
 OddServer_Stop(OddServer_t *self)
 {
-    g_atomic_int_set(&self->is_stopping, 1);
-    (void)shutdown(self->listener, SHUT_RDWR);
-    (void)g_thread_join(self->acceptor);
-    (void)close(self->listener);
-    while (OddServer_Open(self) > 0) {
-        Harness_SleepMs(STOP_INTERVAL_MS);
-    }
+    ThreadedServer_Stop(self->server);
     g_free(self);
 }
