--- a/review/standins-2/site.sh
+++ b/review/standins-2/site.sh
@@ -38,7 +38,9 @@
 
 stop_all() {
     local each
-    for each in "${helpers[@]}" "${pid[@]}"; do
+    touch "$work/done"
+    for each in "${helpers[@]}" "${pid[@]}" \
+        $(cat "$work/restarted" 2>/dev/null); do
         kill -KILL "$each" 2>/dev/null
     done
     wait 2>/dev/null
@@ -143,11 +145,15 @@
     done
     address[$1]=127.$net.$((index + 1)).$4
     region_of[$1]=$3
+    # Its addresses may be taken; it then ends at once.
     # shellcheck disable=SC2046
     "$standin" replica "${address[$1]}:8080" "$1" "$2" "$3-a" "$5" \
         "$work/runs.log" $(controls_of "$3") 2>>"$work/standins.log" &
     pid[$1]=$!
     disown
+    sleep 0.2
+    kill -0 "${pid[$1]}" 2>/dev/null ||
+        cannot_run "$1 ended: $(tail -1 "$work/standins.log")"
 }
 
 # configure JSON: sends a configuration as the operator does.
--- a/review/standins-2/standin.c
+++ b/review/standins-2/standin.c
@@ -8,7 +8,7 @@
  *   standin kept IP:PORT PATH COUNT DEADLINE_MS SECONDS NAME LOG
  *   standin memory LIMIT_MB PID NAME LOG
  *
- * Log lines begin with the milliseconds of the system's steady clock. */
+ * Log lines begin with the milliseconds since the machine's start. */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
@@ -45,7 +45,7 @@
 static int64_t
 now_ms(void)
 {
-    return read_clock_ms(CLOCK_MONOTONIC);
+    return read_clock_ms(CLOCK_BOOTTIME);
 }
 
 static void
