--- a/review/standins-2/standin.c
+++ b/review/standins-2/standin.c
@@ -146,8 +146,7 @@
          line = strstr(line + 2, "\r\n"))
     {
         if (strncasecmp(line + 2, name, length) == 0 &&
-            line[2 + length] == ':')
-        {
+            line[2 + length] == ':') {
             const char *start = line + 3 + length;
             start += strspn(start, " ");
             snprintf(value, size, "%.*s", (int)strcspn(start, "\r"), start);
@@ -187,8 +186,8 @@
     message->body_bytes = 0;
     static __thread char buffer[65536];
     while (left > 0) {
-        ssize_t got = recv(
-            fd, buffer, left < sizeof(buffer) ? left : sizeof(buffer), 0);
+        ssize_t got =
+            recv(fd, buffer, left < sizeof(buffer) ? left : sizeof(buffer), 0);
         if (got <= 0) {
             return false;
         }
@@ -288,10 +287,9 @@
     char text[2048];
     sscanf(request->head, "%15s %2047s", method, path);
     header_of(request->head, "Attempt-Id", id, sizeof(id));
-    bool is_meant =
-        header_of(request->head, "Expect-Instance", expected,
-                  sizeof(expected)) == NULL ||
-        strcmp(expected, replica.id) == 0;
+    bool is_meant = header_of(request->head, "Expect-Instance", expected,
+                              sizeof(expected)) == NULL ||
+                    strcmp(expected, replica.id) == 0;
     if (strcmp(path, "/health") == 0) {
         snprintf(text, sizeof(text),
                  "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nServer-Load: 0,0,6\r\n"
